--- a/Makefile
+++ b/Makefile
@@ -29,10 +29,10 @@
 	$(BIN)/python -m pytest
 
 demo: $(STAMP)
-	$(BIN)/jayseam-demo
+	$(BIN)/jayseam-demo $(ARGS)
 
 bench: $(STAMP)
-	$(BIN)/jayseam-bench
+	$(BIN)/jayseam-bench $(ARGS)
 
 clean:
 	rm -rf $(VENV) build bench/out
--- a/jayseam/core/__init__.py
+++ b/jayseam/core/__init__.py
@@ -7,6 +7,7 @@
 from jayseam.core import clocks
 from jayseam.core import digests
 from jayseam.core import errors
+from jayseam.core import identifiers
 from jayseam.core import logs
 from jayseam.core import registries
 from jayseam.core import rendezvous
@@ -18,6 +19,7 @@
     'clocks',
     'digests',
     'errors',
+    'identifiers',
     'logs',
     'registries',
     'rendezvous',
--- /dev/null
+++ b/jayseam/settings/model.py
@@ -0,0 +1,120 @@
+"""Typed values of the settings of a node."""
+
+import attrs
+
+
+@attrs.frozen
+class Address:
+    """An IP address and a TCP port."""
+
+    host: str
+    port: int
+
+    def as_tuple(self) -> tuple[str, int]:
+        """Returns the form that socket functions take."""
+        return self.host, self.port
+
+
+@attrs.frozen
+class LinkAddress(Address):
+    """Where links are accepted, and where other nodes reach them.
+
+    The advertised address differs from the bound one behind a port forwarding.
+    """
+
+    advertise_host: str = ''
+    advertise_port: int = 0
+
+    def advertised(self) -> tuple[str, int]:
+        """Returns the address that other nodes dial."""
+        return (
+            self.advertise_host or self.host,
+            self.advertise_port or self.port,
+        )
+
+
+@attrs.frozen
+class Seed:
+    """A node to ask first after a start."""
+
+    vm: str
+    zone: str
+    host: str
+    port: int
+
+
+@attrs.frozen
+class SourceSettings:
+    """How to reach the configuration service."""
+
+    urls: tuple[str, ...]
+    watch_wait_s: float = 10.0
+
+
+@attrs.frozen
+class LimitSettings:
+    """The strategy of fleet-wide rate limits."""
+
+    strategy: str = 'escrow'
+
+
+@attrs.frozen
+class SelectionSettings:
+    """The strategy that chooses an upstream."""
+
+    strategy: str = 'two_choices'
+
+
+@attrs.frozen
+class AdmissionSettings:
+    """Whether the ingress queues fairly and ramps after a start."""
+
+    fair: bool = True
+    ramp: bool = True
+
+
+@attrs.frozen
+class KeySettings:
+    """How long keys are trusted without news from the platform, in seconds."""
+
+    max_unconfirmed_s: float = 3600.0
+
+
+@attrs.frozen
+class StopSettings:
+    """Bound on a graceful shutdown, in seconds."""
+
+    deadline_s: float = 30.0
+
+
+@attrs.frozen
+class IdempotencySettings:
+    """How long an idempotency key is remembered, in seconds."""
+
+    window_s: float = 600.0
+
+
+@attrs.frozen
+class NodeSettings:
+    """All settings of one node process."""
+
+    vm: str
+    region: str
+    zone: str
+    upstream: str
+    caller: Address
+    link: LinkAddress
+    admin: Address
+    backend: Address
+    source: SourceSettings
+    fleet_secrets: tuple[str, ...] = attrs.field(repr=False)
+    incarnation: int | None = None
+    seeds: tuple[Seed, ...] = ()
+    limits: LimitSettings = LimitSettings()
+    selection: SelectionSettings = SelectionSettings()
+    admission: AdmissionSettings = AdmissionSettings()
+    keys: KeySettings = KeySettings()
+    stop: StopSettings = StopSettings()
+    idempotency: IdempotencySettings = IdempotencySettings()
+    codec: str = 'cbor'
+    log_level: str = 'INFO'
--- /dev/null
+++ b/jayseam/settings/schema.py
@@ -0,0 +1,100 @@
+"""JSON Schema of the settings of a node.
+
+References:
+  JSON Schema, draft 2020-12.
+"""
+
+from typing import Any
+
+
+def _object(
+    properties: dict[str, Any], required: tuple[str, ...] = ()
+) -> dict[str, Any]:
+    return {
+        'type': 'object',
+        'properties': properties,
+        'required': list(required),
+        'additionalProperties': False,
+    }
+
+
+_NAME = {'type': 'string', 'pattern': r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'}
+_HOST = {
+    'type': 'string',
+    'anyOf': [{'format': 'ipv4'}, {'format': 'ipv6'}],
+}
+_PORT = {'type': 'integer', 'minimum': 1, 'maximum': 65535}
+_ADDRESS = {'host': _HOST, 'port': _PORT}
+_POSITIVE_S = {'type': 'number', 'exclusiveMinimum': 0, 'maximum': 86400}
+_SECRET_LENGTH = 16
+
+NODE_SCHEMA = _object(
+    {
+        'vm': _NAME,
+        'incarnation': {'type': 'integer', 'minimum': 1},
+        'region': _NAME,
+        'zone': _NAME,
+        'upstream': _NAME,
+        'caller': _object(_ADDRESS, ('host', 'port')),
+        'link': _object(
+            {**_ADDRESS, 'advertise_host': _HOST, 'advertise_port': _PORT},
+            ('host', 'port'),
+        ),
+        'admin': _object(_ADDRESS, ('host', 'port')),
+        'backend': _object(_ADDRESS, ('host', 'port')),
+        'source': _object(
+            {
+                'urls': {
+                    'type': 'array',
+                    'minItems': 1,
+                    'items': {'type': 'string', 'pattern': '^http://'},
+                },
+                'watch_wait_s': {
+                    'type': 'number',
+                    'minimum': 0.1,
+                    'maximum': 60,
+                },
+            },
+            ('urls',),
+        ),
+        'seeds': {
+            'type': 'array',
+            'items': _object(
+                {'vm': _NAME, 'zone': _NAME, **_ADDRESS},
+                ('vm', 'zone', 'host', 'port'),
+            ),
+        },
+        'fleet_secrets': {
+            'type': 'array',
+            'minItems': 1,
+            'maxItems': 2,
+            'items': {'type': 'string', 'minLength': _SECRET_LENGTH},
+        },
+        'limits': _object(
+            {'strategy': {'enum': ['escrow', 'owner', 'static']}}
+        ),
+        'selection': _object(
+            {'strategy': {'enum': ['two_choices', 'round_robin']}}
+        ),
+        'admission': _object(
+            {'fair': {'type': 'boolean'}, 'ramp': {'type': 'boolean'}}
+        ),
+        'keys': _object({'max_unconfirmed_s': _POSITIVE_S}),
+        'stop': _object({'deadline_s': _POSITIVE_S}),
+        'idempotency': _object({'window_s': _POSITIVE_S}),
+        'codec': {'enum': ['cbor', 'json']},
+        'log_level': {'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR']},
+    },
+    (
+        'vm',
+        'region',
+        'zone',
+        'upstream',
+        'caller',
+        'link',
+        'admin',
+        'backend',
+        'source',
+        'fleet_secrets',
+    ),
+)
