Add authenticated links between nodes

Nodes need one websocket between two VMs that carries requests, replies and notifications in both directions. Compression extensions stay off because of their memory for each link.

--- /dev/null
+++ b/jayseam/links/connections.py
@@ -0,0 +1,575 @@
+"""One authenticated link between two nodes.
+
+A link owns its socket, its pending requests and its outbox. One greenlet reads
+and one writes. A frame is written by the greenlet that sends it when the
+writer is idle, which saves a switch; otherwise it is queued, and the writer
+joins all queued frames into one send.
+"""
+
+import collections
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+import gevent
+from gevent import event
+
+from jayseam.core import clocks
+from jayseam.core import logs
+from jayseam.core import statecharts
+from jayseam.links import codecs
+from jayseam.links import counters
+from jayseam.links import errors
+from jayseam.links import frames
+from jayseam.links import handlers
+from jayseam.links import handshakes
+from jayseam.links import messages
+from jayseam.links import transports
+
+TICK_S = 0.05
+IDLE_PING_S = 10.0
+SILENCE_PING_S = 0.5
+SILENCE_LIMIT_S = 1.5
+MAX_OUTBOX_BYTES = 8 * 1024 * 1024
+# Replies may exceed MAX_OUTBOX_BYTES, because a lost reply leaves the caller
+# unsure, but a peer that stops reading must not exhaust the memory.
+MAX_REPLY_OUTBOX_BYTES = 2 * MAX_OUTBOX_BYTES
+MAX_RUNNING_HANDLERS = 1024
+_MAX_BATCH_BYTES = 256 * 1024
+_MAX_FAILURE_TEXT = 500
+_MASK_BYTES = 4
+
+_log = logs.get_logger(__name__)
+_chart = statecharts.load_chart('link')
+
+
+def authenticate_dialled(
+    transport: transports.Transport,
+    own: handshakes.Hello,
+    secrets: Sequence[str],
+    expected_vm: str | None,
+) -> tuple[handshakes.Identity, bytes]:
+    """Runs the dialler's side of the handshake.
+
+    Args:
+      transport: The upgraded connection.
+      own: Hello of this node.
+      secrets: One or two fleet secrets.
+      expected_vm: Name of the VM that was dialled, or None if it is unknown.
+
+    Returns:
+      The peer's identity and the session key.
+
+    Raises:
+      HandshakeError: If the peer is another VM or shares no secret.
+      TransportClosedError: If the connection ends.
+    """
+    transport.send_all(handshakes.encode_hello(own))
+    peer = handshakes.decode_hello(transport.receive_one())
+    if expected_vm is not None and peer.identity.vm != expected_vm:
+        raise errors.HandshakeError(
+            f'dialled {expected_vm!r}, reached {peer.identity.vm!r}',
+            'wrong_peer',
+        )
+    transcript = handshakes.build_transcript(own, peer)
+    proofs = [
+        handshakes.create_proof(secret, handshakes.DIALLER, transcript)
+        for secret in secrets
+    ]
+    transport.send_all(handshakes.encode_proofs(proofs))
+    answer = handshakes.decode_proofs(transport.receive_one())
+    secret = handshakes.find_secret(
+        secrets, handshakes.ACCEPTOR, transcript, answer
+    )
+    transport.limit_bytes = None
+    return peer.identity, handshakes.derive_session_key(secret, transcript)
+
+
+def authenticate_accepted(
+    transport: transports.Transport,
+    own: handshakes.Hello,
+    secrets: Sequence[str],
+    check_peer: Callable[[handshakes.Identity], None],
+) -> tuple[handshakes.Identity, bytes]:
+    """Runs the acceptor's side of the handshake.
+
+    Args:
+      transport: The upgraded connection.
+      own: Hello of this node.
+      secrets: One or two fleet secrets.
+      check_peer: Called with the authenticated peer before the last step;
+        raises ``HandshakeError`` to refuse it.
+
+    Returns:
+      The peer's identity and the session key.
+
+    Raises:
+      HandshakeError: If the peer is refused or shares no secret.
+      TransportClosedError: If the connection ends.
+    """
+    peer = handshakes.decode_hello(transport.receive_one())
+    transport.send_all(handshakes.encode_hello(own))
+    transcript = handshakes.build_transcript(peer, own)
+    proofs = handshakes.decode_proofs(transport.receive_one())
+    secret = handshakes.find_secret(
+        secrets, handshakes.DIALLER, transcript, proofs
+    )
+    check_peer(peer.identity)
+    transport.limit_bytes = None
+    proof = handshakes.create_proof(secret, handshakes.ACCEPTOR, transcript)
+    transport.send_all(handshakes.encode_proofs([proof]))
+    return peer.identity, handshakes.derive_session_key(secret, transcript)
+
+
+@attrs.define
+class Silence:
+    """What a link knows about the bytes it waits for.
+
+    The link updates one instance in place, because it does so on every read.
+
+    Attributes:
+      received_at: Time of the last byte, in seconds.
+      waiting_since: Time since which a reply or pong is outstanding, or None.
+      pinged_at: Time of the last ping, in seconds.
+    """
+
+    received_at: float
+    waiting_since: float | None
+    pinged_at: float
+
+
+def judge_silence(silence: Silence, now: float) -> str:
+    """Returns ``ping``, ``close`` or ``wait``.
+
+    The limit is reached one tick early, because the next look may come a tick
+    late and the link must be closed within the limit.
+
+    >>> judge_silence(Silence(0.0, None, 0.0), now=9.0)
+    'wait'
+    >>> judge_silence(Silence(0.0, 9.0, 0.0), now=9.6)
+    'ping'
+    >>> judge_silence(Silence(0.0, 9.0, 9.6), now=10.5)
+    'close'
+    """
+    if silence.waiting_since is None:
+        idle = now - silence.received_at >= IDLE_PING_S
+        return 'ping' if idle else 'wait'
+    start = max(silence.received_at, silence.waiting_since)
+    if now - start > SILENCE_LIMIT_S - TICK_S:
+        return 'close'
+    if now - start >= SILENCE_PING_S and silence.pinged_at < start:
+        return 'ping'
+    return 'wait'
+
+
+class _Pending:
+    """A request that waits for its reply."""
+
+    __slots__ = ('result', 'sent', 'entry')
+
+    def __init__(self):
+        self.result = event.AsyncResult()
+        self.sent = False
+        self.entry = None
+
+
+class _Entry:
+    """A body that waits in the outbox; ``body`` is None once withdrawn."""
+
+    __slots__ = ('body', 'label', 'pending')
+
+    def __init__(self, body: bytes, label: str | None, pending):
+        self.body = body
+        self.label = label
+        self.pending = pending
+
+
+class Link:
+    """An authenticated connection, used in both directions.
+
+    Args:
+      transport: The connection after the handshake.
+      peer: The authenticated peer.
+      key: Session key.
+      dialled: True if this node dialled.
+      codec: Codec of the messages.
+      registry: Handlers of requests and notifications.
+      on_closed: Called once with the link and the reason.
+      watched: Set to which the link adds itself while it waits for bytes.
+
+    Attributes:
+      peer: The authenticated peer.
+      dialled: True if this node dialled.
+      state: State of the chart ``link``.
+      opened_at: Time at which the link opened, in seconds.
+    """
+
+    def __init__(
+        self,
+        transport: transports.Transport,
+        peer: handlers.PeerInfo,
+        key: bytes,
+        dialled: bool,
+        codec: codecs.Codec,
+        registry: handlers.HandlerRegistry,
+        on_closed: Callable[['Link', str], None],
+        watched: set['Link'],
+    ):
+        outgoing, incoming = frames.TO_ACCEPTOR, frames.TO_DIALLER
+        if not dialled:
+            outgoing, incoming = incoming, outgoing
+        self.peer = peer
+        self.dialled = dialled
+        self.state = _chart.initial
+        for step in ('connected', 'authenticated'):
+            self.state = _chart.advance(self.state, step)
+        self.opened_at = clocks.read_now()
+        self.transport = transport
+        self._sealer = frames.Sealer(key, outgoing)
+        self._opener = frames.Opener(key, incoming)
+        self._codec = codec
+        self._registry = registry
+        self._on_closed = on_closed
+        self._watched = watched
+        self._pending: dict[int, _Pending] = {}
+        self._last_correlation = 0
+        self._running = 0
+        self._outbox: collections.deque[_Entry] = collections.deque()
+        self._outbox_bytes = 0
+        # The rest of a frame that was written in part, and its request.
+        self._rest: tuple[memoryview, _Pending | None] | None = None
+        self._writing = False
+        self._wake = event.Event()
+        self._silence = Silence(self.opened_at, None, 0.0)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the link accepts messages."""
+        return self.state != 'closed'
+
+    def start(self) -> None:
+        """Starts the reader and the writer."""
+        gevent.spawn(self._run, self._read)
+        gevent.spawn(self._run, self._write)
+
+    def request(self, message: Any, timeout_s: float) -> Any:
+        """Sends a request and returns the reply; None if it has no content.
+
+        Raises:
+          NotSentError: If no byte was or will be written.
+          ReplyLostError: If the request may have arrived, also on timeout.
+          RemoteError: If the handler raised.
+          TooLargeError: If the message exceeds the frame limit.
+        """
+        body = self._encode(message, self._last_correlation + 1)
+        self._last_correlation += 1
+        correlation = self._last_correlation
+        self._check_room(len(body), MAX_OUTBOX_BYTES)
+        pending = _Pending()
+        self._pending[correlation] = pending
+        if self._silence.waiting_since is None:
+            self._silence.waiting_since = clocks.read_now()
+            self._watched.add(self)
+        try:
+            self._send(body, type(message).__name__, pending)
+            reply = pending.result.get(timeout=timeout_s)
+        except gevent.Timeout as timeout:
+            raise self._withdraw(pending) from timeout
+        finally:
+            self._pending.pop(correlation, None)
+            if (
+                not self._pending
+                and self._silence.pinged_at <= self._silence.received_at
+            ):
+                self._silence.waiting_since = None
+        return unwrap_reply(reply)
+
+    def notify(self, message: Any) -> bool:
+        """Sends a message without reply; False if the link cannot take it.
+
+        Raises:
+          TooLargeError: If the message exceeds the frame limit.
+        """
+        body = self._encode(message, 0)
+        try:
+            self._check_room(len(body), MAX_OUTBOX_BYTES)
+            self._send(body, type(message).__name__, None)
+        except errors.NotSentError:
+            return False
+        return self.is_open
+
+    def check(self, now: float) -> None:
+        """Pings a silent link and closes one that stays silent."""
+        if not self.is_open:
+            self._watched.discard(self)
+            return
+        verdict = judge_silence(self._silence, now)
+        if verdict == 'close':
+            self.close('silent')
+        elif verdict == 'ping':
+            self._ping(now)
+        elif self._silence.waiting_since is None:
+            self._watched.discard(self)
+
+    def excuse(self, duration_s: float) -> None:
+        """Does not count a pause of this process as silence of the peer."""
+        self._silence.received_at += duration_s
+        if self._silence.waiting_since is not None:
+            self._silence.waiting_since += duration_s
+
+    def drain(self, timeout_s: float) -> None:
+        """Waits until handlers have replied and the outbox is empty."""
+        end = time.monotonic() + timeout_s
+        while self.is_open and time.monotonic() < end:
+            if not (self._running or self._outbox or self._rest):
+                return
+            gevent.sleep(0.01)
+
+    def close(self, reason: str) -> None:
+        """Closes the link and fails its pending requests."""
+        if not self.is_open:
+            return
+        self._advance('failed')
+        self._watched.discard(self)
+        counters.CLOSES.labels(reason).inc()
+        if self._rest is None and not self._writing:
+            self.transport.close()
+        else:
+            self.transport.abort()
+        self._wake.set()
+        for pending in list(self._pending.values()):
+            kind = (
+                errors.ReplyLostError if pending.sent else errors.NotSentError
+            )
+            pending.result.set_exception(
+                kind(f'link to {self.peer.vm} closed: {reason}')
+            )
+        self._on_closed(self, reason)
+
+    def _advance(self, step: str) -> None:
+        self.state = _chart.advance(self.state, step)
+
+    def _run(self, loop: Callable[[], None]) -> None:
+        try:
+            loop()
+        except errors.TransportClosedError as error:
+            self.close(error.reason)
+        except errors.ProtocolError as error:
+            _log.warning(
+                'link.protocol_error',
+                extra={
+                    'peer': self.peer.vm,
+                    'reason': error.reason,
+                    'detail': str(error),
+                },
+            )
+            self.close(error.reason)
+
+    def _encode(self, message: Any, correlation: int) -> bytes:
+        body = self._codec.encode(messages.encode_body(message, correlation))
+        if len(body) > frames.MAX_BODY_BYTES:
+            raise errors.TooLargeError(f'message of {len(body)} bytes')
+        return body
+
+    def _check_room(self, size: int, limit: int) -> None:
+        if not self.is_open:
+            raise errors.NotSentError(f'link to {self.peer.vm} is closed')
+        if self._outbox_bytes + size > limit:
+            raise errors.NotSentError(f'outbox to {self.peer.vm} is full')
+
+    def _send(self, body: bytes, label: str, pending) -> None:
+        if self._writing or self._outbox or self._rest is not None:
+            entry = _Entry(body, label, pending)
+            if pending is not None:
+                pending.entry = entry
+            self._outbox.append(entry)
+            self._outbox_bytes += len(body)
+            self._wake.set()
+            return
+        try:
+            data = self._frame(body, label)
+            self._send_directly(data, pending)
+        except errors.TransportClosedError as error:
+            self.close(error.reason)
+            if pending is None:
+                raise errors.NotSentError(str(error)) from error
+
+    def _frame(self, body: bytes, label: str | None) -> bytes:
+        if label is None:
+            counters.count_bytes('sent', 'control', len(body))
+            return body
+        data = self.transport.encode(self._sealer.seal(body))
+        counters.count_bytes('sent', label, len(data))
+        return data
+
+    def _send_directly(self, data: bytes, pending) -> None:
+        taken = self.transport.send_now(data)
+        if pending is not None:
+            pending.sent = taken > 0
+        if taken < len(data):
+            self._rest = memoryview(data)[taken:], pending
+            self._wake.set()
+
+    def _send_control(self, data: bytes) -> None:
+        if self._writing or self._outbox or self._rest is not None:
+            self._outbox.append(_Entry(data, None, None))
+            self._outbox_bytes += len(data)
+            self._wake.set()
+        else:
+            self._send_directly(self._frame(data, None), None)
+
+    def _withdraw(self, pending: _Pending) -> errors.LinkError:
+        entry = pending.entry
+        if entry is not None and entry.body is not None and not pending.sent:
+            # The frame gets its counter when the writer takes it, so an entry
+            # can leave the outbox without a gap in the counters.
+            self._outbox_bytes -= len(entry.body)
+            entry.body = None
+            return errors.NotSentError(f'no room to write to {self.peer.vm}')
+        return errors.ReplyLostError(f'no reply from {self.peer.vm} in time')
+
+    def _write(self) -> None:
+        while self.is_open:
+            self._wake.wait()
+            self._wake.clear()
+            self._writing = True
+            try:
+                while self.is_open and (self._rest is not None or self._outbox):
+                    self._write_batch()
+            finally:
+                self._writing = False
+
+    def _write_batch(self) -> None:
+        starts: list[tuple[int, _Pending]] = []
+        if self._rest is not None:
+            data, pending = self._rest
+            if pending is not None:
+                starts.append((0, pending))
+            self._rest = None
+        else:
+            data = memoryview(self._take_batch(starts))
+        sent = 0
+        while sent < len(data):
+            sent += self.transport.send_some(data[sent:])
+            while starts and starts[0][0] < sent:
+                starts.pop(0)[1].sent = True
+
+    def _take_batch(self, starts: list[tuple[int, _Pending]]) -> bytes:
+        parts = []
+        size = 0
+        while self._outbox and size < _MAX_BATCH_BYTES:
+            entry = self._outbox.popleft()
+            if entry.body is None:
+                continue
+            self._outbox_bytes -= len(entry.body)
+            data = self._frame(entry.body, entry.label)
+            entry.body = None
+            if entry.pending is not None:
+                starts.append((size, entry.pending))
+            parts.append(data)
+            size += len(data)
+        return b''.join(parts)
+
+    def _read(self) -> None:
+        while self.is_open:
+            payloads = self.transport.receive()
+            self._silence.received_at = clocks.read_now()
+            if self.state == 'probing':
+                self._advance('received')
+            if not self._pending:
+                self._silence.waiting_since = None
+            control = self.transport.take_control()
+            if control:
+                self._send_control(control)
+            for payload in payloads:
+                self._take(payload)
+
+    def _take(self, payload: bytes) -> None:
+        body = self._codec.decode(self._opener.open(payload))
+        message, correlation = messages.decode_body(body)
+        label = type(message).__name__
+        size = len(payload) + _measure_header(len(payload), self.dialled)
+        counters.count_bytes('received', label, size)
+        if correlation < 0:
+            pending = self._pending.get(-correlation)
+            if pending is not None:
+                pending.result.set(message)
+            return
+        function = self._registry.find(type(message))
+        if function is None:
+            self._reply(correlation, messages.Failure('no-handler', label))
+        elif self._running >= MAX_RUNNING_HANDLERS:
+            self._reply(correlation, messages.Failure('overloaded', label))
+        else:
+            self._running += 1
+            gevent.spawn(self._handle, function, message, correlation)
+
+    def _handle(
+        self, function: handlers.Handler, message: Any, correlation: int
+    ) -> None:
+        try:
+            reply = run_handler(function, self.peer, message)
+        finally:
+            self._running -= 1
+        self._reply(correlation, reply)
+
+    def _reply(self, correlation: int, reply: Any) -> None:
+        if correlation == 0 or not self.is_open:
+            return
+        try:
+            body = self._encode(reply, -correlation)
+        except (TypeError, errors.TooLargeError) as error:
+            reply = messages.Failure(type(error).__name__, str(error))
+            body = self._encode(reply, -correlation)
+        try:
+            self._check_room(len(body), MAX_REPLY_OUTBOX_BYTES)
+            self._send(body, type(reply).__name__, None)
+        except errors.NotSentError:
+            self.close('outbox_full')
+
+    def _ping(self, now: float) -> None:
+        if self.state == 'open':
+            self._advance('silence')
+        self._silence.pinged_at = now
+        if self._silence.waiting_since is None:
+            self._silence.waiting_since = now
+            self._watched.add(self)
+        try:
+            self._send_control(self.transport.encode_ping())
+        except errors.TransportClosedError as error:
+            self.close(error.reason)
+
+
+def run_handler(
+    function: handlers.Handler, peer: handlers.PeerInfo, message: Any
+) -> Any:
+    """Returns the handler's reply, ``Done`` for None, or ``Failure``."""
+    try:
+        reply = function(peer, message)
+    except Exception as error:  # pylint: disable=broad-exception-caught
+        # Any exception of a handler is reported to the caller.
+        _log.info(
+            'link.handler_failed',
+            extra={'message_class': type(message).__name__},
+            exc_info=True,
+        )
+        text = str(error)[:_MAX_FAILURE_TEXT]
+        return messages.Failure(type(error).__name__, text)
+    return messages.Done() if reply is None else reply
+
+
+def unwrap_reply(reply: Any) -> Any:
+    """Returns the content of a reply, None for ``Done``.
+
+    Raises:
+      RemoteError: If the reply is a ``Failure``.
+    """
+    if isinstance(reply, messages.Failure):
+        raise errors.RemoteError(reply.kind, reply.text)
+    return None if isinstance(reply, messages.Done) else reply
+
+
+def _measure_header(payload_size: int, unmasked: bool) -> int:
+    extended = 0 if payload_size < 126 else 2 if payload_size < 65536 else 8
+    return 2 + extended + (0 if unmasked else _MASK_BYTES)
--- /dev/null
+++ b/jayseam/links/manager.py
@@ -0,0 +1,389 @@
+"""The links of one node: listening, dialling and choosing among them."""
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import gevent
+from gevent import event
+from gevent import server
+from gevent import socket
+
+from jayseam.core import clocks
+from jayseam.core import logs
+from jayseam.links import codecs
+from jayseam.links import connections
+from jayseam.links import counters
+from jayseam.links import errors
+from jayseam.links import handlers as handlers_module
+from jayseam.links import handshakes
+from jayseam.links import transports
+
+HANDSHAKE_DEADLINE_S = 1.5
+MAX_UNAUTHENTICATED = 256
+_BACKLOG = 1024
+_IDLE_CHECK_S = 1.0
+# A tick later than this means that this process did not run, so bytes may
+# wait in its sockets.
+_LATE_S = 0.2
+
+Identity = handshakes.Identity
+Address = tuple[str, int]
+Subscriber = Callable[[str, int, str], None]
+
+_log = logs.get_logger(__name__)
+
+
+class _Listener(server.StreamServer):
+    """Accepts connections and leaves their sockets open afterwards."""
+
+    def do_close(self, *_):
+        """Does nothing: the transport owns the socket after the handshake."""
+
+
+class LinkManager:
+    """Opens links on demand and sends messages over them.
+
+    Two nodes that dial each other at the same time get two links. Each side
+    then sends new requests over the link that the VM with the lower name
+    dialled. Links of an older incarnation are closed when a newer one of the
+    same VM connects.
+
+    Args:
+      identity: This process.
+      secrets: One or two fleet secrets.
+      resolve: Returns the address of a VM, or None if it is unknown.
+      handlers: Handlers of requests and notifications.
+      codec: Name in ``codecs.codecs``.
+      listen: Host and port to listen on; port 0 chooses a free one.
+
+    Attributes:
+      identity: This process.
+      address: Host and port that the listener has; set by `start`.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        secrets: Sequence[str],
+        resolve: Callable[[str], Address | None],
+        handlers: handlers_module.HandlerRegistry,
+        codec: str = 'cbor',
+        listen: Address = ('127.0.0.1', 0),
+    ):
+        if not 1 <= len(secrets) <= handshakes.MAX_SECRETS:
+            raise ValueError('one or two fleet secrets are required')
+        self.identity = identity
+        self.address: Address = listen
+        self._secrets = tuple(secrets)
+        self._resolve = resolve
+        self._handlers = handlers
+        self._codec_name = codec
+        self._codec = codecs.codecs.get(codec)
+        self._server: _Listener | None = None
+        self._ticker: gevent.Greenlet | None = None
+        self._links: dict[str, list[connections.Link]] = {}
+        self._preferred: dict[str, connections.Link] = {}
+        self._dials: dict[str, event.AsyncResult] = {}
+        self._dialled_addresses: dict[Address, connections.Link] = {}
+        self._unauthenticated: dict[socket.socket, None] = {}
+        self._watched: set[connections.Link] = set()
+        self._subscribers: list[Subscriber] = []
+        self._stopped = False
+
+    def start(self) -> None:
+        """Listens and starts to watch the links for silence.
+
+        Raises:
+          OSError: If the address cannot be bound.
+        """
+        self._server = _Listener(self.address, self._accept, backlog=_BACKLOG)
+        self._server.start()
+        self.address = self._server.address[:2]
+        self._ticker = gevent.spawn(self._tick)
+
+    def stop(self, timeout_s: float = 1.0) -> None:
+        """Stops listening, lets replies leave and closes all links."""
+        self._stopped = True
+        if self._server is not None:
+            self._server.stop()
+        links = [link for group in self._links.values() for link in group]
+        drains = [gevent.spawn(link.drain, timeout_s) for link in links]
+        gevent.joinall(drains)
+        for link in links:
+            link.close('stopped')
+        for sock in list(self._unauthenticated):
+            sock.close()
+        if self._ticker is not None:
+            self._ticker.kill()
+
+    def subscribe(self, function: Subscriber) -> None:
+        """Calls ``function(vm, incarnation, event)`` when links change.
+
+        The event is ``open`` for the first link to an incarnation and
+        ``closed`` for its last. The function must not block.
+        """
+        self._subscribers.append(function)
+
+    def connected(self) -> list[str]:
+        """Returns the VMs to which a link is open."""
+        return list(self._preferred)
+
+    def request(self, vm: str, message: Any, timeout_s: float) -> Any:
+        """Sends a request to ``vm`` and returns the reply message or None.
+
+        Dials if no link is open. A request to the own VM runs its handler
+        without a link.
+
+        Args:
+          vm: Name of the VM.
+          message: An instance of a registered message class.
+          timeout_s: Seconds for dialling and the reply together.
+
+        Raises:
+          NotSentError: If no byte was or will be written to a socket.
+          ReplyLostError: If the request may have arrived, also on timeout.
+          RemoteError: If the handler raised.
+          TooLargeError: If the message exceeds the frame limit.
+        """
+        link = self._preferred.get(vm)
+        if link is not None:
+            return link.request(message, timeout_s)
+        if vm == self.identity.vm:
+            return self._request_own(message, timeout_s)
+        start = clocks.read_now()
+        link = self._dial_vm(vm, timeout_s)
+        left_s = timeout_s - (clocks.read_now() - start)
+        if left_s <= 0:
+            raise errors.NotSentError(f'no time left after dialling {vm}')
+        return link.request(message, left_s)
+
+    def notify(self, vm: str, message: Any) -> bool:
+        """Sends a message without reply over an open link.
+
+        Returns:
+          Whether a link was open and took the message; it may still be lost.
+
+        Raises:
+          TooLargeError: If the message exceeds the frame limit.
+        """
+        link = self._preferred.get(vm)
+        return link is not None and link.notify(message)
+
+    def broadcast(self, message: Any) -> int:
+        """Notifies each VM with an open link and returns how many took it.
+
+        Raises:
+          TooLargeError: If the message exceeds the frame limit.
+        """
+        return sum(self.notify(vm, message) for vm in self.connected())
+
+    def dial_address(self, host: str, port: int) -> str:
+        """Opens a link to an address and returns the name of its VM.
+
+        An open link that was dialled to the same address is used again.
+
+        Raises:
+          DialError: If no link can be opened.
+        """
+        link = self._dialled_addresses.get((host, port))
+        if link is None or not link.is_open:
+            link = self._dial((host, port), None)
+        return link.peer.vm
+
+    def _request_own(self, message: Any, timeout_s: float) -> Any:
+        function = self._handlers.find(type(message))
+        if function is None:
+            raise errors.RemoteError('no-handler', type(message).__name__)
+        peer = handlers_module.PeerInfo(
+            self.identity.vm, self.identity.incarnation
+        )
+        runner = gevent.spawn(connections.run_handler, function, peer, message)
+        try:
+            reply = runner.get(timeout=timeout_s)
+        except gevent.Timeout as timeout:
+            raise errors.ReplyLostError('own handler is late') from timeout
+        return connections.unwrap_reply(reply)
+
+    def _dial_vm(self, vm: str, timeout_s: float) -> connections.Link:
+        result = self._dials.get(vm)
+        if result is None:
+            result = self._dials[vm] = event.AsyncResult()
+            gevent.spawn(self._dial_into, vm, result)
+        try:
+            return result.get(timeout=timeout_s)
+        except gevent.Timeout as timeout:
+            raise errors.DialError(f'no link to {vm} in time') from timeout
+
+    def _dial_into(self, vm: str, result: event.AsyncResult) -> None:
+        try:
+            address = self._resolve(vm)
+            if address is None:
+                raise errors.DialError(f'no address of {vm} is known')
+            result.set(self._dial(address, vm))
+        except errors.DialError as error:
+            result.set_exception(error)
+        finally:
+            del self._dials[vm]
+            if not result.ready():
+                result.set_exception(errors.DialError(f'no link to {vm}'))
+
+    def _dial(self, address: Address, vm: str | None) -> connections.Link:
+        if self._stopped:
+            raise errors.DialError('the node stops')
+        timeout = gevent.Timeout.start_new(HANDSHAKE_DEADLINE_S)
+        transport = None
+        try:
+            transport = transports.dial(*address)
+            hello = handshakes.create_hello(self.identity, self._codec_name)
+            peer, key = connections.authenticate_dialled(
+                transport, hello, self._secrets, vm
+            )
+            self._check_peer(peer)
+        except (errors.LinkError, gevent.Timeout) as error:
+            if isinstance(error, gevent.Timeout) and error is not timeout:
+                raise
+            if transport is not None:
+                transport.abort()
+            reason = getattr(error, 'reason', 'handshake_timeout')
+            counters.CLOSES.labels(reason).inc()
+            name = vm or f'{address[0]}:{address[1]}'
+            raise errors.DialError(f'no link to {name}: {error}') from error
+        finally:
+            timeout.close()
+        link = self._open(transport, peer, key, dialled=True)
+        self._dialled_addresses[address] = link
+        return link
+
+    def _accept(self, sock: socket.socket, _: Any) -> None:
+        if len(self._unauthenticated) >= MAX_UNAUTHENTICATED:
+            # The oldest goes first: a genuine peer needs a few milliseconds,
+            # a stranger that sends nothing stays until the deadline.
+            oldest = next(iter(self._unauthenticated))
+            self._unauthenticated.pop(oldest)
+            oldest.close()
+            counters.CLOSES.labels('unauthenticated_limit').inc()
+        self._unauthenticated[sock] = None
+        timeout = gevent.Timeout.start_new(HANDSHAKE_DEADLINE_S)
+        try:
+            transport = transports.accept(sock)
+            hello = handshakes.create_hello(self.identity, self._codec_name)
+            peer, key = connections.authenticate_accepted(
+                transport, hello, self._secrets, self._check_peer
+            )
+        except (errors.LinkError, gevent.Timeout) as error:
+            if isinstance(error, gevent.Timeout) and error is not timeout:
+                raise
+            sock.close()
+            if sock in self._unauthenticated:
+                self._refuse(error)
+            return
+        finally:
+            timeout.close()
+            self._unauthenticated.pop(sock, None)
+        self._open(transport, peer, key, dialled=False)
+
+    def _refuse(self, error: BaseException) -> None:
+        reason = getattr(error, 'reason', 'handshake_timeout')
+        counters.CLOSES.labels(reason).inc()
+        _log.info(
+            'link.handshake_failed',
+            extra={'reason': reason, 'detail': str(error)},
+        )
+
+    def _check_peer(self, peer: Identity) -> None:
+        if self._stopped:
+            raise errors.HandshakeError('the node stops', 'stopped')
+        for link in self._links.get(peer.vm, ()):
+            if link.peer.incarnation > peer.incarnation:
+                raise errors.HandshakeError(
+                    f'{peer.vm} has a newer incarnation', 'old_incarnation'
+                )
+
+    def _open(
+        self,
+        transport: transports.Transport,
+        peer: Identity,
+        key: bytes,
+        dialled: bool,
+    ) -> connections.Link:
+        link = connections.Link(
+            transport,
+            handlers_module.PeerInfo(peer.vm, peer.incarnation),
+            key,
+            dialled,
+            self._codec,
+            self._handlers,
+            self._forget,
+            self._watched,
+        )
+        for other in list(self._links.get(peer.vm, ())):
+            if other.peer.incarnation < peer.incarnation:
+                other.close('replaced')
+        group = self._links.setdefault(peer.vm, [])
+        group.append(link)
+        self._choose(peer.vm)
+        counters.OPEN_LINKS.inc()
+        link.start()
+        if len(group) == 1:
+            self._publish(link, 'open')
+        return link
+
+    def _forget(self, link: connections.Link, reason: str) -> None:
+        vm = link.peer.vm
+        counters.OPEN_LINKS.dec()
+        _log.info('link.closed', extra={'peer': vm, 'reason': reason})
+        group = self._links[vm]
+        group.remove(link)
+        if not group:
+            del self._links[vm]
+        for address, other in list(self._dialled_addresses.items()):
+            if other is link:
+                del self._dialled_addresses[address]
+        self._choose(vm)
+        if not group:
+            self._publish(link, 'closed')
+
+    def _choose(self, vm: str) -> None:
+        group = self._links.get(vm)
+        if not group:
+            self._preferred.pop(vm, None)
+            return
+        own_is_lower = self.identity.vm < vm
+        self._preferred[vm] = max(
+            group,
+            key=lambda link: (link.dialled == own_is_lower, link.opened_at),
+        )
+
+    def _publish(self, link: connections.Link, change: str) -> None:
+        for function in self._subscribers:
+            try:
+                function(link.peer.vm, link.peer.incarnation, change)
+            except Exception:  # pylint: disable=broad-exception-caught
+                # A failing subscriber must not affect the link.
+                _log.exception('link.subscriber_failed')
+
+    def _tick(self) -> None:
+        last = last_idle = clocks.read_now()
+        while True:
+            gevent.sleep(connections.TICK_S)
+            now = clocks.read_now()
+            late_s = now - last - connections.TICK_S
+            last = now
+            if late_s > _LATE_S:
+                self._excuse(late_s)
+                continue
+            for link in list(self._watched):
+                link.check(now)
+            if now - last_idle >= _IDLE_CHECK_S:
+                last_idle = now
+                self._check_idle(now)
+
+    def _excuse(self, late_s: float) -> None:
+        for group in self._links.values():
+            for link in group:
+                link.excuse(late_s)
+
+    def _check_idle(self, now: float) -> None:
+        for group in list(self._links.values()):
+            for link in list(group):
+                link.check(now)
--- /dev/null
+++ b/jayseam/links/messages.py
@@ -0,0 +1,219 @@
+"""Typed messages and their mapping to plain values.
+
+A message is a frozen attrs class whose fields all have validators. The same
+validators run when a message is built and when it is decoded, so a handler
+never sees a field of the wrong type.
+
+Code ranges: links 1-19, membership 20-39, distribution 40-59, limits 60-79,
+calls 80-99. Tests use codes from 900.
+
+>>> import attrs
+>>> @register(999)
+... @attrs.frozen
+... class Example:
+...     text: str = attrs.field(validator=attrs.validators.instance_of(str))
+>>> decode_body(encode_body(Example('a'), 7))
+(Example(text='a'), 7)
+"""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import attrs
+
+from jayseam.links import errors
+
+T = TypeVar('T')
+
+# A nested message travels as {"$message": [code, fields...]}.
+_NESTED_KEY = '$message'
+_SCALARS = frozenset({type(None), bool, int, float, str, bytes})
+
+_classes: dict[int, tuple[type, int]] = {}
+_layouts: dict[type, tuple[int, tuple[str, ...]]] = {}
+
+
+def register(code: int) -> Callable[[type[T]], type[T]]:
+    """Returns a decorator that gives a message class its type code.
+
+    Args:
+      code: Number on the wire, unique among all message classes.
+
+    Raises:
+      ValueError: If the code is taken.
+      TypeError: If the class is no frozen attrs class or a field lacks a
+        validator.
+    """
+
+    def add_class(cls: type[T]) -> type[T]:
+        if code in _classes:
+            raise ValueError(f'message code {code} is already registered')
+        if not attrs.has(cls) or cls.__setattr__ is object.__setattr__:
+            raise TypeError(f'{cls.__name__} is no frozen attrs class')
+        fields = tuple(field for field in attrs.fields(cls) if field.init)
+        for field in fields:
+            if field.validator is None:
+                raise TypeError(f'{cls.__name__}.{field.name}: no validator')
+        _classes[code] = (cls, len(fields))
+        _layouts[cls] = (code, tuple(field.name for field in fields))
+        return cls
+
+    return add_class
+
+
+def is_integer(_: Any, attribute: attrs.Attribute, value: Any) -> None:
+    """Validates an int; unlike ``instance_of(int)`` it refuses a bool."""
+    if value.__class__ is not int:
+        raise TypeError(f'{attribute.name} must be int, got {value!r}')
+
+
+def is_number(_: Any, attribute: attrs.Attribute, value: Any) -> None:
+    """Validates an int or float; a bool is refused."""
+    if type(value) not in (int, float):
+        raise TypeError(f'{attribute.name} must be a number, got {value!r}')
+
+
+def list_of(*kinds: type) -> Callable[[Any, attrs.Attribute, Any], None]:
+    """Returns a validator of lists whose members are of ``kinds`` exactly."""
+    allowed = frozenset(kinds)
+
+    def check(_: Any, attribute: attrs.Attribute, value: Any) -> None:
+        if not isinstance(value, list) or not allowed.issuperset(
+            map(type, value)
+        ):
+            names = ', '.join(sorted(kind.__name__ for kind in kinds))
+            raise TypeError(f'{attribute.name} must be a list of {names}')
+
+    return check
+
+
+def dict_of(*kinds: type) -> Callable[[Any, attrs.Attribute, Any], None]:
+    """Returns a validator of dicts from str to values of ``kinds`` exactly."""
+    allowed = frozenset(kinds)
+
+    def check(_: Any, attribute: attrs.Attribute, value: Any) -> None:
+        if (
+            not isinstance(value, dict)
+            or not allowed.issuperset(map(type, value.values()))
+            or any(not isinstance(key, str) for key in value)
+        ):
+            names = ', '.join(sorted(kind.__name__ for kind in kinds))
+            raise TypeError(f'{attribute.name} must be a dict to {names}')
+
+    return check
+
+
+def encode_body(message: Any, correlation: int) -> list[Any]:
+    """Returns ``[type, correlation, fields...]`` as plain values.
+
+    Args:
+      message: An instance of a registered class.
+      correlation: 0 for a notification, n > 0 for a request, -n for the
+        reply to request n.
+
+    Raises:
+      TypeError: If the message or a field has no plain form.
+    """
+    layout = _layouts.get(type(message))
+    if layout is None:
+        raise TypeError(f'{type(message).__name__} is no registered message')
+    code, names = layout
+    body = [code, correlation]
+    for name in names:
+        value = getattr(message, name)
+        body.append(value if type(value) in _SCALARS else _to_plain(value))
+    return body
+
+
+def decode_body(body: Any) -> tuple[Any, int]:
+    """Returns the message and correlation of a decoded body.
+
+    Raises:
+      UnknownTypeError: If the type code is not registered.
+      MessageError: If the body is malformed or a field has the wrong type.
+    """
+    if body.__class__ is not list or len(body) < 2:
+        raise errors.MessageError('body is no list of type and correlation')
+    if body[1].__class__ is not int:
+        raise errors.MessageError('correlation is no int')
+    return _build(body[0], body[2:]), body[1]
+
+
+def _build(code: Any, values: list[Any]) -> Any:
+    # A bool or float equals an int key of the same value, hence the type test.
+    entry = _classes.get(code) if code.__class__ is int else None
+    if entry is None:
+        raise errors.UnknownTypeError(f'unknown message type {code!r}')
+    cls, count = entry
+    if len(values) != count:
+        raise errors.MessageError(
+            f'{cls.__name__} has {count} fields, got {len(values)}'
+        )
+    fields = [
+        value if type(value) in _SCALARS else _from_plain(value)
+        for value in values
+    ]
+    try:
+        return cls(*fields)
+    except errors.LinkError:
+        raise
+    except Exception as error:
+        # Validators raise errors of many classes; each means a wrong field.
+        raise errors.MessageError(f'{cls.__name__}: {error}') from error
+
+
+def _to_plain(value: Any) -> Any:
+    kind = type(value)
+    if kind in _SCALARS:
+        return value
+    if kind in (list, tuple):
+        return [_to_plain(item) for item in value]
+    if kind is dict:
+        if _NESTED_KEY in value or any(
+            key.__class__ is not str for key in value
+        ):
+            raise TypeError('dict keys must be strings without a reserved one')
+        return {key: _to_plain(item) for key, item in value.items()}
+    if kind in _layouts:
+        body = encode_body(value, 0)
+        del body[1]
+        return {_NESTED_KEY: body}
+    raise TypeError(f'no plain form for {kind.__name__}')
+
+
+def _from_plain(value: Any) -> Any:
+    kind = type(value)
+    if kind in _SCALARS:
+        return value
+    if kind is list:
+        return [_from_plain(item) for item in value]
+    if kind is dict:
+        if _NESTED_KEY in value:
+            nested = value[_NESTED_KEY]
+            if len(value) != 1 or nested.__class__ is not list or not nested:
+                raise errors.MessageError('malformed nested message')
+            return _build(nested[0], nested[1:])
+        if any(key.__class__ is not str for key in value):
+            raise errors.MessageError('dict key is no string')
+        return {key: _from_plain(item) for key, item in value.items()}
+    raise errors.MessageError(f'value of type {kind.__name__}')
+
+
+@register(1)
+@attrs.frozen
+class Done:
+    """Reply to a request whose handler returned None."""
+
+
+@register(2)
+@attrs.frozen
+class Failure:
+    """Reply to a request whose handler raised or could not run.
+
+    Attributes:
+      kind: Class name of the exception, ``no-handler`` or ``overloaded``.
+      text: Message of the exception.
+    """
+
+    kind: str = attrs.field(validator=attrs.validators.instance_of(str))
+    text: str = attrs.field(validator=attrs.validators.instance_of(str))
--- /dev/null
+++ b/jayseam/links/transports.py
@@ -0,0 +1,249 @@
+"""Websocket connections on gevent sockets.
+
+The websockets library parses and builds frames; this module moves the bytes.
+Compression is off: bodies are small or already compressed, and a shared
+compression context costs about 300 KB for each link.
+
+References:
+  RFC 6455 (The WebSocket Protocol).
+"""
+
+import collections
+
+import gevent
+from gevent import socket
+from websockets import client
+from websockets import exceptions
+from websockets import frames as websocket_frames
+from websockets import protocol as websocket_protocol
+from websockets import server
+from websockets import uri
+
+from jayseam.core import sockets
+from jayseam.links import errors
+from jayseam.links import frames
+
+READ_BYTES = 65536
+# Bytes that a connection may send before it is authenticated.
+MAX_HANDSHAKE_BYTES = 8192
+_PATH = '/link'
+_Opcode = websocket_frames.Opcode
+
+
+class Transport:
+    """One websocket connection; blocks only the calling greenlet.
+
+    Args:
+      sock: A connected gevent socket, owned by the transport from now on.
+      protocol: The websockets protocol object of this side.
+    """
+
+    def __init__(
+        self, sock: socket.socket, protocol: websocket_protocol.Protocol
+    ):
+        sockets.set_nodelay(sock)
+        self.sock = sock
+        self.limit_bytes: int | None = MAX_HANDSHAKE_BYTES
+        self._protocol = protocol
+        self._payloads: collections.deque[bytes] = collections.deque()
+        self._failure: Exception | None = None
+
+    def receive(self) -> list[bytes]:
+        """Waits for bytes and returns the payloads that they complete.
+
+        The list is empty after control frames or part of a frame.
+
+        Raises:
+          TransportClosedError: If the connection has ended.
+          ProtocolError: If the peer broke the websocket protocol.
+        """
+        if not self._payloads:
+            self._read()
+        payloads = list(self._payloads)
+        self._payloads.clear()
+        return payloads
+
+    def receive_one(self) -> bytes:
+        """Waits for one payload and returns it; others stay queued.
+
+        Raises:
+          TransportClosedError: If the connection has ended.
+          ProtocolError: If the peer broke the websocket protocol.
+        """
+        while not self._payloads:
+            self._read()
+        return self._payloads.popleft()
+
+    def encode(self, payload: bytes) -> bytes:
+        """Returns the websocket frame of a binary payload.
+
+        Raises:
+          TransportClosedError: If the websocket is closing.
+        """
+        try:
+            self._protocol.send_binary(payload)
+        except exceptions.InvalidState as error:
+            raise errors.TransportClosedError('peer_closed') from error
+        return b''.join(self._protocol.data_to_send())
+
+    def encode_ping(self) -> bytes:
+        """Returns a ping frame without payload.
+
+        Raises:
+          TransportClosedError: If the websocket is closing.
+        """
+        try:
+            self._protocol.send_ping(b'')
+        except exceptions.InvalidState as error:
+            raise errors.TransportClosedError('peer_closed') from error
+        return b''.join(self._protocol.data_to_send())
+
+    def take_control(self) -> bytes:
+        """Returns the control frames that answer what was received."""
+        return b''.join(self._protocol.data_to_send())
+
+    def send_now(self, data: bytes) -> int:
+        """Writes without waiting and returns how many bytes were taken.
+
+        Raises:
+          TransportClosedError: If the connection has ended.
+        """
+        try:
+            return self.sock.send(data, 0, timeout=0.0)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise errors.TransportClosedError('reset') from error
+
+    def send_some(self, data: memoryview) -> int:
+        """Waits until bytes can be written and returns how many were taken.
+
+        Raises:
+          TransportClosedError: If the connection has ended.
+        """
+        try:
+            return self.sock.send(data)
+        except OSError as error:
+            raise errors.TransportClosedError('reset') from error
+
+    def send_all(self, payload: bytes) -> None:
+        """Writes one binary payload; used before the link is open.
+
+        Raises:
+          TransportClosedError: If the connection has ended.
+        """
+        self._flush(self.encode(payload))
+
+    def close(self) -> None:
+        """Sends a close frame if that needs no waiting and ends the socket."""
+        try:
+            self._protocol.fail(websocket_frames.CloseCode.GOING_AWAY)
+            self.sock.send(self.take_control(), 0, timeout=0.0)
+        except (OSError, exceptions.WebSocketException):
+            pass
+        self.sock.close()
+
+    def abort(self) -> None:
+        """Ends the socket without a close frame."""
+        self.sock.close()
+
+    def _flush(self, data: bytes) -> None:
+        try:
+            self.sock.sendall(data)
+        except OSError as error:
+            raise errors.TransportClosedError('reset') from error
+
+    def _read(self) -> None:
+        for event in self._read_events():
+            if not isinstance(event, websocket_frames.Frame):
+                self._failure = errors.ProtocolError('unexpected HTTP message')
+            elif event.opcode is _Opcode.BINARY and event.fin:
+                self._payloads.append(event.data)
+            elif event.opcode is _Opcode.CLOSE:
+                self._failure = errors.TransportClosedError('peer_closed')
+            elif event.opcode not in (_Opcode.PING, _Opcode.PONG):
+                self._failure = errors.ProtocolError('unexpected frame type')
+
+    def _read_events(self) -> list:
+        if self._failure is not None:
+            raise self._failure
+        try:
+            data = self.sock.recv(READ_BYTES)
+        except OSError as error:
+            raise errors.TransportClosedError('reset') from error
+        if not data:
+            raise errors.TransportClosedError('peer_closed')
+        if self.limit_bytes is not None:
+            self.limit_bytes -= len(data)
+            if self.limit_bytes < 0:
+                raise errors.HandshakeError('handshake too large')
+        self._protocol.receive_data(data)
+        problem = self._protocol.parser_exc
+        if isinstance(problem, exceptions.PayloadTooBig):
+            self._failure = errors.TooLargeError(str(problem))
+        elif problem is not None and not isinstance(problem, EOFError):
+            self._failure = errors.ProtocolError(str(problem))
+        return self._protocol.events_received()
+
+    def _read_http(self) -> object:
+        while True:
+            events = self._read_events()
+            if events:
+                return events[0]
+
+    def _upgrade_as_client(self) -> None:
+        self._protocol.send_request(self._protocol.connect())
+        self._flush(self.take_control())
+        self._read_http()
+        if self._protocol.handshake_exc is not None:
+            raise errors.HandshakeError(str(self._protocol.handshake_exc))
+
+    def _upgrade_as_server(self) -> None:
+        request = self._read_http()
+        response = self._protocol.accept(request)
+        self._protocol.send_response(response)
+        self._flush(self.take_control())
+        if response.status_code != 101:
+            raise errors.HandshakeError('no websocket upgrade')
+
+
+def dial(host: str, port: int) -> Transport:
+    """Connects to ``host``:``port`` and upgrades to a websocket.
+
+    The caller bounds the time, for example with ``gevent.Timeout``.
+
+    Raises:
+      TransportClosedError: If no connection can be made.
+      HandshakeError: If the other side refuses the upgrade.
+    """
+    try:
+        sock = socket.create_connection((host, port))
+    except OSError as error:
+        raise errors.TransportClosedError('unreachable') from error
+    authority = f'[{host}]' if ':' in host else host
+    protocol = client.ClientProtocol(
+        uri.parse_uri(f'ws://{authority}:{port}{_PATH}'),
+        max_size=frames.MAX_FRAME_BYTES,
+    )
+    transport = Transport(sock, protocol)
+    try:
+        transport._upgrade_as_client()
+    except (errors.LinkError, gevent.Timeout):
+        transport.abort()
+        raise
+    return transport
+
+
+def accept(sock: socket.socket) -> Transport:
+    """Upgrades an accepted socket to a websocket.
+
+    The caller bounds the time and closes the socket after an error.
+
+    Raises:
+      TransportClosedError: If the connection ends.
+      HandshakeError: If the peer requests no websocket.
+    """
+    protocol = server.ServerProtocol(max_size=frames.MAX_FRAME_BYTES)
+    transport = Transport(sock, protocol)
+    transport._upgrade_as_server()
+    return transport
