Add fleet-wide limits with an escrowed owner per cell

Cause: rate and burst of a workspace must hold over all VMs, also in a partition. Change: jayseam/limits with buckets, accounts, pools, wallets, cells, strategies (escrow, owner, static), messages 60 to 65 and LimitTask. A batch is granted only out of loans that outlast it, because a batch of 1 s could otherwise be spent after the share behind it accrues at another owner. Owners ask for shares instead of positions pushing them, so that the borrower can count the loan from its request. Ruled out: one owner over the whole fleet, which would receive 1,340 renewals a second at 670 nodes and leave a zone that is cut off without tokens.

--- /dev/null
+++ b/jayseam/limits/__init__.py
@@ -0,0 +1,28 @@
+"""Fleet-wide rate and burst of workspaces.
+
+See Also:
+  ``docs/design.md``, sections 5.3 and 8. The argument for the bound is in
+  `accounts` (conservation of shares) and `pools` (conservation of tokens).
+"""
+
+from jayseam.limits import accounts
+from jayseam.limits import buckets
+from jayseam.limits import cells
+from jayseam.limits import errors
+from jayseam.limits import messages
+from jayseam.limits import pools
+from jayseam.limits import strategies
+from jayseam.limits import task
+from jayseam.limits import wallets
+
+__all__ = [
+    'accounts',
+    'buckets',
+    'cells',
+    'errors',
+    'messages',
+    'pools',
+    'strategies',
+    'task',
+    'wallets',
+]
--- /dev/null
+++ b/jayseam/limits/messages.py
@@ -0,0 +1,142 @@
+"""Messages between nodes about fleet-wide limits (codes 60 to 79)."""
+
+from typing import Any
+
+import attrs
+from attrs import validators
+
+from jayseam.links import messages
+
+_INT = validators.instance_of(int)
+_STR = validators.instance_of(str)
+_BOOL = validators.instance_of(bool)
+_NUMBER = validators.and_(
+    validators.instance_of((int, float)), validators.ge(0)
+)
+_AMOUNTS = validators.deep_mapping(
+    key_validator=_STR,
+    value_validator=_NUMBER,
+    mapping_validator=validators.instance_of(dict),
+)
+_GROUPS = validators.deep_iterable(
+    member_validator=_INT,
+    iterable_validator=validators.instance_of((list, tuple)),
+)
+
+
+def _check_reports(_: Any, attribute: attrs.Attribute, value: Any) -> None:
+    for row in value:
+        number, workspace, spent, returned = row
+        if not isinstance(number, int) or not isinstance(workspace, str):
+            raise TypeError(f'{attribute.name}: malformed row {row!r}')
+        if not (0 <= spent < float('inf') and 0 <= returned < float('inf')):
+            raise ValueError(f'{attribute.name}: amount out of range {row!r}')
+
+
+def _check_shares(_: Any, attribute: attrs.Attribute, value: Any) -> None:
+    if value is None:
+        return
+    for name, (rate, burst) in value.items():
+        if not isinstance(name, str):
+            raise TypeError(f'{attribute.name}: malformed key {name!r}')
+        if not (0 <= rate < float('inf') and 0 <= burst < float('inf')):
+            raise ValueError(f'{attribute.name}: share out of range {name!r}')
+
+
+@messages.register(60)
+@attrs.frozen
+class Borrow:
+    """An owner asks a position for its share, or for a renewal.
+
+    Attributes:
+      incarnation: The owner's incarnation.
+      groups: Numbers of the workspace groups.
+      need_shares: Whether the reply must list the shares.
+    """
+
+    incarnation: int = attrs.field(validator=_INT)
+    groups: list[int] = attrs.field(validator=_GROUPS)
+    need_shares: bool = attrs.field(default=False, validator=_BOOL)
+
+
+@messages.register(61)
+@attrs.frozen
+class Lend:
+    """The reply to `Borrow`.
+
+    Attributes:
+      upstream: The lender's position.
+      incarnation: The lender's incarnation.
+      groups: Groups that are lent; others of the request are refused.
+      digest: Digest of the lender's shares.
+      shares: Rate and burst by workspace, only when asked for.
+    """
+
+    upstream: str = attrs.field(validator=_STR)
+    incarnation: int = attrs.field(validator=_INT)
+    groups: list[int] = attrs.field(validator=_GROUPS)
+    digest: str = attrs.field(validator=_STR)
+    shares: dict[str, list[float]] | None = attrs.field(
+        default=None, validator=_check_shares
+    )
+
+
+@messages.register(62)
+@attrs.frozen
+class Draw:
+    """An entry asks an owner for tokens and reports on its batches.
+
+    Attributes:
+      incarnation: The entry's incarnation.
+      number: Number of this draw; names the batches that it yields.
+      wants: Tokens asked for, by workspace.
+      reports: Rows of draw number, workspace, tokens spent since the last
+        report, tokens returned.
+    """
+
+    incarnation: int = attrs.field(validator=_INT)
+    number: int = attrs.field(validator=_INT)
+    wants: dict[str, float] = attrs.field(validator=_AMOUNTS)
+    reports: list[list] = attrs.field(factory=list, validator=_check_reports)
+
+
+@messages.register(63)
+@attrs.frozen
+class Grant:
+    """The reply to `Draw`.
+
+    Attributes:
+      number: Number of the draw.
+      amounts: Tokens granted, by workspace; a missing one got nothing.
+    """
+
+    number: int = attrs.field(validator=_INT)
+    amounts: dict[str, float] = attrs.field(validator=_AMOUNTS)
+
+
+@messages.register(64)
+@attrs.frozen
+class Report:
+    """An entry reports on its batches without asking for tokens.
+
+    Attributes:
+      incarnation: The entry's incarnation.
+      reports: Rows as in `Draw`.
+    """
+
+    incarnation: int = attrs.field(validator=_INT)
+    reports: list[list] = attrs.field(validator=_check_reports)
+
+
+@messages.register(65)
+@attrs.frozen
+class Release:
+    """An owner gives back borrowed shares before their loans end.
+
+    Attributes:
+      incarnation: The owner's incarnation.
+      groups: Numbers of the workspace groups.
+    """
+
+    incarnation: int = attrs.field(validator=_INT)
+    groups: list[int] = attrs.field(validator=_GROUPS)
