Add admission, the backend client and routing

The ingress needs a gate in front of its backend server, a client that tells surely-not-run calls from unknown outcomes, and the entry needs route lookup and the choice of an upstream.

admission has the ramp, the adaptive limit, start-time fair queueing and the gate. backends has the client on llhttp through geventhttpclient, the connection pool, and the state of the backend server from evidence. routing has matching, selection, zone shares and load estimates.

Ruled out: the response class of geventhttpclient, whose header callbacks run one Python frame per field; answers that end with the connection, because a cut cannot be told from the end.

--- /dev/null
+++ b/jayseam/admission/__init__.py
@@ -0,0 +1,13 @@
+"""Admission of calls to the node's own backend server.
+
+See Also:
+  ``docs/design.md``, section 5.4.
+"""
+
+from jayseam.admission import concurrency
+from jayseam.admission import errors
+from jayseam.admission import gates
+from jayseam.admission import queues
+from jayseam.admission import ramps
+
+__all__ = ['concurrency', 'errors', 'gates', 'queues', 'ramps']
--- /dev/null
+++ b/jayseam/admission/gates.py
@@ -0,0 +1,459 @@
+"""The gate that admits calls to the node's own backend server.
+
+Only the ingress admits, so the gate counts every call in flight at its
+backend server. The number never exceeds the slots, the ramp of a freshly
+started backend server, or the adaptive limit.
+
+See Also:
+  ``docs/design.md``, section 5.4.
+"""
+
+import enum
+from collections.abc import Callable, Mapping
+
+import attrs
+import gevent
+from gevent import event
+
+from jayseam.admission import concurrency
+from jayseam.admission import errors
+from jayseam.admission import queues
+from jayseam.admission import ramps
+from jayseam.core import clocks
+
+# Weight of a new sample in the moving averages of service times.
+SERVICE_TIME_WEIGHT = 0.1
+# Weight of a sample above the usual shortest service time.
+SHORTEST_WEIGHT = 0.02
+# Without new samples the estimate of the shortest time halves this often. A
+# slow spell would otherwise refuse every later call with a short deadline,
+# and with no call admitted the estimate would never be corrected.
+SHORTEST_HALF_LIFE_S = 1.0
+MIN_RELATIVE_COST = 0.01
+MAX_RELATIVE_COST = 100.0
+DEFAULT_COST = 1.0
+MAX_TRACKED_WORKSPACES = 1024
+
+
+class Result(enum.Enum):
+    """How an admitted call ended."""
+
+    SUCCESS = 'success'
+    SHED = 'shed'
+    FAILED = 'failed'
+
+
+@attrs.frozen
+class Ticket:
+    """A call that asks for admission.
+
+    Attributes:
+      workspace: Workspace that the call runs for.
+      cost: Expected share of the backend server's time; see
+        `Gate.estimate_cost`.
+      deadline: Time by which the call must have finished, in seconds.
+      request_id: Id of the call.
+      still_valid: Tells at a time whether the call may still run.
+    """
+
+    workspace: str
+    cost: float
+    deadline: float
+    request_id: str
+    still_valid: Callable[[float], bool]
+
+
+@attrs.frozen
+class GateReport:
+    """The state of a gate at one moment.
+
+    Attributes:
+      in_flight: Calls admitted and not yet released.
+      queued: Calls that wait.
+      limit: Calls allowed in flight now: the least of the next three.
+      capacity: The lower of slots and connections.
+      ramp: Limit of the ramp.
+      adaptive: Adaptive limit.
+    """
+
+    in_flight: int
+    queued: int
+    limit: int
+    capacity: int
+    ramp: int
+    adaptive: int
+
+    @property
+    def load(self) -> float:
+        """The value of a load report.
+
+        >>> GateReport(6, 2, 4, 10, 4, 10).load
+        2.0
+        """
+        return (self.in_flight + self.queued) / max(1, self.limit)
+
+
+@attrs.frozen
+class _ServiceTime:
+    """Service time of the calls of one workspace.
+
+    Attributes:
+      mean_s: Moving average in seconds.
+      shortest_s: Usual shortest time in seconds: it follows a shorter sample
+        at once and longer ones slowly.
+      measured_at: Time of the last sample, in seconds.
+    """
+
+    mean_s: float
+    shortest_s: float
+    measured_at: float
+
+    def add(self, sample_s: float, now: float) -> '_ServiceTime':
+        """Returns the service time after another sample."""
+        shortest_s = min(
+            sample_s,
+            self.shortest_s + SHORTEST_WEIGHT * (sample_s - self.shortest_s),
+        )
+        mean_s = _average(self.mean_s, sample_s)
+        return _ServiceTime(mean_s, shortest_s, now)
+
+    def estimate_shortest(self, now: float) -> float:
+        """Returns the time that a call takes at least, in seconds."""
+        age_s = max(0.0, now - self.measured_at)
+        return self.shortest_s * 0.5 ** (age_s / SHORTEST_HALF_LIFE_S)
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    """A greenlet blocked in `Gate.acquire`, and what became of its call."""
+
+    ticket: Ticket
+    decided: event.Event
+    permit: 'Permit | None' = None
+    error: errors.AdmissionError | None = None
+
+
+class Permit:
+    """The right of one call to be in flight until it is released."""
+
+    def __init__(self, gate: 'Gate', ticket: Ticket, admitted_at: float):
+        self.ticket = ticket
+        self.admitted_at = admitted_at
+        self._gate = gate
+        self._released = False
+
+    def release(self, result: Result | str, now: float) -> None:
+        """Ends the call; only the first release of a permit counts.
+
+        Args:
+          result: How the call ended, as a `Result` or its value.
+          now: Current time in seconds.
+
+        Raises:
+          ValueError: If the result is unknown.
+        """
+        outcome = Result(result)
+        if not self._released:
+            self._released = True
+            self._gate._release(self, outcome, now)
+
+
+class Gate:
+    """Admits calls up to the limit and queues the others.
+
+    The gate must be used from the greenlets of one thread.
+
+    >>> gate = Gate(slots=1, connections=10)
+    >>> ticket = Ticket('w', 1.0, 2.0, 'r-1', lambda now: True)
+    >>> permit = gate.acquire(ticket, now=1.0)
+    >>> gate.describe(now=1.0).in_flight
+    1
+    >>> permit.release(Result.SUCCESS, now=1.1)
+    >>> gate.describe(now=1.1).in_flight
+    0
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        connections: int,
+        ramp=None,
+        queue: str = 'fair',
+        ramp_shape: str = 'linear',
+        bounds: queues.Bounds = queues.Bounds(),
+        read_now: Callable[[], float] = clocks.read_now,
+    ):
+        """Creates an open gate.
+
+        Args:
+          slots: Calls the backend server handles at once.
+          connections: Connections the backend server accepts.
+          ramp: Object with ``initial_slots`` and ``duration_s``, or None.
+          queue: Name of a variant in `queues.VARIANTS`.
+          ramp_shape: Name of a variant in `ramps.VARIANTS`.
+          bounds: Greatest lengths of the queue.
+          read_now: Clock used by timers, in seconds.
+
+        Raises:
+          UnknownVariantError: If a variant has another name.
+        """
+        self._ramp_class = ramps.VARIANTS.get(ramp_shape)
+        self._queue = queues.VARIANTS.get(queue)(bounds)
+        self._read_now = read_now
+        self._in_flight = 0
+        self._closed = False
+        self._held = False
+        self._idle = event.Event()
+        self._idle.set()
+        self._timer: gevent.Greenlet | None = None
+        self._mean_s: float | None = None
+        self._service: dict[str, _ServiceTime] = {}
+        self._capacity = min(slots, connections)
+        self._adaptive = concurrency.build_limit(self._capacity)
+        self._ramp = self._build_ramp(ramp, None)
+
+    def acquire(self, ticket: Ticket, now: float) -> Permit:
+        """Waits until the call may run.
+
+        Args:
+          ticket: The call.
+          now: Current time in seconds.
+
+        Returns:
+          The permit, which the caller must release.
+
+        Raises:
+          QueueFullError: If the queue has no room.
+          DeadlineError: If the call cannot finish before its deadline.
+          NoLongerValidError: If the call may no longer run.
+          ClosedError: If the gate is draining or closed.
+        """
+        if self._closed:
+            raise errors.ClosedError('the gate admits no new calls')
+        entry = queues.Entry(
+            ticket.workspace, ticket.cost, ticket.deadline, ticket.still_valid
+        )
+        reason = queues.find_drop_reason(
+            entry, now, self._estimate_shortest(entry, now)
+        )
+        if reason is not None:
+            raise _build_error(reason, ticket)
+        if not self._held and len(self._queue) == 0:
+            if self._in_flight < self._compute_limit(now):
+                return self._grant(ticket, now)
+        waiter = _Waiter(ticket, event.Event())
+        entry.payload = waiter
+        displaced = self._queue.push(entry)
+        if displaced is not None:
+            self._refuse(displaced, queues.DropReason.DISPLACED)
+        self._idle.clear()
+        self._pump(now)
+        return self._wait(entry, waiter, now)
+
+    def estimate_cost(self, workspace: str) -> float:
+        """Returns the cost of a call of the workspace.
+
+        This is the workspace's mean service time over the mean of all calls,
+        so an average call costs 1, as does one of an unknown workspace.
+        """
+        service = self._service.get(workspace)
+        if service is None or not self._mean_s:
+            return DEFAULT_COST
+        relative = service.mean_s / self._mean_s
+        return min(MAX_RELATIVE_COST, max(MIN_RELATIVE_COST, relative))
+
+    def set_capacity(self, slots: int, connections: int, ramp=None) -> None:
+        """Applies the numbers of a new preset; calls in flight go on.
+
+        Args:
+          slots: Calls the backend server handles at once.
+          connections: Connections the backend server accepts.
+          ramp: Object with ``initial_slots`` and ``duration_s``, or None.
+        """
+        self._capacity = min(slots, connections)
+        self._adaptive = self._adaptive.resize(self._capacity)
+        self._ramp = self._build_ramp(ramp, self._ramp.started_at)
+        self._pump(self._read_now())
+
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Sets the weights of workspaces in the queue."""
+        self._queue.set_weights(weights)
+
+    def notice_start(self, now: float) -> None:
+        """Restarts the ramp: the backend server started at ``now``."""
+        self._ramp = self._ramp.restart(now)
+        self._schedule(now)
+
+    def hold(self) -> None:
+        """Stops admissions until `resume`; new calls are queued."""
+        self._held = True
+
+    def resume(self, now: float) -> None:
+        """Continues admissions after `hold`."""
+        self._held = False
+        self._pump(now)
+
+    def drain(self) -> None:
+        """Refuses new calls; queued calls and calls in flight finish.
+
+        See Also:
+          `wait_idle`.
+        """
+        self._closed = True
+
+    def close(self) -> None:
+        """Refuses new and queued calls; calls in flight finish."""
+        self._closed = True
+        for entry in self._queue.clear():
+            entry.payload.error = errors.ClosedError('the gate was closed')
+            entry.payload.decided.set()
+        self._update_idle()
+
+    def reopen(self, now: float) -> None:
+        """Admits calls again after `drain` or `close`."""
+        self._closed = False
+        self._pump(now)
+
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Waits until no call is queued or in flight.
+
+        Returns:
+          Whether the gate became idle within ``timeout_s`` seconds.
+        """
+        return self._idle.wait(timeout_s)
+
+    def describe(self, now: float) -> GateReport:
+        """Returns the state of the gate, including its load."""
+        return GateReport(
+            self._in_flight,
+            len(self._queue),
+            self._compute_limit(now),
+            self._capacity,
+            self._ramp.compute_limit(now),
+            self._adaptive.compute_limit(),
+        )
+
+    def _build_ramp(self, ramp, started_at: float | None):
+        if ramp is None:
+            return self._ramp_class(self._capacity, self._capacity, 0.0, None)
+        return self._ramp_class(
+            ramp.initial_slots, self._capacity, ramp.duration_s, started_at
+        )
+
+    def _compute_limit(self, now: float) -> int:
+        return min(
+            self._capacity,
+            self._ramp.compute_limit(now),
+            self._adaptive.compute_limit(),
+        )
+
+    def _estimate_shortest(self, entry: queues.Entry, now: float) -> float:
+        service = self._service.get(entry.workspace)
+        return 0.0 if service is None else service.estimate_shortest(now)
+
+    def _grant(self, ticket: Ticket, now: float) -> Permit:
+        self._in_flight += 1
+        self._idle.clear()
+        return Permit(self, ticket, now)
+
+    def _wait(self, entry: queues.Entry, waiter: _Waiter, now: float) -> Permit:
+        ticket = waiter.ticket
+        try:
+            waiter.decided.wait(max(0.0, ticket.deadline - now))
+        except BaseException:
+            # The greenlet was killed; a permit granted meanwhile goes back.
+            self._withdraw(entry, waiter)
+            raise
+        if waiter.permit is not None:
+            return waiter.permit
+        if waiter.error is not None:
+            raise waiter.error
+        self._withdraw(entry, waiter)
+        raise errors.DeadlineError(
+            f'call {ticket.request_id} waited until its deadline'
+        )
+
+    def _withdraw(self, entry: queues.Entry, waiter: _Waiter) -> None:
+        self._queue.remove(entry)
+        if waiter.permit is not None:
+            waiter.permit.release(Result.FAILED, self._read_now())
+        self._update_idle()
+
+    def _refuse(self, entry: queues.Entry, reason: queues.DropReason) -> None:
+        waiter = entry.payload
+        waiter.error = _build_error(reason, waiter.ticket)
+        waiter.decided.set()
+
+    def _pump(self, now: float) -> None:
+        """Admits queued calls while the limit allows."""
+        while not self._held and len(self._queue) > 0:
+            if self._in_flight >= self._compute_limit(now):
+                break
+            entry, dropped = self._queue.pop(
+                now, lambda waiting: self._estimate_shortest(waiting, now)
+            )
+            for gone, reason in dropped:
+                self._refuse(gone, reason)
+            if entry is not None:
+                entry.payload.permit = self._grant(entry.payload.ticket, now)
+                entry.payload.decided.set()
+        self._schedule(now)
+        self._update_idle()
+
+    def _schedule(self, now: float) -> None:
+        """Sets a timer for the next step of the ramp while calls wait."""
+        if self._timer is not None or len(self._queue) == 0:
+            return
+        step_at = self._ramp.compute_next_step(now)
+        if step_at is not None:
+            delay_s = max(0.001, step_at - now)
+            self._timer = gevent.spawn_later(delay_s, self._fire_timer)
+
+    def _fire_timer(self) -> None:
+        self._timer = None
+        self._pump(self._read_now())
+
+    def _update_idle(self) -> None:
+        if self._in_flight == 0 and len(self._queue) == 0:
+            self._idle.set()
+
+    def _release(self, permit: Permit, result: Result, now: float) -> None:
+        latency_s = max(0.0, now - permit.admitted_at)
+        if result is Result.SUCCESS:
+            self._adaptive = self._adaptive.record_success(
+                latency_s, self._in_flight
+            )
+            self._record_service(permit.ticket.workspace, latency_s, now)
+        elif result is Result.SHED:
+            self._adaptive = self._adaptive.record_shed(now)
+        self._in_flight -= 1
+        self._pump(now)
+
+    def _record_service(
+        self, workspace: str, latency_s: float, now: float
+    ) -> None:
+        self._mean_s = _average(self._mean_s, latency_s)
+        known = self._service.get(workspace)
+        if known is not None:
+            self._service[workspace] = known.add(latency_s, now)
+            return
+        if len(self._service) >= MAX_TRACKED_WORKSPACES:
+            self._service.clear()
+        self._service[workspace] = _ServiceTime(latency_s, latency_s, now)
+
+
+def _average(mean_s: float | None, sample_s: float) -> float:
+    if mean_s is None:
+        return sample_s
+    return mean_s + SERVICE_TIME_WEIGHT * (sample_s - mean_s)
+
+
+def _build_error(
+    reason: queues.DropReason, ticket: Ticket
+) -> errors.AdmissionError:
+    call = f'call {ticket.request_id} of workspace {ticket.workspace}'
+    if reason is queues.DropReason.DEADLINE:
+        return errors.DeadlineError(f'{call} cannot meet its deadline')
+    if reason is queues.DropReason.DISPLACED:
+        return errors.QueueFullError(f'{call} was displaced from the queue')
+    return errors.NoLongerValidError(f'{call} may no longer run')
--- /dev/null
+++ b/jayseam/admission/ramps.py
@@ -0,0 +1,105 @@
+"""Limits on a backend server that has just started.
+
+A ramp is immutable: a restart gives a new value. The registry `VARIANTS`
+holds the shapes; ``none`` is the baseline without protection.
+
+See Also:
+  ``docs/design.md``, section 5.4.
+"""
+
+import math
+
+import attrs
+
+from jayseam.core import registries
+
+VARIANTS: registries.Registry = registries.Registry('ramp')
+
+
+@VARIANTS.register('linear')
+@attrs.frozen
+class LinearRamp:
+    """Raises the limit linearly from ``initial_slots`` to ``slots``.
+
+    Attributes:
+      initial_slots: Calls in flight allowed at the start.
+      slots: Calls in flight allowed from the end of the ramp.
+      duration_s: Length of the ramp in seconds.
+      started_at: Time of the last start, in seconds; None if no start was
+        noticed.
+    """
+
+    initial_slots: int
+    slots: int
+    duration_s: float
+    started_at: float | None = None
+
+    def restart(self, now: float) -> 'LinearRamp':
+        """Returns the ramp of a backend server that started at ``now``."""
+        return attrs.evolve(self, started_at=now)
+
+    def compute_limit(self, now: float) -> int:
+        """Returns the number of calls allowed in flight at ``now``.
+
+        >>> ramp = LinearRamp(initial_slots=2, slots=10, duration_s=8.0)
+        >>> [ramp.restart(100.0).compute_limit(t) for t in (100, 104, 108)]
+        [2, 6, 10]
+        """
+        if self._is_over(now):
+            return self.slots
+        elapsed_s = max(0.0, now - self.started_at)
+        first = min(self.initial_slots, self.slots)
+        grown = (self.slots - first) * elapsed_s / self.duration_s
+        return first + math.floor(grown)
+
+    def compute_next_step(self, now: float) -> float | None:
+        """Returns the time at which the limit next grows.
+
+        Returns:
+          The time in seconds, or None once the ramp is over.
+        """
+        if self._is_over(now):
+            return None
+        first = min(self.initial_slots, self.slots)
+        steps = self.compute_limit(now) - first + 1
+        step_s = self.duration_s / max(1, self.slots - first)
+        return min(
+            self.started_at + steps * step_s,
+            self.started_at + self.duration_s,
+        )
+
+    def _is_over(self, now: float) -> bool:
+        if self.started_at is None:
+            return True
+        return now >= self.started_at + self.duration_s
+
+
+@VARIANTS.register('none')
+@attrs.frozen
+class FullRamp:
+    """Allows all slots from the first moment: the baseline of measurements.
+
+    Attributes:
+      initial_slots: Ignored.
+      slots: Calls in flight allowed.
+      duration_s: Ignored.
+      started_at: Time of the last start, in seconds.
+    """
+
+    initial_slots: int
+    slots: int
+    duration_s: float
+    started_at: float | None = None
+
+    def restart(self, now: float) -> 'FullRamp':
+        """Returns the ramp of a backend server that started at ``now``."""
+        return attrs.evolve(self, started_at=now)
+
+    def compute_limit(self, now: float) -> int:
+        """Returns the number of slots, whatever the time."""
+        del now
+        return self.slots
+
+    def compute_next_step(self, now: float) -> None:
+        """Returns None: the limit never grows."""
+        del now
--- /dev/null
+++ b/jayseam/admission/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of admission."""
--- /dev/null
+++ b/jayseam/backends/__init__.py
@@ -0,0 +1,21 @@
+"""Connections to the node's own backend server, and its state.
+
+See Also:
+  ``docs/design.md``, section 5.4.
+"""
+
+from jayseam.backends import client
+from jayseam.backends import connections
+from jayseam.backends import errors
+from jayseam.backends import health
+from jayseam.backends import messages
+from jayseam.backends import states
+
+__all__ = [
+    'client',
+    'connections',
+    'errors',
+    'health',
+    'messages',
+    'states',
+]
--- /dev/null
+++ b/jayseam/backends/client.py
@@ -0,0 +1,399 @@
+"""HTTP client of the node's own backend server.
+
+Each error tells whether the call may have run. Until the first byte of a
+request is written the call has surely not run; after that only a whole
+answer is certain.
+
+See Also:
+  ``docs/design.md``, sections 5.4 and 5.6.
+"""
+
+from collections.abc import Callable
+from urllib import parse
+
+import attrs
+import gevent
+from gevent import lock
+
+from jayseam.backends import connections
+from jayseam.backends import errors
+from jayseam.backends import messages
+from jayseam.backends import states
+from jayseam.core import clocks
+from jayseam.core import logs
+
+CONNECT_TIMEOUT_S = 0.5
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+CANCEL_TIMEOUT_S = 1.0
+MAX_CANCELS = 8
+MAX_PENDING_CANCELS = 128
+# An idle connection lost so soon after its last use did not reach a time-out.
+RECENT_USE_S = 1.0
+# The sockets of an ended process are closed one after the other, so the
+# survivors are counted a moment after the first loss.
+SURVIVOR_CHECK_DELAY_S = 0.02
+CANCEL_PATH = '/.backend/cancel/'
+
+_log = logs.get_logger(__name__)
+
+
+@attrs.define(eq=False)
+class _Call:
+    """A call in progress.
+
+    Attributes:
+      request: The call.
+      deadline: Time by which it must finish, in seconds.
+      connection: Connection that carries it, once there is one.
+      sent_at: Time before the first byte was written, in seconds.
+      sent: Whether any byte of the request was written.
+      in_flight: Calls in progress at that time, including this one.
+      cancelled: Whether `BackendClient.cancel` was called for it.
+      is_control: Whether it is a poll or a cancellation; these are never
+        cancelled themselves.
+    """
+
+    request: messages.BackendRequest
+    deadline: float
+    connection: connections.Connection | None = None
+    sent_at: float = 0.0
+    sent: bool = False
+    in_flight: int = 0
+    cancelled: bool = False
+    is_control: bool = False
+
+
+def _ignore(evidence: states.Evidence, now: float) -> None:
+    del evidence, now
+
+
+class BackendClient:
+    """Runs calls at one backend server over kept connections.
+
+    It must be used from the greenlets of one thread. One of the connections is
+    set aside for health polls, so that they get through while calls hold all
+    the others.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        max_connections: int,
+        observe: Callable[[states.Evidence, float], None] = _ignore,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        read_now: Callable[[], float] = clocks.read_now,
+    ):
+        """Creates a client; the first call opens the first connection.
+
+        Args:
+          address: IP address and port of the backend server.
+          max_connections: Connections the backend server accepts.
+          observe: Receives evidence on the state of the backend server and
+            the time, in the greenlet that has it; it must not block.
+          max_answer_bytes: Greatest body of an answer.
+          connect_timeout_s: Time to establish a connection, in seconds.
+          read_now: Clock, in seconds.
+        """
+        host, port = address
+        name = f'[{host}]' if ':' in host else host
+        self._host = f'{name}:{port}'
+        self._address = address
+        self._observe = observe
+        self._max_answer_bytes = max_answer_bytes
+        self._connect_timeout_s = connect_timeout_s
+        self._read_now = read_now
+        self._calls: dict[str, _Call] = {}
+        self._cancels = lock.Semaphore(MAX_CANCELS)
+        self._checking = False
+        self._closed = False
+        self._pending_cancels = 0
+        self._pool = connections.ConnectionPool(
+            max(1, max_connections - 1), self._connect, self._report_idle_loss
+        )
+        self._control = connections.ConnectionPool(
+            1, self._connect, self._report_idle_loss
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Number of calls in progress."""
+        return len(self._calls)
+
+    def run(
+        self, request: messages.BackendRequest, deadline: float
+    ) -> messages.BackendAnswer:
+        """Runs a call and returns its whole answer.
+
+        A connection that the backend server closed while idle is replaced
+        without notice as long as no byte of the request was written.
+
+        Args:
+          request: The call; its request id must not be in use.
+          deadline: Time by which the call must finish, in seconds.
+
+        Raises:
+          InvalidRequestError: If the request cannot be written as HTTP/1.1.
+          NotRunError: If the backend server surely did not run the call;
+            `ShedError` if it shed the call.
+          OutcomeUnknownError: If it may have run the call.
+        """
+        call = _Call(request, deadline)
+        if self._closed or request.request_id in self._calls:
+            raise errors.NotRunError('no-connection', 'closed or id in use')
+        self._calls[request.request_id] = call
+        try:
+            answer = self._exchange(call, self._pool)
+            self._report_answer(call, answer)
+        finally:
+            del self._calls[request.request_id]
+        if _is_shed(answer) and request.shed_retryable:
+            raise errors.ShedError(request.request_id)
+        return answer
+
+    def cancel(self, request_id: str) -> bool:
+        """Cancels a call in progress, whose `run` then raises.
+
+        The connection of the call is closed and the backend server is told.
+
+        Returns:
+          Whether such a call was in progress.
+        """
+        call = self._calls.get(request_id)
+        if call is None:
+            return False
+        call.cancelled = True
+        if call.connection is not None:
+            call.connection.close()
+        return True
+
+    def poll(self, path: str, timeout_s: float) -> messages.BackendAnswer:
+        """Reads a control path over the connection set aside for it.
+
+        Raises:
+          BackendError: If there is no whole answer within ``timeout_s``.
+        """
+        request = messages.BackendRequest('health', 'GET', path)
+        deadline = self._read_now() + timeout_s
+        call = _Call(request, deadline, is_control=True)
+        return self._exchange(call, self._control)
+
+    def set_connections(self, max_connections: int) -> None:
+        """Changes the number of connections; calls in progress go on."""
+        self._pool.resize(max(1, max_connections - 1))
+
+    def close(self) -> None:
+        """Refuses new calls and closes idle connections."""
+        self._closed = True
+        self._pool.close_idle()
+        self._control.close_idle()
+
+    def _connect(self, timeout_s: float) -> connections.Connection:
+        return connections.Connection(
+            self._address, timeout_s, self._read_now()
+        )
+
+    def _exchange(
+        self, call: _Call, pool: connections.ConnectionPool
+    ) -> messages.BackendAnswer:
+        """Writes the request and reads the answer."""
+        while True:
+            connection = self._take(call, pool)
+            reader = messages.AnswerReader(
+                call.request.method, self._max_answer_bytes
+            )
+            reusable = False
+            try:
+                self._write(call, connection)
+                answer = self._read(call, connection, reader)
+                reusable = reader.is_reusable() and not call.cancelled
+                return answer
+            except errors.NotRunError as error:
+                if error.reason != 'unsent' or connection.used_at is None:
+                    raise
+            except errors.InvalidRequestError:
+                reusable = True
+                raise
+            except BaseException as error:
+                self._abandon(call, error)
+                raise
+            finally:
+                call.connection = None
+                pool.give_back(
+                    connection,
+                    reusable and not self._closed,
+                    self._read_now(),
+                )
+
+    def _take(
+        self, call: _Call, pool: connections.ConnectionPool
+    ) -> connections.Connection:
+        """Returns a connection for the call."""
+        left_s = call.deadline - self._read_now()
+        if left_s <= 0:
+            raise errors.NotRunError('deadline')
+        timeout_s = min(left_s, self._connect_timeout_s)
+        try:
+            connection = pool.take(left_s, timeout_s)
+        except TimeoutError as error:
+            if timeout_s == self._connect_timeout_s:
+                self._observe(states.ConnectTimedOut(), self._read_now())
+            raise errors.NotRunError('connect-timeout') from error
+        except OSError as error:
+            if isinstance(error, ConnectionError):
+                self._observe(states.Refused(), self._read_now())
+            raise errors.NotRunError('refused', str(error)) from error
+        call.connection = connection
+        return connection
+
+    def _write(self, call: _Call, connection: connections.Connection) -> None:
+        """Writes the request.
+
+        Raises:
+          InvalidRequestError: If the request cannot be written as HTTP/1.1.
+          NotRunError: If no byte was written.
+          OutcomeUnknownError: If the deadline passed after the first byte.
+        """
+        call.sent_at = self._read_now()
+        call.in_flight = len(self._calls)
+        left_ms = max(0, int((call.deadline - call.sent_at) * 1000))
+        data = messages.encode_request(call.request, self._host, left_ms)
+        sent = 0
+        while sent < len(data):
+            left_s = call.deadline - self._read_now()
+            if call.cancelled and not sent:
+                raise errors.NotRunError('cancelled')
+            if left_s <= 0:
+                raise _build_timeout(sent)
+            try:
+                sent += connection.send(memoryview(data)[sent:], left_s)
+                call.sent = True
+            except TimeoutError as error:
+                raise _build_timeout(sent) from error
+            except OSError as error:
+                if not sent:
+                    reason = 'cancelled' if call.cancelled else 'unsent'
+                    raise errors.NotRunError(reason, str(error)) from error
+                # The backend server may have answered early, for example to
+                # shed a large request, and closed its side.
+                return
+
+    def _read(
+        self,
+        call: _Call,
+        connection: connections.Connection,
+        reader: messages.AnswerReader,
+    ) -> messages.BackendAnswer:
+        """Reads the answer.
+
+        Raises:
+          OutcomeUnknownError: If there is no whole answer to this request.
+        """
+        complete = False
+        while not complete:
+            left_s = call.deadline - self._read_now()
+            if left_s <= 0:
+                raise errors.OutcomeUnknownError('timeout')
+            try:
+                data = connection.receive(left_s)
+            except TimeoutError as error:
+                raise errors.OutcomeUnknownError('timeout') from error
+            except OSError as error:
+                reason = 'cancelled' if call.cancelled else 'connection-lost'
+                raise errors.OutcomeUnknownError(reason, str(error)) from error
+            complete = reader.receive(data)
+        answer = reader.build_answer()
+        echoed = messages.find_header(answer.headers, 'request-id')
+        if echoed is not None and echoed != call.request.request_id:
+            raise errors.OutcomeUnknownError('crossed', f'answer to {echoed}')
+        return answer
+
+    def _report_answer(
+        self, call: _Call, answer: messages.BackendAnswer
+    ) -> None:
+        now = self._read_now()
+        evidence = states.Answered(
+            call.request.kind,
+            call.sent_at,
+            now - call.sent_at,
+            call.in_flight,
+            not _is_shed(answer),
+        )
+        self._observe(evidence, now)
+
+    def _abandon(self, call: _Call, error: BaseException) -> None:
+        """Handles a call that ends without a whole answer."""
+        reason = getattr(error, 'reason', 'cancelled')
+        if reason == 'connection-lost':
+            self._schedule_survivor_check()
+        elif (
+            call.sent
+            and not call.is_control
+            and reason in ('timeout', 'cancelled')
+        ):
+            # Errors from outside, such as GreenletExit, also cancel the call.
+            self._schedule_cancel(call.request.request_id)
+
+    def _report_idle_loss(self, connection: connections.Connection) -> None:
+        """Takes the loss of a recently used connection for a reset.
+
+        Keep-alive time-outs of servers are longer than this; the control
+        connection is used more often, so it notices a fast restart.
+        """
+        now = self._read_now()
+        if connection.used_at is not None:
+            if now - connection.used_at < RECENT_USE_S:
+                self._schedule_survivor_check()
+
+    def _schedule_survivor_check(self) -> None:
+        if not self._checking:
+            self._checking = True
+            gevent.spawn_later(
+                SURVIVOR_CHECK_DELAY_S, self._check_survivors, self._read_now()
+            )
+
+    def _check_survivors(self, lost_at: float) -> None:
+        self._checking = False
+        survivors = any(
+            pool.has_survivor(lost_at) for pool in (self._pool, self._control)
+        )
+        self._observe(states.Reset(survivors), self._read_now())
+
+    def _schedule_cancel(self, request_id: str) -> None:
+        if self._pending_cancels >= MAX_PENDING_CANCELS:
+            _log.warning(
+                'backend.cancel_dropped', extra={'request': request_id}
+            )
+            return
+        self._pending_cancels += 1
+        gevent.spawn(self._post_cancel, request_id)
+
+    def _post_cancel(self, request_id: str) -> None:
+        """Tells the backend server to stop a call; its answer is not needed."""
+        path = CANCEL_PATH + parse.quote(request_id, safe='')
+        request = messages.BackendRequest(request_id, 'POST', path)
+        try:
+            with self._cancels:
+                deadline = self._read_now() + CANCEL_TIMEOUT_S
+                self._exchange(
+                    _Call(request, deadline, is_control=True), self._pool
+                )
+        except errors.BackendError as error:
+            _log.info(
+                'backend.cancel_failed',
+                extra={'request': request_id, 'error': str(error)},
+            )
+        finally:
+            self._pending_cancels -= 1
+
+
+def _is_shed(answer: messages.BackendAnswer) -> bool:
+    if answer.status != 503:
+        return False
+    return messages.find_header(answer.headers, 'shed') == 'not-run'
+
+
+def _build_timeout(sent: int) -> errors.BackendError:
+    if sent:
+        return errors.OutcomeUnknownError('timeout')
+    return errors.NotRunError('deadline')
--- /dev/null
+++ b/jayseam/backends/connections.py
@@ -0,0 +1,196 @@
+"""A bounded pool of connections to one backend server."""
+
+import collections
+import socket as std_socket
+from collections.abc import Callable
+
+from gevent import event
+from gevent import socket
+
+from jayseam.backends import errors
+from jayseam.core import sockets
+
+_BLOCK_BYTES = 65536
+
+
+class Connection:
+    """One connected TCP socket with TCP_NODELAY set.
+
+    Attributes:
+      opened_at: Time at which the connection was opened, in seconds.
+      used_at: Time of the last whole answer, in seconds; None before it.
+    """
+
+    def __init__(self, address: tuple[str, int], timeout_s: float, now: float):
+        """Connects.
+
+        Raises:
+          OSError: If the connection is refused or takes too long.
+        """
+        family = socket.AF_INET6 if ':' in address[0] else socket.AF_INET
+        self.opened_at = now
+        self.used_at: float | None = None
+        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            self._socket.settimeout(timeout_s)
+            self._socket.connect(address)
+            sockets.set_nodelay(self._socket)
+        except BaseException:
+            self._socket.close()
+            raise
+
+    @property
+    def socket(self) -> std_socket.socket:
+        """The connected socket."""
+        return self._socket
+
+    def send(self, data: bytes | memoryview, timeout_s: float) -> int:
+        """Writes at least one byte; returns the number written."""
+        self._socket.settimeout(timeout_s)
+        return self._socket.send(data)
+
+    def receive(self, timeout_s: float) -> bytes:
+        """Reads at least one byte; empty when the other side has closed."""
+        self._socket.settimeout(timeout_s)
+        return self._socket.recv(_BLOCK_BYTES)
+
+    def is_idle(self) -> bool:
+        """Tells whether the connection is open with nothing to read.
+
+        Bytes that arrive without a request would be taken for the answer to
+        the next one.
+        """
+        try:
+            self._socket.settimeout(0.0)
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Closes the socket; a greenlet blocked on it gets an OSError."""
+        self._socket.close()
+
+
+class ConnectionPool:
+    """Opens at most ``size`` connections and keeps idle ones for reuse.
+
+    The most recently used connection is reused first, so a falling load lets
+    the others reach the backend server's idle time-out.
+    """
+
+    def __init__(
+        self,
+        size: int,
+        connect: Callable[[float], Connection],
+        report_loss: Callable[[Connection], None],
+    ) -> None:
+        """Creates an empty pool.
+
+        Args:
+          size: Greatest number of connections open or being opened.
+          connect: Opens a connection within a time in seconds.
+          report_loss: Receives a connection that was lost while idle.
+        """
+        self._size = size
+        self._connect = connect
+        self._report_loss = report_loss
+        # Places in use; some were handed to waiters that have not resumed.
+        self._taken = 0
+        self._handed = 0
+        self._idle: list[Connection] = []
+        self._waiters: collections.deque[event.Event] = collections.deque()
+
+    @property
+    def in_use(self) -> int:
+        """Number of connections that carry a request or are being opened."""
+        return self._taken
+
+    def resize(self, size: int) -> None:
+        """Changes the bound; connections in use beyond it close on return."""
+        self._size = size
+        self._trim()
+        while self._waiters and self._taken < self._size:
+            self._taken += 1
+            self._hand_over()
+
+    def take(self, wait_s: float, connect_timeout_s: float) -> Connection:
+        """Returns an idle connection, or opens one.
+
+        Raises:
+          NotRunError: If no connection is free within ``wait_s`` seconds.
+          OSError: If a connection cannot be opened.
+        """
+        if self._taken < self._size:
+            self._taken += 1
+        else:
+            self._wait(wait_s)
+        try:
+            while self._idle:
+                connection = self._idle.pop()
+                if connection.is_idle():
+                    return connection
+                connection.close()
+                self._report_loss(connection)
+            return self._connect(connect_timeout_s)
+        except BaseException:
+            self._leave()
+            raise
+
+    def give_back(
+        self, connection: Connection, reusable: bool, now: float
+    ) -> None:
+        """Returns a connection after its request."""
+        if reusable:
+            connection.used_at = now
+            self._idle.append(connection)
+        else:
+            connection.close()
+        self._leave()
+        self._trim()
+
+    def has_survivor(self, lost_at: float) -> bool:
+        """Tells whether an idle connection from before ``lost_at`` is open."""
+        return any(
+            connection.opened_at < lost_at and connection.is_idle()
+            for connection in self._idle
+        )
+
+    def close_idle(self) -> None:
+        """Closes the idle connections."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
+    def _wait(self, wait_s: float) -> None:
+        """Waits until a leaving request hands its place over."""
+        waiter = event.Event()
+        self._waiters.append(waiter)
+        try:
+            if not waiter.wait(wait_s) and not waiter.is_set():
+                raise errors.NotRunError('no-connection')
+        except BaseException:
+            if waiter.is_set():
+                self._handed -= 1
+                self._leave()
+            else:
+                self._waiters.remove(waiter)
+            raise
+        self._handed -= 1
+
+    def _leave(self) -> None:
+        if self._waiters and self._taken <= self._size:
+            self._hand_over()
+        else:
+            self._taken -= 1
+
+    def _hand_over(self) -> None:
+        self._handed += 1
+        self._waiters.popleft().set()
+
+    def _trim(self) -> None:
+        active = self._taken - self._handed
+        while self._idle and active + len(self._idle) > self._size:
+            self._idle.pop(0).close()
--- /dev/null
+++ b/jayseam/backends/health.py
@@ -0,0 +1,151 @@
+"""Task that polls the health endpoint and keeps the backend server's state.
+
+Health is a hint: apart from ``draining`` and ``starting``, the words of the
+endpoint do not overrule what calls show.
+
+See Also:
+  ``docs/design.md``, section 5.4.
+"""
+
+import json
+from collections.abc import Callable
+
+import gevent
+
+from jayseam.backends import client as backend_client
+from jayseam.backends import errors
+from jayseam.backends import states
+from jayseam.core import clocks
+from jayseam.core import logs
+
+HEALTH_PATH = '/.backend/health'
+POLL_INTERVAL_S = 0.5
+POLL_TIMEOUT_S = 1.0
+
+_log = logs.get_logger(__name__)
+
+
+def parse_health(body: bytes) -> tuple[str | None, float | None]:
+    """Returns the state word and the load of a health answer.
+
+    Parts that are missing or malformed are None.
+
+    >>> parse_health(b'{"state": "ready", "load": 0.5}')
+    ('ready', 0.5)
+    >>> parse_health(b'<html>')
+    (None, None)
+    """
+    try:
+        document = json.loads(body)
+    except ValueError:
+        return None, None
+    if not isinstance(document, dict):
+        return None, None
+    word, load = document.get('state'), document.get('load')
+    if not isinstance(word, str):
+        word = None
+    if isinstance(load, bool) or not isinstance(load, (int, float)):
+        load = None
+    return word, load
+
+
+class HealthMonitor:
+    """Owns the state of the backend server.
+
+    Evidence is applied at once, in the greenlet that has it: a mailbox between
+    a refused connection and the restart of the ramp would admit calls in
+    between.
+
+    >>> monitor = HealthMonitor(ramp_s=5.0, on_start=print, on_state=print)
+    >>> monitor.observe(states.HealthWord('ready', 0.0, 7.0), now=7.0)
+    7.0
+    cold
+    """
+
+    def __init__(
+        self,
+        ramp_s: float,
+        on_start: Callable[[float], None],
+        on_state: Callable[[str], None],
+    ):
+        """Creates a monitor of a server that is down until first contact.
+
+        Args:
+          ramp_s: Length of the ramp in seconds.
+          on_start: Receives the time of each start noticed, in seconds;
+            normally `admission.gates.Gate.notice_start`.
+          on_state: Receives the name of the state after each change.
+        """
+        self._state = states.BackendState(ramp_s=ramp_s)
+        self._on_start = on_start
+        self._on_state = on_state
+        self._client: backend_client.BackendClient | None = None
+        self._greenlet: gevent.Greenlet | None = None
+        self._read_now = clocks.read_now
+
+    @property
+    def state(self) -> states.BackendState:
+        """The state after the last evidence."""
+        return self._state
+
+    def observe(self, evidence: states.Evidence, now: float) -> None:
+        """Applies evidence; pass this method to `BackendClient`."""
+        self._apply(states.observe(self._state, evidence, now))
+
+    def tick(self, now: float) -> None:
+        """Applies the passing of time, which ends the ramp."""
+        self._apply(states.tick(self._state, now))
+
+    def notice_pause(self, now: float) -> None:
+        """Ignores latencies measured across a pause that ended at ``now``."""
+        self._apply(states.notice_pause(self._state, now))
+
+    def set_ramp(self, ramp_s: float) -> None:
+        """Changes the length of the ramp, in seconds."""
+        self._state = states.set_ramp(self._state, ramp_s)
+
+    def start(self, client: backend_client.BackendClient) -> None:
+        """Polls through ``client`` until `stop`."""
+        self._client = client
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Ends polling."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def poll_once(self) -> None:
+        """Polls the health endpoint and applies what it shows."""
+        sent_at = self._read_now()
+        try:
+            answer = self._client.poll(HEALTH_PATH, POLL_TIMEOUT_S)
+        except errors.BackendError as error:
+            # Refused and lost connections were reported by the client.
+            _log.debug('backend.health_failed', extra={'error': str(error)})
+            self.tick(self._read_now())
+            return
+        word, load = None, None
+        if answer.status == 200:
+            word, load = parse_health(answer.body)
+        evidence = states.HealthWord(word, load, sent_at)
+        self.observe(evidence, self._read_now())
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self.poll_once()
+            except Exception:  # pylint: disable=broad-exception-caught
+                # One faulty poll must not end the task.
+                _log.exception('backend.poll_failed')
+            gevent.sleep(POLL_INTERVAL_S)
+
+    def _apply(self, state: states.BackendState) -> None:
+        before, self._state = self._state, state
+        if state.starts != before.starts:
+            self._on_start(state.started_at)
+        if state.name != before.name:
+            _log.info(
+                'backend.state_changed',
+                extra={'before': before.name, 'after': state.name},
+            )
+            self._on_state(state.name)
--- /dev/null
+++ b/jayseam/backends/messages.py
@@ -0,0 +1,312 @@
+"""Requests to a backend server and its answers, and their HTTP/1.1 form.
+
+References:
+  RFC 9110, section 7.6.1 (hop-by-hop headers); RFC 9112 (message syntax).
+"""
+
+import re
+from collections.abc import Iterable, Sequence
+
+import attrs
+from geventhttpclient import response
+
+from jayseam.backends import errors
+
+Headers = Sequence[tuple[str, str]]
+
+HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+# Fields that the client writes itself, or that make no sense for a request
+# whose body is already whole.
+_REPLACED = HOP_BY_HOP | {
+    'content-length',
+    'expect',
+    'request-id',
+    'request-timeout-ms',
+}
+MAX_HEAD_BYTES = 64 * 1024
+_HEAD_END = b'\r\n\r\n'
+_TARGET = re.compile(r'[!-~]+')
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
+
+
+@attrs.frozen
+class BackendRequest:
+    """A call for the backend server.
+
+    Attributes:
+      request_id: Id of the call, sent as ``Request-Id``.
+      method: HTTP method.
+      path: Path with its query.
+      headers: Header fields in order; hop-by-hop fields are not sent.
+      body: Whole body.
+      shed_retryable: Whether a 503 with ``Shed: not-run`` is trusted.
+      kind: Calls of one kind share a latency baseline, for example a route.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    headers: Headers = ()
+    body: bytes = b''
+    shed_retryable: bool = True
+    kind: str = ''
+
+
+@attrs.frozen
+class BackendAnswer:
+    """A whole answer of the backend server.
+
+    Attributes:
+      status: HTTP status code.
+      headers: Header fields in order, without hop-by-hop fields.
+      body: Whole body, without transfer coding.
+    """
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b''
+
+
+def find_header(headers: Headers, name: str) -> str | None:
+    """Returns the first value of a header field, or None.
+
+    Args:
+      headers: Header fields.
+      name: Field name in lower case.
+
+    >>> find_header([('Shed', 'not-run')], 'shed')
+    'not-run'
+    """
+    for field, value in headers:
+        if field.lower() == name:
+            return value
+    return None
+
+
+def strip_hop_by_hop(headers: Iterable[tuple[str, str]]) -> Headers:
+    """Returns the header fields that may be forwarded.
+
+    Fields named by ``Connection`` are hop-by-hop as well.
+
+    >>> strip_hop_by_hop([('Connection', 'x-trace'), ('X-Trace', '1'),
+    ...                   ('Keep-Alive', '5'), ('ETag', 'a')])
+    [('ETag', 'a')]
+    """
+    kept = []
+    nominated: set[str] = set()
+    for name, value in headers:
+        lower = name.lower()
+        if lower not in HOP_BY_HOP:
+            kept.append((name, value))
+        elif lower == 'connection':
+            nominated.update(v.strip().lower() for v in value.split(','))
+    if nominated - {'close', 'keep-alive'}:
+        return [(n, v) for n, v in kept if n.lower() not in nominated]
+    return kept
+
+
+def encode_request(
+    request: BackendRequest, host: str, time_left_ms: int
+) -> bytes:
+    """Returns the bytes of a request.
+
+    Args:
+      request: The call.
+      host: Value of ``Host`` where the request has none.
+      time_left_ms: Time left until the deadline, in milliseconds.
+
+    Raises:
+      InvalidRequestError: If a part contains characters that HTTP forbids.
+
+    >>> encode_request(BackendRequest('r-1', 'GET', '/a'), 'b', 50)
+    b'GET /a HTTP/1.1\\r\\nHost: b\\r\\nRequest-Id: r-1\\r\\n\
+Request-Timeout-Ms: 50\\r\\n\\r\\n'
+    """
+    method, path = request.method, request.path
+    if not _TOKEN.fullmatch(method) or not _TARGET.fullmatch(path):
+        raise errors.InvalidRequestError(f'invalid request {method} {path!r}')
+    lines = [f'{method} {path} HTTP/1.1']
+    has_host = False
+    for name, value in strip_hop_by_hop(request.headers):
+        lower = name.lower()
+        if lower in _REPLACED:
+            continue
+        if not _TOKEN.fullmatch(name):
+            raise errors.InvalidRequestError(f'invalid header name {name!r}')
+        has_host = has_host or lower == 'host'
+        lines.append(f'{name}: {value}')
+    if not has_host:
+        lines.append(f'Host: {host}')
+    lines.append(f'Request-Id: {request.request_id}')
+    lines.append(f'Request-Timeout-Ms: {time_left_ms}')
+    if request.body or method in _BODY_METHODS:
+        lines.append(f'Content-Length: {len(request.body)}')
+    head = '\r\n'.join(lines)
+    # A line break inside a value would start another header or request.
+    breaks = len(lines) - 1
+    if head.count('\n') != breaks or head.count('\r') != breaks:
+        raise errors.InvalidRequestError('line break in a header value')
+    if '\0' in head:
+        raise errors.InvalidRequestError('NUL in a header value')
+    try:
+        return head.encode('latin-1') + _HEAD_END + request.body
+    except UnicodeEncodeError as error:
+        raise errors.InvalidRequestError(str(error)) from error
+
+
+class AnswerReader(response.HTTPResponseParser):
+    """Parses one answer incrementally and checks that it is whole.
+
+    The head is passed to the parser in one piece. Each field name and value
+    then arrives in one callback, and the callbacks are the `append` methods of
+    two lists, which costs no Python frame per header field.
+
+    >>> reader = AnswerReader('GET', max_bytes=100)
+    >>> reader.receive(b'HTTP/1.1 200 OK\\r\\nContent-Le')
+    False
+    >>> reader.receive(b'ngth: 2\\r\\n\\r\\nok')
+    True
+    >>> reader.build_answer()
+    BackendAnswer(status=200, headers=[('Content-Length', '2')], body=b'ok')
+    """
+
+    def __init__(self, method: str, max_bytes: int):
+        super().__init__()
+        self._no_body = method == 'HEAD'
+        self._max_bytes = max_bytes
+        self._received = 0
+        self._head = b''
+        self._head_done = False
+        self._headers: Headers = ()
+        self._status = 0
+        self._complete = False
+        self._trailing = False
+        self._names: list[str] = []
+        self._values: list[str] = []
+        self._chunks: list[bytes] = []
+        self._on_header_field = self._names.append
+        self._on_header_value = self._values.append
+        self._on_body = self._chunks.append
+
+    def receive(self, data: bytes) -> bool:
+        """Takes the next bytes of the connection.
+
+        Args:
+          data: Bytes as received; empty when the connection was closed.
+
+        Returns:
+          Whether the answer is complete.
+
+        Raises:
+          OutcomeUnknownError: If the answer is cut short, breaks the rules of
+            HTTP/1.1, has no explicit end or is too large.
+        """
+        if not data:
+            raise errors.OutcomeUnknownError(
+                'connection-lost', 'closed before the answer was whole'
+            )
+        self._received += len(data)
+        if self._received > self._max_bytes + MAX_HEAD_BYTES:
+            raise errors.OutcomeUnknownError('too-large')
+        if self._head_done:
+            self._feed(data)
+        else:
+            self._receive_head(data)
+        return self._complete
+
+    def build_answer(self) -> BackendAnswer:
+        """Returns the complete answer."""
+        body = b''.join(self._chunks)
+        if len(body) > self._max_bytes:
+            raise errors.OutcomeUnknownError('too-large')
+        return BackendAnswer(self._status, self._headers, body)
+
+    def is_reusable(self) -> bool:
+        """Tells whether the connection can carry another request."""
+        return (
+            self._complete and not self._trailing and self.should_keep_alive()
+        )
+
+    def _receive_head(self, data: bytes) -> None:
+        self._head += data
+        while not self._head_done:
+            end = self._head.find(_HEAD_END)
+            if end < 0:
+                if len(self._head) > MAX_HEAD_BYTES:
+                    raise errors.OutcomeUnknownError('too-large', 'head')
+                return
+            end += len(_HEAD_END)
+            head, self._head = self._head[:end], self._head[end:]
+            self._feed(head)
+            if self.get_code() < 200:
+                self._skip_interim()
+            else:
+                self._finish_head()
+        if self._head:
+            self._feed(self._head)
+            self._head = b''
+
+    def _skip_interim(self) -> None:
+        if self.get_code() == 101:
+            raise errors.OutcomeUnknownError('framing', 'protocol switch')
+        self._complete = False
+        self._names.clear()
+        self._values.clear()
+
+    def _finish_head(self) -> None:
+        self._head_done = True
+        self._status = self.get_code()
+        if len(self._names) != len(self._values):
+            raise errors.OutcomeUnknownError('framing', 'broken header field')
+        pairs = list(zip(self._names, self._values))
+        if not self._complete and not _has_explicit_end(pairs):
+            # Without a length, a cut connection looks like the end.
+            raise errors.OutcomeUnknownError('framing', 'no explicit length')
+        self._headers = strip_hop_by_hop(pairs)
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self.feed(data)
+        except response.HTTPParseError as error:
+            if not self._complete:
+                raise errors.OutcomeUnknownError(
+                    'framing', str(error)
+                ) from error
+            self._trailing = True
+
+    def _on_message_begin(self) -> None:
+        if self._complete:
+            self._trailing = True
+            raise response.HTTPParseError('data after the end of the answer')
+
+    def _on_status(self, reason: str) -> None:
+        del reason
+
+    def _on_headers_complete(self) -> bool:
+        return self._no_body
+
+    def _on_message_complete(self) -> None:
+        self._complete = True
+
+
+def _has_explicit_end(headers: Headers) -> bool:
+    for name, value in headers:
+        lower = name.lower()
+        if lower == 'content-length':
+            return True
+        if lower == 'transfer-encoding':
+            return value.lower().rpartition(',')[2].strip() == 'chunked'
+    return False
--- /dev/null
+++ b/jayseam/backends/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the backend client and state."""
--- /dev/null
+++ b/jayseam/routing/__init__.py
@@ -0,0 +1,13 @@
+"""Route lookup and choice of the upstream that runs a call.
+
+See Also:
+  ``docs/design.md``, section 5.2.
+"""
+
+from jayseam.routing import errors
+from jayseam.routing import loads
+from jayseam.routing import matching
+from jayseam.routing import selection
+from jayseam.routing import zones
+
+__all__ = ['errors', 'loads', 'matching', 'selection', 'zones']
--- /dev/null
+++ b/jayseam/routing/zones.py
@@ -0,0 +1,67 @@
+"""Shares of availability zones that have come back into service.
+
+A zone that returns gets a share that grows from 0.1 to 1 over 10 s, so that
+its caches and connections fill before its full load comes. Shares are
+relative weights, so the zones that held its load are relieved as it grows.
+"""
+
+from collections.abc import Iterable, Mapping, Set
+from typing import Any
+
+INITIAL_SHARE = 0.1
+GROWTH_S = 10.0
+
+# Time of the last return by zone, in seconds.
+Returns = Mapping[str, float]
+
+
+def list_in_service(preset: Any) -> frozenset[str]:
+    """Returns the names of the zones that a preset has in service."""
+    zones = preset.zones
+    values = zones.values() if isinstance(zones, Mapping) else zones
+    return frozenset(zone.name for zone in values if zone.in_service)
+
+
+def update_returns(
+    returns: Returns,
+    before: Set[str] | None,
+    after: Iterable[str],
+    now: float,
+) -> Returns:
+    """Returns the times of return after the zones in service changed.
+
+    Args:
+      returns: Times of return until now.
+      before: Zones in service until now; None at the start of the process,
+        when nothing is known of a return.
+      after: Zones in service from now on.
+      now: Current time in seconds.
+
+    >>> update_returns({}, {'a'}, {'a', 'b'}, now=5.0)
+    {'b': 5.0}
+    >>> update_returns({'b': 5.0}, {'a', 'b'}, {'a'}, now=6.0)
+    {}
+    """
+    known = set(after) if before is None else before
+    updated = {}
+    for zone in after:
+        if zone not in known:
+            updated[zone] = now
+        elif zone in returns and now < returns[zone] + GROWTH_S:
+            updated[zone] = returns[zone]
+    return updated
+
+
+def compute_share(returns: Returns, zone: str, now: float) -> float:
+    """Returns the share of a zone in service, from 0.1 to 1.
+
+    >>> [compute_share({'b': 5.0}, 'b', now) for now in (5.0, 10.0, 15.0)]
+    [0.1, 0.55, 1.0]
+    >>> compute_share({}, 'a', 5.0)
+    1.0
+    """
+    returned_at = returns.get(zone)
+    if returned_at is None:
+        return 1.0
+    progress = min(1.0, max(0.0, (now - returned_at) / GROWTH_S))
+    return INITIAL_SHARE + (1.0 - INITIAL_SHARE) * progress
