Add the platform and backend stand-ins and clusters of processes

Cause: tests with real processes need the operators' side of the protocols. Change: standins.platform (reads, watches, budget, outages, staleness, damaged parts), standins.backend (slots, cold starts, drains, faults, run records), standins.clusters (processes, operator actions), a first fault proxy, and the program jayseam-standin. Ruled out: geventhttpclient.HTTPClient for exchanges, because it repeats GET, PUT and DELETE by itself when a connection closes and so hides runs.

--- /dev/null
+++ b/jayseam/standins/exchanges.py
@@ -0,0 +1,153 @@
+"""HTTP exchanges over one connection that never resend a request.
+
+``geventhttpclient.HTTPClient`` repeats GET, PUT and DELETE requests by itself
+when a connection closes. A test that counts runs needs to know of every
+request, so this module uses only the response parser of that library.
+"""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+import gevent
+from gevent import socket
+from geventhttpclient import response as responses
+
+from jayseam.core import sockets
+from jayseam.standins import errors
+
+_BLOCK_BYTES = 65536
+
+
+@attrs.frozen
+class Answer:
+    """A whole HTTP answer.
+
+    Attributes:
+      status: HTTP status code.
+      headers: Header values; lookup ignores case.
+      body: The whole body.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    def decode(self) -> Any:
+        """Returns the body decoded as JSON."""
+        return json.loads(self.body)
+
+
+class Connection:
+    """A keep-alive connection to one address, opened when first needed."""
+
+    def __init__(self, host: str, port: int):
+        self.address = (host, port)
+        self._socket: socket.socket | None = None
+
+    def exchange(
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes = b'',
+        timeout_s: float = 5.0,
+    ) -> Answer:
+        """Sends one request and returns its whole answer.
+
+        The connection is closed after an answer that asks for it and after
+        every error.
+
+        Args:
+          method: HTTP method.
+          path: Request target, starting with a slash.
+          headers: Headers besides Host and Content-Length.
+          body: Body of the request.
+          timeout_s: Seconds for the whole exchange, connecting included.
+
+        Raises:
+          ExchangeError: If no whole answer arrived; `sent` tells whether the
+            request may have reached the server.
+        """
+        sent = False
+        try:
+            with gevent.Timeout(timeout_s):
+                connection = self._open()
+                request = self._format(method, path, headers, body)
+                sent = True
+                connection.sendall(request)
+                return self._receive(connection, method)
+        except gevent.Timeout as error:
+            self.close()
+            raise errors.ExchangeError('timeout', sent) from error
+        except (OSError, responses.HTTPParseError) as error:
+            self.close()
+            text = f'{type(error).__name__}: {error}'
+            raise errors.ExchangeError(text, sent) from error
+
+    def close(self) -> None:
+        """Closes the connection; the next exchange opens another."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def _open(self) -> socket.socket:
+        if self._socket is None:
+            self._socket = socket.create_connection(self.address)
+            sockets.set_nodelay(self._socket)
+        return self._socket
+
+    def _format(
+        self, method: str, path: str, headers: Mapping[str, str], body: bytes
+    ) -> bytes:
+        lines = [f'{method} {path} HTTP/1.1']
+        lines.append(f'Host: {self.address[0]}:{self.address[1]}')
+        lines.extend(f'{name}: {value}' for name, value in headers.items())
+        if body or method in ('POST', 'PUT', 'PATCH'):
+            lines.append(f'Content-Length: {len(body)}')
+        return '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n' + body
+
+    def _receive(self, connection: socket.socket, method: str) -> Answer:
+        parser = responses.HTTPResponse(method=method)
+        while not parser.message_complete:
+            block = connection.recv(_BLOCK_BYTES)
+            if not block:
+                raise ConnectionError('connection closed before the answer')
+            parser.feed(block)
+        if parser.should_close():
+            self.close()
+        body = bytes(parser._body_buffer)
+        return Answer(parser.status_code, parser.info(), body)
+
+
+def call_control(
+    address: tuple[str, int],
+    path: str,
+    body: Mapping[str, Any] | None = None,
+    timeout_s: float = 10.0,
+) -> Any:
+    """Calls a control listener and returns the decoded JSON answer.
+
+    Args:
+      address: Host and port of the control listener.
+      path: Path of the action, such as ``/control/publish``.
+      body: JSON body of a POST request; None sends a GET request.
+      timeout_s: Seconds for the whole exchange.
+
+    Raises:
+      ControlError: If the action was refused or nobody answered.
+    """
+    connection = Connection(*address)
+    method = 'GET' if body is None else 'POST'
+    data = b'' if body is None else json.dumps(body).encode()
+    try:
+        answer = connection.exchange(method, path, {}, data, timeout_s)
+    except errors.ExchangeError as error:
+        raise errors.ControlError(f'{path}: {error}') from error
+    finally:
+        connection.close()
+    if answer.status != 200:
+        text = answer.body.decode(errors='replace')
+        raise errors.ControlError(f'{path}: {answer.status} {text}')
+    return answer.decode()
--- /dev/null
+++ b/jayseam/standins/serving.py
@@ -0,0 +1,177 @@
+"""WSGI servers of the stand-ins, and their control listeners."""
+
+import json
+import struct
+import urllib.parse
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from gevent import pool
+from gevent import pywsgi
+from gevent import socket
+
+from jayseam.core import sockets
+from jayseam.standins import errors
+
+Action = Callable[[dict[str, Any]], Any]
+StartResponse = Callable[..., Any]
+
+_REASONS = {
+    200: 'OK',
+    304: 'Not Modified',
+    400: 'Bad Request',
+    404: 'Not Found',
+    409: 'Conflict',
+    413: 'Content Too Large',
+    429: 'Too Many Requests',
+    500: 'Internal Server Error',
+    503: 'Service Unavailable',
+}
+
+
+class AbortError(errors.StandinError):
+    """Raised by an application to close the connection without an answer.
+
+    Attributes:
+      reset: Whether the peer sees a reset instead of an orderly close.
+    """
+
+    def __init__(self, reset: bool):
+        super().__init__('connection aborted')
+        self.reset = reset
+
+
+def set_reset_on_close(sock: Any) -> None:
+    """Makes the close of a TCP socket send a reset."""
+    linger = struct.pack('ii', 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+class _Handler(pywsgi.WSGIHandler):
+    """Closes the connection when the application raises `AbortError`."""
+
+    def run_application(self) -> None:
+        try:
+            super().run_application()
+        except AbortError as error:
+            self.close_connection = True
+            self.status = 'aborted'
+            if error.reset:
+                set_reset_on_close(self.socket)
+
+
+class Server(pywsgi.WSGIServer):
+    """A WSGI server with TCP_NODELAY whose connections end with it.
+
+    Args:
+      address: Host and port to listen on.
+      application: A WSGI application.
+    """
+
+    def __init__(self, address: tuple[str, int], application: Any):
+        super().__init__(
+            address,
+            application,
+            log=None,
+            error_log=None,
+            handler_class=_Handler,
+            spawn=pool.Pool(),
+        )
+        self._open: set[Any] = set()
+
+    def handle(self, sock: Any, address: Any) -> None:
+        """Serves one accepted connection until it ends."""
+        sockets.set_nodelay(sock)
+        self._open.add(sock)
+        try:
+            super().handle(sock, address)
+        finally:
+            self._open.discard(sock)
+
+    def stop_at_once(self, reset: bool = False) -> None:
+        """Stops listening and closes every connection.
+
+        Args:
+          reset: Whether peers see resets instead of orderly closes.
+        """
+        if reset:
+            for sock in list(self._open):
+                set_reset_on_close(sock)
+        self.stop(timeout=0)
+
+
+def send_answer(
+    start_response: StartResponse,
+    status: int,
+    body: bytes = b'',
+    headers: Iterable[tuple[str, str]] = (),
+    content_type: str = 'application/octet-stream',
+) -> list[bytes]:
+    """Starts a WSGI answer and returns its body as an iterable."""
+    fields = [('Content-Type', content_type), *headers]
+    if status != 304:
+        fields.append(('Content-Length', str(len(body))))
+    reason = _REASONS.get(status, 'Status')
+    start_response(f'{status} {reason}', fields)
+    return [body]
+
+
+def send_json(
+    start_response: StartResponse, status: int, value: Any
+) -> list[bytes]:
+    """Answers with ``value`` as JSON."""
+    data = json.dumps(value).encode()
+    return send_answer(
+        start_response, status, data, content_type='application/json'
+    )
+
+
+def parse_query(environ: Mapping[str, Any]) -> dict[str, str]:
+    """Returns the query of a request; the last of equal names counts."""
+    query = environ.get('QUERY_STRING', '')
+    return dict(urllib.parse.parse_qsl(query)) if query else {}
+
+
+class ControlServer:
+    """Serves named actions as JSON over HTTP.
+
+    An action takes the query (GET) or the JSON body (POST) as a dict and
+    returns a JSON value. A `ControlError`, `KeyError`, `TypeError` or
+    `ValueError` becomes a 400 with the message.
+
+    Args:
+      address: Host and port to listen on.
+      actions: Functions by path, such as ``/control/counts``.
+    """
+
+    def __init__(self, address: tuple[str, int], actions: Mapping[str, Action]):
+        self._actions = dict(actions)
+        self._server = Server(address, self._answer)
+
+    def start(self) -> None:
+        """Starts listening."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stops listening and closes all connections."""
+        self._server.stop_at_once()
+
+    @property
+    def port(self) -> int:
+        """The TCP port that the listener has."""
+        return self._server.server_port
+
+    def _answer(self, environ: dict[str, Any], start: StartResponse) -> Any:
+        action = self._actions.get(environ['PATH_INFO'])
+        if action is None:
+            known = sorted(self._actions)
+            return send_json(start, 404, {'error': 'unknown', 'known': known})
+        try:
+            if environ['REQUEST_METHOD'] == 'POST':
+                request = json.loads(environ['wsgi.input'].read() or b'{}')
+            else:
+                request = parse_query(environ)
+            return send_json(start, 200, action(request))
+        except (errors.ControlError, KeyError, TypeError, ValueError) as error:
+            text = f'{type(error).__name__}: {error}'
+            return send_json(start, 400, {'error': text})
--- /dev/null
+++ b/jayseam/standins/tests/test_backend.py
@@ -0,0 +1,220 @@
+"""Tests of the backend stand-in through real sockets."""
+
+import gevent
+import pytest
+
+from jayseam.standins import answers
+from jayseam.standins import backend
+from jayseam.standins import durations
+from jayseam.standins import errors
+from jayseam.standins import exchanges
+
+_HEADERS = {
+    'Request-Id': 'r1',
+    'Jayseam-Workspace': 'w1',
+    'X-Echo': 'e1',
+    'X-Answer-Bytes': '100',
+}
+
+
+class _Client:
+    """Calls and controls one backend server."""
+
+    def __init__(self, mean_ms=1.0, **settings):
+        time = durations.ServiceTime('fixed', mean_ms)
+        self.host = backend.BackendHost(
+            [backend.BackendSettings('b1', service_time=time, **settings)],
+            ('127.0.0.1', 0),
+        )
+        self.host.start()
+
+    def control(self, action, **fields):
+        address = ('127.0.0.1', self.host.control_port)
+        return exchanges.call_control(address, f'/control/{action}', fields)
+
+    def connect(self):
+        port = self.host.backends['b1'].port
+        return exchanges.Connection('127.0.0.1', port)
+
+    def call(self, path='/x', method='GET', timeout_s=2.0, **headers):
+        fields = {k.replace('_', '-'): v for k, v in headers.items()}
+        connection = self.connect()
+        try:
+            return connection.exchange(
+                method, path, {**_HEADERS, **fields}, timeout_s=timeout_s
+            )
+        finally:
+            connection.close()
+
+    def call_together(self, count):
+        calls = [gevent.spawn(self.call) for _ in range(count)]
+        return [call.get(timeout=3.0).status for call in calls]
+
+    def runs(self):
+        return self.control('runs')['b1']
+
+    def peaks(self):
+        return self.control('peaks')['b1']
+
+
+@pytest.fixture(name='make_client')
+def _make_client():
+    clients = []
+
+    def make(**settings):
+        clients.append(_Client(**settings))
+        return clients[-1]
+
+    yield make
+    for client in clients:
+        client.host.stop()
+
+
+def test_answer_is_whole_and_of_its_request(make_client):
+    """Callers check wholeness and ownership by these facts."""
+    answer = make_client().call(Idempotency_Key='k1')
+    facts = answers.verify_answer(answer.body)
+    assert (facts['request_id'], facts['workspace']) == ('r1', 'w1')
+    assert (facts['echo'], facts['idempotency_key']) == ('e1', 'k1')
+    assert facts['filler_bytes'] == 100
+    assert answer.headers['request-id'] == 'r1'
+
+
+def test_runs_record_keys_seen(make_client):
+    """The referee must notice a key that reaches a backend server."""
+    client = make_client(secrets=['s3cret'])
+    client.call()
+    client.call(Authorization='Bearer x')
+    client.call(path='/x?api_key=1')
+    client.call(X_Other='has s3cret inside')
+    assert [run['key_seen'] for run in client.runs()] == [False] + 3 * [True]
+
+
+@pytest.mark.parametrize('overload', ['slow', 'fail', 'shed'])
+def test_overload_is_recorded(make_client, overload):
+    """More requests than slots must show, whatever they meet."""
+    client = make_client(slots=2, mean_ms=50.0, overload=overload)
+    statuses = client.call_together(4)
+    expected = {'slow': 200, 'fail': 500, 'shed': 503}[overload]
+    assert statuses.count(expected) >= 2
+    peaks = client.peaks()
+    assert peaks['overloads'] == 2
+    assert peaks['in_flight'] == (4 if overload == 'slow' else 2)
+
+
+def test_connections_over_the_limit_are_reset(make_client):
+    """A backend server accepts at most so many connections."""
+    client = make_client(connections=2)
+    held = [client.connect() for _ in range(2)]
+    for connection in held:
+        connection.exchange('GET', '/x', _HEADERS)
+    with pytest.raises(errors.ExchangeError):
+        client.call()
+    assert client.peaks()['connections_refused'] == 1
+    for connection in held:
+        connection.close()
+
+
+def test_cold_start_falls_over_when_overrun(make_client):
+    """Full load in a cold start must fail all requests for a while."""
+    cold = backend.ColdStart(1, duration_s=5.0, fall_over_s=0.2)
+    client = make_client(cold_start=cold, mean_ms=50.0)
+    assert client.call('/.backend/health').decode()['state'] == 'starting'
+    assert client.call().status == 200
+    assert client.call_together(3) == [500] * 3
+    assert client.call().status == 500
+    gevent.sleep(0.25)
+    assert client.call().status == 200
+    assert client.peaks()['falls'] == 1
+
+
+def test_restart_can_be_silent(make_client):
+    """A return to the cold start may come without a word."""
+    cold = backend.ColdStart(1, duration_s=0.3, fall_over_s=0.1)
+    client = make_client(cold_start=cold, mean_ms=20.0)
+    gevent.sleep(0.35)
+    assert client.call_together(3) == [200] * 3
+    client.control('restart')
+    assert client.call('/.backend/health').decode()['state'] == 'ready'
+    assert client.call_together(3) == [500] * 3
+
+
+def test_stop_resets_and_start_listens_again(make_client):
+    """A crashed server refuses until it is started again."""
+    client = make_client()
+    client.control('stop')
+    with pytest.raises(errors.ExchangeError) as refused:
+        client.call()
+    assert not refused.value.sent
+    client.control('start')
+    assert client.call().status == 200
+
+
+def test_drain_shows_in_health_answers_and_runs(make_client):
+    """Work sent to a draining server must be noticed."""
+    client = make_client()
+    client.control('drain')
+    assert client.call('/.backend/health').decode()['state'] == 'draining'
+    assert client.call().headers['connection'].lower() == 'close'
+    assert client.runs()[0]['draining_s'] >= 0
+
+
+def test_health_can_lag_and_lie(make_client):
+    """Health is only a hint, so tests must be able to make it wrong."""
+    client = make_client(health_lag_s=5.0)
+    client.call('/.backend/health')
+    client.control('drain')
+    assert client.call('/.backend/health').decode()['state'] == 'ready'
+    client.control('health', state='starting', load=0.9)
+    report = client.call('/.backend/health').decode()
+    assert report == {'state': 'starting', 'load': 0.9}
+
+
+def test_work_is_not_started_past_the_deadline(make_client):
+    """A run past its deadline would belong to a caller that has gone."""
+    client = make_client()
+    client.control('fault', kind='late', when='before', ms=50)
+    answer = client.call(Request_Timeout_Ms='20')
+    assert (answer.status, answer.headers['shed']) == (503, 'not-run')
+    assert not client.runs()
+
+
+def test_cancel_ends_a_running_request(make_client):
+    """A cancelled request must free its slot at once."""
+    client = make_client(mean_ms=1500.0)
+    running = gevent.spawn(client.call)
+    gevent.sleep(0.05)
+    assert client.call('/.backend/cancel/r1', 'POST').status == 200
+    assert running.get(timeout=1.0).status == 409
+    assert client.runs()[0]['status'] == 'cancelled'
+    assert client.call('/.backend/cancel/r1', 'POST').status == 404
+
+
+@pytest.mark.parametrize('kind', ['hang', 'reset', 'truncate'])
+def test_faults_lose_the_answer_after_the_run(make_client, kind):
+    """Callers must meet runs whose answer never arrives whole."""
+    client = make_client()
+    client.control('fault', kind=kind)
+    with pytest.raises(errors.ExchangeError) as lost:
+        client.call(timeout_s=0.2)
+    assert lost.value.sent
+    assert [run['status'] for run in client.runs()] == ['done']
+
+
+def test_shed_requests_do_not_run(make_client):
+    """A shed answer says that the request did not run, so it must not."""
+    client = make_client()
+    client.control('fault', kind='shed')
+    answer = client.call()
+    assert (answer.status, answer.headers['shed']) == (503, 'not-run')
+    assert 'retry-after' in answer.headers and not client.runs()
+
+
+def test_nested_calls_carry_the_token(make_client):
+    """A nested call presents the call token that the server received."""
+    inner = make_client()
+    outer = make_client(node_port=inner.host.backends['b1'].port)
+    answer = outer.call(X_Nest='2', Jayseam_Call_Token='t1')
+    nested = answers.verify_answer(answer.body)['nested']
+    assert [entry['status'] for entry in nested] == [200]
+    assert inner.runs()[0]['nested']
--- /dev/null
+++ b/jayseam/standins/tests/test_platform.py
@@ -0,0 +1,156 @@
+"""Tests of the platform stand-in through real sockets."""
+
+import gevent
+import pytest
+
+from jayseam.core import clocks
+from jayseam.standins import errors
+from jayseam.standins import exchanges
+from jayseam.standins import platform
+
+
+class _Client:
+    """Reads from and controls one platform."""
+
+    def __init__(self, **settings):
+        self.platform = platform.Platform(platform.PlatformSettings(**settings))
+        self.platform.start()
+
+    def control(self, action, **fields):
+        address = ('127.0.0.1', self.platform.control_port)
+        return exchanges.call_control(address, f'/control/{action}', fields)
+
+    def publish(self, key, value):
+        answer = self.control('publish', key=key, value=value)
+        return answer['revisions'][key]
+
+    def get(self, path):
+        connection = exchanges.Connection('127.0.0.1', self.platform.port)
+        try:
+            return connection.exchange('GET', path, {})
+        finally:
+            connection.close()
+
+
+@pytest.fixture(name='make_client')
+def _make_client():
+    clients = []
+
+    def make(**settings):
+        clients.append(_Client(**settings))
+        return clients[-1]
+
+    yield make
+    for client in clients:
+        client.platform.stop()
+
+
+def test_watch_gets_the_next_revision(make_client):
+    """A watch that misses a publication would slow convergence by its wait."""
+    client = make_client()
+    first = client.publish('channels/preset', 'one')
+    path = f'/v1/values/channels/preset?after={first}&wait_s=3'
+    watch = gevent.spawn(client.get, path)
+    gevent.sleep(0.05)
+    began = clocks.read_now()
+    second = client.publish('channels/preset', 'two')
+    answer = watch.get(timeout=2.0)
+    assert clocks.read_now() - began < 1.0
+    assert (answer.status, answer.body) == (200, b'two')
+    assert int(answer.headers['Revision']) == second > first
+
+
+def test_watch_ends_with_304_and_missing_with_404(make_client):
+    """Readers tell "nothing newer" from "no such value" by the status."""
+    client = make_client()
+    first = client.publish('a', 'one')
+    path = f'/v1/values/a?after={first}&wait_s=0.1'
+    assert client.get(path).status == 304
+    assert client.get('/v1/values/b').status == 404
+
+
+def test_calls_over_the_budget_get_429(make_client):
+    """Readers must meet the platform's budget in tests as in operation."""
+    client = make_client(budget_per_s=5)
+    client.publish('a', 'one')
+    statuses = [client.get('/v1/values/a').status for _ in range(12)]
+    assert 429 in statuses
+    counts = client.control('counts')
+    assert counts['totals']['read.a'] == 12
+    assert counts['totals']['refused'] == statuses.count(429)
+    assert counts['peak_per_second'] > 5
+
+
+def test_vm_list_lags(make_client):
+    """The lag must hide a change of the VM list, then show it to watches."""
+    client = make_client()
+    client.control('vms', body='{"vms": []}')
+    answer = client.get('/v1/vms')
+    client.control('vms', body='{"vms": [1]}', lag_s=0.2)
+    assert client.get('/v1/vms').body == answer.body
+    path = f'/v1/vms?after={answer.headers["Revision"]}&wait_s=2'
+    assert client.get(path).body == b'{"vms": [1]}'
+
+
+def test_down_refuses_and_comes_back_on_the_same_port(make_client):
+    """A source outage shows as refused connections or as 503."""
+    client = make_client()
+    client.publish('a', 'one')
+    client.control('fault', down='refuse')
+    with pytest.raises(errors.ExchangeError) as refused:
+        client.get('/v1/values/a')
+    assert not refused.value.sent
+    client.control('fault', down='answer-503')
+    assert client.get('/v1/values/a').status == 503
+    client.control('fault', clear=True)
+    assert client.get('/v1/values/a').status == 200
+
+
+def test_stale_serves_an_earlier_revision(make_client):
+    """A stale replica must hide later revisions until it catches up."""
+    client = make_client()
+    client.publish('a', 'one')
+    client.control('fault', stale=True)
+    client.publish('a', 'two')
+    assert client.get('/v1/values/a').body == b'one'
+    client.control('fault', stale=False)
+    assert client.get('/v1/values/a').body == b'two'
+
+
+def test_disorder_serves_an_update_after_a_newer_one(make_client):
+    """Updates that overtake one another must reach the readers so."""
+    client = make_client()
+    client.publish('a', 'one')
+    client.publish('a', 'two')
+    client.control('fault', disorder=True)
+    bodies = [client.get('/v1/values/a').body for _ in range(2)]
+    assert bodies == [b'two', b'one']
+
+
+@pytest.mark.parametrize(
+    'kind, status', [('altered', 200), ('truncated', 200), ('missing', 404)]
+)
+def test_parts_are_damaged(make_client, kind, status):
+    """Readers must be shown parts that don't match their digest."""
+    client = make_client()
+    client.publish('parts/12', 'content')
+    client.control('fault', parts=kind)
+    answer = client.get('/v1/values/parts/12')
+    assert answer.status == status and answer.body != b'content'
+
+
+def test_slow_answers_wait(make_client):
+    """A slow source must delay each answer by the given time."""
+    client = make_client()
+    client.publish('a', 'one')
+    client.control('fault', slow_ms=150)
+    began = clocks.read_now()
+    client.get('/v1/values/a')
+    assert clocks.read_now() - began >= 0.15
+
+
+def test_values_over_the_limit_are_refused(make_client):
+    """The platform holds values up to 1 MB; larger ones must not pass."""
+    client = make_client()
+    with pytest.raises(errors.ControlError):
+        client.publish('a', 'x' * (platform.MAX_VALUE_BYTES + 1))
