Add the load generator and its profiles

Cause: tests and measurements need calls on a schedule that slow answers don't slow down, with every answer checked and every refusal classified. Change: tools.profiles (JSON checked by a schema), tools.load (run_load, report with records, histograms and outcomes by second, program jayseam-load), tools.identifiers (UUIDv7). Exchanges reopen an idle connection that the server has closed, so such a close isn't taken for a lost call. Ruled out: latencies from the time of sending, which hide waits for a connection, and a pool of greenlets without a bound on connections.

--- a/jayseam/standins/exchanges.py
+++ b/jayseam/standins/exchanges.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import select
 from collections.abc import Mapping
 from typing import Any
 
@@ -93,6 +94,9 @@
             self._socket = None
 
     def _open(self) -> socket.socket:
+        if self._socket is not None and _is_readable(self._socket):
+            # An idle connection has bytes to read only when it was closed.
+            self.close()
         if self._socket is None:
             self._socket = socket.create_connection(self.address)
             sockets.set_nodelay(self._socket)
@@ -121,6 +125,12 @@
         return Answer(parser.status_code, parser.info(), body)
 
 
+def _is_readable(sock: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def call_control(
     address: tuple[str, int],
     path: str,
--- /dev/null
+++ b/jayseam/tools/__init__.py
@@ -0,0 +1,7 @@
+"""Tools for operators and for load tests."""
+
+from jayseam.tools import identifiers
+from jayseam.tools import load
+from jayseam.tools import profiles
+
+__all__ = ['identifiers', 'load', 'profiles']
