--- /dev/null
+++ b/jayseam/distribution/tests/test_task.py
@@ -0,0 +1,315 @@
+"""Tests of the task, with nodes in one process and a source in memory."""
+
+import attrs
+import gevent
+import pytest
+
+from jayseam.core import clocks
+from jayseam.distribution import exchange
+from jayseam.distribution import messages
+from jayseam.distribution import versions
+from jayseam.distribution.tests import fakes
+from jayseam.presets import documents
+from jayseam.presets import samples
+
+_DEPLOYMENT = samples.build_agence()
+_KEYS = documents.split_keys(documents.dump_keys(_DEPLOYMENT.key_set))
+_VMS = b'{"vms":[]}'
+
+
+def _split(name='ordinary', ramp=samples.DEFAULT_RAMP):
+    preset = samples.build_agence(name=name, ramp=ramp).preset
+    return documents.split_preset(documents.dump_preset(preset))
+
+
+def _split_invalid():
+    document = documents.dump_preset(_DEPLOYMENT.preset)
+    document['routes'][0]['targets'] = [['ghost', 1]]
+    return documents.split_preset(document)
+
+
+@pytest.fixture(name='source')
+def _build_source():
+    source = fakes.FakeSource()
+    source.publish('preset', 1, _split())
+    source.publish('keys', 2, _KEYS)
+    source.set_value('vms', 3, _VMS)
+    return source
+
+
+@pytest.fixture(name='net')
+def _build_net():
+    net = fakes.FakeNet()
+    yield net
+    net.stop()
+
+
+def _start(net, source, names='abc'):
+    nodes = [net.add(name, source) for name in names]
+    for node in nodes:
+        node.start()
+    return nodes
+
+
+def _hold(nodes, preset_version):
+    return all(
+        node.current.preset_version == preset_version
+        and node.current.keys_version
+        and node.current.vms_version
+        for node in nodes
+    )
+
+
+def test_all_nodes_follow_the_source(net, source):
+    """Every node must reach the published version and each later one."""
+    nodes = _start(net, source, 'abcde')
+    fakes.wait_until(lambda: _hold(nodes, 1))
+    fakes.wait_until(lambda: sum(n.is_reader for n in nodes) == 2)
+    source.publish('preset', 7, _split('peak'))
+    fakes.wait_until(lambda: _hold(nodes, 7))
+    assert {n.current.preset.name for n in nodes} == {'peak'}
+
+
+def test_invalid_version_is_rejected_once_and_nowhere_in_force(net, source):
+    """An invalid version must leave the old one in force and be named."""
+    nodes = _start(net, source)
+    fakes.wait_until(lambda: _hold(nodes, 1))
+    fakes.wait_until(lambda: sum(n.is_reader for n in nodes) == 2)
+    source.publish('preset', 7, _split_invalid())
+
+    def count_rejected():
+        return sum(
+            len(n.describe(0.0)['channels']['preset']['rejected'])
+            for n in nodes
+        )
+
+    fakes.wait_until(lambda: count_rejected() == 2)
+    reads = source.reads
+    gevent.sleep(0.3)
+    assert source.reads - reads <= 12
+    assert _hold(nodes, 1)
+    shown = [n.describe(0.0)['channels']['preset']['rejected'] for n in nodes]
+    reasons = next(r for r in shown if r)[0]['reasons']
+    assert reasons == ['routes[credits-post].targets: no service ghost']
+    source.publish('preset', 8, _split('repaired'))
+    fakes.wait_until(lambda: _hold(nodes, 8))
+
+
+def test_older_offers_change_nothing(net, source):
+    """Versions that overtake one another must never bring an older one."""
+    nodes = _start(net, source)
+    source.publish('preset', 9, _split('newest'))
+    fakes.wait_until(lambda: _hold(nodes, 9))
+    source.publish('preset', 4, _split('stale'))
+    for node in nodes:
+        node.note_peer_version('a', 'preset', 4, 'd4')
+    gevent.sleep(0.3)
+    assert _hold(nodes, 9)
+    fakes.wait_until(
+        lambda: nodes[0].describe(0.0)['channels']['preset']['version'] == 9
+    )
+
+
+def test_conflicting_digest_is_refused_and_counted(net, source):
+    """Two contents under one version must not replace each other."""
+    (node,) = _start(net, source, 'a')
+    fakes.wait_until(lambda: _hold([node], 1))
+    held = node.describe(0.0)['channels']['preset']['digest']
+    node.note_peer_version('x', 'preset', 1, 'f' * 64)
+    offers = node._counters.offers.labels('preset', 'conflict')
+    fakes.wait_until(lambda: offers._value.get() == 1)
+    assert node.describe(0.0)['channels']['preset']['digest'] == held
+
+
+def test_lost_announcement_is_repaired_by_heartbeats(net, source):
+    """A node that hears no announcement must still follow."""
+    nodes = _start(net, source)
+    fakes.wait_until(lambda: _hold(nodes, 1))
+    net.tamper = lambda sender, receiver, message: (
+        None if isinstance(message, messages.Announce) else message
+    )
+    fakes.wait_until(lambda: sum(n.is_reader for n in nodes) == 2)
+    source.publish('preset', 7, _split('peak'))
+    fakes.wait_until(lambda: _hold(nodes, 7), timeout_s=4.0)
+
+
+def test_fresh_node_takes_the_peers_version_over_a_stale_source(net, source):
+    """A stale source must not bring a fresh node to an older version."""
+    nodes = _start(net, source)
+    source.publish('preset', 9, _split('newest'))
+    fakes.wait_until(lambda: _hold(nodes, 9))
+    stale = fakes.FakeSource()
+    stale.publish('preset', 1, _split())
+    fresh = net.add('fresh', stale)
+    fresh.start()
+    fakes.wait_until(lambda: _hold([fresh], 9))
+    status = fresh.describe(clocks.read_now())['channels']['preset']
+    assert status['version'] == 9
+
+
+def test_node_without_source_is_confirmed_through_peers(net, source):
+    """Confirmation ages must reach nodes that can't reach the platform."""
+    nodes = _start(net, source, 'ab')
+    cut = net.add('cut', None)
+    cut.start()
+    fakes.wait_until(lambda: _hold([*nodes, cut], 1))
+    fakes.wait_until(
+        lambda: cut.compute_confirmation_age('keys', clocks.read_now())
+        is not None
+    )
+    source.is_down = True
+    gevent.sleep(1.5)
+    first = cut.compute_confirmation_age('keys', clocks.read_now())
+    gevent.sleep(1.0)
+    later = cut.compute_confirmation_age('keys', clocks.read_now())
+    assert later - first > 0.9
+
+
+def test_sync_brings_what_a_peer_holds(net, source):
+    """After a pause a node must be up to date when `sync` returns."""
+    nodes = _start(net, source, 'ab')
+    fakes.wait_until(lambda: _hold(nodes, 1))
+    net.tamper = lambda sender, receiver, message: (
+        None
+        if isinstance(message, (messages.Announce, messages.Heartbeat))
+        and 'late' in (sender, receiver)
+        and sender != 'a'
+        else message
+    )
+    late = net.add('late', None, neighbours=list)
+    late.start()
+    assert late.sync(['a'], timeout_s=2.0)
+    assert late.current.preset_version == 1
+    assert not late.sync(['nobody'], timeout_s=0.2)
+
+
+def test_subscribers_hear_each_swap_once(net, source):
+    """A failing subscriber must not keep the others from a swap."""
+    heard = []
+    node = net.add('a', source)
+    node.subscribe(lambda snapshot, channel: 1 / 0)
+    node.subscribe(lambda snapshot, channel: heard.append(channel))
+    node.start()
+    fakes.wait_until(lambda: _hold([node], 1))
+    assert sorted(heard) == ['keys', 'preset', 'vms']
+
+
+def _damage(kind):
+    """Returns a tamper function that damages the parts of replies."""
+
+    def alter(data):
+        return exchange.compress_part(exchange.decompress_part(data) + b' ')
+
+    def tamper(_, receiver, message):
+        if not isinstance(message, messages.Parts) or receiver != 'victim':
+            return message
+        parts = dict(message.parts)
+        for digest in list(parts)[::2]:
+            if kind == 'truncated':
+                parts[digest] = parts[digest][:-3]
+            elif kind == 'altered':
+                parts[digest] = alter(parts[digest])
+            elif kind == 'crossed':
+                parts[digest] = parts[list(parts)[-1]]
+            elif kind == 'missing':
+                del parts[digest]
+            elif kind == 'bomb':
+                parts[digest] = exchange.compress_part(b'0' * 50_000_000)
+        manifest = message.manifest
+        if kind == 'manifest':
+            manifest = manifest[:-1] + b' '
+        if kind == 'late':
+            gevent.sleep(1.2)
+        return attrs.evolve(message, parts=parts, manifest=manifest)
+
+    return tamper
+
+
+@pytest.mark.parametrize(
+    'kind',
+    [
+        'truncated',
+        'altered',
+        'crossed',
+        'missing',
+        'bomb',
+        'manifest',
+        'late',
+    ],
+)
+def test_nothing_in_part_is_ever_in_force(net, source, kind):
+    """Damaged transfers must leave the old version whole in force."""
+    (holder,) = _start(net, source, 'a')
+    fakes.wait_until(lambda: _hold([holder], 1))
+    victim = net.add('victim', None, neighbours=list)
+    victim.start()
+    fakes.wait_until(lambda: _hold([victim], 1))
+    net.tamper = _damage(kind)
+    ramp = attrs.evolve(samples.DEFAULT_RAMP, duration_s=3.0)
+    wanted = _split('peak', ramp)
+    source.publish('preset', 7, wanted)
+    seen = []
+    deadline = clocks.read_now() + 1.5
+    while clocks.read_now() < deadline:
+        seen.append(victim.current)
+        gevent.sleep(0.01)
+    valid = {
+        1: _DEPLOYMENT.preset,
+        7: samples.build_agence(name='peak', ramp=ramp).preset,
+    }
+    for snapshot in seen:
+        assert snapshot.preset == valid[snapshot.preset_version]
+    # Valid parts of a damaged reply are kept and the others asked for again,
+    # which succeeds once a lone part can no longer be crossed with another.
+    assert seen[-1].preset_version == (7 if kind == 'crossed' else 1)
+    net.tamper = lambda sender, receiver, message: message
+    fakes.wait_until(lambda: _hold([victim], 7), timeout_s=4.0)
+    assert not victim.describe(0.0)['channels']['preset']['rejected']
+
+
+def test_pull_sends_only_what_changed(net, source):
+    """A changed weight must cost one part, whatever the preset's size."""
+    (node,) = _start(net, source, 'a')
+    fakes.wait_until(lambda: _hold([node], 1))
+    have = node.describe(0.0)['channels']['preset']['digest']
+    source.publish('preset', 7, _split('peak'))
+    fakes.wait_until(lambda: _hold([node], 7))
+    reply = node.handle_pull(fakes.Peer('x'), messages.Pull('preset', 2, have))
+    assert not reply.parts and reply.complete and reply.version == 7
+    reply = node.handle_pull(fakes.Peer('x'), messages.Pull('preset', 2, ''))
+    assert len(reply.parts) == 7
+    reply = node.handle_pull(fakes.Peer('x'), messages.Pull('preset', 8, ''))
+    assert not reply.manifest and reply.version == 7
+
+
+def test_cache_keeps_only_the_version_held(net, source):
+    """The part cache must not grow with the number of versions."""
+    (node,) = _start(net, source, 'a')
+    for version in range(4, 40):
+        source.publish('preset', version, _split(f'preset-{version}'))
+        fakes.wait_until(lambda v=version: _hold([node], v))
+    cache = node._state.cache('preset')
+    assert len(cache.held.compressed) == 7
+    assert len(cache.known) <= 16
+
+
+def test_select_parts_is_bounded_and_complete_in_the_end():
+    """Large versions must reach the receiver in frames of limited size."""
+    needed = [f'd{i}' for i in range(10)]
+    sizes = dict.fromkeys(needed, 400)
+    lacking, rounds = set(needed), 0
+    while lacking:
+        wanted = sorted(lacking) if rounds else ()
+        chosen = exchange.select_parts(needed, (), wanted, sizes, 1000)
+        assert len(chosen.digests) <= 2
+        assert chosen.complete == (lacking == set(chosen.digests))
+        lacking -= set(chosen.digests)
+        rounds += 1
+    assert rounds == 5
+
+
+def test_offers_of_unknown_channels_are_ignored(net, source):
+    """A peer of a later release may name channels that this one lacks."""
+    (node,) = _start(net, source, 'a')
+    node.note_peer_version('x', 'weather', 3, 'd')
+    assert set(node.describe(0.0)['channels']) == set(versions.CHANNELS)
--- /dev/null
+++ b/jayseam/distribution/versions.py
@@ -0,0 +1,165 @@
+"""The versions that a node holds and those that it has rejected."""
+
+import enum
+from collections.abc import Mapping, Sequence
+
+import attrs
+
+CHANNELS = ('preset', 'keys', 'vms')
+# Rejected versions below the held one are forgotten anyway, so the bound is
+# reached only if the source publishes that many invalid versions in a row.
+MAX_REJECTED = 64
+
+
+class Verdict(enum.Enum):
+    """What an offered version is to the node."""
+
+    NEWER = 'newer'
+    SAME = 'same'
+    OLDER = 'older'
+    CONFLICT = 'conflict'
+    REJECTED = 'rejected'
+
+
+@attrs.frozen
+class Version:
+    """A version of a channel.
+
+    Attributes:
+      channel: ``preset``, ``keys`` or ``vms``.
+      version: Revision of the channel at the source, above zero.
+      digest: Digest of the manifest.
+    """
+
+    channel: str
+    version: int
+    digest: str
+
+
+@attrs.frozen
+class Held:
+    """The version in force of a channel.
+
+    Attributes:
+      version: Revision.
+      digest: Digest of the manifest.
+      accepted_at: Time of the swap, in seconds.
+    """
+
+    version: int
+    digest: str
+    accepted_at: float
+
+
+@attrs.frozen
+class Rejection:
+    """A version that failed verification.
+
+    Attributes:
+      version: Revision.
+      digest: Digest of the manifest.
+      reasons: Every reason.
+      rejected_at: Time of the verdict, in seconds.
+    """
+
+    version: int
+    digest: str
+    reasons: tuple[str, ...]
+    rejected_at: float
+
+
+@attrs.frozen
+class VersionStore:
+    """An immutable record of held and rejected versions.
+
+    The version held of a channel never decreases: `accept` of anything but a
+    greater version returns the store unchanged.
+
+    >>> store = VersionStore().accept('preset', 7, 'd7', now=1.0)
+    >>> store.offer('preset', 6, 'd6', now=2.0)
+    <Verdict.OLDER: 'older'>
+    >>> store.accept('preset', 6, 'd6', now=2.0) is store
+    True
+
+    Attributes:
+      held: Version in force by channel; absent while there is none.
+      rejections: Rejected versions by channel, oldest verdict first.
+    """
+
+    held: Mapping[str, Held] = attrs.field(factory=dict)
+    rejections: Mapping[str, tuple[Rejection, ...]] = attrs.field(factory=dict)
+
+    def version(self, channel: str) -> int:
+        """Returns the version held, zero if there is none."""
+        return self.held[channel].version if channel in self.held else 0
+
+    def digest(self, channel: str) -> str:
+        """Returns the digest held, empty if there is none."""
+        return self.held[channel].digest if channel in self.held else ''
+
+    def offer(
+        self, channel: str, version: int, digest: str, now: float
+    ) -> Verdict:
+        """Judges an offered version without changing anything.
+
+        Args:
+          channel: Channel of the version.
+          version: Revision offered.
+          digest: Digest offered, or its first characters if the peer named
+            no more; an empty one matches every digest.
+          now: Current time in seconds.
+        """
+        del now  # The verdict doesn't depend on time.
+        held = self.held.get(channel)
+        if held is not None and version == held.version:
+            is_same = held.digest.startswith(digest)
+            return Verdict.SAME if is_same else Verdict.CONFLICT
+        if version <= (held.version if held is not None else 0):
+            return Verdict.OLDER
+        if self._find_rejection(channel, version, digest) is not None:
+            return Verdict.REJECTED
+        return Verdict.NEWER
+
+    def accept(
+        self, channel: str, version: int, digest: str, now: float
+    ) -> 'VersionStore':
+        """Returns the store that holds a version, if it is newer.
+
+        The caller puts the content in force only if the result differs.
+        """
+        if self.offer(channel, version, digest, now) is not Verdict.NEWER:
+            return self
+        if not digest:
+            return self
+        kept = tuple(
+            r for r in self.rejections.get(channel, ()) if r.version > version
+        )
+        return VersionStore(
+            {**self.held, channel: Held(version, digest, now)},
+            {**self.rejections, channel: kept},
+        )
+
+    def reject(
+        self,
+        channel: str,
+        version: int,
+        digest: str,
+        reasons: Sequence[str],
+        now: float,
+    ) -> 'VersionStore':
+        """Returns the store that remembers a rejected version.
+
+        A version that is held or older is left as it is.
+        """
+        if self.offer(channel, version, digest, now) is not Verdict.NEWER:
+            return self
+        rejection = Rejection(version, digest, tuple(reasons), now)
+        kept = (*self.rejections.get(channel, ()), rejection)[-MAX_REJECTED:]
+        return attrs.evolve(self, rejections={**self.rejections, channel: kept})
+
+    def _find_rejection(self, channel, version, digest) -> Rejection | None:
+        for rejection in self.rejections.get(channel, ()):
+            is_same = rejection.digest.startswith(digest)
+            if rejection.version == version and is_same:
+                return rejection
+        return None
--- /dev/null
+++ b/jayseam/presets/documents.py
@@ -0,0 +1,407 @@
+"""Canonical documents: split into parts for distribution and joined again.
+
+A document is one dict of a preset, key set or VM list. It travels as a
+manifest, which names its parts by digest, and the parts, each a canonical JSON
+list. Unchanged parts keep their digest from version to version.
+"""
+
+import json
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import attrs
+
+from jayseam.core import digests
+from jayseam.presets import errors
+from jayseam.presets import model
+
+FORMAT = 1
+KINDS = ('preset', 'keys', 'vms')
+SHARDS = '0123456789abcdef'
+# The source holds values of up to 1 MB.
+MAX_VALUE_BYTES = 1_000_000
+MAX_BUNDLE_BYTES = 8_000_000
+MAX_PARTS = 1024
+TOO_LARGE = f'parts: more than {MAX_BUNDLE_BYTES} bytes in all'
+_PRESET_SECTIONS = ('services', 'routes', 'zones', 'workspaces')
+_NAME_FIELDS = {'keys': 'key_id', 'vms': 'vm'}
+
+
+@attrs.frozen
+class Manifest:
+    """A parsed manifest.
+
+    Attributes:
+      kind: ``preset``, ``keys`` or ``vms``.
+      name: Name of the preset, otherwise the kind.
+      parts: Digest of each part by part name.
+    """
+
+    kind: str
+    name: str
+    parts: Mapping[str, str]
+
+
+@attrs.frozen
+class Bundle:
+    """A document split for distribution.
+
+    Attributes:
+      manifest: Canonical JSON of the manifest.
+      parts: Canonical JSON of each part by its digest.
+    """
+
+    manifest: bytes
+    parts: Mapping[str, bytes]
+
+    @property
+    def digest(self) -> str:
+        """Digest of the manifest, which identifies the whole content."""
+        return digests.compute_digest(self.manifest)
+
+
+def skip_pause() -> None:
+    """Does nothing; stands for a function that lets other greenlets run."""
+
+
+def encode_json(value: Any) -> bytes:
+    """Returns canonical JSON: sorted keys, no spaces, UTF-8.
+
+    >>> encode_json({'b': 1, 'a': 'é'})
+    b'{"a":"\\xc3\\xa9","b":1}'
+
+    Raises:
+      PresetRejectedError: If the value has no JSON form.
+    """
+    try:
+        text = json.dumps(
+            value,
+            sort_keys=True,
+            separators=(',', ':'),
+            ensure_ascii=False,
+            allow_nan=False,
+        )
+        return text.encode('utf-8')
+    except (TypeError, ValueError, RecursionError) as error:
+        raise errors.PresetRejectedError([f'not JSON: {error}']) from error
+
+
+def decode_json(data: bytes) -> Any:
+    """Parses JSON strictly: no repeated names, no infinite numbers.
+
+    Raises:
+      PresetRejectedError: If the data is not such a JSON text.
+    """
+    try:
+        return json.loads(
+            data.decode('utf-8'),
+            object_pairs_hook=_build_object,
+            parse_constant=_refuse_constant,
+            parse_float=_parse_float,
+        )
+    except (ValueError, RecursionError) as error:
+        raise errors.PresetRejectedError([f'not JSON: {error}']) from error
+
+
+def _build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    result = dict(pairs)
+    if len(result) != len(pairs):
+        raise ValueError('an object repeats a name')
+    return result
+
+
+def _refuse_constant(text: str) -> float:
+    raise ValueError(f'{text} is not a JSON number')
+
+
+def _parse_float(text: str) -> float:
+    value = float(text)
+    if value in (float('inf'), float('-inf')):
+        raise ValueError(f'number {text[:32]} is too large')
+    return value
+
+
+def dump_preset(preset: model.Preset) -> dict[str, Any]:
+    """Returns the document of a preset, with every list in order of name."""
+    document: dict[str, Any] = {'name': preset.name}
+    for section in (*_PRESET_SECTIONS, 'upstreams'):
+        items = getattr(preset, section)
+        document[section] = [_dump(items[name]) for name in sorted(items)]
+    return document
+
+
+def dump_keys(key_set: model.KeySet) -> dict[str, Any]:
+    """Returns the document of a key set."""
+    return {'keys': [_dump(entry) for entry in key_set.keys]}
+
+
+def dump_vms(vm_list: model.VmList) -> dict[str, Any]:
+    """Returns the document of a VM list."""
+    return {'vms': [_dump(entry) for entry in vm_list.vms]}
+
+
+def _dump(item: Any) -> dict[str, Any]:
+    values = attrs.asdict(item)
+    return {k: _to_lists(v) for k, v in values.items()}
+
+
+def _to_lists(value: Any) -> Any:
+    if isinstance(value, tuple):
+        return [_to_lists(item) for item in value]
+    return value
+
+
+def is_digest(value: Any) -> bool:
+    """Tells whether a value has the form of a digest."""
+    if not isinstance(value, str) or len(value) != 2 * digests.DIGEST_BYTES:
+        return False
+    return all(char in SHARDS for char in value)
+
+
+def split_preset(document: Mapping[str, Any]) -> Bundle:
+    """Splits the document of a preset.
+
+    Items are put in order of name, so documents that differ only in order
+    have the same digest.
+
+    Raises:
+      PresetRejectedError: If the document can't be split, or if a part is
+        larger than the source can hold.
+    """
+    expected = {'name', 'upstreams', *_PRESET_SECTIONS}
+    if not isinstance(document, Mapping) or set(document) != expected:
+        raise errors.PresetRejectedError(
+            [f'preset: must be an object of {", ".join(sorted(expected))}']
+        )
+    if not isinstance(document['name'], str):
+        raise errors.PresetRejectedError(['preset.name: not a string'])
+    groups = {name: _check_list(document, name) for name in _PRESET_SECTIONS}
+    upstreams = _check_list(document, 'upstreams')
+    groups |= _group_items('upstreams', upstreams, _find_zone)
+    return _build_bundle('preset', document['name'], groups)
+
+
+def split_keys(document: Mapping[str, Any]) -> Bundle:
+    """Splits the document of a key set into 16 shards.
+
+    Raises:
+      PresetRejectedError: If the document can't be split.
+    """
+    items = _check_list(document, 'keys')
+    groups: dict[str, list] = {f'keys/{shard}': [] for shard in SHARDS}
+    groups |= _group_items('keys', items, _find_shard)
+    return _build_bundle('keys', 'keys', groups)
+
+
+def split_vms(document: Mapping[str, Any]) -> Bundle:
+    """Splits the document of a VM list by availability zone.
+
+    Raises:
+      PresetRejectedError: If the document can't be split.
+    """
+    items = _check_list(document, 'vms')
+    return _build_bundle('vms', 'vms', _group_items('vms', items, _find_zone))
+
+
+def read_manifest(data: bytes) -> Manifest:
+    """Parses and checks a manifest.
+
+    Raises:
+      PresetRejectedError: With every reason found.
+    """
+    if len(data) > MAX_VALUE_BYTES:
+        raise errors.PresetRejectedError(
+            [f'manifest: more than {MAX_VALUE_BYTES} bytes']
+        )
+    value = decode_json(data)
+    if not isinstance(value, dict):
+        raise errors.PresetRejectedError(['manifest: not an object'])
+    reasons = []
+    if set(value) != {'format', 'kind', 'name', 'parts'}:
+        reasons.append('manifest: must have format, kind, name and parts')
+    if value.get('format') != FORMAT or isinstance(value.get('format'), bool):
+        reasons.append(f'manifest.format: must be {FORMAT}')
+    kind, parts = value.get('kind'), value.get('parts')
+    if kind not in KINDS:
+        reasons.append(f'manifest.kind: must be one of {", ".join(KINDS)}')
+    if not isinstance(value.get('name'), str):
+        reasons.append('manifest.name: not a string')
+    if isinstance(parts, dict):
+        reasons += _check_part_names(kind, parts)
+    else:
+        reasons.append('manifest.parts: not an object')
+    if reasons:
+        raise errors.PresetRejectedError(reasons)
+    return Manifest(kind, value['name'], parts)
+
+
+def find_missing(manifest: Manifest, present: Iterable[str]) -> set[str]:
+    """Returns the digests of a manifest that are not present."""
+    return set(manifest.parts.values()).difference(present)
+
+
+def join_parts(
+    manifest: bytes,
+    parts: Mapping[str, bytes],
+    pause: Callable[[], None] = skip_pause,
+) -> dict[str, Any]:
+    """Joins a document from its manifest and parts.
+
+    Args:
+      manifest: Manifest as it was fetched.
+      parts: Parts by digest; others than those of the manifest are ignored.
+      pause: Called between parts, to let other greenlets run.
+
+    Returns:
+      The document; its shape and references are not yet verified.
+
+    Raises:
+      PartsIncompleteError: If parts are missing or don't match their digest.
+      PresetRejectedError: If the content is invalid.
+    """
+    parsed = read_manifest(manifest)
+    _check_parts(parsed, parts, pause)
+    sections: dict[str, list] = {}
+    if parsed.kind == 'preset':
+        sections = {name: [] for name in (*_PRESET_SECTIONS, 'upstreams')}
+    else:
+        sections = {parsed.kind: []}
+    reasons = []
+    for part_name in sorted(parsed.parts):
+        section = part_name.partition('/')[0]
+        try:
+            items = _read_part(part_name, parts[parsed.parts[part_name]])
+        except errors.PresetRejectedError as error:
+            reasons += [f'part {part_name}: {r}' for r in error.reasons]
+            continue
+        sections[section] += items
+        pause()
+    if reasons:
+        raise errors.PresetRejectedError(reasons)
+    for section, items in sections.items():
+        items.sort(key=lambda item, s=section: _sort_key(s, item))
+        pause()
+    if parsed.kind == 'preset':
+        return {'name': parsed.name, **sections}
+    return sections
+
+
+def _check_parts(manifest, parts, pause) -> None:
+    missing = find_missing(manifest, parts)
+    if missing:
+        raise errors.PartsIncompleteError(list(missing), [])
+    altered, total = [], 0
+    for digest in sorted(set(manifest.parts.values())):
+        total += len(parts[digest])
+        if digests.compute_digest(parts[digest]) != digest:
+            altered.append(digest)
+        pause()
+    if altered:
+        raise errors.PartsIncompleteError([], altered)
+    if total > MAX_BUNDLE_BYTES:
+        raise errors.PresetRejectedError([TOO_LARGE])
+
+
+def _read_part(part_name: str, data: bytes) -> list[Any]:
+    if len(data) > MAX_VALUE_BYTES:
+        raise errors.PresetRejectedError(
+            [f'{len(data)} bytes; at most {MAX_VALUE_BYTES} are allowed']
+        )
+    items = decode_json(data)
+    if not isinstance(items, list):
+        raise errors.PresetRejectedError(['not a list'])
+    section, _, group = part_name.partition('/')
+    find_group = _find_shard if section == 'keys' else _find_zone
+    if group and any(find_group(item) != group for item in items):
+        raise errors.PresetRejectedError(['holds an item of another part'])
+    return items
+
+
+def _check_part_names(kind: Any, parts: dict[str, Any]) -> list[str]:
+    reasons = []
+    if len(parts) > MAX_PARTS:
+        reasons.append(f'manifest.parts: more than {MAX_PARTS}')
+    for name, digest in parts.items():
+        if kind in KINDS and not _is_part_name(kind, name):
+            reasons.append(f'manifest.parts: unknown part {name[:80]!r}')
+        if not is_digest(digest):
+            reasons.append(f'manifest.parts: no digest for {name[:80]!r}')
+    if kind == 'preset':
+        absent = [name for name in _PRESET_SECTIONS if name not in parts]
+        reasons += [f'manifest.parts: part {name} is absent' for name in absent]
+    return reasons
+
+
+def _is_part_name(kind: str, name: str) -> bool:
+    section, slash, group = name.partition('/')
+    if kind == 'keys':
+        return section == 'keys' and len(group) == 1 and group in SHARDS
+    if kind == 'vms':
+        return section == 'vms' and bool(group)
+    if section == 'upstreams':
+        return bool(group)
+    return section in _PRESET_SECTIONS and not slash
+
+
+def _check_list(document: Mapping[str, Any], section: str) -> list[Any]:
+    items = document.get(section) if isinstance(document, Mapping) else None
+    if not isinstance(items, (list, tuple)):
+        raise errors.PresetRejectedError([f'{section}: not a list'])
+    return list(items)
+
+
+def _group_items(section, items, find_group) -> dict[str, list[Any]]:
+    groups: dict[str, list[Any]] = {}
+    for item in items:
+        group = find_group(item)
+        if not group:
+            raise errors.PresetRejectedError(
+                [f'{section}: an item belongs to no part']
+            )
+        groups.setdefault(f'{section}/{group}', []).append(item)
+    return groups
+
+
+def _find_zone(item: Any) -> str | None:
+    zone = item.get('zone') if isinstance(item, Mapping) else None
+    return zone if isinstance(zone, str) else None
+
+
+def _find_shard(item: Any) -> str | None:
+    key_id = item.get('key_id') if isinstance(item, Mapping) else None
+    if not isinstance(key_id, str):
+        return None
+    return digests.compute_digest(key_id.encode('utf-8', 'surrogatepass'))[0]
+
+
+def _sort_key(section: str, item: Any) -> tuple[str, bytes]:
+    field = _NAME_FIELDS.get(section, 'name')
+    name = item.get(field) if isinstance(item, Mapping) else None
+    if isinstance(name, str):
+        return name, b''
+    return '', encode_json(item)
+
+
+def _build_bundle(kind: str, name: str, groups: Mapping[str, list]) -> Bundle:
+    part_digests, parts, reasons = {}, {}, []
+    for part_name, items in groups.items():
+        section = part_name.partition('/')[0]
+        ordered = sorted(items, key=lambda item, s=section: _sort_key(s, item))
+        data = encode_json(ordered)
+        if len(data) > MAX_VALUE_BYTES:
+            reasons.append(
+                f'part {part_name}: {len(data)} bytes; at most'
+                f' {MAX_VALUE_BYTES} are allowed'
+            )
+        digest = digests.compute_digest(data)
+        part_digests[part_name] = digest
+        parts[digest] = data
+    if reasons:
+        raise errors.PresetRejectedError(reasons)
+    manifest = {
+        'format': FORMAT,
+        'kind': kind,
+        'name': name,
+        'parts': part_digests,
+    }
+    return Bundle(encode_json(manifest), parts)
--- /dev/null
+++ b/jayseam/presets/model.py
@@ -0,0 +1,230 @@
+"""Immutable values of presets, key sets and VM lists.
+
+Instances come from `verification`, which checks a whole document, so the
+classes themselves check nothing.
+"""
+
+import functools
+from collections.abc import Mapping
+
+import attrs
+
+
+@attrs.frozen
+class Ramp:
+    """How a freshly started backend server takes on load.
+
+    Attributes:
+      initial_slots: Slots at the start.
+      duration_s: Seconds until all slots are open.
+    """
+
+    initial_slots: int
+    duration_s: float
+
+
+@attrs.frozen
+class Service:
+    """A service that routes point at.
+
+    Attributes:
+      name: Unique name.
+      shed_retryable: Whether a 503 with ``Shed: not-run`` may be trusted.
+    """
+
+    name: str
+    shed_retryable: bool = True
+
+
+@attrs.frozen
+class Upstream:
+    """A position that one backend server holds at a time.
+
+    Attributes:
+      name: Stable name of the position.
+      service: Service that the position belongs to.
+      zone: Availability zone.
+      slots: Most requests in flight.
+      connections: Most open connections.
+      ramp: Cold start behaviour.
+    """
+
+    name: str
+    service: str
+    zone: str
+    slots: int
+    connections: int
+    ramp: Ramp
+
+
+@attrs.frozen
+class Zone:
+    """An availability zone.
+
+    Attributes:
+      name: Unique name.
+      region: Region that contains the zone.
+      in_service: Whether the zone receives new work.
+    """
+
+    name: str
+    region: str
+    in_service: bool = True
+
+
+@attrs.frozen
+class Route:
+    """A path prefix and what serves it.
+
+    Attributes:
+      name: Unique name.
+      prefix: Path prefix, starting with a slash.
+      methods: HTTP methods in upper case.
+      targets: Pairs of service and weight; the weights add up to over zero.
+      open_to_all: Whether calls need no key.
+      repeatable: Whether a call may run more than once.
+      timeout_ms: Longest time that a call may take, in milliseconds.
+    """
+
+    name: str
+    prefix: str
+    methods: tuple[str, ...]
+    targets: tuple[tuple[str, float], ...]
+    open_to_all: bool
+    repeatable: bool
+    timeout_ms: int
+
+
+@attrs.frozen
+class Workspace:
+    """A caller and its limits, which are counted over the whole fleet.
+
+    Attributes:
+      name: Unique name.
+      rate_per_s: Calls per second.
+      burst: Calls that may come at once.
+      weight: Share of a contended backend server relative to others.
+    """
+
+    name: str
+    rate_per_s: float
+    burst: float
+    weight: float = 1
+
+
+@attrs.frozen
+class Preset:
+    """A verified preset.
+
+    Attributes:
+      name: Name that operators gave it.
+      services: Services by name.
+      upstreams: Upstream positions by name.
+      zones: Availability zones by name.
+      routes: Routes by name.
+      workspaces: Workspaces by name.
+    """
+
+    name: str
+    services: Mapping[str, Service]
+    upstreams: Mapping[str, Upstream]
+    zones: Mapping[str, Zone]
+    routes: Mapping[str, Route]
+    workspaces: Mapping[str, Workspace]
+
+    @functools.cached_property
+    def upstreams_by_service(self) -> Mapping[str, tuple[Upstream, ...]]:
+        """Upstreams of each service, in order of name."""
+        return _group(self.services, self.upstreams, 'service')
+
+    @functools.cached_property
+    def upstreams_by_zone(self) -> Mapping[str, tuple[Upstream, ...]]:
+        """Upstreams of each availability zone, in order of name."""
+        return _group(self.zones, self.upstreams, 'zone')
+
+
+def _group(groups, upstreams, field) -> dict[str, tuple[Upstream, ...]]:
+    members: dict[str, list[Upstream]] = {name: [] for name in groups}
+    for name in sorted(upstreams):
+        members[getattr(upstreams[name], field)].append(upstreams[name])
+    return {name: tuple(group) for name, group in members.items()}
+
+
+@attrs.frozen
+class KeyEntry:
+    """A workspace key as the fleet knows it.
+
+    Attributes:
+      key_id: Part of the key before the first dot.
+      workspace: Workspace that the key belongs to.
+      salt_hex: Salt in hex.
+      hash_hex: SHA-256 of salt and key in hex.
+    """
+
+    key_id: str
+    workspace: str
+    salt_hex: str
+    hash_hex: str
+
+
+@attrs.frozen
+class KeySet:
+    """All workspace keys that are granted.
+
+    Attributes:
+      keys: Entries in order of ``key_id``, which is unique.
+    """
+
+    keys: tuple[KeyEntry, ...] = ()
+
+    @functools.cached_property
+    def by_id(self) -> Mapping[str, KeyEntry]:
+        """Entries by ``key_id``."""
+        return {entry.key_id: entry for entry in self.keys}
+
+
+@attrs.frozen
+class VmEntry:
+    """A VM of the platform's list.
+
+    Attributes:
+      vm: Unique name, never reused.
+      upstream: Position that the VM holds.
+      zone: Availability zone.
+      region: Region.
+      host: IP address of the link listener.
+      port: Port of the link listener.
+      state: ``live`` or ``leaving``.
+    """
+
+    vm: str
+    upstream: str
+    zone: str
+    region: str
+    host: str
+    port: int
+    state: str
+
+
+@attrs.frozen
+class VmList:
+    """The platform's list of VMs, which lags.
+
+    Attributes:
+      vms: Entries in order of name.
+    """
+
+    vms: tuple[VmEntry, ...] = ()
+
+    @functools.cached_property
+    def by_name(self) -> Mapping[str, VmEntry]:
+        """Entries by VM name."""
+        return {entry.vm: entry for entry in self.vms}
+
+    def live_in_zone(self, zone: str) -> tuple[str, ...]:
+        """Returns the names of the live VMs of an availability zone."""
+        return tuple(
+            entry.vm
+            for entry in self.vms
+            if entry.zone == zone and entry.state == 'live'
+        )
--- /dev/null
+++ b/jayseam/presets/schemas.py
@@ -0,0 +1,131 @@
+"""JSON schemas of the items in presets, key sets and VM lists.
+
+The schemas describe one item each. Checking item by item keeps a check
+interruptible and gives each reason the item's name.
+
+References:
+  JSON Schema, draft 2020-12.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+import jsonschema
+
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 100_000
+MAX_RAMP_S = 3600
+MAX_WEIGHT = 1_000_000
+MAX_RATE_PER_S = 10_000_000
+MAX_BURST = 10_000_000
+# A planned stop waits 30 s by default and must outlast every call.
+MAX_TIMEOUT_MS = 29_000
+METHODS = ('DELETE', 'GET', 'HEAD', 'OPTIONS', 'PATCH', 'POST', 'PUT')
+
+# The end of the text is \Z because $ also matches before a final newline.
+_NAME = {'type': 'string', 'pattern': r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z'}
+_KEY_ID = {'type': 'string', 'pattern': r'^[A-Za-z0-9_-]{1,64}\Z'}
+_BOOLEAN = {'type': 'boolean'}
+
+
+def _bounded(kind: str, minimum: float, maximum: float) -> dict[str, Any]:
+    return {'type': kind, 'minimum': minimum, 'maximum': maximum}
+
+
+def _positive(maximum: float) -> dict[str, Any]:
+    return {'type': 'number', 'exclusiveMinimum': 0, 'maximum': maximum}
+
+
+def _object(required: dict[str, Any], **optional: Any) -> dict[str, Any]:
+    return {
+        'type': 'object',
+        'properties': {**required, **optional},
+        'required': list(required),
+        'additionalProperties': False,
+    }
+
+
+_RAMP = _object(
+    {
+        'initial_slots': _bounded('integer', 1, MAX_SLOTS),
+        'duration_s': _bounded('number', 0, MAX_RAMP_S),
+    }
+)
+_TARGET = {
+    'type': 'array',
+    'prefixItems': [_NAME, _bounded('number', 0, MAX_WEIGHT)],
+    'items': False,
+    'minItems': 2,
+}
+_ITEMS = {
+    'services': _object({'name': _NAME}, shed_retryable=_BOOLEAN),
+    'upstreams': _object(
+        {
+            'name': _NAME,
+            'service': _NAME,
+            'zone': _NAME,
+            'slots': _bounded('integer', 1, MAX_SLOTS),
+            'connections': _bounded('integer', 1, MAX_CONNECTIONS),
+            'ramp': _RAMP,
+        }
+    ),
+    'zones': _object({'name': _NAME, 'region': _NAME}, in_service=_BOOLEAN),
+    'routes': _object(
+        {
+            'name': _NAME,
+            'prefix': {
+                'type': 'string',
+                'pattern': r'^/[!$&-;=@-Z_a-z~%]*\Z',
+                'maxLength': 512,
+            },
+            'methods': {
+                'type': 'array',
+                'items': {'enum': list(METHODS)},
+                'minItems': 1,
+                'uniqueItems': True,
+            },
+            'targets': {'type': 'array', 'items': _TARGET, 'minItems': 1},
+            'open_to_all': _BOOLEAN,
+            'repeatable': _BOOLEAN,
+            'timeout_ms': _bounded('integer', 1, MAX_TIMEOUT_MS),
+        }
+    ),
+    'workspaces': _object(
+        {
+            'name': _NAME,
+            'rate_per_s': _positive(MAX_RATE_PER_S),
+            'burst': _bounded('number', 1, MAX_BURST),
+        },
+        weight=_positive(MAX_WEIGHT),
+    ),
+    'keys': _object(
+        {
+            'key_id': _KEY_ID,
+            'workspace': _NAME,
+            'salt_hex': {
+                'type': 'string',
+                'pattern': r'^([0-9a-f]{2}){8,64}\Z',
+            },
+            'hash_hex': {'type': 'string', 'pattern': r'^[0-9a-f]{64}\Z'},
+        }
+    ),
+    'vms': _object(
+        {
+            'vm': _NAME,
+            'upstream': _NAME,
+            'zone': _NAME,
+            'region': _NAME,
+            'host': {'type': 'string', 'maxLength': 64},
+            'port': _bounded('integer', 1, 65535),
+            'state': {'enum': ['live', 'leaving']},
+        }
+    ),
+}
+VALIDATORS: Mapping[str, jsonschema.Draft202012Validator] = {
+    section: jsonschema.Draft202012Validator(schema)
+    for section, schema in _ITEMS.items()
+}
+FIELDS: Mapping[str, frozenset[str]] = {
+    section: frozenset(schema['properties'])
+    for section, schema in _ITEMS.items()
+}
--- /dev/null
+++ b/jayseam/presets/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of this subpackage."""
--- /dev/null
+++ b/jayseam/presets/tests/test_presets.py
@@ -0,0 +1,315 @@
+"""Tests of documents, verification, keys and differences."""
+
+import copy
+import json
+
+import attrs
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from jayseam.presets import differences
+from jayseam.presets import documents
+from jayseam.presets import errors
+from jayseam.presets import keys
+from jayseam.presets import model
+from jayseam.presets import samples
+from jayseam.presets import verification
+
+_SECTIONS = ('services', 'upstreams', 'zones', 'routes', 'workspaces')
+
+
+def _dump_agence() -> dict:
+    return documents.dump_preset(samples.build_agence().preset)
+
+
+@pytest.mark.parametrize(
+    'deployment',
+    [
+        samples.build_agence(),
+        samples.build_leeuwenhoek(),
+        samples.build_large(60, 5, 6),
+    ],
+    ids=['agence', 'leeuwenhoek', 'large'],
+)
+def test_samples_survive_the_round_trip(deployment):
+    """A value must not change on its way through parts."""
+    document = documents.dump_preset(deployment.preset)
+    bundle = documents.split_preset(document)
+    joined = documents.join_parts(bundle.manifest, bundle.parts)
+    assert joined == document
+    assert verification.verify_preset(joined) == deployment.preset
+    bundle = documents.split_keys(documents.dump_keys(deployment.key_set))
+    joined = documents.join_parts(bundle.manifest, bundle.parts)
+    assert verification.verify_keys(joined) == deployment.key_set
+
+
+def test_vms_survive_the_round_trip():
+    """A VM list must not change on its way through parts."""
+    vms = tuple(
+        model.VmEntry(f'vm-{i}', 'p', f'z{i % 2}', 'r', '127.0.0.1', 80, 'live')
+        for i in range(5)
+    )
+    document = documents.dump_vms(model.VmList(vms))
+    bundle = documents.split_vms(document)
+    joined = documents.join_parts(bundle.manifest, bundle.parts)
+    assert verification.verify_vms(joined) == model.VmList(vms)
+
+
+@hypothesis.given(strategies.randoms())
+def test_order_changes_neither_digest_nor_verdict(rng):
+    """Nodes that get items in another order must hold the same version."""
+    document = _dump_agence()
+    document['routes'][0]['targets'] = [['unknown', 1]]
+    shuffled = copy.deepcopy(document)
+    for section in _SECTIONS:
+        rng.shuffle(shuffled[section])
+    bundle = documents.split_preset(shuffled)
+    assert bundle.digest == documents.split_preset(document).digest
+    parts = list(bundle.parts.items())
+    rng.shuffle(parts)
+    reasons = []
+    for value in (document, documents.join_parts(bundle.manifest, dict(parts))):
+        with pytest.raises(errors.PresetRejectedError) as caught:
+            verification.verify_preset(value)
+        reasons.append(caught.value.reasons)
+    assert reasons[0] == reasons[1]
+
+
+def _pick(document, section, index):
+    items = document[section]
+    return items[index % len(items)]
+
+
+def _break_service(document, index):
+    item = _pick(document, 'upstreams', index)
+    item['service'] = 'ghost'
+    return f'upstreams[{item["name"]}].service: no service ghost'
+
+
+def _break_zone(document, index):
+    item = _pick(document, 'upstreams', index)
+    item['zone'] = 'nowhere'
+    return f'upstreams[{item["name"]}].zone: no zone nowhere'
+
+
+def _break_slots(document, index):
+    item = _pick(document, 'upstreams', index)
+    item['slots'] = 0
+    return f'upstreams[{item["name"]}].slots: 0 is less than the minimum of 1'
+
+
+def _break_ramp(document, index):
+    item = _pick(document, 'upstreams', index)
+    item['ramp']['initial_slots'] = 9_999
+    return f'upstreams[{item["name"]}].ramp.initial_slots: more than slots'
+
+
+def _break_target(document, index):
+    item = _pick(document, 'routes', index)
+    item['targets'] = [['ghost', 1]]
+    return f'routes[{item["name"]}].targets: no service ghost'
+
+
+def _break_weights(document, index):
+    item = _pick(document, 'routes', index)
+    item['targets'] = [[item['targets'][0][0], 0]]
+    label = f'routes[{item["name"]}]'
+    return f'{label}.targets: weights must add up to over zero'
+
+
+def _break_prefix(document, index):
+    item = _pick(document, 'routes', index)
+    item['prefix'] = '/.jayseam/outcomes'
+    return f'routes[{item["name"]}].prefix: reserved'
+
+
+def _break_region(document, index):
+    item = _pick(document, 'zones', index)
+    del item['region']
+    return f"zones[{item['name']}]: 'region' is a required property"
+
+
+def _break_rate(document, index):
+    item = _pick(document, 'workspaces', index)
+    item['rate_per_s'] = float('nan')
+    return f'workspaces[{item["name"]}].rate_per_s: not a finite number'
+
+
+def _repeat_workspace(document, index):
+    item = _pick(document, 'workspaces', index)
+    document['workspaces'].append(dict(item))
+    return f'workspaces[{item["name"]}]: name repeats'
+
+
+_BREAKS = (
+    # Those that leave the shape intact come first, and shape faults of an
+    # item hide its references, so each is applied to a different section.
+    (_break_service, _break_zone, _break_slots, _break_ramp),
+    (_break_target, _break_weights, _break_prefix),
+    (_break_region,),
+    (_break_rate, _repeat_workspace),
+)
+
+
+@hypothesis.settings(deadline=None)
+@hypothesis.given(
+    strategies.tuples(
+        *(strategies.sampled_from((None, *group)) for group in _BREAKS)
+    ),
+    strategies.integers(0, 20),
+)
+def test_every_reason_is_found(breaks, index):
+    """Operators must see all faults at once, and no valid preset is lost."""
+    document = _dump_agence()
+    expected = {f(document, index) for f in breaks if f is not None}
+    if not expected:
+        verification.verify_preset(document)
+        return
+    with pytest.raises(errors.PresetRejectedError) as caught:
+        verification.verify_preset(document)
+    assert expected <= set(caught.value.reasons)
+
+
+def test_no_false_reasons_follow_from_a_shape_fault():
+    """A faulty item still defines its name, so references to it stand."""
+    document = _dump_agence()
+    document['services'][0]['shed_retryable'] = 'yes'
+    with pytest.raises(errors.PresetRejectedError) as caught:
+        verification.verify_preset(document)
+    assert caught.value.reasons == [
+        "services[credits].shed_retryable: 'yes' is not of type 'boolean'"
+    ]
+
+
+def test_ambiguous_and_unserved_routes_are_rejected():
+    """A route must have one owner, and its services must have upstreams."""
+    document = _dump_agence()
+    document['services'].append({'name': 'empty', 'shed_retryable': True})
+    document['routes'].append(
+        {**document['routes'][0], 'name': 'twin', 'targets': [['empty', 1]]}
+    )
+    with pytest.raises(errors.PresetRejectedError) as caught:
+        verification.verify_preset(document)
+    assert caught.value.reasons == [
+        'routes: POST /credits belongs to credits-post, twin',
+        'routes[twin].targets: empty has no upstream',
+    ]
+
+
+_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=5),
+    lambda children: strategies.lists(children, max_size=4)
+    | strategies.dictionaries(
+        strategies.sampled_from(['name', 'zone', 'key_id', 'vm', 'slots', 'x']),
+        children,
+        max_size=4,
+    ),
+    max_leaves=12,
+)
+
+
+@hypothesis.settings(deadline=None)
+@hypothesis.given(_JSON, strategies.sampled_from(_SECTIONS))
+def test_any_content_gets_a_verdict(value, section):
+    """Hostile content must be rejected, not crash the node."""
+    document = _dump_agence()
+    document[section] = value
+    for check in (
+        documents.split_preset,
+        verification.verify_preset,
+        lambda _: verification.verify_keys({'keys': value}),
+        lambda _: verification.verify_vms({'vms': value}),
+        lambda _: documents.split_keys({'keys': value}),
+        lambda _: documents.split_vms({'vms': value}),
+    ):
+        try:
+            check(document)
+        except errors.PresetRejectedError as error:
+            assert error.reasons
+
+
+@pytest.mark.parametrize(
+    'text',
+    [b'{"a":1,"a":2}', b'[NaN]', b'[1e999]', b'[', b'\xff', b'[' * 100_000],
+)
+def test_lax_json_is_refused(text):
+    """Parsers differ on such texts, so nodes could read them differently."""
+    with pytest.raises(errors.PresetRejectedError):
+        documents.decode_json(text)
+
+
+def test_altered_and_missing_parts_are_told_apart_from_rejection():
+    """A damaged transfer must not condemn a valid version."""
+    bundle = documents.split_preset(_dump_agence())
+    digest, data = next(iter(bundle.parts.items()))
+    with pytest.raises(errors.PartsIncompleteError) as caught:
+        documents.join_parts(bundle.manifest, {**bundle.parts, digest: b'[]'})
+    assert caught.value.altered == [digest]
+    rest = {k: v for k, v in bundle.parts.items() if v is not data}
+    with pytest.raises(errors.PartsIncompleteError) as caught:
+        documents.join_parts(bundle.manifest, rest)
+    assert caught.value.missing == [digest]
+
+
+def test_items_in_foreign_parts_are_rejected():
+    """An upstream in another zone's part would have two places."""
+    document = _dump_agence()
+    bundle = documents.split_preset(document)
+    manifest = json.loads(bundle.manifest)
+    names = manifest['parts']
+    names['upstreams/namur'], names['upstreams/liege'] = (
+        names['upstreams/liege'],
+        names['upstreams/namur'],
+    )
+    with pytest.raises(errors.PresetRejectedError) as caught:
+        documents.join_parts(documents.encode_json(manifest), bundle.parts)
+    assert len(caught.value.reasons) == 2
+
+
+def test_one_change_leaves_other_parts_alone():
+    """A changed weight must cost one part and a manifest, not the whole."""
+    document = _dump_agence()
+    before = documents.split_preset(document)
+    document['routes'][0]['targets'][0][1] = 2
+    after = documents.split_preset(document)
+    assert len(set(after.parts) - set(before.parts)) == 1
+
+
+def test_keys_verify_only_their_plaintext():
+    """A wrong, unknown or odd key must match no workspace."""
+    deployment = samples.build_agence()
+    for workspace, plaintext in deployment.plaintexts.items():
+        match = keys.verify_key(deployment.key_set, plaintext)
+        assert match == keys.KeyMatch(f'{workspace}-1', workspace)
+        for wrong in (plaintext + 'x', plaintext[:-1], f'{workspace}-1', ''):
+            assert keys.verify_key(deployment.key_set, wrong) is None
+    assert keys.verify_key(deployment.key_set, 'no.\ud800') is None
+
+
+def test_differences_name_every_change():
+    """Operators choose a preset by what it changes."""
+    old = samples.build_agence().preset
+    zone = attrs.evolve(old.zones['namur'], in_service=False)
+    new = attrs.evolve(
+        old,
+        zones={**old.zones, 'namur': zone},
+        workspaces={k: v for k, v in old.workspaces.items() if k != 'mons'},
+    )
+    lines = [d.format() for d in differences.compare_presets(old, new)]
+    assert lines == [
+        'changed zones[namur].in_service: True -> False',
+        'removed workspaces[mons]',
+    ]
+    assert not differences.compare_presets(new, new)
+
+
+def test_samples_depend_on_the_seed_alone():
+    """Two processes of the demo must build the same keys."""
+    assert samples.build_agence(seed=3) == samples.build_agence(seed=3)
+    one, two = samples.build_agence(seed=3), samples.build_agence(seed=4)
+    assert one.plaintexts != two.plaintexts
--- /dev/null
+++ b/jayseam/presets/verification.py
@@ -0,0 +1,288 @@
+"""Verification of documents: the shape first, then references and limits.
+
+A verdict depends on the content alone, so every node reaches the same one. All
+reasons are collected, so operators need only one attempt to see them.
+"""
+
+import ipaddress
+import math
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from jayseam.presets import documents
+from jayseam.presets import errors
+from jayseam.presets import model
+from jayseam.presets import schemas
+
+_PRESET_SECTIONS = ('services', 'upstreams', 'zones', 'routes', 'workspaces')
+# Keepers of a request that may not be repeated lie in distinct zones, and two
+# of them must grant it.
+_MIN_KEEPER_ZONES = 2
+_RESERVED_PREFIXES = ('/.jayseam', '/.backend')
+_PAUSE_ITEMS = 8
+_MAX_REASON_CHARS = 200
+
+
+def verify_preset(
+    document: Mapping[str, Any],
+    pause: Callable[[], None] = documents.skip_pause,
+) -> model.Preset:
+    """Verifies the document of a preset.
+
+    Args:
+      document: Joined document.
+      pause: Called after every few items, to let other greenlets run.
+
+    Returns:
+      The preset.
+
+    Raises:
+      PresetRejectedError: With every reason found.
+    """
+    expected = {'name', *_PRESET_SECTIONS}
+    reasons = _check_fields(document, expected)
+    name = document.get('name') if not reasons else ''
+    if not isinstance(name, str) or not 0 <= len(name) <= 64:
+        reasons.append('name: must be a string of at most 64 characters')
+    if reasons:
+        raise errors.PresetRejectedError(reasons)
+    shaped = {}
+    for section in _PRESET_SECTIONS:
+        shaped[section] = _check_items(
+            section, document[section], 'name', reasons, pause
+        )
+    names = {
+        section: _collect_names(document[section], 'name')
+        for section in _PRESET_SECTIONS
+    }
+    reasons += _check_upstreams(shaped['upstreams'], names)
+    pause()
+    reasons += _check_routes(shaped['routes'], document['upstreams'], names)
+    pause()
+    if reasons:
+        raise errors.PresetRejectedError(reasons)
+    return _build_preset(name, shaped, pause)
+
+
+def verify_keys(
+    document: Mapping[str, Any],
+    pause: Callable[[], None] = documents.skip_pause,
+) -> model.KeySet:
+    """Verifies the document of a key set.
+
+    Workspaces are not looked up: keys and presets change independently, and a
+    key without a workspace is refused when it is used.
+
+    Raises:
+      PresetRejectedError: With every reason found.
+    """
+    reasons = _check_fields(document, {'keys'})
+    if reasons:
+        raise errors.PresetRejectedError(reasons)
+    shaped = _check_items('keys', document['keys'], 'key_id', reasons, pause)
+    if reasons:
+        raise errors.PresetRejectedError(reasons)
+    ordered = sorted(shaped, key=lambda item: item['key_id'])
+    return model.KeySet(tuple(model.KeyEntry(**item) for item in ordered))
+
+
+def verify_vms(
+    document: Mapping[str, Any],
+    pause: Callable[[], None] = documents.skip_pause,
+) -> model.VmList:
+    """Verifies the document of a VM list.
+
+    Raises:
+      PresetRejectedError: With every reason found.
+    """
+    reasons = _check_fields(document, {'vms'})
+    if reasons:
+        raise errors.PresetRejectedError(reasons)
+    shaped = _check_items('vms', document['vms'], 'vm', reasons, pause)
+    for item in shaped:
+        if not _is_address(item['host']):
+            label = _label('vms', item, 'vm')
+            reasons.append(f'{label}.host: not an IP address')
+    if reasons:
+        raise errors.PresetRejectedError(reasons)
+    ordered = sorted(shaped, key=lambda item: item['vm'])
+    entries = (
+        model.VmEntry(**{**item, 'port': int(item['port'])}) for item in ordered
+    )
+    return model.VmList(tuple(entries))
+
+
+def _check_fields(document: Any, expected: set[str]) -> list[str]:
+    if not isinstance(document, Mapping):
+        return ['document: not an object']
+    reasons = [f'{name}: absent' for name in expected - set(document)]
+    unknown = set(document) - expected
+    reasons += [f'{str(name)[:80]}: unknown field' for name in unknown]
+    for name in expected & set(document):
+        if name != 'name' and not isinstance(document[name], list):
+            reasons.append(f'{name}: not a list')
+    return reasons
+
+
+def _check_items(section, items, field, reasons, pause) -> list[dict]:
+    """Returns the items of the right shape and adds reasons for the others."""
+    validator = schemas.VALIDATORS[section]
+    shaped, seen, repeated = [], set(), set()
+    for index, item in enumerate(items):
+        if index % _PAUSE_ITEMS == 0:
+            pause()
+        faults = [_describe_fault(fault) for fault in _find(validator, item)]
+        faults += _find_non_finite(item)
+        name = item.get(field) if isinstance(item, Mapping) else None
+        if isinstance(name, str):
+            (repeated if name in seen else seen).add(name)
+        if faults:
+            label = _label(section, item, field)
+            reasons += [f'{label}{fault}' for fault in faults]
+        else:
+            shaped.append(item)
+    reasons += [f'{section}[{name[:64]}]: name repeats' for name in repeated]
+    return shaped
+
+
+def _find(validator, item) -> Iterable[Any]:
+    # is_valid stops at the first fault and is the fast path of valid items.
+    return () if validator.is_valid(item) else validator.iter_errors(item)
+
+
+def _describe_fault(fault: Any) -> str:
+    path = ''.join(
+        f'[{step}]' if isinstance(step, int) else f'.{step}'
+        for step in fault.absolute_path
+    )
+    return f'{path}: {fault.message[:_MAX_REASON_CHARS]}'
+
+
+def _find_non_finite(item: Any) -> list[str]:
+    """Comparisons with NaN are false, so schema limits let NaN pass."""
+    if not isinstance(item, Mapping):
+        return []
+    return [
+        f'.{name}: not a finite number'
+        for name, value in item.items()
+        if isinstance(value, float) and not math.isfinite(value)
+    ]
+
+
+def _label(section: str, item: Any, field: str) -> str:
+    name = item.get(field) if isinstance(item, Mapping) else None
+    return f'{section}[{name[:64] if isinstance(name, str) else "?"}]'
+
+
+def _collect_names(items: Iterable[Any], field: str) -> set[str]:
+    names = (i.get(field) for i in items if isinstance(i, Mapping))
+    return {name for name in names if isinstance(name, str)}
+
+
+def _check_upstreams(upstreams, names) -> list[str]:
+    reasons = []
+    for item in upstreams:
+        label = f'upstreams[{item["name"]}]'
+        if item['service'] not in names['services']:
+            reasons.append(f'{label}.service: no service {item["service"]}')
+        if item['zone'] not in names['zones']:
+            reasons.append(f'{label}.zone: no zone {item["zone"]}')
+        if item['ramp']['initial_slots'] > item['slots']:
+            reasons.append(f'{label}.ramp.initial_slots: more than slots')
+        if not math.isfinite(item['ramp']['duration_s']):
+            reasons.append(f'{label}.ramp.duration_s: not a finite number')
+    return reasons
+
+
+def _check_routes(routes, upstreams, names) -> list[str]:
+    reasons = []
+    staffed = _collect_names(upstreams, 'service')
+    zones = _collect_names(upstreams, 'zone')
+    owners: dict[tuple[str, str], list[str]] = {}
+    for item in routes:
+        label = f'routes[{item["name"]}]'
+        reasons += _check_targets(label, item, staffed, names)
+        for method in item['methods']:
+            owners.setdefault((item['prefix'], method), []).append(item['name'])
+        first = item['prefix'].rstrip('/').split('/')[1:2]
+        if first and f'/{first[0]}' in _RESERVED_PREFIXES:
+            reasons.append(f'{label}.prefix: reserved')
+        if not item['repeatable'] and len(zones) < _MIN_KEEPER_ZONES:
+            reasons.append(
+                f'{label}.repeatable: false needs upstreams in at least'
+                f' {_MIN_KEEPER_ZONES} zones'
+            )
+    for (prefix, method), shared in owners.items():
+        if len(shared) > 1:
+            reasons.append(
+                f'routes: {method} {prefix} belongs to'
+                f' {", ".join(sorted(shared))}'
+            )
+    return reasons
+
+
+def _check_targets(label, item, staffed, names) -> list[str]:
+    reasons = []
+    services = [service for service, _ in item['targets']]
+    for service in sorted(set(services)):
+        if service not in names['services']:
+            reasons.append(f'{label}.targets: no service {service}')
+        elif service not in staffed:
+            reasons.append(f'{label}.targets: {service} has no upstream')
+        if services.count(service) > 1:
+            reasons.append(f'{label}.targets: {service} repeats')
+    total = sum(weight for _, weight in item['targets'])
+    if not (math.isfinite(total) and total > 0):
+        reasons.append(f'{label}.targets: weights must add up to over zero')
+    return reasons
+
+
+def _is_address(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _build_preset(name, shaped, pause) -> model.Preset:
+    builders = {
+        'services': lambda item: model.Service(**item),
+        'upstreams': _build_upstream,
+        'zones': lambda item: model.Zone(**item),
+        'routes': _build_route,
+        'workspaces': lambda item: model.Workspace(**item),
+    }
+    sections = {}
+    for section, build in builders.items():
+        ordered = sorted(shaped[section], key=lambda item: item['name'])
+        sections[section] = {item['name']: build(item) for item in ordered}
+        pause()
+    return model.Preset(name=name, **sections)
+
+
+def _build_upstream(item: Mapping[str, Any]) -> model.Upstream:
+    # A schema integer may be written 10.0; slots must be an int.
+    ramp = model.Ramp(
+        int(item['ramp']['initial_slots']), item['ramp']['duration_s']
+    )
+    return model.Upstream(
+        name=item['name'],
+        service=item['service'],
+        zone=item['zone'],
+        slots=int(item['slots']),
+        connections=int(item['connections']),
+        ramp=ramp,
+    )
+
+
+def _build_route(item: Mapping[str, Any]) -> model.Route:
+    return model.Route(
+        name=item['name'],
+        prefix=item['prefix'],
+        methods=tuple(sorted(item['methods'])),
+        targets=tuple((name, weight) for name, weight in item['targets']),
+        open_to_all=item['open_to_all'],
+        repeatable=item['repeatable'],
+        timeout_ms=int(item['timeout_ms']),
+    )
--- /dev/null
+++ b/jayseam/source/__init__.py
@@ -0,0 +1,12 @@
+"""Reads and watches of the platform's configuration service and VM list.
+
+See Also:
+  ``docs/design.md``, section 3.4.
+"""
+
+from jayseam.source import backoff
+from jayseam.source import client
+from jayseam.source import errors
+from jayseam.source import watchers
+
+__all__ = ['backoff', 'client', 'errors', 'watchers']
--- /dev/null
+++ b/jayseam/source/backoff.py
@@ -0,0 +1,57 @@
+"""Exponential backoff with full jitter.
+
+References:
+  Brooker, "Exponential Backoff And Jitter", AWS Architecture Blog, 2015.
+"""
+
+import attrs
+
+DEFAULT_CAP_S = 1.0
+DEFAULT_MAX_CAP_S = 8.0
+
+
+@attrs.frozen
+class Backoff:
+    """Waits after failures; the value after a success is ``Backoff()``.
+
+    Attributes:
+      cap_s: Cap of the first wait, in seconds.
+      max_cap_s: Cap that doubling does not exceed, in seconds.
+      failures: Failures since the last success.
+      not_before: Time before which nothing is tried, in seconds.
+    """
+
+    cap_s: float = DEFAULT_CAP_S
+    max_cap_s: float = DEFAULT_MAX_CAP_S
+    failures: int = 0
+    not_before: float = 0.0
+
+    def fail(self, now: float, uniform: float) -> 'Backoff':
+        """Returns the state after a failure.
+
+        >>> state = Backoff().fail(now=10.0, uniform=0.5)
+        >>> state.not_before
+        10.5
+        >>> state.fail(now=11.0, uniform=0.5).not_before
+        12.0
+
+        Args:
+          now: Current time in seconds.
+          uniform: Random number in [0, 1).
+        """
+        # The exponent is bounded because 2.0 ** 1024 overflows.
+        growth = 2.0 ** min(self.failures, 32)
+        cap_s = min(self.max_cap_s, self.cap_s * growth)
+        return attrs.evolve(
+            self,
+            failures=self.failures + 1,
+            not_before=now + uniform * cap_s,
+        )
+
+    def succeed(self) -> 'Backoff':
+        """Returns the state after a success."""
+        return attrs.evolve(self, failures=0, not_before=0.0)
+
+    def compute_wait(self, now: float) -> float:
+        """Returns the seconds left until the next try, zero if none."""
+        return max(0.0, self.not_before - now)
--- /dev/null
+++ b/jayseam/source/client.py
@@ -0,0 +1,237 @@
+"""A client of the platform's configuration service and VM list."""
+
+import re
+import urllib.parse
+from collections.abc import Sequence
+
+import attrs
+import geventhttpclient
+import gevent
+from geventhttpclient import response as http_response
+
+from jayseam.core import clocks
+from jayseam.core import digests
+from jayseam.core import sockets
+from jayseam.source import errors
+
+MAX_BODY_BYTES = 1_000_000
+# The VM list is not a stored value; 670 VMs take about 100 kB.
+MAX_VMS_BODY_BYTES = 4_000_000
+_CHUNK_BYTES = 65_536
+_MAX_CONNECTIONS = 8
+_REVISION = re.compile(r'[0-9]{1,18}')
+# Slow answers to a watch are expected; this is added to its wait.
+DEFAULT_TIMEOUT_S = 2.0
+DEFAULT_CONNECT_TIMEOUT_S = 1.0
+
+
+@attrs.frozen
+class Reply:
+    """A reply of the source.
+
+    Attributes:
+      revision: Revision of the value; None if a 304 names none.
+      body: The value, or None if there is nothing newer (304).
+      asked_at: Time at which the request was made, in seconds.
+      received_at: Time at which the whole reply was there, in seconds.
+    """
+
+    revision: int | None
+    body: bytes | None
+    asked_at: float
+    received_at: float
+
+
+class SourceClient:
+    """Reads values from the first of several URLs that answers.
+
+    The URL that answered last is asked first. Connections are reused. Any
+    number of greenlets may read at once.
+    """
+
+    def __init__(
+        self,
+        urls: Sequence[str],
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+        connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
+    ):
+        """Prepares the client; nothing is connected yet.
+
+        Args:
+          urls: Base URLs of the replicas of the source.
+          timeout_s: Time for a reply, beyond the wait of a watch.
+          connect_timeout_s: Time for a connection to one URL.
+
+        Raises:
+          ValueError: If there is no URL or one is not plain HTTP.
+        """
+        if not urls:
+            raise ValueError('no source URL')
+        self._timeout_s = timeout_s
+        self._endpoints = [
+            _build_endpoint(url, connect_timeout_s) for url in urls
+        ]
+        self._preferred = 0
+
+    @property
+    def url(self) -> str:
+        """The URL that is asked first."""
+        return self._endpoints[self._preferred].url
+
+    def read_value(
+        self, key: str, after: int | None = None, wait_s: float = 0.0
+    ) -> Reply:
+        """Reads a value, or waits for a newer one.
+
+        Args:
+          key: Key of the value, such as ``channels/preset``.
+          after: Revision held; only a newer one has a body.
+          wait_s: Seconds that the source may wait for a newer revision.
+
+        Raises:
+          SourceError: If no URL gave a valid reply; the error of the last.
+        """
+        path = f'/v1/values/{urllib.parse.quote(key)}'
+        return self._read(path, after, wait_s, MAX_BODY_BYTES)
+
+    def read_vms(self, after: int | None = None, wait_s: float = 0.0) -> Reply:
+        """Reads the VM list, or waits for a newer one.
+
+        Raises:
+          SourceError: If no URL gave a valid reply; the error of the last.
+        """
+        return self._read('/v1/vms', after, wait_s, MAX_VMS_BODY_BYTES)
+
+    def read_part(self, digest: str) -> bytes:
+        """Reads a manifest or part and checks its digest.
+
+        Raises:
+          SourceError: If no URL gave a valid reply; the error of the last.
+        """
+        path = f'/v1/values/parts/{urllib.parse.quote(digest)}'
+        return self._read(path, None, 0.0, MAX_BODY_BYTES, digest).body
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        for endpoint in self._endpoints:
+            endpoint.http.close()
+
+    def _read(self, path, after, wait_s, max_bytes, digest=None) -> Reply:
+        if after is not None:
+            path += f'?after={after}&wait_s={wait_s:g}'
+        failure: errors.SourceError | None = None
+        first = self._preferred
+        for step in range(len(self._endpoints)):
+            index = (first + step) % len(self._endpoints)
+            try:
+                reply = self._read_endpoint(
+                    self._endpoints[index], path, after, wait_s, max_bytes
+                )
+                _check_digest(reply, digest)
+            except errors.SourceBudgetError:
+                # Asking another replica would use the shared budget as well.
+                raise
+            except errors.SourceError as error:
+                failure = error
+            else:
+                self._preferred = index
+                return reply
+        raise failure
+
+    def _read_endpoint(self, endpoint, path, after, wait_s, max_bytes) -> Reply:
+        """Sends one request and reads the whole reply."""
+        asked_at = clocks.read_now()
+        limit_s = self._timeout_s + (wait_s if after is not None else 0.0)
+        reply, timeout = None, gevent.Timeout(limit_s)
+        try:
+            with timeout:
+                reply = endpoint.http.get(endpoint.path + path)
+                body = _read_body(reply, max_bytes)
+        except gevent.Timeout as error:
+            if error is not timeout:
+                raise
+            raise errors.SourceTimeoutError(
+                f'{endpoint.url}: no whole reply within {limit_s:g} s'
+            ) from error
+        except (OSError, http_response.HTTPParseError, RuntimeError) as error:
+            raise errors.SourceUnreachableError(
+                f'{endpoint.url}: {type(error).__name__}: {error}'
+            ) from error
+        finally:
+            # A reply that was not read to its end closes its connection.
+            if reply is not None:
+                reply.release()
+        received_at = clocks.read_now()
+        return _interpret(
+            endpoint.url, reply, body, after, asked_at, received_at
+        )
+
+
+@attrs.frozen
+class _Endpoint:
+    url: str
+    path: str
+    http: geventhttpclient.HTTPClient
+
+
+def _build_endpoint(url, connect_timeout_s) -> _Endpoint:
+    parts = urllib.parse.urlsplit(url)
+    if parts.scheme != 'http' or not parts.hostname:
+        raise ValueError(f'source URL {url!r} is not http://host:port')
+    http = geventhttpclient.HTTPClient(
+        parts.hostname,
+        parts.port or 80,
+        concurrency=_MAX_CONNECTIONS,
+        connection_timeout=connect_timeout_s,
+        # Watches are silent for their whole wait; each request has its own
+        # limit on the total time instead.
+        network_timeout=None,
+        block_size=_CHUNK_BYTES,
+    )
+    http._connection_pool.after_connect = sockets.set_nodelay
+    return _Endpoint(url.rstrip('/'), parts.path.rstrip('/'), http)
+
+
+def _read_body(reply, max_bytes: int) -> bytes:
+    length = reply.content_length
+    if length is not None and length > max_bytes:
+        raise errors.BodyTooLargeError(f'body of {length} bytes')
+    chunks, total = [], 0
+    while chunk := reply.read(_CHUNK_BYTES):
+        chunks.append(chunk)
+        total += len(chunk)
+        if total > max_bytes:
+            raise errors.BodyTooLargeError(f'body over {max_bytes} bytes')
+    if not reply.message_complete:
+        raise errors.SourceUnreachableError('the body is cut short')
+    return b''.join(chunks)
+
+
+def _interpret(url, reply, body, after, asked_at, received_at) -> Reply:
+    status = reply.status_code
+    if status == 429:
+        raise errors.SourceBudgetError(f'{url}: over budget')
+    if status == 404:
+        raise errors.ValueMissingError(f'{url}: no such value')
+    revision = _parse_revision(url, reply.get('Revision'))
+    if status == 304 and after is not None:
+        return Reply(revision, None, asked_at, received_at)
+    if status != 200:
+        raise errors.SourceReplyError(f'{url}: status {status}')
+    if revision is None:
+        raise errors.SourceReplyError(f'{url}: no Revision header')
+    return Reply(revision, body, asked_at, received_at)
+
+
+def _parse_revision(url: str, value) -> int | None:
+    if value is None:
+        return None
+    if not isinstance(value, str) or not _REVISION.fullmatch(value.strip()):
+        raise errors.SourceReplyError(f'{url}: invalid Revision header')
+    return int(value)
+
+
+def _check_digest(reply: Reply, digest: str | None) -> None:
+    if digest is None or digests.compute_digest(reply.body) == digest:
+        return
+    raise errors.SourceReplyError(f'part {digest} differs from its digest')
--- /dev/null
+++ b/jayseam/source/watchers.py
@@ -0,0 +1,260 @@
+"""Watches of the three channels at the source."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import gevent
+from gevent import event
+
+from jayseam.core import clocks
+from jayseam.core import digests
+from jayseam.core import logs
+from jayseam.presets import documents
+from jayseam.presets import errors as preset_errors
+from jayseam.presets import schemas
+from jayseam.source import backoff
+from jayseam.source import client as source_client
+from jayseam.source import errors
+
+CHANNELS = ('preset', 'keys', 'vms')
+# A replica that answers a watch at once without news would otherwise be read
+# in a tight loop.
+_MIN_QUIET_S = 1.0
+_log = logs.get_logger(__name__)
+
+
+@attrs.frozen
+class SourceUpdate:
+    """A version that the source offers.
+
+    Attributes:
+      channel: ``preset``, ``keys`` or ``vms``.
+      version: Revision at the source.
+      digest: Digest of the manifest; of the raw reply if it is invalid.
+      bundle: The content itself, for the VM list, which is not stored in
+        parts at the source.
+      reasons: Why the reply can't be used; empty if it can.
+    """
+
+    channel: str
+    version: int
+    digest: str
+    bundle: documents.Bundle | None = None
+    reasons: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class SourceConfirmation:
+    """The source's statement that a version is its newest.
+
+    Attributes:
+      channel: ``preset``, ``keys`` or ``vms``.
+      version: Version confirmed.
+      confirmed_at: Time at which it certainly was the newest, in seconds.
+    """
+
+    channel: str
+    version: int
+    confirmed_at: float
+
+
+@attrs.frozen
+class Outcome:
+    """What one reply of the source means.
+
+    Attributes:
+      update: A newer version, if any.
+      confirmation: A confirmation, if any.
+      is_behind: Whether the replica is older than what was seen before.
+    """
+
+    update: SourceUpdate | None = None
+    confirmation: SourceConfirmation | None = None
+    is_behind: bool = False
+
+
+def interpret_reply(
+    channel: str, after: int | None, wait_s: float, reply: source_client.Reply
+) -> Outcome:
+    """Decides what a reply means to a reader that has seen ``after``.
+
+    A 304 was decided at the earliest when the wait was over, or when the
+    reply arrived if that was sooner. The later of both is not used because a
+    paused process would count the pause as confirmed time.
+
+    Args:
+      channel: Channel that was read.
+      after: Greatest version seen, None at the first read.
+      wait_s: Wait that the request allowed, in seconds.
+      reply: Reply of the source.
+    """
+    if reply.body is None:
+        if reply.revision is not None and reply.revision != after:
+            return Outcome(is_behind=True)
+        elapsed_s = reply.received_at - reply.asked_at
+        confirmed_at = reply.asked_at + min(wait_s, elapsed_s)
+        return Outcome(
+            confirmation=SourceConfirmation(channel, after, confirmed_at)
+        )
+    if after is not None and reply.revision < after:
+        return Outcome(is_behind=True)
+    confirmation = SourceConfirmation(channel, reply.revision, reply.asked_at)
+    return Outcome(_parse_update(channel, reply), confirmation)
+
+
+def read_channel(
+    client: source_client.SourceClient,
+    channel: str,
+    after: int | None = None,
+    wait_s: float = 0.0,
+) -> Outcome:
+    """Reads a channel once, or waits for a version after ``after``.
+
+    Raises:
+      SourceError: If the source gave no valid reply.
+    """
+    if channel == 'vms':
+        reply = client.read_vms(after, wait_s)
+    else:
+        reply = client.read_value(f'channels/{channel}', after, wait_s)
+    return interpret_reply(channel, after, wait_s, reply)
+
+
+class SourceWatcher:
+    """Watches one channel in a greenlet of its own.
+
+    After a failed read it waits with full jitter. The first read does not
+    wait, so a held version is confirmed at once.
+    """
+
+    def __init__(
+        self,
+        client: source_client.SourceClient,
+        channel: str,
+        wait_s: float,
+        on_update: Callable[[SourceUpdate], Any],
+        on_confirmation: Callable[[SourceConfirmation], Any],
+        held_version: Callable[[], int | None],
+        uniform: Callable[[], float] = random.random,
+        on_failure: Callable[[str, errors.SourceError | None], Any] = (
+            lambda channel, error: None
+        ),
+    ):
+        """Prepares the watch.
+
+        Args:
+          client: Client of the source.
+          channel: ``preset``, ``keys`` or ``vms``.
+          wait_s: Wait of one watch, in seconds.
+          on_update: Called with each newer version.
+          on_confirmation: Called when the source confirms a version.
+          held_version: Returns the version held, or None.
+          uniform: Returns a random number in [0, 1).
+          on_failure: Called with the channel and the error of a failed read,
+            or None if the replica was behind.
+        """
+        self.channel = channel
+        self._client = client
+        self._wait_s = wait_s
+        self._on_update = on_update
+        self._on_confirmation = on_confirmation
+        self._held_version = held_version
+        self._uniform = uniform
+        self._on_failure = on_failure
+        self._seen: int | None = None
+        self._is_first = True
+        self._stopping = event.Event()
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Starts the watch."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Ends the watch, also one that is waiting."""
+        self._stopping.set()
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def _run(self) -> None:
+        state = backoff.Backoff()
+        while not self._stopping.is_set():
+            if self._watch_once():
+                state = state.succeed()
+                continue
+            now = clocks.read_now()
+            state = state.fail(now, self._uniform())
+            self._stopping.wait(state.compute_wait(now))
+
+    def _watch_once(self) -> bool:
+        """Reads once; tells whether the next read may follow at once."""
+        # What was seen but rejected or not fetched yet counts too; otherwise
+        # the source would send it again without a wait.
+        known = [v for v in (self._seen, self._held_version()) if v]
+        after = max(known, default=None)
+        wait_s = 0.0 if self._is_first else self._wait_s
+        asked_at = clocks.read_now()
+        try:
+            outcome = read_channel(self._client, self.channel, after, wait_s)
+        except errors.SourceError as error:
+            _log.warning(
+                'source.read_failed',
+                extra={'channel': self.channel, 'error': str(error)},
+            )
+            self._on_failure(self.channel, error)
+            return False
+        if outcome.is_behind:
+            _log.warning('source.behind', extra={'channel': self.channel})
+            self._on_failure(self.channel, None)
+            return False
+        self._is_first = False
+        self._report(outcome, after)
+        update = outcome.update
+        if update is not None and update.version > (after or 0):
+            return True
+        elapsed_s = clocks.read_now() - asked_at
+        return elapsed_s >= min(wait_s, _MIN_QUIET_S)
+
+    def _report(self, outcome: Outcome, after: int | None) -> None:
+        if outcome.update is not None:
+            self._seen = max(after or 0, outcome.update.version)
+            self._on_update(outcome.update)
+        if outcome.confirmation is not None:
+            self._on_confirmation(outcome.confirmation)
+
+
+def _parse_update(channel: str, reply: source_client.Reply) -> SourceUpdate:
+    try:
+        value = documents.decode_json(reply.body)
+        if channel == 'vms':
+            bundle = documents.split_vms(_keep_known_fields(value))
+            return SourceUpdate(channel, reply.revision, bundle.digest, bundle)
+        return SourceUpdate(channel, reply.revision, _parse_pointer(value))
+    except preset_errors.PresetRejectedError as error:
+        digest = digests.compute_digest(reply.body)
+        reasons = tuple(error.reasons)
+        return SourceUpdate(channel, reply.revision, digest, None, reasons)
+
+
+def _parse_pointer(value: Any) -> str:
+    digest = value.get('manifest') if isinstance(value, dict) else None
+    if not documents.is_digest(digest):
+        raise preset_errors.PresetRejectedError(['pointer: no manifest digest'])
+    return digest
+
+
+def _keep_known_fields(value: Any) -> Any:
+    """Drops fields that a later platform may add to VMs."""
+    if not isinstance(value, dict) or not isinstance(value.get('vms'), list):
+        raise preset_errors.PresetRejectedError(['vms: not a list'])
+    known = schemas.FIELDS['vms']
+    return {
+        'vms': [
+            {k: v for k, v in item.items() if k in known}
+            if isinstance(item, dict)
+            else item
+            for item in value['vms']
+        ]
+    }
