Add the referee, tests of the fault proxy, and process control in clusters

Cause: tests must compare what backend servers ran with what callers were told, and need stops, pauses and replacements of nodes that are known to work. Change: standins.referee with one rule for each invariant, the budget rule over every window in one pass; tests of delay, silence, half-open connections, resets and partitions; a process that stands for a node in cluster tests. A timeout of a caller no longer ends up as an exchange's own timeout, and a call cut off at the end of a load run counts as a timeout with unknown outcome. Ruled out: identifying the source of a link by its address, because all nodes dial the same advertised address; the proxy looks up the owning process.

--- a/jayseam/standins/__init__.py
+++ b/jayseam/standins/__init__.py
@@ -12,6 +12,7 @@
 from jayseam.standins import faults
 from jayseam.standins import platform
 from jayseam.standins import processes
+from jayseam.standins import referee
 from jayseam.standins import serving
 
 __all__ = [
@@ -24,5 +25,6 @@
     'faults',
     'platform',
     'processes',
+    'referee',
     'serving',
 ]
--- a/jayseam/standins/clusters.py
+++ b/jayseam/standins/clusters.py
@@ -66,6 +66,7 @@
         fault proxies.
       backends_per_process: Backend servers that share a process.
       start_timeout_s: Seconds until all nodes must serve.
+      node_module: Module that each node process runs.
       split: Splits the document of a channel, as `split_document` does.
     """
 
@@ -79,6 +80,7 @@
     fault_proxies: bool = False
     backends_per_process: int = 12
     start_timeout_s: float = 20.0
+    node_module: str = 'jayseam.node.main'
     split: Callable[[str, Mapping[str, Any]], Any] = split_document
 
 
@@ -601,7 +603,7 @@
 
     def _start_node(self, vm: Vm) -> None:
         settings = self.build_node_settings(vm)
-        vm.process = self._launch(vm.name, 'jayseam.node.main', [], settings)
+        vm.process = self._launch(vm.name, self.plan.node_module, [], settings)
         if self.plan.fault_proxies:
             endpoint = {'name': vm.name, 'group': vm.zone}
             self.control_faults(
--- a/jayseam/standins/exchanges.py
+++ b/jayseam/standins/exchanges.py
@@ -72,8 +72,9 @@
             request may have reached the server.
         """
         sent = False
+        timer = gevent.Timeout(timeout_s)
         try:
-            with gevent.Timeout(timeout_s):
+            with timer:
                 connection = self._open()
                 request = self._format(method, path, headers, body)
                 sent = True
@@ -81,6 +82,8 @@
                 return self._receive(connection, method)
         except gevent.Timeout as error:
             self.close()
+            if error is not timer:
+                raise
             raise errors.ExchangeError('timeout', sent) from error
         except (OSError, responses.HTTPParseError) as error:
             self.close()
--- /dev/null
+++ b/jayseam/standins/referee.py
@@ -0,0 +1,271 @@
+"""Judges whether what the backend servers ran agrees with the callers.
+
+Each rule compares the runs that the backend servers recorded with the records
+of `jayseam.tools.load`. Both measure time on the clock of the one machine.
+"""
+
+import collections
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from typing import Any
+
+import attrs
+
+from jayseam.core import registries
+
+_DRAIN_LIMIT_S = 3.0
+_MAX_LISTED = 20
+_OVERLOAD_COUNTS = ('overloads', 'falls', 'connections_refused')
+
+
+@attrs.frozen
+class Budget:
+    """The rate and burst of a workspace.
+
+    Attributes:
+      rate_per_s: Calls a second.
+      burst: Calls above the rate.
+    """
+
+    rate_per_s: float
+    burst: float
+
+
+@attrs.frozen
+class Violation:
+    """One breach of an invariant.
+
+    Attributes:
+      rule: Name of the rule.
+      detail: What was found.
+    """
+
+    rule: str
+    detail: str
+
+
+@attrs.frozen
+class Excess:
+    """The window in which a budget was exceeded most.
+
+    Attributes:
+      count: Calls in the window.
+      allowed: Calls that the budget allows in it.
+      start: Time of the first call, in seconds.
+      end: Time of the last call, in seconds.
+    """
+
+    count: int
+    allowed: float
+    start: float
+    end: float
+
+
+@attrs.frozen
+class Case:
+    """Everything that the rules look at.
+
+    Attributes:
+      runs: Run records of the backend servers.
+      records: Call records of the load generator.
+      peaks: Peaks of the backend servers by name.
+      budgets: Budgets by workspace.
+      latitude_s: Seconds that calls may bunch up between the limiter and the
+        backend server; each window is longer by them.
+    """
+
+    runs: Sequence[Mapping[str, Any]]
+    records: Sequence[Any]
+    peaks: Mapping[str, Mapping[str, Any]]
+    budgets: Mapping[str, Budget]
+    latitude_s: float = 0.0
+
+
+Rule = Callable[[Case], Iterable[str]]
+
+rules: registries.Registry[Rule] = registries.Registry('rule')
+
+
+class Referee:
+    """Applies all rules to the outcome of a test.
+
+    Args:
+      budgets: Budgets by workspace; see `read_budgets`.
+      latitude_s: See `Case`.
+    """
+
+    def __init__(
+        self,
+        budgets: Mapping[str, Budget] | None = None,
+        latitude_s: float = 0.0,
+    ):
+        self._budgets = dict(budgets or {})
+        self._latitude_s = latitude_s
+
+    def judge(
+        self,
+        runs: Sequence[Mapping[str, Any]],
+        records: Sequence[Any],
+        peaks: Mapping[str, Mapping[str, Any]] | None = None,
+    ) -> list[Violation]:
+        """Returns all violations, at most 20 for each rule.
+
+        Args:
+          runs: From `clusters.Cluster.collect_runs`.
+          records: `load.CallRecord` of all callers during the runs.
+          peaks: From `clusters.Cluster.collect_peaks`; None skips overloads.
+        """
+        case = Case(runs, records, peaks or {}, self._budgets, self._latitude_s)
+        return [
+            Violation(name, detail)
+            for name in rules.names()
+            for detail in list(rules.get(name)(case))[:_MAX_LISTED]
+        ]
+
+
+def read_budgets(workspaces: Any) -> dict[str, Budget]:
+    """Returns the budgets of the workspaces of a preset document.
+
+    >>> read_budgets([{'name': 'w', 'rate_per_s': 5, 'burst': 9}])
+    {'w': Budget(rate_per_s=5, burst=9)}
+    """
+    if isinstance(workspaces, Mapping):
+        workspaces = [{'name': k, **v} for k, v in workspaces.items()]
+    return {
+        entry['name']: Budget(entry['rate_per_s'], entry['burst'])
+        for entry in workspaces
+    }
+
+
+def find_excess(
+    times: Sequence[float], budget: Budget, latitude_s: float = 0.0
+) -> Excess | None:
+    """Returns the window that exceeds a budget most, or None.
+
+    All windows that start and end with a call are looked at. The count of
+    calls from i to j minus the rate times their distance is a difference of
+    two terms, one for each end, so one pass finds the greatest.
+
+    >>> find_excess([0.0, 0.0, 1.0, 1.0], Budget(1, 2))
+    Excess(count=4, allowed=3.0, start=0.0, end=1.0)
+    >>> find_excess([0.0, 0.0, 1.0, 2.0], Budget(1, 2))
+    """
+    ordered = sorted(times)
+    rate = budget.rate_per_s
+    worst: tuple[float, int, int] = (0.0, 0, -1)
+    first = 0
+    for last, time in enumerate(ordered):
+        if last - rate * time < first - rate * ordered[first]:
+            first = last
+        count = last - first + 1
+        allowed = budget.burst + rate * (time - ordered[first] + latitude_s)
+        # The tolerance covers the rounding of the products.
+        if count - allowed > worst[0] + 1e-6:
+            worst = (count - allowed, first, last)
+    excess, first, last = worst
+    if last < 0:
+        return None
+    count = last - first + 1
+    return Excess(count, count - excess, ordered[first], ordered[last])
+
+
+@rules.register('at-most-once')
+def _check_keys_ran_once(case: Case) -> Iterator[str]:
+    """No idempotency key runs twice for a workspace."""
+    runs: dict[tuple[str, str], list[str]] = collections.defaultdict(list)
+    for run in case.runs:
+        if run['idempotency_key']:
+            key = (run['workspace'], run['idempotency_key'])
+            runs[key].append(f'{run["request_id"]} at {run.get("backend")}')
+    for (workspace, key), places in runs.items():
+        if len(places) > 1:
+            yield f'{workspace} {key} ran as {", ".join(places)}'
+
+
+@rules.register('not-run')
+def _check_refusals_are_true(case: Case) -> Iterator[str]:
+    """No call that was answered as not run has run."""
+    request_ids = {run['request_id'] for run in case.runs} - {''}
+    echoes = {run['echo'] for run in case.runs} - {''}
+    shared = collections.Counter(record.echo for record in case.records)
+    for record in case.records:
+        if record.ran != 'no':
+            continue
+        # The statement is about one attempt, so the echo decides only where
+        # no other attempt shares it.
+        alone = shared[record.echo] == 1 and record.echo in echoes
+        if record.request_id in request_ids or alone:
+            yield f'{record.workspace} {record.outcome}: {record.request_id}'
+
+
+@rules.register('workspace')
+def _check_workspaces(case: Case) -> Iterator[str]:
+    """No call runs for another workspace, and none without a caller."""
+    callers = {record.echo: record.workspace for record in case.records}
+    for run in case.runs:
+        workspace = callers.get(run['echo'])
+        if run['echo'] and case.records and workspace is None:
+            yield f'{run["request_id"]} ran, but nobody called it'
+        elif workspace and run['workspace'] not in ('', workspace):
+            yield f'{run["request_id"]} of {workspace}: {run["workspace"]}'
+
+
+@rules.register('answers')
+def _check_answers(case: Case) -> Iterator[str]:
+    """Every answer is whole and the caller's own, and something ran for it."""
+    echoes = {run['echo'] for run in case.runs}
+    for record in case.records:
+        if record.outcome in ('foreign', 'corrupt'):
+            yield f'{record.workspace} {record.outcome}: {record.request_id}'
+        elif record.outcome == 'ok' and record.echo not in echoes:
+            yield f'{record.workspace} answer without run: {record.request_id}'
+
+
+@rules.register('keys')
+def _check_keys_unseen(case: Case) -> Iterator[str]:
+    """No backend server sees a workspace key."""
+    for run in case.runs:
+        if run['key_seen']:
+            yield f'{run.get("backend")} saw a key: {run["request_id"]}'
+
+
+@rules.register('budget')
+def _check_budgets(case: Case) -> Iterator[str]:
+    """No workspace passes its rate and burst in any window.
+
+    Nested calls don't count, and a call that was tried again counts once.
+    """
+    times: dict[str, dict[str, float]] = collections.defaultdict(dict)
+    for number, run in enumerate(case.runs):
+        if not run['nested']:
+            name = run['request_id'] or str(number)
+            starts = times[run['workspace']]
+            starts[name] = min(run['started'], starts.get(name, run['started']))
+    for workspace, budget in case.budgets.items():
+        starts = list(times[workspace].values())
+        excess = find_excess(starts, budget, case.latitude_s)
+        if excess is not None:
+            length = excess.end - excess.start
+            yield (
+                f'{workspace}: {excess.count} calls in {length:.3f} s,'
+                f' {excess.allowed:.1f} allowed'
+            )
+
+
+@rules.register('draining')
+def _check_drains(case: Case) -> Iterator[str]:
+    """A draining backend server gets no new work after 3 s."""
+    for run in case.runs:
+        if (run['draining_s'] or 0.0) > _DRAIN_LIMIT_S:
+            yield (
+                f'{run.get("backend")} got {run["request_id"]}'
+                f' {run["draining_s"]:.1f} s after the drain began'
+            )
+
+
+@rules.register('overload')
+def _check_overloads(case: Case) -> Iterator[str]:
+    """No backend server gets more load than it can handle."""
+    for name, peaks in case.peaks.items():
+        found = {k: peaks[k] for k in _OVERLOAD_COUNTS if peaks[k]}
+        if found:
+            yield f'{name}: {found}'
--- a/jayseam/standins/tests/test_clusters.py
+++ b/jayseam/standins/tests/test_clusters.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import signal
 import types
 
 import pytest
@@ -109,3 +110,43 @@
     with pytest.raises(errors.ClusterError, match='all serve'):
         cluster.wait_until(lambda: False, 0.1, 'all serve')
     cluster.stop()
+
+
+def test_node_processes_are_governed():
+    """Stops, kills, pauses and replacements must do what tests rely on."""
+    plan = _plan(node_module='jayseam.standins.tests.idle_node')
+    with clusters.Cluster(plan) as cluster:
+        first, second, third, fourth = sorted(cluster.vms)
+        before = cluster.status(first)['incarnation']
+        cluster.pause(first)
+        with pytest.raises(errors.ExchangeError):
+            cluster.status(first, timeout_s=0.1)
+        cluster.resume(first)
+        assert cluster.status(first)['incarnation'] == before
+        cluster.restart(first)
+        assert cluster.terminate(second) == 0
+        cluster.kill(third)
+        killed = cluster.vms[third].process.returncode
+        assert killed == -signal.SIGKILL
+        arrived = cluster.replace(fourth, graceful=False)
+        cluster.wait_serving([first, arrived])
+        assert cluster.status(first)['incarnation'] != before
+        assert cluster.vms[arrived].upstream == 'u3'
+        listed = _read(cluster.platform_port, '/v1/vms').decode()['vms']
+        states = {entry['vm']: entry['state'] for entry in listed}
+        assert states[second] == 'leaving'
+        assert fourth not in states and states[arrived] == 'live'
+        assert len(cluster.targets()) == 4
+        pids = [vm.process.pid for vm in cluster.vms.values()]
+    for pid in pids:
+        with pytest.raises(ProcessLookupError):
+            os.kill(pid, 0)
+
+
+def test_failing_node_fails_the_start(capfd):
+    """A node that ends at its start must show its log at once."""
+    plan = _plan(node_module='jayseam.standins.tests.absent')
+    with pytest.raises(errors.ClusterError, match='ended with status 1'):
+        with clusters.Cluster(plan):
+            pass
+    assert 'No module named' in capfd.readouterr().err
--- /dev/null
+++ b/jayseam/standins/tests/test_faults.py
@@ -0,0 +1,154 @@
+"""Tests of the fault proxy through real sockets."""
+
+import os
+
+import gevent
+from gevent import server
+from gevent import socket
+import pytest
+
+from jayseam.core import clocks
+from jayseam.standins import exchanges
+from jayseam.standins import faults
+
+_TARGET = faults.Endpoint('vm-2', 'b')
+
+
+class _Network:
+    """An echo server behind one forwarding."""
+
+    def __init__(self, source):
+        def echo(sock, _):
+            while data := sock.recv(4096):
+                sock.sendall(data)
+
+        self.echo = server.StreamServer(('127.0.0.1', 0), echo)
+        self.echo.start()
+        self.proxy = faults.FaultProxy(faults.ProxySettings())
+        self.proxy.start()
+        forwarding = faults.Forwarding(
+            'link', 0, self.echo.server_port, _TARGET, source
+        )
+        self.port = self.proxy.forward(forwarding)
+
+    def control(self, action, **fields):
+        address = ('127.0.0.1', self.proxy.control_port)
+        return exchanges.call_control(address, f'/control/{action}', fields)
+
+    def connect(self):
+        sock = socket.create_connection(('127.0.0.1', self.port))
+        sock.settimeout(0.2)
+        return sock
+
+
+@pytest.fixture(name='network')
+def _network():
+    network = _Network(faults.Endpoint('vm-1', 'a'))
+    yield network
+    network.proxy.stop()
+    network.echo.stop(timeout=0)
+
+
+def _ask(sock, data=b'x'):
+    sock.sendall(data)
+    return sock.recv(4096)
+
+
+def test_delay_holds_in_both_directions(network):
+    """A delay must also reach a connection that is already open."""
+    with network.connect() as sock:
+        _ask(sock)
+        network.control('rules', id='slow', source=['a'], delay_ms=50)
+        began = clocks.read_now()
+        _ask(sock)
+        assert 0.1 <= clocks.read_now() - began < 0.2
+        network.control('rules', id='slow', clear=True)
+
+
+@pytest.mark.parametrize('silence', ['forward', 'backward', 'both'])
+def test_silenced_bytes_arrive_when_it_ends(network, silence):
+    """Late answers after a silence are a fault that callers must survive."""
+    with network.connect() as sock:
+        _ask(sock)
+        network.control('rules', id='mute', target=['vm-2'], silence=silence)
+        with pytest.raises(TimeoutError):
+            _ask(sock, b'late')
+        network.control('rules', id='mute', clear=True)
+        assert sock.recv(4096) == b'late'
+
+
+def test_half_open_connections_stay_silent_while_new_ones_work(network):
+    """Open connections can stop for good although the path is sound."""
+    with network.connect() as old:
+        _ask(old)
+        assert network.control('half-open')['silenced'] == 1
+        with pytest.raises(TimeoutError):
+            _ask(old)
+        network.control('heal', rules=True)
+        with pytest.raises(TimeoutError):
+            old.recv(1)
+        with network.connect() as new:
+            assert _ask(new) == b'x'
+
+
+@pytest.mark.parametrize('reset', [False, True])
+def test_cut_ends_open_connections(network, reset):
+    """A cut must show as a close or as a reset, as asked."""
+    with network.connect() as sock:
+        _ask(sock)
+        assert network.control('cut', source=['b'])['cut'] == 0
+        assert network.control('cut', source=['a'], reset=reset)['cut'] == 1
+        if reset:
+            with pytest.raises(ConnectionResetError):
+                sock.recv(1)
+        else:
+            assert sock.recv(1) == b''
+
+
+def test_refuse_resets_new_connections_only(network):
+    """Refusal of new connections must leave open ones alone."""
+    with network.connect() as sock:
+        _ask(sock)
+        network.control('rules', id='shut', refuse=True)
+        with pytest.raises(ConnectionResetError):
+            with network.connect() as refused:
+                _ask(refused)
+        assert _ask(sock) == b'x'
+
+
+def test_partition_parts_groups_until_healed(network):
+    """Zones parted from each other get no byte through, new links included."""
+    with network.connect() as sock:
+        _ask(sock)
+        network.control('partition', groups=[['a', 'b'], ['c']])
+        assert _ask(sock) == b'x'
+        network.control('partition', groups=[['a'], ['b', 'c']])
+        with network.connect() as other:
+            for link in (sock, other):
+                with pytest.raises(TimeoutError):
+                    _ask(link)
+            network.control('heal')
+            assert sock.recv(1) == other.recv(1) == b'x'
+
+
+def test_close_passes_through(network):
+    """A close at one end must reach the other and free the connection."""
+    with network.connect() as sock:
+        _ask(sock)
+        sock.shutdown(socket.SHUT_WR)
+        assert sock.recv(1) == b''
+    gevent.sleep(0.05)
+    assert not network.control('connections')['connections']
+
+
+def test_source_is_found_by_process():
+    """All nodes dial one address, so only their process tells the zone."""
+    network = _Network(None)
+    endpoint = {'name': 'vm-1', 'group': 'a'}
+    network.control('sources', processes={str(os.getpid()): endpoint})
+    with network.connect() as sock:
+        _ask(sock)
+        (found,) = network.control('connections')['connections']
+        assert found['source'] == endpoint
+    network.proxy.stop()
+    network.echo.stop(timeout=0)
--- a/jayseam/tools/load.py
+++ b/jayseam/tools/load.py
@@ -61,7 +61,7 @@
       target: Address that it was sent to.
       status: HTTP status, or 0.
       code: Problem code, or empty.
-      ran: ``yes``, ``no``, ``unknown``, or empty if the answer doesn't say.
+      ran: ``yes``, ``no`` or ``unknown``; empty before it is sent.
       request_id: Request id that the node gave.
       outcome: ``ok``, a problem code, ``status-<n>``, ``corrupt``,
         ``foreign``, ``unreachable``, ``timeout``, ``lost`` or ``unsent``.
@@ -348,6 +348,8 @@
                 break
             record = call.record
             record.sent = clocks.read_now()
+            # Stands if the run ends before the call does.
+            record.outcome, record.ran = 'timeout', 'unknown'
             record.target = f'{connection.address[0]}:{connection.address[1]}'
             try:
                 self._call(connection, call)
@@ -419,7 +421,7 @@
         if check:
             _check_body(record, answer.body)
         return
-    record.outcome = f'status-{answer.status}'
+    record.outcome, record.ran = f'status-{answer.status}', 'unknown'
     if 'problem+json' not in answer.headers.get('Content-Type', ''):
         return
     try:
