--- a/jayseam/tools/load.py
+++ b/jayseam/tools/load.py
@@ -14,6 +14,7 @@
 import collections
 import json
 import random
+import resource
 import sys
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Any
@@ -30,6 +31,7 @@
 from jayseam.tools import identifiers
 from jayseam.tools import profiles
 
+CPU_SHARE_LIMIT = 0.9
 LAG_LIMIT_MS = 20.0
 
 _MAX_LATENCY_US = 120_000_000
@@ -113,6 +115,8 @@
       lags: How late the schedule was, in microseconds.
       waits: Waits for a free connection, in microseconds.
       per_second: Outcomes by second of the schedule and workspace.
+      cpu_share: Share of one core that this process used until the last
+        arrival.
     """
 
     started: float
@@ -124,6 +128,7 @@
     per_second: dict[int, dict[str, collections.Counter[str]]] = attrs.field(
         factory=dict
     )
+    cpu_share: float = 0.0
 
     @property
     def lag_ms(self) -> float:
@@ -132,8 +137,12 @@
 
     @property
     def lagged(self) -> bool:
-        """Whether the tool was too slow for its schedule."""
-        return self.lag_ms > LAG_LIMIT_MS
+        """Whether the tool was too slow for its schedule.
+
+        With few connections a saturated tool still issues calls in time and
+        only the waits grow, so the use of the core counts as well.
+        """
+        return self.lag_ms > LAG_LIMIT_MS or self.cpu_share > CPU_SHARE_LIMIT
 
     def add(self, record: CallRecord) -> None:
         """Counts a finished call."""
@@ -169,6 +178,7 @@
             'calls': len(self.records),
             'calls_per_s': round(len(self.records) / self.duration_s, 1),
             'lagged': self.lagged,
+            'cpu_share': round(self.cpu_share, 3),
             'schedule_lag_ms': _summarize(self.lags),
             'connection_wait_ms': _summarize(self.waits),
             'outcomes': self.count_outcomes(),
@@ -209,7 +219,8 @@
         note = 'LAGGED behind the schedule' if self.lagged else 'kept up'
         lines.append(
             f'{len(self.records)} calls, {rate:.1f} a second;'
-            f' {note} (99 in 100 at most {self.lag_ms:.1f} ms late)'
+            f' {note} (99 in 100 at most {self.lag_ms:.1f} ms late,'
+            f' {self.cpu_share:.0%} of a core)'
         )
         return '\n'.join(line.rstrip() for line in lines)
 
@@ -487,6 +498,7 @@
     wall_ms = clocks.read_wall_ms()
     started = clocks.read_now() + _START_DELAY_S
     report = LoadReport(started, profile.duration_s)
+    cpu_before_s = _read_cpu_s()
     runs = [
         _WorkspaceRun(load, profile, index, report, wall_ms)
         for index, load in enumerate(profile.workspaces)
@@ -495,7 +507,9 @@
     if progress is not None:
         reporter = gevent.spawn(_repeat_progress, progress, report)
     gevent.joinall([run.issuer for run in runs], raise_error=True)
-    deadline = clocks.read_now() + profile.timeout_s
+    now = clocks.read_now()
+    report.cpu_share = (_read_cpu_s() - cpu_before_s) / (now - started)
+    deadline = now + profile.timeout_s
     for run in runs:
         run.finish(max(0.0, deadline - clocks.read_now()))
     if reporter is not None:
@@ -503,6 +517,11 @@
     return report
 
 
+def _read_cpu_s() -> float:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
 def _repeat_progress(progress: Progress, report: LoadReport) -> None:
     while True:
         gevent.sleep(1.0)
