--- a/jayseam/node/tests/test_calls.py
+++ b/jayseam/node/tests/test_calls.py
@@ -105,12 +105,9 @@
 def test_ambiguous_framing_is_refused(fleet, lines):
     """Two readers that disagree on a length allow request smuggling."""
     before = fleet.count_runs()
-    reply = send_raw(
-        fleet,
-        b'GET /drop-off-points/1 HTTP/1.1\r\nHost: a\r\n'
-        + lines
-        + b'\r\n\r\n0\r\n\r\nGET /drop-off-points/2 HTTP/1.1\r\nHost: a\r\n\r\n',
-    )
+    first = b'GET /drop-off-points/1 HTTP/1.1\r\nHost: a\r\n' + lines
+    second = b'GET /drop-off-points/2 HTTP/1.1\r\nHost: a\r\n\r\n'
+    reply = send_raw(fleet, first + b'\r\n\r\n0\r\n\r\n' + second)
     assert reply.startswith(b'HTTP/1.1 400')
     assert reply.count(b'HTTP/1.1 ') == 1
     assert fleet.count_runs() == before
--- a/jayseam/standins/__init__.py
+++ b/jayseam/standins/__init__.py
@@ -6,6 +6,7 @@
 from jayseam.standins import answers
 from jayseam.standins import backend
 from jayseam.standins import clusters
+from jayseam.standins import convergence
 from jayseam.standins import durations
 from jayseam.standins import errors
 from jayseam.standins import exchanges
@@ -19,6 +20,7 @@
     'answers',
     'backend',
     'clusters',
+    'convergence',
     'durations',
     'errors',
     'exchanges',
--- /dev/null
+++ b/jayseam/standins/convergence.py
@@ -0,0 +1,114 @@
+"""Measures how long a change takes until every node judges calls by it."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+import attrs
+import gevent
+
+from jayseam.core import clocks
+from jayseam.standins import clusters
+from jayseam.standins import errors
+from jayseam.standins import exchanges
+
+_HOST = '127.0.0.1'
+_PROBE_INTERVAL_S = 0.02
+
+
+@attrs.frozen
+class Probe:
+    """A call whose answer shows whether a change is in force at a node.
+
+    Attributes:
+      path: Path of the call.
+      in_force: Tells from the status whether the change is in force.
+      headers: Header fields of the call.
+    """
+
+    path: str
+    in_force: Callable[[int], bool]
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class Convergence:
+    """Seconds from a publication to the first call judged by it, by VM.
+
+    Attributes:
+      seconds: Times of the VMs that converged.
+      missing: VMs at which the change was not in force in time.
+    """
+
+    seconds: Mapping[str, float]
+    missing: tuple[str, ...] = ()
+
+    def percentile(self, share: float) -> float:
+        """Returns the time within which a share of the VMs converged.
+
+        >>> Convergence({'a': 0.1, 'b': 0.3}).percentile(0.5)
+        0.1
+        """
+        if self.missing:
+            return float('inf')
+        ordered = sorted(self.seconds.values())
+        return ordered[max(0, round(share * len(ordered)) - 1)]
+
+    @property
+    def slowest(self) -> float:
+        """Returns the time until all VMs converged, in seconds."""
+        return self.percentile(1.0)
+
+
+def measure_convergence(
+    cluster: clusters.Cluster,
+    publish: Callable[[], object],
+    probe: Probe,
+    timeout_s: float = 10.0,
+    vms: Iterable[str] | None = None,
+) -> Convergence:
+    """Publishes a change and probes the nodes until each judges by it.
+
+    Args:
+      cluster: The running cluster.
+      publish: Publishes the change.
+      probe: Shows whether the change is in force.
+      timeout_s: Seconds until a node counts as missing.
+      vms: Nodes to probe; all by default.
+    """
+    chosen = list(vms or cluster.vms)
+    seconds: dict[str, float] = {}
+    published = clocks.read_now()
+    publish()
+    deadline = published + timeout_s
+    jobs = [
+        gevent.spawn(
+            _probe_until, cluster, name, probe, published, deadline, seconds
+        )
+        for name in chosen
+    ]
+    gevent.joinall(jobs)
+    missing = tuple(name for name in chosen if name not in seconds)
+    return Convergence(seconds, missing)
+
+
+def _probe_until(
+    cluster: clusters.Cluster,
+    vm: str,
+    probe: Probe,
+    published: float,
+    deadline: float,
+    seconds: dict[str, float],
+) -> None:
+    connection = exchanges.Connection(_HOST, cluster.vms[vm].caller_port)
+    while clocks.read_now() < deadline:
+        try:
+            answer = connection.exchange(
+                'GET', probe.path, probe.headers, b'', 2.0
+            )
+        except errors.ExchangeError:
+            gevent.sleep(_PROBE_INTERVAL_S)
+            continue
+        if probe.in_force(answer.status):
+            seconds[vm] = clocks.read_now() - published
+            break
+        gevent.sleep(_PROBE_INTERVAL_S)
+    connection.close()
