Compare both ports when the fault proxy looks up a connection's owner

Cause: the kernel gives one local port to connections with different peers, so the lookup by local port alone took another process's connection. Change: find_owner compares the peer's port as well; a test covers it. Ruled out: trying the lookup again, since the first answer was not late but about another connection.

--- a/jayseam/standins/faults.py
+++ b/jayseam/standins/faults.py
@@ -13,7 +13,7 @@
 
 import os
 import re
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -353,7 +353,10 @@
         self, forwarding: Forwarding, near: Any, source_port: int
     ) -> None:
         sockets.set_nodelay(near)
-        source = forwarding.source or self._find_source(source_port)
+        source = forwarding.source
+        if source is None:
+            pid = find_owner(source_port, near.getsockname()[1], self._sources)
+            source = self._sources.get(pid, UNKNOWN)
         condition = self._combine(source, forwarding.target)
         if condition.refused:
             serving.set_reset_on_close(near)
@@ -375,10 +378,6 @@
         finally:
             self._connections.discard(connection)
 
-    def _find_source(self, port: int) -> Endpoint:
-        pid = find_owner(port, self._sources)
-        return self._sources.get(pid, UNKNOWN)
-
     def _combine(self, source: Endpoint, target: Endpoint) -> Condition:
         rules = list(self._rules.values())
         return combine_rules(rules, self._partition, source, target)
@@ -455,11 +454,15 @@
         return {'connections': pairs, 'rules': sorted(self._rules)}
 
 
-def find_owner(port: int, pids: Mapping[int, Any]) -> int:
-    """Returns the process that owns a local TCP port, or 0.
+def find_owner(port: int, peer_port: int, pids: Iterable[int]) -> int:
+    """Returns the process that owns a TCP connection on loopback, or 0.
+
+    The kernel gives the same local port to connections with different peers,
+    so both ports are compared.
 
     Args:
-      port: Local port of an established IPv4 connection.
+      port: Port at the end whose owner is wanted.
+      peer_port: Port at the other end.
       pids: Processes to look at.
 
     References:
@@ -467,7 +470,8 @@
     """
     with open('/proc/net/tcp', encoding='ascii') as file:
         table = file.read()
-    pattern = rf'^ *\d+: [0-9A-F]{{8}}:{port:04X} \S+ 01 (?:\S+ +){{5}}(\d+) '
+    ends = rf'[0-9A-F]{{8}}:{port:04X} [0-9A-F]{{8}}:{peer_port:04X}'
+    pattern = rf'^ *\d+: {ends} 01 (?:\S+ +){{5}}(\d+) '
     found = re.search(pattern, table, re.MULTILINE)
     if found is None:
         return 0
--- a/jayseam/standins/tests/test_faults.py
+++ b/jayseam/standins/tests/test_faults.py
@@ -150,5 +150,10 @@
         _ask(sock)
         (found,) = network.control('connections')['connections']
         assert found['source'] == endpoint
+        # Connections of other processes may have the same local port.
+        local = sock.getsockname()[1]
+        pids = [os.getpid()]
+        assert faults.find_owner(local, network.port, pids) == pids[0]
+        assert faults.find_owner(local, network.port - 1, pids) == 0
     network.proxy.stop()
     network.echo.stop(timeout=0)
