--- a/jayseam/links/connections.py
+++ b/jayseam/links/connections.py
@@ -312,11 +312,12 @@
         elif self._silence.waiting_since is None:
             self._watched.discard(self)
 
-    def excuse(self, duration_s: float) -> None:
+    def excuse(self, duration_s: float, now: float) -> None:
         """Does not count a pause of this process as silence of the peer."""
-        self._silence.received_at += duration_s
-        if self._silence.waiting_since is not None:
-            self._silence.waiting_since += duration_s
+        silence = self._silence
+        silence.received_at = min(silence.received_at + duration_s, now)
+        if silence.waiting_since is not None:
+            silence.waiting_since = min(silence.waiting_since + duration_s, now)
 
     def drain(self, timeout_s: float) -> None:
         """Waits until handlers have replied and the outbox is empty."""
--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -370,7 +370,7 @@
             late_s = now - last - connections.TICK_S
             last = now
             if late_s > _LATE_S:
-                self._excuse(late_s)
+                self._excuse(late_s, now)
                 continue
             for link in list(self._watched):
                 link.check(now)
@@ -378,10 +378,10 @@
                 last_idle = now
                 self._check_idle(now)
 
-    def _excuse(self, late_s: float) -> None:
+    def _excuse(self, late_s: float, now: float) -> None:
         for group in self._links.values():
             for link in group:
-                link.excuse(late_s)
+                link.excuse(late_s, now)
 
     def _check_idle(self, now: float) -> None:
         for group in list(self._links.values()):
--- /dev/null
+++ b/jayseam/membership/topology.py
@@ -0,0 +1,62 @@
+"""Which members a node heartbeats.
+
+The neighbours are the two successors on the ring of the node's own zone and
+one member in each of two other zones. Every function takes only members that
+may be chosen, so a dead member is replaced by the next one.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+import xxhash
+
+from jayseam.core import rendezvous
+
+RING_SUCCESSORS = 2
+OTHER_ZONES = 2
+
+
+def order_ring(vms: Iterable[str]) -> list[str]:
+    """Returns the VMs in the order of their hashes."""
+    return sorted(vms, key=lambda vm: (xxhash.xxh64_intdigest(vm.encode()), vm))
+
+
+def find_successors(
+    own: str, vms: Iterable[str], count: int = RING_SUCCESSORS
+) -> list[str]:
+    """Returns the VMs that follow ``own`` on the ring.
+
+    >>> find_successors('a', ['a', 'b'])
+    ['b']
+    >>> find_successors('a', [])
+    []
+    """
+    ring = order_ring({own, *vms})
+    start = ring.index(own) + 1
+    return (ring[start:] + ring[: start - 1])[:count]
+
+
+def find_remote(own: str, zones: Mapping[str, Sequence[str]]) -> list[str]:
+    """Returns one VM in each of two other zones.
+
+    Args:
+      own: Name of the node's VM.
+      zones: VMs by zone, without the node's own zone.
+    """
+    filled = [zone for zone, vms in zones.items() if vms]
+    chosen = rendezvous.rank(own, filled)[:OTHER_ZONES]
+    return [rendezvous.rank(own, zones[zone])[0] for zone in chosen]
+
+
+def find_neighbours(
+    own: str, own_zone: str, zones: Mapping[str, Sequence[str]]
+) -> tuple[str, ...]:
+    """Returns the neighbours of a node.
+
+    Args:
+      own: Name of the node's VM.
+      own_zone: Its availability zone.
+      zones: VMs by zone, including the own zone.
+    """
+    others = {zone: vms for zone, vms in zones.items() if zone != own_zone}
+    successors = find_successors(own, zones.get(own_zone, ()))
+    return tuple(successors + find_remote(own, others))
