Test links on real sockets and harden them

The first version could reject a peer whose first frames share a segment with the last handshake step, let a fast sender starve other greenlets, reset connections at a planned stop, and turn a caller's own gevent.Timeout into a lost reply. Each is fixed; the limit on unauthenticated bytes now bounds what is read. Raising that limit instead was ruled out: no value is large enough for an arbitrary first frame.

--- a/jayseam/links/connections.py
+++ b/jayseam/links/connections.py
@@ -7,7 +7,6 @@
 """
 
 import collections
-import time
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -38,7 +37,7 @@
 MAX_RUNNING_HANDLERS = 1024
 _MAX_BATCH_BYTES = 256 * 1024
 _MAX_FAILURE_TEXT = 500
-_MASK_BYTES = 4
+_READS_PER_SWITCH = 16
 
 _log = logs.get_logger(__name__)
 _chart = statecharts.load_chart('link')
@@ -273,9 +272,9 @@
             self._watched.add(self)
         try:
             self._send(body, type(message).__name__, pending)
-            reply = pending.result.get(timeout=timeout_s)
-        except gevent.Timeout as timeout:
-            raise self._withdraw(pending) from timeout
+            pending.result.wait(timeout_s)
+            if not pending.result.ready():
+                raise self._withdraw(pending)
         finally:
             self._pending.pop(correlation, None)
             if (
@@ -283,7 +282,7 @@
                 and self._silence.pinged_at <= self._silence.received_at
             ):
                 self._silence.waiting_since = None
-        return unwrap_reply(reply)
+        return unwrap_reply(pending.result.get())
 
     def notify(self, message: Any) -> bool:
         """Sends a message without reply; False if the link cannot take it.
@@ -321,12 +320,17 @@
 
     def drain(self, timeout_s: float) -> None:
         """Waits until handlers have replied and the outbox is empty."""
-        end = time.monotonic() + timeout_s
-        while self.is_open and time.monotonic() < end:
+        end = clocks.read_now() + timeout_s
+        while self.is_open and clocks.read_now() < end:
             if not (self._running or self._outbox or self._rest):
                 return
             gevent.sleep(0.01)
 
+    def finish(self) -> None:
+        """Sends no more; the link closes when the peer has read all."""
+        if self.is_open:
+            self.transport.finish()
+
     def close(self, reason: str) -> None:
         """Closes the link and fails its pending requests."""
         if not self.is_open:
@@ -473,13 +477,25 @@
         return b''.join(parts)
 
     def _read(self) -> None:
+        reads = 0
         while self.is_open:
+            reads += 1
+            if reads % _READS_PER_SWITCH == 0:
+                # A read of a full socket does not switch, so a fast peer
+                # would keep all other greenlets from running.
+                gevent.sleep(0)
             payloads = self.transport.receive()
             self._silence.received_at = clocks.read_now()
             if self.state == 'probing':
                 self._advance('received')
             if not self._pending:
                 self._silence.waiting_since = None
+            if self.transport.control_bytes:
+                size, self.transport.control_bytes = (
+                    self.transport.control_bytes,
+                    0,
+                )
+                counters.count_bytes('received', 'control', size)
             control = self.transport.take_control()
             if control:
                 self._send_control(control)
@@ -490,7 +506,7 @@
         body = self._codec.decode(self._opener.open(payload))
         message, correlation = messages.decode_body(body)
         label = type(message).__name__
-        size = len(payload) + _measure_header(len(payload), self.dialled)
+        size = transports.measure_frame(len(payload), not self.dialled)
         counters.count_bytes('received', label, size)
         if correlation < 0:
             pending = self._pending.get(-correlation)
@@ -569,8 +585,3 @@
     if isinstance(reply, messages.Failure):
         raise errors.RemoteError(reply.kind, reply.text)
     return None if isinstance(reply, messages.Done) else reply
-
-
-def _measure_header(payload_size: int, unmasked: bool) -> int:
-    extended = 0 if payload_size < 126 else 2 if payload_size < 65536 else 8
-    return 2 + extended + (0 if unmasked else _MASK_BYTES)
--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -21,6 +21,7 @@
 HANDSHAKE_DEADLINE_S = 1.5
 MAX_UNAUTHENTICATED = 256
 _BACKLOG = 1024
+_FINISH_S = 0.2
 _IDLE_CHECK_S = 1.0
 # A tick later than this means that this process did not run, so bytes may
 # wait in its sockets.
@@ -109,6 +110,13 @@
         links = [link for group in self._links.values() for link in group]
         drains = [gevent.spawn(link.drain, timeout_s) for link in links]
         gevent.joinall(drains)
+        for link in links:
+            # Closing a socket with unread bytes resets the connection, which
+            # can destroy replies that are still on their way.
+            link.finish()
+        with gevent.Timeout(_FINISH_S, False):
+            while any(link.is_open for link in links):
+                gevent.sleep(0.01)
         for link in links:
             link.close('stopped')
         for sock in list(self._unauthenticated):
@@ -198,21 +206,20 @@
             self.identity.vm, self.identity.incarnation
         )
         runner = gevent.spawn(connections.run_handler, function, peer, message)
-        try:
-            reply = runner.get(timeout=timeout_s)
-        except gevent.Timeout as timeout:
-            raise errors.ReplyLostError('own handler is late') from timeout
-        return connections.unwrap_reply(reply)
+        runner.join(timeout_s)
+        if not runner.ready():
+            raise errors.ReplyLostError('own handler is late')
+        return connections.unwrap_reply(runner.get())
 
     def _dial_vm(self, vm: str, timeout_s: float) -> connections.Link:
         result = self._dials.get(vm)
         if result is None:
             result = self._dials[vm] = event.AsyncResult()
             gevent.spawn(self._dial_into, vm, result)
-        try:
-            return result.get(timeout=timeout_s)
-        except gevent.Timeout as timeout:
-            raise errors.DialError(f'no link to {vm} in time') from timeout
+        result.wait(timeout_s)
+        if not result.ready():
+            raise errors.DialError(f'no link to {vm} in time')
+        return result.get()
 
     def _dial_into(self, vm: str, result: event.AsyncResult) -> None:
         try:
@@ -264,6 +271,7 @@
             counters.CLOSES.labels('unauthenticated_limit').inc()
         self._unauthenticated[sock] = None
         timeout = gevent.Timeout.start_new(HANDSHAKE_DEADLINE_S)
+        peer = None
         try:
             transport = transports.accept(sock)
             hello = handshakes.create_hello(self.identity, self._codec_name)
@@ -273,13 +281,14 @@
         except (errors.LinkError, gevent.Timeout) as error:
             if isinstance(error, gevent.Timeout) and error is not timeout:
                 raise
-            sock.close()
             if sock in self._unauthenticated:
                 self._refuse(error)
             return
         finally:
             timeout.close()
             self._unauthenticated.pop(sock, None)
+            if peer is None:
+                sock.close()
         self._open(transport, peer, key, dialled=False)
 
     def _refuse(self, error: BaseException) -> None:
@@ -371,7 +380,8 @@
             last = now
             if late_s > _LATE_S:
                 self._excuse(late_s, now)
-                continue
+                # Lets the readers take what arrived meanwhile.
+                gevent.sleep(0.001)
             for link in list(self._watched):
                 link.check(now)
             if now - last_idle >= _IDLE_CHECK_S:
--- a/jayseam/links/messages.py
+++ b/jayseam/links/messages.py
@@ -25,7 +25,9 @@
 
 T = TypeVar('T')
 
-# A nested message travels as {"$message": [code, fields...]}.
+# A nested message travels as {"$message": [code, fields...]}. Codecs use other
+# keys that start with the same character, so dicts of messages have none.
+_RESERVED = '$'
 _NESTED_KEY = '$message'
 _SCALARS = frozenset({type(None), bool, int, float, str, bytes})
 
@@ -162,6 +164,10 @@
         raise errors.MessageError(f'{cls.__name__}: {error}') from error
 
 
+def _is_free_key(key: Any) -> bool:
+    return key.__class__ is str and not key.startswith(_RESERVED)
+
+
 def _to_plain(value: Any) -> Any:
     kind = type(value)
     if kind in _SCALARS:
@@ -169,10 +175,8 @@
     if kind in (list, tuple):
         return [_to_plain(item) for item in value]
     if kind is dict:
-        if _NESTED_KEY in value or any(
-            key.__class__ is not str for key in value
-        ):
-            raise TypeError('dict keys must be strings without a reserved one')
+        if not all(map(_is_free_key, value)):
+            raise TypeError('dict keys must be strings that start without $')
         return {key: _to_plain(item) for key, item in value.items()}
     if kind in _layouts:
         body = encode_body(value, 0)
@@ -193,8 +197,8 @@
             if len(value) != 1 or nested.__class__ is not list or not nested:
                 raise errors.MessageError('malformed nested message')
             return _build(nested[0], nested[1:])
-        if any(key.__class__ is not str for key in value):
-            raise errors.MessageError('dict key is no string')
+        if not all(map(_is_free_key, value)):
+            raise errors.MessageError('dict key is no string or is reserved')
         return {key: _from_plain(item) for key, item in value.items()}
     raise errors.MessageError(f'value of type {kind.__name__}')
 
--- /dev/null
+++ b/jayseam/links/tests/nodes.py
@@ -0,0 +1,175 @@
+"""Nodes, a forwarder and a raw peer for the tests of links."""
+
+import contextlib
+
+import attrs
+import gevent
+import prometheus_client
+from gevent import event
+from gevent import server
+from gevent import socket
+
+from jayseam.links import codecs
+from jayseam.links import connections
+from jayseam.links import frames
+from jayseam.links import handlers
+from jayseam.links import handshakes
+from jayseam.links import manager
+from jayseam.links import messages
+from jayseam.links import transports
+
+SECRET = 'fleet-secret-number-one'
+OTHER_SECRET = 'fleet-secret-number-two'
+
+
+@messages.register(900)
+@attrs.frozen
+class Echo:
+    """Comes back as it is, after a delay."""
+
+    body: bytes = attrs.field(validator=attrs.validators.instance_of(bytes))
+    delay_s: float = attrs.field(default=0.0, validator=messages.is_number)
+
+
+@messages.register(901)
+@attrs.frozen
+class Divide:
+    """Returns nothing, or raises for a zero divisor."""
+
+    divisor: int = attrs.field(validator=messages.is_integer)
+
+
+@messages.register(902)
+@attrs.frozen
+class Unhandled:
+    """Has no handler at any node."""
+
+
+def echo(_, message):
+    """Returns the message after its delay."""
+    gevent.sleep(message.delay_s)
+    return message
+
+
+def divide(_, message):
+    """Raises for a zero divisor, returns nothing otherwise."""
+    divmod(1, message.divisor)
+
+
+def create_manager(vm, book, secrets=(SECRET,), incarnation=1, **options):
+    """Returns a manager that finds others through ``book``."""
+    registry = handlers.HandlerRegistry()
+    registry.register(Echo, echo)
+    registry.register(Divide, divide)
+    return manager.LinkManager(
+        manager.Identity(vm, incarnation),
+        secrets,
+        book.get,
+        registry,
+        **options,
+    )
+
+
+class Fleet(contextlib.ExitStack):
+    """Managers on loopback that are stopped at the end."""
+
+    def __init__(self):
+        super().__init__()
+        self.book = {}
+
+    def add(self, vm, **options):
+        """Starts a manager and enters its address into the book."""
+        links = create_manager(vm, self.book, **options)
+        links.start()
+        self.callback(links.stop, 0.1)
+        self.book[vm] = links.address
+        return links
+
+    def forward(self, vm):
+        """Puts a forwarder in front of a node and returns it."""
+        forwarder = Forwarder(self.book[vm])
+        self.callback(forwarder.stop)
+        self.book[vm] = forwarder.address
+        return forwarder
+
+
+class Forwarder:
+    """Forwards TCP until told to stop forwarding on the open connections.
+
+    Clearing ``gate`` pauses all of them, setting it lets them go on.
+    """
+
+    def __init__(self, target):
+        self._target = target
+        self.gate = event.Event()
+        self.gate.set()
+        self._pumps = []
+        self._socks = []
+        self._server = server.StreamServer(('127.0.0.1', 0), self._accept)
+        self._server.start()
+        self.address = self._server.address
+
+    def stall(self):
+        """Keeps the open connections but moves no further byte on them."""
+        gevent.killall(self._pumps)
+        self._pumps.clear()
+
+    def stop(self):
+        """Closes everything."""
+        self.stall()
+        self._server.stop()
+        for sock in self._socks:
+            sock.close()
+
+    def _accept(self, near, _):
+        near = near.dup()
+        far = socket.create_connection(self._target)
+        self._socks += [near, far]
+        self._pumps.append(gevent.spawn(self._pump, near, far))
+        self._pumps.append(gevent.spawn(self._pump, far, near))
+
+    def _pump(self, source, target):
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                self.gate.wait()
+                target.sendall(data)
+            target.shutdown(socket.SHUT_WR)
+
+
+class RawPeer:
+    """An authenticated peer whose frames the test writes itself."""
+
+    def __init__(self, address, vm='raw'):
+        self.transport = transports.dial(*address)
+        own = handshakes.create_hello(manager.Identity(vm, 1), 'cbor')
+        _, key = connections.authenticate_dialled(
+            self.transport, own, [SECRET], None
+        )
+        self.sealer = frames.Sealer(key, frames.TO_ACCEPTOR)
+
+    def send_frame(self, frame):
+        """Sends a frame as it is."""
+        self.transport.send_all(frame)
+
+    def send_body(self, body):
+        """Sends a body in a valid frame."""
+        self.send_frame(
+            self.sealer.seal(codecs.codecs.get('cbor').encode(body))
+        )
+
+
+def read_closes(reason):
+    """Returns the number of links closed for ``reason``."""
+    value = prometheus_client.REGISTRY.get_sample_value(
+        'jayseam_link_closes_total', {'reason': reason}
+    )
+    return value or 0
+
+
+def wait_until(condition, timeout_s=3.0):
+    """Waits until ``condition()`` holds and tells whether it does."""
+    with gevent.Timeout(timeout_s, False):
+        while not condition():
+            gevent.sleep(0.005)
+        return True
+    return False
--- /dev/null
+++ b/jayseam/links/tests/test_links.py
@@ -0,0 +1,350 @@
+"""Tests of links on loopback sockets."""
+
+import time
+
+import gevent
+import pytest
+from gevent import socket
+
+from jayseam.links import codecs
+from jayseam.links import connections
+from jayseam.links import errors
+from jayseam.links import frames
+from jayseam.links import handlers
+from jayseam.links import manager
+from jayseam.links.tests import nodes
+
+
+@pytest.fixture(name='fleet')
+def create_fleet():
+    """Yields an empty fleet and stops its nodes."""
+    with nodes.Fleet() as fleet:
+        yield fleet
+
+
+def exchange(links, vm, text=b'x', timeout_s=1.0):
+    """Returns whether an echo comes back unchanged."""
+    message = nodes.Echo(text)
+    return links.request(vm, message, timeout_s) == message
+
+
+@pytest.mark.parametrize('codec', ['cbor', 'json'])
+def test_both_directions_share_one_link(fleet, codec):
+    """The acceptor must not dial back while the dialler's link is open."""
+    a, b = fleet.add('a', codec=codec), fleet.add('b', codec=codec)
+    assert exchange(a, 'b', b'\0\xff' * 500_000)
+    fleet.book.clear()
+    assert exchange(b, 'a')
+    assert a.connected() == ['b'] and b.connected() == ['a']
+
+
+def test_many_requests_get_their_own_replies(fleet):
+    """Replies that come in another order must not be crossed."""
+    a, _ = fleet.add('a'), fleet.add('b')
+    asked = [nodes.Echo(b'%d' % i, (50 - i) / 1000) for i in range(50)]
+    running = [gevent.spawn(a.request, 'b', m, 2.0) for m in asked]
+    assert [greenlet.get() for greenlet in running] == asked
+
+
+def test_remote_outcomes(fleet):
+    """A failing or missing handler must reach the caller as RemoteError."""
+    a, b = fleet.add('a'), fleet.add('b')
+    for vm in ('b', 'a'):
+        assert a.request(vm, nodes.Divide(2), 1.0) is None
+        with pytest.raises(errors.RemoteError) as raised:
+            a.request(vm, nodes.Divide(0), 1.0)
+        assert raised.value.kind == 'ZeroDivisionError'
+        with pytest.raises(errors.RemoteError) as raised:
+            a.request(vm, nodes.Unhandled(), 1.0)
+        assert raised.value.kind == 'no-handler'
+    assert (
+        b.notify('a', nodes.Unhandled()) and a.broadcast(nodes.Divide(1)) == 1
+    )
+    assert exchange(a, 'b')
+
+
+def test_frames_right_after_the_handshake(fleet):
+    """Frames in the same segment as the last handshake step must arrive."""
+    a, b = fleet.add('a'), fleet.add('b')
+    b.subscribe(lambda *_: b.notify('a', nodes.Echo(bytes(500_000))))
+    assert exchange(a, 'b')
+
+
+def test_nodelay_on_both_ends(fleet):
+    """Without TCP_NODELAY each hop of a call costs about 43 ms."""
+    a, b = fleet.add('a'), fleet.add('b')
+    assert exchange(a, 'b')
+    for links in (a, b):
+        (link,) = links._preferred.values()
+        option = (socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        assert link.transport.sock.getsockopt(*option) != 0
+
+
+def test_wrong_secret_is_refused(fleet):
+    """A node without the fleet secret must get no link."""
+    a, b = fleet.add('a'), fleet.add('b')
+    stranger = fleet.add('x', secrets=[nodes.OTHER_SECRET])
+    assert exchange(a, 'b')
+    before = nodes.read_closes('wrong_secret')
+    with pytest.raises(errors.DialError):
+        exchange(stranger, 'b')
+    assert nodes.wait_until(lambda: nodes.read_closes('wrong_secret') > before)
+    assert b.connected() == ['a'] and exchange(a, 'b')
+
+
+def test_secret_rotation(fleet):
+    """Nodes in any two adjacent steps of a rotation must connect."""
+    old, new = nodes.SECRET, nodes.OTHER_SECRET
+    steps = [[old], [old, new], [new, old], [new]]
+    for i, secrets in enumerate(steps):
+        fleet.add(f'n{i}', secrets=secrets)
+    links = [fleet.add(f'm{i}', secrets=s) for i, s in enumerate(steps)]
+    for i, own in enumerate(links):
+        for k in range(max(0, i - 1), min(4, i + 2)):
+            assert exchange(own, f'n{k}')
+
+
+def test_address_of_another_vm_is_refused(fleet):
+    """A replaced VM's address must not stand for its predecessor."""
+    a, b = fleet.add('a'), fleet.add('b')
+    fleet.book['old'] = fleet.book['b']
+    with pytest.raises(errors.DialError):
+        exchange(a, 'old')
+    assert a.dial_address(*b.address) == 'b'
+    assert a.dial_address(*b.address) == 'b' and a.connected() == ['b']
+    with pytest.raises(errors.DialError):
+        a.dial_address(*a.address)
+
+
+def replay_frame(peer):
+    """Sends the same frame twice."""
+    frame = peer.sealer.seal(codecs.codecs.get('cbor').encode([901, 0, 1]))
+    peer.send_frame(frame)
+    peer.send_frame(frame)
+
+
+def skip_frame(peer):
+    """Loses a frame."""
+    peer.sealer.seal(b'lost')
+    peer.send_body([901, 0, 1])
+
+
+MISBEHAVIOURS = {
+    'replay': (replay_frame, 'bad_mac'),
+    'gap': (skip_frame, 'bad_mac'),
+    'short': (lambda peer: peer.send_frame(b'short'), 'bad_mac'),
+    'oversize': (
+        lambda peer: peer.send_frame(bytes(frames.MAX_FRAME_BYTES + 1)),
+        'too_large',
+    ),
+    'field type': (lambda peer: peer.send_body([901, 1, 'x']), 'bad_message'),
+    'bool as int': (lambda peer: peer.send_body([901, 1, True]), 'bad_message'),
+    'field count': (lambda peer: peer.send_body([901, 1]), 'bad_message'),
+    'correlation': (lambda peer: peer.send_body([901, None, 1]), 'bad_message'),
+    'no list': (lambda peer: peer.send_body({'a': 1}), 'bad_message'),
+    'tag': (lambda peer: peer.send_body([900, 0, 2**70, 0]), 'bad_message'),
+    'unknown code': (lambda peer: peer.send_body([899, 1]), 'unknown_type'),
+    'bool code': (lambda peer: peer.send_body([True, 1]), 'unknown_type'),
+    'not cbor': (
+        lambda peer: peer.send_frame(peer.sealer.seal(b'\xff\xff')),
+        'bad_message',
+    ),
+}
+
+
+@pytest.mark.parametrize('name', MISBEHAVIOURS)
+def test_misbehaving_peer_loses_only_its_link(fleet, name):
+    """Bad input must close the one link, be counted and harm no other."""
+    act, reason = MISBEHAVIOURS[name]
+    a, b = fleet.add('a'), fleet.add('b')
+    assert exchange(a, 'b')
+    peer = nodes.RawPeer(b.address)
+    assert nodes.wait_until(lambda: set(b.connected()) == {'a', 'raw'})
+    before = nodes.read_closes(reason)
+    running = gevent.spawn(exchange, a, 'b', b'y', 0.5)
+    act(peer)
+    assert nodes.wait_until(lambda: b.connected() == ['a'])
+    assert nodes.read_closes(reason) == before + 1
+    assert running.get() and exchange(a, 'b')
+
+
+def test_silent_link_closes_within_the_limit(fleet):
+    """A connection that stops forwarding must fail within 1.5 s."""
+    a, _, _ = fleet.add('a'), fleet.add('b'), fleet.add('c')
+    forwarder = fleet.forward('b')
+    assert exchange(a, 'b') and exchange(a, 'c')
+    forwarder.stall()
+    running = gevent.spawn(exchange, a, 'c', b'z' * 1000)
+    start = time.monotonic()
+    with pytest.raises(errors.ReplyLostError):
+        exchange(a, 'b', timeout_s=5.0)
+    assert 1.3 < time.monotonic() - start < 1.6
+    assert running.get() and a.connected() == ['c']
+    assert exchange(a, 'b'), 'a new connection must work'
+
+
+def test_slow_handler_keeps_its_link(fleet):
+    """A call longer than the silence limit must not look like silence."""
+    a, _ = fleet.add('a'), fleet.add('b')
+    message = nodes.Echo(b'slow', 2.0)
+    assert a.request('b', message, 3.0) == message
+
+
+def test_late_reply_is_ignored(fleet):
+    """A reply after its timeout must not reach a later request."""
+    a, _ = fleet.add('a'), fleet.add('b')
+    with pytest.raises(errors.ReplyLostError):
+        a.request('b', nodes.Echo(b'late', 0.2), 0.1)
+    for i in range(20):
+        assert exchange(a, 'b', b'%d' % i)
+        gevent.sleep(0.01)
+
+
+def send_large(links):
+    """Sends more than the socket buffers hold; returns the greenlets."""
+    large = [
+        gevent.spawn(links.request, 'b', nodes.Echo(bytes(1_900_000)), 3.0)
+        for _ in range(4)
+    ]
+    gevent.sleep(0.1)
+    return large
+
+
+def test_withdrawn_request_is_never_sent(fleet):
+    """NotSentError must mean that the peer never sees the request."""
+    a, b = fleet.add('a'), fleet.add('b')
+    forwarder = fleet.forward('b')
+    assert exchange(a, 'b')
+    seen = []
+    b._handlers._functions[nodes.Divide] = lambda _, m: seen.append(m.divisor)
+    forwarder.gate.clear()
+    large = send_large(a)
+    with pytest.raises(errors.NotSentError):
+        a.request('b', nodes.Divide(1), 0.2)
+    (link,) = a._links['b']
+    forwarder.gate.set()
+    assert all(greenlet.get() for greenlet in large)
+    assert exchange(a, 'b') and a._links['b'] == [link] and not seen
+
+
+def test_lost_link_tells_written_from_unwritten(fleet):
+    """A request written in part may not be reported as not sent."""
+    a, _ = fleet.add('a'), fleet.add('b')
+    forwarder = fleet.forward('b')
+    assert exchange(a, 'b')
+    forwarder.stall()
+    large = send_large(a)
+    gevent.joinall(large)
+    kinds = [type(greenlet.exception) for greenlet in large]
+    assert kinds[0] is errors.ReplyLostError
+    assert kinds[-1] is errors.NotSentError
+
+
+def test_unreachable_peer_is_not_sent(fleet):
+    """Failed dials are certain not to have sent anything."""
+    a = fleet.add('a')
+    with socket.socket() as closed:
+        closed.bind(('127.0.0.1', 0))
+        fleet.book['b'] = closed.getsockname()
+        for vm in ('b', 'unknown'):
+            with pytest.raises(errors.NotSentError):
+                exchange(a, vm)
+    assert (
+        not a.notify('b', nodes.Divide(1)) and a.broadcast(nodes.Divide(1)) == 0
+    )
+
+
+def test_too_large_request_is_refused_locally(fleet):
+    """The sender, not the link, must suffer from its oversize message."""
+    a, _ = fleet.add('a'), fleet.add('b')
+    assert exchange(a, 'b')
+    with pytest.raises(errors.TooLargeError):
+        exchange(a, 'b', bytes(frames.MAX_FRAME_BYTES))
+    assert exchange(a, 'b')
+
+
+def test_strangers_are_bounded(fleet, monkeypatch):
+    """Strangers that send nothing must neither stay nor keep peers out."""
+    monkeypatch.setattr(manager, 'MAX_UNAUTHENTICATED', 4)
+    a, b = fleet.add('a'), fleet.add('b')
+    strangers = [socket.create_connection(b.address) for _ in range(8)]
+    assert nodes.wait_until(lambda: len(b._unauthenticated) == 4)
+    assert exchange(a, 'b')
+    before = nodes.read_closes('handshake_timeout')
+    start = time.monotonic()
+    for sock in strangers:
+        sock.settimeout(3.0)
+        assert sock.recv(1) == b''
+        sock.close()
+    assert time.monotonic() - start < manager.HANDSHAKE_DEADLINE_S + 0.5
+    assert nodes.read_closes('handshake_timeout') > before
+    assert not b._unauthenticated and exchange(a, 'b')
+
+
+@pytest.mark.parametrize('data', [b'GET / HTTP/1.1\r\n\r\n', b'\0' * 20000])
+def test_garbage_before_authentication(fleet, data):
+    """Bytes of another protocol must close the connection at once."""
+    a, b = fleet.add('a'), fleet.add('b')
+    with socket.create_connection(b.address) as sock:
+        sock.sendall(data)
+        sock.settimeout(1.0)
+        with pytest.raises(OSError):
+            while sock.recv(65536):
+                pass
+            raise ConnectionError
+    assert nodes.wait_until(lambda: not b._unauthenticated) and exchange(a, 'b')
+
+
+def test_newer_incarnation_replaces_older(fleet):
+    """After a restart no request may go to the former process."""
+    a, c = fleet.add('a'), fleet.add('c')
+    events = []
+    a.subscribe(lambda *change: events.append(change))
+    old = fleet.add('b', incarnation=1)
+    assert exchange(old, 'a') and exchange(c, 'a')
+    new = fleet.add('b', incarnation=2)
+    assert exchange(new, 'a')
+    assert nodes.wait_until(lambda: not old.connected())
+    assert a._preferred['b'].peer == handlers.PeerInfo('b', 2)
+    with pytest.raises(errors.DialError):
+        exchange(old, 'a')
+    assert [e for e in events if e[0] == 'b'] == [
+        ('b', 1, 'open'),
+        ('b', 1, 'closed'),
+        ('b', 2, 'open'),
+    ]
+    assert exchange(c, 'a') and exchange(new, 'a')
+
+
+def test_simultaneous_dials_agree_on_one_link(fleet):
+    """Both sides must send new requests over the same link."""
+    a, b = fleet.add('a'), fleet.add('b')
+    dials = [gevent.spawn(exchange, a, 'b'), gevent.spawn(exchange, b, 'a')]
+    assert all(greenlet.get() for greenlet in dials)
+    gevent.sleep(0.05)
+    assert len(a._links['b']) == len(b._links['a']) == 2
+    assert a._preferred['b'].dialled and not b._preferred['a'].dialled
+
+
+def test_stop_lets_replies_leave(fleet):
+    """A planned stop must not cut the reply of a running handler."""
+    a, b = fleet.add('a'), fleet.add('b')
+    message = nodes.Echo(b'x' * 100_000, 0.2)
+    running = gevent.spawn(a.request, 'b', message, 2.0)
+    gevent.sleep(0.1)
+    b.stop(1.0)
+    assert running.get() == message
+    assert nodes.wait_until(lambda: not a.connected())
+
+
+def test_idle_link_is_pinged(fleet, monkeypatch):
+    """An idle link whose peer is gone must be noticed without a request."""
+    monkeypatch.setattr(connections, 'IDLE_PING_S', 0.3)
+    a, b = fleet.add('a'), fleet.add('b')
+    forwarder = fleet.forward('b')
+    assert exchange(a, 'b')
+    gevent.sleep(2.5)
+    assert a.connected() == ['b'], 'pongs keep an idle link'
+    forwarder.stall()
+    assert nodes.wait_until(lambda: not a.connected(), 4.0)
+    assert nodes.wait_until(lambda: not b.connected(), 4.0)
--- a/jayseam/links/transports.py
+++ b/jayseam/links/transports.py
@@ -27,6 +27,7 @@
 # Bytes that a connection may send before it is authenticated.
 MAX_HANDSHAKE_BYTES = 8192
 _PATH = '/link'
+_MASK_BYTES = 4
 _Opcode = websocket_frames.Opcode
 
 
@@ -36,6 +37,11 @@
     Args:
       sock: A connected gevent socket, owned by the transport from now on.
       protocol: The websockets protocol object of this side.
+
+    Attributes:
+      sock: The socket.
+      limit_bytes: Bytes that may still be read; None once authenticated.
+      control_bytes: Bytes of the control frames received so far.
     """
 
     def __init__(
@@ -44,6 +50,7 @@
         sockets.set_nodelay(sock)
         self.sock = sock
         self.limit_bytes: int | None = MAX_HANDSHAKE_BYTES
+        self.control_bytes = 0
         self._protocol = protocol
         self._payloads: collections.deque[bytes] = collections.deque()
         self._failure: Exception | None = None
@@ -143,6 +150,13 @@
             pass
         self.sock.close()
 
+    def finish(self) -> None:
+        """Ends the outgoing direction; the peer closes when it has read all."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
     def abort(self) -> None:
         """Ends the socket without a close frame."""
         self.sock.close()
@@ -161,22 +175,28 @@
                 self._payloads.append(event.data)
             elif event.opcode is _Opcode.CLOSE:
                 self._failure = errors.TransportClosedError('peer_closed')
-            elif event.opcode not in (_Opcode.PING, _Opcode.PONG):
+            elif event.opcode in (_Opcode.PING, _Opcode.PONG):
+                is_masked = self._protocol.side is websocket_protocol.SERVER
+                self.control_bytes += measure_frame(len(event.data), is_masked)
+            else:
                 self._failure = errors.ProtocolError('unexpected frame type')
 
     def _read_events(self) -> list:
         if self._failure is not None:
             raise self._failure
+        # Frames may follow the handshake at once, so the limit bounds what is
+        # read before authentication, not what has arrived.
+        size = READ_BYTES if self.limit_bytes is None else self.limit_bytes
+        if size == 0:
+            raise errors.HandshakeError('handshake too large')
         try:
-            data = self.sock.recv(READ_BYTES)
+            data = self.sock.recv(size)
         except OSError as error:
             raise errors.TransportClosedError('reset') from error
         if not data:
             raise errors.TransportClosedError('peer_closed')
         if self.limit_bytes is not None:
             self.limit_bytes -= len(data)
-            if self.limit_bytes < 0:
-                raise errors.HandshakeError('handshake too large')
         self._protocol.receive_data(data)
         problem = self._protocol.parser_exc
         if isinstance(problem, exceptions.PayloadTooBig):
@@ -190,6 +210,8 @@
             events = self._read_events()
             if events:
                 return events[0]
+            if self._protocol.handshake_exc is not None:
+                raise errors.HandshakeError(str(self._protocol.handshake_exc))
 
     def _upgrade_as_client(self) -> None:
         self._protocol.send_request(self._protocol.connect())
@@ -207,6 +229,16 @@
             raise errors.HandshakeError('no websocket upgrade')
 
 
+def measure_frame(payload_size: int, is_masked: bool) -> int:
+    """Returns the bytes of a websocket frame with its header.
+
+    >>> measure_frame(100, is_masked=True)
+    106
+    """
+    extended = 0 if payload_size < 126 else 2 if payload_size < 65536 else 8
+    return payload_size + 2 + extended + (_MASK_BYTES if is_masked else 0)
+
+
 def dial(host: str, port: int) -> Transport:
     """Connects to ``host``:``port`` and upgrades to a websocket.
 
