Test membership and measure links and control traffic

Requests that waited for their own dial failed although the peer had opened a link meanwhile, broadcasts encoded a message once for each link, and the neighbours were computed ten times a second. Each is fixed. Waiting for a dial only and retrying above was ruled out: a peer that can dial but cannot be dialled would stay out of reach.

--- a/jayseam/links/connections.py
+++ b/jayseam/links/connections.py
@@ -38,6 +38,7 @@
 _MAX_BATCH_BYTES = 256 * 1024
 _MAX_FAILURE_TEXT = 500
 _READS_PER_SWITCH = 16
+_PLANNED_REASONS = frozenset({'stopped', 'peer_closed', 'replaced'})
 
 _log = logs.get_logger(__name__)
 _chart = statecharts.load_chart('link')
@@ -290,10 +291,23 @@
         Raises:
           TooLargeError: If the message exceeds the frame limit.
         """
-        body = self._encode(message, 0)
+        return self.notify_body(
+            self._encode(message, 0), type(message).__name__
+        )
+
+    def notify_body(self, body: bytes, label: str) -> bool:
+        """Sends an encoded message without reply.
+
+        Args:
+          body: Result of `encode_message` with correlation 0.
+          label: Name of the message class.
+
+        Returns:
+          False if the link cannot take the message.
+        """
         try:
             self._check_room(len(body), MAX_OUTBOX_BYTES)
-            self._send(body, type(message).__name__, None)
+            self._send(body, label, None)
         except errors.NotSentError:
             return False
         return self.is_open
@@ -335,7 +349,7 @@
         """Closes the link and fails its pending requests."""
         if not self.is_open:
             return
-        self._advance('failed')
+        self._advance('closed' if reason in _PLANNED_REASONS else 'failed')
         self._watched.discard(self)
         counters.CLOSES.labels(reason).inc()
         if self._rest is None and not self._writing:
@@ -372,10 +386,7 @@
             self.close(error.reason)
 
     def _encode(self, message: Any, correlation: int) -> bytes:
-        body = self._codec.encode(messages.encode_body(message, correlation))
-        if len(body) > frames.MAX_BODY_BYTES:
-            raise errors.TooLargeError(f'message of {len(body)} bytes')
-        return body
+        return encode_message(self._codec, message, correlation)
 
     def _check_room(self, size: int, limit: int) -> None:
         if not self.is_open:
@@ -558,6 +569,21 @@
             self.close(error.reason)
 
 
+def encode_message(
+    codec: codecs.Codec, message: Any, correlation: int
+) -> bytes:
+    """Returns the encoded body of a message.
+
+    Raises:
+      TooLargeError: If the message exceeds the frame limit.
+      TypeError: If the message or a field has no plain form.
+    """
+    body = codec.encode(messages.encode_body(message, correlation))
+    if len(body) > frames.MAX_BODY_BYTES:
+        raise errors.TooLargeError(f'message of {len(body)} bytes')
+    return body
+
+
 def run_handler(
     function: handlers.Handler, peer: handlers.PeerInfo, message: Any
 ) -> Any:
--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -183,7 +183,10 @@
         Raises:
           TooLargeError: If the message exceeds the frame limit.
         """
-        return sum(self.notify(vm, message) for vm in self.connected())
+        body = connections.encode_message(self._codec, message, 0)
+        label = type(message).__name__
+        links = list(self._preferred.values())
+        return sum(link.notify_body(body, label) for link in links)
 
     def dial_address(self, host: str, port: int) -> str:
         """Opens a link to an address and returns the name of its VM.
@@ -226,9 +229,10 @@
             address = self._resolve(vm)
             if address is None:
                 raise errors.DialError(f'no address of {vm} is known')
-            result.set(self._dial(address, vm))
+            self._dial(address, vm)
         except errors.DialError as error:
-            result.set_exception(error)
+            if not result.ready():
+                result.set_exception(error)
         finally:
             del self._dials[vm]
             if not result.ready():
@@ -333,6 +337,10 @@
         self._choose(peer.vm)
         counters.OPEN_LINKS.inc()
         link.start()
+        dial = self._dials.get(peer.vm)
+        if dial is not None and not dial.ready():
+            # Requests that wait for a dial also use a link from the peer.
+            dial.set(link)
         if len(group) == 1:
             self._publish(link, 'open')
         return link
--- a/jayseam/links/tests/test_links.py
+++ b/jayseam/links/tests/test_links.py
@@ -348,3 +348,28 @@
     forwarder.stall()
     assert nodes.wait_until(lambda: not a.connected(), 4.0)
     assert nodes.wait_until(lambda: not b.connected(), 4.0)
+
+
+def test_paused_process_keeps_its_links(fleet):
+    """A pause of the own process must not count as silence of the peer."""
+    a, b = fleet.add('a'), fleet.add('b')
+    assert exchange(a, 'b')
+    message = nodes.Echo(b'x', 0.3)
+    running = gevent.spawn(a.request, 'b', message, 5.0)
+    gevent.sleep(0.1)
+    time.sleep(2.0)  # Blocks the whole process, unlike gevent.sleep.
+    assert running.get() == message
+    gevent.sleep(0.2)
+    assert a.connected() == ['b'] and b.connected() == ['a']
+
+
+def test_peer_that_cannot_be_dialled_but_dials(fleet):
+    """A request that waits for its dial must use a link from the peer."""
+    a, b = fleet.add('a'), fleet.add('b')
+    with socket.socket() as closed:
+        closed.bind(('127.0.0.1', 0))
+        closed.listen()
+        fleet.book['b'] = closed.getsockname()
+        running = gevent.spawn(exchange, a, 'b')
+        gevent.sleep(0.05)
+        assert exchange(b, 'a') and running.get()
--- a/jayseam/membership/records.py
+++ b/jayseam/membership/records.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from jayseam.links import messages
+from jayseam.membership import errors
 
 STATES = ('alive', 'suspect', 'leaving', 'dead')
 BACKENDS = ('cold', 'ready', 'draining', 'down')
@@ -103,19 +104,21 @@
     """Returns the record that an entry of the VM list stands for.
 
     Raises:
-      KeyError: If a field is missing.
-      TypeError: If a field has the wrong type.
+      VmListError: If a field is missing or has the wrong type.
     """
-    return MemberRecord(
-        vm=entry['vm'],
-        upstream=entry['upstream'],
-        service='',
-        zone=entry['zone'],
-        region=entry['region'],
-        host=entry['host'],
-        port=entry['port'],
-        incarnation=0,
-        sequence=0,
-        state='leaving' if entry['state'] == 'leaving' else 'alive',
-        backend='down',
-    )
+    try:
+        return MemberRecord(
+            vm=entry['vm'],
+            upstream=entry['upstream'],
+            service='',
+            zone=entry['zone'],
+            region=entry['region'],
+            host=entry['host'],
+            port=entry['port'],
+            incarnation=0,
+            sequence=0,
+            state='leaving' if entry['state'] == 'leaving' else 'alive',
+            backend='down',
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise errors.VmListError(f'invalid VM list entry: {error!r}') from error
--- a/jayseam/membership/task.py
+++ b/jayseam/membership/task.py
@@ -20,6 +20,7 @@
 from jayseam.links import handlers as handlers_module
 from jayseam.links import manager
 from jayseam.membership import detection
+from jayseam.membership import errors
 from jayseam.membership import messages
 from jayseam.membership import records
 from jayseam.membership import topology
@@ -121,6 +122,7 @@
         self._outgoing: dict[str, tuple[records.MemberRecord, str | None]] = {}
         self._flush = _FlushTimer()
         self._pulling = False
+        self._near: tuple[views.View, tuple] | None = None
         self._loops: list[gevent.Greenlet] = []
         for kind, function in (
             (_Merge, self._take_records),
@@ -192,15 +194,15 @@
         for entry in entries:
             try:
                 listed.append(records.read_vm_entry(entry))
-            except (KeyError, TypeError, ValueError) as error:
+            except errors.VmListError as error:
                 _log.warning(
-                    'membership.vm_entry_invalid', extra={'detail': repr(error)}
+                    'membership.vm_entry_invalid', extra={'detail': str(error)}
                 )
         self.send(_VmList(tuple(listed)))
 
     def neighbours(self) -> tuple[str, ...]:
         """Returns the alive or suspect VMs that this node heartbeats."""
-        return self._find_neighbours(views.is_live)
+        return self._choose_near()[0]
 
     def resolve(self, vm: str) -> manager.Address | None:
         """Returns the link address of a VM, for `LinkManager`."""
@@ -231,6 +233,17 @@
         """
         self._field_readers.setdefault(name, []).append(function)
 
+    def _choose_near(self) -> tuple[tuple[str, ...], tuple[str, ...]]:
+        """Returns the neighbours and the watched members, once for each view.
+
+        Leaving members are watched too, so that their end is noticed.
+        """
+        if self._near is None or self._near[0] is not self.view:
+            neighbours = self._find_neighbours(views.is_live)
+            watched = self._find_neighbours(lambda r: r.state != 'dead')
+            self._near = self.view, (neighbours, watched)
+        return self._near[1]
+
     def _find_neighbours(
         self, accepts: Callable[[records.MemberRecord], bool]
     ) -> tuple[str, ...]:
@@ -277,9 +290,8 @@
 
     def _take_tick(self, _: _Tick) -> None:
         now = clocks.read_now()
-        watched = self._find_neighbours(lambda record: record.state != 'dead')
         detector = detection.tick(self._detector, now)
-        detector = detection.follow(detector, watched, now)
+        detector = detection.follow(detector, self._choose_near()[1], now)
         self._detector, verdicts = detection.judge(detector, now)
         for verdict in verdicts:
             if verdict.kind == 'probe':
@@ -315,6 +327,8 @@
         }
         if old:
             self.view = self.view.without(old)
+            for vm in old:
+                self._mismatches.pop(vm, None)
 
     # Changes of the view.
 
@@ -510,16 +524,8 @@
     def _pull_buckets(self, vm: str, buckets: list[int]) -> None:
         asked = messages.PullRecords(buckets, known_hashes(self.view, buckets))
         reply = self._links.request(vm, asked, REQUEST_TIMEOUT_S)
-        theirs = {record.vm: record for record in reply.records}
+        newer = choose_newer(self.view, reply)
         self._send_quietly(_Merge(tuple(reply.records), vm))
-        newer = []
-        for name in reply.wanted:
-            own = self.view.members.get(name)
-            other = theirs.get(name)
-            if own is not None and (
-                other is None or records.merge(own, other) is not other
-            ):
-                newer.append(own)
         if newer:
             self._links.notify(vm, messages.MemberUpdate(newer))
 
@@ -605,6 +611,21 @@
     return messages.Records(changed, wanted)
 
 
+def choose_newer(
+    view: views.View, reply: messages.Records
+) -> list[records.MemberRecord]:
+    """Returns the wanted records that replace those in the reply."""
+    theirs = {record.vm: record for record in reply.records}
+    newer = []
+    for vm in reply.wanted:
+        own, other = view.members.get(vm), theirs.get(vm)
+        if own is None:
+            continue
+        if other is None or records.merge(own, other) != other:
+            newer.append(own)
+    return newer
+
+
 def _shorten(hashes: Iterable[int]) -> list[int]:
     return [_shorten_one(value) for value in hashes]
 
