Test pauses of the whole process on links and members

The reply in the test of a paused link arrived together with the resume, so the test passed even when the pause was counted as silence. It now comes half a second later. A test of paused members is new. Pausing a separate process by a signal was ruled out here, because the in-process pause is exact.

--- a/jayseam/links/tests/test_links.py
+++ b/jayseam/links/tests/test_links.py
@@ -354,7 +354,7 @@
     """A pause of the own process must not count as silence of the peer."""
     a, b = fleet.add('a'), fleet.add('b')
     assert exchange(a, 'b')
-    message = nodes.Echo(b'x', 0.3)
+    message = nodes.Echo(b'x', 2.6)
     running = gevent.spawn(a.request, 'b', message, 5.0)
     gevent.sleep(0.1)
     time.sleep(2.0)  # Blocks the whole process, unlike gevent.sleep.
--- a/jayseam/membership/tests/test_task.py
+++ b/jayseam/membership/tests/test_task.py
@@ -1,5 +1,7 @@
 """Tests of membership tasks with real links on loopback."""
 
+import time
+
 import attrs
 import gevent
 import pytest
@@ -107,6 +109,19 @@
     assert all_see([a], 'b', 'alive') and all_see([b], 'a', 'alive')
 
 
+def test_paused_process_condemns_nobody(fleet):
+    """After a pause of the observer its neighbours must not be suspects."""
+    everyone = fleet.fill(6, zones=2)
+    seen = []
+    for member in everyone:
+        member.task.subscribe(
+            lambda _, changes: seen.extend(r.state for r in changes)
+        )
+    time.sleep(5.0)  # Blocks the whole process, unlike gevent.sleep.
+    gevent.sleep(2.0)
+    assert not seen and fleet.agree(6)
+
+
 def test_asymmetric_partition_is_bridged_by_probes(fleet):
     """A member that others reach must not die because one cannot."""
     everyone = fleet.fill(5, zones=1)
