Remove unmeasured figures from comments on links

Two comments gave figures that no run had produced. They now state the reason without a figure. Measuring the memory of a compression context was ruled out, because nothing depends on it while compression is off.

Tests seen: the whole suite passes.

--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -267,7 +267,7 @@
 
     def _accept(self, sock: socket.socket, _: Any) -> None:
         if len(self._unauthenticated) >= MAX_UNAUTHENTICATED:
-            # The oldest goes first: a genuine peer needs a few milliseconds,
+            # The oldest goes first: a genuine peer needs a few round trips,
             # a stranger that sends nothing stays until the deadline.
             oldest = next(iter(self._unauthenticated))
             self._unauthenticated.pop(oldest)
--- a/jayseam/links/transports.py
+++ b/jayseam/links/transports.py
@@ -1,8 +1,8 @@
 """Websocket connections on gevent sockets.
 
 The websockets library parses and builds frames; this module moves the bytes.
-Compression is off: bodies are small or already compressed, and a shared
-compression context costs about 300 KB for each link.
+Compression is off: bodies are small or already compressed, and a compression
+context would take memory for each link.
 
 References:
   RFC 6455 (The WebSocket Protocol).
