Judge lost connections by survivors at once

A loss without any surviving connection, idle or in use, is now reported at once; only a loss with survivors is checked again after 20 ms. After a time-out, connections that were idle since the call was sent are closed, because open connections can stop responding together.

Ruled out: taking every reset for a start, because one failing handler would hold the server in its ramp.

--- a/jayseam/admission/tests/test_queues.py
+++ b/jayseam/admission/tests/test_queues.py
@@ -83,6 +83,32 @@
         assert all(served[w] >= share - MAX_COST - 1e-6 for w in 'abcd')
 
 
+def test_idle_workspace_saves_up_nothing():
+    """A workspace back from a pause must not starve the others."""
+    queue = queues.FairQueue()
+    for _ in range(50):
+        queue.push(make_entry('a'))
+    for _ in range(20):
+        take(queue)
+    for _ in range(50):
+        queue.push(make_entry('b'))
+    served = [take(queue)[0].workspace for _ in range(20)]
+    assert 9 <= served.count('a') <= 11
+
+
+def test_sending_one_at_a_time_gains_nothing():
+    """A workspace whose queue empties each time must not jump the line."""
+    queue = queues.FairQueue()
+    served = []
+    for _ in range(40):
+        for workspace in 'bcd':
+            queue.push(make_entry(workspace))
+        if not queue.count('a'):
+            queue.push(make_entry('a', cost=2.0))
+        served.append(take(queue)[0].workspace)
+    assert served.count('a') <= 40 / 4 / 2 + 2
+
+
 @pytest.mark.parametrize('kind', ['fair', 'fifo'])
 @hypothesis.given(
     steps=st.lists(
--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -31,7 +31,7 @@
 # An idle connection lost so soon after its last use did not reach a time-out.
 RECENT_USE_S = 1.0
 # The sockets of an ended process are closed one after the other, so the
-# survivors are counted a moment after the first loss.
+# survivors are counted again a moment after the first loss.
 SURVIVOR_CHECK_DELAY_S = 0.02
 CANCEL_PATH = '/.backend/cancel/'
 
@@ -333,13 +333,16 @@
         """Handles a call that ends without a whole answer."""
         reason = getattr(error, 'reason', 'cancelled')
         if reason == 'connection-lost':
-            self._schedule_survivor_check()
-        elif (
-            call.sent
-            and not call.is_control
-            and reason in ('timeout', 'cancelled')
-        ):
-            # Errors from outside, such as GreenletExit, also cancel the call.
+            self._judge_loss()
+            return
+        if reason == 'timeout':
+            # Open connections can stop responding while new ones work; one
+            # that answered since the call was sent has not.
+            self._pool.close_idle(unused_since=call.sent_at)
+        if call.is_control or not call.sent:
+            return
+        # Errors from outside, such as GreenletExit, also cancel the call.
+        if reason in ('timeout', 'cancelled'):
             self._schedule_cancel(call.request.request_id)
 
     def _report_idle_loss(self, connection: connections.Connection) -> None:
@@ -351,21 +354,32 @@
         now = self._read_now()
         if connection.used_at is not None:
             if now - connection.used_at < RECENT_USE_S:
-                self._schedule_survivor_check()
+                self._judge_loss()
 
-    def _schedule_survivor_check(self) -> None:
-        if not self._checking:
+    def _judge_loss(self) -> None:
+        """Reports a lost connection, with whether others survived it.
+
+        Without a survivor this is reported at once, because a server that has
+        started again may be taking calls already.
+        """
+        lost_at = self._read_now()
+        if not self._has_survivor(lost_at):
+            self._observe(states.Reset(survivors=False), lost_at)
+        elif not self._checking:
             self._checking = True
             gevent.spawn_later(
-                SURVIVOR_CHECK_DELAY_S, self._check_survivors, self._read_now()
+                SURVIVOR_CHECK_DELAY_S, self._check_survivors, lost_at
             )
 
     def _check_survivors(self, lost_at: float) -> None:
         self._checking = False
-        survivors = any(
+        survivors = self._has_survivor(lost_at)
+        self._observe(states.Reset(survivors), self._read_now())
+
+    def _has_survivor(self, lost_at: float) -> bool:
+        return any(
             pool.has_survivor(lost_at) for pool in (self._pool, self._control)
         )
-        self._observe(states.Reset(survivors), self._read_now())
 
     def _schedule_cancel(self, request_id: str) -> None:
         if self._pending_cancels >= MAX_PENDING_CANCELS:
--- a/jayseam/backends/connections.py
+++ b/jayseam/backends/connections.py
@@ -1,6 +1,7 @@
 """A bounded pool of connections to one backend server."""
 
 import collections
+import math
 import socket as std_socket
 from collections.abc import Callable
 
@@ -60,14 +61,28 @@
         Bytes that arrive without a request would be taken for the answer to
         the next one.
         """
+        return self._peek() is None
+
+    def is_open(self) -> bool:
+        """Tells whether the other side has not closed the connection.
+
+        The connection may be in use by another greenlet.
+        """
+        return self._peek() != b''
+
+    def _peek(self) -> bytes | None:
+        """Returns the next byte if there is one, empty bytes at the end."""
+        timeout_s = self._socket.gettimeout()
         try:
             self._socket.settimeout(0.0)
-            self._socket.recv(1, socket.MSG_PEEK)
+            return self._socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return True
+            return None
         except OSError:
-            return False
-        return False
+            return b''
+        finally:
+            # A greenlet that waits on the socket keeps its time-out.
+            self._socket.settimeout(timeout_s)
 
     def close(self) -> None:
         """Closes the socket; a greenlet blocked on it gets an OSError."""
@@ -98,6 +113,7 @@
         self._taken = 0
         self._handed = 0
         self._idle: list[Connection] = []
+        self._busy: set[Connection] = set()
         self._waiters: collections.deque[event.Event] = collections.deque()
 
     @property
@@ -134,10 +150,13 @@
             while self._idle:
                 connection = self._idle.pop()
                 if connection.is_idle():
-                    return connection
+                    break
                 connection.close()
                 self._report_loss(connection)
-            return connect()
+            else:
+                connection = connect()
+            self._busy.add(connection)
+            return connection
         except BaseException:
             self._leave()
             raise
@@ -146,6 +165,7 @@
         self, connection: Connection, reusable: bool, now: float
     ) -> None:
         """Returns a connection after its request."""
+        self._busy.discard(connection)
         if reusable:
             connection.used_at = now
             self._idle.append(connection)
@@ -155,17 +175,20 @@
         self._trim()
 
     def has_survivor(self, lost_at: float) -> bool:
-        """Tells whether an idle connection from before ``lost_at`` is open."""
+        """Tells whether a connection from before ``lost_at`` is still open."""
         return any(
-            connection.opened_at < lost_at and connection.is_idle()
-            for connection in self._idle
+            connection.opened_at < lost_at and connection.is_open()
+            for connection in [*self._idle, *self._busy]
         )
 
-    def close_idle(self) -> None:
-        """Closes the idle connections."""
+    def close_idle(self, unused_since: float = math.inf) -> None:
+        """Closes the idle connections that were not used since a time."""
         idle, self._idle = self._idle, []
         for connection in idle:
-            connection.close()
+            if connection.used_at >= unused_since:
+                self._idle.append(connection)
+            else:
+                connection.close()
 
     def _wait(self, wait_s: float) -> None:
         """Waits until a leaving request hands its place over."""
--- a/jayseam/backends/states.py
+++ b/jayseam/backends/states.py
@@ -3,15 +3,14 @@
 The functions are pure: `observe` takes the state, one piece of evidence and
 the time, and returns the next state. A start of the backend server is
 noticed by refused or reset connections, by words of its health endpoint and
-by a latency far above its baseline. `BackendState.starts` counts the starts;
-the owner restarts the ramp of the gate whenever the count changes.
+by a latency far above its baseline. `BackendState.starts` counts the restarts
+of the ramp; the owner restarts the ramp of the gate when the count changes.
 
 See Also:
   ``docs/design.md``, sections 5.4 and 8; ``jayseam/core/charts/backend.json``.
 """
 
 import functools
-import statistics
 from collections.abc import Mapping
 
 import attrs
@@ -24,7 +23,8 @@
 # The factor means nothing below this: a scheduling delay of the node itself
 # already exceeds five times a baseline of 0.1 ms.
 MIN_BASELINE_S = 0.001
-# One slow call is no evidence; the median of this many calls is.
+# One slow call is no evidence; a start is noticed when more than half of this
+# many calls are slow.
 LATENCY_WINDOW = 8
 BASELINE_SAMPLES = 20
 BASELINE_WEIGHT = 0.05
@@ -116,8 +116,9 @@
       name: State of the chart: ``down``, ``cold``, ``ready``, ``draining``.
       ramp_s: Length of the ramp in seconds.
       since: Time of the last change of `name`, in seconds.
-      starts: Number of starts noticed.
-      started_at: Time of the last start noticed, in seconds.
+      starts: Number of restarts of the ramp. Each refused connection counts,
+        so that the ramp stays at its start while the server is down.
+      started_at: Time of the last of them, in seconds.
       starting_since: Time of the first of the current run of ``starting``
         words, in seconds, or None.
       word: Last word of the health endpoint.
@@ -305,18 +306,19 @@
 ) -> BackendState:
     baseline = state.baselines.get(evidence.kind)
     if baseline is None or baseline.samples < BASELINE_SAMPLES:
-        return _learn(state, evidence, baseline)
+        return attrs.evolve(state, baselines=_learn(state, evidence, baseline))
     ratio = evidence.latency_s / _expect_latency(baseline, evidence.in_flight)
     ratios = (state.ratios + (ratio,))[-LATENCY_WINDOW:]
     if len(ratios) == LATENCY_WINDOW:
-        if statistics.median(ratios) > LATENCY_FACTOR:
+        if sorted(ratios)[LATENCY_WINDOW // 2 - 1] > LATENCY_FACTOR:
             # A latency that has risen for good must not be taken for a start
             # again after each ramp, so the baselines are learnt anew.
             return attrs.evolve(_notice_start(state, now), baselines={})
-    state = attrs.evolve(state, ratios=ratios)
     if ratio > LATENCY_FACTOR:
-        return state
-    return _learn(state, evidence, baseline)
+        return attrs.evolve(state, ratios=ratios)
+    # One copy of the state per call: each costs several microseconds.
+    baselines = _learn(state, evidence, baseline)
+    return attrs.evolve(state, ratios=ratios, baselines=baselines)
 
 
 def _expect_latency(baseline: Baseline, in_flight: int) -> float:
@@ -331,10 +333,11 @@
 
 def _learn(
     state: BackendState, evidence: Answered, baseline: Baseline | None
-) -> BackendState:
+) -> Mapping[str, Baseline]:
+    """Returns the baselines with one more sample."""
     if baseline is None:
         if len(state.baselines) >= MAX_KINDS:
-            return state
+            return state.baselines
         learnt = Baseline(evidence.latency_s, float(evidence.in_flight))
     else:
         samples = min(BASELINE_SAMPLES, baseline.samples + 1)
@@ -346,6 +349,4 @@
             + weight * (evidence.in_flight - baseline.in_flight),
             samples,
         )
-    return attrs.evolve(
-        state, baselines={**state.baselines, evidence.kind: learnt}
-    )
+    return {**state.baselines, evidence.kind: learnt}
--- a/jayseam/backends/tests/test_client.py
+++ b/jayseam/backends/tests/test_client.py
@@ -9,6 +9,7 @@
 from gevent import socket
 
 from jayseam.backends import client as backend_client
+from jayseam.backends import connections
 from jayseam.backends import errors
 from jayseam.backends import messages
 from jayseam.backends import states
@@ -240,6 +241,21 @@
     assert backend.cancels == [b'/.backend/cancel/r-1']
 
 
+def test_connections_idle_since_a_timeout_are_not_trusted(start):
+    """Open connections may all have stopped responding at one moment."""
+    wait = [lambda sock: gevent.sleep(0.02) or sock.sendall(OK)] * 2
+    backend = start(*wait, lambda sock: gevent.sleep(0.3))
+    client = backend.connect()
+    gevent.joinall([gevent.spawn(call, client, f'r-{i}') for i in range(2)])
+    assert backend.accepted == 2
+    with pytest.raises(errors.OutcomeUnknownError):
+        call(client, 'r-2', timeout_s=0.05)
+    gevent.sleep(0.05)
+    call(client, 'r-3')
+    # The cancellation and the next call share one fresh connection.
+    assert backend.accepted == 3
+
+
 def test_slow_headers_end_at_the_deadline(start):
     """Bytes that trickle in must not extend the deadline of the call."""
 
@@ -306,6 +322,32 @@
     assert backend.accepted == 2
 
 
+@pytest.mark.parametrize('failures', [1, 2])
+def test_request_without_a_sent_byte_is_not_run(start, monkeypatch, failures):
+    """A kept connection that fails at once costs a fresh one, not the call."""
+    backend = start()
+    client = backend.connect()
+    call(client)
+    send = connections.Connection.send
+    left = [failures]
+
+    def fail(connection, data, timeout_s):
+        if left[0]:
+            left[0] -= 1
+            raise BrokenPipeError
+        return send(connection, data, timeout_s)
+
+    monkeypatch.setattr(connections.Connection, 'send', fail)
+    if failures == 1:
+        assert call(client, 'r-2').body == b'ok'
+    else:
+        with pytest.raises(errors.NotRunError) as caught:
+            call(client, 'r-2')
+        assert caught.value.reason == 'unsent'
+    gevent.sleep(0.01)
+    assert backend.accepted == 2
+
+
 def test_only_trusted_shed_is_not_run(start):
     """A 503 of a service that may have run the call must be passed on."""
     shed = b'HTTP/1.1 503 X\r\nShed: not-run\r\nContent-Length: 0\r\n\r\n'
--- a/jayseam/routing/selection.py
+++ b/jayseam/routing/selection.py
@@ -363,8 +363,6 @@
     first = group.members[inner]
     left = list(weights)
     left[at] *= 1.0 - first.share / group.sums[-1]
-    if len(group.members) == 1:
-        left[at] = 0.0
     sums = list(itertools.accumulate(left))
     if sums[-1] <= 0.0:
         return first, first
