Accept partial trailers and guard the loss of idle connections

A random-split test showed that a chunked answer whose head arrived together with part of its trailer was taken for a broken header. Servers that close each connection after its answer would have seemed to start with every call.

Header fields are counted when the head ends. The loss of an idle connection counts only if connections stayed open for longer before. The health word is read whatever the status, a request that was not written whole ends its connection, and answers are limited so that they fit into a link frame. is_shed is public for the ingress.

Ruled out: ignoring idle losses, because a server that restarts at once and refuses nothing would go unnoticed until the next slow calls.

--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -24,7 +24,8 @@
 from jayseam.core import logs
 
 CONNECT_TIMEOUT_S = 0.5
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# An answer with its head must fit into one link frame of 2 MB.
+MAX_ANSWER_BYTES = 1_900_000
 CANCEL_TIMEOUT_S = 1.0
 MAX_CANCELS = 8
 MAX_PENDING_CANCELS = 128
@@ -108,6 +109,8 @@
         self._cancels = lock.Semaphore(MAX_CANCELS)
         self._checking = False
         self._closed = False
+        # Longest time after which an idle connection was still open.
+        self._longest_idle_s = 0.0
         self._pending_cancels = 0
         self._pool = connections.ConnectionPool(
             max(1, max_connections - 1), self._report_idle_loss
@@ -146,7 +149,7 @@
             self._report_answer(call, answer)
         finally:
             del self._calls[request.request_id]
-        if _is_shed(answer) and request.shed_retryable:
+        if messages.is_shed(answer) and request.shed_retryable:
             raise errors.ShedError(request.request_id)
         return answer
 
@@ -222,9 +225,9 @@
             )
             reusable = False
             try:
-                self._write(call, connection)
+                whole = self._write(call, connection)
                 answer = self._read(call, connection, reader)
-                reusable = reader.is_reusable() and not call.cancelled
+                reusable = whole and reader.is_reusable() and not call.cancelled
                 return answer
             except errors.NotRunError as error:
                 if error.reason != 'unsent' or connection.used_at is None:
@@ -251,12 +254,19 @@
         if left_s <= 0:
             raise errors.NotRunError('deadline')
         connect = functools.partial(self._connect, call)
-        call.connection = pool.take(left_s, connect)
-        return call.connection
+        connection = pool.take(left_s, connect)
+        if connection.used_at is not None:
+            idle_s = self._read_now() - connection.used_at
+            self._longest_idle_s = max(self._longest_idle_s, idle_s)
+        call.connection = connection
+        return connection
 
-    def _write(self, call: _Call, connection: connections.Connection) -> None:
+    def _write(self, call: _Call, connection: connections.Connection) -> bool:
         """Writes the request.
 
+        Returns:
+          Whether all of it was written.
+
         Raises:
           InvalidRequestError: If the request cannot be written as HTTP/1.1.
           NotRunError: If no byte was written.
@@ -284,7 +294,8 @@
                     raise errors.NotRunError(reason, str(error)) from error
                 # The backend server may have answered early, for example to
                 # shed a large request, and closed its side.
-                return
+                return False
+        return True
 
     def _read(
         self,
@@ -325,7 +336,7 @@
             call.sent_at,
             now - call.sent_at,
             call.in_flight,
-            not _is_shed(answer),
+            not messages.is_shed(answer),
         )
         self._observe(evidence, now)
 
@@ -346,15 +357,15 @@
             self._schedule_cancel(call.request.request_id)
 
     def _report_idle_loss(self, connection: connections.Connection) -> None:
-        """Takes the loss of a recently used connection for a reset.
+        """Judges the loss of a connection that was used recently.
 
-        Keep-alive time-outs of servers are longer than this; the control
-        connection is used more often, so it notices a fast restart.
+        It counts only if connections have stayed open for longer: a server
+        may close each of them at once or after a short time-out. The control
+        connection is used every poll, so it notices a fast restart.
         """
-        now = self._read_now()
-        if connection.used_at is not None:
-            if now - connection.used_at < RECENT_USE_S:
-                self._judge_loss()
+        idle_s = self._read_now() - connection.used_at
+        if idle_s < min(RECENT_USE_S, self._longest_idle_s):
+            self._judge_loss()
 
     def _judge_loss(self) -> None:
         """Reports a lost connection, with whether others survived it.
@@ -409,12 +420,6 @@
             self._pending_cancels -= 1
 
 
-def _is_shed(answer: messages.BackendAnswer) -> bool:
-    if answer.status != 503:
-        return False
-    return messages.find_header(answer.headers, 'shed') == 'not-run'
-
-
 def _build_timeout(sent: int) -> errors.BackendError:
     if sent:
         return errors.OutcomeUnknownError('timeout')
--- a/jayseam/backends/health.py
+++ b/jayseam/backends/health.py
@@ -124,9 +124,8 @@
             _log.debug('backend.health_failed', extra={'error': str(error)})
             self.tick(self._read_now())
             return
-        word, load = None, None
-        if answer.status == 200:
-            word, load = parse_health(answer.body)
+        # A draining server may well answer 503, so the status is ignored.
+        word, load = parse_health(answer.body)
         evidence = states.HealthWord(word, load, sent_at)
         self.observe(evidence, self._read_now())
 
--- a/jayseam/backends/messages.py
+++ b/jayseam/backends/messages.py
@@ -97,6 +97,17 @@
     return None
 
 
+def is_shed(answer: BackendAnswer) -> bool:
+    """Tells whether the backend server says that it shed the call.
+
+    >>> is_shed(BackendAnswer(503, [('Shed', 'not-run')]))
+    True
+    """
+    if answer.status != 503:
+        return False
+    return find_header(answer.headers, 'shed') == 'not-run'
+
+
 def strip_hop_by_hop(headers: Iterable[tuple[str, str]]) -> Headers:
     """Returns the header fields that may be forwarded.
 
@@ -199,6 +210,7 @@
         '_headers',
         '_status',
         '_complete',
+        '_broken',
         '_trailing',
         '_names',
         '_values',
@@ -224,6 +236,7 @@
         self._headers: Headers = ()
         self._status = 0
         self._complete = False
+        self._broken = False
         self._trailing = False
         self._names: list[str] = []
         self._values: list[str] = []
@@ -299,7 +312,7 @@
         self._values.clear()
 
     def _finish_head(self) -> None:
-        if len(self._names) != len(self._values):
+        if self._broken:
             raise errors.OutcomeUnknownError('framing', 'broken header field')
         if not self._complete and not _has_explicit_end(self._headers):
             # Without a length, a cut connection looks like the end.
@@ -327,6 +340,7 @@
     def _on_headers_complete(self) -> bool:
         # Trailer fields come later through the same callbacks; they are
         # dropped, as RFC 9110, section 6.5.1, allows.
+        self._broken = len(self._names) != len(self._values)
         self._headers = list(zip(self._names, self._values))
         self._status = self.get_code()
         return self._no_body
--- a/jayseam/backends/tests/test_client.py
+++ b/jayseam/backends/tests/test_client.py
@@ -427,6 +427,26 @@
     assert client._pool.in_use == 0
 
 
+@pytest.mark.parametrize('kept_s', [None, 0.3])
+def test_idle_loss_counts_only_if_connections_were_kept(start, kept_s):
+    """A server that keeps no connection must not seem to start each time."""
+
+    def answer_and_close(sock):
+        sock.sendall(OK)
+        sock.close()
+
+    first = OK if kept_s else answer_and_close
+    backend = start(first, *[answer_and_close] * 2)
+    client = backend.connect()
+    call(client)
+    gevent.sleep(kept_s or 0.02)
+    for _ in range(3):
+        call(client)
+        gevent.sleep(0.02)
+    resets = [e for e in backend.evidence if isinstance(e, states.Reset)]
+    assert resets == [states.Reset(survivors=False)] * (2 if kept_s else 0)
+
+
 @pytest.mark.parametrize('witness', [True, False])
 def test_reset_is_judged_by_surviving_connections(start, witness):
     """One failed call must not restart the ramp of a running server."""
--- a/jayseam/backends/tests/test_states.py
+++ b/jayseam/backends/tests/test_states.py
@@ -160,7 +160,8 @@
     def serve(environ, start_response):
         del environ
         body = json.dumps({'state': word[0], 'load': 0.25}).encode()
-        start_response('200 OK', [('Content-Length', str(len(body)))])
+        status = '503 X' if word[0] == 'draining' else '200 OK'
+        start_response(status, [('Content-Length', str(len(body)))])
         return [body]
 
     server = pywsgi.WSGIServer(('127.0.0.1', 0), serve, log=None)
