--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -24,14 +24,15 @@
 from jayseam.core import logs
 
 CONNECT_TIMEOUT_S = 0.5
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# An answer with its head must fit into one link frame of 2 MB.
+MAX_ANSWER_BYTES = 1_900_000
 CANCEL_TIMEOUT_S = 1.0
 MAX_CANCELS = 8
 MAX_PENDING_CANCELS = 128
 # An idle connection lost so soon after its last use did not reach a time-out.
 RECENT_USE_S = 1.0
 # The sockets of an ended process are closed one after the other, so the
-# survivors are counted a moment after the first loss.
+# survivors are counted again a moment after the first loss.
 SURVIVOR_CHECK_DELAY_S = 0.02
 CANCEL_PATH = '/.backend/cancel/'
 
@@ -108,6 +109,8 @@
         self._cancels = lock.Semaphore(MAX_CANCELS)
         self._checking = False
         self._closed = False
+        # Longest time after which an idle connection was still open.
+        self._longest_idle_s = 0.0
         self._pending_cancels = 0
         self._pool = connections.ConnectionPool(
             max(1, max_connections - 1), self._report_idle_loss
@@ -146,7 +149,7 @@
             self._report_answer(call, answer)
         finally:
             del self._calls[request.request_id]
-        if _is_shed(answer) and request.shed_retryable:
+        if messages.is_shed(answer) and request.shed_retryable:
             raise errors.ShedError(request.request_id)
         return answer
 
@@ -222,9 +225,9 @@
             )
             reusable = False
             try:
-                self._write(call, connection)
+                whole = self._write(call, connection)
                 answer = self._read(call, connection, reader)
-                reusable = reader.is_reusable() and not call.cancelled
+                reusable = whole and reader.is_reusable() and not call.cancelled
                 return answer
             except errors.NotRunError as error:
                 if error.reason != 'unsent' or connection.used_at is None:
@@ -251,12 +254,19 @@
         if left_s <= 0:
             raise errors.NotRunError('deadline')
         connect = functools.partial(self._connect, call)
-        call.connection = pool.take(left_s, connect)
-        return call.connection
+        connection = pool.take(left_s, connect)
+        if connection.used_at is not None:
+            idle_s = self._read_now() - connection.used_at
+            self._longest_idle_s = max(self._longest_idle_s, idle_s)
+        call.connection = connection
+        return connection
 
-    def _write(self, call: _Call, connection: connections.Connection) -> None:
+    def _write(self, call: _Call, connection: connections.Connection) -> bool:
         """Writes the request.
 
+        Returns:
+          Whether all of it was written.
+
         Raises:
           InvalidRequestError: If the request cannot be written as HTTP/1.1.
           NotRunError: If no byte was written.
@@ -284,7 +294,8 @@
                     raise errors.NotRunError(reason, str(error)) from error
                 # The backend server may have answered early, for example to
                 # shed a large request, and closed its side.
-                return
+                return False
+        return True
 
     def _read(
         self,
@@ -325,7 +336,7 @@
             call.sent_at,
             now - call.sent_at,
             call.in_flight,
-            not _is_shed(answer),
+            not messages.is_shed(answer),
         )
         self._observe(evidence, now)
 
@@ -333,39 +344,53 @@
         """Handles a call that ends without a whole answer."""
         reason = getattr(error, 'reason', 'cancelled')
         if reason == 'connection-lost':
-            self._schedule_survivor_check()
-        elif (
-            call.sent
-            and not call.is_control
-            and reason in ('timeout', 'cancelled')
-        ):
-            # Errors from outside, such as GreenletExit, also cancel the call.
+            self._judge_loss()
+            return
+        if reason == 'timeout':
+            # Open connections can stop responding while new ones work; one
+            # that answered since the call was sent has not.
+            self._pool.close_idle(unused_since=call.sent_at)
+        if call.is_control or not call.sent:
+            return
+        # Errors from outside, such as GreenletExit, also cancel the call.
+        if reason in ('timeout', 'cancelled'):
             self._schedule_cancel(call.request.request_id)
 
     def _report_idle_loss(self, connection: connections.Connection) -> None:
-        """Takes the loss of a recently used connection for a reset.
+        """Judges the loss of a connection that was used recently.
 
-        Keep-alive time-outs of servers are longer than this; the control
-        connection is used more often, so it notices a fast restart.
+        It counts only if connections have stayed open for longer: a server
+        may close each of them at once or after a short time-out. The control
+        connection is used every poll, so it notices a fast restart.
         """
-        now = self._read_now()
-        if connection.used_at is not None:
-            if now - connection.used_at < RECENT_USE_S:
-                self._schedule_survivor_check()
+        idle_s = self._read_now() - connection.used_at
+        if idle_s < min(RECENT_USE_S, self._longest_idle_s):
+            self._judge_loss()
 
-    def _schedule_survivor_check(self) -> None:
-        if not self._checking:
+    def _judge_loss(self) -> None:
+        """Reports a lost connection, with whether others survived it.
+
+        Without a survivor this is reported at once, because a server that has
+        started again may be taking calls already.
+        """
+        lost_at = self._read_now()
+        if not self._has_survivor(lost_at):
+            self._observe(states.Reset(survivors=False), lost_at)
+        elif not self._checking:
             self._checking = True
             gevent.spawn_later(
-                SURVIVOR_CHECK_DELAY_S, self._check_survivors, self._read_now()
+                SURVIVOR_CHECK_DELAY_S, self._check_survivors, lost_at
             )
 
     def _check_survivors(self, lost_at: float) -> None:
         self._checking = False
-        survivors = any(
+        survivors = self._has_survivor(lost_at)
+        self._observe(states.Reset(survivors), self._read_now())
+
+    def _has_survivor(self, lost_at: float) -> bool:
+        return any(
             pool.has_survivor(lost_at) for pool in (self._pool, self._control)
         )
-        self._observe(states.Reset(survivors), self._read_now())
 
     def _schedule_cancel(self, request_id: str) -> None:
         if self._pending_cancels >= MAX_PENDING_CANCELS:
@@ -395,12 +420,6 @@
             self._pending_cancels -= 1
 
 
-def _is_shed(answer: messages.BackendAnswer) -> bool:
-    if answer.status != 503:
-        return False
-    return messages.find_header(answer.headers, 'shed') == 'not-run'
-
-
 def _build_timeout(sent: int) -> errors.BackendError:
     if sent:
         return errors.OutcomeUnknownError('timeout')
