Let a confirmation cover the version that replaces it

Cause: after a swap a node passed on the confirmation of the version before, which a fresh node that held the newer one ignored; it then knew no age. Change: the latest confirmation covers the accepted version, because that is at least as recent; heartbeats without a confirmation carry no sentinel age. Tests for a node behind its neighbour, the loss of readers and a mass restart. Ruled out: an age in announcements, as heartbeats follow within a second.

--- a/jayseam/distribution/confirmations.py
+++ b/jayseam/distribution/confirmations.py
@@ -35,7 +35,7 @@
     """What a node knows about the confirmations of one channel.
 
     Attributes:
-      latest: Latest confirmation of the version held, or of one before it.
+      latest: Latest confirmation that covers the version held.
       pending: Latest confirmation of a version that is not held yet.
       sequences: Greatest sequence taken from each origin.
     """
@@ -69,16 +69,19 @@
     def accept(self, version: int) -> 'ChannelConfirmations':
         """Returns the state after a swap to ``version``.
 
-        The earlier confirmation stays: a version that replaced a confirmed
-        one is at least as recent as it.
+        An earlier confirmation covers the new version too: a version that
+        replaced a confirmed one is at least as recent as it.
         """
-        pending = self.pending
+        state, pending = self, self.pending
+        if self.latest is not None and self.latest.version < version:
+            latest = attrs.evolve(self.latest, version=version)
+            state = attrs.evolve(state, latest=latest)
         if pending is None or pending.version > version:
-            return self
-        if pending.version < version:
-            return attrs.evolve(self, pending=None)
-        latest = _pick_later(self, pending)
-        return attrs.evolve(self, latest=latest, pending=None)
+            return state
+        if pending.version == version:
+            latest = _pick_later(state, pending)
+            state = attrs.evolve(state, latest=latest)
+        return attrs.evolve(state, pending=None)
 
     def compute_age(self, now: float) -> float | None:
         """Returns the seconds since the last confirmation, None if none."""
--- a/jayseam/distribution/messages.py
+++ b/jayseam/distribution/messages.py
@@ -87,10 +87,10 @@
       channel: ``preset``, ``keys`` or ``vms``.
       version: Version held, zero if none.
       prefix: First characters of the digest, to notice conflicts.
-      confirmed_version: Version that the source confirmed last, or zero.
-      origin: Reader that heard the confirmation, or empty.
+      confirmed_version: Version that the last confirmation covers, or zero.
+      origin: Reader that heard the confirmation; empty if there is none.
       sequence: Number of the confirmation at that reader.
-      age_ms: Milliseconds since the confirmation.
+      age_ms: Milliseconds since the confirmation; zero if there is none.
     """
 
     channel: str = attrs.field(validator=_NAME)
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -34,7 +34,6 @@
 _JOIN_CHECK_S = 0.5
 _MAX_KNOWN_CONFLICTS = 256
 _MAX_SHOWN_REASONS = 20
-_NEVER_MS = 2**62
 _log = logs.get_logger(__name__)
 
 
@@ -525,7 +524,7 @@
             verdict = versions.Verdict.OLDER
             if state.version:
                 verdict = self._take_offer(heard.vm, version)
-            if state.origin and state.age_ms < _NEVER_MS:
+            if state.origin:
                 self._hear(
                     state.channel,
                     confirmations.Confirmation(
@@ -714,5 +713,5 @@
         latest.version if latest else 0,
         latest.origin if latest else '',
         latest.sequence if latest else 0,
-        _NEVER_MS if age_s is None else int(age_s * 1000),
+        int((age_s or 0.0) * 1000),
     )
--- a/jayseam/distribution/tests/test_task.py
+++ b/jayseam/distribution/tests/test_task.py
@@ -136,6 +136,47 @@
     fakes.wait_until(lambda: _hold(nodes, 7), timeout_s=4.0)
 
 
+def test_node_behind_learns_it_from_the_answer_to_its_heartbeat(net, source):
+    """Heartbeats go one way only and must still repair the sender."""
+    ahead = net.add('ahead', source, neighbours=list)
+    behind = net.add('behind', None, neighbours=lambda: ['ahead'])
+    ahead.start()
+    behind.start()
+    fakes.wait_until(lambda: _hold([ahead, behind], 1))
+    net.tamper = lambda sender, receiver, message: (
+        None if isinstance(message, messages.Announce) else message
+    )
+    source.publish('preset', 7, _split('peak'))
+    fakes.wait_until(lambda: _hold([ahead], 7))
+    gevent.sleep(0.1)
+    assert _hold([behind], 1)
+    net.tamper = lambda sender, receiver, message: message
+    fakes.wait_until(lambda: _hold([behind], 7), timeout_s=2.0)
+
+
+def test_another_node_reads_when_a_reader_is_gone(net, source):
+    """A zone must not stay without readers after VMs fail."""
+    nodes = _start(net, source, 'abcd')
+    fakes.wait_until(lambda: _hold(nodes, 1))
+    fakes.wait_until(lambda: sum(n.is_reader for n in nodes) == 2)
+    gone = [name for name, node in net.nodes.items() if node.is_reader]
+    for name in gone:
+        net.nodes.pop(name).stop()
+    left = list(net.nodes.values())
+    fakes.wait_until(lambda: all(n.is_reader for n in left))
+    source.publish('preset', 7, _split('peak'))
+    fakes.wait_until(lambda: _hold(left, 7))
+
+
+def test_mass_restart_spares_the_source(net, source):
+    """Fresh nodes must not all read the whole configuration at once."""
+    names = [f'vm-{i}' for i in range(20)]
+    nodes = _start(net, source, names)
+    fakes.wait_until(lambda: _hold(nodes, 1), timeout_s=10.0)
+    whole_read = 3 + 2 + len(_split().parts) + len(_KEYS.parts)
+    assert source.reads < whole_read * len(names) / 2
+
+
 def test_fresh_node_takes_the_peers_version_over_a_stale_source(net, source):
     """A stale source must not bring a fresh node to an older version."""
     nodes = _start(net, source)
--- a/jayseam/distribution/tests/test_versions.py
+++ b/jayseam/distribution/tests/test_versions.py
@@ -101,3 +101,12 @@
     assert known.compute_age(160.0) is None
     assert known.accept(5).compute_age(160.0) is None
     assert known.accept(4).compute_age(160.0) == 10.0
+
+
+def test_confirmation_covers_the_version_that_replaces_it():
+    """A fresh node must learn an age from a peer that has just swapped."""
+    known = confirmations.ChannelConfirmations()
+    known = known.hear(confirmations.Confirmation(3, 'r/1', 1, 100.0), 3)
+    known = known.accept(4)
+    assert known.latest.version == 4
+    assert known.compute_age(160.0) == 60.0
