Build cluster plans from sample deployments in one place

Change: a plain import, and plan_deployment in demo and tests. Ruled out: keeping the run-time import, which hides a missing module until a cluster starts.

--- a/jayseam/node/tests/fleets.py
+++ b/jayseam/node/tests/fleets.py
@@ -80,12 +80,7 @@
         'backend': {'service_time': {'kind': 'fixed', 'mean_ms': 2.0}},
         **plan,
     }
-    cluster_plan = clusters.ClusterPlan(
-        preset=documents.dump_preset(chosen.preset),
-        keys=documents.dump_keys(chosen.key_set),
-        secrets=tuple(chosen.plaintexts.values()),
-        **settings,
-    )
+    cluster_plan = clusters.plan_deployment(chosen, **settings)
     with clusters.Cluster(cluster_plan) as cluster:
         yield Fleet(cluster, chosen.plaintexts)
 
--- a/jayseam/standins/clusters.py
+++ b/jayseam/standins/clusters.py
@@ -9,7 +9,6 @@
 """
 
 import copy
-import importlib
 import json
 import pathlib
 import shutil
@@ -24,6 +23,7 @@
 
 from jayseam.core import clocks
 from jayseam.core import digests
+from jayseam.presets import documents
 from jayseam.standins import errors
 from jayseam.standins import exchanges
 from jayseam.standins import processes
@@ -45,7 +45,6 @@
       A bundle with the bytes ``manifest`` and the dict ``parts`` from digest
       to bytes.
     """
-    documents = importlib.import_module('jayseam.presets.documents')
     return getattr(documents, f'split_{channel}')(document)
 
 
@@ -129,7 +128,6 @@
       deployment: A `presets.samples.Deployment`.
       **options: Other attributes of the plan.
     """
-    documents = importlib.import_module('jayseam.presets.documents')
     return ClusterPlan(
         preset=documents.dump_preset(deployment.preset),
         keys=documents.dump_keys(deployment.key_set),
--- a/jayseam/standins/demo.py
+++ b/jayseam/standins/demo.py
@@ -83,10 +83,8 @@
 
 def build_plan(deployment: samples.Deployment) -> clusters.ClusterPlan:
     """Returns the cluster of a deployment."""
-    return clusters.ClusterPlan(
-        preset=documents.dump_preset(deployment.preset),
-        keys=documents.dump_keys(deployment.key_set),
-        secrets=tuple(deployment.plaintexts.values()),
+    return clusters.plan_deployment(
+        deployment,
         backend={'service_time': {'kind': 'fixed', 'mean_ms': 5.0}},
     )
 
