Deliver outcomes and withdrawals to keepers despite lost links

Cause: settle and abandon messages were notifications over whatever link was open. One lost with its link left a keeper reporting the key as running until the window ended, so repeats got outcome-unknown. Ruled out: longer waits of the repeats, which can't bring back a lost message.

--- a/jayseam/calls/claims.py
+++ b/jayseam/calls/claims.py
@@ -15,11 +15,16 @@
 from jayseam.calls import requests
 from jayseam.core import clocks
 from jayseam.core import identifiers
+from jayseam.core import logs
 from jayseam.links import errors as link_errors
 
 _KEEPER_TIMEOUT_S = 1.0
 _POLL_MIN_S = 0.02
 _POLL_MAX_S = 0.2
+# A link that went silent is replaced within seconds; the pauses span that.
+_DELIVERY_PAUSES_S = (0.0, 0.1, 0.5, 2.0, 5.0)
+
+_log = logs.get_logger(__name__)
 
 
 @attrs.frozen
@@ -44,7 +49,6 @@
       own_vm: Name of the VM of this process.
       store: Store of the keys that this process itself keeps.
       request: Sends a message to a VM and returns the reply.
-      notify: Sends a message to a VM without waiting.
       find_holder: Returns the VM at an upstream position, or None.
     """
 
@@ -53,13 +57,11 @@
         own_vm: str,
         store: keepers.KeeperStore,
         request: Callable[..., Any],
-        notify: Callable[[str, Any], Any],
         find_holder: Callable[[str], str | None],
     ):
         self._own_vm = own_vm
         self._store = store
         self._request = request
-        self._notify = notify
         self._find_holder = find_holder
 
     def claim(
@@ -199,11 +201,30 @@
 
     def _tell_keepers(self, chosen: Sequence[str], message: Any) -> None:
         for upstream in chosen:
+            gevent.spawn(self._deliver, upstream, message)
+
+    def _deliver(self, upstream: str, message: Any) -> None:
+        """Sends a message to a keeper until it has surely arrived.
+
+        A keeper that misses an outcome or a withdrawal reports the key as
+        running until the window ends.
+        """
+        for pause_s in _DELIVERY_PAUSES_S:
+            gevent.sleep(pause_s)
             vm = self._find_holder(upstream)
             if vm == self._own_vm:
                 apply_message(self._store, message, clocks.read_now())
-            elif vm is not None:
-                self._notify(vm, message)
+                return
+            if vm is None:
+                continue
+            try:
+                self._request(vm, message, _KEEPER_TIMEOUT_S)
+                return
+            except link_errors.LinkError as error:
+                _log.debug(
+                    'claims.delivery_failed',
+                    extra={'vm': vm, 'reason': str(error)},
+                )
 
 
 def apply_message(
--- /dev/null
+++ b/jayseam/calls/tests/test_claims.py
@@ -0,0 +1,89 @@
+"""Tests of the claims of an entry against keepers behind unreliable links."""
+
+import gevent
+import pytest
+
+from jayseam.calls import claims
+from jayseam.calls import errors
+from jayseam.calls import idempotency
+from jayseam.calls import keepers
+from jayseam.calls import messages
+from jayseam.calls import requests
+from jayseam.core import clocks
+from jayseam.links import errors as link_errors
+
+ZONES = {'u1': 'z1', 'u2': 'z2', 'u3': 'z3'}
+ANSWER = requests.CallAnswer(201, (('x', 'y'),), b'booked')
+WINDOW_S = 600.0
+
+
+class Fleet:
+    """Three keepers, one for each position, and failures on request."""
+
+    def __init__(self):
+        self.stores = {name: keepers.KeeperStore(0, WINDOW_S) for name in ZONES}
+        self.failures = {}
+        self.coordinator = claims.ClaimCoordinator(
+            'entry',
+            keepers.KeeperStore(0, WINDOW_S),
+            self.request,
+            lambda upstream: upstream,
+        )
+
+    def request(self, vm, message, timeout_s):
+        del timeout_s
+        left = self.failures.get((vm, type(message)), 0)
+        if left:
+            self.failures[(vm, type(message))] = left - 1
+            raise link_errors.ReplyLostError('the link was lost')
+        return claims.apply_message(self.stores[vm], message, clocks.read_now())
+
+    def fail(self, kind, times, *vms):
+        for vm in vms:
+            self.failures[(vm, kind)] = times
+
+    def claim(self, timeout_s=2.0):
+        return self.coordinator.claim(
+            'w1', KEY, 'f1', ZONES, clocks.read_now() + timeout_s
+        )
+
+
+KEY = idempotency.IdempotencyKey('k1', 10_000_000)
+
+
+def test_outcome_reaches_keepers_whose_link_was_lost():
+    """A lost outcome would leave repeats without the answer for good."""
+    fleet = Fleet()
+    claimed = fleet.claim()
+    fleet.fail(messages.Settle, 2, *ZONES)
+    fleet.coordinator.settle('w1', claimed, ANSWER)
+    gevent.sleep(1.0)
+    assert fleet.claim().answer == ANSWER
+
+
+def test_withdrawal_reaches_keepers_whose_link_was_lost():
+    """A lost withdrawal would block a call that never ran."""
+    fleet = Fleet()
+    claimed = fleet.claim()
+    fleet.fail(messages.Abandon, 1, *ZONES)
+    fleet.coordinator.abandon('w1', claimed)
+    gevent.sleep(0.6)
+    assert fleet.claim().attempt
+
+
+def test_too_few_keepers_refuse_the_run():
+    """One grant is no majority: another attempt may hold the other two."""
+    fleet = Fleet()
+    fleet.fail(messages.Claim, 9, 'u1', 'u2')
+    with pytest.raises(errors.NotRunError):
+        fleet.claim()
+
+
+def test_running_attempt_is_waited_for_until_the_deadline():
+    """A repeat must neither run nor hang while the first attempt runs."""
+    fleet = Fleet()
+    fleet.claim()
+    started = clocks.read_now()
+    with pytest.raises(errors.OutcomeUnknownError):
+        fleet.claim(timeout_s=0.5)
+    assert clocks.read_now() - started < 1.5
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -140,7 +140,6 @@
             settings.vm,
             self._store,
             self._links.request,
-            self._links.notify,
             self._find_holder,
         )
         self._entry = calls.entry.Entry(
