Compare four ways to spread a version by a model

Cause: the choice of the hybrid rested on arithmetic alone. Change: a seeded event model of one publication with all nodes watching, a tree, gossip, and the hybrid; deaths of readers or of relays at the moment of publication. Conclusion: the hybrid stays.

--- /dev/null
+++ b/jayseam/distribution/tests/test_models.py
@@ -0,0 +1,25 @@
+"""Tests of the model that compares ways to spread a version."""
+
+import pytest
+
+from jayseam.distribution import models
+
+TARGET_S = 5.0
+
+
+@pytest.mark.parametrize('deaths', ['none', 'readers', 'relays'])
+def test_hybrid_converges_within_the_target(deaths):
+    """Neither dead readers nor dead relays may keep a version from others."""
+    setting = models.Setting(nodes=200, deaths=deaths)
+    outcome = models.compare_designs(setting)['hybrid']
+    assert outcome.slowest_s <= TARGET_S
+
+
+def test_reads_of_the_source_do_not_grow_with_the_fleet():
+    """The source's capacity grows more slowly than the fleet."""
+    small, large = (
+        models.compare_designs(models.Setting(nodes=nodes))
+        for nodes in (60, 240)
+    )
+    assert large['hybrid'].source_burst == small['hybrid'].source_burst
+    assert large['all-watch'].source_burst > small['all-watch'].source_burst
