Judge idle losses by connections from before the last use

In one of eight trials of an immediate restart at 5 calls a second no start was noticed: the poll after the restart came a little later after the last one than any before, so its loss did not count, and its new connection then passed for a survivor.

A survivor of an idle loss must be older than the last use of the lost connection, the spacing of polls has a slack of a fifth, and connections lost to a restart that was already reported do not restart the ramp again.

Ruled out: dropping the comparison with earlier idle times, because a server with a short keep-alive time-out would seem to start again and again.

--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -9,6 +9,7 @@
 """
 
 import functools
+import math
 from collections.abc import Callable
 from urllib import parse
 
@@ -31,6 +32,8 @@
 MAX_PENDING_CANCELS = 128
 # An idle connection lost so soon after its last use did not reach a time-out.
 RECENT_USE_S = 1.0
+# Polls are spaced evenly but for the delays of the node itself.
+IDLE_SLACK = 1.2
 # The sockets of an ended process are closed one after the other, so the
 # survivors are counted again a moment after the first loss.
 SURVIVOR_CHECK_DELAY_S = 0.02
@@ -111,6 +114,7 @@
         self._closed = False
         # Longest time after which an idle connection was still open.
         self._longest_idle_s = 0.0
+        self._loss_reported_at = -math.inf
         self._pending_cancels = 0
         self._pool = connections.ConnectionPool(
             max(1, max_connections - 1), self._report_idle_loss
@@ -344,7 +348,7 @@
         """Handles a call that ends without a whole answer."""
         reason = getattr(error, 'reason', 'cancelled')
         if reason == 'connection-lost':
-            self._judge_loss()
+            self._judge_loss(self._read_now())
             return
         if reason == 'timeout':
             # Open connections can stop responding while new ones work; one
@@ -359,23 +363,30 @@
     def _report_idle_loss(self, connection: connections.Connection) -> None:
         """Judges the loss of a connection that was used recently.
 
-        It counts only if connections have stayed open for longer: a server
+        It counts only if connections have stayed open for as long: a server
         may close each of them at once or after a short time-out. The control
         connection is used every poll, so it notices a fast restart.
         """
-        idle_s = self._read_now() - connection.used_at
-        if idle_s < min(RECENT_USE_S, self._longest_idle_s):
-            self._judge_loss()
-
-    def _judge_loss(self) -> None:
+        used_at = connection.used_at
+        idle_s = self._read_now() - used_at
+        kept_s = min(RECENT_USE_S, IDLE_SLACK * self._longest_idle_s)
+        # One restart closes many connections; the others are found later.
+        if idle_s < kept_s and used_at > self._loss_reported_at:
+            # Only a connection from before the last use shows that the
+            # process of that time still runs.
+            self._judge_loss(used_at)
+
+    def _judge_loss(self, lost_at: float) -> None:
         """Reports a lost connection, with whether others survived it.
 
         Without a survivor this is reported at once, because a server that has
         started again may be taking calls already.
+
+        Args:
+          lost_at: Earliest time of the loss, in seconds.
         """
-        lost_at = self._read_now()
         if not self._has_survivor(lost_at):
-            self._observe(states.Reset(survivors=False), lost_at)
+            self._report_reset(survivors=False)
         elif not self._checking:
             self._checking = True
             gevent.spawn_later(
@@ -384,8 +395,13 @@
 
     def _check_survivors(self, lost_at: float) -> None:
         self._checking = False
-        survivors = self._has_survivor(lost_at)
-        self._observe(states.Reset(survivors), self._read_now())
+        self._report_reset(self._has_survivor(lost_at))
+
+    def _report_reset(self, survivors: bool) -> None:
+        now = self._read_now()
+        if not survivors:
+            self._loss_reported_at = now
+        self._observe(states.Reset(survivors), now)
 
     def _has_survivor(self, lost_at: float) -> bool:
         return any(
--- a/jayseam/backends/tests/test_client.py
+++ b/jayseam/backends/tests/test_client.py
@@ -51,6 +51,7 @@
         self.requests = []
         self.cancels = []
         self.accepted = 0
+        self.sockets = []
         self.evidence = []
         self.server = server.StreamServer(('127.0.0.1', 0), self.handle)
         self.server.start()
@@ -58,6 +59,7 @@
     def handle(self, sock, _):
         """Answers the requests of one connection."""
         self.accepted += 1
+        self.sockets.append(sock)
         with contextlib.suppress(OSError):
             while request := read_request(sock):
                 if b'/.backend/cancel/' in request:
@@ -447,6 +449,28 @@
     assert resets == [states.Reset(survivors=False)] * (2 if kept_s else 0)
 
 
+def test_restart_found_on_idle_connections_counts_once(start):
+    """Each connection that the old process held must not restart the ramp."""
+
+    def run_three(name):
+        calls = [gevent.spawn(call, client, f'{name}{i}') for i in range(3)]
+        gevent.joinall(calls, timeout=1.0)
+        assert [c.value.body for c in calls] == [b'ok'] * 3
+
+    scripts = [lambda sock: gevent.sleep(0.02) or sock.sendall(OK)] * 9
+    backend = start(*scripts)
+    client = backend.connect()
+    run_three('a')
+    gevent.sleep(0.3)
+    run_three('b')
+    for sock in backend.sockets:
+        sock.close()
+    gevent.sleep(0.02)
+    run_three('c')
+    resets = [e for e in backend.evidence if isinstance(e, states.Reset)]
+    assert resets == [states.Reset(survivors=False)]
+
+
 @pytest.mark.parametrize('witness', [True, False])
 def test_reset_is_judged_by_surviving_connections(start, witness):
     """One failed call must not restart the ramp of a running server."""
