Separate latency baselines by route and respect untrusted shed answers

Cause: the ingress passed neither the route nor the service's trust in shed answers to the backend client, so one slow route raised the baseline of all, and a shed answer of an untrusted service did not lower the limit. Change: Forward carries the route; the client gets it and shed_retryable; an untrusted shed answer is passed on and counts as shed. Ruled out: looking the route up again at the ingress, whose version may differ.

--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -338,6 +338,7 @@
             attempt=identifiers.make_id(),
             request_id=call.request_id,
             incarnation=chosen.incarnation,
+            route=call.route.name,
             service=chosen.service,
             workspace=caller.workspace,
             key_id=caller.key_id,
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -148,8 +148,11 @@
         permit = self._acquire(ticket, now)
         result = admission.gates.Result.FAILED
         try:
-            answer = self._backend.run(_build_request(forward), deadline)
+            answer = self._backend.run(self._build_request(forward), deadline)
             result = admission.gates.Result.SUCCESS
+            if backends.messages.is_shed(answer):
+                # Passed on as it is, but the limit must still fall.
+                result = admission.gates.Result.SHED
         except backends.errors.ShedError as error:
             result = admission.gates.Result.SHED
             raise errors.NotRunError(
@@ -178,14 +181,16 @@
         except admission.errors.AdmissionError as error:
             raise errors.NotRunError(str(error)) from error
 
-
-def _build_request(
-    forward: messages.Forward,
-) -> backends.messages.BackendRequest:
-    return backends.messages.BackendRequest(
-        request_id=forward.request_id,
-        method=forward.method,
-        path=forward.target,
-        headers=tuple((name, value) for name, value in forward.headers),
-        body=forward.body,
-    )
+    def _build_request(
+        self, forward: messages.Forward
+    ) -> backends.messages.BackendRequest:
+        service = self._read_snapshot().preset.services[forward.service]
+        return backends.messages.BackendRequest(
+            request_id=forward.request_id,
+            method=forward.method,
+            path=forward.target,
+            headers=tuple((name, value) for name, value in forward.headers),
+            body=forward.body,
+            shed_retryable=service.shed_retryable,
+            kind=forward.route,
+        )
--- a/jayseam/calls/messages.py
+++ b/jayseam/calls/messages.py
@@ -24,6 +24,7 @@
     Attributes:
       attempt: Identifier of this attempt, unique to it.
       incarnation: Incarnation of the ingress for which it is meant.
+      route: Name of the route; calls of one route share a latency baseline.
       timeout_ms: Time left until the deadline of the call.
       preset_version: Version by which the entry judged the call.
       keys_version: Version of the keys by which the entry judged it.
@@ -32,6 +33,7 @@
     attempt: str = attrs.field(validator=_TEXT)
     request_id: str = attrs.field(validator=_TEXT)
     incarnation: int = attrs.field(validator=_COUNT)
+    route: str = attrs.field(validator=_TEXT)
     service: str = attrs.field(validator=_TEXT)
     workspace: str = attrs.field(validator=_TEXT)
     key_id: str = attrs.field(validator=_TEXT)
