Add jayseam-ctl with status, explain, check and diff

Cause: operators need to see what nodes hold and how a call would be routed. Change: jayseam/tools/ctl.py with tables or JSON and documented exit codes. Ruled out: stopping at the first unreachable node, which would hide the others.

--- /dev/null
+++ b/jayseam/tools/ctl.py
@@ -0,0 +1,301 @@
+"""The operator tool ``jayseam-ctl``. It reads and never changes anything.
+
+Commands:
+  status ADDR...: State of nodes, by their admin addresses.
+  explain ADDR --workspace W --path P [--method M]: How a node routes a call.
+  check FILE: Whether a preset document would be accepted.
+  diff A B: Differences between two preset documents.
+
+Exit codes:
+  0: Success; for ``diff``, no differences.
+  1: A preset was rejected, ``diff`` found differences, or ``explain`` found no
+    usable candidate.
+  2: Wrong usage, or a file that cannot be read or is no JSON.
+  3: A node could not be reached or gave an unexpected answer.
+"""
+
+import argparse
+import json
+import pathlib
+import socket
+import sys
+import urllib.parse
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+import attrs
+import geventhttpclient
+from geventhttpclient import response
+
+from jayseam.core import errors
+from jayseam.presets import differences
+from jayseam.presets import verification
+
+OK = 0
+FOUND = 1
+USAGE = 2
+UNREACHABLE = 3
+TIMEOUT_S = 3.0
+
+_STATUS_COLUMNS = (
+    'addr',
+    'vm',
+    'zone',
+    'state',
+    'preset',
+    'keys',
+    'vms',
+    'age_s',
+    'backend',
+    'in_flight',
+    'queued',
+    'peers',
+    'out_of_service',
+    'rejected',
+)
+_CANDIDATE_COLUMNS = ('vm', 'upstream', 'zone', 'usable', 'load', 'reason')
+
+
+class ToolError(errors.JayseamError):
+    """A command cannot be carried out.
+
+    Attributes:
+      code: Exit code.
+    """
+
+    def __init__(self, code: int, message: str):
+        super().__init__(message)
+        self.code = code
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Returns host and port of an admin address.
+
+    >>> parse_address('127.0.0.1:9000')
+    ('127.0.0.1', 9000)
+    >>> parse_address('[::1]:9000')
+    ('::1', 9000)
+
+    Raises:
+      ToolError: If the address is malformed.
+    """
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ToolError(USAGE, f'{text}: expected host:port')
+    return host.strip('[]'), int(port)
+
+
+def fetch_json(address: str, path: str) -> Any:
+    """Returns the JSON body of an admin resource.
+
+    Raises:
+      ToolError: If the node cannot be reached or does not answer with JSON.
+    """
+    host, port = parse_address(address)
+    client = geventhttpclient.HTTPClient(
+        host, port, connection_timeout=TIMEOUT_S, network_timeout=TIMEOUT_S
+    )
+    try:
+        answer = client.get(path)
+        body = answer.read()
+        if answer.status_code != 200:
+            raise ToolError(
+                UNREACHABLE, f'{address}: status {answer.status_code}'
+            )
+        return json.loads(body)
+    except (OSError, socket.timeout, response.HTTPParseError) as error:
+        raise ToolError(UNREACHABLE, f'{address}: {error}') from error
+    except ValueError as error:
+        raise ToolError(UNREACHABLE, f'{address}: no JSON answer') from error
+    finally:
+        client.close()
+
+
+def read_document(path: str) -> Any:
+    """Returns the JSON document in a file.
+
+    Raises:
+      ToolError: If the file cannot be read or is no JSON.
+    """
+    try:
+        return json.loads(pathlib.Path(path).read_text(encoding='utf-8'))
+    except (OSError, ValueError) as error:
+        raise ToolError(USAGE, f'{path}: {error}') from error
+
+
+def format_table(
+    rows: Iterable[Mapping[str, Any]], columns: Sequence[str]
+) -> str:
+    """Returns rows as a table with aligned columns.
+
+    >>> print(format_table([{'a': 1, 'b': 'x'}], ['a', 'b']))
+    a  b
+    1  x
+    """
+    lines = [list(columns)]
+    lines += [[_format_cell(row.get(c)) for c in columns] for row in rows]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(columns))]
+    return '\n'.join(
+        '  '.join(cell.ljust(w) for cell, w in zip(line, widths)).rstrip()
+        for line in lines
+    )
+
+
+def _format_cell(value: Any) -> str:
+    if value is None:
+        return '-'
+    if isinstance(value, bool):
+        return 'yes' if value else 'no'
+    if isinstance(value, float):
+        return f'{value:.2f}'
+    return str(value)
+
+
+def summarise_status(address: str, status: Mapping[str, Any]) -> dict[str, Any]:
+    """Returns the row of the status table for one node."""
+    versions = status.get('versions', {})
+    backend = status.get('backend', {})
+    peers = status.get('peers', [])
+    alive = sum(peer.get('state') == 'alive' for peer in peers)
+    closed = [n for n, open_ in status.get('zones', {}).items() if not open_]
+    state = status.get('state')
+    if status.get('unconfirmed'):
+        state = f'{state} (unconfirmed)'
+    limit = backend.get('limit')
+    return {
+        'addr': address,
+        'vm': status.get('vm'),
+        'zone': status.get('zone'),
+        'state': state,
+        'preset': versions.get('preset'),
+        'keys': versions.get('keys'),
+        'vms': versions.get('vms'),
+        'age_s': status.get('confirmed_age_s'),
+        'backend': backend.get('state'),
+        'in_flight': f'{backend.get("in_flight")}/{limit}',
+        'queued': backend.get('queued'),
+        'peers': f'{alive}/{len(peers)}',
+        'out_of_service': ','.join(sorted(closed)) or None,
+        'rejected': len(status.get('rejected', [])),
+    }
+
+
+def run_status(options: argparse.Namespace) -> int:
+    """Prints the state of each node; the others if one is unreachable."""
+    found: dict[str, Any] = {}
+    code = OK
+    for address in options.addresses:
+        try:
+            found[address] = fetch_json(address, '/status')
+        except ToolError as error:
+            print(f'jayseam-ctl: {error}', file=sys.stderr)
+            code = error.code
+    if options.json:
+        print(json.dumps(found, indent=2, sort_keys=True))
+    elif found:
+        rows = [summarise_status(a, status) for a, status in found.items()]
+        print(format_table(rows, _STATUS_COLUMNS))
+    return code
+
+
+def run_explain(options: argparse.Namespace) -> int:
+    """Prints how a node would route a call."""
+    query = urllib.parse.urlencode(
+        {
+            'workspace': options.workspace,
+            'path': options.path,
+            'method': options.method,
+        }
+    )
+    answer = fetch_json(options.address, f'/explain?{query}')
+    candidates = answer.get('candidates', [])
+    if options.json:
+        print(json.dumps(answer, indent=2, sort_keys=True))
+    else:
+        for name in ('route', 'workspace'):
+            value = answer.get(name)
+            if not isinstance(value, str):
+                value = json.dumps(value, sort_keys=True)
+            print(f'{name}: {value}')
+        print(format_table(candidates, _CANDIDATE_COLUMNS))
+    return OK if any(c.get('usable') for c in candidates) else FOUND
+
+
+def _verify(path: str) -> Any:
+    document = read_document(path)
+    try:
+        return verification.verify_preset(document)
+    except verification.PresetRejectedError as error:
+        reasons = '\n'.join(f'{path}: {reason}' for reason in error.reasons)
+        raise ToolError(FOUND, f'rejected\n{reasons}') from error
+
+
+def run_check(options: argparse.Namespace) -> int:
+    """Tells whether a preset document would be accepted, and why not."""
+    try:
+        verification.verify_preset(read_document(options.file))
+        reasons = []
+    except verification.PresetRejectedError as error:
+        reasons = [str(reason) for reason in error.reasons]
+    if options.json:
+        print(json.dumps({'accepted': not reasons, 'reasons': reasons}))
+    else:
+        print('\n'.join(reasons) or 'accepted')
+    return FOUND if reasons else OK
+
+
+def run_diff(options: argparse.Namespace) -> int:
+    """Prints the differences between two preset documents."""
+    before, after = _verify(options.before), _verify(options.after)
+    found = list(differences.compare_presets(before, after))
+    if options.json:
+        plain = [attrs.asdict(d) if attrs.has(type(d)) else d for d in found]
+        print(json.dumps(plain, default=str))
+    else:
+        for difference in found:
+            print(difference)
+    return FOUND if found else OK
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Returns the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog='jayseam-ctl',
+        description='Reads the state of jayseam nodes and checks presets.',
+        epilog='Exit codes: 0 success; 1 rejected, different or not routable; '
+        '2 wrong usage or unreadable file; 3 node not reachable.',
+    )
+    commands = parser.add_subparsers(dest='command', required=True)
+    command = commands.add_parser('status', help='state of nodes')
+    command.add_argument('addresses', nargs='+', metavar='ADDR')
+    command.set_defaults(run=run_status)
+    command = commands.add_parser('explain', help='routing of one call')
+    command.add_argument('address', metavar='ADDR')
+    command.add_argument('--workspace', required=True)
+    command.add_argument('--path', required=True)
+    command.add_argument('--method', default='GET')
+    command.set_defaults(run=run_explain)
+    command = commands.add_parser('check', help='verdict on a preset')
+    command.add_argument('file', metavar='FILE')
+    command.set_defaults(run=run_check)
+    command = commands.add_parser('diff', help='differences of two presets')
+    command.add_argument('before', metavar='A')
+    command.add_argument('after', metavar='B')
+    command.set_defaults(run=run_diff)
+    for command in commands.choices.values():
+        command.add_argument('--json', action='store_true', help='print JSON')
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs one command and returns its exit code."""
+    options = build_parser().parse_args(arguments)
+    try:
+        return options.run(options)
+    except ToolError as error:
+        print(f'jayseam-ctl: {error}', file=sys.stderr)
+        return error.code
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/jayseam/tools/tests/test_ctl.py
@@ -0,0 +1,102 @@
+"""Tests of the operator tool against a local admin server."""
+
+import json
+
+import pytest
+from gevent import pywsgi
+
+from jayseam.tools import ctl
+
+STATUS = {
+    'vm': 'vm-1',
+    'zone': 'a',
+    'state': 'serving',
+    'versions': {'preset': 7, 'keys': 3, 'vms': 2},
+    'confirmed_age_s': 0.5,
+    'unconfirmed': True,
+    'zones': {'a': True, 'b': False},
+    'backend': {'state': 'ready', 'limit': 10, 'in_flight': 2, 'queued': 0},
+    'peers': [
+        {'vm': 'vm-2', 'state': 'alive'},
+        {'vm': 'vm-3', 'state': 'dead'},
+    ],
+    'rejected': ['x'],
+}
+
+
+class _Admin:
+    """Answers as a node's admin listener does."""
+
+    def __init__(self):
+        self.queries = []
+        self.usable = True
+        self.body = None
+        self.address = ''
+
+    def __call__(self, environ, start_response):
+        self.queries.append(environ['QUERY_STRING'])
+        start_response('200 OK', [('Content-Type', 'application/json')])
+        if self.body is not None:
+            return [self.body]
+        if environ['PATH_INFO'] == '/status':
+            return [json.dumps(STATUS).encode()]
+        candidate = {'vm': 'vm-1', 'upstream': 'u1', 'usable': self.usable}
+        answer = {'route': 'r', 'workspace': 'w', 'candidates': [candidate]}
+        return [json.dumps(answer).encode()]
+
+
+@pytest.fixture(name='admin')
+def _admin():
+    application = _Admin()
+    server = pywsgi.WSGIServer(('127.0.0.1', 0), application, log=None)
+    server.start()
+    application.address = f'127.0.0.1:{server.server_port}'
+    yield application
+    server.stop()
+
+
+def test_status_shows_other_nodes_when_one_is_unreachable(admin, capsys):
+    """One dead node must not hide the state of the others."""
+    code = ctl.main(['status', admin.address, '127.0.0.1:1'])
+    out, err = capsys.readouterr()
+    assert code == ctl.UNREACHABLE
+    assert 'vm-1' in out and 'serving (unconfirmed)' in out
+    assert '2/10' in out and '1/2' in out
+    assert '127.0.0.1:1' in err
+
+
+def test_status_as_json_is_whole(admin, capsys):
+    """Scripts must get all that the node reports."""
+    assert ctl.main(['status', '--json', admin.address]) == ctl.OK
+    assert json.loads(capsys.readouterr().out) == {admin.address: STATUS}
+
+
+def test_explain_tells_that_nothing_is_usable(admin, capsys):
+    """A call that cannot be routed must be visible in the exit code."""
+    arguments = ['explain', admin.address, '--workspace', 'w&x', '--path', '/p']
+    assert ctl.main(arguments) == ctl.OK
+    assert admin.queries[-1] == 'workspace=w%26x&path=%2Fp&method=GET'
+    admin.usable = False
+    assert ctl.main(arguments) == ctl.FOUND
+    assert 'route: r' in capsys.readouterr().out
+
+
+def test_answer_that_is_no_json_is_an_error(admin, capsys):
+    """A wrong port must give a message and no traceback."""
+    admin.body = b'<html>'
+    assert ctl.main(['status', admin.address]) == ctl.UNREACHABLE
+    assert 'no JSON answer' in capsys.readouterr().err
+
+
+@pytest.mark.parametrize('address', ['host', 'host:0', ':80', 'host:x'])
+def test_malformed_address_is_wrong_usage(address):
+    """A malformed address must not be taken for an unreachable node."""
+    assert ctl.main(['status', address]) == ctl.USAGE
+
+
+def test_unreadable_file_is_wrong_usage(tmp_path, capsys):
+    """A missing or malformed file must differ from a rejected preset."""
+    assert ctl.main(['check', str(tmp_path / 'absent')]) == ctl.USAGE
+    (tmp_path / 'bad').write_text('{')
+    assert ctl.main(['check', str(tmp_path / 'bad')]) == ctl.USAGE
+    assert 'bad' in capsys.readouterr().err
