--- a/jayseam/limits/pools.py
+++ b/jayseam/limits/pools.py
@@ -38,7 +38,7 @@
 _RATE_SCALE = 1 / (1 + accounts.CLOCK_DRIFT / 2)
 # Below this capacity a pool hands out fractions of a token, since it may never
 # hold a whole one.
-_WHOLE_TOKENS_FROM = 2.0
+_WHOLE_TOKENS_FROM = 1.0
 
 BatchKey = tuple[str, int, int]
 
@@ -217,6 +217,21 @@
         credit = ledger.remove(key, max(0.0, returned))
         ledger.bucket = ledger.bucket.add(credit).refill(now, ledger.held)
 
+    def level(self, workspace: str, now: float) -> float:
+        """Returns the tokens that are in the bucket at ``now``."""
+        self.expire(now)
+        ledger = self._ledgers.get(workspace)
+        if ledger is None:
+            return 0.0
+        ledger.settle(now)
+        return ledger.bucket.level
+
+    def backing(self, workspace: str, now: float) -> float:
+        """Returns the sum of the bursts lent to this pool at ``now``."""
+        self.expire(now)
+        ledger = self._ledgers.get(workspace)
+        return 0.0 if ledger is None else ledger.bucket.burst
+
     def totals(self) -> Mapping[str, accounts.Share]:
         """Returns the rate and burst lent to this pool, by workspace."""
         return {
