Let jayseam-ctl judge presets by the nodes' own checks

Cause: check and diff were written before the preset package and used names it does not have; an unreadable file ended in AttributeError. Change: the verdict comes from verification plus the split into parts, which finds parts over a megabyte; files are decoded as strictly as on nodes. Ruled out: a second, lighter check in the tool, which could differ from nodes. Before: test_unreadable_file_is_wrong_usage failed.

--- a/jayseam/tools/ctl.py
+++ b/jayseam/tools/ctl.py
@@ -29,6 +29,9 @@
 
 from jayseam.core import errors
 from jayseam.presets import differences
+from jayseam.presets import documents
+from jayseam.presets import errors as preset_errors
+from jayseam.presets import model
 from jayseam.presets import verification
 
 OK = 0
@@ -118,8 +121,8 @@
       ToolError: If the file cannot be read or is no JSON.
     """
     try:
-        return json.loads(pathlib.Path(path).read_text(encoding='utf-8'))
-    except (OSError, ValueError) as error:
+        return documents.decode_json(pathlib.Path(path).read_bytes())
+    except (OSError, preset_errors.PresetRejectedError) as error:
         raise ToolError(USAGE, f'{path}: {error}') from error
 
 
@@ -221,22 +224,34 @@
     return OK if any(c.get('usable') for c in candidates) else FOUND
 
 
-def _verify(path: str) -> Any:
+def _verify(path: str) -> model.Preset:
+    """Returns the preset in a file, judged as a node judges it.
+
+    Raises:
+      PresetRejectedError: With every reason.
+    """
     document = read_document(path)
+    preset = verification.verify_preset(document)
+    # Splitting finds parts that are too large for the configuration service.
+    documents.split_preset(document)
+    return preset
+
+
+def _verify_or_exit(path: str) -> model.Preset:
     try:
-        return verification.verify_preset(document)
-    except verification.PresetRejectedError as error:
+        return _verify(path)
+    except preset_errors.PresetRejectedError as error:
         reasons = '\n'.join(f'{path}: {reason}' for reason in error.reasons)
         raise ToolError(FOUND, f'rejected\n{reasons}') from error
 
 
 def run_check(options: argparse.Namespace) -> int:
     """Tells whether a preset document would be accepted, and why not."""
+    reasons: list[str] = []
     try:
-        verification.verify_preset(read_document(options.file))
-        reasons = []
-    except verification.PresetRejectedError as error:
-        reasons = [str(reason) for reason in error.reasons]
+        _verify(options.file)
+    except preset_errors.PresetRejectedError as error:
+        reasons = error.reasons
     if options.json:
         print(json.dumps({'accepted': not reasons, 'reasons': reasons}))
     else:
@@ -246,14 +261,14 @@
 
 def run_diff(options: argparse.Namespace) -> int:
     """Prints the differences between two preset documents."""
-    before, after = _verify(options.before), _verify(options.after)
-    found = list(differences.compare_presets(before, after))
+    before = _verify_or_exit(options.before)
+    after = _verify_or_exit(options.after)
+    found = differences.compare_presets(before, after)
     if options.json:
-        plain = [attrs.asdict(d) if attrs.has(type(d)) else d for d in found]
-        print(json.dumps(plain, default=str))
+        print(json.dumps([attrs.asdict(item) for item in found]))
     else:
         for difference in found:
-            print(difference)
+            print(difference.format())
     return FOUND if found else OK
 
 
--- a/jayseam/tools/tests/test_ctl.py
+++ b/jayseam/tools/tests/test_ctl.py
@@ -5,6 +5,8 @@
 import pytest
 from gevent import pywsgi
 
+from jayseam.presets import documents
+from jayseam.presets import samples
 from jayseam.tools import ctl
 
 STATUS = {
@@ -100,3 +102,37 @@
     (tmp_path / 'bad').write_text('{')
     assert ctl.main(['check', str(tmp_path / 'bad')]) == ctl.USAGE
     assert 'bad' in capsys.readouterr().err
+
+
+@pytest.fixture(name='preset')
+def _preset():
+    return documents.dump_preset(samples.build_agence().preset)
+
+
+def _write(directory, name, document):
+    path = directory / name
+    path.write_bytes(documents.encode_json(document))
+    return str(path)
+
+
+def test_check_lists_every_reason(tmp_path, preset, capsys):
+    """The tool must give the verdict of the nodes before publication."""
+    assert ctl.main(['check', _write(tmp_path, 'good', preset)]) == ctl.OK
+    preset['routes'][0]['targets'] = [['nowhere', 1]]
+    preset['upstreams'][0]['zone'] = 'nozone'
+    assert ctl.main(['check', _write(tmp_path, 'bad', preset)]) == ctl.FOUND
+    out = capsys.readouterr().out
+    assert 'nowhere' in out and 'nozone' in out
+
+
+def test_diff_shows_what_changes(tmp_path, preset, capsys):
+    """Operators must see what a preset changes before it is in force."""
+    before = _write(tmp_path, 'before', preset)
+    assert ctl.main(['diff', before, before]) == ctl.OK
+    preset['zones'][0]['in_service'] = False
+    after = _write(tmp_path, 'after', preset)
+    assert ctl.main(['diff', before, after]) == ctl.FOUND
+    assert 'in_service: True -> False' in capsys.readouterr().out
+    preset['zones'] = []
+    wrong = _write(tmp_path, 'wrong', preset)
+    assert ctl.main(['diff', before, wrong]) == ctl.FOUND
