Test small bursts at high load

Cause: two faults that refused up to a fifth of the calls of a workspace within its rate showed only with bursts of 0.25 s of the rate. Change: a test of calm and of an owner's death with such workspaces. Ruled out: owners that ask entries to wait longer under many draws.

--- a/jayseam/limits/tests/test_models.py
+++ b/jayseam/limits/tests/test_models.py
@@ -64,6 +64,18 @@
     assert escrow.sent_bytes < 4000
 
 
+def test_small_bursts_at_high_load_are_served():
+    """Back-off and unreported tokens must not keep buckets from accruing."""
+    loads = {
+        'large': models.Load(400.0, 100.0, 340.0),
+        'tiny': models.Load(20.0, 5.0, 14.0),
+    }
+    calm = models.run_scenario(1, 'escrow', 'calm', loads=loads)
+    assert calm.wrongful < 0.01
+    death = models.run_scenario(1, 'escrow', 'node-death', loads=loads)
+    assert death.wrongful < 0.05
+
+
 @pytest.mark.parametrize('seed', range(3))
 def test_death_of_an_owner_refuses_few(seed):
     """Other cells must supply the entries while shares are locked."""
