--- /dev/null
+++ b/jayseam/node/tests/test_versions.py
@@ -0,0 +1,226 @@
+"""Presets in a fleet of real processes: invalid, damaged, late, crossing."""
+
+import copy
+import json
+
+import gevent
+import pytest
+
+from jayseam.core import digests
+from jayseam.node.tests import fleets
+from jayseam.node.tests import observers
+from jayseam.presets import documents
+from jayseam.standins import clusters
+
+_ROUNDS = 10
+
+
+@pytest.fixture(name='fleet', scope='module')
+def _fleet():
+    with fleets.start_fleet() as fleet:
+        yield fleet
+
+
+@pytest.fixture(autouse=True)
+def _heal(fleet):
+    yield
+    fleet.cluster.control_platform('fault', clear=True, stale=False)
+    fleet.cluster.wait_serving()
+
+
+def read_revision(fleet):
+    """Returns the greatest revision of the platform."""
+    return fleet.cluster.control_platform('counts')['revision']
+
+
+def restart(fleet, vms):
+    """Kills nodes at once and starts all of them again."""
+    for vm in vms:
+        fleet.cluster.kill(vm, backend=False)
+    for vm in vms:
+        fleet.cluster.restart(vm)
+
+
+def _route_to_missing_service(preset):
+    preset['routes'][0]['targets'] = [['nowhere', 1]]
+
+
+def _unknown_zone(preset):
+    preset['upstreams'][0]['zone'] = 'atlantis'
+
+
+def _insane_limits(preset):
+    preset['workspaces'][0]['rate_per_s'] = -1.0
+    preset['upstreams'][0]['slots'] = 0
+
+
+@pytest.mark.parametrize(
+    'spoil, n_reasons',
+    [
+        (_route_to_missing_service, 1),
+        (_unknown_zone, 1),
+        (_insane_limits, 2),
+    ],
+)
+def test_bad_preset_is_rejected_everywhere(fleet, spoil, n_reasons):
+    """A preset that is applied in part, or only at some nodes."""
+    good = copy.deepcopy(fleet.cluster.preset)
+    before = observers.read_versions(fleet, 'preset')
+    bad, path = observers.add_probe(good)
+    spoil(bad)
+    vms = list(fleet.cluster.vms)
+    with observers.Callers(fleet, vms, path) as probes:
+        with observers.Callers(fleet, vms) as callers:
+            version = fleet.cluster.publish(bad)
+
+            def read_verdicts():
+                found = [
+                    [
+                        entry['reasons']
+                        for entry in fleet.cluster.status(vm)['rejected']
+                        if entry['version'] == version
+                    ]
+                    for vm in vms
+                ]
+                return found if all(found) else None
+
+            verdicts = fleet.cluster.wait_until(
+                read_verdicts, observers.IN_FORCE_S, 'verdicts'
+            )
+            gevent.sleep(1.0)
+    print(verdicts[0])
+    assert len(verdicts[0][0]) >= n_reasons
+    assert all(verdict == verdicts[0] for verdict in verdicts)
+    assert observers.read_versions(fleet, 'preset') == before
+    assert {r.status for r in probes.records} == {404}
+    assert callers.count_served() and not callers.list_failed()
+    fleet.cluster.preset = good
+    observers.publish_and_converge(fleet)
+
+
+@pytest.mark.parametrize('kind', ['altered', 'truncated', 'missing'])
+@pytest.mark.parametrize('part', ['manifest', 'routes'])
+def test_damaged_parts_are_never_in_force(fleet, kind, part):
+    """Content that was damaged at the source, and its recovery."""
+    before = observers.read_versions(fleet, 'preset')
+    preset, path = observers.add_probe(fleet.cluster.preset)
+    bundle = clusters.split_document('preset', preset)
+    damaged = digests.compute_digest(bundle.manifest)
+    if part == 'routes':
+        damaged = documents.read_manifest(bundle.manifest).parts['routes']
+    fleet.cluster.control_platform('fault', parts=kind, digests=[damaged])
+    vms = list(fleet.cluster.vms)
+    with observers.Callers(fleet, vms, path) as probes:
+        with observers.Callers(fleet, vms) as callers:
+            fleet.cluster.publish(preset)
+            gevent.sleep(2.0)
+    assert {r.status for r in probes.records} == {404}
+    assert callers.count_served() and not callers.list_failed()
+    assert observers.read_versions(fleet, 'preset') == before
+    # The damage says nothing about the version, which must not be condemned.
+    assert not any(fleet.cluster.status(vm)['rejected'] for vm in vms)
+    observers.converge(
+        fleet,
+        path,
+        lambda: fleet.cluster.control_platform('fault', clear=True),
+    )
+
+
+def test_parts_later_than_their_pointer(fleet):
+    """A pointer that can be read before the parts that it leads to."""
+    preset, path = observers.add_probe(fleet.cluster.preset)
+    bundle = clusters.split_document('preset', preset)
+    manifest = digests.compute_digest(bundle.manifest)
+    pointer = json.dumps({'manifest': manifest})
+    before = observers.read_versions(fleet, 'preset')
+    fleet.cluster.control_platform(
+        'publish', key='channels/preset', value=pointer
+    )
+    gevent.sleep(1.5)
+    assert observers.read_versions(fleet, 'preset') == before
+    values = {manifest: bundle.manifest, **bundle.parts}
+    entries = [
+        {'key': f'parts/{digest}', 'value': data.decode()}
+        for digest, data in values.items()
+    ]
+    observers.converge(
+        fleet,
+        path,
+        lambda: fleet.cluster.control_platform('publish', values=entries),
+    )
+    fleet.cluster.preset = preset
+
+
+@pytest.mark.parametrize('who', ['one', 'zone', 'all-but-one'])
+def test_restart_under_stale_platform(fleet, who):
+    """Nodes that start anew while the platform serves an older revision."""
+    vms = list(fleet.cluster.vms)
+    chosen = {
+        'one': vms[:1],
+        'zone': fleet.vms_in('liege'),
+        'all-but-one': vms[1:],
+    }[who]
+    revision = read_revision(fleet)
+    path = observers.publish_and_converge(fleet)
+    version = min(observers.read_versions(fleet, 'preset').values())
+    fleet.cluster.control_platform('fault', stale=revision)
+    with observers.VersionLog(fleet) as log:
+        with observers.Callers(fleet, chosen, path) as probes:
+            restart(fleet, chosen)
+            fleet.cluster.wait_serving(chosen)
+            gevent.sleep(1.5)
+    log.check()
+    assert probes.count_served()
+    assert 404 not in {record.status for record in probes.records}
+    assert min(observers.read_versions(fleet, 'preset').values()) == version
+    fleet.cluster.control_platform('fault', clear=True, stale=False)
+    observers.publish_and_converge(fleet)
+
+
+def test_updates_that_cross(fleet):
+    """Answers of the platform that arrive in another order."""
+    fleet.cluster.control_platform('fault', disorder=True)
+    with observers.VersionLog(fleet) as log:
+        for _ in range(_ROUNDS):
+            _, path = observers.publish_probe(fleet)
+            gevent.sleep(0.15)
+        observers.converge(fleet, path)
+    log.check()
+
+
+def test_all_new_and_platform_stale(fleet):
+    """A fleet without memory that finds only an older revision."""
+    old_path = observers.publish_and_converge(fleet)
+    revision = read_revision(fleet)
+    path = observers.publish_and_converge(fleet)
+    fleet.cluster.control_platform('fault', stale=revision)
+    vms = list(fleet.cluster.vms)
+    restart(fleet, vms)
+    fleet.cluster.wait_serving()
+    with observers.VersionLog(fleet) as log:
+        for vm in vms:
+            assert fleet.cluster.call(vm, old_path).status == 200
+            assert fleet.cluster.call(vm, path).status == 404
+        shown = [fleet.cluster.status(vm)['unconfirmed'] for vm in vms]
+        observers.converge(
+            fleet,
+            path,
+            lambda: fleet.cluster.control_platform('fault', stale=False),
+        )
+    log.check()
+    assert all(shown)
+
+
+def test_platform_outage(fleet):
+    """A platform that is down must not stop calls, nor later versions."""
+    vms = list(fleet.cluster.vms)
+    with observers.VersionLog(fleet) as log:
+        with observers.Callers(fleet, vms) as callers:
+            fleet.cluster.control_platform('fault', down='refuse')
+            gevent.sleep(4.0)
+            fleet.cluster.control_platform('fault', down='answer-503')
+            gevent.sleep(2.0)
+            fleet.cluster.control_platform('fault', clear=True)
+            observers.publish_and_converge(fleet)
+    log.check()
+    assert callers.count_served() and not callers.list_failed()
