Find the owner of a connection without the list of all sockets

The fault proxy read /proc/net/tcp for each connection, 8 ms with 3,800 sockets on the machine, and forwarded nothing meanwhile. A fleet of twelve nodes behind it once failed to start in 20 s on a busy machine: handshakes ended at their 1.5 s limit and were dialled again.

Caching the list was ruled out, because each connection is new.

Tests: jayseam/standins/tests/test_faults.py passes.

--- a/jayseam/standins/faults.py
+++ b/jayseam/standins/faults.py
@@ -12,7 +12,8 @@
 """
 
 import os
-import re
+import socket as native_socket
+import struct
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
@@ -32,6 +33,20 @@
 _SILENCES = ('forward', 'backward', 'both')
 _MAX_DELAYED_BLOCKS = 1024
 
+# Messages of sock_diag(7): struct nlmsghdr and struct inet_diag_req_v2.
+_NETLINK_SOCK_DIAG = 4
+_SOCK_DIAG = 20
+_NLM_REQUEST = 1
+_ANY = 0xFFFFFFFF
+_NETLINK_HEADER = struct.Struct('=IHHII')
+_DIAG_REQUEST = struct.Struct('=BBBxI')
+_DIAG_PORTS = struct.Struct('!HH')
+_DIAG_REST = struct.Struct('=III')
+_DIAG_INODE = struct.Struct('=I')
+# The inode ends struct inet_diag_msg: 4 bytes, the 48 of the socket's
+# identity, and four numbers stand before it.
+_DIAG_INODE_AT = _NETLINK_HEADER.size + 4 + 48 + 16
+
 
 @attrs.frozen
 class Endpoint:
@@ -466,16 +481,12 @@
       pids: Processes to look at.
 
     References:
-      proc(5), on ``/proc/net/tcp`` and ``/proc/pid/fd``.
+      sock_diag(7); proc(5), on ``/proc/pid/fd``.
     """
-    with open('/proc/net/tcp', encoding='ascii') as file:
-        table = file.read()
-    ends = rf'[0-9A-F]{{8}}:{port:04X} [0-9A-F]{{8}}:{peer_port:04X}'
-    pattern = rf'^ *\d+: {ends} 01 (?:\S+ +){{5}}(\d+) '
-    found = re.search(pattern, table, re.MULTILINE)
-    if found is None:
+    inode = _find_inode(port, peer_port)
+    if not inode:
         return 0
-    name = f'socket:[{found.group(1)}]'
+    name = f'socket:[{inode}]'
     for pid in pids:
         try:
             entries = os.scandir(f'/proc/{pid}/fd')
@@ -488,3 +499,31 @@
             except OSError:
                 continue
     return 0
+
+
+def _find_inode(port: int, peer_port: int) -> int:
+    """Returns the inode of the socket of a connection on loopback, or 0.
+
+    The kernel looks the one socket up. Reading ``/proc/net/tcp`` took 8 ms
+    with 3,800 sockets on the machine, for which no connection is forwarded.
+    """
+    host = socket.inet_aton('127.0.0.1').ljust(16, b'\0')
+    # The interface and the cookie are not compared.
+    request = (
+        _DIAG_REQUEST.pack(socket.AF_INET, socket.IPPROTO_TCP, 0, _ANY)
+        + _DIAG_PORTS.pack(port, peer_port)
+        + host
+        + host
+        + _DIAG_REST.pack(0, _ANY, _ANY)
+    )
+    header = _NETLINK_HEADER.pack(
+        _NETLINK_HEADER.size + len(request), _SOCK_DIAG, _NLM_REQUEST, 1, 0
+    )
+    with native_socket.socket(
+        native_socket.AF_NETLINK, native_socket.SOCK_RAW, _NETLINK_SOCK_DIAG
+    ) as sock:
+        sock.send(header + request)
+        reply = sock.recv(_BLOCK_BYTES)
+    if _NETLINK_HEADER.unpack_from(reply)[1] != _SOCK_DIAG:
+        return 0
+    return _DIAG_INODE.unpack_from(reply, _DIAG_INODE_AT)[0]
