Hold calls after a pause until a peer has answered

Two faults let a process that woke from a pause act on old versions: - The refresh ended when all peers had failed to answer, which happens at once if the links ended during the pause. A first call was then judged by the old preset (404 for a route published during the pause). The ingress now checks a call again, after the pause guard, between admission and run.

Holding the gate from the ticker was ruled out: answers of the backend server are read, and free slots, before the ticker runs.

--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -36,6 +36,8 @@
       read_snapshot: Returns the configuration in force.
       gate: Admission gate of the own backend server.
       backend: Client of the own backend server.
+      ensure_fresh: Returns once the process knows what happened while it was
+        paused; takes and returns the time in seconds.
     """
 
     def __init__(
@@ -44,11 +46,13 @@
         read_snapshot: Callable[[], Any],
         gate: admission.gates.Gate,
         backend: backends.client.BackendClient,
+        ensure_fresh: Callable[[float], float],
     ):
         self._identity = identity
         self._read_snapshot = read_snapshot
         self._gate = gate
         self._backend = backend
+        self._ensure_fresh = ensure_fresh
         self._running: dict[str, gevent.Greenlet] = {}
         self._leaving = False
 
@@ -110,6 +114,9 @@
             raise errors.NotRunError('this node has restarted since')
         if forward.service != self._find_service():
             raise errors.NotRunError('this node serves another service')
+        self._check_validity(forward)
+
+    def _check_validity(self, forward: messages.Forward) -> None:
         if not self._zone_in_service():
             raise errors.ZoneError('the availability zone is out of service')
         if not self._key_valid(forward):
@@ -148,6 +155,7 @@
         permit = self._acquire(ticket, now)
         result = admission.gates.Result.FAILED
         try:
+            self._check_again(forward, deadline)
             answer = self._backend.run(_build_request(forward), deadline)
             result = admission.gates.Result.SUCCESS
         except backends.errors.ShedError as error:
@@ -164,6 +172,16 @@
         headers = requests.filter_answer_headers(answer.headers)
         return requests.CallAnswer(answer.status, headers, answer.body)
 
+    def _check_again(self, forward: messages.Forward, deadline: float) -> None:
+        """Checks an admitted call by what is in force after a pause.
+
+        A slot that is free when a paused process wakes admits a waiting call
+        before the process has heard of the versions published meanwhile.
+        """
+        if self._ensure_fresh(clocks.read_now()) >= deadline:
+            raise errors.NotRunError('the deadline has passed')
+        self._check_validity(forward)
+
     def _acquire(
         self, ticket: admission.gates.Ticket, now: float
     ) -> admission.gates.Permit:
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -28,6 +28,7 @@
 from jayseam.node import status
 
 _SYNC_PEERS = 1
+_SYNC_RETRY_S = 0.05
 _DRAIN_POLL_S = 0.05
 # After the last call has finished, kept-alive callers get this long to see an
 # answer with "Connection: close" before their connections end.
@@ -115,6 +116,7 @@
             self._incarnation,
             lambda: self._distribution.current,
             lambda name: self._membership.set_own(backend=name),
+            self._ensure_fresh,
         )
         self._ingress = self._backend.ingress
 
@@ -285,17 +287,30 @@
         self._backend.notice_pause(now)
         self._life.try_advance('pause_detected')
         try:
-            peers = list(self._membership.neighbours())
-            others = [
-                record.vm
-                for record in self._membership.view.live()
-                if record.vm not in peers and record.vm != self._settings.vm
-            ]
-            peers += random.sample(others, min(_SYNC_PEERS, len(others)))
-            self._distribution.sync(peers, pauses.REFRESH_LIMIT_S)
+            # Links that ended during the pause fail at once, so that a failed
+            # attempt says nothing about how long peers stay out of reach.
+            while not self._sync_with_peers():
+                gevent.sleep(_SYNC_RETRY_S)
         finally:
             self._life.try_advance('refreshed')
 
+    def _ensure_fresh(self, now: float) -> float:
+        """Returns the time once a pause, if any, has been made up for."""
+        return self._guard.ensure_fresh(now)
+
+    def _sync_with_peers(self) -> bool:
+        """Tells whether a peer has told its versions, or none is known."""
+        peers = list(self._membership.neighbours())
+        others = [
+            record.vm
+            for record in self._membership.view.live()
+            if record.vm not in peers and record.vm != self._settings.vm
+        ]
+        peers += random.sample(others, min(_SYNC_PEERS, len(others)))
+        if not peers:
+            return True
+        return self._distribution.sync(peers, pauses.REFRESH_LIMIT_S)
+
     # Functions that tasks use to reach each other.
 
     def _resolve(self, vm: str) -> tuple[str, int] | None:
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -21,6 +21,8 @@
       incarnation: Incarnation of this process.
       read_snapshot: Returns the configuration in force.
       tell_state: Tells the fleet a new state of the backend server.
+      ensure_fresh: Returns once the process knows what happened while it was
+        paused; takes and returns the time in seconds.
     """
 
     def __init__(
@@ -29,6 +31,7 @@
         incarnation: int,
         read_snapshot: Callable[[], Any],
         tell_state: Callable[[str], None],
+        ensure_fresh: Callable[[float], float],
     ):
         self._upstream = settings.upstream
         self._tell_state = tell_state
@@ -53,6 +56,7 @@
             read_snapshot,
             self._gate,
             self._client,
+            ensure_fresh,
         )
 
     def start(self) -> None:
