--- /dev/null
+++ b/jayseam/node/tests/test_pauses.py
@@ -0,0 +1,144 @@
+"""Node processes that are paused (SIGSTOP) and resume late."""
+
+import gevent
+import pytest
+
+from jayseam.core import clocks
+from jayseam.node.tests import fleets
+from jayseam.node.tests import observers
+from jayseam.standins import clusters
+from jayseam.standins import exchanges
+
+ZONE = 'charleroi'
+_PAUSE_S = 3.0
+
+
+@pytest.fixture(name='fleet', scope='module')
+def _fleet():
+    with fleets.start_fleet() as fleet:
+        fleet.wait_admitting()
+        yield fleet
+
+
+def connect(fleet, vm):
+    """Returns a kept-alive connection that has served a call."""
+    port = fleet.cluster.vms[vm].caller_port
+    connection = exchanges.Connection('127.0.0.1', port)
+    assert exchange(connection, observers.OPEN_PATH).status == 200
+    return connection
+
+
+def exchange(connection, path, key=None):
+    """Makes a call on a connection."""
+    fields = {} if key is None else {'Authorization': f'Bearer {key}'}
+    return connection.exchange('GET', path, fields, b'', 10.0)
+
+
+@pytest.mark.parametrize(
+    'workspace, zone', [('andenne', ZONE), ('dinant', 'namur')]
+)
+def test_first_call_after_a_pause(fleet, workspace, zone):
+    """A call judged by what a paused process believed before its pause."""
+    # The VM's own backend server would serve the call, so that nothing but
+    # the paused process judges it.
+    (paused,) = set(fleet.vms_in(zone)).intersection(fleet.vms_of('credits'))
+    cluster, key = fleet.cluster, fleet.keys[workspace]
+    valid = fleet.keys['bureau']
+    calls = [
+        ('/credits/1', valid),
+        ('/credits/1', key),
+        (observers.OPEN_PATH, None),
+    ]
+    connections = [connect(fleet, paused) for _ in range(4)]
+    cluster.pause(paused)
+    paused_at = clocks.read_now()
+    preset, path = observers.add_probe(cluster.preset)
+    preset = clusters.set_zone_service(preset, zone, False)
+    version = cluster.publish(preset)
+    cluster.withdraw_key(key.partition('.')[0])
+    gevent.sleep(0.5)
+    jobs = [
+        gevent.spawn(exchange, connection, *call)
+        for connection, call in zip(connections, [*calls, (path, None)])
+    ]
+    gevent.sleep(max(0.0, paused_at + _PAUSE_S - clocks.read_now()))
+    resumed_at = clocks.read_now()
+    cluster.resume(paused)
+    gevent.joinall(jobs)
+    took_s = clocks.read_now() - resumed_at
+    answers = [job.get() for job in jobs]
+    print(paused, [a.status for a in answers], f'{took_s:.2f} s')
+    assert [a.status for a in answers] == [200, 401, 200, 200]
+    upstreams = [cluster.vms[vm].upstream for vm in fleet.vms_in(zone)]
+    assert not [
+        run
+        for run in cluster.collect_runs()
+        if run['backend'] in upstreams and run['started'] > resumed_at
+    ]
+    assert cluster.status(paused)['versions']['preset'] >= version
+    assert cluster.status(paused)['pauses'] >= 1
+    assert took_s < 2.0
+    for connection in connections:
+        connection.close()
+    cluster.take_zone_in(zone)
+    observers.publish_and_converge(fleet)
+
+
+def test_queued_calls_after_a_pause(fleet):
+    """Calls that waited in the ingress while their zone was taken out."""
+    (vm,) = [vm for vm in fleet.vms_in(ZONE) if vm in fleet.vms_of('credits')]
+    cluster = fleet.cluster
+    upstream = cluster.vms[vm].upstream
+    key = fleet.keys['bureau']
+    slow = [cluster.vms[name].upstream for name in fleet.vms_of('credits')]
+    for name in slow:
+        cluster.control_backend(
+            name, 'fault', kind='late', when='after', ms=2000.0
+        )
+    try:
+        jobs = [
+            gevent.spawn(cluster.call, vm, '/credits/1', key, timeout_s=15.0)
+            for _ in range(50)
+        ]
+        cluster.wait_until(
+            lambda: cluster.status(vm)['backend']['queued'] > 0, 1.5, 'queue'
+        )
+        cluster.pause(vm)
+        paused_at = clocks.read_now()
+        cluster.take_zone_out(ZONE)
+        # Answers arrive during the pause and free slots when it ends.
+        gevent.sleep(_PAUSE_S)
+        cluster.resume(vm)
+        gevent.joinall(jobs)
+        late = [
+            run['started'] - paused_at
+            for run in cluster.collect_runs()
+            if run['backend'] == upstream and run['started'] > paused_at
+        ]
+        statuses = [job.value and job.value.status for job in jobs]
+        print(f'{statuses}, late: {late}')
+        assert not late
+    finally:
+        for name in slow:
+            cluster.control_backend(name, 'fault', kind='')
+        cluster.take_zone_in(ZONE)
+    observers.publish_and_converge(fleet)
+
+
+def test_pause_over_several_publications(fleet):
+    """A node that wakes with an old version must not pass it on as new."""
+    paused = fleet.vms_in('liege')[:2]
+    with observers.VersionLog(fleet) as log:
+        for vm in paused:
+            fleet.cluster.pause(vm)
+        running = [vm for vm in fleet.cluster.vms if vm not in paused]
+        for _ in range(4):
+            path = observers.publish_and_converge(fleet, running)
+            gevent.sleep(1.0)
+
+        def resume():
+            for vm in paused:
+                fleet.cluster.resume(vm)
+
+        observers.converge(fleet, path, resume)
+    log.check()
--- /dev/null
+++ b/jayseam/node/tests/test_zones.py
@@ -0,0 +1,115 @@
+"""Zones, VMs and backend servers that leave and return under load."""
+
+import collections
+
+import gevent
+import pytest
+
+from jayseam.core import clocks
+from jayseam.node.tests import fleets
+from jayseam.node.tests import observers
+
+ZONE = 'namur'
+_LEAVE_S = 3.0
+_GROWTH_S = 10.0
+
+
+@pytest.fixture(name='fleet', scope='module')
+def _fleet():
+    backend = {'service_time': {'kind': 'fixed', 'mean_ms': 40.0}}
+    with fleets.start_fleet(backend=backend) as fleet:
+        yield fleet
+
+
+def list_runs(fleet, upstreams, start, end=1e18):
+    """Returns the starts of the runs at some upstreams within a time span."""
+    return [
+        run['started']
+        for run in fleet.cluster.collect_runs()
+        if run['backend'] in upstreams and start < run['started'] < end
+    ]
+
+
+def list_upstreams(fleet, zone):
+    """Returns the upstreams of a zone."""
+    return {fleet.cluster.vms[vm].upstream for vm in fleet.vms_in(zone)}
+
+
+def test_zone_leaves_and_returns(fleet):
+    """New work in a zone that is out; a returned zone at once under load."""
+    upstreams = list_upstreams(fleet, ZONE)
+    vms = list(fleet.cluster.vms)
+    # More callers than slots, so that calls wait in the queues all the time.
+    with observers.Callers(fleet, vms, per_vm=5, pause_s=0.0) as callers:
+        gevent.sleep(1.0)
+        queued = [
+            fleet.cluster.status(vm)['backend']['queued']
+            for vm in fleet.vms_in(ZONE)
+        ]
+        out_at = clocks.read_now()
+        fleet.cluster.take_zone_out(ZONE)
+        gevent.sleep(_LEAVE_S + 1.0)
+    # Fewer callers show how the load moves; queues would hide it.
+    with observers.Callers(fleet, vms, per_vm=2, pause_s=0.06) as later:
+        gevent.sleep(0.5)
+        in_at = clocks.read_now()
+        fleet.cluster.take_zone_in(ZONE)
+        gevent.sleep(_GROWTH_S + 1.0)
+        end = clocks.read_now()
+    late = list_runs(fleet, upstreams, out_at + _LEAVE_S, in_at)
+    assert len(list_runs(fleet, upstreams, 0.0, out_at)) > 0
+    assert max(queued) > 0, 'no call was waiting when the zone left'
+    assert not late
+    for observed in (callers, later):
+        failures = collections.Counter(
+            (r.status, r.body[:200]) for r in observed.list_failed()
+        )
+        assert not failures
+        observed.check_deadlines()
+    others = {vm.upstream for vm in fleet.cluster.vms.values()} - upstreams
+    early, last = [
+        [
+            len(list_runs(fleet, chosen, start, start + 2.0))
+            for chosen in (upstreams, others)
+        ]
+        for start in (in_at, end - 2.0)
+    ]
+    print(f'runs in the zone and elsewhere: {early}, later {last}')
+    assert 0 < early[0] < 0.6 * last[0]
+    assert last[1] < 0.9 * early[1]
+
+
+def test_leaving_vm_gets_no_new_runs(fleet):
+    """A planned stop while calls are under way, at the VM and elsewhere."""
+    leaving = fleet.vms_of('drop-off-points')[0]
+    upstream = fleet.cluster.vms[leaving].upstream
+    vms = [vm for vm in fleet.cluster.vms if vm != leaving]
+    with observers.Callers(fleet, vms, per_vm=3, pause_s=0.0) as callers:
+        gevent.sleep(0.5)
+        left_at = clocks.read_now()
+        assert fleet.cluster.terminate(leaving) == 0
+        gevent.sleep(max(0.0, left_at + _LEAVE_S + 1.0 - clocks.read_now()))
+    assert list_runs(fleet, {upstream}, 0.0, left_at)
+    assert not list_runs(fleet, {upstream}, left_at + _LEAVE_S)
+    assert not callers.list_failed()
+    fleet.cluster.restart(leaving)
+    fleet.cluster.wait_serving()
+
+
+def test_draining_backend_gets_no_new_runs(fleet):
+    """A backend server that drains while calls run and wait."""
+    vm = fleet.vms_of('drop-off-points')[1]
+    upstream = fleet.cluster.vms[vm].upstream
+    vms = list(fleet.cluster.vms)
+    with observers.Callers(fleet, vms, per_vm=4, pause_s=0.0) as callers:
+        gevent.sleep(0.5)
+        drained_at = clocks.read_now()
+        fleet.cluster.control_backend(upstream, 'drain')
+        gevent.sleep(_LEAVE_S + 1.5)
+        fleet.cluster.control_backend(upstream, 'drain', draining=False)
+        ended_at = clocks.read_now()
+        gevent.sleep(2.0)
+    assert list_runs(fleet, {upstream}, 0.0, drained_at)
+    assert not list_runs(fleet, {upstream}, drained_at + _LEAVE_S, ended_at)
+    assert list_runs(fleet, {upstream}, ended_at)
+    assert not callers.list_failed()
