--- a/jayseam/node/tests/fleets.py
+++ b/jayseam/node/tests/fleets.py
@@ -4,10 +4,11 @@
 import os
 import random
 import uuid
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
 import attrs
+import gevent
 
 from jayseam.core import clocks
 from jayseam.presets import documents
@@ -15,6 +16,9 @@
 from jayseam.presets import samples
 from jayseam.standins import clusters
 from jayseam.standins import exchanges
+from jayseam.standins import referee
+from jayseam.tools import load
+from jayseam.tools import profiles
 
 SEED = int(os.environ.get('JAYSEAM_SEED', '1'))
 FAST_RAMP = model.Ramp(initial_slots=10, duration_s=0.1)
@@ -60,6 +64,85 @@
 
         self.cluster.wait_until(admits, _LIMITS_READY_S)
 
+    def clear(self) -> None:
+        """Forgets the runs and peaks so far, as between two tests."""
+        for upstream in self.cluster.preset['upstreams']:
+            self.cluster.control_backend(upstream['name'], 'clear-runs')
+        self.cluster.collect_peaks(reset=True)
+
+    def set_fault(self, service: str, kind: str, **fields: Any) -> None:
+        """Sets a fault of all backend servers of a service; '' ends it."""
+        for vm in self.vms_of(service):
+            upstream = self.cluster.vms[vm].upstream
+            self.cluster.control_backend(upstream, 'fault', kind=kind, **fields)
+
+    def start_load(
+        self,
+        workspaces: Mapping[str, float],
+        routes: Sequence[profiles.RouteLoad],
+        duration_s: float,
+        **options: Any,
+    ) -> gevent.Greenlet:
+        """Starts load over all nodes; the greenlet returns a `LoadReport`.
+
+        Args:
+          workspaces: Calls a second by workspace.
+          routes: What each workspace calls.
+          duration_s: Length in seconds.
+          **options: ``connections`` for each workspace, and other attributes
+            of the profile.
+        """
+        connections = options.pop('connections', 48)
+        settings = {'targets': tuple(self.cluster.targets()), 'seed': SEED}
+        profile = profiles.Profile(
+            duration_s=duration_s,
+            workspaces=tuple(
+                profiles.WorkspaceLoad(
+                    name, rate, tuple(routes), self.keys[name], connections
+                )
+                for name, rate in workspaces.items()
+            ),
+            # Longer than any route's timeout: a call that ends by this limit
+            # got no answer within its deadline.
+            timeout_s=8.0,
+            **{**settings, **options},
+        )
+        return gevent.spawn(load.run_load, profile)
+
+    def wait_idle(self) -> None:
+        """Waits until no backend server runs a call.
+
+        Raises:
+          ClusterError: If one still does after the longest route timeout.
+        """
+        self.cluster.wait_until(
+            lambda: not any(
+                peaks['in_flight_now']
+                for peaks in self.cluster.collect_peaks().values()
+            ),
+            21.0,
+        )
+
+    def judge(
+        self,
+        records: Sequence[load.CallRecord],
+        latitude_s: float,
+        ignored: Sequence[str] = (),
+    ) -> list[referee.Violation]:
+        """Returns what the referee finds since the last `clear`.
+
+        Args:
+          records: Calls of all callers since then.
+          latitude_s: Longest time from admission to run, in seconds.
+          ignored: Rules that the test breaks on purpose.
+        """
+        self.wait_idle()
+        budgets = referee.read_budgets(self.cluster.preset['workspaces'])
+        judged = referee.Referee(budgets, latitude_s).judge(
+            self.cluster.collect_runs(), records, self.cluster.collect_peaks()
+        )
+        return [found for found in judged if found.rule not in ignored]
+
     def count_runs(self, **fields: Any) -> int:
         """Returns how many recorded runs have all the given values."""
         return sum(
--- /dev/null
+++ b/jayseam/node/tests/test_budgets.py
@@ -0,0 +1,99 @@
+"""Fleet-wide rate and burst, in calm and under faults."""
+
+import random
+
+import gevent
+import pytest
+
+from jayseam.node.tests import fleets
+from jayseam.tools import profiles
+
+_GREEDY = 'huy'
+_GREED = 5.0
+_SHARE = 0.5
+_ROUTES = [profiles.RouteLoad('/credits/1'), profiles.RouteLoad('/refunds/1')]
+_LOAD_S = 6.0
+
+
+@pytest.fixture(name='fleet', scope='module')
+def _fleet():
+    with fleets.start_fleet(fault_proxies=True) as fleet:
+        fleet.wait_admitting()
+        yield fleet
+
+
+def _leave_calm(fleet):
+    del fleet
+
+
+def _kill_nodes(fleet):
+    for _ in range(3):
+        victim = random.choice(list(fleet.cluster.vms))
+        fleet.cluster.kill(victim, backend=False)
+        gevent.sleep(0.5)
+        fleet.cluster.restart(victim)
+        gevent.sleep(1.0)
+
+
+def _pause_nodes(fleet):
+    paused = random.sample(list(fleet.cluster.vms), 3)
+    for vm in paused:
+        fleet.cluster.pause(vm)
+    gevent.sleep(3.0)
+    for vm in paused:
+        fleet.cluster.resume(vm)
+
+
+def _cut_zones(fleet):
+    zones = sorted({vm.zone for vm in fleet.cluster.vms.values()})
+    fleet.cluster.partition(*zones)
+    gevent.sleep(3.0)
+    fleet.cluster.heal()
+
+
+# The referee sees the time of a run, the limiter that of admission. Calls
+# bunch up by the longest time between them: 0.1 s in calm, where the wait for
+# tokens comes before admission and runs are short; 1.5 s until a silent link
+# closes and another attempt is made; 3 s for a paused node.
+@pytest.mark.parametrize(
+    'disturb, latitude_s',
+    [
+        (_leave_calm, 0.1),
+        (_kill_nodes, 0.5),
+        (_cut_zones, 2.0),
+        (_pause_nodes, 3.5),
+    ],
+)
+def test_rate_and_burst_hold_over_the_fleet(fleet, disturb, latitude_s):
+    """A workspace at five times its rate gets no more than its rate."""
+    workspaces = fleet.cluster.preset['workspaces']
+    rates = {
+        entry['name']: entry['rate_per_s']
+        * (_GREED if entry['name'] == _GREEDY else _SHARE)
+        for entry in workspaces
+    }
+    fleet.clear()
+    running = fleet.start_load(rates, _ROUTES, _LOAD_S)
+    gevent.sleep(1.0)
+    disturb(fleet)
+    report = running.get()
+    found = fleet.judge(report.records, latitude_s, ignored=['overload'])
+    print(disturb.__name__, report.count_outcomes(), report.lag_ms)
+    assert not found
+    greedy = report.count_outcomes(_GREEDY)
+    # The limit was reached, and the workspace got a good part of its rate.
+    assert greedy['limit'] > greedy['ok'] > 0.5 * 20.0 * _LOAD_S
+    if disturb is _leave_calm:
+        _check_wrongful_refusals(report, rates)
+
+
+def _check_wrongful_refusals(report, rates):
+    """Fewer than 1 in 1,000 calls within the rate are refused."""
+    refused = {
+        name: report.count_outcomes(name).get('limit', 0)
+        for name in rates
+        if name != _GREEDY
+    }
+    within = sum(record.workspace != _GREEDY for record in report.records)
+    print(refused, within)
+    assert sum(refused.values()) < max(1.0, within / 1000)
