Keep calls in overload within slots and honest about what ran

- The ingress had the same deadline as the entry, so its refusals of calls that waited until then came too late: they ended as outcome-unknown, and the entry passed over the VM for 2 s.
The ingress now ends a call 50 ms earlier, and a call must be expected to finish 50 ms before that to leave the queue.
The end of a call's own time no longer counts against the VM.
- A retry of a repeatable call whose first attempt may have run said 'not run' when the second was refused.
The problem now says 'unknown'.
- A retry with less than 0.1 s left is not made; its reply came too late.
- The permit of a call that timed out was given back while the backend server still ran it, so others exceeded the slots by 1 to 4.
It is kept until the cancellation is answered (BackendClient.find_cancellation).

Also, Service.shed_retryable reaches the backend client, which ignored it. Ruled out: a longer wait at the entry, which would answer after the deadline.

--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -112,6 +112,7 @@
         # Longest time after which an idle connection was still open.
         self._longest_idle_s = 0.0
         self._pending_cancels = 0
+        self._cancellations: dict[str, gevent.Greenlet] = {}
         self._pool = connections.ConnectionPool(
             max(1, max_connections - 1), self._report_idle_loss
         )
@@ -169,6 +170,14 @@
             call.connection.close()
         return True
 
+    def find_cancellation(self, request_id: str) -> gevent.Greenlet | None:
+        """Returns the greenlet that ends a call at the backend server.
+
+        Until it has finished, a call that `run` gave up may still hold a slot.
+        It finishes within about `CANCEL_TIMEOUT_S`.
+        """
+        return self._cancellations.get(request_id)
+
     def poll(self, path: str, timeout_s: float) -> messages.BackendAnswer:
         """Reads a control path over the connection set aside for it.
 
@@ -399,7 +408,9 @@
             )
             return
         self._pending_cancels += 1
-        gevent.spawn(self._post_cancel, request_id)
+        self._cancellations[request_id] = gevent.spawn(
+            self._post_cancel, request_id
+        )
 
     def _post_cancel(self, request_id: str) -> None:
         """Tells the backend server to stop a call; its answer is not needed."""
@@ -418,6 +429,7 @@
             )
         finally:
             self._pending_cancels -= 1
+            del self._cancellations[request_id]
 
 
 def _build_timeout(sent: int) -> errors.BackendError:
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -23,6 +23,13 @@
     'key': errors.KeyRefusedError,
     'outcome-unknown': errors.OutcomeUnknownError,
 }
+# The ingress ends a call this much before its deadline, or a tenth of the time
+# left before if that is less, so that its reply reaches the entry in time.
+# Without it, calls that waited in a full queue ended as outcome-unknown, and
+# backend servers worked for callers that had given up.
+_REPLY_MARGIN_MS = 50
+# With less time left another attempt is in vain, and its reply may be late.
+_MIN_RETRY_S = 0.1
 # Failures that a node reports without having run the handler.
 _NOT_HANDLED = frozenset(('no-handler', 'overloaded'))
 
@@ -251,6 +258,8 @@
         )
         for number in range(retries.MAX_RETRIES + 1):
             now = clocks.read_now()
+            if number and now + _MIN_RETRY_S > call.deadline:
+                raise failure
             if now >= call.deadline or (number and not self._spend_retry(now)):
                 raise failure
             chosen = self._choose(call, tried, now)
@@ -260,9 +269,11 @@
             try:
                 return self._forward(call, chosen, now)
             except errors.CallError as error:
-                failure = error
+                # An earlier attempt may have run, whatever the last one did.
+                if failure.ran == 'no':
+                    failure = error
                 if not _may_retry(error, call.route.repeatable):
-                    raise
+                    break
         raise failure
 
     def _spend_retry(self, now: float) -> bool:
@@ -300,7 +311,9 @@
                 raise errors.NotRunError('the node is overloaded') from error
             raise errors.OutcomeUnknownError('the node failed') from error
         except link_errors.LinkError as error:
-            chooser.record_failure(chosen.vm, clocks.read_now())
+            # The end of the call's own time says nothing about the VM.
+            if (failed_at := clocks.read_now()) < call.deadline:
+                chooser.record_failure(chosen.vm, failed_at)
             raise errors.OutcomeUnknownError('the reply was lost') from error
         except errors.CallerGoneError:
             self._parts.cancel(chosen.vm, forward.attempt)
@@ -314,10 +327,11 @@
     ) -> messages.Forward:
         caller = call.caller
         headers = requests.filter_request_headers(call.request.headers)
-        left_ms = max(1, int((call.deadline - now) * 1000))
+        left_ms = int((call.deadline - now) * 1000)
+        run_ms = max(1, left_ms - min(_REPLY_MARGIN_MS, left_ms // 10))
         added = [
             ('request-id', call.request_id),
-            ('request-timeout-ms', str(left_ms)),
+            ('request-timeout-ms', str(run_ms)),
         ]
         if caller.workspace:
             token = tokens.CallToken(
@@ -341,7 +355,7 @@
             service=chosen.service,
             workspace=caller.workspace,
             key_id=caller.key_id,
-            timeout_ms=left_ms,
+            timeout_ms=run_ms,
             repeatable=call.route.repeatable,
             preset_version=call.snapshot.preset_version,
             keys_version=call.snapshot.keys_version,
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -15,6 +15,11 @@
 from jayseam.core import clocks
 from jayseam.core import logs
 
+# A call must be expected to finish this much before its deadline to leave the
+# queue, or a tenth of its time before if that is less. In overload every call
+# waits as long as it may, and one admitted at the last moment runs in vain.
+_RUN_MARGIN_S = 0.05
+
 _log = logs.get_logger(__name__)
 
 
@@ -50,6 +55,7 @@
         self._gate = gate
         self._backend = backend
         self._running: dict[str, gevent.Greenlet] = {}
+        self._request_ids: dict[str, str] = {}
         self._leaving = False
 
     @property
@@ -57,9 +63,9 @@
         """Number of calls that are queued or running."""
         return len(self._running)
 
-    def running_attempts(self) -> list[str]:
-        """Returns the identifiers of the attempts in flight."""
-        return list(self._running)
+    def running_attempts(self) -> dict[str, str]:
+        """Returns the request id of each attempt in flight."""
+        return dict(self._request_ids)
 
     def leave(self) -> None:
         """Refuses forwarded calls from now on; those accepted finish."""
@@ -94,6 +100,7 @@
         """
         self._check(forward)
         self._running[forward.attempt] = gevent.getcurrent()
+        self._request_ids[forward.attempt] = forward.request_id
         try:
             return self._admit_and_run(forward, now)
         except errors.CallerGoneError as error:
@@ -102,6 +109,7 @@
             ) from error
         finally:
             self._running.pop(forward.attempt, None)
+            self._request_ids.pop(forward.attempt, None)
 
     def _check(self, forward: messages.Forward) -> None:
         if self._leaving:
@@ -136,11 +144,12 @@
     def _admit_and_run(
         self, forward: messages.Forward, now: float
     ) -> requests.CallAnswer:
-        deadline = now + forward.timeout_ms / 1000
+        timeout_s = forward.timeout_ms / 1000
+        deadline = now + timeout_s
         ticket = admission.gates.Ticket(
             workspace=forward.workspace,
             cost=self._gate.estimate_cost(forward.workspace),
-            deadline=deadline,
+            deadline=deadline - min(_RUN_MARGIN_S, timeout_s / 10),
             request_id=forward.request_id,
             still_valid=lambda _: self._key_valid(forward)
             and self._zone_in_service(),
@@ -148,7 +157,7 @@
         permit = self._acquire(ticket, now)
         result = admission.gates.Result.FAILED
         try:
-            answer = self._backend.run(_build_request(forward), deadline)
+            answer = self._backend.run(self._build_request(forward), deadline)
             result = admission.gates.Result.SUCCESS
         except backends.errors.ShedError as error:
             result = admission.gates.Result.SHED
@@ -160,10 +169,42 @@
         except backends.errors.OutcomeUnknownError as error:
             raise errors.OutcomeUnknownError(str(error)) from error
         finally:
-            permit.release(result, clocks.read_now())
+            self._release(permit, result, forward.request_id)
         headers = requests.filter_answer_headers(answer.headers)
         return requests.CallAnswer(answer.status, headers, answer.body)
 
+    def _build_request(
+        self, forward: messages.Forward
+    ) -> backends.messages.BackendRequest:
+        preset = self._read_snapshot().preset
+        service = preset.services.get(forward.service) if preset else None
+        return backends.messages.BackendRequest(
+            request_id=forward.request_id,
+            method=forward.method,
+            path=forward.target,
+            headers=tuple((name, value) for name, value in forward.headers),
+            body=forward.body,
+            shed_retryable=service is None or service.shed_retryable,
+        )
+
+    def _release(
+        self,
+        permit: admission.gates.Permit,
+        result: admission.gates.Result,
+        request_id: str,
+    ) -> None:
+        """Gives a permit back once the backend server has ended the call.
+
+        A call that reached its deadline or was cancelled may run on until the
+        backend server has answered the cancellation; another call admitted
+        before that could exceed the slots.
+        """
+        ending = self._backend.find_cancellation(request_id)
+        if ending is None:
+            permit.release(result, clocks.read_now())
+        else:
+            ending.rawlink(lambda _: permit.release(result, clocks.read_now()))
+
     def _acquire(
         self, ticket: admission.gates.Ticket, now: float
     ) -> admission.gates.Permit:
@@ -177,15 +218,3 @@
             raise errors.KeyRefusedError('the key was withdrawn') from error
         except admission.errors.AdmissionError as error:
             raise errors.NotRunError(str(error)) from error
-
-
-def _build_request(
-    forward: messages.Forward,
-) -> backends.messages.BackendRequest:
-    return backends.messages.BackendRequest(
-        request_id=forward.request_id,
-        method=forward.method,
-        path=forward.target,
-        headers=tuple((name, value) for name, value in forward.headers),
-        body=forward.body,
-    )
