--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -116,6 +116,7 @@
         self._longest_idle_s = 0.0
         self._loss_reported_at = -math.inf
         self._pending_cancels = 0
+        self._cancellations: dict[str, gevent.Greenlet] = {}
         self._pool = connections.ConnectionPool(
             max(1, max_connections - 1), self._report_idle_loss
         )
@@ -173,6 +174,14 @@
             call.connection.close()
         return True
 
+    def find_cancellation(self, request_id: str) -> gevent.Greenlet | None:
+        """Returns the greenlet that ends a call at the backend server.
+
+        Until it has finished, a call that `run` gave up may still hold a slot.
+        It finishes within about `CANCEL_TIMEOUT_S`.
+        """
+        return self._cancellations.get(request_id)
+
     def poll(self, path: str, timeout_s: float) -> messages.BackendAnswer:
         """Reads a control path over the connection set aside for it.
 
@@ -415,7 +424,9 @@
             )
             return
         self._pending_cancels += 1
-        gevent.spawn(self._post_cancel, request_id)
+        self._cancellations[request_id] = gevent.spawn(
+            self._post_cancel, request_id
+        )
 
     def _post_cancel(self, request_id: str) -> None:
         """Tells the backend server to stop a call; its answer is not needed."""
@@ -434,6 +445,7 @@
             )
         finally:
             self._pending_cancels -= 1
+            del self._cancellations[request_id]
 
 
 def _build_timeout(sent: int) -> errors.BackendError:
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -15,6 +15,11 @@
 from jayseam.core import clocks
 from jayseam.core import logs
 
+# A call must be expected to finish this much before its deadline to leave the
+# queue, or a tenth of its time before if that is less. In overload every call
+# waits as long as it may, and one admitted at the last moment runs in vain.
+_RUN_MARGIN_S = 0.05
+
 _log = logs.get_logger(__name__)
 
 
@@ -54,6 +59,7 @@
         self._backend = backend
         self._ensure_fresh = ensure_fresh
         self._running: dict[str, gevent.Greenlet] = {}
+        self._request_ids: dict[str, str] = {}
         self._leaving = False
 
     @property
@@ -61,9 +67,9 @@
         """Number of calls that are queued or running."""
         return len(self._running)
 
-    def running_attempts(self) -> list[str]:
-        """Returns the identifiers of the attempts in flight."""
-        return list(self._running)
+    def running_attempts(self) -> dict[str, str]:
+        """Returns the request id of each attempt in flight."""
+        return dict(self._request_ids)
 
     def leave(self) -> None:
         """Refuses forwarded calls from now on; those accepted finish."""
@@ -98,6 +104,7 @@
         """
         self._check(forward)
         self._running[forward.attempt] = gevent.getcurrent()
+        self._request_ids[forward.attempt] = forward.request_id
         try:
             return self._admit_and_run(forward, now)
         except errors.CallerGoneError as error:
@@ -106,6 +113,7 @@
             ) from error
         finally:
             self._running.pop(forward.attempt, None)
+            self._request_ids.pop(forward.attempt, None)
 
     def _check(self, forward: messages.Forward) -> None:
         if self._leaving:
@@ -143,11 +151,12 @@
     def _admit_and_run(
         self, forward: messages.Forward, now: float
     ) -> requests.CallAnswer:
-        deadline = now + forward.timeout_ms / 1000
+        timeout_s = forward.timeout_ms / 1000
+        deadline = now + timeout_s
         ticket = admission.gates.Ticket(
             workspace=forward.workspace,
             cost=self._gate.estimate_cost(forward.workspace),
-            deadline=deadline,
+            deadline=deadline - min(_RUN_MARGIN_S, timeout_s / 10),
             request_id=forward.request_id,
             still_valid=lambda _: self._key_valid(forward)
             and self._zone_in_service(),
@@ -171,7 +180,7 @@
         except backends.errors.OutcomeUnknownError as error:
             raise errors.OutcomeUnknownError(str(error)) from error
         finally:
-            permit.release(result, clocks.read_now())
+            self._release(permit, result, forward.request_id)
         headers = requests.filter_answer_headers(answer.headers)
         return requests.CallAnswer(answer.status, headers, answer.body)
 
@@ -185,6 +194,24 @@
             raise errors.NotRunError('the deadline has passed')
         self._check_validity(forward)
 
+    def _release(
+        self,
+        permit: admission.gates.Permit,
+        result: admission.gates.Result,
+        request_id: str,
+    ) -> None:
+        """Gives a permit back once the backend server has ended the call.
+
+        A call that reached its deadline or was cancelled may run on until the
+        backend server has answered the cancellation; another call admitted
+        before that could exceed the slots.
+        """
+        ending = self._backend.find_cancellation(request_id)
+        if ending is None:
+            permit.release(result, clocks.read_now())
+        else:
+            ending.rawlink(lambda _: permit.release(result, clocks.read_now()))
+
     def _acquire(
         self, ticket: admission.gates.Ticket, now: float
     ) -> admission.gates.Permit:
