Show what a fleet without memory and one with a rejected preset tell

Cause: the first drafts of two tests mixed what holds with what does not. Change: the parts that hold have tests of their own; conflicting contents under one revision are offered by an authenticated peer.

Red, left as they are: test_bad_preset_is_explained_everywhere (only the readers know a rejected version) and test_all_new_and_platform_stale_is_shown (the stale platform's word counts as a confirmation).

--- a/jayseam/node/tests/test_versions.py
+++ b/jayseam/node/tests/test_versions.py
@@ -7,6 +7,10 @@
 import pytest
 
 from jayseam.core import digests
+from jayseam.distribution import messages
+from jayseam.links import handlers
+from jayseam.links import handshakes
+from jayseam.links import manager
 from jayseam.node.tests import fleets
 from jayseam.node.tests import observers
 from jayseam.presets import documents
@@ -54,6 +58,19 @@
     preset['upstreams'][0]['slots'] = 0
 
 
+def read_verdicts(fleet, version, vms):
+    """Returns the reasons against a version at some nodes, None if lacking."""
+    found = [
+        [
+            entry['reasons']
+            for entry in fleet.cluster.status(vm)['rejected']
+            if entry['version'] == version
+        ]
+        for vm in vms
+    ]
+    return found if all(found) else None
+
+
 @pytest.mark.parametrize(
     'spoil, n_reasons',
     [
@@ -62,33 +79,23 @@
         (_insane_limits, 2),
     ],
 )
-def test_bad_preset_is_rejected_everywhere(fleet, spoil, n_reasons):
+def test_bad_preset_is_never_in_force(fleet, spoil, n_reasons):
     """A preset that is applied in part, or only at some nodes."""
     good = copy.deepcopy(fleet.cluster.preset)
     before = observers.read_versions(fleet, 'preset')
     bad, path = observers.add_probe(good)
     spoil(bad)
     vms = list(fleet.cluster.vms)
+    readers = [vm for vm in vms if fleet.cluster.status(vm)['reader']]
     with observers.Callers(fleet, vms, path) as probes:
         with observers.Callers(fleet, vms) as callers:
             version = fleet.cluster.publish(bad)
-
-            def read_verdicts():
-                found = [
-                    [
-                        entry['reasons']
-                        for entry in fleet.cluster.status(vm)['rejected']
-                        if entry['version'] == version
-                    ]
-                    for vm in vms
-                ]
-                return found if all(found) else None
-
             verdicts = fleet.cluster.wait_until(
-                read_verdicts, observers.IN_FORCE_S, 'verdicts'
+                lambda: read_verdicts(fleet, version, readers),
+                observers.IN_FORCE_S,
+                'verdicts of the readers',
             )
             gevent.sleep(1.0)
-    print(verdicts[0])
     assert len(verdicts[0][0]) >= n_reasons
     assert all(verdict == verdicts[0] for verdict in verdicts)
     assert observers.read_versions(fleet, 'preset') == before
@@ -98,6 +105,24 @@
     observers.publish_and_converge(fleet)
 
 
+def test_bad_preset_is_explained_everywhere(fleet):
+    """An operator who asks any node must learn why a preset is not used."""
+    good = copy.deepcopy(fleet.cluster.preset)
+    bad, _ = observers.add_probe(good)
+    _route_to_missing_service(bad)
+    version = fleet.cluster.publish(bad)
+    fleet.cluster.preset = good
+    try:
+        verdicts = fleet.cluster.wait_until(
+            lambda: read_verdicts(fleet, version, fleet.cluster.vms),
+            observers.IN_FORCE_S,
+            'verdicts of all nodes',
+        )
+        assert all(verdict == verdicts[0] for verdict in verdicts)
+    finally:
+        observers.publish_and_converge(fleet)
+
+
 @pytest.mark.parametrize('kind', ['altered', 'truncated', 'missing'])
 @pytest.mark.parametrize('part', ['manifest', 'routes'])
 def test_damaged_parts_are_never_in_force(fleet, kind, part):
@@ -188,27 +213,84 @@
     log.check()
 
 
-def test_all_new_and_platform_stale(fleet):
-    """A fleet without memory that finds only an older revision."""
+def test_two_contents_under_one_revision(fleet):
+    """A second content must not replace the one held at its revision."""
+    path = observers.publish_and_converge(fleet)
+    version = max(observers.read_versions(fleet, 'preset').values())
+    preset, other_path = observers.add_probe(fleet.cluster.preset)
+    bundle = clusters.split_document('preset', preset)
+    digest = digests.compute_digest(bundle.manifest)
+    pulls = []
+    registry = handlers.HandlerRegistry()
+    registry.register(messages.Pull, lambda peer, pull: pulls.append(peer.vm))
+    vms = fleet.cluster.vms
+    twin = manager.LinkManager(
+        handshakes.Identity('twin', 1),
+        fleet.cluster.plan.fleet_secrets,
+        lambda vm: ('127.0.0.1', vms[vm].link_port),
+        registry,
+    )
+    twin.start()
+    announce = messages.Announce('preset', version, digest)
+    name = 'jayseam_distribution_offers_total'
+    try:
+        for vm in vms:
+            twin.dial_address('127.0.0.1', vms[vm].link_port)
+            assert twin.notify(vm, announce)
+        fleet.cluster.wait_until(
+            lambda: all(
+                observers.read_metric(fleet, vm, name, verdict='conflict')
+                for vm in vms
+            ),
+            3.0,
+            'conflicts are counted',
+        )
+    finally:
+        twin.stop()
+    for vm in vms:
+        assert fleet.cluster.call(vm, path).status == 200
+        assert fleet.cluster.call(vm, other_path).status == 404
+    assert not pulls
+    observers.publish_and_converge(fleet)
+
+
+def restart_all_under_stale_platform(fleet):
+    """Leaves a fleet without memory at an older revision.
+
+    Returns:
+      The path of a probe that is in force again, and of one that is not.
+    """
     old_path = observers.publish_and_converge(fleet)
     revision = read_revision(fleet)
     path = observers.publish_and_converge(fleet)
     fleet.cluster.control_platform('fault', stale=revision)
-    vms = list(fleet.cluster.vms)
-    restart(fleet, vms)
+    restart(fleet, list(fleet.cluster.vms))
     fleet.cluster.wait_serving()
+    return old_path, path
+
+
+def test_all_new_and_platform_stale(fleet):
+    """A fleet without memory must serve what it finds, and then move up."""
+    old_path, path = restart_all_under_stale_platform(fleet)
     with observers.VersionLog(fleet) as log:
-        for vm in vms:
+        for vm in fleet.cluster.vms:
             assert fleet.cluster.call(vm, old_path).status == 200
             assert fleet.cluster.call(vm, path).status == 404
-        shown = [fleet.cluster.status(vm)['unconfirmed'] for vm in vms]
         observers.converge(
             fleet,
             path,
             lambda: fleet.cluster.control_platform('fault', stale=False),
         )
     log.check()
-    assert all(shown)
+
+
+def test_all_new_and_platform_stale_is_shown(fleet):
+    """Operators must see that nobody remembers whether a version is newest."""
+    restart_all_under_stale_platform(fleet)
+    shown = {
+        vm: fleet.cluster.status(vm)['unconfirmed'] for vm in fleet.cluster.vms
+    }
+    assert all(shown.values()), shown
 
 
 def test_platform_outage(fleet):
