Notice a silent cold start by failing calls

More than half of the last 8 calls answered with a status of 500 or more now restart the ramp, for at most the length of one ramp, as the word 'starting' does, so that a faulty route doesn't hold its server at the first slots. Ruled out: counting each failure, because single failures are ordinary.

--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -344,12 +344,14 @@
         self, call: _Call, answer: messages.BackendAnswer
     ) -> None:
         now = self._read_now()
+        shed = messages.is_shed(answer)
         evidence = states.Answered(
             call.request.kind,
             call.sent_at,
             now - call.sent_at,
             call.in_flight,
-            not messages.is_shed(answer),
+            not shed,
+            answer.status >= 500 and not shed,
         )
         self._observe(evidence, now)
 
--- a/jayseam/backends/states.py
+++ b/jayseam/backends/states.py
@@ -26,6 +26,8 @@
 # One slow call is no evidence; a start is noticed when more than half of this
 # many calls are slow.
 LATENCY_WINDOW = 8
+# A start is noticed when more than half of this many calls fail.
+FAILURE_WINDOW = 8
 BASELINE_SAMPLES = 20
 BASELINE_WEIGHT = 0.05
 MAX_KINDS = 64
@@ -66,6 +68,7 @@
       latency_s: Time from then to the end of the answer, in seconds.
       in_flight: Calls in flight when the request was written, including it.
       success: Whether the call ran; a shed call says nothing on latency.
+      failed: Whether the status is 500 or more, except for a shed call.
     """
 
     kind: str
@@ -73,6 +76,7 @@
     latency_s: float
     in_flight: int
     success: bool = True
+    failed: bool = False
 
 
 @attrs.frozen
@@ -128,6 +132,9 @@
       baselines: Latency baseline by kind of call.
       ratios: Latencies of the last calls over their baselines.
       measured_from: Latencies of requests sent before this are ignored.
+      failures: Whether each of the last calls failed; empty if none did.
+      failing_since: Time of the first start noticed by failures since more
+        than half of them last succeeded, in seconds, or None.
     """
 
     name: str = CHART.initial
@@ -143,6 +150,8 @@
     baselines: Mapping[str, Baseline] = {}
     ratios: tuple[float, ...] = ()
     measured_from: float = 0.0
+    failures: tuple[bool, ...] = ()
+    failing_since: float | None = None
 
 
 def observe(
@@ -246,6 +255,8 @@
 @_observe.register
 def _(evidence: Answered, state: BackendState, now: float) -> BackendState:
     contacted = _notice_contact(state, evidence.sent_at, now)
+    if evidence.failed or contacted.failures:
+        contacted = _observe_failures(contacted, evidence, now)
     if contacted.name != 'ready' or not evidence.success:
         return contacted
     if evidence.sent_at < contacted.measured_from:
@@ -301,6 +312,27 @@
     return state
 
 
+def _observe_failures(
+    state: BackendState, evidence: Answered, now: float
+) -> BackendState:
+    """Takes calls most of which fail for a server that fell over when cold.
+
+    Such a server fails fast on open connections, so neither a reset nor the
+    latency shows it. The ramp is held at its start for at most one ramp's
+    length, so that a faulty route does not hold its server there for ever.
+    """
+    failures = (state.failures + (evidence.failed,))[-FAILURE_WINDOW:]
+    if not any(failures):
+        return attrs.evolve(state, failures=(), failing_since=None)
+    if 2 * sum(failures) <= FAILURE_WINDOW:
+        return attrs.evolve(state, failures=failures)
+    since = now if state.failing_since is None else state.failing_since
+    known = attrs.evolve(state, failures=failures, failing_since=since)
+    if state.name not in ('ready', 'cold') or now > since + state.ramp_s:
+        return known
+    return _notice_start(known, now)
+
+
 def _observe_latency(
     state: BackendState, evidence: Answered, now: float
 ) -> BackendState:
--- a/jayseam/backends/tests/test_states.py
+++ b/jayseam/backends/tests/test_states.py
@@ -135,6 +135,25 @@
     assert (state.name, state.started_at) == ('cold', 201.0)
 
 
+def test_failing_calls_restart_the_ramp_for_a_bounded_time():
+    """A server that falls over in a silent cold start needs its ramp.
+
+    One failure in a few calls is none, and a route that always fails must not
+    hold its server at the first slots for ever.
+    """
+    state = make_ready()
+    for step in range(40):
+        evidence = states.Answered('', 100.0, 0.001, 1, failed=step % 3 == 0)
+        state = states.observe(state, evidence, 100.0)
+    assert state.name == 'ready'
+    failed = states.Answered('', 100.0, 0.001, 1, failed=True)
+    for step in range(100):
+        state = states.observe(state, failed, 101.0 + step * 0.1)
+    assert state.name == 'cold' and state.started_at > 110.0
+    state = states.observe(state, failed, 110.9 + 2 * RAMP_S)
+    assert state.name == 'ready'
+
+
 def test_draining_is_trusted_at_once_and_left_on_repeated_ready():
     """A leaving server gets no new work; a lagging word does not undo it."""
     state = hear(make_ready(), 'draining', 100.0)
