Add experiments of the bench with a runner and reports

A caller process of its own sends calls, so that its work stays out of the nodes' and the bench's processes. Ruled out: calls from the process of the bench, whose own polling would add to the latencies.

--- /dev/null
+++ b/jayseam/bench/callers.py
@@ -0,0 +1,209 @@
+"""A caller in a process of its own, for latencies and closed-loop rates.
+
+Run ``python -m jayseam.bench.callers PLAN OUTPUT``. The plan is a list of
+phases, which run one after the other; the output has one list of latencies
+for each phase. Latencies run from the moment that a call is sent, on a
+connection that is free, because the difference between two paths counts here
+and not the schedule.
+"""
+
+import json
+import os
+import pathlib
+import random
+import sys
+import tempfile
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import attrs
+import cattrs
+import gevent
+from gevent import pool
+
+from jayseam.bench import processes
+from jayseam.core import clocks
+from jayseam.standins import errors
+from jayseam.standins import exchanges
+from jayseam.standins import processes as child_processes
+from jayseam.tools import identifiers
+
+_TIMEOUT_S = 5.0
+_WARM_UP_CALLS = 5
+
+
+@attrs.frozen
+class Phase:
+    """Calls of one kind for a while.
+
+    Attributes:
+      label: Kind of call; phases with the same label share connections.
+      port: Loopback port of the target.
+      path: Request target.
+      duration_s: Length in seconds.
+      method: HTTP method.
+      headers: Header fields.
+      rate_per_s: Poisson arrivals a second; 0 runs ``callers`` closed loops.
+      callers: Closed loops.
+      keyed: Whether each call has an idempotency key of its own.
+    """
+
+    label: str
+    port: int
+    path: str
+    duration_s: float
+    method: str = 'GET'
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+    rate_per_s: float = 0.0
+    callers: int = 1
+    keyed: bool = False
+
+
+@attrs.frozen
+class Outcome:
+    """What became of the calls of one phase.
+
+    Attributes:
+      label: Label of the phase.
+      latencies_s: Seconds of each call that was answered with 200.
+      failures: Calls with any other outcome.
+      duration_s: Length of the phase.
+      cpu_share: Share of a core that the caller's process used.
+    """
+
+    label: str
+    latencies_s: list[float]
+    failures: int
+    duration_s: float
+    cpu_share: float
+
+
+class _Runner:
+    """Runs phases and keeps connections between them."""
+
+    def __init__(self, seed: int):
+        self._generator = random.Random(seed)
+        self._free: dict[str, list[exchanges.Connection]] = {}
+        self._latencies: list[float] = []
+        self._failures = 0
+
+    def run(self, phase: Phase) -> Outcome:
+        """Runs one phase to its end."""
+        if phase.label not in self._free:
+            self._free[phase.label] = []
+            for _ in range(_WARM_UP_CALLS):
+                self._call(phase)
+        self._latencies, self._failures = [], 0
+        cpu_s, start = processes.read_cpu_s(os.getpid()), clocks.read_now()
+        if phase.rate_per_s:
+            self._run_open(phase, start)
+        else:
+            loops = [
+                gevent.spawn(self._loop, phase, start + phase.duration_s)
+                for _ in range(phase.callers)
+            ]
+            gevent.joinall(loops, raise_error=True)
+        elapsed_s = clocks.read_now() - start
+        cpu_s = processes.read_cpu_s(os.getpid()) - cpu_s
+        return Outcome(
+            phase.label,
+            self._latencies,
+            self._failures,
+            elapsed_s,
+            cpu_s / elapsed_s,
+        )
+
+    def _run_open(self, phase: Phase, start: float) -> None:
+        running = pool.Group()
+        due = start
+        while True:
+            due += self._generator.expovariate(phase.rate_per_s)
+            if due >= start + phase.duration_s:
+                break
+            gevent.sleep(max(0.0, due - clocks.read_now()))
+            running.spawn(self._call, phase)
+        running.join()
+
+    def _loop(self, phase: Phase, end: float) -> None:
+        while clocks.read_now() < end:
+            self._call(phase)
+
+    def _call(self, phase: Phase) -> None:
+        free = self._free[phase.label]
+        address = ('127.0.0.1', phase.port)
+        connection = free.pop() if free else exchanges.Connection(*address)
+        headers = dict(phase.headers)
+        if phase.keyed:
+            headers['Idempotency-Key'] = identifiers.make_uuid7(
+                clocks.read_wall_ms(), self._generator
+            )
+        start = clocks.read_now()
+        try:
+            answer = connection.exchange(
+                phase.method, phase.path, headers, b'', _TIMEOUT_S
+            )
+        except errors.ExchangeError:
+            self._failures += 1
+            return
+        elapsed_s = clocks.read_now() - start
+        free.append(connection)
+        if answer.status == 200:
+            self._latencies.append(elapsed_s)
+        else:
+            self._failures += 1
+
+
+def run_phases(phases: Sequence[Phase], seed: int) -> list[Outcome]:
+    """Runs phases in a process of their own and returns their outcomes.
+
+    Other greenlets run meanwhile.
+
+    Raises:
+      ClusterError: If the process fails or doesn't end in time.
+    """
+    limit_s = sum(phase.duration_s for phase in phases) + 30.0
+    with tempfile.TemporaryDirectory(prefix='jayseam-') as name:
+        directory = pathlib.Path(name)
+        plan, output = directory / 'plan.json', directory / 'output.json'
+        document = {'seed': seed, 'phases': cattrs.unstructure(phases)}
+        plan.write_text(json.dumps(document), encoding='utf-8')
+        process = child_processes.ManagedProcess(
+            'caller',
+            [sys.executable, '-m', __name__, str(plan), str(output)],
+            directory / 'caller.log',
+        )
+        try:
+            if process.wait(limit_s):
+                raise errors.ClusterError(process.read_tail())
+        finally:
+            process.kill()
+        text = output.read_text(encoding='utf-8')
+    return cattrs.structure(json.loads(text), list[Outcome])
+
+
+def merge_latencies(outcomes: Sequence[Outcome]) -> dict[str, list[float]]:
+    """Returns the latencies of all phases by label, in seconds.
+
+    >>> merge_latencies([Outcome('a', [0.1], 0, 1.0, 0.1)] * 2)
+    {'a': [0.1, 0.1]}
+    """
+    merged: dict[str, list[float]] = {}
+    for outcome in outcomes:
+        merged.setdefault(outcome.label, []).extend(outcome.latencies_s)
+    return merged
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Runs the plan of the first argument and writes to the second."""
+    plan, output = arguments
+    document: Any = json.loads(pathlib.Path(plan).read_text(encoding='utf-8'))
+    phases = cattrs.structure(document['phases'], list[Phase])
+    runner = _Runner(document['seed'])
+    outcomes = [runner.run(phase) for phase in phases]
+    text = json.dumps(cattrs.unstructure(outcomes))
+    pathlib.Path(output).write_text(text, encoding='utf-8')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/jayseam/bench/figures.py
@@ -0,0 +1,63 @@
+"""Statistics that experiments share."""
+
+from collections.abc import Iterable, Sequence
+
+from hdrh import histogram
+
+_MAX_US = 120_000_000
+_SIGNIFICANT_DIGITS = 3
+
+
+def make_histogram(seconds: Iterable[float] = ()) -> histogram.HdrHistogram:
+    """Returns a histogram in microseconds, filled with times in seconds.
+
+    >>> make_histogram([0.001, 0.002]).get_total_count()
+    2
+    """
+    made = histogram.HdrHistogram(1, _MAX_US, _SIGNIFICANT_DIGITS)
+    for value in seconds:
+        made.record_value(min(_MAX_US, max(1, round(value * 1e6))))
+    return made
+
+
+def compute_percentile_ms(seconds: Sequence[float], percentile: float) -> float:
+    """Returns a percentile in milliseconds of times in seconds.
+
+    >>> compute_percentile_ms([0.001] * 99 + [0.5], 50)
+    1.0
+    >>> compute_percentile_ms([], 50)
+    nan
+
+    Args:
+      seconds: The times.
+      percentile: From 0 to 100.
+    """
+    if not seconds:
+        return float('nan')
+    value = make_histogram(seconds).get_value_at_percentile(percentile)
+    return value / 1000.0
+
+
+def fit_slope(sizes: Sequence[float], values: Sequence[float]) -> float:
+    """Returns the slope of the least-squares line through points.
+
+    >>> fit_slope([1, 2, 3], [5.0, 7.0, 9.0])
+    2.0
+    >>> fit_slope([12, 24], [1.0, 1.0])
+    0.0
+
+    Raises:
+      ValueError: If there are fewer than two different sizes.
+    """
+    mean_size = sum(sizes) / len(sizes)
+    mean_value = sum(values) / len(values)
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    if not spread:
+        raise ValueError('a slope needs two different sizes')
+    return (
+        sum(
+            (size - mean_size) * (value - mean_value)
+            for size, value in zip(sizes, values, strict=True)
+        )
+        / spread
+    )
--- /dev/null
+++ b/jayseam/bench/main.py
@@ -0,0 +1,48 @@
+"""Command line of ``jayseam-bench``."""
+
+import argparse
+import pathlib
+import sys
+from collections.abc import Sequence
+
+from jayseam.bench import control
+from jayseam.bench import experiments
+from jayseam.bench import latency
+from jayseam.bench import publication
+from jayseam.bench import reports
+from jayseam.bench import service
+
+# Importing these modules registers their experiments.
+SUBJECTS = (latency, publication, control, service)
+DIRECTORY = pathlib.Path('bench') / 'out'
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs the program; returns 0 only if no target was missed."""
+    names = experiments.experiments.names()
+    parser = argparse.ArgumentParser(
+        prog='jayseam-bench',
+        description='Measures deployments on loopback against their targets.',
+    )
+    parser.add_argument(
+        '--only', nargs='+', metavar='NAME', choices=names, default=names
+    )
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--list', action='store_true', help='list experiments')
+    parser.add_argument('--plot', action='store_true', help='write SVG files')
+    options = parser.parse_args(arguments)
+    if options.list:
+        for name in names:
+            function = experiments.experiments.get(name)
+            print(f'{name}: {(function.__doc__ or "").splitlines()[0]}')
+        return 0
+    results = reports.run_all(
+        options.only, options.seed, DIRECTORY, options.plot
+    )
+    missed = [result.name for result in results if not result.passed]
+    print(f'missed: {", ".join(missed) or "none"}')
+    return 1 if missed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
