Validate header pairs and sign call tokens without nested copies

Cause: samples of a loaded entry showed 5 % of its time in attrs validators of header fields, which run when a message is built and again when it is decoded, and 6 % in minting tokens, mostly in attrs.astuple, which copies recursively. Change: one validator for lists of pairs of strings, which now also refuses pairs of one member, and an explicit list of the token's fields. Ruled out: dropping the validation on the sending side, which finds faults of the entry before they travel.

--- a/jayseam/calls/messages.py
+++ b/jayseam/calls/messages.py
@@ -1,5 +1,7 @@
 """Messages between nodes on the call path. Codes 80 to 99."""
 
+from typing import Any
+
 import attrs
 from attrs import validators
 
@@ -10,10 +12,30 @@
 _BYTES = validators.instance_of(bytes)
 _FLAG = validators.instance_of(bool)
 _NUMBER = validators.instance_of((int, float))
-_LIST = validators.instance_of((list, tuple))
-_PAIRS = validators.deep_iterable(
-    validators.deep_iterable(_TEXT, validators.max_len(2)), _LIST
-)
+_SEQUENCES = (list, tuple)
+
+
+def check_pairs(_: Any, attribute: attrs.Attribute, value: Any) -> None:
+    """Validates header fields: a list of pairs of strings.
+
+    Nested validators of attrs take four times as long, for each message and
+    on both of its sides.
+
+    >>> check_pairs(None, attrs.fields(Answered).headers, [['accept', '*/*']])
+    >>> check_pairs(None, attrs.fields(Answered).headers, [['accept']])
+    Traceback (most recent call last):
+    ...
+    TypeError: headers must be a list of pairs of strings
+    """
+    if value.__class__ in _SEQUENCES:
+        for pair in value:
+            if pair.__class__ not in _SEQUENCES or len(pair) != 2:
+                break
+            if pair[0].__class__ is not str or pair[1].__class__ is not str:
+                break
+        else:
+            return
+    raise TypeError(f'{attribute.name} must be a list of pairs of strings')
 
 
 @messages.register(80)
@@ -41,7 +63,7 @@
     keys_version: int = attrs.field(validator=_COUNT)
     method: str = attrs.field(validator=_TEXT)
     target: str = attrs.field(validator=_TEXT)
-    headers: list = attrs.field(validator=_PAIRS)
+    headers: list = attrs.field(validator=check_pairs)
     body: bytes = attrs.field(validator=_BYTES)
 
 
@@ -51,7 +73,7 @@
     """The whole answer of a backend server, with the load of its ingress."""
 
     status: int = attrs.field(validator=_COUNT)
-    headers: list = attrs.field(validator=_PAIRS)
+    headers: list = attrs.field(validator=check_pairs)
     body: bytes = attrs.field(validator=_BYTES)
     load: float = attrs.field(validator=_NUMBER)
 
@@ -112,7 +134,7 @@
     state: str = attrs.field(validator=_TEXT)
     attempt: str = attrs.field(validator=_TEXT)
     status: int = attrs.field(validator=_COUNT)
-    headers: list = attrs.field(validator=_PAIRS)
+    headers: list = attrs.field(validator=check_pairs)
     body: bytes = attrs.field(validator=_BYTES)
 
 
@@ -130,7 +152,7 @@
     key: str = attrs.field(validator=_TEXT)
     attempt: str = attrs.field(validator=_TEXT)
     status: int = attrs.field(validator=_COUNT)
-    headers: list = attrs.field(validator=_PAIRS)
+    headers: list = attrs.field(validator=check_pairs)
     body: bytes = attrs.field(validator=_BYTES)
 
 
--- a/jayseam/calls/tokens.py
+++ b/jayseam/calls/tokens.py
@@ -55,7 +55,15 @@
     >>> verify_token([key], mint_token(key, token), 900) == token
     True
     """
-    body = cbor2.dumps(list(attrs.astuple(token)))
+    # attrs.astuple copies recursively, which takes longer than the signature.
+    fields = [
+        token.workspace,
+        token.key_id,
+        token.request_id,
+        token.depth,
+        token.expires_wall_ms,
+    ]
+    body = cbor2.dumps(fields)
     mac = hmac.digest(token_key, body, hashlib.sha256)
     return base64.urlsafe_b64encode(mac + body).decode()
 
