Leave empty fields out of the profile of the zone experiment

Cause: the schema of load profiles refuses empty paths and targets, so the experiment ended before its load began. Change: empty fields are left out along with those that are None. Ruled out: a looser schema, because an empty path is an error in a file.

--- a/jayseam/bench/service.py
+++ b/jayseam/bench/service.py
@@ -206,10 +206,12 @@
 
 
 def _to_document(profile: Any) -> dict[str, Any]:
-    """Returns a profile as JSON values, without fields that are None."""
+    """Returns a profile as JSON values, without empty fields."""
     return json.loads(
         json.dumps(
-            attrs.asdict(profile, filter=lambda _, value: value is not None)
+            attrs.asdict(
+                profile, filter=lambda _, value: value not in (None, '', ())
+            )
         )
     )
 
