Tell every node why a version was rejected and when none remembers

Cause: only the readers fetch a version that they reject, so other nodes could not say why the fleet stays on the one before. And a stale source that confirms its own version looked like a fresh one after all nodes had restarted. Ruled out: taking a peer's rejection as the own verdict, by which one faulty node could block a version; comparing replicas of the source, which can all lag. Before: test_bad_preset_is_explained_everywhere and test_all_new_and_platform_stale_is_shown failed. After: 19 tests of versions and 50 of distribution pass, at a load average of 23.

--- a/jayseam/distribution/__init__.py
+++ b/jayseam/distribution/__init__.py
@@ -9,8 +9,10 @@
 from jayseam.distribution import errors
 from jayseam.distribution import exchange
 from jayseam.distribution import fetching
+from jayseam.distribution import memories
 from jayseam.distribution import messages
 from jayseam.distribution import parts
+from jayseam.distribution import rejections
 from jayseam.distribution import task
 from jayseam.distribution import versions
 
@@ -20,8 +22,10 @@
     'errors',
     'exchange',
     'fetching',
+    'memories',
     'messages',
     'parts',
+    'rejections',
     'task',
     'versions',
 ]
--- a/jayseam/distribution/messages.py
+++ b/jayseam/distribution/messages.py
@@ -116,9 +116,11 @@
 
     Attributes:
       states: One `ChannelState` for each channel.
+      memory_ms: Age of the sender's memory; see `memories`.
     """
 
     states: list = attrs.field(validator=_STATES)
+    memory_ms: int = attrs.field(validator=_COUNT)
 
 
 @messages.register(45)
@@ -131,3 +133,23 @@
     """
 
     states: list = attrs.field(validator=_STATES)
+
+
+@messages.register(46)
+@attrs.frozen
+class Rejection:
+    """Tells that a version was rejected for its content.
+
+    Attributes:
+      channel: ``preset``, ``keys`` or ``vms``.
+      version: Version rejected.
+      digest: Digest of its manifest.
+      reasons: The first reasons, each cut to a bounded length.
+      n_reasons: Number of all reasons.
+    """
+
+    channel: str = attrs.field(validator=_NAME)
+    version: int = attrs.field(validator=_COUNT)
+    digest: str = attrs.field(validator=_NAME)
+    reasons: list = attrs.field(validator=_NAMES)
+    n_reasons: int = attrs.field(validator=_COUNT)
--- /dev/null
+++ b/jayseam/distribution/rejections.py
@@ -0,0 +1,48 @@
+"""Verdicts of other nodes on versions that this node has not fetched.
+
+Readers are the first to fetch a version. If they reject it they never announce
+it, so the others would not know why the fleet stays on the version before.
+"""
+
+from collections.abc import Mapping
+
+import attrs
+
+from jayseam.distribution import messages
+
+_MAX_REPORTS = 16
+MAX_REASONS = 20
+MAX_REASON_CHARS = 300
+
+
+@attrs.frozen
+class RejectionReports:
+    """Rejections told by peers, the latest of each channel.
+
+    They are shown to operators and decide nothing: a version that a peer
+    rejected is still judged by its content if it is ever offered.
+    """
+
+    reports: Mapping[tuple[str, int, str], messages.Rejection] = attrs.field(
+        factory=dict
+    )
+
+    def add(self, report: messages.Rejection) -> 'RejectionReports':
+        """Returns the reports with one more; itself if it is known."""
+        name = (report.channel, report.version, report.digest)
+        if name in self.reports:
+            return self
+        kept = list(self.reports.items())[-(_MAX_REPORTS - 1) :]
+        return RejectionReports({**dict(kept), name: report})
+
+    def list_for(self, channel: str) -> list[messages.Rejection]:
+        """Returns the reports on a channel, oldest first."""
+        return [r for r in self.reports.values() if r.channel == channel]
+
+
+def build_report(
+    channel: str, version: int, digest: str, reasons: tuple[str, ...]
+) -> messages.Rejection:
+    """Returns the message that tells peers of a rejection, of bounded size."""
+    shown = [reason[:MAX_REASON_CHARS] for reason in reasons[:MAX_REASONS]]
+    return messages.Rejection(channel, version, digest, shown, len(reasons))
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -19,8 +19,10 @@
 from jayseam.distribution import counters
 from jayseam.distribution import exchange
 from jayseam.distribution import fetching
+from jayseam.distribution import memories
 from jayseam.distribution import messages
 from jayseam.distribution import parts
+from jayseam.distribution import rejections
 from jayseam.distribution import versions
 from jayseam.presets import model
 from jayseam.source import backoff
@@ -33,7 +35,6 @@
 # A fresh node's first pulls end well within this time.
 _JOIN_CHECK_S = 0.5
 _MAX_KNOWN_CONFLICTS = 256
-_MAX_SHOWN_REASONS = 20
 _log = logs.get_logger(__name__)
 
 
@@ -102,6 +103,7 @@
     vm: str
     states: Sequence[messages.ChannelState]
     heard_at: float
+    memory_s: float = 0.0
 
 
 @attrs.frozen
@@ -152,6 +154,8 @@
             registry or prometheus_client.CollectorRegistry()
         )
         self._state = _State()
+        self._memory = memories.Memory(clocks.read_now())
+        self._reports = rejections.RejectionReports()
         self._subscribers: list[Callable[[Snapshot, str], Any]] = []
         self._sequences = dict.fromkeys(versions.CHANNELS, 0)
         self._known_conflicts: dict[versions.Version, None] = {}
@@ -173,6 +177,7 @@
         self.handle(watchers.SourceConfirmation, self._take_confirmation)
         self.handle(_PeerStates, self._take_peer_states)
         self.handle(_PeerOffer, self._take_peer_offer)
+        self.handle(messages.Rejection, self._take_report)
 
     @property
     def current(self) -> Snapshot:
@@ -201,6 +206,7 @@
         handlers.register(messages.Pull, self.handle_pull)
         handlers.register(messages.Heartbeat, self.handle_heartbeat)
         handlers.register(messages.Sync, self.handle_sync)
+        handlers.register(messages.Rejection, self.handle_rejection)
 
     def start(self) -> None:
         """Starts the task, its fetchers, heartbeats and the join."""
@@ -258,7 +264,13 @@
 
     def handle_heartbeat(self, peer: Any, message: messages.Heartbeat) -> None:
         """Takes a peer's versions and confirmation ages."""
-        self.send(_PeerStates(peer.vm, message.states, clocks.read_now()))
+        self._send_peer_states(peer.vm, message)
+
+    def handle_rejection(self, peer: Any, message: messages.Rejection) -> None:
+        """Takes a peer's verdict on a version."""
+        del peer
+        if message.channel in versions.CHANNELS:
+            self.send(message)
 
     def handle_sync(
         self, peer: Any, message: messages.Sync
@@ -299,7 +311,8 @@
             [
                 _describe_channel(state, channel, now)
                 for channel in versions.CHANNELS
-            ]
+            ],
+            int(self._memory.compute_age(now) * 1000),
         )
 
     def sync(self, vms: Iterable[str], timeout_s: float) -> bool:
@@ -345,21 +358,40 @@
         return {
             'version': version,
             'digest': state.store.digest(channel),
-            'unconfirmed': latest is None or latest.version != version,
+            'unconfirmed': latest is None
+            or latest.version != version
+            or not self._memory.is_trusted(now),
             'confirmation_age_s': known.compute_age(now),
             'cached_bytes': state.cache(channel).count_bytes(),
             'open_offers': self._fetchers[channel].count_offers(),
-            'rejected': [
-                {
-                    'version': rejection.version,
-                    'digest': rejection.digest,
-                    'reasons': list(rejection.reasons[:_MAX_SHOWN_REASONS]),
-                    'n_reasons': rejection.n_reasons,
-                }
-                for rejection in state.store.rejections.get(channel, ())
-            ],
+            'rejected': self._describe_rejected(state, channel),
         }
 
+    def _describe_rejected(self, state, channel) -> list[dict[str, Any]]:
+        """Returns the own verdicts, then those that only peers have."""
+        own = [
+            rejections.build_report(
+                channel, item.version, item.digest, item.reasons
+            )
+            for item in state.store.rejections.get(channel, ())
+        ]
+        known = {(report.version, report.digest) for report in own}
+        told = [
+            report
+            for report in self._reports.list_for(channel)
+            if (report.version, report.digest) not in known
+            and report.version > state.store.version(channel)
+        ]
+        return [
+            {
+                'version': report.version,
+                'digest': report.digest,
+                'reasons': list(report.reasons),
+                'n_reasons': report.n_reasons,
+            }
+            for report in own + told
+        ]
+
     def _build_fetcher(self, channel: str) -> fetching.ChannelFetcher:
         return fetching.ChannelFetcher(
             channel,
@@ -445,10 +477,25 @@
             'distribution.rejected',
             extra={
                 **attrs.asdict(version),
-                'reasons': list(refused.reasons[:_MAX_SHOWN_REASONS]),
+                'reasons': list(refused.reasons[: rejections.MAX_REASONS]),
                 'n_reasons': len(refused.reasons),
             },
         )
+        self._take_report(
+            rejections.build_report(
+                version.channel,
+                version.version,
+                version.digest,
+                tuple(refused.reasons),
+            )
+        )
+
+    def _take_report(self, report: messages.Rejection) -> None:
+        """Keeps a rejection, and passes it on when first heard."""
+        known = self._reports
+        self._reports = known.add(report)
+        if self._reports is not known:
+            gevent.spawn(self._send_quietly, self._peers.broadcast, report)
 
     def _take_source_update(self, update: watchers.SourceUpdate) -> None:
         version = versions.Version(
@@ -514,7 +561,14 @@
             state, confirmed={**state.confirmed, channel: known}
         )
 
+    def _send_peer_states(self, vm: str, heartbeat: messages.Heartbeat) -> None:
+        memory_s = heartbeat.memory_ms / 1000
+        self.send(
+            _PeerStates(vm, heartbeat.states, clocks.read_now(), memory_s)
+        )
+
     def _take_peer_states(self, heard: _PeerStates) -> None:
+        self._memory = self._memory.hear(heard.memory_s, heard.heard_at)
         for state in heard.states:
             if state.channel not in versions.CHANNELS:
                 continue
@@ -672,7 +726,7 @@
             return None
         if not isinstance(answer, messages.Heartbeat):
             return None
-        self.send(_PeerStates(vm, answer.states, clocks.read_now()))
+        self._send_peer_states(vm, answer)
         return answer
 
     def _read_source(self) -> None:
