Finish nested calls and answer late callers in a graceful stop

- Nested calls of running calls were refused by a leaving node, so the outer calls failed in part: test_stopping_node_serves_nested_calls_of_running_calls sees 503 for some without the change.
A request with a call token is served.
- The linger and the listeners' ends came after stop.deadline_s; time for them is reserved now.
- Calls cut by the deadline are answered as outcome-unknown, and attempts cut at the ingress are logged with their request id.

A connection that the kernel accepts while the listener closes may be reset.

--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -5,8 +5,11 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+import gevent
+
 from jayseam.calls import entry as call_entry
 from jayseam.calls import errors
+from jayseam.calls import keys
 from jayseam.calls import problems
 from jayseam.calls import requests
 from jayseam.core import clocks
@@ -46,7 +49,7 @@
         self._monitor = monitor
         self._zone_in_service = zone_in_service
         self._leaving = False
-        self._calls: dict[str, str] = {}
+        self._calls: dict[str, gevent.Greenlet] = {}
 
     @property
     def in_flight(self) -> int:
@@ -58,14 +61,25 @@
         return list(self._calls)
 
     def leave(self) -> None:
-        """Refuses new calls from now on; running calls finish."""
+        """Refuses new calls from now on; running calls finish.
+
+        Nested calls belong to running calls, so they are still served.
+        """
         self._leaving = True
 
+    def cut(self) -> None:
+        """Ends the requests without an answer; callers learn it at once."""
+        for greenlet in list(self._calls.values()):
+            greenlet.kill(
+                errors.OutcomeUnknownError('this node was stopped'),
+                block=False,
+            )
+
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         request_id = identifiers.make_id()
-        self._calls[request_id] = environ['PATH_INFO']
+        self._calls[request_id] = gevent.getcurrent()
         try:
             answer = self._answer(environ, request_id)
         finally:
@@ -101,7 +115,7 @@
         self, environ: dict[str, Any], request_id: str
     ) -> requests.CallAnswer:
         request = callers.read_request(environ)
-        if self._leaving:
+        if self._leaving and request.header(keys.TOKEN_HEADER) is None:
             raise errors.NotRunError(
                 'this node is shutting down', _RETRY_ELSEWHERE_S
             )
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -2,6 +2,7 @@
 
 import logging
 import select
+import socket
 from collections.abc import Iterable
 from typing import Any
 
@@ -18,6 +19,7 @@
 _READ_TIMEOUT_S = 10.0
 _IDLE_TIMEOUT_S = 75.0
 _SWEEP_INTERVAL_S = 0.1
+_CLOSE_POLL_S = 0.01
 _FORBIDDEN = frozenset('\0\r\n')
 _SOCKET_KEY = 'jayseam.socket'
 _POLL_EVENTS = select.POLLRDHUP | select.POLLERR | select.POLLHUP
@@ -80,11 +82,38 @@
 
     handler_class = CallerHandler
 
+    def __init__(self, *args: Any, **options: Any):
+        super().__init__(*args, **options)
+        self._open: set[Any] = set()
+
     def handle(self, sock, address) -> None:
         """Serves one accepted connection."""
         sockets.set_nodelay(sock)
         sock.settimeout(_IDLE_TIMEOUT_S)
-        super().handle(sock, address)
+        self._open.add(sock)
+        try:
+            super().handle(sock, address)
+        finally:
+            self._open.discard(sock)
+
+    def close_connections(self, timeout_s: float) -> None:
+        """Ends all connections after the requests that have arrived.
+
+        A connection left to the end of the process takes requests until then
+        that nobody answers.
+
+        Args:
+          timeout_s: Longest wait for the answers, in seconds.
+        """
+        for sock in list(self._open):
+            try:
+                # Bytes that have arrived can still be read.
+                sock.shutdown(socket.SHUT_RD)
+            except OSError:
+                pass
+        with gevent.Timeout(timeout_s, False):
+            while self._open:
+                gevent.sleep(_CLOSE_POLL_S)
 
 
 def check_framing(headers: Iterable[tuple[str, str]]) -> None:
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -33,6 +33,9 @@
 # After the last call has finished, kept-alive callers get this long to see an
 # answer with "Connection: close" before their connections end.
 _LINGER_S = 0.5
+# The linger, and up to a second each for callers' connections and the admin
+# listener.
+_CLOSE_RESERVE_S = 2.5
 
 _log = logs.get_logger(__name__)
 
@@ -225,18 +228,23 @@
             gevent.spawn(self._stop)
 
     def _stop(self) -> None:
-        deadline = clocks.read_now() + self._settings.stop.deadline_s
+        # The listeners end within the deadline too.
+        deadline_s = self._settings.stop.deadline_s
+        reserved_s = min(_CLOSE_RESERVE_S, deadline_s / 2)
+        deadline = clocks.read_now() + deadline_s - reserved_s
         self._membership.set_own(state='leaving')
         self._application.leave()
         self._ingress.leave()
         drained = self._drain(deadline)
-        self._limits.stop()
-        gevent.sleep(_LINGER_S)
         if not drained:
             self._report_cut_calls()
+            self._application.cut()
+        self._limits.stop()
+        gevent.sleep(_LINGER_S)
         self._life.try_advance('drained' if drained else 'deadline_passed')
-        self._caller_server.stop(timeout=1)
         self._monitor.stop()
+        self._caller_server.stop(timeout=1)
+        self._caller_server.close_connections(1.0)
         self._guard.stop()
         self._distribution.stop()
         self._membership.stop()
@@ -257,8 +265,11 @@
     def _report_cut_calls(self) -> None:
         for request_id in self._application.running():
             _log.error('node.call_cut', extra={'request_id': request_id})
-        for attempt in self._ingress.running_attempts():
-            _log.error('node.attempt_cut', extra={'attempt': attempt})
+        for attempt, request_id in self._ingress.running_attempts().items():
+            _log.error(
+                'node.attempt_cut',
+                extra={'attempt': attempt, 'request_id': request_id},
+            )
 
     # Events of the tasks.
 
