--- /dev/null
+++ b/jayseam/node/tests/test_chaos.py
@@ -0,0 +1,210 @@
+"""All faults at once, under the load of all workspaces."""
+
+import random
+
+import gevent
+
+from jayseam.core import clocks
+from jayseam.node.tests import fleets
+from jayseam.presets import model
+from jayseam.presets import samples
+from jayseam.standins import clusters
+from jayseam.standins import errors
+from jayseam.tools import profiles
+
+_SECONDS = 28.0
+_RAMP = model.Ramp(initial_slots=3, duration_s=1.5)
+_GREEDY = 'dinant'
+# A node paused for 3 s may run calls that it admitted before the pause, after
+# it has waited for the refresh of its versions.
+_LATITUDE_S = 4.5
+_ROUTES = [
+    profiles.RouteLoad('/credits/1', share=3.0),
+    profiles.RouteLoad('/drop-off-points/1'),
+    profiles.RouteLoad('/refunds/1', nest=1, nest_path='/credits/1', share=0.5),
+    profiles.RouteLoad('/credits/2', 'POST', body_bytes=300, share=0.5),
+    profiles.RouteLoad(
+        '/pickups/1', 'POST', repeatable=False, repeat_share=0.3
+    ),
+    profiles.RouteLoad(
+        '/refunds/1', 'POST', repeatable=False, repeat_share=0.3
+    ),
+]
+
+
+class _Chaos:
+    """Breaks things at random, each fault in a greenlet of its own."""
+
+    def __init__(self, fleet, generator):
+        self._cluster = fleet.cluster
+        self._generator = generator
+        self._vms = sorted(fleet.cluster.vms)
+        self._zones = sorted({vm.zone for vm in fleet.cluster.vms.values()})
+        self._busy = set()
+        self.counts = {}
+
+    def run(self, until):
+        """Breaks things until a time, then mends all that is broken."""
+        faults = [
+            gevent.spawn(self._repeat, fault, wait_s, until)
+            for fault, wait_s in (
+                (self._kill, 3.0),
+                (self._pause, 4.0),
+                (self._cut, 5.0),
+                (self._move_zone, 6.0),
+                (self._silence, 3.0),
+                (self._restart_backend, 2.0),
+                (self._stop_platform, 7.0),
+                (self._reset_answers, 3.0),
+            )
+        ]
+        gevent.joinall(faults, raise_error=True)
+        self._cluster.heal(rules=True)
+
+    def _repeat(self, fault, wait_s, until):
+        while True:
+            gevent.sleep(self._generator.uniform(0.3, 1.0) * wait_s)
+            # The longest fault takes four seconds.
+            if clocks.read_now() > until - 4.0:
+                return
+            name = fault.__name__
+            self.counts[name] = self.counts.get(name, 0) + 1
+            fault()
+
+    def _take_vm(self):
+        free = [vm for vm in self._vms if vm not in self._busy]
+        vm = self._generator.choice(free)
+        self._busy.add(vm)
+        return vm
+
+    def _kill(self):
+        vm = self._take_vm()
+        # The whole VM goes: a backend server that outlives its node would
+        # hold calls that the next node process can't count.
+        self._cluster.kill(vm)
+        gevent.sleep(self._generator.uniform(0.2, 2.0))
+        self._cluster.restart(vm)
+        gevent.sleep(1.0)
+        self._busy.discard(vm)
+
+    def _pause(self):
+        vm = self._take_vm()
+        self._cluster.pause(vm)
+        gevent.sleep(self._generator.uniform(0.5, 3.0))
+        self._cluster.resume(vm)
+        self._busy.discard(vm)
+
+    def _cut(self):
+        zone = self._generator.choice(self._zones)
+        rest = [name for name in self._zones if name != zone]
+        self._cluster.partition([zone], rest)
+        gevent.sleep(self._generator.uniform(1.0, 2.5))
+        self._cluster.heal()
+
+    def _move_zone(self):
+        zone = self._generator.choice(self._zones)
+        for in_service in (False, True):
+            self._cluster.publish(
+                clusters.set_zone_service(
+                    self._cluster.preset, zone, in_service
+                )
+            )
+            gevent.sleep(1.5)
+
+    def _silence(self):
+        vms = self._generator.sample(self._vms, 2)
+        self._cluster.control_faults('half-open', source=vms)
+
+    def _restart_backend(self):
+        upstream = self._cluster.vms[self._generator.choice(self._vms)].upstream
+        self._cluster.control_backend(
+            upstream, 'restart', silent=True, disconnect=True
+        )
+
+    def _stop_platform(self):
+        rule = {'id': 'platform', 'target': ['platform']}
+        self._cluster.control_faults('rules', refuse=True, **rule)
+        self._cluster.control_faults('cut', target=['platform'])
+        gevent.sleep(2.0)
+        self._cluster.control_faults('rules', clear=True, **rule)
+
+    def _reset_answers(self):
+        upstream = self._cluster.vms[self._generator.choice(self._vms)].upstream
+        self._cluster.control_backend(
+            upstream, 'fault', kind='reset', share=0.3
+        )
+        gevent.sleep(0.7)
+        self._cluster.control_backend(upstream, 'fault', kind='')
+
+
+def test_invariants_hold_when_everything_fails_at_once():
+    """Faults that meet must not break what each alone does not break."""
+    backend = {
+        'service_time': {'kind': 'exponential', 'mean_ms': 8.0},
+        'cold_start': {
+            'initial_slots': _RAMP.initial_slots,
+            'duration_s': _RAMP.duration_s,
+        },
+    }
+    deployment = samples.build_agence(ramp=_RAMP)
+    with fleets.start_fleet(
+        deployment, fault_proxies=True, backend=backend
+    ) as fleet:
+        fleet.wait_admitting()
+        fleet.clear()
+        rates = {
+            entry['name']: entry['rate_per_s']
+            * (5.0 if entry['name'] == _GREEDY else 0.7)
+            for entry in fleet.cluster.preset['workspaces']
+        }
+        running = fleet.start_load(rates, _ROUTES, _SECONDS, connections=100)
+        chaos = _Chaos(fleet, random.Random(fleets.SEED))
+        until = clocks.read_now() + _SECONDS
+        breaking = gevent.spawn(chaos.run, until)
+        gevent.sleep(_SECONDS / 2)
+        withdrawn_at = clocks.read_now()
+        _withdraw(fleet)
+        report = running.get()
+        breaking.get()
+        _check(fleet, report, chaos, withdrawn_at)
+
+
+def _withdraw(fleet):
+    key_id = fleet.keys[fleets.WITHDRAWN].partition('.')[0]
+    try:
+        fleet.cluster.withdraw_key(key_id)
+    except errors.ControlError:
+        gevent.sleep(0.5)
+        fleet.cluster.withdraw_key(key_id)
+
+
+def _check(fleet, report, chaos, withdrawn_at):
+    found = fleet.judge(report.records, _LATITUDE_S)
+    outcomes = report.count_outcomes()
+    print(chaos.counts, outcomes, report.lag_ms)
+    assert len(chaos.counts) == 8
+    assert not found
+    # Neither partition nor platform outage lasts longer than 2.5 s.
+    late = [
+        run
+        for run in fleet.cluster.collect_runs()
+        if run['workspace'] == fleets.WITHDRAWN
+        and run['started'] > withdrawn_at + 5.0 + 2.5
+    ]
+    assert not late
+    others = [
+        record
+        for record in report.records
+        if record.workspace not in (_GREEDY, fleets.WITHDRAWN)
+    ]
+    assert sum(r.outcome == 'ok' for r in others) > 0.6 * len(others)
+    # The fleet serves again once the faults are over.
+    vms = list(fleet.cluster.vms)
+    fleet.cluster.wait_until(
+        lambda: all(
+            fleet.cluster.call(vm, '/credits/1', fleet.keys['bureau']).status
+            == 200
+            for vm in vms
+        ),
+        15.0,
+    )
