Measure the memory of links, members, upstreams and idempotency records

Change: experiment 'state', which fills each kind to three sizes in a process of its own and fits a line. Ruled out: sizes of objects counted one by one, which leave out the allocator.

--- a/jayseam/bench/main.py
+++ b/jayseam/bench/main.py
@@ -7,13 +7,14 @@
 
 from jayseam.bench import control
 from jayseam.bench import experiments
+from jayseam.bench import holdings
 from jayseam.bench import latency
 from jayseam.bench import publication
 from jayseam.bench import reports
 from jayseam.bench import service
 
 # Importing these modules registers their experiments.
-SUBJECTS = (latency, publication, control, service)
+SUBJECTS = (latency, publication, control, service, holdings)
 DIRECTORY = pathlib.Path('bench') / 'out'
 
 
