--- a/jayseam/bench/latency.py
+++ b/jayseam/bench/latency.py
@@ -1,7 +1,9 @@
 """Experiments on the call path: time added, throughput and memory."""
 
+import signal
 from collections.abc import Iterator, Sequence
 
+import attrs
 import gevent
 
 from jayseam.bench import callers
@@ -9,6 +11,7 @@
 from jayseam.bench import figures
 from jayseam.bench import fleets
 from jayseam.bench import processes
+from jayseam.bench import stages
 from jayseam.core import clocks
 from jayseam.standins import clusters
 
@@ -20,6 +23,7 @@
 HIGH_RATE_PER_S = 200.0
 _SERVICE_TIME = {'kind': 'fixed', 'mean_ms': 1.0}
 _TURN_S = 1.5
+_STAGES_S = 8.0
 _THROUGHPUT_S = 3.0
 _MEMORY_S = 20.0
 _IDLE_S = 4.0
@@ -36,6 +40,8 @@
         arrivals='poisson, one caller process, keep-alive connections',
         turn_s=_TURN_S,
         latency='from sending to the whole answer, in the caller process',
+        stages='of nodes with timers, by themselves: each stage holds those'
+        ' after it, from caller and entry to link, ingress and backend',
     )
     plan, key = fleets.plan_path_fleet(context.seed, _SERVICE_TIME)
     with clusters.Cluster(plan) as cluster:
@@ -44,6 +50,43 @@
             phases = _list_paths(fleet, rate_per_s) * turns
             outcomes = callers.run_phases(phases, context.seed)
             yield from _compare_paths(outcomes, rate_per_s)
+    yield from _time_stages(context.seed)
+
+
+def _time_stages(seed: int) -> Iterator[experiments.Row]:
+    """Runs nodes with timers and reports where the time of a call goes."""
+    plan, key = fleets.plan_path_fleet(seed, _SERVICE_TIME)
+    plan = attrs.evolve(plan, node_module=stages.__name__)
+    with clusters.Cluster(plan) as cluster:
+        fleet = fleets.open_path_fleet(cluster, key)
+        phase = callers.Phase(
+            'two nodes',
+            fleet.entry.caller_port,
+            fleet.remote_path,
+            _STAGES_S,
+            headers=fleet.headers,
+            rate_per_s=TARGET_RATE_PER_S,
+        )
+        for vm in (fleet.entry, fleet.ingress):
+            vm.process.send_signal(signal.SIGUSR1)
+        outcome = callers.run_phases([phase], seed)[0]
+        found = [
+            processes.read_gauges(cluster, vm.name, stages.METRIC)
+            for vm in (fleet.entry, fleet.ingress)
+        ]
+    load = {'load_average': experiments.read_load_average()}
+    for percentile in stages.PERCENTILES:
+        total = figures.compute_percentile_ms(outcome.latencies_s, percentile)
+        yield experiments.Row(
+            f'stage caller, p{percentile}', 1000 * total, 'us', None, load
+        )
+        for stage in stages.STAGES:
+            gauges = found[stage in stages.AT_INGRESS]
+            yield experiments.Row(
+                f'stage {stage}, p{percentile}',
+                gauges[str(percentile), stage],
+                'us',
+            )
 
 
 def _list_paths(
--- a/jayseam/bench/processes.py
+++ b/jayseam/bench/processes.py
@@ -66,6 +66,20 @@
     return answer.body.decode()
 
 
+def read_gauges(
+    cluster: clusters.Cluster, vm: str, name: str
+) -> dict[tuple[str, ...], float]:
+    """Returns the values of a gauge by its labels in alphabetical order."""
+    return {
+        tuple(v for _, v in sorted(sample.labels.items())): sample.value
+        for family in parser.text_string_to_metric_families(
+            read_metrics(cluster, vm)
+        )
+        if family.name == name
+        for sample in family.samples
+    }
+
+
 def read_link_bytes(
     cluster: clusters.Cluster, vm: str
 ) -> dict[tuple[str, str], float]:
--- a/jayseam/bench/stages.py
+++ b/jayseam/bench/stages.py
@@ -1,19 +1,23 @@
 """A node process that measures the stages of the call path.
 
 It runs ``jayseam-node`` with timers around the functions that separate the
-stages, and shows percentiles in microseconds at ``/metrics``. The timers cost
-a few microseconds, so other figures come from nodes without them.
+stages, and shows percentiles in microseconds at ``/metrics``, since the start
+or the last SIGUSR1. The timers cost a few microseconds, so other figures come
+from nodes without them.
 
 >>> sorted(STAGES)[:2]
 ['backend', 'choose']
 """
 
 import functools
+import signal
 import sys
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
+import gevent
 import prometheus_client
+from hdrh import histogram
 
 from jayseam.admission import gates
 from jayseam.backends import client
@@ -39,17 +43,27 @@
     'gate': (gates.Gate, 'acquire'),
     'backend': (client.BackendClient, 'run'),
 }
+# Stages that the ingress measures.
+AT_INGRESS = frozenset(('ingress', 'gate', 'backend'))
 
-_gauge = prometheus_client.Gauge(
-    METRIC, 'Time of a stage in microseconds', ('stage', 'percentile')
-)
 
+_histograms: list[histogram.HdrHistogram] = []
 
-def time_calls(stage: str, function: Callable[..., Any]) -> Callable[..., Any]:
-    """Returns ``function`` with a histogram of its durations as a metric."""
+
+def forget_calls() -> None:
+    """Empties all histograms, for example of the calls of a start."""
+    for durations in _histograms:
+        durations.reset()
+
+
+def time_calls(
+    gauge: prometheus_client.Gauge, stage: str, function: Callable[..., Any]
+) -> Callable[..., Any]:
+    """Returns ``function`` with percentiles of its durations in a gauge."""
     durations = figures.make_histogram()
+    _histograms.append(durations)
     for percentile in PERCENTILES:
-        _gauge.labels(stage, str(percentile)).set_function(
+        gauge.labels(stage, str(percentile)).set_function(
             functools.partial(durations.get_value_at_percentile, percentile)
         )
 
@@ -68,8 +82,12 @@
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Runs a node with timers; returns its exit code."""
+    gauge = prometheus_client.Gauge(
+        METRIC, 'Time of a stage in microseconds', ('stage', 'percentile')
+    )
     for stage, (owner, name) in STAGES.items():
-        setattr(owner, name, time_calls(stage, getattr(owner, name)))
+        setattr(owner, name, time_calls(gauge, stage, getattr(owner, name)))
+    gevent.signal_handler(signal.SIGUSR1, forget_calls)
     return node_main.main(arguments)
 
 
