--- a/jayseam/distribution/messages.py
+++ b/jayseam/distribution/messages.py
@@ -1,11 +1,16 @@
 """Messages of the distribution of channels (codes 40 to 59)."""
 
+from collections.abc import Iterable
+from typing import Any
+
 import attrs
+import xxhash
 from attrs import validators
 
 from jayseam.links import messages
 
-_MAX_ORIGIN_CHARS = 128
+_MAX_ORIGIN_CHARS = 16
+_MAX_STATES = 8
 _NAME = validators.instance_of(str)
 _NUMBER = validators.and_(
     validators.instance_of(int), validators.not_(validators.instance_of(bool))
@@ -78,17 +83,20 @@
     complete: bool = attrs.field(validator=_FLAG)
 
 
-@messages.register(43)
 @attrs.frozen
 class ChannelState:
-    """One channel in `Heartbeat`.
+    """One channel in `Heartbeat`, which carries its fields as a plain list.
+
+    A nested message would add its type and the names of a dict to each of
+    them, and heartbeats are most of what a node sends at rest.
 
     Attributes:
       channel: ``preset``, ``keys`` or ``vms``.
       version: Version held, zero if none.
       prefix: First characters of the digest, to notice conflicts.
       confirmed_version: Version that the last confirmation covers, or zero.
-      origin: Reader that heard the confirmation; empty if there is none.
+      origin: Name of the reader that heard the confirmation, shortened by
+        `shorten_origin`; empty if there is none.
       sequence: Number of the confirmation at that reader.
       age_ms: Milliseconds since the confirmation; zero if there is none.
     """
@@ -104,9 +112,36 @@
     age_ms: int = attrs.field(validator=_COUNT)
 
 
-_STATES = validators.deep_iterable(
-    validators.instance_of(ChannelState), validators.instance_of(list)
-)
+def shorten_origin(vm: str, incarnation: int) -> str:
+    """Returns a short name of a process, the same on every node.
+
+    >>> len(shorten_origin('vm-1', 1))
+    8
+    """
+    return xxhash.xxh64_hexdigest(f'{vm}/{incarnation}'.encode())[:8]
+
+
+def pack_states(states: Iterable[ChannelState]) -> list[list[Any]]:
+    """Returns the form of channel states in a message."""
+    return [list(attrs.astuple(state)) for state in states]
+
+
+def unpack_states(rows: list[list[Any]]) -> list[ChannelState]:
+    """Returns the channel states of a message.
+
+    Raises:
+      TypeError: If a row has other fields.
+      ValueError: If a field is out of range.
+    """
+    return [ChannelState(*row) for row in rows]
+
+
+def _check_states(_: Any, attribute: attrs.Attribute, value: Any) -> None:
+    if not isinstance(value, list) or len(value) > _MAX_STATES:
+        raise TypeError(f'{attribute.name} must be a short list')
+    if not all(isinstance(row, list) for row in value):
+        raise TypeError(f'{attribute.name} must be a list of lists')
+    unpack_states(value)
 
 
 @messages.register(44)
@@ -115,11 +150,11 @@
     """Tells the versions held and the age of their last confirmation.
 
     Attributes:
-      states: One `ChannelState` for each channel.
+      states: A packed `ChannelState` for each channel.
       memory_ms: Age of the sender's memory; see `memories`.
     """
 
-    states: list = attrs.field(validator=_STATES)
+    states: list = attrs.field(validator=_check_states)
     memory_ms: int = attrs.field(validator=_COUNT)
 
 
@@ -129,10 +164,10 @@
     """Asks for a `Heartbeat` at once and carries the sender's own.
 
     Attributes:
-      states: One `ChannelState` for each channel.
+      states: A packed `ChannelState` for each channel.
     """
 
-    states: list = attrs.field(validator=_STATES)
+    states: list = attrs.field(validator=_check_states)
 
 
 @messages.register(46)
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -145,7 +145,7 @@
         super().__init__('distribution')
         self._vm = vm
         self._zone = zone
-        self._origin = f'{vm}/{incarnation}'
+        self._origin = messages.shorten_origin(vm, incarnation)
         self._peers = peers
         self._client = client
         self._watch_wait_s = watch_wait_s
@@ -276,7 +276,8 @@
         self, peer: Any, message: messages.Sync
     ) -> messages.Heartbeat:
         """Takes a peer's versions and returns the own ones."""
-        self.send(_PeerStates(peer.vm, message.states, clocks.read_now()))
+        states = messages.unpack_states(message.states)
+        self.send(_PeerStates(peer.vm, states, clocks.read_now()))
         return self.build_heartbeat(clocks.read_now())
 
     def note_peer_version(
@@ -308,10 +309,10 @@
         """Returns the versions held and the ages of their confirmation."""
         state = self._state
         return messages.Heartbeat(
-            [
+            messages.pack_states(
                 _describe_channel(state, channel, now)
                 for channel in versions.CHANNELS
-            ],
+            ),
             int(self._memory.compute_age(now) * 1000),
         )
 
@@ -333,7 +334,7 @@
         offered = {
             state.channel: state.version
             for answer in answers
-            for state in answer.states
+            for state in messages.unpack_states(answer.states)
         }
         self._wait_for(offered, deadline)
         return True
@@ -563,9 +564,8 @@
 
     def _send_peer_states(self, vm: str, heartbeat: messages.Heartbeat) -> None:
         memory_s = heartbeat.memory_ms / 1000
-        self.send(
-            _PeerStates(vm, heartbeat.states, clocks.read_now(), memory_s)
-        )
+        states = messages.unpack_states(heartbeat.states)
+        self.send(_PeerStates(vm, states, clocks.read_now(), memory_s))
 
     def _take_peer_states(self, heard: _PeerStates) -> None:
         self._memory = self._memory.hear(heard.memory_s, heard.heard_at)
@@ -696,7 +696,7 @@
             self._judge(state.channel, state.version, state.prefix)
             is versions.Verdict.NEWER
             for answer in answers
-            for state in answer.states
+            for state in messages.unpack_states(answer.states)
         )
 
     def _ask_peers(
