Count only runs that a paused node asked for after it woke

Cause: test_queued_calls_after_a_pause failed once in three runs, with runs 0.5 ms after the time taken behind SIGSTOP: their requests were on their way. Change: runs after the resume count.

Tests: test_pauses passes twice in a row.

--- a/jayseam/node/tests/test_pauses.py
+++ b/jayseam/node/tests/test_pauses.py
@@ -104,16 +104,17 @@
             lambda: cluster.status(vm)['backend']['queued'] > 0, 1.5, 'queue'
         )
         cluster.pause(vm)
-        paused_at = clocks.read_now()
         cluster.take_zone_out(ZONE)
         # Answers arrive during the pause and free slots when it ends.
         gevent.sleep(_PAUSE_S)
+        # A run that began before this was asked for before the pause.
+        resumed_at = clocks.read_now()
         cluster.resume(vm)
         gevent.joinall(jobs)
         late = [
-            run['started'] - paused_at
+            run['started'] - resumed_at
             for run in cluster.collect_runs()
-            if run['backend'] == upstream and run['started'] > paused_at
+            if run['backend'] == upstream and run['started'] > resumed_at
         ]
         statuses = [job.value and job.value.status for job in jobs]
         print(f'{statuses}, late: {late}')
