Take no new work on a VM that the platform lists as leaving

Change: a node that finds itself listed as leaving marks itself so, and its ingress refuses new and queued calls as not run; back in the list as live, it takes work again. One function now tells why a call may not start. Ruled out: other nodes overriding a live heartbeat by the list, which lags and differs between them. After: test_vm_listed_as_leaving_gets_no_new_runs passes.

--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -61,6 +61,7 @@
         self._running: dict[str, gevent.Greenlet] = {}
         self._request_ids: dict[str, str] = {}
         self._leaving = False
+        self._withdrawn = False
 
     @property
     def in_flight(self) -> int:
@@ -75,6 +76,10 @@
         """Refuses forwarded calls from now on; those accepted finish."""
         self._leaving = True
 
+    def set_withdrawn(self, withdrawn: bool) -> None:
+        """Refuses new and queued calls while the VM is to leave."""
+        self._withdrawn = withdrawn
+
     def cancel(self, attempt: str) -> None:
         """Cancels an attempt, if it is still in flight."""
         greenlet = self._running.get(attempt)
@@ -125,10 +130,19 @@
         self._check_validity(forward)
 
     def _check_validity(self, forward: messages.Forward) -> None:
+        fault = self._find_fault(forward)
+        if fault is not None:
+            raise fault
+
+    def _find_fault(self, forward: messages.Forward) -> errors.CallError | None:
+        """Returns why a call may not start any more, or None if it may."""
+        if self._withdrawn:
+            return errors.NotRunError('this VM is leaving')
         if not self._zone_in_service():
-            raise errors.ZoneError('the availability zone is out of service')
+            return errors.ZoneError('the availability zone is out of service')
         if not self._key_valid(forward):
-            raise errors.KeyRefusedError('the key was withdrawn')
+            return errors.KeyRefusedError('the key was withdrawn')
+        return None
 
     def _find_service(self) -> str | None:
         preset = self._read_snapshot().preset
@@ -158,10 +172,9 @@
             cost=self._gate.estimate_cost(forward.workspace),
             deadline=deadline - min(_RUN_MARGIN_S, timeout_s / 10),
             request_id=forward.request_id,
-            still_valid=lambda _: self._key_valid(forward)
-            and self._zone_in_service(),
+            still_valid=lambda _: self._find_fault(forward) is None,
         )
-        permit = self._acquire(ticket, now)
+        permit = self._acquire(ticket, forward, now)
         result = admission.gates.Result.FAILED
         try:
             self._check_again(forward, deadline)
@@ -213,16 +226,16 @@
             ending.rawlink(lambda _: permit.release(result, clocks.read_now()))
 
     def _acquire(
-        self, ticket: admission.gates.Ticket, now: float
+        self,
+        ticket: admission.gates.Ticket,
+        forward: messages.Forward,
+        now: float,
     ) -> admission.gates.Permit:
         try:
             return self._gate.acquire(ticket, now)
         except admission.errors.NoLongerValidError as error:
-            if not self._zone_in_service():
-                raise errors.ZoneError(
-                    'the availability zone is out of service'
-                ) from error
-            raise errors.KeyRefusedError('the key was withdrawn') from error
+            fault = self._find_fault(forward) or errors.NotRunError(str(error))
+            raise fault from error
         except admission.errors.AdmissionError as error:
             raise errors.NotRunError(str(error)) from error
 
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -286,10 +286,19 @@
             self._membership.merge_vms(
                 [attrs.asdict(entry) for entry in snapshot.vms.vms]
             )
+            self._heed_vm_list(snapshot.vms)
         complete = snapshot.preset is not None and snapshot.keys is not None
         if complete:
             self._life.try_advance('configured')
 
+    def _heed_vm_list(self, vm_list: Any) -> None:
+        """Takes no new work while the platform lists the own VM as leaving."""
+        entry = vm_list.by_name.get(self._settings.vm)
+        withdrawn = entry is not None and entry.state == 'leaving'
+        self._ingress.set_withdrawn(withdrawn)
+        if self._life.state != 'leaving':
+            self._membership.set_own(state='leaving' if withdrawn else 'alive')
+
     def _refresh(self, now: float) -> None:
         """Asks peers for versions after a pause; returns after an answer."""
         measures.PAUSES.inc()
--- a/jayseam/node/tests/fleets.py
+++ b/jayseam/node/tests/fleets.py
@@ -3,7 +3,6 @@
 import contextlib
 import os
 import random
-import uuid
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
@@ -17,6 +16,7 @@
 from jayseam.presets import samples
 from jayseam.standins import clusters
 from jayseam.standins import exchanges
+from jayseam.tools import identifiers
 from jayseam.standins import referee
 from jayseam.tools import load
 from jayseam.tools import profiles
@@ -191,9 +191,7 @@
 def make_idempotency_key(wall_ms: int | None = None) -> str:
     """Returns a UUID of version 7 for a time, by default the present."""
     moment = clocks.read_wall_ms() if wall_ms is None else wall_ms
-    value = moment << 80 | 0x7 << 76 | random.getrandbits(12) << 64
-    value |= 0b10 << 62 | random.getrandbits(62)
-    return str(uuid.UUID(int=value))
+    return identifiers.make_uuid7(moment, random.Random())
 
 
 def read_code(answer: exchanges.Answer) -> str:
--- a/jayseam/node/tests/test_zones.py
+++ b/jayseam/node/tests/test_zones.py
@@ -96,6 +96,27 @@
     fleet.cluster.wait_serving()
 
 
+def test_vm_listed_as_leaving_gets_no_new_runs(fleet):
+    """The platform's word must count although the process is still alive."""
+    leaving = fleet.vms_of('drop-off-points')[0]
+    vm = fleet.cluster.vms[leaving]
+    with observers.Callers(fleet, fleet.cluster.vms, pause_s=0.0) as callers:
+        gevent.sleep(0.5)
+        vm.state = 'leaving'
+        left_at = clocks.read_now()
+        fleet.cluster.publish_vms()
+        gevent.sleep(_LEAVE_S + 1.5)
+        vm.state = 'live'
+        back_at = clocks.read_now()
+        fleet.cluster.publish_vms()
+        gevent.sleep(_LEAVE_S)
+    assert list_runs(fleet, {vm.upstream}, 0.0, left_at)
+    late = list_runs(fleet, {vm.upstream}, left_at + _LEAVE_S, back_at)
+    assert not late
+    assert list_runs(fleet, {vm.upstream}, back_at)
+    assert not callers.list_failed()
+
+
 def test_draining_backend_gets_no_new_runs(fleet):
     """A backend server that drains while calls run and wait."""
     vm = fleet.vms_of('drop-off-points')[1]
