--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -74,6 +74,8 @@
       capacity: The lower of slots and connections.
       ramp: Limit of the ramp.
       adaptive: Adaptive limit.
+      service_s: Mean time that the backend server takes for a call, in
+        seconds; zero if it is not known yet.
     """
 
     in_flight: int
@@ -82,6 +84,7 @@
     capacity: int
     ramp: int
     adaptive: int
+    service_s: float = 0.0
 
     @property
     def load(self) -> float:
@@ -331,6 +334,7 @@
             self._capacity,
             self._ramp.compute_limit(now),
             self._adaptive.compute_limit(),
+            self._mean_s or 0.0,
         )
 
     def _build_ramp(self, ramp, started_at: float | None):
--- a/jayseam/bench/tests/test_reports.py
+++ b/jayseam/bench/tests/test_reports.py
@@ -96,6 +96,7 @@
         'convergence',
         'memory',
         'overload',
+        'state',
         'throughput',
         'worst-workspace',
         'zone-move',
--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -135,9 +135,11 @@
         """Counts the end of an attempt."""
         self._loads.finish(vm)
 
-    def report_load(self, vm: str, load: float, now: float) -> None:
-        """Stores the load that came with a reply."""
-        self._loads.report(vm, load, now)
+    def report_load(
+        self, vm: str, load: float, service_s: float, now: float
+    ) -> None:
+        """Stores the load and the service time that came with a reply."""
+        self._loads.report(vm, load, now, service_s)
         self._avoided.pop(vm, None)
 
     def record_failure(self, vm: str, now: float) -> None:
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -302,7 +302,9 @@
             reply = self._parts.forwarder(
                 chosen.vm, forward, call.deadline - now
             )
-            chooser.report_load(chosen.vm, reply.load, clocks.read_now())
+            chooser.report_load(
+                chosen.vm, reply.load, reply.service_s, clocks.read_now()
+            )
         except link_errors.NotSentError as error:
             chooser.record_failure(chosen.vm, clocks.read_now())
             raise errors.NotRunError('the node cannot be reached') from error
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -90,16 +90,22 @@
         self, forward: messages.Forward
     ) -> messages.Answered | messages.Refused:
         """Runs a forwarded call; every failure becomes a `Refused`."""
-        now = clocks.read_now()
-        load = self._gate.describe(now).load
         try:
-            answer = self.run(forward, now)
+            answer = self.run(forward, clocks.read_now())
         except errors.CallError as error:
-            load = self._gate.describe(clocks.read_now()).load
-            return messages.Refused(error.code, error.ran, error.detail, load)
-        load = self._gate.describe(clocks.read_now()).load
+            report = self._gate.describe(clocks.read_now())
+            return messages.Refused(
+                error.code,
+                error.ran,
+                error.detail,
+                report.load,
+                report.service_s,
+            )
+        report = self._gate.describe(clocks.read_now())
         headers = [list(pair) for pair in answer.headers]
-        return messages.Answered(answer.status, headers, answer.body, load)
+        return messages.Answered(
+            answer.status, headers, answer.body, report.load, report.service_s
+        )
 
     def run(self, forward: messages.Forward, now: float) -> requests.CallAnswer:
         """Admits a call and runs it on the backend server.
--- a/jayseam/calls/messages.py
+++ b/jayseam/calls/messages.py
@@ -72,12 +72,18 @@
 @messages.register(81)
 @attrs.frozen
 class Answered:
-    """The whole answer of a backend server, with the load of its ingress."""
+    """The whole answer of a backend server, with the load of its ingress.
+
+    Attributes:
+      load: Calls in flight and queued, over the limit.
+      service_s: Mean time of a call at the backend server, in seconds.
+    """
 
     status: int = attrs.field(validator=_COUNT)
     headers: list = attrs.field(validator=check_pairs)
     body: bytes = attrs.field(validator=_BYTES)
     load: float = attrs.field(validator=_NUMBER)
+    service_s: float = attrs.field(validator=_NUMBER)
 
 
 @messages.register(82)
@@ -94,6 +100,7 @@
     ran: str = attrs.field(validator=validators.in_(('no', 'unknown')))
     detail: str = attrs.field(validator=_TEXT)
     load: float = attrs.field(validator=_NUMBER)
+    service_s: float = attrs.field(validator=_NUMBER)
 
 
 @messages.register(83)
--- a/jayseam/routing/loads.py
+++ b/jayseam/routing/loads.py
@@ -16,12 +16,14 @@
       reported_at: Time at which the report arrived, in seconds.
       own_at_report: Own calls in flight when it arrived; the report counts
         them already.
+      service_s: Mean service time that it told, in seconds; zero if unknown.
     """
 
     in_flight: int = 0
     reported: float = 0.0
     reported_at: float = 0.0
     own_at_report: int = 0
+    service_s: float = 0.0
 
 
 class LoadTable:
@@ -52,7 +54,9 @@
         if member is not None and member.in_flight > 0:
             member.in_flight -= 1
 
-    def report(self, vm: str, load: float, now: float) -> None:
+    def report(
+        self, vm: str, load: float, now: float, service_s: float = 0.0
+    ) -> None:
         """Stores a load report that a reply carried.
 
         Call it before `finish` for that reply: the ingress counted the call.
@@ -61,6 +65,7 @@
         member.reported = max(0.0, load)
         member.reported_at = now
         member.own_at_report = member.in_flight
+        member.service_s = max(0.0, service_s)
 
     def forget(self, vm: str) -> None:
         """Drops what is known of a VM that has left."""
@@ -70,6 +75,14 @@
         """Returns what is known of a VM."""
         return self._members.get(vm, MemberLoad())
 
+    def compare_service(self, first: str, second: str) -> float:
+        """Returns the service time of one VM over that of another.
+
+        It is 1 unless both are known.
+        """
+        one, other = self.get(first).service_s, self.get(second).service_s
+        return one / other if one and other else 1.0
+
     def estimate(self, vm: str, slots: int, now: float) -> float:
         """Returns the load of a VM, (in flight + reported queue) / limit.
 
--- a/jayseam/routing/selection.py
+++ b/jayseam/routing/selection.py
@@ -393,6 +393,8 @@
     if second is first:
         return first, first_load
     second_load = loads.estimate(second.vm, second.slots, now)
-    if second_load < first_load:
+    # A queue of the same length takes longer at a slower backend server.
+    ratio = loads.compare_service(first.vm, second.vm)
+    if second_load < first_load * ratio:
         return second, second_load
     return first, first_load
