--- a/jayseam/calls/requests.py
+++ b/jayseam/calls/requests.py
@@ -4,21 +4,10 @@
 
 import attrs
 
+from jayseam.backends import messages as backend_messages
+
 Headers = tuple[tuple[str, str], ...]
 
-_HOP_BY_HOP = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
 _REQUEST_ONLY = frozenset(
     (
         'authorization',
@@ -103,7 +92,7 @@
     return tuple(
         (name, value)
         for name, value in pairs
-        if name not in _HOP_BY_HOP
+        if name not in backend_messages.HOP_BY_HOP
         and name not in dropped
         and name not in named
         and not name.startswith(_PRIVATE_PREFIX)
--- a/jayseam/distribution/models.py
+++ b/jayseam/distribution/models.py
@@ -6,6 +6,7 @@
 ``python -m jayseam.distribution.models`` for the table of the design page.
 """
 
+import abc
 import argparse
 import heapq
 import itertools
@@ -78,7 +79,7 @@
     source_bytes: int
 
 
-class Design:
+class Design(abc.ABC):
     """Base of the designs: a fleet and its queue of events.
 
     Args:
@@ -113,9 +114,9 @@
         """Returns the heartbeats that a node sends each second."""
         return 0.0
 
+    @abc.abstractmethod
     def publish(self) -> None:
         """Schedules what happens when the version is published."""
-        raise NotImplementedError
 
     def at(self, time: float, action: Callable[[float], None]) -> None:
         """Schedules an action."""
--- a/jayseam/limits/task.py
+++ b/jayseam/limits/task.py
@@ -67,8 +67,7 @@
       zone: The own availability zone.
       incarnation: The own incarnation.
       request: Called as ``request(vm, message, timeout_s)``; returns the reply
-      or
-        raises.
+        or raises.
       notify: Called as ``notify(vm, message)``; sends without a reply.
       view: Returns the members that are alive or suspect, as objects with
         ``vm``, ``upstream``, ``incarnation`` and ``zone``.
