--- a/jayseam/membership/task.py
+++ b/jayseam/membership/task.py
@@ -4,6 +4,7 @@
 repairs differences between views and detects failed members.
 """
 
+import contextlib
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
@@ -548,10 +549,8 @@
             self._send_quietly(_Heard(vm, clocks.read_now(), indirect=True))
 
     def _send_quietly(self, message: Any) -> None:
-        try:
+        with contextlib.suppress(core_errors.TaskStoppedError):
             self.send(message)
-        except core_errors.TaskStoppedError:
-            pass
 
 
 class _FlushTimer:
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -1,5 +1,6 @@
 """The HTTP listener for callers."""
 
+import contextlib
 import logging
 import select
 import socket
@@ -107,11 +108,9 @@
           timeout_s: Longest wait for the answers, in seconds.
         """
         for sock in list(self._open):
-            try:
-                # Bytes that have arrived can still be read.
+            # Bytes that have arrived can still be read.
+            with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RD)
-            except OSError:
-                pass
         with gevent.Timeout(timeout_s, False):
             while self._open:
                 gevent.sleep(_CLOSE_POLL_S)
