Answer every request that crosses the end of a stopping node

Cause: a stop closed the listener with connections still in its backlog, which the kernel then reset, and ended idle kept-alive connections without an answer, so a request that crossed the close was reset too.

Change: CallerServer.shut_down attaches a packet filter that drops new SYNs, serves the whole backlog, then closes the listener. Each idle connection ends with an unasked "not-run" answer and a half close, and is read for up to 0.5 s so that late request bytes don't reset it.

Ruled out: listen(0) before the drain (the kernel still lets one connection in); 408 instead of 503 (callers know the problem document).

--- a/jayseam/core/sockets.py
+++ b/jayseam/core/sockets.py
@@ -1,6 +1,13 @@
-"""Options that every TCP socket of jayseam carries."""
+"""Options of the TCP sockets of jayseam."""
 
+import ctypes
 import socket
+import struct
+
+# Not in the ``socket`` module; from the Linux header asm-generic/socket.h.
+_SO_ATTACH_FILTER = 26
+# The filter program "return 0": accept no byte of any packet.
+_DROP_ALL = struct.pack('HBBI', 0x06, 0, 0, 0)
 
 
 def set_nodelay(sock: socket.socket) -> None:
@@ -10,3 +17,20 @@
     to each hop of a call.
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def refuse_connections(listener: socket.socket) -> None:
+    """Makes the kernel drop all packets that reach a listening socket.
+
+    Connections in the backlog stay, so that a server can take all of them
+    before it closes the socket. A connection that arrives between the last
+    ``accept`` and ``close`` would be reset after its request was sent. With
+    the filter it is never established: the peer sends its SYN again after a
+    second and is then refused.
+
+    References:
+      ``socket(7)``, SO_ATTACH_FILTER.
+    """
+    program = ctypes.create_string_buffer(_DROP_ALL)
+    header = struct.pack('HP', 1, ctypes.addressof(program))
+    listener.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, header)
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -22,6 +22,7 @@
 _IDLE_TIMEOUT_S = 75.0
 _SWEEP_INTERVAL_S = 0.1
 _CLOSE_POLL_S = 0.01
+_BLOCK_BYTES = 65536
 _FORBIDDEN = frozenset('\0\r\n')
 _SOCKET_KEY = 'jayseam.socket'
 _POLL_EVENTS = select.POLLRDHUP | select.POLLERR | select.POLLHUP
@@ -36,6 +37,8 @@
 class CallerHandler(pywsgi.WSGIHandler):
     """Reads requests strictly, so that no two readers disagree on them."""
 
+    _ended = False
+
     def MessageClass(self, *args):  # pylint: disable=invalid-name
         """Parses the header fields and refuses ambiguous framing."""
         headers = super().MessageClass(*args)
@@ -46,6 +49,44 @@
         check_framing(headers.items())
         return headers
 
+    def read_requestline(self) -> str:
+        """Reads the first line of a request; empty after the last one."""
+        self.server.idle.add(self)
+        try:
+            line = super().read_requestline()
+        finally:
+            self.server.idle.discard(self)
+        if self._ended:
+            # A close with unread bytes resets the connection, and the caller
+            # could lose the refusal.
+            while line:
+                line = self.rfile.read(_BLOCK_BYTES)
+            return ''
+        return line
+
+    def has_input(self) -> bool:
+        """Tells whether bytes of a request have arrived."""
+        poller = select.poll()
+        poller.register(self.socket.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
+    def refuse_further(self) -> None:
+        """Ends an idle connection with a refusal.
+
+        A request that the caller sends at the same moment is never read as
+        one, so the refusal answers it truthfully. A caller without a request
+        takes the bytes for the end of the connection.
+
+        References:
+          RFC 9112, section 9.2, on answers without a request.
+        """
+        self._ended = True
+        error = errors.NotRunError('this node is shutting down', 1.0)
+        _, answer = self._handle_client_error(error)
+        with contextlib.suppress(OSError):
+            self.socket.sendall(answer)
+            self.socket.shutdown(socket.SHUT_WR)
+
     def read_request(self, raw_requestline: str) -> bool:
         """Reads the header fields within a bounded time."""
         with gevent.Timeout(_READ_TIMEOUT_S, FramingError('slow headers')):
@@ -86,33 +127,38 @@
 
     def __init__(self, *args: Any, **options: Any):
         super().__init__(*args, **options)
-        self._open: set[Any] = set()
+        self.open_connections: set[Any] = set()
+        self.idle: set[CallerHandler] = set()
 
     def handle(self, sock, address) -> None:
         """Serves one accepted connection."""
         sockets.set_nodelay(sock)
         sock.settimeout(_IDLE_TIMEOUT_S)
-        self._open.add(sock)
+        self.open_connections.add(sock)
         try:
             super().handle(sock, address)
         finally:
-            self._open.discard(sock)
+            self.open_connections.discard(sock)
 
-    def close_connections(self, timeout_s: float) -> None:
-        """Ends all connections after the requests that have arrived.
+    def shut_down(self, timeout_s: float) -> None:
+        """Closes the listener and all connections without losing a request.
 
-        A connection left to the end of the process takes requests until then
-        that nobody answers.
+        Every request that a caller could send is answered: those in the
+        listener's backlog, and those that cross the end of a connection.
 
         Args:
-          timeout_s: Longest wait for the answers, in seconds.
+          timeout_s: Longest wait for the callers, in seconds.
         """
-        for sock in list(self._open):
-            # Bytes that have arrived can still be read.
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RD)
+        sockets.refuse_connections(self.socket)
+        while select.select([self.socket.fileno()], [], [], 0)[0]:
+            self._do_read()
+        self.stop()
         with gevent.Timeout(timeout_s, False):
-            while self._open:
+            gevent.sleep(0)
+            for handler in list(self.idle):
+                if not handler.has_input():
+                    handler.refuse_further()
+            while self.open_connections:
                 gevent.sleep(_CLOSE_POLL_S)
 
 
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -36,6 +36,8 @@
 # The linger, and up to a second each for callers' connections and the admin
 # listener.
 _CLOSE_RESERVE_S = 2.5
+# Time for callers to end connections that were refused further requests.
+_CLOSE_WAIT_S = 0.5
 
 _log = logs.get_logger(__name__)
 
@@ -243,8 +245,7 @@
         gevent.sleep(_LINGER_S)
         self._life.try_advance('drained' if drained else 'deadline_passed')
         self._monitor.stop()
-        self._caller_server.stop(timeout=1)
-        self._caller_server.close_connections(1.0)
+        self._caller_server.shut_down(_CLOSE_WAIT_S)
         self._guard.stop()
         self._distribution.stop()
         self._membership.stop()
