Let the load tool's test accept a delayed schedule that is reported

Change: the table must say what the JSON report says, "LAGGED behind the schedule" or "kept up". Other tests set the lag and check the verdict itself, so nothing is checked less than before.

--- a/jayseam/tools/tests/test_load.py
+++ b/jayseam/tools/tests/test_load.py
@@ -225,6 +225,8 @@
     report = json.loads(paths[1].read_text())
     records = load.read_records(names[2])
     assert report['calls'] == len(records) == report['outcomes']['ok']
-    assert 'kept up' in capsys.readouterr().out
+    # A busy machine may delay the schedule; the table must then say so.
+    note = 'LAGGED behind the schedule' if report['lagged'] else 'kept up'
+    assert note in capsys.readouterr().out
     paths[0].write_text('{}')
     assert load.main(words) == 2
