Choose upstreams by the load that delays the caller's workspace

Cause: an ingress reports all calls in flight and queued. Beside a neighbour at five times its rate every queue is full of the neighbour's calls, which a fair queue keeps from delaying others, so entries couldn't tell where their own workspace waits and sent its calls behind each other at the slow server.

Change: a reply also tells the load as far as it delays the workspace of the call, and that for a workspace without queued calls (fair queue: as many turns as own calls wait, and one more). The choice uses these while they are fresh.

Ruled out: the workspace's own backlog alone, which says nothing of VMs that this entry has not asked lately; keyed reports for all workspaces in each reply (bytes).

--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -76,6 +76,8 @@
       adaptive: Adaptive limit.
       service_s: Mean time that the backend server takes for a call, in
         seconds; zero if it is not known yet.
+      backlogs: Lines that the queue serves in turn and that have calls: one
+        for each workspace, or one for all.
     """
 
     in_flight: int
@@ -85,6 +87,7 @@
     ramp: int
     adaptive: int
     service_s: float = 0.0
+    backlogs: int = 0
 
     @property
     def load(self) -> float:
@@ -95,6 +98,21 @@
         """
         return (self.in_flight + self.queued) / max(1, self.limit)
 
+    def estimate_fair_load(self, queued: int) -> float:
+        """Returns the load as far as it delays a workspace's next call.
+
+        The queue takes one call of each backlog in turn, so the call waits for
+        as many turns as its workspace has calls queued, and one more.
+
+        Args:
+          queued: Calls of the workspace that wait.
+
+        >>> GateReport(4, 12, 4, 4, 4, 4, backlogs=2).estimate_fair_load(0)
+        1.5
+        """
+        ahead = self.backlogs * (queued + 1)
+        return min(self.load, (self.in_flight + ahead) / max(1, self.limit))
+
 
 @attrs.frozen
 class _ServiceTime:
@@ -335,8 +353,13 @@
             self._ramp.compute_limit(now),
             self._adaptive.compute_limit(),
             self._mean_s or 0.0,
+            self._queue.count_backlogs(),
         )
 
+    def count_queued(self, workspace: str) -> int:
+        """Returns the number of calls of a workspace that wait."""
+        return self._queue.count(workspace)
+
     def _build_ramp(self, ramp, started_at: float | None):
         if ramp is None:
             return self._ramp_class(self._capacity, self._capacity, 0.0, None)
--- a/jayseam/admission/queues.py
+++ b/jayseam/admission/queues.py
@@ -138,6 +138,10 @@
         flow = self._flows.get(workspace)
         return len(flow.entries) if flow else 0
 
+    def count_backlogs(self) -> int:
+        """Returns the number of workspaces with waiting entries."""
+        return sum(bool(flow.entries) for flow in self._flows.values())
+
     def push(self, entry: Entry) -> Entry | None:
         """Adds an entry.
 
@@ -290,6 +294,10 @@
         entries = self._entries.values()
         return sum(entry.workspace == workspace for entry in entries)
 
+    def count_backlogs(self) -> int:
+        """Returns the length of the line, of which each entry waits."""
+        return len(self._entries)
+
     def push(self, entry: Entry) -> None:
         """Adds an entry.
 
--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -95,6 +95,7 @@
         view: membership.views.View,
         tried: Collection[str],
         now: float,
+        workspace: str = '',
     ) -> Choice | None:
         """Returns the ingress for the next attempt, or None if there is none.
 
@@ -104,6 +105,7 @@
           view: Members known.
           tried: VMs that this call has tried.
           now: Present time in seconds.
+          workspace: Workspace of the call.
         """
         service = routing.matching.choose_service(route.targets, self._draw())
         pool = self._find_pool(preset, view, service)
@@ -123,23 +125,24 @@
             [self._draw() for _ in range(routing.selection.DRAWS)],
             self._turn,
             self._strategy,
+            workspace,
         )
         record = view.members[candidate.vm]
         return Choice(candidate.vm, record.incarnation, service)
 
-    def begin(self, vm: str) -> None:
+    def begin(self, vm: str, workspace: str = '') -> None:
         """Counts an attempt sent to a VM."""
-        self._loads.start(vm)
+        self._loads.start(vm, workspace)
 
-    def end(self, vm: str) -> None:
+    def end(self, vm: str, workspace: str = '') -> None:
         """Counts the end of an attempt."""
-        self._loads.finish(vm)
+        self._loads.finish(vm, workspace)
 
     def report_load(
-        self, vm: str, load: float, service_s: float, now: float
+        self, vm: str, workspace: str, report: routing.loads.Report, now: float
     ) -> None:
-        """Stores the load and the service time that came with a reply."""
-        self._loads.report(vm, load, now, service_s)
+        """Stores the load that came with a reply to a call of a workspace."""
+        self._loads.report(vm, workspace, report, now)
         self._avoided.pop(vm, None)
 
     def record_failure(self, vm: str, now: float) -> None:
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -17,6 +17,7 @@
 from jayseam.core import clocks
 from jayseam.core import identifiers
 from jayseam.links import errors as link_errors
+from jayseam.routing import loads
 
 _ERRORS_BY_CODE = {
     'zone': errors.ZoneError,
@@ -289,6 +290,7 @@
             self._parts.read_view(),
             tried,
             now,
+            call.caller.workspace,
         )
 
     def _forward(
@@ -297,14 +299,16 @@
         """Sends one attempt and turns every outcome into answer or error."""
         forward = self._build_forward(call, chosen, now)
         chooser = self._parts.chooser
-        chooser.begin(chosen.vm)
+        workspace = call.caller.workspace
+        chooser.begin(chosen.vm, workspace)
         try:
             reply = self._parts.forwarder(
                 chosen.vm, forward, call.deadline - now
             )
-            chooser.report_load(
-                chosen.vm, reply.load, reply.service_s, clocks.read_now()
+            report = loads.Report(
+                reply.load, reply.fair_load, reply.idle_load, reply.service_s
             )
+            chooser.report_load(chosen.vm, workspace, report, clocks.read_now())
         except link_errors.NotSentError as error:
             chooser.record_failure(chosen.vm, clocks.read_now())
             raise errors.NotRunError('the node cannot be reached') from error
@@ -321,7 +325,7 @@
             self._parts.cancel(chosen.vm, forward.attempt)
             raise
         finally:
-            chooser.end(chosen.vm)
+            chooser.end(chosen.vm, workspace)
         return _read_reply(reply)
 
     def _build_forward(
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -93,18 +93,28 @@
         try:
             answer = self.run(forward, clocks.read_now())
         except errors.CallError as error:
-            report = self._gate.describe(clocks.read_now())
             return messages.Refused(
                 error.code,
                 error.ran,
                 error.detail,
-                report.load,
-                report.service_s,
+                *self._report_load(forward.workspace),
             )
-        report = self._gate.describe(clocks.read_now())
-        headers = [list(pair) for pair in answer.headers]
         return messages.Answered(
-            answer.status, headers, answer.body, report.load, report.service_s
+            answer.status,
+            [list(pair) for pair in answer.headers],
+            answer.body,
+            *self._report_load(forward.workspace),
+        )
+
+    def _report_load(self, workspace: str) -> tuple[float, ...]:
+        """Returns the load fields of a reply to a call of a workspace."""
+        report = self._gate.describe(clocks.read_now())
+        queued = self._gate.count_queued(workspace)
+        return (
+            report.load,
+            report.service_s,
+            report.estimate_fair_load(queued),
+            report.estimate_fair_load(0),
         )
 
     def run(self, forward: messages.Forward, now: float) -> requests.CallAnswer:
--- a/jayseam/calls/messages.py
+++ b/jayseam/calls/messages.py
@@ -77,6 +77,8 @@
     Attributes:
       load: Calls in flight and queued, over the limit.
       service_s: Mean time of a call at the backend server, in seconds.
+      fair_load: The load as far as it delays the workspace of the call.
+      idle_load: The load for a workspace without a call in the queue.
     """
 
     status: int = attrs.field(validator=_COUNT)
@@ -84,6 +86,8 @@
     body: bytes = attrs.field(validator=_BYTES)
     load: float = attrs.field(validator=_NUMBER)
     service_s: float = attrs.field(validator=_NUMBER)
+    fair_load: float = attrs.field(validator=_NUMBER)
+    idle_load: float = attrs.field(validator=_NUMBER)
 
 
 @messages.register(82)
@@ -101,6 +105,8 @@
     detail: str = attrs.field(validator=_TEXT)
     load: float = attrs.field(validator=_NUMBER)
     service_s: float = attrs.field(validator=_NUMBER)
+    fair_load: float = attrs.field(validator=_NUMBER)
+    idle_load: float = attrs.field(validator=_NUMBER)
 
 
 @messages.register(83)
--- a/jayseam/routing/selection.py
+++ b/jayseam/routing/selection.py
@@ -123,8 +123,29 @@
     spare: bool = False
 
 
+@attrs.frozen
+class LoadView:
+    """The loads of members at one time, as calls of a workspace feel them.
+
+    Attributes:
+      table: What is known of the members.
+      workspace: The workspace; None for the loads of all workspaces together.
+      now: Current time in seconds.
+    """
+
+    table: load_tables.LoadTable
+    workspace: str | None
+    now: float
+
+    def estimate(self, candidate: Candidate) -> float:
+        """Returns the load of a candidate."""
+        return self.table.estimate(
+            candidate.vm, candidate.slots, self.now, self.workspace
+        )
+
+
 Strategy = Callable[
-    [Pool, load_tables.LoadTable, str, float, Sequence[float], int], Candidate
+    [Pool, LoadView, str, float, Sequence[float], int], Candidate
 ]
 
 
@@ -136,6 +157,7 @@
     draws: Sequence[float],
     turn: int = 0,
     strategy: str = 'two_choices',
+    workspace: str | None = None,
 ) -> Candidate:
     """Returns the candidate that a strategy chooses.
 
@@ -147,18 +169,21 @@
       draws: `DRAWS` random numbers in [0, 1).
       turn: Number of choices made before, for ``round_robin``.
       strategy: Name of a variant in `VARIANTS`.
+      workspace: Workspace of the call, if the load that matters is what delays
+        its calls.
 
     Raises:
       NoCandidateError: If the pool is empty.
       UnknownVariantError: If there is no such strategy.
     """
-    return VARIANTS.get(strategy)(pool, loads, own_zone, now, draws, turn)
+    view = LoadView(loads, workspace, now)
+    return VARIANTS.get(strategy)(pool, view, own_zone, now, draws, turn)
 
 
 @VARIANTS.register('two_choices')
 def choose_two_choices(
     pool: Pool,
-    loads: load_tables.LoadTable,
+    loads: LoadView,
     own_zone: str,
     now: float,
     draws: Sequence[float],
@@ -184,18 +209,18 @@
         share = zones.compute_share(pool.returns, own_zone, now)
         if draws[0] < share * min(1.0, group.sums[-1]):
             pair = _draw_pair((group,), (1.0,), draws)
-            best, load = _pick_better(pair, loads, now)
+            best, load = _pick_better(pair, loads)
             if load < SPILL_LOAD:
                 return best
         elif len(groups) > 1:
             weights[position] = 0.0
-    return _pick_better(_draw_pair(groups, weights, draws), loads, now)[0]
+    return _pick_better(_draw_pair(groups, weights, draws), loads)[0]
 
 
 @VARIANTS.register('round_robin')
 def choose_round_robin(
     pool: Pool,
-    loads: load_tables.LoadTable,
+    loads: LoadView,
     own_zone: str,
     now: float,
     draws: Sequence[float],
@@ -385,16 +410,15 @@
 
 def _pick_better(
     pair: tuple[Candidate, Candidate],
-    loads: load_tables.LoadTable,
-    now: float,
+    loads: LoadView,
 ) -> tuple[Candidate, float]:
     first, second = pair
-    first_load = loads.estimate(first.vm, first.slots, now)
+    first_load = loads.estimate(first)
     if second is first:
         return first, first_load
-    second_load = loads.estimate(second.vm, second.slots, now)
+    second_load = loads.estimate(second)
     # A queue of the same length takes longer at a slower backend server.
-    ratio = loads.compare_service(first.vm, second.vm)
+    ratio = loads.table.compare_service(first.vm, second.vm)
     if second_load < first_load * ratio:
         return second, second_load
     return first, first_load
--- a/jayseam/routing/tests/test_selection.py
+++ b/jayseam/routing/tests/test_selection.py
@@ -13,6 +13,11 @@
 from jayseam.routing import selection
 
 
+def _report(loads, vm, load):
+    """Stores a report at time 0 of a load that delays all workspaces alike."""
+    loads.report(vm, '', load_tables.Report(load, load, load), 0.0)
+
+
 def make_preset(upstreams, out_of_service=()):
     """Returns a stand-in of a preset; names are ``<zone><number>``."""
     zone_names = {name[0] for name in upstreams}
@@ -81,7 +86,7 @@
     pool = make_pool(sorted(names), returned)
     loads = load_tables.LoadTable()
     for name, load in busy.items():
-        loads.report(f'vm-{name}', load, 0.0)
+        _report(loads, f'vm-{name}', load)
     chosen = selection.choose(
         pool, loads, 'a', 5.0, draws, turn=3, strategy=strategy
     )
@@ -115,9 +120,9 @@
     loads = load_tables.LoadTable()
     assert set(count_choices(pool, loads)) == {'a'}
     for name in ('a1', 'a2'):
-        loads.report(f'vm-{name}', 0.85, 0.0)
+        _report(loads, f'vm-{name}', 0.85)
     assert count_choices(pool, loads)['a'] < 400
-    loads.report('vm-a1', 0.7, 0.0)
+    _report(loads, 'vm-a1', 0.7)
     assert set(count_choices(pool, loads)) == {'a'}
 
 
@@ -130,7 +135,7 @@
         assert counts['a'] / 4000 == pytest.approx(share, abs=0.03)
     even = make_pool(['a1', 'b1', 'c1'], {'a': 0.0})
     for name in ('a1', 'b1', 'c1'):
-        loads.report(f'vm-{name}', 0.9, 0.0)
+        _report(loads, f'vm-{name}', 0.9)
     counts = count_choices(even, loads, 'b', now=0.0)
     assert counts['a'] < 0.3 * counts['c']
 
@@ -139,7 +144,7 @@
     """Ignoring load would send calls to a full upstream."""
     pool = make_pool(['a1', 'a2'])
     loads = load_tables.LoadTable()
-    loads.report('vm-a1', 0.3, 0.0)
+    _report(loads, 'vm-a1', 0.3)
     for draw in (0.1, 0.9):
         chosen = selection.choose(pool, loads, 'a', 0.0, [draw] * 5)
         assert chosen.upstream == 'a2'
@@ -205,7 +210,7 @@
     loads = load_tables.LoadTable()
     for _ in range(4):
         loads.start('vm')
-    loads.report('vm', 0.6, 0.0)
+    _report(loads, 'vm', 0.6)
     loads.finish('vm')
     assert loads.estimate('vm', 10, 0.5) == pytest.approx(0.5)
     loads.start('vm')
