Refuse calls at once that would wait past their deadline

Cause: with a queue as long as the deadline, calls are admitted when the shortest service time is barely left. Any delay then cuts their runs at the deadline, and the slots are spent on runs that nobody gets an answer from. A call at the slow one of four servers learned only at its deadline that it waited in vain, with no time left for another VM. A neighbour whose calls are all refused also used up the node's retries.

Change: the gate refuses a call whose expected wait (a turn of all backlogs for each own call ahead of it, half a turn for itself) and shortest run end after its deadline, as not run, so its entry tries another VM. The limit counts as it will be at the deadline, so a growing ramp refuses nothing that it could admit. Retry budgets are kept by workspace: 10% of its calls, 10 saved, 0.1 a second.

Ruled out: half of the time left as the deadline in the queue, which would refuse calls that an idle fleet could serve.

The new gate test failed before (the refusal took until the deadline) and passes.

--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -254,8 +254,12 @@
         entry = queues.Entry(
             ticket.workspace, ticket.cost, ticket.deadline, ticket.still_valid
         )
+        # A call that would wait past its deadline is refused at once, while
+        # its entry has time to try another VM. Waiting in vain it would also
+        # be admitted with too little time left to run.
+        wait_s = self._estimate_wait(ticket, now)
         reason = queues.find_drop_reason(
-            entry, now, self._estimate_shortest(entry, now)
+            entry, now + wait_s, self._estimate_shortest(entry, now)
         )
         if reason is not None:
             raise _build_error(reason, ticket)
@@ -378,6 +382,22 @@
         service = self._service.get(entry.workspace)
         return 0.0 if service is None else service.estimate_shortest(now)
 
+    def _estimate_wait(self, ticket: Ticket, now: float) -> float:
+        """Returns the time that a new call is expected to wait, in seconds.
+
+        It waits for one turn of all backlogs for each call of its workspace
+        ahead of it, and half a turn on average for itself. The limit counts as it will be at the deadline, so that a growing ramp
+        refuses nothing that it could admit.
+        """
+        if self._held or not len(self._queue) or not self._mean_s:
+            return 0.0
+        limit = self._compute_limit(ticket.deadline)
+        if limit <= 0:
+            return 0.0
+        turns = self.count_queued(ticket.workspace) + 0.5
+        ahead = min(turns * self._queue.count_backlogs(), len(self._queue))
+        return ahead * self._mean_s / limit
+
     def _grant(self, ticket: Ticket, now: float) -> Permit:
         self._in_flight += 1
         self._idle.clear()
--- a/jayseam/admission/tests/test_gates.py
+++ b/jayseam/admission/tests/test_gates.py
@@ -263,3 +263,28 @@
     with pytest.raises(errors.QueueFullError):
         gate.acquire(make_ticket(), 1.0)
     waiter.kill()
+
+
+def test_call_that_would_wait_past_its_deadline_is_refused_at_once():
+    """Its entry must learn so while it has time to try another VM.
+
+    Calls that waited in vain were admitted with too little time left, and
+    their runs were cut at the deadline.
+    """
+    gate = gates.Gate(slots=1, connections=10, read_now=lambda: 0.0)
+    for _ in range(20):
+        permit = gate.acquire(make_ticket('w', 9.0), now=0.0)
+        permit.release(gates.Result.SUCCESS, now=0.1)
+    held = gate.acquire(make_ticket('w', 9.0), now=0.0)
+    waiting = [
+        gevent.spawn(gate.acquire, make_ticket(name, 1.0), 0.0)
+        for name in ('large', 'large', 'large', 'large', 'large', 'large')
+    ]
+    settle()
+    with gevent.Timeout(0.2), pytest.raises(errors.DeadlineError):
+        gate.acquire(make_ticket('large', 0.55), now=0.0)
+    small = gevent.spawn(gate.acquire, make_ticket('small', 0.55), 0.0)
+    settle()
+    assert gate.count_queued('small') == 1
+    held.release(gates.Result.SUCCESS, now=0.1)
+    gevent.killall([small, *waiting])
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -107,7 +107,7 @@
 
     def __init__(self, parts: EntryParts):
         self._parts = parts
-        self._budget = retries.RetryBudget(updated_at=clocks.read_now())
+        self._budgets = retries.RetryBudgets()
 
     def judge(
         self, request: requests.CallRequest, request_id: str, now: float
@@ -252,7 +252,8 @@
 
     def _attempt(self, call: Call) -> requests.CallAnswer:
         """Tries upstreams until one answers, within deadline and budget."""
-        self._budget = self._budget.record_call(clocks.read_now())
+        workspace = call.caller.workspace
+        self._budgets.record_call(workspace, clocks.read_now())
         tried: set[str] = set()
         failure: errors.CallError = errors.NotRunError(
             'no backend server is available', 1.0
@@ -261,7 +262,9 @@
             now = clocks.read_now()
             if number and now + _MIN_RETRY_S > call.deadline:
                 raise failure
-            if now >= call.deadline or (number and not self._spend_retry(now)):
+            if now >= call.deadline:
+                raise failure
+            if number and not self._budgets.spend(workspace, now):
                 raise failure
             chosen = self._choose(call, tried, now)
             if chosen is None:
@@ -277,12 +280,6 @@
                     break
         raise failure
 
-    def _spend_retry(self, now: float) -> bool:
-        budget = self._budget.spend(now)
-        if budget is not None:
-            self._budget = budget
-        return budget is not None
-
     def _choose(self, call: Call, tried: set[str], now: float) -> Any:
         return self._parts.chooser.choose(
             call.snapshot.preset,
--- a/jayseam/calls/retries.py
+++ b/jayseam/calls/retries.py
@@ -8,14 +8,16 @@
 
 MAX_RETRIES = 2
 _SHARE_OF_CALLS = 0.1
-_MAX_SAVED_RETRIES = 20.0
-# Without a floor, a node with little traffic could not retry at all.
-_MIN_RETRIES_PER_S = 0.5
+_MAX_SAVED_RETRIES = 10.0
+# Without a floor, a workspace with little traffic could not retry at all.
+_MIN_RETRIES_PER_S = 0.1
+# Budgets above which the full ones are forgotten.
+_MAX_BUDGETS = 256
 
 
 @attrs.frozen
 class RetryBudget:
-    """Retries that a node may still make.
+    """Retries that a node may still make for one workspace.
 
     >>> budget = RetryBudget(0.0, 100.0)
     >>> budget.spend(100.0) is None
@@ -41,7 +43,49 @@
             return None
         return RetryBudget(budget.saved - 1.0, now)
 
+    def is_full(self, now: float) -> bool:
+        """Tells whether the budget is that of a workspace never seen."""
+        return self._refill(now, 0.0).saved >= _MAX_SAVED_RETRIES
+
     def _refill(self, now: float, earned: float) -> 'RetryBudget':
         elapsed_s = max(0.0, now - self.updated_at)
         saved = self.saved + earned + elapsed_s * _MIN_RETRIES_PER_S
         return RetryBudget(min(saved, _MAX_SAVED_RETRIES), now)
+
+
+class RetryBudgets:
+    """The budgets of all workspaces at a node.
+
+    Each workspace has its own, so that one whose calls are all refused does
+    not use up the retries of others.
+
+    >>> budgets = RetryBudgets()
+    >>> sum(budgets.spend('greedy', now=100.0) for _ in range(100))
+    10
+    >>> budgets.spend('small', now=100.0)
+    True
+    """
+
+    def __init__(self) -> None:
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def record_call(self, workspace: str, now: float) -> None:
+        """Counts a first attempt."""
+        budget = self._find(workspace, now).record_call(now)
+        self._budgets[workspace] = budget
+        if len(self._budgets) > _MAX_BUDGETS:
+            self._budgets = {
+                name: kept
+                for name, kept in self._budgets.items()
+                if not kept.is_full(now)
+            }
+
+    def spend(self, workspace: str, now: float) -> bool:
+        """Counts a retry and returns whether the budget allows it."""
+        budget = self._find(workspace, now).spend(now)
+        if budget is not None:
+            self._budgets[workspace] = budget
+        return budget is not None
+
+    def _find(self, workspace: str, now: float) -> RetryBudget:
+        return self._budgets.get(workspace) or RetryBudget(updated_at=now)
