Read callers' header fields without the e-mail parser

Cause: a sample of the entry at 200 calls/s showed 7.2% of its processor time in http.client.parse_headers, which runs the standard library's e-mail parser, and 2% in check_framing, which built a set of each value.

Change: node/fields.py reads the fields with one regular expression. It accepts less than before: field names are tokens, lines end with CR LF, and a request that ends before the empty line is refused. Trailing blanks of a value are kept, so check_framing refuses the same lengths and codings.

--- a/jayseam/node/__init__.py
+++ b/jayseam/node/__init__.py
@@ -5,6 +5,7 @@
 from jayseam.node import callers
 from jayseam.node import composition
 from jayseam.node import errors
+from jayseam.node import fields
 from jayseam.node import lifecycles
 from jayseam.node import localbackends
 from jayseam.node import measures
@@ -17,6 +18,7 @@
     'callers',
     'composition',
     'errors',
+    'fields',
     'lifecycles',
     'localbackends',
     'measures',
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import re
 import select
 import socket
 from collections.abc import Iterable
@@ -15,6 +16,7 @@
 from jayseam.calls import requests
 from jayseam.core import sockets
 from jayseam.core import tickers
+from jayseam.node import fields
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_HEADERS_BYTES = 16 * 1024
@@ -23,17 +25,13 @@
 _SWEEP_INTERVAL_S = 0.1
 _CLOSE_POLL_S = 0.01
 _BLOCK_BYTES = 65536
-_FORBIDDEN = frozenset('\0\r\n')
+_FORBIDDEN = re.compile('[\0\r\n]')
 _SOCKET_KEY = 'jayseam.socket'
 _POLL_EVENTS = select.POLLRDHUP | select.POLLERR | select.POLLHUP
 
 logging.getLogger('gevent.pywsgi').setLevel(logging.CRITICAL)
 
 
-class FramingError(ValueError):
-    """A request whose length can be read in more than one way."""
-
-
 class CallerHandler(pywsgi.WSGIHandler):
     """Reads requests strictly, so that no two readers disagree on them."""
 
@@ -41,11 +39,7 @@
 
     def MessageClass(self, *args):  # pylint: disable=invalid-name
         """Parses the header fields and refuses ambiguous framing."""
-        headers = super().MessageClass(*args)
-        if headers.defects or headers.get_payload():
-            # The parser takes a line without a valid field name, such as
-            # "Content-Length : 3", for the end of the fields.
-            raise FramingError('a malformed field')
+        headers = fields.read_fields(args[0])
         check_framing(headers.items())
         return headers
 
@@ -89,7 +83,9 @@
 
     def read_request(self, raw_requestline: str) -> bool:
         """Reads the header fields within a bounded time."""
-        with gevent.Timeout(_READ_TIMEOUT_S, FramingError('slow headers')):
+        with gevent.Timeout(
+            _READ_TIMEOUT_S, fields.FramingError('slow headers')
+        ):
             return super().read_request(raw_requestline)
 
     def get_environ(self) -> dict[str, Any]:
@@ -169,7 +165,7 @@
     >>> check_framing([('Content-Length', '3'), ('content-length', '4')])
     Traceback (most recent call last):
     ...
-    jayseam.node.callers.FramingError: two lengths
+    jayseam.node.fields.FramingError: two lengths
 
     Raises:
       FramingError: If the request's length is ambiguous.
@@ -187,15 +183,15 @@
     lengths = [value for name, value in pairs if name == 'content-length']
     codings = [value for name, value in pairs if name == 'transfer-encoding']
     if len(lengths) > 1:
-        raise FramingError('two lengths')
+        raise fields.FramingError('two lengths')
     if lengths and codings:
-        raise FramingError('a length and a transfer coding')
+        raise fields.FramingError('a length and a transfer coding')
     if lengths and not (lengths[0].isascii() and lengths[0].isdigit()):
-        raise FramingError('a length that is not a number')
+        raise fields.FramingError('a length that is not a number')
     if len(codings) > 1 or (codings and codings[0].lower() != 'chunked'):
-        raise FramingError('an unknown transfer coding')
-    if any(set(value) & _FORBIDDEN for _, value in pairs):
-        raise FramingError('a folded or malformed value')
+        raise fields.FramingError('an unknown transfer coding')
+    if any(_FORBIDDEN.search(value) for _, value in pairs):
+        raise fields.FramingError('a folded or malformed value')
 
 
 def read_request(environ: dict[str, Any]) -> requests.CallRequest:
