Make identifiers with secrets.token_hex

Cause: a sample of the entry at 200 calls/s showed 3.7% of its processor time in make_id, most of it in uuid.UUID, which checks and converts its arguments. Nothing reads the identifiers as UUIDs.

Change: 16 random bytes as hex digits, so 128 random bits in place of 122.

--- a/jayseam/core/identifiers.py
+++ b/jayseam/core/identifiers.py
@@ -1,6 +1,6 @@
 """Identifiers of requests and attempts."""
 
-import uuid
+import secrets
 
 
 def make_id() -> str:
@@ -9,4 +9,4 @@
     >>> len(make_id())
     32
     """
-    return uuid.uuid4().hex
+    return secrets.token_hex(16)
