Keep full garbage collections from stopping calls

Cause: at 200 calls/s a node made one full collection in half a minute, which visited 48,000 objects and stopped all of its calls for 37 to 50 ms (LA 8; 75 ms at LA 13). 46,000 of these objects exist when the node has been built, most of them modules and classes, and live as long as the process.

Change: they are frozen once the node is built. Collections no longer visit them; 2,100 objects remain.

--- a/jayseam/node/main.py
+++ b/jayseam/node/main.py
@@ -1,6 +1,7 @@
 """Command line of ``jayseam-node``."""
 
 import argparse
+import gc
 import signal
 import sys
 from collections.abc import Sequence
@@ -43,7 +44,14 @@
     if options.check:
         return 0
     logs.configure_logs(settings.log_level, vm=settings.vm, zone=settings.zone)
+    # Recording which greenlet spawned which costs at each spawn, and nothing
+    # reads it.
+    gevent.config.track_greenlet_tree = False
     node = composition.Node(settings)
+    # Modules and classes are nine tenths of the objects and live as long as
+    # the process. Full collections that visit them stop calls for 40 ms.
+    gc.collect()
+    gc.freeze()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, node.request_stop)
     try:
