Look at idle connections and at metrics of calls with less work

Cause: a sample of the ingress at 200 calls/s showed 2.3% of its processor time in the look at whether an idle connection still is one: two changes of the time-out and an exception for the byte that is not there. At the entry 1.2% went into `labels` of prometheus_client, which validates its arguments.

Change: poll(2) without waiting answers the first question; the end of the connection, an error or a byte all count as not idle, as before. The children of the histogram are kept in a dict, as those of the link counters are.

Ruled out: a replacement of attrs.evolve for the state of the backend server, 12 to 16 us for each call before and 13 to 15 after.

--- a/jayseam/backends/connections.py
+++ b/jayseam/backends/connections.py
@@ -2,6 +2,7 @@
 
 import collections
 import math
+import select
 import socket as std_socket
 from collections.abc import Callable
 
@@ -36,6 +37,8 @@
             self._socket.settimeout(timeout_s)
             self._socket.connect(address)
             sockets.set_nodelay(self._socket)
+            self._poller = select.poll()
+            self._poller.register(self._socket.fileno(), select.POLLIN)
         except BaseException:
             self._socket.close()
             raise
@@ -61,7 +64,7 @@
         Bytes that arrive without a request would be taken for the answer to
         the next one.
         """
-        return self._peek() is None
+        return not self._poller.poll(0)
 
     def is_open(self) -> bool:
         """Tells whether the other side has not closed the connection.
--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -148,9 +148,7 @@
             if handle is not None:
                 self._monitor.unwatch(handle)
             elapsed_s = clocks.read_now() - now
-            measures.CALL_SECONDS.labels(
-                call.caller.workspace, outcome
-            ).observe(elapsed_s)
+            measures.observe_call(call.caller.workspace, outcome, elapsed_s)
 
     def _look_up(
         self, request: requests.CallRequest, now: float
--- a/jayseam/node/measures.py
+++ b/jayseam/node/measures.py
@@ -20,6 +20,7 @@
     10.0,
     30.0,
 )
+_children: dict[tuple[str, str], prometheus_client.Histogram] = {}
 
 CALL_SECONDS = prometheus_client.Histogram(
     'jayseam_call_seconds',
@@ -33,3 +34,16 @@
 PAUSES = prometheus_client.Counter(
     'jayseam_pauses', 'Pauses of the process that were noticed'
 )
+
+
+def observe_call(workspace: str, outcome: str, elapsed_s: float) -> None:
+    """Adds the time of a call to the histogram of its workspace and outcome.
+
+    The children are kept in a dict because ``labels`` validates its arguments
+    on every call.
+    """
+    child = _children.get((workspace, outcome))
+    if child is None:
+        child = CALL_SECONDS.labels(workspace, outcome)
+        _children[workspace, outcome] = child
+    child.observe(elapsed_s)
