Make identifiers of both kinds in core.identifiers

Cause: core.identifiers and tools.identifiers held one function each, so the same module name stood for request ids in one place and for idempotency keys in the other. Change: make_uuid7 moved to core.identifiers; tools.identifiers is gone. Ruled out: keeping a second module under another name, since both functions make identifiers and neither needs more than the standard library. Conclusion: no behaviour changes; the doctests moved with their functions.

--- a/jayseam/bench/callers.py
+++ b/jayseam/bench/callers.py
@@ -23,10 +23,10 @@
 
 from jayseam.bench import processes
 from jayseam.core import clocks
+from jayseam.core import identifiers
 from jayseam.standins import errors
 from jayseam.standins import exchanges
 from jayseam.standins import processes as child_processes
-from jayseam.tools import identifiers
 
 _TIMEOUT_S = 5.0
 _WARM_UP_CALLS = 5
--- a/jayseam/core/identifiers.py
+++ b/jayseam/core/identifiers.py
@@ -1,7 +1,12 @@
-"""Identifiers of requests and attempts."""
+"""Identifiers of requests and attempts, and idempotency keys."""
 
+import random
 import uuid
 
+_UUID_VERSION_7 = 7 << 76
+_UUID_VARIANT = 2 << 62
+_TIMESTAMP_MASK = (1 << 48) - 1
+
 
 def make_id() -> str:
     """Returns a random identifier of 32 hex digits.
@@ -10,3 +15,23 @@
     32
     """
     return uuid.uuid4().hex
+
+
+def make_uuid7(wall_ms: int, generator: random.Random) -> str:
+    """Returns a UUIDv7, the form of idempotency keys, for a wall-clock time.
+
+    >>> make_uuid7(0x017f22e279b0, random.Random(1))[:15]
+    '017f22e2-79b0-7'
+
+    Args:
+      wall_ms: Milliseconds since the Unix epoch.
+      generator: Source of the random bits.
+
+    References:
+      RFC 9562, section 5.7.
+    """
+    timestamp = (wall_ms & _TIMESTAMP_MASK) << 80
+    random_a = generator.getrandbits(12) << 64
+    random_b = generator.getrandbits(62)
+    value = timestamp | _UUID_VERSION_7 | random_a | _UUID_VARIANT | random_b
+    return str(uuid.UUID(int=value))
--- a/jayseam/node/tests/fleets.py
+++ b/jayseam/node/tests/fleets.py
@@ -11,12 +11,12 @@
 
 from jayseam.calls import idempotency
 from jayseam.core import clocks
+from jayseam.core import identifiers
 from jayseam.presets import documents
 from jayseam.presets import model
 from jayseam.presets import samples
 from jayseam.standins import clusters
 from jayseam.standins import exchanges
-from jayseam.tools import identifiers
 from jayseam.standins import referee
 from jayseam.tools import load
 from jayseam.tools import profiles
--- a/jayseam/tools/__init__.py
+++ b/jayseam/tools/__init__.py
@@ -1,8 +1,7 @@
 """Tools for operators and for load tests."""
 
 from jayseam.tools import ctl
-from jayseam.tools import identifiers
 from jayseam.tools import load
 from jayseam.tools import profiles
 
-__all__ = ['ctl', 'identifiers', 'load', 'profiles']
+__all__ = ['ctl', 'load', 'profiles']
--- a/jayseam/tools/load.py
+++ b/jayseam/tools/load.py
@@ -25,10 +25,10 @@
 from hdrh import histogram
 
 from jayseam.core import clocks
+from jayseam.core import identifiers
 from jayseam.standins import answers
 from jayseam.standins import errors
 from jayseam.standins import exchanges
-from jayseam.tools import identifiers
 from jayseam.tools import profiles
 
 CPU_SHARE_LIMIT = 0.9
