--- a/jayseam/bench/processes.py
+++ b/jayseam/bench/processes.py
@@ -58,12 +58,8 @@
 
 def read_metrics(cluster: clusters.Cluster, vm: str) -> str:
     """Returns the text of ``/metrics`` of a node."""
-    connection = exchanges.Connection(_HOST, cluster.vms[vm].admin_port)
-    try:
-        answer = connection.exchange('GET', '/metrics', {})
-    finally:
-        connection.close()
-    return answer.body.decode()
+    address = (_HOST, cluster.vms[vm].admin_port)
+    return exchanges.exchange_once(address, 'GET', '/metrics').body.decode()
 
 
 def read_gauges(
--- a/jayseam/standins/__init__.py
+++ b/jayseam/standins/__init__.py
@@ -5,28 +5,48 @@
 
 from jayseam.standins import answers
 from jayseam.standins import backend
+from jayseam.standins import backendhosts
 from jayseam.standins import clusters
+from jayseam.standins import coldstarts
 from jayseam.standins import convergence
 from jayseam.standins import durations
 from jayseam.standins import errors
 from jayseam.standins import exchanges
+from jayseam.standins import faultrules
 from jayseam.standins import faults
+from jayseam.standins import health
+from jayseam.standins import nestedcalls
 from jayseam.standins import platform
 from jayseam.standins import processes
 from jayseam.standins import referee
+from jayseam.standins import relays
+from jayseam.standins import requestfaults
+from jayseam.standins import requests
+from jayseam.standins import runs
 from jayseam.standins import serving
+from jayseam.standins import socketowners
 
 __all__ = [
     'answers',
     'backend',
+    'backendhosts',
     'clusters',
+    'coldstarts',
     'convergence',
     'durations',
     'errors',
     'exchanges',
+    'faultrules',
     'faults',
+    'health',
+    'nestedcalls',
     'platform',
     'processes',
     'referee',
+    'relays',
+    'requestfaults',
+    'requests',
+    'runs',
     'serving',
+    'socketowners',
 ]
--- a/jayseam/standins/backend.py
+++ b/jayseam/standins/backend.py
@@ -1,16 +1,13 @@
-"""Backend servers with slots, cold starts, drains and faults.
-
-One process hosts any number of backend servers, each on a listener of its
-own, and one control listener. Control requests name the server in the field
-``backend``, which may be left out when there is only one.
+"""A backend server with slots, cold starts, drains and faults.
 
 See Also:
-  Section 5.4 of the design page; `jayseam.standins.answers` for the bodies.
+  Section 5.4 of the design page; `jayseam.standins.answers` for the bodies;
+  `jayseam.standins.backendhosts`, which hosts backend servers in a process.
 """
 
 import collections
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -19,61 +16,23 @@
 
 from jayseam.core import clocks
 from jayseam.standins import answers
+from jayseam.standins import coldstarts
 from jayseam.standins import durations
-from jayseam.standins import errors
-from jayseam.standins import exchanges
+from jayseam.standins import health
+from jayseam.standins import nestedcalls
+from jayseam.standins import requestfaults
+from jayseam.standins import requests
+from jayseam.standins import runs
 from jayseam.standins import serving
 
 _CANCEL_PATH = '/.backend/cancel/'
 _HEALTH_PATH = '/.backend/health'
-_FAULT_KINDS = ('hang', 'reset', 'truncate', 'late', 'shed', 'fail')
-_KEY_HEADERS = ('HTTP_AUTHORIZATION', 'HTTP_X_API_KEY')
-_KEY_QUERIES = ('api_key', 'key', 'access_token')
 _MAX_RUNS = 500_000
-_NESTED_TIMEOUT_S = 10.0
+# Run times of requests over the slots grow by this and by the excess.
 _OVERLOAD_FACTOR = 5.0
 _OVERLOADS = ('slow', 'fail', 'shed')
 
 
-@attrs.frozen
-class ColdStart:
-    """How capacity grows after a start.
-
-    Attributes:
-      initial_slots: Capacity at the start.
-      duration_s: Seconds until the capacity is all slots; 0 starts warm.
-      fall_over_s: Seconds for which every request fails after one request
-        too many. The cold start then begins again.
-    """
-
-    initial_slots: int = 1
-    duration_s: float = 0.0
-    fall_over_s: float = 1.0
-
-
-@attrs.frozen
-class Fault:
-    """A fault that some of the requests meet.
-
-    Attributes:
-      kind: ``hang`` doesn't answer until the fault changes or the call is
-        cancelled, and resets then, ``reset`` resets the connection,
-        ``truncate`` closes after half of the body, ``late`` waits ``ms`` more
-        milliseconds, ``shed`` sheds, ``fail`` answers 500.
-      when: ``before`` or ``after`` the run, for ``hang``, ``reset`` and
-        ``late``.
-      share: Share of the requests concerned, from 0 to 1.
-      ms: Milliseconds for ``late``.
-    """
-
-    kind: str = attrs.field(validator=attrs.validators.in_(_FAULT_KINDS))
-    when: str = attrs.field(
-        default='after', validator=attrs.validators.in_(('before', 'after'))
-    )
-    share: float = 1.0
-    ms: float = 1000.0
-
-
 @attrs.frozen
 class BackendSettings:
     """Settings of one backend server.
@@ -105,7 +64,7 @@
     connect_ms: float = 1.0
     service_time: durations.ServiceTime = durations.ServiceTime()
     seed: int = 0
-    cold_start: ColdStart = ColdStart()
+    cold_start: coldstarts.ColdStart = coldstarts.ColdStart()
     overload: str = attrs.field(
         default='slow', validator=attrs.validators.in_(_OVERLOADS)
     )
@@ -116,53 +75,25 @@
     secrets: Sequence[str] = ()
 
 
-@attrs.define
-class Run:
-    """A request whose work was started.
+@attrs.frozen
+class _Admission:
+    """A request that may run.
 
     Attributes:
-      request_id: Header ``Request-Id``.
-      idempotency_key: Header ``Idempotency-Key``, if any.
-      workspace: Header ``Jayseam-Workspace``.
-      echo: Header ``X-Echo``, chosen by the caller.
-      method: HTTP method.
-      path: Path without the query.
-      started: Start of the work, seconds of `clocks.read_now`.
-      ended: End of the work, or None while it runs.
-      status: ``running``, ``done``, ``failed`` or ``cancelled``.
-      nested: Whether the request came from a backend server.
-      key_seen: Whether the request held a workspace key.
-      draining_s: Seconds since the drain began at the start of the work, or
-        None.
+      request: The request.
+      start: WSGI function that starts the answer.
+      over: Whether it takes more than the slots.
+      fault: The fault that it meets, if any.
     """
 
-    request_id: str
-    idempotency_key: str
-    workspace: str
-    echo: str
-    method: str
-    path: str
-    started: float
-    ended: float | None = None
-    status: str = 'running'
-    nested: bool = False
-    key_seen: bool = False
-    draining_s: float | None = None
-
-
-@attrs.define
-class _Peaks:
-    """Greatest values and counts since the last reset."""
-
-    in_flight: int = 0
-    connections: int = 0
-    overloads: int = 0
-    falls: int = 0
-    shed: int = 0
-    late_starts: int = 0
-    connections_refused: int = 0
-    requests: int = 0
-    cancelled: int = 0
+    request: requests.Request
+    start: serving.StartResponse
+    over: bool
+    fault: requestfaults.Fault | None
+
+    def has_fault(self, kind: str) -> bool:
+        """Tells whether the request meets a fault of a kind."""
+        return self.fault is not None and self.fault.kind == kind
 
 
 class _Listener(serving.Server):
@@ -175,8 +106,7 @@
     def handle(self, sock: Any, address: Any) -> None:
         backend = self._backend
         if not backend.open_connection():
-            serving.set_reset_on_close(sock)
-            sock.close()
+            serving.reset_connection(sock)
             return
         try:
             gevent.sleep(backend.settings.connect_ms / 1000.0)
@@ -195,23 +125,24 @@
 
     def __init__(self, settings: BackendSettings):
         self.settings = settings
-        self.runs: collections.deque[Run] = collections.deque(maxlen=_MAX_RUNS)
+        self.runs: collections.deque[runs.Run] = collections.deque(
+            maxlen=_MAX_RUNS
+        )
         self._generator = random.Random(settings.seed)
         self._port = settings.port
         self._listener: _Listener | None = None
-        self._peaks = _Peaks()
+        self._peaks = runs.Peaks()
         self._node = (settings.node_host, settings.node_port)
-        self._fault: Fault | None = None
-        self._fault_changed = event.Event()
-        self._lie: dict[str, Any] | None = None
+        self._faults = requestfaults.FaultInjector(self._generator)
+        self._health = health.HealthReporter(settings.health_lag_s)
+        self._cold_start = coldstarts.ColdStartModel(
+            settings.cold_start, settings.slots
+        )
         self._cancellations: dict[str, event.Event] = {}
         self._in_flight = 0
         self._connections = 0
-        self._cold_since = 0.0
-        self._fallen_until = 0.0
         self._draining_since: float | None = None
         self._silent = False
-        self._reported: tuple[float, dict[str, Any]] | None = None
 
     @property
     def port(self) -> int:
@@ -222,11 +153,11 @@
         """Starts to listen, cold if the settings say so."""
         if self._listener is not None:
             return
-        self._cold_since = clocks.read_now()
-        self._fallen_until = 0.0
+        self._cold_start.begin(clocks.read_now())
+        self._cold_start.recover()
         self._draining_since = None
         self._silent = False
-        self._reported = None
+        self._health.forget()
         self._listener = _Listener(self, (self.settings.host, self._port))
         self._listener.start()
         self._port = self._listener.server_port
@@ -247,26 +178,24 @@
         if disconnect:
             self.stop()
             self.start()
-        self._cold_since = clocks.read_now()
+        self._cold_start.begin(clocks.read_now())
         self._silent = silent
 
     def drain(self, draining: bool) -> None:
         """Begins or ends a drain."""
         self._draining_since = clocks.read_now() if draining else None
 
-    def set_fault(self, fault: Fault | None) -> None:
+    def set_fault(self, fault: requestfaults.Fault | None) -> None:
         """Sets the fault that requests meet; None ends it."""
-        self._fault = fault
-        changed, self._fault_changed = self._fault_changed, event.Event()
-        changed.set()
+        self._faults.set_fault(fault)
 
     def set_node(self, host: str, port: int) -> None:
         """Sets the address of the node that nested calls go to."""
         self._node = (host, port)
 
-    def set_lie(self, report: dict[str, Any] | None) -> None:
+    def override_health(self, fields: Mapping[str, Any]) -> None:
         """Sets fields that health answers give in place of the truth."""
-        self._lie = report
+        self._health.override(fields)
 
     def read_peaks(self, reset: bool = False) -> dict[str, Any]:
         """Returns the greatest values seen and the counts.
@@ -278,7 +207,7 @@
         peaks['in_flight_now'] = self._in_flight
         peaks['connections_now'] = self._connections
         if reset:
-            self._peaks = _Peaks(self._in_flight, self._connections)
+            self._peaks = runs.Peaks(self._in_flight, self._connections)
         return peaks
 
     def open_connection(self) -> bool:
@@ -296,15 +225,6 @@
         """Counts the end of a connection."""
         self._connections -= 1
 
-    def read_capacity(self, now: float) -> float:
-        """Returns how many requests can run at ``now``."""
-        cold = self.settings.cold_start
-        if cold.duration_s <= 0:
-            return self.settings.slots
-        grown = min(1.0, (now - self._cold_since) / cold.duration_s)
-        span = self.settings.slots - cold.initial_slots
-        return cold.initial_slots + span * max(0.0, grown)
-
     def answer(
         self, environ: dict[str, Any], start: serving.StartResponse
     ) -> Any:
@@ -318,149 +238,120 @@
             status = 200 if found else 404
             return serving.send_json(start, status, {'cancelled': found})
         body = environ['wsgi.input'].read()
+        request = requests.Request(environ, body, arrived)
         self._peaks.requests += 1
-        fault = self._draw_fault()
-        if fault is not None and fault.when == 'before':
-            self._delay(fault)
-        return self._admit(environ, start, body, arrived, fault)
-
-    def _draw_fault(self) -> Fault | None:
-        fault = self._fault
-        if fault is None or self._generator.random() >= fault.share:
-            return None
-        return fault
-
-    def _delay(self, fault: Fault, run_events: Sequence[Any] = ()) -> None:
-        """Applies ``hang``, ``reset`` and ``late``."""
-        if fault.kind == 'hang':
-            gevent.wait([self._fault_changed, *run_events], count=1)
-            raise serving.AbortError(reset=True)
-        if fault.kind == 'reset':
-            raise serving.AbortError(reset=True)
-        if fault.kind == 'late':
-            gevent.sleep(fault.ms / 1000.0)
+        fault = self._faults.draw()
+        self._faults.interrupt_before_run(fault)
+        return self._admit(request, start, fault)
 
     def _admit(
         self,
-        environ: dict[str, Any],
+        request: requests.Request,
         start: serving.StartResponse,
-        body: bytes,
-        arrived: float,
-        fault: Fault | None,
+        fault: requestfaults.Fault | None,
     ) -> Any:
+        """Runs a request unless a fault or too much load prevents it."""
         now = clocks.read_now()
-        timeout_ms = _read_float(environ, 'HTTP_REQUEST_TIMEOUT_MS')
-        if timeout_ms is not None and (now - arrived) * 1000 >= timeout_ms:
+        over = self._in_flight + 1 > self.settings.slots
+        admission = _Admission(request, start, over, fault)
+        if _is_late(request, now):
             self._peaks.late_starts += 1
             return self._shed(start, 'past the deadline')
-        if fault is not None and fault.kind == 'shed':
+        if admission.has_fault('shed'):
             return self._shed(start, 'shed')
-        if now < self._fallen_until or (fault and fault.kind == 'fail'):
-            return serving.send_json(start, 500, {'error': 'failing'})
-        capacity = self.read_capacity(now)
-        over = self._in_flight + 1 > self.settings.slots
+        if self._cold_start.is_failing(now) or admission.has_fault('fail'):
+            return _fail(start, 'failing')
         if over:
             self._peaks.overloads += 1
-        if capacity < self.settings.slots and self._in_flight + 1 > capacity:
-            self._fall_over(now)
-            return serving.send_json(start, 500, {'error': 'fell over'})
+        if self._overruns_cold_start(now):
+            self._peaks.falls += 1
+            self._cold_start.fall_over(now)
+            return _fail(start, 'fell over')
         if over and self.settings.overload == 'shed':
             return self._shed(start, 'no free slot')
         if over and self.settings.overload == 'fail':
-            return serving.send_json(start, 500, {'error': 'overload'})
-        return self._run(environ, start, body, over, fault)
+            return _fail(start, 'overload')
+        return self._run(admission)
 
-    def _fall_over(self, now: float) -> None:
-        """Fails every request for a while, then starts cold again."""
-        self._peaks.falls += 1
-        self._fallen_until = now + self.settings.cold_start.fall_over_s
-        self._cold_since = self._fallen_until
+    def _overruns_cold_start(self, now: float) -> bool:
+        """Tells whether one more request is too many for a cold server."""
+        capacity = self._cold_start.capacity(now)
+        return capacity < self.settings.slots and self._in_flight + 1 > capacity
 
     def _shed(self, start: serving.StartResponse, reason: str) -> Any:
         self._peaks.shed += 1
         headers = [('Shed', 'not-run'), ('Retry-After', '1')]
         return serving.send_answer(start, 503, reason.encode(), headers)
 
-    def _run(
-        self,
-        environ: dict[str, Any],
-        start: serving.StartResponse,
-        body: bytes,
-        over: bool,
-        fault: Fault | None,
-    ) -> Any:
-        run = self._record_run(environ, body)
+    def _run(self, admission: _Admission) -> Any:
+        """Records a run and holds a slot and a cancellation meanwhile."""
+        run = self._record_run(admission.request)
         cancelled = event.Event()
         if run.request_id:
             self._cancellations[run.request_id] = cancelled
         self._in_flight += 1
         self._peaks.in_flight = max(self._peaks.in_flight, self._in_flight)
         try:
-            return self._work(environ, start, run, over, fault, cancelled)
+            return self._work(admission, run, cancelled)
         finally:
             self._in_flight -= 1
-            run.ended = clocks.read_now()
-            if run.status == 'running':
-                run.status = 'failed'
+            run.end(clocks.read_now())
             if self._cancellations.get(run.request_id) is cancelled:
                 del self._cancellations[run.request_id]
 
     def _work(
-        self,
-        environ: dict[str, Any],
-        start: serving.StartResponse,
-        run: Run,
-        over: bool,
-        fault: Fault | None,
-        cancelled: event.Event,
+        self, admission: _Admission, run: runs.Run, cancelled: event.Event
     ) -> Any:
-        duration_s = self.settings.service_time.draw_s(self._generator)
-        if over:
-            excess = self._in_flight / self.settings.slots
-            duration_s *= _OVERLOAD_FACTOR * excess
-        if cancelled.wait(duration_s):
+        start = admission.start
+        if cancelled.wait(self._draw_duration_s(admission.over)):
             run.status = 'cancelled'
             self._peaks.cancelled += 1
             return serving.send_json(start, 409, {'error': 'cancelled'})
-        nested = self._call_nested(environ, run)
-        if self._fallen_until > run.started:
-            return serving.send_json(start, 500, {'error': 'fell over'})
+        nested = nestedcalls.call_nested(admission.request, self._node)
+        if self._cold_start.is_failing(run.started):
+            return _fail(start, 'fell over')
         run.status = 'done'
-        if fault is not None and fault.when == 'after':
-            self._delay(fault, [cancelled])
-        data = self._build_body(environ, run, nested)
-        headers = [('Request-Id', run.request_id)]
-        if self._draining_since is not None:
-            headers.append(('Connection', 'close'))
-        result = serving.send_answer(start, 200, data, headers)
-        if fault is not None and fault.kind == 'truncate':
+        self._faults.interrupt_after_run(admission.fault, cancelled)
+        data = self._build_body(admission.request, run, nested)
+        answer = serving.send_answer(start, 200, data, self._list_headers(run))
+        if admission.has_fault('truncate'):
             return _truncate(data)
-        return result
+        return answer
+
+    def _draw_duration_s(self, over: bool) -> float:
+        duration_s = self.settings.service_time.draw_s(self._generator)
+        if not over:
+            return duration_s
+        excess = self._in_flight / self.settings.slots
+        return duration_s * _OVERLOAD_FACTOR * excess
 
-    def _record_run(self, environ: Mapping[str, Any], body: bytes) -> Run:
+    def _record_run(self, request: requests.Request) -> runs.Run:
         now = clocks.read_now()
         since = self._draining_since
-        run = Run(
-            request_id=environ.get('HTTP_REQUEST_ID', ''),
-            idempotency_key=environ.get('HTTP_IDEMPOTENCY_KEY', ''),
-            workspace=environ.get('HTTP_JAYSEAM_WORKSPACE', ''),
-            echo=environ.get(_to_wsgi(answers.ECHO_HEADER), ''),
-            method=environ['REQUEST_METHOD'],
-            path=environ['PATH_INFO'],
+        run = runs.create_run(
+            request,
             started=now,
-            nested=_to_wsgi(answers.NESTED_HEADER) in environ,
-            key_seen=_holds_key(environ, body, self.settings.secrets),
+            key_seen=request.holds_key(self.settings.secrets),
             draining_s=None if since is None else now - since,
         )
         self.runs.append(run)
         return run
 
+    def _list_headers(self, run: runs.Run) -> list[tuple[str, str]]:
+        headers = [('Request-Id', run.request_id)]
+        if self._draining_since is not None:
+            headers.append(('Connection', 'close'))
+        return headers
+
     def _build_body(
-        self, environ: Mapping[str, Any], run: Run, nested: Any
+        self,
+        request: requests.Request,
+        run: runs.Run,
+        nested: Sequence[nestedcalls.Level] | None,
     ) -> bytes:
-        wanted = _read_float(environ, _to_wsgi(answers.ANSWER_BYTES_HEADER))
+        wanted = request.number(answers.ANSWER_BYTES_HEADER)
         size = self.settings.body_bytes if wanted is None else int(wanted)
-        facts = {
+        facts: dict[str, Any] = {
             'backend': self.settings.name,
             'request_id': run.request_id,
             'workspace': run.workspace,
@@ -473,36 +364,6 @@
             facts['nested'] = nested
         return answers.build_answer(facts, size)
 
-    def _call_nested(self, environ: Mapping[str, Any], run: Run) -> Any:
-        """Makes the nested call that a request asks for.
-
-        Returns:
-          None without a nested call, else a list with one entry for each
-          level: its status, problem code and request id.
-        """
-        depth = int(_read_float(environ, _to_wsgi(answers.NEST_HEADER)) or 0)
-        if depth <= 0 or not self._node[1]:
-            return None
-        path_header = _to_wsgi(answers.NEST_PATH_HEADER)
-        path = environ.get(path_header, run.path)
-        headers = {
-            'Jayseam-Call-Token': environ.get('HTTP_JAYSEAM_CALL_TOKEN', ''),
-            answers.NEST_HEADER: str(depth - 1),
-            answers.NEST_PATH_HEADER: path,
-            answers.NESTED_HEADER: '1',
-            answers.ECHO_HEADER: run.echo,
-        }
-        connection = exchanges.Connection(*self._node)
-        try:
-            answer = connection.exchange(
-                'GET', path, headers, timeout_s=_NESTED_TIMEOUT_S
-            )
-        except errors.ExchangeError as error:
-            return [{'status': 0, 'error': str(error)}]
-        finally:
-            connection.close()
-        return _describe_nested(answer)
-
     def _cancel(self, request_id: str) -> bool:
         cancelled = self._cancellations.get(request_id)
         if cancelled is None:
@@ -511,179 +372,27 @@
         return True
 
     def _report_health(self, now: float) -> dict[str, Any]:
-        if self._reported is not None:
-            reported_at, report = self._reported
-            if now - reported_at < self.settings.health_lag_s:
-                return {**report, **(self._lie or {})}
-        cold = self.read_capacity(now) < self.settings.slots
-        state = 'starting' if cold and not self._silent else 'ready'
+        state = 'ready'
         if self._draining_since is not None:
             state = 'draining'
+        elif self._cold_start.is_cold(now) and not self._silent:
+            state = 'starting'
         load = round(self._in_flight / self.settings.slots, 3)
-        report = {'state': state, 'load': load}
-        self._reported = (now, report)
-        return {**report, **(self._lie or {})}
-
-
-class BackendHost:
-    """Hosts backend servers in one process behind one control listener.
-
-    Args:
-      settings: Settings of each backend server.
-      control: Host and port of the control listener.
-    """
-
-    def __init__(
-        self, settings: Sequence[BackendSettings], control: tuple[str, int]
-    ):
-        self.backends = {entry.name: Backend(entry) for entry in settings}
-        self._control = serving.ControlServer(
-            control,
-            {
-                '/control/start': self._act(lambda b, _: b.start()),
-                '/control/stop': self._act(lambda b, _: b.stop()),
-                '/control/restart': self._act(_restart),
-                '/control/drain': self._act(_drain),
-                '/control/fault': self._act(_set_fault),
-                '/control/health': self._act(_set_health),
-                '/control/node': self._act(_set_node),
-                '/control/runs': self._report_runs,
-                '/control/peaks': self._report_peaks,
-                '/control/clear-runs': self._act(lambda b, _: b.runs.clear()),
-            },
-        )
-
-    def start(self) -> None:
-        """Starts all backend servers and the control listener."""
-        for backend in self.backends.values():
-            backend.start()
-        self._control.start()
+        return self._health.report(health.HealthReport(state, load), now)
 
-    def stop(self) -> None:
-        """Stops all listeners."""
-        for backend in self.backends.values():
-            backend.stop()
-        self._control.stop()
 
-    @property
-    def control_port(self) -> int:
-        """The port of the control listener."""
-        return self._control.port
-
-    def _find(self, request: Mapping[str, Any]) -> Backend:
-        name = request.get('backend')
-        if name is None and len(self.backends) == 1:
-            return next(iter(self.backends.values()))
-        if name not in self.backends:
-            raise errors.ControlError(f'unknown backend {name!r}')
-        return self.backends[name]
-
-    def _act(
-        self, function: Callable[[Backend, dict[str, Any]], None]
-    ) -> serving.Action:
-        """Returns an action that applies ``function`` to one server."""
-
-        def act(request: dict[str, Any]) -> dict[str, Any]:
-            backend = self._find(request)
-            function(backend, request)
-            return {'backend': backend.settings.name}
-
-        return act
-
-    def _select(self, request: Mapping[str, Any]) -> list[Backend]:
-        """Returns the server that a request names, or all."""
-        if 'backend' in request:
-            return [self._find(request)]
-        return list(self.backends.values())
-
-    def _report_runs(self, request: dict[str, Any]) -> dict[str, Any]:
-        return {
-            backend.settings.name: [attrs.asdict(run) for run in backend.runs]
-            for backend in self._select(request)
-        }
+def _is_late(request: requests.Request, now: float) -> bool:
+    """Tells whether a request waited past its deadline."""
+    timeout_ms = request.number('Request-Timeout-Ms')
+    waited_ms = (now - request.arrived) * 1000
+    return timeout_ms is not None and waited_ms >= timeout_ms
 
-    def _report_peaks(self, request: dict[str, Any]) -> dict[str, Any]:
-        reset = bool(request.get('reset'))
-        return {
-            backend.settings.name: backend.read_peaks(reset)
-            for backend in self._select(request)
-        }
 
+def _fail(start: serving.StartResponse, reason: str) -> Any:
+    return serving.send_json(start, 500, {'error': reason})
 
-def _restart(backend: Backend, request: Mapping[str, Any]) -> None:
-    backend.restart(
-        request.get('silent', True), request.get('disconnect', False)
-    )
 
-
-def _drain(backend: Backend, request: Mapping[str, Any]) -> None:
-    backend.drain(request.get('draining', True))
-
-
-def _set_fault(backend: Backend, request: Mapping[str, Any]) -> None:
-    fields = {k: v for k, v in request.items() if k != 'backend'}
-    backend.set_fault(Fault(**fields) if fields.get('kind') else None)
-
-
-def _set_node(backend: Backend, request: Mapping[str, Any]) -> None:
-    backend.set_node(request['host'], request['port'])
-
-
-def _set_health(backend: Backend, request: Mapping[str, Any]) -> None:
-    fields = {k: v for k, v in request.items() if k in ('state', 'load')}
-    backend.set_lie(fields or None)
-
-
-def _truncate(data: bytes) -> Any:
+def _truncate(data: bytes) -> Iterator[bytes]:
     """Yields half of ``data``, then closes the connection."""
     yield data[: len(data) // 2]
     raise serving.AbortError(reset=False)
-
-
-def _describe_nested(answer: exchanges.Answer) -> list[dict[str, Any]]:
-    entry = {
-        'status': answer.status,
-        'request_id': answer.headers.get('Request-Id', ''),
-    }
-    if answer.status != 200:
-        try:
-            entry['code'] = answer.decode().get('code', '')
-        except (ValueError, AttributeError):
-            entry['code'] = ''
-        return [entry]
-    try:
-        facts = answers.verify_answer(answer.body)
-    except errors.AnswerError as error:
-        return [{**entry, 'error': str(error)}]
-    return [entry, *facts.get('nested', [])]
-
-
-def _to_wsgi(header: str) -> str:
-    """Returns the WSGI name of a header.
-
-    >>> _to_wsgi('X-Nest')
-    'HTTP_X_NEST'
-    """
-    return 'HTTP_' + header.upper().replace('-', '_')
-
-
-def _read_float(environ: Mapping[str, Any], name: str) -> float | None:
-    try:
-        return float(environ[name])
-    except (KeyError, ValueError):
-        return None
-
-
-def _holds_key(
-    environ: Mapping[str, Any], body: bytes, secrets: Sequence[str]
-) -> bool:
-    """Tells whether a request holds anything that may be a key."""
-    if any(name in environ for name in _KEY_HEADERS):
-        return True
-    query = serving.parse_query(environ)
-    if any(name in query for name in _KEY_QUERIES):
-        return True
-    texts = [v for k, v in environ.items() if k.startswith('HTTP_')]
-    texts += [environ.get('QUERY_STRING', ''), environ['PATH_INFO']]
-    texts.append(body.decode('latin-1'))
-    return any(secret in text for secret in secrets for text in texts)
--- a/jayseam/standins/exchanges.py
+++ b/jayseam/standins/exchanges.py
@@ -134,6 +134,28 @@
     return bool(poll.poll(0))
 
 
+def exchange_once(
+    address: tuple[str, int],
+    method: str,
+    path: str,
+    headers: Mapping[str, str] | None = None,
+    body: bytes = b'',
+    timeout_s: float = 5.0,
+) -> Answer:
+    """Sends one request over a connection of its own.
+
+    The arguments are those of `Connection.exchange`.
+
+    Raises:
+      ExchangeError: If no whole answer arrived.
+    """
+    connection = Connection(*address)
+    try:
+        return connection.exchange(method, path, headers or {}, body, timeout_s)
+    finally:
+        connection.close()
+
+
 def call_control(
     address: tuple[str, int],
     path: str,
@@ -151,15 +173,12 @@
     Raises:
       ControlError: If the action was refused or nobody answered.
     """
-    connection = Connection(*address)
     method = 'GET' if body is None else 'POST'
     data = b'' if body is None else json.dumps(body).encode()
     try:
-        answer = connection.exchange(method, path, {}, data, timeout_s)
+        answer = exchange_once(address, method, path, {}, data, timeout_s)
     except errors.ExchangeError as error:
         raise errors.ControlError(f'{path}: {error}') from error
-    finally:
-        connection.close()
     if answer.status != 200:
         text = answer.body.decode(errors='replace')
         raise errors.ControlError(f'{path}: {answer.status} {text}')
--- a/jayseam/standins/faults.py
+++ b/jayseam/standins/faults.py
@@ -1,67 +1,31 @@
 """A TCP proxy that delays, silences, cuts and refuses connections.
 
-One process hosts many forwardings. Each connection runs between two
-endpoints, a source and a target, which have a name and a group (for nodes:
-the VM and its availability zone). A rule applies to the connections whose
-endpoints it selects by name or group, open connections included.
+One process hosts many forwardings. A rule applies to the connections that it
+selects, open connections included.
 
 Silence keeps the bytes and delivers them once it ends, as TCP does after a
 partition. The source of a connection to a forwarding without a fixed source
 is found through the process that owns the socket, because all nodes dial the
 same advertised address.
+
+See Also:
+  `jayseam.standins.faultrules` for the rules; `jayseam.standins.relays` for the
+  connections.
 """
 
-import os
-import socket as native_socket
-import struct
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
-import gevent
-from gevent import event
-from gevent import queue
 from gevent import server
 from gevent import socket
 
-from jayseam.core import clocks
 from jayseam.core import sockets
 from jayseam.standins import errors
+from jayseam.standins import relays
+from jayseam.standins import faultrules
 from jayseam.standins import serving
-
-_BLOCK_BYTES = 65536
-_SILENCES = ('forward', 'backward', 'both')
-_MAX_DELAYED_BLOCKS = 1024
-
-# Messages of sock_diag(7): struct nlmsghdr and struct inet_diag_req_v2.
-_NETLINK_SOCK_DIAG = 4
-_SOCK_DIAG = 20
-_NLM_REQUEST = 1
-_ANY = 0xFFFFFFFF
-_NETLINK_HEADER = struct.Struct('=IHHII')
-_DIAG_REQUEST = struct.Struct('=BBBxI')
-_DIAG_PORTS = struct.Struct('!HH')
-_DIAG_REST = struct.Struct('=III')
-_DIAG_INODE = struct.Struct('=I')
-# The inode ends struct inet_diag_msg: 4 bytes, the 48 of the socket's
-# identity, and four numbers stand before it.
-_DIAG_INODE_AT = _NETLINK_HEADER.size + 4 + 48 + 16
-
-
-@attrs.frozen
-class Endpoint:
-    """One end of a connection.
-
-    Attributes:
-      name: Name, such as a VM name or ``platform``.
-      group: Group, such as an availability zone.
-    """
-
-    name: str
-    group: str
-
-
-UNKNOWN = Endpoint('', '')
+from jayseam.standins import socketowners
 
 
 @attrs.frozen
@@ -72,16 +36,16 @@
       name: Unique name.
       port: Port to listen on; 0 takes any free one.
       target_port: Port that connections are forwarded to.
-      target: Endpoint behind the target port.
-      source: Endpoint of all connections; None finds it by process.
+      target: faultrules.Endpoint behind the target port.
+      source: faultrules.Endpoint of all connections; None finds it by process.
       host: Address of both ports.
     """
 
     name: str
     port: int
     target_port: int
-    target: Endpoint
-    source: Endpoint | None = None
+    target: faultrules.Endpoint
+    source: faultrules.Endpoint | None = None
     host: str = '127.0.0.1'
 
 
@@ -100,222 +64,29 @@
     control_port: int = 0
 
 
-@attrs.frozen
-class Rule:
-    """A fault on the connections from some endpoints to others.
-
-    Attributes:
-      source: Names or groups of sources; empty selects all.
-      target: Names or groups of targets; empty selects all.
-      delay_ms: Added to each direction, in milliseconds.
-      silence: Direction that gets no bytes: ``forward`` (to the target),
-        ``backward`` or ``both``.
-      refuse: Whether new connections are reset.
-    """
-
-    source: frozenset[str] = attrs.field(default=(), converter=frozenset)
-    target: frozenset[str] = attrs.field(default=(), converter=frozenset)
-    delay_ms: float = 0.0
-    silence: str | None = attrs.field(
-        default=None,
-        validator=attrs.validators.optional(attrs.validators.in_(_SILENCES)),
-    )
-    refuse: bool = False
-
-    def selects(self, source: Endpoint, target: Endpoint) -> bool:
-        """Tells whether the rule applies between two endpoints.
-
-        >>> rule = Rule(source=['zone-a'])
-        >>> rule.selects(Endpoint('vm-1', 'zone-a'), Endpoint('vm-2', 'b'))
-        True
-        """
-        return all(
-            not names or names & {end.name, end.group}
-            for names, end in ((self.source, source), (self.target, target))
-        )
-
-
-@attrs.frozen
-class Condition:
-    """What the rules and the partition together do to one connection."""
-
-    delay_s: float = 0.0
-    forward_silent: bool = False
-    backward_silent: bool = False
-    refused: bool = False
-
-
-def combine_rules(
-    rules: Sequence[Rule],
-    partition: Sequence[frozenset[str]],
-    source: Endpoint,
-    target: Endpoint,
-) -> Condition:
-    """Returns the condition of connections between two endpoints.
-
-    Args:
-      rules: All rules in force.
-      partition: Sets of names or groups that can't reach each other; an
-        endpoint in none of them reaches all.
-      source: The endpoint that connects.
-      target: The endpoint that is connected to.
-
-    >>> sides = [frozenset({'a'}), frozenset({'b'})]
-    >>> ends = Endpoint('vm-1', 'a'), Endpoint('vm-2', 'b')
-    >>> combine_rules([], sides, *ends).forward_silent
-    True
-    """
-    selected = [rule for rule in rules if rule.selects(source, target)]
-    sides = [_find_side(partition, end) for end in (source, target)]
-    parted = None not in sides and sides[0] != sides[1]
-    silences = {rule.silence for rule in selected}
-    return Condition(
-        delay_s=sum(rule.delay_ms for rule in selected) / 1000.0,
-        forward_silent=parted or bool(silences & {'forward', 'both'}),
-        backward_silent=parted or bool(silences & {'backward', 'both'}),
-        refused=any(rule.refuse for rule in selected),
-    )
-
-
-def _find_side(
-    partition: Sequence[frozenset[str]], endpoint: Endpoint
-) -> int | None:
-    for number, names in enumerate(partition):
-        if names & {endpoint.name, endpoint.group}:
-            return number
-    return None
-
-
-class _Direction:
-    """Copies bytes one way, with delay and silence."""
-
-    def __init__(self, reader: Any, writer: Any):
-        self._reader = reader
-        self._writer = writer
-        self._delay_s = 0.0
-        self._audible = event.Event()
-        self._audible.set()
-        self._delayed: queue.Queue = queue.Queue(maxsize=_MAX_DELAYED_BLOCKS)
-        self._sender: gevent.Greenlet | None = None
-
-    def apply(self, delay_s: float, silent: bool) -> None:
-        """Sets the delay and silence from now on."""
-        self._delay_s = delay_s
-        if silent:
-            self._audible.clear()
-        else:
-            self._audible.set()
-
-    def copy(self) -> None:
-        """Copies until the reader closes or either end fails."""
-        try:
-            while True:
-                self._audible.wait()
-                block = self._reader.recv(_BLOCK_BYTES)
-                # Silence may have begun during the wait for this block.
-                self._audible.wait()
-                self._pass_on(block)
-                if not block:
-                    break
-            if self._sender is not None:
-                self._sender.join()
-        except OSError:
-            pass
-
-    def stop(self) -> None:
-        """Ends the greenlet that sends delayed blocks."""
-        if self._sender is not None:
-            self._sender.kill()
-
-    def _pass_on(self, block: bytes) -> None:
-        if self._sender is None and not self._delay_s:
-            self._write(block)
-            return
-        if self._sender is None:
-            self._sender = gevent.spawn(self._send_delayed)
-        self._delayed.put((clocks.read_now() + self._delay_s, block))
-
-    def _send_delayed(self) -> None:
-        while True:
-            due, block = self._delayed.get()
-            gevent.sleep(max(0.0, due - clocks.read_now()))
-            self._audible.wait()
-            try:
-                self._write(block)
-            except OSError:
-                return
-            if not block:
-                return
-
-    def _write(self, block: bytes) -> None:
-        if block:
-            self._writer.sendall(block)
-        else:
-            self._writer.shutdown(socket.SHUT_WR)
-
-
-class _Connection:
-    """One proxied connection."""
-
-    def __init__(self, source: Endpoint, target: Endpoint, near: Any, far: Any):
-        self.source = source
-        self.target = target
-        self.dead = False
-        self._sockets = (near, far)
-        self._directions = (_Direction(near, far), _Direction(far, near))
-
-    def apply(self, condition: Condition) -> None:
-        """Puts a condition in force; a dead connection stays silent."""
-        forward, backward = self._directions
-        forward.apply(condition.delay_s, self.dead or condition.forward_silent)
-        backward.apply(
-            condition.delay_s, self.dead or condition.backward_silent
-        )
-
-    def run(self) -> None:
-        """Copies both ways until both ends have closed or one failed."""
-        pumps = [gevent.spawn(d.copy) for d in self._directions]
-        try:
-            gevent.joinall(pumps)
-        finally:
-            gevent.killall(pumps)
-            for direction in self._directions:
-                direction.stop()
-            self.close(reset=False)
-
-    def close(self, reset: bool) -> None:
-        """Closes both sockets, which ends the pumps."""
-        for sock in self._sockets:
-            try:
-                if reset:
-                    serving.set_reset_on_close(sock)
-                else:
-                    sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-            sock.close()
-
-
 class FaultProxy:
     """Hosts forwardings and the control listener that governs them.
 
-    Control actions: ``/control/rules`` (POST ``id`` and the fields of `Rule`;
-    ``clear`` true ends it), ``/control/partition`` (POST ``groups``),
-    ``/control/heal`` (ends the partition, and all rules with ``rules`` true),
-    ``/control/cut`` (closes connections selected by ``source`` and
-    ``target``, with resets if ``reset``), ``/control/half-open`` (silences
-    the open connections selected for good), ``/control/forwardings`` (adds
-    one), ``/control/sources`` (names processes by id) and
-    ``/control/connections``.
+    Control actions:
+      ``/control/rules``: Sets the rule ``id`` to the fields of
+        `faultrules.Rule`; ``clear`` true ends it.
+      ``/control/partition``: Parts ``groups`` of names from each other.
+      ``/control/heal``: Ends the partition, and with ``rules`` true all rules.
+      ``/control/cut``: Closes the connections that ``source`` and ``target``
+        select, with resets if ``reset``.
+      ``/control/half-open``: Silences the selected open connections for good.
+      ``/control/forwardings``: Adds a forwarding.
+      ``/control/sources``: Gives endpoints to processes by id.
+      ``/control/connections``: Lists the connections.
     """
 
     def __init__(self, settings: ProxySettings):
         self._settings = settings
         self._servers: dict[str, server.StreamServer] = {}
-        self._connections: set[_Connection] = set()
-        self._rules: dict[str, Rule] = {}
+        self._relays: set[relays.Relay] = set()
+        self._rules: dict[str, faultrules.Rule] = {}
         self._partition: list[frozenset[str]] = []
-        self._sources: dict[int, Endpoint] = {}
+        self._sources: dict[int, faultrules.Endpoint] = {}
         self._control = serving.ControlServer(
             (settings.host, settings.control_port),
             {
@@ -340,8 +111,8 @@
         """Stops all listeners and closes all connections."""
         for listener in self._servers.values():
             listener.stop(timeout=0)
-        for connection in list(self._connections):
-            connection.close(reset=False)
+        for relay in list(self._relays):
+            relay.close(reset=False)
         self._control.stop()
 
     @property
@@ -370,46 +141,56 @@
         sockets.set_nodelay(near)
         source = forwarding.source
         if source is None:
-            pid = find_owner(source_port, near.getsockname()[1], self._sources)
-            source = self._sources.get(pid, UNKNOWN)
-        condition = self._combine(source, forwarding.target)
-        if condition.refused:
-            serving.set_reset_on_close(near)
-            near.close()
+            source = self._find_source(source_port, near)
+        far = self._connect(forwarding, source)
+        if far is None:
+            serving.reset_connection(near)
             return
+        relay = relays.Relay(source, forwarding.target, near, far)
+        relay.apply(self._combine(source, forwarding.target))
+        self._relays.add(relay)
+        try:
+            relay.run()
+        finally:
+            self._relays.discard(relay)
+
+    def _find_source(self, source_port: int, near: Any) -> faultrules.Endpoint:
+        """Returns the endpoint of the process that opened a connection."""
+        own_port = near.getsockname()[1]
+        pid = socketowners.find_owner(source_port, own_port, self._sources)
+        return self._sources.get(pid, faultrules.UNKNOWN)
+
+    def _connect(
+        self, forwarding: Forwarding, source: faultrules.Endpoint
+    ) -> Any:
+        """Returns a connection to the target, or None if it is refused."""
+        if self._combine(source, forwarding.target).refused:
+            return None
         try:
             address = (forwarding.host, forwarding.target_port)
             far = socket.create_connection(address)
         except OSError:
-            serving.set_reset_on_close(near)
-            near.close()
-            return
+            return None
         sockets.set_nodelay(far)
-        connection = _Connection(source, forwarding.target, near, far)
-        connection.apply(self._combine(source, forwarding.target))
-        self._connections.add(connection)
-        try:
-            connection.run()
-        finally:
-            self._connections.discard(connection)
+        return far
 
-    def _combine(self, source: Endpoint, target: Endpoint) -> Condition:
-        rules = list(self._rules.values())
-        return combine_rules(rules, self._partition, source, target)
+    def _combine(
+        self, source: faultrules.Endpoint, target: faultrules.Endpoint
+    ) -> faultrules.Condition:
+        active = list(self._rules.values())
+        return faultrules.combine_rules(active, self._partition, source, target)
 
     def _apply_all(self) -> dict[str, Any]:
-        for connection in self._connections:
-            connection.apply(
-                self._combine(connection.source, connection.target)
-            )
-        return {'connections': len(self._connections)}
+        for relay in self._relays:
+            relay.apply(self._combine(relay.source, relay.target))
+        return {'connections': len(self._relays)}
 
     def _set_rule(self, request: dict[str, Any]) -> dict[str, Any]:
         name = request.pop('id')
         if request.pop('clear', False):
             self._rules.pop(name, None)
         else:
-            self._rules[name] = Rule(**request)
+            self._rules[name] = faultrules.Rule(**request)
         return self._apply_all()
 
     def _set_partition(self, request: dict[str, Any]) -> dict[str, Any]:
@@ -422,22 +203,26 @@
             self._rules.clear()
         return self._apply_all()
 
-    def _select(self, request: Mapping[str, Any]) -> list[_Connection]:
-        rule = Rule(request.get('source', ()), request.get('target', ()))
+    def _select(self, request: Mapping[str, Any]) -> list[relays.Relay]:
+        rule = faultrules.Rule(
+            request.get('source', ()), request.get('target', ())
+        )
         return [
-            c for c in self._connections if rule.selects(c.source, c.target)
+            relay
+            for relay in self._relays
+            if rule.selects(relay.source, relay.target)
         ]
 
     def _cut(self, request: dict[str, Any]) -> dict[str, Any]:
         selected = self._select(request)
-        for connection in selected:
-            connection.close(bool(request.get('reset')))
+        for relay in selected:
+            relay.close(bool(request.get('reset')))
         return {'cut': len(selected)}
 
     def _silence_open(self, request: dict[str, Any]) -> dict[str, Any]:
         selected = self._select(request)
-        for connection in selected:
-            connection.dead = True
+        for relay in selected:
+            relay.dead = True
         self._apply_all()
         return {'silenced': len(selected)}
 
@@ -447,83 +232,23 @@
             name=request['name'],
             port=request['port'],
             target_port=request['target_port'],
-            target=Endpoint(**request['target']),
-            source=Endpoint(**source) if source else None,
+            target=faultrules.Endpoint(**request['target']),
+            source=faultrules.Endpoint(**source) if source else None,
         )
         return {'port': self.forward(forwarding)}
 
     def _name_sources(self, request: dict[str, Any]) -> dict[str, Any]:
         for pid, endpoint in request['processes'].items():
-            self._sources[int(pid)] = Endpoint(**endpoint)
+            self._sources[int(pid)] = faultrules.Endpoint(**endpoint)
         return {'processes': len(self._sources)}
 
     def _report(self, _: dict[str, Any]) -> dict[str, Any]:
         pairs = [
             {
-                'source': attrs.asdict(connection.source),
-                'target': attrs.asdict(connection.target),
-                'dead': connection.dead,
+                'source': attrs.asdict(relay.source),
+                'target': attrs.asdict(relay.target),
+                'dead': relay.dead,
             }
-            for connection in self._connections
+            for relay in self._relays
         ]
         return {'connections': pairs, 'rules': sorted(self._rules)}
-
-
-def find_owner(port: int, peer_port: int, pids: Iterable[int]) -> int:
-    """Returns the process that owns a TCP connection on loopback, or 0.
-
-    The kernel gives the same local port to connections with different peers,
-    so both ports are compared.
-
-    Args:
-      port: Port at the end whose owner is wanted.
-      peer_port: Port at the other end.
-      pids: Processes to look at.
-
-    References:
-      sock_diag(7); proc(5), on ``/proc/pid/fd``.
-    """
-    inode = _find_inode(port, peer_port)
-    if not inode:
-        return 0
-    name = f'socket:[{inode}]'
-    for pid in pids:
-        try:
-            entries = os.scandir(f'/proc/{pid}/fd')
-        except OSError:
-            continue
-        for entry in entries:
-            try:
-                if os.readlink(entry.path) == name:
-                    return pid
-            except OSError:
-                continue
-    return 0
-
-
-def _find_inode(port: int, peer_port: int) -> int:
-    """Returns the inode of the socket of a connection on loopback, or 0.
-
-    The kernel looks the one socket up. Reading ``/proc/net/tcp`` took 8 ms
-    with 3,800 sockets on the machine, for which no connection is forwarded.
-    """
-    host = socket.inet_aton('127.0.0.1').ljust(16, b'\0')
-    # The interface and the cookie are not compared.
-    request = (
-        _DIAG_REQUEST.pack(socket.AF_INET, socket.IPPROTO_TCP, 0, _ANY)
-        + _DIAG_PORTS.pack(port, peer_port)
-        + host
-        + host
-        + _DIAG_REST.pack(0, _ANY, _ANY)
-    )
-    header = _NETLINK_HEADER.pack(
-        _NETLINK_HEADER.size + len(request), _SOCK_DIAG, _NLM_REQUEST, 1, 0
-    )
-    with native_socket.socket(
-        native_socket.AF_NETLINK, native_socket.SOCK_RAW, _NETLINK_SOCK_DIAG
-    ) as sock:
-        sock.send(header + request)
-        reply = sock.recv(_BLOCK_BYTES)
-    if _NETLINK_HEADER.unpack_from(reply)[1] != _SOCK_DIAG:
-        return 0
-    return _DIAG_INODE.unpack_from(reply, _DIAG_INODE_AT)[0]
--- a/jayseam/standins/main.py
+++ b/jayseam/standins/main.py
@@ -4,34 +4,24 @@
 import json
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-import attrs
 import cattrs
 import gevent
 from gevent import event
 
-from jayseam.standins import backend
+from jayseam.standins import backendhosts
 from jayseam.standins import faults
 from jayseam.standins import platform
 
 _converter = cattrs.Converter(forbid_extra_keys=True)
-
-
-@attrs.frozen
-class BackendHostSettings:
-    """Settings of ``jayseam-standin backend``.
-
-    Attributes:
-      backends: The backend servers.
-      host: Address of the control listener.
-      control_port: Port of the control listener.
-    """
-
-    backends: list[backend.BackendSettings]
-    host: str = '127.0.0.1'
-    control_port: int = 0
+# The classes of the settings and of the stand-in, by kind.
+_STANDINS: Mapping[str, tuple[type, Callable[[Any], Any]]] = {
+    'platform': (platform.PlatformSettings, platform.Platform),
+    'backend': (backendhosts.BackendHostSettings, backendhosts.BackendHost),
+    'faults': (faults.ProxySettings, faults.FaultProxy),
+}
 
 
 def build_standin(kind: str, document: Any) -> Any:
@@ -44,17 +34,8 @@
     Raises:
       cattrs.BaseValidationError: If the settings are invalid.
     """
-    if kind == 'platform':
-        return platform.Platform(
-            _converter.structure(document, platform.PlatformSettings)
-        )
-    if kind == 'faults':
-        return faults.FaultProxy(
-            _converter.structure(document, faults.ProxySettings)
-        )
-    settings = _converter.structure(document, BackendHostSettings)
-    control = (settings.host, settings.control_port)
-    return backend.BackendHost(settings.backends, control)
+    settings_class, standin_class = _STANDINS[kind]
+    return standin_class(_converter.structure(document, settings_class))
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -62,7 +43,7 @@
     parser = argparse.ArgumentParser(
         prog='jayseam-standin', description='Runs one test stand-in.'
     )
-    parser.add_argument('kind', choices=['platform', 'backend', 'faults'])
+    parser.add_argument('kind', choices=list(_STANDINS))
     parser.add_argument('--settings', required=True, metavar='FILE')
     options = parser.parse_args(arguments)
     try:
--- /dev/null
+++ b/jayseam/standins/requestfaults.py
@@ -0,0 +1,98 @@
+"""Faults that requests to the backend stand-in meet."""
+
+import random
+from collections.abc import Sequence
+
+import attrs
+import gevent
+from gevent import event
+
+from jayseam.standins import serving
+
+_KINDS = ('hang', 'reset', 'truncate', 'late', 'shed', 'fail')
+_BEFORE = 'before'
+_AFTER = 'after'
+
+
+@attrs.frozen
+class Fault:
+    """A fault that some of the requests meet.
+
+    Attributes:
+      kind: ``hang`` doesn't answer until the fault changes or the call is
+        cancelled, and resets then, ``reset`` resets the connection,
+        ``truncate`` closes after half of the body, ``late`` waits ``ms`` more
+        milliseconds, ``shed`` sheds, ``fail`` answers 500.
+      when: ``before`` or ``after`` the run, for ``hang``, ``reset`` and
+        ``late``.
+      share: Share of the requests concerned, from 0 to 1.
+      ms: Milliseconds for ``late``.
+    """
+
+    kind: str = attrs.field(validator=attrs.validators.in_(_KINDS))
+    when: str = attrs.field(
+        default=_AFTER, validator=attrs.validators.in_((_BEFORE, _AFTER))
+    )
+    share: float = 1.0
+    ms: float = 1000.0
+
+
+class FaultInjector:
+    """Holds the fault in force and applies it to requests.
+
+    Args:
+      generator: Decides which requests meet the fault.
+    """
+
+    def __init__(self, generator: random.Random):
+        self._generator = generator
+        self._fault: Fault | None = None
+        self._changed = event.Event()
+
+    def set_fault(self, fault: Fault | None) -> None:
+        """Sets the fault that requests meet; None ends it."""
+        self._fault = fault
+        changed, self._changed = self._changed, event.Event()
+        changed.set()
+
+    def draw(self) -> Fault | None:
+        """Returns the fault that the next request meets, if any."""
+        fault = self._fault
+        if fault is None or self._generator.random() >= fault.share:
+            return None
+        return fault
+
+    def interrupt_before_run(self, fault: Fault | None) -> None:
+        """Applies a fault that comes before the run.
+
+        Raises:
+          AbortError: If the fault closes the connection.
+        """
+        if fault is not None and fault.when == _BEFORE:
+            self._interrupt(fault)
+
+    def interrupt_after_run(
+        self, fault: Fault | None, cancelled: event.Event
+    ) -> None:
+        """Applies a fault that comes after the run.
+
+        Args:
+          fault: The fault, if any.
+          cancelled: Set when the request is cancelled, which ends ``hang``.
+
+        Raises:
+          AbortError: If the fault closes the connection.
+        """
+        if fault is not None and fault.when == _AFTER:
+            self._interrupt(fault, [cancelled])
+
+    def _interrupt(
+        self, fault: Fault, ends: Sequence[event.Event] = ()
+    ) -> None:
+        if fault.kind == 'hang':
+            gevent.wait([self._changed, *ends], count=1)
+            raise serving.AbortError(reset=True)
+        if fault.kind == 'reset':
+            raise serving.AbortError(reset=True)
+        if fault.kind == 'late':
+            gevent.sleep(fault.ms / 1000.0)
--- a/jayseam/standins/serving.py
+++ b/jayseam/standins/serving.py
@@ -47,6 +47,12 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def reset_connection(sock: Any) -> None:
+    """Closes a TCP socket with a reset."""
+    set_reset_on_close(sock)
+    sock.close()
+
+
 class _Handler(pywsgi.WSGIHandler):
     """Closes the connection when the application raises `AbortError`."""
 
--- a/jayseam/standins/tests/test_backend.py
+++ b/jayseam/standins/tests/test_backend.py
@@ -5,9 +5,12 @@
 
 from jayseam.standins import answers
 from jayseam.standins import backend
+from jayseam.standins import backendhosts
+from jayseam.standins import coldstarts
 from jayseam.standins import durations
 from jayseam.standins import errors
 from jayseam.standins import exchanges
+from jayseam.standins.tests import clients
 
 _HEADERS = {
     'Request-Id': 'r1',
@@ -17,34 +20,33 @@
 }
 
 
-class _Client:
+class _Client(clients.StandinClient):
     """Calls and controls one backend server."""
 
     def __init__(self, mean_ms=1.0, **settings):
         time = durations.ServiceTime('fixed', mean_ms)
-        self.host = backend.BackendHost(
-            [backend.BackendSettings('b1', service_time=time, **settings)],
-            ('127.0.0.1', 0),
+        server = backend.BackendSettings('b1', service_time=time, **settings)
+        host = backendhosts.BackendHost(
+            backendhosts.BackendHostSettings([server])
         )
-        self.host.start()
+        super().__init__(host)
 
-    def control(self, action, **fields):
-        address = ('127.0.0.1', self.host.control_port)
-        return exchanges.call_control(address, f'/control/{action}', fields)
+    @property
+    def address(self):
+        return (clients.HOST, self.standin.backends['b1'].port)
 
     def connect(self):
-        port = self.host.backends['b1'].port
-        return exchanges.Connection('127.0.0.1', port)
+        return exchanges.Connection(*self.address)
 
     def call(self, path='/x', method='GET', timeout_s=2.0, **headers):
         fields = {k.replace('_', '-'): v for k, v in headers.items()}
-        connection = self.connect()
-        try:
-            return connection.exchange(
-                method, path, {**_HEADERS, **fields}, timeout_s=timeout_s
-            )
-        finally:
-            connection.close()
+        return exchanges.exchange_once(
+            self.address,
+            method,
+            path,
+            {**_HEADERS, **fields},
+            timeout_s=timeout_s,
+        )
 
     def call_together(self, count):
         calls = [gevent.spawn(self.call) for _ in range(count)]
@@ -59,15 +61,7 @@
 
 @pytest.fixture(name='make_client')
 def _make_client():
-    clients = []
-
-    def make(**settings):
-        clients.append(_Client(**settings))
-        return clients[-1]
-
-    yield make
-    for client in clients:
-        client.host.stop()
+    yield from clients.provide_clients(_Client)
 
 
 def test_answer_is_whole_and_of_its_request(make_client):
@@ -117,7 +111,7 @@
 
 def test_cold_start_falls_over_when_overrun(make_client):
     """Full load in a cold start must fail all requests for a while."""
-    cold = backend.ColdStart(1, duration_s=5.0, fall_over_s=0.2)
+    cold = coldstarts.ColdStart(1, duration_s=5.0, fall_over_s=0.2)
     client = make_client(cold_start=cold, mean_ms=50.0)
     assert client.call('/.backend/health').decode()['state'] == 'starting'
     assert client.call().status == 200
@@ -130,7 +124,7 @@
 
 def test_restart_can_be_silent(make_client):
     """A return to the cold start may come without a word."""
-    cold = backend.ColdStart(1, duration_s=0.3, fall_over_s=0.1)
+    cold = coldstarts.ColdStart(1, duration_s=0.3, fall_over_s=0.1)
     client = make_client(cold_start=cold, mean_ms=20.0)
     gevent.sleep(0.35)
     assert client.call_together(3) == [200] * 3
@@ -213,7 +207,7 @@
 def test_nested_calls_carry_the_token(make_client):
     """A nested call presents the call token that the server received."""
     inner = make_client()
-    outer = make_client(node_port=inner.host.backends['b1'].port)
+    outer = make_client(node_port=inner.address[1])
     answer = outer.call(X_Nest='2', Jayseam_Call_Token='t1')
     nested = answers.verify_answer(answer.body)['nested']
     assert [entry['status'] for entry in nested] == [200]
--- a/jayseam/standins/tests/test_faults.py
+++ b/jayseam/standins/tests/test_faults.py
@@ -8,45 +8,46 @@
 import pytest
 
 from jayseam.core import clocks
-from jayseam.standins import exchanges
 from jayseam.standins import faults
+from jayseam.standins import faultrules
+from jayseam.standins import socketowners
+from jayseam.standins.tests import clients
 
-_TARGET = faults.Endpoint('vm-2', 'b')
+_TARGET = faultrules.Endpoint('vm-2', 'b')
 
 
-class _Network:
+class _Network(clients.StandinClient):
     """An echo server behind one forwarding."""
 
     def __init__(self, source):
+        super().__init__(faults.FaultProxy(faults.ProxySettings()))
+
         def echo(sock, _):
             while data := sock.recv(4096):
                 sock.sendall(data)
 
-        self.echo = server.StreamServer(('127.0.0.1', 0), echo)
+        self.echo = server.StreamServer((clients.HOST, 0), echo)
         self.echo.start()
-        self.proxy = faults.FaultProxy(faults.ProxySettings())
-        self.proxy.start()
         forwarding = faults.Forwarding(
             'link', 0, self.echo.server_port, _TARGET, source
         )
-        self.port = self.proxy.forward(forwarding)
+        self.port = self.standin.forward(forwarding)
 
-    def control(self, action, **fields):
-        address = ('127.0.0.1', self.proxy.control_port)
-        return exchanges.call_control(address, f'/control/{action}', fields)
+    def stop(self):
+        super().stop()
+        self.echo.stop(timeout=0)
 
     def connect(self):
-        sock = socket.create_connection(('127.0.0.1', self.port))
+        sock = socket.create_connection((clients.HOST, self.port))
         sock.settimeout(0.2)
         return sock
 
 
 @pytest.fixture(name='network')
 def _network():
-    network = _Network(faults.Endpoint('vm-1', 'a'))
+    network = _Network(faultrules.Endpoint('vm-1', 'a'))
     yield network
-    network.proxy.stop()
-    network.echo.stop(timeout=0)
+    network.stop()
 
 
 def _ask(sock, data=b'x'):
@@ -153,7 +154,6 @@
         # Connections of other processes may have the same local port.
         local = sock.getsockname()[1]
         pids = [os.getpid()]
-        assert faults.find_owner(local, network.port, pids) == pids[0]
-        assert faults.find_owner(local, network.port - 1, pids) == 0
-    network.proxy.stop()
-    network.echo.stop(timeout=0)
+        assert socketowners.find_owner(local, network.port, pids) == pids[0]
+        assert socketowners.find_owner(local, network.port - 1, pids) == 0
+    network.stop()
--- a/jayseam/standins/tests/test_platform.py
+++ b/jayseam/standins/tests/test_platform.py
@@ -7,42 +7,28 @@
 from jayseam.standins import errors
 from jayseam.standins import exchanges
 from jayseam.standins import platform
+from jayseam.standins.tests import clients
 
 
-class _Client:
+class _Client(clients.StandinClient):
     """Reads from and controls one platform."""
 
     def __init__(self, **settings):
-        self.platform = platform.Platform(platform.PlatformSettings(**settings))
-        self.platform.start()
-
-    def control(self, action, **fields):
-        address = ('127.0.0.1', self.platform.control_port)
-        return exchanges.call_control(address, f'/control/{action}', fields)
+        settings = platform.PlatformSettings(**settings)
+        super().__init__(platform.Platform(settings))
 
     def publish(self, key, value):
         answer = self.control('publish', key=key, value=value)
         return answer['revisions'][key]
 
     def get(self, path):
-        connection = exchanges.Connection('127.0.0.1', self.platform.port)
-        try:
-            return connection.exchange('GET', path, {})
-        finally:
-            connection.close()
+        address = (clients.HOST, self.standin.port)
+        return exchanges.exchange_once(address, 'GET', path)
 
 
 @pytest.fixture(name='make_client')
 def _make_client():
-    clients = []
-
-    def make(**settings):
-        clients.append(_Client(**settings))
-        return clients[-1]
-
-    yield make
-    for client in clients:
-        client.platform.stop()
+    yield from clients.provide_clients(_Client)
 
 
 def test_watch_gets_the_next_revision(make_client):
--- a/jayseam/tools/tests/test_load.py
+++ b/jayseam/tools/tests/test_load.py
@@ -9,8 +9,10 @@
 from jayseam.core import clocks
 from jayseam.standins import answers
 from jayseam.standins import backend
+from jayseam.standins import backendhosts
 from jayseam.standins import durations
 from jayseam.standins import exchanges
+from jayseam.standins import requestfaults
 from jayseam.tools import load
 from jayseam.tools import profiles
 
@@ -20,7 +22,9 @@
     settings = backend.BackendSettings(
         'b1', slots=50, service_time=durations.ServiceTime('fixed', 20.0)
     )
-    host = backend.BackendHost([settings], ('127.0.0.1', 0))
+    host = backendhosts.BackendHost(
+        backendhosts.BackendHostSettings([settings])
+    )
     host.start()
     yield host
     host.stop()
@@ -132,7 +136,7 @@
 )
 def test_lost_answers_are_told_apart(host, fault, outcome):
     """The referee needs to know which calls ended without an answer."""
-    host.backends['b1'].set_fault(backend.Fault(fault))
+    host.backends['b1'].set_fault(requestfaults.Fault(fault))
     report = load.run_load(_profile(host, duration_s=0.1, timeout_s=0.2))
     assert set(report.count_outcomes()) == {outcome}
 
