Split clusters into plans, launcher, network, settings and edits

Cause: clusters.py (738 lines) planned deployments, owned processes and files, built settings documents, governed the fault proxy, edited presets and polled conditions. The VM list was built a second time in bench.publication, and a route open to all was added in two ways by the demo and by bench.fleets. Change: plans, launchers, networks, vmlists, vmsettings, publications, edits and waits hold one of these jobs each, and Cluster only puts them together. Ruled out: splitting the methods of Cluster among objects that tests would have to reach through, because every test of the node uses them as they are.

--- a/jayseam/bench/control.py
+++ b/jayseam/bench/control.py
@@ -169,7 +169,7 @@
     for vm in cluster.vms:
         cluster.kill(vm, backend=False)
     for vm in list(cluster.vms.values()):
-        cluster._start_node(vm)
+        cluster.start_node(vm)
     cluster.wait_serving()
     gevent.sleep(1.0)
     return float(cluster.control_platform('counts')['peak_per_second'])
--- a/jayseam/bench/fleets.py
+++ b/jayseam/bench/fleets.py
@@ -9,6 +9,8 @@
 from jayseam.presets import model
 from jayseam.presets import samples
 from jayseam.standins import clusters
+from jayseam.standins import plans
+from jayseam.standins import vmlists
 
 SHORT_RAMP = model.Ramp(initial_slots=4, duration_s=1.0)
 _UNLIMITED_PER_S = 1_000_000.0
@@ -31,8 +33,8 @@
     """
 
     cluster: clusters.Cluster
-    entry: clusters.Vm
-    ingress: clusters.Vm
+    entry: vmlists.Vm
+    ingress: vmlists.Vm
     key: str
     local_path: str = '/service-01'
     remote_path: str = '/service-02'
@@ -51,7 +53,7 @@
 
 def plan_path_fleet(
     seed: int, service_time: Mapping[str, Any]
-) -> tuple[clusters.ClusterPlan, str]:
+) -> tuple[plans.ClusterPlan, str]:
     """Returns the plan of a `PathFleet` and the key of its callers.
 
     Args:
@@ -61,7 +63,7 @@
     deployment = samples.build_large(
         3, 3, 3, n_workspaces=1, seed=seed, ramp=SHORT_RAMP
     )
-    plan = clusters.plan_deployment(
+    plan = plans.plan_deployment(
         deployment,
         backend={'service_time': dict(service_time)},
         backends_per_process=1,
@@ -108,28 +110,14 @@
 
 def plan_idle_fleet(
     size: int, seed: int, n_services: int = 4, n_zones: int = 3
-) -> clusters.ClusterPlan:
+) -> plans.ClusterPlan:
     """Returns the plan of a fleet of any size with all backends together."""
     deployment = samples.build_large(
         size, n_services, n_zones, n_workspaces=8, seed=seed, ramp=SHORT_RAMP
     )
-    return clusters.plan_deployment(
+    return plans.plan_deployment(
         deployment,
         backend={'service_time': {'kind': 'fixed', 'mean_ms': 1.0}},
         backends_per_process=size,
         start_timeout_s=60.0,
     )
-
-
-def add_open_route(preset: Mapping[str, Any], prefix: str) -> dict[str, Any]:
-    """Returns a preset document with one more route that is open to all.
-
-    >>> routes = [{'name': 'a', 'prefix': '/a', 'targets': [], 'methods': []}]
-    >>> add_open_route({'routes': routes}, '/probe-1')['routes'][1]['name']
-    'probe-1'
-    """
-    changed = copy.deepcopy(dict(preset))
-    added = {**changed['routes'][0], 'name': prefix[1:], 'prefix': prefix}
-    added.update(methods=['GET'], open_to_all=True, repeatable=True)
-    changed['routes'].append(added)
-    return changed
--- a/jayseam/bench/latency.py
+++ b/jayseam/bench/latency.py
@@ -14,6 +14,7 @@
 from jayseam.bench import stages
 from jayseam.core import clocks
 from jayseam.standins import clusters
+from jayseam.standins import vmlists
 
 ADDED_LIMIT_MS = 1.7
 MEMORY_LIMIT_MB = 64.0
@@ -235,7 +236,7 @@
 
 
 def _report_memory(
-    state: str, roles: dict[str, clusters.Vm], limit_mb: float | None
+    state: str, roles: dict[str, vmlists.Vm], limit_mb: float | None
 ) -> Iterator[experiments.Row]:
     bound = None
     if limit_mb is not None:
--- a/jayseam/bench/publication.py
+++ b/jayseam/bench/publication.py
@@ -1,7 +1,6 @@
 """Experiments on published changes: convergence and the bytes they cost."""
 
 import copy
-import json
 import random
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any
@@ -18,7 +17,10 @@
 from jayseam.presets import samples
 from jayseam.standins import clusters
 from jayseam.standins import convergence
+from jayseam.standins import edits
 from jayseam.standins import errors
+from jayseam.standins import plans
+from jayseam.standins import vmlists
 
 P99_LIMIT_S = 1.0
 MAX_LIMIT_S = 2.0
@@ -91,7 +93,7 @@
     doomed: Sequence[str] = (),
 ) -> list[float]:
     """Publishes a route and returns the time of each surviving node."""
-    preset = fleets.add_open_route(cluster.preset, prefix)
+    preset = edits.add_open_route(cluster.preset, prefix)
 
     def publish() -> None:
         for vm in doomed:
@@ -353,14 +355,14 @@
 
 def _plan_part_of_fleet(
     preset: Mapping[str, Any], deployment: samples.Deployment
-) -> clusters.ClusterPlan:
+) -> plans.ClusterPlan:
     """Returns the plan of a few nodes in each zone."""
     chosen: list[Any] = []
     for zone in preset['zones']:
         members = [u for u in preset['upstreams'] if u['zone'] == zone['name']]
         chosen += members[:_NODES_PER_ZONE]
     services = {upstream['service'] for upstream in chosen}
-    plan = clusters.plan_deployment(deployment, start_timeout_s=60.0)
+    plan = plans.plan_deployment(deployment, start_timeout_s=60.0)
     part = copy.deepcopy(dict(plan.preset))
     part.update(
         upstreams=chosen,
@@ -412,20 +414,8 @@
 def _publish_vms(
     cluster: clusters.Cluster, others: Sequence[dict[str, Any]]
 ) -> int:
-    own = [
-        {
-            'vm': vm.name,
-            'upstream': vm.upstream,
-            'zone': vm.zone,
-            'region': vm.region,
-            'host': '127.0.0.1',
-            'port': vm.advertised_port,
-            'state': vm.state,
-        }
-        for vm in cluster.vms.values()
-    ]
-    body = json.dumps({'vms': [*own, *others]}, sort_keys=True)
-    return cluster.control_platform('vms', body=body)['revision']
+    own = vmlists.list_vms(cluster.vms.values())
+    return cluster.publish_vm_entries([*own, *others])
 
 
 def _change_weight(preset: Mapping[str, Any]) -> dict[str, Any]:
--- a/jayseam/bench/service.py
+++ b/jayseam/bench/service.py
@@ -21,6 +21,7 @@
 from jayseam.standins import clusters
 from jayseam.standins import demo
 from jayseam.standins import errors
+from jayseam.standins import plans
 from jayseam.standins import processes
 from jayseam.tools import load
 
@@ -259,7 +260,7 @@
         seed=context.seed, ramp=model.Ramp(_SLOTS, 0.5)
     )
     for label, node in _VARIANTS.items():
-        plan = clusters.plan_deployment(
+        plan = plans.plan_deployment(
             deployment,
             node=node,
             backend={'service_time': {'kind': 'fixed', 'mean_ms': _SLOW_MS}},
@@ -410,11 +411,11 @@
 
 def _plan_overload(
     seed: int, node: Mapping[str, Any]
-) -> tuple[clusters.ClusterPlan, str]:
+) -> tuple[plans.ClusterPlan, str]:
     deployment = samples.build_large(
         _POSITIONS, 1, 3, n_workspaces=1, seed=seed, ramp=model.Ramp(1, _RAMP_S)
     )
-    plan = clusters.plan_deployment(
+    plan = plans.plan_deployment(
         deployment,
         node=node,
         backend={
--- a/jayseam/node/tests/fleets.py
+++ b/jayseam/node/tests/fleets.py
@@ -17,6 +17,7 @@
 from jayseam.presets import samples
 from jayseam.standins import clusters
 from jayseam.standins import exchanges
+from jayseam.standins import plans
 from jayseam.standins import referee
 from jayseam.tools import load
 from jayseam.tools import profiles
@@ -183,7 +184,7 @@
         'backend': {'service_time': {'kind': 'fixed', 'mean_ms': 2.0}},
         **plan,
     }
-    cluster_plan = clusters.plan_deployment(chosen, **settings)
+    cluster_plan = plans.plan_deployment(chosen, **settings)
     with clusters.Cluster(cluster_plan) as cluster:
         yield Fleet(cluster, chosen.plaintexts)
 
--- a/jayseam/node/tests/observers.py
+++ b/jayseam/node/tests/observers.py
@@ -1,6 +1,5 @@
 """What the tests of faults watch: versions, callers and publications."""
 
-import copy
 import itertools
 import re
 from collections.abc import Callable, Iterable, Mapping
@@ -12,7 +11,7 @@
 from jayseam.core import clocks
 from jayseam.node.tests import fleets
 from jayseam.standins import convergence
-from jayseam.standins import demo
+from jayseam.standins import edits
 from jayseam.standins import errors
 from jayseam.standins import exchanges
 
@@ -30,7 +29,7 @@
     route is in force.
     """
     path = f'/probe-{next(_numbers)}'
-    return demo.add_open_route(copy.deepcopy(dict(preset)), path), path
+    return edits.add_open_route(preset, path), path
 
 
 def publish_probe(fleet: fleets.Fleet) -> tuple[int, str]:
--- a/jayseam/node/tests/test_chaos.py
+++ b/jayseam/node/tests/test_chaos.py
@@ -8,7 +8,7 @@
 from jayseam.node.tests import fleets
 from jayseam.presets import model
 from jayseam.presets import samples
-from jayseam.standins import clusters
+from jayseam.standins import edits
 from jayseam.standins import errors
 from jayseam.tools import profiles
 
@@ -105,9 +105,7 @@
         zone = self._generator.choice(self._zones)
         for in_service in (False, True):
             self._cluster.publish(
-                clusters.set_zone_service(
-                    self._cluster.preset, zone, in_service
-                )
+                edits.set_zone_service(self._cluster.preset, zone, in_service)
             )
             gevent.sleep(1.5)
 
--- a/jayseam/node/tests/test_pauses.py
+++ b/jayseam/node/tests/test_pauses.py
@@ -6,7 +6,7 @@
 from jayseam.core import clocks
 from jayseam.node.tests import fleets
 from jayseam.node.tests import observers
-from jayseam.standins import clusters
+from jayseam.standins import edits
 from jayseam.standins import exchanges
 
 ZONE = 'charleroi'
@@ -53,7 +53,7 @@
     cluster.pause(paused)
     paused_at = clocks.read_now()
     preset, path = observers.add_probe(cluster.preset)
-    preset = clusters.set_zone_service(preset, zone, False)
+    preset = edits.set_zone_service(preset, zone, False)
     version = cluster.publish(preset)
     cluster.withdraw_key(key.partition('.')[0])
     gevent.sleep(0.5)
--- a/jayseam/node/tests/test_versions.py
+++ b/jayseam/node/tests/test_versions.py
@@ -14,7 +14,7 @@
 from jayseam.node.tests import fleets
 from jayseam.node.tests import observers
 from jayseam.presets import documents
-from jayseam.standins import clusters
+from jayseam.standins import publications
 
 _ROUNDS = 10
 
@@ -129,7 +129,7 @@
     """Content that was damaged at the source, and its recovery."""
     before = observers.read_versions(fleet, 'preset')
     preset, path = observers.add_probe(fleet.cluster.preset)
-    bundle = clusters.split_document('preset', preset)
+    bundle = publications.split_document('preset', preset)
     damaged = digests.compute_digest(bundle.manifest)
     if part == 'routes':
         damaged = documents.read_manifest(bundle.manifest).parts['routes']
@@ -154,7 +154,7 @@
 def test_parts_later_than_their_pointer(fleet):
     """A pointer that can be read before the parts that it leads to."""
     preset, path = observers.add_probe(fleet.cluster.preset)
-    bundle = clusters.split_document('preset', preset)
+    bundle = publications.split_document('preset', preset)
     manifest = digests.compute_digest(bundle.manifest)
     pointer = json.dumps({'manifest': manifest})
     before = observers.read_versions(fleet, 'preset')
@@ -218,7 +218,7 @@
     path = observers.publish_and_converge(fleet)
     version = max(observers.read_versions(fleet, 'preset').values())
     preset, other_path = observers.add_probe(fleet.cluster.preset)
-    bundle = clusters.split_document('preset', preset)
+    bundle = publications.split_document('preset', preset)
     digest = digests.compute_digest(bundle.manifest)
     pulls = []
     registry = handlers.HandlerRegistry()
--- a/jayseam/standins/__init__.py
+++ b/jayseam/standins/__init__.py
@@ -6,6 +6,7 @@
 from jayseam.standins import answers
 from jayseam.standins import backend
 from jayseam.standins import backendhosts
+from jayseam.standins import edits
 from jayseam.standins import clusters
 from jayseam.standins import coldstarts
 from jayseam.standins import convergence
@@ -15,9 +16,13 @@
 from jayseam.standins import faultrules
 from jayseam.standins import faults
 from jayseam.standins import health
+from jayseam.standins import launchers
 from jayseam.standins import nestedcalls
+from jayseam.standins import networks
+from jayseam.standins import plans
 from jayseam.standins import platform
 from jayseam.standins import processes
+from jayseam.standins import publications
 from jayseam.standins import referee
 from jayseam.standins import relays
 from jayseam.standins import requestfaults
@@ -25,11 +30,15 @@
 from jayseam.standins import runs
 from jayseam.standins import serving
 from jayseam.standins import socketowners
+from jayseam.standins import vmlists
+from jayseam.standins import vmsettings
+from jayseam.standins import waits
 
 __all__ = [
     'answers',
     'backend',
     'backendhosts',
+    'edits',
     'clusters',
     'coldstarts',
     'convergence',
@@ -39,9 +48,13 @@
     'faultrules',
     'faults',
     'health',
+    'launchers',
     'nestedcalls',
+    'networks',
+    'plans',
     'platform',
     'processes',
+    'publications',
     'referee',
     'relays',
     'requestfaults',
@@ -49,4 +62,7 @@
     'runs',
     'serving',
     'socketowners',
+    'vmlists',
+    'vmsettings',
+    'waits',
 ]
--- a/jayseam/standins/clusters.py
+++ b/jayseam/standins/clusters.py
@@ -5,138 +5,40 @@
 processes that it started, by process id.
 
 See Also:
+  `jayseam.standins.plans` for what a cluster consists of;
   `jayseam.standins.referee`, which judges what the backend servers ran.
 """
 
 import copy
-import json
-import pathlib
-import shutil
 import signal
-import sys
-import tempfile
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 import attrs
-import gevent
 
-from jayseam.core import clocks
-from jayseam.core import digests
-from jayseam.presets import documents
+from jayseam.standins import edits
 from jayseam.standins import errors
 from jayseam.standins import exchanges
+from jayseam.standins import launchers
+from jayseam.standins import networks
+from jayseam.standins import plans
 from jayseam.standins import processes
+from jayseam.standins import publications
+from jayseam.standins import vmlists
+from jayseam.standins import vmsettings
+from jayseam.standins import waits
 
-_HOST = '127.0.0.1'
-_POLL_S = 0.05
-_SEEDS_PER_ZONE = 2
-_SHARED_STANDINS = ('platform', 'faults')
+_HOST = vmlists.HOST
 
-
-def split_document(channel: str, document: Mapping[str, Any]) -> Any:
-    """Splits a preset or key set into its manifest and parts.
-
-    Args:
-      channel: ``preset`` or ``keys``.
-      document: The whole document.
-
-    Returns:
-      A bundle with the bytes ``manifest`` and the dict ``parts`` from digest
-      to bytes.
-    """
-    return getattr(documents, f'split_{channel}')(document)
+Address = tuple[str, int]
 
 
 @attrs.frozen
-class ClusterPlan:
-    """What a cluster consists of.
-
-    Attributes:
-      preset: Preset document. Each of its upstreams gets one VM.
-      keys: Key-set document.
-      fleet_secrets: Secrets of the links.
-      secrets: Texts of workspace keys that backend servers watch for.
-      node: Settings merged over those of each node, section by section.
-      backend: Settings merged over those of each backend server.
-      platform: Settings merged over those of the platform.
-      fault_proxies: Whether links and reads of the platform pass through
-        fault proxies.
-      backends_per_process: Backend servers that share a process.
-      start_timeout_s: Seconds until all nodes must serve.
-      node_module: Module that each node process runs.
-      split: Splits the document of a channel, as `split_document` does.
-    """
-
-    preset: Mapping[str, Any]
-    keys: Mapping[str, Any]
-    fleet_secrets: Sequence[str] = ('standin-fleet-secret-1',)
-    secrets: Sequence[str] = ()
-    node: Mapping[str, Any] = attrs.field(factory=dict)
-    backend: Mapping[str, Any] = attrs.field(factory=dict)
-    platform: Mapping[str, Any] = attrs.field(factory=dict)
-    fault_proxies: bool = False
-    backends_per_process: int = 12
-    start_timeout_s: float = 20.0
-    node_module: str = 'jayseam.node.main'
-    split: Callable[[str, Mapping[str, Any]], Any] = split_document
-
-
-@attrs.define
-class Vm:
-    """One VM: a position, the ports of its node, and its process.
-
-    Attributes:
-      name: Unique VM name.
-      upstream: Name of its position.
-      zone: Availability zone.
-      region: Region of the zone.
-      caller_port: Port for callers.
-      link_port: Port that the node listens on for links.
-      advertised_port: Port that other nodes dial.
-      admin_port: Port of the admin listener.
-      state: ``live`` or ``leaving`` in the VM list.
-      process: The node process, once started.
-    """
-
-    name: str
-    upstream: str
-    zone: str
-    region: str
-    caller_port: int
-    link_port: int
-    advertised_port: int
-    admin_port: int
-    state: str = 'live'
-    process: processes.ManagedProcess | None = None
-
+class _BackendServer:
+    """The port of a backend server and the control listener of its process."""
 
-@attrs.frozen
-class _Position:
-    """The backend server of an upstream and where to control it."""
-
-    name: str
-    zone: str
     port: int
-    control: tuple[str, int]
-
-
-def plan_deployment(deployment: Any, **options: Any) -> ClusterPlan:
-    """Returns the plan of a sample deployment.
-
-    Args:
-      deployment: A `presets.samples.Deployment`.
-      **options: Other attributes of the plan.
-    """
-    return ClusterPlan(
-        preset=documents.dump_preset(deployment.preset),
-        keys=documents.dump_keys(deployment.key_set),
-        secrets=[
-            plaintext.partition('.')[2]
-            for plaintext in deployment.plaintexts.values()
-        ],
-        **options,
-    )
+    control: Address
 
 
 class Cluster:
@@ -150,33 +52,33 @@
       start_nodes: False starts the stand-ins only.
     """
 
-    def __init__(self, plan: ClusterPlan, start_nodes: bool = True):
+    def __init__(self, plan: plans.ClusterPlan, start_nodes: bool = True):
         self.plan = plan
         self.preset: dict[str, Any] = copy.deepcopy(dict(plan.preset))
         self.keys: dict[str, Any] = copy.deepcopy(dict(plan.keys))
-        self.vms: dict[str, Vm] = {}
-        self.directory: pathlib.Path | None = None
+        self.vms: dict[str, vmlists.Vm] = {}
+        self.launcher = launchers.Launcher(_HOST, plan.start_timeout_s)
         self.platform_port = 0
         self._start_nodes = start_nodes
-        self._ports = processes.PortReservations(_HOST)
-        self._processes: list[processes.ManagedProcess] = []
-        self._controls: dict[str, tuple[str, int]] = {}
-        self._positions: dict[str, _Position] = {}
+        self._platform_control: Address | None = None
+        self._network: networks.Network | None = None
+        self._backend_hosts: list[Address] = []
+        self._backends: dict[str, _BackendServer] = {}
         self._source_ports: dict[str, int] = {}
-        self._names = 0
+        self._n_names = 0
 
     def __enter__(self) -> 'Cluster':
         try:
             self.start()
         except BaseException:
-            self._show_logs()
+            self.launcher.show_logs()
             self.stop()
             raise
         return self
 
     def __exit__(self, kind: Any, error: Any, trace: Any) -> None:
         if error is not None:
-            self._show_logs()
+            self.launcher.show_logs()
         self.stop()
 
     def start(self) -> None:
@@ -185,31 +87,24 @@
         Raises:
           ClusterError: If a process ends or doesn't serve in time.
         """
-        self.directory = pathlib.Path(tempfile.mkdtemp(prefix='jayseam-'))
+        self.launcher.open()
         self._start_platform()
         if self.plan.fault_proxies:
-            self._start_faults()
-        upstreams = self.preset['upstreams']
-        for upstream in upstreams:
+            self._start_network()
+        for upstream in self.preset['upstreams']:
             self._add_vm(upstream['name'], upstream['zone'])
-        self._start_backends(upstreams)
-        for channel, document in (('keys', self.keys), ('preset', self.preset)):
-            self._publish_channel(channel, document)
+        self._start_backends()
+        self._publish_channel('keys', self.keys)
+        self._publish_channel('preset', self.preset)
         self.publish_vms()
         if self._start_nodes:
             for vm in self.vms.values():
-                self._start_node(vm)
+                self.start_node(vm)
             self.wait_serving()
 
     def stop(self) -> None:
         """Ends all processes of this cluster and removes its files."""
-        for process in reversed(self._processes):
-            process.kill()
-        self._processes.clear()
-        self._ports.close()
-        if self.directory is not None:
-            shutil.rmtree(self.directory, ignore_errors=True)
-            self.directory = None
+        self.launcher.close()
 
     # Processes of VMs.
 
@@ -259,16 +154,11 @@
           vm: Name of the VM, whose backend server is started if it is down.
           graceful: Whether a running node is terminated, not killed.
         """
-        process = self._process_of(vm)
-        if process.returncode is None:
-            if graceful:
-                self.terminate(vm, listed=False)
-            else:
-                process.kill()
+        self._end_node(vm, graceful, listed=False)
         self.control_backend(self.vms[vm].upstream, 'start')
         self.vms[vm].state = 'live'
         self.publish_vms()
-        self._start_node(self.vms[vm])
+        self.start_node(self.vms[vm])
 
     def replace(self, vm: str, graceful: bool = True) -> str:
         """Puts a new VM at the position of another and returns its name.
@@ -278,12 +168,7 @@
           graceful: Whether it is terminated, not killed.
         """
         leaving = self.vms[vm]
-        process = self._process_of(vm)
-        if process.returncode is None:
-            if graceful:
-                self.terminate(vm)
-            else:
-                process.kill()
+        self._end_node(vm, graceful, listed=True)
         del self.vms[vm]
         for action in ('stop', 'start'):
             self.control_backend(leaving.upstream, action)
@@ -292,7 +177,7 @@
             leaving.upstream, 'node', host=_HOST, port=arriving.caller_port
         )
         self.publish_vms()
-        self._start_node(arriving)
+        self.start_node(arriving)
         return arriving.name
 
     # What operators do.
@@ -309,52 +194,54 @@
 
     def withdraw_key(self, key_id: str) -> int:
         """Publishes the key set without one key and returns its version."""
-        return self.publish_keys(remove_key(self.keys, key_id))
+        return self.publish_keys(edits.remove_key(self.keys, key_id))
 
     def take_zone_out(self, zone: str) -> int:
         """Publishes the preset with a zone out of service."""
-        return self.publish(set_zone_service(self.preset, zone, False))
+        return self.publish(edits.set_zone_service(self.preset, zone, False))
 
     def take_zone_in(self, zone: str) -> int:
         """Publishes the preset with a zone in service."""
-        return self.publish(set_zone_service(self.preset, zone, True))
+        return self.publish(edits.set_zone_service(self.preset, zone, True))
 
     def publish_vms(self) -> int:
         """Publishes the VM list and returns its revision."""
-        entries = [
-            {
-                'vm': vm.name,
-                'upstream': vm.upstream,
-                'zone': vm.zone,
-                'region': vm.region,
-                'host': _HOST,
-                'port': vm.advertised_port,
-                'state': vm.state,
-            }
-            for vm in self.vms.values()
-        ]
-        body = json.dumps({'vms': entries}, sort_keys=True)
+        entries = vmlists.list_vms(self.vms.values())
+        return self.publish_vm_entries(entries)
+
+    def publish_vm_entries(self, entries: Iterable[dict[str, Any]]) -> int:
+        """Publishes a VM list of any entries and returns its revision."""
+        body = vmlists.encode_vm_list(entries)
         return self.control_platform('vms', body=body)['revision']
 
     # The network.
 
-    def partition(self, *groups: Iterable[str]) -> None:
+    def partition(self, *groups: str | Iterable[str]) -> None:
         """Parts groups of zones, VM names or ``platform`` from each other.
 
-        A zone given as a string alone forms a group.
+        A name given as a string alone forms a group.
+
+        Raises:
+          ClusterError: If the plan has no fault proxies.
         """
-        named = [[g] if isinstance(g, str) else list(g) for g in groups]
-        self.control_faults('partition', groups=named)
+        self._require_network().partition(groups)
 
     def heal(self, rules: bool = False) -> None:
-        """Ends the partition, and with ``rules`` all other network faults."""
-        self.control_faults('heal', rules=rules)
+        """Ends the partition, and with ``rules`` all other network faults.
+
+        Raises:
+          ClusterError: If the plan has no fault proxies.
+        """
+        self._require_network().heal(rules)
 
     # Control listeners.
 
     def control_platform(self, action: str, **fields: Any) -> Any:
         """Calls a control action of the platform."""
-        return self._control('platform', action, fields)
+        assert self._platform_control is not None
+        return exchanges.call_control(
+            self._platform_control, f'/control/{action}', fields
+        )
 
     def control_faults(self, action: str, **fields: Any) -> Any:
         """Calls a control action of the fault proxy.
@@ -362,16 +249,13 @@
         Raises:
           ClusterError: If the plan has no fault proxies.
         """
-        if 'faults' not in self._controls:
-            raise errors.ClusterError('the plan has no fault proxies')
-        return self._control('faults', action, fields)
+        return self._require_network().control(action, **fields)
 
     def control_backend(self, upstream: str, action: str, **fields: Any) -> Any:
         """Calls a control action of the backend server of a position."""
-        position = self._positions[upstream]
         fields['backend'] = upstream
         return exchanges.call_control(
-            position.control, f'/control/{action}', fields
+            self._backends[upstream].control, f'/control/{action}', fields
         )
 
     def collect_runs(self) -> list[dict[str, Any]]:
@@ -394,14 +278,10 @@
         Raises:
           ExchangeError: If it doesn't answer within ``timeout_s`` seconds.
         """
-        connection = exchanges.Connection(_HOST, self.vms[vm].admin_port)
-        try:
-            answer = connection.exchange(
-                'GET', '/status', {}, timeout_s=timeout_s
-            )
-        finally:
-            connection.close()
-        return answer.decode()
+        address = (_HOST, self.vms[vm].admin_port)
+        return exchanges.exchange_once(
+            address, 'GET', '/status', timeout_s=timeout_s
+        ).decode()
 
     def call(
         self,
@@ -421,11 +301,10 @@
         fields = dict(headers or {})
         if key is not None:
             fields['Authorization'] = f'Bearer {key}'
-        connection = exchanges.Connection(_HOST, self.vms[vm].caller_port)
-        try:
-            return connection.exchange(method, path, fields, body, timeout_s)
-        finally:
-            connection.close()
+        address = (_HOST, self.vms[vm].caller_port)
+        return exchanges.exchange_once(
+            address, method, path, fields, body, timeout_s
+        )
 
     def targets(self) -> list[str]:
         """Returns the caller addresses of all VMs as ``host:port``."""
@@ -439,23 +318,12 @@
     ) -> Any:
         """Waits for a true result of ``predicate`` and returns it.
 
-        An `ExchangeError` counts as not yet true. Other greenlets run on.
+        See `waits.wait_until`.
 
         Raises:
           ClusterError: If it isn't true within ``timeout_s`` seconds.
         """
-        deadline = clocks.read_now() + timeout_s
-        while True:
-            try:
-                result: Any = predicate()
-            except errors.ExchangeError as error:
-                result = None
-                reason = f'{reason.partition(" [")[0]} [{error}]'
-            if result:
-                return result
-            if clocks.read_now() >= deadline:
-                raise errors.ClusterError(f'{reason}: not in {timeout_s} s')
-            gevent.sleep(_POLL_S)
+        return waits.wait_until(predicate, timeout_s, reason)
 
     def wait_serving(self, vms: Iterable[str] | None = None) -> None:
         """Waits until nodes have the state ``serving``; all by default.
@@ -484,255 +352,134 @@
             raise errors.ClusterError(f'{vm} has no node process')
         return process
 
-    def _control(self, name: str, action: str, fields: Any) -> Any:
-        return exchanges.call_control(
-            self._controls[name], f'/control/{action}', fields
-        )
+    def _require_network(self) -> networks.Network:
+        if self._network is None:
+            raise errors.ClusterError('the plan has no fault proxies')
+        return self._network
 
     def _collect(self, action: str, **fields: Any) -> dict[str, Any]:
+        """Calls a control action of all processes of backend servers."""
         collected: dict[str, Any] = {}
-        for name in self._controls:
-            if name not in _SHARED_STANDINS:
-                collected.update(self._control(name, action, fields))
+        for control in self._backend_hosts:
+            collected.update(
+                exchanges.call_control(control, f'/control/{action}', fields)
+            )
         return collected
 
-    def _launch(
-        self, name: str, module: str, words: Sequence[str], settings: Any
-    ) -> processes.ManagedProcess:
-        assert self.directory is not None
-        path = self.directory / f'{name}.json'
-        path.write_text(json.dumps(settings), encoding='utf-8')
-        process = processes.ManagedProcess(
-            name,
-            [sys.executable, '-m', module, *words, '--settings', str(path)],
-            self.directory / f'{name}.log',
-        )
-        self._processes.append(process)
-        return process
+    def _end_node(self, vm: str, graceful: bool, listed: bool) -> None:
+        """Ends the node of a VM if it runs."""
+        process = self._process_of(vm)
+        if process.returncode is not None:
+            return
+        if graceful:
+            self.terminate(vm, listed=listed)
+        else:
+            process.kill()
 
-    def _launch_standin(self, name: str, kind: str, settings: Any) -> None:
-        """Starts a stand-in and waits for its control listener."""
-        port = self._ports.reserve()
-        settings = {**settings, 'host': _HOST, 'control_port': port}
-        process = self._launch(name, 'jayseam.standins.main', [kind], settings)
-        address = (_HOST, port)
+    # Starts.
 
-        def answers() -> bool:
-            if process.returncode is not None:
-                raise errors.ClusterError(f'{name} ended at its start')
-            connection = exchanges.Connection(*address)
-            connection.exchange('GET', '/', {})
-            connection.close()
-            return True
+    def start_node(self, vm: vmlists.Vm) -> None:
+        """Starts the node process of a VM, without waiting for it."""
+        settings = self.build_node_settings(vm)
+        vm.process = self.launcher.launch(
+            vm.name, self.plan.node_module, [], settings
+        )
+        if self._network is not None:
+            self._network.name_process(vm)
 
-        self.wait_until(answers, self.plan.start_timeout_s, name)
-        self._controls[name] = address
+    def build_node_settings(self, vm: vmlists.Vm) -> dict[str, Any]:
+        """Returns the settings document of the node of a VM."""
+        return vmsettings.build_node_settings(
+            vm,
+            self.plan,
+            backend_port=self._backends[vm.upstream].port,
+            source_port=self._source_ports.get(vm.zone, self.platform_port),
+            members=self.vms.values(),
+        )
 
     def _start_platform(self) -> None:
-        self.platform_port = self._ports.reserve()
+        self.platform_port = self.launcher.reserve_port()
         settings = {**self.plan.platform, 'port': self.platform_port}
-        self._launch_standin('platform', 'platform', settings)
+        self._platform_control = self.launcher.launch_standin(
+            'platform', 'platform', settings
+        )
 
-    def _start_faults(self) -> None:
-        self._launch_standin('faults', 'faults', {})
+    def _start_network(self) -> None:
+        control = self.launcher.launch_standin('faults', 'faults', {})
+        self._network = networks.Network(self.launcher, control)
         for zone in self.preset['zones']:
-            self._source_ports[zone['name']] = self._forward(
-                f'platform/{zone["name"]}',
-                self.platform_port,
-                ('platform', 'platform'),
-                (zone['name'], zone['name']),
+            self._source_ports[zone['name']] = self._network.forward_source(
+                zone['name'], self.platform_port
             )
 
-    def _forward(
-        self,
-        name: str,
-        target_port: int,
-        target: tuple[str, str],
-        source: tuple[str, str] | None,
-    ) -> int:
-        """Adds a forwarding on a reserved port and returns the port."""
-        ends = [
-            None if end is None else {'name': end[0], 'group': end[1]}
-            for end in (target, source)
-        ]
-        return self.control_faults(
-            'forwardings',
-            name=name,
-            port=self._ports.reserve(),
-            target_port=target_port,
-            target=ends[0],
-            source=ends[1],
-        )['port']
-
-    def _add_vm(self, upstream: str, zone: str) -> Vm:
-        self._names += 1
-        name = f'vm-{self._names:03d}-{upstream}'
+    def _add_vm(self, upstream: str, zone: str) -> vmlists.Vm:
+        self._n_names += 1
+        name = f'vm-{self._n_names:03d}-{upstream}'
         regions = {
             entry['name']: entry['region'] for entry in self.preset['zones']
         }
-        link_port = advertised = self._ports.reserve()
-        if self.plan.fault_proxies:
-            advertised = self._forward(
-                f'link/{name}', link_port, (name, zone), None
-            )
-        vm = Vm(
+        link_port = advertised_port = self.launcher.reserve_port()
+        if self._network is not None:
+            advertised_port = self._network.forward_link(name, zone, link_port)
+        vm = vmlists.Vm(
             name=name,
             upstream=upstream,
             zone=zone,
             region=regions[zone],
-            caller_port=self._ports.reserve(),
+            caller_port=self.launcher.reserve_port(),
             link_port=link_port,
-            advertised_port=advertised,
-            admin_port=self._ports.reserve(),
+            advertised_port=advertised_port,
+            admin_port=self.launcher.reserve_port(),
         )
         self.vms[name] = vm
         return vm
 
-    def _start_backends(self, upstreams: Sequence[Mapping[str, Any]]) -> None:
-        nodes = {vm.upstream: vm.caller_port for vm in self.vms.values()}
+    def _start_backends(self) -> None:
+        """Starts processes with some backend servers each."""
+        upstreams = self.preset['upstreams']
         size = self.plan.backends_per_process
         for first in range(0, len(upstreams), size):
-            name = f'backends-{first // size}'
-            settings = []
-            for number, upstream in enumerate(upstreams[first : first + size]):
-                settings.append(
-                    {
-                        'slots': upstream['slots'],
-                        'connections': upstream['connections'],
-                        'seed': first + number,
-                        **self.plan.backend,
-                        'name': upstream['name'],
-                        'port': self._ports.reserve(),
-                        'node_port': nodes[upstream['name']],
-                        'secrets': list(self.plan.secrets),
-                    }
-                )
-            self._launch_standin(name, 'backend', {'backends': settings})
-            for upstream, entry in zip(upstreams[first:], settings):
-                self._positions[entry['name']] = _Position(
-                    entry['name'],
-                    upstream['zone'],
-                    entry['port'],
-                    self._controls[name],
-                )
-
-    def _start_node(self, vm: Vm) -> None:
-        settings = self.build_node_settings(vm)
-        vm.process = self._launch(vm.name, self.plan.node_module, [], settings)
-        if self.plan.fault_proxies:
-            endpoint = {'name': vm.name, 'group': vm.zone}
-            self.control_faults(
-                'sources', processes={str(vm.process.pid): endpoint}
+            self._start_backend_host(
+                f'backends-{first // size}',
+                first,
+                upstreams[first : first + size],
             )
 
-    def build_node_settings(self, vm: Vm) -> dict[str, Any]:
-        """Returns the settings document of the node of a VM."""
-        source_port = self._source_ports.get(vm.zone, self.platform_port)
-        settings: dict[str, Any] = {
-            'vm': vm.name,
-            'region': vm.region,
-            'zone': vm.zone,
-            'upstream': vm.upstream,
-            'caller': {'host': _HOST, 'port': vm.caller_port},
-            'link': {
-                'host': _HOST,
-                'port': vm.link_port,
-                'advertise_host': _HOST,
-                'advertise_port': vm.advertised_port,
-            },
-            'admin': {'host': _HOST, 'port': vm.admin_port},
-            'backend': {
-                'host': _HOST,
-                'port': self._positions[vm.upstream].port,
-            },
-            'source': {'urls': [f'http://{_HOST}:{source_port}']},
-            'seeds': self._choose_seeds(vm),
-            'fleet_secrets': list(self.plan.fleet_secrets),
-        }
-        for name, value in self.plan.node.items():
-            held = settings.get(name)
-            if isinstance(held, dict) and isinstance(value, Mapping):
-                settings[name] = {**held, **value}
-            else:
-                settings[name] = value
-        return settings
-
-    def _choose_seeds(self, vm: Vm) -> list[dict[str, Any]]:
-        """Returns the first VMs of each zone, without ``vm`` itself."""
-        zones: dict[str, list[Vm]] = {}
-        for other in self.vms.values():
-            if other.name != vm.name:
-                zones.setdefault(other.zone, []).append(other)
-        return [
-            {
-                'vm': seed.name,
-                'zone': seed.zone,
-                'host': _HOST,
-                'port': seed.advertised_port,
-            }
-            for members in zones.values()
-            for seed in members[:_SEEDS_PER_ZONE]
+    def _start_backend_host(
+        self, name: str, first: int, upstreams: Sequence[Mapping[str, Any]]
+    ) -> None:
+        """Starts one process with backend servers.
+
+        Args:
+          name: Name of the process.
+          first: Seed of the first backend server; the others count up.
+          upstreams: Entries of their upstreams in the preset.
+        """
+        node_ports = {vm.upstream: vm.caller_port for vm in self.vms.values()}
+        settings = [
+            vmsettings.build_backend_settings(
+                upstream,
+                self.plan,
+                seed=seed,
+                port=self.launcher.reserve_port(),
+                node_port=node_ports[upstream['name']],
+            )
+            for seed, upstream in enumerate(upstreams, first)
         ]
+        control = self.launcher.launch_standin(
+            name, 'backend', {'backends': settings}
+        )
+        self._backend_hosts.append(control)
+        for entry in settings:
+            self._backends[entry['name']] = _BackendServer(
+                entry['port'], control
+            )
 
     def _publish_channel(
         self, channel: str, document: Mapping[str, Any]
     ) -> int:
-        """Publishes parts and manifest first and the pointer last."""
+        """Publishes a document and returns the version of its channel."""
         bundle = self.plan.split(channel, document)
-        values = dict(bundle.parts)
-        manifest = digests.compute_digest(bundle.manifest)
-        values[manifest] = bundle.manifest
-        entries = [
-            {'key': f'parts/{digest}', 'value': data.decode()}
-            for digest, data in values.items()
-        ]
-        key = f'channels/{channel}'
-        pointer = json.dumps({'manifest': manifest})
-        entries.append({'key': key, 'value': pointer})
-        answer = self.control_platform('publish', values=entries)
-        return answer['revisions'][key]
-
-    def _show_logs(self) -> None:
-        for process in self._processes:
-            tail = process.read_tail()
-            if tail:
-                status = process.returncode
-                print(
-                    f'--- {process.name} (status {status})\n{tail}',
-                    file=sys.stderr,
-                )
-
-
-def set_zone_service(
-    preset: Mapping[str, Any], zone: str, in_service: bool
-) -> dict[str, Any]:
-    """Returns the preset with one zone in or out of service.
-
-    >>> before = {'zones': [{'name': 'a', 'in_service': True}]}
-    >>> set_zone_service(before, 'a', False)
-    {'zones': [{'name': 'a', 'in_service': False}]}
-
-    Raises:
-      ClusterError: If the preset has no such zone.
-    """
-    changed = copy.deepcopy(dict(preset))
-    found = [entry for entry in changed['zones'] if entry['name'] == zone]
-    if not found:
-        raise errors.ClusterError(f'no zone {zone!r}')
-    found[0]['in_service'] = in_service
-    return changed
-
-
-def remove_key(keys: Mapping[str, Any], key_id: str) -> dict[str, Any]:
-    """Returns the key set without one key.
-
-    >>> remove_key({'keys': [{'key_id': 'k1'}, {'key_id': 'k2'}]}, 'k1')
-    {'keys': [{'key_id': 'k2'}]}
-
-    Raises:
-      ClusterError: If the key set has no such key.
-    """
-    kept = [entry for entry in keys['keys'] if entry['key_id'] != key_id]
-    if len(kept) == len(keys['keys']):
-        raise errors.ClusterError(f'no key {key_id!r}')
-    return {**keys, 'keys': kept}
+        values = publications.list_values(channel, bundle)
+        answer = self.control_platform('publish', values=values)
+        return answer['revisions'][publications.name_pointer(channel)]
--- a/jayseam/standins/demo.py
+++ b/jayseam/standins/demo.py
@@ -1,7 +1,6 @@
 """Runs both sample deployments on loopback and checks what they served."""
 
 import argparse
-import copy
 import sys
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
@@ -15,6 +14,8 @@
 from jayseam.presets import samples
 from jayseam.standins import clusters
 from jayseam.standins import convergence
+from jayseam.standins import edits
+from jayseam.standins import plans
 from jayseam.standins import referee
 from jayseam.tools import load
 from jayseam.tools import profiles
@@ -81,9 +82,9 @@
     return checks
 
 
-def build_plan(deployment: samples.Deployment) -> clusters.ClusterPlan:
+def build_plan(deployment: samples.Deployment) -> plans.ClusterPlan:
     """Returns the cluster of a deployment."""
-    return clusters.plan_deployment(
+    return plans.plan_deployment(
         deployment,
         backend={'service_time': {'kind': 'fixed', 'mean_ms': 5.0}},
     )
@@ -135,14 +136,6 @@
     )
 
 
-def add_open_route(preset: dict[str, Any], prefix: str) -> dict[str, Any]:
-    """Returns a preset document with one more route that is open to all."""
-    changed = copy.deepcopy(preset)
-    template = next(r for r in changed['routes'] if r['open_to_all'])
-    changed['routes'].append({**template, 'name': prefix[1:], 'prefix': prefix})
-    return changed
-
-
 def _is_keyed(route: model.Route) -> bool:
     return 'GET' in route.methods and not route.open_to_all
 
@@ -172,7 +165,7 @@
 
 
 def _change_preset(cluster: clusters.Cluster, prefix: str) -> Check:
-    preset = add_open_route(cluster.preset, prefix)
+    preset = edits.add_open_route(cluster.preset, prefix)
     return _time_change(
         'preset in force everywhere',
         cluster,
@@ -184,8 +177,8 @@
 def _move_zone(cluster: clusters.Cluster, zone: str, direction: str) -> Check:
     """Takes a zone out or back, with a new route as the probe."""
     prefix = f'/demo-{direction}'
-    preset = add_open_route(cluster.preset, prefix)
-    moved = clusters.set_zone_service(preset, zone, direction == 'back')
+    preset = edits.add_open_route(cluster.preset, prefix)
+    moved = edits.set_zone_service(preset, zone, direction == 'back')
     return _time_change(
         f'zone {direction} in force everywhere',
         cluster,
--- a/jayseam/standins/tests/test_clusters.py
+++ b/jayseam/standins/tests/test_clusters.py
@@ -11,6 +11,8 @@
 from jayseam.standins import clusters
 from jayseam.standins import errors
 from jayseam.standins import exchanges
+from jayseam.standins import plans
+from jayseam.standins.tests import clients
 
 _PRESET = {
     'name': 'ordinary',
@@ -33,15 +35,12 @@
 
 
 def _plan(**options):
-    return clusters.ClusterPlan(_PRESET, _KEYS, split=_split, **options)
+    return plans.ClusterPlan(_PRESET, _KEYS, split=_split, **options)
 
 
 def _read(port, path):
-    connection = exchanges.Connection('127.0.0.1', port)
-    try:
-        return connection.exchange('GET', path, {}, timeout_s=0.5)
-    finally:
-        connection.close()
+    address = (clients.HOST, port)
+    return exchanges.exchange_once(address, 'GET', path, timeout_s=0.5)
 
 
 def _read_document(cluster, channel):
@@ -86,13 +85,13 @@
     """A start that fails must leave no process behind and show the logs."""
     cluster = clusters.Cluster(_plan(backend={'overload': 'wrong'}), False)
     launched = []
-    launch = cluster._launch
+    launch = cluster.launcher.launch
 
     def record(*arguments):
         launched.append(launch(*arguments))
         return launched[-1]
 
-    cluster._launch = record
+    cluster.launcher.launch = record
     with pytest.raises(errors.ClusterError):
         with cluster:
             pass
@@ -101,7 +100,7 @@
         with pytest.raises(ProcessLookupError):
             os.kill(process.pid, 0)
     assert 'overload' in capfd.readouterr().err
-    assert cluster.directory is None
+    assert cluster.launcher.directory is None
 
 
 def test_wait_until_reports_the_condition():
--- a/jayseam/standins/tests/test_main.py
+++ b/jayseam/standins/tests/test_main.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from jayseam.standins import clusters
 from jayseam.standins import main
 from jayseam.standins import processes
+from jayseam.standins import waits
 
 
 @pytest.mark.parametrize('kind', ['platform', 'faults'])
@@ -21,9 +21,7 @@
         kind, [sys.executable, *words], tmp_path / 'log'
     )
     try:
-        clusters.Cluster(clusters.ClusterPlan({}, {})).wait_until(
-            process.read_tail, 5.0, 'ready line'
-        )
+        waits.wait_until(process.read_tail, 5.0, 'ready line')
         process.send_signal(signal.SIGTERM)
         assert process.wait(5.0) == 0
     finally:
