Split the load tool into schedule, generator, outcomes and report

Cause: load.py (590 lines) held the records of calls, their schedule, the greenlets that send them, the judgement of answers, the report and the program. A histogram of durations was defined here and again in bench.figures. The test module covered all of these and profiles. Change: records, schedules, generators, outcomes, loadreports and histograms have one of these jobs each; load is the program alone. A scheduled call is a typed value in place of a tuple. bench uses tools.histograms. Each test moved, unchanged but for names, to the test module of what it tests. Ruled out: truncating times to whole microseconds, as the load tool did; bench.figures rounded, and one rule is enough. Figures differ by less than 1 us.

--- a/jayseam/bench/figures.py
+++ b/jayseam/bench/figures.py
@@ -1,23 +1,8 @@
 """Statistics that experiments share."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
-from hdrh import histogram
-
-_MAX_US = 120_000_000
-_SIGNIFICANT_DIGITS = 3
-
-
-def make_histogram(seconds: Iterable[float] = ()) -> histogram.HdrHistogram:
-    """Returns a histogram in microseconds, filled with times in seconds.
-
-    >>> make_histogram([0.001, 0.002]).get_total_count()
-    2
-    """
-    made = histogram.HdrHistogram(1, _MAX_US, _SIGNIFICANT_DIGITS)
-    for value in seconds:
-        made.record_value(min(_MAX_US, max(1, round(value * 1e6))))
-    return made
+from jayseam.tools import histograms
 
 
 def compute_percentile_ms(seconds: Sequence[float], percentile: float) -> float:
@@ -34,7 +19,9 @@
     """
     if not seconds:
         return float('nan')
-    value = make_histogram(seconds).get_value_at_percentile(percentile)
+    value = histograms.make_histogram(seconds).get_value_at_percentile(
+        percentile
+    )
     return value / 1000.0
 
 
--- a/jayseam/bench/service.py
+++ b/jayseam/bench/service.py
@@ -24,6 +24,7 @@
 from jayseam.standins import plans
 from jayseam.standins import processes
 from jayseam.tools import load
+from jayseam.tools import records as call_records
 
 LEAVE_LIMIT_S = 3.0
 IN_TIME_LIMIT_PERCENT = 99.9
@@ -45,7 +46,7 @@
       report: The JSON report.
     """
 
-    records: list[load.CallRecord]
+    records: list[call_records.CallRecord]
     report: dict[str, Any]
 
     @property
@@ -94,7 +95,7 @@
         finally:
             process.kill()
         report = json.loads(paths['report'].read_text(encoding='utf-8'))
-        return LoadRun(load.read_records(str(paths['records'])), report)
+        return LoadRun(call_records.read_records(str(paths['records'])), report)
 
 
 # A zone out of service and back.
@@ -317,7 +318,9 @@
 
 def _report_neighbour(label: str, found: LoadRun) -> Iterator[experiments.Row]:
     """Reports shares; baselines have no targets."""
-    calls: dict[str, list[load.CallRecord]] = collections.defaultdict(list)
+    calls: dict[str, list[call_records.CallRecord]] = collections.defaultdict(
+        list
+    )
     for record in found.records:
         if record.workspace != _NEIGHBOUR:
             calls[record.workspace].append(record)
@@ -363,7 +366,7 @@
     )
 
 
-def _is_in_time(record: load.CallRecord) -> bool:
+def _is_in_time(record: call_records.CallRecord) -> bool:
     elapsed_ms = 1000 * (record.ended - record.scheduled)
     return record.outcome == 'ok' and elapsed_ms <= _PATIENCE_MS
 
--- a/jayseam/bench/stages.py
+++ b/jayseam/bench/stages.py
@@ -21,7 +21,6 @@
 
 from jayseam.admission import gates
 from jayseam.backends import client
-from jayseam.bench import figures
 from jayseam.calls import choosers
 from jayseam.calls import entry
 from jayseam.calls import ingress
@@ -30,6 +29,7 @@
 from jayseam.links import manager
 from jayseam.node import application
 from jayseam.node import main as node_main
+from jayseam.tools import histograms
 
 METRIC = 'jayseam_bench_stage_us'
 PERCENTILES = (50, 99)
@@ -60,7 +60,7 @@
     gauge: prometheus_client.Gauge, stage: str, function: Callable[..., Any]
 ) -> Callable[..., Any]:
     """Returns ``function`` with percentiles of its durations in a gauge."""
-    durations = figures.make_histogram()
+    durations = histograms.make_histogram()
     _histograms.append(durations)
     for percentile in PERCENTILES:
         gauge.labels(stage, str(percentile)).set_function(
--- a/jayseam/node/tests/fleets.py
+++ b/jayseam/node/tests/fleets.py
@@ -19,8 +19,9 @@
 from jayseam.standins import exchanges
 from jayseam.standins import plans
 from jayseam.standins import referee
-from jayseam.tools import load
+from jayseam.tools import generators
 from jayseam.tools import profiles
+from jayseam.tools import records as call_records
 
 SEED = int(os.environ.get('JAYSEAM_SEED', '1'))
 FAST_RAMP = model.Ramp(initial_slots=10, duration_s=0.1)
@@ -128,7 +129,7 @@
             timeout_s=8.0,
             **{**settings, **options},
         )
-        return gevent.spawn(load.run_load, profile)
+        return gevent.spawn(generators.run_load, profile)
 
     def wait_idle(self) -> None:
         """Waits until no backend server runs a call.
@@ -146,7 +147,7 @@
 
     def judge(
         self,
-        records: Sequence[load.CallRecord],
+        records: Sequence[call_records.CallRecord],
         latitude_s: float,
         ignored: Sequence[str] = (),
     ) -> list[referee.Violation]:
--- a/jayseam/standins/demo.py
+++ b/jayseam/standins/demo.py
@@ -17,8 +17,10 @@
 from jayseam.standins import edits
 from jayseam.standins import plans
 from jayseam.standins import referee
-from jayseam.tools import load
+from jayseam.tools import generators
+from jayseam.tools import loadreports
 from jayseam.tools import profiles
+from jayseam.tools import records
 
 _RAMP = model.Ramp(initial_slots=4, duration_s=1.0)
 _LOAD_S = 13.0
@@ -72,7 +74,7 @@
     with clusters.Cluster(build_plan(deployment)) as cluster:
         wait_admitting(cluster, deployment)
         profile = build_profile(cluster, deployment, seed)
-        running = gevent.spawn(load.run_load, profile)
+        running = gevent.spawn(generators.run_load, profile)
         gevent.sleep(1.0)
         changes = _make_changes(cluster, deployment)
         report = running.get()
@@ -219,7 +221,7 @@
 
 
 def _check_service(
-    report: load.LoadReport, changes: _Changes
+    report: loadreports.LoadReport, changes: _Changes
 ) -> Iterable[Check]:
     """Every call within its rate is answered, but for the withdrawn key."""
     failed = [
@@ -234,7 +236,7 @@
     yield Check('calls within rate not answered', shown, not failed)
 
 
-def _is_withdrawn(record: load.CallRecord, changes: _Changes) -> bool:
+def _is_withdrawn(record: records.CallRecord, changes: _Changes) -> bool:
     """Tells whether a call was refused because its key was withdrawn."""
     return (
         record.outcome == 'key'
@@ -246,7 +248,7 @@
 def _check_runs(
     cluster: clusters.Cluster,
     deployment: samples.Deployment,
-    report: load.LoadReport,
+    report: loadreports.LoadReport,
     changes: _Changes,
 ) -> Iterable[Check]:
     runs = cluster.collect_runs()
--- a/jayseam/standins/referee.py
+++ b/jayseam/standins/referee.py
@@ -1,7 +1,7 @@
 """Judges whether what the backend servers ran agrees with the callers.
 
 Each rule compares the runs that the backend servers recorded with the records
-of `jayseam.tools.load`. Both measure time on the clock of the one machine.
+of `jayseam.tools.records`. Both measure time on the clock of the one machine.
 """
 
 import collections
@@ -111,7 +111,7 @@
 
         Args:
           runs: From `clusters.Cluster.collect_runs`.
-          records: `load.CallRecord` of all callers during the runs.
+          records: `records.CallRecord` of all callers during the runs.
           peaks: From `clusters.Cluster.collect_peaks`; None skips overloads.
         """
         case = Case(runs, records, peaks or {}, self._budgets, self._latitude_s)
--- a/jayseam/standins/tests/test_referee.py
+++ b/jayseam/standins/tests/test_referee.py
@@ -5,7 +5,7 @@
 import pytest
 
 from jayseam.standins import referee
-from jayseam.tools import load
+from jayseam.tools import records as call_records
 
 _BUDGETS = {'w1': referee.Budget(rate_per_s=10, burst=2)}
 
@@ -26,7 +26,7 @@
 
 def _record(number, **changes):
     fields = {'request_id': f'r{number}', 'outcome': 'ok', 'ran': 'yes'}
-    return load.CallRecord(
+    return call_records.CallRecord(
         'w1', 'GET', '/a', f'e{number}', '', False, 0.0, **fields | changes
     )
 
