--- a/jayseam/bench/callers.py
+++ b/jayseam/bench/callers.py
@@ -21,12 +21,12 @@
 import gevent
 from gevent import pool
 
+from jayseam.bench import children
 from jayseam.bench import processes
 from jayseam.core import clocks
 from jayseam.core import identifiers
 from jayseam.standins import errors
 from jayseam.standins import exchanges
-from jayseam.standins import processes as child_processes
 
 _TIMEOUT_S = 5.0
 _WARM_UP_CALLS = 5
@@ -94,7 +94,8 @@
             for _ in range(_WARM_UP_CALLS):
                 self._call(phase)
         self._latencies, self._failures = [], 0
-        cpu_s, start = processes.read_cpu_s(os.getpid()), clocks.read_now()
+        meter = processes.CpuMeter({phase.label: os.getpid()})
+        start = clocks.read_now()
         if phase.rate_per_s:
             self._run_open(phase, start)
         else:
@@ -104,13 +105,12 @@
             ]
             gevent.joinall(loops, raise_error=True)
         elapsed_s = clocks.read_now() - start
-        cpu_s = processes.read_cpu_s(os.getpid()) - cpu_s
         return Outcome(
             phase.label,
             self._latencies,
             self._failures,
             elapsed_s,
-            cpu_s / elapsed_s,
+            meter.read_shares()[phase.label],
         )
 
     def _run_open(self, phase: Phase, start: float) -> None:
@@ -167,16 +167,14 @@
         plan, output = directory / 'plan.json', directory / 'output.json'
         document = {'seed': seed, 'phases': cattrs.unstructure(phases)}
         plan.write_text(json.dumps(document), encoding='utf-8')
-        process = child_processes.ManagedProcess(
-            'caller',
-            [sys.executable, '-m', __name__, str(plan), str(output)],
+        ended = children.run_module(
+            __name__,
+            [str(plan), str(output)],
             directory / 'caller.log',
+            limit_s,
         )
-        try:
-            if process.wait(limit_s):
-                raise errors.ClusterError(process.read_tail())
-        finally:
-            process.kill()
+        if ended.status:
+            raise errors.ClusterError(ended.log_tail)
         text = output.read_text(encoding='utf-8')
     return cattrs.structure(json.loads(text), list[Outcome])
 
--- a/jayseam/bench/control.py
+++ b/jayseam/bench/control.py
@@ -1,6 +1,7 @@
 """Experiments on the control traffic and the cost of nodes at rest."""
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping
+
 import attrs
 import gevent
 
@@ -73,19 +74,21 @@
     them at the end, so that reading them costs no processor share.
     """
     size = len(cluster.vms)
-    pids = [vm.process.pid for vm in cluster.vms.values() if vm.process]
+    pids = {
+        name: vm.process.pid for name, vm in cluster.vms.items() if vm.process
+    }
     bytes_before, bytes_start = read_all_bytes(cluster), clocks.read_now()
     gevent.sleep(_AFTER_READING_S)
     cluster.control_platform('reset-counts')
-    cpu_before, start = _read_all_cpu_s(pids), clocks.read_now()
+    meter, start = processes.CpuMeter(pids), clocks.read_now()
     gevent.sleep(duration_s)
-    cpu_s = [a - b for a, b in zip(_read_all_cpu_s(pids), cpu_before)]
+    cpu_s = meter.read_used_s().values()
     elapsed_s = clocks.read_now() - start
     counts = cluster.control_platform('counts')['totals']
     bytes_s = clocks.read_now() - bytes_start
     bytes_after = read_all_bytes(cluster)
     rates = sum_bytes(bytes_before, bytes_after, size * bytes_s)
-    memory = [processes.read_memory(pid) for pid in pids]
+    memory = [processes.read_memory(pid) for pid in pids.values()]
     return Rest(
         sum_direction(rates, 'sent') / 1e3,
         sum_direction(rates, 'received') / 1e3,
@@ -100,10 +103,6 @@
     )
 
 
-def _read_all_cpu_s(pids: Sequence[int]) -> list[float]:
-    return [processes.read_cpu_s(pid) for pid in pids]
-
-
 def sum_bytes(
     before: Mapping[str, LinkBytes],
     after: Mapping[str, LinkBytes],
@@ -178,7 +177,6 @@
 def _report_rest(
     size: int, rest: Rest, peak: float
 ) -> Iterator[experiments.Row]:
-    at_most = experiments.AT_MOST
     load = {'load_average': experiments.read_load_average()}
     total = rest.sent_kb_per_s + rest.received_kb_per_s + rest.platform_kb_per_s
     for measure, figure, unit, limit, more in (
@@ -227,7 +225,7 @@
             f'{size} nodes, {measure}',
             figure,
             unit,
-            experiments.Bound(at_most, limit),
+            experiments.at_most(limit),
             {**more, **load},
         )
 
--- a/jayseam/bench/experiments.py
+++ b/jayseam/bench/experiments.py
@@ -17,6 +17,8 @@
 
 AT_MOST = 'at most'
 AT_LEAST = 'at least'
+# Label of figures of nodes with default settings, beside baselines.
+AS_DESIGNED = 'as designed'
 
 
 @attrs.frozen
@@ -41,6 +43,16 @@
         return figure >= self.value
 
 
+def at_most(value: float) -> Bound:
+    """Returns the target that a figure is at most ``value``."""
+    return Bound(AT_MOST, value)
+
+
+def at_least(value: float) -> Bound:
+    """Returns the target that a figure is at least ``value``."""
+    return Bound(AT_LEAST, value)
+
+
 @attrs.frozen
 class Row:
     """One figure.
--- a/jayseam/bench/fleets.py
+++ b/jayseam/bench/fleets.py
@@ -6,13 +6,12 @@
 
 import attrs
 
-from jayseam.presets import model
 from jayseam.presets import samples
 from jayseam.standins import clusters
+from jayseam.standins import deployments
 from jayseam.standins import plans
 from jayseam.standins import vmlists
 
-SHORT_RAMP = model.Ramp(initial_slots=4, duration_s=1.0)
 _UNLIMITED_PER_S = 1_000_000.0
 _READY_LIMIT_S = 20.0
 
@@ -45,6 +44,11 @@
         settings = self.cluster.build_node_settings(self.ingress)
         return settings['backend']['port']
 
+    @property
+    def roles(self) -> dict[str, vmlists.Vm]:
+        """The VMs on the path of a call by their part in it."""
+        return {'entry': self.entry, 'ingress': self.ingress}
+
     @property
     def headers(self) -> dict[str, str]:
         """Header fields of a call."""
@@ -61,7 +65,7 @@
       service_time: Settings of `standins.durations.ServiceTime`.
     """
     deployment = samples.build_large(
-        3, 3, 3, n_workspaces=1, seed=seed, ramp=SHORT_RAMP
+        3, 3, 3, n_workspaces=1, seed=seed, ramp=deployments.SHORT_RAMP
     )
     plan = plans.plan_deployment(
         deployment,
@@ -74,10 +78,29 @@
     for route in preset['routes']:
         if route['methods'] == ['POST']:
             route['repeatable'] = False
-    for workspace in preset['workspaces']:
-        workspace['rate_per_s'] = workspace['burst'] = _UNLIMITED_PER_S
     key = next(iter(deployment.plaintexts.values()))
-    return attrs.evolve(plan, preset=preset), key
+    plan = attrs.evolve(plan, preset=preset)
+    return change_plan(plan, unlimited=True), key
+
+
+def change_plan(
+    plan: plans.ClusterPlan, slots: int | None = None, unlimited: bool = False
+) -> plans.ClusterPlan:
+    """Returns a plan whose preset has other slots or rates.
+
+    Args:
+      plan: The plan.
+      slots: Slots of every upstream; None leaves them.
+      unlimited: Whether every workspace gets a rate that is never reached.
+    """
+    preset = copy.deepcopy(dict(plan.preset))
+    if slots is not None:
+        for upstream in preset['upstreams']:
+            upstream['slots'] = slots
+    if unlimited:
+        for workspace in preset['workspaces']:
+            workspace['rate_per_s'] = workspace['burst'] = _UNLIMITED_PER_S
+    return attrs.evolve(plan, preset=preset)
 
 
 def open_path_fleet(cluster: clusters.Cluster, key: str) -> PathFleet:
@@ -113,7 +136,12 @@
 ) -> plans.ClusterPlan:
     """Returns the plan of a fleet of any size with all backends together."""
     deployment = samples.build_large(
-        size, n_services, n_zones, n_workspaces=8, seed=seed, ramp=SHORT_RAMP
+        size,
+        n_services,
+        n_zones,
+        n_workspaces=8,
+        seed=seed,
+        ramp=deployments.SHORT_RAMP,
     )
     return plans.plan_deployment(
         deployment,
--- a/jayseam/bench/holdings.py
+++ b/jayseam/bench/holdings.py
@@ -7,7 +7,6 @@
 import argparse
 import gc
 import json
-import pathlib
 import subprocess
 import sys
 from collections.abc import Callable, Iterator, Sequence
@@ -20,6 +19,7 @@
 from jayseam import membership
 from jayseam.bench import experiments
 from jayseam.bench import figures
+from jayseam.bench import processes
 from jayseam.core import registries
 from jayseam.presets import documents
 from jayseam.presets import samples
@@ -125,11 +125,7 @@
 def read_private_bytes() -> int:
     """Returns the private memory of this process, after a collection."""
     gc.collect()
-    text = pathlib.Path('/proc/self/smaps_rollup').read_text(encoding='ascii')
-    for line in text.splitlines():
-        if line.startswith('Private_Dirty:'):
-            return int(line.split()[1]) * 1024
-    return 0
+    return processes.read_smaps('self')['Private_Dirty']
 
 
 def measure_growth(kind: str, count: int) -> float:
--- a/jayseam/bench/latency.py
+++ b/jayseam/bench/latency.py
@@ -1,7 +1,7 @@
 """Experiments on the call path: time added, throughput and memory."""
 
 import signal
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 import attrs
 import gevent
@@ -12,7 +12,6 @@
 from jayseam.bench import fleets
 from jayseam.bench import processes
 from jayseam.bench import stages
-from jayseam.core import clocks
 from jayseam.standins import clusters
 from jayseam.standins import vmlists
 
@@ -119,7 +118,7 @@
             through = figures.compute_percentile_ms(latencies, percentile)
             bound = None
             if percentile == 99 and label != 'not repeatable':
-                bound = experiments.Bound(experiments.AT_MOST, ADDED_LIMIT_MS)
+                bound = experiments.at_most(ADDED_LIMIT_MS)
             if rate_per_s != TARGET_RATE_PER_S:
                 bound = None
             yield experiments.Row(
@@ -146,10 +145,7 @@
     plan, key = fleets.plan_path_fleet(context.seed, _SERVICE_TIME)
     with clusters.Cluster(plan) as cluster:
         fleet = fleets.open_path_fleet(cluster, key)
-        pids = {
-            'entry': fleet.entry.process.pid,
-            'ingress': fleet.ingress.process.pid,
-        }
+        pids = _list_pids(fleet.roles)
         for n_callers in (1, 16):
             phase = callers.Phase(
                 'two nodes',
@@ -159,14 +155,12 @@
                 headers=fleet.headers,
                 callers=n_callers,
             )
-            before = {n: processes.read_cpu_s(p) for n, p in pids.items()}
+            meter = processes.CpuMeter(pids)
             outcome = callers.run_phases([phase], context.seed)[0]
             calls = len(outcome.latencies_s)
             used = {
-                f'{name}_us_per_call': round(
-                    1e6 * (processes.read_cpu_s(pid) - before[name]) / calls
-                )
-                for name, pid in pids.items()
+                f'{name}_us_per_call': round(1e6 * used_s / calls)
+                for name, used_s in meter.read_used_s().items()
             }
             yield experiments.Row(
                 f'{n_callers} callers',
@@ -195,7 +189,7 @@
     plan, key = fleets.plan_path_fleet(context.seed, _SERVICE_TIME)
     with clusters.Cluster(plan) as cluster:
         fleet = fleets.open_path_fleet(cluster, key)
-        roles = {'entry': fleet.entry, 'ingress': fleet.ingress}
+        roles = fleet.roles
         idle = _measure_cpu(roles, lambda: gevent.sleep(_IDLE_S))
         yield from _report_memory('idle', roles, MEMORY_LIMIT_MB)
         for name, share in idle.items():
@@ -222,25 +216,25 @@
             )
 
 
-def _measure_cpu(roles, act) -> dict[str, float]:
+def _measure_cpu(
+    roles: Mapping[str, vmlists.Vm], act: Callable[[], object]
+) -> dict[str, float]:
     """Returns the share of a core in percent that each VM's node uses."""
-    pids = {name: vm.process.pid for name, vm in roles.items()}
-    start = clocks.read_now()
-    before = {name: processes.read_cpu_s(pid) for name, pid in pids.items()}
+    meter = processes.CpuMeter(_list_pids(roles))
     act()
-    elapsed_s = clocks.read_now() - start
-    return {
-        name: 100 * (processes.read_cpu_s(pid) - before[name]) / elapsed_s
-        for name, pid in pids.items()
-    }
+    return {name: 100 * s for name, s in meter.read_shares().items()}
+
+
+def _list_pids(roles: Mapping[str, vmlists.Vm]) -> dict[str, int]:
+    return {name: vm.process.pid for name, vm in roles.items()}
 
 
 def _report_memory(
-    state: str, roles: dict[str, vmlists.Vm], limit_mb: float | None
+    state: str, roles: Mapping[str, vmlists.Vm], limit_mb: float | None
 ) -> Iterator[experiments.Row]:
     bound = None
     if limit_mb is not None:
-        bound = experiments.Bound(experiments.AT_MOST, limit_mb)
+        bound = experiments.at_most(limit_mb)
     for name, vm in roles.items():
         memory = processes.read_memory(vm.process.pid)
         yield experiments.Row(
--- /dev/null
+++ b/jayseam/bench/loadruns.py
@@ -0,0 +1,84 @@
+"""Runs of ``jayseam-load`` in a process of its own."""
+
+import json
+import pathlib
+import tempfile
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from jayseam.bench import children
+from jayseam.bench import experiments
+from jayseam.standins import errors
+from jayseam.tools import load
+from jayseam.tools import records as call_records
+
+# Calls carry this time limit; callers themselves wait a little longer.
+DEADLINE_MS = 1000
+PATIENCE_MS = 1100
+_EXTRA_S = 30.0
+# Exit status of the program for an invalid profile.
+_INVALID_PROFILE = 2
+
+
+@attrs.frozen
+class LoadRun:
+    """What a load generator in a process of its own reported.
+
+    Attributes:
+      records: All calls.
+      report: The JSON report.
+    """
+
+    records: list[call_records.CallRecord]
+    report: dict[str, Any]
+
+    @property
+    def conditions(self) -> dict[str, Any]:
+        """Whether the tool kept up, for the conditions of a row."""
+        return {
+            'calls': self.report['calls'],
+            'lagged': self.report['lagged'],
+            'tool_cpu_share': self.report['cpu_share'],
+            'outcomes': self.report['outcomes'],
+            'load_average': experiments.read_load_average(),
+        }
+
+
+def run_load(profile: Mapping[str, Any]) -> LoadRun:
+    """Runs ``jayseam-load`` as a process; other greenlets run meanwhile.
+
+    Raises:
+      ClusterError: If it fails or doesn't end in time.
+    """
+    with tempfile.TemporaryDirectory(prefix='jayseam-') as name:
+        directory = pathlib.Path(name)
+        paths = {
+            part: directory / f'{part}.json'
+            for part in ('profile', 'report', 'records')
+        }
+        paths['profile'].write_text(json.dumps(profile), encoding='utf-8')
+        ended = children.run_module(
+            load.__name__,
+            [
+                str(paths['profile']),
+                '--json',
+                str(paths['report']),
+                '--records',
+                str(paths['records']),
+            ],
+            directory / 'load.log',
+            profile['duration_s'] + _EXTRA_S,
+        )
+        if ended.status == _INVALID_PROFILE or not paths['report'].exists():
+            raise errors.ClusterError(ended.log_tail)
+        report = json.loads(paths['report'].read_text(encoding='utf-8'))
+        calls = call_records.read_records(str(paths['records']))
+        return LoadRun(calls, report)
+
+
+def is_in_time(record: call_records.CallRecord) -> bool:
+    """Tells whether a call was answered while its caller waited."""
+    elapsed_ms = 1000 * (record.ended - record.scheduled)
+    return record.outcome == 'ok' and elapsed_ms <= PATIENCE_MS
--- a/jayseam/bench/main.py
+++ b/jayseam/bench/main.py
@@ -9,12 +9,22 @@
 from jayseam.bench import experiments
 from jayseam.bench import holdings
 from jayseam.bench import latency
+from jayseam.bench import neighbours
+from jayseam.bench import overloads
 from jayseam.bench import publication
 from jayseam.bench import reports
-from jayseam.bench import service
+from jayseam.bench import zonemoves
 
 # Importing these modules registers their experiments.
-SUBJECTS = (latency, publication, control, service, holdings)
+SUBJECTS = (
+    latency,
+    publication,
+    control,
+    zonemoves,
+    neighbours,
+    overloads,
+    holdings,
+)
 DIRECTORY = pathlib.Path('bench') / 'out'
 
 
--- a/jayseam/bench/publication.py
+++ b/jayseam/bench/publication.py
@@ -138,11 +138,10 @@
         'samples': len(times),
         'load_average': experiments.read_load_average(),
     }
-    at_most = experiments.AT_MOST
     bounds = {
         50: None,
-        99: p99_limit_s and experiments.Bound(at_most, p99_limit_s),
-        100: experiments.Bound(at_most, max_limit_s),
+        99: p99_limit_s and experiments.at_most(p99_limit_s),
+        100: experiments.at_most(max_limit_s),
     }
     finite = [min(time, 100.0) for time in times]
     for percentile, bound in bounds.items():
@@ -249,9 +248,7 @@
             'at rest',
             meter.rest_kb_per_s,
             'KB/s',
-            experiments.Bound(
-                experiments.AT_MOST, control.BYTES_LIMIT_KB_PER_S
-            ),
+            experiments.at_most(control.BYTES_LIMIT_KB_PER_S),
             {'sent_bytes_per_s_by_message': meter.rest_by_message},
         )
         weight = meter.measure(
@@ -284,7 +281,7 @@
         '470 changes and 100 replacements a day, with the rest',
         meter.rest_kb_per_s + changes + replaced,
         'KB/s',
-        experiments.Bound(experiments.AT_MOST, control.BYTES_LIMIT_KB_PER_S),
+        experiments.at_most(control.BYTES_LIMIT_KB_PER_S),
         {'changes_kb_per_s': changes, 'replacements_kb_per_s': replaced},
     )
 
@@ -306,7 +303,7 @@
         f'{label}, in force everywhere',
         cost.seconds,
         's',
-        experiments.Bound(experiments.AT_MOST, LARGE_LIMIT_S),
+        experiments.at_most(LARGE_LIMIT_S),
     )
 
 
--- a/jayseam/standins/demo.py
+++ b/jayseam/standins/demo.py
@@ -3,37 +3,26 @@
 import argparse
 import sys
 from collections.abc import Callable, Iterable, Sequence
-from typing import Any
 
 import attrs
 import gevent
 
 from jayseam.core import clocks
 from jayseam.presets import documents
-from jayseam.presets import model
 from jayseam.presets import samples
 from jayseam.standins import clusters
 from jayseam.standins import convergence
+from jayseam.standins import deployments
 from jayseam.standins import edits
-from jayseam.standins import plans
 from jayseam.standins import referee
 from jayseam.tools import generators
 from jayseam.tools import loadreports
-from jayseam.tools import profiles
 from jayseam.tools import records
 
-_RAMP = model.Ramp(initial_slots=4, duration_s=1.0)
-_LOAD_S = 13.0
 _CONVERGENCE_LIMIT_S = 5.0
 _LEAVE_LIMIT_S = 3.0
-_OFFERED_SHARE = 0.5
-_ADMITTING_LIMIT_S = 12.0
 # Runs bunch up by the time that calls wait for tokens.
 _LATITUDE_S = 0.5
-_BUILDERS = {
-    'agence': samples.build_agence,
-    'leeuwenhoek': samples.build_leeuwenhoek,
-}
 
 
 @attrs.frozen
@@ -70,10 +59,12 @@
       name: ``agence`` or ``leeuwenhoek``.
       seed: Seed of keys and load.
     """
-    deployment = _BUILDERS[name](seed=seed, ramp=_RAMP)
-    with clusters.Cluster(build_plan(deployment)) as cluster:
-        wait_admitting(cluster, deployment)
-        profile = build_profile(cluster, deployment, seed)
+    deployment = deployments.BUILDERS[name](
+        seed=seed, ramp=deployments.SHORT_RAMP
+    )
+    with clusters.Cluster(deployments.build_plan(deployment)) as cluster:
+        deployments.wait_admitting(cluster, deployment)
+        profile = deployments.build_profile(cluster, deployment, seed)
         running = gevent.spawn(generators.run_load, profile)
         gevent.sleep(1.0)
         changes = _make_changes(cluster, deployment)
@@ -84,64 +75,6 @@
     return checks
 
 
-def build_plan(deployment: samples.Deployment) -> plans.ClusterPlan:
-    """Returns the cluster of a deployment."""
-    return plans.plan_deployment(
-        deployment,
-        backend={'service_time': {'kind': 'fixed', 'mean_ms': 5.0}},
-    )
-
-
-def wait_admitting(
-    cluster: clusters.Cluster, deployment: samples.Deployment
-) -> None:
-    """Waits until every node admits calls of a workspace.
-
-    After a start of the whole fleet, rates count from zero for some seconds.
-    """
-    route = next(r for r in deployment.preset.routes.values() if _is_keyed(r))
-    key = next(iter(deployment.plaintexts.values()))
-    for vm in cluster.vms:
-        cluster.wait_until(
-            lambda vm=vm: cluster.call(vm, route.prefix, key).status == 200,
-            _ADMITTING_LIMIT_S,
-        )
-
-
-def build_profile(
-    cluster: clusters.Cluster, deployment: samples.Deployment, seed: int
-) -> profiles.Profile:
-    """Returns load at half the rate of every workspace, over all routes."""
-    routes = []
-    for route in deployment.preset.routes.values():
-        entry: dict[str, Any] = {'path': f'{route.prefix}/1'}
-        if 'GET' not in route.methods:
-            entry.update(method='POST', body_bytes=200, share=0.5)
-            if not route.repeatable:
-                entry.update(repeatable=False, repeat_share=0.2)
-        routes.append(entry)
-    return profiles.parse_profile(
-        {
-            'targets': cluster.targets(),
-            'duration_s': _LOAD_S,
-            'seed': seed,
-            'workspaces': [
-                {
-                    'name': workspace.name,
-                    'key': deployment.plaintexts[workspace.name],
-                    'rate_per_s': workspace.rate_per_s * _OFFERED_SHARE,
-                    'routes': routes,
-                }
-                for workspace in deployment.preset.workspaces.values()
-            ],
-        }
-    )
-
-
-def _is_keyed(route: model.Route) -> bool:
-    return 'GET' in route.methods and not route.open_to_all
-
-
 def _make_changes(
     cluster: clusters.Cluster, deployment: samples.Deployment
 ) -> _Changes:
@@ -193,7 +126,9 @@
     cluster: clusters.Cluster, deployment: samples.Deployment, workspace: str
 ) -> Check:
     key = deployment.plaintexts[workspace]
-    route = next(r for r in deployment.preset.routes.values() if _is_keyed(r))
+    route = next(
+        r for r in deployment.preset.routes.values() if deployments.is_keyed(r)
+    )
     return _time_change(
         'key withdrawn everywhere',
         cluster,
@@ -293,8 +228,8 @@
 
 def keep_deployment(name: str) -> None:
     """Starts a deployment, tells how to call it, and waits for Ctrl-C."""
-    deployment = _BUILDERS[name](ramp=_RAMP)
-    with clusters.Cluster(build_plan(deployment)) as cluster:
+    deployment = deployments.BUILDERS[name](ramp=deployments.SHORT_RAMP)
+    with clusters.Cluster(deployments.build_plan(deployment)) as cluster:
         vm = next(iter(cluster.vms.values()))
         workspace, key = next(iter(deployment.plaintexts.items()))
         print(f'node {vm.name}: callers 127.0.0.1:{vm.caller_port},', end=' ')
@@ -316,7 +251,7 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Runs the demo; returns 0 only if every check held."""
     parser = argparse.ArgumentParser(prog='jayseam-demo', description=__doc__)
-    parser.add_argument('--keep', choices=sorted(_BUILDERS))
+    parser.add_argument('--keep', choices=sorted(deployments.BUILDERS))
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args(arguments)
     if options.keep:
@@ -324,7 +259,7 @@
         return 0
     print(f'seed {options.seed}', flush=True)
     passed = True
-    for name in _BUILDERS:
+    for name in deployments.BUILDERS:
         checks = run_deployment(name, options.seed)
         print(format_table(name, checks), flush=True)
         passed = passed and all(check.passed for check in checks)
--- a/jayseam/tools/profiles.py
+++ b/jayseam/tools/profiles.py
@@ -1,4 +1,4 @@
-"""Load profiles: what `jayseam.tools.load` sends, where and how fast."""
+"""Load profiles: what `jayseam.tools.generators` sends, where and how fast."""
 
 import json
 from collections.abc import Mapping, Sequence
