--- a/jayseam/node/tests/fleets.py
+++ b/jayseam/node/tests/fleets.py
@@ -11,15 +11,17 @@
 
 from jayseam.calls import idempotency
 from jayseam.core import clocks
+from jayseam.core import identifiers
 from jayseam.presets import documents
 from jayseam.presets import model
 from jayseam.presets import samples
 from jayseam.standins import clusters
 from jayseam.standins import exchanges
-from jayseam.tools import identifiers
+from jayseam.standins import plans
 from jayseam.standins import referee
-from jayseam.tools import load
+from jayseam.tools import generators
 from jayseam.tools import profiles
+from jayseam.tools import records as call_records
 
 SEED = int(os.environ.get('JAYSEAM_SEED', '1'))
 FAST_RAMP = model.Ramp(initial_slots=10, duration_s=0.1)
@@ -127,7 +129,7 @@
             timeout_s=8.0,
             **{**settings, **options},
         )
-        return gevent.spawn(load.run_load, profile)
+        return gevent.spawn(generators.run_load, profile)
 
     def wait_idle(self) -> None:
         """Waits until no backend server runs a call.
@@ -145,7 +147,7 @@
 
     def judge(
         self,
-        records: Sequence[load.CallRecord],
+        records: Sequence[call_records.CallRecord],
         latitude_s: float,
         ignored: Sequence[str] = (),
     ) -> list[referee.Violation]:
@@ -183,7 +185,7 @@
         'backend': {'service_time': {'kind': 'fixed', 'mean_ms': 2.0}},
         **plan,
     }
-    cluster_plan = clusters.plan_deployment(chosen, **settings)
+    cluster_plan = plans.plan_deployment(chosen, **settings)
     with clusters.Cluster(cluster_plan) as cluster:
         yield Fleet(cluster, chosen.plaintexts)
 
