Split the membership task into modules with one job each

Cause: membership/task.py had grown to 634 lines and mixed the state of the task with requests to other nodes, the comparison of views, the spacing of updates and the fields of heartbeats.

Change: the task keeps its state, mailbox and loops (363 lines). - events: messages of its mailbox - exchanges: heartbeats, pulls and probes sent to other members - reconciliation: what differs between two views and what to send - outbox: changed records, their spacing and their receivers - heartbeats: fields of other tasks, and followers - lists: what the VM list and the age of dead members decide - neighbourhoods: neighbours and watched members, once for each view - callbacks: calls that log what they raise Behaviour, messages and log events are unchanged. Tests use the new places of moved functions and check as much as before; new ones cover the spacing of updates, their receivers and the count of mismatches without links.

Ruled out: one class for each kind of exchange, because heartbeats start pulls and both share the guard against pulling twice at once.

--- a/jayseam/membership/task.py
+++ b/jayseam/membership/task.py
@@ -15,77 +15,31 @@
 from jayseam.core import clocks
 from jayseam.core import errors as core_errors
 from jayseam.core import logs
-from jayseam.core import rendezvous
 from jayseam.core import tasks
 from jayseam.core import tickers
-from jayseam.links import errors as link_errors
 from jayseam.links import handlers as handlers_module
 from jayseam.links import manager
+from jayseam.membership import callbacks
 from jayseam.membership import detection
-from jayseam.membership import errors
+from jayseam.membership import events
+from jayseam.membership import exchanges
+from jayseam.membership import heartbeats
+from jayseam.membership import lists
 from jayseam.membership import messages
+from jayseam.membership import neighbourhoods
+from jayseam.membership import outbox
+from jayseam.membership import reconciliation
 from jayseam.membership import records
-from jayseam.membership import topology
 from jayseam.membership import views
 
-HEARTBEAT_S = 1.0
-REQUEST_TIMEOUT_S = 1.0
-PROBERS = 2
-# Changes within this time share one message, which bounds the traffic when
-# many members start at once.
-UPDATE_INTERVAL_S = 0.05
-MAX_UPDATE_RECORDS = 256
-PULL_BUCKETS = 8
-# A difference that persists for two heartbeats is no update in flight.
-PULL_AFTER_MISMATCHES = 2
 REVIVAL_S = 2.0
 REJOIN_S = 10.0
-DEAD_RETENTION_S = 600.0
 
 Subscriber = Callable[[views.View, views.Records], None]
 
 _log = logs.get_logger(__name__)
 
 
-@attrs.frozen
-class _Merge:
-    records: tuple[records.MemberRecord, ...]
-    source: str | None
-
-
-@attrs.frozen
-class _OwnChange:
-    state: str | None
-    backend: str | None
-
-
-@attrs.frozen
-class _VmList:
-    records: tuple[records.MemberRecord, ...]
-
-
-@attrs.frozen
-class _Heard:
-    vm: str
-    now: float
-    indirect: bool
-
-
-@attrs.frozen
-class _Tick:
-    """Judges the watched members."""
-
-
-@attrs.frozen
-class _Flush:
-    """Sends the changed records."""
-
-
-@attrs.frozen
-class _Drop:
-    """Drops members that have been dead for long."""
-
-
 class MembershipTask(tasks.Task):
     """Keeps the view of the members and detects failures.
 
@@ -115,35 +69,36 @@
         self._links = links
         self._seeds = tuple(seeds)
         self._detector = detection.create_detector(now)
-        self._fields: dict[str, Callable[[], Any]] = {}
-        self._field_readers: dict[str, list[Callable[[str, Any], None]]] = {}
+        self._fields = heartbeats.Fields()
+        self._followers = heartbeats.Followers()
+        self._outbox = outbox.Outbox()
+        self._neighbourhoods = neighbourhoods.NeighbourhoodCache()
+        self._exchanges = exchanges.Exchanges(
+            own.vm, links, self._fields, lambda: self.view, self._send_quietly
+        )
         self._subscribers: list[Subscriber] = []
-        self._followers: dict[str, float] = {}
-        self._mismatches: dict[str, int] = {}
         self._listed: frozenset[str] = frozenset()
-        self._outgoing: dict[str, tuple[records.MemberRecord, str | None]] = {}
-        self._flush = _FlushTimer()
-        self._pulling = False
-        self._near: tuple[views.View, tuple] | None = None
         self._loops: list[gevent.Greenlet] = []
-        for kind, function in (
-            (_Merge, self._take_records),
-            (_OwnChange, self._take_own_change),
-            (_VmList, self._take_vm_list),
-            (_Heard, self._take_sign_of_life),
-            (_Tick, self._take_tick),
-            (_Flush, self._take_flush),
-            (_Drop, self._take_drop),
-        ):
-            self.handle(kind, function)
-        for kind, function in (
-            (messages.MemberUpdate, self._on_update),
-            (messages.Heartbeat, self._on_heartbeat),
-            (messages.PullSummary, self._on_pull_summary),
-            (messages.PullRecords, self._on_pull_records),
-            (messages.Probe, self._on_probe),
-        ):
-            handlers.register(kind, function)
+        self._handle_events()
+        self._handle_messages(handlers)
+
+    def _handle_events(self) -> None:
+        self.handle(events.Merge, self._take_records)
+        self.handle(events.OwnChange, self._take_own_change)
+        self.handle(events.VmList, self._take_vm_list)
+        self.handle(events.Heard, self._take_sign_of_life)
+        self.handle(events.Tick, self._take_tick)
+        self.handle(events.Flush, self._take_flush)
+        self.handle(events.Drop, self._take_drop)
+
+    def _handle_messages(
+        self, handlers: handlers_module.HandlerRegistry
+    ) -> None:
+        handlers.register(messages.MemberUpdate, self._on_update)
+        handlers.register(messages.Heartbeat, self._on_heartbeat)
+        handlers.register(messages.PullSummary, self._on_pull_summary)
+        handlers.register(messages.PullRecords, self._on_pull_records)
+        handlers.register(messages.Probe, self._on_probe)
 
     @property
     def own(self) -> records.MemberRecord:
@@ -184,7 +139,7 @@
             raise ValueError(f'own state cannot be {state!r}')
         if backend is not None and backend not in records.BACKENDS:
             raise ValueError(f'unknown backend state {backend!r}')
-        self.send(_OwnChange(state, backend))
+        self.send(events.OwnChange(state, backend))
 
     def merge_vms(self, entries: Iterable[Mapping[str, Any]]) -> None:
         """Takes the VM list: adds unknown VMs and marks VMs as leaving.
@@ -192,19 +147,11 @@
         Entries are those of ``GET /v1/vms``. An invalid entry is logged and
         skipped, because one wrong entry must not hide the others.
         """
-        listed = []
-        for entry in entries:
-            try:
-                listed.append(records.read_vm_entry(entry))
-            except errors.VmListError as error:
-                _log.warning(
-                    'membership.vm_entry_invalid', extra={'detail': str(error)}
-                )
-        self.send(_VmList(tuple(listed)))
+        self.send(events.VmList(lists.read_entries(entries)))
 
     def neighbours(self) -> tuple[str, ...]:
         """Returns the alive or suspect VMs that this node heartbeats."""
-        return self._choose_near()[0]
+        return self._find_neighbourhood().neighbours
 
     def resolve(self, vm: str) -> manager.Address | None:
         """Returns the link address of a VM, for `LinkManager`."""
@@ -222,9 +169,7 @@
         Raises:
           ValueError: If the name is taken.
         """
-        if name in self._fields:
-            raise ValueError(f'heartbeat field {name!r} is already added')
-        self._fields[name] = function
+        self._fields.add(name, function)
 
     def on_heartbeat(
         self, name: str, function: Callable[[str, Any], None]
@@ -233,55 +178,30 @@
 
         The value comes from another node: check its type.
         """
-        self._field_readers.setdefault(name, []).append(function)
-
-    def _choose_near(self) -> tuple[tuple[str, ...], tuple[str, ...]]:
-        """Returns the neighbours and the watched members, once for each view.
+        self._fields.subscribe(name, function)
 
-        Leaving members are watched too, so that their end is noticed.
-        """
-        if self._near is None or self._near[0] is not self.view:
-            neighbours = self._find_neighbours(views.is_live)
-            watched = self._find_neighbours(lambda r: r.state != 'dead')
-            self._near = self.view, (neighbours, watched)
-        return self._near[1]
-
-    def _find_neighbours(
-        self, accepts: Callable[[records.MemberRecord], bool]
-    ) -> tuple[str, ...]:
-        zones: dict[str, list[str]] = {}
-        for record in self.view.members.values():
-            if record.vm != self._own.vm and accepts(record):
-                zones.setdefault(record.zone, []).append(record.vm)
-        return topology.find_neighbours(self._own.vm, self._own.zone, zones)
+    def _find_neighbourhood(self) -> neighbourhoods.Neighbourhood:
+        return self._neighbourhoods.find(self.view, self._own)
 
     # Messages to the task.
 
-    def _take_records(self, message: _Merge) -> None:
-        self._apply(message.records, message.source)
+    def _take_records(self, merge: events.Merge) -> None:
+        self._apply(merge.records, merge.source)
 
-    def _take_own_change(self, change: _OwnChange) -> None:
+    def _take_own_change(self, change: events.OwnChange) -> None:
         state = change.state or self._own.state
         backend = change.backend or self._own.backend
         if (state, backend) != (self._own.state, self._own.backend):
             self._set_own(attrs.evolve(self._own, state=state, backend=backend))
 
-    def _take_vm_list(self, message: _VmList) -> None:
-        members = self.view.members
-        self._listed = frozenset(record.vm for record in message.records)
-        received = []
-        for record in message.records:
-            known = members.get(record.vm)
-            if record.vm == self._own.vm:
-                continue
-            if known is None:
-                received.append(record)
-            elif record.state == 'leaving' and not self._hears(record.vm):
-                # A member that is wrongly marked refutes it.
-                received.append(attrs.evolve(known, state='leaving'))
+    def _take_vm_list(self, vm_list: events.VmList) -> None:
+        self._listed = frozenset(record.vm for record in vm_list.records)
+        received = lists.choose_listed(
+            self.view, self._own.vm, vm_list.records, self._hears
+        )
         self._apply(received, None)
 
-    def _take_sign_of_life(self, sign: _Heard) -> None:
+    def _take_sign_of_life(self, sign: events.Heard) -> None:
         self._detector = detection.hear(
             self._detector, sign.vm, sign.now, sign.indirect
         )
@@ -290,71 +210,61 @@
             # The member refutes the state as soon as it learns of it.
             self._links.notify(sign.vm, messages.MemberUpdate([record]))
 
-    def _take_tick(self, _: _Tick) -> None:
+    def _take_tick(self, _: events.Tick) -> None:
         now = clocks.read_now()
+        watched = self._find_neighbourhood().watched
         detector = detection.tick(self._detector, now)
-        detector = detection.follow(detector, self._choose_near()[1], now)
+        detector = detection.follow(detector, watched, now)
         self._detector, verdicts = detection.judge(detector, now)
         for verdict in verdicts:
             if verdict.kind == 'probe':
-                gevent.spawn(self._request_probes, verdict.vm)
+                gevent.spawn(self._exchanges.request_probes, verdict.vm)
             else:
                 self._condemn(verdict)
 
-    def _take_flush(self, _: _Flush) -> None:
-        self._flush.finish(clocks.read_now())
-        outgoing, self._outgoing = self._outgoing, {}
-        own_news = [r for r, source in outgoing.values() if source is None]
-        near = set(self.neighbours()) | set(self._followers)
+    def _take_flush(self, _: events.Flush) -> None:
+        changes = self._outbox.flush(clocks.read_now())
+        near = self._followers.list_vms().union(self.neighbours())
         for vm in self._links.connected():
-            changed = list(own_news)
-            if vm in near:
-                changed += [
-                    record
-                    for record, source in outgoing.values()
-                    if source not in (None, vm)
-                ]
-            for start in range(0, len(changed), MAX_UPDATE_RECORDS):
-                part = changed[start : start + MAX_UPDATE_RECORDS]
-                self._links.notify(vm, messages.MemberUpdate(part))
-
-    def _take_drop(self, _: _Drop) -> None:
-        now = clocks.read_now()
-        old = {
-            vm
-            for vm, record in self.view.members.items()
-            if record.state == 'dead'
-            and vm not in self._listed
-            and now - self.view.since[vm] > DEAD_RETENTION_S
-        }
-        if old:
-            self.view = self.view.without(old)
-            for vm in old:
-                self._mismatches.pop(vm, None)
+            chosen = outbox.choose_records(changes, vm, vm in near)
+            for batch in outbox.cut_batches(chosen):
+                self._links.notify(vm, messages.MemberUpdate(batch))
+
+    def _take_drop(self, _: events.Drop) -> None:
+        expired = lists.find_expired(self.view, self._listed, clocks.read_now())
+        if not expired:
+            return
+        self.view = self.view.without(expired)
+        for vm in expired:
+            self._exchanges.forget_digest(vm)
 
     # Changes of the view.
 
     def _apply(
         self, received: Iterable[records.MemberRecord], source: str | None
     ) -> None:
+        """Merges records; tells subscribers and other members the changes."""
         now = clocks.read_now()
         self.view, changes = self.view.update(received, now)
         if not changes:
             return
-        for record in changes:
-            self._outgoing[record.vm] = record, source
+        self._outbox.add(changes, source)
         held = self.view.members[self._own.vm]
         if held != self._own:
             self._refute(held)
         for callback in self._subscribers:
-            self._call(callback, self.view, changes)
-        delay_s = self._flush.plan(now)
+            callbacks.call_safely(callback, self.view, changes)
+        self._plan_flush(now)
+
+    def _plan_flush(self, now: float) -> None:
+        delay_s = self._outbox.plan(now)
         if delay_s == 0:
-            self._take_flush(_Flush())
+            self._take_flush(events.Flush())
         elif delay_s is not None:
-            gevent.spawn_later(delay_s, self._send_quietly, _Flush())
+            gevent.spawn_later(delay_s, self._send_quietly, events.Flush())
 
     def _refute(self, held: records.MemberRecord) -> None:
+        """Answers a record of the own VM that this node did not make."""
         if held.incarnation > self._own.incarnation:
             if not self.replaced:
                 _log.warning('membership.replaced', extra={'vm': held.vm})
@@ -368,267 +278,86 @@
 
     def _condemn(self, verdict: detection.Verdict) -> None:
         known = self.view.members.get(verdict.vm)
-        if known is not None:
-            _log.info(
-                'membership.verdict',
-                extra={'member': verdict.vm, 'verdict': verdict.kind},
-            )
-            self._apply([attrs.evolve(known, state=verdict.kind)], None)
+        if known is None:
+            return
+        _log.info(
+            'membership.verdict',
+            extra={'member': verdict.vm, 'verdict': verdict.kind},
+        )
+        self._apply([attrs.evolve(known, state=verdict.kind)], None)
 
     def _hears(self, vm: str) -> bool:
         watch = self._detector.watches.get(vm)
         return watch is not None and watch.suspected_at is None
 
-    def _call(self, function: Callable, *arguments: Any) -> None:
-        try:
-            function(*arguments)
-        except Exception:  # pylint: disable=broad-exception-caught
-            # A failing callback must not affect the membership.
-            _log.exception('membership.callback_failed')
-
     # Messages from other nodes.
 
     def _on_update(
         self, peer: handlers_module.PeerInfo, update: messages.MemberUpdate
     ) -> None:
-        self.send(_Merge(tuple(update.records), peer.vm))
+        self.send(events.Merge(tuple(update.records), peer.vm))
 
     def _on_heartbeat(
         self, peer: handlers_module.PeerInfo, heartbeat: messages.Heartbeat
     ) -> messages.Heartbeat:
-        self._followers[peer.vm] = clocks.read_now()
-        self._read_heartbeat(peer.vm, heartbeat)
-        return self._create_heartbeat()
+        self._followers.hear(peer.vm, clocks.read_now())
+        self._exchanges.read_heartbeat(peer.vm, heartbeat)
+        return self._exchanges.create_heartbeat()
 
     def _on_pull_summary(self, *_: Any) -> messages.Summary:
-        return messages.Summary(_shorten(self.view.buckets))
+        return messages.Summary(reconciliation.summarize(self.view))
 
     def _on_pull_records(
         self, _: handlers_module.PeerInfo, pull: messages.PullRecords
     ) -> messages.Records:
-        return compare_records(self.view, pull)
+        return reconciliation.compare_records(self.view, pull)
 
     def _on_probe(
         self, _: handlers_module.PeerInfo, probe: messages.Probe
     ) -> messages.ProbeResult:
-        return messages.ProbeResult(self._beat(probe.vm))
+        return messages.ProbeResult(self._exchanges.beat(probe.vm))
 
-    # Loops and exchanges.
+    # Loops.
 
     def _run_ticks(self) -> None:
         while True:
             tickers.wait_tick(detection.TICK_S)
-            self._send_quietly(_Tick())
+            self._send_quietly(events.Tick())
 
     def _run_heartbeats(self) -> None:
-        gevent.sleep(random.uniform(0, HEARTBEAT_S))
+        gevent.sleep(random.uniform(0, heartbeats.HEARTBEAT_S))
         revived_at = clocks.read_now()
         while True:
             now = clocks.read_now()
-            self._forget_followers(now)
+            self._followers.forget_silent(now)
             for vm in self._choose_heartbeat_targets():
-                gevent.spawn(self._beat, vm)
+                gevent.spawn(self._exchanges.beat, vm)
             if now - revived_at >= REVIVAL_S:
                 revived_at = now
                 self._revive()
-                self._send_quietly(_Drop())
-            gevent.sleep(HEARTBEAT_S)
-
-    def _run_joins(self) -> None:
-        while True:
-            joined = [self._join(seed) for seed in self._seeds]
-            if not self._seeds or any(joined):
-                gevent.sleep(REJOIN_S)
-                while self.neighbours():
-                    gevent.sleep(REJOIN_S)
-            else:
-                gevent.sleep(random.uniform(0.5, 1.5) * HEARTBEAT_S)
-
-    def _join(self, seed: manager.Address) -> bool:
-        try:
-            vm = self._links.dial_address(*seed)
-        except link_errors.LinkError:
-            return False
-        return self._beat(vm) and self._pull(vm, views.BUCKETS)
+                self._send_quietly(events.Drop())
+            gevent.sleep(heartbeats.HEARTBEAT_S)
 
     def _choose_heartbeat_targets(self) -> set[str]:
         return set(self.neighbours()).union(self._detector.watches)
 
-    def _forget_followers(self, now: float) -> None:
-        for vm, heard_at in list(self._followers.items()):
-            if now - heard_at > 3 * HEARTBEAT_S:
-                del self._followers[vm]
-
     def _revive(self) -> None:
         """Tries one dead member, so that healed partitions find each other."""
         dead = [r.vm for r in self.view.members.values() if r.state == 'dead']
         if dead:
-            gevent.spawn(self._beat, random.choice(dead))
-
-    def _beat(self, vm: str) -> bool:
-        try:
-            reply = self._links.request(
-                vm, self._create_heartbeat(), REQUEST_TIMEOUT_S
-            )
-        except link_errors.LinkError:
-            return False
-        if not isinstance(reply, messages.Heartbeat):
-            return False
-        self._read_heartbeat(vm, reply)
-        self._compare_digest(vm, reply.digest)
-        return True
-
-    def _create_heartbeat(self) -> messages.Heartbeat:
-        fields = {}
-        for name, function in self._fields.items():
-            value = function()
-            if value is not None:
-                fields[name] = value
-        return messages.Heartbeat(self.view.digest, fields)
-
-    def _read_heartbeat(self, vm: str, heartbeat: messages.Heartbeat) -> None:
-        self._send_quietly(_Heard(vm, clocks.read_now(), indirect=False))
-        for name, value in heartbeat.fields.items():
-            for function in self._field_readers.get(name, ()):
-                self._call(function, vm, value)
-
-    def _compare_digest(self, vm: str, digest: bytes) -> None:
-        if digest == self.view.digest:
-            self._mismatches.pop(vm, None)
-            return
-        count = self._mismatches.get(vm, 0) + 1
-        self._mismatches[vm] = count
-        if count >= PULL_AFTER_MISMATCHES and not self._pulling:
-            self._mismatches.pop(vm)
-            self._pull(vm, PULL_BUCKETS)
-
-    def _pull(self, vm: str, max_buckets: int) -> bool:
-        """Reconciles up to ``max_buckets`` buckets with another member."""
-        self._pulling = True
-        try:
-            summary = self._links.request(
-                vm, messages.PullSummary(), REQUEST_TIMEOUT_S
-            )
-            own = _shorten(self.view.buckets)
-            buckets = [
-                i for i, value in enumerate(summary.buckets) if value != own[i]
-            ]
-            random.shuffle(buckets)
-            for start in range(0, min(len(buckets), max_buckets), PULL_BUCKETS):
-                self._pull_buckets(vm, buckets[start : start + PULL_BUCKETS])
-        except (link_errors.LinkError, AttributeError):
-            # AttributeError: the reply is of another class.
-            return False
-        finally:
-            self._pulling = False
-        return True
-
-    def _pull_buckets(self, vm: str, buckets: list[int]) -> None:
-        asked = messages.PullRecords(buckets, known_hashes(self.view, buckets))
-        reply = self._links.request(vm, asked, REQUEST_TIMEOUT_S)
-        newer = choose_newer(self.view, reply)
-        self._send_quietly(_Merge(tuple(reply.records), vm))
-        if newer:
-            self._links.notify(vm, messages.MemberUpdate(newer))
-
-    def _request_probes(self, vm: str) -> None:
-        others = [r.vm for r in self.view.live() if r.state == 'alive']
-        others = [name for name in others if name not in (vm, self._own.vm)]
-        near = [name for name in others if name in self._links.connected()]
-        for prober in rendezvous.rank(vm, near or others)[:PROBERS]:
-            gevent.spawn(self._request_probe, prober, vm)
-
-    def _request_probe(self, prober: str, vm: str) -> None:
-        try:
-            result = self._links.request(
-                prober, messages.Probe(vm), 2 * REQUEST_TIMEOUT_S
-            )
-        except link_errors.LinkError:
-            return
-        if isinstance(result, messages.ProbeResult) and result.reachable:
-            self._send_quietly(_Heard(vm, clocks.read_now(), indirect=True))
+            gevent.spawn(self._exchanges.beat, random.choice(dead))
+
+    def _run_joins(self) -> None:
+        """Asks the seeds until one answers, and again without neighbours."""
+        while True:
+            joined = [self._exchanges.join(seed) for seed in self._seeds]
+            if not self._seeds or any(joined):
+                gevent.sleep(REJOIN_S)
+                while self.neighbours():
+                    gevent.sleep(REJOIN_S)
+            else:
+                gevent.sleep(random.uniform(0.5, 1.5) * heartbeats.HEARTBEAT_S)
 
     def _send_quietly(self, message: Any) -> None:
         with contextlib.suppress(core_errors.TaskStoppedError):
             self.send(message)
-
-
-class _FlushTimer:
-    """Spaces the flushes of changed records."""
-
-    def __init__(self):
-        self._flushed_at = float('-inf')
-        self._planned = False
-
-    def plan(self, now: float) -> float | None:
-        """Returns the delay in seconds of the next flush, None if planned."""
-        if self._planned:
-            return None
-        self._planned = True
-        return max(0.0, self._flushed_at + UPDATE_INTERVAL_S - now)
-
-    def finish(self, now: float) -> None:
-        """Records a flush."""
-        self._flushed_at = now
-        self._planned = False
-
-
-def known_hashes(view: views.View, buckets: Iterable[int]) -> dict[str, int]:
-    """Returns the short hash of each record in some buckets, by VM.
-
-    The hash of a dead record is 0.
-    """
-    return {
-        record.vm: _shorten_one(records.hash_record(record))
-        for bucket in buckets
-        for record in view.bucket_members(bucket)
-    }
-
-
-def compare_records(
-    view: views.View, pull: messages.PullRecords
-) -> messages.Records:
-    """Returns what the asker lacks and what it should send.
-
-    Dead records are included only where the asker holds another record, so
-    members that it has dropped do not come back.
-    """
-    changed, wanted = [], []
-    held = set()
-    for bucket in set(pull.buckets):
-        for record in view.bucket_members(bucket):
-            held.add(record.vm)
-            known = pull.known.get(record.vm)
-            if known is None and record.state == 'dead':
-                continue
-            if known != _shorten_one(records.hash_record(record)):
-                changed.append(record)
-                if known is not None:
-                    wanted.append(record.vm)
-    wanted += [
-        vm for vm, known in pull.known.items() if known and vm not in held
-    ]
-    return messages.Records(changed, wanted)
-
-
-def choose_newer(
-    view: views.View, reply: messages.Records
-) -> list[records.MemberRecord]:
-    """Returns the wanted records that replace those in the reply."""
-    theirs = {record.vm: record for record in reply.records}
-    newer = []
-    for vm in reply.wanted:
-        own, other = view.members.get(vm), theirs.get(vm)
-        if own is None:
-            continue
-        if other is None or records.merge(own, other) != other:
-            newer.append(own)
-    return newer
-
-
-def _shorten(hashes: Iterable[int]) -> list[int]:
-    return [_shorten_one(value) for value in hashes]
-
-
-def _shorten_one(value: int) -> int:
-    return value & 0xFFFFFFFF
--- a/jayseam/membership/tests/test_rules.py
+++ b/jayseam/membership/tests/test_rules.py
@@ -1,4 +1,4 @@
-"""Tests of the pure parts: records, views, detection and topology."""
+"""Tests of the pure parts: records, views, detection, outbox and others."""
 
 import functools
 
@@ -9,8 +9,9 @@
 
 from jayseam.membership import detection
 from jayseam.membership import messages
+from jayseam.membership import outbox
+from jayseam.membership import reconciliation
 from jayseam.membership import records
-from jayseam.membership import task
 from jayseam.membership import topology
 from jayseam.membership import views
 from jayseam.membership.tests import members
@@ -79,9 +80,11 @@
     """One exchange of a pull must leave both sides with the same view."""
     own, other = views.create_view(ours, 0.0), views.create_view(theirs, 0.0)
     buckets = list(range(views.BUCKETS))
-    known = task.known_hashes(own, buckets)
-    reply = task.compare_records(other, messages.PullRecords(buckets, known))
-    newer = task.choose_newer(own, reply)
+    known = reconciliation.known_hashes(own, buckets)
+    reply = reconciliation.compare_records(
+        other, messages.PullRecords(buckets, known)
+    )
+    newer = reconciliation.choose_newer(own, reply)
     own, _ = own.update(reply.records, 1.0)
     other, _ = other.update(newer, 1.0)
     assert own.digest == other.digest
@@ -225,3 +228,49 @@
         0,
     )
     assert counts == len(left) * min(2, len(left) - 1)
+
+
+def test_outbox_spaces_its_flushes():
+    """Many members that start at once must not cost a message each."""
+    box = outbox.Outbox()
+    first, second = members.create_record('a'), members.create_record('b')
+    box.add([first], 'x')
+    assert box.plan(10.0) == 0.0 and box.plan(10.0) is None
+    assert box.flush(10.0) == (outbox.Change(first, 'x'),)
+    assert not box.flush(10.0)
+    newer = attrs.evolve(first, sequence=5)
+    box.add([first, second], 'x')
+    box.add([newer], None)
+    assert box.plan(10.02) == pytest.approx(outbox.UPDATE_INTERVAL_S - 0.02)
+    assert set(box.flush(10.05)) == {
+        outbox.Change(newer, None),
+        outbox.Change(second, 'x'),
+    }
+
+
+def test_updates_are_not_sent_back_or_spread_by_everyone():
+    """Every node passing on every change would flood the fleet."""
+    own, other = members.create_record('own'), members.create_record('other')
+    changes = [outbox.Change(other, 'x'), outbox.Change(own, None)]
+    assert outbox.choose_records(changes, 'near', True) == [own, other]
+    assert outbox.choose_records(changes, 'far', False) == [own]
+    assert outbox.choose_records(changes, 'x', True) == [own]
+
+
+def test_updates_are_cut_into_messages():
+    """A frame with all records of a large fleet would close the link."""
+    record = members.create_record('a')
+    sizes = [len(b) for b in outbox.cut_batches([record] * 600)]
+    assert sizes == [256, 256, 88] and not list(outbox.cut_batches([]))
+
+
+def test_only_a_lasting_difference_is_pulled():
+    """Each update in flight would otherwise cost a pull."""
+    mismatches = reconciliation.Mismatches()
+    assert not mismatches.note('a', True)
+    assert not mismatches.note('a', False)
+    assert not mismatches.note('a', True)
+    assert not mismatches.note('b', True)
+    assert mismatches.note('a', True)
+    mismatches.forget('a')
+    assert not mismatches.note('a', True)
--- a/jayseam/membership/tests/test_task.py
+++ b/jayseam/membership/tests/test_task.py
@@ -7,7 +7,8 @@
 import pytest
 
 from jayseam.links.tests import nodes
-from jayseam.membership import task
+from jayseam.membership import events
+from jayseam.membership import lists
 from jayseam.membership.tests import members
 
 
@@ -64,7 +65,7 @@
     everyone = fleet.fill(6, zones=2)
     target = everyone[3]
     wrong = attrs.evolve(target.task.own, state=state)
-    everyone[0].task.send(task._Merge((wrong,), None))
+    everyone[0].task.send(events.Merge((wrong,), None))
     assert members.wait_until(
         lambda: all(
             member.task.view.members[target.vm].sequence == 1
@@ -173,7 +174,7 @@
     """The older of two processes of a VM must not fight for the record."""
     everyone = fleet.fill(3, zones=1)
     newer = attrs.evolve(everyone[1].task.own, incarnation=2)
-    everyone[0].task.send(task._Merge((newer,), None))
+    everyone[0].task.send(events.Merge((newer,), None))
     assert members.wait_until(lambda: everyone[1].task.replaced)
     gevent.sleep(0.2)
     assert everyone[0].task.view.members['vm-01'].incarnation == 2
@@ -240,7 +241,7 @@
 
 def test_long_dead_members_are_dropped(fleet, monkeypatch):
     """Replaced VMs must not fill the view for ever."""
-    monkeypatch.setattr(task, 'DEAD_RETENTION_S', 0.5)
+    monkeypatch.setattr(lists, 'DEAD_RETENTION_S', 0.5)
     everyone = fleet.fill(4, zones=1)
     everyone[3].kill()
     assert all_see(everyone[:3], 'vm-03', 'dead')
