Split the distribution task and its fetcher, and share the retry with jitter

Cause: distribution/task.py had grown to 771 lines and fetching.py to 395. They mixed state, decisions, requests to peers, watches of the source and the join. The fetcher, the join and source/watchers each kept a backoff and its random numbers by hand.

Ruled out: one fetcher for peers and source watches, because a watch has no offers to choose from and a fetch no connection that waits; they share the retry only.

--- a/jayseam/distribution/confirmations.py
+++ b/jayseam/distribution/confirmations.py
@@ -101,3 +101,31 @@
     if old is not None and old.confirmed_at > new.confirmed_at:
         return old
     return new
+
+
+class Numbering:
+    """Numbers the confirmations that this process gets from the source."""
+
+    def __init__(self, origin: str):
+        """Starts at one for each channel.
+
+        Args:
+          origin: Name of the process.
+        """
+        self._origin = origin
+        self._sequences: dict[str, int] = {}
+
+    def number(
+        self, channel: str, version: int, confirmed_at: float
+    ) -> Confirmation:
+        """Returns a confirmation with the next number of its channel.
+
+        >>> numbering = Numbering('a')
+        >>> numbering.number('keys', 7, 1.0).sequence
+        1
+        >>> numbering.number('keys', 7, 2.0).sequence
+        2
+        """
+        sequence = self._sequences.get(channel, 0) + 1
+        self._sequences[channel] = sequence
+        return Confirmation(version, self._origin, sequence, confirmed_at)
--- /dev/null
+++ b/jayseam/distribution/peers.py
@@ -0,0 +1,65 @@
+"""How the distribution reaches other nodes."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import attrs
+import gevent
+
+from jayseam.core import errors as core_errors
+from jayseam.core import logs
+from jayseam.distribution import messages
+
+_FAILURES = (core_errors.JayseamError, OSError, gevent.Timeout)
+_log = logs.get_logger(__name__)
+
+
+@attrs.frozen
+class Peers:
+    """The functions through which the task reaches other nodes.
+
+    Attributes:
+      request: ``request(vm, message, timeout_s)`` returns the reply.
+      broadcast: ``broadcast(message)`` sends to all open links.
+      notify: ``notify(vm, message)`` sends without waiting for a reply.
+      neighbours: Returns the VMs that get heartbeats.
+      live_in_zone: Returns the live VMs of the own zone.
+      seeds: Returns the VMs that a fresh node asks first; it may dial.
+    """
+
+    request: Callable[[str, Any, float], Any]
+    broadcast: Callable[[Any], Any]
+    notify: Callable[[str, Any], Any]
+    neighbours: Callable[[], Iterable[str]]
+    live_in_zone: Callable[[], Iterable[str]]
+    seeds: Callable[[], Iterable[str]] = tuple
+
+    def spawn_broadcast(self, message: Any) -> None:
+        """Sends to all open links without blocking."""
+        gevent.spawn(_send_quietly, self.broadcast, message)
+
+    def spawn_notify(self, vm: str, message: Any) -> None:
+        """Sends to one peer without blocking."""
+        gevent.spawn(_send_quietly, self.notify, vm, message)
+
+    def request_sync(
+        self, vm: str, sync: messages.Sync, timeout_s: float
+    ) -> messages.Heartbeat | None:
+        """Asks a peer for its versions; returns None if it gave none."""
+        try:
+            answer = self.request(vm, sync, timeout_s)
+        except _FAILURES as error:
+            _log.debug(
+                'distribution.sync_failed',
+                extra={'vm': vm, 'error': str(error)},
+            )
+            return None
+        return answer if isinstance(answer, messages.Heartbeat) else None
+
+
+def _send_quietly(function: Callable[..., Any], *args: Any) -> None:
+    """Sends what a later heartbeat repeats if it is lost."""
+    try:
+        function(*args)
+    except _FAILURES as error:
+        _log.debug('distribution.send_failed', extra={'error': str(error)})
--- /dev/null
+++ b/jayseam/distribution/reading.py
@@ -0,0 +1,109 @@
+"""The part of a node that reads the source, for as long as it is a reader."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from jayseam.core import logs
+from jayseam.distribution import exchange
+from jayseam.distribution import versions
+from jayseam.source import client as source_client
+from jayseam.source import errors as source_errors
+from jayseam.source import watchers
+
+_log = logs.get_logger(__name__)
+
+
+class SourceReader:
+    """Starts and ends the watches of the three channels."""
+
+    def __init__(
+        self,
+        vm: str,
+        zone: str,
+        client: source_client.SourceClient | None,
+        watch_wait_s: float,
+        send: Callable[[Any], Any],
+        held_version: Callable[[str], int],
+        count_failure: Callable[[str, Any], None],
+        uniform: Callable[[], float],
+    ):
+        """Prepares the reader.
+
+        Args:
+          vm: Name of the own VM.
+          zone: Own availability zone.
+          client: Client of the source; None if the node has none.
+          watch_wait_s: Wait of one watch, in seconds.
+          send: Takes a `SourceUpdate` or `SourceConfirmation`.
+          held_version: Returns the version held of a channel, or zero.
+          count_failure: Takes a channel and the error of a failed read.
+          uniform: Returns a random number in [0, 1).
+        """
+        self._vm = vm
+        self._zone = zone
+        self._client = client
+        self._watch_wait_s = watch_wait_s
+        self._send = send
+        self._held_version = held_version
+        self._count_failure = count_failure
+        self._uniform = uniform
+        self._watchers: list[watchers.SourceWatcher] = []
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether the node watches the source now."""
+        return bool(self._watchers)
+
+    @property
+    def url(self) -> str | None:
+        """URL of the source, None without one."""
+        return self._client.url if self._client else None
+
+    def update_role(self, live_vms: Iterable[str]) -> None:
+        """Starts or ends the watches when the node's role changes.
+
+        Args:
+          live_vms: Live VMs of the own zone.
+        """
+        if self._client is None:
+            return
+        should_read = exchange.is_reader(self._vm, self._zone, live_vms)
+        if should_read and not self._watchers:
+            _log.info('distribution.reader_started')
+            self._watchers = [self._build_watcher(c) for c in versions.CHANNELS]
+            for watcher in self._watchers:
+                watcher.start()
+        elif not should_read and self._watchers:
+            _log.info('distribution.reader_stopped')
+            self.stop()
+
+    def stop(self) -> None:
+        """Ends the watches."""
+        ended, self._watchers = self._watchers, []
+        for watcher in ended:
+            watcher.stop()
+
+    def read_once(self) -> None:
+        """Reads each channel once."""
+        if self._client is None:
+            return
+        for channel in versions.CHANNELS:
+            try:
+                outcome = watchers.read_channel(self._client, channel)
+            except source_errors.SourceError as error:
+                self._count_failure(channel, error)
+                continue
+            self._send(outcome.update)
+            self._send(outcome.confirmation)
+
+    def _build_watcher(self, channel: str) -> watchers.SourceWatcher:
+        return watchers.SourceWatcher(
+            self._client,
+            channel,
+            self._watch_wait_s,
+            self._send,
+            self._send,
+            lambda: self._held_version(channel) or None,
+            self._uniform,
+            self._count_failure,
+        )
--- /dev/null
+++ b/jayseam/distribution/status.py
@@ -0,0 +1,67 @@
+"""The state of the distribution for the status page, as JSON values."""
+
+from typing import Any
+
+from jayseam.distribution import memories
+from jayseam.distribution import messages
+from jayseam.distribution import rejections
+from jayseam.distribution import states
+
+
+def describe_channel(
+    state: states.State,
+    channel: str,
+    memory: memories.Memory,
+    reports: rejections.RejectionReports,
+    open_offers: int,
+    now: float,
+) -> dict[str, Any]:
+    """Returns what operators see of a channel.
+
+    Args:
+      state: What the node holds.
+      channel: The channel.
+      memory: The fleet's memory of versions.
+      reports: Rejections that peers told.
+      open_offers: Number of holders whose offer isn't settled.
+      now: Current time in seconds.
+    """
+    known = state.find_confirmations(channel)
+    version = state.store.version(channel)
+    is_confirmed = known.latest is not None and known.latest.version == version
+    return {
+        'version': version,
+        'digest': state.store.digest(channel),
+        'unconfirmed': not (is_confirmed and memory.is_trusted(now)),
+        'confirmation_age_s': known.compute_age(now),
+        'cached_bytes': state.cache(channel).count_bytes(),
+        'open_offers': open_offers,
+        'rejected': _describe_rejected(state, channel, reports),
+    }
+
+
+def _describe_rejected(state, channel, reports) -> list[dict[str, Any]]:
+    """Returns the own verdicts, then those that only peers have."""
+    own = [
+        rejections.build_report(
+            channel, item.version, item.digest, item.reasons
+        )
+        for item in state.store.rejections.get(channel, ())
+    ]
+    known = {(report.version, report.digest) for report in own}
+    told = [
+        report
+        for report in reports.list_for(channel)
+        if (report.version, report.digest) not in known
+        and report.version > state.store.version(channel)
+    ]
+    return [_describe_report(report) for report in own + told]
+
+
+def _describe_report(report: messages.Rejection) -> dict[str, Any]:
+    return {
+        'version': report.version,
+        'digest': report.digest,
+        'reasons': list(report.reasons),
+        'n_reasons': report.n_reasons,
+    }
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -3,7 +3,7 @@
 import functools
 import math
 import random
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -12,106 +12,31 @@
 from gevent import event
 
 from jayseam.core import clocks
-from jayseam.core import errors as core_errors
 from jayseam.core import logs
 from jayseam.core import tasks
 from jayseam.distribution import confirmations
+from jayseam.distribution import conflicts
 from jayseam.distribution import counters
-from jayseam.distribution import exchange
+from jayseam.distribution import events
 from jayseam.distribution import fetching
+from jayseam.distribution import joining
 from jayseam.distribution import memories
 from jayseam.distribution import messages
-from jayseam.distribution import parts
+from jayseam.distribution import offers
+from jayseam.distribution import peers as distribution_peers
+from jayseam.distribution import reading
 from jayseam.distribution import rejections
+from jayseam.distribution import states
+from jayseam.distribution import status
+from jayseam.distribution import syncing
 from jayseam.distribution import versions
-from jayseam.presets import model
-from jayseam.source import backoff
 from jayseam.source import client as source_client
-from jayseam.source import errors as source_errors
 from jayseam.source import watchers
 
 HEARTBEAT_S = 1.0
-_SYNC_TIMEOUT_S = 1.0
-# A fresh node's first pulls end well within this time.
-_JOIN_CHECK_S = 0.5
-_MAX_KNOWN_CONFLICTS = 256
 _log = logs.get_logger(__name__)
 
 
-@attrs.frozen
-class Snapshot:
-    """What is in force at a node. It is replaced whole, never changed.
-
-    Attributes:
-      preset: Preset in force, None before the first.
-      preset_version: Its version, zero before the first.
-      keys: Key set in force, None before the first.
-      keys_version: Its version, zero before the first.
-      vms: VM list, None before the first.
-      vms_version: Its version, zero before the first.
-    """
-
-    preset: model.Preset | None = None
-    preset_version: int = 0
-    keys: model.KeySet | None = None
-    keys_version: int = 0
-    vms: model.VmList | None = None
-    vms_version: int = 0
-
-
-@attrs.frozen
-class Peers:
-    """The functions through which the task reaches other nodes.
-
-    Attributes:
-      request: ``request(vm, message, timeout_s)`` returns the reply.
-      broadcast: ``broadcast(message)`` sends to all open links.
-      notify: ``notify(vm, message)`` sends without waiting for a reply.
-      neighbours: Returns the VMs that get heartbeats.
-      live_in_zone: Returns the live VMs of the own zone.
-      seeds: Returns the VMs that a fresh node asks first; it may dial.
-    """
-
-    request: Callable[[str, Any, float], Any]
-    broadcast: Callable[[Any], Any]
-    notify: Callable[[str, Any], Any]
-    neighbours: Callable[[], Iterable[str]]
-    live_in_zone: Callable[[], Iterable[str]]
-    seeds: Callable[[], Iterable[str]] = tuple
-
-
-@attrs.frozen
-class _State:
-    """Everything that a swap replaces, so that one assignment does it."""
-
-    store: versions.VersionStore = versions.VersionStore()
-    snapshot: Snapshot = Snapshot()
-    caches: Mapping[str, parts.PartCache] = attrs.field(factory=dict)
-    confirmed: Mapping[str, confirmations.ChannelConfirmations] = attrs.field(
-        factory=dict
-    )
-
-    def cache(self, channel: str) -> parts.PartCache:
-        return self.caches.get(channel, parts.PartCache())
-
-    def confirmations(self, channel: str) -> confirmations.ChannelConfirmations:
-        return self.confirmed.get(channel, confirmations.ChannelConfirmations())
-
-
-@attrs.frozen
-class _PeerStates:
-    vm: str
-    states: Sequence[messages.ChannelState]
-    heard_at: float
-    memory_s: float = 0.0
-
-
-@attrs.frozen
-class _PeerOffer:
-    vm: str
-    version: versions.Version
-
-
 class DistributionTask(tasks.Task):
     """Owns the versions of a node and passes them on to its peers.
 
@@ -124,7 +49,7 @@
         vm: str,
         incarnation: int,
         zone: str,
-        peers: Peers,
+        peers: distribution_peers.Peers,
         client: source_client.SourceClient | None = None,
         watch_wait_s: float = 10.0,
         registry: prometheus_client.CollectorRegistry | None = None,
@@ -144,52 +69,91 @@
         """
         super().__init__('distribution')
         self._vm = vm
-        self._zone = zone
-        self._origin = messages.shorten_origin(vm, incarnation)
         self._peers = peers
-        self._client = client
-        self._watch_wait_s = watch_wait_s
         self._uniform = uniform
         self._counters = counters.Counters(
             registry or prometheus_client.CollectorRegistry()
         )
-        self._state = _State()
+        self._state = states.State()
         self._memory = memories.Memory(clocks.read_now())
         self._reports = rejections.RejectionReports()
-        self._subscribers: list[Callable[[Snapshot, str], Any]] = []
-        self._sequences = dict.fromkeys(versions.CHANNELS, 0)
-        self._known_conflicts: dict[versions.Version, None] = {}
-        self._watchers: list[watchers.SourceWatcher] = []
-        self._may_read = event.Event()
+        self._conflicts = conflicts.KnownConflicts()
+        self._numbering = confirmations.Numbering(
+            messages.shorten_origin(vm, incarnation)
+        )
+        self._subscribers: list[Callable[[states.Snapshot, str], Any]] = []
         self._changed = event.Event()
         self._helpers: list[gevent.Greenlet] = []
+        self._reader = reading.SourceReader(
+            vm,
+            zone,
+            client,
+            watch_wait_s,
+            self.send,
+            self._read_version,
+            self._count_source_failure,
+            uniform,
+        )
+        self._syncer = syncing.Syncer(
+            peers, lambda: self._state, self._send_peer_states, self._changed
+        )
+        self._joiner = joining.Joiner(
+            self._ask_seeds,
+            self._reader.read_once,
+            lambda: len(self._state.store.held),
+            len(versions.CHANNELS),
+            self._changed,
+            uniform,
+        )
         self._fetchers = {
-            channel: self._build_fetcher(channel)
+            channel: self._build_fetcher(channel, client)
             for channel in versions.CHANNELS
         }
+        self._watch_ages()
+        self._handle_events()
+
+    def _build_fetcher(
+        self, channel: str, client: source_client.SourceClient | None
+    ) -> fetching.ChannelFetcher:
+        return fetching.ChannelFetcher(
+            channel,
+            self._peers.request,
+            client,
+            self._judge,
+            lambda: self._state.cache(channel),
+            functools.partial(self.ask, timeout_s=None),
+            self._counters,
+            uniform=self._uniform,
+        )
+
+    def _watch_ages(self) -> None:
         for channel in versions.CHANNELS:
             self._counters.confirmation_age.labels(channel).set_function(
                 functools.partial(self._read_age, channel)
             )
+
+    def _handle_events(self) -> None:
         self.handle(fetching.Fetched, self._take_fetched)
         self.handle(fetching.Refused, self._take_refused)
         self.handle(watchers.SourceUpdate, self._take_source_update)
         self.handle(watchers.SourceConfirmation, self._take_confirmation)
-        self.handle(_PeerStates, self._take_peer_states)
-        self.handle(_PeerOffer, self._take_peer_offer)
+        self.handle(events.PeerStates, self._take_peer_states)
+        self.handle(events.PeerOffer, self._take_peer_offer)
         self.handle(messages.Rejection, self._take_report)
 
     @property
-    def current(self) -> Snapshot:
+    def current(self) -> states.Snapshot:
         """What is in force now."""
         return self._state.snapshot
 
     @property
     def is_reader(self) -> bool:
         """Whether this node watches the source now."""
-        return bool(self._watchers)
+        return self._reader.is_watching
 
-    def subscribe(self, function: Callable[[Snapshot, str], Any]) -> None:
+    def subscribe(
+        self, function: Callable[[states.Snapshot, str], Any]
+    ) -> None:
         """Has ``function(snapshot, channel)`` called after each swap.
 
         It runs in the task's greenlet and must not block.
@@ -215,71 +179,17 @@
             fetcher.start()
         self._helpers = [
             gevent.spawn(self._run_heartbeats),
-            gevent.spawn(self._run_join),
+            gevent.spawn(self._joiner.run),
         ]
 
     def stop(self, timeout_s: float = 5.0) -> None:
         """Ends the watches, fetches and the task."""
         gevent.killall(self._helpers)
-        self._stop_watchers()
+        self._reader.stop()
         for fetcher in self._fetchers.values():
             fetcher.stop()
         super().stop(timeout_s)
 
-    def handle_announce(self, peer: Any, message: messages.Announce) -> None:
-        """Takes a peer's announcement; ``peer.vm`` names the peer."""
-        self.note_peer_version(
-            peer.vm, message.channel, message.version, message.digest
-        )
-
-    def handle_pull(self, peer: Any, message: messages.Pull) -> messages.Parts:
-        """Returns the parts that a peer lacks of the version held."""
-        del peer
-        state = self._state
-        version = state.store.version(message.channel)
-        cache = state.cache(message.channel)
-        held = cache.held
-        if version < message.version or not version:
-            return messages.Parts(message.channel, version, '', b'', {}, True)
-        # A peer that names missing parts of this manifest has the manifest.
-        is_repeat = bool(message.wanted) and message.of_digest == held.digest
-        wanted = message.wanted if is_repeat else ()
-        selection = exchange.select_parts(
-            held.order,
-            cache.known.get(message.have_digest, ()),
-            wanted,
-            {digest: len(data) for digest, data in held.compressed.items()},
-        )
-        chosen = {
-            digest: held.compressed[digest] for digest in selection.digests
-        }
-        return messages.Parts(
-            message.channel,
-            version,
-            held.digest,
-            b'' if is_repeat else held.manifest,
-            chosen,
-            selection.complete,
-        )
-
-    def handle_heartbeat(self, peer: Any, message: messages.Heartbeat) -> None:
-        """Takes a peer's versions and confirmation ages."""
-        self._send_peer_states(peer.vm, message)
-
-    def handle_rejection(self, peer: Any, message: messages.Rejection) -> None:
-        """Takes a peer's verdict on a version."""
-        del peer
-        if message.channel in versions.CHANNELS:
-            self.send(message)
-
-    def handle_sync(
-        self, peer: Any, message: messages.Sync
-    ) -> messages.Heartbeat:
-        """Takes a peer's versions and returns the own ones."""
-        states = messages.unpack_states(message.states)
-        self.send(_PeerStates(peer.vm, states, clocks.read_now()))
-        return self.build_heartbeat(clocks.read_now())
-
     def note_peer_version(
         self, vm: str, channel: str, version: int, digest: str = ''
     ) -> None:
@@ -289,11 +199,10 @@
         """
         if channel not in versions.CHANNELS:
             return
-        held = self._state.store.held.get(channel)
-        if held is not None and version <= held.version:
-            if version < held.version or held.digest.startswith(digest):
-                return
-        self.send(_PeerOffer(vm, versions.Version(channel, version, digest)))
+        if self._state.has(channel, version, digest):
+            return
+        offered = versions.Version(channel, version, digest)
+        self.send(events.PeerOffer(vm, offered))
 
     def compute_confirmation_age(
         self, channel: str, now: float
@@ -303,16 +212,12 @@
         Returns:
           The age through any path; None if the source was never heard of.
         """
-        return self._state.confirmations(channel).compute_age(now)
+        return self._state.find_confirmations(channel).compute_age(now)
 
     def build_heartbeat(self, now: float) -> messages.Heartbeat:
         """Returns the versions held and the ages of their confirmation."""
-        state = self._state
         return messages.Heartbeat(
-            messages.pack_states(
-                _describe_channel(state, channel, now)
-                for channel in versions.CHANNELS
-            ),
+            states.pack_channels(self._state, now),
             int(self._memory.compute_age(now) * 1000),
         )
 
@@ -327,167 +232,129 @@
           Whether a peer answered. What it offered is then in force, unless it
           was invalid or the time ran out.
         """
-        deadline = clocks.read_now() + timeout_s
-        answers = self._ask_peers(vms, timeout_s, 1)
-        if not answers:
-            return False
-        offered = {
-            state.channel: state.version
-            for answer in answers
-            for state in messages.unpack_states(answer.states)
-        }
-        self._wait_for(offered, deadline)
-        return True
+        return self._syncer.sync(vms, timeout_s)
 
     def describe(self, now: float) -> dict[str, Any]:
         """Returns the state for the status page, as JSON values."""
-        state = self._state
         channels = {
-            channel: self._describe_status(state, channel, now)
-            for channel in versions.CHANNELS
+            channel: status.describe_channel(
+                self._state,
+                channel,
+                self._memory,
+                self._reports,
+                fetcher.count_offers(),
+                now,
+            )
+            for channel, fetcher in self._fetchers.items()
         }
         return {
             'reader': self.is_reader,
-            'source': self._client.url if self._client else None,
+            'source': self._reader.url,
             'channels': channels,
         }
 
-    def _describe_status(self, state, channel, now) -> dict[str, Any]:
-        known = state.confirmations(channel)
-        version = state.store.version(channel)
-        latest = known.latest
-        return {
-            'version': version,
-            'digest': state.store.digest(channel),
-            'unconfirmed': latest is None
-            or latest.version != version
-            or not self._memory.is_trusted(now),
-            'confirmation_age_s': known.compute_age(now),
-            'cached_bytes': state.cache(channel).count_bytes(),
-            'open_offers': self._fetchers[channel].count_offers(),
-            'rejected': self._describe_rejected(state, channel),
-        }
-
-    def _describe_rejected(self, state, channel) -> list[dict[str, Any]]:
-        """Returns the own verdicts, then those that only peers have."""
-        own = [
-            rejections.build_report(
-                channel, item.version, item.digest, item.reasons
-            )
-            for item in state.store.rejections.get(channel, ())
-        ]
-        known = {(report.version, report.digest) for report in own}
-        told = [
-            report
-            for report in self._reports.list_for(channel)
-            if (report.version, report.digest) not in known
-            and report.version > state.store.version(channel)
-        ]
-        return [
-            {
-                'version': report.version,
-                'digest': report.digest,
-                'reasons': list(report.reasons),
-                'n_reasons': report.n_reasons,
-            }
-            for report in own + told
-        ]
+    def _judge(
+        self, channel: str, version: int, digest: str
+    ) -> versions.Verdict:
+        now = clocks.read_now()
+        return self._state.store.offer(channel, version, digest, now)
 
-    def _build_fetcher(self, channel: str) -> fetching.ChannelFetcher:
-        return fetching.ChannelFetcher(
-            channel,
-            self._peers.request,
-            self._client,
-            self._judge,
-            lambda: self._state.cache(channel),
-            functools.partial(self.ask, timeout_s=None),
-            self._counters,
-            uniform=self._uniform,
-        )
+    def _read_version(self, channel: str) -> int:
+        return self._state.store.version(channel)
 
     def _read_age(self, channel: str) -> float:
         age_s = self.compute_confirmation_age(channel, clocks.read_now())
         return math.nan if age_s is None else age_s
 
-    def _judge(
-        self, channel: str, version: int, digest: str
-    ) -> versions.Verdict:
+    # Messages from other nodes.
+
+    def handle_announce(self, peer: Any, message: messages.Announce) -> None:
+        """Takes a peer's announcement; ``peer.vm`` names the peer."""
+        self.note_peer_version(
+            peer.vm, message.channel, message.version, message.digest
+        )
+
+    def handle_pull(self, peer: Any, message: messages.Pull) -> messages.Parts:
+        """Returns the parts that a peer lacks of the version held."""
+        del peer
+        return states.answer_pull(self._state, message)
+
+    def handle_heartbeat(self, peer: Any, message: messages.Heartbeat) -> None:
+        """Takes a peer's versions and confirmation ages."""
+        self._send_peer_states(peer.vm, message)
+
+    def handle_rejection(self, peer: Any, message: messages.Rejection) -> None:
+        """Takes a peer's verdict on a version."""
+        del peer
+        if message.channel in versions.CHANNELS:
+            self.send(message)
+
+    def handle_sync(
+        self, peer: Any, message: messages.Sync
+    ) -> messages.Heartbeat:
+        """Takes a peer's versions and returns the own ones."""
         now = clocks.read_now()
-        return self._state.store.offer(channel, version, digest, now)
+        heard = messages.unpack_states(message.states)
+        self.send(events.PeerStates(peer.vm, heard, now))
+        return self.build_heartbeat(now)
+
+    def _send_peer_states(self, vm: str, heartbeat: messages.Heartbeat) -> None:
+        heard = messages.unpack_states(heartbeat.states)
+        memory_s = heartbeat.memory_ms / 1000
+        self.send(events.PeerStates(vm, heard, clocks.read_now(), memory_s))
+
+    # Messages to the task: results of fetches.
 
     def _take_fetched(self, fetched: fetching.Fetched) -> None:
         """Puts a verified version in force, if it is still newer."""
-        version, now = fetched.version, clocks.read_now()
-        channel, state = version.channel, self._state
-        store = state.store.accept(
-            channel, version.version, version.digest, now
-        )
-        if store is state.store:
+        state = self._state.accept(fetched, clocks.read_now())
+        if state is self._state:
             return
-        snapshot = attrs.evolve(
-            state.snapshot,
-            **{channel: fetched.value, f'{channel}_version': version.version},
-        )
-        self._state = _State(
-            store,
-            snapshot,
-            {
-                **state.caches,
-                channel: state.cache(channel).replace(fetched.held),
-            },
-            {
-                **state.confirmed,
-                channel: state.confirmations(channel).accept(version.version),
-            },
-        )
-        self._counters.swaps.labels(channel).inc()
-        self._counters.version.labels(channel).set(version.version)
+        self._state = state
+        version = fetched.version
+        self._counters.swaps.labels(version.channel).inc()
+        self._counters.version.labels(version.channel).set(version.version)
         _log.info('distribution.swapped', extra=attrs.asdict(version))
-        self._tell_swap(version, snapshot)
+        self._tell_change()
+        self._peers.spawn_broadcast(
+            messages.Announce(version.channel, version.version, version.digest)
+        )
+        self._tell_subscribers(version.channel)
 
-    def _tell_swap(self, version: versions.Version, snapshot: Snapshot) -> None:
+    def _tell_change(self) -> None:
+        """Wakes those that wait for a swap or a rejection."""
         self._changed.set()
         self._changed.clear()
-        announce = messages.Announce(
-            version.channel, version.version, version.digest
-        )
-        gevent.spawn(self._send_quietly, self._peers.broadcast, announce)
+
+    def _tell_subscribers(self, channel: str) -> None:
+        snapshot = self._state.snapshot
         for function in self._subscribers:
             try:
-                function(snapshot, version.channel)
+                function(snapshot, channel)
             except Exception:  # pylint: disable=broad-exception-caught
                 # The version is in force; the other subscribers must hear it.
                 _log.exception('distribution.subscriber_failed')
 
     def _take_refused(self, refused: fetching.Refused) -> None:
-        version = refused.version
-        store = self._state.store.reject(
-            version.channel,
-            version.version,
-            version.digest,
-            refused.reasons,
-            clocks.read_now(),
-        )
-        if store is self._state.store:
+        """Remembers a version that failed verification, and tells peers."""
+        state = self._state.reject(refused, clocks.read_now())
+        if state is self._state:
             return
-        self._state = attrs.evolve(self._state, store=store)
-        self._changed.set()
-        self._changed.clear()
+        self._state = state
+        version, reasons = refused.version, tuple(refused.reasons)
+        self._tell_change()
         self._counters.rejections.labels(version.channel).inc()
         _log.error(
             'distribution.rejected',
             extra={
                 **attrs.asdict(version),
-                'reasons': list(refused.reasons[: rejections.MAX_REASONS]),
-                'n_reasons': len(refused.reasons),
+                'reasons': list(reasons[: rejections.MAX_REASONS]),
+                'n_reasons': len(reasons),
             },
         )
         self._take_report(
             rejections.build_report(
-                version.channel,
-                version.version,
-                version.digest,
-                tuple(refused.reasons),
+                version.channel, version.version, version.digest, reasons
             )
         )
 
@@ -496,7 +363,9 @@
         known = self._reports
         self._reports = known.add(report)
         if self._reports is not known:
-            gevent.spawn(self._send_quietly, self._peers.broadcast, report)
+            self._peers.spawn_broadcast(report)
+
+    # Messages to the task: offers and confirmations.
 
     def _take_source_update(self, update: watchers.SourceUpdate) -> None:
         version = versions.Version(
@@ -505,9 +374,9 @@
         if update.reasons:
             self._take_refused(fetching.Refused(version, update.reasons))
             return
-        self._take_offer(fetching.SOURCE, version, update.bundle)
+        self._take_offer(offers.SOURCE, version, update.bundle)
 
-    def _take_peer_offer(self, offer: _PeerOffer) -> None:
+    def _take_peer_offer(self, offer: events.PeerOffer) -> None:
         self._take_offer(offer.vm, offer.version)
 
     def _take_offer(self, holder, version, bundle=None) -> versions.Verdict:
@@ -516,7 +385,7 @@
         self._counters.offers.labels(channel, verdict.value).inc()
         if verdict is versions.Verdict.NEWER:
             self._fetchers[channel].add(
-                fetching.Offer(holder, version.version, version.digest, bundle)
+                offers.Offer(holder, version.version, version.digest, bundle)
             )
         elif verdict is versions.Verdict.CONFLICT:
             self._note_conflict(holder, version)
@@ -524,11 +393,8 @@
 
     def _note_conflict(self, holder: str, version: versions.Version) -> None:
         """Logs a conflict once; the counter counts each time."""
-        if version in self._known_conflicts:
+        if not self._conflicts.add(version):
             return
-        while len(self._known_conflicts) >= _MAX_KNOWN_CONFLICTS:
-            self._known_conflicts.pop(next(iter(self._known_conflicts)))
-        self._known_conflicts[version] = None
         _log.error(
             'distribution.conflict',
             extra={
@@ -542,54 +408,34 @@
         self, confirmation: watchers.SourceConfirmation
     ) -> None:
         channel = confirmation.channel
-        self._sequences[channel] += 1
-        self._hear(
-            channel,
-            confirmations.Confirmation(
-                confirmation.version,
-                self._origin,
-                self._sequences[channel],
-                confirmation.confirmed_at,
-            ),
-        )
-
-    def _hear(self, channel, confirmation) -> None:
-        state = self._state
-        known = state.confirmations(channel).hear(
-            confirmation, state.store.version(channel)
-        )
-        self._state = attrs.evolve(
-            state, confirmed={**state.confirmed, channel: known}
+        numbered = self._numbering.number(
+            channel, confirmation.version, confirmation.confirmed_at
         )
+        self._state = self._state.hear(channel, numbered)
 
-    def _send_peer_states(self, vm: str, heartbeat: messages.Heartbeat) -> None:
-        memory_s = heartbeat.memory_ms / 1000
-        states = messages.unpack_states(heartbeat.states)
-        self.send(_PeerStates(vm, states, clocks.read_now(), memory_s))
-
-    def _take_peer_states(self, heard: _PeerStates) -> None:
+    def _take_peer_states(self, heard: events.PeerStates) -> None:
         self._memory = self._memory.hear(heard.memory_s, heard.heard_at)
-        for state in heard.states:
-            if state.channel not in versions.CHANNELS:
-                continue
-            version = versions.Version(
-                state.channel, state.version, state.prefix
+        for told in heard.states:
+            if told.channel in versions.CHANNELS:
+                self._take_channel_state(heard.vm, told, heard.heard_at)
+
+    def _take_channel_state(
+        self, vm: str, told: messages.ChannelState, heard_at: float
+    ) -> None:
+        verdict = versions.Verdict.OLDER
+        if told.version:
+            version = versions.Version(told.channel, told.version, told.prefix)
+            verdict = self._take_offer(vm, version)
+        if told.origin:
+            confirmation = confirmations.Confirmation(
+                told.confirmed_version,
+                told.origin,
+                told.sequence,
+                heard_at - told.age_ms / 1000,
             )
-            verdict = versions.Verdict.OLDER
-            if state.version:
-                verdict = self._take_offer(heard.vm, version)
-            if state.origin:
-                self._hear(
-                    state.channel,
-                    confirmations.Confirmation(
-                        state.confirmed_version,
-                        state.origin,
-                        state.sequence,
-                        heard.heard_at - state.age_ms / 1000,
-                    ),
-                )
-            if verdict is versions.Verdict.OLDER:
-                self._correct_peer(heard.vm, state.channel)
+            self._state = self._state.hear(told.channel, confirmation)
+        if verdict is versions.Verdict.OLDER:
+            self._correct_peer(vm, told.channel)
 
     def _correct_peer(self, vm: str, channel: str) -> None:
         """Tells a peer that is behind about the version held."""
@@ -597,175 +443,36 @@
         if held is None:
             return
         announce = messages.Announce(channel, held.version, held.digest)
-        gevent.spawn(self._send_quietly, self._peers.notify, vm, announce)
+        self._peers.spawn_notify(vm, announce)
+
+    # Heartbeats, the role of a reader, and the join.
 
     def _run_heartbeats(self) -> None:
         gevent.sleep(self._uniform() * HEARTBEAT_S)
         while True:
             try:
                 self._update_role()
-                heartbeat = self.build_heartbeat(clocks.read_now())
-                for vm in self._peers.neighbours():
-                    gevent.spawn(
-                        self._send_quietly, self._peers.notify, vm, heartbeat
-                    )
+                self._send_heartbeats()
             except Exception:  # pylint: disable=broad-exception-caught
                 # Heartbeats repair lost announcements and must go on.
                 _log.exception('distribution.heartbeat_failed')
             gevent.sleep(HEARTBEAT_S)
 
-    def _send_quietly(self, function: Callable[..., Any], *args: Any) -> None:
-        """Sends what a later heartbeat repeats if it is lost."""
-        try:
-            function(*args)
-        except (core_errors.JayseamError, OSError, gevent.Timeout) as error:
-            _log.debug('distribution.send_failed', extra={'error': str(error)})
-
     def _update_role(self) -> None:
-        """Starts or ends the watches when the node's role changes."""
-        if self._client is None or not self._may_read.is_set():
-            return
-        should_read = exchange.is_reader(
-            self._vm, self._zone, self._peers.live_in_zone()
-        )
-        if should_read and not self._watchers:
-            _log.info('distribution.reader_started')
-            self._watchers = [self._build_watcher(c) for c in versions.CHANNELS]
-            for watcher in self._watchers:
-                watcher.start()
-        elif not should_read and self._watchers:
-            _log.info('distribution.reader_stopped')
-            self._stop_watchers()
-
-    def _stop_watchers(self) -> None:
-        ended, self._watchers = self._watchers, []
-        for watcher in ended:
-            watcher.stop()
-
-    def _build_watcher(self, channel: str) -> watchers.SourceWatcher:
-        return watchers.SourceWatcher(
-            self._client,
-            channel,
-            self._watch_wait_s,
-            self.send,
-            self.send,
-            lambda: self._state.store.version(channel) or None,
-            self._uniform,
-            self._count_source_failure,
-        )
+        if self._joiner.may_read:
+            self._reader.update_role(self._peers.live_in_zone())
 
-    def _count_source_failure(self, channel: str, error: Any) -> None:
-        name = 'behind' if error is None else type(error).__name__
-        self._counters.source_failures.labels(channel, name).inc()
-
-    def _run_join(self) -> None:
-        """Brings a fresh node onto the greatest version that it can find.
-
-        Seeds are asked first. The source is read after a wait with full
-        jitter, and only while nothing at all is held, so that a mass restart
-        does not use up the source's budget.
-        """
-        wait = backoff.Backoff()
-        while not self._is_joined():
-            try:
-                found = self._ask_seeds()
-            except Exception:  # pylint: disable=broad-exception-caught
-                _log.exception('distribution.join_failed')
-                found = False
-            if found:
-                self._may_read.set()
-                self._changed.wait(_JOIN_CHECK_S)
-                continue
-            if wait.failures and not self._state.store.held:
-                self._read_source()
-            now = clocks.read_now()
-            wait = wait.fail(now, self._uniform())
-            self._changed.wait(wait.compute_wait(now))
-            self._may_read.set()
-        self._may_read.set()
-
-    def _is_joined(self) -> bool:
-        return len(self._state.store.held) == len(versions.CHANNELS)
+    def _send_heartbeats(self) -> None:
+        heartbeat = self.build_heartbeat(clocks.read_now())
+        for vm in self._peers.neighbours():
+            self._peers.spawn_notify(vm, heartbeat)
 
     def _ask_seeds(self) -> bool:
         """Asks seeds and neighbours; tells whether one has a newer version."""
         vms = dict.fromkeys([*self._peers.seeds(), *self._peers.neighbours()])
         vms.pop(self._vm, None)
-        answers = self._ask_peers(vms, _SYNC_TIMEOUT_S, len(vms))
-        return any(
-            self._judge(state.channel, state.version, state.prefix)
-            is versions.Verdict.NEWER
-            for answer in answers
-            for state in messages.unpack_states(answer.states)
-        )
+        return self._syncer.find_newer(vms)
 
-    def _ask_peers(
-        self, vms: Iterable[str], timeout_s: float, enough: int
-    ) -> list[messages.Heartbeat]:
-        """Sends `Sync` to peers; returns once ``enough`` have answered."""
-        sync = messages.Sync(self.build_heartbeat(clocks.read_now()).states)
-        asked = [
-            gevent.spawn(self._ask_peer, vm, sync, timeout_s) for vm in vms
-        ]
-        answers = []
-        for greenlet in gevent.iwait(asked, timeout=timeout_s):
-            if greenlet.value is not None:
-                answers.append(greenlet.value)
-            if len(answers) >= enough:
-                break
-        return answers
-
-    def _ask_peer(self, vm, sync, timeout_s) -> messages.Heartbeat | None:
-        try:
-            answer = self._peers.request(vm, sync, timeout_s)
-        except (core_errors.JayseamError, OSError, gevent.Timeout) as error:
-            _log.debug(
-                'distribution.sync_failed',
-                extra={'vm': vm, 'error': str(error)},
-            )
-            return None
-        if not isinstance(answer, messages.Heartbeat):
-            return None
-        self._send_peer_states(vm, answer)
-        return answer
-
-    def _read_source(self) -> None:
-        """Reads each channel once."""
-        if self._client is None:
-            return
-        for channel in versions.CHANNELS:
-            try:
-                outcome = watchers.read_channel(self._client, channel)
-            except source_errors.SourceError as error:
-                self._count_source_failure(channel, error)
-                continue
-            self.send(outcome.update)
-            self.send(outcome.confirmation)
-
-    def _wait_for(self, offered: Mapping[str, int], deadline: float) -> None:
-        """Waits until offered versions are in force or turn out invalid."""
-        while (now := clocks.read_now()) < deadline:
-            store = self._state.store
-            if all(
-                store.offer(channel, version, '', now)
-                is not versions.Verdict.NEWER
-                for channel, version in offered.items()
-            ):
-                return
-            self._changed.wait(deadline - now)
-
-
-def _describe_channel(
-    state: _State, channel: str, now: float
-) -> messages.ChannelState:
-    known = state.confirmations(channel)
-    latest, age_s = known.latest, known.compute_age(now)
-    return messages.ChannelState(
-        channel,
-        state.store.version(channel),
-        state.store.digest(channel)[: exchange.PREFIX_CHARS],
-        latest.version if latest else 0,
-        latest.origin if latest else '',
-        latest.sequence if latest else 0,
-        int((age_s or 0.0) * 1000),
-    )
+    def _count_source_failure(self, channel: str, error: Any) -> None:
+        name = 'behind' if error is None else type(error).__name__
+        self._counters.source_failures.labels(channel, name).inc()
--- a/jayseam/distribution/tests/fakes.py
+++ b/jayseam/distribution/tests/fakes.py
@@ -7,6 +7,7 @@
 from jayseam.core import clocks
 from jayseam.core import errors as core_errors
 from jayseam.distribution import messages
+from jayseam.distribution import peers as distribution_peers
 from jayseam.distribution import task
 from jayseam.presets import documents
 from jayseam.source import client
@@ -99,7 +100,7 @@
         def others():
             return [n for n in self.nodes if n != vm]
 
-        peers = task.Peers(
+        peers = distribution_peers.Peers(
             request=lambda *args: self.request(vm, *args),
             broadcast=lambda m: [self.notify(vm, n, m) for n in others()],
             notify=lambda n, m: self.notify(vm, n, m),
--- /dev/null
+++ b/jayseam/distribution/tests/test_offers.py
@@ -0,0 +1,76 @@
+"""Tests of the choice among offers."""
+
+import pytest
+
+from jayseam.distribution import offers
+from jayseam.presets import documents
+
+
+@pytest.fixture(name='book')
+def create_book():
+    """Returns an empty book whose jitter is half of each cap."""
+    return offers.OfferBook(lambda: 0.5)
+
+
+def test_greatest_version_is_fetched_first(book):
+    """Fetching an older version first would delay the newest one."""
+    book.add(offers.Offer('a', 3, ''))
+    book.add(offers.Offer('b', 5, ''))
+    assert book.choose(0.0).holder == 'b'
+
+
+def test_peers_come_before_the_source(book):
+    """The source's reads are limited for the whole fleet."""
+    book.add(offers.Offer(offers.SOURCE, 5, 'd'))
+    book.add(offers.Offer('a', 5, ''))
+    assert book.choose(0.0).holder == 'a'
+    book.add(offers.Offer(offers.SOURCE, 6, 'e'))
+    assert book.choose(0.0).holder == offers.SOURCE
+
+
+def test_failed_source_is_tried_again_after_a_wait(book):
+    """The source does not repeat its offer, and must not be read in a loop."""
+    offer = offers.Offer(offers.SOURCE, 5, 'd')
+    book.add(offer)
+    assert book.compute_wait(10.0) == 0.0
+    book.fail(offer, 10.0)
+    assert book.choose(10.4) is None
+    assert book.compute_wait(10.25) == pytest.approx(0.25)
+    assert book.choose(10.5) is offer
+    book.fail(offer, 10.5)
+    assert book.compute_wait(10.5) == pytest.approx(1.0)
+    book.succeed(offer)
+    assert not book and book.compute_wait(10.5) is None
+    book.add(offer)
+    assert book.choose(10.6) is offer
+
+
+def test_content_that_came_with_an_offer_needs_no_wait(book):
+    """A VM list that is already here must not wait for the source."""
+    book.fail(offers.Offer(offers.SOURCE, 4, 'c'), 10.0)
+    bundle = documents.Bundle(b'', {})
+    book.add(offers.Offer(offers.SOURCE, 5, 'd', bundle))
+    assert book.choose(10.0).bundle is bundle
+
+
+def test_failed_peer_is_dropped_unless_it_has_news(book):
+    """A peer that is gone must not be asked for ever."""
+    old, new = offers.Offer('a', 3, ''), offers.Offer('a', 4, '')
+    book.add(old)
+    book.fail(old, 0.0)
+    assert not book
+    book.add(old)
+    book.add(new)
+    book.fail(old, 0.0)
+    book.succeed(old)
+    assert book.choose(0.0) is new
+    assert not book.add(old)
+    assert book.choose(0.0) is new
+
+
+def test_settled_offers_are_dropped(book):
+    """A version in force must not be fetched again from other holders."""
+    book.add(offers.Offer('a', 3, ''))
+    book.add(offers.Offer('b', 5, ''))
+    book.keep(lambda offer: offer.version > 3)
+    assert len(book) == 1 and book.choose(0.0).holder == 'b'
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -95,7 +95,7 @@
 
     def _build_distribution(self) -> None:
         settings = self._settings
-        peers = distribution.task.Peers(
+        peers = distribution.peers.Peers(
             request=self._links.request,
             broadcast=self._links.broadcast,
             notify=self._links.notify,
--- a/jayseam/node/status.py
+++ b/jayseam/node/status.py
@@ -66,7 +66,7 @@
 
 
 def explain_route(
-    snapshot: distribution.task.Snapshot,
+    snapshot: distribution.states.Snapshot,
     view: membership.views.View,
     chooser: calls.choosers.Chooser,
     question: 'Question',
--- a/jayseam/source/backoff.py
+++ b/jayseam/source/backoff.py
@@ -4,6 +4,8 @@
   Brooker, "Exponential Backoff And Jitter", AWS Architecture Blog, 2015.
 """
 
+from collections.abc import Callable
+
 import attrs
 
 DEFAULT_CAP_S = 1.0
@@ -55,3 +57,42 @@
     def compute_wait(self, now: float) -> float:
         """Returns the seconds left until the next try, zero if none."""
         return max(0.0, self.not_before - now)
+
+
+class Retry:
+    """Holds the backoff of one activity and draws its jitter.
+
+    >>> retry = Retry(uniform=lambda: 0.5)
+    >>> retry.fail(now=10.0), retry.compute_wait(now=10.4) > 0.0
+    (0.5, True)
+    >>> retry.succeed()
+    >>> retry.failures, retry.compute_wait(now=10.4)
+    (0, 0.0)
+    """
+
+    def __init__(self, uniform: Callable[[], float]):
+        """Starts without failures.
+
+        Args:
+          uniform: Returns a random number in [0, 1).
+        """
+        self._uniform = uniform
+        self._state = Backoff()
+
+    @property
+    def failures(self) -> int:
+        """Failures since the last success."""
+        return self._state.failures
+
+    def fail(self, now: float) -> float:
+        """Notes a failure; returns the seconds until the next try."""
+        self._state = self._state.fail(now, self._uniform())
+        return self._state.compute_wait(now)
+
+    def succeed(self) -> None:
+        """Notes a success."""
+        self._state = self._state.succeed()
+
+    def compute_wait(self, now: float) -> float:
+        """Returns the seconds left until the next try, zero if none."""
+        return self._state.compute_wait(now)
--- a/jayseam/source/watchers.py
+++ b/jayseam/source/watchers.py
@@ -179,14 +179,12 @@
             self._greenlet.kill()
 
     def _run(self) -> None:
-        state = backoff.Backoff()
+        retry = backoff.Retry(self._uniform)
         while not self._stopping.is_set():
             if self._watch_once():
-                state = state.succeed()
-                continue
-            now = clocks.read_now()
-            state = state.fail(now, self._uniform())
-            self._stopping.wait(state.compute_wait(now))
+                retry.succeed()
+            else:
+                self._stopping.wait(retry.fail(clocks.read_now()))
 
     def _watch_once(self) -> bool:
         """Reads once; tells whether the next read may follow at once."""
