Shard the large sections of a preset by a hash of the name

Cause: one changed weight in a preset of 0.96 MB with 670 upstreams cost 104 KB a node, because `workspaces` travelled whole; `routes` (700 KB) and `upstreams/<zone>` would have cost as much or more.

Change: every section of a preset, routes included, is one part up to 256 items, and above that as many shards as the least power of two (at most 128) that leaves 256 items each on average. The shard of an item is a hash (xxhash) of its name. The count is a function of the number of items and is written in the part names (`workspaces/3-of-16`), so a node needs no rule to join them. A manifest without all shards of one count is rejected, as is an item in another's shard. `upstreams/<zone>` is gone: the agency's preset has 5 parts instead of 7.

Tests: two tests of distribution counted the 7 parts of a small preset; they now compare the digests with those of the bundle and count 5. The test of items in foreign parts swaps two shards instead of two zones. New tests cover missing, extra and misnamed shards, joining, and the cost of one change.

A section that grows past a power of two travels whole once.

--- a/jayseam/distribution/tests/test_task.py
+++ b/jayseam/distribution/tests/test_task.py
@@ -414,7 +414,8 @@
     reply = node.handle_pull(fakes.Peer('x'), messages.Pull('preset', 2, have))
     assert not reply.parts and reply.complete and reply.version == 7
     reply = node.handle_pull(fakes.Peer('x'), messages.Pull('preset', 2, ''))
-    assert len(reply.parts) == 7
+    assert set(reply.parts) == set(_split('peak').parts)
+    assert len(reply.parts) == 5
     reply = node.handle_pull(fakes.Peer('x'), messages.Pull('preset', 8, ''))
     assert not reply.manifest and reply.version == 7
 
@@ -426,7 +427,8 @@
         source.publish('preset', version, _split(f'preset-{version}'))
         fakes.wait_until(lambda v=version: _hold([node], v))
     cache = node._state.cache('preset')
-    assert len(cache.held.compressed) == 7
+    assert set(cache.held.compressed) == set(_split('preset-39').parts)
+    assert len(cache.held.compressed) == 5
     assert len(cache.known) <= 16
 
 
--- a/jayseam/presets/documents.py
+++ b/jayseam/presets/documents.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import attrs
+import xxhash
 
 from jayseam.core import digests
 from jayseam.presets import errors
@@ -23,7 +24,18 @@
 MAX_BUNDLE_BYTES = 8_000_000
 MAX_PARTS = 1024
 TOO_LARGE = f'parts: more than {MAX_BUNDLE_BYTES} bytes in all'
-_PRESET_SECTIONS = ('services', 'routes', 'zones', 'workspaces')
+_PRESET_SECTIONS = ('services', 'routes', 'zones', 'workspaces', 'upstreams')
+# A changed item costs its shard and the manifest, and each shard lengthens the
+# manifest. Of 64 to 512 items a shard, 256 cost the least for 0.96 MB.
+_SHARD_ITEMS = 256
+# Bounds the parts of all sections below `MAX_PARTS`.
+_MAX_SHARDS = 128
+# Index and number of shards by the last part of a part name.
+_SHARD_NAMES = {
+    f'{index}-of-{count}': (index, count)
+    for count in (2**power for power in range(1, 8))
+    for index in range(count)
+}
 _NAME_FIELDS = {'keys': 'key_id', 'vms': 'vm'}
 
 
@@ -164,7 +176,7 @@
 def dump_preset(preset: model.Preset) -> dict[str, Any]:
     """Returns the document of a preset, with every list in order of name."""
     document: dict[str, Any] = {'name': preset.name}
-    for section in (*_PRESET_SECTIONS, 'upstreams'):
+    for section in _PRESET_SECTIONS:
         items = getattr(preset, section)
         document[section] = [_dump(items[name]) for name in sorted(items)]
     return document
@@ -202,22 +214,23 @@
     """Splits the document of a preset.
 
     Items are put in order of name, so documents that differ only in order
-    have the same digest.
+    have the same digest. A section with many items is sharded by a hash of
+    their names, so that a changed item costs little.
 
     Raises:
       PresetRejectedError: If the document can't be split, or if a part is
         larger than the source can hold.
     """
-    expected = {'name', 'upstreams', *_PRESET_SECTIONS}
+    expected = {'name', *_PRESET_SECTIONS}
     if not isinstance(document, Mapping) or set(document) != expected:
         raise errors.PresetRejectedError(
             [f'preset: must be an object of {", ".join(sorted(expected))}']
         )
     if not isinstance(document['name'], str):
         raise errors.PresetRejectedError(['preset.name: not a string'])
-    groups = {name: _check_list(document, name) for name in _PRESET_SECTIONS}
-    upstreams = _check_list(document, 'upstreams')
-    groups |= _group_items('upstreams', upstreams, _find_zone)
+    groups: dict[str, list[Any]] = {}
+    for section in _PRESET_SECTIONS:
+        groups |= _shard_items(section, _check_list(document, section))
     return _build_bundle('preset', document['name'], groups)
 
 
@@ -303,7 +316,7 @@
     _check_parts(parsed, parts, pause)
     sections: dict[str, list] = {}
     if parsed.kind == 'preset':
-        sections = {name: [] for name in (*_PRESET_SECTIONS, 'upstreams')}
+        sections = {name: [] for name in _PRESET_SECTIONS}
     else:
         sections = {parsed.kind: []}
     reasons = []
@@ -347,9 +360,7 @@
             [f'{len(data)} bytes; at most {MAX_VALUE_BYTES} are allowed']
         )
     items = decode_list(data, pause)
-    section, _, group = part_name.partition('/')
-    find_group = _find_shard if section == 'keys' else _find_zone
-    if group and any(find_group(item) != group for item in items):
+    if not all(map(_find_check(part_name), items)):
         raise errors.PresetRejectedError(['holds an item of another part'])
     return items
 
@@ -364,20 +375,30 @@
         if not is_digest(digest):
             reasons.append(f'manifest.parts: no digest for {name[:80]!r}')
     if kind == 'preset':
-        absent = [name for name in _PRESET_SECTIONS if name not in parts]
-        reasons += [f'manifest.parts: part {name} is absent' for name in absent]
+        for section in _PRESET_SECTIONS:
+            reasons += _check_shards(section, parts)
     return reasons
 
 
+def _check_shards(section: str, names: Iterable[str]) -> list[str]:
+    """Checks that a section is there whole, in one number of shards."""
+    held = {name for name in names if name.partition('/')[0] == section}
+    if not held:
+        return [f'manifest.parts: part {section} is absent']
+    if held != set(_name_shards(section, len(held))):
+        return [f'manifest.parts: not all shards of {section}, or too many']
+    return []
+
+
 def _is_part_name(kind: str, name: str) -> bool:
     section, slash, group = name.partition('/')
     if kind == 'keys':
         return section == 'keys' and len(group) == 1 and group in SHARDS
     if kind == 'vms':
         return section == 'vms' and bool(group)
-    if section == 'upstreams':
-        return bool(group)
-    return section in _PRESET_SECTIONS and not slash
+    if section not in _PRESET_SECTIONS:
+        return False
+    return not slash or group in _SHARD_NAMES
 
 
 def _check_list(document: Mapping[str, Any], section: str) -> list[Any]:
@@ -399,6 +420,55 @@
     return groups
 
 
+def count_shards(n_items: int) -> int:
+    """Returns the number of shards of a preset section.
+
+    A power of two changes rarely while items are added; each time it does, the
+    whole section travels once.
+
+    >>> [count_shards(n) for n in (0, 256, 257, 4000)]
+    [1, 1, 2, 16]
+    """
+    count = 1
+    while count < _MAX_SHARDS and n_items > count * _SHARD_ITEMS:
+        count *= 2
+    return count
+
+
+def _name_shards(section: str, count: int) -> list[str]:
+    if count == 1:
+        return [section]
+    return [f'{section}/{index}-of-{count}' for index in range(count)]
+
+
+def _shard_items(section: str, items: list[Any]) -> dict[str, list[Any]]:
+    names = _name_shards(section, count_shards(len(items)))
+    groups: dict[str, list[Any]] = {name: [] for name in names}
+    for item in items:
+        groups[names[_hash_name(item) % len(names)]].append(item)
+    return groups
+
+
+def _find_check(part_name: str) -> Callable[[Any], bool]:
+    """Returns the function that tells whether an item may be in a part."""
+    section, slash, group = part_name.partition('/')
+    if not slash:
+        return lambda item: True
+    if section == 'keys':
+        return lambda item: _find_shard(item) == group
+    if section == 'vms':
+        return lambda item: _find_zone(item) == group
+    index, count = _SHARD_NAMES[group]
+    return lambda item: _hash_name(item) % count == index
+
+
+def _hash_name(item: Any) -> int:
+    """Returns a hash of an item's name; of '' if it has none."""
+    name = item.get('name') if isinstance(item, Mapping) else None
+    text = name if isinstance(name, str) else ''
+    return xxhash.xxh64_intdigest(text.encode('utf-8', 'surrogatepass'))
+
+
 def _find_zone(item: Any) -> str | None:
     zone = item.get('zone') if isinstance(item, Mapping) else None
     return zone if isinstance(zone, str) else None
--- a/jayseam/presets/tests/test_presets.py
+++ b/jayseam/presets/tests/test_presets.py
@@ -304,21 +304,76 @@
     assert caught.value.missing == [digest]
 
 
-def test_items_in_foreign_parts_are_rejected():
-    """An upstream in another zone's part would have two places."""
-    document = _dump_agence()
-    bundle = documents.split_preset(document)
+def _split_large() -> documents.Bundle:
+    """Returns a preset whose workspaces and upstreams are sharded."""
+    return documents.split_preset(_dump_large())
+
+
+def _dump_large() -> dict:
+    preset = samples.build_large(n_workspaces=600).preset
+    return documents.dump_preset(preset)
+
+
+def _join_renamed(bundle: documents.Bundle, names: dict[str, str | None]):
+    """Joins a bundle with parts renamed, or left out where the name is None."""
     manifest = json.loads(bundle.manifest)
-    names = manifest['parts']
-    names['upstreams/namur'], names['upstreams/liege'] = (
-        names['upstreams/liege'],
-        names['upstreams/namur'],
-    )
+    parts = manifest['parts']
+    moved = {new: parts.pop(old) for old, new in names.items()}
+    parts |= {new: digest for new, digest in moved.items() if new}
+    return documents.join_parts(documents.encode_json(manifest), bundle.parts)
+
+
+def test_items_in_foreign_parts_are_rejected():
+    """An upstream in another shard would have two places."""
+    swapped = {
+        'upstreams/1-of-4': 'upstreams/2-of-4',
+        'upstreams/2-of-4': 'upstreams/1-of-4',
+    }
     with pytest.raises(errors.PresetRejectedError) as caught:
-        documents.join_parts(documents.encode_json(manifest), bundle.parts)
+        _join_renamed(_split_large(), swapped)
     assert len(caught.value.reasons) == 2
 
 
+@pytest.mark.parametrize(
+    'names',
+    [
+        {'workspaces/1-of-4': None},
+        {'workspaces/1-of-4': 'workspaces/01-of-4'},
+        {'workspaces/1-of-4': 'workspaces/1-of-8'},
+        {'workspaces/1-of-4': 'workspaces/4-of-4'},
+        {'workspaces/1-of-4': 'workspaces'},
+        {'workspaces/1-of-4': 'workspaces/'},
+        {'routes': 'routes/0-of-1'},
+        {'upstreams/0-of-4': 'upstreams/zone-1'},
+        {f'upstreams/{i}-of-4': None for i in range(4)},
+    ],
+)
+def test_sections_without_all_their_shards_are_rejected(names):
+    """A preset without some of its workspaces must never be in force."""
+    with pytest.raises(errors.PresetRejectedError) as caught:
+        _join_renamed(_split_large(), names)
+    assert any('manifest.parts' in reason for reason in caught.value.reasons)
+
+
+def test_sharded_presets_are_joined_as_they_were():
+    """An item lost between shards would be missing on every node."""
+    document = _dump_large()
+    bundle = documents.split_preset(document)
+    assert documents.join_parts(bundle.manifest, bundle.parts) == document
+    for section in ('workspaces', 'upstreams', 'routes'):
+        document[section].reverse()
+    assert documents.split_preset(document).digest == bundle.digest
+
+
+@pytest.mark.parametrize('n_items', [0, 1, 256, 257, 10_000, 10**9])
+def test_shards_stay_small_and_few(n_items):
+    """Too many parts are refused by every node, and large ones cost bytes."""
+    count = documents.count_shards(n_items)
+    assert 5 * count <= documents.MAX_PARTS
+    assert n_items <= 256 * count or count == 128
+    assert count == 1 or n_items > 128 * count
+
+
 def test_one_change_leaves_other_parts_alone():
     """A changed weight must cost one part and a manifest, not the whole."""
     document = _dump_agence()
@@ -328,6 +383,17 @@
     assert len(set(after.parts) - set(before.parts)) == 1
 
 
+def test_one_change_in_a_large_section_costs_a_small_part():
+    """A changed weight among thousands must not cost all workspaces."""
+    document = _dump_large()
+    before = documents.split_preset(document)
+    document['workspaces'][0]['weight'] = 2
+    after = documents.split_preset(document)
+    (changed,) = set(after.parts) - set(before.parts)
+    whole = documents.encode_json(document['workspaces'])
+    assert len(after.parts[changed]) < len(whole) / 2
+
+
 def test_keys_verify_only_their_plaintext():
     """A wrong, unknown or odd key must match no workspace."""
     deployment = samples.build_agence()
