Split the limit model into modules with one job each

Cause: limits/models.py had 807 lines: the fleet, its load, its faults, the scenarios with their summary, and the command line. It is about to get zone weights as well.

Change: models is a package of fleets (nodes, messages, time, calls), workspaces (what they send), faults, measures (comparisons with one bucket) and scenarios; the command line is its __main__, so `python -m jayseam.limits.models` goes on working. CALL_TIMEOUT_S, which nothing used, is gone. Tests differ in the names of the modules only.

Ruled out: flat modules in limits, because none of them belongs to the node.

--- /dev/null
+++ b/jayseam/limits/models/faults.py
@@ -0,0 +1,75 @@
+"""Faults of the model: those of the scenarios, and random ones for tests."""
+
+from jayseam.limits.models import fleets
+
+_KINDS = ('kill', 'kill', 'many', 'pause', 'pause', 'cut', 'island', 'island')
+
+
+def do_nothing(_: fleets.Model) -> None:
+    """Leaves the fleet in peace."""
+
+
+def kill_owner(model: fleets.Model) -> None:
+    """Kills the node that owns most, which is the worst to lose."""
+
+    def weigh(vm: str) -> float:
+        owned = model.nodes[vm].strategy.pools
+        return sum(
+            share.rate_per_s for p in owned for share in p.totals().values()
+        )
+
+    model.kill(max(model.nodes, key=weigh))
+
+
+def cut_zone(model: fleets.Model) -> None:
+    """Cuts the first zone off from all others."""
+    zones = sorted(set(model.zones.values()))
+    for other in zones[1:]:
+        model.cut(zones[0], other)
+
+
+def inject_faults(model: fleets.Model, until: float) -> None:
+    """Plans random kills, restarts, pauses and cuts up to a time.
+
+    A killed process is followed by one at the same position, either in the same
+    VM or in a new one.
+    """
+    rng = model.random
+    time = model.now
+    while time < until:
+        time += rng.expovariate(0.5)
+        kind = rng.choice(_KINDS)
+        model.at(time, lambda k=kind: _inject(model, k))
+
+
+def _inject(model: fleets.Model, kind: str) -> None:
+    rng = model.random
+    names = sorted(model.nodes)
+    if not names:
+        return
+    if kind == 'pause':
+        model.pause(rng.choice(names), rng.uniform(0.2, 6.0))
+    elif kind == 'island':
+        model.isolate(rng.sample(names, rng.randint(1, len(names))))
+        model.at(model.now + rng.uniform(0.5, 6.0), model.heal)
+    elif kind == 'cut':
+        zones = sorted(set(model.zones.values()))
+        lone = rng.choice(zones)
+        for other in zones:
+            if other != lone:
+                model.cut(lone, other)
+        model.at(model.now + rng.uniform(0.5, 9.0), model.heal)
+    else:
+        count = 1 if kind == 'kill' else rng.randint(1, len(names))
+        for vm in rng.sample(names, min(count, len(names))):
+            _replace(model, vm)
+
+
+def _replace(model: fleets.Model, vm: str) -> None:
+    upstream = model.nodes[vm].member.upstream
+    model.kill(vm)
+    again = vm if model.random.random() < 0.5 else f'{vm}+'
+    model.at(
+        model.now + model.random.uniform(0.05, 4.0),
+        lambda: model.start(again, upstream),
+    )
--- a/jayseam/limits/models.py
+++ b/jayseam/limits/models/fleets.py
@@ -1,19 +1,13 @@
-"""A deterministic model of a fleet that runs only the limit protocol.
+"""The model of a fleet: nodes, messages, time and calls.
 
 The nodes are the pure objects of `strategies`. Message delays, kills, restarts,
 pauses, partitions, clock drift and load all follow from one seed. Members learn
-of deaths and cuts late, each at its own time. The model measures a strategy; it
-says nothing of links, tasks or the network stack.
-
-Run ``python -m jayseam.limits.models --nodes 12 --seed 1`` for a comparison.
+of deaths and cuts late, each at its own time.
 """
 
-import argparse
 import heapq
 import itertools
-import json
 import random
-import timeit
 import types
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
@@ -26,6 +20,8 @@
 from jayseam.limits import pools
 from jayseam.limits import strategies
 from jayseam.limits import wallets
+from jayseam.limits.models import measures
+from jayseam.limits.models import workspaces
 
 POLL_S = 0.05
 IN_ZONE_S = 0.00025
@@ -34,38 +30,6 @@
 DEATH_SEEN_S = 3.0
 # Bytes of a frame around a message: its header, a request number and a code.
 FRAME_BYTES = 12
-WARM_UP_S = 8.0
-CALL_TIMEOUT_S = 1.0
-
-
-@attrs.frozen
-class Load:
-    """One workspace of the model and what it sends.
-
-    Attributes:
-      rate_per_s: Its rate in tokens a second.
-      burst: Its burst in tokens.
-      offered_per_s: Calls a second that it sends.
-    """
-
-    rate_per_s: float
-    burst: float
-    offered_per_s: float
-
-
-# Two large workspaces, five small ones, and one that sends four times its rate.
-DEFAULT_LOADS = types.MappingProxyType(
-    {
-        'large-1': Load(400.0, 400.0, 280.0),
-        'large-2': Load(300.0, 300.0, 210.0),
-        'small-1': Load(40.0, 40.0, 24.0),
-        'small-2': Load(40.0, 40.0, 24.0),
-        'small-3': Load(30.0, 30.0, 15.0),
-        'small-4': Load(20.0, 20.0, 10.0),
-        'small-5': Load(10.0, 10.0, 2.0),
-        'greedy': Load(60.0, 60.0, 240.0),
-    }
-)
 
 
 @attrs.define(eq=False)
@@ -103,79 +67,6 @@
     waits: list[float] = attrs.field(factory=list)
 
 
-@attrs.frozen
-class Result:
-    """Measurements of one strategy in one scenario.
-
-    Attributes:
-      strategy: Name of the strategy.
-      scenario: Name of the scenario.
-      nodes: Number of positions.
-      calls: Calls of workspaces within their rate in the measured period.
-      overshoot: Largest excess over ``burst + rate * w`` in any window of the
-        whole run, in calls, over all workspaces.
-      wrongful: Part of the calls of workspaces within their rate that were
-        refused.
-      unavoidable: Part of these calls that would be refused if each side of a
-        cut had one bucket with the shares of its positions, full at the cut.
-      greedy_served: Calls admitted of the workspace over its rate, as a part of
-        what a single bucket would have admitted.
-      lost_per_s: Tokens that expired unspent, a second, over the fleet.
-      wait_mean_ms: Mean wait of admitted calls within the rate.
-      wait_p99_ms: 99th percentile of this wait.
-      messages: Messages sent by a node in a second, mean.
-      sent_bytes: Bytes sent by a node in a second, mean.
-      peak_bytes: Bytes sent and received in a second by the busiest node.
-    """
-
-    strategy: str
-    scenario: str
-    nodes: int
-    calls: int
-    overshoot: float
-    wrongful: float
-    unavoidable: float
-    greedy_served: float
-    lost_per_s: float
-    wait_mean_ms: float
-    wait_p99_ms: float
-    messages: float
-    sent_bytes: float
-    peak_bytes: float
-
-
-def measure_overshoot(
-    times: Iterable[float], rate_per_s: float, burst: float
-) -> float:
-    """Returns the largest excess over ``burst + rate * w`` in any window.
-
-    >>> measure_overshoot([0.0, 0.0, 0.0], rate_per_s=1.0, burst=2.0)
-    1.0
-    """
-    level, last, worst = burst, None, 0.0
-    for time in sorted(times):
-        if last is not None:
-            level = min(burst, level + (time - last) * rate_per_s)
-        level -= 1.0
-        last = time
-        worst = max(worst, -level)
-    return worst
-
-
-def count_conforming(
-    times: Iterable[float], rate_per_s: float, burst: float
-) -> int:
-    """Returns how many calls a single bucket would have admitted."""
-    level, last, count = burst, 0.0, 0
-    for time in sorted(times):
-        level = min(burst, level + (time - last) * rate_per_s)
-        last = time
-        if level >= 1.0:
-            level -= 1.0
-            count += 1
-    return count
-
-
 class Model:
     """A fleet of nodes, events and time.
 
@@ -195,7 +86,7 @@
         strategy: str,
         nodes: int = 12,
         zones: int = 3,
-        loads: Mapping[str, Load] = DEFAULT_LOADS,
+        loads: Mapping[str, workspaces.Load] = workspaces.DEFAULT_LOADS,
         drift: float = 0.001,
         delays: float = 0.0,
     ):
@@ -556,252 +447,8 @@
     def overshoot(self) -> float:
         """Returns the largest excess of any workspace, in calls."""
         return max(
-            measure_overshoot(
+            measures.measure_overshoot(
                 self.tallies[name].admitted, load.rate_per_s, load.burst
             )
             for name, load in self.loads.items()
         )
-
-
-def _no_fault(_: Model) -> None:
-    """Leaves the fleet in peace."""
-
-
-def _kill_owner(model: Model) -> None:
-    """Kills the node that owns most, which is the worst to lose."""
-
-    def weigh(vm: str) -> float:
-        owned = model.nodes[vm].strategy.pools
-        return sum(
-            share.rate_per_s for p in owned for share in p.totals().values()
-        )
-
-    model.kill(max(model.nodes, key=weigh))
-
-
-def _cut_zone(model: Model) -> None:
-    """Cuts the first zone off from all others."""
-    zones = sorted(set(model.zones.values()))
-    for other in zones[1:]:
-        model.cut(zones[0], other)
-
-
-FAULTS = ('kill', 'kill', 'many', 'pause', 'pause', 'cut', 'island', 'island')
-
-SCENARIOS = types.MappingProxyType(
-    {'calm': _no_fault, 'node-death': _kill_owner, 'zone-cut': _cut_zone}
-)
-
-
-def run_scenario(
-    seed: int,
-    strategy: str,
-    scenario: str,
-    nodes: int = 12,
-    zones: int = 3,
-    loads: Mapping[str, Load] = DEFAULT_LOADS,
-    duration_s: float = 10.0,
-) -> Result:
-    """Runs one strategy through one scenario and measures it.
-
-    Args:
-      seed: Seed of the model.
-      strategy: Name of the strategy.
-      scenario: One of `SCENARIOS`; its fault occurs as the measured period
-        starts, `WARM_UP_S` after the fleet.
-      nodes: Number of positions.
-      zones: Number of availability zones.
-      loads: The workspaces.
-      duration_s: Length of the measured period.
-    """
-    model = Model(seed, strategy, nodes, zones, loads)
-    end = WARM_UP_S + duration_s
-    model.at(WARM_UP_S - 2.0, lambda: model.send_load(end))
-    model.run(WARM_UP_S)
-    before = {
-        id(n): (n.sent, n.sent_bytes, n.received_bytes)
-        for n in model.all_nodes()
-    }
-    lost = sum(n.strategy.tokens_lost() for n in model.all_nodes())
-    SCENARIOS[scenario](model)
-    model.run(end + 1.0)
-    lost = sum(n.strategy.tokens_lost() for n in model.all_nodes()) - lost
-    traffic = [
-        [a - b for a, b in zip(now, before[id(n)])]
-        for n in model.all_nodes()
-        for now in [(n.sent, n.sent_bytes, n.received_bytes)]
-    ]
-    return _summarise(model, strategy, scenario, traffic, lost, duration_s)
-
-
-def _count_lacking(model: Model, scenario: str) -> int:
-    """Returns how many calls exceed the shares of their side of a cut."""
-    zones = sorted(set(model.zones.values()))
-    sides = [zones]
-    if scenario == 'zone-cut':
-        sides = [zones[:1], zones[1:]]
-    lacking = 0
-    for name, load in model.loads.items():
-        if load.offered_per_s > load.rate_per_s:
-            continue
-        tally = model.tallies[name]
-        for side in sides:
-            part = sum(zone in side for zone in model.zones.values())
-            part /= len(model.zones)
-            times = [
-                time
-                for time, zone in zip(tally.offered, tally.zones)
-                if zone in side and time >= WARM_UP_S
-            ]
-            lacking += len(times) - count_conforming(
-                times, part * load.rate_per_s, part * load.burst
-            )
-    return lacking
-
-
-def _summarise(
-    model: Model,
-    strategy: str,
-    scenario: str,
-    traffic: list[list[int]],
-    lost: float,
-    duration_s: float,
-) -> Result:
-    calls = refused = served = conforming = 0
-    waits: list[float] = []
-    for name, load in model.loads.items():
-        tally = model.tallies[name]
-        if load.offered_per_s > load.rate_per_s:
-            conforming += count_conforming(
-                tally.offered, load.rate_per_s, load.burst
-            )
-            served += len(tally.admitted)
-            continue
-        calls += sum(t >= WARM_UP_S for t in tally.offered)
-        refused += sum(t >= WARM_UP_S for t in tally.refused)
-        pairs = zip(tally.admitted, tally.waits)
-        waits += [wait for time, wait in pairs if time >= WARM_UP_S]
-    lacking = _count_lacking(model, scenario)
-    waits.sort()
-    count = len(traffic)
-    return Result(
-        strategy,
-        scenario,
-        len(model.zones),
-        calls,
-        overshoot=round(model.overshoot(), 3),
-        wrongful=round(refused / max(1, calls), 5),
-        unavoidable=round(lacking / max(1, calls), 5),
-        greedy_served=round(served / max(1, conforming), 3),
-        lost_per_s=round(lost / duration_s, 3),
-        wait_mean_ms=round(1e3 * sum(waits) / max(1, len(waits)), 3),
-        wait_p99_ms=round(1e3 * waits[int(0.99 * len(waits))], 2),
-        messages=round(sum(t[0] for t in traffic) / count / duration_s, 1),
-        sent_bytes=round(sum(t[1] for t in traffic) / count / duration_s),
-        peak_bytes=round(max(t[1] + t[2] for t in traffic) / duration_s),
-    )
-
-
-def compare_strategies(
-    seed: int,
-    nodes: int = 12,
-    zones: int = 3,
-    loads: Mapping[str, Load] = DEFAULT_LOADS,
-    duration_s: float = 10.0,
-) -> list[Result]:
-    """Runs every strategy through every scenario under the same load.
-
-    Args:
-      seed: Seed of each model.
-      nodes: Number of positions.
-      zones: Number of availability zones.
-      loads: The workspaces.
-      duration_s: Length of the measured period.
-    """
-    return [
-        run_scenario(seed, strategy, scenario, nodes, zones, loads, duration_s)
-        for scenario in SCENARIOS
-        for strategy in strategies.registry.names()
-    ]
-
-
-def inject_faults(model: Model, until: float) -> None:
-    """Plans random kills, restarts, pauses and cuts up to a time.
-
-    A killed process is followed by one at the same position, either in the same
-    VM or in a new one.
-    """
-    rng = model.random
-    time = model.now
-    while time < until:
-        time += rng.expovariate(0.5)
-        kind = rng.choice(FAULTS)
-        model.at(time, lambda k=kind: _inject(model, k))
-
-
-def _inject(model: Model, kind: str) -> None:
-    rng = model.random
-    names = sorted(model.nodes)
-    if not names:
-        return
-    if kind == 'pause':
-        model.pause(rng.choice(names), rng.uniform(0.2, 6.0))
-    elif kind == 'island':
-        model.isolate(rng.sample(names, rng.randint(1, len(names))))
-        model.at(model.now + rng.uniform(0.5, 6.0), model.heal)
-    elif kind == 'cut':
-        zones = sorted(set(model.zones.values()))
-        lone = rng.choice(zones)
-        for other in zones:
-            if other != lone:
-                model.cut(lone, other)
-        model.at(model.now + rng.uniform(0.5, 9.0), model.heal)
-    else:
-        count = 1 if kind == 'kill' else rng.randint(1, len(names))
-        for vm in rng.sample(names, min(count, len(names))):
-            _replace(model, vm)
-
-
-def _replace(model: Model, vm: str) -> None:
-    upstream = model.nodes[vm].member.upstream
-    model.kill(vm)
-    again = vm if model.random.random() < 0.5 else f'{vm}+'
-    model.at(
-        model.now + model.random.uniform(0.05, 4.0),
-        lambda: model.start(again, upstream),
-    )
-
-
-def measure_admit_us(seed: int = 1, calls: int = 100_000) -> float:
-    """Returns the processor time of one admitted call, in microseconds."""
-    model = Model(seed, 'static', nodes=1, zones=1)
-    model.run(WARM_UP_S)
-    node = next(iter(model.nodes.values()))
-    wallet = node.strategy._stock.wallet('large-1')
-    wallet.put(wallets.Batch('x', 1, 1e9, float('inf')))
-    now = model._local(node)
-    spent = timeit.timeit(
-        lambda: node.strategy.admit('large-1', 1.0, now), number=calls
-    )
-    return 1e6 * spent / calls
-
-
-def main(arguments: Sequence[str] | None = None) -> int:
-    """Prints a comparison as JSON lines."""
-    parser = argparse.ArgumentParser(description='Compare limit strategies.')
-    parser.add_argument('--nodes', type=int, default=12)
-    parser.add_argument('--zones', type=int, default=3)
-    parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--duration', type=float, default=10.0)
-    options = parser.parse_args(arguments)
-    results = compare_strategies(
-        options.seed, options.nodes, options.zones, duration_s=options.duration
-    )
-    for result in results:
-        print(json.dumps(attrs.asdict(result)))
-    print(json.dumps({'admit_us': round(measure_admit_us(), 2)}))
-    return 0
-
-
-if __name__ == '__main__':
-    raise SystemExit(main())
--- /dev/null
+++ b/jayseam/limits/models/scenarios.py
@@ -0,0 +1,195 @@
+"""Runs of the model through a scenario, and their measurements."""
+
+import types
+from collections.abc import Mapping
+
+import attrs
+
+from jayseam.limits import strategies
+from jayseam.limits.models import faults
+from jayseam.limits.models import fleets
+from jayseam.limits.models import measures
+from jayseam.limits.models import workspaces
+
+WARM_UP_S = 8.0
+
+SCENARIOS = types.MappingProxyType(
+    {
+        'calm': faults.do_nothing,
+        'node-death': faults.kill_owner,
+        'zone-cut': faults.cut_zone,
+    }
+)
+
+
+@attrs.frozen
+class Result:
+    """Measurements of one strategy in one scenario.
+
+    Attributes:
+      strategy: Name of the strategy.
+      scenario: Name of the scenario.
+      nodes: Number of positions.
+      calls: Calls of workspaces within their rate in the measured period.
+      overshoot: Largest excess over ``burst + rate * w`` in any window of the
+        whole run, in calls, over all workspaces.
+      wrongful: Part of the calls of workspaces within their rate that were
+        refused.
+      unavoidable: Part of these calls that would be refused if each side of a
+        cut had one bucket with the shares of its positions, full at the cut.
+      greedy_served: Calls admitted of the workspace over its rate, as a part of
+        what a single bucket would have admitted.
+      lost_per_s: Tokens that expired unspent, a second, over the fleet.
+      wait_mean_ms: Mean wait of admitted calls within the rate.
+      wait_p99_ms: 99th percentile of this wait.
+      messages: Messages sent by a node in a second, mean.
+      sent_bytes: Bytes sent by a node in a second, mean.
+      peak_bytes: Bytes sent and received in a second by the busiest node.
+    """
+
+    strategy: str
+    scenario: str
+    nodes: int
+    calls: int
+    overshoot: float
+    wrongful: float
+    unavoidable: float
+    greedy_served: float
+    lost_per_s: float
+    wait_mean_ms: float
+    wait_p99_ms: float
+    messages: float
+    sent_bytes: float
+    peak_bytes: float
+
+
+def run_scenario(
+    seed: int,
+    strategy: str,
+    scenario: str,
+    nodes: int = 12,
+    zones: int = 3,
+    loads: Mapping[str, workspaces.Load] = workspaces.DEFAULT_LOADS,
+    duration_s: float = 10.0,
+) -> Result:
+    """Runs one strategy through one scenario and measures it.
+
+    Args:
+      seed: Seed of the model.
+      strategy: Name of the strategy.
+      scenario: One of `SCENARIOS`; its fault occurs as the measured period
+        starts, `WARM_UP_S` after the fleet.
+      nodes: Number of positions.
+      zones: Number of availability zones.
+      loads: The workspaces.
+      duration_s: Length of the measured period.
+    """
+    model = fleets.Model(seed, strategy, nodes, zones, loads)
+    end = WARM_UP_S + duration_s
+    model.at(WARM_UP_S - 2.0, lambda: model.send_load(end))
+    model.run(WARM_UP_S)
+    before = {
+        id(n): (n.sent, n.sent_bytes, n.received_bytes)
+        for n in model.all_nodes()
+    }
+    lost = sum(n.strategy.tokens_lost() for n in model.all_nodes())
+    SCENARIOS[scenario](model)
+    model.run(end + 1.0)
+    lost = sum(n.strategy.tokens_lost() for n in model.all_nodes()) - lost
+    traffic = [
+        [a - b for a, b in zip(now, before[id(n)])]
+        for n in model.all_nodes()
+        for now in [(n.sent, n.sent_bytes, n.received_bytes)]
+    ]
+    return _summarise(model, strategy, scenario, traffic, lost, duration_s)
+
+
+def _count_lacking(model: fleets.Model, scenario: str) -> int:
+    """Returns how many calls exceed the shares of their side of a cut."""
+    zones = sorted(set(model.zones.values()))
+    sides = [zones]
+    if scenario == 'zone-cut':
+        sides = [zones[:1], zones[1:]]
+    lacking = 0
+    for name, load in model.loads.items():
+        if load.offered_per_s > load.rate_per_s:
+            continue
+        tally = model.tallies[name]
+        for side in sides:
+            part = sum(zone in side for zone in model.zones.values())
+            part /= len(model.zones)
+            times = [
+                time
+                for time, zone in zip(tally.offered, tally.zones)
+                if zone in side and time >= WARM_UP_S
+            ]
+            lacking += len(times) - measures.count_conforming(
+                times, part * load.rate_per_s, part * load.burst
+            )
+    return lacking
+
+
+def _summarise(
+    model: fleets.Model,
+    strategy: str,
+    scenario: str,
+    traffic: list[list[int]],
+    lost: float,
+    duration_s: float,
+) -> Result:
+    calls = refused = served = conforming = 0
+    waits: list[float] = []
+    for name, load in model.loads.items():
+        tally = model.tallies[name]
+        if load.offered_per_s > load.rate_per_s:
+            conforming += measures.count_conforming(
+                tally.offered, load.rate_per_s, load.burst
+            )
+            served += len(tally.admitted)
+            continue
+        calls += sum(t >= WARM_UP_S for t in tally.offered)
+        refused += sum(t >= WARM_UP_S for t in tally.refused)
+        pairs = zip(tally.admitted, tally.waits)
+        waits += [wait for time, wait in pairs if time >= WARM_UP_S]
+    lacking = _count_lacking(model, scenario)
+    waits.sort()
+    count = len(traffic)
+    return Result(
+        strategy,
+        scenario,
+        len(model.zones),
+        calls,
+        overshoot=round(model.overshoot(), 3),
+        wrongful=round(refused / max(1, calls), 5),
+        unavoidable=round(lacking / max(1, calls), 5),
+        greedy_served=round(served / max(1, conforming), 3),
+        lost_per_s=round(lost / duration_s, 3),
+        wait_mean_ms=round(1e3 * sum(waits) / max(1, len(waits)), 3),
+        wait_p99_ms=round(1e3 * waits[int(0.99 * len(waits))], 2),
+        messages=round(sum(t[0] for t in traffic) / count / duration_s, 1),
+        sent_bytes=round(sum(t[1] for t in traffic) / count / duration_s),
+        peak_bytes=round(max(t[1] + t[2] for t in traffic) / duration_s),
+    )
+
+
+def compare_strategies(
+    seed: int,
+    nodes: int = 12,
+    zones: int = 3,
+    loads: Mapping[str, workspaces.Load] = workspaces.DEFAULT_LOADS,
+    duration_s: float = 10.0,
+) -> list[Result]:
+    """Runs every strategy through every scenario under the same load.
+
+    Args:
+      seed: Seed of each model.
+      nodes: Number of positions.
+      zones: Number of availability zones.
+      loads: The workspaces.
+      duration_s: Length of the measured period.
+    """
+    return [
+        run_scenario(seed, strategy, scenario, nodes, zones, loads, duration_s)
+        for scenario in SCENARIOS
+        for strategy in strategies.registry.names()
+    ]
--- a/jayseam/limits/tests/test_bound.py
+++ b/jayseam/limits/tests/test_bound.py
@@ -163,7 +163,7 @@
         )
         assert backing <= BURST + 1e-6
         granted = max(granted, len(world.spent))
-    excess = models.measure_overshoot(world.spent, RATE_PER_S, BURST)
+    excess = models.measures.measure_overshoot(world.spent, RATE_PER_S, BURST)
     assert excess <= 1e-6
     return granted
 
--- a/jayseam/limits/tests/test_models.py
+++ b/jayseam/limits/tests/test_models.py
@@ -6,15 +6,17 @@
 from jayseam.limits import strategies
 
 LOADS = {
-    'full': models.Load(40.0, 40.0, 30.0),
-    'small': models.Load(20.0, 10.0, 60.0),
-    'bursty': models.Load(100.0, 10.0, 70.0),
+    'full': models.workspaces.Load(40.0, 40.0, 30.0),
+    'small': models.workspaces.Load(20.0, 10.0, 60.0),
+    'bursty': models.workspaces.Load(100.0, 10.0, 70.0),
 }
 
 
 def _run_faults(seed, strategy, nodes, zones):
     """Runs a fleet under faults; returns its model and worst token excess."""
-    model = models.Model(seed, strategy, nodes, zones, LOADS, delays=0.02)
+    model = models.fleets.Model(
+        seed, strategy, nodes, zones, LOADS, delays=0.02
+    )
     excess = [0.0]
 
     def check():
@@ -26,7 +28,7 @@
     model.at(6.0, check)
     model.send_load(until=24.0)
     model.run(6.0)
-    models.inject_faults(model, until=20.0)
+    models.faults.inject_faults(model, until=20.0)
     for second in range(7, 24, 2):
         name = model.random.choice(sorted(LOADS))
         model.at(second, lambda name=name: model.send_pulse(name, 90))
@@ -47,8 +49,8 @@
 
 def test_owner_breaks_the_bound_in_a_partition():
     """The reason for escrow: both sides of a cut have an owner."""
-    owner = models.run_scenario(1, 'owner', 'zone-cut')
-    escrow = models.run_scenario(1, 'escrow', 'zone-cut')
+    owner = models.scenarios.run_scenario(1, 'owner', 'zone-cut')
+    escrow = models.scenarios.run_scenario(1, 'escrow', 'zone-cut')
     assert owner.overshoot > 10.0
     assert escrow.overshoot == 0.0
     assert escrow.wrongful < owner.wrongful
@@ -56,8 +58,8 @@
 
 def test_escrow_serves_skewed_load_that_static_refuses():
     """Calls within the rate must not be refused because of where they enter."""
-    escrow = models.run_scenario(2, 'escrow', 'calm')
-    static = models.run_scenario(2, 'static', 'calm')
+    escrow = models.scenarios.run_scenario(2, 'escrow', 'calm')
+    static = models.scenarios.run_scenario(2, 'static', 'calm')
     assert escrow.wrongful < 0.001
     assert static.wrongful > 0.05
     assert escrow.wait_mean_ms < 1.0
@@ -67,19 +69,21 @@
 def test_small_bursts_at_high_load_are_served():
     """Back-off and unreported tokens must not keep buckets from accruing."""
     loads = {
-        'large': models.Load(400.0, 100.0, 340.0),
-        'tiny': models.Load(20.0, 5.0, 14.0),
+        'large': models.workspaces.Load(400.0, 100.0, 340.0),
+        'tiny': models.workspaces.Load(20.0, 5.0, 14.0),
     }
-    calm = models.run_scenario(1, 'escrow', 'calm', loads=loads)
+    calm = models.scenarios.run_scenario(1, 'escrow', 'calm', loads=loads)
     assert calm.wrongful < 0.01
-    death = models.run_scenario(1, 'escrow', 'node-death', loads=loads)
+    death = models.scenarios.run_scenario(
+        1, 'escrow', 'node-death', loads=loads
+    )
     assert death.wrongful < 0.05
 
 
 @pytest.mark.parametrize('seed', range(3))
 def test_death_of_an_owner_refuses_few(seed):
     """Other cells must supply the entries while shares are locked."""
-    result = models.run_scenario(seed, 'escrow', 'node-death')
+    result = models.scenarios.run_scenario(seed, 'escrow', 'node-death')
     assert result.wrongful < 0.02
 
 
@@ -102,7 +106,7 @@
     replaced. Nodes that were cut off all take the owner for silent, and the
     first of them to ask for a share would keep it for a loan's length.
     """
-    model = models.Model(seed, 'escrow')
+    model = models.fleets.Model(seed, 'escrow')
     model.send_load(until=17.0)
     model.run(8.0)
     model.silence(2.0)
@@ -115,7 +119,7 @@
 
 def test_fleet_restart_recovers_without_excess():
     """All processes that restart at once must neither overshoot nor stall."""
-    model = models.Model(5, 'escrow', nodes=6, zones=3, loads=LOADS)
+    model = models.fleets.Model(5, 'escrow', nodes=6, zones=3, loads=LOADS)
     model.send_load(until=24.0)
     model.run(10.0)
     for vm in list(model.nodes):
@@ -132,8 +136,11 @@
     """Traffic at rest must not grow with the number of workspaces."""
     sizes = []
     for count in (1, 50):
-        loads = {f'w{i}': models.Load(10.0, 10.0, 1.0) for i in range(count)}
-        model = models.Model(1, 'escrow', nodes=4, zones=1, loads=loads)
+        loads = {
+            f'w{i}': models.workspaces.Load(10.0, 10.0, 1.0)
+            for i in range(count)
+        }
+        model = models.fleets.Model(1, 'escrow', nodes=4, zones=1, loads=loads)
         model.run(20.0)
         before = sum(n.sent_bytes for n in model.all_nodes())
         model.run(30.0)
