--- a/jayseam/links/transports.py
+++ b/jayseam/links/transports.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+import contextlib
 
 import gevent
 from gevent import socket
@@ -143,19 +144,15 @@
 
     def close(self) -> None:
         """Sends a close frame if that needs no waiting and ends the socket."""
-        try:
+        with contextlib.suppress(OSError, exceptions.WebSocketException):
             self._protocol.fail(websocket_frames.CloseCode.GOING_AWAY)
             self.sock.send(self.take_control(), 0, timeout=0.0)
-        except (OSError, exceptions.WebSocketException):
-            pass
         self.sock.close()
 
     def finish(self) -> None:
         """Ends the outgoing direction; the peer closes when it has read all."""
-        try:
+        with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            pass
 
     def abort(self) -> None:
         """Ends the socket without a close frame."""
--- a/jayseam/node/fields.py
+++ b/jayseam/node/fields.py
@@ -9,6 +9,7 @@
   RFC 9110, section 5; RFC 9112, sections 2.2 and 5.
 """
 
+import contextlib
 from collections.abc import Iterator
 from typing import BinaryIO
 
@@ -108,10 +109,9 @@
         lines.append(line)
     collector = _Collector()
     try:
-        httptools.HttpRequestParser(collector).feed_data(b''.join(lines))
-    except httptools.HttpParserUpgrade:
-        # Says that a field asks for another protocol; the fields are whole.
-        pass
+        # An upgrade is a field that asks for another protocol; it is ignored.
+        with contextlib.suppress(httptools.HttpParserUpgrade):
+            httptools.HttpRequestParser(collector).feed_data(b''.join(lines))
     except httptools.HttpParserError as error:
         raise FramingError('a malformed field') from error
     return Fields(collector.pairs)
