Run the tests of one process in four workers

Change: make test runs all but jayseam/node/tests with pytest-xdist, a file at a time, in four workers, then the tests of whole fleets alone, because they measure times. Both verdicts count. The list of known red tests is printed from the file, since only workers collect tests.

--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,12 @@
 lint: $(STAMP)
 	$(BIN)/pylint --score=n jayseam conftest.py
 
+# Tests of whole fleets measure times, so nothing runs beside them.
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	status=0; \
+	$(BIN)/python -m pytest -n 4 --dist loadfile --ignore=jayseam/node/tests || status=1; \
+	$(BIN)/python -m pytest jayseam/node/tests || status=1; \
+	exit $$status
 
 demo: $(STAMP)
 	$(BIN)/jayseam-demo $(ARGS)
--- a/conftest.py
+++ b/conftest.py
@@ -35,12 +35,16 @@
     if os.environ.get(_RUN_ALL) == 'run':
         return
     listed = [item for item in items if item.nodeid in entries]
-    config.known_red = [entries[item.nodeid] for item in listed]
     items[:] = [item for item in items if item.nodeid not in entries]
     config.hook.pytest_deselected(items=listed)
 
 
 def pytest_terminal_summary(terminalreporter, config):
-    """Prints the tests that were passed over."""
-    for line in getattr(config, 'known_red', ()):
+    """Prints the tests that were passed over.
+
+    With several workers only they collect tests, so the list itself is read.
+    """
+    if os.environ.get(_RUN_ALL) == 'run' or hasattr(config, 'workerinput'):
+        return
+    for line in _read_entries().values():
         terminalreporter.write_line(f'known red, not run: {line}')
