Move the limit strategies of measurements into a module of their own

Ruled out for now: splitting lender, owner and entry of the escrow strategy, which share their state and need a run of all tests of fleets.

--- a/jayseam/limits/__init__.py
+++ b/jayseam/limits/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from jayseam.limits import accounts
+from jayseam.limits import baselines
 from jayseam.limits import buckets
 from jayseam.limits import cells
 from jayseam.limits import errors
@@ -17,6 +18,7 @@
 
 __all__ = [
     'accounts',
+    'baselines',
     'buckets',
     'cells',
     'errors',
