--- a/jayseam/backends/__init__.py
+++ b/jayseam/backends/__init__.py
@@ -6,6 +6,7 @@
 
 from jayseam.backends import client
 from jayseam.backends import connections
+from jayseam.backends import dialects
 from jayseam.backends import errors
 from jayseam.backends import health
 from jayseam.backends import messages
@@ -14,6 +15,7 @@
 __all__ = [
     'client',
     'connections',
+    'dialects',
     'errors',
     'health',
     'messages',
--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -18,6 +18,7 @@
 from gevent import lock
 
 from jayseam.backends import connections
+from jayseam.backends import dialects
 from jayseam.backends import errors
 from jayseam.backends import messages
 from jayseam.backends import states
@@ -37,7 +38,6 @@
 # The sockets of an ended process are closed one after the other, so the
 # survivors are counted again a moment after the first loss.
 SURVIVOR_CHECK_DELAY_S = 0.02
-CANCEL_PATH = '/.backend/cancel/'
 
 _log = logs.get_logger(__name__)
 
@@ -87,6 +87,7 @@
         observe: Callable[[states.Evidence, float], None] = _ignore,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        dialect: dialects.Dialect = dialects.DEFAULT,
         read_now: Callable[[], float] = clocks.read_now,
     ):
         """Creates a client; the first call opens the first connection.
@@ -98,6 +99,7 @@
             the time, in the greenlet that has it; it must not block.
           max_answer_bytes: Greatest body of an answer.
           connect_timeout_s: Time to establish a connection, in seconds.
+          dialect: Header fields that the backend server understands.
           read_now: Clock, in seconds.
         """
         host, port = address
@@ -107,6 +109,7 @@
         self._observe = observe
         self._max_answer_bytes = max_answer_bytes
         self._connect_timeout_s = connect_timeout_s
+        self._dialect = dialect
         self._read_now = read_now
         self._calls: dict[str, _Call] = {}
         self._cancels = lock.Semaphore(MAX_CANCELS)
@@ -154,7 +157,7 @@
             self._report_answer(call, answer)
         finally:
             del self._calls[request.request_id]
-        if messages.is_shed(answer) and request.shed_retryable:
+        if self._is_shed(answer) and request.shed_retryable:
             raise errors.ShedError(request.request_id)
         return answer
 
@@ -234,7 +237,9 @@
         while True:
             connection = self._take(call, pool)
             reader = messages.AnswerReader(
-                call.request.method, self._max_answer_bytes
+                call.request.method,
+                self._max_answer_bytes,
+                self._dialect.unsized_answers,
             )
             reusable = False
             try:
@@ -288,7 +293,9 @@
         call.sent_at = self._read_now()
         call.in_flight = len(self._calls)
         left_ms = max(0, int((call.deadline - call.sent_at) * 1000))
-        data = messages.encode_request(call.request, self._host, left_ms)
+        data = messages.encode_request(
+            call.request, self._host, left_ms, self._dialect
+        )
         sent = 0
         while sent < len(data):
             left_s = call.deadline - self._read_now()
@@ -335,16 +342,32 @@
                 raise errors.OutcomeUnknownError(reason, str(error)) from error
             complete = reader.receive(data)
         answer = reader.build_answer()
-        echoed = messages.find_header(answer.headers, 'request-id')
+        self._check_answer(call, answer)
+        return answer
+
+    def _check_answer(
+        self, call: _Call, answer: messages.BackendAnswer
+    ) -> None:
+        """Refuses an answer that belongs to another call or to none.
+
+        Raises:
+          OutcomeUnknownError: If it does.
+        """
+        dialect = self._dialect
+        echoed = dialect.find(answer.headers, dialect.request_id)
         if echoed is not None and echoed != call.request.request_id:
             raise errors.OutcomeUnknownError('crossed', f'answer to {echoed}')
-        return answer
+        if not dialect.is_sealed(answer.status, answer.headers):
+            raise errors.OutcomeUnknownError('framing', 'success without seal')
+
+    def _is_shed(self, answer: messages.BackendAnswer) -> bool:
+        return messages.is_shed(answer, self._dialect)
 
     def _report_answer(
         self, call: _Call, answer: messages.BackendAnswer
     ) -> None:
         now = self._read_now()
-        shed = messages.is_shed(answer)
+        shed = self._is_shed(answer)
         evidence = states.Answered(
             call.request.kind,
             call.sent_at,
@@ -368,7 +391,7 @@
         if call.is_control or not call.sent:
             return
         # Errors from outside, such as GreenletExit, also cancel the call.
-        if reason in ('timeout', 'cancelled'):
+        if self._dialect.cancel_path and reason in ('timeout', 'cancelled'):
             self._schedule_cancel(call.request.request_id)
 
     def _report_idle_loss(self, connection: connections.Connection) -> None:
@@ -432,7 +455,7 @@
 
     def _post_cancel(self, request_id: str) -> None:
         """Tells the backend server to stop a call; its answer is not needed."""
-        path = CANCEL_PATH + parse.quote(request_id, safe='')
+        path = self._dialect.cancel_path + parse.quote(request_id, safe='')
         request = messages.BackendRequest(request_id, 'POST', path)
         try:
             with self._cancels:
--- a/jayseam/backends/health.py
+++ b/jayseam/backends/health.py
@@ -68,6 +68,7 @@
         ramp_s: float,
         on_start: Callable[[float], None],
         on_state: Callable[[str], None],
+        polls: bool = True,
     ):
         """Creates a monitor of a server that is down until first contact.
 
@@ -76,13 +77,17 @@
           on_start: Receives the time of each start noticed, in seconds;
             normally `admission.gates.Gate.notice_start`.
           on_state: Receives the name of the state after each change.
+          polls: Whether the health endpoint is polled. Otherwise the state
+            follows from calls and from the platform's list.
         """
+        self._polls = polls
         self._state = states.BackendState(ramp_s=ramp_s)
         self._on_start = on_start
         self._on_state = on_state
         self._client: backend_client.BackendClient | None = None
         self._greenlet: gevent.Greenlet | None = None
         self._read_now = clocks.read_now
+        self._listing: states.Listed | None = None
 
     @property
     def state(self) -> states.BackendState:
@@ -115,6 +120,17 @@
         if self._greenlet is not None:
             self._greenlet.kill()
 
+    def hear_listing(self, live: bool, cold: bool, now: float) -> None:
+        """Applies what the platform's list says of the backend server."""
+        self._listing = states.Listed(live, cold)
+        self.observe(self._listing, now)
+
+    def _check_listing(self) -> None:
+        """Gives a listed server that was lost another chance."""
+        if self._listing is not None:
+            self.observe(self._listing, self._read_now())
+        self.tick(self._read_now())
+
     def poll_once(self) -> None:
         """Polls the health endpoint and applies what it shows."""
         sent_at = self._read_now()
@@ -133,7 +149,10 @@
     def _run(self) -> None:
         while True:
             try:
-                self.poll_once()
+                if self._polls:
+                    self.poll_once()
+                else:
+                    self._check_listing()
             except Exception:  # pylint: disable=broad-exception-caught
                 # One faulty poll must not end the task.
                 _log.exception('backend.poll_failed')
--- a/jayseam/backends/states.py
+++ b/jayseam/backends/states.py
@@ -94,7 +94,20 @@
     sent_at: float
 
 
-Evidence = Refused | ConnectTimedOut | Reset | Answered | HealthWord
+@attrs.frozen
+class Listed:
+    """The platform's list names the backend server.
+
+    Attributes:
+      live: Whether it takes new work.
+      cold: Whether it is in cold start.
+    """
+
+    live: bool
+    cold: bool
+
+
+Evidence = Refused | ConnectTimedOut | Reset | Answered | HealthWord | Listed
 
 
 @attrs.frozen
@@ -133,6 +146,8 @@
       ratios: Latencies of the last calls over their baselines.
       measured_from: Latencies of requests sent before this are ignored.
       failures: Whether each of the last calls failed; empty if none did.
+      listed_cold: Whether the platform's list last said that it is cold.
+      lost: Whether it was reached before and then lost.
       failing_since: Time of the first start noticed by failures since more
         than half of them last succeeded, in seconds, or None.
     """
@@ -152,6 +167,8 @@
     measured_from: float = 0.0
     failures: tuple[bool, ...] = ()
     failing_since: float | None = None
+    listed_cold: bool = False
+    lost: bool = False
 
 
 def observe(
@@ -219,6 +236,7 @@
         repeats=0,
         ratios=(),
         measured_from=now,
+        lost=True,
     )
 
 
@@ -283,6 +301,22 @@
     return heard
 
 
+@_observe.register
+def _(evidence: Listed, state: BackendState, now: float) -> BackendState:
+    heard = attrs.evolve(state, listed_cold=evidence.cold)
+    if not evidence.live:
+        return _advance(heard, 'drain_noticed', now)
+    if evidence.cold and not state.listed_cold:
+        return _notice_start(heard, now)
+    if state.name not in ('down', 'draining'):
+        return heard
+    if state.lost or evidence.cold:
+        return _notice_start(heard, now)
+    # It is the node that started, and its backend server is warm.
+    started = _advance(heard, 'start_noticed', now)
+    return _advance(started, 'ramp_finished', now)
+
+
 def _hear_starting(state: BackendState, now: float) -> BackendState:
     """Restarts the ramp on ``starting``, for at most one ramp's length.
 
--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -73,14 +73,16 @@
         self._in_service = after
         self._pools = None
 
-    def match_route(self, preset: Any, method: str, path: str) -> Any:
+    def match_route(
+        self, preset: Any, method: str, path: str, host: str = ''
+    ) -> Any:
         """Returns the route of a call.
 
         Raises:
           CallError: If there is none.
         """
         try:
-            return self._find_table(preset).match(path, method)
+            return self._find_table(preset).match(path, method, host)
         except routing.errors.MethodNotAllowedError as error:
             raise errors.MethodError(str(error)) from error
         except routing.errors.NoRouteError as error:
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from jayseam.backends import dialects
 from jayseam.calls import choosers
 from jayseam.calls import claims
 from jayseam.calls import errors
@@ -31,6 +32,8 @@
 _REPLY_MARGIN_MS = 50
 # With less time left another attempt is in vain, and its reply may be late.
 _MIN_RETRY_S = 0.1
+# Time for a confirmation of the keys to arrive by another path.
+_RETRY_KEYS_S = 0.5
 # Failures that a node reports without having run the handler.
 _NOT_HANDLED = frozenset(('no-handler', 'overloaded'))
 
@@ -87,6 +90,10 @@
       cancel: Tells a VM that nobody waits for an attempt.
       keys_usable: Tells whether the key set may still be trusted.
       window_s: How long idempotency keys are remembered, in seconds.
+      dialect: Header fields of callers and backend servers.
+      service: Service beside which this node runs, if it is told to backend
+        servers.
+      retry_budget: Size of the retry budgets.
     """
 
     own_vm: str
@@ -100,6 +107,9 @@
     cancel: Callable[[str, str], None]
     keys_usable: Callable[[float], bool]
     window_s: float
+    dialect: dialects.Dialect = dialects.DEFAULT
+    service: str = ''
+    retry_budget: retries.BudgetSize = retries.BudgetSize()
 
 
 class Entry:
@@ -107,7 +117,7 @@
 
     def __init__(self, parts: EntryParts):
         self._parts = parts
-        self._budgets = retries.RetryBudgets()
+        self._budgets = retries.RetryBudgets(parts.retry_budget)
 
     def judge(
         self, request: requests.CallRequest, request_id: str, now: float
@@ -119,11 +129,12 @@
         """
         snapshot = self._require_snapshot()
         route = self._parts.chooser.match_route(
-            snapshot.preset, request.method, request.path
+            snapshot.preset, request.method, request.path, request.host
         )
         caller = self._authorize(request, snapshot, route, now)
         wall_ms = clocks.read_wall_ms()
-        timeout_ms = _read_timeout_ms(request, route.timeout_ms)
+        field = self._parts.dialect.timeout_ms
+        timeout_ms = _read_timeout_ms(request, field, route.timeout_ms)
         if caller.expires_wall_ms is not None:
             timeout_ms = min(timeout_ms, caller.expires_wall_ms - wall_ms)
         if timeout_ms <= 0:
@@ -147,7 +158,7 @@
         Raises:
           CallError: If there is no answer; says whether the call may have run.
         """
-        if call.route.repeatable:
+        if call.route.repeatable or not call.route.keyed:
             return self._attempt(call)
         return self._run_once(call)
 
@@ -185,8 +196,8 @@
             clocks.read_wall_ms(),
         )
         if caller is not None and not self._parts.keys_usable(now):
-            raise errors.KeyRefusedError(
-                'keys have not been confirmed recently'
+            raise errors.KeysUnconfirmedError(
+                'keys have not been confirmed recently', _RETRY_KEYS_S
             )
         return caller
 
@@ -258,7 +269,8 @@
         failure: errors.CallError = errors.NotRunError(
             'no backend server is available', 1.0
         )
-        for number in range(retries.MAX_RETRIES + 1):
+        most = min(retries.MAX_RETRIES + 1, call.route.max_attempts)
+        for number in range(most):
             now = clocks.read_now()
             if number and now + _MIN_RETRY_S > call.deadline:
                 raise failure
@@ -329,14 +341,19 @@
         self, call: Call, chosen: Any, now: float
     ) -> messages.Forward:
         caller = call.caller
-        headers = requests.filter_request_headers(call.request.headers)
+        dialect = self._parts.dialect
+        headers = requests.filter_request_headers(call.request.headers, dialect)
         left_ms = int((call.deadline - now) * 1000)
         run_ms = max(1, left_ms - min(_REPLY_MARGIN_MS, left_ms // 10))
         added = [
-            ('request-id', call.request_id),
-            ('request-timeout-ms', str(run_ms)),
+            (dialect.request_id.lower(), call.request_id),
+            (dialect.timeout_ms.lower(), str(run_ms)),
         ]
+        if dialect.caller_service and self._parts.service:
+            added.append((dialect.caller_service.lower(), self._parts.service))
         if caller.workspace:
+            added.append((dialect.workspace.lower(), caller.workspace))
+        if caller.workspace and dialect.call_tokens:
             token = tokens.CallToken(
                 caller.workspace,
                 caller.key_id,
@@ -344,7 +361,6 @@
                 caller.depth + 1,
                 call.expires_wall_ms,
             )
-            added.append(('jayseam-workspace', caller.workspace))
             added.append(
                 (
                     keys.TOKEN_HEADER,
@@ -394,15 +410,22 @@
     return {name: item.zone for name, item in preset.upstreams.items()}
 
 
-def _read_timeout_ms(request: requests.CallRequest, most_ms: int) -> int:
+def _read_timeout_ms(
+    request: requests.CallRequest, field: str, most_ms: int
+) -> int:
     """Returns the caller's timeout, at most that of the route.
 
+    Args:
+      request: The caller's request.
+      field: Name of the field with the timeout.
+      most_ms: Timeout of the route in milliseconds.
+
     Raises:
       BadRequestError: If the field is not a positive whole number.
     """
-    text = request.header('request-timeout-ms')
+    text = request.header(field.lower())
     if text is None:
         return most_ms
     if not text.isascii() or not text.isdigit() or int(text) == 0:
-        raise errors.BadRequestError('Request-Timeout-Ms is not a number')
+        raise errors.BadRequestError(f'{field} is not a number')
     return min(int(text), most_ms)
--- a/jayseam/calls/errors.py
+++ b/jayseam/calls/errors.py
@@ -41,6 +41,12 @@
     status = 401
 
 
+class KeysUnconfirmedError(CallError):
+    """It is not known whether the key is still granted."""
+
+    code = 'keys-unconfirmed'
+
+
 class ZoneError(CallError):
     """The availability zone takes no new work."""
 
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -43,6 +43,7 @@
       backend: Client of the own backend server.
       ensure_fresh: Returns once the process knows what happened while it was
         paused; takes and returns the time in seconds.
+      dialect: Header fields that the backend server understands.
     """
 
     def __init__(
@@ -52,12 +53,14 @@
         gate: admission.gates.Gate,
         backend: backends.client.BackendClient,
         ensure_fresh: Callable[[float], float],
+        dialect: backends.dialects.Dialect = backends.dialects.DEFAULT,
     ):
         self._identity = identity
         self._read_snapshot = read_snapshot
         self._gate = gate
         self._backend = backend
         self._ensure_fresh = ensure_fresh
+        self._dialect = dialect
         self._running: dict[str, gevent.Greenlet] = {}
         self._request_ids: dict[str, str] = {}
         self._leaving = False
@@ -165,6 +168,18 @@
         upstream = preset and preset.upstreams.get(self._identity.upstream)
         return upstream.service if upstream else None
 
+    def _find_instance(self) -> str:
+        """Returns the instance of the own backend server in the VM list.
+
+        Raises:
+          NotRunError: If the list doesn't name it.
+        """
+        vm_list = self._read_snapshot().vms
+        entry = vm_list and vm_list.by_name.get(self._identity.vm)
+        if entry is None or not entry.instance:
+            raise errors.NotRunError('the backend server is not listed')
+        return entry.instance
+
     def _zone_in_service(self) -> bool:
         preset = self._read_snapshot().preset
         zone = preset.zones.get(self._identity.zone) if preset else None
@@ -173,7 +188,11 @@
     def _key_valid(self, forward: messages.Forward) -> bool:
         if not forward.key_id:
             return True
-        key_set = self._read_snapshot().keys
+        snapshot = self._read_snapshot()
+        if forward.keys_version > snapshot.keys_version:
+            # The entry judged the key by a key set that is newer.
+            return True
+        key_set = snapshot.keys
         return key_set is not None and keys.allow_key(
             key_set, forward.key_id, forward.workspace
         )
@@ -196,7 +215,7 @@
             self._check_again(forward, deadline)
             answer = self._backend.run(self._build_request(forward), deadline)
             result = admission.gates.Result.SUCCESS
-            if backends.messages.is_shed(answer):
+            if backends.messages.is_shed(answer, self._dialect):
                 # Passed on as it is, but the limit must still fall.
                 result = admission.gates.Result.SHED
         except backends.errors.ShedError as error:
@@ -210,7 +229,7 @@
             raise errors.OutcomeUnknownError(str(error)) from error
         finally:
             self._release(permit, result, forward.request_id)
-        headers = requests.filter_answer_headers(answer.headers)
+        headers = requests.filter_answer_headers(answer.headers, self._dialect)
         return requests.CallAnswer(answer.status, headers, answer.body)
 
     def _check_again(self, forward: messages.Forward, deadline: float) -> None:
@@ -259,11 +278,14 @@
         self, forward: messages.Forward
     ) -> backends.messages.BackendRequest:
         service = self._read_snapshot().preset.services[forward.service]
+        headers = list(forward.headers)
+        if self._dialect.instance:
+            headers.append((self._dialect.instance, self._find_instance()))
         return backends.messages.BackendRequest(
             request_id=forward.request_id,
             method=forward.method,
             path=forward.target,
-            headers=tuple((name, value) for name, value in forward.headers),
+            headers=tuple(headers),
             body=forward.body,
             shed_retryable=service.shed_retryable,
             kind=forward.route,
--- a/jayseam/calls/problems.py
+++ b/jayseam/calls/problems.py
@@ -14,13 +14,23 @@
 
 
 def render_problem(
-    error: errors.CallError, request_id: str, idempotency_key: str | None = None
+    error: errors.CallError,
+    request_id: str,
+    idempotency_key: str | None = None,
+    fractional: bool = False,
 ) -> requests.CallAnswer:
     """Returns the answer that reports ``error`` to the caller.
 
     >>> answer = render_problem(errors.LimitError('over', 0.2), 'r1')
     >>> answer.status, dict(answer.headers)['Retry-After']
     (429, '1')
+
+    Args:
+      error: Why there is no result.
+      request_id: Identifier of the call.
+      idempotency_key: Key under which the caller may ask for the outcome.
+      fractional: Whether callers understand fractions of seconds in
+        ``Retry-After``; RFC 9110 has whole seconds only.
     """
     document = {
         'type': f'urn:jayseam:problem:{error.code}',
@@ -35,9 +45,20 @@
         document['ask'] = f'/.jayseam/outcomes/{idempotency_key}'
     headers = [('Content-Type', _CONTENT_TYPE)]
     if error.retry_after_s is not None:
-        # Retry-After carries whole seconds; rounding down would invite a
-        # retry before tokens are there.
-        seconds = max(1, math.ceil(error.retry_after_s))
-        headers.append(('Retry-After', str(seconds)))
+        headers.append(
+            ('Retry-After', _format_delay(error.retry_after_s, fractional))
+        )
     body = json.dumps(document).encode()
     return requests.CallAnswer(error.status, tuple(headers), body)
+
+
+def _format_delay(delay_s: float, fractional: bool) -> str:
+    """Returns the value of ``Retry-After``.
+
+    >>> _format_delay(0.21, True), _format_delay(0.21, False)
+    ('0.21', '1')
+    """
+    if fractional:
+        return f'{max(0.0, delay_s):.3g}'
+    # Rounding down would invite a retry before tokens are there.
+    return str(max(1, math.ceil(delay_s)))
--- a/jayseam/calls/requests.py
+++ b/jayseam/calls/requests.py
@@ -1,24 +1,17 @@
 """Requests and answers as they travel through the call path."""
 
+import functools
 from collections.abc import Iterable
 
 import attrs
 
+from jayseam.backends import dialects
 from jayseam.backends import messages as backend_messages
 
 Headers = tuple[tuple[str, str], ...]
 
-_REQUEST_ONLY = frozenset(
-    (
-        'authorization',
-        'content-length',
-        'expect',
-        'host',
-        'request-id',
-        'request-timeout-ms',
-    )
-)
-_ANSWER_ONLY = frozenset(('content-length', 'date', 'request-id', 'server'))
+_REQUEST_ONLY = frozenset(('authorization', 'content-length', 'expect'))
+_ANSWER_ONLY = frozenset(('content-length', 'date', 'server'))
 _PRIVATE_PREFIX = 'jayseam-'
 
 
@@ -47,6 +40,12 @@
                 return value
         return None
 
+    @property
+    def host(self) -> str:
+        """The host that the request names, in lower case, without a port."""
+        text = (self.header('host') or '').lower()
+        return text if text.endswith(']') else text.partition(':')[0]
+
     def target(self) -> str:
         """Returns path and query as they stand in a request line."""
         return f'{self.path}?{self.query}' if self.query else self.path
@@ -61,7 +60,10 @@
     body: bytes
 
 
-def filter_request_headers(headers: Iterable[tuple[str, str]]) -> Headers:
+def filter_request_headers(
+    headers: Iterable[tuple[str, str]],
+    dialect: dialects.Dialect = dialects.DEFAULT,
+) -> Headers:
     """Returns the header fields that may reach a backend server.
 
     Hop-by-hop fields, fields named by ``Connection``, credentials and the
@@ -71,16 +73,28 @@
     ...                         ('connection', 'x-a'), ('x-a', '1')])
     (('accept', '*/*'),)
     """
-    return _filter(headers, _REQUEST_ONLY)
+    dropped = _REQUEST_ONLY | _name_own_fields(dialect)
+    if not dialect.keeps_host:
+        dropped |= {'host'}
+    return _filter(headers, dropped, '')
 
 
-def filter_answer_headers(headers: Iterable[tuple[str, str]]) -> Headers:
+def filter_answer_headers(
+    headers: Iterable[tuple[str, str]],
+    dialect: dialects.Dialect = dialects.DEFAULT,
+) -> Headers:
     """Returns the header fields of an answer that may reach a caller."""
-    return _filter(headers, _ANSWER_ONLY)
+    dropped = _ANSWER_ONLY | _name_own_fields(dialect)
+    return _filter(headers, dropped, dialect.seal.lower())
+
+
+@functools.lru_cache(maxsize=8)
+def _name_own_fields(dialect: dialects.Dialect) -> frozenset[str]:
+    return frozenset((dialect.request_id.lower(), dialect.timeout_ms.lower()))
 
 
 def _filter(
-    headers: Iterable[tuple[str, str]], dropped: frozenset[str]
+    headers: Iterable[tuple[str, str]], dropped: frozenset[str], kept: str
 ) -> Headers:
     pairs = [(name.lower(), value) for name, value in headers]
     named = {
@@ -95,5 +109,5 @@
         if name not in backend_messages.HOP_BY_HOP
         and name not in dropped
         and name not in named
-        and not name.startswith(_PRIVATE_PREFIX)
+        and (name == kept or not name.startswith(_PRIVATE_PREFIX))
     )
--- a/jayseam/calls/retries.py
+++ b/jayseam/calls/retries.py
@@ -7,19 +7,31 @@
 import attrs
 
 MAX_RETRIES = 2
-_SHARE_OF_CALLS = 0.1
-_MAX_SAVED_RETRIES = 10.0
-# Without a floor, a workspace with little traffic could not retry at all.
-_MIN_RETRIES_PER_S = 0.1
 # Budgets above which the full ones are forgotten.
 _MAX_BUDGETS = 256
 
 
+@attrs.frozen
+class BudgetSize:
+    """How many retries a node may make for one workspace.
+
+    Attributes:
+      share: Retries that each call adds.
+      max_saved: Most retries that are saved up.
+      min_per_s: Retries added per second. Without them, a workspace with
+        little traffic could not retry at all.
+    """
+
+    share: float = 0.1
+    max_saved: float = 10.0
+    min_per_s: float = 0.1
+
+
 @attrs.frozen
 class RetryBudget:
     """Retries that a node may still make for one workspace.
 
-    >>> budget = RetryBudget(0.0, 100.0)
+    >>> budget = RetryBudget(saved=0.0, updated_at=100.0)
     >>> budget.spend(100.0) is None
     True
     >>> for _ in range(10):
@@ -28,12 +40,15 @@
     0.0
     """
 
-    saved: float = _MAX_SAVED_RETRIES
+    size: BudgetSize = BudgetSize()
+    saved: float = attrs.field(
+        default=attrs.Factory(lambda self: self.size.max_saved, takes_self=True)
+    )
     updated_at: float = 0.0
 
     def record_call(self, now: float) -> 'RetryBudget':
         """Returns the budget after one more first attempt."""
-        return self._refill(now, _SHARE_OF_CALLS)
+        return self._refill(now, self.size.share)
 
     def spend(self, now: float) -> 'RetryBudget | None':
         """Returns the budget after a retry, or None if it allows none."""
@@ -41,16 +56,16 @@
         # The tolerance covers rounding when ten calls add 0.1 each.
         if budget.saved < 1.0 - 1e-9:
             return None
-        return RetryBudget(budget.saved - 1.0, now)
+        return RetryBudget(self.size, budget.saved - 1.0, now)
 
     def is_full(self, now: float) -> bool:
         """Tells whether the budget is that of a workspace never seen."""
-        return self._refill(now, 0.0).saved >= _MAX_SAVED_RETRIES
+        return self._refill(now, 0.0).saved >= self.size.max_saved
 
     def _refill(self, now: float, earned: float) -> 'RetryBudget':
         elapsed_s = max(0.0, now - self.updated_at)
-        saved = self.saved + earned + elapsed_s * _MIN_RETRIES_PER_S
-        return RetryBudget(min(saved, _MAX_SAVED_RETRIES), now)
+        saved = self.saved + earned + elapsed_s * self.size.min_per_s
+        return RetryBudget(self.size, min(saved, self.size.max_saved), now)
 
 
 class RetryBudgets:
@@ -66,7 +81,8 @@
     True
     """
 
-    def __init__(self) -> None:
+    def __init__(self, size: BudgetSize = BudgetSize()):
+        self._size = size
         self._budgets: dict[str, RetryBudget] = {}
 
     def record_call(self, workspace: str, now: float) -> None:
@@ -88,4 +104,5 @@
         return budget is not None
 
     def _find(self, workspace: str, now: float) -> RetryBudget:
-        return self._budgets.get(workspace) or RetryBudget(updated_at=now)
+        found = self._budgets.get(workspace)
+        return found or RetryBudget(self._size, updated_at=now)
--- a/jayseam/core/logs.py
+++ b/jayseam/core/logs.py
@@ -1,21 +1,25 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line."""
 
 import logging
 import sys
+from typing import TextIO
 
 from pythonjsonlogger import json as json_logger
 
 _ROOT = 'jayseam'
 
 
-def configure_logs(level: str, **context: str) -> None:
-    """Sends the logs of jayseam to standard error as JSON lines.
+def configure_logs(
+    level: str, stream: TextIO | None = None, **context: str
+) -> None:
+    """Sends the logs of jayseam to a stream as JSON lines.
 
     Args:
       level: A level name of the standard library, such as ``INFO``.
+      stream: Where to write; standard error by default.
       **context: Fields added to every line, for example ``vm`` and ``zone``.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         json_logger.JsonFormatter(
             '%(asctime)s %(levelname)s %(name)s %(message)s',
--- a/jayseam/distribution/states.py
+++ b/jayseam/distribution/states.py
@@ -1,6 +1,7 @@
 """What a node holds: the store of versions, their content and confirmations."""
 
 from collections.abc import Mapping
+from typing import Any
 
 import attrs
 
@@ -18,12 +19,14 @@
     """What is in force at a node. It is replaced whole, never changed.
 
     Attributes:
-      preset: Preset in force, None before the first.
+      preset: Preset in force, None before the first. The upstreams that the
+        VM list names are part of it.
       preset_version: Its version, zero before the first.
       keys: Key set in force, None before the first.
       keys_version: Its version, zero before the first.
       vms: VM list, None before the first.
       vms_version: Its version, zero before the first.
+      published: The preset as operators published it.
     """
 
     preset: model.Preset | None = None
@@ -32,6 +35,19 @@
     keys_version: int = 0
     vms: model.VmList | None = None
     vms_version: int = 0
+    published: model.Preset | None = None
+
+    def replace(self, channel: str, value: Any, version: int) -> 'Snapshot':
+        """Returns the snapshot with another version of a channel."""
+        name = 'published' if channel == 'preset' else channel
+        changed = attrs.evolve(
+            self, **{name: value, f'{channel}_version': version}
+        )
+        if changed.published is None:
+            return changed
+        vms = changed.vms or model.VmList()
+        preset = model.add_listed_upstreams(changed.published, vms)
+        return attrs.evolve(changed, preset=preset)
 
 
 @attrs.frozen
@@ -71,15 +87,11 @@
         store = self.store.accept(channel, version.version, version.digest, now)
         if store is self.store:
             return self
-        in_force = {
-            channel: fetched.value,
-            f'{channel}_version': version.version,
-        }
         cache = self.cache(channel).replace(fetched.held)
         known = self.find_confirmations(channel).accept(version.version)
         return State(
             store,
-            attrs.evolve(self.snapshot, **in_force),
+            self.snapshot.replace(channel, fetched.value, version.version),
             {**self.caches, channel: cache},
             {**self.confirmed, channel: known},
         )
--- a/jayseam/node/admin.py
+++ b/jayseam/node/admin.py
@@ -82,6 +82,24 @@
         return _respond(start_response, 200, document)
 
 
+class ReadinessApplication:
+    """Answers any request with 200 while the node is ready, else with 503.
+
+    Args:
+      is_ready: Tells whether callers may send their calls to the node.
+    """
+
+    def __init__(self, is_ready: Callable[[], bool]):
+        self._is_ready = is_ready
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        del environ
+        ready = self._is_ready()
+        return _respond(start_response, 200 if ready else 503, {'ready': ready})
+
+
 def _respond(
     start_response: Callable[..., Any], status: int, document: Any
 ) -> Iterable[bytes]:
--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from jayseam.backends import dialects
 from jayseam.calls import entry as call_entry
 from jayseam.calls import errors
 from jayseam.calls import keys
@@ -35,6 +36,7 @@
       guard: Holds calls after a pause.
       monitor: Interrupts calls whose callers left.
       zone_in_service: Tells whether the own zone takes new work.
+      dialect: Header fields of callers.
     """
 
     def __init__(
@@ -43,13 +45,16 @@
         guard: pauses.PauseGuard,
         monitor: callers.DepartureMonitor,
         zone_in_service: Callable[[], bool],
+        dialect: dialects.Dialect = dialects.DEFAULT,
     ):
         self._entry = entry
         self._guard = guard
         self._monitor = monitor
         self._zone_in_service = zone_in_service
+        self._dialect = dialect
+        self._closing = False
         self._leaving = False
-        self._calls: dict[str, gevent.Greenlet] = {}
+        self._calls: dict[gevent.Greenlet, str] = {}
 
     @property
     def in_flight(self) -> int:
@@ -58,18 +63,23 @@
 
     def running(self) -> list[str]:
         """Returns the identifiers of the requests without an answer."""
-        return list(self._calls)
+        return list(self._calls.values())
+
+    def announce_stop(self) -> None:
+        """Has callers end their connections after their next answer."""
+        self._closing = True
 
     def leave(self) -> None:
         """Refuses new calls from now on; running calls finish.
 
         Nested calls belong to running calls, so they are still served.
         """
+        self._closing = True
         self._leaving = True
 
     def cut(self) -> None:
         """Ends the requests without an answer; callers learn it at once."""
-        for greenlet in list(self._calls.values()):
+        for greenlet in list(self._calls):
             greenlet.kill(
                 errors.OutcomeUnknownError('this node was stopped'),
                 block=False,
@@ -78,20 +88,28 @@
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        request_id = identifiers.make_id()
-        self._calls[request_id] = gevent.getcurrent()
+        request_id = self._identify_call(environ)
+        greenlet = gevent.getcurrent()
+        self._calls[greenlet] = request_id
         try:
             answer = self._answer(environ, request_id)
         finally:
-            del self._calls[request_id]
-        headers = [*answer.headers, ('Request-Id', request_id)]
-        if self._leaving or not self._zone_in_service():
+            del self._calls[greenlet]
+        headers = [*answer.headers, (self._dialect.request_id, request_id)]
+        if self._closing or not self._zone_in_service():
             # Kept-alive callers move to a node that goes on serving.
             headers.append(('Connection', 'close'))
         reason = _REASONS.get(answer.status, 'Unknown')
         start_response(f'{answer.status} {reason}', headers)
         return [answer.body]
 
+    def _identify_call(self, environ: dict[str, Any]) -> str:
+        """Returns the caller's name of a call, or a new one."""
+        if self._dialect.caller_ids:
+            name = self._dialect.request_id.upper().replace('-', '_')
+            return environ.get(f'HTTP_{name}', '')
+        return identifiers.make_id()
+
     def _answer(
         self, environ: dict[str, Any], request_id: str
     ) -> requests.CallAnswer:
@@ -101,7 +119,7 @@
             return self._serve(environ, request_id)
         except errors.CallError as error:
             measures.REFUSALS.labels(error.code).inc()
-            return problems.render_problem(error, request_id, text)
+            return self._render(error, request_id, text)
         except errors.CallerGoneError:
             return requests.CallAnswer(499, (), b'')
         except Exception:  # pylint: disable=broad-exception-caught
@@ -109,12 +127,20 @@
             _log.exception('call.failed', extra={'request_id': request_id})
             unknown = errors.OutcomeUnknownError('internal error')
             measures.REFUSALS.labels(unknown.code).inc()
-            return problems.render_problem(unknown, request_id, text)
+            return self._render(unknown, request_id, text)
+
+    def _render(
+        self, error: errors.CallError, request_id: str, key: str | None
+    ) -> requests.CallAnswer:
+        fractional = self._dialect.fractional_delays
+        return problems.render_problem(error, request_id, key, fractional)
 
     def _serve(
         self, environ: dict[str, Any], request_id: str
     ) -> requests.CallAnswer:
         request = callers.read_request(environ)
+        if not request_id:
+            raise errors.BadRequestError('the request has no identifier')
         if self._leaving and request.header(keys.TOKEN_HEADER) is None:
             raise errors.NotRunError(
                 'this node is shutting down', _RETRY_ELSEWHERE_S
@@ -132,8 +158,8 @@
     ) -> requests.CallAnswer:
         """Runs a call and observes its time by workspace and outcome."""
         handle = None
-        if call.route.repeatable:
-            # A call that runs at most once goes on without its caller, who
+        if call.route.repeatable or not call.route.keyed:
+            # A call under an idempotency key goes on without its caller, who
             # may ask for the outcome later.
             handle = self._monitor.watch(environ)
         outcome = 'failed'
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -29,6 +29,8 @@
 _BLOCK_BYTES = 65536
 _FORBIDDEN = re.compile('[\0\r\n]')
 _SOCKET_KEY = 'jayseam.socket'
+# The target as it was sent; WSGI's own path is decoded.
+_TARGET_KEY = 'jayseam.target'
 _POLL_EVENTS = select.POLLRDHUP | select.POLLERR | select.POLLHUP
 
 logging.getLogger('gevent.pywsgi').setLevel(logging.CRITICAL)
@@ -101,6 +103,7 @@
         environ = super().get_environ()
         environ[_SOCKET_KEY] = self.socket
         environ['jayseam.headers'] = self.headers.items()
+        environ[_TARGET_KEY] = self.path
         return environ
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
@@ -236,10 +239,11 @@
     body = b''
     if length or environ.get('HTTP_TRANSFER_ENCODING'):
         body = _read_body(environ['wsgi.input'], length)
+    path, _, query = environ[_TARGET_KEY].partition('?')
     return requests.CallRequest(
         environ['REQUEST_METHOD'],
-        environ['PATH_INFO'],
-        environ.get('QUERY_STRING', ''),
+        path,
+        query,
         headers,
         body,
     )
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -8,6 +8,7 @@
 import prometheus_client
 from gevent import event
 
+from jayseam import backends
 from jayseam import calls
 from jayseam import distribution
 from jayseam import limits
@@ -22,6 +23,7 @@
 from jayseam.node import application
 from jayseam.node import callers
 from jayseam.node import lifecycles
+from jayseam.node import listeners
 from jayseam.node import localbackends
 from jayseam.node import measures
 from jayseam.node import pauses
@@ -47,16 +49,27 @@
 
     Args:
       settings: Checked settings.
+      client: Client of the source; by default that of the URLs in the
+        settings.
+      dialect: Header fields of callers and backend servers.
     """
 
-    def __init__(self, settings: node_settings.model.NodeSettings):
+    def __init__(
+        self,
+        settings: node_settings.model.NodeSettings,
+        client: source.client.Source | None = None,
+        dialect: backends.dialects.Dialect = backends.dialects.DEFAULT,
+    ):
         self._settings = settings
+        self._dialect = dialect
         self._life = lifecycles.Lifecycle()
         self._started_at = clocks.read_now()
         self._stopped = event.Event()
         self._incarnation = settings.incarnation or clocks.read_wall_ms()
         self._build_links()
-        self._build_distribution()
+        self._build_distribution(
+            client or source.client.SourceClient(settings.source.urls)
+        )
         self._build_backend()
         self._build_calls()
         self._build_listeners()
@@ -93,7 +106,7 @@
             own, self._links, self._handlers, seeds
         )
 
-    def _build_distribution(self) -> None:
+    def _build_distribution(self, client: source.client.Source) -> None:
         settings = self._settings
         peers = distribution.peers.Peers(
             request=self._links.request,
@@ -108,7 +121,7 @@
             self._incarnation,
             settings.zone,
             peers,
-            client=source.client.SourceClient(settings.source.urls),
+            client=client,
             watch_wait_s=settings.source.watch_wait_s,
             registry=prometheus_client.REGISTRY,
         )
@@ -122,6 +135,7 @@
             lambda: self._distribution.current,
             lambda name: self._membership.set_own(backend=name),
             self._ensure_fresh,
+            self._dialect,
         )
         self._ingress = self._backend.ingress
 
@@ -165,6 +179,11 @@
                 cancel=self._cancel,
                 keys_usable=self._keys_usable,
                 window_s=settings.idempotency.window_s,
+                dialect=self._dialect,
+                service=settings.service,
+                retry_budget=calls.retries.BudgetSize(
+                    settings.retries.share, settings.retries.max_saved
+                ),
             )
         )
         self._register_call_handlers()
@@ -189,15 +208,17 @@
         self._guard = pauses.PauseGuard(self._refresh)
         self._monitor = callers.DepartureMonitor()
         self._application = application.CallerApplication(
-            self._entry, self._guard, self._monitor, self._zone_in_service
-        )
-        self._caller_server = callers.CallerServer(
-            settings.caller.as_tuple(), self._application, log=None
+            self._entry,
+            self._guard,
+            self._monitor,
+            self._zone_in_service,
+            self._dialect,
         )
-        self._admin_server = admin.AdminServer(
-            settings.admin.as_tuple(),
+        self._listeners = listeners.build_listeners(
+            settings,
+            self._application,
             admin.AdminApplication(self.describe, self.explain),
-            log=None,
+            admin.ReadinessApplication(self._is_ready),
         )
 
     # Life of the node.
@@ -215,8 +236,7 @@
         self._backend.start()
         self._guard.start()
         self._monitor.start()
-        self._admin_server.start()
-        self._caller_server.start()
+        self._listeners.start()
         _log.info('node.started', extra={'incarnation': self._incarnation})
 
     def run(self) -> None:
@@ -235,8 +255,10 @@
         reserved_s = min(_CLOSE_RESERVE_S, deadline_s / 2)
         deadline = clocks.read_now() + deadline_s - reserved_s
         self._membership.set_own(state='leaving')
-        self._application.leave()
         self._ingress.leave()
+        self._application.announce_stop()
+        gevent.sleep(self._settings.stop.notice_s)
+        self._application.leave()
         drained = self._drain(deadline)
         if not drained:
             self._report_cut_calls()
@@ -245,12 +267,12 @@
         gevent.sleep(_LINGER_S)
         self._life.try_advance('drained' if drained else 'deadline_passed')
         self._monitor.stop()
-        self._caller_server.shut_down(_CLOSE_WAIT_S)
+        self._listeners.calls.shut_down(_CLOSE_WAIT_S)
         self._guard.stop()
         self._distribution.stop()
         self._membership.stop()
         self._links.stop()
-        self._admin_server.stop(timeout=1)
+        self._listeners.stop_control()
         self._backend.stop()
         _log.info('node.stopped', extra={'drained': drained})
         self._stopped.set()
@@ -277,17 +299,24 @@
     def _on_swap(self, snapshot: Any, channel: str) -> None:
         """Passes a new version on to the tasks that depend on it."""
         now = clocks.read_now()
-        if channel == 'preset':
-            self._chooser.set_preset(snapshot.preset, now)
-            self._limits.set_preset(
-                snapshot.preset, snapshot.preset_version, now
+        preset = snapshot.preset
+        restaffed = channel == 'vms' and preset and preset.has_listed_services
+        if channel == 'preset' or restaffed:
+            self._chooser.set_preset(preset, now)
+            # The limits ignore versions that they have seen; the number of
+            # upstreams changes with either channel.
+            version = snapshot.preset_version + (
+                snapshot.vms_version if preset.has_listed_services else 0
             )
-            self._backend.apply_preset(snapshot.preset)
-        elif channel == 'vms':
+            self._limits.set_preset(preset, version, now)
+            self._backend.apply_preset(preset)
+        if channel == 'vms':
             self._membership.merge_vms(
                 [attrs.asdict(entry) for entry in snapshot.vms.vms]
             )
             self._heed_vm_list(snapshot.vms)
+            if not self._settings.backend_health.polls:
+                self._backend.apply_vms(snapshot.vms, now)
         complete = snapshot.preset is not None and snapshot.keys is not None
         if complete:
             self._life.try_advance('configured')
@@ -376,6 +405,10 @@
         zone = preset.zones.get(self._settings.zone) if preset else None
         return zone is None or zone.in_service
 
+    def _is_ready(self) -> bool:
+        """Tells whether callers may send their calls to this node."""
+        return self._life.state in ('serving', 'resuming')
+
     def _forward(
         self, vm: str, forward: messages.Forward, timeout_s: float
     ) -> messages.Answered | messages.Refused:
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -23,6 +23,7 @@
       tell_state: Tells the fleet a new state of the backend server.
       ensure_fresh: Returns once the process knows what happened while it was
         paused; takes and returns the time in seconds.
+      dialect: Header fields that the backend server understands.
     """
 
     def __init__(
@@ -32,9 +33,12 @@
         read_snapshot: Callable[[], Any],
         tell_state: Callable[[str], None],
         ensure_fresh: Callable[[float], float],
+        dialect: backends.dialects.Dialect = backends.dialects.DEFAULT,
     ):
+        self._vm = settings.vm
         self._upstream = settings.upstream
         self._tell_state = tell_state
+        self._was_listed = False
         self._gate = admission.gates.Gate(
             slots=1,
             connections=1,
@@ -45,9 +49,13 @@
             ramp_s=0.0,
             on_start=self._gate.notice_start,
             on_state=self._on_state,
+            polls=settings.backend_health.polls,
         )
         self._client = backends.client.BackendClient(
-            settings.backend.as_tuple(), 1, observe=self._health.observe
+            settings.backend.as_tuple(),
+            1,
+            observe=self._health.observe,
+            dialect=dialect,
         )
         self.ingress = calls.ingress.Ingress(
             calls.ingress.IngressIdentity(
@@ -57,6 +65,7 @@
             self._gate,
             self._client,
             ensure_fresh,
+            dialect,
         )
 
     def start(self) -> None:
@@ -78,6 +87,8 @@
             {name: item.weight for name, item in preset.workspaces.items()}
         )
         upstream = preset.upstreams.get(self._upstream)
+        if upstream is None and preset.has_listed_services:
+            return
         if upstream is None:
             _log.warning(
                 'node.upstream_unknown', extra={'upstream': self._upstream}
@@ -89,6 +100,20 @@
         self._client.set_connections(upstream.connections)
         self._health.set_ramp(upstream.ramp.duration_s)
 
+    def apply_vms(self, vm_list: Any, now: float) -> None:
+        """Takes what the VM list says of the backend server.
+
+        A list that doesn't name the own VM says nothing before the first one
+        that does: the backend server may not have registered yet.
+        """
+        entry = vm_list.by_name.get(self._vm)
+        if entry is None and not self._was_listed:
+            return
+        self._was_listed = True
+        live = entry is not None and entry.state == 'live'
+        cold = entry is not None and entry.cold
+        self._health.hear_listing(live, cold, now)
+
     def describe(self, now: float) -> dict[str, Any]:
         """Returns state, limit and load, for the status page."""
         report = self._gate.describe(now)
--- a/jayseam/node/main.py
+++ b/jayseam/node/main.py
@@ -5,13 +5,17 @@
 import signal
 import sys
 from collections.abc import Sequence
+from typing import TextIO
 
 import gevent
 
+from jayseam import settings as node_settings
+from jayseam.backends import dialects
 from jayseam.core import logs
 from jayseam.node import composition
 from jayseam.settings import errors
 from jayseam.settings import loading
+from jayseam.source import client as source_client
 
 _USAGE_EXIT = 2
 _BIND_EXIT = 3
@@ -43,11 +47,30 @@
         return _USAGE_EXIT
     if options.check:
         return 0
-    logs.configure_logs(settings.log_level, vm=settings.vm, zone=settings.zone)
+    return run_node(settings)
+
+
+def run_node(
+    settings: node_settings.model.NodeSettings,
+    log_stream: TextIO | None = None,
+    source: source_client.Source | None = None,
+    dialect: dialects.Dialect = dialects.DEFAULT,
+) -> int:
+    """Runs a node until SIGTERM or SIGINT; returns the exit code.
+
+    Args:
+      settings: Checked settings.
+      log_stream: Where logs go; standard error by default.
+      source: Source of the node; by default that of the settings.
+      dialect: Header fields of callers and backend servers.
+    """
+    logs.configure_logs(
+        settings.log_level, log_stream, vm=settings.vm, zone=settings.zone
+    )
     # Recording which greenlet spawned which costs at each spawn, and nothing
     # reads it.
     gevent.config.track_greenlet_tree = False
-    node = composition.Node(settings)
+    node = composition.Node(settings, source, dialect)
     # Modules and classes are nine tenths of the objects and live as long as
     # the process. Full collections that visit them stop calls for 40 ms.
     gc.collect()
--- /dev/null
+++ b/jayseam/platform/configurations.py
@@ -0,0 +1,151 @@
+"""The operators' configuration as a preset and a key set."""
+
+import hashlib
+import json
+from collections.abc import Collection, Mapping
+from typing import Any
+
+import attrs
+
+from jayseam import presets
+from jayseam.platform import durations
+from jayseam.platform import errors
+
+_MS_PER_S = 1000
+# The platform's word for calls that may run more than once.
+_REPEATABLE = 'safe'
+# A workspace without a rate has no limit; a preset needs a number.
+_UNLIMITED = presets.schemas.MAX_RATE_PER_S
+
+
+@attrs.frozen
+class Documents:
+    """One configuration in the forms that nodes distribute.
+
+    Attributes:
+      preset: Document of the preset.
+      keys: Document of the key set.
+    """
+
+    preset: Mapping[str, Any]
+    keys: Mapping[str, Any]
+
+
+def decode_configuration(
+    value: bytes, regions: Mapping[str, str], evacuated: Collection[str]
+) -> Documents:
+    """Translates a configuration.
+
+    Args:
+      value: Stored bytes.
+      regions: Region of each availability zone.
+      evacuated: Availability zones that take no new work.
+
+    Raises:
+      ValueFormatError: If the bytes are not a configuration.
+    """
+    try:
+        document = json.loads(value)
+        sections = _group_resources(document['resources'])
+        preset = {
+            'name': document['version'],
+            'services': [
+                _translate_service(name, spec)
+                for name, spec in sections['services']
+            ],
+            'routes': [
+                _translate_route(name, spec)
+                for name, spec in sections['routes']
+            ],
+            'zones': [
+                {
+                    'name': zone,
+                    'region': region,
+                    'in_service': zone not in evacuated,
+                }
+                for zone, region in sorted(regions.items())
+            ],
+            'workspaces': [
+                _translate_workspace(name, spec)
+                for name, spec in sections['tenants']
+            ],
+            'upstreams': [],
+        }
+        keys = {
+            'keys': [
+                _translate_key(name, key)
+                for name, spec in sections['tenants']
+                for key in spec['api_keys']
+            ]
+        }
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise errors.ValueFormatError(
+            f'{type(error).__name__}: {error}'
+        ) from error
+    return Documents(preset, keys)
+
+
+def _group_resources(
+    resources: list[Mapping[str, Any]],
+) -> dict[str, list[tuple[str, Mapping[str, Any]]]]:
+    """Returns name and content of each resource by its type."""
+    sections = {'routes': [], 'services': [], 'tenants': [], 'limits': []}
+    for resource in resources:
+        group = sections.get(resource['resource_type'])
+        if group is not None:
+            name = resource['metadata'].get('name', '')
+            group.append((name, resource['spec']))
+    return sections
+
+
+def _translate_service(name: str, spec: Mapping[str, Any]) -> dict[str, Any]:
+    return {
+        'name': name,
+        'listed': True,
+        'connections': spec['max_connections'],
+        'cold_s': durations.parse_seconds(spec.get('cold_start', '0ms')),
+        'cold_rate_per_s': spec.get('cold_per_s', 0),
+    }
+
+
+def _translate_route(name: str, spec: Mapping[str, Any]) -> dict[str, Any]:
+    split = spec.get('traffic_split')
+    targets = (
+        [[spec['service'], 1]]
+        if split is None
+        else [[part['service'], part['weight']] for part in split]
+    )
+    timeout_s = durations.parse_seconds(spec['timeout'])
+    return {
+        'name': name,
+        'host': spec['host'].lower(),
+        'prefix': spec['path_prefix'],
+        'methods': list(presets.schemas.METHODS),
+        'targets': targets,
+        'open_to_all': spec.get('public', False),
+        'repeatable': spec['kind'] == _REPEATABLE,
+        'timeout_ms': int(timeout_s * _MS_PER_S),
+        'max_attempts': spec.get('max_attempts', 1),
+        'rank': spec.get('priority', 0),
+        # Each attempt of a caller stands for itself on this platform.
+        'keyed': False,
+    }
+
+
+def _translate_workspace(name: str, spec: Mapping[str, Any]) -> dict[str, Any]:
+    return {
+        'name': name,
+        'rate_per_s': spec.get('rate_per_s') or _UNLIMITED,
+        'burst': max(1, spec.get('burst') or spec.get('rate_per_s') or 1),
+        'rank': spec.get('priority'),
+    }
+
+
+def _translate_key(workspace: str, key: str) -> dict[str, Any]:
+    """Returns the entry of a key; the key itself is kept nowhere.
+
+    The salt follows from the key, so that all nodes which read a configuration
+    make the same document of it.
+    """
+    salt_hex = hashlib.sha256(b'salt' + key.encode()).hexdigest()[:32]
+    return attrs.asdict(presets.keys.build_entry(key, workspace, salt_hex))
--- /dev/null
+++ b/jayseam/platform/dialect.py
@@ -0,0 +1,23 @@
+"""The header fields of the platform's callers and backend servers."""
+
+from jayseam import backends
+
+DIALECT = backends.dialects.Dialect(
+    request_id='Jayseam-Request-Id',
+    timeout_ms='Jayseam-Deadline-Ms',
+    # The platform calls a workspace a tenant.
+    workspace='Jayseam-Tenant',
+    caller_service='Jayseam-Caller-Service',
+    instance='Jayseam-Expect-Instance',
+    not_run='Jayseam-Not-Executed',
+    not_run_values=(),
+    not_run_statuses=(),
+    misdirected=421,
+    seal='Jayseam-Response-Signature',
+    cancel_path='',
+    caller_ids=True,
+    keeps_host=True,
+    unsized_answers=True,
+    call_tokens=False,
+    fractional_delays=True,
+)
--- /dev/null
+++ b/jayseam/platform/errors.py
@@ -0,0 +1,20 @@
+"""Errors of the adapter to the platform."""
+
+from jayseam.core import errors
+from jayseam.source import errors as source_errors
+
+
+class PlatformError(errors.JayseamError):
+    """Base class of the errors of this subpackage."""
+
+
+class ValueFormatError(PlatformError):
+    """A stored value is not what the platform describes."""
+
+
+class HistoryGoneError(source_errors.SourceError):
+    """The store no longer has the changes since a revision (410)."""
+
+
+class StoreUnavailableError(source_errors.SourceError):
+    """The store did nothing (503)."""
--- /dev/null
+++ b/jayseam/platform/store.py
@@ -0,0 +1,222 @@
+"""Client of the platform's key-value store, which can only be read."""
+
+import base64
+import binascii
+import json
+import urllib.parse
+from typing import Any
+
+import attrs
+
+from jayseam.platform import errors
+from jayseam.source import endpoints
+from jayseam.source import errors as source_errors
+
+# A page holds at most about 1 MB of values, in base64 with other fields.
+MAX_REPLY_BYTES = 4_000_000
+# Time for an answer beyond the wait of a watch, in seconds. The store answers
+# in milliseconds; a configuration of 1 MB takes 2 s on a link of 5 Mbit/s.
+REPLY_TIMEOUT_S = 4.0
+# Time to establish a connection, in seconds.
+CONNECT_TIMEOUT_S = 1.0
+# Bound on the pages of one listing, against a store that always has more.
+MAX_PAGES = 1000
+
+_MS_PER_S = 1000
+
+
+@attrs.frozen
+class Item:
+    """A key of the store with its value.
+
+    Attributes:
+      key: The key.
+      value: Its bytes.
+      revision: Revision of the store at which it was last written.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@attrs.frozen
+class Deletion:
+    """A key that was removed."""
+
+    key: str
+    revision: int
+
+
+@attrs.frozen
+class Listing:
+    """All keys that begin alike.
+
+    Attributes:
+      items: The keys and values.
+      revision: Revision of the store for which the listing is right.
+      asked_at: Time before the store was asked, in seconds.
+    """
+
+    items: tuple[Item, ...]
+    revision: int
+    asked_at: float
+
+
+@attrs.frozen
+class Changes:
+    """What has changed after a revision.
+
+    Attributes:
+      events: Changes in their order.
+      revision: Revision up to which nothing else has changed.
+      asked_at: Time before the store was asked, in seconds.
+      received_at: Time at which the reply was there, in seconds.
+    """
+
+    events: tuple[Item | Deletion, ...]
+    revision: int
+    asked_at: float
+    received_at: float
+
+
+class StoreClient:
+    """Lists and watches keys.
+
+    Args:
+      address: ``host:port`` of the store.
+    """
+
+    def __init__(self, address: str):
+        self._endpoint = endpoints.Endpoint(
+            f'http://{address}', CONNECT_TIMEOUT_S
+        )
+
+    @property
+    def url(self) -> str:
+        """Base URL of the store."""
+        return self._endpoint.url
+
+    def list_items(self, prefix: str) -> Listing:
+        """Reads all keys that begin with a prefix.
+
+        Pages are not a snapshot, so the listing counts as of the first page:
+        a watch from there repeats what later pages may have shown already.
+
+        Raises:
+          SourceError: If the store gave no valid reply.
+        """
+        items: list[Item] = []
+        first: endpoints.RawReply | None = None
+        revision, after = 0, ''
+        for _ in range(MAX_PAGES):
+            query = {'path_prefix': prefix}
+            if after:
+                query['after'] = after
+            reply = self._get('/jayseam/kv-range', query, REPLY_TIMEOUT_S)
+            document = _read_document(reply)
+            if first is None:
+                first, revision = reply, _read_revision(document, 'as_of')
+            page = [
+                _decode_item(item) for item in _read_list(document, 'items')
+            ]
+            items += page
+            if not document.get('more_pages') or not page:
+                return Listing(tuple(items), revision, first.asked_at)
+            after = page[-1].key
+        raise source_errors.SourceReplyError('the listing does not end')
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Waits for changes of keys that begin with a prefix.
+
+        Args:
+          prefix: The prefix.
+          after: Revision up to which changes are known.
+          wait_s: Seconds that the store may wait for a change.
+
+        Raises:
+          HistoryGoneError: If the store has forgotten the changes.
+          SourceError: If the store gave no valid reply.
+        """
+        query = {
+            'path_prefix': prefix,
+            'after': after,
+            'wait_ms': int(wait_s * _MS_PER_S),
+        }
+        reply = self._get('/jayseam/kv-watch', query, REPLY_TIMEOUT_S + wait_s)
+        document = _read_document(reply)
+        events = _read_list(document, 'events')
+        return Changes(
+            tuple(_decode_event(event) for event in events),
+            _read_revision(document, 'as_of'),
+            reply.asked_at,
+            reply.received_at,
+        )
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self._endpoint.close()
+
+    def _get(
+        self, path: str, query: dict[str, Any], limit_s: float
+    ) -> endpoints.RawReply:
+        target = f'{path}?{urllib.parse.urlencode(query, safe="/")}'
+        reply = self._endpoint.fetch(target, limit_s, MAX_REPLY_BYTES)
+        if reply.status == 429:
+            raise source_errors.SourceBudgetError(f'{self.url}: over budget')
+        if reply.status == 410:
+            raise errors.HistoryGoneError(f'{self.url}: history is gone')
+        if reply.status == 503:
+            raise errors.StoreUnavailableError(f'{self.url}: unavailable')
+        if reply.status != 200:
+            raise source_errors.SourceReplyError(
+                f'{self.url}: status {reply.status}'
+            )
+        return reply
+
+
+def _read_document(reply: endpoints.RawReply) -> dict[str, Any]:
+    try:
+        document = json.loads(reply.body)
+    except ValueError as error:
+        raise source_errors.SourceReplyError(f'not JSON: {error}') from error
+    if not isinstance(document, dict):
+        raise source_errors.SourceReplyError('the reply is not an object')
+    return document
+
+
+def _read_list(document: dict[str, Any], name: str) -> list[Any]:
+    values = document.get(name)
+    if not isinstance(values, list):
+        raise source_errors.SourceReplyError(f'{name}: not a list')
+    return values
+
+
+def _read_revision(document: Any, name: str) -> int:
+    revision = document.get(name) if isinstance(document, dict) else None
+    if not isinstance(revision, int) or isinstance(revision, bool):
+        raise source_errors.SourceReplyError(f'{name}: not a revision')
+    return revision
+
+
+def _decode_event(event: Any) -> Item | Deletion:
+    revision = _read_revision(event, 'revision')
+    if event.get('tombstone'):
+        return Deletion(_read_key(event), revision)
+    return _decode_item(event)
+
+
+def _decode_item(item: Any) -> Item:
+    revision = _read_revision(item, 'revision')
+    try:
+        value = base64.b64decode(item.get('value', ''), validate=True)
+    except (TypeError, binascii.Error, ValueError) as error:
+        raise source_errors.SourceReplyError(f'value: {error}') from error
+    return Item(_read_key(item), value, revision)
+
+
+def _read_key(item: dict[str, Any]) -> str:
+    key = item.get('key')
+    if not isinstance(key, str):
+        raise source_errors.SourceReplyError('key: not a string')
+    return key
--- a/jayseam/presets/documents.py
+++ b/jayseam/presets/documents.py
@@ -36,6 +36,8 @@
     for count in (2**power for power in range(1, 8))
     for index in range(count)
 }
+# Optional fields of the first release.
+_FIRST_FIELDS = frozenset(('shed_retryable', 'in_service', 'weight'))
 _NAME_FIELDS = {'keys': 'key_id', 'vms': 'vm'}
 
 
@@ -193,15 +195,25 @@
 
 
 def _dump(item: Any) -> dict[str, Any]:
-    values = {k: _to_lists(v) for k, v in attrs.asdict(item).items()}
-    weights = values.pop('zone_weights', None)
-    # Left out if empty, so that documents without it stay the same, and are
-    # accepted by nodes of a release that doesn't know the field.
-    if weights:
-        values['zone_weights'] = dict(weights)
+    values = {
+        k: _to_lists(v)
+        for k, v in attrs.asdict(item, filter=_is_dumped).items()
+    }
+    if 'zone_weights' in values:
+        values['zone_weights'] = dict(values['zone_weights'])
     return values
 
 
+def _is_dumped(field: attrs.Attribute, value: Any) -> bool:
+    """Tells whether a document has the field of an item.
+
+    Fields of later releases are left out while they have their default, so
+    that documents without them stay the same, and are accepted by nodes of a
+    release that doesn't know them.
+    """
+    return field.name in _FIRST_FIELDS or value != field.default
+
+
 def _to_lists(value: Any) -> Any:
     if isinstance(value, tuple):
         return [_to_lists(item) for item in value]
--- a/jayseam/presets/model.py
+++ b/jayseam/presets/model.py
@@ -9,6 +9,9 @@
 
 import attrs
 
+# A first attempt and two retries.
+DEFAULT_ATTEMPTS = 3
+
 
 @attrs.frozen
 class Ramp:
@@ -17,10 +20,12 @@
     Attributes:
       initial_slots: Slots at the start.
       duration_s: Seconds until all slots are open.
+      rate_per_s: Calls per second until then; 0 for no limit on them.
     """
 
     initial_slots: int
     duration_s: float
+    rate_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -30,10 +35,21 @@
     Attributes:
       name: Unique name.
       shed_retryable: Whether a 503 with ``Shed: not-run`` may be trusted.
+      listed: Whether its upstreams come from the VM list; otherwise the preset
+        names them.
+      connections: Most open connections of a listed upstream; 0 if the
+        upstreams have their own numbers.
+      cold_s: Seconds for which a listed upstream is cold after a start.
+      cold_rate_per_s: Calls per second that a cold upstream bears; 0 if that
+        is not known.
     """
 
     name: str
     shed_retryable: bool = True
+    listed: bool = False
+    connections: int = 0
+    cold_s: float = 0.0
+    cold_rate_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -84,6 +100,11 @@
       open_to_all: Whether calls need no key.
       repeatable: Whether a call may run more than once.
       timeout_ms: Longest time that a call may take, in milliseconds.
+      host: Value of ``Host`` that the route is for; empty for all.
+      max_attempts: Upstreams to which one call may be sent.
+      rank: Urgency of its calls; 0 is the most urgent.
+      keyed: Whether a call that may not be repeated carries an idempotency
+        key, under which its outcome is remembered.
     """
 
     name: str
@@ -93,6 +114,10 @@
     open_to_all: bool
     repeatable: bool
     timeout_ms: int
+    host: str = ''
+    max_attempts: int = DEFAULT_ATTEMPTS
+    rank: int = 0
+    keyed: bool = True
 
 
 @attrs.frozen
@@ -107,6 +132,8 @@
       zone_weights: Pairs of zone and weight, in order of zone, that say how the
         workspace's calls are spread over the zones they enter in; empty if the
         operators don't say.
+      rank: Urgency of its calls, before that of their routes; None if the
+        routes decide.
     """
 
     name: str
@@ -114,6 +141,7 @@
     burst: float
     weight: float = 1
     zone_weights: tuple[tuple[str, float], ...] = ()
+    rank: int | None = None
 
 
 @attrs.frozen
@@ -146,6 +174,11 @@
         """Upstreams of each availability zone, in order of name."""
         return _group(self.zones, self.upstreams, 'zone')
 
+    @functools.cached_property
+    def has_listed_services(self) -> bool:
+        """Whether upstreams of some service come from the VM list."""
+        return any(service.listed for service in self.services.values())
+
 
 def _group(groups, upstreams, field) -> dict[str, tuple[Upstream, ...]]:
     members: dict[str, list[Upstream]] = {name: [] for name in groups}
@@ -199,6 +232,10 @@
       host: IP address of the link listener.
       port: Port of the link listener.
       state: ``live`` or ``leaving``.
+      service: Service of the backend server, if the list says it.
+      slots: Slots of the backend server, if the list says it.
+      instance: Name of this start of the backend server, if it has one.
+      cold: Whether the backend server is in cold start.
     """
 
     vm: str
@@ -208,6 +245,10 @@
     host: str
     port: int
     state: str
+    service: str = ''
+    slots: int = 0
+    instance: str = ''
+    cold: bool = False
 
 
 @attrs.frozen
@@ -232,3 +273,39 @@
             for entry in self.vms
             if entry.zone == zone and entry.state == 'live'
         )
+
+
+def add_listed_upstreams(preset: Preset, vm_list: VmList) -> Preset:
+    """Returns a preset with the upstreams that the VM list names.
+
+    A VM that leaves, or whose service or zone the preset lacks, adds none.
+
+    >>> service = Service('pickups', listed=True, connections=9)
+    >>> preset = Preset('p', {'pickups': service}, {}, {'a': Zone('a', 'r')},
+    ...                 {}, {})
+    >>> entry = VmEntry('vm-1', 'u-1', 'a', 'r', '10.0.0.1', 1, 'live',
+    ...                 'pickups', slots=4)
+    >>> add_listed_upstreams(preset, VmList((entry,))).upstreams['u-1'].slots
+    4
+    """
+    if not preset.has_listed_services:
+        return preset
+    upstreams = dict(preset.upstreams)
+    for entry in vm_list.vms:
+        service = preset.services.get(entry.service)
+        if service is None or not service.listed or entry.state != 'live':
+            continue
+        if entry.zone in preset.zones and entry.slots > 0:
+            upstreams[entry.upstream] = _build_listed(entry, service)
+    return attrs.evolve(preset, upstreams=upstreams)
+
+
+def _build_listed(entry: VmEntry, service: Service) -> Upstream:
+    return Upstream(
+        name=entry.upstream,
+        service=service.name,
+        zone=entry.zone,
+        slots=entry.slots,
+        connections=service.connections or entry.slots,
+        ramp=Ramp(entry.slots, service.cold_s, service.cold_rate_per_s),
+    )
--- a/jayseam/presets/schemas.py
+++ b/jayseam/presets/schemas.py
@@ -20,6 +20,8 @@
 MAX_BURST = 10_000_000
 # A planned stop waits 30 s by default and must outlast every call.
 MAX_TIMEOUT_MS = 29_000
+MAX_ATTEMPTS = 16
+MAX_RANK = 1000
 METHODS = ('DELETE', 'GET', 'HEAD', 'OPTIONS', 'PATCH', 'POST', 'PUT')
 
 # The end of the text is \Z because $ also matches before a final newline.
@@ -49,7 +51,8 @@
     {
         'initial_slots': _bounded('integer', 1, MAX_SLOTS),
         'duration_s': _bounded('number', 0, MAX_RAMP_S),
-    }
+    },
+    rate_per_s=_bounded('number', 0, MAX_RATE_PER_S),
 )
 _TARGET = {
     'type': 'array',
@@ -58,7 +61,14 @@
     'minItems': 2,
 }
 _ITEMS = {
-    'services': _object({'name': _NAME}, shed_retryable=_BOOLEAN),
+    'services': _object(
+        {'name': _NAME},
+        shed_retryable=_BOOLEAN,
+        listed=_BOOLEAN,
+        connections=_bounded('integer', 0, MAX_CONNECTIONS),
+        cold_s=_bounded('number', 0, MAX_RAMP_S),
+        cold_rate_per_s=_bounded('number', 0, MAX_RATE_PER_S),
+    ),
     'upstreams': _object(
         {
             'name': _NAME,
@@ -88,7 +98,11 @@
             'open_to_all': _BOOLEAN,
             'repeatable': _BOOLEAN,
             'timeout_ms': _bounded('integer', 1, MAX_TIMEOUT_MS),
-        }
+        },
+        host={'type': 'string', 'maxLength': 255},
+        max_attempts=_bounded('integer', 1, MAX_ATTEMPTS),
+        rank=_bounded('integer', 0, MAX_RANK),
+        keyed=_BOOLEAN,
     ),
     'workspaces': _object(
         {
@@ -97,6 +111,7 @@
             'burst': _bounded('number', 1, MAX_BURST),
         },
         weight=_positive(MAX_WEIGHT),
+        rank={**_bounded('integer', 0, MAX_RANK), 'type': ['integer', 'null']},
         zone_weights={
             'type': 'object',
             'propertyNames': _NAME,
@@ -123,7 +138,11 @@
             'host': {'type': 'string', 'maxLength': 64},
             'port': _bounded('integer', 1, 65535),
             'state': {'enum': ['live', 'leaving']},
-        }
+        },
+        service={'type': 'string', 'maxLength': 64},
+        slots=_bounded('integer', 0, MAX_SLOTS),
+        instance={'type': 'string', 'maxLength': 255},
+        cold=_BOOLEAN,
     ),
 }
 VALIDATORS: Mapping[str, jsonschema.Draft202012Validator] = {
--- a/jayseam/routing/matching.py
+++ b/jayseam/routing/matching.py
@@ -56,15 +56,16 @@
 
 @attrs.frozen
 class RouteTable:
-    """The routes of one preset by prefix.
+    """The routes of one preset by host and prefix.
 
     Attributes:
-      by_prefix: The routes of each prefix, in the order of the preset.
+      by_host: For each host the routes of each prefix, in the order of the
+        preset. Routes for all hosts stand under the empty host.
     """
 
-    by_prefix: Mapping[str, tuple[Any, ...]]
+    by_host: Mapping[str, Mapping[str, tuple[Any, ...]]]
 
-    def match(self, target: str, method: str) -> Any:
+    def match(self, target: str, method: str, host: str = '') -> Any:
         """Returns the route of a call.
 
         The longest prefix decides even if it lacks the method, so that a call
@@ -73,6 +74,8 @@
         Args:
           target: Request target in origin form.
           method: HTTP method.
+          host: Host of the request, without a port. Its own routes go before
+            those for all hosts.
 
         Raises:
           BadPathError: If the path is ambiguous.
@@ -80,10 +83,12 @@
           MethodNotAllowedError: If the matched routes lack the method.
         """
         path = parse_path(target)
-        for prefix in _list_prefixes(path):
-            routes = self.by_prefix.get(prefix)
-            if routes is not None:
-                return _select_method(routes, path, method)
+        for name in dict.fromkeys((host, '')):
+            by_prefix = self.by_host.get(name, {})
+            for prefix in _list_prefixes(path) if by_prefix else ():
+                routes = by_prefix.get(prefix)
+                if routes is not None:
+                    return _select_method(routes, path, method)
         raise errors.NoRouteError(f'no route for {path}')
 
 
@@ -94,11 +99,12 @@
       routes: Objects with ``prefix`` and ``methods``, or a mapping to them.
     """
     values = routes.values() if isinstance(routes, Mapping) else routes
-    by_prefix: dict[str, tuple[Any, ...]] = {}
+    by_host: dict[str, dict[str, tuple[Any, ...]]] = {}
     for route in values:
+        by_prefix = by_host.setdefault(getattr(route, 'host', ''), {})
         prefix = route.prefix or '/'
         by_prefix[prefix] = by_prefix.get(prefix, ()) + (route,)
-    return RouteTable(by_prefix)
+    return RouteTable(by_host)
 
 
 def choose_service(targets: Sequence[tuple[str, float]], draw: float) -> str:
--- a/jayseam/settings/schema.py
+++ b/jayseam/settings/schema.py
@@ -80,7 +80,21 @@
             {'fair': {'type': 'boolean'}, 'ramp': {'type': 'boolean'}}
         ),
         'keys': _object({'max_unconfirmed_s': _POSITIVE_S}),
-        'stop': _object({'deadline_s': _POSITIVE_S}),
+        'stop': _object(
+            {
+                'deadline_s': _POSITIVE_S,
+                'notice_s': {'type': 'number', 'minimum': 0, 'maximum': 60},
+            }
+        ),
+        'backend_health': _object({'polls': {'type': 'boolean'}}),
+        'retries': _object(
+            {
+                'share': {'type': 'number', 'minimum': 0, 'maximum': 1},
+                'max_saved': {'type': 'number', 'minimum': 0, 'maximum': 1000},
+            }
+        ),
+        'service': {'type': 'string', 'maxLength': 64},
+        'ready': _object(_ADDRESS, ('host', 'port')),
         'idempotency': _object({'window_s': _POSITIVE_S}),
         'codec': {'enum': ['cbor', 'json']},
         'log_level': {'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR']},
--- a/jayseam/source/__init__.py
+++ b/jayseam/source/__init__.py
@@ -6,7 +6,8 @@
 
 from jayseam.source import backoff
 from jayseam.source import client
+from jayseam.source import endpoints
 from jayseam.source import errors
 from jayseam.source import watchers
 
-__all__ = ['backoff', 'client', 'errors', 'watchers']
+__all__ = ['backoff', 'client', 'endpoints', 'errors', 'watchers']
--- a/jayseam/source/backoff.py
+++ b/jayseam/source/backoff.py
@@ -70,14 +70,21 @@
     (0, 0.0)
     """
 
-    def __init__(self, uniform: Callable[[], float]):
+    def __init__(
+        self,
+        uniform: Callable[[], float],
+        cap_s: float = DEFAULT_CAP_S,
+        max_cap_s: float = DEFAULT_MAX_CAP_S,
+    ):
         """Starts without failures.
 
         Args:
           uniform: Returns a random number in [0, 1).
+          cap_s: Cap of the first wait, in seconds.
+          max_cap_s: Cap that doubling does not exceed, in seconds.
         """
         self._uniform = uniform
-        self._state = Backoff()
+        self._state = Backoff(cap_s, max_cap_s)
 
     @property
     def failures(self) -> int:
--- a/jayseam/source/client.py
+++ b/jayseam/source/client.py
@@ -3,22 +3,17 @@
 import re
 import urllib.parse
 from collections.abc import Sequence
+from typing import Protocol
 
 import attrs
-import geventhttpclient
-import gevent
-from geventhttpclient import response as http_response
 
-from jayseam.core import clocks
 from jayseam.core import digests
-from jayseam.core import sockets
+from jayseam.source import endpoints
 from jayseam.source import errors
 
 MAX_BODY_BYTES = 1_000_000
 # The VM list is not a stored value; 670 VMs take about 100 kB.
 MAX_VMS_BODY_BYTES = 4_000_000
-_CHUNK_BYTES = 65_536
-_MAX_CONNECTIONS = 8
 _REVISION = re.compile(r'[0-9]{1,18}')
 # Slow answers to a watch are expected; this is added to its wait.
 DEFAULT_TIMEOUT_S = 2.0
@@ -42,6 +37,25 @@
     received_at: float
 
 
+class Source(Protocol):
+    """What a node needs of a source; a platform may have one of its own."""
+
+    @property
+    def url(self) -> str:
+        """Where the source is, for the status page."""
+
+    def read_value(
+        self, key: str, after: int | None = None, wait_s: float = 0.0
+    ) -> Reply:
+        """Reads a value, or waits for a newer one than ``after``."""
+
+    def read_vms(self, after: int | None = None, wait_s: float = 0.0) -> Reply:
+        """Reads the VM list, or waits for a newer one than ``after``."""
+
+    def read_part(self, digest: str) -> bytes:
+        """Reads a manifest or part."""
+
+
 class SourceClient:
     """Reads values from the first of several URLs that answers.
 
@@ -69,7 +83,7 @@
             raise ValueError('no source URL')
         self._timeout_s = timeout_s
         self._endpoints = [
-            _build_endpoint(url, connect_timeout_s) for url in urls
+            endpoints.Endpoint(url, connect_timeout_s) for url in urls
         ]
         self._preferred = 0
 
@@ -114,7 +128,7 @@
     def close(self) -> None:
         """Closes the idle connections."""
         for endpoint in self._endpoints:
-            endpoint.http.close()
+            endpoint.close()
 
     def _read(self, path, after, wait_s, max_bytes, digest=None) -> Reply:
         if after is not None:
@@ -139,88 +153,27 @@
         raise failure
 
     def _read_endpoint(self, endpoint, path, after, wait_s, max_bytes) -> Reply:
-        """Sends one request and reads the whole reply."""
-        asked_at = clocks.read_now()
+        """Sends one request and interprets the reply."""
         limit_s = self._timeout_s + (wait_s if after is not None else 0.0)
-        reply, timeout = None, gevent.Timeout(limit_s)
-        try:
-            with timeout:
-                reply = endpoint.http.get(endpoint.path + path)
-                body = _read_body(reply, max_bytes)
-        except gevent.Timeout as error:
-            if error is not timeout:
-                raise
-            raise errors.SourceTimeoutError(
-                f'{endpoint.url}: no whole reply within {limit_s:g} s'
-            ) from error
-        except (OSError, http_response.HTTPParseError, RuntimeError) as error:
-            raise errors.SourceUnreachableError(
-                f'{endpoint.url}: {type(error).__name__}: {error}'
-            ) from error
-        finally:
-            # A reply that was not read to its end closes its connection.
-            if reply is not None:
-                reply.release()
-        received_at = clocks.read_now()
         return _interpret(
-            endpoint.url, reply, body, after, asked_at, received_at
+            endpoint.url, endpoint.fetch(path, limit_s, max_bytes), after
         )
 
 
-@attrs.frozen
-class _Endpoint:
-    url: str
-    path: str
-    http: geventhttpclient.HTTPClient
-
-
-def _build_endpoint(url, connect_timeout_s) -> _Endpoint:
-    parts = urllib.parse.urlsplit(url)
-    if parts.scheme != 'http' or not parts.hostname:
-        raise ValueError(f'source URL {url!r} is not http://host:port')
-    http = geventhttpclient.HTTPClient(
-        parts.hostname,
-        parts.port or 80,
-        concurrency=_MAX_CONNECTIONS,
-        connection_timeout=connect_timeout_s,
-        # Watches are silent for their whole wait; each request has its own
-        # limit on the total time instead.
-        network_timeout=None,
-        block_size=_CHUNK_BYTES,
-    )
-    http._connection_pool.after_connect = sockets.set_nodelay
-    return _Endpoint(url.rstrip('/'), parts.path.rstrip('/'), http)
-
-
-def _read_body(reply, max_bytes: int) -> bytes:
-    length = reply.content_length
-    if length is not None and length > max_bytes:
-        raise errors.BodyTooLargeError(f'body of {length} bytes')
-    chunks, total = [], 0
-    while chunk := reply.read(_CHUNK_BYTES):
-        chunks.append(chunk)
-        total += len(chunk)
-        if total > max_bytes:
-            raise errors.BodyTooLargeError(f'body over {max_bytes} bytes')
-    if not reply.message_complete:
-        raise errors.SourceUnreachableError('the body is cut short')
-    return b''.join(chunks)
-
-
-def _interpret(url, reply, body, after, asked_at, received_at) -> Reply:
-    status = reply.status_code
+def _interpret(url, reply: endpoints.RawReply, after) -> Reply:
+    status = reply.status
     if status == 429:
         raise errors.SourceBudgetError(f'{url}: over budget')
     if status == 404:
         raise errors.ValueMissingError(f'{url}: no such value')
-    revision = _parse_revision(url, reply.get('Revision'))
+    revision = _parse_revision(url, reply.headers.get('Revision'))
     if status == 304 and after is not None:
-        return Reply(revision, None, asked_at, received_at)
+        return Reply(revision, None, reply.asked_at, reply.received_at)
     if status != 200:
         raise errors.SourceReplyError(f'{url}: status {status}')
     if revision is None:
         raise errors.SourceReplyError(f'{url}: no Revision header')
-    return Reply(revision, body, asked_at, received_at)
+    return Reply(revision, reply.body, reply.asked_at, reply.received_at)
 
 
 def _parse_revision(url: str, value) -> int | None:
--- /dev/null
+++ b/jayseam/source/endpoints.py
@@ -0,0 +1,121 @@
+"""HTTP requests to one replica of the source."""
+
+import urllib.parse
+from collections.abc import Mapping
+
+import attrs
+import gevent
+import geventhttpclient
+from geventhttpclient import response as http_response
+
+from jayseam.core import clocks
+from jayseam.core import sockets
+from jayseam.source import errors
+
+_CHUNK_BYTES = 65_536
+_MAX_CONNECTIONS = 8
+
+
+@attrs.frozen
+class RawReply:
+    """A whole HTTP reply.
+
+    Attributes:
+      status: HTTP status code.
+      headers: Header fields by name.
+      body: The whole body.
+      asked_at: Time at which the request was made, in seconds.
+      received_at: Time at which the whole reply was there, in seconds.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+    asked_at: float
+    received_at: float
+
+
+class Endpoint:
+    """Reads over kept connections; any number of greenlets may read at once.
+
+    Args:
+      url: Base URL.
+      connect_timeout_s: Time for a connection, in seconds.
+
+    Raises:
+      ValueError: If the URL is not plain HTTP.
+    """
+
+    def __init__(self, url: str, connect_timeout_s: float):
+        parts = urllib.parse.urlsplit(url)
+        if parts.scheme != 'http' or not parts.hostname:
+            raise ValueError(f'source URL {url!r} is not http://host:port')
+        self.url = url.rstrip('/')
+        self._path = parts.path.rstrip('/')
+        self.http = geventhttpclient.HTTPClient(
+            parts.hostname,
+            parts.port or 80,
+            concurrency=_MAX_CONNECTIONS,
+            connection_timeout=connect_timeout_s,
+            # Watches are silent for their whole wait; each request has its own
+            # limit on the total time instead.
+            network_timeout=None,
+            block_size=_CHUNK_BYTES,
+        )
+        self.http._connection_pool.after_connect = sockets.set_nodelay
+
+    def fetch(self, path: str, limit_s: float, max_bytes: int) -> RawReply:
+        """Sends a GET request and reads the whole reply.
+
+        Args:
+          path: Path and query.
+          limit_s: Time for all of it, in seconds.
+          max_bytes: Largest body.
+
+        Raises:
+          SourceTimeoutError: If there is no whole reply in time.
+          SourceUnreachableError: If the connection failed.
+          BodyTooLargeError: If the body is larger.
+        """
+        asked_at = clocks.read_now()
+        reply, timeout = None, gevent.Timeout(limit_s)
+        try:
+            with timeout:
+                reply = self.http.get(self._path + path)
+                body = _read_body(reply, max_bytes)
+        except gevent.Timeout as error:
+            if error is not timeout:
+                raise
+            raise errors.SourceTimeoutError(
+                f'{self.url}: no whole reply within {limit_s:g} s'
+            ) from error
+        except (OSError, http_response.HTTPParseError, RuntimeError) as error:
+            raise errors.SourceUnreachableError(
+                f'{self.url}: {type(error).__name__}: {error}'
+            ) from error
+        finally:
+            # A reply that was not read to its end closes its connection.
+            if reply is not None:
+                reply.release()
+        return RawReply(
+            reply.status_code, reply, body, asked_at, clocks.read_now()
+        )
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self.http.close()
+
+
+def _read_body(reply, max_bytes: int) -> bytes:
+    length = reply.content_length
+    if length is not None and length > max_bytes:
+        raise errors.BodyTooLargeError(f'body of {length} bytes')
+    chunks, total = [], 0
+    while chunk := reply.read(_CHUNK_BYTES):
+        chunks.append(chunk)
+        total += len(chunk)
+        if total > max_bytes:
+            raise errors.BodyTooLargeError(f'body over {max_bytes} bytes')
+    if not reply.message_complete:
+        raise errors.SourceUnreachableError('the body is cut short')
+    return b''.join(chunks)
