Keep a replica of each workspace's bucket at every node

Change: strategy replicated. A node spends at once and reports totals to its zone and to one relay in each other zone; the part of the silent is left to them. Ruled out: shorter waits for tokens (refusals stay); a full mesh of reports (96 instead of 24 messages between zones a period at 12 nodes).

--- a/jayseam/limits/__init__.py
+++ b/jayseam/limits/__init__.py
@@ -12,6 +12,7 @@
 from jayseam.limits import errors
 from jayseam.limits import messages
 from jayseam.limits import pools
+from jayseam.limits import replicas
 from jayseam.limits import strategies
 from jayseam.limits import task
 from jayseam.limits import wallets
@@ -24,6 +25,7 @@
     'errors',
     'messages',
     'pools',
+    'replicas',
     'strategies',
     'task',
     'wallets',
--- a/jayseam/limits/messages.py
+++ b/jayseam/limits/messages.py
@@ -140,3 +140,24 @@
 
     incarnation: int = attrs.field(validator=_INT)
     groups: list[int] = attrs.field(validator=_GROUPS)
+
+
+@messages.register(66)
+@attrs.frozen
+class Spent:
+    """A node reports what calls have spent; totals since it started.
+
+    Attributes:
+      incarnation: The node's incarnation.
+      own: Tokens spent at the node, by workspace that has changed.
+      relayed: Tokens spent in other zones, as far as the node relays them.
+      zones: Other zones that report to the node.
+    """
+
+    incarnation: int = attrs.field(validator=_INT)
+    own: dict[str, float] = attrs.field(validator=_AMOUNTS)
+    relayed: dict[str, float] = attrs.field(factory=dict, validator=_AMOUNTS)
+    zones: list[str] = attrs.field(
+        factory=list,
+        validator=validators.deep_iterable(member_validator=_STR),
+    )
--- a/jayseam/limits/strategies.py
+++ b/jayseam/limits/strategies.py
@@ -354,6 +354,14 @@
         wallet = self._stock.wallets.get(workspace)
         return 0.0 if wallet is None else wallet.stock(now)
 
+    def explain(self, workspace: str, now: float) -> dict[str, Any]:
+        """Returns what a decision on a workspace's calls rests on, for logs."""
+        limit = self._limits.get(workspace, accounts.NOTHING)
+        return {
+            'rate_per_s': limit.rate_per_s,
+            'stock': round(self.stock(workspace, now), 2),
+        }
+
     def tokens_lost(self) -> float:
         """Returns the tokens that expired unspent in wallets."""
         return self._stock.lost
--- a/jayseam/limits/task.py
+++ b/jayseam/limits/task.py
@@ -124,6 +124,14 @@
             list(self._greenlets), timeout=strategies.REQUEST_TIMEOUT_S
         )
 
+    def set_tolerance(self, tolerance: float) -> None:
+        """Tells a strategy that uses it what excess operators tolerate.
+
+        Args:
+          tolerance: Part of a rate that may be exceeded.
+        """
+        self._strategy.set_tolerance(tolerance)
+
     def set_preset(self, preset: Any, version: int, now: float) -> None:
         """Takes over a version of the preset.
 
@@ -184,6 +192,7 @@
             messages.Draw,
             messages.Report,
             messages.Release,
+            messages.Spent,
         )
         return {kind: self._answer for kind in kinds}
 
@@ -277,6 +286,14 @@
     ) -> Admission:
         self._count(workspace, 'refused')
         retry_after_s = self._strategy.retry_after(workspace, cost)
+        _log.info(
+            'limits.refused',
+            extra={
+                'workspace': workspace,
+                'retry_after_s': round(retry_after_s, 3),
+                **self._strategy.explain(workspace, self._read_now()),
+            },
+        )
         return Admission(False, retry_after_s, waited_s)
 
     def _count(self, workspace: str, decision: str) -> None:
--- a/jayseam/limits/tests/test_models.py
+++ b/jayseam/limits/tests/test_models.py
@@ -193,4 +193,9 @@
 
 def test_unknown_strategy_is_named():
     """A misspelt setting must list the strategies that exist."""
-    assert strategies.registry.names() == ['escrow', 'owner', 'static']
+    assert strategies.registry.names() == [
+        'escrow',
+        'owner',
+        'replicated',
+        'static',
+    ]
--- /dev/null
+++ b/jayseam/limits/tests/test_replicas.py
@@ -0,0 +1,149 @@
+"""Tests of the replicated buckets, alone and in the model of a fleet."""
+
+import types
+
+import pytest
+
+from jayseam.limits import cells
+from jayseam.limits import messages
+from jayseam.limits import models
+from jayseam.limits import replicas
+
+# What operators tolerate in any window of this length.
+WINDOW_S = 5.0
+OVERAGE = 0.25
+SLACK = 20.0
+
+# A workspace far over its rate beside ones within theirs.
+LOADS = {
+    'large': models.workspaces.Load(400.0, 400.0, 280.0),
+    'small': models.workspaces.Load(30.0, 30.0, 15.0),
+    'greedy': models.workspaces.Load(60.0, 60.0, 300.0),
+    'little': models.workspaces.Load(5.0, 5.0, 25.0),
+}
+
+
+def _build(vm='vm-0', now=0.0, positions=4):
+    strategy = replicas.ReplicatedStrategy(vm, 'u0', 'a', 1, now)
+    strategy.set_preset(_preset(positions), 1, now)
+    return strategy
+
+
+def _preset(positions, rate_per_s=10.0, burst=10.0):
+    zones = {0: 'a', 1: 'b'}
+    return types.SimpleNamespace(
+        workspaces={
+            'w': types.SimpleNamespace(rate_per_s=rate_per_s, burst=burst)
+        },
+        upstreams={
+            f'u{i}': types.SimpleNamespace(zone=zones[i % 2])
+            for i in range(positions)
+        },
+    )
+
+
+def _drain(strategy, now):
+    count = 0
+    while strategy.admit('w', 1.0, now):
+        count += 1
+    return count
+
+
+def _window_excess(times, load):
+    """Returns the most calls in a window beyond what is tolerated."""
+    allowed = (load.rate_per_s * WINDOW_S + load.burst) * (1 + OVERAGE) + SLACK
+    times, first, worst = sorted(times), 0, 0
+    for last, time in enumerate(times):
+        while times[first] < time - WINDOW_S:
+            first += 1
+        worst = max(worst, last - first + 1)
+    return worst - allowed
+
+
+def test_spends_what_others_left():
+    """Tokens that another member has spent are gone here too."""
+    strategy = _build()
+    strategy.set_members([cells.Member('vm-1', 'u2', 7, 'a')])
+    strategy.answer('vm-1', messages.Spent(7, {'w': 0}), 9.5)
+    strategy.answer('vm-1', messages.Spent(7, {'w': 6}), 10.0)
+    assert _drain(strategy, 10.0) == 4
+
+
+def test_counts_what_a_restarted_member_spends():
+    """The totals of a new incarnation begin at zero."""
+    strategy = _build()
+    strategy.set_members([cells.Member('vm-1', 'u2', 7, 'a')])
+    strategy.answer('vm-1', messages.Spent(7, {'w': 50}), 1.0)
+    strategy.answer('vm-1', messages.Spent(7, {'w': 50}), 9.5)
+    strategy.answer('vm-1', messages.Spent(8, {'w': 4}), 10.0)
+    assert _drain(strategy, 10.0) == 6
+
+
+def test_relays_what_another_zone_spends():
+    """A member that hears of another zone tells it to its own."""
+    relay = _build()
+    relay.set_members(
+        [
+            cells.Member('vm-1', 'u1', 7, 'b'),
+            cells.Member('vm-2', 'u2', 7, 'a'),
+        ]
+    )
+    relay.answer('vm-1', messages.Spent(7, {'w': 0}), 3.0)
+    relay.answer('vm-1', messages.Spent(7, {'w': 5}), 3.1)
+    sent = {out.vm: out.message for out in relay.poll(3.2)}
+    assert sent['vm-2'].relayed == {'w': 5}
+    assert sent['vm-2'].zones == ['b']
+    assert sent['vm-1'].relayed == {}
+
+
+def test_leaves_silent_members_their_part():
+    """A node that hears nobody uses its own part of the rate only."""
+    strategy = _build()
+    strategy.poll(10.0)
+    _drain(strategy, 10.0)
+    assert _drain(strategy, 11.0) == pytest.approx(10.0 / 4, abs=1)
+
+
+def test_refuses_with_spread_returns():
+    """Calls refused together are told different times to return."""
+    strategy = _build()
+    _drain(strategy, 0.0)
+    delays = [strategy.retry_after('w', 1.0) for _ in range(8)]
+    assert len(set(delays)) == 8
+    assert max(delays) - min(delays) < replicas.SPREAD_S
+
+
+@pytest.mark.parametrize('scenario', ['calm', 'node-death', 'zone-cut'])
+@pytest.mark.parametrize('nodes', [12, 72])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_stays_within_what_is_tolerated(scenario, nodes, seed):
+    """No window has more calls than operators tolerate, hot or cut off."""
+    model = models.fleets.Model(seed, 'replicated', nodes, 3, LOADS)
+    for node in model.nodes.values():
+        node.strategy.set_tolerance(OVERAGE)
+        node.strategy.set_preset(model.preset, 1, model._local(node))
+    end = models.scenarios.WARM_UP_S + 8.0
+    model.at(models.scenarios.WARM_UP_S - 2.0, lambda: model.send_load(end))
+    model.run(models.scenarios.WARM_UP_S)
+    models.scenarios.SCENARIOS[scenario](model)
+    model.run(end + 1.0)
+    for name, load in LOADS.items():
+        assert _window_excess(model.tallies[name].admitted, load) <= 0, name
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_refuses_nobody_within_the_rate(seed):
+    """Workspaces within their rate are served from the first call on."""
+    model = models.fleets.Model(seed, 'replicated', 12, 3, LOADS)
+    model.at(1.0, lambda: model.send_load(9.0))
+    model.run(10.0)
+    assert not model.tallies['large'].refused
+    assert not model.tallies['small'].refused
+
+
+def test_a_fleet_that_has_just_started_has_its_tokens():
+    """Members that were never heard of have spent nothing yet."""
+    strategy = _build(now=100.0)
+    for step in range(20):
+        strategy.poll(100.0 + step / 10)
+    assert _drain(strategy, 102.0) == 10
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -45,24 +45,48 @@
 
 @attrs.frozen
 class SourceSettings:
-    """How to reach the configuration service."""
+    """How to reach the configuration service.
+
+    Attributes:
+      urls: Base URLs of its replicas.
+      watch_wait_s: Wait of one watch, in seconds.
+      readers_per_zone: Nodes of a zone that read it; the others hear of
+        changes from them.
+      join_wait_s: Longest first wait of a fresh node that no peer could
+        serve, before it reads, in seconds.
+    """
 
     urls: tuple[str, ...]
     watch_wait_s: float = 10.0
+    readers_per_zone: int = 2
+    join_wait_s: float = 1.0
 
 
 @attrs.frozen
 class LimitSettings:
-    """The strategy of fleet-wide rate limits."""
+    """The strategy of fleet-wide rate limits.
+
+    Attributes:
+      strategy: Name of the strategy.
+      tolerance: Part of a rate by which an excess is tolerated; only the
+        strategy ``replicated`` uses it.
+    """
 
     strategy: str = 'escrow'
+    tolerance: float = 0.0
 
 
 @attrs.frozen
 class SelectionSettings:
-    """The strategy that chooses an upstream."""
+    """How an upstream is chosen.
+
+    Attributes:
+      strategy: Name of the strategy.
+      spill_load: Load of the own zone from which calls go to others.
+    """
 
     strategy: str = 'two_choices'
+    spill_load: float = 0.8
 
 
 @attrs.frozen
--- a/jayseam/settings/schema.py
+++ b/jayseam/settings/schema.py
@@ -54,6 +54,12 @@
                     'minimum': 0.1,
                     'maximum': 60,
                 },
+                'join_wait_s': _POSITIVE_S,
+                'readers_per_zone': {
+                    'type': 'integer',
+                    'minimum': 1,
+                    'maximum': 1000,
+                },
             },
             ('urls',),
         ),
@@ -71,10 +77,18 @@
             'items': {'type': 'string', 'minLength': _SECRET_LENGTH},
         },
         'limits': _object(
-            {'strategy': {'enum': ['escrow', 'owner', 'static']}}
+            {
+                'strategy': {
+                    'enum': ['escrow', 'owner', 'replicated', 'static']
+                },
+                'tolerance': {'type': 'number', 'minimum': 0, 'maximum': 1},
+            }
         ),
         'selection': _object(
-            {'strategy': {'enum': ['two_choices', 'round_robin']}}
+            {
+                'strategy': {'enum': ['two_choices', 'round_robin']},
+                'spill_load': {'type': 'number', 'minimum': 0, 'maximum': 10},
+            }
         ),
         'admission': _object(
             {'fair': {'type': 'boolean'}, 'ramp': {'type': 'boolean'}}
@@ -96,7 +110,7 @@
         'service': {'type': 'string', 'maxLength': 64},
         'ready': _object(_ADDRESS, ('host', 'port')),
         'idempotency': _object({'window_s': _POSITIVE_S}),
-        'codec': {'enum': ['cbor', 'json']},
+        'codec': {'enum': ['cbor', 'cbor-zstd', 'json']},
         'log_level': {'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR']},
     },
     (
--- a/jayseam/settings/tests/test_loading.py
+++ b/jayseam/settings/tests/test_loading.py
@@ -37,7 +37,7 @@
     with pytest.raises(errors.SettingsError) as caught:
         loading.parse_node_settings(wrong)
     text = '\n'.join(caught.value.problems)
-    assert '$.codec: "xml": allowed: enum ["cbor", "json"]' in text
+    assert '$.codec: "xml": allowed: enum ["cbor", "cbor-zstd", "json"]' in text
     assert '$.stop.deadline_s: -1' in text
     assert '$.caller.port: 0: allowed: minimum 1' in text
     assert '$.caller.host: "example.org"' in text
