Space the calls of a cold backend server and queue by rank

Rank of routes and tenants had no effect. Change: a pace beside the ramp, from the service's rate for cold servers; a queue that serves more urgent ranks first and is fair within one. Ruled out: fewer slots while cold (the rate then depends on the time of a call).

--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -17,6 +17,7 @@
 
 from jayseam.admission import concurrency
 from jayseam.admission import errors
+from jayseam.admission import paces
 from jayseam.admission import queues
 from jayseam.admission import ramps
 from jayseam.core import clocks
@@ -54,6 +55,7 @@
       deadline: Time by which the call must have finished, in seconds.
       request_id: Id of the call.
       still_valid: Tells at a time whether the call may still run.
+      rank: Urgency; 0 is the most urgent.
     """
 
     workspace: str
@@ -61,6 +63,7 @@
     deadline: float
     request_id: str
     still_valid: Callable[[float], bool]
+    rank: int = 0
 
 
 @attrs.frozen
@@ -209,7 +212,8 @@
         Args:
           slots: Calls the backend server handles at once.
           connections: Connections the backend server accepts.
-          ramp: Object with ``initial_slots`` and ``duration_s``, or None.
+          ramp: Object with ``initial_slots``, ``duration_s`` and, if calls of
+            a cold server are spaced, ``rate_per_s``; or None.
           queue: Name of a variant in `queues.VARIANTS`.
           ramp_shape: Name of a variant in `ramps.VARIANTS`.
           bounds: Greatest lengths of the queue.
@@ -231,6 +235,7 @@
         self._service: dict[str, _ServiceTime] = {}
         self._capacity = min(slots, connections)
         self._adaptive = concurrency.build_limit(self._capacity)
+        self._pace = paces.Pace()
         self._ramp = self._build_ramp(ramp, None)
 
     def acquire(self, ticket: Ticket, now: float) -> Permit:
@@ -252,7 +257,11 @@
         if self._closed:
             raise errors.ClosedError('the gate admits no new calls')
         entry = queues.Entry(
-            ticket.workspace, ticket.cost, ticket.deadline, ticket.still_valid
+            ticket.workspace,
+            ticket.cost,
+            ticket.deadline,
+            ticket.still_valid,
+            rank=ticket.rank,
         )
         # A call that would wait past its deadline is refused at once, while
         # its entry has time to try another VM. Waiting in vain it would also
@@ -264,7 +273,7 @@
         if reason is not None:
             raise _build_error(reason, ticket)
         if not self._held and len(self._queue) == 0:
-            if self._in_flight < self._compute_limit(now):
+            if self._may_admit(now):
                 return self._grant(ticket, now)
         waiter = _Waiter(ticket, event.Event())
         entry.payload = waiter
@@ -307,6 +316,8 @@
     def notice_start(self, now: float) -> None:
         """Restarts the ramp: the backend server started at ``now``."""
         self._ramp = self._ramp.restart(now)
+        until = now + self._ramp.duration_s
+        self._pace = attrs.evolve(self._pace, until=until)
         self._schedule(now)
 
     def hold(self) -> None:
@@ -365,19 +376,33 @@
         return self._queue.count(workspace)
 
     def _build_ramp(self, ramp, started_at: float | None):
+        self._pace = self._build_pace(ramp, started_at)
         if ramp is None:
             return self._ramp_class(self._capacity, self._capacity, 0.0, None)
         return self._ramp_class(
             ramp.initial_slots, self._capacity, ramp.duration_s, started_at
         )
 
+    def _build_pace(self, ramp, started_at: float | None) -> paces.Pace:
+        rate_per_s = getattr(ramp, 'rate_per_s', 0.0)
+        until = self._pace.until
+        if started_at is not None and ramp is not None:
+            # The numbers may come after the start was noticed.
+            until = started_at + ramp.duration_s
+        return attrs.evolve(self._pace, rate_per_s=rate_per_s, until=until)
+
     def _compute_limit(self, now: float) -> int:
         return min(
             self._capacity,
             self._ramp.compute_limit(now),
             self._adaptive.compute_limit(),
+            self._pace.compute_limit(self._mean_s or 0.0, now),
         )
 
+    def _may_admit(self, now: float) -> bool:
+        has_slot = self._in_flight < self._compute_limit(now)
+        return has_slot and self._pace.allows(now)
+
     def _estimate_shortest(self, entry: queues.Entry, now: float) -> float:
         service = self._service.get(entry.workspace)
         return 0.0 if service is None else service.estimate_shortest(now)
@@ -385,20 +410,20 @@
     def _estimate_wait(self, ticket: Ticket) -> float:
         """Returns the time that a new call is expected to wait, in seconds.
 
-        It waits for one turn of all backlogs for each call of its workspace
-        ahead of it, and half a turn on average for itself. The limit counts as
-        it will be at the deadline, so that a growing ramp refuses nothing that
-        it could admit.
+        The limit counts as it will be at the deadline, so that a growing ramp
+        refuses nothing that it could admit.
         """
         limit = self._compute_limit(ticket.deadline)
         if self._held or limit <= 0:
             return 0.0
-        turns = self.count_queued(ticket.workspace) + 0.5
-        ahead = min(turns * self._queue.count_backlogs(), len(self._queue))
-        return ahead * (self._mean_s or 0.0) / limit
+        ahead = self._queue.count_ahead(ticket.workspace, ticket.rank)
+        now = self._read_now()
+        paced_s = self._pace.estimate_wait(ahead, now)
+        return max(paced_s, ahead * (self._mean_s or 0.0) / limit)
 
     def _grant(self, ticket: Ticket, now: float) -> Permit:
         self._in_flight += 1
+        self._pace = self._pace.take(now)
         self._idle.clear()
         return Permit(self, ticket, now)
 
@@ -433,7 +458,7 @@
     def _pump(self, now: float) -> None:
         """Admits queued calls while the limit allows."""
         while not self._held and len(self._queue) > 0:
-            if self._in_flight >= self._compute_limit(now):
+            if not self._may_admit(now):
                 break
             entry, dropped = self._queue.pop(
                 now, lambda waiting: self._estimate_shortest(waiting, now)
@@ -450,7 +475,10 @@
         """Sets a timer for the next step of the ramp while calls wait."""
         if self._timer is not None or len(self._queue) == 0:
             return
-        step_at = self._ramp.compute_next_step(now)
+        steps = [self._ramp.compute_next_step(now)]
+        if not self._pace.allows(now):
+            steps.append(min(self._pace.next_at, self._pace.until))
+        step_at = min((at for at in steps if at is not None), default=None)
         if step_at is not None:
             delay_s = max(0.001, step_at - now)
             self._timer = gevent.spawn_later(delay_s, self._fire_timer)
--- a/jayseam/admission/queues.py
+++ b/jayseam/admission/queues.py
@@ -1,8 +1,9 @@
 """Bounded queues of calls that wait for admission.
 
 The queues read no clock and do no I/O. The registry `VARIANTS` holds
-``fair`` (start-time fair queueing over workspaces) and ``fifo`` (one line for
-all, the baseline of measurements).
+``ranked`` (the most urgent first, and start-time fair queueing over workspaces
+within a rank), ``fair`` (the latter without ranks) and ``fifo`` (one line for
+all). The last two are baselines of measurements.
 
 References:
   Goyal, Vin and Cheng, "Start-time fair queuing: a scheduling algorithm for
@@ -47,6 +48,7 @@
       deadline: Time by which the call must have finished, in seconds.
       still_valid: Tells at a time whether the call may still run.
       payload: Anything the owner of the queue attaches.
+      rank: Urgency; 0 is the most urgent.
     """
 
     workspace: str
@@ -54,6 +56,7 @@
     deadline: float
     still_valid: Callable[[float], bool]
     payload: Any = None
+    rank: int = 0
 
 
 @attrs.frozen
@@ -142,6 +145,26 @@
         """Returns the number of workspaces with waiting entries."""
         return sum(bool(flow.entries) for flow in self._flows.values())
 
+    def count_ahead(self, workspace: str, rank: int) -> float:
+        """Returns the entries that a new one of a workspace waits for.
+
+        It waits for one turn of all backlogs for each entry of its workspace
+        ahead of it, and half a turn on average for itself.
+        """
+        del rank
+        turns = self.count(workspace) + 0.5
+        return min(turns * self.count_backlogs(), self._length)
+
+    def displace_newest(self) -> Entry | None:
+        """Removes and returns the newest entry of the longest backlog."""
+        names = [name for name, flow in self._flows.items() if flow.entries]
+        if not names:
+            return None
+        longest = max(names, key=lambda n: len(self._flows[n].entries))
+        _, entry = self._flows[longest].entries.popitem(last=True)
+        self._length -= 1
+        return entry
+
     def push(self, entry: Entry) -> Entry | None:
         """Adds an entry.
 
@@ -271,6 +294,102 @@
         return entry
 
 
+@VARIANTS.register('ranked')
+class RankedQueue:
+    """A fair queue for each rank; a more urgent rank is always served first.
+
+    >>> queue = RankedQueue()
+    >>> for rank in (2, 0, 1):
+    ...     _ = queue.push(Entry('w', 1.0, 9.0, lambda now: True, rank=rank))
+    >>> [queue.pop(0.0, lambda e: 0.0)[0].rank for _ in range(3)]
+    [0, 1, 2]
+    """
+
+    def __init__(self, bounds: Bounds = Bounds()):
+        self._bounds = bounds
+        self._weights: Mapping[str, float] = {}
+        self._ranks: dict[int, FairQueue] = {}
+
+    def __len__(self) -> int:
+        return sum(len(queue) for queue in self._ranks.values())
+
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Sets the weights of workspaces; one that is absent weighs 1."""
+        self._weights = dict(weights)
+        for queue in self._ranks.values():
+            queue.set_weights(weights)
+
+    def count(self, workspace: str) -> int:
+        """Returns the number of waiting entries of a workspace."""
+        return sum(queue.count(workspace) for queue in self._ranks.values())
+
+    def count_backlogs(self) -> int:
+        """Returns the lines with entries: one for each rank and workspace."""
+        return sum(queue.count_backlogs() for queue in self._ranks.values())
+
+    def count_ahead(self, workspace: str, rank: int) -> float:
+        """Returns the entries that a new one waits for."""
+        return sum(
+            queue.count_ahead(workspace, rank) if held == rank else len(queue)
+            for held, queue in self._ranks.items()
+            if held <= rank
+        )
+
+    def push(self, entry: Entry) -> Entry | None:
+        """Adds an entry; a full queue displaces a less urgent one for it.
+
+        Returns:
+          The entry that was displaced, or None.
+
+        Raises:
+          QueueFullError: If there is no room.
+        """
+        queue = self._ranks.get(entry.rank)
+        if queue is None:
+            queue = self._ranks[entry.rank] = FairQueue(self._bounds)
+            queue.set_weights(self._weights)
+        displaced = None
+        if len(self) >= self._bounds.total:
+            displaced = self._displace(entry.rank)
+        other = queue.push(entry)
+        return displaced or other
+
+    def remove(self, entry: Entry) -> bool:
+        """Removes an entry; tells whether it was in the queue."""
+        queue = self._ranks.get(entry.rank)
+        return queue is not None and queue.remove(entry)
+
+    def pop(
+        self, now: float, estimate_s: Callable[[Entry], float]
+    ) -> tuple[Entry | None, list[tuple[Entry, DropReason]]]:
+        """Takes the next entry that may run; see `FairQueue.pop`."""
+        dropped = []
+        for rank in sorted(self._ranks):
+            entry, gone = self._ranks[rank].pop(now, estimate_s)
+            dropped += gone
+            if entry is not None:
+                return entry, dropped
+        return None, dropped
+
+    def clear(self) -> list[Entry]:
+        """Removes and returns all entries."""
+        queues = [self._ranks[rank] for rank in sorted(self._ranks)]
+        return [entry for queue in queues for entry in queue.clear()]
+
+    def _displace(self, rank: int) -> Entry | None:
+        """Makes room among the less urgent entries, the least urgent first.
+
+        Without any, the entry's own rank decides who has to go.
+        """
+        for held in sorted(self._ranks, reverse=True):
+            if held <= rank:
+                return None
+            displaced = self._ranks[held].displace_newest()
+            if displaced is not None:
+                return displaced
+        return None
+
+
 @VARIANTS.register('fifo')
 class FifoQueue:
     """One line for all workspaces, in order of arrival.
@@ -298,6 +417,11 @@
         """Returns the length of the line, of which each entry waits."""
         return len(self._entries)
 
+    def count_ahead(self, workspace: str, rank: int) -> float:
+        """Returns the entries that a new one waits for: all."""
+        del workspace, rank
+        return len(self._entries)
+
     def push(self, entry: Entry) -> None:
         """Adds an entry.
 
--- a/jayseam/admission/tests/test_gates.py
+++ b/jayseam/admission/tests/test_gates.py
@@ -288,3 +288,64 @@
     assert gate.count_queued('small') == 1
     held.release(gates.Result.SUCCESS, now=0.1)
     gevent.killall([small, *waiting])
+
+
+def test_cold_server_gets_calls_at_its_rate():
+    """Free slots must not let more calls begin than a cold server bears."""
+    now = [100.0]
+    ramp = types.SimpleNamespace(
+        initial_slots=50, duration_s=3.0, rate_per_s=15.0
+    )
+    gate = gates.Gate(50, 50, ramp, read_now=lambda: now[0])
+    gate.notice_start(now[0])
+    begun = []
+
+    def call():
+        permit = gate.acquire(make_ticket(), now[0])
+        begun.append(now[0])
+        permit.release(gates.Result.SUCCESS, now[0])
+
+    callers = [gevent.spawn(call) for _ in range(80)]
+    for step in range(400):
+        now[0] = 100.0 + step / 100
+        gate.reopen(now[0])
+        settle()
+    in_first_second = [at for at in begun if at < 101.0]
+    assert 14 <= len(in_first_second) <= 16
+    assert len([at for at in begun if at < 103.0]) <= 46
+    gevent.joinall(callers, timeout=1.0)
+    assert len(begun) == 80
+
+
+def test_paced_gate_refuses_what_would_wait_past_its_deadline():
+    """A call that a cold server can't reach in time is refused at once."""
+    ramp = types.SimpleNamespace(
+        initial_slots=50, duration_s=3.0, rate_per_s=10.0
+    )
+    gate = gates.Gate(50, 50, ramp, read_now=lambda: 100.0)
+    gate.notice_start(100.0)
+    gate.acquire(make_ticket(), 100.0)
+    waiting = [
+        gevent.spawn(gate.acquire, make_ticket(), 100.0) for _ in range(9)
+    ]
+    settle()
+    with pytest.raises(errors.DeadlineError):
+        gate.acquire(make_ticket(deadline=100.5), 100.0)
+    gevent.killall(waiting)
+
+
+def test_pace_applies_when_its_numbers_come_after_the_start():
+    """The VM list may say that a server is cold before the preset arrives."""
+    now = [100.0]
+    gate = gates.Gate(50, 50, read_now=lambda: now[0])
+    gate.notice_start(now[0])
+    now[0] = 100.1
+    ramp = types.SimpleNamespace(
+        initial_slots=50, duration_s=3.0, rate_per_s=10.0
+    )
+    gate.set_capacity(50, 50, ramp)
+    gate.acquire(make_ticket(), now[0]).release(gates.Result.SUCCESS, now[0])
+    late = gevent.spawn(gate.acquire, make_ticket(), now[0])
+    settle()
+    assert not late.ready()
+    late.kill()
