--- a/jayseam/distribution/exchange.py
+++ b/jayseam/distribution/exchange.py
@@ -10,7 +10,7 @@
 from jayseam.distribution import errors
 from jayseam.presets import documents
 
-READERS_PER_ZONE = 2
+DEFAULT_READERS_PER_ZONE = 2
 # Links close on frames over 2 MB; the manifest and the framing need room.
 MAX_REPLY_BYTES = 1_500_000
 # The digest prefix in a heartbeat only has to reveal a conflict.
@@ -18,7 +18,12 @@
 _LEVEL = 6
 
 
-def is_reader(vm: str, zone: str, live_vms: Iterable[str]) -> bool:
+def is_reader(
+    vm: str,
+    zone: str,
+    live_vms: Iterable[str],
+    readers: int = DEFAULT_READERS_PER_ZONE,
+) -> bool:
     """Tells whether a VM reads the source for its availability zone.
 
     A VM counts itself as live, because a node that is not yet in its own view
@@ -26,9 +31,15 @@
 
     >>> [is_reader(vm, 'a', ['x', 'y', 'z']) for vm in 'xyz'].count(True)
     2
+
+    Args:
+      vm: The VM.
+      zone: Its availability zone.
+      live_vms: Live VMs of the zone.
+      readers: Readers of a zone.
     """
     candidates = {vm, *live_vms}
-    return vm in rendezvous.rank(zone, candidates)[:READERS_PER_ZONE]
+    return vm in rendezvous.rank(zone, candidates)[:readers]
 
 
 def compress_part(data: bytes) -> bytes:
--- a/jayseam/distribution/joining.py
+++ b/jayseam/distribution/joining.py
@@ -29,6 +29,7 @@
         n_channels: int,
         changed: event.Event,
         uniform: Callable[[], float],
+        wait_s: float = backoff.DEFAULT_CAP_S,
     ):
         """Prepares the join.
 
@@ -40,13 +41,14 @@
           n_channels: Number of channels.
           changed: Set for a moment at each swap and rejection.
           uniform: Returns a random number in [0, 1).
+          wait_s: Longest first wait before the source is read, in seconds.
         """
         self._ask_peers = ask_peers
         self._read_source = read_source
         self._count_held = count_held
         self._n_channels = n_channels
         self._changed = changed
-        self._retry = backoff.Retry(uniform)
+        self._retry = backoff.Retry(uniform, wait_s)
         # Readers watch the source only after peers have been asked.
         self.may_read = False
 
--- a/jayseam/distribution/reading.py
+++ b/jayseam/distribution/reading.py
@@ -26,6 +26,7 @@
         held_version: Callable[[str], int],
         count_failure: Callable[[str, Any], None],
         uniform: Callable[[], float],
+        readers_per_zone: int = exchange.DEFAULT_READERS_PER_ZONE,
     ):
         """Prepares the reader.
 
@@ -38,7 +39,9 @@
           held_version: Returns the version held of a channel, or zero.
           count_failure: Takes a channel and the error of a failed read.
           uniform: Returns a random number in [0, 1).
+          readers_per_zone: Nodes of a zone that read the source.
         """
+        self._readers_per_zone = readers_per_zone
         self._vm = vm
         self._zone = zone
         self._client = client
@@ -67,7 +70,9 @@
         """
         if self._client is None:
             return
-        should_read = exchange.is_reader(self._vm, self._zone, live_vms)
+        should_read = exchange.is_reader(
+            self._vm, self._zone, live_vms, self._readers_per_zone
+        )
         if should_read and not self._watchers:
             _log.info('distribution.reader_started')
             self._watchers = [self._build_watcher(c) for c in versions.CHANNELS]
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -18,6 +18,7 @@
 from jayseam.distribution import conflicts
 from jayseam.distribution import counters
 from jayseam.distribution import events
+from jayseam.distribution import exchange
 from jayseam.distribution import fetching
 from jayseam.distribution import joining
 from jayseam.distribution import memories
@@ -30,6 +31,7 @@
 from jayseam.distribution import status
 from jayseam.distribution import syncing
 from jayseam.distribution import versions
+from jayseam.source import backoff
 from jayseam.source import client as source_client
 from jayseam.source import watchers
 
@@ -54,6 +56,8 @@
         watch_wait_s: float = 10.0,
         registry: prometheus_client.CollectorRegistry | None = None,
         uniform: Callable[[], float] = random.random,
+        readers_per_zone: int = exchange.DEFAULT_READERS_PER_ZONE,
+        join_wait_s: float = backoff.DEFAULT_CAP_S,
     ):
         """Prepares the task.
 
@@ -66,6 +70,9 @@
           watch_wait_s: Wait of one watch, in seconds.
           registry: Registry of the metrics; a new one by default.
           uniform: Returns a random number in [0, 1).
+          readers_per_zone: Nodes of a zone that read the source.
+          join_wait_s: Longest first wait of a fresh node before it reads the
+            source, in seconds.
         """
         super().__init__('distribution')
         self._vm = vm
@@ -93,6 +100,7 @@
             self._read_version,
             self._count_source_failure,
             uniform,
+            readers_per_zone,
         )
         self._syncer = syncing.Syncer(
             peers, lambda: self._state, self._send_peer_states, self._changed
@@ -104,6 +112,7 @@
             len(versions.CHANNELS),
             self._changed,
             uniform,
+            join_wait_s,
         )
         self._fetchers = {
             channel: self._build_fetcher(channel, client)
--- a/jayseam/links/codecs.py
+++ b/jayseam/links/codecs.py
@@ -17,11 +17,19 @@
 from typing import Any, Protocol
 
 import cbor2
+import zstandard
 
 from jayseam.core import registries
 from jayseam.links import errors
 
 MAX_DEPTH = 32
+# Shorter messages gain less than the frame's own header.
+MIN_COMPRESSED_BYTES = 256
+# The fastest level of zstd that still has entropy coding.
+COMPRESSION_LEVEL = 1
+# Content of the largest frame that a link accepts, and its framing.
+MAX_CONTENT_BYTES = 2 * 1024 * 1024
+_ZSTD_MAGIC = b'\x28\xb5\x2f\xfd'
 _BYTES_KEY = '$bytes'
 
 
@@ -63,6 +71,53 @@
             raise errors.MessageError(f'malformed CBOR: {error}') from error
 
 
+class CompressedCodec:
+    """CBOR, with zstd where it makes a message smaller.
+
+    A compressed message begins with the magic number of zstd, which no CBOR
+    list begins with.
+
+    >>> codec = CompressedCodec(CborCodec())
+    >>> len(codec.encode(['a' * 5000])) < 100
+    True
+    >>> codec.decode(codec.encode(['a' * 5000])) == ['a' * 5000]
+    True
+    """
+
+    def __init__(self, inner: Codec):
+        self._inner = inner
+
+    def encode(self, value: Any) -> bytes:
+        """Returns the encoded value."""
+        data = self._inner.encode(value)
+        if len(data) < MIN_COMPRESSED_BYTES:
+            return data
+        compressor = zstandard.ZstdCompressor(level=COMPRESSION_LEVEL)
+        compressed = compressor.compress(data)
+        return compressed if len(compressed) < len(data) else data
+
+    def decode(self, data: bytes) -> Any:
+        """Returns the decoded value.
+
+        Raises:
+          MessageError: If ``data`` is malformed or too large.
+        """
+        if data[: len(_ZSTD_MAGIC)] == _ZSTD_MAGIC:
+            data = _decompress(data)
+        return self._inner.decode(data)
+
+
+def _decompress(data: bytes) -> bytes:
+    try:
+        size = zstandard.frame_content_size(data)
+        # The size in the header decides how much memory is allocated.
+        if not 0 <= size <= MAX_CONTENT_BYTES:
+            raise errors.MessageError(f'content of {size} bytes')
+        return zstandard.ZstdDecompressor().decompress(data)
+    except zstandard.ZstdError as error:
+        raise errors.MessageError(f'malformed zstd: {error}') from error
+
+
 class JsonCodec:
     """JSON with bytes as base64, for debugging with packet captures."""
 
@@ -96,4 +151,5 @@
 
 
 codecs.register('cbor')(CborCodec())
+codecs.register('cbor-zstd')(CompressedCodec(CborCodec()))
 codecs.register('json')(JsonCodec())
--- a/jayseam/membership/task.py
+++ b/jayseam/membership/task.py
@@ -105,6 +105,14 @@
         """The record of this node."""
         return self._own
 
+    @property
+    def has_contact(self) -> bool:
+        """Whether some other member has told its record."""
+        return any(
+            record.incarnation and record.vm != self._own.vm
+            for record in self.view.live()
+        )
+
     def start(self) -> None:
         """Starts the task; the links must have started."""
         super().start()
@@ -200,6 +208,11 @@
             self.view, self._own.vm, vm_list.records, self._hears
         )
         self._apply(received, None)
+        if not self.has_contact:
+            # A fresh node learns the other records from its neighbours; the
+            # next round of heartbeats would cost its callers a second.
+            for vm in self.neighbours():
+                gevent.spawn(self._exchanges.beat, vm)
 
     def _take_sign_of_life(self, sign: events.Heard) -> None:
         self._detector = detection.hear(
--- a/jayseam/routing/selection.py
+++ b/jayseam/routing/selection.py
@@ -26,8 +26,9 @@
 
 VARIANTS: registries.Registry = registries.Registry('selection strategy')
 
-# The own zone is left while the better of its two is at least this loaded.
-SPILL_LOAD = 0.8
+# The own zone is left while the better of its two is at least this loaded. A
+# greater load sends fewer bytes between zones and has calls wait longer.
+DEFAULT_SPILL_LOAD = 0.8
 COLD_SHARE = 0.3
 # Random numbers in [0, 1) that a choice takes.
 DRAWS = 5
@@ -131,11 +132,13 @@
       table: What is known of the members.
       workspace: The workspace; None for the loads of all workspaces together.
       now: Current time in seconds.
+      spill_load: Load from which the own zone is left.
     """
 
     table: load_tables.LoadTable
     workspace: str | None
     now: float
+    spill_load: float = DEFAULT_SPILL_LOAD
 
     def estimate(self, candidate: Candidate) -> float:
         """Returns the load of a candidate."""
@@ -158,6 +161,7 @@
     turn: int = 0,
     strategy: str = 'two_choices',
     workspace: str | None = None,
+    spill_load: float = DEFAULT_SPILL_LOAD,
 ) -> Candidate:
     """Returns the candidate that a strategy chooses.
 
@@ -171,12 +175,13 @@
       strategy: Name of a variant in `VARIANTS`.
       workspace: Workspace of the call, if the load that matters is what delays
         its calls.
+      spill_load: Load from which the own zone is left.
 
     Raises:
       NoCandidateError: If the pool is empty.
       UnknownVariantError: If there is no such strategy.
     """
-    view = LoadView(loads, workspace, now)
+    view = LoadView(loads, workspace, now, spill_load)
     return VARIANTS.get(strategy)(pool, view, own_zone, now, draws, turn)
 
 
@@ -192,8 +197,9 @@
     """Returns the less loaded of two random candidates.
 
     The two come from the own zone while the better of them is loaded under
-    `SPILL_LOAD`, else from all zones. A returned zone, or one with only a cold
-    member, is preferred by its own entries only as often as its share allows.
+    the spill load, else from all zones. A returned zone, or one with only a
+    cold member, is preferred by its own entries only as often as its share
+    allows.
     """
     del turn
     if not pool.groups:
@@ -210,7 +216,7 @@
         if draws[0] < share * min(1.0, group.sums[-1]):
             pair = _draw_pair((group,), (1.0,), draws)
             best, load = _pick_better(pair, loads)
-            if load < SPILL_LOAD:
+            if load < loads.spill_load:
                 return best
         elif len(groups) > 1:
             weights[position] = 0.0
@@ -357,7 +363,9 @@
         return _Verdict(f'member is {member.state}')
     if member.backend not in ('ready', 'cold'):
         return _Verdict(f'backend server is {member.backend}')
-    share = COLD_SHARE if member.backend == 'cold' else 1.0
+    # Where calls of a cold server are spaced, its load tells how many it takes.
+    is_held_back = member.backend == 'cold' and not upstream.ramp.rate_per_s
+    share = COLD_SHARE if is_held_back else 1.0
     if member.state == 'suspect':
         reason = 'member is suspect; used only without another candidate'
         return _Verdict(reason, share, spare=True)
--- a/jayseam/routing/tests/test_selection.py
+++ b/jayseam/routing/tests/test_selection.py
@@ -18,12 +18,17 @@
     loads.report(vm, '', load_tables.Report(load, load, load), 0.0)
 
 
-def make_preset(upstreams, out_of_service=()):
+def make_preset(upstreams, out_of_service=(), cold_rate_per_s=0.0):
     """Returns a stand-in of a preset; names are ``<zone><number>``."""
     zone_names = {name[0] for name in upstreams}
     return types.SimpleNamespace(
         upstreams={
-            name: types.SimpleNamespace(service='s', zone=name[0], slots=10)
+            name: types.SimpleNamespace(
+                service='s',
+                zone=name[0],
+                slots=10,
+                ramp=types.SimpleNamespace(rate_per_s=cold_rate_per_s),
+            )
             for name in upstreams
         },
         zones={
@@ -220,3 +225,22 @@
     loads.forget('vm')
     loads.finish('vm')
     assert loads.estimate('vm', 10, 5.0) == 0.0
+
+
+def test_paced_cold_member_keeps_the_calls_of_its_zone():
+    """The load of a paced server tells how many calls it takes."""
+    names = ['a1', 'b1']
+    preset = make_preset(names, cold_rate_per_s=15.0)
+    members = [make_member('a1', backend='cold'), make_member('b1')]
+    pool = selection.build_pool(preset, members, 's', {})
+    counts = count_choices(pool, load_tables.LoadTable())
+    assert counts['a'] == sum(counts.values())
+
+
+def test_zone_is_left_at_the_spill_load():
+    """Operators for whom bytes between zones are dear let calls wait."""
+    pool = make_pool(['a1', 'b1'])
+    loads = load_tables.LoadTable()
+    _report(loads, 'vm-a1', 1.1)
+    assert count_choices(pool, loads)['b'] > 0
+    assert count_choices(pool, loads, spill_load=1.25)['b'] == 0
