Log each attempt and refusal, and follow a request over logs

Cause: a failed request could not be explained from logs: nothing told where an attempt went or why it was refused. Change: call.attempt and call.refused with the versions and ages that decided; jayseam-ctl follow; SIGHUP reads the settings again. Repeatable calls whose server answers a failure are tried elsewhere; a VM that turned a call away is passed over for 0.15 s; a node is ready once another has told its record. Ruled out: one line for each call at the ingress too, as the attempt names its reason.

--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -13,6 +13,8 @@
 # A VM that failed to answer is passed over for this long, so that a call's
 # retry and the calls after it don't run into the same silence.
 _AVOID_S = 2.0
+# One that turned a call away has no room for about the time of a call.
+_AVOID_REFUSING_S = 0.15
 
 
 @attrs.frozen
@@ -40,6 +42,7 @@
       own_zone: Zone of this node.
       strategy: Name of a selection strategy.
       draw: Returns a random number in [0, 1).
+      spill_load: Load from which the own zone is left.
     """
 
     def __init__(
@@ -47,7 +50,9 @@
         own_zone: str,
         strategy: str,
         draw: Callable[[], float] = random.random,
+        spill_load: float = routing.selection.DEFAULT_SPILL_LOAD,
     ):
+        self._spill_load = spill_load
         self._own_zone = own_zone
         self._strategy = strategy
         self._draw = draw
@@ -128,6 +133,7 @@
             self._turn,
             self._strategy,
             workspace,
+            self._spill_load,
         )
         record = view.members[candidate.vm]
         return Choice(candidate.vm, record.incarnation, service)
@@ -149,7 +155,14 @@
 
     def record_failure(self, vm: str, now: float) -> None:
         """Passes over a VM for a while after it failed to answer."""
-        self._avoided[vm] = now + _AVOID_S
+        self._avoid(vm, now + _AVOID_S)
+
+    def record_refusal(self, vm: str, now: float) -> None:
+        """Passes over a VM for a moment after it turned a call away."""
+        self._avoid(vm, now + _AVOID_REFUSING_S)
+
+    def _avoid(self, vm: str, until: float) -> None:
+        self._avoided[vm] = max(until, self._avoided.get(vm, until))
 
     def explain(
         self, preset: Any, view: membership.views.View, route: Any, now: float
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -17,6 +17,7 @@
 from jayseam.calls import tokens
 from jayseam.core import clocks
 from jayseam.core import identifiers
+from jayseam.core import logs
 from jayseam.links import errors as link_errors
 from jayseam.routing import loads
 
@@ -34,9 +35,15 @@
 _MIN_RETRY_S = 0.1
 # Time for a confirmation of the keys to arrive by another path.
 _RETRY_KEYS_S = 0.5
+# Time in which a backend server may come back or be listed anew.
+_RETRY_UNAVAILABLE_S = 0.3
+# Status of a backend server's answer at the end of a call's time.
+_TIME_OUT = 504
 # Failures that a node reports without having run the handler.
 _NOT_HANDLED = frozenset(('no-handler', 'overloaded'))
 
+_log = logs.get_logger(__name__)
+
 
 class Forwarder(Protocol):
     """Runs an attempt on the ingress at a VM."""
@@ -89,6 +96,7 @@
       coordinator: Claims idempotency keys.
       cancel: Tells a VM that nobody waits for an attempt.
       keys_usable: Tells whether the key set may still be trusted.
+      read_keys_age: Returns the seconds since the key set was confirmed.
       window_s: How long idempotency keys are remembered, in seconds.
       dialect: Header fields of callers and backend servers.
       service: Service beside which this node runs, if it is told to backend
@@ -106,6 +114,7 @@
     coordinator: claims.ClaimCoordinator
     cancel: Callable[[str, str], None]
     keys_usable: Callable[[float], bool]
+    read_keys_age: Callable[[float], float]
     window_s: float
     dialect: dialects.Dialect = dialects.DEFAULT
     service: str = ''
@@ -162,6 +171,16 @@
             return self._attempt(call)
         return self._run_once(call)
 
+    def describe_knowledge(self, now: float) -> dict[str, Any]:
+        """Returns the versions and their ages by which calls are judged."""
+        snapshot = self._parts.read_snapshot()
+        return {
+            'preset_version': snapshot.preset_version,
+            'keys_version': snapshot.keys_version,
+            'vms_version': snapshot.vms_version,
+            'keys_age_s': self._parts.read_keys_age(now),
+        }
+
     def look_up(self, request: requests.CallRequest, text: str, now: float):
         """Returns the caller and what keepers know of an idempotency key.
 
@@ -262,36 +281,53 @@
         return answer
 
     def _attempt(self, call: Call) -> requests.CallAnswer:
-        """Tries upstreams until one answers, within deadline and budget."""
+        """Tries upstreams until one answers, within deadline and budget.
+
+        A failure that a backend server answers to a repeatable call is tried
+        elsewhere too; without a better answer it is the answer.
+        """
         workspace = call.caller.workspace
         self._budgets.record_call(workspace, clocks.read_now())
         tried: set[str] = set()
+        failed: requests.CallAnswer | None = None
         failure: errors.CallError = errors.NotRunError(
-            'no backend server is available', 1.0
+            'no backend server is available', _RETRY_UNAVAILABLE_S
         )
         most = min(retries.MAX_RETRIES + 1, call.route.max_attempts)
         for number in range(most):
             now = clocks.read_now()
-            if number and now + _MIN_RETRY_S > call.deadline:
-                raise failure
             if now >= call.deadline:
-                raise failure
-            if number and not self._budgets.spend(workspace, now):
-                raise failure
+                break
+            if number and not self._may_try_again(call, now):
+                break
             chosen = self._choose(call, tried, now)
             if chosen is None:
-                raise failure
+                break
             tried.add(chosen.vm)
             try:
-                return self._forward(call, chosen, now)
+                answer = self._forward(call, chosen, now)
+                _log_attempt(call, chosen, number, now, str(answer.status))
             except errors.CallError as error:
+                _log_attempt(call, chosen, number, now, error.code, error)
                 # An earlier attempt may have run, whatever the last one did.
                 if failure.ran == 'no':
                     failure = error
                 if not _may_retry(error, call.route.repeatable):
                     break
+                continue
+            if not call.route.repeatable or not _is_failure(answer):
+                return answer
+            failed = answer
+        if failed is not None:
+            return failed
         raise failure
 
+    def _may_try_again(self, call: Call, now: float) -> bool:
+        """Tells whether time and budget allow one more attempt."""
+        if now + _MIN_RETRY_S > call.deadline:
+            return False
+        return self._budgets.spend(call.caller.workspace, now)
+
     def _choose(self, call: Call, tried: set[str], now: float) -> Any:
         return self._parts.chooser.choose(
             call.snapshot.preset,
@@ -335,7 +371,11 @@
             raise
         finally:
             chooser.end(chosen.vm, workspace)
-        return _read_reply(reply)
+        try:
+            return _read_reply(reply)
+        except errors.NotRunError:
+            chooser.record_refusal(chosen.vm, clocks.read_now())
+            raise
 
     def _build_forward(
         self, call: Call, chosen: Any, now: float
@@ -383,9 +423,55 @@
             target=call.request.target(),
             headers=[list(pair) for pair in (*headers, *added)],
             body=call.request.body,
+            rank=_find_rank(call),
         )
 
 
+def _find_rank(call: Call) -> int:
+    """Returns the urgency of a call: its workspace goes before its route."""
+    workspace = call.snapshot.preset.workspaces.get(call.caller.workspace)
+    if workspace is None or workspace.rank is None:
+        return call.route.rank
+    return workspace.rank
+
+
+def _log_attempt(
+    call: Call,
+    chosen: Any,
+    number: int,
+    begun_at: float,
+    outcome: str,
+    error: errors.CallError | None = None,
+) -> None:
+    """Logs where an attempt went, by which versions, and what came of it."""
+    ended_at = clocks.read_now()
+    _log.info(
+        'call.attempt',
+        extra={
+            'request_id': call.request_id,
+            'number': number,
+            'route': call.route.name,
+            'service': chosen.service,
+            'workspace': call.caller.workspace,
+            'upstream_vm': chosen.vm,
+            'preset_version': call.snapshot.preset_version,
+            'vms_version': call.snapshot.vms_version,
+            'outcome': outcome,
+            'reason': error.detail if error else '',
+            'elapsed_ms': round((ended_at - begun_at) * 1000),
+            'left_ms': round((call.deadline - ended_at) * 1000),
+        },
+    )
+
+
+def _is_failure(answer: requests.CallAnswer) -> bool:
+    """Tells whether another backend server may do better.
+
+    The end of the call's own time is the same everywhere.
+    """
+    return answer.status >= 500 and answer.status != _TIME_OUT
+
+
 def _may_retry(error: errors.CallError, repeatable: bool) -> bool:
     """Tells whether another attempt can neither run twice nor be in vain."""
     if isinstance(error, errors.KeyRefusedError):
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -208,6 +208,7 @@
             deadline=deadline - min(_RUN_MARGIN_S, timeout_s / 10),
             request_id=forward.request_id,
             still_valid=lambda _: self._find_fault(forward) is None,
+            rank=forward.rank,
         )
         permit = self._acquire(ticket, forward, now)
         result = admission.gates.Result.FAILED
--- a/jayseam/calls/messages.py
+++ b/jayseam/calls/messages.py
@@ -82,6 +82,7 @@
       timeout_ms: Time left until the deadline of the call.
       preset_version: Version by which the entry judged the call.
       keys_version: Version of the keys by which the entry judged it.
+      rank: Urgency of the call; 0 is the most urgent.
     """
 
     attempt: str = attrs.field(validator=_check_text)
@@ -99,6 +100,7 @@
     target: str = attrs.field(validator=_check_text)
     headers: list = attrs.field(validator=check_pairs)
     body: bytes = attrs.field(validator=_check_bytes)
+    rank: int = attrs.field(default=0, validator=_check_count)
 
 
 @messages.register(81)
--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -119,8 +119,10 @@
             return self._serve(environ, request_id)
         except errors.CallError as error:
             measures.REFUSALS.labels(error.code).inc()
+            self._log_refusal(error, environ, request_id)
             return self._render(error, request_id, text)
         except errors.CallerGoneError:
+            _log.info('call.caller_gone', extra={'request_id': request_id})
             return requests.CallAnswer(499, (), b'')
         except Exception:  # pylint: disable=broad-exception-caught
             # An unexpected fault says nothing about what has run.
@@ -129,6 +131,27 @@
             measures.REFUSALS.labels(unknown.code).inc()
             return self._render(unknown, request_id, text)
 
+    def _log_refusal(
+        self,
+        error: errors.CallError,
+        environ: dict[str, Any],
+        request_id: str,
+    ) -> None:
+        """Logs why a call ended without a result, and by which versions."""
+        _log.info(
+            'call.refused',
+            extra={
+                'request_id': request_id,
+                'path': environ['PATH_INFO'],
+                'code': error.code,
+                'status': error.status,
+                'ran': error.ran,
+                'reason': error.detail,
+                'retry_after_s': error.retry_after_s,
+                **self._entry.describe_knowledge(clocks.read_now()),
+            },
+        )
+
     def _render(
         self, error: errors.CallError, request_id: str, key: str | None
     ) -> requests.CallAnswer:
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -35,6 +35,11 @@
 # After the last call has finished, kept-alive callers get this long to see an
 # answer with "Connection: close" before their connections end.
 _LINGER_S = 0.5
+# Settings that a running node takes over.
+_RELOADABLE = ('keys', 'stop')
+# Longest wait for a first contact to other nodes before the node says that it
+# is ready, in seconds after its start.
+_CONTACT_LIMIT_S = 4.0
 # The linger, and up to a second each for callers' connections and the admin
 # listener.
 _CLOSE_RESERVE_S = 2.5
@@ -124,6 +129,8 @@
             client=client,
             watch_wait_s=settings.source.watch_wait_s,
             registry=prometheus_client.REGISTRY,
+            readers_per_zone=settings.source.readers_per_zone,
+            join_wait_s=settings.source.join_wait_s,
         )
         self._distribution.register_handlers(self._handlers)
         self._distribution.subscribe(self._on_swap)
@@ -151,11 +158,15 @@
             self._list_lenders,
             strategy=settings.limits.strategy,
         )
+        if settings.limits.tolerance:
+            self._limits.set_tolerance(settings.limits.tolerance)
         self._store = calls.keepers.KeeperStore(
             clocks.read_wall_ms(), settings.idempotency.window_s
         )
         self._chooser = calls.choosers.Chooser(
-            settings.zone, settings.selection.strategy
+            settings.zone,
+            settings.selection.strategy,
+            spill_load=settings.selection.spill_load,
         )
         coordinator = calls.claims.ClaimCoordinator(
             settings.vm,
@@ -178,6 +189,7 @@
                 coordinator=coordinator,
                 cancel=self._cancel,
                 keys_usable=self._keys_usable,
+                read_keys_age=self._read_keys_age,
                 window_s=settings.idempotency.window_s,
                 dialect=self._dialect,
                 service=settings.service,
@@ -244,6 +256,31 @@
         self.start()
         self._stopped.wait()
 
+    def apply_settings(
+        self, settings: node_settings.model.NodeSettings
+    ) -> None:
+        """Takes over settings that may change while the node runs.
+
+        These are the trust in unconfirmed keys and the times of a stop. Others
+        take effect at the next start; their names are logged.
+        """
+        changed = [
+            field.name
+            for field in attrs.fields(type(settings))
+            if getattr(settings, field.name)
+            != getattr(self._settings, field.name)
+        ]
+        self._settings = attrs.evolve(
+            self._settings, keys=settings.keys, stop=settings.stop
+        )
+        _log.info(
+            'node.reloaded',
+            extra={
+                'applied': [n for n in changed if n in _RELOADABLE],
+                'at_next_start': [n for n in changed if n not in _RELOADABLE],
+            },
+        )
+
     def request_stop(self) -> None:
         """Begins a graceful shutdown; later requests change nothing."""
         if self._life.try_advance('stop_requested'):
@@ -395,10 +432,12 @@
         return None if record is None else record.vm
 
     def _keys_usable(self, now: float) -> bool:
+        return self._read_keys_age(now) <= self._settings.keys.max_unconfirmed_s
+
+    def _read_keys_age(self, now: float) -> float:
+        """Returns the seconds since the source confirmed the keys."""
         age_s = self._distribution.compute_confirmation_age('keys', now)
-        if age_s is None:
-            age_s = now - self._started_at
-        return age_s <= self._settings.keys.max_unconfirmed_s
+        return round(now - self._started_at if age_s is None else age_s, 3)
 
     def _zone_in_service(self) -> bool:
         preset = self._distribution.current.preset
@@ -407,7 +446,12 @@
 
     def _is_ready(self) -> bool:
         """Tells whether callers may send their calls to this node."""
-        return self._life.state in ('serving', 'resuming')
+        if self._life.state not in ('serving', 'resuming'):
+            return False
+        # Without contact, calls could only be served by the own backend
+        # server; but a node that is cut off serves what it can.
+        waited_s = clocks.read_now() - self._started_at
+        return self._membership.has_contact or waited_s > _CONTACT_LIMIT_S
 
     def _forward(
         self, vm: str, forward: messages.Forward, timeout_s: float
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -42,7 +42,7 @@
         self._gate = admission.gates.Gate(
             slots=1,
             connections=1,
-            queue='fair' if settings.admission.fair else 'fifo',
+            queue='ranked' if settings.admission.fair else 'fifo',
             ramp_shape='linear' if settings.admission.ramp else 'none',
         )
         self._health = backends.health.HealthMonitor(
--- a/jayseam/node/main.py
+++ b/jayseam/node/main.py
@@ -4,8 +4,8 @@
 import gc
 import signal
 import sys
-from collections.abc import Sequence
-from typing import TextIO
+from collections.abc import Callable, Sequence
+from typing import Any
 
 import gevent
 
@@ -47,14 +47,20 @@
         return _USAGE_EXIT
     if options.check:
         return 0
-    return run_node(settings)
+    return run_node(
+        settings,
+        reload_settings=lambda: loading.load_node_settings(options.settings),
+    )
 
 
 def run_node(
     settings: node_settings.model.NodeSettings,
-    log_stream: TextIO | None = None,
+    log_stream: Any = None,
     source: source_client.Source | None = None,
     dialect: dialects.Dialect = dialects.DEFAULT,
+    reload_settings: (
+        Callable[[], node_settings.model.NodeSettings] | None
+    ) = None,
 ) -> int:
     """Runs a node until SIGTERM or SIGINT; returns the exit code.
 
@@ -63,6 +69,8 @@
       log_stream: Where logs go; standard error by default.
       source: Source of the node; by default that of the settings.
       dialect: Header fields of callers and backend servers.
+      reload_settings: Reads the settings again, on SIGHUP; raises a
+        `SettingsError` if they are wrong. Without it SIGHUP is ignored.
     """
     logs.configure_logs(
         settings.log_level, log_stream, vm=settings.vm, zone=settings.zone
@@ -75,6 +83,7 @@
     # the process. Full collections that visit them stop calls for 40 ms.
     gc.collect()
     gc.freeze()
+    gevent.signal_handler(signal.SIGHUP, _reload, node, reload_settings)
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, node.request_stop)
     try:
@@ -87,5 +96,20 @@
     return 0
 
 
+def _reload(
+    node: composition.Node,
+    reload_settings: Callable[[], node_settings.model.NodeSettings] | None,
+) -> None:
+    """Applies settings that have changed; wrong ones change nothing."""
+    if reload_settings is None:
+        return
+    try:
+        node.apply_settings(reload_settings())
+    except errors.SettingsError as error:
+        logs.get_logger(__name__).error(
+            'node.reload_failed', extra={'problems': list(error.problems)}
+        )
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/jayseam/tools/ctl.py
+++ b/jayseam/tools/ctl.py
@@ -5,11 +5,12 @@
   explain ADDR --workspace W --path P [--method M]: How a node routes a call.
   check FILE: Whether a preset document would be accepted.
   diff A B: Differences between two preset documents.
+  follow REQUEST_ID LOG...: What nodes logged about one request.
 
 Exit codes:
   0: Success; for ``diff``, no differences.
-  1: A preset was rejected, ``diff`` found differences, or ``explain`` found no
-    usable candidate.
+  1: A preset was rejected, ``diff`` found differences, ``explain`` found no
+    usable candidate, or ``follow`` found no line.
   2: Wrong usage, or a file that cannot be read or is no JSON.
   3: A node could not be reached or gave an unexpected answer.
 """
@@ -33,6 +34,7 @@
 from jayseam.presets import errors as preset_errors
 from jayseam.presets import model
 from jayseam.presets import verification
+from jayseam.tools import traces
 
 OK = 0
 FOUND = 1
@@ -272,6 +274,21 @@
     return FOUND if found else OK
 
 
+def run_follow(options: argparse.Namespace) -> int:
+    """Prints what the logs of nodes say about one request."""
+    lines: list[str] = []
+    for name in options.logs:
+        try:
+            text = pathlib.Path(name).read_text('utf-8', errors='replace')
+        except OSError as error:
+            raise ToolError(USAGE, f'{name}: {error}') from error
+        lines += text.splitlines()
+    found = traces.select_request(lines, options.request_id)
+    for line in found:
+        print(json.dumps(line) if options.json else traces.format_line(line))
+    return OK if found else FOUND
+
+
 def build_parser() -> argparse.ArgumentParser:
     """Returns the parser of the command line."""
     parser = argparse.ArgumentParser(
@@ -297,6 +314,10 @@
     command.add_argument('before', metavar='A')
     command.add_argument('after', metavar='B')
     command.set_defaults(run=run_diff)
+    command = commands.add_parser('follow', help='one request in logs')
+    command.add_argument('request_id', metavar='REQUEST_ID')
+    command.add_argument('logs', nargs='+', metavar='LOG')
+    command.set_defaults(run=run_follow)
     for command in commands.choices.values():
         command.add_argument('--json', action='store_true', help='print JSON')
     return parser
--- a/jayseam/tools/tests/test_ctl.py
+++ b/jayseam/tools/tests/test_ctl.py
@@ -136,3 +136,23 @@
     preset['zones'] = []
     wrong = _write(tmp_path, 'wrong', preset)
     assert ctl.main(['diff', before, wrong]) == ctl.FOUND
+
+
+def test_follow_orders_the_lines_of_several_nodes(tmp_path, capsys):
+    """A request that crossed nodes reads as one story."""
+    entry, other = tmp_path / 'entry.log', tmp_path / 'other.log'
+    entry.write_text(
+        '{"time": "10:00:02", "vm": "vm-1", "event": "call.refused",'
+        ' "request_id": "r1", "code": "not-run"}\n'
+        'not json {\n'
+    )
+    other.write_text(
+        '1.5 vm-2 {"time": "10:00:01", "vm": "vm-2", "event": "call.attempt",'
+        ' "request_id": "r1"}\n'
+        '{"time": "10:00:01", "event": "call.attempt", "request_id": "r2"}\n'
+    )
+    assert ctl.main(['follow', 'r1', str(entry), str(other)]) == 0
+    out = capsys.readouterr().out.splitlines()
+    assert [line.split()[1] for line in out] == ['vm-2', 'vm-1']
+    assert ctl.main(['follow', 'r9', str(entry)]) == 1
+    assert ctl.main(['follow', 'r1', str(tmp_path / 'none.log')]) == 2
