--- a/jayseam/platform/__init__.py
+++ b/jayseam/platform/__init__.py
@@ -11,6 +11,7 @@
 
 from jayseam.platform import configurations
 from jayseam.platform import dialect
+from jayseam.platform import durations
 from jayseam.platform import entries
 from jayseam.platform import errors
 from jayseam.platform import mirrors
@@ -21,6 +22,7 @@
 __all__ = [
     'configurations',
     'dialect',
+    'durations',
     'entries',
     'errors',
     'mirrors',
--- a/jayseam/platform/main.py
+++ b/jayseam/platform/main.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from jayseam import settings as node_settings
+from jayseam.core import logs
 from jayseam.node import main as node_main
 from jayseam.platform import dialect
 from jayseam.platform import settings as platform_settings
@@ -51,9 +52,10 @@
     client = store.StoreClient(loaded.store_address)
     return node_main.run_node(
         loaded.node,
-        sys.stdout,
+        logs.NonBlockingStream(sys.stdout),
         source.StoreSource(client, loaded.place),
         dialect.DIALECT,
+        lambda: platform_settings.load_settings(options.settings).node,
     )
 
 
--- a/jayseam/platform/settings.py
+++ b/jayseam/platform/settings.py
@@ -18,10 +18,23 @@
 STOP_NOTICE_S = 2.3
 # Share of the bound on withdrawn keys for which unconfirmed keys are trusted.
 # The rest covers the way of a confirmation between nodes.
-KEY_TRUST_SHARE = 0.8
+KEY_TRUST_SHARE = 0.9
 # Retries that a workspace's calls may save up at one node. All nodes together
 # must stay within the platform's allowance, which counts each service.
 RETRIES_SAVED = 2.0
+# Nodes of a zone that read the store. A node that reads for itself follows a
+# change also while its peers are cut off; in large zones whole configurations
+# would fill the slowest links, so the others take parts from peers.
+READERS_PER_ZONE = 4
+# Longest first wait of a fresh node before it reads the store, in seconds. The
+# store bears a read of every node at once, and callers wait meanwhile.
+JOIN_WAIT_S = 0.1
+# Load from which calls leave their zone. Bytes between zones are dear here, and
+# a call that waits behind a quarter of the slots still meets its objective.
+SPILL_LOAD = 1.25
+# The platform allows a quarter more than rate and burst, and a fleet that has
+# just started must not refuse calls within them.
+LIMIT_STRATEGY = 'replicated'
 
 _ADMIN_PORT_INDEX = 0
 
@@ -82,6 +95,7 @@
     ]
     grace_s = reader.read_seconds('terms.bounds.grace')
     revoke_s = reader.read_seconds('terms.bounds.revoke')
+    overage = reader.read_number('terms.bounds.quota_overage')
     store_address = reader.read_text('platform.platform.address')
     if reader.problems:
         raise node_settings.errors.SettingsError(reader.problems)
@@ -96,8 +110,14 @@
         link=model.LinkAddress(link.host, link.port),
         admin=model.Address(ip, ports[_ADMIN_PORT_INDEX]),
         backend=reader.read_address('self.app_address'),
-        source=model.SourceSettings((f'http://{store_address}',)),
+        source=model.SourceSettings(
+            (f'http://{store_address}',),
+            readers_per_zone=READERS_PER_ZONE,
+            join_wait_s=JOIN_WAIT_S,
+        ),
         fleet_secrets=(derive_fleet_secret(fields),),
+        selection=model.SelectionSettings(spill_load=SPILL_LOAD),
+        limits=model.LimitSettings(LIMIT_STRATEGY, overage),
         keys=model.KeySettings(revoke_s * KEY_TRUST_SHARE),
         stop=model.StopSettings(
             max(STOP_MARGIN_S, grace_s - STOP_MARGIN_S),
@@ -107,6 +127,8 @@
         retries=model.RetrySettings(max_saved=RETRIES_SAVED),
         service=fields.get('self.service', ''),
         ready=reader.read_address('network.listen.ready'),
+        # Bytes between zones are priced.
+        codec='cbor-zstd',
     )
     if reader.problems:
         raise node_settings.errors.SettingsError(reader.problems)
@@ -167,6 +189,18 @@
             self.problems.append(f'{name}: {error}')
             return 0.0
 
+    def read_number(self, name: str) -> float:
+        """Returns a number that is not negative; zero if it is wrong."""
+        text = self.read_text(name)
+        try:
+            number = float(text) if text else 0.0
+        except ValueError:
+            number = -1.0
+        if not 0 <= number < float('inf'):
+            self.problems.append(f'{name}: {text!r} is not a number')
+            return 0.0
+        return number
+
     def read_address(self, name: str) -> node_settings.model.Address:
         """Returns an address such as ``10.0.0.1:80``."""
         text = self.read_text(name)
--- a/jayseam/platform/source.py
+++ b/jayseam/platform/source.py
@@ -17,7 +17,7 @@
 from jayseam.source import errors as source_errors
 
 # Wait of one watch, in seconds: the age of a confirmation grows by as much.
-WATCH_WAIT_S = 1.0
+WATCH_WAIT_S = 1.5
 # Caps of the wait after a failed read, in seconds. The platform asks for
 # removed entries to be taken for gone two seconds after an outage.
 RETRY_CAP_S = 0.2
--- /dev/null
+++ b/jayseam/platform/tests/test_fleet.py
@@ -0,0 +1,317 @@
+"""A fleet of real nodes on stand-ins of the platform's store and servers."""
+
+import contextlib
+import signal
+import sys
+
+import gevent
+import geventhttpclient
+import pytest
+
+from jayseam.platform import main
+from jayseam.platform.tests import samples
+from jayseam.standins import kvstore
+from jayseam.standins import platformbackend
+from jayseam.standins import processes
+from jayseam.standins import serving
+from jayseam.standins import waits
+
+# Bounds that the platform's settings name.
+CONFIG_APPLY_S = 2.0
+REVOKE_S = 5.0
+START_S = 20.0
+
+
+class _Fleet:
+    """Nodes and backend servers on loopback addresses, and the store."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.store = kvstore.KeyValueStore()
+        self.ports = processes.PortReservations()
+        self.nodes = {}
+        self.backends = {}
+        self.servers = [kvstore.serve_store(self.store, '127.0.0.1')]
+        self.numbers = [self.ports.reserve() for _ in range(6)]
+        self.count = 0
+
+    def add_vm(self, ip, zone):
+        """Starts a backend server and its node."""
+        inbound, outbound, ready, admin, app, _ = self.numbers
+        self.count += 1
+        backend = platformbackend.Backend(f'i-{self.count}')
+        server = serving.Server((ip, app), backend)
+        server.start()
+        self.servers.append(server)
+        self.backends[ip] = backend
+        store_port = self.servers[0].server_port
+        text = samples.build_settings(
+            ip,
+            zone,
+            f'127.0.0.1:{store_port}',
+            **{
+                'self.app_address': f'{ip}:{app}',
+                'network.listen.inbound': f'{ip}:{inbound}',
+                'network.listen.outbound': f'{ip}:{outbound}',
+                'network.listen.ready': f'{ip}:{ready}',
+                'network.internal_ports': f'{admin},{admin}',
+            },
+        )
+        path = self.directory / f'{ip}.conf'
+        path.write_text(text)
+        self.nodes[ip] = processes.ManagedProcess(
+            f'node {ip}',
+            [sys.executable, '-m', 'jayseam.platform.main', '--settings', path],
+            self.directory / f'{ip}.log',
+        )
+        self.register(ip, zone)
+
+    def register(self, ip, zone, **fields):
+        """Writes the entry of a backend server."""
+        instance = self.backends[ip].instance
+        entry = samples.build_entry(
+            f'{ip}:{self.numbers[4]}', zone=zone, **fields
+        )
+        self.store.put(f'servers/{instance}', entry)
+
+    def unregister(self, ip):
+        """Removes the entry of a backend server."""
+        self.store.delete(f'servers/{self.backends[ip].instance}')
+
+    def is_ready(self, ip):
+        """Tells whether a node says that it is ready."""
+        try:
+            return self._get(ip, self.numbers[2], '/jayseam/ready')[0] == 200
+        except OSError:
+            return False
+
+    def call(self, ip, path, key=samples.KEYS['museum'], **headers):
+        """Sends a call as a caller of a VM; returns status and headers."""
+        self.count += 1
+        fields = {
+            'Host': samples.HOST,
+            platformbackend.REQUEST_ID: f'{self.count:016x}',
+            'Jayseam-Deadline-Ms': '1000',
+            **headers,
+        }
+        if key:
+            fields['Authorization'] = f'Bearer {key}'
+        method = 'POST' if path.startswith('/book/') else 'GET'
+        return self._get(ip, self.numbers[1], path, method, fields)
+
+    def _get(self, ip, port, path, method='GET', headers=None):
+        client = geventhttpclient.HTTPClient(
+            ip, port, connection_timeout=1.0, network_timeout=3.0
+        )
+        try:
+            reply = client.request(method, path, headers=headers or {})
+            reply.read()
+            return reply.status_code, reply
+        finally:
+            client.close()
+
+    def arrivals(self, since=0):
+        """Returns the requests that backend servers have seen."""
+        return [
+            arrival
+            for backend in self.backends.values()
+            for arrival in backend.arrivals[since:]
+        ]
+
+    def stop(self):
+        """Ends all processes and servers."""
+        for node in self.nodes.values():
+            with contextlib.suppress(ProcessLookupError):
+                node.send_signal(signal.SIGKILL)
+            node.wait(5.0)
+        for server in self.servers:
+            server.stop_at_once()
+        self.ports.close()
+
+
+@pytest.fixture(name='fleet', scope='module')
+def _fleet(tmp_path_factory):
+    """Yields a ready fleet of four VMs in two zones."""
+    fleet = _Fleet(tmp_path_factory.mktemp('fleet'))
+    try:
+        fleet.store.put('op/config', samples.build_configuration())
+        for number, zone in enumerate('abab', 1):
+            fleet.add_vm(f'127.0.1.{number}', zone)
+        for ip in fleet.nodes:
+            waits.wait_until(lambda ip=ip: fleet.is_ready(ip), START_S, ip)
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def test_variable_names_the_settings_file(monkeypatch):
+    """The platform gives the path in the environment."""
+    monkeypatch.setenv(main.SETTINGS_VARIABLE, '/nowhere/boot.conf')
+    assert main.main(['--check']) == 2
+
+
+def test_serves_a_call_with_what_the_server_expects(fleet):
+    """The key stays here; its tenant, caller and time left go on."""
+    status, reply = fleet.call('127.0.1.1', '/view/1')
+    assert status == 200
+    assert reply.get(platformbackend.SIGNATURE)
+    arrival = fleet.arrivals()[-1]
+    assert any(
+        a.workspace == 'museum' and a.caller_service == 'pickups'
+        for a in fleet.arrivals()
+    )
+    assert not arrival.authorization
+    assert 0 < arrival.deadline_ms <= 1000
+
+
+def test_refuses_what_the_configuration_refuses(fleet):
+    """Unknown routes, missing keys and unknown keys are told apart."""
+    assert fleet.call('127.0.1.1', '/nothing/1')[0] == 404
+    assert fleet.call('127.0.1.1', '/view/1', key='')[0] == 401
+    assert fleet.call('127.0.1.1', '/view/1', key='unknown')[0] == 401
+    assert fleet.call('127.0.1.1', '/open/1', key='')[0] == 200
+
+
+def test_a_full_server_is_tried_elsewhere_once(fleet):
+    """A refusal that says not run lets an unsafe call go to another server."""
+    full = fleet.backends['127.0.1.1']
+    full.full = True
+    try:
+        statuses = [fleet.call('127.0.1.1', '/book/1')[0] for _ in range(10)]
+    finally:
+        full.full = False
+    assert statuses.count(200) >= 9
+    ran = [a.request_id for a in fleet.arrivals() if a.ran]
+    assert len(ran) == len(set(ran))
+
+
+def test_answers_of_others_are_not_passed_on(fleet):
+    """A crossed or unsealed success is no success."""
+    for name in ('crossed', 'unsealed'):
+        for backend in fleet.backends.values():
+            setattr(backend, name, True)
+        try:
+            assert fleet.call('127.0.1.2', '/book/1')[0] in (502, 504)
+        finally:
+            for backend in fleet.backends.values():
+                setattr(backend, name, False)
+
+
+def test_a_new_version_is_in_force_everywhere(fleet):
+    """A route that was added serves at every node within the bound."""
+    routes = [
+        samples.build_route('view'),
+        samples.build_route('book', kind='unsafe'),
+        samples.build_route('open', public=True),
+        samples.build_route('added'),
+    ]
+    fleet.store.put('op/config', samples.build_configuration('r5', routes))
+    for ip in fleet.nodes:
+        waits.wait_until(
+            lambda ip=ip: fleet.call(ip, '/added/1')[0] == 200,
+            CONFIG_APPLY_S,
+            ip,
+        )
+
+
+def test_a_withdrawn_key_stops(fleet):
+    """A key that was taken away is refused at every node within the bound."""
+    keys = {'school': samples.KEYS['school']}
+    fleet.store.put('op/config', samples.build_configuration('r8', keys=keys))
+    for ip in fleet.nodes:
+        waits.wait_until(
+            lambda ip=ip: fleet.call(ip, '/view/1')[0] == 401, REVOKE_S, ip
+        )
+    fleet.store.put('op/config', samples.build_configuration('r11'))
+    for ip in fleet.nodes:
+        waits.wait_until(
+            lambda ip=ip: fleet.call(ip, '/view/1')[0] == 200,
+            CONFIG_APPLY_S,
+            ip,
+        )
+
+
+def test_a_zone_out_of_service_gets_nothing(fleet):
+    """An evacuated zone serves no call until it is taken back."""
+    fleet.store.put('op/evacuate/b', {})
+    spared = [fleet.backends[f'127.0.1.{n}'] for n in (2, 4)]
+
+    def is_spared():
+        before = sum(len(b.arrivals) for b in spared)
+        for ip in fleet.nodes:
+            assert fleet.call(ip, '/view/1')[0] == 200
+        return sum(len(b.arrivals) for b in spared) == before
+
+    waits.wait_until(is_spared, CONFIG_APPLY_S)
+    fleet.store.delete('op/evacuate/b')
+    waits.wait_until(lambda: not is_spared(), CONFIG_APPLY_S + 10.0)
+
+
+def test_a_leaving_server_gets_nothing(fleet):
+    """Once the store says draining, calls go elsewhere."""
+    fleet.register('127.0.1.3', 'a', state='draining', sequence=2)
+    leaving = fleet.backends['127.0.1.3']
+
+    def is_left():
+        before = len(leaving.arrivals)
+        for ip in list(fleet.nodes)[:3]:
+            for _ in range(4):
+                assert fleet.call(ip, '/view/1')[0] == 200
+        return len(leaving.arrivals) == before
+
+    waits.wait_until(is_left, CONFIG_APPLY_S)
+    fleet.register('127.0.1.3', 'a', sequence=3)
+    waits.wait_until(lambda: not is_left(), CONFIG_APPLY_S + 3.0)
+
+
+def test_an_outage_of_the_store_stops_keyed_calls_in_time(fleet):
+    """Keys that nobody confirms are refused as not run, and served again."""
+    fleet.store.faults = kvstore.Faults(status=503)
+    try:
+        waits.wait_until(
+            lambda: fleet.call('127.0.1.1', '/view/1')[0] == 503, REVOKE_S
+        )
+        assert fleet.call('127.0.1.1', '/open/1', key='')[0] == 200
+    finally:
+        fleet.store.faults = kvstore.Faults()
+    waits.wait_until(
+        lambda: fleet.call('127.0.1.1', '/view/1')[0] == 200, REVOKE_S
+    )
+
+
+def test_a_new_server_gets_its_share(fleet):
+    """A VM that joins is served from and serves within seconds."""
+    fleet.add_vm('127.0.1.5', 'a')
+    waits.wait_until(lambda: fleet.is_ready('127.0.1.5'), START_S)
+
+    def has_calls():
+        for _ in range(5):
+            fleet.call('127.0.1.1', '/view/1')
+        return fleet.backends['127.0.1.5'].arrivals
+
+    waits.wait_until(has_calls, 10.0)
+
+
+def test_a_reload_keeps_the_node_running(fleet):
+    """SIGHUP reads the settings again; wrong ones change nothing."""
+    node = fleet.nodes['127.0.1.2']
+    path = fleet.directory / '127.0.1.2.conf'
+    text = path.read_text()
+    for changed in (text.replace('grace=6s', 'grace=7s'), 'nonsense', text):
+        path.write_text(changed)
+        node.send_signal(signal.SIGHUP)
+        gevent.sleep(0.2)
+    assert fleet.call('127.0.1.2', '/view/1')[0] == 200
+    log = node.log_path.read_text()
+    assert 'node.reloaded' in log and 'node.reload_failed' in log
+
+
+def test_a_stop_is_announced_and_cuts_nothing(fleet):
+    """After SIGTERM a node isn't ready, still serves, and exits cleanly."""
+    node = fleet.nodes['127.0.1.4']
+    node.send_signal(signal.SIGTERM)
+    waits.wait_until(lambda: not fleet.is_ready('127.0.1.4'), 1.0)
+    assert fleet.call('127.0.1.4', '/view/1')[0] == 200
+    waits.wait_until(lambda: node.returncode is not None, 6.0)
+    assert node.returncode == 0
+    del fleet.nodes['127.0.1.4']
--- /dev/null
+++ b/jayseam/platform/tests/test_translation.py
@@ -0,0 +1,297 @@
+"""Tests of what the platform's values, entries and settings become."""
+
+import pathlib
+import re
+
+import pytest
+
+from jayseam.platform import configurations
+from jayseam.platform import dialect
+from jayseam.platform import entries
+from jayseam.platform import errors
+from jayseam.platform import main
+from jayseam.platform import mirrors
+from jayseam.platform import settings
+from jayseam.platform import store
+from jayseam.platform.tests import samples
+from jayseam.presets import documents
+from jayseam.presets import keys
+from jayseam.presets import model
+from jayseam.presets import verification
+
+REGIONS = {'a': 'r', 'b': 'r'}
+PLACE = mirrors.Place(REGIONS, 8543)
+
+
+def _encode(document):
+    return documents.encode_json(document)
+
+
+def _translate(document, evacuated=()):
+    translated = configurations.decode_configuration(
+        _encode(document), REGIONS, evacuated
+    )
+    preset = verification.verify_preset(translated.preset)
+    return preset, verification.verify_keys(translated.keys)
+
+
+def _mirror(revision=5, **items):
+    stored = {
+        key: store.Item(key, value, number)
+        for number, (key, value) in enumerate(items.items(), 1)
+    }
+    return mirrors.Mirror(stored, revision, 1.0)
+
+
+def test_configuration_becomes_a_preset():
+    """Routes, services and tenants keep their meaning."""
+    preset, _ = _translate(samples.build_configuration())
+    route = preset.routes['book']
+    assert (route.host, route.prefix) == ('shop.example', '/book/')
+    assert not route.repeatable and not route.keyed
+    assert (route.max_attempts, route.rank, route.timeout_ms) == (2, 1, 1000)
+    assert preset.routes['open'].open_to_all
+    service = preset.services['pickups']
+    assert service.listed and service.connections == 20
+    assert (service.cold_s, service.cold_rate_per_s) == (3.0, 15.0)
+    assert preset.workspaces['museum'].rate_per_s == 100
+
+
+def test_split_traffic_keeps_its_weights():
+    """A route to several services becomes targets with weights."""
+    split = [
+        {'service': 'pickups', 'weight': 90},
+        {'service': 'other', 'weight': 10},
+    ]
+    route = samples.build_route('view', traffic_split=split)
+    del route['spec']['service']
+    document = samples.build_configuration(routes=[route])
+    translated = configurations.decode_configuration(
+        _encode(document), REGIONS, ()
+    )
+    assert translated.preset['routes'][0]['targets'] == [
+        ['pickups', 90],
+        ['other', 10],
+    ]
+
+
+def test_evacuated_zone_is_out_of_service():
+    """The operators' request to spare a zone is a zone out of service."""
+    preset, _ = _translate(samples.build_configuration(), {'b'})
+    assert preset.zones['a'].in_service and not preset.zones['b'].in_service
+
+
+def test_keys_are_hashed_and_verified():
+    """A key identifies its tenant, and stands nowhere in the documents."""
+    translated = configurations.decode_configuration(
+        _encode(samples.build_configuration()), REGIONS, ()
+    )
+    key = samples.KEYS['museum']
+    assert key.encode() not in _encode(translated.keys)
+    assert key.encode() not in _encode(translated.preset)
+    key_set = verification.verify_keys(translated.keys)
+    assert keys.verify_key(key_set, key).workspace == 'museum'
+    assert keys.verify_key(key_set, key + 'x') is None
+
+
+def test_same_configuration_gives_same_documents():
+    """Readers of one revision must distribute one digest."""
+    value = _encode(samples.build_configuration())
+    first = configurations.decode_configuration(value, REGIONS, ())
+    second = configurations.decode_configuration(value, REGIONS, ())
+    assert (
+        documents.split_keys(first.keys).digest
+        == documents.split_keys(second.keys).digest
+    )
+
+
+@pytest.mark.parametrize(
+    'value', [b'', b'[]', b'{}', b'{"version": "r1", "resources": [{}]}']
+)
+def test_malformed_configuration_is_an_error(value):
+    """A configuration that can't be read must not be applied in part."""
+    with pytest.raises(errors.ValueFormatError):
+        configurations.decode_configuration(value, REGIONS, ())
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'state': 'sleeping'},
+        {'slots': '4'},
+        {'slots': True},
+        {'address': 'nowhere'},
+        {'service': None},
+        {'cold_remaining': 3},
+        {'born': 'today'},
+    ],
+)
+def test_entry_of_another_writer_is_refused(change):
+    """Fields of another type name no backend server."""
+    fields = {**samples.build_entry('10.0.0.1:8080'), **change}
+    with pytest.raises(errors.ValueFormatError):
+        entries.decode_entry('i-1', _encode(fields))
+
+
+def test_unreadable_entries_leave_the_others():
+    """One bad entry must not hide the good ones."""
+    mirror = _mirror(
+        **{
+            'servers/i-1': _encode(samples.build_entry('10.0.0.1:8080')),
+            'servers/i-2': b'\xff',
+            'servers/i-3': _encode(
+                samples.build_entry('10.0.0.3:8080', zone='moon')
+            ),
+        }
+    )
+    channels = mirrors.Translator(PLACE).translate(mirror)
+    vms = _read_vms(channels)
+    assert [vm['vm'] for vm in vms] == ['10.0.0.1']
+    assert vms[0]['instance'] == 'i-1' and vms[0]['port'] == 8543
+
+
+def test_newest_entry_of_an_address_counts():
+    """An address that is used again belongs to the later start."""
+    mirror = _mirror(
+        **{
+            'servers/i-1': _encode(
+                samples.build_entry('10.0.0.1:8080', born=2000)
+            ),
+            'servers/i-2': _encode(
+                samples.build_entry(
+                    '10.0.0.1:8080', born=1000, state='draining'
+                )
+            ),
+        }
+    )
+    vms = _read_vms(mirrors.Translator(PLACE).translate(mirror))
+    assert [(vm['instance'], vm['state']) for vm in vms] == [('i-1', 'live')]
+
+
+def _read_vms(channels):
+    parts = channels['vms'].bundle.parts.values()
+    return [vm for part in parts for vm in documents.decode_list(part)]
+
+
+def test_channels_keep_their_version_until_they_change():
+    """A beat of a backend server must not make a new preset."""
+    translator = mirrors.Translator(PLACE)
+    value = _encode(samples.build_configuration())
+    before = translator.translate(_mirror(5, **{'op/config': value}))
+    entry = _encode(samples.build_entry('10.0.0.1:8080'))
+    after = translator.translate(
+        _mirror(9, **{'op/config': value, 'servers/i-1': entry})
+    )
+    assert after['preset'] == before['preset']
+    assert after['keys'] == before['keys']
+    assert after['vms'].version == 9
+
+
+def test_unreadable_configuration_keeps_the_one_before():
+    """What is in force stays in force."""
+    translator = mirrors.Translator(PLACE)
+    value = _encode(samples.build_configuration())
+    before = translator.translate(_mirror(5, **{'op/config': value}))
+    after = translator.translate(_mirror(9, **{'op/config': b'{}'}))
+    assert after['preset'] == before['preset']
+
+
+def test_a_pause_confirms_nothing():
+    """The reply to a watch that waited says nothing of the time after it."""
+    mirror = mirrors.Mirror({}, 5, 10.0)
+    changes = store.Changes((), 5, asked_at=20.0, received_at=90.0)
+    assert mirrors.apply_changes(mirror, changes, 1.0).confirmed_at == 21.0
+
+
+def test_a_listing_outranks_older_changes():
+    """A watch from the first page repeats what later pages have shown."""
+    item = store.Item('servers/i-1', b'new', 9)
+    mirror = mirrors.Mirror({'servers/i-1': item}, 5, 10.0)
+    late = store.Changes(
+        (store.Item('servers/i-1', b'old', 7), store.Deletion('x', 8)),
+        9,
+        11.0,
+        11.0,
+    )
+    merged = mirrors.apply_changes(mirror, late, 1.0)
+    assert merged.items['servers/i-1'].value == b'new'
+
+
+def test_listed_upstreams_join_the_preset():
+    """Upstreams come and go with the VM list, not with the preset."""
+    preset, _ = _translate(samples.build_configuration())
+    translator = mirrors.Translator(PLACE)
+    entry = _encode(samples.build_entry('10.0.0.1:8080'))
+    channels = translator.translate(_mirror(**{'servers/i-1': entry}))
+    vms = verification.verify_vms({'vms': _read_vms(channels)})
+    staffed = model.add_listed_upstreams(preset, vms)
+    upstream = staffed.upstreams['10.0.0.1']
+    assert (upstream.slots, upstream.connections) == (4, 20)
+    assert upstream.ramp.rate_per_s == 15.0
+    assert not preset.upstreams
+
+
+def test_settings_become_node_settings():
+    """Listeners, bounds and the store's address are found."""
+    text = samples.build_settings('10.0.0.1', 'a', '10.9.0.1:8545')
+    loaded = settings.read_settings(settings.parse_lines(text))
+    assert loaded.store_address == '10.9.0.1:8545'
+    assert loaded.node.caller.port == 8548
+    assert loaded.node.keys.max_unconfirmed_s < 5.0
+    assert loaded.node.stop.deadline_s < 6.0
+    assert loaded.node.ready.port == 8546
+    assert loaded.place.regions == REGIONS
+
+
+def test_bad_settings_name_every_problem(tmp_path, capsys):
+    """All errors at once, and the exit code of a usage error."""
+    text = samples.build_settings(
+        '10.0.0.1',
+        'a',
+        '',
+        **{
+            'terms.bounds.grace': 'soon',
+            'network.listen.ready': '10.0.0.1',
+            'network.internal_ports': '0,7015',
+        },
+    )
+    path = tmp_path / 'boot.conf'
+    path.write_text(text)
+    assert main.main(['--settings', str(path), '--check']) == 2
+    problems = capsys.readouterr().err
+    for name in ('grace', 'platform.platform.address', 'internal_ports'):
+        assert name in problems
+
+
+def test_good_settings_pass_the_check(tmp_path):
+    """A check of good settings starts nothing."""
+    path = tmp_path / 'boot.conf'
+    path.write_text(samples.build_settings('10.0.0.1', 'a', '10.9.0.1:1'))
+    assert main.main(['--settings', str(path), '--check']) == 0
+
+
+def test_a_refusal_of_another_instance_has_not_run():
+    """The platform's refusals are told from failures by field and status."""
+    not_run = dialect.DIALECT.says_not_run
+    assert not_run(421, [])
+    assert not_run(503, [('Jayseam-Not-Executed', '1')])
+    assert not not_run(503, [])
+    assert not not_run(500, [])
+
+
+def test_names_of_the_platform_stay_in_its_folder():
+    """Only the adapter, its stand-ins and tests know the platform's names."""
+    names = re.compile(
+        r'kv-(range|watch|key)|Jayseam-(Response-Signature|Deadline-Ms'
+        r'|Expect-Instance|Not-Executed|Cold-Ms)|JAYSEAM_SETTINGS'
+        r'|traffic_split|cold_remaining|api_keys'
+    )
+    root = pathlib.Path(main.__file__).parent.parent
+    allowed = ('platform/', 'standins/')
+    found = [
+        str(path.relative_to(root))
+        for path in root.rglob('*.py')
+        if names.search(path.read_text(encoding='utf-8'))
+        and not str(path.relative_to(root)).startswith(allowed)
+    ]
+    assert not found
