Check the service of a queued call again before it runs

A call waited in the queue while the backend server's address passed to another service. The service was checked on arrival only; after the wait the ingress named the new instance, which ran the call. Change: the service is part of what is checked when a call leaves the queue and after it. test_ingress replays it and failed before. Ruled out: naming the instance that the entry saw, since a restart in place would then turn away calls that the same service may run.

--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -144,8 +144,6 @@
             raise errors.NotRunError('this node is shutting down')
         if forward.incarnation != self._identity.incarnation:
             raise errors.NotRunError('this node has restarted since')
-        if forward.service != self._find_service():
-            raise errors.NotRunError('this node serves another service')
         self._check_validity(forward)
 
     def _check_validity(self, forward: messages.Forward) -> None:
@@ -157,6 +155,10 @@
         """Returns why a call may not start any more, or None if it may."""
         if self._withdrawn:
             return errors.NotRunError('this VM is leaving')
+        if forward.service != self._find_service():
+            # The address of a backend server may pass to another service
+            # while a call waits.
+            return errors.NotRunError('this node serves another service')
         if not self._zone_in_service():
             return errors.ZoneError('the availability zone is out of service')
         if not self._key_valid(forward):
--- /dev/null
+++ b/jayseam/calls/tests/test_ingress.py
@@ -0,0 +1,116 @@
+"""Tests of the ingress alone, with a fake backend server."""
+
+import types
+
+import gevent
+
+from jayseam import admission
+from jayseam import backends
+from jayseam.calls import ingress
+from jayseam.calls import messages
+from jayseam.presets import model
+
+DIALECT = backends.dialects.Dialect(instance='Expect-Instance')
+
+
+def _snapshot(service, instance):
+    """Returns what a node knows when its upstream has a service."""
+    entry = model.VmEntry(
+        'vm-1', 'u-1', 'a', 'r', '10.0.0.1', 1, 'live', service, 4, instance
+    )
+    vms = model.VmList((entry,))
+    services = {
+        name: model.Service(name, listed=True, connections=4)
+        for name in ('points', 'credits')
+    }
+    preset = model.Preset(
+        'p', services, {}, {'a': model.Zone('a', 'r')}, {}, {}
+    )
+    return types.SimpleNamespace(
+        preset=model.add_listed_upstreams(preset, vms),
+        preset_version=1,
+        keys=None,
+        keys_version=0,
+        vms=vms,
+    )
+
+
+class _World:
+    """An ingress, what it knows, and the requests that it has run."""
+
+    def __init__(self):
+        self.snapshot = _snapshot('points', 'i-1')
+        self.ran = []
+        self.gate = admission.gates.Gate(1, 1)
+        self.ingress = ingress.Ingress(
+            ingress.IngressIdentity('vm-1', 1, 'a', 'u-1'),
+            lambda: self.snapshot,
+            self.gate,
+            self,
+            lambda now: now,
+            DIALECT,
+        )
+
+    def run(self, request, deadline):
+        """Runs a request, as the backend client does."""
+        del deadline
+        self.ran.append(dict(request.headers)['Expect-Instance'])
+        return backends.messages.BackendAnswer(200)
+
+    def find_cancellation(self, request_id):
+        """Returns None: nothing is being cancelled."""
+        del request_id
+
+
+def _forward(service='points'):
+    return messages.Forward(
+        attempt='a-1',
+        request_id='r-1',
+        incarnation=1,
+        route='view',
+        service=service,
+        workspace='',
+        key_id='',
+        timeout_ms=1000,
+        repeatable=True,
+        preset_version=1,
+        keys_version=0,
+        method='GET',
+        target='/view/1',
+        headers=[],
+        body=b'',
+    )
+
+
+def test_names_the_listed_instance():
+    """Only the backend server that is listed may run the call."""
+    world = _World()
+    assert world.ingress.handle_forward(_forward()).status == 200
+    assert world.ran == ['i-1']
+
+
+def test_queued_call_does_not_reach_another_service():
+    """An address may pass to another service while a call waits.
+
+    Replays trouble-3 of reprise-piles with seed 886349507094 (ROUTE): the new
+    instance was named to the server, so it ran a call of the old service.
+    """
+    world = _World()
+    ticket = admission.gates.Ticket('', 1.0, 1e9, 'r-0', lambda now: True)
+    permit = world.gate.acquire(ticket, 0.0)
+    waiting = gevent.spawn(world.ingress.handle_forward, _forward())
+    gevent.sleep(0)
+    world.snapshot = _snapshot('credits', 'i-2')
+    permit.release(admission.gates.Result.SUCCESS, 0.1)
+    reply = waiting.get(timeout=2.0)
+    assert isinstance(reply, messages.Refused) and reply.ran == 'no'
+    assert not world.ran
+
+
+def test_unlisted_server_runs_nothing():
+    """Without an entry there is no instance that a call could be meant for."""
+    world = _World()
+    world.snapshot.vms = model.VmList(())
+    reply = world.ingress.handle_forward(_forward())
+    assert reply.ran == 'no' and 'not listed' in reply.detail
+    assert not world.ran
