Repeat a rejection's report for a few heartbeats

The first of them waited in vain for the verdict of a node that had been a reader when the test began; its report was broadcast once, over the links open at that moment. Change: reports are sent again with each heartbeat for 4 s; the test restores the good preset whatever happens. The fake net of the task tests delivers reports, so all three nodes must show the rejection.

--- a/jayseam/distribution/rejections.py
+++ b/jayseam/distribution/rejections.py
@@ -11,10 +11,26 @@
 from jayseam.distribution import messages
 
 _MAX_REPORTS = 16
+# A report is repeated with each heartbeat for this long, in seconds: a link
+# that opens or breaks loses it, and operators look for it within 5 s.
+REPEAT_S = 4.0
 MAX_REASONS = 20
 MAX_REASON_CHARS = 300
 
 
+@attrs.frozen
+class HeardReport:
+    """A rejection and when this node first heard of it.
+
+    Attributes:
+      report: The rejection.
+      heard_at: Time in seconds.
+    """
+
+    report: messages.Rejection
+    heard_at: float
+
+
 @attrs.frozen
 class RejectionReports:
     """Rejections told by peers, the latest of each channel.
@@ -23,21 +39,34 @@
     rejected is still judged by its content if it is ever offered.
     """
 
-    reports: Mapping[tuple[str, int, str], messages.Rejection] = attrs.field(
+    reports: Mapping[tuple[str, int, str], HeardReport] = attrs.field(
         factory=dict
     )
 
-    def add(self, report: messages.Rejection) -> 'RejectionReports':
+    def add(self, report: messages.Rejection, now: float) -> 'RejectionReports':
         """Returns the reports with one more; itself if it is known."""
         name = (report.channel, report.version, report.digest)
         if name in self.reports:
             return self
         kept = list(self.reports.items())[-(_MAX_REPORTS - 1) :]
-        return RejectionReports({**dict(kept), name: report})
+        heard = HeardReport(report, now)
+        return RejectionReports({**dict(kept), name: heard})
 
     def list_for(self, channel: str) -> list[messages.Rejection]:
         """Returns the reports on a channel, oldest first."""
-        return [r for r in self.reports.values() if r.channel == channel]
+        return [
+            heard.report
+            for heard in self.reports.values()
+            if heard.report.channel == channel
+        ]
+
+    def list_to_repeat(self, now: float) -> list[messages.Rejection]:
+        """Returns the reports that peers are told again, oldest first."""
+        return [
+            heard.report
+            for heard in self.reports.values()
+            if now - heard.heard_at <= REPEAT_S
+        ]
 
 
 def build_report(
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -370,7 +370,7 @@
     def _take_report(self, report: messages.Rejection) -> None:
         """Keeps a rejection, and passes it on when first heard."""
         known = self._reports
-        self._reports = known.add(report)
+        self._reports = known.add(report, clocks.read_now())
         if self._reports is not known:
             self._peers.spawn_broadcast(report)
 
@@ -472,9 +472,11 @@
             self._reader.update_role(self._peers.live_in_zone())
 
     def _send_heartbeats(self) -> None:
-        heartbeat = self.build_heartbeat(clocks.read_now())
+        now = clocks.read_now()
+        repeated = self._reports.list_to_repeat(now)
         for vm in self._peers.neighbours():
-            self._peers.spawn_notify(vm, heartbeat)
+            for message in (self.build_heartbeat(now), *repeated):
+                self._peers.spawn_notify(vm, message)
 
     def _ask_seeds(self) -> bool:
         """Asks seeds and neighbours; tells whether one has a newer version."""
--- a/jayseam/distribution/tests/fakes.py
+++ b/jayseam/distribution/tests/fakes.py
@@ -146,6 +146,7 @@
             messages.Pull: node.handle_pull,
             messages.Heartbeat: node.handle_heartbeat,
             messages.Sync: node.handle_sync,
+            messages.Rejection: node.handle_rejection,
         }
         return handlers[type(message)](Peer(sender), message)
 
--- a/jayseam/distribution/tests/test_task.py
+++ b/jayseam/distribution/tests/test_task.py
@@ -86,7 +86,7 @@
             for n in nodes
         )
 
-    fakes.wait_until(lambda: count_rejected() == 2)
+    fakes.wait_until(lambda: count_rejected() == 3)
     reads = source.reads
     gevent.sleep(0.3)
     assert source.reads - reads <= 12
@@ -98,6 +98,32 @@
     fakes.wait_until(lambda: _hold(nodes, 8))
 
 
+def test_lost_report_of_a_rejection_is_repeated(net, source):
+    """A node whose links open late must still tell why a version is unused."""
+    nodes = _start(net, source)
+    fakes.wait_until(lambda: _hold(nodes, 1))
+    fakes.wait_until(lambda: sum(n.is_reader for n in nodes) == 2)
+    (listener,) = [vm for vm, n in net.nodes.items() if not n.is_reader]
+    lost = []
+
+    def lose_first_reports(sender, receiver, message):
+        is_report = isinstance(message, messages.Rejection)
+        if is_report and receiver == listener and len(lost) < 2:
+            lost.append(sender)
+            return None
+        return message
+
+    net.tamper = lose_first_reports
+    source.publish('preset', 7, _split_invalid())
+
+    def list_rejected():
+        channels = net.nodes[listener].describe(0.0)['channels']
+        return channels['preset']['rejected']
+
+    fakes.wait_until(list_rejected)
+    assert len(lost) == 2
+
+
 def test_older_offers_change_nothing(net, source):
     """Versions that overtake one another must never bring an older one."""
     nodes = _start(net, source)
--- a/jayseam/node/tests/test_versions.py
+++ b/jayseam/node/tests/test_versions.py
@@ -87,21 +87,24 @@
     spoil(bad)
     vms = list(fleet.cluster.vms)
     readers = [vm for vm in vms if fleet.cluster.status(vm)['reader']]
-    with observers.Callers(fleet, vms, path) as probes:
-        with observers.Callers(fleet, vms) as callers:
-            version = fleet.cluster.publish(bad)
-            verdicts = fleet.cluster.wait_until(
-                lambda: read_verdicts(fleet, version, readers),
-                observers.IN_FORCE_S,
-                'verdicts of the readers',
-            )
-            gevent.sleep(1.0)
+    try:
+        with observers.Callers(fleet, vms, path) as probes:
+            with observers.Callers(fleet, vms) as callers:
+                version = fleet.cluster.publish(bad)
+                verdicts = fleet.cluster.wait_until(
+                    lambda: read_verdicts(fleet, version, readers),
+                    observers.IN_FORCE_S,
+                    'verdicts of the readers',
+                )
+                gevent.sleep(1.0)
+    finally:
+        # The later tests of this fleet build on the good preset.
+        fleet.cluster.preset = good
     assert len(verdicts[0][0]) >= n_reasons
     assert all(verdict == verdicts[0] for verdict in verdicts)
     assert observers.read_versions(fleet, 'preset') == before
     assert {r.status for r in probes.records} == {404}
     assert callers.count_served() and not callers.list_failed()
-    fleet.cluster.preset = good
     observers.publish_and_converge(fleet)
 
 
