Date heartbeats by their sender's clock and let lapsed VMs come back

A partition that holds bytes up and delivers them later made the keys that a heartbeat confirms look younger by that time; and entries that lapsed while the store was away were dropped at once. Change: heartbeats and Sync carry the time of sending; what comes later than the quickest message of its sender counts as older by as much. A reader that hears of the source after a silence as long as three heartbeats reads a VM list that lacks live VMs again after 1.6 s (source.lapse_s, source.return_grace_s). Ruled out: holding such a list back in the adapter, where two readers could give one version two contents; a trust in keys shorter by the silence that ends a link, which refuses calls 1.5 s sooner in every partition. Before: test_held_up_heartbeat_does_not_make_keys_look_younger failed (with the delay left out); after: passes.

--- a/jayseam/distribution/events.py
+++ b/jayseam/distribution/events.py
@@ -15,13 +15,13 @@
     Attributes:
       vm: The peer.
       states: Versions that it holds and their confirmations.
-      heard_at: Time of the message, in seconds.
+      sent_at: Time at which it was told, on the own clock, in seconds.
       memory_s: Age of the peer's memory of versions, in seconds.
     """
 
     vm: str
     states: Sequence[messages.ChannelState]
-    heard_at: float
+    sent_at: float
     memory_s: float = 0.0
 
 
--- a/jayseam/distribution/messages.py
+++ b/jayseam/distribution/messages.py
@@ -152,10 +152,13 @@
     Attributes:
       states: A packed `ChannelState` for each channel.
       memory_ms: Age of the sender's memory; see `memories`.
+      sent_ms: Time of sending on the sender's clock, in milliseconds; see
+        `delays`.
     """
 
     states: list = attrs.field(validator=_check_states)
     memory_ms: int = attrs.field(validator=_COUNT)
+    sent_ms: int = attrs.field(validator=_COUNT)
 
 
 @messages.register(45)
@@ -165,9 +168,11 @@
 
     Attributes:
       states: A packed `ChannelState` for each channel.
+      sent_ms: Time of sending on the sender's clock, in milliseconds.
     """
 
     states: list = attrs.field(validator=_check_states)
+    sent_ms: int = attrs.field(validator=_COUNT)
 
 
 @messages.register(46)
--- a/jayseam/distribution/reading.py
+++ b/jayseam/distribution/reading.py
@@ -27,6 +27,7 @@
         count_failure: Callable[[str, Any], None],
         uniform: Callable[[], float],
         readers_per_zone: int = exchange.DEFAULT_READERS_PER_ZONE,
+        grace: watchers.ReturnGrace = watchers.ReturnGrace(),
     ):
         """Prepares the reader.
 
@@ -40,7 +41,9 @@
           count_failure: Takes a channel and the error of a failed read.
           uniform: Returns a random number in [0, 1).
           readers_per_zone: Nodes of a zone that read the source.
+          grace: How a VM list is taken that comes after an outage.
         """
+        self._grace = grace
         self._readers_per_zone = readers_per_zone
         self._vm = vm
         self._zone = zone
@@ -111,4 +114,5 @@
             lambda: self._held_version(channel) or None,
             self._uniform,
             self._count_failure,
+            self._grace,
         )
--- a/jayseam/distribution/syncing.py
+++ b/jayseam/distribution/syncing.py
@@ -24,7 +24,7 @@
         self,
         peers: distribution_peers.Peers,
         read_state: Callable[[], states.State],
-        take_answer: Callable[[str, messages.Heartbeat], None],
+        take_answer: Callable[[str, messages.Heartbeat, float], None],
         changed: event.Event,
     ):
         """Prepares the exchange.
@@ -32,7 +32,8 @@
         Args:
           peers: Functions that reach other nodes.
           read_state: Returns what the node holds.
-          take_answer: Takes a peer's VM and its answer.
+          take_answer: Takes a peer's VM, its answer, and a time in seconds
+            before which the answer was not given.
           changed: Set for a moment at each swap and rejection.
         """
         self._peers = peers
@@ -74,7 +75,9 @@
     ) -> list[messages.Heartbeat]:
         """Sends `Sync` to peers; returns once ``enough`` have answered."""
         now = clocks.read_now()
-        sync = messages.Sync(states.pack_channels(self._read_state(), now))
+        sync = messages.Sync(
+            states.pack_channels(self._read_state(), now), int(now * 1000)
+        )
         asked = [
             gevent.spawn(self._ask_peer, vm, sync, timeout_s) for vm in vms
         ]
@@ -87,9 +90,10 @@
         return answers
 
     def _ask_peer(self, vm, sync, timeout_s) -> messages.Heartbeat | None:
+        asked_at = clocks.read_now()
         answer = self._peers.request_sync(vm, sync, timeout_s)
         if answer is not None:
-            self._take_answer(vm, answer)
+            self._take_answer(vm, answer, asked_at)
         return answer
 
     def _wait_for(self, offered: Mapping[str, int], deadline: float) -> None:
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -17,6 +17,7 @@
 from jayseam.distribution import confirmations
 from jayseam.distribution import conflicts
 from jayseam.distribution import counters
+from jayseam.distribution import delays
 from jayseam.distribution import events
 from jayseam.distribution import exchange
 from jayseam.distribution import fetching
@@ -58,6 +59,7 @@
         uniform: Callable[[], float] = random.random,
         readers_per_zone: int = exchange.DEFAULT_READERS_PER_ZONE,
         join_wait_s: float = backoff.DEFAULT_CAP_S,
+        grace: watchers.ReturnGrace = watchers.ReturnGrace(),
     ):
         """Prepares the task.
 
@@ -73,6 +75,7 @@
           readers_per_zone: Nodes of a zone that read the source.
           join_wait_s: Longest first wait of a fresh node before it reads the
             source, in seconds.
+          grace: How a VM list is taken that comes after an outage.
         """
         super().__init__('distribution')
         self._vm = vm
@@ -85,6 +88,7 @@
         self._memory = memories.Memory(clocks.read_now())
         self._reports = rejections.RejectionReports()
         self._conflicts = conflicts.KnownConflicts()
+        self._delays = delays.DelayTable()
         self._numbering = confirmations.Numbering(
             messages.shorten_origin(vm, incarnation)
         )
@@ -101,6 +105,7 @@
             self._count_source_failure,
             uniform,
             readers_per_zone,
+            grace,
         )
         self._syncer = syncing.Syncer(
             peers, lambda: self._state, self._send_peer_states, self._changed
@@ -228,6 +233,7 @@
         return messages.Heartbeat(
             states.pack_channels(self._state, now),
             int(self._memory.compute_age(now) * 1000),
+            int(now * 1000),
         )
 
     def sync(self, vms: Iterable[str], timeout_s: float) -> bool:
@@ -290,7 +296,8 @@
 
     def handle_heartbeat(self, peer: Any, message: messages.Heartbeat) -> None:
         """Takes a peer's versions and confirmation ages."""
-        self._send_peer_states(peer.vm, message)
+        sent_at = self._date(peer, message.sent_ms, clocks.read_now())
+        self._send_peer_states(peer.vm, message, sent_at)
 
     def handle_rejection(self, peer: Any, message: messages.Rejection) -> None:
         """Takes a peer's verdict on a version."""
@@ -304,13 +311,22 @@
         """Takes a peer's versions and returns the own ones."""
         now = clocks.read_now()
         heard = messages.unpack_states(message.states)
-        self.send(events.PeerStates(peer.vm, heard, now))
+        sent_at = self._date(peer, message.sent_ms, now)
+        self.send(events.PeerStates(peer.vm, heard, sent_at))
         return self.build_heartbeat(now)
 
-    def _send_peer_states(self, vm: str, heartbeat: messages.Heartbeat) -> None:
+    def _date(self, peer: Any, sent_ms: int, now: float) -> float:
+        """Returns the time at which a message was sent, on the own clock."""
+        return now - self._delays.measure(
+            peer.vm, peer.incarnation, sent_ms, now
+        )
+
+    def _send_peer_states(
+        self, vm: str, heartbeat: messages.Heartbeat, sent_at: float
+    ) -> None:
         heard = messages.unpack_states(heartbeat.states)
         memory_s = heartbeat.memory_ms / 1000
-        self.send(events.PeerStates(vm, heard, clocks.read_now(), memory_s))
+        self.send(events.PeerStates(vm, heard, sent_at, memory_s))
 
     # Messages to the task: results of fetches.
 
@@ -423,13 +439,13 @@
         self._state = self._state.hear(channel, numbered)
 
     def _take_peer_states(self, heard: events.PeerStates) -> None:
-        self._memory = self._memory.hear(heard.memory_s, heard.heard_at)
+        self._memory = self._memory.hear(heard.memory_s, heard.sent_at)
         for told in heard.states:
             if told.channel in versions.CHANNELS:
-                self._take_channel_state(heard.vm, told, heard.heard_at)
+                self._take_channel_state(heard.vm, told, heard.sent_at)
 
     def _take_channel_state(
-        self, vm: str, told: messages.ChannelState, heard_at: float
+        self, vm: str, told: messages.ChannelState, sent_at: float
     ) -> None:
         verdict = versions.Verdict.OLDER
         if told.version:
@@ -440,7 +456,7 @@
                 told.confirmed_version,
                 told.origin,
                 told.sequence,
-                heard_at - told.age_ms / 1000,
+                sent_at - told.age_ms / 1000,
             )
             self._state = self._state.hear(told.channel, confirmation)
         if verdict is versions.Verdict.OLDER:
--- a/jayseam/distribution/tests/test_task.py
+++ b/jayseam/distribution/tests/test_task.py
@@ -1,5 +1,6 @@
 """Tests of the task, with nodes in one process and a source in memory."""
 
+import math
 import random
 
 import attrs
@@ -124,6 +125,25 @@
     assert len(lost) == 2
 
 
+def test_held_up_heartbeat_does_not_make_keys_look_younger(net):
+    """A partition that delivers late what was sent before it."""
+    (node,) = _start(net, None, 'a')
+    now = clocks.read_now()
+    for sequence, age_ms, sent_at in [(1, 9000, now), (2, 0, now - 3.0)]:
+        state = messages.ChannelState('keys', 0, '', 0, 'x', sequence, age_ms)
+        heartbeat = messages.Heartbeat(
+            messages.pack_states([state]), 0, int(sent_at * 1000)
+        )
+        node.handle_heartbeat(fakes.Peer('x'), heartbeat)
+
+    def read_age():
+        age_s = node.compute_confirmation_age('keys', clocks.read_now())
+        return math.inf if age_s is None else age_s
+
+    fakes.wait_until(lambda: read_age() < 8.0)
+    assert read_age() >= 3.0
+
+
 def test_older_offers_change_nothing(net, source):
     """Versions that overtake one another must never bring an older one."""
     nodes = _start(net, source)
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -49,6 +49,16 @@
 _log = logs.get_logger(__name__)
 
 
+def _build_grace(
+    settings: node_settings.model.SourceSettings,
+) -> source.watchers.ReturnGrace:
+    if settings.lapse_s is None:
+        return source.watchers.ReturnGrace()
+    return source.watchers.ReturnGrace(
+        settings.lapse_s, settings.return_grace_s
+    )
+
+
 class Node:
     """One node process: owns its tasks and follows the chart ``node``.
 
@@ -131,6 +141,7 @@
             registry=prometheus_client.REGISTRY,
             readers_per_zone=settings.source.readers_per_zone,
             join_wait_s=settings.source.join_wait_s,
+            grace=_build_grace(settings.source),
         )
         self._distribution.register_handlers(self._handlers)
         self._distribution.subscribe(self._on_swap)
--- a/jayseam/platform/settings.py
+++ b/jayseam/platform/settings.py
@@ -29,6 +29,11 @@
 # Longest first wait of a fresh node before it reads the store, in seconds. The
 # store bears a read of every node at once, and callers wait meanwhile.
 JOIN_WAIT_S = 0.1
+# Backend servers that miss three heartbeats are taken off the store's list.
+LAPSE_HEARTBEATS = 3
+# Time for lapsed entries to come back after an outage, in seconds. The platform
+# names two seconds; what is missing then must have spread by that time.
+RETURN_GRACE_S = 1.6
 # Load from which calls leave their zone. Bytes between zones are dear here, and
 # a call that waits behind a quarter of the slots still meets its objective.
 SPILL_LOAD = 1.25
@@ -94,6 +99,7 @@
         for port in reader.read_text('network.internal_ports').split(',')
     ]
     grace_s = reader.read_seconds('terms.bounds.grace')
+    heartbeat_s = reader.read_seconds('platform.heartbeat')
     revoke_s = reader.read_seconds('terms.bounds.revoke')
     overage = reader.read_number('terms.bounds.quota_overage')
     store_address = reader.read_text('platform.platform.address')
@@ -114,6 +120,8 @@
             (f'http://{store_address}',),
             readers_per_zone=READERS_PER_ZONE,
             join_wait_s=JOIN_WAIT_S,
+            lapse_s=heartbeat_s * LAPSE_HEARTBEATS,
+            return_grace_s=RETURN_GRACE_S,
         ),
         fleet_secrets=(derive_fleet_secret(fields),),
         selection=model.SelectionSettings(spill_load=SPILL_LOAD),
--- a/jayseam/platform/tests/samples.py
+++ b/jayseam/platform/tests/samples.py
@@ -111,6 +111,7 @@
         'network.internal_ports': '7000,7015',
         'network.zones.a': 'r',
         'network.zones.b': 'r',
+        'platform.heartbeat': '1500ms',
         'platform.platform.address': store,
         'terms.bounds.grace': '6s',
         'terms.bounds.revoke': '5000ms',
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -54,12 +54,17 @@
         changes from them.
       join_wait_s: Longest first wait of a fresh node that no peer could
         serve, before it reads, in seconds.
+      lapse_s: Silence of the source after which entries of the VM list may
+        have lapsed, in seconds; None if they never do.
+      return_grace_s: Seconds that lapsed entries get to come back.
     """
 
     urls: tuple[str, ...]
     watch_wait_s: float = 10.0
     readers_per_zone: int = 2
     join_wait_s: float = 1.0
+    lapse_s: float | None = None
+    return_grace_s: float = 0.0
 
 
 @attrs.frozen
--- a/jayseam/settings/schema.py
+++ b/jayseam/settings/schema.py
@@ -55,6 +55,12 @@
                     'maximum': 60,
                 },
                 'join_wait_s': _POSITIVE_S,
+                'lapse_s': _POSITIVE_S,
+                'return_grace_s': {
+                    'type': 'number',
+                    'minimum': 0,
+                    'maximum': 60,
+                },
                 'readers_per_zone': {
                     'type': 'integer',
                     'minimum': 1,
--- a/jayseam/source/watchers.py
+++ b/jayseam/source/watchers.py
@@ -1,7 +1,8 @@
 """Watches of the three channels at the source."""
 
+import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 import attrs
@@ -60,6 +61,58 @@
     confirmed_at: float
 
 
+@attrs.frozen
+class ReturnGrace:
+    """How a VM list is taken that comes after an outage of the source.
+
+    Backend servers that could not renew their entries meanwhile are missing
+    from it for a moment, although they run.
+
+    Attributes:
+      lapse_s: Silence of the source after which entries may have lapsed, in
+        seconds.
+      grace_s: Seconds that entries get to come back.
+    """
+
+    lapse_s: float = math.inf
+    grace_s: float = 0.0
+
+    def find_end(self, silent_s: float, now: float) -> float:
+        """Returns the time until which lapsed entries may come back.
+
+        Args:
+          silent_s: Seconds between the last two confirmations of the list.
+          now: Present time in seconds.
+        """
+        return now + self.grace_s if silent_s >= self.lapse_s else -math.inf
+
+
+def compute_grace(
+    until: float,
+    before: Collection[str],
+    after: Collection[str],
+    now: float,
+) -> float:
+    """Returns the seconds after which a VM list is read again, or zero.
+
+    >>> grace = ReturnGrace(lapse_s=4.5, grace_s=1.5)
+    >>> until = grace.find_end(silent_s=5.0, now=100.0)
+    >>> compute_grace(until, {'vm-1', 'vm-2'}, {'vm-1'}, now=101.0)
+    0.5
+    >>> compute_grace(until, {'vm-1'}, {'vm-1', 'vm-3'}, now=101.0)
+    0.0
+
+    Args:
+      until: End of the time that entries get to come back, in seconds.
+      before: VMs that the list before showed as live.
+      after: All VMs of the new list.
+      now: Present time in seconds.
+    """
+    if set(before) <= set(after):
+        return 0.0
+    return max(0.0, until - now)
+
+
 @attrs.frozen
 class Outcome:
     """What one reply of the source means.
@@ -141,6 +194,7 @@
         on_failure: Callable[[str, errors.SourceError | None], Any] = (
             lambda channel, error: None
         ),
+        grace: ReturnGrace = ReturnGrace(),
     ):
         """Prepares the watch.
 
@@ -154,6 +208,7 @@
           uniform: Returns a random number in [0, 1).
           on_failure: Called with the channel and the error of a failed read,
             or None if the replica was behind.
+          grace: How a VM list is taken that comes after an outage.
         """
         self.channel = channel
         self._client = client
@@ -163,7 +218,11 @@
         self._held_version = held_version
         self._uniform = uniform
         self._on_failure = on_failure
+        self._grace = grace
         self._seen: int | None = None
+        self._confirmed_at: float | None = None
+        self._grace_until = -math.inf
+        self._live_vms: frozenset[str] = frozenset()
         self._is_first = True
         self._stopping = event.Event()
         self._greenlet: gevent.Greenlet | None = None
@@ -208,6 +267,9 @@
             self._on_failure(self.channel, None)
             return False
         self._is_first = False
+        if grace_s := self._find_grace(outcome, clocks.read_now()):
+            self._stopping.wait(grace_s)
+            return True
         self._report(outcome, after)
         update = outcome.update
         if update is not None and update.version > (after or 0):
@@ -215,6 +277,37 @@
         elapsed_s = clocks.read_now() - asked_at
         return elapsed_s >= min(wait_s, _MIN_QUIET_S)
 
+    def _find_grace(self, outcome: Outcome, now: float) -> float:
+        """Returns the seconds after which a VM list is read again, or zero."""
+        confirmation, update = outcome.confirmation, outcome.update
+        if confirmation is None:
+            return 0.0
+        last_at = self._confirmed_at or confirmation.confirmed_at
+        silent_s = confirmation.confirmed_at - last_at
+        self._confirmed_at = confirmation.confirmed_at
+        self._grace_until = max(
+            self._grace_until, self._grace.find_end(silent_s, now)
+        )
+        if update is None or update.bundle is None:
+            return 0.0
+        listed = _list_vms(update.bundle)
+        grace_s = compute_grace(self._grace_until, self._live_vms, listed, now)
+        if grace_s:
+            _log.info(
+                'source.returned',
+                extra={
+                    'channel': self.channel,
+                    'version': update.version,
+                    'missing': sorted(self._live_vms.difference(listed)),
+                    'grace_s': grace_s,
+                },
+            )
+        else:
+            self._live_vms = frozenset(
+                vm for vm, state in listed.items() if state == 'live'
+            )
+        return grace_s
+
     def _report(self, outcome: Outcome, after: int | None) -> None:
         if outcome.update is not None:
             self._seen = max(after or 0, outcome.update.version)
@@ -223,6 +316,15 @@
             self._on_confirmation(outcome.confirmation)
 
 
+def _list_vms(bundle: documents.Bundle) -> dict[str, str]:
+    """Returns the state of each VM of a VM list."""
+    return {
+        entry['vm']: entry['state']
+        for part in bundle.parts.values()
+        for entry in documents.decode_list(part)
+    }
+
+
 def _parse_update(channel: str, reply: source_client.Reply) -> SourceUpdate:
     try:
         value = documents.decode_json(reply.body)
