Admit calls by their latency objective and look for room elsewhere

Load: a service that gets more than it can do for seconds (half of its servers gone, a burst). Change: routes have objective_ms. The gate refuses at once a call that would wait so long that less than 1.5 mean service times were left until its objective, and says when there will be room. The entry asks up to four servers; attempts that no backend server saw count neither against max_attempts nor against the budget of retries. Refused callers get a Retry-After that is spread and within a third of their time. Ruled out: a bound for first attempts only (no gain in the replay), and half a service time as margin (half of the answers too late under lasting load).

--- a/jayseam/admission/errors.py
+++ b/jayseam/admission/errors.py
@@ -4,7 +4,15 @@
 
 
 class AdmissionError(errors.JayseamError):
-    """Base class: the gate did not admit the call, so it was not run."""
+    """Base class: the gate did not admit the call, so it was not run.
+
+    Attributes:
+      retry_after_s: When there may be room, in seconds; None if unknown.
+    """
+
+    def __init__(self, detail: str, retry_after_s: float | None = None):
+        super().__init__(detail)
+        self.retry_after_s = retry_after_s
 
 
 class QueueFullError(AdmissionError):
@@ -15,6 +23,10 @@
     """The call cannot finish before its deadline."""
 
 
+class ObjectiveError(AdmissionError):
+    """The call would wait past its latency objective."""
+
+
 class NoLongerValidError(AdmissionError):
     """The call lost its permission while it waited.
 
--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -9,6 +9,7 @@
 """
 
 import enum
+import math
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -33,6 +34,15 @@
 MIN_RELATIVE_COST = 0.01
 MAX_RELATIVE_COST = 100.0
 DEFAULT_COST = 1.0
+# A call that waits is admitted if this many mean service times are left then
+# until its latency objective. Under lasting overload the queue fills up to the
+# longest wait that is allowed, and a call with a longer run would come too late.
+RUN_MARGIN = 1.5
+# Calls may wait for this share of a mean service time whatever their objective,
+# so that a slow backend server does not idle between two arrivals.
+LEAST_WAIT_SHARE = 0.5
+# A refused call is told to come back after this long at least, in seconds.
+LEAST_RETRY_S = 0.05
 MAX_TRACKED_WORKSPACES = 1024
 
 
@@ -56,6 +66,7 @@
       request_id: Id of the call.
       still_valid: Tells at a time whether the call may still run.
       rank: Urgency; 0 is the most urgent.
+      objective: Time until which an answer is of full use, in seconds.
     """
 
     workspace: str
@@ -64,6 +75,7 @@
     request_id: str
     still_valid: Callable[[float], bool]
     rank: int = 0
+    objective: float = math.inf
 
 
 @attrs.frozen
@@ -251,6 +263,7 @@
         Raises:
           QueueFullError: If the queue has no room.
           DeadlineError: If the call cannot finish before its deadline.
+          ObjectiveError: If it would wait past its latency objective.
           NoLongerValidError: If the call may no longer run.
           ClosedError: If the gate is draining or closed.
         """
@@ -271,7 +284,8 @@
             entry, now + wait_s, self._estimate_shortest(entry, now)
         )
         if reason is not None:
-            raise _build_error(reason, ticket)
+            raise _build_error(reason, ticket, wait_s)
+        self._check_objective(ticket, wait_s, now)
         if not self._held and len(self._queue) == 0:
             if self._may_admit(now):
                 return self._grant(ticket, now)
@@ -421,6 +435,30 @@
         paced_s = self._pace.estimate_wait(ahead, now)
         return max(paced_s, ahead * (self._mean_s or 0.0) / limit)
 
+    def _check_objective(
+        self, ticket: Ticket, wait_s: float, now: float
+    ) -> None:
+        """Refuses a call that would wait too long for its objective.
+
+        Capacity that late answers take is lost for those in time. A caller
+        that is refused at once can come back, or go elsewhere.
+
+        Raises:
+          ObjectiveError: If it would.
+        """
+        mean_s = self._estimate_mean(ticket.workspace)
+        bound_s = compute_wait_bound(ticket.objective, mean_s, now)
+        if wait_s > bound_s:
+            raise errors.ObjectiveError(
+                f'call {ticket.request_id} would wait {wait_s:.2f} s',
+                max(LEAST_RETRY_S, wait_s - bound_s),
+            )
+
+    def _estimate_mean(self, workspace: str) -> float:
+        """Returns the mean time of a call of a workspace, in seconds."""
+        service = self._service.get(workspace)
+        return (self._mean_s or 0.0) if service is None else service.mean_s
+
     def _grant(self, ticket: Ticket, now: float) -> Permit:
         self._in_flight += 1
         self._pace = self._pace.take(now)
@@ -516,6 +554,23 @@
         self._service[workspace] = _ServiceTime(latency_s, latency_s, now)
 
 
+def compute_wait_bound(objective: float, mean_s: float, now: float) -> float:
+    """Returns how long a call may wait in the queue, in seconds.
+
+    >>> compute_wait_bound(objective=10.5, mean_s=0.2, now=10.0)
+    0.2
+    >>> compute_wait_bound(objective=10.0, mean_s=0.2, now=10.0)
+    0.1
+
+    Args:
+      objective: Time until which an answer is of full use, in seconds.
+      mean_s: Mean time of a call, in seconds.
+      now: Present time in seconds.
+    """
+    left_s = round(objective - now - RUN_MARGIN * mean_s, 9)
+    return max(left_s, LEAST_WAIT_SHARE * mean_s)
+
+
 def _average(mean_s: float | None, sample_s: float) -> float:
     if mean_s is None:
         return sample_s
@@ -523,11 +578,13 @@
 
 
 def _build_error(
-    reason: queues.DropReason, ticket: Ticket
+    reason: queues.DropReason, ticket: Ticket, wait_s: float = 0.0
 ) -> errors.AdmissionError:
     call = f'call {ticket.request_id} of workspace {ticket.workspace}'
     if reason is queues.DropReason.DEADLINE:
-        return errors.DeadlineError(f'{call} cannot meet its deadline')
+        return errors.DeadlineError(
+            f'{call} cannot meet its deadline', max(LEAST_RETRY_S, wait_s)
+        )
     if reason is queues.DropReason.DISPLACED:
         return errors.QueueFullError(f'{call} was displaced from the queue')
     return errors.NoLongerValidError(f'{call} may no longer run')
--- /dev/null
+++ b/jayseam/admission/tests/test_overload.py
@@ -0,0 +1,163 @@
+"""Replays load beyond the capacity of a backend server through a gate.
+
+Time is virtual and counts in milliseconds, so that no wait of the gate ends by
+the real clock.
+"""
+
+import heapq
+import itertools
+import math
+import random
+
+import attrs
+import gevent
+import pytest
+
+from jayseam.admission import errors
+from jayseam.admission import gates
+
+_SLOTS = 12
+_MEAN_MS = 200.0
+_OBJECTIVE_MS = 500.0
+_TIMEOUT_MS = 1200.0
+_DURATION_MS = 20_000.0
+# What the operators pay for an answer after the objective.
+_LATE_WORTH = 0.3
+
+
+@attrs.define
+class _Caller:
+    """A caller that comes back once after a refusal."""
+
+    begun_at: float
+    run_ms: float
+    has_returned: bool = False
+    ended_at: float = math.inf
+
+
+class _Replay:
+    """Sends arrivals to a gate and runs what it admits."""
+
+    def __init__(self, with_objective):
+        self._with_objective = with_objective
+        self._events = []
+        self._numbers = itertools.count()
+        self.now = 0.0
+        self.gate = gates.Gate(_SLOTS, 1000, read_now=lambda: self.now)
+
+    def play(self, arrivals):
+        """Plays callers to their ends."""
+        for caller in arrivals:
+            self._at(caller.begun_at, self._arrive, caller)
+        while self._events:
+            self.now, _, action, subject = heapq.heappop(self._events)
+            action(subject)
+            for _ in range(3):
+                gevent.sleep(0)
+
+    def _at(self, time, action, subject):
+        event = (time, next(self._numbers), action, subject)
+        heapq.heappush(self._events, event)
+
+    def _arrive(self, caller):
+        gevent.spawn(self._ask, caller, self.now)
+
+    def _ask(self, caller, now):
+        deadline = caller.begun_at + _TIMEOUT_MS
+        objective = caller.begun_at + _OBJECTIVE_MS
+        ticket = gates.Ticket(
+            'w',
+            1.0,
+            deadline,
+            'r',
+            lambda _: True,
+            objective=objective if self._with_objective else math.inf,
+        )
+        try:
+            permit = self.gate.acquire(ticket, now)
+        except errors.AdmissionError as error:
+            if not caller.has_returned:
+                caller.has_returned = True
+                left_ms = max(0.0, deadline - self.now)
+                wait_ms = min(error.retry_after_s or 0.0, left_ms / 3)
+                self._at(self.now + wait_ms, self._arrive, caller)
+            return
+        self._at(self.now + caller.run_ms, self._end, (caller, permit))
+
+    def _end(self, subject):
+        caller, permit = subject
+        caller.ended_at = self.now
+        permit.release(gates.Result.SUCCESS, self.now)
+
+
+def _draw_callers(factor, seed, begin_ms=0.0, end_ms=_DURATION_MS):
+    """Returns callers at a multiple of the capacity, 0.7 outside a burst."""
+    rng = random.Random(seed)
+    callers, now = [], 0.0
+    while now < _DURATION_MS:
+        load = factor if begin_ms <= now < end_ms else 0.7
+        now += rng.expovariate(_SLOTS / _MEAN_MS * load)
+        run_ms = _MEAN_MS * rng.lognormvariate(-0.12, 0.5)
+        callers.append(_Caller(now, run_ms))
+    return callers
+
+
+def _measure(factor, with_objective, seed, **burst):
+    """Returns the share of what was owed that callers got."""
+    callers = _draw_callers(factor, seed, **burst)
+    _Replay(with_objective).play(callers)
+    took_ms = [caller.ended_at - caller.begun_at for caller in callers]
+    in_time = sum(took <= _OBJECTIVE_MS for took in took_ms)
+    late = sum(_OBJECTIVE_MS < took <= _TIMEOUT_MS for took in took_ms)
+    return (in_time + _LATE_WORTH * late) / len(callers)
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('factor', [1.1, 1.3, 1.7])
+def test_lasting_overload_leaves_the_capacity_to_answers_in_time(factor, seed):
+    """A queue as long as the deadline allows makes every answer late."""
+    without = _measure(factor, False, seed)
+    found = _measure(factor, True, seed)
+    # Three quarters of what the backend server can do at all.
+    assert found >= 0.75 / factor
+    assert found >= 1.5 * without
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_short_burst_is_no_worse_served(seed):
+    """A burst that the queue could have absorbed."""
+    burst = {'begin_ms': 5000.0, 'end_ms': 8000.0}
+    without = _measure(2.0, False, seed, **burst)
+    assert _measure(2.0, True, seed, **burst) >= without
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_load_under_the_capacity_is_served_as_before(seed):
+    """The bound must not refuse what would be in time."""
+    assert _measure(0.8, True, seed) >= _measure(0.8, False, seed) - 0.01
+
+
+def test_refusal_says_when_there_is_room():
+    """A caller that returns at once would be refused again."""
+    replay = _Replay(True)
+    callers = [_Caller(0.0, _MEAN_MS) for _ in range(_SLOTS)]
+    replay.play(callers)
+    replay.now = now = 1000.0
+    permits = []
+    for number in range(_SLOTS * 4):
+        ticket = gates.Ticket(
+            'w', 1.0, now + 9e3, f'r-{number}', lambda _: True, 0, now + 500.0
+        )
+        gevent.spawn(
+            lambda ticket=ticket: permits.append(
+                replay.gate.acquire(ticket, now)
+            )
+        )
+    gevent.sleep(0)
+    refused = gates.Ticket(
+        'w', 1.0, now + 9e3, 'r', lambda _: True, 0, now + 500.0
+    )
+    with gevent.Timeout(5.0), pytest.raises(errors.ObjectiveError) as caught:
+        replay.gate.acquire(refused, now)
+    assert caught.value.retry_after_s >= gates.LEAST_RETRY_S
+    replay.gate.close()
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -1,5 +1,7 @@
 """The entry: judges a caller's request and finds a backend server for it."""
 
+import math
+import random
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -31,6 +33,18 @@
 # Without it, calls that waited in a full queue ended as outcome-unknown, and
 # backend servers worked for callers that had given up.
 _REPLY_MARGIN_MS = 50
+# Backend servers at which room is looked for. Each costs a message and its reply,
+# and the load of the first few says enough of the others.
+_MAX_PLACEMENTS = 4
+# Callers refused at one moment return over half as much time again.
+_RETRY_SPREAD = 0.5
+# A caller that comes back needs the rest of its time for the call.
+_RETRY_MOST_SHARE = 1 / 3
+_UNAVAILABLE = 503
+# Share of a latency objective that a caller who has come back still gets. How
+# much of it is used up follows from the time that it leaves for the call, which
+# means little if the operators have raised the route's timeout.
+_LEAST_OBJECTIVE_SHARE = 0.5
 # With less time left another attempt is in vain, and its reply may be late.
 _MIN_RETRY_S = 0.1
 # Time for a confirmation of the keys to arrive by another path.
@@ -39,6 +53,7 @@
 _RETRY_UNAVAILABLE_S = 0.3
 # Status of a backend server's answer at the end of a call's time.
 _TIME_OUT = 504
+_MS_PER_S = 1000
 # Failures that a node reports without having run the handler.
 _NOT_HANDLED = frozenset(('no-handler', 'overloaded'))
 
@@ -70,6 +85,7 @@
       caller: For whom the call runs.
       deadline: Time by which the call ends, in seconds.
       expires_wall_ms: End of the outermost call on the wall clock.
+      objective: Time until which an answer is of full use, in seconds.
     """
 
     request: requests.CallRequest
@@ -79,6 +95,41 @@
     caller: keys.Caller
     deadline: float
     expires_wall_ms: int
+    objective: float = math.inf
+
+
+@attrs.define
+class _Progress:
+    """What the attempts of a call have come to.
+
+    Attributes:
+      tried: VMs that were asked.
+      sent: Attempts that a backend server may have been sent.
+      failed: Failure that a backend server has answered, if any.
+      failure: Why there is no answer.
+      is_final: Whether another attempt could run the call twice, or is in
+        vain.
+    """
+
+    tried: set[str] = attrs.field(factory=set)
+    sent: int = 0
+    failed: requests.CallAnswer | None = None
+    failure: errors.CallError = attrs.field(
+        factory=lambda: errors.NotRunError(
+            'no backend server is available', _RETRY_UNAVAILABLE_S
+        )
+    )
+    is_final: bool = False
+
+    def note_failure(
+        self, error: errors.CallError, is_repeatable: bool
+    ) -> None:
+        """Notes an attempt without an answer."""
+        self.sent += error.admitted
+        # An earlier attempt may have run, whatever the last one did.
+        if self.failure.ran == 'no':
+            self.failure = error
+        self.is_final = not _may_retry(error, is_repeatable)
 
 
 @attrs.frozen
@@ -102,6 +153,7 @@
       service: Service beside which this node runs, if it is told to backend
         servers.
       retry_budget: Size of the retry budgets.
+      draw: Returns a random number in [0, 1).
     """
 
     own_vm: str
@@ -119,6 +171,7 @@
     dialect: dialects.Dialect = dialects.DEFAULT
     service: str = ''
     retry_budget: retries.BudgetSize = retries.BudgetSize()
+    draw: Callable[[], float] = random.random
 
 
 class Entry:
@@ -159,6 +212,7 @@
             caller,
             deadline,
             caller.expires_wall_ms or wall_ms + timeout_ms,
+            _find_objective(snapshot.preset, route, caller, timeout_ms, now),
         )
 
     def run(self, call: Call) -> requests.CallAnswer:
@@ -286,48 +340,76 @@
         A failure that a backend server answers to a repeatable call is tried
         elsewhere too; without a better answer it is the answer.
         """
-        workspace = call.caller.workspace
-        self._budgets.record_call(workspace, clocks.read_now())
-        tried: set[str] = set()
-        failed: requests.CallAnswer | None = None
-        failure: errors.CallError = errors.NotRunError(
-            'no backend server is available', _RETRY_UNAVAILABLE_S
-        )
-        most = min(retries.MAX_RETRIES + 1, call.route.max_attempts)
-        for number in range(most):
+        self._budgets.record_call(call.caller.workspace, clocks.read_now())
+        progress = _Progress()
+        for number in range(_MAX_PLACEMENTS):
             now = clocks.read_now()
-            if now >= call.deadline:
-                break
-            if number and not self._may_try_again(call, now):
+            if not self._may_place(call, progress, now):
                 break
-            chosen = self._choose(call, tried, now)
+            chosen = self._choose(call, progress.tried, now)
             if chosen is None:
                 break
-            tried.add(chosen.vm)
-            try:
-                answer = self._forward(call, chosen, now)
-                _log_attempt(call, chosen, number, now, str(answer.status))
-            except errors.CallError as error:
-                _log_attempt(call, chosen, number, now, error.code, error)
-                # An earlier attempt may have run, whatever the last one did.
-                if failure.ran == 'no':
-                    failure = error
-                if not _may_retry(error, call.route.repeatable):
-                    break
-                continue
-            if not call.route.repeatable or not _is_failure(answer):
+            answer = self._place(call, chosen, number, progress)
+            if answer is not None:
                 return answer
-            failed = answer
-        if failed is not None:
-            return failed
-        raise failure
-
-    def _may_try_again(self, call: Call, now: float) -> bool:
-        """Tells whether time and budget allow one more attempt."""
+            if progress.is_final:
+                break
+        if progress.failed is not None:
+            return progress.failed
+        raise self._advise_return(progress.failure, call, clocks.read_now())
+
+    def _place(
+        self, call: Call, chosen: Any, number: int, progress: '_Progress'
+    ) -> requests.CallAnswer | None:
+        """Makes one attempt; returns its answer if that ends the call."""
+        now = clocks.read_now()
+        progress.tried.add(chosen.vm)
+        try:
+            answer = self._forward(call, chosen, now)
+        except errors.CallError as error:
+            _log_attempt(call, chosen, number, now, error.code, error)
+            progress.note_failure(error, call.route.repeatable)
+            return None
+        _log_attempt(call, chosen, number, now, str(answer.status))
+        if not call.route.repeatable or not _is_failure(answer):
+            return answer
+        progress.failed = answer
+        progress.sent += 1
+        return None
+
+    def _may_place(self, call: Call, progress: '_Progress', now: float) -> bool:
+        """Tells whether time, route and budget allow one more attempt.
+
+        Attempts that no backend server was sent load none, so they count
+        against neither the route's attempts nor the budget of retries.
+        """
+        if now >= call.deadline:
+            return False
+        if not progress.tried:
+            return True
         if now + _MIN_RETRY_S > call.deadline:
             return False
+        if not progress.sent:
+            return True
+        most = min(retries.MAX_RETRIES + 1, call.route.max_attempts)
+        if progress.sent >= most:
+            return False
         return self._budgets.spend(call.caller.workspace, now)
 
+    def _advise_return(
+        self, error: errors.CallError, call: Call, now: float
+    ) -> errors.CallError:
+        """Returns the error with the time after which to come back.
+
+        It is spread, so that callers refused together don't return together.
+        """
+        if error.ran == 'no' and error.status == _UNAVAILABLE:
+            wait_s = error.retry_after_s or _RETRY_UNAVAILABLE_S
+            wait_s *= 1.0 + _RETRY_SPREAD * self._parts.draw()
+            left_s = max(0.0, call.deadline - now)
+            error.retry_after_s = min(wait_s, left_s * _RETRY_MOST_SHARE)
+        return error
+
     def _choose(self, call: Call, tried: set[str], now: float) -> Any:
         return self._parts.chooser.choose(
             call.snapshot.preset,
@@ -373,8 +455,11 @@
             chooser.end(chosen.vm, workspace)
         try:
             return _read_reply(reply)
-        except errors.NotRunError:
-            chooser.record_refusal(chosen.vm, clocks.read_now())
+        except errors.NotRunError as error:
+            # A queue without room for this call may have room for others, and
+            # its load came with the reply.
+            if error.admitted or error.retry_after_s is None:
+                chooser.record_refusal(chosen.vm, clocks.read_now())
             raise
 
     def _build_forward(
@@ -424,6 +509,7 @@
             headers=[list(pair) for pair in (*headers, *added)],
             body=call.request.body,
             rank=_find_rank(call),
+            objective_ms=_compute_objective_ms(call, now),
         )
 
 
@@ -435,6 +521,39 @@
     return workspace.rank
 
 
+def _find_objective(
+    preset: Any, route: Any, caller: keys.Caller, timeout_ms: int, now: float
+) -> float:
+    """Returns the time until which an answer to a call is of full use.
+
+    It counts from the caller's first attempt. Calls that belong to a running
+    call have none: whatever they take, turning them away wastes that run.
+
+    Args:
+      preset: Preset in force.
+      route: Route of the call.
+      caller: For whom the call runs.
+      timeout_ms: Time that the caller leaves for the call, in milliseconds.
+      now: Present time in seconds.
+    """
+    is_nested = caller.depth > 0 or (preset.workspaces and not caller.workspace)
+    if not route.objective_ms or is_nested:
+        return math.inf
+    used_ms = max(0, route.timeout_ms - timeout_ms)
+    left_ms = max(
+        route.objective_ms - used_ms,
+        route.objective_ms * _LEAST_OBJECTIVE_SHARE,
+    )
+    return now + left_ms / _MS_PER_S
+
+
+def _compute_objective_ms(call: Call, now: float) -> int:
+    """Returns the milliseconds left until the objective; 0 without one."""
+    if math.isinf(call.objective):
+        return 0
+    return max(1, int((call.objective - now) * _MS_PER_S))
+
+
 def _log_attempt(
     call: Call,
     chosen: Any,
@@ -487,8 +606,9 @@
         return requests.CallAnswer(reply.status, headers, reply.body)
     if reply.ran == 'unknown':
         raise errors.OutcomeUnknownError(reply.detail)
-    kind = _ERRORS_BY_CODE.get(reply.code, errors.NotRunError)
-    raise kind(reply.detail)
+    default = errors.ShedError if reply.admitted else errors.NotRunError
+    kind = _ERRORS_BY_CODE.get(reply.code, default)
+    raise kind(reply.detail, reply.retry_after_ms / _MS_PER_S or None)
 
 
 def _map_zones(preset: Any) -> dict[str, str]:
--- a/jayseam/calls/errors.py
+++ b/jayseam/calls/errors.py
@@ -11,11 +11,13 @@
       status: HTTP status of the answer.
       ran: Whether this attempt may have run: ``no`` or ``unknown``.
       retry_after_s: When a new attempt makes sense, if that is known.
+      admitted: Whether a backend server may have been sent this attempt.
     """
 
     code = 'not-run'
     status = 503
     ran = 'no'
+    admitted = False
 
     def __init__(self, detail: str, retry_after_s: float | None = None):
         super().__init__(detail)
@@ -27,6 +29,12 @@
     """The call was surely not run."""
 
 
+class ShedError(NotRunError):
+    """The backend server turned the call away."""
+
+    admitted = True
+
+
 class LimitError(CallError):
     """The workspace is over its rate and burst."""
 
@@ -59,6 +67,7 @@
     code = 'outcome-unknown'
     status = 504
     ran = 'unknown'
+    admitted = True
 
 
 class BadRequestError(CallError):
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -1,5 +1,6 @@
 """The ingress: runs forwarded calls on the backend server of its own VM."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -19,6 +20,7 @@
 # queue, or a tenth of its time before if that is less. In overload every call
 # waits as long as it may, and one admitted at the last moment runs in vain.
 _RUN_MARGIN_S = 0.05
+_MS_PER_S = 1000
 
 _log = logs.get_logger(__name__)
 
@@ -101,6 +103,8 @@
                 error.ran,
                 error.detail,
                 *self._report_load(forward.workspace),
+                admitted=error.admitted,
+                retry_after_ms=int((error.retry_after_s or 0.0) * _MS_PER_S),
             )
         return messages.Answered(
             answer.status,
@@ -202,7 +206,7 @@
     def _admit_and_run(
         self, forward: messages.Forward, now: float
     ) -> requests.CallAnswer:
-        timeout_s = forward.timeout_ms / 1000
+        timeout_s = forward.timeout_ms / _MS_PER_S
         deadline = now + timeout_s
         ticket = admission.gates.Ticket(
             workspace=forward.workspace,
@@ -211,6 +215,7 @@
             request_id=forward.request_id,
             still_valid=lambda _: self._find_fault(forward) is None,
             rank=forward.rank,
+            objective=_find_objective(forward, now),
         )
         permit = self._acquire(ticket, forward, now)
         result = admission.gates.Result.FAILED
@@ -223,7 +228,7 @@
                 result = admission.gates.Result.SHED
         except backends.errors.ShedError as error:
             result = admission.gates.Result.SHED
-            raise errors.NotRunError(
+            raise errors.ShedError(
                 'the backend server shed the call'
             ) from error
         except backends.errors.NotRunError as error:
@@ -275,7 +280,9 @@
             fault = self._find_fault(forward) or errors.NotRunError(str(error))
             raise fault from error
         except admission.errors.AdmissionError as error:
-            raise errors.NotRunError(str(error)) from error
+            raise errors.NotRunError(
+                str(error), error.retry_after_s
+            ) from error
 
     def _build_request(
         self, forward: messages.Forward
@@ -293,3 +300,10 @@
             shed_retryable=service.shed_retryable,
             kind=forward.route,
         )
+
+
+def _find_objective(forward: messages.Forward, now: float) -> float:
+    """Returns the time of the latency objective; infinite without one."""
+    if not forward.objective_ms:
+        return math.inf
+    return now + forward.objective_ms / _MS_PER_S
--- a/jayseam/calls/messages.py
+++ b/jayseam/calls/messages.py
@@ -83,6 +83,8 @@
       preset_version: Version by which the entry judged the call.
       keys_version: Version of the keys by which the entry judged it.
       rank: Urgency of the call; 0 is the most urgent.
+      objective_ms: Time left until the latency objective of the call, in
+        milliseconds; 0 if it has none.
     """
 
     attempt: str = attrs.field(validator=_check_text)
@@ -101,6 +103,7 @@
     headers: list = attrs.field(validator=check_pairs)
     body: bytes = attrs.field(validator=_check_bytes)
     rank: int = attrs.field(default=0, validator=_check_count)
+    objective_ms: int = attrs.field(default=0, validator=_check_count)
 
 
 @messages.register(81)
@@ -132,6 +135,10 @@
     Attributes:
       code: Code of the problem, as in `jayseam.calls.errors`.
       ran: ``no`` or ``unknown``.
+      admitted: Whether the gate admitted the attempt, so that the backend
+        server may have been sent it.
+      retry_after_ms: When there may be room again, in milliseconds; 0 if that
+        isn't known.
     """
 
     code: str = attrs.field(validator=_check_text)
@@ -141,6 +148,8 @@
     service_s: float = attrs.field(validator=_check_number)
     fair_load: float = attrs.field(validator=_check_number)
     idle_load: float = attrs.field(validator=_check_number)
+    admitted: bool = attrs.field(default=True, validator=_check_flag)
+    retry_after_ms: int = attrs.field(default=0, validator=_check_count)
 
 
 @messages.register(83)
--- /dev/null
+++ b/jayseam/calls/tests/test_entry.py
@@ -0,0 +1,167 @@
+"""Tests of the entry alone, with fake ingresses."""
+
+import types
+
+import attrs
+import pytest
+
+from jayseam.calls import choosers
+from jayseam.calls import entry
+from jayseam.calls import errors
+from jayseam.calls import keys
+from jayseam.calls import messages
+from jayseam.calls import requests
+from jayseam.calls import retries
+from jayseam.core import clocks
+from jayseam.presets import model
+
+_LOADS = (1.0, 0.1, 1.0, 1.0)
+_NO_ROOM = messages.Refused(
+    'not-run', 'no', 'no room', *_LOADS, admitted=False, retry_after_ms=300
+)
+_SHED = messages.Refused('not-run', 'no', 'shed', *_LOADS, admitted=True)
+_ANSWERED = messages.Answered(200, [], b'', *_LOADS)
+
+
+class _Chooser:
+    """Offers VMs in their order and notes those that it was told to avoid."""
+
+    def __init__(self, vms):
+        self._vms = vms
+        self.avoided = []
+
+    def choose(self, preset, route, view, tried, now, workspace):
+        """Returns the first VM that was not tried."""
+        del preset, route, view, now, workspace
+        left = [vm for vm in self._vms if vm not in tried]
+        return choosers.Choice(left[0], 1, 's') if left else None
+
+    def record_refusal(self, vm, now):
+        """Notes a VM that turned a call away."""
+        del now
+        self.avoided.append(vm)
+
+    def begin(self, vm, workspace):
+        """Ignores the start of an attempt."""
+
+    def end(self, vm, workspace):
+        """Ignores the end of an attempt."""
+
+    def report_load(self, vm, workspace, report, now):
+        """Ignores a load."""
+
+
+class _World:
+    """An entry whose ingresses give the replies of a script."""
+
+    def __init__(self, replies, saved=0.0):
+        self.asked = []
+        self.forwards = []
+        self._replies = replies
+        self.chooser = _Chooser(list(replies))
+        self.entry = entry.Entry(
+            entry.EntryParts(
+                own_vm='a',
+                token_keys=(b'k',),
+                read_snapshot=None,
+                read_view=lambda: None,
+                chooser=self.chooser,
+                limiter=None,
+                forwarder=self._forward,
+                coordinator=None,
+                cancel=None,
+                keys_usable=None,
+                read_keys_age=None,
+                window_s=1.0,
+                retry_budget=retries.BudgetSize(0.0, saved, 0.0),
+                draw=lambda: 0.0,
+            )
+        )
+
+    def _forward(self, vm, forward, timeout_s):
+        del timeout_s
+        self.asked.append(vm)
+        self.forwards.append(forward)
+        return self._replies[vm]
+
+    def run(self, timeout_s=1.2, **fields):
+        """Runs a call that may not be repeated."""
+        preset = model.Preset('p', {}, {}, {}, {}, {})
+        snapshot = types.SimpleNamespace(
+            preset=preset, preset_version=1, keys_version=1, vms_version=1
+        )
+        route = model.Route(
+            'r', '/', ('GET',), (('s', 1),), True, False, 1200, keyed=False
+        )
+        now = clocks.read_now()
+        call = entry.Call(
+            requests.CallRequest('GET', '/', '', (), b''),
+            'r-1',
+            snapshot,
+            attrs.evolve(route, **fields),
+            keys.ANONYMOUS,
+            now + timeout_s,
+            0,
+            now + 0.5,
+        )
+        return self.entry.run(call)
+
+
+def test_room_is_looked_for_elsewhere_without_spending_attempts():
+    """A server that never saw a call is not one that it was sent to."""
+    world = _World({'a': _NO_ROOM, 'b': _NO_ROOM, 'c': _ANSWERED})
+    assert world.run(max_attempts=1).status == 200
+    assert world.asked == ['a', 'b', 'c']
+    assert not world.chooser.avoided
+
+
+def test_shed_call_counts_as_sent():
+    """A route with one attempt ends with the first server that saw it."""
+    world = _World({'a': _SHED, 'b': _ANSWERED}, saved=5.0)
+    with pytest.raises(errors.NotRunError):
+        world.run(max_attempts=1)
+    assert world.asked == ['a'] and world.chooser.avoided == ['a']
+    world = _World({'a': _SHED, 'b': _ANSWERED}, saved=5.0)
+    assert world.run(max_attempts=2).status == 200
+
+
+def test_repeat_at_a_server_needs_the_budget():
+    """Sheds of all servers must not multiply the calls that reach them."""
+    world = _World({'a': _SHED, 'b': _ANSWERED})
+    with pytest.raises(errors.NotRunError):
+        world.run(max_attempts=2)
+    assert world.asked == ['a']
+
+
+def test_search_for_room_is_bounded():
+    """A large fleet without room must not be asked as a whole."""
+    world = _World({str(number): _NO_ROOM for number in range(30)})
+    with pytest.raises(errors.NotRunError):
+        world.run()
+    assert len(world.asked) == 4
+
+
+@pytest.mark.parametrize('timeout_s', [0.3, 1.2])
+@pytest.mark.parametrize('reply', [_NO_ROOM, _SHED])
+def test_refused_caller_is_told_when_to_return(timeout_s, reply):
+    """Within a third of its time, or the call itself would not fit."""
+    world = _World({'a': reply})
+    with pytest.raises(errors.NotRunError) as caught:
+        world.run(timeout_s)
+    assert 0.0 < caught.value.retry_after_s <= timeout_s / 3
+
+
+def test_unknown_outcome_is_not_tried_again():
+    """What may have run must not run a second time."""
+    unknown = messages.Refused('outcome-unknown', 'unknown', 'lost', *_LOADS)
+    world = _World({'a': unknown, 'b': _ANSWERED}, saved=5.0)
+    with pytest.raises(errors.OutcomeUnknownError):
+        world.run(max_attempts=2)
+    assert world.asked == ['a']
+
+
+def test_objective_travels_with_the_call():
+    """The ingress counts the time that the entry has used."""
+    world = _World({'a': _ANSWERED})
+    world.run()
+    assert 400 <= world.forwards[0].objective_ms <= 500
--- a/jayseam/platform/configurations.py
+++ b/jayseam/platform/configurations.py
@@ -116,6 +116,8 @@
         else [[part['service'], part['weight']] for part in split]
     )
     timeout_s = durations.parse_seconds(spec['timeout'])
+    # The platform's word for the latency objective.
+    objective_s = durations.parse_seconds(spec.get('target_latency', '0ms'))
     return {
         'name': name,
         'host': spec['host'].lower(),
@@ -125,6 +127,7 @@
         'open_to_all': spec.get('public', False),
         'repeatable': spec['kind'] == _REPEATABLE,
         'timeout_ms': int(timeout_s * _MS_PER_S),
+        'objective_ms': int(objective_s * _MS_PER_S),
         'max_attempts': spec.get('max_attempts', 1),
         'rank': spec.get('priority', 0),
         # Each attempt of a caller stands for itself on this platform.
--- a/jayseam/presets/model.py
+++ b/jayseam/presets/model.py
@@ -105,6 +105,7 @@
       rank: Urgency of its calls; 0 is the most urgent.
       keyed: Whether a call that may not be repeated carries an idempotency
         key, under which its outcome is remembered.
+      objective_ms: Latency objective in milliseconds; 0 if there is none.
     """
 
     name: str
@@ -118,6 +119,7 @@
     max_attempts: int = DEFAULT_ATTEMPTS
     rank: int = 0
     keyed: bool = True
+    objective_ms: int = 0
 
 
 @attrs.frozen
--- a/jayseam/presets/schemas.py
+++ b/jayseam/presets/schemas.py
@@ -103,6 +103,7 @@
         max_attempts=_bounded('integer', 1, MAX_ATTEMPTS),
         rank=_bounded('integer', 0, MAX_RANK),
         keyed=_BOOLEAN,
+        objective_ms=_bounded('integer', 0, MAX_TIMEOUT_MS),
     ),
     'workspaces': _object(
         {
--- a/jayseam/presets/verification.py
+++ b/jayseam/presets/verification.py
@@ -382,4 +382,5 @@
         max_attempts=int(item.get('max_attempts', model.DEFAULT_ATTEMPTS)),
         rank=int(item.get('rank', 0)),
         keyed=item.get('keyed', True),
+        objective_ms=int(item.get('objective_ms', 0)),
     )
