Serve calls of running calls before those of callers

Change: calls without credentials in a deployment with workspaces, and calls under a token, have a rank before all others and no objective. Ruled out: a weight for them in the fair queue, as their number is bounded by the runs that make them. Test: test_calls_of_a_running_call_go_first.

--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -41,6 +41,8 @@
 # A caller that comes back needs the rest of its time for the call.
 _RETRY_MOST_SHARE = 1 / 3
 _UNAVAILABLE = 503
+# Rank of calls that a running call makes; those of callers come after it.
+_NESTED_RANK = 0
 # Share of a latency objective that a caller who has come back still gets. How
 # much of it is used up follows from the time that it leaves for the call, which
 # means little if the operators have raised the route's timeout.
@@ -514,11 +516,25 @@
 
 
 def _find_rank(call: Call) -> int:
-    """Returns the urgency of a call: its workspace goes before its route."""
+    """Returns the urgency of a call: its workspace goes before its route.
+
+    Calls of a running call go first. They are short, and each one that is
+    turned away wastes the run that needs it.
+    """
+    if _is_nested(call.snapshot.preset, call.caller):
+        return _NESTED_RANK
     workspace = call.snapshot.preset.workspaces.get(call.caller.workspace)
     if workspace is None or workspace.rank is None:
-        return call.route.rank
-    return workspace.rank
+        return _NESTED_RANK + 1 + call.route.rank
+    return _NESTED_RANK + 1 + workspace.rank
+
+
+def _is_nested(preset: Any, caller: keys.Caller) -> bool:
+    """Tells whether a call belongs to a running call.
+
+    Where callers have workspaces, backend servers call without credentials.
+    """
+    return caller.depth > 0 or bool(preset.workspaces and not caller.workspace)
 
 
 def _find_objective(
@@ -536,8 +552,7 @@
       timeout_ms: Time that the caller leaves for the call, in milliseconds.
       now: Present time in seconds.
     """
-    is_nested = caller.depth > 0 or (preset.workspaces and not caller.workspace)
-    if not route.objective_ms or is_nested:
+    if not route.objective_ms or _is_nested(preset, caller):
         return math.inf
     used_ms = max(0, route.timeout_ms - timeout_ms)
     left_ms = max(
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -84,9 +84,10 @@
         self.forwards.append(forward)
         return self._replies[vm]
 
-    def run(self, timeout_s=1.2, **fields):
+    def run(self, timeout_s=1.2, workspace='', **fields):
         """Runs a call that may not be repeated."""
-        preset = model.Preset('p', {}, {}, {}, {}, {})
+        workspaces = {'w': model.Workspace('w', 1.0, 1.0)}
+        preset = model.Preset('p', {}, {}, {}, {}, workspaces)
         snapshot = types.SimpleNamespace(
             preset=preset, preset_version=1, keys_version=1, vms_version=1
         )
@@ -99,7 +100,7 @@
             'r-1',
             snapshot,
             attrs.evolve(route, **fields),
-            keys.ANONYMOUS,
+            keys.Caller(workspace, '', 0, None),
             now + timeout_s,
             0,
             now + 0.5,
@@ -160,6 +161,15 @@
     assert world.asked == ['a']
 
 
+def test_calls_of_a_running_call_go_first():
+    """Turned away, they waste the run that waits for them."""
+    world = _World({'a': _ANSWERED})
+    world.run(rank=2)
+    world.run(workspace='w', rank=0)
+    nested, urgent = (forward.rank for forward in world.forwards)
+    assert nested < urgent
+
+
 def test_objective_travels_with_the_call():
     """The ingress counts the time that the entry has used."""
     world = _World({'a': _ANSWERED})
