Place no calls on a node that leaves a ping unanswered

Change: a silent link is pinged after 0.3 s in place of 0.5; a node whose pong takes over 0.2 s is no choice until it is heard of. Without another node the call is refused as not run. Ruled out: closing links sooner, which would cut them at nodes that are slow.

--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -43,6 +43,9 @@
       strategy: Name of a selection strategy.
       draw: Returns a random number in [0, 1).
       spill_load: Load from which the own zone is left.
+      list_unresponsive: Returns the VMs that leave a ping unanswered at a time
+        in seconds. A call sent to one would probably be lost, and its caller
+        couldn't tell whether it ran, so they are no choice.
     """
 
     def __init__(
@@ -51,7 +54,9 @@
         strategy: str,
         draw: Callable[[], float] = random.random,
         spill_load: float = routing.selection.DEFAULT_SPILL_LOAD,
+        list_unresponsive: Callable[[float], set[str]] = lambda now: set(),
     ):
+        self._list_unresponsive = list_unresponsive
         self._spill_load = spill_load
         self._own_zone = own_zone
         self._strategy = strategy
@@ -116,11 +121,12 @@
         """
         service = routing.matching.choose_service(route.targets, self._draw())
         pool = self._find_pool(preset, view, service)
-        excluded = set(tried) | self._list_avoided(now)
+        barred = self._list_unresponsive(now).union(tried)
+        excluded = barred | self._list_avoided(now)
         narrowed = pool.exclude(excluded) if excluded else pool
         if not narrowed.groups:
             # Nothing else is left: an avoided VM is better than a refusal.
-            narrowed = pool.exclude(tried) if tried else pool
+            narrowed = pool.exclude(barred) if barred else pool
         if not narrowed.groups:
             return None
         self._turn += 1
--- a/jayseam/links/connections.py
+++ b/jayseam/links/connections.py
@@ -28,7 +28,10 @@
 
 TICK_S = 0.05
 IDLE_PING_S = 10.0
-SILENCE_PING_S = 0.5
+SILENCE_PING_S = 0.3
+# A peer whose pong takes longer gets no new calls until it is heard of, in
+# seconds. Pongs take milliseconds; the rest is for a busy processor.
+PONG_LIMIT_S = 0.2
 SILENCE_LIMIT_S = 1.5
 MAX_OUTBOX_BYTES = 8 * 1024 * 1024
 # Replies may exceed MAX_OUTBOX_BYTES, because a lost reply leaves the caller
@@ -163,6 +166,20 @@
     return 'wait'
 
 
+def is_unresponsive(silence: Silence, now: float) -> bool:
+    """Tells whether a peer leaves a ping unanswered while a reply is due.
+
+    >>> is_unresponsive(Silence(9.0, 9.1, 9.5), now=9.8)
+    True
+    >>> is_unresponsive(Silence(9.6, 9.1, 9.5), now=9.8)
+    False
+    """
+    if silence.waiting_since is None:
+        return False
+    heard_at = max(silence.received_at, silence.waiting_since)
+    return heard_at < silence.pinged_at <= now - PONG_LIMIT_S
+
+
 class _Pending:
     """A request that waits for its reply."""
 
@@ -312,6 +329,10 @@
             return False
         return self.is_open
 
+    def is_unresponsive(self, now: float) -> bool:
+        """Tells whether the peer leaves a ping unanswered."""
+        return is_unresponsive(self._silence, now)
+
     def check(self, now: float) -> None:
         """Pings a silent link and closes one that stays silent."""
         if not self.is_open:
--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -137,6 +137,12 @@
         """Returns the VMs to which a link is open."""
         return list(self._preferred)
 
+    def list_unresponsive(self, now: float) -> set[str]:
+        """Returns the VMs that leave a ping unanswered while a reply is due."""
+        return {
+            link.peer.vm for link in self._watched if link.is_unresponsive(now)
+        }
+
     def request(self, vm: str, message: Any, timeout_s: float) -> Any:
         """Sends a request to ``vm`` and returns the reply message or None.
 
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -178,6 +178,7 @@
             settings.zone,
             settings.selection.strategy,
             spill_load=settings.selection.spill_load,
+            list_unresponsive=self._links.list_unresponsive,
         )
         coordinator = calls.claims.ClaimCoordinator(
             settings.vm,
