Test the return of lapsed VMs and name how nodes read the source

test_lapsed_vm_may_come_back fails without a grace (the list that lacks the VM is reported). The task's arguments on reading become one class.

--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -36,7 +36,7 @@
 DEFAULT_COST = 1.0
 # A call that waits is admitted if this many mean service times are left then
 # until its latency objective. Under lasting overload the queue fills up to the
-# longest wait that is allowed, and a call with a longer run would come too late.
+# longest wait allowed, and a call with a longer run would come too late.
 RUN_MARGIN = 1.5
 # Calls may wait for this share of a mean service time whatever their objective,
 # so that a slow backend server does not idle between two arrivals.
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -33,8 +33,8 @@
 # Without it, calls that waited in a full queue ended as outcome-unknown, and
 # backend servers worked for callers that had given up.
 _REPLY_MARGIN_MS = 50
-# Backend servers at which room is looked for. Each costs a message and its reply,
-# and the load of the first few says enough of the others.
+# Backend servers at which room is looked for. Each costs a message and its
+# reply, and the load of the first few says enough of the others.
 _MAX_PLACEMENTS = 4
 # Callers refused at one moment return over half as much time again.
 _RETRY_SPREAD = 0.5
--- a/jayseam/distribution/reading.py
+++ b/jayseam/distribution/reading.py
@@ -3,9 +3,12 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+import attrs
+
 from jayseam.core import logs
 from jayseam.distribution import exchange
 from jayseam.distribution import versions
+from jayseam.source import backoff
 from jayseam.source import client as source_client
 from jayseam.source import errors as source_errors
 from jayseam.source import watchers
@@ -13,6 +16,22 @@
 _log = logs.get_logger(__name__)
 
 
+@attrs.frozen
+class Options:
+    """How nodes read the source.
+
+    Attributes:
+      readers_per_zone: Nodes of a zone that read it.
+      join_wait_s: Longest first wait of a fresh node before it reads, in
+        seconds.
+      grace: How a VM list is taken that comes after an outage.
+    """
+
+    readers_per_zone: int = exchange.DEFAULT_READERS_PER_ZONE
+    join_wait_s: float = backoff.DEFAULT_CAP_S
+    grace: watchers.ReturnGrace = watchers.ReturnGrace()
+
+
 class SourceReader:
     """Starts and ends the watches of the three channels."""
 
@@ -26,8 +45,7 @@
         held_version: Callable[[str], int],
         count_failure: Callable[[str, Any], None],
         uniform: Callable[[], float],
-        readers_per_zone: int = exchange.DEFAULT_READERS_PER_ZONE,
-        grace: watchers.ReturnGrace = watchers.ReturnGrace(),
+        options: Options = Options(),
     ):
         """Prepares the reader.
 
@@ -40,11 +58,9 @@
           held_version: Returns the version held of a channel, or zero.
           count_failure: Takes a channel and the error of a failed read.
           uniform: Returns a random number in [0, 1).
-          readers_per_zone: Nodes of a zone that read the source.
-          grace: How a VM list is taken that comes after an outage.
+          options: How the source is read.
         """
-        self._grace = grace
-        self._readers_per_zone = readers_per_zone
+        self._options = options
         self._vm = vm
         self._zone = zone
         self._client = client
@@ -74,7 +90,7 @@
         if self._client is None:
             return
         should_read = exchange.is_reader(
-            self._vm, self._zone, live_vms, self._readers_per_zone
+            self._vm, self._zone, live_vms, self._options.readers_per_zone
         )
         if should_read and not self._watchers:
             _log.info('distribution.reader_started')
@@ -114,5 +130,5 @@
             lambda: self._held_version(channel) or None,
             self._uniform,
             self._count_failure,
-            self._grace,
+            self._options.grace,
         )
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -19,7 +19,6 @@
 from jayseam.distribution import counters
 from jayseam.distribution import delays
 from jayseam.distribution import events
-from jayseam.distribution import exchange
 from jayseam.distribution import fetching
 from jayseam.distribution import joining
 from jayseam.distribution import memories
@@ -32,7 +31,6 @@
 from jayseam.distribution import status
 from jayseam.distribution import syncing
 from jayseam.distribution import versions
-from jayseam.source import backoff
 from jayseam.source import client as source_client
 from jayseam.source import watchers
 
@@ -57,9 +55,7 @@
         watch_wait_s: float = 10.0,
         registry: prometheus_client.CollectorRegistry | None = None,
         uniform: Callable[[], float] = random.random,
-        readers_per_zone: int = exchange.DEFAULT_READERS_PER_ZONE,
-        join_wait_s: float = backoff.DEFAULT_CAP_S,
-        grace: watchers.ReturnGrace = watchers.ReturnGrace(),
+        options: reading.Options = reading.Options(),
     ):
         """Prepares the task.
 
@@ -72,10 +68,7 @@
           watch_wait_s: Wait of one watch, in seconds.
           registry: Registry of the metrics; a new one by default.
           uniform: Returns a random number in [0, 1).
-          readers_per_zone: Nodes of a zone that read the source.
-          join_wait_s: Longest first wait of a fresh node before it reads the
-            source, in seconds.
-          grace: How a VM list is taken that comes after an outage.
+          options: How the source is read.
         """
         super().__init__('distribution')
         self._vm = vm
@@ -104,8 +97,7 @@
             self._read_version,
             self._count_source_failure,
             uniform,
-            readers_per_zone,
-            grace,
+            options,
         )
         self._syncer = syncing.Syncer(
             peers, lambda: self._state, self._send_peer_states, self._changed
@@ -117,7 +109,7 @@
             len(versions.CHANNELS),
             self._changed,
             uniform,
-            join_wait_s,
+            options.join_wait_s,
         )
         self._fetchers = {
             channel: self._build_fetcher(channel, client)
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -139,9 +139,11 @@
             client=client,
             watch_wait_s=settings.source.watch_wait_s,
             registry=prometheus_client.REGISTRY,
-            readers_per_zone=settings.source.readers_per_zone,
-            join_wait_s=settings.source.join_wait_s,
-            grace=_build_grace(settings.source),
+            options=distribution.reading.Options(
+                settings.source.readers_per_zone,
+                settings.source.join_wait_s,
+                _build_grace(settings.source),
+            ),
         )
         self._distribution.register_handlers(self._handlers)
         self._distribution.subscribe(self._on_swap)
--- /dev/null
+++ b/jayseam/source/tests/test_watchers.py
@@ -0,0 +1,92 @@
+"""Tests of what a watcher does with a VM list after an outage."""
+
+import gevent
+import pytest
+
+from jayseam.core import clocks
+from jayseam.presets import documents
+from jayseam.source import client as source_client
+from jayseam.source import watchers
+from jayseam.standins import waits
+
+
+class _Source:
+    """Answers reads of the VM list from a script, then waits for ever."""
+
+    def __init__(self, script):
+        self._script = list(script)
+
+    def read_vms(self, after=None, wait_s=0.0):
+        """Returns the next reply of the script."""
+        del after, wait_s
+        if not self._script:
+            gevent.sleep(60.0)
+        return self._script.pop(0)
+
+
+def _list(revision, vms, at):
+    entries = [
+        {
+            'vm': vm,
+            'upstream': vm,
+            'zone': 'z',
+            'region': 'r',
+            'host': '127.0.0.1',
+            'port': 1,
+            'state': state,
+        }
+        for vm, state in vms.items()
+    ]
+    body = documents.encode_json({'vms': entries})
+    return source_client.Reply(revision, body, at, at)
+
+
+def _watch(script, grace):
+    updates = []
+    watcher = watchers.SourceWatcher(
+        _Source(script),
+        'vms',
+        0.1,
+        updates.append,
+        lambda confirmation: None,
+        lambda: None,
+        grace=grace,
+    )
+    watcher.start()
+    return watcher, updates
+
+
+@pytest.mark.parametrize(
+    'silent_s, state, versions',
+    [
+        # An entry that lapsed in an outage comes back.
+        (6.0, 'live', [1, 3]),
+        # Without an outage, a VM that is gone is gone.
+        (1.0, 'live', [1, 2, 3]),
+        # One that said it would leave is not waited for.
+        (6.0, 'leaving', [1, 2, 3]),
+    ],
+)
+def test_lapsed_vm_may_come_back(silent_s, state, versions):
+    """A list read right after an outage lacks VMs that still run."""
+    now = clocks.read_now()
+    both = {'vm-1': 'live', 'vm-2': state}
+    script = [
+        _list(1, both, now),
+        _list(2, {'vm-1': 'live'}, now + silent_s),
+        _list(3, both, now + silent_s + 0.2),
+    ]
+    watcher, updates = _watch(script, watchers.ReturnGrace(4.5, 0.2))
+    waits.wait_until(lambda: updates and updates[-1].version == 3, 5.0)
+    watcher.stop()
+    assert [update.version for update in updates] == versions
+
+
+def test_vm_that_stays_away_is_taken_for_gone():
+    """The grace ends, whatever the list shows then."""
+    now = clocks.read_now()
+    gone = _list(2, {'vm-1': 'live'}, now + 6.0)
+    script = [_list(1, {'vm-1': 'live', 'vm-2': 'live'}, now), gone, gone]
+    watcher, updates = _watch(script, watchers.ReturnGrace(4.5, 0.2))
+    waits.wait_until(lambda: updates and updates[-1].version == 2, 5.0)
+    watcher.stop()
