Expect the slots of more urgent calls to stay taken

Change: the estimate takes the slots that more urgent calls leave, and the mean time of the workspace's own calls.

--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -8,6 +8,7 @@
   ``docs/design.md``, section 5.4.
 """
 
+import collections
 import enum
 import math
 from collections.abc import Callable, Mapping
@@ -238,6 +239,7 @@
         self._queue = queues.VARIANTS.get(queue)(bounds)
         self._read_now = read_now
         self._in_flight = 0
+        self._ranks: collections.Counter[int] = collections.Counter()
         self._closed = False
         self._held = False
         self._idle = event.Event()
@@ -433,7 +435,14 @@
         ahead = self._queue.count_ahead(ticket.workspace, ticket.rank)
         now = self._read_now()
         paced_s = self._pace.estimate_wait(ahead, now)
-        return max(paced_s, ahead * (self._mean_s or 0.0) / limit)
+        # More urgent calls keep coming, so their slots don't become free.
+        open_slots = max(1, limit - self._count_more_urgent(ticket.rank))
+        mean_s = self._estimate_mean(ticket.workspace)
+        return max(paced_s, ahead * mean_s / open_slots)
+
+    def _count_more_urgent(self, rank: int) -> int:
+        """Returns the calls in flight that go before a rank."""
+        return sum(count for held, count in self._ranks.items() if held < rank)
 
     def _check_objective(
         self, ticket: Ticket, wait_s: float, now: float
@@ -461,6 +470,7 @@
 
     def _grant(self, ticket: Ticket, now: float) -> Permit:
         self._in_flight += 1
+        self._ranks[ticket.rank] += 1
         self._pace = self._pace.take(now)
         self._idle.clear()
         return Permit(self, ticket, now)
@@ -539,6 +549,7 @@
         elif result is Result.SHED:
             self._adaptive = self._adaptive.record_shed(now)
         self._in_flight -= 1
+        self._ranks[permit.ticket.rank] -= 1
         self._pump(now)
 
     def _record_service(
--- a/jayseam/admission/tests/test_overload.py
+++ b/jayseam/admission/tests/test_overload.py
@@ -31,6 +31,7 @@
 
     begun_at: float
     run_ms: float
+    rank: int = 1
     has_returned: bool = False
     ended_at: float = math.inf
 
@@ -43,7 +44,9 @@
         self._events = []
         self._numbers = itertools.count()
         self.now = 0.0
-        self.gate = gates.Gate(_SLOTS, 1000, read_now=lambda: self.now)
+        self.gate = gates.Gate(
+            _SLOTS, 1000, queue='ranked', read_now=lambda: self.now
+        )
 
     def play(self, arrivals):
         """Plays callers to their ends."""
@@ -66,11 +69,12 @@
         deadline = caller.begun_at + _TIMEOUT_MS
         objective = caller.begun_at + _OBJECTIVE_MS
         ticket = gates.Ticket(
-            'w',
+            f'w-{caller.rank}',
             1.0,
             deadline,
             'r',
             lambda _: True,
+            rank=caller.rank,
             objective=objective if self._with_objective else math.inf,
         )
         try:
@@ -106,6 +110,11 @@
     """Returns the share of what was owed that callers got."""
     callers = _draw_callers(factor, seed, **burst)
     _Replay(with_objective).play(callers)
+    return _rate(callers)
+
+
+def _rate(callers):
+    """Returns the share of what was owed to callers that they got."""
     took_ms = [caller.ended_at - caller.begun_at for caller in callers]
     in_time = sum(took <= _OBJECTIVE_MS for took in took_ms)
     late = sum(_OBJECTIVE_MS < took <= _TIMEOUT_MS for took in took_ms)
@@ -123,6 +132,31 @@
     assert found >= 1.5 * without
 
 
+@pytest.mark.parametrize('seed', [1, 2])
+def test_urgent_calls_that_keep_coming_make_no_answer_late(seed):
+    """Short urgent calls take three quarters of the slots, the others twice
+    what is left."""
+    rng = random.Random(seed)
+    urgent, others = [], []
+    for calls, run_ms, load, rank in (
+        (urgent, 40.0, 0.75, 0),
+        (others, _MEAN_MS, 0.5, 1),
+    ):
+        now = 0.0
+        while now < _DURATION_MS:
+            now += rng.expovariate(_SLOTS / run_ms * load)
+            run_drawn_ms = run_ms * rng.lognormvariate(-0.12, 0.5)
+            calls.append(_Caller(now, run_drawn_ms, rank))
+    _Replay(True).play(sorted(urgent + others, key=lambda c: c.begun_at))
+    assert _rate(urgent) >= 0.95
+    urgent_ms, others_ms = [
+        sum(caller.run_ms for caller in calls) for calls in (urgent, others)
+    ]
+    # Of the others that fit, two in three must be in time.
+    fitting = (_SLOTS * _DURATION_MS - urgent_ms) / others_ms
+    assert _rate(others) >= fitting * 2 / 3
+
+
 @pytest.mark.parametrize('seed', [1, 2])
 def test_short_burst_is_no_worse_served(seed):
     """A burst that the queue could have absorbed."""
