Leave a loaded zone only for a server that is less loaded by enough

Load: all zones over the spill load. Change: setting selection.spill_gain; without it the choice is as before. Ruled out: a shorter growth of returned zones, which the design names. Test: test_overload_everywhere_sends_nothing_to_other_zones.

--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -43,6 +43,8 @@
       strategy: Name of a selection strategy.
       draw: Returns a random number in [0, 1).
       spill_load: Load from which the own zone is left.
+      spill_gain: Load by which a backend server elsewhere must be under that
+        of the own zone; None if it need not.
       list_unresponsive: Returns the VMs that leave a ping unanswered at a time
         in seconds. A call sent to one would probably be lost, and its caller
         couldn't tell whether it ran, so they are no choice.
@@ -54,10 +56,12 @@
         strategy: str,
         draw: Callable[[], float] = random.random,
         spill_load: float = routing.selection.DEFAULT_SPILL_LOAD,
+        spill_gain: float | None = None,
         list_unresponsive: Callable[[float], set[str]] = lambda now: set(),
     ):
         self._list_unresponsive = list_unresponsive
         self._spill_load = spill_load
+        self._spill_gain = spill_gain
         self._own_zone = own_zone
         self._strategy = strategy
         self._draw = draw
@@ -140,6 +144,7 @@
             self._strategy,
             workspace,
             self._spill_load,
+            self._spill_gain,
         )
         record = view.members[candidate.vm]
         return Choice(candidate.vm, record.incarnation, service)
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -180,6 +180,7 @@
             settings.zone,
             settings.selection.strategy,
             spill_load=settings.selection.spill_load,
+            spill_gain=settings.selection.spill_gain,
             list_unresponsive=self._links.list_unresponsive,
         )
         coordinator = calls.claims.ClaimCoordinator(
--- a/jayseam/platform/settings.py
+++ b/jayseam/platform/settings.py
@@ -40,6 +40,9 @@
 # Load from which calls leave their zone. Bytes between zones are dear here, and
 # a call that waits behind a quarter of the slots still meets its objective.
 SPILL_LOAD = 1.25
+# Load by which a server elsewhere must be under that of the own zone: the time
+# of a quarter of a call, at bytes that cost about as much as a call is worth.
+SPILL_GAIN = 0.25
 # The platform allows a quarter more than rate and burst, and a fleet that has
 # just started must not refuse calls within them.
 LIMIT_STRATEGY = 'replicated'
@@ -129,7 +132,9 @@
             return_grace_s=RETURN_GRACE_S,
         ),
         fleet_secrets=(derive_fleet_secret(fields),),
-        selection=model.SelectionSettings(spill_load=SPILL_LOAD),
+        selection=model.SelectionSettings(
+            spill_load=SPILL_LOAD, spill_gain=SPILL_GAIN
+        ),
         admission=model.AdmissionSettings(
             cold_excess=COLD_EXCESS_SHARE * max(0.0, cold_factor - 1.0)
         ),
--- a/jayseam/routing/selection.py
+++ b/jayseam/routing/selection.py
@@ -133,12 +133,15 @@
       workspace: The workspace; None for the loads of all workspaces together.
       now: Current time in seconds.
       spill_load: Load from which the own zone is left.
+      spill_gain: Load by which a backend server elsewhere must be under that
+        of the own zone; None if it need not.
     """
 
     table: load_tables.LoadTable
     workspace: str | None
     now: float
     spill_load: float = DEFAULT_SPILL_LOAD
+    spill_gain: float | None = None
 
     def estimate(self, candidate: Candidate) -> float:
         """Returns the load of a candidate."""
@@ -162,6 +165,7 @@
     strategy: str = 'two_choices',
     workspace: str | None = None,
     spill_load: float = DEFAULT_SPILL_LOAD,
+    spill_gain: float | None = None,
 ) -> Candidate:
     """Returns the candidate that a strategy chooses.
 
@@ -176,12 +180,14 @@
       workspace: Workspace of the call, if the load that matters is what delays
         its calls.
       spill_load: Load from which the own zone is left.
+      spill_gain: Load by which a backend server elsewhere must be under that
+        of the own zone; None if it need not.
 
     Raises:
       NoCandidateError: If the pool is empty.
       UnknownVariantError: If there is no such strategy.
     """
-    view = LoadView(loads, workspace, now, spill_load)
+    view = LoadView(loads, workspace, now, spill_load, spill_gain)
     return VARIANTS.get(strategy)(pool, view, own_zone, now, draws, turn)
 
 
@@ -197,9 +203,9 @@
     """Returns the less loaded of two random candidates.
 
     The two come from the own zone while the better of them is loaded under
-    the spill load, else from all zones. A returned zone, or one with only a
-    cold member, is preferred by its own entries only as often as its share
-    allows.
+    the spill load, else from all zones, if that gains enough. A returned zone,
+    or one with only a cold member, is preferred by its own entries only as
+    often as its share allows.
     """
     del turn
     if not pool.groups:
@@ -213,13 +219,16 @@
         if group.zone != own_zone:
             continue
         share = zones.compute_share(pool.returns, own_zone, now)
-        if draws[0] < share * min(1.0, group.sums[-1]):
-            pair = _draw_pair((group,), (1.0,), draws)
-            best, load = _pick_better(pair, loads)
-            if load < loads.spill_load:
-                return best
-        elif len(groups) > 1:
-            weights[position] = 0.0
+        if draws[0] >= share * min(1.0, group.sums[-1]):
+            if len(groups) > 1:
+                weights[position] = 0.0
+            continue
+        pair = _draw_pair((group,), (1.0,), draws)
+        best, load = _pick_better(pair, loads)
+        if load < loads.spill_load:
+            return best
+        other, _ = _pick_better(_draw_pair(groups, weights, draws), loads)
+        return _pick_for_gain(best, other, loads)
     return _pick_better(_draw_pair(groups, weights, draws), loads)[0]
 
 
@@ -416,6 +425,20 @@
     return min(position, len(sums) - 1)
 
 
+def _pick_for_gain(
+    own: Candidate, other: Candidate, loads: LoadView
+) -> Candidate:
+    """Returns another zone's candidate if it is less loaded by enough.
+
+    When all zones are overloaded, going elsewhere only costs bytes.
+    """
+    if other.zone == own.zone or loads.spill_gain is None:
+        return other
+    ratio = loads.table.compare_service(own.vm, other.vm)
+    bound = loads.estimate(own) * ratio - loads.spill_gain
+    return other if loads.estimate(other) < bound else own
+
+
 def _pick_better(
     pair: tuple[Candidate, Candidate],
     loads: LoadView,
--- a/jayseam/routing/tests/test_selection.py
+++ b/jayseam/routing/tests/test_selection.py
@@ -244,3 +244,15 @@
     _report(loads, 'vm-a1', 1.1)
     assert count_choices(pool, loads)['b'] > 0
     assert count_choices(pool, loads, spill_load=1.25)['b'] == 0
+
+
+def test_overload_everywhere_sends_nothing_to_other_zones():
+    """Calls that wait as long elsewhere only cost bytes between zones."""
+    pool = make_pool(['a1', 'b1'])
+    loads = load_tables.LoadTable()
+    _report(loads, 'vm-a1', 2.0)
+    _report(loads, 'vm-b1', 1.9)
+    assert count_choices(pool, loads)['b'] > 0
+    assert count_choices(pool, loads, spill_gain=0.25)['b'] == 0
+    _report(loads, 'vm-b1', 1.5)
+    assert count_choices(pool, loads, spill_gain=0.25)['b'] > 0
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -88,10 +88,13 @@
     Attributes:
       strategy: Name of the strategy.
       spill_load: Load of the own zone from which calls go to others.
+      spill_gain: Load by which a backend server elsewhere must then be under
+        that of the own zone; None if it need not.
     """
 
     strategy: str = 'two_choices'
     spill_load: float = 0.8
+    spill_gain: float | None = None
 
 
 @attrs.frozen
--- a/jayseam/settings/schema.py
+++ b/jayseam/settings/schema.py
@@ -94,6 +94,11 @@
             {
                 'strategy': {'enum': ['two_choices', 'round_robin']},
                 'spill_load': {'type': 'number', 'minimum': 0, 'maximum': 10},
+                'spill_gain': {
+                    'type': ['number', 'null'],
+                    'minimum': 0,
+                    'maximum': 10,
+                },
             }
         ),
         'admission': _object(
