Charge no node for what members spent before it heard of them

Cause: a report names only the workspaces that have changed, so a fresh node took the first word on each of the others for new spending. Change: the first word of a member on a workspace is its starting point, but for processes that started together with this one and for restarted ones, which count from zero. Ruled out: full reports, which would grow every message by all workspaces. Tests: three new ones failed before; the model's bounds at 12 and 72 nodes hold.

--- a/jayseam/limits/replicas.py
+++ b/jayseam/limits/replicas.py
@@ -40,8 +40,10 @@
 FIRST_CONTACT_S = 2.5
 # Part of the burst that a process which knows nothing of the past starts with.
 FIRST_PART = 0.5
-# The reports of others are charged from this time after the start; before it
-# they tell what was spent before.
+# Processes that start within half a second, in milliseconds, start with their
+# fleet: all that they have spent was spent since.
+TOGETHER_MS = 500
+# Time after the start for such processes to be heard of, in seconds.
 SETTLE_S = 2.0
 # Returns of refused calls are spread over this time, in seconds.
 SPREAD_S = 0.4
@@ -101,11 +103,15 @@
       incarnation: Incarnation of its process.
       totals: Tokens spent by workspace since that process started.
       heard_at: Time of the last report, in seconds.
+      counts_from_zero: Whether all that it has spent is to be charged. Else
+        its first word on a workspace tells what it spent unheard, as part of
+        what it was left.
     """
 
     incarnation: int
     totals: dict[str, float]
     heard_at: float
+    counts_from_zero: bool
 
 
 @strategies.registry.register('replicated')
@@ -420,28 +426,39 @@
         totals = message.own if scope == 'own' else message.relayed
         known = self._senders.get((vm, scope))
         if known is None or known.incarnation != message.incarnation:
-            settled = now - self._started_at >= SETTLE_S
-            fresh = known is not None or settled
-            known = _Sender(message.incarnation, {}, now)
+            known = self._meet(known, scope, message.incarnation, now)
             self._senders[(vm, scope)] = known
-            if not fresh or scope == 'relayed':
-                # What was spent before this process started, or was heard of
-                # through another relay.
-                known.totals.update(totals)
-                return {}
         was_silent = now - known.heard_at > SILENT_S
         known.heard_at = now
-        if was_silent:
-            # It was left its part meanwhile, which is what it has spent.
-            known.totals.update(totals)
-            return {}
-        spent = {
-            name: total - known.totals.get(name, 0.0)
-            for name, total in totals.items()
-        }
-        known.totals.update(totals)
+        spent = {}
+        for name, total in totals.items():
+            # A silent member was left its part, which is what it has spent.
+            if name in known.totals and not was_silent:
+                spent[name] = total - known.totals[name]
+            elif known.counts_from_zero and not was_silent:
+                spent[name] = total
+            known.totals[name] = total
         return spent
 
+    def _meet(
+        self, before: _Sender | None, scope: str, incarnation: int, now: float
+    ) -> _Sender:
+        """Returns the record of a process that is heard of for the first time.
+
+        Args:
+          before: Record of the process before it on its VM, if there is one.
+          scope: ``own`` or ``relayed``.
+          incarnation: The process.
+          now: Time in seconds.
+        """
+        is_start = now - self._started_at < SETTLE_S
+        difference_ms = abs(incarnation - self.member.incarnation)
+        counts_from_zero = is_start and difference_ms <= TOGETHER_MS
+        if scope == 'own':
+            # What it relays may have been heard of through another relay.
+            counts_from_zero |= before is not None
+        return _Sender(incarnation, {}, now, counts_from_zero)
+
     def _take(
         self, workspace: str, amount: float, relays: bool, now: float
     ) -> None:
--- a/jayseam/limits/tests/test_replicas.py
+++ b/jayseam/limits/tests/test_replicas.py
@@ -79,6 +79,37 @@
     assert _drain(strategy, 10.0) == 6
 
 
+def test_a_new_node_is_not_charged_for_the_past():
+    """Members tell workspaces one after the other, with all they ever spent."""
+    strategy = replicas.ReplicatedStrategy('vm-0', 'u0', 'a', 90_000, 100.0)
+    strategy.set_preset(_preset(4), 1, 100.0)
+    strategy.set_members([cells.Member('vm-1', 'u2', 7, 'a')])
+    strategy.answer('vm-1', messages.Spent(7, {}, {}, ['b']), 100.1)
+    relayed = messages.Spent(7, {'w': 50}, {'w': 70}, ['b'])
+    strategy.answer('vm-1', relayed, 100.4)
+    assert _drain(strategy, 100.5) >= 5
+
+
+def test_a_member_that_comes_back_is_not_charged_for_the_past():
+    """A partition that is over: members were taken for dead meanwhile."""
+    strategy = _build()
+    member = cells.Member('vm-1', 'u2', 7, 'a')
+    strategy.set_members([member])
+    strategy.answer('vm-1', messages.Spent(7, {'w': 50}), 3.0)
+    strategy.set_members([])
+    strategy.set_members([member])
+    strategy.answer('vm-1', messages.Spent(7, {'w': 80}), 20.0)
+    assert _drain(strategy, 20.0) == 10
+
+
+def test_a_fleet_that_starts_together_counts_its_first_calls():
+    """Otherwise each member would spend the first tokens unheard."""
+    strategy = _build()
+    strategy.set_members([cells.Member('vm-1', 'u2', 7, 'a')])
+    strategy.answer('vm-1', messages.Spent(7, {'w': 4}), 0.2)
+    assert _drain(strategy, 0.2) == pytest.approx(5 + 2 - 4, abs=1)
+
+
 def test_relays_what_another_zone_spends():
     """A member that hears of another zone tells it to its own."""
     relay = _build()
