Keep rates when two zones lose each other and a third reaches both

Zones a and b admitted 250 calls a second of a workspace with a rate of 157 while c and d, which heard both, stood at the floor of their buckets and refused all: a and b each took the part of all zones but the other. Change: relays name the zones they hear to other zones too; a zone that hears one which is out of reach isn't listened to, so its part is left to it. Ruled out: passing on what the third zone hears, which needs totals by zone in every report.

--- a/jayseam/limits/messages.py
+++ b/jayseam/limits/messages.py
@@ -151,7 +151,7 @@
       incarnation: The node's incarnation.
       own: Tokens spent at the node, by workspace that has changed.
       relayed: Tokens spent in other zones, as far as the node relays them.
-      zones: Other zones that report to the node.
+      zones: Other zones that report to the node, if it relays.
     """
 
     incarnation: int = attrs.field(validator=_INT)
--- a/jayseam/limits/models/faults.py
+++ b/jayseam/limits/models/faults.py
@@ -28,6 +28,12 @@
         model.cut(zones[0], other)
 
 
+def cut_bridge(model: fleets.Model) -> None:
+    """Cuts the first two zones off from each other only."""
+    first, second = sorted(set(model.zones.values()))[:2]
+    model.cut(first, second)
+
+
 def inject_faults(model: fleets.Model, until: float) -> None:
     """Plans random kills, restarts, pauses and cuts up to a time.
 
--- a/jayseam/limits/replicas.py
+++ b/jayseam/limits/replicas.py
@@ -13,7 +13,9 @@
 
 A part of the fleet that is not heard of may be spending too: its positions'
 part of rate and burst is left to it. So the sides of a partition together stay
-within the limit, but for the time until they notice.
+within the limit, but for the time until they notice. Where two zones can't
+reach each other and a third reaches both, the two would each take the third's
+part; so a zone that hears one which is out of reach isn't listened to.
 """
 
 import math
@@ -139,6 +141,10 @@
         self._replicas: dict[str, _Replica] = {}
         self._senders: dict[tuple[str, str], _Sender] = {}
         self._zone_heard: dict[str, float] = {}
+        # When a zone's reports last came, and when they last named a zone that
+        # is out of reach from here.
+        self._zone_reached: dict[str, float] = {}
+        self._bridged: dict[str, float] = {}
         self._tight_at = now
         self._full_at = now
         self._part = 1.0
@@ -263,6 +269,11 @@
             return
         crosses = member.zone != self.member.zone
         if crosses:
+            self._zone_reached[member.zone] = now
+            self._note_bridge(member.zone, message, now)
+            if now - self._bridged.get(member.zone, -math.inf) <= SILENT_S:
+                self._note(sender, 'own', message, now)
+                return
             self._zone_heard[member.zone] = now
         for name, amount in self._note(sender, 'own', message, now).items():
             self._take(name, amount, crosses, now)
@@ -273,6 +284,20 @@
             ).items():
                 self._take(name, amount, False, now)
 
+    def _note_bridge(
+        self, zone: str, message: messages.Spent, now: float
+    ) -> None:
+        """Notes whether a zone hears one that was in reach here and isn't."""
+        lost = [
+            heard
+            for heard in message.zones
+            if now - self._zone_reached.get(heard, now) > SILENT_S
+        ]
+        if lost:
+            self._bridged[zone] = now
+        elif message.zones:
+            self._bridged.pop(zone, None)
+
     def receive(self, sent: Any, reply: Any, now: float) -> None:
         """Does nothing: reports have no replies."""
 
@@ -390,7 +415,7 @@
         ]
         incarnation = self.member.incarnation
         inside = messages.Spent(incarnation, own, relayed, heard)
-        outside = messages.Spent(incarnation, own, {}, [])
+        outside = messages.Spent(incarnation, own, {}, heard)
         out = [
             strategies.Outgoing(vm, inside, now, wants_reply=False)
             for vm, member in self._members.items()
--- a/jayseam/limits/tests/test_replicas.py
+++ b/jayseam/limits/tests/test_replicas.py
@@ -162,6 +162,27 @@
         assert _window_excess(model.tallies[name].admitted, load) <= 0, name
 
 
+@pytest.mark.parametrize('nodes', [12, 72])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_stays_within_when_two_zones_lose_each_other(nodes, seed):
+    """A third zone reaches both, and neither may take its part."""
+    model = models.fleets.Model(seed, 'replicated', nodes, 3, LOADS)
+    for node in model.nodes.values():
+        node.strategy.set_tolerance(OVERAGE)
+        node.strategy.set_preset(model.preset, 1, model._local(node))
+    end = models.scenarios.WARM_UP_S + 12.0
+    model.at(models.scenarios.WARM_UP_S - 2.0, lambda: model.send_load(end))
+    model.run(models.scenarios.WARM_UP_S)
+    models.faults.cut_bridge(model)
+    model.at(models.scenarios.WARM_UP_S + 8.0, model.heal)
+    model.run(end + 1.0)
+    for name, load in LOADS.items():
+        assert _window_excess(model.tallies[name].admitted, load) <= 0, name
+    # All zones reach each other again, and nobody is left with a part.
+    for node in model.nodes.values():
+        assert node.strategy.describe(model._local(node))['part'] == 1.0
+
+
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_refuses_nobody_within_the_rate(seed):
     """Workspaces within their rate are served from the first call on."""
