Take only calls under a token for nested where there are tokens

An anonymous caller on an open route of the product's own interface got the rank of calls that running calls make. Test: test_anonymous_caller_does_not_pass_for_a_running_call failed before.

--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -214,7 +214,9 @@
             caller,
             deadline,
             caller.expires_wall_ms or wall_ms + timeout_ms,
-            _find_objective(snapshot.preset, route, caller, timeout_ms, now),
+            math.inf
+            if self._is_nested(snapshot.preset, caller)
+            else _find_objective(route, timeout_ms, now),
         )
 
     def run(self, call: Call) -> requests.CallAnswer:
@@ -464,6 +466,30 @@
                 chooser.record_refusal(chosen.vm, clocks.read_now())
             raise
 
+    def _find_rank(self, call: Call) -> int:
+        """Returns the urgency of a call: its workspace goes before its route.
+
+        Calls of running calls go first. They are short, and each one that is
+        turned away wastes the run that needs it.
+        """
+        preset = call.snapshot.preset
+        if self._is_nested(preset, call.caller):
+            return _NESTED_RANK
+        workspace = preset.workspaces.get(call.caller.workspace)
+        if workspace is None or workspace.rank is None:
+            return _NESTED_RANK + 1 + call.route.rank
+        return _NESTED_RANK + 1 + workspace.rank
+
+    def _is_nested(self, preset: Any, caller: keys.Caller) -> bool:
+        """Tells whether a call belongs to a running call.
+
+        Without call tokens, only those of backend servers come without
+        credentials, where callers have workspaces at all.
+        """
+        if self._parts.dialect.call_tokens:
+            return caller.depth > 0
+        return bool(preset.workspaces) and not caller.workspace
+
     def _build_forward(
         self, call: Call, chosen: Any, now: float
     ) -> messages.Forward:
@@ -510,49 +536,22 @@
             target=call.request.target(),
             headers=[list(pair) for pair in (*headers, *added)],
             body=call.request.body,
-            rank=_find_rank(call),
+            rank=self._find_rank(call),
             objective_ms=_compute_objective_ms(call, now),
         )
 
 
-def _find_rank(call: Call) -> int:
-    """Returns the urgency of a call: its workspace goes before its route.
-
-    Calls of a running call go first. They are short, and each one that is
-    turned away wastes the run that needs it.
-    """
-    if _is_nested(call.snapshot.preset, call.caller):
-        return _NESTED_RANK
-    workspace = call.snapshot.preset.workspaces.get(call.caller.workspace)
-    if workspace is None or workspace.rank is None:
-        return _NESTED_RANK + 1 + call.route.rank
-    return _NESTED_RANK + 1 + workspace.rank
-
-
-def _is_nested(preset: Any, caller: keys.Caller) -> bool:
-    """Tells whether a call belongs to a running call.
-
-    Where callers have workspaces, backend servers call without credentials.
-    """
-    return caller.depth > 0 or bool(preset.workspaces and not caller.workspace)
-
-
-def _find_objective(
-    preset: Any, route: Any, caller: keys.Caller, timeout_ms: int, now: float
-) -> float:
+def _find_objective(route: Any, timeout_ms: int, now: float) -> float:
     """Returns the time until which an answer to a call is of full use.
 
-    It counts from the caller's first attempt. Calls that belong to a running
-    call have none: whatever they take, turning them away wastes that run.
+    It counts from the caller's first attempt.
 
     Args:
-      preset: Preset in force.
       route: Route of the call.
-      caller: For whom the call runs.
       timeout_ms: Time that the caller leaves for the call, in milliseconds.
       now: Present time in seconds.
     """
-    if not route.objective_ms or _is_nested(preset, caller):
+    if not route.objective_ms:
         return math.inf
     used_ms = max(0, route.timeout_ms - timeout_ms)
     left_ms = max(
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from jayseam.backends import dialects
 from jayseam.calls import choosers
 from jayseam.calls import entry
 from jayseam.calls import errors
@@ -54,7 +55,7 @@
 class _World:
     """An entry whose ingresses give the replies of a script."""
 
-    def __init__(self, replies, saved=0.0):
+    def __init__(self, replies, saved=0.0, call_tokens=True):
         self.asked = []
         self.forwards = []
         self._replies = replies
@@ -75,6 +76,7 @@
                 window_s=1.0,
                 retry_budget=retries.BudgetSize(0.0, saved, 0.0),
                 draw=lambda: 0.0,
+                dialect=dialects.Dialect(call_tokens=call_tokens),
             )
         )
 
@@ -84,7 +86,7 @@
         self.forwards.append(forward)
         return self._replies[vm]
 
-    def run(self, timeout_s=1.2, workspace='', **fields):
+    def run(self, timeout_s=1.2, workspace='', depth=0, **fields):
         """Runs a call that may not be repeated."""
         workspaces = {'w': model.Workspace('w', 1.0, 1.0)}
         preset = model.Preset('p', {}, {}, {}, {}, workspaces)
@@ -100,7 +102,7 @@
             'r-1',
             snapshot,
             attrs.evolve(route, **fields),
-            keys.Caller(workspace, '', 0, None),
+            keys.Caller(workspace, '', depth, None),
             now + timeout_s,
             0,
             now + 0.5,
@@ -161,13 +163,26 @@
     assert world.asked == ['a']
 
 
-def test_calls_of_a_running_call_go_first():
+@pytest.mark.parametrize(
+    'call_tokens, nested',
+    [(True, {'workspace': 'w', 'depth': 1}), (False, {'workspace': ''})],
+)
+def test_calls_of_a_running_call_go_first(call_tokens, nested):
     """Turned away, they waste the run that waits for them."""
+    world = _World({'a': _ANSWERED}, call_tokens=call_tokens)
+    world.run(rank=2, **nested)
+    world.run(rank=0, workspace='w')
+    first, urgent = (forward.rank for forward in world.forwards)
+    assert first < urgent
+
+
+def test_anonymous_caller_does_not_pass_for_a_running_call():
+    """Where running calls have tokens, a call without a key is a caller's."""
     world = _World({'a': _ANSWERED})
     world.run(rank=2)
-    world.run(workspace='w', rank=0)
-    nested, urgent = (forward.rank for forward in world.forwards)
-    assert nested < urgent
+    world.run(rank=0, workspace='w')
+    anonymous, urgent = (forward.rank for forward in world.forwards)
+    assert anonymous > urgent
 
 
 def test_objective_travels_with_the_call():
