Open a link for reports on rates where there is none

A trial up to 8 s with each node's state: the relays of two zones had heard of 457 and 607 calls in other zones where that of a third had heard of 1,117. Reports were sent over open links only, and calls alone open links, so nodes whose calls never went to the relay were not counted there. Change: LinkManager.dial_and_notify; the limits use it. Ruled out: a cut between zones (none was on); silence of senders (0.0 to 0.4 s since their last report). Test: test_message_without_reply_opens_a_link.

--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -184,6 +184,22 @@
         link = self._preferred.get(vm)
         return link is not None and link.notify(message)
 
+    def dial_and_notify(self, vm: str, message: Any) -> bool:
+        """Sends a message without reply, and opens a link if there is none.
+
+        Returns:
+          Whether a link took the message; it may still be lost.
+
+        Raises:
+          DialError: If no link could be opened.
+          TooLargeError: If the message exceeds the frame limit.
+        """
+        if self.notify(vm, message):
+            return True
+        if vm not in self._preferred:
+            self._dial_vm(vm, HANDSHAKE_DEADLINE_S)
+        return self.notify(vm, message)
+
     def broadcast(self, message: Any) -> int:
         """Notifies each VM with an open link and returns how many took it.
 
--- a/jayseam/links/tests/test_links.py
+++ b/jayseam/links/tests/test_links.py
@@ -254,6 +254,16 @@
     )
 
 
+def test_message_without_reply_opens_a_link(fleet):
+    """Reports to a node that no call goes to would all be lost."""
+    a, b = fleet.add('a'), fleet.add('b')
+    assert not a.notify('b', nodes.Divide(1))
+    assert a.dial_and_notify('b', nodes.Divide(1))
+    assert b.connected() == ['a']
+    with pytest.raises(errors.DialError):
+        a.dial_and_notify('unknown', nodes.Divide(1))
+
+
 def test_too_large_request_is_refused_locally(fleet):
     """The sender, not the link, must suffer from its oversize message."""
     a, _ = fleet.add('a'), fleet.add('b')
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -167,7 +167,8 @@
             settings.zone,
             self._incarnation,
             self._links.request,
-            self._links.notify,
+            # Calls may never open a link to the node that relays reports.
+            self._links.dial_and_notify,
             self._list_lenders,
             strategy=settings.limits.strategy,
         )
