--- a/jayseam/source/watchers.py
+++ b/jayseam/source/watchers.py
@@ -267,7 +267,7 @@
             self._on_failure(self.channel, None)
             return False
         self._is_first = False
-        if grace_s := self._find_grace(outcome, clocks.read_now()):
+        if grace_s := self._update_grace(outcome, clocks.read_now()):
             self._stopping.wait(grace_s)
             return True
         self._report(outcome, after)
@@ -277,8 +277,12 @@
         elapsed_s = clocks.read_now() - asked_at
         return elapsed_s >= min(wait_s, _MIN_QUIET_S)
 
-    def _find_grace(self, outcome: Outcome, now: float) -> float:
-        """Returns the seconds after which a VM list is read again, or zero."""
+    def _update_grace(self, outcome: Outcome, now: float) -> float:
+        """Notes a confirmation; returns when a VM list is read again.
+
+        Returns:
+          Seconds until then; zero if the list is used as it is.
+        """
         confirmation, update = outcome.confirmation, outcome.update
         if confirmation is None:
             return 0.0
