--- a/jayseam/calls/__init__.py
+++ b/jayseam/calls/__init__.py
@@ -1,5 +1,6 @@
 """The call path: entry, ingress, idempotency, retries and outcomes."""
 
+from jayseam.calls import attempts
 from jayseam.calls import choosers
 from jayseam.calls import claims
 from jayseam.calls import entry
@@ -15,6 +16,7 @@
 from jayseam.calls import tokens
 
 __all__ = [
+    'attempts',
     'choosers',
     'claims',
     'entry',
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -8,6 +8,7 @@
 import attrs
 
 from jayseam.backends import dialects
+from jayseam.calls import attempts
 from jayseam.calls import choosers
 from jayseam.calls import claims
 from jayseam.calls import errors
@@ -51,10 +52,6 @@
 _MIN_RETRY_S = 0.1
 # Time for a confirmation of the keys to arrive by another path.
 _RETRY_KEYS_S = 0.5
-# Time in which a backend server may come back or be listed anew.
-_RETRY_UNAVAILABLE_S = 0.3
-# Status of a backend server's answer at the end of a call's time.
-_TIME_OUT = 504
 _MS_PER_S = 1000
 # Failures that a node reports without having run the handler.
 _NOT_HANDLED = frozenset(('no-handler', 'overloaded'))
@@ -100,40 +97,6 @@
     objective: float = math.inf
 
 
-@attrs.define
-class _Progress:
-    """What the attempts of a call have come to.
-
-    Attributes:
-      tried: VMs that were asked.
-      sent: Attempts that a backend server may have been sent.
-      failed: Failure that a backend server has answered, if any.
-      failure: Why there is no answer.
-      is_final: Whether another attempt could run the call twice, or is in
-        vain.
-    """
-
-    tried: set[str] = attrs.field(factory=set)
-    sent: int = 0
-    failed: requests.CallAnswer | None = None
-    failure: errors.CallError = attrs.field(
-        factory=lambda: errors.NotRunError(
-            'no backend server is available', _RETRY_UNAVAILABLE_S
-        )
-    )
-    is_final: bool = False
-
-    def note_failure(
-        self, error: errors.CallError, is_repeatable: bool
-    ) -> None:
-        """Notes an attempt without an answer."""
-        self.sent += error.admitted
-        # An earlier attempt may have run, whatever the last one did.
-        if self.failure.ran == 'no':
-            self.failure = error
-        self.is_final = not _may_retry(error, is_repeatable)
-
-
 @attrs.frozen
 class EntryParts:
     """What an entry works with.
@@ -345,7 +308,7 @@
         elsewhere too; without a better answer it is the answer.
         """
         self._budgets.record_call(call.caller.workspace, clocks.read_now())
-        progress = _Progress()
+        progress = attempts.Progress()
         for number in range(_MAX_PLACEMENTS):
             now = clocks.read_now()
             if not self._may_place(call, progress, now):
@@ -363,7 +326,7 @@
         raise self._advise_return(progress.failure, call, clocks.read_now())
 
     def _place(
-        self, call: Call, chosen: Any, number: int, progress: '_Progress'
+        self, call: Call, chosen: Any, number: int, progress: attempts.Progress
     ) -> requests.CallAnswer | None:
         """Makes one attempt; returns its answer if that ends the call."""
         now = clocks.read_now()
@@ -375,13 +338,14 @@
             progress.note_failure(error, call.route.repeatable)
             return None
         _log_attempt(call, chosen, number, now, str(answer.status))
-        if not call.route.repeatable or not _is_failure(answer):
+        if not call.route.repeatable or not attempts.is_failure(answer):
             return answer
-        progress.failed = answer
-        progress.sent += 1
+        progress.note_failed(answer)
         return None
 
-    def _may_place(self, call: Call, progress: '_Progress', now: float) -> bool:
+    def _may_place(
+        self, call: Call, progress: attempts.Progress, now: float
+    ) -> bool:
         """Tells whether time, route and budget allow one more attempt.
 
         Attempts that no backend server was sent load none, so they count
@@ -408,7 +372,7 @@
         It is spread, so that callers refused together don't return together.
         """
         if error.ran == 'no' and error.status == _UNAVAILABLE:
-            wait_s = error.retry_after_s or _RETRY_UNAVAILABLE_S
+            wait_s = error.retry_after_s or attempts.RETRY_UNAVAILABLE_S
             wait_s *= 1.0 + _RETRY_SPREAD * self._parts.draw()
             left_s = max(0.0, call.deadline - now)
             error.retry_after_s = min(wait_s, left_s * _RETRY_MOST_SHARE)
@@ -597,21 +561,6 @@
     )
 
 
-def _is_failure(answer: requests.CallAnswer) -> bool:
-    """Tells whether another backend server may do better.
-
-    The end of the call's own time is the same everywhere.
-    """
-    return answer.status >= 500 and answer.status != _TIME_OUT
-
-
-def _may_retry(error: errors.CallError, repeatable: bool) -> bool:
-    """Tells whether another attempt can neither run twice nor be in vain."""
-    if isinstance(error, errors.KeyRefusedError):
-        return False
-    return error.ran == 'no' or repeatable
-
-
 def _read_reply(
     reply: messages.Answered | messages.Refused,
 ) -> requests.CallAnswer:
