Keep all attempts of a call at the service that was drawn for it

Cause: each attempt drew the service of a split route anew, so what one part had no room for went to the other, and the shares left the operators' weights.

Change: the entry draws the service once for a call. Test: test_all_attempts_go_to_one_service (failed before: each attempt drew).

--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -104,10 +104,18 @@
         except routing.errors.BadPathError as error:
             raise errors.BadRequestError(str(error)) from error
 
+    def draw_service(self, route: Any) -> str:
+        """Returns the service of a call in proportion to the route's weights.
+
+        All attempts of a call go to one service: what doesn't fit there must
+        not shift the weights that operators gave.
+        """
+        return routing.matching.choose_service(route.targets, self._draw())
+
     def choose(
         self,
         preset: Any,
-        route: Any,
+        service: str,
         view: membership.views.View,
         tried: Collection[str],
         now: float,
@@ -117,13 +125,12 @@
 
         Args:
           preset: Preset in force.
-          route: Route of the call.
+          service: Service of the call, from `draw_service`.
           view: Members known.
           tried: VMs that this call has tried.
           now: Present time in seconds.
           workspace: Workspace of the call.
         """
-        service = routing.matching.choose_service(route.targets, self._draw())
         pool = self._find_pool(preset, view, service)
         barred = self._list_unresponsive(now).union(tried)
         excluded = barred | self._list_avoided(now)
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -308,12 +308,13 @@
         elsewhere too; without a better answer it is the answer.
         """
         self._budgets.record_call(call.caller.workspace, clocks.read_now())
+        service = self._parts.chooser.draw_service(call.route)
         progress = attempts.Progress()
         for number in range(_MAX_PLACEMENTS):
             now = clocks.read_now()
             if not self._may_place(call, progress, now):
                 break
-            chosen = self._choose(call, progress.tried, now)
+            chosen = self._choose(call, service, progress.tried, now)
             if chosen is None:
                 break
             answer = self._place(call, chosen, number, progress)
@@ -378,10 +379,12 @@
             error.retry_after_s = min(wait_s, left_s * _RETRY_MOST_SHARE)
         return error
 
-    def _choose(self, call: Call, tried: set[str], now: float) -> Any:
+    def _choose(
+        self, call: Call, service: str, tried: set[str], now: float
+    ) -> Any:
         return self._parts.chooser.choose(
             call.snapshot.preset,
-            call.route,
+            service,
             self._parts.read_view(),
             tried,
             now,
--- a/jayseam/calls/tests/test_choosers.py
+++ b/jayseam/calls/tests/test_choosers.py
@@ -8,7 +8,6 @@
 from jayseam.presets import model
 
 _ZONES = {'vm-1': 'a', 'vm-2': 'b'}
-_ROUTE = model.Route('r', '/', ('GET',), (('s', 1),), True, True, 1000)
 
 
 class _View:
@@ -54,7 +53,7 @@
     chooser = choosers.Chooser(
         'a', 'two_choices', lambda: 0.0, list_unresponsive=lambda now: silent
     )
-    found = chooser.choose(_build_preset(), _ROUTE, _View(), set(), 10.0)
+    found = chooser.choose(_build_preset(), 's', _View(), set(), 10.0)
     assert (found and found.vm) == chosen
 
 
@@ -63,4 +62,4 @@
     chooser = choosers.Chooser('a', 'two_choices', lambda: 0.0)
     for vm in _ZONES:
         chooser.record_failure(vm, 10.0)
-    assert chooser.choose(_build_preset(), _ROUTE, _View(), set(), 10.5)
+    assert chooser.choose(_build_preset(), 's', _View(), set(), 10.5)
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -29,13 +29,21 @@
 
     def __init__(self, vms):
         self._vms = vms
+        self._drawn = 0
         self.avoided = []
+        self.services = []
 
-    def choose(self, preset, route, view, tried, now, workspace):
+    def draw_service(self, route):
+        """Returns the services of the route in turn."""
+        self._drawn += 1
+        return route.targets[self._drawn % len(route.targets)][0]
+
+    def choose(self, preset, service, view, tried, now, workspace):
         """Returns the first VM that was not tried."""
-        del preset, route, view, now, workspace
+        del preset, view, now, workspace
+        self.services.append(service)
         left = [vm for vm in self._vms if vm not in tried]
-        return choosers.Choice(left[0], 1, 's') if left else None
+        return choosers.Choice(left[0], 1, service) if left else None
 
     def record_refusal(self, vm, now):
         """Notes a VM that turned a call away."""
@@ -190,3 +198,10 @@
     world = _World({'a': _ANSWERED})
     world.run()
     assert 400 <= world.forwards[0].objective_ms <= 500
+
+
+def test_all_attempts_go_to_one_service():
+    """A part of a split without room must not spill into the other part."""
+    world = _World({'a': _NO_ROOM, 'b': _NO_ROOM, 'c': _ANSWERED})
+    world.run(targets=(('s', 1), ('s-next', 1)))
+    assert world.chooser.services == ['s-next'] * 3
