End started processes when bench, demo or soak are ended by SIGTERM

Cause: SIGTERM ended these programs without unwinding, and the processes of their clusters went on; a soak ended so left 12 behind.

Change: SIGTERM raises SystemExit, and clusters end what they started. Test: test_programs_end_what_they_started for all three.

--- a/jayseam/bench/main.py
+++ b/jayseam/bench/main.py
@@ -14,6 +14,7 @@
 from jayseam.bench import publication
 from jayseam.bench import reports
 from jayseam.bench import zonemoves
+from jayseam.standins import processes
 
 # Importing these modules registers their experiments.
 SUBJECTS = (
@@ -47,6 +48,7 @@
             function = experiments.experiments.get(name)
             print(f'{name}: {(function.__doc__ or "").splitlines()[0]}')
         return 0
+    processes.exit_on_sigterm()
     results = reports.run_all(
         options.only, options.seed, DIRECTORY, options.plot
     )
--- a/jayseam/soak/main.py
+++ b/jayseam/soak/main.py
@@ -8,6 +8,7 @@
 from jayseam.soak import errors
 from jayseam.soak import runs
 from jayseam.standins import deployments
+from jayseam.standins import processes
 
 _LEAST_S = 10.0
 
@@ -20,6 +21,7 @@
       that doesn't start.
     """
     options = _build_parser().parse_args(arguments)
+    processes.exit_on_sigterm()
     if options.minutes * 60.0 < _LEAST_S:
         print(f'--minutes: at least {_LEAST_S / 60.0:.2f}', file=sys.stderr)
         return 2
--- a/jayseam/standins/demo.py
+++ b/jayseam/standins/demo.py
@@ -14,6 +14,7 @@
 from jayseam.standins import convergence
 from jayseam.standins import deployments
 from jayseam.standins import edits
+from jayseam.standins import processes
 from jayseam.standins import referee
 from jayseam.tools import generators
 from jayseam.tools import loadreports
@@ -254,6 +255,7 @@
     parser.add_argument('--keep', choices=sorted(deployments.BUILDERS))
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args(arguments)
+    processes.exit_on_sigterm()
     if options.keep:
         keep_deployment(options.keep)
         return 0
--- a/jayseam/standins/processes.py
+++ b/jayseam/standins/processes.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import subprocess
+import sys
 from collections.abc import Sequence
 
 import gevent
@@ -16,6 +17,21 @@
 _POLL_S = 0.01
 
 
+def exit_on_sigterm() -> None:
+    """Lets SIGTERM end this program by an exception.
+
+    Its context managers then end the processes that it has started, which the
+    signal alone would leave behind.
+    """
+    signal.signal(signal.SIGTERM, _raise_exit)
+
+
+def _raise_exit(number: int, frame: object) -> None:
+    del frame
+    # The status that shells report for a signal.
+    sys.exit(128 + number)
+
+
 class PortReservations:
     """Reserves free loopback ports until it is closed.
 
--- a/jayseam/standins/tests/test_main.py
+++ b/jayseam/standins/tests/test_main.py
@@ -1,6 +1,8 @@
 """Tests of the program ``jayseam-standin``."""
 
 import json
+import os
+import pathlib
 import signal
 import sys
 
@@ -44,3 +46,50 @@
     path.write_text(json.dumps(document))
     assert main.main([kind, '--settings', str(path)]) == 2
     assert expected in capsys.readouterr().err
+
+
+def _list_children(pid):
+    """Returns the ids of the child processes of a process."""
+    children = pathlib.Path(f'/proc/{pid}/task/{pid}/children')
+    return [int(word) for word in children.read_text().split()]
+
+
+def _is_running(pid):
+    """Tells whether a process exists and isn't only waiting to be reaped."""
+    try:
+        stat = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    except FileNotFoundError:
+        return False
+    return stat.rpartition(')')[2].split()[0] != 'Z'
+
+
+@pytest.mark.parametrize(
+    'words',
+    [
+        ['jayseam.standins.demo'],
+        ['jayseam.soak.main'],
+        ['jayseam.bench.main', '--only', 'memory'],
+    ],
+)
+def test_programs_end_what_they_started(tmp_path, words):
+    """A program that is ended must not leave nodes behind."""
+    process = processes.ManagedProcess(
+        words[0], [sys.executable, '-m', *words], tmp_path / 'log'
+    )
+    started = []
+    try:
+        started = waits.wait_until(
+            lambda: len(_list_children(process.pid)) > 4
+            and _list_children(process.pid),
+            20.0,
+            'child processes',
+        )
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(10.0) != 0
+        waits.wait_until(
+            lambda: not any(map(_is_running, started)), 5.0, 'ended children'
+        )
+    finally:
+        process.kill()
+        for pid in filter(_is_running, started):
+            os.kill(pid, signal.SIGKILL)
