--- a/jayseam/standins/tests/test_main.py
+++ b/jayseam/standins/tests/test_main.py
@@ -51,13 +51,13 @@
 def _list_children(pid):
     """Returns the ids of the child processes of a process."""
     children = pathlib.Path(f'/proc/{pid}/task/{pid}/children')
-    return [int(word) for word in children.read_text().split()]
+    return [int(word) for word in children.read_text('ascii').split()]
 
 
 def _is_running(pid):
     """Tells whether a process exists and isn't only waiting to be reaped."""
     try:
-        stat = pathlib.Path(f'/proc/{pid}/stat').read_text()
+        stat = pathlib.Path(f'/proc/{pid}/stat').read_text('ascii')
     except FileNotFoundError:
         return False
     return stat.rpartition(')')[2].split()[0] != 'Z'
