Let versions cross zones once, not once for each pair of nodes

A change was announced on every open link, and a node pulled from whoever was first.

Change: announcements go to the own zone and to the neighbours, which pass them on; what only another zone offers waits 0.4 s for the own zone's readers, but not at a node that holds nothing.

Ruled out: fewer heartbeats, which detect silence and date keys.

Test: test_versions_cross_zones_only_where_the_own_zone_reads_nothing (failed before), test_zone_without_a_reader_gets_versions_from_another.

--- a/jayseam/distribution/offers.py
+++ b/jayseam/distribution/offers.py
@@ -1,5 +1,6 @@
 """Offers of versions of one channel, and which of them to fetch next."""
 
+import math
 from collections.abc import Callable
 
 import attrs
@@ -8,6 +9,10 @@
 from jayseam.source import backoff
 
 SOURCE = ''
+# A version that only other zones offer is left to the readers of the own zone
+# for this long, in seconds: bytes between zones are few and dear. A reader may
+# leave 0.3 s between two reads.
+FAR_GRACE_S = 0.4
 
 
 @attrs.frozen
@@ -19,12 +24,14 @@
       version: Revision.
       digest: Digest, or its first characters, or empty.
       bundle: The content, if it came with the offer.
+      ready_at: Time from which it may be fetched, in seconds.
     """
 
     holder: str
     version: int
     digest: str
     bundle: documents.Bundle | None = None
+    ready_at: float = -math.inf
 
 
 class OfferBook:
@@ -52,6 +59,10 @@
         known = self._offers.get(offer.holder)
         if known is not None and known.version > offer.version:
             return False
+        is_repeated = known is not None and known.version == offer.version
+        if is_repeated and known.ready_at < offer.ready_at:
+            # A heartbeat that repeats an offer doesn't put it off.
+            offer = attrs.evolve(offer, ready_at=known.ready_at)
         self._offers[offer.holder] = offer
         return True
 
@@ -66,24 +77,33 @@
     def choose(self, now: float) -> Offer | None:
         """Returns the best offer that may be tried now.
 
-        Peers come before the source, whose reads are limited.
+        Peers come before the source, whose reads are limited, and those of the
+        own zone, which needed no grace, before others.
         """
         ready = [o for o in self._offers.values() if self._is_ready(o, now)]
         return max(
             ready,
-            key=lambda o: (o.version, o.holder != SOURCE, self._uniform()),
+            key=lambda o: (
+                o.version,
+                o.holder != SOURCE,
+                o.ready_at == -math.inf,
+                self._uniform(),
+            ),
             default=None,
         )
 
     def compute_wait(self, now: float) -> float | None:
-        """Returns the seconds until the source may be tried again.
+        """Returns the seconds until an open offer may be tried.
 
         Returns:
-          None if the source has no open offer.
+          None if there is no open offer to wait for.
         """
-        if SOURCE not in self._offers:
-            return None
-        return self._retry.compute_wait(now)
+        waits = [
+            o.ready_at - now for o in self._offers.values() if o.ready_at > now
+        ]
+        if SOURCE in self._offers:
+            waits.append(self._retry.compute_wait(now))
+        return min(waits, default=None)
 
     def succeed(self, offer: Offer) -> None:
         """Notes that an offer was fetched."""
@@ -103,7 +123,7 @@
 
     def _is_ready(self, offer: Offer, now: float) -> bool:
         if offer.holder != SOURCE or offer.bundle is not None:
-            return True
+            return now >= offer.ready_at
         return self._retry.compute_wait(now) == 0.0
 
     def _remove(self, offer: Offer) -> None:
--- a/jayseam/distribution/peers.py
+++ b/jayseam/distribution/peers.py
@@ -38,6 +38,15 @@
         """Sends to all open links without blocking."""
         gevent.spawn(_send_quietly, self.broadcast, message)
 
+    def spawn_announce(self, message: Any) -> None:
+        """Sends to the own zone and the neighbours without blocking.
+
+        Neighbours in other zones pass it on there, so that it doesn't cross
+        zones once for each pair of nodes.
+        """
+        for vm in {*self.live_in_zone(), *self.neighbours()}:
+            self.spawn_notify(vm, message)
+
     def spawn_notify(self, vm: str, message: Any) -> None:
         """Sends to one peer without blocking."""
         gevent.spawn(_send_quietly, self.notify, vm, message)
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -333,7 +333,7 @@
         self._counters.version.labels(version.channel).set(version.version)
         _log.info('distribution.swapped', extra=attrs.asdict(version))
         self._tell_change()
-        self._peers.spawn_broadcast(
+        self._peers.spawn_announce(
             messages.Announce(version.channel, version.version, version.digest)
         )
         self._tell_subscribers(version.channel)
@@ -401,13 +401,28 @@
         verdict = self._judge(channel, version.version, version.digest)
         self._counters.offers.labels(channel, verdict.value).inc()
         if verdict is versions.Verdict.NEWER:
+            ready_at = self._compute_ready_at(holder, channel)
             self._fetchers[channel].add(
-                offers.Offer(holder, version.version, version.digest, bundle)
+                offers.Offer(
+                    holder, version.version, version.digest, bundle, ready_at
+                )
             )
         elif verdict is versions.Verdict.CONFLICT:
             self._note_conflict(holder, version)
         return verdict
 
+    def _compute_ready_at(self, holder: str, channel: str) -> float:
+        """Returns the time from which an offer may be fetched, in seconds.
+
+        A node that holds nothing yet takes what it can get.
+        """
+        is_near = holder == offers.SOURCE or holder in set(
+            self._peers.live_in_zone()
+        )
+        if is_near or channel not in self._state.store.held:
+            return -math.inf
+        return clocks.read_now() + offers.FAR_GRACE_S
+
     def _note_conflict(self, holder: str, version: versions.Version) -> None:
         """Logs a conflict once; the counter counts each time."""
         if not self._conflicts.add(version):
--- a/jayseam/distribution/tests/fakes.py
+++ b/jayseam/distribution/tests/fakes.py
@@ -95,6 +95,7 @@
 
     def __init__(self):
         self.nodes = {}
+        self.zones = {}
         self.tamper = lambda sender, receiver, message: message
 
     def add(self, vm, source=None, zone='z', neighbours=None, **options):
@@ -108,13 +109,16 @@
             broadcast=lambda m: [self.notify(vm, n, m) for n in others()],
             notify=lambda n, m: self.notify(vm, n, m),
             neighbours=neighbours or others,
-            live_in_zone=lambda: list(self.nodes),
+            live_in_zone=lambda: [
+                n for n in self.nodes if self.zones.get(n) == zone
+            ],
             seeds=others,
         )
         node = task.DistributionTask(
             vm, 1, zone, peers, source, watch_wait_s=0.5, **options
         )
         self.nodes[vm] = node
+        self.zones[vm] = zone
         return node
 
     def request(self, sender, receiver, message, timeout_s):
--- a/jayseam/distribution/tests/test_offers.py
+++ b/jayseam/distribution/tests/test_offers.py
@@ -74,3 +74,15 @@
     book.add(offers.Offer('b', 5, ''))
     book.keep(lambda offer: offer.version > 3)
     assert len(book) == 1 and book.choose(0.0).holder == 'b'
+
+
+def test_offers_of_other_zones_wait_for_the_own_zone(book):
+    """Bytes between zones are dear, and the own zone's readers are near."""
+    book.add(offers.Offer('far', 5, '', ready_at=10.4))
+    assert book.choose(10.0) is None
+    assert book.compute_wait(10.1) == pytest.approx(0.3)
+    book.add(offers.Offer('far', 5, '', ready_at=11.4))
+    assert book.compute_wait(10.1) == pytest.approx(0.3)
+    assert book.choose(10.4).holder == 'far'
+    book.add(offers.Offer('near', 5, ''))
+    assert book.choose(10.5).holder == 'near'
--- a/jayseam/distribution/tests/test_task.py
+++ b/jayseam/distribution/tests/test_task.py
@@ -1,5 +1,6 @@
 """Tests of the task, with nodes in one process and a source in memory."""
 
+import functools
 import math
 import random
 
@@ -74,6 +75,46 @@
     assert {n.current.preset.name for n in nodes} == {'peak'}
 
 
+def _start_zones(net, source, readers):
+    """Starts six nodes in two zones; those not named have no source."""
+    nodes = [
+        net.add(vm, source if vm in readers else None, zone=vm[0])
+        for vm in ('a1', 'a2', 'a3', 'b1', 'b2', 'b3')
+    ]
+    for node in nodes:
+        node.start()
+    fakes.wait_until(lambda: _hold(nodes, 1))
+    return nodes
+
+
+def test_versions_cross_zones_only_where_the_own_zone_reads_nothing(
+    net, source
+):
+    """A storm of versions must not go through every pair of zones."""
+    readers = ('a1', 'a2', 'a3', 'b1', 'b2', 'b3')
+    nodes = _start_zones(net, source, readers)
+    crossed = []
+
+    def note(sender, receiver, message):
+        if isinstance(message, messages.Pull) and sender[0] != receiver[0]:
+            crossed.append((sender, receiver))
+        return message
+
+    net.tamper = note
+    fakes.wait_until(lambda: sum(n.is_reader for n in nodes) == 4)
+    for version in range(7, 12):
+        source.publish('preset', version, _split(f'preset-{version}'))
+        fakes.wait_until(functools.partial(_hold, nodes, version))
+    assert not crossed
+
+
+def test_zone_without_a_reader_gets_versions_from_another(net, source):
+    """The grace for the own zone must not keep a zone without news."""
+    nodes = _start_zones(net, source, ('a1', 'a2', 'a3'))
+    source.publish('preset', 7, _split('peak'))
+    fakes.wait_until(lambda: _hold(nodes, 7), 1.5)
+
+
 def test_invalid_version_is_rejected_once_and_nowhere_in_force(net, source):
     """An invalid version must leave the old one in force and be named."""
     nodes = _start(net, source)
