Give the product's own client of the source the rank of its reader

Cause: the method had gone into the protocol class alone, so every node but those on the platform failed in each heartbeat round; test_versions, test_readers and others failed (12 of 30).

test_a_leaving_server_gets_nothing polled with all its might until the change was in force, now up to 0.3 s later, and passed the rate of its workspace (429); it pauses between rounds, its check is the same.

--- a/jayseam/platform/tests/test_fleet.py
+++ b/jayseam/platform/tests/test_fleet.py
@@ -248,6 +248,8 @@
     leaving = fleet.backends['127.0.1.3']
 
     def is_left():
+        # Twelve calls at a time stay within the rate of the workspace.
+        gevent.sleep(0.15)
         before = len(leaving.arrivals)
         for ip in list(fleet.nodes)[:3]:
             for _ in range(4):
--- a/jayseam/source/client.py
+++ b/jayseam/source/client.py
@@ -45,11 +45,7 @@
         """Where the source is, for the status page."""
 
     def set_reader_rank(self, rank: int) -> None:
-        """Does nothing: the source bears the watches of all readers alike.
-
-        Args:
-          rank: Rank among the readers of the zone, zero for the first.
-        """
+        """Tells the rank among the readers of the zone, zero for the first."""
 
     def read_value(
         self, key: str, after: int | None = None, wait_s: float = 0.0
@@ -99,6 +95,9 @@
         """The URL that is asked first."""
         return self._endpoints[self._preferred].url
 
+    def set_reader_rank(self, rank: int) -> None:
+        """Does nothing: this source bears the watches of all readers alike."""
+
     def read_value(
         self, key: str, after: int | None = None, wait_s: float = 0.0
     ) -> Reply:
