Count nodes beside leaving backend servers in the replicated limits

Cause: a member that leaves was dropped from the limits although its node still serves callers. It heard nobody, took its own part of every rate and was charged for what the silent might have spent: in test_fleet a node beside a draining server refused calls at 50 a second of a rate of 1200 (tokens -18, part 0.33). Every release and scale-in did so until the VM was gone.

Change: members that leave stay in the limits of the strategy replicated until they are dead. Owners and lenders of escrow are chosen as before.

Test: test_a_leaving_server_gets_nothing, which failed, now also asks the node beside the draining server.

--- a/jayseam/limits/replicas.py
+++ b/jayseam/limits/replicas.py
@@ -126,8 +126,13 @@
       zone: The own availability zone.
       incarnation: The own incarnation.
       now: Time in seconds at which the process started.
+
+    Attributes:
+      counts_leaving: Whether members that are leaving take part. The node
+        beside a draining backend server still serves its callers.
     """
 
+    counts_leaving = True
     # The bound doesn't rest on pools of shares.
     pools = ()
 
--- a/jayseam/limits/strategies.py
+++ b/jayseam/limits/strategies.py
@@ -149,8 +149,14 @@
       zone: The own availability zone.
       incarnation: The own incarnation.
       now: Time in seconds at which the process started.
+
+    Attributes:
+      counts_leaving: Whether members that are leaving take part. They own and
+        lend nothing here.
     """
 
+    counts_leaving = False
+
     def __init__(
         self, vm: str, upstream: str, zone: str, incarnation: int, now: float
     ):
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -169,7 +169,7 @@
             self._links.request,
             # Calls may never open a link to the node that relays reports.
             self._links.dial_and_notify,
-            self._list_lenders,
+            self._list_limiters,
             strategy=settings.limits.strategy,
         )
         if settings.limits.tolerance:
@@ -430,12 +430,17 @@
             if record.incarnation
         ]
 
-    def _list_lenders(self) -> list[membership.records.MemberRecord]:
-        return [
-            record
-            for record in self._membership.view.live()
-            if record.incarnation
-        ]
+    def _list_limiters(self) -> list[membership.records.MemberRecord]:
+        """Returns the members that keep the limits together with this node."""
+        view = self._membership.view
+        strategy = limits.strategies.registry.get(
+            self._settings.limits.strategy
+        )
+        if strategy.counts_leaving:
+            found = [r for r in view.members.values() if r.state != 'dead']
+        else:
+            found = list(view.live())
+        return [record for record in found if record.incarnation]
 
     def _dial_seeds(self) -> list[str]:
         found = []
--- a/jayseam/platform/tests/test_fleet.py
+++ b/jayseam/platform/tests/test_fleet.py
@@ -8,6 +8,7 @@
 import geventhttpclient
 import pytest
 
+from jayseam.limits import replicas
 from jayseam.platform import main
 from jayseam.platform.tests import samples
 from jayseam.standins import kvstore
@@ -248,8 +249,6 @@
     leaving = fleet.backends['127.0.1.3']
 
     def is_left():
-        # Twelve calls at a time stay within the rate of the workspace.
-        gevent.sleep(0.15)
         before = len(leaving.arrivals)
         for ip in list(fleet.nodes)[:3]:
             for _ in range(4):
@@ -257,6 +256,10 @@
         return len(leaving.arrivals) == before
 
     waits.wait_until(is_left, CONFIG_APPLY_S)
+    # The node beside it still serves its callers at the rates of the fleet.
+    gevent.sleep(replicas.SILENT_S + 0.5)
+    for _ in range(20):
+        assert fleet.call('127.0.1.3', '/view/1')[0] == 200
     fleet.register('127.0.1.3', 'a', sequence=3)
     waits.wait_until(lambda: not is_left(), CONFIG_APPLY_S + 3.0)
 
