--- a/jayseam/soak/faults.py
+++ b/jayseam/soak/faults.py
@@ -7,7 +7,7 @@
 
 import collections
 import signal
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 import gevent
@@ -218,13 +218,16 @@
 @_register('one-way', schedules.Kind('positions', most=2))
 def _cut_one_way(site: Site, step: schedules.Step) -> None:
     """What nodes send on their links is lost, what they receive isn't."""
-    _apply_rule(site, step, silence='forward', source=True)
+    vms = site.find_vms(step.targets)
+    _apply_rule(site, step, source=vms, silence='forward')
 
 
 @_register('delay', schedules.Kind('positions', most=3))
 def _delay(site: Site, step: schedules.Step) -> None:
     """Links to nodes are slow."""
-    _apply_rule(site, step, delay_ms=_MOST_DELAY_MS * step.strength)
+    vms = site.find_vms(step.targets)
+    delay_ms = _MOST_DELAY_MS * step.strength
+    _apply_rule(site, step, target=vms, delay_ms=delay_ms)
 
 
 @_register('refuse', schedules.Kind('positions', most=2))
@@ -232,7 +235,7 @@
     """New links to nodes are reset, and so are those that are open."""
     vms = site.find_vms(step.targets)
     site.cluster.control_faults('cut', target=vms, reset=True)
-    _apply_rule(site, step, refuse=True)
+    _apply_rule(site, step, target=vms, refuse=True)
 
 
 @_register('half-open', schedules.Kind('positions', least=2, most=3, weight=2))
@@ -253,14 +256,15 @@
 def _refuse_platform(site: Site, step: schedules.Step) -> None:
     """The platform refuses connections and drops those that are open."""
     site.cluster.control_faults('cut', target=['platform'])
-    _apply_rule(site, step, refuse=True, target=['platform'])
+    _apply_rule(site, step, target=['platform'], refuse=True)
 
 
 @_register('platform-silent', schedules.Kind('zones', most=2, longest_s=4.0))
 def _silence_platform(site: Site, step: schedules.Step) -> None:
     """The platform answers nothing to some zones."""
-    zones = list(step.targets)
-    _apply_rule(site, step, silence='both', target=['platform'], source=zones)
+    _apply_rule(
+        site, step, source=step.targets, target=['platform'], silence='both'
+    )
 
 
 # Backend servers.
@@ -313,7 +317,7 @@
 def _apply_rule(
     site: Site,
     step: schedules.Step,
-    source: bool | Sequence[str] = (),
+    source: Sequence[str] = (),
     target: Sequence[str] = (),
     **fault: object,
 ) -> None:
@@ -321,21 +325,20 @@
 
     Args:
       site: The site.
-      step: The step, whose positions are targets unless others are named.
-      source: Names of the sources, or True for the step's positions.
-      target: Names of the targets.
-      **fault: What the rule does.
+      step: The step.
+      source: Names or zones whose connections the rule applies to; all if
+        empty.
+      target: Names or zones that are connected to; all if empty.
+      **fault: What the rule does, as in `faultrules.Rule`.
     """
-    if source is True:
-        selected = {'source': site.find_vms(step.targets)}
-    else:
-        chosen = list(target) or site.find_vms(step.targets)
-        selected = {'source': list(source), 'target': chosen}
-    rule = {'id': f'step-{step.number}', **selected}
-    site.cluster.control_faults('rules', **rule, **fault)
+    name = f'step-{step.number}'
+    site.cluster.control_faults(
+        'rules', id=name, source=list(source), target=list(target), **fault
+    )
     gevent.sleep(step.for_s)
-    site.cluster.control_faults('rules', id=rule['id'], clear=True)
+    site.cluster.control_faults('rules', id=name, clear=True)
 
 
-def _join(jobs) -> None:
+def _join(jobs: Iterable[gevent.Greenlet]) -> None:
+    """Waits for greenlets and raises what failed."""
     gevent.joinall(list(jobs), raise_error=True)
