Name offers that need no grace and the source's four times one by one

Reading the change as a newcomer: the preference of the own zone was a comparison with minus infinity, two constants shared one comment, and two texts of the soak said little.

--- a/jayseam/distribution/offers.py
+++ b/jayseam/distribution/offers.py
@@ -33,6 +33,11 @@
     bundle: documents.Bundle | None = None
     ready_at: float = -math.inf
 
+    @property
+    def is_immediate(self) -> bool:
+        """Whether it never had to wait for the readers of the own zone."""
+        return self.ready_at == -math.inf
+
 
 class OfferBook:
     """The open offers of one channel, one for each holder."""
@@ -78,7 +83,7 @@
         """Returns the best offer that may be tried now.
 
         Peers come before the source, whose reads are limited, and those of the
-        own zone, which needed no grace, before others.
+        own zone before those of others.
         """
         ready = [o for o in self._offers.values() if self._is_ready(o, now)]
         return max(
@@ -86,7 +91,7 @@
             key=lambda o: (
                 o.version,
                 o.holder != SOURCE,
-                o.ready_at == -math.inf,
+                o.is_immediate,
                 self._uniform(),
             ),
             default=None,
--- a/jayseam/platform/source.py
+++ b/jayseam/platform/source.py
@@ -16,16 +16,16 @@
 from jayseam.source import client as source_client
 from jayseam.source import errors as source_errors
 
-# Reads are priced, and entries change many times a second while VMs come and
-# go. What changes between two reads waits for the next one; the first of a
-# zone's readers to hear of a change tells all others.
-#
-# The first reader of a zone: wait of one watch, by which the age of a
-# confirmation grows, and least time between two reads, in seconds.
+# Wait of one watch of a zone's first reader, in seconds: the age of a
+# confirmation grows by as much.
 WATCH_WAIT_S = 1.5
+# Least time between two reads of the first reader, in seconds. Reads are dear,
+# and entries change many times a second while VMs come and go; what changes
+# meanwhile waits for the next read.
 READ_GAP_S = 0.3
-# The others stand by: a change must reach them in time while the first reader
-# is cut off, and the bounds of the platform are two seconds and more.
+# The same for the other readers, which stand by. A change must reach them in
+# time while the first reader is cut off: the platform's bounds are two seconds
+# and more.
 STANDBY_WAIT_S = 3.0
 STANDBY_GAP_S = 1.0
 # Caps of the wait after a failed read, in seconds. The platform asks for
--- a/jayseam/soak/runs.py
+++ b/jayseam/soak/runs.py
@@ -48,7 +48,7 @@
 # calls: ``quota_overage`` and ``quota_slack`` of their bounds.
 _TOLERANCE = 0.25
 _TOLERATED_CALLS = 20.0
-# Calls a second of a deployment with a given number of VMs.
+# Calls a second of all workspaces together where `Plan.vms` sets the size.
 _LARGE_CALLS_PER_S = 150.0
 
 
@@ -59,8 +59,8 @@
     Attributes:
       seed: Seed of the schedule, the load and the limit strategy.
       duration_s: Length of the load in seconds.
-      deployment: ``agence`` or ``leeuwenhoek``; without a meaning if ``vms``.
-      vms: Number of VMs of a deployment made to measure; 0 for a sample one.
+      deployment: ``agence`` or ``leeuwenhoek``; not used where ``vms`` is set.
+      vms: Number of VMs of a deployment of any size; 0 for a sample one.
       kept: Directory for the logs of a run with findings, or None.
     """
 
