Pass over queues that have just refused as much when looking for room

Of each refused call up to three attempts reached the three backend servers' nodes; their replies took processor time between the end of a call and the start of the next. A call that looks for room elsewhere passes over those that refused as much; the first attempt goes out as before, so that places are taken at once.

--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -66,6 +66,7 @@
         self._strategy = strategy
         self._draw = draw
         self._loads = routing.loads.LoadTable()
+        self._rooms = routing.rooms.RoomTable()
         self._returns: routing.zones.Returns = {}
         self._in_service: frozenset[str] | None = None
         self._pools: _Pools | None = None
@@ -120,6 +121,7 @@
         tried: Collection[str],
         now: float,
         workspace: str = '',
+        need: routing.rooms.Need | None = None,
     ) -> Choice | None:
         """Returns the ingress for the next attempt, or None if there is none.
 
@@ -130,9 +132,13 @@
           tried: VMs that this call has tried.
           now: Present time in seconds.
           workspace: Workspace of the call.
+          need: What room the call needs, if it only looks for room: VMs that
+            have just refused as much are no choice then.
         """
         pool = self._find_pool(preset, view, service)
         barred = self._list_unresponsive(now).union(tried)
+        if need is not None:
+            barred |= self._rooms.list_full(need, now)
         excluded = barred | self._list_avoided(now)
         narrowed = pool.exclude(excluded) if excluded else pool
         if not narrowed.groups:
@@ -179,6 +185,12 @@
         """Passes over a VM for a moment after it turned a call away."""
         self._avoid(vm, now + _AVOID_REFUSING_S)
 
+    def record_full(
+        self, vm: str, need: routing.rooms.Need, wait_s: float, now: float
+    ) -> None:
+        """Notes that a VM had no room for a call."""
+        self._rooms.mark(vm, need, wait_s, now)
+
     def _avoid(self, vm: str, until: float) -> None:
         self._avoided[vm] = max(until, self._avoided.get(vm, until))
 
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -23,6 +23,7 @@
 from jayseam.core import logs
 from jayseam.links import errors as link_errors
 from jayseam.routing import loads
+from jayseam.routing import rooms
 
 _ERRORS_BY_CODE = {
     'zone': errors.ZoneError,
@@ -407,8 +408,15 @@
             tried,
             now,
             call.caller.workspace,
+            # The first attempt goes out whatever is known, so that the place
+            # of each call that ends is taken at once.
+            self._describe_need(call, now) if tried else None,
         )
 
+    def _describe_need(self, call: Call, now: float) -> rooms.Need:
+        left_s = min(call.objective, call.deadline) - now
+        return rooms.Need(call.caller.workspace, self._find_rank(call), left_s)
+
     def _forward(
         self, call: Call, chosen: Any, now: float
     ) -> requests.CallAnswer:
@@ -447,8 +455,14 @@
         except errors.NotRunError as error:
             # A queue without room for this call may have room for others, and
             # its load came with the reply.
+            refused_at = clocks.read_now()
             if error.admitted or error.retry_after_s is None:
-                chooser.record_refusal(chosen.vm, clocks.read_now())
+                chooser.record_refusal(chosen.vm, refused_at)
+            else:
+                need = self._describe_need(call, now)
+                chooser.record_full(
+                    chosen.vm, need, error.retry_after_s, refused_at
+                )
             raise
 
     def _find_rank(self, call: Call) -> int:
--- a/jayseam/calls/tests/test_choosers.py
+++ b/jayseam/calls/tests/test_choosers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from jayseam import routing
 from jayseam.calls import choosers
 from jayseam.presets import model
 
@@ -63,3 +64,17 @@
     for vm in _ZONES:
         chooser.record_failure(vm, 10.0)
     assert chooser.choose(_build_preset(), 's', _View(), set(), 10.5)
+
+
+def test_search_for_room_passes_over_full_nodes():
+    """A first attempt goes to a full node all the same."""
+    chooser = choosers.Chooser('a', 'two_choices', lambda: 0.0)
+    need = routing.rooms.Need('w', 1, 0.5)
+    for vm in _ZONES:
+        chooser.record_full(vm, need, 1.0, 10.0)
+    arguments = (_build_preset(), 's', _View(), set())
+    assert chooser.choose(*arguments, 10.05, 'w')
+    assert not chooser.choose(*arguments, 10.05, 'w', need)
+    assert chooser.choose(
+        *arguments, 10.0 + routing.rooms.MOST_MARK_S, 'w', need
+    )
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -15,6 +15,7 @@
 from jayseam.calls import retries
 from jayseam.core import clocks
 from jayseam.presets import model
+from jayseam.routing import rooms
 
 _LOADS = (1.0, 0.1, 1.0, 1.0)
 _NO_ROOM = messages.Refused(
@@ -30,6 +31,7 @@
     def __init__(self, vms):
         self._vms = vms
         self._drawn = 0
+        self._rooms = rooms.RoomTable()
         self.avoided = []
         self.services = []
 
@@ -38,11 +40,12 @@
         self._drawn += 1
         return route.targets[self._drawn % len(route.targets)][0]
 
-    def choose(self, preset, service, view, tried, now, workspace):
-        """Returns the first VM that was not tried."""
-        del preset, view, now, workspace
+    def choose(self, preset, service, view, tried, now, workspace, need):
+        """Returns the first VM that was not tried and may have room."""
+        del preset, view, workspace
         self.services.append(service)
-        left = [vm for vm in self._vms if vm not in tried]
+        full = set() if need is None else self._rooms.list_full(need, now)
+        left = [vm for vm in self._vms if vm not in full.union(tried)]
         return choosers.Choice(left[0], 1, service) if left else None
 
     def record_refusal(self, vm, now):
@@ -50,6 +53,10 @@
         del now
         self.avoided.append(vm)
 
+    def record_full(self, vm, need, wait_s, now):
+        """Notes a VM that had no room."""
+        self._rooms.mark(vm, need, wait_s, now)
+
     def begin(self, vm, workspace):
         """Ignores the start of an attempt."""
 
@@ -145,6 +152,17 @@
     assert world.asked == ['a']
 
 
+def test_overload_costs_one_attempt_a_call():
+    """While all queues are full, calls don't ask one VM after another."""
+    world = _World(dict.fromkeys('abc', _NO_ROOM))
+    for _ in range(20):
+        with pytest.raises(errors.NotRunError) as caught:
+            world.run()
+        assert caught.value.ran == 'no' and caught.value.retry_after_s
+    # The first call learns that the three are full.
+    assert len(world.asked) <= 3 + 19
+
+
 def test_search_for_room_is_bounded():
     """A large fleet without room must not be asked as a whole."""
     world = _World({str(number): _NO_ROOM for number in range(30)})
--- a/jayseam/routing/__init__.py
+++ b/jayseam/routing/__init__.py
@@ -7,7 +7,8 @@
 from jayseam.routing import errors
 from jayseam.routing import loads
 from jayseam.routing import matching
+from jayseam.routing import rooms
 from jayseam.routing import selection
 from jayseam.routing import zones
 
-__all__ = ['errors', 'loads', 'matching', 'selection', 'zones']
+__all__ = ['errors', 'loads', 'matching', 'rooms', 'selection', 'zones']
