--- a/jayseam/bench/__init__.py
+++ b/jayseam/bench/__init__.py
@@ -11,6 +11,7 @@
 from jayseam.bench import loadruns
 from jayseam.bench import neighbours
 from jayseam.bench import overloads
+from jayseam.bench import pages
 from jayseam.bench import processes
 from jayseam.bench import publication
 from jayseam.bench import reports
@@ -28,6 +29,7 @@
     'loadruns',
     'neighbours',
     'overloads',
+    'pages',
     'processes',
     'publication',
     'reports',
--- a/jayseam/bench/main.py
+++ b/jayseam/bench/main.py
@@ -11,6 +11,7 @@
 from jayseam.bench import latency
 from jayseam.bench import neighbours
 from jayseam.bench import overloads
+from jayseam.bench import pages
 from jayseam.bench import publication
 from jayseam.bench import reports
 from jayseam.bench import zonemoves
@@ -27,6 +28,8 @@
     holdings,
 )
 DIRECTORY = pathlib.Path('bench') / 'out'
+JOURNAL = pathlib.Path('journal')
+PAGE = DIRECTORY / 'report.html'
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -42,7 +45,21 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--list', action='store_true', help='list experiments')
     parser.add_argument('--plot', action='store_true', help='write SVG files')
+    commands = parser.add_subparsers(dest='command')
+    report = commands.add_parser(
+        'report', help='write a page of the journal and of the last results'
+    )
+    report.add_argument(
+        '--journal', type=pathlib.Path, default=JOURNAL, metavar='DIR'
+    )
+    report.add_argument(
+        '--out', type=pathlib.Path, default=PAGE, metavar='FILE'
+    )
     options = parser.parse_args(arguments)
+    if options.command == 'report':
+        pages.write_page(options.journal, DIRECTORY, options.out)
+        print(options.out)
+        return 0
     if options.list:
         for name in names:
             function = experiments.experiments.get(name)
--- /dev/null
+++ b/jayseam/bench/pages.py
@@ -0,0 +1,243 @@
+"""One self-contained HTML page of plays and of the results of experiments.
+
+The journal holds totals of a day, so what a day looked like second by second is
+not shown.
+"""
+
+import html
+import io
+import itertools
+import json
+import pathlib
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+from matplotlib import figure
+
+from jayseam.platform import journal
+
+# Inches; the page shows one plot beside the other on a wide screen.
+_PLOT_SIZE = (7.5, 3.6)
+# Causes that took less than this off the worth of every day are left out.
+_LEAST_PRICE = 0.005
+_STYLE = (
+    'body{font-family:sans-serif;margin:2em}'
+    'table{border-collapse:collapse}'
+    'td,th{padding:2px 10px;text-align:left;border-bottom:1px solid #ddd}'
+    'svg{max-width:48%;height:auto}.bad{color:#b00}'
+)
+_STANDARD = ('run', 'score')
+
+
+def write_page(
+    journal_directory: pathlib.Path,
+    results_directory: pathlib.Path,
+    path: pathlib.Path,
+) -> None:
+    """Writes the page of a journal and of results of experiments.
+
+    Args:
+      journal_directory: Directory with one JSON file for each play.
+      results_directory: Directory of `reports.write_json`; may be absent.
+      path: File to write.
+    """
+    days = journal.read_journal(journal_directory)
+    results = [
+        json.loads(file.read_text(encoding='utf-8'))
+        for file in sorted(results_directory.glob('*.json'))
+    ]
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(build_page(days, results), encoding='utf-8')
+
+
+def build_page(
+    days: Sequence[journal.PlayedDay], results: Sequence[Mapping[str, Any]]
+) -> str:
+    """Returns the page.
+
+    Args:
+      days: Days of plays, in the order they were played.
+      results: Results of experiments, as `reports.Result.to_dict` gives them.
+    """
+    parts = [
+        '<!DOCTYPE html><html lang="en"><head><meta charset="utf-8">'
+        f'<title>jayseam</title><style>{_STYLE}</style></head><body>'
+        '<h1>Plays and experiments</h1>'
+    ]
+    by_site = sorted(days, key=_name_site)
+    for site, group in itertools.groupby(by_site, key=_name_site):
+        played = list(group)
+        parts.append(f'<h2>{html.escape(site)}</h2>')
+        parts.append(draw_worth(played))
+        latest = select_latest(played)
+        if latest:
+            parts.append(draw_prices(latest))
+            parts.append(draw_shares(latest, 'zones', 'zone of the callers'))
+            parts.append(draw_shares(latest, 'kinds', 'kind of request'))
+        parts.append(_build_day_table(latest, played))
+    if results:
+        parts.append('<h2>Experiments</h2>')
+        parts.append(_build_result_table(results))
+    parts.append('</body></html>\n')
+    return '\n'.join(parts)
+
+
+def select_latest(
+    days: Iterable[journal.PlayedDay],
+) -> list[journal.PlayedDay]:
+    """Returns the last play of each standard day, ordered by name."""
+    latest = {day.name: day for day in days if _is_standard(day)}
+    return [latest[name] for name in sorted(latest)]
+
+
+def draw_worth(days: Sequence[journal.PlayedDay]) -> str:
+    """Returns an SVG of the worth of each day over the rounds of plays."""
+    drawing, axes = _open_plot('worth by day over rounds')
+    rounds = {at: n for n, at in enumerate(_list_starts(days))}
+    standard = [day for day in days if _is_standard(day)]
+    for name in sorted({day.name for day in standard}):
+        same = [day for day in standard if day.name == name]
+        places = [rounds[day.played_at] for day in same]
+        worths = [day.worth for day in same]
+        axes.plot(places, worths, marker='o', markersize=3, label=name)
+    others = [day for day in days if not _is_standard(day)]
+    if others:
+        axes.scatter(
+            [rounds[day.played_at] for day in others],
+            [day.worth for day in others],
+            s=8,
+            color='#999999',
+            label='drawn days, hunts, replays',
+        )
+    axes.set_xticks(
+        list(rounds.values()),
+        [at[5:16].replace('T', ' ') for at in rounds],
+        rotation=90,
+        fontsize=5,
+    )
+    axes.legend(fontsize=6, ncols=2)
+    return _close_plot(drawing)
+
+
+def draw_prices(days: Sequence[journal.PlayedDay]) -> str:
+    """Returns an SVG of what each cause took off the worth of each day."""
+    drawing, axes = _open_plot('taken off the worth')
+    left = [0.0] * len(days)
+    names = [day.name for day in days]
+    for cause in dict.fromkeys(itertools.chain(*(d.prices for d in days))):
+        taken = [day.prices.get(cause, 0.0) for day in days]
+        if max(taken) < _LEAST_PRICE:
+            continue
+        axes.barh(names, taken, left=left, label=cause)
+        left = [a + b for a, b in zip(left, taken)]
+    drawing.legend(loc='outside right upper', fontsize=5)
+    return _close_plot(drawing)
+
+
+def draw_shares(
+    days: Sequence[journal.PlayedDay], field: str, label: str
+) -> str:
+    """Returns an SVG of the share served of each day.
+
+    Args:
+      days: The days.
+      field: ``zones`` or ``kinds``.
+      label: What the bars of a day stand for.
+    """
+    drawing, axes = _open_plot(f'share served by {label}')
+    most = max(len(getattr(day, field)) for day in days)
+    width = 0.8 / max(1, most)
+    for place in range(most):
+        bars = [
+            (number + place * width, getattr(day, field)[place])
+            for number, day in enumerate(days)
+            if place < len(getattr(day, field))
+        ]
+        axes.bar(
+            [x for x, _ in bars],
+            [share for _, share in bars],
+            width=width,
+            label=str(place + 1),
+        )
+    axes.set_xticks(range(len(days)), [day.name for day in days], fontsize=6)
+    axes.set_ylim(0.0, 1.0)
+    axes.legend(fontsize=6)
+    return _close_plot(drawing)
+
+
+def _name_site(day: journal.PlayedDay) -> str:
+    return f'{day.site}, small twin' if day.is_twin else day.site
+
+
+def _is_standard(day: journal.PlayedDay) -> bool:
+    """Tells whether a day is one of the site, not one that was drawn."""
+    return day.command in _STANDARD and not day.name.startswith('fresh-')
+
+
+def _list_starts(days: Iterable[journal.PlayedDay]) -> list[str]:
+    return sorted({day.played_at for day in days})
+
+
+def _open_plot(title: str) -> tuple[figure.Figure, Any]:
+    drawing = figure.Figure(figsize=_PLOT_SIZE, layout='constrained')
+    axes = drawing.subplots()
+    axes.set_title(title, fontsize=9)
+    axes.tick_params(labelsize=6)
+    return drawing, axes
+
+
+def _close_plot(drawing: figure.Figure) -> str:
+    """Returns the plot as an element of the page."""
+    target = io.StringIO()
+    drawing.savefig(target, format='svg')
+    text = target.getvalue()
+    return text[text.index('<svg') :]
+
+
+def _build_day_table(
+    latest: Iterable[journal.PlayedDay], played: Iterable[journal.PlayedDay]
+) -> str:
+    rows = [('day', 'played', 'worth', 'served', 'broken')]
+    broken = [day for day in played if day.broken]
+    for day in [*latest, *(day for day in broken if day not in latest)]:
+        rows.append(
+            (
+                day.name,
+                day.played_at,
+                f'{day.worth:.3f}',
+                f'{day.served:.3f}',
+                ', '.join(day.broken),
+            )
+        )
+    return _build_table(rows)
+
+
+def _build_result_table(results: Iterable[Mapping[str, Any]]) -> str:
+    rows = [('experiment', 'measure', 'target', 'figure', 'missed')]
+    for result in results:
+        rows += [
+            (
+                result['experiment'],
+                row['measure'],
+                row['target'],
+                f'{row["figure"]:.4g} {row["unit"]}',
+                'missed' if row['passed'] is False else '',
+            )
+            for row in result['rows']
+        ]
+        if result['error']:
+            last = result['error'].strip().splitlines()[-1]
+            rows.append((result['experiment'], 'ended early', '', '', last))
+    return _build_table(rows)
+
+
+def _build_table(rows: Sequence[Sequence[str]]) -> str:
+    """Returns a table; the first row holds the heads, the last cell faults."""
+    head = ''.join(f'<th>{html.escape(cell)}</th>' for cell in rows[0])
+    body = [
+        '<tr>'
+        + ''.join(f'<td>{html.escape(cell)}</td>' for cell in row[:-1])
+        + f'<td class="bad">{html.escape(row[-1])}</td></tr>'
+        for row in rows[1:]
+    ]
+    return f'<table><tr>{head}</tr>{"".join(body)}</table>'
--- a/jayseam/platform/__init__.py
+++ b/jayseam/platform/__init__.py
@@ -14,6 +14,7 @@
 from jayseam.platform import durations
 from jayseam.platform import entries
 from jayseam.platform import errors
+from jayseam.platform import journal
 from jayseam.platform import mirrors
 from jayseam.platform import settings
 from jayseam.platform import source
@@ -25,6 +26,7 @@
     'durations',
     'entries',
     'errors',
+    'journal',
     'mirrors',
     'settings',
     'source',
--- /dev/null
+++ b/jayseam/platform/tests/test_journal.py
@@ -0,0 +1,67 @@
+"""Tests of reading plays of the operators' bench."""
+
+import json
+
+from jayseam.platform import journal
+
+
+def build_play(**fields):
+    """Returns the fields of a journal entry that are read."""
+    day = {
+        'name': 'scale-1 --seed 7',
+        'rules': {'QUOTA': 1},
+        'fault': None,
+        'G': 0.5,
+        'served': 0.9,
+        'by_class': [0.9, 0.8, None],
+        'by_zone': [0.7],
+        'prices': [['memory', 12.5, 0.02]],
+    }
+    play = {
+        'site': 's',
+        'at': ['2026-12-04T10:00:00Z', ''],
+        'cmd': 'run',
+        'argv': ['s.toml', 'scale-1'],
+        'days': [day],
+    }
+    return {**play, **fields}
+
+
+def test_day_of_a_play_is_decoded(tmp_path):
+    """Lists of a fixed length lose what is not used; prices keep the share."""
+    (tmp_path / '1.json').write_text(json.dumps(build_play()))
+    assert journal.read_journal(tmp_path) == [
+        journal.PlayedDay(
+            site='s',
+            name='scale-1',
+            played_at='2026-12-04T10:00:00Z',
+            command='run',
+            is_twin=False,
+            worth=0.5,
+            served=0.9,
+            kinds=(0.9, 0.8),
+            zones=(0.7,),
+            prices={'memory': 0.02},
+            broken=('QUOTA',),
+        )
+    ]
+
+
+def test_twins_and_faults_are_told(tmp_path):
+    """A day that was given up is not one that kept the rules."""
+    play = build_play(argv=['s.toml', 'scale-1', '--small'])
+    play['days'][0].update(rules={}, fault='too slow')
+    (tmp_path / '1.json').write_text(json.dumps(play))
+    (day,) = journal.read_journal(tmp_path)
+    assert day.is_twin and day.broken == ('fault: too slow',)
+
+
+def test_plays_without_days_are_logged(tmp_path, caplog):
+    """Broken entries and plays that did not end hide no others."""
+    caplog.set_level('INFO')
+    (tmp_path / '1.json').write_text('{')
+    (tmp_path / '2.json').write_text(json.dumps(build_play(days=[])))
+    (tmp_path / '3.json').write_text(json.dumps(build_play()))
+    assert len(journal.read_journal(tmp_path)) == 1
+    events = [record.getMessage() for record in caplog.records]
+    assert events == ['journal.unreadable', 'journal.no_days']
