Find a restart of the backend server during a pause of its node

A server that started again while its node was paused showed only by lost connections, and these counted as idle for longer than servers keep them, because the pause counted. The node let all four slots in at a server that bears one call. If the health poll woke before the pause was noticed, it found the loss first and dropped it. Change: a pause doesn't count as time without use. The pause's end looks at the idle connections before calls that waited go on, and judges a loss again that was found just before. Tests: test_restart_during_a_pause_gets_its_ramp, test_restart_during_a_pause_is_found, test_restart_found_before_the_pause_is_judged_again.

--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -118,6 +118,11 @@
         # Longest time after which an idle connection was still open.
         self._longest_idle_s = 0.0
         self._loss_reported_at = -math.inf
+        # End and length of the last pause of this process, in seconds.
+        self._resumed_at = -math.inf
+        self._paused_s = 0.0
+        # Last use and discovery of the idle connection lost last, in seconds.
+        self._idle_loss = (-math.inf, -math.inf)
         self._pending_cancels = 0
         self._cancellations: dict[str, gevent.Greenlet] = {}
         self._pool = connections.ConnectionPool(
@@ -200,6 +205,26 @@
         """Changes the number of connections; calls in progress go on."""
         self._pool.resize(max(1, max_connections - 1))
 
+    def notice_pause(self, now: float, paused_s: float) -> None:
+        """Looks for a restart during a pause of this process.
+
+        It shows only by connections that are gone. The pause doesn't count as
+        time without use, after which a server may close them.
+
+        Args:
+          now: Time at which the pause ended, in seconds.
+          paused_s: Length of the pause, in seconds.
+        """
+        self._resumed_at = now
+        self._paused_s = paused_s
+        # The next poll would come after the calls that waited.
+        self._pool.drop_lost()
+        self._control.drop_lost()
+        used_at, found_at = self._idle_loss
+        if found_at > now - paused_s:
+            # A poll found it before the pause was noticed.
+            self._judge_idle_loss(used_at, found_at)
+
     def close(self) -> None:
         """Refuses new calls and closes idle connections."""
         self._closed = True
@@ -395,14 +420,20 @@
             self._schedule_cancel(call.request.request_id)
 
     def _report_idle_loss(self, connection: connections.Connection) -> None:
-        """Judges the loss of a connection that was used recently.
+        """Judges the loss of a connection that carried no request."""
+        self._idle_loss = (connection.used_at, self._read_now())
+        self._judge_idle_loss(*self._idle_loss)
+
+    def _judge_idle_loss(self, used_at: float, found_at: float) -> None:
+        """Judges the loss of an idle connection that was used recently.
 
         It counts only if connections have stayed open for as long: a server
         may close each of them at once or after a short time-out. The control
         connection is used every poll, so it notices a fast restart.
         """
-        used_at = connection.used_at
-        idle_s = self._read_now() - used_at
+        idle_s = found_at - used_at
+        if used_at < self._resumed_at:
+            idle_s -= self._paused_s
         kept_s = min(RECENT_USE_S, IDLE_SLACK * self._longest_idle_s)
         # One restart closes many connections; the others are found later.
         if idle_s < kept_s and used_at > self._loss_reported_at:
--- a/jayseam/backends/connections.py
+++ b/jayseam/backends/connections.py
@@ -184,6 +184,14 @@
             for connection in [*self._idle, *self._busy]
         )
 
+    def drop_lost(self) -> None:
+        """Closes and reports the idle connections that were lost."""
+        lost = [c for c in self._idle if not c.is_idle()]
+        self._idle = [c for c in self._idle if c not in lost]
+        for connection in lost:
+            connection.close()
+            self._report_loss(connection)
+
     def close_idle(self, unused_since: float = math.inf) -> None:
         """Closes the idle connections that were not used since a time."""
         idle, self._idle = self._idle, []
--- a/jayseam/backends/tests/test_client.py
+++ b/jayseam/backends/tests/test_client.py
@@ -8,12 +8,12 @@
 from gevent import server
 from gevent import socket
 
+from jayseam.core import clocks
 from jayseam.backends import client as backend_client
 from jayseam.backends import connections
 from jayseam.backends import errors
 from jayseam.backends import messages
 from jayseam.backends import states
-from jayseam.core import clocks
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
@@ -449,6 +449,48 @@
     assert resets == [states.Reset(survivors=False)] * (2 if kept_s else 0)
 
 
+@pytest.mark.parametrize('is_paused', [True, False])
+def test_restart_during_a_pause_is_found(start, is_paused):
+    """A node that wakes must not take a new process for the old one."""
+
+    def answer_and_close(sock):
+        sock.sendall(OK)
+        sock.close()
+
+    backend = start(OK, answer_and_close, OK)
+    client = backend.connect()
+    call(client)
+    gevent.sleep(0.2)
+    call(client)
+    gevent.sleep(1.5)
+    if is_paused:
+        client.notice_pause(clocks.read_now(), 1.4)
+        assert backend.evidence[-1] == states.Reset(survivors=False)
+    call(client)
+    resets = [e for e in backend.evidence if isinstance(e, states.Reset)]
+    # Without a pause the server may have closed an idle connection.
+    assert resets == [states.Reset(survivors=False)] * is_paused
+
+
+def test_restart_found_before_the_pause_is_judged_again(start):
+    """A poll that wakes first takes the loss for that of an idle connection."""
+
+    def answer_and_close(sock):
+        sock.sendall(OK)
+        sock.close()
+
+    backend = start(OK, answer_and_close, OK)
+    client = backend.connect()
+    call(client)
+    gevent.sleep(0.2)
+    call(client)
+    gevent.sleep(1.5)
+    call(client)
+    assert states.Reset(survivors=False) not in backend.evidence
+    client.notice_pause(clocks.read_now(), 1.4)
+    assert backend.evidence[-1] == states.Reset(survivors=False)
+
+
 def test_restart_found_on_idle_connections_counts_once(start):
     """Each connection that the old process held must not restart the ramp."""
 
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -385,11 +385,11 @@
         if self._life.state != 'leaving':
             self._membership.set_own(state='leaving' if withdrawn else 'alive')
 
-    def _refresh(self, now: float) -> None:
+    def _refresh(self, now: float, paused_s: float) -> None:
         """Asks peers for versions after a pause; returns after an answer."""
         measures.PAUSES.inc()
         self._limits.on_pause(now)
-        self._backend.notice_pause(now)
+        self._backend.notice_pause(now, paused_s)
         self._life.try_advance('pause_detected')
         try:
             # Links that ended during the pause fail at once, so that a failed
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -80,9 +80,10 @@
         self._health.stop()
         self._client.close()
 
-    def notice_pause(self, now: float) -> None:
-        """Ignores latencies measured across a pause of this process."""
+    def notice_pause(self, now: float, paused_s: float) -> None:
+        """Ignores times measured across a pause of this process."""
         self._health.notice_pause(now)
+        self._client.notice_pause(now, paused_s)
 
     def apply_preset(self, preset: Any) -> None:
         """Takes slots, connections, ramp and weights from a preset."""
--- a/jayseam/node/pauses.py
+++ b/jayseam/node/pauses.py
@@ -29,11 +29,12 @@
     """Holds calls after a pause until the node has refreshed its knowledge.
 
     Args:
-      refresh: Asks peers for versions and members; returns when one has
-        answered. It is given up after `REFRESH_LIMIT_S`.
+      refresh: Takes the time and the length of the pause, in seconds. Asks
+        peers for versions and members; returns when one has answered. It is
+        given up after `REFRESH_LIMIT_S`.
     """
 
-    def __init__(self, refresh: Callable[[float], None]):
+    def __init__(self, refresh: Callable[[float, float], None]):
         self._refresh = refresh
         self._last_tick = clocks.read_now()
         self._fresh = event.Event()
@@ -78,11 +79,11 @@
         self._fresh.clear()
         self.pauses += 1
         _log.warning('node.pause_detected', extra={'paused_s': paused_s})
-        gevent.spawn(self._run_refresh, now)
+        gevent.spawn(self._run_refresh, now, paused_s)
 
-    def _run_refresh(self, now: float) -> None:
+    def _run_refresh(self, now: float, paused_s: float) -> None:
         try:
             with gevent.Timeout(REFRESH_LIMIT_S, False):
-                self._refresh(now)
+                self._refresh(now, paused_s)
         finally:
             self._fresh.set()
--- a/jayseam/node/tests/test_ramps.py
+++ b/jayseam/node/tests/test_ramps.py
@@ -146,3 +146,28 @@
     assert peaks['falls'] == 0
     assert peaks['overloads'] == 0
     assert peaks['in_flight'] == _SLOTS
+
+
+def test_restart_during_a_pause_gets_its_ramp(fleet):
+    """Calls that waited for a paused node must not meet a cold server at once.
+
+    The backend server starts again while its node can't notice, and it says
+    nothing of it: only the connections that it kept are gone.
+    """
+    vm = fleet.vms_of('credits')[1]
+    upstream = fleet.cluster.vms[vm].upstream
+    fleet.clear()
+    running = _offer(fleet, 1.0, 6.0)
+    gevent.sleep(1.5)
+    fleet.cluster.pause(vm)
+    gevent.sleep(0.7)
+    fleet.cluster.control_backend(
+        upstream, 'restart', silent=True, disconnect=True
+    )
+    gevent.sleep(0.8)
+    fleet.cluster.resume(vm)
+    report = running.get()
+    peaks = fleet.cluster.collect_peaks()[upstream]
+    print(peaks, report.count_outcomes(), report.lag_ms)
+    assert peaks['falls'] == 0
+    assert peaks['overloads'] == 0
