--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -132,8 +132,8 @@
           tried: VMs that this call has tried.
           now: Present time in seconds.
           workspace: Workspace of the call.
-          need: What room the call needs, if it only looks for room: VMs that
-            have just refused as much are no choice then.
+          need: What room the call needs; VMs that have just refused as much are
+            no choice then. None for a first attempt, which goes out anyway.
         """
         pool = self._find_pool(preset, view, service)
         barred = self._list_unresponsive(now).union(tried)
