--- a/jayseam/backends/tests/test_client.py
+++ b/jayseam/backends/tests/test_client.py
@@ -8,12 +8,12 @@
 from gevent import server
 from gevent import socket
 
-from jayseam.core import clocks
 from jayseam.backends import client as backend_client
 from jayseam.backends import connections
 from jayseam.backends import errors
 from jayseam.backends import messages
 from jayseam.backends import states
+from jayseam.core import clocks
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
@@ -36,6 +36,12 @@
     return head + b'\r\n\r\n' + body
 
 
+def answer_and_close(sock):
+    """Answers a request and closes its connection."""
+    sock.sendall(OK)
+    sock.close()
+
+
 def reset(sock):
     """Closes a connection with RST."""
     option = b'\x01\x00\x00\x00\x00\x00\x00\x00'
@@ -311,11 +317,6 @@
 
 def test_connection_closed_while_idle_is_replaced(start):
     """A keep-alive connection that the server closed must cost no call."""
-
-    def answer_and_close(sock):
-        sock.sendall(OK)
-        sock.close()
-
     backend = start(answer_and_close)
     client = backend.connect()
     call(client)
@@ -432,11 +433,6 @@
 @pytest.mark.parametrize('kept_s', [None, 0.3])
 def test_idle_loss_counts_only_if_connections_were_kept(start, kept_s):
     """A server that keeps no connection must not seem to start each time."""
-
-    def answer_and_close(sock):
-        sock.sendall(OK)
-        sock.close()
-
     first = OK if kept_s else answer_and_close
     backend = start(first, *[answer_and_close] * 2)
     client = backend.connect()
@@ -449,20 +445,21 @@
     assert resets == [states.Reset(survivors=False)] * (2 if kept_s else 0)
 
 
-@pytest.mark.parametrize('is_paused', [True, False])
-def test_restart_during_a_pause_is_found(start, is_paused):
-    """A node that wakes must not take a new process for the old one."""
-
-    def answer_and_close(sock):
-        sock.sendall(OK)
-        sock.close()
-
+def lose_idle_connection(start):
+    """Returns a server and a client whose connection was lost 1.5 s ago."""
     backend = start(OK, answer_and_close, OK)
     client = backend.connect()
     call(client)
     gevent.sleep(0.2)
     call(client)
     gevent.sleep(1.5)
+    return backend, client
+
+
+@pytest.mark.parametrize('is_paused', [True, False])
+def test_restart_during_a_pause_is_found(start, is_paused):
+    """A node that wakes must not take a new process for the old one."""
+    backend, client = lose_idle_connection(start)
     if is_paused:
         client.notice_pause(clocks.read_now(), 1.4)
         assert backend.evidence[-1] == states.Reset(survivors=False)
@@ -474,17 +471,7 @@
 
 def test_restart_found_before_the_pause_is_judged_again(start):
     """A poll that wakes first takes the loss for that of an idle connection."""
-
-    def answer_and_close(sock):
-        sock.sendall(OK)
-        sock.close()
-
-    backend = start(OK, answer_and_close, OK)
-    client = backend.connect()
-    call(client)
-    gevent.sleep(0.2)
-    call(client)
-    gevent.sleep(1.5)
+    backend, client = lose_idle_connection(start)
     call(client)
     assert states.Reset(survivors=False) not in backend.evidence
     client.notice_pause(clocks.read_now(), 1.4)
