--- a/jayseam/bench/pages.py
+++ b/jayseam/bench/pages.py
@@ -18,8 +18,8 @@
 
 # Inches; the page shows one plot beside the other on a wide screen.
 _PLOT_SIZE = (7.5, 3.6)
-# Causes that took less than this off the worth of every day are left out.
-_LEAST_PRICE = 0.005
+# Causes that took less than this off the merit of every day are left out.
+_LEAST_DEDUCTION = 0.005
 _STYLE = (
     'body{font-family:sans-serif;margin:2em}'
     'table{border-collapse:collapse}'
@@ -68,10 +68,10 @@
     for site, group in itertools.groupby(by_site, key=_name_site):
         played = list(group)
         parts.append(f'<h2>{html.escape(site)}</h2>')
-        parts.append(draw_worth(played))
+        parts.append(draw_merit(played))
         latest = select_latest(played)
         if latest:
-            parts.append(draw_prices(latest))
+            parts.append(draw_deductions(latest))
             parts.append(draw_shares(latest, 'zones', 'zone of the callers'))
             parts.append(draw_shares(latest, 'kinds', 'kind of request'))
         parts.append(_build_day_table(latest, played))
@@ -90,21 +90,21 @@
     return [latest[name] for name in sorted(latest)]
 
 
-def draw_worth(days: Sequence[journal.PlayedDay]) -> str:
-    """Returns an SVG of the worth of each day over the rounds of plays."""
-    drawing, axes = _open_plot('worth by day over rounds')
+def draw_merit(days: Sequence[journal.PlayedDay]) -> str:
+    """Returns an SVG of the merit of each day over the rounds of plays."""
+    drawing, axes = _open_plot('merit by day over rounds')
     rounds = {at: n for n, at in enumerate(_list_starts(days))}
     standard = [day for day in days if _is_standard(day)]
     for name in sorted({day.name for day in standard}):
         same = [day for day in standard if day.name == name]
         places = [rounds[day.played_at] for day in same]
-        worths = [day.worth for day in same]
-        axes.plot(places, worths, marker='o', markersize=3, label=name)
+        merits = [day.merit for day in same]
+        axes.plot(places, merits, marker='o', markersize=3, label=name)
     others = [day for day in days if not _is_standard(day)]
     if others:
         axes.scatter(
             [rounds[day.played_at] for day in others],
-            [day.worth for day in others],
+            [day.merit for day in others],
             s=8,
             color='#999999',
             label='drawn days, hunts, replays',
@@ -119,14 +119,14 @@
     return _close_plot(drawing)
 
 
-def draw_prices(days: Sequence[journal.PlayedDay]) -> str:
-    """Returns an SVG of what each cause took off the worth of each day."""
-    drawing, axes = _open_plot('taken off the worth')
+def draw_deductions(days: Sequence[journal.PlayedDay]) -> str:
+    """Returns an SVG of what each cause took off the merit of each day."""
+    drawing, axes = _open_plot('taken off the merit')
     left = [0.0] * len(days)
     names = [day.name for day in days]
-    for cause in dict.fromkeys(itertools.chain(*(d.prices for d in days))):
-        taken = [day.prices.get(cause, 0.0) for day in days]
-        if max(taken) < _LEAST_PRICE:
+    for cause in dict.fromkeys(itertools.chain(*(d.deductions for d in days))):
+        taken = [day.deductions.get(cause, 0.0) for day in days]
+        if max(taken) < _LEAST_DEDUCTION:
             continue
         axes.barh(names, taken, left=left, label=cause)
         left = [a + b for a, b in zip(left, taken)]
@@ -197,14 +197,14 @@
 def _build_day_table(
     latest: Iterable[journal.PlayedDay], played: Iterable[journal.PlayedDay]
 ) -> str:
-    rows = [('day', 'played', 'worth', 'served', 'broken')]
+    rows = [('day', 'played', 'merit', 'served', 'broken')]
     broken = [day for day in played if day.broken]
     for day in [*latest, *(day for day in broken if day not in latest)]:
         rows.append(
             (
                 day.name,
                 day.played_at,
-                f'{day.worth:.3f}',
+                f'{day.merit:.3f}',
                 f'{day.served:.3f}',
                 ', '.join(day.broken),
             )
--- a/jayseam/bench/tests/test_pages.py
+++ b/jayseam/bench/tests/test_pages.py
@@ -7,21 +7,10 @@
 
 from jayseam.bench import main
 from jayseam.bench import pages
-from jayseam.platform import journal
 from jayseam.platform.tests import test_journal
 
-_DAY = journal.PlayedDay(
-    site='piles<',
-    name='quiet-1',
-    played_at='2026-12-04T10:00:00Z',
-    command='score',
-    is_twin=False,
-    worth=0.5,
-    served=0.9,
-    kinds=(0.9, 0.8),
-    zones=(0.7,),
-    prices={'memory': 0.02, 'probes': 0.0},
-    broken=('QUOTA',),
+_DAY = attrs.evolve(
+    test_journal.DAY, site='piles<', name='quiet-1', command='score'
 )
 _RESULT = {
     'experiment': 'latency',
@@ -52,7 +41,7 @@
 
 def test_latest_play_of_a_standard_day_counts():
     """Hunted days have other seeds and faults."""
-    later = attrs.evolve(_DAY, played_at='2026-12-05T10:00:00Z', worth=0.6)
+    later = attrs.evolve(_DAY, played_at='2026-12-05T10:00:00Z', merit=0.6)
     hunted = attrs.evolve(_DAY, command='hunt')
     drawn = attrs.evolve(_DAY, name='fresh-12ab')
     assert pages.select_latest([_DAY, later, hunted, drawn]) == [later]
@@ -60,7 +49,8 @@
 
 def test_small_causes_are_left_out_of_prices():
     """A cause that took nothing would only lengthen the legend."""
-    drawn = pages.draw_prices([_DAY])
+    day = attrs.evolve(_DAY, deductions={'memory': 0.02, 'probes': 0.0})
+    drawn = pages.draw_deductions([day])
     assert '<!-- memory -->' in drawn and '<!-- probes -->' not in drawn
 
 
--- a/jayseam/platform/journal.py
+++ b/jayseam/platform/journal.py
@@ -22,11 +22,11 @@
       played_at: Start of the play, as ISO 8601 text in UTC.
       command: How it was played, such as ``score`` or ``hunt``.
       is_twin: Whether a small twin of the site was played.
-      worth: The operators' figure: parts by weight, less prices.
+      merit: Figure of merit: shares served by weight, less deductions.
       served: Share of the possible value that callers got.
       kinds: The same by kind of request, in the order of the site file.
       zones: The same by availability zone of the callers.
-      prices: What was taken off the worth, by cause.
+      deductions: What was taken off the merit, by cause.
       broken: Rules that were broken, and a fault that ended the day.
     """
 
@@ -35,11 +35,11 @@
     played_at: str
     command: str
     is_twin: bool
-    worth: float
+    merit: float
     served: float
     kinds: tuple[float, ...]
     zones: tuple[float, ...]
-    prices: Mapping[str, float]
+    deductions: Mapping[str, float]
     broken: tuple[str, ...]
 
 
@@ -76,14 +76,14 @@
         played_at=play['at'][0],
         command=play['cmd'],
         is_twin='--small' in play['argv'],
-        # The worth; ``score`` is the same on a scale that ends at 1.
-        worth=day['G'],
+        # ``score`` is the same on a scale that ends at 1.
+        merit=day['G'],
         served=day['served'],
         # Lists have a fixed length; places that are not used are null.
         kinds=_drop_absent(day['by_class']),
         zones=_drop_absent(day['by_zone']),
-        # Each price is a name, an amount and what it takes off.
-        prices={name: taken for name, _, taken in day['prices'] or ()},
+        # Each entry is a name, an amount and what it takes off.
+        deductions={name: taken for name, _, taken in day['prices'] or ()},
         broken=tuple(broken),
     )
 
--- a/jayseam/platform/tests/test_journal.py
+++ b/jayseam/platform/tests/test_journal.py
@@ -4,6 +4,20 @@
 
 from jayseam.platform import journal
 
+DAY = journal.PlayedDay(
+    site='s',
+    name='scale-1',
+    played_at='2026-12-04T10:00:00Z',
+    command='run',
+    is_twin=False,
+    merit=0.5,
+    served=0.9,
+    kinds=(0.9, 0.8),
+    zones=(0.7,),
+    deductions={'memory': 0.02},
+    broken=('QUOTA',),
+)
+
 
 def build_play(**fields):
     """Returns the fields of a journal entry that are read."""
@@ -28,23 +42,9 @@
 
 
 def test_day_of_a_play_is_decoded(tmp_path):
-    """Lists of a fixed length lose what is not used; prices keep the share."""
+    """Lists lose what is not used; of deductions the share is kept."""
     (tmp_path / '1.json').write_text(json.dumps(build_play()))
-    assert journal.read_journal(tmp_path) == [
-        journal.PlayedDay(
-            site='s',
-            name='scale-1',
-            played_at='2026-12-04T10:00:00Z',
-            command='run',
-            is_twin=False,
-            worth=0.5,
-            served=0.9,
-            kinds=(0.9, 0.8),
-            zones=(0.7,),
-            prices={'memory': 0.02},
-            broken=('QUOTA',),
-        )
-    ]
+    assert journal.read_journal(tmp_path) == [DAY]
 
 
 def test_twins_and_faults_are_told(tmp_path):
