--- a/jayseam/admission/concurrency.py
+++ b/jayseam/admission/concurrency.py
@@ -14,15 +14,15 @@
 
 CUT_FACTOR = 0.9
 MIN_LIMIT = 1.0
-# Weight of a new sample in the moving average of the round trip.
+# Weight of a new sample in the moving average of the round-trip time.
 ROUND_TRIP_WEIGHT = 0.1
-# Cuts are spaced by this until a call has been measured.
+# Least time between two cuts until a call has been measured.
 DEFAULT_ROUND_TRIP_S = 0.05
 
 
 @attrs.frozen
 class AdaptiveLimit:
-    """The limit and what its next change depends on.
+    """The limit and the values from which the next limit is computed.
 
     Attributes:
       ceiling: Greatest limit, the number of slots.
@@ -64,8 +64,8 @@
     ) -> 'AdaptiveLimit':
         """Returns the limit after a call succeeded.
 
-        The limit only rises while it is in use: a success with few calls in
-        flight tells nothing about the limit.
+        The limit only rises while it is reached: a success with fewer calls in
+        flight doesn't show that a higher limit is safe.
 
         Args:
           latency_s: Time the call took, in seconds.
@@ -85,8 +85,8 @@
         A limit that no shed has lowered follows the slots; a lowered one
         grows by successes only.
         """
-        untouched = self.value >= self.ceiling
-        value = float(ceiling) if untouched else min(self.value, ceiling)
+        follows_slots = self.value >= self.ceiling
+        value = float(ceiling) if follows_slots else min(self.value, ceiling)
         return attrs.evolve(self, ceiling=ceiling, value=max(MIN_LIMIT, value))
 
 
--- a/jayseam/admission/errors.py
+++ b/jayseam/admission/errors.py
@@ -7,7 +7,8 @@
     """Base class: the gate did not admit the call, so it was not run.
 
     Attributes:
-      retry_after_s: When there may be room, in seconds; None if unknown.
+      retry_after_s: Time after which a retry may be admitted, in seconds; None
+        if unknown.
     """
 
     def __init__(self, detail: str, retry_after_s: float | None = None):
@@ -28,9 +29,10 @@
 
 
 class NoLongerValidError(AdmissionError):
-    """The call lost its permission while it waited.
+    """The call may no longer run.
 
-    Its key was withdrawn or its availability zone was taken out of service.
+    While it waited, its key was withdrawn or its availability zone was taken
+    out of service.
     """
 
 
--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -1,8 +1,8 @@
 """The gate that admits calls to the node's own backend server.
 
-Only the ingress admits, so the gate counts every call in flight at its
-backend server. The number never exceeds the slots, the ramp of a freshly
-started backend server, or the adaptive limit.
+Only the ingress, the node of the backend server, admits calls, so its gate
+counts every call in flight there. The number of calls in flight never exceeds
+the slots, the ramp of a freshly started backend server, or the adaptive limit.
 
 See Also:
   ``docs/design.md``, section 5.4.
@@ -26,24 +26,24 @@
 
 # Weight of a new sample in the moving averages of service times.
 SERVICE_TIME_WEIGHT = 0.1
-# Weight of a sample above the usual shortest service time.
+# Weight of a sample that is longer than the usual shortest service time.
 SHORTEST_WEIGHT = 0.02
-# Without new samples the estimate of the shortest time halves this often. A
-# slow spell would otherwise refuse every later call with a short deadline,
-# and with no call admitted the estimate would never be corrected.
+# Half-life of the estimate of the shortest service time without new samples.
+# Otherwise, after a slow period every call with a short deadline would be
+# refused, and with no call admitted the estimate would never be corrected.
 SHORTEST_HALF_LIFE_S = 1.0
 MIN_RELATIVE_COST = 0.01
 MAX_RELATIVE_COST = 100.0
 DEFAULT_COST = 1.0
-# A call that waits is admitted if this many mean service times are left then
-# until its latency objective. Under lasting overload the queue fills up to the
-# longest wait allowed, and a call with a longer run would come too late.
-RUN_MARGIN = 1.5
+# Mean service times that must be left until the latency objective when a call
+# leaves the queue. Under lasting overload the queue fills up to the longest
+# wait allowed, so calls whose run takes longer than this miss their objective.
+MIN_SERVICE_TIMES_LEFT = 1.5
 # Calls may wait for this share of a mean service time whatever their objective,
 # so that a slow backend server does not idle between two arrivals.
-LEAST_WAIT_SHARE = 0.5
-# A refused call is told to come back after this long at least, in seconds.
-LEAST_RETRY_S = 0.05
+MIN_WAIT_SHARE = 0.5
+# Shortest delay after which a refused caller is told to retry.
+MIN_RETRY_AFTER_S = 0.05
 MAX_TRACKED_WORKSPACES = 1024
 
 
@@ -57,7 +57,7 @@
 
 @attrs.frozen
 class Ticket:
-    """A call that asks for admission.
+    """A request to admit one call.
 
     Attributes:
       workspace: Workspace that the call runs for.
@@ -65,9 +65,10 @@
         `Gate.estimate_cost`.
       deadline: Time by which the call must have finished, in seconds.
       request_id: Id of the call.
-      still_valid: Tells at a time whether the call may still run.
+      still_valid: Returns whether the call may still run at a given time.
       rank: Urgency; 0 is the most urgent.
-      objective: Time until which an answer is of full use, in seconds.
+      objective: Latency objective: time until which an answer has its full
+        value, in seconds.
     """
 
     workspace: str
@@ -86,14 +87,15 @@
     Attributes:
       in_flight: Calls admitted and not yet released.
       queued: Calls that wait.
-      limit: Calls allowed in flight now: the least of the next three.
+      limit: Calls allowed in flight now: the lowest of the next three and of
+        the limit of the pacer.
       capacity: The lower of slots and connections.
       ramp: Limit of the ramp.
       adaptive: Adaptive limit.
       service_s: Mean time that the backend server takes for a call, in
         seconds; zero if it is not known yet.
-      backlogs: Lines that the queue serves in turn and that have calls: one
-        for each workspace, or one for all.
+      backlogs: Number of backlogs that the queue serves in turn; see
+        ``count_backlogs`` of the queues.
     """
 
     in_flight: int
@@ -107,7 +109,7 @@
 
     @property
     def load(self) -> float:
-        """The value of a load report.
+        """Calls in flight and queued over the limit, as load reports have it.
 
         >>> GateReport(6, 2, 4, 10, 4, 10).load
         2.0
@@ -115,10 +117,10 @@
         return (self.in_flight + self.queued) / max(1, self.limit)
 
     def estimate_fair_load(self, queued: int) -> float:
-        """Returns the load as far as it delays a workspace's next call.
+        """Returns the part of the load that delays a workspace's next call.
 
-        The queue takes one call of each backlog in turn, so the call waits for
-        as many turns as its workspace has calls queued, and one more.
+        The queue takes one call of each backlog per round, so the call waits
+        for as many rounds as its workspace has calls queued, and one more.
 
         Args:
           queued: Calls of the workspace that wait.
@@ -137,7 +139,7 @@
     Attributes:
       mean_s: Moving average in seconds.
       shortest_s: Usual shortest time in seconds: it follows a shorter sample
-        at once and longer ones slowly.
+        at once and longer samples slowly.
       measured_at: Time of the last sample, in seconds.
     """
 
@@ -145,7 +147,7 @@
     shortest_s: float
     measured_at: float
 
-    def add(self, sample_s: float, now: float) -> '_ServiceTime':
+    def add_sample(self, sample_s: float, now: float) -> '_ServiceTime':
         """Returns the service time after another sample."""
         shortest_s = min(
             sample_s,
@@ -154,15 +156,15 @@
         mean_s = _average(self.mean_s, sample_s)
         return _ServiceTime(mean_s, shortest_s, now)
 
-    def estimate_shortest(self, now: float) -> float:
-        """Returns the time that a call takes at least, in seconds."""
+    def estimate_shortest_time(self, now: float) -> float:
+        """Returns the estimated shortest time of a call, in seconds."""
         age_s = max(0.0, now - self.measured_at)
         return self.shortest_s * 0.5 ** (age_s / SHORTEST_HALF_LIFE_S)
 
 
 @attrs.define(eq=False)
 class _Waiter:
-    """A greenlet blocked in `Gate.acquire`, and what became of its call."""
+    """A greenlet blocked in `Gate.acquire` and the decision on its call."""
 
     ticket: Ticket
     decided: event.Event
@@ -171,7 +173,7 @@
 
 
 class Permit:
-    """The right of one call to be in flight until it is released."""
+    """Permission for one call to be in flight until `release`."""
 
     def __init__(self, gate: 'Gate', ticket: Ticket, admitted_at: float):
         self.ticket = ticket
@@ -225,8 +227,8 @@
         Args:
           slots: Calls the backend server handles at once.
           connections: Connections the backend server accepts.
-          ramp: Object with ``initial_slots``, ``duration_s`` and, if calls of
-            a cold server are spaced, ``rate_per_s``; or None.
+          ramp: Object with ``initial_slots``, ``duration_s`` and, if calls to
+            a cold server are paced, ``rate_per_s``; or None.
           queue: Name of a variant in `queues.VARIANTS`.
           ramp_shape: Name of a variant in `ramps.VARIANTS`.
           bounds: Greatest lengths of the queue.
@@ -239,17 +241,19 @@
         self._queue = queues.VARIANTS.get(queue)(bounds)
         self._read_now = read_now
         self._in_flight = 0
-        self._ranks: collections.Counter[int] = collections.Counter()
+        self._in_flight_by_rank: collections.Counter[int] = (
+            collections.Counter()
+        )
         self._closed = False
-        self._held = False
+        self._paused = False
         self._idle = event.Event()
         self._idle.set()
         self._timer: gevent.Greenlet | None = None
         self._mean_s: float | None = None
-        self._service: dict[str, _ServiceTime] = {}
+        self._service_times: dict[str, _ServiceTime] = {}
         self._capacity = min(slots, connections)
         self._adaptive = concurrency.build_limit(self._capacity)
-        self._pace = paces.Pace()
+        self._pacer = paces.Pacer()
         self._ramp = self._build_ramp(ramp, None)
 
     def acquire(self, ticket: Ticket, now: float) -> Permit:
@@ -279,41 +283,41 @@
             rank=ticket.rank,
         )
         # A call that would wait past its deadline is refused at once, while
-        # its entry has time to try another VM. Waiting in vain it would also
-        # be admitted with too little time left to run.
+        # its entry node has time to try another VM. If the call waited, it
+        # might also be admitted with too little time left to run.
         wait_s = self._estimate_wait(ticket)
         reason = queues.find_drop_reason(
-            entry, now + wait_s, self._estimate_shortest(entry, now)
+            entry, now + wait_s, self._estimate_shortest_time(entry, now)
         )
         if reason is not None:
             raise _build_error(reason, ticket, wait_s)
         self._check_objective(ticket, wait_s, now)
-        if not self._held and len(self._queue) == 0:
-            if self._may_admit(now):
-                return self._grant(ticket, now)
+        if not self._paused and len(self._queue) == 0:
+            if self._can_admit(now):
+                return self._admit(ticket, now)
         waiter = _Waiter(ticket, event.Event())
         entry.payload = waiter
         displaced = self._queue.push(entry)
         if displaced is not None:
             self._refuse(displaced, queues.DropReason.DISPLACED)
         self._idle.clear()
-        self._pump(now)
+        self._admit_queued(now)
         return self._wait(entry, waiter, now)
 
     def estimate_cost(self, workspace: str) -> float:
         """Returns the cost of a call of the workspace.
 
-        This is the workspace's mean service time over the mean of all calls,
-        so an average call costs 1, as does one of an unknown workspace.
+        The cost is the workspace's mean service time over the mean of all
+        calls. An average call and a call of an unknown workspace cost 1.
         """
-        service = self._service.get(workspace)
+        service = self._service_times.get(workspace)
         if service is None or not self._mean_s:
             return DEFAULT_COST
         relative = service.mean_s / self._mean_s
         return min(MAX_RELATIVE_COST, max(MIN_RELATIVE_COST, relative))
 
     def set_capacity(self, slots: int, connections: int, ramp=None) -> None:
-        """Applies the numbers of a new preset; calls in flight go on.
+        """Applies the capacity of a new preset; calls in flight continue.
 
         Args:
           slots: Calls the backend server handles at once.
@@ -323,7 +327,7 @@
         self._capacity = min(slots, connections)
         self._adaptive = self._adaptive.resize(self._capacity)
         self._ramp = self._build_ramp(ramp, self._ramp.started_at)
-        self._pump(self._read_now())
+        self._admit_queued(self._read_now())
 
     def set_weights(self, weights: Mapping[str, float]) -> None:
         """Sets the weights of workspaces in the queue."""
@@ -332,18 +336,18 @@
     def notice_start(self, now: float) -> None:
         """Restarts the ramp: the backend server started at ``now``."""
         self._ramp = self._ramp.restart(now)
-        until = now + self._ramp.duration_s
-        self._pace = attrs.evolve(self._pace, until=until)
-        self._schedule(now)
+        ends_at = now + self._ramp.duration_s
+        self._pacer = attrs.evolve(self._pacer, ends_at=ends_at)
+        self._schedule_timer(now)
 
-    def hold(self) -> None:
+    def pause(self) -> None:
         """Stops admissions until `resume`; new calls are queued."""
-        self._held = True
+        self._paused = True
 
     def resume(self, now: float) -> None:
-        """Continues admissions after `hold`."""
-        self._held = False
-        self._pump(now)
+        """Continues admissions after `pause`."""
+        self._paused = False
+        self._admit_queued(now)
 
     def drain(self) -> None:
         """Refuses new calls; queued calls and calls in flight finish.
@@ -364,7 +368,7 @@
     def reopen(self, now: float) -> None:
         """Admits calls again after `drain` or `close`."""
         self._closed = False
-        self._pump(now)
+        self._admit_queued(now)
 
     def wait_idle(self, timeout_s: float) -> bool:
         """Waits until no call is queued or in flight.
@@ -392,86 +396,92 @@
         return self._queue.count(workspace)
 
     def _build_ramp(self, ramp, started_at: float | None):
-        self._pace = self._build_pace(ramp, started_at)
+        self._pacer = self._build_pacer(ramp, started_at)
         if ramp is None:
             return self._ramp_class(self._capacity, self._capacity, 0.0, None)
         return self._ramp_class(
             ramp.initial_slots, self._capacity, ramp.duration_s, started_at
         )
 
-    def _build_pace(self, ramp, started_at: float | None) -> paces.Pace:
+    def _build_pacer(self, ramp, started_at: float | None) -> paces.Pacer:
         rate_per_s = getattr(ramp, 'rate_per_s', 0.0)
-        until = self._pace.until
+        ends_at = self._pacer.ends_at
         if started_at is not None and ramp is not None:
-            # The numbers may come after the start was noticed.
-            until = started_at + ramp.duration_s
-        return attrs.evolve(self._pace, rate_per_s=rate_per_s, until=until)
+            # The preset with the rate may arrive after the start was detected.
+            ends_at = started_at + ramp.duration_s
+        return attrs.evolve(self._pacer, rate_per_s=rate_per_s, ends_at=ends_at)
 
     def _compute_limit(self, now: float) -> int:
         return min(
             self._capacity,
             self._ramp.compute_limit(now),
             self._adaptive.compute_limit(),
-            self._pace.compute_limit(self._mean_s or 0.0, now),
+            self._pacer.compute_limit(self._mean_s or 0.0, now),
         )
 
-    def _may_admit(self, now: float) -> bool:
+    def _can_admit(self, now: float) -> bool:
         has_slot = self._in_flight < self._compute_limit(now)
-        return has_slot and self._pace.allows(now)
+        return has_slot and self._pacer.allows(now)
 
-    def _estimate_shortest(self, entry: queues.Entry, now: float) -> float:
-        service = self._service.get(entry.workspace)
-        return 0.0 if service is None else service.estimate_shortest(now)
+    def _estimate_shortest_time(self, entry: queues.Entry, now: float) -> float:
+        service = self._service_times.get(entry.workspace)
+        return 0.0 if service is None else service.estimate_shortest_time(now)
 
     def _estimate_wait(self, ticket: Ticket) -> float:
         """Returns the time that a new call is expected to wait, in seconds.
 
-        The limit counts as it will be at the deadline, so that a growing ramp
-        refuses nothing that it could admit.
+        The limit is taken as of the deadline, so that no call is refused that
+        a growing ramp could admit in time.
         """
         limit = self._compute_limit(ticket.deadline)
-        if self._held or limit <= 0:
+        if self._paused or limit <= 0:
             return 0.0
         ahead = self._queue.count_ahead(ticket.workspace, ticket.rank)
         now = self._read_now()
-        paced_s = self._pace.estimate_wait(ahead, now)
-        # More urgent calls keep coming, so their slots don't become free.
-        open_slots = max(1, limit - self._count_more_urgent(ticket.rank))
-        mean_s = self._estimate_mean(ticket.workspace)
-        return max(paced_s, ahead * mean_s / open_slots)
+        paced_s = self._pacer.estimate_wait(ahead, now)
+        # Slots of more urgent calls don't count as free: such calls keep coming
+        # and take them again.
+        free_slots = max(1, limit - self._count_more_urgent(ticket.rank))
+        mean_s = self._estimate_mean_time(ticket.workspace)
+        return max(paced_s, ahead * mean_s / free_slots)
 
     def _count_more_urgent(self, rank: int) -> int:
-        """Returns the calls in flight that go before a rank."""
-        return sum(count for held, count in self._ranks.items() if held < rank)
+        """Returns the number of calls in flight more urgent than a rank."""
+        return sum(
+            count
+            for other, count in self._in_flight_by_rank.items()
+            if other < rank
+        )
 
     def _check_objective(
         self, ticket: Ticket, wait_s: float, now: float
     ) -> None:
-        """Refuses a call that would wait too long for its objective.
+        """Refuses a call that would wait past its latency objective.
 
-        Capacity that late answers take is lost for those in time. A caller
-        that is refused at once can come back, or go elsewhere.
+        Capacity spent on late answers is lost to calls that could be answered
+        in time. A caller that is refused at once can retry, also elsewhere.
 
         Raises:
-          ObjectiveError: If it would.
+          ObjectiveError: If the expected wait exceeds the longest allowed.
         """
-        mean_s = self._estimate_mean(ticket.workspace)
-        bound_s = compute_wait_bound(ticket.objective, mean_s, now)
-        if wait_s > bound_s:
+        mean_s = self._estimate_mean_time(ticket.workspace)
+        max_wait_s = compute_max_wait(ticket.objective, mean_s, now)
+        if wait_s > max_wait_s:
             raise errors.ObjectiveError(
-                f'call {ticket.request_id} would wait {wait_s:.2f} s',
-                max(LEAST_RETRY_S, wait_s - bound_s),
+                f'call {ticket.request_id} would wait {wait_s:.2f} s, past its'
+                ' latency objective',
+                max(MIN_RETRY_AFTER_S, wait_s - max_wait_s),
             )
 
-    def _estimate_mean(self, workspace: str) -> float:
+    def _estimate_mean_time(self, workspace: str) -> float:
         """Returns the mean time of a call of a workspace, in seconds."""
-        service = self._service.get(workspace)
+        service = self._service_times.get(workspace)
         return (self._mean_s or 0.0) if service is None else service.mean_s
 
-    def _grant(self, ticket: Ticket, now: float) -> Permit:
+    def _admit(self, ticket: Ticket, now: float) -> Permit:
         self._in_flight += 1
-        self._ranks[ticket.rank] += 1
-        self._pace = self._pace.take(now)
+        self._in_flight_by_rank[ticket.rank] += 1
+        self._pacer = self._pacer.record_start(now)
         self._idle.clear()
         return Permit(self, ticket, now)
 
@@ -480,19 +490,19 @@
         try:
             waiter.decided.wait(max(0.0, ticket.deadline - now))
         except BaseException:
-            # The greenlet was killed; a permit granted meanwhile goes back.
-            self._withdraw(entry, waiter)
+            # The greenlet was killed; a permit granted meanwhile is released.
+            self._cancel_wait(entry, waiter)
             raise
         if waiter.permit is not None:
             return waiter.permit
         if waiter.error is not None:
             raise waiter.error
-        self._withdraw(entry, waiter)
+        self._cancel_wait(entry, waiter)
         raise errors.DeadlineError(
             f'call {ticket.request_id} waited until its deadline'
         )
 
-    def _withdraw(self, entry: queues.Entry, waiter: _Waiter) -> None:
+    def _cancel_wait(self, entry: queues.Entry, waiter: _Waiter) -> None:
         self._queue.remove(entry)
         if waiter.permit is not None:
             waiter.permit.release(Result.FAILED, self._read_now())
@@ -503,29 +513,29 @@
         waiter.error = _build_error(reason, waiter.ticket)
         waiter.decided.set()
 
-    def _pump(self, now: float) -> None:
+    def _admit_queued(self, now: float) -> None:
         """Admits queued calls while the limit allows."""
-        while not self._held and len(self._queue) > 0:
-            if not self._may_admit(now):
+        while not self._paused and len(self._queue) > 0:
+            if not self._can_admit(now):
                 break
             entry, dropped = self._queue.pop(
-                now, lambda waiting: self._estimate_shortest(waiting, now)
+                now, lambda waiting: self._estimate_shortest_time(waiting, now)
             )
-            for gone, reason in dropped:
-                self._refuse(gone, reason)
+            for dropped_entry, reason in dropped:
+                self._refuse(dropped_entry, reason)
             if entry is not None:
-                entry.payload.permit = self._grant(entry.payload.ticket, now)
+                entry.payload.permit = self._admit(entry.payload.ticket, now)
                 entry.payload.decided.set()
-        self._schedule(now)
+        self._schedule_timer(now)
         self._update_idle()
 
-    def _schedule(self, now: float) -> None:
-        """Sets a timer for the next step of the ramp while calls wait."""
+    def _schedule_timer(self, now: float) -> None:
+        """Sets a timer for the next step of ramp or pacer while calls wait."""
         if self._timer is not None or len(self._queue) == 0:
             return
         steps = [self._ramp.compute_next_step(now)]
-        if not self._pace.allows(now):
-            steps.append(min(self._pace.next_at, self._pace.until))
+        if not self._pacer.allows(now):
+            steps.append(min(self._pacer.next_start_at, self._pacer.ends_at))
         step_at = min((at for at in steps if at is not None), default=None)
         if step_at is not None:
             delay_s = max(0.001, step_at - now)
@@ -533,7 +543,7 @@
 
     def _fire_timer(self) -> None:
         self._timer = None
-        self._pump(self._read_now())
+        self._admit_queued(self._read_now())
 
     def _update_idle(self) -> None:
         if self._in_flight == 0 and len(self._queue) == 0:
@@ -545,41 +555,41 @@
             self._adaptive = self._adaptive.record_success(
                 latency_s, self._in_flight
             )
-            self._record_service(permit.ticket.workspace, latency_s, now)
+            self._record_service_time(permit.ticket.workspace, latency_s, now)
         elif result is Result.SHED:
             self._adaptive = self._adaptive.record_shed(now)
         self._in_flight -= 1
-        self._ranks[permit.ticket.rank] -= 1
-        self._pump(now)
+        self._in_flight_by_rank[permit.ticket.rank] -= 1
+        self._admit_queued(now)
 
-    def _record_service(
+    def _record_service_time(
         self, workspace: str, latency_s: float, now: float
     ) -> None:
         self._mean_s = _average(self._mean_s, latency_s)
-        known = self._service.get(workspace)
-        if known is not None:
-            self._service[workspace] = known.add(latency_s, now)
+        service = self._service_times.get(workspace)
+        if service is not None:
+            self._service_times[workspace] = service.add_sample(latency_s, now)
             return
-        if len(self._service) >= MAX_TRACKED_WORKSPACES:
-            self._service.clear()
-        self._service[workspace] = _ServiceTime(latency_s, latency_s, now)
+        if len(self._service_times) >= MAX_TRACKED_WORKSPACES:
+            self._service_times.clear()
+        self._service_times[workspace] = _ServiceTime(latency_s, latency_s, now)
 
 
-def compute_wait_bound(objective: float, mean_s: float, now: float) -> float:
-    """Returns how long a call may wait in the queue, in seconds.
+def compute_max_wait(objective: float, mean_s: float, now: float) -> float:
+    """Returns the longest time a call may wait in the queue, in seconds.
 
-    >>> compute_wait_bound(objective=10.5, mean_s=0.2, now=10.0)
+    >>> compute_max_wait(objective=10.5, mean_s=0.2, now=10.0)
     0.2
-    >>> compute_wait_bound(objective=10.0, mean_s=0.2, now=10.0)
+    >>> compute_max_wait(objective=10.0, mean_s=0.2, now=10.0)
     0.1
 
     Args:
-      objective: Time until which an answer is of full use, in seconds.
+      objective: Time until which an answer has its full value, in seconds.
       mean_s: Mean time of a call, in seconds.
-      now: Present time in seconds.
+      now: Current time in seconds.
     """
-    left_s = round(objective - now - RUN_MARGIN * mean_s, 9)
-    return max(left_s, LEAST_WAIT_SHARE * mean_s)
+    time_left_s = round(objective - now - MIN_SERVICE_TIMES_LEFT * mean_s, 9)
+    return max(time_left_s, MIN_WAIT_SHARE * mean_s)
 
 
 def _average(mean_s: float | None, sample_s: float) -> float:
@@ -594,7 +604,7 @@
     call = f'call {ticket.request_id} of workspace {ticket.workspace}'
     if reason is queues.DropReason.DEADLINE:
         return errors.DeadlineError(
-            f'{call} cannot meet its deadline', max(LEAST_RETRY_S, wait_s)
+            f'{call} cannot meet its deadline', max(MIN_RETRY_AFTER_S, wait_s)
         )
     if reason is queues.DropReason.DISPLACED:
         return errors.QueueFullError(f'{call} was displaced from the queue')
--- a/jayseam/admission/paces.py
+++ b/jayseam/admission/paces.py
@@ -1,7 +1,7 @@
-"""The rate at which a cold backend server is given calls.
+"""Pacing of the calls to a cold backend server.
 
-A server in cold start falls over at a rate that its slots would allow, so
-calls in flight don't bound it well enough.
+A server in cold start falls over at a rate of calls that its slots would allow,
+so a limit on the calls in flight doesn't protect it well enough.
 """
 
 import math
@@ -10,51 +10,53 @@
 
 
 @attrs.frozen
-class Pace:
-    """Spaces calls evenly until a time.
+class Pacer:
+    """Spaces the starts of calls evenly until the end of cold start.
 
     Attributes:
-      rate_per_s: Calls per second; 0 if they aren't spaced.
-      until: Time at which the pace ends, in seconds.
-      next_at: Time of the next call, in seconds.
+      rate_per_s: Calls per second; 0 if they aren't paced.
+      ends_at: Time at which pacing ends, in seconds.
+      next_start_at: Earliest start of the next call, in seconds.
     """
 
     rate_per_s: float = 0.0
-    until: float = -math.inf
-    next_at: float = -math.inf
+    ends_at: float = -math.inf
+    next_start_at: float = -math.inf
 
     def is_over(self, now: float) -> bool:
-        """Tells whether calls aren't spaced any more."""
-        return self.rate_per_s <= 0 or now >= self.until
+        """Returns whether calls are no longer paced."""
+        return self.rate_per_s <= 0 or now >= self.ends_at
 
     def allows(self, now: float) -> bool:
-        """Tells whether a call may begin now."""
-        return self.is_over(now) or now >= self.next_at
+        """Returns whether a call may start now."""
+        return self.is_over(now) or now >= self.next_start_at
 
-    def take(self, now: float) -> 'Pace':
-        """Returns the pace after a call that begins now.
+    def record_start(self, now: float) -> 'Pacer':
+        """Returns the pacer after a call that starts now.
 
-        >>> pace = Pace(rate_per_s=10.0, until=5.0).take(1.0)
-        >>> pace.allows(1.05), pace.allows(1.1), pace.allows(5.0)
+        >>> pacer = Pacer(rate_per_s=10.0, ends_at=5.0).record_start(1.0)
+        >>> pacer.allows(1.05), pacer.allows(1.1), pacer.allows(5.0)
         (False, True, True)
         """
         if self.is_over(now):
             return self
-        begun_at = max(now, self.next_at)
-        return attrs.evolve(self, next_at=begun_at + 1.0 / self.rate_per_s)
+        started_at = max(now, self.next_start_at)
+        return attrs.evolve(
+            self, next_start_at=started_at + 1.0 / self.rate_per_s
+        )
 
     def estimate_wait(self, ahead: float, now: float) -> float:
-        """Returns how long a call waits behind others, in seconds.
+        """Returns how long a call waits behind ``ahead`` others, in seconds.
 
-        >>> Pace(rate_per_s=10.0, until=5.0).estimate_wait(3, now=1.0)
+        >>> Pacer(rate_per_s=10.0, ends_at=5.0).estimate_wait(3, now=1.0)
         0.3
         """
         if self.is_over(now):
             return 0.0
-        return min(ahead / self.rate_per_s, self.until - now)
+        return min(ahead / self.rate_per_s, self.ends_at - now)
 
     def compute_limit(self, service_s: float, now: float) -> float:
-        """Returns the calls in flight that the pace leads to.
+        """Returns the number of calls in flight to expect at the rate.
 
         Args:
           service_s: Mean time of a call, in seconds.
--- a/jayseam/admission/queues.py
+++ b/jayseam/admission/queues.py
@@ -2,8 +2,8 @@
 
 The queues read no clock and do no I/O. The registry `VARIANTS` holds
 ``ranked`` (the most urgent first, and start-time fair queueing over workspaces
-within a rank), ``fair`` (the latter without ranks) and ``fifo`` (one line for
-all). The last two are baselines of measurements.
+within a rank), ``fair`` (start-time fair queueing without ranks) and ``fifo``
+(order of arrival). The last two are baselines for measurements.
 
 References:
   Goyal, Vin and Cheng, "Start-time fair queuing: a scheduling algorithm for
@@ -25,7 +25,8 @@
 
 MAX_PER_WORKSPACE = 200
 MAX_TOTAL = 1000
-# A zero cost would let a workspace run any number of calls for nothing.
+# With a cost of zero, a workspace could run any number of calls without using
+# up its share.
 MIN_COST = 1e-6
 
 
@@ -46,7 +47,7 @@
       cost: Expected share of the backend server's time, relative to an
         average call of 1.
       deadline: Time by which the call must have finished, in seconds.
-      still_valid: Tells at a time whether the call may still run.
+      still_valid: Returns whether the call may still run at a given time.
       payload: Anything the owner of the queue attaches.
       rank: Urgency; 0 is the most urgent.
     """
@@ -91,7 +92,7 @@
 
 @attrs.define(eq=False)
 class _Flow:
-    """The backlog of one workspace."""
+    """The backlog of one workspace and its tags."""
 
     entries: collections.OrderedDict = attrs.field(
         factory=collections.OrderedDict
@@ -105,11 +106,11 @@
     """Start-time fair queue over workspaces with weights and costs.
 
     An admitted entry advances its workspace's finish tag by cost / weight;
-    the workspace with the lowest start tag is served next. From the moment a
-    workspace has a backlog, its service over its weight stays behind that of
-    any other by at most one largest cost of the other, plus one of its own
-    for an entry served just before. Tags are given to
-    the first entry of a workspace only, so entries that are dropped or
+    the workspace with the lowest start tag is served next. While a workspace
+    has a backlog, its service over its weight lags that of any other workspace
+    by at most one largest cost of the other, plus one of its own for an entry
+    served just before the backlog began (each over the workspace's weight).
+    Only the first entry of a workspace has tags, so entries that are dropped or
     withdrawn cost their workspace nothing.
 
     >>> queue = FairQueue()
@@ -123,10 +124,10 @@
         self._bounds = bounds
         self._weights: Mapping[str, float] = {}
         self._flows: dict[str, _Flow] = {}
-        self._heads: list[tuple[float, int, str]] = []
+        self._heap: list[tuple[float, int, str]] = []
         self._finish_tags: dict[str, float] = {}
         self._virtual_time = 0.0
-        self._turn = 0
+        self._sequence = 0
         self._length = 0
 
     def __len__(self) -> int:
@@ -146,14 +147,14 @@
         return sum(bool(flow.entries) for flow in self._flows.values())
 
     def count_ahead(self, workspace: str, rank: int) -> float:
-        """Returns the entries that a new one of a workspace waits for.
+        """Returns the number of entries that a new one would wait for.
 
-        It waits for one turn of all backlogs for each entry of its workspace
-        ahead of it, and half a turn on average for itself.
+        A new entry waits for one round over all backlogs for each entry of its
+        workspace ahead of it, and on average half a round for its own turn.
         """
         del rank
-        turns = self.count(workspace) + 0.5
-        return min(turns * self.count_backlogs(), self._length)
+        rounds = self.count(workspace) + 0.5
+        return min(rounds * self.count_backlogs(), self._length)
 
     def displace_newest(self) -> Entry | None:
         """Removes and returns the newest entry of the longest backlog."""
@@ -169,8 +170,8 @@
         """Adds an entry.
 
         When the whole queue is full, the newest entry of the workspace with
-        the longest backlog in proportion to its weight makes room, so that
-        one workspace's backlog refuses no other workspace.
+        the longest backlog in proportion to its weight is displaced, so that
+        one workspace's backlog doesn't cause refusals for other workspaces.
 
         Returns:
           The entry that was displaced, or None.
@@ -194,7 +195,7 @@
         return displaced
 
     def remove(self, entry: Entry) -> bool:
-        """Removes an entry that waits no longer.
+        """Removes an entry whose call no longer waits.
 
         Returns:
           Whether the entry was in the queue.
@@ -208,19 +209,19 @@
     def pop(
         self, now: float, estimate_s: Callable[[Entry], float]
     ) -> tuple[Entry | None, list[tuple[Entry, DropReason]]]:
-        """Takes the next entry that may run.
+        """Removes and returns the next entry that may run.
 
         Args:
           now: Current time in seconds.
-          estimate_s: Gives the expected time of an entry in seconds.
+          estimate_s: Returns the expected service time of an entry in seconds.
 
         Returns:
           The entry, or None if none may run, and the entries that were
-          dropped on the way, with reasons.
+          dropped before it, with reasons.
         """
         dropped = []
-        while self._heads:
-            workspace = self._heads[0][2]
+        while self._heap:
+            workspace = self._heap[0][2]
             flow = self._flows[workspace]
             if not flow.entries:
                 self._close_flow(workspace)
@@ -252,16 +253,16 @@
         start_tag = max(self._virtual_time, finish_tag)
         flow = _Flow(finish_tag=finish_tag, start_tag=start_tag)
         self._flows[workspace] = flow
-        self._turn += 1
-        heapq.heappush(self._heads, (start_tag, self._turn, workspace))
+        self._sequence += 1
+        heapq.heappush(self._heap, (start_tag, self._sequence, workspace))
         return flow
 
     def _close_flow(self, workspace: str) -> None:
-        heapq.heappop(self._heads)
+        heapq.heappop(self._heap)
         flow = self._flows.pop(workspace)
         if flow.finish_tag > self._virtual_time:
             self._finish_tags[workspace] = flow.finish_tag
-        # A tag that virtual time has passed has no effect any more.
+        # A tag that virtual time has passed no longer has any effect.
         if len(self._finish_tags) > self._bounds.total:
             self._finish_tags = {
                 name: tag
@@ -277,17 +278,21 @@
             self._close_flow(workspace)
             return
         flow.start_tag = flow.finish_tag
-        self._turn += 1
-        heapq.heapreplace(self._heads, (flow.start_tag, self._turn, workspace))
+        self._sequence += 1
+        heapq.heapreplace(
+            self._heap, (flow.start_tag, self._sequence, workspace)
+        )
 
     def _displace(self, workspace: str) -> Entry:
-        def measure(name: str) -> float:
+        def compute_relative_length(name: str) -> float:
             weight = max(self._weights.get(name, 1.0), MIN_COST)
             return len(self._flows[name].entries) / weight
 
-        longest = max(self._flows, key=measure)
+        longest = max(self._flows, key=compute_relative_length)
         weight = max(self._weights.get(workspace, 1.0), MIN_COST)
-        if (self.count(workspace) + 1) / weight > measure(longest):
+        if (self.count(workspace) + 1) / weight > compute_relative_length(
+            longest
+        ):
             raise errors.QueueFullError(f'{self._length} calls waiting')
         _, entry = self._flows[longest].entries.popitem(last=True)
         self._length -= 1
@@ -308,35 +313,39 @@
     def __init__(self, bounds: Bounds = Bounds()):
         self._bounds = bounds
         self._weights: Mapping[str, float] = {}
-        self._ranks: dict[int, FairQueue] = {}
+        self._queues_by_rank: dict[int, FairQueue] = {}
 
     def __len__(self) -> int:
-        return sum(len(queue) for queue in self._ranks.values())
+        return sum(len(queue) for queue in self._queues_by_rank.values())
 
     def set_weights(self, weights: Mapping[str, float]) -> None:
         """Sets the weights of workspaces; one that is absent weighs 1."""
         self._weights = dict(weights)
-        for queue in self._ranks.values():
+        for queue in self._queues_by_rank.values():
             queue.set_weights(weights)
 
     def count(self, workspace: str) -> int:
         """Returns the number of waiting entries of a workspace."""
-        return sum(queue.count(workspace) for queue in self._ranks.values())
+        return sum(
+            queue.count(workspace) for queue in self._queues_by_rank.values()
+        )
 
     def count_backlogs(self) -> int:
-        """Returns the lines with entries: one for each rank and workspace."""
-        return sum(queue.count_backlogs() for queue in self._ranks.values())
+        """Returns the number of backlogs, one for each rank and workspace."""
+        return sum(
+            queue.count_backlogs() for queue in self._queues_by_rank.values()
+        )
 
     def count_ahead(self, workspace: str, rank: int) -> float:
-        """Returns the entries that a new one waits for."""
+        """Returns the number of entries that a new one would wait for."""
         return sum(
-            queue.count_ahead(workspace, rank) if held == rank else len(queue)
-            for held, queue in self._ranks.items()
-            if held <= rank
+            queue.count_ahead(workspace, rank) if other == rank else len(queue)
+            for other, queue in self._queues_by_rank.items()
+            if other <= rank
         )
 
     def push(self, entry: Entry) -> Entry | None:
-        """Adds an entry; a full queue displaces a less urgent one for it.
+        """Adds an entry; if the queue is full, displaces a less urgent one.
 
         Returns:
           The entry that was displaced, or None.
@@ -344,47 +353,52 @@
         Raises:
           QueueFullError: If there is no room.
         """
-        queue = self._ranks.get(entry.rank)
+        queue = self._queues_by_rank.get(entry.rank)
         if queue is None:
-            queue = self._ranks[entry.rank] = FairQueue(self._bounds)
+            queue = self._queues_by_rank[entry.rank] = FairQueue(self._bounds)
             queue.set_weights(self._weights)
         displaced = None
         if len(self) >= self._bounds.total:
             displaced = self._displace(entry.rank)
-        other = queue.push(entry)
-        return displaced or other
+        displaced_in_rank = queue.push(entry)
+        return displaced or displaced_in_rank
 
     def remove(self, entry: Entry) -> bool:
-        """Removes an entry; tells whether it was in the queue."""
-        queue = self._ranks.get(entry.rank)
+        """Removes an entry; returns whether it was in the queue."""
+        queue = self._queues_by_rank.get(entry.rank)
         return queue is not None and queue.remove(entry)
 
     def pop(
         self, now: float, estimate_s: Callable[[Entry], float]
     ) -> tuple[Entry | None, list[tuple[Entry, DropReason]]]:
-        """Takes the next entry that may run; see `FairQueue.pop`."""
+        """Removes and returns the next entry; see `FairQueue.pop`."""
         dropped = []
-        for rank in sorted(self._ranks):
-            entry, gone = self._ranks[rank].pop(now, estimate_s)
-            dropped += gone
+        for rank in sorted(self._queues_by_rank):
+            entry, dropped_in_rank = self._queues_by_rank[rank].pop(
+                now, estimate_s
+            )
+            dropped += dropped_in_rank
             if entry is not None:
                 return entry, dropped
         return None, dropped
 
     def clear(self) -> list[Entry]:
         """Removes and returns all entries."""
-        queues = [self._ranks[rank] for rank in sorted(self._ranks)]
+        queues = [
+            self._queues_by_rank[rank] for rank in sorted(self._queues_by_rank)
+        ]
         return [entry for queue in queues for entry in queue.clear()]
 
     def _displace(self, rank: int) -> Entry | None:
-        """Makes room among the less urgent entries, the least urgent first.
+        """Displaces an entry of a less urgent rank, the least urgent first.
 
-        Without any, the entry's own rank decides who has to go.
+        Without such an entry, the queue of the new entry's rank decides which
+        entry is displaced or refused.
         """
-        for held in sorted(self._ranks, reverse=True):
-            if held <= rank:
+        for other in sorted(self._queues_by_rank, reverse=True):
+            if other <= rank:
                 return None
-            displaced = self._ranks[held].displace_newest()
+            displaced = self._queues_by_rank[other].displace_newest()
             if displaced is not None:
                 return displaced
         return None
@@ -392,10 +406,10 @@
 
 @VARIANTS.register('fifo')
 class FifoQueue:
-    """One line for all workspaces, in order of arrival.
+    """One queue for all workspaces, in order of arrival.
 
-    It has the interface of `FairQueue`, but weights and costs are ignored and
-    only the total length is bounded.
+    The class has the interface of `FairQueue`, but ignores weights and costs
+    and bounds only the total length.
     """
 
     def __init__(self, bounds: Bounds = Bounds()):
@@ -414,11 +428,11 @@
         return sum(entry.workspace == workspace for entry in entries)
 
     def count_backlogs(self) -> int:
-        """Returns the length of the line, of which each entry waits."""
+        """Returns the number of entries; each counts as a backlog."""
         return len(self._entries)
 
     def count_ahead(self, workspace: str, rank: int) -> float:
-        """Returns the entries that a new one waits for: all."""
+        """Returns the number of all entries; a new one waits for each."""
         del workspace, rank
         return len(self._entries)
 
@@ -433,13 +447,13 @@
         self._entries[id(entry)] = entry
 
     def remove(self, entry: Entry) -> bool:
-        """Removes an entry; tells whether it was in the queue."""
+        """Removes an entry; returns whether it was in the queue."""
         return self._entries.pop(id(entry), None) is not None
 
     def pop(
         self, now: float, estimate_s: Callable[[Entry], float]
     ) -> tuple[Entry | None, list[tuple[Entry, DropReason]]]:
-        """Takes the next entry that may run; see `FairQueue.pop`."""
+        """Removes and returns the next entry; see `FairQueue.pop`."""
         dropped = []
         while self._entries:
             _, entry = self._entries.popitem(last=False)
--- a/jayseam/admission/ramps.py
+++ b/jayseam/admission/ramps.py
@@ -1,6 +1,6 @@
 """Limits on a backend server that has just started.
 
-A ramp is immutable: a restart gives a new value. The registry `VARIANTS`
+A ramp is immutable: `restart` returns a new ramp. The registry `VARIANTS`
 holds the shapes; ``none`` is the baseline without protection.
 
 See Also:
@@ -26,7 +26,7 @@
       slots: Calls in flight allowed from the end of the ramp.
       duration_s: Length of the ramp in seconds.
       started_at: Time of the last start, in seconds; None if no start was
-        noticed.
+        detected.
     """
 
     initial_slots: int
@@ -77,7 +77,7 @@
 @VARIANTS.register('none')
 @attrs.frozen
 class FullRamp:
-    """Allows all slots from the first moment: the baseline of measurements.
+    """Allows all slots from the start; the baseline for measurements.
 
     Attributes:
       initial_slots: Ignored.
--- a/jayseam/admission/tests/test_gates.py
+++ b/jayseam/admission/tests/test_gates.py
@@ -18,12 +18,12 @@
 
 
 def make_ticket(workspace='a', deadline=1e9, valid=lambda now: True):
-    """Returns a ticket that may wait for ever unless told otherwise."""
+    """Returns a ticket without a deadline by default."""
     return gates.Ticket(workspace, 1.0, deadline, 'r-1', valid)
 
 
-def settle():
-    """Lets every greenlet run that can."""
+def run_ready_greenlets():
+    """Lets every greenlet run that is ready."""
     for _ in range(3):
         gevent.sleep(0)
 
@@ -103,7 +103,7 @@
             now[0] += number / 10
         elif operation == 'kill' and waiting:
             waiting.pop(number % len(waiting)).kill()
-        settle()
+        run_ready_greenlets()
         waiting = [greenlet for greenlet in waiting if not greenlet.dead]
         report = gate.describe(now[0])
         assert report.in_flight == len(permits)
@@ -118,13 +118,13 @@
     now[0] += 20.0
     while permits:
         permits.pop().release('success', now[0])
-        settle()
+        run_ready_greenlets()
     assert not gate.describe(now[0]).queued
     assert gate.wait_idle(0.0)
 
 
 def test_permit_counts_once():
-    """A double release would admit more calls than the limit."""
+    """If a double release counted, the gate would exceed its limit."""
     gate = gates.Gate(1, 10)
     permit = gate.acquire(make_ticket(), 1.0)
     permit.release('success', 1.1)
@@ -169,10 +169,10 @@
     permit = gate.acquire(make_ticket(), 1.0)
     ticket = make_ticket(valid=lambda now: not withdrawn)
     waiter = gevent.spawn(gate.acquire, ticket, 1.0)
-    settle()
+    run_ready_greenlets()
     withdrawn.append(True)
     permit.release('success', 1.1)
-    settle()
+    run_ready_greenlets()
     assert isinstance(waiter.exception, errors.NoLongerValidError)
     with pytest.raises(errors.NoLongerValidError):
         gate.acquire(ticket, 1.2)
@@ -180,22 +180,25 @@
 
 
 def test_drain_lets_queued_calls_finish_and_close_does_not():
-    """A planned stop interrupts nothing; a leaving server gets no new work."""
+    """A planned stop must not interrupt calls.
+
+    A backend server that is leaving must get no new work.
+    """
     gate = gates.Gate(1, 10)
     permit = gate.acquire(make_ticket(), 1.0)
     queued = gevent.spawn(gate.acquire, make_ticket(), 1.0)
-    settle()
+    run_ready_greenlets()
     gate.drain()
     with pytest.raises(errors.ClosedError):
         gate.acquire(make_ticket(), 1.0)
     permit.release('success', 1.1)
-    settle()
+    run_ready_greenlets()
     assert queued.successful() and not gate.wait_idle(0.0)
     gate.reopen(1.2)
     refused = gevent.spawn(gate.acquire, make_ticket(), 1.2)
-    settle()
+    run_ready_greenlets()
     gate.close()
-    settle()
+    run_ready_greenlets()
     assert isinstance(refused.exception, errors.ClosedError)
     queued.value.release('success', 1.3)
     assert gate.wait_idle(0.0)
@@ -206,11 +209,11 @@
     gate = gates.Gate(1, 10)
     permit = gate.acquire(make_ticket(), 1.0)
     waiter = gevent.spawn(gate.acquire, make_ticket(), 1.0)
-    settle()
+    run_ready_greenlets()
     waiter.kill(block=False)
     permit.release('success', 1.1)
     assert gate.describe(1.1).in_flight == 1
-    settle()
+    run_ready_greenlets()
     assert waiter.dead
     assert gate.describe(1.1).in_flight == 0
 
@@ -219,20 +222,20 @@
     """New slots must admit waiting calls, and fewer slots admit no more."""
     gate = gates.Gate(1, 10)
     calls = [gevent.spawn(gate.acquire, make_ticket(), 1.0) for _ in range(6)]
-    settle()
+    run_ready_greenlets()
     assert gate.describe(1.0).load == 6.0
     gate.set_capacity(5, 4, RAMP)
-    settle()
+    run_ready_greenlets()
     assert gate.describe(1.0).in_flight == 4
     gate.set_capacity(2, 10, RAMP)
     done = [call.value for call in calls if call.dead]
     done[0].release('success', 1.1)
-    settle()
+    run_ready_greenlets()
     assert gate.describe(1.1).in_flight == 3
-    gate.hold()
+    gate.pause()
     for permit in done[1:]:
         permit.release('success', 1.1)
-    settle()
+    run_ready_greenlets()
     assert gate.describe(1.1).in_flight == 0
     gate.resume(1.2)
     assert gate.describe(1.2).in_flight == 2
@@ -240,12 +243,12 @@
 
 
 def test_cost_is_relative_to_the_average_call():
-    """A workspace of slow calls pays more; an unknown one pays 1."""
+    """Slow calls cost more; a call of an unknown workspace costs 1."""
     gate = gates.Gate(1, 10)
     for at in range(100):
-        for workspace, took_s in (('fast', 0.01), ('slow', 0.1)):
+        for workspace, latency_s in (('fast', 0.01), ('slow', 0.1)):
             permit = gate.acquire(make_ticket(workspace), float(at))
-            permit.release('success', at + took_s)
+            permit.release('success', at + latency_s)
     ratio = gate.estimate_cost('slow') / gate.estimate_cost('fast')
     assert ratio == pytest.approx(10.0, rel=0.1)
     assert gate.estimate_cost('new') == 1.0
@@ -259,66 +262,66 @@
     for _ in range(3):
         gate.acquire(make_ticket(), 1.0)
     waiter = gevent.spawn(gate.acquire, make_ticket(), 1.0)
-    settle()
+    run_ready_greenlets()
     with pytest.raises(errors.QueueFullError):
         gate.acquire(make_ticket(), 1.0)
     waiter.kill()
 
 
 def test_call_that_would_wait_past_its_deadline_is_refused_at_once():
-    """Its entry must learn so while it has time to try another VM.
+    """The entry node must have time left to try another VM.
 
-    Calls that waited in vain were admitted with too little time left, and
-    their runs were cut at the deadline.
+    Before, such calls waited and were admitted with too little time left, so
+    their runs were cut off at the deadline.
     """
     gate = gates.Gate(slots=1, connections=10, read_now=lambda: 0.0)
     for _ in range(20):
         permit = gate.acquire(make_ticket('w', 9.0), now=0.0)
         permit.release(gates.Result.SUCCESS, now=0.1)
-    held = gate.acquire(make_ticket('w', 9.0), now=0.0)
+    permit_in_use = gate.acquire(make_ticket('w', 9.0), now=0.0)
     waiting = [
         gevent.spawn(gate.acquire, make_ticket(name, 1.0), 0.0)
         for name in ('large', 'large', 'large', 'large', 'large', 'large')
     ]
-    settle()
+    run_ready_greenlets()
     with gevent.Timeout(0.2), pytest.raises(errors.DeadlineError):
         gate.acquire(make_ticket('large', 0.55), now=0.0)
     small = gevent.spawn(gate.acquire, make_ticket('small', 0.55), 0.0)
-    settle()
+    run_ready_greenlets()
     assert gate.count_queued('small') == 1
-    held.release(gates.Result.SUCCESS, now=0.1)
+    permit_in_use.release(gates.Result.SUCCESS, now=0.1)
     gevent.killall([small, *waiting])
 
 
 def test_cold_server_gets_calls_at_its_rate():
-    """Free slots must not let more calls begin than a cold server bears."""
+    """Free slots must not raise the rate of calls to a cold server."""
     now = [100.0]
     ramp = types.SimpleNamespace(
         initial_slots=50, duration_s=3.0, rate_per_s=15.0
     )
     gate = gates.Gate(50, 50, ramp, read_now=lambda: now[0])
     gate.notice_start(now[0])
-    begun = []
+    start_times = []
 
     def call():
         permit = gate.acquire(make_ticket(), now[0])
-        begun.append(now[0])
+        start_times.append(now[0])
         permit.release(gates.Result.SUCCESS, now[0])
 
     callers = [gevent.spawn(call) for _ in range(80)]
     for step in range(400):
         now[0] = 100.0 + step / 100
         gate.reopen(now[0])
-        settle()
-    in_first_second = [at for at in begun if at < 101.0]
+        run_ready_greenlets()
+    in_first_second = [at for at in start_times if at < 101.0]
     assert 14 <= len(in_first_second) <= 16
-    assert len([at for at in begun if at < 103.0]) <= 46
+    assert len([at for at in start_times if at < 103.0]) <= 46
     gevent.joinall(callers, timeout=1.0)
-    assert len(begun) == 80
+    assert len(start_times) == 80
 
 
 def test_paced_gate_refuses_what_would_wait_past_its_deadline():
-    """A call that a cold server can't reach in time is refused at once."""
+    """A call whose paced start is after its deadline is refused at once."""
     ramp = types.SimpleNamespace(
         initial_slots=50, duration_s=3.0, rate_per_s=10.0
     )
@@ -328,7 +331,7 @@
     waiting = [
         gevent.spawn(gate.acquire, make_ticket(), 100.0) for _ in range(9)
     ]
-    settle()
+    run_ready_greenlets()
     with pytest.raises(errors.DeadlineError):
         gate.acquire(make_ticket(deadline=100.5), 100.0)
     gevent.killall(waiting)
@@ -346,6 +349,6 @@
     gate.set_capacity(50, 50, ramp)
     gate.acquire(make_ticket(), now[0]).release(gates.Result.SUCCESS, now[0])
     late = gevent.spawn(gate.acquire, make_ticket(), now[0])
-    settle()
+    run_ready_greenlets()
     assert not late.ready()
     late.kill()
--- a/jayseam/admission/tests/test_queues.py
+++ b/jayseam/admission/tests/test_queues.py
@@ -14,12 +14,12 @@
 
 
 def make_entry(workspace='a', cost=1.0, deadline=1e9, valid=lambda now: True):
-    """Returns an entry that may wait for ever unless told otherwise."""
+    """Returns an entry without a deadline by default."""
     return queues.Entry(workspace, cost, deadline, valid)
 
 
-def take(queue, now=0.0):
-    """Pops the next entry; its service time is expected to be 1 s."""
+def pop_next(queue, now=0.0):
+    """Pops the next entry, with an expected service time of 1 s."""
     return queue.pop(now, lambda entry: 1.0)
 
 
@@ -53,7 +53,7 @@
             if workspace not in backlogs:
                 backlogs[workspace] = Backlog(workspace in ever_served)
             continue
-        entry, _ = take(queue)
+        entry, _ = pop_next(queue)
         if entry is None:
             assert not backlogs
             continue
@@ -77,27 +77,27 @@
         queue.push(make_entry('abcd'[index % 4], cost))
     served = collections.Counter()
     while all(queue.count(workspace) for workspace in 'abcd'):
-        entry, _ = take(queue)
+        entry, _ = pop_next(queue)
         served[entry.workspace] += entry.cost
         share = sum(served.values()) / 4
         assert all(served[w] >= share - MAX_COST - 1e-6 for w in 'abcd')
 
 
 def test_idle_workspace_saves_up_nothing():
-    """A workspace back from a pause must not starve the others."""
+    """A workspace that resumes after a pause must not starve the others."""
     queue = queues.FairQueue()
     for _ in range(50):
         queue.push(make_entry('a'))
     for _ in range(20):
-        take(queue)
+        pop_next(queue)
     for _ in range(50):
         queue.push(make_entry('b'))
-    served = [take(queue)[0].workspace for _ in range(20)]
+    served = [pop_next(queue)[0].workspace for _ in range(20)]
     assert 9 <= served.count('a') <= 11
 
 
 def test_sending_one_at_a_time_gains_nothing():
-    """A workspace whose queue empties each time must not jump the line."""
+    """Emptying its queue each time must not get a workspace served earlier."""
     queue = queues.FairQueue()
     served = []
     for _ in range(40):
@@ -105,7 +105,7 @@
             queue.push(make_entry(workspace))
         if not queue.count('a'):
             queue.push(make_entry('a', cost=2.0))
-        served.append(take(queue)[0].workspace)
+        served.append(pop_next(queue)[0].workspace)
     assert served.count('a') <= 40 / 4 / 2 + 2
 
 
@@ -136,11 +136,11 @@
             if displaced is not None:
                 waiting.remove(displaced)
         elif step == 'pop':
-            entry, dropped = take(queue, now=float(number))
-            for gone, reason in dropped:
+            entry, dropped = pop_next(queue, now=float(number))
+            for expired, reason in dropped:
                 assert reason is queues.DropReason.DEADLINE
-                assert gone.deadline < number + 1.0
-                waiting.remove(gone)
+                assert expired.deadline < number + 1.0
+                waiting.remove(expired)
             if entry is not None:
                 assert entry.deadline >= number + 1.0
                 waiting.remove(entry)
@@ -152,7 +152,7 @@
         if kind == 'fair':
             assert all(queue.count(w) <= 4 for w in 'abc')
     assert set(map(id, queue.clear())) == set(map(id, waiting))
-    assert len(queue) == 0 and take(queue) == (None, [])
+    assert len(queue) == 0 and pop_next(queue) == (None, [])
 
 
 def test_withdrawn_call_is_dropped_when_it_would_leave():
@@ -164,19 +164,19 @@
     queue.push(first)
     queue.push(second)
     withdrawn.append('a')
-    entry, dropped = take(queue)
+    entry, dropped = pop_next(queue)
     assert entry is second
     assert dropped == [(first, queues.DropReason.NO_LONGER_VALID)]
 
 
 def test_dropped_entries_cost_their_workspace_nothing():
-    """A workspace whose calls expired must not wait for having had none."""
+    """A workspace must not be charged for calls that expired unserved."""
     queue = queues.FairQueue()
     for _ in range(5):
         queue.push(make_entry('a', cost=4.0, deadline=1.0))
     queue.push(make_entry('a'))
     queue.push(make_entry('b'))
-    assert take(queue, now=5.0)[0].workspace == 'a'
+    assert pop_next(queue, now=5.0)[0].workspace == 'a'
 
 
 def test_full_queue_displaces_the_longest_backlog():
@@ -196,4 +196,4 @@
     queue = queues.FifoQueue()
     for workspace in 'aab':
         queue.push(make_entry(workspace))
-    assert [take(queue)[0].workspace for _ in range(3)] == ['a', 'a', 'b']
+    assert [pop_next(queue)[0].workspace for _ in range(3)] == ['a', 'a', 'b']
