Describe routing and upstream selection in the usual terms

Cause: names such as marks, spare members and verdicts hid that VMs with full queues are remembered and that some members are a fallback. Change: comments reworded; marks are refusals, verdicts are eligibility, compare_service is compute_service_ratio; four tests of refusals renamed.

--- a/jayseam/routing/__init__.py
+++ b/jayseam/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Route lookup and choice of the upstream that runs a call.
+"""Route lookup and selection of the upstream that runs a call.
 
 See Also:
   ``docs/design.md``, section 5.2.
--- a/jayseam/routing/errors.py
+++ b/jayseam/routing/errors.py
@@ -1,4 +1,7 @@
-"""Errors of route lookup and choice. Each means that nothing was sent."""
+"""Errors of route lookup and upstream selection.
+
+Each error means that nothing was sent.
+"""
 
 from jayseam.core import errors
 
@@ -19,7 +22,7 @@
     """The route of the path lacks the method.
 
     Attributes:
-      allowed: The methods it has, in alphabetical order.
+      allowed: Methods of the route, in alphabetical order.
     """
 
     def __init__(self, path: str, allowed: tuple[str, ...]):
--- a/jayseam/routing/loads.py
+++ b/jayseam/routing/loads.py
@@ -1,26 +1,27 @@
-"""What a node knows of the load of other members' backend servers."""
+"""Load of the members' backend servers as a node knows it."""
 
 import math
 
 import attrs
 
-FRESH_S = 1.0
-STALE_WEIGHT = 0.5
-# Workspaces of a VM above which those without news are forgotten.
+REPORT_FRESH_S = 1.0
+STALE_REPORT_WEIGHT = 0.5
+# With more workspaces of a VM, those without calls in flight and without a
+# fresh report are removed.
 MAX_WORKSPACES = 64
 
 
 @attrs.frozen
 class Report:
-    """The load that a reply of an ingress tells.
+    """The load of a backend server as a reply of its ingress reports it.
 
     A fair queue takes the backlogs of workspaces in turn, so a call waits for
-    the backlog of its own workspace and hardly for that of a neighbour.
+    the backlog of its own workspace and hardly for those of others.
 
     Attributes:
       load: Calls in flight and queued, over the limit.
-      fair_load: The same as far as it delays the workspace of the reply.
-      idle_load: The same for a workspace that has no call in the queue.
+      fair_load: Part of the load that delays the workspace of the reply.
+      idle_load: Part of the load that delays a workspace without queued calls.
       service_s: Mean service time in seconds; zero if unknown.
     """
 
@@ -32,37 +33,37 @@
 
 @attrs.define
 class _WorkspaceLoad:
-    """Own calls of one workspace at a member, and its last report."""
+    """This node's calls of one workspace at a member, and the last report."""
 
     in_flight: int = 0
-    reported: float = 0.0
+    reported_load: float = 0.0
     reported_at: float = -math.inf
-    own_at_report: int = 0
+    in_flight_at_report: int = 0
 
 
 @attrs.define
 class MemberLoad:
-    """Load of one member as its entry sees it.
+    """Load of one member as this node knows it.
 
     Attributes:
-      in_flight: Own calls in flight at the member.
-      report: Its last report, if any.
+      in_flight: Calls of this node in flight at the member.
+      report: Last report of the member, if any.
       reported_at: Time at which the report arrived, in seconds.
-      own_at_report: Own calls in flight when it arrived; the report counts
-        them already.
-      workspaces: The same by workspace, for those with calls in flight or a
+      in_flight_at_report: Calls of this node in flight when the report arrived;
+        the report already counts them.
+      workspaces: Load by workspace, for workspaces with calls in flight or a
         fresh report.
     """
 
     in_flight: int = 0
     report: Report | None = None
     reported_at: float = -math.inf
-    own_at_report: int = 0
+    in_flight_at_report: int = 0
     workspaces: dict[str, _WorkspaceLoad] = attrs.field(factory=dict)
 
 
 class LoadTable:
-    """Own calls in flight and last load reports by VM.
+    """This node's calls in flight and the last load reports, by VM.
 
     >>> table = LoadTable()
     >>> table.start('vm-1', 'w')
@@ -84,10 +85,10 @@
         if member is None:
             member = self._members[vm] = MemberLoad()
         member.in_flight += 1
-        own = member.workspaces.get(workspace)
-        if own is None:
-            own = member.workspaces[workspace] = _WorkspaceLoad()
-        own.in_flight += 1
+        workspace_load = member.workspaces.get(workspace)
+        if workspace_load is None:
+            workspace_load = member.workspaces[workspace] = _WorkspaceLoad()
+        workspace_load.in_flight += 1
 
     def finish(self, vm: str, workspace: str = '') -> None:
         """Counts the end of a call."""
@@ -95,46 +96,49 @@
         if member is None or member.in_flight == 0:
             return
         member.in_flight -= 1
-        own = member.workspaces.get(workspace)
-        if own is not None and own.in_flight > 0:
-            own.in_flight -= 1
+        workspace_load = member.workspaces.get(workspace)
+        if workspace_load is not None and workspace_load.in_flight > 0:
+            workspace_load.in_flight -= 1
 
     def report(
         self, vm: str, workspace: str, report: Report, now: float
     ) -> None:
-        """Stores the load that a reply to a call of a workspace carried.
+        """Stores the load report in a reply to a call of a workspace.
 
-        Call it before `finish` for that reply: the ingress counted the call.
+        This must be called before `finish` for that call, because the ingress
+        counted the call in its report.
         """
         member = self._members.setdefault(vm, MemberLoad())
         member.report = report
         member.reported_at = now
-        member.own_at_report = member.in_flight
-        own = member.workspaces.setdefault(workspace, _WorkspaceLoad())
-        own.reported = report.fair_load
-        own.reported_at = now
-        own.own_at_report = own.in_flight
+        member.in_flight_at_report = member.in_flight
+        workspace_load = member.workspaces.setdefault(
+            workspace, _WorkspaceLoad()
+        )
+        workspace_load.reported_load = report.fair_load
+        workspace_load.reported_at = now
+        workspace_load.in_flight_at_report = workspace_load.in_flight
         if len(member.workspaces) > MAX_WORKSPACES:
             member.workspaces = {
                 name: load
                 for name, load in member.workspaces.items()
-                if load.in_flight or now <= load.reported_at + FRESH_S
+                if load.in_flight or now <= load.reported_at + REPORT_FRESH_S
             }
 
     def forget(self, vm: str) -> None:
-        """Drops what is known of a VM that has left."""
+        """Removes the load of a VM that has left."""
         self._members.pop(vm, None)
 
     def get(self, vm: str) -> MemberLoad:
-        """Returns what is known of a VM."""
+        """Returns the load of a VM."""
         return self._members.get(vm, MemberLoad())
 
-    def compare_service(self, first: str, second: str) -> float:
-        """Returns the service time of one VM over that of another.
+    def compute_service_ratio(self, first: str, second: str) -> float:
+        """Returns the service time at one VM over that at another.
 
-        It is 1 unless both are known.
+        The ratio is 1 unless both service times are known.
         """
-        one, other = self._read_service(first), self._read_service(second)
+        one, other = self._get_service_s(first), self._get_service_s(second)
         return one / other if one and other else 1.0
 
     def estimate(
@@ -142,48 +146,51 @@
     ) -> float:
         """Returns the load of a VM, (in flight + reported queue) / limit.
 
-        A report counts in full until it is 1 s old and half after that. Own
-        calls that it includes are not counted twice.
+        A report counts in full until it is 1 s old and by half after that.
+        Calls of this node that the report includes are not counted twice.
 
         Args:
           vm: Name of the VM.
           slots: Slots of its upstream.
           now: Current time in seconds.
-          workspace: Counts only what delays calls of this workspace, as far as
-            fresh reports tell it; None counts everything.
+          workspace: Workspace for which only the load that delays its calls is
+            counted, as far as fresh reports contain it; None counts all load.
         """
         member = self._members.get(vm)
         if member is None:
             return 0.0
         slots = slots or 1
         total = _estimate_total(member, slots, now)
-        if workspace is None or now > member.reported_at + FRESH_S:
+        if workspace is None or now > member.reported_at + REPORT_FRESH_S:
             return total
         return min(total, _estimate_fair(member, slots, now, workspace))
 
-    def _read_service(self, vm: str) -> float:
+    def _get_service_s(self, vm: str) -> float:
         report = self.get(vm).report
         return 0.0 if report is None else report.service_s
 
 
 def _estimate_total(member: MemberLoad, slots: int, now: float) -> float:
-    own = member.in_flight / slots
+    own_load = member.in_flight / slots
     if member.report is None:
-        return own
+        return own_load
     weight = 1.0
-    if now > member.reported_at + FRESH_S:
-        weight = STALE_WEIGHT
-    others = member.report.load - member.own_at_report / slots
-    # The rounding keeps equal loads equal whatever their parts are.
-    return round(own + weight * max(0.0, others), 9)
+    if now > member.reported_at + REPORT_FRESH_S:
+        weight = STALE_REPORT_WEIGHT
+    others_load = member.report.load - member.in_flight_at_report / slots
+    # Without rounding, equal loads could differ by floating-point errors.
+    return round(own_load + weight * max(0.0, others_load), 9)
 
 
 def _estimate_fair(
     member: MemberLoad, slots: int, now: float, workspace: str
 ) -> float:
-    own = member.workspaces.get(workspace)
-    if own is None or now > own.reported_at + FRESH_S:
-        started = 0 if own is None else own.in_flight
-        return round(member.report.idle_load + started / slots, 9)
-    started = own.in_flight - own.own_at_report
-    return round(max(0.0, own.reported + started / slots), 9)
+    workspace_load = member.workspaces.get(workspace)
+    if (
+        workspace_load is None
+        or now > workspace_load.reported_at + REPORT_FRESH_S
+    ):
+        sent = 0 if workspace_load is None else workspace_load.in_flight
+        return round(member.report.idle_load + sent / slots, 9)
+    sent_since = workspace_load.in_flight - workspace_load.in_flight_at_report
+    return round(max(0.0, workspace_load.reported_load + sent_since / slots), 9)
--- a/jayseam/routing/matching.py
+++ b/jayseam/routing/matching.py
@@ -1,4 +1,4 @@
-"""Route lookup by longest prefix and method, and choice of a service.
+"""Route lookup by longest prefix and method, and weighted choice of a service.
 
 Routes are duck typed: see ``Route`` in section 3.3 of ``docs/design.md``.
 """
@@ -15,7 +15,7 @@
 from jayseam.routing import errors
 
 # Encoded separators, dots, percent signs and NUL: a server that decodes them
-# once more than the matcher would reach a path that was never matched.
+# once more than the matcher would serve a path that was never matched.
 _AMBIGUOUS = re.compile(r'%(2f|5c|2e|25|00)', re.IGNORECASE)
 _DOT_SEGMENTS = ('.', '..')
 
@@ -24,7 +24,8 @@
     """Returns the decoded path of a request target, for matching.
 
     A path whose meaning depends on how the backend server normalizes it is
-    refused, because it could match an open route and reach a closed one.
+    refused: it could match a route that is open to all and reach a resource
+    that is not.
 
     Args:
       target: Request target in origin form, with or without a query.
@@ -47,7 +48,7 @@
         return path
     if _AMBIGUOUS.search(path):
         raise errors.BadPathError(f'ambiguous path {path!r}')
-    # Some servers drop parameters, so ``..;a`` is a dot segment to them.
+    # Some servers drop path parameters and take ``..;a`` for a dot segment.
     segments = (s.partition(';')[0] for s in path.split('/'))
     if any(segment in _DOT_SEGMENTS for segment in segments):
         raise errors.BadPathError(f'ambiguous path {path!r}')
@@ -60,7 +61,7 @@
 
     Attributes:
       by_host: For each host the routes of each prefix, in the order of the
-        preset. Routes for all hosts stand under the empty host.
+        preset. Routes for all hosts have the empty host as their key.
     """
 
     by_host: Mapping[str, Mapping[str, tuple[Any, ...]]]
@@ -74,8 +75,8 @@
         Args:
           target: Request target in origin form.
           method: HTTP method.
-          host: Host of the request, without a port. Its own routes go before
-            those for all hosts.
+          host: Host of the request, without a port. Its routes take
+            precedence over routes for all hosts.
 
         Raises:
           BadPathError: If the path is ambiguous.
@@ -93,7 +94,7 @@
 
 
 def build_table(routes: Iterable[Any] | Mapping[str, Any]) -> RouteTable:
-    """Returns the table of the routes of a preset.
+    """Builds the table of the routes of a preset.
 
     Args:
       routes: Objects with ``prefix`` and ``methods``, or a mapping to them.
@@ -123,7 +124,9 @@
     """
     positive = [(name, weight) for name, weight in targets if weight > 0]
     if not positive:
-        raise errors.NoCandidateError('the route has no target with weight')
+        raise errors.NoCandidateError(
+            'the route has no target with a positive weight'
+        )
     sums = list(itertools.accumulate(weight for _, weight in positive))
     position = bisect.bisect_right(sums, draw * sums[-1])
     return positive[min(position, len(positive) - 1)][0]
@@ -148,7 +151,7 @@
 
 
 def _select_method(routes: Sequence[Any], path: str, method: str) -> Any:
-    """Returns the route with the method; no methods at all means any."""
+    """Returns the route with the method; a route without methods has any."""
     for route in routes:
         if method in route.methods or not route.methods:
             return route
--- a/jayseam/routing/rooms.py
+++ b/jayseam/routing/rooms.py
@@ -1,60 +1,71 @@
-"""What a node knows of VMs whose queues have no room for a call.
+"""Recent refusals by VMs whose queues were full, kept to avoid futile retries.
 
-Under overload most calls that look for room at a second VM come there in vain:
-the first attempts of other calls take each place that frees up. The messages
-of the search cost the loaded VMs time that their running calls need.
+Under overload most calls that are retried at a second VM are refused there
+too, because first attempts of other calls take each place that becomes free.
+The messages of such retries cost the loaded VMs time that running calls need.
 
 See Also:
-  `jayseam.routing.loads`, which tells the choice of the first attempt.
+  `jayseam.routing.loads` for the loads that decide the first attempt.
 """
 
 import collections
 
 import attrs
 
-# A mark ends when the VM expects room, and at the latest after this long, in
-# seconds: a few service times of the users' fast services. Calls of this node
-# that come later look anew.
+# Longest time for which a refusal counts, in seconds: a few service times of
+# the users' fast services. A refusal expires earlier if the VM expects room
+# earlier. Later calls of this node try the VM again.
 MOST_MARK_S = 0.1
-# Time by which calls of one kind differ after the attempts before, in seconds.
-LEFT_TOLERANCE_S = 0.02
-# Marks above which expired ones are removed.
-_MAX_MARKS = 256
+# Difference of the time left to calls of one kind after earlier attempts, in
+# seconds.
+TIME_LEFT_TOLERANCE_S = 0.02
+# With more refusals than this, expired ones are removed.
+_MAX_REFUSALS = 256
 
 
 @attrs.frozen
 class Need:
-    """What decides whether a queue has room for a call.
+    """Properties of a call that decide whether a queue has room for it.
 
     Attributes:
-      workspace: Workspace of the call; a fair queue has a line for each.
+      workspace: Workspace of the call; a fair queue has a backlog for each.
       rank: Urgency; 0 is the most urgent.
-      left_s: Time in which the call must begin and end, in seconds.
+      time_left_s: Time left for the call to wait and run, in seconds.
     """
 
     workspace: str
     rank: int
-    left_s: float
+    time_left_s: float
 
 
 @attrs.frozen
-class _Mark:
-    """A refusal: calls that need no less find no room until then."""
+class _Refusal:
+    """A refusal of a call for want of room.
+
+    Attributes:
+      rank: Urgency of the refused call.
+      time_left_s: Time that was left for the call, in seconds.
+      expires_at: Time until which the refusal counts, in seconds.
+    """
 
     rank: int
-    left_s: float
-    until: float
+    time_left_s: float
+    expires_at: float
 
     def covers(self, need: Need, now: float) -> bool:
+        """Returns whether another call would be refused as well.
+
+        This is so if that call is no more urgent and has no more time left.
+        """
         return (
-            now < self.until
+            now < self.expires_at
             and need.rank >= self.rank
-            and need.left_s <= self.left_s + LEFT_TOLERANCE_S
+            and need.time_left_s <= self.time_left_s + TIME_LEFT_TOLERANCE_S
         )
 
 
 class RoomTable:
-    """Refusals for want of room by VM and workspace.
+    """Refusals for want of room, by VM and workspace.
 
     >>> table = RoomTable()
     >>> table.mark('vm-1', Need('w', 1, 0.5), wait_s=0.3, now=1.0)
@@ -69,39 +80,44 @@
     """
 
     def __init__(self):
-        self._marks: dict[str, dict[str, _Mark]] = collections.defaultdict(dict)
+        self._refusals: dict[str, dict[str, _Refusal]] = (
+            collections.defaultdict(dict)
+        )
 
     def __len__(self) -> int:
-        return sum(map(len, self._marks.values()))
+        return sum(map(len, self._refusals.values()))
 
     def mark(self, vm: str, need: Need, wait_s: float, now: float) -> None:
-        """Notes that a VM had no room for a call.
+        """Records that a VM had no room for a call.
 
         Args:
           vm: Name of the VM.
           need: What the refused call needed.
           wait_s: Time after which the VM expects room, in seconds.
-          now: Present time in seconds.
+          now: Current time in seconds.
         """
-        marks = self._marks[need.workspace]
-        known = marks.get(vm)
-        if known is not None and known.covers(need, now):
-            # The wider mark stays, with the later end of the two.
-            need = attrs.evolve(need, rank=known.rank, left_s=known.left_s)
-        until = now + min(wait_s, MOST_MARK_S)
-        marks[vm] = _Mark(need.rank, need.left_s, until)
-        if len(self) > _MAX_MARKS:
+        refusals = self._refusals[need.workspace]
+        previous = refusals.get(vm)
+        if previous is not None and previous.covers(need, now):
+            # The previous refusal covers more calls, so its conditions stay
+            # and only its end changes.
+            need = attrs.evolve(
+                need, rank=previous.rank, time_left_s=previous.time_left_s
+            )
+        expires_at = now + min(wait_s, MOST_MARK_S)
+        refusals[vm] = _Refusal(need.rank, need.time_left_s, expires_at)
+        if len(self) > _MAX_REFUSALS:
             self._remove_expired(now)
 
     def list_full(self, need: Need, now: float) -> set[str]:
-        """Returns the VMs that have no room for a call."""
-        marks = self._marks.get(need.workspace, {})
-        return {vm for vm, mark in marks.items() if mark.covers(need, now)}
+        """Returns the VMs that are expected to have no room for a call."""
+        refusals = self._refusals.get(need.workspace, {})
+        return {vm for vm, r in refusals.items() if r.covers(need, now)}
 
     def _remove_expired(self, now: float) -> None:
-        for workspace, marks in list(self._marks.items()):
-            kept = {vm: m for vm, m in marks.items() if now < m.until}
-            if kept:
-                self._marks[workspace] = kept
+        for workspace, refusals in list(self._refusals.items()):
+            valid = {vm: r for vm, r in refusals.items() if now < r.expires_at}
+            if valid:
+                self._refusals[workspace] = valid
             else:
-                del self._marks[workspace]
+                del self._refusals[workspace]
--- a/jayseam/routing/selection.py
+++ b/jayseam/routing/selection.py
@@ -1,8 +1,8 @@
-"""Choice of the upstream that runs a call.
+"""Selection of the upstream that runs a call.
 
-`build_pool` turns the members of a service into a pool once for each view
-and preset; `choose` picks from it for each call. Both are pure: the time,
-the loads and the random numbers are arguments.
+`build_pool` builds a pool of the members of a service once for each view and
+preset; `choose` selects a member of the pool for each call. Both are pure
+functions: the time, the loads and the random numbers are arguments.
 
 References:
   Mitzenmacher, "The power of two choices in randomized load balancing", IEEE
@@ -26,11 +26,12 @@
 
 VARIANTS: registries.Registry = registries.Registry('selection strategy')
 
-# The own zone is left while the better of its two is at least this loaded. A
-# greater load sends fewer bytes between zones and has calls wait longer.
+# Calls spill over to other zones while the less loaded of two candidates in the
+# own zone has at least this load. With a higher value fewer bytes are sent
+# between zones and calls wait longer.
 DEFAULT_SPILL_LOAD = 0.8
 COLD_SHARE = 0.3
-# Random numbers in [0, 1) that a choice takes.
+# Number of random numbers in [0, 1) for one choice.
 DRAWS = 5
 
 
@@ -40,8 +41,8 @@
 
     Attributes:
       vm: Name of the VM.
-      upstream: Name of its position.
-      zone: Its availability zone.
+      upstream: Name of the upstream that the VM serves.
+      zone: Availability zone of the VM.
       slots: Slots of the upstream.
       share: Weight in a random draw; 1 for a warm member.
     """
@@ -60,12 +61,12 @@
     Attributes:
       zone: Name of the zone.
       members: Candidates, ordered by VM.
-      sums: Running sums of their shares.
+      cumulative_shares: Running sums of the shares of the members.
     """
 
     zone: str
     members: tuple[Candidate, ...]
-    sums: tuple[float, ...]
+    cumulative_shares: tuple[float, ...]
 
 
 @attrs.frozen
@@ -86,10 +87,10 @@
         return [member for group in self.groups for member in group.members]
 
     def exclude(self, vms: Iterable[str]) -> 'Pool':
-        """Returns the pool without some VMs, for another try of a call."""
-        gone = set(vms)
-        kept = [c for c in self.candidates if c.vm not in gone]
-        return group_candidates(kept, self.returns)
+        """Returns the pool without some VMs, for a retry of a call."""
+        excluded = set(vms)
+        remaining = [c for c in self.candidates if c.vm not in excluded]
+        return group_candidates(remaining, self.returns)
 
 
 @attrs.frozen
@@ -98,12 +99,12 @@
 
     Attributes:
       vm: Name of the VM.
-      upstream: Name of its position.
-      zone: Its availability zone.
-      usable: Whether it is a candidate.
-      reason: Plain words for an operator.
-      share: Its weight in a draw, including the share of its zone.
-      load: Its load as this node sees it.
+      upstream: Name of the upstream that the VM serves.
+      zone: Availability zone of the VM.
+      usable: Whether the member is a candidate.
+      reason: Explanation for an operator.
+      share: Weight in a random draw, including the share of the zone.
+      load: Load of the member as this node knows it.
     """
 
     vm: str
@@ -116,25 +117,31 @@
 
 
 @attrs.frozen
-class _Verdict:
-    """Judgement of one member: a share above 0 makes it a candidate."""
+class _Eligibility:
+    """Whether one member may run calls.
+
+    Attributes:
+      reason: Explanation for an operator.
+      share: Weight in a random draw; above 0 for a candidate.
+      is_fallback: Whether the member is used only when there is no other.
+    """
 
     reason: str
     share: float = 0.0
-    spare: bool = False
+    is_fallback: bool = False
 
 
 @attrs.frozen
 class LoadView:
-    """The loads of members at one time, as calls of a workspace feel them.
+    """The loads of members at one time, as they delay calls of a workspace.
 
     Attributes:
-      table: What is known of the members.
+      table: Loads of the members.
       workspace: The workspace; None for the loads of all workspaces together.
       now: Current time in seconds.
-      spill_load: Load from which the own zone is left.
-      spill_gain: Load by which a backend server elsewhere must be under that
-        of the own zone; None if it need not.
+      spill_load: Load of the own zone from which calls spill over to others.
+      spill_gain: Least difference by which the load in another zone must be
+        lower for a call to spill over; None for no such condition.
     """
 
     table: load_tables.LoadTable
@@ -177,11 +184,11 @@
       draws: `DRAWS` random numbers in [0, 1).
       turn: Number of choices made before, for ``round_robin``.
       strategy: Name of a variant in `VARIANTS`.
-      workspace: Workspace of the call, if the load that matters is what delays
-        its calls.
-      spill_load: Load from which the own zone is left.
-      spill_gain: Load by which a backend server elsewhere must be under that
-        of the own zone; None if it need not.
+      workspace: Workspace of the call, if only the load that delays its calls
+        counts.
+      spill_load: Load of the own zone from which calls spill over to others.
+      spill_gain: Least difference by which the load in another zone must be
+        lower for a call to spill over; None for no such condition.
 
     Raises:
       NoCandidateError: If the pool is empty.
@@ -202,34 +209,35 @@
 ) -> Candidate:
     """Returns the less loaded of two random candidates.
 
-    The two come from the own zone while the better of them is loaded under
-    the spill load, else from all zones, if that gains enough. A returned zone,
-    or one with only a cold member, is preferred by its own entries only as
-    often as its share allows.
+    The two come from the own zone while the load of the better one is under
+    the spill load, else from all zones, if the load there is lower by enough.
+    If the own zone has returned recently or has only a cold member, this node
+    prefers it only as often as the zone's share allows.
     """
     del turn
     if not pool.groups:
         raise errors.NoCandidateError('no usable member')
     groups = pool.groups
     weights = [
-        group.sums[-1] * zones.compute_share(pool.returns, group.zone, now)
+        group.cumulative_shares[-1]
+        * zones.compute_share(pool.returns, group.zone, now)
         for group in groups
     ]
     for position, group in enumerate(groups):
         if group.zone != own_zone:
             continue
         share = zones.compute_share(pool.returns, own_zone, now)
-        if draws[0] >= share * min(1.0, group.sums[-1]):
+        if draws[0] >= share * min(1.0, group.cumulative_shares[-1]):
             if len(groups) > 1:
                 weights[position] = 0.0
             continue
         pair = _draw_pair((group,), (1.0,), draws)
-        best, load = _pick_better(pair, loads)
+        best, load = _pick_less_loaded(pair, loads)
         if load < loads.spill_load:
             return best
-        other, _ = _pick_better(_draw_pair(groups, weights, draws), loads)
-        return _pick_for_gain(best, other, loads)
-    return _pick_better(_draw_pair(groups, weights, draws), loads)[0]
+        other, _ = _pick_less_loaded(_draw_pair(groups, weights, draws), loads)
+        return _pick_if_gain(best, other, loads)
+    return _pick_less_loaded(_draw_pair(groups, weights, draws), loads)[0]
 
 
 @VARIANTS.register('round_robin')
@@ -241,7 +249,7 @@
     draws: Sequence[float],
     turn: int = 0,
 ) -> Candidate:
-    """Returns the candidates in turn, whatever their load and zone."""
+    """Returns the candidates in rotation, whatever their load and zone."""
     del loads, own_zone, now, draws
     candidates = pool.candidates
     if not candidates:
@@ -255,7 +263,7 @@
     service: str,
     returns: zones.Returns,
 ) -> Pool:
-    """Returns the candidates of a service.
+    """Builds the pool of the candidates of a service.
 
     Args:
       preset: The preset in force, with lookups ``upstreams`` and ``zones``.
@@ -263,17 +271,17 @@
       service: Name of the service.
       returns: Times at which zones returned, in seconds.
     """
-    judged = _judge_members(preset, members, service)
+    evaluated = _evaluate_members(preset, members, service)
     chosen = [
         Candidate(
             member.vm,
             member.upstream,
             member.zone,
             preset.upstreams[member.upstream].slots,
-            verdict.share,
+            eligibility.share,
         )
-        for member, verdict in judged
-        if verdict.share > 0
+        for member, eligibility in evaluated
+        if eligibility.share > 0
     ]
     return group_candidates(chosen, returns)
 
@@ -281,13 +289,13 @@
 def group_candidates(
     candidates: Iterable[Candidate], returns: zones.Returns
 ) -> Pool:
-    """Returns a pool of candidates, ordered by zone and VM."""
+    """Builds a pool of candidates, ordered by zone and VM."""
     ordered = sorted(candidates, key=lambda c: (c.zone, c.vm))
     groups = []
     for zone, in_zone in itertools.groupby(ordered, key=lambda c: c.zone):
         group = tuple(in_zone)
-        sums = tuple(itertools.accumulate(c.share for c in group))
-        groups.append(ZoneGroup(zone, group, sums))
+        cumulative_shares = tuple(itertools.accumulate(c.share for c in group))
+        groups.append(ZoneGroup(zone, group, cumulative_shares))
     return Pool(tuple(groups), dict(returns))
 
 
@@ -299,7 +307,7 @@
     loads: load_tables.LoadTable,
     now: float,
 ) -> list[Explanation]:
-    """Tells for each member of a service whether it is usable, and why.
+    """Returns for each member of a service whether it is usable, and why.
 
     Args:
       preset: The preset in force.
@@ -310,83 +318,88 @@
       now: Current time in seconds.
     """
     explained = []
-    for member, verdict in _judge_members(preset, members, service):
+    for member, eligibility in _evaluate_members(preset, members, service):
         upstream = preset.upstreams.get(member.upstream)
         zone_share = zones.compute_share(returns, member.zone, now)
         load = loads.estimate(member.vm, upstream.slots if upstream else 1, now)
-        reason = verdict.reason
-        if verdict.share > 0 and zone_share < 1:
+        reason = eligibility.reason
+        if eligibility.share > 0 and zone_share < 1:
             reason += f'; zone returned, share {zone_share:.2f}'
         explained.append(
             Explanation(
                 member.vm,
                 member.upstream,
                 member.zone,
-                verdict.share > 0,
+                eligibility.share > 0,
                 reason,
-                verdict.share * zone_share,
+                eligibility.share * zone_share,
                 load,
             )
         )
     return explained
 
 
-def _judge_members(
+def _evaluate_members(
     preset: Any, members: Iterable[Any], service: str
-) -> list[tuple[Any, _Verdict]]:
+) -> list[tuple[Any, _Eligibility]]:
     """Returns the members of the service with their verdicts."""
-    own = [m for m in members if _find_service(preset, m) == service]
+    in_service = [m for m in members if _find_service(preset, m) == service]
     newest: dict[str, Any] = {}
-    for member in own:
-        held = newest.get(member.upstream)
-        if held is None or member.incarnation > held.incarnation:
+    for member in in_service:
+        known = newest.get(member.upstream)
+        if known is None or member.incarnation > known.incarnation:
             newest[member.upstream] = member
-    judged = [(m, _judge(preset, m, newest[m.upstream])) for m in own]
-    if any(v.share > 0 and not v.spare for _, v in judged):
-        judged = [
-            (m, attrs.evolve(v, share=0.0) if v.spare else v) for m, v in judged
+    evaluated = [
+        (m, _evaluate_member(preset, m, newest[m.upstream])) for m in in_service
+    ]
+    if any(e.share > 0 and not e.is_fallback for _, e in evaluated):
+        evaluated = [
+            (m, attrs.evolve(e, share=0.0) if e.is_fallback else e)
+            for m, e in evaluated
         ]
-    return judged
+    return evaluated
 
 
 def _find_service(preset: Any, member: Any) -> str:
-    """Returns the service of a member; the preset outranks the record."""
+    """Returns the service of a member, by the preset if it knows it."""
     upstream = preset.upstreams.get(member.upstream)
     return member.service if upstream is None else upstream.service
 
 
-def _judge(preset: Any, member: Any, newest: Any) -> _Verdict:
-    """Judges one member by itself.
+def _evaluate_member(preset: Any, member: Any, newest: Any) -> _Eligibility:
+    """Evaluates one member by itself.
 
-    Suspect and replaced members are spare: they are candidates only when a
-    service has no other.
+    Suspect and replaced members are candidates only when the service has no
+    other.
     """
     upstream = preset.upstreams.get(member.upstream)
     if upstream is None:
-        return _Verdict('upstream is not in the preset')
+        return _Eligibility('upstream is not in the preset')
     for name in (member.zone, upstream.zone):
         zone = preset.zones.get(name)
         if zone is None or not zone.in_service:
-            return _Verdict(f'zone {name} is out of service')
+            return _Eligibility(f'zone {name} is out of service')
     if member.state not in ('alive', 'suspect'):
-        return _Verdict(f'member is {member.state}')
+        return _Eligibility(f'member is {member.state}')
     if member.backend not in ('ready', 'cold'):
-        return _Verdict(f'backend server is {member.backend}')
-    # Where calls of a cold server are spaced, its load tells how many it takes.
-    is_held_back = member.backend == 'cold' and not upstream.ramp.rate_per_s
-    share = COLD_SHARE if is_held_back else 1.0
+        return _Eligibility(f'backend server is {member.backend}')
+    # If calls to a cold server are paced, its load shows how many it can take.
+    has_reduced_share = (
+        member.backend == 'cold' and not upstream.ramp.rate_per_s
+    )
+    share = COLD_SHARE if has_reduced_share else 1.0
     if member.state == 'suspect':
         reason = 'member is suspect; used only without another candidate'
-        return _Verdict(reason, share, spare=True)
-    if member is not newest and _is_warm_or_cold(newest):
+        return _Eligibility(reason, share, is_fallback=True)
+    if member is not newest and _can_run_calls(newest):
         reason = f'replaced by {newest.vm}; used only without another'
-        return _Verdict(reason, share, spare=True)
+        return _Eligibility(reason, share, is_fallback=True)
     if member.backend == 'cold':
-        return _Verdict('usable; cold, with less share', share)
-    return _Verdict('usable', share)
+        return _Eligibility('usable; cold, with less share', share)
+    return _Eligibility('usable', share)
 
 
-def _is_warm_or_cold(member: Any) -> bool:
+def _can_run_calls(member: Any) -> bool:
     return member.state == 'alive' and member.backend in ('ready', 'cold')
 
 
@@ -397,26 +410,30 @@
 ) -> tuple[Candidate, Candidate]:
     """Draws two candidates by weight, without replacement.
 
-    Both are the same one if there is no other.
+    Both are the same candidate if there is only one.
     """
-    at = _find_position(list(itertools.accumulate(weights)), draws[1])
-    group = groups[at]
-    inner = _find_position(group.sums, draws[2])
-    first = group.members[inner]
-    left = list(weights)
-    left[at] *= 1.0 - first.share / group.sums[-1]
-    sums = list(itertools.accumulate(left))
-    if sums[-1] <= 0.0:
+    first_group = _find_position(list(itertools.accumulate(weights)), draws[1])
+    group = groups[first_group]
+    first_member = _find_position(group.cumulative_shares, draws[2])
+    first = group.members[first_member]
+    remaining = list(weights)
+    remaining[first_group] *= 1.0 - first.share / group.cumulative_shares[-1]
+    cumulative_weights = list(itertools.accumulate(remaining))
+    if cumulative_weights[-1] <= 0.0:
         return first, first
-    at_second = _find_position(sums, draws[3])
-    group = groups[at_second]
-    if at_second != at:
-        return first, group.members[_find_position(group.sums, draws[4])]
-    # Positions in the running sums beyond the first one skip its share.
-    target = draws[4] * (group.sums[-1] - first.share)
-    if target >= group.sums[inner] - first.share:
+    second_group = _find_position(cumulative_weights, draws[3])
+    group = groups[second_group]
+    if second_group != first_group:
+        return (
+            first,
+            group.members[_find_position(group.cumulative_shares, draws[4])],
+        )
+    # The running sums after the first candidate include its share, which
+    # must not be drawn again.
+    target = draws[4] * (group.cumulative_shares[-1] - first.share)
+    if target >= group.cumulative_shares[first_member] - first.share:
         target += first.share
-    position = bisect.bisect_right(group.sums, target)
+    position = bisect.bisect_right(group.cumulative_shares, target)
     return first, group.members[min(position, len(group.members) - 1)]
 
 
@@ -425,21 +442,21 @@
     return min(position, len(sums) - 1)
 
 
-def _pick_for_gain(
+def _pick_if_gain(
     own: Candidate, other: Candidate, loads: LoadView
 ) -> Candidate:
-    """Returns another zone's candidate if it is less loaded by enough.
+    """Returns another zone's candidate if its load is lower by enough.
 
-    When all zones are overloaded, going elsewhere only costs bytes.
+    When all zones are overloaded, calls to other zones only cost bytes.
     """
     if other.zone == own.zone or loads.spill_gain is None:
         return other
-    ratio = loads.table.compare_service(own.vm, other.vm)
+    ratio = loads.table.compute_service_ratio(own.vm, other.vm)
     bound = loads.estimate(own) * ratio - loads.spill_gain
     return other if loads.estimate(other) < bound else own
 
 
-def _pick_better(
+def _pick_less_loaded(
     pair: tuple[Candidate, Candidate],
     loads: LoadView,
 ) -> tuple[Candidate, float]:
@@ -448,8 +465,8 @@
     if second is first:
         return first, first_load
     second_load = loads.estimate(second)
-    # A queue of the same length takes longer at a slower backend server.
-    ratio = loads.table.compare_service(first.vm, second.vm)
+    # A queue of the same length takes more time at a slower backend server.
+    ratio = loads.table.compute_service_ratio(first.vm, second.vm)
     if second_load < first_load * ratio:
         return second, second_load
     return first, first_load
--- a/jayseam/routing/tests/test_loads.py
+++ b/jayseam/routing/tests/test_loads.py
@@ -1,4 +1,4 @@
-"""Tests of load tables and of the choice that uses them."""
+"""Tests of load tables and of the selection that uses them."""
 
 import pytest
 
@@ -12,7 +12,7 @@
 
 @pytest.mark.parametrize('draw', [0.1, 0.9])
 def test_equal_queues_at_a_slower_server_count_for_more(draw):
-    """Small workspaces waited until their deadline at a slow server."""
+    """Small workspaces' calls waited until their deadline at a slow server."""
     table = loads.LoadTable()
     table.report('vm-0', '', loads.Report(5.0, 5.0, 5.0, 0.16), now=1.0)
     table.report('vm-1', '', loads.Report(6.0, 6.0, 6.0, 0.06), now=1.0)
@@ -26,7 +26,7 @@
     """A VM that has not answered yet must not seem infinitely fast."""
     table = loads.LoadTable()
     table.report('vm-0', '', loads.Report(5.0, 5.0, 5.0, 0.16), now=1.0)
-    assert table.compare_service('vm-0', 'vm-1') == 1.0
+    assert table.compute_service_ratio('vm-0', 'vm-1') == 1.0
 
 
 def _choose_for(table, workspace, now=1.0):
@@ -37,10 +37,11 @@
 
 
 def test_backlog_of_a_neighbour_does_not_send_calls_to_a_slow_server():
-    """Small workspaces waited behind their own calls at a slow server.
+    """The backlog of another workspace must not count as delay.
 
-    The long backlog of a neighbour at the other server, which a fair queue
-    keeps from delaying them, had made that one look worse.
+    Otherwise the other server seems worse because of that backlog, although a
+    fair queue keeps it from delaying calls of small workspaces, and these wait
+    behind their own calls at a slow server.
     """
     table = loads.LoadTable()
     table.report('vm-0', 'small', loads.Report(4.0, 4.0, 2.0, 0.16), now=1.0)
@@ -50,7 +51,7 @@
 
 
 def test_own_calls_since_the_report_count_for_their_workspace():
-    """Calls of one moment must not all go to the VM that looked best."""
+    """Calls that start between two reports must not all go to one VM."""
     table = loads.LoadTable()
     table.report('vm-0', 'w', loads.Report(1.0, 1.0, 1.0), now=1.0)
     table.report('vm-1', 'w', loads.Report(1.5, 1.5, 1.5), now=1.0)
@@ -61,7 +62,7 @@
 
 
 def test_old_reports_of_a_workspace_give_way_to_all_load():
-    """A backlog that was short some time ago says nothing of now."""
+    """An old report of a short backlog must not hide the present load."""
     table = loads.LoadTable()
     table.report('vm-0', 'w', loads.Report(9.0, 0.5, 0.5), now=1.0)
     assert table.estimate('vm-0', 3, now=1.5, workspace='w') == 0.5
--- a/jayseam/routing/tests/test_matching.py
+++ b/jayseam/routing/tests/test_matching.py
@@ -45,7 +45,7 @@
     ],
 )
 def test_longest_prefix_and_method_decide(path, method, name):
-    """A call on the wrong route reaches the wrong service or skips its key."""
+    """On the wrong route a call skips its key or reaches another service."""
     assert TABLE.match(path, method).name == name
 
 
@@ -80,7 +80,7 @@
     ],
 )
 def test_ambiguous_path_is_refused(path):
-    """A path that the server reads otherwise would skip the key check."""
+    """A path that the server normalizes differently bypasses the key."""
     with pytest.raises(errors.BadPathError):
         TABLE.match(path, 'GET')
 
--- a/jayseam/routing/tests/test_rooms.py
+++ b/jayseam/routing/tests/test_rooms.py
@@ -1,4 +1,4 @@
-"""Tests of what is known of full queues."""
+"""Tests of the table of refusals by full queues."""
 
 import pytest
 
@@ -16,23 +16,23 @@
         (rooms.Need('v', 1, 0.5), False),
     ],
 )
-def test_only_calls_that_need_no_less_are_passed_on(need, is_full):
-    """More time, more urgency or another line of the queue may find room."""
+def test_refusal_covers_only_calls_that_need_no_less(need, is_full):
+    """More time, more urgency or another workspace's backlog may find room."""
     table = rooms.RoomTable()
     table.mark('a', rooms.Need('w', 1, 0.5), 1.0, 10.0)
     assert table.list_full(need, 10.01) == ({'a'} if is_full else set())
 
 
-def test_narrower_refusal_keeps_the_wider_mark():
-    """A refusal of a call with little time says nothing of the others."""
+def test_narrower_refusal_keeps_the_wider_one():
+    """A refusal of a call with little time must not replace a wider one."""
     table = rooms.RoomTable()
     table.mark('a', rooms.Need('w', 1, 0.5), 1.0, 10.0)
     table.mark('a', rooms.Need('w', 2, 0.1), 1.0, 10.05)
     assert table.list_full(rooms.Need('w', 1, 0.5), 10.12) == {'a'}
 
 
-def test_mark_ends_when_room_is_expected():
-    """The node says when it expects room; later calls look anew."""
+def test_refusal_expires_when_room_is_expected():
+    """When the refusing VM expects room, later calls must try it again."""
     table = rooms.RoomTable()
     need = rooms.Need('w', 1, 0.5)
     table.mark('a', need, 0.05, 10.0)
@@ -40,8 +40,8 @@
     assert not table.list_full(need, 10.05)
 
 
-def test_marks_of_many_workspaces_are_bounded():
-    """Marks that ended are forgotten when there are many."""
+def test_refusals_of_many_workspaces_are_bounded():
+    """Expired refusals are removed when there are many."""
     table = rooms.RoomTable()
     for number in range(1000):
         need = rooms.Need(f'w-{number}', 1, 0.5)
--- a/jayseam/routing/tests/test_selection.py
+++ b/jayseam/routing/tests/test_selection.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of an upstream."""
+"""Tests of the selection of an upstream."""
 
 import collections
 import random
@@ -14,7 +14,7 @@
 
 
 def _report(loads, vm, load):
-    """Stores a report at time 0 of a load that delays all workspaces alike."""
+    """Stores a report, at time 0, of a load that delays all workspaces."""
     loads.report(vm, '', load_tables.Report(load, load, load), 0.0)
 
 
@@ -63,10 +63,10 @@
 
 def count_choices(pool, loads, zone='a', now=0.0, calls=4000, **options):
     """Returns how often each zone was chosen."""
-    source = random.Random(7)
+    rng = random.Random(7)
     counts = collections.Counter()
     for turn in range(calls):
-        draws = [source.random() for _ in range(selection.DRAWS)]
+        draws = [rng.random() for _ in range(selection.DRAWS)]
         chosen = selection.choose(
             pool, loads, zone, now, draws, turn, **options
         )
@@ -120,7 +120,7 @@
 
 
 def test_own_zone_is_preferred_until_it_is_loaded():
-    """Calls that cross zones for no reason pay the way between them."""
+    """Calls that cross zones without need cost latency and traffic."""
     pool = make_pool(EIGHT)
     loads = load_tables.LoadTable()
     assert set(count_choices(pool, loads)) == {'a'}
@@ -156,7 +156,7 @@
 
 
 @pytest.mark.parametrize(
-    'fields,word',
+    'fields,expected',
     [
         ({'state': 'dead'}, 'dead'),
         ({'state': 'leaving'}, 'leaving'),
@@ -167,7 +167,7 @@
         ({'upstream': 'a9'}, 'not in the preset'),
     ],
 )
-def test_unusable_member_is_not_chosen_and_explained(fields, word):
+def test_unusable_member_is_not_chosen_and_explained(fields, expected):
     """Operators must see why a member gets no calls."""
     preset = make_preset(['a1', 'a2', 'b1', 'c1'], out_of_service='c')
     members = [make_member('a1', **fields), make_member('a2')]
@@ -177,17 +177,17 @@
         preset, members, 's', {}, load_tables.LoadTable(), 0.0
     )
     assert [e.usable for e in explained] == [False, True]
-    assert word in explained[0].reason
+    assert expected in explained[0].reason
 
 
 def test_suspect_is_chosen_without_another():
-    """When a partition makes every member suspect, calls must go on."""
+    """When a partition makes every member suspect, calls must still run."""
     pool = make_pool(['a1', 'b1'], state='suspect')
     assert len(pool.candidates) == 2
 
 
 def test_cold_members_get_less():
-    """A server in its ramp handles less than the others."""
+    """A server in its ramp handles fewer calls than the others."""
     preset = make_preset(['a1', 'a2', 'b1'])
     members = [make_member('a1', backend='cold')]
     members += [make_member(name) for name in ('a2', 'b1')]
@@ -201,7 +201,7 @@
 
 
 def test_replaced_member_yields_to_its_successor():
-    """The old VM of a position may be cut off and still look alive."""
+    """The old VM of an upstream may be cut off and still look alive."""
     preset = make_preset(['a1'])
     old, new = make_member('a1'), make_member('a1', vm='new', incarnation=2)
     for backend, chosen in (('ready', 'new'), ('down', 'vm-a1')):
@@ -228,7 +228,7 @@
 
 
 def test_paced_cold_member_keeps_the_calls_of_its_zone():
-    """The load of a paced server tells how many calls it takes."""
+    """The load of a paced server shows how many calls it can take."""
     names = ['a1', 'b1']
     preset = make_preset(names, cold_rate_per_s=15.0)
     members = [make_member('a1', backend='cold'), make_member('b1')]
@@ -238,7 +238,7 @@
 
 
 def test_zone_is_left_at_the_spill_load():
-    """Operators for whom bytes between zones are dear let calls wait."""
+    """A higher spill load saves traffic between zones; calls wait longer."""
     pool = make_pool(['a1', 'b1'])
     loads = load_tables.LoadTable()
     _report(loads, 'vm-a1', 1.1)
@@ -247,7 +247,7 @@
 
 
 def test_overload_everywhere_sends_nothing_to_other_zones():
-    """Calls that wait as long elsewhere only cost bytes between zones."""
+    """Where calls wait as long elsewhere, spilling only costs traffic."""
     pool = make_pool(['a1', 'b1'])
     loads = load_tables.LoadTable()
     _report(loads, 'vm-a1', 2.0)
--- a/jayseam/routing/zones.py
+++ b/jayseam/routing/zones.py
@@ -1,8 +1,8 @@
 """Shares of availability zones that have come back into service.
 
-A zone that returns gets a share that grows from 0.1 to 1 over 10 s, so that
-its caches and connections fill before its full load comes. Shares are
-relative weights, so the zones that held its load are relieved as it grows.
+The share of a zone that returns grows from 0.1 to 1 over 10 s, so that caches
+fill and connections open before the zone gets its full load. Shares are
+relative weights, so the load of the other zones falls as the share grows.
 """
 
 from collections.abc import Iterable, Mapping, Set
@@ -33,7 +33,7 @@
     Args:
       returns: Times of return until now.
       before: Zones in service until now; None at the start of the process,
-        when nothing is known of a return.
+        when no zone counts as returned.
       after: Zones in service from now on.
       now: Current time in seconds.
 
@@ -42,10 +42,10 @@
     >>> update_returns({'b': 5.0}, {'a', 'b'}, {'a'}, now=6.0)
     {}
     """
-    known = set(after) if before is None else before
+    previous = set(after) if before is None else before
     updated = {}
     for zone in after:
-        if zone not in known:
+        if zone not in previous:
             updated[zone] = now
         elif zone in returns and now < returns[zone] + GROWTH_S:
             updated[zone] = returns[zone]
