--- a/jayseam/backends/__init__.py
+++ b/jayseam/backends/__init__.py
@@ -1,4 +1,4 @@
-"""Connections to the node's own backend server, and its state.
+"""Client and state of the node's own backend server.
 
 See Also:
   ``docs/design.md``, section 5.4.
--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -1,8 +1,8 @@
 """HTTP client of the node's own backend server.
 
-Each error tells whether the call may have run. Until the first byte of a
-request is written the call has surely not run; after that only a whole
-answer is certain.
+Each error shows whether the call may have run. Until the first byte of a
+request is written, the call has certainly not run. After that, only a complete
+answer shows the outcome.
 
 See Also:
   ``docs/design.md``, sections 5.4 and 5.6.
@@ -26,17 +26,18 @@
 from jayseam.core import logs
 
 CONNECT_TIMEOUT_S = 0.5
-# An answer with its head must fit into one link frame of 2 MB.
+# An answer, including its head, must fit into one link frame of 2 MB.
 MAX_ANSWER_BYTES = 1_900_000
 CANCEL_TIMEOUT_S = 1.0
-MAX_CANCELS = 8
+MAX_CONCURRENT_CANCELS = 8
 MAX_PENDING_CANCELS = 128
-# An idle connection lost so soon after its last use did not reach a time-out.
+# A connection lost within this time after its last use did not reach an idle
+# time-out of the backend server.
 RECENT_USE_S = 1.0
-# Polls are spaced evenly but for the delays of the node itself.
-IDLE_SLACK = 1.2
-# The sockets of an ended process are closed one after the other, so the
-# survivors are counted again a moment after the first loss.
+# Allowance for delays of the node itself between evenly spaced polls.
+IDLE_TOLERANCE = 1.2
+# The sockets of an ended process are closed one after the other, so survivors
+# are looked for again this long after the first loss.
 SURVIVOR_CHECK_DELAY_S = 0.02
 
 _log = logs.get_logger(__name__)
@@ -52,7 +53,7 @@
       connection: Connection that carries it, once there is one.
       sent_at: Time before the first byte was written, in seconds.
       sent: Whether any byte of the request was written.
-      in_flight: Calls in progress at that time, including this one.
+      in_flight: Calls in progress at `sent_at`, including this one.
       cancelled: Whether `BackendClient.cancel` was called for it.
       is_control: Whether it is a poll or a cancellation; these are never
         cancelled themselves.
@@ -68,23 +69,23 @@
     is_control: bool = False
 
 
-def _ignore(evidence: states.Evidence, now: float) -> None:
+def _ignore_evidence(evidence: states.Evidence, now: float) -> None:
     del evidence, now
 
 
 class BackendClient:
-    """Runs calls at one backend server over kept connections.
+    """Runs calls at one backend server over persistent connections.
 
-    It must be used from the greenlets of one thread. One of the connections is
-    set aside for health polls, so that they get through while calls hold all
-    the others.
+    A client must be used from the greenlets of one thread. One connection is
+    reserved for health polls, so that polls succeed while calls use all other
+    connections.
     """
 
     def __init__(
         self,
         address: tuple[str, int],
         max_connections: int,
-        observe: Callable[[states.Evidence, float], None] = _ignore,
+        observe: Callable[[states.Evidence, float], None] = _ignore_evidence,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         dialect: dialects.Dialect = dialects.DEFAULT,
@@ -96,7 +97,7 @@
           address: IP address and port of the backend server.
           max_connections: Connections the backend server accepts.
           observe: Receives evidence on the state of the backend server and
-            the time, in the greenlet that has it; it must not block.
+            the time, in the greenlet that found the evidence; must not block.
           max_answer_bytes: Greatest body of an answer.
           connect_timeout_s: Time to establish a connection, in seconds.
           dialect: Header fields that the backend server understands.
@@ -106,29 +107,32 @@
         name = f'[{host}]' if ':' in host else host
         self._host = f'{name}:{port}'
         self._address = address
-        self._observe = observe
+        self._report_evidence = observe
         self._max_answer_bytes = max_answer_bytes
         self._connect_timeout_s = connect_timeout_s
         self._dialect = dialect
         self._read_now = read_now
         self._calls: dict[str, _Call] = {}
-        self._cancels = lock.Semaphore(MAX_CANCELS)
-        self._checking = False
+        self._cancel_slots = lock.Semaphore(MAX_CONCURRENT_CANCELS)
+        self._check_is_scheduled = False
         self._closed = False
-        # Longest time after which an idle connection was still open.
+        # Longest idle time after which a connection was still open.
         self._longest_idle_s = 0.0
         self._loss_reported_at = -math.inf
         # End and length of the last pause of this process, in seconds.
         self._resumed_at = -math.inf
         self._paused_s = 0.0
-        # Last use and discovery of the idle connection lost last, in seconds.
+        # Times of last use and of discovery of the idle connection that was
+        # lost last, in seconds.
         self._idle_loss = (-math.inf, -math.inf)
         self._pending_cancels = 0
         self._cancellations: dict[str, gevent.Greenlet] = {}
         self._pool = connections.ConnectionPool(
             max(1, max_connections - 1), self._report_idle_loss
         )
-        self._control = connections.ConnectionPool(1, self._report_idle_loss)
+        self._control_pool = connections.ConnectionPool(
+            1, self._report_idle_loss
+        )
 
     @property
     def in_flight(self) -> int:
@@ -138,10 +142,10 @@
     def run(
         self, request: messages.BackendRequest, deadline: float
     ) -> messages.BackendAnswer:
-        """Runs a call and returns its whole answer.
+        """Runs a call and returns its complete answer.
 
         A connection that the backend server closed while idle is replaced
-        without notice as long as no byte of the request was written.
+        as long as no byte of the request was written.
 
         Args:
           request: The call; its request id must not be in use.
@@ -149,13 +153,15 @@
 
         Raises:
           InvalidRequestError: If the request cannot be written as HTTP/1.1.
-          NotRunError: If the backend server surely did not run the call;
+          NotRunError: If the backend server certainly did not run the call;
             `ShedError` if it shed the call.
-          OutcomeUnknownError: If it may have run the call.
+          OutcomeUnknownError: If the backend server may have run the call.
         """
         call = _Call(request, deadline)
         if self._closed or request.request_id in self._calls:
-            raise errors.NotRunError('no-connection', 'closed or id in use')
+            raise errors.NotRunError(
+                'no-connection', 'client closed or request id in use'
+            )
         self._calls[request.request_id] = call
         try:
             answer = self._exchange(call, self._pool)
@@ -167,9 +173,10 @@
         return answer
 
     def cancel(self, request_id: str) -> bool:
-        """Cancels a call in progress, whose `run` then raises.
+        """Cancels a call in progress; its `run` then raises an error.
 
-        The connection of the call is closed and the backend server is told.
+        The connection of the call is closed and, if the dialect has a cancel
+        path, a cancellation is posted to the backend server.
 
         Returns:
           Whether such a call was in progress.
@@ -183,33 +190,33 @@
         return True
 
     def find_cancellation(self, request_id: str) -> gevent.Greenlet | None:
-        """Returns the greenlet that ends a call at the backend server.
+        """Returns the greenlet that cancels a call at the backend server.
 
-        Until it has finished, a call that `run` gave up may still hold a slot.
-        It finishes within about `CANCEL_TIMEOUT_S`.
+        Until the greenlet has finished, a call that `run` gave up may still
+        occupy a slot. The greenlet finishes within about `CANCEL_TIMEOUT_S`.
         """
         return self._cancellations.get(request_id)
 
     def poll(self, path: str, timeout_s: float) -> messages.BackendAnswer:
-        """Reads a control path over the connection set aside for it.
+        """Reads a control path over the connection reserved for polls.
 
         Raises:
-          BackendError: If there is no whole answer within ``timeout_s``.
+          BackendError: If there is no complete answer within ``timeout_s``.
         """
         request = messages.BackendRequest('health', 'GET', path)
         deadline = self._read_now() + timeout_s
         call = _Call(request, deadline, is_control=True)
-        return self._exchange(call, self._control)
+        return self._exchange(call, self._control_pool)
 
     def set_connections(self, max_connections: int) -> None:
-        """Changes the number of connections; calls in progress go on."""
+        """Changes the number of connections; calls in progress continue."""
         self._pool.resize(max(1, max_connections - 1))
 
     def notice_pause(self, now: float, paused_s: float) -> None:
-        """Looks for a restart during a pause of this process.
+        """Checks whether the backend server restarted while the node paused.
 
-        It shows only by connections that are gone. The pause doesn't count as
-        time without use, after which a server may close them.
+        Only lost connections show such a restart. The pause doesn't count as
+        idle time after which a server may close a connection.
 
         Args:
           now: Time at which the pause ended, in seconds.
@@ -217,25 +224,25 @@
         """
         self._resumed_at = now
         self._paused_s = paused_s
-        # The next poll would come after the calls that waited.
-        self._pool.drop_lost()
-        self._control.drop_lost()
-        used_at, found_at = self._idle_loss
+        # The next poll would come only after calls that are waiting now.
+        self._pool.close_lost()
+        self._control_pool.close_lost()
+        last_used_at, found_at = self._idle_loss
         if found_at > now - paused_s:
-            # A poll found it before the pause was noticed.
-            self._judge_idle_loss(used_at, found_at)
+            # A poll found the loss before the pause was detected.
+            self._report_recent_loss(last_used_at, found_at)
 
     def close(self) -> None:
         """Refuses new calls and closes idle connections."""
         self._closed = True
         self._pool.close_idle()
-        self._control.close_idle()
+        self._control_pool.close_idle()
 
     def _connect(self, call: _Call) -> connections.Connection:
         """Opens a connection for a call.
 
         Raises:
-          NotRunError: If that fails; nothing was sent.
+          NotRunError: If there is no connection; nothing was sent.
         """
         now = self._read_now()
         left_s = call.deadline - now
@@ -245,14 +252,19 @@
         try:
             return connections.Connection(self._address, timeout_s, now)
         except TimeoutError as error:
-            # A short deadline proves nothing about the backend server.
+            # A time-out at a short deadline is no evidence of a fault of the
+            # backend server.
             if timeout_s == self._connect_timeout_s:
-                self._observe(states.ConnectTimedOut(), self._read_now())
+                self._report_evidence(
+                    states.ConnectTimedOut(), self._read_now()
+                )
             raise errors.NotRunError('connect-timeout') from error
         except OSError as error:
-            # Other errors, such as too many open files, are the node's own.
+            # Other errors, such as too many open files, are faults of the node.
             if isinstance(error, ConnectionError):
-                self._observe(states.Refused(), self._read_now())
+                self._report_evidence(
+                    states.ConnectionRefused(), self._read_now()
+                )
             raise errors.NotRunError('refused', str(error)) from error
 
     def _exchange(
@@ -260,7 +272,7 @@
     ) -> messages.BackendAnswer:
         """Writes the request and reads the answer."""
         while True:
-            connection = self._take(call, pool)
+            connection = self._acquire_connection(call, pool)
             reader = messages.AnswerReader(
                 call.request.method,
                 self._max_answer_bytes,
@@ -268,38 +280,40 @@
             )
             reusable = False
             try:
-                whole = self._write(call, connection)
+                fully_sent = self._write(call, connection)
                 answer = self._read(call, connection, reader)
-                reusable = whole and reader.is_reusable() and not call.cancelled
+                reusable = (
+                    fully_sent and reader.is_reusable() and not call.cancelled
+                )
                 return answer
             except errors.NotRunError as error:
-                if error.reason != 'unsent' or connection.used_at is None:
+                if error.reason != 'unsent' or connection.last_used_at is None:
                     raise
             except errors.InvalidRequestError:
                 reusable = True
                 raise
             except BaseException as error:
-                self._abandon(call, error)
+                self._handle_failure(call, error)
                 raise
             finally:
                 call.connection = None
-                pool.give_back(
+                pool.release(
                     connection,
                     reusable and not self._closed,
                     self._read_now(),
                 )
 
-    def _take(
+    def _acquire_connection(
         self, call: _Call, pool: connections.ConnectionPool
     ) -> connections.Connection:
-        """Returns a connection for the call."""
+        """Takes a connection for the call from the pool."""
         left_s = call.deadline - self._read_now()
         if left_s <= 0:
             raise errors.NotRunError('deadline')
         connect = functools.partial(self._connect, call)
-        connection = pool.take(left_s, connect)
-        if connection.used_at is not None:
-            idle_s = self._read_now() - connection.used_at
+        connection = pool.acquire(left_s, connect)
+        if connection.last_used_at is not None:
+            idle_s = self._read_now() - connection.last_used_at
             self._longest_idle_s = max(self._longest_idle_s, idle_s)
         call.connection = connection
         return connection
@@ -308,7 +322,7 @@
         """Writes the request.
 
         Returns:
-          Whether all of it was written.
+          Whether the whole request was written.
 
         Raises:
           InvalidRequestError: If the request cannot be written as HTTP/1.1.
@@ -327,12 +341,12 @@
             if call.cancelled and not sent:
                 raise errors.NotRunError('cancelled')
             if left_s <= 0:
-                raise _build_timeout(sent)
+                raise _build_timeout_error(sent)
             try:
                 sent += connection.send(memoryview(data)[sent:], left_s)
                 call.sent = True
             except TimeoutError as error:
-                raise _build_timeout(sent) from error
+                raise _build_timeout_error(sent) from error
             except OSError as error:
                 if not sent:
                     reason = 'cancelled' if call.cancelled else 'unsent'
@@ -351,7 +365,7 @@
         """Reads the answer.
 
         Raises:
-          OutcomeUnknownError: If there is no whole answer to this request.
+          OutcomeUnknownError: If there is no complete answer to the request.
         """
         complete = False
         while not complete:
@@ -373,10 +387,11 @@
     def _check_answer(
         self, call: _Call, answer: messages.BackendAnswer
     ) -> None:
-        """Refuses an answer that belongs to another call or to none.
+        """Checks that an answer belongs to the call.
 
         Raises:
-          OutcomeUnknownError: If it does.
+          OutcomeUnknownError: If the answer names another request, or is a
+            success without the required seal.
         """
         dialect = self._dialect
         echoed = dialect.find(answer.headers, dialect.request_id)
@@ -393,7 +408,7 @@
     ) -> None:
         now = self._read_now()
         shed = self._is_shed(answer)
-        evidence = states.Answered(
+        evidence = states.AnswerReceived(
             call.request.kind,
             call.sent_at,
             now - call.sent_at,
@@ -401,76 +416,80 @@
             not shed,
             answer.status >= 500 and not shed,
         )
-        self._observe(evidence, now)
+        self._report_evidence(evidence, now)
 
-    def _abandon(self, call: _Call, error: BaseException) -> None:
-        """Handles a call that ends without a whole answer."""
+    def _handle_failure(self, call: _Call, error: BaseException) -> None:
+        """Handles a call that ended without a complete answer."""
         reason = getattr(error, 'reason', 'cancelled')
         if reason == 'connection-lost':
-            self._judge_loss(self._read_now())
+            self._report_loss(self._read_now())
             return
         if reason == 'timeout':
-            # Open connections can stop responding while new ones work; one
-            # that answered since the call was sent has not.
+            # Open connections can stop responding while new ones work, so only
+            # connections that have answered since the call was sent are kept.
             self._pool.close_idle(unused_since=call.sent_at)
         if call.is_control or not call.sent:
             return
-        # Errors from outside, such as GreenletExit, also cancel the call.
+        # Errors raised in the greenlet from outside, such as GreenletExit, also
+        # cancel the call.
         if self._dialect.cancel_path and reason in ('timeout', 'cancelled'):
             self._schedule_cancel(call.request.request_id)
 
     def _report_idle_loss(self, connection: connections.Connection) -> None:
-        """Judges the loss of a connection that carried no request."""
-        self._idle_loss = (connection.used_at, self._read_now())
-        self._judge_idle_loss(*self._idle_loss)
+        """Handles the loss of a connection that carried no request."""
+        self._idle_loss = (connection.last_used_at, self._read_now())
+        self._report_recent_loss(*self._idle_loss)
 
-    def _judge_idle_loss(self, used_at: float, found_at: float) -> None:
-        """Judges the loss of an idle connection that was used recently.
+    def _report_recent_loss(self, last_used_at: float, found_at: float) -> None:
+        """Reports the loss of an idle connection that was used recently.
 
-        It counts only if connections have stayed open for as long: a server
-        may close each of them at once or after a short time-out. The control
-        connection is used every poll, so it notices a fast restart.
+        The loss counts only if other connections have stayed open while idle
+        for as long, because a server may close each connection at once or after
+        a short time-out. Each poll uses the control connection, so its loss
+        shows a fast restart.
         """
-        idle_s = found_at - used_at
-        if used_at < self._resumed_at:
+        idle_s = found_at - last_used_at
+        if last_used_at < self._resumed_at:
             idle_s -= self._paused_s
-        kept_s = min(RECENT_USE_S, IDLE_SLACK * self._longest_idle_s)
-        # One restart closes many connections; the others are found later.
-        if idle_s < kept_s and used_at > self._loss_reported_at:
-            # Only a connection from before the last use shows that the
-            # process of that time still runs.
-            self._judge_loss(used_at)
+        max_idle_s = min(RECENT_USE_S, IDLE_TOLERANCE * self._longest_idle_s)
+        # One restart closes many connections, which are found one by one; only
+        # the first loss counts.
+        if idle_s < max_idle_s and last_used_at > self._loss_reported_at:
+            # Only a connection opened before that use can show that the process
+            # of that time still runs.
+            self._report_loss(last_used_at)
 
-    def _judge_loss(self, lost_at: float) -> None:
-        """Reports a lost connection, with whether others survived it.
+    def _report_loss(self, lost_at: float) -> None:
+        """Reports a lost connection and whether other connections survived.
 
-        Without a survivor this is reported at once, because a server that has
-        started again may be taking calls already.
+        A loss without survivors is reported at once, because a server that has
+        restarted may already accept calls.
 
         Args:
           lost_at: Earliest time of the loss, in seconds.
         """
         if not self._has_survivor(lost_at):
             self._report_reset(survivors=False)
-        elif not self._checking:
-            self._checking = True
+        elif not self._check_is_scheduled:
+            self._check_is_scheduled = True
             gevent.spawn_later(
                 SURVIVOR_CHECK_DELAY_S, self._check_survivors, lost_at
             )
 
     def _check_survivors(self, lost_at: float) -> None:
-        self._checking = False
+        self._check_is_scheduled = False
         self._report_reset(self._has_survivor(lost_at))
 
     def _report_reset(self, survivors: bool) -> None:
         now = self._read_now()
         if not survivors:
             self._loss_reported_at = now
-        self._observe(states.Reset(survivors), now)
+        self._report_evidence(states.Reset(survivors), now)
 
     def _has_survivor(self, lost_at: float) -> bool:
         return any(
-            pool.has_survivor(lost_at) for pool in (self._pool, self._control)
+            pool.has_survivor(lost_at)
+            for pool in (self._pool, self._control_pool)
         )
 
     def _schedule_cancel(self, request_id: str) -> None:
@@ -485,11 +504,11 @@
         )
 
     def _post_cancel(self, request_id: str) -> None:
-        """Tells the backend server to stop a call; its answer is not needed."""
+        """Asks the backend server to stop a call and ignores the answer."""
         path = self._dialect.cancel_path + parse.quote(request_id, safe='')
         request = messages.BackendRequest(request_id, 'POST', path)
         try:
-            with self._cancels:
+            with self._cancel_slots:
                 deadline = self._read_now() + CANCEL_TIMEOUT_S
                 self._exchange(
                     _Call(request, deadline, is_control=True), self._pool
@@ -504,7 +523,7 @@
             del self._cancellations[request_id]
 
 
-def _build_timeout(sent: int) -> errors.BackendError:
+def _build_timeout_error(sent: int) -> errors.BackendError:
     if sent:
         return errors.OutcomeUnknownError('timeout')
     return errors.NotRunError('deadline')
--- a/jayseam/backends/connections.py
+++ b/jayseam/backends/connections.py
@@ -20,18 +20,19 @@
 
     Attributes:
       opened_at: Time at which the connection was opened, in seconds.
-      used_at: Time of the last whole answer, in seconds; None before it.
+      last_used_at: Time of the last complete answer, in seconds; None before
+        the first.
     """
 
     def __init__(self, address: tuple[str, int], timeout_s: float, now: float):
-        """Connects.
+        """Opens the connection.
 
         Raises:
           OSError: If the connection is refused or takes too long.
         """
         family = socket.AF_INET6 if ':' in address[0] else socket.AF_INET
         self.opened_at = now
-        self.used_at: float | None = None
+        self.last_used_at: float | None = None
         self._socket = socket.socket(family, socket.SOCK_STREAM)
         try:
             self._socket.settimeout(timeout_s)
@@ -59,22 +60,22 @@
         return self._socket.recv(_BLOCK_BYTES)
 
     def is_idle(self) -> bool:
-        """Tells whether the connection is open with nothing to read.
+        """Returns whether the connection is open and has nothing to read.
 
         Bytes that arrive without a request would be taken for the answer to
-        the next one.
+        the next request.
         """
         return not self._poller.poll(0)
 
     def is_open(self) -> bool:
-        """Tells whether the other side has not closed the connection.
+        """Returns whether the other side has not closed the connection.
 
         The connection may be in use by another greenlet.
         """
         return self._peek() != b''
 
     def _peek(self) -> bytes | None:
-        """Returns the next byte if there is one, empty bytes at the end."""
+        """Returns the next byte, None if there is none, empty after the end."""
         timeout_s = self._socket.gettimeout()
         try:
             self._socket.settimeout(0.0)
@@ -84,7 +85,7 @@
         except OSError:
             return b''
         finally:
-            # A greenlet that waits on the socket keeps its time-out.
+            # Another greenlet may be using the socket with this time-out.
             self._socket.settimeout(timeout_s)
 
     def close(self) -> None:
@@ -112,9 +113,10 @@
         """
         self._size = size
         self._report_loss = report_loss
-        # Places in use; some were handed to waiters that have not resumed.
-        self._taken = 0
-        self._handed = 0
+        # Places in use, and how many of them were handed over to waiters that
+        # have not resumed yet.
+        self._n_in_use = 0
+        self._n_handed_over = 0
         self._idle: list[Connection] = []
         self._busy: set[Connection] = set()
         self._waiters: collections.deque[event.Event] = collections.deque()
@@ -122,17 +124,17 @@
     @property
     def in_use(self) -> int:
         """Number of connections that carry a request or are being opened."""
-        return self._taken
+        return self._n_in_use
 
     def resize(self, size: int) -> None:
         """Changes the bound; connections in use beyond it close on return."""
         self._size = size
-        self._trim()
-        while self._waiters and self._taken < self._size:
-            self._taken += 1
-            self._hand_over()
+        self._close_excess()
+        while self._waiters and self._n_in_use < self._size:
+            self._n_in_use += 1
+            self._hand_over_place()
 
-    def take(
+    def acquire(
         self, wait_s: float, connect: Callable[[], Connection]
     ) -> Connection:
         """Returns an idle connection, or opens one.
@@ -145,8 +147,8 @@
           NotRunError: If no place is free within ``wait_s`` seconds, or as
             ``connect`` raises it.
         """
-        if self._taken < self._size:
-            self._taken += 1
+        if self._n_in_use < self._size:
+            self._n_in_use += 1
         else:
             self._wait(wait_s)
         try:
@@ -161,30 +163,30 @@
             self._busy.add(connection)
             return connection
         except BaseException:
-            self._leave()
+            self._release_place()
             raise
 
-    def give_back(
+    def release(
         self, connection: Connection, reusable: bool, now: float
     ) -> None:
-        """Returns a connection after its request."""
+        """Puts a connection back into the pool after its request."""
         self._busy.discard(connection)
         if reusable:
-            connection.used_at = now
+            connection.last_used_at = now
             self._idle.append(connection)
         else:
             connection.close()
-        self._leave()
-        self._trim()
+        self._release_place()
+        self._close_excess()
 
     def has_survivor(self, lost_at: float) -> bool:
-        """Tells whether a connection from before ``lost_at`` is still open."""
+        """Returns whether a connection opened before a time is still open."""
         return any(
             connection.opened_at < lost_at and connection.is_open()
             for connection in [*self._idle, *self._busy]
         )
 
-    def drop_lost(self) -> None:
+    def close_lost(self) -> None:
         """Closes and reports the idle connections that were lost."""
         lost = [c for c in self._idle if not c.is_idle()]
         self._idle = [c for c in self._idle if c not in lost]
@@ -193,16 +195,16 @@
             self._report_loss(connection)
 
     def close_idle(self, unused_since: float = math.inf) -> None:
-        """Closes the idle connections that were not used since a time."""
+        """Closes the idle connections that were not used since a given time."""
         idle, self._idle = self._idle, []
         for connection in idle:
-            if connection.used_at >= unused_since:
+            if connection.last_used_at >= unused_since:
                 self._idle.append(connection)
             else:
                 connection.close()
 
     def _wait(self, wait_s: float) -> None:
-        """Waits until a leaving request hands its place over."""
+        """Waits until a finished request hands over its place."""
         waiter = event.Event()
         self._waiters.append(waiter)
         try:
@@ -210,24 +212,24 @@
                 raise errors.NotRunError('no-connection')
         except BaseException:
             if waiter.is_set():
-                self._handed -= 1
-                self._leave()
+                self._n_handed_over -= 1
+                self._release_place()
             else:
                 self._waiters.remove(waiter)
             raise
-        self._handed -= 1
+        self._n_handed_over -= 1
 
-    def _leave(self) -> None:
-        if self._waiters and self._taken <= self._size:
-            self._hand_over()
+    def _release_place(self) -> None:
+        if self._waiters and self._n_in_use <= self._size:
+            self._hand_over_place()
         else:
-            self._taken -= 1
+            self._n_in_use -= 1
 
-    def _hand_over(self) -> None:
-        self._handed += 1
+    def _hand_over_place(self) -> None:
+        self._n_handed_over += 1
         self._waiters.popleft().set()
 
-    def _trim(self) -> None:
-        active = self._taken - self._handed
+    def _close_excess(self) -> None:
+        active = self._n_in_use - self._n_handed_over
         while self._idle and active + len(self._idle) > self._size:
             self._idle.pop(0).close()
--- a/jayseam/backends/dialects.py
+++ b/jayseam/backends/dialects.py
@@ -1,7 +1,7 @@
-"""The header fields by which callers, nodes and backend servers talk.
+"""Header fields between callers, nodes and backend servers.
 
 The default is jayseam's own interface. An operator's platform may use other
-names and other proofs; it then passes a dialect of its own to the node.
+names and other proofs of origin; it then passes its own dialect to the node.
 """
 
 from collections.abc import Iterable
@@ -18,22 +18,26 @@
     Attributes:
       request_id: Identifier of a call, in requests and answers.
       timeout_ms: Milliseconds until the end of the call.
-      workspace: Workspace that a call runs for, told to backend servers.
-      caller_service: Service beside which a call began, told to backend
+      workspace: Workspace that a call runs for, in requests to backend servers.
+      caller_service: Service on whose VM the call began, in requests to backend
         servers.
-      instance: Start of the backend server that alone may run the call.
+      instance: Instance of the backend server that alone may run the call; each
+        start is another instance.
       not_run: Field of an answer which says that the call has not run.
-      not_run_values: Values of that field that count; empty for any value.
-      not_run_statuses: Statuses of answers with that field that count; empty
-        for all.
-      misdirected: Status by which a backend server refuses a call that names
-        another instance; 0 if there is none.
-      seal: Field that each whole success of a backend server carries.
-      cancel_path: Path to which the end of a call is posted; empty if a closed
-        connection ends it.
-      caller_ids: Whether callers name their calls; otherwise the node does.
+      not_run_values: Values of the `not_run` field that are trusted; empty for
+        any value.
+      not_run_statuses: Statuses of answers whose `not_run` field is trusted;
+        empty for any status.
+      misdirected: Status with which a backend server refuses a call for another
+        instance; 0 if there is none.
+      seal: Field, such as a signature, that each complete success of a backend
+        server contains.
+      cancel_path: Start of the path to which a cancellation is posted; empty if
+        closing the connection cancels a call.
+      caller_ids: Whether callers choose the ids of calls; otherwise the node
+        does.
       keeps_host: Whether the ``Host`` field is forwarded.
-      unsized_answers: Whether an answer may end with its connection.
+      unsized_answers: Whether the end of the connection may end an answer.
       call_tokens: Whether calls carry a token for nested calls.
       fractional_delays: Whether ``Retry-After`` may have fractions.
     """
@@ -58,7 +62,7 @@
     def says_not_run(
         self, status: int, headers: Iterable[tuple[str, str]]
     ) -> bool:
-        """Tells whether an answer says that the call has not run.
+        """Returns whether an answer says that the call has not run.
 
         >>> DEFAULT.says_not_run(503, [('Shed', 'not-run')])
         True
@@ -77,7 +81,7 @@
     def is_sealed(
         self, status: int, headers: Iterable[tuple[str, str]]
     ) -> bool:
-        """Tells whether an answer may be taken for the backend server's own.
+        """Returns whether an answer may be trusted to be the backend server's.
 
         >>> Dialect(seal='Signature').is_sealed(200, [])
         False
--- a/jayseam/backends/errors.py
+++ b/jayseam/backends/errors.py
@@ -12,7 +12,7 @@
 
 
 class NotRunError(BackendError):
-    """The backend server surely did not run the call.
+    """The backend server certainly did not run the call.
 
     Attributes:
       reason: One of ``refused``, ``connect-timeout``, ``unsent``, ``shed``,
@@ -32,7 +32,7 @@
 
 
 class OutcomeUnknownError(BackendError):
-    """The backend server may have run the call, but gave no whole answer.
+    """The backend server may have run the call, but gave no complete answer.
 
     Attributes:
       reason: One of ``timeout``, ``cancelled``, ``connection-lost``,
--- a/jayseam/backends/health.py
+++ b/jayseam/backends/health.py
@@ -1,7 +1,7 @@
-"""Task that polls the health endpoint and keeps the backend server's state.
+"""Task that polls the health endpoint and tracks the backend server's state.
 
-Health is a hint: apart from ``draining`` and ``starting``, the words of the
-endpoint do not overrule what calls show.
+Reported health is a hint: apart from ``draining`` and ``starting``, the states
+that the endpoint reports don't override evidence from calls.
 
 See Also:
   ``docs/design.md``, section 5.4.
@@ -27,9 +27,9 @@
 
 
 def parse_health(body: bytes) -> tuple[str | None, float | None]:
-    """Returns the state word and the load of a health answer.
+    """Returns the state and the load in a health answer.
 
-    Parts that are missing or malformed are None.
+    A part that is missing or malformed is None.
 
     >>> parse_health(b'{"state": "ready", "load": 0.5}')
     ('ready', 0.5)
@@ -42,23 +42,23 @@
         return None, None
     if not isinstance(document, dict):
         return None, None
-    word, load = document.get('state'), document.get('load')
-    if not isinstance(word, str):
-        word = None
+    reported_state, load = document.get('state'), document.get('load')
+    if not isinstance(reported_state, str):
+        reported_state = None
     if isinstance(load, bool) or not isinstance(load, (int, float)):
         load = None
-    return word, load
+    return reported_state, load
 
 
 class HealthMonitor:
     """Owns the state of the backend server.
 
-    Evidence is applied at once, in the greenlet that has it: a mailbox between
-    a refused connection and the restart of the ramp would admit calls in
-    between.
+    Evidence is applied synchronously, in the greenlet that found it. With a
+    queue between a refused connection and the restart of the ramp, calls would
+    be admitted in the meantime.
 
     >>> monitor = HealthMonitor(ramp_s=5.0, on_start=print, on_state=print)
-    >>> monitor.observe(states.HealthWord('ready', 0.0, 7.0), now=7.0)
+    >>> monitor.observe(states.HealthReport('ready', 0.0, 7.0), now=7.0)
     7.0
     cold
     """
@@ -74,11 +74,11 @@
 
         Args:
           ramp_s: Length of the ramp in seconds.
-          on_start: Receives the time of each start noticed, in seconds;
+          on_start: Receives the time of each detected start, in seconds;
             normally `admission.gates.Gate.notice_start`.
           on_state: Receives the name of the state after each change.
-          polls: Whether the health endpoint is polled. Otherwise the state
-            follows from calls and from the platform's list.
+          polls: Whether the health endpoint is polled. Otherwise the state is
+            derived from calls and from the platform's list.
         """
         self._polls = polls
         self._state = states.BackendState(ramp_s=ramp_s)
@@ -99,7 +99,7 @@
         self._apply(states.observe(self._state, evidence, now))
 
     def tick(self, now: float) -> None:
-        """Applies the passing of time, which ends the ramp."""
+        """Applies the current time, which may end the ramp."""
         self._apply(states.tick(self._state, now))
 
     def notice_pause(self, now: float) -> None:
@@ -121,29 +121,29 @@
             self._greenlet.kill()
 
     def hear_listing(self, live: bool, cold: bool, now: float) -> None:
-        """Applies what the platform's list says of the backend server."""
+        """Applies the entry of the backend server in the platform's list."""
         self._listing = states.Listed(live, cold)
         self.observe(self._listing, now)
 
     def _check_listing(self) -> None:
-        """Gives a listed server that was lost another chance."""
+        """Applies the last listing again, so that a lost server is retried."""
         if self._listing is not None:
             self.observe(self._listing, self._read_now())
         self.tick(self._read_now())
 
     def poll_once(self) -> None:
-        """Polls the health endpoint and applies what it shows."""
+        """Polls the health endpoint and applies the result."""
         sent_at = self._read_now()
         try:
             answer = self._client.poll(HEALTH_PATH, POLL_TIMEOUT_S)
         except errors.BackendError as error:
-            # Refused and lost connections were reported by the client.
+            # The client has reported a refused or lost connection already.
             _log.debug('backend.health_failed', extra={'error': str(error)})
             self.tick(self._read_now())
             return
-        # A draining server may well answer 503, so the status is ignored.
-        word, load = parse_health(answer.body)
-        evidence = states.HealthWord(word, load, sent_at)
+        # The status is ignored, because a draining server may answer 503.
+        reported_state, load = parse_health(answer.body)
+        evidence = states.HealthReport(reported_state, load, sent_at)
         self.observe(evidence, self._read_now())
 
     def _run(self) -> None:
--- a/jayseam/backends/messages.py
+++ b/jayseam/backends/messages.py
@@ -1,4 +1,4 @@
-"""Requests to a backend server and its answers, and their HTTP/1.1 form.
+"""Requests to and answers of a backend server, and their HTTP/1.1 encoding.
 
 References:
   RFC 9110, section 7.6.1 (hop-by-hop headers); RFC 9112 (message syntax).
@@ -29,9 +29,9 @@
         'upgrade',
     )
 )
-# Fields that the client writes itself, or that make no sense for a request
-# whose body is already whole.
-_REPLACED = HOP_BY_HOP | {'content-length', 'expect'}
+# Request fields that aren't forwarded: the client writes them itself, or they
+# have no use for a request whose body is already complete.
+_NOT_FORWARDED = HOP_BY_HOP | {'content-length', 'expect'}
 MAX_HEAD_BYTES = 64 * 1024
 _HEAD_END = b'\r\n\r\n'
 _TARGET = re.compile(r'[!-~]+')
@@ -64,7 +64,7 @@
 
 @attrs.frozen
 class BackendAnswer:
-    """A whole answer of the backend server.
+    """A complete answer of the backend server.
 
     Attributes:
       status: HTTP status code.
@@ -96,7 +96,7 @@
 def is_shed(
     answer: BackendAnswer, dialect: dialects.Dialect = dialects.DEFAULT
 ) -> bool:
-    """Tells whether the backend server says that it shed the call.
+    """Returns whether the backend server says that it shed the call.
 
     >>> is_shed(BackendAnswer(503, [('Shed', 'not-run')]))
     True
@@ -113,22 +113,26 @@
     ...                   ('Keep-Alive', '5'), ('ETag', 'a')])
     [('ETag', 'a')]
     """
-    kept = []
-    nominated: set[str] = set()
+    end_to_end = []
+    connection_options: set[str] = set()
     for name, value in headers:
         lower = name.lower()
         if lower not in HOP_BY_HOP:
-            kept.append((name, value))
+            end_to_end.append((name, value))
         elif lower == 'connection':
-            nominated.update(v.strip().lower() for v in value.split(','))
-    if nominated - {'close', 'keep-alive'}:
-        return [(n, v) for n, v in kept if n.lower() not in nominated]
-    return kept
+            connection_options.update(
+                v.strip().lower() for v in value.split(',')
+            )
+    if connection_options - {'close', 'keep-alive'}:
+        return [
+            (n, v) for n, v in end_to_end if n.lower() not in connection_options
+        ]
+    return end_to_end
 
 
 @functools.lru_cache(maxsize=1024)
 def _is_token(name: str) -> bool:
-    """Tells whether a name is a token; the same few names come again."""
+    """Returns whether a name is a token; cached, because few names occur."""
     return _TOKEN.fullmatch(name) is not None
 
 
@@ -138,11 +142,11 @@
     time_left_ms: int,
     dialect: dialects.Dialect = dialects.DEFAULT,
 ) -> bytes:
-    """Returns the bytes of a request.
+    """Encodes a request.
 
     Args:
       request: The call.
-      host: Value of ``Host`` where the request has none.
+      host: Value of ``Host`` if the request has none.
       time_left_ms: Time left until the deadline, in milliseconds.
       dialect: Names of the fields that the client writes.
 
@@ -156,12 +160,12 @@
     method, path = request.method, request.path
     if not _is_token(method) or not _TARGET.fullmatch(path):
         raise errors.InvalidRequestError(f'invalid request {method} {path!r}')
-    written = (dialect.request_id.lower(), dialect.timeout_ms.lower())
+    own_fields = (dialect.request_id.lower(), dialect.timeout_ms.lower())
     lines = [f'{method} {path} HTTP/1.1']
     has_host = False
     for name, value in strip_hop_by_hop(request.headers):
         lower = name.lower()
-        if lower in _REPLACED or lower in written:
+        if lower in _NOT_FORWARDED or lower in own_fields:
             continue
         if not _is_token(name):
             raise errors.InvalidRequestError(f'invalid header name {name!r}')
@@ -187,11 +191,11 @@
 
 
 class AnswerReader(response.HTTPResponseParser):
-    """Parses one answer incrementally and checks that it is whole.
+    """Parses one answer incrementally and checks that it is complete.
 
-    The head is passed to the parser in one piece. Each field name and value
-    then arrives in one callback, and the callbacks are the `append` methods of
-    two lists, which costs no Python frame per header field.
+    The head is passed to the parser in one piece, so that the parser reports
+    each field name and value in one callback. The callbacks are the `append`
+    methods of two lists, which avoids a Python frame for each header field.
 
     >>> reader = AnswerReader('GET', max_bytes=100)
     >>> reader.receive(b'HTTP/1.1 200 OK\\r\\nContent-Le')
@@ -213,7 +217,7 @@
         '_headers',
         '_status',
         '_complete',
-        '_broken',
+        '_malformed',
         '_trailing',
         '_names',
         '_values',
@@ -228,9 +232,9 @@
 
         Args:
           method: Method of the request.
-          max_bytes: Greatest body.
-          unsized: Whether an answer without a length may end with its
-            connection. A reset connection is no such end.
+          max_bytes: Greatest size of the body, in bytes.
+          unsized: Whether the end of the connection may end an answer that has
+            no length. A reset connection is no such end.
         """
         super().__init__()
         self._unsized = unsized
@@ -243,7 +247,7 @@
         self._headers: Headers = ()
         self._status = 0
         self._complete = False
-        self._broken = False
+        self._malformed = False
         self._trailing = False
         self._names: list[str] = []
         self._values: list[str] = []
@@ -253,7 +257,7 @@
         self._on_body = self._chunks.append
 
     def receive(self, data: bytes) -> bool:
-        """Takes the next bytes of the connection.
+        """Parses the next bytes of the connection.
 
         Args:
           data: Bytes as received; empty when the connection was closed.
@@ -270,7 +274,7 @@
             return True
         if not data:
             raise errors.OutcomeUnknownError(
-                'connection-lost', 'closed before the answer was whole'
+                'connection-lost', 'closed before the answer was complete'
             )
         self._received += len(data)
         if self._received > self._max_bytes + MAX_HEAD_BYTES:
@@ -289,7 +293,7 @@
         return BackendAnswer(self._status, self._headers, body)
 
     def is_reusable(self) -> bool:
-        """Tells whether the connection can carry another request."""
+        """Returns whether the connection can carry another request."""
         return (
             self._complete
             and not self._trailing
@@ -325,13 +329,15 @@
         self._values.clear()
 
     def _finish_head(self) -> None:
-        if self._broken:
-            raise errors.OutcomeUnknownError('framing', 'broken header field')
+        if self._malformed:
+            raise errors.OutcomeUnknownError(
+                'framing', 'malformed header field'
+            )
         sized = self._complete or _has_explicit_end(self._headers)
         if not sized and self._unsized:
             self._ends_with_connection = True
         elif not sized:
-            # Without a length, a cut connection looks like the end.
+            # Without a length, a lost connection looks like the end.
             raise errors.OutcomeUnknownError('framing', 'no explicit length')
         self._headers = strip_hop_by_hop(self._headers)
 
@@ -356,7 +362,7 @@
     def _on_headers_complete(self) -> bool:
         # Trailer fields come later through the same callbacks; they are
         # dropped, as RFC 9110, section 6.5.1, allows.
-        self._broken = len(self._names) != len(self._values)
+        self._malformed = len(self._names) != len(self._values)
         self._headers = list(zip(self._names, self._values))
         self._status = self.get_code()
         return self._no_body
--- a/jayseam/backends/states.py
+++ b/jayseam/backends/states.py
@@ -1,10 +1,11 @@
 """State of the node's own backend server, derived from evidence.
 
 The functions are pure: `observe` takes the state, one piece of evidence and
-the time, and returns the next state. A start of the backend server is
-noticed by refused or reset connections, by words of its health endpoint and
-by a latency far above its baseline. `BackendState.starts` counts the restarts
-of the ramp; the owner restarts the ramp of the gate when the count changes.
+the time, and returns the next state. A start of the backend server is detected
+by refused or reset connections, by states that its health endpoint reports, by
+failing calls and by a latency far above its baseline. `BackendState.starts`
+counts the restarts of the ramp; the owner restarts the ramp of the gate when
+the count changes.
 
 See Also:
   ``docs/design.md``, sections 5.4 and 8; ``jayseam/core/charts/backend.json``.
@@ -20,23 +21,23 @@
 CHART = statecharts.load_chart('backend')
 
 LATENCY_FACTOR = 5.0
-# The factor means nothing below this: a scheduling delay of the node itself
-# already exceeds five times a baseline of 0.1 ms.
+# Lower baselines are raised to this value: a scheduling delay of the node
+# itself already exceeds five times a baseline of 0.1 ms.
 MIN_BASELINE_S = 0.001
-# One slow call is no evidence; a start is noticed when more than half of this
+# One slow call is no evidence; a start is detected when more than half of this
 # many calls are slow.
 LATENCY_WINDOW = 8
-# A start is noticed when more than half of this many calls fail.
+# A start is detected when more than half of this many calls fail.
 FAILURE_WINDOW = 8
 BASELINE_SAMPLES = 20
 BASELINE_WEIGHT = 0.05
 MAX_KINDS = 64
 CONNECT_TIMEOUTS_TO_DOWN = 2
-READY_WORDS_TO_LEAVE_DRAINING = 2
+READY_REPORTS_TO_LEAVE_DRAINING = 2
 
 
 @attrs.frozen
-class Refused:
+class ConnectionRefused:
     """The backend server refused a connection."""
 
 
@@ -47,27 +48,27 @@
 
 @attrs.frozen
 class Reset:
-    """A connection was lost while a call waited for its answer.
+    """An open connection was lost.
 
     Attributes:
-      survivors: Whether another connection that was open at that time still
-        is. The end of a process closes all of its connections, so a survivor
-        shows that the process still runs.
+      survivors: Whether another connection that was open at that time is
+        still open. The end of a process closes all of its connections, so a
+        survivor shows that the process still runs.
     """
 
     survivors: bool
 
 
 @attrs.frozen
-class Answered:
-    """The backend server gave a whole answer.
+class AnswerReceived:
+    """The backend server gave a complete answer.
 
     Attributes:
       kind: Calls of one kind share a latency baseline.
       sent_at: Time at which the request was written, in seconds.
-      latency_s: Time from then to the end of the answer, in seconds.
-      in_flight: Calls in flight when the request was written, including it.
-      success: Whether the call ran; a shed call says nothing on latency.
+      latency_s: Time from `sent_at` to the end of the answer, in seconds.
+      in_flight: Calls in flight at `sent_at`, including this one.
+      success: Whether the call ran; a shed call gives no latency sample.
       failed: Whether the status is 500 or more, except for a shed call.
     """
 
@@ -80,16 +81,16 @@
 
 
 @attrs.frozen
-class HealthWord:
+class HealthReport:
     """The health endpoint answered.
 
     Attributes:
-      word: Its state, such as ``ready``; None if it could not be read.
-      load: Its load, or None.
+      state: Reported state, such as ``ready``; None if it could not be read.
+      load: Reported load, or None.
       sent_at: Time at which the poll was written, in seconds.
     """
 
-    word: str | None
+    state: str | None
     load: float | None
     sent_at: float
 
@@ -99,15 +100,22 @@
     """The platform's list names the backend server.
 
     Attributes:
-      live: Whether it takes new work.
-      cold: Whether it is in cold start.
+      live: Whether the backend server accepts new calls.
+      cold: Whether the backend server is in cold start.
     """
 
     live: bool
     cold: bool
 
 
-Evidence = Refused | ConnectTimedOut | Reset | Answered | HealthWord | Listed
+Evidence = (
+    ConnectionRefused
+    | ConnectTimedOut
+    | Reset
+    | AnswerReceived
+    | HealthReport
+    | Listed
+)
 
 
 @attrs.frozen
@@ -127,7 +135,7 @@
 
 @attrs.frozen
 class BackendState:
-    """What is known of the backend server.
+    """State of the backend server and the evidence it is derived from.
 
     Attributes:
       name: State of the chart: ``down``, ``cold``, ``ready``, ``draining``.
@@ -135,21 +143,22 @@
       since: Time of the last change of `name`, in seconds.
       starts: Number of restarts of the ramp. Each refused connection counts,
         so that the ramp stays at its start while the server is down.
-      started_at: Time of the last of them, in seconds.
-      starting_since: Time of the first of the current run of ``starting``
-        words, in seconds, or None.
-      word: Last word of the health endpoint.
-      repeats: How often that word was repeated without another between.
-      load: Last load of the health endpoint.
-      connect_timeouts: Connect time-outs since the last contact.
+      started_at: Time of the last restart of the ramp, in seconds.
+      starting_since: Time of the first in the current series of ``starting``
+        reports, in seconds, or None.
+      reported_state: Last state that the health endpoint reported.
+      repeats: How often that state was reported again in succession.
+      load: Last load that the health endpoint reported.
+      connect_timeouts: Connect time-outs since the last answer.
       baselines: Latency baseline by kind of call.
       ratios: Latencies of the last calls over their baselines.
       measured_from: Latencies of requests sent before this are ignored.
       failures: Whether each of the last calls failed; empty if none did.
-      listed_cold: Whether the platform's list last said that it is cold.
-      lost: Whether it was reached before and then lost.
-      failing_since: Time of the first start noticed by failures since more
-        than half of them last succeeded, in seconds, or None.
+      listed_cold: Whether the platform's list last showed the backend server as
+        cold.
+      lost: Whether a loss of the backend server was observed.
+      failing_since: Time at which more than half of the last calls first
+        failed, in seconds; None until then and again once none failed.
     """
 
     name: str = CHART.initial
@@ -158,7 +167,7 @@
     starts: int = 0
     started_at: float = 0.0
     starting_since: float | None = None
-    word: str | None = None
+    reported_state: str | None = None
     repeats: int = 0
     load: float | None = None
     connect_timeouts: int = 0
@@ -176,8 +185,8 @@
 ) -> BackendState:
     """Returns the state after a piece of evidence.
 
-    >>> state = observe(BackendState(ramp_s=5.0), HealthWord('ready', 0.0, 1.0),
-    ...                 now=1.0)
+    >>> state = observe(BackendState(ramp_s=5.0),
+    ...                 HealthReport('ready', 0.0, 1.0), now=1.0)
     >>> state.name, tick(state, now=6.0).name
     ('cold', 'ready')
     """
@@ -194,7 +203,7 @@
 def notice_pause(state: BackendState, now: float) -> BackendState:
     """Returns the state after the node itself was paused until ``now``.
 
-    Latencies of calls sent before include the pause, so they are ignored.
+    Latencies of calls sent earlier include the pause, so they are ignored.
     """
     return attrs.evolve(state, measured_from=now, ratios=())
 
@@ -205,7 +214,7 @@
 
 
 def _advance(state: BackendState, event: str, now: float) -> BackendState:
-    """Applies an event of the chart; one that it lacks changes nothing."""
+    """Applies an event of the chart; without a transition nothing changes."""
     if not CHART.allows(state.name, event):
         return state
     name = CHART.advance(state.name, event)
@@ -213,7 +222,7 @@
     return attrs.evolve(state, name=name, since=since)
 
 
-def _notice_start(state: BackendState, now: float) -> BackendState:
+def _record_start(state: BackendState, now: float) -> BackendState:
     started = _advance(state, 'start_noticed', now)
     return attrs.evolve(
         started,
@@ -224,15 +233,15 @@
     )
 
 
-def _notice_loss(state: BackendState, now: float) -> BackendState:
-    """Marks the server as down and holds the ramp at its start."""
+def _record_loss(state: BackendState, now: float) -> BackendState:
+    """Marks the server as down and keeps the ramp at its start."""
     lost = _advance(state, 'connection_lost', now)
     return attrs.evolve(
         lost,
         starts=state.starts + 1,
         started_at=now,
         starting_since=None,
-        word=None,
+        reported_state=None,
         repeats=0,
         ratios=(),
         measured_from=now,
@@ -246,9 +255,11 @@
 
 
 @_observe.register
-def _(evidence: Refused, state: BackendState, now: float) -> BackendState:
+def _(
+    evidence: ConnectionRefused, state: BackendState, now: float
+) -> BackendState:
     del evidence
-    return _notice_loss(state, now)
+    return _record_loss(state, now)
 
 
 @_observe.register
@@ -260,19 +271,21 @@
     counted = attrs.evolve(state, connect_timeouts=count)
     if count < CONNECT_TIMEOUTS_TO_DOWN:
         return counted
-    return _notice_loss(counted, now)
+    return _record_loss(counted, now)
 
 
 @_observe.register
 def _(evidence: Reset, state: BackendState, now: float) -> BackendState:
     if evidence.survivors or state.name in ('down', 'draining'):
         return state
-    return _notice_start(state, now)
+    return _record_start(state, now)
 
 
 @_observe.register
-def _(evidence: Answered, state: BackendState, now: float) -> BackendState:
-    contacted = _notice_contact(state, evidence.sent_at, now)
+def _(
+    evidence: AnswerReceived, state: BackendState, now: float
+) -> BackendState:
+    contacted = _record_contact(state, evidence.sent_at, now)
     if evidence.failed or contacted.failures:
         contacted = _observe_failures(contacted, evidence, now)
     if contacted.name != 'ready' or not evidence.success:
@@ -283,77 +296,84 @@
 
 
 @_observe.register
-def _(evidence: HealthWord, state: BackendState, now: float) -> BackendState:
-    contacted = _notice_contact(state, evidence.sent_at, now)
-    same = evidence.word is not None and evidence.word == contacted.word
+def _(evidence: HealthReport, state: BackendState, now: float) -> BackendState:
+    contacted = _record_contact(state, evidence.sent_at, now)
+    same = (
+        evidence.state is not None
+        and evidence.state == contacted.reported_state
+    )
     repeats = contacted.repeats + 1 if same else 0
-    heard = attrs.evolve(
-        contacted, word=evidence.word, repeats=repeats, load=evidence.load
+    updated = attrs.evolve(
+        contacted,
+        reported_state=evidence.state,
+        repeats=repeats,
+        load=evidence.load,
     )
-    if evidence.word == 'starting':
-        return _hear_starting(heard, now)
-    heard = attrs.evolve(heard, starting_since=None)
-    if evidence.word == 'draining':
-        return _advance(heard, 'drain_noticed', now)
-    if evidence.word == 'ready' and heard.name == 'draining':
-        if repeats + 1 >= READY_WORDS_TO_LEAVE_DRAINING:
-            return _notice_start(heard, now)
-    return heard
+    if evidence.state == 'starting':
+        return _handle_starting(updated, now)
+    updated = attrs.evolve(updated, starting_since=None)
+    if evidence.state == 'draining':
+        return _advance(updated, 'drain_noticed', now)
+    if evidence.state == 'ready' and updated.name == 'draining':
+        if repeats + 1 >= READY_REPORTS_TO_LEAVE_DRAINING:
+            return _record_start(updated, now)
+    return updated
 
 
 @_observe.register
 def _(evidence: Listed, state: BackendState, now: float) -> BackendState:
-    heard = attrs.evolve(state, listed_cold=evidence.cold)
+    updated = attrs.evolve(state, listed_cold=evidence.cold)
     if not evidence.live:
-        return _advance(heard, 'drain_noticed', now)
+        return _advance(updated, 'drain_noticed', now)
     if evidence.cold and not state.listed_cold:
-        return _notice_start(heard, now)
+        return _record_start(updated, now)
     if state.name not in ('down', 'draining'):
-        return heard
+        return updated
     if state.lost or evidence.cold:
-        return _notice_start(heard, now)
-    # It is the node that started, and its backend server is warm.
-    started = _advance(heard, 'start_noticed', now)
+        return _record_start(updated, now)
+    # The node has started, not its backend server, which is warm.
+    started = _advance(updated, 'start_noticed', now)
     return _advance(started, 'ramp_finished', now)
 
 
-def _hear_starting(state: BackendState, now: float) -> BackendState:
-    """Restarts the ramp on ``starting``, for at most one ramp's length.
+def _handle_starting(state: BackendState, now: float) -> BackendState:
+    """Restarts the ramp on ``starting``, for at most the length of one ramp.
 
-    The limit on repetition keeps a health endpoint that is stuck at
-    ``starting`` from holding its backend server at the first slots for ever.
+    Without this bound, a health endpoint that is stuck at ``starting`` would
+    keep its backend server at the initial slots for ever.
     """
     if state.starting_since is None:
         state = attrs.evolve(state, starting_since=now)
-        return _notice_start(state, now)
+        return _record_start(state, now)
     if state.name == 'cold' and now < state.starting_since + state.ramp_s:
-        return _notice_start(state, now)
+        return _record_start(state, now)
     return state
 
 
-def _notice_contact(
+def _record_contact(
     state: BackendState, sent_at: float, now: float
 ) -> BackendState:
-    """Marks a server that was down as started if it took a new request.
+    """Marks a server that was down as started if it answered a new request.
 
-    An answer to a request sent before the loss may come from a process that
-    no longer listens.
+    An answer to a request sent before the loss may come from a process that no
+    longer listens.
     """
     if state.connect_timeouts:
         state = attrs.evolve(state, connect_timeouts=0)
     if state.name == 'down' and sent_at >= state.started_at:
-        return _notice_start(state, now)
+        return _record_start(state, now)
     return state
 
 
 def _observe_failures(
-    state: BackendState, evidence: Answered, now: float
+    state: BackendState, evidence: AnswerReceived, now: float
 ) -> BackendState:
-    """Takes calls most of which fail for a server that fell over when cold.
+    """Restarts the ramp when most calls fail.
 
-    Such a server fails fast on open connections, so neither a reset nor the
-    latency shows it. The ramp is held at its start for at most one ramp's
-    length, so that a faulty route does not hold its server there for ever.
+    A server that fell over in cold start fails fast on open connections, so
+    neither a reset nor the latency shows its state. The ramp is kept at its
+    start for at most the length of one ramp, so that a faulty route doesn't
+    keep its server there for ever.
     """
     failures = (state.failures + (evidence.failed,))[-FAILURE_WINDOW:]
     if not any(failures):
@@ -361,58 +381,62 @@
     if 2 * sum(failures) <= FAILURE_WINDOW:
         return attrs.evolve(state, failures=failures)
     since = now if state.failing_since is None else state.failing_since
-    known = attrs.evolve(state, failures=failures, failing_since=since)
+    failing = attrs.evolve(state, failures=failures, failing_since=since)
     if state.name not in ('ready', 'cold') or now > since + state.ramp_s:
-        return known
-    return _notice_start(known, now)
+        return failing
+    return _record_start(failing, now)
 
 
 def _observe_latency(
-    state: BackendState, evidence: Answered, now: float
+    state: BackendState, evidence: AnswerReceived, now: float
 ) -> BackendState:
     baseline = state.baselines.get(evidence.kind)
     if baseline is None or baseline.samples < BASELINE_SAMPLES:
-        return attrs.evolve(state, baselines=_learn(state, evidence, baseline))
+        return attrs.evolve(
+            state, baselines=_update_baselines(state, evidence, baseline)
+        )
     ratio = evidence.latency_s / _expect_latency(baseline, evidence.in_flight)
     ratios = (state.ratios + (ratio,))[-LATENCY_WINDOW:]
     if len(ratios) == LATENCY_WINDOW:
         if sorted(ratios)[LATENCY_WINDOW // 2 - 1] > LATENCY_FACTOR:
-            # A latency that has risen for good must not be taken for a start
-            # again after each ramp, so the baselines are learnt anew.
-            return attrs.evolve(_notice_start(state, now), baselines={})
+            # A permanent rise of the latency must not be taken for another
+            # start after each ramp, so the baselines are measured again.
+            return attrs.evolve(_record_start(state, now), baselines={})
     if ratio > LATENCY_FACTOR:
         return attrs.evolve(state, ratios=ratios)
-    # One copy of the state per call: each costs several microseconds.
-    baselines = _learn(state, evidence, baseline)
+    # Both fields are set in one copy of the state, because each copy costs
+    # several microseconds per call.
+    baselines = _update_baselines(state, evidence, baseline)
     return attrs.evolve(state, ratios=ratios, baselines=baselines)
 
 
 def _expect_latency(baseline: Baseline, in_flight: int) -> float:
     """Returns the latency expected with ``in_flight`` calls at the server.
 
-    A server that shares its processors takes longer in proportion to the calls
-    in flight, so a rise that the node's own load explains is no evidence.
+    The latency of a server whose calls share its processors grows in proportion
+    to the calls in flight, so a rise that the node's own load explains is no
+    evidence of a start.
     """
-    crowding = max(1.0, in_flight / max(1.0, baseline.in_flight))
-    return max(MIN_BASELINE_S, baseline.latency_s) * crowding
+    load_factor = max(1.0, in_flight / max(1.0, baseline.in_flight))
+    return max(MIN_BASELINE_S, baseline.latency_s) * load_factor
 
 
-def _learn(
-    state: BackendState, evidence: Answered, baseline: Baseline | None
+def _update_baselines(
+    state: BackendState, evidence: AnswerReceived, baseline: Baseline | None
 ) -> Mapping[str, Baseline]:
     """Returns the baselines with one more sample."""
     if baseline is None:
         if len(state.baselines) >= MAX_KINDS:
             return state.baselines
-        learnt = Baseline(evidence.latency_s, float(evidence.in_flight))
+        updated = Baseline(evidence.latency_s, float(evidence.in_flight))
     else:
         samples = min(BASELINE_SAMPLES, baseline.samples + 1)
         weight = max(BASELINE_WEIGHT, 1.0 / samples)
-        learnt = Baseline(
+        updated = Baseline(
             baseline.latency_s
             + weight * (evidence.latency_s - baseline.latency_s),
             baseline.in_flight
             + weight * (evidence.in_flight - baseline.in_flight),
             samples,
         )
-    return {**state.baselines, evidence.kind: learnt}
+    return {**state.baselines, evidence.kind: updated}
--- a/jayseam/backends/tests/test_client.py
+++ b/jayseam/backends/tests/test_client.py
@@ -50,7 +50,10 @@
 
 
 class Backend:
-    """A server that answers each request with the next of its scripts."""
+    """A server that answers each request with its next script.
+
+    A script is the bytes of an answer or a function of the socket.
+    """
 
     def __init__(self, *scripts):
         self.scripts = list(scripts)
@@ -165,7 +168,7 @@
 @pytest.mark.parametrize('part', TRUNCATED)
 @pytest.mark.parametrize('end', [reset, lambda sock: sock.close()])
 def test_truncated_answer_is_unknown(start, part, end):
-    """A caller must never get part of an answer, or a false not-run."""
+    """A caller must never get part of an answer, or a false not-run error."""
 
     def cut(sock):
         sock.sendall(part)
@@ -195,7 +198,7 @@
     ],
 )
 def test_framing_fault_is_unknown(start, answer):
-    """An answer whose end is uncertain must not pass as whole."""
+    """An answer whose end is uncertain must not pass as complete."""
     backend = start(answer)
     client = backend.connect()
     with pytest.raises(errors.OutcomeUnknownError) as caught:
@@ -207,7 +210,7 @@
 
 @pytest.mark.parametrize('late_s', [0.0, 0.02])
 def test_second_answer_does_not_reach_next_request(start, late_s):
-    """Two answers on one connection would shift all that follow."""
+    """A second answer would be taken for the answer to the next request."""
 
     def answer_twice(sock):
         sock.sendall(OK)
@@ -305,14 +308,14 @@
 
 
 def test_refused_connection_is_not_run(start):
-    """A call that met no listener may be sent elsewhere."""
+    """A call whose connection was refused may be sent to another VM."""
     backend = start()
     client = backend.connect()
     backend.server.stop()
     with pytest.raises(errors.NotRunError) as caught:
         call(client)
     assert caught.value.reason == 'refused'
-    assert backend.evidence == [states.Refused()]
+    assert backend.evidence == [states.ConnectionRefused()]
 
 
 def test_connection_closed_while_idle_is_replaced(start):
@@ -327,16 +330,16 @@
 
 @pytest.mark.parametrize('failures', [1, 2])
 def test_request_without_a_sent_byte_is_not_run(start, monkeypatch, failures):
-    """A kept connection that fails at once costs a fresh one, not the call."""
+    """A reused connection that fails at once must be replaced by a new one."""
     backend = start()
     client = backend.connect()
     call(client)
     send = connections.Connection.send
-    left = [failures]
+    failures_left = [failures]
 
     def fail(connection, data, timeout_s):
-        if left[0]:
-            left[0] -= 1
+        if failures_left[0]:
+            failures_left[0] -= 1
             raise BrokenPipeError
         return send(connection, data, timeout_s)
 
@@ -393,7 +396,7 @@
 
 @pytest.mark.parametrize('way', ['cancel', 'kill'])
 def test_cancelled_call_closes_and_posts(start, way):
-    """Work that nobody waits for must be stopped at the backend server."""
+    """A call that nobody waits for must be stopped at the backend server."""
     backend = start(lambda sock: gevent.sleep(0.2))
     client = backend.connect()
     greenlet = gevent.spawn(call, client)
@@ -430,19 +433,19 @@
     assert client._pool.in_use == 0
 
 
-@pytest.mark.parametrize('kept_s', [None, 0.3])
-def test_idle_loss_counts_only_if_connections_were_kept(start, kept_s):
-    """A server that keeps no connection must not seem to start each time."""
-    first = OK if kept_s else answer_and_close
+@pytest.mark.parametrize('idle_s', [None, 0.3])
+def test_idle_loss_counts_only_if_connections_were_kept(start, idle_s):
+    """A server that keeps no idle connection must not seem to restart."""
+    first = OK if idle_s else answer_and_close
     backend = start(first, *[answer_and_close] * 2)
     client = backend.connect()
     call(client)
-    gevent.sleep(kept_s or 0.02)
+    gevent.sleep(idle_s or 0.02)
     for _ in range(3):
         call(client)
         gevent.sleep(0.02)
     resets = [e for e in backend.evidence if isinstance(e, states.Reset)]
-    assert resets == [states.Reset(survivors=False)] * (2 if kept_s else 0)
+    assert resets == [states.Reset(survivors=False)] * (2 if idle_s else 0)
 
 
 def lose_idle_connection(start):
@@ -458,7 +461,7 @@
 
 @pytest.mark.parametrize('is_paused', [True, False])
 def test_restart_during_a_pause_is_found(start, is_paused):
-    """A node that wakes must not take a new process for the old one."""
+    """After a pause, a node must not take a new process for the old one."""
     backend, client = lose_idle_connection(start)
     if is_paused:
         client.notice_pause(clocks.read_now(), 1.4)
@@ -470,7 +473,10 @@
 
 
 def test_restart_found_before_the_pause_is_judged_again(start):
-    """A poll that wakes first takes the loss for that of an idle connection."""
+    """A poll may find the loss before the pause is detected.
+
+    The poll takes the loss for the close of an idle connection.
+    """
     backend, client = lose_idle_connection(start)
     call(client)
     assert states.Reset(survivors=False) not in backend.evidence
@@ -479,7 +485,7 @@
 
 
 def test_restart_found_on_idle_connections_counts_once(start):
-    """Each connection that the old process held must not restart the ramp."""
+    """One restart must restart the ramp once, not once per connection."""
 
     def run_three(name):
         calls = [gevent.spawn(call, client, f'{name}{i}') for i in range(3)]
@@ -500,16 +506,16 @@
     assert resets == [states.Reset(survivors=False)]
 
 
-@pytest.mark.parametrize('witness', [True, False])
-def test_reset_is_judged_by_surviving_connections(start, witness):
+@pytest.mark.parametrize('has_survivor', [True, False])
+def test_reset_is_judged_by_surviving_connections(start, has_survivor):
     """One failed call must not restart the ramp of a running server."""
     backend = start(OK, reset)
     client = backend.connect()
-    if witness:
+    if has_survivor:
         client.poll('/.backend/health', 1.0)
     else:
         call(client, 'r-0')
     with pytest.raises(errors.OutcomeUnknownError):
         call(client)
     gevent.sleep(0.05)
-    assert states.Reset(survivors=witness) in backend.evidence
+    assert states.Reset(survivors=has_survivor) in backend.evidence
--- a/jayseam/backends/tests/test_messages.py
+++ b/jayseam/backends/tests/test_messages.py
@@ -28,7 +28,7 @@
 @pytest.mark.parametrize('answer', ANSWERS)
 @hypothesis.given(data=st.data())
 def test_fragments_give_the_same_answer(answer, data):
-    """Where TCP cuts an answer must not change its fields or body."""
+    """Where TCP splits an answer must not change its fields or body."""
     cuts = data.draw(st.lists(st.integers(0, len(answer)), max_size=8))
     edges = [0, *sorted(cuts), len(answer)]
     reader = read(answer[a:b] for a, b in zip(edges, edges[1:]))
--- a/jayseam/backends/tests/test_states.py
+++ b/jayseam/backends/tests/test_states.py
@@ -14,20 +14,24 @@
 RAMP_S = 10.0
 
 
-def hear(state, word, now):
-    """Observes a word of the health endpoint."""
-    return states.observe(state, states.HealthWord(word, None, now), now)
+def report_health(state, reported_state, now):
+    """Observes a report of the health endpoint."""
+    return states.observe(
+        state, states.HealthReport(reported_state, None, now), now
+    )
 
 
 def answer(state, now, latency_s=0.01, in_flight=1, kind='k'):
     """Observes an answer that ends at ``now``."""
-    evidence = states.Answered(kind, now - latency_s, latency_s, in_flight)
+    evidence = states.AnswerReceived(
+        kind, now - latency_s, latency_s, in_flight
+    )
     return states.observe(state, evidence, now)
 
 
 def make_ready(in_flight=1, kinds=('k',)):
     """Returns a ready state with a baseline of 10 ms, at time 100."""
-    state = hear(states.BackendState(ramp_s=RAMP_S), 'ready', 0.0)
+    state = report_health(states.BackendState(ramp_s=RAMP_S), 'ready', 0.0)
     for step in range(40):
         for kind in kinds:
             state = answer(state, 60.0 + step, 0.01, in_flight, kind)
@@ -37,7 +41,7 @@
 
 def test_first_contact_is_a_cold_start():
     """A node that starts must not send a full load to an unknown server."""
-    state = hear(states.BackendState(ramp_s=RAMP_S), 'ready', 5.0)
+    state = report_health(states.BackendState(ramp_s=RAMP_S), 'ready', 5.0)
     assert (state.name, state.starts, state.started_at) == ('cold', 1, 5.0)
     assert states.tick(state, 14.9).name == 'cold'
     assert states.tick(state, 15.0).name == 'ready'
@@ -45,17 +49,17 @@
 
 def test_refused_connection_is_down_until_a_new_request_is_answered():
     """An answer of the ended process must not pass for its successor."""
-    down = states.observe(make_ready(), states.Refused(), 100.0)
+    down = states.observe(make_ready(), states.ConnectionRefused(), 100.0)
     assert down.name == 'down' and down.starts == 2
     assert answer(down, 100.05, latency_s=0.1).name == 'down'
-    again = states.observe(down, states.Refused(), 120.0)
+    again = states.observe(down, states.ConnectionRefused(), 120.0)
     assert again.started_at == 120.0
     back = answer(again, 121.0)
     assert (back.name, back.started_at) == ('cold', 121.0)
 
 
 def test_one_connect_timeout_is_not_down():
-    """One lost packet must not take a server out."""
+    """One lost packet must not mark a server as down."""
     once = states.observe(make_ready(), states.ConnectTimedOut(), 100.0)
     assert once.name == 'ready'
     assert states.observe(once, states.ConnectTimedOut(), 101.0).name == 'down'
@@ -66,13 +70,13 @@
 
 @pytest.mark.parametrize('survivors,name', [(True, 'ready'), (False, 'cold')])
 def test_reset_is_a_start_unless_a_connection_survives(survivors, name):
-    """A handler that fails must not hold the server in its ramp."""
+    """A handler that fails must not keep the server in its ramp."""
     state = states.observe(make_ready(), states.Reset(survivors), 100.0)
     assert state.name == name
 
 
 def test_high_latency_is_a_start():
-    """A server that restarted between two polls is noticed by its calls."""
+    """A restart between two polls is detected by the latency of calls."""
     state = make_ready()
     for step in range(4):
         state = answer(state, 100.0 + step, latency_s=0.06)
@@ -123,30 +127,34 @@
 
 
 def test_starting_restarts_the_ramp_for_a_bounded_time():
-    """A health endpoint stuck at one word must not hold the ramp for ever."""
+    """A stuck health endpoint must not keep the ramp at its start for ever."""
     state = make_ready()
     for step in range(100):
         now = 100.0 + step * 0.5
-        state = hear(state, 'starting', now)
+        state = report_health(state, 'starting', now)
         if now < 109.0:
             assert state.started_at == now
     assert state.name == 'ready'
-    state = hear(hear(state, 'ready', 200.0), 'starting', 201.0)
+    state = report_health(
+        report_health(state, 'ready', 200.0), 'starting', 201.0
+    )
     assert (state.name, state.started_at) == ('cold', 201.0)
 
 
 def test_failing_calls_restart_the_ramp_for_a_bounded_time():
-    """A server that falls over in a silent cold start needs its ramp.
+    """A server that falls over in an unreported cold start needs its ramp.
 
-    One failure in a few calls is none, and a route that always fails must not
-    hold its server at the first slots for ever.
+    A few failures are no evidence of that, and a route that always fails must
+    not keep its server at the initial slots for ever.
     """
     state = make_ready()
     for step in range(40):
-        evidence = states.Answered('', 100.0, 0.001, 1, failed=step % 3 == 0)
+        evidence = states.AnswerReceived(
+            '', 100.0, 0.001, 1, failed=step % 3 == 0
+        )
         state = states.observe(state, evidence, 100.0)
     assert state.name == 'ready'
-    failed = states.Answered('', 100.0, 0.001, 1, failed=True)
+    failed = states.AnswerReceived('', 100.0, 0.001, 1, failed=True)
     for step in range(100):
         state = states.observe(state, failed, 101.0 + step * 0.1)
     assert state.name == 'cold' and state.started_at > 110.0
@@ -155,31 +163,34 @@
 
 
 def test_draining_is_trusted_at_once_and_left_on_repeated_ready():
-    """A leaving server gets no new work; a lagging word does not undo it."""
-    state = hear(make_ready(), 'draining', 100.0)
+    """A draining server gets no new calls, even after one late ``ready``."""
+    state = report_health(make_ready(), 'draining', 100.0)
     assert state.name == 'draining'
     assert answer(state, 100.2).name == 'draining'
-    once = hear(state, 'ready', 100.5)
+    once = report_health(state, 'ready', 100.5)
     assert once.name == 'draining'
-    assert hear(once, 'ready', 101.0).name == 'cold'
-    assert hear(hear(once, None, 101.0), 'ready', 101.5).name == 'draining'
+    assert report_health(once, 'ready', 101.0).name == 'cold'
+    assert (
+        report_health(report_health(once, None, 101.0), 'ready', 101.5).name
+        == 'draining'
+    )
 
 
-@pytest.mark.parametrize('word', [None, 'ready', 'unheard-of'])
-def test_other_words_change_nothing(word):
-    """A misleading health endpoint must not take a working server out."""
-    state = hear(make_ready(), word, 100.0)
+@pytest.mark.parametrize('reported_state', [None, 'ready', 'unheard-of'])
+def test_other_reported_states_change_nothing(reported_state):
+    """A misleading health endpoint must not mark a working server as down."""
+    state = report_health(make_ready(), reported_state, 100.0)
     assert (state.name, state.starts) == ('ready', 1)
 
 
 def test_monitor_follows_a_real_server():
     """A start, a drain and a stop must reach the gate and the members."""
-    word = ['starting']
+    reported_state = ['starting']
 
     def serve(environ, start_response):
         del environ
-        body = json.dumps({'state': word[0], 'load': 0.25}).encode()
-        status = '503 X' if word[0] == 'draining' else '200 OK'
+        body = json.dumps({'state': reported_state[0], 'load': 0.25}).encode()
+        status = '503 X' if reported_state[0] == 'draining' else '200 OK'
         start_response(status, [('Content-Length', str(len(body)))])
         return [body]
 
@@ -192,11 +203,11 @@
     monitor.start(client)
     gevent.sleep(0.01)
     assert names == ['cold'] and monitor.state.load == 0.25
-    word[0] = 'ready'
+    reported_state[0] = 'ready'
     gevent.sleep(0.03)
     monitor.poll_once()
     assert names == ['cold', 'ready']
-    word[0] = 'draining'
+    reported_state[0] = 'draining'
     monitor.poll_once()
     monitor.stop()
     server.stop(timeout=0.01)
