Name the attempts of a call by the usual terms

The entry, the chooser and the record of attempts used private words for usual mechanisms, such as placement for an attempt and spread for jitter. Names and comments now say attempt, VM, Retry-After, jitter and refusal; every figure and reason stays. Behaviour is unchanged; the detail of a refused timeout field now says that it must be a positive whole number.

--- a/jayseam/calls/attempts.py
+++ b/jayseam/calls/attempts.py
@@ -1,65 +1,66 @@
-"""What the attempts of one call have come to, and when another makes sense."""
+"""Outcomes of a call's attempts, and the rules for another attempt."""
 
 import attrs
 
 from jayseam.calls import errors
 from jayseam.calls import requests
 
-# Time in which a backend server may come back or be listed anew, in seconds.
-RETRY_UNAVAILABLE_S = 0.3
-# Status of a backend server's answer at the end of a call's time.
-_TIME_OUT = 504
+# Within this time a backend server may recover or a new one be listed.
+UNAVAILABLE_RETRY_AFTER_S = 0.3
+# Status of a backend server's answer when the call's time has run out.
+_GATEWAY_TIMEOUT = 504
 
 
 @attrs.define
 class Progress:
-    """What the attempts of a call have come to.
+    """Outcomes of the attempts that a call has made so far.
 
     Attributes:
-      tried: VMs that were asked.
-      sent: Attempts that a backend server may have been sent.
-      failed: Failure that a backend server has answered, if any.
-      failure: Why there is no answer.
-      is_final: Whether another attempt could run the call twice, or is in
-        vain.
+      tried_vms: VMs to which an attempt was forwarded.
+      sent_attempts: Number of attempts that may have reached a backend server.
+      error_answer: Latest 5xx answer of a backend server, if any.
+      error: Error to report if no backend server answers.
+      is_final: Whether there must be no other attempt, because it could run the
+        call twice or would fail again.
     """
 
-    tried: set[str] = attrs.field(factory=set)
-    sent: int = 0
-    failed: requests.CallAnswer | None = None
-    failure: errors.CallError = attrs.field(
+    tried_vms: set[str] = attrs.field(factory=set)
+    sent_attempts: int = 0
+    error_answer: requests.CallAnswer | None = None
+    error: errors.CallError = attrs.field(
         factory=lambda: errors.NotRunError(
-            'no backend server is available', RETRY_UNAVAILABLE_S
+            'no backend server is available', UNAVAILABLE_RETRY_AFTER_S
         )
     )
     is_final: bool = False
 
-    def note_failure(
+    def record_error(
         self, error: errors.CallError, is_repeatable: bool
     ) -> None:
-        """Notes an attempt without an answer."""
-        self.sent += error.admitted
-        # An earlier attempt may have run, whatever the last one did.
-        if self.failure.ran == 'no':
-            self.failure = error
+        """Records an attempt that ended without an answer."""
+        self.sent_attempts += error.admitted
+        # If an earlier attempt may have run, a later attempt that surely did
+        # not run must not hide its error.
+        if self.error.ran == 'no':
+            self.error = error
         self.is_final = not may_retry(error, is_repeatable)
 
-    def note_failed(self, answer: requests.CallAnswer) -> None:
-        """Notes a failure that a backend server has answered."""
-        self.failed = answer
-        self.sent += 1
+    def record_error_answer(self, answer: requests.CallAnswer) -> None:
+        """Records an attempt that a backend server answered with an error."""
+        self.error_answer = answer
+        self.sent_attempts += 1
 
 
 def may_retry(error: errors.CallError, is_repeatable: bool) -> bool:
-    """Tells whether another attempt can neither run twice nor be in vain."""
+    """Returns whether another attempt is safe and could succeed."""
     if isinstance(error, errors.KeyRefusedError):
         return False
     return error.ran == 'no' or is_repeatable
 
 
-def is_failure(answer: requests.CallAnswer) -> bool:
-    """Tells whether another backend server may do better.
+def is_retryable_answer(answer: requests.CallAnswer) -> bool:
+    """Returns whether another backend server may give a better answer.
 
-    The end of the call's own time is the same everywhere.
+    A gateway timeout isn't retryable: the call's time has run out everywhere.
     """
-    return answer.status >= 500 and answer.status != _TIME_OUT
+    return answer.status >= 500 and answer.status != _GATEWAY_TIMEOUT
--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -1,4 +1,4 @@
-"""Chooses routes and VMs for calls, by the configuration in force."""
+"""Chooses routes and VMs for calls from the configuration in force."""
 
 import random
 from collections.abc import Callable, Collection
@@ -10,16 +10,16 @@
 from jayseam import routing
 from jayseam.calls import errors
 
-# A VM that failed to answer is passed over for this long, so that a call's
-# retry and the calls after it don't run into the same silence.
-_AVOID_S = 2.0
-# One that turned a call away has no room for about the time of a call.
+# A VM that failed to answer is avoided for this long, so that the call's retry
+# and later calls don't wait for the same unresponsive VM.
+_AVOID_UNREACHABLE_S = 2.0
+# A VM that refused a call has no room for about the duration of one call.
 _AVOID_REFUSING_S = 0.15
 
 
 @attrs.frozen
 class Choice:
-    """The ingress for one attempt."""
+    """The ingress chosen for one attempt."""
 
     vm: str
     incarnation: int
@@ -27,8 +27,8 @@
 
 
 @attrs.frozen(eq=False)
-class _Pools:
-    """The pools of one pair of preset and view, built when first asked for."""
+class _PoolCache:
+    """Pools of one pair of preset and view, each built on first use."""
 
     preset: Any
     view: membership.views.View
@@ -36,18 +36,20 @@
 
 
 class Chooser:
-    """Owns the load table, the shares of returned zones and the pools.
+    """Chooses routes and VMs.
+
+    Owns the load table, the zones' return times and the cached pools.
 
     Args:
       own_zone: Zone of this node.
       strategy: Name of a selection strategy.
       draw: Returns a random number in [0, 1).
-      spill_load: Load from which the own zone is left.
-      spill_gain: Load by which a backend server elsewhere must be under that
-        of the own zone; None if it need not.
-      list_unresponsive: Returns the VMs that leave a ping unanswered at a time
-        in seconds. A call sent to one would probably be lost, and its caller
-        couldn't tell whether it ran, so they are no choice.
+      spill_load: Load of the own zone from which calls go to other zones too.
+      spill_gain: Amount by which the load of a backend server in another zone
+        must then be below the load in the own zone; None for no minimum.
+      list_unresponsive: Returns the VMs that have an unanswered ping at a given
+        time in seconds. They are never chosen: a call sent there would probably
+        be lost, and its caller couldn't know whether it ran.
     """
 
     def __init__(
@@ -67,12 +69,12 @@
         self._draw = draw
         self._loads = routing.loads.LoadTable()
         self._rooms = routing.rooms.RoomTable()
-        self._returns: routing.zones.Returns = {}
+        self._zone_return_times: routing.zones.Returns = {}
         self._in_service: frozenset[str] | None = None
-        self._pools: _Pools | None = None
-        self._avoided: dict[str, float] = {}
-        self._turn = 0
-        self._table: tuple[Any, routing.matching.RouteTable] | None = None
+        self._pool_cache: _PoolCache | None = None
+        self._avoided_until: dict[str, float] = {}
+        self._choice_count = 0
+        self._route_table: tuple[Any, routing.matching.RouteTable] | None = None
 
     @property
     def loads(self) -> routing.loads.LoadTable:
@@ -80,13 +82,13 @@
         return self._loads
 
     def set_preset(self, preset: Any, now: float) -> None:
-        """Notes which zones a new preset takes out or brings back."""
-        after = routing.zones.list_in_service(preset)
-        self._returns = routing.zones.update_returns(
-            self._returns, self._in_service, after, now
+        """Records which zones a new preset takes out of service or returns."""
+        in_service = routing.zones.list_in_service(preset)
+        self._zone_return_times = routing.zones.update_returns(
+            self._zone_return_times, self._in_service, in_service, now
         )
-        self._in_service = after
-        self._pools = None
+        self._in_service = in_service
+        self._pool_cache = None
 
     def match_route(
         self, preset: Any, method: str, path: str, host: str = ''
@@ -94,10 +96,10 @@
         """Returns the route of a call.
 
         Raises:
-          CallError: If there is none.
+          CallError: If no route matches.
         """
         try:
-            return self._find_table(preset).match(path, method, host)
+            return self._get_route_table(preset).match(path, method, host)
         except routing.errors.MethodNotAllowedError as error:
             raise errors.MethodError(str(error)) from error
         except routing.errors.NoRouteError as error:
@@ -106,10 +108,10 @@
             raise errors.BadRequestError(str(error)) from error
 
     def draw_service(self, route: Any) -> str:
-        """Returns the service of a call in proportion to the route's weights.
+        """Returns a random service by the weights of the route's targets.
 
-        All attempts of a call go to one service: what doesn't fit there must
-        not shift the weights that operators gave.
+        All attempts of a call go to the same service: calls for which that
+        service has no room must not shift the operators' weights.
         """
         return routing.matching.choose_service(route.targets, self._draw())
 
@@ -118,7 +120,7 @@
         preset: Any,
         service: str,
         view: membership.views.View,
-        tried: Collection[str],
+        tried_vms: Collection[str],
         now: float,
         workspace: str = '',
         need: routing.rooms.Need | None = None,
@@ -129,31 +131,34 @@
           preset: Preset in force.
           service: Service of the call, from `draw_service`.
           view: Members known.
-          tried: VMs that this call has tried.
+          tried_vms: VMs that this call has tried.
           now: Present time in seconds.
           workspace: Workspace of the call.
-          need: What room the call needs; VMs that have just refused as much are
-            no choice then. None for a first attempt, which goes out anyway.
+          need: What decides whether a queue has room for the call; VMs that
+            recently refused such a call are excluded. None for a first attempt,
+            which also goes to VMs that are known to be full.
         """
-        pool = self._find_pool(preset, view, service)
-        barred = self._list_unresponsive(now).union(tried)
+        pool = self._get_pool(preset, view, service)
+        excluded = self._list_unresponsive(now).union(tried_vms)
         if need is not None:
-            barred |= self._rooms.list_full(need, now)
-        excluded = barred | self._list_avoided(now)
-        narrowed = pool.exclude(excluded) if excluded else pool
-        if not narrowed.groups:
-            # Nothing else is left: an avoided VM is better than a refusal.
-            narrowed = pool.exclude(barred) if barred else pool
-        if not narrowed.groups:
+            excluded |= self._rooms.list_full(need, now)
+        excluded_or_avoided = excluded | self._list_avoided(now)
+        usable = (
+            pool.exclude(excluded_or_avoided) if excluded_or_avoided else pool
+        )
+        if not usable.groups:
+            # An attempt at an avoided VM is better than refusing the call.
+            usable = pool.exclude(excluded) if excluded else pool
+        if not usable.groups:
             return None
-        self._turn += 1
+        self._choice_count += 1
         candidate = routing.selection.choose(
-            narrowed,
+            usable,
             self._loads,
             self._own_zone,
             now,
             [self._draw() for _ in range(routing.selection.DRAWS)],
-            self._turn,
+            self._choice_count,
             self._strategy,
             workspace,
             self._spill_load,
@@ -162,42 +167,42 @@
         record = view.members[candidate.vm]
         return Choice(candidate.vm, record.incarnation, service)
 
-    def begin(self, vm: str, workspace: str = '') -> None:
-        """Counts an attempt sent to a VM."""
+    def start_attempt(self, vm: str, workspace: str = '') -> None:
+        """Counts the start of an attempt at a VM."""
         self._loads.start(vm, workspace)
 
-    def end(self, vm: str, workspace: str = '') -> None:
-        """Counts the end of an attempt."""
+    def finish_attempt(self, vm: str, workspace: str = '') -> None:
+        """Counts the end of an attempt at a VM."""
         self._loads.finish(vm, workspace)
 
-    def report_load(
+    def record_load(
         self, vm: str, workspace: str, report: routing.loads.Report, now: float
     ) -> None:
         """Stores the load that came with a reply to a call of a workspace."""
         self._loads.report(vm, workspace, report, now)
-        self._avoided.pop(vm, None)
+        self._avoided_until.pop(vm, None)
 
     def record_failure(self, vm: str, now: float) -> None:
-        """Passes over a VM for a while after it failed to answer."""
-        self._avoid(vm, now + _AVOID_S)
+        """Avoids a VM for a while after it failed to answer."""
+        self._avoid(vm, now + _AVOID_UNREACHABLE_S)
 
     def record_refusal(self, vm: str, now: float) -> None:
-        """Passes over a VM for a moment after it turned a call away."""
+        """Avoids a VM briefly after it refused a call."""
         self._avoid(vm, now + _AVOID_REFUSING_S)
 
     def record_full(
         self, vm: str, need: routing.rooms.Need, wait_s: float, now: float
     ) -> None:
-        """Notes that a VM had no room for a call."""
+        """Records that a VM had no room in its queue for a call."""
         self._rooms.mark(vm, need, wait_s, now)
 
     def _avoid(self, vm: str, until: float) -> None:
-        self._avoided[vm] = max(until, self._avoided.get(vm, until))
+        self._avoided_until[vm] = max(until, self._avoided_until.get(vm, until))
 
     def explain(
         self, preset: Any, view: membership.views.View, route: Any, now: float
     ) -> list[routing.selection.Explanation]:
-        """Tells for each VM of a route's services whether it is usable."""
+        """Returns for each VM of a route's services whether it is usable."""
         return [
             explanation
             for service, _ in route.targets
@@ -205,46 +210,48 @@
                 preset,
                 _list_members(preset, view, service),
                 service,
-                self._returns,
+                self._zone_return_times,
                 self._loads,
                 now,
             )
         ]
 
-    def _find_table(self, preset: Any) -> routing.matching.RouteTable:
-        if self._table is None or self._table[0] is not preset:
+    def _get_route_table(self, preset: Any) -> routing.matching.RouteTable:
+        if self._route_table is None or self._route_table[0] is not preset:
             table = routing.matching.build_table(preset.routes)
-            self._table = (preset, table)
-        return self._table[1]
+            self._route_table = (preset, table)
+        return self._route_table[1]
 
-    def _find_pool(
+    def _get_pool(
         self, preset: Any, view: membership.views.View, service: str
     ) -> routing.selection.Pool:
-        pools = self._pools
+        cache = self._pool_cache
         if (
-            pools is None
-            or pools.preset is not preset
-            or pools.view is not view
+            cache is None
+            or cache.preset is not preset
+            or cache.view is not view
         ):
-            pools = self._pools = _Pools(preset, view)
-        pool = pools.by_service.get(service)
+            cache = self._pool_cache = _PoolCache(preset, view)
+        pool = cache.by_service.get(service)
         if pool is None:
             pool = routing.selection.build_pool(
                 preset,
                 _list_members(preset, view, service),
                 service,
-                self._returns,
+                self._zone_return_times,
             )
-            pools.by_service[service] = pool
+            cache.by_service[service] = pool
         return pool
 
     def _list_avoided(self, now: float) -> set[str]:
-        if not self._avoided:
+        if not self._avoided_until:
             return set()
-        self._avoided = {
-            vm: until for vm, until in self._avoided.items() if until > now
+        self._avoided_until = {
+            vm: until
+            for vm, until in self._avoided_until.items()
+            if until > now
         }
-        return set(self._avoided)
+        return set(self._avoided_until)
 
 
 def _list_members(
@@ -252,7 +259,8 @@
 ) -> list[membership.records.MemberRecord]:
     """Returns the members at the positions of a service.
 
-    The preset decides which service a position has; records may lag behind.
+    The preset decides which service a position belongs to; the service in
+    membership records may be outdated.
     """
     return [
         record
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -1,4 +1,4 @@
-"""The entry: judges a caller's request and finds a backend server for it."""
+"""The entry: admits callers' requests and forwards them to ingresses."""
 
 import math
 import random
@@ -30,38 +30,40 @@
     'key': errors.KeyRefusedError,
     'outcome-unknown': errors.OutcomeUnknownError,
 }
-# The ingress ends a call this much before its deadline, or a tenth of the time
-# left before if that is less, so that its reply reaches the entry in time.
-# Without it, calls that waited in a full queue ended as outcome-unknown, and
-# backend servers worked for callers that had given up.
+# The ingress ends a call this much before the call's deadline, or a tenth of
+# the remaining time before if that is less, so that the reply reaches the entry
+# in time. Without this margin, calls that waited in a full queue ended as
+# outcome-unknown, and backend servers worked for callers that had given up.
 _REPLY_MARGIN_MS = 50
-# Backend servers at which room is looked for. Each costs a message and its
-# reply, and the load of the first few says enough of the others.
-_MAX_PLACEMENTS = 4
-# Callers refused at one moment return over half as much time again.
-_RETRY_SPREAD = 0.5
-# A caller that comes back needs the rest of its time for the call.
-_RETRY_MOST_SHARE = 1 / 3
-_UNAVAILABLE = 503
-# Rank of calls that a running call makes; those of callers come after it.
+# Most VMs to which a call is forwarded. Each costs a message and its reply, and
+# the load of the first few is a good estimate of the load of the others.
+_MAX_TRIED_VMS = 4
+# Most jitter of Retry-After, as a share of it. Without jitter, callers that
+# were refused at the same moment would return at the same moment.
+_RETRY_AFTER_JITTER = 0.5
+# Most of a call's remaining time that Retry-After may take; a caller that
+# returns needs the rest for the call.
+_MAX_RETRY_AFTER_SHARE = 1 / 3
+_SERVICE_UNAVAILABLE = 503
+# Rank of nested calls, which running calls make; other calls rank after them.
 _NESTED_RANK = 0
-# Share of a latency objective that a caller who has come back still gets. How
-# much of it is used up follows from the time that it leaves for the call, which
+# Least share of a latency objective that a returning caller still has. The
+# share that is used up is derived from the timeout that the caller sends, which
 # means little if the operators have raised the route's timeout.
-_LEAST_OBJECTIVE_SHARE = 0.5
-# With less time left another attempt is in vain, and its reply may be late.
-_MIN_RETRY_S = 0.1
-# Time for a confirmation of the keys to arrive by another path.
-_RETRY_KEYS_S = 0.5
+_MIN_OBJECTIVE_SHARE = 0.5
+# With less time left, a retry would not finish, and its reply could be late.
+_MIN_RETRY_TIME_S = 0.1
+# Time in which a confirmation of the keys may arrive by another path.
+_UNCONFIRMED_RETRY_AFTER_S = 0.5
 _MS_PER_S = 1000
-# Failures that a node reports without having run the handler.
-_NOT_HANDLED = frozenset(('no-handler', 'overloaded'))
+# Errors that a node reports without having run the handler of the message.
+_NOT_HANDLED_KINDS = frozenset(('no-handler', 'overloaded'))
 
 _log = logs.get_logger(__name__)
 
 
 class Forwarder(Protocol):
-    """Runs an attempt on the ingress at a VM."""
+    """Sends an attempt to the ingress at a VM."""
 
     def __call__(
         self, vm: str, forward: messages.Forward, timeout_s: float
@@ -75,17 +77,18 @@
 
 @attrs.frozen
 class Call:
-    """One caller's request with all that was decided about it.
+    """An admitted request and what the entry has decided about it.
 
     Attributes:
-      request: The request as it came.
+      request: The caller's request, unchanged.
       request_id: Identifier of the call.
-      snapshot: Configuration by which the call was judged.
+      snapshot: Configuration by which the call was admitted.
       route: Route of the call.
-      caller: For whom the call runs.
+      caller: Identity for which the call runs.
       deadline: Time by which the call ends, in seconds.
-      expires_wall_ms: End of the outermost call on the wall clock.
-      objective: Time until which an answer is of full use, in seconds.
+      expires_wall_ms: Wall clock time at which the outermost call ends.
+      objective: Time of the latency objective, in seconds; infinite without
+        one.
     """
 
     request: requests.CallRequest
@@ -100,26 +103,27 @@
 
 @attrs.frozen
 class EntryParts:
-    """What an entry works with.
+    """Dependencies and settings of an entry.
 
     Attributes:
       own_vm: Name of the VM of this process.
       token_keys: Signing keys of call tokens; the first one signs.
       read_snapshot: Returns the configuration in force.
       read_view: Returns the membership view.
-      chooser: Finds routes, and the VM for each attempt.
+      chooser: Finds routes, and a VM for each attempt.
       limiter: Admits calls within the rates of workspaces.
-      forwarder: Runs an attempt on an ingress.
+      forwarder: Sends an attempt to an ingress.
       coordinator: Claims idempotency keys.
-      cancel: Tells a VM that nobody waits for an attempt.
-      keys_usable: Tells whether the key set may still be trusted.
+      cancel: Cancels an attempt at a VM. Takes the VM and the attempt.
+      keys_usable: Returns whether the key set may still be trusted. Takes the
+        present time.
       read_keys_age: Returns the seconds since the key set was confirmed.
-      window_s: How long idempotency keys are remembered, in seconds.
+      window_s: How long records of idempotency keys are kept, in seconds.
       dialect: Header fields of callers and backend servers.
-      service: Service beside which this node runs, if it is told to backend
-        servers.
-      retry_budget: Size of the retry budgets of workspaces.
-      retry_bound: Retries that all nodes may make to a service.
+      service: Service of this node's VM, which backend servers receive as the
+        calling service; empty if they don't.
+      retry_budget: Size of this node's retry budget for each workspace.
+      retry_bound: Bound on the retries of all nodes to a service.
       draw: Returns a random number in [0, 1).
     """
 
@@ -143,7 +147,7 @@
 
 
 class Entry:
-    """Serves callers: one instance for each process."""
+    """Runs the calls of callers. A process has one entry."""
 
     def __init__(self, parts: EntryParts):
         self._parts = parts
@@ -155,7 +159,7 @@
     def judge(
         self, request: requests.CallRequest, request_id: str, now: float
     ) -> Call:
-        """Decides route, caller and deadline of a request, and admits it.
+        """Admits a request; decides its route, caller and deadline.
 
         Raises:
           CallError: If the request is refused.
@@ -185,21 +189,21 @@
             caller.expires_wall_ms or wall_ms + timeout_ms,
             math.inf
             if self._is_nested(snapshot.preset, caller)
-            else _find_objective(route, timeout_ms, now),
+            else _compute_objective(route, timeout_ms, now),
         )
 
     def run(self, call: Call) -> requests.CallAnswer:
-        """Runs a judged call and returns the whole answer to it.
+        """Runs an admitted call and returns the whole answer.
 
         Raises:
-          CallError: If there is no answer; says whether the call may have run.
+          CallError: If there is no answer; tells whether the call may have run.
         """
         if call.route.repeatable or not call.route.keyed:
-            return self._attempt(call)
-        return self._run_once(call)
+            return self._run_with_retries(call)
+        return self._run_at_most_once(call)
 
     def describe_knowledge(self, now: float) -> dict[str, Any]:
-        """Returns the versions and their ages by which calls are judged."""
+        """Returns the configuration versions in use and the age of the keys."""
         snapshot = self._parts.read_snapshot()
         return {
             'preset_version': snapshot.preset_version,
@@ -209,10 +213,10 @@
         }
 
     def look_up(self, request: requests.CallRequest, text: str, now: float):
-        """Returns the caller and what keepers know of an idempotency key.
+        """Returns the state of an idempotency key at each keeper that replies.
 
         Raises:
-          CallError: If the key of the caller is not valid.
+          CallError: If the caller's key or the idempotency key is not valid.
         """
         snapshot = self._require_snapshot()
         caller = self._identify(request, snapshot, now)
@@ -243,7 +247,8 @@
         )
         if caller is not None and not self._parts.keys_usable(now):
             raise errors.KeysUnconfirmedError(
-                'keys have not been confirmed recently', _RETRY_KEYS_S
+                'keys have not been confirmed recently',
+                _UNCONFIRMED_RETRY_AFTER_S,
             )
         return caller
 
@@ -269,14 +274,14 @@
         return caller
 
     def _admit(self, workspace: str, deadline: float, now: float) -> None:
-        admitted = self._parts.limiter.admit(workspace, 1.0, deadline, now)
-        if not admitted.admitted:
+        decision = self._parts.limiter.admit(workspace, 1.0, deadline, now)
+        if not decision.admitted:
             raise errors.LimitError(
-                'the workspace is over its rate', admitted.retry_after_s
+                'the workspace is over its rate', decision.retry_after_s
             )
 
-    def _run_once(self, call: Call) -> requests.CallAnswer:
-        """Runs a call that must not run twice, under its idempotency key."""
+    def _run_at_most_once(self, call: Call) -> requests.CallAnswer:
+        """Runs a call at most once, under its idempotency key."""
         coordinator = self._parts.coordinator
         key = idempotency.parse_key(
             call.request.header('idempotency-key'),
@@ -284,192 +289,200 @@
             self._parts.window_s,
         )
         workspace = call.caller.workspace
-        claimed = coordinator.claim(
+        claim_result = coordinator.claim(
             workspace,
             key,
             idempotency.compute_fingerprint(call.request),
             _map_zones(call.snapshot.preset),
             call.deadline,
         )
-        if claimed.answer is not None:
-            return claimed.answer
+        if claim_result.answer is not None:
+            return claim_result.answer
         try:
-            answer = self._attempt(call)
+            answer = self._run_with_retries(call)
         except errors.CallError as error:
             if error.ran == 'no':
-                coordinator.abandon(workspace, claimed)
+                coordinator.abandon(workspace, claim_result)
             else:
-                coordinator.settle(workspace, claimed, None)
+                coordinator.settle(workspace, claim_result, None)
             raise
         except BaseException:
-            coordinator.settle(workspace, claimed, None)
+            coordinator.settle(workspace, claim_result, None)
             raise
-        coordinator.settle(workspace, claimed, answer)
+        coordinator.settle(workspace, claim_result, answer)
         return answer
 
-    def _attempt(self, call: Call) -> requests.CallAnswer:
-        """Tries upstreams until one answers, within deadline and budget.
+    def _run_with_retries(self, call: Call) -> requests.CallAnswer:
+        """Tries VMs until one answers, within the deadline and retry budgets.
 
-        A failure that a backend server answers to a repeatable call is tried
-        elsewhere too; without a better answer it is the answer.
+        If a backend server answers a repeatable call with an error, the call is
+        retried elsewhere; the error is returned if there is no better answer.
         """
         service = self._parts.chooser.draw_service(call.route)
         self._record_call(call, service, clocks.read_now())
         progress = attempts.Progress()
-        for number in range(_MAX_PLACEMENTS):
+        for number in range(_MAX_TRIED_VMS):
             now = clocks.read_now()
-            if not self._may_place(call, service, progress, now):
+            if not self._may_try_vm(call, service, progress, now):
                 break
-            chosen = self._choose(call, service, progress.tried, now)
-            if chosen is None:
+            choice = self._choose_vm(call, service, progress.tried_vms, now)
+            if choice is None:
                 break
-            answer = self._place(call, chosen, number, progress)
+            answer = self._try_vm(call, choice, number, progress)
             if answer is not None:
                 return answer
             if progress.is_final:
                 break
-        if progress.failed is not None:
-            return progress.failed
-        raise self._advise_return(progress.failure, call, clocks.read_now())
+        if progress.error_answer is not None:
+            return progress.error_answer
+        raise self._set_retry_after(progress.error, call, clocks.read_now())
 
-    def _place(
-        self, call: Call, chosen: Any, number: int, progress: attempts.Progress
+    def _try_vm(
+        self, call: Call, choice: Any, number: int, progress: attempts.Progress
     ) -> requests.CallAnswer | None:
-        """Makes one attempt; returns its answer if that ends the call."""
+        """Makes one attempt; returns its answer if the call ends with it."""
         now = clocks.read_now()
-        progress.tried.add(chosen.vm)
+        progress.tried_vms.add(choice.vm)
         try:
-            answer = self._forward(call, chosen, now)
+            answer = self._send_attempt(call, choice, now)
         except errors.CallError as error:
-            _log_attempt(call, chosen, number, now, error.code, error)
-            progress.note_failure(error, call.route.repeatable)
+            _log_attempt(call, choice, number, now, error.code, error)
+            progress.record_error(error, call.route.repeatable)
             return None
-        _log_attempt(call, chosen, number, now, str(answer.status))
-        if not call.route.repeatable or not attempts.is_failure(answer):
+        _log_attempt(call, choice, number, now, str(answer.status))
+        if not call.route.repeatable or not attempts.is_retryable_answer(
+            answer
+        ):
             return answer
-        progress.note_failed(answer)
+        progress.record_error_answer(answer)
         return None
 
     def _record_call(self, call: Call, service: str, now: float) -> None:
-        """Counts a call for the budgets of retries."""
+        """Counts a call in the retry budgets."""
         nodes = len(call.snapshot.preset.upstreams)
         self._service_budgets.resize(self._parts.retry_bound.divide(nodes))
         self._service_budgets.record_call(service, now)
         self._budgets.record_call(call.caller.workspace, now)
 
-    def _may_place(
+    def _may_try_vm(
         self,
         call: Call,
         service: str,
         progress: attempts.Progress,
         now: float,
     ) -> bool:
-        """Tells whether time, route and budget allow one more attempt.
+        """Returns whether time, route and budgets allow one more attempt.
 
-        Attempts that no backend server was sent load none, so they count
-        against neither the route's attempts nor the budgets of retries.
+        Attempts that have not reached a backend server put no load on one, so
+        they count neither as attempts of the route nor in the retry budgets.
         """
         if now >= call.deadline:
             return False
-        if not progress.tried:
+        if not progress.tried_vms:
             return True
-        if now + _MIN_RETRY_S > call.deadline:
+        if now + _MIN_RETRY_TIME_S > call.deadline:
             return False
-        if not progress.sent:
+        if not progress.sent_attempts:
             return True
-        most = min(retries.MAX_RETRIES + 1, call.route.max_attempts)
-        if progress.sent >= most:
+        max_sent = min(retries.MAX_RETRIES + 1, call.route.max_attempts)
+        if progress.sent_attempts >= max_sent:
             return False
         return self._budgets.spend(
             call.caller.workspace, now
         ) and self._service_budgets.spend(service, now)
 
-    def _advise_return(
+    def _set_retry_after(
         self, error: errors.CallError, call: Call, now: float
     ) -> errors.CallError:
-        """Returns the error with the time after which to come back.
+        """Sets how long the caller should wait, and returns the error.
 
-        It is spread, so that callers refused together don't return together.
+        The delay has jitter, so that callers that were refused together don't
+        return together.
         """
-        if error.ran == 'no' and error.status == _UNAVAILABLE:
-            wait_s = error.retry_after_s or attempts.RETRY_UNAVAILABLE_S
-            wait_s *= 1.0 + _RETRY_SPREAD * self._parts.draw()
-            left_s = max(0.0, call.deadline - now)
-            error.retry_after_s = min(wait_s, left_s * _RETRY_MOST_SHARE)
+        if error.ran == 'no' and error.status == _SERVICE_UNAVAILABLE:
+            wait_s = error.retry_after_s or attempts.UNAVAILABLE_RETRY_AFTER_S
+            wait_s *= 1.0 + _RETRY_AFTER_JITTER * self._parts.draw()
+            remaining_s = max(0.0, call.deadline - now)
+            error.retry_after_s = min(
+                wait_s, remaining_s * _MAX_RETRY_AFTER_SHARE
+            )
         return error
 
-    def _choose(
-        self, call: Call, service: str, tried: set[str], now: float
+    def _choose_vm(
+        self, call: Call, service: str, tried_vms: set[str], now: float
     ) -> Any:
         return self._parts.chooser.choose(
             call.snapshot.preset,
             service,
             self._parts.read_view(),
-            tried,
+            tried_vms,
             now,
             call.caller.workspace,
-            # The first attempt goes out whatever is known, so that the place
-            # of each call that ends is taken at once.
-            self._describe_need(call, now) if tried else None,
+            # A first attempt may go to a full VM, so that a slot is taken as
+            # soon as another call frees it.
+            self._build_need(call, now) if tried_vms else None,
         )
 
-    def _describe_need(self, call: Call, now: float) -> rooms.Need:
-        left_s = min(call.objective, call.deadline) - now
-        return rooms.Need(call.caller.workspace, self._find_rank(call), left_s)
+    def _build_need(self, call: Call, now: float) -> rooms.Need:
+        remaining_s = min(call.objective, call.deadline) - now
+        return rooms.Need(
+            call.caller.workspace, self._compute_rank(call), remaining_s
+        )
 
-    def _forward(
-        self, call: Call, chosen: Any, now: float
+    def _send_attempt(
+        self, call: Call, choice: Any, now: float
     ) -> requests.CallAnswer:
-        """Sends one attempt and turns every outcome into answer or error."""
-        forward = self._build_forward(call, chosen, now)
+        """Forwards one attempt; returns its answer or raises its error."""
+        forward = self._build_forward(call, choice, now)
         chooser = self._parts.chooser
         workspace = call.caller.workspace
-        chooser.begin(chosen.vm, workspace)
+        chooser.start_attempt(choice.vm, workspace)
         try:
             reply = self._parts.forwarder(
-                chosen.vm, forward, call.deadline - now
+                choice.vm, forward, call.deadline - now
             )
             report = loads.Report(
                 reply.load, reply.fair_load, reply.idle_load, reply.service_s
             )
-            chooser.report_load(chosen.vm, workspace, report, clocks.read_now())
+            chooser.record_load(choice.vm, workspace, report, clocks.read_now())
         except link_errors.NotSentError as error:
-            chooser.record_failure(chosen.vm, clocks.read_now())
+            chooser.record_failure(choice.vm, clocks.read_now())
             raise errors.NotRunError('the node cannot be reached') from error
         except link_errors.RemoteError as error:
-            if error.kind in _NOT_HANDLED:
+            if error.kind in _NOT_HANDLED_KINDS:
                 raise errors.NotRunError('the node is overloaded') from error
             raise errors.OutcomeUnknownError('the node failed') from error
         except link_errors.LinkError as error:
-            # The end of the call's own time says nothing about the VM.
+            # A call that reached its deadline says nothing about the VM.
             if (failed_at := clocks.read_now()) < call.deadline:
-                chooser.record_failure(chosen.vm, failed_at)
+                chooser.record_failure(choice.vm, failed_at)
             raise errors.OutcomeUnknownError('the reply was lost') from error
         except errors.CallerGoneError:
-            self._parts.cancel(chosen.vm, forward.attempt)
+            self._parts.cancel(choice.vm, forward.attempt)
             raise
         finally:
-            chooser.end(chosen.vm, workspace)
+            chooser.finish_attempt(choice.vm, workspace)
         try:
-            return _read_reply(reply)
+            return _convert_reply(reply)
         except errors.NotRunError as error:
             # A queue without room for this call may have room for others, and
-            # its load came with the reply.
+            # the reply reports the VM's load.
             refused_at = clocks.read_now()
             if error.admitted or error.retry_after_s is None:
-                chooser.record_refusal(chosen.vm, refused_at)
+                chooser.record_refusal(choice.vm, refused_at)
             else:
-                need = self._describe_need(call, now)
+                need = self._build_need(call, now)
                 chooser.record_full(
-                    chosen.vm, need, error.retry_after_s, refused_at
+                    choice.vm, need, error.retry_after_s, refused_at
                 )
             raise
 
-    def _find_rank(self, call: Call) -> int:
-        """Returns the urgency of a call: its workspace goes before its route.
+    def _compute_rank(self, call: Call) -> int:
+        """Returns the rank of a call; the most urgent calls have rank 0.
 
-        Calls of running calls go first. They are short, and each one that is
-        turned away wastes the run that needs it.
+        The workspace's rank takes precedence over the route's. Nested calls go
+        first: they are short, and refusing one wastes the work of the running
+        call that needs it.
         """
         preset = call.snapshot.preset
         if self._is_nested(preset, call.caller):
@@ -480,23 +493,25 @@
         return _NESTED_RANK + 1 + workspace.rank
 
     def _is_nested(self, preset: Any, caller: keys.Caller) -> bool:
-        """Tells whether a call belongs to a running call.
+        """Returns whether a call was made by a running call.
 
-        Without call tokens, only those of backend servers come without
-        credentials, where callers have workspaces at all.
+        Where there are no call tokens but callers have workspaces, only nested
+        calls, which backend servers make, come without credentials.
         """
         if self._parts.dialect.call_tokens:
             return caller.depth > 0
         return bool(preset.workspaces) and not caller.workspace
 
     def _build_forward(
-        self, call: Call, chosen: Any, now: float
+        self, call: Call, choice: Any, now: float
     ) -> messages.Forward:
         caller = call.caller
         dialect = self._parts.dialect
         headers = requests.filter_request_headers(call.request.headers, dialect)
-        left_ms = int((call.deadline - now) * 1000)
-        run_ms = max(1, left_ms - min(_REPLY_MARGIN_MS, left_ms // 10))
+        remaining_ms = int((call.deadline - now) * 1000)
+        run_ms = max(
+            1, remaining_ms - min(_REPLY_MARGIN_MS, remaining_ms // 10)
+        )
         added = [
             (dialect.request_id.lower(), call.request_id),
             (dialect.timeout_ms.lower(), str(run_ms)),
@@ -522,9 +537,9 @@
         return messages.Forward(
             attempt=identifiers.make_id(),
             request_id=call.request_id,
-            incarnation=chosen.incarnation,
+            incarnation=choice.incarnation,
             route=call.route.name,
-            service=chosen.service,
+            service=choice.service,
             workspace=caller.workspace,
             key_id=caller.key_id,
             timeout_ms=run_ms,
@@ -535,15 +550,15 @@
             target=call.request.target(),
             headers=[list(pair) for pair in (*headers, *added)],
             body=call.request.body,
-            rank=self._find_rank(call),
+            rank=self._compute_rank(call),
             objective_ms=_compute_objective_ms(call, now),
         )
 
 
-def _find_objective(route: Any, timeout_ms: int, now: float) -> float:
-    """Returns the time until which an answer to a call is of full use.
+def _compute_objective(route: Any, timeout_ms: int, now: float) -> float:
+    """Returns the time of the latency objective; infinite without one.
 
-    It counts from the caller's first attempt.
+    The objective counts from the caller's first attempt.
 
     Args:
       route: Route of the call.
@@ -553,15 +568,15 @@
     if not route.objective_ms:
         return math.inf
     used_ms = max(0, route.timeout_ms - timeout_ms)
-    left_ms = max(
+    remaining_ms = max(
         route.objective_ms - used_ms,
-        route.objective_ms * _LEAST_OBJECTIVE_SHARE,
+        route.objective_ms * _MIN_OBJECTIVE_SHARE,
     )
-    return now + left_ms / _MS_PER_S
+    return now + remaining_ms / _MS_PER_S
 
 
 def _compute_objective_ms(call: Call, now: float) -> int:
-    """Returns the milliseconds left until the objective; 0 without one."""
+    """Returns the milliseconds until the objective; 0 without one."""
     if math.isinf(call.objective):
         return 0
     return max(1, int((call.objective - now) * _MS_PER_S))
@@ -569,13 +584,13 @@
 
 def _log_attempt(
     call: Call,
-    chosen: Any,
+    choice: Any,
     number: int,
-    begun_at: float,
+    started_at: float,
     outcome: str,
     error: errors.CallError | None = None,
 ) -> None:
-    """Logs where an attempt went, by which versions, and what came of it."""
+    """Logs the VM, the configuration versions and the outcome of an attempt."""
     ended_at = clocks.read_now()
     _log.info(
         'call.attempt',
@@ -583,20 +598,20 @@
             'request_id': call.request_id,
             'number': number,
             'route': call.route.name,
-            'service': chosen.service,
+            'service': choice.service,
             'workspace': call.caller.workspace,
-            'upstream_vm': chosen.vm,
+            'upstream_vm': choice.vm,
             'preset_version': call.snapshot.preset_version,
             'vms_version': call.snapshot.vms_version,
             'outcome': outcome,
             'reason': error.detail if error else '',
-            'elapsed_ms': round((ended_at - begun_at) * 1000),
+            'elapsed_ms': round((ended_at - started_at) * 1000),
             'left_ms': round((call.deadline - ended_at) * 1000),
         },
     )
 
 
-def _read_reply(
+def _convert_reply(
     reply: messages.Answered | messages.Refused,
 ) -> requests.CallAnswer:
     if isinstance(reply, messages.Answered):
@@ -605,8 +620,8 @@
     if reply.ran == 'unknown':
         raise errors.OutcomeUnknownError(reply.detail)
     default = errors.ShedError if reply.admitted else errors.NotRunError
-    kind = _ERRORS_BY_CODE.get(reply.code, default)
-    raise kind(reply.detail, reply.retry_after_ms / _MS_PER_S or None)
+    error_class = _ERRORS_BY_CODE.get(reply.code, default)
+    raise error_class(reply.detail, reply.retry_after_ms / _MS_PER_S or None)
 
 
 def _map_zones(preset: Any) -> dict[str, str]:
@@ -615,21 +630,21 @@
 
 
 def _read_timeout_ms(
-    request: requests.CallRequest, field: str, most_ms: int
+    request: requests.CallRequest, field: str, max_ms: int
 ) -> int:
     """Returns the caller's timeout, at most that of the route.
 
     Args:
       request: The caller's request.
       field: Name of the field with the timeout.
-      most_ms: Timeout of the route in milliseconds.
+      max_ms: Timeout of the route in milliseconds.
 
     Raises:
       BadRequestError: If the field is not a positive whole number.
     """
     text = request.header(field.lower())
     if text is None:
-        return most_ms
+        return max_ms
     if not text.isascii() or not text.isdigit() or int(text) == 0:
-        raise errors.BadRequestError(f'{field} is not a number')
-    return min(int(text), most_ms)
+        raise errors.BadRequestError(f'{field} is not a positive whole number')
+    return min(int(text), max_ms)
--- a/jayseam/calls/tests/test_choosers.py
+++ b/jayseam/calls/tests/test_choosers.py
@@ -46,20 +46,23 @@
 
 
 @pytest.mark.parametrize(
-    'silent, chosen',
+    'unresponsive, chosen',
     [(set(), 'vm-1'), ({'vm-1'}, 'vm-2'), ({'vm-1', 'vm-2'}, None)],
 )
-def test_silent_node_gets_no_calls(silent, chosen):
-    """A zone that is cut off: what is sent there is lost, not refused."""
+def test_silent_node_gets_no_calls(unresponsive, chosen):
+    """Calls sent to a partitioned zone are lost instead of being refused."""
     chooser = choosers.Chooser(
-        'a', 'two_choices', lambda: 0.0, list_unresponsive=lambda now: silent
+        'a',
+        'two_choices',
+        lambda: 0.0,
+        list_unresponsive=lambda now: unresponsive,
     )
     found = chooser.choose(_build_preset(), 's', _View(), set(), 10.0)
     assert (found and found.vm) == chosen
 
 
 def test_node_that_failed_is_better_than_none():
-    """A failure says less than a ping without an answer."""
+    """A failed call is weaker evidence of an outage than an unanswered ping."""
     chooser = choosers.Chooser('a', 'two_choices', lambda: 0.0)
     for vm in _ZONES:
         chooser.record_failure(vm, 10.0)
@@ -67,7 +70,7 @@
 
 
 def test_search_for_room_passes_over_full_nodes():
-    """A first attempt goes to a full node all the same."""
+    """Retries skip full nodes; a first attempt may go to a full node."""
     chooser = choosers.Chooser('a', 'two_choices', lambda: 0.0)
     need = routing.rooms.Need('w', 1, 0.5)
     for vm in _ZONES:
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -26,52 +26,52 @@
 
 
 class _Chooser:
-    """Offers VMs in their order and notes those that it was told to avoid."""
+    """Offers VMs in a fixed order and records which ones refused a call."""
 
     def __init__(self, vms):
         self._vms = vms
-        self._drawn = 0
+        self._draw_count = 0
         self._rooms = rooms.RoomTable()
-        self.avoided = []
+        self.refusing_vms = []
         self.services = []
 
     def draw_service(self, route):
         """Returns the services of the route in turn."""
-        self._drawn += 1
-        return route.targets[self._drawn % len(route.targets)][0]
+        self._draw_count += 1
+        return route.targets[self._draw_count % len(route.targets)][0]
 
-    def choose(self, preset, service, view, tried, now, workspace, need):
+    def choose(self, preset, service, view, tried_vms, now, workspace, need):
         """Returns the first VM that was not tried and may have room."""
         del preset, view, workspace
         self.services.append(service)
         full = set() if need is None else self._rooms.list_full(need, now)
-        left = [vm for vm in self._vms if vm not in full.union(tried)]
-        return choosers.Choice(left[0], 1, service) if left else None
+        usable = [vm for vm in self._vms if vm not in full.union(tried_vms)]
+        return choosers.Choice(usable[0], 1, service) if usable else None
 
     def record_refusal(self, vm, now):
-        """Notes a VM that turned a call away."""
+        """Records a VM that refused a call."""
         del now
-        self.avoided.append(vm)
+        self.refusing_vms.append(vm)
 
     def record_full(self, vm, need, wait_s, now):
-        """Notes a VM that had no room."""
+        """Records a VM that had no room."""
         self._rooms.mark(vm, need, wait_s, now)
 
-    def begin(self, vm, workspace):
+    def start_attempt(self, vm, workspace):
         """Ignores the start of an attempt."""
 
-    def end(self, vm, workspace):
+    def finish_attempt(self, vm, workspace):
         """Ignores the end of an attempt."""
 
-    def report_load(self, vm, workspace, report, now):
-        """Ignores a load."""
+    def record_load(self, vm, workspace, report, now):
+        """Ignores a reported load."""
 
 
-class _World:
-    """An entry whose ingresses give the replies of a script."""
+class _Harness:
+    """An entry whose ingresses give prepared replies."""
 
     def __init__(self, replies, saved=0.0, call_tokens=True, **parts):
-        self.asked = []
+        self.tried_vms = []
         self.forwards = []
         self._replies = replies
         self.chooser = _Chooser(list(replies))
@@ -98,12 +98,12 @@
 
     def _forward(self, vm, forward, timeout_s):
         del timeout_s
-        self.asked.append(vm)
+        self.tried_vms.append(vm)
         self.forwards.append(forward)
         return self._replies[vm]
 
     def run(self, timeout_s=1.2, workspace='', depth=0, **fields):
-        """Runs a call that may not be repeated."""
+        """Runs a call of a route whose calls are not repeatable."""
         workspaces = {'w': model.Workspace('w', 1.0, 1.0)}
         preset = model.Preset('p', {}, {}, {}, {}, workspaces)
         snapshot = types.SimpleNamespace(
@@ -127,67 +127,67 @@
 
 
 def test_room_is_looked_for_elsewhere_without_spending_attempts():
-    """A server that never saw a call is not one that it was sent to."""
-    world = _World({'a': _NO_ROOM, 'b': _NO_ROOM, 'c': _ANSWERED})
-    assert world.run(max_attempts=1).status == 200
-    assert world.asked == ['a', 'b', 'c']
-    assert not world.chooser.avoided
+    """A VM without room in its queue has not sent the call to its server."""
+    harness = _Harness({'a': _NO_ROOM, 'b': _NO_ROOM, 'c': _ANSWERED})
+    assert harness.run(max_attempts=1).status == 200
+    assert harness.tried_vms == ['a', 'b', 'c']
+    assert not harness.chooser.refusing_vms
 
 
 def test_shed_call_counts_as_sent():
-    """A route with one attempt ends with the first server that saw it."""
-    world = _World({'a': _SHED, 'b': _ANSWERED}, saved=5.0)
+    """A route with one attempt ends at the first server that got the call."""
+    harness = _Harness({'a': _SHED, 'b': _ANSWERED}, saved=5.0)
     with pytest.raises(errors.NotRunError):
-        world.run(max_attempts=1)
-    assert world.asked == ['a'] and world.chooser.avoided == ['a']
-    world = _World({'a': _SHED, 'b': _ANSWERED}, saved=5.0)
-    assert world.run(max_attempts=2).status == 200
+        harness.run(max_attempts=1)
+    assert harness.tried_vms == ['a'] and harness.chooser.refusing_vms == ['a']
+    harness = _Harness({'a': _SHED, 'b': _ANSWERED}, saved=5.0)
+    assert harness.run(max_attempts=2).status == 200
 
 
 def test_repeat_at_a_server_needs_the_budget():
-    """Sheds of all servers must not multiply the calls that reach them."""
-    world = _World({'a': _SHED, 'b': _ANSWERED})
+    """When all servers shed calls, retries must not multiply their load."""
+    harness = _Harness({'a': _SHED, 'b': _ANSWERED})
     with pytest.raises(errors.NotRunError):
-        world.run(max_attempts=2)
-    assert world.asked == ['a']
+        harness.run(max_attempts=2)
+    assert harness.tried_vms == ['a']
 
 
 def test_overload_costs_one_attempt_a_call():
     """While all queues are full, calls don't ask one VM after another."""
-    world = _World(dict.fromkeys('abc', _NO_ROOM))
+    harness = _Harness(dict.fromkeys('abc', _NO_ROOM))
     for _ in range(20):
         with pytest.raises(errors.NotRunError) as caught:
-            world.run()
+            harness.run()
         assert caught.value.ran == 'no' and caught.value.retry_after_s
-    # The first call learns that the three are full.
-    assert len(world.asked) <= 3 + 19
+    # The first call finds out that all three VMs are full.
+    assert len(harness.tried_vms) <= 3 + 19
 
 
 def test_search_for_room_is_bounded():
-    """A large fleet without room must not be asked as a whole."""
-    world = _World({str(number): _NO_ROOM for number in range(30)})
+    """A call must not ask all VMs of a large fleet without room."""
+    harness = _Harness({str(number): _NO_ROOM for number in range(30)})
     with pytest.raises(errors.NotRunError):
-        world.run()
-    assert len(world.asked) == 4
+        harness.run()
+    assert len(harness.tried_vms) == 4
 
 
 @pytest.mark.parametrize('timeout_s', [0.3, 1.2])
 @pytest.mark.parametrize('reply', [_NO_ROOM, _SHED])
 def test_refused_caller_is_told_when_to_return(timeout_s, reply):
-    """Within a third of its time, or the call itself would not fit."""
-    world = _World({'a': reply})
+    """Retry-After is at most a third of the time that the call has left."""
+    harness = _Harness({'a': reply})
     with pytest.raises(errors.NotRunError) as caught:
-        world.run(timeout_s)
+        harness.run(timeout_s)
     assert 0.0 < caught.value.retry_after_s <= timeout_s / 3
 
 
 def test_unknown_outcome_is_not_tried_again():
-    """What may have run must not run a second time."""
+    """A call that may have run must not run a second time."""
     unknown = messages.Refused('outcome-unknown', 'unknown', 'lost', *_LOADS)
-    world = _World({'a': unknown, 'b': _ANSWERED}, saved=5.0)
+    harness = _Harness({'a': unknown, 'b': _ANSWERED}, saved=5.0)
     with pytest.raises(errors.OutcomeUnknownError):
-        world.run(max_attempts=2)
-    assert world.asked == ['a']
+        harness.run(max_attempts=2)
+    assert harness.tried_vms == ['a']
 
 
 @pytest.mark.parametrize(
@@ -195,45 +195,45 @@
     [(True, {'workspace': 'w', 'depth': 1}), (False, {'workspace': ''})],
 )
 def test_calls_of_a_running_call_go_first(call_tokens, nested):
-    """Turned away, they waste the run that waits for them."""
-    world = _World({'a': _ANSWERED}, call_tokens=call_tokens)
-    world.run(rank=2, **nested)
-    world.run(rank=0, workspace='w')
-    first, urgent = (forward.rank for forward in world.forwards)
-    assert first < urgent
+    """Refusing a nested call wastes the work of the running call."""
+    harness = _Harness({'a': _ANSWERED}, call_tokens=call_tokens)
+    harness.run(rank=2, **nested)
+    harness.run(rank=0, workspace='w')
+    nested_rank, caller_rank = (forward.rank for forward in harness.forwards)
+    assert nested_rank < caller_rank
 
 
 def test_anonymous_caller_does_not_pass_for_a_running_call():
-    """Where running calls have tokens, a call without a key is a caller's."""
-    world = _World({'a': _ANSWERED})
-    world.run(rank=2)
-    world.run(rank=0, workspace='w')
-    anonymous, urgent = (forward.rank for forward in world.forwards)
-    assert anonymous > urgent
+    """With call tokens in use, a call without a key is not a nested call."""
+    harness = _Harness({'a': _ANSWERED})
+    harness.run(rank=2)
+    harness.run(rank=0, workspace='w')
+    anonymous_rank, caller_rank = (forward.rank for forward in harness.forwards)
+    assert anonymous_rank > caller_rank
 
 
 def test_objective_travels_with_the_call():
-    """The ingress counts the time that the entry has used."""
-    world = _World({'a': _ANSWERED})
-    world.run()
-    assert 400 <= world.forwards[0].objective_ms <= 500
+    """The time that the entry has used counts towards the objective."""
+    harness = _Harness({'a': _ANSWERED})
+    harness.run()
+    assert 400 <= harness.forwards[0].objective_ms <= 500
 
 
 def test_all_attempts_go_to_one_service():
-    """A part of a split without room must not spill into the other part."""
-    world = _World({'a': _NO_ROOM, 'b': _NO_ROOM, 'c': _ANSWERED})
-    world.run(targets=(('s', 1), ('s-next', 1)))
-    assert world.chooser.services == ['s-next'] * 3
+    """If one target of a split has no room, its calls stay off the other."""
+    harness = _Harness({'a': _NO_ROOM, 'b': _NO_ROOM, 'c': _ANSWERED})
+    harness.run(targets=(('s', 1), ('s-next', 1)))
+    assert harness.chooser.services == ['s-next'] * 3
 
 
 def test_retries_keep_the_bound_of_the_fleet():
-    """Where all servers of a service shed, few calls are sent once more."""
-    world = _World(
+    """If all servers of a service shed calls, few calls are retried."""
+    harness = _Harness(
         {'a': _SHED, 'b': _SHED},
         saved=10.0,
         retry_bound=retries.FleetBound(0.0, 3.0),
     )
     for _ in range(10):
         with pytest.raises(errors.NotRunError):
-            world.run(max_attempts=2)
-    assert world.asked.count('b') == 3
+            harness.run(max_attempts=2)
+    assert harness.tried_vms.count('b') == 3
