Describe keepers and claims of idempotency keys plainly

The texts assumed that a reader knows what a keeper is. The module now defines it as a node with a replica of a key's record, lists what each verdict means, and names the result of a claim and the fields of a record by what they hold.

--- a/jayseam/calls/claims.py
+++ b/jayseam/calls/claims.py
@@ -1,4 +1,4 @@
-"""Claims of idempotency keys with their keepers, from the side of an entry."""
+"""Claims idempotency keys at their keepers on behalf of an entry."""
 
 import random
 from collections.abc import Callable, Mapping, Sequence
@@ -21,19 +21,21 @@
 _KEEPER_TIMEOUT_S = 1.0
 _POLL_MIN_S = 0.02
 _POLL_MAX_S = 0.2
-# A link that went silent is replaced within seconds; the pauses span that.
-_DELIVERY_PAUSES_S = (0.0, 0.1, 0.5, 2.0, 5.0)
+# An unresponsive link is replaced within seconds; the delays span that time.
+_DELIVERY_DELAYS_S = (0.0, 0.1, 0.5, 2.0, 5.0)
 
 _log = logs.get_logger(__name__)
 
 
 @attrs.frozen
-class Claimed:
-    """A key that this entry may run, or whose answer it already has.
+class ClaimResult:
+    """Result of a claim: permission to run the call, or an earlier answer.
 
     Attributes:
+      key: The claimed key.
+      keepers: Upstream positions that keep the key.
       attempt: Attempt that holds the claim; empty if there is an answer.
-      answer: Answer of the earlier attempt, if it is settled.
+      answer: Stored answer of an earlier attempt, if there is one.
     """
 
     key: idempotency.IdempotencyKey
@@ -43,13 +45,13 @@
 
 
 class ClaimCoordinator:
-    """Claims, settles and abandons keys with three keepers each.
+    """Claims, settles and abandons keys at the three keepers of each.
 
     Args:
       own_vm: Name of the VM of this process.
-      store: Store of the keys that this process itself keeps.
+      store: Records of the keys of which this process is a keeper.
       request: Sends a message to a VM and returns the reply.
-      find_holder: Returns the VM at an upstream position, or None.
+      find_vm: Returns the VM at an upstream position, or None.
     """
 
     def __init__(
@@ -57,12 +59,12 @@
         own_vm: str,
         store: keepers.KeeperStore,
         request: Callable[..., Any],
-        find_holder: Callable[[str], str | None],
+        find_vm: Callable[[str], str | None],
     ):
         self._own_vm = own_vm
         self._store = store
         self._request = request
-        self._find_holder = find_holder
+        self._find_vm = find_vm
 
     def claim(
         self,
@@ -71,15 +73,15 @@
         fingerprint: str,
         upstream_zones: Mapping[str, str],
         deadline: float,
-    ) -> Claimed:
+    ) -> ClaimResult:
         """Claims a key, or waits for the answer of the attempt that holds it.
 
         Raises:
-          NotRunError: If no majority of the keepers can be reached.
+          NotRunError: If too few keepers can be reached for a majority.
           OutcomeUnknownError: If an earlier attempt may have run.
-          IdempotencyMismatchError: If the key stands for another request.
+          IdempotencyMismatchError: If the key was used with another request.
         """
-        chosen = tuple(
+        chosen_keepers = tuple(
             idempotency.choose_keepers(workspace, key.text, upstream_zones)
         )
         while True:
@@ -87,35 +89,42 @@
             claim = messages.Claim(
                 workspace, key.text, key.created_ms, fingerprint, attempt
             )
-            decision = self._ask_keepers(chosen, claim, deadline)
+            decision = self._send_claim(chosen_keepers, claim, deadline)
             if decision.verdict is idempotency.Verdict.RUN:
-                return Claimed(key, chosen, attempt)
-            self.abandon(workspace, Claimed(key, chosen, attempt))
+                return ClaimResult(key, chosen_keepers, attempt)
+            self.abandon(workspace, ClaimResult(key, chosen_keepers, attempt))
             if decision.verdict is not idempotency.Verdict.WAIT:
-                return _conclude(decision, key, chosen)
-            self._await_change(workspace, key, chosen, deadline)
+                return _resolve_decision(decision, key, chosen_keepers)
+            self._wait_while_running(workspace, key, chosen_keepers, deadline)
 
     def settle(
         self,
         workspace: str,
-        claimed: Claimed,
+        claim_result: ClaimResult,
         answer: requests.CallAnswer | None,
     ) -> None:
-        """Stores the outcome; None stands for an unknown outcome."""
+        """Stores an attempt's answer at the keepers; None if it is unknown."""
         status, headers, body = 0, [], b''
         if answer is not None and len(answer.body) <= keepers.MAX_BODY_BYTES:
             status, body = answer.status, answer.body
             headers = [list(pair) for pair in answer.headers]
         message = messages.Settle(
-            workspace, claimed.key.text, claimed.attempt, status, headers, body
+            workspace,
+            claim_result.key.text,
+            claim_result.attempt,
+            status,
+            headers,
+            body,
         )
-        self._tell_keepers(claimed.keepers, message)
+        self._notify_keepers(claim_result.keepers, message)
 
-    def abandon(self, workspace: str, claimed: Claimed) -> None:
+    def abandon(self, workspace: str, claim_result: ClaimResult) -> None:
         """Withdraws a claim whose attempt surely did not run."""
-        self._tell_keepers(
-            claimed.keepers,
-            messages.Abandon(workspace, claimed.key.text, claimed.attempt),
+        self._notify_keepers(
+            claim_result.keepers,
+            messages.Abandon(
+                workspace, claim_result.key.text, claim_result.attempt
+            ),
         )
 
     def look_up(
@@ -125,46 +134,58 @@
         upstream_zones: Mapping[str, str],
         deadline: float,
     ) -> list[messages.ClaimState]:
-        """Returns what the keepers of a key know of it."""
-        chosen = idempotency.choose_keepers(workspace, key.text, upstream_zones)
-        question = messages.LookUp(workspace, key.text)
-        replies = self._fan_out(chosen, question, deadline)
-        return [state for _ in chosen if (state := replies.get()) is not None]
+        """Returns the state of a key at each keeper that replies."""
+        chosen_keepers = idempotency.choose_keepers(
+            workspace, key.text, upstream_zones
+        )
+        look_up = messages.LookUp(workspace, key.text)
+        replies = self._fan_out(chosen_keepers, look_up, deadline)
+        return [
+            state
+            for _ in chosen_keepers
+            if (state := replies.get()) is not None
+        ]
 
-    def _await_change(
+    def _wait_while_running(
         self,
         workspace: str,
         key: idempotency.IdempotencyKey,
-        chosen: Sequence[str],
+        chosen_keepers: Sequence[str],
         deadline: float,
     ) -> None:
-        """Returns when no keeper reports a running attempt any more.
+        """Waits until no keeper reports a running attempt.
 
         Raises:
           OutcomeUnknownError: If the attempt still runs at the deadline.
         """
-        question = messages.LookUp(workspace, key.text)
-        pause_s = _POLL_MIN_S
+        look_up = messages.LookUp(workspace, key.text)
+        delay_s = _POLL_MIN_S
         while True:
-            # Random pauses keep two claimants from colliding again.
-            gevent.sleep(pause_s * random.uniform(0.5, 1.5))
+            # Jitter keeps two claimants from colliding again.
+            gevent.sleep(delay_s * random.uniform(0.5, 1.5))
             if clocks.read_now() >= deadline:
                 raise errors.OutcomeUnknownError(
                     'an earlier attempt under this key is still running'
                 )
-            replies = self._fan_out(chosen, question, deadline)
-            states = [replies.get() for _ in chosen]
-            if not any(s is not None and s.state == 'running' for s in states):
+            replies = self._fan_out(chosen_keepers, look_up, deadline)
+            states = [replies.get() for _ in chosen_keepers]
+            if not any(
+                state is not None and state.state == 'running'
+                for state in states
+            ):
                 return
-            pause_s = min(pause_s * 2, _POLL_MAX_S)
+            delay_s = min(delay_s * 2, _POLL_MAX_S)
 
-    def _ask_keepers(
-        self, chosen: Sequence[str], claim: messages.Claim, deadline: float
+    def _send_claim(
+        self,
+        chosen_keepers: Sequence[str],
+        claim: messages.Claim,
+        deadline: float,
     ) -> idempotency.Decision:
-        """Returns as soon as the replies allow the run, or all have come."""
-        replies = self._fan_out(chosen, claim, deadline)
+        """Decides as soon as the replies allow a run, or after all replies."""
+        replies = self._fan_out(chosen_keepers, claim, deadline)
         states: list[messages.ClaimState] = []
-        for _ in chosen:
+        for _ in chosen_keepers:
             state = replies.get()
             if state is not None:
                 states.append(state)
@@ -174,22 +195,27 @@
         return idempotency.decide_claim(states)
 
     def _fan_out(
-        self, chosen: Sequence[str], message: Any, deadline: float
+        self, chosen_keepers: Sequence[str], message: Any, deadline: float
     ) -> queue.Queue:
-        """Asks all keepers at once; the queue gets one item for each."""
+        """Sends to all keepers at once; the queue gets one reply for each.
+
+        The reply of a keeper that can't be reached is None.
+        """
         replies: queue.Queue = queue.Queue()
         timeout_s = min(_KEEPER_TIMEOUT_S, deadline - clocks.read_now())
-        for upstream in chosen:
+        for upstream in chosen_keepers:
             gevent.spawn(
-                lambda name: replies.put(self._ask(name, message, timeout_s)),
+                lambda name: replies.put(
+                    self._send_to_keeper(name, message, timeout_s)
+                ),
                 upstream,
             )
         return replies
 
-    def _ask(
+    def _send_to_keeper(
         self, upstream: str, message: Any, timeout_s: float
     ) -> messages.ClaimState | None:
-        vm = self._find_holder(upstream)
+        vm = self._find_vm(upstream)
         if vm is None or timeout_s <= 0:
             return None
         if vm == self._own_vm:
@@ -199,19 +225,21 @@
         except link_errors.LinkError:
             return None
 
-    def _tell_keepers(self, chosen: Sequence[str], message: Any) -> None:
-        for upstream in chosen:
-            gevent.spawn(self._deliver, upstream, message)
+    def _notify_keepers(
+        self, chosen_keepers: Sequence[str], message: Any
+    ) -> None:
+        for upstream in chosen_keepers:
+            gevent.spawn(self._deliver_with_retries, upstream, message)
 
-    def _deliver(self, upstream: str, message: Any) -> None:
-        """Sends a message to a keeper until it has surely arrived.
+    def _deliver_with_retries(self, upstream: str, message: Any) -> None:
+        """Sends a message to a keeper until the keeper has acknowledged it.
 
         A keeper that misses an outcome or a withdrawal reports the key as
-        running until the window ends.
+        running until the record expires.
         """
-        for pause_s in _DELIVERY_PAUSES_S:
-            gevent.sleep(pause_s)
-            vm = self._find_holder(upstream)
+        for delay_s in _DELIVERY_DELAYS_S:
+            gevent.sleep(delay_s)
+            vm = self._find_vm(upstream)
             if vm == self._own_vm:
                 apply_message(self._store, message, clocks.read_now())
                 return
@@ -230,7 +258,7 @@
 def apply_message(
     store: keepers.KeeperStore, message: Any, now: float
 ) -> messages.ClaimState | None:
-    """Applies a message of another entry to the own store."""
+    """Applies a message of an entry to the own records."""
     operations = {
         messages.Claim: store.claim,
         messages.LookUp: store.look_up,
@@ -240,18 +268,18 @@
     return operations[type(message)](message, now)
 
 
-def _conclude(
+def _resolve_decision(
     decision: idempotency.Decision,
     key: idempotency.IdempotencyKey,
-    chosen: tuple[str, ...],
-) -> Claimed:
-    """Turns a final verdict into an answer or an error."""
+    chosen_keepers: tuple[str, ...],
+) -> ClaimResult:
+    """Returns the earlier answer, or raises the error of the verdict."""
     verdict = decision.verdict
     if verdict is idempotency.Verdict.JOIN:
         state = decision.settled
         headers = tuple((name, value) for name, value in state.headers)
         answer = requests.CallAnswer(state.status, headers, state.body)
-        return Claimed(key, chosen, answer=answer)
+        return ClaimResult(key, chosen_keepers, answer=answer)
     if verdict is idempotency.Verdict.MISMATCH:
         raise errors.IdempotencyMismatchError(
             'the key was used with another request'
--- a/jayseam/calls/idempotency.py
+++ b/jayseam/calls/idempotency.py
@@ -1,8 +1,10 @@
 """Pure rules of idempotency keys, their keepers and their claims.
 
-A key is remembered by three keepers in distinct availability zones. An attempt
-may run when two keepers that can confirm the key's newness granted it. Any two
-majorities of three share a keeper, so two attempts can't both run.
+A keeper is a node that stores a replica of a key's record. Each key has three
+keepers, in distinct availability zones. An attempt may run once two keepers
+have granted its claim; a keeper grants a claim only if it can confirm that the
+key is new. Any two majorities of three share a keeper, so two attempts can't
+both run.
 """
 
 import enum
@@ -17,9 +19,9 @@
 from jayseam.calls import requests
 from jayseam.core import rendezvous
 
-KEEPERS = 3
+KEEPER_COUNT = 3
 MAJORITY = 2
-# Allowed difference between a caller's clock and a node's.
+# Allowed difference between the clocks of a caller and a node.
 CLOCK_ALLOWANCE_MS = 5000
 _UUID_VERSION = 7
 
@@ -30,7 +32,7 @@
 
     Attributes:
       text: The key in canonical form.
-      created_ms: Its creation time, milliseconds since the Unix epoch.
+      created_ms: Creation time of the key, milliseconds since the Unix epoch.
     """
 
     text: str
@@ -40,7 +42,7 @@
 def parse_key(
     text: str | None, wall_ms: int, window_s: float
 ) -> IdempotencyKey:
-    """Returns the checked form of an ``Idempotency-Key`` field.
+    """Parses and checks the value of an ``Idempotency-Key`` field.
 
     >>> key = '01890a5d-ac96-774b-bcce-b302099a8057'
     >>> parse_key(key, wall_ms=1688100000000, window_s=1e9).created_ms
@@ -49,11 +51,11 @@
     Args:
       text: Value of the field, or None if it is missing.
       wall_ms: Present wall clock time in milliseconds.
-      window_s: How long keys are remembered, in seconds.
+      window_s: How long records of keys are kept, in seconds.
 
     Raises:
       IdempotencyKeyError: If the key is missing, isn't a UUID of version 7, or
-        its time is outside the window.
+        its creation time is too long ago or in the future.
 
     References:
       RFC 9562, section 5.7.
@@ -68,7 +70,9 @@
         raise errors.IdempotencyKeyError('the key is not a UUID of version 7')
     created_ms = value.int >> 80
     if created_ms > wall_ms + CLOCK_ALLOWANCE_MS:
-        raise errors.IdempotencyKeyError('the time of the key is ahead')
+        raise errors.IdempotencyKeyError(
+            'the creation time of the key is in the future'
+        )
     if created_ms < wall_ms - window_s * 1000 + CLOCK_ALLOWANCE_MS:
         raise errors.IdempotencyKeyError(
             f'the key is older than {window_s:g} seconds'
@@ -79,7 +83,7 @@
 def choose_keepers(
     workspace: str, key: str, upstream_zones: Mapping[str, str]
 ) -> list[str]:
-    """Returns the upstream positions that keep a key, in distinct zones.
+    """Returns the upstream positions of a key's keepers, in distinct zones.
 
     Args:
       workspace: Workspace of the call.
@@ -87,18 +91,18 @@
       upstream_zones: Zone of each upstream of the preset.
 
     Returns:
-      Up to three names; fewer only if there are fewer zones.
+      Three names, or one for each zone if there are fewer zones.
     """
-    chosen: dict[str, str] = {}
+    upstream_by_zone: dict[str, str] = {}
     for upstream in rendezvous.rank(f'{workspace}\0{key}', upstream_zones):
-        chosen.setdefault(upstream_zones[upstream], upstream)
-        if len(chosen) == KEEPERS:
+        upstream_by_zone.setdefault(upstream_zones[upstream], upstream)
+        if len(upstream_by_zone) == KEEPER_COUNT:
             break
-    return list(chosen.values())
+    return list(upstream_by_zone.values())
 
 
 def compute_fingerprint(request: requests.CallRequest) -> str:
-    """Returns a digest by which a repeat of ``request`` is recognised."""
+    """Returns a digest that identifies repeats of ``request``."""
     digest = hashlib.blake2b(digest_size=16)
     for part in (request.method, request.target()):
         digest.update(part.encode() + b'\0')
@@ -107,7 +111,13 @@
 
 
 class Verdict(enum.Enum):
-    """What the replies of the keepers allow."""
+    """What the replies of the keepers allow an attempt to do.
+
+    RUN: run the call. JOIN: return the stored answer of an earlier attempt.
+    WAIT: an earlier attempt is running. MISMATCH: the key was used with another
+    request. UNKNOWN: an earlier attempt may have run. REFUSE: too few keepers
+    replied.
+    """
 
     RUN = 'run'
     JOIN = 'join'
@@ -119,7 +129,7 @@
 
 @attrs.frozen
 class Decision:
-    """A verdict and, for `Verdict.JOIN`, the settled state."""
+    """A verdict and, for `Verdict.JOIN`, the state with the stored answer."""
 
     verdict: Verdict
     settled: messages.ClaimState | None = None
@@ -129,11 +139,11 @@
     """Returns what an attempt may do after its keepers have replied.
 
     Two grants allow a run even if the third keeper reports another claim:
-    that claim can't have had a majority, since both granting keepers know of
-    no earlier attempt.
+    that claim can't have had a majority, since neither granting keeper knows
+    of an earlier attempt.
 
     Args:
-      replies: The states that keepers returned; silent keepers are left out.
+      replies: The states that keepers returned; missing replies are left out.
     """
     by_state: dict[str, list[messages.ClaimState]] = {}
     for reply in replies:
@@ -143,7 +153,7 @@
     if 'mismatch' in by_state:
         return Decision(Verdict.MISMATCH)
     if 'settled' in by_state:
-        return _join_settled(by_state['settled'])
+        return _decide_settled(by_state['settled'])
     if 'running' in by_state:
         return Decision(Verdict.WAIT)
     if 'unconfirmed' in by_state:
@@ -151,8 +161,11 @@
     return Decision(Verdict.REFUSE)
 
 
-def _join_settled(states: Sequence[messages.ClaimState]) -> Decision:
-    """Prefers a stored answer over a keeper that knows only of the run."""
+def _decide_settled(states: Sequence[messages.ClaimState]) -> Decision:
+    """Returns a stored answer if a keeper has one.
+
+    Another keeper may know only that the call may have run.
+    """
     for state in states:
         if state.status:
             return Decision(Verdict.JOIN, state)
--- a/jayseam/calls/keepers.py
+++ b/jayseam/calls/keepers.py
@@ -1,4 +1,4 @@
-"""The memory of one keeper of idempotency keys."""
+"""The records that one keeper has of idempotency keys."""
 
 import collections
 
@@ -8,32 +8,41 @@
 from jayseam.calls import messages
 
 MAX_BODY_BYTES = 16 * 1024
-# Bounds the memory of a keeper; at 7,200 such calls a second over 670 nodes a
-# window of 600 s holds about 19,000 records.
+# Bounds the memory of a keeper. With 7,200 keyed calls per second over 670
+# nodes, a node has about 19,000 records in a window of 600 s.
 MAX_RECORDS = 50_000
 
 
 @attrs.define
 class _Record:
-    """What is known of one key."""
+    """State of one key.
+
+    Attributes:
+      fingerprint: Digest of the request; empty if the claim did not arrive.
+      attempt: Attempt that holds the key; empty if none does.
+      recorded_at: Time at which the record was made, in seconds.
+      is_known_new: Whether this keeper can confirm that the key was new.
+      outcome: Outcome of the attempt, if it has ended.
+      abandoned: Attempts that have withdrawn their claim.
+    """
 
     fingerprint: str
     attempt: str
     recorded_at: float
-    confirmed: bool
-    settled: messages.Settle | None = None
+    is_known_new: bool
+    outcome: messages.Settle | None = None
     abandoned: set[str] = attrs.field(factory=set)
 
 
 class KeeperStore:
-    """Remembers which attempt holds each key, and its outcome.
+    """Stores which attempt holds each key, and the outcome of the attempt.
 
-    The store is plain state: every method takes the time, and the task that
-    owns the store does the input and output.
+    The store does no input or output and reads no clock: each method takes
+    the present time.
 
     Args:
-      started_wall_ms: Wall clock time at which this process started. Of keys
-        created earlier, the store can't tell whether they are new.
+      started_wall_ms: Wall clock time at which this process started. The store
+        can't know whether keys created earlier are new.
       window_s: How long a record is kept, in seconds.
       max_records: Bound on the number of records.
     """
@@ -55,96 +64,97 @@
         return len(self._records)
 
     def claim(self, claim: messages.Claim, now: float) -> messages.ClaimState:
-        """Records the first attempt of a key; reports the state to others."""
+        """Grants a key to its first attempt; other attempts get its state."""
         self._expire(now)
-        name = (claim.workspace, claim.key)
-        record = self._records.get(name)
+        record_key = (claim.workspace, claim.key)
+        record = self._records.get(record_key)
         if record is not None and claim.attempt in record.abandoned:
-            # The claim was overtaken by its own withdrawal.
-            return _describe('unknown')
+            # The withdrawal of this claim arrived before the claim.
+            return _build_state('unknown')
         if record is not None and record.attempt:
-            return self._report(record, claim)
+            return self._answer_claim(record, claim)
         if record is None and len(self._records) >= self._max_records:
-            # A full keeper must not forget a key to make room for another.
-            return _describe('unknown')
-        confirmed = (
+            # Evicting the record of another key could let that key run twice.
+            return _build_state('unknown')
+        is_known_new = (
             claim.key_ms
             > self._started_wall_ms + idempotency.CLOCK_ALLOWANCE_MS
         )
         abandoned = record.abandoned if record is not None else set()
-        self._records[name] = _Record(
-            claim.fingerprint, claim.attempt, now, confirmed, None, abandoned
+        self._records[record_key] = _Record(
+            claim.fingerprint, claim.attempt, now, is_known_new, None, abandoned
         )
-        return _describe(
-            'granted' if confirmed else 'unconfirmed', claim.attempt
+        return _build_state(
+            'granted' if is_known_new else 'unconfirmed', claim.attempt
         )
 
     def settle(self, settle: messages.Settle, now: float) -> None:
         """Stores the outcome of the attempt that holds a key."""
-        name = (settle.workspace, settle.key)
-        record = self._records.get(name)
+        record_key = (settle.workspace, settle.key)
+        record = self._records.get(record_key)
         if record is None:
-            # The claim did not reach this keeper; the outcome still helps.
+            # The claim did not reach this keeper, but repeats need the outcome.
             if len(self._records) < self._max_records:
-                self._records[name] = _Record(
+                self._records[record_key] = _Record(
                     '', settle.attempt, now, True, settle
                 )
-        elif record.settled is None:
+        elif record.outcome is None:
             record.attempt = settle.attempt
-            record.settled = settle
+            record.outcome = settle
 
     def abandon(self, abandon: messages.Abandon, now: float) -> None:
-        """Frees a key whose attempt surely did not run."""
-        name = (abandon.workspace, abandon.key)
-        record = self._records.get(name)
+        """Releases a key whose attempt surely did not run."""
+        record_key = (abandon.workspace, abandon.key)
+        record = self._records.get(record_key)
         if record is None:
             record = _Record('', '', now, True)
-            self._records[name] = record
+            self._records[record_key] = record
         record.abandoned.add(abandon.attempt)
-        if record.attempt == abandon.attempt and record.settled is None:
+        if record.attempt == abandon.attempt and record.outcome is None:
             record.attempt = ''
 
     def look_up(
-        self, question: messages.LookUp, now: float
+        self, look_up: messages.LookUp, now: float
     ) -> messages.ClaimState:
         """Returns the state of a key without changing it."""
         self._expire(now)
-        record = self._records.get((question.workspace, question.key))
+        record = self._records.get((look_up.workspace, look_up.key))
         if record is None or not record.attempt:
-            return _describe('unknown')
-        return _describe_record(record)
+            return _build_state('unknown')
+        return _build_record_state(record)
 
-    def _report(
+    def _answer_claim(
         self, record: _Record, claim: messages.Claim
     ) -> messages.ClaimState:
         if record.fingerprint and record.fingerprint != claim.fingerprint:
-            return _describe('mismatch', record.attempt)
-        if record.attempt == claim.attempt and record.settled is None:
-            return _describe(
-                'granted' if record.confirmed else 'unconfirmed', claim.attempt
+            return _build_state('mismatch', record.attempt)
+        if record.attempt == claim.attempt and record.outcome is None:
+            return _build_state(
+                'granted' if record.is_known_new else 'unconfirmed',
+                claim.attempt,
             )
-        return _describe_record(record)
+        return _build_record_state(record)
 
     def _expire(self, now: float) -> None:
         while self._records:
-            name, record = next(iter(self._records.items()))
+            record_key, record = next(iter(self._records.items()))
             if record.recorded_at + self._window_s > now:
                 return
-            del self._records[name]
+            del self._records[record_key]
 
 
-def _describe_record(record: _Record) -> messages.ClaimState:
-    settled = record.settled
-    if settled is None:
-        return _describe('running', record.attempt)
+def _build_record_state(record: _Record) -> messages.ClaimState:
+    outcome = record.outcome
+    if outcome is None:
+        return _build_state('running', record.attempt)
     return messages.ClaimState(
         'settled',
         record.attempt,
-        settled.status,
-        settled.headers,
-        settled.body,
+        outcome.status,
+        outcome.headers,
+        outcome.body,
     )
 
 
-def _describe(state: str, attempt: str = '') -> messages.ClaimState:
+def _build_state(state: str, attempt: str = '') -> messages.ClaimState:
     return messages.ClaimState(state, attempt, 0, [], b'')
--- a/jayseam/calls/tests/test_claims.py
+++ b/jayseam/calls/tests/test_claims.py
@@ -1,4 +1,4 @@
-"""Tests of the claims of an entry against keepers behind unreliable links."""
+"""Tests of claims at keepers that are reached through unreliable links."""
 
 import gevent
 import pytest
@@ -18,7 +18,7 @@
 
 
 class Fleet:
-    """Three keepers, one for each position, and failures on request."""
+    """Three keepers, one at each upstream position, with injected failures."""
 
     def __init__(self):
         self.stores = {name: keepers.KeeperStore(0, WINDOW_S) for name in ZONES}
@@ -32,13 +32,13 @@
 
     def request(self, vm, message, timeout_s):
         del timeout_s
-        left = self.failures.get((vm, type(message)), 0)
-        if left:
-            self.failures[(vm, type(message))] = left - 1
+        remaining = self.failures.get((vm, type(message)), 0)
+        if remaining:
+            self.failures[(vm, type(message))] = remaining - 1
             raise link_errors.ReplyLostError('the link was lost')
         return claims.apply_message(self.stores[vm], message, clocks.read_now())
 
-    def fail(self, kind, times, *vms):
+    def inject_failures(self, kind, times, *vms):
         for vm in vms:
             self.failures[(vm, kind)] = times
 
@@ -52,29 +52,29 @@
 
 
 def test_outcome_reaches_keepers_whose_link_was_lost():
-    """A lost outcome would leave repeats without the answer for good."""
+    """If the outcome were lost, repeats would never get the answer."""
     fleet = Fleet()
-    claimed = fleet.claim()
-    fleet.fail(messages.Settle, 2, *ZONES)
-    fleet.coordinator.settle('w1', claimed, ANSWER)
+    claim_result = fleet.claim()
+    fleet.inject_failures(messages.Settle, 2, *ZONES)
+    fleet.coordinator.settle('w1', claim_result, ANSWER)
     gevent.sleep(1.0)
     assert fleet.claim().answer == ANSWER
 
 
 def test_withdrawal_reaches_keepers_whose_link_was_lost():
-    """A lost withdrawal would block a call that never ran."""
+    """If the withdrawal were lost, a call that never ran would stay blocked."""
     fleet = Fleet()
-    claimed = fleet.claim()
-    fleet.fail(messages.Abandon, 1, *ZONES)
-    fleet.coordinator.abandon('w1', claimed)
+    claim_result = fleet.claim()
+    fleet.inject_failures(messages.Abandon, 1, *ZONES)
+    fleet.coordinator.abandon('w1', claim_result)
     gevent.sleep(0.6)
     assert fleet.claim().attempt
 
 
 def test_too_few_keepers_refuse_the_run():
-    """One grant is no majority: another attempt may hold the other two."""
+    """One grant is no majority: another attempt may have the other two."""
     fleet = Fleet()
-    fleet.fail(messages.Claim, 9, 'u1', 'u2')
+    fleet.inject_failures(messages.Claim, 9, 'u1', 'u2')
     with pytest.raises(errors.NotRunError):
         fleet.claim()
 
@@ -83,7 +83,7 @@
     """A repeat must neither run nor hang while the first attempt runs."""
     fleet = Fleet()
     fleet.claim()
-    started = clocks.read_now()
+    started_at = clocks.read_now()
     with pytest.raises(errors.OutcomeUnknownError):
         fleet.claim(timeout_s=0.5)
-    assert clocks.read_now() - started < 1.5
+    assert clocks.read_now() - started_at < 1.5
--- a/jayseam/calls/tests/test_idempotency.py
+++ b/jayseam/calls/tests/test_idempotency.py
@@ -1,4 +1,4 @@
-"""Tests of the rules by which a call runs at most once."""
+"""Tests of the rules that make a call run at most once."""
 
 import random
 
@@ -35,21 +35,21 @@
     ],
 )
 def test_unusable_keys_are_refused(text, wall_ms):
-    """A key without a trustworthy time could hide an earlier run."""
+    """Without a valid creation time, a key could hide an earlier run."""
     with pytest.raises(errors.IdempotencyKeyError):
         idempotency.parse_key(text, wall_ms, WINDOW_S)
 
 
 def test_keepers_lie_in_distinct_zones():
-    """Two keepers in one zone would be lost together."""
+    """The outage of one zone would take out two keepers in it together."""
     zones = {f'u{i}': f'z{i % 4}' for i in range(16)}
     for number in range(50):
         chosen = idempotency.choose_keepers('w1', str(number), zones)
-        assert len({zones[name] for name in chosen}) == idempotency.KEEPERS
+        assert len({zones[name] for name in chosen}) == idempotency.KEEPER_COUNT
 
 
 def test_late_claim_of_an_abandoned_attempt_is_not_granted():
-    """A claim overtaken by its withdrawal would block the key for good."""
+    """A claim that arrives after its withdrawal must not block the key."""
     store = make_store()
     store.abandon(messages.Abandon('w1', 'key', 'a1'), 0.0)
     assert store.claim(make_claim('a1'), 0.1).state == 'unknown'
@@ -57,13 +57,13 @@
 
 
 def test_young_keeper_does_not_confirm_older_key():
-    """A restarted keeper has forgotten earlier attempts."""
+    """A restarted keeper has lost its records of earlier attempts."""
     store = make_store(started_wall_ms=KEY_MS + 1)
     assert store.claim(make_claim('a1'), 0.0).state == 'unconfirmed'
 
 
 def test_full_keeper_forgets_nothing():
-    """Eviction would allow a second run inside the window."""
+    """Evicting a record would allow a second run within the window."""
     store = keepers.KeeperStore(WALL_MS, WINDOW_S, max_records=1)
     store.claim(make_claim('a1'), 0.0)
     other = messages.Claim('w1', 'other', KEY_MS, 'f', 'a2')
@@ -73,7 +73,7 @@
 
 
 def test_settled_answer_and_mismatch_are_reported():
-    """A repeat gets the stored answer; another payload gets none."""
+    """A repeat gets the stored answer; a different request does not."""
     store = make_store()
     store.claim(make_claim('a1'), 0.0)
     store.settle(messages.Settle('w1', 'key', 'a1', 201, [], b'x'), 0.1)
@@ -89,11 +89,11 @@
 def test_never_two_runs_under_lost_messages_and_restarts(seed, attempts):
     """Lost claims, lost withdrawals and restarted keepers never allow two runs.
 
-    At most one keeper restarts at a time within the window, as a majority
-    must keep its memory; the restarted one can't confirm an older key.
+    At most one keeper restarts within the window, as a majority must keep its
+    records; the restarted keeper can't confirm that an older key is new.
     """
     rng = random.Random(seed)
-    stores = [make_store() for _ in range(idempotency.KEEPERS)]
+    stores = [make_store() for _ in range(idempotency.KEEPER_COUNT)]
     restarted = False
     runs = 0
     for number in range(attempts):
