Reword the ingress and the check of credentials

Checks of a forwarded call were named by vague words such as fault and check again. They now say that they find a refusal or recheck the validity, and the details of refusals use usual terms. Codes, statuses and behaviour are unchanged; no test or tool matches the details that changed.

--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -1,4 +1,4 @@
-"""The ingress: runs forwarded calls on the backend server of its own VM."""
+"""The ingress: runs forwarded calls on the backend server of the own VM."""
 
 import math
 from collections.abc import Callable
@@ -16,9 +16,10 @@
 from jayseam.core import clocks
 from jayseam.core import logs
 
-# A call must be expected to finish this much before its deadline to leave the
-# queue, or a tenth of its time before if that is less. In overload every call
-# waits as long as it may, and one admitted at the last moment runs in vain.
+# The queue admits a call only if the call is expected to finish this much
+# before its deadline, or a tenth of its timeout before if that is less. Under
+# overload calls wait as long as they may, and a call that is admitted at the
+# last moment would not finish in time.
 _RUN_MARGIN_S = 0.05
 _MS_PER_S = 1000
 
@@ -27,7 +28,7 @@
 
 @attrs.frozen
 class IngressIdentity:
-    """Who this ingress is."""
+    """VM, incarnation, zone and upstream position of an ingress."""
 
     vm: str
     incarnation: int
@@ -39,12 +40,12 @@
     """Admits calls to the own backend server and runs them.
 
     Args:
-      identity: VM, incarnation and zone of this process.
+      identity: Identity of this process.
       read_snapshot: Returns the configuration in force.
       gate: Admission gate of the own backend server.
       backend: Client of the own backend server.
-      ensure_fresh: Returns once the process knows what happened while it was
-        paused; takes and returns the time in seconds.
+      ensure_fresh: After a pause of the process, waits until the configuration
+        is up to date again. Takes and returns the time in seconds.
       dialect: Header fields that the backend server understands.
     """
 
@@ -78,11 +79,11 @@
         return dict(self._request_ids)
 
     def leave(self) -> None:
-        """Refuses forwarded calls from now on; those accepted finish."""
+        """Refuses forwarded calls from now on; accepted calls still finish."""
         self._leaving = True
 
     def set_withdrawn(self, withdrawn: bool) -> None:
-        """Refuses new and queued calls while the VM is to leave."""
+        """Sets whether the VM is withdrawn and refuses new and queued calls."""
         self._withdrawn = withdrawn
 
     def cancel(self, attempt: str) -> None:
@@ -102,7 +103,7 @@
                 error.code,
                 error.ran,
                 error.detail,
-                *self._report_load(forward.workspace),
+                *self._list_load_fields(forward.workspace),
                 admitted=error.admitted,
                 retry_after_ms=int((error.retry_after_s or 0.0) * _MS_PER_S),
             )
@@ -110,10 +111,10 @@
             answer.status,
             [list(pair) for pair in answer.headers],
             answer.body,
-            *self._report_load(forward.workspace),
+            *self._list_load_fields(forward.workspace),
         )
 
-    def _report_load(self, workspace: str) -> tuple[float, ...]:
+    def _list_load_fields(self, workspace: str) -> tuple[float, ...]:
         """Returns the load fields of a reply to a call of a workspace."""
         report = self._gate.describe(clocks.read_now())
         queued = self._gate.count_queued(workspace)
@@ -130,7 +131,7 @@
         Raises:
           CallError: If the call was refused, or its outcome is unknown.
         """
-        self._check(forward)
+        self._check_forward(forward)
         self._running[forward.attempt] = gevent.getcurrent()
         self._request_ids[forward.attempt] = forward.request_id
         try:
@@ -143,29 +144,33 @@
             self._running.pop(forward.attempt, None)
             self._request_ids.pop(forward.attempt, None)
 
-    def _check(self, forward: messages.Forward) -> None:
+    def _check_forward(self, forward: messages.Forward) -> None:
         if self._leaving:
             raise errors.NotRunError('this node is shutting down')
         if forward.incarnation != self._identity.incarnation:
-            raise errors.NotRunError('this node has restarted since')
+            raise errors.NotRunError(
+                'the call is for another incarnation of this node'
+            )
         self._check_validity(forward)
 
     def _check_validity(self, forward: messages.Forward) -> None:
-        fault = self._find_fault(forward)
-        if fault is not None:
-            raise fault
+        refusal = self._find_refusal(forward)
+        if refusal is not None:
+            raise refusal
 
-    def _find_fault(self, forward: messages.Forward) -> errors.CallError | None:
-        """Returns why a call may not start any more, or None if it may."""
+    def _find_refusal(
+        self, forward: messages.Forward
+    ) -> errors.CallError | None:
+        """Returns the error for a call that must not start, or None."""
         if self._withdrawn:
-            return errors.NotRunError('this VM is leaving')
+            return errors.NotRunError('this VM is being withdrawn')
         if forward.service != self._find_service():
-            # The address of a backend server may pass to another service
-            # while a call waits.
+            # The address of a backend server may be reassigned to another
+            # service while a call waits in the queue.
             return errors.NotRunError('this node serves another service')
-        if not self._zone_in_service():
+        if not self._is_zone_in_service():
             return errors.ZoneError('the availability zone is out of service')
-        if not self._key_valid(forward):
+        if not self._is_key_valid(forward):
             return errors.KeyRefusedError('the key was withdrawn')
         return None
 
@@ -178,7 +183,7 @@
         """Returns the instance of the own backend server in the VM list.
 
         Raises:
-          NotRunError: If the list doesn't name it.
+          NotRunError: If the list has no such backend server.
         """
         vm_list = self._read_snapshot().vms
         entry = vm_list and vm_list.by_name.get(self._identity.vm)
@@ -186,20 +191,20 @@
             raise errors.NotRunError('the backend server is not listed')
         return entry.instance
 
-    def _zone_in_service(self) -> bool:
+    def _is_zone_in_service(self) -> bool:
         preset = self._read_snapshot().preset
         zone = preset.zones.get(self._identity.zone) if preset else None
         return zone is not None and zone.in_service
 
-    def _key_valid(self, forward: messages.Forward) -> bool:
+    def _is_key_valid(self, forward: messages.Forward) -> bool:
         if not forward.key_id:
             return True
         snapshot = self._read_snapshot()
         if forward.keys_version > snapshot.keys_version:
-            # The entry judged the key by a key set that is newer.
+            # The entry has accepted the key by a newer key set.
             return True
         key_set = snapshot.keys
-        return key_set is not None and keys.allow_key(
+        return key_set is not None and keys.is_key_valid(
             key_set, forward.key_id, forward.workspace
         )
 
@@ -213,18 +218,19 @@
             cost=self._gate.estimate_cost(forward.workspace),
             deadline=deadline - min(_RUN_MARGIN_S, timeout_s / 10),
             request_id=forward.request_id,
-            still_valid=lambda _: self._find_fault(forward) is None,
+            still_valid=lambda _: self._find_refusal(forward) is None,
             rank=forward.rank,
-            objective=_find_objective(forward, now),
+            objective=_compute_objective(forward, now),
         )
         permit = self._acquire(ticket, forward, now)
         result = admission.gates.Result.FAILED
         try:
-            self._check_again(forward, deadline)
+            self._recheck_validity(forward, deadline)
             answer = self._backend.run(self._build_request(forward), deadline)
             result = admission.gates.Result.SUCCESS
             if backends.messages.is_shed(answer, self._dialect):
-                # Passed on as it is, but the limit must still fall.
+                # The answer is passed on unchanged, but it must still lower
+                # the concurrency limit.
                 result = admission.gates.Result.SHED
         except backends.errors.ShedError as error:
             result = admission.gates.Result.SHED
@@ -240,11 +246,13 @@
         headers = requests.filter_answer_headers(answer.headers, self._dialect)
         return requests.CallAnswer(answer.status, headers, answer.body)
 
-    def _check_again(self, forward: messages.Forward, deadline: float) -> None:
-        """Checks an admitted call by what is in force after a pause.
+    def _recheck_validity(
+        self, forward: messages.Forward, deadline: float
+    ) -> None:
+        """Checks an admitted call again by the configuration after a pause.
 
-        A slot that is free when a paused process wakes admits a waiting call
-        before the process has heard of the versions published meanwhile.
+        When a paused process resumes, a free slot admits a waiting call before
+        the process has received the versions published during the pause.
         """
         if self._ensure_fresh(clocks.read_now()) >= deadline:
             raise errors.NotRunError('the deadline has passed')
@@ -256,17 +264,19 @@
         result: admission.gates.Result,
         request_id: str,
     ) -> None:
-        """Gives a permit back once the backend server has ended the call.
+        """Releases a permit once the backend server has ended the call.
 
-        A call that reached its deadline or was cancelled may run on until the
-        backend server has answered the cancellation; another call admitted
-        before that could exceed the slots.
+        A call that reached its deadline or was cancelled may keep running until
+        the backend server has answered the cancellation. Admitting another call
+        before that could exceed the number of slots.
         """
-        ending = self._backend.find_cancellation(request_id)
-        if ending is None:
+        cancellation = self._backend.find_cancellation(request_id)
+        if cancellation is None:
             permit.release(result, clocks.read_now())
         else:
-            ending.rawlink(lambda _: permit.release(result, clocks.read_now()))
+            cancellation.rawlink(
+                lambda _: permit.release(result, clocks.read_now())
+            )
 
     def _acquire(
         self,
@@ -277,8 +287,10 @@
         try:
             return self._gate.acquire(ticket, now)
         except admission.errors.NoLongerValidError as error:
-            fault = self._find_fault(forward) or errors.NotRunError(str(error))
-            raise fault from error
+            refusal = self._find_refusal(forward) or errors.NotRunError(
+                str(error)
+            )
+            raise refusal from error
         except admission.errors.AdmissionError as error:
             raise errors.NotRunError(str(error), error.retry_after_s) from error
 
@@ -300,7 +312,7 @@
         )
 
 
-def _find_objective(forward: messages.Forward, now: float) -> float:
+def _compute_objective(forward: messages.Forward, now: float) -> float:
     """Returns the time of the latency objective; infinite without one."""
     if not forward.objective_ms:
         return math.inf
--- a/jayseam/calls/keys.py
+++ b/jayseam/calls/keys.py
@@ -1,4 +1,4 @@
-"""Credentials of a caller: where they may stand and what they allow."""
+"""Credentials of a caller: where they may appear and what they allow."""
 
 import urllib.parse
 
@@ -11,17 +11,18 @@
 from jayseam.presets import model
 
 _SCHEME = 'bearer '
-_QUERY_NAMES = frozenset(('api_key', 'key', 'access_token'))
+_KEY_PARAMETERS = frozenset(('api_key', 'key', 'access_token'))
 TOKEN_HEADER = 'jayseam-call-token'
 
 
 @attrs.frozen
 class Caller:
-    """For whom a call runs.
+    """Identity for which a call runs.
 
     Attributes:
       workspace: Name of the workspace; empty for a caller without a key.
-      key_id: Identifier of the key the call depends on; empty without one.
+      key_id: Identifier of the key that the call depends on; empty without
+        one.
       depth: 0 for a call with a key, more for nested calls.
       expires_wall_ms: For a nested call, when the outermost call ends.
     """
@@ -36,41 +37,41 @@
 
 
 def extract_key(request: requests.CallRequest) -> str | None:
-    """Returns the key shown in the ``Authorization`` field, if any.
+    """Returns the key in the ``Authorization`` field, if any.
 
     Raises:
-      KeyMisplacedError: If a key stands elsewhere, where it would reach
+      KeyMisplacedError: If a key appears elsewhere, where it would reach
         backend servers or their logs.
       BadRequestError: If the field occurs twice or has another scheme.
     """
     if request.header('x-api-key') is not None:
         raise errors.KeyMisplacedError('use the Authorization header')
     if request.query and _has_key_parameter(request.query):
-        raise errors.KeyMisplacedError('a key must not stand in the query')
+        raise errors.KeyMisplacedError('a key must not appear in the query')
     values = [v for name, v in request.headers if name == 'authorization']
     if not values:
         return None
     if len(values) > 1 or not values[0].lower().startswith(_SCHEME):
         raise errors.BadRequestError('expected one Bearer authorization')
     key = values[0][len(_SCHEME) :].strip()
-    _reject_copies(request, key)
+    _reject_repeated_secret(request, key)
     return key
 
 
 def _has_key_parameter(query: str) -> bool:
     pairs = urllib.parse.parse_qsl(query, keep_blank_values=True)
-    return any(name.lower() in _QUERY_NAMES for name, _ in pairs)
+    return any(name.lower() in _KEY_PARAMETERS for name, _ in pairs)
 
 
-def _reject_copies(request: requests.CallRequest, key: str) -> None:
-    """Refuses a request that repeats its key where it would be forwarded."""
+def _reject_repeated_secret(request: requests.CallRequest, key: str) -> None:
+    """Refuses a request with its key in a part that would be forwarded."""
     secret = key.partition('.')[2]
     if not secret:
         return
     target = urllib.parse.unquote(request.target())
     copies = [v for name, v in request.headers if name != 'authorization']
     if any(secret in text for text in (target, *copies)):
-        raise errors.KeyMisplacedError('the key stands outside Authorization')
+        raise errors.KeyMisplacedError('the key appears outside Authorization')
 
 
 def identify_caller(
@@ -79,12 +80,12 @@
     token_keys: tuple[bytes, ...],
     wall_ms: int,
 ) -> Caller | None:
-    """Returns for whom a request runs, or None if it shows no credentials.
+    """Returns the caller of a request, or None if it has no credentials.
 
     Args:
       request: The caller's request.
       key_set: Keys in force.
-      token_keys: Keys that may have signed a call token.
+      token_keys: Signing keys that are accepted for call tokens.
       wall_ms: Present wall clock time in milliseconds.
 
     Raises:
@@ -94,7 +95,7 @@
     text = request.header(TOKEN_HEADER)
     if text is not None:
         token = tokens.verify_token(token_keys, text, wall_ms)
-        if not allow_key(key_set, token.key_id, token.workspace):
+        if not is_key_valid(key_set, token.key_id, token.workspace):
             raise errors.KeyRefusedError('the key of this call was withdrawn')
         return Caller(
             token.workspace, token.key_id, token.depth, token.expires_wall_ms
@@ -107,7 +108,7 @@
     return Caller(match.workspace, match.key_id)
 
 
-def allow_key(key_set: model.KeySet, key_id: str, workspace: str) -> bool:
-    """Tells whether a key identifier is still in force for a workspace."""
+def is_key_valid(key_set: model.KeySet, key_id: str, workspace: str) -> bool:
+    """Returns whether a key is still granted to a workspace."""
     entry = key_set.by_id.get(key_id)
     return entry is not None and entry.workspace == workspace
--- a/jayseam/calls/tests/test_ingress.py
+++ b/jayseam/calls/tests/test_ingress.py
@@ -14,7 +14,7 @@
 
 
 def _snapshot(service, instance):
-    """Returns what a node knows when its upstream has a service."""
+    """Returns a configuration that gives the node's upstream a service."""
     entry = model.VmEntry(
         'vm-1', 'u-1', 'a', 'r', '10.0.0.1', 1, 'live', service, 4, instance
     )
@@ -35,8 +35,8 @@
     )
 
 
-class _World:
-    """An ingress, what it knows, and the requests that it has run."""
+class _Harness:
+    """An ingress, its configuration, and the requests that it has run."""
 
     def __init__(self):
         self.snapshot = _snapshot('points', 'i-1')
@@ -83,34 +83,35 @@
 
 
 def test_names_the_listed_instance():
-    """Only the backend server that is listed may run the call."""
-    world = _World()
-    assert world.ingress.handle_forward(_forward()).status == 200
-    assert world.ran == ['i-1']
+    """Only the instance in the VM list may run the call."""
+    harness = _Harness()
+    assert harness.ingress.handle_forward(_forward()).status == 200
+    assert harness.ran == ['i-1']
 
 
 def test_queued_call_does_not_reach_another_service():
-    """An address may pass to another service while a call waits.
+    """An address may be reassigned to another service while a call waits.
 
-    Replays trouble-3 of reprise-piles with seed 886349507094 (ROUTE): the new
-    instance was named to the server, so it ran a call of the old service.
+    Guards against a fault that trouble-3 of reprise-piles showed with seed
+    886349507094 (ROUTE): the ingress sent the name of the new instance to the
+    server, so the server ran a call of the old service.
     """
-    world = _World()
+    harness = _Harness()
     ticket = admission.gates.Ticket('', 1.0, 1e9, 'r-0', lambda now: True)
-    permit = world.gate.acquire(ticket, 0.0)
-    waiting = gevent.spawn(world.ingress.handle_forward, _forward())
+    permit = harness.gate.acquire(ticket, 0.0)
+    waiting = gevent.spawn(harness.ingress.handle_forward, _forward())
     gevent.sleep(0)
-    world.snapshot = _snapshot('credits', 'i-2')
+    harness.snapshot = _snapshot('credits', 'i-2')
     permit.release(admission.gates.Result.SUCCESS, 0.1)
     reply = waiting.get(timeout=2.0)
     assert isinstance(reply, messages.Refused) and reply.ran == 'no'
-    assert not world.ran
+    assert not harness.ran
 
 
 def test_unlisted_server_runs_nothing():
-    """Without an entry there is no instance that a call could be meant for."""
-    world = _World()
-    world.snapshot.vms = model.VmList(())
-    reply = world.ingress.handle_forward(_forward())
+    """Without an entry in the VM list there is no instance to run a call."""
+    harness = _Harness()
+    harness.snapshot.vms = model.VmList(())
+    reply = harness.ingress.handle_forward(_forward())
     assert reply.ran == 'no' and 'not listed' in reply.detail
-    assert not world.ran
+    assert not harness.ran
