Reword messages, retry budgets and tokens of the call path

The docs of message fields and of retry budgets relied on pronouns and private words. They now name the token bucket, the units and the meaning of each state, and errors.py says that its docstrings are sent as titles. Fields, codes and limits are unchanged.

--- a/jayseam/calls/__init__.py
+++ b/jayseam/calls/__init__.py
@@ -1,4 +1,8 @@
-"""The call path: entry, ingress, idempotency, retries and outcomes."""
+"""The call path: entry, ingress, idempotency, retries and outcomes.
+
+The entry is the part of a node that takes calls from callers and forwards them.
+The ingress of a node runs forwarded calls on the backend server of its VM.
+"""
 
 from jayseam.calls import attempts
 from jayseam.calls import choosers
--- a/jayseam/calls/errors.py
+++ b/jayseam/calls/errors.py
@@ -1,4 +1,8 @@
-"""Errors of the call path; each stands for one answer without a result."""
+"""Errors of the call path.
+
+The first line of the docstring of a `CallError` class is sent to callers as the
+title of the problem.
+"""
 
 from jayseam.core import errors
 
@@ -7,11 +11,12 @@
     """A call ends without an answer of a backend server.
 
     Attributes:
-      code: Stable code of the problem that the caller receives.
+      code: Stable code of the problem, sent to the caller.
       status: HTTP status of the answer.
-      ran: Whether this attempt may have run: ``no`` or ``unknown``.
-      retry_after_s: When a new attempt makes sense, if that is known.
-      admitted: Whether a backend server may have been sent this attempt.
+      ran: ``no`` if the attempt has not run, ``unknown`` if it may have run.
+      admitted: Whether the attempt may have reached a backend server.
+      detail: What went wrong with this call.
+      retry_after_s: Seconds after which another attempt may succeed, if known.
     """
 
     code = 'not-run'
--- a/jayseam/calls/messages.py
+++ b/jayseam/calls/messages.py
@@ -1,4 +1,4 @@
-"""Messages between nodes on the call path. Codes 80 to 99."""
+"""Messages between nodes on the call path; they have the codes 80 to 99."""
 
 from collections.abc import Callable
 from typing import Any
@@ -14,8 +14,8 @@
 def _build_check(*kinds: type) -> Callable[..., None]:
     """Returns a validator of values whose class is one of ``kinds`` exactly.
 
-    The validators of attrs take four times as long, and a call has some forty
-    fields to validate on its way through two nodes.
+    The validators of attrs take four times as long, and about forty fields are
+    validated for each call on its way through two nodes.
     """
 
     def check(_: Any, attribute: attrs.Attribute, value: Any) -> None:
@@ -27,7 +27,7 @@
 
 
 def _check_count(_: Any, attribute: attrs.Attribute, value: Any) -> None:
-    """Validates an int that is not negative; a bool is refused.
+    """Validates an int that is not negative and not a bool.
 
     >>> _check_count(None, attrs.fields(Answered).status, 200)
     >>> _check_count(None, attrs.fields(Answered).status, True)
@@ -47,14 +47,15 @@
 _check_number = _build_check(int, float)
 
 
-def check_pairs(_: Any, attribute: attrs.Attribute, value: Any) -> None:
+def check_header_pairs(_: Any, attribute: attrs.Attribute, value: Any) -> None:
     """Validates header fields: a list of pairs of strings.
 
-    Nested validators of attrs take four times as long, for each message and
-    on both of its sides.
+    Nested validators of attrs take four times as long, and each message is
+    validated by its sender and its receiver.
 
-    >>> check_pairs(None, attrs.fields(Answered).headers, [['accept', '*/*']])
-    >>> check_pairs(None, attrs.fields(Answered).headers, [['accept']])
+    >>> attribute = attrs.fields(Answered).headers
+    >>> check_header_pairs(None, attribute, [['accept', '*/*']])
+    >>> check_header_pairs(None, attribute, [['accept']])
     Traceback (most recent call last):
     ...
     TypeError: headers must be a list of pairs of strings
@@ -76,12 +77,13 @@
     """Asks an ingress to run a call on its backend server.
 
     Attributes:
-      attempt: Identifier of this attempt, unique to it.
-      incarnation: Incarnation of the ingress for which it is meant.
+      attempt: Unique identifier of this attempt.
+      incarnation: Incarnation of the ingress that may run the attempt.
       route: Name of the route; calls of one route share a latency baseline.
       timeout_ms: Time left until the deadline of the call.
-      preset_version: Version by which the entry judged the call.
-      keys_version: Version of the keys by which the entry judged it.
+      preset_version: Version of the preset by which the entry admitted the
+        call.
+      keys_version: Version of the key set by which the entry admitted the call.
       rank: Urgency of the call; 0 is the most urgent.
       objective_ms: Time left until the latency objective of the call, in
         milliseconds; 0 if it has none.
@@ -100,7 +102,7 @@
     keys_version: int = attrs.field(validator=_check_count)
     method: str = attrs.field(validator=_check_text)
     target: str = attrs.field(validator=_check_text)
-    headers: list = attrs.field(validator=check_pairs)
+    headers: list = attrs.field(validator=check_header_pairs)
     body: bytes = attrs.field(validator=_check_bytes)
     rank: int = attrs.field(default=0, validator=_check_count)
     objective_ms: int = attrs.field(default=0, validator=_check_count)
@@ -109,17 +111,17 @@
 @messages.register(81)
 @attrs.frozen
 class Answered:
-    """The whole answer of a backend server, with the load of its ingress.
+    """The whole answer of a backend server, and the load of its VM.
 
     Attributes:
-      load: Calls in flight and queued, over the limit.
+      load: Calls in flight and queued, divided by the concurrency limit.
       service_s: Mean time of a call at the backend server, in seconds.
-      fair_load: The load as far as it delays the workspace of the call.
-      idle_load: The load for a workspace without a call in the queue.
+      fair_load: The part of the load that delays the workspace of the call.
+      idle_load: The part that delays a workspace without queued calls.
     """
 
     status: int = attrs.field(validator=_check_count)
-    headers: list = attrs.field(validator=check_pairs)
+    headers: list = attrs.field(validator=check_header_pairs)
     body: bytes = attrs.field(validator=_check_bytes)
     load: float = attrs.field(validator=_check_number)
     service_s: float = attrs.field(validator=_check_number)
@@ -134,11 +136,11 @@
 
     Attributes:
       code: Code of the problem, as in `jayseam.calls.errors`.
-      ran: ``no`` or ``unknown``.
-      admitted: Whether the gate admitted the attempt, so that the backend
-        server may have been sent it.
-      retry_after_ms: When there may be room again, in milliseconds; 0 if that
-        isn't known.
+      ran: ``no`` if the attempt has not run, ``unknown`` if it may have run.
+      admitted: Whether the admission gate let the attempt through, so that it
+        may have reached the backend server.
+      retry_after_ms: Milliseconds after which there may be room again; 0 if
+        that isn't known.
     """
 
     code: str = attrs.field(validator=_check_text)
@@ -155,7 +157,7 @@
 @messages.register(83)
 @attrs.frozen
 class CancelAttempt:
-    """Tells an ingress that nobody waits for an attempt any more."""
+    """Cancels an attempt whose caller no longer waits for the answer."""
 
     attempt: str = attrs.field(validator=_check_text)
 
@@ -163,11 +165,13 @@
 @messages.register(84)
 @attrs.frozen
 class Claim:
-    """Asks a keeper to record the attempt as the one run of a key.
+    """Asks a keeper to grant an attempt the only run under a key.
 
     Attributes:
-      fingerprint: Digest of the request, to notice another payload.
-      key_ms: Creation time within the idempotency key, milliseconds.
+      key_ms: Creation time in the idempotency key, in milliseconds since the
+        Unix epoch.
+      fingerprint: Digest of the request, to detect reuse of the key for another
+        request.
     """
 
     workspace: str = attrs.field(validator=_check_text)
@@ -180,26 +184,28 @@
 @messages.register(85)
 @attrs.frozen
 class ClaimState:
-    """What a keeper knows of a key.
+    """State of a key at a keeper.
 
     Attributes:
-      state: ``granted``, ``running``, ``settled``, ``mismatch``,
-        ``unconfirmed`` (recorded, but the keeper is too young to know of
-        earlier attempts) or ``unknown`` (nothing recorded).
-      attempt: Attempt that holds the claim; empty if none does.
+      state: ``granted``, ``running``, ``settled`` (the attempt has ended),
+        ``mismatch`` (the key was used with another request), ``unconfirmed``
+        (recorded, but the keeper started after the key was created and can't
+        know of earlier attempts) or ``unknown`` (nothing recorded).
+      attempt: Attempt that holds the key; empty if none does.
+      status: HTTP status of the stored answer; 0 if there is none.
     """
 
     state: str = attrs.field(validator=_check_text)
     attempt: str = attrs.field(validator=_check_text)
     status: int = attrs.field(validator=_check_count)
-    headers: list = attrs.field(validator=check_pairs)
+    headers: list = attrs.field(validator=check_header_pairs)
     body: bytes = attrs.field(validator=_check_bytes)
 
 
 @messages.register(86)
 @attrs.frozen
 class Settle:
-    """Stores the outcome of an attempt with a keeper.
+    """Asks a keeper to store the outcome of an attempt.
 
     Attributes:
       status: HTTP status of the answer; 0 if the outcome is unknown or too
@@ -210,14 +216,14 @@
     key: str = attrs.field(validator=_check_text)
     attempt: str = attrs.field(validator=_check_text)
     status: int = attrs.field(validator=_check_count)
-    headers: list = attrs.field(validator=check_pairs)
+    headers: list = attrs.field(validator=check_header_pairs)
     body: bytes = attrs.field(validator=_check_bytes)
 
 
 @messages.register(87)
 @attrs.frozen
 class Abandon:
-    """Withdraws the claim of an attempt that surely did not run."""
+    """Asks a keeper to release the claim of an attempt that did not run."""
 
     workspace: str = attrs.field(validator=_check_text)
     key: str = attrs.field(validator=_check_text)
--- a/jayseam/calls/problems.py
+++ b/jayseam/calls/problems.py
@@ -1,4 +1,4 @@
-"""Problem documents: what a caller receives in place of a result.
+"""Problem documents, which callers receive if a call has no answer.
 
 References:
   RFC 9457, "Problem Details for HTTP APIs".
@@ -26,11 +26,11 @@
     (429, '1')
 
     Args:
-      error: Why there is no result.
+      error: Reason why there is no answer.
       request_id: Identifier of the call.
-      idempotency_key: Key under which the caller may ask for the outcome.
+      idempotency_key: Key with which the caller may look up the outcome.
       fractional: Whether callers understand fractions of seconds in
-        ``Retry-After``; RFC 9110 has whole seconds only.
+        ``Retry-After``; RFC 9110 allows only whole seconds.
     """
     document = {
         'type': f'urn:jayseam:problem:{error.code}',
@@ -60,5 +60,5 @@
     """
     if fractional:
         return f'{max(0.0, delay_s):.3g}'
-    # Rounding down would invite a retry before tokens are there.
+    # After rounding down, a retry would come before tokens are available.
     return str(max(1, math.ceil(delay_s)))
--- a/jayseam/calls/requests.py
+++ b/jayseam/calls/requests.py
@@ -1,4 +1,4 @@
-"""Requests and answers as they travel through the call path."""
+"""Requests and answers on the call path, and the filters of their headers."""
 
 import functools
 from collections.abc import Iterable
@@ -23,7 +23,7 @@
       method: HTTP method in upper case.
       path: Path without the query.
       query: Query without the question mark; may be empty.
-      headers: Header fields in their order, names in lower case.
+      headers: Header fields in the received order, names in lower case.
       body: The whole body.
     """
 
@@ -42,12 +42,12 @@
 
     @property
     def host(self) -> str:
-        """The host that the request names, in lower case, without a port."""
+        """Value of ``Host`` in lower case, without a port."""
         text = (self.header('host') or '').lower()
         return text if text.endswith(']') else text.partition(':')[0]
 
     def target(self) -> str:
-        """Returns path and query as they stand in a request line."""
+        """Returns path and query in the form of a request line."""
         return f'{self.path}?{self.query}' if self.query else self.path
 
 
@@ -66,17 +66,17 @@
 ) -> Headers:
     """Returns the header fields that may reach a backend server.
 
-    Hop-by-hop fields, fields named by ``Connection``, credentials and the
-    fields that jayseam sets itself are dropped.
+    Drops hop-by-hop fields, fields named by ``Connection``, credentials and the
+    fields that jayseam sets itself.
 
     >>> filter_request_headers([('authorization', 'x'), ('accept', '*/*'),
     ...                         ('connection', 'x-a'), ('x-a', '1')])
     (('accept', '*/*'),)
     """
-    dropped = _REQUEST_ONLY | _name_own_fields(dialect)
+    dropped = _REQUEST_ONLY | _list_own_fields(dialect)
     if not dialect.keeps_host:
         dropped |= {'host'}
-    return _filter(headers, dropped, '')
+    return _filter_headers(headers, dropped, '')
 
 
 def filter_answer_headers(
@@ -84,17 +84,17 @@
     dialect: dialects.Dialect = dialects.DEFAULT,
 ) -> Headers:
     """Returns the header fields of an answer that may reach a caller."""
-    dropped = _ANSWER_ONLY | _name_own_fields(dialect)
-    return _filter(headers, dropped, dialect.seal.lower())
+    dropped = _ANSWER_ONLY | _list_own_fields(dialect)
+    return _filter_headers(headers, dropped, dialect.seal.lower())
 
 
 @functools.lru_cache(maxsize=8)
-def _name_own_fields(dialect: dialects.Dialect) -> frozenset[str]:
+def _list_own_fields(dialect: dialects.Dialect) -> frozenset[str]:
     return frozenset((dialect.request_id.lower(), dialect.timeout_ms.lower()))
 
 
-def _filter(
-    headers: Iterable[tuple[str, str]], dropped: frozenset[str], kept: str
+def _filter_headers(
+    headers: Iterable[tuple[str, str]], dropped: frozenset[str], kept_name: str
 ) -> Headers:
     pairs = [(name.lower(), value) for name, value in headers]
     named = {
@@ -109,5 +109,5 @@
         if name not in backend_messages.HOP_BY_HOP
         and name not in dropped
         and name not in named
-        and (name == kept or not name.startswith(_PRIVATE_PREFIX))
+        and (name == kept_name or not name.startswith(_PRIVATE_PREFIX))
     )
--- a/jayseam/calls/retries.py
+++ b/jayseam/calls/retries.py
@@ -1,4 +1,6 @@
-"""A budget that keeps retries from multiplying the load of a brown-out.
+"""Retry budgets, which keep retries from amplifying an overload.
+
+A budget is a token bucket: calls and time add tokens, and a retry takes one.
 
 References:
   "Handling Overload", in Site Reliability Engineering, O'Reilly, 2016.
@@ -9,17 +11,17 @@
 import attrs
 
 MAX_RETRIES = 2
-# Budgets above which the full ones are forgotten.
+# Number of budgets above which full budgets are dropped.
 _MAX_BUDGETS = 256
 
 
 @attrs.frozen
 class BudgetSize:
-    """How many retries a node may make for one workspace.
+    """Parameters of the retry budget of one workspace or service at a node.
 
     Attributes:
       share: Retries that each call adds.
-      max_saved: Most retries that are saved up.
+      max_saved: Most retries that the budget can hold.
       min_per_s: Retries added per second. Without them, a workspace with
         little traffic could not retry at all.
     """
@@ -31,11 +33,11 @@
 
 @attrs.frozen
 class FleetBound:
-    """Retries that all nodes together may make to a service in any window.
+    """Bound on the retries of all nodes to a service in any time window.
 
     Attributes:
-      share: Retries for each call; None sets no bound.
-      slack: Retries beside.
+      share: Retries allowed for each call; None sets no bound.
+      slack: Retries allowed in addition.
     """
 
     share: float | None = None
@@ -44,10 +46,9 @@
     def divide(self, nodes: int) -> BudgetSize:
         """Returns the size of each node's budget for a service.
 
-        Nothing accrues with time, so that the sum over all nodes stays within
-        the bound while there are no more nodes than the slack has retries.
-        Beyond that each node may still save one, without which none could
-        retry at all.
+        Nothing accrues with time, so the sum over all nodes stays within the
+        bound as long as the number of nodes is at most the slack. With more
+        nodes, each may still hold one retry; otherwise none could retry at all.
 
         >>> FleetBound(0.2, 60.0).divide(12)
         BudgetSize(share=0.2, max_saved=5.0, min_per_s=0.0)
@@ -56,8 +57,8 @@
         """
         if self.share is None:
             return BudgetSize(0.0, math.inf, 0.0)
-        part = self.slack / max(1, nodes)
-        return BudgetSize(self.share, max(1.0, part), 0.0)
+        slack_per_node = self.slack / max(1, nodes)
+        return BudgetSize(self.share, max(1.0, slack_per_node), 0.0)
 
 
 @attrs.frozen
@@ -80,32 +81,32 @@
     updated_at: float = 0.0
 
     def record_call(self, now: float) -> 'RetryBudget':
-        """Returns the budget after one more first attempt."""
+        """Returns the budget after one more call."""
         return self._refill(now, self.size.share)
 
     def spend(self, now: float) -> 'RetryBudget | None':
         """Returns the budget after a retry, or None if it allows none."""
         budget = self._refill(now, 0.0)
-        # The tolerance covers rounding when ten calls add 0.1 each.
+        # The tolerance covers rounding errors when ten calls add 0.1 each.
         if budget.saved < 1.0 - 1e-9:
             return None
         return RetryBudget(self.size, budget.saved - 1.0, now)
 
     def is_full(self, now: float) -> bool:
-        """Tells whether the budget is that of a workspace never seen."""
+        """Returns whether the budget equals a new one and need not be kept."""
         return self._refill(now, 0.0).saved >= self.size.max_saved
 
-    def _refill(self, now: float, earned: float) -> 'RetryBudget':
+    def _refill(self, now: float, added: float) -> 'RetryBudget':
         elapsed_s = max(0.0, now - self.updated_at)
-        saved = self.saved + earned + elapsed_s * self.size.min_per_s
+        saved = self.saved + added + elapsed_s * self.size.min_per_s
         return RetryBudget(self.size, min(saved, self.size.max_saved), now)
 
 
 class RetryBudgets:
     """The budgets of all workspaces, or of all services, at a node.
 
-    Each workspace has its own, so that one whose calls are all refused does
-    not use up the retries of others.
+    Each workspace has its own budget, so that a workspace whose calls are all
+    refused does not use up the retries of others.
 
     >>> budgets = RetryBudgets()
     >>> sum(budgets.spend('greedy', now=100.0) for _ in range(100))
@@ -131,23 +132,23 @@
         }
 
     def record_call(self, name: str, now: float) -> None:
-        """Counts a first attempt for a workspace or service."""
-        budget = self._find(name, now).record_call(now)
+        """Counts a call of a workspace or to a service."""
+        budget = self._get(name, now).record_call(now)
         self._budgets[name] = budget
         if len(self._budgets) > _MAX_BUDGETS:
             self._budgets = {
-                name: kept
-                for name, kept in self._budgets.items()
-                if not kept.is_full(now)
+                name: budget
+                for name, budget in self._budgets.items()
+                if not budget.is_full(now)
             }
 
     def spend(self, name: str, now: float) -> bool:
-        """Counts a retry and returns whether the budget allows it."""
-        budget = self._find(name, now).spend(now)
+        """Spends a retry if the budget allows one; returns whether it did."""
+        budget = self._get(name, now).spend(now)
         if budget is not None:
             self._budgets[name] = budget
         return budget is not None
 
-    def _find(self, name: str, now: float) -> RetryBudget:
+    def _get(self, name: str, now: float) -> RetryBudget:
         found = self._budgets.get(name)
         return found or RetryBudget(self._size, updated_at=now)
--- a/jayseam/calls/tests/test_messages.py
+++ b/jayseam/calls/tests/test_messages.py
@@ -20,14 +20,14 @@
     ],
 )
 def test_malformed_header_fields_are_refused(headers):
-    """A peer's malformed fields must not reach handlers or the backend."""
+    """A peer's malformed fields must not reach handlers or backend servers."""
     with pytest.raises(TypeError, match='headers'):
         messages.Answered(200, headers, b'', 0.0, 0.0, 0.0, 0.0)
 
 
 @pytest.mark.parametrize('headers', [[], [['a', 'b']], (('a', 'b'),)])
 def test_pairs_of_strings_are_taken(headers):
-    """Both codecs and the call path itself must be able to build messages."""
+    """Codecs build messages with lists, the call path also with tuples."""
     assert (
         messages.Answered(200, headers, b'', 0.0, 0.0, 0.0, 0.0).headers
         == headers
--- a/jayseam/calls/tests/test_retries.py
+++ b/jayseam/calls/tests/test_retries.py
@@ -1,4 +1,4 @@
-"""Tests of retry budgets: the sum over a fleet stays within its bound."""
+"""Tests that the retries of a fleet stay within their bound."""
 
 import random
 
@@ -10,12 +10,12 @@
 _WINDOW_S = 10.0
 
 
-# Nodes and slack of the deployments that the operators have named.
+# Number of nodes and slack of the operators' deployments.
 @pytest.mark.parametrize(
     'nodes, slack', [(12, 56.0), (16, 56.0), (66, 170.0), (72, 186.0)]
 )
 def test_a_fleet_keeps_the_bound_of_a_service(nodes, slack):
-    """Most servers of a service shed for ten seconds, after calm ones."""
+    """After a calm phase, most servers of a service shed for ten seconds."""
     generator = random.Random(nodes)
     size = retries.FleetBound(_SHARE, slack).divide(nodes)
     workspaces = [f'w{number}' for number in range(79)]
@@ -23,7 +23,7 @@
         (retries.RetryBudgets(), retries.RetryBudgets(size))
         for _ in range(nodes)
     ]
-    calls, spent = [], []
+    calls, retried = [], []
     for number in range(14_000):
         now = number / 700.0
         by_workspace, by_service = generator.choice(fleet)
@@ -33,13 +33,13 @@
         by_service.record_call('s', now)
         if now > _WINDOW_S and generator.random() < 0.7:
             if by_workspace.spend(workspace, now):
-                spent += [now] * by_service.spend('s', now)
-    within = sum(now > _WINDOW_S for now in calls)
-    assert slack / 2 < len(spent) <= _SHARE * within + slack
+                retried += [now] * by_service.spend('s', now)
+    calls_within = sum(now > _WINDOW_S for now in calls)
+    assert slack / 2 < len(retried) <= _SHARE * calls_within + slack
 
 
 def test_a_smaller_part_of_the_slack_takes_effect_at_once():
-    """VMs that join make the part of each node smaller."""
+    """When VMs join, the share of each node becomes smaller."""
     bound = retries.FleetBound(0.0, 12.0)
     budgets = retries.RetryBudgets(bound.divide(2))
     assert budgets.spend('s', 1.0)
--- a/jayseam/calls/tests/test_tokens.py
+++ b/jayseam/calls/tests/test_tokens.py
@@ -17,7 +17,7 @@
 
 
 def test_altered_token_is_refused():
-    """A backend server must not widen its token to another workspace."""
+    """A backend server must not change the content of its token."""
     text = tokens.mint_token(KEYS[0], TOKEN)
     for position in range(0, len(text), 7):
         changed = 'A' if text[position] != 'A' else 'B'
@@ -34,7 +34,7 @@
     ],
 )
 def test_deep_and_expired_tokens_are_refused(token, wall_ms):
-    """Calls must not nest without end, nor outlive the outermost call."""
+    """Calls must not nest without limit, nor outlive the outermost call."""
     text = tokens.mint_token(KEYS[0], token)
     with pytest.raises(errors.KeyRefusedError):
         tokens.verify_token(KEYS, text, wall_ms)
--- a/jayseam/calls/tokens.py
+++ b/jayseam/calls/tokens.py
@@ -1,8 +1,9 @@
-"""Call tokens: what a backend server shows when it makes a nested call.
+"""Call tokens, which backend servers send with nested calls.
 
 A token is bound to the workspace, the key's identifier, the request, the depth
 and the end of the outermost call, and signed with a key derived from the fleet
-secret. A backend server can neither widen it nor use it past its depth.
+secret. A backend server can neither extend the rights of a token nor use it for
+calls at another depth.
 """
 
 import base64
@@ -19,7 +20,7 @@
 MAX_DEPTH = 10
 _MAC_BYTES = 32
 _MAX_TOKEN_CHARS = 1024
-# Wall clocks of VMs may differ by this much.
+# Allowed difference between the wall clocks of VMs.
 CLOCK_ALLOWANCE_MS = 5000
 
 
@@ -29,7 +30,7 @@
 
     Attributes:
       workspace: Workspace for which nested calls run.
-      key_id: Key whose withdrawal ends the token.
+      key_id: Key whose withdrawal invalidates the token.
       request_id: Request of the outermost call.
       depth: Depth of the calls made with this token, 1 to `MAX_DEPTH`.
       expires_wall_ms: End of the outermost call, milliseconds since the epoch.
@@ -43,12 +44,12 @@
 
 
 def derive_token_key(fleet_secret: str) -> bytes:
-    """Returns the signing key for tokens that belongs to a fleet secret."""
+    """Returns the signing key of call tokens for a fleet secret."""
     return hmac.digest(fleet_secret.encode(), b'jayseam call token', 'sha256')
 
 
 def mint_token(token_key: bytes, token: CallToken) -> str:
-    """Returns the signed text form of ``token``.
+    """Returns the signed, encoded form of ``token``.
 
     >>> key = derive_token_key('0123456789abcdef')
     >>> token = CallToken('w1', 'k1', 'r1', 1, 1000)
@@ -71,7 +72,7 @@
 def verify_token(
     token_keys: Sequence[bytes], text: str, wall_ms: int
 ) -> CallToken:
-    """Returns the content of a signed token.
+    """Verifies an encoded token and returns its content.
 
     Raises:
       KeyRefusedError: If the signature, the depth or the expiry is wrong.
@@ -83,7 +84,7 @@
     except (binascii.Error, ValueError) as error:
         raise errors.KeyRefusedError('call token is malformed') from error
     mac, body = raw[:_MAC_BYTES], raw[_MAC_BYTES:]
-    # Compares with every key, so the time doesn't tell which one matched.
+    # Compares with every key, so that the time doesn't tell which one matched.
     matches = [
         hmac.compare_digest(mac, hmac.digest(key, body, hashlib.sha256))
         for key in token_keys
