Reword the core modules and name the log filter a rate limit

Some texts left the actor or the effect unsaid, and the filter that limits log lines didn't show that it is a token bucket. It is RateLimitFilter now, and predicates return rather than tell. Behaviour is unchanged.

--- a/jayseam/core/__init__.py
+++ b/jayseam/core/__init__.py
@@ -1,4 +1,4 @@
-"""Foundations that every other subpackage uses.
+"""Modules that all other subpackages use.
 
 See Also:
   ``docs/design.md``, section 3.1.
--- a/jayseam/core/clocks.py
+++ b/jayseam/core/clocks.py
@@ -1,7 +1,7 @@
 """Reads of the two clocks that jayseam uses.
 
-Only this module reads clocks. Functions that decide take ``now`` as an
-argument, so tests pass any time they need.
+Only this module reads clocks. Functions whose result depends on the time take
+``now`` as an argument, so that tests can pass any time.
 
 References:
   clock_gettime(2), on CLOCK_BOOTTIME.
@@ -14,7 +14,7 @@
     """Returns the seconds since boot, including time spent suspended.
 
     CLOCK_BOOTTIME advances while a VM is suspended; CLOCK_MONOTONIC does not,
-    so a lease measured with it would outlive a suspend.
+    so a lease measured with CLOCK_MONOTONIC would outlive a suspension.
 
     >>> read_now() <= read_now()
     True
@@ -25,7 +25,7 @@
 def read_wall_ms() -> int:
     """Returns the wall clock in milliseconds since the Unix epoch.
 
-    Use it for incarnation numbers and timestamps that callers see, never for
-    leases, deadlines or rates.
+    Use the wall clock for incarnation numbers and timestamps that callers see,
+    never for leases, deadlines or rates.
     """
     return time.time_ns() // 1_000_000
--- a/jayseam/core/identifiers.py
+++ b/jayseam/core/identifiers.py
@@ -19,7 +19,7 @@
 
 
 def make_uuid7(wall_ms: int, generator: random.Random) -> str:
-    """Returns a UUIDv7, the form of idempotency keys, for a wall-clock time.
+    """Returns a UUIDv7 with a creation time; idempotency keys are UUIDv7.
 
     >>> make_uuid7(0x017f22e279b0, random.Random(1))[:15]
     '017f22e2-79b0-7'
--- a/jayseam/core/logs.py
+++ b/jayseam/core/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs: one JSON object a line."""
+"""Structured logs with one JSON object per line."""
 
 import logging
 import os
@@ -11,7 +11,7 @@
 from jayseam.core import clocks
 
 _ROOT = 'jayseam'
-# A call takes about three lines; a node serves some 54 calls a second.
+# A call writes about three lines, and a node serves about 54 calls per second.
 LINES_PER_S = 400.0
 BURST_LINES = 800.0
 
@@ -21,8 +21,8 @@
 
     Args:
       level: A level name of the standard library, such as ``INFO``.
-      stream: Where to write, a text file or `NonBlockingStream`; standard
-        error by default.
+      stream: Text file or `NonBlockingStream` to write to; standard error by
+        default.
       **context: Fields added to every line, for example ``vm`` and ``zone``.
     """
     handler = logging.StreamHandler(stream or sys.stderr)
@@ -38,22 +38,22 @@
             static_fields=context,
         )
     )
-    handler.addFilter(BoundedFilter())
+    handler.addFilter(RateLimitFilter())
     root = logging.getLogger(_ROOT)
     root.handlers[:] = [handler]
     root.setLevel(level)
     root.propagate = False
 
 
-class BoundedFilter(logging.Filter):
-    """Bounds the lines per second, so that load can't fill the output.
+class RateLimitFilter(logging.Filter):
+    """Limits the lines per second, so that load can't flood the output.
 
-    Warnings and errors always pass. The number of lines that were dropped
-    stands in the next line that passes.
+    The filter is a token bucket. Warnings and errors always pass. The next line
+    that passes reports the number of lines that were dropped before it.
 
-    >>> bounded = BoundedFilter(1.0, burst=1.0, read_now=lambda: 5.0)
+    >>> limiter = RateLimitFilter(1.0, burst=1.0, read_now=lambda: 5.0)
     >>> record = logging.makeLogRecord({'levelno': logging.INFO})
-    >>> bounded.filter(record), bounded.filter(record), bounded.dropped
+    >>> limiter.filter(record), limiter.filter(record), limiter.dropped
     (True, False, 1)
     """
 
@@ -67,30 +67,31 @@
         self._lines_per_s = lines_per_s
         self._burst = burst
         self._read_now = read_now
-        self._level = burst
-        self._updated = read_now()
+        self._tokens = burst
+        self._updated_at = read_now()
         self.dropped = 0
 
     def filter(self, record: logging.LogRecord) -> bool:
-        """Tells whether a line may be written."""
+        """Returns whether a line may be written."""
         now = self._read_now()
-        elapsed_s = max(0.0, now - self._updated)
-        self._updated = now
-        accrued = self._level + elapsed_s * self._lines_per_s
-        self._level = min(self._burst, accrued)
-        if record.levelno < logging.WARNING and self._level < 1.0:
+        elapsed_s = max(0.0, now - self._updated_at)
+        self._updated_at = now
+        tokens = self._tokens + elapsed_s * self._lines_per_s
+        self._tokens = min(self._burst, tokens)
+        if record.levelno < logging.WARNING and self._tokens < 1.0:
             self.dropped += 1
             return False
-        self._level = max(0.0, self._level - 1.0)
+        self._tokens = max(0.0, self._tokens - 1.0)
         if self.dropped:
             record.dropped_lines, self.dropped = self.dropped, 0
         return True
 
 
 class NonBlockingStream:
-    """Writes to a file descriptor that never blocks the process.
+    """Writes to a non-blocking file descriptor.
 
-    What a slow reader leaves no room for is dropped in whole lines.
+    Drops whole lines while the reader is too slow, instead of blocking the
+    process.
 
     Args:
       file: An open file; its descriptor becomes non-blocking.
@@ -99,37 +100,37 @@
     def __init__(self, file: TextIO):
         self._descriptor = file.fileno()
         os.set_blocking(self._descriptor, False)
-        self._rest = b''
+        self._unwritten = b''
         self.dropped = 0
 
     def write(self, text: str) -> None:
         """Writes a line, or drops it if there is no room."""
-        if self._rest and not self._write(b''):
+        if self._unwritten and not self._write(b''):
             self.dropped += 1
             return
         self._write(text.encode())
 
     def flush(self) -> None:
-        """Does nothing: nothing is kept but the end of a line begun."""
+        """Does nothing: only the rest of a partly written line is buffered."""
 
     def _write(self, data: bytes) -> bool:
-        """Tells whether all was written; keeps the end of a line begun."""
-        data = self._rest + data
+        """Returns whether all was written; buffers the rest of a cut line."""
+        data = self._unwritten + data
         try:
             written = os.write(self._descriptor, data)
         except BlockingIOError:
             written = 0
-        if not written and not self._rest:
+        if not written and not self._unwritten:
             self.dropped += 1
             return False
-        self._rest = data[written:]
-        return not self._rest
+        self._unwritten = data[written:]
+        return not self._unwritten
 
 
 def get_logger(name: str) -> logging.Logger:
     """Returns the logger of a module of jayseam.
 
-    The message of each record is a stable event name; details go into
+    The message of each log record is a stable event name; details are passed in
     ``extra``.
     """
     return logging.getLogger(name if name.startswith(_ROOT) else _ROOT)
--- a/jayseam/core/registries.py
+++ b/jayseam/core/registries.py
@@ -1,4 +1,4 @@
-"""Registries of named variants, filled by decorators."""
+"""Registries of named variants, which decorators register."""
 
 from collections.abc import Callable, Sequence
 from typing import Generic, TypeVar
--- a/jayseam/core/rendezvous.py
+++ b/jayseam/core/rendezvous.py
@@ -21,7 +21,7 @@
     True
     """
 
-    def weigh(name: str) -> tuple[int, str]:
+    def compute_weight(name: str) -> tuple[int, str]:
         return xxhash.xxh64_intdigest(f'{key}\0{name}'.encode()), name
 
-    return sorted(candidates, key=weigh, reverse=True)
+    return sorted(candidates, key=compute_weight, reverse=True)
--- a/jayseam/core/sockets.py
+++ b/jayseam/core/sockets.py
@@ -1,4 +1,4 @@
-"""Options of the TCP sockets of jayseam."""
+"""Options of TCP sockets."""
 
 import ctypes
 import socket
@@ -6,8 +6,8 @@
 
 # Not in the ``socket`` module; from the Linux header asm-generic/socket.h.
 _SO_ATTACH_FILTER = 26
-# The filter program "return 0": accept no byte of any packet.
-_DROP_ALL = struct.pack('HBBI', 0x06, 0, 0, 0)
+# The BPF program "return 0", which drops every packet.
+_DROP_ALL_PROGRAM = struct.pack('HBBI', 0x06, 0, 0, 0)
 
 
 def set_nodelay(sock: socket.socket) -> None:
@@ -22,15 +22,15 @@
 def refuse_connections(listener: socket.socket) -> None:
     """Makes the kernel drop all packets that reach a listening socket.
 
-    Connections in the backlog stay, so that a server can take all of them
-    before it closes the socket. A connection that arrives between the last
-    ``accept`` and ``close`` would be reset after its request was sent. With
-    the filter it is never established: the peer sends its SYN again after a
-    second and is then refused.
+    Connections in the backlog remain, so that a server can accept all of them
+    before it closes the socket. Without the filter, a connection that arrives
+    between the last ``accept`` and ``close`` would be reset after its request
+    was sent. With the filter, the connection is never established: the peer
+    sends its SYN again after a second and is then refused.
 
     References:
       ``socket(7)``, SO_ATTACH_FILTER.
     """
-    program = ctypes.create_string_buffer(_DROP_ALL)
+    program = ctypes.create_string_buffer(_DROP_ALL_PROGRAM)
     header = struct.pack('HP', 1, ctypes.addressof(program))
     listener.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, header)
--- a/jayseam/core/statecharts.py
+++ b/jayseam/core/statecharts.py
@@ -44,7 +44,7 @@
         return events[event]
 
     def allows(self, state: str, event: str) -> bool:
-        """Tells whether ``event`` has a transition in ``state``."""
+        """Returns whether ``event`` has a transition in ``state``."""
         return event in self.transitions.get(state, {})
 
 
--- a/jayseam/core/tasks.py
+++ b/jayseam/core/tasks.py
@@ -16,14 +16,14 @@
 
 @attrs.frozen
 class _Request:
-    """A message whose sender waits for the reply."""
+    """A message whose sender waits for a reply."""
 
     message: Any
     reply: event.AsyncResult
 
 
 class _Stop:
-    """Tells the task to leave its loop after the messages before this one."""
+    """Ends the task after it has handled the messages already queued."""
 
 
 class Task:
@@ -55,7 +55,7 @@
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self, timeout_s: float = 5.0) -> None:
-        """Handles the messages already in the mailbox, then ends."""
+        """Stops the task after it has handled the messages in the mailbox."""
         if self._stopped:
             return
         self._stopped = True
@@ -97,7 +97,7 @@
         try:
             result = self._handlers[type(message)](message)
         except Exception as error:  # pylint: disable=broad-exception-caught
-            # A failing handler must not end the task for later messages.
+            # The task must go on with later messages if a handler fails.
             if reply is not None:
                 reply.set_exception(error)
             else:
--- a/jayseam/core/tests/test_core.py
+++ b/jayseam/core/tests/test_core.py
@@ -1,4 +1,4 @@
-"""Tests of the foundations."""
+"""Tests of the core modules."""
 
 import socket
 
@@ -13,7 +13,7 @@
 
 @pytest.mark.parametrize('name', ['node', 'link', 'backend'])
 def test_charts_reach_every_state(name):
-    """A state that no event reaches would be dead text in the chart."""
+    """A state that no event leads to would be a mistake in the chart."""
     chart = statecharts.load_chart(name)
     reached = {chart.initial}
     for _ in chart.transitions:
@@ -22,21 +22,21 @@
 
 
 def test_chart_refuses_unknown_event():
-    """An event that a state does not expect must not be ignored."""
+    """An event that a state does not expect must raise an error."""
     chart = statecharts.load_chart('link')
     with pytest.raises(errors.InvalidTransitionError):
         chart.advance('closed', 'connected')
 
 
 def test_nodelay_is_set():
-    """Without TCP_NODELAY every hop costs about 43 ms."""
+    """Without TCP_NODELAY each hop takes about 43 ms longer."""
     with socket.socket() as sock:
         sockets.set_nodelay(sock)
         assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) != 0
 
 
 def test_rank_moves_few_keys_when_a_candidate_leaves():
-    """A removed candidate must only move the keys that it held."""
+    """Removing a candidate must only move the keys assigned to it."""
     names = [f'vm-{i}' for i in range(10)]
     for key in map(str, range(200)):
         before = rendezvous.rank(key, names)[0]
--- a/jayseam/core/tickers.py
+++ b/jayseam/core/tickers.py
@@ -1,6 +1,6 @@
 """Periodic wake-ups that coincide within a process.
 
-At rest a node spends most of its processor time on waking up. Loops that sleep
+An idle node spends most of its processor time on wake-ups. Loops that sleep
 until common instants share one wake-up of the event loop.
 """
 
@@ -10,15 +10,16 @@
 
 from jayseam.core import clocks
 
-# Processes wake at different instants, so that VMs of one host don't compete.
+# Keeps processes on one host from waking up at the same instant and competing
+# for its processors.
 _OFFSET_S = random.random()
 
 
 def compute_wait(period_s: float, now: float) -> float:
     """Returns the seconds until the next multiple of ``period_s``.
 
-    The multiples are those of the clock ``now`` comes from, so loops whose
-    periods divide each other meet at the longer period.
+    The multiples are counted from the clock's origin, so loops whose periods
+    divide each other coincide at every multiple of the longer period.
 
     >>> compute_wait(0.5, now=10.25)
     0.25
