Describe the settings of a node in usual terms

Settings were explained by words such as silence, lapse and what operators name. The docs now speak of outages, expiry, shares and ramps, with units. Names of settings, defaults and the schema are unchanged.

--- a/jayseam/settings/__init__.py
+++ b/jayseam/settings/__init__.py
@@ -1,4 +1,4 @@
-"""Settings of a node: JSON files, checked as a whole before anything starts."""
+"""Settings of a node, read from JSON files and validated before it starts."""
 
 from jayseam.settings import errors
 from jayseam.settings import loading
--- a/jayseam/settings/errors.py
+++ b/jayseam/settings/errors.py
@@ -1,4 +1,4 @@
-"""Errors of the settings."""
+"""Errors in settings files."""
 
 from collections.abc import Sequence
 
@@ -6,7 +6,7 @@
 
 
 class SettingsError(errors.JayseamError):
-    """A settings file can't be used.
+    """A settings file can't be read or is not valid.
 
     Attributes:
       problems: One line for each problem found, in the order of the file.
--- a/jayseam/settings/loading.py
+++ b/jayseam/settings/loading.py
@@ -1,4 +1,4 @@
-"""Reads settings files and lists everything that is wrong with them."""
+"""Reads and validates settings files, and reports all problems at once."""
 
 import functools
 import json
@@ -14,7 +14,7 @@
 from jayseam.settings import model
 from jayseam.settings import schema
 
-_HIDDEN = 'fleet_secrets'
+_SECRET_FIELD = 'fleet_secrets'
 _CONVERTER = cattrs.Converter()
 _VALIDATOR = jsonschema_rs.Draft202012Validator(
     schema.NODE_SCHEMA, validate_formats=True
@@ -22,11 +22,11 @@
 
 
 def load_node_settings(path: str) -> model.NodeSettings:
-    """Reads and checks the settings file of a node.
+    """Reads and validates the settings file of a node.
 
     Raises:
-      SettingsError: With one line for each problem: JSON path, value, and what
-        is allowed.
+      SettingsError: If the file can't be read or is not valid; has one line for
+        each problem with JSON path, value and allowed values.
     """
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
@@ -37,7 +37,7 @@
 
 
 def parse_node_settings(document: Any) -> model.NodeSettings:
-    """Checks a settings document and returns its typed form.
+    """Validates a settings document and returns its typed form.
 
     >>> try:
     ...     parse_node_settings({'vm': 7})
@@ -46,26 +46,28 @@
     $.vm: 7: allowed: type "string"
 
     Raises:
-      SettingsError: If any part of the document is not allowed.
+      SettingsError: If any part of the document is not valid.
     """
-    found = sorted(
+    validation_errors = sorted(
         _VALIDATOR.iter_errors(document),
         key=lambda error: [str(step) for step in error.instance_path],
     )
-    if found:
-        raise errors.SettingsError([_describe_problem(e) for e in found])
+    if validation_errors:
+        raise errors.SettingsError(
+            [_describe_problem(e) for e in validation_errors]
+        )
     return _CONVERTER.structure(document, model.NodeSettings)
 
 
 def _describe_problem(error: jsonschema_rs.ValidationError) -> str:
-    """Returns one line: JSON path, value, allowed values."""
+    """Returns one line with JSON path, value and allowed values."""
     steps = error.instance_path
     path = jsonpaths.format_path(steps)
-    shown = '(hidden)' if _HIDDEN in steps else json.dumps(error.instance)
+    shown = '(hidden)' if _SECRET_FIELD in steps else json.dumps(error.instance)
     if len(shown) > 80:
         shown = shown[:77] + '...'
     keyword = error.kind.name
-    # The schema itself says what its last step allows.
+    # The schema at the path of the error holds the allowed values.
     allowed = json.dumps(
         functools.reduce(
             operator.getitem, error.schema_path, schema.NODE_SCHEMA
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -17,9 +17,9 @@
 
 @attrs.frozen
 class LinkAddress(Address):
-    """Where links are accepted, and where other nodes reach them.
+    """Address on which links are accepted, and at which other nodes reach it.
 
-    The advertised address differs from the bound one behind a port forwarding.
+    Behind port forwarding, the advertised address differs from the bound one.
     """
 
     advertise_host: str = ''
@@ -35,7 +35,7 @@
 
 @attrs.frozen
 class Seed:
-    """A node to ask first after a start."""
+    """A node that a starting node contacts first."""
 
     vm: str
     zone: str
@@ -45,18 +45,19 @@
 
 @attrs.frozen
 class SourceSettings:
-    """How to reach the configuration service.
+    """How to read from the configuration service, the source.
 
     Attributes:
       urls: Base URLs of its replicas.
-      watch_wait_s: Wait of one watch, in seconds.
-      readers_per_zone: Nodes of a zone that read it; the others hear of
-        changes from them.
-      join_wait_s: Longest first wait of a fresh node that no peer could
-        serve, before it reads, in seconds.
-      lapse_s: Silence of the source after which entries of the VM list may
-        have lapsed, in seconds; None if they never do.
-      return_grace_s: Seconds that lapsed entries get to come back.
+      watch_wait_s: Timeout of one watch request (long poll), in seconds.
+      readers_per_zone: Number of nodes in a zone that read from the source; the
+        others receive changes from these nodes.
+      join_wait_s: Longest time that a new node first waits before it reads from
+        the source, if no peer could send it the configuration, in seconds.
+      lapse_s: Duration of an outage of the source after which entries of the VM
+        list may have expired, in seconds; None if they never expire.
+      return_grace_s: Time after an outage in which expired entries may
+        reappear, in seconds.
     """
 
     urls: tuple[str, ...]
@@ -69,12 +70,12 @@
 
 @attrs.frozen
 class LimitSettings:
-    """The strategy of fleet-wide rate limits.
+    """How the rate limits of workspaces are enforced fleet-wide.
 
     Attributes:
       strategy: Name of the strategy.
-      tolerance: Part of a rate by which an excess is tolerated; only the
-        strategy ``replicated`` uses it.
+      tolerance: Share of a rate by which calls may exceed it; only the strategy
+        ``replicated`` uses it.
     """
 
     strategy: str = 'escrow'
@@ -83,13 +84,13 @@
 
 @attrs.frozen
 class SelectionSettings:
-    """How an upstream is chosen.
+    """How an upstream is chosen for an attempt.
 
     Attributes:
       strategy: Name of the strategy.
-      spill_load: Load of the own zone from which calls go to others.
-      spill_gain: Load by which a backend server elsewhere must then be under
-        that of the own zone; None if it need not.
+      spill_load: Load of the own zone from which calls go to other zones too.
+      spill_gain: Amount by which the load of a backend server in another zone
+        must then be below the load in the own zone; None for no minimum.
     """
 
     strategy: str = 'two_choices'
@@ -102,10 +103,11 @@
     """How the ingress admits calls to its backend server.
 
     Attributes:
-      fair: Whether it queues by rank and fairly over workspaces.
-      ramp: Whether it ramps after a start.
-      cold_excess: Part by which the rate of a cold backend server is exceeded,
-        where the operators tolerate more than they name.
+      fair: Whether the queue orders calls by rank and fairly over workspaces.
+      ramp: Whether the concurrency limit ramps up after a start of the backend
+        server.
+      cold_excess: Share by which calls may exceed the rate of a cold backend
+        server, where the operators tolerate more than the rate they state.
     """
 
     fair: bool = True
@@ -115,7 +117,7 @@
 
 @attrs.frozen
 class KeySettings:
-    """How long keys are trusted without news from the platform, in seconds."""
+    """How long keys are trusted without a confirmation, in seconds."""
 
     max_unconfirmed_s: float = 3600.0
 
@@ -125,9 +127,9 @@
     """Times of a graceful shutdown, in seconds.
 
     Attributes:
-      deadline_s: Bound on all of it.
-      notice_s: How long new calls are still served, until callers have heard
-        that the node is not ready any more.
+      deadline_s: Longest time that the whole shutdown may take.
+      notice_s: How long new calls are still served, until callers have learned
+        that the node is no longer ready.
     """
 
     deadline_s: float = 30.0
@@ -138,7 +140,8 @@
 class BackendHealthSettings:
     """Whether the health endpoint of the backend server is polled.
 
-    Without polls its state follows from calls and from the VM list.
+    Without polls, the state of the backend server is derived from calls and the
+    VM list.
     """
 
     polls: bool = True
@@ -150,10 +153,11 @@
 
     Attributes:
       share: Retries that each call adds to its workspace's budget at a node.
-      max_saved: Most retries that such a budget saves.
+      max_saved: Most retries that such a budget can hold.
       fleet_share: Retries that all nodes together may make for each call to a
         service; None sets no bound.
-      fleet_slack: Retries that they may make beside, in any window.
+      fleet_slack: Retries that all nodes together may make to a service in
+        addition, in any time window.
     """
 
     share: float = 0.1
@@ -164,7 +168,7 @@
 
 @attrs.frozen
 class IdempotencySettings:
-    """How long an idempotency key is remembered, in seconds."""
+    """How long the record of an idempotency key is kept, in seconds."""
 
     window_s: float = 600.0
 
@@ -174,8 +178,9 @@
     """All settings of one node process.
 
     Attributes:
-      service: Service of the own backend server, if it is told to others.
-      ready: Where the platform asks whether the node is ready, if it does.
+      service: Service of the own backend server, which other backend servers
+        receive as the calling service; empty if they don't.
+      ready: Address of the readiness endpoint for the platform, if any.
     """
 
     vm: str
--- a/jayseam/settings/schema.py
+++ b/jayseam/settings/schema.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 
-def _object(
+def _build_object(
     properties: dict[str, Any], required: tuple[str, ...] = ()
 ) -> dict[str, Any]:
     return {
@@ -26,23 +26,23 @@
 _PORT = {'type': 'integer', 'minimum': 1, 'maximum': 65535}
 _ADDRESS = {'host': _HOST, 'port': _PORT}
 _POSITIVE_S = {'type': 'number', 'exclusiveMinimum': 0, 'maximum': 86400}
-_SECRET_LENGTH = 16
+_MIN_SECRET_LENGTH = 16
 
-NODE_SCHEMA = _object(
+NODE_SCHEMA = _build_object(
     {
         'vm': _NAME,
         'incarnation': {'type': 'integer', 'minimum': 1},
         'region': _NAME,
         'zone': _NAME,
         'upstream': _NAME,
-        'caller': _object(_ADDRESS, ('host', 'port')),
-        'link': _object(
+        'caller': _build_object(_ADDRESS, ('host', 'port')),
+        'link': _build_object(
             {**_ADDRESS, 'advertise_host': _HOST, 'advertise_port': _PORT},
             ('host', 'port'),
         ),
-        'admin': _object(_ADDRESS, ('host', 'port')),
-        'backend': _object(_ADDRESS, ('host', 'port')),
-        'source': _object(
+        'admin': _build_object(_ADDRESS, ('host', 'port')),
+        'backend': _build_object(_ADDRESS, ('host', 'port')),
+        'source': _build_object(
             {
                 'urls': {
                     'type': 'array',
@@ -71,7 +71,7 @@
         ),
         'seeds': {
             'type': 'array',
-            'items': _object(
+            'items': _build_object(
                 {'vm': _NAME, 'zone': _NAME, **_ADDRESS},
                 ('vm', 'zone', 'host', 'port'),
             ),
@@ -80,9 +80,9 @@
             'type': 'array',
             'minItems': 1,
             'maxItems': 2,
-            'items': {'type': 'string', 'minLength': _SECRET_LENGTH},
+            'items': {'type': 'string', 'minLength': _MIN_SECRET_LENGTH},
         },
-        'limits': _object(
+        'limits': _build_object(
             {
                 'strategy': {
                     'enum': ['escrow', 'owner', 'replicated', 'static']
@@ -90,7 +90,7 @@
                 'tolerance': {'type': 'number', 'minimum': 0, 'maximum': 1},
             }
         ),
-        'selection': _object(
+        'selection': _build_object(
             {
                 'strategy': {'enum': ['two_choices', 'round_robin']},
                 'spill_load': {'type': 'number', 'minimum': 0, 'maximum': 10},
@@ -101,22 +101,22 @@
                 },
             }
         ),
-        'admission': _object(
+        'admission': _build_object(
             {
                 'fair': {'type': 'boolean'},
                 'ramp': {'type': 'boolean'},
                 'cold_excess': {'type': 'number', 'minimum': 0, 'maximum': 1},
             }
         ),
-        'keys': _object({'max_unconfirmed_s': _POSITIVE_S}),
-        'stop': _object(
+        'keys': _build_object({'max_unconfirmed_s': _POSITIVE_S}),
+        'stop': _build_object(
             {
                 'deadline_s': _POSITIVE_S,
                 'notice_s': {'type': 'number', 'minimum': 0, 'maximum': 60},
             }
         ),
-        'backend_health': _object({'polls': {'type': 'boolean'}}),
-        'retries': _object(
+        'backend_health': _build_object({'polls': {'type': 'boolean'}}),
+        'retries': _build_object(
             {
                 'share': {'type': 'number', 'minimum': 0, 'maximum': 1},
                 'max_saved': {'type': 'number', 'minimum': 0, 'maximum': 1000},
@@ -129,8 +129,8 @@
             }
         ),
         'service': {'type': 'string', 'maxLength': 64},
-        'ready': _object(_ADDRESS, ('host', 'port')),
-        'idempotency': _object({'window_s': _POSITIVE_S}),
+        'ready': _build_object(_ADDRESS, ('host', 'port')),
+        'idempotency': _build_object({'window_s': _POSITIVE_S}),
         'codec': {'enum': ['cbor', 'cbor-zstd', 'json']},
         'log_level': {'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR']},
     },
--- a/jayseam/settings/tests/test_loading.py
+++ b/jayseam/settings/tests/test_loading.py
@@ -1,4 +1,4 @@
-"""Tests of the settings check."""
+"""Tests of reading and validating settings."""
 
 import json
 
@@ -31,7 +31,7 @@
 
 
 def test_every_problem_is_listed_with_path_and_value():
-    """Reporting only the first problem costs an operator a run for each."""
+    """With only the first problem reported, each would cost another run."""
     wrong = {**VALID, 'codec': 'xml', 'stop': {'deadline_s': -1}, 'extra': 1}
     wrong['caller'] = {'host': 'example.org', 'port': 0}
     with pytest.raises(errors.SettingsError) as caught:
@@ -45,7 +45,7 @@
 
 
 def test_secrets_are_not_shown():
-    """A settings problem is logged, so it must not print a secret."""
+    """Settings problems are logged, so they must not contain secrets."""
     wrong = {**VALID, 'fleet_secrets': ['short-secret']}
     with pytest.raises(errors.SettingsError) as caught:
         loading.parse_node_settings(wrong)
