Describe messages, codecs and frames of links in usual terms

Cause: several comments and error texts were figurative or said only half of the condition, such as 'no plain form' or 'body of N bytes'. Change: comments, docstrings and error texts name the MAC, the frame counter, the correlation ID and the limit that is exceeded; the base of sealer and opener is _FrameMac. One test matches the new text 'not a frozen' as strictly as before.

--- a/jayseam/links/codecs.py
+++ b/jayseam/links/codecs.py
@@ -23,11 +23,13 @@
 from jayseam.links import errors
 
 MAX_DEPTH = 32
-# Shorter messages gain less than the frame's own header.
+# For shorter messages, compression saves less than the size of its own frame
+# header.
 MIN_COMPRESSED_BYTES = 256
-# The fastest level of zstd that still has entropy coding.
+# The fastest level of zstd that still uses entropy coding.
 COMPRESSION_LEVEL = 1
-# Content of the largest frame that a link accepts, and its framing.
+# Limit of the decompressed size: the content and framing of the largest frame
+# that a link accepts.
 MAX_CONTENT_BYTES = 2 * 1024 * 1024
 _ZSTD_MAGIC = b'\x28\xb5\x2f\xfd'
 _BYTES_KEY = '$bytes'
@@ -72,10 +74,10 @@
 
 
 class CompressedCodec:
-    """CBOR, with zstd where it makes a message smaller.
+    """CBOR, compressed with zstd if that makes the message smaller.
 
-    A compressed message begins with the magic number of zstd, which no CBOR
-    list begins with.
+    A compressed message starts with the magic number of zstd; no CBOR list
+    starts with these bytes.
 
     >>> codec = CompressedCodec(CborCodec())
     >>> len(codec.encode(['a' * 5000])) < 100
@@ -110,16 +112,19 @@
 def _decompress(data: bytes) -> bytes:
     try:
         size = zstandard.frame_content_size(data)
-        # The size in the header decides how much memory is allocated.
+        # zstd allocates as much memory as the header says, so the size is
+        # checked first.
         if not 0 <= size <= MAX_CONTENT_BYTES:
-            raise errors.MessageError(f'content of {size} bytes')
+            raise errors.MessageError(
+                f'invalid decompressed size of {size} bytes'
+            )
         return zstandard.ZstdDecompressor().decompress(data)
     except zstandard.ZstdError as error:
         raise errors.MessageError(f'malformed zstd: {error}') from error
 
 
 class JsonCodec:
-    """JSON with bytes as base64, for debugging with packet captures."""
+    """JSON with bytes in base64, for debugging with packet captures."""
 
     def encode(self, value: Any) -> bytes:
         """Returns the value as compact JSON."""
--- a/jayseam/links/counters.py
+++ b/jayseam/links/counters.py
@@ -1,4 +1,4 @@
-"""Counters of the links of this process, for the metrics endpoint."""
+"""Metrics of the links of this process, for the metrics endpoint."""
 
 import prometheus_client
 
@@ -22,8 +22,8 @@
 def count_bytes(direction: str, message: str, size: int) -> None:
     """Adds ``size`` bytes to the counter of a direction and message class.
 
-    The children are kept in a dict because ``labels`` validates its arguments
-    on every call, which takes longer than the increment.
+    The labelled counters are cached in a dict, because ``labels`` validates its
+    arguments on every call, which takes longer than the increment.
 
     Args:
       direction: ``sent`` or ``received``.
--- a/jayseam/links/errors.py
+++ b/jayseam/links/errors.py
@@ -16,7 +16,7 @@
 
 
 class ReplyLostError(LinkError):
-    """The message may have arrived, but no reply came."""
+    """The message may have been delivered, but no reply was received."""
 
 
 class RemoteError(LinkError):
@@ -35,7 +35,7 @@
 
 
 class ProtocolError(LinkError):
-    """The other node broke the link protocol; the link must close.
+    """The other node violated the link protocol; the link must be closed.
 
     Attributes:
       reason: Short stable name, used as the label of the close counter.
@@ -56,7 +56,7 @@
 
 
 class FrameError(ProtocolError):
-    """A frame is replayed, forged, out of order or too short."""
+    """A frame has a wrong MAC: replayed, forged, out of order or too short."""
 
     reason = 'bad_mac'
 
--- a/jayseam/links/frames.py
+++ b/jayseam/links/frames.py
@@ -1,8 +1,9 @@
-"""Authentication and order of frames within one link.
+"""Authentication and ordering of the frames of one link.
 
-A frame is a 16-byte keyed BLAKE2b over direction, counter and body, followed
-by the body. The counter is not sent: both sides count, so a replayed, lost or
-reordered frame has a wrong MAC.
+A frame consists of a 16-byte MAC and the body. The MAC is a keyed BLAKE2b over
+the direction, a frame counter and the body. The counter is not sent: both sides
+count frames, so the MAC does not match if a frame is replayed, lost or
+reordered.
 
 >>> sealer = Sealer(b'k' * 32, TO_ACCEPTOR)
 >>> opener = Opener(b'k' * 32, TO_ACCEPTOR)
@@ -25,12 +26,12 @@
 TO_DIALLER = b'\1'
 
 
-class _Counted:
-    """The MAC state of one direction."""
+class _FrameMac:
+    """Computes the MACs of one direction with a frame counter."""
 
     def __init__(self, key: bytes, direction: bytes):
-        # Hashing the key block once and copying the state halves the cost of
-        # the MAC of a small frame.
+        # Hashing the key block only once and copying the state halves the
+        # cost of the MAC of a small frame.
         self._keyed = hashlib.blake2b(direction, key=key, digest_size=MAC_BYTES)
         self._count = 0
 
@@ -42,8 +43,8 @@
         return state.digest()
 
 
-class Sealer(_Counted):
-    """Adds MACs to the bodies that one side sends.
+class Sealer(_FrameMac):
+    """Adds MACs to the bodies that this side sends.
 
     Args:
       key: Session key of the link.
@@ -57,12 +58,14 @@
           TooLargeError: If the frame would exceed ``MAX_FRAME_BYTES``.
         """
         if len(body) > MAX_BODY_BYTES:
-            raise errors.TooLargeError(f'body of {len(body)} bytes')
+            raise errors.TooLargeError(
+                f'body of {len(body)} bytes is too large'
+            )
         return self._authenticate(body) + body
 
 
-class Opener(_Counted):
-    """Checks the MACs of the frames that one side receives.
+class Opener(_FrameMac):
+    """Verifies the MACs of the frames that this side receives.
 
     Args:
       key: Session key of the link.
@@ -77,10 +80,12 @@
           TooLargeError: If the frame exceeds ``MAX_FRAME_BYTES``.
         """
         if len(frame) > MAX_FRAME_BYTES:
-            raise errors.TooLargeError(f'frame of {len(frame)} bytes')
+            raise errors.TooLargeError(
+                f'frame of {len(frame)} bytes is too large'
+            )
         view = memoryview(frame)
         body = view[MAC_BYTES:]
         mac = self._authenticate(body)
         if not hmac.compare_digest(mac, view[:MAC_BYTES]):
-            raise errors.FrameError('wrong MAC')
+            raise errors.FrameError('MAC does not match')
         return bytes(body)
--- a/jayseam/links/handlers.py
+++ b/jayseam/links/handlers.py
@@ -1,4 +1,4 @@
-"""Which function handles which message class."""
+"""Registry of the handlers of message classes."""
 
 from collections.abc import Callable
 from typing import Any
@@ -12,7 +12,7 @@
 
     Attributes:
       vm: Name of its VM.
-      incarnation: Start of its process, in wall milliseconds.
+      incarnation: Start time of its process, in wall-clock milliseconds.
     """
 
     vm: str
--- a/jayseam/links/handshakes.py
+++ b/jayseam/links/handshakes.py
@@ -1,9 +1,10 @@
 """Mutual authentication of two nodes that share a fleet secret.
 
-The dialler sends a hello, the acceptor answers with its own hello, the dialler
-sends one proof for each of its secrets, and the acceptor answers with a proof
-under the secret that both hold. The dialler proves itself first, so a stranger
-gets no proof against which it could try weak secrets offline.
+The dialler sends a hello and the acceptor replies with its own hello. The
+dialler then sends one proof, an HMAC, for each of its secrets, and the acceptor
+replies with a proof under the secret that both have. The dialler proves its
+identity first, so an unauthenticated peer gets no proof that it could use for
+an offline dictionary attack on weak secrets.
 
 Each proof covers the role, both VM names, incarnations and nonces and the
 codec, so a proof can be neither replayed nor reflected.
@@ -37,7 +38,7 @@
 
     Attributes:
       vm: Name of its VM.
-      incarnation: Start of the process, in wall milliseconds.
+      incarnation: Start time of the process, in wall-clock milliseconds.
     """
 
     vm: str
@@ -81,12 +82,12 @@
     """Returns the hello in ``data``.
 
     Raises:
-      HandshakeError: If the bytes are no hello of this protocol.
+      HandshakeError: If the bytes are not a valid hello of this protocol.
     """
     values = _decode_list(data)
     kinds = [str, str, int, bytes, str]
     if [type(value) for value in values] != kinds or values[0] != _MAGIC:
-        raise errors.HandshakeError('no hello of this protocol')
+        raise errors.HandshakeError('not a hello of this protocol')
     _, vm, incarnation, nonce, codec = values
     if (
         not 0 < len(vm) <= MAX_NAME_LENGTH
@@ -98,20 +99,20 @@
 
 
 def build_transcript(dialler: Hello, acceptor: Hello) -> bytes:
-    """Returns the bytes to which proofs and session key are bound.
+    """Returns the bytes that the proofs and the session key cover.
 
     Raises:
       HandshakeError: If both sides are the same VM or use different codecs.
     """
     if dialler.identity.vm == acceptor.identity.vm:
-        raise errors.HandshakeError('a node does not link to itself')
+        raise errors.HandshakeError('a node cannot link to itself')
     if dialler.codec != acceptor.codec:
         raise errors.HandshakeError('the nodes use different codecs')
     return encode_hello(dialler) + encode_hello(acceptor)
 
 
 def create_proof(secret: str, role: bytes, transcript: bytes) -> bytes:
-    """Returns the proof that the sender in ``role`` holds ``secret``."""
+    """Returns the proof that the sender in ``role`` has ``secret``."""
     message = role + b'\0' + transcript
     return hmac.digest(secret.encode(), message, 'sha256')
 
@@ -125,14 +126,14 @@
     """Returns the proofs in ``data``.
 
     Raises:
-      HandshakeError: If the bytes are no list of one or two proofs.
+      HandshakeError: If the bytes are not a list of one or two proofs.
     """
     values = _decode_list(data)
     if not 1 <= len(values) <= MAX_SECRETS or any(
         value.__class__ is not bytes or len(value) != PROOF_BYTES
         for value in values
     ):
-        raise errors.HandshakeError('no list of proofs')
+        raise errors.HandshakeError('not a list of one or two proofs')
     return values
 
 
@@ -142,7 +143,7 @@
     transcript: bytes,
     proofs: Sequence[bytes],
 ) -> str:
-    """Returns the first own secret under which one of ``proofs`` holds.
+    """Returns the first of ``secrets`` under which one of ``proofs`` is valid.
 
     >>> proof = create_proof('new secret', DIALLER, b'transcript')
     >>> secrets = ['old secret', 'new secret']
@@ -150,7 +151,7 @@
     'new secret'
 
     Raises:
-      HandshakeError: If no proof holds.
+      HandshakeError: If no proof is valid.
     """
     for secret in secrets:
         expected = create_proof(secret, role, transcript)
@@ -160,7 +161,7 @@
 
 
 def derive_session_key(secret: str, transcript: bytes) -> bytes:
-    """Returns the 32-byte key of the link, by HKDF with one output block."""
+    """Derives the 32-byte session key by HKDF with one output block."""
     salt = hashlib.sha256(transcript).digest()
     pseudorandom_key = hmac.digest(salt, secret.encode(), 'sha256')
     return hmac.digest(pseudorandom_key, b'jayseam session\x01', 'sha256')
--- a/jayseam/links/messages.py
+++ b/jayseam/links/messages.py
@@ -1,4 +1,4 @@
-"""Typed messages and their mapping to plain values.
+"""Typed messages and their conversion to plain values.
 
 A message is a frozen attrs class whose fields all have validators. The same
 validators run when a message is built and when it is decoded, so a handler
@@ -25,9 +25,9 @@
 
 T = TypeVar('T')
 
-# A nested message travels as {"$message": [code, fields...]}. Codecs use other
-# keys that start with the same character, so dicts of messages have none.
-_RESERVED = '$'
+# A nested message is encoded as {"$message": [code, fields...]}. Codecs use
+# other keys with the same prefix, so dicts in messages must not have any.
+_RESERVED_PREFIX = '$'
 _NESTED_KEY = '$message'
 _SCALARS = frozenset({type(None), bool, int, float, str, bytes})
 
@@ -36,14 +36,14 @@
 
 
 def register(code: int) -> Callable[[type[T]], type[T]]:
-    """Returns a decorator that gives a message class its type code.
+    """Returns a decorator that registers a message class.
 
     Args:
-      code: Number on the wire, unique among all message classes.
+      code: Type code on the wire, unique among all message classes.
 
     Raises:
       ValueError: If the code is taken.
-      TypeError: If the class is no frozen attrs class or a field lacks a
+      TypeError: If the class is not a frozen attrs class or a field lacks a
         validator.
     """
 
@@ -51,11 +51,11 @@
         if code in _classes:
             raise ValueError(f'message code {code} is already registered')
         if not attrs.has(cls) or cls.__setattr__ is object.__setattr__:
-            raise TypeError(f'{cls.__name__} is no frozen attrs class')
+            raise TypeError(f'{cls.__name__} is not a frozen attrs class')
         fields = tuple(field for field in attrs.fields(cls) if field.init)
         for field in fields:
             if field.validator is None:
-                raise TypeError(f'{cls.__name__}.{field.name}: no validator')
+                raise TypeError(f'{cls.__name__}.{field.name} has no validator')
         _classes[code] = (cls, len(fields))
         _layouts[cls] = (code, tuple(field.name for field in fields))
         return cls
@@ -64,19 +64,19 @@
 
 
 def is_integer(_: Any, attribute: attrs.Attribute, value: Any) -> None:
-    """Validates an int; unlike ``instance_of(int)`` it refuses a bool."""
+    """Validates an int; unlike ``instance_of(int)`` it rejects a bool."""
     if value.__class__ is not int:
         raise TypeError(f'{attribute.name} must be int, got {value!r}')
 
 
 def is_number(_: Any, attribute: attrs.Attribute, value: Any) -> None:
-    """Validates an int or float; a bool is refused."""
+    """Validates an int or float; a bool is rejected."""
     if type(value) not in (int, float):
         raise TypeError(f'{attribute.name} must be a number, got {value!r}')
 
 
 def list_of(*kinds: type) -> Callable[[Any, attrs.Attribute, Any], None]:
-    """Returns a validator of lists whose members are of ``kinds`` exactly."""
+    """Returns a validator of lists with items of exactly these classes."""
     allowed = frozenset(kinds)
 
     def check(_: Any, attribute: attrs.Attribute, value: Any) -> None:
@@ -90,7 +90,7 @@
 
 
 def dict_of(*kinds: type) -> Callable[[Any, attrs.Attribute, Any], None]:
-    """Returns a validator of dicts from str to values of ``kinds`` exactly."""
+    """Returns a validator of dicts from str to exactly these classes."""
     allowed = frozenset(kinds)
 
     def check(_: Any, attribute: attrs.Attribute, value: Any) -> None:
@@ -100,7 +100,9 @@
             or any(not isinstance(key, str) for key in value)
         ):
             names = ', '.join(sorted(kind.__name__ for kind in kinds))
-            raise TypeError(f'{attribute.name} must be a dict to {names}')
+            raise TypeError(
+                f'{attribute.name} must be a dict from str to {names}'
+            )
 
     return check
 
@@ -110,15 +112,17 @@
 
     Args:
       message: An instance of a registered class.
-      correlation: 0 for a notification, n > 0 for a request, -n for the
-        reply to request n.
+      correlation: Correlation ID: 0 for a notification, n > 0 for a request,
+        -n for the reply to request n.
 
     Raises:
-      TypeError: If the message or a field has no plain form.
+      TypeError: If the message or a field cannot be converted to plain values.
     """
     layout = _layouts.get(type(message))
     if layout is None:
-        raise TypeError(f'{type(message).__name__} is no registered message')
+        raise TypeError(
+            f'{type(message).__name__} is not a registered message class'
+        )
     code, names = layout
     body = [code, correlation]
     for name in names:
@@ -128,24 +132,27 @@
 
 
 def decode_body(body: Any) -> tuple[Any, int]:
-    """Returns the message and correlation of a decoded body.
+    """Returns the message and correlation ID of a decoded body.
 
     Raises:
       UnknownTypeError: If the type code is not registered.
       MessageError: If the body is malformed or a field has the wrong type.
     """
     if body.__class__ is not list or len(body) < 2:
-        raise errors.MessageError('body is no list of type and correlation')
+        raise errors.MessageError(
+            'body is not a list of type code, correlation ID and fields'
+        )
     if body[1].__class__ is not int:
-        raise errors.MessageError('correlation is no int')
-    return _build(body[0], body[2:]), body[1]
+        raise errors.MessageError('correlation ID is not an int')
+    return _build_message(body[0], body[2:]), body[1]
 
 
-def _build(code: Any, values: list[Any]) -> Any:
-    # A bool or float equals an int key of the same value, hence the type test.
+def _build_message(code: Any, values: list[Any]) -> Any:
+    # Checks the type, because a bool or float equals an int key of the same
+    # value.
     entry = _classes.get(code) if code.__class__ is int else None
     if entry is None:
-        raise errors.UnknownTypeError(f'unknown message type {code!r}')
+        raise errors.UnknownTypeError(f'unknown message type code {code!r}')
     cls, count = entry
     if len(values) != count:
         raise errors.MessageError(
@@ -160,12 +167,12 @@
     except errors.LinkError:
         raise
     except Exception as error:
-        # Validators raise errors of many classes; each means a wrong field.
+        # Validators raise errors of many classes; each means an invalid field.
         raise errors.MessageError(f'{cls.__name__}: {error}') from error
 
 
 def _is_free_key(key: Any) -> bool:
-    return key.__class__ is str and not key.startswith(_RESERVED)
+    return key.__class__ is str and not key.startswith(_RESERVED_PREFIX)
 
 
 def _to_plain(value: Any) -> Any:
@@ -178,13 +185,15 @@
         return [_to_plain(item) for item in value]
     if kind is dict:
         if not all(map(_is_free_key, value)):
-            raise TypeError('dict keys must be strings that start without $')
+            raise TypeError(
+                'dict keys must be strings that do not start with $'
+            )
         return {key: _to_plain(item) for key, item in value.items()}
     if kind in _layouts:
         body = encode_body(value, 0)
         del body[1]
         return {_NESTED_KEY: body}
-    raise TypeError(f'no plain form for {kind.__name__}')
+    raise TypeError(f'cannot convert {kind.__name__} to plain values')
 
 
 def _from_plain(value: Any) -> Any:
@@ -200,11 +209,11 @@
             nested = value[_NESTED_KEY]
             if len(value) != 1 or nested.__class__ is not list or not nested:
                 raise errors.MessageError('malformed nested message')
-            return _build(nested[0], nested[1:])
+            return _build_message(nested[0], nested[1:])
         if not all(map(_is_free_key, value)):
-            raise errors.MessageError('dict key is no string or is reserved')
+            raise errors.MessageError('dict key is not a string or is reserved')
         return {key: _from_plain(item) for key, item in value.items()}
-    raise errors.MessageError(f'value of type {kind.__name__}')
+    raise errors.MessageError(f'unexpected value of type {kind.__name__}')
 
 
 @register(1)
--- a/jayseam/links/tests/test_formats.py
+++ b/jayseam/links/tests/test_formats.py
@@ -1,4 +1,4 @@
-"""Tests of the pure parts: codecs, messages, handshakes and frames."""
+"""Tests of the parts without I/O: codecs, messages, handshakes, frames."""
 
 import contextlib
 
@@ -53,7 +53,7 @@
     table=strategies.dictionaries(_keys, _plain),
 )
 def test_messages_survive_every_codec(codec, texts, table):
-    """A message must not change between two nodes."""
+    """Encoding and decoding with any codec leaves a message unchanged."""
     codec = codecs.codecs.get(codec)
     message = Tree([Leaf(text) for text in texts], table)
     data = codec.encode(messages.encode_body(message, -3))
@@ -63,7 +63,7 @@
 @pytest.mark.parametrize('codec', ['cbor', 'json'])
 @hypothesis.given(data=strategies.binary(max_size=200))
 def test_arbitrary_bytes_raise_protocol_errors(codec, data):
-    """Bytes of a peer must never raise an error that nothing handles."""
+    """Arbitrary bytes of a peer raise only errors that are handled."""
     with contextlib.suppress(errors.ProtocolError):
         messages.decode_body(codecs.codecs.get(codec).decode(data))
 
@@ -86,10 +86,13 @@
 
 
 def test_registration_demands_frozen_validated_classes():
-    """A field without validator would let any type through."""
+    """Registration rejects classes that are mutable or lack validators.
+
+    A field without validator would accept any type.
+    """
     with pytest.raises(TypeError, match='no validator'):
         messages.register(912)(attrs.make_class('Loose', ['a'], frozen=True))
-    with pytest.raises(TypeError, match='no frozen'):
+    with pytest.raises(TypeError, match='not a frozen'):
         messages.register(912)(attrs.make_class('Mutable', []))
     with pytest.raises(ValueError, match='already'):
         messages.register(910)(attrs.make_class('Twice', [], frozen=True))
@@ -99,7 +102,7 @@
 
 
 def test_proof_is_bound_to_the_handshake():
-    """A proof must fail for another role, node, incarnation or nonce."""
+    """A proof is invalid for another role, node, incarnation or nonce."""
     secret = 'shared secret'
     dialler = handshakes.create_hello(handshakes.Identity('a', 1), 'cbor')
     acceptor = handshakes.create_hello(handshakes.Identity('b', 1), 'cbor')
@@ -127,7 +130,7 @@
 
 @hypothesis.given(data=strategies.binary(max_size=100))
 def test_arbitrary_handshakes_raise_handshake_errors(data):
-    """Strangers' bytes must never raise an error that nothing handles."""
+    """Arbitrary handshake bytes raise only errors that are handled."""
     for decode in (handshakes.decode_hello, handshakes.decode_proofs):
         with pytest.raises(errors.HandshakeError):
             decode(data)
@@ -149,7 +152,7 @@
     ids=['changed', 'gap', 'reflected', 'other key', 'empty'],
 )
 def test_tampered_frames_are_refused(tamper):
-    """A changed, skipped, reflected or foreign frame must not be opened."""
+    """A changed, skipped, reflected or foreign frame is rejected."""
     sealer = frames.Sealer(b'k' * 32, frames.TO_ACCEPTOR)
     opener = frames.Opener(b'k' * 32, frames.TO_ACCEPTOR)
     with pytest.raises(errors.FrameError):
