--- a/jayseam/links/connections.py
+++ b/jayseam/links/connections.py
@@ -1,9 +1,9 @@
-"""One authenticated link between two nodes.
+"""An authenticated link between two nodes.
 
-A link owns its socket, its pending requests and its outbox. One greenlet reads
-and one writes. A frame is written by the greenlet that sends it when the
-writer is idle, which saves a switch; otherwise it is queued, and the writer
-joins all queued frames into one send.
+A link owns its socket, its pending requests and its outbox. It has a reader and
+a writer greenlet. While the writer is idle, the greenlet that sends a message
+writes the frame itself, which saves a switch; otherwise the message is queued,
+and the writer joins the queued frames into one send.
 """
 
 import collections
@@ -29,21 +29,23 @@
 TICK_S = 0.05
 IDLE_PING_S = 10.0
 SILENCE_PING_S = 0.3
-# A peer whose pong takes longer gets no new calls until it is heard of, in
-# seconds. Pongs take milliseconds; the rest is for a busy processor.
+# A peer that has not answered a ping in this time gets no new calls until bytes
+# arrive from it. Pongs take milliseconds; the rest allows for a busy processor.
 PONG_LIMIT_S = 0.2
 SILENCE_LIMIT_S = 1.5
-# A process that notices the end of a timeout this late, in seconds, was held up
-# itself, and gives replies that came meanwhile the time to be read.
-HELD_UP_S = 0.1
-LATE_READ_S = 0.05
+# A timeout that expires this much late means that this process was stalled
+# itself. It then waits for REPLY_GRACE_S, so that replies that have arrived can
+# be read.
+STALL_THRESHOLD_S = 0.1
+REPLY_GRACE_S = 0.05
 MAX_OUTBOX_BYTES = 8 * 1024 * 1024
-# Replies may exceed MAX_OUTBOX_BYTES, because a lost reply leaves the caller
-# unsure, but a peer that stops reading must not exhaust the memory.
+# Replies may exceed MAX_OUTBOX_BYTES, because the caller cannot know the
+# outcome of a request whose reply is lost. The higher limit still bounds the
+# memory if a peer stops reading.
 MAX_REPLY_OUTBOX_BYTES = 2 * MAX_OUTBOX_BYTES
 MAX_RUNNING_HANDLERS = 1024
 _MAX_BATCH_BYTES = 256 * 1024
-_MAX_FAILURE_TEXT = 500
+_MAX_FAILURE_TEXT_CHARS = 500
 _READS_PER_SWITCH = 16
 _PLANNED_REASONS = frozenset({'stopped', 'peer_closed', 'replaced'})
 
@@ -76,7 +78,7 @@
     peer = handshakes.decode_hello(transport.receive_one())
     if expected_vm is not None and peer.identity.vm != expected_vm:
         raise errors.HandshakeError(
-            f'dialled {expected_vm!r}, reached {peer.identity.vm!r}',
+            f'dialled {expected_vm!r} but reached {peer.identity.vm!r}',
             'wrong_peer',
         )
     transcript = handshakes.build_transcript(own, peer)
@@ -89,7 +91,7 @@
     secret = handshakes.find_secret(
         secrets, handshakes.ACCEPTOR, transcript, answer
     )
-    transport.limit_bytes = None
+    transport.remaining_handshake_bytes = None
     return peer.identity, handshakes.derive_session_key(secret, transcript)
 
 
@@ -123,15 +125,15 @@
         secrets, handshakes.DIALLER, transcript, proofs
     )
     check_peer(peer.identity)
-    transport.limit_bytes = None
+    transport.remaining_handshake_bytes = None
     proof = handshakes.create_proof(secret, handshakes.ACCEPTOR, transcript)
     transport.send_all(handshakes.encode_proofs([proof]))
     return peer.identity, handshakes.derive_session_key(secret, transcript)
 
 
 @attrs.define
-class Silence:
-    """What a link knows about the bytes it waits for.
+class SilenceState:
+    """Times by which a link detects a silent peer.
 
     The link updates one instance in place, because it does so on every read.
 
@@ -146,45 +148,48 @@
     pinged_at: float
 
 
-def judge_silence(silence: Silence, now: float) -> str:
-    """Returns ``ping``, ``close`` or ``wait``.
+def choose_silence_action(silence: SilenceState, now: float) -> str:
+    """Returns what to do about a silence: ``ping``, ``close`` or ``wait``.
 
-    The limit is reached one tick early, because the next look may come a tick
-    late and the link must be closed within the limit.
+    A link is closed one tick before ``SILENCE_LIMIT_S``, because the next check
+    may come a tick late and the link must be closed within the limit.
 
-    >>> judge_silence(Silence(0.0, None, 0.0), now=9.0)
+    >>> choose_silence_action(SilenceState(0.0, None, 0.0), now=9.0)
     'wait'
-    >>> judge_silence(Silence(0.0, 9.0, 0.0), now=9.6)
+    >>> choose_silence_action(SilenceState(0.0, 9.0, 0.0), now=9.6)
     'ping'
-    >>> judge_silence(Silence(0.0, 9.0, 9.6), now=10.5)
+    >>> choose_silence_action(SilenceState(0.0, 9.0, 9.6), now=10.5)
     'close'
     """
     if silence.waiting_since is None:
         idle = now - silence.received_at >= IDLE_PING_S
         return 'ping' if idle else 'wait'
-    start = max(silence.received_at, silence.waiting_since)
-    if now - start > SILENCE_LIMIT_S - TICK_S:
+    silent_since = max(silence.received_at, silence.waiting_since)
+    if now - silent_since > SILENCE_LIMIT_S - TICK_S:
         return 'close'
-    if now - start >= SILENCE_PING_S and silence.pinged_at < start:
+    if (
+        now - silent_since >= SILENCE_PING_S
+        and silence.pinged_at < silent_since
+    ):
         return 'ping'
     return 'wait'
 
 
-def is_unresponsive(silence: Silence, now: float) -> bool:
-    """Tells whether a peer leaves a ping unanswered while a reply is due.
+def is_unresponsive(silence: SilenceState, now: float) -> bool:
+    """Returns whether a pong is overdue while a reply is due.
 
-    >>> is_unresponsive(Silence(9.0, 9.1, 9.5), now=9.8)
+    >>> is_unresponsive(SilenceState(9.0, 9.1, 9.5), now=9.8)
     True
-    >>> is_unresponsive(Silence(9.6, 9.1, 9.5), now=9.8)
+    >>> is_unresponsive(SilenceState(9.6, 9.1, 9.5), now=9.8)
     False
     """
     if silence.waiting_since is None:
         return False
-    heard_at = max(silence.received_at, silence.waiting_since)
-    return heard_at < silence.pinged_at <= now - PONG_LIMIT_S
+    silent_since = max(silence.received_at, silence.waiting_since)
+    return silent_since < silence.pinged_at <= now - PONG_LIMIT_S
 
 
-class _Pending:
+class _PendingRequest:
     """A request that waits for its reply."""
 
     __slots__ = ('result', 'sent', 'entry')
@@ -195,8 +200,8 @@
         self.entry = None
 
 
-class _Entry:
-    """A body that waits in the outbox; ``body`` is None once withdrawn."""
+class _OutboxEntry:
+    """An entry of the outbox; ``body`` is None once sent or withdrawn."""
 
     __slots__ = ('body', 'label', 'pending')
 
@@ -207,7 +212,7 @@
 
 
 class Link:
-    """An authenticated connection, used in both directions.
+    """An authenticated connection that both sides use for requests.
 
     Args:
       transport: The connection after the handshake.
@@ -217,12 +222,12 @@
       codec: Codec of the messages.
       registry: Handlers of requests and notifications.
       on_closed: Called once with the link and the reason.
-      watched: Set to which the link adds itself while it waits for bytes.
+      waiting_links: Set of links that wait for a reply or pong.
 
     Attributes:
       peer: The authenticated peer.
       dialled: True if this node dialled.
-      state: State of the chart ``link``.
+      state: State in the state chart ``link``.
       opened_at: Time at which the link opened, in seconds.
     """
 
@@ -235,7 +240,7 @@
         codec: codecs.Codec,
         registry: handlers.HandlerRegistry,
         on_closed: Callable[['Link', str], None],
-        watched: set['Link'],
+        waiting_links: set['Link'],
     ):
         outgoing, incoming = frames.TO_ACCEPTOR, frames.TO_DIALLER
         if not dialled:
@@ -252,17 +257,19 @@
         self._codec = codec
         self._registry = registry
         self._on_closed = on_closed
-        self._watched = watched
-        self._pending: dict[int, _Pending] = {}
+        self._waiting_links = waiting_links
+        self._pending: dict[int, _PendingRequest] = {}
         self._last_correlation = 0
-        self._running = 0
-        self._outbox: collections.deque[_Entry] = collections.deque()
+        self._running_handlers = 0
+        self._outbox: collections.deque[_OutboxEntry] = collections.deque()
         self._outbox_bytes = 0
-        # The rest of a frame that was written in part, and its request.
-        self._rest: tuple[memoryview, _Pending | None] | None = None
+        # The unwritten part of a frame and the request that it belongs to.
+        self._partial_frame: (
+            tuple[memoryview, _PendingRequest | None] | None
+        ) = None
         self._writing = False
         self._wake = event.Event()
-        self._silence = Silence(self.opened_at, None, 0.0)
+        self._silence = SilenceState(self.opened_at, None, 0.0)
 
     @property
     def is_open(self) -> bool:
@@ -270,12 +277,12 @@
         return self.state != 'closed'
 
     def start(self) -> None:
-        """Starts the reader and the writer."""
+        """Starts the reader and writer greenlets."""
         gevent.spawn(self._run, self._read)
         gevent.spawn(self._run, self._write)
 
     def request(self, message: Any, timeout_s: float) -> Any:
-        """Sends a request and returns the reply; None if it has no content.
+        """Sends a request and returns the reply message or None.
 
         Raises:
           NotSentError: If no byte was or will be written.
@@ -286,12 +293,12 @@
         body = self._encode(message, self._last_correlation + 1)
         self._last_correlation += 1
         correlation = self._last_correlation
-        self._check_room(len(body), MAX_OUTBOX_BYTES)
-        pending = _Pending()
+        self._check_outbox_space(len(body), MAX_OUTBOX_BYTES)
+        pending = _PendingRequest()
         self._pending[correlation] = pending
         if self._silence.waiting_since is None:
             self._silence.waiting_since = clocks.read_now()
-            self._watched.add(self)
+            self._waiting_links.add(self)
         try:
             self._send(body, type(message).__name__, pending)
             self._wait(pending, timeout_s)
@@ -306,15 +313,21 @@
                 self._silence.waiting_since = None
         return unwrap_reply(pending.result.get())
 
-    def _wait(self, pending: _Pending, timeout_s: float) -> None:
-        """Waits for a reply, a little longer if this process was held up."""
+    def _wait(self, pending: _PendingRequest, timeout_s: float) -> None:
+        """Waits for a reply, for longer if this process was stalled."""
         end = clocks.read_now() + timeout_s
         pending.result.wait(timeout_s)
-        if not pending.result.ready() and clocks.read_now() > end + HELD_UP_S:
-            pending.result.wait(LATE_READ_S)
+        if (
+            not pending.result.ready()
+            and clocks.read_now() > end + STALL_THRESHOLD_S
+        ):
+            pending.result.wait(REPLY_GRACE_S)
 
     def notify(self, message: Any) -> bool:
-        """Sends a message without reply; False if the link cannot take it.
+        """Sends a notification.
+
+        Returns:
+          False if the link is closed or its outbox is full.
 
         Raises:
           TooLargeError: If the message exceeds the frame limit.
@@ -324,77 +337,79 @@
         )
 
     def notify_body(self, body: bytes, label: str) -> bool:
-        """Sends an encoded message without reply.
+        """Sends an encoded notification.
 
         Args:
           body: Result of `encode_message` with correlation 0.
           label: Name of the message class.
 
         Returns:
-          False if the link cannot take the message.
+          False if the link is closed or its outbox is full.
         """
         try:
-            self._check_room(len(body), MAX_OUTBOX_BYTES)
+            self._check_outbox_space(len(body), MAX_OUTBOX_BYTES)
             self._send(body, label, None)
         except errors.NotSentError:
             return False
         return self.is_open
 
     def is_unresponsive(self, now: float) -> bool:
-        """Tells whether the peer leaves a ping unanswered."""
+        """Returns whether a pong is overdue while a reply is due."""
         return is_unresponsive(self._silence, now)
 
-    def check(self, now: float) -> None:
-        """Pings a silent link and closes one that stays silent."""
+    def check_silence(self, now: float) -> None:
+        """Pings the peer if it is silent and closes the link at the limit."""
         if not self.is_open:
-            self._watched.discard(self)
+            self._waiting_links.discard(self)
             return
-        verdict = judge_silence(self._silence, now)
-        if verdict == 'close':
+        action = choose_silence_action(self._silence, now)
+        if action == 'close':
             self.close('silent')
-        elif verdict == 'ping':
+        elif action == 'ping':
             self._ping(now)
         elif self._silence.waiting_since is None:
-            self._watched.discard(self)
+            self._waiting_links.discard(self)
 
-    def excuse(self, duration_s: float, now: float) -> None:
-        """Does not count a pause of this process as silence of the peer."""
+    def discount_pause(self, duration_s: float, now: float) -> None:
+        """Excludes a pause of this process from the silence of the peer."""
         silence = self._silence
         silence.received_at = min(silence.received_at + duration_s, now)
         if silence.waiting_since is not None:
             silence.waiting_since = min(silence.waiting_since + duration_s, now)
 
     def drain(self, timeout_s: float) -> None:
-        """Waits until handlers have replied and the outbox is empty."""
+        """Waits until all handlers have replied and the outbox is empty."""
         end = clocks.read_now() + timeout_s
         while self.is_open and clocks.read_now() < end:
-            if not (self._running or self._outbox or self._rest):
+            if not (
+                self._running_handlers or self._outbox or self._partial_frame
+            ):
                 return
             gevent.sleep(0.01)
 
-    def finish(self) -> None:
-        """Sends no more; the link closes when the peer has read all."""
+    def shut_down_writing(self) -> None:
+        """Shuts down writing; the link closes when the peer has read all."""
         if self.is_open:
-            self.transport.finish()
+            self.transport.shut_down_writing()
 
     def close(self, reason: str) -> None:
         """Closes the link and fails its pending requests."""
         if not self.is_open:
             return
         self._advance('closed' if reason in _PLANNED_REASONS else 'failed')
-        self._watched.discard(self)
+        self._waiting_links.discard(self)
         counters.CLOSES.labels(reason).inc()
-        if self._rest is None and not self._writing:
+        if self._partial_frame is None and not self._writing:
             self.transport.close()
         else:
             self.transport.abort()
         self._wake.set()
         for pending in list(self._pending.values()):
-            kind = (
+            error_class = (
                 errors.ReplyLostError if pending.sent else errors.NotSentError
             )
             pending.result.set_exception(
-                kind(f'link to {self.peer.vm} closed: {reason}')
+                error_class(f'link to {self.peer.vm} closed: {reason}')
             )
         self._on_closed(self, reason)
 
@@ -420,15 +435,15 @@
     def _encode(self, message: Any, correlation: int) -> bytes:
         return encode_message(self._codec, message, correlation)
 
-    def _check_room(self, size: int, limit: int) -> None:
+    def _check_outbox_space(self, size: int, limit: int) -> None:
         if not self.is_open:
             raise errors.NotSentError(f'link to {self.peer.vm} is closed')
         if self._outbox_bytes + size > limit:
             raise errors.NotSentError(f'outbox to {self.peer.vm} is full')
 
     def _send(self, body: bytes, label: str, pending) -> None:
-        if self._writing or self._outbox or self._rest is not None:
-            entry = _Entry(body, label, pending)
+        if self._writing or self._outbox or self._partial_frame is not None:
+            entry = _OutboxEntry(body, label, pending)
             if pending is not None:
                 pending.entry = entry
             self._outbox.append(entry)
@@ -436,14 +451,14 @@
             self._wake.set()
             return
         try:
-            data = self._frame(body, label)
+            data = self._encode_frame(body, label)
             self._send_directly(data, pending)
         except errors.TransportClosedError as error:
             self.close(error.reason)
             if pending is None:
                 raise errors.NotSentError(str(error)) from error
 
-    def _frame(self, body: bytes, label: str | None) -> bytes:
+    def _encode_frame(self, body: bytes, label: str | None) -> bytes:
         if label is None:
             counters.count_bytes('sent', 'control', len(body))
             return body
@@ -452,30 +467,34 @@
         return data
 
     def _send_directly(self, data: bytes, pending) -> None:
-        taken = self.transport.send_now(data)
+        written = self.transport.send_nowait(data)
         if pending is not None:
-            pending.sent = taken > 0
-        if taken < len(data):
-            self._rest = memoryview(data)[taken:], pending
+            pending.sent = written > 0
+        if written < len(data):
+            self._partial_frame = memoryview(data)[written:], pending
             self._wake.set()
 
     def _send_control(self, data: bytes) -> None:
-        if self._writing or self._outbox or self._rest is not None:
-            self._outbox.append(_Entry(data, None, None))
+        if self._writing or self._outbox or self._partial_frame is not None:
+            self._outbox.append(_OutboxEntry(data, None, None))
             self._outbox_bytes += len(data)
             self._wake.set()
         else:
-            self._send_directly(self._frame(data, None), None)
+            self._send_directly(self._encode_frame(data, None), None)
 
-    def _withdraw(self, pending: _Pending) -> errors.LinkError:
+    def _withdraw(self, pending: _PendingRequest) -> errors.LinkError:
         entry = pending.entry
         if entry is not None and entry.body is not None and not pending.sent:
-            # The frame gets its counter when the writer takes it, so an entry
-            # can leave the outbox without a gap in the counters.
+            # The writer assigns the frame counter when it dequeues an entry, so
+            # withdrawing an entry leaves no gap in the counters.
             self._outbox_bytes -= len(entry.body)
             entry.body = None
-            return errors.NotSentError(f'no room to write to {self.peer.vm}')
-        return errors.ReplyLostError(f'no reply from {self.peer.vm} in time')
+            return errors.NotSentError(
+                f'request to {self.peer.vm} timed out in the outbox'
+            )
+        return errors.ReplyLostError(
+            f'request to {self.peer.vm} timed out without a reply'
+        )
 
     def _write(self) -> None:
         while self.is_open:
@@ -483,27 +502,31 @@
             self._wake.clear()
             self._writing = True
             try:
-                while self.is_open and (self._rest is not None or self._outbox):
+                while self.is_open and (
+                    self._partial_frame is not None or self._outbox
+                ):
                     self._write_batch()
             finally:
                 self._writing = False
 
     def _write_batch(self) -> None:
-        starts: list[tuple[int, _Pending]] = []
-        if self._rest is not None:
-            data, pending = self._rest
+        request_offsets: list[tuple[int, _PendingRequest]] = []
+        if self._partial_frame is not None:
+            data, pending = self._partial_frame
             if pending is not None:
-                starts.append((0, pending))
-            self._rest = None
+                request_offsets.append((0, pending))
+            self._partial_frame = None
         else:
-            data = memoryview(self._take_batch(starts))
+            data = memoryview(self._dequeue_batch(request_offsets))
         sent = 0
         while sent < len(data):
-            sent += self.transport.send_some(data[sent:])
-            while starts and starts[0][0] < sent:
-                starts.pop(0)[1].sent = True
+            sent += self.transport.send_partial(data[sent:])
+            while request_offsets and request_offsets[0][0] < sent:
+                request_offsets.pop(0)[1].sent = True
 
-    def _take_batch(self, starts: list[tuple[int, _Pending]]) -> bytes:
+    def _dequeue_batch(
+        self, request_offsets: list[tuple[int, _PendingRequest]]
+    ) -> bytes:
         parts = []
         size = 0
         while self._outbox and size < _MAX_BATCH_BYTES:
@@ -511,10 +534,10 @@
             if entry.body is None:
                 continue
             self._outbox_bytes -= len(entry.body)
-            data = self._frame(entry.body, entry.label)
+            data = self._encode_frame(entry.body, entry.label)
             entry.body = None
             if entry.pending is not None:
-                starts.append((size, entry.pending))
+                request_offsets.append((size, entry.pending))
             parts.append(data)
             size += len(data)
         return b''.join(parts)
@@ -524,8 +547,8 @@
         while self.is_open:
             reads += 1
             if reads % _READS_PER_SWITCH == 0:
-                # A read of a full socket does not switch, so a fast peer
-                # would keep all other greenlets from running.
+                # A read does not switch greenlets while the socket has data, so
+                # a fast peer would keep all other greenlets from running.
                 gevent.sleep(0)
             payloads = self.transport.receive()
             self._silence.received_at = clocks.read_now()
@@ -539,17 +562,17 @@
                     0,
                 )
                 counters.count_bytes('received', 'control', size)
-            control = self.transport.take_control()
+            control = self.transport.pop_control_frames()
             if control:
                 self._send_control(control)
             for payload in payloads:
-                self._take(payload)
+                self._process_payload(payload)
 
-    def _take(self, payload: bytes) -> None:
+    def _process_payload(self, payload: bytes) -> None:
         body = self._codec.decode(self._opener.open(payload))
         message, correlation = messages.decode_body(body)
         label = type(message).__name__
-        size = transports.measure_frame(len(payload), not self.dialled)
+        size = transports.compute_frame_size(len(payload), not self.dialled)
         counters.count_bytes('received', label, size)
         if correlation < 0:
             pending = self._pending.get(-correlation)
@@ -559,10 +582,10 @@
         function = self._registry.find(type(message))
         if function is None:
             self._reply(correlation, messages.Failure('no-handler', label))
-        elif self._running >= MAX_RUNNING_HANDLERS:
+        elif self._running_handlers >= MAX_RUNNING_HANDLERS:
             self._reply(correlation, messages.Failure('overloaded', label))
         else:
-            self._running += 1
+            self._running_handlers += 1
             gevent.spawn(self._handle, function, message, correlation)
 
     def _handle(
@@ -571,7 +594,7 @@
         try:
             reply = run_handler(function, self.peer, message)
         finally:
-            self._running -= 1
+            self._running_handlers -= 1
         self._reply(correlation, reply)
 
     def _reply(self, correlation: int, reply: Any) -> None:
@@ -583,7 +606,7 @@
             reply = messages.Failure(type(error).__name__, str(error))
             body = self._encode(reply, -correlation)
         try:
-            self._check_room(len(body), MAX_REPLY_OUTBOX_BYTES)
+            self._check_outbox_space(len(body), MAX_REPLY_OUTBOX_BYTES)
             self._send(body, type(reply).__name__, None)
         except errors.NotSentError:
             self.close('outbox_full')
@@ -594,7 +617,7 @@
         self._silence.pinged_at = now
         if self._silence.waiting_since is None:
             self._silence.waiting_since = now
-            self._watched.add(self)
+            self._waiting_links.add(self)
         try:
             self._send_control(self.transport.encode_ping())
         except errors.TransportClosedError as error:
@@ -608,28 +631,32 @@
 
     Raises:
       TooLargeError: If the message exceeds the frame limit.
-      TypeError: If the message or a field has no plain form.
+      TypeError: If the message cannot be converted to plain values.
     """
     body = codec.encode(messages.encode_body(message, correlation))
     if len(body) > frames.MAX_BODY_BYTES:
-        raise errors.TooLargeError(f'message of {len(body)} bytes')
+        raise errors.TooLargeError(f'message of {len(body)} bytes is too large')
     return body
 
 
 def run_handler(
     function: handlers.Handler, peer: handlers.PeerInfo, message: Any
 ) -> Any:
-    """Returns the handler's reply, ``Done`` for None, or ``Failure``."""
+    """Runs a handler.
+
+    Returns:
+      Its reply, ``Done`` for None, or ``Failure`` if it raised an exception.
+    """
     try:
         reply = function(peer, message)
     except Exception as error:  # pylint: disable=broad-exception-caught
-        # Any exception of a handler is reported to the caller.
+        # Any exception of a handler is reported to the requester.
         _log.info(
             'link.handler_failed',
             extra={'message_class': type(message).__name__},
             exc_info=True,
         )
-        text = str(error)[:_MAX_FAILURE_TEXT]
+        text = str(error)[:_MAX_FAILURE_TEXT_CHARS]
         return messages.Failure(type(error).__name__, text)
     return messages.Done() if reply is None else reply
 
--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -1,4 +1,4 @@
-"""The links of one node: listening, dialling and choosing among them."""
+"""Management of the links of one node: listening, dialling and selection."""
 
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -22,11 +22,11 @@
 HANDSHAKE_DEADLINE_S = 1.5
 MAX_UNAUTHENTICATED = 256
 _BACKLOG = 1024
-_FINISH_S = 0.2
+_SHUTDOWN_WAIT_S = 0.2
 _IDLE_CHECK_S = 1.0
-# A tick later than this means that this process did not run, so bytes may
-# wait in its sockets.
-_LATE_S = 0.2
+# If a tick is later than this, this process was paused, so there may be unread
+# bytes in its sockets.
+_LATE_TICK_S = 0.2
 
 Identity = handshakes.Identity
 Address = tuple[str, int]
@@ -36,31 +36,31 @@
 
 
 class _Listener(server.StreamServer):
-    """Accepts connections and leaves their sockets open afterwards."""
+    """Accepts connections and leaves their sockets open."""
 
     def do_close(self, *_):
-        """Does nothing: the transport owns the socket after the handshake."""
+        """Does nothing, because the transport owns the accepted socket."""
 
 
 class LinkManager:
     """Opens links on demand and sends messages over them.
 
-    Two nodes that dial each other at the same time get two links. Each side
-    then sends new requests over the link that the VM with the lower name
-    dialled. Links of an older incarnation are closed when a newer one of the
-    same VM connects.
+    Two nodes that dial each other at the same time get two links. Both sides
+    then send new requests over the link dialled by the VM whose name sorts
+    first. When a newer incarnation of a VM connects, the links of its older
+    incarnations are closed.
 
     Args:
-      identity: This process.
+      identity: Identity of this process.
       secrets: One or two fleet secrets.
       resolve: Returns the address of a VM, or None if it is unknown.
       handlers: Handlers of requests and notifications.
-      codec: Name in ``codecs.codecs``.
+      codec: Name of a registered codec; see ``codecs.codecs``.
       listen: Host and port to listen on; port 0 chooses a free one.
 
     Attributes:
-      identity: This process.
-      address: Host and port that the listener has; set by `start`.
+      identity: Identity of this process.
+      address: Host and port of the listener; `start` sets the actual port.
     """
 
     def __init__(
@@ -88,15 +88,15 @@
         self._dials: dict[str, event.AsyncResult] = {}
         self._dialled_addresses: dict[Address, connections.Link] = {}
         self._unauthenticated: dict[socket.socket, None] = {}
-        self._watched: set[connections.Link] = set()
+        self._waiting_links: set[connections.Link] = set()
         self._ticked_at = clocks.read_now()
-        # Links in whose place another was dialled because they were silent.
-        self._doubted: set[connections.Link] = set()
+        # Silent links beside which an alternative link has been dialled.
+        self._bypassed: set[connections.Link] = set()
         self._subscribers: list[Subscriber] = []
         self._stopped = False
 
     def start(self) -> None:
-        """Listens and starts to watch the links for silence.
+        """Starts the listener and the detection of silent links.
 
         Raises:
           OSError: If the address cannot be bound.
@@ -104,10 +104,10 @@
         self._server = _Listener(self.address, self._accept, backlog=_BACKLOG)
         self._server.start()
         self.address = self._server.address[:2]
-        self._ticker = gevent.spawn(self._tick)
+        self._ticker = gevent.spawn(self._run_ticks)
 
     def stop(self, timeout_s: float = 1.0) -> None:
-        """Stops listening, lets replies leave and closes all links."""
+        """Stops listening, sends outstanding replies and closes all links."""
         self._stopped = True
         if self._server is not None:
             self._server.stop()
@@ -116,9 +116,9 @@
         gevent.joinall(drains)
         for link in links:
             # Closing a socket with unread bytes resets the connection, which
-            # can destroy replies that are still on their way.
-            link.finish()
-        with gevent.Timeout(_FINISH_S, False):
+            # can discard replies that are still in transit.
+            link.shut_down_writing()
+        with gevent.Timeout(_SHUTDOWN_WAIT_S, False):
             while any(link.is_open for link in links):
                 gevent.sleep(0.01)
         for link in links:
@@ -129,10 +129,10 @@
             self._ticker.kill()
 
     def subscribe(self, function: Subscriber) -> None:
-        """Calls ``function(vm, incarnation, event)`` when links change.
+        """Registers ``function(vm, incarnation, event)`` for changes of links.
 
         The event is ``open`` for the first link to an incarnation and
-        ``closed`` for its last. The function must not block.
+        ``closed`` for the last. The function must not block.
         """
         self._subscribers.append(function)
 
@@ -141,13 +141,13 @@
         return list(self._preferred)
 
     def list_unresponsive(self, now: float) -> set[str]:
-        """Returns the VMs that leave a ping unanswered while a reply is due."""
-        if now - self._ticked_at > connections.TICK_S + _LATE_S:
-            # This process was held up, and answers may wait to be read.
+        """Returns the VMs whose pong is overdue while a reply is due."""
+        if now - self._ticked_at > connections.TICK_S + _LATE_TICK_S:
+            # This process was stalled, so its sockets may have unread pongs.
             return set()
         return {
             link.peer.vm
-            for link in self._watched
+            for link in self._waiting_links
             if self._preferred.get(link.peer.vm) is link
             and link.is_unresponsive(now)
         }
@@ -155,7 +155,7 @@
     def request(self, vm: str, message: Any, timeout_s: float) -> Any:
         """Sends a request to ``vm`` and returns the reply message or None.
 
-        Dials if no link is open. A request to the own VM runs its handler
+        Dials if no link is open. A request to this node's VM runs the handler
         without a link.
 
         Args:
@@ -173,19 +173,21 @@
         if link is not None:
             return link.request(message, timeout_s)
         if vm == self.identity.vm:
-            return self._request_own(message, timeout_s)
+            return self._request_locally(message, timeout_s)
         start = clocks.read_now()
         link = self._dial_vm(vm, timeout_s)
-        left_s = timeout_s - (clocks.read_now() - start)
-        if left_s <= 0:
-            raise errors.NotSentError(f'no time left after dialling {vm}')
-        return link.request(message, left_s)
+        remaining_s = timeout_s - (clocks.read_now() - start)
+        if remaining_s <= 0:
+            raise errors.NotSentError(
+                f'request to {vm} timed out after dialling'
+            )
+        return link.request(message, remaining_s)
 
     def notify(self, vm: str, message: Any) -> bool:
-        """Sends a message without reply over an open link.
+        """Sends a notification over an open link.
 
         Returns:
-          Whether a link was open and took the message; it may still be lost.
+          Whether an open link accepted the message; it may still be lost.
 
         Raises:
           TooLargeError: If the message exceeds the frame limit.
@@ -194,10 +196,10 @@
         return link is not None and link.notify(message)
 
     def dial_and_notify(self, vm: str, message: Any) -> bool:
-        """Sends a message without reply, and opens a link if there is none.
+        """Sends a notification, and opens a link if there is none.
 
         Returns:
-          Whether a link took the message; it may still be lost.
+          Whether a link accepted the message; it may still be lost.
 
         Raises:
           DialError: If no link could be opened.
@@ -210,7 +212,10 @@
         return self.notify(vm, message)
 
     def broadcast(self, message: Any) -> int:
-        """Notifies each VM with an open link and returns how many took it.
+        """Sends a notification to each VM with an open link.
+
+        Returns:
+          The number of links that accepted the message.
 
         Raises:
           TooLargeError: If the message exceeds the frame limit.
@@ -223,7 +228,7 @@
     def dial_address(self, host: str, port: int) -> str:
         """Opens a link to an address and returns the name of its VM.
 
-        An open link that was dialled to the same address is used again.
+        An open link that was dialled to the same address is reused.
 
         Raises:
           DialError: If no link can be opened.
@@ -233,7 +238,7 @@
             link = self._dial((host, port), None)
         return link.peer.vm
 
-    def _request_own(self, message: Any, timeout_s: float) -> Any:
+    def _request_locally(self, message: Any, timeout_s: float) -> Any:
         function = self._handlers.find(type(message))
         if function is None:
             raise errors.RemoteError('no-handler', type(message).__name__)
@@ -243,20 +248,20 @@
         runner = gevent.spawn(connections.run_handler, function, peer, message)
         runner.join(timeout_s)
         if not runner.ready():
-            raise errors.ReplyLostError('own handler is late')
+            raise errors.ReplyLostError('local handler timed out')
         return connections.unwrap_reply(runner.get())
 
     def _dial_vm(self, vm: str, timeout_s: float) -> connections.Link:
         result = self._dials.get(vm)
         if result is None:
             result = self._dials[vm] = event.AsyncResult()
-            gevent.spawn(self._dial_into, vm, result)
+            gevent.spawn(self._dial_and_set_result, vm, result)
         result.wait(timeout_s)
         if not result.ready():
-            raise errors.DialError(f'no link to {vm} in time')
+            raise errors.DialError(f'dialling {vm} timed out')
         return result.get()
 
-    def _dial_into(self, vm: str, result: event.AsyncResult) -> None:
+    def _dial_and_set_result(self, vm: str, result: event.AsyncResult) -> None:
         try:
             address = self._resolve(vm)
             if address is None:
@@ -272,7 +277,7 @@
 
     def _dial(self, address: Address, vm: str | None) -> connections.Link:
         if self._stopped:
-            raise errors.DialError('the node stops')
+            raise errors.DialError('the node is stopping')
         timeout = gevent.Timeout.start_new(HANDSHAKE_DEADLINE_S)
         transport = None
         try:
@@ -293,14 +298,15 @@
             raise errors.DialError(f'no link to {name}: {error}') from error
         finally:
             timeout.close()
-        link = self._open(transport, peer, key, dialled=True)
+        link = self._open_link(transport, peer, key, dialled=True)
         self._dialled_addresses[address] = link
         return link
 
     def _accept(self, sock: socket.socket, _: Any) -> None:
         if len(self._unauthenticated) >= MAX_UNAUTHENTICATED:
-            # The oldest goes first: a genuine peer needs a few round trips,
-            # a stranger that sends nothing stays until the deadline.
+            # Closes the oldest connection: a genuine peer completes the
+            # handshake within a few round trips, while an unauthenticated
+            # peer that sends nothing stays until the deadline.
             oldest = next(iter(self._unauthenticated))
             self._unauthenticated.pop(oldest)
             oldest.close()
@@ -318,16 +324,16 @@
             if isinstance(error, gevent.Timeout) and error is not timeout:
                 raise
             if sock in self._unauthenticated:
-                self._refuse(error)
+                self._report_handshake_failure(error)
             return
         finally:
             timeout.close()
             self._unauthenticated.pop(sock, None)
             if peer is None:
                 sock.close()
-        self._open(transport, peer, key, dialled=False)
+        self._open_link(transport, peer, key, dialled=False)
 
-    def _refuse(self, error: BaseException) -> None:
+    def _report_handshake_failure(self, error: BaseException) -> None:
         reason = getattr(error, 'reason', 'handshake_timeout')
         counters.CLOSES.labels(reason).inc()
         _log.info(
@@ -337,14 +343,14 @@
 
     def _check_peer(self, peer: Identity) -> None:
         if self._stopped:
-            raise errors.HandshakeError('the node stops', 'stopped')
+            raise errors.HandshakeError('the node is stopping', 'stopped')
         for link in self._links.get(peer.vm, ()):
             if link.peer.incarnation > peer.incarnation:
                 raise errors.HandshakeError(
                     f'{peer.vm} has a newer incarnation', 'old_incarnation'
                 )
 
-    def _open(
+    def _open_link(
         self,
         transport: transports.Transport,
         peer: Identity,
@@ -358,42 +364,42 @@
             dialled,
             self._codec,
             self._handlers,
-            self._forget,
-            self._watched,
+            self._remove_link,
+            self._waiting_links,
         )
         for other in list(self._links.get(peer.vm, ())):
             if other.peer.incarnation < peer.incarnation:
                 other.close('replaced')
         group = self._links.setdefault(peer.vm, [])
         group.append(link)
-        self._choose(peer.vm)
+        self._choose_preferred(peer.vm)
         counters.OPEN_LINKS.inc()
         link.start()
         dial = self._dials.get(peer.vm)
         if dial is not None and not dial.ready():
-            # Requests that wait for a dial also use a link from the peer.
+            # Requests that wait for a dial also use a link dialled by the peer.
             dial.set(link)
         if len(group) == 1:
-            self._publish(link, 'open')
+            self._notify_subscribers(link, 'open')
         return link
 
-    def _forget(self, link: connections.Link, reason: str) -> None:
+    def _remove_link(self, link: connections.Link, reason: str) -> None:
         vm = link.peer.vm
         counters.OPEN_LINKS.dec()
         _log.info('link.closed', extra={'peer': vm, 'reason': reason})
         group = self._links[vm]
         group.remove(link)
-        self._doubted.discard(link)
+        self._bypassed.discard(link)
         if not group:
             del self._links[vm]
         for address, other in list(self._dialled_addresses.items()):
             if other is link:
                 del self._dialled_addresses[address]
-        self._choose(vm)
+        self._choose_preferred(vm)
         if not group:
-            self._publish(link, 'closed')
+            self._notify_subscribers(link, 'closed')
 
-    def _choose(self, vm: str) -> None:
+    def _choose_preferred(self, vm: str) -> None:
         group = self._links.get(vm)
         if not group:
             self._preferred.pop(vm, None)
@@ -409,7 +415,7 @@
             ),
         )
 
-    def _publish(self, link: connections.Link, change: str) -> None:
+    def _notify_subscribers(self, link: connections.Link, change: str) -> None:
         for function in self._subscribers:
             try:
                 function(link.peer.vm, link.peer.incarnation, change)
@@ -417,43 +423,44 @@
                 # A failing subscriber must not affect the link.
                 _log.exception('link.subscriber_failed')
 
-    def _tick(self) -> None:
+    def _run_ticks(self) -> None:
         last_idle = clocks.read_now()
         while True:
             tickers.wait_tick(connections.TICK_S)
             now = clocks.read_now()
             late_s = now - self._ticked_at - connections.TICK_S
-            if late_s > _LATE_S:
-                self._excuse(late_s, now)
-                # Lets the readers take what arrived meanwhile.
+            if late_s > _LATE_TICK_S:
+                self._discount_pause(late_s, now)
+                # Lets the readers process the bytes that arrived meanwhile.
                 gevent.sleep(0.001)
             self._ticked_at = now
-            for link in list(self._watched):
-                link.check(now)
+            for link in list(self._waiting_links):
+                link.check_silence(now)
             for vm in self.list_unresponsive(now):
-                self._dial_beside(vm)
+                self._dial_alternative(vm)
             if now - last_idle >= _IDLE_CHECK_S:
                 last_idle = now
                 self._check_idle(now)
 
-    def _dial_beside(self, vm: str) -> None:
-        """Dials another link where the one in use is silent, once for each.
+    def _dial_alternative(self, vm: str) -> None:
+        """Dials an alternative to a silent link, once for each such link.
 
-        A link may be silent for good while new ones work. It is not closed
-        before its time, because its peer may only be slow.
+        One connection may have stalled for good while new ones work. The
+        silent link is kept until the silence limit, because its peer may only
+        be slow.
         """
         silent = self._preferred[vm]
-        if silent not in self._doubted and vm not in self._dials:
-            self._doubted.add(silent)
+        if silent not in self._bypassed and vm not in self._dials:
+            self._bypassed.add(silent)
             self._dials[vm] = event.AsyncResult()
-            gevent.spawn(self._dial_into, vm, self._dials[vm])
+            gevent.spawn(self._dial_and_set_result, vm, self._dials[vm])
 
-    def _excuse(self, late_s: float, now: float) -> None:
+    def _discount_pause(self, late_s: float, now: float) -> None:
         for group in self._links.values():
             for link in group:
-                link.excuse(late_s, now)
+                link.discount_pause(late_s, now)
 
     def _check_idle(self, now: float) -> None:
         for group in list(self._links.values()):
             for link in list(group):
-                link.check(now)
+                link.check_silence(now)
--- a/jayseam/links/tests/measure_round_trip.py
+++ b/jayseam/links/tests/measure_round_trip.py
@@ -1,4 +1,4 @@
-"""Measures requests over one link between two processes.
+"""Measures latency and throughput of one link between two processes.
 
 Run ``python -m jayseam.links.tests.measure_round_trip``.
 """
@@ -17,7 +17,7 @@
 
 
 def measure(links, senders):
-    """Prints percentiles of the round trip and the rate of requests."""
+    """Prints percentiles of the round-trip time and the request rate."""
     times = histogram.HdrHistogram(1, 10_000_000, 3)
 
     def send():
@@ -34,7 +34,7 @@
 
 
 def main():
-    """Measures from this process to a second one, or serves."""
+    """Runs the measuring process or, with ``--serve``, the server."""
     with nodes.Fleet() as fleet:
         if '--serve' in sys.argv:
             print(fleet.add('server').address[1], flush=True)
@@ -42,7 +42,10 @@
             return
         command = [sys.executable, '-m', __spec__.name, '--serve']
         with subprocess.Popen(command, stdout=subprocess.PIPE) as server:
-            fleet.book['server'] = ('127.0.0.1', int(server.stdout.readline()))
+            fleet.addresses['server'] = (
+                '127.0.0.1',
+                int(server.stdout.readline()),
+            )
             links = fleet.add('client')
             for senders in (1, 1, 10, 100):
                 measure(links, senders)
--- a/jayseam/links/tests/nodes.py
+++ b/jayseam/links/tests/nodes.py
@@ -1,4 +1,4 @@
-"""Nodes, a forwarder and a raw peer for the tests of links."""
+"""Nodes, a TCP forwarder and a raw peer for the tests of links."""
 
 import contextlib
 
@@ -25,7 +25,7 @@
 @messages.register(900)
 @attrs.frozen
 class Echo:
-    """Comes back as it is, after a delay."""
+    """Request whose handler returns the message itself after a delay."""
 
     body: bytes = attrs.field(validator=attrs.validators.instance_of(bytes))
     delay_s: float = attrs.field(default=0.0, validator=messages.is_number)
@@ -34,7 +34,7 @@
 @messages.register(901)
 @attrs.frozen
 class Divide:
-    """Returns nothing, or raises for a zero divisor."""
+    """Request whose handler returns None, or raises for a zero divisor."""
 
     divisor: int = attrs.field(validator=messages.is_integer)
 
@@ -42,7 +42,7 @@
 @messages.register(902)
 @attrs.frozen
 class Unhandled:
-    """Has no handler at any node."""
+    """Message without a handler at any node."""
 
 
 def echo(_, message):
@@ -52,51 +52,51 @@
 
 
 def divide(_, message):
-    """Raises for a zero divisor, returns nothing otherwise."""
+    """Raises for a zero divisor, returns None otherwise."""
     divmod(1, message.divisor)
 
 
-def create_manager(vm, book, secrets=(SECRET,), incarnation=1, **options):
-    """Returns a manager that finds others through ``book``."""
+def create_manager(vm, addresses, secrets=(SECRET,), incarnation=1, **options):
+    """Returns a link manager that looks up VMs in ``addresses``."""
     registry = handlers.HandlerRegistry()
     registry.register(Echo, echo)
     registry.register(Divide, divide)
     return manager.LinkManager(
         manager.Identity(vm, incarnation),
         secrets,
-        book.get,
+        addresses.get,
         registry,
         **options,
     )
 
 
 class Fleet(contextlib.ExitStack):
-    """Managers on loopback that are stopped at the end."""
+    """Link managers on the loopback interface, stopped after the test."""
 
     def __init__(self):
         super().__init__()
-        self.book = {}
+        self.addresses = {}
 
     def add(self, vm, **options):
-        """Starts a manager and enters its address into the book."""
-        links = create_manager(vm, self.book, **options)
+        """Starts a link manager and registers its address."""
+        links = create_manager(vm, self.addresses, **options)
         links.start()
         self.callback(links.stop, 0.1)
-        self.book[vm] = links.address
+        self.addresses[vm] = links.address
         return links
 
     def forward(self, vm):
         """Puts a forwarder in front of a node and returns it."""
-        forwarder = Forwarder(self.book[vm])
+        forwarder = Forwarder(self.addresses[vm])
         self.callback(forwarder.stop)
-        self.book[vm] = forwarder.address
+        self.addresses[vm] = forwarder.address
         return forwarder
 
 
 class Forwarder:
-    """Forwards TCP until told to stop forwarding on the open connections.
+    """Forwards TCP connections, which the test can pause or stall.
 
-    Clearing ``gate`` pauses all of them, setting it lets them go on.
+    Clearing ``gate`` pauses all connections, setting it resumes them.
     ``accepted`` counts the connections.
     """
 
@@ -112,12 +112,12 @@
         self.address = self._server.address
 
     def stall(self):
-        """Keeps the open connections but moves no further byte on them."""
+        """Keeps the open connections but forwards no more bytes on them."""
         gevent.killall(self._pumps)
         self._pumps.clear()
 
     def stop(self):
-        """Closes everything."""
+        """Closes the listener and all connections."""
         self.stall()
         self._server.stop()
         for sock in self._socks:
@@ -140,7 +140,7 @@
 
 
 class RawPeer:
-    """An authenticated peer whose frames the test writes itself."""
+    """An authenticated peer for which the test builds the frames."""
 
     def __init__(self, address, vm='raw'):
         self.transport = transports.dial(*address)
@@ -170,7 +170,7 @@
 
 
 def wait_until(condition, timeout_s=3.0):
-    """Waits until ``condition()`` holds and tells whether it does."""
+    """Waits for ``condition()``; returns whether it held in time."""
     with gevent.Timeout(timeout_s, False):
         while not condition():
             gevent.sleep(0.005)
--- a/jayseam/links/tests/test_links.py
+++ b/jayseam/links/tests/test_links.py
@@ -1,4 +1,4 @@
-"""Tests of links on loopback sockets."""
+"""Tests of links over loopback sockets."""
 
 import time
 
@@ -23,24 +23,24 @@
         yield fleet
 
 
-def exchange(links, vm, text=b'x', timeout_s=1.0):
-    """Returns whether an echo comes back unchanged."""
+def request_echo(links, vm, text=b'x', timeout_s=1.0):
+    """Returns whether an echo request returns its message unchanged."""
     message = nodes.Echo(text)
     return links.request(vm, message, timeout_s) == message
 
 
 @pytest.mark.parametrize('codec', ['cbor', 'json'])
 def test_both_directions_share_one_link(fleet, codec):
-    """The acceptor must not dial back while the dialler's link is open."""
+    """The acceptor uses the dialler's link for its own requests."""
     a, b = fleet.add('a', codec=codec), fleet.add('b', codec=codec)
-    assert exchange(a, 'b', b'\0\xff' * 500_000)
-    fleet.book.clear()
-    assert exchange(b, 'a')
+    assert request_echo(a, 'b', b'\0\xff' * 500_000)
+    fleet.addresses.clear()
+    assert request_echo(b, 'a')
     assert a.connected() == ['b'] and b.connected() == ['a']
 
 
 def test_many_requests_get_their_own_replies(fleet):
-    """Replies that come in another order must not be crossed."""
+    """Replies in another order than the requests reach the right callers."""
     a, _ = fleet.add('a'), fleet.add('b')
     asked = [nodes.Echo(b'%d' % i, (50 - i) / 1000) for i in range(50)]
     running = [gevent.spawn(a.request, 'b', m, 2.0) for m in asked]
@@ -48,7 +48,7 @@
 
 
 def test_remote_outcomes(fleet):
-    """A failing or missing handler must reach the caller as RemoteError."""
+    """A failing or missing handler raises RemoteError at the requester."""
     a, b = fleet.add('a'), fleet.add('b')
     for vm in ('b', 'a'):
         assert a.request(vm, nodes.Divide(2), 1.0) is None
@@ -61,20 +61,20 @@
     assert (
         b.notify('a', nodes.Unhandled()) and a.broadcast(nodes.Divide(1)) == 1
     )
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
 
 
 def test_frames_right_after_the_handshake(fleet):
-    """Frames in the same segment as the last handshake step must arrive."""
+    """Frames in the same TCP segment as the end of the handshake arrive."""
     a, b = fleet.add('a'), fleet.add('b')
     b.subscribe(lambda *_: b.notify('a', nodes.Echo(bytes(500_000))))
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
 
 
 def test_nodelay_on_both_ends(fleet):
     """Without TCP_NODELAY each hop of a call costs about 43 ms."""
     a, b = fleet.add('a'), fleet.add('b')
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
     for links in (a, b):
         (link,) = links._preferred.values()
         option = (socket.IPPROTO_TCP, socket.TCP_NODELAY)
@@ -82,19 +82,19 @@
 
 
 def test_wrong_secret_is_refused(fleet):
-    """A node without the fleet secret must get no link."""
+    """A node without the fleet secret gets no link."""
     a, b = fleet.add('a'), fleet.add('b')
-    stranger = fleet.add('x', secrets=[nodes.OTHER_SECRET])
-    assert exchange(a, 'b')
+    intruder = fleet.add('x', secrets=[nodes.OTHER_SECRET])
+    assert request_echo(a, 'b')
     before = nodes.read_closes('wrong_secret')
     with pytest.raises(errors.DialError):
-        exchange(stranger, 'b')
+        request_echo(intruder, 'b')
     assert nodes.wait_until(lambda: nodes.read_closes('wrong_secret') > before)
-    assert b.connected() == ['a'] and exchange(a, 'b')
+    assert b.connected() == ['a'] and request_echo(a, 'b')
 
 
 def test_secret_rotation(fleet):
-    """Nodes in any two adjacent steps of a rotation must connect."""
+    """Nodes in any two adjacent steps of a secret rotation can connect."""
     old, new = nodes.SECRET, nodes.OTHER_SECRET
     steps = [[old], [old, new], [new, old], [new]]
     for i, secrets in enumerate(steps):
@@ -102,15 +102,15 @@
     links = [fleet.add(f'm{i}', secrets=s) for i, s in enumerate(steps)]
     for i, own in enumerate(links):
         for k in range(max(0, i - 1), min(4, i + 2)):
-            assert exchange(own, f'n{k}')
+            assert request_echo(own, f'n{k}')
 
 
 def test_address_of_another_vm_is_refused(fleet):
-    """A replaced VM's address must not stand for its predecessor."""
+    """No link opens if the address of a VM now belongs to another VM."""
     a, b = fleet.add('a'), fleet.add('b')
-    fleet.book['old'] = fleet.book['b']
+    fleet.addresses['old'] = fleet.addresses['b']
     with pytest.raises(errors.DialError):
-        exchange(a, 'old')
+        request_echo(a, 'old')
     assert a.dial_address(*b.address) == 'b'
     assert a.dial_address(*b.address) == 'b' and a.connected() == ['b']
     with pytest.raises(errors.DialError):
@@ -125,7 +125,7 @@
 
 
 def skip_frame(peer):
-    """Loses a frame."""
+    """Sends a frame after one that is lost."""
     peer.sealer.seal(b'lost')
     peer.send_body([901, 0, 1])
 
@@ -155,58 +155,58 @@
 
 @pytest.mark.parametrize('name', MISBEHAVIOURS)
 def test_misbehaving_peer_loses_only_its_link(fleet, name):
-    """Bad input must close the one link, be counted and harm no other."""
+    """Invalid input closes only that link and is counted by its reason."""
     act, reason = MISBEHAVIOURS[name]
     a, b = fleet.add('a'), fleet.add('b')
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
     peer = nodes.RawPeer(b.address)
     assert nodes.wait_until(lambda: set(b.connected()) == {'a', 'raw'})
     before = nodes.read_closes(reason)
-    running = gevent.spawn(exchange, a, 'b', b'y', 0.5)
+    running = gevent.spawn(request_echo, a, 'b', b'y', 0.5)
     act(peer)
     assert nodes.wait_until(lambda: b.connected() == ['a'])
     assert nodes.read_closes(reason) == before + 1
-    assert running.get() and exchange(a, 'b')
+    assert running.get() and request_echo(a, 'b')
 
 
 def test_silent_link_closes_within_the_limit(fleet):
-    """A connection that stops forwarding must fail within 1.5 s."""
+    """A link whose connection has stalled closes within 1.5 s."""
     a, _, _ = fleet.add('a'), fleet.add('b'), fleet.add('c')
     forwarder = fleet.forward('b')
-    assert exchange(a, 'b') and exchange(a, 'c')
+    assert request_echo(a, 'b') and request_echo(a, 'c')
     forwarder.stall()
-    running = gevent.spawn(exchange, a, 'c', b'z' * 1000)
+    running = gevent.spawn(request_echo, a, 'c', b'z' * 1000)
     start = time.monotonic()
     with pytest.raises(errors.ReplyLostError):
-        exchange(a, 'b', timeout_s=5.0)
+        request_echo(a, 'b', timeout_s=5.0)
     assert 1.3 < time.monotonic() - start < 1.6
     assert running.get()
-    # Another link was dialled beside the silent one.
+    # An alternative to the silent link has been dialled.
     assert sorted(a.connected()) == ['b', 'c']
-    assert exchange(a, 'b'), 'a new connection must work'
+    assert request_echo(a, 'b'), 'a new connection must work'
 
 
 def test_silent_link_is_bypassed_by_a_new_one(fleet):
-    """Requests must not wait until a link is taken for dead."""
+    """New requests use an alternative link before the silent one closes."""
     a, _ = fleet.add('a'), fleet.add('b')
     forwarder = fleet.forward('b')
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
     forwarder.stall()
     lost = gevent.spawn(a.request, 'b', nodes.Echo(b'x'), 5.0)
     gevent.sleep(0.8)
     assert not lost.ready() and not a.list_unresponsive(clocks.read_now())
     start = time.monotonic()
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
     assert time.monotonic() - start < 0.2
     with pytest.raises(errors.ReplyLostError):
         lost.get()
 
 
 def test_slow_peer_is_dialled_once(fleet):
-    """A peer that answers late keeps its link and gets one more."""
+    """The link of a slow peer stays open, and one alternative is dialled."""
     a, _ = fleet.add('a'), fleet.add('b')
     forwarder = fleet.forward('b')
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
     asked = gevent.spawn(a.request, 'b', nodes.Echo(b'x'), 5.0)
     forwarder.gate.clear()
     gevent.sleep(1.2)
@@ -216,9 +216,9 @@
 
 
 def test_stall_of_the_own_process_loses_no_reply(fleet):
-    """A timeout that is noticed late must leave time to read the reply."""
+    """After a stall, a timed-out request still reads a reply that arrived."""
     a, _ = fleet.add('a'), fleet.add('b')
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
     message = nodes.Echo(b'x')
     running = gevent.spawn(a.request, 'b', message, 0.1)
     gevent.sleep(0)
@@ -227,10 +227,10 @@
 
 
 def test_stall_of_the_own_process_makes_no_peer_unresponsive(fleet):
-    """A process that was held up can't tell who is silent."""
+    """After a stall of this process, no peer counts as unresponsive."""
     a, _ = fleet.add('a'), fleet.add('b')
     forwarder = fleet.forward('b')
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
     forwarder.gate.clear()
     running = gevent.spawn(a.request, 'b', nodes.Echo(b'x'), 2.0)
     gevent.sleep(0.4)
@@ -241,24 +241,24 @@
 
 
 def test_slow_handler_keeps_its_link(fleet):
-    """A call longer than the silence limit must not look like silence."""
+    """A request may take longer than the silence limit if pongs arrive."""
     a, _ = fleet.add('a'), fleet.add('b')
     message = nodes.Echo(b'slow', 2.0)
     assert a.request('b', message, 3.0) == message
 
 
 def test_late_reply_is_ignored(fleet):
-    """A reply after its timeout must not reach a later request."""
+    """A reply that arrives after the timeout reaches no later request."""
     a, _ = fleet.add('a'), fleet.add('b')
     with pytest.raises(errors.ReplyLostError):
         a.request('b', nodes.Echo(b'late', 0.2), 0.1)
     for i in range(20):
-        assert exchange(a, 'b', b'%d' % i)
+        assert request_echo(a, 'b', b'%d' % i)
         gevent.sleep(0.01)
 
 
 def send_large(links):
-    """Sends more than the socket buffers hold; returns the greenlets."""
+    """Sends more than fits into the socket buffers; returns greenlets."""
     large = [
         gevent.spawn(links.request, 'b', nodes.Echo(bytes(1_900_000)), 3.0)
         for _ in range(4)
@@ -268,10 +268,10 @@
 
 
 def test_withdrawn_request_is_never_sent(fleet):
-    """NotSentError must mean that the peer never sees the request."""
+    """After NotSentError, the peer never receives the request."""
     a, b = fleet.add('a'), fleet.add('b')
     forwarder = fleet.forward('b')
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
     seen = []
     b._handlers._functions[nodes.Divide] = lambda _, m: seen.append(m.divisor)
     forwarder.gate.clear()
@@ -281,14 +281,14 @@
     (link,) = a._links['b']
     forwarder.gate.set()
     assert all(greenlet.get() for greenlet in large)
-    assert exchange(a, 'b') and a._links['b'] == [link] and not seen
+    assert request_echo(a, 'b') and a._links['b'] == [link] and not seen
 
 
 def test_lost_link_tells_written_from_unwritten(fleet):
-    """A request written in part may not be reported as not sent."""
+    """A partly written request raises ReplyLostError, not NotSentError."""
     a, _ = fleet.add('a'), fleet.add('b')
     forwarder = fleet.forward('b')
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
     forwarder.stall()
     large = send_large(a)
     gevent.joinall(large)
@@ -298,21 +298,24 @@
 
 
 def test_unreachable_peer_is_not_sent(fleet):
-    """Failed dials are certain not to have sent anything."""
+    """A failed dial raises NotSentError."""
     a = fleet.add('a')
     with socket.socket() as closed:
         closed.bind(('127.0.0.1', 0))
-        fleet.book['b'] = closed.getsockname()
+        fleet.addresses['b'] = closed.getsockname()
         for vm in ('b', 'unknown'):
             with pytest.raises(errors.NotSentError):
-                exchange(a, vm)
+                request_echo(a, vm)
     assert (
         not a.notify('b', nodes.Divide(1)) and a.broadcast(nodes.Divide(1)) == 0
     )
 
 
 def test_message_without_reply_opens_a_link(fleet):
-    """Reports to a node that no call goes to would all be lost."""
+    """dial_and_notify opens a link if there is none.
+
+    Otherwise all reports to a node that gets no calls would be lost.
+    """
     a, b = fleet.add('a'), fleet.add('b')
     assert not a.notify('b', nodes.Divide(1))
     assert a.dial_and_notify('b', nodes.Divide(1))
@@ -322,35 +325,35 @@
 
 
 def test_too_large_request_is_refused_locally(fleet):
-    """The sender, not the link, must suffer from its oversize message."""
+    """An oversize message raises an error and leaves the link open."""
     a, _ = fleet.add('a'), fleet.add('b')
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
     with pytest.raises(errors.TooLargeError):
-        exchange(a, 'b', bytes(frames.MAX_FRAME_BYTES))
-    assert exchange(a, 'b')
+        request_echo(a, 'b', bytes(frames.MAX_FRAME_BYTES))
+    assert request_echo(a, 'b')
 
 
 def test_strangers_are_bounded(fleet, monkeypatch):
-    """Strangers that send nothing must neither stay nor keep peers out."""
+    """Unauthenticated connections are closed and do not lock peers out."""
     monkeypatch.setattr(manager, 'MAX_UNAUTHENTICATED', 4)
     a, b = fleet.add('a'), fleet.add('b')
-    strangers = [socket.create_connection(b.address) for _ in range(8)]
+    unauthenticated = [socket.create_connection(b.address) for _ in range(8)]
     assert nodes.wait_until(lambda: len(b._unauthenticated) == 4)
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
     before = nodes.read_closes('handshake_timeout')
     start = time.monotonic()
-    for sock in strangers:
+    for sock in unauthenticated:
         sock.settimeout(3.0)
         assert sock.recv(1) == b''
         sock.close()
     assert time.monotonic() - start < manager.HANDSHAKE_DEADLINE_S + 0.5
     assert nodes.read_closes('handshake_timeout') > before
-    assert not b._unauthenticated and exchange(a, 'b')
+    assert not b._unauthenticated and request_echo(a, 'b')
 
 
 @pytest.mark.parametrize('data', [b'GET / HTTP/1.1\r\n\r\n', b'\0' * 20000])
 def test_garbage_before_authentication(fleet, data):
-    """Bytes of another protocol must close the connection at once."""
+    """Bytes of another protocol close the connection at once."""
     a, b = fleet.add('a'), fleet.add('b')
     with socket.create_connection(b.address) as sock:
         sock.sendall(data)
@@ -359,34 +362,39 @@
             while sock.recv(65536):
                 pass
             raise ConnectionError
-    assert nodes.wait_until(lambda: not b._unauthenticated) and exchange(a, 'b')
+    assert nodes.wait_until(lambda: not b._unauthenticated) and request_echo(
+        a, 'b'
+    )
 
 
 def test_newer_incarnation_replaces_older(fleet):
-    """After a restart no request may go to the former process."""
+    """After a restart, no request goes to the former process."""
     a, c = fleet.add('a'), fleet.add('c')
     events = []
     a.subscribe(lambda *change: events.append(change))
     old = fleet.add('b', incarnation=1)
-    assert exchange(old, 'a') and exchange(c, 'a')
+    assert request_echo(old, 'a') and request_echo(c, 'a')
     new = fleet.add('b', incarnation=2)
-    assert exchange(new, 'a')
+    assert request_echo(new, 'a')
     assert nodes.wait_until(lambda: not old.connected())
     assert a._preferred['b'].peer == handlers.PeerInfo('b', 2)
     with pytest.raises(errors.DialError):
-        exchange(old, 'a')
+        request_echo(old, 'a')
     assert [e for e in events if e[0] == 'b'] == [
         ('b', 1, 'open'),
         ('b', 1, 'closed'),
         ('b', 2, 'open'),
     ]
-    assert exchange(c, 'a') and exchange(new, 'a')
+    assert request_echo(c, 'a') and request_echo(new, 'a')
 
 
 def test_simultaneous_dials_agree_on_one_link(fleet):
-    """Both sides must send new requests over the same link."""
+    """After simultaneous dials, both sides prefer the same link."""
     a, b = fleet.add('a'), fleet.add('b')
-    dials = [gevent.spawn(exchange, a, 'b'), gevent.spawn(exchange, b, 'a')]
+    dials = [
+        gevent.spawn(request_echo, a, 'b'),
+        gevent.spawn(request_echo, b, 'a'),
+    ]
     assert all(greenlet.get() for greenlet in dials)
     gevent.sleep(0.05)
     assert len(a._links['b']) == len(b._links['a']) == 2
@@ -394,7 +402,7 @@
 
 
 def test_stop_lets_replies_leave(fleet):
-    """A planned stop must not cut the reply of a running handler."""
+    """A planned stop waits for the reply of a running handler."""
     a, b = fleet.add('a'), fleet.add('b')
     message = nodes.Echo(b'x' * 100_000, 0.2)
     running = gevent.spawn(a.request, 'b', message, 2.0)
@@ -405,22 +413,22 @@
 
 
 def test_idle_link_is_pinged(fleet, monkeypatch):
-    """An idle link whose peer is gone must be noticed without a request."""
+    """An idle link whose peer is gone closes without any request."""
     monkeypatch.setattr(connections, 'IDLE_PING_S', 0.3)
     a, b = fleet.add('a'), fleet.add('b')
     forwarder = fleet.forward('b')
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
     gevent.sleep(2.5)
-    assert a.connected() == ['b'], 'pongs keep an idle link'
+    assert a.connected() == ['b'], 'pongs keep an idle link open'
     forwarder.stall()
     assert nodes.wait_until(lambda: not a.connected(), 4.0)
     assert nodes.wait_until(lambda: not b.connected(), 4.0)
 
 
 def test_paused_process_keeps_its_links(fleet):
-    """A pause of the own process must not count as silence of the peer."""
+    """A pause of this process does not count as silence of the peer."""
     a, b = fleet.add('a'), fleet.add('b')
-    assert exchange(a, 'b')
+    assert request_echo(a, 'b')
     message = nodes.Echo(b'x', 2.6)
     running = gevent.spawn(a.request, 'b', message, 5.0)
     gevent.sleep(0.1)
@@ -431,12 +439,12 @@
 
 
 def test_peer_that_cannot_be_dialled_but_dials(fleet):
-    """A request that waits for its dial must use a link from the peer."""
+    """A request that waits for a dial uses a link that the peer opens."""
     a, b = fleet.add('a'), fleet.add('b')
     with socket.socket() as closed:
         closed.bind(('127.0.0.1', 0))
         closed.listen()
-        fleet.book['b'] = closed.getsockname()
-        running = gevent.spawn(exchange, a, 'b')
+        fleet.addresses['b'] = closed.getsockname()
+        running = gevent.spawn(request_echo, a, 'b')
         gevent.sleep(0.05)
-        assert exchange(b, 'a') and running.get()
+        assert request_echo(b, 'a') and running.get()
--- a/jayseam/links/transports.py
+++ b/jayseam/links/transports.py
@@ -1,6 +1,6 @@
 """Websocket connections on gevent sockets.
 
-The websockets library parses and builds frames; this module moves the bytes.
+The websockets library parses and builds frames; this module does the I/O.
 Compression is off: bodies are small or already compressed, and a compression
 context would take memory for each link.
 
@@ -33,16 +33,18 @@
 
 
 class Transport:
-    """One websocket connection; blocks only the calling greenlet.
+    """A websocket connection whose methods block only the calling greenlet.
 
     Args:
-      sock: A connected gevent socket, owned by the transport from now on.
+      sock: A connected gevent socket; the transport takes ownership of it.
       protocol: The websockets protocol object of this side.
 
     Attributes:
       sock: The socket.
-      limit_bytes: Bytes that may still be read; None once authenticated.
-      control_bytes: Bytes of the control frames received so far.
+      remaining_handshake_bytes: Bytes that may still be read before
+        authentication; None once authenticated.
+      control_bytes: Bytes of the control frames received since the owner last
+        reset this count.
     """
 
     def __init__(
@@ -50,16 +52,16 @@
     ):
         sockets.set_nodelay(sock)
         self.sock = sock
-        self.limit_bytes: int | None = MAX_HANDSHAKE_BYTES
+        self.remaining_handshake_bytes: int | None = MAX_HANDSHAKE_BYTES
         self.control_bytes = 0
         self._protocol = protocol
         self._payloads: collections.deque[bytes] = collections.deque()
         self._failure: Exception | None = None
 
     def receive(self) -> list[bytes]:
-        """Waits for bytes and returns the payloads that they complete.
+        """Waits for bytes and returns the complete payloads.
 
-        The list is empty after control frames or part of a frame.
+        The list is empty if only control frames or part of a frame arrived.
 
         Raises:
           TransportClosedError: If the connection has ended.
@@ -106,12 +108,12 @@
             raise errors.TransportClosedError('peer_closed') from error
         return b''.join(self._protocol.data_to_send())
 
-    def take_control(self) -> bytes:
-        """Returns the control frames that answer what was received."""
+    def pop_control_frames(self) -> bytes:
+        """Returns and removes the control frames to send, such as pongs."""
         return b''.join(self._protocol.data_to_send())
 
-    def send_now(self, data: bytes) -> int:
-        """Writes without waiting and returns how many bytes were taken.
+    def send_nowait(self, data: bytes) -> int:
+        """Writes without blocking and returns the number of bytes written.
 
         Raises:
           TransportClosedError: If the connection has ended.
@@ -123,8 +125,11 @@
         except OSError as error:
             raise errors.TransportClosedError('reset') from error
 
-    def send_some(self, data: memoryview) -> int:
-        """Waits until bytes can be written and returns how many were taken.
+    def send_partial(self, data: memoryview) -> int:
+        """Waits until the socket is writable and writes as much as it accepts.
+
+        Returns:
+          The number of bytes written.
 
         Raises:
           TransportClosedError: If the connection has ended.
@@ -135,7 +140,7 @@
             raise errors.TransportClosedError('reset') from error
 
     def send_all(self, payload: bytes) -> None:
-        """Writes one binary payload; used before the link is open.
+        """Writes one binary payload completely; used during the handshake.
 
         Raises:
           TransportClosedError: If the connection has ended.
@@ -143,19 +148,19 @@
         self._flush(self.encode(payload))
 
     def close(self) -> None:
-        """Sends a close frame if that needs no waiting and ends the socket."""
+        """Closes the socket, after a close frame if it needs no waiting."""
         with contextlib.suppress(OSError, exceptions.WebSocketException):
             self._protocol.fail(websocket_frames.CloseCode.GOING_AWAY)
-            self.sock.send(self.take_control(), 0, timeout=0.0)
+            self.sock.send(self.pop_control_frames(), 0, timeout=0.0)
         self.sock.close()
 
-    def finish(self) -> None:
-        """Ends the outgoing direction; the peer closes when it has read all."""
+    def shut_down_writing(self) -> None:
+        """Shuts down writing; the peer closes after reading everything."""
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
 
     def abort(self) -> None:
-        """Ends the socket without a close frame."""
+        """Closes the socket without a close frame."""
         self.sock.close()
 
     def _flush(self, data: bytes) -> None:
@@ -174,26 +179,32 @@
                 self._failure = errors.TransportClosedError('peer_closed')
             elif event.opcode in (_Opcode.PING, _Opcode.PONG):
                 is_masked = self._protocol.side is websocket_protocol.SERVER
-                self.control_bytes += measure_frame(len(event.data), is_masked)
+                self.control_bytes += compute_frame_size(
+                    len(event.data), is_masked
+                )
             else:
                 self._failure = errors.ProtocolError('unexpected frame type')
 
     def _read_events(self) -> list:
         if self._failure is not None:
             raise self._failure
-        # Frames may follow the handshake at once, so the limit bounds what is
-        # read before authentication, not what has arrived.
-        size = READ_BYTES if self.limit_bytes is None else self.limit_bytes
+        # Frames may directly follow the handshake, so the limit applies to the
+        # bytes read before authentication, not to those that have arrived.
+        size = (
+            READ_BYTES
+            if self.remaining_handshake_bytes is None
+            else self.remaining_handshake_bytes
+        )
         if size == 0:
-            raise errors.HandshakeError('handshake too large')
+            raise errors.HandshakeError('handshake exceeds the size limit')
         try:
             data = self.sock.recv(size)
         except OSError as error:
             raise errors.TransportClosedError('reset') from error
         if not data:
             raise errors.TransportClosedError('peer_closed')
-        if self.limit_bytes is not None:
-            self.limit_bytes -= len(data)
+        if self.remaining_handshake_bytes is not None:
+            self.remaining_handshake_bytes -= len(data)
         self._protocol.receive_data(data)
         problem = self._protocol.parser_exc
         if isinstance(problem, exceptions.PayloadTooBig):
@@ -212,7 +223,7 @@
 
     def _upgrade_as_client(self) -> None:
         self._protocol.send_request(self._protocol.connect())
-        self._flush(self.take_control())
+        self._flush(self.pop_control_frames())
         self._read_http()
         if self._protocol.handshake_exc is not None:
             raise errors.HandshakeError(str(self._protocol.handshake_exc))
@@ -221,15 +232,15 @@
         request = self._read_http()
         response = self._protocol.accept(request)
         self._protocol.send_response(response)
-        self._flush(self.take_control())
+        self._flush(self.pop_control_frames())
         if response.status_code != 101:
-            raise errors.HandshakeError('no websocket upgrade')
+            raise errors.HandshakeError('websocket upgrade refused')
 
 
-def measure_frame(payload_size: int, is_masked: bool) -> int:
-    """Returns the bytes of a websocket frame with its header.
+def compute_frame_size(payload_size: int, is_masked: bool) -> int:
+    """Returns the size of a websocket frame with its header, in bytes.
 
-    >>> measure_frame(100, is_masked=True)
+    >>> compute_frame_size(100, is_masked=True)
     106
     """
     extended = 0 if payload_size < 126 else 2 if payload_size < 65536 else 8
@@ -239,7 +250,7 @@
 def dial(host: str, port: int) -> Transport:
     """Connects to ``host``:``port`` and upgrades to a websocket.
 
-    The caller bounds the time, for example with ``gevent.Timeout``.
+    The caller sets a timeout, for example with ``gevent.Timeout``.
 
     Raises:
       TransportClosedError: If no connection can be made.
@@ -266,11 +277,11 @@
 def accept(sock: socket.socket) -> Transport:
     """Upgrades an accepted socket to a websocket.
 
-    The caller bounds the time and closes the socket after an error.
+    The caller sets a timeout and closes the socket after an error.
 
     Raises:
       TransportClosedError: If the connection ends.
-      HandshakeError: If the peer requests no websocket.
+      HandshakeError: If the peer does not request a websocket.
     """
     protocol = server.ServerProtocol(max_size=frames.MAX_FRAME_BYTES)
     transport = Transport(sock, protocol)
