--- a/jayseam/membership/__init__.py
+++ b/jayseam/membership/__init__.py
@@ -1,4 +1,4 @@
-"""Which members of the fleet are alive.
+"""Fleet membership and failure detection.
 
 See Also:
   ``docs/design.md``, section 4.1.
--- a/jayseam/membership/callbacks.py
+++ b/jayseam/membership/callbacks.py
@@ -1,4 +1,4 @@
-"""Calls of functions that other parts of the node have registered."""
+"""Calls of callbacks that other parts of the node have registered."""
 
 from collections.abc import Callable
 from typing import Any
@@ -9,9 +9,9 @@
 
 
 def call_safely(function: Callable[..., Any], *arguments: Any) -> None:
-    """Calls a function; logs what it raises.
+    """Calls a function and logs any exception that it raises.
 
-    A failing callback must not affect the membership.
+    A failing callback must not stop the membership task.
     """
     try:
         function(*arguments)
--- a/jayseam/membership/events.py
+++ b/jayseam/membership/events.py
@@ -1,4 +1,4 @@
-"""Messages in the mailbox of a node's own membership task."""
+"""Local messages in the mailbox of the membership task."""
 
 import attrs
 
@@ -20,7 +20,7 @@
 
 @attrs.frozen
 class OwnChange:
-    """A change of the own record.
+    """A change of this node's own record.
 
     Attributes:
       state: New state, None to keep it.
@@ -32,37 +32,37 @@
 
 
 @attrs.frozen
-class VmList:
+class VmListReceived:
     """The VM list of the platform, as records."""
 
     records: tuple[records.MemberRecord, ...]
 
 
 @attrs.frozen
-class Heard:
+class SignOfLife:
     """A sign of life of another member.
 
     Attributes:
       vm: The member.
-      now: Time of the sign, in seconds.
-      indirect: Whether it came through another member.
+      heard_at: Time of the sign of life, in seconds.
+      indirect: Whether another member reported it after a probe.
     """
 
     vm: str
-    now: float
+    heard_at: float
     indirect: bool
 
 
 @attrs.frozen
 class Tick:
-    """Judges the watched members."""
+    """Runs the failure detector."""
 
 
 @attrs.frozen
 class Flush:
-    """Sends the changed records."""
+    """Sends the changed records in the outbox."""
 
 
 @attrs.frozen
-class Drop:
-    """Drops members that have been dead for long."""
+class RemoveExpired:
+    """Removes members whose retention time as dead members has passed."""
--- a/jayseam/membership/exchanges.py
+++ b/jayseam/membership/exchanges.py
@@ -1,4 +1,4 @@
-"""Requests of this node to other members: heartbeats, pulls and probes."""
+"""Requests to other members: heartbeats, reconciliation and probes."""
 
 import random
 from collections.abc import Callable
@@ -17,31 +17,31 @@
 from jayseam.membership import views
 
 REQUEST_TIMEOUT_S = 1.0
-PROBERS = 2
-PULL_BUCKETS = 8
+PROBER_COUNT = 2
+BUCKETS_PER_PULL = 8
 
 
 class Exchanges:
-    """Asks other members and sends what they answer to the task.
+    """Sends requests to other members and passes the replies to the task.
 
-    Its functions block until the reply, so they run in greenlets of their own.
-    It owns no view: it reads the task's.
+    Its methods block until the reply arrives, so the task runs them in other
+    greenlets. The membership task owns the view; this class only reads it.
     """
 
     def __init__(
         self,
         own_vm: str,
         links: manager.LinkManager,
-        fields: heartbeats.Fields,
+        fields: heartbeats.HeartbeatFields,
         read_view: Callable[[], views.View],
         send: Callable[[Any], None],
     ):
-        """Prepares the exchanges.
+        """Initializes the requests.
 
         Args:
-          own_vm: Name of the own VM.
+          own_vm: Name of this node's VM.
           links: Links of this node.
-          fields: Fields of heartbeats.
+          fields: Values that heartbeats carry for other tasks.
           read_view: Returns the current view.
           send: Puts a message into the mailbox of the task.
         """
@@ -50,11 +50,11 @@
         self._fields = fields
         self._read_view = read_view
         self._send = send
-        self._mismatches = reconciliation.Mismatches()
+        self._mismatches = reconciliation.MismatchCounter()
         self._pulling = False
 
-    def beat(self, vm: str) -> bool:
-        """Sends a heartbeat; tells whether it was answered."""
+    def send_heartbeat(self, vm: str) -> bool:
+        """Sends a heartbeat and returns whether it was answered."""
         try:
             reply = self._links.request(
                 vm, self.create_heartbeat(), REQUEST_TIMEOUT_S
@@ -63,7 +63,7 @@
             return False
         if not isinstance(reply, messages.Heartbeat):
             return False
-        self.read_heartbeat(vm, reply)
+        self.process_heartbeat(vm, reply)
         self._compare_digest(vm, reply.digest)
         return True
 
@@ -73,29 +73,36 @@
             self._read_view().digest, self._fields.collect()
         )
 
-    def read_heartbeat(self, vm: str, heartbeat: messages.Heartbeat) -> None:
-        """Takes a heartbeat, which is a sign of life."""
-        self._send(events.Heard(vm, clocks.read_now(), indirect=False))
+    def process_heartbeat(self, vm: str, heartbeat: messages.Heartbeat) -> None:
+        """Reports a heartbeat as a sign of life and delivers its fields."""
+        self._send(events.SignOfLife(vm, clocks.read_now(), indirect=False))
         self._fields.deliver(vm, heartbeat.fields)
 
-    def forget_digest(self, vm: str) -> None:
-        """Forgets the digests of a member that has been dropped."""
-        self._mismatches.forget(vm)
+    def reset_mismatches(self, vm: str) -> None:
+        """Removes the mismatch count of a member that left the view."""
+        self._mismatches.reset(vm)
 
     def join(self, seed: manager.Address) -> bool:
-        """Dials a seed and takes its view; tells whether that worked."""
+        """Joins through a seed: dials it and reconciles all buckets with it.
+
+        Returns:
+          Whether the seed answered all requests.
+        """
         try:
             vm = self._links.dial_address(*seed)
         except link_errors.LinkError:
             return False
-        return self.beat(vm) and self._pull(vm, views.BUCKETS)
+        return self.send_heartbeat(vm) and self._pull(vm, views.BUCKET_COUNT)
 
     def request_probes(self, vm: str) -> None:
-        """Asks other members to probe ``vm``."""
+        """Asks up to ``PROBER_COUNT`` other members to probe ``vm``.
+
+        Only members with an open link are asked, if there are any.
+        """
         others = [r.vm for r in self._read_view().live() if r.state == 'alive']
         others = [name for name in others if name not in (vm, self._own_vm)]
         near = [name for name in others if name in self._links.connected()]
-        for prober in rendezvous.rank(vm, near or others)[:PROBERS]:
+        for prober in rendezvous.rank(vm, near or others)[:PROBER_COUNT]:
             gevent.spawn(self._request_probe, prober, vm)
 
     def _request_probe(self, prober: str, vm: str) -> None:
@@ -106,17 +113,21 @@
         except link_errors.LinkError:
             return
         if isinstance(result, messages.ProbeResult) and result.reachable:
-            self._send(events.Heard(vm, clocks.read_now(), indirect=True))
+            self._send(events.SignOfLife(vm, clocks.read_now(), indirect=True))
 
     def _compare_digest(self, vm: str, digest: bytes) -> None:
         differs = digest != self._read_view().digest
-        persists = self._mismatches.note(vm, differs)
+        persists = self._mismatches.record(vm, differs)
         if persists and not self._pulling:
-            self._mismatches.forget(vm)
-            self._pull(vm, PULL_BUCKETS)
+            self._mismatches.reset(vm)
+            self._pull(vm, BUCKETS_PER_PULL)
 
     def _pull(self, vm: str, max_buckets: int) -> bool:
-        """Reconciles up to ``max_buckets`` buckets with another member."""
+        """Reconciles up to ``max_buckets`` differing buckets with a member.
+
+        Returns:
+          Whether the member answered all requests.
+        """
         self._pulling = True
         try:
             summary = self._links.request(
@@ -126,17 +137,21 @@
                 self._read_view(), summary.buckets
             )
             random.shuffle(buckets)
-            for start in range(0, min(len(buckets), max_buckets), PULL_BUCKETS):
-                self._pull_buckets(vm, buckets[start : start + PULL_BUCKETS])
+            for start in range(
+                0, min(len(buckets), max_buckets), BUCKETS_PER_PULL
+            ):
+                self._pull_buckets(
+                    vm, buckets[start : start + BUCKETS_PER_PULL]
+                )
         except (link_errors.LinkError, AttributeError):
-            # AttributeError: the reply is of another class.
+            # AttributeError: the reply is a message of an unexpected class.
             return False
         finally:
             self._pulling = False
         return True
 
     def _pull_buckets(self, vm: str, buckets: list[int]) -> None:
-        known = reconciliation.known_hashes(self._read_view(), buckets)
+        known = reconciliation.collect_hashes(self._read_view(), buckets)
         asked = messages.PullRecords(buckets, known)
         reply = self._links.request(vm, asked, REQUEST_TIMEOUT_S)
         newer = reconciliation.choose_newer(self._read_view(), reply)
--- a/jayseam/membership/lists.py
+++ b/jayseam/membership/lists.py
@@ -1,4 +1,4 @@
-"""What the VM list of the platform and the age of dead members decide."""
+"""Changes of the view that follow from the VM list and from retention."""
 
 from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Any
@@ -14,18 +14,18 @@
 _log = logs.get_logger(__name__)
 
 
-def read_entries(
+def parse_entries(
     entries: Iterable[Mapping[str, Any]],
 ) -> tuple[records.MemberRecord, ...]:
-    """Returns the records of VM list entries.
+    """Converts entries of the VM list to records.
 
-    An invalid entry is logged and skipped, because one wrong entry must not
-    hide the others.
+    An invalid entry is logged and skipped, so that it does not invalidate the
+    rest of the list.
     """
     listed = []
     for entry in entries:
         try:
-            listed.append(records.read_vm_entry(entry))
+            listed.append(records.parse_vm_entry(entry))
         except errors.VmListError as error:
             _log.warning(
                 'membership.vm_entry_invalid', extra={'detail': str(error)}
@@ -33,22 +33,23 @@
     return tuple(listed)
 
 
-def choose_listed(
+def find_list_changes(
     view: views.View,
     own_vm: str,
     listed: Iterable[records.MemberRecord],
-    hears: Callable[[str], bool],
+    is_responding: Callable[[str], bool],
 ) -> list[records.MemberRecord]:
     """Returns the records by which the VM list changes the view.
 
-    The list adds unknown VMs and marks VMs as leaving. A member that is
-    wrongly marked refutes it.
+    The list adds unknown VMs and marks VMs as leaving. A running member that
+    is wrongly marked as leaving refutes that state.
 
     Args:
       view: The view.
-      own_vm: Name of the own VM, which the list can't change.
+      own_vm: Name of this node's VM, whose record the list can't change.
       listed: Records of the list.
-      hears: Tells whether a member is watched and not suspected.
+      is_responding: Returns whether a member is monitored and not suspect; if
+        so, the list can't mark it as leaving.
     """
     received = []
     for record in listed:
@@ -57,7 +58,7 @@
             continue
         if known is None:
             received.append(record)
-        elif record.state == 'leaving' and not hears(record.vm):
+        elif record.state == 'leaving' and not is_responding(record.vm):
             received.append(attrs.evolve(known, state='leaving'))
     return received
 
@@ -65,11 +66,15 @@
 def find_expired(
     view: views.View, listed: Collection[str], now: float
 ) -> set[str]:
-    """Returns the members that have been dead for long and aren't listed."""
+    """Returns the dead members to remove from the view.
+
+    These have been dead for longer than ``DEAD_RETENTION_S`` and are not in
+    the VM list.
+    """
     return {
         vm
         for vm, record in view.members.items()
         if record.state == 'dead'
         and vm not in listed
-        and now - view.since[vm] > DEAD_RETENTION_S
+        and now - view.state_since[vm] > DEAD_RETENTION_S
     }
--- a/jayseam/membership/messages.py
+++ b/jayseam/membership/messages.py
@@ -1,4 +1,4 @@
-"""Messages of the membership protocol, codes 21 to 29."""
+"""Messages of the membership protocol, type codes 21 to 29."""
 
 import attrs
 
@@ -15,14 +15,14 @@
 
 
 def _check_buckets(_, attribute: attrs.Attribute, value: list[int]) -> None:
-    if any(not 0 <= bucket < views.BUCKETS for bucket in value):
-        raise ValueError(f'{attribute.name} has an unknown bucket')
+    if any(not 0 <= bucket < views.BUCKET_COUNT for bucket in value):
+        raise ValueError(f'{attribute.name} has a bucket out of range')
 
 
 @messages.register(21)
 @attrs.frozen
 class MemberUpdate:
-    """Records that changed at the sender."""
+    """Notification of records that changed in the sender's view."""
 
     records: list = attrs.field(
         validator=messages.list_of(records.MemberRecord)
@@ -32,11 +32,11 @@
 @messages.register(22)
 @attrs.frozen
 class Heartbeat:
-    """Sign of life, sent as a request and as its reply.
+    """Heartbeat, sent as a request and as its reply.
 
     Attributes:
       digest: Digest of the sender's view.
-      fields: Small values that other tasks add.
+      fields: Small values that other tasks attach, by name.
     """
 
     digest: bytes = attrs.field(validator=_is_digest)
@@ -46,19 +46,23 @@
 @messages.register(23)
 @attrs.frozen
 class PullSummary:
-    """Asks for the digests of the buckets."""
+    """Request for the receiver's bucket digests, answered by `Summary`."""
 
 
 @messages.register(24)
 @attrs.frozen
 class Summary:
-    """The low 32 bits of each bucket's digest, in order."""
+    """Reply to `PullSummary`.
+
+    Attributes:
+      buckets: Low 32 bits of the digest of each bucket, in order.
+    """
 
     buckets: list = attrs.field(
         validator=[
             messages.list_of(int),
-            attrs.validators.min_len(views.BUCKETS),
-            attrs.validators.max_len(views.BUCKETS),
+            attrs.validators.min_len(views.BUCKET_COUNT),
+            attrs.validators.max_len(views.BUCKET_COUNT),
         ]
     )
 
@@ -66,11 +70,11 @@
 @messages.register(25)
 @attrs.frozen
 class PullRecords:
-    """Asks for the records of some buckets that differ from those held.
+    """Request for those records of some buckets that differ from the sender's.
 
     Attributes:
       buckets: Numbers of the buckets.
-      known: Low 32 bits of the hash of each record held, by VM.
+      known: Low 32 bits of the hash of each of the sender's records, by VM.
     """
 
     buckets: list = attrs.field(
@@ -85,8 +89,9 @@
     """Reply to `PullRecords`.
 
     Attributes:
-      records: Records that the asker lacks or has in another version.
-      wanted: VMs whose record at the asker differs or is unknown here.
+      records: Records that the requester lacks or has in another version.
+      wanted: VMs whose records the requester should send back, because the
+        replying node has another version or none.
     """
 
     records: list = attrs.field(
@@ -98,7 +103,7 @@
 @messages.register(27)
 @attrs.frozen
 class Probe:
-    """Asks the receiver to probe another member."""
+    """Request to probe another member, the ping-req of SWIM."""
 
     vm: str = attrs.field(validator=_is_str)
 
@@ -106,6 +111,10 @@
 @messages.register(28)
 @attrs.frozen
 class ProbeResult:
-    """Whether the probed member answered."""
+    """Reply to `Probe`.
+
+    Attributes:
+      reachable: Whether the probed member answered.
+    """
 
     reachable: bool = attrs.field(validator=attrs.validators.instance_of(bool))
--- a/jayseam/membership/neighbourhoods.py
+++ b/jayseam/membership/neighbourhoods.py
@@ -1,4 +1,4 @@
-"""The members that a node heartbeats and watches, found once for each view."""
+"""The members that a node sends heartbeats to and monitors, per view."""
 
 from collections.abc import Callable
 
@@ -14,52 +14,55 @@
     """The members next to a node.
 
     Attributes:
-      neighbours: Alive or suspect VMs that the node heartbeats.
-      watched: VMs whose silence the node judges. Leaving members are watched
-        too, so that their end is noticed.
+      neighbours: Alive or suspect VMs to which the node sends heartbeats.
+      monitored: VMs that the failure detector monitors. They include leaving
+        members, so that their end is detected.
     """
 
     neighbours: tuple[str, ...]
-    watched: tuple[str, ...]
+    monitored: tuple[str, ...]
 
 
 def find_neighbourhood(
     view: views.View, own: records.MemberRecord
 ) -> Neighbourhood:
-    """Returns the neighbourhood of a node in a view."""
+    """Computes the neighbourhood of a node in a view."""
     return Neighbourhood(
-        _find_near(view, own, views.is_live),
-        _find_near(view, own, lambda record: record.state != 'dead'),
+        _find_eligible_neighbours(view, own, views.is_live),
+        _find_eligible_neighbours(
+            view, own, lambda record: record.state != 'dead'
+        ),
     )
 
 
 class NeighbourhoodCache:
-    """Remembers the neighbourhood until the view is replaced.
+    """Caches the neighbourhood until the view is replaced.
 
-    Every tick and heartbeat asks for it, and finding it ranks all members.
+    Every tick and heartbeat reads the neighbourhood, and computing it ranks
+    all members.
     """
 
     def __init__(self):
         self._view: views.View | None = None
-        self._found = Neighbourhood((), ())
+        self._neighbourhood = Neighbourhood((), ())
 
     def find(
         self, view: views.View, own: records.MemberRecord
     ) -> Neighbourhood:
         """Returns the neighbourhood in a view."""
         if self._view is not view:
-            self._found = find_neighbourhood(view, own)
+            self._neighbourhood = find_neighbourhood(view, own)
             self._view = view
-        return self._found
+        return self._neighbourhood
 
 
-def _find_near(
+def _find_eligible_neighbours(
     view: views.View,
     own: records.MemberRecord,
-    accepts: Callable[[records.MemberRecord], bool],
+    is_eligible: Callable[[records.MemberRecord], bool],
 ) -> tuple[str, ...]:
     zones: dict[str, list[str]] = {}
     for record in view.members.values():
-        if record.vm != own.vm and accepts(record):
+        if record.vm != own.vm and is_eligible(record):
             zones.setdefault(record.zone, []).append(record.vm)
     return topology.find_neighbours(own.vm, own.zone, zones)
--- a/jayseam/membership/outbox.py
+++ b/jayseam/membership/outbox.py
@@ -6,7 +6,7 @@
 
 from jayseam.membership import records
 
-# Changes within this time share one message, which bounds the traffic when
+# Changes within this interval share one message, which bounds the traffic when
 # many members start at once.
 UPDATE_INTERVAL_S = 0.05
 MAX_UPDATE_RECORDS = 256
@@ -18,7 +18,7 @@
 
     Attributes:
       record: The record.
-      source: VM that sent it, None if this node changed it.
+      source: VM that sent the record, None if this node changed it.
     """
 
     record: records.MemberRecord
@@ -26,15 +26,15 @@
 
 
 class Outbox:
-    """Collects changes and spaces the times at which they are sent.
+    """Collects changed records and limits how often they are sent.
 
-    Of several changes of one member the last is kept.
+    Of several changes of one member only the last is kept.
     """
 
     def __init__(self):
         self._changes: dict[str, Change] = {}
         self._flushed_at = float('-inf')
-        self._planned = False
+        self._flush_scheduled = False
 
     def add(
         self, changed: Iterable[records.MemberRecord], source: str | None
@@ -43,17 +43,21 @@
         for record in changed:
             self._changes[record.vm] = Change(record, source)
 
-    def plan(self, now: float) -> float | None:
-        """Returns the delay in seconds of the next flush, None if planned."""
-        if self._planned:
+    def schedule_flush(self, now: float) -> float | None:
+        """Schedules a flush.
+
+        Returns:
+          Its delay in seconds, None if a flush is already scheduled.
+        """
+        if self._flush_scheduled:
             return None
-        self._planned = True
+        self._flush_scheduled = True
         return max(0.0, self._flushed_at + UPDATE_INTERVAL_S - now)
 
     def flush(self, now: float) -> tuple[Change, ...]:
         """Returns the changes to send and empties the outbox."""
         self._flushed_at = now
-        self._planned = False
+        self._flush_scheduled = False
         changes = tuple(self._changes.values())
         self._changes = {}
         return changes
@@ -62,10 +66,15 @@
 def choose_records(
     changes: Iterable[Change], vm: str, is_near: bool
 ) -> list[records.MemberRecord]:
-    """Returns the records that a member is told, the own changes first.
+    """Returns the records to send to a member, own changes first.
+
+    Changes by this node are sent to all members. Changes received from others
+    are forwarded to neighbours and followers, but not to their sender.
 
-    Own changes go to everyone. Those of others are passed on to neighbours
-    and followers, but not back to the member that sent them.
+    Args:
+      changes: Contents of the outbox.
+      vm: Name of the receiving VM.
+      is_near: Whether it is a neighbour or follower.
     """
     own = [c.record for c in changes if c.source is None]
     if not is_near:
@@ -73,9 +82,9 @@
     return own + [c.record for c in changes if c.source not in (None, vm)]
 
 
-def cut_batches(
+def split_batches(
     changed: Sequence[records.MemberRecord],
 ) -> Iterator[list[records.MemberRecord]]:
-    """Yields the records in messages of bounded size."""
+    """Yields the records in batches of at most ``MAX_UPDATE_RECORDS``."""
     for start in range(0, len(changed), MAX_UPDATE_RECORDS):
         yield list(changed[start : start + MAX_UPDATE_RECORDS])
--- a/jayseam/membership/reconciliation.py
+++ b/jayseam/membership/reconciliation.py
@@ -1,4 +1,4 @@
-"""Decisions that bring two views together: what differs and what to send."""
+"""Anti-entropy between two views: what differs and what to send."""
 
 from collections.abc import Iterable, Sequence
 
@@ -6,42 +6,46 @@
 from jayseam.membership import records
 from jayseam.membership import views
 
-# A difference that persists for two heartbeats is no update in flight.
+# An update in flight explains a difference in one heartbeat, but not in two.
 PULL_AFTER_MISMATCHES = 2
 
 
-class Mismatches:
-    """Counts the heartbeats in a row whose digest differed, by member."""
+class MismatchCounter:
+    """Counts successive heartbeats with a differing digest, by member."""
 
     def __init__(self):
         self._counts: dict[str, int] = {}
 
-    def note(self, vm: str, differs: bool) -> bool:
-        """Notes a digest; tells whether its difference has persisted."""
+    def record(self, vm: str, differs: bool) -> bool:
+        """Records a comparison of digests.
+
+        Returns:
+          Whether they differ in ``PULL_AFTER_MISMATCHES`` heartbeats in a row.
+        """
         if not differs:
-            self.forget(vm)
+            self.reset(vm)
             return False
         self._counts[vm] = self._counts.get(vm, 0) + 1
         return self._counts[vm] >= PULL_AFTER_MISMATCHES
 
-    def forget(self, vm: str) -> None:
-        """Starts the count of a member anew."""
+    def reset(self, vm: str) -> None:
+        """Resets the count of a member to zero."""
         self._counts.pop(vm, None)
 
 
 def summarize(view: views.View) -> list[int]:
-    """Returns the short digests of all buckets."""
+    """Returns the low 32 bits of the digest of each bucket."""
     return [_shorten(value) for value in view.buckets]
 
 
 def find_differing(view: views.View, summary: Sequence[int]) -> list[int]:
-    """Returns the buckets that differ from another member's summary."""
+    """Returns the numbers of the buckets that differ from a summary."""
     own = summarize(view)
     return [i for i, value in enumerate(summary) if value != own[i]]
 
 
-def known_hashes(view: views.View, buckets: Iterable[int]) -> dict[str, int]:
-    """Returns the short hash of each record in some buckets, by VM.
+def collect_hashes(view: views.View, buckets: Iterable[int]) -> dict[str, int]:
+    """Returns the low 32 bits of each record's hash in some buckets, by VM.
 
     The hash of a dead record is 0.
     """
@@ -55,16 +59,16 @@
 def compare_records(
     view: views.View, pull: messages.PullRecords
 ) -> messages.Records:
-    """Returns what the asker lacks and what it should send.
+    """Returns the records that the requester lacks and those it should send.
 
-    Dead records are included only where the asker holds another record, so
-    members that it has dropped do not come back.
+    A dead record is included only if the requester has another record of the
+    VM, so a member that the requester has removed is not added again.
     """
     changed, wanted = [], []
-    held = set()
+    own_vms = set()
     for bucket in set(pull.buckets):
         for record in view.bucket_members(bucket):
-            held.add(record.vm)
+            own_vms.add(record.vm)
             known = pull.known.get(record.vm)
             if known is None and record.state == 'dead':
                 continue
@@ -73,7 +77,7 @@
                 if known is not None:
                     wanted.append(record.vm)
     wanted += [
-        vm for vm, known in pull.known.items() if known and vm not in held
+        vm for vm, known in pull.known.items() if known and vm not in own_vms
     ]
     return messages.Records(changed, wanted)
 
@@ -81,7 +85,7 @@
 def choose_newer(
     view: views.View, reply: messages.Records
 ) -> list[records.MemberRecord]:
-    """Returns the wanted records that replace those in the reply."""
+    """Returns the wanted records that take precedence over the reply's."""
     theirs = {record.vm: record for record in reply.records}
     newer = []
     for vm in reply.wanted:
--- a/jayseam/membership/records.py
+++ b/jayseam/membership/records.py
@@ -1,8 +1,8 @@
-"""Records of members and the rule that decides between two of them.
+"""Membership records and the rule by which they are merged.
 
 Two records of the same VM are compared by incarnation, then sequence, then
-severity of state. A member refutes a suspicion by a higher sequence; another
-node only ever raises the severity within the member's own sequence.
+severity of state. Only the member itself raises its sequence, by which it
+refutes a suspicion; other nodes only raise the severity of its state.
 """
 
 from collections.abc import Iterable, Mapping
@@ -15,7 +15,7 @@
 from jayseam.membership import errors
 
 STATES = ('alive', 'suspect', 'leaving', 'dead')
-BACKENDS = ('cold', 'ready', 'draining', 'down')
+BACKEND_STATES = ('cold', 'ready', 'draining', 'down')
 
 _is_str = attrs.validators.instance_of(str)
 
@@ -23,21 +23,21 @@
 @messages.register(20)
 @attrs.frozen
 class MemberRecord:
-    """What is known of one member.
+    """The state of one member as a node knows it.
 
     Attributes:
       vm: Name of the VM, unique and never reused.
-      upstream: Position that its backend server holds.
-      service: Service of the position, empty if only the VM list is known.
+      upstream: Upstream, the position that its backend server holds.
+      service: Service of the upstream, empty if only the VM list is known.
       zone: Availability zone.
       region: Region of the zone.
       host: Address of the link listener.
       port: Port of the link listener.
-      incarnation: Start of the process in wall milliseconds; 0 if the record
-        comes from the VM list.
-      sequence: Raised by the member whenever it changes its record.
+      incarnation: Start time of the process, in wall-clock milliseconds; 0
+        if the record comes from the VM list.
+      sequence: Version of the record, raised by the member on each change.
       state: One of ``STATES``.
-      backend: State of its backend server, one of ``BACKENDS``.
+      backend: State of its backend server, one of ``BACKEND_STATES``.
     """
 
     vm: str = attrs.field(validator=_is_str)
@@ -50,14 +50,14 @@
     incarnation: int = attrs.field(validator=messages.is_integer)
     sequence: int = attrs.field(validator=messages.is_integer)
     state: str = attrs.field(validator=attrs.validators.in_(STATES))
-    backend: str = attrs.field(validator=attrs.validators.in_(BACKENDS))
+    backend: str = attrs.field(validator=attrs.validators.in_(BACKEND_STATES))
 
 
 def order_key(record: MemberRecord) -> tuple:
-    """Returns the key by which records of one VM are ordered.
+    """Returns the sort key of a record among the records of its VM.
 
-    The remaining fields break ties, so any two different records have the
-    same winner at every node.
+    The remaining fields break ties, so every node chooses the same one of any
+    two different records.
     """
     severity = STATES.index(record.state)
     head = (record.incarnation, record.sequence, severity)
@@ -65,21 +65,21 @@
 
 
 def merge(first: MemberRecord, second: MemberRecord) -> MemberRecord:
-    """Returns the record that replaces the other."""
+    """Returns the record that takes precedence over the other."""
     return max(first, second, key=order_key)
 
 
 def merge_all(
-    held: Mapping[str, MemberRecord], received: Iterable[MemberRecord]
+    current: Mapping[str, MemberRecord], received: Iterable[MemberRecord]
 ) -> dict[str, MemberRecord]:
-    """Returns the records of ``received`` that replace those held.
+    """Returns the records of ``received`` that add to or replace current ones.
 
-    A record of an unknown VM that is dead adds nothing and is left out, so
-    records that were dropped after their retention do not come back.
+    A dead record of an unknown VM is left out, so a dead member that was
+    removed after its retention time is not added again.
     """
     changes: dict[str, MemberRecord] = {}
     for record in received:
-        known = changes.get(record.vm, held.get(record.vm))
+        known = changes.get(record.vm, current.get(record.vm))
         if known is None:
             if record.state != 'dead':
                 changes[record.vm] = record
@@ -89,10 +89,10 @@
 
 
 def hash_record(record: MemberRecord) -> int:
-    """Returns a 64-bit hash of a record, equal on every node.
+    """Returns a 64-bit hash of a record, the same on every node.
 
-    A dead record hashes to 0: nodes drop dead records at different times, and
-    their digests must not differ because of that.
+    The hash of a dead record is 0: nodes remove dead records at different
+    times, which must not make their digests differ.
     """
     if record.state == 'dead':
         return 0
@@ -100,8 +100,8 @@
     return xxhash.xxh64_intdigest(text.encode())
 
 
-def read_vm_entry(entry: Mapping[str, Any]) -> MemberRecord:
-    """Returns the record that an entry of the VM list stands for.
+def parse_vm_entry(entry: Mapping[str, Any]) -> MemberRecord:
+    """Converts an entry of the VM list to a record.
 
     Raises:
       VmListError: If a field is missing or has the wrong type.
--- a/jayseam/membership/task.py
+++ b/jayseam/membership/task.py
@@ -1,7 +1,7 @@
 """The task that owns a node's view of the members.
 
-It sends a heartbeat each second to its neighbours, spreads changed records,
-repairs differences between views and detects failed members.
+It sends a heartbeat each second to its neighbours, disseminates changed
+records, reconciles its view with those of others and detects failed members.
 """
 
 import contextlib
@@ -32,8 +32,8 @@
 from jayseam.membership import records
 from jayseam.membership import views
 
-REVIVAL_S = 2.0
-REJOIN_S = 10.0
+DEAD_PROBE_INTERVAL_S = 2.0
+REJOIN_INTERVAL_S = 10.0
 
 Subscriber = Callable[[views.View, views.Records], None]
 
@@ -44,14 +44,14 @@
     """Keeps the view of the members and detects failures.
 
     Args:
-      own: Record of this node; its incarnation is that of the link identity.
-      links: Links of this node; may start after the task is built.
-      handlers: Registry of the same links, to which the task adds handlers.
-      seeds: Link addresses (host, port) of members to ask first.
+      own: Record of this node, with the incarnation of its link identity.
+      links: Links of this node; they may start after the task is created.
+      handlers: Handler registry of ``links``, to which the task adds handlers.
+      seeds: Link addresses (host, port) of the members through which to join.
 
     Attributes:
-      view: The current view; replaced, never changed.
-      replaced: True once a newer incarnation of the own VM has been seen.
+      view: The current view, an immutable object replaced on every change.
+      replaced: True once a newer incarnation of this node's VM has been seen.
     """
 
     def __init__(
@@ -69,29 +69,33 @@
         self._links = links
         self._seeds = tuple(seeds)
         self._detector = detection.create_detector(now)
-        self._fields = heartbeats.Fields()
+        self._fields = heartbeats.HeartbeatFields()
         self._followers = heartbeats.Followers()
         self._outbox = outbox.Outbox()
         self._neighbourhoods = neighbourhoods.NeighbourhoodCache()
         self._exchanges = exchanges.Exchanges(
-            own.vm, links, self._fields, lambda: self.view, self._send_quietly
+            own.vm,
+            links,
+            self._fields,
+            lambda: self.view,
+            self._send_unless_stopped,
         )
         self._subscribers: list[Subscriber] = []
         self._listed: frozenset[str] = frozenset()
         self._loops: list[gevent.Greenlet] = []
-        self._handle_events()
-        self._handle_messages(handlers)
-
-    def _handle_events(self) -> None:
-        self.handle(events.Merge, self._take_records)
-        self.handle(events.OwnChange, self._take_own_change)
-        self.handle(events.VmList, self._take_vm_list)
-        self.handle(events.Heard, self._take_sign_of_life)
-        self.handle(events.Tick, self._take_tick)
-        self.handle(events.Flush, self._take_flush)
-        self.handle(events.Drop, self._take_drop)
-
-    def _handle_messages(
+        self._register_event_handlers()
+        self._register_message_handlers(handlers)
+
+    def _register_event_handlers(self) -> None:
+        self.handle(events.Merge, self._handle_merge)
+        self.handle(events.OwnChange, self._handle_own_change)
+        self.handle(events.VmListReceived, self._handle_vm_list)
+        self.handle(events.SignOfLife, self._handle_sign_of_life)
+        self.handle(events.Tick, self._handle_tick)
+        self.handle(events.Flush, self._handle_flush)
+        self.handle(events.RemoveExpired, self._handle_remove_expired)
+
+    def _register_message_handlers(
         self, handlers: handlers_module.HandlerRegistry
     ) -> None:
         handlers.register(messages.MemberUpdate, self._on_update)
@@ -101,13 +105,13 @@
         handlers.register(messages.Probe, self._on_probe)
 
     @property
-    def own(self) -> records.MemberRecord:
+    def own_record(self) -> records.MemberRecord:
         """The record of this node."""
         return self._own
 
     @property
     def has_contact(self) -> bool:
-        """Whether some other member has told its record."""
+        """Whether the own record of some other live member has arrived."""
         return any(
             record.incarnation and record.vm != self._own.vm
             for record in self.view.live()
@@ -120,12 +124,12 @@
             self._loops.append(gevent.spawn(loop))
 
     def stop(self, timeout_s: float = 5.0) -> None:
-        """Ends the task without telling others; see `set_own`."""
+        """Ends the task without notifying other members; see `set_own`."""
         gevent.killall(self._loops)
         super().stop(timeout_s)
 
     def subscribe(self, callback: Subscriber) -> None:
-        """Calls ``callback(view, changed_records)`` after each change.
+        """Registers ``callback(view, changed_records)`` for each change.
 
         The callback runs in the task and must not block.
         """
@@ -134,31 +138,31 @@
     def set_own(
         self, state: str | None = None, backend: str | None = None
     ) -> None:
-        """Changes the own record and pushes it to all open links.
+        """Changes this node's record and sends it over all open links.
 
         Args:
           state: ``alive`` or ``leaving``, or None to keep the state.
-          backend: One of ``records.BACKENDS``, or None to keep it.
+          backend: One of ``records.BACKEND_STATES``, or None to keep it.
 
         Raises:
           ValueError: If a value is not allowed.
         """
         if state not in (None, 'alive', 'leaving'):
             raise ValueError(f'own state cannot be {state!r}')
-        if backend is not None and backend not in records.BACKENDS:
+        if backend is not None and backend not in records.BACKEND_STATES:
             raise ValueError(f'unknown backend state {backend!r}')
         self.send(events.OwnChange(state, backend))
 
     def merge_vms(self, entries: Iterable[Mapping[str, Any]]) -> None:
-        """Takes the VM list: adds unknown VMs and marks VMs as leaving.
+        """Applies the VM list: adds unknown VMs and marks VMs as leaving.
 
         Entries are those of ``GET /v1/vms``. An invalid entry is logged and
-        skipped, because one wrong entry must not hide the others.
+        skipped, so that it does not invalidate the rest of the list.
         """
-        self.send(events.VmList(lists.read_entries(entries)))
+        self.send(events.VmListReceived(lists.parse_entries(entries)))
 
     def neighbours(self) -> tuple[str, ...]:
-        """Returns the alive or suspect VMs that this node heartbeats."""
+        """Returns the alive or suspect VMs that get this node's heartbeats."""
         return self._find_neighbourhood().neighbours
 
     def resolve(self, vm: str) -> manager.Address | None:
@@ -182,7 +186,7 @@
     def on_heartbeat(
         self, name: str, function: Callable[[str, Any], None]
     ) -> None:
-        """Calls ``function(vm, value)`` for each received field ``name``.
+        """Registers ``function(vm, value)`` for received fields ``name``.
 
         The value comes from another node: check its type.
         """
@@ -191,105 +195,112 @@
     def _find_neighbourhood(self) -> neighbourhoods.Neighbourhood:
         return self._neighbourhoods.find(self.view, self._own)
 
-    # Messages to the task.
+    # Handlers of messages in the mailbox.
 
-    def _take_records(self, merge: events.Merge) -> None:
+    def _handle_merge(self, merge: events.Merge) -> None:
         self._apply(merge.records, merge.source)
 
-    def _take_own_change(self, change: events.OwnChange) -> None:
+    def _handle_own_change(self, change: events.OwnChange) -> None:
         state = change.state or self._own.state
         backend = change.backend or self._own.backend
         if (state, backend) != (self._own.state, self._own.backend):
             self._set_own(attrs.evolve(self._own, state=state, backend=backend))
 
-    def _take_vm_list(self, vm_list: events.VmList) -> None:
+    def _handle_vm_list(self, vm_list: events.VmListReceived) -> None:
         self._listed = frozenset(record.vm for record in vm_list.records)
-        received = lists.choose_listed(
-            self.view, self._own.vm, vm_list.records, self._hears
+        received = lists.find_list_changes(
+            self.view, self._own.vm, vm_list.records, self._is_responding
         )
         self._apply(received, None)
         if not self.has_contact:
-            # A fresh node learns the other records from its neighbours; the
-            # next round of heartbeats would cost its callers a second.
+            # A new node gets the other records from its neighbours at once,
+            # because waiting for the next round of heartbeats would delay
+            # its callers by a second.
             for vm in self.neighbours():
-                gevent.spawn(self._exchanges.beat, vm)
+                gevent.spawn(self._exchanges.send_heartbeat, vm)
 
-    def _take_sign_of_life(self, sign: events.Heard) -> None:
-        self._detector = detection.hear(
-            self._detector, sign.vm, sign.now, sign.indirect
+    def _handle_sign_of_life(self, sign: events.SignOfLife) -> None:
+        self._detector = detection.record_sign_of_life(
+            self._detector, sign.vm, sign.heard_at, sign.indirect
         )
         record = self.view.members.get(sign.vm)
         if not sign.indirect and record and record.state in ('suspect', 'dead'):
-            # The member refutes the state as soon as it learns of it.
+            # The member refutes this state as soon as it receives the record.
             self._links.notify(sign.vm, messages.MemberUpdate([record]))
 
-    def _take_tick(self, _: events.Tick) -> None:
+    def _handle_tick(self, _: events.Tick) -> None:
         now = clocks.read_now()
-        watched = self._find_neighbourhood().watched
+        monitored = self._find_neighbourhood().monitored
         detector = detection.tick(self._detector, now)
-        detector = detection.follow(detector, watched, now)
-        self._detector, verdicts = detection.judge(detector, now)
+        detector = detection.set_monitored(detector, monitored, now)
+        self._detector, verdicts = detection.evaluate(detector, now)
         for verdict in verdicts:
             if verdict.kind == 'probe':
                 gevent.spawn(self._exchanges.request_probes, verdict.vm)
             else:
-                self._condemn(verdict)
+                self._apply_verdict(verdict)
 
-    def _take_flush(self, _: events.Flush) -> None:
+    def _handle_flush(self, _: events.Flush) -> None:
         changes = self._outbox.flush(clocks.read_now())
         near = self._followers.list_vms().union(self.neighbours())
         for vm in self._links.connected():
             chosen = outbox.choose_records(changes, vm, vm in near)
-            for batch in outbox.cut_batches(chosen):
+            for batch in outbox.split_batches(chosen):
                 self._links.notify(vm, messages.MemberUpdate(batch))
 
-    def _take_drop(self, _: events.Drop) -> None:
+    def _handle_remove_expired(self, _: events.RemoveExpired) -> None:
         expired = lists.find_expired(self.view, self._listed, clocks.read_now())
         if not expired:
             return
         self.view = self.view.without(expired)
         for vm in expired:
-            self._exchanges.forget_digest(vm)
+            self._exchanges.reset_mismatches(vm)
 
     # Changes of the view.
 
     def _apply(
         self, received: Iterable[records.MemberRecord], source: str | None
     ) -> None:
-        """Merges records; tells subscribers and other members the changes."""
+        """Merges records and sends changes to subscribers and members."""
         now = clocks.read_now()
         self.view, changes = self.view.update(received, now)
         if not changes:
             return
         self._outbox.add(changes, source)
-        held = self.view.members[self._own.vm]
-        if held != self._own:
-            self._refute(held)
+        current = self.view.members[self._own.vm]
+        if current != self._own:
+            self._refute(current)
         for callback in self._subscribers:
             callbacks.call_safely(callback, self.view, changes)
-        self._plan_flush(now)
+        self._schedule_flush(now)
 
-    def _plan_flush(self, now: float) -> None:
-        delay_s = self._outbox.plan(now)
+    def _schedule_flush(self, now: float) -> None:
+        delay_s = self._outbox.schedule_flush(now)
         if delay_s == 0:
-            self._take_flush(events.Flush())
+            self._handle_flush(events.Flush())
         elif delay_s is not None:
-            gevent.spawn_later(delay_s, self._send_quietly, events.Flush())
+            gevent.spawn_later(
+                delay_s, self._send_unless_stopped, events.Flush()
+            )
 
-    def _refute(self, held: records.MemberRecord) -> None:
-        """Answers a record of the own VM that this node did not make."""
-        if held.incarnation > self._own.incarnation:
+    def _refute(self, current: records.MemberRecord) -> None:
+        """Handles a record of this node's VM that another process created.
+
+        A record of the same incarnation is refuted by a higher sequence. A
+        newer incarnation means that another process has replaced this one.
+        """
+        if current.incarnation > self._own.incarnation:
             if not self.replaced:
-                _log.warning('membership.replaced', extra={'vm': held.vm})
+                _log.warning('membership.replaced', extra={'vm': current.vm})
             self.replaced = True
             return
-        self._set_own(attrs.evolve(self._own, sequence=held.sequence))
+        self._set_own(attrs.evolve(self._own, sequence=current.sequence))
 
     def _set_own(self, record: records.MemberRecord) -> None:
         self._own = attrs.evolve(record, sequence=record.sequence + 1)
         self._apply([self._own], None)
 
-    def _condemn(self, verdict: detection.Verdict) -> None:
+    def _apply_verdict(self, verdict: detection.Verdict) -> None:
         known = self.view.members.get(verdict.vm)
         if known is None:
             return
@@ -299,11 +310,11 @@
         )
         self._apply([attrs.evolve(known, state=verdict.kind)], None)
 
-    def _hears(self, vm: str) -> bool:
-        watch = self._detector.watches.get(vm)
-        return watch is not None and watch.suspected_at is None
+    def _is_responding(self, vm: str) -> bool:
+        member = self._detector.members.get(vm)
+        return member is not None and member.suspected_at is None
 
-    # Messages from other nodes.
+    # Handlers of messages from other nodes.
 
     def _on_update(
         self, peer: handlers_module.PeerInfo, update: messages.MemberUpdate
@@ -313,8 +324,8 @@
     def _on_heartbeat(
         self, peer: handlers_module.PeerInfo, heartbeat: messages.Heartbeat
     ) -> messages.Heartbeat:
-        self._followers.hear(peer.vm, clocks.read_now())
-        self._exchanges.read_heartbeat(peer.vm, heartbeat)
+        self._followers.record_heartbeat(peer.vm, clocks.read_now())
+        self._exchanges.process_heartbeat(peer.vm, heartbeat)
         return self._exchanges.create_heartbeat()
 
     def _on_pull_summary(self, *_: Any) -> messages.Summary:
@@ -328,49 +339,55 @@
     def _on_probe(
         self, _: handlers_module.PeerInfo, probe: messages.Probe
     ) -> messages.ProbeResult:
-        return messages.ProbeResult(self._exchanges.beat(probe.vm))
+        return messages.ProbeResult(self._exchanges.send_heartbeat(probe.vm))
 
-    # Loops.
+    # Background loops.
 
     def _run_ticks(self) -> None:
         while True:
             tickers.wait_tick(detection.TICK_S)
-            self._send_quietly(events.Tick())
+            self._send_unless_stopped(events.Tick())
 
     def _run_heartbeats(self) -> None:
         gevent.sleep(random.uniform(0, heartbeats.HEARTBEAT_S))
-        revived_at = clocks.read_now()
+        contacted_at = clocks.read_now()
         while True:
             now = clocks.read_now()
-            self._followers.forget_silent(now)
+            self._followers.remove_silent(now)
             for vm in self._choose_heartbeat_targets():
-                gevent.spawn(self._exchanges.beat, vm)
-            if now - revived_at >= REVIVAL_S:
-                revived_at = now
-                self._revive()
-                self._send_quietly(events.Drop())
+                gevent.spawn(self._exchanges.send_heartbeat, vm)
+            if now - contacted_at >= DEAD_PROBE_INTERVAL_S:
+                contacted_at = now
+                self._contact_dead_member()
+                self._send_unless_stopped(events.RemoveExpired())
             gevent.sleep(heartbeats.HEARTBEAT_S)
 
     def _choose_heartbeat_targets(self) -> set[str]:
-        return set(self.neighbours()).union(self._detector.watches)
+        return set(self.neighbours()).union(self._detector.members)
+
+    def _contact_dead_member(self) -> None:
+        """Sends a heartbeat to a random dead member.
 
-    def _revive(self) -> None:
-        """Tries one dead member, so that healed partitions find each other."""
+        After a network partition heals, this is how its sides rejoin.
+        """
         dead = [r.vm for r in self.view.members.values() if r.state == 'dead']
         if dead:
-            gevent.spawn(self._exchanges.beat, random.choice(dead))
+            gevent.spawn(self._exchanges.send_heartbeat, random.choice(dead))
 
     def _run_joins(self) -> None:
-        """Asks the seeds until one answers, and again without neighbours."""
+        """Joins through the seeds until one answers.
+
+        Joins again whenever this node has no neighbours.
+        """
         while True:
             joined = [self._exchanges.join(seed) for seed in self._seeds]
             if not self._seeds or any(joined):
-                gevent.sleep(REJOIN_S)
+                gevent.sleep(REJOIN_INTERVAL_S)
                 while self.neighbours():
-                    gevent.sleep(REJOIN_S)
+                    gevent.sleep(REJOIN_INTERVAL_S)
             else:
                 gevent.sleep(random.uniform(0.5, 1.5) * heartbeats.HEARTBEAT_S)
 
-    def _send_quietly(self, message: Any) -> None:
+    def _send_unless_stopped(self, message: Any) -> None:
         with contextlib.suppress(core_errors.TaskStoppedError):
             self.send(message)
--- a/jayseam/membership/tests/measure_traffic.py
+++ b/jayseam/membership/tests/measure_traffic.py
@@ -1,4 +1,4 @@
-"""Measures the control traffic of members at rest and the spread of a change.
+"""Measures the traffic of idle members and the propagation of a change.
 
 All members run in this process, with real links between them. Run
 ``python -m jayseam.membership.tests.measure_traffic MEMBERS ZONES SECONDS``.
@@ -15,7 +15,7 @@
 
 
 def read_bytes():
-    """Returns the bytes so far by direction and message class."""
+    """Returns the byte counts by direction and message class."""
     return {
         (sample.labels['direction'], sample.labels['message']): sample.value
         for metric in counters.BYTES.collect()
@@ -24,8 +24,8 @@
     }
 
 
-def measure_rest(count, duration_s):
-    """Prints bytes and CPU time of a member in each second at rest."""
+def measure_idle(count, duration_s):
+    """Prints bytes and CPU time per second of an idle member."""
     before, cpu = read_bytes(), time.process_time()
     gevent.sleep(duration_s)
     after, cpu = read_bytes(), time.process_time() - cpu
@@ -42,7 +42,7 @@
 
 
 def measure_change(fleet):
-    """Prints how long a change of one member takes to reach all."""
+    """Prints how long a change of one member takes to reach all others."""
     everyone = list(fleet.members.values())
     before = read_bytes()
     start = time.perf_counter()
@@ -64,12 +64,12 @@
         start = time.perf_counter()
         for i in range(count):
             fleet.add(f'vm-{i:03d}', zone=f'zone-{i % zones}')
-        assert members.wait_until(lambda: fleet.agree(count), 60.0)
+        assert members.wait_until(lambda: fleet.views_agree(count), 60.0)
         print(f'start: one view after {time.perf_counter() - start:.2f} s')
         total = sum(v for k, v in read_bytes().items() if k[0] == 'sent')
         print(f'start: {total / count:.0f} B sent per member')
         gevent.sleep(5.0)
-        measure_rest(count, duration_s)
+        measure_idle(count, duration_s)
         measure_change(fleet)
 
 
--- a/jayseam/membership/tests/members.py
+++ b/jayseam/membership/tests/members.py
@@ -1,4 +1,4 @@
-"""Members on loopback for the tests of membership."""
+"""Members on the loopback interface for the tests of membership."""
 
 import contextlib
 
@@ -14,7 +14,7 @@
 
 
 def create_record(vm, **fields):
-    """Returns a record with plausible values."""
+    """Returns a record with default values for the missing fields."""
     base = {
         'upstream': f'u-{vm}',
         'service': 'credits',
@@ -68,13 +68,13 @@
         return record and record.state
 
     def kill(self):
-        """Ends the node without a farewell."""
+        """Ends the node without notifying other members."""
         self.task.stop(0.1)
         self.links.stop(0.0)
 
 
 class Fleet(contextlib.ExitStack):
-    """Members that are ended after the test."""
+    """Members that are stopped after the test."""
 
     def __init__(self):
         super().__init__()
@@ -88,15 +88,15 @@
         self.callback(member.kill)
         return member
 
-    def fill(self, count, zones):
-        """Starts members in turn in each zone and waits for one view."""
+    def add_members(self, count, zones):
+        """Starts members across the zones and waits until views agree."""
         for i in range(count):
             self.add(f'vm-{i:02d}', zone=f'zone-{i % zones}')
-        assert wait_until(lambda: self.agree(count)), 'no common view'
+        assert wait_until(lambda: self.views_agree(count)), 'views do not agree'
         return list(self.members.values())
 
-    def agree(self, count):
-        """Tells whether all members have the same view of ``count`` members."""
+    def views_agree(self, count):
+        """Returns whether all have the same view of ``count`` live members."""
         views = [member.task.view for member in self.members.values()]
         return (
             len({view.digest for view in views}) == 1
@@ -105,7 +105,7 @@
 
 
 def wait_until(condition, timeout_s=6.0):
-    """Waits until ``condition()`` holds and tells whether it does."""
+    """Waits for ``condition()``; returns whether it held in time."""
     with gevent.Timeout(timeout_s, False):
         while not condition():
             gevent.sleep(0.01)
--- a/jayseam/membership/tests/test_rules.py
+++ b/jayseam/membership/tests/test_rules.py
@@ -1,4 +1,4 @@
-"""Tests of the pure parts: records, views, detection, outbox and others."""
+"""Tests of the parts without I/O: records, views, detection, outbox etc."""
 
 import functools
 
@@ -19,26 +19,29 @@
 _small = strategies.integers(0, 2)
 
 
-def draw_records(*vms):
-    """Returns a strategy of records that often collide."""
+def build_records(*vms):
+    """Returns a strategy of records that often have equal fields."""
     return strategies.builds(
         members.create_record,
         strategies.sampled_from(vms),
         incarnation=_small,
         sequence=_small,
         state=strategies.sampled_from(records.STATES),
-        backend=strategies.sampled_from(records.BACKENDS),
+        backend=strategies.sampled_from(records.BACKEND_STATES),
         zone=strategies.sampled_from(['zone-1', 'zone-2']),
     )
 
 
-_one_vm = draw_records('a')
-_many = strategies.lists(draw_records('a', 'b', 'c', 'd'), max_size=12)
+_one_vm = build_records('a')
+_many = strategies.lists(build_records('a', 'b', 'c', 'd'), max_size=12)
 
 
 @hypothesis.given(_one_vm, _one_vm, _one_vm)
 def test_merge_is_a_semilattice(first, second, third):
-    """Views must converge whatever the order and number of deliveries."""
+    """Merging is commutative, associative and idempotent.
+
+    Otherwise views would depend on the order and number of deliveries.
+    """
     merge = records.merge
     assert merge(first, second) == merge(*reversed([first, second]))
     assert merge(merge(first, second), third) == merge(
@@ -63,7 +66,7 @@
 
 @hypothesis.given(_many, strategies.randoms(use_true_random=False))
 def test_views_converge(received, rng):
-    """Two nodes that got the same records must have equal digests."""
+    """Two nodes that received the same records have equal digests."""
     alive = [members.create_record(vm, incarnation=0) for vm in 'abcd']
     shuffled = received * 2
     rng.shuffle(shuffled)
@@ -77,10 +80,10 @@
 
 @hypothesis.given(_many, _many)
 def test_pull_reconciles_two_views(ours, theirs):
-    """One exchange of a pull must leave both sides with the same view."""
+    """A single pull leaves both sides with the same view."""
     own, other = views.create_view(ours, 0.0), views.create_view(theirs, 0.0)
-    buckets = list(range(views.BUCKETS))
-    known = reconciliation.known_hashes(own, buckets)
+    buckets = list(range(views.BUCKET_COUNT))
+    known = reconciliation.collect_hashes(own, buckets)
     reply = reconciliation.compare_records(
         other, messages.PullRecords(buckets, known)
     )
@@ -92,7 +95,7 @@
 
 
 def test_view_lookups():
-    """Lookups must leave out the dead and prefer the newer incarnation."""
+    """Lookups leave out dead members and prefer the newer incarnation."""
     view = views.create_view(
         [
             members.create_record('old', upstream='u-1'),
@@ -112,35 +115,47 @@
     assert view.holder('u-1').vm == 'new' and view.holder('u-9') is None
     assert [r.vm for r in view.at_upstream('u-1')] == ['new', 'old']
     assert names(view.live_in_zone('zone-1')) == {'old', 'new', 'drained'}
-    assert names(view.in_zone('zone-1')) == {'old', 'new', 'drained', 'gone'}
+    assert names(view.members_in_zone('zone-1')) == {
+        'old',
+        'new',
+        'drained',
+        'gone',
+    }
     assert names(view.of_service('x')) == {'drained'}
     assert [r.vm for r in view.usable(11.0)] == ['new', 'far', 'slow']
     assert [r.vm for r in view.usable(14.0)] == ['new', 'far']
     after, changes = view.update([dead], 20.0)
-    assert changes == (dead,) and names(after.in_zone('zone-2')) == {'slow'}
-    assert after.since['far'] == 20.0 and view.members['far'].state == 'alive'
+    assert changes == (dead,) and names(after.members_in_zone('zone-2')) == {
+        'slow'
+    }
+    assert (
+        after.state_since['far'] == 20.0
+        and view.members['far'].state == 'alive'
+    )
     assert 'far' not in after.without({'far'}).members
     again, _ = after.without({'far'}).update([dead], 21.0)
-    assert 'far' not in again.members, 'a dropped member must not come back'
+    assert 'far' not in again.members, 'a removed member must not come back'
 
 
-def run_observer(gaps, answers):
-    """Returns the verdicts of an observer that runs after each gap.
+def run_observer(gaps, responding):
+    """Returns the verdicts of an observer that ticks after each gap.
 
-    Verdicts come before the signs of life of the same step, which is the
-    worst order after a pause.
+    At each step the verdicts come before the signs of life, which is the worst
+    order after a pause.
     """
-    now, asked_at, found = 0.0, 0.0, []
-    detector = detection.follow(detection.create_detector(now), 'ab', now)
+    now, heartbeat_at, found = 0.0, 0.0, []
+    detector = detection.set_monitored(
+        detection.create_detector(now), 'ab', now
+    )
     for gap in gaps:
         now += gap
         detector = detection.tick(detector, now)
-        detector, verdicts = detection.judge(detector, now)
+        detector, verdicts = detection.evaluate(detector, now)
         found += [(verdict.kind, verdict.vm, now) for verdict in verdicts]
-        if now - asked_at >= 1.0:
-            asked_at = now
-            for vm in answers:
-                detector = detection.hear(detector, vm, now)
+        if now - heartbeat_at >= 1.0:
+            heartbeat_at = now
+            for vm in responding:
+                detector = detection.record_sign_of_life(detector, vm, now)
     return found
 
 
@@ -152,14 +167,14 @@
 
 @hypothesis.given(_gaps)
 def test_paused_observer_condemns_nobody(gaps):
-    """A node must suspect its own slowness before its neighbours."""
-    assert not run_observer(gaps, answers='ab')
+    """Pauses of the observer never make a responding member suspect."""
+    assert not run_observer(gaps, responding='ab')
 
 
 @hypothesis.given(strategies.lists(strategies.floats(0.05, 0.25), min_size=99))
 def test_silent_member_is_found(gaps):
-    """A silent member must become suspect, then dead, within the limits."""
-    found = run_observer(gaps, answers='a')
+    """A silent member becomes suspect, then dead, within the timeouts."""
+    found = run_observer(gaps, responding='a')
     kinds = [kind for kind, vm, _ in found if vm == 'b']
     times = {kind: now for kind, _, now in found}
     assert kinds == ['suspect', 'probe', 'dead'] and {v[1] for v in found} == {
@@ -170,23 +185,23 @@
 
 
 def test_slow_observer_doubles_the_limits():
-    """After a missed tick both limits are 3 s."""
-    found = run_observer([0.5] + [0.1] * 70, answers='a')
+    """After a missed tick both timeouts are 3 s."""
+    found = run_observer([0.5] + [0.1] * 70, responding='a')
     times = {kind: now for kind, vm, now in found if vm == 'b'}
     assert 3.4 <= times['suspect'] <= 3.7
-    # The period of doubled limits ends 5.5 s after the start.
+    # The period of doubled timeouts ends 5.5 s after the start.
     assert 5.4 <= times['dead'] <= 6.7
 
 
 def test_member_reached_by_others_only_is_not_suspected_again():
-    """An indirect sign of life brings the next probe before a suspicion."""
-    detector = detection.follow(detection.create_detector(0.0), 'a', 0.0)
-    detector = detection.hear(detector, 'a', 1.0, indirect=True)
-    detector, verdicts = detection.judge(detector, 1.8)
+    """After an indirect sign of life, a probe precedes the next suspicion."""
+    detector = detection.set_monitored(detection.create_detector(0.0), 'a', 0.0)
+    detector = detection.record_sign_of_life(detector, 'a', 1.0, indirect=True)
+    detector, verdicts = detection.evaluate(detector, 1.8)
     assert [verdict.kind for verdict in verdicts] == ['probe']
-    detector, verdicts = detection.judge(detector, 2.4)
+    detector, verdicts = detection.evaluate(detector, 2.4)
     assert not verdicts
-    _, verdicts = detection.judge(detector, 2.6)
+    _, verdicts = detection.evaluate(detector, 2.6)
     assert [verdict.kind for verdict in verdicts] == ['suspect', 'probe']
 
 
@@ -197,7 +212,7 @@
     )
 )
 def test_neighbours_cover_every_member(sizes):
-    """Each member needs watchers, and other zones must be linked."""
+    """Each member is monitored, and nodes have neighbours in other zones."""
     zones = {z: [f'{z}-{i}' for i in range(n)] for z, n in sizes.items()}
     chosen = {
         vm: topology.find_neighbours(vm, zone, zones)
@@ -207,9 +222,9 @@
     for zone, vms in zones.items():
         for vm in vms:
             own = [other for other in chosen[vm] if other in vms]
-            watchers = [o for o in vms if vm in chosen[o]]
+            monitors = [o for o in vms if vm in chosen[o]]
             assert vm not in chosen[vm]
-            assert len(own) == len(watchers) == min(2, len(vms) - 1)
+            assert len(own) == len(monitors) == min(2, len(vms) - 1)
             others = {other.split('-')[0] for other in chosen[vm]} - {zone}
             filled = sum(bool(v) for z, v in zones.items() if z != zone)
             assert len(others) == min(2, filled)
@@ -217,31 +232,36 @@
 
 @pytest.mark.parametrize('removed', range(1, 6))
 def test_next_member_replaces_a_removed_neighbour(removed):
-    """Without a fallback a node would lose a neighbour with each failure."""
+    """The next member on the ring takes the place of a failed neighbour."""
     vms = [f'vm-{i}' for i in range(8)]
     ring = topology.order_ring(vms)
-    left = [ring[0]] + ring[1 + removed :]
-    assert topology.find_successors(ring[0], left) == left[1:3]
+    remaining = [ring[0]] + ring[1 + removed :]
+    assert topology.find_successors(ring[0], remaining) == remaining[1:3]
     counts = functools.reduce(
-        lambda total, vm: total + len(topology.find_successors(vm, left)),
-        left,
+        lambda total, vm: total + len(topology.find_successors(vm, remaining)),
+        remaining,
         0,
     )
-    assert counts == len(left) * min(2, len(left) - 1)
+    assert counts == len(remaining) * min(2, len(remaining) - 1)
 
 
 def test_outbox_spaces_its_flushes():
-    """Many members that start at once must not cost a message each."""
+    """Changes within one interval share a flush.
+
+    Otherwise many members that start at once would cost a message each.
+    """
     box = outbox.Outbox()
     first, second = members.create_record('a'), members.create_record('b')
     box.add([first], 'x')
-    assert box.plan(10.0) == 0.0 and box.plan(10.0) is None
+    assert box.schedule_flush(10.0) == 0.0 and box.schedule_flush(10.0) is None
     assert box.flush(10.0) == (outbox.Change(first, 'x'),)
     assert not box.flush(10.0)
     newer = attrs.evolve(first, sequence=5)
     box.add([first, second], 'x')
     box.add([newer], None)
-    assert box.plan(10.02) == pytest.approx(outbox.UPDATE_INTERVAL_S - 0.02)
+    assert box.schedule_flush(10.02) == pytest.approx(
+        outbox.UPDATE_INTERVAL_S - 0.02
+    )
     assert set(box.flush(10.05)) == {
         outbox.Change(newer, None),
         outbox.Change(second, 'x'),
@@ -249,7 +269,10 @@
 
 
 def test_updates_are_not_sent_back_or_spread_by_everyone():
-    """Every node passing on every change would flood the fleet."""
+    """Changes are forwarded to near members only, and not to their sender.
+
+    If every node forwarded every change, the traffic would flood the fleet.
+    """
     own, other = members.create_record('own'), members.create_record('other')
     changes = [outbox.Change(other, 'x'), outbox.Change(own, None)]
     assert outbox.choose_records(changes, 'near', True) == [own, other]
@@ -258,19 +281,22 @@
 
 
 def test_updates_are_cut_into_messages():
-    """A frame with all records of a large fleet would close the link."""
+    """Updates are split, because an oversize frame would close the link."""
     record = members.create_record('a')
-    sizes = [len(b) for b in outbox.cut_batches([record] * 600)]
-    assert sizes == [256, 256, 88] and not list(outbox.cut_batches([]))
+    sizes = [len(b) for b in outbox.split_batches([record] * 600)]
+    assert sizes == [256, 256, 88] and not list(outbox.split_batches([]))
 
 
 def test_only_a_lasting_difference_is_pulled():
-    """Each update in flight would otherwise cost a pull."""
-    mismatches = reconciliation.Mismatches()
-    assert not mismatches.note('a', True)
-    assert not mismatches.note('a', False)
-    assert not mismatches.note('a', True)
-    assert not mismatches.note('b', True)
-    assert mismatches.note('a', True)
-    mismatches.forget('a')
-    assert not mismatches.note('a', True)
+    """A difference in only one heartbeat is ignored.
+
+    Otherwise each update in flight would cost a pull.
+    """
+    mismatches = reconciliation.MismatchCounter()
+    assert not mismatches.record('a', True)
+    assert not mismatches.record('a', False)
+    assert not mismatches.record('a', True)
+    assert not mismatches.record('b', True)
+    assert mismatches.record('a', True)
+    mismatches.reset('a')
+    assert not mismatches.record('a', True)
--- a/jayseam/membership/tests/test_task.py
+++ b/jayseam/membership/tests/test_task.py
@@ -1,4 +1,4 @@
-"""Tests of membership tasks with real links on loopback."""
+"""Tests of membership tasks with real links on the loopback interface."""
 
 import time
 
@@ -14,13 +14,13 @@
 
 @pytest.fixture(name='fleet')
 def create_fleet():
-    """Yields an empty fleet and ends its members."""
+    """Yields an empty fleet and stops its members."""
     with members.Fleet() as fleet:
         yield fleet
 
 
-def all_see(others, vm, state, timeout_s=6.0):
-    """Returns whether all of ``others`` come to see ``vm`` in ``state``."""
+def wait_for_state(others, vm, state, timeout_s=6.0):
+    """Returns whether ``vm`` gets ``state`` in the views of all ``others``."""
     return members.wait_until(
         lambda: all(member.state_of(vm) == state for member in others),
         timeout_s,
@@ -28,15 +28,15 @@
 
 
 def test_killed_member_becomes_suspect_then_dead(fleet):
-    """Every node must learn of a failure, also those that did not watch."""
-    everyone = fleet.fill(9, zones=3)
+    """Every node learns of a failure, also those that did not monitor it."""
+    everyone = fleet.add_members(9, zones=3)
     victim, others = everyone[4], everyone[:4] + everyone[5:]
     seen = []
     others[0].task.subscribe(
         lambda _, changes: seen.extend((r.vm, r.state) for r in changes)
     )
     victim.kill()
-    assert all_see(others, victim.vm, 'dead')
+    assert wait_for_state(others, victim.vm, 'dead')
     assert seen == [(victim.vm, 'suspect'), (victim.vm, 'dead')]
     assert all(victim.vm not in member.task.neighbours() for member in others)
     assert members.wait_until(
@@ -45,10 +45,10 @@
 
 
 def test_own_changes_are_pushed_at_once(fleet):
-    """Draining and leaving must not wait for a heartbeat."""
-    everyone = fleet.fill(9, zones=3)
+    """A change to draining or leaving is sent before the next heartbeat."""
+    everyone = fleet.add_members(9, zones=3)
     everyone[0].task.set_own(state='leaving', backend='draining')
-    assert all_see(everyone, 'vm-00', 'leaving', timeout_s=0.5)
+    assert wait_for_state(everyone, 'vm-00', 'leaving', timeout_s=0.5)
     record = everyone[5].task.view.members['vm-00']
     assert record.backend == 'draining' and record.sequence == 1
     with pytest.raises(ValueError):
@@ -56,15 +56,17 @@
     with pytest.raises(ValueError):
         everyone[0].task.set_own(backend='warm')
     everyone[0].kill()
-    assert all_see(everyone[1:], 'vm-00', 'dead'), 'a left member must end'
+    assert wait_for_state(
+        everyone[1:], 'vm-00', 'dead'
+    ), 'a leaving member that ended must become dead'
 
 
 @pytest.mark.parametrize('state', ['suspect', 'dead'])
 def test_member_refutes_a_wrong_state(fleet, state):
-    """A running member must not stay condemned after a false alarm."""
-    everyone = fleet.fill(6, zones=2)
+    """A running member refutes a record that says it is suspect or dead."""
+    everyone = fleet.add_members(6, zones=2)
     target = everyone[3]
-    wrong = attrs.evolve(target.task.own, state=state)
+    wrong = attrs.evolve(target.task.own_record, state=state)
     everyone[0].task.send(events.Merge((wrong,), None))
     assert members.wait_until(
         lambda: all(
@@ -72,17 +74,20 @@
             for member in everyone
         )
     )
-    assert all_see(everyone, target.vm, 'alive')
+    assert wait_for_state(everyone, target.vm, 'alive')
 
 
 def test_lost_update_is_repaired(fleet):
-    """Digests must bring a record that no update delivered."""
-    everyone = fleet.fill(12, zones=3)
-    hidden = attrs.evolve(everyone[7].task.own, sequence=9, backend='cold')
-    keeper = everyone[2].task
-    keeper.view, changes = keeper.view.update([hidden], 0.0)
+    """A record that no update delivered is found by comparing digests."""
+    everyone = fleet.add_members(12, zones=3)
+    hidden = attrs.evolve(
+        everyone[7].task.own_record, sequence=9, backend='cold'
+    )
+    other = everyone[2].task
+    other.view, changes = other.view.update([hidden], 0.0)
     assert changes == (hidden,)
-    # The member finds its own record ahead of what it holds and refutes it.
+    # The member receives its own record with a higher sequence than it set
+    # itself, and refutes it.
     assert members.wait_until(
         lambda: all(
             member.task.view.members[hidden.vm].sequence == 10
@@ -92,13 +97,13 @@
 
 
 def test_stalled_connection_is_no_failure(fleet):
-    """A connection that stalls while new ones work must not end in death."""
+    """A member is not declared dead if only one connection to it stalls."""
     a, b = fleet.add('a'), fleet.add('b')
     forwarder = nodes.Forwarder(b.links.address)
     fleet.callback(forwarder.stop)
     a.redirected['b'] = b.redirected['a'] = forwarder.address
     b.blocked.add('a')
-    assert members.wait_until(lambda: fleet.agree(2))
+    assert members.wait_until(lambda: fleet.views_agree(2))
     states = set()
     a.task.subscribe(lambda _, changes: states.update(r.state for r in changes))
     assert members.wait_until(lambda: 'b' in a.links._preferred)
@@ -107,12 +112,14 @@
     forwarder.stall()
     gevent.sleep(4.0)
     assert 'dead' not in states
-    assert all_see([a], 'b', 'alive') and all_see([b], 'a', 'alive')
+    assert wait_for_state([a], 'b', 'alive') and wait_for_state(
+        [b], 'a', 'alive'
+    )
 
 
 def test_paused_process_condemns_nobody(fleet):
-    """After a pause of the observer its neighbours must not be suspects."""
-    everyone = fleet.fill(6, zones=2)
+    """After a pause of the observer, its neighbours do not become suspect."""
+    everyone = fleet.add_members(6, zones=2)
     seen = []
     for member in everyone:
         member.task.subscribe(
@@ -120,12 +127,12 @@
         )
     time.sleep(5.0)  # Blocks the whole process, unlike gevent.sleep.
     gevent.sleep(2.0)
-    assert not seen and fleet.agree(6)
+    assert not seen and fleet.views_agree(6)
 
 
 def test_asymmetric_partition_is_bridged_by_probes(fleet):
-    """A member that others reach must not die because one cannot."""
-    everyone = fleet.fill(5, zones=1)
+    """A member that one node cannot reach, but others can, stays alive."""
+    everyone = fleet.add_members(5, zones=1)
     near = everyone[0]
     far = fleet.members[near.task.neighbours()[0]]
     seen = []
@@ -139,12 +146,12 @@
             link.close('test')
     gevent.sleep(6.0)
     assert 'dead' not in seen and seen.count('suspect') <= 1
-    assert all_see(everyone, far.vm, 'alive', timeout_s=2.0)
+    assert wait_for_state(everyone, far.vm, 'alive', timeout_s=2.0)
 
 
 def test_partitioned_zones_find_each_other_again(fleet):
-    """Zones that declared each other dead must reunite without the platform."""
-    everyone = fleet.fill(6, zones=2)
+    """Zones that declared each other dead rejoin without the platform."""
+    everyone = fleet.add_members(6, zones=2)
     sides = everyone[::2], everyone[1::2]
     for own, other in (sides, sides[::-1]):
         for member in own:
@@ -154,33 +161,33 @@
                     link.close('test')
     for own, other in (sides, sides[::-1]):
         for member in other:
-            assert all_see(own, member.vm, 'dead', timeout_s=10.0)
+            assert wait_for_state(own, member.vm, 'dead', timeout_s=10.0)
     for member in everyone:
         member.blocked.clear()
-    assert members.wait_until(lambda: fleet.agree(6), 10.0)
+    assert members.wait_until(lambda: fleet.views_agree(6), 10.0)
 
 
 def test_restart_with_newer_incarnation(fleet):
-    """A restarted member must replace its former record everywhere."""
-    everyone = fleet.fill(4, zones=2)
+    """The record of a restarted member replaces its former one everywhere."""
+    everyone = fleet.add_members(4, zones=2)
     everyone[2].kill()
     again = fleet.add('vm-02', zone='zone-0', incarnation=2, backend='cold')
-    assert members.wait_until(lambda: fleet.agree(4))
+    assert members.wait_until(lambda: fleet.views_agree(4))
     record = everyone[0].task.view.members['vm-02']
-    assert record == again.task.own and record.incarnation == 2
+    assert record == again.task.own_record and record.incarnation == 2
 
 
 def test_replaced_process_notices_its_replacement(fleet):
-    """The older of two processes of a VM must not fight for the record."""
-    everyone = fleet.fill(3, zones=1)
-    newer = attrs.evolve(everyone[1].task.own, incarnation=2)
+    """The older of two processes of a VM does not refute the newer's record."""
+    everyone = fleet.add_members(3, zones=1)
+    newer = attrs.evolve(everyone[1].task.own_record, incarnation=2)
     everyone[0].task.send(events.Merge((newer,), None))
     assert members.wait_until(lambda: everyone[1].task.replaced)
     gevent.sleep(0.2)
     assert everyone[0].task.view.members['vm-01'].incarnation == 2
 
 
-def list_vm(vm, **fields):
+def create_vm_entry(vm, **fields):
     """Returns an entry of the VM list."""
     base = {
         'vm': vm,
@@ -195,7 +202,7 @@
 
 
 def test_vm_list_seeds_and_marks(fleet):
-    """The lagging VM list must never override what members say."""
+    """The VM list, which lags, does not override the members' own records."""
     a = fleet.add('a')
     b = members.Member('b')
     fleet.members['b'] = b
@@ -203,9 +210,9 @@
     host, port = b.links.address
     a.task.merge_vms(
         [
-            list_vm('b', host=host, port=port),
-            list_vm('gone', state='leaving'),
-            list_vm('broken', port='x'),
+            create_vm_entry('b', host=host, port=port),
+            create_vm_entry('gone', state='leaving'),
+            create_vm_entry('broken', port='x'),
             {'vm': 'short'},
         ]
     )
@@ -213,21 +220,23 @@
     assert not a.task.view.usable(0.0)[1:], 'listed VMs take no calls yet'
     assert members.wait_until(lambda: b.state_of('a') == 'alive')
     assert members.wait_until(
-        lambda: a.task.view.members['b'] == b.task.own
-    ), 'the own record replaces the listed one'
+        lambda: a.task.view.members['b'] == b.task.own_record
+    ), 'the own record of b replaces the listed one'
     assert a.state_of('gone') == 'leaving' and a.state_of('broken') is None
-    a.task.merge_vms([list_vm('b', state='leaving'), list_vm('a')])
+    a.task.merge_vms(
+        [create_vm_entry('b', state='leaving'), create_vm_entry('a')]
+    )
     gevent.sleep(0.3)
     assert a.state_of('b') == 'alive' and a.state_of('a') == 'alive'
 
 
 def test_heartbeat_fields(fleet):
-    """Other tasks rely on fields that travel with heartbeats."""
+    """Heartbeats deliver fields of other tasks, also if one callback fails."""
     a, b = fleet.add('a'), fleet.add('b')
     got = {}
 
     def fail(*_):
-        raise RuntimeError('reader fails')
+        raise RuntimeError('callback fails')
 
     a.task.add_heartbeat_field('versions', lambda: {'preset': 7})
     a.task.add_heartbeat_field('nothing', lambda: None)
@@ -240,11 +249,11 @@
 
 
 def test_long_dead_members_are_dropped(fleet, monkeypatch):
-    """Replaced VMs must not fill the view for ever."""
+    """Dead members are removed after the retention time and stay removed."""
     monkeypatch.setattr(lists, 'DEAD_RETENTION_S', 0.5)
-    everyone = fleet.fill(4, zones=1)
+    everyone = fleet.add_members(4, zones=1)
     everyone[3].kill()
-    assert all_see(everyone[:3], 'vm-03', 'dead')
+    assert wait_for_state(everyone[:3], 'vm-03', 'dead')
     assert members.wait_until(
         lambda: all(m.state_of('vm-03') is None for m in everyone[:3])
     )
--- a/jayseam/membership/topology.py
+++ b/jayseam/membership/topology.py
@@ -1,8 +1,8 @@
-"""Which members a node heartbeats.
+"""The members to which a node sends heartbeats, its neighbours.
 
-The neighbours are the two successors on the ring of the node's own zone and
-one member in each of two other zones. Every function takes only members that
-may be chosen, so a dead member is replaced by the next one.
+The neighbours are the two successors on the hash ring of the node's own zone
+and one member in each of two other zones. Callers pass only eligible members,
+so the next member on the ring takes the place of a dead one.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -12,7 +12,7 @@
 from jayseam.core import rendezvous
 
 RING_SUCCESSORS = 2
-OTHER_ZONES = 2
+REMOTE_NEIGHBOURS = 2
 
 
 def order_ring(vms: Iterable[str]) -> list[str]:
@@ -23,7 +23,7 @@
 def find_successors(
     own: str, vms: Iterable[str], count: int = RING_SUCCESSORS
 ) -> list[str]:
-    """Returns the VMs that follow ``own`` on the ring.
+    """Returns the VMs that follow ``own`` on the hash ring.
 
     >>> find_successors('a', ['a', 'b'])
     ['b']
@@ -35,7 +35,9 @@
     return (ring[start:] + ring[: start - 1])[:count]
 
 
-def find_remote(own: str, zones: Mapping[str, Sequence[str]]) -> list[str]:
+def find_remote_neighbours(
+    own: str, zones: Mapping[str, Sequence[str]]
+) -> list[str]:
     """Returns one VM in each of two other zones.
 
     Args:
@@ -43,7 +45,7 @@
       zones: VMs by zone, without the node's own zone.
     """
     filled = [zone for zone, vms in zones.items() if vms]
-    chosen = rendezvous.rank(own, filled)[:OTHER_ZONES]
+    chosen = rendezvous.rank(own, filled)[:REMOTE_NEIGHBOURS]
     return [rendezvous.rank(own, zones[zone])[0] for zone in chosen]
 
 
@@ -59,4 +61,4 @@
     """
     others = {zone: vms for zone, vms in zones.items() if zone != own_zone}
     successors = find_successors(own, zones.get(own_zone, ()))
-    return tuple(successors + find_remote(own, others))
+    return tuple(successors + find_remote_neighbours(own, others))
--- a/jayseam/membership/views.py
+++ b/jayseam/membership/views.py
@@ -1,4 +1,4 @@
-"""Immutable views of the members."""
+"""Immutable views of the membership."""
 
 import functools
 import types
@@ -9,9 +9,9 @@
 
 from jayseam.membership import records
 
-BUCKETS = 64
-# A suspicion that nobody confirms or refutes within this time counts as
-# confirmed for the choice of members, because its observer may have failed.
+BUCKET_COUNT = 64
+# A suspicion that is neither confirmed nor refuted within this time counts as
+# confirmed when members are chosen, because its observer may have failed.
 MAX_SUSPICION_S = 3.0
 
 Records = tuple[records.MemberRecord, ...]
@@ -20,7 +20,7 @@
 @functools.lru_cache(maxsize=8192)
 def find_bucket(vm: str) -> int:
     """Returns the digest bucket of a VM."""
-    return xxhash.xxh64_intdigest(vm.encode()) % BUCKETS
+    return xxhash.xxh64_intdigest(vm.encode()) % BUCKET_COUNT
 
 
 @attrs.frozen(slots=False)
@@ -28,53 +28,54 @@
     """The members that one node knows, rebuilt on every change.
 
     Attributes:
-      members: Record by VM name, including dead members for a while.
-      since: Time in seconds at which this node saw the state begin, by VM.
+      members: Records by VM, including dead members for a retention time.
+      state_since: Time at which this node saw the member's state change last, in
+        seconds, by VM.
       buckets: XOR of the record hashes of each bucket.
     """
 
     members: Mapping[str, records.MemberRecord]
-    since: Mapping[str, float]
+    state_since: Mapping[str, float]
     buckets: tuple[int, ...]
 
     @functools.cached_property
     def digest(self) -> bytes:
-        """Eight bytes that are equal for views with equal live records."""
+        """Eight bytes, equal for views with the same non-dead records."""
         data = b''.join(bucket.to_bytes(8, 'big') for bucket in self.buckets)
         return xxhash.xxh64_digest(data)
 
-    def in_zone(self, zone: str) -> Records:
+    def members_in_zone(self, zone: str) -> Records:
         """Returns the members of an availability zone that are not dead."""
         return self._zones.get(zone, ())
 
     def live_in_zone(self, zone: str) -> Records:
         """Returns the alive and suspect members of an availability zone."""
-        return tuple(filter(is_live, self.in_zone(zone)))
+        return tuple(filter(is_live, self.members_in_zone(zone)))
 
     def of_service(self, service: str) -> Records:
         """Returns the members of a service that are not dead."""
         return self._services.get(service, ())
 
     def at_upstream(self, upstream: str) -> Records:
-        """Returns the members at a position that are not dead, holder first."""
+        """Returns the non-dead members of an upstream, the holder first."""
         return self._upstreams.get(upstream, ())
 
     def holder(self, upstream: str) -> records.MemberRecord | None:
-        """Returns the member of highest incarnation at a position, or None."""
-        held = self.at_upstream(upstream)
-        return held[0] if held else None
+        """Returns the member of an upstream with the highest incarnation."""
+        members = self.at_upstream(upstream)
+        return members[0] if members else None
 
     def usable(self, now: float) -> Records:
         """Returns the members that may take new calls, alive ones first.
 
-        Suspect members follow for as long as the suspicion is fresh. Members
-        known only from the VM list have the backend state ``down`` and are
-        left out, as are positions' former holders.
+        Suspect members follow until ``MAX_SUSPICION_S`` after their suspicion.
+        Members known only from the VM list have the backend state ``down`` and
+        are left out, as are former holders of an upstream.
         """
         fresh = [
             record
             for record in self._suspects
-            if now - self.since[record.vm] <= MAX_SUSPICION_S
+            if now - self.state_since[record.vm] <= MAX_SUSPICION_S
         ]
         return self._alive + tuple(fresh)
 
@@ -89,11 +90,11 @@
     def update(
         self, received: Iterable[records.MemberRecord], now: float
     ) -> tuple['View', Records]:
-        """Returns the view after a merge and the records that changed it."""
+        """Merges records; returns the new view and the changed records."""
         changes = records.merge_all(self.members, received)
         if not changes:
             return self, ()
-        members, since = dict(self.members), dict(self.since)
+        members, since = dict(self.members), dict(self.state_since)
         buckets = list(self.buckets)
         for vm, record in changes.items():
             old = members.get(vm)
@@ -109,7 +110,7 @@
     def without(self, vms: Collection[str]) -> 'View':
         """Returns the view without some dead members."""
         members = {k: v for k, v in self.members.items() if k not in vms}
-        since = {k: v for k, v in self.since.items() if k not in vms}
+        since = {k: v for k, v in self.state_since.items() if k not in vms}
         return _build(members, since, self.buckets)
 
     @functools.cached_property
@@ -160,7 +161,7 @@
 
 
 def is_live(record: records.MemberRecord) -> bool:
-    """Tells whether a member is alive or suspect."""
+    """Returns whether a member is alive or suspect."""
     return record.state in ('alive', 'suspect')
 
 
@@ -170,7 +171,7 @@
     >>> create_view([], now=0.0).holder('u-1') is None
     True
     """
-    view, _ = _build({}, {}, [0] * BUCKETS).update(received, now)
+    view, _ = _build({}, {}, [0] * BUCKET_COUNT).update(received, now)
     return view
 
 
