Reword the remaining docstrings of links and membership

Cause: a few docstrings were inexact, for example on what the view's state_since holds and when a reply is None. Change: they state the condition; request_echo in the tests names its parameter body.

--- a/jayseam/links/connections.py
+++ b/jayseam/links/connections.py
@@ -282,7 +282,7 @@
         gevent.spawn(self._run, self._write)
 
     def request(self, message: Any, timeout_s: float) -> Any:
-        """Sends a request and returns the reply message or None.
+        """Sends a request and returns the reply, or None if it is ``Done``.
 
         Raises:
           NotSentError: If no byte was or will be written.
--- a/jayseam/links/tests/test_links.py
+++ b/jayseam/links/tests/test_links.py
@@ -23,9 +23,9 @@
         yield fleet
 
 
-def request_echo(links, vm, text=b'x', timeout_s=1.0):
+def request_echo(links, vm, body=b'x', timeout_s=1.0):
     """Returns whether an echo request returns its message unchanged."""
-    message = nodes.Echo(text)
+    message = nodes.Echo(body)
     return links.request(vm, message, timeout_s) == message
 
 
--- a/jayseam/membership/exchanges.py
+++ b/jayseam/membership/exchanges.py
@@ -36,7 +36,7 @@
         read_view: Callable[[], views.View],
         send: Callable[[Any], None],
     ):
-        """Initializes the requests.
+        """Initializes the client.
 
         Args:
           own_vm: Name of this node's VM.
--- a/jayseam/membership/task.py
+++ b/jayseam/membership/task.py
@@ -284,7 +284,7 @@
             )
 
     def _refute(self, current: records.MemberRecord) -> None:
-        """Handles a record of this node's VM that another process created.
+        """Handles a record of this node's VM that differs from its own record.
 
         A record of the same incarnation is refuted by a higher sequence. A
         newer incarnation means that another process has replaced this one.
--- a/jayseam/membership/views.py
+++ b/jayseam/membership/views.py
@@ -29,7 +29,7 @@
 
     Attributes:
       members: Records by VM, including dead members for a retention time.
-      state_since: Time at which this node saw the member's state change last, in
+      state_since: Time at which this node saw the state change last, in
         seconds, by VM.
       buckets: XOR of the record hashes of each bucket.
     """
