Describe reads of the source in common terms

Several comments and names of the client, the endpoints and the watchers were figurative. Comments, error texts and private names now use the usual terms: backoff, timeout, grace period, read budget. ReadOutcome and ReturnGrace.compute_end replace Outcome and find_end. Behaviour is unchanged.

--- a/jayseam/source/__init__.py
+++ b/jayseam/source/__init__.py
@@ -1,5 +1,7 @@
 """Reads and watches of the platform's configuration service and VM list.
 
+The configuration service and the VM list together are called the source.
+
 See Also:
   ``docs/design.md``, section 3.4.
 """
--- a/jayseam/source/backoff.py
+++ b/jayseam/source/backoff.py
@@ -14,13 +14,14 @@
 
 @attrs.frozen
 class Backoff:
-    """Waits after failures; the value after a success is ``Backoff()``.
+    """Immutable backoff state of one activity.
 
     Attributes:
-      cap_s: Cap of the first wait, in seconds.
-      max_cap_s: Cap that doubling does not exceed, in seconds.
+      cap_s: Upper bound of the first wait, in seconds.
+      max_cap_s: Limit of the upper bound, which doubles with each failure, in
+        seconds.
       failures: Failures since the last success.
-      not_before: Time before which nothing is tried, in seconds.
+      not_before: Earliest time of the next attempt, in seconds.
     """
 
     cap_s: float = DEFAULT_CAP_S
@@ -41,7 +42,7 @@
           now: Current time in seconds.
           uniform: Random number in [0, 1).
         """
-        # The exponent is bounded because 2.0 ** 1024 overflows.
+        # The exponent is bounded because 2.0 ** 1024 overflows a float.
         growth = 2.0 ** min(self.failures, 32)
         cap_s = min(self.max_cap_s, self.cap_s * growth)
         return attrs.evolve(
@@ -55,12 +56,12 @@
         return attrs.evolve(self, failures=0, not_before=0.0)
 
     def compute_wait(self, now: float) -> float:
-        """Returns the seconds left until the next try, zero if none."""
+        """Returns the seconds until the next attempt is allowed."""
         return max(0.0, self.not_before - now)
 
 
 class Retry:
-    """Holds the backoff of one activity and draws its jitter.
+    """Applies `Backoff` with random jitter to one activity.
 
     >>> retry = Retry(uniform=lambda: 0.5)
     >>> retry.fail(now=10.0), retry.compute_wait(now=10.4) > 0.0
@@ -80,8 +81,8 @@
 
         Args:
           uniform: Returns a random number in [0, 1).
-          cap_s: Cap of the first wait, in seconds.
-          max_cap_s: Cap that doubling does not exceed, in seconds.
+          cap_s: Upper bound of the first wait, in seconds.
+          max_cap_s: Limit of the upper bound, in seconds.
         """
         self._uniform = uniform
         self._state = Backoff(cap_s, max_cap_s)
@@ -92,14 +93,14 @@
         return self._state.failures
 
     def fail(self, now: float) -> float:
-        """Notes a failure; returns the seconds until the next try."""
+        """Records a failure and returns the seconds until the next attempt."""
         self._state = self._state.fail(now, self._uniform())
         return self._state.compute_wait(now)
 
     def succeed(self) -> None:
-        """Notes a success."""
+        """Records a success."""
         self._state = self._state.succeed()
 
     def compute_wait(self, now: float) -> float:
-        """Returns the seconds left until the next try, zero if none."""
+        """Returns the seconds until the next attempt is allowed."""
         return self._state.compute_wait(now)
--- a/jayseam/source/client.py
+++ b/jayseam/source/client.py
@@ -15,7 +15,7 @@
 # The VM list is not a stored value; 670 VMs take about 100 kB.
 MAX_VMS_BODY_BYTES = 4_000_000
 _REVISION = re.compile(r'[0-9]{1,18}')
-# Slow answers to a watch are expected; this is added to its wait.
+# A watch may be answered only at the end of its wait, to which this is added.
 DEFAULT_TIMEOUT_S = 2.0
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 
@@ -25,10 +25,10 @@
     """A reply of the source.
 
     Attributes:
-      revision: Revision of the value; None if a 304 names none.
-      body: The value, or None if there is nothing newer (304).
+      revision: Revision of the value; None if a 304 reply has none.
+      body: The value, or None if there is no newer value (304).
       asked_at: Time at which the request was made, in seconds.
-      received_at: Time at which the whole reply was there, in seconds.
+      received_at: Time at which the whole reply had arrived, in seconds.
     """
 
     revision: int | None
@@ -38,32 +38,32 @@
 
 
 class Source(Protocol):
-    """What a node needs of a source; a platform may have one of its own."""
+    """Interface of a source; a platform may supply another implementation."""
 
     @property
     def url(self) -> str:
-        """Where the source is, for the status page."""
+        """URL of the source, for the status page."""
 
     def set_reader_rank(self, rank: int) -> None:
-        """Tells the rank among the readers of the zone, zero for the first."""
+        """Sets this node's rank among the readers of its zone, from zero."""
 
     def read_value(
         self, key: str, after: int | None = None, wait_s: float = 0.0
     ) -> Reply:
-        """Reads a value, or waits for a newer one than ``after``."""
+        """Reads a value, or waits for a revision newer than ``after``."""
 
     def read_vms(self, after: int | None = None, wait_s: float = 0.0) -> Reply:
-        """Reads the VM list, or waits for a newer one than ``after``."""
+        """Reads the VM list, or waits for a revision newer than ``after``."""
 
     def read_part(self, digest: str) -> bytes:
         """Reads a manifest or part."""
 
 
 class SourceClient:
-    """Reads values from the first of several URLs that answers.
+    """Reads values from the first of several URLs that replies.
 
-    The URL that answered last is asked first. Connections are reused. Any
-    number of greenlets may read at once.
+    The URL of the last valid reply is tried first. Connections are reused. Any
+    number of greenlets may read concurrently.
     """
 
     def __init__(
@@ -72,12 +72,13 @@
         timeout_s: float = DEFAULT_TIMEOUT_S,
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
     ):
-        """Prepares the client; nothing is connected yet.
+        """Prepares the client without connecting.
 
         Args:
           urls: Base URLs of the replicas of the source.
-          timeout_s: Time for a reply, beyond the wait of a watch.
-          connect_timeout_s: Time for a connection to one URL.
+          timeout_s: Timeout of a reply, in seconds, added to the wait of a
+            watch.
+          connect_timeout_s: Timeout of a connection to one URL, in seconds.
 
         Raises:
           ValueError: If there is no URL or one is not plain HTTP.
@@ -92,11 +93,11 @@
 
     @property
     def url(self) -> str:
-        """The URL that is asked first."""
+        """The URL that is tried first."""
         return self._endpoints[self._preferred].url
 
     def set_reader_rank(self, rank: int) -> None:
-        """Does nothing: this source bears the watches of all readers alike."""
+        """Does nothing, because this source treats all readers alike."""
 
     def read_value(
         self, key: str, after: int | None = None, wait_s: float = 0.0
@@ -105,11 +106,13 @@
 
         Args:
           key: Key of the value, such as ``channels/preset``.
-          after: Revision held; only a newer one has a body.
-          wait_s: Seconds that the source may wait for a newer revision.
+          after: Revision held; the reply has a body only if its revision is
+            newer.
+          wait_s: Time that the source may wait for a newer revision, in
+            seconds.
 
         Raises:
-          SourceError: If no URL gave a valid reply; the error of the last.
+          SourceError: The error of the last URL, if none gave a valid reply.
         """
         path = f'/v1/values/{urllib.parse.quote(key)}'
         return self._read(path, after, wait_s, MAX_BODY_BYTES)
@@ -118,7 +121,7 @@
         """Reads the VM list, or waits for a newer one.
 
         Raises:
-          SourceError: If no URL gave a valid reply; the error of the last.
+          SourceError: The error of the last URL, if none gave a valid reply.
         """
         return self._read('/v1/vms', after, wait_s, MAX_VMS_BODY_BYTES)
 
@@ -126,7 +129,7 @@
         """Reads a manifest or part and checks its digest.
 
         Raises:
-          SourceError: If no URL gave a valid reply; the error of the last.
+          SourceError: The error of the last URL, if none gave a valid reply.
         """
         path = f'/v1/values/parts/{urllib.parse.quote(digest)}'
         return self._read(path, None, 0.0, MAX_BODY_BYTES, digest).body
@@ -159,17 +162,17 @@
         raise failure
 
     def _read_endpoint(self, endpoint, path, after, wait_s, max_bytes) -> Reply:
-        """Sends one request and interprets the reply."""
+        """Sends one request and parses the reply."""
         limit_s = self._timeout_s + (wait_s if after is not None else 0.0)
-        return _interpret(
+        return _parse_reply(
             endpoint.url, endpoint.fetch(path, limit_s, max_bytes), after
         )
 
 
-def _interpret(url, reply: endpoints.RawReply, after) -> Reply:
+def _parse_reply(url, reply: endpoints.RawReply, after) -> Reply:
     status = reply.status
     if status == 429:
-        raise errors.SourceBudgetError(f'{url}: over budget')
+        raise errors.SourceBudgetError(f'{url}: read budget exceeded')
     if status == 404:
         raise errors.ValueMissingError(f'{url}: no such value')
     revision = _parse_revision(url, reply.headers.get('Revision'))
@@ -193,4 +196,4 @@
 def _check_digest(reply: Reply, digest: str | None) -> None:
     if digest is None or digests.compute_digest(reply.body) == digest:
         return
-    raise errors.SourceReplyError(f'part {digest} differs from its digest')
+    raise errors.SourceReplyError(f'part {digest} does not match its digest')
--- a/jayseam/source/endpoints.py
+++ b/jayseam/source/endpoints.py
@@ -25,7 +25,7 @@
       headers: Header fields by name.
       body: The whole body.
       asked_at: Time at which the request was made, in seconds.
-      received_at: Time at which the whole reply was there, in seconds.
+      received_at: Time at which the whole reply had arrived, in seconds.
     """
 
     status: int
@@ -36,11 +36,11 @@
 
 
 class Endpoint:
-    """Reads over kept connections; any number of greenlets may read at once.
+    """Reads over persistent connections, also from several greenlets at once.
 
     Args:
       url: Base URL.
-      connect_timeout_s: Time for a connection, in seconds.
+      connect_timeout_s: Timeout of a connection, in seconds.
 
     Raises:
       ValueError: If the URL is not plain HTTP.
@@ -57,8 +57,8 @@
             parts.port or 80,
             concurrency=_MAX_CONNECTIONS,
             connection_timeout=connect_timeout_s,
-            # Watches are silent for their whole wait; each request has its own
-            # limit on the total time instead.
+            # A watch receives nothing for its whole wait, so each request has a
+            # limit of its total time instead.
             network_timeout=None,
             block_size=_CHUNK_BYTES,
         )
@@ -69,11 +69,11 @@
 
         Args:
           path: Path and query.
-          limit_s: Time for all of it, in seconds.
-          max_bytes: Largest body.
+          limit_s: Total time for the request and reply, in seconds.
+          max_bytes: Size of the largest body allowed.
 
         Raises:
-          SourceTimeoutError: If there is no whole reply in time.
+          SourceTimeoutError: If the whole reply did not arrive in time.
           SourceUnreachableError: If the connection failed.
           BodyTooLargeError: If the body is larger.
         """
@@ -94,7 +94,7 @@
                 f'{self.url}: {type(error).__name__}: {error}'
             ) from error
         finally:
-            # A reply that was not read to its end closes its connection.
+            # If the reply was not read to its end, this closes the connection.
             if reply is not None:
                 reply.release()
         return RawReply(
@@ -109,13 +109,15 @@
 def _read_body(reply, max_bytes: int) -> bytes:
     length = reply.content_length
     if length is not None and length > max_bytes:
-        raise errors.BodyTooLargeError(f'body of {length} bytes')
+        raise errors.BodyTooLargeError(f'body of {length} bytes is too large')
     chunks, total = [], 0
     while chunk := reply.read(_CHUNK_BYTES):
         chunks.append(chunk)
         total += len(chunk)
         if total > max_bytes:
-            raise errors.BodyTooLargeError(f'body over {max_bytes} bytes')
+            raise errors.BodyTooLargeError(f'body exceeds {max_bytes} bytes')
     if not reply.message_complete:
-        raise errors.SourceUnreachableError('the body is cut short')
+        raise errors.SourceUnreachableError(
+            'the connection closed before the end of the body'
+        )
     return b''.join(chunks)
--- a/jayseam/source/errors.py
+++ b/jayseam/source/errors.py
@@ -1,4 +1,4 @@
-"""Errors of reads and watches of the platform."""
+"""Errors of reads and watches of the source."""
 
 from jayseam.core import errors
 
@@ -8,7 +8,7 @@
 
 
 class SourceUnreachableError(SourceError):
-    """No connection, or the connection broke before the whole reply."""
+    """The connection failed before the whole reply had arrived."""
 
 
 class SourceTimeoutError(SourceError):
@@ -16,7 +16,7 @@
 
 
 class SourceBudgetError(SourceError):
-    """The source refused the read because its budget is used up (429)."""
+    """The source refused the read because its read budget is used up (429)."""
 
 
 class ValueMissingError(SourceError):
@@ -24,7 +24,7 @@
 
 
 class SourceReplyError(SourceError):
-    """The reply breaks the protocol or the value differs from its digest."""
+    """The reply violates the protocol or does not match its digest."""
 
 
 class BodyTooLargeError(SourceReplyError):
--- a/jayseam/source/tests/test_source.py
+++ b/jayseam/source/tests/test_source.py
@@ -19,7 +19,7 @@
 
 
 class _Platform:
-    """A stand-in of the platform's HTTP interface."""
+    """A fake of the platform's HTTP interface."""
 
     def __init__(self):
         self.values = {}
@@ -70,7 +70,7 @@
 
 
 def _serve_raw(data, delay_s=0.0):
-    """Starts a server that sends fixed bytes to whoever connects."""
+    """Starts a server that sends fixed bytes on every connection."""
 
     def answer(sock, _):
         sock.recv(65_536)
@@ -105,7 +105,7 @@
 
 
 def test_failover_and_typed_errors(platform):
-    """An unreachable replica must cost one try, not the read."""
+    """A read must succeed if one of the replicas is unreachable."""
     body = b'part'
     digest = digests.compute_digest(body)
     path = f'/v1/values/parts/{digest}'
@@ -164,7 +164,7 @@
     ],
 )
 def test_broken_replies_are_refused(data, error):
-    """A short, oversized or odd reply must never pass for a value."""
+    """A truncated, oversized or malformed reply must not yield a value."""
     server, url = _serve_raw(data)
     source = client.SourceClient([url], timeout_s=1.0)
     with pytest.raises(error):
@@ -192,7 +192,7 @@
     assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) != 0
 
 
-def _watch(platform, channel, held=lambda: None, uniform=lambda: 0.1):
+def _watch(platform, channel, held_version=lambda: None, uniform=lambda: 0.1):
     updates, confirmed, failures = [], [], []
     watcher = watchers.SourceWatcher(
         client.SourceClient([platform.url]),
@@ -200,7 +200,7 @@
         0.3,
         updates.append,
         confirmed.append,
-        held,
+        held_version,
         uniform,
         lambda *failure: failures.append(failure),
     )
--- a/jayseam/source/tests/test_watchers.py
+++ b/jayseam/source/tests/test_watchers.py
@@ -1,4 +1,4 @@
-"""Tests of what a watcher does with a VM list after an outage."""
+"""Tests of how a watcher handles a VM list after an outage."""
 
 import gevent
 import pytest
@@ -24,7 +24,7 @@
         return self._script.pop(0)
 
 
-def _list(revision, vms, at):
+def _build_reply(revision, vms, at):
     entries = [
         {
             'vm': vm,
@@ -59,22 +59,22 @@
 @pytest.mark.parametrize(
     'silent_s, state, versions',
     [
-        # An entry that lapsed in an outage comes back.
+        # An entry that expired in an outage reappears.
         (6.0, 'live', [1, 3]),
-        # Without an outage, a VM that is gone is gone.
+        # Without an outage, a missing VM is removed immediately.
         (1.0, 'live', [1, 2, 3]),
-        # One that said it would leave is not waited for.
+        # The watcher does not wait for a VM that was leaving.
         (6.0, 'leaving', [1, 2, 3]),
     ],
 )
 def test_lapsed_vm_may_come_back(silent_s, state, versions):
-    """A list read right after an outage lacks VMs that still run."""
+    """A list read right after an outage may lack VMs that are still running."""
     now = clocks.read_now()
     both = {'vm-1': 'live', 'vm-2': state}
     script = [
-        _list(1, both, now),
-        _list(2, {'vm-1': 'live'}, now + silent_s),
-        _list(3, both, now + silent_s + 0.2),
+        _build_reply(1, both, now),
+        _build_reply(2, {'vm-1': 'live'}, now + silent_s),
+        _build_reply(3, both, now + silent_s + 0.2),
     ]
     watcher, updates = _watch(script, watchers.ReturnGrace(4.5, 0.2))
     waits.wait_until(lambda: updates and updates[-1].version == 3, 5.0)
@@ -83,10 +83,14 @@
 
 
 def test_vm_that_stays_away_is_taken_for_gone():
-    """The grace ends, whatever the list shows then."""
+    """After the grace period, the list is used as it is."""
     now = clocks.read_now()
-    gone = _list(2, {'vm-1': 'live'}, now + 6.0)
-    script = [_list(1, {'vm-1': 'live', 'vm-2': 'live'}, now), gone, gone]
+    gone = _build_reply(2, {'vm-1': 'live'}, now + 6.0)
+    script = [
+        _build_reply(1, {'vm-1': 'live', 'vm-2': 'live'}, now),
+        gone,
+        gone,
+    ]
     watcher, updates = _watch(script, watchers.ReturnGrace(4.5, 0.2))
     waits.wait_until(lambda: updates and updates[-1].version == 2, 5.0)
     watcher.stop()
--- a/jayseam/source/watchers.py
+++ b/jayseam/source/watchers.py
@@ -20,9 +20,9 @@
 from jayseam.source import errors
 
 CHANNELS = ('preset', 'keys', 'vms')
-# A replica that answers a watch at once without news would otherwise be read
-# in a tight loop.
-_MIN_QUIET_S = 1.0
+# If a watch without a newer version ends sooner than this, the watcher backs
+# off. Otherwise it would read a replica that does not wait in a tight loop.
+_MIN_WATCH_S = 1.0
 _log = logs.get_logger(__name__)
 
 
@@ -36,7 +36,7 @@
       digest: Digest of the manifest; of the raw reply if it is invalid.
       bundle: The content itself, for the VM list, which is not stored in
         parts at the source.
-      reasons: Why the reply can't be used; empty if it can.
+      reasons: Reasons why the reply can't be used; empty if it can.
     """
 
     channel: str
@@ -53,7 +53,8 @@
     Attributes:
       channel: ``preset``, ``keys`` or ``vms``.
       version: Version confirmed.
-      confirmed_at: Time at which it certainly was the newest, in seconds.
+      confirmed_at: Time at which the version certainly was the newest, in
+        seconds.
     """
 
     channel: str
@@ -63,22 +64,22 @@
 
 @attrs.frozen
 class ReturnGrace:
-    """How a VM list is taken that comes after an outage of the source.
+    """Grace period for entries that a VM list lost in an outage of the source.
 
-    Backend servers that could not renew their entries meanwhile are missing
-    from it for a moment, although they run.
+    Backend servers that could not renew their entries during the outage are
+    missing from the list for a moment, although they are running.
 
     Attributes:
-      lapse_s: Silence of the source after which entries may have lapsed, in
-        seconds.
-      grace_s: Seconds that entries get to come back.
+      lapse_s: Time without a confirmation after which entries may have expired,
+        in seconds.
+      grace_s: Time within which entries may reappear, in seconds.
     """
 
     lapse_s: float = math.inf
     grace_s: float = 0.0
 
-    def find_end(self, silent_s: float, now: float) -> float:
-        """Returns the time until which lapsed entries may come back.
+    def compute_end(self, silent_s: float, now: float) -> float:
+        """Returns the time until which expired entries may reappear.
 
         Args:
           silent_s: Seconds between the last two confirmations of the list.
@@ -88,39 +89,39 @@
 
 
 def compute_grace(
-    until: float,
-    before: Collection[str],
-    after: Collection[str],
+    grace_until: float,
+    previous_live: Collection[str],
+    listed: Collection[str],
     now: float,
 ) -> float:
-    """Returns the seconds after which a VM list is read again, or zero.
+    """Returns the seconds after which the VM list is read again, or zero.
 
     >>> grace = ReturnGrace(lapse_s=4.5, grace_s=1.5)
-    >>> until = grace.find_end(silent_s=5.0, now=100.0)
-    >>> compute_grace(until, {'vm-1', 'vm-2'}, {'vm-1'}, now=101.0)
+    >>> grace_until = grace.compute_end(silent_s=5.0, now=100.0)
+    >>> compute_grace(grace_until, {'vm-1', 'vm-2'}, {'vm-1'}, now=101.0)
     0.5
-    >>> compute_grace(until, {'vm-1'}, {'vm-1', 'vm-3'}, now=101.0)
+    >>> compute_grace(grace_until, {'vm-1'}, {'vm-1', 'vm-3'}, now=101.0)
     0.0
 
     Args:
-      until: End of the time that entries get to come back, in seconds.
-      before: VMs that the list before showed as live.
-      after: All VMs of the new list.
+      grace_until: End of the grace period, in seconds.
+      previous_live: VMs that were live in the previous list.
+      listed: All VMs of the new list.
       now: Present time in seconds.
     """
-    if set(before) <= set(after):
+    if set(previous_live) <= set(listed):
         return 0.0
-    return max(0.0, until - now)
+    return max(0.0, grace_until - now)
 
 
 @attrs.frozen
-class Outcome:
-    """What one reply of the source means.
+class ReadOutcome:
+    """The meaning of one reply of the source.
 
     Attributes:
       update: A newer version, if any.
       confirmation: A confirmation, if any.
-      is_behind: Whether the replica is older than what was seen before.
+      is_behind: Whether the replica has an older version than one seen before.
     """
 
     update: SourceUpdate | None = None
@@ -130,31 +131,31 @@
 
 def interpret_reply(
     channel: str, after: int | None, wait_s: float, reply: source_client.Reply
-) -> Outcome:
-    """Decides what a reply means to a reader that has seen ``after``.
+) -> ReadOutcome:
+    """Interprets a reply to a reader that has seen the version ``after``.
 
-    A 304 was decided at the earliest when the wait was over, or when the
-    reply arrived if that was sooner. The later of both is not used because a
-    paused process would count the pause as confirmed time.
+    A 304 reply confirms the version at the end of the wait or at the receipt of
+    the reply, whichever is earlier. The later time is not used because a
+    process that was paused would count the pause as confirmed time.
 
     Args:
       channel: Channel that was read.
-      after: Greatest version seen, None at the first read.
-      wait_s: Wait that the request allowed, in seconds.
+      after: Greatest version seen; None at the first read.
+      wait_s: Time that the request allowed the source to wait, in seconds.
       reply: Reply of the source.
     """
     if reply.body is None:
         if reply.revision is not None and reply.revision != after:
-            return Outcome(is_behind=True)
+            return ReadOutcome(is_behind=True)
         elapsed_s = reply.received_at - reply.asked_at
         confirmed_at = reply.asked_at + min(wait_s, elapsed_s)
-        return Outcome(
+        return ReadOutcome(
             confirmation=SourceConfirmation(channel, after, confirmed_at)
         )
     if after is not None and reply.revision < after:
-        return Outcome(is_behind=True)
+        return ReadOutcome(is_behind=True)
     confirmation = SourceConfirmation(channel, reply.revision, reply.asked_at)
-    return Outcome(_parse_update(channel, reply), confirmation)
+    return ReadOutcome(_parse_update(channel, reply), confirmation)
 
 
 def read_channel(
@@ -162,8 +163,8 @@
     channel: str,
     after: int | None = None,
     wait_s: float = 0.0,
-) -> Outcome:
-    """Reads a channel once, or waits for a version after ``after``.
+) -> ReadOutcome:
+    """Reads a channel once, or waits for a version newer than ``after``.
 
     Raises:
       SourceError: If the source gave no valid reply.
@@ -178,8 +179,9 @@
 class SourceWatcher:
     """Watches one channel in a greenlet of its own.
 
-    After a failed read it waits with full jitter. The first read does not
-    wait, so a held version is confirmed at once.
+    After a failed read, the watcher backs off with full jitter. The source
+    answers the first read without a wait, so a held version is confirmed
+    immediately.
     """
 
     def __init__(
@@ -201,14 +203,15 @@
         Args:
           client: Client of the source.
           channel: ``preset``, ``keys`` or ``vms``.
-          wait_s: Wait of one watch, in seconds.
+          wait_s: Time that one watch request may wait at the source, in
+            seconds.
           on_update: Called with each newer version.
           on_confirmation: Called when the source confirms a version.
           held_version: Returns the version held, or None.
           uniform: Returns a random number in [0, 1).
           on_failure: Called with the channel and the error of a failed read,
             or None if the replica was behind.
-          grace: How a VM list is taken that comes after an outage.
+          grace: Grace period of the VM list after an outage of the source.
         """
         self.channel = channel
         self._client = client
@@ -219,7 +222,7 @@
         self._uniform = uniform
         self._on_failure = on_failure
         self._grace = grace
-        self._seen: int | None = None
+        self._seen_version: int | None = None
         self._confirmed_at: float | None = None
         self._grace_until = -math.inf
         self._live_vms: frozenset[str] = frozenset()
@@ -232,7 +235,7 @@
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Ends the watch, also one that is waiting."""
+        """Ends the watch, also while it is waiting."""
         self._stopping.set()
         if self._greenlet is not None:
             self._greenlet.kill()
@@ -246,10 +249,10 @@
                 self._stopping.wait(retry.fail(clocks.read_now()))
 
     def _watch_once(self) -> bool:
-        """Reads once; tells whether the next read may follow at once."""
-        # What was seen but rejected or not fetched yet counts too; otherwise
-        # the source would send it again without a wait.
-        known = [v for v in (self._seen, self._held_version()) if v]
+        """Reads once and returns whether the next read may follow at once."""
+        # A version that was seen but rejected or not fetched yet counts too;
+        # otherwise the source would send it again without a wait.
+        known = [v for v in (self._seen_version, self._held_version()) if v]
         after = max(known, default=None)
         wait_s = 0.0 if self._is_first else self._wait_s
         asked_at = clocks.read_now()
@@ -270,18 +273,19 @@
         if grace_s := self._update_grace(outcome, clocks.read_now()):
             self._stopping.wait(grace_s)
             return True
-        self._report(outcome, after)
+        self._notify(outcome, after)
         update = outcome.update
         if update is not None and update.version > (after or 0):
             return True
         elapsed_s = clocks.read_now() - asked_at
-        return elapsed_s >= min(wait_s, _MIN_QUIET_S)
+        return elapsed_s >= min(wait_s, _MIN_WATCH_S)
 
-    def _update_grace(self, outcome: Outcome, now: float) -> float:
-        """Notes a confirmation; returns when a VM list is read again.
+    def _update_grace(self, outcome: ReadOutcome, now: float) -> float:
+        """Records a confirmation and checks a VM list for missing entries.
 
         Returns:
-          Seconds until then; zero if the list is used as it is.
+          Seconds after which the VM list is to be read again; zero if the list
+          is used as it is.
         """
         confirmation, update = outcome.confirmation, outcome.update
         if confirmation is None:
@@ -290,11 +294,11 @@
         silent_s = confirmation.confirmed_at - last_at
         self._confirmed_at = confirmation.confirmed_at
         self._grace_until = max(
-            self._grace_until, self._grace.find_end(silent_s, now)
+            self._grace_until, self._grace.compute_end(silent_s, now)
         )
         if update is None or update.bundle is None:
             return 0.0
-        listed = _list_vms(update.bundle)
+        listed = _read_vm_states(update.bundle)
         grace_s = compute_grace(self._grace_until, self._live_vms, listed, now)
         if grace_s:
             _log.info(
@@ -312,15 +316,15 @@
             )
         return grace_s
 
-    def _report(self, outcome: Outcome, after: int | None) -> None:
+    def _notify(self, outcome: ReadOutcome, after: int | None) -> None:
         if outcome.update is not None:
-            self._seen = max(after or 0, outcome.update.version)
+            self._seen_version = max(after or 0, outcome.update.version)
             self._on_update(outcome.update)
         if outcome.confirmation is not None:
             self._on_confirmation(outcome.confirmation)
 
 
-def _list_vms(bundle: documents.Bundle) -> dict[str, str]:
+def _read_vm_states(bundle: documents.Bundle) -> dict[str, str]:
     """Returns the state of each VM of a VM list."""
     return {
         entry['vm']: entry['state']
@@ -350,7 +354,7 @@
 
 
 def _keep_known_fields(value: Any) -> Any:
-    """Drops fields that a later platform may add to VMs."""
+    """Drops VM fields that a later release of the platform may add."""
     if not isinstance(value, dict) or not isinstance(value.get('vms'), list):
         raise preset_errors.PresetRejectedError(['vms: not a list'])
     known = schemas.FIELDS['vms']
