--- a/jayseam/distribution/__init__.py
+++ b/jayseam/distribution/__init__.py
@@ -1,5 +1,11 @@
 """Distribution of presets, key sets and VM lists between nodes.
 
+Each of the three is a channel with numbered versions. A node holds at most one
+version of each channel and swaps to a greater one only after it has received
+and verified the whole content. A few nodes of each availability zone, the
+readers, watch the source; the other nodes pull versions from their peers. A
+peer or source that offers a version is called its holder.
+
 See Also:
   ``docs/design.md``, sections 3.4 and 4.
 """
--- a/jayseam/distribution/confirmations.py
+++ b/jayseam/distribution/confirmations.py
@@ -1,15 +1,17 @@
 """The age of the source's last confirmation of each channel.
 
-A reader numbers the confirmations that it gets. Nodes pass the latest one on
-in heartbeats, and each node takes a numbered confirmation once. Without
-numbers, two nodes would renew each other's age by the transit time of every
-heartbeat, and the age would grow too slowly while the source is cut off.
+A reader gives each confirmation a sequence number. Nodes forward the latest
+confirmation in heartbeats, and a node accepts each sequence number only once.
+Without the numbers, every heartbeat between two nodes would make a confirmation
+look younger by its transit time, and the age would grow too slowly while the
+source is unreachable.
 """
 
 from collections.abc import Mapping
 
 import attrs
 
+# Beyond this number, the least recently updated origin is forgotten.
 MAX_ORIGINS = 64
 
 
@@ -19,9 +21,9 @@
 
     Attributes:
       version: Version confirmed.
-      origin: Reader that heard it, with its incarnation.
-      sequence: Number of the confirmation at that reader.
-      confirmed_at: Time of the statement on the own clock, in seconds.
+      origin: Short name of the reader process that received the confirmation.
+      sequence: Sequence number of the confirmation at that reader.
+      confirmed_at: Time of the confirmation on this node's clock, in seconds.
     """
 
     version: int
@@ -35,19 +37,20 @@
     """What a node knows about the confirmations of one channel.
 
     Attributes:
-      latest: Latest confirmation that covers the version held.
-      pending: Latest confirmation of a version that is not held yet.
-      sequences: Greatest sequence taken from each origin.
+      latest: Latest confirmation that applies to the version held.
+      pending: Latest confirmation of a version that this node does not hold
+        yet.
+      sequences: Greatest sequence number accepted from each origin.
     """
 
     latest: Confirmation | None = None
     pending: Confirmation | None = None
     sequences: Mapping[str, int] = attrs.field(factory=dict)
 
-    def hear(
+    def add(
         self, confirmation: Confirmation, held_version: int
     ) -> 'ChannelConfirmations':
-        """Returns the state after a confirmation was heard.
+        """Returns the state after a confirmation was received.
 
         A confirmation of an older version than the one held comes from a
         stale replica and confirms nothing.
@@ -55,22 +58,28 @@
         origin, sequence = confirmation.origin, confirmation.sequence
         if sequence <= self.sequences.get(origin, 0):
             return self
-        others = {k: v for k, v in self.sequences.items() if k != origin}
-        while len(others) >= MAX_ORIGINS:
-            others.pop(next(iter(others)))
-        heard = attrs.evolve(self, sequences={**others, origin: sequence})
+        other_sequences = {
+            k: v for k, v in self.sequences.items() if k != origin
+        }
+        while len(other_sequences) >= MAX_ORIGINS:
+            other_sequences.pop(next(iter(other_sequences)))
+        updated = attrs.evolve(
+            self, sequences={**other_sequences, origin: sequence}
+        )
         if confirmation.version < held_version:
-            return heard
+            return updated
         if confirmation.version > held_version:
-            pending = _pick(heard.pending, confirmation)
-            return attrs.evolve(heard, pending=pending)
-        return attrs.evolve(heard, latest=_pick_later(heard, confirmation))
+            pending = _choose_newer(updated.pending, confirmation)
+            return attrs.evolve(updated, pending=pending)
+        return attrs.evolve(
+            updated, latest=_choose_later(updated, confirmation)
+        )
 
     def accept(self, version: int) -> 'ChannelConfirmations':
         """Returns the state after a swap to ``version``.
 
-        An earlier confirmation covers the new version too: a version that
-        replaced a confirmed one is at least as recent as it.
+        An earlier confirmation applies to the new version too: a version that
+        replaces a confirmed version is at least as recent.
         """
         state, pending = self, self.pending
         if self.latest is not None and self.latest.version < version:
@@ -79,51 +88,53 @@
         if pending is None or pending.version > version:
             return state
         if pending.version == version:
-            latest = _pick_later(state, pending)
+            latest = _choose_later(state, pending)
             state = attrs.evolve(state, latest=latest)
         return attrs.evolve(state, pending=None)
 
     def compute_age(self, now: float) -> float | None:
-        """Returns the seconds since the last confirmation, None if none."""
+        """Returns the seconds since the last confirmation, or None."""
         if self.latest is None:
             return None
         return max(0.0, now - self.latest.confirmed_at)
 
 
-def _pick(old: Confirmation | None, new: Confirmation) -> Confirmation:
+def _choose_newer(old: Confirmation | None, new: Confirmation) -> Confirmation:
     if old is None:
         return new
     return max(old, new, key=lambda c: (c.version, c.confirmed_at))
 
 
-def _pick_later(state: ChannelConfirmations, new: Confirmation) -> Confirmation:
+def _choose_later(
+    state: ChannelConfirmations, new: Confirmation
+) -> Confirmation:
     old = state.latest
     if old is not None and old.confirmed_at > new.confirmed_at:
         return old
     return new
 
 
-class Numbering:
-    """Numbers the confirmations that this process gets from the source."""
+class ConfirmationSequencer:
+    """Numbers the confirmations that this process receives from the source."""
 
     def __init__(self, origin: str):
-        """Starts at one for each channel.
+        """Starts each channel at sequence number one.
 
         Args:
-          origin: Name of the process.
+          origin: Short name of this process.
         """
         self._origin = origin
         self._sequences: dict[str, int] = {}
 
-    def number(
+    def create(
         self, channel: str, version: int, confirmed_at: float
     ) -> Confirmation:
-        """Returns a confirmation with the next number of its channel.
+        """Returns a confirmation with the next sequence number of its channel.
 
-        >>> numbering = Numbering('a')
-        >>> numbering.number('keys', 7, 1.0).sequence
+        >>> sequencer = ConfirmationSequencer('a')
+        >>> sequencer.create('keys', 7, 1.0).sequence
         1
-        >>> numbering.number('keys', 7, 2.0).sequence
+        >>> sequencer.create('keys', 7, 2.0).sequence
         2
         """
         sequence = self._sequences.get(channel, 0) + 1
--- a/jayseam/distribution/conflicts.py
+++ b/jayseam/distribution/conflicts.py
@@ -8,7 +8,7 @@
 class KnownConflicts:
     """Remembers conflicts, so that each is logged once.
 
-    A holder repeats its offer with every heartbeat.
+    A holder repeats its offer in every heartbeat.
 
     >>> known, version = KnownConflicts(), versions.Version('keys', 1, 'ab')
     >>> known.add(version), known.add(version)
@@ -19,7 +19,7 @@
         self._known: dict[versions.Version, None] = {}
 
     def add(self, version: versions.Version) -> bool:
-        """Notes a conflict; tells whether it is new."""
+        """Records a conflict and returns whether it is new."""
         if version in self._known:
             return False
         while len(self._known) >= _MAX_KNOWN:
--- a/jayseam/distribution/counters.py
+++ b/jayseam/distribution/counters.py
@@ -9,20 +9,21 @@
     """The metrics of one node's distribution.
 
     Attributes:
-      offers: Offered versions by channel and verdict.
-      swaps: Versions put in force by channel.
-      rejections: Versions that failed verification by channel.
-      pulls: Pulls by channel, holder (``peer`` or ``source``) and result.
+      offers: Versions offered, by channel and verdict.
+      swaps: Versions put in force, by channel.
+      rejections: Versions that failed verification, by channel.
+      pulls: Pulls, by channel, holder (``peer`` or ``source``) and result.
       corrupt_parts: Parts that differ from their digest, by channel.
-      source_failures: Failed reads of the source by channel and error.
-      version: Version held by channel.
-      confirmation_age: Seconds since the source confirmed a channel, NaN
-        before the first time.
-      verify_seconds: Time from a complete download to the verdict.
+      source_failures: Failed reads of the source, by channel and error.
+      version: Version held, by channel.
+      confirmation_age: Seconds since the source last confirmed a channel, by
+        channel; NaN before the first confirmation.
+      verify_seconds: Time from a complete download to the result of the
+        verification, by channel.
     """
 
     def __init__(self, registry: prometheus_client.CollectorRegistry):
-        def count(name, text, *labels):
+        def create_counter(name, text, *labels):
             return prometheus_client.Counter(
                 f'jayseam_distribution_{name}',
                 text,
@@ -30,12 +31,16 @@
                 registry=registry,
             )
 
-        self.offers = count('offers', 'Offered versions', 'verdict')
-        self.swaps = count('swaps', 'Versions put in force')
-        self.rejections = count('rejections', 'Versions that are invalid')
-        self.pulls = count('pulls', 'Pulls', 'holder', 'result')
-        self.corrupt_parts = count('corrupt_parts', 'Parts with wrong digests')
-        self.source_failures = count(
+        self.offers = create_counter('offers', 'Offered versions', 'verdict')
+        self.swaps = create_counter('swaps', 'Versions put in force')
+        self.rejections = create_counter(
+            'rejections', 'Versions that are invalid'
+        )
+        self.pulls = create_counter('pulls', 'Pulls', 'holder', 'result')
+        self.corrupt_parts = create_counter(
+            'corrupt_parts', 'Parts with wrong digests'
+        )
+        self.source_failures = create_counter(
             'source_failures', 'Failed reads of the source', 'error'
         )
         self.version = prometheus_client.Gauge(
--- a/jayseam/distribution/delays.py
+++ b/jayseam/distribution/delays.py
@@ -1,32 +1,32 @@
-"""How long messages of other nodes were held up on their way.
+"""Estimates how long messages from other nodes were delayed in transit.
 
-An age that a message carries is that of the moment at which it was sent. A
-network that holds bytes up and delivers them later would make what they
-confirm look younger by that time.
+An age in a message was computed when the message was sent. If the network
+delays the message, the confirmation in it would look younger by that delay.
 """
 
 import attrs
 
-# Senders beyond this number are forgotten, the oldest first.
+# Beyond this number, the least recently heard-from sender is forgotten.
 _MAX_SENDERS = 1024
 _MS_PER_S = 1000
 
 
 @attrs.frozen
 class _Offset:
-    """Difference between the clocks of two nodes, with the way between them.
+    """Clock difference between two nodes, plus the shortest transit time.
 
     Attributes:
-      incarnation: Process of the sender; another may have another clock.
-      least_s: Least time of receipt less time of sending, in seconds.
+      incarnation: Incarnation of the sender's process; a new process may have
+        another clock.
+      min_offset_s: Smallest time of receipt minus time of sending, in seconds.
     """
 
     incarnation: int
-    least_s: float
+    min_offset_s: float
 
 
 class DelayTable:
-    """Compares each message with the quickest one of its sender.
+    """Compares each message with the fastest message of its sender.
 
     >>> table = DelayTable()
     >>> table.measure('vm-1', 7, sent_ms=1000, now=50.25)
@@ -41,22 +41,22 @@
     def measure(
         self, vm: str, incarnation: int, sent_ms: int, now: float
     ) -> float:
-        """Returns the seconds by which a message came later than the quickest.
+        """Returns the delay of a message over the fastest one, in seconds.
 
         Args:
           vm: VM of the sender.
-          incarnation: Process of the sender.
+          incarnation: Incarnation of the sender's process.
           sent_ms: Time of sending on the sender's clock, in milliseconds.
-          now: Time of receipt on the own clock, in seconds.
+          now: Time of receipt on this node's clock, in seconds.
         """
         offset_s = now - sent_ms / _MS_PER_S
         known = self._offsets.get(vm)
         if known is None or known.incarnation != incarnation:
-            least_s = offset_s
+            min_offset_s = offset_s
         else:
-            least_s = min(known.least_s, offset_s)
+            min_offset_s = min(known.min_offset_s, offset_s)
         self._offsets.pop(vm, None)
         if len(self._offsets) >= _MAX_SENDERS:
             del self._offsets[next(iter(self._offsets))]
-        self._offsets[vm] = _Offset(incarnation, least_s)
-        return offset_s - least_s
+        self._offsets[vm] = _Offset(incarnation, min_offset_s)
+        return offset_s - min_offset_s
--- a/jayseam/distribution/errors.py
+++ b/jayseam/distribution/errors.py
@@ -12,4 +12,4 @@
 
 
 class PullFailedError(DistributionError):
-    """A holder did not supply the whole version."""
+    """A holder did not supply the complete version."""
--- a/jayseam/distribution/events.py
+++ b/jayseam/distribution/events.py
@@ -1,4 +1,4 @@
-"""Messages in the mailbox of a node's own distribution task."""
+"""Messages that a node sends to the mailbox of its own distribution task."""
 
 from collections.abc import Sequence
 
@@ -10,13 +10,15 @@
 
 @attrs.frozen
 class PeerStates:
-    """What a peer told of its channels.
+    """The channel states that a peer reported.
 
     Attributes:
       vm: The peer.
-      states: Versions that it holds and their confirmations.
-      sent_at: Time at which it was told, on the own clock, in seconds.
-      memory_s: Age of the peer's memory of versions, in seconds.
+      states: Versions that the peer holds and their confirmations.
+      sent_at: Time at which the peer sent the states, on this node's clock, in
+        seconds.
+      memory_s: Age of the peer's memory of versions, in seconds; see
+        `memories`.
     """
 
     vm: str
@@ -27,7 +29,7 @@
 
 @attrs.frozen
 class PeerOffer:
-    """A version that a peer holds.
+    """A version that a peer offers.
 
     Attributes:
       vm: The peer.
--- a/jayseam/distribution/exchange.py
+++ b/jayseam/distribution/exchange.py
@@ -11,11 +11,12 @@
 from jayseam.presets import documents
 
 DEFAULT_READERS_PER_ZONE = 2
-# Links close on frames over 2 MB; the manifest and the framing need room.
+# Links close on frames over 2 MB; the rest is for the manifest and the framing.
 MAX_REPLY_BYTES = 1_500_000
-# The digest prefix in a heartbeat only has to reveal a conflict.
+# A heartbeat carries this much of a digest, which suffices to detect a
+# conflict.
 PREFIX_CHARS = 16
-_LEVEL = 6
+_ZSTD_LEVEL = 6
 
 
 def rank_reader(
@@ -26,8 +27,8 @@
 ) -> int | None:
     """Returns the rank of a VM among the readers of its availability zone.
 
-    A VM counts itself as live, because a node that is not yet in its own view
-    must not leave its zone without a reader.
+    A VM counts itself as live, so that its zone does not lack a reader while
+    the VM is missing from its own membership view.
 
     >>> ranks = [rank_reader(vm, 'a', ['x', 'y', 'z']) for vm in 'xyz']
     >>> sorted(ranks, key=str)
@@ -37,32 +38,32 @@
       vm: The VM.
       zone: Its availability zone.
       live_vms: Live VMs of the zone.
-      readers: Readers of a zone.
+      readers: Number of readers in a zone.
 
     Returns:
-      Zero for the first reader; None for a VM that doesn't read.
+      Zero for the first reader; None for a VM that is not a reader.
     """
     ranked = rendezvous.rank(zone, {vm, *live_vms})[:readers]
     return ranked.index(vm) if vm in ranked else None
 
 
 def compress_part(data: bytes) -> bytes:
-    """Compresses a part with zstd; the frame names the content size."""
-    return zstandard.ZstdCompressor(level=_LEVEL).compress(data)
+    """Compresses a part into a zstd frame that states the content size."""
+    return zstandard.ZstdCompressor(level=_ZSTD_LEVEL).compress(data)
 
 
 def read_content_size(data: bytes) -> int:
-    """Returns the content size in bytes that a frame's header names.
+    """Returns the content size in bytes that a frame's header states.
 
     Raises:
-      PartCorruptError: If the header is invalid or names no size.
+      PartCorruptError: If the header is invalid or states no size.
     """
     try:
         size = zstandard.frame_content_size(data)
     except zstandard.ZstdError as error:
         raise errors.PartCorruptError(f'invalid zstd frame: {error}') from error
     if size < 0:
-        raise errors.PartCorruptError('the frame names no content size')
+        raise errors.PartCorruptError('zstd frame states no content size')
     return size
 
 
@@ -71,8 +72,8 @@
 ) -> bytes:
     """Decompresses a part.
 
-    The content size in the frame's header is checked first, because it
-    decides how much memory is allocated.
+    The content size in the frame's header is checked first, because that much
+    memory is allocated.
 
     >>> decompress_part(compress_part(b'[]'))
     b'[]'
@@ -87,7 +88,7 @@
     size = read_content_size(data)
     if size > max_bytes:
         raise errors.PartCorruptError(
-            f'content of {size} bytes; at most {max_bytes} are allowed'
+            f'content has {size} bytes; at most {max_bytes} are allowed'
         )
     decompressor = zstandard.ZstdDecompressor()
     try:
@@ -97,17 +98,20 @@
     except zstandard.ZstdError as error:
         raise errors.PartCorruptError(f'invalid zstd frame: {error}') from error
     if len(content) != size:
-        raise errors.PartCorruptError('content is cut short')
+        raise errors.PartCorruptError(
+            'content is shorter than the zstd frame states'
+        )
     return content
 
 
 @attrs.frozen
 class Selection:
-    """What a reply to a pull contains.
+    """The parts that a reply to a pull contains.
 
     Attributes:
       digests: Digests of the parts to send.
-      complete: Whether nothing else is needed, as far as the sender knows.
+      complete: Whether the receiver needs no other part, as far as the sender
+        knows.
     """
 
     digests: tuple[str, ...]
@@ -125,20 +129,21 @@
 
     Args:
       needed: Digests of all parts of the version, in order.
-      known: Digests of the parts that the receiver's manifest names; empty if
-        that manifest is unknown.
-      wanted: Digests that the receiver asked for; empty to let ``known``
-        decide.
+      known: Digests of the parts in the receiver's manifest; empty if the
+        sender does not know that manifest.
+      wanted: Digests that the receiver asked for; if empty, all parts that
+        are not in ``known`` are sent.
       sizes: Compressed size of each part, in bytes.
-      max_bytes: Most bytes to send at once. One part is sent in any case.
+      max_bytes: Most bytes to send at once; one part is sent even if it is
+        larger.
     """
     skipped = set(known)
     if wanted:
-        lacking = [d for d in needed if d in set(wanted)]
+        missing = [d for d in needed if d in set(wanted)]
     else:
-        lacking = [d for d in needed if d not in skipped]
+        missing = [d for d in needed if d not in skipped]
     chosen, total = [], 0
-    for digest in dict.fromkeys(lacking):
+    for digest in dict.fromkeys(missing):
         total += sizes[digest]
         if chosen and total > max_bytes:
             return Selection(tuple(chosen), False)
@@ -148,24 +153,24 @@
 
 def unpack_parts(
     compressed: Mapping[str, bytes],
-    lacking: Iterable[str],
+    missing: Iterable[str],
     max_total_bytes: int = documents.MAX_BUNDLE_BYTES,
 ) -> tuple[dict[str, bytes], list[str]]:
-    """Decompresses the parts that are lacking and checks their digests.
+    """Decompresses the missing parts and checks their digests.
 
     Args:
       compressed: Compressed parts by digest.
-      lacking: Digests that are of use; others are ignored.
-      max_total_bytes: Most bytes of content in all.
+      missing: Digests of the parts that are needed; other parts are ignored.
+      max_total_bytes: Most bytes of decompressed content in total.
 
     Returns:
       The valid parts by digest, and the digests of the corrupt ones.
     """
     valid, corrupt, total = {}, [], 0
-    for digest in sorted(set(lacking).intersection(compressed)):
-        room = min(documents.MAX_VALUE_BYTES, max_total_bytes - total)
+    for digest in sorted(set(missing).intersection(compressed)):
+        limit_bytes = min(documents.MAX_VALUE_BYTES, max_total_bytes - total)
         try:
-            content = decompress_part(compressed[digest], max(0, room))
+            content = decompress_part(compressed[digest], max(0, limit_bytes))
         except errors.PartCorruptError:
             corrupt.append(digest)
             continue
--- a/jayseam/distribution/fetching.py
+++ b/jayseam/distribution/fetching.py
@@ -22,9 +22,9 @@
 from jayseam.source import client as source_client
 
 DEFAULT_PULL_TIMEOUT_S = 1.0
-# Verification yields to other greenlets at least this often, as far as single
-# steps of the JSON parser and compressor allow.
-_SLICE_S = 0.002
+# Verification yields to other greenlets after this time. One step of the JSON
+# parser or the compressor may take longer.
+_TIME_SLICE_S = 0.002
 _VERIFIERS: Mapping[str, Callable[..., Any]] = {
     'preset': verification.verify_preset,
     'keys': verification.verify_keys,
@@ -34,13 +34,13 @@
 
 
 @attrs.frozen
-class Fetched:
-    """A whole verified version, ready to be put in force.
+class VerifiedVersion:
+    """A complete, verified version that can be put in force.
 
     Attributes:
       version: The version.
       value: The preset, key set or VM list.
-      held: Its parts for the cache.
+      held: Parts of the version, for the part cache.
     """
 
     version: versions.Version
@@ -49,7 +49,7 @@
 
 
 @attrs.frozen
-class Refused:
+class InvalidVersion:
     """A version that failed verification.
 
     Attributes:
@@ -62,9 +62,9 @@
 
 
 class Pauser:
-    """Yields to other greenlets when a slice of time is used up."""
+    """Yields to other greenlets when a time slice is used up."""
 
-    def __init__(self, slice_s: float = _SLICE_S):
+    def __init__(self, slice_s: float = _TIME_SLICE_S):
         self._slice_s = slice_s
         self._started_at = clocks.read_now()
 
@@ -75,9 +75,9 @@
 
 
 class ChannelFetcher:
-    """Fetches and verifies the greatest version offered, one at a time.
+    """Fetches and verifies the greatest offered version, one at a time.
 
-    Nothing is handed on before the whole version is verified.
+    Only a complete and verified version is delivered.
     """
 
     def __init__(
@@ -85,9 +85,9 @@
         channel: str,
         request: Callable[[str, Any, float], Any],
         client: source_client.SourceClient | None,
-        judge: Callable[[str, int, str], versions.Verdict],
-        read_cache: Callable[[], distribution_parts.PartCache],
-        deliver: Callable[[Fetched | Refused], Any],
+        classify: Callable[[str, int, str], versions.Verdict],
+        get_cache: Callable[[], distribution_parts.PartCache],
+        deliver: Callable[[VerifiedVersion | InvalidVersion], Any],
         counters: distribution_counters.Counters,
         pull_timeout_s: float = DEFAULT_PULL_TIMEOUT_S,
         uniform: Callable[[], float] = random.random,
@@ -97,17 +97,17 @@
         Args:
           channel: Channel to fetch.
           request: ``request(vm, message, timeout_s)`` sends to a peer.
-          client: Client of the source, None without one.
-          judge: Judges channel, version and digest.
-          read_cache: Returns the part cache of the channel.
-          deliver: Takes a result; returns when it has been handled.
+          client: Client of the source; None if the node has none.
+          classify: Returns the verdict on a channel, version and digest.
+          get_cache: Returns the part cache of the channel.
+          deliver: Called with each result; returns when it has been handled.
           counters: Metrics.
-          pull_timeout_s: Time for one reply of a peer, in seconds.
+          pull_timeout_s: Timeout of one request to a peer, in seconds.
           uniform: Returns a random number in [0, 1).
         """
         self.channel = channel
-        self._judge = judge
-        self._read_cache = read_cache
+        self._classify = classify
+        self._get_cache = get_cache
         self._deliver = deliver
         self._counters = counters
         self._offers = offers.OfferBook(uniform)
@@ -115,8 +115,8 @@
             channel,
             request,
             client,
-            judge,
-            read_cache,
+            classify,
+            get_cache,
             counters,
             pull_timeout_s,
         )
@@ -129,17 +129,17 @@
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Ends the greenlet; an unfinished fetch is dropped."""
+        """Ends the greenlet and drops an unfinished fetch."""
         if self._greenlet is not None:
             self._greenlet.kill()
 
     def add(self, offer: offers.Offer) -> None:
-        """Notes an offer; a holder's greatest version counts."""
+        """Adds an offer, unless its holder has offered a greater version."""
         if self._offers.add(offer):
             self._wake.set()
 
     def count_offers(self) -> int:
-        """Returns the number of holders with an offer that is not settled."""
+        """Returns the number of holders with an open offer."""
         return len(self._offers)
 
     def _run(self) -> None:
@@ -153,7 +153,7 @@
             self._wake.clear()
 
     def _is_newer(self, offer: offers.Offer) -> bool:
-        verdict = self._judge(self.channel, offer.version, offer.digest)
+        verdict = self._classify(self.channel, offer.version, offer.digest)
         return verdict is versions.Verdict.NEWER
 
     def _try_offer(self, offer: offers.Offer) -> None:
@@ -164,7 +164,7 @@
             self._log_failure(offer, error)
             self._offers.fail(offer, clocks.read_now())
         except Exception:  # pylint: disable=broad-exception-caught
-            # A fault in one fetch must not end the fetches of later versions.
+            # A bug in one fetch must not prevent fetches of later versions.
             _log.exception(
                 'distribution.pull_crashed', extra={'channel': self.channel}
             )
@@ -194,21 +194,23 @@
         except pulling.UnwantedError:
             return
         except pulling.InvalidVersionError as error:
-            self._deliver(Refused(error.version, error.reasons))
+            self._deliver(InvalidVersion(error.version, error.reasons))
             return
         except pulling.MovedOnError as error:
             self.add(error.offer)
             raise
-        self._finish(version, manifest)
+        self._verify_and_deliver(version, manifest)
 
-    def _finish(self, version: versions.Version, manifest: bytes) -> None:
-        """Verifies and delivers a version whose parts are all here."""
+    def _verify_and_deliver(
+        self, version: versions.Version, manifest: bytes
+    ) -> None:
+        """Verifies and delivers a version of which no part is missing."""
         started_at = clocks.read_now()
         try:
             result = self._verify(version, manifest)
         except preset_errors.PartsIncompleteError:
-            # Parts are checked on arrival, so only those of a bundle can be
-            # at fault; none of them may serve another try.
+            # Pulled parts are checked on arrival, so only a bundle can lack
+            # parts or contain wrong ones. Its parts must not be used again.
             self._puller.clear()
             raise
         elapsed_s = clocks.read_now() - started_at
@@ -218,22 +220,22 @@
 
     def _verify(
         self, version: versions.Version, manifest: bytes
-    ) -> Fetched | Refused:
+    ) -> VerifiedVersion | InvalidVersion:
         pauser = Pauser()
-        cache = self._read_cache()
+        cache = self._get_cache()
         try:
             contents = self._collect_parts(manifest, cache, pauser)
             document = documents.join_parts(manifest, contents, pauser)
             value = _VERIFIERS[self.channel](document, pauser, self._shapes)
         except preset_errors.PresetRejectedError as error:
-            return Refused(version, tuple(error.reasons))
+            return InvalidVersion(version, tuple(error.reasons))
         held = distribution_parts.build_held_parts(
             manifest, contents, cache, pauser
         )
-        return Fetched(version, value, held)
+        return VerifiedVersion(version, value, held)
 
     def _collect_parts(self, manifest, cache, pauser) -> dict[str, bytes]:
-        """Returns the parts pulled, and those of the cache that are needed."""
+        """Returns the pulled parts and the needed parts of the cache."""
         parsed = self._puller.read_manifest(manifest)
         contents = dict(self._puller.parts)
         for digest in documents.find_missing(parsed, contents):
--- a/jayseam/distribution/messages.py
+++ b/jayseam/distribution/messages.py
@@ -11,31 +11,31 @@
 
 _MAX_ORIGIN_CHARS = 16
 _MAX_STATES = 8
-_NAME = validators.instance_of(str)
-_NUMBER = validators.and_(
+_STRING = validators.instance_of(str)
+_INTEGER = validators.and_(
     validators.instance_of(int), validators.not_(validators.instance_of(bool))
 )
-_COUNT = validators.and_(_NUMBER, validators.ge(0), validators.lt(2**63))
+_COUNT = validators.and_(_INTEGER, validators.ge(0), validators.lt(2**63))
 _BYTES = validators.instance_of(bytes)
-_FLAG = validators.instance_of(bool)
-_NAMES = validators.deep_iterable(_NAME, validators.instance_of(list))
-_PARTS = validators.deep_mapping(_NAME, _BYTES, validators.instance_of(dict))
+_BOOLEAN = validators.instance_of(bool)
+_STRINGS = validators.deep_iterable(_STRING, validators.instance_of(list))
+_PARTS = validators.deep_mapping(_STRING, _BYTES, validators.instance_of(dict))
 
 
 @messages.register(40)
 @attrs.frozen
 class Announce:
-    """Tells that the sender holds a version.
+    """Announces that the sender holds a version.
 
     Attributes:
       channel: ``preset``, ``keys`` or ``vms``.
       version: Version held.
-      digest: Digest of its manifest.
+      digest: Digest of the manifest of that version.
     """
 
-    channel: str = attrs.field(validator=_NAME)
+    channel: str = attrs.field(validator=_STRING)
     version: int = attrs.field(validator=_COUNT)
-    digest: str = attrs.field(validator=_NAME)
+    digest: str = attrs.field(validator=_STRING)
 
 
 @messages.register(41)
@@ -45,75 +45,75 @@
 
     Attributes:
       channel: Channel asked for.
-      version: Least version of use to the sender.
+      version: Smallest version that the sender can use.
       have_digest: Digest of the manifest that the sender holds, or empty.
-      wanted: Digests of the parts that are still lacking of the manifest in
-        ``of_digest``; empty in a first pull.
-      of_digest: Manifest that ``wanted`` belongs to, or empty.
+      wanted: Digests of the parts that the sender still lacks of the manifest
+        in ``of_digest``; empty in a first pull.
+      of_digest: Digest of the manifest that ``wanted`` refers to, or empty.
     """
 
-    channel: str = attrs.field(validator=_NAME)
+    channel: str = attrs.field(validator=_STRING)
     version: int = attrs.field(validator=_COUNT)
-    have_digest: str = attrs.field(validator=_NAME)
-    wanted: list = attrs.field(factory=list, validator=_NAMES)
-    of_digest: str = attrs.field(default='', validator=_NAME)
+    have_digest: str = attrs.field(validator=_STRING)
+    wanted: list = attrs.field(factory=list, validator=_STRINGS)
+    of_digest: str = attrs.field(default='', validator=_STRING)
 
 
 @messages.register(42)
 @attrs.frozen
 class Parts:
-    """Answers `Pull`.
+    """Reply to `Pull`.
 
     Attributes:
-      channel: Channel of the answer.
+      channel: Channel of the reply.
       version: Version that the sender holds, zero if none.
-      digest: Digest of its manifest, or empty.
-      manifest: The manifest; empty if the receiver has it, or if the version
-        is of no use to the receiver.
+      digest: Digest of the manifest of that version, or empty.
+      manifest: The manifest; empty if the receiver has it, or if the receiver
+        can't use the version.
       parts: Parts compressed with zstd, by the digest of their content.
       complete: Whether the receiver needs no further pull, as far as the
         sender knows.
     """
 
-    channel: str = attrs.field(validator=_NAME)
+    channel: str = attrs.field(validator=_STRING)
     version: int = attrs.field(validator=_COUNT)
-    digest: str = attrs.field(validator=_NAME)
+    digest: str = attrs.field(validator=_STRING)
     manifest: bytes = attrs.field(validator=_BYTES)
     parts: dict = attrs.field(validator=_PARTS)
-    complete: bool = attrs.field(validator=_FLAG)
+    complete: bool = attrs.field(validator=_BOOLEAN)
 
 
 @attrs.frozen
 class ChannelState:
-    """One channel in `Heartbeat`, which carries its fields as a plain list.
+    """State of one channel, sent in `Heartbeat` as a plain list of fields.
 
-    A nested message would add its type and the names of a dict to each of
-    them, and heartbeats are most of what a node sends at rest.
+    A nested message would add a type and field names to each state, and
+    heartbeats are most of what a node sends while no version changes.
 
     Attributes:
       channel: ``preset``, ``keys`` or ``vms``.
       version: Version held, zero if none.
-      prefix: First characters of the digest, to notice conflicts.
-      confirmed_version: Version that the last confirmation covers, or zero.
-      origin: Name of the reader that heard the confirmation, shortened by
-        `shorten_origin`; empty if there is none.
-      sequence: Number of the confirmation at that reader.
+      prefix: First characters of the digest, to detect conflicts.
+      confirmed_version: Version that the last confirmation applies to, or zero.
+      origin: Name of the reader that received the confirmation from the
+        source, as `shorten_origin` returns it; empty if there is none.
+      sequence: Sequence number of the confirmation at that reader.
       age_ms: Milliseconds since the confirmation; zero if there is none.
     """
 
-    channel: str = attrs.field(validator=_NAME)
+    channel: str = attrs.field(validator=_STRING)
     version: int = attrs.field(validator=_COUNT)
-    prefix: str = attrs.field(validator=_NAME)
+    prefix: str = attrs.field(validator=_STRING)
     confirmed_version: int = attrs.field(validator=_COUNT)
     origin: str = attrs.field(
-        validator=[_NAME, validators.max_len(_MAX_ORIGIN_CHARS)]
+        validator=[_STRING, validators.max_len(_MAX_ORIGIN_CHARS)]
     )
     sequence: int = attrs.field(validator=_COUNT)
     age_ms: int = attrs.field(validator=_COUNT)
 
 
 def shorten_origin(vm: str, incarnation: int) -> str:
-    """Returns a short name of a process, the same on every node.
+    """Returns a short name of a process, which is the same on every node.
 
     >>> len(shorten_origin('vm-1', 1))
     8
@@ -122,7 +122,7 @@
 
 
 def pack_states(states: Iterable[ChannelState]) -> list[list[Any]]:
-    """Returns the form of channel states in a message."""
+    """Returns channel states in the form that messages carry."""
     return [list(attrs.astuple(state)) for state in states]
 
 
@@ -130,7 +130,7 @@
     """Returns the channel states of a message.
 
     Raises:
-      TypeError: If a row has other fields.
+      TypeError: If a row has the wrong number or types of fields.
       ValueError: If a field is out of range.
     """
     return [ChannelState(*row) for row in rows]
@@ -147,11 +147,12 @@
 @messages.register(44)
 @attrs.frozen
 class Heartbeat:
-    """Tells the versions held and the age of their last confirmation.
+    """Reports the versions held and the age of their last confirmation.
 
     Attributes:
       states: A packed `ChannelState` for each channel.
-      memory_ms: Age of the sender's memory; see `memories`.
+      memory_ms: Age of the sender's memory of versions, in milliseconds; see
+        `memories`.
       sent_ms: Time of sending on the sender's clock, in milliseconds; see
         `delays`.
     """
@@ -164,7 +165,7 @@
 @messages.register(45)
 @attrs.frozen
 class Sync:
-    """Asks for a `Heartbeat` at once and carries the sender's own.
+    """Requests a `Heartbeat` and carries the sender's own states.
 
     Attributes:
       states: A packed `ChannelState` for each channel.
@@ -178,18 +179,18 @@
 @messages.register(46)
 @attrs.frozen
 class Rejection:
-    """Tells that a version was rejected for its content.
+    """Reports that a version was rejected because its content is invalid.
 
     Attributes:
       channel: ``preset``, ``keys`` or ``vms``.
       version: Version rejected.
-      digest: Digest of its manifest.
-      reasons: The first reasons, each cut to a bounded length.
-      n_reasons: Number of all reasons.
+      digest: Digest of the manifest of that version.
+      reasons: The first reasons, each truncated to a bounded length.
+      n_reasons: Total number of reasons.
     """
 
-    channel: str = attrs.field(validator=_NAME)
+    channel: str = attrs.field(validator=_STRING)
     version: int = attrs.field(validator=_COUNT)
-    digest: str = attrs.field(validator=_NAME)
-    reasons: list = attrs.field(validator=_NAMES)
+    digest: str = attrs.field(validator=_STRING)
+    reasons: list = attrs.field(validator=_STRINGS)
     n_reasons: int = attrs.field(validator=_COUNT)
--- a/jayseam/distribution/offers.py
+++ b/jayseam/distribution/offers.py
@@ -1,4 +1,4 @@
-"""Offers of versions of one channel, and which of them to fetch next."""
+"""The offers of versions of one channel, and the choice among them."""
 
 import math
 from collections.abc import Callable
@@ -9,22 +9,23 @@
 from jayseam.source import backoff
 
 SOURCE = ''
-# A version that only other zones offer is left to the readers of the own zone
-# for this long, in seconds: bytes between zones are few and dear. A reader may
-# leave 0.3 s between two reads.
-FAR_GRACE_S = 0.4
+# A version that only nodes of other zones offer is fetched after this delay, in
+# seconds, so that the readers of the own zone can get it first: bandwidth
+# between zones is scarce and expensive. A reader may pause for 0.3 s between
+# two reads.
+OTHER_ZONE_DELAY_S = 0.4
 
 
 @attrs.frozen
 class Offer:
-    """A version that a holder is said to have.
+    """A version that a holder claims to have.
 
     Attributes:
       holder: VM name, or `SOURCE`.
       version: Revision.
-      digest: Digest, or its first characters, or empty.
+      digest: Digest of the manifest, or its first characters, or empty.
       bundle: The content, if it came with the offer.
-      ready_at: Time from which it may be fetched, in seconds.
+      ready_at: Time from which the version may be fetched, in seconds.
     """
 
     holder: str
@@ -35,12 +36,12 @@
 
     @property
     def is_immediate(self) -> bool:
-        """Whether it never had to wait for the readers of the own zone."""
+        """Whether no delay in favour of the own zone's readers applies."""
         return self.ready_at == -math.inf
 
 
 class OfferBook:
-    """The open offers of one channel, one for each holder."""
+    """The open offers of one channel, at most one for each holder."""
 
     def __init__(self, uniform: Callable[[], float]):
         """Starts without offers.
@@ -56,23 +57,23 @@
         return len(self._offers)
 
     def add(self, offer: Offer) -> bool:
-        """Notes an offer; a holder's greatest version counts.
+        """Adds an offer, unless its holder has offered a greater version.
 
         Returns:
-          Whether the offer replaced the holder's offer before.
+          Whether the offer was added.
         """
-        known = self._offers.get(offer.holder)
-        if known is not None and known.version > offer.version:
+        previous = self._offers.get(offer.holder)
+        if previous is not None and previous.version > offer.version:
             return False
-        is_repeated = known is not None and known.version == offer.version
-        if is_repeated and known.ready_at < offer.ready_at:
-            # A heartbeat that repeats an offer doesn't put it off.
-            offer = attrs.evolve(offer, ready_at=known.ready_at)
+        is_repeated = previous is not None and previous.version == offer.version
+        if is_repeated and previous.ready_at < offer.ready_at:
+            # A heartbeat that repeats an offer doesn't postpone it.
+            offer = attrs.evolve(offer, ready_at=previous.ready_at)
         self._offers[offer.holder] = offer
         return True
 
     def keep(self, is_newer: Callable[[Offer], bool]) -> None:
-        """Drops the offers that are settled by what is held."""
+        """Keeps only the offers whose version is newer than the one held."""
         self._offers = {
             holder: offer
             for holder, offer in self._offers.items()
@@ -82,8 +83,8 @@
     def choose(self, now: float) -> Offer | None:
         """Returns the best offer that may be tried now.
 
-        Peers come before the source, whose reads are limited, and those of the
-        own zone before those of others.
+        Peers come before the source, whose reads are limited, and peers of the
+        own zone before peers of other zones.
         """
         ready = [o for o in self._offers.values() if self._is_ready(o, now)]
         return max(
@@ -98,10 +99,10 @@
         )
 
     def compute_wait(self, now: float) -> float | None:
-        """Returns the seconds until an open offer may be tried.
+        """Returns the seconds until another open offer may be tried.
 
         Returns:
-          None if there is no open offer to wait for.
+          The seconds, or None if there is no offer to wait for.
         """
         waits = [
             o.ready_at - now for o in self._offers.values() if o.ready_at > now
@@ -111,15 +112,16 @@
         return min(waits, default=None)
 
     def succeed(self, offer: Offer) -> None:
-        """Notes that an offer was fetched."""
+        """Removes an offer whose version was fetched."""
         if offer.holder == SOURCE:
             self._retry.succeed()
         self._remove(offer)
 
     def fail(self, offer: Offer, now: float) -> None:
-        """Notes a failure.
+        """Handles a failed fetch.
 
-        A peer repeats its offer by heartbeat; the source does not.
+        The offer of a peer is removed, because the peer repeats it in each
+        heartbeat. The source does not, so its offer is tried again later.
         """
         if offer.holder == SOURCE:
             self._retry.fail(now)
@@ -132,6 +134,6 @@
         return self._retry.compute_wait(now) == 0.0
 
     def _remove(self, offer: Offer) -> None:
-        """Removes an offer unless its holder has made another."""
+        """Removes an offer unless its holder has replaced it."""
         if self._offers.get(offer.holder) is offer:
             del self._offers[offer.holder]
--- a/jayseam/distribution/parts.py
+++ b/jayseam/distribution/parts.py
@@ -1,4 +1,4 @@
-"""The parts of the versions held, compressed as they are sent."""
+"""Cache of the parts of the versions held, compressed for sending."""
 
 from collections.abc import Callable, Mapping
 
@@ -8,7 +8,7 @@
 from jayseam.distribution import exchange
 from jayseam.presets import documents
 
-# Lets nodes that are a few versions behind pull only what changed since.
+# Allows nodes that are a few versions behind to pull only the changed parts.
 MAX_KNOWN_MANIFESTS = 16
 
 
@@ -33,31 +33,39 @@
 class PartCache:
     """An immutable cache of the parts of one channel's version in force.
 
-    Parts of earlier versions are dropped; of their manifests only the digests
-    of the parts stay, for the last `MAX_KNOWN_MANIFESTS`. Parts are kept
-    compressed only.
+    Parts of earlier versions are dropped. The part digests of the last
+    `MAX_KNOWN_MANIFESTS` manifests are kept. Parts are stored in compressed
+    form only.
 
     Attributes:
       held: Parts of the version in force.
-      known: Part digests by manifest digest, oldest manifest first.
+      digests_by_manifest: Part digests by manifest digest, oldest manifest
+        first.
     """
 
     held: HeldParts = HeldParts()
-    known: Mapping[str, frozenset[str]] = attrs.field(factory=dict)
+    digests_by_manifest: Mapping[str, frozenset[str]] = attrs.field(
+        factory=dict
+    )
 
     def replace(self, held: HeldParts) -> 'PartCache':
         """Returns the cache that holds the parts of another version."""
-        known = {**self.known, held.digest: frozenset(held.order)}
-        kept = list(known)[-MAX_KNOWN_MANIFESTS:]
-        return PartCache(held, {digest: known[digest] for digest in kept})
+        digests_by_manifest = {
+            **self.digests_by_manifest,
+            held.digest: frozenset(held.order),
+        }
+        kept = list(digests_by_manifest)[-MAX_KNOWN_MANIFESTS:]
+        return PartCache(
+            held, {digest: digests_by_manifest[digest] for digest in kept}
+        )
 
     def read_part(self, digest: str) -> bytes | None:
-        """Returns the content of a part that is held, or None."""
+        """Returns the content of a part, or None if it is not in the cache."""
         data = self.held.compressed.get(digest)
         return None if data is None else exchange.decompress_part(data)
 
     def count_bytes(self) -> int:
-        """Returns the size of the manifest and the compressed parts."""
+        """Returns the bytes of the manifest and the compressed parts."""
         held = self.held
         return len(held.manifest) + sum(map(len, held.compressed.values()))
 
@@ -72,8 +80,8 @@
 
     Args:
       manifest: Verified manifest.
-      parts: Its parts by digest.
-      cache: Cache whose compressed parts are used again.
+      parts: Parts of the version by digest.
+      cache: Cache whose compressed parts are reused.
       pause: Called between parts, to let other greenlets run.
     """
     names = documents.read_manifest(manifest).parts
--- a/jayseam/distribution/peers.py
+++ b/jayseam/distribution/peers.py
@@ -1,4 +1,4 @@
-"""How the distribution reaches other nodes."""
+"""The interface through which the distribution reaches other nodes."""
 
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -10,7 +10,7 @@
 from jayseam.core import logs
 from jayseam.distribution import messages
 
-_FAILURES = (core_errors.JayseamError, OSError, gevent.Timeout)
+_SEND_FAILURES = (core_errors.JayseamError, OSError, gevent.Timeout)
 _log = logs.get_logger(__name__)
 
 
@@ -24,7 +24,8 @@
       notify: ``notify(vm, message)`` sends without waiting for a reply.
       neighbours: Returns the VMs that get heartbeats.
       live_in_zone: Returns the live VMs of the own zone.
-      seeds: Returns the VMs that a fresh node asks first; it may dial.
+      seeds: Returns the VMs that a fresh node asks first; the call may open
+        links.
     """
 
     request: Callable[[str, Any, float], Any]
@@ -36,39 +37,39 @@
 
     def spawn_broadcast(self, message: Any) -> None:
         """Sends to all open links without blocking."""
-        gevent.spawn(_send_quietly, self.broadcast, message)
+        gevent.spawn(_send_best_effort, self.broadcast, message)
 
     def spawn_announce(self, message: Any) -> None:
         """Sends to the own zone and the neighbours without blocking.
 
-        Neighbours in other zones pass it on there, so that it doesn't cross
-        zones once for each pair of nodes.
+        Neighbours in other zones announce the version in their own zone, so
+        that an announcement doesn't cross zones once for each pair of nodes.
         """
         for vm in {*self.live_in_zone(), *self.neighbours()}:
             self.spawn_notify(vm, message)
 
     def spawn_notify(self, vm: str, message: Any) -> None:
         """Sends to one peer without blocking."""
-        gevent.spawn(_send_quietly, self.notify, vm, message)
+        gevent.spawn(_send_best_effort, self.notify, vm, message)
 
     def request_sync(
         self, vm: str, sync: messages.Sync, timeout_s: float
     ) -> messages.Heartbeat | None:
-        """Asks a peer for its versions; returns None if it gave none."""
+        """Asks a peer for its versions; returns None without a valid reply."""
         try:
-            answer = self.request(vm, sync, timeout_s)
-        except _FAILURES as error:
+            reply = self.request(vm, sync, timeout_s)
+        except _SEND_FAILURES as error:
             _log.debug(
                 'distribution.sync_failed',
                 extra={'vm': vm, 'error': str(error)},
             )
             return None
-        return answer if isinstance(answer, messages.Heartbeat) else None
+        return reply if isinstance(reply, messages.Heartbeat) else None
 
 
-def _send_quietly(function: Callable[..., Any], *args: Any) -> None:
-    """Sends what a later heartbeat repeats if it is lost."""
+def _send_best_effort(function: Callable[..., Any], *args: Any) -> None:
+    """Sends without raising errors, because heartbeats repair lost messages."""
     try:
         function(*args)
-    except _FAILURES as error:
+    except _SEND_FAILURES as error:
         _log.debug('distribution.send_failed', extra={'error': str(error)})
--- a/jayseam/distribution/reading.py
+++ b/jayseam/distribution/reading.py
@@ -1,4 +1,4 @@
-"""The part of a node that reads the source, for as long as it is a reader."""
+"""Reads and watches of the source by a node that is a reader."""
 
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -21,10 +21,10 @@
     """How nodes read the source.
 
     Attributes:
-      readers_per_zone: Nodes of a zone that read it.
-      join_wait_s: Longest first wait of a fresh node before it reads, in
-        seconds.
-      grace: How a VM list is taken that comes after an outage.
+      readers_per_zone: Number of nodes of a zone that watch the source.
+      join_wait_s: Upper bound of the first wait of a fresh node before it reads
+        the source, in seconds.
+      grace: Treatment of a VM list that is read after an outage of the source.
     """
 
     readers_per_zone: int = exchange.DEFAULT_READERS_PER_ZONE
@@ -53,10 +53,13 @@
           vm: Name of the own VM.
           zone: Own availability zone.
           client: Client of the source; None if the node has none.
-          watch_wait_s: Wait of one watch, in seconds.
-          send: Takes a `SourceUpdate` or `SourceConfirmation`.
-          held_version: Returns the version held of a channel, or zero.
-          count_failure: Takes a channel and the error of a failed read.
+          watch_wait_s: Time that one watch request may wait at the source, in
+            seconds.
+          send: Called with each `SourceUpdate` and `SourceConfirmation`.
+          held_version: Returns the version that the node holds of a channel, or
+            zero.
+          count_failure: Called with the channel and the error of a failed read,
+            or None if the replica was behind.
           uniform: Returns a random number in [0, 1).
           options: How the source is read.
         """
@@ -78,7 +81,7 @@
 
     @property
     def url(self) -> str | None:
-        """URL of the source, None without one."""
+        """URL of the source; None if the node has none."""
         return self._client.url if self._client else None
 
     def update_role(self, live_vms: Iterable[str]) -> None:
--- a/jayseam/distribution/rejections.py
+++ b/jayseam/distribution/rejections.py
@@ -1,7 +1,8 @@
-"""Verdicts of other nodes on versions that this node has not fetched.
+"""Reports from other nodes about versions that they have rejected.
 
-Readers are the first to fetch a version. If they reject it they never announce
-it, so the others would not know why the fleet stays on the version before.
+Readers are the first to fetch a version. They never announce a version that
+they reject, so without reports the other nodes would not know why the fleet
+stays on the previous version.
 """
 
 from collections.abc import Mapping
@@ -11,67 +12,68 @@
 from jayseam.distribution import messages
 
 _MAX_REPORTS = 16
-# A report is repeated with each heartbeat for this long, in seconds: a link
-# that opens or breaks loses it, and operators look for it within 5 s.
-REPEAT_S = 4.0
+# A report is repeated with each heartbeat for this time, in seconds, because a
+# link that is being opened or breaks loses it and operators expect it within
+# 5 s.
+REPEAT_DURATION_S = 4.0
 MAX_REASONS = 20
 MAX_REASON_CHARS = 300
 
 
 @attrs.frozen
-class HeardReport:
-    """A rejection and when this node first heard of it.
+class ReceivedReport:
+    """A rejection and the time at which this node first learned of it.
 
     Attributes:
       report: The rejection.
-      heard_at: Time in seconds.
+      received_at: Time of the first report, in seconds.
     """
 
     report: messages.Rejection
-    heard_at: float
+    received_at: float
 
 
 @attrs.frozen
 class RejectionReports:
-    """Rejections told by peers, the latest of each channel.
+    """The latest rejections by this node and its peers.
 
-    They are shown to operators and decide nothing: a version that a peer
-    rejected is still judged by its content if it is ever offered.
+    The reports are only shown to operators. If a version that a peer rejected
+    is offered to this node, it is fetched and verified like any other.
     """
 
-    reports: Mapping[tuple[str, int, str], HeardReport] = attrs.field(
+    reports: Mapping[tuple[str, int, str], ReceivedReport] = attrs.field(
         factory=dict
     )
 
     def add(self, report: messages.Rejection, now: float) -> 'RejectionReports':
-        """Returns the reports with one more; itself if it is known."""
-        name = (report.channel, report.version, report.digest)
-        if name in self.reports:
+        """Returns the reports with a new one; itself if the report is known."""
+        key = (report.channel, report.version, report.digest)
+        if key in self.reports:
             return self
         kept = list(self.reports.items())[-(_MAX_REPORTS - 1) :]
-        heard = HeardReport(report, now)
-        return RejectionReports({**dict(kept), name: heard})
+        received = ReceivedReport(report, now)
+        return RejectionReports({**dict(kept), key: received})
 
     def list_for(self, channel: str) -> list[messages.Rejection]:
         """Returns the reports on a channel, oldest first."""
         return [
-            heard.report
-            for heard in self.reports.values()
-            if heard.report.channel == channel
+            received.report
+            for received in self.reports.values()
+            if received.report.channel == channel
         ]
 
     def list_to_repeat(self, now: float) -> list[messages.Rejection]:
-        """Returns the reports that peers are told again, oldest first."""
+        """Returns the reports to send to peers again, oldest first."""
         return [
-            heard.report
-            for heard in self.reports.values()
-            if now - heard.heard_at <= REPEAT_S
+            received.report
+            for received in self.reports.values()
+            if now - received.received_at <= REPEAT_DURATION_S
         ]
 
 
 def build_report(
     channel: str, version: int, digest: str, reasons: tuple[str, ...]
 ) -> messages.Rejection:
-    """Returns the message that tells peers of a rejection, of bounded size."""
+    """Returns a message of bounded size that reports a rejection to peers."""
     shown = [reason[:MAX_REASON_CHARS] for reason in reasons[:MAX_REASONS]]
     return messages.Rejection(channel, version, digest, shown, len(reasons))
--- a/jayseam/distribution/states.py
+++ b/jayseam/distribution/states.py
@@ -1,4 +1,4 @@
-"""What a node holds: the store of versions, their content and confirmations."""
+"""State of a node: the versions it holds, their content and confirmations."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -16,17 +16,18 @@
 
 @attrs.frozen
 class Snapshot:
-    """What is in force at a node. It is replaced whole, never changed.
+    """The configuration in force at a node, an immutable value.
 
     Attributes:
-      preset: Preset in force, None before the first. The upstreams that the
-        VM list names are part of it.
-      preset_version: Its version, zero before the first.
+      preset: Preset in force, None before the first. It includes the upstreams
+        that the VM list names.
+      preset_version: Version of the preset, zero before the first.
       keys: Key set in force, None before the first.
-      keys_version: Its version, zero before the first.
+      keys_version: Version of the key set, zero before the first.
       vms: VM list, None before the first.
-      vms_version: Its version, zero before the first.
-      published: The preset as operators published it.
+      vms_version: Version of the VM list, zero before the first.
+      published: The preset as operators published it, without the upstreams
+        that only the VM list names.
     """
 
     preset: model.Preset | None = None
@@ -52,13 +53,13 @@
 
 @attrs.frozen
 class State:
-    """Everything that a swap replaces, so that one assignment does it.
+    """Everything that a swap changes, as one value that is replaced at once.
 
     Attributes:
       store: Versions held and rejected.
-      snapshot: What is in force.
+      snapshot: Configuration in force.
       caches: Parts of the versions held, by channel.
-      confirmed: What is known of the source's confirmations, by channel.
+      confirmed: Confirmations by the source, by channel.
     """
 
     store: versions.VersionStore = versions.VersionStore()
@@ -68,67 +69,71 @@
         factory=dict
     )
 
-    def cache(self, channel: str) -> parts.PartCache:
-        """Returns the parts held of a channel."""
+    def get_cache(self, channel: str) -> parts.PartCache:
+        """Returns the part cache of a channel."""
         return self.caches.get(channel, parts.PartCache())
 
-    def find_confirmations(
+    def get_confirmations(
         self, channel: str
     ) -> confirmations.ChannelConfirmations:
-        """Returns what is known of a channel's confirmations."""
+        """Returns the confirmations of a channel."""
         return self.confirmed.get(channel, confirmations.ChannelConfirmations())
 
-    def accept(self, fetched: fetching.Fetched, now: float) -> 'State':
+    def accept(self, verified: fetching.VerifiedVersion, now: float) -> 'State':
         """Returns the state with a verified version in force.
 
-        It is this state itself if the version is no longer newer.
+        If the version is no longer newer, the result is this state itself.
         """
-        version, channel = fetched.version, fetched.version.channel
+        version, channel = verified.version, verified.version.channel
         store = self.store.accept(channel, version.version, version.digest, now)
         if store is self.store:
             return self
-        cache = self.cache(channel).replace(fetched.held)
-        known = self.find_confirmations(channel).accept(version.version)
+        cache = self.get_cache(channel).replace(verified.held)
+        channel_confirmations = self.get_confirmations(channel).accept(
+            version.version
+        )
         return State(
             store,
-            self.snapshot.replace(channel, fetched.value, version.version),
+            self.snapshot.replace(channel, verified.value, version.version),
             {**self.caches, channel: cache},
-            {**self.confirmed, channel: known},
+            {**self.confirmed, channel: channel_confirmations},
         )
 
-    def reject(self, refused: fetching.Refused, now: float) -> 'State':
-        """Returns the state that remembers a rejection.
+    def reject(self, invalid: fetching.InvalidVersion, now: float) -> 'State':
+        """Returns the state with a rejection added.
 
-        It is this state itself if the version is known or older.
+        If the version is known or older, the result is this state itself.
         """
-        version = refused.version
+        version = invalid.version
         store = self.store.reject(
             version.channel,
             version.version,
             version.digest,
-            refused.reasons,
+            invalid.reasons,
             now,
         )
         if store is self.store:
             return self
         return attrs.evolve(self, store=store)
 
-    def hear(
+    def add_confirmation(
         self, channel: str, confirmation: confirmations.Confirmation
     ) -> 'State':
-        """Returns the state after a confirmation was heard."""
-        known = self.find_confirmations(channel).hear(
+        """Returns the state after a confirmation was received."""
+        channel_confirmations = self.get_confirmations(channel).add(
             confirmation, self.store.version(channel)
         )
-        return attrs.evolve(self, confirmed={**self.confirmed, channel: known})
+        return attrs.evolve(
+            self, confirmed={**self.confirmed, channel: channel_confirmations}
+        )
 
     def has(self, channel: str, version: int, digest: str) -> bool:
-        """Tells whether a version is surely of no news.
+        """Returns whether a version is the one held or an older one.
 
         Args:
-          channel: Its channel.
-          version: Its revision.
-          digest: Its digest, or the first characters, or empty.
+          channel: Channel of the version.
+          version: Revision of the version.
+          digest: Digest of the manifest, or its first characters, or empty.
         """
         held = self.store.held.get(channel)
         if held is None or version > held.version:
@@ -146,9 +151,12 @@
 def describe_channel(
     state: State, channel: str, now: float
 ) -> messages.ChannelState:
-    """Returns the version held and the age of its confirmation."""
-    known = state.find_confirmations(channel)
-    latest, age_s = known.latest, known.compute_age(now)
+    """Returns the version held and the age of the last confirmation."""
+    channel_confirmations = state.get_confirmations(channel)
+    latest, age_s = (
+        channel_confirmations.latest,
+        channel_confirmations.compute_age(now),
+    )
     return messages.ChannelState(
         channel,
         state.store.version(channel),
@@ -161,17 +169,17 @@
 
 
 def answer_pull(state: State, pull: messages.Pull) -> messages.Parts:
-    """Returns the parts that a peer lacks of the version held."""
+    """Returns the parts of the version held that a peer lacks."""
     version = state.store.version(pull.channel)
-    cache = state.cache(pull.channel)
+    cache = state.get_cache(pull.channel)
     held = cache.held
     if version < pull.version or not version:
         return messages.Parts(pull.channel, version, '', b'', {}, True)
-    # A peer that names missing parts of this manifest has the manifest.
+    # A peer that asks for missing parts of this manifest has the manifest.
     is_repeat = bool(pull.wanted) and pull.of_digest == held.digest
     selection = exchange.select_parts(
         held.order,
-        cache.known.get(pull.have_digest, ()),
+        cache.digests_by_manifest.get(pull.have_digest, ()),
         pull.wanted if is_repeat else (),
         {digest: len(data) for digest, data in held.compressed.items()},
     )
--- a/jayseam/distribution/status.py
+++ b/jayseam/distribution/status.py
@@ -1,4 +1,4 @@
-"""The state of the distribution for the status page, as JSON values."""
+"""Describes the state of the distribution for the status page."""
 
 from typing import Any
 
@@ -16,32 +16,34 @@
     open_offers: int,
     now: float,
 ) -> dict[str, Any]:
-    """Returns what operators see of a channel.
+    """Returns the state of a channel as JSON values.
 
     Args:
-      state: What the node holds.
+      state: State of the node.
       channel: The channel.
-      memory: The fleet's memory of versions.
-      reports: Rejections that peers told.
-      open_offers: Number of holders whose offer isn't settled.
+      memory: The fleet's memory of versions; see `memories`.
+      reports: Rejections that this node and its peers reported.
+      open_offers: Number of holders with an open offer.
       now: Current time in seconds.
     """
-    known = state.find_confirmations(channel)
+    confirmed = state.get_confirmations(channel)
     version = state.store.version(channel)
-    is_confirmed = known.latest is not None and known.latest.version == version
+    is_confirmed = (
+        confirmed.latest is not None and confirmed.latest.version == version
+    )
     return {
         'version': version,
         'digest': state.store.digest(channel),
         'unconfirmed': not (is_confirmed and memory.is_trusted(now)),
-        'confirmation_age_s': known.compute_age(now),
-        'cached_bytes': state.cache(channel).count_bytes(),
+        'confirmation_age_s': confirmed.compute_age(now),
+        'cached_bytes': state.get_cache(channel).count_bytes(),
         'open_offers': open_offers,
         'rejected': _describe_rejected(state, channel, reports),
     }
 
 
 def _describe_rejected(state, channel, reports) -> list[dict[str, Any]]:
-    """Returns the own verdicts, then those that only peers have."""
+    """Returns the own rejections, then those that only peers reported."""
     own = [
         rejections.build_report(
             channel, item.version, item.digest, item.reasons
@@ -49,13 +51,13 @@
         for item in state.store.rejections.get(channel, ())
     ]
     known = {(report.version, report.digest) for report in own}
-    told = [
+    reported = [
         report
         for report in reports.list_for(channel)
         if (report.version, report.digest) not in known
         and report.version > state.store.version(channel)
     ]
-    return [_describe_report(report) for report in own + told]
+    return [_describe_report(report) for report in own + reported]
 
 
 def _describe_report(report: messages.Rejection) -> dict[str, Any]:
--- a/jayseam/distribution/syncing.py
+++ b/jayseam/distribution/syncing.py
@@ -1,4 +1,4 @@
-"""Asks peers for their versions and waits for what they have."""
+"""Asks peers for their versions and waits until newer ones are in force."""
 
 from collections.abc import Callable, Iterable, Mapping
 
@@ -11,90 +11,93 @@
 from jayseam.distribution import states
 from jayseam.distribution import versions
 
-_ANSWER_TIMEOUT_S = 1.0
+_REPLY_TIMEOUT_S = 1.0
 
 
 class Syncer:
     """Exchanges `Sync` with peers.
 
-    Its functions block, so they run in greenlets other than the task's.
+    The methods block, so they must not be called in the task's greenlet.
     """
 
     def __init__(
         self,
         peers: distribution_peers.Peers,
         read_state: Callable[[], states.State],
-        take_answer: Callable[[str, messages.Heartbeat, float], None],
+        on_reply: Callable[[str, messages.Heartbeat, float], None],
         changed: event.Event,
     ):
-        """Prepares the exchange.
+        """Prepares the syncer.
 
         Args:
           peers: Functions that reach other nodes.
-          read_state: Returns what the node holds.
-          take_answer: Takes a peer's VM, its answer, and a time in seconds
-            before which the answer was not given.
-          changed: Set for a moment at each swap and rejection.
+          read_state: Returns the state of the node.
+          on_reply: Called with a peer's VM, its reply, and a lower bound of
+            the time at which the reply was sent, in seconds.
+          changed: Set and cleared at once at each swap and rejection.
         """
         self._peers = peers
         self._read_state = read_state
-        self._take_answer = take_answer
+        self._on_reply = on_reply
         self._changed = changed
 
     def sync(self, vms: Iterable[str], timeout_s: float) -> bool:
-        """Asks peers at once and waits for the versions that one offers.
+        """Asks peers concurrently and waits for what the first reply offers.
 
         Returns:
-          Whether a peer answered. What it offered is then in force, unless it
-          was invalid or the time ran out.
+          Whether a peer replied. The versions in its reply are then in force,
+          unless they were invalid or the time ran out.
         """
         deadline = clocks.read_now() + timeout_s
-        answers = self._ask(vms, timeout_s, 1)
-        if not answers:
+        replies = self._send_sync(vms, timeout_s, 1)
+        if not replies:
             return False
-        offered = {s.channel: s.version for s in _list_states(answers)}
+        offered = {s.channel: s.version for s in _list_states(replies)}
         self._wait_for(offered, deadline)
         return True
 
-    def find_newer(self, vms: Iterable[str]) -> bool:
-        """Asks peers; tells whether one of them has a newer version."""
-        asked = list(vms)
-        answers = self._ask(asked, _ANSWER_TIMEOUT_S, len(asked))
+    def has_newer_peer(self, vms: Iterable[str]) -> bool:
+        """Asks peers and returns whether one of them has a newer version."""
+        peers = list(vms)
+        replies = self._send_sync(peers, _REPLY_TIMEOUT_S, len(peers))
         return any(
             self._is_newer(state.channel, state.version, state.prefix)
-            for state in _list_states(answers)
+            for state in _list_states(replies)
         )
 
     def _is_newer(self, channel: str, version: int, digest: str = '') -> bool:
         store, now = self._read_state().store, clocks.read_now()
-        verdict = store.offer(channel, version, digest, now)
+        verdict = store.classify(channel, version, digest, now)
         return verdict is versions.Verdict.NEWER
 
-    def _ask(
-        self, vms: Iterable[str], timeout_s: float, enough: int
+    def _send_sync(
+        self, vms: Iterable[str], timeout_s: float, min_replies: int
     ) -> list[messages.Heartbeat]:
-        """Sends `Sync` to peers; returns once ``enough`` have answered."""
+        """Sends `Sync` to peers and waits for ``min_replies`` replies."""
         now = clocks.read_now()
         sync = messages.Sync(
             states.pack_channels(self._read_state(), now), int(now * 1000)
         )
-        asked = [
-            gevent.spawn(self._ask_peer, vm, sync, timeout_s) for vm in vms
+        greenlets = [
+            gevent.spawn(self._send_sync_to_peer, vm, sync, timeout_s)
+            for vm in vms
         ]
-        answers = []
-        for greenlet in gevent.iwait(asked, timeout=timeout_s):
+        replies = []
+        for greenlet in gevent.iwait(greenlets, timeout=timeout_s):
             if greenlet.value is not None:
-                answers.append(greenlet.value)
-            if len(answers) >= enough:
+                replies.append(greenlet.value)
+            if len(replies) >= min_replies:
                 break
-        return answers
+        return replies
 
-    def _ask_peer(self, vm, sync, timeout_s) -> messages.Heartbeat | None:
+    def _send_sync_to_peer(
+        self, vm, sync, timeout_s
+    ) -> messages.Heartbeat | None:
         asked_at = clocks.read_now()
-        answer = self._peers.request_sync(vm, sync, timeout_s)
-        if answer is not None:
-            self._take_answer(vm, answer, asked_at)
-        return answer
+        reply = self._peers.request_sync(vm, sync, timeout_s)
+        if reply is not None:
+            self._on_reply(vm, reply, asked_at)
+        return reply
 
     def _wait_for(self, offered: Mapping[str, int], deadline: float) -> None:
         """Waits until offered versions are in force or turn out invalid."""
@@ -105,10 +108,10 @@
 
 
 def _list_states(
-    answers: Iterable[messages.Heartbeat],
+    replies: Iterable[messages.Heartbeat],
 ) -> list[messages.ChannelState]:
     return [
         state
-        for answer in answers
-        for state in messages.unpack_states(answer.states)
+        for reply in replies
+        for state in messages.unpack_states(reply.states)
     ]
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -1,4 +1,4 @@
-"""The task that keeps a node on the greatest valid version of each channel."""
+"""The task that keeps a node at the greatest valid version of each channel."""
 
 import functools
 import math
@@ -34,15 +34,15 @@
 from jayseam.source import client as source_client
 from jayseam.source import watchers
 
-HEARTBEAT_S = 1.0
+HEARTBEAT_INTERVAL_S = 1.0
 _log = logs.get_logger(__name__)
 
 
 class DistributionTask(tasks.Task):
-    """Owns the versions of a node and passes them on to its peers.
+    """Owns the versions of a node and distributes them to its peers.
 
-    The mailbox greenlet is the only one that changes the state. Fetches and
-    verification run in one greenlet for each channel.
+    Only the mailbox greenlet changes the state. Each channel has a greenlet
+    that fetches and verifies versions.
     """
 
     def __init__(
@@ -61,11 +61,12 @@
 
         Args:
           vm: Name of the own VM.
-          incarnation: Incarnation of the process.
+          incarnation: Incarnation of this process.
           zone: Own availability zone.
           peers: Functions that reach other nodes.
           client: Client of the source; None if the node has none.
-          watch_wait_s: Wait of one watch, in seconds.
+          watch_wait_s: Time that one watch request may wait at the source, in
+            seconds.
           registry: Registry of the metrics; a new one by default.
           uniform: Returns a random number in [0, 1).
           options: How the source is read.
@@ -82,19 +83,19 @@
         self._reports = rejections.RejectionReports()
         self._conflicts = conflicts.KnownConflicts()
         self._delays = delays.DelayTable()
-        self._numbering = confirmations.Numbering(
+        self._sequencer = confirmations.ConfirmationSequencer(
             messages.shorten_origin(vm, incarnation)
         )
         self._subscribers: list[Callable[[states.Snapshot, str], Any]] = []
         self._changed = event.Event()
-        self._helpers: list[gevent.Greenlet] = []
+        self._greenlets: list[gevent.Greenlet] = []
         self._reader = reading.SourceReader(
             vm,
             zone,
             client,
             watch_wait_s,
             self.send,
-            self._read_version,
+            self._get_held_version,
             self._count_source_failure,
             uniform,
             options,
@@ -103,7 +104,7 @@
             peers, lambda: self._state, self._send_peer_states, self._changed
         )
         self._joiner = joining.Joiner(
-            self._ask_seeds,
+            self._has_newer_peer,
             self._reader.read_once,
             lambda: len(self._state.store.held),
             len(versions.CHANNELS),
@@ -115,8 +116,8 @@
             channel: self._build_fetcher(channel, client)
             for channel in versions.CHANNELS
         }
-        self._watch_ages()
-        self._handle_events()
+        self._export_ages()
+        self._register_mailbox_handlers()
 
     def _build_fetcher(
         self, channel: str, client: source_client.SourceClient | None
@@ -125,31 +126,31 @@
             channel,
             self._peers.request,
             client,
-            self._judge,
-            lambda: self._state.cache(channel),
+            self._classify,
+            lambda: self._state.get_cache(channel),
             functools.partial(self.ask, timeout_s=None),
             self._counters,
             uniform=self._uniform,
         )
 
-    def _watch_ages(self) -> None:
+    def _export_ages(self) -> None:
         for channel in versions.CHANNELS:
             self._counters.confirmation_age.labels(channel).set_function(
-                functools.partial(self._read_age, channel)
+                functools.partial(self._compute_age, channel)
             )
 
-    def _handle_events(self) -> None:
-        self.handle(fetching.Fetched, self._take_fetched)
-        self.handle(fetching.Refused, self._take_refused)
-        self.handle(watchers.SourceUpdate, self._take_source_update)
-        self.handle(watchers.SourceConfirmation, self._take_confirmation)
-        self.handle(events.PeerStates, self._take_peer_states)
-        self.handle(events.PeerOffer, self._take_peer_offer)
-        self.handle(messages.Rejection, self._take_report)
+    def _register_mailbox_handlers(self) -> None:
+        self.handle(fetching.VerifiedVersion, self._accept_version)
+        self.handle(fetching.InvalidVersion, self._reject_version)
+        self.handle(watchers.SourceUpdate, self._handle_source_update)
+        self.handle(watchers.SourceConfirmation, self._handle_confirmation)
+        self.handle(events.PeerStates, self._handle_peer_states)
+        self.handle(events.PeerOffer, self._handle_peer_offer)
+        self.handle(messages.Rejection, self._record_report)
 
     @property
     def current(self) -> states.Snapshot:
-        """What is in force now."""
+        """The configuration in force."""
         return self._state.snapshot
 
     @property
@@ -162,7 +163,7 @@
     ) -> None:
         """Has ``function(snapshot, channel)`` called after each swap.
 
-        It runs in the task's greenlet and must not block.
+        The function runs in the task's greenlet and must not block.
         """
         self._subscribers.append(function)
 
@@ -183,14 +184,14 @@
         super().start()
         for fetcher in self._fetchers.values():
             fetcher.start()
-        self._helpers = [
+        self._greenlets = [
             gevent.spawn(self._run_heartbeats),
             gevent.spawn(self._joiner.run),
         ]
 
     def stop(self, timeout_s: float = 5.0) -> None:
-        """Ends the watches, fetches and the task."""
-        gevent.killall(self._helpers)
+        """Ends the watches, the fetches and the task."""
+        gevent.killall(self._greenlets)
         self._reader.stop()
         for fetcher in self._fetchers.values():
             fetcher.stop()
@@ -199,9 +200,10 @@
     def note_peer_version(
         self, vm: str, channel: str, version: int, digest: str = ''
     ) -> None:
-        """Notes that a peer holds a version, for example from a call frame.
+        """Handles the information that a peer holds a version.
 
-        Cheap unless the version is newer than the own one.
+        It may come from any message, such as the frame of a call. The method
+        is cheap unless the version is newer than the one held.
         """
         if channel not in versions.CHANNELS:
             return
@@ -216,12 +218,13 @@
         """Returns the seconds since the source confirmed a channel.
 
         Returns:
-          The age through any path; None if the source was never heard of.
+          The age of the latest confirmation, received directly or through
+          peers; None if there is none.
         """
-        return self._state.find_confirmations(channel).compute_age(now)
+        return self._state.get_confirmations(channel).compute_age(now)
 
     def build_heartbeat(self, now: float) -> messages.Heartbeat:
-        """Returns the versions held and the ages of their confirmation."""
+        """Returns the versions held and the ages of their confirmations."""
         return messages.Heartbeat(
             states.pack_channels(self._state, now),
             int(self._memory.compute_age(now) * 1000),
@@ -229,20 +232,20 @@
         )
 
     def sync(self, vms: Iterable[str], timeout_s: float) -> bool:
-        """Asks peers for their versions and waits for what they have.
+        """Asks peers for their versions and waits for the newer ones.
 
         Args:
-          vms: Peers to ask, all at once.
-          timeout_s: Time for all of it, in seconds.
+          vms: Peers to ask, concurrently.
+          timeout_s: Time for the whole exchange, in seconds.
 
         Returns:
-          Whether a peer answered. What it offered is then in force, unless it
-          was invalid or the time ran out.
+          Whether a peer replied. The versions in its reply are then in force,
+          unless they were invalid or the time ran out.
         """
         return self._syncer.sync(vms, timeout_s)
 
     def describe(self, now: float) -> dict[str, Any]:
-        """Returns the state for the status page, as JSON values."""
+        """Returns the state of the distribution as JSON values."""
         channels = {
             channel: status.describe_channel(
                 self._state,
@@ -260,39 +263,41 @@
             'channels': channels,
         }
 
-    def _judge(
+    def _classify(
         self, channel: str, version: int, digest: str
     ) -> versions.Verdict:
         now = clocks.read_now()
-        return self._state.store.offer(channel, version, digest, now)
+        return self._state.store.classify(channel, version, digest, now)
 
-    def _read_version(self, channel: str) -> int:
+    def _get_held_version(self, channel: str) -> int:
         return self._state.store.version(channel)
 
-    def _read_age(self, channel: str) -> float:
+    def _compute_age(self, channel: str) -> float:
         age_s = self.compute_confirmation_age(channel, clocks.read_now())
         return math.nan if age_s is None else age_s
 
     # Messages from other nodes.
 
     def handle_announce(self, peer: Any, message: messages.Announce) -> None:
-        """Takes a peer's announcement; ``peer.vm`` names the peer."""
+        """Handles the announcement of the peer ``peer.vm``."""
         self.note_peer_version(
             peer.vm, message.channel, message.version, message.digest
         )
 
     def handle_pull(self, peer: Any, message: messages.Pull) -> messages.Parts:
-        """Returns the parts that a peer lacks of the version held."""
+        """Returns the parts of the version held that a peer lacks."""
         del peer
         return states.answer_pull(self._state, message)
 
     def handle_heartbeat(self, peer: Any, message: messages.Heartbeat) -> None:
-        """Takes a peer's versions and confirmation ages."""
-        sent_at = self._date(peer, message.sent_ms, clocks.read_now())
+        """Handles a peer's versions and confirmation ages."""
+        sent_at = self._estimate_sent_at(
+            peer, message.sent_ms, clocks.read_now()
+        )
         self._send_peer_states(peer.vm, message, sent_at)
 
     def handle_rejection(self, peer: Any, message: messages.Rejection) -> None:
-        """Takes a peer's verdict on a version."""
+        """Handles a peer's report that it rejected a version."""
         del peer
         if message.channel in versions.CHANNELS:
             self.send(message)
@@ -300,15 +305,15 @@
     def handle_sync(
         self, peer: Any, message: messages.Sync
     ) -> messages.Heartbeat:
-        """Takes a peer's versions and returns the own ones."""
+        """Handles a peer's versions and returns those of this node."""
         now = clocks.read_now()
-        heard = messages.unpack_states(message.states)
-        sent_at = self._date(peer, message.sent_ms, now)
-        self.send(events.PeerStates(peer.vm, heard, sent_at))
+        received = messages.unpack_states(message.states)
+        sent_at = self._estimate_sent_at(peer, message.sent_ms, now)
+        self.send(events.PeerStates(peer.vm, received, sent_at))
         return self.build_heartbeat(now)
 
-    def _date(self, peer: Any, sent_ms: int, now: float) -> float:
-        """Returns the time at which a message was sent, on the own clock."""
+    def _estimate_sent_at(self, peer: Any, sent_ms: int, now: float) -> float:
+        """Returns the time of sending on this node's clock, in seconds."""
         return now - self._delays.measure(
             peer.vm, peer.incarnation, sent_ms, now
         )
@@ -316,50 +321,50 @@
     def _send_peer_states(
         self, vm: str, heartbeat: messages.Heartbeat, sent_at: float
     ) -> None:
-        heard = messages.unpack_states(heartbeat.states)
+        received = messages.unpack_states(heartbeat.states)
         memory_s = heartbeat.memory_ms / 1000
-        self.send(events.PeerStates(vm, heard, sent_at, memory_s))
+        self.send(events.PeerStates(vm, received, sent_at, memory_s))
 
     # Messages to the task: results of fetches.
 
-    def _take_fetched(self, fetched: fetching.Fetched) -> None:
-        """Puts a verified version in force, if it is still newer."""
-        state = self._state.accept(fetched, clocks.read_now())
+    def _accept_version(self, verified: fetching.VerifiedVersion) -> None:
+        """Puts a verified version in force if it is still newer."""
+        state = self._state.accept(verified, clocks.read_now())
         if state is self._state:
             return
         self._state = state
-        version = fetched.version
+        version = verified.version
         self._counters.swaps.labels(version.channel).inc()
         self._counters.version.labels(version.channel).set(version.version)
         _log.info('distribution.swapped', extra=attrs.asdict(version))
-        self._tell_change()
+        self._notify_waiters()
         self._peers.spawn_announce(
             messages.Announce(version.channel, version.version, version.digest)
         )
-        self._tell_subscribers(version.channel)
+        self._notify_subscribers(version.channel)
 
-    def _tell_change(self) -> None:
-        """Wakes those that wait for a swap or a rejection."""
+    def _notify_waiters(self) -> None:
+        """Wakes the greenlets that wait for a swap or a rejection."""
         self._changed.set()
         self._changed.clear()
 
-    def _tell_subscribers(self, channel: str) -> None:
+    def _notify_subscribers(self, channel: str) -> None:
         snapshot = self._state.snapshot
         for function in self._subscribers:
             try:
                 function(snapshot, channel)
             except Exception:  # pylint: disable=broad-exception-caught
-                # The version is in force; the other subscribers must hear it.
+                # The version is in force; the other subscribers must be called.
                 _log.exception('distribution.subscriber_failed')
 
-    def _take_refused(self, refused: fetching.Refused) -> None:
-        """Remembers a version that failed verification, and tells peers."""
-        state = self._state.reject(refused, clocks.read_now())
+    def _reject_version(self, invalid: fetching.InvalidVersion) -> None:
+        """Records an invalid version and reports it to peers."""
+        state = self._state.reject(invalid, clocks.read_now())
         if state is self._state:
             return
         self._state = state
-        version, reasons = refused.version, tuple(refused.reasons)
-        self._tell_change()
+        version, reasons = invalid.version, tuple(invalid.reasons)
+        self._notify_waiters()
         self._counters.rejections.labels(version.channel).inc()
         _log.error(
             'distribution.rejected',
@@ -369,14 +374,14 @@
                 'n_reasons': len(reasons),
             },
         )
-        self._take_report(
+        self._record_report(
             rejections.build_report(
                 version.channel, version.version, version.digest, reasons
             )
         )
 
-    def _take_report(self, report: messages.Rejection) -> None:
-        """Keeps a rejection, and passes it on when first heard."""
+    def _record_report(self, report: messages.Rejection) -> None:
+        """Records a report of a rejection and broadcasts it if it is new."""
         known = self._reports
         self._reports = known.add(report, clocks.read_now())
         if self._reports is not known:
@@ -384,21 +389,23 @@
 
     # Messages to the task: offers and confirmations.
 
-    def _take_source_update(self, update: watchers.SourceUpdate) -> None:
+    def _handle_source_update(self, update: watchers.SourceUpdate) -> None:
         version = versions.Version(
             update.channel, update.version, update.digest
         )
         if update.reasons:
-            self._take_refused(fetching.Refused(version, update.reasons))
+            self._reject_version(
+                fetching.InvalidVersion(version, update.reasons)
+            )
             return
-        self._take_offer(offers.SOURCE, version, update.bundle)
+        self._process_offer(offers.SOURCE, version, update.bundle)
 
-    def _take_peer_offer(self, offer: events.PeerOffer) -> None:
-        self._take_offer(offer.vm, offer.version)
+    def _handle_peer_offer(self, offer: events.PeerOffer) -> None:
+        self._process_offer(offer.vm, offer.version)
 
-    def _take_offer(self, holder, version, bundle=None) -> versions.Verdict:
+    def _process_offer(self, holder, version, bundle=None) -> versions.Verdict:
         channel = version.channel
-        verdict = self._judge(channel, version.version, version.digest)
+        verdict = self._classify(channel, version.version, version.digest)
         self._counters.offers.labels(channel, verdict.value).inc()
         if verdict is versions.Verdict.NEWER:
             ready_at = self._compute_ready_at(holder, channel)
@@ -408,23 +415,23 @@
                 )
             )
         elif verdict is versions.Verdict.CONFLICT:
-            self._note_conflict(holder, version)
+            self._log_conflict(holder, version)
         return verdict
 
     def _compute_ready_at(self, holder: str, channel: str) -> float:
         """Returns the time from which an offer may be fetched, in seconds.
 
-        A node that holds nothing yet takes what it can get.
+        A node that holds no version of the channel yet does not wait.
         """
         is_near = holder == offers.SOURCE or holder in set(
             self._peers.live_in_zone()
         )
         if is_near or channel not in self._state.store.held:
             return -math.inf
-        return clocks.read_now() + offers.FAR_GRACE_S
+        return clocks.read_now() + offers.OTHER_ZONE_DELAY_S
 
-    def _note_conflict(self, holder: str, version: versions.Version) -> None:
-        """Logs a conflict once; the counter counts each time."""
+    def _log_conflict(self, holder: str, version: versions.Version) -> None:
+        """Logs a conflict once; the metric counts every occurrence."""
         if not self._conflicts.add(version):
             return
         _log.error(
@@ -436,62 +443,70 @@
             },
         )
 
-    def _take_confirmation(
+    def _handle_confirmation(
         self, confirmation: watchers.SourceConfirmation
     ) -> None:
         channel = confirmation.channel
-        numbered = self._numbering.number(
+        numbered = self._sequencer.create(
             channel, confirmation.version, confirmation.confirmed_at
         )
-        self._state = self._state.hear(channel, numbered)
-
-    def _take_peer_states(self, heard: events.PeerStates) -> None:
-        self._memory = self._memory.hear(heard.memory_s, heard.sent_at)
-        for told in heard.states:
-            if told.channel in versions.CHANNELS:
-                self._take_channel_state(heard.vm, told, heard.sent_at)
+        self._state = self._state.add_confirmation(channel, numbered)
+
+    def _handle_peer_states(self, received: events.PeerStates) -> None:
+        self._memory = self._memory.merge(received.memory_s, received.sent_at)
+        for channel_state in received.states:
+            if channel_state.channel in versions.CHANNELS:
+                self._handle_channel_state(
+                    received.vm, channel_state, received.sent_at
+                )
 
-    def _take_channel_state(
-        self, vm: str, told: messages.ChannelState, sent_at: float
+    def _handle_channel_state(
+        self, vm: str, channel_state: messages.ChannelState, sent_at: float
     ) -> None:
         verdict = versions.Verdict.OLDER
-        if told.version:
-            version = versions.Version(told.channel, told.version, told.prefix)
-            verdict = self._take_offer(vm, version)
-        if told.origin:
+        if channel_state.version:
+            version = versions.Version(
+                channel_state.channel,
+                channel_state.version,
+                channel_state.prefix,
+            )
+            verdict = self._process_offer(vm, version)
+        if channel_state.origin:
             confirmation = confirmations.Confirmation(
-                told.confirmed_version,
-                told.origin,
-                told.sequence,
-                sent_at - told.age_ms / 1000,
+                channel_state.confirmed_version,
+                channel_state.origin,
+                channel_state.sequence,
+                sent_at - channel_state.age_ms / 1000,
+            )
+            self._state = self._state.add_confirmation(
+                channel_state.channel, confirmation
             )
-            self._state = self._state.hear(told.channel, confirmation)
         if verdict is versions.Verdict.OLDER:
-            self._correct_peer(vm, told.channel)
+            self._announce_to_peer(vm, channel_state.channel)
 
-    def _correct_peer(self, vm: str, channel: str) -> None:
-        """Tells a peer that is behind about the version held."""
+    def _announce_to_peer(self, vm: str, channel: str) -> None:
+        """Announces the version held to a peer that is behind."""
         held = self._state.store.held.get(channel)
         if held is None:
             return
         announce = messages.Announce(channel, held.version, held.digest)
         self._peers.spawn_notify(vm, announce)
 
-    # Heartbeats, the role of a reader, and the join.
+    # Heartbeats, the reader role and the join.
 
     def _run_heartbeats(self) -> None:
-        gevent.sleep(self._uniform() * HEARTBEAT_S)
+        gevent.sleep(self._uniform() * HEARTBEAT_INTERVAL_S)
         while True:
             try:
                 self._update_role()
                 self._send_heartbeats()
             except Exception:  # pylint: disable=broad-exception-caught
-                # Heartbeats repair lost announcements and must go on.
+                # Heartbeats repair lost announcements, so they must go on.
                 _log.exception('distribution.heartbeat_failed')
-            gevent.sleep(HEARTBEAT_S)
+            gevent.sleep(HEARTBEAT_INTERVAL_S)
 
     def _update_role(self) -> None:
-        if self._joiner.may_read:
+        if self._joiner.may_watch:
             self._reader.update_role(self._peers.live_in_zone())
 
     def _send_heartbeats(self) -> None:
@@ -501,11 +516,11 @@
             for message in (self.build_heartbeat(now), *repeated):
                 self._peers.spawn_notify(vm, message)
 
-    def _ask_seeds(self) -> bool:
-        """Asks seeds and neighbours; tells whether one has a newer version."""
+    def _has_newer_peer(self) -> bool:
+        """Asks seeds and neighbours whether one of them has a newer version."""
         vms = dict.fromkeys([*self._peers.seeds(), *self._peers.neighbours()])
         vms.pop(self._vm, None)
-        return self._syncer.find_newer(vms)
+        return self._syncer.has_newer_peer(vms)
 
     def _count_source_failure(self, channel: str, error: Any) -> None:
         name = 'behind' if error is None else type(error).__name__
--- a/jayseam/distribution/tests/fakes.py
+++ b/jayseam/distribution/tests/fakes.py
@@ -1,4 +1,4 @@
-"""In-process stand-ins of the source and of the links between nodes."""
+"""In-process fakes of the source and of the links between nodes."""
 
 import attrs
 import gevent
@@ -59,14 +59,14 @@
 
     def read_part(self, digest):
         """Reads a part."""
-        self._count()
+        self._count_read()
         if digest not in self.parts:
             raise errors.ValueMissingError(digest)
         return self.parts[digest]
 
     def _read(self, channel, after, wait_s):
         asked_at = clocks.read_now()
-        self._count()
+        self._count_read()
         version, body = self.values.get(channel, (0, b''))
         if after is not None and version <= after and wait_s:
             self._changed.wait(wait_s)
@@ -75,11 +75,11 @@
             raise errors.SourceUnreachableError('down')
         if not version:
             raise errors.ValueMissingError(channel)
-        is_news = after is None or version > after
+        is_newer = after is None or version > after
         now = clocks.read_now()
-        return client.Reply(version, body if is_news else None, asked_at, now)
+        return client.Reply(version, body if is_newer else None, asked_at, now)
 
-    def _count(self):
+    def _count_read(self):
         self.reads += 1
         if self.is_down:
             raise errors.SourceUnreachableError('down')
--- a/jayseam/distribution/tests/test_offers.py
+++ b/jayseam/distribution/tests/test_offers.py
@@ -8,7 +8,7 @@
 
 @pytest.fixture(name='book')
 def create_book():
-    """Returns an empty book whose jitter is half of each cap."""
+    """Returns an empty book whose random waits are half of each cap."""
     return offers.OfferBook(lambda: 0.5)
 
 
@@ -46,7 +46,7 @@
 
 
 def test_content_that_came_with_an_offer_needs_no_wait(book):
-    """A VM list that is already here must not wait for the source."""
+    """A VM list that came with its offer must not wait for the source."""
     book.fail(offers.Offer(offers.SOURCE, 4, 'c'), 10.0)
     bundle = documents.Bundle(b'', {})
     book.add(offers.Offer(offers.SOURCE, 5, 'd', bundle))
@@ -54,7 +54,7 @@
 
 
 def test_failed_peer_is_dropped_unless_it_has_news(book):
-    """A peer that is gone must not be asked for ever."""
+    """A peer that has failed must not be asked again and again."""
     old, new = offers.Offer('a', 3, ''), offers.Offer('a', 4, '')
     book.add(old)
     book.fail(old, 0.0)
@@ -77,7 +77,7 @@
 
 
 def test_offers_of_other_zones_wait_for_the_own_zone(book):
-    """Bytes between zones are dear, and the own zone's readers are near."""
+    """Bandwidth between zones is expensive, so the own zone comes first."""
     book.add(offers.Offer('far', 5, '', ready_at=10.4))
     assert book.choose(10.0) is None
     assert book.compute_wait(10.1) == pytest.approx(0.3)
--- a/jayseam/distribution/tests/test_task.py
+++ b/jayseam/distribution/tests/test_task.py
@@ -56,7 +56,7 @@
     return nodes
 
 
-def _hold(nodes, preset_version):
+def _all_hold(nodes, preset_version):
     return all(
         node.current.preset_version == preset_version
         and node.current.keys_version
@@ -68,57 +68,57 @@
 def test_all_nodes_follow_the_source(net, source):
     """Every node must reach the published version and each later one."""
     nodes = _start(net, source, 'abcde')
-    fakes.wait_until(lambda: _hold(nodes, 1))
+    fakes.wait_until(lambda: _all_hold(nodes, 1))
     fakes.wait_until(lambda: sum(n.is_reader for n in nodes) == 2)
     source.publish('preset', 7, _split('peak'))
-    fakes.wait_until(lambda: _hold(nodes, 7))
+    fakes.wait_until(lambda: _all_hold(nodes, 7))
     assert {n.current.preset.name for n in nodes} == {'peak'}
 
 
 def _start_zones(net, source, readers):
-    """Starts six nodes in two zones; those not named have no source."""
+    """Starts six nodes in two zones; only ``readers`` can read the source."""
     nodes = [
         net.add(vm, source if vm in readers else None, zone=vm[0])
         for vm in ('a1', 'a2', 'a3', 'b1', 'b2', 'b3')
     ]
     for node in nodes:
         node.start()
-    fakes.wait_until(lambda: _hold(nodes, 1))
+    fakes.wait_until(lambda: _all_hold(nodes, 1))
     return nodes
 
 
 def test_versions_cross_zones_only_where_the_own_zone_reads_nothing(
     net, source
 ):
-    """A storm of versions must not go through every pair of zones."""
+    """A burst of versions must not be pulled across each pair of zones."""
     readers = ('a1', 'a2', 'a3', 'b1', 'b2', 'b3')
     nodes = _start_zones(net, source, readers)
     crossed = []
 
-    def note(sender, receiver, message):
+    def record_crossing(sender, receiver, message):
         if isinstance(message, messages.Pull) and sender[0] != receiver[0]:
             crossed.append((sender, receiver))
         return message
 
-    net.tamper = note
+    net.tamper = record_crossing
     fakes.wait_until(lambda: sum(n.is_reader for n in nodes) == 4)
     for version in range(7, 12):
         source.publish('preset', version, _split(f'preset-{version}'))
-        fakes.wait_until(functools.partial(_hold, nodes, version))
+        fakes.wait_until(functools.partial(_all_hold, nodes, version))
     assert not crossed
 
 
 def test_zone_without_a_reader_gets_versions_from_another(net, source):
-    """The grace for the own zone must not keep a zone without news."""
+    """A zone without readers must get versions despite the offer delay."""
     nodes = _start_zones(net, source, ('a1', 'a2', 'a3'))
     source.publish('preset', 7, _split('peak'))
-    fakes.wait_until(lambda: _hold(nodes, 7), 1.5)
+    fakes.wait_until(lambda: _all_hold(nodes, 7), 1.5)
 
 
 def test_invalid_version_is_rejected_once_and_nowhere_in_force(net, source):
-    """An invalid version must leave the old one in force and be named."""
+    """An invalid version must be reported and leave the old one in force."""
     nodes = _start(net, source)
-    fakes.wait_until(lambda: _hold(nodes, 1))
+    fakes.wait_until(lambda: _all_hold(nodes, 1))
     fakes.wait_until(lambda: sum(n.is_reader for n in nodes) == 2)
     source.publish('preset', 7, _split_invalid())
 
@@ -132,18 +132,18 @@
     reads = source.reads
     gevent.sleep(0.3)
     assert source.reads - reads <= 12
-    assert _hold(nodes, 1)
+    assert _all_hold(nodes, 1)
     shown = [n.describe(0.0)['channels']['preset']['rejected'] for n in nodes]
     reasons = next(r for r in shown if r)[0]['reasons']
     assert reasons == ['routes[credits-post].targets: no service ghost']
     source.publish('preset', 8, _split('repaired'))
-    fakes.wait_until(lambda: _hold(nodes, 8))
+    fakes.wait_until(lambda: _all_hold(nodes, 8))
 
 
 def test_lost_report_of_a_rejection_is_repeated(net, source):
-    """A node whose links open late must still tell why a version is unused."""
+    """A node that missed reports must still show why a version is unused."""
     nodes = _start(net, source)
-    fakes.wait_until(lambda: _hold(nodes, 1))
+    fakes.wait_until(lambda: _all_hold(nodes, 1))
     fakes.wait_until(lambda: sum(n.is_reader for n in nodes) == 2)
     (listener,) = [vm for vm, n in net.nodes.items() if not n.is_reader]
     lost = []
@@ -167,7 +167,7 @@
 
 
 def test_held_up_heartbeat_does_not_make_keys_look_younger(net):
-    """A partition that delivers late what was sent before it."""
+    """After a partition, messages sent before it may arrive late."""
     (node,) = _start(net, None, 'a')
     now = clocks.read_now()
     for sequence, age_ms, sent_at in [(1, 9000, now), (2, 0, now - 3.0)]:
@@ -186,15 +186,15 @@
 
 
 def test_older_offers_change_nothing(net, source):
-    """Versions that overtake one another must never bring an older one."""
+    """An older version that arrives later must not replace a newer one."""
     nodes = _start(net, source)
     source.publish('preset', 9, _split('newest'))
-    fakes.wait_until(lambda: _hold(nodes, 9))
+    fakes.wait_until(lambda: _all_hold(nodes, 9))
     source.publish('preset', 4, _split('stale'))
     for node in nodes:
         node.note_peer_version('a', 'preset', 4, 'd4')
     gevent.sleep(0.3)
-    assert _hold(nodes, 9)
+    assert _all_hold(nodes, 9)
     fakes.wait_until(
         lambda: nodes[0].describe(0.0)['channels']['preset']['version'] == 9
     )
@@ -203,7 +203,7 @@
 def test_conflicting_digest_is_refused_and_counted(net, source):
     """Two contents under one version must not replace each other."""
     (node,) = _start(net, source, 'a')
-    fakes.wait_until(lambda: _hold([node], 1))
+    fakes.wait_until(lambda: _all_hold([node], 1))
     held = node.describe(0.0)['channels']['preset']['digest']
     node.note_peer_version('x', 'preset', 1, 'f' * 64)
     offers = node._counters.offers.labels('preset', 'conflict')
@@ -212,54 +212,54 @@
 
 
 def test_lost_announcement_is_repaired_by_heartbeats(net, source):
-    """A node that hears no announcement must still follow."""
+    """A node that receives no announcement must still get new versions."""
     nodes = _start(net, source)
-    fakes.wait_until(lambda: _hold(nodes, 1))
+    fakes.wait_until(lambda: _all_hold(nodes, 1))
     net.tamper = lambda sender, receiver, message: (
         None if isinstance(message, messages.Announce) else message
     )
     fakes.wait_until(lambda: sum(n.is_reader for n in nodes) == 2)
     source.publish('preset', 7, _split('peak'))
-    fakes.wait_until(lambda: _hold(nodes, 7), timeout_s=4.0)
+    fakes.wait_until(lambda: _all_hold(nodes, 7), timeout_s=4.0)
 
 
 def test_node_behind_learns_it_from_the_answer_to_its_heartbeat(net, source):
-    """Heartbeats go one way only and must still repair the sender."""
+    """A node must announce its version to the sender of an older heartbeat."""
     ahead = net.add('ahead', source, neighbours=list)
     behind = net.add('behind', None, neighbours=lambda: ['ahead'])
     ahead.start()
     behind.start()
-    fakes.wait_until(lambda: _hold([ahead, behind], 1))
+    fakes.wait_until(lambda: _all_hold([ahead, behind], 1))
     net.tamper = lambda sender, receiver, message: (
         None if isinstance(message, messages.Announce) else message
     )
     source.publish('preset', 7, _split('peak'))
-    fakes.wait_until(lambda: _hold([ahead], 7))
+    fakes.wait_until(lambda: _all_hold([ahead], 7))
     gevent.sleep(0.1)
-    assert _hold([behind], 1)
+    assert _all_hold([behind], 1)
     net.tamper = lambda sender, receiver, message: message
-    fakes.wait_until(lambda: _hold([behind], 7), timeout_s=2.0)
+    fakes.wait_until(lambda: _all_hold([behind], 7), timeout_s=2.0)
 
 
 def test_another_node_reads_when_a_reader_is_gone(net, source):
     """A zone must not stay without readers after VMs fail."""
     nodes = _start(net, source, 'abcd')
-    fakes.wait_until(lambda: _hold(nodes, 1))
+    fakes.wait_until(lambda: _all_hold(nodes, 1))
     fakes.wait_until(lambda: sum(n.is_reader for n in nodes) == 2)
     gone = [name for name, node in net.nodes.items() if node.is_reader]
     for name in gone:
         net.nodes.pop(name).stop()
-    left = list(net.nodes.values())
-    fakes.wait_until(lambda: all(n.is_reader for n in left))
+    survivors = list(net.nodes.values())
+    fakes.wait_until(lambda: all(n.is_reader for n in survivors))
     source.publish('preset', 7, _split('peak'))
-    fakes.wait_until(lambda: _hold(left, 7))
+    fakes.wait_until(lambda: _all_hold(survivors, 7))
 
 
 def test_mass_restart_spares_the_source(net, source):
     """Fresh nodes must not all read the whole configuration at once."""
     names = [f'vm-{i}' for i in range(20)]
     nodes = _start(net, source, names)
-    fakes.wait_until(lambda: _hold(nodes, 1), timeout_s=10.0)
+    fakes.wait_until(lambda: _all_hold(nodes, 1), timeout_s=10.0)
     whole_read = 3 + 2 + len(_split().parts) + len(_KEYS.parts)
     assert source.reads < whole_read * len(names) / 2
 
@@ -268,12 +268,12 @@
     """A stale source must not bring a fresh node to an older version."""
     nodes = _start(net, source)
     source.publish('preset', 9, _split('newest'))
-    fakes.wait_until(lambda: _hold(nodes, 9))
+    fakes.wait_until(lambda: _all_hold(nodes, 9))
     stale = fakes.FakeSource()
     stale.publish('preset', 1, _split())
     fresh = net.add('fresh', stale)
     fresh.start()
-    fakes.wait_until(lambda: _hold([fresh], 9))
+    fakes.wait_until(lambda: _all_hold([fresh], 9))
     status = fresh.describe(clocks.read_now())['channels']['preset']
     assert status['version'] == 9
 
@@ -283,7 +283,7 @@
     nodes = _start(net, source, 'ab')
     cut = net.add('cut', None)
     cut.start()
-    fakes.wait_until(lambda: _hold([*nodes, cut], 1))
+    fakes.wait_until(lambda: _all_hold([*nodes, cut], 1))
     fakes.wait_until(
         lambda: cut.compute_confirmation_age('keys', clocks.read_now())
         is not None
@@ -299,7 +299,7 @@
 def test_sync_brings_what_a_peer_holds(net, source):
     """After a pause a node must be up to date when `sync` returns."""
     nodes = _start(net, source, 'ab')
-    fakes.wait_until(lambda: _hold(nodes, 1))
+    fakes.wait_until(lambda: _all_hold(nodes, 1))
     net.tamper = lambda sender, receiver, message: (
         None
         if isinstance(message, (messages.Announce, messages.Heartbeat))
@@ -315,13 +315,13 @@
 
 
 def test_subscribers_hear_each_swap_once(net, source):
-    """A failing subscriber must not keep the others from a swap."""
+    """A failing subscriber must not prevent the calls of the others."""
     heard = []
     node = net.add('a', source)
     node.subscribe(lambda snapshot, channel: 1 / 0)
     node.subscribe(lambda snapshot, channel: heard.append(channel))
     node.start()
-    fakes.wait_until(lambda: _hold([node], 1))
+    fakes.wait_until(lambda: _all_hold([node], 1))
     assert sorted(heard) == ['keys', 'preset', 'vms']
 
 
@@ -371,10 +371,10 @@
 def test_nothing_in_part_is_ever_in_force(net, source, kind):
     """Damaged transfers must leave the old version whole in force."""
     (holder,) = _start(net, source, 'a')
-    fakes.wait_until(lambda: _hold([holder], 1))
+    fakes.wait_until(lambda: _all_hold([holder], 1))
     victim = net.add('victim', None, neighbours=list)
     victim.start()
-    fakes.wait_until(lambda: _hold([victim], 1))
+    fakes.wait_until(lambda: _all_hold([victim], 1))
     net.tamper = _damage(kind)
     ramp = attrs.evolve(samples.DEFAULT_RAMP, duration_s=3.0)
     wanted = _split('peak', ramp)
@@ -390,23 +390,24 @@
     }
     for snapshot in seen:
         assert snapshot.preset == valid[snapshot.preset_version]
-    # Valid parts of a damaged reply are kept and the others asked for again,
-    # which succeeds once a lone part can no longer be crossed with another.
+    # Valid parts of a damaged reply are kept and the others requested again.
+    # With crossed parts this succeeds once a single part is left, which has
+    # no other to be exchanged with.
     assert seen[-1].preset_version == (7 if kind == 'crossed' else 1)
     net.tamper = lambda sender, receiver, message: message
-    fakes.wait_until(lambda: _hold([victim], 7), timeout_s=4.0)
+    fakes.wait_until(lambda: _all_hold([victim], 7), timeout_s=4.0)
     assert not victim.describe(0.0)['channels']['preset']['rejected']
 
 
 def _damage_source(kind, source, digest):
-    """Damages the source's next two reads of a part."""
-    read_part, left = source.read_part, [2]
+    """Damages the next two reads of a part from the source."""
+    read_part, remaining = source.read_part, [2]
 
     def damaged(asked):
         data = read_part(asked)
-        if asked != digest or not left[0]:
+        if asked != digest or not remaining[0]:
             return data
-        left[0] -= 1
+        remaining[0] -= 1
         if kind == 'missing':
             raise errors.ValueMissingError(asked)
         if kind == 'late':
@@ -415,21 +416,21 @@
         return data[:-2] if kind == 'truncated' else data + b' '
 
     source.read_part = damaged
-    return left
+    return remaining
 
 
 @pytest.mark.parametrize('kind', ['missing', 'late', 'truncated', 'altered'])
 @pytest.mark.parametrize('which', ['manifest', 'part'])
 def test_damaged_reads_of_the_source_are_repeated(net, source, kind, which):
-    """A damaged read must neither take force nor condemn the version."""
+    """A damaged read must neither be used nor cause a rejection."""
     node = net.add('a', source, uniform=lambda: 0.1)
     node.start()
-    fakes.wait_until(lambda: _hold([node], 1))
+    fakes.wait_until(lambda: _all_hold([node], 1))
     ramp = attrs.evolve(samples.DEFAULT_RAMP, duration_s=3.0)
     bundle = _split('peak', ramp)
     changed = sorted(set(bundle.parts) - set(_split().parts))
     digest = bundle.digest if which == 'manifest' else changed[0]
-    left = _damage_source(kind, source, digest)
+    remaining = _damage_source(kind, source, digest)
     source.publish('preset', 7, bundle)
     wanted = samples.build_agence(name='peak', ramp=ramp).preset
     valid = {1: _DEPLOYMENT.preset, 7: wanted}
@@ -440,13 +441,13 @@
         return snapshot.preset_version == 7
 
     fakes.wait_until(is_done)
-    assert not left[0]
+    assert not remaining[0]
     assert not node.describe(0.0)['channels']['preset']['rejected']
 
 
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_versions_only_rise_while_messages_are_lost(net, source, seed):
-    """Losses, delays and restarts must not take any node back."""
+    """Losses, delays and restarts must not bring back an older version."""
     rng = random.Random(seed)
 
     def lose(*sent):
@@ -483,7 +484,7 @@
             watch('e')
     live = list(net.nodes.values())
     net.tamper = lambda sender, receiver, message: message
-    fakes.wait_until(lambda: _hold(live, 24), timeout_s=10.0)
+    fakes.wait_until(lambda: _all_hold(live, 24), timeout_s=10.0)
     for swaps in history.values():
         for channel in versions.CHANNELS:
             seen = [v for c, v in swaps if c == channel]
@@ -494,10 +495,10 @@
 def test_pull_sends_only_what_changed(net, source):
     """A changed weight must cost one part, whatever the preset's size."""
     (node,) = _start(net, source, 'a')
-    fakes.wait_until(lambda: _hold([node], 1))
+    fakes.wait_until(lambda: _all_hold([node], 1))
     have = node.describe(0.0)['channels']['preset']['digest']
     source.publish('preset', 7, _split('peak'))
-    fakes.wait_until(lambda: _hold([node], 7))
+    fakes.wait_until(lambda: _all_hold([node], 7))
     reply = node.handle_pull(fakes.Peer('x'), messages.Pull('preset', 2, have))
     assert not reply.parts and reply.complete and reply.version == 7
     reply = node.handle_pull(fakes.Peer('x'), messages.Pull('preset', 2, ''))
@@ -512,30 +513,30 @@
     (node,) = _start(net, source, 'a')
     for version in range(4, 40):
         source.publish('preset', version, _split(f'preset-{version}'))
-        fakes.wait_until(lambda v=version: _hold([node], v))
-    cache = node._state.cache('preset')
+        fakes.wait_until(lambda v=version: _all_hold([node], v))
+    cache = node._state.get_cache('preset')
     assert set(cache.held.compressed) == set(_split('preset-39').parts)
     assert len(cache.held.compressed) == 5
-    assert len(cache.known) <= 16
+    assert len(cache.digests_by_manifest) <= 16
 
 
 def test_select_parts_is_bounded_and_complete_in_the_end():
     """Large versions must reach the receiver in frames of limited size."""
     needed = [f'd{i}' for i in range(10)]
     sizes = dict.fromkeys(needed, 400)
-    lacking, rounds = set(needed), 0
-    while lacking:
-        wanted = sorted(lacking) if rounds else ()
+    missing, rounds = set(needed), 0
+    while missing:
+        wanted = sorted(missing) if rounds else ()
         chosen = exchange.select_parts(needed, (), wanted, sizes, 1000)
         assert len(chosen.digests) <= 2
-        assert chosen.complete == (lacking == set(chosen.digests))
-        lacking -= set(chosen.digests)
+        assert chosen.complete == (missing == set(chosen.digests))
+        missing -= set(chosen.digests)
         rounds += 1
     assert rounds == 5
 
 
 def test_offers_of_unknown_channels_are_ignored(net, source):
-    """A peer of a later release may name channels that this one lacks."""
+    """A peer of a later release may name channels unknown to this one."""
     (node,) = _start(net, source, 'a')
     node.note_peer_version('x', 'weather', 3, 'd')
     assert set(node.describe(0.0)['channels']) == set(versions.CHANNELS)
--- a/jayseam/distribution/tests/test_versions.py
+++ b/jayseam/distribution/tests/test_versions.py
@@ -21,10 +21,10 @@
 def test_no_order_of_offers_goes_back(offers):
     """An older version must never replace a newer one, in any order."""
     store = versions.VersionStore()
-    refused = set()
+    rejected = set()
     for now, (channel, version, digest, action) in enumerate(offers):
         before = store.held.get(channel)
-        verdict = store.offer(channel, version, digest, now)
+        verdict = store.classify(channel, version, digest, now)
         if action == 'accept':
             store = store.accept(channel, version, digest, now)
         else:
@@ -36,14 +36,14 @@
         is_new = verdict is versions.Verdict.NEWER
         assert (after != before) == (is_new and action == 'accept')
         if is_new and action == 'reject':
-            refused.add((channel, version, digest))
+            rejected.add((channel, version, digest))
         if after is not None:
-            assert (channel, after.version, after.digest) not in refused
+            assert (channel, after.version, after.digest) not in rejected
 
 
 @hypothesis.given(_OFFERS)
 def test_greatest_offer_is_reached(offers):
-    """Nodes that hear the same offers must end at the same version."""
+    """Nodes that get the same offers must end at the same version."""
     store = versions.VersionStore()
     for now, (channel, version, digest, _) in enumerate(offers):
         store = store.accept(channel, version, digest, now)
@@ -67,9 +67,9 @@
         (6, 'x6', verdicts.NEWER),
         (7, 'd6', verdicts.NEWER),
     ]:
-        assert store.offer('preset', version, digest, 1.0) is verdict
-    assert store.offer('keys', 1, 'd1', 1.0) is verdicts.NEWER
-    assert store.offer('keys', 0, 'd1', 1.0) is verdicts.OLDER
+        assert store.classify('preset', version, digest, 1.0) is verdict
+    assert store.classify('keys', 1, 'd1', 1.0) is verdicts.NEWER
+    assert store.classify('keys', 0, 'd1', 1.0) is verdicts.OLDER
 
 
 def test_rejections_are_bounded():
@@ -85,19 +85,19 @@
 def test_relayed_confirmation_does_not_renew_itself():
     """Two nodes cut off from the source must see the age grow."""
     known = confirmations.ChannelConfirmations()
-    known = known.hear(confirmations.Confirmation(3, 'r/1', 1, 100.0), 3)
-    known = known.hear(confirmations.Confirmation(3, 'r/1', 1, 150.0), 3)
+    known = known.add(confirmations.Confirmation(3, 'r/1', 1, 100.0), 3)
+    known = known.add(confirmations.Confirmation(3, 'r/1', 1, 150.0), 3)
     assert known.compute_age(160.0) == 60.0
-    known = known.hear(confirmations.Confirmation(3, 'r/1', 2, 155.0), 3)
+    known = known.add(confirmations.Confirmation(3, 'r/1', 2, 155.0), 3)
     assert known.compute_age(160.0) == 5.0
 
 
 def test_confirmation_of_another_version_waits_or_is_void():
-    """A stale replica confirms nothing; a newer version must arrive first."""
+    """A confirmation of an older version is ignored, of a newer one kept."""
     known = confirmations.ChannelConfirmations()
-    known = known.hear(confirmations.Confirmation(2, 'r/1', 1, 100.0), 3)
+    known = known.add(confirmations.Confirmation(2, 'r/1', 1, 100.0), 3)
     assert known.compute_age(160.0) is None
-    known = known.hear(confirmations.Confirmation(4, 'r/1', 2, 150.0), 3)
+    known = known.add(confirmations.Confirmation(4, 'r/1', 2, 150.0), 3)
     assert known.compute_age(160.0) is None
     assert known.accept(5).compute_age(160.0) is None
     assert known.accept(4).compute_age(160.0) == 10.0
@@ -106,7 +106,7 @@
 def test_confirmation_covers_the_version_that_replaces_it():
     """A fresh node must learn an age from a peer that has just swapped."""
     known = confirmations.ChannelConfirmations()
-    known = known.hear(confirmations.Confirmation(3, 'r/1', 1, 100.0), 3)
+    known = known.add(confirmations.Confirmation(3, 'r/1', 1, 100.0), 3)
     known = known.accept(4)
     assert known.latest.version == 4
     assert known.compute_age(160.0) == 60.0
--- a/jayseam/distribution/versions.py
+++ b/jayseam/distribution/versions.py
@@ -6,14 +6,14 @@
 import attrs
 
 CHANNELS = ('preset', 'keys', 'vms')
-# Rejected versions below the held one are forgotten anyway, so the bound is
+# Rejections of versions below the one held are dropped, so this bound is
 # reached only if the source publishes that many invalid versions in a row.
 MAX_REJECTED = 64
 MAX_REASONS = 200
 
 
 class Verdict(enum.Enum):
-    """What an offered version is to the node."""
+    """How an offered version compares with those held and rejected."""
 
     NEWER = 'newer'
     SAME = 'same'
@@ -38,8 +38,8 @@
 
 
 @attrs.frozen
-class Held:
-    """The version in force of a channel.
+class HeldVersion:
+    """The version of a channel that is in force.
 
     Attributes:
       version: Revision.
@@ -53,7 +53,7 @@
 
 
 @attrs.frozen
-class Rejection:
+class RejectedVersion:
     """A version that failed verification.
 
     Attributes:
@@ -61,7 +61,7 @@
       digest: Digest of the manifest.
       reasons: The reasons, at most `MAX_REASONS`.
       n_reasons: Number of reasons found.
-      rejected_at: Time of the verdict, in seconds.
+      rejected_at: Time of the rejection, in seconds.
     """
 
     version: int
@@ -75,41 +75,43 @@
 class VersionStore:
     """An immutable record of held and rejected versions.
 
-    The version held of a channel never decreases: `accept` of anything but a
-    greater version returns the store unchanged.
+    The version held of a channel never decreases: `accept` returns the store
+    unchanged unless the version is greater.
 
     >>> store = VersionStore().accept('preset', 7, 'd7', now=1.0)
-    >>> store.offer('preset', 6, 'd6', now=2.0)
+    >>> store.classify('preset', 6, 'd6', now=2.0)
     <Verdict.OLDER: 'older'>
     >>> store.accept('preset', 6, 'd6', now=2.0) is store
     True
 
     Attributes:
-      held: Version in force by channel; absent while there is none.
-      rejections: Rejected versions by channel, oldest verdict first.
+      held: Version in force, by channel; absent while there is none.
+      rejections: Rejected versions, by channel, oldest rejection first.
     """
 
-    held: Mapping[str, Held] = attrs.field(factory=dict)
-    rejections: Mapping[str, tuple[Rejection, ...]] = attrs.field(factory=dict)
+    held: Mapping[str, HeldVersion] = attrs.field(factory=dict)
+    rejections: Mapping[str, tuple[RejectedVersion, ...]] = attrs.field(
+        factory=dict
+    )
 
     def version(self, channel: str) -> int:
-        """Returns the version held, zero if there is none."""
+        """Returns the version held of a channel, zero if there is none."""
         return self.held[channel].version if channel in self.held else 0
 
     def digest(self, channel: str) -> str:
-        """Returns the digest held, empty if there is none."""
+        """Returns the digest of the version held, empty if there is none."""
         return self.held[channel].digest if channel in self.held else ''
 
-    def offer(
+    def classify(
         self, channel: str, version: int, digest: str, now: float
     ) -> Verdict:
-        """Judges an offered version without changing anything.
+        """Returns the verdict on an offered version; the store is unchanged.
 
         Args:
           channel: Channel of the version.
           version: Revision offered.
-          digest: Digest offered, or its first characters if the peer named
-            no more; an empty one matches every digest.
+          digest: Digest offered, or as many of its first characters as the
+            peer sent; an empty string matches every digest.
           now: Current time in seconds.
         """
         del now  # The verdict doesn't depend on time.
@@ -126,11 +128,12 @@
     def accept(
         self, channel: str, version: int, digest: str, now: float
     ) -> 'VersionStore':
-        """Returns the store that holds a version, if it is newer.
+        """Returns a store that holds the version if it is newer.
 
-        The caller puts the content in force only if the result differs.
+        The caller puts the content in force only if the result is another
+        store.
         """
-        if self.offer(channel, version, digest, now) is not Verdict.NEWER:
+        if self.classify(channel, version, digest, now) is not Verdict.NEWER:
             return self
         if not digest:
             return self
@@ -138,7 +141,7 @@
             r for r in self.rejections.get(channel, ()) if r.version > version
         )
         return VersionStore(
-            {**self.held, channel: Held(version, digest, now)},
+            {**self.held, channel: HeldVersion(version, digest, now)},
             {**self.rejections, channel: kept},
         )
 
@@ -150,20 +153,22 @@
         reasons: Sequence[str],
         now: float,
     ) -> 'VersionStore':
-        """Returns the store that remembers a rejected version.
+        """Returns a store with a rejected version added.
 
-        A version that is held or older is left as it is. Of the reasons, the
-        first `MAX_REASONS` are kept.
+        The store is unchanged if the version is not newer than the one held or
+        was rejected before. The first `MAX_REASONS` reasons are kept.
         """
-        if self.offer(channel, version, digest, now) is not Verdict.NEWER:
+        if self.classify(channel, version, digest, now) is not Verdict.NEWER:
             return self
-        rejection = Rejection(
+        rejection = RejectedVersion(
             version, digest, tuple(reasons[:MAX_REASONS]), len(reasons), now
         )
         kept = (*self.rejections.get(channel, ()), rejection)[-MAX_REJECTED:]
         return attrs.evolve(self, rejections={**self.rejections, channel: kept})
 
-    def _find_rejection(self, channel, version, digest) -> Rejection | None:
+    def _find_rejection(
+        self, channel, version, digest
+    ) -> RejectedVersion | None:
         for rejection in self.rejections.get(channel, ()):
             is_same = rejection.digest.startswith(digest)
             if rejection.version == version and is_same:
