--- a/jayseam/source/backoff.py
+++ b/jayseam/source/backoff.py
@@ -56,7 +56,7 @@
         return attrs.evolve(self, failures=0, not_before=0.0)
 
     def compute_wait(self, now: float) -> float:
-        """Returns the seconds until the next attempt is allowed."""
+        """Returns the seconds until the next attempt, zero if it is due."""
         return max(0.0, self.not_before - now)
 
 
@@ -102,5 +102,5 @@
         self._state = self._state.succeed()
 
     def compute_wait(self, now: float) -> float:
-        """Returns the seconds until the next attempt is allowed."""
+        """Returns the seconds until the next attempt, zero if it is due."""
         return self._state.compute_wait(now)
--- a/jayseam/source/client.py
+++ b/jayseam/source/client.py
@@ -97,7 +97,7 @@
         return self._endpoints[self._preferred].url
 
     def set_reader_rank(self, rank: int) -> None:
-        """Does nothing, because this source treats all readers alike."""
+        """Does nothing, because all readers may watch this source alike."""
 
     def read_value(
         self, key: str, after: int | None = None, wait_s: float = 0.0
