--- a/jayseam/limits/__init__.py
+++ b/jayseam/limits/__init__.py
@@ -1,7 +1,7 @@
 """Fleet-wide rate and burst of workspaces.
 
 See Also:
-  ``docs/design.md``, sections 5.3 and 8. The argument for the bound is in
+  ``docs/design.md``, sections 5.3 and 8. The proof of the window bound is in
   `accounts` (conservation of shares) and `pools` (conservation of tokens).
 """
 
--- a/jayseam/limits/accounts.py
+++ b/jayseam/limits/accounts.py
@@ -3,26 +3,26 @@
 Every position has 1/N of each workspace's rate and burst, where N counts all
 positions of the preset. If the preset has zone weights for the workspace, rate
 and burst are divided over the zones by them, and a zone's part equally over its
-positions. The process at the position lends its share, one workspace group at a
-time, to one borrower.
+positions. The process at the position leases its share of each workspace group
+to one borrower at a time.
 
 Why no share is usable in two places at once:
 
-- A loan runs from the moment the lender grants it. The borrower counts it from
-  the moment it asked, which is earlier, and the lender adds `CLOCK_DRIFT`, so
-  the borrower's loan always ends first.
-- The lender grants to another borrower, or to another incarnation of the same
-  VM, only after the loan has ended. A borrower that restarts has lost the
-  record of the tokens it handed out, so its new incarnation counts as another
-  borrower.
-- A process that starts lends nothing for `PREDECESSOR_WAIT_S`, which is longer
-  than any loan that its predecessor can have granted.
-- A borrower's first tokens from a share accrue after its loan began, so a share
-  never brings its burst along when it moves.
-
-A crash of the lender loses its share for the wait of its successor. A crash of
-the borrower loses the level of its bucket and the use of the shares until their
-loans end.
+- The lender counts a lease from the moment of the grant. The borrower counts it
+  from the moment of its request, which is earlier, and the lender adds
+  `CLOCK_DRIFT`, so the lease always ends at the borrower first.
+- The lender grants a lease to another borrower, or to another incarnation of
+  the same VM, only after the earlier lease has ended. A borrower that restarts
+  has lost the record of the tokens that it handed out, so its new incarnation
+  counts as another borrower.
+- A process that starts grants no lease for `PREDECESSOR_WAIT_S`, which is
+  longer than any lease that its predecessor can have granted.
+- A borrower's first tokens from a share accrue after its lease began, so a
+  share that moves to another borrower carries none of its burst along.
+
+After a crash of the lender, its share is unused until its successor's wait is
+over. A crash of the borrower loses the level of its bucket, and the shares are
+unused until their leases end.
 """
 
 import collections
@@ -36,20 +36,22 @@
 
 from jayseam.core import digests
 
-LOAN_S = 2.0
+LEASE_S = 2.0
 PREDECESSOR_WAIT_S = 2.5
 # Two clocks may each differ by 0.1% from true time.
 CLOCK_DRIFT = 0.002
-# Every node is expected to hold a version within half of this time after the
-# first one did. The other half is for a node that skips the version: a raise
-# must not take effect at a node that the version which takes it back has not
-# reached, while another has gone from the version before to the one after.
-GROWTH_DELAY_S = 5.0
-# Zone weights are raised to this part of an equal share, so that a zone whose
-# weight is zero has tokens when it is cut off. Right weights of workspaces that
-# call in one zone only refused 2.1 to 2.3% at 90% of the rate in the model with
-# a quarter, and 0.2 to 0.3% with a tenth.
-MIN_OF_EQUAL = fractions.Fraction(1, 10)
+# Delay before an increase of a share takes effect. Every node is expected to
+# receive a version within half of this time after the first node did. The other
+# half covers nodes that skip a version: if the next version reverts an
+# increase, a node that has not received it yet must not apply the increase
+# while another node has gone straight from the version before to the next one.
+INCREASE_DELAY_S = 5.0
+# Minimum part of a zone, as a fraction of its part if all positions were equal,
+# so that a zone of weight zero has tokens when it is cut off. In the model,
+# workspaces at 90% of their rate that call in one zone only, with accurate
+# weights, had 2.1 to 2.3% of their calls refused with 1/4, and 0.2 to 0.3% with
+# 1/10.
+MIN_PART_OF_EQUAL = fractions.Fraction(1, 10)
 _DIGEST_CHARS = 12
 
 
@@ -66,21 +68,21 @@
     burst: float = 0.0
 
 
-NOTHING = Share()
+NO_SHARE = Share()
 Shares = Mapping[str, Share]
 
 
 @attrs.frozen(slots=True)
-class _Growth:
-    """A raise that has not taken effect yet."""
+class _PendingIncrease:
+    """An increased share that takes effect at a later time."""
 
     share: Share
-    due: float
+    effective_at: float
 
 
 @attrs.frozen(slots=True)
-class _Loan:
-    """The borrower of one workspace group and the end of its loan."""
+class _Lease:
+    """The borrower of one workspace group and the end of its lease."""
 
     vm: str
     incarnation: int
@@ -91,14 +93,14 @@
     """Returns the position's share of each workspace.
 
     The shares of all positions add up to at most the workspace's rate and
-    burst: parts are exact fractions, and each share is rounded down.
+    burst: divisions are exact fractions, and each share is rounded down.
 
     Args:
       preset: Object with ``upstreams`` and ``workspaces`` mappings.
       upstream: Name of the position.
 
     Returns:
-      One share by workspace; nothing if the preset lacks the position.
+      The share by workspace; empty if the preset lacks the position.
     """
     if upstream not in preset.upstreams:
         return {}
@@ -114,8 +116,8 @@
             divided = divide_by_zone(counts, dict(weights))
             parts[weights] = divided[zone] / counts[zone]
         shares[name] = Share(
-            _multiply_down(workspace.rate_per_s, parts[weights]),
-            _multiply_down(workspace.burst, parts[weights]),
+            _multiply_rounding_down(workspace.rate_per_s, parts[weights]),
+            _multiply_rounding_down(workspace.burst, parts[weights]),
         )
     return shares
 
@@ -123,11 +125,12 @@
 def divide_by_zone(
     counts: Mapping[str, int], weights: Mapping[str, float]
 ) -> dict[str, fractions.Fraction]:
-    """Returns the part of each zone that has positions; they add up to 1.
+    """Returns the fraction of each zone that has positions; the sum is 1.
 
-    Weights of zones without positions are left out, so the other zones have
-    their part in proportion. A zone's part is raised to `MIN_OF_EQUAL` of what
-    it would have if all positions were equal, before all are scaled to 1.
+    Weights of zones without positions are ignored, so their part goes to the
+    other zones in proportion. The fraction of a zone is raised to at least
+    `MIN_PART_OF_EQUAL` of its fraction if all positions were equal; then all
+    fractions are scaled to a sum of 1.
 
     >>> parts = divide_by_zone({'a': 2, 'b': 2}, {'a': 3.0, 'b': 1.0, 'c': 9.0})
     >>> float(parts['a']), float(parts['b'])
@@ -135,7 +138,7 @@
 
     Args:
       counts: Number of positions by zone.
-      weights: Weight by zone; a missing one counts as 0.
+      weights: Weight by zone; a missing weight counts as 0.
     """
     positions = sum(counts.values())
     exact = {zone: fractions.Fraction(weights.get(zone, 0)) for zone in counts}
@@ -143,7 +146,7 @@
     raised = {
         zone: max(
             exact[zone] / total if total else 0,
-            MIN_OF_EQUAL * count / positions,
+            MIN_PART_OF_EQUAL * count / positions,
         )
         for zone, count in counts.items()
     }
@@ -151,7 +154,7 @@
     return {zone: part / scale for zone, part in raised.items()}
 
 
-def _multiply_down(amount: float, part: fractions.Fraction) -> float:
+def _multiply_rounding_down(amount: float, part: fractions.Fraction) -> float:
     """Returns the product, rounded towards zero.
 
     Integers give the exact product in a tenth of the time of a `Fraction`.
@@ -167,12 +170,12 @@
 
 
 def encode_shares(shares: Shares) -> dict[str, list[float]]:
-    """Returns the shares in the form that messages carry."""
+    """Returns the shares as they are encoded in messages."""
     return {name: [s.rate_per_s, s.burst] for name, s in shares.items()}
 
 
 def digest_shares(shares: Shares) -> str:
-    """Returns a short digest by which two nodes tell equal shares.
+    """Returns a short digest by which nodes recognise equal shares.
 
     >>> digest_shares({'w': Share(1.0, 2.0)}) == digest_shares({})
     False
@@ -182,7 +185,7 @@
 
 
 class Account:
-    """Tracks what one process may lend of its position's share.
+    """Grants leases on the share of one position.
 
     Args:
       upstream: Name of the position.
@@ -191,19 +194,20 @@
 
     def __init__(self, upstream: str, now: float):
         self.upstream = upstream
-        self.free_at = now + PREDECESSOR_WAIT_S
+        self.lends_from = now + PREDECESSOR_WAIT_S
         self._current: dict[str, Share] = {}
-        self._growth: dict[str, _Growth] = {}
-        self._loans: dict[int, _Loan] = {}
+        self._pending_increases: dict[str, _PendingIncrease] = {}
+        self._leases: dict[int, _Lease] = {}
         self._version: int | None = None
         self._digest = digest_shares({})
 
     def set_preset(self, preset: Any, version: int, now: float) -> None:
-        """Takes over a version of the preset.
+        """Applies a version of the preset; ignores one that is not newer.
 
-        A share shrinks at once. It grows `GROWTH_DELAY_S` later, because other
-        positions may still lend by the version before. The first version of a
-        process counts as a raise from nothing: its age is unknown.
+        A decrease takes effect at once. An increase takes effect
+        `INCREASE_DELAY_S` later, because other positions may still lend by the
+        version before. The first version that a process receives counts as an
+        increase from zero, because its age is unknown.
         """
         if self._version is not None and version <= self._version:
             return
@@ -211,47 +215,53 @@
         targets = compute_shares(preset, self.upstream)
         for name in set(self._current) - set(targets):
             del self._current[name]
-        self._growth = {
-            name: growth
+        self._pending_increases = {
+            name: increase
             for name, target in targets.items()
-            if (growth := self._plan_growth(name, target, now)) is not None
+            if (increase := self._plan_increase(name, target, now)) is not None
         }
         self._digest = digest_shares(self._current)
 
-    def _plan_growth(
+    def _plan_increase(
         self, name: str, target: Share, now: float
-    ) -> _Growth | None:
-        held = self._current.get(name, NOTHING)
+    ) -> _PendingIncrease | None:
+        current = self._current.get(name, NO_SHARE)
         lowered = Share(
-            min(held.rate_per_s, target.rate_per_s),
-            min(held.burst, target.burst),
+            min(current.rate_per_s, target.rate_per_s),
+            min(current.burst, target.burst),
         )
         self._current[name] = lowered
         if lowered == target:
             return None
-        planned = self._growth.get(name)
-        due = now + GROWTH_DELAY_S
-        # A raise already announced by an earlier version keeps its time.
+        planned = self._pending_increases.get(name)
+        effective_at = now + INCREASE_DELAY_S
+        # An increase that an earlier version has scheduled keeps its time.
         if planned is not None and (
             target.rate_per_s <= planned.share.rate_per_s
             and target.burst <= planned.share.burst
         ):
-            due = planned.due
-        return _Growth(target, due)
+            effective_at = planned.effective_at
+        return _PendingIncrease(target, effective_at)
 
-    def shares(self, now: float) -> tuple[Shares, str]:
+    def get_shares(self, now: float) -> tuple[Shares, str]:
         """Returns the shares in effect at ``now`` and their digest."""
-        due = [name for name, g in self._growth.items() if g.due <= now]
+        due = [
+            name
+            for name, g in self._pending_increases.items()
+            if g.effective_at <= now
+        ]
         if due:
-            # A new mapping, because borrowers may hold the one before.
+            # A new mapping, because borrowers may still use the previous one.
             self._current = dict(self._current)
             for name in due:
-                self._current[name] = self._growth.pop(name).share
+                self._current[name] = self._pending_increases.pop(name).share
             self._digest = digest_shares(self._current)
         return self._current, self._digest
 
-    def lend(self, group: int, vm: str, incarnation: int, now: float) -> bool:
-        """Lends or renews one group's shares to a borrower.
+    def grant_lease(
+        self, group: int, vm: str, incarnation: int, now: float
+    ) -> bool:
+        """Grants or renews a lease on one group's shares.
 
         Args:
           group: Number of the workspace group.
@@ -260,16 +270,16 @@
           now: Time in seconds.
 
         Returns:
-          Whether the borrower has the loan for `LOAN_S` from its request on.
+          Whether the borrower has the lease for `LEASE_S` from its request.
         """
-        if now < self.free_at:
+        if now < self.lends_from:
             return False
-        loan = self._loans.get(group)
-        if loan is not None and now < loan.until:
-            if (loan.vm, loan.incarnation) != (vm, incarnation):
+        lease = self._leases.get(group)
+        if lease is not None and now < lease.until:
+            if (lease.vm, lease.incarnation) != (vm, incarnation):
                 return False
-        until = now + LOAN_S * (1 + CLOCK_DRIFT)
-        self._loans[group] = _Loan(vm, incarnation, until)
+        until = now + LEASE_S * (1 + CLOCK_DRIFT)
+        self._leases[group] = _Lease(vm, incarnation, until)
         return True
 
     def release(
@@ -280,35 +290,36 @@
         now: float,
         remaining_s: float,
     ) -> None:
-        """Ends a loan early, once its borrower has given it back.
+        """Ends a lease early, after its borrower has returned it.
 
         Args:
           group: Number of the workspace group.
           vm: The borrower.
           incarnation: The borrower's incarnation.
           now: Time in seconds.
-          remaining_s: Longest life of the tokens that the borrower handed out.
+          remaining_s: Longest remaining lifetime of the tokens that the
+            borrower has handed out.
         """
-        loan = self._loans.get(group)
-        if loan is None or (loan.vm, loan.incarnation) != (vm, incarnation):
+        lease = self._leases.get(group)
+        if lease is None or (lease.vm, lease.incarnation) != (vm, incarnation):
             return
-        until = min(loan.until, now + remaining_s * (1 + CLOCK_DRIFT))
-        self._loans[group] = attrs.evolve(loan, until=until)
+        until = min(lease.until, now + remaining_s * (1 + CLOCK_DRIFT))
+        self._leases[group] = attrs.evolve(lease, until=until)
 
-    def borrower(self, group: int, now: float) -> str | None:
-        """Returns the VM that has the group's shares at ``now``, if any."""
-        loan = self._loans.get(group)
-        return loan.vm if loan is not None and now < loan.until else None
+    def find_borrower(self, group: int, now: float) -> str | None:
+        """Returns the VM that has a lease on the group at ``now``, if any."""
+        lease = self._leases.get(group)
+        return lease.vm if lease is not None and now < lease.until else None
 
     def describe(self, now: float) -> dict[str, Any]:
         """Returns the account's state for the status page."""
         return {
             'version': self._version,
-            'waiting_s': max(0.0, self.free_at - now),
-            'growing': len(self._growth),
+            'waiting_s': max(0.0, self.lends_from - now),
+            'growing': len(self._pending_increases),
             'lent': {
-                str(group): loan.vm
-                for group, loan in sorted(self._loans.items())
-                if now < loan.until
+                str(group): lease.vm
+                for group, lease in sorted(self._leases.items())
+                if now < lease.until
             },
         }
--- a/jayseam/limits/baselines.py
+++ b/jayseam/limits/baselines.py
@@ -1,4 +1,4 @@
-"""Strategies that measurements compare `strategies.Strategy` with."""
+"""Baseline strategies for comparison with `strategies.EscrowStrategy`."""
 
 from collections.abc import Iterable, Mapping
 from typing import Any
@@ -11,16 +11,16 @@
 
 
 @strategies.registry.register('owner')
-class OwnerStrategy(strategies.Strategy):
-    """One owner of each group over the fleet, with the full rate.
+class OwnerStrategy(strategies.EscrowStrategy):
+    """One owner per group in the whole fleet, with the full rate and burst.
 
-    A new owner waits `accounts.PREDECESSOR_WAIT_S` with no tokens. This is a
-    baseline: two sides of a partition both have an owner, and exceed the bound.
+    A new owner has no tokens for `accounts.PREDECESSOR_WAIT_S`. The strategy
+    breaks the bound in a partition, because each side then has an owner.
     """
 
     def __init__(self, *args: Any):
         super().__init__(*args)
-        self._top_since: dict[int, float] = {}
+        self._owner_since: dict[int, float] = {}
 
     def _assign_cells(
         self,
@@ -30,46 +30,48 @@
     ) -> dict[str, str]:
         return {member.vm: 'all' for member in members}
 
-    def _top(self, group: int, now: float) -> str | None:
-        return next(iter(self.topology.rank(self.topology.cell, group)), None)
+    def _find_owner(self, group: int, now: float) -> str | None:
+        return next(
+            iter(self.topology.rank_owners(self.topology.own_cell, group)), None
+        )
 
-    def _owners(self, group: int, now: float) -> list[str]:
-        top = self._top(group, now)
+    def _list_owners(self, group: int, now: float) -> list[str]:
+        top = self._find_owner(group, now)
         return [top] if top is not None else []
 
-    def _lend(
+    def _handle_borrow(
         self, sender: str, message: messages.Borrow, now: float
     ) -> messages.Lend:
         return messages.Lend(
             self.member.upstream, self.member.incarnation, [], ''
         )
 
-    def _renew(self, now: float) -> list[strategies.Outgoing]:
+    def _renew_leases(self, now: float) -> list[strategies.Outgoing]:
         table: dict[int, dict[str, accounts.Share]] = {}
         for name, share in self._limits.items():
             table.setdefault(cells.group_of(name), {})[name] = share
-        for group in range(cells.GROUPS):
-            if self._top(group, now) != self.member.vm:
-                self._top_since.pop(group, None)
+        for group in range(cells.GROUP_COUNT):
+            if self._find_owner(group, now) != self.member.vm:
+                self._owner_since.pop(group, None)
                 continue
-            since = self._top_since.setdefault(group, now)
+            since = self._owner_since.setdefault(group, now)
             if now - since >= accounts.PREDECESSOR_WAIT_S:
-                loan = pools.Loan(
+                lease = pools.Lease(
                     'all',
                     self.member.incarnation,
                     table.get(group, {}),
-                    now + accounts.LOAN_S,
+                    now + accounts.LEASE_S,
                 )
-                self.pools[group].add(loan, now)
+                self.pools[group].add_lease(lease, now)
         return []
 
 
 @strategies.registry.register('static')
-class StaticStrategy(strategies.Strategy):
+class StaticStrategy(strategies.EscrowStrategy):
     """Each position uses its own share and nothing else.
 
-    This is a baseline: it refuses calls within the rate when they arrive
-    unevenly. The shares of positions without a process are unused.
+    Refuses calls within the rate when they arrive unevenly. The shares of
+    positions without a process are unused.
     """
 
     def _assign_cells(
@@ -81,4 +83,4 @@
         return {own.vm: 'own'}
 
     def _may_lend(self, now: float) -> bool:
-        return not (self.leaving or self.topology.replaced)
+        return not (self.leaving or self.topology.is_replaced)
--- a/jayseam/limits/errors.py
+++ b/jayseam/limits/errors.py
@@ -8,4 +8,4 @@
 
 
 class UnknownMessageError(LimitError):
-    """A peer sent a message that the strategy in use does not answer."""
+    """A peer sent a message that the strategy in use does not handle."""
--- a/jayseam/limits/messages.py
+++ b/jayseam/limits/messages.py
@@ -46,7 +46,7 @@
 @messages.register(60)
 @attrs.frozen
 class Borrow:
-    """An owner asks a position for its share, or for a renewal.
+    """Lease request: an owner asks for, or renews, the share of a position.
 
     Attributes:
       incarnation: The owner's incarnation.
@@ -62,14 +62,14 @@
 @messages.register(61)
 @attrs.frozen
 class Lend:
-    """The reply to `Borrow`.
+    """Lease grant: the reply to `Borrow`.
 
     Attributes:
       upstream: The lender's position.
       incarnation: The lender's incarnation.
-      groups: Groups that are lent; others of the request are refused.
+      groups: Groups that the lease covers; the request's others are refused.
       digest: Digest of the lender's shares.
-      shares: Rate and burst by workspace, only when asked for.
+      shares: Rate and burst by workspace; None unless requested.
     """
 
     upstream: str = attrs.field(validator=_STR)
@@ -84,12 +84,12 @@
 @messages.register(62)
 @attrs.frozen
 class Draw:
-    """An entry asks an owner for tokens and reports on its batches.
+    """Token request: an entry asks an owner for tokens and reports its use.
 
     Attributes:
       incarnation: The entry's incarnation.
-      number: Number of this draw; names the batches that it yields.
-      wants: Tokens asked for, by workspace.
+      number: Number of this draw; identifies the batches granted for it.
+      wants: Tokens requested, by workspace.
       reports: Rows of draw number, workspace, tokens spent since the last
         report, tokens returned.
     """
@@ -103,11 +103,11 @@
 @messages.register(63)
 @attrs.frozen
 class Grant:
-    """The reply to `Draw`.
+    """Token grant: the reply to `Draw`.
 
     Attributes:
       number: Number of the draw.
-      amounts: Tokens granted, by workspace; a missing one got nothing.
+      amounts: Tokens granted, by workspace; a missing workspace got none.
     """
 
     number: int = attrs.field(validator=_INT)
@@ -117,7 +117,7 @@
 @messages.register(64)
 @attrs.frozen
 class Report:
-    """An entry reports on its batches without asking for tokens.
+    """An entry reports the use of its batches without requesting tokens.
 
     Attributes:
       incarnation: The entry's incarnation.
@@ -131,7 +131,7 @@
 @messages.register(65)
 @attrs.frozen
 class Release:
-    """An owner gives back borrowed shares before their loans end.
+    """An owner returns borrowed shares before their leases end.
 
     Attributes:
       incarnation: The owner's incarnation.
@@ -145,13 +145,13 @@
 @messages.register(66)
 @attrs.frozen
 class Spent:
-    """A node reports what calls have spent; totals since it started.
+    """A node reports the tokens that calls have spent since it started.
 
     Attributes:
       incarnation: The node's incarnation.
-      own: Tokens spent at the node, by workspace that has changed.
-      relayed: Tokens spent in other zones, as far as the node relays them.
-      zones: Other zones that report to the node, if it relays.
+      own: Total tokens spent at the node, for workspaces whose total changed.
+      relayed: Total tokens spent in the other zones that the node relays.
+      zones: Other zones whose members report to the node.
     """
 
     incarnation: int = attrs.field(validator=_INT)
--- a/jayseam/limits/models/__main__.py
+++ b/jayseam/limits/models/__main__.py
@@ -19,9 +19,9 @@
     model = fleets.Model(seed, 'static', nodes=1, zones=1)
     model.run(scenarios.WARM_UP_S)
     node = next(iter(model.nodes.values()))
-    wallet = node.strategy._stock.wallet('large-1')
-    wallet.put(wallets.Batch('x', 1, 1e9, float('inf')))
-    now = model._local(node)
+    wallet = node.strategy._entry.get_wallet('large-1')
+    wallet.add_batch(wallets.Batch('x', 1, 1e9, float('inf')))
+    now = model._local_time(node)
     spent = timeit.timeit(
         lambda: node.strategy.admit('large-1', 1.0, now), number=calls
     )
@@ -46,7 +46,7 @@
         '--weights',
         default='none',
         choices=weightings.registry.names(),
-        help='zone weights of the preset against the skew of the load',
+        help='zone weights of the preset, derived from the skew of the load',
     )
     options = parser.parse_args(arguments)
     results = scenarios.compare_strategies(
--- a/jayseam/limits/models/faults.py
+++ b/jayseam/limits/models/faults.py
@@ -12,13 +12,13 @@
 def kill_owner(model: fleets.Model) -> None:
     """Kills the node that owns most, which is the worst to lose."""
 
-    def weigh(vm: str) -> float:
+    def sum_owned_rates(vm: str) -> float:
         owned = model.nodes[vm].strategy.pools
         return sum(
             share.rate_per_s for p in owned for share in p.totals().values()
         )
 
-    model.kill(max(model.nodes, key=weigh))
+    model.kill(max(model.nodes, key=sum_owned_rates))
 
 
 def cut_zone(model: fleets.Model) -> None:
@@ -41,11 +41,11 @@
     VM or in a new one.
     """
     rng = model.random
-    time = model.now
-    while time < until:
-        time += rng.expovariate(0.5)
+    at_s = model.now
+    while at_s < until:
+        at_s += rng.expovariate(0.5)
         kind = rng.choice(_KINDS)
-        model.at(time, lambda k=kind: _inject(model, k))
+        model.schedule(at_s, lambda k=kind: _inject(model, k))
 
 
 def _inject(model: fleets.Model, kind: str) -> None:
@@ -57,14 +57,14 @@
         model.pause(rng.choice(names), rng.uniform(0.2, 6.0))
     elif kind == 'island':
         model.isolate(rng.sample(names, rng.randint(1, len(names))))
-        model.at(model.now + rng.uniform(0.5, 6.0), model.heal)
+        model.schedule(model.now + rng.uniform(0.5, 6.0), model.heal)
     elif kind == 'cut':
         zones = sorted(set(model.zones.values()))
-        lone = rng.choice(zones)
+        cut_off = rng.choice(zones)
         for other in zones:
-            if other != lone:
-                model.cut(lone, other)
-        model.at(model.now + rng.uniform(0.5, 9.0), model.heal)
+            if other != cut_off:
+                model.cut(cut_off, other)
+        model.schedule(model.now + rng.uniform(0.5, 9.0), model.heal)
     else:
         count = 1 if kind == 'kill' else rng.randint(1, len(names))
         for vm in rng.sample(names, min(count, len(names))):
@@ -74,8 +74,8 @@
 def _replace(model: fleets.Model, vm: str) -> None:
     upstream = model.nodes[vm].member.upstream
     model.kill(vm)
-    again = vm if model.random.random() < 0.5 else f'{vm}+'
-    model.at(
+    new_vm = vm if model.random.random() < 0.5 else f'{vm}+'
+    model.schedule(
         model.now + model.random.uniform(0.05, 4.0),
-        lambda: model.start(again, upstream),
+        lambda: model.start(new_vm, upstream),
     )
--- a/jayseam/limits/models/fleets.py
+++ b/jayseam/limits/models/fleets.py
@@ -25,10 +25,10 @@
 from jayseam.limits.models import workspaces
 
 POLL_S = 0.05
-IN_ZONE_S = 0.00025
-CROSS_ZONE_S = 0.001
-JOIN_SEEN_S = 0.5
-DEATH_SEEN_S = 3.0
+IN_ZONE_DELAY_S = 0.00025
+CROSS_ZONE_DELAY_S = 0.001
+JOIN_DETECTION_S = 0.5
+FAILURE_DETECTION_S = 3.0
 # Bytes of a frame around a message: its header, a request number and a code.
 FRAME_BYTES = 12
 
@@ -38,7 +38,7 @@
     """One process of the model."""
 
     member: cells.Member
-    strategy: strategies.Strategy
+    strategy: strategies.EscrowStrategy
     drift: float
     offset: float
     alive: bool = True
@@ -100,14 +100,14 @@
         self.loads = dict(loads)
         self.tallies = {name: Tally() for name in loads}
         self.nodes: dict[str, _Node] = {}
-        self.gone: list[_Node] = []
+        self.ended_nodes: list[_Node] = []
         self._strategy = strategy
         self._drift = drift
         self._delays = delays
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._calls = itertools.count()
-        self._under_way: dict[
+        self._grants_in_flight: dict[
             tuple[int, str], tuple[_Node, str, float, float]
         ] = {}
         self._cut: dict[frozenset[str], float] = {}
@@ -116,14 +116,14 @@
         self.zones = {
             f'u{i}': f'zone-{"abcdefgh"[i % zones]}' for i in range(nodes)
         }
-        self._weights = self._skew()
+        self._weights = self._draw_skew()
         self.preset = self._build_preset(weightings.registry.get(weighting))
         for upstream in self.zones:
             self._create(f'vm-{upstream}', upstream)
         for node in self.nodes.values():
-            self._refresh(node)
+            self._refresh_members(node)
 
-    def _skew(self) -> dict[str, dict[str, float]]:
+    def _draw_skew(self) -> dict[str, dict[str, float]]:
         """Returns the part of each workspace's calls by position.
 
         Zones get 4, 2, 1, 1, ... parts in an order of each workspace's own, and
@@ -140,7 +140,7 @@
             }
         return weights
 
-    def _build_preset(self, weigh: weightings.Weighting) -> Any:
+    def _build_preset(self, weighting: weightings.Weighting) -> Any:
         """Returns a preset with weights for the load's skew over zones."""
         workspaces_ = {}
         for name, load in self.loads.items():
@@ -150,7 +150,7 @@
             workspaces_[name] = types.SimpleNamespace(
                 rate_per_s=load.rate_per_s,
                 burst=load.burst,
-                zone_weights=tuple(sorted(weigh(skew).items())),
+                zone_weights=tuple(sorted(weighting(skew).items())),
             )
         return types.SimpleNamespace(
             upstreams={
@@ -162,7 +162,7 @@
 
     # Events.
 
-    def at(self, time: float, action: Callable[[], None]) -> None:
+    def schedule(self, time: float, action: Callable[[], None]) -> None:
         """Plans an action."""
         heapq.heappush(self._events, (time, next(self._sequence), action))
 
@@ -176,21 +176,21 @@
     def send_load(self, until: float) -> None:
         """Starts the calls of all workspaces."""
         for name in self.loads:
-            self._plan_call(name, until)
+            self._schedule_call(name, until)
 
-    def send_pulse(self, workspace: str, calls: int) -> None:
+    def send_burst(self, workspace: str, calls: int) -> None:
         """Sends calls of one workspace within a tenth of a second."""
         for _ in range(calls):
             after = self.random.uniform(0.0, 0.1)
-            self.at(self.now + after, lambda: self._call(workspace))
+            self.schedule(self.now + after, lambda: self._call(workspace))
 
     # Faults.
 
     def start(self, vm: str, upstream: str) -> None:
         """Starts a process at a position; others learn of it later."""
         node = self._create(vm, upstream)
-        self._refresh(node)
-        self._refresh_later(JOIN_SEEN_S)
+        self._refresh_members(node)
+        self._refresh_later(JOIN_DETECTION_S)
 
     def _create(self, vm: str, upstream: str) -> _Node:
         zone = self.zones[upstream]
@@ -200,12 +200,12 @@
         node = _Node(member, None, drift, offset)
         strategy = strategies.registry.get(self._strategy)
         node.strategy = strategy(
-            vm, upstream, zone, member.incarnation, self._local(node)
+            vm, upstream, zone, member.incarnation, self._local_time(node)
         )
         self.nodes[vm] = node
         self._died.pop(vm, None)
-        node.strategy.set_preset(self.preset, 1, self._local(node))
-        self.at(
+        node.strategy.set_preset(self.preset, 1, self._local_time(node))
+        self.schedule(
             self.now + self.random.uniform(0, POLL_S), lambda: self._tick(node)
         )
         return node
@@ -214,47 +214,47 @@
         """Ends a process without notice."""
         node = self.nodes.pop(vm)
         node.alive = False
-        self.gone.append(node)
+        self.ended_nodes.append(node)
         self._died[vm] = (node.member, self.now)
-        self._refresh_later(DEATH_SEEN_S)
+        self._refresh_later(FAILURE_DETECTION_S)
 
     def pause(self, vm: str, duration_s: float) -> None:
         """Pauses a process; what reaches it waits."""
         node = self.nodes[vm]
         node.paused_until = max(node.paused_until, self.now + duration_s)
-        self.at(node.paused_until, lambda: self._resume(node))
+        self.schedule(node.paused_until, lambda: self._resume(node))
 
     def cut(self, left: str, right: str) -> None:
         """Cuts two zones off from each other."""
         pair = frozenset((left, right))
         self._cut.setdefault(pair, self.now)
-        self._refresh_later(DEATH_SEEN_S)
+        self._refresh_later(FAILURE_DETECTION_S)
 
     def isolate(self, vms: Iterable[str]) -> None:
         """Cuts some VMs off from all others, but not from each other."""
         self._islands.append((frozenset(vms), self.now))
-        self._refresh_later(DEATH_SEEN_S)
+        self._refresh_later(FAILURE_DETECTION_S)
 
     def silence(self, duration_s: float) -> None:
         """Loses all messages for a time too short for verdicts on members."""
         since = self.now
         self._islands += [(frozenset([vm]), since) for vm in self.nodes]
-        self.at(self.now + duration_s, self._islands.clear)
+        self.schedule(self.now + duration_s, self._islands.clear)
 
     def heal(self) -> None:
         """Ends all cuts."""
         self._cut.clear()
         self._islands.clear()
-        self._refresh_later(JOIN_SEEN_S)
+        self._refresh_later(JOIN_DETECTION_S)
 
     # Internals.
 
-    def _local(self, node: _Node) -> float:
+    def _local_time(self, node: _Node) -> float:
         return node.offset + self.now * (1 + node.drift)
 
     def _resume(self, node: _Node) -> None:
         if node.alive and node.paused_until <= self.now:
-            node.strategy.drop_expired(self._local(node))
+            node.strategy.drop_expired(self._local_time(node))
 
     def _cut_since(self, left: cells.Member, right: cells.Member) -> float:
         """Returns since when two members are cut off; infinity if not."""
@@ -272,50 +272,55 @@
         """Lets each node learn of a change at a time of its own."""
         for node in list(self.nodes.values()):
             after = delay_s * self.random.uniform(0.8, 1.3)
-            self.at(
-                self.now + after, lambda n=node: self._awake(n, self._refresh)
+            self.schedule(
+                self.now + after,
+                lambda n=node: self._run_when_awake(n, self._refresh_members),
             )
 
-    def _awake(self, node: _Node, action: Callable[[_Node], None]) -> None:
+    def _run_when_awake(
+        self, node: _Node, action: Callable[[_Node], None]
+    ) -> None:
         """Runs an action now, or when the node's pause ends."""
         if not node.alive:
             return
         if node.paused_until > self.now:
-            self.at(node.paused_until, lambda: self._awake(node, action))
+            self.schedule(
+                node.paused_until, lambda: self._run_when_awake(node, action)
+            )
         else:
             action(node)
 
-    def _refresh(self, node: _Node) -> None:
+    def _refresh_members(self, node: _Node) -> None:
         members = []
         for other in self.nodes.values():
             since = self._cut_since(node.member, other.member)
-            if self.now - since < DEATH_SEEN_S * 0.8:
+            if self.now - since < FAILURE_DETECTION_S * 0.8:
                 members.append(other.member)
         for member, died in self._died.values():
-            if self.now - died < DEATH_SEEN_S * 0.8:
+            if self.now - died < FAILURE_DETECTION_S * 0.8:
                 members.append(member)
         node.strategy.set_members(members)
 
     def _tick(self, node: _Node) -> None:
-        self._awake(node, self._poll)
+        self._run_when_awake(node, self._poll)
         if node.alive:
-            self.at(self.now + POLL_S, lambda: self._tick(node))
+            self.schedule(self.now + POLL_S, lambda: self._tick(node))
 
     def _poll(self, node: _Node) -> None:
         if node.paused_until > self.now:
             return
-        for sent in node.strategy.poll(self._local(node)):
+        for sent in node.strategy.poll(self._local_time(node)):
             self._send(node, sent)
-        self._serve(node)
+        self._admit_waiters(node)
 
     def _delay(self, left: str, right: str) -> float:
-        base = IN_ZONE_S if left == right else CROSS_ZONE_S
+        base = IN_ZONE_DELAY_S if left == right else CROSS_ZONE_DELAY_S
         delay = base * self.random.uniform(1.0, 1.5)
         if self._delays and self.random.random() < self._delays:
             delay += self.random.uniform(0.0, 3.0)
         return delay
 
-    def _carry(
+    def _deliver_message(
         self, source: _Node, vm: str, message: Any, action: Callable
     ) -> None:
         """Delivers a message to the process that has the VM on arrival."""
@@ -334,59 +339,63 @@
             found = self.nodes.get(vm)
             if found is not None and self._reaches(source, found):
                 found.received_bytes += size
-                self._awake(found, action)
+                self._run_when_awake(found, action)
 
         delay = self._delay(source.member.zone, target.member.zone)
-        self.at(self.now + delay, arrive)
+        self.schedule(self.now + delay, arrive)
 
     def _send(self, node: _Node, sent: strategies.Outgoing) -> None:
-        answered: list[Any] = []
+        finished: list[Any] = []
         number = next(self._calls)
 
         def finish(reply: Any) -> None:
-            if node.alive and not answered:
-                answered.append(True)
-                for key in [k for k in self._under_way if k[0] == number]:
-                    del self._under_way[key]
-                node.strategy.receive(sent, reply, self._local(node))
-                self._serve(node)
+            if node.alive and not finished:
+                finished.append(True)
+                for key in [
+                    k for k in self._grants_in_flight if k[0] == number
+                ]:
+                    del self._grants_in_flight[key]
+                node.strategy.handle_reply(sent, reply, self._local_time(node))
+                self._admit_waiters(node)
                 if node.waiting:
                     self._poll(node)
 
         def arrive(target: _Node) -> None:
-            reply = target.strategy.answer(
-                node.member.vm, sent.message, self._local(target)
+            reply = target.strategy.handle_message(
+                node.member.vm, sent.message, self._local_time(target)
             )
-            if isinstance(reply, messages.Grant) and not answered:
+            if isinstance(reply, messages.Grant) and not finished:
                 for name, amount in reply.amounts.items():
-                    self._under_way[(number, name)] = (
+                    self._grants_in_flight[(number, name)] = (
                         node,
                         name,
                         amount,
-                        sent.asked + pools.BATCH_S,
+                        sent.created_at + pools.BATCH_LIFETIME_S,
                     )
             if reply is not None and sent.wants_reply:
-                self._carry(
+                self._deliver_message(
                     target,
                     node.member.vm,
                     reply,
                     lambda n: finish(reply) if n is node else None,
                 )
 
-        self._carry(node, sent.vm, sent.message, arrive)
+        self._deliver_message(node, sent.vm, sent.message, arrive)
         if sent.wants_reply:
-            self.at(
+            self.schedule(
                 self.now + strategies.REQUEST_TIMEOUT_S,
-                lambda: self._awake(node, lambda _: finish(None)),
+                lambda: self._run_when_awake(node, lambda _: finish(None)),
             )
 
-    def _plan_call(self, workspace: str, until: float) -> None:
+    def _schedule_call(self, workspace: str, until: float) -> None:
         gap = self._load_random.expovariate(self.loads[workspace].offered_per_s)
         if self.now + gap < until:
-            self.at(self.now + gap, lambda: self._next_call(workspace, until))
+            self.schedule(
+                self.now + gap, lambda: self._start_call(workspace, until)
+            )
 
-    def _next_call(self, workspace: str, until: float) -> None:
-        self._plan_call(workspace, until)
+    def _start_call(self, workspace: str, until: float) -> None:
+        self._schedule_call(workspace, until)
         self._call(workspace)
 
     def _call(self, workspace: str) -> None:
@@ -400,7 +409,7 @@
         tally = self.tallies[workspace]
         tally.offered.append(self.now)
         tally.zones.append(node.member.zone)
-        now = self._local(node)
+        now = self._local_time(node)
         if node.strategy.admit(workspace, 1.0, now):
             tally.admitted.append(self.now)
             tally.waits.append(0.0)
@@ -411,20 +420,22 @@
             tally.refused.append(self.now)
             return
         node.waiting[call] = (workspace, self.now)
-        self.at(
+        self.schedule(
             self.now + strategies.MAX_WAIT_S,
-            lambda: self._awake(node, lambda n: self._give_up(n, call)),
+            lambda: self._run_when_awake(
+                node, lambda n: self._give_up(n, call)
+            ),
         )
         self._poll(node)
 
     def _give_up(self, node: _Node, call: int) -> None:
         if call in node.waiting:
             workspace, arrived = node.waiting.pop(call)
-            node.strategy.withdraw(workspace, call)
+            node.strategy.remove_waiter(workspace, call)
             self.tallies[workspace].refused.append(arrived)
 
-    def _serve(self, node: _Node) -> None:
-        for call in node.strategy.serve(self._local(node)):
+    def _admit_waiters(self, node: _Node) -> None:
+        for call in node.strategy.admit_waiters(self._local_time(node)):
             if call in node.waiting:
                 workspace, arrived = node.waiting.pop(call)
                 tally = self.tallies[workspace]
@@ -433,7 +444,7 @@
 
     def all_nodes(self) -> Sequence[_Node]:
         """Returns all processes, ended ones included."""
-        return [*self.nodes.values(), *self.gone]
+        return [*self.nodes.values(), *self.ended_nodes]
 
     def spendable(self, workspace: str) -> float:
         """Returns all tokens that can be spent now or soon without accrual.
@@ -444,19 +455,21 @@
         """
         total = sum(
             amount
-            for node, name, amount, expires in self._under_way.values()
-            if name == workspace and node.alive and self._local(node) < expires
+            for node, name, amount, expires in self._grants_in_flight.values()
+            if name == workspace
+            and node.alive
+            and self._local_time(node) < expires
         )
         for node in self.nodes.values():
-            now = self._local(node)
-            total += node.strategy.stock(workspace, now)
+            now = self._local_time(node)
+            total += node.strategy.available(workspace, now)
             total += sum(p.level(workspace, now) for p in node.strategy.pools)
         return total
 
     def backing(self, workspace: str) -> float:
         """Returns the burst behind all pools; it must not exceed the burst."""
         return sum(
-            pool.backing(workspace, self._local(node))
+            pool.backing(workspace, self._local_time(node))
             for node in self.nodes.values()
             for pool in node.strategy.pools
         )
--- a/jayseam/limits/models/scenarios.py
+++ b/jayseam/limits/models/scenarios.py
@@ -93,27 +93,38 @@
         seed, strategy, nodes, zones, loads, weighting=weighting
     )
     end = WARM_UP_S + duration_s
-    model.at(WARM_UP_S - 2.0, lambda: model.send_load(end))
+    model.schedule(WARM_UP_S - 2.0, lambda: model.send_load(end))
     model.run(WARM_UP_S)
     before = {
         id(n): (n.sent, n.sent_bytes, n.received_bytes)
         for n in model.all_nodes()
     }
-    lost = sum(n.strategy.tokens_lost() for n in model.all_nodes())
+    expired_tokens = sum(
+        n.strategy.count_expired_tokens() for n in model.all_nodes()
+    )
     SCENARIOS[scenario](model)
     model.run(end + 1.0)
-    lost = sum(n.strategy.tokens_lost() for n in model.all_nodes()) - lost
+    expired_tokens = (
+        sum(n.strategy.count_expired_tokens() for n in model.all_nodes())
+        - expired_tokens
+    )
     traffic = [
         [a - b for a, b in zip(now, before[id(n)])]
         for n in model.all_nodes()
         for now in [(n.sent, n.sent_bytes, n.received_bytes)]
     ]
     return _summarise(
-        model, strategy, scenario, weighting, traffic, lost, duration_s
+        model,
+        strategy,
+        scenario,
+        weighting,
+        traffic,
+        expired_tokens,
+        duration_s,
     )
 
 
-def _count_lacking(model: fleets.Model, scenario: str) -> int:
+def _count_unavoidable(model: fleets.Model, scenario: str) -> int:
     """Returns how many calls exceed the shares of their side of a cut."""
     zones = sorted(set(model.zones.values()))
     sides = [zones]
@@ -123,13 +134,13 @@
         upstream: accounts.compute_shares(model.preset, upstream)
         for upstream in model.zones
     }
-    lacking = 0
+    unavoidable = 0
     for name, load in model.loads.items():
         if load.offered_per_s > load.rate_per_s:
             continue
         tally = model.tallies[name]
         for side in sides:
-            held = [
+            side_shares = [
                 shares[upstream][name]
                 for upstream, zone in model.zones.items()
                 if zone in side
@@ -139,12 +150,12 @@
                 for time, zone in zip(tally.offered, tally.zones)
                 if zone in side and time >= WARM_UP_S
             ]
-            lacking += len(times) - measures.count_conforming(
+            unavoidable += len(times) - measures.count_conforming(
                 times,
-                sum(share.rate_per_s for share in held),
-                sum(share.burst for share in held),
+                sum(share.rate_per_s for share in side_shares),
+                sum(share.burst for share in side_shares),
             )
-    return lacking
+    return unavoidable
 
 
 def _summarise(
@@ -153,7 +164,7 @@
     scenario: str,
     weighting: str,
     traffic: list[list[int]],
-    lost: float,
+    expired_tokens: float,
     duration_s: float,
 ) -> Result:
     calls = refused = served = conforming = 0
@@ -170,7 +181,7 @@
         refused += sum(t >= WARM_UP_S for t in tally.refused)
         pairs = zip(tally.admitted, tally.waits)
         waits += [wait for time, wait in pairs if time >= WARM_UP_S]
-    lacking = _count_lacking(model, scenario)
+    unavoidable = _count_unavoidable(model, scenario)
     waits.sort()
     count = len(traffic)
     return Result(
@@ -181,9 +192,9 @@
         calls,
         overshoot=round(model.overshoot(), 3),
         wrongful=round(refused / max(1, calls), 5),
-        unavoidable=round(lacking / max(1, calls), 5),
+        unavoidable=round(unavoidable / max(1, calls), 5),
         greedy_served=round(served / max(1, conforming), 3),
-        lost_per_s=round(lost / duration_s, 3),
+        lost_per_s=round(expired_tokens / duration_s, 3),
         wait_mean_ms=round(1e3 * sum(waits) / max(1, len(waits)), 3),
         wait_p99_ms=round(1e3 * waits[int(0.99 * len(waits))], 2),
         messages=round(sum(t[0] for t in traffic) / count / duration_s, 1),
--- a/jayseam/limits/models/weightings.py
+++ b/jayseam/limits/models/weightings.py
@@ -11,7 +11,7 @@
 
 
 @registry.register('none')
-def weigh_nothing(_: Mapping[str, float]) -> dict[str, float]:
+def omit_weights(_: Mapping[str, float]) -> dict[str, float]:
     """Returns no weights, as in a preset without them."""
     return {}
 
--- a/jayseam/limits/pools.py
+++ b/jayseam/limits/pools.py
@@ -1,18 +1,18 @@
-"""The bucket that an owner runs over the shares lent to it.
+"""The token buckets that an owner runs on the shares leased to it.
 
 Why the window bound holds. Let ``backing`` be the sum of the bursts of all
-loans that have not ended, by this owner's clock, and let ``spendable`` be the
+leases that have not ended, by this owner's clock, and let ``spendable`` be the
 level plus all tokens in batches that may still be spent. The pool keeps
 ``spendable <= backing`` at all times:
 
-- The level accrues at the sum of the lent rates only while the level plus the
+- The level accrues at the sum of the leased rates only while the level plus the
   outstanding batches is below ``backing``, and is cut when ``backing`` shrinks.
-- A batch is granted only out of loans that outlast it: those that end at least
-  `BATCH_HOLD_S` later. Without this rule a batch could outlive the loan behind
-  it, and the share could accrue at another owner while the batch is unspent.
-- A batch counts as outstanding until the entry reports it spent, returns it, or
-  it expires. The entry counts its expiry from the moment it asked, the owner
-  from the later moment it granted, with `accounts.CLOCK_DRIFT` added.
+- A batch is granted only from leases that outlast it: those that end at least
+  `BATCH_OUTSTANDING_S` later. Without this rule a batch could outlive its
+  lease, and the share could accrue at another owner while the batch is unspent.
+- A batch counts as outstanding until the entry reports it spent or returns it,
+  or until it expires. The entry counts the expiry from its request, the owner
+  from the later time of its grant, with `accounts.CLOCK_DRIFT` added.
 
 Each share is in the backing of at most one owner (see `accounts`), so the sum
 of spendable tokens over the fleet is at most the workspace's burst, and all
@@ -20,9 +20,9 @@
 are spent in any window of length w. The accrual is scaled by 1/1.001 so that a
 fast clock does not exceed the rate.
 
-A crash of the owner loses its level; batches in use stay valid, and their loans
-outlast them. An entry's crash loses its batches, which expire here unspent and
-are not credited. A report that is lost or late has the same effect.
+A crash of the owner loses its level; outstanding batches stay valid, and their
+leases outlast them. A crash of an entry loses its batches, which expire at the
+owner without credit. A report that is lost or late has the same effect.
 """
 
 import collections
@@ -33,25 +33,26 @@
 from jayseam.limits import accounts
 from jayseam.limits import buckets
 
-BATCH_S = 1.0
-BATCH_HOLD_S = BATCH_S * (1 + accounts.CLOCK_DRIFT)
+BATCH_LIFETIME_S = 1.0
+# Time for which the owner counts a batch as outstanding.
+BATCH_OUTSTANDING_S = BATCH_LIFETIME_S * (1 + accounts.CLOCK_DRIFT)
 _RATE_SCALE = 1 / (1 + accounts.CLOCK_DRIFT / 2)
-# Below this capacity a pool hands out fractions of a token, since it may never
-# hold a whole one.
-_WHOLE_TOKENS_FROM = 1.0
+# A bucket with a smaller capacity grants fractions of a token, because it may
+# never contain a whole token.
+_MIN_BURST_FOR_WHOLE_TOKENS = 1.0
 
 BatchKey = tuple[str, int, int]
 
 
 @attrs.frozen(slots=True)
-class Loan:
-    """The shares that one position lends to this owner.
+class Lease:
+    """A lease on the shares of one position, as the owner keeps it.
 
     Attributes:
       upstream: The position.
-      incarnation: The lending process.
-      shares: Its shares by workspace.
-      expires: End of the loan in seconds, counted from the request for it.
+      incarnation: Incarnation of the lending process.
+      shares: The position's shares by workspace.
+      expires: End of the lease in seconds, counted from the request for it.
     """
 
     upstream: str
@@ -69,26 +70,26 @@
 class _Ledger:
     """One workspace's bucket and outstanding batches."""
 
-    __slots__ = ('bucket', 'batches', 'held')
+    __slots__ = ('bucket', 'batches', 'outstanding')
 
     def __init__(self, now: float):
         self.bucket = buckets.Bucket(0.0, 0.0, 0.0, now)
         self.batches: collections.OrderedDict[BatchKey, _Batch]
         self.batches = collections.OrderedDict()
-        self.held = 0.0
+        self.outstanding = 0.0
 
-    def settle(self, now: float) -> None:
-        """Counts accrual and expiry up to ``now``."""
+    def advance(self, now: float) -> None:
+        """Applies accrual and expiry of batches up to ``now``."""
         while self.batches:
             key, batch = next(iter(self.batches.items()))
             if batch.expires > now:
                 break
-            self.bucket = self.bucket.refill(batch.expires, self.held)
-            self.remove(key, batch.amount)
-        self.bucket = self.bucket.refill(now, self.held)
+            self.bucket = self.bucket.refill(batch.expires, self.outstanding)
+            self.deduct(key, batch.amount)
+        self.bucket = self.bucket.refill(now, self.outstanding)
 
-    def remove(self, key: BatchKey, amount: float) -> float:
-        """Takes up to ``amount`` tokens off a batch; returns how many."""
+    def deduct(self, key: BatchKey, amount: float) -> float:
+        """Deducts up to ``amount`` tokens from a batch; returns how many."""
         batch = self.batches.get(key)
         if batch is None:
             return 0.0
@@ -96,102 +97,103 @@
         batch.amount -= taken
         if batch.amount <= 0.0:
             del self.batches[key]
-        # Recomputing avoids a drift of the sum through rounding.
-        self.held = sum(b.amount for b in self.batches.values())
+        # Recomputing the sum avoids an accumulation of rounding errors.
+        self.outstanding = sum(b.amount for b in self.batches.values())
         return taken
 
 
 class Pool:
-    """Holds loans and hands out batches of tokens.
+    """Holds the leases on one group and grants batches of tokens.
 
     >>> pool = Pool()
     >>> shares = {'w': accounts.Share(10.0, 5.0)}
-    >>> pool.add(Loan('u1', 1, shares, expires=2.0), now=0.0)
+    >>> pool.add_lease(Lease('u1', 1, shares, expires=2.0), now=0.0)
     True
-    >>> pool.draw('w', 3.0, ('vm', 1, 1), now=0.9) > 2.9
+    >>> pool.grant_batch('w', 3.0, ('vm', 1, 1), now=0.9) > 2.9
     True
     """
 
     def __init__(self) -> None:
-        self._loans: dict[str, Loan] = {}
+        self._leases: dict[str, Lease] = {}
         self._ledgers: dict[str, _Ledger] = {}
         self._next_end = float('inf')
 
-    def add(self, loan: Loan, now: float) -> bool:
-        """Counts or renews the loan of one position.
+    def add_lease(self, lease: Lease, now: float) -> bool:
+        """Adds or renews the lease of one position.
 
         Returns:
-          Whether it counts. It does not if it has ended, or if a higher
-          incarnation at the position has lent already.
+          Whether the lease was accepted. It is not if it has ended, or if a
+          higher incarnation at the position has granted a lease already.
         """
-        self.expire(now)
-        held = self._loans.get(loan.upstream)
-        if loan.expires <= now:
+        self.drop_expired_leases(now)
+        previous = self._leases.get(lease.upstream)
+        if lease.expires <= now:
             return False
-        if held is not None:
-            if held.incarnation > loan.incarnation:
+        if previous is not None:
+            if previous.incarnation > lease.incarnation:
                 return False
-            if held.incarnation == loan.incarnation:
-                expires = max(held.expires, loan.expires)
-                loan = attrs.evolve(loan, expires=expires)
-        self._loans[loan.upstream] = loan
-        if held is None or (
-            held.shares is not loan.shares and held.shares != loan.shares
+            if previous.incarnation == lease.incarnation:
+                expires = max(previous.expires, lease.expires)
+                lease = attrs.evolve(lease, expires=expires)
+        self._leases[lease.upstream] = lease
+        if previous is None or (
+            previous.shares is not lease.shares
+            and previous.shares != lease.shares
         ):
             self._resize(now)
-        self._next_end = min(self._next_end, loan.expires)
+        self._next_end = min(self._next_end, lease.expires)
         return True
 
-    def expire(self, now: float) -> None:
-        """Drops the loans that have ended by ``now``."""
+    def drop_expired_leases(self, now: float) -> None:
+        """Removes the leases that have ended by ``now``."""
         while self._next_end <= now:
             end = self._next_end
-            ended = [u for u, n in self._loans.items() if n.expires <= end]
+            ended = [u for u, n in self._leases.items() if n.expires <= end]
             for upstream in ended:
-                del self._loans[upstream]
+                del self._leases[upstream]
             if ended:
                 self._resize(end)
-            ends = (loan.expires for loan in self._loans.values())
+            ends = (lease.expires for lease in self._leases.values())
             self._next_end = min(ends, default=float('inf'))
 
     def clear(self) -> None:
-        """Gives up all loans and unspent tokens of the pool."""
-        self._loans.clear()
+        """Drops all leases and unspent tokens of the pool."""
+        self._leases.clear()
         self._ledgers.clear()
         self._next_end = float('inf')
 
-    def draw(
-        self, workspace: str, want: float, key: BatchKey, now: float
+    def grant_batch(
+        self, workspace: str, requested: float, key: BatchKey, now: float
     ) -> float:
-        """Hands out a batch of at most ``want`` tokens.
+        """Grants a batch of at most ``requested`` tokens.
 
         Args:
-          workspace: Whose tokens.
-          want: Tokens asked for.
+          workspace: Name of the workspace.
+          requested: Number of tokens requested.
           key: VM, incarnation and draw number of the entry; unique.
           now: Time in seconds.
 
         Returns:
-          The tokens of the batch; 0 if there are none.
+          Number of tokens in the batch; 0 if no batch was granted.
         """
-        self.expire(now)
+        self.drop_expired_leases(now)
         ledger = self._ledgers.get(workspace)
-        if ledger is None or want <= 0.0 or key in ledger.batches:
+        if ledger is None or requested <= 0.0 or key in ledger.batches:
             return 0.0
-        ledger.settle(now)
-        room = self._lasting_burst(workspace, now) - ledger.held
-        amount = min(want, ledger.bucket.level, room)
-        if ledger.bucket.burst >= _WHOLE_TOKENS_FROM:
+        ledger.advance(now)
+        room = self._sum_outlasting_bursts(workspace, now) - ledger.outstanding
+        amount = min(requested, ledger.bucket.level, room)
+        if ledger.bucket.burst >= _MIN_BURST_FOR_WHOLE_TOKENS:
             amount = float(int(amount + 1e-9))
             amount = min(amount, ledger.bucket.level)
         if amount <= 0.0:
             return 0.0
         ledger.bucket = ledger.bucket.add(-amount)
-        ledger.batches[key] = _Batch(amount, now + BATCH_HOLD_S)
-        ledger.held += amount
+        ledger.batches[key] = _Batch(amount, now + BATCH_OUTSTANDING_S)
+        ledger.outstanding += amount
         return amount
 
-    def settle_batch(
+    def apply_report(
         self,
         workspace: str,
         key: BatchKey,
@@ -199,41 +201,43 @@
         returned: float,
         now: float,
     ) -> None:
-        """Takes an entry's report of a batch into account.
+        """Applies an entry's report of the use of a batch.
 
         Args:
-          workspace: Whose tokens.
-          key: The batch.
+          workspace: Name of the workspace.
+          key: Key of the batch.
           spent: Tokens spent since the last report.
-          returned: Tokens that the entry has given up unspent.
+          returned: Unspent tokens that the entry returns.
           now: Time in seconds.
         """
-        self.expire(now)
+        self.drop_expired_leases(now)
         ledger = self._ledgers.get(workspace)
         if ledger is None:
             return
-        ledger.settle(now)
-        ledger.remove(key, max(0.0, spent))
-        credit = ledger.remove(key, max(0.0, returned))
-        ledger.bucket = ledger.bucket.add(credit).refill(now, ledger.held)
+        ledger.advance(now)
+        ledger.deduct(key, max(0.0, spent))
+        credit = ledger.deduct(key, max(0.0, returned))
+        ledger.bucket = ledger.bucket.add(credit).refill(
+            now, ledger.outstanding
+        )
 
     def level(self, workspace: str, now: float) -> float:
         """Returns the tokens that are in the bucket at ``now``."""
-        self.expire(now)
+        self.drop_expired_leases(now)
         ledger = self._ledgers.get(workspace)
         if ledger is None:
             return 0.0
-        ledger.settle(now)
+        ledger.advance(now)
         return ledger.bucket.level
 
     def backing(self, workspace: str, now: float) -> float:
-        """Returns the sum of the bursts lent to this pool at ``now``."""
-        self.expire(now)
+        """Returns the sum of the leased bursts at ``now``."""
+        self.drop_expired_leases(now)
         ledger = self._ledgers.get(workspace)
         return 0.0 if ledger is None else ledger.bucket.burst
 
     def totals(self) -> Mapping[str, accounts.Share]:
-        """Returns the rate and burst lent to this pool, by workspace."""
+        """Returns the leased rate and burst by workspace."""
         return {
             name: accounts.Share(
                 ledger.bucket.rate_per_s / _RATE_SCALE, ledger.bucket.burst
@@ -242,33 +246,35 @@
         }
 
     def describe(self, now: float) -> dict[str, float]:
-        """Returns the number of loans and outstanding tokens."""
-        self.expire(now)
-        held = sum(ledger.held for ledger in self._ledgers.values())
-        return {'loans': len(self._loans), 'outstanding': held}
+        """Returns the numbers of leases and outstanding tokens."""
+        self.drop_expired_leases(now)
+        outstanding = sum(
+            ledger.outstanding for ledger in self._ledgers.values()
+        )
+        return {'loans': len(self._leases), 'outstanding': outstanding}
 
-    def _lasting_burst(self, workspace: str, now: float) -> float:
-        limit = now + BATCH_HOLD_S
+    def _sum_outlasting_bursts(self, workspace: str, now: float) -> float:
+        limit = now + BATCH_OUTSTANDING_S
         return sum(
-            loan.shares.get(workspace, accounts.NOTHING).burst
-            for loan in self._loans.values()
-            if loan.expires >= limit
+            lease.shares.get(workspace, accounts.NO_SHARE).burst
+            for lease in self._leases.values()
+            if lease.expires >= limit
         )
 
     def _resize(self, now: float) -> None:
-        names = {n for loan in self._loans.values() for n in loan.shares}
+        names = {n for lease in self._leases.values() for n in lease.shares}
         for name in names | set(self._ledgers):
             ledger = self._ledgers.setdefault(name, _Ledger(now))
-            ledger.settle(now)
+            ledger.advance(now)
             parts = [
-                loan.shares[name]
-                for loan in self._loans.values()
-                if name in loan.shares
+                lease.shares[name]
+                for lease in self._leases.values()
+                if name in lease.shares
             ]
             ledger.bucket = ledger.bucket.resize(
                 sum(p.rate_per_s for p in parts) * _RATE_SCALE,
                 sum(p.burst for p in parts),
-                ledger.held,
+                ledger.outstanding,
             )
             if not parts and not ledger.batches:
                 del self._ledgers[name]
--- a/jayseam/limits/strategies.py
+++ b/jayseam/limits/strategies.py
@@ -1,22 +1,24 @@
 """Strategies that enforce the fleet-wide limits, as pure state machines.
 
-A strategy decides, and its caller does the I/O: `Strategy.poll` returns
-requests to send, `Strategy.answer` handles a peer's message, and
-`Strategy.receive` takes the reply to a request or its failure. `task` runs it
-in a node, `models` in a model of a fleet.
-
-`escrow` divides the positions of an availability zone into cells of at most
-`cells.CELL_SIZE`. In each cell, one owner for each group of workspaces borrows
-the shares of the cell's positions (see `accounts`) and runs a bucket over them
-(see `pools`). An entry draws from the owner of its own cell, and from those of
-other cells for what that owner lacks. Cells bound the messages that an owner
-receives whatever the size of the fleet, keep a zone that is cut off supplied by
-its own shares, and let the other cells supply entries whose owner has failed.
-The bound does not depend on agreement about members, cells or owners: it rests
-on each share being lent to one borrower at a time.
-
-`owner` has one owner of each group over the whole fleet, which uses the full
-rate after a wait. Two owners on the sides of a partition both use it, so it
+A strategy makes the decisions, and its caller does the I/O:
+`EscrowStrategy.poll` returns messages to send, `EscrowStrategy.handle_message`
+handles a message of another node, and `EscrowStrategy.handle_reply` handles the
+reply to a request or its failure. `task` runs a strategy in a node, `models` in
+a model of a fleet.
+
+`escrow` divides the positions of an availability zone into cells of about
+`cells.CELL_SIZE`. In each cell, one owner per workspace group leases the shares
+of the cell's positions (see `accounts`) and runs token buckets on them (see
+`pools`). An entry, which is a node that admits calls, draws tokens from the
+owner in its own cell, and from owners in other cells if that owner has too few.
+Cells bound the messages that an owner receives whatever the size of the fleet,
+supply a zone that is cut off from its own shares, and let other cells supply
+entries whose owner has failed. The bound does not depend on agreement about
+members, cells or owners, only on each share being leased to one borrower at a
+time.
+
+`owner` has one owner per group in the whole fleet, which uses the full rate
+after a wait. In a partition, the owner on each side uses the full rate, so it
 breaks the bound. `static` leaves each position its own share and sends no
 messages. Both are baselines for measurements, in `baselines`.
 """
@@ -35,35 +37,38 @@
 from jayseam.limits import pools
 from jayseam.limits import wallets
 
-RENEW_S = 0.4
-# One draw per owner in this period, apart from calls that wait. Draws carry the
-# reports; an owner that is sent no draw gets its reports every second period.
-DRAW_S = 0.2
-REPORT_EVERY = 2
-# Below this burst in each cell, in tokens, spending is reported at the next
-# poll: a token that is spent and not reported keeps the bucket from accruing
-# another.
-TIGHT_BURST = 4.0
+RENEWAL_PERIOD_S = 0.4
+# An entry sends an owner one draw in this period, and further draws only for
+# waiting calls. Draws carry the reports; an owner that is sent no draw receives
+# its reports every second period.
+DRAW_PERIOD_S = 0.2
+REPORT_EVERY_PERIODS = 2
+# Below this burst per cell, in tokens, spending is reported at the next poll,
+# because the bucket can't replace a spent token before it is reported.
+SMALL_BURST = 4.0
 REQUEST_TIMEOUT_S = 0.25
-# A request that took this much longer than its timeout, in seconds, was held up
-# in this process, and says nothing of its receiver.
-HELD_UP_S = 0.1
-# A member that should own a group but has not asked for shares for this long
-# is passed over.
-SILENT_S = 1.2
-# An owner that failed to answer is passed over for this long.
-FAILED_S = 1.0
-# A lender that no owner has asked for this long may have been cut off itself.
-# It then gives the owners that rank first a period and a margin to ask.
-GAP_S = 1.0
-GRACE_S = RENEW_S + 0.1
-# An owner that lacked tokens is not asked for the same workspace for this long.
-# The time doubles with each further lack, because entries of a workspace that
-# is over its rate would otherwise ask all owners all the time.
-SHORT_S = 0.1
-# Bound of that time for each cell, which bounds what an entry sends to all.
-MAX_SHORT_S = 0.2
-# A process that reaches no peer of its zone for this long may have been
+# A request that took this much longer than its timeout was delayed by a stall
+# of this process, so its failure says nothing about the receiver.
+LOCAL_STALL_S = 0.1
+# A member that should own a group but has not requested leases for this time is
+# passed over.
+SILENT_OWNER_S = 1.2
+# An owner that did not reply is passed over for this time.
+FAILED_OWNER_S = 1.0
+# A lender that has received no lease request for this time may have been cut
+# off itself. From the next request on it lends only to the owners that rank
+# first, for a grace time of one renewal period and a margin.
+REQUEST_GAP_S = 1.0
+REQUEST_GRACE_S = RENEWAL_PERIOD_S + 0.1
+# Backoff of an entry towards an owner that granted fewer tokens than requested,
+# for one workspace. It doubles with each further short grant, because entries
+# of a workspace over its rate would otherwise send draws to all owners all the
+# time.
+INITIAL_BACKOFF_S = 0.1
+# The largest backoff is this time multiplied by the number of cells, which
+# bounds the rate of draws that an entry sends to all owners together.
+MAX_BACKOFF_PER_CELL_S = 0.2
+# A process that hears from no peer in its zone for this time may have been
 # replaced at its position, and stops lending.
 ISOLATED_S = 5.0
 MAX_WAIT_S = 0.5
@@ -76,83 +81,94 @@
     """A message to send.
 
     Attributes:
-      vm: Receiver.
+      vm: VM of the receiver.
       message: The message.
-      asked: Time in seconds at which it was decided on. Loans and batches that
-        the reply brings are counted from here.
-      wants_reply: Whether it is a request.
+      created_at: Time in seconds at which the message was created. Leases and
+        batches granted in the reply are counted from this time.
+      wants_reply: Whether the message is a request.
     """
 
     vm: str
     message: Any
-    asked: float
+    created_at: float
     wants_reply: bool = True
 
 
 def _compact(amount: float) -> float:
-    """Returns a whole number as an int, which takes fewer bytes."""
+    """Returns a whole number as an int, which is encoded in fewer bytes."""
     return int(amount) if amount == int(amount) else amount
 
 
 @attrs.frozen(slots=True)
-class _Lack:
-    """An owner's lack of tokens of one workspace."""
+class _Backoff:
+    """Backoff towards one owner, for one workspace.
+
+    Attributes:
+      until: Time in seconds at which the backoff ends.
+      wait_s: Length of the backoff.
+    """
 
     until: float
     wait_s: float
 
 
-_NO_LACK = _Lack(-math.inf, SHORT_S / 2)
+_NO_BACKOFF = _Backoff(-math.inf, INITIAL_BACKOFF_S / 2)
 
 
 @attrs.define(slots=True)
-class _Requests:
-    """When owners asked a lender for its shares.
+class _LeaseRequests:
+    """Times of the lease requests that a lender receives.
 
     Attributes:
       last: Time in seconds of the last request.
-      grace_until: Time in seconds until which the owners that rank first are
-        waited for.
+      grace_until: Time in seconds until which the lender lends only to the
+        owners that rank first.
     """
 
     last: float
     grace_until: float
 
-    def note(self, now: float) -> None:
-        """Notes a request; the first one after a gap begins a grace."""
-        if now - self.last > GAP_S:
-            self.grace_until = now + GRACE_S
+    def record(self, now: float) -> None:
+        """Records a request; the first after a gap starts a grace time."""
+        if now - self.last > REQUEST_GAP_S:
+            self.grace_until = now + REQUEST_GRACE_S
         self.last = now
 
 
-class _Stock:
-    """The entry's side of a strategy: its wallets and counters."""
+class _EntryState:
+    """State of the entry: wallets and counters.
+
+    Attributes:
+      wallets: Wallet by workspace.
+      active: Workspaces whose wallets are in use.
+      expired_tokens: Drawn tokens that expired unspent.
+    """
 
     def __init__(self) -> None:
         self.wallets: dict[str, wallets.Wallet] = {}
         self.active: set[str] = set()
-        self.lost = 0.0
+        self.expired_tokens = 0.0
 
-    def wallet(self, workspace: str) -> wallets.Wallet:
-        """Returns the workspace's wallet, marked as active."""
+    def get_wallet(self, workspace: str) -> wallets.Wallet:
+        """Returns the workspace's wallet and marks it as active."""
         self.active.add(workspace)
         return self.wallets.setdefault(workspace, wallets.Wallet())
 
 
 @registry.register('escrow')
-class Strategy:
-    """The escrowed owner, and the frame of the other strategies.
+class EscrowStrategy:
+    """Cell owners with leased shares, and base class of the baselines.
 
     Args:
       vm: Name of the own VM.
-      upstream: The own position.
-      zone: The own availability zone.
-      incarnation: The own incarnation.
+      upstream: Name of the own upstream position.
+      zone: Name of the own availability zone.
+      incarnation: Incarnation of the own process.
       now: Time in seconds at which the process started.
 
     Attributes:
-      counts_leaving: Whether members that are leaving take part. They own and
-        lend nothing here.
+      counts_leaving: Whether members that are leaving take part. In this
+        strategy they own and lend nothing.
     """
 
     counts_leaving = False
@@ -163,22 +179,22 @@
         self.member = cells.Member(vm, upstream, incarnation, zone)
         self.topology = cells.Topology(self.member, self._assign_cells)
         self.account = accounts.Account(upstream, now)
-        self.pools = [pools.Pool() for _ in range(cells.GROUPS)]
+        self.pools = [pools.Pool() for _ in range(cells.GROUP_COUNT)]
         self.leaving = False
-        self._stock = _Stock()
-        self._number = 0
-        self._heard: dict[str, float] = {}
+        self._entry = _EntryState()
+        self._draw_number = 0
+        self._last_request_at: dict[str, float] = {}
         self._expected_since: dict[tuple[int, str], float] = {}
-        self._peer_heard = now
-        self._asked = _Requests(now, now)
-        self._failed: dict[str, float] = {}
-        self._short: dict[tuple[str, str], _Lack] = {}
-        self._busy: set[tuple[str, type]] = set()
-        self._known: dict[str, dict[int, accounts.Shares]] = {}
-        self._lender_digest: dict[str, str] = {}
-        self._renew_at = now
-        self._draw_at = now
-        self._periods = 0
+        self._peer_heard_at = now
+        self._lease_requests = _LeaseRequests(now, now)
+        self._failed_at: dict[str, float] = {}
+        self._backoffs: dict[tuple[str, str], _Backoff] = {}
+        self._in_flight: set[tuple[str, type]] = set()
+        self._shares_by_digest: dict[str, dict[int, accounts.Shares]] = {}
+        self._digest_by_lender: dict[str, str] = {}
+        self._next_renewal_at = now
+        self._next_draw_at = now
+        self._draw_periods = 0
         self._limits: dict[str, accounts.Share] = {}
 
     # Configuration and membership.
@@ -187,24 +203,28 @@
         """Does nothing: shares never exceed the rate."""
 
     def set_preset(self, preset: Any, version: int, now: float) -> None:
-        """Takes over a version of the preset."""
+        """Applies a version of the preset."""
         self.account.set_preset(preset, version, now)
         self._limits = {
             name: accounts.Share(w.rate_per_s, w.burst)
             for name, w in preset.workspaces.items()
         }
-        for name in set(self._stock.wallets) - set(self._limits):
-            del self._stock.wallets[name]
-            self._stock.active.discard(name)
+        for name in set(self._entry.wallets) - set(self._limits):
+            del self._entry.wallets[name]
+            self._entry.active.discard(name)
         self.topology.set_positions(preset.upstreams)
 
     def set_members(self, members: Iterable[Any]) -> None:
-        """Takes over the live members (alive or suspect), the own included."""
+        """Sets the live members (alive or suspect), including the own one."""
         self.topology.set_members(members)
         present = self.topology.members
-        for known in (self._heard, self._failed, self._lender_digest):
-            for vm in set(known) - set(present):
-                del known[vm]
+        for table in (
+            self._last_request_at,
+            self._failed_at,
+            self._digest_by_lender,
+        ):
+            for vm in set(table) - set(present):
+                del table[vm]
         self._expected_since = {
             key: since
             for key, since in self._expected_since.items()
@@ -218,7 +238,7 @@
         own: cells.Member,
     ) -> dict[str, str]:
         """Returns the cell of each member's VM."""
-        return cells.join_cells(members, zones, own)
+        return cells.assign_member_cells(members, zones, own)
 
     # Calls.
 
@@ -230,38 +250,38 @@
         """
         if workspace not in self._limits:
             return False
-        wallet = self._stock.wallet(workspace)
-        wallet.note(cost, now)
-        return wallet.take(cost, now)
+        wallet = self._entry.get_wallet(workspace)
+        wallet.record_demand(cost, now)
+        return wallet.try_spend(cost, now)
 
     def enqueue(self, workspace: str, waiter: wallets.Waiter) -> bool:
-        """Lets a call wait for tokens; returns whether it may."""
+        """Queues a call that waits for tokens; returns whether it may wait."""
         limit = self._limits.get(workspace)
         if limit is None or limit.burst < waiter.cost:
             return False
-        return self._stock.wallet(workspace).enqueue(waiter)
+        return self._entry.get_wallet(workspace).enqueue(waiter)
 
-    def withdraw(self, workspace: str, call: int) -> None:
-        """Removes a waiting call that gives up."""
-        wallet = self._stock.wallets.get(workspace)
+    def remove_waiter(self, workspace: str, call: int) -> None:
+        """Removes a call that stops waiting."""
+        wallet = self._entry.wallets.get(workspace)
         if wallet is not None:
-            wallet.withdraw(call)
+            wallet.remove_waiter(call)
 
-    def serve(self, now: float) -> list[int]:
-        """Returns the waiting calls that now have their tokens."""
+    def admit_waiters(self, now: float) -> list[int]:
+        """Spends tokens for waiting calls; returns the admitted calls."""
         return [
             call
-            for name in sorted(self._stock.active)
-            for call in self._stock.wallets[name].serve(now)
+            for name in sorted(self._entry.active)
+            for call in self._entry.wallets[name].admit_waiters(now)
         ]
 
     def retry_after(self, workspace: str, cost: float) -> float:
-        """Returns when a refused call may have success, in seconds."""
+        """Returns the time until a refused call may succeed, in seconds."""
         limit = self._limits.get(workspace)
         if limit is None or limit.rate_per_s <= 0:
             return 60.0
-        wallet = self._stock.wallets.get(workspace)
-        waiting = wallet.waiting() if wallet is not None else 0.0
+        wallet = self._entry.wallets.get(workspace)
+        waiting = wallet.waiting_cost() if wallet is not None else 0.0
         return min(60.0, max(0.1, (waiting + cost) / limit.rate_per_s))
 
     # Messages.
@@ -271,38 +291,38 @@
         if self.leaving:
             return []
         out: list[Outgoing] = []
-        if now >= self._renew_at:
-            self._renew_at = now + RENEW_S
-            out += self._renew(now)
-        if now >= self._draw_at:
-            self._draw_at = now + DRAW_S
-            self._forget_idle(now)
-            self._periods += 1
-            reporting = self._periods % REPORT_EVERY == 0
-            out += self._draw(sorted(self._stock.active), now, reporting)
+        if now >= self._next_renewal_at:
+            self._next_renewal_at = now + RENEWAL_PERIOD_S
+            out += self._renew_leases(now)
+        if now >= self._next_draw_at:
+            self._next_draw_at = now + DRAW_PERIOD_S
+            self._drop_idle_wallets(now)
+            self._draw_periods += 1
+            reporting = self._draw_periods % REPORT_EVERY_PERIODS == 0
+            out += self._draw_tokens(sorted(self._entry.active), now, reporting)
         else:
-            wallets_ = self._stock.wallets
-            names = [n for n in self._stock.active if wallets_[n].has_waiting()]
-            out += self._draw(sorted(names), now, reporting=False)
-            out += self._report_tight(now)
-        return self._answer_own(out, now)
+            wallets_ = self._entry.wallets
+            names = [n for n in self._entry.active if wallets_[n].has_waiters()]
+            out += self._draw_tokens(sorted(names), now, reporting=False)
+            out += self._report_small_bursts(now)
+        return self._deliver_to_self(out, now)
 
-    def answer(self, sender: str, message: Any, now: float) -> Any:
-        """Handles a peer's message and returns the reply, if it has one.
+    def handle_message(self, sender: str, message: Any, now: float) -> Any:
+        """Handles a message of another node; returns the reply, or None.
 
         Raises:
-          UnknownMessageError: If the message is no request or notification of
-            this subpackage.
+          UnknownMessageError: If the message is not a request or notification
+            of this subpackage.
         """
-        if self.topology.is_peer(sender):
-            self._peer_heard = now
-        self._failed.pop(sender, None)
+        if self.topology.is_zone_peer(sender):
+            self._peer_heard_at = now
+        self._failed_at.pop(sender, None)
         if isinstance(message, messages.Borrow):
-            return self._lend(sender, message, now)
+            return self._handle_borrow(sender, message, now)
         if isinstance(message, messages.Draw):
-            return self._grant(sender, message, now)
+            return self._handle_draw(sender, message, now)
         if isinstance(message, messages.Report):
-            self._settle(sender, message, now)
+            self._apply_reports(sender, message, now)
         elif isinstance(message, messages.Release):
             for group in message.groups:
                 self.account.release(
@@ -310,49 +330,53 @@
                     sender,
                     message.incarnation,
                     now,
-                    pools.BATCH_HOLD_S,
+                    pools.BATCH_OUTSTANDING_S,
                 )
         else:
             kind = type(message).__name__
             raise errors.UnknownMessageError(f'unexpected {kind} from {sender}')
         return None
 
-    def receive(self, sent: Outgoing, reply: Any, now: float) -> None:
-        """Takes the reply to a request; None if there was none in time."""
-        self._busy.discard((sent.vm, type(sent.message)))
+    def handle_reply(self, sent: Outgoing, reply: Any, now: float) -> None:
+        """Handles the reply to a request; None means that it failed."""
+        self._in_flight.discard((sent.vm, type(sent.message)))
         if reply is None:
-            if now - sent.asked <= REQUEST_TIMEOUT_S + HELD_UP_S:
-                self._failed[sent.vm] = now
-        elif self.topology.is_peer(sent.vm):
-            self._peer_heard = now
+            if now - sent.created_at <= REQUEST_TIMEOUT_S + LOCAL_STALL_S:
+                self._failed_at[sent.vm] = now
+        elif self.topology.is_zone_peer(sent.vm):
+            self._peer_heard_at = now
         if isinstance(sent.message, messages.Borrow):
             if isinstance(reply, messages.Lend):
-                self._borrowed(sent, reply, now)
+                self._handle_lend(sent, reply, now)
         elif isinstance(sent.message, messages.Draw):
-            self._drawn(sent, reply, now)
+            self._handle_grant(sent, reply, now)
 
     # Upkeep.
 
     def drop_expired(self, now: float) -> None:
-        """Drops the loans and batches that have expired, as after a pause."""
+        """Removes expired leases and batches, for example after a pause."""
         for pool in self.pools:
-            pool.expire(now)
-        for wallet in self._stock.wallets.values():
-            self._stock.lost += wallet.drop_expired(now)
+            pool.drop_expired_leases(now)
+        for wallet in self._entry.wallets.values():
+            self._entry.expired_tokens += wallet.drop_expired(now)
 
-    def hand_back(self, now: float) -> list[Outgoing]:
-        """Stops lending and owning, and returns tokens and shares."""
+    def release_all(self, now: float) -> list[Outgoing]:
+        """Stops lending and owning groups.
+
+        Returns:
+          The messages that return tokens to owners and leases to lenders.
+        """
         self.leaving = True
         out = []
-        for vm, rows in self._collect(now, everything=True).items():
+        for vm, rows in self._collect_reports(now, return_all=True).items():
             report = messages.Report(self.member.incarnation, rows)
             out.append(Outgoing(vm, report, now, wants_reply=False))
         groups = [
             g
-            for g in range(cells.GROUPS)
+            for g in range(cells.GROUP_COUNT)
             if self.pools[g].describe(now)['loans']
         ]
-        lenders = [vm for vm in self._lender_digest if vm != self.member.vm]
+        lenders = [vm for vm in self._digest_by_lender if vm != self.member.vm]
         for pool in self.pools:
             pool.clear()
         if groups:
@@ -362,27 +386,27 @@
             ]
         return [o for o in out if o.vm != self.member.vm]
 
-    def stock(self, workspace: str, now: float) -> float:
-        """Returns the tokens of a workspace that this entry can spend."""
-        wallet = self._stock.wallets.get(workspace)
-        return 0.0 if wallet is None else wallet.stock(now)
+    def available(self, workspace: str, now: float) -> float:
+        """Returns the workspace's tokens that this entry can spend."""
+        wallet = self._entry.wallets.get(workspace)
+        return 0.0 if wallet is None else wallet.available(now)
 
     def explain(self, workspace: str, now: float) -> dict[str, Any]:
-        """Returns what a decision on a workspace's calls rests on, for logs."""
-        limit = self._limits.get(workspace, accounts.NOTHING)
+        """Returns the state behind the decisions on a workspace, for logs."""
+        limit = self._limits.get(workspace, accounts.NO_SHARE)
         return {
             'rate_per_s': limit.rate_per_s,
-            'stock': round(self.stock(workspace, now), 2),
+            'stock': round(self.available(workspace, now), 2),
         }
 
-    def tokens_lost(self) -> float:
+    def count_expired_tokens(self) -> float:
         """Returns the tokens that expired unspent in wallets."""
-        return self._stock.lost
+        return self._entry.expired_tokens
 
     def describe(self, now: float) -> dict[str, Any]:
         """Returns the state for the status page."""
         return {
-            'cell': self.topology.cell,
+            'cell': self.topology.own_cell,
             'lending': self._may_lend(now),
             'account': self.account.describe(now),
             'owned': {
@@ -391,35 +415,37 @@
                 if pool.describe(now)['loans']
             },
             'stock': {
-                name: round(self._stock.wallets[name].stock(now), 3)
-                for name in sorted(self._stock.active)
+                name: round(self._entry.wallets[name].available(now), 3)
+                for name in sorted(self._entry.active)
             },
         }
 
-    # The lender's side.
+    # Lender.
 
     def _may_lend(self, now: float) -> bool:
-        if self.leaving or self.topology.replaced:
+        if self.leaving or self.topology.is_replaced:
             return False
-        isolated = now - self._peer_heard > ISOLATED_S
-        return not (self.topology.had_peers and isolated)
+        isolated = now - self._peer_heard_at > ISOLATED_S
+        return not (self.topology.had_zone_peers and isolated)
 
-    def _lend(
+    def _handle_borrow(
         self, sender: str, message: messages.Borrow, now: float
     ) -> messages.Lend:
         if message.groups:
-            self._heard[sender] = now
+            self._last_request_at[sender] = now
             if sender != self.member.vm:
-                self._asked.note(now)
-        shares, digest = self.account.shares(now)
+                self._lease_requests.record(now)
+        shares, digest = self.account.get_shares(now)
         lent = []
         if self._may_lend(now):
             lent = [
                 group
                 for group in message.groups
-                if 0 <= group < cells.GROUPS
-                and self._is_owner(sender, group, now)
-                and self.account.lend(group, sender, message.incarnation, now)
+                if 0 <= group < cells.GROUP_COUNT
+                and self._may_borrow(sender, group, now)
+                and self.account.grant_lease(
+                    group, sender, message.incarnation, now
+                )
             ]
         return messages.Lend(
             self.member.upstream,
@@ -429,177 +455,202 @@
             accounts.encode_shares(shares) if message.need_shares else None,
         )
 
-    def _is_owner(self, vm: str, group: int, now: float) -> bool:
-        """Tells whether a VM gets the own shares of a group.
+    def _may_borrow(self, vm: str, group: int, now: float) -> bool:
+        """Returns whether a VM may lease the own shares of a group.
 
-        After a gap, those that ask first may be members that took the owner
-        for silent because they were cut off themselves. A share that is lent
-        to one of them is out of the owner's reach until the loan ends.
+        After a gap in the requests, the first requests may come from members
+        that considered the owner silent because they were cut off themselves. A
+        share that is leased to such a member is unavailable to the owner until
+        the lease ends.
         """
-        if now < self._asked.grace_until:
-            return self.topology.rank(self.topology.cell, group)[:1] == [vm]
-        return self._top(group, now) == vm
-
-    def _top(self, group: int, now: float) -> str | None:
-        """Returns the group's owner in the own cell, as seen here."""
-        for vm in self.topology.rank(self.topology.cell, group):
+        if now < self._lease_requests.grace_until:
+            return self.topology.rank_owners(self.topology.own_cell, group)[
+                :1
+            ] == [vm]
+        return self._find_owner(group, now) == vm
+
+    def _find_owner(self, group: int, now: float) -> str | None:
+        """Returns the group's owner in the own cell, in this node's view."""
+        for vm in self.topology.rank_owners(self.topology.own_cell, group):
             if vm == self.member.vm:
                 return vm
             since = self._expected_since.setdefault((group, vm), now)
-            if now - max(since, self._heard.get(vm, since)) <= SILENT_S:
+            if (
+                now - max(since, self._last_request_at.get(vm, since))
+                <= SILENT_OWNER_S
+            ):
                 return vm
         return None
 
-    # The owner's side.
+    # Owner.
 
-    def _renew(self, now: float) -> list[Outgoing]:
+    def _renew_leases(self, now: float) -> list[Outgoing]:
         me = self.member.vm
-        own = [g for g in range(cells.GROUPS) if self._top(g, now) == me]
-        if not own:
+        owned = [
+            g
+            for g in range(cells.GROUP_COUNT)
+            if self._find_owner(g, now) == me
+        ]
+        if not owned:
             return self._probe(now)
-        _, digest = self.account.shares(now)
+        _, digest = self.account.get_shares(now)
         out = []
-        for vm in self._cell_members():
-            if (vm, messages.Borrow) in self._busy:
+        for vm in self._list_cell_members():
+            if (vm, messages.Borrow) in self._in_flight:
                 continue
-            known = self._lender_digest.get(vm, digest)
+            known = self._digest_by_lender.get(vm, digest)
             borrow = messages.Borrow(
-                self.member.incarnation, own, known not in self._known
+                self.member.incarnation,
+                owned,
+                known not in self._shares_by_digest,
             )
-            self._busy.add((vm, messages.Borrow))
+            self._in_flight.add((vm, messages.Borrow))
             out.append(Outgoing(vm, borrow, now))
         return out
 
     def _probe(self, now: float) -> list[Outgoing]:
-        """Contacts a peer of the zone if none has been heard for some time."""
-        if not self.topology.peers or now - self._peer_heard < ISOLATED_S / 2:
+        """Returns an empty request to a zone peer if none was heard lately."""
+        if (
+            not self.topology.zone_peers
+            or now - self._peer_heard_at < ISOLATED_S / 2
+        ):
             return []
-        vm = self.topology.peers[int(now / RENEW_S) % len(self.topology.peers)]
-        if (vm, messages.Borrow) in self._busy:
+        vm = self.topology.zone_peers[
+            int(now / RENEWAL_PERIOD_S) % len(self.topology.zone_peers)
+        ]
+        if (vm, messages.Borrow) in self._in_flight:
             return []
-        self._busy.add((vm, messages.Borrow))
+        self._in_flight.add((vm, messages.Borrow))
         borrow = messages.Borrow(self.member.incarnation, [])
         return [Outgoing(vm, borrow, now)]
 
-    def _cell_members(self) -> Sequence[str]:
-        return self.topology.rank(self.topology.cell, 0)
+    def _list_cell_members(self) -> Sequence[str]:
+        return self.topology.rank_owners(self.topology.own_cell, 0)
 
-    def _borrowed(
+    def _handle_lend(
         self, sent: Outgoing, reply: messages.Lend, now: float
     ) -> None:
-        self._lender_digest[sent.vm] = reply.digest
+        self._digest_by_lender[sent.vm] = reply.digest
         if reply.shares is not None:
-            self._learn(reply.digest, reply.shares)
-        table = self._known.get(reply.digest)
+            self._store_shares(reply.digest, reply.shares)
+        table = self._shares_by_digest.get(reply.digest)
         if table is None:
             return
         for group in reply.groups:
-            loan = pools.Loan(
+            lease = pools.Lease(
                 reply.upstream,
                 reply.incarnation,
                 table.get(group, {}),
-                sent.asked + accounts.LOAN_S,
+                sent.created_at + accounts.LEASE_S,
             )
             if group in sent.message.groups and not self.leaving:
-                self.pools[group].add(loan, now)
+                self.pools[group].add_lease(lease, now)
 
-    def _learn(self, digest: str, shares: dict[str, list[float]]) -> None:
-        used = set(self._lender_digest.values())
-        for old in set(self._known) - used:
-            del self._known[old]
+    def _store_shares(
+        self, digest: str, shares: dict[str, list[float]]
+    ) -> None:
+        used = set(self._digest_by_lender.values())
+        for old in set(self._shares_by_digest) - used:
+            del self._shares_by_digest[old]
         table: dict[int, dict[str, accounts.Share]] = {}
         for name, (rate, burst) in shares.items():
             part = table.setdefault(cells.group_of(name), {})
             part[name] = accounts.Share(rate, burst)
-        self._known[digest] = table
+        self._shares_by_digest[digest] = table
 
-    def _grant(
+    def _handle_draw(
         self, sender: str, message: messages.Draw, now: float
     ) -> messages.Grant:
-        self._settle(sender, message, now)
+        self._apply_reports(sender, message, now)
         key = (sender, message.incarnation, message.number)
         amounts = {}
         if not self.leaving:
             for name, want in message.wants.items():
                 pool = self.pools[cells.group_of(name)]
-                amount = pool.draw(name, want, key, now)
+                amount = pool.grant_batch(name, want, key, now)
                 if amount > 0:
                     amounts[name] = _compact(amount)
         return messages.Grant(message.number, amounts)
 
-    def _settle(
+    def _apply_reports(
         self, sender: str, message: messages.Draw | messages.Report, now: float
     ) -> None:
         for number, name, spent, returned in message.reports:
             key = (sender, message.incarnation, number)
             pool = self.pools[cells.group_of(name)]
-            pool.settle_batch(name, key, spent, returned, now)
+            pool.apply_report(name, key, spent, returned, now)
 
-    # The entry's side.
+    # Entry.
 
-    def _forget_idle(self, now: float) -> None:
-        for name in list(self._stock.active):
-            wallet = self._stock.wallets[name]
-            self._stock.lost += wallet.drop_expired(now)
+    def _drop_idle_wallets(self, now: float) -> None:
+        for name in list(self._entry.active):
+            wallet = self._entry.wallets[name]
+            self._entry.expired_tokens += wallet.drop_expired(now)
             if wallet.is_idle(now):
-                self._stock.active.discard(name)
-                del self._stock.wallets[name]
-        self._short = {
-            key: lack
-            for key, lack in self._short.items()
-            if lack.until > now - self._max_short_s()
+                self._entry.active.discard(name)
+                del self._entry.wallets[name]
+        self._backoffs = {
+            key: backoff
+            for key, backoff in self._backoffs.items()
+            if backoff.until > now - self._max_backoff_s()
         }
 
-    def _stock_s(self, workspace: str) -> float:
-        """Returns the stock to hold, in seconds of demand.
+    def _compute_prefetch_s(self, workspace: str) -> float:
+        """Returns how many tokens to prefetch, in seconds of demand.
 
-        The stocks of all entries together stay under half of the burst, because
-        drawn tokens count against it.
+        The prefetched tokens of all entries together stay below half of the
+        burst, because drawn tokens count against it.
         """
-        return min(wallets.STOCK_S, self._fill_s(workspace) / 2)
+        return min(wallets.PREFETCH_S, self._compute_fill_s(workspace) / 2)
 
-    def _fill_s(self, workspace: str) -> float:
-        """Returns how long an empty bucket takes to fill, in seconds."""
-        limit = self._limits.get(workspace, accounts.NOTHING)
+    def _compute_fill_s(self, workspace: str) -> float:
+        """Returns the time in which an empty bucket fills, in seconds."""
+        limit = self._limits.get(workspace, accounts.NO_SHARE)
         return limit.burst / limit.rate_per_s if limit.rate_per_s > 0 else 0.0
 
-    def _draw(
+    def _draw_tokens(
         self, names: Sequence[str], now: float, reporting: bool
     ) -> list[Outgoing]:
         wants: dict[str, dict[str, float]] = {}
         for name in names:
-            need = self._stock.wallets[name].need(now, self._stock_s(name))
+            need = self._entry.wallets[name].compute_draw(
+                now, self._compute_prefetch_s(name)
+            )
             if need > 0:
-                self._spread(name, need, wants, now)
+                self._split_draw(name, need, wants, now)
         if not wants and not reporting:
             return []
-        # Without a report due, only the owners that are sent a draw get one.
-        reports = self._collect(now, owners=None if reporting else set(wants))
+        # When no reports are due, only owners that are sent a draw get reports.
+        reports = self._collect_reports(
+            now, owners=None if reporting else set(wants)
+        )
         out = []
         for vm, amounts in wants.items():
-            self._number += 1
+            self._draw_number += 1
             for name, amount in amounts.items():
-                self._stock.wallets[name].expect(self._number, amount, now)
+                self._entry.wallets[name].add_pending_draw(
+                    self._draw_number, amount, now
+                )
             draw = messages.Draw(
                 self.member.incarnation,
-                self._number,
+                self._draw_number,
                 amounts,
                 reports.pop(vm, []),
             )
-            self._busy.add((vm, messages.Draw))
+            self._in_flight.add((vm, messages.Draw))
             out.append(Outgoing(vm, draw, now))
         for vm, rows in reports.items():
             report = messages.Report(self.member.incarnation, rows)
             out.append(Outgoing(vm, report, now, wants_reply=False))
         return out
 
-    def _report_tight(self, now: float) -> list[Outgoing]:
-        """Reports on the workspaces whose buckets hold very few tokens."""
-        cell_count = 1 + len(self.topology.others)
+    def _report_small_bursts(self, now: float) -> list[Outgoing]:
+        """Returns reports on the workspaces with a small burst per cell."""
+        cell_count = 1 + len(self.topology.other_cells)
         names = [
             name
-            for name in self._stock.active
-            if self._limits[name].burst < TIGHT_BURST * cell_count
+            for name in self._entry.active
+            if self._limits[name].burst < SMALL_BURST * cell_count
         ]
         return [
             Outgoing(
@@ -608,122 +659,134 @@
                 now,
                 wants_reply=False,
             )
-            for vm, rows in self._collect(now, names=sorted(names)).items()
+            for vm, rows in self._collect_reports(
+                now, names=sorted(names)
+            ).items()
         ]
 
-    def _spread(
+    def _split_draw(
         self,
         workspace: str,
         need: float,
         wants: dict[str, dict[str, float]],
         now: float,
     ) -> None:
-        """Divides a need over owners that are free and may have tokens.
+        """Divides a draw among owners that may have tokens, into ``wants``.
 
-        The number of owners asked at once doubles with the number found short,
-        so that few rounds suffice in a fleet of many cells.
+        Owners in backoff or with a draw in flight are skipped. As many owners
+        are asked at once as are in backoff, so the number of owners asked
+        doubles in each round and few rounds suffice in a fleet of many cells.
         """
         chosen: list[str] = []
-        short = 0
-        for vm in self._owners(cells.group_of(workspace), now):
-            if self._short.get((vm, workspace), _NO_LACK).until > now:
-                short += 1
-            elif (vm, messages.Draw) not in self._busy:
+        n_backing_off = 0
+        for vm in self._list_owners(cells.group_of(workspace), now):
+            if self._backoffs.get((vm, workspace), _NO_BACKOFF).until > now:
+                n_backing_off += 1
+            elif (vm, messages.Draw) not in self._in_flight:
                 chosen.append(vm)
-        chosen = chosen[: max(1, short)]
+        chosen = chosen[: max(1, n_backing_off)]
         for vm in chosen:
             part = math.ceil(need / len(chosen))
             wants.setdefault(vm, {})[workspace] = part
 
-    def _owners(self, group: int, now: float) -> list[str]:
-        """Returns the owners of a group: of the own cell, then of others."""
-        # After a fault the own share may still be lent to another member than
-        # the owner to be; the tokens are there until that loan ends.
-        near = (self._top(group, now), self.account.borrower(group, now))
+    def _list_owners(self, group: int, now: float) -> list[str]:
+        """Returns the group's owners, those of the own cell first."""
+        # After a fault the own share may still be leased to a member other than
+        # the owner; the tokens are at that member until the lease ends.
+        near = (
+            self._find_owner(group, now),
+            self.account.find_borrower(group, now),
+        )
         owners = [
             vm
             for vm in dict.fromkeys(near)
             if vm is not None and not self._has_failed(vm, now)
         ]
-        for cell in self.topology.others:
-            for vm in self.topology.rank(cell, group)[:3]:
+        for cell in self.topology.other_cells:
+            for vm in self.topology.rank_owners(cell, group)[:3]:
                 if not self._has_failed(vm, now):
                     owners.append(vm)
                     break
         return owners
 
     def _has_failed(self, vm: str, now: float) -> bool:
-        return now - self._failed.get(vm, -math.inf) < FAILED_S
+        return now - self._failed_at.get(vm, -math.inf) < FAILED_OWNER_S
 
-    def _drawn(self, sent: Outgoing, reply: Any, now: float) -> None:
+    def _handle_grant(self, sent: Outgoing, reply: Any, now: float) -> None:
         number = sent.message.number
-        got = reply.amounts if isinstance(reply, messages.Grant) else {}
+        granted = reply.amounts if isinstance(reply, messages.Grant) else {}
         for name, want in sent.message.wants.items():
-            wallet = self._stock.wallets.get(name)
+            wallet = self._entry.wallets.get(name)
             if wallet is None:
                 continue
-            wallet.settle(number)
-            amount = min(got.get(name, 0.0), want)
-            expires = sent.asked + pools.BATCH_S
+            wallet.remove_pending_draw(number)
+            amount = min(granted.get(name, 0.0), want)
+            expires = sent.created_at + pools.BATCH_LIFETIME_S
             if amount > 0 and expires > now:
-                self._stock.active.add(name)
-                wallet.put(wallets.Batch(sent.vm, number, amount, expires))
+                self._entry.active.add(name)
+                wallet.add_batch(
+                    wallets.Batch(sent.vm, number, amount, expires)
+                )
             elif amount > 0:
-                self._stock.lost += amount
+                self._entry.expired_tokens += amount
             if reply is not None:
-                self._note_lack(sent.vm, name, amount < want, now)
+                self._update_backoff(sent.vm, name, amount < want, now)
 
-    def _max_short_s(self) -> float:
-        return MAX_SHORT_S * (1 + len(self.topology.others))
+    def _max_backoff_s(self) -> float:
+        return MAX_BACKOFF_PER_CELL_S * (1 + len(self.topology.other_cells))
 
-    def _note_lack(
-        self, vm: str, workspace: str, lacked: bool, now: float
+    def _update_backoff(
+        self, vm: str, workspace: str, was_short: bool, now: float
     ) -> None:
         key = vm, workspace
-        if lacked:
-            bound_s = self._max_short_s()
-            wait_s = 2 * self._short.get(key, _NO_LACK).wait_s
-            # A pool that is left alone for longer than it takes to fill loses
-            # what accrues.
-            fill_s = self._fill_s(workspace)
-            wait_s = min(wait_s, max(SHORT_S / 2, min(bound_s, fill_s / 2)))
-            self._short[key] = _Lack(now + wait_s, wait_s)
+        if was_short:
+            bound_s = self._max_backoff_s()
+            wait_s = 2 * self._backoffs.get(key, _NO_BACKOFF).wait_s
+            # A bucket from which nothing is drawn for longer than its fill time
+            # is full and loses accrual.
+            fill_s = self._compute_fill_s(workspace)
+            wait_s = min(
+                wait_s, max(INITIAL_BACKOFF_S / 2, min(bound_s, fill_s / 2))
+            )
+            self._backoffs[key] = _Backoff(now + wait_s, wait_s)
         else:
-            self._short.pop(key, None)
+            self._backoffs.pop(key, None)
 
-    def _collect(
+    def _collect_reports(
         self,
         now: float,
         owners: Collection[str] | None = None,
-        everything: bool = False,
+        return_all: bool = False,
         names: Iterable[str] | None = None,
     ) -> dict[str, list[list]]:
-        """Returns the rows to report by owner.
+        """Returns the report rows by owner.
 
         Args:
           now: Time in seconds.
           owners: Owners to report to; None for all.
-          everything: Whether to return all tokens.
+          return_all: Whether to return all tokens.
           names: Workspaces to report on; None for all.
         """
         rows: dict[str, list[list]] = {}
-        for name in sorted(self._stock.active) if names is None else names:
-            wallet = self._stock.wallets[name]
-            for vm, *row in wallet.collect_reports(now, owners, everything):
+        for name in sorted(self._entry.active) if names is None else names:
+            wallet = self._entry.wallets[name]
+            for vm, *row in wallet.collect_reports(now, owners, return_all):
                 number, spent, returned = row
                 rows.setdefault(vm, []).append(
                     [number, name, _compact(spent), _compact(returned)]
                 )
         return rows
 
-    def _answer_own(self, out: list[Outgoing], now: float) -> list[Outgoing]:
-        """Handles messages to the own VM at once; returns the others."""
-        rest = []
+    def _deliver_to_self(
+        self, out: list[Outgoing], now: float
+    ) -> list[Outgoing]:
+        """Handles messages to the own VM directly; returns the others."""
+        remote = []
         for sent in out:
             if sent.vm != self.member.vm:
-                rest.append(sent)
+                remote.append(sent)
                 continue
-            reply = self.answer(sent.vm, sent.message, now)
+            reply = self.handle_message(sent.vm, sent.message, now)
             if sent.wants_reply:
-                self.receive(sent, reply, now)
-        return rest
+                self.handle_reply(sent, reply, now)
+        return remote
--- a/jayseam/limits/task.py
+++ b/jayseam/limits/task.py
@@ -1,4 +1,4 @@
-"""Runs a limit strategy in a node: timing, requests to peers, waiting calls."""
+"""Runs a limit strategy in a node: polling, peer requests, waiting calls."""
 
 import itertools
 from collections.abc import Callable, Iterable
@@ -19,7 +19,7 @@
 from jayseam.limits import wallets
 
 POLL_S = 0.05
-VIEW_S = 0.2
+REFRESH_PERIOD_S = 0.2
 
 _log = logs.get_logger(__name__)
 
@@ -32,7 +32,7 @@
 _failures = prometheus_client.Counter(
     'jayseam_limit_request_failures', 'Limit requests without a reply'
 )
-_lost = prometheus_client.Counter(
+_expired_tokens = prometheus_client.Counter(
     'jayseam_limit_tokens_expired', 'Drawn tokens that expired unspent'
 )
 
@@ -43,7 +43,7 @@
 
     Attributes:
       admitted: Whether the call may run.
-      retry_after_s: When a refused call may have success, in seconds.
+      retry_after_s: Time until a refused call may succeed, in seconds.
       waited_s: Time that the call waited for tokens, in seconds.
     """
 
@@ -56,16 +56,16 @@
 
 
 class LimitTask:
-    """Admits calls by the fleet-wide rate and burst of their workspace.
+    """Admits calls within the fleet-wide rate and burst of their workspace.
 
-    All methods run in greenlets of one thread; the strategy's state changes
-    only between their switches.
+    All methods run in greenlets of one thread. The strategy's methods don't
+    switch greenlets, so each of its state changes is atomic.
 
     Args:
       vm: Name of the own VM.
-      upstream: The own position.
-      zone: The own availability zone.
-      incarnation: The own incarnation.
+      upstream: Name of the own upstream position.
+      zone: Name of the own availability zone.
+      incarnation: Incarnation of the own process.
       request: Called as ``request(vm, message, timeout_s)``; returns the reply
         or raises.
       notify: Called as ``notify(vm, message)``; sends without a reply.
@@ -73,7 +73,8 @@
         ``vm``, ``upstream``, ``incarnation`` and ``zone``.
       strategy: Name of the strategy.
       now: Time in seconds at which the process started.
-      read_now: Clock that is read after a wait and by the poll loop.
+      read_now: Returns the time in seconds; called after a wait and in the poll
+        loop.
 
     Raises:
       UnknownVariantError: If there is no such strategy.
@@ -93,7 +94,7 @@
         read_now: Callable[[], float] = clocks.read_now,
     ):
         started = read_now() if now is None else now
-        self._name = strategy
+        self._strategy_name = strategy
         self._strategy = strategies.registry.get(strategy)(
             vm, upstream, zone, incarnation, started
         )
@@ -101,44 +102,46 @@
         self._notify = notify
         self._view = view
         self._read_now = read_now
-        self._numbers = itertools.count()
+        self._call_ids = itertools.count()
         self._events: dict[int, event.Event] = {}
         self._greenlets: set[gevent.Greenlet] = set()
-        self._loop: gevent.Greenlet | None = None
+        self._poll_greenlet: gevent.Greenlet | None = None
         self._members: tuple = ()
-        self._view_at = started
+        self._next_refresh_at = started
         self._counters: dict[tuple[str, str], Any] = {}
-        self._lost_before = 0.0
-        self._latest = started
+        self._expired_before = 0.0
+        self._latest_now = started
 
     def start(self) -> None:
         """Starts the poll loop."""
-        self._loop = gevent.spawn(self._run)
+        self._poll_greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Hands back loans and tokens, and ends the poll loop."""
-        self.hand_back(self._read_now())
-        if self._loop is not None:
-            self._loop.kill()
+        """Returns leases and tokens, and ends the poll loop."""
+        self.release_all(self._read_now())
+        if self._poll_greenlet is not None:
+            self._poll_greenlet.kill()
         gevent.joinall(
             list(self._greenlets), timeout=strategies.REQUEST_TIMEOUT_S
         )
 
     def set_tolerance(self, tolerance: float) -> None:
-        """Tells a strategy that uses it what excess operators tolerate.
+        """Sets the excess over rates that operators tolerate.
+
+        Only the strategy `replicated` uses it.
 
         Args:
-          tolerance: Part of a rate that may be exceeded.
+          tolerance: Tolerated excess as a fraction of the rate.
         """
         self._strategy.set_tolerance(tolerance)
 
     def set_preset(self, preset: Any, version: int, now: float) -> None:
-        """Takes over a version of the preset.
+        """Applies a version of the preset.
 
         Args:
           preset: Object with ``upstreams`` (name to object with ``zone``) and
             ``workspaces`` (name to object with ``rate_per_s`` and ``burst``).
-          version: Its version; lower ones than the last are ignored.
+          version: Version of the preset. Shares ignore one that is not newer.
           now: Time in seconds.
         """
         self._strategy.set_preset(preset, version, now)
@@ -146,44 +149,44 @@
     def admit(
         self, workspace: str, cost: float, deadline: float, now: float
     ) -> Admission:
-        """Decides on one call, and waits a short time for tokens if need be.
+        """Decides on one call, and waits for tokens for a short time if needed.
 
         Args:
-          workspace: Whose call.
-          cost: Tokens that it costs.
+          workspace: Name of the call's workspace.
+          cost: Cost of the call in tokens.
           deadline: Time in seconds until which the caller waits.
-          now: Time in seconds, read just before the call. The decision counts
-            as made at this time, or at the end of the wait.
+          now: Time in seconds, read just before the call. The decision applies
+            to this time, or to the end of the wait.
 
         Returns:
           The decision. A call of an unknown workspace is refused.
         """
         # A caller that was paused after it read the clock must not spend tokens
         # that have expired since.
-        now = max(now, self._latest)
+        now = max(now, self._latest_now)
         if self._strategy.admit(workspace, cost, now):
             self._count(workspace, 'admitted')
             return _ADMITTED
-        until = min(deadline, now + strategies.MAX_WAIT_S)
-        call = next(self._numbers)
-        waiter = wallets.Waiter(call, cost, until)
-        if until <= now or not self._strategy.enqueue(workspace, waiter):
+        wait_until = min(deadline, now + strategies.MAX_WAIT_S)
+        call = next(self._call_ids)
+        waiter = wallets.Waiter(call, cost, wait_until)
+        if wait_until <= now or not self._strategy.enqueue(workspace, waiter):
             return self._refuse(workspace, cost, 0.0)
-        served = self._events[call] = event.Event()
+        admitted = self._events[call] = event.Event()
         try:
             self._poll(now)
-            served.wait(timeout=until - now)
+            admitted.wait(timeout=wait_until - now)
         finally:
             del self._events[call]
-            self._strategy.withdraw(workspace, call)
+            self._strategy.remove_waiter(workspace, call)
         waited_s = self._read_now() - now
-        if not served.is_set():
+        if not admitted.is_set():
             return self._refuse(workspace, cost, waited_s)
         self._count(workspace, 'admitted_after_wait')
         return Admission(True, waited_s=waited_s)
 
     def handlers(self) -> dict[type, Callable[[str, Any], Any]]:
-        """Returns the handlers of messages, as ``handler(vm, message)``.
+        """Returns the handler by message class, as ``handler(vm, message)``.
 
         The handlers of `messages.Borrow` and `messages.Draw` return the reply.
         """
@@ -194,47 +197,50 @@
             messages.Release,
             messages.Spent,
         )
-        return {kind: self._answer for kind in kinds}
+        return {kind: self._handle_message for kind in kinds}
 
     def on_pause(self, now: float) -> None:
-        """Drops what has expired while the process was paused."""
-        self._latest = max(self._latest, now)
+        """Removes tokens and leases that expired while the process paused."""
+        self._latest_now = max(self._latest_now, now)
         self._strategy.drop_expired(now)
 
-    def hand_back(self, now: float) -> None:
-        """Returns lent shares and drawn tokens. Later calls are refused."""
-        for sent in self._strategy.hand_back(now):
+    def release_all(self, now: float) -> None:
+        """Returns leases to their lenders and drawn tokens to their owners.
+
+        A strategy with leases refuses later calls.
+        """
+        for sent in self._strategy.release_all(now):
             self._send(sent)
 
     def describe(self) -> dict[str, Any]:
         """Returns the state for the status page."""
         state = self._strategy.describe(self._read_now())
-        return {'strategy': self._name, **state}
+        return {'strategy': self._strategy_name, **state}
 
-    def _answer(self, sender: str, message: Any) -> Any:
+    def _handle_message(self, sender: str, message: Any) -> Any:
         now = self._read_now()
-        return self._strategy.answer(sender, message, now)
+        return self._strategy.handle_message(sender, message, now)
 
     def _run(self) -> None:
         while True:
             try:
                 self._poll(self._read_now())
             except Exception:  # pylint: disable=broad-exception-caught
-                # The limits of the whole node depend on this loop.
+                # The loop must continue: the limits of the node depend on it.
                 _log.exception('limits.poll_failed')
             tickers.wait_tick(POLL_S)
 
     def _poll(self, now: float) -> None:
-        self._latest = max(self._latest, now)
-        if now >= self._view_at:
-            self._view_at = now + VIEW_S
+        self._latest_now = max(self._latest_now, now)
+        if now >= self._next_refresh_at:
+            self._next_refresh_at = now + REFRESH_PERIOD_S
             self._refresh_members()
         for sent in self._strategy.poll(now):
             self._send(sent)
-        self._serve(now)
-        lost = self._strategy.tokens_lost()
-        _lost.inc(lost - self._lost_before)
-        self._lost_before = lost
+        self._wake_admitted(now)
+        expired_tokens = self._strategy.count_expired_tokens()
+        _expired_tokens.inc(expired_tokens - self._expired_before)
+        self._expired_before = expired_tokens
 
     def _refresh_members(self) -> None:
         members = tuple(
@@ -246,8 +252,8 @@
                 cells.Member(*fields) for fields in members
             )
 
-    def _serve(self, now: float) -> None:
-        for call in self._strategy.serve(now):
+    def _wake_admitted(self, now: float) -> None:
+        for call in self._strategy.admit_waiters(now):
             self._events[call].set()
 
     def _send(self, sent: strategies.Outgoing) -> None:
@@ -272,12 +278,12 @@
                 extra={'peer': sent.vm, 'reason': str(error)},
             )
         finally:
-            # A request that ends in any other way must not leave its peer
-            # marked as busy.
+            # Also after any other exception, the request must not remain
+            # recorded as in flight to its peer.
             if sent.wants_reply:
                 now = self._read_now()
-                self._strategy.receive(sent, reply, now)
-                self._serve(now)
+                self._strategy.handle_reply(sent, reply, now)
+                self._wake_admitted(now)
         if sent.wants_reply and self._events:
             self._poll(self._read_now())
 
--- a/jayseam/limits/tests/test_accounts.py
+++ b/jayseam/limits/tests/test_accounts.py
@@ -15,9 +15,9 @@
 
 _ZONES = ('a', 'b', 'c', 'd', 'e', 'f')
 # Scaling to the whole takes up to this part of what was raised.
-_LEAST = float(accounts.MIN_OF_EQUAL / (1 + accounts.MIN_OF_EQUAL))
+_LEAST = float(accounts.MIN_PART_OF_EQUAL / (1 + accounts.MIN_PART_OF_EQUAL))
 _AMOUNTS = st.floats(1e-9, 1e7) | st.integers(1, 10_000_000)
-_LATEST_S = accounts.GROWTH_DELAY_S / 2 - 0.01
+_LATEST_S = accounts.INCREASE_DELAY_S / 2 - 0.01
 _WEIGHTS = st.dictionaries(
     st.sampled_from((*_ZONES, 'empty')),
     st.just(0) | st.floats(0.0, 1e6) | st.integers(0, 1_000_000),
@@ -107,7 +107,7 @@
     """Weights that are too extreme must leave a cut-off zone some tokens."""
     preset = _build_preset({'a': 2, 'b': 2}, 40.0, 40.0, {'a': 1, 'b': 0})
     share = _compute_all(preset)['b0'].rate_per_s
-    assert 10.0 * _LEAST <= share <= 10.0 * float(accounts.MIN_OF_EQUAL)
+    assert 10.0 * _LEAST <= share <= 10.0 * float(accounts.MIN_PART_OF_EQUAL)
 
 
 def test_weights_of_a_verified_preset_reach_the_shares():
@@ -132,17 +132,17 @@
 
 def test_change_of_weights_shrinks_at_once_and_grows_late():
     """A zone that gains before another loses would exceed the rate."""
-    held = {}
+    accounts_by_name = {}
     for zone in 'ab':
-        account = held[zone] = accounts.Account(f'{zone}0', now=0.0)
+        account = accounts_by_name[zone] = accounts.Account(f'{zone}0', now=0.0)
         preset = _build_preset({'a': 1, 'b': 1}, 40.0, 40.0, {'a': 3, 'b': 1})
         account.set_preset(preset, 1, now=0.0)
-        account.shares(10.0)
+        account.get_shares(10.0)
         preset = _build_preset({'a': 1, 'b': 1}, 40.0, 40.0, {'a': 1, 'b': 3})
         account.set_preset(preset, 2, now=10.0)
 
     def rate(zone, now):
-        return held[zone].shares(now)[0]['w'].rate_per_s
+        return accounts_by_name[zone].get_shares(now)[0]['w'].rate_per_s
 
     assert rate('a', 10.0) == rate('b', 14.9) == pytest.approx(10.0)
     assert rate('b', 15.0) == pytest.approx(30.0)
@@ -162,7 +162,9 @@
         published.append((time, _build_preset(counts, 7.0, 5.0, weights)))
         time += rng.choice([0.5, 2.0, 4.0, 6.0])
     names = list(published[0][1].upstreams)
-    held = {name: accounts.Account(name, now=-20.0) for name in names}
+    accounts_by_name = {
+        name: accounts.Account(name, now=-20.0) for name in names
+    }
     learnt = []
     for name in names:
         for version, (at, preset) in enumerate(published, start=1):
@@ -174,10 +176,10 @@
         now = step * 0.25
         while learnt and learnt[0][0] <= now:
             at, name, version, preset = learnt.pop(0)
-            held[name].set_preset(preset, version, at)
+            accounts_by_name[name].set_preset(preset, version, at)
         shares = [
-            account.shares(now)[0].get('w', accounts.NOTHING)
-            for account in held.values()
+            account.get_shares(now)[0].get('w', accounts.NO_SHARE)
+            for account in accounts_by_name.values()
         ]
         assert math.fsum(s.rate_per_s for s in shares) <= 7.0
         assert math.fsum(s.burst for s in shares) <= 5.0
--- a/jayseam/limits/tests/test_bound.py
+++ b/jayseam/limits/tests/test_bound.py
@@ -73,35 +73,39 @@
         self.pending.append((self.now + self._delay(), action))
 
     def _borrow(self, owner, lender):
-        asked = owner.local(self.now)
+        requested_at = owner.local(self.now)
 
         def at_lender():
             now = lender.local(self.now)
-            shares, _ = lender.account.shares(now)
-            if lender in self.processes and lender.account.lend(
+            shares, _ = lender.account.get_shares(now)
+            if lender in self.processes and lender.account.grant_lease(
                 0, owner.vm, owner.incarnation, now
             ):
-                loan = pools.Loan(
+                lease = pools.Lease(
                     lender.account.upstream,
                     lender.incarnation,
                     shares,
-                    asked + accounts.LOAN_S,
+                    requested_at + accounts.LEASE_S,
+                )
+                self._later(
+                    lambda: owner.pool.add_lease(lease, owner.local(self.now))
                 )
-                self._later(lambda: owner.pool.add(loan, owner.local(self.now)))
 
         self._later(at_lender)
 
-    def _draw(self, owner, entry):
+    def _draw_tokens(self, owner, entry):
         self.number += 1
         key = (entry.vm, entry.incarnation, self.number)
-        expires = entry.local(self.now) + pools.BATCH_S
+        expires = entry.local(self.now) + pools.BATCH_LIFETIME_S
 
         def at_owner():
             if owner not in self.processes:
                 return
-            got = owner.pool.draw('w', 99.0, key, owner.local(self.now))
+            granted = owner.pool.grant_batch(
+                'w', 99.0, key, owner.local(self.now)
+            )
             # In use from the grant on, because the reply cannot be taken back.
-            entry.batches.append([owner, key, got, expires])
+            entry.batches.append([owner, key, granted, expires])
 
         self._later(at_owner)
 
@@ -119,7 +123,7 @@
         batch[2] = amount - spent - returned
         report = ('w', key, spent, returned)
         self._later(
-            lambda: owner.pool.settle_batch(*report, owner.local(self.now))
+            lambda: owner.pool.apply_report(*report, owner.local(self.now))
         )
 
     def step(self):
@@ -129,7 +133,7 @@
         if choice < 0.5:
             self._borrow(self.processes[one], self.processes[other])
         elif choice < 0.75:
-            self._draw(self.processes[one], self.processes[other])
+            self._draw_tokens(self.processes[one], self.processes[other])
         elif choice < 0.99:
             self._use(self.processes[one])
         else:
@@ -183,30 +187,30 @@
 def _lent_pool(expires=2.0):
     pool = pools.Pool()
     shares = {'w': accounts.Share(10.0, 10.0)}
-    assert pool.add(pools.Loan('u', 1, shares, expires), now=0.0)
+    assert pool.add_lease(pools.Lease('u', 1, shares, expires), now=0.0)
     return pool
 
 
 def test_batch_never_outlives_its_loan():
     """A batch of a loan about to end could be spent beside its successor's."""
     pool = _lent_pool()
-    assert pool.draw('w', 1.0, ('vm', 1, 1), now=0.9) > 0
-    assert pool.draw('w', 1.0, ('vm', 1, 2), now=1.1) == 0
+    assert pool.grant_batch('w', 1.0, ('vm', 1, 1), now=0.9) > 0
+    assert pool.grant_batch('w', 1.0, ('vm', 1, 2), now=1.1) == 0
 
 
 def test_expired_or_unknown_batch_is_not_credited():
     """A late or repeated return would create tokens."""
     pool = _lent_pool(expires=20.0)
     key = ('vm', 1, 1)
-    got = pool.draw('w', 5.0, key, now=2.0)
-    pool.settle_batch('w', key, 0.0, got, now=2.1)
+    granted = pool.grant_batch('w', 5.0, key, now=2.0)
+    pool.apply_report('w', key, 0.0, granted, now=2.1)
     level = pool.level('w', 2.1)
-    pool.settle_batch('w', key, 0.0, got, now=2.1)
-    pool.settle_batch('w', ('vm', 1, 9), 0.0, 5.0, now=2.1)
+    pool.apply_report('w', key, 0.0, granted, now=2.1)
+    pool.apply_report('w', ('vm', 1, 9), 0.0, 5.0, now=2.1)
     assert pool.level('w', 2.1) == level
-    pool.draw('w', 5.0, ('vm', 1, 2), now=3.0)
+    pool.grant_batch('w', 5.0, ('vm', 1, 2), now=3.0)
     before = pool.level('w', 4.5)
-    pool.settle_batch('w', ('vm', 1, 2), 0.0, 5.0, now=4.5)
+    pool.apply_report('w', ('vm', 1, 2), 0.0, 5.0, now=4.5)
     assert pool.level('w', 4.5) == before
 
 
@@ -214,8 +218,8 @@
     """A replaced process that still runs would lend the share twice."""
     pool = _lent_pool()
     shares = {'w': accounts.Share(10.0, 10.0)}
-    assert pool.add(pools.Loan('u', 2, shares, 2.5), now=0.1)
-    assert not pool.add(pools.Loan('u', 1, shares, 3.0), now=0.2)
+    assert pool.add_lease(pools.Lease('u', 2, shares, 2.5), now=0.1)
+    assert not pool.add_lease(pools.Lease('u', 1, shares, 3.0), now=0.2)
     assert pool.backing('w', 0.2) == 10.0
 
 
@@ -235,21 +239,23 @@
 
 def test_share_waits_out_predecessor_and_other_borrowers(account):
     """A share lent while an earlier loan runs would be used twice."""
-    assert not account.lend(0, 'a', 1, now=2.4)
-    assert account.lend(0, 'a', 1, now=2.5)
-    assert not account.lend(0, 'b', 1, now=4.5)
-    assert not account.lend(0, 'a', 2, now=4.5), 'restart loses its records'
-    assert account.lend(0, 'a', 1, now=4.5)
+    assert not account.grant_lease(0, 'a', 1, now=2.4)
+    assert account.grant_lease(0, 'a', 1, now=2.5)
+    assert not account.grant_lease(0, 'b', 1, now=4.5)
+    assert not account.grant_lease(
+        0, 'a', 2, now=4.5
+    ), 'restart loses its records'
+    assert account.grant_lease(0, 'a', 1, now=4.5)
     account.release(0, 'a', 1, now=4.6, remaining_s=1.0)
-    assert not account.lend(0, 'b', 1, now=5.5)
-    assert account.lend(0, 'b', 1, now=5.7)
+    assert not account.grant_lease(0, 'b', 1, now=5.5)
+    assert account.grant_lease(0, 'b', 1, now=5.7)
 
 
 def test_share_grows_late_and_shrinks_at_once(account):
     """A share that grows at once would add to shares not shrunk elsewhere."""
 
     def rate(now):
-        return account.shares(now)[0].get('w', accounts.NOTHING).rate_per_s
+        return account.get_shares(now)[0].get('w', accounts.NO_SHARE).rate_per_s
 
     assert rate(4.9) == 0.0
     assert rate(5.0) == 10.0
--- a/jayseam/limits/tests/test_models.py
+++ b/jayseam/limits/tests/test_models.py
@@ -29,15 +29,15 @@
         for name, load in LOADS.items():
             tokens = max(model.spendable(name), model.backing(name))
             excess.append(tokens - load.burst)
-        model.at(model.now + 0.05, check)
+        model.schedule(model.now + 0.05, check)
 
-    model.at(6.0, check)
+    model.schedule(6.0, check)
     model.send_load(until=24.0)
     model.run(6.0)
     models.faults.inject_faults(model, until=20.0)
     for second in range(7, 24, 2):
         name = model.random.choice(sorted(LOADS))
-        model.at(second, lambda name=name: model.send_pulse(name, 90))
+        model.schedule(second, lambda name=name: model.send_burst(name, 90))
     model.run(25.0)
     return model, max(excess)
 
@@ -168,7 +168,7 @@
     for vm in list(model.nodes):
         upstream = model.nodes[vm].member.upstream
         model.kill(vm)
-        model.at(10.5, lambda vm=vm, u=upstream: model.start(vm, u))
+        model.schedule(10.5, lambda vm=vm, u=upstream: model.start(vm, u))
     model.run(25.0)
     assert model.overshoot() == 0.0
     late = [t for t in model.tallies['full'].admitted if t > 18.0]
--- a/jayseam/limits/tests/test_replicas.py
+++ b/jayseam/limits/tests/test_replicas.py
@@ -70,17 +70,17 @@
 def test_spends_what_others_left():
     """Tokens that another member has spent are gone here too."""
     strategy = _build_with_member()
-    strategy.answer('vm-1', messages.Spent(7, {'w': 0}), 9.5)
-    strategy.answer('vm-1', messages.Spent(7, {'w': 6}), 10.0)
+    strategy.handle_message('vm-1', messages.Spent(7, {'w': 0}), 9.5)
+    strategy.handle_message('vm-1', messages.Spent(7, {'w': 6}), 10.0)
     assert _drain(strategy, 10.0) == 4
 
 
 def test_counts_what_a_restarted_member_spends():
     """The totals of a new incarnation begin at zero."""
     strategy = _build_with_member()
-    strategy.answer('vm-1', messages.Spent(7, {'w': 50}), 1.0)
-    strategy.answer('vm-1', messages.Spent(7, {'w': 50}), 9.5)
-    strategy.answer('vm-1', messages.Spent(8, {'w': 4}), 10.0)
+    strategy.handle_message('vm-1', messages.Spent(7, {'w': 50}), 1.0)
+    strategy.handle_message('vm-1', messages.Spent(7, {'w': 50}), 9.5)
+    strategy.handle_message('vm-1', messages.Spent(8, {'w': 4}), 10.0)
     assert _drain(strategy, 10.0) == 6
 
 
@@ -89,9 +89,9 @@
     strategy = replicas.ReplicatedStrategy('vm-0', 'u0', 'a', 90_000, 100.0)
     strategy.set_preset(_preset(4), 1, 100.0)
     strategy.set_members([cells.Member('vm-1', 'u2', 7, 'a')])
-    strategy.answer('vm-1', messages.Spent(7, {}, {}, ['b']), 100.1)
+    strategy.handle_message('vm-1', messages.Spent(7, {}, {}, ['b']), 100.1)
     relayed = messages.Spent(7, {'w': 50}, {'w': 70}, ['b'])
-    strategy.answer('vm-1', relayed, 100.4)
+    strategy.handle_message('vm-1', relayed, 100.4)
     assert _drain(strategy, 100.5) >= 5
 
 
@@ -100,17 +100,17 @@
     strategy = _build()
     member = cells.Member('vm-1', 'u2', 7, 'a')
     strategy.set_members([member])
-    strategy.answer('vm-1', messages.Spent(7, {'w': 50}), 3.0)
+    strategy.handle_message('vm-1', messages.Spent(7, {'w': 50}), 3.0)
     strategy.set_members([])
     strategy.set_members([member])
-    strategy.answer('vm-1', messages.Spent(7, {'w': 80}), 20.0)
+    strategy.handle_message('vm-1', messages.Spent(7, {'w': 80}), 20.0)
     assert _drain(strategy, 20.0) == 10
 
 
 def test_a_fleet_that_starts_together_counts_its_first_calls():
     """Otherwise each member would spend the first tokens unheard."""
     strategy = _build_with_member()
-    strategy.answer('vm-1', messages.Spent(7, {'w': 4}), 0.2)
+    strategy.handle_message('vm-1', messages.Spent(7, {'w': 4}), 0.2)
     assert _drain(strategy, 0.2) == pytest.approx(5 + 2 - 4, abs=1)
 
 
@@ -123,8 +123,8 @@
             cells.Member('vm-2', 'u2', 7, 'a'),
         ]
     )
-    relay.answer('vm-1', messages.Spent(7, {'w': 0}), 3.0)
-    relay.answer('vm-1', messages.Spent(7, {'w': 5}), 3.1)
+    relay.handle_message('vm-1', messages.Spent(7, {'w': 0}), 3.0)
+    relay.handle_message('vm-1', messages.Spent(7, {'w': 5}), 3.1)
     sent = {out.vm: out.message for out in relay.poll(3.2)}
     assert sent['vm-2'].relayed == {'w': 5}
     assert sent['vm-2'].zones == ['b']
@@ -145,7 +145,7 @@
     _drain(strategy, 0.0)
     delays = [strategy.retry_after('w', 1.0) for _ in range(8)]
     assert len(set(delays)) == 8
-    assert max(delays) - min(delays) < replicas.SPREAD_S
+    assert max(delays) - min(delays) < replicas.RETRY_SPREAD_S
 
 
 @pytest.mark.parametrize('scenario', ['calm', 'node-death', 'zone-cut'])
@@ -156,9 +156,11 @@
     model = models.fleets.Model(seed, 'replicated', nodes, 3, LOADS)
     for node in model.nodes.values():
         node.strategy.set_tolerance(OVERAGE)
-        node.strategy.set_preset(model.preset, 1, model._local(node))
+        node.strategy.set_preset(model.preset, 1, model._local_time(node))
     end = models.scenarios.WARM_UP_S + 8.0
-    model.at(models.scenarios.WARM_UP_S - 2.0, lambda: model.send_load(end))
+    model.schedule(
+        models.scenarios.WARM_UP_S - 2.0, lambda: model.send_load(end)
+    )
     model.run(models.scenarios.WARM_UP_S)
     models.scenarios.SCENARIOS[scenario](model)
     model.run(end + 1.0)
@@ -173,25 +175,27 @@
     model = models.fleets.Model(seed, 'replicated', nodes, 3, LOADS)
     for node in model.nodes.values():
         node.strategy.set_tolerance(OVERAGE)
-        node.strategy.set_preset(model.preset, 1, model._local(node))
+        node.strategy.set_preset(model.preset, 1, model._local_time(node))
     end = models.scenarios.WARM_UP_S + 12.0
-    model.at(models.scenarios.WARM_UP_S - 2.0, lambda: model.send_load(end))
+    model.schedule(
+        models.scenarios.WARM_UP_S - 2.0, lambda: model.send_load(end)
+    )
     model.run(models.scenarios.WARM_UP_S)
     models.faults.cut_bridge(model)
-    model.at(models.scenarios.WARM_UP_S + 8.0, model.heal)
+    model.schedule(models.scenarios.WARM_UP_S + 8.0, model.heal)
     model.run(end + 1.0)
     for name, load in LOADS.items():
         assert _window_excess(model.tallies[name].admitted, load) <= 0, name
     # All zones reach each other again, and nobody is left with a part.
     for node in model.nodes.values():
-        assert node.strategy.describe(model._local(node))['part'] == 1.0
+        assert node.strategy.describe(model._local_time(node))['part'] == 1.0
 
 
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_refuses_nobody_within_the_rate(seed):
     """Workspaces within their rate are served from the first call on."""
     model = models.fleets.Model(seed, 'replicated', 12, 3, LOADS)
-    model.at(1.0, lambda: model.send_load(9.0))
+    model.schedule(1.0, lambda: model.send_load(9.0))
     model.run(10.0)
     assert not model.tallies['large'].refused
     assert not model.tallies['small'].refused
--- a/jayseam/limits/tests/test_strategies.py
+++ b/jayseam/limits/tests/test_strategies.py
@@ -20,17 +20,17 @@
         workspaces={'w': types.SimpleNamespace(rate_per_s=100.0, burst=100.0)},
     )
     for own in _VMS:
-        strategy = strategies.Strategy(own, own, 'a', 1, _START)
+        strategy = strategies.EscrowStrategy(own, own, 'a', 1, _START)
         strategy.set_preset(preset, 1, _START)
         strategy.set_members(cells.Member(vm, vm, 1, 'a') for vm in _VMS)
         topology = strategy.topology
-        owner = topology.rank(topology.cell, cells.group_of('w'))[0]
+        owner = topology.rank_owners(topology.own_cell, cells.group_of('w'))[0]
         if owner != own:
             return strategy, owner
     raise AssertionError('every VM is the owner')
 
 
-def _list_asked(strategy, now):
+def _poll_draws(strategy, now):
     """Lets a call wait for tokens and returns the requests for them."""
     strategy.enqueue('w', wallets.Waiter(1, 1.0, now + 1.0))
     return [
@@ -50,9 +50,9 @@
     """A stall of the machine must not make an entry leave all owners."""
     strategy, owner = _create_strategy()
     now = _START + 0.5
-    (sent,) = _list_asked(strategy, now)
+    (sent,) = _poll_draws(strategy, now)
     assert sent.vm == owner
-    strategy.receive(sent, None, now + elapsed_s)
-    after = now + elapsed_s + strategies.DRAW_S
-    asked = [sent.vm for sent in _list_asked(strategy, after)]
+    strategy.handle_reply(sent, None, now + elapsed_s)
+    after = now + elapsed_s + strategies.DRAW_PERIOD_S
+    asked = [sent.vm for sent in _poll_draws(strategy, after)]
     assert (owner not in asked) == is_passed_over
--- a/jayseam/limits/wallets.py
+++ b/jayseam/limits/wallets.py
@@ -1,9 +1,9 @@
-"""The tokens that an entry holds for one workspace.
+"""The tokens that an entry has prefetched for one workspace.
 
-A wallet estimates demand and says how many tokens to draw, so that a call
-normally finds one. Calls that find none wait in order, up to a bound. A batch
-expires `pools.BATCH_S` seconds after the entry asked for it. Tokens that are
-unlikely to be spent in time are returned to their owner.
+A wallet estimates demand and computes how many tokens to prefetch, so that a
+call normally finds a token. Calls that find none wait in a bounded FIFO queue.
+A batch expires `pools.BATCH_LIFETIME_S` seconds after the entry requested it.
+Tokens that are unlikely to be spent in time are returned to their owner.
 """
 
 import collections
@@ -13,18 +13,18 @@
 import attrs
 
 MAX_WAITING = 64
-DEMAND_WINDOW_S = 1.0
-# Stock to hold, in seconds of demand. It must exceed the time between two draws
-# plus a round trip.
-STOCK_S = 0.4
-RETURN_BEFORE_S = 0.5
-# Stock below which nothing is prefetched, in tokens.
-_MIN_STOCK = 0.5
-# A draw is due when less than this part of the stock is left.
+DEMAND_TIME_CONSTANT_S = 1.0
+# Tokens to prefetch, in seconds of demand. This must exceed the time between
+# two draws plus a round trip.
+PREFETCH_S = 0.4
+RETURN_BEFORE_EXPIRY_S = 0.5
+# Nothing is prefetched for a demand that needs fewer tokens than this.
+_MIN_PREFETCH_TOKENS = 0.5
+# A draw is due when less than this fraction of the target remains.
 _REFILL_BELOW = 0.75
-# A draw unanswered for this long no longer counts as tokens to come, so another
-# owner is asked.
-_HEDGE_S = 0.06
+# After this time without a reply, a draw no longer counts as pending, so that
+# the entry also asks another owner (a hedged request).
+_HEDGE_AFTER_S = 0.06
 _EPSILON = 1e-9
 
 
@@ -35,14 +35,14 @@
     Attributes:
       owner: The owner's VM.
       number: Number of the draw.
-      left: Tokens left.
-      expires: Time in seconds after which they may not be spent.
+      remaining: Tokens that have been neither spent nor returned.
+      expires: Time in seconds from which the tokens may not be spent.
       unreported: Tokens spent since the last report.
     """
 
     owner: str
     number: int
-    left: float
+    remaining: float
     expires: float
     unreported: float = 0.0
 
@@ -53,21 +53,21 @@
 
     Attributes:
       call: Identifies the call within the wallet.
-      cost: Tokens that it needs.
-      until: Time in seconds at which it gives up.
+      cost: Tokens that the call needs.
+      gives_up_at: Time in seconds at which the call stops waiting.
     """
 
     call: int
     cost: float
-    until: float
+    gives_up_at: float
 
 
 class Wallet:
-    """Holds token batches and waiting calls of one workspace at one entry.
+    """Token batches and waiting calls of one workspace at one entry.
 
     >>> wallet = Wallet()
-    >>> wallet.put(Batch('owner', 1, 2.0, expires=1.0))
-    >>> wallet.take(1.0, now=0.5), wallet.take(1.0, now=1.5)
+    >>> wallet.add_batch(Batch('owner', 1, 2.0, expires=1.0))
+    >>> wallet.try_spend(1.0, now=0.5), wallet.try_spend(1.0, now=1.5)
     (True, False)
     """
 
@@ -75,122 +75,127 @@
         self._batches: list[Batch] = []
         self._waiters: collections.OrderedDict[int, Waiter]
         self._waiters = collections.OrderedDict()
-        self._coming: dict[int, tuple[float, float]] = {}
+        self._pending_draws: dict[int, tuple[float, float]] = {}
         self._demand = 0.0
         self._demand_at = 0.0
 
-    def note(self, cost: float, now: float) -> None:
-        """Counts a call in the estimate of demand."""
-        self._demand = self.demand(now) + cost / DEMAND_WINDOW_S
+    def record_demand(self, cost: float, now: float) -> None:
+        """Adds a call to the demand estimate, an exponential average."""
+        self._demand = self.estimate_demand(now) + cost / DEMAND_TIME_CONSTANT_S
         self._demand_at = now
 
-    def demand(self, now: float) -> float:
+    def estimate_demand(self, now: float) -> float:
         """Returns the estimated demand in tokens a second."""
         elapsed = max(0.0, now - self._demand_at)
-        return self._demand * math.exp(-elapsed / DEMAND_WINDOW_S)
+        return self._demand * math.exp(-elapsed / DEMAND_TIME_CONSTANT_S)
 
-    def stock(self, now: float) -> float:
+    def available(self, now: float) -> float:
         """Returns the tokens that can be spent at ``now``."""
-        return sum(b.left for b in self._batches if b.expires > now)
+        return sum(b.remaining for b in self._batches if b.expires > now)
 
-    def take(self, cost: float, now: float) -> bool:
+    def try_spend(self, cost: float, now: float) -> bool:
         """Spends ``cost`` tokens for a call that has not waited.
 
         Returns:
-          Whether there were enough. Calls that wait have precedence.
+          Whether there were enough tokens. Always False while other calls
+          wait, because those have precedence.
         """
         if self._waiters:
             return False
         return self._spend(cost, now)
 
     def enqueue(self, waiter: Waiter) -> bool:
-        """Adds a waiting call, unless too many wait."""
+        """Queues a call; returns False if `MAX_WAITING` calls wait."""
         if len(self._waiters) >= MAX_WAITING:
             return False
         self._waiters[waiter.call] = waiter
         return True
 
-    def withdraw(self, call: int) -> None:
-        """Removes a waiting call that gives up."""
+    def remove_waiter(self, call: int) -> None:
+        """Removes a call that stops waiting."""
         self._waiters.pop(call, None)
 
-    def serve(self, now: float) -> list[int]:
-        """Spends tokens for waiting calls in order; returns those served."""
-        served = []
+    def admit_waiters(self, now: float) -> list[int]:
+        """Spends tokens for waiting calls in order; returns those admitted."""
+        admitted = []
         while self._waiters:
             waiter = next(iter(self._waiters.values()))
-            if waiter.until <= now:
+            if waiter.gives_up_at <= now:
                 del self._waiters[waiter.call]
             elif self._spend(waiter.cost, now):
                 del self._waiters[waiter.call]
-                served.append(waiter.call)
+                admitted.append(waiter.call)
             else:
                 break
-        return served
+        return admitted
 
-    def has_waiting(self) -> bool:
-        """Tells whether calls wait for tokens."""
+    def has_waiters(self) -> bool:
+        """Returns whether calls wait for tokens."""
         return bool(self._waiters)
 
-    def waiting(self) -> float:
-        """Returns the tokens that waiting calls need."""
+    def waiting_cost(self) -> float:
+        """Returns the total cost of the waiting calls, in tokens."""
         return sum(w.cost for w in self._waiters.values())
 
-    def need(self, now: float, stock_s: float = STOCK_S) -> float:
-        """Returns the tokens to draw now; 0 if the stock suffices.
+    def compute_draw(self, now: float, prefetch_s: float = PREFETCH_S) -> float:
+        """Returns the number of tokens to draw now; 0 if there are enough.
 
         Args:
           now: Time in seconds.
-          stock_s: Stock to hold, in seconds of demand.
+          prefetch_s: Tokens to prefetch, in seconds of demand.
         """
-        waiting = self.waiting()
-        target = self.demand(now) * stock_s
-        target = waiting + (math.ceil(target) if target >= _MIN_STOCK else 0)
-        have = self.stock(now) + self._expected(now)
-        if have >= max(waiting, target * _REFILL_BELOW):
+        waiting_cost = self.waiting_cost()
+        target_tokens = self.estimate_demand(now) * prefetch_s
+        target_tokens = waiting_cost + (
+            math.ceil(target_tokens)
+            if target_tokens >= _MIN_PREFETCH_TOKENS
+            else 0
+        )
+        available_now = self.available(now) + self._sum_pending_tokens(now)
+        if available_now >= max(waiting_cost, target_tokens * _REFILL_BELOW):
             return 0.0
-        return target - have
+        return target_tokens - available_now
 
-    def expect(self, number: int, amount: float, now: float) -> None:
-        """Notes a draw under way."""
-        self._coming[number] = (amount, now)
+    def add_pending_draw(self, number: int, amount: float, now: float) -> None:
+        """Records a draw that has been sent to an owner."""
+        self._pending_draws[number] = (amount, now)
 
-    def settle(self, number: int) -> None:
-        """Notes that a draw has been answered or has failed."""
-        self._coming.pop(number, None)
+    def remove_pending_draw(self, number: int) -> None:
+        """Removes a draw that was answered or has failed."""
+        self._pending_draws.pop(number, None)
 
-    def put(self, batch: Batch) -> None:
-        """Adds drawn tokens."""
+    def add_batch(self, batch: Batch) -> None:
+        """Adds a batch of drawn tokens."""
         self._batches.append(batch)
         self._batches.sort(key=lambda b: b.expires)
 
     def is_idle(self, now: float) -> bool:
-        """Tells whether the wallet can be forgotten."""
+        """Returns whether the wallet is unused and can be removed."""
         return not (
             self._batches
             or self._waiters
-            or self._coming
-            or self.demand(now) > 0.01
+            or self._pending_draws
+            or self.estimate_demand(now) > 0.01
         )
 
     def drop_expired(self, now: float) -> float:
-        """Removes expired batches; returns the tokens lost."""
-        lost = sum(b.left for b in self._batches if b.expires <= now)
+        """Removes expired batches; returns the unspent tokens in them."""
+        expired = sum(b.remaining for b in self._batches if b.expires <= now)
         self._batches = [b for b in self._batches if b.expires > now]
-        return lost
+        return expired
 
     def collect_reports(
         self,
         now: float,
         owners: Collection[str] | None = None,
-        everything: bool = False,
+        return_all: bool = False,
     ) -> list[tuple[str, int, float, float]]:
-        """Returns what to report and gives up tokens that are returned.
+        """Returns the rows to report, and removes the tokens it returns.
 
         Args:
           now: Time in seconds.
           owners: Owners to report to; None for all.
-          everything: Whether to return all tokens, for a stop.
+          return_all: Whether to return all tokens, as before a stop.
 
         Returns:
           Rows of owner, draw number, tokens spent, tokens returned.
@@ -201,33 +206,33 @@
                 continue
             if owners is not None and batch.owner not in owners:
                 continue
-            late = batch.expires - now < RETURN_BEFORE_S
-            returned = batch.left if late or everything else 0.0
+            expires_soon = batch.expires - now < RETURN_BEFORE_EXPIRY_S
+            returned = batch.remaining if expires_soon or return_all else 0.0
             if batch.unreported or returned:
                 row = (batch.owner, batch.number, batch.unreported, returned)
                 rows.append(row)
-            batch.left -= returned
+            batch.remaining -= returned
             batch.unreported = 0.0
         self._batches = [
-            b for b in self._batches if b.left > _EPSILON or b.unreported
+            b for b in self._batches if b.remaining > _EPSILON or b.unreported
         ]
         return rows
 
-    def _expected(self, now: float) -> float:
+    def _sum_pending_tokens(self, now: float) -> float:
         return sum(
             amount
-            for amount, asked in self._coming.values()
-            if now - asked < _HEDGE_S
+            for amount, drawn_at in self._pending_draws.values()
+            if now - drawn_at < _HEDGE_AFTER_S
         )
 
     def _spend(self, cost: float, now: float) -> bool:
-        if self.stock(now) + _EPSILON < cost:
+        if self.available(now) + _EPSILON < cost:
             return False
         for batch in self._batches:
             if batch.expires <= now:
                 continue
-            part = min(cost, batch.left)
-            batch.left -= part
+            part = min(cost, batch.remaining)
+            batch.remaining -= part
             batch.unreported += part
             cost -= part
             if cost <= _EPSILON:
