Describe the model of the limits in plain terms

Docstrings of the fleet model spoke of parts, stocks and deaths that nodes learn of late. They now describe a discrete-event simulation with failure detection and grants in flight, and the fields of a node are documented. Behaviour and the fields of results are unchanged.

--- a/jayseam/limits/models/__init__.py
+++ b/jayseam/limits/models/__init__.py
@@ -1,7 +1,6 @@
 """A deterministic model of a fleet that runs only the limit protocol.
 
-The model measures a strategy; it says nothing of links, tasks or the network
-stack.
+The model measures strategies alone, without links, tasks or a network stack.
 
 Run ``python -m jayseam.limits.models --nodes 12 --seed 1`` for a comparison.
 """
--- a/jayseam/limits/models/faults.py
+++ b/jayseam/limits/models/faults.py
@@ -1,4 +1,4 @@
-"""Faults of the model: those of the scenarios, and random ones for tests."""
+"""Faults injected into the model, by scenarios or at random in tests."""
 
 from jayseam.limits.models import fleets
 
@@ -6,11 +6,11 @@
 
 
 def do_nothing(_: fleets.Model) -> None:
-    """Leaves the fleet in peace."""
+    """Injects no fault."""
 
 
 def kill_owner(model: fleets.Model) -> None:
-    """Kills the node that owns most, which is the worst to lose."""
+    """Kills the node with the highest leased rate, which is the worst case."""
 
     def sum_owned_rates(vm: str) -> float:
         owned = model.nodes[vm].strategy.pools
@@ -35,17 +35,17 @@
 
 
 def inject_faults(model: fleets.Model, until: float) -> None:
-    """Plans random kills, restarts, pauses and cuts up to a time.
+    """Schedules random kills, restarts, pauses and cuts up to a time.
 
-    A killed process is followed by one at the same position, either in the same
-    VM or in a new one.
+    A killed process is replaced by a process at the same position, either on
+    the same VM or on a new one.
     """
     rng = model.random
-    at_s = model.now
-    while at_s < until:
-        at_s += rng.expovariate(0.5)
+    fault_at = model.now
+    while fault_at < until:
+        fault_at += rng.expovariate(0.5)
         kind = rng.choice(_KINDS)
-        model.schedule(at_s, lambda k=kind: _inject(model, k))
+        model.schedule(fault_at, lambda k=kind: _inject(model, k))
 
 
 def _inject(model: fleets.Model, kind: str) -> None:
@@ -74,8 +74,8 @@
 def _replace(model: fleets.Model, vm: str) -> None:
     upstream = model.nodes[vm].member.upstream
     model.kill(vm)
-    new_vm = vm if model.random.random() < 0.5 else f'{vm}+'
+    successor = vm if model.random.random() < 0.5 else f'{vm}+'
     model.schedule(
         model.now + model.random.uniform(0.05, 4.0),
-        lambda: model.start(new_vm, upstream),
+        lambda: model.start(successor, upstream),
     )
--- a/jayseam/limits/models/fleets.py
+++ b/jayseam/limits/models/fleets.py
@@ -1,8 +1,8 @@
 """The model of a fleet: nodes, messages, time and calls.
 
-The nodes are the pure objects of `strategies`. Message delays, kills, restarts,
-pauses, partitions, clock drift and load all follow from one seed. Members learn
-of deaths and cuts late, each at its own time.
+Each node runs a strategy of `strategies`. Message delays, kills, restarts,
+pauses, partitions, clock drift and load all follow from one seed. Each member
+detects failures and cuts after a delay of its own.
 """
 
 import heapq
@@ -29,13 +29,26 @@
 CROSS_ZONE_DELAY_S = 0.001
 JOIN_DETECTION_S = 0.5
 FAILURE_DETECTION_S = 3.0
-# Bytes of a frame around a message: its header, a request number and a code.
+# Bytes of framing per message: frame header, request number and message code.
 FRAME_BYTES = 12
 
 
 @attrs.define(eq=False)
 class _Node:
-    """One process of the model."""
+    """One process of the model.
+
+    Attributes:
+      member: The member that the process is.
+      strategy: Its strategy.
+      drift: Drift of its clock, as a fraction.
+      offset: Offset of its clock in seconds.
+      alive: Whether it runs.
+      paused_until: Time of the model at which its last pause ends.
+      sent: Number of messages sent.
+      sent_bytes: Bytes sent.
+      received_bytes: Bytes received.
+      waiting: Workspace and arrival time by waiting call.
+    """
 
     member: cells.Member
     strategy: strategies.EscrowStrategy
@@ -51,14 +64,14 @@
 
 @attrs.define
 class Tally:
-    """What happened to the calls of one workspace.
+    """Outcomes of the calls of one workspace.
 
     Attributes:
-      offered: Times of the calls.
+      offered: Arrival times of all calls.
       zones: Zone of the entry of each call.
       admitted: Times at which calls were admitted.
       refused: Arrival times of the calls that were refused.
-      waits: Time that each admitted call waited, in seconds.
+      waits: Waiting time of each admitted call in seconds.
     """
 
     offered: list[float] = attrs.field(factory=list)
@@ -69,17 +82,17 @@
 
 
 class Model:
-    """A fleet of nodes, events and time.
+    """Discrete-event simulation of a fleet.
 
     Args:
-      seed: Seeds everything that is random.
+      seed: Seed of all random numbers.
       strategy: Name of the strategy.
       nodes: Number of positions.
       zones: Number of availability zones.
-      loads: The workspaces.
-      drift: Largest drift of a node's clock, as a part.
-      delays: Part of messages that are delayed by up to 3 s.
-      weighting: Which zone weights the preset has; see `weightings`.
+      loads: Load by workspace.
+      drift: Largest drift of a node's clock, as a fraction.
+      delays: Fraction of messages that are delayed by up to 3 s.
+      weighting: Name of the weighting; see `weightings`.
     """
 
     def __init__(
@@ -94,7 +107,7 @@
         weighting: str = 'none',
     ):
         self.random = random.Random(seed)
-        # Load of its own source, so that it is the same for every strategy.
+        # The load has its own generator, so it is the same for every strategy.
         self._load_random = random.Random(seed + 1)
         self.now = 0.0
         self.loads = dict(loads)
@@ -124,10 +137,11 @@
             self._refresh_members(node)
 
     def _draw_skew(self) -> dict[str, dict[str, float]]:
-        """Returns the part of each workspace's calls by position.
+        """Draws the relative load of each position, by workspace.
 
-        Zones get 4, 2, 1, 1, ... parts in an order of each workspace's own, and
-        positions within a zone between 0.2 and 1.8 parts.
+        The zones have weights 4, 2, 1, 1, ... in a random order for each
+        workspace; each position multiplies its zone's weight by a random factor
+        between 0.2 and 1.8.
         """
         weights = {}
         zones = sorted(set(self.zones.values()))
@@ -141,7 +155,7 @@
         return weights
 
     def _build_preset(self, weighting: weightings.Weighting) -> Any:
-        """Returns a preset with weights for the load's skew over zones."""
+        """Returns a preset with zone weights for the skew of the load."""
         workspaces_ = {}
         for name, load in self.loads.items():
             skew = dict.fromkeys(sorted(set(self.zones.values())), 0.0)
@@ -163,7 +177,7 @@
     # Events.
 
     def schedule(self, time: float, action: Callable[[], None]) -> None:
-        """Plans an action."""
+        """Schedules an action for a time in seconds."""
         heapq.heappush(self._events, (time, next(self._sequence), action))
 
     def run(self, until: float) -> None:
@@ -174,12 +188,12 @@
         self.now = until
 
     def send_load(self, until: float) -> None:
-        """Starts the calls of all workspaces."""
+        """Schedules the calls of all workspaces until a time in seconds."""
         for name in self.loads:
             self._schedule_call(name, until)
 
     def send_burst(self, workspace: str, calls: int) -> None:
-        """Sends calls of one workspace within a tenth of a second."""
+        """Schedules calls of one workspace within the next 0.1 s."""
         for _ in range(calls):
             after = self.random.uniform(0.0, 0.1)
             self.schedule(self.now + after, lambda: self._call(workspace))
@@ -187,7 +201,7 @@
     # Faults.
 
     def start(self, vm: str, upstream: str) -> None:
-        """Starts a process at a position; others learn of it later."""
+        """Starts a process at a position; other nodes detect it later."""
         node = self._create(vm, upstream)
         self._refresh_members(node)
         self._refresh_later(JOIN_DETECTION_S)
@@ -211,7 +225,7 @@
         return node
 
     def kill(self, vm: str) -> None:
-        """Ends a process without notice."""
+        """Kills a process; other nodes detect it later."""
         node = self.nodes.pop(vm)
         node.alive = False
         self.ended_nodes.append(node)
@@ -219,7 +233,7 @@
         self._refresh_later(FAILURE_DETECTION_S)
 
     def pause(self, vm: str, duration_s: float) -> None:
-        """Pauses a process; what reaches it waits."""
+        """Pauses a process; messages to it are delivered after the pause."""
         node = self.nodes[vm]
         node.paused_until = max(node.paused_until, self.now + duration_s)
         self.schedule(node.paused_until, lambda: self._resume(node))
@@ -231,12 +245,12 @@
         self._refresh_later(FAILURE_DETECTION_S)
 
     def isolate(self, vms: Iterable[str]) -> None:
-        """Cuts some VMs off from all others, but not from each other."""
+        """Cuts a set of VMs off from all others, but not from each other."""
         self._islands.append((frozenset(vms), self.now))
         self._refresh_later(FAILURE_DETECTION_S)
 
     def silence(self, duration_s: float) -> None:
-        """Loses all messages for a time too short for verdicts on members."""
+        """Drops all messages, for less time than failure detection takes."""
         since = self.now
         self._islands += [(frozenset([vm]), since) for vm in self.nodes]
         self.schedule(self.now + duration_s, self._islands.clear)
@@ -257,7 +271,7 @@
             node.strategy.drop_expired(self._local_time(node))
 
     def _cut_since(self, left: cells.Member, right: cells.Member) -> float:
-        """Returns since when two members are cut off; infinity if not."""
+        """Returns the time since which two members are cut off, or infinity."""
         pair = frozenset((left.zone, right.zone))
         since = self._cut.get(pair, float('inf'))
         for island, time in self._islands:
@@ -269,7 +283,7 @@
         return self._cut_since(left.member, right.member) > self.now
 
     def _refresh_later(self, delay_s: float) -> None:
-        """Lets each node learn of a change at a time of its own."""
+        """Refreshes the members of each node after a random delay."""
         for node in list(self.nodes.values()):
             after = delay_s * self.random.uniform(0.8, 1.3)
             self.schedule(
@@ -280,7 +294,7 @@
     def _run_when_awake(
         self, node: _Node, action: Callable[[_Node], None]
     ) -> None:
-        """Runs an action now, or when the node's pause ends."""
+        """Runs an action now, or when the node's pause has ended."""
         if not node.alive:
             return
         if node.paused_until > self.now:
@@ -323,7 +337,7 @@
     def _deliver_message(
         self, source: _Node, vm: str, message: Any, action: Callable
     ) -> None:
-        """Delivers a message to the process that has the VM on arrival."""
+        """Delivers a message to the process that runs on the VM on arrival."""
         size = FRAME_BYTES + len(
             cbor2.dumps(attrs.astuple(message, recurse=False))
         )
@@ -447,11 +461,11 @@
         return [*self.nodes.values(), *self.ended_nodes]
 
     def spendable(self, workspace: str) -> float:
-        """Returns all tokens that can be spent now or soon without accrual.
+        """Returns all tokens that can be spent without further accrual.
 
-        These are the levels of all pools, the stocks of all entries, and what
-        is under way to them. The window bound needs them to stay under the
-        burst.
+        These are the levels of all pools, the tokens at all entries, and the
+        grants in flight to entries. The window bound requires that their sum
+        never exceeds the burst.
         """
         total = sum(
             amount
@@ -467,7 +481,7 @@
         return total
 
     def backing(self, workspace: str) -> float:
-        """Returns the burst behind all pools; it must not exceed the burst."""
+        """Returns the sum of leased bursts, which must not exceed the burst."""
         return sum(
             pool.backing(workspace, self._local_time(node))
             for node in self.nodes.values()
--- a/jayseam/limits/models/measures.py
+++ b/jayseam/limits/models/measures.py
@@ -1,4 +1,4 @@
-"""Comparisons of admitted calls with a single bucket."""
+"""Comparisons of call times with a single token bucket."""
 
 from collections.abc import Iterable
 
@@ -24,7 +24,7 @@
 def count_conforming(
     times: Iterable[float], rate_per_s: float, burst: float
 ) -> int:
-    """Returns how many calls a single bucket would have admitted."""
+    """Returns how many calls a single token bucket would have admitted."""
     level, last, count = burst, 0.0, 0
     for time in sorted(times):
         level = min(burst, level + (time - last) * rate_per_s)
--- a/jayseam/limits/models/scenarios.py
+++ b/jayseam/limits/models/scenarios.py
@@ -1,4 +1,4 @@
-"""Runs of the model through a scenario, and their measurements."""
+"""Scenarios of the model and their measurements."""
 
 import types
 from collections.abc import Mapping, Sequence
@@ -30,23 +30,23 @@
     Attributes:
       strategy: Name of the strategy.
       scenario: Name of the scenario.
-      weighting: Which zone weights the preset has.
+      weighting: Name of the weighting that determines the zone weights.
       nodes: Number of positions.
-      calls: Calls of workspaces within their rate in the measured period.
+      calls: Calls in the measured period of workspaces that stay within their
+        rate.
       overshoot: Largest excess over ``burst + rate * w`` in any window of the
         whole run, in calls, over all workspaces.
-      wrongful: Part of the calls of workspaces within their rate that were
-        refused.
-      unavoidable: Part of these calls that would be refused if each side of a
-        cut had one bucket with the shares of its positions, full at the cut.
-      greedy_served: Calls admitted of the workspace over its rate, as a part of
-        what a single bucket would have admitted.
-      lost_per_s: Tokens that expired unspent, a second, over the fleet.
+      wrongful: Fraction of these calls that were refused.
+      unavoidable: Fraction of these calls that would be refused if each side of
+        a cut had one bucket with the shares of its positions, full at the cut.
+      greedy_served: Admitted calls of workspaces over their rate, as a fraction
+        of the calls that a single bucket would have admitted.
+      lost_per_s: Tokens that expired unspent, per second, in the whole fleet.
       wait_mean_ms: Mean wait of admitted calls within the rate.
       wait_p99_ms: 99th percentile of this wait.
-      messages: Messages sent by a node in a second, mean.
-      sent_bytes: Bytes sent by a node in a second, mean.
-      peak_bytes: Bytes sent and received in a second by the busiest node.
+      messages: Messages sent per node and second, mean.
+      sent_bytes: Bytes sent per node and second, mean.
+      peak_bytes: Bytes sent and received per second by the busiest node.
     """
 
     strategy: str
@@ -76,18 +76,18 @@
     duration_s: float = 10.0,
     weighting: str = 'none',
 ) -> Result:
-    """Runs one strategy through one scenario and measures it.
+    """Runs one strategy in one scenario and measures it.
 
     Args:
       seed: Seed of the model.
       strategy: Name of the strategy.
-      scenario: One of `SCENARIOS`; its fault occurs as the measured period
-        starts, `WARM_UP_S` after the fleet.
+      scenario: One of `SCENARIOS`. Its fault occurs at the start of the
+        measured period, `WARM_UP_S` after the start of the fleet.
       nodes: Number of positions.
       zones: Number of availability zones.
-      loads: The workspaces.
+      loads: Load by workspace.
       duration_s: Length of the measured period.
-      weighting: Which zone weights the preset has; see `weightings`.
+      weighting: Name of the weighting; see `weightings`.
     """
     model = fleets.Model(
         seed, strategy, nodes, zones, loads, weighting=weighting
@@ -125,7 +125,7 @@
 
 
 def _count_unavoidable(model: fleets.Model, scenario: str) -> int:
-    """Returns how many calls exceed the shares of their side of a cut."""
+    """Returns how many calls exceed the shares on their side of a cut."""
     zones = sorted(set(model.zones.values()))
     sides = [zones]
     if scenario == 'zone-cut':
@@ -212,16 +212,16 @@
     names: Sequence[str] | None = None,
     weighting: str = 'none',
 ) -> list[Result]:
-    """Runs strategies through every scenario under the same load.
+    """Runs strategies in every scenario with the same load.
 
     Args:
       seed: Seed of each model.
       nodes: Number of positions.
       zones: Number of availability zones.
-      loads: The workspaces.
+      loads: Load by workspace.
       duration_s: Length of the measured period.
       names: Names of the strategies; None for all.
-      weighting: Which zone weights the preset has; see `weightings`.
+      weighting: Name of the weighting; see `weightings`.
     """
     return [
         run_scenario(
--- a/jayseam/limits/models/weightings.py
+++ b/jayseam/limits/models/weightings.py
@@ -1,4 +1,4 @@
-"""Zone weights that the model's preset has for a load's skew over zones."""
+"""Functions that derive the preset's zone weights from the load per zone."""
 
 from collections.abc import Callable, Mapping
 
@@ -12,19 +12,19 @@
 
 @registry.register('none')
 def omit_weights(_: Mapping[str, float]) -> dict[str, float]:
-    """Returns no weights, as in a preset without them."""
+    """Returns no weights, as in a preset without zone weights."""
     return {}
 
 
 @registry.register('real')
 def copy_skew(skew: Mapping[str, float]) -> dict[str, float]:
-    """Returns weights that are right."""
+    """Returns weights equal to the load of each zone."""
     return dict(skew)
 
 
 @registry.register('rotated')
 def rotate_skew(skew: Mapping[str, float]) -> dict[str, float]:
-    """Returns weights with a quarter of each zone's at the next zone.
+    """Returns weights with a quarter of each zone's load moved to the next.
 
     >>> rotate_skew({'a': 4.0, 'b': 2.0, 'c': 1.0})
     {'a': 3.25, 'b': 2.5, 'c': 1.25}
@@ -39,7 +39,7 @@
 
 @registry.register('exchanged')
 def exchange_skew(skew: Mapping[str, float]) -> dict[str, float]:
-    """Returns weights that are each those of the next zone.
+    """Returns for each zone the load of the next zone.
 
     >>> exchange_skew({'a': 4.0, 'b': 2.0, 'c': 1.0})
     {'a': 2.0, 'b': 1.0, 'c': 4.0}
@@ -53,7 +53,7 @@
 
 @registry.register('single')
 def keep_heaviest(skew: Mapping[str, float]) -> dict[str, float]:
-    """Returns weights that are zero but for the zone with most calls.
+    """Returns weight 1 for the zone with the highest load, 0 for others.
 
     >>> keep_heaviest({'a': 4.0, 'b': 2.0, 'c': 1.0})
     {'a': 1.0, 'b': 0.0, 'c': 0.0}
--- a/jayseam/limits/models/workspaces.py
+++ b/jayseam/limits/models/workspaces.py
@@ -1,4 +1,4 @@
-"""The workspaces of the model and what they send."""
+"""Workspaces of the model and their load."""
 
 import types
 
@@ -7,12 +7,12 @@
 
 @attrs.frozen
 class Load:
-    """One workspace of the model and what it sends.
+    """Limit and load of one workspace.
 
     Attributes:
-      rate_per_s: Its rate in tokens a second.
+      rate_per_s: Its rate in tokens per second.
       burst: Its burst in tokens.
-      offered_per_s: Calls a second that it sends.
+      offered_per_s: Calls per second that it sends.
     """
 
     rate_per_s: float
@@ -20,7 +20,7 @@
     offered_per_s: float
 
 
-# Two large workspaces, five small ones, and one that sends four times its rate.
+# Two large workspaces, five small ones, and one that calls at 4 times its rate.
 DEFAULT_LOADS = types.MappingProxyType(
     {
         'large-1': Load(400.0, 400.0, 280.0),
