State in the limits tests which failure each one guards against

They now name the fault and its cause; two assertion messages are reworded with the same checks, and test_world_spends_tokens becomes test_simulation_spends_tokens. Every assertion checks what it did before.

--- a/jayseam/limits/tests/test_accounts.py
+++ b/jayseam/limits/tests/test_accounts.py
@@ -1,4 +1,4 @@
-"""Tests of the shares by which zone weights divide rate and burst."""
+"""Tests of position shares with and without zone weights."""
 
 import fractions
 import math
@@ -14,10 +14,11 @@
 from jayseam.presets import verification
 
 _ZONES = ('a', 'b', 'c', 'd', 'e', 'f')
-# Scaling to the whole takes up to this part of what was raised.
-_LEAST = float(accounts.MIN_PART_OF_EQUAL / (1 + accounts.MIN_PART_OF_EQUAL))
+# Smallest fraction of an equal share that a position can have: a raised part
+# decreases again when all parts are scaled to a sum of 1.
+_MIN_PART = float(accounts.MIN_PART_OF_EQUAL / (1 + accounts.MIN_PART_OF_EQUAL))
 _AMOUNTS = st.floats(1e-9, 1e7) | st.integers(1, 10_000_000)
-_LATEST_S = accounts.INCREASE_DELAY_S / 2 - 0.01
+_MAX_VERSION_DELAY_S = accounts.INCREASE_DELAY_S / 2 - 0.01
 _WEIGHTS = st.dictionaries(
     st.sampled_from((*_ZONES, 'empty')),
     st.just(0) | st.floats(0.0, 1e6) | st.integers(0, 1_000_000),
@@ -59,22 +60,22 @@
 def test_shares_never_exceed_rate_and_burst(counts, rate, burst, weights):
     """Rounding or a zone without positions must not create tokens.
 
-    Sums are exact; they are also close to the whole, so no part is lost.
+    The exact sums must also be close to rate and burst, so none is lost.
     """
     preset = _build_preset(counts, rate, burst, weights)
     shares = _compute_all(preset).values()
-    for whole, parts in (
+    for limit, parts in (
         (rate, [s.rate_per_s for s in shares]),
         (burst, [s.burst for s in shares]),
     ):
         total = sum(map(fractions.Fraction, parts))
-        assert total <= fractions.Fraction(whole)
-        assert total >= fractions.Fraction(whole) * (1 - 1e-12)
-        assert min(parts) >= _LEAST * whole / len(parts) * (1 - 1e-12)
+        assert total <= fractions.Fraction(limit)
+        assert total >= fractions.Fraction(limit) * (1 - 1e-12)
+        assert min(parts) >= _MIN_PART * limit / len(parts) * (1 - 1e-12)
 
 
 def test_weights_divide_a_zone_equally_over_its_positions():
-    """A zone with most of the calls must have most of the tokens when cut."""
+    """A zone with most of the calls needs most of the tokens when cut off."""
     preset = _build_preset(
         {'a': 2, 'b': 4, 'c': 1}, 70.0, 7.0, {'a': 4, 'b': 2, 'c': 1}
     )
@@ -96,7 +97,7 @@
 def test_weights_of_a_zone_without_positions_fall_to_the_others(
     weights, expected
 ):
-    """Tokens of a zone that has no process to lend them would be lost."""
+    """Shares of a zone without a process to lend them would be unusable."""
     preset = _build_preset({'a': 2, 'b': 2}, 40.0, 40.0, weights)
     shares = _compute_all(preset)
     assert shares['a0'].rate_per_s == pytest.approx(expected)
@@ -104,18 +105,18 @@
 
 
 def test_zone_of_weight_zero_keeps_tokens():
-    """Weights that are too extreme must leave a cut-off zone some tokens."""
+    """Extreme weights must leave some tokens to a zone that is cut off."""
     preset = _build_preset({'a': 2, 'b': 2}, 40.0, 40.0, {'a': 1, 'b': 0})
     share = _compute_all(preset)['b0'].rate_per_s
-    assert 10.0 * _LEAST <= share <= 10.0 * float(accounts.MIN_PART_OF_EQUAL)
+    assert 10.0 * _MIN_PART <= share <= 10.0 * float(accounts.MIN_PART_OF_EQUAL)
 
 
 def test_weights_of_a_verified_preset_reach_the_shares():
-    """A field lost on the way would leave shares equal without a notice."""
+    """If a step dropped the field, shares would silently remain equal."""
     document = documents.dump_preset(samples.build_agence().preset)
     bureau = next(w for w in document['workspaces'] if w['name'] == 'bureau')
     bureau['zone_weights'] = {'liege': 3, 'namur': 2, 'charleroi': 1}
-    # A zone out of service keeps its part, as positions of all zones count.
+    # A zone out of service keeps its part, since positions of all zones count.
     for zone in document['zones']:
         zone['in_service'] = zone['name'] != 'liege'
     bundle = documents.split_preset(document)
@@ -131,7 +132,7 @@
 
 
 def test_change_of_weights_shrinks_at_once_and_grows_late():
-    """A zone that gains before another loses would exceed the rate."""
+    """An increase before another zone's decrease would exceed the rate."""
     accounts_by_name = {}
     for zone in 'ab':
         account = accounts_by_name[zone] = accounts.Account(f'{zone}0', now=0.0)
@@ -151,10 +152,10 @@
 @hypothesis.settings(deadline=None)
 @hypothesis.given(st.lists(_WEIGHTS, min_size=2, max_size=5), st.randoms())
 def test_changes_of_weights_never_add_up_to_more(versions, rng):
-    """Positions that learn of versions at other times must not overlend.
+    """Positions that receive versions at different times must not overlend.
 
-    Each learns of a version within half of the time that growth waits, at times
-    after the next version already, and then never follows the earlier one.
+    Each receives a version within half of `accounts.INCREASE_DELAY_S`. Some
+    receive it after the next version, and then never apply it.
     """
     counts = {'a': 2, 'b': 1, 'c': 3}
     published, time = [], 0.0
@@ -165,17 +166,22 @@
     accounts_by_name = {
         name: accounts.Account(name, now=-20.0) for name in names
     }
-    learnt = []
+    deliveries = []
     for name in names:
         for version, (at, preset) in enumerate(published, start=1):
-            learnt.append(
-                (at + rng.uniform(0.0, _LATEST_S), name, version, preset)
+            deliveries.append(
+                (
+                    at + rng.uniform(0.0, _MAX_VERSION_DELAY_S),
+                    name,
+                    version,
+                    preset,
+                )
             )
-    learnt.sort(key=lambda item: item[0])
+    deliveries.sort(key=lambda item: item[0])
     for step in range(int(time + 12.0) * 4):
         now = step * 0.25
-        while learnt and learnt[0][0] <= now:
-            at, name, version, preset = learnt.pop(0)
+        while deliveries and deliveries[0][0] <= now:
+            at, name, version, preset = deliveries.pop(0)
             accounts_by_name[name].set_preset(preset, version, at)
         shares = [
             account.get_shares(now)[0].get('w', accounts.NO_SHARE)
--- a/jayseam/limits/tests/test_bound.py
+++ b/jayseam/limits/tests/test_bound.py
@@ -1,6 +1,6 @@
-"""Tests of the window bound on lenders, owners and entries alone.
+"""Tests of the window bound with lenders, owners and entries alone.
 
-Owners ask at random, so no agreement about who owns what is assumed.
+Owners request leases at random, so the tests assume no agreement on ownership.
 """
 
 import random
@@ -22,7 +22,7 @@
 
 @attrs.define
 class _Process:
-    """A process with a clock of its own."""
+    """A process that is lender, owner and entry, with its own clock."""
 
     vm: str
     incarnation: int
@@ -31,13 +31,13 @@
     pool: pools.Pool = attrs.field(factory=pools.Pool)
     batches: list = attrs.field(factory=list)
 
-    def local(self, now):
+    def local_time(self, now):
         """Returns the time on this process's clock."""
         return 1000.0 + now * (1 + self.drift)
 
 
-class _World:
-    """Processes that borrow, draw, spend and restart at random moments."""
+class _Simulation:
+    """Processes that borrow, draw, spend and restart at random times."""
 
     def __init__(self, seed):
         self.random = random.Random(seed)
@@ -58,25 +58,25 @@
         self.incarnation += 1
         drift = self.random.uniform(-0.001, 0.001)
         process = _Process(f'vm{position}', self.incarnation, drift)
-        local = process.local(self.now)
+        local = process.local_time(self.now)
         process.account = accounts.Account(f'u{position}', local)
         process.account.set_preset(self.preset, 1, local - 60.0)
         return process
 
     def _delay(self):
-        """Returns a message delay, at times longer than a loan."""
+        """Returns a random message delay, which may be longer than a lease."""
         if self.random.random() < 0.7:
             return self.random.uniform(0.0, 0.01)
         return self.random.uniform(0.0, 2.5)
 
-    def _later(self, action):
+    def _send(self, action):
         self.pending.append((self.now + self._delay(), action))
 
     def _borrow(self, owner, lender):
-        requested_at = owner.local(self.now)
+        requested_at = owner.local_time(self.now)
 
         def at_lender():
-            now = lender.local(self.now)
+            now = lender.local_time(self.now)
             shares, _ = lender.account.get_shares(now)
             if lender in self.processes and lender.account.grant_lease(
                 0, owner.vm, owner.incarnation, now
@@ -87,31 +87,33 @@
                     shares,
                     requested_at + accounts.LEASE_S,
                 )
-                self._later(
-                    lambda: owner.pool.add_lease(lease, owner.local(self.now))
+                self._send(
+                    lambda: owner.pool.add_lease(
+                        lease, owner.local_time(self.now)
+                    )
                 )
 
-        self._later(at_lender)
+        self._send(at_lender)
 
-    def _draw_tokens(self, owner, entry):
+    def _draw(self, owner, entry):
         self.number += 1
         key = (entry.vm, entry.incarnation, self.number)
-        expires = entry.local(self.now) + pools.BATCH_LIFETIME_S
+        expires = entry.local_time(self.now) + pools.BATCH_LIFETIME_S
 
         def at_owner():
             if owner not in self.processes:
                 return
             granted = owner.pool.grant_batch(
-                'w', 99.0, key, owner.local(self.now)
+                'w', 99.0, key, owner.local_time(self.now)
             )
-            # In use from the grant on, because the reply cannot be taken back.
+            # Counts as spendable from the grant on: a reply can't be revoked.
             entry.batches.append([owner, key, granted, expires])
 
-        self._later(at_owner)
+        self._send(at_owner)
 
-    def _use(self, entry):
+    def _spend_or_return(self, entry):
         """Spends or returns a batch, and reports it once."""
-        now = entry.local(self.now)
+        now = entry.local_time(self.now)
         entry.batches = [b for b in entry.batches if b[2] and b[3] > now]
         if not entry.batches:
             return
@@ -122,22 +124,22 @@
         self.spent += [self.now] * int(spent)
         batch[2] = amount - spent - returned
         report = ('w', key, spent, returned)
-        self._later(
-            lambda: owner.pool.apply_report(*report, owner.local(self.now))
+        self._send(
+            lambda: owner.pool.apply_report(*report, owner.local_time(self.now))
         )
 
     def step(self):
-        """Does one thing and lets some time pass."""
+        """Performs one random action and advances the time."""
         choice = self.random.random()
-        one, other = self.random.choices(range(len(self.processes)), k=2)
+        first, second = self.random.choices(range(len(self.processes)), k=2)
         if choice < 0.5:
-            self._borrow(self.processes[one], self.processes[other])
+            self._borrow(self.processes[first], self.processes[second])
         elif choice < 0.75:
-            self._draw_tokens(self.processes[one], self.processes[other])
+            self._draw(self.processes[first], self.processes[second])
         elif choice < 0.99:
-            self._use(self.processes[one])
+            self._spend_or_return(self.processes[first])
         else:
-            self.processes[one] = self._start(one)
+            self.processes[first] = self._start(first)
         end = self.now + self.random.choice([0.0, 0.02, 0.1, 0.3])
         while self.pending and min(self.pending, key=lambda p: p[0])[0] <= end:
             event = min(self.pending, key=lambda p: p[0])
@@ -150,24 +152,27 @@
         """Returns the tokens of live processes that can be spent now."""
         total = 0.0
         for process in self.processes:
-            local = process.local(self.now)
+            local = process.local_time(self.now)
             total += process.pool.level('w', local)
             total += sum(b[2] for b in process.batches if b[3] > local)
         return total
 
 
-def _check_world(seed, steps):
-    world = _World(seed)
+def _check_bound(seed, steps):
+    simulation = _Simulation(seed)
     granted = 0
     for _ in range(steps):
-        world.step()
-        assert world.spendable() <= BURST + 1e-6
+        simulation.step()
+        assert simulation.spendable() <= BURST + 1e-6
         backing = sum(
-            p.pool.backing('w', p.local(world.now)) for p in world.processes
+            p.pool.backing('w', p.local_time(simulation.now))
+            for p in simulation.processes
         )
         assert backing <= BURST + 1e-6
-        granted = max(granted, len(world.spent))
-    excess = models.measures.measure_overshoot(world.spent, RATE_PER_S, BURST)
+        granted = max(granted, len(simulation.spent))
+    excess = models.measures.measure_overshoot(
+        simulation.spent, RATE_PER_S, BURST
+    )
     assert excess <= 1e-6
     return granted
 
@@ -175,16 +180,16 @@
 @hypothesis.settings(max_examples=60, deadline=None)
 @hypothesis.given(seed=st.integers(0, 2**32))
 def test_bound_holds_without_agreement(seed):
-    """No order of loans, batches and restarts may create tokens."""
-    _check_world(seed, steps=600)
+    """No order of leases, batches and restarts may create tokens."""
+    _check_bound(seed, steps=600)
 
 
-def test_world_spends_tokens():
-    """A world in which nothing is granted would prove nothing."""
-    assert _check_world(1, steps=2000) > 100
+def test_simulation_spends_tokens():
+    """The checks of the bound would be void if no tokens were granted."""
+    assert _check_bound(1, steps=2000) > 100
 
 
-def _lent_pool(expires=2.0):
+def _create_pool(expires=2.0):
     pool = pools.Pool()
     shares = {'w': accounts.Share(10.0, 10.0)}
     assert pool.add_lease(pools.Lease('u', 1, shares, expires), now=0.0)
@@ -192,15 +197,15 @@
 
 
 def test_batch_never_outlives_its_loan():
-    """A batch of a loan about to end could be spent beside its successor's."""
-    pool = _lent_pool()
+    """Otherwise batches of a lease and of its successor could both be spent."""
+    pool = _create_pool()
     assert pool.grant_batch('w', 1.0, ('vm', 1, 1), now=0.9) > 0
     assert pool.grant_batch('w', 1.0, ('vm', 1, 2), now=1.1) == 0
 
 
 def test_expired_or_unknown_batch_is_not_credited():
-    """A late or repeated return would create tokens."""
-    pool = _lent_pool(expires=20.0)
+    """Crediting a late or repeated return would create tokens."""
+    pool = _create_pool(expires=20.0)
     key = ('vm', 1, 1)
     granted = pool.grant_batch('w', 5.0, key, now=2.0)
     pool.apply_report('w', key, 0.0, granted, now=2.1)
@@ -215,8 +220,8 @@
 
 
 def test_lower_incarnation_at_a_position_is_not_counted():
-    """A replaced process that still runs would lend the share twice."""
-    pool = _lent_pool()
+    """A replaced process that still runs would lend the share again."""
+    pool = _create_pool()
     shares = {'w': accounts.Share(10.0, 10.0)}
     assert pool.add_lease(pools.Lease('u', 2, shares, 2.5), now=0.1)
     assert not pool.add_lease(pools.Lease('u', 1, shares, 3.0), now=0.2)
@@ -238,13 +243,13 @@
 
 
 def test_share_waits_out_predecessor_and_other_borrowers(account):
-    """A share lent while an earlier loan runs would be used twice."""
+    """A share lent during an earlier lease would be used twice."""
     assert not account.grant_lease(0, 'a', 1, now=2.4)
     assert account.grant_lease(0, 'a', 1, now=2.5)
     assert not account.grant_lease(0, 'b', 1, now=4.5)
     assert not account.grant_lease(
         0, 'a', 2, now=4.5
-    ), 'restart loses its records'
+    ), 'a restarted borrower has lost its records'
     assert account.grant_lease(0, 'a', 1, now=4.5)
     account.release(0, 'a', 1, now=4.6, remaining_s=1.0)
     assert not account.grant_lease(0, 'b', 1, now=5.5)
@@ -252,7 +257,7 @@
 
 
 def test_share_grows_late_and_shrinks_at_once(account):
-    """A share that grows at once would add to shares not shrunk elsewhere."""
+    """An immediate increase would add to shares not yet decreased elsewhere."""
 
     def rate(now):
         return account.get_shares(now)[0].get('w', accounts.NO_SHARE).rate_per_s
@@ -262,7 +267,7 @@
     account.set_preset(_preset(2, 40.0), 2, now=10.0)
     assert rate(14.9) == 10.0
     account.set_preset(_preset(2, 36.0), 3, now=14.0)
-    assert rate(15.0) == 18.0, 'a smaller raise keeps its time'
+    assert rate(15.0) == 18.0, 'a smaller increase keeps its time'
     account.set_preset(_preset(4, 36.0), 4, now=16.0)
     assert rate(16.0) == 9.0
     account.set_preset(_preset(1, 36.0), 3, now=17.0)
--- a/jayseam/limits/tests/test_models.py
+++ b/jayseam/limits/tests/test_models.py
@@ -44,7 +44,7 @@
 
 @pytest.mark.parametrize('seed', range(8))
 def test_escrow_keeps_the_bound_under_faults(seed):
-    """No kill, restart, pause, delay or cut may exceed rate and burst."""
+    """No kill, restart, pause, delay or cut may break the window bound."""
     model, excess = _run_faults(
         seed, 'escrow', nodes=3 + seed % 4, zones=1 + seed % 3
     )
@@ -65,7 +65,7 @@
 
 
 def test_owner_breaks_the_bound_in_a_partition():
-    """The reason for escrow: both sides of a cut have an owner."""
+    """With `owner`, both sides of a cut have an owner; `escrow` avoids this."""
     owner = models.scenarios.run_scenario(1, 'owner', 'zone-cut')
     escrow = models.scenarios.run_scenario(1, 'escrow', 'zone-cut')
     assert owner.overshoot > 10.0
@@ -74,7 +74,7 @@
 
 
 def test_escrow_serves_skewed_load_that_static_refuses():
-    """Calls within the rate must not be refused because of where they enter."""
+    """Calls within the rate must be admitted at whichever node they arrive."""
     escrow = models.scenarios.run_scenario(2, 'escrow', 'calm')
     static = models.scenarios.run_scenario(2, 'static', 'calm')
     assert escrow.wrongful < 0.001
@@ -84,7 +84,7 @@
 
 
 def test_small_bursts_at_high_load_are_served():
-    """Back-off and unreported tokens must not keep buckets from accruing."""
+    """Backoff and unreported tokens must not keep buckets from accruing."""
     loads = {
         'large': models.workspaces.Load(400.0, 100.0, 340.0),
         'tiny': models.workspaces.Load(20.0, 5.0, 14.0),
@@ -100,9 +100,9 @@
 @pytest.mark.parametrize('weighting', ['real', 'rotated'])
 @pytest.mark.parametrize('seed', range(1, 4))
 def test_zone_weights_serve_skewed_load_in_a_cut(seed, weighting):
-    """With equal shares a workspace is refused where most of its calls enter.
+    """Equal shares refuse calls in the zone in which most calls arrive.
 
-    Weights that are off by a quarter must do as well.
+    Zone weights that are off by a quarter must also prevent this.
     """
     plain = models.scenarios.run_scenario(seed, 'escrow', 'zone-cut')
     result = models.scenarios.run_scenario(
@@ -125,13 +125,13 @@
 
 @pytest.mark.parametrize('seed', range(3))
 def test_death_of_an_owner_refuses_few(seed):
-    """Other cells must supply the entries while shares are locked."""
+    """Other cells must supply entries until the owner's leases have ended."""
     result = models.scenarios.run_scenario(seed, 'escrow', 'node-death')
     assert result.wrongful < 0.02
 
 
 def _measure_refusals(model, start, end):
-    """Returns the part refused of the calls within the rate in a time span."""
+    """Returns the refused fraction of the calls within the rate."""
     offered = refused = 0
     for name, load in model.loads.items():
         if load.offered_per_s <= load.rate_per_s:
@@ -143,11 +143,11 @@
 
 @pytest.mark.parametrize('seed', range(1, 4))
 def test_refusals_end_soon_after_links_were_silent(seed):
-    """Shares must not stay with members that took the owner for silent.
+    """Shares must not stay with members that considered the owner silent.
 
-    All links are silent for 2 s, which is when links find out and are
-    replaced. Nodes that were cut off all take the owner for silent, and the
-    first of them to ask for a share would keep it for a loan's length.
+    All links are silent for 2 s, the time until links detect the failure and
+    are replaced. All nodes that were cut off then consider the owner silent,
+    and the first to request a share would keep it for the length of a lease.
     """
     model = models.fleets.Model(seed, 'escrow')
     model.send_load(until=17.0)
@@ -161,7 +161,7 @@
 
 
 def test_fleet_restart_recovers_without_excess():
-    """All processes that restart at once must neither overshoot nor stall."""
+    """A restart of all processes must neither exceed the limits nor stall."""
     model = models.fleets.Model(5, 'escrow', nodes=6, zones=3, loads=LOADS)
     model.send_load(until=24.0)
     model.run(10.0)
@@ -176,7 +176,7 @@
 
 
 def test_idle_workspaces_cost_no_messages():
-    """Traffic at rest must not grow with the number of workspaces."""
+    """Traffic without calls must not grow with the number of workspaces."""
     sizes = []
     for count in (1, 50):
         loads = {
@@ -192,7 +192,7 @@
 
 
 def test_unknown_strategy_is_named():
-    """A misspelt setting must list the strategies that exist."""
+    """The error for an unknown strategy lists exactly these names."""
     assert strategies.registry.names() == [
         'escrow',
         'owner',
--- a/jayseam/limits/tests/test_replicas.py
+++ b/jayseam/limits/tests/test_replicas.py
@@ -1,4 +1,4 @@
-"""Tests of the replicated buckets, alone and in the model of a fleet."""
+"""Tests of the replicated buckets, alone and in the model."""
 
 import types
 
@@ -9,12 +9,13 @@
 from jayseam.limits import models
 from jayseam.limits import replicas
 
-# What operators tolerate in any window of this length.
+# Excess that operators tolerate in any window of this length: a fraction of
+# rate and burst, and a number of calls.
 WINDOW_S = 5.0
-OVERAGE = 0.25
-SLACK = 20.0
+TOLERANCE = 0.25
+SLACK_CALLS = 20.0
 
-# A workspace far over its rate beside ones within theirs.
+# Two workspaces over their rate and two within it.
 LOADS = {
     'large': models.workspaces.Load(400.0, 400.0, 280.0),
     'small': models.workspaces.Load(30.0, 30.0, 15.0),
@@ -49,7 +50,7 @@
     )
 
 
-def _drain(strategy, now):
+def _count_admitted(strategy, now):
     count = 0
     while strategy.admit('w', 1.0, now):
         count += 1
@@ -57,8 +58,10 @@
 
 
 def _window_excess(times, load):
-    """Returns the most calls in a window beyond what is tolerated."""
-    allowed = (load.rate_per_s * WINDOW_S + load.burst) * (1 + OVERAGE) + SLACK
+    """Returns how far the worst window exceeds the tolerated calls."""
+    allowed = (load.rate_per_s * WINDOW_S + load.burst) * (
+        1 + TOLERANCE
+    ) + SLACK_CALLS
     times, first, worst = sorted(times), 0, 0
     for last, time in enumerate(times):
         while times[first] < time - WINDOW_S:
@@ -68,11 +71,11 @@
 
 
 def test_spends_what_others_left():
-    """Tokens that another member has spent are gone here too."""
+    """Tokens that another member has spent can't be spent here."""
     strategy = _build_with_member()
     strategy.handle_message('vm-1', messages.Spent(7, {'w': 0}), 9.5)
     strategy.handle_message('vm-1', messages.Spent(7, {'w': 6}), 10.0)
-    assert _drain(strategy, 10.0) == 4
+    assert _count_admitted(strategy, 10.0) == 4
 
 
 def test_counts_what_a_restarted_member_spends():
@@ -81,22 +84,22 @@
     strategy.handle_message('vm-1', messages.Spent(7, {'w': 50}), 1.0)
     strategy.handle_message('vm-1', messages.Spent(7, {'w': 50}), 9.5)
     strategy.handle_message('vm-1', messages.Spent(8, {'w': 4}), 10.0)
-    assert _drain(strategy, 10.0) == 6
+    assert _count_admitted(strategy, 10.0) == 6
 
 
 def test_a_new_node_is_not_charged_for_the_past():
-    """Members tell workspaces one after the other, with all they ever spent."""
+    """Reports carry totals since a member's start, one workspace at a time."""
     strategy = replicas.ReplicatedStrategy('vm-0', 'u0', 'a', 90_000, 100.0)
     strategy.set_preset(_preset(4), 1, 100.0)
     strategy.set_members([cells.Member('vm-1', 'u2', 7, 'a')])
     strategy.handle_message('vm-1', messages.Spent(7, {}, {}, ['b']), 100.1)
     relayed = messages.Spent(7, {'w': 50}, {'w': 70}, ['b'])
     strategy.handle_message('vm-1', relayed, 100.4)
-    assert _drain(strategy, 100.5) >= 5
+    assert _count_admitted(strategy, 100.5) >= 5
 
 
 def test_a_member_that_comes_back_is_not_charged_for_the_past():
-    """A partition that is over: members were taken for dead meanwhile."""
+    """After a partition in which the member was considered dead."""
     strategy = _build()
     member = cells.Member('vm-1', 'u2', 7, 'a')
     strategy.set_members([member])
@@ -104,18 +107,18 @@
     strategy.set_members([])
     strategy.set_members([member])
     strategy.handle_message('vm-1', messages.Spent(7, {'w': 80}), 20.0)
-    assert _drain(strategy, 20.0) == 10
+    assert _count_admitted(strategy, 20.0) == 10
 
 
 def test_a_fleet_that_starts_together_counts_its_first_calls():
-    """Otherwise each member would spend the first tokens unheard."""
+    """Otherwise each member could spend the first tokens again."""
     strategy = _build_with_member()
     strategy.handle_message('vm-1', messages.Spent(7, {'w': 4}), 0.2)
-    assert _drain(strategy, 0.2) == pytest.approx(5 + 2 - 4, abs=1)
+    assert _count_admitted(strategy, 0.2) == pytest.approx(5 + 2 - 4, abs=1)
 
 
 def test_relays_what_another_zone_spends():
-    """A member that hears of another zone tells it to its own."""
+    """A relay reports another zone's spending to its own zone only."""
     relay = _build()
     relay.set_members(
         [
@@ -132,17 +135,17 @@
 
 
 def test_leaves_silent_members_their_part():
-    """A node that hears nobody uses its own part of the rate only."""
+    """A node that hears from no member uses only its own part of the rate."""
     strategy = _build()
     strategy.poll(10.0)
-    _drain(strategy, 10.0)
-    assert _drain(strategy, 11.0) == pytest.approx(10.0 / 4, abs=1)
+    _count_admitted(strategy, 10.0)
+    assert _count_admitted(strategy, 11.0) == pytest.approx(10.0 / 4, abs=1)
 
 
 def test_refuses_with_spread_returns():
-    """Calls refused together are told different times to return."""
+    """Calls that are refused together get different retry times."""
     strategy = _build()
-    _drain(strategy, 0.0)
+    _count_admitted(strategy, 0.0)
     delays = [strategy.retry_after('w', 1.0) for _ in range(8)]
     assert len(set(delays)) == 8
     assert max(delays) - min(delays) < replicas.RETRY_SPREAD_S
@@ -152,10 +155,10 @@
 @pytest.mark.parametrize('nodes', [12, 72])
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_stays_within_what_is_tolerated(scenario, nodes, seed):
-    """No window has more calls than operators tolerate, hot or cut off."""
+    """No window may exceed the tolerance, with or without faults."""
     model = models.fleets.Model(seed, 'replicated', nodes, 3, LOADS)
     for node in model.nodes.values():
-        node.strategy.set_tolerance(OVERAGE)
+        node.strategy.set_tolerance(TOLERANCE)
         node.strategy.set_preset(model.preset, 1, model._local_time(node))
     end = models.scenarios.WARM_UP_S + 8.0
     model.schedule(
@@ -171,10 +174,10 @@
 @pytest.mark.parametrize('nodes', [12, 72])
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_stays_within_when_two_zones_lose_each_other(nodes, seed):
-    """A third zone reaches both, and neither may take its part."""
+    """Neither zone may use the part of a third zone that reaches both."""
     model = models.fleets.Model(seed, 'replicated', nodes, 3, LOADS)
     for node in model.nodes.values():
-        node.strategy.set_tolerance(OVERAGE)
+        node.strategy.set_tolerance(TOLERANCE)
         node.strategy.set_preset(model.preset, 1, model._local_time(node))
     end = models.scenarios.WARM_UP_S + 12.0
     model.schedule(
@@ -186,14 +189,14 @@
     model.run(end + 1.0)
     for name, load in LOADS.items():
         assert _window_excess(model.tallies[name].admitted, load) <= 0, name
-    # All zones reach each other again, and nobody is left with a part.
+    # All zones reach each other again, so no node is restricted to a part.
     for node in model.nodes.values():
         assert node.strategy.describe(model._local_time(node))['part'] == 1.0
 
 
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_refuses_nobody_within_the_rate(seed):
-    """Workspaces within their rate are served from the first call on."""
+    """Workspaces within their rate are admitted from the first call on."""
     model = models.fleets.Model(seed, 'replicated', 12, 3, LOADS)
     model.schedule(1.0, lambda: model.send_load(9.0))
     model.run(10.0)
@@ -202,8 +205,8 @@
 
 
 def test_a_fleet_that_has_just_started_has_its_tokens():
-    """Members that were never heard of have spent nothing yet."""
+    """Members that were never heard from have spent nothing yet."""
     strategy = _build(now=100.0)
     for step in range(20):
         strategy.poll(100.0 + step / 10)
-    assert _drain(strategy, 102.0) == 10
+    assert _count_admitted(strategy, 102.0) == 10
--- a/jayseam/limits/tests/test_strategies.py
+++ b/jayseam/limits/tests/test_strategies.py
@@ -14,7 +14,7 @@
 
 
 def _create_strategy():
-    """Returns the strategy of an entry in a cell of three, and its owner."""
+    """Returns the strategy of a non-owner in a cell of three, and the owner."""
     preset = types.SimpleNamespace(
         upstreams={vm: types.SimpleNamespace(zone='a') for vm in _VMS},
         workspaces={'w': types.SimpleNamespace(rate_per_s=100.0, burst=100.0)},
@@ -31,7 +31,7 @@
 
 
 def _poll_draws(strategy, now):
-    """Lets a call wait for tokens and returns the requests for them."""
+    """Enqueues a call and returns the draws that the strategy sends."""
     strategy.enqueue('w', wallets.Waiter(1, 1.0, now + 1.0))
     return [
         sent
@@ -47,7 +47,7 @@
 def test_only_requests_that_time_out_in_time_tell_of_the_owner(
     elapsed_s, is_passed_over
 ):
-    """A stall of the machine must not make an entry leave all owners."""
+    """A stall of the machine must not make an entry pass over all owners."""
     strategy, owner = _create_strategy()
     now = _START + 0.5
     (sent,) = _poll_draws(strategy, now)
--- a/jayseam/limits/tests/test_task.py
+++ b/jayseam/limits/tests/test_task.py
@@ -14,7 +14,7 @@
 
 
 class _Fleet:
-    """Tasks connected by direct calls, with a clock that starts in the past."""
+    """Tasks connected by direct calls, which started a minute ago."""
 
     def __init__(self, count, strategy, rate_per_s=200.0, burst=100.0):
         upstream = types.SimpleNamespace(zone='a')
@@ -71,14 +71,14 @@
             limiter.stop()
 
     def admit(self, vm, timeout_s=1.0):
-        """Asks one task for one call."""
+        """Requests the admission of one call at one task."""
         now = task.clocks.read_now()
         return self.tasks[vm].admit('w', 1.0, now + timeout_s, now)
 
 
 @pytest.mark.parametrize('strategy', strategies.registry.names())
 def test_call_within_rate_is_admitted(strategy):
-    """A call that finds no token must wait for one and not be refused."""
+    """A call that finds no token must wait for a token, not be refused."""
     with _Fleet(3, strategy) as fleet:
         gevent.sleep(accounts.PREDECESSOR_WAIT_S if strategy == 'owner' else 0)
         for vm in fleet.tasks:
@@ -108,7 +108,7 @@
 
 
 def test_deadline_in_the_past_and_unknown_workspace_do_not_wait():
-    """A refusal that no wait can change must be immediate."""
+    """A call that can't be admitted by waiting must be refused at once."""
     with _Fleet(1, 'escrow') as fleet:
         now = task.clocks.read_now()
         limiter = fleet.tasks['vm0']
@@ -118,7 +118,7 @@
 
 
 def test_hand_back_frees_shares_early():
-    """A planned stop of an owner must not block shares for a whole loan."""
+    """A planned stop of an owner must not block shares for a whole lease."""
     with _Fleet(2, 'escrow') as fleet:
         for vm in ('vm0', 'vm1'):
             lent = fleet.tasks[vm].describe()['account']['lent']
@@ -132,7 +132,7 @@
 
 
 def test_clock_read_before_a_pause_spends_nothing():
-    """A paused caller must not spend tokens that expired while it slept."""
+    """A paused caller must not spend tokens that expired in the pause."""
     with _Fleet(1, 'escrow') as fleet:
         limiter = fleet.tasks['vm0']
         before = task.clocks.read_now()
