--- a/jayseam/limits/baselines.py
+++ b/jayseam/limits/baselines.py
@@ -36,8 +36,8 @@
         )
 
     def _list_owners(self, group: int, now: float) -> list[str]:
-        top = self._find_owner(group, now)
-        return [top] if top is not None else []
+        owner = self._find_owner(group, now)
+        return [owner] if owner is not None else []
 
     def _handle_borrow(
         self, sender: str, message: messages.Borrow, now: float
--- a/jayseam/limits/replicas.py
+++ b/jayseam/limits/replicas.py
@@ -294,16 +294,16 @@
             self._zone_reported_at[member.zone] = now
             self._update_bridged(member.zone, message, now)
             if now - self._bridged_at.get(member.zone, -math.inf) <= SILENT_S:
-                self._compute_spent(sender, 'own', message, now)
+                self._update_totals(sender, 'own', message, now)
                 return
             self._zone_counted_at[member.zone] = now
-        for name, amount in self._compute_spent(
+        for name, amount in self._update_totals(
             sender, 'own', message, now
         ).items():
             self._charge_spent(name, amount, is_cross_zone, now)
         if message.zones and not is_cross_zone:
             self._zone_counted_at.update(dict.fromkeys(message.zones, now))
-            for name, amount in self._compute_spent(
+            for name, amount in self._update_totals(
                 sender, 'relayed', message, now
             ).items():
                 self._charge_spent(name, amount, False, now)
@@ -471,10 +471,10 @@
                 zones.setdefault(member.zone, []).append(vm)
         return [rendezvous.rank(zone, vms)[0] for zone, vms in zones.items()]
 
-    def _compute_spent(
+    def _update_totals(
         self, vm: str, scope: str, message: messages.Spent, now: float
     ) -> Mapping[str, float]:
-        """Returns the tokens spent since the member's previous report."""
+        """Stores a member's totals; returns the tokens spent since the last."""
         totals = message.own if scope == 'own' else message.relayed
         sender_state = self._senders.get((vm, scope))
         if (
--- a/jayseam/limits/strategies.py
+++ b/jayseam/limits/strategies.py
@@ -298,12 +298,14 @@
             self._next_draw_at = now + DRAW_PERIOD_S
             self._drop_idle_wallets(now)
             self._draw_periods += 1
-            reporting = self._draw_periods % REPORT_EVERY_PERIODS == 0
-            out += self._draw_tokens(sorted(self._entry.active), now, reporting)
+            reports_due = self._draw_periods % REPORT_EVERY_PERIODS == 0
+            out += self._draw_tokens(
+                sorted(self._entry.active), now, reports_due
+            )
         else:
             wallets_ = self._entry.wallets
             names = [n for n in self._entry.active if wallets_[n].has_waiters()]
-            out += self._draw_tokens(sorted(names), now, reporting=False)
+            out += self._draw_tokens(sorted(names), now, reports_due=False)
             out += self._report_small_bursts(now)
         return self._deliver_to_self(out, now)
 
@@ -498,11 +500,11 @@
         for vm in self._list_cell_members():
             if (vm, messages.Borrow) in self._in_flight:
                 continue
-            known = self._digest_by_lender.get(vm, digest)
+            lender_digest = self._digest_by_lender.get(vm, digest)
             borrow = messages.Borrow(
                 self.member.incarnation,
                 owned,
-                known not in self._shares_by_digest,
+                lender_digest not in self._shares_by_digest,
             )
             self._in_flight.add((vm, messages.Borrow))
             out.append(Outgoing(vm, borrow, now))
@@ -609,7 +611,7 @@
         return limit.burst / limit.rate_per_s if limit.rate_per_s > 0 else 0.0
 
     def _draw_tokens(
-        self, names: Sequence[str], now: float, reporting: bool
+        self, names: Sequence[str], now: float, reports_due: bool
     ) -> list[Outgoing]:
         wants: dict[str, dict[str, float]] = {}
         for name in names:
@@ -618,11 +620,11 @@
             )
             if need > 0:
                 self._split_draw(name, need, wants, now)
-        if not wants and not reporting:
+        if not wants and not reports_due:
             return []
         # When no reports are due, only owners that are sent a draw get reports.
         reports = self._collect_reports(
-            now, owners=None if reporting else set(wants)
+            now, owners=None if reports_due else set(wants)
         )
         out = []
         for vm, amounts in wants.items():
