Call wallets token caches and accounts share lenders in the limits

Both words were private to the project. The classes are TokenCache and ShareLender now, with attributes and locals to match; the status key "account" and the module names stay. Behaviour is unchanged.

--- a/jayseam/limits/accounts.py
+++ b/jayseam/limits/accounts.py
@@ -184,7 +184,7 @@
     return digests.compute_digest(data)[:_DIGEST_CHARS]
 
 
-class Account:
+class ShareLender:
     """Grants leases on the share of one position.
 
     Args:
@@ -312,7 +312,7 @@
         return lease.vm if lease is not None and now < lease.until else None
 
     def describe(self, now: float) -> dict[str, Any]:
-        """Returns the account's state for the status page."""
+        """Returns the state for the status page."""
         return {
             'version': self._version,
             'waiting_s': max(0.0, self.lends_from - now),
--- a/jayseam/limits/baselines.py
+++ b/jayseam/limits/baselines.py
@@ -32,7 +32,7 @@
 
     def _find_owner(self, group: int, now: float) -> str | None:
         return next(
-            iter(self.topology.rank_owners(self.topology.own_cell, group)), None
+            iter(self.topology.rank(self.topology.own_cell, group)), None
         )
 
     def _list_owners(self, group: int, now: float) -> list[str]:
--- a/jayseam/limits/cells.py
+++ b/jayseam/limits/cells.py
@@ -143,7 +143,7 @@
             and member.zone == self.own.zone
         )
 
-    def rank_owners(self, cell: str, group: int) -> list[str]:
+    def rank(self, cell: str, group: int) -> list[str]:
         """Returns the VMs of a cell in order of preference as group owner."""
         return self._owner_ranks.get((cell, group), [])
 
--- a/jayseam/limits/models/__main__.py
+++ b/jayseam/limits/models/__main__.py
@@ -19,8 +19,8 @@
     model = fleets.Model(seed, 'static', nodes=1, zones=1)
     model.run(scenarios.WARM_UP_S)
     node = next(iter(model.nodes.values()))
-    wallet = node.strategy._entry.get_wallet('large-1')
-    wallet.add_batch(wallets.Batch('x', 1, 1e9, float('inf')))
+    cache = node.strategy._entry.get_cache('large-1')
+    cache.add_batch(wallets.Batch('x', 1, 1e9, float('inf')))
     now = model._local_time(node)
     spent = timeit.timeit(
         lambda: node.strategy.admit('large-1', 1.0, now), number=calls
--- a/jayseam/limits/strategies.py
+++ b/jayseam/limits/strategies.py
@@ -136,23 +136,23 @@
 
 
 class _EntryState:
-    """State of the entry: wallets and counters.
+    """State of the entry: token caches and counters.
 
     Attributes:
-      wallets: Wallet by workspace.
-      active: Workspaces whose wallets are in use.
+      caches: Token cache by workspace.
+      active: Workspaces whose caches are in use.
       expired_tokens: Drawn tokens that expired unspent.
     """
 
     def __init__(self) -> None:
-        self.wallets: dict[str, wallets.Wallet] = {}
+        self.caches: dict[str, wallets.TokenCache] = {}
         self.active: set[str] = set()
         self.expired_tokens = 0.0
 
-    def get_wallet(self, workspace: str) -> wallets.Wallet:
-        """Returns the workspace's wallet and marks it as active."""
+    def get_cache(self, workspace: str) -> wallets.TokenCache:
+        """Returns the workspace's token cache and marks it as active."""
         self.active.add(workspace)
-        return self.wallets.setdefault(workspace, wallets.Wallet())
+        return self.caches.setdefault(workspace, wallets.TokenCache())
 
 
 @registry.register('escrow')
@@ -178,7 +178,7 @@
     ):
         self.member = cells.Member(vm, upstream, incarnation, zone)
         self.topology = cells.Topology(self.member, self._assign_cells)
-        self.account = accounts.Account(upstream, now)
+        self.share_lender = accounts.ShareLender(upstream, now)
         self.pools = [pools.Pool() for _ in range(cells.GROUP_COUNT)]
         self.leaving = False
         self._entry = _EntryState()
@@ -204,13 +204,13 @@
 
     def set_preset(self, preset: Any, version: int, now: float) -> None:
         """Applies a version of the preset."""
-        self.account.set_preset(preset, version, now)
+        self.share_lender.set_preset(preset, version, now)
         self._limits = {
             name: accounts.Share(w.rate_per_s, w.burst)
             for name, w in preset.workspaces.items()
         }
-        for name in set(self._entry.wallets) - set(self._limits):
-            del self._entry.wallets[name]
+        for name in set(self._entry.caches) - set(self._limits):
+            del self._entry.caches[name]
             self._entry.active.discard(name)
         self.topology.set_positions(preset.upstreams)
 
@@ -246,33 +246,33 @@
         """Spends tokens for a new call.
 
         Returns:
-          Whether the wallet had enough.
+          Whether the token cache had enough tokens.
         """
         if workspace not in self._limits:
             return False
-        wallet = self._entry.get_wallet(workspace)
-        wallet.record_demand(cost, now)
-        return wallet.try_spend(cost, now)
+        cache = self._entry.get_cache(workspace)
+        cache.record_demand(cost, now)
+        return cache.try_spend(cost, now)
 
     def enqueue(self, workspace: str, waiter: wallets.Waiter) -> bool:
         """Queues a call that waits for tokens; returns whether it may wait."""
         limit = self._limits.get(workspace)
         if limit is None or limit.burst < waiter.cost:
             return False
-        return self._entry.get_wallet(workspace).enqueue(waiter)
+        return self._entry.get_cache(workspace).enqueue(waiter)
 
     def remove_waiter(self, workspace: str, call: int) -> None:
         """Removes a call that stops waiting."""
-        wallet = self._entry.wallets.get(workspace)
-        if wallet is not None:
-            wallet.remove_waiter(call)
+        cache = self._entry.caches.get(workspace)
+        if cache is not None:
+            cache.remove_waiter(call)
 
     def admit_waiters(self, now: float) -> list[int]:
         """Spends tokens for waiting calls; returns the admitted calls."""
         return [
             call
             for name in sorted(self._entry.active)
-            for call in self._entry.wallets[name].admit_waiters(now)
+            for call in self._entry.caches[name].admit_waiters(now)
         ]
 
     def retry_after(self, workspace: str, cost: float) -> float:
@@ -280,8 +280,8 @@
         limit = self._limits.get(workspace)
         if limit is None or limit.rate_per_s <= 0:
             return 60.0
-        wallet = self._entry.wallets.get(workspace)
-        waiting = wallet.waiting_cost() if wallet is not None else 0.0
+        cache = self._entry.caches.get(workspace)
+        waiting = cache.waiting_cost() if cache is not None else 0.0
         return min(60.0, max(0.1, (waiting + cost) / limit.rate_per_s))
 
     # Messages.
@@ -296,15 +296,15 @@
             out += self._renew_leases(now)
         if now >= self._next_draw_at:
             self._next_draw_at = now + DRAW_PERIOD_S
-            self._drop_idle_wallets(now)
+            self._drop_idle_caches(now)
             self._draw_periods += 1
             reports_due = self._draw_periods % REPORT_EVERY_PERIODS == 0
             out += self._draw_tokens(
                 sorted(self._entry.active), now, reports_due
             )
         else:
-            wallets_ = self._entry.wallets
-            names = [n for n in self._entry.active if wallets_[n].has_waiters()]
+            caches = self._entry.caches
+            names = [n for n in self._entry.active if caches[n].has_waiters()]
             out += self._draw_tokens(sorted(names), now, reports_due=False)
             out += self._report_small_bursts(now)
         return self._deliver_to_self(out, now)
@@ -327,7 +327,7 @@
             self._apply_reports(sender, message, now)
         elif isinstance(message, messages.Release):
             for group in message.groups:
-                self.account.release(
+                self.share_lender.release(
                     group,
                     sender,
                     message.incarnation,
@@ -359,8 +359,8 @@
         """Removes expired leases and batches, for example after a pause."""
         for pool in self.pools:
             pool.drop_expired_leases(now)
-        for wallet in self._entry.wallets.values():
-            self._entry.expired_tokens += wallet.drop_expired(now)
+        for cache in self._entry.caches.values():
+            self._entry.expired_tokens += cache.drop_expired(now)
 
     def release_all(self, now: float) -> list[Outgoing]:
         """Stops lending and owning groups.
@@ -390,8 +390,8 @@
 
     def available(self, workspace: str, now: float) -> float:
         """Returns the workspace's tokens that this entry can spend."""
-        wallet = self._entry.wallets.get(workspace)
-        return 0.0 if wallet is None else wallet.available(now)
+        cache = self._entry.caches.get(workspace)
+        return 0.0 if cache is None else cache.available(now)
 
     def explain(self, workspace: str, now: float) -> dict[str, Any]:
         """Returns the state behind the decisions on a workspace, for logs."""
@@ -402,7 +402,7 @@
         }
 
     def count_expired_tokens(self) -> float:
-        """Returns the tokens that expired unspent in wallets."""
+        """Returns the tokens that expired unspent in the token caches."""
         return self._entry.expired_tokens
 
     def describe(self, now: float) -> dict[str, Any]:
@@ -410,14 +410,14 @@
         return {
             'cell': self.topology.own_cell,
             'lending': self._may_lend(now),
-            'account': self.account.describe(now),
+            'account': self.share_lender.describe(now),
             'owned': {
                 str(group): pool.describe(now)
                 for group, pool in enumerate(self.pools)
                 if pool.describe(now)['loans']
             },
             'stock': {
-                name: round(self._entry.wallets[name].available(now), 3)
+                name: round(self._entry.caches[name].available(now), 3)
                 for name in sorted(self._entry.active)
             },
         }
@@ -437,7 +437,7 @@
             self._last_request_at[sender] = now
             if sender != self.member.vm:
                 self._lease_requests.record(now)
-        shares, digest = self.account.get_shares(now)
+        shares, digest = self.share_lender.get_shares(now)
         lent = []
         if self._may_lend(now):
             lent = [
@@ -445,7 +445,7 @@
                 for group in message.groups
                 if 0 <= group < cells.GROUP_COUNT
                 and self._may_borrow(sender, group, now)
-                and self.account.grant_lease(
+                and self.share_lender.grant_lease(
                     group, sender, message.incarnation, now
                 )
             ]
@@ -466,14 +466,12 @@
         the lease ends.
         """
         if now < self._lease_requests.grace_until:
-            return self.topology.rank_owners(self.topology.own_cell, group)[
-                :1
-            ] == [vm]
+            return self.topology.rank(self.topology.own_cell, group)[:1] == [vm]
         return self._find_owner(group, now) == vm
 
     def _find_owner(self, group: int, now: float) -> str | None:
         """Returns the group's owner in the own cell, in this node's view."""
-        for vm in self.topology.rank_owners(self.topology.own_cell, group):
+        for vm in self.topology.rank(self.topology.own_cell, group):
             if vm == self.member.vm:
                 return vm
             since = self._expected_since.setdefault((group, vm), now)
@@ -495,7 +493,7 @@
         ]
         if not owned:
             return self._probe(now)
-        _, digest = self.account.get_shares(now)
+        _, digest = self.share_lender.get_shares(now)
         out = []
         for vm in self._list_cell_members():
             if (vm, messages.Borrow) in self._in_flight:
@@ -527,7 +525,7 @@
         return [Outgoing(vm, borrow, now)]
 
     def _list_cell_members(self) -> Sequence[str]:
-        return self.topology.rank_owners(self.topology.own_cell, 0)
+        return self.topology.rank(self.topology.own_cell, 0)
 
     def _handle_lend(
         self, sent: Outgoing, reply: messages.Lend, now: float
@@ -584,13 +582,13 @@
 
     # Entry.
 
-    def _drop_idle_wallets(self, now: float) -> None:
+    def _drop_idle_caches(self, now: float) -> None:
         for name in list(self._entry.active):
-            wallet = self._entry.wallets[name]
-            self._entry.expired_tokens += wallet.drop_expired(now)
-            if wallet.is_idle(now):
+            cache = self._entry.caches[name]
+            self._entry.expired_tokens += cache.drop_expired(now)
+            if cache.is_idle(now):
                 self._entry.active.discard(name)
-                del self._entry.wallets[name]
+                del self._entry.caches[name]
         self._backoffs = {
             key: backoff
             for key, backoff in self._backoffs.items()
@@ -615,7 +613,7 @@
     ) -> list[Outgoing]:
         wants: dict[str, dict[str, float]] = {}
         for name in names:
-            need = self._entry.wallets[name].compute_draw(
+            need = self._entry.caches[name].compute_draw(
                 now, self._compute_prefetch_s(name)
             )
             if need > 0:
@@ -630,7 +628,7 @@
         for vm, amounts in wants.items():
             self._draw_number += 1
             for name, amount in amounts.items():
-                self._entry.wallets[name].add_pending_draw(
+                self._entry.caches[name].add_pending_draw(
                     self._draw_number, amount, now
                 )
             draw = messages.Draw(
@@ -697,7 +695,7 @@
         # the owner; the tokens are at that member until the lease ends.
         near = (
             self._find_owner(group, now),
-            self.account.find_borrower(group, now),
+            self.share_lender.find_borrower(group, now),
         )
         owners = [
             vm
@@ -705,7 +703,7 @@
             if vm is not None and not self._has_failed(vm, now)
         ]
         for cell in self.topology.other_cells:
-            for vm in self.topology.rank_owners(cell, group)[:3]:
+            for vm in self.topology.rank(cell, group)[:3]:
                 if not self._has_failed(vm, now):
                     owners.append(vm)
                     break
@@ -718,17 +716,15 @@
         number = sent.message.number
         granted = reply.amounts if isinstance(reply, messages.Grant) else {}
         for name, want in sent.message.wants.items():
-            wallet = self._entry.wallets.get(name)
-            if wallet is None:
+            cache = self._entry.caches.get(name)
+            if cache is None:
                 continue
-            wallet.remove_pending_draw(number)
+            cache.remove_pending_draw(number)
             amount = min(granted.get(name, 0.0), want)
             expires = sent.created_at + pools.BATCH_LIFETIME_S
             if amount > 0 and expires > now:
                 self._entry.active.add(name)
-                wallet.add_batch(
-                    wallets.Batch(sent.vm, number, amount, expires)
-                )
+                cache.add_batch(wallets.Batch(sent.vm, number, amount, expires))
             elif amount > 0:
                 self._entry.expired_tokens += amount
             if reply is not None:
@@ -771,8 +767,8 @@
         """
         rows: dict[str, list[list]] = {}
         for name in sorted(self._entry.active) if names is None else names:
-            wallet = self._entry.wallets[name]
-            for vm, *row in wallet.collect_reports(now, owners, return_all):
+            cache = self._entry.caches[name]
+            for vm, *row in cache.collect_reports(now, owners, return_all):
                 number, spent, returned = row
                 rows.setdefault(vm, []).append(
                     [number, name, _compact(spent), _compact(returned)]
--- a/jayseam/limits/tests/test_accounts.py
+++ b/jayseam/limits/tests/test_accounts.py
@@ -133,17 +133,17 @@
 
 def test_change_of_weights_shrinks_at_once_and_grows_late():
     """An increase before another zone's decrease would exceed the rate."""
-    accounts_by_name = {}
+    lenders = {}
     for zone in 'ab':
-        account = accounts_by_name[zone] = accounts.Account(f'{zone}0', now=0.0)
+        share_lender = lenders[zone] = accounts.ShareLender(f'{zone}0', now=0.0)
         preset = _build_preset({'a': 1, 'b': 1}, 40.0, 40.0, {'a': 3, 'b': 1})
-        account.set_preset(preset, 1, now=0.0)
-        account.get_shares(10.0)
+        share_lender.set_preset(preset, 1, now=0.0)
+        share_lender.get_shares(10.0)
         preset = _build_preset({'a': 1, 'b': 1}, 40.0, 40.0, {'a': 1, 'b': 3})
-        account.set_preset(preset, 2, now=10.0)
+        share_lender.set_preset(preset, 2, now=10.0)
 
     def rate(zone, now):
-        return accounts_by_name[zone].get_shares(now)[0]['w'].rate_per_s
+        return lenders[zone].get_shares(now)[0]['w'].rate_per_s
 
     assert rate('a', 10.0) == rate('b', 14.9) == pytest.approx(10.0)
     assert rate('b', 15.0) == pytest.approx(30.0)
@@ -163,9 +163,7 @@
         published.append((time, _build_preset(counts, 7.0, 5.0, weights)))
         time += rng.choice([0.5, 2.0, 4.0, 6.0])
     names = list(published[0][1].upstreams)
-    accounts_by_name = {
-        name: accounts.Account(name, now=-20.0) for name in names
-    }
+    lenders = {name: accounts.ShareLender(name, now=-20.0) for name in names}
     deliveries = []
     for name in names:
         for version, (at, preset) in enumerate(published, start=1):
@@ -182,10 +180,10 @@
         now = step * 0.25
         while deliveries and deliveries[0][0] <= now:
             at, name, version, preset = deliveries.pop(0)
-            accounts_by_name[name].set_preset(preset, version, at)
+            lenders[name].set_preset(preset, version, at)
         shares = [
-            account.get_shares(now)[0].get('w', accounts.NO_SHARE)
-            for account in accounts_by_name.values()
+            share_lender.get_shares(now)[0].get('w', accounts.NO_SHARE)
+            for share_lender in lenders.values()
         ]
         assert math.fsum(s.rate_per_s for s in shares) <= 7.0
         assert math.fsum(s.burst for s in shares) <= 5.0
--- a/jayseam/limits/tests/test_bound.py
+++ b/jayseam/limits/tests/test_bound.py
@@ -27,7 +27,7 @@
     vm: str
     incarnation: int
     drift: float
-    account: accounts.Account | None = None
+    share_lender: accounts.ShareLender | None = None
     pool: pools.Pool = attrs.field(factory=pools.Pool)
     batches: list = attrs.field(factory=list)
 
@@ -59,8 +59,8 @@
         drift = self.random.uniform(-0.001, 0.001)
         process = _Process(f'vm{position}', self.incarnation, drift)
         local = process.local_time(self.now)
-        process.account = accounts.Account(f'u{position}', local)
-        process.account.set_preset(self.preset, 1, local - 60.0)
+        process.share_lender = accounts.ShareLender(f'u{position}', local)
+        process.share_lender.set_preset(self.preset, 1, local - 60.0)
         return process
 
     def _delay(self):
@@ -77,12 +77,12 @@
 
         def at_lender():
             now = lender.local_time(self.now)
-            shares, _ = lender.account.get_shares(now)
-            if lender in self.processes and lender.account.grant_lease(
+            shares, _ = lender.share_lender.get_shares(now)
+            if lender in self.processes and lender.share_lender.grant_lease(
                 0, owner.vm, owner.incarnation, now
             ):
                 lease = pools.Lease(
-                    lender.account.upstream,
+                    lender.share_lender.upstream,
                     lender.incarnation,
                     shares,
                     requested_at + accounts.LEASE_S,
@@ -228,11 +228,11 @@
     assert pool.backing('w', 0.2) == 10.0
 
 
-@pytest.fixture(name='account')
-def _account():
-    account = accounts.Account('u', now=0.0)
-    account.set_preset(_preset(4, 40.0), 1, now=0.0)
-    return account
+@pytest.fixture(name='share_lender')
+def _share_lender():
+    share_lender = accounts.ShareLender('u', now=0.0)
+    share_lender.set_preset(_preset(4, 40.0), 1, now=0.0)
+    return share_lender
 
 
 def _preset(count, rate):
@@ -242,33 +242,37 @@
     )
 
 
-def test_share_waits_out_predecessor_and_other_borrowers(account):
+def test_share_waits_out_predecessor_and_other_borrowers(share_lender):
     """A share lent during an earlier lease would be used twice."""
-    assert not account.grant_lease(0, 'a', 1, now=2.4)
-    assert account.grant_lease(0, 'a', 1, now=2.5)
-    assert not account.grant_lease(0, 'b', 1, now=4.5)
-    assert not account.grant_lease(
+    assert not share_lender.grant_lease(0, 'a', 1, now=2.4)
+    assert share_lender.grant_lease(0, 'a', 1, now=2.5)
+    assert not share_lender.grant_lease(0, 'b', 1, now=4.5)
+    assert not share_lender.grant_lease(
         0, 'a', 2, now=4.5
     ), 'a restarted borrower has lost its records'
-    assert account.grant_lease(0, 'a', 1, now=4.5)
-    account.release(0, 'a', 1, now=4.6, remaining_s=1.0)
-    assert not account.grant_lease(0, 'b', 1, now=5.5)
-    assert account.grant_lease(0, 'b', 1, now=5.7)
+    assert share_lender.grant_lease(0, 'a', 1, now=4.5)
+    share_lender.release(0, 'a', 1, now=4.6, remaining_s=1.0)
+    assert not share_lender.grant_lease(0, 'b', 1, now=5.5)
+    assert share_lender.grant_lease(0, 'b', 1, now=5.7)
 
 
-def test_share_grows_late_and_shrinks_at_once(account):
+def test_share_grows_late_and_shrinks_at_once(share_lender):
     """An immediate increase would add to shares not yet decreased elsewhere."""
 
     def rate(now):
-        return account.get_shares(now)[0].get('w', accounts.NO_SHARE).rate_per_s
+        return (
+            share_lender.get_shares(now)[0]
+            .get('w', accounts.NO_SHARE)
+            .rate_per_s
+        )
 
     assert rate(4.9) == 0.0
     assert rate(5.0) == 10.0
-    account.set_preset(_preset(2, 40.0), 2, now=10.0)
+    share_lender.set_preset(_preset(2, 40.0), 2, now=10.0)
     assert rate(14.9) == 10.0
-    account.set_preset(_preset(2, 36.0), 3, now=14.0)
+    share_lender.set_preset(_preset(2, 36.0), 3, now=14.0)
     assert rate(15.0) == 18.0, 'a smaller increase keeps its time'
-    account.set_preset(_preset(4, 36.0), 4, now=16.0)
+    share_lender.set_preset(_preset(4, 36.0), 4, now=16.0)
     assert rate(16.0) == 9.0
-    account.set_preset(_preset(1, 36.0), 3, now=17.0)
+    share_lender.set_preset(_preset(1, 36.0), 3, now=17.0)
     assert rate(30.0) == 9.0, 'an older version changes nothing'
--- a/jayseam/limits/tests/test_strategies.py
+++ b/jayseam/limits/tests/test_strategies.py
@@ -24,7 +24,7 @@
         strategy.set_preset(preset, 1, _START)
         strategy.set_members(cells.Member(vm, vm, 1, 'a') for vm in _VMS)
         topology = strategy.topology
-        owner = topology.rank_owners(topology.own_cell, cells.group_of('w'))[0]
+        owner = topology.rank(topology.own_cell, cells.group_of('w'))[0]
         if owner != own:
             return strategy, owner
     raise AssertionError('every VM is the owner')
--- a/jayseam/limits/wallets.py
+++ b/jayseam/limits/wallets.py
@@ -1,9 +1,10 @@
 """The tokens that an entry has prefetched for one workspace.
 
-A wallet estimates demand and computes how many tokens to prefetch, so that a
-call normally finds a token. Calls that find none wait in a bounded FIFO queue.
-A batch expires `pools.BATCH_LIFETIME_S` seconds after the entry requested it.
-Tokens that are unlikely to be spent in time are returned to their owner.
+A token cache estimates demand and computes how many tokens to prefetch, so that
+a call normally finds a token. Calls that find none wait in a bounded FIFO
+queue. A batch expires `pools.BATCH_LIFETIME_S` seconds after the entry
+requested it. Tokens that are unlikely to be spent in time are returned to their
+owner.
 """
 
 import collections
@@ -52,7 +53,7 @@
     """A call that waits for tokens.
 
     Attributes:
-      call: Identifies the call within the wallet.
+      call: Identifies the call within the token cache.
       cost: Tokens that the call needs.
       gives_up_at: Time in seconds at which the call stops waiting.
     """
@@ -62,12 +63,12 @@
     gives_up_at: float
 
 
-class Wallet:
+class TokenCache:
     """Token batches and waiting calls of one workspace at one entry.
 
-    >>> wallet = Wallet()
-    >>> wallet.add_batch(Batch('owner', 1, 2.0, expires=1.0))
-    >>> wallet.try_spend(1.0, now=0.5), wallet.try_spend(1.0, now=1.5)
+    >>> cache = TokenCache()
+    >>> cache.add_batch(Batch('owner', 1, 2.0, expires=1.0))
+    >>> cache.try_spend(1.0, now=0.5), cache.try_spend(1.0, now=1.5)
     (True, False)
     """
 
@@ -170,7 +171,7 @@
         self._batches.sort(key=lambda b: b.expires)
 
     def is_idle(self, now: float) -> bool:
-        """Returns whether the wallet is unused and can be removed."""
+        """Returns whether the cache is unused and can be removed."""
         return not (
             self._batches
             or self._waiters
