--- a/jayseam/limits/models/faults.py
+++ b/jayseam/limits/models/faults.py
@@ -1,4 +1,4 @@
-"""Faults of the model: those of the scenarios, and random ones for tests."""
+"""Faults injected into the model, by scenarios or at random in tests."""
 
 from jayseam.limits.models import fleets
 
@@ -6,19 +6,19 @@
 
 
 def do_nothing(_: fleets.Model) -> None:
-    """Leaves the fleet in peace."""
+    """Injects no fault."""
 
 
 def kill_owner(model: fleets.Model) -> None:
-    """Kills the node that owns most, which is the worst to lose."""
+    """Kills the node with the highest leased rate, which is the worst case."""
 
-    def weigh(vm: str) -> float:
+    def sum_owned_rates(vm: str) -> float:
         owned = model.nodes[vm].strategy.pools
         return sum(
             share.rate_per_s for p in owned for share in p.totals().values()
         )
 
-    model.kill(max(model.nodes, key=weigh))
+    model.kill(max(model.nodes, key=sum_owned_rates))
 
 
 def cut_zone(model: fleets.Model) -> None:
@@ -35,17 +35,17 @@
 
 
 def inject_faults(model: fleets.Model, until: float) -> None:
-    """Plans random kills, restarts, pauses and cuts up to a time.
+    """Schedules random kills, restarts, pauses and cuts up to a time.
 
-    A killed process is followed by one at the same position, either in the same
-    VM or in a new one.
+    A killed process is replaced by a process at the same position, either on
+    the same VM or on a new one.
     """
     rng = model.random
-    time = model.now
-    while time < until:
-        time += rng.expovariate(0.5)
+    fault_at = model.now
+    while fault_at < until:
+        fault_at += rng.expovariate(0.5)
         kind = rng.choice(_KINDS)
-        model.at(time, lambda k=kind: _inject(model, k))
+        model.schedule(fault_at, lambda k=kind: _inject(model, k))
 
 
 def _inject(model: fleets.Model, kind: str) -> None:
@@ -57,14 +57,14 @@
         model.pause(rng.choice(names), rng.uniform(0.2, 6.0))
     elif kind == 'island':
         model.isolate(rng.sample(names, rng.randint(1, len(names))))
-        model.at(model.now + rng.uniform(0.5, 6.0), model.heal)
+        model.schedule(model.now + rng.uniform(0.5, 6.0), model.heal)
     elif kind == 'cut':
         zones = sorted(set(model.zones.values()))
-        lone = rng.choice(zones)
+        cut_off = rng.choice(zones)
         for other in zones:
-            if other != lone:
-                model.cut(lone, other)
-        model.at(model.now + rng.uniform(0.5, 9.0), model.heal)
+            if other != cut_off:
+                model.cut(cut_off, other)
+        model.schedule(model.now + rng.uniform(0.5, 9.0), model.heal)
     else:
         count = 1 if kind == 'kill' else rng.randint(1, len(names))
         for vm in rng.sample(names, min(count, len(names))):
@@ -74,8 +74,8 @@
 def _replace(model: fleets.Model, vm: str) -> None:
     upstream = model.nodes[vm].member.upstream
     model.kill(vm)
-    again = vm if model.random.random() < 0.5 else f'{vm}+'
-    model.at(
+    successor = vm if model.random.random() < 0.5 else f'{vm}+'
+    model.schedule(
         model.now + model.random.uniform(0.05, 4.0),
-        lambda: model.start(again, upstream),
+        lambda: model.start(successor, upstream),
     )
--- a/jayseam/limits/models/scenarios.py
+++ b/jayseam/limits/models/scenarios.py
@@ -1,4 +1,4 @@
-"""Runs of the model through a scenario, and their measurements."""
+"""Scenarios of the model and their measurements."""
 
 import types
 from collections.abc import Mapping, Sequence
@@ -30,23 +30,23 @@
     Attributes:
       strategy: Name of the strategy.
       scenario: Name of the scenario.
-      weighting: Which zone weights the preset has.
+      weighting: Name of the weighting that determines the zone weights.
       nodes: Number of positions.
-      calls: Calls of workspaces within their rate in the measured period.
+      calls: Calls in the measured period of workspaces that stay within their
+        rate.
       overshoot: Largest excess over ``burst + rate * w`` in any window of the
         whole run, in calls, over all workspaces.
-      wrongful: Part of the calls of workspaces within their rate that were
-        refused.
-      unavoidable: Part of these calls that would be refused if each side of a
-        cut had one bucket with the shares of its positions, full at the cut.
-      greedy_served: Calls admitted of the workspace over its rate, as a part of
-        what a single bucket would have admitted.
-      lost_per_s: Tokens that expired unspent, a second, over the fleet.
+      wrongful: Fraction of these calls that were refused.
+      unavoidable: Fraction of these calls that would be refused if each side of
+        a cut had one bucket with the shares of its positions, full at the cut.
+      greedy_served: Admitted calls of workspaces over their rate, as a fraction
+        of the calls that a single bucket would have admitted.
+      lost_per_s: Tokens that expired unspent, per second, in the whole fleet.
       wait_mean_ms: Mean wait of admitted calls within the rate.
       wait_p99_ms: 99th percentile of this wait.
-      messages: Messages sent by a node in a second, mean.
-      sent_bytes: Bytes sent by a node in a second, mean.
-      peak_bytes: Bytes sent and received in a second by the busiest node.
+      messages: Messages sent per node and second, mean.
+      sent_bytes: Bytes sent per node and second, mean.
+      peak_bytes: Bytes sent and received per second by the busiest node.
     """
 
     strategy: str
@@ -76,45 +76,56 @@
     duration_s: float = 10.0,
     weighting: str = 'none',
 ) -> Result:
-    """Runs one strategy through one scenario and measures it.
+    """Runs one strategy in one scenario and measures it.
 
     Args:
       seed: Seed of the model.
       strategy: Name of the strategy.
-      scenario: One of `SCENARIOS`; its fault occurs as the measured period
-        starts, `WARM_UP_S` after the fleet.
+      scenario: One of `SCENARIOS`. Its fault occurs at the start of the
+        measured period, `WARM_UP_S` after the start of the fleet.
       nodes: Number of positions.
       zones: Number of availability zones.
-      loads: The workspaces.
+      loads: Load by workspace.
       duration_s: Length of the measured period.
-      weighting: Which zone weights the preset has; see `weightings`.
+      weighting: Name of the weighting; see `weightings`.
     """
     model = fleets.Model(
         seed, strategy, nodes, zones, loads, weighting=weighting
     )
     end = WARM_UP_S + duration_s
-    model.at(WARM_UP_S - 2.0, lambda: model.send_load(end))
+    model.schedule(WARM_UP_S - 2.0, lambda: model.send_load(end))
     model.run(WARM_UP_S)
     before = {
         id(n): (n.sent, n.sent_bytes, n.received_bytes)
         for n in model.all_nodes()
     }
-    lost = sum(n.strategy.tokens_lost() for n in model.all_nodes())
+    expired_tokens = sum(
+        n.strategy.count_expired_tokens() for n in model.all_nodes()
+    )
     SCENARIOS[scenario](model)
     model.run(end + 1.0)
-    lost = sum(n.strategy.tokens_lost() for n in model.all_nodes()) - lost
+    expired_tokens = (
+        sum(n.strategy.count_expired_tokens() for n in model.all_nodes())
+        - expired_tokens
+    )
     traffic = [
         [a - b for a, b in zip(now, before[id(n)])]
         for n in model.all_nodes()
         for now in [(n.sent, n.sent_bytes, n.received_bytes)]
     ]
     return _summarise(
-        model, strategy, scenario, weighting, traffic, lost, duration_s
+        model,
+        strategy,
+        scenario,
+        weighting,
+        traffic,
+        expired_tokens,
+        duration_s,
     )
 
 
-def _count_lacking(model: fleets.Model, scenario: str) -> int:
-    """Returns how many calls exceed the shares of their side of a cut."""
+def _count_unavoidable(model: fleets.Model, scenario: str) -> int:
+    """Returns how many calls exceed the shares on their side of a cut."""
     zones = sorted(set(model.zones.values()))
     sides = [zones]
     if scenario == 'zone-cut':
@@ -123,13 +134,13 @@
         upstream: accounts.compute_shares(model.preset, upstream)
         for upstream in model.zones
     }
-    lacking = 0
+    unavoidable = 0
     for name, load in model.loads.items():
         if load.offered_per_s > load.rate_per_s:
             continue
         tally = model.tallies[name]
         for side in sides:
-            held = [
+            side_shares = [
                 shares[upstream][name]
                 for upstream, zone in model.zones.items()
                 if zone in side
@@ -139,12 +150,12 @@
                 for time, zone in zip(tally.offered, tally.zones)
                 if zone in side and time >= WARM_UP_S
             ]
-            lacking += len(times) - measures.count_conforming(
+            unavoidable += len(times) - measures.count_conforming(
                 times,
-                sum(share.rate_per_s for share in held),
-                sum(share.burst for share in held),
+                sum(share.rate_per_s for share in side_shares),
+                sum(share.burst for share in side_shares),
             )
-    return lacking
+    return unavoidable
 
 
 def _summarise(
@@ -153,7 +164,7 @@
     scenario: str,
     weighting: str,
     traffic: list[list[int]],
-    lost: float,
+    expired_tokens: float,
     duration_s: float,
 ) -> Result:
     calls = refused = served = conforming = 0
@@ -170,7 +181,7 @@
         refused += sum(t >= WARM_UP_S for t in tally.refused)
         pairs = zip(tally.admitted, tally.waits)
         waits += [wait for time, wait in pairs if time >= WARM_UP_S]
-    lacking = _count_lacking(model, scenario)
+    unavoidable = _count_unavoidable(model, scenario)
     waits.sort()
     count = len(traffic)
     return Result(
@@ -181,9 +192,9 @@
         calls,
         overshoot=round(model.overshoot(), 3),
         wrongful=round(refused / max(1, calls), 5),
-        unavoidable=round(lacking / max(1, calls), 5),
+        unavoidable=round(unavoidable / max(1, calls), 5),
         greedy_served=round(served / max(1, conforming), 3),
-        lost_per_s=round(lost / duration_s, 3),
+        lost_per_s=round(expired_tokens / duration_s, 3),
         wait_mean_ms=round(1e3 * sum(waits) / max(1, len(waits)), 3),
         wait_p99_ms=round(1e3 * waits[int(0.99 * len(waits))], 2),
         messages=round(sum(t[0] for t in traffic) / count / duration_s, 1),
@@ -201,16 +212,16 @@
     names: Sequence[str] | None = None,
     weighting: str = 'none',
 ) -> list[Result]:
-    """Runs strategies through every scenario under the same load.
+    """Runs strategies in every scenario with the same load.
 
     Args:
       seed: Seed of each model.
       nodes: Number of positions.
       zones: Number of availability zones.
-      loads: The workspaces.
+      loads: Load by workspace.
       duration_s: Length of the measured period.
       names: Names of the strategies; None for all.
-      weighting: Which zone weights the preset has; see `weightings`.
+      weighting: Name of the weighting; see `weightings`.
     """
     return [
         run_scenario(
