--- a/jayseam/platform/__init__.py
+++ b/jayseam/platform/__init__.py
@@ -1,9 +1,9 @@
 """Runs a node on the operators' platform.
 
-Everything that the platform names or spells in its own way is translated here:
-its settings file, its store, its configuration and server entries, and the
-header fields of callers and backend servers. Nothing here decides how calls
-are served.
+This package translates what is specific to the platform: its settings file, its
+key-value store, the configuration and server entries in the store, and the
+header fields of callers and backend servers. It has no influence on how calls
+are routed, limited or retried.
 
 See Also:
   ``docs/platform.md``.
--- a/jayseam/platform/configurations.py
+++ b/jayseam/platform/configurations.py
@@ -1,4 +1,4 @@
-"""The operators' configuration as a preset and a key set."""
+"""Translates the operators' configuration into a preset and a key set."""
 
 import hashlib
 import json
@@ -12,15 +12,15 @@
 from jayseam.platform import errors
 
 _MS_PER_S = 1000
-# The platform's word for calls that may run more than once.
-_REPEATABLE = 'safe'
-# A workspace without a rate has no limit; a preset needs a number.
-_UNLIMITED = presets.schemas.MAX_RATE_PER_S
+# Kind of the routes whose calls may run more than once.
+_REPEATABLE_KIND = 'safe'
+# A workspace without a rate is unlimited, but a preset requires a rate.
+_UNLIMITED_RATE_PER_S = presets.schemas.MAX_RATE_PER_S
 
 
 @attrs.frozen
 class Documents:
-    """One configuration in the forms that nodes distribute.
+    """The preset and key set that a configuration translates to.
 
     Attributes:
       preset: Document of the preset.
@@ -39,10 +39,10 @@
     Args:
       value: Stored bytes.
       regions: Region of each availability zone.
-      evacuated: Availability zones that take no new work.
+      evacuated: Availability zones that receive no new calls.
 
     Raises:
-      ValueFormatError: If the bytes are not a configuration.
+      ValueFormatError: If the bytes are not a valid configuration.
     """
     try:
         document = json.loads(value)
@@ -88,13 +88,13 @@
 def _group_resources(
     resources: list[Mapping[str, Any]],
 ) -> dict[str, list[tuple[str, Mapping[str, Any]]]]:
-    """Returns name and content of each resource by its type."""
+    """Returns the name and spec of each resource by resource type."""
     sections = {'routes': [], 'services': [], 'tenants': [], 'limits': []}
     for resource in resources:
-        group = sections.get(resource['resource_type'])
-        if group is not None:
+        section = sections.get(resource['resource_type'])
+        if section is not None:
             name = resource['metadata'].get('name', '')
-            group.append((name, resource['spec']))
+            section.append((name, resource['spec']))
     return sections
 
 
@@ -116,7 +116,7 @@
         else [[part['service'], part['weight']] for part in split]
     )
     timeout_s = durations.parse_seconds(spec['timeout'])
-    # The platform's word for the latency objective.
+    # The platform calls the latency objective a target latency.
     objective_s = durations.parse_seconds(spec.get('target_latency', '0ms'))
     return {
         'name': name,
@@ -125,12 +125,13 @@
         'methods': list(presets.schemas.METHODS),
         'targets': targets,
         'open_to_all': spec.get('public', False),
-        'repeatable': spec['kind'] == _REPEATABLE,
+        'repeatable': spec['kind'] == _REPEATABLE_KIND,
         'timeout_ms': int(timeout_s * _MS_PER_S),
         'objective_ms': int(objective_s * _MS_PER_S),
         'max_attempts': spec.get('max_attempts', 1),
         'rank': spec.get('priority', 0),
-        # Each attempt of a caller stands for itself on this platform.
+        # Callers on this platform send no idempotency keys: each of their
+        # retries counts as a call of its own.
         'keyed': False,
     }
 
@@ -138,17 +139,17 @@
 def _translate_workspace(name: str, spec: Mapping[str, Any]) -> dict[str, Any]:
     return {
         'name': name,
-        'rate_per_s': spec.get('rate_per_s') or _UNLIMITED,
+        'rate_per_s': spec.get('rate_per_s') or _UNLIMITED_RATE_PER_S,
         'burst': max(1, spec.get('burst') or spec.get('rate_per_s') or 1),
         'rank': spec.get('priority'),
     }
 
 
 def _translate_key(workspace: str, key: str) -> dict[str, Any]:
-    """Returns the entry of a key; the key itself is kept nowhere.
+    """Returns the entry of a key, which doesn't contain the key itself.
 
-    The salt follows from the key, so that all nodes which read a configuration
-    make the same document of it.
+    The salt is derived from the key, so that all nodes build the same document
+    from the same configuration.
     """
     salt_hex = hashlib.sha256(b'salt' + key.encode()).hexdigest()[:32]
     return attrs.asdict(presets.keys.build_entry(key, workspace, salt_hex))
--- a/jayseam/platform/durations.py
+++ b/jayseam/platform/durations.py
@@ -1,4 +1,4 @@
-"""Times as the platform writes them: a number and its unit."""
+"""Durations in the notation of the platform: a number and its unit."""
 
 import re
 
@@ -9,13 +9,13 @@
 
 
 def parse_seconds(text: object) -> float:
-    """Returns the seconds that a text such as ``1500ms`` stands for.
+    """Parses a duration such as ``1500ms`` and returns it in seconds.
 
     >>> parse_seconds('1500ms'), parse_seconds('2.5s')
     (1.5, 2.5)
 
     Raises:
-      ValueFormatError: If it is no such text.
+      ValueFormatError: If the text is not a duration.
     """
     match = _DURATION.fullmatch(text) if isinstance(text, str) else None
     if match is None:
--- a/jayseam/platform/entries.py
+++ b/jayseam/platform/entries.py
@@ -13,19 +13,19 @@
 
 @attrs.frozen
 class ServerEntry:
-    """What a backend server says of itself.
+    """Registration of a backend server in the store.
 
     Attributes:
-      instance: Name of this start of the backend server.
+      instance: Identifier of the instance; each start is another instance.
       host: IP address of its VM.
       port: Port of the backend server.
-      service: Service that it belongs to.
+      service: Service that the backend server belongs to.
       zone: Availability zone.
-      slots: Requests that it runs at once.
+      slots: Number of requests that it can run concurrently.
       state: ``live`` or ``leaving``.
-      cold: Whether it is in cold start.
-      started_wall_ms: Wall clock time of its start in milliseconds, by which
-        two entries of one address are told apart; 0 if it is not named.
+      cold: Whether the backend server is in cold start.
+      started_wall_ms: Wall clock time of its start in milliseconds, which
+        decides between two entries with the same address; 0 if unknown.
     """
 
     instance: str
@@ -40,15 +40,15 @@
 
 
 def decode_entry(instance: str, value: bytes) -> ServerEntry:
-    """Reads an entry.
+    """Decodes an entry.
 
     Args:
-      instance: Last part of its key.
+      instance: Last segment of the key of the entry.
       value: Stored bytes.
 
     Raises:
-      ValueFormatError: If a field is missing or has another type. Such an
-        entry may come from another writer.
+      ValueFormatError: If a field is missing or has the wrong type, for
+        example because something other than a backend server wrote it.
     """
     try:
         fields = json.loads(value)
@@ -56,27 +56,31 @@
         raise errors.ValueFormatError(f'not JSON: {error}') from error
     if not isinstance(fields, dict):
         raise errors.ValueFormatError('not an object')
-    host, _, port = _read(fields, 'address', str).rpartition(':')
+    host, _, port = _read_field(fields, 'address', str).rpartition(':')
     if not host or not port.isdigit():
-        raise errors.ValueFormatError(f'address: {fields["address"]!r}')
-    state = _STATES.get(_read(fields, 'state', str))
+        raise errors.ValueFormatError(
+            f'address is not host:port: {fields["address"]!r}'
+        )
+    state = _STATES.get(_read_field(fields, 'state', str))
     if state is None:
-        raise errors.ValueFormatError(f'state: {fields["state"]!r}')
+        raise errors.ValueFormatError(f'unknown state: {fields["state"]!r}')
     return ServerEntry(
         instance=instance,
         host=host,
         port=int(port),
-        service=_read(fields, 'service', str),
-        zone=_read(fields, 'zone', str),
-        slots=_read(fields, 'slots', int),
+        service=_read_field(fields, 'service', str),
+        zone=_read_field(fields, 'zone', str),
+        slots=_read_field(fields, 'slots', int),
         state=state,
         cold=durations.parse_seconds(fields.get('cold_remaining', '0ms')) > 0,
-        started_wall_ms=_read({'born': 0, **fields}, 'born', int),
+        started_wall_ms=_read_field({'born': 0, **fields}, 'born', int),
     )
 
 
-def _read(fields: dict[str, Any], name: str, kind: type) -> Any:
+def _read_field(fields: dict[str, Any], name: str, expected_type: type) -> Any:
     value = fields.get(name)
-    if not isinstance(value, kind) or isinstance(value, bool):
-        raise errors.ValueFormatError(f'{name}: {value!r}')
+    if not isinstance(value, expected_type) or isinstance(value, bool):
+        raise errors.ValueFormatError(
+            f'{name} is missing or has the wrong type: {value!r}'
+        )
     return value
--- a/jayseam/platform/errors.py
+++ b/jayseam/platform/errors.py
@@ -9,7 +9,7 @@
 
 
 class ValueFormatError(PlatformError):
-    """A stored value is not what the platform describes."""
+    """A stored value doesn't have the format that the platform documents."""
 
 
 class HistoryGoneError(source_errors.SourceError):
@@ -17,4 +17,4 @@
 
 
 class StoreUnavailableError(source_errors.SourceError):
-    """The store did nothing (503)."""
+    """The store refused a request without processing it (503)."""
--- a/jayseam/platform/journal.py
+++ b/jayseam/platform/journal.py
@@ -1,4 +1,8 @@
-"""Reads the entries that the operators' bench leaves for its plays."""
+"""Reads the journal in which the operators' bench records its plays.
+
+A play is a run of test scenarios, which are called days, on a deployment, which
+is called a site.
+"""
 
 import json
 import pathlib
@@ -14,20 +18,20 @@
 
 @attrs.frozen
 class PlayedDay:
-    """One day of a play.
+    """Result of one day of a play.
 
     Attributes:
       site: Name of the site.
       name: Name of the day, without the seed.
       played_at: Start of the play, as ISO 8601 text in UTC.
-      command: How it was played, such as ``score`` or ``hunt``.
-      is_twin: Whether a small twin of the site was played.
-      merit: Figure of merit: shares served by weight, less deductions.
-      served: Share of the possible value that callers got.
-      kinds: The same by kind of request, in the order of the site file.
-      zones: The same by availability zone of the callers.
-      deductions: What was taken off the merit, by cause.
-      broken: Rules that were broken, and a fault that ended the day.
+      command: Command of the bench, such as ``score`` or ``hunt``.
+      is_twin: Whether the site's small version was played (``--small``).
+      merit: Figure of merit: weighted shares served, less deductions.
+      served: Share of the attainable value that callers received.
+      kinds: This share by kind of request, in the order of the site file.
+      zones: This share by availability zone of the callers.
+      deductions: Amounts subtracted from the merit, by cause.
+      broken: Names of violated rules, and the fault that ended the day, if any.
     """
 
     site: str
@@ -44,24 +48,24 @@
 
 
 def read_journal(directory: pathlib.Path) -> list[PlayedDay]:
-    """Returns the days of all plays that ended, in the order of their starts.
+    """Returns the days of all completed plays, in the order of their starts.
 
-    Plays that were broken off have no days and are logged.
+    Plays that were aborted have no days and are logged.
     """
     days = []
     for path in sorted(directory.glob('*.json')):
         try:
             play = json.loads(path.read_text(encoding='utf-8'))
-            found = [_decode_day(play, day) for day in play['days'] or ()]
+            decoded = [_decode_day(play, day) for day in play['days'] or ()]
         except (OSError, ValueError, KeyError, TypeError) as error:
             _log.warning(
                 'journal.unreadable',
                 extra={'path': path.name, 'reason': repr(error)},
             )
             continue
-        if not found:
+        if not decoded:
             _log.info('journal.no_days', extra={'path': path.name})
-        days += found
+        days += decoded
     return days
 
 
@@ -76,17 +80,19 @@
         played_at=play['at'][0],
         command=play['cmd'],
         is_twin='--small' in play['argv'],
-        # ``score`` is the same on a scale that ends at 1.
+        # ``score`` is the same figure on a scale up to 1.
         merit=day['G'],
         served=day['served'],
-        # Lists have a fixed length; places that are not used are null.
-        kinds=_drop_absent(day['by_class']),
-        zones=_drop_absent(day['by_zone']),
-        # Each entry is a name, an amount and what it takes off.
-        deductions={name: taken for name, _, taken in day['prices'] or ()},
+        # The lists have a fixed length; unused positions are null.
+        kinds=_drop_nulls(day['by_class']),
+        zones=_drop_nulls(day['by_zone']),
+        # Each entry is a cause, an amount and the deduction from the merit.
+        deductions={
+            cause: deduction for cause, _, deduction in day['prices'] or ()
+        },
         broken=tuple(broken),
     )
 
 
-def _drop_absent(values: Any) -> tuple[float, ...]:
+def _drop_nulls(values: Any) -> tuple[float, ...]:
     return tuple(value for value in values or () if value is not None)
