--- a/jayseam/presets/differences.py
+++ b/jayseam/presets/differences.py
@@ -1,4 +1,4 @@
-"""Differences between two presets, for operators."""
+"""Differences between two presets, for display to operators."""
 
 from typing import Any
 
@@ -30,47 +30,49 @@
     new: Any
 
     def format(self) -> str:
-        """Returns one line for operators.
+        """Returns the difference as one line of text.
 
         >>> Difference('changed', 'zones', 'a', 'in_service', True, False
         ...     ).format()
         'changed zones[a].in_service: True -> False'
         """
-        place = f'{self.section}[{self.name}]'
+        path = f'{self.section}[{self.name}]'
         if self.kind != 'changed':
-            return f'{self.kind} {place}'
-        return f'changed {place}.{self.field}: {self.old!r} -> {self.new!r}'
+            return f'{self.kind} {path}'
+        return f'changed {path}.{self.field}: {self.old!r} -> {self.new!r}'
 
 
 def compare_presets(
     old: model.Preset, new: model.Preset
 ) -> tuple[Difference, ...]:
-    """Returns what changes from one preset to another, in a stable order."""
-    found = []
+    """Returns the differences between two presets, in a stable order."""
+    results = []
     if old.name != new.name:
-        found.append(
+        results.append(
             Difference(
                 'changed', 'preset', new.name, 'name', old.name, new.name
             )
         )
     for section in _SECTIONS:
-        found += _compare_items(
+        results += _compare_items(
             section, getattr(old, section), getattr(new, section)
         )
-    return tuple(found)
+    return tuple(results)
 
 
 def _compare_items(section, old, new) -> list[Difference]:
-    found = []
+    results = []
     for name in sorted({*old, *new}):
         before, after = old.get(name), new.get(name)
         if before is None:
-            found.append(Difference('added', section, name, '', None, after))
+            results.append(Difference('added', section, name, '', None, after))
         elif after is None:
-            found.append(Difference('removed', section, name, '', before, None))
+            results.append(
+                Difference('removed', section, name, '', before, None)
+            )
         else:
-            found += _compare_fields(section, name, before, after)
-    return found
+            results += _compare_fields(section, name, before, after)
+    return results
 
 
 def _compare_fields(section, name, before, after) -> list[Difference]:
@@ -83,6 +85,6 @@
 
 
 def _read_field(item: Any, name: str) -> Any:
-    """Returns a field's value in the form that it has in documents."""
+    """Returns the value of a field in the form that documents use."""
     value = getattr(item, name)
     return dict(value) or None if name == 'zone_weights' else value
--- a/jayseam/presets/documents.py
+++ b/jayseam/presets/documents.py
@@ -1,8 +1,9 @@
 """Canonical documents: split into parts for distribution and joined again.
 
-A document is one dict of a preset, key set or VM list. It travels as a
-manifest, which names its parts by digest, and the parts, each a canonical JSON
-list. Unchanged parts keep their digest from version to version.
+A document is a dict with a whole preset, key set or VM list. It is distributed
+as a manifest, which lists the digests of its parts, and the parts, each of them
+a canonical JSON list. Unchanged parts keep their digest from version to
+version.
 """
 
 import json
@@ -16,28 +17,31 @@
 from jayseam.presets import errors
 from jayseam.presets import model
 
-FORMAT = 1
+MANIFEST_FORMAT = 1
 KINDS = ('preset', 'keys', 'vms')
-SHARDS = '0123456789abcdef'
-# The source holds values of up to 1 MB.
+# Digits of digests, and names of the shards of a key set.
+HEX_DIGITS = '0123456789abcdef'
+# The source can store values of up to 1 MB.
 MAX_VALUE_BYTES = 1_000_000
 MAX_BUNDLE_BYTES = 8_000_000
 MAX_PARTS = 1024
 TOO_LARGE = f'parts: more than {MAX_BUNDLE_BYTES} bytes in all'
 _PRESET_SECTIONS = ('services', 'routes', 'zones', 'workspaces', 'upstreams')
-# A changed item costs its shard and the manifest, and each shard lengthens the
-# manifest. Of 64 to 512 items a shard, 256 cost the least for 0.96 MB.
-_SHARD_ITEMS = 256
-# Bounds the parts of all sections below `MAX_PARTS`.
+# Most items per shard on average; with more, a section gets more shards. A
+# changed item requires the transfer of its shard and of the manifest, and each
+# shard makes the manifest longer. Of 64 to 512 items per shard, 256 transferred
+# the fewest bytes for a preset of 0.96 MB.
+_ITEMS_PER_SHARD = 256
+# Keeps the number of parts of all sections below `MAX_PARTS`.
 _MAX_SHARDS = 128
-# Index and number of shards by the last part of a part name.
+# Index of a shard and number of shards by the part name after the slash.
 _SHARD_NAMES = {
     f'{index}-of-{count}': (index, count)
     for count in (2**power for power in range(1, 8))
     for index in range(count)
 }
-# Optional fields of the first release.
-_FIRST_FIELDS = frozenset(('shed_retryable', 'in_service', 'weight'))
+# Optional fields that the first release had, so every document contains them.
+_ALWAYS_DUMPED_FIELDS = frozenset(('shed_retryable', 'in_service', 'weight'))
 _NAME_FIELDS = {'keys': 'key_id', 'vms': 'vm'}
 
 
@@ -75,7 +79,7 @@
 
 
 def skip_pause() -> None:
-    """Does nothing; stands for a function that lets other greenlets run."""
+    """Does nothing; the default where a caller passes no ``pause`` function."""
 
 
 def encode_json(value: Any) -> bytes:
@@ -85,7 +89,7 @@
     b'{"a":"\\xc3\\xa9","b":1}'
 
     Raises:
-      PresetRejectedError: If the value has no JSON form.
+      PresetRejectedError: If the value can't be encoded as JSON.
     """
     try:
         text = json.dumps(
@@ -104,7 +108,7 @@
     """Parses JSON strictly: no repeated names, no infinite numbers.
 
     Raises:
-      PresetRejectedError: If the data is not such a JSON text.
+      PresetRejectedError: If the data is not JSON in this strict sense.
     """
     try:
         return _DECODER.decode(data.decode('utf-8'))
@@ -117,7 +121,7 @@
 ) -> list[Any]:
     """Parses a canonical JSON list item by item.
 
-    Parsing a part of 1 MB at once would block the process for tens of
+    Parsing a part of 1 MB in one step would block the process for tens of
     milliseconds.
 
     >>> decode_list(b'[1,{"a":2}]')
@@ -128,7 +132,7 @@
       pause: Called after each item, to let other greenlets run.
 
     Raises:
-      PresetRejectedError: If the data is not such a list.
+      PresetRejectedError: If the data is not a canonical JSON list.
     """
     try:
         text = data.decode('utf-8')
@@ -157,7 +161,7 @@
     return result
 
 
-def _refuse_constant(text: str) -> float:
+def _reject_constant(text: str) -> float:
     raise ValueError(f'{text} is not a JSON number')
 
 
@@ -170,7 +174,7 @@
 
 _DECODER = json.JSONDecoder(
     object_pairs_hook=_build_object,
-    parse_constant=_refuse_constant,
+    parse_constant=_reject_constant,
     parse_float=_parse_float,
 )
 
@@ -205,13 +209,13 @@
 
 
 def _is_dumped(field: attrs.Attribute, value: Any) -> bool:
-    """Tells whether a document has the field of an item.
+    """Returns whether a document contains a field of an item.
 
-    Fields of later releases are left out while they have their default, so
-    that documents without them stay the same, and are accepted by nodes of a
-    release that doesn't know them.
+    Fields of later releases are omitted while they have their default value.
+    Documents that don't use them then keep their digest, and nodes of releases
+    that don't know these fields accept the documents.
     """
-    return field.name in _FIRST_FIELDS or value != field.default
+    return field.name in _ALWAYS_DUMPED_FIELDS or value != field.default
 
 
 def _to_lists(value: Any) -> Any:
@@ -221,22 +225,22 @@
 
 
 def is_digest(value: Any) -> bool:
-    """Tells whether a value has the form of a digest."""
+    """Returns whether a value has the form of a digest."""
     if not isinstance(value, str) or len(value) != 2 * digests.DIGEST_BYTES:
         return False
-    return all(char in SHARDS for char in value)
+    return all(char in HEX_DIGITS for char in value)
 
 
 def split_preset(document: Mapping[str, Any]) -> Bundle:
     """Splits the document of a preset.
 
-    Items are put in order of name, so documents that differ only in order
-    have the same digest. A section with many items is sharded by a hash of
-    their names, so that a changed item costs little.
+    Items are sorted by name, so documents that differ only in the order of
+    items have the same digest. A section with many items is sharded by a hash
+    of the item names, so that a change of one item transfers few bytes.
 
     Raises:
       PresetRejectedError: If the document can't be split, or if a part is
-        larger than the source can hold.
+        larger than the source can store.
     """
     expected = {'name', *_PRESET_SECTIONS}
     if not isinstance(document, Mapping) or set(document) != expected:
@@ -247,7 +251,7 @@
         raise errors.PresetRejectedError(['preset.name: not a string'])
     groups: dict[str, list[Any]] = {}
     for section in _PRESET_SECTIONS:
-        groups |= _shard_items(section, _check_list(document, section))
+        groups |= _shard_items(section, _get_list(document, section))
     return _build_bundle('preset', document['name'], groups)
 
 
@@ -257,9 +261,9 @@
     Raises:
       PresetRejectedError: If the document can't be split.
     """
-    items = _check_list(document, 'keys')
-    groups: dict[str, list] = {f'keys/{shard}': [] for shard in SHARDS}
-    groups |= _group_items('keys', items, _find_shard)
+    items = _get_list(document, 'keys')
+    groups: dict[str, list] = {f'keys/{shard}': [] for shard in HEX_DIGITS}
+    groups |= _group_items('keys', items, _compute_key_shard)
     return _build_bundle('keys', 'keys', groups)
 
 
@@ -269,8 +273,8 @@
     Raises:
       PresetRejectedError: If the document can't be split.
     """
-    items = _check_list(document, 'vms')
-    return _build_bundle('vms', 'vms', _group_items('vms', items, _find_zone))
+    items = _get_list(document, 'vms')
+    return _build_bundle('vms', 'vms', _group_items('vms', items, _get_zone))
 
 
 def read_manifest(data: bytes) -> Manifest:
@@ -289,8 +293,10 @@
     reasons = []
     if set(value) != {'format', 'kind', 'name', 'parts'}:
         reasons.append('manifest: must have format, kind, name and parts')
-    if value.get('format') != FORMAT or isinstance(value.get('format'), bool):
-        reasons.append(f'manifest.format: must be {FORMAT}')
+    if value.get('format') != MANIFEST_FORMAT or isinstance(
+        value.get('format'), bool
+    ):
+        reasons.append(f'manifest.format: must be {MANIFEST_FORMAT}')
     kind, parts = value.get('kind'), value.get('parts')
     if kind not in KINDS:
         reasons.append(f'manifest.kind: must be one of {", ".join(KINDS)}')
@@ -306,7 +312,7 @@
 
 
 def find_missing(manifest: Manifest, present: Iterable[str]) -> set[str]:
-    """Returns the digests of a manifest that are not present."""
+    """Returns the digests of the manifest's parts that are not present."""
     return set(manifest.parts.values()).difference(present)
 
 
@@ -318,12 +324,12 @@
     """Joins a document from its manifest and parts.
 
     Args:
-      manifest: Manifest as it was fetched.
-      parts: Parts by digest; others than those of the manifest are ignored.
+      manifest: Manifest in the form in which it is distributed.
+      parts: Parts by digest; parts that the manifest doesn't list are ignored.
       pause: Called between parts, to let other greenlets run.
 
     Returns:
-      The document; its shape and references are not yet verified.
+      The document; its items and references are not yet verified.
 
     Raises:
       PartsIncompleteError: If parts are missing or don't match their digest.
@@ -348,7 +354,7 @@
     if reasons:
         raise errors.PresetRejectedError(reasons)
     for section, items in sections.items():
-        items.sort(key=lambda item, s=section: _sort_key(s, item))
+        items.sort(key=lambda item, s=section: _build_sort_key(s, item))
         pause()
     if parsed.kind == 'preset':
         return {'name': parsed.name, **sections}
@@ -377,7 +383,7 @@
             [f'{len(data)} bytes; at most {MAX_VALUE_BYTES} are allowed']
         )
     items = decode_list(data, pause)
-    if not all(map(_find_check(part_name), items)):
+    if not all(map(_build_part_check(part_name), items)):
         raise errors.PresetRejectedError(['holds an item of another part'])
     return items
 
@@ -398,11 +404,11 @@
 
 
 def _check_shards(section: str, names: Iterable[str]) -> list[str]:
-    """Checks that a section is there whole, in one number of shards."""
-    held = {name for name in names if name.partition('/')[0] == section}
-    if not held:
+    """Checks that a section has all shards of one number of shards."""
+    present = {name for name in names if name.partition('/')[0] == section}
+    if not present:
         return [f'manifest.parts: part {section} is absent']
-    if held != set(_name_shards(section, len(held))):
+    if present != set(_name_shards(section, len(present))):
         return [f'manifest.parts: not all shards of {section}, or too many']
     return []
 
@@ -410,7 +416,7 @@
 def _is_part_name(kind: str, name: str) -> bool:
     section, slash, group = name.partition('/')
     if kind == 'keys':
-        return section == 'keys' and len(group) == 1 and group in SHARDS
+        return section == 'keys' and len(group) == 1 and group in HEX_DIGITS
     if kind == 'vms':
         return section == 'vms' and bool(group)
     if section not in _PRESET_SECTIONS:
@@ -418,17 +424,17 @@
     return not slash or group in _SHARD_NAMES
 
 
-def _check_list(document: Mapping[str, Any], section: str) -> list[Any]:
+def _get_list(document: Mapping[str, Any], section: str) -> list[Any]:
     items = document.get(section) if isinstance(document, Mapping) else None
     if not isinstance(items, (list, tuple)):
         raise errors.PresetRejectedError([f'{section}: not a list'])
     return list(items)
 
 
-def _group_items(section, items, find_group) -> dict[str, list[Any]]:
+def _group_items(section, items, choose_group) -> dict[str, list[Any]]:
     groups: dict[str, list[Any]] = {}
     for item in items:
-        group = find_group(item)
+        group = choose_group(item)
         if not group:
             raise errors.PresetRejectedError(
                 [f'{section}: an item belongs to no part']
@@ -440,14 +446,14 @@
 def count_shards(n_items: int) -> int:
     """Returns the number of shards of a preset section.
 
-    A power of two changes rarely while items are added; each time it does, the
-    whole section travels once.
+    The number is a power of two, because that changes rarely while items are
+    added; after each change of it, the whole section is transferred once.
 
     >>> [count_shards(n) for n in (0, 256, 257, 4000)]
     [1, 1, 2, 16]
     """
     count = 1
-    while count < _MAX_SHARDS and n_items > count * _SHARD_ITEMS:
+    while count < _MAX_SHARDS and n_items > count * _ITEMS_PER_SHARD:
         count *= 2
     return count
 
@@ -466,39 +472,39 @@
     return groups
 
 
-def _find_check(part_name: str) -> Callable[[Any], bool]:
-    """Returns the function that tells whether an item may be in a part."""
+def _build_part_check(part_name: str) -> Callable[[Any], bool]:
+    """Returns a predicate that accepts the items that belong to a part."""
     section, slash, group = part_name.partition('/')
     if not slash:
         return lambda item: True
     if section == 'keys':
-        return lambda item: _find_shard(item) == group
+        return lambda item: _compute_key_shard(item) == group
     if section == 'vms':
-        return lambda item: _find_zone(item) == group
+        return lambda item: _get_zone(item) == group
     index, count = _SHARD_NAMES[group]
     return lambda item: _hash_name(item) % count == index
 
 
 def _hash_name(item: Any) -> int:
-    """Returns a hash of an item's name; of '' if it has none."""
+    """Returns a hash of an item's name, or of the empty text if it has none."""
     name = item.get('name') if isinstance(item, Mapping) else None
     text = name if isinstance(name, str) else ''
     return xxhash.xxh64_intdigest(text.encode('utf-8', 'surrogatepass'))
 
 
-def _find_zone(item: Any) -> str | None:
+def _get_zone(item: Any) -> str | None:
     zone = item.get('zone') if isinstance(item, Mapping) else None
     return zone if isinstance(zone, str) else None
 
 
-def _find_shard(item: Any) -> str | None:
+def _compute_key_shard(item: Any) -> str | None:
     key_id = item.get('key_id') if isinstance(item, Mapping) else None
     if not isinstance(key_id, str):
         return None
     return digests.compute_digest(key_id.encode('utf-8', 'surrogatepass'))[0]
 
 
-def _sort_key(section: str, item: Any) -> tuple[str, bytes]:
+def _build_sort_key(section: str, item: Any) -> tuple[str, bytes]:
     field = _NAME_FIELDS.get(section, 'name')
     name = item.get(field) if isinstance(item, Mapping) else None
     if isinstance(name, str):
@@ -510,7 +516,9 @@
     part_digests, parts, reasons = {}, {}, []
     for part_name, items in groups.items():
         section = part_name.partition('/')[0]
-        ordered = sorted(items, key=lambda item, s=section: _sort_key(s, item))
+        ordered = sorted(
+            items, key=lambda item, s=section: _build_sort_key(s, item)
+        )
         data = encode_json(ordered)
         if len(data) > MAX_VALUE_BYTES:
             reasons.append(
@@ -523,7 +531,7 @@
     if reasons:
         raise errors.PresetRejectedError(reasons)
     manifest = {
-        'format': FORMAT,
+        'format': MANIFEST_FORMAT,
         'kind': kind,
         'name': name,
         'parts': part_digests,
--- a/jayseam/presets/errors.py
+++ b/jayseam/presets/errors.py
@@ -10,13 +10,13 @@
 
 
 class PresetRejectedError(PresetError):
-    """A document is invalid; no part of it may be put in force.
+    """A document is invalid and must not be applied, not even in part.
 
-    The verdict depends on the content alone, so a version that is rejected
-    once is rejected by every node.
+    The result of the verification depends only on the content, so every node
+    rejects the same versions.
 
     Attributes:
-      reasons: Every reason found, in alphabetical order.
+      reasons: All reasons found, in alphabetical order.
     """
 
     def __init__(self, reasons: Sequence[str]):
@@ -25,13 +25,14 @@
 
 
 class PartsIncompleteError(PresetError):
-    """Parts are missing or differ from their digests; fetch them again.
+    """Parts are missing or don't match their digests; fetch them again.
 
-    Unlike `PresetRejectedError` this says nothing about the version itself.
+    Unlike `PresetRejectedError`, this error doesn't mean that the version is
+    invalid.
 
     Attributes:
-      missing: Digests of parts that were not given.
-      altered: Digests whose data hashes to something else.
+      missing: Digests of parts that were not passed.
+      altered: Digests that differ from the digest of their data.
     """
 
     def __init__(self, missing: Sequence[str], altered: Sequence[str]):
--- a/jayseam/presets/keys.py
+++ b/jayseam/presets/keys.py
@@ -12,12 +12,12 @@
 
 _SECRET_BYTES = 32
 _SALT_BYTES = 16
-# 64 bits: a chance match of two keys is out of the question, and the rest of
-# the digest is not told.
+# 64 bits make an accidental collision of two keys negligible, and the rest of
+# the digest is not disclosed.
 _DIGEST_ID_CHARS = 16
-# Stands in for the entry of an unknown key, so that unknown and wrong keys
-# cost the same work.
-_ABSENT = model.KeyEntry('', '', '00' * _SALT_BYTES, '00' * 32)
+# Replaces the entry of an unknown key, so that the verification of unknown and
+# of wrong keys takes the same time.
+_DUMMY_ENTRY = model.KeyEntry('', '', '00' * _SALT_BYTES, '00' * 32)
 
 
 @attrs.frozen
@@ -74,18 +74,20 @@
       salt_hex: Salt in hex.
     """
     hash_hex = _hash_key(salt_hex, plaintext)
-    return model.KeyEntry(find_key_id(plaintext), workspace, salt_hex, hash_hex)
+    return model.KeyEntry(
+        extract_key_id(plaintext), workspace, salt_hex, hash_hex
+    )
 
 
-def find_key_id(plaintext: str) -> str:
+def extract_key_id(plaintext: str) -> str:
     """Returns the identifier of a key.
 
-    It stands before the first dot. The identifier of a key without a dot is a
-    digest of the whole key, which is secret.
+    The identifier is the part before the first dot. A key without a dot is
+    secret as a whole; its identifier is a truncated digest of the key.
 
-    >>> find_key_id('k1.secret')
+    >>> extract_key_id('k1.secret')
     'k1'
-    >>> len(find_key_id('secret'))
+    >>> len(extract_key_id('secret'))
     16
     """
     key_id, dot, _ = plaintext.partition('.')
@@ -96,21 +98,24 @@
 
 
 def verify_key(key_set: model.KeySet, plaintext: str) -> KeyMatch | None:
-    """Returns the owner of a key, or None if the key is not granted.
+    """Returns the owner of a key, or None if the key is invalid.
 
-    The comparison takes the same time wherever the hashes differ. A match is
-    valid only while its workspace exists in the preset in force; the caller
-    checks that.
+    The comparison of hashes takes constant time. A match is valid only while
+    the workspace exists in the preset in force; the caller checks that.
     """
-    key_id = find_key_id(plaintext)
-    entry = key_set.by_id.get(key_id, _ABSENT)
+    key_id = extract_key_id(plaintext)
+    entry = key_set.by_id.get(key_id, _DUMMY_ENTRY)
     hash_hex = _hash_key(entry.salt_hex, plaintext)
-    if not hmac.compare_digest(hash_hex, entry.hash_hex) or entry is _ABSENT:
+    if (
+        not hmac.compare_digest(hash_hex, entry.hash_hex)
+        or entry is _DUMMY_ENTRY
+    ):
         return None
     return KeyMatch(entry.key_id, entry.workspace)
 
 
 def _hash_key(salt_hex: str, plaintext: str) -> str:
-    # Callers control the plaintext; surrogates from a header must not raise.
+    # The plaintext comes from a request header, so surrogates must not raise an
+    # error.
     data = plaintext.encode('utf-8', 'surrogatepass')
     return hashlib.sha256(bytes.fromhex(salt_hex) + data).hexdigest()
--- a/jayseam/presets/model.py
+++ b/jayseam/presets/model.py
@@ -1,7 +1,8 @@
 """Immutable values of presets, key sets and VM lists.
 
-Instances come from `verification`, which checks a whole document, so the
-classes themselves check nothing.
+A preset is the routing configuration of the fleet. Instances are created by
+`verification`, which checks whole documents, so the classes don't validate
+their fields.
 """
 
 import functools
@@ -9,18 +10,20 @@
 
 import attrs
 
-# A first attempt and two retries.
+# The first attempt and two retries.
 DEFAULT_ATTEMPTS = 3
 
 
 @attrs.frozen
 class Ramp:
-    """How a freshly started backend server takes on load.
+    """How the load of a backend server is increased after its start.
+
+    The usual term is slow start.
 
     Attributes:
-      initial_slots: Slots at the start.
-      duration_s: Seconds until all slots are open.
-      rate_per_s: Calls per second until then; 0 for no limit on them.
+      initial_slots: Number of available slots directly after the start.
+      duration_s: Time until all slots are available, in seconds.
+      rate_per_s: Limit on calls per second until then; 0 for no limit.
     """
 
     initial_slots: int
@@ -30,18 +33,19 @@
 
 @attrs.frozen
 class Service:
-    """A service that routes point at.
+    """A service that routes send calls to.
 
     Attributes:
       name: Unique name.
-      shed_retryable: Whether a 503 with ``Shed: not-run`` may be trusted.
-      listed: Whether its upstreams come from the VM list; otherwise the preset
-        names them.
-      connections: Most open connections of a listed upstream; 0 if the
-        upstreams have their own numbers.
-      cold_s: Seconds for which a listed upstream is cold after a start.
-      cold_rate_per_s: Calls per second that a cold upstream bears; 0 if that
-        is not known.
+      shed_retryable: Whether a call may be retried after an answer 503 with
+        ``Shed: not-run``, which says that the backend server didn't run it.
+      listed: Whether the upstreams come from the VM list; otherwise they are
+        part of the preset.
+      connections: Most open connections to a listed upstream; 0 to allow as
+        many as the upstream has slots.
+      cold_s: Duration of the cold start of a listed upstream, in seconds.
+      cold_rate_per_s: Calls per second that a listed upstream can handle
+        during its cold start; 0 if unknown.
     """
 
     name: str
@@ -54,15 +58,16 @@
 
 @attrs.frozen
 class Upstream:
-    """A position that one backend server holds at a time.
+    """A position in the fleet that one backend server fills at a time.
 
     Attributes:
-      name: Stable name of the position.
+      name: Name of the position, which stays when the backend server is
+        replaced.
       service: Service that the position belongs to.
       zone: Availability zone.
-      slots: Most requests in flight.
+      slots: Most requests in flight (concurrency limit).
       connections: Most open connections.
-      ramp: Cold start behaviour.
+      ramp: Increase of the load after a start of the backend server.
     """
 
     name: str
@@ -80,7 +85,7 @@
     Attributes:
       name: Unique name.
       region: Region that contains the zone.
-      in_service: Whether the zone receives new work.
+      in_service: Whether the zone receives new calls.
     """
 
     name: str
@@ -90,21 +95,22 @@
 
 @attrs.frozen
 class Route:
-    """A path prefix and what serves it.
+    """A path prefix and the services that serve it.
 
     Attributes:
       name: Unique name.
       prefix: Path prefix, starting with a slash.
       methods: HTTP methods in upper case.
-      targets: Pairs of service and weight; the weights add up to over zero.
-      open_to_all: Whether calls need no key.
-      repeatable: Whether a call may run more than once.
+      targets: Pairs of service and weight; the sum of weights is positive.
+      open_to_all: Whether calls need no key (public route).
+      repeatable: Whether a call may run more than once (idempotent).
       timeout_ms: Longest time that a call may take, in milliseconds.
-      host: Value of ``Host`` that the route is for; empty for all.
-      max_attempts: Upstreams to which one call may be sent.
-      rank: Urgency of its calls; 0 is the most urgent.
+      host: Value of the ``Host`` field that the route applies to; empty for
+        all values.
+      max_attempts: Most upstreams to which one call may be sent.
+      rank: Priority of the calls; 0 is the most urgent.
       keyed: Whether a call that may not be repeated carries an idempotency
-        key, under which its outcome is remembered.
+        key, under which its outcome is stored.
       objective_ms: Latency objective in milliseconds; 0 if there is none.
     """
 
@@ -124,18 +130,19 @@
 
 @attrs.frozen
 class Workspace:
-    """A caller and its limits, which are counted over the whole fleet.
+    """A caller and its rate limit, which applies to the whole fleet.
 
     Attributes:
       name: Unique name.
-      rate_per_s: Calls per second.
-      burst: Calls that may come at once.
-      weight: Share of a contended backend server relative to others.
-      zone_weights: Pairs of zone and weight, in order of zone, that say how the
-        workspace's calls are spread over the zones they enter in; empty if the
-        operators don't say.
-      rank: Urgency of its calls, before that of their routes; None if the
-        routes decide.
+      rate_per_s: Rate limit in calls per second.
+      burst: Calls that may arrive at once (capacity of the token bucket).
+      weight: Share of a backend server, relative to other workspaces, while
+        workspaces compete for the server.
+      zone_weights: Pairs of zone and weight, in order of zone: how the calls of
+        the workspace are distributed over the zones in which they arrive; empty
+        if the operators don't specify it.
+      rank: Priority of the calls, which overrides the rank of their routes;
+        None to use the rank of the routes.
     """
 
     name: str
@@ -151,7 +158,7 @@
     """A verified preset.
 
     Attributes:
-      name: Name that operators gave it.
+      name: Name that the operators chose.
       services: Services by name.
       upstreams: Upstream positions by name.
       zones: Availability zones by name.
@@ -169,20 +176,22 @@
     @functools.cached_property
     def upstreams_by_service(self) -> Mapping[str, tuple[Upstream, ...]]:
         """Upstreams of each service, in order of name."""
-        return _group(self.services, self.upstreams, 'service')
+        return _group_upstreams(self.services, self.upstreams, 'service')
 
     @functools.cached_property
     def upstreams_by_zone(self) -> Mapping[str, tuple[Upstream, ...]]:
         """Upstreams of each availability zone, in order of name."""
-        return _group(self.zones, self.upstreams, 'zone')
+        return _group_upstreams(self.zones, self.upstreams, 'zone')
 
     @functools.cached_property
     def has_listed_services(self) -> bool:
-        """Whether upstreams of some service come from the VM list."""
+        """Whether the upstreams of any service come from the VM list."""
         return any(service.listed for service in self.services.values())
 
 
-def _group(groups, upstreams, field) -> dict[str, tuple[Upstream, ...]]:
+def _group_upstreams(
+    groups, upstreams, field
+) -> dict[str, tuple[Upstream, ...]]:
     members: dict[str, list[Upstream]] = {name: [] for name in groups}
     for name in sorted(upstreams):
         members[getattr(upstreams[name], field)].append(upstreams[name])
@@ -191,10 +200,10 @@
 
 @attrs.frozen
 class KeyEntry:
-    """A workspace key as the fleet knows it.
+    """A salted hash of a workspace key.
 
     Attributes:
-      key_id: Part of the key before the first dot.
+      key_id: Identifier of the key; see `keys.extract_key_id`.
       workspace: Workspace that the key belongs to.
       salt_hex: Salt in hex.
       hash_hex: SHA-256 of salt and key in hex.
@@ -208,7 +217,7 @@
 
 @attrs.frozen
 class KeySet:
-    """All workspace keys that are granted.
+    """All valid workspace keys.
 
     Attributes:
       keys: Entries in order of ``key_id``, which is unique.
@@ -224,19 +233,20 @@
 
 @attrs.frozen
 class VmEntry:
-    """A VM of the platform's list.
+    """A VM in the platform's list.
 
     Attributes:
       vm: Unique name, never reused.
-      upstream: Position that the VM holds.
+      upstream: Name of the upstream position that the VM fills.
       zone: Availability zone.
       region: Region.
       host: IP address of the link listener.
       port: Port of the link listener.
       state: ``live`` or ``leaving``.
-      service: Service of the backend server, if the list says it.
-      slots: Slots of the backend server, if the list says it.
-      instance: Name of this start of the backend server, if it has one.
+      service: Service of the backend server; empty if unknown.
+      slots: Number of slots of the backend server; 0 if unknown.
+      instance: Identifier of the instance of the backend server, where each
+        start is another instance; empty if it has none.
       cold: Whether the backend server is in cold start.
     """
 
@@ -255,7 +265,7 @@
 
 @attrs.frozen
 class VmList:
-    """The platform's list of VMs, which lags.
+    """The platform's list of VMs, which may be out of date.
 
     Attributes:
       vms: Entries in order of name.
@@ -268,7 +278,7 @@
         """Entries by VM name."""
         return {entry.vm: entry for entry in self.vms}
 
-    def live_in_zone(self, zone: str) -> tuple[str, ...]:
+    def list_live_vms(self, zone: str) -> tuple[str, ...]:
         """Returns the names of the live VMs of an availability zone."""
         return tuple(
             entry.vm
@@ -278,9 +288,10 @@
 
 
 def add_listed_upstreams(preset: Preset, vm_list: VmList) -> Preset:
-    """Returns a preset with the upstreams that the VM list names.
+    """Returns a preset extended by the upstreams of the VM list.
 
-    A VM that leaves, or whose service or zone the preset lacks, adds none.
+    A VM adds no upstream if it is leaving, or if its service or zone is not in
+    the preset.
 
     >>> service = Service('pickups', listed=True, connections=9)
     >>> preset = Preset('p', {'pickups': service}, {}, {'a': Zone('a', 'r')},
@@ -298,11 +309,11 @@
         if service is None or not service.listed or entry.state != 'live':
             continue
         if entry.zone in preset.zones and entry.slots > 0:
-            upstreams[entry.upstream] = _build_listed(entry, service)
+            upstreams[entry.upstream] = _build_listed_upstream(entry, service)
     return attrs.evolve(preset, upstreams=upstreams)
 
 
-def _build_listed(entry: VmEntry, service: Service) -> Upstream:
+def _build_listed_upstream(entry: VmEntry, service: Service) -> Upstream:
     return Upstream(
         name=entry.upstream,
         service=service.name,
--- a/jayseam/presets/samples.py
+++ b/jayseam/presets/samples.py
@@ -1,7 +1,7 @@
 """Sample deployments: the two of the design page, and large ones.
 
-Used by the demo, tests and measurements. The same arguments always give the
-same deployment.
+They are used by the demo, tests and measurements. The same arguments always
+produce the same deployment.
 """
 
 import random
@@ -54,13 +54,15 @@
     zones = _build_zones('wallonia', ('charleroi', 'liege', 'namur'))
     services = ('credits', 'drop-off-points', 'pickups', 'refunds')
     routes = (
-        _build_read('drop-off-points-read', '/drop-off-points', is_open=True),
-        _build_read('credits-read', '/credits'),
-        _build_write('credits-post', '/credits', True, timeout_ms=20_000),
-        _build_read('pickups-read', '/pickups'),
-        _build_write('pickups-book', '/pickups', False),
-        _build_read('refunds-read', '/refunds'),
-        _build_write('refunds-pay', '/refunds', False),
+        _build_read_route(
+            'drop-off-points-read', '/drop-off-points', is_public=True
+        ),
+        _build_read_route('credits-read', '/credits'),
+        _build_write_route('credits-post', '/credits', True, timeout_ms=20_000),
+        _build_read_route('pickups-read', '/pickups'),
+        _build_write_route('pickups-book', '/pickups', False),
+        _build_read_route('refunds-read', '/refunds'),
+        _build_write_route('refunds-pay', '/refunds', False),
     )
     workspaces = _build_workspaces(
         {'bureau': 60.0, 'recyclers': 60.0},
@@ -97,13 +99,13 @@
     zones = _build_zones('netherlands', names)
     services = ('calendars', 'extensions', 'reminders', 'submissions')
     routes = (
-        _build_read('calendars-read', '/calendars', is_open=True),
-        _build_read('extensions-read', '/extensions'),
-        _build_write('extensions-ask', '/extensions', True),
-        _build_read('reminders-read', '/reminders'),
-        _build_write('reminders-set', '/reminders', True),
-        _build_read('submissions-read', '/submissions'),
-        _build_write(
+        _build_read_route('calendars-read', '/calendars', is_public=True),
+        _build_read_route('extensions-read', '/extensions'),
+        _build_write_route('extensions-ask', '/extensions', True),
+        _build_read_route('reminders-read', '/reminders'),
+        _build_write_route('reminders-set', '/reminders', True),
+        _build_read_route('submissions-read', '/submissions'),
+        _build_write_route(
             'submissions-lodge', '/submissions', False, timeout_ms=10_000
         ),
     )
@@ -126,10 +128,11 @@
     seed: int = 1,
     ramp: model.Ramp = DEFAULT_RAMP,
 ) -> Deployment:
-    """Builds a deployment of any size, for measurements.
+    """Builds a deployment of a given size, for measurements.
 
-    Upstreams are dealt to services and zones in turn. Each service has a
-    route to read and one to write; one write in four may not be repeated.
+    Upstreams are assigned to services and zones in turn. Each service has a
+    read route and a write route; the calls of every fourth write route may not
+    be repeated.
     """
     n_regions = min(n_regions, n_zones)
     zones: dict[str, model.Zone] = {}
@@ -148,8 +151,10 @@
     routes = []
     for i, service in enumerate(services):
         prefix = f'/{service}'
-        routes.append(_build_read(f'{service}-read', prefix))
-        routes.append(_build_write(f'{service}-write', prefix, i % 4 != 0))
+        routes.append(_build_read_route(f'{service}-read', prefix))
+        routes.append(
+            _build_write_route(f'{service}-write', prefix, i % 4 != 0)
+        )
     small = [f'workspace-{i + 1:05}' for i in range(n_workspaces)]
     workspaces = _build_workspaces({}, small, 1.0)
     preset = _build_preset(
@@ -173,14 +178,16 @@
     return upstreams
 
 
-def _build_read(name: str, prefix: str, is_open: bool = False) -> model.Route:
+def _build_read_route(
+    name: str, prefix: str, is_public: bool = False
+) -> model.Route:
     service = prefix.strip('/')
     return model.Route(
-        name, prefix, ('GET',), ((service, 1),), is_open, True, 5_000
+        name, prefix, ('GET',), ((service, 1),), is_public, True, 5_000
     )
 
 
-def _build_write(
+def _build_write_route(
     name: str, prefix: str, repeatable: bool, timeout_ms: int = 5_000
 ) -> model.Route:
     service = prefix.strip('/')
--- a/jayseam/presets/schemas.py
+++ b/jayseam/presets/schemas.py
@@ -1,7 +1,8 @@
 """JSON schemas of the items in presets, key sets and VM lists.
 
-The schemas describe one item each. Checking item by item keeps a check
-interruptible and gives each reason the item's name.
+Each schema describes one item. Because items are validated one at a time, the
+validation can be interrupted between items, and each reason for a rejection can
+name its item.
 
 References:
   JSON Schema, draft 2020-12.
@@ -18,13 +19,14 @@
 MAX_WEIGHT = 1_000_000
 MAX_RATE_PER_S = 10_000_000
 MAX_BURST = 10_000_000
-# A planned stop waits 30 s by default and must outlast every call.
+# Every call must end within a planned stop, which takes up to 30 s by default.
 MAX_TIMEOUT_MS = 29_000
 MAX_ATTEMPTS = 16
 MAX_RANK = 1000
 METHODS = ('DELETE', 'GET', 'HEAD', 'OPTIONS', 'PATCH', 'POST', 'PUT')
 
-# No character may follow: in some dialects $ matches before a final newline.
+# End of the string. In some regex dialects $ also matches before a final
+# newline.
 _END = r'(?![\s\S])'
 _NAME = {
     'type': 'string',
@@ -34,15 +36,15 @@
 _BOOLEAN = {'type': 'boolean'}
 
 
-def _bounded(kind: str, minimum: float, maximum: float) -> dict[str, Any]:
+def _build_range(kind: str, minimum: float, maximum: float) -> dict[str, Any]:
     return {'type': kind, 'minimum': minimum, 'maximum': maximum}
 
 
-def _positive(maximum: float) -> dict[str, Any]:
+def _build_positive(maximum: float) -> dict[str, Any]:
     return {'type': 'number', 'exclusiveMinimum': 0, 'maximum': maximum}
 
 
-def _object(required: dict[str, Any], **optional: Any) -> dict[str, Any]:
+def _build_object(required: dict[str, Any], **optional: Any) -> dict[str, Any]:
     return {
         'type': 'object',
         'properties': {**required, **optional},
@@ -51,40 +53,42 @@
     }
 
 
-_RAMP = _object(
+_RAMP = _build_object(
     {
-        'initial_slots': _bounded('integer', 1, MAX_SLOTS),
-        'duration_s': _bounded('number', 0, MAX_RAMP_S),
+        'initial_slots': _build_range('integer', 1, MAX_SLOTS),
+        'duration_s': _build_range('number', 0, MAX_RAMP_S),
     },
-    rate_per_s=_bounded('number', 0, MAX_RATE_PER_S),
+    rate_per_s=_build_range('number', 0, MAX_RATE_PER_S),
 )
 _TARGET = {
     'type': 'array',
-    'prefixItems': [_NAME, _bounded('number', 0, MAX_WEIGHT)],
+    'prefixItems': [_NAME, _build_range('number', 0, MAX_WEIGHT)],
     'items': False,
     'minItems': 2,
 }
 _ITEMS = {
-    'services': _object(
+    'services': _build_object(
         {'name': _NAME},
         shed_retryable=_BOOLEAN,
         listed=_BOOLEAN,
-        connections=_bounded('integer', 0, MAX_CONNECTIONS),
-        cold_s=_bounded('number', 0, MAX_RAMP_S),
-        cold_rate_per_s=_bounded('number', 0, MAX_RATE_PER_S),
+        connections=_build_range('integer', 0, MAX_CONNECTIONS),
+        cold_s=_build_range('number', 0, MAX_RAMP_S),
+        cold_rate_per_s=_build_range('number', 0, MAX_RATE_PER_S),
     ),
-    'upstreams': _object(
+    'upstreams': _build_object(
         {
             'name': _NAME,
             'service': _NAME,
             'zone': _NAME,
-            'slots': _bounded('integer', 1, MAX_SLOTS),
-            'connections': _bounded('integer', 1, MAX_CONNECTIONS),
+            'slots': _build_range('integer', 1, MAX_SLOTS),
+            'connections': _build_range('integer', 1, MAX_CONNECTIONS),
             'ramp': _RAMP,
         }
     ),
-    'zones': _object({'name': _NAME, 'region': _NAME}, in_service=_BOOLEAN),
-    'routes': _object(
+    'zones': _build_object(
+        {'name': _NAME, 'region': _NAME}, in_service=_BOOLEAN
+    ),
+    'routes': _build_object(
         {
             'name': _NAME,
             'prefix': {
@@ -101,29 +105,32 @@
             'targets': {'type': 'array', 'items': _TARGET, 'minItems': 1},
             'open_to_all': _BOOLEAN,
             'repeatable': _BOOLEAN,
-            'timeout_ms': _bounded('integer', 1, MAX_TIMEOUT_MS),
+            'timeout_ms': _build_range('integer', 1, MAX_TIMEOUT_MS),
         },
         host={'type': 'string', 'maxLength': 255},
-        max_attempts=_bounded('integer', 1, MAX_ATTEMPTS),
-        rank=_bounded('integer', 0, MAX_RANK),
+        max_attempts=_build_range('integer', 1, MAX_ATTEMPTS),
+        rank=_build_range('integer', 0, MAX_RANK),
         keyed=_BOOLEAN,
-        objective_ms=_bounded('integer', 0, MAX_TIMEOUT_MS),
+        objective_ms=_build_range('integer', 0, MAX_TIMEOUT_MS),
     ),
-    'workspaces': _object(
+    'workspaces': _build_object(
         {
             'name': _NAME,
-            'rate_per_s': _positive(MAX_RATE_PER_S),
-            'burst': _bounded('number', 1, MAX_BURST),
+            'rate_per_s': _build_positive(MAX_RATE_PER_S),
+            'burst': _build_range('number', 1, MAX_BURST),
+        },
+        weight=_build_positive(MAX_WEIGHT),
+        rank={
+            **_build_range('integer', 0, MAX_RANK),
+            'type': ['integer', 'null'],
         },
-        weight=_positive(MAX_WEIGHT),
-        rank={**_bounded('integer', 0, MAX_RANK), 'type': ['integer', 'null']},
         zone_weights={
             'type': 'object',
             'propertyNames': _NAME,
-            'additionalProperties': _bounded('number', 0, MAX_WEIGHT),
+            'additionalProperties': _build_range('number', 0, MAX_WEIGHT),
         },
     ),
-    'keys': _object(
+    'keys': _build_object(
         {
             'key_id': _KEY_ID,
             'workspace': _NAME,
@@ -134,18 +141,18 @@
             'hash_hex': {'type': 'string', 'pattern': r'^[0-9a-f]{64}' + _END},
         }
     ),
-    'vms': _object(
+    'vms': _build_object(
         {
             'vm': _NAME,
             'upstream': _NAME,
             'zone': _NAME,
             'region': _NAME,
             'host': {'type': 'string', 'maxLength': 64},
-            'port': _bounded('integer', 1, 65535),
+            'port': _build_range('integer', 1, 65535),
             'state': {'enum': ['live', 'leaving']},
         },
         service={'type': 'string', 'maxLength': 64},
-        slots=_bounded('integer', 0, MAX_SLOTS),
+        slots=_build_range('integer', 0, MAX_SLOTS),
         instance={'type': 'string', 'maxLength': 255},
         cold=_BOOLEAN,
     ),
--- a/jayseam/presets/tests/test_presets.py
+++ b/jayseam/presets/tests/test_presets.py
@@ -34,7 +34,7 @@
     ids=['agence', 'leeuwenhoek', 'large'],
 )
 def test_samples_survive_the_round_trip(deployment):
-    """A value must not change on its way through parts."""
+    """A preset and its keys must not change when they are split and joined."""
     document = documents.dump_preset(deployment.preset)
     bundle = documents.split_preset(document)
     joined = documents.join_parts(bundle.manifest, bundle.parts)
@@ -46,7 +46,7 @@
 
 
 def test_vms_survive_the_round_trip():
-    """A VM list must not change on its way through parts."""
+    """A VM list must not change when it is split and joined."""
     vms = tuple(
         model.VmEntry(f'vm-{i}', 'p', f'z{i % 2}', 'r', '127.0.0.1', 80, 'live')
         for i in range(5)
@@ -58,8 +58,8 @@
 
 
 @hypothesis.given(strategies.randoms())
-def test_order_changes_neither_digest_nor_verdict(rng):
-    """Nodes that get items in another order must hold the same version."""
+def test_order_changes_neither_digest_nor_reasons(rng):
+    """Nodes must agree on a version even if its items come in another order."""
     document = _dump_agence()
     document['routes'][0]['targets'] = [['unknown', 1]]
     shuffled = copy.deepcopy(document)
@@ -77,94 +77,95 @@
     assert reasons[0] == reasons[1]
 
 
-def _pick(document, section, index):
+def _get_item(document, section, index):
     items = document[section]
     return items[index % len(items)]
 
 
 def _break_service(document, index):
-    item = _pick(document, 'upstreams', index)
+    item = _get_item(document, 'upstreams', index)
     item['service'] = 'ghost'
     return f'upstreams[{item["name"]}].service: no service ghost'
 
 
 def _break_zone(document, index):
-    item = _pick(document, 'upstreams', index)
+    item = _get_item(document, 'upstreams', index)
     item['zone'] = 'nowhere'
     return f'upstreams[{item["name"]}].zone: no zone nowhere'
 
 
 def _break_slots(document, index):
-    item = _pick(document, 'upstreams', index)
+    item = _get_item(document, 'upstreams', index)
     item['slots'] = 0
     return f'upstreams[{item["name"]}].slots: 0 is less than the minimum of 1'
 
 
 def _break_ramp(document, index):
-    item = _pick(document, 'upstreams', index)
+    item = _get_item(document, 'upstreams', index)
     item['ramp']['initial_slots'] = 9_999
     return f'upstreams[{item["name"]}].ramp.initial_slots: more than slots'
 
 
 def _break_target(document, index):
-    item = _pick(document, 'routes', index)
+    item = _get_item(document, 'routes', index)
     item['targets'] = [['ghost', 1]]
     return f'routes[{item["name"]}].targets: no service ghost'
 
 
 def _break_weights(document, index):
-    item = _pick(document, 'routes', index)
+    item = _get_item(document, 'routes', index)
     item['targets'] = [[item['targets'][0][0], 0]]
     label = f'routes[{item["name"]}]'
     return f'{label}.targets: weights must add up to over zero'
 
 
 def _break_prefix(document, index):
-    item = _pick(document, 'routes', index)
+    item = _get_item(document, 'routes', index)
     item['prefix'] = '/.jayseam/outcomes'
     return f'routes[{item["name"]}].prefix: reserved'
 
 
 def _break_region(document, index):
-    item = _pick(document, 'zones', index)
+    item = _get_item(document, 'zones', index)
     del item['region']
     return f'zones[{item["name"]}]: "region" is a required property'
 
 
 def _break_rate(document, index):
-    item = _pick(document, 'workspaces', index)
+    item = _get_item(document, 'workspaces', index)
     item['rate_per_s'] = float('nan')
     return f'workspaces[{item["name"]}].rate_per_s: not a finite number'
 
 
 def _break_zone_weights(document, index):
-    item = _pick(document, 'workspaces', index)
+    item = _get_item(document, 'workspaces', index)
     item['zone_weights'] = {'charleroi': 0, 'liege': 1, 'nowhere': 2}
     return f'workspaces[{item["name"]}].zone_weights: no zone nowhere'
 
 
 def _omit_zone_weight(document, index):
-    item = _pick(document, 'workspaces', index)
+    item = _get_item(document, 'workspaces', index)
     item['zone_weights'] = {'charleroi': 0, 'liege': 1}
     return f'workspaces[{item["name"]}].zone_weights: zone namur is absent'
 
 
 def _zero_zone_weights(document, index):
-    item = _pick(document, 'workspaces', index)
+    item = _get_item(document, 'workspaces', index)
     item['zone_weights'] = {'charleroi': 0, 'liege': 0, 'namur': 0.0}
     label = f'workspaces[{item["name"]}]'
     return f'{label}.zone_weights: weights must add up to over zero'
 
 
 def _repeat_workspace(document, index):
-    item = _pick(document, 'workspaces', index)
+    item = _get_item(document, 'workspaces', index)
     document['workspaces'].append(dict(item))
     return f'workspaces[{item["name"]}]: name repeats'
 
 
-_BREAKS = (
-    # Those that leave the shape intact come first, and shape faults of an
-    # item hide its references, so each is applied to a different section.
+_FAULTS = (
+    # Changes that keep the shape valid come first. The references of an item
+    # with the wrong shape are not checked, so each group changes another
+    # section.
     (_break_service, _break_zone, _break_slots, _break_ramp),
     (_break_target, _break_weights, _break_prefix),
     (_break_region,),
@@ -181,14 +182,14 @@
 @hypothesis.settings(deadline=None)
 @hypothesis.given(
     strategies.tuples(
-        *(strategies.sampled_from((None, *group)) for group in _BREAKS)
+        *(strategies.sampled_from((None, *group)) for group in _FAULTS)
     ),
     strategies.integers(0, 20),
 )
-def test_every_reason_is_found(breaks, index):
-    """Operators must see all faults at once, and no valid preset is lost."""
+def test_every_reason_is_found(faults, index):
+    """All faults must be reported at once, and valid presets accepted."""
     document = _dump_agence()
-    expected = {f(document, index) for f in breaks if f is not None}
+    expected = {f(document, index) for f in faults if f is not None}
     if not expected:
         verification.verify_preset(document)
         return
@@ -198,7 +199,7 @@
 
 
 def test_no_false_reasons_follow_from_a_shape_fault():
-    """A faulty item still defines its name, so references to it stand."""
+    """References to an item with the wrong shape must not be reported."""
     document = _dump_agence()
     document['services'][0]['shed_retryable'] = 'yes'
     with pytest.raises(errors.PresetRejectedError) as caught:
@@ -208,7 +209,7 @@
     ]
 
 
-def _weigh_bureau(weights):
+def _set_bureau_weights(weights):
     document = _dump_agence()
     item = next(w for w in document['workspaces'] if w['name'] == 'bureau')
     item['zone_weights'] = weights
@@ -216,8 +217,8 @@
 
 
 def test_zone_weights_survive_the_round_trip():
-    """Weights that are lost or reordered would make nodes disagree."""
-    document = _weigh_bureau({'namur': 0, 'liege': 2.5, 'charleroi': 1})
+    """If weights were lost or reordered, nodes would disagree on them."""
+    document = _set_bureau_weights({'namur': 0, 'liege': 2.5, 'charleroi': 1})
     bundle = documents.split_preset(document)
     joined = documents.join_parts(bundle.manifest, bundle.parts)
     preset = verification.verify_preset(joined)
@@ -240,8 +241,8 @@
 
 
 def test_zone_without_upstreams_needs_no_weight():
-    """A zone that is announced before its first upstream stops no preset."""
-    document = _weigh_bureau({'namur': 0, 'liege': 2.5, 'charleroi': 1})
+    """A zone that has no upstream yet must not invalidate a preset."""
+    document = _set_bureau_weights({'namur': 0, 'liege': 2.5, 'charleroi': 1})
     document['zones'].append({'name': 'mons', 'region': 'wallonia'})
     verification.verify_preset(document)
 
@@ -264,14 +265,14 @@
     ],
 )
 def test_unusable_zone_weights_are_rejected(weights):
-    """Shares can't be computed from them, or not what the operators mean."""
+    """Weights that give no shares, or unintended ones, must be rejected."""
     with pytest.raises(errors.PresetRejectedError) as caught:
-        verification.verify_preset(_weigh_bureau(weights))
+        verification.verify_preset(_set_bureau_weights(weights))
     assert all('zone_weights' in reason for reason in caught.value.reasons)
 
 
 def test_ambiguous_and_unserved_routes_are_rejected():
-    """A route must have one owner, and its services must have upstreams."""
+    """A prefix must belong to one route, and its services need upstreams."""
     document = _dump_agence()
     document['services'].append({'name': 'empty', 'shed_retryable': True})
     document['routes'].append(
@@ -303,7 +304,7 @@
 
 @hypothesis.settings(deadline=None)
 @hypothesis.given(_JSON, strategies.sampled_from(_SECTIONS))
-def test_any_content_gets_a_verdict(value, section):
+def test_any_content_is_verified_or_rejected(value, section):
     """Hostile content must be rejected, not crash the node."""
     document = _dump_agence()
     document[section] = value
@@ -326,14 +327,14 @@
     [b'{"a":1,"a":2}', b'[NaN]', b'[1e999]', b'[', b'\xff', b'[' * 100_000],
 )
 def test_lax_json_is_refused(text):
-    """Parsers differ on such texts, so nodes could read them differently."""
+    """JSON parsers differ on such texts, so nodes could disagree on them."""
     with pytest.raises(errors.PresetRejectedError):
         documents.decode_json(text)
 
 
 @hypothesis.given(strategies.lists(_JSON, max_size=5))
 def test_item_wise_parser_agrees_with_the_whole_parser(items):
-    """Parsing in steps must not change what a part means."""
+    """Parsing item by item must give the same result as parsing at once."""
     try:
         data = documents.encode_json(items)
     except errors.PresetRejectedError:
@@ -345,15 +346,15 @@
     'data', [b'', b'[', b'[,]', b'[1,]', b'[1 2]', b'[1]]', b'{}', b'[1][2]']
 )
 def test_item_wise_parser_refuses_broken_lists(data):
-    """A parser in steps must not accept what lies between the items."""
+    """The item-wise parser must not accept invalid text between items."""
     with pytest.raises(errors.PresetRejectedError):
         documents.decode_list(data)
 
 
-def _verify(document, shapes=None):
+def _verify(document, shape_cache=None):
     try:
         return verification.verify_preset(
-            document, documents.skip_pause, shapes
+            document, documents.skip_pause, shape_cache
         )
     except errors.PresetRejectedError as error:
         return error.reasons
@@ -362,25 +363,25 @@
 @hypothesis.settings(deadline=None)
 @hypothesis.given(
     strategies.lists(
-        strategies.sampled_from([f for group in _BREAKS for f in group]),
+        strategies.sampled_from([f for group in _FAULTS for f in group]),
         max_size=6,
         unique=True,
     ),
     strategies.integers(0, 20),
 )
-def test_shape_cache_never_changes_a_verdict(breaks, index):
-    """A node that has seen earlier versions must judge like a fresh one."""
-    shapes = verification.ShapeCache()
+def test_shape_cache_never_changes_a_result(faults, index):
+    """A node that verified earlier versions must agree with a new node."""
+    shape_cache = verification.ShapeCache()
     document = _dump_agence()
-    for step in (None, *breaks):
+    for step in (None, *faults):
         if step is not None:
             document = copy.deepcopy(document)
             step(document, index)
-        assert _verify(document, shapes) == _verify(document)
+        assert _verify(document, shape_cache) == _verify(document)
 
 
 def test_altered_and_missing_parts_are_told_apart_from_rejection():
-    """A damaged transfer must not condemn a valid version."""
+    """A corrupted transfer must not lead to the rejection of a version."""
     bundle = documents.split_preset(_dump_agence())
     digest, data = next(iter(bundle.parts.items()))
     with pytest.raises(errors.PartsIncompleteError) as caught:
@@ -411,8 +412,8 @@
     return documents.join_parts(documents.encode_json(manifest), bundle.parts)
 
 
-def test_items_in_foreign_parts_are_rejected():
-    """An upstream in another shard would have two places."""
+def test_items_in_wrong_parts_are_rejected():
+    """An upstream in a wrong shard could be in a preset twice."""
     swapped = {
         'upstreams/1-of-4': 'upstreams/2-of-4',
         'upstreams/2-of-4': 'upstreams/1-of-4',
@@ -437,14 +438,14 @@
     ],
 )
 def test_sections_without_all_their_shards_are_rejected(names):
-    """A preset without some of its workspaces must never be in force."""
+    """A preset must not be applied without some of its workspaces."""
     with pytest.raises(errors.PresetRejectedError) as caught:
         _join_renamed(_split_large(), names)
     assert any('manifest.parts' in reason for reason in caught.value.reasons)
 
 
 def test_sharded_presets_are_joined_as_they_were():
-    """An item lost between shards would be missing on every node."""
+    """Splitting into shards must lose no item and must not depend on order."""
     document = _dump_large()
     bundle = documents.split_preset(document)
     assert documents.join_parts(bundle.manifest, bundle.parts) == document
@@ -455,7 +456,7 @@
 
 @pytest.mark.parametrize('n_items', [0, 1, 256, 257, 10_000, 10**9])
 def test_shards_stay_small_and_few(n_items):
-    """Too many parts are refused by every node, and large ones cost bytes."""
+    """Nodes reject too many parts, and large parts make changes expensive."""
     count = documents.count_shards(n_items)
     assert 5 * count <= documents.MAX_PARTS
     assert n_items <= 256 * count or count == 128
@@ -463,7 +464,7 @@
 
 
 def test_one_change_leaves_other_parts_alone():
-    """A changed weight must cost one part and a manifest, not the whole."""
+    """A changed weight must change one part only, besides the manifest."""
     document = _dump_agence()
     before = documents.split_preset(document)
     document['routes'][0]['targets'][0][1] = 2
@@ -472,7 +473,7 @@
 
 
 def test_one_change_in_a_large_section_costs_a_small_part():
-    """A changed weight among thousands must not cost all workspaces."""
+    """A changed weight must not transfer all workspaces of a large section."""
     document = _dump_large()
     before = documents.split_preset(document)
     document['workspaces'][0]['weight'] = 2
@@ -483,7 +484,7 @@
 
 
 def test_keys_verify_only_their_plaintext():
-    """A wrong, unknown or odd key must match no workspace."""
+    """A wrong, unknown or malformed key must match no workspace."""
     deployment = samples.build_agence()
     for workspace, plaintext in deployment.plaintexts.items():
         match = keys.verify_key(deployment.key_set, plaintext)
@@ -493,8 +494,8 @@
     assert keys.verify_key(deployment.key_set, 'no.\ud800') is None
 
 
-def test_differences_name_every_change():
-    """Operators choose a preset by what it changes."""
+def test_differences_contain_every_change():
+    """Operators decide on a preset by its differences."""
     old = samples.build_agence().preset
     zone = attrs.evolve(old.zones['namur'], in_service=False)
     new = attrs.evolve(
@@ -511,9 +512,9 @@
 
 
 def test_differences_show_zone_weights_as_in_documents():
-    """Operators must recognise what they wrote."""
+    """Operators must see zone weights in the form that they wrote."""
     old = samples.build_agence().preset
-    document = _weigh_bureau({'namur': 1, 'liege': 2, 'charleroi': 0})
+    document = _set_bureau_weights({'namur': 1, 'liege': 2, 'charleroi': 0})
     new = verification.verify_preset(document)
     lines = [d.format() for d in differences.compare_presets(old, new)]
     assert lines == [
@@ -538,14 +539,15 @@
 
 
 def test_large_preset_is_verified_in_time():
-    """A megabyte of routes must be in force soon at 0.43 of a core too."""
+    """A preset with 1 MB of routes must be verified in time on 0.43 cores."""
     document = _dump_agence()
     route = document['routes'][0]
     document['routes'] = [
         {**route, 'name': f'r-{number}', 'prefix': f'/x{number}'}
         for number in range(3000)
     ]
-    begun = time.process_time()
+    started = time.process_time()
     verification.verify_preset(document)
-    # The operators' 2.5 s for a change, less 1 s for its way, at 0.43 cores.
-    assert time.process_time() - begun < 1.5 * 0.43
+    # Of the operators' 2.5 s for a change, 1 s is for its distribution; a node
+    # has 0.43 cores.
+    assert time.process_time() - started < 1.5 * 0.43
--- a/jayseam/presets/verification.py
+++ b/jayseam/presets/verification.py
@@ -1,7 +1,9 @@
-"""Verification of documents: the shape first, then references and limits.
+"""Verification of documents: first schemas, then references and limits.
 
-A verdict depends on the content alone, so every node reaches the same one. All
-reasons are collected, so operators need only one attempt to see them.
+The result depends only on the content, so all nodes get the same result. All
+reasons for a rejection are collected, so that operators see them at once.
+
+An item has the right shape if it matches its schema.
 """
 
 import hashlib
@@ -17,36 +19,37 @@
 from jayseam.presets import schemas
 
 _PRESET_SECTIONS = ('services', 'upstreams', 'zones', 'routes', 'workspaces')
-# Keepers of a request that may not be repeated lie in distinct zones, and two
-# of them must grant it.
+# The keepers of an idempotency key are in distinct zones, and two keepers must
+# grant the claim of a call that may not be repeated.
 _MIN_KEEPER_ZONES = 2
 _RESERVED_PREFIXES = ('/.jayseam', '/.backend')
-_PAUSE_ITEMS = 8
+# Number of items that are processed between two calls of ``pause``.
+_ITEMS_PER_PAUSE = 8
 _MAX_REASON_CHARS = 200
 _FINGERPRINT_BYTES = 16
 
 
 class ShapeCache:
-    """Remembers items whose shape was valid in the last document verified.
+    """Caches which items of the last verified document had the right shape.
 
-    Most items of a new version are those of the version before. Whether a shape
-    is valid depends on the item alone, so the cache can't change a verdict.
+    Most items of a new version are unchanged. Whether an item has the right
+    shape depends only on the item, so the cache can't change a result.
     """
 
     def __init__(self):
-        self._known: dict[str, frozenset[bytes]] = {}
+        self._valid_fingerprints: dict[str, frozenset[bytes]] = {}
 
-    def find(self, section: str, fingerprint: bytes) -> bool:
-        """Tells whether an item's shape is known to be valid."""
-        return fingerprint in self._known.get(section, ())
+    def contains(self, section: str, fingerprint: bytes) -> bool:
+        """Returns whether an item is known to have the right shape."""
+        return fingerprint in self._valid_fingerprints.get(section, ())
 
     def replace(self, section: str, fingerprints: Iterable[bytes]) -> None:
-        """Forgets the items of a section and remembers others."""
-        self._known[section] = frozenset(fingerprints)
+        """Replaces the cached items of a section."""
+        self._valid_fingerprints[section] = frozenset(fingerprints)
 
 
 def compute_fingerprint(item: Any) -> bytes | None:
-    """Returns a digest of an item's JSON, None if it has none."""
+    """Returns a digest of an item's JSON, or None if it can't be encoded."""
     try:
         data = documents.encode_json(item)
     except errors.PresetRejectedError:
@@ -57,14 +60,14 @@
 def verify_preset(
     document: Mapping[str, Any],
     pause: Callable[[], None] = documents.skip_pause,
-    shapes: ShapeCache | None = None,
+    shape_cache: ShapeCache | None = None,
 ) -> model.Preset:
     """Verifies the document of a preset.
 
     Args:
       document: Joined document.
       pause: Called after every few items, to let other greenlets run.
-      shapes: Cache that makes the next verification cheaper.
+      shape_cache: Cache that speeds up the verification of the next version.
 
     Returns:
       The preset.
@@ -79,37 +82,39 @@
         reasons.append('name: must be a string of at most 64 characters')
     if reasons:
         raise errors.PresetRejectedError(reasons)
-    shaped = {}
+    checked = {}
     for section in _PRESET_SECTIONS:
-        shaped[section] = _check_items(
-            section, document[section], 'name', reasons, pause, shapes
+        checked[section] = _check_items(
+            section, document[section], 'name', reasons, pause, shape_cache
         )
     names = {
         section: _collect_names(document[section], 'name')
         for section in _PRESET_SECTIONS
     }
-    reasons += _check_upstreams(shaped['upstreams'], names)
+    reasons += _check_upstreams(checked['upstreams'], names)
     pause()
     reasons += _check_routes(
-        shaped['routes'], shaped['services'], document['upstreams'], names
+        checked['routes'], checked['services'], document['upstreams'], names
     )
     pause()
-    staffed = _collect_names(document['upstreams'], 'zone')
-    reasons += _check_workspaces(shaped['workspaces'], staffed, names, pause)
+    upstream_zones = _collect_names(document['upstreams'], 'zone')
+    reasons += _check_workspaces(
+        checked['workspaces'], upstream_zones, names, pause
+    )
     if reasons:
         raise errors.PresetRejectedError(reasons)
-    return _build_preset(name, shaped, pause)
+    return _build_preset(name, checked, pause)
 
 
 def verify_keys(
     document: Mapping[str, Any],
     pause: Callable[[], None] = documents.skip_pause,
-    shapes: ShapeCache | None = None,
+    shape_cache: ShapeCache | None = None,
 ) -> model.KeySet:
     """Verifies the document of a key set.
 
-    Workspaces are not looked up: keys and presets change independently, and a
-    key without a workspace is refused when it is used.
+    The workspaces of the keys are not checked: keys and presets change
+    independently, and a key without a workspace is refused when it is used.
 
     Raises:
       PresetRejectedError: With every reason found.
@@ -117,13 +122,13 @@
     reasons = _check_fields(document, {'keys'})
     if reasons:
         raise errors.PresetRejectedError(reasons)
-    shaped = _check_items(
-        'keys', document['keys'], 'key_id', reasons, pause, shapes
+    checked = _check_items(
+        'keys', document['keys'], 'key_id', reasons, pause, shape_cache
     )
     if reasons:
         raise errors.PresetRejectedError(reasons)
     entries = _build_items(
-        shaped, 'key_id', lambda item: model.KeyEntry(**item), pause
+        checked, 'key_id', lambda item: model.KeyEntry(**item), pause
     )
     return model.KeySet(tuple(entries))
 
@@ -131,7 +136,7 @@
 def verify_vms(
     document: Mapping[str, Any],
     pause: Callable[[], None] = documents.skip_pause,
-    shapes: ShapeCache | None = None,
+    shape_cache: ShapeCache | None = None,
 ) -> model.VmList:
     """Verifies the document of a VM list.
 
@@ -141,15 +146,17 @@
     reasons = _check_fields(document, {'vms'})
     if reasons:
         raise errors.PresetRejectedError(reasons)
-    shaped = _check_items('vms', document['vms'], 'vm', reasons, pause, shapes)
-    for item in shaped:
+    checked = _check_items(
+        'vms', document['vms'], 'vm', reasons, pause, shape_cache
+    )
+    for item in checked:
         if not _is_address(item['host']):
-            label = _label('vms', item, 'vm')
+            label = _format_label('vms', item, 'vm')
             reasons.append(f'{label}.host: not an IP address')
     if reasons:
         raise errors.PresetRejectedError(reasons)
     entries = _build_items(
-        shaped,
+        checked,
         'vm',
         lambda item: model.VmEntry(**{**item, 'port': int(item['port'])}),
         pause,
@@ -169,33 +176,37 @@
     return reasons
 
 
-def _check_items(section, items, field, reasons, pause, shapes) -> list[dict]:
-    """Returns the items of the right shape and adds reasons for the others."""
-    shaped, seen, repeated, valid = [], set(), set(), set()
+def _check_items(
+    section, items, field, reasons, pause, shape_cache
+) -> list[dict]:
+    """Returns items of the right shape and appends reasons for the others."""
+    checked, seen, repeated, valid = [], set(), set(), set()
     for index, item in enumerate(items):
-        if index % _PAUSE_ITEMS == 0:
+        if index % _ITEMS_PER_PAUSE == 0:
             pause()
         name = item.get(field) if isinstance(item, Mapping) else None
         if isinstance(name, str):
             (repeated if name in seen else seen).add(name)
-        fingerprint = compute_fingerprint(item) if shapes else None
+        fingerprint = compute_fingerprint(item) if shape_cache else None
         faults: list[str] = []
-        if fingerprint is None or not shapes.find(section, fingerprint):
-            faults = _find_faults(section, item)
+        if fingerprint is None or not shape_cache.contains(
+            section, fingerprint
+        ):
+            faults = _find_shape_faults(section, item)
         if faults:
-            label = _label(section, item, field)
+            label = _format_label(section, item, field)
             reasons += [f'{label}{fault}' for fault in faults]
             continue
-        shaped.append(item)
+        checked.append(item)
         if fingerprint is not None:
             valid.add(fingerprint)
-    if shapes is not None:
-        shapes.replace(section, valid)
+    if shape_cache is not None:
+        shape_cache.replace(section, valid)
     reasons += [f'{section}[{name[:64]}]: name repeats' for name in repeated]
-    return shaped
+    return checked
 
 
-def _find_faults(section: str, item: Any) -> list[str]:
+def _find_shape_faults(section: str, item: Any) -> list[str]:
     validator = schemas.VALIDATORS[section]
     faults = _find_non_finite(item)
     try:
@@ -213,7 +224,10 @@
 
 
 def _find_non_finite(item: Any) -> list[str]:
-    """Comparisons with NaN are false, so schema limits let NaN pass."""
+    """Returns faults for NaN and infinities.
+
+    Comparisons with NaN are false, so the limits of a schema accept NaN.
+    """
     if not isinstance(item, Mapping):
         return []
     return [
@@ -223,7 +237,7 @@
     ]
 
 
-def _label(section: str, item: Any, field: str) -> str:
+def _format_label(section: str, item: Any, field: str) -> str:
     name = item.get(field) if isinstance(item, Mapping) else None
     return f'{section}[{name[:64] if isinstance(name, str) else "?"}]'
 
@@ -251,41 +265,41 @@
 def _check_routes(routes, services, upstreams, names) -> list[str]:
     reasons = []
     listed = {s['name'] for s in services if s.get('listed')}
-    # Upstreams from the VM list come and go; a service may have none.
-    staffed = _collect_names(upstreams, 'service') | listed
+    # Upstreams in the VM list change, so a listed service may have none now.
+    available_services = _collect_names(upstreams, 'service') | listed
     zones = _collect_names(upstreams, 'zone')
     owners: dict[tuple[str, str, str], list[str]] = {}
     for item in routes:
         label = f'routes[{item["name"]}]'
-        reasons += _check_targets(label, item, staffed, names)
+        reasons += _check_targets(label, item, available_services, names)
         for method in item['methods']:
-            place = (item.get('host', ''), item['prefix'], method)
-            owners.setdefault(place, []).append(item['name'])
+            match = (item.get('host', ''), item['prefix'], method)
+            owners.setdefault(match, []).append(item['name'])
         first = item['prefix'].rstrip('/').split('/')[1:2]
         if first and f'/{first[0]}' in _RESERVED_PREFIXES:
             reasons.append(f'{label}.prefix: reserved')
-        needs_keepers = not item['repeatable'] and item.get('keyed', True)
-        if needs_keepers and len(zones) < _MIN_KEEPER_ZONES:
+        needs_claims = not item['repeatable'] and item.get('keyed', True)
+        if needs_claims and len(zones) < _MIN_KEEPER_ZONES:
             reasons.append(
                 f'{label}.repeatable: false needs upstreams in at least'
                 f' {_MIN_KEEPER_ZONES} zones'
             )
-    for (host, prefix, method), shared in owners.items():
-        if len(shared) > 1:
+    for (host, prefix, method), route_names in owners.items():
+        if len(route_names) > 1:
             reasons.append(
                 f'routes: {method} {host}{prefix} belongs to'
-                f' {", ".join(sorted(shared))}'
+                f' {", ".join(sorted(route_names))}'
             )
     return reasons
 
 
-def _check_targets(label, item, staffed, names) -> list[str]:
+def _check_targets(label, item, available_services, names) -> list[str]:
     reasons = []
     services = [service for service, _ in item['targets']]
     for service in sorted(set(services)):
         if service not in names['services']:
             reasons.append(f'{label}.targets: no service {service}')
-        elif service not in staffed:
+        elif service not in available_services:
             reasons.append(f'{label}.targets: {service} has no upstream')
         if services.count(service) > 1:
             reasons.append(f'{label}.targets: {service} repeats')
@@ -295,10 +309,10 @@
     return reasons
 
 
-def _check_workspaces(workspaces, staffed, names, pause) -> list[str]:
+def _check_workspaces(workspaces, upstream_zones, names, pause) -> list[str]:
     reasons = []
     for index, item in enumerate(workspaces):
-        if index % _PAUSE_ITEMS == 0:
+        if index % _ITEMS_PER_PAUSE == 0:
             pause()
         weights = item.get('zone_weights')
         if weights is None:
@@ -306,8 +320,9 @@
         label = f'workspaces[{item["name"]}].zone_weights'
         for zone in sorted(set(weights) - names['zones']):
             reasons.append(f'{label}: no zone {zone}')
-        # A zone that was forgotten would have few tokens when it is cut off.
-        for zone in sorted((staffed & names['zones']) - set(weights)):
+        # A zone without a weight would have few tokens of the rate limit while
+        # it is disconnected from the others.
+        for zone in sorted((upstream_zones & names['zones']) - set(weights)):
             reasons.append(f'{label}: zone {zone} is absent')
         total = sum(weights.values())
         if not (math.isfinite(total) and total > 0):
@@ -323,7 +338,7 @@
     return True
 
 
-def _build_preset(name, shaped, pause) -> model.Preset:
+def _build_preset(name, checked, pause) -> model.Preset:
     builders = {
         'services': lambda item: model.Service(**item),
         'upstreams': _build_upstream,
@@ -333,7 +348,7 @@
     }
     sections = {}
     for section, build in builders.items():
-        built = _build_items(shaped[section], 'name', build, pause)
+        built = _build_items(checked[section], 'name', build, pause)
         sections[section] = {item.name: item for item in built}
     return model.Preset(name=name, **sections)
 
@@ -341,14 +356,14 @@
 def _build_items(items, field, build, pause) -> list[Any]:
     built = []
     for index, item in enumerate(sorted(items, key=lambda i: i[field])):
-        if index % _PAUSE_ITEMS == 0:
+        if index % _ITEMS_PER_PAUSE == 0:
             pause()
         built.append(build(item))
     return built
 
 
 def _build_upstream(item: Mapping[str, Any]) -> model.Upstream:
-    # A schema integer may be written 10.0; slots must be an int.
+    # JSON schema accepts 10.0 as an integer, but slots must be an int.
     ramp = model.Ramp(
         int(item['ramp']['initial_slots']),
         item['ramp']['duration_s'],
