--- a/jayseam/bench/tests/test_pages.py
+++ b/jayseam/bench/tests/test_pages.py
@@ -1,4 +1,4 @@
-"""Tests of the page of plays and experiments."""
+"""Tests of the HTML page of plays and experiments."""
 
 import json
 import re
@@ -28,34 +28,35 @@
 
 
 def test_page_shows_days_broken_rules_and_missed_targets():
-    """What went wrong must not be missing on the page."""
+    """Broken rules and missed targets must appear on the page."""
     hunted = attrs.evolve(_DAY, command='hunt', name='mix', broken=('ONCE',))
     page = pages.build_page([_DAY, hunted], [_RESULT])
     assert page.count('<svg') == 4
     assert '<h2>piles&lt;</h2>' in page
     for text in ('QUOTA', 'ONCE', 'missed', '7.1 ms', '0.500'):
         assert f'>{text}<' in page
-    # Without a network, nothing of the page may come from elsewhere.
+    # The page must be readable without a network, so it refers to no other
+    # resource.
     assert not re.search(r'(?:src|href)="(?!#)', page)
 
 
 def test_latest_play_of_a_standard_day_counts():
-    """Hunted days have other seeds and faults."""
+    """Hunted and random days have other faults, so they must not count."""
     later = attrs.evolve(_DAY, played_at='2026-12-05T10:00:00Z', merit=0.6)
     hunted = attrs.evolve(_DAY, command='hunt')
-    drawn = attrs.evolve(_DAY, name='fresh-12ab')
-    assert pages.select_latest([_DAY, later, hunted, drawn]) == [later]
+    random_day = attrs.evolve(_DAY, name='fresh-12ab')
+    assert pages.select_latest([_DAY, later, hunted, random_day]) == [later]
 
 
-def test_small_causes_are_left_out_of_prices():
-    """A cause that took nothing would only lengthen the legend."""
+def test_small_causes_are_left_out_of_deductions():
+    """A cause without a deduction would only lengthen the legend."""
     day = attrs.evolve(_DAY, deductions={'memory': 0.02, 'probes': 0.0})
-    drawn = pages.draw_deductions([day])
-    assert '<!-- memory -->' in drawn and '<!-- probes -->' not in drawn
+    svg = pages.draw_deductions([day])
+    assert '<!-- memory -->' in svg and '<!-- probes -->' not in svg
 
 
 def test_report_is_written_by_the_command(tmp_path, capsys):
-    """The command reads a journal and names the page."""
+    """The command reads a journal and prints the path of the page."""
     play = json.dumps(test_journal.build_play())
     (tmp_path / '1.json').write_text(play)
     page = tmp_path / 'out' / 'page.html'
