--- a/jayseam/bench/__init__.py
+++ b/jayseam/bench/__init__.py
@@ -1,4 +1,4 @@
-"""Experiments that measure deployments against the targets of the design."""
+"""Experiments that compare deployments with the targets of the design."""
 
 from jayseam.bench import callers
 from jayseam.bench import children
--- a/jayseam/bench/callers.py
+++ b/jayseam/bench/callers.py
@@ -1,10 +1,10 @@
-"""A caller in a process of its own, for latencies and closed-loop rates.
+"""A load generator in a process of its own, for latencies and call rates.
 
 Run ``python -m jayseam.bench.callers PLAN OUTPUT``. The plan is a list of
-phases, which run one after the other; the output has one list of latencies
-for each phase. Latencies run from the moment that a call is sent, on a
-connection that is free, because the difference between two paths counts here
-and not the schedule.
+phases, which run in turn; the output has one list of latencies for each phase.
+The latency of a call is measured from the moment that the call is sent on an
+idle connection, not from its scheduled arrival, because experiments compare
+the latencies of two paths.
 """
 
 import json
@@ -29,22 +29,24 @@
 from jayseam.standins import exchanges
 
 _TIMEOUT_S = 5.0
+# Calls before the first phase of a label that the result doesn't count.
 _WARM_UP_CALLS = 5
 
 
 @attrs.frozen
 class Phase:
-    """Calls of one kind for a while.
+    """Calls of one kind for a fixed time.
 
     Attributes:
       label: Kind of call; phases with the same label share connections.
       port: Loopback port of the target.
       path: Request target.
-      duration_s: Length in seconds.
+      duration_s: Duration in seconds.
       method: HTTP method.
       headers: Header fields.
-      rate_per_s: Poisson arrivals a second; 0 runs ``callers`` closed loops.
-      callers: Closed loops.
+      rate_per_s: Poisson arrivals a second (open loop); 0 runs ``callers``
+        closed loops instead.
+      callers: Number of closed loops.
       keyed: Whether each call has an idempotency key of its own.
     """
 
@@ -60,15 +62,15 @@
 
 
 @attrs.frozen
-class Outcome:
-    """What became of the calls of one phase.
+class PhaseResult:
+    """The result of the calls of one phase.
 
     Attributes:
       label: Label of the phase.
-      latencies_s: Seconds of each call that was answered with 200.
-      failures: Calls with any other outcome.
-      duration_s: Length of the phase.
-      cpu_share: Share of a core that the caller's process used.
+      latencies_s: Latency of each call that was answered with 200, in seconds.
+      failures: Number of calls with any other outcome.
+      duration_s: Elapsed time of the phase in seconds.
+      cpu_share: Share of a core that this process used.
     """
 
     label: str
@@ -78,34 +80,36 @@
     cpu_share: float
 
 
-class _Runner:
-    """Runs phases and keeps connections between them."""
+class _PhaseRunner:
+    """Runs phases; phases with the same label reuse connections."""
 
     def __init__(self, seed: int):
         self._generator = random.Random(seed)
-        self._free: dict[str, list[exchanges.Connection]] = {}
+        self._idle_connections: dict[str, list[exchanges.Connection]] = {}
         self._latencies: list[float] = []
         self._failures = 0
 
-    def run(self, phase: Phase) -> Outcome:
+    def run(self, phase: Phase) -> PhaseResult:
         """Runs one phase to its end."""
-        if phase.label not in self._free:
-            self._free[phase.label] = []
+        if phase.label not in self._idle_connections:
+            self._idle_connections[phase.label] = []
             for _ in range(_WARM_UP_CALLS):
-                self._call(phase)
+                self._send_call(phase)
         self._latencies, self._failures = [], 0
         meter = processes.CpuMeter({phase.label: os.getpid()})
         start = clocks.read_now()
         if phase.rate_per_s:
-            self._run_open(phase, start)
+            self._run_open_loop(phase, start)
         else:
             loops = [
-                gevent.spawn(self._loop, phase, start + phase.duration_s)
+                gevent.spawn(
+                    self._run_closed_loop, phase, start + phase.duration_s
+                )
                 for _ in range(phase.callers)
             ]
             gevent.joinall(loops, raise_error=True)
         elapsed_s = clocks.read_now() - start
-        return Outcome(
+        return PhaseResult(
             phase.label,
             self._latencies,
             self._failures,
@@ -113,31 +117,31 @@
             meter.read_shares()[phase.label],
         )
 
-    def _run_open(self, phase: Phase, start: float) -> None:
+    def _run_open_loop(self, phase: Phase, start: float) -> None:
         running = pool.Group()
-        due = start
+        next_arrival = start
         while True:
-            due += self._generator.expovariate(phase.rate_per_s)
-            if due >= start + phase.duration_s:
+            next_arrival += self._generator.expovariate(phase.rate_per_s)
+            if next_arrival >= start + phase.duration_s:
                 break
-            gevent.sleep(max(0.0, due - clocks.read_now()))
-            running.spawn(self._call, phase)
+            gevent.sleep(max(0.0, next_arrival - clocks.read_now()))
+            running.spawn(self._send_call, phase)
         running.join()
 
-    def _loop(self, phase: Phase, end: float) -> None:
+    def _run_closed_loop(self, phase: Phase, end: float) -> None:
         while clocks.read_now() < end:
-            self._call(phase)
+            self._send_call(phase)
 
-    def _call(self, phase: Phase) -> None:
-        free = self._free[phase.label]
+    def _send_call(self, phase: Phase) -> None:
+        idle = self._idle_connections[phase.label]
         address = ('127.0.0.1', phase.port)
-        connection = free.pop() if free else exchanges.Connection(*address)
+        connection = idle.pop() if idle else exchanges.Connection(*address)
         headers = dict(phase.headers)
         if phase.keyed:
             headers['Idempotency-Key'] = identifiers.make_uuid7(
                 clocks.read_wall_ms(), self._generator
             )
-        start = clocks.read_now()
+        sent_at = clocks.read_now()
         try:
             answer = connection.exchange(
                 phase.method, phase.path, headers, b'', _TIMEOUT_S
@@ -145,60 +149,60 @@
         except errors.ExchangeError:
             self._failures += 1
             return
-        elapsed_s = clocks.read_now() - start
-        free.append(connection)
+        elapsed_s = clocks.read_now() - sent_at
+        idle.append(connection)
         if answer.status == 200:
             self._latencies.append(elapsed_s)
         else:
             self._failures += 1
 
 
-def run_phases(phases: Sequence[Phase], seed: int) -> list[Outcome]:
-    """Runs phases in a process of their own and returns their outcomes.
+def run_phases(phases: Sequence[Phase], seed: int) -> list[PhaseResult]:
+    """Runs phases in a process of their own and returns their results.
 
     Other greenlets run meanwhile.
 
     Raises:
       ClusterError: If the process fails or doesn't end in time.
     """
-    limit_s = sum(phase.duration_s for phase in phases) + 30.0
+    timeout_s = sum(phase.duration_s for phase in phases) + 30.0
     with tempfile.TemporaryDirectory(prefix='jayseam-') as name:
         directory = pathlib.Path(name)
         plan, output = directory / 'plan.json', directory / 'output.json'
         document = {'seed': seed, 'phases': cattrs.unstructure(phases)}
         plan.write_text(json.dumps(document), encoding='utf-8')
-        ended = children.run_module(
+        exited = children.run_module(
             __name__,
             [str(plan), str(output)],
             directory / 'caller.log',
-            limit_s,
+            timeout_s,
         )
-        if ended.status:
-            raise errors.ClusterError(ended.log_tail)
+        if exited.status:
+            raise errors.ClusterError(exited.log_tail)
         text = output.read_text(encoding='utf-8')
-    return cattrs.structure(json.loads(text), list[Outcome])
+    return cattrs.structure(json.loads(text), list[PhaseResult])
 
 
-def merge_latencies(outcomes: Sequence[Outcome]) -> dict[str, list[float]]:
+def merge_latencies(results: Sequence[PhaseResult]) -> dict[str, list[float]]:
     """Returns the latencies of all phases by label, in seconds.
 
-    >>> merge_latencies([Outcome('a', [0.1], 0, 1.0, 0.1)] * 2)
+    >>> merge_latencies([PhaseResult('a', [0.1], 0, 1.0, 0.1)] * 2)
     {'a': [0.1, 0.1]}
     """
     merged: dict[str, list[float]] = {}
-    for outcome in outcomes:
-        merged.setdefault(outcome.label, []).extend(outcome.latencies_s)
+    for result in results:
+        merged.setdefault(result.label, []).extend(result.latencies_s)
     return merged
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Runs the plan of the first argument and writes to the second."""
+    """Runs the plan in the first path and writes results to the second."""
     plan, output = arguments
     document: Any = json.loads(pathlib.Path(plan).read_text(encoding='utf-8'))
     phases = cattrs.structure(document['phases'], list[Phase])
-    runner = _Runner(document['seed'])
-    outcomes = [runner.run(phase) for phase in phases]
-    text = json.dumps(cattrs.unstructure(outcomes))
+    runner = _PhaseRunner(document['seed'])
+    results = [runner.run(phase) for phase in phases]
+    text = json.dumps(cattrs.unstructure(results))
     pathlib.Path(output).write_text(text, encoding='utf-8')
     return 0
 
--- a/jayseam/bench/children.py
+++ b/jayseam/bench/children.py
@@ -1,4 +1,4 @@
-"""Programs that experiments run in processes of their own."""
+"""Child processes that experiments start."""
 
 import pathlib
 import sys
@@ -10,8 +10,8 @@
 
 
 @attrs.frozen
-class Ended:
-    """How a program ended.
+class ExitResult:
+    """The exit status and the output of a child process.
 
     Attributes:
       status: Exit status.
@@ -24,26 +24,26 @@
 
 def run_module(
     module: str,
-    words: Sequence[str],
+    arguments: Sequence[str],
     log_path: pathlib.Path,
     timeout_s: float,
-) -> Ended:
-    """Runs a module as a program; other greenlets run meanwhile.
+) -> ExitResult:
+    """Runs a module in a child process; other greenlets run meanwhile.
 
     Args:
       module: Name of the module.
-      words: Its arguments.
-      log_path: File of its output.
-      timeout_s: Seconds until it must have ended.
+      arguments: Arguments of the program.
+      log_path: File to which the process writes its output.
+      timeout_s: Seconds after which the process is killed.
 
     Raises:
-      ClusterError: If it still runs then; it is killed.
+      ClusterError: If the process doesn't end in time.
     """
     process = processes.ManagedProcess(
-        module, [sys.executable, '-m', module, *words], log_path
+        module, [sys.executable, '-m', module, *arguments], log_path
     )
     try:
         status = process.wait(timeout_s)
-        return Ended(status, process.read_tail())
+        return ExitResult(status, process.read_tail())
     finally:
         process.kill()
--- a/jayseam/bench/control.py
+++ b/jayseam/bench/control.py
@@ -1,4 +1,4 @@
-"""Experiments on the control traffic and the cost of nodes at rest."""
+"""Experiment on the control traffic and resource use of idle nodes."""
 
 from collections.abc import Iterator, Mapping
 
@@ -12,32 +12,34 @@
 from jayseam.core import clocks
 from jayseam.standins import clusters
 
-BYTES_LIMIT_KB_PER_S = 4.0
+TRAFFIC_LIMIT_KB_PER_S = 4.0
 CPU_LIMIT_PERCENT = 2.2
 MEMORY_LIMIT_MB = 64.0
-PLATFORM_LIMIT_PER_S = 500.0
+PLATFORM_CALLS_LIMIT_PER_S = 500.0
 SIZES = (12, 24, 48, 96)
-_SETTLE_S = 3.0
-_REST_S = 6.0
-_AFTER_READING_S = 1.0
+_STARTUP_WAIT_S = 3.0
+_IDLE_S = 6.0
+# Nodes finish answering the metrics requests before the CPU meter starts.
+_AFTER_METRICS_S = 1.0
 
 LinkBytes = Mapping[tuple[str, str], float]
 
 
 @attrs.frozen
-class Rest:
-    """What a fleet at rest uses.
+class IdleUsage:
+    """Traffic and resource use of a fleet without calls.
 
     Attributes:
-      sent_kb_per_s: Bytes sent on links by a node, in kB a second.
-      received_kb_per_s: Bytes received on links.
-      platform_kb_per_s: Bytes of values read from the platform by a node.
-      cpu_percent: Mean share of a core.
-      cpu_percent_max: Share of a core of the busiest node.
-      rss_mb: Greatest resident set.
-      pss_mb: Mean proportional set.
-      platform_calls_per_s: Calls of the whole fleet to the platform.
-      by_message: Bytes sent by a node in a second, by message class.
+      sent_kb_per_s: Mean rate at which a node sends on links, in kB/s.
+      received_kb_per_s: Mean rate at which a node receives on links.
+      platform_kb_per_s: Mean rate at which a node reads bytes of values from
+        the platform.
+      cpu_percent: Mean share of a core that a node uses.
+      cpu_percent_max: Share of a core that the busiest node uses.
+      rss_mb: Largest resident set size of a node.
+      pss_mb: Mean proportional set size of the nodes.
+      platform_calls_per_s: Rate of calls of the whole fleet to the platform.
+      by_message: Bytes that a node sends in a second, by message class.
     """
 
     sent_kb_per_s: float
@@ -51,34 +53,43 @@
     by_message: dict[str, float]
 
 
-def read_all_bytes(
+def read_link_bytes_by_vm(
     cluster: clusters.Cluster,
 ) -> dict[str, dict[tuple[str, str], float]]:
-    """Returns the bytes on links of all nodes by VM."""
+    """Returns the bytes on links of each node, by VM."""
     return {vm: processes.read_link_bytes(cluster, vm) for vm in cluster.vms}
 
 
-def sum_direction(counted: LinkBytes, direction: str) -> float:
-    """Returns the bytes of one direction.
+def sum_direction(counters: LinkBytes, direction: str) -> float:
+    """Returns the total bytes of one direction.
 
     >>> sum_direction({('sent', 'A'): 1.0, ('received', 'A'): 2.0}, 'sent')
     1.0
     """
-    return sum(v for (found, _), v in counted.items() if found == direction)
+    return sum(
+        v
+        for (own_direction, _), v in counters.items()
+        if own_direction == direction
+    )
 
 
-def measure_rest(cluster: clusters.Cluster, duration_s: float) -> Rest:
-    """Measures a fleet without calls.
+def measure_idle_usage(
+    cluster: clusters.Cluster, duration_s: float
+) -> IdleUsage:
+    """Measures the usage of a fleet without calls.
 
-    The metrics are read before the processor times at the start and after
-    them at the end, so that reading them costs no processor share.
+    The interval of the processor times lies within that of the metrics, so
+    that the processor shares don't include the reading of metrics.
     """
     size = len(cluster.vms)
     pids = {
         name: vm.process.pid for name, vm in cluster.vms.items() if vm.process
     }
-    bytes_before, bytes_start = read_all_bytes(cluster), clocks.read_now()
-    gevent.sleep(_AFTER_READING_S)
+    bytes_before, bytes_start = (
+        read_link_bytes_by_vm(cluster),
+        clocks.read_now(),
+    )
+    gevent.sleep(_AFTER_METRICS_S)
     cluster.control_platform('reset-counts')
     meter, start = processes.CpuMeter(pids), clocks.read_now()
     gevent.sleep(duration_s)
@@ -86,10 +97,10 @@
     elapsed_s = clocks.read_now() - start
     counts = cluster.control_platform('counts')['totals']
     bytes_s = clocks.read_now() - bytes_start
-    bytes_after = read_all_bytes(cluster)
-    rates = sum_bytes(bytes_before, bytes_after, size * bytes_s)
+    bytes_after = read_link_bytes_by_vm(cluster)
+    rates = sum_increases(bytes_before, bytes_after, size * bytes_s)
     memory = [processes.read_memory(pid) for pid in pids.values()]
-    return Rest(
+    return IdleUsage(
         sum_direction(rates, 'sent') / 1e3,
         sum_direction(rates, 'received') / 1e3,
         counts.get('bytes', 0) / size / elapsed_s / 1e3,
@@ -97,45 +108,50 @@
         100 * max(cpu_s) / elapsed_s,
         max(m.rss_mb for m in memory),
         sum(m.pss_mb for m in memory) / size,
-        # Kinds of calls have a subject, such as "watch.vms".
+        # Only the counters of calls have a dot in their names, as "watch.vms".
         sum(v for k, v in counts.items() if '.' in k) / elapsed_s,
-        list_sent(rates),
+        sort_sent_bytes(rates),
     )
 
 
-def sum_bytes(
+def sum_increases(
     before: Mapping[str, LinkBytes],
     after: Mapping[str, LinkBytes],
     divisor: float,
 ) -> dict[tuple[str, str], float]:
-    """Returns what was added on all nodes, divided by ``divisor``.
+    """Returns the sums of all nodes' increases, divided by ``divisor``.
 
     >>> key = ('sent', 'Heartbeat')
-    >>> sum_bytes({'a': {key: 1.0}}, {'a': {key: 5.0}, 'b': {key: 2.0}}, 2.0)
+    >>> after = {'a': {key: 5.0}, 'b': {key: 2.0}}
+    >>> sum_increases({'a': {key: 1.0}}, after, 2.0)
     {('sent', 'Heartbeat'): 3.0}
 
     Args:
       before: Counters by VM.
-      after: The same later; a VM may be new.
+      after: Later values of the counters; it may have VMs that ``before``
+        doesn't have.
       divisor: For example the number of nodes times the seconds between.
     """
     total: dict[tuple[str, str], float] = {}
-    for vm, counted in after.items():
-        added = processes.subtract(counted, before.get(vm, {}))
-        for name, value in added.items():
+    for vm, counters in after.items():
+        increases = processes.compute_increases(counters, before.get(vm, {}))
+        for name, value in increases.items():
             total[name] = total.get(name, 0.0) + value / divisor
     return total
 
 
-def list_sent(counted: LinkBytes) -> dict[str, float]:
-    """Returns the bytes sent by message class, greatest first.
+def sort_sent_bytes(counters: LinkBytes) -> dict[str, float]:
+    """Returns the bytes sent by message class, in descending order.
+
+    Classes that round to zero are left out.
 
-    >>> list_sent({('sent', 'A'): 1.0, ('sent', 'B'): 2.0, ('sent', 'C'): 0.0})
+    >>> counters = {('sent', 'A'): 1.0, ('sent', 'B'): 2.0, ('sent', 'C'): 0.0}
+    >>> sort_sent_bytes(counters)
     {'B': 2.0, 'A': 1.0}
     """
     sent = {
         name: round(value, 1)
-        for (direction, name), value in counted.items()
+        for (direction, name), value in counters.items()
         if direction == 'sent' and value >= 0.05
     }
     return dict(sorted(sent.items(), key=lambda item: -item[1]))
@@ -144,26 +160,28 @@
 @experiments.experiments.register('control')
 def measure_control(context: experiments.Context) -> Iterator[experiments.Row]:
     """Bytes, processor share, memory and platform calls of idle fleets."""
-    context.note(
-        rest_s=_REST_S,
+    context.add_conditions(
+        rest_s=_IDLE_S,
         zones=3,
         backends='all in one process',
         bytes='websocket frames; platform bytes are values without headers',
     )
-    found: dict[int, Rest] = {}
-    peaks: dict[int, float] = {}
+    usage_by_size: dict[int, IdleUsage] = {}
+    peak_by_size: dict[int, float] = {}
     for size in SIZES:
         plan = fleets.plan_idle_fleet(size, context.seed)
         with clusters.Cluster(plan) as cluster:
-            gevent.sleep(_SETTLE_S)
-            found[size] = measure_rest(cluster, _REST_S)
-            peaks[size] = _restart_all(cluster)
-        yield from _report_rest(size, found[size], peaks[size])
-    yield from _report_slopes(found, peaks)
+            gevent.sleep(_STARTUP_WAIT_S)
+            usage_by_size[size] = measure_idle_usage(cluster, _IDLE_S)
+            peak_by_size[size] = _restart_all_nodes(cluster)
+        yield from _report_idle_usage(
+            size, usage_by_size[size], peak_by_size[size]
+        )
+    yield from _report_slopes(usage_by_size, peak_by_size)
 
 
-def _restart_all(cluster: clusters.Cluster) -> float:
-    """Kills and starts all nodes; returns the peak of platform calls."""
+def _restart_all_nodes(cluster: clusters.Cluster) -> float:
+    """Kills and restarts all nodes; returns the peak platform call rate."""
     cluster.control_platform('reset-counts')
     for vm in cluster.vms:
         cluster.kill(vm, backend=False)
@@ -174,50 +192,52 @@
     return float(cluster.control_platform('counts')['peak_per_second'])
 
 
-def _report_rest(
-    size: int, rest: Rest, peak: float
+def _report_idle_usage(
+    size: int, usage: IdleUsage, peak: float
 ) -> Iterator[experiments.Row]:
-    load = {'load_average': experiments.read_load_average()}
-    total = rest.sent_kb_per_s + rest.received_kb_per_s + rest.platform_kb_per_s
-    for measure, figure, unit, limit, more in (
+    load_average = {'load_average': experiments.read_load_average()}
+    total = (
+        usage.sent_kb_per_s + usage.received_kb_per_s + usage.platform_kb_per_s
+    )
+    for measure, figure, unit, limit, conditions in (
         (
             'control bytes, sent and received',
             total,
             'KB/s',
-            BYTES_LIMIT_KB_PER_S,
+            TRAFFIC_LIMIT_KB_PER_S,
             {
-                'sent': rest.sent_kb_per_s,
-                'received': rest.received_kb_per_s,
-                'platform': rest.platform_kb_per_s,
-                'sent_bytes_per_s_by_message': rest.by_message,
+                'sent': usage.sent_kb_per_s,
+                'received': usage.received_kb_per_s,
+                'platform': usage.platform_kb_per_s,
+                'sent_bytes_per_s_by_message': usage.by_message,
             },
         ),
         (
             'processor share, mean',
-            rest.cpu_percent,
+            usage.cpu_percent,
             '%',
             CPU_LIMIT_PERCENT,
-            {'max': rest.cpu_percent_max},
+            {'max': usage.cpu_percent_max},
         ),
         (
             'RSS, greatest',
-            rest.rss_mb,
+            usage.rss_mb,
             'MB',
             MEMORY_LIMIT_MB,
-            {'pss_mean_mb': rest.pss_mb},
+            {'pss_mean_mb': usage.pss_mb},
         ),
         (
             'platform calls at rest',
-            rest.platform_calls_per_s,
+            usage.platform_calls_per_s,
             'calls/s',
-            PLATFORM_LIMIT_PER_S,
+            PLATFORM_CALLS_LIMIT_PER_S,
             {},
         ),
         (
             'platform calls after a restart of all, peak',
             peak,
             'calls/s',
-            PLATFORM_LIMIT_PER_S,
+            PLATFORM_CALLS_LIMIT_PER_S,
             {},
         ),
     ):
@@ -226,38 +246,38 @@
             figure,
             unit,
             experiments.at_most(limit),
-            {**more, **load},
+            {**conditions, **load_average},
         )
 
 
 def _report_slopes(
-    found: Mapping[int, Rest], peaks: Mapping[int, float]
+    usage_by_size: Mapping[int, IdleUsage], peak_by_size: Mapping[int, float]
 ) -> Iterator[experiments.Row]:
-    sizes = list(found)
+    sizes = list(usage_by_size)
     for measure, unit, values in (
         (
             'control bytes',
             'KB/s per node',
             [
                 r.sent_kb_per_s + r.received_kb_per_s + r.platform_kb_per_s
-                for r in found.values()
+                for r in usage_by_size.values()
             ],
         ),
         (
             'processor share',
             '% per node',
-            [r.cpu_percent for r in found.values()],
+            [r.cpu_percent for r in usage_by_size.values()],
         ),
-        ('RSS', 'MB per node', [r.rss_mb for r in found.values()]),
+        ('RSS', 'MB per node', [r.rss_mb for r in usage_by_size.values()]),
         (
             'platform calls at rest',
             'calls/s per node',
-            [r.platform_calls_per_s for r in found.values()],
+            [r.platform_calls_per_s for r in usage_by_size.values()],
         ),
         (
             'platform calls after a restart of all',
             'calls/s per node',
-            list(peaks.values()),
+            list(peak_by_size.values()),
         ),
     ):
         slope = figures.fit_slope(sizes, values)
--- a/jayseam/bench/experiments.py
+++ b/jayseam/bench/experiments.py
@@ -1,4 +1,4 @@
-"""The registry of experiments and what they hand back.
+"""The registry of experiments, their context and their results.
 
 An experiment is a function of a `Context` that yields `Row` objects. It
 registers itself under the name that ``jayseam-bench --only`` takes.
@@ -17,15 +17,16 @@
 
 AT_MOST = 'at most'
 AT_LEAST = 'at least'
-# Label of figures of nodes with default settings, beside baselines.
-AS_DESIGNED = 'as designed'
+# Label of the figures of nodes with default settings; baselines that change a
+# setting are labelled with it.
+DEFAULT_SETTINGS = 'as designed'
 
 
 @attrs.frozen
 class Bound:
-    """A target that a figure is held against.
+    """A target for a figure.
 
-    >>> Bound(AT_MOST, 2.0).holds(1.9), Bound(AT_LEAST, 2.0).holds(1.9)
+    >>> Bound(AT_MOST, 2.0).is_met_by(1.9), Bound(AT_LEAST, 2.0).is_met_by(1.9)
     (True, False)
 
     Attributes:
@@ -36,8 +37,8 @@
     kind: str = attrs.field(validator=attrs.validators.in_((AT_MOST, AT_LEAST)))
     value: float
 
-    def holds(self, figure: float) -> bool:
-        """Tells whether a figure meets the target; NaN never does."""
+    def is_met_by(self, figure: float) -> bool:
+        """Returns whether a figure meets the target; NaN never does."""
         if self.kind == AT_MOST:
             return figure <= self.value
         return figure >= self.value
@@ -55,14 +56,14 @@
 
 @attrs.frozen
 class Row:
-    """One figure.
+    """One measured figure.
 
     Attributes:
-      measure: What was measured.
-      figure: The value.
-      unit: Its unit.
-      bound: Target, or None for a figure without one.
-      conditions: What else belongs to the figure, such as sample sizes.
+      measure: Name of the measured quantity.
+      figure: The measured value.
+      unit: Unit of the value.
+      bound: Target, or None for a figure without a target.
+      conditions: Circumstances of the measurement, such as sample sizes.
     """
 
     measure: str
@@ -73,24 +74,24 @@
 
     @property
     def passed(self) -> bool | None:
-        """Whether the target is met; None without a target."""
-        return None if self.bound is None else self.bound.holds(self.figure)
+        """Whether the figure meets its target; None without a target."""
+        return None if self.bound is None else self.bound.is_met_by(self.figure)
 
 
 @attrs.define
 class Context:
-    """What an experiment gets.
+    """Input of an experiment, and the conditions that it reports.
 
     Attributes:
-      seed: Seed of keys, load and schedules.
-      conditions: Filled by the experiment for the report.
+      seed: Seed of the keys, the load and the schedules.
+      conditions: Conditions of the whole experiment, for its report.
     """
 
     seed: int
     conditions: dict[str, Any] = attrs.field(factory=dict)
 
-    def note(self, **conditions: Any) -> None:
-        """Adds conditions to the report of the experiment."""
+    def add_conditions(self, **conditions: Any) -> None:
+        """Adds conditions of the whole experiment to its report."""
         self.conditions.update(conditions)
 
 
--- a/jayseam/bench/figures.py
+++ b/jayseam/bench/figures.py
@@ -6,7 +6,7 @@
 
 
 def compute_percentile_ms(seconds: Sequence[float], percentile: float) -> float:
-    """Returns a percentile in milliseconds of times in seconds.
+    """Returns a percentile of durations, in milliseconds; NaN if none.
 
     >>> compute_percentile_ms([0.001] * 99 + [0.5], 50)
     1.0
@@ -14,15 +14,15 @@
     nan
 
     Args:
-      seconds: The times.
+      seconds: The durations.
       percentile: From 0 to 100.
     """
     if not seconds:
         return float('nan')
-    value = histograms.make_histogram(seconds).get_value_at_percentile(
+    percentile_us = histograms.make_histogram(seconds).get_value_at_percentile(
         percentile
     )
-    return value / 1000.0
+    return percentile_us / 1000.0
 
 
 def fit_slope(sizes: Sequence[float], values: Sequence[float]) -> float:
--- a/jayseam/bench/fleets.py
+++ b/jayseam/bench/fleets.py
@@ -13,22 +13,24 @@
 from jayseam.standins import vmlists
 
 _UNLIMITED_PER_S = 1_000_000.0
-_READY_LIMIT_S = 20.0
+_READY_TIMEOUT_S = 20.0
 
 
 @attrs.frozen
 class PathFleet:
     """One VM in each of three zones, each with a service of its own.
 
-    A call that enters at the first VM takes one node to ``local_path`` and two
-    nodes to ``remote_path``. Three zones are what the keepers of idempotency
-    keys need.
+    A call that enters at the first VM passes through one node on
+    ``local_path`` and through two nodes on ``remote_path``. The replicas of
+    idempotency keys need three zones.
 
     Attributes:
       cluster: The cluster.
       entry: VM at which calls enter.
       ingress: VM that runs the calls to ``remote_path``.
-      key: Key of a workspace whose rate is never reached.
+      key: API key of a workspace whose rate limit is never reached.
+      local_path: Path of the service at the entry VM.
+      remote_path: Path of the service at the ingress VM.
     """
 
     cluster: clusters.Cluster
@@ -46,22 +48,22 @@
 
     @property
     def roles(self) -> dict[str, vmlists.Vm]:
-        """The VMs on the path of a call by their part in it."""
+        """The VMs on the path of a call to ``remote_path``, by role."""
         return {'entry': self.entry, 'ingress': self.ingress}
 
     @property
     def headers(self) -> dict[str, str]:
-        """Header fields of a call."""
+        """Header fields that each call needs."""
         return {'Authorization': f'Bearer {self.key}'}
 
 
 def plan_path_fleet(
     seed: int, service_time: Mapping[str, Any]
 ) -> tuple[plans.ClusterPlan, str]:
-    """Returns the plan of a `PathFleet` and the key of its callers.
+    """Returns the plan of a `PathFleet` and the API key of its callers.
 
     Args:
-      seed: Seed of the keys.
+      seed: Seed of the API keys.
       service_time: Settings of `standins.durations.ServiceTime`.
     """
     deployment = samples.build_large(
@@ -80,18 +82,18 @@
             route['repeatable'] = False
     key = next(iter(deployment.plaintexts.values()))
     plan = attrs.evolve(plan, preset=preset)
-    return change_plan(plan, unlimited=True), key
+    return override_limits(plan, unlimited=True), key
 
 
-def change_plan(
+def override_limits(
     plan: plans.ClusterPlan, slots: int | None = None, unlimited: bool = False
 ) -> plans.ClusterPlan:
-    """Returns a plan whose preset has other slots or rates.
+    """Returns a copy of a plan with other slots or rate limits in its preset.
 
     Args:
       plan: The plan.
-      slots: Slots of every upstream; None leaves them.
-      unlimited: Whether every workspace gets a rate that is never reached.
+      slots: Slots of every upstream; None keeps those of the plan.
+      unlimited: Whether to set rate limits that are never reached.
     """
     preset = copy.deepcopy(dict(plan.preset))
     if slots is not None:
@@ -103,8 +105,8 @@
     return attrs.evolve(plan, preset=preset)
 
 
-def open_path_fleet(cluster: clusters.Cluster, key: str) -> PathFleet:
-    """Returns the fleet of a started cluster, ready for calls."""
+def prepare_path_fleet(cluster: clusters.Cluster, key: str) -> PathFleet:
+    """Waits until a started cluster can run calls; returns its fleet."""
     entry, ingress, _ = cluster.vms.values()
     fleet = PathFleet(cluster, entry, ingress, key)
     for path in (fleet.local_path, fleet.remote_path):
@@ -113,28 +115,28 @@
 
 
 def wait_admitting(cluster: clusters.Cluster, path: str, key: str) -> None:
-    """Waits until a node answers calls and all backend servers are warm."""
+    """Waits until a node answers calls and all backend servers are ready."""
     vm = next(iter(cluster.vms))
     cluster.wait_until(
-        lambda: cluster.call(vm, path, key).status == 200, _READY_LIMIT_S
+        lambda: cluster.call(vm, path, key).status == 200, _READY_TIMEOUT_S
     )
     for name in cluster.vms:
-        wait_warm(cluster, name)
+        wait_backend_ready(cluster, name)
 
 
-def wait_warm(cluster: clusters.Cluster, vm: str) -> None:
-    """Waits until the backend server of a VM is ``ready``."""
+def wait_backend_ready(cluster: clusters.Cluster, vm: str) -> None:
+    """Waits until a node sees its backend server in state ``ready``."""
     cluster.wait_until(
         lambda: cluster.status(vm)['backend']['state'] == 'ready',
-        _READY_LIMIT_S,
-        f'{vm} is warm',
+        _READY_TIMEOUT_S,
+        f'backend server of {vm} is ready',
     )
 
 
 def plan_idle_fleet(
     size: int, seed: int, n_services: int = 4, n_zones: int = 3
 ) -> plans.ClusterPlan:
-    """Returns the plan of a fleet of any size with all backends together."""
+    """Returns the plan of a fleet whose backends share one process."""
     deployment = samples.build_large(
         size,
         n_services,
--- a/jayseam/bench/holdings.py
+++ b/jayseam/bench/holdings.py
@@ -1,7 +1,7 @@
-"""Memory of what a node holds, by the number of things held.
+"""Memory that the state of a node needs, by kind and number of entries.
 
-Each kind of state is measured in a process of its own, which fills it to
-several sizes and prints the growth of its private memory.
+A process of its own measures each kind and size: it creates that many entries
+and prints the growth of its private memory.
 """
 
 import argparse
@@ -25,12 +25,13 @@
 from jayseam.presets import samples
 from jayseam.presets import verification
 
+# Creates a number of entries of one kind and returns the object to keep alive.
 Filler = Callable[[int], Any]
 
 FILLERS: registries.Registry[Filler] = registries.Registry('kind of state')
 
 _SECRET = 'bench-secret-0123456789'
-_SETTLE_S = 0.5
+_DIAL_WAIT_S = 0.5
 _TIMEOUT_S = 120.0
 _ANSWER_BYTES = 300
 _SIZES = {
@@ -42,8 +43,8 @@
 
 
 @FILLERS.register('idempotency record')
-def fill_keeper(count: int) -> Any:
-    """Returns a keeper with settled records of small answers."""
+def fill_idempotency_store(count: int) -> Any:
+    """Returns an idempotency store with records of small finished answers."""
     store = calls.keepers.KeeperStore(0, 600.0)
     messages = calls.messages
     for number in range(count):
@@ -61,7 +62,7 @@
 
 @FILLERS.register('member')
 def fill_view(count: int) -> Any:
-    """Returns a membership view with its lookups built."""
+    """Returns a membership view whose lookup tables are built."""
     records = [
         membership.records.MemberRecord(
             vm=f'vm-{number:04}',
@@ -87,7 +88,7 @@
 
 @FILLERS.register('upstream')
 def fill_preset(count: int) -> Any:
-    """Returns a verified preset with its parts, as a node holds them."""
+    """Returns a verified preset with its parts, as a node stores them."""
     deployment = samples.build_large(count, 24, 6)
     bundle = documents.split_preset(documents.dump_preset(deployment.preset))
     joined = documents.join_parts(bundle.manifest, bundle.parts)
@@ -96,19 +97,19 @@
 
 @FILLERS.register('link')
 def fill_links(count: int) -> Any:
-    """Returns a node with open links, and the nodes at their other ends."""
+    """Returns the memory of one end of ``count`` open links."""
     hub = _start_manager('hub')
-    ends = [_start_manager(f'vm-{number}') for number in range(count)]
+    peers = [_start_manager(f'vm-{number}') for number in range(count)]
     before = read_private_bytes()
-    for end in ends:
-        hub.dial_address(*end.address)
-    gevent.sleep(_SETTLE_S)
-    # Both ends are in this process; a node has one of them.
-    return _Grown((read_private_bytes() - before) / 2)
+    for peer in peers:
+        hub.dial_address(*peer.address)
+    gevent.sleep(_DIAL_WAIT_S)
+    # This process has both ends of each link, a node only one.
+    return _MeasuredBytes((read_private_bytes() - before) / 2)
 
 
-class _Grown(float):
-    """Bytes that a filler measured itself."""
+class _MeasuredBytes(float):
+    """Memory in bytes that a filler has measured itself."""
 
 
 def _start_manager(vm: str) -> links.manager.LinkManager:
@@ -123,49 +124,49 @@
 
 
 def read_private_bytes() -> int:
-    """Returns the private memory of this process, after a collection."""
+    """Returns the private memory of this process after garbage collection."""
     gc.collect()
     return processes.read_smaps('self')['Private_Dirty']
 
 
 def measure_growth(kind: str, count: int) -> float:
-    """Returns the bytes that ``count`` things of a kind take here."""
+    """Returns the bytes that ``count`` entries of a kind take here."""
     before = read_private_bytes()
-    held = FILLERS.get(kind)(count)
-    if isinstance(held, _Grown):
-        return float(held)
-    grown = read_private_bytes() - before
-    del held
-    return float(grown)
+    state = FILLERS.get(kind)(count)
+    if isinstance(state, _MeasuredBytes):
+        return float(state)
+    growth = read_private_bytes() - before
+    del state
+    return float(growth)
 
 
 @experiments.experiments.register('state')
-def run_state(context: experiments.Context) -> Iterator[experiments.Row]:
-    """Memory of what a node holds, for each thing held."""
-    context.note(method='growth of Private_Dirty in a fresh process')
+def measure_state(context: experiments.Context) -> Iterator[experiments.Row]:
+    """Memory that each entry of a node's state needs."""
+    context.add_conditions(method='growth of Private_Dirty in a fresh process')
     for kind, sizes in _SIZES.items():
-        grown = [_measure_apart(kind, size) for size in sizes]
+        growths = [_measure_in_process(kind, size) for size in sizes]
         yield experiments.Row(
             f'{kind}, memory of one',
-            figures.fit_slope(sizes, grown),
+            figures.fit_slope(sizes, growths),
             'bytes',
-            conditions={'sizes': list(sizes), 'bytes': grown},
+            conditions={'sizes': list(sizes), 'bytes': growths},
         )
 
 
-def _measure_apart(kind: str, count: int) -> float:
-    """Runs one measurement in a process of its own."""
-    found = subprocess.run(
+def _measure_in_process(kind: str, count: int) -> float:
+    """Runs `measure_growth` in a process of its own."""
+    completed = subprocess.run(
         [sys.executable, '-m', 'jayseam.bench.holdings', kind, str(count)],
         check=True,
         capture_output=True,
         timeout=_TIMEOUT_S,
     )
-    return float(json.loads(found.stdout))
+    return float(json.loads(completed.stdout))
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    """Prints the growth for one kind and size."""
+    """Prints the growth of memory for one kind and number of entries."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('kind', choices=FILLERS.names())
     parser.add_argument('count', type=int)
--- a/jayseam/bench/loadruns.py
+++ b/jayseam/bench/loadruns.py
@@ -14,21 +14,21 @@
 from jayseam.tools import load
 from jayseam.tools import records as call_records
 
-# Calls carry this time limit; callers themselves wait a little longer.
+# Time limit that each call carries; the caller itself waits slightly longer.
 DEADLINE_MS = 1000
-PATIENCE_MS = 1100
-_EXTRA_S = 30.0
-# Exit status of the program for an invalid profile.
-_INVALID_PROFILE = 2
+CALLER_TIMEOUT_MS = 1100
+_EXIT_GRACE_S = 30.0
+# Exit status of ``jayseam-load`` for an invalid profile.
+_INVALID_PROFILE_STATUS = 2
 
 
 @attrs.frozen
 class LoadRun:
-    """What a load generator in a process of its own reported.
+    """The report of a load generator that ran in a process of its own.
 
     Attributes:
-      records: All calls.
-      report: The JSON report.
+      records: Records of all calls.
+      report: Report of the generator, as read from JSON.
     """
 
     records: list[call_records.CallRecord]
@@ -36,7 +36,7 @@
 
     @property
     def conditions(self) -> dict[str, Any]:
-        """Whether the tool kept up, for the conditions of a row."""
+        """Conditions of a row: whether the generator kept up, and outcomes."""
         return {
             'calls': self.report['calls'],
             'lagged': self.report['lagged'],
@@ -47,10 +47,10 @@
 
 
 def run_load(profile: Mapping[str, Any]) -> LoadRun:
-    """Runs ``jayseam-load`` as a process; other greenlets run meanwhile.
+    """Runs ``jayseam-load`` in a process; other greenlets run meanwhile.
 
     Raises:
-      ClusterError: If it fails or doesn't end in time.
+      ClusterError: If the process fails or doesn't end in time.
     """
     with tempfile.TemporaryDirectory(prefix='jayseam-') as name:
         directory = pathlib.Path(name)
@@ -59,7 +59,7 @@
             for part in ('profile', 'report', 'records')
         }
         paths['profile'].write_text(json.dumps(profile), encoding='utf-8')
-        ended = children.run_module(
+        exited = children.run_module(
             load.__name__,
             [
                 str(paths['profile']),
@@ -69,16 +69,19 @@
                 str(paths['records']),
             ],
             directory / 'load.log',
-            profile['duration_s'] + _EXTRA_S,
+            profile['duration_s'] + _EXIT_GRACE_S,
         )
-        if ended.status == _INVALID_PROFILE or not paths['report'].exists():
-            raise errors.ClusterError(ended.log_tail)
+        if (
+            exited.status == _INVALID_PROFILE_STATUS
+            or not paths['report'].exists()
+        ):
+            raise errors.ClusterError(exited.log_tail)
         report = json.loads(paths['report'].read_text(encoding='utf-8'))
         calls = call_records.read_records(str(paths['records']))
         return LoadRun(calls, report)
 
 
 def is_in_time(record: call_records.CallRecord) -> bool:
-    """Tells whether a call was answered while its caller waited."""
+    """Returns whether a call was answered while its caller still waited."""
     elapsed_ms = 1000 * (record.ended - record.scheduled)
-    return record.outcome == 'ok' and elapsed_ms <= PATIENCE_MS
+    return record.outcome == 'ok' and elapsed_ms <= CALLER_TIMEOUT_MS
--- a/jayseam/bench/main.py
+++ b/jayseam/bench/main.py
@@ -17,8 +17,8 @@
 from jayseam.bench import zonemoves
 from jayseam.standins import processes
 
-# Importing these modules registers their experiments.
-SUBJECTS = (
+# The import of these modules registers their experiments.
+EXPERIMENT_MODULES = (
     latency,
     publication,
     control,
@@ -27,13 +27,13 @@
     overloads,
     holdings,
 )
-DIRECTORY = pathlib.Path('bench') / 'out'
-JOURNAL = pathlib.Path('journal')
-PAGE = DIRECTORY / 'report.html'
+RESULTS_DIRECTORY = pathlib.Path('bench') / 'out'
+JOURNAL_DIRECTORY = pathlib.Path('journal')
+PAGE_PATH = RESULTS_DIRECTORY / 'report.html'
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    """Runs the program; returns 0 only if no target was missed."""
+    """Runs the program; returns 1 if an experiment fails or misses a target."""
     names = experiments.experiments.names()
     parser = argparse.ArgumentParser(
         prog='jayseam-bench',
@@ -47,27 +47,27 @@
     parser.add_argument('--plot', action='store_true', help='write SVG files')
     commands = parser.add_subparsers(dest='command')
     report = commands.add_parser(
-        'report', help='write a page of the journal and of the last results'
+        'report', help='write an HTML page of the journal and the last results'
     )
     report.add_argument(
-        '--journal', type=pathlib.Path, default=JOURNAL, metavar='DIR'
+        '--journal', type=pathlib.Path, default=JOURNAL_DIRECTORY, metavar='DIR'
     )
     report.add_argument(
-        '--out', type=pathlib.Path, default=PAGE, metavar='FILE'
+        '--out', type=pathlib.Path, default=PAGE_PATH, metavar='FILE'
     )
     options = parser.parse_args(arguments)
     if options.command == 'report':
-        pages.write_page(options.journal, DIRECTORY, options.out)
+        pages.write_page(options.journal, RESULTS_DIRECTORY, options.out)
         print(options.out)
         return 0
     if options.list:
         for name in names:
-            function = experiments.experiments.get(name)
-            print(f'{name}: {(function.__doc__ or "").splitlines()[0]}')
+            experiment = experiments.experiments.get(name)
+            print(f'{name}: {(experiment.__doc__ or "").splitlines()[0]}')
         return 0
     processes.exit_on_sigterm()
-    results = reports.run_all(
-        options.only, options.seed, DIRECTORY, options.plot
+    results = reports.run_experiments(
+        options.only, options.seed, RESULTS_DIRECTORY, options.plot
     )
     missed = [result.name for result in results if not result.passed]
     print(f'missed: {", ".join(missed) or "none"}')
--- a/jayseam/bench/overloads.py
+++ b/jayseam/bench/overloads.py
@@ -1,4 +1,4 @@
-"""Experiment on more calls than the backend servers can run."""
+"""Experiment on load above the capacity of the backend servers."""
 
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
@@ -18,15 +18,15 @@
 GOODPUT_LIMIT_PERCENT = 95.0
 _LOAD_S = 4.0
 _RAMP_S = 3.0
-_RUN_MS = 40.0
+_SERVICE_TIME_MS = 40.0
 _SLOTS = 4
-_POSITIONS = 3
-_CAPACITY_PER_S = _POSITIONS * _SLOTS * 1000 / _RUN_MS
-# The others can take what the cold backend server doesn't.
+_N_UPSTREAMS = 3
+_CAPACITY_PER_S = _N_UPSTREAMS * _SLOTS * 1000 / _SERVICE_TIME_MS
+# Low enough for the other backend servers to run what a cold one refuses.
 _COLD_LOAD_PER_S = 0.6 * _CAPACITY_PER_S
-_DOWN_S = (0.3, 0.0)
+_DOWNTIMES_S = (0.3, 0.0)
 _BEFORE_RESTART_S = 1.5
-_COLD = {'initial_slots': 1, 'duration_s': _RAMP_S, 'fall_over_s': 0.5}
+_COLD_START = {'initial_slots': 1, 'duration_s': _RAMP_S, 'fall_over_s': 0.5}
 
 
 @attrs.frozen
@@ -34,16 +34,17 @@
     """A backend server that was restarted under load.
 
     Attributes:
-      upstream: Its upstream.
-      down_s: Seconds for which it refused connections.
-      restarted_at: When it listened again, seconds of `clocks.read_now`.
-      found: The load that ran meanwhile.
+      upstream: Upstream of the backend server.
+      down_s: Seconds for which the server refused connections.
+      restarted_at: Time at which the server listened again, in seconds of
+        `clocks.read_now`.
+      load_run: The load that ran meanwhile.
     """
 
     upstream: str
     down_s: float
     restarted_at: float
-    found: loadruns.LoadRun
+    load_run: loadruns.LoadRun
 
 
 @experiments.experiments.register('overload')
@@ -51,48 +52,53 @@
     context: experiments.Context,
 ) -> Iterator[experiments.Row]:
     """Goodput at twice the capacity, and load on a cold backend server."""
-    context.note(
-        nodes=_POSITIONS,
+    context.add_conditions(
+        nodes=_N_UPSTREAMS,
         slots=_SLOTS,
-        run_ms=_RUN_MS,
+        run_ms=_SERVICE_TIME_MS,
         capacity_per_s=_CAPACITY_PER_S,
         time_limit_ms=loadruns.DEADLINE_MS,
-        in_time_ms=loadruns.PATIENCE_MS,
+        in_time_ms=loadruns.CALLER_TIMEOUT_MS,
         cold_start='health says ready throughout; 1 to 4 slots in 3 s',
     )
-    for label, node in (
-        (experiments.AS_DESIGNED, {}),
+    for label, settings in (
+        (experiments.DEFAULT_SETTINGS, {}),
         ('admission.ramp=false', {'admission': {'ramp': False}}),
     ):
-        plan, key = _plan_overload(context.seed, node)
+        plan, key = _plan_overload(context.seed, settings)
         with clusters.Cluster(plan) as cluster:
             fleets.wait_admitting(cluster, '/service-01', key)
             gevent.sleep(_RAMP_S)
-            if not node:
-                yield from _overload(cluster, key, context.seed)
+            if not settings:
+                yield from _measure_goodput(cluster, key, context.seed)
             yield from _restart_cold(label, cluster, key, context.seed)
 
 
 def _plan_overload(
-    seed: int, node: Mapping[str, Any]
+    seed: int, settings: Mapping[str, Any]
 ) -> tuple[plans.ClusterPlan, str]:
     deployment = samples.build_large(
-        _POSITIONS, 1, 3, n_workspaces=1, seed=seed, ramp=model.Ramp(1, _RAMP_S)
+        _N_UPSTREAMS,
+        1,
+        3,
+        n_workspaces=1,
+        seed=seed,
+        ramp=model.Ramp(1, _RAMP_S),
     )
     plan = plans.plan_deployment(
         deployment,
-        node=node,
+        node=settings,
         backend={
-            'service_time': {'kind': 'fixed', 'mean_ms': _RUN_MS},
-            'cold_start': _COLD,
+            'service_time': {'kind': 'fixed', 'mean_ms': _SERVICE_TIME_MS},
+            'cold_start': _COLD_START,
         },
     )
-    plan = fleets.change_plan(plan, slots=_SLOTS, unlimited=True)
+    plan = fleets.override_limits(plan, slots=_SLOTS, unlimited=True)
     key = next(iter(deployment.plaintexts.values()))
     return plan, key
 
 
-def _offer(
+def _run_load(
     cluster: clusters.Cluster, key: str, rate_per_s: float, seed: int
 ) -> loadruns.LoadRun:
     return loadruns.run_load(
@@ -118,22 +124,24 @@
     )
 
 
-def _overload(
+def _measure_goodput(
     cluster: clusters.Cluster, key: str, seed: int
 ) -> Iterator[experiments.Row]:
     goodput = {}
     for factor in (1, 2):
         cluster.collect_peaks(reset=True)
         rate_per_s = factor * _CAPACITY_PER_S
-        found = _offer(cluster, key, rate_per_s, seed)
-        right = sum(loadruns.is_in_time(record) for record in found.records)
-        goodput[factor] = right / _LOAD_S
+        load_run = _run_load(cluster, key, rate_per_s, seed)
+        n_in_time = sum(
+            loadruns.is_in_time(record) for record in load_run.records
+        )
+        goodput[factor] = n_in_time / _LOAD_S
         yield experiments.Row(
             f'goodput at {factor} times the capacity',
             goodput[factor],
             'calls/s',
             None,
-            found.conditions,
+            load_run.conditions,
         )
     yield experiments.Row(
         'goodput at twice the capacity, of that at capacity',
@@ -142,10 +150,10 @@
         experiments.at_least(GOODPUT_LIMIT_PERCENT),
     )
     peaks = cluster.collect_peaks()
-    over = max(p['in_flight'] - _SLOTS for p in peaks.values())
+    excess = max(p['in_flight'] - _SLOTS for p in peaks.values())
     yield experiments.Row(
         'peak in flight over the slots',
-        max(0, over),
+        max(0, excess),
         'calls',
         experiments.at_most(0),
         {'overloads': {k: p['overloads'] for k, p in peaks.items()}},
@@ -157,12 +165,12 @@
 ) -> Iterator[experiments.Row]:
     """Restarts a backend server under load at capacity, twice.
 
-    Its health endpoint says ``ready`` all the time. First it is down for a
-    moment, as a process that restarts is; then it takes connections again at
-    once.
+    The health endpoint of the server reports ``ready`` throughout. The first
+    restart includes a short downtime, as that of a process does; after the
+    second one the server accepts connections at once.
     """
     upstreams = [entry['name'] for entry in cluster.preset['upstreams']]
-    for upstream, down_s in zip(upstreams, _DOWN_S):
+    for upstream, down_s in zip(upstreams, _DOWNTIMES_S):
         cluster.collect_peaks(reset=True)
         restart = _restart_under_load(cluster, upstream, down_s, key, seed)
         yield from _report_restart(label, cluster, restart)
@@ -177,7 +185,7 @@
     seed: int,
 ) -> _Restart:
     cluster.control_backend(upstream, 'health', state='ready')
-    running = gevent.spawn(_offer, cluster, key, _COLD_LOAD_PER_S, seed)
+    running = gevent.spawn(_run_load, cluster, key, _COLD_LOAD_PER_S, seed)
     gevent.sleep(_BEFORE_RESTART_S)
     cluster.control_backend(upstream, 'stop')
     gevent.sleep(down_s)
@@ -189,20 +197,20 @@
 def _report_restart(
     label: str, cluster: clusters.Cluster, restart: _Restart
 ) -> Iterator[experiments.Row]:
-    found, upstream = restart.found, restart.upstream
+    load_run, upstream = restart.load_run, restart.upstream
     falls = cluster.collect_peaks()[upstream]['falls']
     runs = [r for r in cluster.collect_runs() if r['backend'] == upstream]
-    after = [r for r in found.records if r.scheduled > restart.restarted_at]
+    after = [r for r in load_run.records if r.scheduled > restart.restarted_at]
     name = f'{label}, cold start after {restart.down_s:g} s'
-    designed = label == experiments.AS_DESIGNED
+    has_targets = label == experiments.DEFAULT_SETTINGS
     yield experiments.Row(
         f'{name}, peak over the ramp',
-        # A backend server refuses the first call over its ramp and falls
-        # over, so no run shows it.
+        # A backend server fails the first call above its ramp, and all calls
+        # for a while after it, without a run. That counts as an excess of 1.
         max(float(falls > 0), find_ramp_excess(runs, restart.restarted_at)),
         'calls',
-        experiments.at_most(0) if designed else None,
-        {'falls': falls, **found.conditions, 'load_per_s': _COLD_LOAD_PER_S},
+        experiments.at_most(0) if has_targets else None,
+        {'falls': falls, **load_run.conditions, 'load_per_s': _COLD_LOAD_PER_S},
     )
     yield experiments.Row(
         f'{name}, answered in time',
@@ -214,7 +222,9 @@
 def find_ramp_excess(
     runs: Sequence[Mapping[str, Any]], restarted_at: float
 ) -> float:
-    """Returns the most runs in flight over the ramp at any start of a run.
+    """Returns the highest excess of runs in flight over the ramp.
+
+    The excess is taken at each start of a run; it is at least 0.
 
     >>> run = {'started': 10.1, 'ended': 10.2}
     >>> round(find_ramp_excess([run, run], 10.0), 1)
@@ -222,10 +232,10 @@
 
     Args:
       runs: Runs of the backend server.
-      restarted_at: Start of the ramp; earlier runs don't count.
+      restarted_at: Start of the ramp; runs that started earlier don't count.
     """
     later = [r for r in runs if r['started'] >= restarted_at]
-    worst = 0.0
+    max_excess = 0.0
     for run in later:
         start = run['started']
         in_flight = sum(
@@ -233,7 +243,7 @@
             and (other['ended'] is None or other['ended'] > start)
             for other in later
         )
-        grown = min(1.0, (start - restarted_at) / _RAMP_S)
-        capacity = 1 + (_SLOTS - 1) * grown
-        worst = max(worst, in_flight - capacity)
-    return worst
+        progress = min(1.0, (start - restarted_at) / _RAMP_S)
+        capacity = 1 + (_SLOTS - 1) * progress
+        max_excess = max(max_excess, in_flight - capacity)
+    return max_excess
--- a/jayseam/bench/processes.py
+++ b/jayseam/bench/processes.py
@@ -1,4 +1,4 @@
-"""What the kernel and the admin listeners tell about node processes."""
+"""Measurements of node processes from the kernel and admin listeners."""
 
 import os
 import pathlib
@@ -14,18 +14,20 @@
 from jayseam.standins import vmlists
 
 _TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+# Index of utime among the fields after the process name, see proc(5).
 _UTIME_FIELD = 11
 _KIB = 1024
-_LINK_BYTES = 'jayseam_link_bytes'
+_LINK_BYTES_METRIC = 'jayseam_link_bytes'
 
 
 @attrs.frozen
 class Memory:
-    """Memory of a process in megabytes (1e6 bytes).
+    """Memory use of a process in megabytes (1e6 bytes).
 
     Attributes:
-      rss_mb: Resident set.
-      pss_mb: Resident set with shared pages divided among their users.
+      rss_mb: Resident set size.
+      pss_mb: Proportional set size: shared pages are divided by the number of
+        processes that map them.
     """
 
     rss_mb: float
@@ -39,14 +41,14 @@
     True
     """
     text = pathlib.Path(f'/proc/{pid}/stat').read_text(encoding='ascii')
-    # The name in parentheses may hold spaces.
+    # The process name is in parentheses and may contain spaces.
     fields = text.rpartition(')')[2].split()
     user, system = fields[_UTIME_FIELD : _UTIME_FIELD + 2]
     return (int(user) + int(system)) / _TICKS_PER_S
 
 
 class CpuMeter:
-    """Processor time that processes use from the creation of the meter on.
+    """Measures the processor time of processes since the meter was created.
 
     >>> meter = CpuMeter({'self': os.getpid()})
     >>> meter.read_used_s()['self'] >= 0
@@ -58,28 +60,28 @@
 
     def __init__(self, pids: Mapping[str, int]):
         self._pids = dict(pids)
-        self._before_s = self._read_all_s()
-        self._started = clocks.read_now()
+        self._initial_cpu_s = self._read_all_cpu_s()
+        self._started_at = clocks.read_now()
 
     def read_used_s(self) -> dict[str, float]:
         """Returns the processor time of each process in seconds."""
         return {
-            name: used_s - self._before_s[name]
-            for name, used_s in self._read_all_s().items()
+            name: cpu_s - self._initial_cpu_s[name]
+            for name, cpu_s in self._read_all_cpu_s().items()
         }
 
     def read_shares(self) -> dict[str, float]:
         """Returns the share of a core that each process used."""
-        used_s = self.read_used_s()
-        elapsed_s = clocks.read_now() - self._started
-        return {name: value / elapsed_s for name, value in used_s.items()}
+        cpu_s = self.read_used_s()
+        elapsed_s = clocks.read_now() - self._started_at
+        return {name: value / elapsed_s for name, value in cpu_s.items()}
 
-    def _read_all_s(self) -> dict[str, float]:
+    def _read_all_cpu_s(self) -> dict[str, float]:
         return {name: read_cpu_s(pid) for name, pid in self._pids.items()}
 
 
 def read_smaps(pid: int | str) -> dict[str, int]:
-    """Returns the sums over the mappings of a process, in bytes.
+    """Returns memory totals over all mappings of a process, in bytes.
 
     >>> read_smaps('self')['Rss'] > 1_000_000
     True
@@ -91,21 +93,21 @@
       proc(5), on ``/proc/pid/smaps_rollup``.
     """
     path = pathlib.Path(f'/proc/{pid}/smaps_rollup')
-    sums = {}
+    totals = {}
     for line in path.read_text(encoding='ascii').splitlines()[1:]:
         name, _, rest = line.partition(':')
-        sums[name] = int(rest.split()[0]) * _KIB
-    return sums
+        totals[name] = int(rest.split()[0]) * _KIB
+    return totals
 
 
 def read_memory(pid: int) -> Memory:
-    """Returns the memory of a process.
+    """Returns the memory use of a process.
 
     >>> read_memory(os.getpid()).rss_mb > 1
     True
     """
-    sums = read_smaps(pid)
-    return Memory(sums['Rss'] / 1e6, sums['Pss'] / 1e6)
+    totals = read_smaps(pid)
+    return Memory(totals['Rss'] / 1e6, totals['Pss'] / 1e6)
 
 
 def read_metrics(cluster: clusters.Cluster, vm: str) -> str:
@@ -140,21 +142,22 @@
 def read_link_bytes(
     cluster: clusters.Cluster, vm: str
 ) -> dict[tuple[str, str], float]:
-    """Returns the bytes on links of a node by direction and message."""
+    """Returns bytes on the links of a node by direction and message class."""
     return {
         (sample.labels['direction'], sample.labels['message']): sample.value
-        for sample in read_samples(cluster, vm, _LINK_BYTES)
+        for sample in read_samples(cluster, vm, _LINK_BYTES_METRIC)
         if sample.name.endswith('_total')
     }
 
 
-def subtract(
+def compute_increases(
     after: Mapping[tuple[str, str], float],
     before: Mapping[tuple[str, str], float],
 ) -> dict[tuple[str, str], float]:
-    """Returns what was added to counters that never decrease.
+    """Returns the increases of counters that never decrease.
 
-    >>> subtract({('sent', 'Heartbeat'): 5.0}, {('sent', 'Heartbeat'): 2.0})
+    >>> key = ('sent', 'Heartbeat')
+    >>> compute_increases({key: 5.0}, {key: 2.0})
     {('sent', 'Heartbeat'): 3.0}
     """
     return {name: value - before.get(name, 0) for name, value in after.items()}
--- a/jayseam/bench/publication.py
+++ b/jayseam/bench/publication.py
@@ -1,4 +1,4 @@
-"""Experiments on published changes: convergence and the bytes they cost."""
+"""Experiments on published changes: convergence time and control bytes."""
 
 import copy
 import random
@@ -33,39 +33,40 @@
 _CHANGES = 20
 _LARGE_CHANGES = 5
 _KILL_CHANGES = 3
-_PAUSE_S = 0.2
-_REST_S = 5.0
-_REPAIRS_S = 2.0
-# Shares of rates are told anew 5 s after a preset, and verified before.
+_BETWEEN_CHANGES_S = 0.2
+_IDLE_S = 5.0
+_REPAIR_WAIT_S = 2.0
+# Covers the verification of the preset, and the rate shares that nodes exchange
+# again 5 s after it.
 _SETTLE_S = 15.0
 _VMS_SETTLE_S = 3.0
-_IN_FORCE_LIMIT_S = 20.0
-# Sizes that give a preset of nearly 1 MB with 670 upstreams.
+_IN_FORCE_TIMEOUT_S = 20.0
+# Sizes of a preset of nearly 1 MB with 670 upstreams.
 _LARGE_UPSTREAMS = 670
 _LARGE_WORKSPACES = 2500
 _LARGE_ROUTES = 4200
 _REPLACED_VMS = 100
 _ZONES = 3
 _NODES_PER_ZONE = 4
-# Messages of the distribution, and those that carry shares of rates.
-_MESSAGES = ('Announce', 'Pull', 'Parts', 'Lend', 'Borrow')
+# Message classes that distribute documents, and those that carry rate shares.
+_MESSAGE_CLASSES = ('Announce', 'Pull', 'Parts', 'Lend', 'Borrow')
 
 
 @experiments.experiments.register('convergence')
 def measure_convergence(
     context: experiments.Context,
 ) -> Iterator[experiments.Row]:
-    """Time from a publication to the first call that each node judges by it."""
-    context.note(
+    """Time from a publication until each node applies it to calls."""
+    context.add_conditions(
         change='one more route that is open to all',
         zones=3,
         probes='each node every 20 ms, all from the process of the bench',
     )
     plan = fleets.plan_idle_fleet(_SMALL_SIZE, context.seed)
     with clusters.Cluster(plan) as cluster:
-        times = _change_often(cluster, _CHANGES)
+        times = _time_changes(cluster, _CHANGES)
         yield from _report_times('12 nodes', times, P99_LIMIT_S, MAX_LIMIT_S)
-        times = _change_under_kills(cluster)
+        times = _time_changes_without_readers(cluster)
         yield from _report_times(
             '12 nodes, both readers of a zone killed',
             times,
@@ -75,42 +76,53 @@
     for size in _LARGE_SIZES:
         plan = fleets.plan_idle_fleet(size, context.seed)
         with clusters.Cluster(plan) as cluster:
-            times = _change_often(cluster, _LARGE_CHANGES)
+            times = _time_changes(cluster, _LARGE_CHANGES)
         yield from _report_times(f'{size} nodes', times, None, LARGE_LIMIT_S)
 
 
-def _change_often(cluster: clusters.Cluster, changes: int) -> list[float]:
+def _time_changes(cluster: clusters.Cluster, changes: int) -> list[float]:
     times: list[float] = []
     for number in range(changes):
         times += _time_change(cluster, f'/probe-{number}')
-        gevent.sleep(_PAUSE_S)
+        gevent.sleep(_BETWEEN_CHANGES_S)
     return times
 
 
 def _time_change(
     cluster: clusters.Cluster,
     prefix: str,
-    doomed: Sequence[str] = (),
+    vms_to_kill: Sequence[str] = (),
 ) -> list[float]:
-    """Publishes a route and returns the time of each surviving node."""
+    """Publishes a route; returns the convergence time of each running node.
+
+    The time of a node that doesn't converge is infinite.
+
+    Args:
+      cluster: The cluster.
+      prefix: Path prefix of the new route.
+      vms_to_kill: VMs whose nodes are killed just before the publication.
+    """
     preset = edits.add_open_route(cluster.preset, prefix)
 
     def publish() -> None:
-        for vm in doomed:
+        for vm in vms_to_kill:
             cluster.kill(vm, backend=False)
         cluster.publish(preset)
 
-    found = convergence.measure_convergence(
+    result = convergence.measure_convergence(
         cluster,
         publish,
         convergence.Probe(prefix, lambda status: status != 404),
-        vms=[vm for vm in cluster.vms if vm not in doomed],
+        vms=[vm for vm in cluster.vms if vm not in vms_to_kill],
     )
-    return [*found.seconds.values(), *[float('inf')] * len(found.missing)]
+    return [*result.seconds.values(), *[float('inf')] * len(result.missing)]
 
 
-def _change_under_kills(cluster: clusters.Cluster) -> list[float]:
-    """Kills both readers of a zone just before each publication."""
+def _time_changes_without_readers(cluster: clusters.Cluster) -> list[float]:
+    """Kills both readers of a zone just before each publication.
+
+    Returns the convergence times of the other nodes.
+    """
     times: list[float] = []
     zones = sorted({vm.zone for vm in cluster.vms.values()})
     for number in range(_KILL_CHANGES):
@@ -143,12 +155,12 @@
         99: p99_limit_s and experiments.at_most(p99_limit_s),
         100: experiments.at_most(max_limit_s),
     }
-    finite = [min(time, 100.0) for time in times]
+    finite_times = [min(time, 100.0) for time in times]
     for percentile, bound in bounds.items():
         name = 'max' if percentile == 100 else f'p{percentile}'
         yield experiments.Row(
             f'{label}, {name}',
-            figures.compute_percentile_ms(finite, percentile) / 1000,
+            figures.compute_percentile_ms(finite_times, percentile) / 1000,
             's',
             bound,
             conditions,
@@ -156,66 +168,80 @@
 
 
 @attrs.frozen
-class _Cost:
-    """Bytes of one change, as a mean over the nodes.
+class _ChangeCost:
+    """Bytes per node that one change needs, as a mean over the nodes.
 
     Attributes:
-      links: Bytes sent and received on links in messages of the distribution.
-      platform: Bytes of values read from the platform.
-      by_message: Bytes sent on links by message class, at rest included.
-      seconds: Time until the last node had it in force.
+      link_bytes: Bytes sent and received on links in messages of classes
+        `_MESSAGE_CLASSES`, above those of an idle fleet.
+      platform_bytes: Bytes of values read from the platform.
+      by_message: Bytes sent on links by message class, including those of an
+        idle fleet.
+      seconds: Time until the last node had the change in force.
     """
 
-    links: float
-    platform: float
+    link_bytes: float
+    platform_bytes: float
     by_message: dict[str, float]
     seconds: float
 
     @property
-    def total(self) -> float:
-        """All bytes."""
-        return self.links + self.platform
+    def total_bytes(self) -> float:
+        """Bytes on links and from the platform."""
+        return self.link_bytes + self.platform_bytes
 
 
-class _Meter:
-    """Publishes changes and measures what they cost."""
+class _CostMeter:
+    """Publishes changes and measures the bytes that they need."""
 
     def __init__(self, cluster: clusters.Cluster):
         self._cluster = cluster
-        rest = control.measure_rest(cluster, _REST_S)
-        self.rest_kb_per_s = (
-            rest.sent_kb_per_s + rest.received_kb_per_s + rest.platform_kb_per_s
+        usage = control.measure_idle_usage(cluster, _IDLE_S)
+        self.idle_kb_per_s = (
+            usage.sent_kb_per_s
+            + usage.received_kb_per_s
+            + usage.platform_kb_per_s
         )
-        self.rest_by_message = rest.by_message
+        self.idle_bytes_by_message = usage.by_message
 
-    def measure(self, channel: str, publish: Callable[[], int]) -> _Cost:
-        """Publishes a change and waits until it is in force and repaired."""
+    def measure(self, channel: str, publish: Callable[[], int]) -> _ChangeCost:
+        """Publishes a change; returns its cost.
+
+        The interval ends `_REPAIR_WAIT_S` after the change is in force, so that
+        it includes the repairs that follow.
+        """
         cluster, size = self._cluster, len(self._cluster.vms)
         cluster.control_platform('reset-counts')
-        before, start = control.read_all_bytes(cluster), clocks.read_now()
+        before, start = (
+            control.read_link_bytes_by_vm(cluster),
+            clocks.read_now(),
+        )
         version = publish()
         cluster.wait_until(
             lambda: all(
                 cluster.status(vm)['versions'][channel] == version
                 for vm in cluster.vms
             ),
-            _IN_FORCE_LIMIT_S,
+            _IN_FORCE_TIMEOUT_S,
             f'version {version} of {channel} is in force',
         )
         seconds = clocks.read_now() - start
-        gevent.sleep(_REPAIRS_S)
+        gevent.sleep(_REPAIR_WAIT_S)
         elapsed_s = clocks.read_now() - start
-        after = control.read_all_bytes(cluster)
+        after = control.read_link_bytes_by_vm(cluster)
         counts = cluster.control_platform('counts')['totals']
-        added = control.sum_bytes(before, after, size)
-        return _Cost(
+        increases = control.sum_increases(before, after, size)
+        return _ChangeCost(
             sum(
-                max(0.0, v - elapsed_s * self.rest_by_message.get(name, 0.0))
-                for (_, name), v in added.items()
-                if name in _MESSAGES
+                max(
+                    0.0,
+                    v - elapsed_s * self.idle_bytes_by_message.get(name, 0.0),
+                )
+                for (_, name), v in increases.items()
+                if name in _MESSAGE_CLASSES
             ),
             counts.get('bytes', 0) / size,
-            control.list_sent(added),
+            control.sort_sent_bytes(increases),
             seconds,
         )
 
@@ -224,11 +250,11 @@
 def measure_change_bytes(
     context: experiments.Context,
 ) -> Iterator[experiments.Row]:
-    """Control bytes per node for changes of a near-megabyte preset."""
+    """Control bytes per node for changes of a preset of nearly a megabyte."""
     preset, deployment = build_large_preset(context.seed)
     plan = _plan_part_of_fleet(preset, deployment)
     sizes = documents.split_preset(preset).parts.values()
-    context.note(
+    context.add_conditions(
         nodes=len(plan.preset['upstreams']),
         preset_bytes=sum(len(part) for part in sizes),
         upstreams=len(preset['upstreams']),
@@ -243,18 +269,18 @@
     with clusters.Cluster(plan) as cluster:
         cluster.publish(preset)
         gevent.sleep(_SETTLE_S)
-        meter = _Meter(cluster)
+        meter = _CostMeter(cluster)
         yield experiments.Row(
             'at rest',
-            meter.rest_kb_per_s,
+            meter.idle_kb_per_s,
             'KB/s',
-            experiments.at_most(control.BYTES_LIMIT_KB_PER_S),
-            {'sent_bytes_per_s_by_message': meter.rest_by_message},
+            experiments.at_most(control.TRAFFIC_LIMIT_KB_PER_S),
+            {'sent_bytes_per_s_by_message': meter.idle_bytes_by_message},
         )
-        weight = meter.measure(
+        weight_cost = meter.measure(
             'preset', lambda: cluster.publish(_change_weight(preset))
         )
-        yield from _report_cost('one weight changed', weight)
+        yield from _report_cost('one weight changed', weight_cost)
         key_id = cluster.keys['keys'][0]['key_id']
         yield from _report_cost(
             'one key withdrawn',
@@ -268,33 +294,40 @@
         others = _list_other_vms(preset, cluster)
         _publish_vms(cluster, others)
         gevent.sleep(_VMS_SETTLE_S)
-        one = meter.measure(
-            'vms', lambda: _publish_vms(cluster, _replace(others, 1, 'one'))
+        vm_cost = meter.measure(
+            'vms', lambda: _publish_vms(cluster, _replace_vms(others, 1, 'one'))
         )
-        yield from _report_cost('one VM replaced in the VM list', one)
-        others = _replace(others, _REPLACED_VMS, 'many')
-        hundred = meter.measure('vms', lambda: _publish_vms(cluster, others))
-        yield from _report_cost('a hundred VMs replaced at once', hundred)
-    changes = CHANGES_PER_DAY * weight.total / _DAY_S / 1e3
-    replaced = REPLACEMENTS_PER_DAY * one.total / _DAY_S / 1e3
+        yield from _report_cost('one VM replaced in the VM list', vm_cost)
+        others = _replace_vms(others, _REPLACED_VMS, 'many')
+        hundred_cost = meter.measure(
+            'vms', lambda: _publish_vms(cluster, others)
+        )
+        yield from _report_cost('a hundred VMs replaced at once', hundred_cost)
+    changes_kb_per_s = CHANGES_PER_DAY * weight_cost.total_bytes / _DAY_S / 1e3
+    replacements_kb_per_s = (
+        REPLACEMENTS_PER_DAY * vm_cost.total_bytes / _DAY_S / 1e3
+    )
     yield experiments.Row(
         '470 changes and 100 replacements a day, with the rest',
-        meter.rest_kb_per_s + changes + replaced,
+        meter.idle_kb_per_s + changes_kb_per_s + replacements_kb_per_s,
         'KB/s',
-        experiments.at_most(control.BYTES_LIMIT_KB_PER_S),
-        {'changes_kb_per_s': changes, 'replacements_kb_per_s': replaced},
+        experiments.at_most(control.TRAFFIC_LIMIT_KB_PER_S),
+        {
+            'changes_kb_per_s': changes_kb_per_s,
+            'replacements_kb_per_s': replacements_kb_per_s,
+        },
     )
 
 
-def _report_cost(label: str, cost: _Cost) -> Iterator[experiments.Row]:
+def _report_cost(label: str, cost: _ChangeCost) -> Iterator[experiments.Row]:
     yield experiments.Row(
         label,
-        cost.total / 1e3,
+        cost.total_bytes / 1e3,
         'KB per node',
         None,
         {
-            'links_kb': cost.links / 1e3,
-            'platform_kb': cost.platform / 1e3,
+            'links_kb': cost.link_bytes / 1e3,
+            'platform_kb': cost.platform_bytes / 1e3,
             'sent_by_message': cost.by_message,
             'load_average': experiments.read_load_average(),
         },
@@ -312,12 +345,13 @@
 ) -> tuple[dict[str, Any], samples.Deployment]:
     """Builds a preset document of nearly a megabyte.
 
-    Workspace and route names hold random digits, because names that only
-    count up would compress better than real ones.
+    Workspace and route names contain random digits, because consecutive
+    numbers would compress better than real names.
 
     Args:
       seed: Seed of the names.
-      tag: Start of the names of workspaces; another one makes them new.
+      tag: Prefix of the workspace names. Unless it is empty, the slots of the
+        upstreams are random, too, so that the whole preset differs.
     """
     generator = random.Random(seed)
     deployment = samples.build_large(
@@ -353,16 +387,16 @@
 def _plan_part_of_fleet(
     preset: Mapping[str, Any], deployment: samples.Deployment
 ) -> plans.ClusterPlan:
-    """Returns the plan of a few nodes in each zone."""
-    chosen: list[Any] = []
+    """Returns a plan with a few of the fleet's nodes in each zone."""
+    upstreams: list[Any] = []
     for zone in preset['zones']:
         members = [u for u in preset['upstreams'] if u['zone'] == zone['name']]
-        chosen += members[:_NODES_PER_ZONE]
-    services = {upstream['service'] for upstream in chosen}
+        upstreams += members[:_NODES_PER_ZONE]
+    services = {upstream['service'] for upstream in upstreams}
     plan = plans.plan_deployment(deployment, start_timeout_s=60.0)
     part = copy.deepcopy(dict(plan.preset))
     part.update(
-        upstreams=chosen,
+        upstreams=upstreams,
         services=[s for s in part['services'] if s['name'] in services],
         routes=[
             route
@@ -376,11 +410,11 @@
 def _list_other_vms(
     preset: Mapping[str, Any], cluster: clusters.Cluster
 ) -> list[dict[str, Any]]:
-    """Returns VM entries for the positions without a node.
+    """Returns VM entries for the upstreams without a node.
 
-    They are ``leaving``, so that nodes don't dial what isn't there.
+    The entries are ``leaving``, so that nodes don't dial VMs that don't exist.
     """
-    held = {vm.upstream for vm in cluster.vms.values()}
+    upstreams_with_node = {vm.upstream for vm in cluster.vms.values()}
     regions = {zone['name']: zone['region'] for zone in preset['zones']}
     return [
         {
@@ -393,14 +427,20 @@
             'state': 'leaving',
         }
         for number, upstream in enumerate(preset['upstreams'])
-        if upstream['name'] not in held
+        if upstream['name'] not in upstreams_with_node
     ]
 
 
-def _replace(
+def _replace_vms(
     others: Sequence[dict[str, Any]], count: int, tag: str
 ) -> list[dict[str, Any]]:
-    """Returns the entries with ``count`` VMs replaced by others."""
+    """Returns VM entries whose first ``count`` have new VM names.
+
+    Args:
+      others: The entries before the replacement.
+      count: Number of VMs to replace.
+      tag: Prefix of the new VM names.
+    """
     replaced = [
         {**entry, 'vm': f'{tag}-{number:04}'}
         for number, entry in enumerate(others[:count])
@@ -416,9 +456,9 @@
 
 
 def _change_weight(preset: Mapping[str, Any]) -> dict[str, Any]:
-    """Returns the preset with another weight of one workspace."""
+    """Returns a copy of the preset with a changed weight of one workspace."""
     changed = copy.deepcopy(dict(preset))
     if not changed['workspaces']:
-        raise errors.ClusterError('no workspace')
+        raise errors.ClusterError('the preset has no workspace')
     changed['workspaces'][0]['weight'] += 1
     return changed
--- a/jayseam/bench/reports.py
+++ b/jayseam/bench/reports.py
@@ -15,7 +15,7 @@
 from jayseam.bench import experiments
 from jayseam.core import clocks
 
-_HEADS = ('measure', 'target', 'figure', 'result')
+_COLUMN_TITLES = ('measure', 'target', 'figure', 'result')
 
 
 @attrs.frozen
@@ -24,13 +24,13 @@
 
     Attributes:
       name: Name of the experiment.
-      seed: Seed that it ran with.
+      seed: Seed of the run.
       rows: Figures in the order they were measured.
-      conditions: Conditions that the experiment noted.
-      load_averages: Load average of the machine before and after.
-      started_wall_ms: Start on the wall clock.
-      duration_s: Length in seconds.
-      error: Text of the exception that ended it, or empty.
+      conditions: Conditions that the experiment reported.
+      load_averages: Load averages of the machine before and after the run.
+      started_wall_ms: Wall clock time of the start, in milliseconds.
+      duration_s: Duration of the run in seconds.
+      error: Traceback of the exception that ended the run, or empty.
     """
 
     name: str
@@ -44,7 +44,7 @@
 
     @property
     def passed(self) -> bool:
-        """Whether it ran to its end and missed no target."""
+        """Whether the run completed and missed no target."""
         return not self.error and all(
             row.passed is not False for row in self.rows
         )
@@ -55,7 +55,7 @@
         return f'jayseam-bench --only {self.name} --seed {self.seed}'
 
     def to_dict(self) -> dict[str, Any]:
-        """Returns the result for JSON."""
+        """Returns the result as values for JSON."""
         started = time.gmtime(self.started_wall_ms / 1000)
         return {
             'experiment': self.name,
@@ -89,24 +89,24 @@
 
 
 def run_experiment(name: str, seed: int) -> Result:
-    """Runs one experiment; its exceptions become part of the result.
+    """Runs one experiment; an exception becomes part of the result.
 
-    Rows that it yielded before an exception are kept.
+    Rows that the experiment yielded before the exception are kept.
 
     Raises:
       UnknownVariantError: If no experiment has that name.
     """
-    function = experiments.experiments.get(name)
+    experiment = experiments.experiments.get(name)
     context = experiments.Context(seed)
     rows: list[experiments.Row] = []
     before = experiments.read_load_average()
     wall_ms, started = clocks.read_wall_ms(), clocks.read_now()
     error = ''
     try:
-        for row in function(context):
+        for row in experiment(context):
             rows.append(row)
     except Exception:  # pylint: disable=broad-exception-caught
-        # One broken experiment must not keep the others from running.
+        # A failed experiment must not prevent the others from running.
         error = traceback.format_exc()
     return Result(
         name,
@@ -136,20 +136,25 @@
 
 
 def format_table(result: Result) -> str:
-    """Returns the figures of an experiment as lines of a table."""
-    lines = [_HEADS]
+    """Returns the figures of an experiment as a text table."""
+    lines = [_COLUMN_TITLES]
     for row in result.rows:
-        verdict = {None: '-', True: 'pass', False: 'FAIL'}[row.passed]
+        outcome = {None: '-', True: 'pass', False: 'FAIL'}[row.passed]
         figure = f'{format_figure(row.figure)} {row.unit}'.strip()
-        lines.append((row.measure, _format_bound(row), figure, verdict))
-    widths = [max(len(line[i]) for line in lines) for i in range(len(_HEADS))]
+        lines.append((row.measure, _format_bound(row), figure, outcome))
+    widths = [
+        max(len(line[i]) for line in lines) for i in range(len(_COLUMN_TITLES))
+    ]
     before, after = result.load_averages
     text = [
         f'{result.name}: {result.duration_s:.0f} s, seed {result.seed},'
         f' load average {before:g} to {after:g}'
     ]
     text += [
-        '  ' + '  '.join(c.ljust(w) for c, w in zip(line, widths)).rstrip()
+        '  '
+        + '  '.join(
+            cell.ljust(width) for cell, width in zip(line, widths)
+        ).rstrip()
         for line in lines
     ]
     if result.error:
@@ -168,20 +173,22 @@
 
 
 def plot_bars(result: Result) -> str:
-    """Returns an SVG with a bar for each figure as a share of its target.
+    """Returns an SVG with a bar for each figure as a ratio to its target.
 
-    The bar of a figure that meets its target is green, others are red.
+    The bars of figures that meet their targets are green, the others red.
     Figures without a target are left out.
     """
-    held = [row for row in result.rows if row.bound and row.bound.value]
-    height = 24 * len(held) + 8
+    rows_with_target = [
+        row for row in result.rows if row.bound and row.bound.value
+    ]
+    height = 24 * len(rows_with_target) + 8
     lines = [
         '<svg xmlns="http://www.w3.org/2000/svg" width="900"'
         f' height="{height}" font-family="sans-serif" font-size="12">'
     ]
-    for index, row in enumerate(held):
-        share = row.figure / row.bound.value
-        length = 0.0 if math.isnan(share) else 200 * max(0.0, min(2.0, share))
+    for index, row in enumerate(rows_with_target):
+        ratio = row.figure / row.bound.value
+        length = 0.0 if math.isnan(ratio) else 200 * max(0.0, min(2.0, ratio))
         color = '#2a7' if row.passed else '#c33'
         y = 24 * index + 4
         label = row.measure.replace('&', '&amp;').replace('<', '&lt;')
@@ -196,14 +203,14 @@
     return '\n'.join(lines) + '\n'
 
 
-def run_all(
+def run_experiments(
     names: Iterable[str], seed: int, directory: pathlib.Path, plot: bool = False
 ) -> Sequence[Result]:
-    """Runs experiments one after the other, printing and writing each.
+    """Runs experiments in turn; prints and writes each result.
 
     Args:
       names: Names of the experiments.
-      seed: Seed of all.
+      seed: Seed of every experiment.
       directory: Directory of the JSON and SVG files.
       plot: Whether to write SVG files.
     """
--- a/jayseam/bench/stages.py
+++ b/jayseam/bench/stages.py
@@ -1,9 +1,9 @@
 """A node process that measures the stages of the call path.
 
-It runs ``jayseam-node`` with timers around the functions that separate the
-stages, and shows percentiles in microseconds at ``/metrics``, since the start
-or the last SIGUSR1. The timers cost a few microseconds, so other figures come
-from nodes without them.
+It runs ``jayseam-node`` with a timer around the function of each stage. Its
+``/metrics`` has percentiles in microseconds since the start or the last
+SIGUSR1. The timers cost a few microseconds, so all other figures are measured
+on nodes without timers.
 
 >>> sorted(STAGES)[:2]
 ['backend', 'choose']
@@ -31,9 +31,10 @@
 from jayseam.node import main as node_main
 from jayseam.tools import histograms
 
-METRIC = 'jayseam_bench_stage_us'
+METRIC_NAME = 'jayseam_bench_stage_us'
 PERCENTILES = (50, 99)
-# The function around each stage: class and method.
+# The class and method that run each stage, including the later stages that
+# the method calls.
 STAGES: Mapping[str, tuple[type, str]] = {
     'entry': (application.CallerApplication, '__call__'),
     'judge': (entry.Entry, 'judge'),
@@ -43,23 +44,23 @@
     'gate': (gates.Gate, 'acquire'),
     'backend': (client.BackendClient, 'run'),
 }
-# Stages that the ingress measures.
-AT_INGRESS = frozenset(('ingress', 'gate', 'backend'))
+# Stages that run at the ingress node.
+INGRESS_STAGES = frozenset(('ingress', 'gate', 'backend'))
 
 
 _histograms: list[histogram.HdrHistogram] = []
 
 
-def forget_calls() -> None:
-    """Empties all histograms, for example of the calls of a start."""
+def reset_histograms() -> None:
+    """Empties all histograms, for example of calls during startup."""
     for durations in _histograms:
         durations.reset()
 
 
-def time_calls(
+def add_timer(
     gauge: prometheus_client.Gauge, stage: str, function: Callable[..., Any]
 ) -> Callable[..., Any]:
-    """Returns ``function`` with percentiles of its durations in a gauge."""
+    """Returns ``function`` with a timer whose percentiles a gauge shows."""
     durations = histograms.make_histogram()
     _histograms.append(durations)
     for percentile in PERCENTILES:
@@ -68,7 +69,7 @@
         )
 
     @functools.wraps(function)
-    def timed(*args: Any, **options: Any) -> Any:
+    def timed_function(*args: Any, **options: Any) -> Any:
         start = clocks.read_now()
         try:
             return function(*args, **options)
@@ -77,17 +78,17 @@
             if stage != 'link' or isinstance(args[2], messages.Forward):
                 durations.record_value(max(1, elapsed_us))
 
-    return timed
+    return timed_function
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Runs a node with timers; returns its exit code."""
     gauge = prometheus_client.Gauge(
-        METRIC, 'Time of a stage in microseconds', ('stage', 'percentile')
+        METRIC_NAME, 'Time of a stage in microseconds', ('stage', 'percentile')
     )
     for stage, (owner, name) in STAGES.items():
-        setattr(owner, name, time_calls(gauge, stage, getattr(owner, name)))
-    gevent.signal_handler(signal.SIGUSR1, forget_calls)
+        setattr(owner, name, add_timer(gauge, stage, getattr(owner, name)))
+    gevent.signal_handler(signal.SIGUSR1, reset_histograms)
     return node_main.main(arguments)
 
 
--- a/jayseam/bench/tests/test_reports.py
+++ b/jayseam/bench/tests/test_reports.py
@@ -1,4 +1,4 @@
-"""Tests of the runner with fake experiments."""
+"""Tests of running fake experiments and reporting their figures."""
 
 import json
 
@@ -14,14 +14,14 @@
 
 @pytest.fixture(name='fake')
 def _fake(monkeypatch):
-    """Registers experiments in a registry of the test's own."""
+    """Replaces the registry with one that has three fake experiments."""
     registry = type(experiments.experiments)('experiment')
     monkeypatch.setattr(experiments, 'experiments', registry)
 
     @registry.register('passing')
     def _measure_passing(context):
         """Meets its target."""
-        context.note(nodes=3)
+        context.add_conditions(nodes=3)
         yield experiments.Row('time', 1.0, 's', _AT_MOST_TWO)
         yield experiments.Row('size', 7.0, 'MB')
 
@@ -40,8 +40,8 @@
 
 
 def test_all_results_are_reported_and_written(fake, tmp_path, capsys):
-    """A broken experiment must neither stop the others nor count as passed."""
-    results = reports.run_all(fake.names(), 5, tmp_path, plot=True)
+    """A failed experiment must neither stop the others nor pass."""
+    results = reports.run_experiments(fake.names(), 5, tmp_path, plot=True)
     assert {r.name: r.passed for r in results} == {
         'broken': False,
         'missing': False,
@@ -63,14 +63,14 @@
 
 
 def test_unknown_experiment_is_refused(fake):
-    """A misspelt name must not look like a run without misses."""
+    """A misspelt name must not look like a passed experiment."""
     del fake
     with pytest.raises(errors.UnknownVariantError, match='passing'):
         reports.run_experiment('pasing', 1)
 
 
 def test_figure_that_is_not_a_number_misses_its_target():
-    """No samples must not pass for a good figure."""
+    """A percentile without samples is NaN and must not meet a target."""
     row = experiments.Row('p99', float('nan'), 's', _AT_MOST_TWO)
     assert row.passed is False
 
@@ -78,15 +78,15 @@
 @pytest.mark.parametrize(
     'only, status', [('passing', 0), ('missing', 1), ('broken', 1)]
 )
-def test_exit_status_tells_of_misses(fake, tmp_path, monkeypatch, only, status):
-    """Scripts rely on the exit status."""
+def test_exit_status_reports_misses(fake, tmp_path, monkeypatch, only, status):
+    """Scripts rely on the exit status to find missed targets."""
     del fake
-    monkeypatch.setattr(main, 'DIRECTORY', tmp_path)
+    monkeypatch.setattr(main, 'RESULTS_DIRECTORY', tmp_path)
     assert main.main(['--only', only, '--seed', '2']) == status
 
 
 def test_list_names_every_experiment(capsys):
-    """The list is how users learn what --only takes."""
+    """The list shows users the names that --only takes."""
     assert main.main(['--list']) == 0
     lines = capsys.readouterr().out.splitlines()
     assert [line.partition(':')[0] for line in lines] == [
