--- a/jayseam/soak/__init__.py
+++ b/jayseam/soak/__init__.py
@@ -1,13 +1,14 @@
-"""A randomized soak: real processes under faults that come from outside.
+"""A randomized soak test: fault injection on real processes.
 
-A seed draws a schedule of faults and operators' changes (`schedules`), which
-overlap and follow one another (`faults`). Callers keep their connections while
-nodes are stopped, paused, killed and cut off (`runs`). The promises are checked
-from what callers and backend servers recorded (`checks`).
+A schedule of overlapping faults and operator changes is drawn from a seed
+(`schedules`) and injected into a running cluster (`faults`). Meanwhile a load
+generator keeps its connections to nodes that are stopped, paused, killed and
+partitioned (`runs`). Afterwards the invariants are checked against what the
+load generator and the backend servers recorded (`checks`).
 """
 
 from jayseam.soak.checks import Finding
-from jayseam.soak.runs import Outcome
+from jayseam.soak.runs import SoakResult
 from jayseam.soak.runs import run_soak
 from jayseam.soak.schedules import Schedule
 from jayseam.soak.schedules import Step
@@ -15,8 +16,8 @@
 
 __all__ = [
     'Finding',
-    'Outcome',
     'Schedule',
+    'SoakResult',
     'Step',
     'draw_schedule',
     'run_soak',
--- a/jayseam/soak/checks.py
+++ b/jayseam/soak/checks.py
@@ -1,7 +1,8 @@
-"""Promises that a soak checks beside the rules of the referee.
+"""Invariants that a soak run checks in addition to the rules of the referee.
 
-Each check reads what callers and backend servers recorded, and what became of
-the processes.
+Each check reads the records of the load generator and the backend servers, and
+the exit statuses of the node processes. The rules of the referee are in
+`jayseam.standins.referee`.
 """
 
 import collections
@@ -14,17 +15,18 @@
 from jayseam.soak import faults
 from jayseam.tools import records
 
-# Outcomes of calls whose connection ended without a whole answer.
+# Outcomes of calls whose connection ended without a complete response.
 _CUT_OUTCOMES = ('lost', 'corrupt')
-# Unplanned faults excuse a lost call for this long after their end, in
-# seconds: the stable window of the operators' rules.
+# Calls lost in a planned stop are excused if an unplanned fault overlaps the
+# stop or ended at most this long before it: the stable window in the operators'
+# requirements.
 _STABLE_WINDOW_S = 3.0
-_MOST_LISTED = 10
+_MAX_DETAILS_PER_CHECK = 10
 
 
 @attrs.frozen
 class Finding:
-    """A promise that was not kept.
+    """A violated invariant.
 
     Attributes:
       check: Name of the check or rule.
@@ -36,20 +38,21 @@
 
 
 @attrs.frozen
-class Evidence:
-    """Everything that the checks look at.
+class Observations:
+    """The input of all checks.
 
     Attributes:
-      records: Calls of all callers.
-      runs: Runs that backend servers recorded.
-      stops: Planned stops.
-      unplanned: Start and end of each unplanned fault, in seconds.
-      withdrawn: Workspace whose key was withdrawn.
-      withdrawn_at: When that was published, in seconds.
-      trust_s: Longest time for which a node may use a key that has been
-        withdrawn, in seconds.
-      ended: Exit statuses of processes that ended by themselves, by VM.
-      unserved: VMs that served no call in time after the last fault.
+      records: Calls that the load generator made.
+      runs: Executions of calls that the backend servers recorded.
+      stops: Planned stops of nodes.
+      unplanned: Start and end time of each unplanned fault, in seconds.
+      withdrawn: Workspace whose key was withdrawn (revoked).
+      withdrawn_at: Time at which the withdrawal was published, in seconds.
+      trust_s: Grace period: longest time after the withdrawal for which calls
+        with the withdrawn key may still run, in seconds.
+      ended: Exit statuses of node processes that ended unexpectedly, by VM.
+      unserved: VMs that served no call again within the recovery timeout
+        after the last fault.
     """
 
     records: Sequence[records.CallRecord]
@@ -63,41 +66,46 @@
     unserved: Sequence[str]
 
 
-Check = Callable[[Evidence], Iterable[str]]
+Check = Callable[[Observations], Iterable[str]]
 
 registry: registries.Registry[Check] = registries.Registry('soak check')
 
 
-def find_breaches(evidence: Evidence) -> list[Finding]:
-    """Returns what all checks find, a few lines for each at most."""
+def run_checks(observations: Observations) -> list[Finding]:
+    """Returns the findings of all checks, at most 10 for each check."""
     return [
         Finding(name, detail)
         for name in registry.names()
-        for detail in list(registry.get(name)(evidence))[:_MOST_LISTED]
+        for detail in list(registry.get(name)(observations))[
+            :_MAX_DETAILS_PER_CHECK
+        ]
     ]
 
 
 @registry.register('withdrawn-key')
-def _check_withdrawn_key(evidence: Evidence) -> Iterator[str]:
-    """Nothing runs for a key that was withdrawn long enough ago."""
-    last = evidence.withdrawn_at + evidence.trust_s
-    for run in evidence.runs:
-        if run['workspace'] == evidence.withdrawn and run['started'] > last:
-            late_s = run['started'] - evidence.withdrawn_at
+def _check_withdrawn_key(observations: Observations) -> Iterator[str]:
+    """No call runs with a withdrawn key after the grace period."""
+    latest_start = observations.withdrawn_at + observations.trust_s
+    for run in observations.runs:
+        if (
+            run['workspace'] == observations.withdrawn
+            and run['started'] > latest_start
+        ):
+            late_s = run['started'] - observations.withdrawn_at
             yield f'{run["request_id"]} ran {late_s:.2f} s after the withdrawal'
 
 
 @registry.register('planned-stop')
-def _check_stops(evidence: Evidence) -> Iterator[str]:
-    """A planned stop ends cleanly and cuts no call."""
+def _check_planned_stops(observations: Observations) -> Iterator[str]:
+    """A planned stop exits with status 0 and loses no call."""
     by_target = collections.defaultdict(list)
-    for record in evidence.records:
+    for record in observations.records:
         if record.outcome in _CUT_OUTCOMES:
             by_target[record.target].append(record)
-    for stop in evidence.stops:
+    for stop in observations.stops:
         if stop.was_serving and stop.status != 0:
             yield f'{stop.address} ended with status {stop.status}'
-        if _is_disturbed(evidence.unplanned, stop):
+        if _is_excused(observations.unplanned, stop):
             continue
         for record in by_target[stop.address]:
             if stop.started <= record.ended <= stop.ended:
@@ -105,23 +113,23 @@
 
 
 @registry.register('own-end')
-def _check_ends(evidence: Evidence) -> Iterator[str]:
-    """No process ends by itself."""
-    for vm, status in evidence.ended.items():
+def _check_process_exits(observations: Observations) -> Iterator[str]:
+    """No node process ends unexpectedly."""
+    for vm, status in observations.ended.items():
         yield f'{vm} ended with status {status}'
 
 
 @registry.register('recovery')
-def _check_recovery(evidence: Evidence) -> Iterator[str]:
-    """Every node serves again once the faults are over."""
-    for vm in evidence.unserved:
+def _check_recovery(observations: Observations) -> Iterator[str]:
+    """Every node serves calls again after the faults have ended."""
+    for vm in observations.unserved:
         yield f'{vm} serves no call'
 
 
-def _is_disturbed(
+def _is_excused(
     unplanned: Sequence[tuple[float, float]], stop: faults.Stop
 ) -> bool:
-    """Tells whether an unplanned fault excuses what a stop cuts."""
+    """Returns whether an unplanned fault excuses calls lost in a stop."""
     return any(
         start <= stop.ended and stop.started <= end + _STABLE_WINDOW_S
         for start, end in unplanned
--- a/jayseam/soak/errors.py
+++ b/jayseam/soak/errors.py
@@ -1,7 +1,7 @@
-"""Errors of the soak."""
+"""Errors of the soak test."""
 
 from jayseam.core import errors
 
 
 class SoakError(errors.JayseamError):
-    """A soak can't be run as asked for."""
+    """The cluster of a soak run can't be started."""
--- a/jayseam/soak/faults.py
+++ b/jayseam/soak/faults.py
@@ -1,8 +1,9 @@
-"""What the steps of a schedule do to a cluster.
+"""Fault injection: carries out the steps of a schedule on a cluster.
 
-Each kind is a function that starts the fault, waits for its time and ends it.
-Those that act on processes hold the lock of their VM, so that a VM's process is
-struck by one after the other; faults of the network overlap with everything.
+Each kind of fault is a function that starts the fault, waits for the duration
+of the step and ends the fault. Process faults hold the lock of their position,
+so that only one of them acts on a node process at a time. Network faults take
+no lock and may overlap with every other fault.
 """
 
 import collections
@@ -20,27 +21,29 @@
 from jayseam.standins import edits
 from jayseam.standins import errors
 
-# Time between SIGTERM and SIGKILL where a stop is cut short, in seconds.
-_CUT_SHORT_S = 0.3
-# Time between two presets of a storm, in seconds.
-_STORM_GAP_S = 0.15
-# Longest delay that is added to each direction of a link, in milliseconds.
-_MOST_DELAY_MS = 150.0
-# Share of its answers that a backend server resets at most.
-_MOST_RESETS = 0.5
+# Longest time between SIGTERM and SIGKILL in an interrupted stop.
+_MAX_TERM_TO_KILL_S = 0.3
+# Time between two publications of presets in quick succession.
+_PUBLISH_GAP_S = 0.15
+# Longest delay that is added to each direction of a link.
+_MAX_DELAY_MS = 150.0
+# Largest share of its responses that a backend server resets.
+_MAX_RESET_SHARE = 0.5
 
 
 @attrs.frozen
 class Stop:
-    """A planned stop of a node.
+    """A planned stop of a node process.
 
     Attributes:
       address: Caller address of the node, as ``host:port``.
-      started: Time of SIGTERM in seconds.
-      ended: Time at which the process had ended, in seconds.
+      started: Time before the VM was listed as leaving and SIGTERM was sent,
+        in seconds.
+      ended: Time at which the process had exited, in seconds.
       status: Exit status.
-      was_serving: Whether the node served before; a process that is still
-        starting may end by the signal itself.
+      was_serving: Whether the node was serving before the stop. A process that
+        is still starting has no signal handler yet and may be killed by
+        SIGTERM.
     """
 
     address: str
@@ -50,15 +53,15 @@
     was_serving: bool
 
 
-class Site:
-    """The cluster that faults strike, and what planned stops came to.
+class FaultInjector:
+    """Injects faults into a cluster and records its planned stops.
 
     Args:
       cluster: A running cluster with fault proxies.
 
     Attributes:
       cluster: The cluster.
-      stops: Planned stops that ended by themselves.
+      stops: Planned stops that were not interrupted by SIGKILL.
     """
 
     def __init__(self, cluster: clusters.Cluster):
@@ -67,27 +70,27 @@
         self._locks: dict[str, lock.RLock] = collections.defaultdict(lock.RLock)
 
     def find_vm(self, position: str) -> str:
-        """Returns the name of the VM at a position."""
+        """Returns the name of the VM at an upstream position."""
         vms = self.cluster.vms.values()
         return next(vm.name for vm in vms if vm.upstream == position)
 
     def find_vms(self, positions: Sequence[str]) -> list[str]:
-        """Returns the names of the VMs at positions."""
+        """Returns the names of the VMs at upstream positions."""
         return [self.find_vm(position) for position in positions]
 
-    def hold(self, position: str) -> lock.RLock:
-        """Returns the lock of the process at a position."""
+    def get_lock(self, position: str) -> lock.RLock:
+        """Returns the lock that process faults at a position must hold."""
         return self._locks[position]
 
     def is_serving(self, vm: str) -> bool:
-        """Tells whether a node says that it serves."""
+        """Returns whether a node reports the state ``serving``."""
         try:
             return self.cluster.status(vm).get('state') == 'serving'
         except errors.ExchangeError:
             return False
 
     def run(self, step: schedules.Step) -> None:
-        """Carries out a step and returns when it is over."""
+        """Carries out a step; returns when its fault has ended."""
         registry.get(step.kind).strike(self, step)
 
 
@@ -96,249 +99,256 @@
     """A kind of fault.
 
     Attributes:
-      kind: What schedules need to know of it.
-      strike: Carries out a step of it.
+      kind: Parameters for drawing steps of this kind.
+      strike: Injects the fault for one step and ends it after the step.
     """
 
     kind: schedules.Kind
-    strike: Callable[[Site, schedules.Step], None]
+    strike: Callable[[FaultInjector, schedules.Step], None]
 
 
 registry: registries.Registry[Fault] = registries.Registry('fault')
 
 
 def list_kinds() -> dict[str, schedules.Kind]:
-    """Returns all kinds by name."""
+    """Returns all kinds of faults by name."""
     return {name: registry.get(name).kind for name in registry.names()}
 
 
 def _register(
     name: str, kind: schedules.Kind
-) -> Callable[[Callable[[Site, schedules.Step], None]], Fault]:
+) -> Callable[[Callable[[FaultInjector, schedules.Step], None]], Fault]:
     """Returns a decorator that registers a function as a fault."""
 
-    def add(strike: Callable[[Site, schedules.Step], None]) -> Fault:
-        return registry.register(name)(Fault(kind, strike))
+    def add_fault(
+        inject: Callable[[FaultInjector, schedules.Step], None],
+    ) -> Fault:
+        return registry.register(name)(Fault(kind, inject))
 
-    return add
+    return add_fault
 
 
-# Processes.
+# Process faults.
 
 
 @_register('kill', schedules.Kind('positions', most=2, weight=2.0))
-def _kill(site: Site, step: schedules.Step) -> None:
-    """VMs go without warning and come back."""
-    _kill_and_restart(site, step)
+def _kill(injector: FaultInjector, step: schedules.Step) -> None:
+    """Kills the processes of VMs and restarts them."""
+    _kill_and_restart(injector, step)
 
 
 @_register('kill-many', schedules.Kind('positions', 5, 9, weight=0.3))
-def _kill_many(site: Site, step: schedules.Step) -> None:
-    """Many VMs go at once and come back."""
-    _kill_and_restart(site, step)
-
-
-def _kill_and_restart(site: Site, step: schedules.Step) -> None:
-    def strike(position: str) -> None:
-        with site.hold(position):
-            vm = site.find_vm(position)
-            # A backend server that outlives its node would hold calls that
-            # the next node process can't count.
-            site.cluster.kill(vm)
+def _kill_many(injector: FaultInjector, step: schedules.Step) -> None:
+    """Kills the processes of many VMs at once and restarts them."""
+    _kill_and_restart(injector, step)
+
+
+def _kill_and_restart(injector: FaultInjector, step: schedules.Step) -> None:
+    def kill_and_restart(position: str) -> None:
+        with injector.get_lock(position):
+            vm = injector.find_vm(position)
+            # Kills the backend server, too. Otherwise it would still run calls
+            # that the next node process can't count.
+            injector.cluster.kill(vm)
             gevent.sleep(step.for_s)
-            site.cluster.restart(vm)
+            injector.cluster.restart(vm)
 
-    _join(gevent.spawn(strike, position) for position in step.targets)
+    _join(gevent.spawn(kill_and_restart, position) for position in step.targets)
 
 
 @_register('pause', schedules.Kind('positions', longest_s=3.0, weight=2.0))
-def _pause(site: Site, step: schedules.Step) -> None:
-    """A node process is stopped from running for a time."""
-    with site.hold(step.targets[0]):
-        vm = site.find_vm(step.targets[0])
-        site.cluster.pause(vm)
+def _pause(injector: FaultInjector, step: schedules.Step) -> None:
+    """Pauses a node process (SIGSTOP, then SIGCONT)."""
+    with injector.get_lock(step.targets[0]):
+        vm = injector.find_vm(step.targets[0])
+        injector.cluster.pause(vm)
         gevent.sleep(step.for_s)
-        site.cluster.resume(vm)
+        injector.cluster.resume(vm)
 
 
 @_register('stop', schedules.Kind('positions', most=2, weight=2.0))
-def _stop(site: Site, step: schedules.Step) -> None:
-    """Nodes are stopped as planned, one after the other."""
+def _stop_as_planned(injector: FaultInjector, step: schedules.Step) -> None:
+    """Stops and restarts nodes as planned, one after the other."""
     for position in step.targets:
-        with site.hold(position):
-            vm = site.find_vm(position)
-            address = f'127.0.0.1:{site.cluster.vms[vm].caller_port}'
-            was_serving = site.is_serving(vm)
+        with injector.get_lock(position):
+            vm = injector.find_vm(position)
+            address = f'127.0.0.1:{injector.cluster.vms[vm].caller_port}'
+            was_serving = injector.is_serving(vm)
             started = clocks.read_now()
-            status = site.cluster.terminate(vm)
+            status = injector.cluster.terminate(vm)
             ended = clocks.read_now()
             stop = Stop(address, started, ended, status, was_serving)
-            site.stops.append(stop)
-            site.cluster.restart(vm)
+            injector.stops.append(stop)
+            injector.cluster.restart(vm)
 
 
 @_register('stop-cut-short', schedules.Kind('positions'))
-def _cut_stop_short(site: Site, step: schedules.Step) -> None:
-    """A node is killed while it stops as planned."""
-    with site.hold(step.targets[0]):
-        vm = site.find_vm(step.targets[0])
-        process = site.cluster.vms[vm].process
+def _interrupt_stop(injector: FaultInjector, step: schedules.Step) -> None:
+    """Kills a node during its planned stop, then restarts it."""
+    with injector.get_lock(step.targets[0]):
+        vm = injector.find_vm(step.targets[0])
+        process = injector.cluster.vms[vm].process
         assert process is not None
         process.send_signal(signal.SIGTERM)
-        gevent.sleep(_CUT_SHORT_S * step.strength)
-        site.cluster.kill(vm)
+        gevent.sleep(_MAX_TERM_TO_KILL_S * step.strength)
+        injector.cluster.kill(vm)
         gevent.sleep(step.for_s)
-        site.cluster.restart(vm)
+        injector.cluster.restart(vm)
 
 
 @_register('pause-then-kill', schedules.Kind('positions'))
-def _pause_then_kill(site: Site, step: schedules.Step) -> None:
-    """A node is paused and killed before it runs again."""
-    with site.hold(step.targets[0]):
-        vm = site.find_vm(step.targets[0])
-        site.cluster.pause(vm)
+def _pause_then_kill(injector: FaultInjector, step: schedules.Step) -> None:
+    """Pauses a node, kills it while it is paused, then restarts it."""
+    with injector.get_lock(step.targets[0]):
+        vm = injector.find_vm(step.targets[0])
+        injector.cluster.pause(vm)
         gevent.sleep(step.for_s * step.strength)
-        site.cluster.kill(vm)
+        injector.cluster.kill(vm)
         gevent.sleep(step.for_s * (1.0 - step.strength))
-        site.cluster.restart(vm)
+        injector.cluster.restart(vm)
 
 
-# Connections.
+# Network faults.
 
 
 @_register('cut', schedules.Kind('zones', weight=1.5))
-def _cut(site: Site, step: schedules.Step) -> None:
-    """A zone and the rest lose each other; one cut at a time is in force."""
-    rest = [z for z in _list_zones(site) if z not in step.targets]
-    site.cluster.partition(step.targets, rest)
+def _partition_zone(injector: FaultInjector, step: schedules.Step) -> None:
+    """Partitions a zone from the rest; only one partition at a time exists."""
+    other_zones = [z for z in _list_zones(injector) if z not in step.targets]
+    injector.cluster.partition(step.targets, other_zones)
     gevent.sleep(step.for_s)
-    site.cluster.heal()
+    injector.cluster.heal()
 
 
 @_register('one-way', schedules.Kind('positions', most=2))
-def _cut_one_way(site: Site, step: schedules.Step) -> None:
-    """What nodes send on their links is lost, what they receive isn't."""
-    vms = site.find_vms(step.targets)
-    _apply_rule(site, step, source=vms, silence='forward')
+def _drop_one_way(injector: FaultInjector, step: schedules.Step) -> None:
+    """Drops what nodes send on links they opened, but not what they receive."""
+    vms = injector.find_vms(step.targets)
+    _apply_rule(injector, step, source=vms, silence='forward')
 
 
 @_register('delay', schedules.Kind('positions', most=3))
-def _delay(site: Site, step: schedules.Step) -> None:
-    """Links to nodes are slow."""
-    vms = site.find_vms(step.targets)
-    delay_ms = _MOST_DELAY_MS * step.strength
-    _apply_rule(site, step, target=vms, delay_ms=delay_ms)
+def _delay_links(injector: FaultInjector, step: schedules.Step) -> None:
+    """Delays traffic on links to nodes."""
+    vms = injector.find_vms(step.targets)
+    delay_ms = _MAX_DELAY_MS * step.strength
+    _apply_rule(injector, step, target=vms, delay_ms=delay_ms)
 
 
 @_register('refuse', schedules.Kind('positions', most=2))
-def _refuse(site: Site, step: schedules.Step) -> None:
-    """New links to nodes are reset, and so are those that are open."""
-    vms = site.find_vms(step.targets)
-    site.cluster.control_faults('cut', target=vms, reset=True)
-    _apply_rule(site, step, target=vms, refuse=True)
+def _refuse_links(injector: FaultInjector, step: schedules.Step) -> None:
+    """Resets open links to nodes and refuses new links."""
+    vms = injector.find_vms(step.targets)
+    injector.cluster.control_faults('cut', target=vms, reset=True)
+    _apply_rule(injector, step, target=vms, refuse=True)
 
 
 @_register('half-open', schedules.Kind('positions', least=2, most=3, weight=2))
-def _silence_open(site: Site, step: schedules.Step) -> None:
-    """Open links fall silent for good, while new ones work."""
-    vms = site.find_vms(step.targets)
-    site.cluster.control_faults('half-open', source=vms)
+def _silence_open_links(injector: FaultInjector, step: schedules.Step) -> None:
+    """Silences the open links of nodes for good; new links work."""
+    vms = injector.find_vms(step.targets)
+    injector.cluster.control_faults('half-open', source=vms)
 
 
 @_register('reset', schedules.Kind('positions', least=2, most=6))
-def _reset(site: Site, step: schedules.Step) -> None:
-    """Open links are reset."""
-    vms = site.find_vms(step.targets)
-    site.cluster.control_faults('cut', source=vms, reset=True)
+def _reset_links(injector: FaultInjector, step: schedules.Step) -> None:
+    """Resets the open links of nodes."""
+    vms = injector.find_vms(step.targets)
+    injector.cluster.control_faults('cut', source=vms, reset=True)
 
 
 @_register('platform-away', schedules.Kind('none', longest_s=4.0))
-def _refuse_platform(site: Site, step: schedules.Step) -> None:
-    """The platform refuses connections and drops those that are open."""
-    site.cluster.control_faults('cut', target=['platform'])
-    _apply_rule(site, step, target=['platform'], refuse=True)
+def _refuse_platform(injector: FaultInjector, step: schedules.Step) -> None:
+    """Closes open connections to the platform and refuses new ones."""
+    injector.cluster.control_faults('cut', target=['platform'])
+    _apply_rule(injector, step, target=['platform'], refuse=True)
 
 
 @_register('platform-silent', schedules.Kind('zones', most=2, longest_s=4.0))
-def _silence_platform(site: Site, step: schedules.Step) -> None:
-    """The platform answers nothing to some zones."""
+def _silence_platform(injector: FaultInjector, step: schedules.Step) -> None:
+    """Silences connections from some zones to the platform."""
     _apply_rule(
-        site, step, source=step.targets, target=['platform'], silence='both'
+        injector, step, source=step.targets, target=['platform'], silence='both'
     )
 
 
-# Backend servers.
+# Faults of backend servers.
 
 
 @_register('backend-restart', schedules.Kind('positions', weight=2.0))
-def _restart_backend(site: Site, step: schedules.Step) -> None:
-    """A backend server comes back cold without a word."""
-    site.cluster.control_backend(
+def _restart_backend_cold(
+    injector: FaultInjector, step: schedules.Step
+) -> None:
+    """Restarts a backend server cold while its health check reports ready."""
+    injector.cluster.control_backend(
         step.targets[0], 'restart', silent=True, disconnect=True
     )
 
 
 @_register('answers-reset', schedules.Kind('positions', weight=2.0))
-def _reset_answers(site: Site, step: schedules.Step) -> None:
-    """A backend server resets a share of its answers."""
+def _reset_responses(injector: FaultInjector, step: schedules.Step) -> None:
+    """Makes a backend server reset a share of its responses."""
     position = step.targets[0]
-    share = _MOST_RESETS * step.strength
-    site.cluster.control_backend(position, 'fault', kind='reset', share=share)
+    share = _MAX_RESET_SHARE * step.strength
+    injector.cluster.control_backend(
+        position, 'fault', kind='reset', share=share
+    )
     gevent.sleep(step.for_s)
-    site.cluster.control_backend(position, 'fault', kind='')
+    injector.cluster.control_backend(position, 'fault', kind='')
 
 
-# Changes of operators.
+# Operator changes.
 
 
 @_register('zone-out', schedules.Kind('zones', longest_s=3.0))
-def _take_zone_out(site: Site, step: schedules.Step) -> None:
-    """A zone is taken out of service and back in."""
+def _take_zone_out(injector: FaultInjector, step: schedules.Step) -> None:
+    """Takes a zone out of service and back in."""
     zone = step.targets[0]
-    site.cluster.take_zone_out(zone)
+    injector.cluster.take_zone_out(zone)
     gevent.sleep(step.for_s)
-    site.cluster.take_zone_in(zone)
+    injector.cluster.take_zone_in(zone)
 
 
 @_register('storm', schedules.Kind('none', longest_s=1.5))
-def _publish_storm(site: Site, step: schedules.Step) -> None:
-    """Presets with one more route each follow in quick succession."""
-    for number in range(max(1, int(step.for_s / _STORM_GAP_S))):
+def _publish_repeatedly(injector: FaultInjector, step: schedules.Step) -> None:
+    """Publishes presets in quick succession, each with one more route."""
+    for number in range(max(1, int(step.for_s / _PUBLISH_GAP_S))):
         prefix = f'/soak-{step.number}-{number}'
-        preset = edits.add_open_route(site.cluster.preset, prefix)
-        site.cluster.publish(preset)
-        gevent.sleep(_STORM_GAP_S)
+        preset = edits.add_open_route(injector.cluster.preset, prefix)
+        injector.cluster.publish(preset)
+        gevent.sleep(_PUBLISH_GAP_S)
 
 
-def _list_zones(site: Site) -> list[str]:
-    return sorted({vm.zone for vm in site.cluster.vms.values()})
+def _list_zones(injector: FaultInjector) -> list[str]:
+    return sorted({vm.zone for vm in injector.cluster.vms.values()})
 
 
 def _apply_rule(
-    site: Site,
+    injector: FaultInjector,
     step: schedules.Step,
     source: Sequence[str] = (),
     target: Sequence[str] = (),
     **fault: object,
 ) -> None:
-    """Holds a rule of the fault proxy for the time of a step.
+    """Applies a rule of the fault proxy for the duration of a step.
 
     Args:
-      site: The site.
+      injector: Injector whose cluster gets the rule.
       step: The step.
-      source: Names or zones whose connections the rule applies to; all if
+      source: VM names or zones that open the affected connections; all if
         empty.
-      target: Names or zones that are connected to; all if empty.
-      **fault: What the rule does, as in `faultrules.Rule`.
+      target: VM names, zones or ``platform`` that the affected connections
+        lead to; all if empty.
+      **fault: Effects of the rule, as in `faultrules.Rule`.
     """
     name = f'step-{step.number}'
-    site.cluster.control_faults(
+    injector.cluster.control_faults(
         'rules', id=name, source=list(source), target=list(target), **fault
     )
     gevent.sleep(step.for_s)
-    site.cluster.control_faults('rules', id=name, clear=True)
+    injector.cluster.control_faults('rules', id=name, clear=True)
 
 
 def _join(jobs: Iterable[gevent.Greenlet]) -> None:
-    """Waits for greenlets and raises what failed."""
+    """Waits for greenlets; raises the exception of one that failed."""
     gevent.joinall(list(jobs), raise_error=True)
--- a/jayseam/soak/main.py
+++ b/jayseam/soak/main.py
@@ -10,22 +10,25 @@
 from jayseam.standins import deployments
 from jayseam.standins import processes
 
-_LEAST_S = 10.0
+_MIN_DURATION_S = 10.0
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Runs the program.
 
     Returns:
-      0 if all promises were kept, 1 if not, 2 for bad arguments or a cluster
+      0 if no run has findings, 1 if one has, 2 for bad arguments or a cluster
       that doesn't start.
     """
     options = _build_parser().parse_args(arguments)
     processes.exit_on_sigterm()
-    if options.minutes * 60.0 < _LEAST_S:
-        print(f'--minutes: at least {_LEAST_S / 60.0:.2f}', file=sys.stderr)
+    if options.minutes * 60.0 < _MIN_DURATION_S:
+        print(
+            f'--minutes must be at least {_MIN_DURATION_S / 60.0:.2f}',
+            file=sys.stderr,
+        )
         return 2
-    broken = []
+    failed = []
     for seed in range(options.seed, options.seed + options.seeds):
         plan = runs.Plan(
             seed,
@@ -35,36 +38,38 @@
             options.keep,
         )
         try:
-            outcome = runs.run_soak(plan)
+            result = runs.run_soak(plan)
         except errors.SoakError as error:
             print(error, file=sys.stderr)
             return 2
-        print(format_outcome(outcome, options.verbose), flush=True)
-        if outcome.findings:
-            broken.append(seed)
-    print(f'{options.seeds} seeds, {len(broken)} with findings: {broken}')
-    return 1 if broken else 0
+        print(format_result(result, options.verbose), flush=True)
+        if result.findings:
+            failed.append(seed)
+    print(f'{options.seeds} seeds, {len(failed)} with findings: {failed}')
+    return 1 if failed else 0
 
 
-def format_outcome(outcome: runs.Outcome, verbose: bool = False) -> str:
-    """Returns the plain report of a run.
+def format_result(result: runs.SoakResult, verbose: bool = False) -> str:
+    """Returns the report of a run as text.
 
     Args:
-      outcome: What came of the run.
-      verbose: Whether to list all steps, also of a run without findings.
+      result: The result of the run.
+      verbose: Whether to list all steps even if the run has no findings.
     """
-    calls = ' '.join(f'{k}={n}' for k, n in sorted(outcome.outcomes.items()))
+    calls = ' '.join(f'{k}={n}' for k, n in sorted(result.outcomes.items()))
     lines = [
-        f'seed {outcome.plan.seed}: {len(outcome.findings)} findings,'
-        f' {len(outcome.schedule.steps)} steps, {outcome.strategy}; {calls}'
+        f'seed {result.plan.seed}: {len(result.findings)} findings,'
+        f' {len(result.schedule.steps)} steps, {result.strategy}; {calls}'
+    ]
+    lines += [f'  step failed: {reason}' for reason in result.failed_steps]
+    lines += [
+        f'  {finding.check}: {finding.detail}' for finding in result.findings
     ]
-    lines += [f'  step failed: {reason}' for reason in outcome.failed_steps]
-    lines += [f'  {found.check}: {found.detail}' for found in outcome.findings]
-    if verbose or outcome.findings:
+    if verbose or result.findings:
         lines += [
             f'  {step.at_s:6.2f} s {step.kind} for {step.for_s:.2f} s'
             f' {" ".join(step.targets)}'
-            for step in outcome.schedule.steps
+            for step in result.schedule.steps
         ]
     return '\n'.join(lines)
 
@@ -72,12 +77,15 @@
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog='jayseam-soak',
-        description='Runs real nodes under random faults and checks promises.',
+        description='Runs nodes under random faults and checks invariants.',
     )
     parser.add_argument('--seed', type=int, default=1, help='first seed')
     parser.add_argument('--seeds', type=int, default=1, help='number of seeds')
     parser.add_argument(
-        '--minutes', type=float, default=0.5, help='length of each run'
+        '--minutes',
+        type=float,
+        default=0.5,
+        help='duration of the load of each run',
     )
     parser.add_argument(
         '--deployment', choices=sorted(deployments.BUILDERS), default='agence'
@@ -86,13 +94,13 @@
         '--vms',
         type=int,
         default=0,
-        help='size of a deployment made to measure',
+        help='generate a deployment with this number of VMs instead',
     )
     parser.add_argument(
         '--keep',
         type=pathlib.Path,
         metavar='DIR',
-        help='where logs of runs with findings are kept, a directory a seed',
+        help='copy logs of runs with findings to DIR/seed-N',
     )
     parser.add_argument('--verbose', action='store_true', help='list all steps')
     return parser
--- a/jayseam/soak/runs.py
+++ b/jayseam/soak/runs.py
@@ -1,4 +1,4 @@
-"""One run of the soak: a cluster, load, a schedule of faults, a verdict."""
+"""Soak runs: a cluster under load and faults, then checks of the result."""
 
 import pathlib
 import random
@@ -23,45 +23,51 @@
 from jayseam.tools import loadreports
 from jayseam.tools import profiles
 
-# Kinds that are operators' changes or planned work, which excuse nothing.
-_PLANNED = frozenset(('stop', 'zone-out', 'storm'))
+# Kinds of steps that are planned work of operators. They excuse no lost call.
+_PLANNED_KINDS = frozenset(('stop', 'zone-out', 'storm'))
 _RAMP = model.Ramp(initial_slots=3, duration_s=1.5)
-# Share of each workspace's rate that its callers send, and of one that is
-# greedy.
+# Offered load of a workspace as a share of its rate limit.
 _OFFERED_SHARE = 0.5
-_GREEDY_SHARE = 3.0
-# A node may use a key for this long without news of it, in seconds.
+# Factor on the load of the greedy workspace, which exceeds its rate limit.
+_GREEDY_FACTOR = 3.0
+# Longest time for which a node may use a key without confirmation that the key
+# is still valid.
 _KEY_TRUST_S = 5.0
-# A node that was paused runs the calls that it had admitted before, after it
-# has waited for news. A pause takes 3 s, the wait up to 1 s.
+# Longest time from the admission of a call to its run. A node that was paused
+# first waits for a refresh of its configuration, then runs the calls that it
+# had admitted before the pause. A pause takes up to 3 s, the refresh up to 1 s.
 _LATITUDE_S = 4.5
-# Nodes serve again within this time after the last fault: the bound
-# ``recover`` of the operators' rules, in seconds.
-_RECOVERY_S = 15.0
-_START_S = 40.0
-# Longer than the timeout of any route, so that an open call is a lost one.
+# Longest time after the last fault until all nodes serve again: the bound
+# ``recover`` in the operators' requirements.
+_RECOVERY_TIMEOUT_S = 15.0
+_ADMISSION_TIMEOUT_S = 40.0
+# Longer than the usual route timeout of 5 s, so that a call without a response
+# by then is lost. Some routes of the sample deployments allow 10 s or 20 s.
 _CALL_TIMEOUT_S = 8.0
-# Longest route timeout and a margin, after which no call is at work.
-_IDLE_S = 21.0
+# The longest route timeout (20 s) plus a margin. No call is in flight after it.
+_IDLE_TIMEOUT_S = 21.0
 _STRATEGIES = ('escrow', 'replicated')
-# Excess over rates that operators tolerate, as a part of rate and burst and as
-# calls: ``quota_overage`` and ``quota_slack`` of their bounds.
+# Excess over rate limits that operators tolerate with replicated limits: a
+# share of rate and burst (their bound ``quota_overage``) and a number of calls
+# (their bound ``quota_slack``).
 _TOLERANCE = 0.25
 _TOLERATED_CALLS = 20.0
-# Calls a second of all workspaces together where `Plan.vms` sets the size.
+# Total load of all workspaces in a deployment whose size `Plan.vms` sets.
 _LARGE_CALLS_PER_S = 150.0
 
 
 @attrs.frozen
 class Plan:
-    """What to run.
+    """Parameters of a soak run.
 
     Attributes:
-      seed: Seed of the schedule, the load and the limit strategy.
-      duration_s: Length of the load in seconds.
-      deployment: ``agence`` or ``leeuwenhoek``; not used where ``vms`` is set.
-      vms: Number of VMs of a deployment of any size; 0 for a sample one.
-      kept: Directory for the logs of a run with findings, or None.
+      seed: Seed of the schedule, the load and the choice of limit strategy.
+      duration_s: Duration of the load in seconds.
+      deployment: Sample deployment, ``agence`` or ``leeuwenhoek``; unused if
+        ``vms`` is set.
+      vms: Number of VMs of a generated deployment; 0 uses the sample.
+      kept: Directory to which the logs of a run with findings are copied; None
+        copies none.
     """
 
     seed: int
@@ -72,15 +78,15 @@
 
 
 @attrs.frozen
-class Outcome:
-    """What came of a run.
+class SoakResult:
+    """Result of a soak run.
 
     Attributes:
-      plan: What was run.
-      strategy: Limit strategy that the seed chose.
-      schedule: The steps.
+      plan: Parameters of the run.
+      strategy: Limit strategy, chosen by the seed.
+      schedule: The steps that were scheduled.
       outcomes: Number of calls by outcome.
-      findings: Promises that were not kept.
+      findings: Violated invariants.
       failed_steps: Steps that could not be carried out, with the reason.
     """
 
@@ -92,8 +98,8 @@
     failed_steps: Sequence[str]
 
 
-def run_soak(plan: Plan) -> Outcome:
-    """Starts a cluster, strikes it as the seed says, and judges it.
+def run_soak(plan: Plan) -> SoakResult:
+    """Starts a cluster, injects the faults of the seed and checks the result.
 
     Raises:
       SoakError: If the cluster doesn't start.
@@ -102,16 +108,16 @@
     strategy = random.Random(plan.seed).choice(_STRATEGIES)
     try:
         with clusters.Cluster(_plan_cluster(deployment, strategy)) as cluster:
-            outcome = _Run(plan, deployment, cluster, strategy).carry_out()
-            if outcome.findings and plan.kept is not None:
-                _keep_logs(cluster, plan)
-            return outcome
+            result = _Run(plan, deployment, cluster, strategy).execute()
+            if result.findings and plan.kept is not None:
+                _copy_logs(cluster, plan)
+            return result
     except standin_errors.ClusterError as error:
         raise errors.SoakError(f'seed {plan.seed}: {error}') from error
 
 
 class _Run:
-    """A run on a started cluster."""
+    """A soak run on a started cluster."""
 
     def __init__(
         self,
@@ -124,17 +130,18 @@
         self._deployment = deployment
         self._cluster = cluster
         self._strategy = strategy
-        self._site = faults.Site(cluster)
+        self._injector = faults.FaultInjector(cluster)
         self._unplanned: list[tuple[float, float]] = []
-        self._failed: list[str] = []
-        # The last workspace by name loses its key; the first one is greedy.
+        self._failed_steps: list[str] = []
+        # The key of the last workspace by name is withdrawn during the run; the
+        # first workspace exceeds its rate limit; the others stay below theirs.
         self._workspaces = sorted(deployment.plaintexts)
-        self._withdrawn = self._workspaces[-1]
+        self._withdrawn_workspace = self._workspaces[-1]
 
-    def carry_out(self) -> Outcome:
-        """Serves load under the schedule and returns the verdict."""
-        self._wait_admitting()
-        self._forget_warm_up()
+    def execute(self) -> SoakResult:
+        """Runs the load and the faults and returns the checked result."""
+        self._wait_until_admitting()
+        self._clear_warm_up_records()
         schedule = schedules.draw_schedule(
             self._plan.seed,
             self._plan.duration_s,
@@ -142,131 +149,141 @@
             [u['name'] for u in self._cluster.preset['upstreams']],
             [z['name'] for z in self._cluster.preset['zones']],
         )
-        loading = gevent.spawn(generators.run_load, self._build_profile())
-        striking = gevent.spawn(self._strike, schedule)
+        load_job = gevent.spawn(generators.run_load, self._build_profile())
+        fault_job = gevent.spawn(self._inject_faults, schedule)
         gevent.sleep(self._plan.duration_s / 2)
         withdrawn_at = self._withdraw_key()
-        report = loading.get()
-        striking.get()
-        findings = self._judge(report, withdrawn_at)
-        return Outcome(
+        report = load_job.get()
+        fault_job.get()
+        findings = self._check_result(report, withdrawn_at)
+        return SoakResult(
             self._plan,
             self._strategy,
             schedule,
             report.count_outcomes(),
             findings,
-            self._failed,
+            self._failed_steps,
         )
 
-    def _strike(self, schedule: schedules.Schedule) -> None:
-        """Starts each step at its time, then waits for all and mends."""
+    def _inject_faults(self, schedule: schedules.Schedule) -> None:
+        """Starts each step at its time; heals the network after the last."""
         started = clocks.read_now()
         jobs = []
         for step in schedule.steps:
             gevent.sleep(max(0.0, started + step.at_s - clocks.read_now()))
-            jobs.append(gevent.spawn(self._carry_out_step, step))
+            jobs.append(gevent.spawn(self._execute_step, step))
         gevent.joinall(jobs)
         self._cluster.heal(rules=True)
 
-    def _carry_out_step(self, step: schedules.Step) -> None:
+    def _execute_step(self, step: schedules.Step) -> None:
         started = clocks.read_now()
         try:
-            self._site.run(step)
+            self._injector.run(step)
         except (
             standin_errors.ClusterError,
             standin_errors.ExchangeError,
         ) as error:
-            self._failed.append(f'{step.number} {step.kind}: {error}')
-        if step.kind not in _PLANNED:
+            self._failed_steps.append(f'{step.number} {step.kind}: {error}')
+        if step.kind not in _PLANNED_KINDS:
             self._unplanned.append((started, clocks.read_now()))
 
     def _withdraw_key(self) -> float:
-        """Withdraws a key and returns when it was published, in seconds."""
-        key_id = self._deployment.plaintexts[self._withdrawn].partition('.')[0]
+        """Withdraws a key and returns the time of publication in seconds."""
+        key_id = self._deployment.plaintexts[
+            self._withdrawn_workspace
+        ].partition('.')[0]
         self._cluster.withdraw_key(key_id)
         return clocks.read_now()
 
-    # Before and after the load.
+    # Probe calls and checks before and after the load.
 
-    def _wait_admitting(self) -> None:
+    def _wait_until_admitting(self) -> None:
         """Waits until every node admits calls of every workspace."""
         pending = [
             (vm, name) for vm in self._cluster.vms for name in self._workspaces
         ]
 
-        def admits() -> bool:
-            jobs = [gevent.spawn(self._serves, *pair) for pair in pending]
+        def check_pending() -> bool:
+            jobs = [
+                gevent.spawn(self._is_call_served, *pair) for pair in pending
+            ]
             gevent.joinall(jobs)
             pending[:] = [p for p, job in zip(pending, jobs) if not job.get()]
             return not pending
 
-        self._cluster.wait_until(admits, _START_S, 'admission')
+        self._cluster.wait_until(
+            check_pending, _ADMISSION_TIMEOUT_S, 'admission'
+        )
 
-    def _serves(self, vm: str, workspace: str) -> bool:
-        path = self._list_reads()[0]
+    def _is_call_served(self, vm: str, workspace: str) -> bool:
+        path = self._list_read_paths()[0]
         key = self._deployment.plaintexts[workspace]
         try:
             return self._cluster.call(vm, path, key).status == 200
         except standin_errors.ExchangeError:
             return False
 
-    def _forget_warm_up(self) -> None:
+    def _clear_warm_up_records(self) -> None:
         for upstream in self._cluster.preset['upstreams']:
             self._cluster.control_backend(upstream['name'], 'clear-runs')
         self._cluster.collect_peaks(reset=True)
 
     def _list_unserved(self) -> list[str]:
-        """Returns the VMs that serve no call in time."""
+        """Returns the VMs that serve no call within the recovery timeout."""
         pending = list(self._cluster.vms)
 
-        def serve() -> bool:
+        def check_pending() -> bool:
             for vm in list(pending):
-                if self._serves(vm, self._workspaces[1]):
+                if self._is_call_served(vm, self._workspaces[1]):
                     pending.remove(vm)
             return not pending
 
         try:
-            self._cluster.wait_until(serve, _RECOVERY_S, 'recovery')
+            self._cluster.wait_until(
+                check_pending, _RECOVERY_TIMEOUT_S, 'recovery'
+            )
         except standin_errors.ClusterError:
             return pending
         return []
 
-    def _judge(
+    def _check_result(
         self, report: loadreports.LoadReport, withdrawn_at: float
     ) -> list[checks.Finding]:
         unserved = self._list_unserved()
-        self._cluster.wait_until(self._is_idle, _IDLE_S, 'idle backend servers')
+        self._cluster.wait_until(
+            self._is_idle, _IDLE_TIMEOUT_S, 'idle backend servers'
+        )
         runs = self._cluster.collect_runs()
         budgets = self._read_budgets()
         violations = referee.Referee(budgets, _LATITUDE_S).judge(
-            _drop_probes(runs), report.records, self._cluster.collect_peaks()
+            _exclude_probes(runs), report.records, self._cluster.collect_peaks()
         )
         ended = {
             vm.name: vm.process.returncode
             for vm in self._cluster.vms.values()
             if vm.process is not None and vm.process.returncode is not None
         }
-        evidence = checks.Evidence(
+        observations = checks.Observations(
             report.records,
             runs,
-            self._site.stops,
+            self._injector.stops,
             self._unplanned,
-            self._withdrawn,
+            self._withdrawn_workspace,
             withdrawn_at,
             _KEY_TRUST_S + _LATITUDE_S,
             ended,
             unserved,
         )
-        found = [checks.Finding(v.rule, v.detail) for v in violations]
-        return found + checks.find_breaches(evidence)
+        findings = [checks.Finding(v.rule, v.detail) for v in violations]
+        return findings + checks.run_checks(observations)
 
     def _read_budgets(self) -> dict[str, referee.Budget]:
-        """Returns what the limit strategy promises for each workspace."""
+        """Returns the rate and burst that the limit strategy guarantees."""
         budgets = referee.read_budgets(self._cluster.preset['workspaces'])
         if self._strategy == 'escrow':
             return budgets
-        # Replicas see what others spend late; the excess is what operators
-        # who choose them tolerate.
+        # With the replicated strategy, nodes learn late what other nodes have
+        # admitted. Operators who choose this strategy tolerate the excess.
         return {
             name: referee.Budget(
                 budget.rate_per_s * (1.0 + _TOLERANCE),
@@ -281,8 +298,8 @@
 
     # The load.
 
-    def _list_reads(self) -> list[str]:
-        """Returns paths of keyed routes that may be read."""
+    def _list_read_paths(self) -> list[str]:
+        """Returns paths of routes that allow GET and require a key."""
         return [
             f'{route.prefix}/1'
             for route in self._deployment.preset.routes.values()
@@ -308,7 +325,7 @@
                 )
         rates = {
             w.name: w.rate_per_s
-            * (_GREEDY_SHARE if w.name == self._workspaces[0] else 1.0)
+            * (_GREEDY_FACTOR if w.name == self._workspaces[0] else 1.0)
             for w in preset.workspaces.values()
         }
         if self._plan.vms:
@@ -332,8 +349,8 @@
         )
 
 
-def _drop_probes(runs: Sequence[Mapping]) -> list[Mapping]:
-    """Returns the runs without those of the soak's own calls."""
+def _exclude_probes(runs: Sequence[Mapping]) -> list[Mapping]:
+    """Returns the runs without those of the soak test's probe calls."""
     return [run for run in runs if run['echo'] or run['nested']]
 
 
@@ -370,8 +387,8 @@
     )
 
 
-def _keep_logs(cluster: clusters.Cluster, plan: Plan) -> None:
-    """Copies settings and logs of all processes to a directory of the seed."""
+def _copy_logs(cluster: clusters.Cluster, plan: Plan) -> None:
+    """Copies the settings and logs of all processes to ``seed-<seed>``."""
     assert cluster.launcher.directory is not None and plan.kept is not None
     target = plan.kept / f'seed-{plan.seed}'
     shutil.copytree(cluster.launcher.directory, target, dirs_exist_ok=True)
--- a/jayseam/soak/schedules.py
+++ b/jayseam/soak/schedules.py
@@ -1,7 +1,8 @@
 """Schedules of faults, drawn from a seed.
 
-A schedule depends on nothing but its arguments, so a seed that failed brings
-the same faults at the same times again. What each fault does is in `faults`.
+A schedule depends only on the arguments of `draw_schedule`, so a failed seed
+can be run again with the same faults at the same times. `jayseam.soak.faults`
+implements the faults.
 """
 
 import random
@@ -9,24 +10,25 @@
 
 import attrs
 
-# Gap between the starts of two steps, in seconds; the steps overlap, since
-# most of them last longer.
-_GAP_S = (0.2, 1.2)
-# Steps of the same kind that come in series, and the share of such series.
-_SERIES = (2, 4)
+# Least and greatest time between the starts of two steps. Most steps last
+# longer, so that steps overlap.
+_STEP_GAP_S = (0.2, 1.2)
+# Least and greatest number of steps in a series of one kind, and the share of
+# draws that start a series.
+_SERIES_LENGTH = (2, 4)
 _SERIES_SHARE = 0.3
 
 
 @attrs.frozen
 class Kind:
-    """What a schedule needs to know of a kind of fault.
+    """Parameters for drawing steps of one kind.
 
     Attributes:
-      scope: What it strikes: ``positions``, ``zones`` or ``none``.
-      least: Least number of targets.
-      most: Greatest number of targets.
-      longest_s: Longest time that it lasts, in seconds.
-      weight: How often it is drawn, relative to the others.
+      scope: Type of the targets: ``positions``, ``zones`` or ``none``.
+      least: Minimum number of targets.
+      most: Maximum number of targets.
+      longest_s: Maximum duration of a step in seconds.
+      weight: Relative frequency among all kinds.
     """
 
     scope: str = attrs.field(
@@ -40,15 +42,16 @@
 
 @attrs.frozen
 class Step:
-    """One fault or change of operators.
+    """One fault or operator change.
 
     Attributes:
-      number: Its place in the schedule.
+      number: Index in the schedule, from 0.
       kind: Name of the kind.
-      at_s: Seconds after the start of the load.
-      for_s: How long it lasts, in seconds.
-      targets: Positions or availability zones that it strikes.
-      strength: A number from 0 to 1, which each kind reads in its own way.
+      at_s: Start time in seconds after the start of the load.
+      for_s: Duration in seconds.
+      targets: Names of the affected upstream positions or availability zones.
+      strength: A number from 0 to 1 whose meaning depends on the kind, for
+        example a share of the longest delay.
     """
 
     number: int
@@ -65,8 +68,9 @@
 
     Attributes:
       seed: The seed.
-      duration_s: Length of the load in seconds; the last part has no faults.
-      steps: The steps in order of time.
+      duration_s: Duration of the load in seconds. It ends with a recovery
+        period without faults.
+      steps: The steps in order of their start times.
     """
 
     seed: int
@@ -74,8 +78,8 @@
     steps: tuple[Step, ...]
 
     @property
-    def quiet_from_s(self) -> float:
-        """When the last step is due to end, in seconds."""
+    def last_step_end_s(self) -> float:
+        """Time at which the last step ends, in seconds since the load began."""
         return max((s.at_s + s.for_s for s in self.steps), default=0.0)
 
 
@@ -85,7 +89,7 @@
     kinds: Mapping[str, Kind],
     positions: Sequence[str],
     zones: Sequence[str],
-    settle_s: float = 5.0,
+    recovery_s: float = 5.0,
 ) -> Schedule:
     """Draws the steps of a run.
 
@@ -98,29 +102,30 @@
 
     Args:
       seed: Seed of all draws.
-      duration_s: Length of the load in seconds.
+      duration_s: Duration of the load in seconds.
       kinds: Kinds to draw from, by name.
       positions: Names of the upstream positions.
       zones: Names of the availability zones.
-      settle_s: Seconds at the end in which no step lasts.
+      recovery_s: Length of the recovery period at the end of the load, in
+        which no step is in progress, in seconds.
     """
     generator = random.Random(seed)
     names = sorted(kinds)
     weights = [kinds[name].weight for name in names]
     choices = {'positions': positions, 'zones': zones, 'none': ()}
     steps: list[Step] = []
-    at_s = generator.uniform(*_GAP_S)
-    while at_s < duration_s - settle_s:
+    at_s = generator.uniform(*_STEP_GAP_S)
+    while at_s < duration_s - recovery_s:
         name = generator.choices(names, weights)[0]
-        in_series = generator.random() < _SERIES_SHARE
-        for _ in range(generator.randint(*_SERIES) if in_series else 1):
+        is_series = generator.random() < _SERIES_SHARE
+        for _ in range(generator.randint(*_SERIES_LENGTH) if is_series else 1):
             step = _draw_step(generator, len(steps), name, kinds[name], choices)
-            left_s = duration_s - settle_s - at_s
-            if left_s <= 0:
+            remaining_s = duration_s - recovery_s - at_s
+            if remaining_s <= 0:
                 break
-            for_s = min(step.for_s, left_s)
+            for_s = min(step.for_s, remaining_s)
             steps.append(attrs.evolve(step, at_s=at_s, for_s=for_s))
-            at_s += generator.uniform(*_GAP_S)
+            at_s += generator.uniform(*_STEP_GAP_S)
     return Schedule(seed, duration_s, tuple(steps))
 
 
@@ -131,7 +136,7 @@
     kind: Kind,
     choices: Mapping[str, Sequence[str]],
 ) -> Step:
-    """Draws a step of a kind, whose time is set later."""
+    """Draws a step of a kind; the caller sets its start time."""
     names = choices[kind.scope]
     count = min(len(names), generator.randint(kind.least, kind.most))
     return Step(
--- a/jayseam/soak/tests/test_checks.py
+++ b/jayseam/soak/tests/test_checks.py
@@ -1,4 +1,4 @@
-"""Tests of the checks: each finds the breach that it is for."""
+"""Tests of the checks: each finds violations of its invariant."""
 
 import attrs
 import pytest
@@ -9,7 +9,7 @@
 
 _NODE = '127.0.0.1:9000'
 _STOP = faults.Stop(_NODE, 10.0, 11.0, 0, True)
-_CALM = checks.Evidence(
+_CLEAN_RUN = checks.Observations(
     records=(),
     runs=(),
     stops=(_STOP,),
@@ -22,7 +22,7 @@
 )
 
 
-def _record(outcome, ended):
+def _build_record(outcome, ended):
     return records.CallRecord(
         'huy',
         'GET',
@@ -37,16 +37,17 @@
     )
 
 
-def _find(**changes):
-    evidence = attrs.evolve(_CALM, **changes)
-    return [found.check for found in checks.find_breaches(evidence)]
+def _find_violated_checks(**changes):
+    """Returns the names of the checks that find a violation."""
+    observations = attrs.evolve(_CLEAN_RUN, **changes)
+    return [finding.check for finding in checks.run_checks(observations)]
 
 
-def test_a_calm_run_has_no_findings():
-    """Nothing is found where nothing went wrong."""
-    kept = _record('ok', 10.5)
+def test_a_clean_run_has_no_findings():
+    """A run that keeps all invariants has no findings."""
+    record = _build_record('ok', 10.5)
     run = {'workspace': 'mons', 'started': 24.9, 'request_id': 'r1'}
-    assert not _find(records=(kept,), runs=(run,))
+    assert not _find_violated_checks(records=(record,), runs=(run,))
 
 
 @pytest.mark.parametrize(
@@ -54,7 +55,7 @@
     [
         ('own-end', {'ended': {'vm-1': 1}}),
         ('recovery', {'unserved': ('vm-1',)}),
-        ('planned-stop', {'records': (_record('lost', 10.5),)}),
+        ('planned-stop', {'records': (_build_record('lost', 10.5),)}),
         (
             'planned-stop',
             {'stops': (faults.Stop(_NODE, 10.0, 11.0, -9, True),)},
@@ -69,18 +70,22 @@
         ),
     ],
 )
-def test_each_breach_is_found(check, changes):
+def test_each_violation_is_found(check, changes):
     """Each check can fail."""
-    assert _find(**changes) == [check]
+    assert _find_violated_checks(**changes) == [check]
 
 
 def test_unplanned_faults_excuse_what_a_stop_cuts():
-    """A call that is lost within the stable window of a fault is excused."""
-    cut = (_record('lost', 10.5),)
-    assert not _find(records=cut, unplanned=((5.0, 7.5),))
-    assert _find(records=cut, unplanned=((5.0, 6.5),)) == ['planned-stop']
+    """A call lost within the stable window after a fault is excused."""
+    lost = (_build_record('lost', 10.5),)
+    assert not _find_violated_checks(records=lost, unplanned=((5.0, 7.5),))
+    assert _find_violated_checks(records=lost, unplanned=((5.0, 6.5),)) == [
+        'planned-stop'
+    ]
 
 
 def test_a_process_that_never_served_may_end_by_the_signal():
     """A process that is still starting has no handler for signals yet."""
-    assert not _find(stops=(faults.Stop(_NODE, 10.0, 10.1, -15, False),))
+    assert not _find_violated_checks(
+        stops=(faults.Stop(_NODE, 10.0, 10.1, -15, False),)
+    )
--- a/jayseam/soak/tests/test_schedules.py
+++ b/jayseam/soak/tests/test_schedules.py
@@ -1,4 +1,4 @@
-"""Tests of schedules: they depend on the seed alone and stay in their time."""
+"""Tests of schedules of faults."""
 
 import pytest
 
@@ -16,23 +16,23 @@
 
 
 def test_a_seed_brings_the_same_schedule_again():
-    """A seed that failed can be run again."""
+    """A failed seed can be reproduced."""
     assert _draw(7) == _draw(7)
     assert _draw(7) != _draw(8)
 
 
 @pytest.mark.parametrize('seed', range(20))
-def test_steps_end_before_the_time_to_settle(seed):
-    """The last seconds have no fault, so that recovery can be seen."""
+def test_steps_end_before_the_recovery_period(seed):
+    """The end of the load has no fault, so that recovery can be checked."""
     schedule = _draw(seed)
     assert schedule.steps
-    assert schedule.quiet_from_s <= 25.0
+    assert schedule.last_step_end_s <= 25.0
     times = [step.at_s for step in schedule.steps]
     assert times == sorted(times)
 
 
 def test_steps_overlap_and_come_in_series():
-    """Faults meet others, and some kinds strike again at once."""
+    """Faults overlap, and some kinds are repeated in direct succession."""
     steps = _draw(3, 120.0).steps
     pairs = list(zip(steps, steps[1:]))
     assert any(a.at_s + a.for_s > b.at_s for a, b in pairs)
@@ -46,7 +46,7 @@
 
 
 def test_targets_fit_the_scope_of_their_kind():
-    """Faults of positions strike positions, those of zones zones."""
+    """Each target is of the type that the kind declares."""
     kinds = faults.list_kinds()
     names = {'positions': set(_POSITIONS), 'zones': set(_ZONES), 'none': set()}
     for step in _draw(5, 120.0).steps:
