Describe the load generator and the operator tool in usual terms

Cause: fields of records, profiles and reports were described by pronouns without a noun, and exit codes had names such as FOUND. Change: EXIT_ prefix for exit codes of jayseam-ctl, ProgressCallback, classify_response, generate_calls and similar names; plain docstrings and help texts. Names in profiles, records and reports stay. Result: the tests of the folder pass with the same assertions.

--- a/jayseam/tools/ctl.py
+++ b/jayseam/tools/ctl.py
@@ -1,18 +1,18 @@
-"""The operator tool ``jayseam-ctl``. It reads and never changes anything.
+"""The operator tool ``jayseam-ctl``, which is read-only.
 
 Commands:
   status ADDR...: State of nodes, by their admin addresses.
   explain ADDR --workspace W --path P [--method M]: How a node routes a call.
   check FILE: Whether a preset document would be accepted.
   diff A B: Differences between two preset documents.
-  follow REQUEST_ID LOG...: What nodes logged about one request.
+  follow REQUEST_ID LOG...: Log lines of several nodes about one request.
 
 Exit codes:
   0: Success; for ``diff``, no differences.
   1: A preset was rejected, ``diff`` found differences, ``explain`` found no
     usable candidate, or ``follow`` found no line.
-  2: Wrong usage, or a file that cannot be read or is no JSON.
-  3: A node could not be reached or gave an unexpected answer.
+  2: Wrong usage, or a file that cannot be read or is not JSON.
+  3: A node could not be reached or gave an unexpected response.
 """
 
 import argparse
@@ -36,11 +36,11 @@
 from jayseam.presets import verification
 from jayseam.tools import traces
 
-OK = 0
-FOUND = 1
-USAGE = 2
-UNREACHABLE = 3
-TIMEOUT_S = 3.0
+EXIT_OK = 0
+EXIT_NEGATIVE = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+_TIMEOUT_S = 3.0
 
 _STATUS_COLUMNS = (
     'addr',
@@ -65,7 +65,7 @@
     """A command cannot be carried out.
 
     Attributes:
-      code: Exit code.
+      code: Exit code of the program.
     """
 
     def __init__(self, code: int, message: str):
@@ -74,7 +74,7 @@
 
 
 def parse_address(text: str) -> tuple[str, int]:
-    """Returns host and port of an admin address.
+    """Returns the host and port of an admin address.
 
     >>> parse_address('127.0.0.1:9000')
     ('127.0.0.1', 9000)
@@ -86,7 +86,7 @@
     """
     host, _, port = text.rpartition(':')
     if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ToolError(USAGE, f'{text}: expected host:port')
+        raise ToolError(EXIT_USAGE, f'{text}: expected host:port')
     return host.strip('[]'), int(port)
 
 
@@ -94,24 +94,26 @@
     """Returns the JSON body of an admin resource.
 
     Raises:
-      ToolError: If the node cannot be reached or does not answer with JSON.
+      ToolError: If the node cannot be reached or its response is not JSON.
     """
     host, port = parse_address(address)
     client = geventhttpclient.HTTPClient(
-        host, port, connection_timeout=TIMEOUT_S, network_timeout=TIMEOUT_S
+        host, port, connection_timeout=_TIMEOUT_S, network_timeout=_TIMEOUT_S
     )
     try:
         answer = client.get(path)
         body = answer.read()
         if answer.status_code != 200:
             raise ToolError(
-                UNREACHABLE, f'{address}: status {answer.status_code}'
+                EXIT_UNREACHABLE, f'{address}: status {answer.status_code}'
             )
         return json.loads(body)
     except (OSError, socket.timeout, response.HTTPParseError) as error:
-        raise ToolError(UNREACHABLE, f'{address}: {error}') from error
+        raise ToolError(EXIT_UNREACHABLE, f'{address}: {error}') from error
     except ValueError as error:
-        raise ToolError(UNREACHABLE, f'{address}: no JSON answer') from error
+        raise ToolError(
+            EXIT_UNREACHABLE, f'{address}: no JSON answer'
+        ) from error
     finally:
         client.close()
 
@@ -120,18 +122,18 @@
     """Returns the JSON document in a file.
 
     Raises:
-      ToolError: If the file cannot be read or is no JSON.
+      ToolError: If the file cannot be read or is not JSON.
     """
     try:
         return documents.decode_json(pathlib.Path(path).read_bytes())
     except (OSError, preset_errors.PresetRejectedError) as error:
-        raise ToolError(USAGE, f'{path}: {error}') from error
+        raise ToolError(EXIT_USAGE, f'{path}: {error}') from error
 
 
 def format_table(
     rows: Iterable[Mapping[str, Any]], columns: Sequence[str]
 ) -> str:
-    """Returns rows as a table with aligned columns.
+    """Returns a text table with aligned columns.
 
     >>> print(format_table([{'a': 1, 'b': 'x'}], ['a', 'b']))
     a  b
@@ -156,8 +158,8 @@
     return str(value)
 
 
-def summarise_status(address: str, status: Mapping[str, Any]) -> dict[str, Any]:
-    """Returns the row of the status table for one node."""
+def summarize_status(address: str, status: Mapping[str, Any]) -> dict[str, Any]:
+    """Returns a node's row in the status table."""
     versions = status.get('versions', {})
     backend = status.get('backend', {})
     peers = status.get('peers', [])
@@ -186,25 +188,25 @@
 
 
 def run_status(options: argparse.Namespace) -> int:
-    """Prints the state of each node; the others if one is unreachable."""
-    found: dict[str, Any] = {}
-    code = OK
+    """Prints the state of each node that can be reached."""
+    statuses: dict[str, Any] = {}
+    code = EXIT_OK
     for address in options.addresses:
         try:
-            found[address] = fetch_json(address, '/status')
+            statuses[address] = fetch_json(address, '/status')
         except ToolError as error:
             print(f'jayseam-ctl: {error}', file=sys.stderr)
             code = error.code
     if options.json:
-        print(json.dumps(found, indent=2, sort_keys=True))
-    elif found:
-        rows = [summarise_status(a, status) for a, status in found.items()]
+        print(json.dumps(statuses, indent=2, sort_keys=True))
+    elif statuses:
+        rows = [summarize_status(a, status) for a, status in statuses.items()]
         print(format_table(rows, _STATUS_COLUMNS))
     return code
 
 
 def run_explain(options: argparse.Namespace) -> int:
-    """Prints how a node would route a call."""
+    """Prints how a node would route a call, with all candidates."""
     query = urllib.parse.urlencode(
         {
             'workspace': options.workspace,
@@ -223,18 +225,20 @@
                 value = json.dumps(value, sort_keys=True)
             print(f'{name}: {value}')
         print(format_table(candidates, _CANDIDATE_COLUMNS))
-    return OK if any(c.get('usable') for c in candidates) else FOUND
+    return (
+        EXIT_OK if any(c.get('usable') for c in candidates) else EXIT_NEGATIVE
+    )
 
 
 def _verify(path: str) -> model.Preset:
-    """Returns the preset in a file, judged as a node judges it.
+    """Returns the preset in a file after the checks that nodes make.
 
     Raises:
-      PresetRejectedError: With every reason.
+      PresetRejectedError: If the preset is invalid, with all reasons.
     """
     document = read_document(path)
     preset = verification.verify_preset(document)
-    # Splitting finds parts that are too large for the configuration service.
+    # Also rejects parts that are too large for the configuration service.
     documents.split_preset(document)
     return preset
 
@@ -244,11 +248,11 @@
         return _verify(path)
     except preset_errors.PresetRejectedError as error:
         reasons = '\n'.join(f'{path}: {reason}' for reason in error.reasons)
-        raise ToolError(FOUND, f'rejected\n{reasons}') from error
+        raise ToolError(EXIT_NEGATIVE, f'rejected\n{reasons}') from error
 
 
 def run_check(options: argparse.Namespace) -> int:
-    """Tells whether a preset document would be accepted, and why not."""
+    """Prints whether a preset would be accepted, or why it is rejected."""
     reasons: list[str] = []
     try:
         _verify(options.file)
@@ -258,35 +262,35 @@
         print(json.dumps({'accepted': not reasons, 'reasons': reasons}))
     else:
         print('\n'.join(reasons) or 'accepted')
-    return FOUND if reasons else OK
+    return EXIT_NEGATIVE if reasons else EXIT_OK
 
 
 def run_diff(options: argparse.Namespace) -> int:
     """Prints the differences between two preset documents."""
     before = _verify_or_exit(options.before)
     after = _verify_or_exit(options.after)
-    found = differences.compare_presets(before, after)
+    changes = differences.compare_presets(before, after)
     if options.json:
-        print(json.dumps([attrs.asdict(item) for item in found]))
+        print(json.dumps([attrs.asdict(item) for item in changes]))
     else:
-        for difference in found:
+        for difference in changes:
             print(difference.format())
-    return FOUND if found else OK
+    return EXIT_NEGATIVE if changes else EXIT_OK
 
 
 def run_follow(options: argparse.Namespace) -> int:
-    """Prints what the logs of nodes say about one request."""
+    """Prints the lines of log files about one request, in order of time."""
     lines: list[str] = []
     for name in options.logs:
         try:
             text = pathlib.Path(name).read_text('utf-8', errors='replace')
         except OSError as error:
-            raise ToolError(USAGE, f'{name}: {error}') from error
+            raise ToolError(EXIT_USAGE, f'{name}: {error}') from error
         lines += text.splitlines()
-    found = traces.select_request(lines, options.request_id)
-    for line in found:
+    selected = traces.select_request(lines, options.request_id)
+    for line in selected:
         print(json.dumps(line) if options.json else traces.format_line(line))
-    return OK if found else FOUND
+    return EXIT_OK if selected else EXIT_NEGATIVE
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -294,27 +298,29 @@
     parser = argparse.ArgumentParser(
         prog='jayseam-ctl',
         description='Reads the state of jayseam nodes and checks presets.',
-        epilog='Exit codes: 0 success; 1 rejected, different or not routable; '
-        '2 wrong usage or unreadable file; 3 node not reachable.',
+        epilog='Exit codes: 0 success; 1 rejected, different, not routable or '
+        'not found; 2 wrong usage or unreadable file; 3 node not reachable.',
     )
     commands = parser.add_subparsers(dest='command', required=True)
     command = commands.add_parser('status', help='state of nodes')
     command.add_argument('addresses', nargs='+', metavar='ADDR')
     command.set_defaults(run=run_status)
-    command = commands.add_parser('explain', help='routing of one call')
+    command = commands.add_parser('explain', help='how a node routes a call')
     command.add_argument('address', metavar='ADDR')
     command.add_argument('--workspace', required=True)
     command.add_argument('--path', required=True)
     command.add_argument('--method', default='GET')
     command.set_defaults(run=run_explain)
-    command = commands.add_parser('check', help='verdict on a preset')
+    command = commands.add_parser('check', help='validity of a preset')
     command.add_argument('file', metavar='FILE')
     command.set_defaults(run=run_check)
-    command = commands.add_parser('diff', help='differences of two presets')
+    command = commands.add_parser(
+        'diff', help='differences between two presets'
+    )
     command.add_argument('before', metavar='A')
     command.add_argument('after', metavar='B')
     command.set_defaults(run=run_diff)
-    command = commands.add_parser('follow', help='one request in logs')
+    command = commands.add_parser('follow', help='log lines about one request')
     command.add_argument('request_id', metavar='REQUEST_ID')
     command.add_argument('logs', nargs='+', metavar='LOG')
     command.set_defaults(run=run_follow)
--- a/jayseam/tools/generators.py
+++ b/jayseam/tools/generators.py
@@ -1,12 +1,12 @@
 """The open-loop load generator.
 
-Arrivals follow a seeded schedule that answers don't slow down. Latencies run
-from the scheduled time, so a call that waited for a free connection counts
-with its wait (coordinated omission).
+Arrivals follow a seeded schedule that doesn't wait for responses. Latency is
+measured from the scheduled time, so that it includes the wait for a free
+connection; otherwise the results would suffer from coordinated omission.
 
 See Also:
-  `jayseam.tools.profiles` for the input; `jayseam.tools.outcomes` for what is
-  checked of each answer.
+  `jayseam.tools.profiles` for the input; `jayseam.tools.outcomes` for the
+  checks of each response.
 """
 
 import random
@@ -29,11 +29,15 @@
 _START_DELAY_S = 0.05
 _PROGRESS_INTERVAL_S = 1.0
 
-Progress = Callable[[loadreports.LoadReport, float], None]
+ProgressCallback = Callable[[loadreports.LoadReport, float], None]
 
 
 class _WorkspaceRun:
-    """Runs the schedule of one workspace entry."""
+    """Runs the schedule of one workspace entry of a profile.
+
+    One greenlet puts each call into a queue when it is due; one worker greenlet
+    for each connection takes calls from the queue and sends them.
+    """
 
     def __init__(
         self,
@@ -56,14 +60,14 @@
             f'{wall_ms:x}-{index}',
             wall_ms,
         )
-        self.issuer = gevent.spawn(self._issue)
+        self.issuer = gevent.spawn(self._issue_calls)
         self.workers = [
-            gevent.spawn(self._work, number)
+            gevent.spawn(self._run_worker, number)
             for number in range(load.connections)
         ]
 
     def finish(self, timeout_s: float) -> None:
-        """Waits for the calls under way, then counts those left over."""
+        """Waits for open calls, then counts the calls that were not sent."""
         for _ in self.workers:
             self._queue.put(None)
         gevent.joinall(self.workers, timeout=timeout_s)
@@ -73,20 +77,25 @@
             if call is not None:
                 self._report.add(call.record)
 
-    def _issue(self) -> None:
+    def _issue_calls(self) -> None:
+        """Puts each call into the queue when it is due."""
         start = self._report.started
-        for call in self._schedule.list_calls():
-            due = start + call.offset_s
-            delay = due - clocks.read_now()
-            if delay > 0:
-                gevent.sleep(delay)
-            call.record.scheduled = due
+        for call in self._schedule.generate_calls():
+            due_at = start + call.offset_s
+            delay_s = due_at - clocks.read_now()
+            if delay_s > 0:
+                gevent.sleep(delay_s)
+            call.record.scheduled = due_at
             call.record.issued = clocks.read_now()
             self._report.records.append(call.record)
             self._queue.put(call)
 
-    def _work(self, number: int) -> None:
-        """Makes calls over one connection after the other."""
+    def _run_worker(self, number: int) -> None:
+        """Sends calls from the queue over one connection.
+
+        After a failed call, the worker continues on a new connection to the
+        next target.
+        """
         position = number % len(self._targets)
         connection = exchanges.Connection(*self._targets[position])
         while (call := self._queue.get()) is not None:
@@ -101,17 +110,17 @@
         """Makes one call and records its outcome.
 
         Returns:
-          Whether a whole answer arrived.
+          Whether a complete response arrived.
         """
         record = call.record
         record.sent = clocks.read_now()
-        # Stands if the run ends before the call does.
+        # These values remain if the run ends before the call does.
         record.outcome, record.ran = 'timeout', 'unknown'
         record.target = f'{connection.address[0]}:{connection.address[1]}'
         try:
-            answer = self._exchange(connection, call)
-            outcomes.classify_answer(
-                record, answer, self._profile.check_answers
+            response = self._exchange(connection, call)
+            outcomes.classify_response(
+                record, response, self._profile.check_answers
             )
         except errors.ExchangeError as error:
             outcomes.classify_failure(record, error)
@@ -137,7 +146,7 @@
 def build_headers(
     record: records.CallRecord, route: profiles.RouteLoad, key: str
 ) -> dict[str, str]:
-    """Returns the headers of a call."""
+    """Returns the request headers of a call."""
     headers = {answers.ECHO_HEADER: record.echo}
     if key:
         headers['Authorization'] = f'Bearer {key}'
@@ -154,7 +163,7 @@
 
 
 def _build_body(record: records.CallRecord, route: profiles.RouteLoad) -> bytes:
-    """Returns a body that is the same for all repeats of a call."""
+    """Returns a request body that is the same for all repeats of a call."""
     if not route.body_bytes:
         return b''
     pattern = record.echo.encode()
@@ -168,15 +177,14 @@
 
 
 def run_load(
-    profile: profiles.Profile, progress: Progress | None = None
+    profile: profiles.Profile, progress: ProgressCallback | None = None
 ) -> loadreports.LoadReport:
-    """Runs a profile to its end.
+    """Sends the calls of a profile and returns the report of the run.
 
-    Other greenlets of the process run meanwhile, and their work can delay
-    the schedule.
+    Other greenlets of the process keep running and can delay the schedule.
 
     Args:
-      profile: What to send.
+      profile: The calls to send.
       progress: Called once a second with the report so far and the seconds
         since the start.
     """
@@ -190,7 +198,7 @@
     ]
     reporter = None
     if progress is not None:
-        reporter = gevent.spawn(_repeat_progress, progress, report)
+        reporter = gevent.spawn(_report_progress, progress, report)
     gevent.joinall([run.issuer for run in runs], raise_error=True)
     now = clocks.read_now()
     report.cpu_share = (_read_cpu_s() - cpu_before_s) / (now - started)
@@ -207,8 +215,8 @@
     return usage.ru_utime + usage.ru_stime
 
 
-def _repeat_progress(
-    progress: Progress, report: loadreports.LoadReport
+def _report_progress(
+    progress: ProgressCallback, report: loadreports.LoadReport
 ) -> None:
     while True:
         gevent.sleep(_PROGRESS_INTERVAL_S)
--- a/jayseam/tools/histograms.py
+++ b/jayseam/tools/histograms.py
@@ -10,26 +10,26 @@
 
 
 def make_histogram(seconds: Iterable[float] = ()) -> histogram.HdrHistogram:
-    """Returns a histogram in microseconds, filled with times in seconds.
+    """Returns a histogram in microseconds, filled with durations in seconds.
 
     >>> make_histogram([0.001, 0.002]).get_total_count()
     2
     """
-    made = histogram.HdrHistogram(1, _MAX_US, _SIGNIFICANT_DIGITS)
+    result = histogram.HdrHistogram(1, _MAX_US, _SIGNIFICANT_DIGITS)
     for value in seconds:
-        record_seconds(made, value)
-    return made
+        record_seconds(result, value)
+    return result
 
 
 def record_seconds(target: histogram.HdrHistogram, seconds: float) -> None:
-    """Adds a time in seconds to a histogram in microseconds."""
+    """Adds a duration in seconds to a histogram in microseconds."""
     target.record_value(min(_MAX_US, max(1, round(seconds * 1e6))))
 
 
 def summarize_ms(
     source: histogram.HdrHistogram | None,
 ) -> dict[str, float]:
-    """Returns percentiles in milliseconds; empty without values.
+    """Returns percentiles and maximum in milliseconds; empty without values.
 
     >>> summarize_ms(make_histogram([0.001]))['p50']
     1.0
--- a/jayseam/tools/load.py
+++ b/jayseam/tools/load.py
@@ -1,10 +1,11 @@
 """The program ``jayseam-load``: an open-loop load generator.
 
-It reads a profile, runs it, and writes a report and the records of all calls.
+The program reads a load profile, sends its calls, and writes a report and the
+records of all calls.
 
 See Also:
-  `jayseam.tools.profiles` for the input; `jayseam.tools.generators` for what
-  is measured and how.
+  `jayseam.tools.profiles` for the input; `jayseam.tools.generators` for the
+  measurement.
 """
 
 import argparse
@@ -29,8 +30,8 @@
     """Runs the program.
 
     Returns:
-      0; 1 if an answer was not whole or not the caller's own; 2 for an
-      invalid profile.
+      0 for success; 1 if a response was corrupt or belonged to another call;
+      2 for an invalid profile.
     """
     options = _parse_arguments(arguments)
     try:
@@ -39,9 +40,11 @@
         for reason in error.reasons:
             print(f'{options.profile}: {reason}', file=sys.stderr)
         return 2
-    terminal = sys.stderr.isatty()
-    report = generators.run_load(profile, _print_progress if terminal else None)
-    if terminal:
+    is_terminal = sys.stderr.isatty()
+    report = generators.run_load(
+        profile, _print_progress if is_terminal else None
+    )
+    if is_terminal:
         print(file=sys.stderr)
     if options.records:
         records.write_records(report.records, options.records)
@@ -62,8 +65,12 @@
         description='Sends calls on a fixed schedule and reports outcomes.',
     )
     parser.add_argument('profile', metavar='PROFILE', help='JSON profile')
-    parser.add_argument('--json', metavar='FILE', help='write the report')
-    parser.add_argument('--records', metavar='FILE', help='write every call')
+    parser.add_argument(
+        '--json', metavar='FILE', help='write the report to FILE'
+    )
+    parser.add_argument(
+        '--records', metavar='FILE', help='write a record of each call to FILE'
+    )
     return parser.parse_args(arguments)
 
 
--- a/jayseam/tools/loadreports.py
+++ b/jayseam/tools/loadreports.py
@@ -1,4 +1,4 @@
-"""The report of a run of the load generator."""
+"""Reports of runs of the load generator."""
 
 import collections
 from typing import Any
@@ -9,10 +9,12 @@
 from jayseam.tools import histograms
 from jayseam.tools import records as call_records
 
+# Above either limit, the report says that the load generator lagged behind its
+# schedule.
 CPU_SHARE_LIMIT = 0.9
 LAG_LIMIT_MS = 20.0
 
-_HEADS = (
+_COLUMNS = (
     'workspace',
     'calls',
     'ok',
@@ -25,18 +27,19 @@
 
 @attrs.define
 class LoadReport:
-    """The result of a run.
+    """The result of a run of the load generator.
 
     Attributes:
-      records: All calls in the order of their schedule for each workspace
-        entry.
-      started: Start of the schedule, seconds of `clocks.read_now`.
-      duration_s: Length of the schedule in seconds.
-      latencies: Latencies of ``ok`` calls in microseconds by workspace, from
-        the scheduled time.
-      lags: How late the schedule was, in microseconds.
-      waits: Waits for a free connection, in microseconds.
-      per_second: Outcomes by second of the schedule and workspace.
+      records: All calls; the calls of one workspace entry are in the order of
+        its schedule.
+      started: Start of the schedule in seconds of `clocks.read_now`.
+      duration_s: Duration of the schedule in seconds.
+      latencies: Latencies of ``ok`` calls by workspace, from the scheduled time
+        to the response, in microseconds.
+      lags: Delays of the load generator behind its schedule, in microseconds.
+      waits: Times that calls waited for a free connection, in microseconds.
+      per_second: Number of calls by second of the schedule, workspace and
+        outcome.
       cpu_share: Share of one core that this process used until the last
         arrival.
     """
@@ -58,20 +61,21 @@
 
     @property
     def calls_per_s(self) -> float:
-        """Calls a second over the length of the schedule."""
+        """Calls per second over the duration of the schedule."""
         return len(self.records) / self.duration_s
 
     @property
     def lag_ms(self) -> float:
-        """The 99th percentile of the lateness of the schedule."""
+        """99th percentile of the delay behind the schedule, in milliseconds."""
         return self.lags.get_value_at_percentile(99.0) / 1000.0
 
     @property
     def lagged(self) -> bool:
-        """Whether the tool was too slow for its schedule.
+        """Whether the load generator was too slow for its schedule.
 
-        With few connections a saturated tool still issues calls in time and
-        only the waits grow, so the use of the core counts as well.
+        With few connections, a saturated load generator still issues calls on
+        time and only the waits for a connection grow. Therefore the use of the
+        core counts as well.
         """
         return self.lag_ms > LAG_LIMIT_MS or self.cpu_share > CPU_SHARE_LIMIT
 
@@ -83,8 +87,8 @@
         counter[record.outcome] += 1
         if record.outcome == 'ok':
             if record.workspace not in self.latencies:
-                made = histograms.make_histogram()
-                self.latencies[record.workspace] = made
+                histogram_us = histograms.make_histogram()
+                self.latencies[record.workspace] = histogram_us
             latencies = self.latencies[record.workspace]
             latency_s = record.ended - record.scheduled
             histograms.record_seconds(latencies, latency_s)
@@ -136,11 +140,11 @@
         ]
 
     def format_table(self) -> str:
-        """Returns one line for each workspace, and the totals."""
-        rows = [_HEADS]
+        """Returns a table with a line for each workspace and the totals."""
+        rows = [_COLUMNS]
         for name, entry in self._describe_workspaces().items():
-            rows.append(_list_cells(name, entry))
-        # The last column holds texts of any length.
+            rows.append(_build_row(name, entry))
+        # The last column has texts of any length and is not padded.
         widths = [max(map(len, column)) for column in zip(*rows)][:-1]
         lines = [
             '  '.join(cell.ljust(width) for cell, width in zip(row, widths))
@@ -160,8 +164,8 @@
         )
 
 
-def _list_cells(name: str, entry: dict[str, Any]) -> tuple[str, ...]:
-    """Returns the cells of a workspace in the table."""
+def _build_row(name: str, entry: dict[str, Any]) -> tuple[str, ...]:
+    """Returns the row of a workspace in the table."""
     outcomes = dict(entry['outcomes'])
     calls = sum(outcomes.values())
     ok = outcomes.pop('ok', 0)
--- a/jayseam/tools/profiles.py
+++ b/jayseam/tools/profiles.py
@@ -1,4 +1,4 @@
-"""Load profiles: what `jayseam.tools.generators` sends, where and how fast."""
+"""Load profiles: the calls, targets and rates of the load generator."""
 
 import json
 from collections.abc import Mapping, Sequence
@@ -78,7 +78,7 @@
     """A load profile is invalid.
 
     Attributes:
-      reasons: Every fault, one line each.
+      reasons: All validation errors, one line each.
     """
 
     def __init__(self, reasons: Sequence[str]):
@@ -88,21 +88,23 @@
 
 @attrs.frozen
 class RouteLoad:
-    """A share of the calls of a workspace.
+    """The calls of a workspace on one route.
 
     Attributes:
       path: Request target.
       method: HTTP method.
       share: Weight among the routes of the workspace.
-      repeatable: False sends an idempotency key with each call.
-      repeat_share: Share of the calls that repeat a recent call of this
-        route under its idempotency key.
+      repeatable: Whether calls are idempotent; if false, each call has an
+        idempotency key.
+      repeat_share: Share of the calls that repeat a recent call on this route
+        with the same idempotency key; used if ``repeatable`` is false.
       nest: Depth of the nested calls that the backend server makes.
       nest_path: Path of the nested calls; empty means the same path.
       body_bytes: Size of the request body.
-      answer_bytes: Size of the filler asked for; None leaves it to the
-        backend server.
-      timeout_ms: Header ``Request-Timeout-Ms``, if given.
+      answer_bytes: Size of the filler requested for the response body; None
+        leaves the size to the backend server.
+      timeout_ms: Value of the header ``Request-Timeout-Ms``; None sends no such
+        header.
     """
 
     path: str
@@ -121,18 +123,21 @@
 class WorkspaceLoad:
     """The calls of one workspace.
 
-    A workspace may have several entries, for example a second one that adds
-    load between two times.
+    A workspace may have several entries in a profile, for example a second
+    entry that adds load for a part of the run.
 
     Attributes:
       name: Name of the workspace.
-      rate_per_s: Arrivals a second.
-      routes: What is called.
-      key: Workspace key; empty sends none.
-      connections: Connections, and so the calls that can be open at a time.
-      targets: Addresses for this workspace; empty means those of the profile.
-      start_s: Start, in seconds since the start of the run.
-      end_s: End in the same measure; None means the end of the run.
+      rate_per_s: Arrivals per second.
+      routes: Routes that are called.
+      key: Workspace key; empty sends no key.
+      connections: Number of connections, which is the largest number of calls
+        in flight.
+      targets: Addresses for this workspace; empty means the targets of the
+        profile.
+      start_s: Start of the arrivals in seconds since the start of the run.
+      end_s: End of the arrivals in seconds since the start of the run; None
+        means the end of the run.
     """
 
     name: str
@@ -147,17 +152,18 @@
 
 @attrs.frozen
 class Profile:
-    """A whole load profile.
+    """A load profile.
 
     Attributes:
       targets: Caller addresses of nodes as ``host:port``.
-      duration_s: Length of the run in seconds.
-      workspaces: The calls.
+      duration_s: Duration of the run in seconds.
+      workspaces: The calls of all workspaces.
       seed: Seed of arrivals, routes, repeats and idempotency keys.
-      arrivals: ``poisson`` or ``uniform``.
-      timeout_s: Seconds until a call without an answer is given up.
-      check_answers: Whether answers come from backend stand-ins, whose
-        wholeness and ownership can be checked.
+      arrivals: Distribution of the times between arrivals: ``poisson``
+        (exponential) or ``uniform`` (constant).
+      timeout_s: Seconds until a call without a response times out.
+      check_answers: Whether to check that response bodies are complete and
+        belong to their call; only bodies of backend stand-ins can be checked.
     """
 
     targets: tuple[str, ...]
@@ -170,7 +176,7 @@
 
 
 def parse_profile(document: Any) -> Profile:
-    """Checks a decoded JSON profile as a whole and returns it.
+    """Validates a decoded JSON profile and returns it.
 
     >>> parse_profile({'targets': ['127.0.0.1:1'], 'duration_s': 0})
     Traceback (most recent call last):
@@ -178,20 +184,23 @@
     jayseam.tools.profiles.ProfileError: $: "workspaces" is a required ...
 
     Raises:
-      ProfileError: With every fault, its JSON path and what is allowed.
+      ProfileError: If the profile is invalid; with each validation error and
+        its JSON path.
     """
     validator = jsonschema_rs.Draft202012Validator(SCHEMA)
-    faults = [
-        (jsonpaths.format_path(fault.instance_path), fault.message)
-        for fault in validator.iter_errors(document)
+    problems = [
+        (jsonpaths.format_path(error.instance_path), error.message)
+        for error in validator.iter_errors(document)
     ]
-    if faults:
-        raise ProfileError([f'{path}: {text}' for path, text in sorted(faults)])
+    if problems:
+        raise ProfileError(
+            [f'{path}: {text}' for path, text in sorted(problems)]
+        )
     return cattrs.structure(document, Profile)
 
 
 def read_profile(path: str) -> Profile:
-    """Reads and checks a profile file.
+    """Reads and validates a profile file.
 
     Raises:
       ProfileError: If the file can't be read or is invalid.
--- a/jayseam/tools/records.py
+++ b/jayseam/tools/records.py
@@ -1,4 +1,4 @@
-"""Records of the calls that the load generator made."""
+"""Records of calls that the load generator made."""
 
 import json
 from collections.abc import Iterable
@@ -8,7 +8,7 @@
 
 @attrs.define
 class CallRecord:
-    """One call.
+    """One call of the load generator.
 
     Times are seconds of `clocks.read_now`.
 
@@ -16,21 +16,26 @@
       workspace: Workspace whose key was sent.
       method: HTTP method.
       path: Request target.
-      echo: Value that the backend server echoes; shared by repeats.
+      echo: Value that the backend server returns in its response; repeats have
+        the value of the call that they repeat.
       idempotency_key: Idempotency key, or empty.
-      repeat: Whether it repeats an earlier call.
-      scheduled: When it was due.
-      issued: When the schedule handed it to the connections.
-      sent: When a connection took it; 0 if none did before the end.
-      ended: When its outcome was known.
-      target: Address that it was sent to.
+      repeat: Whether the call repeats an earlier call.
+      scheduled: Time at which the call was due.
+      issued: Time at which the call was queued for a connection.
+      sent: Time at which a connection took the call from the queue; 0 if the
+        run ended before.
+      ended: Time at which the outcome was known.
+      target: Address to which the call was sent.
       status: HTTP status, or 0.
       code: Problem code, or empty.
-      ran: ``yes``, ``no`` or ``unknown``; empty before it is sent.
-      request_id: Request id that the node gave.
-      outcome: ``ok``, a problem code, ``status-<n>``, ``corrupt``,
-        ``foreign``, ``unreachable``, ``timeout``, ``lost`` or ``unsent``.
-      nested_failures: Levels of nested calls that didn't succeed.
+      ran: Whether the call was executed: ``yes``, ``no`` or ``unknown``; empty
+        before the call is sent.
+      request_id: Request id that the node assigned.
+      outcome: ``ok``, a problem code, ``status-<n>``, ``corrupt`` (invalid
+        response), ``foreign`` (response to another call), ``unreachable``
+        (nothing was sent), ``timeout``, ``lost`` (sent, but without a complete
+        response) or ``unsent`` (still queued at the end of the run).
+      nested_failures: Number of nested calls that failed.
     """
 
     workspace: str
--- a/jayseam/tools/schedules.py
+++ b/jayseam/tools/schedules.py
@@ -1,4 +1,4 @@
-"""Schedules of calls: when each is due, and what it asks for."""
+"""Schedules of calls: the time and the request of each call."""
 
 import collections
 import random
@@ -10,18 +10,19 @@
 from jayseam.tools import profiles
 from jayseam.tools import records
 
-# Repeats choose among so many calls of their route.
-_RECENT_CALLS = 64
+# Number of recent calls of a route from which a repeat is chosen.
+_MAX_RECENT_CALLS = 64
 
 
 @attrs.frozen
 class ScheduledCall:
-    """A call that is due.
+    """A call of a schedule.
 
     Attributes:
-      offset_s: When it is due, in seconds since the start of the run.
-      record: Its record.
-      route: The route that it follows.
+      offset_s: Time at which the call is due, in seconds since the start of the
+        run.
+      record: The record of the call, with the request and no outcome yet.
+      route: The entry of the profile that determines the request.
     """
 
     offset_s: float
@@ -34,10 +35,11 @@
 
     Args:
       load: The workspace entry.
-      profile: The profile that it belongs to.
-      generator: Decides arrivals, routes, repeats and keys.
-      prefix: Start of the echo values, unique to the entry and run.
-      start_wall_ms: Wall clock at the start of the run, in milliseconds.
+      profile: The profile that contains the entry.
+      generator: Random number generator for arrivals, routes, repeats and
+        idempotency keys.
+      prefix: Prefix of the echo values, unique to the entry and run.
+      start_wall_ms: Wall clock time at the start of the run in milliseconds.
     """
 
     def __init__(
@@ -55,11 +57,11 @@
         self._start_wall_ms = start_wall_ms
         self._shares = [route.share for route in load.routes]
         self._recent: list[collections.deque[records.CallRecord]] = [
-            collections.deque(maxlen=_RECENT_CALLS) for _ in load.routes
+            collections.deque(maxlen=_MAX_RECENT_CALLS) for _ in load.routes
         ]
 
-    def list_calls(self) -> Iterator[ScheduledCall]:
-        """Yields the calls in the order in which they are due."""
+    def generate_calls(self) -> Iterator[ScheduledCall]:
+        """Yields the calls in order of time."""
         load, profile = self._load, self._profile
         end_s = min(load.end_s or profile.duration_s, profile.duration_s)
         offset_s = load.start_s
@@ -91,17 +93,19 @@
             scheduled=0.0,
         )
         if not route.repeatable:
-            self._identify(record, route, self._recent[index], offset_s)
+            self._set_idempotency_key(
+                record, route, self._recent[index], offset_s
+            )
         return ScheduledCall(offset_s, record, route)
 
-    def _identify(
+    def _set_idempotency_key(
         self,
         record: records.CallRecord,
         route: profiles.RouteLoad,
         recent: collections.deque[records.CallRecord],
         offset_s: float,
     ) -> None:
-        """Gives a call an idempotency key, its own or that of a recent call."""
+        """Sets the idempotency key of a call: a new key or a recent call's."""
         generator = self._generator
         if recent and generator.random() < route.repeat_share:
             first = generator.choice(recent)
--- a/jayseam/tools/tests/conftest.py
+++ b/jayseam/tools/tests/conftest.py
@@ -1,4 +1,4 @@
-"""A backend stand-in for the tests of the load generator."""
+"""A backend stand-in for tests of the load generator."""
 
 import pytest
 
--- a/jayseam/tools/tests/loads.py
+++ b/jayseam/tools/tests/loads.py
@@ -1,10 +1,10 @@
-"""Load profiles and records that tests of the load generator share."""
+"""Load profiles and records for tests of the load generator."""
 
 from jayseam.tools import profiles
 from jayseam.tools import records
 
 
-def name_target(host):
+def get_address(host):
     """Returns the address of the host's only backend server."""
     return f'127.0.0.1:{host.backends["b1"].port}'
 
@@ -15,7 +15,7 @@
     connections = options.pop('connections', 20)
     return profiles.parse_profile(
         {
-            'targets': [name_target(host)],
+            'targets': [get_address(host)],
             'workspaces': [
                 {
                     'name': 'w1',
@@ -30,5 +30,5 @@
 
 
 def build_record(**fields):
-    """Returns the record of a call of workspace ``w1``."""
+    """Returns the record of a call by workspace ``w1``."""
     return records.CallRecord('w1', 'GET', '/a', 'e1', '', False, 0.0, **fields)
--- a/jayseam/tools/tests/test_ctl.py
+++ b/jayseam/tools/tests/test_ctl.py
@@ -26,8 +26,15 @@
 }
 
 
-class _Admin:
-    """Answers as a node's admin listener does."""
+class _AdminStub:
+    """WSGI application in place of a node's admin listener.
+
+    Attributes:
+      queries: Query strings of the requests.
+      usable: Whether ``/explain`` reports a usable candidate.
+      body: Body of all responses; None for the usual bodies.
+      address: Address of the server.
+    """
 
     def __init__(self):
         self.queries = []
@@ -49,7 +56,7 @@
 
 @pytest.fixture(name='admin')
 def _admin():
-    application = _Admin()
+    application = _AdminStub()
     server = pywsgi.WSGIServer(('127.0.0.1', 0), application, log=None)
     server.start()
     application.address = f'127.0.0.1:{server.server_port}'
@@ -58,49 +65,49 @@
 
 
 def test_status_shows_other_nodes_when_one_is_unreachable(admin, capsys):
-    """One dead node must not hide the state of the others."""
+    """An unreachable node must not hide the state of the other nodes."""
     code = ctl.main(['status', admin.address, '127.0.0.1:1'])
     out, err = capsys.readouterr()
-    assert code == ctl.UNREACHABLE
+    assert code == ctl.EXIT_UNREACHABLE
     assert 'vm-1' in out and 'serving (unconfirmed)' in out
     assert '2/10' in out and '1/2' in out
     assert '127.0.0.1:1' in err
 
 
 def test_status_as_json_is_whole(admin, capsys):
-    """Scripts must get all that the node reports."""
-    assert ctl.main(['status', '--json', admin.address]) == ctl.OK
+    """Scripts must get the complete status document of the node."""
+    assert ctl.main(['status', '--json', admin.address]) == ctl.EXIT_OK
     assert json.loads(capsys.readouterr().out) == {admin.address: STATUS}
 
 
-def test_explain_tells_that_nothing_is_usable(admin, capsys):
+def test_explain_reports_that_no_candidate_is_usable(admin, capsys):
     """A call that cannot be routed must be visible in the exit code."""
     arguments = ['explain', admin.address, '--workspace', 'w&x', '--path', '/p']
-    assert ctl.main(arguments) == ctl.OK
+    assert ctl.main(arguments) == ctl.EXIT_OK
     assert admin.queries[-1] == 'workspace=w%26x&path=%2Fp&method=GET'
     admin.usable = False
-    assert ctl.main(arguments) == ctl.FOUND
+    assert ctl.main(arguments) == ctl.EXIT_NEGATIVE
     assert 'route: r' in capsys.readouterr().out
 
 
 def test_answer_that_is_no_json_is_an_error(admin, capsys):
-    """A wrong port must give a message and no traceback."""
+    """A wrong port must give an error message instead of a traceback."""
     admin.body = b'<html>'
-    assert ctl.main(['status', admin.address]) == ctl.UNREACHABLE
+    assert ctl.main(['status', admin.address]) == ctl.EXIT_UNREACHABLE
     assert 'no JSON answer' in capsys.readouterr().err
 
 
 @pytest.mark.parametrize('address', ['host', 'host:0', ':80', 'host:x'])
 def test_malformed_address_is_wrong_usage(address):
     """A malformed address must not be taken for an unreachable node."""
-    assert ctl.main(['status', address]) == ctl.USAGE
+    assert ctl.main(['status', address]) == ctl.EXIT_USAGE
 
 
 def test_unreadable_file_is_wrong_usage(tmp_path, capsys):
     """A missing or malformed file must differ from a rejected preset."""
-    assert ctl.main(['check', str(tmp_path / 'absent')]) == ctl.USAGE
+    assert ctl.main(['check', str(tmp_path / 'absent')]) == ctl.EXIT_USAGE
     (tmp_path / 'bad').write_text('{')
-    assert ctl.main(['check', str(tmp_path / 'bad')]) == ctl.USAGE
+    assert ctl.main(['check', str(tmp_path / 'bad')]) == ctl.EXIT_USAGE
     assert 'bad' in capsys.readouterr().err
 
 
@@ -116,11 +123,14 @@
 
 
 def test_check_lists_every_reason(tmp_path, preset, capsys):
-    """The tool must give the verdict of the nodes before publication."""
-    assert ctl.main(['check', _write(tmp_path, 'good', preset)]) == ctl.OK
+    """The tool must reject a preset for the same reasons as a node would."""
+    assert ctl.main(['check', _write(tmp_path, 'good', preset)]) == ctl.EXIT_OK
     preset['routes'][0]['targets'] = [['nowhere', 1]]
     preset['upstreams'][0]['zone'] = 'nozone'
-    assert ctl.main(['check', _write(tmp_path, 'bad', preset)]) == ctl.FOUND
+    assert (
+        ctl.main(['check', _write(tmp_path, 'bad', preset)])
+        == ctl.EXIT_NEGATIVE
+    )
     out = capsys.readouterr().out
     assert 'nowhere' in out and 'nozone' in out
 
@@ -128,18 +138,18 @@
 def test_diff_shows_what_changes(tmp_path, preset, capsys):
     """Operators must see what a preset changes before it is in force."""
     before = _write(tmp_path, 'before', preset)
-    assert ctl.main(['diff', before, before]) == ctl.OK
+    assert ctl.main(['diff', before, before]) == ctl.EXIT_OK
     preset['zones'][0]['in_service'] = False
     after = _write(tmp_path, 'after', preset)
-    assert ctl.main(['diff', before, after]) == ctl.FOUND
+    assert ctl.main(['diff', before, after]) == ctl.EXIT_NEGATIVE
     assert 'in_service: True -> False' in capsys.readouterr().out
     preset['zones'] = []
     wrong = _write(tmp_path, 'wrong', preset)
-    assert ctl.main(['diff', before, wrong]) == ctl.FOUND
+    assert ctl.main(['diff', before, wrong]) == ctl.EXIT_NEGATIVE
 
 
 def test_follow_orders_the_lines_of_several_nodes(tmp_path, capsys):
-    """A request that crossed nodes reads as one story."""
+    """The log lines of a forwarded request are merged in order of time."""
     entry, other = tmp_path / 'entry.log', tmp_path / 'other.log'
     entry.write_text(
         '{"time": "10:00:02", "vm": "vm-1", "event": "call.refused",'
--- a/jayseam/tools/tests/test_generators.py
+++ b/jayseam/tools/tests/test_generators.py
@@ -11,30 +11,30 @@
 
 
 def test_schedule_does_not_wait_for_answers(host):
-    """A closed loop would hide the latency of a slow server."""
+    """The schedule is open-loop: a closed loop would hide a slow server."""
     profile = loads.build_profile(host, connections=1, arrivals='uniform')
     report = generators.run_load(profile)
     assert report.count_outcomes() == {'ok': 49}
-    # One connection serves 50 a second, so the last call waits for half of
-    # the others.
+    # One connection serves 50 calls per second, half of the arrival rate, so
+    # the last call waits while about half of the other calls are served.
     assert report.latencies['w1'].get_max_value() > 400_000
     assert report.waits.get_max_value() > 400_000
     assert report.lags.get_value_at_percentile(50.0) < 20_000
 
 
-def test_slow_tool_says_so(host):
-    """A report of a tool that was too slow must not pass for the system's."""
+def test_slow_tool_is_reported_as_lagged(host):
+    """Delays of a slow load generator must not be blamed on the system."""
 
-    def hold_processor():
+    def occupy_processor():
         while True:
             end = clocks.read_now() + 0.05
             while clocks.read_now() < end:
                 pass
             gevent.sleep(0.001)
 
-    holder = gevent.spawn(hold_processor)
+    job = gevent.spawn(occupy_processor)
     report = generators.run_load(loads.build_profile(host))
-    holder.kill()
+    job.kill()
     assert report.lag_ms > loadreports.LAG_LIMIT_MS and report.lagged
     assert 'LAGGED' in report.format_table()
     report = loadreports.LoadReport(0.0, 1.0, cpu_share=0.95)
@@ -42,7 +42,7 @@
 
 
 def test_repeats_share_key_and_body(host):
-    """A repeat under another key or body would not test at most once."""
+    """Repeats with another key or body would not test at-most-once calls."""
     route = {
         'path': '/b',
         'method': 'POST',
@@ -61,7 +61,7 @@
 
 
 def test_reconnects_when_told_to_close(host):
-    """Calls must go on over new connections while a server drains."""
+    """Calls must continue on new connections while a server drains."""
     host.backends['b1'].drain(True)
     report = generators.run_load(loads.build_profile(host, duration_s=0.3))
     assert set(report.count_outcomes()) == {'ok'}
@@ -71,8 +71,8 @@
     'fault, outcome',
     [('truncate', 'lost'), ('hang', 'timeout'), ('fail', 'status-500')],
 )
-def test_lost_answers_are_told_apart(host, fault, outcome):
-    """The referee needs to know which calls ended without an answer."""
+def test_failed_calls_have_distinct_outcomes(host, fault, outcome):
+    """The referee needs to know why a call got no complete response."""
     host.backends['b1'].set_fault(requestfaults.Fault(fault))
     report = generators.run_load(
         loads.build_profile(host, duration_s=0.1, timeout_s=0.2)
@@ -81,7 +81,7 @@
 
 
 def test_unreachable_target_counts_as_not_run(host):
-    """A refused connection can't have run anything."""
+    """A call over a refused connection can't have run."""
     host.backends['b1'].stop()
     report = generators.run_load(loads.build_profile(host, duration_s=0.1))
     assert set(report.count_outcomes()) == {'unreachable'}
--- a/jayseam/tools/tests/test_outcomes.py
+++ b/jayseam/tools/tests/test_outcomes.py
@@ -1,4 +1,4 @@
-"""Tests of the outcomes of calls."""
+"""Tests of the classification of calls."""
 
 import json
 
@@ -10,24 +10,28 @@
 from jayseam.tools.tests import loads
 
 
-def _answer(status, document, kind='application/problem+json'):
+def _build_response(status, document, content_type='application/problem+json'):
     body = json.dumps(document).encode()
-    return exchanges.Answer(status, {'Content-Type': kind}, body)
+    return exchanges.Answer(status, {'Content-Type': content_type}, body)
 
 
 def test_refusals_are_classified():
-    """Refusals count by their code, and malformed ones as corrupt."""
+    """Refusals have their problem code as outcome, malformed ones corrupt."""
     record = loads.build_record()
     problem = {'code': 'limit', 'ran': 'no', 'request_id': 'r1'}
-    outcomes.classify_answer(record, _answer(429, problem), True)
+    outcomes.classify_response(record, _build_response(429, problem), True)
     assert (record.outcome, record.ran, record.request_id) == (
         'limit',
         'no',
         'r1',
     )
-    outcomes.classify_answer(record, _answer(429, {'code': 'limit'}), True)
+    outcomes.classify_response(
+        record, _build_response(429, {'code': 'limit'}), True
+    )
     assert record.outcome == 'corrupt'
-    outcomes.classify_answer(record, _answer(500, {}, 'text/plain'), True)
+    outcomes.classify_response(
+        record, _build_response(500, {}, 'text/plain'), True
+    )
     assert record.outcome == 'status-500'
 
 
@@ -42,7 +46,10 @@
     ],
 )
 def test_answers_of_others_are_foreign(change, outcome):
-    """A crossed answer is whole, so only its facts give it away."""
+    """A response to another call is detected by its facts.
+
+    Its body is complete, so that its checksum is right.
+    """
     facts = {
         'echo': 'e1',
         'workspace': 'w1',
@@ -53,9 +60,9 @@
     }
     body = answers.build_answer({**facts, **change}, 10)
     record = loads.build_record()
-    answer = exchanges.Answer(200, {'Request-Id': 'r1'}, body)
-    outcomes.classify_answer(record, answer, True)
+    response = exchanges.Answer(200, {'Request-Id': 'r1'}, body)
+    outcomes.classify_response(record, response, True)
     assert record.outcome == outcome
-    answer = exchanges.Answer(200, {'Request-Id': 'r1'}, body[:-1])
-    outcomes.classify_answer(record, answer, True)
+    response = exchanges.Answer(200, {'Request-Id': 'r1'}, body[:-1])
+    outcomes.classify_response(record, response, True)
     assert record.outcome == 'corrupt'
--- a/jayseam/tools/tests/test_profiles.py
+++ b/jayseam/tools/tests/test_profiles.py
@@ -5,8 +5,8 @@
 from jayseam.tools import profiles
 
 
-def test_profile_faults_are_all_named():
-    """An operator must see every fault of a profile at once."""
+def test_all_errors_of_a_profile_are_listed():
+    """An operator must see all validation errors of a profile at once."""
     document = {
         'targets': ['nowhere'],
         'duration_s': 0,
--- a/jayseam/tools/tests/test_schedules.py
+++ b/jayseam/tools/tests/test_schedules.py
@@ -7,7 +7,7 @@
 
 
 def test_schedule_is_the_same_for_a_seed(host):
-    """A failing run must be repeatable from its seed."""
+    """A failed run must be reproducible from its seed."""
     profile = loads.build_profile(
         host, [{'path': '/a'}, {'path': '/c', 'share': 2}]
     )
@@ -16,7 +16,7 @@
             (call.offset_s, call.record.path)
             for call in schedules.Schedule(
                 profile.workspaces[0], profile, random.Random(5), 'p', 0
-            ).list_calls()
+            ).generate_calls()
         ]
         for _ in range(2)
     )
--- a/jayseam/tools/traces.py
+++ b/jayseam/tools/traces.py
@@ -1,28 +1,36 @@
-"""The lines of several nodes' logs about one request, in order of time."""
+"""Traces of a request: the log lines of several nodes, in order of time."""
 
 import json
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-# Fields that say who wrote a line and when; the rest tells what happened.
-_FRAME = ('time', 'level', 'logger', 'event', 'vm', 'zone', 'request_id')
+# Fields that identify a log line; all other fields are details of the event.
+_COMMON_FIELDS = (
+    'time',
+    'level',
+    'logger',
+    'event',
+    'vm',
+    'zone',
+    'request_id',
+)
 
 
-def read_lines(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
-    """Yields the log lines that are JSON objects.
+def parse_lines(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Yields the log lines that contain a JSON object with an event.
 
-    Other lines, such as those of a log collector, may stand before the object.
+    Text before the object, such as the prefix of a log collector, is skipped.
     """
     for line in lines:
         start = line.find('{')
         if start < 0:
             continue
         try:
-            found = json.loads(line[start:])
+            entry = json.loads(line[start:])
         except ValueError:
             continue
-        if isinstance(found, dict) and 'event' in found:
-            yield found
+        if isinstance(entry, dict) and 'event' in entry:
+            yield entry
 
 
 def select_request(
@@ -30,22 +38,22 @@
 ) -> list[dict[str, Any]]:
     """Returns the log lines about a request, in order of time.
 
-    Clocks of VMs differ by a little, so lines of different nodes that are
-    close together may stand in the wrong order.
+    The clocks of VMs differ slightly, so lines of different nodes may be in the
+    wrong order if their times are close together.
 
     >>> select_request(['x {"event": "call.run", "request_id": "r"}'], 'r')
     [{'event': 'call.run', 'request_id': 'r'}]
     """
-    found = [
-        line
-        for line in read_lines(lines)
-        if line.get('request_id') == request_id
+    entries = [
+        entry
+        for entry in parse_lines(lines)
+        if entry.get('request_id') == request_id
     ]
-    return sorted(found, key=lambda line: line.get('time', ''))
+    return sorted(entries, key=lambda entry: entry.get('time', ''))
 
 
 def format_line(line: dict[str, Any]) -> str:
-    """Returns a log line as text for a person.
+    """Returns a log line as readable text.
 
     >>> format_line({'time': '10:00:01', 'vm': 'vm-1', 'event': 'call.refused',
     ...              'code': 'limit', 'reason': ''})
@@ -54,7 +62,7 @@
     details = [
         f'{name}={value}'
         for name, value in line.items()
-        if name not in _FRAME and value not in ('', None)
+        if name not in _COMMON_FIELDS and value not in ('', None)
     ]
     head = [str(line.get(name, '-')) for name in ('time', 'vm', 'event')]
     return ' '.join([*head, *details])
