Describe the backend stand-in by the usual terms

Cause: names such as facts, over, forget and holds_key and short riddling comments left open what the backend stand-in counts, sheds and injects. Change: comments and private names use terms such as metadata, slots, health report and injected fault; the WSGI function is start_response throughout.

--- a/jayseam/standins/answers.py
+++ b/jayseam/standins/answers.py
@@ -1,7 +1,8 @@
-"""Answers of the backend stand-in that a caller can check.
+"""Answers of the backend stand-in that a caller can verify.
 
-A body is a checksum line, a line of JSON about the request, and filler made
-from the request id. A cut, mixed or foreign body fails `verify_answer`.
+A body consists of a checksum line, a line of JSON metadata about the request,
+and filler made from the request id. `verify_answer` rejects a body that is
+truncated, mixed with another body, or not from a backend stand-in.
 """
 
 import json
@@ -20,8 +21,8 @@
 _MAX_FILLER_BYTES = 16_000_000
 
 
-def build_answer(facts: Mapping[str, Any], filler_bytes: int) -> bytes:
-    """Returns a body with ``facts`` and filler of the given size.
+def build_answer(metadata: Mapping[str, Any], filler_bytes: int) -> bytes:
+    """Returns a body with ``metadata`` and filler of the given size.
 
     >>> body = build_answer({'request_id': 'r1'}, 8)
     >>> verify_answer(body)
@@ -32,15 +33,15 @@
     jayseam.standins.errors.AnswerError: checksum does not match the body
     """
     filler_bytes = max(0, min(filler_bytes, _MAX_FILLER_BYTES))
-    line = json.dumps({**facts, 'filler_bytes': filler_bytes}).encode()
-    pattern = str(facts.get('request_id') or '-').encode()
+    line = json.dumps({**metadata, 'filler_bytes': filler_bytes}).encode()
+    pattern = str(metadata.get('request_id') or '-').encode()
     filler = (pattern * (filler_bytes // len(pattern) + 1))[:filler_bytes]
     content = line + b'\n' + filler
     return digests.compute_digest(content).encode() + b'\n' + content
 
 
 def verify_answer(body: bytes) -> dict[str, Any]:
-    """Returns the facts of a whole body.
+    """Returns the metadata of a complete body.
 
     Raises:
       AnswerError: If any byte of the body is missing or altered.
--- a/jayseam/standins/backend.py
+++ b/jayseam/standins/backend.py
@@ -1,8 +1,8 @@
-"""A backend server with slots, cold starts, drains and faults.
+"""Stand-in of a backend server with slots, cold starts, drains and faults.
 
 See Also:
   Section 5.4 of the design page; `jayseam.standins.answers` for the bodies;
-  `jayseam.standins.backendhosts`, which hosts backend servers in a process.
+  `jayseam.standins.backendhosts`, which runs several in one process.
 """
 
 import collections
@@ -28,9 +28,10 @@
 _CANCEL_PATH = '/.backend/cancel/'
 _HEALTH_PATH = '/.backend/health'
 _MAX_RUNS = 500_000
-# Run times of requests over the slots grow by this and by the excess.
-_OVERLOAD_FACTOR = 5.0
-_OVERLOADS = ('slow', 'fail', 'shed')
+# The run time of a request over the slots is multiplied by this factor and by
+# the ratio of requests in flight to slots.
+_OVERLOAD_SLOWDOWN = 5.0
+_OVERLOAD_BEHAVIORS = ('slow', 'fail', 'shed')
 
 
 @attrs.frozen
@@ -38,21 +39,21 @@
     """Settings of one backend server.
 
     Attributes:
-      name: Name in control requests; the upstream or VM name.
+      name: Name in control requests: the upstream or VM name.
       host: Address to listen on.
       port: Port to listen on; 0 takes any free one.
-      slots: Requests that it can run at the same time.
-      connections: Connections that it accepts; more are reset.
-      connect_ms: Time to set up a connection in milliseconds.
+      slots: Requests that can run at the same time without overload.
+      connections: Limit of open connections; further ones are reset.
+      connect_ms: Delay before a new connection is served, in milliseconds.
       service_time: Distribution of the run time.
       seed: Seed of run times and fault shares.
       cold_start: Growth of the capacity after a start.
-      overload: What a request over the slots meets: ``slow``, ``fail`` or
+      overload: Effect on a request over the slots: ``slow``, ``fail`` or
         ``shed``.
-      body_bytes: Size of the filler in answers that ask for no other.
-      health_lag_s: Age that a health answer may reach.
+      body_bytes: Size of the filler in an answer unless the request sets one.
+      health_lag_s: Greatest age of a health answer in seconds.
       node_host: Address of the node that nested calls go to.
-      node_port: Its caller port; 0 means that there is none.
+      node_port: Caller port of that node; 0 disables nested calls.
       secrets: Texts that no header, path or body may contain.
     """
 
@@ -66,7 +67,7 @@
     seed: int = 0
     cold_start: coldstarts.ColdStart = coldstarts.ColdStart()
     overload: str = attrs.field(
-        default='slow', validator=attrs.validators.in_(_OVERLOADS)
+        default='slow', validator=attrs.validators.in_(_OVERLOAD_BEHAVIORS)
     )
     body_bytes: int = 64
     health_lag_s: float = 0.0
@@ -77,50 +78,50 @@
 
 @attrs.frozen
 class _Admission:
-    """A request that may run.
+    """A request at admission, with what decides whether it runs.
 
     Attributes:
       request: The request.
-      start: WSGI function that starts the answer.
-      over: Whether it takes more than the slots.
-      fault: The fault that it meets, if any.
+      start_response: WSGI function that starts the answer.
+      exceeds_slots: Whether the request would run in excess of the slots.
+      fault: The fault injected into the request, if any.
     """
 
     request: requests.Request
-    start: serving.StartResponse
-    over: bool
+    start_response: serving.StartResponse
+    exceeds_slots: bool
     fault: requestfaults.Fault | None
 
     def has_fault(self, kind: str) -> bool:
-        """Tells whether the request meets a fault of a kind."""
+        """Returns whether a fault of this kind is injected."""
         return self.fault is not None and self.fault.kind == kind
 
 
 class _Listener(serving.Server):
-    """Counts connections and resets those over the limit."""
+    """Listener that counts connections and resets those over the limit."""
 
     def __init__(self, backend: 'Backend', address: tuple[str, int]):
-        super().__init__(address, backend.answer)
+        super().__init__(address, backend.handle_request)
         self._backend = backend
 
     def handle(self, sock: Any, address: Any) -> None:
         backend = self._backend
-        if not backend.open_connection():
+        if not backend.acquire_connection():
             serving.reset_connection(sock)
             return
         try:
             gevent.sleep(backend.settings.connect_ms / 1000.0)
             super().handle(sock, address)
         finally:
-            backend.close_connection()
+            backend.release_connection()
 
 
 class Backend:
     """One backend server.
 
     Attributes:
-      settings: The settings it was made with.
-      runs: The started requests, oldest first.
+      settings: Settings of the server.
+      runs: Records of the requests that were started, oldest first.
     """
 
     def __init__(self, settings: BackendSettings):
@@ -132,7 +133,7 @@
         self._port = settings.port
         self._listener: _Listener | None = None
         self._peaks = runs.Peaks()
-        self._node = (settings.node_host, settings.node_port)
+        self._node_address = (settings.node_host, settings.node_port)
         self._faults = requestfaults.FaultInjector(self._generator)
         self._health = health.HealthReporter(settings.health_lag_s)
         self._cold_start = coldstarts.ColdStartModel(
@@ -142,7 +143,7 @@
         self._in_flight = 0
         self._connections = 0
         self._draining_since: float | None = None
-        self._silent = False
+        self._hides_cold_start = False
 
     @property
     def port(self) -> int:
@@ -150,14 +151,14 @@
         return self._port
 
     def start(self) -> None:
-        """Starts to listen, cold if the settings say so."""
+        """Starts listening, with a cold start if the settings have one."""
         if self._listener is not None:
             return
         self._cold_start.begin(clocks.read_now())
         self._cold_start.recover()
         self._draining_since = None
-        self._silent = False
-        self._health.forget()
+        self._hides_cold_start = False
+        self._health.discard_report()
         self._listener = _Listener(self, (self.settings.host, self._port))
         self._listener.start()
         self._port = self._listener.server_port
@@ -169,39 +170,40 @@
             self._listener = None
 
     def restart(self, silent: bool, disconnect: bool) -> None:
-        """Falls back into a cold start.
+        """Begins another cold start.
 
         Args:
-          silent: Whether the health endpoint goes on to say ``ready``.
+          silent: Whether health answers keep the state ``ready``.
           disconnect: Whether open connections are reset.
         """
         if disconnect:
             self.stop()
             self.start()
         self._cold_start.begin(clocks.read_now())
-        self._silent = silent
+        self._hides_cold_start = silent
 
     def drain(self, draining: bool) -> None:
         """Begins or ends a drain."""
         self._draining_since = clocks.read_now() if draining else None
 
     def set_fault(self, fault: requestfaults.Fault | None) -> None:
-        """Sets the fault that requests meet; None ends it."""
+        """Sets the fault that is injected into requests; None ends it."""
         self._faults.set_fault(fault)
 
     def set_node(self, host: str, port: int) -> None:
         """Sets the address of the node that nested calls go to."""
-        self._node = (host, port)
+        self._node_address = (host, port)
 
     def override_health(self, fields: Mapping[str, Any]) -> None:
-        """Sets fields that health answers give in place of the truth."""
+        """Sets fields that replace the true values in health answers."""
         self._health.override(fields)
 
     def read_peaks(self, reset: bool = False) -> dict[str, Any]:
-        """Returns the greatest values seen and the counts.
+        """Returns the peak values and counters.
 
         Args:
-          reset: Whether they start again from the present values.
+          reset: Whether the peaks restart from the current values and the
+            counters from 0.
         """
         peaks = attrs.asdict(self._peaks)
         peaks['in_flight_now'] = self._in_flight
@@ -210,8 +212,8 @@
             self._peaks = runs.Peaks(self._in_flight, self._connections)
         return peaks
 
-    def open_connection(self) -> bool:
-        """Counts a new connection; False when there are too many."""
+    def acquire_connection(self) -> bool:
+        """Counts a new connection; returns False if the limit is reached."""
         if self._connections >= self.settings.connections:
             self._peaks.connections_refused += 1
             return False
@@ -221,70 +223,76 @@
         )
         return True
 
-    def close_connection(self) -> None:
+    def release_connection(self) -> None:
         """Counts the end of a connection."""
         self._connections -= 1
 
-    def answer(
-        self, environ: dict[str, Any], start: serving.StartResponse
+    def handle_request(
+        self, environ: dict[str, Any], start_response: serving.StartResponse
     ) -> Any:
         """The WSGI application of the listener."""
         arrived = clocks.read_now()
         path = environ['PATH_INFO']
         if path == _HEALTH_PATH:
-            return serving.send_json(start, 200, self._report_health(arrived))
+            return serving.send_json(
+                start_response, 200, self._report_health(arrived)
+            )
         if path.startswith(_CANCEL_PATH):
-            found = self._cancel(path[len(_CANCEL_PATH) :])
-            status = 200 if found else 404
-            return serving.send_json(start, status, {'cancelled': found})
+            cancelled = self._cancel_run(path[len(_CANCEL_PATH) :])
+            status = 200 if cancelled else 404
+            return serving.send_json(
+                start_response, status, {'cancelled': cancelled}
+            )
         body = environ['wsgi.input'].read()
         request = requests.Request(environ, body, arrived)
         self._peaks.requests += 1
-        fault = self._faults.draw()
+        fault = self._faults.draw_fault()
         self._faults.interrupt_before_run(fault)
-        return self._admit(request, start, fault)
+        return self._admit(request, start_response, fault)
 
     def _admit(
         self,
         request: requests.Request,
-        start: serving.StartResponse,
+        start_response: serving.StartResponse,
         fault: requestfaults.Fault | None,
     ) -> Any:
-        """Runs a request unless a fault or too much load prevents it."""
+        """Runs a request unless a fault or overload prevents it."""
         now = clocks.read_now()
-        over = self._in_flight + 1 > self.settings.slots
-        admission = _Admission(request, start, over, fault)
+        exceeds_slots = self._in_flight + 1 > self.settings.slots
+        admission = _Admission(request, start_response, exceeds_slots, fault)
         if _is_late(request, now):
             self._peaks.late_starts += 1
-            return self._shed(start, 'past the deadline')
+            return self._shed(start_response, 'past the deadline')
         if admission.has_fault('shed'):
-            return self._shed(start, 'shed')
+            return self._shed(start_response, 'shed')
         if self._cold_start.is_failing(now) or admission.has_fault('fail'):
-            return _fail(start, 'failing')
-        if over:
+            return _fail(start_response, 'failing')
+        if exceeds_slots:
             self._peaks.overloads += 1
-        if self._overruns_cold_start(now):
+        if self._exceeds_cold_capacity(now):
             self._peaks.falls += 1
             self._cold_start.fall_over(now)
-            return _fail(start, 'fell over')
-        if over and self.settings.overload == 'shed':
-            return self._shed(start, 'no free slot')
-        if over and self.settings.overload == 'fail':
-            return _fail(start, 'overload')
+            return _fail(start_response, 'fell over')
+        if exceeds_slots and self.settings.overload == 'shed':
+            return self._shed(start_response, 'no free slot')
+        if exceeds_slots and self.settings.overload == 'fail':
+            return _fail(start_response, 'overload')
         return self._run(admission)
 
-    def _overruns_cold_start(self, now: float) -> bool:
-        """Tells whether one more request is too many for a cold server."""
+    def _exceeds_cold_capacity(self, now: float) -> bool:
+        """Returns whether one more request exceeds the cold capacity."""
         capacity = self._cold_start.capacity(now)
         return capacity < self.settings.slots and self._in_flight + 1 > capacity
 
-    def _shed(self, start: serving.StartResponse, reason: str) -> Any:
+    def _shed(self, start_response: serving.StartResponse, reason: str) -> Any:
         self._peaks.shed += 1
         headers = [('Shed', 'not-run'), ('Retry-After', '1')]
-        return serving.send_answer(start, 503, reason.encode(), headers)
+        return serving.send_answer(
+            start_response, 503, reason.encode(), headers
+        )
 
     def _run(self, admission: _Admission) -> Any:
-        """Records a run and holds a slot and a cancellation meanwhile."""
+        """Records and runs a request, which occupies a slot meanwhile."""
         run = self._record_run(admission.request)
         cancelled = event.Event()
         if run.request_id:
@@ -292,38 +300,42 @@
         self._in_flight += 1
         self._peaks.in_flight = max(self._peaks.in_flight, self._in_flight)
         try:
-            return self._work(admission, run, cancelled)
+            return self._execute(admission, run, cancelled)
         finally:
             self._in_flight -= 1
             run.end(clocks.read_now())
             if self._cancellations.get(run.request_id) is cancelled:
                 del self._cancellations[run.request_id]
 
-    def _work(
+    def _execute(
         self, admission: _Admission, run: runs.Run, cancelled: event.Event
     ) -> Any:
-        start = admission.start
-        if cancelled.wait(self._draw_duration_s(admission.over)):
+        start_response = admission.start_response
+        if cancelled.wait(self._draw_duration_s(admission.exceeds_slots)):
             run.status = 'cancelled'
             self._peaks.cancelled += 1
-            return serving.send_json(start, 409, {'error': 'cancelled'})
-        nested = nestedcalls.call_nested(admission.request, self._node)
+            return serving.send_json(
+                start_response, 409, {'error': 'cancelled'}
+            )
+        nested = nestedcalls.call_nested(admission.request, self._node_address)
         if self._cold_start.is_failing(run.started):
-            return _fail(start, 'fell over')
+            return _fail(start_response, 'fell over')
         run.status = 'done'
         self._faults.interrupt_after_run(admission.fault, cancelled)
         data = self._build_body(admission.request, run, nested)
-        answer = serving.send_answer(start, 200, data, self._list_headers(run))
+        answer = serving.send_answer(
+            start_response, 200, data, self._build_headers(run)
+        )
         if admission.has_fault('truncate'):
             return _truncate(data)
         return answer
 
-    def _draw_duration_s(self, over: bool) -> float:
+    def _draw_duration_s(self, exceeds_slots: bool) -> float:
         duration_s = self.settings.service_time.draw_s(self._generator)
-        if not over:
+        if not exceeds_slots:
             return duration_s
-        excess = self._in_flight / self.settings.slots
-        return duration_s * _OVERLOAD_FACTOR * excess
+        load = self._in_flight / self.settings.slots
+        return duration_s * _OVERLOAD_SLOWDOWN * load
 
     def _record_run(self, request: requests.Request) -> runs.Run:
         now = clocks.read_now()
@@ -331,13 +343,13 @@
         run = runs.create_run(
             request,
             started=now,
-            key_seen=request.holds_key(self.settings.secrets),
+            key_seen=request.contains_key(self.settings.secrets),
             draining_s=None if since is None else now - since,
         )
         self.runs.append(run)
         return run
 
-    def _list_headers(self, run: runs.Run) -> list[tuple[str, str]]:
+    def _build_headers(self, run: runs.Run) -> list[tuple[str, str]]:
         headers = [('Request-Id', run.request_id)]
         if self._draining_since is not None:
             headers.append(('Connection', 'close'))
@@ -347,11 +359,15 @@
         self,
         request: requests.Request,
         run: runs.Run,
-        nested: Sequence[nestedcalls.Level] | None,
+        nested: Sequence[nestedcalls.LevelResult] | None,
     ) -> bytes:
-        wanted = request.number(answers.ANSWER_BYTES_HEADER)
-        size = self.settings.body_bytes if wanted is None else int(wanted)
-        facts: dict[str, Any] = {
+        requested_size = request.numeric_header(answers.ANSWER_BYTES_HEADER)
+        size = (
+            self.settings.body_bytes
+            if requested_size is None
+            else int(requested_size)
+        )
+        metadata: dict[str, Any] = {
             'backend': self.settings.name,
             'request_id': run.request_id,
             'workspace': run.workspace,
@@ -361,10 +377,10 @@
             'path': run.path,
         }
         if nested is not None:
-            facts['nested'] = nested
-        return answers.build_answer(facts, size)
+            metadata['nested'] = nested
+        return answers.build_answer(metadata, size)
 
-    def _cancel(self, request_id: str) -> bool:
+    def _cancel_run(self, request_id: str) -> bool:
         cancelled = self._cancellations.get(request_id)
         if cancelled is None:
             return False
@@ -375,21 +391,21 @@
         state = 'ready'
         if self._draining_since is not None:
             state = 'draining'
-        elif self._cold_start.is_cold(now) and not self._silent:
+        elif self._cold_start.is_cold(now) and not self._hides_cold_start:
             state = 'starting'
         load = round(self._in_flight / self.settings.slots, 3)
         return self._health.report(health.HealthReport(state, load), now)
 
 
 def _is_late(request: requests.Request, now: float) -> bool:
-    """Tells whether a request waited past its deadline."""
-    timeout_ms = request.number('Request-Timeout-Ms')
+    """Returns whether a request has waited past its deadline."""
+    timeout_ms = request.numeric_header('Request-Timeout-Ms')
     waited_ms = (now - request.arrived) * 1000
     return timeout_ms is not None and waited_ms >= timeout_ms
 
 
-def _fail(start: serving.StartResponse, reason: str) -> Any:
-    return serving.send_json(start, 500, {'error': reason})
+def _fail(start_response: serving.StartResponse, reason: str) -> Any:
+    return serving.send_json(start_response, 500, {'error': reason})
 
 
 def _truncate(data: bytes) -> Iterator[bytes]:
--- a/jayseam/standins/backendhosts.py
+++ b/jayseam/standins/backendhosts.py
@@ -1,7 +1,7 @@
 """Hosts backend stand-ins in one process behind one control listener.
 
-Each backend server has a listener of its own. Control requests name the
-server in the field ``backend``, which may be left out when there is only one.
+Each backend server has a listener of its own. The field ``backend`` of a
+control request names the server; it may be omitted if there is only one.
 """
 
 from collections.abc import Callable, Mapping
@@ -46,16 +46,18 @@
         self._control = serving.ControlServer(
             (settings.host, settings.control_port),
             {
-                '/control/start': self._act(lambda b, _: b.start()),
-                '/control/stop': self._act(lambda b, _: b.stop()),
-                '/control/restart': self._act(_restart),
-                '/control/drain': self._act(_drain),
-                '/control/fault': self._act(_set_fault),
-                '/control/health': self._act(_set_health),
-                '/control/node': self._act(_set_node),
+                '/control/start': self._build_action(lambda b, _: b.start()),
+                '/control/stop': self._build_action(lambda b, _: b.stop()),
+                '/control/restart': self._build_action(_restart),
+                '/control/drain': self._build_action(_drain),
+                '/control/fault': self._build_action(_set_fault),
+                '/control/health': self._build_action(_set_health),
+                '/control/node': self._build_action(_set_node),
                 '/control/runs': self._report_runs,
                 '/control/peaks': self._report_peaks,
-                '/control/clear-runs': self._act(lambda b, _: b.runs.clear()),
+                '/control/clear-runs': self._build_action(
+                    lambda b, _: b.runs.clear()
+                ),
             },
         )
 
@@ -76,7 +78,7 @@
         """The port of the control listener."""
         return self._control.port
 
-    def _find(self, request: Mapping[str, Any]) -> backends.Backend:
+    def _find_backend(self, request: Mapping[str, Any]) -> backends.Backend:
         name = request.get('backend')
         if name is None and len(self.backends) == 1:
             return next(iter(self.backends.values()))
@@ -84,35 +86,37 @@
             raise errors.ControlError(f'unknown backend {name!r}')
         return self.backends[name]
 
-    def _act(
+    def _build_action(
         self, function: Callable[[backends.Backend, dict[str, Any]], None]
     ) -> serving.Action:
-        """Returns an action that applies ``function`` to one server."""
+        """Returns a control action that applies ``function`` to one server."""
 
-        def act(request: dict[str, Any]) -> dict[str, Any]:
-            backend = self._find(request)
+        def run_action(request: dict[str, Any]) -> dict[str, Any]:
+            backend = self._find_backend(request)
             function(backend, request)
             return {'backend': backend.settings.name}
 
-        return act
+        return run_action
 
-    def _select(self, request: Mapping[str, Any]) -> list[backends.Backend]:
-        """Returns the server that a request names, or all."""
+    def _select_backends(
+        self, request: Mapping[str, Any]
+    ) -> list[backends.Backend]:
+        """Returns the server that a request names; all if it names none."""
         if 'backend' in request:
-            return [self._find(request)]
+            return [self._find_backend(request)]
         return list(self.backends.values())
 
     def _report_runs(self, request: dict[str, Any]) -> dict[str, Any]:
         return {
             backend.settings.name: [attrs.asdict(run) for run in backend.runs]
-            for backend in self._select(request)
+            for backend in self._select_backends(request)
         }
 
     def _report_peaks(self, request: dict[str, Any]) -> dict[str, Any]:
         reset = bool(request.get('reset'))
         return {
             backend.settings.name: backend.read_peaks(reset)
-            for backend in self._select(request)
+            for backend in self._select_backends(request)
         }
 
 
--- a/jayseam/standins/coldstarts.py
+++ b/jayseam/standins/coldstarts.py
@@ -5,13 +5,14 @@
 
 @attrs.frozen
 class ColdStart:
-    """How capacity grows after a start.
+    """Growth of the capacity after a start.
 
     Attributes:
       initial_slots: Capacity at the start.
-      duration_s: Seconds until the capacity is all slots; 0 starts warm.
-      fall_over_s: Seconds for which every request fails after one request
-        too many. The cold start then begins again.
+      duration_s: Seconds until the capacity reaches all slots; with 0 the
+        server starts warm.
+      fall_over_s: Seconds for which every request fails after a request exceeds
+        the capacity of a cold server. The cold start then begins again.
     """
 
     initial_slots: int = 1
@@ -45,27 +46,27 @@
         self._cold_since = now
 
     def recover(self) -> None:
-        """Ends the failures that follow a fall."""
+        """Ends the period in which every request fails."""
         self._failing_until = 0.0
 
     def fall_over(self, now: float) -> None:
-        """Fails every request for a while, then starts cold again."""
+        """Fails every request for `fall_over_s`, then starts cold again."""
         self._failing_until = now + self._cold_start.fall_over_s
         self._cold_since = self._failing_until
 
     def is_failing(self, now: float) -> bool:
-        """Tells whether every request fails at ``now``."""
+        """Returns whether every request fails at ``now``."""
         return now < self._failing_until
 
     def capacity(self, now: float) -> float:
         """Returns how many requests can run at ``now``."""
-        cold = self._cold_start
-        if cold.duration_s <= 0:
+        settings = self._cold_start
+        if settings.duration_s <= 0:
             return self._slots
-        grown = min(1.0, (now - self._cold_since) / cold.duration_s)
-        span = self._slots - cold.initial_slots
-        return cold.initial_slots + span * max(0.0, grown)
+        progress = min(1.0, (now - self._cold_since) / settings.duration_s)
+        span = self._slots - settings.initial_slots
+        return settings.initial_slots + span * max(0.0, progress)
 
     def is_cold(self, now: float) -> bool:
-        """Tells whether the capacity is less than all slots."""
+        """Returns whether the capacity is below the number of slots."""
         return self.capacity(now) < self._slots
--- a/jayseam/standins/health.py
+++ b/jayseam/standins/health.py
@@ -1,4 +1,4 @@
-"""Health answers of the backend stand-in, which may lag or mislead."""
+"""Health answers of the backend stand-in, which may be outdated or wrong."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -20,10 +20,10 @@
 
 
 class HealthReporter:
-    """Gives health answers with a lag and with overridden fields.
+    """Builds health answers with a lag and with overridden fields.
 
     Args:
-      lag_s: Age in seconds that an answer may reach.
+      lag_s: Greatest age of an answer in seconds.
     """
 
     def __init__(self, lag_s: float):
@@ -32,12 +32,12 @@
         self._report: HealthReport | None = None
         self._reported_at = 0.0
 
-    def forget(self) -> None:
-        """Makes the next answer a fresh one."""
+    def discard_report(self) -> None:
+        """Makes the next answer report the current state."""
         self._report = None
 
     def override(self, fields: Mapping[str, Any]) -> None:
-        """Sets fields that answers give in place of the truth."""
+        """Sets fields that replace the true values in answers."""
         self._overrides = dict(fields)
 
     def report(self, current: HealthReport, now: float) -> dict[str, Any]:
--- a/jayseam/standins/nestedcalls.py
+++ b/jayseam/standins/nestedcalls.py
@@ -10,23 +10,23 @@
 
 _TIMEOUT_S = 10.0
 
-Level = Mapping[str, Any]
+LevelResult = Mapping[str, Any]
 
 
 def call_nested(
     request: requests.Request, node: tuple[str, int]
-) -> list[Level] | None:
-    """Makes the nested call that a request asks for.
+) -> list[LevelResult] | None:
+    """Makes the nested call that a request asks for in its headers.
 
     Args:
-      request: The request; its headers tell the depth and path.
+      request: The request, whose headers give the nesting depth and the path.
       node: Host and caller port of the node; port 0 means that there is none.
 
     Returns:
-      None without a nested call, else a list with one entry for each level:
-      its status, problem code and request id.
+      None if no nested call is made, else a list with one entry for each
+      nesting level, with the status, problem code and request id.
     """
-    depth = int(request.number(answers.NEST_HEADER) or 0)
+    depth = int(request.numeric_header(answers.NEST_HEADER) or 0)
     if depth <= 0 or not node[1]:
         return None
     path = request.header(answers.NEST_PATH_HEADER, request.path)
@@ -52,22 +52,22 @@
     }
 
 
-def _describe_levels(answer: exchanges.Answer) -> list[Level]:
-    """Returns the entry of an answer and those of the levels below it."""
+def _describe_levels(answer: exchanges.Answer) -> list[LevelResult]:
+    """Returns the entries of an answer and of the levels nested below it."""
     entry = {
         'status': answer.status,
         'request_id': answer.headers.get('Request-Id', ''),
     }
     if answer.status != 200:
-        return [{**entry, 'code': _read_code(answer)}]
+        return [{**entry, 'code': _read_problem_code(answer)}]
     try:
-        facts = answers.verify_answer(answer.body)
+        metadata = answers.verify_answer(answer.body)
     except errors.AnswerError as error:
         return [{**entry, 'error': str(error)}]
-    return [entry, *facts.get('nested', [])]
+    return [entry, *metadata.get('nested', [])]
 
 
-def _read_code(answer: exchanges.Answer) -> str:
+def _read_problem_code(answer: exchanges.Answer) -> str:
     try:
         return answer.decode().get('code', '')
     except (ValueError, AttributeError):
--- a/jayseam/standins/requestfaults.py
+++ b/jayseam/standins/requestfaults.py
@@ -1,4 +1,4 @@
-"""Faults that requests to the backend stand-in meet."""
+"""Faults that the backend stand-in injects into requests."""
 
 import random
 from collections.abc import Sequence
@@ -16,17 +16,18 @@
 
 @attrs.frozen
 class Fault:
-    """A fault that some of the requests meet.
+    """A fault that is injected into a share of the requests.
 
     Attributes:
-      kind: ``hang`` doesn't answer until the fault changes or the call is
-        cancelled, and resets then, ``reset`` resets the connection,
-        ``truncate`` closes after half of the body, ``late`` waits ``ms`` more
-        milliseconds, ``shed`` sheds, ``fail`` answers 500.
-      when: ``before`` or ``after`` the run, for ``hang``, ``reset`` and
-        ``late``.
-      share: Share of the requests concerned, from 0 to 1.
-      ms: Milliseconds for ``late``.
+      kind: ``hang`` sends no answer until the fault changes or the call is
+        cancelled, and then resets the connection; ``reset`` resets the
+        connection; ``truncate`` closes it after half of the body; ``late``
+        waits ``ms`` more milliseconds; ``shed`` sheds the request; ``fail``
+        answers 500.
+      when: Whether ``hang``, ``reset`` and ``late`` apply ``before`` or
+        ``after`` the run.
+      share: Share of the requests that get the fault, from 0 to 1.
+      ms: Delay of ``late`` in milliseconds.
     """
 
     kind: str = attrs.field(validator=attrs.validators.in_(_KINDS))
@@ -38,10 +39,10 @@
 
 
 class FaultInjector:
-    """Holds the fault in force and applies it to requests.
+    """Applies the current fault to requests.
 
     Args:
-      generator: Decides which requests meet the fault.
+      generator: Decides which requests get the fault.
     """
 
     def __init__(self, generator: random.Random):
@@ -50,20 +51,20 @@
         self._changed = event.Event()
 
     def set_fault(self, fault: Fault | None) -> None:
-        """Sets the fault that requests meet; None ends it."""
+        """Sets the fault that is injected into requests; None ends it."""
         self._fault = fault
         changed, self._changed = self._changed, event.Event()
         changed.set()
 
-    def draw(self) -> Fault | None:
-        """Returns the fault that the next request meets, if any."""
+    def draw_fault(self) -> Fault | None:
+        """Returns the fault of the next request, or None."""
         fault = self._fault
         if fault is None or self._generator.random() >= fault.share:
             return None
         return fault
 
     def interrupt_before_run(self, fault: Fault | None) -> None:
-        """Applies a fault that comes before the run.
+        """Applies a fault that takes effect before the run.
 
         Raises:
           AbortError: If the fault closes the connection.
@@ -74,7 +75,7 @@
     def interrupt_after_run(
         self, fault: Fault | None, cancelled: event.Event
     ) -> None:
-        """Applies a fault that comes after the run.
+        """Applies a fault that takes effect after the run.
 
         Args:
           fault: The fault, if any.
@@ -87,10 +88,10 @@
             self._interrupt(fault, [cancelled])
 
     def _interrupt(
-        self, fault: Fault, ends: Sequence[event.Event] = ()
+        self, fault: Fault, end_events: Sequence[event.Event] = ()
     ) -> None:
         if fault.kind == 'hang':
-            gevent.wait([self._changed, *ends], count=1)
+            gevent.wait([self._changed, *end_events], count=1)
             raise serving.AbortError(reset=True)
         if fault.kind == 'reset':
             raise serving.AbortError(reset=True)
--- a/jayseam/standins/requests.py
+++ b/jayseam/standins/requests.py
@@ -1,4 +1,4 @@
-"""What a WSGI request to the backend stand-in holds."""
+"""Requests to the backend stand-in: headers, body and credentials."""
 
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
@@ -8,12 +8,12 @@
 from jayseam.standins import serving
 
 _KEY_HEADERS = ('Authorization', 'X-Api-Key')
-_KEY_QUERIES = ('api_key', 'key', 'access_token')
+_KEY_PARAMETERS = ('api_key', 'key', 'access_token')
 
 
 @attrs.frozen
 class Request:
-    """A request whose body was read.
+    """A WSGI request whose body has been read.
 
     Attributes:
       environ: The WSGI environment.
@@ -36,22 +36,22 @@
         return self.environ['PATH_INFO']
 
     def has_header(self, name: str) -> bool:
-        """Tells whether the request has a header."""
+        """Returns whether the request has a header."""
         return to_wsgi(name) in self.environ
 
     def header(self, name: str, default: str = '') -> str:
         """Returns the value of a header."""
         return self.environ.get(to_wsgi(name), default)
 
-    def number(self, name: str) -> float | None:
-        """Returns the number in a header; None if it holds none."""
+    def numeric_header(self, name: str) -> float | None:
+        """Returns a header as a number; None if it is not a number."""
         try:
             return float(self.header(name))
         except ValueError:
             return None
 
-    def holds_key(self, secrets: Sequence[str]) -> bool:
-        """Tells whether the request holds anything that may be a key.
+    def contains_key(self, secrets: Sequence[str]) -> bool:
+        """Returns whether the request contains anything that may be a key.
 
         Args:
           secrets: Texts that no header, path or body may contain.
@@ -59,7 +59,7 @@
         if any(self.has_header(name) for name in _KEY_HEADERS):
             return True
         query = serving.parse_query(self.environ)
-        if any(name in query for name in _KEY_QUERIES):
+        if any(name in query for name in _KEY_PARAMETERS):
             return True
         texts = list(self._list_texts())
         return any(secret in text for secret in secrets for text in texts)
@@ -74,7 +74,7 @@
 
 
 def to_wsgi(header: str) -> str:
-    """Returns the WSGI name of a header.
+    """Returns the key of a header in the WSGI environment.
 
     >>> to_wsgi('X-Nest')
     'HTTP_X_NEST'
--- a/jayseam/standins/runs.py
+++ b/jayseam/standins/runs.py
@@ -8,7 +8,7 @@
 
 @attrs.define
 class Run:
-    """A request whose work was started.
+    """Record of a request that was started.
 
     Attributes:
       request_id: Header ``Request-Id``.
@@ -17,13 +17,13 @@
       echo: Header ``X-Echo``, chosen by the caller.
       method: HTTP method.
       path: Path without the query.
-      started: Start of the work, seconds of `clocks.read_now`.
-      ended: End of the work, or None while it runs.
+      started: Time of the start, in seconds of `clocks.read_now`.
+      ended: Time of the end, or None while the request runs.
       status: ``running``, ``done``, ``failed`` or ``cancelled``.
-      nested: Whether the request came from a backend server.
-      key_seen: Whether the request held a workspace key.
-      draining_s: Seconds since the drain began at the start of the work, or
-        None.
+      nested: Whether the request is a nested call of a backend server.
+      key_seen: Whether the request contained a workspace key.
+      draining_s: Seconds from the start of the drain to the start of the
+        request; None if the server was not draining.
     """
 
     request_id: str
@@ -40,7 +40,7 @@
     draining_s: float | None = None
 
     def end(self, now: float) -> None:
-        """Ends the run; one without an outcome has failed."""
+        """Ends the run; a run that is still ``running`` becomes ``failed``."""
         self.ended = now
         if self.status == 'running':
             self.status = 'failed'
@@ -52,7 +52,7 @@
     key_seen: bool,
     draining_s: float | None,
 ) -> Run:
-    """Returns the record of a request whose work starts."""
+    """Returns the record of a request that starts."""
     return Run(
         request_id=request.header('Request-Id'),
         idempotency_key=request.header('Idempotency-Key'),
@@ -69,18 +69,19 @@
 
 @attrs.define
 class Peaks:
-    """Greatest values and counts since the last reset.
+    """Peak values and counters since the last reset.
 
     Attributes:
       in_flight: Greatest number of requests that ran at the same time.
       connections: Greatest number of open connections.
-      overloads: Requests over the slots.
-      falls: Falls in a cold start under too many requests.
+      overloads: Requests in excess of the slots.
+      falls: Requests that exceeded the capacity of a cold server, after each of
+        which every request fails for a while.
       shed: Requests that were shed.
-      late_starts: Requests that arrived in time and were shed as past their
-        deadline.
-      connections_refused: Connections over the limit.
-      requests: Requests besides health and cancellation.
+      late_starts: Requests that were shed because their deadline passed between
+        arrival and start.
+      connections_refused: Connections in excess of the limit.
+      requests: Requests other than health checks and cancellations.
       cancelled: Runs that were cancelled.
     """
 
--- a/jayseam/standins/tests/test_backend.py
+++ b/jayseam/standins/tests/test_backend.py
@@ -65,17 +65,17 @@
 
 
 def test_answer_is_whole_and_of_its_request(make_client):
-    """Callers check wholeness and ownership by these facts."""
+    """Callers verify by this metadata that an answer is complete and theirs."""
     answer = make_client().call(Idempotency_Key='k1')
-    facts = answers.verify_answer(answer.body)
-    assert (facts['request_id'], facts['workspace']) == ('r1', 'w1')
-    assert (facts['echo'], facts['idempotency_key']) == ('e1', 'k1')
-    assert facts['filler_bytes'] == 100
+    metadata = answers.verify_answer(answer.body)
+    assert (metadata['request_id'], metadata['workspace']) == ('r1', 'w1')
+    assert (metadata['echo'], metadata['idempotency_key']) == ('e1', 'k1')
+    assert metadata['filler_bytes'] == 100
     assert answer.headers['request-id'] == 'r1'
 
 
 def test_runs_record_keys_seen(make_client):
-    """The referee must notice a key that reaches a backend server."""
+    """A run must record that a key reached the backend server."""
     client = make_client(secrets=['s3cret'])
     client.call()
     client.call(Authorization='Bearer x')
@@ -86,7 +86,7 @@
 
 @pytest.mark.parametrize('overload', ['slow', 'fail', 'shed'])
 def test_overload_is_recorded(make_client, overload):
-    """More requests than slots must show, whatever they meet."""
+    """Requests over the slots must be counted, whatever their effect."""
     client = make_client(slots=2, mean_ms=50.0, overload=overload)
     statuses = client.call_together(4)
     expected = {'slow': 200, 'fail': 500, 'shed': 503}[overload]
@@ -97,20 +97,20 @@
 
 
 def test_connections_over_the_limit_are_reset(make_client):
-    """A backend server accepts at most so many connections."""
+    """Connections over the limit of a backend server must be reset."""
     client = make_client(connections=2)
-    held = [client.connect() for _ in range(2)]
-    for connection in held:
+    connections = [client.connect() for _ in range(2)]
+    for connection in connections:
         connection.exchange('GET', '/x', _HEADERS)
     with pytest.raises(errors.ExchangeError):
         client.call()
     assert client.peaks()['connections_refused'] == 1
-    for connection in held:
+    for connection in connections:
         connection.close()
 
 
 def test_cold_start_falls_over_when_overrun(make_client):
-    """Full load in a cold start must fail all requests for a while."""
+    """Full load during a cold start must fail all requests for a while."""
     cold = coldstarts.ColdStart(1, duration_s=5.0, fall_over_s=0.2)
     client = make_client(cold_start=cold, mean_ms=50.0)
     assert client.call('/.backend/health').decode()['state'] == 'starting'
@@ -123,7 +123,7 @@
 
 
 def test_restart_can_be_silent(make_client):
-    """A return to the cold start may come without a word."""
+    """A new cold start must be possible without a change of the health."""
     cold = coldstarts.ColdStart(1, duration_s=0.3, fall_over_s=0.1)
     client = make_client(cold_start=cold, mean_ms=20.0)
     gevent.sleep(0.35)
@@ -134,7 +134,7 @@
 
 
 def test_stop_resets_and_start_listens_again(make_client):
-    """A crashed server refuses until it is started again."""
+    """A crashed server must refuse connections until it is started again."""
     client = make_client()
     client.control('stop')
     with pytest.raises(errors.ExchangeError) as refused:
@@ -145,7 +145,7 @@
 
 
 def test_drain_shows_in_health_answers_and_runs(make_client):
-    """Work sent to a draining server must be noticed."""
+    """Requests sent to a draining server must be recorded as such."""
     client = make_client()
     client.control('drain')
     assert client.call('/.backend/health').decode()['state'] == 'draining'
@@ -154,7 +154,7 @@
 
 
 def test_health_can_lag_and_lie(make_client):
-    """Health is only a hint, so tests must be able to make it wrong."""
+    """Health answers are only hints, so tests must be able to falsify them."""
     client = make_client(health_lag_s=5.0)
     client.call('/.backend/health')
     client.control('drain')
@@ -165,7 +165,7 @@
 
 
 def test_work_is_not_started_past_the_deadline(make_client):
-    """A run past its deadline would belong to a caller that has gone."""
+    """A request past its deadline must not run, as its caller has left."""
     client = make_client()
     client.control('fault', kind='late', when='before', ms=50)
     answer = client.call(Request_Timeout_Ms='20')
@@ -186,7 +186,7 @@
 
 @pytest.mark.parametrize('kind', ['hang', 'reset', 'truncate'])
 def test_faults_lose_the_answer_after_the_run(make_client, kind):
-    """Callers must meet runs whose answer never arrives whole."""
+    """Requests must be able to run without a complete answer arriving."""
     client = make_client()
     client.control('fault', kind=kind)
     with pytest.raises(errors.ExchangeError) as lost:
@@ -205,7 +205,7 @@
 
 
 def test_nested_calls_carry_the_token(make_client):
-    """A nested call presents the call token that the server received."""
+    """A nested call must carry the call token that the server received."""
     inner = make_client()
     outer = make_client(node_port=inner.address[1])
     answer = outer.call(X_Nest='2', Jayseam_Call_Token='t1')
