Describe the platform stand-in and its servers plainly

Cause: pronouns and names such as held, seen and newest hid which revision or value is meant, and the error of a wait read "not in 5 s". Change: plain comments and names; a wait now reports "timed out after 5 s". That text reaches only a person, and nothing matches it.

--- a/jayseam/standins/errors.py
+++ b/jayseam/standins/errors.py
@@ -8,7 +8,7 @@
 
 
 class ExchangeError(StandinError):
-    """An HTTP exchange ended without a whole answer.
+    """An HTTP exchange ended without a complete answer.
 
     Attributes:
       sent: Whether any byte of the request may have left this process.
@@ -20,7 +20,7 @@
 
 
 class AnswerError(StandinError):
-    """An answer of a backend server is not whole."""
+    """The body of a backend server's answer is incomplete or altered."""
 
 
 class ControlError(StandinError):
@@ -28,4 +28,4 @@
 
 
 class ClusterError(StandinError):
-    """A cluster could not be started, or a condition was not reached."""
+    """A cluster could not be started, or a condition did not hold in time."""
--- a/jayseam/standins/exchanges.py
+++ b/jayseam/standins/exchanges.py
@@ -1,8 +1,8 @@
-"""HTTP exchanges over one connection that never resend a request.
+"""HTTP exchanges over one connection, without automatic retries.
 
-``geventhttpclient.HTTPClient`` repeats GET, PUT and DELETE requests by itself
-when a connection closes. A test that counts runs needs to know of every
-request, so this module uses only the response parser of that library.
+``geventhttpclient.HTTPClient`` resends GET, PUT and DELETE requests when a
+connection closes. A test that counts runs must know of every request, so this
+module uses only the response parser of that library.
 """
 
 import json
@@ -23,12 +23,12 @@
 
 @attrs.frozen
 class Answer:
-    """A whole HTTP answer.
+    """A complete HTTP answer.
 
     Attributes:
       status: HTTP status code.
       headers: Header values; lookup ignores case.
-      body: The whole body.
+      body: The complete body.
     """
 
     status: int
@@ -55,10 +55,10 @@
         body: bytes = b'',
         timeout_s: float = 5.0,
     ) -> Answer:
-        """Sends one request and returns its whole answer.
+        """Sends one request and returns its complete answer.
 
-        The connection is closed after an answer that asks for it and after
-        every error.
+        The connection is closed after every error, and after an answer that
+        asks for it.
 
         Args:
           method: HTTP method.
@@ -68,18 +68,18 @@
           timeout_s: Seconds for the whole exchange, connecting included.
 
         Raises:
-          ExchangeError: If no whole answer arrived; `sent` tells whether the
-            request may have reached the server.
+          ExchangeError: If no complete answer arrived. Its attribute `sent`
+            is true if the request may have reached the server.
         """
         sent = False
         timer = gevent.Timeout(timeout_s)
         try:
             with timer:
-                connection = self._open()
-                request = self._format(method, path, headers, body)
+                connection = self._get_socket()
+                request = self._format_request(method, path, headers, body)
                 sent = True
                 connection.sendall(request)
-                return self._receive(connection, method)
+                return self._receive_answer(connection, method)
         except gevent.Timeout as error:
             self.close()
             if error is not timer:
@@ -96,16 +96,16 @@
             self._socket.close()
             self._socket = None
 
-    def _open(self) -> socket.socket:
+    def _get_socket(self) -> socket.socket:
         if self._socket is not None and _is_readable(self._socket):
-            # An idle connection has bytes to read only when it was closed.
+            # An idle connection is readable only if the server closed it.
             self.close()
         if self._socket is None:
             self._socket = socket.create_connection(self.address)
             sockets.set_nodelay(self._socket)
         return self._socket
 
-    def _format(
+    def _format_request(
         self, method: str, path: str, headers: Mapping[str, str], body: bytes
     ) -> bytes:
         lines = [f'{method} {path} HTTP/1.1']
@@ -115,7 +115,7 @@
             lines.append(f'Content-Length: {len(body)}')
         return '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n' + body
 
-    def _receive(self, connection: socket.socket, method: str) -> Answer:
+    def _receive_answer(self, connection: socket.socket, method: str) -> Answer:
         parser = responses.HTTPResponse(method=method)
         while not parser.message_complete:
             block = connection.recv(_BLOCK_BYTES)
@@ -129,6 +129,7 @@
 
 
 def _is_readable(sock: socket.socket) -> bool:
+    """Returns whether a read from the socket would not block."""
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLIN)
     return bool(poll.poll(0))
@@ -147,7 +148,7 @@
     The arguments are those of `Connection.exchange`.
 
     Raises:
-      ExchangeError: If no whole answer arrived.
+      ExchangeError: If no complete answer arrived.
     """
     connection = Connection(*address)
     try:
@@ -171,7 +172,7 @@
       timeout_s: Seconds for the whole exchange.
 
     Raises:
-      ControlError: If the action was refused or nobody answered.
+      ControlError: If the action was refused or no answer arrived.
     """
     method = 'GET' if body is None else 'POST'
     data = b'' if body is None else json.dumps(body).encode()
--- a/jayseam/standins/kvstore.py
+++ b/jayseam/standins/kvstore.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's key-value store, which nodes can only read."""
+"""Stand-in of the platform's key-value store, read-only for nodes."""
 
 import base64
 import json
@@ -15,12 +15,12 @@
 
 @attrs.define
 class Faults:
-    """What goes wrong at the store.
+    """Faults that the store injects.
 
     Attributes:
-      status: Status of every answer, such as 503 or 429; 0 for none.
+      status: Status of every answer, such as 503 or 429; 0 disables this fault.
       reset: Whether connections are reset.
-      silent: Whether requests stay without an answer.
+      silent: Whether requests are never answered.
     """
 
     status: int = 0
@@ -29,7 +29,7 @@
 
 
 class KeyValueStore:
-    """Keys with a revision counter and the history of changes."""
+    """Stores keys with a revision counter and the history of changes."""
 
     def __init__(self, page_items: int = PAGE_ITEMS):
         self.faults = Faults()
@@ -38,7 +38,7 @@
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._revision = 1
-        self._oldest = 0
+        self._dropped_revision = 0
         self._changed = event.Event()
 
     @property
@@ -47,7 +47,7 @@
         return self._revision
 
     def put(self, key: str, value: Any) -> int:
-        """Writes a value, as bytes or anything that has a JSON form."""
+        """Stores a value: bytes unchanged, anything else as JSON."""
         data = value
         if not isinstance(value, bytes):
             data = json.dumps(value).encode()
@@ -62,23 +62,25 @@
             'lease': 0,
         }
         self._items[key] = item
-        self._add(item)
+        self._record_change(item)
         return self._revision
 
     def delete(self, key: str) -> int:
-        """Removes a key."""
+        """Removes a key and returns the new revision."""
         del self._items[key]
         self._revision += 1
-        self._add({'key': key, 'revision': self._revision, 'tombstone': True})
+        self._record_change(
+            {'key': key, 'revision': self._revision, 'tombstone': True}
+        )
         return self._revision
 
     def forget_history(self) -> None:
-        """Drops the history, so that watches from before get 410."""
+        """Drops the history, so that watches of older revisions get 410."""
         self._history.clear()
-        self._oldest = self._revision
+        self._dropped_revision = self._revision
 
     def list_page(self, prefix: str, after: str) -> dict[str, Any]:
-        """Returns one page of the keys that begin with a prefix."""
+        """Returns one page of the items whose keys begin with a prefix."""
         keys = sorted(k for k in self._items if k.startswith(prefix))
         keys = [key for key in keys if key > after]
         page = keys[: self._page_items]
@@ -91,13 +93,13 @@
     def watch(
         self, prefix: str, after: int, wait_s: float
     ) -> dict[str, Any] | None:
-        """Returns the changes after a revision; None if they are forgotten."""
-        if after < self._oldest:
+        """Returns the changes after a revision; None if they were dropped."""
+        if after < self._dropped_revision:
             return None
         events = self._find_events(prefix, after)
         if not events:
             self._changed.wait(wait_s)
-            if after < self._oldest:
+            if after < self._dropped_revision:
                 return None
             events = self._find_events(prefix, after)
         return {'events': events, 'as_of': self._revision}
@@ -109,14 +111,14 @@
             if change['revision'] > after and change['key'].startswith(prefix)
         ]
 
-    def _add(self, change: dict[str, Any]) -> None:
+    def _record_change(self, change: dict[str, Any]) -> None:
         self._history.append(change)
         self._changed.set()
         self._changed.clear()
 
 
 class StoreApplication:
-    """Serves a store over HTTP, with its faults."""
+    """Serves a store over HTTP and applies its faults."""
 
     def __init__(self, store: KeyValueStore):
         self._store = store
@@ -126,12 +128,12 @@
     ) -> Iterable[bytes]:
         self._store.reads += 1
         status, document = self._apply_faults() or self._read(environ)
-        # An outage ends the watches that wait, too.
+        # A fault that is set while a watch waits applies to that watch, too.
         status, document = self._apply_faults() or (status, document)
         return serving.send_json(start_response, status, document)
 
     def _apply_faults(self) -> tuple[int, Any] | None:
-        """Returns the answer of a store that fails, or None."""
+        """Returns the answer that the faults require, or None."""
         faults = self._store.faults
         if faults.silent:
             event.Event().wait()
@@ -140,15 +142,15 @@
         return (faults.status, {}) if faults.status else None
 
     def _read(self, environ: dict[str, Any]) -> tuple[int, Any]:
-        """Returns status and body of a read."""
+        """Returns the status and body of a list or watch request."""
         query = serving.parse_query(environ)
         prefix = query.get('path_prefix', '')
         if environ['PATH_INFO'] == '/jayseam/kv-range':
             return 200, self._store.list_page(prefix, query.get('after', ''))
         if environ['PATH_INFO'] == '/jayseam/kv-watch':
             wait_s = int(query.get('wait_ms', '0')) / 1000
-            found = self._store.watch(prefix, int(query['after']), wait_s)
-            return (200, found) if found else (410, {})
+            changes = self._store.watch(prefix, int(query['after']), wait_s)
+            return (200, changes) if changes else (410, {})
         return 404, {}
 
 
--- a/jayseam/standins/main.py
+++ b/jayseam/standins/main.py
@@ -1,4 +1,4 @@
-"""The program ``jayseam-standin``: runs one stand-in until it is ended."""
+"""The program ``jayseam-standin``: runs one stand-in until SIGTERM."""
 
 import argparse
 import json
@@ -16,7 +16,7 @@
 from jayseam.standins import platform
 
 _converter = cattrs.Converter(forbid_extra_keys=True)
-# The classes of the settings and of the stand-in, by kind.
+# Settings class and stand-in class by kind.
 _STANDINS: Mapping[str, tuple[type, Callable[[Any], Any]]] = {
     'platform': (platform.PlatformSettings, platform.Platform),
     'backend': (backendhosts.BackendHostSettings, backendhosts.BackendHost),
@@ -25,11 +25,11 @@
 
 
 def build_standin(kind: str, document: Any) -> Any:
-    """Returns a stand-in that is not yet started.
+    """Returns a stand-in without starting it.
 
     Args:
       kind: ``platform``, ``backend`` or ``faults``.
-      document: Its decoded JSON settings.
+      document: Settings of the stand-in, decoded from JSON.
 
     Raises:
       cattrs.BaseValidationError: If the settings are invalid.
@@ -39,7 +39,7 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    """Runs the program; returns 0 after SIGTERM and 2 for bad settings."""
+    """Runs the program; returns 0 after a signal and 2 for bad settings."""
     parser = argparse.ArgumentParser(
         prog='jayseam-standin', description='Runs one test stand-in.'
     )
@@ -50,21 +50,21 @@
         with open(options.settings, encoding='utf-8') as file:
             standin = build_standin(options.kind, json.load(file))
     except (OSError, ValueError, cattrs.BaseValidationError) as error:
-        for line in _describe(error):
+        for line in _format_error(error):
             print(f'{options.settings}: {line}', file=sys.stderr)
         return 2
-    ended = event.Event()
+    stop_requested = event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, ended.set)
+        gevent.signal_handler(number, stop_requested.set)
     standin.start()
     print(json.dumps({'event': 'standin.ready', 'kind': options.kind}))
     sys.stdout.flush()
-    ended.wait()
+    stop_requested.wait()
     standin.stop()
     return 0
 
 
-def _describe(error: Exception) -> list[str]:
+def _format_error(error: Exception) -> list[str]:
     if isinstance(error, cattrs.BaseValidationError):
         return cattrs.transform_error(
             error, format_exception=lambda cause, _: str(cause)
--- a/jayseam/standins/platform.py
+++ b/jayseam/standins/platform.py
@@ -1,7 +1,7 @@
-"""The configuration service and VM list that operators provide.
+"""Stand-in of the operators' configuration service and VM list.
 
-The read listener implements section 3.4 of the design page and can't be
-written to. Tests publish and inject faults through the control listener.
+The read listener implements section 3.4 of the design page and accepts no
+writes. Tests publish values and inject faults through the control listener.
 
 See Also:
   `jayseam.standins.clusters`, which publishes presets and key sets.
@@ -24,8 +24,8 @@
 MAX_VALUE_BYTES = 1_000_000
 VMS_KEY = '/vms'
 
-_KEPT_REVISIONS = 64
-_KEPT_SECONDS = 3600
+_MAX_REVISIONS_PER_KEY = 64
+_MAX_COUNTED_SECONDS = 3600
 _VALUES_PATH = '/v1/values/'
 _PART_FAULTS = ('altered', 'truncated', 'missing')
 _DOWN_KINDS = ('refuse', 'answer-503')
@@ -37,8 +37,8 @@
 
     Attributes:
       revision: Number of the revision, greater than all earlier ones.
-      data: The raw body.
-      visible_at: Time in seconds from which readers see it.
+      data: The raw value.
+      visible_at: Time in seconds from which readers see the revision.
     """
 
     revision: int
@@ -52,7 +52,7 @@
     >>> store = ValueStore()
     >>> store.publish('a', b'1', now=0.0), store.publish('a', b'2', now=0.0)
     (1, 2)
-    >>> store.read('a', now=0.0, newest=1).data
+    >>> store.read('a', now=0.0, max_revision=1).data
     b'1'
     """
 
@@ -65,8 +65,8 @@
     ) -> int:
         """Stores a new revision of ``key`` and returns its number."""
         self.revision += 1
-        kept = collections.deque(maxlen=_KEPT_REVISIONS)
-        values = self._values.setdefault(key, kept)
+        empty = collections.deque(maxlen=_MAX_REVISIONS_PER_KEY)
+        values = self._values.setdefault(key, empty)
         values.append(Value(self.revision, data, now + lag_s))
         return self.revision
 
@@ -74,7 +74,7 @@
         self,
         key: str,
         now: float,
-        newest: int | None = None,
+        max_revision: int | None = None,
         skip: int = 0,
     ) -> Value | None:
         """Returns the latest visible revision of ``key``, or None.
@@ -82,17 +82,17 @@
         Args:
           key: Name of the value.
           now: Time in seconds.
-          newest: Revisions after this one are not seen.
-          skip: How many of the latest visible revisions to pass over. The
-            oldest one is never passed over.
+          max_revision: Greatest revision that is visible; None sets no limit.
+          skip: Number of the latest visible revisions to skip. The oldest
+            visible one is never skipped.
         """
-        seen = [
+        visible = [
             value
             for value in self._values.get(key, ())
             if value.visible_at <= now
-            and (newest is None or value.revision <= newest)
+            and (max_revision is None or value.revision <= max_revision)
         ]
-        return seen[max(0, len(seen) - 1 - skip)] if seen else None
+        return visible[max(0, len(visible) - 1 - skip)] if visible else None
 
 
 @attrs.frozen
@@ -100,12 +100,13 @@
     """The faults in force.
 
     Attributes:
-      down: ``refuse`` closes the listener, ``answer-503`` answers so.
+      down: ``refuse`` closes the listener; ``answer-503`` answers every read
+        with status 503.
       slow_ms: Delay of each answer in milliseconds.
       stale_at: Revisions after this one are hidden.
-      parts: ``altered``, ``truncated`` or ``missing`` values below
-        ``parts/``.
-      digests: The parts concerned; empty means all.
+      parts: Damage to values below ``parts/``: ``altered``, ``truncated`` or
+        ``missing``.
+      digests: Digests of the parts that are damaged; empty means all.
       disorder: Whether every second answer for a key has the revision before
         the latest one.
     """
@@ -124,16 +125,16 @@
     disorder: bool = False
 
     def damage(self, key: str, data: bytes) -> bytes | None:
-        """Returns what is served in place of ``data``; None means missing.
+        """Returns the data to serve for a key, None if it is to be missing.
 
         >>> Faults(parts='truncated').damage('parts/12', b'abcd')
         b'ab'
         """
         prefix, _, digest = key.partition('/')
-        concerned = prefix == 'parts' and (
+        affected = prefix == 'parts' and (
             not self.digests or digest in self.digests
         )
-        if self.parts is None or not concerned:
+        if self.parts is None or not affected:
             return data
         if self.parts == 'missing':
             return None
@@ -151,11 +152,11 @@
         self._seconds: dict[int, int] = {}
 
     def admit(self, kind: str, now: float) -> bool:
-        """Counts a call and tells whether it is within the budget."""
+        """Counts a call and returns whether it is within the budget."""
         second = int(now)
         issued = self._seconds.get(second, 0) + 1
         self._seconds[second] = issued
-        if len(self._seconds) > _KEPT_SECONDS:
+        if len(self._seconds) > _MAX_COUNTED_SECONDS:
             del self._seconds[next(iter(self._seconds))]
         self._totals[kind] += 1
         if issued <= self._budget_per_s:
@@ -164,11 +165,11 @@
         return False
 
     def count(self, name: str, amount: int = 1) -> None:
-        """Adds to a total besides the kinds of calls."""
+        """Adds to a total that is not a kind of call."""
         self._totals[name] += amount
 
     def summarize(self) -> dict[str, Any]:
-        """Returns totals by kind, calls by second, and the busiest second."""
+        """Returns totals, calls by second, and the peak of these calls."""
         return {
             'totals': dict(self._totals),
             'per_second': [list(pair) for pair in self._seconds.items()],
@@ -184,7 +185,7 @@
       host: Address of both listeners.
       port: Port of the read listener.
       control_port: Port of the control listener.
-      budget_per_s: Calls a second over which calls get 429.
+      budget_per_s: Calls in a second above which calls get status 429.
       vms_lag_s: Seconds until a change of the VM list is visible.
     """
 
@@ -196,7 +197,7 @@
 
 
 class Platform:
-    """Serves values and the VM list, and the control actions of tests."""
+    """Serves values, the VM list and the control actions of tests."""
 
     def __init__(self, settings: PlatformSettings):
         self._settings = settings
@@ -205,7 +206,7 @@
         self._counter = CallCounter(settings.budget_per_s)
         self._vms_lag_s = settings.vms_lag_s
         self._changed = event.Event()
-        self._answers: collections.Counter[str] = collections.Counter()
+        self._answer_counts: collections.Counter[str] = collections.Counter()
         self._port = settings.port
         self._server: serving.Server | None = None
         self._control = serving.ControlServer(
@@ -242,7 +243,7 @@
     def _listen(self) -> None:
         if self._server is None:
             address = (self._settings.host, self._port)
-            self._server = serving.Server(address, self._answer)
+            self._server = serving.Server(address, self._handle_request)
             self._server.start()
             self._port = self._server.server_port
 
@@ -256,15 +257,18 @@
         changed.set()
 
     def _publish(self, request: Mapping[str, Any]) -> dict[str, Any]:
-        """Publishes one key, or all of ``values`` in their order."""
+        """Publishes one key, or all of ``values`` in the given order.
+
+        A part that is already stored keeps its revision.
+        """
         entries = request.get('values') or [request]
         decoded = [(entry['key'], _decode_value(entry)) for entry in entries]
         now = clocks.read_now()
         revisions = {}
         for key, data in decoded:
-            held = self._store.read(key, now)
-            if key.startswith('parts/') and held and held.data == data:
-                revisions[key] = held.revision
+            current = self._store.read(key, now)
+            if key.startswith('parts/') and current and current.data == data:
+                revisions[key] = current.revision
             else:
                 revisions[key] = self._store.publish(key, data, now)
         self._wake_watches()
@@ -285,9 +289,10 @@
         return {'revision': revision}
 
     def _set_faults(self, request: Mapping[str, Any]) -> dict[str, Any]:
-        """Replaces the faults named in the request; ``clear`` ends the rest.
+        """Sets the faults named in the request; ``clear`` ends all others.
 
-        ``stale`` true freezes at the current revision, a number at that one.
+        ``stale`` hides all revisions after a number, or after the current one
+        if it is true; false ends this fault.
         """
         changes = dict(request)
         current = Faults() if changes.pop('clear', False) else self._faults
@@ -313,77 +318,85 @@
         self._counter = CallCounter(self._settings.budget_per_s)
         return {}
 
-    def _answer(
-        self, environ: dict[str, Any], start: serving.StartResponse
+    def _handle_request(
+        self, environ: dict[str, Any], start_response: serving.StartResponse
     ) -> list[bytes]:
-        key = _find_key(environ)
+        key = _parse_key(environ)
         if environ['REQUEST_METHOD'] != 'GET' or key is None:
-            return serving.send_answer(start, 404)
+            return serving.send_answer(start_response, 404)
         query = serving.parse_query(environ)
         try:
             after = int(query['after']) if 'after' in query else None
             wait_s = float(query.get('wait_s', 0.0))
         except ValueError:
-            return serving.send_answer(start, 400, b'invalid after or wait_s')
+            return serving.send_answer(
+                start_response, 400, b'invalid after or wait_s'
+            )
         subject = 'vms' if key == VMS_KEY else key.partition('/')[0]
         kind = 'read' if after is None else 'watch'
         if not self._counter.admit(f'{kind}.{subject}', clocks.read_now()):
-            return serving.send_answer(start, 429, b'', [('Retry-After', '1')])
+            return serving.send_answer(
+                start_response, 429, b'', [('Retry-After', '1')]
+            )
         if self._faults.slow_ms:
             gevent.sleep(self._faults.slow_ms / 1000.0)
         if self._faults.down is not None:
-            return serving.send_answer(start, 503)
-        value = self._watch(key, after, wait_s)
-        return self._send_value(start, key, value, after)
-
-    def _watch(self, key: str, after: int | None, wait_s: float) -> Any:
-        """Returns the value to serve, or None when there is nothing newer."""
+            return serving.send_answer(start_response, 503)
+        value = self._wait_for_value(key, after, wait_s)
+        return self._send_value(start_response, key, value, after)
+
+    def _wait_for_value(
+        self, key: str, after: int | None, wait_s: float
+    ) -> Any:
+        """Returns the value to serve; None if there is none or none newer."""
         deadline = clocks.read_now() + wait_s
         while True:
             changed = self._changed
             now = clocks.read_now()
-            value, disordered = self._select(key, now)
+            value, disordered = self._select_revision(key, now)
             if value is not None and (
                 after is None or disordered or value.revision > after
             ):
-                self._answers[key] += 1
+                self._answer_counts[key] += 1
                 return value
             if after is None or now >= deadline or self._faults.down:
                 return None
             changed.wait(deadline - now)
 
-    def _select(self, key: str, now: float) -> tuple[Value | None, bool]:
+    def _select_revision(
+        self, key: str, now: float
+    ) -> tuple[Value | None, bool]:
         """Returns the revision to serve and whether it is out of order."""
-        newest = self._faults.stale_at
-        latest = self._store.read(key, now, newest)
-        if not self._faults.disorder or self._answers[key] % 2 == 0:
+        max_revision = self._faults.stale_at
+        latest = self._store.read(key, now, max_revision)
+        if not self._faults.disorder or self._answer_counts[key] % 2 == 0:
             return latest, False
-        earlier = self._store.read(key, now, newest, skip=1)
+        earlier = self._store.read(key, now, max_revision, skip=1)
         return earlier, earlier is not latest
 
     def _send_value(
         self,
-        start: serving.StartResponse,
+        start_response: serving.StartResponse,
         key: str,
         value: Value | None,
         after: int | None,
     ) -> list[bytes]:
         if self._faults.down is not None:
-            return serving.send_answer(start, 503)
+            return serving.send_answer(start_response, 503)
         if value is None:
-            known, _ = self._select(key, clocks.read_now())
+            known, _ = self._select_revision(key, clocks.read_now())
             status = 304 if after is not None and known else 404
-            return serving.send_answer(start, status)
+            return serving.send_answer(start_response, status)
         data = self._faults.damage(key, value.data)
         if data is None:
-            return serving.send_answer(start, 404)
+            return serving.send_answer(start_response, 404)
         self._counter.count('bytes', len(data))
         revision = [('Revision', str(value.revision))]
-        return serving.send_answer(start, 200, data, revision)
+        return serving.send_answer(start_response, 200, data, revision)
 
 
-def _find_key(environ: Mapping[str, Any]) -> str | None:
-    """Returns the key that a request path names, or None."""
+def _parse_key(environ: Mapping[str, Any]) -> str | None:
+    """Returns the key that a request reads; None for an unknown path."""
     path = environ['PATH_INFO']
     if path == '/v1/vms':
         return VMS_KEY
@@ -393,7 +406,7 @@
 
 
 def _decode_value(entry: Mapping[str, Any]) -> bytes:
-    """Returns the bytes of ``value`` or ``value_base64``."""
+    """Returns the bytes of ``value`` or of the decoded ``value_base64``."""
     if 'value_base64' in entry:
         data = base64.b64decode(entry['value_base64'])
     else:
--- a/jayseam/standins/platformbackend.py
+++ b/jayseam/standins/platformbackend.py
@@ -19,13 +19,13 @@
     """A request that reached the backend server.
 
     Attributes:
-      request_id: Its identifier.
-      at: Time of its arrival in seconds.
-      workspace: Workspace that the node named; empty if none.
-      caller_service: Service that the node named.
-      authorization: Credentials that came with it; nodes must drop them.
-      deadline_ms: Milliseconds left, as the node named them.
-      ran: Whether it ran.
+      request_id: Identifier of the request.
+      at: Time of the arrival in seconds.
+      workspace: Workspace that the node sent; empty if none.
+      caller_service: Calling service that the node sent.
+      authorization: Credentials in the request; nodes must remove them.
+      deadline_ms: Milliseconds until the deadline, as the node sent them.
+      ran: Whether the request ran.
     """
 
     request_id: str
@@ -39,15 +39,15 @@
 
 @attrs.define
 class Backend:
-    """A backend server and what it does wrong.
+    """A backend server with faults that a test can switch on.
 
     Attributes:
-      instance: Its name of this start.
-      service_s: Time that a request takes, in seconds.
-      full: Whether it turns requests away, as not run.
-      crossed: Whether its answers carry another request's identifier.
-      unsealed: Whether its answers lack their signature.
-      arrivals: Requests that have reached it.
+      instance: Identifier of the server process; differs after a restart.
+      service_s: Service time of a request in seconds.
+      full: Whether requests are refused and marked as not executed.
+      crossed: Whether answers carry the identifier of another request.
+      unsealed: Whether answers lack their signature.
+      arrivals: Requests that have reached the server.
     """
 
     instance: str
@@ -74,21 +74,21 @@
                 not (self.full or misdirected),
             )
         )
-        named = (REQUEST_ID, request_id)
+        id_header = (REQUEST_ID, request_id)
         if misdirected:
-            return serving.send_answer(start_response, 421, headers=[named])
+            return serving.send_answer(start_response, 421, headers=[id_header])
         if self.full:
-            refusal = ('Jayseam-Not-Executed', '1')
+            not_executed = ('Jayseam-Not-Executed', '1')
             return serving.send_answer(
-                start_response, 503, headers=[named, refusal]
+                start_response, 503, headers=[id_header, not_executed]
             )
         gevent.sleep(self.service_s)
         body = json.dumps(
             {'id': request_id, 'path': environ['PATH_INFO']}
         ).encode()
         if self.crossed:
-            named = (REQUEST_ID, 'another')
-        headers = [named]
+            id_header = (REQUEST_ID, 'another')
+        headers = [id_header]
         if not self.unsealed:
             headers.append((SIGNATURE, f'{self.instance}.{request_id}'))
         return serving.send_answer(start_response, 200, body, headers)
--- a/jayseam/standins/processes.py
+++ b/jayseam/standins/processes.py
@@ -14,21 +14,21 @@
 from jayseam.core import clocks
 from jayseam.standins import errors
 
-_POLL_S = 0.01
+_POLL_INTERVAL_S = 0.01
 
 
 def exit_on_sigterm() -> None:
-    """Lets SIGTERM end this program by an exception.
+    """Makes SIGTERM raise `SystemExit` in this program.
 
-    Its context managers then end the processes that it has started, which the
-    signal alone would leave behind.
+    The exception runs the context managers that end child processes. Without
+    the handler, the signal would leave the child processes running.
     """
     signal.signal(signal.SIGTERM, _raise_exit)
 
 
 def _raise_exit(number: int, frame: object) -> None:
     del frame
-    # The status that shells report for a signal.
+    # Shells report 128 plus the signal number as the exit status.
     sys.exit(128 + number)
 
 
@@ -36,8 +36,8 @@
     """Reserves free loopback ports until it is closed.
 
     Each port stays bound by a socket that never listens. With SO_REUSEADDR on
-    both sides a child process can still listen on it, while the kernel hands
-    it to nobody who asks for any free port.
+    both sockets a child process can still listen on the port, while the kernel
+    never picks it for a socket that asks for any free port.
     """
 
     def __init__(self, host: str = '127.0.0.1'):
@@ -45,7 +45,7 @@
         self._sockets: list[socket.socket] = []
 
     def reserve(self) -> int:
-        """Returns a port that no other reservation has."""
+        """Returns a free port and keeps it reserved."""
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((self._host, 0))
@@ -53,7 +53,7 @@
         return sock.getsockname()[1]
 
     def close(self) -> None:
-        """Gives all ports back."""
+        """Releases all ports."""
         while self._sockets:
             self._sockets.pop().close()
 
@@ -62,7 +62,7 @@
     """A child process whose output goes to a file.
 
     Args:
-      name: Name in messages.
+      name: Name of the process in messages.
       arguments: Program and arguments.
       log_path: File that standard output and error are appended to.
     """
@@ -103,7 +103,9 @@
         self._process.wait()
 
     def wait(self, timeout_s: float) -> int:
-        """Waits without blocking other greenlets and returns the status.
+        """Waits for the end and returns the exit status.
+
+        Other greenlets run during the wait.
 
         Raises:
           ClusterError: If the process still runs after ``timeout_s`` seconds.
@@ -114,7 +116,7 @@
                 raise errors.ClusterError(
                     f'{self.name} still runs after {timeout_s} s'
                 )
-            gevent.sleep(_POLL_S)
+            gevent.sleep(_POLL_INTERVAL_S)
         return self.returncode
 
     def read_tail(self, lines: int = 20) -> str:
--- a/jayseam/standins/serving.py
+++ b/jayseam/standins/serving.py
@@ -42,7 +42,7 @@
 
 
 def set_reset_on_close(sock: Any) -> None:
-    """Makes the close of a TCP socket send a reset."""
+    """Makes a TCP socket send a reset when it is closed."""
     linger = struct.pack('ii', 1, 0)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
@@ -67,7 +67,7 @@
 
 
 class Server(pywsgi.WSGIServer):
-    """A WSGI server with TCP_NODELAY whose connections end with it.
+    """A WSGI server with TCP_NODELAY, whose stop closes its connections.
 
     Args:
       address: Host and port to listen on.
@@ -83,16 +83,16 @@
             handler_class=_Handler,
             spawn=pool.Pool(),
         )
-        self._open: set[Any] = set()
+        self._open_sockets: set[Any] = set()
 
     def handle(self, sock: Any, address: Any) -> None:
-        """Serves one accepted connection until it ends."""
+        """Serves an accepted connection until it is closed."""
         sockets.set_nodelay(sock)
-        self._open.add(sock)
+        self._open_sockets.add(sock)
         try:
             super().handle(sock, address)
         finally:
-            self._open.discard(sock)
+            self._open_sockets.discard(sock)
 
     def stop_at_once(self, reset: bool = False) -> None:
         """Stops listening and closes every connection.
@@ -101,7 +101,7 @@
           reset: Whether peers see resets instead of orderly closes.
         """
         if reset:
-            for sock in list(self._open):
+            for sock in list(self._open_sockets):
                 set_reset_on_close(sock)
         self.stop(timeout=0)
 
@@ -113,7 +113,7 @@
     headers: Iterable[tuple[str, str]] = (),
     content_type: str = 'application/octet-stream',
 ) -> list[bytes]:
-    """Starts a WSGI answer and returns its body as an iterable."""
+    """Starts a WSGI answer and returns its body as a list of blocks."""
     fields = [('Content-Type', content_type), *headers]
     if status != 304:
         fields.append(('Content-Length', str(len(body))))
@@ -133,7 +133,7 @@
 
 
 def parse_query(environ: Mapping[str, Any]) -> dict[str, str]:
-    """Returns the query of a request; the last of equal names counts."""
+    """Returns the query parameters; the last value of a name is used."""
     query = environ.get('QUERY_STRING', '')
     return dict(urllib.parse.parse_qsl(query)) if query else {}
 
@@ -143,7 +143,7 @@
 
     An action takes the query (GET) or the JSON body (POST) as a dict and
     returns a JSON value. A `ControlError`, `KeyError`, `TypeError` or
-    `ValueError` becomes a 400 with the message.
+    `ValueError` is answered with status 400 and the error message.
 
     Args:
       address: Host and port to listen on.
@@ -152,7 +152,7 @@
 
     def __init__(self, address: tuple[str, int], actions: Mapping[str, Action]):
         self._actions = dict(actions)
-        self._server = Server(address, self._answer)
+        self._server = Server(address, self._handle_request)
 
     def start(self) -> None:
         """Starts listening."""
@@ -164,20 +164,24 @@
 
     @property
     def port(self) -> int:
-        """The TCP port that the listener has."""
+        """The port of the listener."""
         return self._server.server_port
 
-    def _answer(self, environ: dict[str, Any], start: StartResponse) -> Any:
+    def _handle_request(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Any:
         action = self._actions.get(environ['PATH_INFO'])
         if action is None:
             known = sorted(self._actions)
-            return send_json(start, 404, {'error': 'unknown', 'known': known})
+            return send_json(
+                start_response, 404, {'error': 'unknown', 'known': known}
+            )
         try:
             if environ['REQUEST_METHOD'] == 'POST':
                 request = json.loads(environ['wsgi.input'].read() or b'{}')
             else:
                 request = parse_query(environ)
-            return send_json(start, 200, action(request))
+            return send_json(start_response, 200, action(request))
         except (errors.ControlError, KeyError, TypeError, ValueError) as error:
             text = f'{type(error).__name__}: {error}'
-            return send_json(start, 400, {'error': text})
+            return send_json(start_response, 400, {'error': text})
--- a/jayseam/standins/tests/clients.py
+++ b/jayseam/standins/tests/clients.py
@@ -1,4 +1,4 @@
-"""Clients of stand-ins that run in the process of a test."""
+"""Clients of stand-ins that run inside the test process."""
 
 from jayseam.standins import exchanges
 
--- a/jayseam/standins/tests/idle_node.py
+++ b/jayseam/standins/tests/idle_node.py
@@ -1,4 +1,4 @@
-"""A process with the settings, listeners and stop of a node, and no more."""
+"""A minimal node: reads its settings, listens, and stops on SIGTERM."""
 
 import json
 import signal
@@ -15,14 +15,14 @@
     with open(sys.argv[2], encoding='utf-8') as file:
         settings = json.load(file)
     status = {'state': 'serving', 'incarnation': clocks.read_wall_ms()}
-    ended = event.Event()
-    gevent.signal_handler(signal.SIGTERM, ended.set)
+    stop_requested = event.Event()
+    gevent.signal_handler(signal.SIGTERM, stop_requested.set)
     for name in ('admin', 'caller', 'link'):
         section = settings[name]
         address = (section['host'], section['port'])
         server = serving.ControlServer(address, {'/status': lambda _: status})
         server.start()
-    ended.wait()
+    stop_requested.wait()
 
 
 if __name__ == '__main__':
--- a/jayseam/standins/tests/test_main.py
+++ b/jayseam/standins/tests/test_main.py
@@ -18,9 +18,9 @@
     """A stand-in that ignores SIGTERM would outlive its test."""
     path = tmp_path / 'settings.json'
     path.write_text('{}')
-    words = ['-m', 'jayseam.standins.main', kind, '--settings', str(path)]
+    arguments = ['-m', 'jayseam.standins.main', kind, '--settings', str(path)]
     process = processes.ManagedProcess(
-        kind, [sys.executable, *words], tmp_path / 'log'
+        kind, [sys.executable, *arguments], tmp_path / 'log'
     )
     try:
         waits.wait_until(process.read_tail, 5.0, 'ready line')
@@ -41,7 +41,7 @@
 def test_invalid_settings_are_refused(
     tmp_path, capsys, kind, document, expected
 ):
-    """A misspelt setting must not leave a stand-in with its default."""
+    """A misspelt setting must be refused, not replaced by its default."""
     path = tmp_path / 'settings.json'
     path.write_text(json.dumps(document))
     assert main.main([kind, '--settings', str(path)]) == 2
@@ -55,7 +55,7 @@
 
 
 def _is_running(pid):
-    """Tells whether a process exists and isn't only waiting to be reaped."""
+    """Returns whether a process exists and isn't a zombie."""
     try:
         stat = pathlib.Path(f'/proc/{pid}/stat').read_text('ascii')
     except FileNotFoundError:
@@ -64,17 +64,17 @@
 
 
 @pytest.mark.parametrize(
-    'words',
+    'arguments',
     [
         ['jayseam.standins.demo'],
         ['jayseam.soak.main'],
         ['jayseam.bench.main', '--only', 'memory'],
     ],
 )
-def test_programs_end_what_they_started(tmp_path, words):
-    """A program that is ended must not leave nodes behind."""
+def test_programs_end_what_they_started(tmp_path, arguments):
+    """A program that gets SIGTERM must end all its child processes."""
     process = processes.ManagedProcess(
-        words[0], [sys.executable, '-m', *words], tmp_path / 'log'
+        arguments[0], [sys.executable, '-m', *arguments], tmp_path / 'log'
     )
     started = []
     try:
--- a/jayseam/standins/tests/test_platform.py
+++ b/jayseam/standins/tests/test_platform.py
@@ -32,22 +32,22 @@
 
 
 def test_watch_gets_the_next_revision(make_client):
-    """A watch that misses a publication would slow convergence by its wait."""
+    """A publication must end a watch; its wait would delay convergence."""
     client = make_client()
     first = client.publish('channels/preset', 'one')
     path = f'/v1/values/channels/preset?after={first}&wait_s=3'
     watch = gevent.spawn(client.get, path)
     gevent.sleep(0.05)
-    began = clocks.read_now()
+    started_at = clocks.read_now()
     second = client.publish('channels/preset', 'two')
     answer = watch.get(timeout=2.0)
-    assert clocks.read_now() - began < 1.0
+    assert clocks.read_now() - started_at < 1.0
     assert (answer.status, answer.body) == (200, b'two')
     assert int(answer.headers['Revision']) == second > first
 
 
 def test_watch_ends_with_304_and_missing_with_404(make_client):
-    """Readers tell "nothing newer" from "no such value" by the status."""
+    """The status must distinguish "nothing newer" from "no such value"."""
     client = make_client()
     first = client.publish('a', 'one')
     path = f'/v1/values/a?after={first}&wait_s=0.1'
@@ -56,7 +56,7 @@
 
 
 def test_calls_over_the_budget_get_429(make_client):
-    """Readers must meet the platform's budget in tests as in operation."""
+    """Calls over the platform's budget must be refused, as in production."""
     client = make_client(budget_per_s=5)
     client.publish('a', 'one')
     statuses = [client.get('/v1/values/a').status for _ in range(12)]
@@ -79,7 +79,7 @@
 
 
 def test_down_refuses_and_comes_back_on_the_same_port(make_client):
-    """A source outage shows as refused connections or as 503."""
+    """An outage must cause refused connections or status 503, and end."""
     client = make_client()
     client.publish('a', 'one')
     client.control('fault', down='refuse')
@@ -104,7 +104,7 @@
 
 
 def test_disorder_serves_an_update_after_a_newer_one(make_client):
-    """Updates that overtake one another must reach the readers so."""
+    """Updates out of order must reach the readers out of order."""
     client = make_client()
     client.publish('a', 'one')
     client.publish('a', 'two')
@@ -117,7 +117,7 @@
     'kind, status', [('altered', 200), ('truncated', 200), ('missing', 404)]
 )
 def test_parts_are_damaged(make_client, kind, status):
-    """Readers must be shown parts that don't match their digest."""
+    """Damaged parts must be served, so that readers have to detect them."""
     client = make_client()
     client.publish('parts/12', 'content')
     client.control('fault', parts=kind)
@@ -130,13 +130,13 @@
     client = make_client()
     client.publish('a', 'one')
     client.control('fault', slow_ms=150)
-    began = clocks.read_now()
+    started_at = clocks.read_now()
     client.get('/v1/values/a')
-    assert clocks.read_now() - began >= 0.15
+    assert clocks.read_now() - started_at >= 0.15
 
 
 def test_values_over_the_limit_are_refused(make_client):
-    """The platform holds values up to 1 MB; larger ones must not pass."""
+    """The platform accepts values up to 1 MB and must refuse larger ones."""
     client = make_client()
     with pytest.raises(errors.ControlError):
         client.publish('a', 'x' * (platform.MAX_VALUE_BYTES + 1))
--- a/jayseam/standins/waits.py
+++ b/jayseam/standins/waits.py
@@ -8,7 +8,7 @@
 from jayseam.core import clocks
 from jayseam.standins import errors
 
-_POLL_S = 0.05
+_POLL_INTERVAL_S = 0.05
 
 
 def wait_until(
@@ -18,15 +18,15 @@
 ) -> Any:
     """Waits for a true result of ``predicate`` and returns it.
 
-    An `ExchangeError` counts as not yet true.
+    An `ExchangeError` from ``predicate`` counts as a false result.
 
     Args:
-      predicate: Tells whether the condition holds.
-      timeout_s: Seconds until the wait ends.
-      reason: Name of the condition in the error.
+      predicate: Returns whether the condition holds.
+      timeout_s: Seconds until the wait fails.
+      reason: Name of the condition in the error message.
 
     Raises:
-      ClusterError: If it isn't true within ``timeout_s`` seconds.
+      ClusterError: If the condition doesn't hold within ``timeout_s`` seconds.
     """
     deadline = clocks.read_now() + timeout_s
     last_error = ''
@@ -40,6 +40,6 @@
             return result
         if clocks.read_now() >= deadline:
             raise errors.ClusterError(
-                f'{reason}{last_error}: not in {timeout_s} s'
+                f'{reason}{last_error}: timed out after {timeout_s} s'
             )
-        gevent.sleep(_POLL_S)
+        gevent.sleep(_POLL_INTERVAL_S)
