--- a/jayseam/standins/clusters.py
+++ b/jayseam/standins/clusters.py
@@ -1,12 +1,12 @@
 """Whole deployments as real processes on loopback.
 
-A `Cluster` starts the platform, the backend servers, optional fault proxies
+A `Cluster` starts the platform, the backend servers, an optional fault proxy
 and one ``jayseam-node`` process for each upstream of a preset. It ends only
 processes that it started, by process id.
 
 See Also:
   `jayseam.standins.plans` for what a cluster consists of;
-  `jayseam.standins.referee`, which judges what the backend servers ran.
+  `jayseam.standins.referee`, which checks what the backend servers ran.
 """
 
 import copy
@@ -42,14 +42,15 @@
 
 
 class Cluster:
-    """Starts and governs a deployment; use it as a context manager.
+    """Starts and controls a deployment; use it as a context manager.
 
-    Entering starts all processes and waits until every node serves. Leaving
-    ends them, and shows the ends of their logs after an exception.
+    Entering the context starts all processes and waits until every node serves.
+    Leaving it ends them, and after an exception prints the last lines of their
+    logs.
 
     Args:
-      plan: What to start.
-      start_nodes: False starts the stand-ins only.
+      plan: Processes to start and their settings.
+      start_nodes: Whether the nodes are started besides the stand-ins.
     """
 
     def __init__(self, plan: plans.ClusterPlan, start_nodes: bool = True):
@@ -65,7 +66,7 @@
         self._backend_hosts: list[Address] = []
         self._backends: dict[str, _BackendServer] = {}
         self._source_ports: dict[str, int] = {}
-        self._n_names = 0
+        self._n_created_vms = 0
 
     def __enter__(self) -> 'Cluster':
         try:
@@ -109,81 +110,81 @@
     # Processes of VMs.
 
     def kill(self, vm: str, backend: bool = True) -> None:
-        """Ends a VM without warning: its node and its backend server.
+        """Crashes a VM: kills its node and stops its backend server.
 
         Args:
-          vm: Name of the VM. It stays in the VM list.
-          backend: Whether the backend server ends too.
+          vm: Name of the VM, which stays in the VM list.
+          backend: Whether the backend server is stopped, too.
         """
-        self._process_of(vm).kill()
+        self._get_process(vm).kill()
         if backend:
             self.control_backend(self.vms[vm].upstream, 'stop')
 
     def pause(self, vm: str) -> None:
-        """Stops the node process of a VM from running (SIGSTOP)."""
-        self._process_of(vm).send_signal(signal.SIGSTOP)
+        """Pauses the node process of a VM (SIGSTOP)."""
+        self._get_process(vm).send_signal(signal.SIGSTOP)
 
     def resume(self, vm: str) -> None:
-        """Lets a paused node process run on (SIGCONT)."""
-        self._process_of(vm).send_signal(signal.SIGCONT)
+        """Resumes a paused node process (SIGCONT)."""
+        self._get_process(vm).send_signal(signal.SIGCONT)
 
     def terminate(
         self, vm: str, timeout_s: float = 30.0, listed: bool = True
     ) -> int:
-        """Stops a node as planned and returns its exit status.
+        """Stops a node in a planned way (SIGTERM); returns its exit status.
 
         Args:
           vm: Name of the VM.
           timeout_s: Seconds until the process must have ended.
-          listed: Whether the VM list shows the VM as leaving.
+          listed: Whether the VM list is published with the VM as ``leaving``.
 
         Raises:
-          ClusterError: If it still runs then.
+          ClusterError: If the process still runs after ``timeout_s`` seconds.
         """
         if listed:
             self.vms[vm].state = 'leaving'
             self.publish_vms()
-        process = self._process_of(vm)
+        process = self._get_process(vm)
         process.send_signal(signal.SIGTERM)
         return process.wait(timeout_s)
 
     def restart(self, vm: str, graceful: bool = True) -> None:
-        """Starts the node of a VM anew, as another incarnation.
+        """Restarts the node of a VM, as a new incarnation.
 
         Args:
-          vm: Name of the VM, whose backend server is started if it is down.
-          graceful: Whether a running node is terminated, not killed.
+          vm: Name of the VM. Its backend server is started if it is down.
+          graceful: Whether a running node is terminated instead of killed.
         """
-        self._end_node(vm, graceful, listed=False)
+        self._stop_node(vm, graceful, listed=False)
         self.control_backend(self.vms[vm].upstream, 'start')
         self.vms[vm].state = 'live'
         self.publish_vms()
         self.start_node(self.vms[vm])
 
     def replace(self, vm: str, graceful: bool = True) -> str:
-        """Puts a new VM at the position of another and returns its name.
+        """Replaces a VM by a new one with its upstream; returns its name.
 
         Args:
-          vm: The VM that goes. It leaves the VM list.
-          graceful: Whether it is terminated, not killed.
+          vm: Name of the old VM, which is removed from the VM list.
+          graceful: Whether the old node is terminated instead of killed.
         """
-        leaving = self.vms[vm]
-        self._end_node(vm, graceful, listed=True)
+        old_vm = self.vms[vm]
+        self._stop_node(vm, graceful, listed=True)
         del self.vms[vm]
         for action in ('stop', 'start'):
-            self.control_backend(leaving.upstream, action)
-        arriving = self._add_vm(leaving.upstream, leaving.zone)
+            self.control_backend(old_vm.upstream, action)
+        new_vm = self._add_vm(old_vm.upstream, old_vm.zone)
         self.control_backend(
-            leaving.upstream, 'node', host=_HOST, port=arriving.caller_port
+            old_vm.upstream, 'node', host=_HOST, port=new_vm.caller_port
         )
         self.publish_vms()
-        self.start_node(arriving)
-        return arriving.name
+        self.start_node(new_vm)
+        return new_vm.name
 
-    # What operators do.
+    # Actions of operators.
 
     def publish(self, preset: Mapping[str, Any]) -> int:
-        """Puts a preset in force and returns its version."""
+        """Publishes a preset and returns its version."""
         self.preset = copy.deepcopy(dict(preset))
         return self._publish_channel('preset', self.preset)
 
@@ -210,16 +211,16 @@
         return self.publish_vm_entries(entries)
 
     def publish_vm_entries(self, entries: Iterable[dict[str, Any]]) -> int:
-        """Publishes a VM list of any entries and returns its revision."""
+        """Publishes a VM list of arbitrary entries; returns its revision."""
         body = vmlists.encode_vm_list(entries)
         return self.control_platform('vms', body=body)['revision']
 
     # The network.
 
     def partition(self, *groups: str | Iterable[str]) -> None:
-        """Parts groups of zones, VM names or ``platform`` from each other.
+        """Separates groups of zones, VM names or ``platform``.
 
-        A name given as a string alone forms a group.
+        A single string is a group with one name.
 
         Raises:
           ClusterError: If the plan has no fault proxies.
@@ -252,31 +253,31 @@
         return self._require_network().control(action, **fields)
 
     def control_backend(self, upstream: str, action: str, **fields: Any) -> Any:
-        """Calls a control action of the backend server of a position."""
+        """Calls a control action of the backend server of an upstream."""
         fields['backend'] = upstream
         return exchanges.call_control(
             self._backends[upstream].control, f'/control/{action}', fields
         )
 
     def collect_runs(self) -> list[dict[str, Any]]:
-        """Returns the runs of all backend servers, with ``backend`` added."""
+        """Returns the runs of all backend servers, each with ``backend``."""
         return [
             {**run, 'backend': name}
-            for name, runs in self._collect('runs').items()
+            for name, runs in self._collect_by_backend('runs').items()
             for run in runs
         ]
 
     def collect_peaks(self, reset: bool = False) -> dict[str, dict[str, Any]]:
         """Returns the peaks of all backend servers by upstream."""
-        return self._collect('peaks', reset=reset)
+        return self._collect_by_backend('peaks', reset=reset)
 
     # Nodes.
 
     def status(self, vm: str, timeout_s: float = 2.0) -> dict[str, Any]:
-        """Returns the answer of a node to admin ``GET /status``.
+        """Returns what a node's admin listener answers to ``GET /status``.
 
         Raises:
-          ExchangeError: If it doesn't answer within ``timeout_s`` seconds.
+          ExchangeError: If the node doesn't answer in time.
         """
         address = (_HOST, self.vms[vm].admin_port)
         return exchanges.exchange_once(
@@ -296,7 +297,7 @@
         """Makes one call to the caller listener of a node.
 
         Raises:
-          ExchangeError: If no whole answer arrived.
+          ExchangeError: If no complete answer arrived.
         """
         fields = dict(headers or {})
         if key is not None:
@@ -321,7 +322,7 @@
         See `waits.wait_until`.
 
         Raises:
-          ClusterError: If it isn't true within ``timeout_s`` seconds.
+          ClusterError: If the condition doesn't hold in time.
         """
         return waits.wait_until(predicate, timeout_s, reason)
 
@@ -329,7 +330,7 @@
         """Waits until nodes have the state ``serving``; all by default.
 
         Raises:
-          ClusterError: If one ends or doesn't serve in time.
+          ClusterError: If a node ends or doesn't serve in time.
         """
         for vm in list(self.vms if vms is None else vms):
             self.wait_until(
@@ -339,14 +340,14 @@
             )
 
     def _serves(self, vm: str) -> bool:
-        process = self._process_of(vm)
+        process = self._get_process(vm)
         if process.returncode is not None:
             raise errors.ClusterError(
                 f'{vm} ended with status {process.returncode}'
             )
         return self.status(vm).get('state') == 'serving'
 
-    def _process_of(self, vm: str) -> processes.ManagedProcess:
+    def _get_process(self, vm: str) -> processes.ManagedProcess:
         process = self.vms[vm].process
         if process is None:
             raise errors.ClusterError(f'{vm} has no node process')
@@ -357,8 +358,8 @@
             raise errors.ClusterError('the plan has no fault proxies')
         return self._network
 
-    def _collect(self, action: str, **fields: Any) -> dict[str, Any]:
-        """Calls a control action of all processes of backend servers."""
+    def _collect_by_backend(self, action: str, **fields: Any) -> dict[str, Any]:
+        """Calls a control action of all backend hosts; merges the answers."""
         collected: dict[str, Any] = {}
         for control in self._backend_hosts:
             collected.update(
@@ -366,9 +367,9 @@
             )
         return collected
 
-    def _end_node(self, vm: str, graceful: bool, listed: bool) -> None:
-        """Ends the node of a VM if it runs."""
-        process = self._process_of(vm)
+    def _stop_node(self, vm: str, graceful: bool, listed: bool) -> None:
+        """Stops the node of a VM if it runs."""
+        process = self._get_process(vm)
         if process.returncode is not None:
             return
         if graceful:
@@ -376,7 +377,7 @@
         else:
             process.kill()
 
-    # Starts.
+    # Startup.
 
     def start_node(self, vm: vmlists.Vm) -> None:
         """Starts the node process of a VM, without waiting for it."""
@@ -385,7 +386,7 @@
             vm.name, self.plan.node_module, [], settings
         )
         if self._network is not None:
-            self._network.name_process(vm)
+            self._network.register_process(vm)
 
     def build_node_settings(self, vm: vmlists.Vm) -> dict[str, Any]:
         """Returns the settings document of the node of a VM."""
@@ -413,8 +414,8 @@
             )
 
     def _add_vm(self, upstream: str, zone: str) -> vmlists.Vm:
-        self._n_names += 1
-        name = f'vm-{self._n_names:03d}-{upstream}'
+        self._n_created_vms += 1
+        name = f'vm-{self._n_created_vms:03d}-{upstream}'
         regions = {
             entry['name']: entry['region'] for entry in self.preset['zones']
         }
@@ -435,7 +436,7 @@
         return vm
 
     def _start_backends(self) -> None:
-        """Starts processes with some backend servers each."""
+        """Starts processes with several backend servers each."""
         upstreams = self.preset['upstreams']
         size = self.plan.backends_per_process
         for first in range(0, len(upstreams), size):
@@ -452,7 +453,8 @@
 
         Args:
           name: Name of the process.
-          first: Seed of the first backend server; the others count up.
+          first: Seed of the first backend server, increased by 1 for each of
+            the others.
           upstreams: Entries of their upstreams in the preset.
         """
         node_ports = {vm.upstream: vm.caller_port for vm in self.vms.values()}
@@ -482,4 +484,4 @@
         bundle = self.plan.split(channel, document)
         values = publications.list_values(channel, bundle)
         answer = self.control_platform('publish', values=values)
-        return answer['revisions'][publications.name_pointer(channel)]
+        return answer['revisions'][publications.build_pointer_key(channel)]
--- a/jayseam/standins/faultrules.py
+++ b/jayseam/standins/faultrules.py
@@ -1,7 +1,7 @@
-"""Rules of the fault proxy: which connections meet which fault.
+"""Rules of the fault proxy: which faults apply to which connections.
 
-Each connection runs between two endpoints, a source and a target, which have
-a name and a group (for nodes: the VM and its availability zone). A rule
+Each connection has two endpoints, a source and a target. An endpoint has a name
+and a group; for a node these are the VM and its availability zone. A rule
 applies to the connections whose endpoints it selects by name or group.
 """
 
@@ -9,7 +9,7 @@
 
 import attrs
 
-_SILENCES = ('forward', 'backward', 'both')
+_SILENCE_DIRECTIONS = ('forward', 'backward', 'both')
 
 
 @attrs.frozen
@@ -25,7 +25,7 @@
     group: str
 
 
-UNKNOWN = Endpoint('', '')
+UNKNOWN_ENDPOINT = Endpoint('', '')
 
 
 @attrs.frozen
@@ -35,8 +35,8 @@
     Attributes:
       source: Names or groups of sources; empty selects all.
       target: Names or groups of targets; empty selects all.
-      delay_ms: Added to each direction, in milliseconds.
-      silence: Direction that gets no bytes: ``forward`` (to the target),
+      delay_ms: Delay added in each direction, in milliseconds.
+      silence: Direction in which no bytes pass: ``forward`` (to the target),
         ``backward`` or ``both``.
       refuse: Whether new connections are reset.
     """
@@ -46,12 +46,14 @@
     delay_ms: float = 0.0
     silence: str | None = attrs.field(
         default=None,
-        validator=attrs.validators.optional(attrs.validators.in_(_SILENCES)),
+        validator=attrs.validators.optional(
+            attrs.validators.in_(_SILENCE_DIRECTIONS)
+        ),
     )
     refuse: bool = False
 
     def selects(self, source: Endpoint, target: Endpoint) -> bool:
-        """Tells whether the rule applies between two endpoints.
+        """Returns whether the rule applies between two endpoints.
 
         >>> rule = Rule(source=['zone-a'])
         >>> rule.selects(Endpoint('vm-1', 'zone-a'), Endpoint('vm-2', 'b'))
@@ -64,8 +66,15 @@
 
 
 @attrs.frozen
-class Condition:
-    """What the rules and the partition together do to one connection."""
+class ConnectionFaults:
+    """Combined faults of the rules and the partition on one connection.
+
+    Attributes:
+      delay_s: Delay in each direction, in seconds.
+      forward_silent: Whether no bytes pass to the target.
+      backward_silent: Whether no bytes pass to the source.
+      refused: Whether a new connection is reset.
+    """
 
     delay_s: float = 0.0
     forward_silent: bool = False
@@ -78,36 +87,37 @@
     partition: Sequence[frozenset[str]],
     source: Endpoint,
     target: Endpoint,
-) -> Condition:
-    """Returns the condition of connections between two endpoints.
+) -> ConnectionFaults:
+    """Returns the faults on connections between two endpoints.
 
     Args:
       rules: All rules in force.
-      partition: Sets of names or groups that can't reach each other; an
-        endpoint in none of them reaches all.
+      partition: Sets of names or groups that can't reach each other. An
+        endpoint that is in none of them can reach all.
       source: The endpoint that connects.
       target: The endpoint that is connected to.
 
-    >>> sides = [frozenset({'a'}), frozenset({'b'})]
+    >>> parts = [frozenset({'a'}), frozenset({'b'})]
     >>> ends = Endpoint('vm-1', 'a'), Endpoint('vm-2', 'b')
-    >>> combine_rules([], sides, *ends).forward_silent
+    >>> combine_rules([], parts, *ends).forward_silent
     True
     """
     selected = [rule for rule in rules if rule.selects(source, target)]
-    sides = [_find_side(partition, end) for end in (source, target)]
-    parted = None not in sides and sides[0] != sides[1]
+    parts = [_find_part(partition, end) for end in (source, target)]
+    partitioned = None not in parts and parts[0] != parts[1]
     silences = {rule.silence for rule in selected}
-    return Condition(
+    return ConnectionFaults(
         delay_s=sum(rule.delay_ms for rule in selected) / 1000.0,
-        forward_silent=parted or bool(silences & {'forward', 'both'}),
-        backward_silent=parted or bool(silences & {'backward', 'both'}),
+        forward_silent=partitioned or bool(silences & {'forward', 'both'}),
+        backward_silent=partitioned or bool(silences & {'backward', 'both'}),
         refused=any(rule.refuse for rule in selected),
     )
 
 
-def _find_side(
+def _find_part(
     partition: Sequence[frozenset[str]], endpoint: Endpoint
 ) -> int | None:
+    """Returns the number of the set that contains an endpoint, or None."""
     for number, names in enumerate(partition):
         if names & {endpoint.name, endpoint.group}:
             return number
--- a/jayseam/standins/faults.py
+++ b/jayseam/standins/faults.py
@@ -1,12 +1,12 @@
 """A TCP proxy that delays, silences, cuts and refuses connections.
 
-One process hosts many forwardings. A rule applies to the connections that it
-selects, open connections included.
+One process runs many forwardings. A rule applies to the connections that it
+selects, including open ones.
 
-Silence keeps the bytes and delivers them once it ends, as TCP does after a
-partition. The source of a connection to a forwarding without a fixed source
-is found through the process that owns the socket, because all nodes dial the
-same advertised address.
+Bytes sent during a silence are held back and delivered when the silence ends,
+as TCP does after a partition. If a forwarding has no fixed source, the source
+of a connection is found through the process that owns the socket, because all
+nodes connect to the same advertised address.
 
 See Also:
   `jayseam.standins.faultrules` for the rules; `jayseam.standins.relays` for the
@@ -22,22 +22,22 @@
 
 from jayseam.core import sockets
 from jayseam.standins import errors
-from jayseam.standins import relays
 from jayseam.standins import faultrules
+from jayseam.standins import relays
 from jayseam.standins import serving
 from jayseam.standins import socketowners
 
 
 @attrs.frozen
 class Forwarding:
-    """A listener and where it forwards to.
+    """A listener and the port that it forwards connections to.
 
     Attributes:
       name: Unique name.
       port: Port to listen on; 0 takes any free one.
       target_port: Port that connections are forwarded to.
-      target: faultrules.Endpoint behind the target port.
-      source: faultrules.Endpoint of all connections; None finds it by process.
+      target: Endpoint behind the target port.
+      source: Endpoint of all connections; None looks it up by process.
       host: Address of both ports.
     """
 
@@ -65,18 +65,19 @@
 
 
 class FaultProxy:
-    """Hosts forwardings and the control listener that governs them.
+    """Runs forwardings and the control listener that injects faults.
 
     Control actions:
       ``/control/rules``: Sets the rule ``id`` to the fields of
         `faultrules.Rule`; ``clear`` true ends it.
-      ``/control/partition``: Parts ``groups`` of names from each other.
+      ``/control/partition``: Separates ``groups`` of names from each other.
       ``/control/heal``: Ends the partition, and with ``rules`` true all rules.
       ``/control/cut``: Closes the connections that ``source`` and ``target``
-        select, with resets if ``reset``.
-      ``/control/half-open``: Silences the selected open connections for good.
+        select, with resets if ``reset`` is true.
+      ``/control/half-open``: Silences the selected open connections until they
+        are closed.
       ``/control/forwardings``: Adds a forwarding.
-      ``/control/sources``: Gives endpoints to processes by id.
+      ``/control/sources``: Assigns endpoints to process ids.
       ``/control/connections``: Lists the connections.
     """
 
@@ -94,17 +95,17 @@
                 '/control/partition': self._set_partition,
                 '/control/heal': self._heal,
                 '/control/cut': self._cut,
-                '/control/half-open': self._silence_open,
-                '/control/forwardings': self._add,
-                '/control/sources': self._name_sources,
-                '/control/connections': self._report,
+                '/control/half-open': self._silence_connections,
+                '/control/forwardings': self._add_requested_forwarding,
+                '/control/sources': self._set_sources,
+                '/control/connections': self._list_connections,
             },
         )
 
     def start(self) -> None:
         """Starts all listeners."""
         for forwarding in self._settings.forwardings:
-            self.forward(forwarding)
+            self.add_forwarding(forwarding)
         self._control.start()
 
     def stop(self) -> None:
@@ -120,13 +121,13 @@
         """The port of the control listener."""
         return self._control.port
 
-    def forward(self, forwarding: Forwarding) -> int:
+    def add_forwarding(self, forwarding: Forwarding) -> int:
         """Adds a forwarding and returns the port it listens on."""
         if forwarding.name in self._servers:
             raise errors.ControlError(f'{forwarding.name} exists already')
 
         def handle(sock: Any, address: tuple[str, int]) -> None:
-            self._serve(forwarding, sock, address[1])
+            self._handle_connection(forwarding, sock, address[1])
 
         listener = server.StreamServer(
             (forwarding.host, forwarding.port), handle
@@ -135,54 +136,58 @@
         self._servers[forwarding.name] = listener
         return listener.server_port
 
-    def _serve(
-        self, forwarding: Forwarding, near: Any, source_port: int
+    def _handle_connection(
+        self, forwarding: Forwarding, source_socket: Any, source_port: int
     ) -> None:
-        sockets.set_nodelay(near)
+        sockets.set_nodelay(source_socket)
         source = forwarding.source
         if source is None:
-            source = self._find_source(source_port, near)
-        far = self._connect(forwarding, source)
-        if far is None:
-            serving.reset_connection(near)
+            source = self._find_source(source_port, source_socket)
+        target_socket = self._connect(forwarding, source)
+        if target_socket is None:
+            serving.reset_connection(source_socket)
             return
-        relay = relays.Relay(source, forwarding.target, near, far)
-        relay.apply(self._combine(source, forwarding.target))
+        relay = relays.Relay(
+            source, forwarding.target, source_socket, target_socket
+        )
+        relay.apply(self._combine_rules(source, forwarding.target))
         self._relays.add(relay)
         try:
             relay.run()
         finally:
             self._relays.discard(relay)
 
-    def _find_source(self, source_port: int, near: Any) -> faultrules.Endpoint:
+    def _find_source(
+        self, source_port: int, source_socket: Any
+    ) -> faultrules.Endpoint:
         """Returns the endpoint of the process that opened a connection."""
-        own_port = near.getsockname()[1]
+        own_port = source_socket.getsockname()[1]
         pid = socketowners.find_owner(source_port, own_port, self._sources)
-        return self._sources.get(pid, faultrules.UNKNOWN)
+        return self._sources.get(pid, faultrules.UNKNOWN_ENDPOINT)
 
     def _connect(
         self, forwarding: Forwarding, source: faultrules.Endpoint
     ) -> Any:
         """Returns a connection to the target, or None if it is refused."""
-        if self._combine(source, forwarding.target).refused:
+        if self._combine_rules(source, forwarding.target).refused:
             return None
         try:
             address = (forwarding.host, forwarding.target_port)
-            far = socket.create_connection(address)
+            target_socket = socket.create_connection(address)
         except OSError:
             return None
-        sockets.set_nodelay(far)
-        return far
+        sockets.set_nodelay(target_socket)
+        return target_socket
 
-    def _combine(
+    def _combine_rules(
         self, source: faultrules.Endpoint, target: faultrules.Endpoint
-    ) -> faultrules.Condition:
+    ) -> faultrules.ConnectionFaults:
         active = list(self._rules.values())
         return faultrules.combine_rules(active, self._partition, source, target)
 
-    def _apply_all(self) -> dict[str, Any]:
+    def _apply_rules(self) -> dict[str, Any]:
         for relay in self._relays:
-            relay.apply(self._combine(relay.source, relay.target))
+            relay.apply(self._combine_rules(relay.source, relay.target))
         return {'connections': len(self._relays)}
 
     def _set_rule(self, request: dict[str, Any]) -> dict[str, Any]:
@@ -191,19 +196,19 @@
             self._rules.pop(name, None)
         else:
             self._rules[name] = faultrules.Rule(**request)
-        return self._apply_all()
+        return self._apply_rules()
 
     def _set_partition(self, request: dict[str, Any]) -> dict[str, Any]:
         self._partition = [frozenset(names) for names in request['groups']]
-        return self._apply_all()
+        return self._apply_rules()
 
     def _heal(self, request: dict[str, Any]) -> dict[str, Any]:
         self._partition = []
         if request.get('rules'):
             self._rules.clear()
-        return self._apply_all()
+        return self._apply_rules()
 
-    def _select(self, request: Mapping[str, Any]) -> list[relays.Relay]:
+    def _select_relays(self, request: Mapping[str, Any]) -> list[relays.Relay]:
         rule = faultrules.Rule(
             request.get('source', ()), request.get('target', ())
         )
@@ -214,19 +219,21 @@
         ]
 
     def _cut(self, request: dict[str, Any]) -> dict[str, Any]:
-        selected = self._select(request)
+        selected = self._select_relays(request)
         for relay in selected:
             relay.close(bool(request.get('reset')))
         return {'cut': len(selected)}
 
-    def _silence_open(self, request: dict[str, Any]) -> dict[str, Any]:
-        selected = self._select(request)
+    def _silence_connections(self, request: dict[str, Any]) -> dict[str, Any]:
+        selected = self._select_relays(request)
         for relay in selected:
             relay.dead = True
-        self._apply_all()
+        self._apply_rules()
         return {'silenced': len(selected)}
 
-    def _add(self, request: dict[str, Any]) -> dict[str, Any]:
+    def _add_requested_forwarding(
+        self, request: dict[str, Any]
+    ) -> dict[str, Any]:
         source = request.get('source')
         forwarding = Forwarding(
             name=request['name'],
@@ -235,14 +242,14 @@
             target=faultrules.Endpoint(**request['target']),
             source=faultrules.Endpoint(**source) if source else None,
         )
-        return {'port': self.forward(forwarding)}
+        return {'port': self.add_forwarding(forwarding)}
 
-    def _name_sources(self, request: dict[str, Any]) -> dict[str, Any]:
+    def _set_sources(self, request: dict[str, Any]) -> dict[str, Any]:
         for pid, endpoint in request['processes'].items():
             self._sources[int(pid)] = faultrules.Endpoint(**endpoint)
         return {'processes': len(self._sources)}
 
-    def _report(self, _: dict[str, Any]) -> dict[str, Any]:
+    def _list_connections(self, _: dict[str, Any]) -> dict[str, Any]:
         pairs = [
             {
                 'source': attrs.asdict(relay.source),
--- a/jayseam/standins/launchers.py
+++ b/jayseam/standins/launchers.py
@@ -1,6 +1,6 @@
-"""Starts the processes of a cluster and ends them.
+"""Starts and ends the processes of a cluster.
 
-Only processes that a launcher started are ended, by process id.
+A launcher ends only processes that it started, by process id.
 """
 
 import json
@@ -27,7 +27,8 @@
       start_timeout_s: Seconds until a stand-in must answer.
 
     Attributes:
-      directory: Where settings and logs are; None while it is closed.
+      directory: Directory of settings and logs; None while the launcher is
+        closed.
     """
 
     def __init__(self, host: str, start_timeout_s: float):
@@ -38,11 +39,11 @@
         self._processes: list[processes.ManagedProcess] = []
 
     def open(self) -> None:
-        """Makes the directory."""
+        """Creates the directory."""
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix='jayseam-'))
 
     def close(self) -> None:
-        """Ends all processes, gives ports back and removes the directory."""
+        """Ends all processes, releases ports and removes the directory."""
         for process in reversed(self._processes):
             process.kill()
         self._processes.clear()
@@ -52,18 +53,18 @@
             self.directory = None
 
     def reserve_port(self) -> int:
-        """Returns a port that no other process gets."""
+        """Returns a port that no other process is given."""
         return self._ports.reserve()
 
     def launch(
-        self, name: str, module: str, words: Sequence[str], settings: Any
+        self, name: str, module: str, arguments: Sequence[str], settings: Any
     ) -> processes.ManagedProcess:
-        """Starts a module with a settings file.
+        """Starts a process that runs a module with a settings file.
 
         Args:
           name: Name of the process and of its files.
-          module: Module that is run.
-          words: Arguments before ``--settings``.
+          module: Name of the module to run.
+          arguments: Arguments before ``--settings``.
           settings: Settings document.
         """
         assert self.directory is not None
@@ -71,7 +72,7 @@
         path.write_text(json.dumps(settings), encoding='utf-8')
         process = processes.ManagedProcess(
             name,
-            [sys.executable, '-m', module, *words, '--settings', str(path)],
+            [sys.executable, '-m', module, *arguments, '--settings', str(path)],
             self.directory / f'{name}.log',
         )
         self._processes.append(process)
@@ -86,23 +87,23 @@
           The address of the control listener.
 
         Raises:
-          ClusterError: If it ends or doesn't answer in time.
+          ClusterError: If the process ends or doesn't answer in time.
         """
         address = (self._host, self.reserve_port())
         settings = {**settings, 'host': self._host, 'control_port': address[1]}
         process = self.launch(name, _STANDIN_MODULE, [kind], settings)
 
-        def answers() -> bool:
+        def is_answering() -> bool:
             if process.returncode is not None:
                 raise errors.ClusterError(f'{name} ended at its start')
             exchanges.exchange_once(address, 'GET', '/')
             return True
 
-        waits.wait_until(answers, self._start_timeout_s, name)
+        waits.wait_until(is_answering, self._start_timeout_s, name)
         return address
 
     def show_logs(self) -> None:
-        """Prints the ends of all logs on stderr."""
+        """Prints the last lines of all logs to stderr."""
         for process in self._processes:
             tail = process.read_tail()
             if tail:
--- a/jayseam/standins/networks.py
+++ b/jayseam/standins/networks.py
@@ -1,4 +1,4 @@
-"""The network of a cluster, which the fault proxy governs."""
+"""The network of a cluster, whose connections pass the fault proxy."""
 
 from collections.abc import Iterable
 from typing import Any
@@ -14,11 +14,11 @@
 
 
 class Network:
-    """Adds forwardings to a running fault proxy and injects its faults.
+    """Adds forwardings to a running fault proxy and injects faults.
 
     Args:
-      launcher: Started the fault proxy and reserves its ports.
-      control: Address of its control listener.
+      launcher: Launcher that started the fault proxy and reserves its ports.
+      control: Address of the control listener of the fault proxy.
     """
 
     def __init__(self, launcher: launchers.Launcher, control: tuple[str, int]):
@@ -34,17 +34,17 @@
     def forward_source(self, zone: str, platform_port: int) -> int:
         """Returns a port at which a zone reaches the platform."""
         source = faultrules.Endpoint(zone, zone)
-        return self._forward(
+        return self._add_forwarding(
             f'platform/{zone}', platform_port, _PLATFORM, source
         )
 
     def forward_link(self, vm: str, zone: str, link_port: int) -> int:
         """Returns a port at which other nodes reach the links of a VM."""
         target = faultrules.Endpoint(vm, zone)
-        return self._forward(f'link/{vm}', link_port, target, None)
+        return self._add_forwarding(f'link/{vm}', link_port, target, None)
 
-    def name_process(self, vm: vmlists.Vm) -> None:
-        """Tells the fault proxy which process belongs to a VM."""
+    def register_process(self, vm: vmlists.Vm) -> None:
+        """Registers the node process of a VM as a source of connections."""
         assert vm.process is not None
         endpoint = faultrules.Endpoint(vm.name, vm.zone)
         self.control(
@@ -52,18 +52,18 @@
         )
 
     def partition(self, groups: Iterable[str | Iterable[str]]) -> None:
-        """Parts groups of zones, VM names or ``platform`` from each other.
+        """Separates groups of zones, VM names or ``platform``.
 
-        A name given as a string alone forms a group.
+        A single string is a group with one name.
         """
-        named = [[g] if isinstance(g, str) else list(g) for g in groups]
-        self.control('partition', groups=named)
+        name_groups = [[g] if isinstance(g, str) else list(g) for g in groups]
+        self.control('partition', groups=name_groups)
 
     def heal(self, rules: bool) -> None:
         """Ends the partition, and with ``rules`` all other network faults."""
         self.control('heal', rules=rules)
 
-    def _forward(
+    def _add_forwarding(
         self,
         name: str,
         target_port: int,
--- a/jayseam/standins/plans.py
+++ b/jayseam/standins/plans.py
@@ -1,4 +1,4 @@
-"""Plans of clusters: what to start, with which settings."""
+"""Plans of clusters: the processes to start and their settings."""
 
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
@@ -12,19 +12,20 @@
 
 @attrs.frozen
 class ClusterPlan:
-    """What a cluster consists of.
+    """The documents, processes and settings of a cluster.
 
     Attributes:
       preset: Preset document. Each of its upstreams gets one VM.
       keys: Key-set document.
-      fleet_secrets: Secrets of the links.
-      secrets: Texts of workspace keys that backend servers watch for.
+      fleet_secrets: Secrets with which nodes authenticate their links.
+      secrets: Secret parts of workspace keys. Backend servers record the
+        requests that contain one.
       node: Settings merged over those of each node, section by section.
       backend: Settings merged over those of each backend server.
       platform: Settings merged over those of the platform.
-      fault_proxies: Whether links and reads of the platform pass through
-        fault proxies.
-      backends_per_process: Backend servers that share a process.
+      fault_proxies: Whether links and reads of the platform pass through the
+        fault proxy.
+      backends_per_process: Number of backend servers in one process.
       start_timeout_s: Seconds until all nodes must serve.
       node_module: Module that each node process runs.
       split: Splits the document of a channel, as
@@ -54,7 +55,7 @@
 
     Args:
       deployment: The deployment.
-      **options: Other attributes of the plan.
+      **options: Further attributes of the plan.
     """
     return ClusterPlan(
         preset=documents.dump_preset(deployment.preset),
--- a/jayseam/standins/publications.py
+++ b/jayseam/standins/publications.py
@@ -26,10 +26,10 @@
     return _SPLITTERS[channel](document)
 
 
-def name_pointer(channel: str) -> str:
-    """Returns the platform's key of a channel's pointer.
+def build_pointer_key(channel: str) -> str:
+    """Returns the platform's key under which a channel's pointer is stored.
 
-    >>> name_pointer('preset')
+    >>> build_pointer_key('preset')
     'channels/preset'
     """
     return f'channels/{channel}'
@@ -38,10 +38,10 @@
 def list_values(
     channel: str, bundle: documents.Bundle
 ) -> list[Mapping[str, Any]]:
-    """Returns the values of a publication in their order.
+    """Returns the values of a publication in the order of their upload.
 
-    Parts and manifest come first and the pointer last, so that a reader finds
-    all that a pointer leads to.
+    Parts and manifest come before the pointer, so that a reader who sees the
+    new pointer finds everything that it refers to.
     """
     manifest = digests.compute_digest(bundle.manifest)
     contents = {**bundle.parts, manifest: bundle.manifest}
@@ -50,4 +50,4 @@
         for digest, data in contents.items()
     ]
     pointer = json.dumps({'manifest': manifest})
-    return [*values, {'key': name_pointer(channel), 'value': pointer}]
+    return [*values, {'key': build_pointer_key(channel), 'value': pointer}]
--- a/jayseam/standins/tests/test_clusters.py
+++ b/jayseam/standins/tests/test_clusters.py
@@ -1,4 +1,4 @@
-"""Tests of clusters, without nodes."""
+"""Tests of clusters without real nodes."""
 
 import json
 import os
@@ -55,7 +55,7 @@
 
 
 def test_cluster_publishes_and_parts_zones():
-    """Operator actions and partitions must reach what the nodes see."""
+    """Operator actions and partitions must change what nodes read."""
     with clusters.Cluster(_plan(fault_proxies=True), False) as cluster:
         version = cluster.take_zone_out('a')
         assert cluster.withdraw_key('k1') > version
@@ -82,7 +82,7 @@
 
 
 def test_failed_start_ends_its_processes(capfd):
-    """A start that fails must leave no process behind and show the logs."""
+    """A failed start must end all its processes and print their logs."""
     cluster = clusters.Cluster(_plan(backend={'overload': 'wrong'}), False)
     launched = []
     launch = cluster.launcher.launch
@@ -104,7 +104,7 @@
 
 
 def test_wait_until_reports_the_condition():
-    """A condition that isn't reached must fail by its name."""
+    """The error of a wait that times out must name the condition."""
     cluster = clusters.Cluster(_plan(), False)
     with pytest.raises(errors.ClusterError, match='all serve'):
         cluster.wait_until(lambda: False, 0.1, 'all serve')
@@ -112,7 +112,7 @@
 
 
 def test_node_processes_are_governed():
-    """Stops, kills, pauses and replacements must do what tests rely on."""
+    """Pause, restart, stop, kill and replacement must act on the processes."""
     plan = _plan(node_module='jayseam.standins.tests.idle_node')
     with clusters.Cluster(plan) as cluster:
         first, second, third, fourth = sorted(cluster.vms)
@@ -127,14 +127,14 @@
         cluster.kill(third)
         killed = cluster.vms[third].process.returncode
         assert killed == -signal.SIGKILL
-        arrived = cluster.replace(fourth, graceful=False)
-        cluster.wait_serving([first, arrived])
+        new_vm = cluster.replace(fourth, graceful=False)
+        cluster.wait_serving([first, new_vm])
         assert cluster.status(first)['incarnation'] != before
-        assert cluster.vms[arrived].upstream == 'u3'
+        assert cluster.vms[new_vm].upstream == 'u3'
         listed = _read(cluster.platform_port, '/v1/vms').decode()['vms']
         states = {entry['vm']: entry['state'] for entry in listed}
         assert states[second] == 'leaving'
-        assert fourth not in states and states[arrived] == 'live'
+        assert fourth not in states and states[new_vm] == 'live'
         assert len(cluster.targets()) == 4
         pids = [vm.process.pid for vm in cluster.vms.values()]
     for pid in pids:
@@ -143,7 +143,7 @@
 
 
 def test_failing_node_fails_the_start(capfd):
-    """A node that ends at its start must show its log at once."""
+    """A node that exits must fail the start at once and show its log."""
     plan = _plan(node_module='jayseam.standins.tests.absent')
     with pytest.raises(errors.ClusterError, match='ended with status 1'):
         with clusters.Cluster(plan):
--- a/jayseam/standins/tests/test_faults.py
+++ b/jayseam/standins/tests/test_faults.py
@@ -8,8 +8,8 @@
 import pytest
 
 from jayseam.core import clocks
-from jayseam.standins import faults
 from jayseam.standins import faultrules
+from jayseam.standins import faults
 from jayseam.standins import socketowners
 from jayseam.standins.tests import clients
 
@@ -31,7 +31,7 @@
         forwarding = faults.Forwarding(
             'link', 0, self.echo.server_port, _TARGET, source
         )
-        self.port = self.standin.forward(forwarding)
+        self.port = self.standin.add_forwarding(forwarding)
 
     def stop(self):
         super().stop()
@@ -50,53 +50,53 @@
     network.stop()
 
 
-def _ask(sock, data=b'x'):
+def _exchange(sock, data=b'x'):
     sock.sendall(data)
     return sock.recv(4096)
 
 
 def test_delay_holds_in_both_directions(network):
-    """A delay must also reach a connection that is already open."""
+    """A delay must also apply to a connection that is already open."""
     with network.connect() as sock:
-        _ask(sock)
+        _exchange(sock)
         network.control('rules', id='slow', source=['a'], delay_ms=50)
-        began = clocks.read_now()
-        _ask(sock)
-        assert 0.1 <= clocks.read_now() - began < 0.2
+        started_at = clocks.read_now()
+        _exchange(sock)
+        assert 0.1 <= clocks.read_now() - started_at < 0.2
         network.control('rules', id='slow', clear=True)
 
 
 @pytest.mark.parametrize('silence', ['forward', 'backward', 'both'])
 def test_silenced_bytes_arrive_when_it_ends(network, silence):
-    """Late answers after a silence are a fault that callers must survive."""
+    """Silenced bytes must arrive late, a fault that callers must survive."""
     with network.connect() as sock:
-        _ask(sock)
+        _exchange(sock)
         network.control('rules', id='mute', target=['vm-2'], silence=silence)
         with pytest.raises(TimeoutError):
-            _ask(sock, b'late')
+            _exchange(sock, b'late')
         network.control('rules', id='mute', clear=True)
         assert sock.recv(4096) == b'late'
 
 
 def test_half_open_connections_stay_silent_while_new_ones_work(network):
-    """Open connections can stop for good although the path is sound."""
+    """A half-open connection must stay silent while new ones work."""
     with network.connect() as old:
-        _ask(old)
+        _exchange(old)
         assert network.control('half-open')['silenced'] == 1
         with pytest.raises(TimeoutError):
-            _ask(old)
+            _exchange(old)
         network.control('heal', rules=True)
         with pytest.raises(TimeoutError):
             old.recv(1)
         with network.connect() as new:
-            assert _ask(new) == b'x'
+            assert _exchange(new) == b'x'
 
 
 @pytest.mark.parametrize('reset', [False, True])
 def test_cut_ends_open_connections(network, reset):
-    """A cut must show as a close or as a reset, as asked."""
+    """A cut must close or reset a connection, as requested."""
     with network.connect() as sock:
-        _ask(sock)
+        _exchange(sock)
         assert network.control('cut', source=['b'])['cut'] == 0
         assert network.control('cut', source=['a'], reset=reset)['cut'] == 1
         if reset:
@@ -107,27 +107,27 @@
 
 
 def test_refuse_resets_new_connections_only(network):
-    """Refusal of new connections must leave open ones alone."""
+    """Refusal of new connections must not affect open ones."""
     with network.connect() as sock:
-        _ask(sock)
+        _exchange(sock)
         network.control('rules', id='shut', refuse=True)
         with pytest.raises(ConnectionResetError):
             with network.connect() as refused:
-                _ask(refused)
-        assert _ask(sock) == b'x'
+                _exchange(refused)
+        assert _exchange(sock) == b'x'
 
 
 def test_partition_parts_groups_until_healed(network):
-    """Zones parted from each other get no byte through, new links included."""
+    """No bytes may pass between partitioned zones, even on new connections."""
     with network.connect() as sock:
-        _ask(sock)
+        _exchange(sock)
         network.control('partition', groups=[['a', 'b'], ['c']])
-        assert _ask(sock) == b'x'
+        assert _exchange(sock) == b'x'
         network.control('partition', groups=[['a'], ['b', 'c']])
         with network.connect() as other:
             for link in (sock, other):
                 with pytest.raises(TimeoutError):
-                    _ask(link)
+                    _exchange(link)
             network.control('heal')
             assert sock.recv(1) == other.recv(1) == b'x'
 
@@ -135,7 +135,7 @@
 def test_close_passes_through(network):
     """A close at one end must reach the other and free the connection."""
     with network.connect() as sock:
-        _ask(sock)
+        _exchange(sock)
         sock.shutdown(socket.SHUT_WR)
         assert sock.recv(1) == b''
     gevent.sleep(0.05)
@@ -143,12 +143,12 @@
 
 
 def test_source_is_found_by_process():
-    """All nodes dial one address, so only their process tells the zone."""
+    """All nodes connect to one address, so the process gives the zone."""
     network = _Network(None)
     endpoint = {'name': 'vm-1', 'group': 'a'}
     network.control('sources', processes={str(os.getpid()): endpoint})
     with network.connect() as sock:
-        _ask(sock)
+        _exchange(sock)
         (found,) = network.control('connections')['connections']
         assert found['source'] == endpoint
         # Connections of other processes may have the same local port.
--- a/jayseam/standins/vmlists.py
+++ b/jayseam/standins/vmlists.py
@@ -13,19 +13,19 @@
 
 @attrs.define
 class Vm:
-    """One VM: a position, the ports of its node, and its process.
+    """One VM: its upstream, the ports of its node, and the node process.
 
     Attributes:
       name: Unique VM name.
-      upstream: Name of its position.
+      upstream: Name of the upstream that the VM serves.
       zone: Availability zone.
       region: Region of the zone.
       caller_port: Port for callers.
       link_port: Port that the node listens on for links.
-      advertised_port: Port that other nodes dial.
+      advertised_port: Port that other nodes connect to for links.
       admin_port: Port of the admin listener.
       state: ``live`` or ``leaving`` in the VM list.
-      process: The node process, once started.
+      process: The node process; None before its start.
     """
 
     name: str
@@ -41,7 +41,7 @@
 
 
 def list_vms(vms: Iterable[Vm]) -> list[dict[str, Any]]:
-    """Returns the entries of VMs in the VM list."""
+    """Returns the VM list entries of VMs."""
     return [
         {
             'vm': vm.name,
--- a/jayseam/standins/vmsettings.py
+++ b/jayseam/standins/vmsettings.py
@@ -20,10 +20,11 @@
 
     Args:
       vm: The VM of the node.
-      plan: Its section ``node`` is merged over the rest.
+      plan: Plan of the cluster; its section ``node`` overrides the other
+        settings.
       backend_port: Port of the node's backend server.
       source_port: Port at which the node reads the platform.
-      members: All VMs of the cluster, from which seeds are chosen.
+      members: All VMs of the cluster, from which the seeds are chosen.
     """
     settings: dict[str, Any] = {
         'vm': vm.name,
@@ -49,16 +50,16 @@
 def merge_sections(
     settings: Mapping[str, Any], changes: Mapping[str, Any]
 ) -> dict[str, Any]:
-    """Returns settings with changes merged section by section.
+    """Returns settings with changes merged into their sections.
 
     >>> merge_sections({'a': {'x': 1, 'y': 2}, 'b': 3}, {'a': {'x': 5}, 'b': 4})
     {'a': {'x': 5, 'y': 2}, 'b': 4}
     """
     merged = dict(settings)
     for name, value in changes.items():
-        held = merged.get(name)
-        if isinstance(held, dict) and isinstance(value, Mapping):
-            merged[name] = {**held, **value}
+        current = merged.get(name)
+        if isinstance(current, dict) and isinstance(value, Mapping):
+            merged[name] = {**current, **value}
         else:
             merged[name] = value
     return merged
@@ -67,7 +68,7 @@
 def choose_seeds(
     vm: vmlists.Vm, members: Iterable[vmlists.Vm]
 ) -> list[dict[str, Any]]:
-    """Returns the first VMs of each zone, without ``vm`` itself."""
+    """Returns the seeds of a VM: the first other VMs of each zone."""
     zones: dict[str, list[vmlists.Vm]] = {}
     for other in members:
         if other.name != vm.name:
@@ -94,11 +95,12 @@
     """Returns the settings document of a backend server.
 
     Args:
-      upstream: Entry of its upstream in the preset.
-      plan: Its section ``backend`` is merged over slots, connections, seed.
+      upstream: Entry of the server's upstream in the preset.
+      plan: Plan of the cluster; its section ``backend`` overrides slots,
+        connections and seed.
       seed: Seed of run times and faults.
       port: Port to listen on.
-      node_port: Caller port of its node.
+      node_port: Caller port of the node beside the server.
     """
     return {
         'slots': upstream['slots'],
