Describe the demo, the edits and the invariant checks plainly

Change: plain names and comments; imports are sorted; the demo prints "Press Ctrl-C to stop the deployment." in place of "Ctrl-C ends it.".

--- a/jayseam/standins/__init__.py
+++ b/jayseam/standins/__init__.py
@@ -6,11 +6,11 @@
 from jayseam.standins import answers
 from jayseam.standins import backend
 from jayseam.standins import backendhosts
-from jayseam.standins import edits
 from jayseam.standins import clusters
 from jayseam.standins import coldstarts
 from jayseam.standins import convergence
 from jayseam.standins import durations
+from jayseam.standins import edits
 from jayseam.standins import errors
 from jayseam.standins import exchanges
 from jayseam.standins import faultrules
@@ -38,11 +38,11 @@
     'answers',
     'backend',
     'backendhosts',
-    'edits',
     'clusters',
     'coldstarts',
     'convergence',
     'durations',
+    'edits',
     'errors',
     'exchanges',
     'faultrules',
--- a/jayseam/standins/convergence.py
+++ b/jayseam/standins/convergence.py
@@ -1,4 +1,4 @@
-"""Measures how long a change takes until every node judges calls by it."""
+"""Measures how long a change takes until every node applies it to calls."""
 
 from collections.abc import Callable, Iterable, Mapping
 
@@ -20,7 +20,7 @@
 
     Attributes:
       path: Path of the call.
-      in_force: Tells from the status whether the change is in force.
+      in_force: Returns whether a status shows that the change is in force.
       headers: Header fields of the call.
     """
 
@@ -31,10 +31,10 @@
 
 @attrs.frozen
 class Convergence:
-    """Seconds from a publication to the first call judged by it, by VM.
+    """Times from a publication until each VM applies it to a call.
 
     Attributes:
-      seconds: Times of the VMs that converged.
+      seconds: Times in seconds of the VMs that converged, by name.
       missing: VMs at which the change was not in force in time.
     """
 
@@ -42,7 +42,9 @@
     missing: tuple[str, ...] = ()
 
     def percentile(self, share: float) -> float:
-        """Returns the time within which a share of the VMs converged.
+        """Returns the seconds within which a share of the VMs converged.
+
+        The result is infinite if any VM is missing.
 
         >>> Convergence({'a': 0.1, 'b': 0.3}).percentile(0.5)
         0.1
@@ -65,28 +67,28 @@
     timeout_s: float = 10.0,
     vms: Iterable[str] | None = None,
 ) -> Convergence:
-    """Publishes a change and probes the nodes until each judges by it.
+    """Publishes a change and probes each node until it applies the change.
 
     Args:
       cluster: The running cluster.
       publish: Publishes the change.
-      probe: Shows whether the change is in force.
+      probe: Call that shows whether the change is in force.
       timeout_s: Seconds until a node counts as missing.
-      vms: Nodes to probe; all by default.
+      vms: Names of the VMs whose nodes are probed; all by default.
     """
-    chosen = list(vms or cluster.vms)
+    vm_names = list(vms or cluster.vms)
     seconds: dict[str, float] = {}
-    published = clocks.read_now()
+    published_at = clocks.read_now()
     publish()
-    deadline = published + timeout_s
+    deadline = published_at + timeout_s
     jobs = [
         gevent.spawn(
-            _probe_until, cluster, name, probe, published, deadline, seconds
+            _probe_until, cluster, name, probe, published_at, deadline, seconds
         )
-        for name in chosen
+        for name in vm_names
     ]
     gevent.joinall(jobs)
-    missing = tuple(name for name in chosen if name not in seconds)
+    missing = tuple(name for name in vm_names if name not in seconds)
     return Convergence(seconds, missing)
 
 
@@ -94,7 +96,7 @@
     cluster: clusters.Cluster,
     vm: str,
     probe: Probe,
-    published: float,
+    published_at: float,
     deadline: float,
     seconds: dict[str, float],
 ) -> None:
@@ -108,7 +110,7 @@
             gevent.sleep(_PROBE_INTERVAL_S)
             continue
         if probe.in_force(answer.status):
-            seconds[vm] = clocks.read_now() - published
+            seconds[vm] = clocks.read_now() - published_at
             break
         gevent.sleep(_PROBE_INTERVAL_S)
     connection.close()
--- a/jayseam/standins/demo.py
+++ b/jayseam/standins/demo.py
@@ -21,19 +21,20 @@
 from jayseam.tools import records
 
 _CONVERGENCE_LIMIT_S = 5.0
-_LEAVE_LIMIT_S = 3.0
-# Runs bunch up by the time that calls wait for tokens.
+_ZONE_LEAVE_LIMIT_S = 3.0
+# Calls may wait this long for tokens, so their runs can be closer together than
+# the rate allows.
 _LATITUDE_S = 0.5
 
 
 @attrs.frozen
 class Check:
-    """One line of the table.
+    """One line of the table of results.
 
     Attributes:
-      name: What is checked.
-      figure: What was found.
-      passed: Whether it held.
+      name: Condition that is checked.
+      figure: Value that was measured.
+      passed: Whether the condition held.
     """
 
     name: str
@@ -42,8 +43,8 @@
 
 
 @attrs.frozen
-class _Changes:
-    """Times of the operators' changes, and how fast each was in force."""
+class _AppliedChanges:
+    """Times of the operators' changes, and the checks of their convergence."""
 
     checks: tuple[Check, ...]
     zone: str
@@ -54,11 +55,11 @@
 
 
 def run_deployment(name: str, seed: int) -> list[Check]:
-    """Serves load on one deployment while operators change things.
+    """Puts load on a deployment, changes its configuration and checks it.
 
     Args:
       name: ``agence`` or ``leeuwenhoek``.
-      seed: Seed of keys and load.
+      seed: Seed of the keys and the load.
     """
     deployment = deployments.BUILDERS[name](
         seed=seed, ramp=deployments.SHORT_RAMP
@@ -68,7 +69,7 @@
         profile = deployments.build_profile(cluster, deployment, seed)
         running = gevent.spawn(generators.run_load, profile)
         gevent.sleep(1.0)
-        changes = _make_changes(cluster, deployment)
+        changes = _apply_changes(cluster, deployment)
         report = running.get()
         checks = list(changes.checks)
         checks += _check_service(report, changes)
@@ -76,11 +77,11 @@
     return checks
 
 
-def _make_changes(
+def _apply_changes(
     cluster: clusters.Cluster, deployment: samples.Deployment
-) -> _Changes:
-    """Changes the preset, takes a zone out and back, withdraws a key."""
-    checks = [_change_preset(cluster, '/demo-first')]
+) -> _AppliedChanges:
+    """Adds a route, takes a zone out of service and back, withdraws a key."""
+    checks = [_add_route(cluster, '/demo-first')]
     zone = sorted(deployment.preset.zones)[0]
     zone_out_at = clocks.read_now()
     checks.append(_move_zone(cluster, zone, 'out'))
@@ -90,7 +91,7 @@
     withdrawn = sorted(deployment.plaintexts)[-1]
     withdrawn_at = clocks.read_now()
     checks.append(_withdraw_key(cluster, deployment, withdrawn))
-    return _Changes(
+    return _AppliedChanges(
         tuple(checks),
         zone,
         zone_out_at,
@@ -100,9 +101,9 @@
     )
 
 
-def _change_preset(cluster: clusters.Cluster, prefix: str) -> Check:
+def _add_route(cluster: clusters.Cluster, prefix: str) -> Check:
     preset = edits.add_open_route(cluster.preset, prefix)
-    return _time_change(
+    return _check_convergence(
         'preset in force everywhere',
         cluster,
         lambda: cluster.publish(preset),
@@ -111,11 +112,11 @@
 
 
 def _move_zone(cluster: clusters.Cluster, zone: str, direction: str) -> Check:
-    """Takes a zone out or back, with a new route as the probe."""
+    """Takes a zone out of service or back in; a new route is the probe."""
     prefix = f'/demo-{direction}'
     preset = edits.add_open_route(cluster.preset, prefix)
     moved = edits.set_zone_service(preset, zone, direction == 'back')
-    return _time_change(
+    return _check_convergence(
         f'zone {direction} in force everywhere',
         cluster,
         lambda: cluster.publish(moved),
@@ -128,9 +129,11 @@
 ) -> Check:
     key = deployment.plaintexts[workspace]
     route = next(
-        r for r in deployment.preset.routes.values() if deployments.is_keyed(r)
+        r
+        for r in deployment.preset.routes.values()
+        if deployments.is_keyed_read(r)
     )
-    return _time_change(
+    return _check_convergence(
         'key withdrawn everywhere',
         cluster,
         lambda: cluster.withdraw_key(key.partition('.')[0]),
@@ -142,24 +145,24 @@
     )
 
 
-def _time_change(
+def _check_convergence(
     name: str,
     cluster: clusters.Cluster,
     publish: Callable[[], object],
     probe: convergence.Probe,
 ) -> Check:
-    found = convergence.measure_convergence(cluster, publish, probe)
+    measured = convergence.measure_convergence(cluster, publish, probe)
     return Check(
         f'{name} (limit {_CONVERGENCE_LIMIT_S:g} s)',
-        f'{found.slowest:.2f} s',
-        found.slowest <= _CONVERGENCE_LIMIT_S,
+        f'{measured.slowest:.2f} s',
+        measured.slowest <= _CONVERGENCE_LIMIT_S,
     )
 
 
 def _check_service(
-    report: loadreports.LoadReport, changes: _Changes
+    report: loadreports.LoadReport, changes: _AppliedChanges
 ) -> Iterable[Check]:
-    """Every call within its rate is answered, but for the withdrawn key."""
+    """Checks that calls within the rate and with a valid key are answered."""
     failed = [
         record
         for record in report.records
@@ -168,12 +171,12 @@
     outcomes = sorted({record.outcome for record in failed})
     served = sum(record.outcome == 'ok' for record in report.records)
     yield Check('calls answered', f'{served}', served > 0)
-    shown = f'{len(failed)} {" ".join(outcomes)}'.strip()
-    yield Check('calls within rate not answered', shown, not failed)
+    figure = f'{len(failed)} {" ".join(outcomes)}'.strip()
+    yield Check('calls within rate not answered', figure, not failed)
 
 
-def _is_withdrawn(record: records.CallRecord, changes: _Changes) -> bool:
-    """Tells whether a call was refused because its key was withdrawn."""
+def _is_withdrawn(record: records.CallRecord, changes: _AppliedChanges) -> bool:
+    """Returns whether a call was refused because its key was withdrawn."""
     return (
         record.outcome == 'key'
         and record.workspace == changes.withdrawn
@@ -185,40 +188,49 @@
     cluster: clusters.Cluster,
     deployment: samples.Deployment,
     report: loadreports.LoadReport,
-    changes: _Changes,
+    changes: _AppliedChanges,
 ) -> Iterable[Check]:
+    """Checks the runs by the rules of the referee and of the zone change."""
     runs = cluster.collect_runs()
     budgets = referee.read_budgets(
         documents.dump_preset(deployment.preset)['workspaces']
     )
-    found = referee.Referee(budgets, _LATITUDE_S).judge(
+    violations = referee.Referee(budgets, _LATITUDE_S).judge(
         runs, report.records, cluster.collect_peaks()
     )
-    shown = '; '.join(f'{v.rule}: {v.detail}' for v in found[:3]) or 'none'
-    yield Check('violations among runs and answers', shown, not found)
-    upstreams = {
+    figure = (
+        '; '.join(f'{v.rule}: {v.detail}' for v in violations[:3]) or 'none'
+    )
+    yield Check('violations among runs and answers', figure, not violations)
+    zone_upstreams = {
         name
         for name, upstream in deployment.preset.upstreams.items()
         if upstream.zone == changes.zone
     }
-    late = [
+    runs_while_out = [
         run
         for run in runs
-        if run['backend'] in upstreams
-        and changes.zone_out_at + _LEAVE_LIMIT_S
+        if run['backend'] in zone_upstreams
+        and changes.zone_out_at + _ZONE_LEAVE_LIMIT_S
         < run['started']
         < changes.zone_in_at
     ]
-    yield Check('runs in the zone that is out', f'{len(late)}', not late)
-    again = sum(
-        run['backend'] in upstreams and run['started'] > changes.zone_in_at
+    yield Check(
+        'runs in the zone that is out',
+        f'{len(runs_while_out)}',
+        not runs_while_out,
+    )
+    n_returned = sum(
+        run['backend'] in zone_upstreams and run['started'] > changes.zone_in_at
         for run in runs
     )
-    yield Check('runs in the zone after its return', f'{again}', again > 0)
+    yield Check(
+        'runs in the zone after its return', f'{n_returned}', n_returned > 0
+    )
 
 
 def format_table(name: str, checks: Sequence[Check]) -> str:
-    """Returns the checks of a deployment as text."""
+    """Returns the checks of a deployment as a text table."""
     width = max(len(check.name) for check in checks)
     lines = [name]
     for check in checks:
@@ -227,8 +239,8 @@
     return '\n'.join(lines)
 
 
-def keep_deployment(name: str) -> None:
-    """Starts a deployment, tells how to call it, and waits for Ctrl-C."""
+def serve_deployment(name: str) -> None:
+    """Starts a deployment, prints its addresses, and waits for Ctrl-C."""
     deployment = deployments.BUILDERS[name](ramp=deployments.SHORT_RAMP)
     with clusters.Cluster(deployments.build_plan(deployment)) as cluster:
         vm = next(iter(cluster.vms.values()))
@@ -237,7 +249,7 @@
         print(f'admin 127.0.0.1:{vm.admin_port}')
         print(f'key of workspace {workspace}: {key}')
         print('routes:', ' '.join(sorted(_list_prefixes(deployment))))
-        print('Ctrl-C ends it.', flush=True)
+        print('Press Ctrl-C to stop the deployment.', flush=True)
         try:
             while True:
                 gevent.sleep(3600)
@@ -257,7 +269,7 @@
     options = parser.parse_args(arguments)
     processes.exit_on_sigterm()
     if options.keep:
-        keep_deployment(options.keep)
+        serve_deployment(options.keep)
         return 0
     print(f'seed {options.seed}', flush=True)
     passed = True
--- a/jayseam/standins/deployments.py
+++ b/jayseam/standins/deployments.py
@@ -13,10 +13,10 @@
     'agence': samples.build_agence,
     'leeuwenhoek': samples.build_leeuwenhoek,
 }
-# Length of the load in seconds, and its share of the rates.
-_LOAD_S = 13.0
-_OFFERED_SHARE = 0.5
-_ADMITTING_LIMIT_S = 12.0
+_LOAD_DURATION_S = 13.0
+# Offered load of each workspace as a share of its configured rate.
+_OFFERED_RATE_SHARE = 0.5
+_ADMISSION_TIMEOUT_S = 12.0
 
 
 def build_plan(deployment: samples.Deployment) -> plans.ClusterPlan:
@@ -32,21 +32,24 @@
 ) -> None:
     """Waits until every node admits calls of a workspace.
 
-    After a start of the whole fleet, rates count from zero for some seconds.
+    For some seconds after the whole fleet starts, the nodes count the rates of
+    workspaces from zero and may refuse calls.
     """
-    route = next(r for r in deployment.preset.routes.values() if is_keyed(r))
+    route = next(
+        r for r in deployment.preset.routes.values() if is_keyed_read(r)
+    )
     key = next(iter(deployment.plaintexts.values()))
     for vm in cluster.vms:
         cluster.wait_until(
             lambda vm=vm: cluster.call(vm, route.prefix, key).status == 200,
-            _ADMITTING_LIMIT_S,
+            _ADMISSION_TIMEOUT_S,
         )
 
 
 def build_profile(
     cluster: clusters.Cluster, deployment: samples.Deployment, seed: int
 ) -> profiles.Profile:
-    """Returns load at half the rate of every workspace, over all routes."""
+    """Returns a load profile with half the rate of every workspace."""
     routes = []
     for route in deployment.preset.routes.values():
         entry: dict[str, Any] = {'path': f'{route.prefix}/1'}
@@ -58,13 +61,13 @@
     return profiles.parse_profile(
         {
             'targets': cluster.targets(),
-            'duration_s': _LOAD_S,
+            'duration_s': _LOAD_DURATION_S,
             'seed': seed,
             'workspaces': [
                 {
                     'name': workspace.name,
                     'key': deployment.plaintexts[workspace.name],
-                    'rate_per_s': workspace.rate_per_s * _OFFERED_SHARE,
+                    'rate_per_s': workspace.rate_per_s * _OFFERED_RATE_SHARE,
                     'routes': routes,
                 }
                 for workspace in deployment.preset.workspaces.values()
@@ -73,6 +76,6 @@
     )
 
 
-def is_keyed(route: model.Route) -> bool:
-    """Tells whether a route is a read that needs a key."""
+def is_keyed_read(route: model.Route) -> bool:
+    """Returns whether a route accepts GET requests and requires a key."""
     return 'GET' in route.methods and not route.open_to_all
--- a/jayseam/standins/edits.py
+++ b/jayseam/standins/edits.py
@@ -1,6 +1,6 @@
 """Changes that operators make to presets and key sets.
 
-Each function returns a changed copy of a document.
+Each function returns a modified copy of a document.
 """
 
 import copy
@@ -23,10 +23,10 @@
       ClusterError: If the preset has no such zone.
     """
     changed = copy.deepcopy(dict(preset))
-    found = [entry for entry in changed['zones'] if entry['name'] == zone]
-    if not found:
+    matches = [entry for entry in changed['zones'] if entry['name'] == zone]
+    if not matches:
         raise errors.ClusterError(f'no zone {zone!r}')
-    found[0]['in_service'] = in_service
+    matches[0]['in_service'] = in_service
     return changed
 
 
@@ -39,14 +39,14 @@
     Raises:
       ClusterError: If the key set has no such key.
     """
-    kept = [entry for entry in keys['keys'] if entry['key_id'] != key_id]
-    if len(kept) == len(keys['keys']):
+    remaining = [entry for entry in keys['keys'] if entry['key_id'] != key_id]
+    if len(remaining) == len(keys['keys']):
         raise errors.ClusterError(f'no key {key_id!r}')
-    return {**keys, 'keys': kept}
+    return {**keys, 'keys': remaining}
 
 
 def add_open_route(preset: Mapping[str, Any], prefix: str) -> dict[str, Any]:
-    """Returns the preset with one more route that is open to all.
+    """Returns the preset with an additional route that is open to all.
 
     The route has the targets of the first open route, or of the first route
     if none is open. A node answers 404 below ``prefix`` until the preset is
--- a/jayseam/standins/referee.py
+++ b/jayseam/standins/referee.py
@@ -1,7 +1,7 @@
-"""Judges whether what the backend servers ran agrees with the callers.
+"""Checks invariants on the runs of backend servers and the calls of callers.
 
-Each rule compares the runs that the backend servers recorded with the records
-of `jayseam.tools.records`. Both measure time on the clock of the one machine.
+Each rule compares the runs that the backend servers recorded with the call
+records of `jayseam.tools.records`. Both use the clock of the same machine.
 """
 
 import collections
@@ -13,8 +13,8 @@
 from jayseam.core import registries
 
 _DRAIN_LIMIT_S = 3.0
-_MAX_LISTED = 20
-_OVERLOAD_COUNTS = ('overloads', 'falls', 'connections_refused')
+_MAX_VIOLATIONS_PER_RULE = 20
+_OVERLOAD_COUNTERS = ('overloads', 'falls', 'connections_refused')
 
 
 @attrs.frozen
@@ -23,7 +23,7 @@
 
     Attributes:
       rate_per_s: Calls a second.
-      burst: Calls above the rate.
+      burst: Calls that are allowed in excess of the rate.
     """
 
     rate_per_s: float
@@ -32,11 +32,11 @@
 
 @attrs.frozen
 class Violation:
-    """One breach of an invariant.
+    """One violation of an invariant.
 
     Attributes:
       rule: Name of the rule.
-      detail: What was found.
+      detail: Description of the runs or calls that violate the rule.
     """
 
     rule: str
@@ -61,16 +61,16 @@
 
 
 @attrs.frozen
-class Case:
-    """Everything that the rules look at.
+class Observations:
+    """The runs, calls and limits that the rules check.
 
     Attributes:
       runs: Run records of the backend servers.
       records: Call records of the load generator.
       peaks: Peaks of the backend servers by name.
       budgets: Budgets by workspace.
-      latitude_s: Seconds that calls may bunch up between the limiter and the
-        backend server; each window is longer by them.
+      latitude_s: Seconds by which each window of a budget is extended, because
+        calls may bunch up between the rate limiter and the backend server.
     """
 
     runs: Sequence[Mapping[str, Any]]
@@ -80,17 +80,17 @@
     latitude_s: float = 0.0
 
 
-Rule = Callable[[Case], Iterable[str]]
+Rule = Callable[[Observations], Iterable[str]]
 
 rules: registries.Registry[Rule] = registries.Registry('rule')
 
 
 class Referee:
-    """Applies all rules to the outcome of a test.
+    """Applies all rules to the runs and calls of a test.
 
     Args:
       budgets: Budgets by workspace; see `read_budgets`.
-      latitude_s: See `Case`.
+      latitude_s: See `Observations`.
     """
 
     def __init__(
@@ -111,14 +111,19 @@
 
         Args:
           runs: From `clusters.Cluster.collect_runs`.
-          records: `records.CallRecord` of all callers during the runs.
-          peaks: From `clusters.Cluster.collect_peaks`; None skips overloads.
+          records: `records.CallRecord` of all calls during the runs.
+          peaks: From `clusters.Cluster.collect_peaks`; None skips the rule
+            ``overload``.
         """
-        case = Case(runs, records, peaks or {}, self._budgets, self._latitude_s)
+        observations = Observations(
+            runs, records, peaks or {}, self._budgets, self._latitude_s
+        )
         return [
             Violation(name, detail)
             for name in rules.names()
-            for detail in list(rules.get(name)(case))[:_MAX_LISTED]
+            for detail in list(rules.get(name)(observations))[
+                :_MAX_VIOLATIONS_PER_RULE
+            ]
         ]
 
 
@@ -141,9 +146,9 @@
 ) -> Excess | None:
     """Returns the window that exceeds a budget most, or None.
 
-    All windows that start and end with a call are looked at. The count of
-    calls from i to j minus the rate times their distance is a difference of
-    two terms, one for each end, so one pass finds the greatest.
+    All windows that start and end with a call are considered. The number of
+    calls from call i to call j, minus the rate times the time between them, is
+    a difference of a term of j and a term of i, so one pass finds its maximum.
 
     >>> find_excess([0.0, 0.0, 1.0, 1.0], Budget(1, 2))
     Excess(count=4, allowed=3.0, start=0.0, end=1.0)
@@ -158,7 +163,7 @@
             first = last
         count = last - first + 1
         allowed = budget.burst + rate * (time - ordered[first] + latitude_s)
-        # The tolerance covers the rounding of the products.
+        # The tolerance covers the rounding errors of the products.
         if count - allowed > worst[0] + 1e-6:
             worst = (count - allowed, first, last)
     excess, first, last = worst
@@ -169,51 +174,53 @@
 
 
 @rules.register('at-most-once')
-def _check_keys_ran_once(case: Case) -> Iterator[str]:
+def _check_idempotency_keys(observations: Observations) -> Iterator[str]:
     """No idempotency key runs twice for a workspace."""
     runs: dict[tuple[str, str], list[str]] = collections.defaultdict(list)
-    for run in case.runs:
+    for run in observations.runs:
         if run['idempotency_key']:
             key = (run['workspace'], run['idempotency_key'])
             runs[key].append(f'{run["request_id"]} at {run.get("backend")}')
-    for (workspace, key), places in runs.items():
-        if len(places) > 1:
-            yield f'{workspace} {key} ran as {", ".join(places)}'
+    for (workspace, key), matching_runs in runs.items():
+        if len(matching_runs) > 1:
+            yield f'{workspace} {key} ran as {", ".join(matching_runs)}'
 
 
 @rules.register('not-run')
-def _check_refusals_are_true(case: Case) -> Iterator[str]:
-    """No call that was answered as not run has run."""
-    request_ids = {run['request_id'] for run in case.runs} - {''}
-    echoes = {run['echo'] for run in case.runs} - {''}
-    shared = collections.Counter(record.echo for record in case.records)
-    for record in case.records:
+def _check_not_run_answers(observations: Observations) -> Iterator[str]:
+    """No call whose answer says that it did not run has run."""
+    request_ids = {run['request_id'] for run in observations.runs} - {''}
+    echoes = {run['echo'] for run in observations.runs} - {''}
+    n_attempts = collections.Counter(
+        record.echo for record in observations.records
+    )
+    for record in observations.records:
         if record.ran != 'no':
             continue
-        # The statement is about one attempt, so the echo decides only where
-        # no other attempt shares it.
-        alone = shared[record.echo] == 1 and record.echo in echoes
-        if record.request_id in request_ids or alone:
+        # `ran` is a statement about one attempt, so a run with the same echo
+        # contradicts it only if no other attempt has that echo.
+        ran_by_echo = n_attempts[record.echo] == 1 and record.echo in echoes
+        if record.request_id in request_ids or ran_by_echo:
             yield f'{record.workspace} {record.outcome}: {record.request_id}'
 
 
 @rules.register('workspace')
-def _check_workspaces(case: Case) -> Iterator[str]:
-    """No call runs for another workspace, and none without a caller."""
-    callers = {record.echo: record.workspace for record in case.records}
-    for run in case.runs:
+def _check_workspaces(observations: Observations) -> Iterator[str]:
+    """Every call runs for its own workspace and has a caller."""
+    callers = {record.echo: record.workspace for record in observations.records}
+    for run in observations.runs:
         workspace = callers.get(run['echo'])
-        if run['echo'] and case.records and workspace is None:
+        if run['echo'] and observations.records and workspace is None:
             yield f'{run["request_id"]} ran, but nobody called it'
         elif workspace and run['workspace'] not in ('', workspace):
             yield f'{run["request_id"]} of {workspace}: {run["workspace"]}'
 
 
 @rules.register('answers')
-def _check_answers(case: Case) -> Iterator[str]:
-    """Every answer is whole and the caller's own, and something ran for it."""
-    echoes = {run['echo'] for run in case.runs}
-    for record in case.records:
+def _check_answers(observations: Observations) -> Iterator[str]:
+    """Every answer is complete, belongs to its call and comes from a run."""
+    echoes = {run['echo'] for run in observations.runs}
+    for record in observations.records:
         if record.outcome in ('foreign', 'corrupt'):
             yield f'{record.workspace} {record.outcome}: {record.request_id}'
         elif record.outcome == 'ok' and record.echo not in echoes:
@@ -221,28 +228,28 @@
 
 
 @rules.register('keys')
-def _check_keys_unseen(case: Case) -> Iterator[str]:
+def _check_keys_unseen(observations: Observations) -> Iterator[str]:
     """No backend server sees a workspace key."""
-    for run in case.runs:
+    for run in observations.runs:
         if run['key_seen']:
             yield f'{run.get("backend")} saw a key: {run["request_id"]}'
 
 
 @rules.register('budget')
-def _check_budgets(case: Case) -> Iterator[str]:
-    """No workspace passes its rate and burst in any window.
+def _check_budgets(observations: Observations) -> Iterator[str]:
+    """No workspace exceeds its rate and burst in any window.
 
-    Nested calls don't count, and a call that was tried again counts once.
+    Nested calls are not counted, and a retried call is counted once.
     """
     times: dict[str, dict[str, float]] = collections.defaultdict(dict)
-    for number, run in enumerate(case.runs):
+    for number, run in enumerate(observations.runs):
         if not run['nested']:
             name = run['request_id'] or str(number)
             starts = times[run['workspace']]
             starts[name] = min(run['started'], starts.get(name, run['started']))
-    for workspace, budget in case.budgets.items():
+    for workspace, budget in observations.budgets.items():
         starts = list(times[workspace].values())
-        excess = find_excess(starts, budget, case.latitude_s)
+        excess = find_excess(starts, budget, observations.latitude_s)
         if excess is not None:
             length = excess.end - excess.start
             yield (
@@ -252,9 +259,9 @@
 
 
 @rules.register('draining')
-def _check_drains(case: Case) -> Iterator[str]:
+def _check_drains(observations: Observations) -> Iterator[str]:
     """A draining backend server gets no new work after 3 s."""
-    for run in case.runs:
+    for run in observations.runs:
         if (run['draining_s'] or 0.0) > _DRAIN_LIMIT_S:
             yield (
                 f'{run.get("backend")} got {run["request_id"]}'
@@ -263,9 +270,9 @@
 
 
 @rules.register('overload')
-def _check_overloads(case: Case) -> Iterator[str]:
-    """No backend server gets more load than it can handle."""
-    for name, peaks in case.peaks.items():
-        found = {k: peaks[k] for k in _OVERLOAD_COUNTS if peaks[k]}
+def _check_overloads(observations: Observations) -> Iterator[str]:
+    """No backend server gets more load than its slots and connections."""
+    for name, peaks in observations.peaks.items():
+        found = {k: peaks[k] for k in _OVERLOAD_COUNTERS if peaks[k]}
         if found:
             yield f'{name}: {found}'
--- a/jayseam/standins/tests/test_referee.py
+++ b/jayseam/standins/tests/test_referee.py
@@ -1,4 +1,4 @@
-"""Tests of the referee."""
+"""Tests of the invariant checks of the referee."""
 
 import random
 
@@ -32,12 +32,12 @@
 
 
 def _judge(runs, records, peaks=None):
-    verdict = referee.Referee(_BUDGETS).judge(runs, records, peaks)
-    return [violation.rule for violation in verdict]
+    violations = referee.Referee(_BUDGETS).judge(runs, records, peaks)
+    return [violation.rule for violation in violations]
 
 
 def test_sound_runs_pass():
-    """A false alarm would make the referee useless."""
+    """A false alarm would make the checks useless, so sound runs must pass."""
     runs = [_run(1), _run(2, idempotency_key='k'), _run(3, draining_s=1.0)]
     refused = _record(4, outcome='limit', ran='no')
     peaks = {'b1': {'overloads': 0, 'falls': 0, 'connections_refused': 0}}
@@ -73,24 +73,24 @@
     ],
 )
 def test_each_breach_is_found(rule, runs, records):
-    """Each invariant that the referee stands for must be able to fail."""
+    """Each rule must report a violation of its invariant."""
     assert _judge(runs, records) == [rule]
 
 
 def test_overload_is_found():
-    """A backend server over its slots must fail the test."""
+    """A backend server that ran more than its slots must be reported."""
     peaks = {'b1': {'overloads': 1, 'falls': 0, 'connections_refused': 0}}
     assert _judge([], [], peaks) == ['overload']
 
 
 def test_retries_and_nested_calls_take_no_budget():
-    """Only the admission of a call takes from the budget."""
+    """Retries and nested calls must not count against the budget."""
     runs = [_run(1) for _ in range(5)] + [_run(1, nested=True)] * 5
     assert not _judge(runs, [_record(1)])
 
 
 def test_excess_equals_the_search_over_all_windows():
-    """The single pass must find the same excess as every pair of calls."""
+    """The single pass must find the same excess as a search of all pairs."""
     generator = random.Random(11)
     for _ in range(50):
         times = sorted(generator.uniform(0, 3) for _ in range(30))
