--- a/jayseam/node/__init__.py
+++ b/jayseam/node/__init__.py
@@ -1,4 +1,4 @@
-"""The node process: composition of all tasks, listeners and signals."""
+"""The node process: its tasks, listeners, life cycle and command line."""
 
 from jayseam.node import admin
 from jayseam.node import application
--- a/jayseam/node/admin.py
+++ b/jayseam/node/admin.py
@@ -25,17 +25,17 @@
 
 
 class AdminApplication:
-    """Answers ``/status``, ``/explain``, ``/healthz`` and ``/metrics``.
+    """Serves ``/status``, ``/explain``, ``/healthz`` and ``/metrics``.
 
     Args:
       describe: Returns the state of the node.
-      explain: Returns why each member is or isn't chosen for a call.
+      explain: Returns the route of a call and why each VM is or isn't chosen.
     """
 
     def __init__(
         self,
         describe: Callable[[], dict[str, Any]],
-        explain: Callable[[status_documents.Question], dict[str, Any]],
+        explain: Callable[[status_documents.RouteQuery], dict[str, Any]],
     ):
         self._describe = describe
         self._explain = explain
@@ -65,17 +65,17 @@
     def _answer_explain(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        query = urllib.parse.parse_qs(environ.get('QUERY_STRING', ''))
-        values = {name: found[0] for name, found in query.items()}
+        parameters = urllib.parse.parse_qs(environ.get('QUERY_STRING', ''))
+        values = {name: items[0] for name, items in parameters.items()}
         if 'path' not in values:
             return _respond(start_response, 400, {'error': 'path is missing'})
         try:
-            question = status_documents.Question(
+            query = status_documents.RouteQuery(
                 values.get('workspace', ''),
                 values['path'],
                 values.get('method', 'GET'),
             )
-            document = self._explain(question)
+            document = self._explain(query)
         except errors.CallError as error:
             document = {'error': error.detail, 'code': error.code}
             return _respond(start_response, 404, document)
@@ -86,7 +86,7 @@
     """Answers any request with 200 while the node is ready, else with 503.
 
     Args:
-      is_ready: Tells whether callers may send their calls to the node.
+      is_ready: Returns whether callers may send their calls to the node.
     """
 
     def __init__(self, is_ready: Callable[[], bool]):
--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -1,4 +1,4 @@
-"""The WSGI application that callers reach."""
+"""The WSGI application that serves callers."""
 
 import http
 import json
@@ -20,10 +20,10 @@
 from jayseam.node import measures
 from jayseam.node import pauses
 
-MAX_CALLS = 1000
+MAX_CALLS_IN_FLIGHT = 1000
 _OUTCOMES_PREFIX = '/.jayseam/outcomes/'
-_RETRY_ELSEWHERE_S = 1.0
-_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
+_STOP_RETRY_AFTER_S = 1.0
+_REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
 _log = logs.get_logger(__name__)
 
@@ -32,18 +32,18 @@
     """Turns WSGI requests into calls and their outcomes into responses.
 
     Args:
-      entry: Judges and runs calls.
-      guard: Holds calls after a pause.
-      monitor: Interrupts calls whose callers left.
-      zone_in_service: Tells whether the own zone takes new work.
-      dialect: Header fields of callers.
+      entry: Authorizes, routes and runs calls.
+      guard: Holds calls back after a pause of the process.
+      monitor: Interrupts calls whose callers have disconnected.
+      zone_in_service: Returns whether the zone of this VM is in service.
+      dialect: Names of the header fields that callers use.
     """
 
     def __init__(
         self,
         entry: call_entry.Entry,
         guard: pauses.PauseGuard,
-        monitor: callers.DepartureMonitor,
+        monitor: callers.DisconnectMonitor,
         zone_in_service: Callable[[], bool],
         dialect: dialects.Dialect = dialects.DEFAULT,
     ):
@@ -52,34 +52,34 @@
         self._monitor = monitor
         self._zone_in_service = zone_in_service
         self._dialect = dialect
-        self._closing = False
-        self._leaving = False
-        self._calls: dict[gevent.Greenlet, str] = {}
+        self._keep_alive_disabled = False
+        self._draining = False
+        self._requests: dict[gevent.Greenlet, str] = {}
 
     @property
     def in_flight(self) -> int:
-        """Number of requests that have no answer yet."""
-        return len(self._calls)
+        """Number of requests in flight."""
+        return len(self._requests)
 
-    def running(self) -> list[str]:
-        """Returns the identifiers of the requests without an answer."""
-        return list(self._calls.values())
+    def list_in_flight(self) -> list[str]:
+        """Returns the IDs of the requests in flight."""
+        return list(self._requests.values())
 
-    def announce_stop(self) -> None:
-        """Has callers end their connections after their next answer."""
-        self._closing = True
+    def disable_keep_alive(self) -> None:
+        """Sends ``Connection: close`` with each answer from now on."""
+        self._keep_alive_disabled = True
 
-    def leave(self) -> None:
-        """Refuses new calls from now on; running calls finish.
+    def stop_accepting_calls(self) -> None:
+        """Refuses new calls from now on; calls in flight finish.
 
-        Nested calls belong to running calls, so they are still served.
+        Nested calls are still served, because calls in flight wait for them.
         """
-        self._closing = True
-        self._leaving = True
+        self._keep_alive_disabled = True
+        self._draining = True
 
-    def cut(self) -> None:
-        """Ends the requests without an answer; callers learn it at once."""
-        for greenlet in list(self._calls):
+    def abort_calls(self) -> None:
+        """Interrupts the requests in flight and answers outcome-unknown."""
+        for greenlet in list(self._requests):
             greenlet.kill(
                 errors.OutcomeUnknownError('this node was stopped'),
                 block=False,
@@ -88,48 +88,48 @@
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        request_id = self._identify_call(environ)
+        request_id = self._read_request_id(environ)
         greenlet = gevent.getcurrent()
-        self._calls[greenlet] = request_id
+        self._requests[greenlet] = request_id
         try:
-            answer = self._answer(environ, request_id)
+            answer = self._answer_request(environ, request_id)
         finally:
-            del self._calls[greenlet]
+            del self._requests[greenlet]
         headers = [*answer.headers, (self._dialect.request_id, request_id)]
-        if self._closing or not self._zone_in_service():
-            # Kept-alive callers move to a node that goes on serving.
+        if self._keep_alive_disabled or not self._zone_in_service():
+            # Callers with kept-alive connections move to another node.
             headers.append(('Connection', 'close'))
-        reason = _REASONS.get(answer.status, 'Unknown')
+        reason = _REASON_PHRASES.get(answer.status, 'Unknown')
         start_response(f'{answer.status} {reason}', headers)
         return [answer.body]
 
-    def _identify_call(self, environ: dict[str, Any]) -> str:
-        """Returns the caller's name of a call, or a new one."""
+    def _read_request_id(self, environ: dict[str, Any]) -> str:
+        """Returns the caller's ID of the request, or a new ID."""
         if self._dialect.caller_ids:
             name = self._dialect.request_id.upper().replace('-', '_')
             return environ.get(f'HTTP_{name}', '')
         return identifiers.make_id()
 
-    def _answer(
+    def _answer_request(
         self, environ: dict[str, Any], request_id: str
     ) -> requests.CallAnswer:
-        """Returns the answer to a request, whatever happens to it."""
-        text = environ.get('HTTP_IDEMPOTENCY_KEY')
+        """Returns the answer to a request; errors become problem documents."""
+        idempotency_key = environ.get('HTTP_IDEMPOTENCY_KEY')
         try:
-            return self._serve(environ, request_id)
+            return self._process_request(environ, request_id)
         except errors.CallError as error:
             measures.REFUSALS.labels(error.code).inc()
             self._log_refusal(error, environ, request_id)
-            return self._render(error, request_id, text)
+            return self._render_error(error, request_id, idempotency_key)
         except errors.CallerGoneError:
             _log.info('call.caller_gone', extra={'request_id': request_id})
             return requests.CallAnswer(499, (), b'')
         except Exception:  # pylint: disable=broad-exception-caught
-            # An unexpected fault says nothing about what has run.
+            # After an unexpected error it is unknown whether the call has run.
             _log.exception('call.failed', extra={'request_id': request_id})
             unknown = errors.OutcomeUnknownError('internal error')
             measures.REFUSALS.labels(unknown.code).inc()
-            return self._render(unknown, request_id, text)
+            return self._render_error(unknown, request_id, idempotency_key)
 
     def _log_refusal(
         self,
@@ -137,7 +137,7 @@
         environ: dict[str, Any],
         request_id: str,
     ) -> None:
-        """Logs why a call ended without a result, and by which versions."""
+        """Logs why a call failed, and the configuration versions in force."""
         _log.info(
             'call.refused',
             extra={
@@ -152,38 +152,45 @@
             },
         )
 
-    def _render(
-        self, error: errors.CallError, request_id: str, key: str | None
+    def _render_error(
+        self,
+        error: errors.CallError,
+        request_id: str,
+        idempotency_key: str | None,
     ) -> requests.CallAnswer:
         fractional = self._dialect.fractional_delays
-        return problems.render_problem(error, request_id, key, fractional)
+        return problems.render_problem(
+            error, request_id, idempotency_key, fractional
+        )
 
-    def _serve(
+    def _process_request(
         self, environ: dict[str, Any], request_id: str
     ) -> requests.CallAnswer:
         request = callers.read_request(environ)
         if not request_id:
             raise errors.BadRequestError('the request has no identifier')
-        if self._leaving and request.header(keys.TOKEN_HEADER) is None:
+        if self._draining and request.header(keys.TOKEN_HEADER) is None:
+            raise errors.NotRunError(
+                'this node is shutting down', _STOP_RETRY_AFTER_S
+            )
+        if len(self._requests) > MAX_CALLS_IN_FLIGHT:
             raise errors.NotRunError(
-                'this node is shutting down', _RETRY_ELSEWHERE_S
+                'this node has too many calls in flight', 1.0
             )
-        if len(self._calls) > MAX_CALLS:
-            raise errors.NotRunError('this node has too many calls', 1.0)
         now = self._guard.ensure_fresh(clocks.read_now())
         if request.path.startswith(_OUTCOMES_PREFIX):
-            return self._look_up(request, now)
+            return self._look_up_outcome(request, now)
         call = self._entry.judge(request, request_id, now)
-        return self._run(environ, call, now)
+        return self._run_call(environ, call, now)
 
-    def _run(
+    def _run_call(
         self, environ: dict[str, Any], call: call_entry.Call, now: float
     ) -> requests.CallAnswer:
-        """Runs a call and observes its time by workspace and outcome."""
+        """Runs a call and records its duration by workspace and outcome."""
         handle = None
         if call.route.repeatable or not call.route.keyed:
-            # A call under an idempotency key goes on without its caller, who
-            # may ask for the outcome later.
+            # A call with an idempotency key runs on after its caller has
+            # disconnected: the caller may ask for the outcome later.
             handle = self._monitor.watch(environ)
         outcome = 'failed'
         try:
@@ -199,12 +206,12 @@
             elapsed_s = clocks.read_now() - now
             measures.observe_call(call.caller.workspace, outcome, elapsed_s)
 
-    def _look_up(
+    def _look_up_outcome(
         self, request: requests.CallRequest, now: float
     ) -> requests.CallAnswer:
-        """Answers the question what became of an idempotency key."""
-        text = request.path[len(_OUTCOMES_PREFIX) :]
-        states = self._entry.look_up(request, text, now)
+        """Returns the outcome of the call with an idempotency key."""
+        idempotency_key = request.path[len(_OUTCOMES_PREFIX) :]
+        states = self._entry.look_up(request, idempotency_key, now)
         order = ('settled', 'running', 'unknown')
         best = min(
             states,
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -1,4 +1,4 @@
-"""The HTTP listener for callers."""
+"""The HTTP server for callers, and the parsing of their requests."""
 
 import contextlib
 import logging
@@ -23,23 +23,23 @@
 MAX_HEADERS_BYTES = 16 * 1024
 _READ_TIMEOUT_S = 10.0
 _IDLE_TIMEOUT_S = 75.0
-_SWEEP_INTERVAL_S = 0.1
-_SLOW_SWEEP_INTERVAL_S = 0.5
+_DISCONNECT_POLL_S = 0.1
+_HEADER_SWEEP_INTERVAL_S = 0.5
 _CLOSE_POLL_S = 0.01
 _BLOCK_BYTES = 65536
-_FORBIDDEN = re.compile('[\0\r\n]')
+_FORBIDDEN_CHARACTERS = re.compile('[\0\r\n]')
 _SOCKET_KEY = 'jayseam.socket'
-# The target as it was sent; WSGI's own path is decoded.
+# The request target as it was sent; PATH_INFO of WSGI is decoded.
 _TARGET_KEY = 'jayseam.target'
-_POLL_EVENTS = select.POLLRDHUP | select.POLLERR | select.POLLHUP
+_DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLERR | select.POLLHUP
 
 logging.getLogger('gevent.pywsgi').setLevel(logging.CRITICAL)
 
 
 class CallerHandler(pywsgi.WSGIHandler):
-    """Reads requests strictly, so that no two readers disagree on them."""
+    """Parses requests strictly, to prevent request smuggling."""
 
-    _ended = False
+    _refused = False
 
     def MessageClass(self, *args):  # pylint: disable=invalid-name
         """Parses the header fields and refuses ambiguous framing."""
@@ -48,37 +48,38 @@
         return headers
 
     def read_requestline(self) -> str:
-        """Reads the first line of a request; empty after the last one."""
-        self.server.idle.add(self)
+        """Reads the request line; returns '' at the end of the connection."""
+        self.server.idle_handlers.add(self)
         try:
             line = super().read_requestline()
         finally:
-            self.server.idle.discard(self)
-        if self._ended:
-            # A close with unread bytes resets the connection, and the caller
-            # could lose the refusal.
+            self.server.idle_handlers.discard(self)
+        if self._refused:
+            # Closing a socket with unread bytes resets the connection, and the
+            # caller could lose the refusal.
             while line:
                 line = self.rfile.read(_BLOCK_BYTES)
             return ''
         return line
 
     def has_input(self) -> bool:
-        """Tells whether bytes of a request have arrived."""
+        """Returns whether bytes of a request have arrived."""
         poller = select.poll()
         poller.register(self.socket.fileno(), select.POLLIN)
         return bool(poller.poll(0))
 
-    def refuse_further(self) -> None:
-        """Ends an idle connection with a refusal.
+    def refuse_next_request(self) -> None:
+        """Sends a refusal on an idle connection and closes it for sending.
 
-        A request that the caller sends at the same moment is never read as
-        one, so the refusal answers it truthfully. A caller without a request
-        takes the bytes for the end of the connection.
+        A request that the caller sends at the same moment is read but never
+        run, so the refusal ("not run") is a correct answer to it. A caller that
+        has sent no request takes the unsolicited bytes for the end of the
+        connection.
 
         References:
           RFC 9112, section 9.2, on answers without a request.
         """
-        self._ended = True
+        self._refused = True
         error = errors.NotRunError('this node is shutting down', 1.0)
         _, answer = self._handle_client_error(error)
         with contextlib.suppress(OSError):
@@ -86,20 +87,20 @@
             self.socket.shutdown(socket.SHUT_WR)
 
     def read_request(self, raw_requestline: str) -> bool:
-        """Reads the header fields within a bounded time."""
-        self.server.reading[self] = clocks.read_now()
+        """Reads the header fields within about `_READ_TIMEOUT_S`."""
+        self.server.header_read_starts[self] = clocks.read_now()
         try:
             return super().read_request(raw_requestline)
         finally:
-            del self.server.reading[self]
+            del self.server.header_read_starts[self]
 
-    def end_input(self) -> None:
-        """Lets the reader of the header fields see the end of the input."""
+    def close_input(self) -> None:
+        """Ends the input, so that reading the header fields fails."""
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_RD)
 
     def get_environ(self) -> dict[str, Any]:
-        """Adds the socket, by which a caller's departure is noticed."""
+        """Adds the socket, the header fields and the undecoded target."""
         environ = super().get_environ()
         environ[_SOCKET_KEY] = self.socket
         environ['jayseam.headers'] = self.headers.items()
@@ -107,7 +108,7 @@
         return environ
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
-        """Answers malformed requests with a problem document."""
+        """Returns a problem document for a malformed request."""
         error = errors.BadRequestError('the request is malformed')
         if isinstance(ex, errors.CallError):
             error = ex
@@ -124,7 +125,7 @@
         )
 
     def log_request(self) -> None:
-        """Leaves the access log to the metrics."""
+        """Writes no access log; the metrics count requests."""
 
 
 class CallerServer(pywsgi.WSGIServer):
@@ -135,13 +136,13 @@
     def __init__(self, *args: Any, **options: Any):
         super().__init__(*args, **options)
         self.open_connections: set[Any] = set()
-        self.idle: set[CallerHandler] = set()
-        self.reading: dict[CallerHandler, float] = {}
+        self.idle_handlers: set[CallerHandler] = set()
+        self.header_read_starts: dict[CallerHandler, float] = {}
 
     def start(self) -> None:
-        """Listens, and ends requests whose header fields come too slowly."""
+        """Listens, and aborts requests whose header fields come too slowly."""
         super().start()
-        gevent.spawn(self._end_slow_requests)
+        gevent.spawn(self._abort_slow_requests)
 
     def handle(self, sock, address) -> None:
         """Serves one accepted connection."""
@@ -156,11 +157,12 @@
     def shut_down(self, timeout_s: float) -> None:
         """Closes the listener and all connections without losing a request.
 
-        Every request that a caller could send is answered: those in the
-        listener's backlog, and those that cross the end of a connection.
+        Every request that a caller could send is answered: requests in the
+        listener's backlog, and requests that arrive while their connection is
+        being closed.
 
         Args:
-          timeout_s: Longest wait for the callers, in seconds.
+          timeout_s: Longest wait for callers to disconnect, in seconds.
         """
         sockets.refuse_connections(self.socket)
         while select.select([self.socket.fileno()], [], [], 0)[0]:
@@ -168,37 +170,38 @@
         self.stop()
         with gevent.Timeout(timeout_s, False):
             gevent.sleep(0)
-            for handler in list(self.idle):
+            for handler in list(self.idle_handlers):
                 if not handler.has_input():
-                    handler.refuse_further()
+                    handler.refuse_next_request()
             while self.open_connections:
                 gevent.sleep(_CLOSE_POLL_S)
 
-    def _end_slow_requests(self) -> None:
-        """Ends the input of slow requests, which are then malformed.
+    def _abort_slow_requests(self) -> None:
+        """Ends the input of slow requests, which then fail as malformed.
 
-        A timer for each request would take 2% of the entry's processor time.
+        A periodic sweep is used because a timer for each request would take 2%
+        of the processor time of the call path.
         """
         while self.started or self.open_connections:
-            tickers.wait_tick(_SLOW_SWEEP_INTERVAL_S)
-            latest = clocks.read_now() - _READ_TIMEOUT_S
-            for handler, started_at in list(self.reading.items()):
-                if started_at < latest + _SLOW_SWEEP_INTERVAL_S:
-                    handler.end_input()
+            tickers.wait_tick(_HEADER_SWEEP_INTERVAL_S)
+            oldest_start = clocks.read_now() - _READ_TIMEOUT_S
+            for handler, started_at in list(self.header_read_starts.items()):
+                if started_at < oldest_start + _HEADER_SWEEP_INTERVAL_S:
+                    handler.close_input()
 
 
 def check_framing(headers: Iterable[tuple[str, str]]) -> None:
-    """Refuses header fields by which a request could be read in two ways.
+    """Checks that header fields determine the request's length unambiguously.
 
     >>> check_framing([('Content-Length', '3')])
     >>> check_framing([('Content-Length', '3'), ('content-length', '4')])
     Traceback (most recent call last):
     ...
-    jayseam.node.fields.FramingError: two lengths
+    jayseam.node.fields.FramingError: more than one Content-Length field
 
     Raises:
       FramingError: If the request's length is ambiguous.
-      HeadersTooLargeError: If the fields are too large together.
+      HeadersTooLargeError: If the total size of the fields is too large.
 
     References:
       RFC 9112, section 6.3.
@@ -212,19 +215,19 @@
     lengths = [value for name, value in pairs if name == 'content-length']
     codings = [value for name, value in pairs if name == 'transfer-encoding']
     if len(lengths) > 1:
-        raise fields.FramingError('two lengths')
+        raise fields.FramingError('more than one Content-Length field')
     if lengths and codings:
-        raise fields.FramingError('a length and a transfer coding')
+        raise fields.FramingError('both Content-Length and Transfer-Encoding')
     if lengths and not (lengths[0].isascii() and lengths[0].isdigit()):
-        raise fields.FramingError('a length that is not a number')
+        raise fields.FramingError('Content-Length is not a number')
     if len(codings) > 1 or (codings and codings[0].lower() != 'chunked'):
-        raise fields.FramingError('an unknown transfer coding')
-    if any(_FORBIDDEN.search(value) for _, value in pairs):
-        raise fields.FramingError('a folded or malformed value')
+        raise fields.FramingError('unknown Transfer-Encoding')
+    if any(_FORBIDDEN_CHARACTERS.search(value) for _, value in pairs):
+        raise fields.FramingError('folded or malformed field value')
 
 
 def read_request(environ: dict[str, Any]) -> requests.CallRequest:
-    """Reads the whole request of a WSGI environment.
+    """Returns the request in a WSGI environment, with its whole body.
 
     Raises:
       CallError: If the body is too large, truncated or too slow.
@@ -235,7 +238,9 @@
     )
     length = int(environ.get('CONTENT_LENGTH') or 0)
     if length > MAX_BODY_BYTES:
-        raise errors.BodyTooLargeError(f'bodies end at {MAX_BODY_BYTES} bytes')
+        raise errors.BodyTooLargeError(
+            f'the body exceeds {MAX_BODY_BYTES} bytes'
+        )
     body = b''
     if length or environ.get('HTTP_TRANSFER_ENCODING'):
         body = _read_body(environ['wsgi.input'], length)
@@ -250,62 +255,71 @@
 
 
 def _read_body(stream: Any, length: int) -> bytes:
-    slow = errors.BadRequestError('the body arrives too slowly')
-    with gevent.Timeout(_READ_TIMEOUT_S, slow):
+    timeout_error = errors.BadRequestError('the body arrives too slowly')
+    with gevent.Timeout(_READ_TIMEOUT_S, timeout_error):
         try:
             body = stream.read(length or MAX_BODY_BYTES + 1)
         except OSError as error:
             raise errors.BadRequestError('the body is malformed') from error
     if len(body) > MAX_BODY_BYTES:
-        raise errors.BodyTooLargeError(f'bodies end at {MAX_BODY_BYTES} bytes')
+        raise errors.BodyTooLargeError(
+            f'the body exceeds {MAX_BODY_BYTES} bytes'
+        )
     if length and len(body) != length:
-        raise errors.BadRequestError('the body is shorter than its length')
+        raise errors.BadRequestError(
+            'the body is shorter than its Content-Length'
+        )
     return body
 
 
-class DepartureMonitor:
+class DisconnectMonitor:
     """Interrupts calls whose callers have closed their connections.
 
-    One poll for all connections every 100 ms costs less on the call path than
-    a watcher for each call.
+    Polling all connections every 100 ms costs less on the call path than a
+    watcher for each call.
     """
 
     def __init__(self):
-        self._watched: dict[int, gevent.Greenlet] = {}
+        self._greenlets: dict[int, gevent.Greenlet] = {}
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        """Starts the periodic sweep."""
+        """Starts the periodic poll."""
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Ends the periodic sweep."""
+        """Ends the periodic poll."""
         if self._greenlet is not None:
             self._greenlet.kill()
 
     def watch(self, environ: dict[str, Any]) -> int:
-        """Watches the caller of the current greenlet; returns a handle."""
+        """Watches the connection of the current greenlet's caller.
+
+        Returns:
+          A handle for `unwatch`.
+        """
         handle = environ[_SOCKET_KEY].fileno()
-        self._watched[handle] = gevent.getcurrent()
+        self._greenlets[handle] = gevent.getcurrent()
         return handle
 
     def unwatch(self, handle: int) -> None:
-        """Ends the watch of a caller."""
-        self._watched.pop(handle, None)
+        """Stops watching a caller's connection."""
+        self._greenlets.pop(handle, None)
 
     def _run(self) -> None:
         while True:
-            tickers.wait_tick(_SWEEP_INTERVAL_S)
-            if self._watched:
-                self._sweep()
+            tickers.wait_tick(_DISCONNECT_POLL_S)
+            if self._greenlets:
+                self._interrupt_disconnected()
 
-    def _sweep(self) -> None:
+    def _interrupt_disconnected(self) -> None:
         poller = select.poll()
-        for handle in self._watched:
-            poller.register(handle, _POLL_EVENTS)
+        for handle in self._greenlets:
+            poller.register(handle, _DISCONNECT_EVENTS)
         for handle, _ in poller.poll(0):
-            greenlet = self._watched.pop(handle, None)
+            greenlet = self._greenlets.pop(handle, None)
             if greenlet is not None:
                 greenlet.kill(
-                    errors.CallerGoneError('caller left'), block=False
+                    errors.CallerGoneError('the caller disconnected'),
+                    block=False,
                 )
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -1,4 +1,4 @@
-"""Builds the tasks of a node, connects them, and runs the life of the node."""
+"""Builds and connects the tasks of a node, and starts and stops them."""
 
 import random
 from typing import Any
@@ -29,27 +29,27 @@
 from jayseam.node import pauses
 from jayseam.node import status
 
-_SYNC_PEERS = 1
+_N_RANDOM_SYNC_PEERS = 1
 _SYNC_RETRY_S = 0.05
 _DRAIN_POLL_S = 0.05
-# After the last call has finished, kept-alive callers get this long to see an
-# answer with "Connection: close" before their connections end.
+# Time between the last call and the end of connections, in which kept-alive
+# callers can receive an answer with "Connection: close".
 _LINGER_S = 0.5
-# Settings that a running node takes over.
-_RELOADABLE = ('keys', 'stop')
-# Longest wait for a first contact to other nodes before the node says that it
-# is ready, in seconds after its start.
-_CONTACT_LIMIT_S = 4.0
-# The linger, and up to a second each for callers' connections and the admin
-# listener.
+# Settings that a running node applies on SIGHUP.
+_RELOADABLE_SETTINGS = ('keys', 'stop')
+# Time after the start from which the node reports itself ready even if it has
+# not reached another node.
+_CONTACT_TIMEOUT_S = 4.0
+# Part of the stop's deadline that is kept for closing: the linger time, and up
+# to a second each for callers' connections and the admin server.
 _CLOSE_RESERVE_S = 2.5
-# Time for callers to end connections that were refused further requests.
+# Longest wait for callers to close connections on which a refusal was sent.
 _CLOSE_WAIT_S = 0.5
 
 _log = logs.get_logger(__name__)
 
 
-def _build_grace(
+def _build_return_grace(
     settings: node_settings.model.SourceSettings,
 ) -> source.watchers.ReturnGrace:
     if settings.lapse_s is None:
@@ -60,13 +60,13 @@
 
 
 class Node:
-    """One node process: owns its tasks and follows the chart ``node``.
+    """One node process: owns its tasks and follows the state chart ``node``.
 
     Args:
       settings: Checked settings.
-      client: Client of the source; by default that of the URLs in the
-        settings.
-      dialect: Header fields of callers and backend servers.
+      client: Client of the configuration source; by default a client for the
+        URLs in the settings.
+      dialect: Names of the header fields of callers and backend servers.
     """
 
     def __init__(
@@ -77,7 +77,7 @@
     ):
         self._settings = settings
         self._dialect = dialect
-        self._life = lifecycles.Lifecycle()
+        self._lifecycle = lifecycles.Lifecycle()
         self._started_at = clocks.read_now()
         self._stopped = event.Event()
         self._incarnation = settings.incarnation or clocks.read_wall_ms()
@@ -97,13 +97,13 @@
         self._links = links.manager.LinkManager(
             links.handshakes.Identity(settings.vm, self._incarnation),
             settings.fleet_secrets,
-            self._resolve,
+            self._find_address,
             self._handlers,
             codec=settings.codec,
             listen=settings.link.as_tuple(),
         )
         host, port = settings.link.advertised()
-        own = membership.records.MemberRecord(
+        own_record = membership.records.MemberRecord(
             vm=settings.vm,
             upstream=settings.upstream,
             service='',
@@ -118,7 +118,7 @@
         )
         seeds = [(seed.host, seed.port) for seed in settings.seeds]
         self._membership = membership.task.MembershipTask(
-            own, self._links, self._handlers, seeds
+            own_record, self._links, self._handlers, seeds
         )
 
     def _build_distribution(self, client: source.client.Source) -> None:
@@ -142,18 +142,18 @@
             options=distribution.reading.Options(
                 settings.source.readers_per_zone,
                 settings.source.join_wait_s,
-                _build_grace(settings.source),
+                _build_return_grace(settings.source),
             ),
         )
         self._distribution.register_handlers(self._handlers)
-        self._distribution.subscribe(self._on_swap)
+        self._distribution.subscribe(self._apply_snapshot)
 
     def _build_backend(self) -> None:
         self._backend = localbackends.LocalBackend(
             self._settings,
             self._incarnation,
             lambda: self._distribution.current,
-            lambda name: self._membership.set_own(backend=name),
+            lambda state: self._membership.set_own(backend=state),
             self._ensure_fresh,
             self._dialect,
         )
@@ -167,9 +167,10 @@
             settings.zone,
             self._incarnation,
             self._links.request,
-            # Calls may never open a link to the node that relays reports.
+            # Calls may never open a link to the node that relays reports, so
+            # sending a report opens it.
             self._links.dial_and_notify,
-            self._list_limiters,
+            self._list_limiting_members,
             strategy=settings.limits.strategy,
         )
         if settings.limits.tolerance:
@@ -220,24 +221,25 @@
         self._register_call_handlers()
 
     def _register_call_handlers(self) -> None:
-        for kind in (
+        for message_class in (
             messages.Claim,
             messages.Settle,
             messages.Abandon,
             messages.LookUp,
         ):
-            self._handlers.register(kind, self._on_keeper_message)
+            self._handlers.register(message_class, self._on_claim_message)
         self._handlers.register(messages.Forward, self._on_forward)
         self._handlers.register(messages.CancelAttempt, self._on_cancel)
-        for kind, handler in self._limits.handlers().items():
+        for message_class, handler in self._limits.handlers().items():
             self._handlers.register(
-                kind, lambda peer, message, h=handler: h(peer.vm, message)
+                message_class,
+                lambda peer, message, h=handler: h(peer.vm, message),
             )
 
     def _build_listeners(self) -> None:
         settings = self._settings
-        self._guard = pauses.PauseGuard(self._refresh)
-        self._monitor = callers.DepartureMonitor()
+        self._guard = pauses.PauseGuard(self._refresh_after_pause)
+        self._monitor = callers.DisconnectMonitor()
         self._application = application.CallerApplication(
             self._entry,
             self._guard,
@@ -252,7 +254,7 @@
             admin.ReadinessApplication(self._is_ready),
         )
 
-    # Life of the node.
+    # Start, reload and stop.
 
     def start(self) -> None:
         """Starts all tasks and listeners.
@@ -278,10 +280,11 @@
     def apply_settings(
         self, settings: node_settings.model.NodeSettings
     ) -> None:
-        """Takes over settings that may change while the node runs.
+        """Applies the settings that may change while the node runs.
 
-        These are the trust in unconfirmed keys and the times of a stop. Others
-        take effect at the next start; their names are logged.
+        These are the settings ``keys`` and ``stop``. Changes of other settings
+        take effect at the next start; the names of all changed settings are
+        logged.
         """
         changed = [
             field.name
@@ -295,54 +298,56 @@
         _log.info(
             'node.reloaded',
             extra={
-                'applied': [n for n in changed if n in _RELOADABLE],
-                'at_next_start': [n for n in changed if n not in _RELOADABLE],
+                'applied': [n for n in changed if n in _RELOADABLE_SETTINGS],
+                'at_next_start': [
+                    n for n in changed if n not in _RELOADABLE_SETTINGS
+                ],
             },
         )
 
     def request_stop(self) -> None:
         """Begins a graceful shutdown; later requests change nothing."""
-        if self._life.try_advance('stop_requested'):
+        if self._lifecycle.try_advance('stop_requested'):
             gevent.spawn(self._stop)
 
     def _stop(self) -> None:
-        # The listeners end within the deadline too.
+        # The HTTP servers have to close within the deadline too.
         deadline_s = self._settings.stop.deadline_s
         reserved_s = min(_CLOSE_RESERVE_S, deadline_s / 2)
         deadline = clocks.read_now() + deadline_s - reserved_s
         self._membership.set_own(state='leaving')
         self._ingress.leave()
-        self._application.announce_stop()
+        self._application.disable_keep_alive()
         gevent.sleep(self._settings.stop.notice_s)
-        self._application.leave()
+        self._application.stop_accepting_calls()
         drained = self._drain(deadline)
         if not drained:
-            self._report_cut_calls()
-            self._application.cut()
+            self._log_aborted_calls()
+            self._application.abort_calls()
         self._limits.stop()
         gevent.sleep(_LINGER_S)
-        self._life.try_advance('drained' if drained else 'deadline_passed')
+        self._lifecycle.try_advance('drained' if drained else 'deadline_passed')
         self._monitor.stop()
-        self._listeners.calls.shut_down(_CLOSE_WAIT_S)
+        self._listeners.caller_server.shut_down(_CLOSE_WAIT_S)
         self._guard.stop()
         self._distribution.stop()
         self._membership.stop()
         self._links.stop()
-        self._listeners.stop_control()
+        self._listeners.stop_admin()
         self._backend.stop()
         _log.info('node.stopped', extra={'drained': drained})
         self._stopped.set()
 
     def _drain(self, deadline: float) -> bool:
-        """Waits for the calls in flight; tells whether all have finished."""
+        """Waits for the calls in flight; returns whether all have finished."""
         while self._application.in_flight or self._ingress.in_flight:
             if clocks.read_now() >= deadline:
                 return False
             gevent.sleep(_DRAIN_POLL_S)
         return True
 
-    def _report_cut_calls(self) -> None:
-        for request_id in self._application.running():
+    def _log_aborted_calls(self) -> None:
+        for request_id in self._application.list_in_flight():
             _log.error('node.call_cut', extra={'request_id': request_id})
         for attempt, request_id in self._ingress.running_attempts().items():
             _log.error(
@@ -352,15 +357,18 @@
 
     # Events of the tasks.
 
-    def _on_swap(self, snapshot: Any, channel: str) -> None:
-        """Passes a new version on to the tasks that depend on it."""
+    def _apply_snapshot(self, snapshot: Any, channel: str) -> None:
+        """Passes a new configuration to the tasks that depend on it."""
         now = clocks.read_now()
         preset = snapshot.preset
-        restaffed = channel == 'vms' and preset and preset.has_listed_services
-        if channel == 'preset' or restaffed:
+        upstreams_changed = (
+            channel == 'vms' and preset and preset.has_listed_services
+        )
+        if channel == 'preset' or upstreams_changed:
             self._chooser.set_preset(preset, now)
-            # The limits ignore versions that they have seen; the number of
-            # upstreams changes with either channel.
+            # The limit task ignores a version that it has already applied. The
+            # number of upstreams can change with either channel, so with listed
+            # services the version includes both.
             version = snapshot.preset_version + (
                 snapshot.vms_version if preset.has_listed_services else 0
             )
@@ -370,59 +378,66 @@
             self._membership.merge_vms(
                 [attrs.asdict(entry) for entry in snapshot.vms.vms]
             )
-            self._heed_vm_list(snapshot.vms)
+            self._apply_listed_state(snapshot.vms)
             if not self._settings.backend_health.polls:
                 self._backend.apply_vms(snapshot.vms, now)
         complete = snapshot.preset is not None and snapshot.keys is not None
         if complete:
-            self._life.try_advance('configured')
+            self._lifecycle.try_advance('configured')
 
-    def _heed_vm_list(self, vm_list: Any) -> None:
-        """Takes no new work while the platform lists the own VM as leaving."""
+    def _apply_listed_state(self, vm_list: Any) -> None:
+        """Refuses new calls while the platform lists this VM as leaving."""
         entry = vm_list.by_name.get(self._settings.vm)
         withdrawn = entry is not None and entry.state == 'leaving'
         self._ingress.set_withdrawn(withdrawn)
-        if self._life.state != 'leaving':
+        if self._lifecycle.state != 'leaving':
             self._membership.set_own(state='leaving' if withdrawn else 'alive')
 
-    def _refresh(self, now: float, paused_s: float) -> None:
-        """Asks peers for versions after a pause; returns after an answer."""
+    def _refresh_after_pause(self, now: float, paused_s: float) -> None:
+        """Tells the tasks of a pause, then asks peers for their versions.
+
+        Returns once a peer has answered.
+        """
         measures.PAUSES.inc()
         self._limits.on_pause(now)
         self._backend.notice_pause(now, paused_s)
-        self._life.try_advance('pause_detected')
+        self._lifecycle.try_advance('pause_detected')
         try:
-            # Links that ended during the pause fail at once, so that a failed
-            # attempt says nothing about how long peers stay out of reach.
+            # Requests on links that were closed during the pause fail at once,
+            # so a failed attempt doesn't show that peers are unreachable.
             while not self._sync_with_peers():
                 gevent.sleep(_SYNC_RETRY_S)
         finally:
-            self._life.try_advance('refreshed')
+            self._lifecycle.try_advance('refreshed')
 
     def _ensure_fresh(self, now: float) -> float:
-        """Returns the time once a pause, if any, has been made up for."""
+        """Waits for the refresh after a pause; returns the time afterwards."""
         return self._guard.ensure_fresh(now)
 
     def _sync_with_peers(self) -> bool:
-        """Tells whether a peer has told its versions, or none is known."""
+        """Asks peers for their versions.
+
+        Returns:
+          Whether a peer has answered, or no peer is known.
+        """
         peers = list(self._membership.neighbours())
         others = [
             record.vm
             for record in self._membership.view.live()
             if record.vm not in peers and record.vm != self._settings.vm
         ]
-        peers += random.sample(others, min(_SYNC_PEERS, len(others)))
+        peers += random.sample(others, min(_N_RANDOM_SYNC_PEERS, len(others)))
         if not peers:
             return True
-        return self._distribution.sync(peers, pauses.REFRESH_LIMIT_S)
+        return self._distribution.sync(peers, pauses.REFRESH_TIMEOUT_S)
 
-    # Functions that tasks use to reach each other.
+    # Callbacks through which the tasks use each other.
 
-    def _resolve(self, vm: str) -> tuple[str, int] | None:
+    def _find_address(self, vm: str) -> tuple[str, int] | None:
         return self._membership.resolve(vm)
 
     def _list_live_in_zone(self) -> list[str]:
-        """Returns the VMs of the own zone whose processes were heard of."""
+        """Returns the live VMs of the node's zone with a known incarnation."""
         zone = self._settings.zone
         return [
             record.vm
@@ -430,26 +445,26 @@
             if record.incarnation
         ]
 
-    def _list_limiters(self) -> list[membership.records.MemberRecord]:
-        """Returns the members that keep the limits together with this node."""
+    def _list_limiting_members(self) -> list[membership.records.MemberRecord]:
+        """Returns the members that share the enforcement of the limits."""
         view = self._membership.view
         strategy = limits.strategies.registry.get(
             self._settings.limits.strategy
         )
         if strategy.counts_leaving:
-            found = [r for r in view.members.values() if r.state != 'dead']
+            records = [r for r in view.members.values() if r.state != 'dead']
         else:
-            found = list(view.live())
-        return [record for record in found if record.incarnation]
+            records = list(view.live())
+        return [record for record in records if record.incarnation]
 
     def _dial_seeds(self) -> list[str]:
-        found = []
+        vms = []
         for seed in self._settings.seeds:
             try:
-                found.append(self._links.dial_address(seed.host, seed.port))
+                vms.append(self._links.dial_address(seed.host, seed.port))
             except links.errors.LinkError as error:
                 _log.debug('node.seed_failed', extra={'reason': str(error)})
-        return [vm for vm in found if vm != self._settings.vm]
+        return [vm for vm in vms if vm != self._settings.vm]
 
     def _find_holder(self, upstream: str) -> str | None:
         record = self._membership.view.holder(upstream)
@@ -469,13 +484,13 @@
         return zone is None or zone.in_service
 
     def _is_ready(self) -> bool:
-        """Tells whether callers may send their calls to this node."""
-        if self._life.state not in ('serving', 'resuming'):
+        """Returns whether callers may send their calls to this node."""
+        if self._lifecycle.state not in ('serving', 'resuming'):
             return False
-        # Without contact, calls could only be served by the own backend
-        # server; but a node that is cut off serves what it can.
+        # A node without contact to others can only use its own backend server,
+        # so it waits for contact; after the timeout it serves what it can.
         waited_s = clocks.read_now() - self._started_at
-        return self._membership.has_contact or waited_s > _CONTACT_LIMIT_S
+        return self._membership.has_contact or waited_s > _CONTACT_TIMEOUT_S
 
     def _forward(
         self, vm: str, forward: messages.Forward, timeout_s: float
@@ -508,14 +523,14 @@
         del peer
         self._ingress.cancel(message.attempt)
 
-    def _on_keeper_message(
+    def _on_claim_message(
         self, peer: links.handlers.PeerInfo, message: Any
     ) -> messages.ClaimState | None:
         del peer
         now = self._guard.ensure_fresh(clocks.read_now())
         return calls.claims.apply_message(self._store, message, now)
 
-    # What operators see.
+    # Documents for operators.
 
     def describe(self) -> dict[str, Any]:
         """Returns the state of the node, for ``/status``."""
@@ -523,7 +538,7 @@
         settings = self._settings
         return {
             **status.describe_identity(settings, self._incarnation),
-            'state': self._life.state,
+            'state': self._lifecycle.state,
             **status.describe_configuration(self._distribution, now),
             'backend': self._backend.describe(now),
             'peers': status.describe_peers(
@@ -531,11 +546,11 @@
             ),
             'limits': self._limits.describe(),
             'idempotency_records': len(self._store),
-            'pauses': self._guard.pauses,
+            'pauses': self._guard.n_pauses,
         }
 
-    def explain(self, question: status.Question) -> dict[str, Any]:
-        """Returns why each VM is or isn't chosen for a call.
+    def explain(self, query: status.RouteQuery) -> dict[str, Any]:
+        """Returns the route of a call and why each VM is or isn't chosen.
 
         Raises:
           CallError: If no route matches, or no preset is in force.
@@ -544,6 +559,6 @@
             self._distribution.current,
             self._membership.view,
             self._chooser,
-            question,
+            query,
             clocks.read_now(),
         )
--- a/jayseam/node/fields.py
+++ b/jayseam/node/fields.py
@@ -1,9 +1,9 @@
 """The header fields of a caller's request.
 
-The standard library parses them with its e-mail parser, which took a tenth of
-the entry's processor time. httptools parses them with llhttp, which accepts
-less: no folded values, no bare line feeds, no field names that are not tokens,
-no two lengths.
+The standard library parses header fields with its e-mail parser, which took a
+tenth of the processor time of the call path. httptools uses llhttp, which
+is also stricter: it rejects folded values, bare line feeds, field names that
+are not tokens, and more than one Content-Length.
 
 References:
   RFC 9110, section 5; RFC 9112, sections 2.2 and 5.
@@ -17,20 +17,22 @@
 
 MAX_FIELDS = 100
 _MAX_LINE_BYTES = 65536
-_END = b'\r\n'
-# The parser reads whole requests; the server has read the real first line.
+_CRLF = b'\r\n'
+# httptools parses whole requests, but the server has already consumed the
+# request line; this one stands in for it.
 _REQUEST_LINE = b'GET / HTTP/1.1\r\n'
 
 
 class FramingError(ValueError):
-    """A request whose length can be read in more than one way."""
+    """The header fields are malformed, or the request's length is ambiguous."""
 
 
 class Fields:
-    """Header fields in their order, as gevent's WSGI server reads them.
+    """Header fields in order, with the interface that gevent's server expects.
 
     Attributes:
-      status: Empty; the server takes other values for a parsing error.
+      status: Always empty; gevent's server treats any other value as a parsing
+        error.
 
     >>> fields = Fields([('Accept', '*/*'), ('Host', 'node')])
     >>> fields.get('host'), fields.get('expect')
@@ -44,7 +46,7 @@
 
     @property
     def headers(self) -> Iterator[str]:
-        """The lines of the fields."""
+        """The fields as lines of text."""
         return (f'{name}: {value}\r\n' for name, value in self._pairs)
 
     @property
@@ -53,14 +55,14 @@
         return self.get('content-type')
 
     def items(self) -> list[tuple[str, str]]:
-        """Returns the names and values."""
+        """Returns the pairs of name and value."""
         return self._pairs
 
     def get(self, name: str, default: str | None = None) -> str | None:
         """Returns the first value of a field, or ``default``."""
-        lower = name.lower()
+        lower_name = name.lower()
         for key, value in self._pairs:
-            if key.lower() == lower:
+            if key.lower() == lower_name:
                 return value
         return default
 
@@ -69,18 +71,20 @@
         return self.get(name, default)
 
     def __delitem__(self, name: str) -> None:
-        lower = name.lower()
-        self._pairs = [pair for pair in self._pairs if pair[0].lower() != lower]
+        lower_name = name.lower()
+        self._pairs = [
+            pair for pair in self._pairs if pair[0].lower() != lower_name
+        ]
 
 
-class _Collector:
-    """Takes the fields that the parser finds."""
+class _FieldCollector:
+    """Collects the fields that httptools finds."""
 
     def __init__(self) -> None:
         self.pairs: list[tuple[str, str]] = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a field."""
+        """Adds a field; called by httptools."""
         self.pairs.append((name.decode('latin-1'), value.decode('latin-1')))
 
 
@@ -93,25 +97,25 @@
     >>> read_fields(io.BytesIO(b'Content-Length : 3\\r\\n\\r\\n'))
     Traceback (most recent call last):
     ...
-    jayseam.node.fields.FramingError: a malformed field
+    jayseam.node.fields.FramingError: malformed header field
 
     Raises:
-      FramingError: If a line is no field, or there are too many or too long
-        ones, or the stream ends before the empty line.
+      FramingError: If a line is not a valid field, a line is too long, there
+        are too many fields, or the stream ends before the empty line.
     """
     lines = [_REQUEST_LINE]
-    while lines[-1] != _END:
+    while lines[-1] != _CRLF:
         if len(lines) > MAX_FIELDS + 1:
-            raise FramingError('too many fields')
+            raise FramingError('too many header fields')
         line = stream.readline(_MAX_LINE_BYTES + 1)
-        if not line.endswith(_END) or len(line) > _MAX_LINE_BYTES:
-            raise FramingError('a malformed field')
+        if not line.endswith(_CRLF) or len(line) > _MAX_LINE_BYTES:
+            raise FramingError('malformed header field')
         lines.append(line)
-    collector = _Collector()
+    collector = _FieldCollector()
     try:
-        # An upgrade is a field that asks for another protocol; it is ignored.
+        # A request to upgrade to another protocol is ignored.
         with contextlib.suppress(httptools.HttpParserUpgrade):
             httptools.HttpRequestParser(collector).feed_data(b''.join(lines))
     except httptools.HttpParserError as error:
-        raise FramingError('a malformed field') from error
+        raise FramingError('malformed header field') from error
     return Fields(collector.pairs)
--- a/jayseam/node/lifecycles.py
+++ b/jayseam/node/lifecycles.py
@@ -1,4 +1,4 @@
-"""The life of a node, by the state chart ``node``."""
+"""The lifecycle cycle of a node, by the state chart ``node``."""
 
 from jayseam.core import logs
 from jayseam.core import statecharts
@@ -7,12 +7,12 @@
 
 
 class Lifecycle:
-    """Follows the chart ``node`` and logs each change.
+    """Holds the state of a node and logs each transition.
 
-    >>> life = Lifecycle()
-    >>> life.try_advance('configured'), life.state
+    >>> lifecycle = Lifecycle()
+    >>> lifecycle.try_advance('configured'), lifecycle.state
     (True, 'serving')
-    >>> life.try_advance('configured'), life.state
+    >>> lifecycle.try_advance('configured'), lifecycle.state
     (False, 'serving')
     """
 
@@ -21,7 +21,7 @@
         self.state = self._chart.initial
 
     def try_advance(self, event: str) -> bool:
-        """Applies an event if the state allows it; tells whether it did."""
+        """Applies an event if the state allows it; returns whether it did."""
         if not self._chart.allows(self.state, event):
             return False
         before, self.state = self.state, self._chart.advance(self.state, event)
--- a/jayseam/node/listeners.py
+++ b/jayseam/node/listeners.py
@@ -1,4 +1,4 @@
-"""The listeners of a node: callers, operators, and readiness."""
+"""The HTTP servers of a node: for callers, operators and readiness."""
 
 from typing import Any
 
@@ -10,58 +10,62 @@
 
 @attrs.frozen
 class Listeners:
-    """The HTTP servers of a node, started and ended together.
+    """The HTTP servers of a node.
 
     Attributes:
-      calls: Serves callers.
-      control: Serves operators.
-      readiness: Tells the platform whether the node is ready; None if nobody
-        asks.
+      caller_server: Serves callers.
+      admin_server: Serves operators.
+      readiness_server: Tells the platform whether the node is ready; None if
+        the settings name no address for it.
     """
 
-    calls: callers.CallerServer
-    control: admin.AdminServer
-    readiness: admin.AdminServer | None = None
+    caller_server: callers.CallerServer
+    admin_server: admin.AdminServer
+    readiness_server: admin.AdminServer | None = None
 
     def start(self) -> None:
-        """Starts to listen; callers come last.
+        """Starts all servers; the server for callers starts last.
 
         Raises:
           OSError: If an address can't be bound.
         """
-        self.control.start()
-        if self.readiness is not None:
-            self.readiness.start()
-        self.calls.start()
+        self.admin_server.start()
+        if self.readiness_server is not None:
+            self.readiness_server.start()
+        self.caller_server.start()
 
-    def stop_control(self) -> None:
-        """Ends the listeners for operators and readiness."""
-        self.control.stop(timeout=1)
-        if self.readiness is not None:
-            self.readiness.stop(timeout=0)
+    def stop_admin(self) -> None:
+        """Stops the servers for operators and readiness."""
+        self.admin_server.stop(timeout=1)
+        if self.readiness_server is not None:
+            self.readiness_server.stop(timeout=0)
 
 
 def build_listeners(
     settings: Any,
-    application: Any,
-    control: admin.AdminApplication,
-    readiness: admin.ReadinessApplication,
+    caller_application: Any,
+    admin_application: admin.AdminApplication,
+    readiness_application: admin.ReadinessApplication,
 ) -> Listeners:
-    """Returns the listeners that the settings of a node name.
+    """Returns the servers for the addresses in the settings of a node.
 
     Args:
       settings: Settings of the node.
-      application: Answers callers.
-      control: Answers operators.
-      readiness: Answers the platform.
+      caller_application: Answers callers.
+      admin_application: Answers operators.
+      readiness_application: Answers the platform.
     """
-    asked = None
+    readiness_server = None
     if settings.ready is not None:
-        asked = admin.AdminServer(
-            settings.ready.as_tuple(), readiness, log=None
+        readiness_server = admin.AdminServer(
+            settings.ready.as_tuple(), readiness_application, log=None
         )
     return Listeners(
-        callers.CallerServer(settings.caller.as_tuple(), application, log=None),
-        admin.AdminServer(settings.admin.as_tuple(), control, log=None),
-        asked,
+        callers.CallerServer(
+            settings.caller.as_tuple(), caller_application, log=None
+        ),
+        admin.AdminServer(
+            settings.admin.as_tuple(), admin_application, log=None
+        ),
+        readiness_server,
     )
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -1,4 +1,4 @@
-"""Everything that a node has to do with its own backend server."""
+"""The backend server of a node: admission, health, client and ingress."""
 
 from collections.abc import Callable
 from typing import Any
@@ -16,16 +16,17 @@
 
 
 class LocalBackend:
-    """Gate, health, client and ingress of the own backend server.
+    """Gate, health monitor, client and ingress of the node's backend server.
 
     Args:
       settings: Settings of the node.
       incarnation: Incarnation of this process.
       read_snapshot: Returns the configuration in force.
-      tell_state: Tells the fleet a new state of the backend server.
-      ensure_fresh: Returns once the process knows what happened while it was
-        paused; takes and returns the time in seconds.
-      dialect: Header fields that the backend server understands.
+      publish_state: Publishes a new state of the backend server to the other
+        members.
+      ensure_fresh: Waits for the refresh after a pause of the process, if
+        there was one; takes and returns the time in seconds.
+      dialect: Names of the header fields that the backend server uses.
     """
 
     def __init__(
@@ -33,13 +34,13 @@
         settings: node_settings.model.NodeSettings,
         incarnation: int,
         read_snapshot: Callable[[], Any],
-        tell_state: Callable[[str], None],
+        publish_state: Callable[[str], None],
         ensure_fresh: Callable[[float], float],
         dialect: backends.dialects.Dialect = backends.dialects.DEFAULT,
     ):
         self._vm = settings.vm
         self._upstream = settings.upstream
-        self._tell_state = tell_state
+        self._publish_state = publish_state
         self._was_listed = False
         self._cold_excess = settings.admission.cold_excess
         self._gate = admission.gates.Gate(
@@ -51,7 +52,7 @@
         self._health = backends.health.HealthMonitor(
             ramp_s=0.0,
             on_start=self._gate.notice_start,
-            on_state=self._on_state,
+            on_state=self._on_state_change,
             polls=settings.backend_health.polls,
         )
         self._client = backends.client.BackendClient(
@@ -72,21 +73,21 @@
         )
 
     def start(self) -> None:
-        """Starts to poll the health of the backend server."""
+        """Starts to monitor the health of the backend server."""
         self._health.start(self._client)
 
     def stop(self) -> None:
-        """Ends polling and closes the connections."""
+        """Stops the health monitor and closes the connections."""
         self._health.stop()
         self._client.close()
 
     def notice_pause(self, now: float, paused_s: float) -> None:
-        """Ignores times measured across a pause of this process."""
+        """Discards measurements that span a pause of this process."""
         self._health.notice_pause(now)
         self._client.notice_pause(now, paused_s)
 
     def apply_preset(self, preset: Any) -> None:
-        """Takes slots, connections, ramp and weights from a preset."""
+        """Applies slots, connections, ramp and weights of a preset."""
         self._gate.set_weights(
             {name: item.weight for name, item in preset.workspaces.items()}
         )
@@ -105,10 +106,10 @@
         self._health.set_ramp(upstream.ramp.duration_s)
 
     def apply_vms(self, vm_list: Any, now: float) -> None:
-        """Takes what the VM list says of the backend server.
+        """Applies the state of the backend server in the VM list.
 
-        A list that doesn't name the own VM says nothing before the first one
-        that does: the backend server may not have registered yet.
+        A list without this VM is ignored until one with it has arrived: the
+        backend server may not have registered yet.
         """
         entry = vm_list.by_name.get(self._vm)
         if entry is None and not self._was_listed:
@@ -119,7 +120,7 @@
         self._health.hear_listing(live, cold, now)
 
     def describe(self, now: float) -> dict[str, Any]:
-        """Returns state, limit and load, for the status page."""
+        """Returns state, concurrency limit and load, for ``/status``."""
         report = self._gate.describe(now)
         return {
             'state': self._health.state.name,
@@ -128,10 +129,10 @@
             'queued': report.queued,
         }
 
-    def _on_state(self, name: str) -> None:
-        """Stops or resumes work for the backend server, and tells the fleet."""
+    def _on_state_change(self, name: str) -> None:
+        """Closes or reopens the gate, and publishes the state to the fleet."""
         if name == 'draining':
             self._gate.close()
         elif name in ('cold', 'ready'):
             self._gate.reopen(clocks.read_now())
-        self._tell_state(name)
+        self._publish_state(name)
--- a/jayseam/node/main.py
+++ b/jayseam/node/main.py
@@ -17,15 +17,15 @@
 from jayseam.settings import loading
 from jayseam.source import client as source_client
 
-_USAGE_EXIT = 2
-_BIND_EXIT = 3
+_EXIT_USAGE = 2
+_EXIT_BIND_FAILED = 3
 
 
 def build_parser() -> argparse.ArgumentParser:
     """Returns the parser of the command line."""
     parser = argparse.ArgumentParser(
         prog='jayseam-node',
-        description='Proxy and configuration carrier of one VM.',
+        description='Proxy and configuration distributor of one VM.',
     )
     parser.add_argument(
         '--settings', required=True, help='JSON file with the settings'
@@ -44,7 +44,7 @@
     except errors.SettingsError as error:
         for problem in error.problems:
             print(problem, file=sys.stderr)
-        return _USAGE_EXIT
+        return _EXIT_USAGE
     if options.check:
         return 0
     return run_node(
@@ -66,33 +66,35 @@
 
     Args:
       settings: Checked settings.
-      log_stream: Where logs go; standard error by default.
-      source: Source of the node; by default that of the settings.
-      dialect: Header fields of callers and backend servers.
+      log_stream: Stream for logs; standard error by default.
+      source: Client of the configuration source; by default a client for the
+        URLs in the settings.
+      dialect: Names of the header fields of callers and backend servers.
       reload_settings: Reads the settings again, on SIGHUP; raises a
-        `SettingsError` if they are wrong. Without it SIGHUP is ignored.
+        `SettingsError` if they are invalid. If None, SIGHUP is ignored.
     """
     logs.configure_logs(
         settings.log_level, log_stream, vm=settings.vm, zone=settings.zone
     )
-    # Recording which greenlet spawned which costs at each spawn, and nothing
-    # reads it.
+    # Recording the parent of each greenlet takes time at each spawn, and
+    # nothing reads it.
     gevent.config.track_greenlet_tree = False
     node = composition.Node(settings, source, dialect)
-    # Modules and classes are nine tenths of the objects and live as long as
-    # the process. Full collections that visit them stop calls for 40 ms.
+    # Modules and classes are nine tenths of all objects and live as long as
+    # the process. Without the freeze, a full collection visits them and stops
+    # calls for 40 ms.
     gc.collect()
     gc.freeze()
     gevent.signal_handler(signal.SIGHUP, _reload, node, reload_settings)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, node.request_stop)
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(signal_number, node.request_stop)
     try:
         node.run()
     except OSError as error:
         logs.get_logger(__name__).error(
             'node.bind_failed', extra={'reason': str(error)}
         )
-        return _BIND_EXIT
+        return _EXIT_BIND_FAILED
     return 0
 
 
@@ -100,7 +102,7 @@
     node: composition.Node,
     reload_settings: Callable[[], node_settings.model.NodeSettings] | None,
 ) -> None:
-    """Applies settings that have changed; wrong ones change nothing."""
+    """Reads and applies the settings; invalid settings change nothing."""
     if reload_settings is None:
         return
     try:
--- a/jayseam/node/measures.py
+++ b/jayseam/node/measures.py
@@ -2,7 +2,8 @@
 
 import prometheus_client
 
-# Covers the target of 1.7 ms added as well as the longest timeouts.
+# The 1.7 ms bound is the target for the latency that the proxy adds; the upper
+# bounds cover the longest timeouts.
 _BUCKETS_S = (
     0.001,
     0.0017,
@@ -20,7 +21,7 @@
     10.0,
     30.0,
 )
-_children: dict[tuple[str, str], prometheus_client.Histogram] = {}
+_histograms: dict[tuple[str, str], prometheus_client.Histogram] = {}
 
 CALL_SECONDS = prometheus_client.Histogram(
     'jayseam_call_seconds',
@@ -37,13 +38,13 @@
 
 
 def observe_call(workspace: str, outcome: str, elapsed_s: float) -> None:
-    """Adds the time of a call to the histogram of its workspace and outcome.
+    """Records the duration of a call by workspace and outcome.
 
-    The children are kept in a dict because ``labels`` validates its arguments
-    on every call.
+    The labelled histograms are cached because ``labels`` validates its
+    arguments on every call.
     """
-    child = _children.get((workspace, outcome))
-    if child is None:
-        child = CALL_SECONDS.labels(workspace, outcome)
-        _children[workspace, outcome] = child
-    child.observe(elapsed_s)
+    histogram = _histograms.get((workspace, outcome))
+    if histogram is None:
+        histogram = CALL_SECONDS.labels(workspace, outcome)
+        _histograms[workspace, outcome] = histogram
+    histogram.observe(elapsed_s)
--- a/jayseam/node/pauses.py
+++ b/jayseam/node/pauses.py
@@ -1,4 +1,4 @@
-"""Notices that the process was paused, before it acts on what it believed."""
+"""Detects pauses of the process, so that no call is served by stale state."""
 
 from collections.abc import Callable
 
@@ -9,38 +9,38 @@
 from jayseam.core import logs
 from jayseam.core import tickers
 
-TICK_S = 0.1
-PAUSE_LIMIT_S = 1.0
-REFRESH_LIMIT_S = 1.0
+TICK_INTERVAL_S = 0.1
+PAUSE_THRESHOLD_S = 1.0
+REFRESH_TIMEOUT_S = 1.0
 
 _log = logs.get_logger(__name__)
 
 
 def detect_pause(last_tick: float, now: float) -> bool:
-    """Tells whether the time since the last tick shows a pause.
+    """Returns whether the process was paused since the last tick.
 
     >>> detect_pause(10.0, 10.2), detect_pause(10.0, 11.5)
     (False, True)
     """
-    return now - last_tick > PAUSE_LIMIT_S
+    return now - last_tick > PAUSE_THRESHOLD_S
 
 
 class PauseGuard:
-    """Holds calls after a pause until the node has refreshed its knowledge.
+    """Holds calls back after a pause until the node has refreshed its state.
 
     Args:
       refresh: Takes the time and the length of the pause, in seconds. Asks
-        peers for versions and members; returns when one has answered. It is
-        given up after `REFRESH_LIMIT_S`.
+        peers for their versions and returns when a peer has answered. It is
+        cancelled after `REFRESH_TIMEOUT_S`.
     """
 
     def __init__(self, refresh: Callable[[float, float], None]):
         self._refresh = refresh
         self._last_tick = clocks.read_now()
-        self._fresh = event.Event()
-        self._fresh.set()
+        self._refreshed = event.Event()
+        self._refreshed.set()
         self._greenlet: gevent.Greenlet | None = None
-        self.pauses = 0
+        self.n_pauses = 0
 
     def start(self) -> None:
         """Starts the ticker."""
@@ -53,21 +53,21 @@
             self._greenlet.kill()
 
     def ensure_fresh(self, now: float) -> float:
-        """Returns the time at which the caller may go on.
+        """Waits for the refresh after a pause; returns the time afterwards.
 
-        After a pause the first caller may run before the ticker does, so the
-        comparison is made here too.
+        Without a pause, returns ``now`` at once. After a pause a call may be
+        scheduled before the ticker, so the pause is detected here too.
         """
         if detect_pause(self._last_tick, now):
             self._begin_refresh(now)
-        if self._fresh.is_set():
+        if self._refreshed.is_set():
             return now
-        self._fresh.wait(REFRESH_LIMIT_S + PAUSE_LIMIT_S)
+        self._refreshed.wait(REFRESH_TIMEOUT_S + PAUSE_THRESHOLD_S)
         return clocks.read_now()
 
     def _run(self) -> None:
         while True:
-            tickers.wait_tick(TICK_S)
+            tickers.wait_tick(TICK_INTERVAL_S)
             now = clocks.read_now()
             if detect_pause(self._last_tick, now):
                 self._begin_refresh(now)
@@ -76,14 +76,14 @@
     def _begin_refresh(self, now: float) -> None:
         paused_s = now - self._last_tick
         self._last_tick = now
-        self._fresh.clear()
-        self.pauses += 1
+        self._refreshed.clear()
+        self.n_pauses += 1
         _log.warning('node.pause_detected', extra={'paused_s': paused_s})
         gevent.spawn(self._run_refresh, now, paused_s)
 
     def _run_refresh(self, now: float, paused_s: float) -> None:
         try:
-            with gevent.Timeout(REFRESH_LIMIT_S, False):
+            with gevent.Timeout(REFRESH_TIMEOUT_S, False):
                 self._refresh(now, paused_s)
         finally:
-            self._fresh.set()
+            self._refreshed.set()
--- a/jayseam/node/status.py
+++ b/jayseam/node/status.py
@@ -1,4 +1,4 @@
-"""Documents that the admin listener shows to operators."""
+"""Documents that the admin server shows to operators."""
 
 from collections.abc import Collection
 from typing import Any
@@ -14,7 +14,7 @@
 def describe_identity(
     settings: node_settings.model.NodeSettings, incarnation: int
 ) -> dict[str, Any]:
-    """Returns who a node is."""
+    """Returns the identity of a node."""
     return {
         'vm': settings.vm,
         'zone': settings.zone,
@@ -27,10 +27,10 @@
 def describe_configuration(
     task: distribution.task.DistributionTask, now: float
 ) -> dict[str, Any]:
-    """Returns what is in force, and how old the knowledge of it is."""
+    """Returns the configuration in force, its age, and rejected versions."""
     snapshot = task.current
-    known = task.describe(now)
-    preset = known['channels']['preset']
+    report = task.describe(now)
+    preset = report['channels']['preset']
     zones = snapshot.preset.zones if snapshot.preset else {}
     return {
         'preset': snapshot.preset.name if snapshot.preset else None,
@@ -42,8 +42,8 @@
         'confirmed_age_s': preset['confirmation_age_s'],
         'unconfirmed': preset['unconfirmed'],
         'rejected': preset['rejected'],
-        'reader': known['reader'],
-        'channels': known['channels'],
+        'reader': report['reader'],
+        'channels': report['channels'],
         'zones': {name: zone.in_service for name, zone in zones.items()},
     }
 
@@ -51,7 +51,7 @@
 def describe_peers(
     view: membership.views.View, own_vm: str, connected: Collection[str]
 ) -> list[dict[str, Any]]:
-    """Returns the other members, and whether a link to each is open."""
+    """Returns the other members, each with whether a link to it is open."""
     return [
         {
             'vm': record.vm,
@@ -69,7 +69,7 @@
     snapshot: distribution.states.Snapshot,
     view: membership.views.View,
     chooser: calls.choosers.Chooser,
-    question: 'Question',
+    query: 'RouteQuery',
     now: float,
 ) -> dict[str, Any]:
     """Returns the route of a call and why each VM is or isn't chosen.
@@ -79,20 +79,20 @@
     """
     if snapshot.preset is None:
         raise calls.errors.NotRunError('no preset is in force')
-    route = chooser.match_route(snapshot.preset, question.method, question.path)
-    explained = chooser.explain(snapshot.preset, view, route, now)
+    route = chooser.match_route(snapshot.preset, query.method, query.path)
+    candidates = chooser.explain(snapshot.preset, view, route, now)
     return {
         'preset_version': snapshot.preset_version,
-        'workspace': question.workspace,
-        'workspace_known': question.workspace in snapshot.preset.workspaces,
+        'workspace': query.workspace,
+        'workspace_known': query.workspace in snapshot.preset.workspaces,
         'route': attrs.asdict(route),
-        'candidates': [attrs.asdict(item) for item in explained],
+        'candidates': [attrs.asdict(item) for item in candidates],
     }
 
 
 @attrs.frozen
-class Question:
-    """A call whose route an operator wants explained."""
+class RouteQuery:
+    """A call for which an operator asks for the route."""
 
     workspace: str
     path: str
--- a/jayseam/node/tests/test_callers.py
+++ b/jayseam/node/tests/test_callers.py
@@ -120,7 +120,7 @@
             caller.sendall(line)
             gevent.sleep(0.05)
         assert _read_all(caller).startswith(b'HTTP/1.1 400')
-    assert not server.reading
+    assert not server.header_read_starts
 
 
 def test_listener_refuses_connections_while_it_empties_its_backlog():
