--- a/jayseam/node/tests/fleets.py
+++ b/jayseam/node/tests/fleets.py
@@ -25,11 +25,11 @@
 
 SEED = int(os.environ.get('JAYSEAM_SEED', '1'))
 FAST_RAMP = model.Ramp(initial_slots=10, duration_s=0.1)
-# Workspace whose key a test of the shared fleet withdraws.
-WITHDRAWN = 'mons'
-# Shares are lent from 7.5 s after a start, and buckets begin empty; the rest
-# is for a busy machine.
-_LIMITS_READY_S = 20.0
+# Workspace whose key is withdrawn by a test of the shared fleet.
+WITHDRAWN_WORKSPACE = 'mons'
+# Shares of the limits are lent from 7.5 s after a start, and token buckets are
+# empty at first; the rest allows for a busy machine.
+_LIMITS_READY_TIMEOUT_S = 20.0
 
 
 @attrs.frozen
@@ -39,7 +39,7 @@
     cluster: clusters.Cluster
     keys: Mapping[str, str]
 
-    def vms_of(self, service: str) -> list[str]:
+    def list_vms_of(self, service: str) -> list[str]:
         """Returns the VMs whose backend servers belong to a service."""
         return [
             name
@@ -47,7 +47,7 @@
             if vm.upstream.startswith(service)
         ]
 
-    def vms_in(self, zone: str) -> list[str]:
+    def list_vms_in(self, zone: str) -> list[str]:
         """Returns the VMs of an availability zone."""
         return [n for n, vm in self.cluster.vms.items() if vm.zone == zone]
 
@@ -55,7 +55,7 @@
         """Waits until every node admits calls of every workspace.
 
         Raises:
-          ClusterError: If that takes too long.
+          ClusterError: If that takes longer than `_LIMITS_READY_TIMEOUT_S`.
         """
         pending = [(vm, key) for vm in self.cluster.vms for key in self.keys]
 
@@ -66,19 +66,21 @@
             )
 
         def admits() -> bool:
-            # A refused call waits for tokens first, so calls run side by side.
+            # A call waits for tokens before it is refused, so calls run in
+            # parallel.
             jobs = [gevent.spawn(is_refused, pair) for pair in pending]
             gevent.joinall(jobs)
             pending[:] = [pair for pair, job in zip(pending, jobs) if job.get()]
             return not pending
 
-        self.cluster.wait_until(admits, _LIMITS_READY_S)
+        self.cluster.wait_until(admits, _LIMITS_READY_TIMEOUT_S)
 
-    def wait_confirming(self) -> None:
-        """Waits until all keepers can confirm that a key is new.
+    def wait_keys_confirmable(self) -> None:
+        """Waits until all keepers can confirm that a new key is unused.
 
-        Keys made within `idempotency.CLOCK_ALLOWANCE_MS` of the start of two
-        of their keepers end as outcome-unknown, as the design page says.
+        A call whose key was made within `idempotency.CLOCK_ALLOWANCE_MS` of the
+        start of two of its keepers ends as outcome-unknown, because the keepers
+        can't exclude that the key was claimed before they started.
         """
         youngest_ms = max(
             self.cluster.status(vm)['incarnation'] for vm in self.cluster.vms
@@ -87,14 +89,14 @@
         gevent.sleep(max(0.0, until_ms - clocks.read_wall_ms()) / 1000)
 
     def clear(self) -> None:
-        """Forgets the runs and peaks so far, as between two tests."""
+        """Clears the recorded runs and peaks, as between two tests."""
         for upstream in self.cluster.preset['upstreams']:
             self.cluster.control_backend(upstream['name'], 'clear-runs')
         self.cluster.collect_peaks(reset=True)
 
     def set_fault(self, service: str, kind: str, **fields: Any) -> None:
-        """Sets a fault of all backend servers of a service; '' ends it."""
-        for vm in self.vms_of(service):
+        """Sets a fault at all backend servers of a service; '' clears it."""
+        for vm in self.list_vms_of(service):
             upstream = self.cluster.vms[vm].upstream
             self.cluster.control_backend(upstream, 'fault', kind=kind, **fields)
 
@@ -108,11 +110,11 @@
         """Starts load over all nodes; the greenlet returns a `LoadReport`.
 
         Args:
-          workspaces: Calls a second by workspace.
-          routes: What each workspace calls.
-          duration_s: Length in seconds.
-          **options: ``connections`` for each workspace, and other attributes
-            of the profile.
+          workspaces: Calls per second by workspace.
+          routes: Routes that each workspace calls.
+          duration_s: Length of the load in seconds.
+          **options: ``connections`` of each workspace, and other attributes of
+            the profile.
         """
         connections = options.pop('connections', 48)
         settings = {'targets': tuple(self.cluster.targets()), 'seed': SEED}
@@ -124,8 +126,8 @@
                 )
                 for name, rate in workspaces.items()
             ),
-            # Longer than any route's timeout: a call that ends by this limit
-            # got no answer within its deadline.
+            # Longer than the timeout of any called route: a call that ends by
+            # this limit got no answer within its deadline.
             timeout_s=8.0,
             **{**settings, **options},
         )
@@ -135,7 +137,7 @@
         """Waits until no backend server runs a call.
 
         Raises:
-          ClusterError: If one still does after the longest route timeout.
+          ClusterError: If a call still runs after the longest route timeout.
         """
         self.cluster.wait_until(
             lambda: not any(
@@ -151,22 +153,22 @@
         latitude_s: float,
         ignored: Sequence[str] = (),
     ) -> list[referee.Violation]:
-        """Returns what the referee finds since the last `clear`.
+        """Returns the violations that the referee finds since the last `clear`.
 
         Args:
-          records: Calls of all callers since then.
-          latitude_s: Longest time from admission to run, in seconds.
-          ignored: Rules that the test breaks on purpose.
+          records: Calls of all callers since the last `clear`.
+          latitude_s: Longest allowed time from admission to run, in seconds.
+          ignored: Rules that the test violates on purpose.
         """
         self.wait_idle()
         budgets = referee.read_budgets(self.cluster.preset['workspaces'])
-        judged = referee.Referee(budgets, latitude_s).judge(
+        violations = referee.Referee(budgets, latitude_s).judge(
             self.cluster.collect_runs(), records, self.cluster.collect_peaks()
         )
-        return [found for found in judged if found.rule not in ignored]
+        return [item for item in violations if item.rule not in ignored]
 
     def count_runs(self, **fields: Any) -> int:
-        """Returns how many recorded runs have all the given values."""
+        """Returns the number of recorded runs with all the given values."""
         return sum(
             all(run.get(name) == value for name, value in fields.items())
             for run in self.cluster.collect_runs()
@@ -180,23 +182,23 @@
     """Starts the agency's fleet of twelve nodes, or another deployment."""
     print(f'JAYSEAM_SEED={SEED}')
     random.seed(SEED)
-    chosen = deployment or samples.build_agence(ramp=FAST_RAMP)
+    chosen_deployment = deployment or samples.build_agence(ramp=FAST_RAMP)
     settings = {
         'backend': {'service_time': {'kind': 'fixed', 'mean_ms': 2.0}},
         **plan,
     }
-    cluster_plan = plans.plan_deployment(chosen, **settings)
+    cluster_plan = plans.plan_deployment(chosen_deployment, **settings)
     with clusters.Cluster(cluster_plan) as cluster:
-        yield Fleet(cluster, chosen.plaintexts)
+        yield Fleet(cluster, chosen_deployment.plaintexts)
 
 
 def make_idempotency_key(wall_ms: int | None = None) -> str:
-    """Returns a UUID of version 7 for a time, by default the present."""
-    moment = clocks.read_wall_ms() if wall_ms is None else wall_ms
-    return identifiers.make_uuid7(moment, random.Random())
+    """Returns a UUID of version 7 for a time; by default for now."""
+    time_ms = clocks.read_wall_ms() if wall_ms is None else wall_ms
+    return identifiers.make_uuid7(time_ms, random.Random())
 
 
-def read_code(answer: exchanges.Answer) -> str:
+def read_problem_code(answer: exchanges.Answer) -> str:
     """Returns the problem code of an answer, or an empty string."""
     if b'"code"' not in answer.body:
         return ''
--- a/jayseam/node/tests/observers.py
+++ b/jayseam/node/tests/observers.py
@@ -1,4 +1,4 @@
-"""What the tests of faults watch: versions, callers and publications."""
+"""Checks of versions, calls and publications for tests with faults."""
 
 import itertools
 import re
@@ -15,25 +15,26 @@
 from jayseam.standins import errors
 from jayseam.standins import exchanges
 
-# The limit of invariant 13 in section 1.3 of the design page.
-IN_FORCE_S = 5.0
+# Longest time from a publication until all nodes apply it: invariant 13 in
+# section 1.3 of the design page.
+CONVERGENCE_LIMIT_S = 5.0
 OPEN_PATH = '/drop-off-points'
 _POLL_S = 0.1
 _numbers = itertools.count(1)
 
 
 def add_probe(preset: Mapping[str, Any]) -> tuple[dict[str, Any], str]:
-    """Returns the preset with one more open route, and its path.
+    """Returns the preset with one more open route, and the path of the route.
 
-    A node answers 404 on the path until that preset or a later one with the
-    route is in force.
+    A node answers 404 on the path until this preset, or a later preset with the
+    route, is in force.
     """
     path = f'/probe-{next(_numbers)}'
     return edits.add_open_route(preset, path), path
 
 
 def publish_probe(fleet: fleets.Fleet) -> tuple[int, str]:
-    """Publishes the preset with a probe; returns its version and path."""
+    """Publishes the preset with a new probe; returns its version and path."""
     preset, path = add_probe(fleet.cluster.preset)
     return fleet.cluster.publish(preset), path
 
@@ -43,33 +44,33 @@
     path: str,
     action: Callable[[], object] = lambda: None,
     vms: Iterable[str] | None = None,
-    within_s: float = IN_FORCE_S,
+    within_s: float = CONVERGENCE_LIMIT_S,
 ) -> float:
-    """Acts, and asserts that calls are then judged by a probe's preset.
+    """Runs an action, and asserts that a probe's preset then comes into force.
 
     Returns:
-      The seconds until the slowest node did.
+      The seconds until the preset was in force at the slowest node.
     """
     probe = convergence.Probe(path, lambda status: status == 200)
-    found = convergence.measure_convergence(
+    result = convergence.measure_convergence(
         fleet.cluster, action, probe, within_s, vms
     )
-    print(f'{path}: {sorted(found.seconds.values())}')
-    assert not found.missing
-    return found.slowest
+    print(f'{path}: {sorted(result.seconds.values())}')
+    assert not result.missing
+    return result.slowest
 
 
 def publish_and_converge(
     fleet: fleets.Fleet, vms: Iterable[str] | None = None
 ) -> str:
-    """Publishes a probe, asserts that it is in force in time at ``vms``."""
+    """Publishes a probe and asserts that ``vms`` apply it in time."""
     preset, path = add_probe(fleet.cluster.preset)
     converge(fleet, path, lambda: fleet.cluster.publish(preset), vms)
     return path
 
 
 def read_versions(fleet: fleets.Fleet, channel: str) -> dict[str, int]:
-    """Returns the version in force of a channel by VM."""
+    """Returns the version of a channel that is in force, by VM."""
     return {
         vm: fleet.cluster.status(vm)['versions'][channel]
         for vm in fleet.cluster.vms
@@ -95,7 +96,7 @@
 
 @attrs.frozen
 class Record:
-    """One call of a `Callers` loop; ``status`` is 0 if no answer came."""
+    """One call of `Callers`; ``status`` is 0 if no answer came."""
 
     vm: str
     started: float
@@ -105,7 +106,7 @@
     error: str = ''
 
 
-class _Watchers:
+class _BackgroundJobs:
     """Greenlets that run for the length of a ``with`` block."""
 
     def __init__(self) -> None:
@@ -122,10 +123,10 @@
         raise NotImplementedError
 
 
-class VersionLog(_Watchers):
-    """Polls the status of nodes and notes versions that go back.
+class VersionLog(_BackgroundJobs):
+    """Polls the status of nodes and records versions that decrease.
 
-    The versions of a VM are compared across restarts of its node too.
+    The versions of a VM are also compared across restarts of its node.
     """
 
     def __init__(self, fleet: fleets.Fleet):
@@ -154,19 +155,19 @@
                 greatest[channel] = max(version, greatest.get(channel, 0))
 
     def check(self) -> None:
-        """Asserts that versions were seen and that none went back."""
+        """Asserts that versions were read and that none decreased."""
         assert self.n_polls and not self.reversals
 
 
-class Callers(_Watchers):
-    """Callers that stay connected and call again after each answer.
+class Callers(_BackgroundJobs):
+    """Callers with kept-alive connections that call again after each answer.
 
     Args:
       fleet: The fleet.
-      vms: Nodes to call.
+      vms: VMs whose nodes are called.
       path: Path of the calls.
       key: Workspace key, if any.
-      per_vm: Callers at each node.
+      per_vm: Number of callers at each node.
       pause_s: Seconds between an answer and the next call.
       timeout_ms: Deadline of each call, in milliseconds.
     """
--- a/jayseam/node/tests/test_budgets.py
+++ b/jayseam/node/tests/test_budgets.py
@@ -1,4 +1,4 @@
-"""Fleet-wide rate and burst, in calm and under faults."""
+"""Fleet-wide rate and burst limits, without and under faults."""
 
 import random
 
@@ -9,14 +9,14 @@
 from jayseam.tools import profiles
 
 _GREEDY = 'huy'
-_GREED = 5.0
-_SHARE = 0.5
+_GREEDY_FACTOR = 5.0
+_OTHERS_FACTOR = 0.5
 _ROUTES = [profiles.RouteLoad('/credits/1'), profiles.RouteLoad('/refunds/1')]
 _LOAD_S = 4.5
-_CUT_S = 7.0
+_PARTITION_S = 7.0
 
 
-def _leave_calm(fleet):
+def _disturb_nothing(fleet):
     del fleet
 
 
@@ -38,36 +38,36 @@
         fleet.cluster.resume(vm)
 
 
-def _cut_zones(fleet):
+def _partition_zones(fleet):
     zones = sorted({vm.zone for vm in fleet.cluster.vms.values()})
     fleet.cluster.partition(*zones)
-    # Members on the other sides are taken for dead after 3 s, and new owners
-    # may use their shares 2.5 s later.
-    gevent.sleep(_CUT_S)
+    # Members on the other sides are declared dead after 3 s, and new owners may
+    # use their shares 2.5 s later.
+    gevent.sleep(_PARTITION_S)
     fleet.cluster.heal()
 
 
-# The referee sees the time of a run, the limiter that of admission. Calls
-# bunch up by the longest time between them: 0.1 s in calm, where the wait for
-# tokens comes before admission and runs are short; 1.5 s until a silent link
-# closes and another attempt is made; 3 s for a paused node.
+# The limiter counts a call at its admission, the referee at its run. Calls can
+# bunch up by the longest time between the two: 0.1 s without faults, where the
+# wait for tokens comes before admission and runs are short; 1.5 s until a
+# silent link is closed and another attempt is made; 3 s for a paused node.
 @pytest.mark.parametrize(
     'disturb, latitude_s, load_s',
     [
-        (_leave_calm, 0.1, _LOAD_S),
+        (_disturb_nothing, 0.1, _LOAD_S),
         (_kill_nodes, 0.5, _LOAD_S),
-        (_cut_zones, 2.0, _LOAD_S + 4.0),
+        (_partition_zones, 2.0, _LOAD_S + 4.0),
         (_pause_nodes, 3.5, _LOAD_S),
     ],
 )
 def test_rate_and_burst_hold_over_the_fleet(fleet, disturb, latitude_s, load_s):
-    """A workspace at five times its rate gets no more than its rate."""
+    """A workspace that sends five times its rate gets no more than its rate."""
     workspaces = fleet.cluster.preset['workspaces']
     rates = {
         entry['name']: entry['rate_per_s']
-        * (_GREED if entry['name'] == _GREEDY else _SHARE)
+        * (_GREEDY_FACTOR if entry['name'] == _GREEDY else _OTHERS_FACTOR)
         for entry in workspaces
-        if entry['name'] != fleets.WITHDRAWN
+        if entry['name'] != fleets.WITHDRAWN_WORKSPACE
     }
     running = fleet.start_load(rates, _ROUTES, load_s)
     gevent.sleep(0.5)
@@ -77,14 +77,14 @@
     print(disturb.__name__, report.count_outcomes(), report.lag_ms)
     assert not found
     greedy = report.count_outcomes(_GREEDY)
-    # The limit was reached, and the workspace got a good part of its rate.
+    # The limit was reached, and the workspace got over half of its rate.
     assert greedy['limit'] > greedy['ok'] > 0.5 * 20.0 * load_s
-    if disturb is _leave_calm:
+    if disturb is _disturb_nothing:
         _check_wrongful_refusals(report, rates)
 
 
 def _check_wrongful_refusals(report, rates):
-    """Fewer than 1 in 1,000 calls within the rate are refused."""
+    """Asserts that under 1 in 1,000 calls within the rate are refused."""
     refused = {
         name: report.count_outcomes(name).get('limit', 0)
         for name in rates
--- a/jayseam/node/tests/test_callers.py
+++ b/jayseam/node/tests/test_callers.py
@@ -1,4 +1,4 @@
-"""The listener for callers: requests that cross its end are answered."""
+"""The server for callers: requests that arrive during its stop are answered."""
 
 import json
 import select
@@ -31,7 +31,7 @@
 
 
 def _connect(server):
-    # The kernel finishes the connection; the server hasn't accepted it.
+    # The kernel completes the connection; the server hasn't accepted it yet.
     caller = socket.create_connection(('127.0.0.1', server.server_port))
     caller.settimeout(_TIMEOUT_S)
     return caller
@@ -44,7 +44,7 @@
 
 
 def _read_all(caller):
-    """Returns all bytes until the server ends the connection."""
+    """Returns all bytes until the server closes the connection."""
     received = b''
     while block := caller.recv(65536):
         received += block
@@ -52,7 +52,7 @@
 
 
 def test_connection_in_the_backlog_is_answered(server):
-    """A request that arrived before the listener closed must not be reset."""
+    """A connection with a request in the backlog must not be reset."""
     with _connect(server) as caller:
         caller.sendall(_REQUEST)
         _shut_down(server)
@@ -60,7 +60,7 @@
 
 
 def test_connection_in_the_backlog_without_request_is_refused(server):
-    """A caller that has yet to send must learn that nothing will run."""
+    """A caller that sends after the stop must learn that nothing has run."""
     with _connect(server) as caller:
         _shut_down(server)
         caller.sendall(_REQUEST)
@@ -70,7 +70,7 @@
 
 
 def test_request_that_crosses_the_end_of_its_connection_is_refused(server):
-    """A kept-alive caller may send just as the idle connection is closed."""
+    """A request sent just as its idle connection is closed must be refused."""
     with _connect(server) as caller:
         gevent.sleep(0.05)
         job = _shut_down(server)
@@ -86,7 +86,7 @@
 
 
 def test_end_waits_for_the_answer_under_way(server):
-    """The end of a connection must not cut an answer."""
+    """A stop must not cut off an answer in progress."""
     server.application = _serve_late
     with _connect(server) as caller:
         caller.sendall(_REQUEST)
@@ -110,7 +110,7 @@
 
 @pytest.mark.parametrize('line', [b'X: a\r\n', b''])
 def test_slow_header_fields_are_refused(server, monkeypatch, line):
-    """Callers that drip header fields, or stop, must not hold connections."""
+    """Callers that send header fields slowly must not hold connections."""
     monkeypatch.setattr(callers, '_READ_TIMEOUT_S', 1.0)
     with _connect(server) as caller:
         caller.sendall(_REQUEST[:-2])
@@ -124,7 +124,7 @@
 
 
 def test_listener_refuses_connections_while_it_empties_its_backlog():
-    """No connection may enter the backlog after its last one was taken."""
+    """The backlog must not take connections after its last one is accepted."""
     with socket.create_server(('127.0.0.1', 0)) as listener:
         sockets.refuse_connections(listener)
         with pytest.raises(TimeoutError):
--- a/jayseam/node/tests/test_calls.py
+++ b/jayseam/node/tests/test_calls.py
@@ -1,4 +1,4 @@
-"""Calls through a fleet of real processes, without faults of the network."""
+"""Calls through a fleet of real processes without network faults."""
 
 import random
 import socket
@@ -12,7 +12,7 @@
 from jayseam.standins import exchanges
 
 WORKSPACE = 'bureau'
-_SECONDS = 5.0
+_CONVERGENCE_LIMIT_S = 5.0
 
 
 @pytest.fixture(name='fleet', scope='module')
@@ -29,14 +29,14 @@
 
 
 def book(fleet, idempotency_key, body=b'a bin', vm=None):
-    """Books a pickup, which must not run twice."""
+    """Books a pickup, a call that must not run twice."""
     headers = {'Idempotency-Key': idempotency_key}
     key = fleet.keys[WORKSPACE]
     return call(fleet, '/pickups/1', key, 'POST', headers, body, vm)
 
 
 def send_raw(fleet, data):
-    """Sends bytes to a node and returns all that comes back."""
+    """Sends bytes to a node and returns all bytes that it answers."""
     port = next(iter(fleet.cluster.vms.values())).caller_port
     with socket.create_connection(('127.0.0.1', port), timeout=5) as sock:
         sock.sendall(data)
@@ -48,7 +48,7 @@
 
 
 def test_open_and_keyed_routes_serve(fleet):
-    """The whole path: any node serves any service."""
+    """Any node must serve the routes of any service."""
     for vm in fleet.cluster.vms:
         assert call(fleet, '/drop-off-points/1', vm=vm).status == 200
     answer = call(fleet, '/credits/1', fleet.keys[WORKSPACE])
@@ -77,16 +77,16 @@
     answer = call(fleet, path, headers=headers)
     assert answer.status == status
     if code is not None:
-        assert fleets.read_code(answer) == code
+        assert fleets.read_problem_code(answer) == code
         assert answer.decode()['ran'] == 'no'
     assert fleet.count_runs() == before
 
 
 def test_key_copied_elsewhere_is_refused(fleet):
-    """A key repeated in another field would reach the backend server."""
+    """A key repeated in another field must not reach the backend server."""
     key = fleet.keys[WORKSPACE]
     answer = call(fleet, '/credits/1', key, headers={'X-Note': f'my {key}'})
-    assert fleets.read_code(answer) == 'key-misplaced'
+    assert fleets.read_problem_code(answer) == 'key-misplaced'
 
 
 @pytest.mark.parametrize(
@@ -103,7 +103,7 @@
     ],
 )
 def test_ambiguous_framing_is_refused(fleet, lines):
-    """Two readers that disagree on a length allow request smuggling."""
+    """Parsers that disagree on a request's length allow request smuggling."""
     before = fleet.count_runs()
     first = b'GET /drop-off-points/1 HTTP/1.1\r\nHost: a\r\n' + lines
     second = b'GET /drop-off-points/2 HTTP/1.1\r\nHost: a\r\n\r\n'
@@ -124,9 +124,9 @@
 
 
 def test_unrepeatable_call_needs_a_key(fleet):
-    """Without a key a repeat could not be told from a new request."""
+    """Without a key, a repeat can't be distinguished from a new request."""
     answer = call(fleet, '/pickups/1', fleet.keys[WORKSPACE], 'POST')
-    assert fleets.read_code(answer) == 'idempotency-key'
+    assert fleets.read_problem_code(answer) == 'idempotency-key'
 
 
 def test_repeats_get_the_first_answer_everywhere(fleet):
@@ -137,11 +137,11 @@
     assert len(bodies) == 1
     assert fleet.count_runs(idempotency_key=key) == 1
     mismatch = book(fleet, key, body=b'another bin')
-    assert fleets.read_code(mismatch) == 'idempotency-mismatch'
+    assert fleets.read_problem_code(mismatch) == 'idempotency-mismatch'
 
 
 def test_concurrent_repeats_run_once(fleet):
-    """Repeats that race each other over all nodes must not run twice."""
+    """Concurrent repeats at all nodes must run only once."""
     for _ in range(5):
         key = fleets.make_idempotency_key()
         jobs = [
@@ -156,7 +156,7 @@
 
 
 def test_old_and_unknown_outcomes(fleet):
-    """The outcome of a key can be asked for on any node."""
+    """Any node must report the outcome of a key."""
     key = fleets.make_idempotency_key()
     path = f'/.jayseam/outcomes/{key}'
     workspace_key = fleet.keys[WORKSPACE]
@@ -168,21 +168,21 @@
     assert other['state'] == 'unknown'
     hour_ago = clocks.read_wall_ms() - 3_600_000
     old = book(fleet, fleets.make_idempotency_key(hour_ago))
-    assert fleets.read_code(old) == 'idempotency-key'
+    assert fleets.read_problem_code(old) == 'idempotency-key'
 
 
 def test_key_older_than_all_keepers_is_not_run(fleet):
-    """Keepers that started after the key was made can't vouch for it."""
+    """Keepers started after the key was made can't confirm that it is new."""
     minutes_ago = clocks.read_wall_ms() - 300_000
     key = fleets.make_idempotency_key(minutes_ago)
     answer = book(fleet, key)
-    assert fleets.read_code(answer) == 'outcome-unknown'
+    assert fleets.read_problem_code(answer) == 'outcome-unknown'
     assert answer.decode()['ran'] == 'unknown'
     assert fleet.count_runs(idempotency_key=key) == 0
 
 
 def test_nested_calls_are_bounded(fleet):
-    """Nested calls run for the workspace, and not deeper than ten."""
+    """Nested calls run for the same workspace, at most ten levels deep."""
     key = fleet.keys[WORKSPACE]
     shallow = call(fleet, '/credits/1', key, headers={'X-Nest': '3'})
     assert shallow.status == 200
@@ -192,14 +192,14 @@
 
 
 def test_no_backend_server_sees_a_key(fleet):
-    """The key ends at the entry."""
+    """The entry must remove the workspace key from requests."""
     assert fleet.count_runs() > 0
     assert not [run for run in fleet.cluster.collect_runs() if run['key_seen']]
 
 
 def test_caller_that_leaves_cancels_its_call(fleet):
-    """A call nobody waits for must not hold a slot."""
-    vm = fleet.vms_of('credits')[0]
+    """A call whose caller has disconnected must not hold a slot."""
+    vm = fleet.list_vms_of('credits')[0]
     upstream = fleet.cluster.vms[vm].upstream
     fleet.cluster.control_backend(upstream, 'fault', kind='hang')
     try:
@@ -214,7 +214,7 @@
         fleet.cluster.wait_until(
             lambda: all(
                 fleet.cluster.status(name)['backend']['in_flight'] == 0
-                for name in fleet.vms_of('credits')
+                for name in fleet.list_vms_of('credits')
             ),
             2.0,
         )
@@ -223,9 +223,9 @@
 
 
 def test_withdrawn_key_stops_on_an_open_connection(fleet):
-    """A caller that stays connected must lose its key within seconds."""
+    """A withdrawn key must stop on an open connection within seconds."""
     workspace = 'huy'
-    vm = fleet.cluster.vms[fleet.vms_of('refunds')[0]]
+    vm = fleet.cluster.vms[fleet.list_vms_of('refunds')[0]]
     connection = exchanges.Connection('127.0.0.1', vm.caller_port)
     fields = {'Authorization': f'Bearer {fleet.keys[workspace]}'}
 
@@ -235,8 +235,8 @@
     assert status() == 200
     key_id = fleet.keys[workspace].partition('.')[0]
     fleet.cluster.withdraw_key(key_id)
-    fleet.cluster.wait_until(lambda: status() == 401, _SECONDS)
-    # Choosing a preset again must not bring the key back.
+    fleet.cluster.wait_until(lambda: status() == 401, _CONVERGENCE_LIMIT_S)
+    # Publishing a preset again must not make the key valid again.
     preset = dict(
         documents.decode_json(documents.encode_json(fleet.cluster.preset))
     )
@@ -246,7 +246,7 @@
             fleet.cluster.status(name)['versions']['preset'] >= version
             for name in fleet.cluster.vms
         ),
-        _SECONDS,
+        _CONVERGENCE_LIMIT_S,
     )
     assert status() == 401
     connection.close()
--- a/jayseam/node/tests/test_chaos.py
+++ b/jayseam/node/tests/test_chaos.py
@@ -1,4 +1,4 @@
-"""All faults at once, under the load of all workspaces."""
+"""All kinds of faults at once, under the load of all workspaces."""
 
 import random
 
@@ -12,11 +12,11 @@
 from jayseam.standins import errors
 from jayseam.tools import profiles
 
-_SECONDS = 28.0
+_DURATION_S = 28.0
 _RAMP = model.Ramp(initial_slots=3, duration_s=1.5)
 _GREEDY = 'dinant'
-# A node paused for 3 s may run calls that it admitted before the pause, after
-# it has waited for the refresh of its versions.
+# A node that was paused for 3 s may run calls that it admitted before the pause
+# once it has refreshed its versions.
 _LATITUDE_S = 4.5
 _ROUTES = [
     profiles.RouteLoad('/credits/1', share=3.0),
@@ -33,26 +33,26 @@
 
 
 class _Chaos:
-    """Breaks things at random, each fault in a greenlet of its own."""
+    """Injects faults at random, each kind in a greenlet of its own."""
 
     def __init__(self, fleet, generator):
         self._cluster = fleet.cluster
         self._generator = generator
         self._vms = sorted(fleet.cluster.vms)
         self._zones = sorted({vm.zone for vm in fleet.cluster.vms.values()})
-        self._busy = set()
+        self._reserved = set()
         self.counts = {}
 
     def run(self, until):
-        """Breaks things until a time, then mends all that is broken."""
+        """Injects faults until a time, then repairs the network."""
         faults = [
             gevent.spawn(self._repeat, fault, wait_s, until)
             for fault, wait_s in (
                 (self._kill, 3.0),
                 (self._pause, 4.0),
-                (self._cut, 5.0),
+                (self._partition, 5.0),
                 (self._move_zone, 6.0),
-                (self._silence, 3.0),
+                (self._silence_links, 3.0),
                 (self._restart_backend, 2.0),
                 (self._stop_platform, 7.0),
                 (self._reset_answers, 3.0),
@@ -71,30 +71,30 @@
             self.counts[name] = self.counts.get(name, 0) + 1
             fault()
 
-    def _take_vm(self):
-        free = [vm for vm in self._vms if vm not in self._busy]
+    def _reserve_vm(self):
+        free = [vm for vm in self._vms if vm not in self._reserved]
         vm = self._generator.choice(free)
-        self._busy.add(vm)
+        self._reserved.add(vm)
         return vm
 
     def _kill(self):
-        vm = self._take_vm()
-        # The whole VM goes: a backend server that outlives its node would
-        # hold calls that the next node process can't count.
+        vm = self._reserve_vm()
+        # Kills the backend server as well: if it outlived its node, it would
+        # still run calls that the next node process doesn't count.
         self._cluster.kill(vm)
         gevent.sleep(self._generator.uniform(0.2, 2.0))
         self._cluster.restart(vm)
         gevent.sleep(1.0)
-        self._busy.discard(vm)
+        self._reserved.discard(vm)
 
     def _pause(self):
-        vm = self._take_vm()
+        vm = self._reserve_vm()
         self._cluster.pause(vm)
         gevent.sleep(self._generator.uniform(0.5, 3.0))
         self._cluster.resume(vm)
-        self._busy.discard(vm)
+        self._reserved.discard(vm)
 
-    def _cut(self):
+    def _partition(self):
         zone = self._generator.choice(self._zones)
         rest = [name for name in self._zones if name != zone]
         self._cluster.partition([zone], rest)
@@ -109,7 +109,7 @@
             )
             gevent.sleep(1.5)
 
-    def _silence(self):
+    def _silence_links(self):
         vms = self._generator.sample(self._vms, 2)
         self._cluster.control_faults('half-open', source=vms)
 
@@ -136,7 +136,7 @@
 
 
 def test_invariants_hold_when_everything_fails_at_once():
-    """Faults that meet must not break what each alone does not break."""
+    """Faults at the same time must not violate the invariants."""
     backend = {
         'service_time': {'kind': 'exponential', 'mean_ms': 8.0},
         'cold_start': {
@@ -155,20 +155,20 @@
             * (5.0 if entry['name'] == _GREEDY else 0.7)
             for entry in fleet.cluster.preset['workspaces']
         }
-        running = fleet.start_load(rates, _ROUTES, _SECONDS, connections=100)
+        running = fleet.start_load(rates, _ROUTES, _DURATION_S, connections=100)
         chaos = _Chaos(fleet, random.Random(fleets.SEED))
-        until = clocks.read_now() + _SECONDS
-        breaking = gevent.spawn(chaos.run, until)
-        gevent.sleep(_SECONDS / 2)
+        until = clocks.read_now() + _DURATION_S
+        fault_injection = gevent.spawn(chaos.run, until)
+        gevent.sleep(_DURATION_S / 2)
         withdrawn_at = clocks.read_now()
-        _withdraw(fleet)
+        _withdraw_key(fleet)
         report = running.get()
-        breaking.get()
-        _check(fleet, report, chaos, withdrawn_at)
+        fault_injection.get()
+        _check_invariants(fleet, report, chaos, withdrawn_at)
 
 
-def _withdraw(fleet):
-    key_id = fleet.keys[fleets.WITHDRAWN].partition('.')[0]
+def _withdraw_key(fleet):
+    key_id = fleet.keys[fleets.WITHDRAWN_WORKSPACE].partition('.')[0]
     try:
         fleet.cluster.withdraw_key(key_id)
     except errors.ControlError:
@@ -176,24 +176,25 @@
         fleet.cluster.withdraw_key(key_id)
 
 
-def _check(fleet, report, chaos, withdrawn_at):
+def _check_invariants(fleet, report, chaos, withdrawn_at):
     found = fleet.judge(report.records, _LATITUDE_S)
     outcomes = report.count_outcomes()
     print(chaos.counts, outcomes, report.lag_ms)
     assert len(chaos.counts) == 8
     assert not found
-    # Neither partition nor platform outage lasts longer than 2.5 s.
+    # A withdrawal may take 5 s, and no partition or platform outage lasts
+    # longer than 2.5 s.
     late = [
         run
         for run in fleet.cluster.collect_runs()
-        if run['workspace'] == fleets.WITHDRAWN
+        if run['workspace'] == fleets.WITHDRAWN_WORKSPACE
         and run['started'] > withdrawn_at + 5.0 + 2.5
     ]
     assert not late
     others = [
         record
         for record in report.records
-        if record.workspace not in (_GREEDY, fleets.WITHDRAWN)
+        if record.workspace not in (_GREEDY, fleets.WITHDRAWN_WORKSPACE)
     ]
     assert sum(r.outcome == 'ok' for r in others) > 0.6 * len(others)
     # The fleet serves again once the faults are over.
--- a/jayseam/node/tests/test_fields.py
+++ b/jayseam/node/tests/test_fields.py
@@ -1,4 +1,4 @@
-"""The reader of header fields accepts nothing that two readers read apart."""
+"""Parsing of header fields: ambiguous fields are refused."""
 
 import io
 
@@ -37,13 +37,13 @@
     ],
 )
 def test_malformed_fields_are_refused(text):
-    """A field that others read in another way allows request smuggling."""
+    """Fields that parsers read differently allow request smuggling."""
     with pytest.raises(fields.FramingError):
         _read(text)
 
 
 def test_fields_keep_order_and_copies():
-    """A lost copy of a field would hide two lengths or two credentials."""
+    """A dropped duplicate would hide a second length or credential."""
     read = _read(b'B: 1\r\na:\t2 \r\nb:\r\nX: \xe9:\r\n\r\nrest')
     assert read.items() == [('B', '1'), ('a', '2 '), ('b', ''), ('X', '\xe9:')]
     assert read.get('b') == '1'
@@ -53,7 +53,7 @@
 
 
 def test_body_is_left_unread():
-    """The reader must not take bytes of the body or the next request."""
+    """Parsing must not consume bytes of the body or the next request."""
     stream = io.BytesIO(b'Host: a\r\n\r\nbody')
     fields.read_fields(stream)
     assert stream.read() == b'body'
--- a/jayseam/node/tests/test_once.py
+++ b/jayseam/node/tests/test_once.py
@@ -1,4 +1,4 @@
-"""Calls that must not run twice, and keys that are withdrawn, under faults."""
+"""Under faults: calls that must not run twice, and withdrawn keys."""
 
 import random
 import socket
@@ -16,7 +16,7 @@
     )
     for path in ('/pickups/1', '/refunds/1')
 ]
-# A call waits for tokens, for claims and, after a lost link, for a retry.
+# A call may wait for tokens, for claims and, after a lost link, for a retry.
 _LATITUDE_S = 3.0
 
 
@@ -33,7 +33,7 @@
     )
 
 
-def _leave_early(fleet, key, vm):
+def _disconnect_early(fleet, key, vm):
     """Sends a booking and closes the connection before its answer."""
     port = fleet.cluster.vms[vm].caller_port
     with socket.create_connection(('127.0.0.1', port)) as sock:
@@ -47,13 +47,13 @@
 
 
 def test_repeat_after_lost_answer_gets_stored_answer(fleet):
-    """A caller that lost the answer must not be told to try a new key."""
+    """A repeat after a lost answer must get the stored answer."""
     key = fleets.make_idempotency_key()
     vms = random.sample(list(fleet.cluster.vms), 3)
     fleet.set_fault('pickups', 'late', ms=600.0)
     try:
-        _leave_early(fleet, key, vms[0])
-        # The first repeat comes while the call still runs.
+        _disconnect_early(fleet, key, vms[0])
+        # The first repeat arrives while the call still runs.
         answers = [_book(fleet, key, vm) for vm in vms]
     finally:
         fleet.set_fault('pickups', '')
@@ -63,7 +63,7 @@
 
 
 def test_reset_after_run_is_never_repeated(fleet):
-    """A connection reset after the run proves nothing: no second attempt."""
+    """After a reset the call may have run, so it must not be retried."""
     keys = [fleets.make_idempotency_key() for _ in range(6)]
     fleet.set_fault('pickups', 'reset', when='after')
     try:
@@ -71,18 +71,18 @@
         answers = [_book(fleet, key, random.choice(vms)) for key in keys]
     finally:
         fleet.set_fault('pickups', '')
-    codes = {fleets.read_code(answer) for answer in answers}
+    codes = {fleets.read_problem_code(answer) for answer in answers}
     assert codes == {'outcome-unknown'}
     assert answers[0].decode()['ask'].endswith(keys[0])
     for key in keys:
         repeat = _book(fleet, key, random.choice(vms))
-        assert fleets.read_code(repeat) == 'outcome-unknown'
+        assert fleets.read_problem_code(repeat) == 'outcome-unknown'
         assert fleet.count_runs(idempotency_key=key) == 1
 
 
 def test_withdrawn_key_stops_queued_and_nested_calls(fleet):
-    """A queued call or a call token must not outlive its key."""
-    workspace, cluster = fleets.WITHDRAWN, fleet.cluster
+    """Queued calls and call tokens must not outlive their workspace key."""
+    workspace, cluster = fleets.WITHDRAWN_WORKSPACE, fleet.cluster
     key = fleet.keys[workspace]
     key_id = key.partition('.')[0]
     token = tokens.mint_token(
@@ -95,7 +95,7 @@
     vm = next(iter(cluster.vms))
     assert cluster.call(vm, '/credits/1', headers=headers).status == 200
     fleet.clear()
-    # Every slot of the service is taken by calls of another workspace.
+    # Calls of another workspace fill every slot of the service.
     fleet.set_fault('credits', 'late', when='after', ms=3000.0)
     try:
         holders = [
@@ -118,24 +118,24 @@
         gevent.joinall(holders + queued)
     finally:
         fleet.set_fault('credits', '')
-    assert {fleets.read_code(job.value) for job in queued} == {'key'}
-    # Those that found no slot in time were refused, or cut at their deadline.
+    assert {fleets.read_problem_code(job.value) for job in queued} == {'key'}
+    # Calls that got no slot in time were refused, or ended at their deadline.
     assert {job.value.status for job in holders} <= {200, 503, 504}
     assert any(job.value.status == 200 for job in holders)
     nested = cluster.call(vm, '/credits/1', headers=headers)
-    assert fleets.read_code(nested) == 'key'
+    assert fleets.read_problem_code(nested) == 'key'
     assert fleet.count_runs(workspace=workspace) == 0
 
 
-def _break_things(fleet):
-    """Kills, partitions and silences for about seven seconds."""
+def _inject_faults(fleet):
+    """Kills VMs, parts zones and silences links for about seven seconds."""
     cluster = fleet.cluster
     zones = sorted({vm.zone for vm in cluster.vms.values()})
     for kind in ('pickups', 'refunds'):
         fleet.set_fault(kind, 'reset', when='after', share=0.1)
     for turn in range(2):
-        victim = random.choice(fleet.vms_of('pickups'))
-        other = random.choice(fleet.vms_of('refunds'))
+        victim = random.choice(fleet.list_vms_of('pickups'))
+        other = random.choice(fleet.list_vms_of('refunds'))
         cluster.kill(victim)
         cluster.kill(other, backend=False)
         gevent.sleep(0.7)
@@ -154,23 +154,23 @@
         cluster.heal(rules=True)
     for kind in ('pickups', 'refunds'):
         fleet.set_fault(kind, '')
-    # Links that stay silent would cost later tests calls.
+    # Links that stay silent would fail calls of later tests.
     cluster.control_faults('cut')
 
 
 def test_no_key_runs_twice_under_faults(fleet):
-    """At most once over all nodes, whatever fails between them."""
+    """A call runs at most once in the fleet, whichever nodes or links fail."""
     rates = {'bureau': 45.0, 'recyclers': 45.0}
     running = fleet.start_load(rates, _ROUTES, 7.5, connections=120)
-    _break_things(fleet)
+    _inject_faults(fleet)
     report = running.get()
-    # A killed node leaves its backend server with calls that its successor
-    # does not know of, so the slots are not judged here.
+    # A killed node leaves calls at its backend server that the next node
+    # process doesn't count, so the limit of slots is not checked here.
     found = fleet.judge(report.records, _LATITUDE_S, ignored=['overload'])
     outcomes = report.count_outcomes()
     print(outcomes, report.lag_ms)
     assert not found
-    # The faults have met calls, and repeats have met answers.
+    # Faults hit calls, and repeats got answers.
     assert outcomes.get('outcome-unknown', 0) > 0
     repeats = [record for record in report.records if record.repeat]
     assert sum(record.outcome == 'ok' for record in repeats) > 100
--- a/jayseam/node/tests/test_partitions.py
+++ b/jayseam/node/tests/test_partitions.py
@@ -1,4 +1,4 @@
-"""Partitions and silent links in a fleet of real processes behind a proxy."""
+"""Partitions and silent links in a fleet of processes behind fault proxies."""
 
 import gevent
 import pytest
@@ -9,8 +9,8 @@
 from jayseam.standins import exchanges
 
 ZONE = 'liege'
-_RECOVERY_S = 3.0
-_ROUNDS = 8
+_RECOVERY_LIMIT_S = 3.0
+_N_ROUNDS = 8
 
 
 @pytest.fixture(name='fleet', scope='module')
@@ -36,17 +36,17 @@
     )
 
 
-def list_outside(fleet):
+def list_other_vms(fleet):
     """Returns the VMs of the other zones."""
-    inside = fleet.vms_in(ZONE)
+    inside = fleet.list_vms_in(ZONE)
     return [vm for vm in fleet.cluster.vms if vm not in inside]
 
 
-def wait_parted(fleet):
+def wait_partitioned(fleet):
     """Waits until both sides declare the members of the other side dead."""
     zones = {name: vm.zone for name, vm in fleet.cluster.vms.items()}
 
-    def is_parted():
+    def is_partitioned():
         return all(
             peer['state'] == 'dead'
             for vm in fleet.cluster.vms
@@ -54,11 +54,11 @@
             if (zones[vm] == ZONE) != (zones[peer['vm']] == ZONE)
         )
 
-    fleet.cluster.wait_until(is_parted, 10.0, 'the other side is dead')
+    fleet.cluster.wait_until(is_partitioned, 10.0, 'the other side is dead')
 
 
 def test_zone_without_platform(fleet):
-    """Peers must supply a zone that cannot read the platform."""
+    """Peers must supply versions to a zone that can't read the platform."""
     with observers.Callers(fleet, fleet.cluster.vms) as callers:
         fleet.cluster.partition('platform', ZONE)
         gevent.sleep(1.0)
@@ -69,48 +69,50 @@
 
 
 def test_zone_without_everything(fleet):
-    """A zone alone serves its callers, and follows when it is back."""
-    inside, outside = fleet.vms_in(ZONE), list_outside(fleet)
-    parted_at = clocks.read_now()
+    """An isolated zone serves its callers, and catches up afterwards."""
+    inside, outside = fleet.list_vms_in(ZONE), list_other_vms(fleet)
+    partitioned_at = clocks.read_now()
     key = fleet.keys['bureau']
     with observers.VersionLog(fleet) as log:
         with (
-            observers.Callers(fleet, inside) as alone,
+            observers.Callers(fleet, inside) as isolated,
             observers.Callers(
                 fleet, inside, '/credits/1', key, 1, 0.5
             ) as keyed,
             observers.Callers(fleet, outside) as others,
         ):
-            fleet.cluster.partition([ZONE], [*_others(fleet), 'platform'])
+            fleet.cluster.partition(
+                [ZONE], [*_list_other_zones(fleet), 'platform']
+            )
             gevent.sleep(1.0)
             path = observers.publish_and_converge(fleet, outside)
-            wait_parted(fleet)
+            wait_partitioned(fleet)
             statuses = {fleet.cluster.call(vm, path).status for vm in inside}
             healed_at = clocks.read_now()
             observers.converge(fleet, path, fleet.cluster.heal)
     log.check()
     assert statuses == {404}
-    for callers in (alone, keyed, others):
+    for callers in (isolated, keyed, others):
         callers.check_deadlines()
-        start = parted_at + _RECOVERY_S
+        start = partitioned_at + _RECOVERY_LIMIT_S
         assert callers.count_served(start)
         assert not callers.list_failed(start, healed_at)
 
 
-def _others(fleet):
+def _list_other_zones(fleet):
     zones = {vm.zone for vm in fleet.cluster.vms.values()}
     return sorted(zones - {ZONE})
 
 
 def test_newer_version_on_the_small_side(fleet):
-    """A version that only the zone alone has must win after the partition."""
-    inside = fleet.vms_in(ZONE)
-    others = _others(fleet)
+    """A version known only to the small side must win after a partition."""
+    inside = fleet.list_vms_in(ZONE)
+    others = _list_other_zones(fleet)
     with observers.VersionLog(fleet) as log:
         fleet.cluster.partition([ZONE, 'platform'], others)
         path = observers.publish_and_converge(fleet, inside)
-        wait_parted(fleet)
-        # The platform stays out of reach of the others: peers supply them.
+        wait_partitioned(fleet)
+        # The other zones still can't reach the platform: peers supply them.
         observers.converge(
             fleet, path, lambda: fleet.cluster.partition('platform', others)
         )
@@ -118,14 +120,14 @@
 
 
 def test_updates_that_cross_between_peers(fleet):
-    """Announcements and parts that arrive late and in another order."""
-    zones = [ZONE, *_others(fleet)]
+    """Late and reordered announcements and parts must not revert versions."""
+    zones = [ZONE, *_list_other_zones(fleet)]
     for number, zone in enumerate(zones):
         fleet.cluster.control_faults(
             'rules', id=zone, source=[zone], delay_ms=100 * number
         )
     with observers.VersionLog(fleet) as log:
-        for number in range(_ROUNDS):
+        for number in range(_N_ROUNDS):
             _, path = observers.publish_probe(fleet)
             gevent.sleep(0.1)
             zone = zones[number % len(zones)]
@@ -137,7 +139,7 @@
 
 
 def test_half_open_links(fleet):
-    """Links that are silent for good must not hold calls or versions."""
+    """Permanently silent links must not block calls or versions."""
     key = fleet.keys['bureau']
     vms = list(fleet.cluster.vms)
     with (
@@ -147,21 +149,21 @@
         gevent.sleep(0.5)
         silenced_at = clocks.read_now()
         found = fleet.cluster.control_faults('half-open', target=vms)
-        gevent.sleep(_RECOVERY_S)
+        gevent.sleep(_RECOVERY_LIMIT_S)
         observers.publish_and_converge(fleet)
     assert found['silenced']
     for observed in (callers, keyed):
         observed.check_deadlines()
-        start = silenced_at + _RECOVERY_S
+        start = silenced_at + _RECOVERY_LIMIT_S
         assert observed.count_served(start)
         assert not observed.list_failed(start)
 
 
 @pytest.mark.parametrize('direction', ['forward', 'backward'])
 def test_silent_vm(fleet, direction):
-    """Calls must go elsewhere when one VM is silent in either direction."""
-    inside = set(fleet.vms_in(ZONE))
-    (silent,) = inside.intersection(fleet.vms_of('drop-off-points'))
+    """Calls must avoid a VM whose links are silent in one direction."""
+    inside = set(fleet.list_vms_in(ZONE))
+    (silent,) = inside.intersection(fleet.list_vms_of('drop-off-points'))
     near = sorted(inside - {silent})
     with observers.Callers(fleet, near, per_vm=2) as callers:
         gevent.sleep(0.5)
@@ -169,16 +171,16 @@
         fleet.cluster.control_faults(
             'rules', id='silent', target=[silent], silence=direction
         )
-        gevent.sleep(_RECOVERY_S + 1.0)
+        gevent.sleep(_RECOVERY_LIMIT_S + 1.0)
     callers.check_deadlines()
-    start = silenced_at + _RECOVERY_S
+    start = silenced_at + _RECOVERY_LIMIT_S
     assert callers.count_served(start)
     assert not callers.list_failed(start)
 
 
 def test_pause_without_reachable_peers(fleet):
-    """A node that wakes among refused links must wait for an answer."""
-    vm = fleet.vms_in(ZONE)[0]
+    """A resumed node whose links are refused must wait for an answer."""
+    vm = fleet.list_vms_in(ZONE)[0]
     cluster = fleet.cluster
     connection = exchanges.Connection('127.0.0.1', cluster.vms[vm].caller_port)
     assert connection.exchange('GET', observers.OPEN_PATH, {}).status == 200
--- a/jayseam/node/tests/test_pauses.py
+++ b/jayseam/node/tests/test_pauses.py
@@ -1,4 +1,4 @@
-"""Node processes that are paused (SIGSTOP) and resume late."""
+"""Node processes that are paused (SIGSTOP) and resumed."""
 
 import gevent
 import pytest
@@ -39,10 +39,12 @@
     'workspace, zone', [('andenne', ZONE), ('dinant', 'namur')]
 )
 def test_first_call_after_a_pause(fleet, workspace, zone):
-    """A call judged by what a paused process believed before its pause."""
-    # The VM's own backend server would serve the call, so that nothing but
-    # the paused process judges it.
-    (paused,) = set(fleet.vms_in(zone)).intersection(fleet.vms_of('credits'))
+    """A resumed process must not judge calls by its old versions."""
+    # The backend server of the same VM would serve the call, so only the paused
+    # process checks it.
+    (paused,) = set(fleet.list_vms_in(zone)).intersection(
+        fleet.list_vms_of('credits')
+    )
     cluster, key = fleet.cluster, fleet.keys[workspace]
     valid = fleet.keys['bureau']
     calls = [
@@ -70,7 +72,7 @@
     answers = [job.get() for job in jobs]
     print(paused, [a.status for a in answers], f'{took_s:.2f} s')
     assert [a.status for a in answers] == [200, 401, 200, 200]
-    upstreams = [cluster.vms[vm].upstream for vm in fleet.vms_in(zone)]
+    upstreams = [cluster.vms[vm].upstream for vm in fleet.list_vms_in(zone)]
     assert not [
         run
         for run in cluster.collect_runs()
@@ -86,14 +88,18 @@
 
 
 def test_queued_calls_after_a_pause(fleet):
-    """Calls that waited in the ingress while their zone was taken out."""
-    (vm,) = [vm for vm in fleet.vms_in(ZONE) if vm in fleet.vms_of('credits')]
+    """Calls queued at an ingress must not run once their zone is out."""
+    (vm,) = [
+        vm
+        for vm in fleet.list_vms_in(ZONE)
+        if vm in fleet.list_vms_of('credits')
+    ]
     cluster = fleet.cluster
     upstream = cluster.vms[vm].upstream
     key = fleet.keys['bureau']
-    slow = [cluster.vms[name].upstream for name in fleet.vms_of('credits')]
-    # The test before takes the zone out and in; until its share has grown, most
-    # calls go elsewhere and none waits here.
+    slow = [cluster.vms[name].upstream for name in fleet.list_vms_of('credits')]
+    # The previous test takes the zone out and in again. Until the zone's share
+    # has grown, most calls go to other zones and none queues here.
     gevent.sleep(routing.zones.GROWTH_S)
     for name in slow:
         cluster.control_backend(
@@ -109,9 +115,9 @@
         )
         cluster.pause(vm)
         cluster.take_zone_out(ZONE)
-        # Answers arrive during the pause and free slots when it ends.
+        # Answers arrive during the pause and free slots when the node resumes.
         gevent.sleep(_PAUSE_S)
-        # A run that began before this was asked for before the pause.
+        # Runs that began before this time were requested before the pause.
         resumed_at = clocks.read_now()
         cluster.resume(vm)
         gevent.joinall(jobs)
@@ -131,8 +137,8 @@
 
 
 def test_pause_over_several_publications(fleet):
-    """A node that wakes with an old version must not pass it on as new."""
-    paused = fleet.vms_in('liege')[:2]
+    """A resumed node must not distribute its old version as new."""
+    paused = fleet.list_vms_in('liege')[:2]
     with observers.VersionLog(fleet) as log:
         for vm in paused:
             fleet.cluster.pause(vm)
--- a/jayseam/node/tests/test_ramps.py
+++ b/jayseam/node/tests/test_ramps.py
@@ -1,4 +1,4 @@
-"""Slots, cold starts and the worst-served workspace under overload."""
+"""Slots, cold-start ramps and fairness between workspaces under overload."""
 
 import attrs
 import gevent
@@ -12,23 +12,23 @@
 _SLOTS = 4
 _SERVICE_MS = 40.0
 _RAMP = model.Ramp(initial_slots=1, duration_s=3.0)
-# Calls a second that the three backend servers of a service can run.
+# Calls per second that the three backend servers of a service can run.
 _CAPACITY = 3 * _SLOTS * 1000.0 / _SERVICE_MS
 _ROUTES = [profiles.RouteLoad('/credits/1', timeout_ms=1000.0)]
-# A start is noticed by the next call or health poll.
-_NOTICE_S = 0.6
+# The next call or health poll detects a restart of a backend server.
+_DETECTION_S = 0.6
 
 
 def _build_deployment():
-    """Returns the agency's deployment with few slots and high rates."""
+    """Returns the sample deployment with few slots and high rates."""
     deployment = samples.build_agence(rate_factor=10.0, ramp=_RAMP)
     preset = deployment.preset
     upstreams = {
         name: attrs.evolve(upstream, slots=_SLOTS)
         for name, upstream in preset.upstreams.items()
     }
-    # With the others' calls its rate is a little over the capacity, so that
-    # the queues of the backend servers are full.
+    # Together with the other workspaces' calls, this rate is a little over the
+    # capacity, so that the queues of the backend servers are full.
     workspaces = dict(preset.workspaces)
     workspaces['mons'] = attrs.evolve(
         workspaces['mons'], rate_per_s=180.0, burst=180.0
@@ -54,17 +54,17 @@
         yield fleet
 
 
-def _offer(fleet, factor, duration_s):
-    """Offers a multiple of the capacity, split over two workspaces."""
+def _start_relative_load(fleet, factor, duration_s):
+    """Starts a load of a multiple of the capacity, from two workspaces."""
     rates = dict.fromkeys(('bureau', 'recyclers'), _CAPACITY * factor / 2)
     return fleet.start_load(rates, _ROUTES, duration_s, connections=400)
 
 
-def _measure(fleet, start):
-    """Returns the report of a run whose load generator kept up.
+def _measure_without_lag(fleet, start):
+    """Returns the report of a run in which the load generator kept up.
 
-    A generator that lags has no processor to itself, and neither have the
-    nodes: its figures would tell of the machine.
+    If the generator lags, it and the nodes lack processor time, and the figures
+    would show the load of the machine.
     """
     for _ in range(3):
         fleet.clear()
@@ -76,9 +76,9 @@
 
 
 def _count_goodput(report):
-    """Returns answers a second, without the first second of the run.
+    """Returns answers per second, without the first second of the run.
 
-    Answers that a backlog gives after the end of the schedule don't count.
+    Answers to queued calls after the end of the schedule don't count.
     """
     begin, end = report.started + 1.0, report.started + report.duration_s
     return sum(
@@ -88,9 +88,13 @@
 
 
 def test_slots_hold_and_goodput_stays_at_twice_the_capacity(fleet):
-    """Twelve entries together must not overload a backend server."""
-    at_capacity = _measure(fleet, lambda: _offer(fleet, 1.0, 4.0))
-    overloaded = _measure(fleet, lambda: _offer(fleet, 2.0, 4.0))
+    """Twelve nodes together must not overload a backend server."""
+    at_capacity = _measure_without_lag(
+        fleet, lambda: _start_relative_load(fleet, 1.0, 4.0)
+    )
+    overloaded = _measure_without_lag(
+        fleet, lambda: _start_relative_load(fleet, 2.0, 4.0)
+    )
     found = fleet.judge(overloaded.records, 1.0)
     peaks = fleet.cluster.collect_peaks()
     goodput = [_count_goodput(run) for run in (at_capacity, overloaded)]
@@ -98,21 +102,21 @@
     assert not found
     assert {
         peaks[fleet.cluster.vms[vm].upstream]['in_flight']
-        for vm in fleet.vms_of('credits')
+        for vm in fleet.list_vms_of('credits')
     } == {_SLOTS}
     assert goodput[1] >= 0.95 * goodput[0]
     assert goodput[1] >= 0.75 * _CAPACITY
     outcomes = overloaded.count_outcomes()
-    # Calls admitted in time may still end late, but only few.
+    # A few calls that were admitted in time may still end after their deadline.
     assert set(outcomes) <= {'ok', 'not-run', 'outcome-unknown'}
     assert outcomes.get('outcome-unknown', 0) < 0.05 * outcomes['ok']
 
 
 def test_greedy_neighbour_leaves_the_others_their_service(fleet):
-    """A workspace at five times its rate costs the others no answer."""
+    """A workspace at five times its rate must not cost others their answers."""
     others = ('bureau', 'recyclers', 'andenne', 'dinant', 'eupen')
     rates = {**dict.fromkeys(others, 0.7 * 20.0 * 2), 'mons': 900.0}
-    report = _measure(
+    report = _measure_without_lag(
         fleet,
         lambda: fleet.start_load(rates, _ROUTES, 4.5, connections=300),
     )
@@ -127,21 +131,21 @@
 
 @pytest.mark.parametrize('disconnect', [True, False])
 def test_silent_cold_start_gets_its_ramp(fleet, disconnect):
-    """A backend server that starts cold without a word keeps its ramp."""
-    vm = fleet.vms_of('credits')[1]
+    """A backend server that restarts unannounced must get its ramp."""
+    vm = fleet.list_vms_of('credits')[1]
     upstream = fleet.cluster.vms[vm].upstream
     fleet.clear()
-    running = _offer(fleet, 1.5, 5.5)
+    running = _start_relative_load(fleet, 1.5, 5.5)
     gevent.sleep(1.0)
     fleet.cluster.control_backend(
         upstream, 'restart', silent=True, disconnect=disconnect
     )
-    gevent.sleep(_NOTICE_S)
+    gevent.sleep(_DETECTION_S)
     first = fleet.cluster.collect_peaks(reset=True)[upstream]
     report = running.get()
     peaks = fleet.cluster.collect_peaks()[upstream]
     print(first, peaks, report.count_outcomes(), report.lag_ms)
-    # The calls before the start was noticed may make it fall over once.
+    # Calls sent before the restart is detected may make it fall over once.
     assert first['falls'] <= 1
     assert peaks['falls'] == 0
     assert peaks['overloads'] == 0
@@ -149,15 +153,15 @@
 
 
 def test_restart_during_a_pause_gets_its_ramp(fleet):
-    """Calls that waited for a paused node must not meet a cold server at once.
+    """Calls that waited for a paused node must not all hit a cold server.
 
-    The backend server starts again while its node can't notice, and it says
-    nothing of it: only the connections that it kept are gone.
+    The backend server restarts while its node is paused and doesn't announce
+    it: the node can only detect that its open connections are gone.
     """
-    vm = fleet.vms_of('credits')[1]
+    vm = fleet.list_vms_of('credits')[1]
     upstream = fleet.cluster.vms[vm].upstream
     fleet.clear()
-    running = _offer(fleet, 1.0, 6.0)
+    running = _start_relative_load(fleet, 1.0, 6.0)
     gevent.sleep(1.5)
     fleet.cluster.pause(vm)
     gevent.sleep(0.7)
--- a/jayseam/node/tests/test_readers.py
+++ b/jayseam/node/tests/test_readers.py
@@ -1,4 +1,4 @@
-"""Readers of the platform that fail, and a fleet that starts at once."""
+"""Failing readers of the platform, and a restart of the whole fleet."""
 
 import gevent
 import pytest
@@ -6,9 +6,9 @@
 from jayseam.node.tests import fleets
 from jayseam.node.tests import observers
 
-# A quarter of what the platform allows all its readers together.
+# A quarter of the rate that the platform allows to all its readers together.
 _MAX_CALLS_PER_S = 500
-_N_SETTLED = 2
+_READERS_PER_ZONE = 2
 
 
 @pytest.fixture(name='fleet', scope='module')
@@ -27,7 +27,8 @@
     zones = {vm.zone for vm in fleet.cluster.vms.values()}
     fleet.cluster.wait_until(
         lambda: all(
-            len(find_readers(fleet, fleet.vms_in(zone))) == _N_SETTLED
+            len(find_readers(fleet, fleet.list_vms_in(zone)))
+            == _READERS_PER_ZONE
             for zone in zones
         ),
         10.0,
@@ -37,21 +38,23 @@
 
 @pytest.mark.parametrize('zones', [['liege'], ['charleroi', 'liege', 'namur']])
 def test_readers_killed_at_a_publication(fleet, zones):
-    """A publication that the readers take with them."""
+    """A publication must arrive although its readers are killed."""
     wait_readers(fleet)
     readers = [
-        vm for zone in zones for vm in find_readers(fleet, fleet.vms_in(zone))
+        vm
+        for zone in zones
+        for vm in find_readers(fleet, fleet.list_vms_in(zone))
     ]
     others = [vm for vm in fleet.cluster.vms if vm not in readers]
     preset, path = observers.add_probe(fleet.cluster.preset)
 
-    def act():
+    def publish_and_kill_readers():
         for vm in readers:
             fleet.cluster.kill(vm, backend=False)
         fleet.cluster.publish(preset)
 
     with observers.VersionLog(fleet) as log:
-        observers.converge(fleet, path, act, others)
+        observers.converge(fleet, path, publish_and_kill_readers, others)
         for vm in readers:
             fleet.cluster.restart(vm)
         observers.converge(fleet, path, vms=readers)
@@ -59,7 +62,7 @@
 
 
 def test_restart_of_all_spares_the_platform(fleet):
-    """A reconnect storm that uses up the platform's budget."""
+    """Reconnecting nodes must not exhaust the platform's request budget."""
     path = observers.publish_and_converge(fleet)
     fleet.cluster.control_platform('reset-counts')
     for vm in fleet.cluster.vms:
--- a/jayseam/node/tests/test_stops.py
+++ b/jayseam/node/tests/test_stops.py
@@ -1,4 +1,4 @@
-"""Planned stops under load: no call is lost, and stops end in time."""
+"""Planned stops under load lose no call and end in time."""
 
 import json
 
@@ -32,17 +32,19 @@
 
 
 def test_nodes_stop_one_after_another_without_losing_a_call(fleet):
-    """A rolling stop must not cut kept-alive callers or nested calls."""
+    """A rolling stop must not fail kept-alive callers or nested calls."""
     cluster = fleet.cluster
-    fleet.wait_confirming()
+    fleet.wait_keys_confirmable()
     rates = {'bureau': 30.0, 'recyclers': 30.0, 'eupen': 10.0, 'huy': 10.0}
     running = fleet.start_load(rates, _ROUTES, 9.0, connections=60)
     for service, delay_ms in (('credits', 30.0), ('refunds', 300.0)):
-        # Some calls to refunds make their nested calls after SIGTERM.
+        # The delay lets some refunds calls make nested calls after SIGTERM.
         fleet.set_fault(service, 'late', when='before', ms=delay_ms)
     gevent.sleep(1.0)
     stops = []
-    for vm in [fleet.vms_of(s)[0] for s in ('credits', 'pickups', 'refunds')]:
+    for vm in [
+        fleet.list_vms_of(s)[0] for s in ('credits', 'pickups', 'refunds')
+    ]:
         stops.append(_stop(fleet, vm))
         cluster.restart(vm)
         cluster.wait_serving([vm])
@@ -51,22 +53,22 @@
         fleet.set_fault(service, '')
     outcomes = report.count_outcomes()
     print(stops, outcomes, report.lag_ms)
-    ends = ('lost', 'timeout', 'outcome-unknown')
-    print([record for record in report.records if record.outcome in ends])
+    failures = ('lost', 'timeout', 'outcome-unknown')
+    print([record for record in report.records if record.outcome in failures])
     assert not fleet.judge(report.records, 1.0)
     for status, seconds in stops:
         assert status == 0
         assert seconds < _DEADLINE_S
-    # A connection that arrives at a stopped node is refused before a byte is
-    # sent, and the load generator goes to another node.
+    # A stopped node refuses connections before a request is sent, and the load
+    # generator uses another node ("unreachable").
     assert set(outcomes) <= {'ok', 'not-run', 'unreachable', 'limit'}
     assert outcomes['ok'] > 0.9 * len(report.records)
     assert not sum(record.nested_failures for record in report.records)
 
 
 def test_stopping_node_serves_nested_calls_of_running_calls(fleet):
-    """A call that runs at SIGTERM must still get its nested answers."""
-    vms = fleet.vms_of('refunds')
+    """A call in flight at SIGTERM must still get its nested answers."""
+    vms = fleet.list_vms_of('refunds')
     headers = {'X-Nest': '1', 'X-Nest-Path': '/credits/1'}
     fleet.set_fault('refunds', 'late', when='before', ms=1000.0)
     try:
@@ -78,7 +80,7 @@
                 fleet.keys['recyclers'],
                 headers=headers,
             )
-            for vm in fleet.vms_of('credits') * 5
+            for vm in fleet.list_vms_of('credits') * 5
         ]
         gevent.sleep(0.4)
         status, _ = _stop(fleet, vms[1])
@@ -92,18 +94,20 @@
     assert {answer.status for answer in answers} == {200}
     upstream = fleet.cluster.vms[vms[1]].upstream
     assert fleet.count_runs(backend=upstream, path='/refunds/1') > 0
-    facts = [standin_answers.verify_answer(answer.body) for answer in answers]
-    assert {entry['nested'][0]['status'] for entry in facts} == {200}
+    documents = [
+        standin_answers.verify_answer(answer.body) for answer in answers
+    ]
+    assert {entry['nested'][0]['status'] for entry in documents} == {200}
 
 
 def test_stop_past_its_deadline_logs_the_calls_that_it_cuts(fleet):
-    """Operators must find the calls that a stop interrupted."""
+    """Calls that a stop aborts must be logged for operators."""
     cluster = fleet.cluster
-    vm = fleet.vms_of('drop-off-points')[2]
+    vm = fleet.list_vms_of('drop-off-points')[2]
     key = fleet.keys['recyclers']
     fleet.set_fault('credits', 'hang')
     try:
-        # Its route allows 20 s, longer than the stop's deadline.
+        # The route's timeout of 20 s is longer than the stop's deadline.
         job = gevent.spawn(
             cluster.call, vm, '/credits/1', key, 'POST', timeout_s=25.0
         )
@@ -114,9 +118,9 @@
         fleet.set_fault('credits', '')
     assert status == 0
     assert seconds < _DEADLINE_S + 0.5
-    assert fleets.read_code(answer) == 'outcome-unknown'
-    cut = {
+    assert fleets.read_problem_code(answer) == 'outcome-unknown'
+    aborted = {
         entry['request_id']
         for entry in _read_events(fleet, vm, 'node.call_cut')
     }
-    assert cut == {answer.headers['Request-Id']}
+    assert aborted == {answer.headers['Request-Id']}
--- a/jayseam/node/tests/test_strangers.py
+++ b/jayseam/node/tests/test_strangers.py
@@ -1,4 +1,4 @@
-"""Strangers and attackers at the link port of a node in a running fleet."""
+"""Unauthenticated and malicious peers at the link port of a node."""
 
 import contextlib
 import os
@@ -33,11 +33,11 @@
 
 @pytest.fixture(name='victim')
 def _victim(fleet):
-    """Yields a node, and checks that its other links and versions stay."""
-    vm = fleet.vms_in('liege')[1]
+    """Yields a VM, and checks that its links and versions are unaffected."""
+    vm = fleet.list_vms_in('liege')[1]
     before = fleet.cluster.status(vm)
     members = {peer['vm'] for peer in before['peers']}
-    lost = read_unplanned(fleet, vm)
+    lost = count_unplanned_closes(fleet, vm)
     with observers.Callers(fleet, [vm]) as callers:
         yield vm
         gevent.sleep(0.2)
@@ -47,13 +47,13 @@
     assert all(peer['state'] == 'alive' for peer in after['peers'])
     linked = {peer['vm'] for peer in before['peers'] if peer['link']}
     assert linked <= {peer['vm'] for peer in after['peers'] if peer['link']}
-    assert read_unplanned(fleet, vm) == lost
+    assert count_unplanned_closes(fleet, vm) == lost
     assert callers.count_served() and not callers.list_failed()
     observers.publish_and_converge(fleet)
 
 
-def read_unplanned(fleet, vm):
-    """Returns the number of links that a node lost to silence or resets."""
+def count_unplanned_closes(fleet, vm):
+    """Returns the number of links closed because of silence or resets."""
     return sum(
         observers.read_metric(fleet, vm, _CLOSES, reason=reason)
         for reason in ('silent', 'reset')
@@ -61,7 +61,7 @@
 
 
 def expect_close(fleet, vm, reasons, act):
-    """Acts, and asserts that one of the reasons is counted."""
+    """Runs an action, and asserts that a close for a reason is counted."""
 
     def read():
         return sum(
@@ -75,10 +75,10 @@
 
 
 def assert_closed(sock):
-    """Asserts that the other side closes a connection in time."""
+    """Asserts that the node closes a connection in time."""
     sock.settimeout(_LIMIT_S)
     with contextlib.suppress(ConnectionError):
-        # The loop's condition drains what the other side still sends.
+        # The loop's condition reads the bytes that the node still sends.
         while sock.recv(65536):
             continue
 
@@ -93,14 +93,14 @@
 
 
 def build_announce(version=10**6):
-    """Returns the body of an announcement of a version that nobody has."""
+    """Returns an encoded announcement of a version that no node has."""
     digest = digests.compute_digest(b'injected')
     announce = messages.Announce('preset', version, digest)
     return connections.encode_message(codecs.codecs.get('cbor'), announce, 0)
 
 
 def test_wrong_fleet_secret(fleet, victim):
-    """A process of another fleet, also under the name of a member."""
+    """A peer with a wrong fleet secret must be refused, whatever its name."""
     names = ['stranger', next(vm for vm in fleet.cluster.vms if vm != victim)]
     for name in names:
 
@@ -112,7 +112,7 @@
 
 
 def test_frames_without_handshake(fleet, victim):
-    """Frames of a peer that skips the proof of the fleet secret."""
+    """Frames sent without proof of the fleet secret must be refused."""
 
     def act():
         port = fleet.cluster.vms[victim].link_port
@@ -120,7 +120,7 @@
         own = handshakes.create_hello(handshakes.Identity('x', 1), 'cbor')
         transport.send_all(handshakes.encode_hello(own))
         sealer = frames.Sealer(bytes(32), frames.TO_ACCEPTOR)
-        # The node closes at the first frame, which later ones may meet.
+        # The node closes the link at the first frame, so later sends may fail.
         with contextlib.suppress(errors.TransportClosedError):
             for _ in range(3):
                 transport.send_all(sealer.seal(build_announce()))
@@ -139,7 +139,7 @@
     ids=['random', 'http', 'zeros'],
 )
 def test_raw_garbage(fleet, victim, data):
-    """Bytes of another protocol."""
+    """A connection with bytes of another protocol must be closed."""
 
     def act():
         address = _HOST, fleet.cluster.vms[victim].link_port
@@ -152,7 +152,7 @@
 
 
 def test_oversize_before_authentication(fleet, victim):
-    """A stranger that makes a node read without end."""
+    """An unauthenticated peer must not make a node read without limit."""
 
     def act():
         port = fleet.cluster.vms[victim].link_port
@@ -165,7 +165,7 @@
 
 
 def test_oversize_frame_of_a_peer(fleet, victim):
-    """An authenticated peer whose frame exceeds the limit."""
+    """A peer's oversized frame must close its link, even if authenticated."""
 
     def act():
         transport, _ = connect(fleet, victim)
@@ -179,11 +179,11 @@
 
 @pytest.mark.parametrize('kind', ['replay', 'gap', 'forged'])
 def test_frames_out_of_order(fleet, victim, kind):
-    """Frames that somebody repeated, dropped or changed on the way."""
+    """Repeated, missing or altered frames must close the link."""
 
     def act():
         transport, sealer = connect(fleet, victim)
-        # The version is held already, so the first frame changes nothing.
+        # The node already has version 1, so the first frame has no effect.
         first = sealer.seal(build_announce(1))
         second = sealer.seal(build_announce())
         sent = {
@@ -199,7 +199,7 @@
 
 
 def test_replayed_handshake(fleet, victim):
-    """A recorded handshake that is sent again opens no link."""
+    """A replayed handshake must not open a link."""
     recorded = []
     port = fleet.cluster.vms[victim].link_port
     transport = transports.dial(_HOST, port)
--- a/jayseam/node/tests/test_versions.py
+++ b/jayseam/node/tests/test_versions.py
@@ -1,4 +1,4 @@
-"""Presets in a fleet of real processes: invalid, damaged, late, crossing."""
+"""Presets in a fleet of processes: invalid, damaged, late or reordered."""
 
 import copy
 import json
@@ -16,7 +16,7 @@
 from jayseam.presets import documents
 from jayseam.standins import publications
 
-_ROUNDS = 10
+_N_ROUNDS = 10
 
 
 @pytest.fixture(name='fleet', scope='module')
@@ -38,7 +38,7 @@
 
 
 def restart(fleet, vms):
-    """Kills nodes at once and starts all of them again."""
+    """Kills all given nodes, then restarts them."""
     for vm in vms:
         fleet.cluster.kill(vm, backend=False)
     for vm in vms:
@@ -49,17 +49,17 @@
     preset['routes'][0]['targets'] = [['nowhere', 1]]
 
 
-def _unknown_zone(preset):
+def _set_unknown_zone(preset):
     preset['upstreams'][0]['zone'] = 'atlantis'
 
 
-def _insane_limits(preset):
+def _set_invalid_limits(preset):
     preset['workspaces'][0]['rate_per_s'] = -1.0
     preset['upstreams'][0]['slots'] = 0
 
 
-def read_verdicts(fleet, version, vms):
-    """Returns the reasons against a version at some nodes, None if lacking."""
+def read_rejection_reasons(fleet, version, vms):
+    """Returns each VM's reasons against a version; None if any has none."""
     found = [
         [
             entry['reasons']
@@ -72,19 +72,19 @@
 
 
 @pytest.mark.parametrize(
-    'spoil, n_reasons',
+    'invalidate, n_reasons',
     [
         (_route_to_missing_service, 1),
-        (_unknown_zone, 1),
-        (_insane_limits, 2),
+        (_set_unknown_zone, 1),
+        (_set_invalid_limits, 2),
     ],
 )
-def test_bad_preset_is_never_in_force(fleet, spoil, n_reasons):
-    """A preset that is applied in part, or only at some nodes."""
+def test_bad_preset_is_never_in_force(fleet, invalidate, n_reasons):
+    """An invalid preset must not be applied in part, or at some nodes."""
     good = copy.deepcopy(fleet.cluster.preset)
     before = observers.read_versions(fleet, 'preset')
     bad, path = observers.add_probe(good)
-    spoil(bad)
+    invalidate(bad)
     vms = list(fleet.cluster.vms)
     readers = [vm for vm in vms if fleet.cluster.status(vm)['reader']]
     try:
@@ -92,8 +92,8 @@
             with observers.Callers(fleet, vms) as callers:
                 version = fleet.cluster.publish(bad)
                 verdicts = fleet.cluster.wait_until(
-                    lambda: read_verdicts(fleet, version, readers),
-                    observers.IN_FORCE_S,
+                    lambda: read_rejection_reasons(fleet, version, readers),
+                    observers.CONVERGENCE_LIMIT_S,
                     'verdicts of the readers',
                 )
                 gevent.sleep(1.0)
@@ -109,7 +109,7 @@
 
 
 def test_bad_preset_is_explained_everywhere(fleet):
-    """An operator who asks any node must learn why a preset is not used."""
+    """Every node must report why it rejected a preset."""
     good = copy.deepcopy(fleet.cluster.preset)
     bad, _ = observers.add_probe(good)
     _route_to_missing_service(bad)
@@ -117,8 +117,8 @@
     fleet.cluster.preset = good
     try:
         verdicts = fleet.cluster.wait_until(
-            lambda: read_verdicts(fleet, version, fleet.cluster.vms),
-            observers.IN_FORCE_S,
+            lambda: read_rejection_reasons(fleet, version, fleet.cluster.vms),
+            observers.CONVERGENCE_LIMIT_S,
             'verdicts of all nodes',
         )
         assert all(verdict == verdicts[0] for verdict in verdicts)
@@ -129,7 +129,7 @@
 @pytest.mark.parametrize('kind', ['altered', 'truncated', 'missing'])
 @pytest.mark.parametrize('part', ['manifest', 'routes'])
 def test_damaged_parts_are_never_in_force(fleet, kind, part):
-    """Content that was damaged at the source, and its recovery."""
+    """Damaged content must not be applied; repaired content must be."""
     before = observers.read_versions(fleet, 'preset')
     preset, path = observers.add_probe(fleet.cluster.preset)
     bundle = publications.split_document('preset', preset)
@@ -145,7 +145,7 @@
     assert {r.status for r in probes.records} == {404}
     assert callers.count_served() and not callers.list_failed()
     assert observers.read_versions(fleet, 'preset') == before
-    # The damage says nothing about the version, which must not be condemned.
+    # Damage is no fault of the version, so the version must not be rejected.
     assert not any(fleet.cluster.status(vm)['rejected'] for vm in vms)
     observers.converge(
         fleet,
@@ -155,7 +155,7 @@
 
 
 def test_parts_later_than_their_pointer(fleet):
-    """A pointer that can be read before the parts that it leads to."""
+    """A version must not be applied before its parts can be read."""
     preset, path = observers.add_probe(fleet.cluster.preset)
     bundle = publications.split_document('preset', preset)
     manifest = digests.compute_digest(bundle.manifest)
@@ -181,11 +181,11 @@
 
 @pytest.mark.parametrize('who', ['one', 'zone', 'all-but-one'])
 def test_restart_under_stale_platform(fleet, who):
-    """Nodes that start anew while the platform serves an older revision."""
+    """Restarted nodes must not apply an older revision of the platform."""
     vms = list(fleet.cluster.vms)
     chosen = {
         'one': vms[:1],
-        'zone': fleet.vms_in('liege'),
+        'zone': fleet.list_vms_in('liege'),
         'all-but-one': vms[1:],
     }[who]
     revision = read_revision(fleet)
@@ -206,10 +206,10 @@
 
 
 def test_updates_that_cross(fleet):
-    """Answers of the platform that arrive in another order."""
+    """Reordered answers of the platform must not revert versions."""
     fleet.cluster.control_platform('fault', disorder=True)
     with observers.VersionLog(fleet) as log:
-        for _ in range(_ROUNDS):
+        for _ in range(_N_ROUNDS):
             _, path = observers.publish_probe(fleet)
             gevent.sleep(0.15)
         observers.converge(fleet, path)
@@ -217,7 +217,7 @@
 
 
 def test_two_contents_under_one_revision(fleet):
-    """A second content must not replace the one held at its revision."""
+    """Other content must not replace the content in force at a revision."""
     path = observers.publish_and_converge(fleet)
     version = max(observers.read_versions(fleet, 'preset').values())
     preset, other_path = observers.add_probe(fleet.cluster.preset)
@@ -258,10 +258,10 @@
 
 
 def restart_all_under_stale_platform(fleet):
-    """Leaves a fleet without memory at an older revision.
+    """Restarts all nodes while the platform serves an older revision.
 
     Returns:
-      The path of a probe that is in force again, and of one that is not.
+      The paths of a probe that is in force again, and of one that is not.
     """
     old_path = observers.publish_and_converge(fleet)
     revision = read_revision(fleet)
@@ -273,7 +273,7 @@
 
 
 def test_all_new_and_platform_stale(fleet):
-    """A fleet without memory must serve what it finds, and then move up."""
+    """A fully restarted fleet must serve an old revision, then catch up."""
     old_path, path = restart_all_under_stale_platform(fleet)
     with observers.VersionLog(fleet) as log:
         for vm in fleet.cluster.vms:
@@ -288,7 +288,7 @@
 
 
 def test_all_new_and_platform_stale_is_shown(fleet):
-    """Operators must see that nobody remembers whether a version is newest."""
+    """The status must show that no node can confirm the newest version."""
     restart_all_under_stale_platform(fleet)
     shown = {
         vm: fleet.cluster.status(vm)['unconfirmed'] for vm in fleet.cluster.vms
@@ -297,7 +297,7 @@
 
 
 def test_platform_outage(fleet):
-    """A platform that is down must not stop calls, nor later versions."""
+    """A platform outage must not stop calls, nor later versions."""
     vms = list(fleet.cluster.vms)
     with observers.VersionLog(fleet) as log:
         with observers.Callers(fleet, vms) as callers:
--- a/jayseam/node/tests/test_zones.py
+++ b/jayseam/node/tests/test_zones.py
@@ -1,4 +1,4 @@
-"""Zones, VMs and backend servers that leave and return under load."""
+"""Zones, VMs and backend servers taken out and in again under load."""
 
 import collections
 
@@ -10,7 +10,7 @@
 from jayseam.node.tests import observers
 
 ZONE = 'namur'
-_LEAVE_S = 3.0
+_DRAIN_LIMIT_S = 3.0
 _GROWTH_S = 10.0
 
 
@@ -22,7 +22,7 @@
 
 
 def list_runs(fleet, upstreams, start, end=1e18):
-    """Returns the starts of the runs at some upstreams within a time span."""
+    """Returns the start times of runs at upstreams within a time span."""
     return [
         run['started']
         for run in fleet.cluster.collect_runs()
@@ -32,31 +32,31 @@
 
 def list_upstreams(fleet, zone):
     """Returns the upstreams of a zone."""
-    return {fleet.cluster.vms[vm].upstream for vm in fleet.vms_in(zone)}
+    return {fleet.cluster.vms[vm].upstream for vm in fleet.list_vms_in(zone)}
 
 
 def test_zone_leaves_and_returns(fleet):
-    """New work in a zone that is out; a returned zone at once under load."""
+    """A zone that is out gets no runs, and its load grows back gradually."""
     upstreams = list_upstreams(fleet, ZONE)
     vms = list(fleet.cluster.vms)
-    # More callers than slots, so that calls wait in the queues all the time.
+    # With more callers than slots, calls wait in the queues all the time.
     with observers.Callers(fleet, vms, per_vm=5, pause_s=0.0) as callers:
         gevent.sleep(1.0)
         queued = [
             fleet.cluster.status(vm)['backend']['queued']
-            for vm in fleet.vms_in(ZONE)
+            for vm in fleet.list_vms_in(ZONE)
         ]
         out_at = clocks.read_now()
         fleet.cluster.take_zone_out(ZONE)
-        gevent.sleep(_LEAVE_S + 1.0)
-    # Fewer callers show how the load moves; queues would hide it.
+        gevent.sleep(_DRAIN_LIMIT_S + 1.0)
+    # With fewer callers no queues hide how the load shifts between zones.
     with observers.Callers(fleet, vms, per_vm=2, pause_s=0.06) as later:
         gevent.sleep(0.5)
         in_at = clocks.read_now()
         fleet.cluster.take_zone_in(ZONE)
         gevent.sleep(_GROWTH_S)
         end = clocks.read_now()
-    late = list_runs(fleet, upstreams, out_at + _LEAVE_S, in_at)
+    late = list_runs(fleet, upstreams, out_at + _DRAIN_LIMIT_S, in_at)
     assert len(list_runs(fleet, upstreams, 0.0, out_at)) > 0
     assert max(queued) > 0, 'no call was waiting when the zone left'
     assert not late
@@ -80,57 +80,61 @@
 
 
 def test_leaving_vm_gets_no_new_runs(fleet):
-    """A planned stop while calls are under way, at the VM and elsewhere."""
-    leaving = fleet.vms_of('drop-off-points')[0]
+    """A VM that is stopped under load must get no new runs."""
+    leaving = fleet.list_vms_of('drop-off-points')[0]
     upstream = fleet.cluster.vms[leaving].upstream
     vms = [vm for vm in fleet.cluster.vms if vm != leaving]
     with observers.Callers(fleet, vms, per_vm=3, pause_s=0.0) as callers:
         gevent.sleep(0.5)
         left_at = clocks.read_now()
         assert fleet.cluster.terminate(leaving) == 0
-        gevent.sleep(max(0.0, left_at + _LEAVE_S + 1.0 - clocks.read_now()))
+        gevent.sleep(
+            max(0.0, left_at + _DRAIN_LIMIT_S + 1.0 - clocks.read_now())
+        )
     assert list_runs(fleet, {upstream}, 0.0, left_at)
-    assert not list_runs(fleet, {upstream}, left_at + _LEAVE_S)
+    assert not list_runs(fleet, {upstream}, left_at + _DRAIN_LIMIT_S)
     assert not callers.list_failed()
     fleet.cluster.restart(leaving)
     fleet.cluster.wait_serving()
 
 
 def test_vm_listed_as_leaving_gets_no_new_runs(fleet):
-    """The platform's word must count although the process is still alive."""
-    leaving = fleet.vms_of('drop-off-points')[0]
+    """A VM listed as leaving gets no runs, though its process is alive."""
+    leaving = fleet.list_vms_of('drop-off-points')[0]
     vm = fleet.cluster.vms[leaving]
     with observers.Callers(fleet, fleet.cluster.vms, pause_s=0.0) as callers:
         gevent.sleep(0.5)
         vm.state = 'leaving'
         left_at = clocks.read_now()
         fleet.cluster.publish_vms()
-        gevent.sleep(_LEAVE_S + 1.5)
+        gevent.sleep(_DRAIN_LIMIT_S + 1.5)
         vm.state = 'live'
         back_at = clocks.read_now()
         fleet.cluster.publish_vms()
-        gevent.sleep(_LEAVE_S)
+        gevent.sleep(_DRAIN_LIMIT_S)
     assert list_runs(fleet, {vm.upstream}, 0.0, left_at)
-    late = list_runs(fleet, {vm.upstream}, left_at + _LEAVE_S, back_at)
+    late = list_runs(fleet, {vm.upstream}, left_at + _DRAIN_LIMIT_S, back_at)
     assert not late
     assert list_runs(fleet, {vm.upstream}, back_at)
     assert not callers.list_failed()
 
 
 def test_draining_backend_gets_no_new_runs(fleet):
-    """A backend server that drains while calls run and wait."""
-    vm = fleet.vms_of('drop-off-points')[1]
+    """A draining backend server must get no new and no queued calls."""
+    vm = fleet.list_vms_of('drop-off-points')[1]
     upstream = fleet.cluster.vms[vm].upstream
     vms = list(fleet.cluster.vms)
     with observers.Callers(fleet, vms, per_vm=4, pause_s=0.0) as callers:
         gevent.sleep(0.5)
         drained_at = clocks.read_now()
         fleet.cluster.control_backend(upstream, 'drain')
-        gevent.sleep(_LEAVE_S + 1.0)
+        gevent.sleep(_DRAIN_LIMIT_S + 1.0)
         fleet.cluster.control_backend(upstream, 'drain', draining=False)
         ended_at = clocks.read_now()
         gevent.sleep(1.5)
     assert list_runs(fleet, {upstream}, 0.0, drained_at)
-    assert not list_runs(fleet, {upstream}, drained_at + _LEAVE_S, ended_at)
+    assert not list_runs(
+        fleet, {upstream}, drained_at + _DRAIN_LIMIT_S, ended_at
+    )
     assert list_runs(fleet, {upstream}, ended_at)
     assert not callers.list_failed()
