Name the request table, readiness of zones and fault injection plainly

They are now _request_ids, _is_zone_in_service and _FaultInjector; assertions on convergence are named check_. No behaviour changes.

--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -35,7 +35,7 @@
       entry: Authorizes, routes and runs calls.
       guard: Holds calls back after a pause of the process.
       monitor: Interrupts calls whose callers have disconnected.
-      zone_in_service: Returns whether the zone of this VM is in service.
+      is_zone_in_service: Returns whether the zone of this VM is in service.
       dialect: Names of the header fields that callers use.
     """
 
@@ -44,26 +44,26 @@
         entry: call_entry.Entry,
         guard: pauses.PauseGuard,
         monitor: callers.DisconnectMonitor,
-        zone_in_service: Callable[[], bool],
+        is_zone_in_service: Callable[[], bool],
         dialect: dialects.Dialect = dialects.DEFAULT,
     ):
         self._entry = entry
         self._guard = guard
         self._monitor = monitor
-        self._zone_in_service = zone_in_service
+        self._is_zone_in_service = is_zone_in_service
         self._dialect = dialect
         self._keep_alive_disabled = False
         self._draining = False
-        self._requests: dict[gevent.Greenlet, str] = {}
+        self._request_ids: dict[gevent.Greenlet, str] = {}
 
     @property
     def in_flight(self) -> int:
         """Number of requests in flight."""
-        return len(self._requests)
+        return len(self._request_ids)
 
     def list_in_flight(self) -> list[str]:
         """Returns the IDs of the requests in flight."""
-        return list(self._requests.values())
+        return list(self._request_ids.values())
 
     def disable_keep_alive(self) -> None:
         """Sends ``Connection: close`` with each answer from now on."""
@@ -79,7 +79,7 @@
 
     def abort_calls(self) -> None:
         """Interrupts the requests in flight and answers outcome-unknown."""
-        for greenlet in list(self._requests):
+        for greenlet in list(self._request_ids):
             greenlet.kill(
                 errors.OutcomeUnknownError('this node was stopped'),
                 block=False,
@@ -90,13 +90,13 @@
     ) -> Iterable[bytes]:
         request_id = self._read_request_id(environ)
         greenlet = gevent.getcurrent()
-        self._requests[greenlet] = request_id
+        self._request_ids[greenlet] = request_id
         try:
             answer = self._answer_request(environ, request_id)
         finally:
-            del self._requests[greenlet]
+            del self._request_ids[greenlet]
         headers = [*answer.headers, (self._dialect.request_id, request_id)]
-        if self._keep_alive_disabled or not self._zone_in_service():
+        if self._keep_alive_disabled or not self._is_zone_in_service():
             # Callers with kept-alive connections move to another node.
             headers.append(('Connection', 'close'))
         reason = _REASON_PHRASES.get(answer.status, 'Unknown')
@@ -173,7 +173,7 @@
             raise errors.NotRunError(
                 'this node is shutting down', _STOP_RETRY_AFTER_S
             )
-        if len(self._requests) > MAX_CALLS_IN_FLIGHT:
+        if len(self._request_ids) > MAX_CALLS_IN_FLIGHT:
             raise errors.NotRunError(
                 'this node has too many calls in flight', 1.0
             )
@@ -212,11 +212,11 @@
         """Returns the outcome of the call with an idempotency key."""
         idempotency_key = request.path[len(_OUTCOMES_PREFIX) :]
         states = self._entry.look_up(request, idempotency_key, now)
-        order = ('settled', 'running', 'unknown')
+        preference = ('settled', 'running', 'unknown')
         best = min(
             states,
-            key=lambda state: order.index(
-                state.state if state.state in order else 'unknown'
+            key=lambda state: preference.index(
+                state.state if state.state in preference else 'unknown'
             ),
             default=None,
         )
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -280,7 +280,7 @@
     """
 
     def __init__(self):
-        self._greenlets: dict[int, gevent.Greenlet] = {}
+        self._greenlets_by_fd: dict[int, gevent.Greenlet] = {}
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -299,25 +299,25 @@
           A handle for `unwatch`.
         """
         handle = environ[_SOCKET_KEY].fileno()
-        self._greenlets[handle] = gevent.getcurrent()
+        self._greenlets_by_fd[handle] = gevent.getcurrent()
         return handle
 
     def unwatch(self, handle: int) -> None:
         """Stops watching a caller's connection."""
-        self._greenlets.pop(handle, None)
+        self._greenlets_by_fd.pop(handle, None)
 
     def _run(self) -> None:
         while True:
             tickers.wait_tick(_DISCONNECT_POLL_S)
-            if self._greenlets:
+            if self._greenlets_by_fd:
                 self._interrupt_disconnected()
 
     def _interrupt_disconnected(self) -> None:
         poller = select.poll()
-        for handle in self._greenlets:
+        for handle in self._greenlets_by_fd:
             poller.register(handle, _DISCONNECT_EVENTS)
         for handle, _ in poller.poll(0):
-            greenlet = self._greenlets.pop(handle, None)
+            greenlet = self._greenlets_by_fd.pop(handle, None)
             if greenlet is not None:
                 greenlet.kill(
                     errors.CallerGoneError('the caller disconnected'),
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -244,7 +244,7 @@
             self._entry,
             self._guard,
             self._monitor,
-            self._zone_in_service,
+            self._is_zone_in_service,
             self._dialect,
         )
         self._listeners = listeners.build_listeners(
@@ -311,6 +311,7 @@
             gevent.spawn(self._stop)
 
     def _stop(self) -> None:
+        """Drains the calls in flight, then stops all servers and tasks."""
         # The HTTP servers have to close within the deadline too.
         deadline_s = self._settings.stop.deadline_s
         reserved_s = min(_CLOSE_RESERVE_S, deadline_s / 2)
@@ -478,7 +479,7 @@
         age_s = self._distribution.compute_confirmation_age('keys', now)
         return round(now - self._started_at if age_s is None else age_s, 3)
 
-    def _zone_in_service(self) -> bool:
+    def _is_zone_in_service(self) -> bool:
         preset = self._distribution.current.preset
         zone = preset.zones.get(self._settings.zone) if preset else None
         return zone is None or zone.in_service
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -129,10 +129,10 @@
             'queued': report.queued,
         }
 
-    def _on_state_change(self, name: str) -> None:
+    def _on_state_change(self, state: str) -> None:
         """Closes or reopens the gate, and publishes the state to the fleet."""
-        if name == 'draining':
+        if state == 'draining':
             self._gate.close()
-        elif name in ('cold', 'ready'):
+        elif state in ('cold', 'ready'):
             self._gate.reopen(clocks.read_now())
-        self._publish_state(name)
+        self._publish_state(state)
--- a/jayseam/node/tests/observers.py
+++ b/jayseam/node/tests/observers.py
@@ -39,7 +39,7 @@
     return fleet.cluster.publish(preset), path
 
 
-def converge(
+def check_convergence(
     fleet: fleets.Fleet,
     path: str,
     action: Callable[[], object] = lambda: None,
@@ -60,12 +60,12 @@
     return result.slowest
 
 
-def publish_and_converge(
+def publish_and_check_convergence(
     fleet: fleets.Fleet, vms: Iterable[str] | None = None
 ) -> str:
     """Publishes a probe and asserts that ``vms`` apply it in time."""
     preset, path = add_probe(fleet.cluster.preset)
-    converge(fleet, path, lambda: fleet.cluster.publish(preset), vms)
+    check_convergence(fleet, path, lambda: fleet.cluster.publish(preset), vms)
     return path
 
 
--- a/jayseam/node/tests/test_chaos.py
+++ b/jayseam/node/tests/test_chaos.py
@@ -32,7 +32,7 @@
 ]
 
 
-class _Chaos:
+class _FaultInjector:
     """Injects faults at random, each kind in a greenlet of its own."""
 
     def __init__(self, fleet, generator):
@@ -156,15 +156,15 @@
             for entry in fleet.cluster.preset['workspaces']
         }
         running = fleet.start_load(rates, _ROUTES, _DURATION_S, connections=100)
-        chaos = _Chaos(fleet, random.Random(fleets.SEED))
+        injector = _FaultInjector(fleet, random.Random(fleets.SEED))
         until = clocks.read_now() + _DURATION_S
-        fault_injection = gevent.spawn(chaos.run, until)
+        fault_injection = gevent.spawn(injector.run, until)
         gevent.sleep(_DURATION_S / 2)
         withdrawn_at = clocks.read_now()
         _withdraw_key(fleet)
         report = running.get()
         fault_injection.get()
-        _check_invariants(fleet, report, chaos, withdrawn_at)
+        _check_invariants(fleet, report, injector, withdrawn_at)
 
 
 def _withdraw_key(fleet):
@@ -176,11 +176,11 @@
         fleet.cluster.withdraw_key(key_id)
 
 
-def _check_invariants(fleet, report, chaos, withdrawn_at):
+def _check_invariants(fleet, report, injector, withdrawn_at):
     found = fleet.judge(report.records, _LATITUDE_S)
     outcomes = report.count_outcomes()
-    print(chaos.counts, outcomes, report.lag_ms)
-    assert len(chaos.counts) == 8
+    print(injector.counts, outcomes, report.lag_ms)
+    assert len(injector.counts) == 8
     assert not found
     # A withdrawal may take 5 s, and no partition or platform outage lasts
     # longer than 2.5 s.
--- a/jayseam/node/tests/test_partitions.py
+++ b/jayseam/node/tests/test_partitions.py
@@ -63,7 +63,7 @@
         fleet.cluster.partition('platform', ZONE)
         gevent.sleep(1.0)
         for _ in range(2):
-            observers.publish_and_converge(fleet)
+            observers.publish_and_check_convergence(fleet)
     assert callers.count_served() and not callers.list_failed()
     callers.check_deadlines()
 
@@ -85,11 +85,11 @@
                 [ZONE], [*_list_other_zones(fleet), 'platform']
             )
             gevent.sleep(1.0)
-            path = observers.publish_and_converge(fleet, outside)
+            path = observers.publish_and_check_convergence(fleet, outside)
             wait_partitioned(fleet)
             statuses = {fleet.cluster.call(vm, path).status for vm in inside}
             healed_at = clocks.read_now()
-            observers.converge(fleet, path, fleet.cluster.heal)
+            observers.check_convergence(fleet, path, fleet.cluster.heal)
     log.check()
     assert statuses == {404}
     for callers in (isolated, keyed, others):
@@ -110,10 +110,10 @@
     others = _list_other_zones(fleet)
     with observers.VersionLog(fleet) as log:
         fleet.cluster.partition([ZONE, 'platform'], others)
-        path = observers.publish_and_converge(fleet, inside)
+        path = observers.publish_and_check_convergence(fleet, inside)
         wait_partitioned(fleet)
         # The other zones still can't reach the platform: peers supply them.
-        observers.converge(
+        observers.check_convergence(
             fleet, path, lambda: fleet.cluster.partition('platform', others)
         )
     log.check()
@@ -134,7 +134,7 @@
             fleet.cluster.control_faults(
                 'rules', id=zone, source=[zone], delay_ms=50 * number
             )
-        observers.converge(fleet, path)
+        observers.check_convergence(fleet, path)
     log.check()
 
 
@@ -150,7 +150,7 @@
         silenced_at = clocks.read_now()
         found = fleet.cluster.control_faults('half-open', target=vms)
         gevent.sleep(_RECOVERY_LIMIT_S)
-        observers.publish_and_converge(fleet)
+        observers.publish_and_check_convergence(fleet)
     assert found['silenced']
     for observed in (callers, keyed):
         observed.check_deadlines()
--- a/jayseam/node/tests/test_pauses.py
+++ b/jayseam/node/tests/test_pauses.py
@@ -84,7 +84,7 @@
     for connection in connections:
         connection.close()
     cluster.take_zone_in(zone)
-    observers.publish_and_converge(fleet)
+    observers.publish_and_check_convergence(fleet)
 
 
 def test_queued_calls_after_a_pause(fleet):
@@ -133,7 +133,7 @@
         for name in slow:
             cluster.control_backend(name, 'fault', kind='')
         cluster.take_zone_in(ZONE)
-    observers.publish_and_converge(fleet)
+    observers.publish_and_check_convergence(fleet)
 
 
 def test_pause_over_several_publications(fleet):
@@ -144,12 +144,12 @@
             fleet.cluster.pause(vm)
         running = [vm for vm in fleet.cluster.vms if vm not in paused]
         for _ in range(4):
-            path = observers.publish_and_converge(fleet, running)
+            path = observers.publish_and_check_convergence(fleet, running)
             gevent.sleep(0.6)
 
         def resume():
             for vm in paused:
                 fleet.cluster.resume(vm)
 
-        observers.converge(fleet, path, resume)
+        observers.check_convergence(fleet, path, resume)
     log.check()
--- a/jayseam/node/tests/test_readers.py
+++ b/jayseam/node/tests/test_readers.py
@@ -54,22 +54,24 @@
         fleet.cluster.publish(preset)
 
     with observers.VersionLog(fleet) as log:
-        observers.converge(fleet, path, publish_and_kill_readers, others)
+        observers.check_convergence(
+            fleet, path, publish_and_kill_readers, others
+        )
         for vm in readers:
             fleet.cluster.restart(vm)
-        observers.converge(fleet, path, vms=readers)
+        observers.check_convergence(fleet, path, vms=readers)
     log.check()
 
 
 def test_restart_of_all_spares_the_platform(fleet):
     """Reconnecting nodes must not exhaust the platform's request budget."""
-    path = observers.publish_and_converge(fleet)
+    path = observers.publish_and_check_convergence(fleet)
     fleet.cluster.control_platform('reset-counts')
     for vm in fleet.cluster.vms:
         fleet.cluster.kill(vm, backend=False)
     for vm in fleet.cluster.vms:
         fleet.cluster.restart(vm)
-    observers.converge(fleet, path, within_s=10.0)
+    observers.check_convergence(fleet, path, within_s=10.0)
     gevent.sleep(2.0)
     counts = fleet.cluster.control_platform('counts')
     print(counts['totals'], counts['per_second'])
--- a/jayseam/node/tests/test_strangers.py
+++ b/jayseam/node/tests/test_strangers.py
@@ -49,7 +49,7 @@
     assert linked <= {peer['vm'] for peer in after['peers'] if peer['link']}
     assert count_unplanned_closes(fleet, vm) == lost
     assert callers.count_served() and not callers.list_failed()
-    observers.publish_and_converge(fleet)
+    observers.publish_and_check_convergence(fleet)
 
 
 def count_unplanned_closes(fleet, vm):
--- a/jayseam/node/tests/test_versions.py
+++ b/jayseam/node/tests/test_versions.py
@@ -105,7 +105,7 @@
     assert observers.read_versions(fleet, 'preset') == before
     assert {r.status for r in probes.records} == {404}
     assert callers.count_served() and not callers.list_failed()
-    observers.publish_and_converge(fleet)
+    observers.publish_and_check_convergence(fleet)
 
 
 def test_bad_preset_is_explained_everywhere(fleet):
@@ -123,7 +123,7 @@
         )
         assert all(verdict == verdicts[0] for verdict in verdicts)
     finally:
-        observers.publish_and_converge(fleet)
+        observers.publish_and_check_convergence(fleet)
 
 
 @pytest.mark.parametrize('kind', ['altered', 'truncated', 'missing'])
@@ -147,7 +147,7 @@
     assert observers.read_versions(fleet, 'preset') == before
     # Damage is no fault of the version, so the version must not be rejected.
     assert not any(fleet.cluster.status(vm)['rejected'] for vm in vms)
-    observers.converge(
+    observers.check_convergence(
         fleet,
         path,
         lambda: fleet.cluster.control_platform('fault', clear=True),
@@ -171,7 +171,7 @@
         {'key': f'parts/{digest}', 'value': data.decode()}
         for digest, data in values.items()
     ]
-    observers.converge(
+    observers.check_convergence(
         fleet,
         path,
         lambda: fleet.cluster.control_platform('publish', values=entries),
@@ -189,7 +189,7 @@
         'all-but-one': vms[1:],
     }[who]
     revision = read_revision(fleet)
-    path = observers.publish_and_converge(fleet)
+    path = observers.publish_and_check_convergence(fleet)
     version = min(observers.read_versions(fleet, 'preset').values())
     fleet.cluster.control_platform('fault', stale=revision)
     with observers.VersionLog(fleet) as log:
@@ -202,7 +202,7 @@
     assert 404 not in {record.status for record in probes.records}
     assert min(observers.read_versions(fleet, 'preset').values()) == version
     fleet.cluster.control_platform('fault', clear=True, stale=False)
-    observers.publish_and_converge(fleet)
+    observers.publish_and_check_convergence(fleet)
 
 
 def test_updates_that_cross(fleet):
@@ -212,13 +212,13 @@
         for _ in range(_N_ROUNDS):
             _, path = observers.publish_probe(fleet)
             gevent.sleep(0.15)
-        observers.converge(fleet, path)
+        observers.check_convergence(fleet, path)
     log.check()
 
 
 def test_two_contents_under_one_revision(fleet):
     """Other content must not replace the content in force at a revision."""
-    path = observers.publish_and_converge(fleet)
+    path = observers.publish_and_check_convergence(fleet)
     version = max(observers.read_versions(fleet, 'preset').values())
     preset, other_path = observers.add_probe(fleet.cluster.preset)
     bundle = publications.split_document('preset', preset)
@@ -254,7 +254,7 @@
         assert fleet.cluster.call(vm, path).status == 200
         assert fleet.cluster.call(vm, other_path).status == 404
     assert not pulls
-    observers.publish_and_converge(fleet)
+    observers.publish_and_check_convergence(fleet)
 
 
 def restart_all_under_stale_platform(fleet):
@@ -263,9 +263,9 @@
     Returns:
       The paths of a probe that is in force again, and of one that is not.
     """
-    old_path = observers.publish_and_converge(fleet)
+    old_path = observers.publish_and_check_convergence(fleet)
     revision = read_revision(fleet)
-    path = observers.publish_and_converge(fleet)
+    path = observers.publish_and_check_convergence(fleet)
     fleet.cluster.control_platform('fault', stale=revision)
     restart(fleet, list(fleet.cluster.vms))
     fleet.cluster.wait_serving()
@@ -279,7 +279,7 @@
         for vm in fleet.cluster.vms:
             assert fleet.cluster.call(vm, old_path).status == 200
             assert fleet.cluster.call(vm, path).status == 404
-        observers.converge(
+        observers.check_convergence(
             fleet,
             path,
             lambda: fleet.cluster.control_platform('fault', stale=False),
@@ -306,6 +306,6 @@
             fleet.cluster.control_platform('fault', down='answer-503')
             gevent.sleep(1.5)
             fleet.cluster.control_platform('fault', clear=True)
-            observers.publish_and_converge(fleet)
+            observers.publish_and_check_convergence(fleet)
     log.check()
     assert callers.count_served() and not callers.list_failed()
