--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -468,8 +468,7 @@
         max_wait_s = compute_max_wait(ticket.objective, mean_s, now)
         if wait_s > max_wait_s:
             raise errors.ObjectiveError(
-                f'call {ticket.request_id} would wait {wait_s:.2f} s, past its'
-                ' latency objective',
+                f'call {ticket.request_id} would wait {wait_s:.2f} s',
                 max(MIN_RETRY_AFTER_S, wait_s - max_wait_s),
             )
 
--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -159,9 +159,7 @@
         """
         call = _Call(request, deadline)
         if self._closed or request.request_id in self._calls:
-            raise errors.NotRunError(
-                'no-connection', 'client closed or request id in use'
-            )
+            raise errors.NotRunError('no-connection', 'closed or id in use')
         self._calls[request.request_id] = call
         try:
             answer = self._exchange(call, self._pool)
--- a/jayseam/backends/messages.py
+++ b/jayseam/backends/messages.py
@@ -274,7 +274,7 @@
             return True
         if not data:
             raise errors.OutcomeUnknownError(
-                'connection-lost', 'closed before the answer was complete'
+                'connection-lost', 'closed before the answer was whole'
             )
         self._received += len(data)
         if self._received > self._max_bytes + MAX_HEAD_BYTES:
@@ -330,9 +330,7 @@
 
     def _finish_head(self) -> None:
         if self._malformed:
-            raise errors.OutcomeUnknownError(
-                'framing', 'malformed header field'
-            )
+            raise errors.OutcomeUnknownError('framing', 'broken header field')
         sized = self._complete or _has_explicit_end(self._headers)
         if not sized and self._unsized:
             self._ends_with_connection = True
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -646,5 +646,5 @@
     if text is None:
         return max_ms
     if not text.isascii() or not text.isdigit() or int(text) == 0:
-        raise errors.BadRequestError(f'{field} is not a positive whole number')
+        raise errors.BadRequestError(f'{field} is not a number')
     return min(int(text), max_ms)
--- a/jayseam/calls/idempotency.py
+++ b/jayseam/calls/idempotency.py
@@ -70,9 +70,7 @@
         raise errors.IdempotencyKeyError('the key is not a UUID of version 7')
     created_ms = value.int >> 80
     if created_ms > wall_ms + CLOCK_ALLOWANCE_MS:
-        raise errors.IdempotencyKeyError(
-            'the creation time of the key is in the future'
-        )
+        raise errors.IdempotencyKeyError('the time of the key is ahead')
     if created_ms < wall_ms - window_s * 1000 + CLOCK_ALLOWANCE_MS:
         raise errors.IdempotencyKeyError(
             f'the key is older than {window_s:g} seconds'
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -148,9 +148,7 @@
         if self._leaving:
             raise errors.NotRunError('this node is shutting down')
         if forward.incarnation != self._identity.incarnation:
-            raise errors.NotRunError(
-                'the call is for another incarnation of this node'
-            )
+            raise errors.NotRunError('this node has restarted since')
         self._check_validity(forward)
 
     def _check_validity(self, forward: messages.Forward) -> None:
@@ -163,7 +161,7 @@
     ) -> errors.CallError | None:
         """Returns the error for a call that must not start, or None."""
         if self._withdrawn:
-            return errors.NotRunError('this VM is being withdrawn')
+            return errors.NotRunError('this VM is leaving')
         if forward.service != self._find_service():
             # The address of a backend server may be reassigned to another
             # service while a call waits in the queue.
--- a/jayseam/calls/keys.py
+++ b/jayseam/calls/keys.py
@@ -47,7 +47,7 @@
     if request.header('x-api-key') is not None:
         raise errors.KeyMisplacedError('use the Authorization header')
     if request.query and _has_key_parameter(request.query):
-        raise errors.KeyMisplacedError('a key must not appear in the query')
+        raise errors.KeyMisplacedError('a key must not stand in the query')
     values = [v for name, v in request.headers if name == 'authorization']
     if not values:
         return None
@@ -71,7 +71,7 @@
     target = urllib.parse.unquote(request.target())
     copies = [v for name, v in request.headers if name != 'authorization']
     if any(secret in text for text in (target, *copies)):
-        raise errors.KeyMisplacedError('the key appears outside Authorization')
+        raise errors.KeyMisplacedError('the key stands outside Authorization')
 
 
 def identify_caller(
--- a/jayseam/links/connections.py
+++ b/jayseam/links/connections.py
@@ -635,7 +635,7 @@
     """
     body = codec.encode(messages.encode_body(message, correlation))
     if len(body) > frames.MAX_BODY_BYTES:
-        raise errors.TooLargeError(f'message of {len(body)} bytes is too large')
+        raise errors.TooLargeError(f'message of {len(body)} bytes')
     return body
 
 
--- a/jayseam/links/messages.py
+++ b/jayseam/links/messages.py
@@ -120,9 +120,7 @@
     """
     layout = _layouts.get(type(message))
     if layout is None:
-        raise TypeError(
-            f'{type(message).__name__} is not a registered message class'
-        )
+        raise TypeError(f'{type(message).__name__} is no registered message')
     code, names = layout
     body = [code, correlation]
     for name in names:
@@ -185,15 +183,13 @@
         return [_to_plain(item) for item in value]
     if kind is dict:
         if not all(map(_is_free_key, value)):
-            raise TypeError(
-                'dict keys must be strings that do not start with $'
-            )
+            raise TypeError('dict keys must be strings that start without $')
         return {key: _to_plain(item) for key, item in value.items()}
     if kind in _layouts:
         body = encode_body(value, 0)
         del body[1]
         return {_NESTED_KEY: body}
-    raise TypeError(f'cannot convert {kind.__name__} to plain values')
+    raise TypeError(f'no plain form for {kind.__name__}')
 
 
 def _from_plain(value: Any) -> Any:
--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -174,9 +174,7 @@
                 'this node is shutting down', _STOP_RETRY_AFTER_S
             )
         if len(self._request_ids) > MAX_CALLS_IN_FLIGHT:
-            raise errors.NotRunError(
-                'this node has too many calls in flight', 1.0
-            )
+            raise errors.NotRunError('this node has too many calls', 1.0)
         now = self._guard.ensure_fresh(clocks.read_now())
         if request.path.startswith(_OUTCOMES_PREFIX):
             return self._look_up_outcome(request, now)
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -197,7 +197,7 @@
     >>> check_framing([('Content-Length', '3'), ('content-length', '4')])
     Traceback (most recent call last):
     ...
-    jayseam.node.fields.FramingError: more than one Content-Length field
+    jayseam.node.fields.FramingError: two lengths
 
     Raises:
       FramingError: If the request's length is ambiguous.
@@ -215,15 +215,15 @@
     lengths = [value for name, value in pairs if name == 'content-length']
     codings = [value for name, value in pairs if name == 'transfer-encoding']
     if len(lengths) > 1:
-        raise fields.FramingError('more than one Content-Length field')
+        raise fields.FramingError('two lengths')
     if lengths and codings:
-        raise fields.FramingError('both Content-Length and Transfer-Encoding')
+        raise fields.FramingError('a length and a transfer coding')
     if lengths and not (lengths[0].isascii() and lengths[0].isdigit()):
-        raise fields.FramingError('Content-Length is not a number')
+        raise fields.FramingError('a length that is not a number')
     if len(codings) > 1 or (codings and codings[0].lower() != 'chunked'):
-        raise fields.FramingError('unknown Transfer-Encoding')
+        raise fields.FramingError('an unknown transfer coding')
     if any(_FORBIDDEN_CHARACTERS.search(value) for _, value in pairs):
-        raise fields.FramingError('folded or malformed field value')
+        raise fields.FramingError('a folded or malformed value')
 
 
 def read_request(environ: dict[str, Any]) -> requests.CallRequest:
@@ -238,9 +238,7 @@
     )
     length = int(environ.get('CONTENT_LENGTH') or 0)
     if length > MAX_BODY_BYTES:
-        raise errors.BodyTooLargeError(
-            f'the body exceeds {MAX_BODY_BYTES} bytes'
-        )
+        raise errors.BodyTooLargeError(f'bodies end at {MAX_BODY_BYTES} bytes')
     body = b''
     if length or environ.get('HTTP_TRANSFER_ENCODING'):
         body = _read_body(environ['wsgi.input'], length)
@@ -262,13 +260,9 @@
         except OSError as error:
             raise errors.BadRequestError('the body is malformed') from error
     if len(body) > MAX_BODY_BYTES:
-        raise errors.BodyTooLargeError(
-            f'the body exceeds {MAX_BODY_BYTES} bytes'
-        )
+        raise errors.BodyTooLargeError(f'bodies end at {MAX_BODY_BYTES} bytes')
     if length and len(body) != length:
-        raise errors.BadRequestError(
-            'the body is shorter than its Content-Length'
-        )
+        raise errors.BadRequestError('the body is shorter than its length')
     return body
 
 
--- a/jayseam/node/fields.py
+++ b/jayseam/node/fields.py
@@ -97,7 +97,7 @@
     >>> read_fields(io.BytesIO(b'Content-Length : 3\\r\\n\\r\\n'))
     Traceback (most recent call last):
     ...
-    jayseam.node.fields.FramingError: malformed header field
+    jayseam.node.fields.FramingError: a malformed field
 
     Raises:
       FramingError: If a line is not a valid field, a line is too long, there
@@ -106,10 +106,10 @@
     lines = [_REQUEST_LINE]
     while lines[-1] != _CRLF:
         if len(lines) > MAX_FIELDS + 1:
-            raise FramingError('too many header fields')
+            raise FramingError('too many fields')
         line = stream.readline(_MAX_LINE_BYTES + 1)
         if not line.endswith(_CRLF) or len(line) > _MAX_LINE_BYTES:
-            raise FramingError('malformed header field')
+            raise FramingError('a malformed field')
         lines.append(line)
     collector = _FieldCollector()
     try:
@@ -117,5 +117,5 @@
         with contextlib.suppress(httptools.HttpParserUpgrade):
             httptools.HttpRequestParser(collector).feed_data(b''.join(lines))
     except httptools.HttpParserError as error:
-        raise FramingError('malformed header field') from error
+        raise FramingError('a malformed field') from error
     return Fields(collector.pairs)
--- a/jayseam/routing/matching.py
+++ b/jayseam/routing/matching.py
@@ -124,9 +124,7 @@
     """
     positive = [(name, weight) for name, weight in targets if weight > 0]
     if not positive:
-        raise errors.NoCandidateError(
-            'the route has no target with a positive weight'
-        )
+        raise errors.NoCandidateError('the route has no target with weight')
     sums = list(itertools.accumulate(weight for _, weight in positive))
     position = bisect.bisect_right(sums, draw * sums[-1])
     return positive[min(position, len(positive) - 1)][0]
