Name seven modules by what they hold

The names of seven modules were figurative or misleading: rooms, paces, memories, wallets, accounts, referee and measures.

Rename them to routing.refusals, admission.pacing, distribution.version_memory, limits.token_caches, limits.share_leases, standins.invariants and node.metrics, with their test modules, imports and references in docstrings.

Only names, the order of imports and the wrapping of lines change.

--- a/jayseam/admission/__init__.py
+++ b/jayseam/admission/__init__.py
@@ -7,8 +7,8 @@
 from jayseam.admission import concurrency
 from jayseam.admission import errors
 from jayseam.admission import gates
-from jayseam.admission import paces
+from jayseam.admission import pacing
 from jayseam.admission import queues
 from jayseam.admission import ramps
 
-__all__ = ['concurrency', 'errors', 'gates', 'paces', 'queues', 'ramps']
+__all__ = ['concurrency', 'errors', 'gates', 'pacing', 'queues', 'ramps']
--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -19,7 +19,7 @@
 
 from jayseam.admission import concurrency
 from jayseam.admission import errors
-from jayseam.admission import paces
+from jayseam.admission import pacing
 from jayseam.admission import queues
 from jayseam.admission import ramps
 from jayseam.core import clocks
@@ -253,7 +253,7 @@
         self._service_times: dict[str, _ServiceTime] = {}
         self._capacity = min(slots, connections)
         self._adaptive = concurrency.build_limit(self._capacity)
-        self._pacer = paces.Pacer()
+        self._pacer = pacing.Pacer()
         self._ramp = self._build_ramp(ramp, None)
 
     def acquire(self, ticket: Ticket, now: float) -> Permit:
@@ -403,7 +403,7 @@
             ramp.initial_slots, self._capacity, ramp.duration_s, started_at
         )
 
-    def _build_pacer(self, ramp, started_at: float | None) -> paces.Pacer:
+    def _build_pacer(self, ramp, started_at: float | None) -> pacing.Pacer:
         rate_per_s = getattr(ramp, 'rate_per_s', 0.0)
         ends_at = self._pacer.ends_at
         if started_at is not None and ramp is not None:
--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -68,7 +68,7 @@
         self._strategy = strategy
         self._draw = draw
         self._loads = routing.loads.LoadTable()
-        self._rooms = routing.rooms.RoomTable()
+        self._rooms = routing.refusals.RoomTable()
         self._zone_return_times: routing.zones.Returns = {}
         self._in_service: frozenset[str] | None = None
         self._pool_cache: _PoolCache | None = None
@@ -123,7 +123,7 @@
         tried_vms: Collection[str],
         now: float,
         workspace: str = '',
-        need: routing.rooms.Need | None = None,
+        need: routing.refusals.Need | None = None,
     ) -> Choice | None:
         """Returns the ingress for the next attempt, or None if there is none.
 
@@ -191,7 +191,7 @@
         self._avoid(vm, now + _AVOID_REFUSING_S)
 
     def record_full(
-        self, vm: str, need: routing.rooms.Need, wait_s: float, now: float
+        self, vm: str, need: routing.refusals.Need, wait_s: float, now: float
     ) -> None:
         """Records that a VM had no room in its queue for a call."""
         self._rooms.mark(vm, need, wait_s, now)
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -23,7 +23,7 @@
 from jayseam.core import logs
 from jayseam.links import errors as link_errors
 from jayseam.routing import loads
-from jayseam.routing import rooms
+from jayseam.routing import refusals
 
 _ERRORS_BY_CODE = {
     'zone': errors.ZoneError,
@@ -423,9 +423,9 @@
             self._build_need(call, now) if tried_vms else None,
         )
 
-    def _build_need(self, call: Call, now: float) -> rooms.Need:
+    def _build_need(self, call: Call, now: float) -> refusals.Need:
         remaining_s = min(call.objective, call.deadline) - now
-        return rooms.Need(
+        return refusals.Need(
             call.caller.workspace, self._compute_rank(call), remaining_s
         )
 
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -15,7 +15,7 @@
 from jayseam.calls import retries
 from jayseam.core import clocks
 from jayseam.presets import model
-from jayseam.routing import rooms
+from jayseam.routing import refusals
 
 _LOADS = (1.0, 0.1, 1.0, 1.0)
 _NO_ROOM = messages.Refused(
@@ -31,7 +31,7 @@
     def __init__(self, vms):
         self._vms = vms
         self._draw_count = 0
-        self._rooms = rooms.RoomTable()
+        self._rooms = refusals.RoomTable()
         self.refusing_vms = []
         self.services = []
 
--- a/jayseam/distribution/__init__.py
+++ b/jayseam/distribution/__init__.py
@@ -18,7 +18,6 @@
 from jayseam.distribution import exchange
 from jayseam.distribution import fetching
 from jayseam.distribution import joining
-from jayseam.distribution import memories
 from jayseam.distribution import messages
 from jayseam.distribution import offers
 from jayseam.distribution import parts
@@ -30,6 +29,7 @@
 from jayseam.distribution import status
 from jayseam.distribution import syncing
 from jayseam.distribution import task
+from jayseam.distribution import version_memory
 from jayseam.distribution import versions
 
 __all__ = [
@@ -41,7 +41,6 @@
     'exchange',
     'fetching',
     'joining',
-    'memories',
     'messages',
     'offers',
     'parts',
@@ -53,5 +52,6 @@
     'status',
     'syncing',
     'task',
+    'version_memory',
     'versions',
 ]
--- a/jayseam/distribution/events.py
+++ b/jayseam/distribution/events.py
@@ -18,7 +18,7 @@
       sent_at: Time at which the peer sent the states, on this node's clock, in
         seconds.
       memory_s: Age of the peer's memory of versions, in seconds; see
-        `memories`.
+        `version_memory`.
     """
 
     vm: str
--- a/jayseam/distribution/messages.py
+++ b/jayseam/distribution/messages.py
@@ -152,7 +152,7 @@
     Attributes:
       states: A packed `ChannelState` for each channel.
       memory_ms: Age of the sender's memory of versions, in milliseconds; see
-        `memories`.
+        `version_memory`.
       sent_ms: Time of sending on the sender's clock, in milliseconds; see
         `delays`.
     """
--- a/jayseam/distribution/status.py
+++ b/jayseam/distribution/status.py
@@ -2,16 +2,16 @@
 
 from typing import Any
 
-from jayseam.distribution import memories
 from jayseam.distribution import messages
 from jayseam.distribution import rejections
 from jayseam.distribution import states
+from jayseam.distribution import version_memory
 
 
 def describe_channel(
     state: states.State,
     channel: str,
-    memory: memories.Memory,
+    memory: version_memory.Memory,
     reports: rejections.RejectionReports,
     open_offers: int,
     now: float,
@@ -21,7 +21,7 @@
     Args:
       state: State of the node.
       channel: The channel.
-      memory: The fleet's memory of versions; see `memories`.
+      memory: The fleet's memory of versions; see `version_memory`.
       reports: Rejections that this node and its peers reported.
       open_offers: Number of holders with an open offer.
       now: Current time in seconds.
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -21,7 +21,6 @@
 from jayseam.distribution import events
 from jayseam.distribution import fetching
 from jayseam.distribution import joining
-from jayseam.distribution import memories
 from jayseam.distribution import messages
 from jayseam.distribution import offers
 from jayseam.distribution import peers as distribution_peers
@@ -30,6 +29,7 @@
 from jayseam.distribution import states
 from jayseam.distribution import status
 from jayseam.distribution import syncing
+from jayseam.distribution import version_memory
 from jayseam.distribution import versions
 from jayseam.source import client as source_client
 from jayseam.source import watchers
@@ -79,7 +79,7 @@
             registry or prometheus_client.CollectorRegistry()
         )
         self._state = states.State()
-        self._memory = memories.Memory(clocks.read_now())
+        self._memory = version_memory.Memory(clocks.read_now())
         self._reports = rejections.RejectionReports()
         self._conflicts = conflicts.KnownConflicts()
         self._delays = delays.DelayTable()
--- a/jayseam/limits/__init__.py
+++ b/jayseam/limits/__init__.py
@@ -2,10 +2,9 @@
 
 See Also:
   ``docs/design.md``, sections 5.3 and 8. The proof of the window bound is in
-  `accounts` (conservation of shares) and `pools` (conservation of tokens).
+  `share_leases` (conservation of shares) and `pools` (conservation of tokens).
 """
 
-from jayseam.limits import accounts
 from jayseam.limits import baselines
 from jayseam.limits import buckets
 from jayseam.limits import cells
@@ -13,12 +12,12 @@
 from jayseam.limits import messages
 from jayseam.limits import pools
 from jayseam.limits import replicas
+from jayseam.limits import share_leases
 from jayseam.limits import strategies
 from jayseam.limits import task
-from jayseam.limits import wallets
+from jayseam.limits import token_caches
 
 __all__ = [
-    'accounts',
     'baselines',
     'buckets',
     'cells',
@@ -26,7 +25,8 @@
     'messages',
     'pools',
     'replicas',
+    'share_leases',
     'strategies',
     'task',
-    'wallets',
+    'token_caches',
 ]
--- a/jayseam/limits/baselines.py
+++ b/jayseam/limits/baselines.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from jayseam.limits import accounts
 from jayseam.limits import cells
 from jayseam.limits import messages
 from jayseam.limits import pools
+from jayseam.limits import share_leases
 from jayseam.limits import strategies
 
 
@@ -14,8 +14,9 @@
 class OwnerStrategy(strategies.EscrowStrategy):
     """One owner per group in the whole fleet, with the full rate and burst.
 
-    A new owner has no tokens for `accounts.PREDECESSOR_WAIT_S`. The strategy
-    breaks the bound in a partition, because each side then has an owner.
+    A new owner has no tokens for `share_leases.PREDECESSOR_WAIT_S`. The
+    strategy breaks the bound in a partition, because each side then has an
+    owner.
     """
 
     def __init__(self, *args: Any):
@@ -47,7 +48,7 @@
         )
 
     def _renew_leases(self, now: float) -> list[strategies.Outgoing]:
-        table: dict[int, dict[str, accounts.Share]] = {}
+        table: dict[int, dict[str, share_leases.Share]] = {}
         for name, share in self._limits.items():
             table.setdefault(cells.group_of(name), {})[name] = share
         for group in range(cells.GROUP_COUNT):
@@ -55,12 +56,12 @@
                 self._owner_since.pop(group, None)
                 continue
             since = self._owner_since.setdefault(group, now)
-            if now - since >= accounts.PREDECESSOR_WAIT_S:
+            if now - since >= share_leases.PREDECESSOR_WAIT_S:
                 lease = pools.Lease(
                     'all',
                     self.member.incarnation,
                     table.get(group, {}),
-                    now + accounts.LEASE_S,
+                    now + share_leases.LEASE_S,
                 )
                 self.pools[group].add_lease(lease, now)
         return []
--- a/jayseam/limits/models/__main__.py
+++ b/jayseam/limits/models/__main__.py
@@ -8,7 +8,7 @@
 import attrs
 
 from jayseam.limits import strategies
-from jayseam.limits import wallets
+from jayseam.limits import token_caches
 from jayseam.limits.models import fleets
 from jayseam.limits.models import scenarios
 from jayseam.limits.models import weightings
@@ -20,7 +20,7 @@
     model.run(scenarios.WARM_UP_S)
     node = next(iter(model.nodes.values()))
     cache = node.strategy._entry.get_cache('large-1')
-    cache.add_batch(wallets.Batch('x', 1, 1e9, float('inf')))
+    cache.add_batch(token_caches.Batch('x', 1, 1e9, float('inf')))
     now = model._local_time(node)
     spent = timeit.timeit(
         lambda: node.strategy.admit('large-1', 1.0, now), number=calls
--- a/jayseam/limits/models/fleets.py
+++ b/jayseam/limits/models/fleets.py
@@ -19,7 +19,7 @@
 from jayseam.limits import messages
 from jayseam.limits import pools
 from jayseam.limits import strategies
-from jayseam.limits import wallets
+from jayseam.limits import token_caches
 from jayseam.limits.models import measures
 from jayseam.limits.models import weightings
 from jayseam.limits.models import workspaces
@@ -429,7 +429,7 @@
             tally.waits.append(0.0)
             return
         call = next(self._calls)
-        waiter = wallets.Waiter(call, 1.0, now + strategies.MAX_WAIT_S)
+        waiter = token_caches.Waiter(call, 1.0, now + strategies.MAX_WAIT_S)
         if not node.strategy.enqueue(workspace, waiter):
             tally.refused.append(self.now)
             return
--- a/jayseam/limits/models/scenarios.py
+++ b/jayseam/limits/models/scenarios.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from jayseam.limits import accounts
+from jayseam.limits import share_leases
 from jayseam.limits import strategies
 from jayseam.limits.models import faults
 from jayseam.limits.models import fleets
@@ -131,7 +131,7 @@
     if scenario == 'zone-cut':
         sides = [zones[:1], zones[1:]]
     shares = {
-        upstream: accounts.compute_shares(model.preset, upstream)
+        upstream: share_leases.compute_shares(model.preset, upstream)
         for upstream in model.zones
     }
     unavoidable = 0
--- a/jayseam/limits/pools.py
+++ b/jayseam/limits/pools.py
@@ -12,13 +12,13 @@
   lease, and the share could accrue at another owner while the batch is unspent.
 - A batch counts as outstanding until the entry reports it spent or returns it,
   or until it expires. The entry counts the expiry from its request, the owner
-  from the later time of its grant, with `accounts.CLOCK_DRIFT` added.
+  from the later time of its grant, with `share_leases.CLOCK_DRIFT` added.
 
-Each share is in the backing of at most one owner (see `accounts`), so the sum
-of spendable tokens over the fleet is at most the workspace's burst, and all
-accrual together is at most its rate. Hence at most ``burst + rate * w`` tokens
-are spent in any window of length w. The accrual is scaled by 1/1.001 so that a
-fast clock does not exceed the rate.
+Each share is in the backing of at most one owner (see `share_leases`), so the
+sum of spendable tokens over the fleet is at most the workspace's burst, and
+all accrual together is at most its rate. Hence at most ``burst + rate * w``
+tokens are spent in any window of length w. The accrual is scaled by 1/1.001 so
+that a fast clock does not exceed the rate.
 
 A crash of the owner loses its level; outstanding batches stay valid, and their
 leases outlast them. A crash of an entry loses its batches, which expire at the
@@ -30,13 +30,13 @@
 
 import attrs
 
-from jayseam.limits import accounts
 from jayseam.limits import buckets
+from jayseam.limits import share_leases
 
 BATCH_LIFETIME_S = 1.0
 # Time for which the owner counts a batch as outstanding.
-BATCH_OUTSTANDING_S = BATCH_LIFETIME_S * (1 + accounts.CLOCK_DRIFT)
-_RATE_SCALE = 1 / (1 + accounts.CLOCK_DRIFT / 2)
+BATCH_OUTSTANDING_S = BATCH_LIFETIME_S * (1 + share_leases.CLOCK_DRIFT)
+_RATE_SCALE = 1 / (1 + share_leases.CLOCK_DRIFT / 2)
 # A bucket with a smaller capacity grants fractions of a token, because it may
 # never contain a whole token.
 _MIN_BURST_FOR_WHOLE_TOKENS = 1.0
@@ -57,7 +57,7 @@
 
     upstream: str
     incarnation: int
-    shares: accounts.Shares
+    shares: share_leases.Shares
     expires: float
 
 
@@ -106,7 +106,7 @@
     """Holds the leases on one group and grants batches of tokens.
 
     >>> pool = Pool()
-    >>> shares = {'w': accounts.Share(10.0, 5.0)}
+    >>> shares = {'w': share_leases.Share(10.0, 5.0)}
     >>> pool.add_lease(Lease('u1', 1, shares, expires=2.0), now=0.0)
     True
     >>> pool.grant_batch('w', 3.0, ('vm', 1, 1), now=0.9) > 2.9
@@ -236,10 +236,10 @@
         ledger = self._ledgers.get(workspace)
         return 0.0 if ledger is None else ledger.bucket.burst
 
-    def totals(self) -> Mapping[str, accounts.Share]:
+    def totals(self) -> Mapping[str, share_leases.Share]:
         """Returns the leased rate and burst by workspace."""
         return {
-            name: accounts.Share(
+            name: share_leases.Share(
                 ledger.bucket.rate_per_s / _RATE_SCALE, ledger.bucket.burst
             )
             for name, ledger in self._ledgers.items()
@@ -256,7 +256,7 @@
     def _sum_outlasting_bursts(self, workspace: str, now: float) -> float:
         limit = now + BATCH_OUTSTANDING_S
         return sum(
-            lease.shares.get(workspace, accounts.NO_SHARE).burst
+            lease.shares.get(workspace, share_leases.NO_SHARE).burst
             for lease in self._leases.values()
             if lease.expires >= limit
         )
--- a/jayseam/limits/replicas.py
+++ b/jayseam/limits/replicas.py
@@ -34,7 +34,7 @@
 from jayseam.limits import errors
 from jayseam.limits import messages
 from jayseam.limits import strategies
-from jayseam.limits import wallets
+from jayseam.limits import token_caches
 
 # Periods of the reports on workspaces near their limit, and on all workspaces.
 NEAR_LIMIT_PERIOD_S = 0.15
@@ -232,7 +232,7 @@
         replica.spent += cost
         return True
 
-    def enqueue(self, workspace: str, waiter: wallets.Waiter) -> bool:
+    def enqueue(self, workspace: str, waiter: token_caches.Waiter) -> bool:
         """Returns False, as no call waits for tokens."""
         del workspace, waiter
         return False
--- a/jayseam/limits/strategies.py
+++ b/jayseam/limits/strategies.py
@@ -8,7 +8,7 @@
 
 `escrow` divides the positions of an availability zone into cells of about
 `cells.CELL_SIZE`. In each cell, one owner per workspace group leases the shares
-of the cell's positions (see `accounts`) and runs token buckets on them (see
+of the cell's positions (see `share_leases`) and runs token buckets on them (see
 `pools`). An entry, which is a node that admits calls, draws tokens from the
 owner in its own cell, and from owners in other cells if that owner has too few.
 Cells bound the messages that an owner receives whatever the size of the fleet,
@@ -30,12 +30,12 @@
 import attrs
 
 from jayseam.core import registries
-from jayseam.limits import accounts
 from jayseam.limits import cells
 from jayseam.limits import errors
 from jayseam.limits import messages
 from jayseam.limits import pools
-from jayseam.limits import wallets
+from jayseam.limits import share_leases
+from jayseam.limits import token_caches
 
 RENEWAL_PERIOD_S = 0.4
 # An entry sends an owner one draw in this period, and further draws only for
@@ -145,14 +145,14 @@
     """
 
     def __init__(self) -> None:
-        self.caches: dict[str, wallets.TokenCache] = {}
+        self.caches: dict[str, token_caches.TokenCache] = {}
         self.active: set[str] = set()
         self.expired_tokens = 0.0
 
-    def get_cache(self, workspace: str) -> wallets.TokenCache:
+    def get_cache(self, workspace: str) -> token_caches.TokenCache:
         """Returns the workspace's token cache and marks it as active."""
         self.active.add(workspace)
-        return self.caches.setdefault(workspace, wallets.TokenCache())
+        return self.caches.setdefault(workspace, token_caches.TokenCache())
 
 
 @registry.register('escrow')
@@ -178,7 +178,7 @@
     ):
         self.member = cells.Member(vm, upstream, incarnation, zone)
         self.topology = cells.Topology(self.member, self._assign_cells)
-        self.share_lender = accounts.ShareLender(upstream, now)
+        self.share_lender = share_leases.ShareLender(upstream, now)
         self.pools = [pools.Pool() for _ in range(cells.GROUP_COUNT)]
         self.leaving = False
         self._entry = _EntryState()
@@ -190,12 +190,12 @@
         self._failed_at: dict[str, float] = {}
         self._backoffs: dict[tuple[str, str], _Backoff] = {}
         self._in_flight: set[tuple[str, type]] = set()
-        self._shares_by_digest: dict[str, dict[int, accounts.Shares]] = {}
+        self._shares_by_digest: dict[str, dict[int, share_leases.Shares]] = {}
         self._digest_by_lender: dict[str, str] = {}
         self._next_renewal_at = now
         self._next_draw_at = now
         self._draw_periods = 0
-        self._limits: dict[str, accounts.Share] = {}
+        self._limits: dict[str, share_leases.Share] = {}
 
     # Configuration and membership.
 
@@ -206,7 +206,7 @@
         """Applies a version of the preset."""
         self.share_lender.set_preset(preset, version, now)
         self._limits = {
-            name: accounts.Share(w.rate_per_s, w.burst)
+            name: share_leases.Share(w.rate_per_s, w.burst)
             for name, w in preset.workspaces.items()
         }
         for name in set(self._entry.caches) - set(self._limits):
@@ -254,7 +254,7 @@
         cache.record_demand(cost, now)
         return cache.try_spend(cost, now)
 
-    def enqueue(self, workspace: str, waiter: wallets.Waiter) -> bool:
+    def enqueue(self, workspace: str, waiter: token_caches.Waiter) -> bool:
         """Queues a call that waits for tokens; returns whether it may wait."""
         limit = self._limits.get(workspace)
         if limit is None or limit.burst < waiter.cost:
@@ -395,7 +395,7 @@
 
     def explain(self, workspace: str, now: float) -> dict[str, Any]:
         """Returns the state behind the decisions on a workspace, for logs."""
-        limit = self._limits.get(workspace, accounts.NO_SHARE)
+        limit = self._limits.get(workspace, share_leases.NO_SHARE)
         return {
             'rate_per_s': limit.rate_per_s,
             'stock': round(self.available(workspace, now), 2),
@@ -454,7 +454,7 @@
             self.member.incarnation,
             lent,
             digest,
-            accounts.encode_shares(shares) if message.need_shares else None,
+            share_leases.encode_shares(shares) if message.need_shares else None,
         )
 
     def _may_borrow(self, vm: str, group: int, now: float) -> bool:
@@ -541,7 +541,7 @@
                 reply.upstream,
                 reply.incarnation,
                 table.get(group, {}),
-                sent.created_at + accounts.LEASE_S,
+                sent.created_at + share_leases.LEASE_S,
             )
             if group in sent.message.groups and not self.leaving:
                 self.pools[group].add_lease(lease, now)
@@ -552,10 +552,10 @@
         used = set(self._digest_by_lender.values())
         for old in set(self._shares_by_digest) - used:
             del self._shares_by_digest[old]
-        table: dict[int, dict[str, accounts.Share]] = {}
+        table: dict[int, dict[str, share_leases.Share]] = {}
         for name, (rate, burst) in shares.items():
             part = table.setdefault(cells.group_of(name), {})
-            part[name] = accounts.Share(rate, burst)
+            part[name] = share_leases.Share(rate, burst)
         self._shares_by_digest[digest] = table
 
     def _handle_draw(
@@ -601,11 +601,11 @@
         The prefetched tokens of all entries together stay below half of the
         burst, because drawn tokens count against it.
         """
-        return min(wallets.PREFETCH_S, self._compute_fill_s(workspace) / 2)
+        return min(token_caches.PREFETCH_S, self._compute_fill_s(workspace) / 2)
 
     def _compute_fill_s(self, workspace: str) -> float:
         """Returns the time in which an empty bucket fills, in seconds."""
-        limit = self._limits.get(workspace, accounts.NO_SHARE)
+        limit = self._limits.get(workspace, share_leases.NO_SHARE)
         return limit.burst / limit.rate_per_s if limit.rate_per_s > 0 else 0.0
 
     def _draw_tokens(
@@ -724,7 +724,9 @@
             expires = sent.created_at + pools.BATCH_LIFETIME_S
             if amount > 0 and expires > now:
                 self._entry.active.add(name)
-                cache.add_batch(wallets.Batch(sent.vm, number, amount, expires))
+                cache.add_batch(
+                    token_caches.Batch(sent.vm, number, amount, expires)
+                )
             elif amount > 0:
                 self._entry.expired_tokens += amount
             if reply is not None:
--- a/jayseam/limits/task.py
+++ b/jayseam/limits/task.py
@@ -16,7 +16,7 @@
 from jayseam.limits import cells
 from jayseam.limits import messages
 from jayseam.limits import strategies
-from jayseam.limits import wallets
+from jayseam.limits import token_caches
 
 POLL_S = 0.05
 REFRESH_PERIOD_S = 0.2
@@ -169,7 +169,7 @@
             return _ADMITTED
         wait_until = min(deadline, now + strategies.MAX_WAIT_S)
         call = next(self._call_ids)
-        waiter = wallets.Waiter(call, cost, wait_until)
+        waiter = token_caches.Waiter(call, cost, wait_until)
         if wait_until <= now or not self._strategy.enqueue(workspace, waiter):
             return self._refuse(workspace, cost, 0.0)
         admitted = self._events[call] = event.Event()
--- a/jayseam/limits/tests/test_bound.py
+++ b/jayseam/limits/tests/test_bound.py
@@ -11,9 +11,9 @@
 import pytest
 from hypothesis import strategies as st
 
-from jayseam.limits import accounts
 from jayseam.limits import models
 from jayseam.limits import pools
+from jayseam.limits import share_leases
 
 RATE_PER_S = 20.0
 BURST = 10.0
@@ -27,7 +27,7 @@
     vm: str
     incarnation: int
     drift: float
-    share_lender: accounts.ShareLender | None = None
+    share_lender: share_leases.ShareLender | None = None
     pool: pools.Pool = attrs.field(factory=pools.Pool)
     batches: list = attrs.field(factory=list)
 
@@ -59,7 +59,7 @@
         drift = self.random.uniform(-0.001, 0.001)
         process = _Process(f'vm{position}', self.incarnation, drift)
         local = process.local_time(self.now)
-        process.share_lender = accounts.ShareLender(f'u{position}', local)
+        process.share_lender = share_leases.ShareLender(f'u{position}', local)
         process.share_lender.set_preset(self.preset, 1, local - 60.0)
         return process
 
@@ -85,7 +85,7 @@
                     lender.share_lender.upstream,
                     lender.incarnation,
                     shares,
-                    requested_at + accounts.LEASE_S,
+                    requested_at + share_leases.LEASE_S,
                 )
                 self._send(
                     lambda: owner.pool.add_lease(
@@ -191,7 +191,7 @@
 
 def _create_pool(expires=2.0):
     pool = pools.Pool()
-    shares = {'w': accounts.Share(10.0, 10.0)}
+    shares = {'w': share_leases.Share(10.0, 10.0)}
     assert pool.add_lease(pools.Lease('u', 1, shares, expires), now=0.0)
     return pool
 
@@ -222,7 +222,7 @@
 def test_lower_incarnation_at_a_position_is_not_counted():
     """A replaced process that still runs would lend the share again."""
     pool = _create_pool()
-    shares = {'w': accounts.Share(10.0, 10.0)}
+    shares = {'w': share_leases.Share(10.0, 10.0)}
     assert pool.add_lease(pools.Lease('u', 2, shares, 2.5), now=0.1)
     assert not pool.add_lease(pools.Lease('u', 1, shares, 3.0), now=0.2)
     assert pool.backing('w', 0.2) == 10.0
@@ -230,7 +230,7 @@
 
 @pytest.fixture(name='share_lender')
 def _share_lender():
-    share_lender = accounts.ShareLender('u', now=0.0)
+    share_lender = share_leases.ShareLender('u', now=0.0)
     share_lender.set_preset(_preset(4, 40.0), 1, now=0.0)
     return share_lender
 
@@ -262,7 +262,7 @@
     def rate(now):
         return (
             share_lender.get_shares(now)[0]
-            .get('w', accounts.NO_SHARE)
+            .get('w', share_leases.NO_SHARE)
             .rate_per_s
         )
 
--- a/jayseam/limits/tests/test_accounts.py
+++ b/jayseam/limits/tests/test_share_leases.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import strategies as st
 
-from jayseam.limits import accounts
+from jayseam.limits import share_leases
 from jayseam.presets import documents
 from jayseam.presets import samples
 from jayseam.presets import verification
@@ -16,9 +16,11 @@
 _ZONES = ('a', 'b', 'c', 'd', 'e', 'f')
 # Smallest fraction of an equal share that a position can have: a raised part
 # decreases again when all parts are scaled to a sum of 1.
-_MIN_PART = float(accounts.MIN_PART_OF_EQUAL / (1 + accounts.MIN_PART_OF_EQUAL))
+_MIN_PART = float(
+    share_leases.MIN_PART_OF_EQUAL / (1 + share_leases.MIN_PART_OF_EQUAL)
+)
 _AMOUNTS = st.floats(1e-9, 1e7) | st.integers(1, 10_000_000)
-_MAX_VERSION_DELAY_S = accounts.INCREASE_DELAY_S / 2 - 0.01
+_MAX_VERSION_DELAY_S = share_leases.INCREASE_DELAY_S / 2 - 0.01
 _WEIGHTS = st.dictionaries(
     st.sampled_from((*_ZONES, 'empty')),
     st.just(0) | st.floats(0.0, 1e6) | st.integers(0, 1_000_000),
@@ -43,7 +45,7 @@
 
 def _compute_all(preset):
     return {
-        name: accounts.compute_shares(preset, name)['w']
+        name: share_leases.compute_shares(preset, name)['w']
         for name in preset.upstreams
     }
 
@@ -108,7 +110,11 @@
     """Extreme weights must leave some tokens to a zone that is cut off."""
     preset = _build_preset({'a': 2, 'b': 2}, 40.0, 40.0, {'a': 1, 'b': 0})
     share = _compute_all(preset)['b0'].rate_per_s
-    assert 10.0 * _MIN_PART <= share <= 10.0 * float(accounts.MIN_PART_OF_EQUAL)
+    assert (
+        10.0 * _MIN_PART
+        <= share
+        <= 10.0 * float(share_leases.MIN_PART_OF_EQUAL)
+    )
 
 
 def test_weights_of_a_verified_preset_reach_the_shares():
@@ -123,7 +129,7 @@
     joined = documents.join_parts(bundle.manifest, bundle.parts)
     preset = verification.verify_preset(joined)
     rates = {
-        name: accounts.compute_shares(preset, name)
+        name: share_leases.compute_shares(preset, name)
         for name in ('pickups-liege', 'pickups-namur', 'pickups-charleroi')
     }
     found = [shares['bureau'].rate_per_s for shares in rates.values()]
@@ -135,7 +141,9 @@
     """An increase before another zone's decrease would exceed the rate."""
     lenders = {}
     for zone in 'ab':
-        share_lender = lenders[zone] = accounts.ShareLender(f'{zone}0', now=0.0)
+        share_lender = lenders[zone] = share_leases.ShareLender(
+            f'{zone}0', now=0.0
+        )
         preset = _build_preset({'a': 1, 'b': 1}, 40.0, 40.0, {'a': 3, 'b': 1})
         share_lender.set_preset(preset, 1, now=0.0)
         share_lender.get_shares(10.0)
@@ -154,7 +162,7 @@
 def test_changes_of_weights_never_add_up_to_more(versions, rng):
     """Positions that receive versions at different times must not overlend.
 
-    Each receives a version within half of `accounts.INCREASE_DELAY_S`. Some
+    Each receives a version within half of `share_leases.INCREASE_DELAY_S`. Some
     receive it after the next version, and then never apply it.
     """
     counts = {'a': 2, 'b': 1, 'c': 3}
@@ -163,7 +171,9 @@
         published.append((time, _build_preset(counts, 7.0, 5.0, weights)))
         time += rng.choice([0.5, 2.0, 4.0, 6.0])
     names = list(published[0][1].upstreams)
-    lenders = {name: accounts.ShareLender(name, now=-20.0) for name in names}
+    lenders = {
+        name: share_leases.ShareLender(name, now=-20.0) for name in names
+    }
     deliveries = []
     for name in names:
         for version, (at, preset) in enumerate(published, start=1):
@@ -182,7 +192,7 @@
             at, name, version, preset = deliveries.pop(0)
             lenders[name].set_preset(preset, version, at)
         shares = [
-            share_lender.get_shares(now)[0].get('w', accounts.NO_SHARE)
+            share_lender.get_shares(now)[0].get('w', share_leases.NO_SHARE)
             for share_lender in lenders.values()
         ]
         assert math.fsum(s.rate_per_s for s in shares) <= 7.0
--- a/jayseam/limits/tests/test_strategies.py
+++ b/jayseam/limits/tests/test_strategies.py
@@ -7,7 +7,7 @@
 from jayseam.limits import cells
 from jayseam.limits import messages
 from jayseam.limits import strategies
-from jayseam.limits import wallets
+from jayseam.limits import token_caches
 
 _START = 100.0
 _VMS = ('vm-0', 'vm-1', 'vm-2')
@@ -32,7 +32,7 @@
 
 def _poll_draws(strategy, now):
     """Enqueues a call and returns the draws that the strategy sends."""
-    strategy.enqueue('w', wallets.Waiter(1, 1.0, now + 1.0))
+    strategy.enqueue('w', token_caches.Waiter(1, 1.0, now + 1.0))
     return [
         sent
         for sent in strategy.poll(now)
--- a/jayseam/limits/tests/test_task.py
+++ b/jayseam/limits/tests/test_task.py
@@ -6,9 +6,9 @@
 import pytest
 
 from jayseam.core import errors
-from jayseam.limits import accounts
 from jayseam.limits import cells
 from jayseam.limits import messages
+from jayseam.limits import share_leases
 from jayseam.limits import strategies
 from jayseam.limits import task
 
@@ -80,7 +80,9 @@
 def test_call_within_rate_is_admitted(strategy):
     """A call that finds no token must wait for a token, not be refused."""
     with _Fleet(3, strategy) as fleet:
-        gevent.sleep(accounts.PREDECESSOR_WAIT_S if strategy == 'owner' else 0)
+        gevent.sleep(
+            share_leases.PREDECESSOR_WAIT_S if strategy == 'owner' else 0
+        )
         for vm in fleet.tasks:
             admission = fleet.admit(vm)
             assert admission.admitted
--- a/jayseam/node/__init__.py
+++ b/jayseam/node/__init__.py
@@ -8,7 +8,7 @@
 from jayseam.node import fields
 from jayseam.node import lifecycles
 from jayseam.node import localbackends
-from jayseam.node import measures
+from jayseam.node import metrics
 from jayseam.node import pauses
 from jayseam.node import status
 
@@ -21,7 +21,7 @@
     'fields',
     'lifecycles',
     'localbackends',
-    'measures',
+    'metrics',
     'pauses',
     'status',
 ]
--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -17,7 +17,7 @@
 from jayseam.core import identifiers
 from jayseam.core import logs
 from jayseam.node import callers
-from jayseam.node import measures
+from jayseam.node import metrics
 from jayseam.node import pauses
 
 MAX_CALLS_IN_FLIGHT = 1000
@@ -118,7 +118,7 @@
         try:
             return self._process_request(environ, request_id)
         except errors.CallError as error:
-            measures.REFUSALS.labels(error.code).inc()
+            metrics.REFUSALS.labels(error.code).inc()
             self._log_refusal(error, environ, request_id)
             return self._render_error(error, request_id, idempotency_key)
         except errors.CallerGoneError:
@@ -128,7 +128,7 @@
             # After an unexpected error it is unknown whether the call has run.
             _log.exception('call.failed', extra={'request_id': request_id})
             unknown = errors.OutcomeUnknownError('internal error')
-            measures.REFUSALS.labels(unknown.code).inc()
+            metrics.REFUSALS.labels(unknown.code).inc()
             return self._render_error(unknown, request_id, idempotency_key)
 
     def _log_refusal(
@@ -202,7 +202,7 @@
             if handle is not None:
                 self._monitor.unwatch(handle)
             elapsed_s = clocks.read_now() - now
-            measures.observe_call(call.caller.workspace, outcome, elapsed_s)
+            metrics.observe_call(call.caller.workspace, outcome, elapsed_s)
 
     def _look_up_outcome(
         self, request: requests.CallRequest, now: float
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -25,7 +25,7 @@
 from jayseam.node import lifecycles
 from jayseam.node import listeners
 from jayseam.node import localbackends
-from jayseam.node import measures
+from jayseam.node import metrics
 from jayseam.node import pauses
 from jayseam.node import status
 
@@ -399,7 +399,7 @@
 
         Returns once a peer has answered.
         """
-        measures.PAUSES.inc()
+        metrics.PAUSES.inc()
         self._limits.on_pause(now)
         self._backend.notice_pause(now, paused_s)
         self._lifecycle.try_advance('pause_detected')
--- a/jayseam/node/tests/fleets.py
+++ b/jayseam/node/tests/fleets.py
@@ -17,8 +17,8 @@
 from jayseam.presets import samples
 from jayseam.standins import clusters
 from jayseam.standins import exchanges
+from jayseam.standins import invariants
 from jayseam.standins import plans
-from jayseam.standins import referee
 from jayseam.tools import generators
 from jayseam.tools import profiles
 from jayseam.tools import records as call_records
@@ -152,7 +152,7 @@
         records: Sequence[call_records.CallRecord],
         latitude_s: float,
         ignored: Sequence[str] = (),
-    ) -> list[referee.Violation]:
+    ) -> list[invariants.Violation]:
         """Returns the violations that the referee finds since the last `clear`.
 
         Args:
@@ -161,8 +161,8 @@
           ignored: Rules that the test violates on purpose.
         """
         self.wait_idle()
-        budgets = referee.read_budgets(self.cluster.preset['workspaces'])
-        violations = referee.Referee(budgets, latitude_s).judge(
+        budgets = invariants.read_budgets(self.cluster.preset['workspaces'])
+        violations = invariants.Referee(budgets, latitude_s).judge(
             self.cluster.collect_runs(), records, self.cluster.collect_peaks()
         )
         return [item for item in violations if item.rule not in ignored]
--- a/jayseam/routing/__init__.py
+++ b/jayseam/routing/__init__.py
@@ -7,8 +7,8 @@
 from jayseam.routing import errors
 from jayseam.routing import loads
 from jayseam.routing import matching
-from jayseam.routing import rooms
+from jayseam.routing import refusals
 from jayseam.routing import selection
 from jayseam.routing import zones
 
-__all__ = ['errors', 'loads', 'matching', 'rooms', 'selection', 'zones']
+__all__ = ['errors', 'loads', 'matching', 'refusals', 'selection', 'zones']
--- a/jayseam/routing/tests/test_rooms.py
+++ b/jayseam/routing/tests/test_refusals.py
@@ -2,39 +2,39 @@
 
 import pytest
 
-from jayseam.routing import rooms
+from jayseam.routing import refusals
 
 
 @pytest.mark.parametrize(
     'need, is_full',
     [
-        (rooms.Need('w', 1, 0.5), True),
-        (rooms.Need('w', 2, 0.5), True),
-        (rooms.Need('w', 1, 0.51), True),
-        (rooms.Need('w', 1, 0.53), False),
-        (rooms.Need('w', 0, 0.5), False),
-        (rooms.Need('v', 1, 0.5), False),
+        (refusals.Need('w', 1, 0.5), True),
+        (refusals.Need('w', 2, 0.5), True),
+        (refusals.Need('w', 1, 0.51), True),
+        (refusals.Need('w', 1, 0.53), False),
+        (refusals.Need('w', 0, 0.5), False),
+        (refusals.Need('v', 1, 0.5), False),
     ],
 )
 def test_refusal_covers_only_calls_that_need_no_less(need, is_full):
     """More time, more urgency or another workspace's backlog may find room."""
-    table = rooms.RoomTable()
-    table.mark('a', rooms.Need('w', 1, 0.5), 1.0, 10.0)
+    table = refusals.RoomTable()
+    table.mark('a', refusals.Need('w', 1, 0.5), 1.0, 10.0)
     assert table.list_full(need, 10.01) == ({'a'} if is_full else set())
 
 
 def test_narrower_refusal_keeps_the_wider_one():
     """A refusal of a call with little time must not replace a wider one."""
-    table = rooms.RoomTable()
-    table.mark('a', rooms.Need('w', 1, 0.5), 1.0, 10.0)
-    table.mark('a', rooms.Need('w', 2, 0.1), 1.0, 10.05)
-    assert table.list_full(rooms.Need('w', 1, 0.5), 10.12) == {'a'}
+    table = refusals.RoomTable()
+    table.mark('a', refusals.Need('w', 1, 0.5), 1.0, 10.0)
+    table.mark('a', refusals.Need('w', 2, 0.1), 1.0, 10.05)
+    assert table.list_full(refusals.Need('w', 1, 0.5), 10.12) == {'a'}
 
 
 def test_refusal_expires_when_room_is_expected():
     """When the refusing VM expects room, later calls must try it again."""
-    table = rooms.RoomTable()
-    need = rooms.Need('w', 1, 0.5)
+    table = refusals.RoomTable()
+    need = refusals.Need('w', 1, 0.5)
     table.mark('a', need, 0.05, 10.0)
     assert table.list_full(need, 10.04)
     assert not table.list_full(need, 10.05)
@@ -42,8 +42,8 @@
 
 def test_refusals_of_many_workspaces_are_bounded():
     """Expired refusals are removed when there are many."""
-    table = rooms.RoomTable()
+    table = refusals.RoomTable()
     for number in range(1000):
-        need = rooms.Need(f'w-{number}', 1, 0.5)
+        need = refusals.Need(f'w-{number}', 1, 0.5)
         table.mark('a', need, 1.0, 10.0 + number)
     assert len(table) < 300
--- a/jayseam/soak/checks.py
+++ b/jayseam/soak/checks.py
@@ -2,7 +2,7 @@
 
 Each check reads the records of the load generator and the backend servers, and
 the exit statuses of the node processes. The rules of the referee are in
-`jayseam.standins.referee`.
+`jayseam.standins.invariants`.
 """
 
 import collections
--- a/jayseam/soak/runs.py
+++ b/jayseam/soak/runs.py
@@ -17,8 +17,8 @@
 from jayseam.soak import schedules
 from jayseam.standins import clusters
 from jayseam.standins import errors as standin_errors
+from jayseam.standins import invariants
 from jayseam.standins import plans
-from jayseam.standins import referee
 from jayseam.tools import generators
 from jayseam.tools import loadreports
 from jayseam.tools import profiles
@@ -255,7 +255,7 @@
         )
         runs = self._cluster.collect_runs()
         budgets = self._read_budgets()
-        violations = referee.Referee(budgets, _LATITUDE_S).judge(
+        violations = invariants.Referee(budgets, _LATITUDE_S).judge(
             _exclude_probes(runs), report.records, self._cluster.collect_peaks()
         )
         ended = {
@@ -277,15 +277,15 @@
         findings = [checks.Finding(v.rule, v.detail) for v in violations]
         return findings + checks.run_checks(observations)
 
-    def _read_budgets(self) -> dict[str, referee.Budget]:
+    def _read_budgets(self) -> dict[str, invariants.Budget]:
         """Returns the rate and burst that the limit strategy guarantees."""
-        budgets = referee.read_budgets(self._cluster.preset['workspaces'])
+        budgets = invariants.read_budgets(self._cluster.preset['workspaces'])
         if self._strategy == 'escrow':
             return budgets
         # With the replicated strategy, nodes learn late what other nodes have
         # admitted. Operators who choose this strategy tolerate the excess.
         return {
-            name: referee.Budget(
+            name: invariants.Budget(
                 budget.rate_per_s * (1.0 + _TOLERANCE),
                 budget.burst * (1.0 + _TOLERANCE) + _TOLERATED_CALLS,
             )
--- a/jayseam/standins/__init__.py
+++ b/jayseam/standins/__init__.py
@@ -16,6 +16,7 @@
 from jayseam.standins import faultrules
 from jayseam.standins import faults
 from jayseam.standins import health
+from jayseam.standins import invariants
 from jayseam.standins import launchers
 from jayseam.standins import nestedcalls
 from jayseam.standins import networks
@@ -23,7 +24,6 @@
 from jayseam.standins import platform
 from jayseam.standins import processes
 from jayseam.standins import publications
-from jayseam.standins import referee
 from jayseam.standins import relays
 from jayseam.standins import requestfaults
 from jayseam.standins import requests
@@ -48,6 +48,7 @@
     'faultrules',
     'faults',
     'health',
+    'invariants',
     'launchers',
     'nestedcalls',
     'networks',
@@ -55,7 +56,6 @@
     'platform',
     'processes',
     'publications',
-    'referee',
     'relays',
     'requestfaults',
     'requests',
--- a/jayseam/standins/clusters.py
+++ b/jayseam/standins/clusters.py
@@ -6,7 +6,7 @@
 
 See Also:
   `jayseam.standins.plans` for what a cluster consists of;
-  `jayseam.standins.referee`, which checks what the backend servers ran.
+  `jayseam.standins.invariants`, which checks what the backend servers ran.
 """
 
 import copy
--- a/jayseam/standins/demo.py
+++ b/jayseam/standins/demo.py
@@ -14,8 +14,8 @@
 from jayseam.standins import convergence
 from jayseam.standins import deployments
 from jayseam.standins import edits
+from jayseam.standins import invariants
 from jayseam.standins import processes
-from jayseam.standins import referee
 from jayseam.tools import generators
 from jayseam.tools import loadreports
 from jayseam.tools import records
@@ -192,10 +192,10 @@
 ) -> Iterable[Check]:
     """Checks the runs by the rules of the referee and of the zone change."""
     runs = cluster.collect_runs()
-    budgets = referee.read_budgets(
+    budgets = invariants.read_budgets(
         documents.dump_preset(deployment.preset)['workspaces']
     )
-    violations = referee.Referee(budgets, _LATITUDE_S).judge(
+    violations = invariants.Referee(budgets, _LATITUDE_S).judge(
         runs, report.records, cluster.collect_peaks()
     )
     figure = (
--- a/jayseam/standins/tests/test_referee.py
+++ b/jayseam/standins/tests/test_invariants.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from jayseam.standins import referee
+from jayseam.standins import invariants
 from jayseam.tools import records as call_records
 
-_BUDGETS = {'w1': referee.Budget(rate_per_s=10, burst=2)}
+_BUDGETS = {'w1': invariants.Budget(rate_per_s=10, burst=2)}
 
 
 def _run(number, **changes):
@@ -32,7 +32,7 @@
 
 
 def _judge(runs, records, peaks=None):
-    violations = referee.Referee(_BUDGETS).judge(runs, records, peaks)
+    violations = invariants.Referee(_BUDGETS).judge(runs, records, peaks)
     return [violation.rule for violation in violations]
 
 
@@ -94,12 +94,12 @@
     generator = random.Random(11)
     for _ in range(50):
         times = sorted(generator.uniform(0, 3) for _ in range(30))
-        budget = referee.Budget(generator.uniform(1, 12), 3)
+        budget = invariants.Budget(generator.uniform(1, 12), 3)
         worst = max(
             j - i + 1 - budget.burst - budget.rate_per_s * (times[j] - times[i])
             for j in range(30)
             for i in range(j + 1)
         )
-        excess = referee.find_excess(times, budget)
+        excess = invariants.find_excess(times, budget)
         found = excess.count - excess.allowed if excess else 0.0
         assert found == pytest.approx(max(0.0, worst), abs=1e-5)
