Name the refusals, loads and candidates of routing plainly

The table of refusals by full VMs was named a table of rooms with marks and needs, and its neighbours had names such as Report, Returns, Pool and DRAWS that say little outside their module.

Name them RefusalTable, CallNeeds, MAX_REFUSAL_S, list_full_vms, ReportedLoad, record_end, record_report, ReturnTimes, update_return_times, SHARE_GROWTH_S, CandidatePool and DRAWS_PER_CHOICE, and their parameters likewise.

Only names and the wrapping of lines change.

--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -32,7 +32,9 @@
 
     preset: Any
     view: membership.views.View
-    by_service: dict[str, routing.selection.Pool] = attrs.field(factory=dict)
+    by_service: dict[str, routing.selection.CandidatePool] = attrs.field(
+        factory=dict
+    )
 
 
 class Chooser:
@@ -68,8 +70,8 @@
         self._strategy = strategy
         self._draw = draw
         self._loads = routing.loads.LoadTable()
-        self._rooms = routing.refusals.RoomTable()
-        self._zone_return_times: routing.zones.Returns = {}
+        self._refusals = routing.refusals.RefusalTable()
+        self._zone_return_times: routing.zones.ReturnTimes = {}
         self._in_service: frozenset[str] | None = None
         self._pool_cache: _PoolCache | None = None
         self._avoided_until: dict[str, float] = {}
@@ -84,7 +86,7 @@
     def set_preset(self, preset: Any, now: float) -> None:
         """Records which zones a new preset takes out of service or returns."""
         in_service = routing.zones.list_in_service(preset)
-        self._zone_return_times = routing.zones.update_returns(
+        self._zone_return_times = routing.zones.update_return_times(
             self._zone_return_times, self._in_service, in_service, now
         )
         self._in_service = in_service
@@ -123,7 +125,7 @@
         tried_vms: Collection[str],
         now: float,
         workspace: str = '',
-        need: routing.refusals.Need | None = None,
+        needs: routing.refusals.CallNeeds | None = None,
     ) -> Choice | None:
         """Returns the ingress for the next attempt, or None if there is none.
 
@@ -134,14 +136,14 @@
           tried_vms: VMs that this call has tried.
           now: Present time in seconds.
           workspace: Workspace of the call.
-          need: What decides whether a queue has room for the call; VMs that
+          needs: What decides whether a queue has room for the call; VMs that
             recently refused such a call are excluded. None for a first attempt,
             which also goes to VMs that are known to be full.
         """
         pool = self._get_pool(preset, view, service)
         excluded = self._list_unresponsive(now).union(tried_vms)
-        if need is not None:
-            excluded |= self._rooms.list_full(need, now)
+        if needs is not None:
+            excluded |= self._refusals.list_full_vms(needs, now)
         excluded_or_avoided = excluded | self._list_avoided(now)
         usable = (
             pool.exclude(excluded_or_avoided) if excluded_or_avoided else pool
@@ -157,7 +159,7 @@
             self._loads,
             self._own_zone,
             now,
-            [self._draw() for _ in range(routing.selection.DRAWS)],
+            [self._draw() for _ in range(routing.selection.DRAWS_PER_CHOICE)],
             self._choice_count,
             self._strategy,
             workspace,
@@ -173,13 +175,17 @@
 
     def finish_attempt(self, vm: str, workspace: str = '') -> None:
         """Counts the end of an attempt at a VM."""
-        self._loads.finish(vm, workspace)
+        self._loads.record_end(vm, workspace)
 
     def record_load(
-        self, vm: str, workspace: str, report: routing.loads.Report, now: float
+        self,
+        vm: str,
+        workspace: str,
+        report: routing.loads.ReportedLoad,
+        now: float,
     ) -> None:
         """Stores the load that came with a reply to a call of a workspace."""
-        self._loads.report(vm, workspace, report, now)
+        self._loads.record_report(vm, workspace, report, now)
         self._avoided_until.pop(vm, None)
 
     def record_failure(self, vm: str, now: float) -> None:
@@ -191,10 +197,14 @@
         self._avoid(vm, now + _AVOID_REFUSING_S)
 
     def record_full(
-        self, vm: str, need: routing.refusals.Need, wait_s: float, now: float
+        self,
+        vm: str,
+        needs: routing.refusals.CallNeeds,
+        wait_s: float,
+        now: float,
     ) -> None:
         """Records that a VM had no room in its queue for a call."""
-        self._rooms.mark(vm, need, wait_s, now)
+        self._refusals.mark(vm, needs, wait_s, now)
 
     def _avoid(self, vm: str, until: float) -> None:
         self._avoided_until[vm] = max(until, self._avoided_until.get(vm, until))
@@ -224,7 +234,7 @@
 
     def _get_pool(
         self, preset: Any, view: membership.views.View, service: str
-    ) -> routing.selection.Pool:
+    ) -> routing.selection.CandidatePool:
         cache = self._pool_cache
         if (
             cache is None
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -420,12 +420,12 @@
             call.caller.workspace,
             # A first attempt may go to a full VM, so that a slot is taken as
             # soon as another call frees it.
-            self._build_need(call, now) if tried_vms else None,
+            self._build_needs(call, now) if tried_vms else None,
         )
 
-    def _build_need(self, call: Call, now: float) -> refusals.Need:
+    def _build_needs(self, call: Call, now: float) -> refusals.CallNeeds:
         remaining_s = min(call.objective, call.deadline) - now
-        return refusals.Need(
+        return refusals.CallNeeds(
             call.caller.workspace, self._compute_rank(call), remaining_s
         )
 
@@ -441,7 +441,7 @@
             reply = self._parts.forwarder(
                 choice.vm, forward, call.deadline - now
             )
-            report = loads.Report(
+            report = loads.ReportedLoad(
                 reply.load, reply.fair_load, reply.idle_load, reply.service_s
             )
             chooser.record_load(choice.vm, workspace, report, clocks.read_now())
@@ -471,9 +471,9 @@
             if error.admitted or error.retry_after_s is None:
                 chooser.record_refusal(choice.vm, refused_at)
             else:
-                need = self._build_need(call, now)
+                needs = self._build_needs(call, now)
                 chooser.record_full(
-                    choice.vm, need, error.retry_after_s, refused_at
+                    choice.vm, needs, error.retry_after_s, refused_at
                 )
             raise
 
--- a/jayseam/calls/tests/test_choosers.py
+++ b/jayseam/calls/tests/test_choosers.py
@@ -72,12 +72,12 @@
 def test_search_for_room_passes_over_full_nodes():
     """Retries skip full nodes; a first attempt may go to a full node."""
     chooser = choosers.Chooser('a', 'two_choices', lambda: 0.0)
-    need = routing.refusals.Need('w', 1, 0.5)
+    needs = routing.refusals.CallNeeds('w', 1, 0.5)
     for vm in _ZONES:
-        chooser.record_full(vm, need, 1.0, 10.0)
+        chooser.record_full(vm, needs, 1.0, 10.0)
     arguments = (_build_preset(), 's', _View(), set())
     assert chooser.choose(*arguments, 10.05, 'w')
-    assert not chooser.choose(*arguments, 10.05, 'w', need)
+    assert not chooser.choose(*arguments, 10.05, 'w', needs)
     assert chooser.choose(
-        *arguments, 10.0 + routing.refusals.MOST_MARK_S, 'w', need
+        *arguments, 10.0 + routing.refusals.MAX_REFUSAL_S, 'w', needs
     )
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -31,7 +31,7 @@
     def __init__(self, vms):
         self._vms = vms
         self._draw_count = 0
-        self._rooms = refusals.RoomTable()
+        self._refusals = refusals.RefusalTable()
         self.refusing_vms = []
         self.services = []
 
@@ -40,11 +40,13 @@
         self._draw_count += 1
         return route.targets[self._draw_count % len(route.targets)][0]
 
-    def choose(self, preset, service, view, tried_vms, now, workspace, need):
+    def choose(self, preset, service, view, tried_vms, now, workspace, needs):
         """Returns the first VM that was not tried and may have room."""
         del preset, view, workspace
         self.services.append(service)
-        full = set() if need is None else self._rooms.list_full(need, now)
+        full = (
+            set() if needs is None else self._refusals.list_full_vms(needs, now)
+        )
         usable = [vm for vm in self._vms if vm not in full.union(tried_vms)]
         return choosers.Choice(usable[0], 1, service) if usable else None
 
@@ -53,9 +55,9 @@
         del now
         self.refusing_vms.append(vm)
 
-    def record_full(self, vm, need, wait_s, now):
+    def record_full(self, vm, needs, wait_s, now):
         """Records a VM that had no room."""
-        self._rooms.mark(vm, need, wait_s, now)
+        self._refusals.mark(vm, needs, wait_s, now)
 
     def start_attempt(self, vm, workspace):
         """Ignores the start of an attempt."""
--- a/jayseam/node/tests/test_pauses.py
+++ b/jayseam/node/tests/test_pauses.py
@@ -100,7 +100,7 @@
     slow = [cluster.vms[name].upstream for name in fleet.list_vms_of('credits')]
     # The previous test takes the zone out and in again. Until the zone's share
     # has grown, most calls go to other zones and none queues here.
-    gevent.sleep(routing.zones.GROWTH_S)
+    gevent.sleep(routing.zones.SHARE_GROWTH_S)
     for name in slow:
         cluster.control_backend(
             name, 'fault', kind='late', when='after', ms=2000.0
--- a/jayseam/routing/loads.py
+++ b/jayseam/routing/loads.py
@@ -12,7 +12,7 @@
 
 
 @attrs.frozen
-class Report:
+class ReportedLoad:
     """The load of a backend server as a reply of its ingress reports it.
 
     A fair queue takes the backlogs of workspaces in turn, so a call waits for
@@ -56,7 +56,7 @@
     """
 
     in_flight: int = 0
-    report: Report | None = None
+    report: ReportedLoad | None = None
     reported_at: float = -math.inf
     in_flight_at_report: int = 0
     workspaces: dict[str, _WorkspaceLoad] = attrs.field(factory=dict)
@@ -69,7 +69,7 @@
     >>> table.start('vm-1', 'w')
     >>> table.estimate('vm-1', slots=10, now=1.0)
     0.1
-    >>> table.report('vm-1', 'w', Report(0.7, 0.2, 0.2), now=1.0)
+    >>> table.record_report('vm-1', 'w', ReportedLoad(0.7, 0.2, 0.2), now=1.0)
     >>> table.estimate('vm-1', 10, now=1.5), table.estimate('vm-1', 10, now=3.0)
     (0.7, 0.4)
     >>> table.estimate('vm-1', 10, now=1.5, workspace='w')
@@ -90,7 +90,7 @@
             workspace_load = member.workspaces[workspace] = _WorkspaceLoad()
         workspace_load.in_flight += 1
 
-    def finish(self, vm: str, workspace: str = '') -> None:
+    def record_end(self, vm: str, workspace: str = '') -> None:
         """Counts the end of a call."""
         member = self._members.get(vm)
         if member is None or member.in_flight == 0:
@@ -100,13 +100,13 @@
         if workspace_load is not None and workspace_load.in_flight > 0:
             workspace_load.in_flight -= 1
 
-    def report(
-        self, vm: str, workspace: str, report: Report, now: float
+    def record_report(
+        self, vm: str, workspace: str, report: ReportedLoad, now: float
     ) -> None:
         """Stores the load report in a reply to a call of a workspace.
 
-        This must be called before `finish` for that call, because the ingress
-        counted the call in its report.
+        This must be called before `record_end` for that call, because the
+        ingress counted the call in its report.
         """
         member = self._members.setdefault(vm, MemberLoad())
         member.report = report
--- a/jayseam/routing/refusals.py
+++ b/jayseam/routing/refusals.py
@@ -15,7 +15,7 @@
 # Longest time for which a refusal counts, in seconds: a few service times of
 # the users' fast services. A refusal expires earlier if the VM expects room
 # earlier. Later calls of this node try the VM again.
-MOST_MARK_S = 0.1
+MAX_REFUSAL_S = 0.1
 # Difference of the time left to calls of one kind after earlier attempts, in
 # seconds.
 TIME_LEFT_TOLERANCE_S = 0.02
@@ -24,7 +24,7 @@
 
 
 @attrs.frozen
-class Need:
+class CallNeeds:
     """Properties of a call that decide whether a queue has room for it.
 
     Attributes:
@@ -52,30 +52,30 @@
     time_left_s: float
     expires_at: float
 
-    def covers(self, need: Need, now: float) -> bool:
+    def covers(self, needs: CallNeeds, now: float) -> bool:
         """Returns whether another call would be refused as well.
 
         This is so if that call is no more urgent and has no more time left.
         """
         return (
             now < self.expires_at
-            and need.rank >= self.rank
-            and need.time_left_s <= self.time_left_s + TIME_LEFT_TOLERANCE_S
+            and needs.rank >= self.rank
+            and needs.time_left_s <= self.time_left_s + TIME_LEFT_TOLERANCE_S
         )
 
 
-class RoomTable:
+class RefusalTable:
     """Refusals for want of room, by VM and workspace.
 
-    >>> table = RoomTable()
-    >>> table.mark('vm-1', Need('w', 1, 0.5), wait_s=0.3, now=1.0)
-    >>> table.list_full(Need('w', 1, 0.4), now=1.05)
+    >>> table = RefusalTable()
+    >>> table.mark('vm-1', CallNeeds('w', 1, 0.5), wait_s=0.3, now=1.0)
+    >>> table.list_full_vms(CallNeeds('w', 1, 0.4), now=1.05)
     {'vm-1'}
-    >>> table.list_full(Need('w', 1, 0.6), now=1.05)
+    >>> table.list_full_vms(CallNeeds('w', 1, 0.6), now=1.05)
     set()
-    >>> table.list_full(Need('w', 0, 0.4), now=1.05)
+    >>> table.list_full_vms(CallNeeds('w', 0, 0.4), now=1.05)
     set()
-    >>> table.list_full(Need('w', 1, 0.4), now=1.1)
+    >>> table.list_full_vms(CallNeeds('w', 1, 0.4), now=1.1)
     set()
     """
 
@@ -87,32 +87,34 @@
     def __len__(self) -> int:
         return sum(map(len, self._refusals.values()))
 
-    def mark(self, vm: str, need: Need, wait_s: float, now: float) -> None:
+    def mark(
+        self, vm: str, needs: CallNeeds, wait_s: float, now: float
+    ) -> None:
         """Records that a VM had no room for a call.
 
         Args:
           vm: Name of the VM.
-          need: What the refused call needed.
+          needs: What the refused call needed.
           wait_s: Time after which the VM expects room, in seconds.
           now: Current time in seconds.
         """
-        refusals = self._refusals[need.workspace]
+        refusals = self._refusals[needs.workspace]
         previous = refusals.get(vm)
-        if previous is not None and previous.covers(need, now):
+        if previous is not None and previous.covers(needs, now):
             # The previous refusal covers more calls, so its conditions stay
             # and only its end changes.
-            need = attrs.evolve(
-                need, rank=previous.rank, time_left_s=previous.time_left_s
+            needs = attrs.evolve(
+                needs, rank=previous.rank, time_left_s=previous.time_left_s
             )
-        expires_at = now + min(wait_s, MOST_MARK_S)
-        refusals[vm] = _Refusal(need.rank, need.time_left_s, expires_at)
+        expires_at = now + min(wait_s, MAX_REFUSAL_S)
+        refusals[vm] = _Refusal(needs.rank, needs.time_left_s, expires_at)
         if len(self) > _MAX_REFUSALS:
             self._remove_expired(now)
 
-    def list_full(self, need: Need, now: float) -> set[str]:
+    def list_full_vms(self, needs: CallNeeds, now: float) -> set[str]:
         """Returns the VMs that are expected to have no room for a call."""
-        refusals = self._refusals.get(need.workspace, {})
-        return {vm for vm, r in refusals.items() if r.covers(need, now)}
+        refusals = self._refusals.get(needs.workspace, {})
+        return {vm for vm, r in refusals.items() if r.covers(needs, now)}
 
     def _remove_expired(self, now: float) -> None:
         for workspace, refusals in list(self._refusals.items()):
--- a/jayseam/routing/selection.py
+++ b/jayseam/routing/selection.py
@@ -32,7 +32,7 @@
 DEFAULT_SPILL_LOAD = 0.8
 COLD_SHARE = 0.3
 # Number of random numbers in [0, 1) for one choice.
-DRAWS = 5
+DRAWS_PER_CHOICE = 5
 
 
 @attrs.frozen
@@ -70,27 +70,27 @@
 
 
 @attrs.frozen
-class Pool:
+class CandidatePool:
     """The candidates of a service.
 
     Attributes:
       groups: Candidates by zone, ordered by zone.
-      returns: Times at which zones returned, in seconds.
+      return_times: Times at which zones returned, in seconds.
     """
 
     groups: tuple[ZoneGroup, ...]
-    returns: zones.Returns = {}
+    return_times: zones.ReturnTimes = {}
 
     @property
     def candidates(self) -> list[Candidate]:
         """All candidates, ordered by zone and VM."""
         return [member for group in self.groups for member in group.members]
 
-    def exclude(self, vms: Iterable[str]) -> 'Pool':
+    def exclude(self, vms: Iterable[str]) -> 'CandidatePool':
         """Returns the pool without some VMs, for a retry of a call."""
         excluded = set(vms)
         remaining = [c for c in self.candidates if c.vm not in excluded]
-        return group_candidates(remaining, self.returns)
+        return group_candidates(remaining, self.return_times)
 
 
 @attrs.frozen
@@ -158,12 +158,12 @@
 
 
 Strategy = Callable[
-    [Pool, LoadView, str, float, Sequence[float], int], Candidate
+    [CandidatePool, LoadView, str, float, Sequence[float], int], Candidate
 ]
 
 
 def choose(
-    pool: Pool,
+    pool: CandidatePool,
     loads: load_tables.LoadTable,
     own_zone: str,
     now: float,
@@ -181,7 +181,7 @@
       loads: Loads of members.
       own_zone: Zone of this node.
       now: Current time in seconds.
-      draws: `DRAWS` random numbers in [0, 1).
+      draws: `DRAWS_PER_CHOICE` random numbers in [0, 1).
       turn: Number of choices made before, for ``round_robin``.
       strategy: Name of a variant in `VARIANTS`.
       workspace: Workspace of the call, if only the load that delays its calls
@@ -200,7 +200,7 @@
 
 @VARIANTS.register('two_choices')
 def choose_two_choices(
-    pool: Pool,
+    pool: CandidatePool,
     loads: LoadView,
     own_zone: str,
     now: float,
@@ -220,13 +220,13 @@
     groups = pool.groups
     weights = [
         group.cumulative_shares[-1]
-        * zones.compute_share(pool.returns, group.zone, now)
+        * zones.compute_share(pool.return_times, group.zone, now)
         for group in groups
     ]
     for position, group in enumerate(groups):
         if group.zone != own_zone:
             continue
-        share = zones.compute_share(pool.returns, own_zone, now)
+        share = zones.compute_share(pool.return_times, own_zone, now)
         if draws[0] >= share * min(1.0, group.cumulative_shares[-1]):
             if len(groups) > 1:
                 weights[position] = 0.0
@@ -242,7 +242,7 @@
 
 @VARIANTS.register('round_robin')
 def choose_round_robin(
-    pool: Pool,
+    pool: CandidatePool,
     loads: LoadView,
     own_zone: str,
     now: float,
@@ -261,15 +261,15 @@
     preset: Any,
     members: Iterable[Any],
     service: str,
-    returns: zones.Returns,
-) -> Pool:
+    return_times: zones.ReturnTimes,
+) -> CandidatePool:
     """Builds the pool of the candidates of a service.
 
     Args:
       preset: The preset in force, with lookups ``upstreams`` and ``zones``.
       members: Member records of the view.
       service: Name of the service.
-      returns: Times at which zones returned, in seconds.
+      return_times: Times at which zones returned, in seconds.
     """
     evaluated = _evaluate_members(preset, members, service)
     chosen = [
@@ -283,12 +283,12 @@
         for member, eligibility in evaluated
         if eligibility.share > 0
     ]
-    return group_candidates(chosen, returns)
+    return group_candidates(chosen, return_times)
 
 
 def group_candidates(
-    candidates: Iterable[Candidate], returns: zones.Returns
-) -> Pool:
+    candidates: Iterable[Candidate], return_times: zones.ReturnTimes
+) -> CandidatePool:
     """Builds a pool of candidates, ordered by zone and VM."""
     ordered = sorted(candidates, key=lambda c: (c.zone, c.vm))
     groups = []
@@ -296,14 +296,14 @@
         group = tuple(in_zone)
         cumulative_shares = tuple(itertools.accumulate(c.share for c in group))
         groups.append(ZoneGroup(zone, group, cumulative_shares))
-    return Pool(tuple(groups), dict(returns))
+    return CandidatePool(tuple(groups), dict(return_times))
 
 
 def explain(
     preset: Any,
     members: Iterable[Any],
     service: str,
-    returns: zones.Returns,
+    return_times: zones.ReturnTimes,
     loads: load_tables.LoadTable,
     now: float,
 ) -> list[Explanation]:
@@ -313,14 +313,14 @@
       preset: The preset in force.
       members: Member records of the view.
       service: Name of the service.
-      returns: Times at which zones returned, in seconds.
+      return_times: Times at which zones returned, in seconds.
       loads: Loads of members.
       now: Current time in seconds.
     """
     explained = []
     for member, eligibility in _evaluate_members(preset, members, service):
         upstream = preset.upstreams.get(member.upstream)
-        zone_share = zones.compute_share(returns, member.zone, now)
+        zone_share = zones.compute_share(return_times, member.zone, now)
         load = loads.estimate(member.vm, upstream.slots if upstream else 1, now)
         reason = eligibility.reason
         if eligibility.share > 0 and zone_share < 1:
--- a/jayseam/routing/tests/test_matching.py
+++ b/jayseam/routing/tests/test_matching.py
@@ -110,15 +110,17 @@
 )
 def test_only_returned_zones_grow(changes):
     """A zone without a return must keep its whole share."""
-    returns, before, now, returned_at = {}, None, 0.0, {}
+    return_times, before, now, returned_at = {}, None, 0.0, {}
     for after, wait_s in changes:
         now += wait_s
-        returns = zones.update_returns(returns, before, after, now)
+        return_times = zones.update_return_times(
+            return_times, before, after, now
+        )
         if before is not None:
             returned_at.update({zone: now for zone in after - before})
         for zone in after:
             elapsed_s = now - returned_at.get(zone, -100.0)
             share = min(1.0, 0.1 + 0.09 * elapsed_s)
-            got = zones.compute_share(returns, zone, now)
+            got = zones.compute_share(return_times, zone, now)
             assert got == pytest.approx(share)
         before = after
--- a/jayseam/routing/tests/test_selection.py
+++ b/jayseam/routing/tests/test_selection.py
@@ -15,7 +15,7 @@
 
 def _report(loads, vm, load):
     """Stores a report, at time 0, of a load that delays all workspaces."""
-    loads.report(vm, '', load_tables.Report(load, load, load), 0.0)
+    loads.record_report(vm, '', load_tables.ReportedLoad(load, load, load), 0.0)
 
 
 def make_preset(upstreams, out_of_service=(), cold_rate_per_s=0.0):
@@ -54,11 +54,11 @@
     return types.SimpleNamespace(**(values | fields))
 
 
-def make_pool(names, returns=None, **fields):
+def make_pool(names, return_times=None, **fields):
     """Returns a pool of members that all have the same fields."""
     members = [make_member(name, **fields) for name in names]
     preset = make_preset(names)
-    return selection.build_pool(preset, members, 's', returns or {})
+    return selection.build_pool(preset, members, 's', return_times or {})
 
 
 def count_choices(pool, loads, zone='a', now=0.0, calls=4000, **options):
@@ -66,7 +66,7 @@
     rng = random.Random(7)
     counts = collections.Counter()
     for turn in range(calls):
-        draws = [rng.random() for _ in range(selection.DRAWS)]
+        draws = [rng.random() for _ in range(selection.DRAWS_PER_CHOICE)]
         chosen = selection.choose(
             pool, loads, zone, now, draws, turn, **options
         )
@@ -216,14 +216,14 @@
     for _ in range(4):
         loads.start('vm')
     _report(loads, 'vm', 0.6)
-    loads.finish('vm')
+    loads.record_end('vm')
     assert loads.estimate('vm', 10, 0.5) == pytest.approx(0.5)
     loads.start('vm')
     loads.start('vm')
     assert loads.estimate('vm', 10, 0.5) == pytest.approx(0.7)
     assert loads.estimate('vm', 10, 5.0) == pytest.approx(0.6)
     loads.forget('vm')
-    loads.finish('vm')
+    loads.record_end('vm')
     assert loads.estimate('vm', 10, 5.0) == 0.0
 
 
--- a/jayseam/routing/zones.py
+++ b/jayseam/routing/zones.py
@@ -9,10 +9,10 @@
 from typing import Any
 
 INITIAL_SHARE = 0.1
-GROWTH_S = 10.0
+SHARE_GROWTH_S = 10.0
 
 # Time of the last return by zone, in seconds.
-Returns = Mapping[str, float]
+ReturnTimes = Mapping[str, float]
 
 
 def list_in_service(preset: Any) -> frozenset[str]:
@@ -22,24 +22,24 @@
     return frozenset(zone.name for zone in values if zone.in_service)
 
 
-def update_returns(
-    returns: Returns,
+def update_return_times(
+    return_times: ReturnTimes,
     before: Set[str] | None,
     after: Iterable[str],
     now: float,
-) -> Returns:
+) -> ReturnTimes:
     """Returns the times of return after the zones in service changed.
 
     Args:
-      returns: Times of return until now.
+      return_times: Times of return until now.
       before: Zones in service until now; None at the start of the process,
         when no zone counts as returned.
       after: Zones in service from now on.
       now: Current time in seconds.
 
-    >>> update_returns({}, {'a'}, {'a', 'b'}, now=5.0)
+    >>> update_return_times({}, {'a'}, {'a', 'b'}, now=5.0)
     {'b': 5.0}
-    >>> update_returns({'b': 5.0}, {'a', 'b'}, {'a'}, now=6.0)
+    >>> update_return_times({'b': 5.0}, {'a', 'b'}, {'a'}, now=6.0)
     {}
     """
     previous = set(after) if before is None else before
@@ -47,12 +47,12 @@
     for zone in after:
         if zone not in previous:
             updated[zone] = now
-        elif zone in returns and now < returns[zone] + GROWTH_S:
-            updated[zone] = returns[zone]
+        elif zone in return_times and now < return_times[zone] + SHARE_GROWTH_S:
+            updated[zone] = return_times[zone]
     return updated
 
 
-def compute_share(returns: Returns, zone: str, now: float) -> float:
+def compute_share(return_times: ReturnTimes, zone: str, now: float) -> float:
     """Returns the share of a zone in service, from 0.1 to 1.
 
     >>> [compute_share({'b': 5.0}, 'b', now) for now in (5.0, 10.0, 15.0)]
@@ -60,8 +60,8 @@
     >>> compute_share({}, 'a', 5.0)
     1.0
     """
-    returned_at = returns.get(zone)
+    returned_at = return_times.get(zone)
     if returned_at is None:
         return 1.0
-    progress = min(1.0, max(0.0, (now - returned_at) / GROWTH_S))
+    progress = min(1.0, max(0.0, (now - returned_at) / SHARE_GROWTH_S))
     return INITIAL_SHARE + (1.0 - INITIAL_SHARE) * progress
