Name the reactions of the backend client, monitor and gate plainly

Several methods were named by what they hear, notice or say, and not by what they do. Two classes of different packages were called HealthReport.

Rename notice_pause of the health monitor and of its states to ignore_earlier_latencies, that of the client to check_after_pause, hear_listing to apply_listing, notice_start of the gate to restart_ramp, says_not_run to is_not_run and the attribute seal of Dialect to signature_field. The evidence of a health poll is ReportedHealth.

--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -333,7 +333,7 @@
         """Sets the weights of workspaces in the queue."""
         self._queue.set_weights(weights)
 
-    def notice_start(self, now: float) -> None:
+    def restart_ramp(self, now: float) -> None:
         """Restarts the ramp: the backend server started at ``now``."""
         self._ramp = self._ramp.restart(now)
         ends_at = now + self._ramp.duration_s
--- a/jayseam/admission/tests/test_gates.py
+++ b/jayseam/admission/tests/test_gates.py
@@ -97,7 +97,7 @@
             result = 'shed' if operation == 'shed' else 'success'
             permits.pop(number % len(permits)).release(result, now[0])
         elif operation == 'start':
-            gate.notice_start(now[0])
+            gate.restart_ramp(now[0])
             started_at = now[0]
         elif operation == 'wait':
             now[0] += number / 10
@@ -138,7 +138,7 @@
     """A queued call must not wait for a release that may never come."""
     ramp = types.SimpleNamespace(initial_slots=1, duration_s=0.1)
     gate = gates.Gate(2, 10, ramp)
-    gate.notice_start(clocks.read_now())
+    gate.restart_ramp(clocks.read_now())
     gate.acquire(make_ticket(), clocks.read_now())
     waiter = gevent.spawn(gate.acquire, make_ticket(), clocks.read_now())
     waiter.join(0.05)
@@ -258,7 +258,7 @@
     """Measurements compare against a gate without fairness and ramp."""
     bounds = queues.Bounds(total=1)
     gate = gates.Gate(3, 10, RAMP, 'fifo', 'none', bounds)
-    gate.notice_start(1.0)
+    gate.restart_ramp(1.0)
     for _ in range(3):
         gate.acquire(make_ticket(), 1.0)
     waiter = gevent.spawn(gate.acquire, make_ticket(), 1.0)
@@ -300,7 +300,7 @@
         initial_slots=50, duration_s=3.0, rate_per_s=15.0
     )
     gate = gates.Gate(50, 50, ramp, read_now=lambda: now[0])
-    gate.notice_start(now[0])
+    gate.restart_ramp(now[0])
     start_times = []
 
     def call():
@@ -326,7 +326,7 @@
         initial_slots=50, duration_s=3.0, rate_per_s=10.0
     )
     gate = gates.Gate(50, 50, ramp, read_now=lambda: 100.0)
-    gate.notice_start(100.0)
+    gate.restart_ramp(100.0)
     gate.acquire(make_ticket(), 100.0)
     waiting = [
         gevent.spawn(gate.acquire, make_ticket(), 100.0) for _ in range(9)
@@ -341,7 +341,7 @@
     """The VM list may say that a server is cold before the preset arrives."""
     now = [100.0]
     gate = gates.Gate(50, 50, read_now=lambda: now[0])
-    gate.notice_start(now[0])
+    gate.restart_ramp(now[0])
     now[0] = 100.1
     ramp = types.SimpleNamespace(
         initial_slots=50, duration_s=3.0, rate_per_s=10.0
--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -210,7 +210,7 @@
         """Changes the number of connections; calls in progress continue."""
         self._pool.resize(max(1, max_connections - 1))
 
-    def notice_pause(self, now: float, paused_s: float) -> None:
+    def check_after_pause(self, now: float, paused_s: float) -> None:
         """Checks whether the backend server restarted while the node paused.
 
         Only lost connections show such a restart. The pause doesn't count as
@@ -389,7 +389,7 @@
 
         Raises:
           OutcomeUnknownError: If the answer names another request, or is a
-            success without the required seal.
+            success without the required signature field.
         """
         dialect = self._dialect
         echoed = dialect.find(answer.headers, dialect.request_id)
--- a/jayseam/backends/dialects.py
+++ b/jayseam/backends/dialects.py
@@ -30,8 +30,8 @@
         empty for any status.
       misdirected: Status with which a backend server refuses a call for another
         instance; 0 if there is none.
-      seal: Field, such as a signature, that each complete success of a backend
-        server contains.
+      signature_field: Field, such as a signature, that each complete success
+        of a backend server contains.
       cancel_path: Start of the path to which a cancellation is posted; empty if
         closing the connection cancels a call.
       caller_ids: Whether callers choose the ids of calls; otherwise the node
@@ -51,7 +51,7 @@
     not_run_values: tuple[str, ...] = ('not-run',)
     not_run_statuses: tuple[int, ...] = (503,)
     misdirected: int = 0
-    seal: str = ''
+    signature_field: str = ''
     cancel_path: str = '/.backend/cancel/'
     caller_ids: bool = False
     keeps_host: bool = False
@@ -59,14 +59,14 @@
     call_tokens: bool = True
     fractional_delays: bool = False
 
-    def says_not_run(
+    def is_not_run(
         self, status: int, headers: Iterable[tuple[str, str]]
     ) -> bool:
         """Returns whether an answer says that the call has not run.
 
-        >>> DEFAULT.says_not_run(503, [('Shed', 'not-run')])
+        >>> DEFAULT.is_not_run(503, [('Shed', 'not-run')])
         True
-        >>> DEFAULT.says_not_run(500, [('Shed', 'not-run')])
+        >>> DEFAULT.is_not_run(500, [('Shed', 'not-run')])
         False
         """
         if self.misdirected and status == self.misdirected:
@@ -83,12 +83,12 @@
     ) -> bool:
         """Returns whether an answer may be trusted to be the backend server's.
 
-        >>> Dialect(seal='Signature').is_sealed(200, [])
+        >>> Dialect(signature_field='Signature').is_sealed(200, [])
         False
         """
-        if not self.seal or not 200 <= status < 300:
+        if not self.signature_field or not 200 <= status < 300:
             return True
-        return self.find(headers, self.seal) is not None
+        return self.find(headers, self.signature_field) is not None
 
     def find(self, headers: Iterable[tuple[str, str]], name: str) -> str | None:
         """Returns the first value of a field, whatever the case of its name."""
--- a/jayseam/backends/health.py
+++ b/jayseam/backends/health.py
@@ -58,7 +58,7 @@
     be admitted in the meantime.
 
     >>> monitor = HealthMonitor(ramp_s=5.0, on_start=print, on_state=print)
-    >>> monitor.observe(states.HealthReport('ready', 0.0, 7.0), now=7.0)
+    >>> monitor.observe(states.ReportedHealth('ready', 0.0, 7.0), now=7.0)
     7.0
     cold
     """
@@ -75,7 +75,7 @@
         Args:
           ramp_s: Length of the ramp in seconds.
           on_start: Receives the time of each detected start, in seconds;
-            normally `admission.gates.Gate.notice_start`.
+            normally `admission.gates.Gate.restart_ramp`.
           on_state: Receives the name of the state after each change.
           polls: Whether the health endpoint is polled. Otherwise the state is
             derived from calls and from the platform's list.
@@ -102,9 +102,9 @@
         """Applies the current time, which may end the ramp."""
         self._apply(states.tick(self._state, now))
 
-    def notice_pause(self, now: float) -> None:
+    def ignore_earlier_latencies(self, now: float) -> None:
         """Ignores latencies measured across a pause that ended at ``now``."""
-        self._apply(states.notice_pause(self._state, now))
+        self._apply(states.ignore_earlier_latencies(self._state, now))
 
     def set_ramp(self, ramp_s: float) -> None:
         """Changes the length of the ramp, in seconds."""
@@ -120,7 +120,7 @@
         if self._greenlet is not None:
             self._greenlet.kill()
 
-    def hear_listing(self, live: bool, cold: bool, now: float) -> None:
+    def apply_listing(self, live: bool, cold: bool, now: float) -> None:
         """Applies the entry of the backend server in the platform's list."""
         self._listing = states.Listed(live, cold)
         self.observe(self._listing, now)
@@ -143,7 +143,7 @@
             return
         # The status is ignored, because a draining server may answer 503.
         reported_state, load = parse_health(answer.body)
-        evidence = states.HealthReport(reported_state, load, sent_at)
+        evidence = states.ReportedHealth(reported_state, load, sent_at)
         self.observe(evidence, self._read_now())
 
     def _run(self) -> None:
--- a/jayseam/backends/messages.py
+++ b/jayseam/backends/messages.py
@@ -101,7 +101,7 @@
     >>> is_shed(BackendAnswer(503, [('Shed', 'not-run')]))
     True
     """
-    return dialect.says_not_run(answer.status, answer.headers)
+    return dialect.is_not_run(answer.status, answer.headers)
 
 
 def strip_hop_by_hop(headers: Iterable[tuple[str, str]]) -> Headers:
--- a/jayseam/backends/states.py
+++ b/jayseam/backends/states.py
@@ -81,7 +81,7 @@
 
 
 @attrs.frozen
-class HealthReport:
+class ReportedHealth:
     """The health endpoint answered.
 
     Attributes:
@@ -113,7 +113,7 @@
     | ConnectTimedOut
     | Reset
     | AnswerReceived
-    | HealthReport
+    | ReportedHealth
     | Listed
 )
 
@@ -186,7 +186,7 @@
     """Returns the state after a piece of evidence.
 
     >>> state = observe(BackendState(ramp_s=5.0),
-    ...                 HealthReport('ready', 0.0, 1.0), now=1.0)
+    ...                 ReportedHealth('ready', 0.0, 1.0), now=1.0)
     >>> state.name, tick(state, now=6.0).name
     ('cold', 'ready')
     """
@@ -200,7 +200,7 @@
     return state
 
 
-def notice_pause(state: BackendState, now: float) -> BackendState:
+def ignore_earlier_latencies(state: BackendState, now: float) -> BackendState:
     """Returns the state after the node itself was paused until ``now``.
 
     Latencies of calls sent earlier include the pause, so they are ignored.
@@ -296,7 +296,9 @@
 
 
 @_observe.register
-def _(evidence: HealthReport, state: BackendState, now: float) -> BackendState:
+def _(
+    evidence: ReportedHealth, state: BackendState, now: float
+) -> BackendState:
     contacted = _record_contact(state, evidence.sent_at, now)
     same = (
         evidence.state is not None
--- a/jayseam/backends/tests/test_client.py
+++ b/jayseam/backends/tests/test_client.py
@@ -464,7 +464,7 @@
     """After a pause, a node must not take a new process for the old one."""
     backend, client = lose_idle_connection(start)
     if is_paused:
-        client.notice_pause(clocks.read_now(), 1.4)
+        client.check_after_pause(clocks.read_now(), 1.4)
         assert backend.evidence[-1] == states.Reset(survivors=False)
     call(client)
     resets = [e for e in backend.evidence if isinstance(e, states.Reset)]
@@ -480,7 +480,7 @@
     backend, client = lose_idle_connection(start)
     call(client)
     assert states.Reset(survivors=False) not in backend.evidence
-    client.notice_pause(clocks.read_now(), 1.4)
+    client.check_after_pause(clocks.read_now(), 1.4)
     assert backend.evidence[-1] == states.Reset(survivors=False)
 
 
--- a/jayseam/backends/tests/test_states.py
+++ b/jayseam/backends/tests/test_states.py
@@ -17,7 +17,7 @@
 def report_health(state, reported_state, now):
     """Observes a report of the health endpoint."""
     return states.observe(
-        state, states.HealthReport(reported_state, None, now), now
+        state, states.ReportedHealth(reported_state, None, now), now
     )
 
 
@@ -120,7 +120,7 @@
 
 def test_pause_of_the_node_is_no_start():
     """All calls in flight seem slow after the node itself was paused."""
-    state = states.notice_pause(make_ready(), 103.0)
+    state = states.ignore_earlier_latencies(make_ready(), 103.0)
     for _ in range(20):
         state = answer(state, 103.01, latency_s=3.0)
     assert state.starts == 1
--- a/jayseam/calls/requests.py
+++ b/jayseam/calls/requests.py
@@ -85,7 +85,7 @@
 ) -> Headers:
     """Returns the header fields of an answer that may reach a caller."""
     dropped = _ANSWER_ONLY | _list_own_fields(dialect)
-    return _filter_headers(headers, dropped, dialect.seal.lower())
+    return _filter_headers(headers, dropped, dialect.signature_field.lower())
 
 
 @functools.lru_cache(maxsize=8)
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -51,7 +51,7 @@
         )
         self._health = backends.health.HealthMonitor(
             ramp_s=0.0,
-            on_start=self._gate.notice_start,
+            on_start=self._gate.restart_ramp,
             on_state=self._on_state_change,
             polls=settings.backend_health.polls,
         )
@@ -83,8 +83,8 @@
 
     def notice_pause(self, now: float, paused_s: float) -> None:
         """Discards measurements that span a pause of this process."""
-        self._health.notice_pause(now)
-        self._client.notice_pause(now, paused_s)
+        self._health.ignore_earlier_latencies(now)
+        self._client.check_after_pause(now, paused_s)
 
     def apply_preset(self, preset: Any) -> None:
         """Applies slots, connections, ramp and weights of a preset."""
@@ -117,7 +117,7 @@
         self._was_listed = True
         live = entry is not None and entry.state == 'live'
         cold = entry is not None and entry.cold
-        self._health.hear_listing(live, cold, now)
+        self._health.apply_listing(live, cold, now)
 
     def describe(self, now: float) -> dict[str, Any]:
         """Returns state, concurrency limit and load, for ``/status``."""
--- a/jayseam/platform/tests/test_translation.py
+++ b/jayseam/platform/tests/test_translation.py
@@ -278,7 +278,7 @@
 
 def test_a_refusal_of_another_instance_has_not_run():
     """The header field and the status distinguish refusals from failures."""
-    not_run = dialect.DIALECT.says_not_run
+    not_run = dialect.DIALECT.is_not_run
     assert not_run(421, [])
     assert not_run(503, [('Jayseam-Not-Executed', '1')])
     assert not not_run(503, [])
