Name the parts of the call path by what they do

Methods and classes of the call path had names that do not say what they do or that other packages use for other things: judge, EntryParts, BudgetSize, Verdict, KeeperStore, ensure_fresh, keys_usable and set_withdrawn.

Rename them to admit_request, EntryDependencies, RetryBudgetParameters, ClaimVerdict, ClaimStore, wait_for_refresh, are_keys_trusted and refuse_while_withdrawn; further FleetRetryBound, describe_versions, list_attempts_in_flight and compute_keys_age. CallRequest has get_header and build_target. The benchmark times admit_request under its stage label judge.

Only names and the wrapping of lines change; labels, message fields and texts stay.

--- a/jayseam/bench/holdings.py
+++ b/jayseam/bench/holdings.py
@@ -45,7 +45,7 @@
 @FILLERS.register('idempotency record')
 def fill_idempotency_store(count: int) -> Any:
     """Returns an idempotency store with records of small finished answers."""
-    store = calls.keepers.KeeperStore(0, 600.0)
+    store = calls.keepers.ClaimStore(0, 600.0)
     messages = calls.messages
     for number in range(count):
         key, attempt = f'{number:036x}', f'{number:032x}'
--- a/jayseam/bench/stages.py
+++ b/jayseam/bench/stages.py
@@ -37,7 +37,7 @@
 # the method calls.
 STAGES: Mapping[str, tuple[type, str]] = {
     'entry': (application.CallerApplication, '__call__'),
-    'judge': (entry.Entry, 'judge'),
+    'judge': (entry.Entry, 'admit_request'),
     'choose': (choosers.Chooser, 'choose'),
     'link': (manager.LinkManager, 'request'),
     'ingress': (ingress.Ingress, 'handle_forward'),
--- a/jayseam/calls/claims.py
+++ b/jayseam/calls/claims.py
@@ -57,7 +57,7 @@
     def __init__(
         self,
         own_vm: str,
-        store: keepers.KeeperStore,
+        store: keepers.ClaimStore,
         request: Callable[..., Any],
         find_vm: Callable[[str], str | None],
     ):
@@ -90,10 +90,10 @@
                 workspace, key.text, key.created_ms, fingerprint, attempt
             )
             decision = self._send_claim(chosen_keepers, claim, deadline)
-            if decision.verdict is idempotency.Verdict.RUN:
+            if decision.verdict is idempotency.ClaimVerdict.RUN:
                 return ClaimResult(key, chosen_keepers, attempt)
             self.abandon(workspace, ClaimResult(key, chosen_keepers, attempt))
-            if decision.verdict is not idempotency.Verdict.WAIT:
+            if decision.verdict is not idempotency.ClaimVerdict.WAIT:
                 return _resolve_decision(decision, key, chosen_keepers)
             self._wait_while_running(workspace, key, chosen_keepers, deadline)
 
@@ -190,7 +190,7 @@
             if state is not None:
                 states.append(state)
             decision = idempotency.decide_claim(states)
-            if decision.verdict is idempotency.Verdict.RUN:
+            if decision.verdict is idempotency.ClaimVerdict.RUN:
                 return decision
         return idempotency.decide_claim(states)
 
@@ -256,7 +256,7 @@
 
 
 def apply_message(
-    store: keepers.KeeperStore, message: Any, now: float
+    store: keepers.ClaimStore, message: Any, now: float
 ) -> messages.ClaimState | None:
     """Applies a message of an entry to the own records."""
     operations = {
@@ -275,16 +275,16 @@
 ) -> ClaimResult:
     """Returns the earlier answer, or raises the error of the verdict."""
     verdict = decision.verdict
-    if verdict is idempotency.Verdict.JOIN:
+    if verdict is idempotency.ClaimVerdict.JOIN:
         state = decision.settled
         headers = tuple((name, value) for name, value in state.headers)
         answer = requests.CallAnswer(state.status, headers, state.body)
         return ClaimResult(key, chosen_keepers, answer=answer)
-    if verdict is idempotency.Verdict.MISMATCH:
+    if verdict is idempotency.ClaimVerdict.MISMATCH:
         raise errors.IdempotencyMismatchError(
             'the key was used with another request'
         )
-    if verdict is idempotency.Verdict.UNKNOWN:
+    if verdict is idempotency.ClaimVerdict.UNKNOWN:
         raise errors.OutcomeUnknownError(
             'an earlier attempt under this key may have run'
         )
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -102,7 +102,7 @@
 
 
 @attrs.frozen
-class EntryParts:
+class EntryDependencies:
     """Dependencies and settings of an entry.
 
     Attributes:
@@ -115,9 +115,9 @@
       forwarder: Sends an attempt to an ingress.
       coordinator: Claims idempotency keys.
       cancel: Cancels an attempt at a VM. Takes the VM and the attempt.
-      keys_usable: Returns whether the key set may still be trusted. Takes the
-        present time.
-      read_keys_age: Returns the seconds since the key set was confirmed.
+      are_keys_trusted: Returns whether the key set may still be trusted. Takes
+        the present time.
+      compute_keys_age: Returns the seconds since the key set was confirmed.
       window_s: How long records of idempotency keys are kept, in seconds.
       dialect: Header fields of callers and backend servers.
       service: Service of this node's VM, which backend servers receive as the
@@ -136,27 +136,29 @@
     forwarder: Forwarder
     coordinator: claims.ClaimCoordinator
     cancel: Callable[[str, str], None]
-    keys_usable: Callable[[float], bool]
-    read_keys_age: Callable[[float], float]
+    are_keys_trusted: Callable[[float], bool]
+    compute_keys_age: Callable[[float], float]
     window_s: float
     dialect: dialects.Dialect = dialects.DEFAULT
     service: str = ''
-    retry_budget: retries.BudgetSize = retries.BudgetSize()
-    retry_bound: retries.FleetBound = retries.FleetBound()
+    retry_budget: retries.RetryBudgetParameters = (
+        retries.RetryBudgetParameters()
+    )
+    retry_bound: retries.FleetRetryBound = retries.FleetRetryBound()
     draw: Callable[[], float] = random.random
 
 
 class Entry:
     """Runs the calls of callers. A process has one entry."""
 
-    def __init__(self, parts: EntryParts):
-        self._parts = parts
-        self._budgets = retries.RetryBudgets(parts.retry_budget)
+    def __init__(self, dependencies: EntryDependencies):
+        self._dependencies = dependencies
+        self._budgets = retries.RetryBudgets(dependencies.retry_budget)
         self._service_budgets = retries.RetryBudgets(
-            parts.retry_bound.divide(1)
+            dependencies.retry_bound.divide(1)
         )
 
-    def judge(
+    def admit_request(
         self, request: requests.CallRequest, request_id: str, now: float
     ) -> Call:
         """Admits a request; decides its route, caller and deadline.
@@ -165,12 +167,12 @@
           CallError: If the request is refused.
         """
         snapshot = self._require_snapshot()
-        route = self._parts.chooser.match_route(
+        route = self._dependencies.chooser.match_route(
             snapshot.preset, request.method, request.path, request.host
         )
         caller = self._authorize(request, snapshot, route, now)
         wall_ms = clocks.read_wall_ms()
-        field = self._parts.dialect.timeout_ms
+        field = self._dependencies.dialect.timeout_ms
         timeout_ms = _read_timeout_ms(request, field, route.timeout_ms)
         if caller.expires_wall_ms is not None:
             timeout_ms = min(timeout_ms, caller.expires_wall_ms - wall_ms)
@@ -202,14 +204,14 @@
             return self._run_with_retries(call)
         return self._run_at_most_once(call)
 
-    def describe_knowledge(self, now: float) -> dict[str, Any]:
+    def describe_versions(self, now: float) -> dict[str, Any]:
         """Returns the configuration versions in use and the age of the keys."""
-        snapshot = self._parts.read_snapshot()
+        snapshot = self._dependencies.read_snapshot()
         return {
             'preset_version': snapshot.preset_version,
             'keys_version': snapshot.keys_version,
             'vms_version': snapshot.vms_version,
-            'keys_age_s': self._parts.read_keys_age(now),
+            'keys_age_s': self._dependencies.compute_keys_age(now),
         }
 
     def look_up(self, request: requests.CallRequest, text: str, now: float):
@@ -223,15 +225,15 @@
         if caller is None:
             raise errors.KeyRefusedError('a key is needed')
         key = idempotency.parse_key(
-            text, clocks.read_wall_ms(), self._parts.window_s
+            text, clocks.read_wall_ms(), self._dependencies.window_s
         )
         zones = _map_zones(snapshot.preset)
-        return self._parts.coordinator.look_up(
+        return self._dependencies.coordinator.look_up(
             caller.workspace, key, zones, now + 2.0
         )
 
     def _require_snapshot(self) -> Any:
-        snapshot = self._parts.read_snapshot()
+        snapshot = self._dependencies.read_snapshot()
         if snapshot.preset is None or snapshot.keys is None:
             raise errors.NotRunError('no configuration is in force yet', 1.0)
         return snapshot
@@ -242,10 +244,10 @@
         caller = keys.identify_caller(
             request,
             snapshot.keys,
-            self._parts.token_keys,
+            self._dependencies.token_keys,
             clocks.read_wall_ms(),
         )
-        if caller is not None and not self._parts.keys_usable(now):
+        if caller is not None and not self._dependencies.are_keys_trusted(now):
             raise errors.KeysUnconfirmedError(
                 'keys have not been confirmed recently',
                 _UNCONFIRMED_RETRY_AFTER_S,
@@ -274,7 +276,9 @@
         return caller
 
     def _admit(self, workspace: str, deadline: float, now: float) -> None:
-        decision = self._parts.limiter.admit(workspace, 1.0, deadline, now)
+        decision = self._dependencies.limiter.admit(
+            workspace, 1.0, deadline, now
+        )
         if not decision.admitted:
             raise errors.LimitError(
                 'the workspace is over its rate', decision.retry_after_s
@@ -282,11 +286,11 @@
 
     def _run_at_most_once(self, call: Call) -> requests.CallAnswer:
         """Runs a call at most once, under its idempotency key."""
-        coordinator = self._parts.coordinator
+        coordinator = self._dependencies.coordinator
         key = idempotency.parse_key(
-            call.request.header('idempotency-key'),
+            call.request.get_header('idempotency-key'),
             clocks.read_wall_ms(),
-            self._parts.window_s,
+            self._dependencies.window_s,
         )
         workspace = call.caller.workspace
         claim_result = coordinator.claim(
@@ -318,7 +322,7 @@
         If a backend server answers a repeatable call with an error, the call is
         retried elsewhere; the error is returned if there is no better answer.
         """
-        service = self._parts.chooser.draw_service(call.route)
+        service = self._dependencies.chooser.draw_service(call.route)
         self._record_call(call, service, clocks.read_now())
         progress = attempts.Progress()
         for number in range(_MAX_TRIED_VMS):
@@ -360,7 +364,9 @@
     def _record_call(self, call: Call, service: str, now: float) -> None:
         """Counts a call in the retry budgets."""
         nodes = len(call.snapshot.preset.upstreams)
-        self._service_budgets.resize(self._parts.retry_bound.divide(nodes))
+        self._service_budgets.resize(
+            self._dependencies.retry_bound.divide(nodes)
+        )
         self._service_budgets.record_call(service, now)
         self._budgets.record_call(call.caller.workspace, now)
 
@@ -401,7 +407,7 @@
         """
         if error.ran == 'no' and error.status == _SERVICE_UNAVAILABLE:
             wait_s = error.retry_after_s or attempts.UNAVAILABLE_RETRY_AFTER_S
-            wait_s *= 1.0 + _RETRY_AFTER_JITTER * self._parts.draw()
+            wait_s *= 1.0 + _RETRY_AFTER_JITTER * self._dependencies.draw()
             remaining_s = max(0.0, call.deadline - now)
             error.retry_after_s = min(
                 wait_s, remaining_s * _MAX_RETRY_AFTER_SHARE
@@ -411,10 +417,10 @@
     def _choose_vm(
         self, call: Call, service: str, tried_vms: set[str], now: float
     ) -> Any:
-        return self._parts.chooser.choose(
+        return self._dependencies.chooser.choose(
             call.snapshot.preset,
             service,
-            self._parts.read_view(),
+            self._dependencies.read_view(),
             tried_vms,
             now,
             call.caller.workspace,
@@ -434,11 +440,11 @@
     ) -> requests.CallAnswer:
         """Forwards one attempt; returns its answer or raises its error."""
         forward = self._build_forward(call, choice, now)
-        chooser = self._parts.chooser
+        chooser = self._dependencies.chooser
         workspace = call.caller.workspace
         chooser.start_attempt(choice.vm, workspace)
         try:
-            reply = self._parts.forwarder(
+            reply = self._dependencies.forwarder(
                 choice.vm, forward, call.deadline - now
             )
             report = loads.ReportedLoad(
@@ -458,7 +464,7 @@
                 chooser.record_failure(choice.vm, failed_at)
             raise errors.OutcomeUnknownError('the reply was lost') from error
         except errors.CallerGoneError:
-            self._parts.cancel(choice.vm, forward.attempt)
+            self._dependencies.cancel(choice.vm, forward.attempt)
             raise
         finally:
             chooser.finish_attempt(choice.vm, workspace)
@@ -498,7 +504,7 @@
         Where there are no call tokens but callers have workspaces, only nested
         calls, which backend servers make, come without credentials.
         """
-        if self._parts.dialect.call_tokens:
+        if self._dependencies.dialect.call_tokens:
             return caller.depth > 0
         return bool(preset.workspaces) and not caller.workspace
 
@@ -506,7 +512,7 @@
         self, call: Call, choice: Any, now: float
     ) -> messages.Forward:
         caller = call.caller
-        dialect = self._parts.dialect
+        dialect = self._dependencies.dialect
         headers = requests.filter_request_headers(call.request.headers, dialect)
         remaining_ms = int((call.deadline - now) * 1000)
         run_ms = max(
@@ -516,8 +522,10 @@
             (dialect.request_id.lower(), call.request_id),
             (dialect.timeout_ms.lower(), str(run_ms)),
         ]
-        if dialect.caller_service and self._parts.service:
-            added.append((dialect.caller_service.lower(), self._parts.service))
+        if dialect.caller_service and self._dependencies.service:
+            added.append(
+                (dialect.caller_service.lower(), self._dependencies.service)
+            )
         if caller.workspace:
             added.append((dialect.workspace.lower(), caller.workspace))
         if caller.workspace and dialect.call_tokens:
@@ -531,7 +539,7 @@
             added.append(
                 (
                     keys.TOKEN_HEADER,
-                    tokens.mint_token(self._parts.token_keys[0], token),
+                    tokens.mint_token(self._dependencies.token_keys[0], token),
                 )
             )
         return messages.Forward(
@@ -547,7 +555,7 @@
             preset_version=call.snapshot.preset_version,
             keys_version=call.snapshot.keys_version,
             method=call.request.method,
-            target=call.request.target(),
+            target=call.request.build_target(),
             headers=[list(pair) for pair in (*headers, *added)],
             body=call.request.body,
             rank=self._compute_rank(call),
@@ -642,7 +650,7 @@
     Raises:
       BadRequestError: If the field is not a positive whole number.
     """
-    text = request.header(field.lower())
+    text = request.get_header(field.lower())
     if text is None:
         return max_ms
     if not text.isascii() or not text.isdigit() or int(text) == 0:
--- a/jayseam/calls/idempotency.py
+++ b/jayseam/calls/idempotency.py
@@ -102,13 +102,13 @@
 def compute_fingerprint(request: requests.CallRequest) -> str:
     """Returns a digest that identifies repeats of ``request``."""
     digest = hashlib.blake2b(digest_size=16)
-    for part in (request.method, request.target()):
+    for part in (request.method, request.build_target()):
         digest.update(part.encode() + b'\0')
     digest.update(request.body)
     return digest.hexdigest()
 
 
-class Verdict(enum.Enum):
+class ClaimVerdict(enum.Enum):
     """What the replies of the keepers allow an attempt to do.
 
     RUN: run the call. JOIN: return the stored answer of an earlier attempt.
@@ -127,9 +127,9 @@
 
 @attrs.frozen
 class Decision:
-    """A verdict and, for `Verdict.JOIN`, the state with the stored answer."""
+    """A verdict and, for `JOIN`, the state with the stored answer."""
 
-    verdict: Verdict
+    verdict: ClaimVerdict
     settled: messages.ClaimState | None = None
 
 
@@ -147,16 +147,16 @@
     for reply in replies:
         by_state.setdefault(reply.state, []).append(reply)
     if len(by_state.get('granted', ())) >= MAJORITY:
-        return Decision(Verdict.RUN)
+        return Decision(ClaimVerdict.RUN)
     if 'mismatch' in by_state:
-        return Decision(Verdict.MISMATCH)
+        return Decision(ClaimVerdict.MISMATCH)
     if 'settled' in by_state:
         return _decide_settled(by_state['settled'])
     if 'running' in by_state:
-        return Decision(Verdict.WAIT)
+        return Decision(ClaimVerdict.WAIT)
     if 'unconfirmed' in by_state:
-        return Decision(Verdict.UNKNOWN)
-    return Decision(Verdict.REFUSE)
+        return Decision(ClaimVerdict.UNKNOWN)
+    return Decision(ClaimVerdict.REFUSE)
 
 
 def _decide_settled(states: Sequence[messages.ClaimState]) -> Decision:
@@ -166,5 +166,5 @@
     """
     for state in states:
         if state.status:
-            return Decision(Verdict.JOIN, state)
-    return Decision(Verdict.UNKNOWN)
+            return Decision(ClaimVerdict.JOIN, state)
+    return Decision(ClaimVerdict.UNKNOWN)
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -44,8 +44,9 @@
       read_snapshot: Returns the configuration in force.
       gate: Admission gate of the own backend server.
       backend: Client of the own backend server.
-      ensure_fresh: After a pause of the process, waits until the configuration
-        is up to date again. Takes and returns the time in seconds.
+      wait_for_refresh: After a pause of the process, waits until the
+        configuration is up to date again. Takes and returns the time in
+        seconds.
       dialect: Header fields that the backend server understands.
     """
 
@@ -55,14 +56,14 @@
         read_snapshot: Callable[[], Any],
         gate: admission.gates.Gate,
         backend: backends.client.BackendClient,
-        ensure_fresh: Callable[[float], float],
+        wait_for_refresh: Callable[[float], float],
         dialect: backends.dialects.Dialect = backends.dialects.DEFAULT,
     ):
         self._identity = identity
         self._read_snapshot = read_snapshot
         self._gate = gate
         self._backend = backend
-        self._ensure_fresh = ensure_fresh
+        self._wait_for_refresh = wait_for_refresh
         self._dialect = dialect
         self._running: dict[str, gevent.Greenlet] = {}
         self._request_ids: dict[str, str] = {}
@@ -74,7 +75,7 @@
         """Number of calls that are queued or running."""
         return len(self._running)
 
-    def running_attempts(self) -> dict[str, str]:
+    def list_attempts_in_flight(self) -> dict[str, str]:
         """Returns the request id of each attempt in flight."""
         return dict(self._request_ids)
 
@@ -82,7 +83,7 @@
         """Refuses forwarded calls from now on; accepted calls still finish."""
         self._leaving = True
 
-    def set_withdrawn(self, withdrawn: bool) -> None:
+    def refuse_while_withdrawn(self, withdrawn: bool) -> None:
         """Sets whether the VM is withdrawn and refuses new and queued calls."""
         self._withdrawn = withdrawn
 
@@ -252,7 +253,7 @@
         When a paused process resumes, a free slot admits a waiting call before
         the process has received the versions published during the pause.
         """
-        if self._ensure_fresh(clocks.read_now()) >= deadline:
+        if self._wait_for_refresh(clocks.read_now()) >= deadline:
             raise errors.NotRunError('the deadline has passed')
         self._check_validity(forward)
 
--- a/jayseam/calls/keepers.py
+++ b/jayseam/calls/keepers.py
@@ -34,7 +34,7 @@
     abandoned: set[str] = attrs.field(factory=set)
 
 
-class KeeperStore:
+class ClaimStore:
     """Stores which attempt holds each key, and the outcome of the attempt.
 
     The store does no input or output and reads no clock: each method takes
--- a/jayseam/calls/keys.py
+++ b/jayseam/calls/keys.py
@@ -44,7 +44,7 @@
         backend servers or their logs.
       BadRequestError: If the field occurs twice or has another scheme.
     """
-    if request.header('x-api-key') is not None:
+    if request.get_header('x-api-key') is not None:
         raise errors.KeyMisplacedError('use the Authorization header')
     if request.query and _has_key_parameter(request.query):
         raise errors.KeyMisplacedError('a key must not stand in the query')
@@ -68,7 +68,7 @@
     secret = key.partition('.')[2]
     if not secret:
         return
-    target = urllib.parse.unquote(request.target())
+    target = urllib.parse.unquote(request.build_target())
     copies = [v for name, v in request.headers if name != 'authorization']
     if any(secret in text for text in (target, *copies)):
         raise errors.KeyMisplacedError('the key stands outside Authorization')
@@ -92,7 +92,7 @@
       KeyRefusedError: If the credentials are unknown, expired or withdrawn.
     """
     key = extract_key(request)
-    text = request.header(TOKEN_HEADER)
+    text = request.get_header(TOKEN_HEADER)
     if text is not None:
         token = tokens.verify_token(token_keys, text, wall_ms)
         if not is_key_valid(key_set, token.key_id, token.workspace):
--- a/jayseam/calls/requests.py
+++ b/jayseam/calls/requests.py
@@ -33,7 +33,7 @@
     headers: Headers
     body: bytes
 
-    def header(self, name: str) -> str | None:
+    def get_header(self, name: str) -> str | None:
         """Returns the value of the first field called ``name``."""
         for key, value in self.headers:
             if key == name:
@@ -43,10 +43,10 @@
     @property
     def host(self) -> str:
         """Value of ``Host`` in lower case, without a port."""
-        text = (self.header('host') or '').lower()
+        text = (self.get_header('host') or '').lower()
         return text if text.endswith(']') else text.partition(':')[0]
 
-    def target(self) -> str:
+    def build_target(self) -> str:
         """Returns path and query in the form of a request line."""
         return f'{self.path}?{self.query}' if self.query else self.path
 
--- a/jayseam/calls/retries.py
+++ b/jayseam/calls/retries.py
@@ -16,7 +16,7 @@
 
 
 @attrs.frozen
-class BudgetSize:
+class RetryBudgetParameters:
     """Parameters of the retry budget of one workspace or service at a node.
 
     Attributes:
@@ -32,7 +32,7 @@
 
 
 @attrs.frozen
-class FleetBound:
+class FleetRetryBound:
     """Bound on the retries of all nodes to a service in any time window.
 
     Attributes:
@@ -43,22 +43,22 @@
     share: float | None = None
     slack: float = 0.0
 
-    def divide(self, nodes: int) -> BudgetSize:
+    def divide(self, nodes: int) -> RetryBudgetParameters:
         """Returns the size of each node's budget for a service.
 
         Nothing accrues with time, so the sum over all nodes stays within the
         bound as long as the number of nodes is at most the slack. With more
         nodes, each may still hold one retry; otherwise none could retry at all.
 
-        >>> FleetBound(0.2, 60.0).divide(12)
-        BudgetSize(share=0.2, max_saved=5.0, min_per_s=0.0)
-        >>> FleetBound().divide(12).max_saved
+        >>> FleetRetryBound(0.2, 60.0).divide(12)
+        RetryBudgetParameters(share=0.2, max_saved=5.0, min_per_s=0.0)
+        >>> FleetRetryBound().divide(12).max_saved
         inf
         """
         if self.share is None:
-            return BudgetSize(0.0, math.inf, 0.0)
+            return RetryBudgetParameters(0.0, math.inf, 0.0)
         slack_per_node = self.slack / max(1, nodes)
-        return BudgetSize(self.share, max(1.0, slack_per_node), 0.0)
+        return RetryBudgetParameters(self.share, max(1.0, slack_per_node), 0.0)
 
 
 @attrs.frozen
@@ -74,7 +74,7 @@
     0.0
     """
 
-    size: BudgetSize = BudgetSize()
+    size: RetryBudgetParameters = RetryBudgetParameters()
     saved: float = attrs.field(
         default=attrs.Factory(lambda self: self.size.max_saved, takes_self=True)
     )
@@ -115,11 +115,11 @@
     True
     """
 
-    def __init__(self, size: BudgetSize = BudgetSize()):
+    def __init__(self, size: RetryBudgetParameters = RetryBudgetParameters()):
         self._size = size
         self._budgets: dict[str, RetryBudget] = {}
 
-    def resize(self, size: BudgetSize) -> None:
+    def resize(self, size: RetryBudgetParameters) -> None:
         """Changes the size of all budgets."""
         if size == self._size:
             return
--- a/jayseam/calls/tests/test_claims.py
+++ b/jayseam/calls/tests/test_claims.py
@@ -21,11 +21,11 @@
     """Three keepers, one at each upstream position, with injected failures."""
 
     def __init__(self):
-        self.stores = {name: keepers.KeeperStore(0, WINDOW_S) for name in ZONES}
+        self.stores = {name: keepers.ClaimStore(0, WINDOW_S) for name in ZONES}
         self.failures = {}
         self.coordinator = claims.ClaimCoordinator(
             'entry',
-            keepers.KeeperStore(0, WINDOW_S),
+            keepers.ClaimStore(0, WINDOW_S),
             self.request,
             lambda upstream: upstream,
         )
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -72,13 +72,13 @@
 class _Harness:
     """An entry whose ingresses give prepared replies."""
 
-    def __init__(self, replies, saved=0.0, call_tokens=True, **parts):
+    def __init__(self, replies, saved=0.0, call_tokens=True, **dependencies):
         self.tried_vms = []
         self.forwards = []
         self._replies = replies
         self.chooser = _Chooser(list(replies))
         self.entry = entry.Entry(
-            entry.EntryParts(
+            entry.EntryDependencies(
                 own_vm='a',
                 token_keys=(b'k',),
                 read_snapshot=None,
@@ -88,13 +88,13 @@
                 forwarder=self._forward,
                 coordinator=None,
                 cancel=None,
-                keys_usable=None,
-                read_keys_age=None,
+                are_keys_trusted=None,
+                compute_keys_age=None,
                 window_s=1.0,
-                retry_budget=retries.BudgetSize(0.0, saved, 0.0),
+                retry_budget=retries.RetryBudgetParameters(0.0, saved, 0.0),
                 draw=lambda: 0.0,
                 dialect=dialects.Dialect(call_tokens=call_tokens),
-                **parts,
+                **dependencies,
             )
         )
 
@@ -233,7 +233,7 @@
     harness = _Harness(
         {'a': _SHED, 'b': _SHED},
         saved=10.0,
-        retry_bound=retries.FleetBound(0.0, 3.0),
+        retry_bound=retries.FleetRetryBound(0.0, 3.0),
     )
     for _ in range(10):
         with pytest.raises(errors.NotRunError):
--- a/jayseam/calls/tests/test_idempotency.py
+++ b/jayseam/calls/tests/test_idempotency.py
@@ -21,7 +21,7 @@
 
 
 def make_store(started_wall_ms=WALL_MS):
-    return keepers.KeeperStore(started_wall_ms, WINDOW_S)
+    return keepers.ClaimStore(started_wall_ms, WINDOW_S)
 
 
 @pytest.mark.parametrize(
@@ -64,7 +64,7 @@
 
 def test_full_keeper_forgets_nothing():
     """Evicting a record would allow a second run within the window."""
-    store = keepers.KeeperStore(WALL_MS, WINDOW_S, max_records=1)
+    store = keepers.ClaimStore(WALL_MS, WINDOW_S, max_records=1)
     store.claim(make_claim('a1'), 0.0)
     other = messages.Claim('w1', 'other', KEY_MS, 'f', 'a2')
     assert store.claim(other, 1.0).state == 'unknown'
@@ -79,7 +79,7 @@
     store.settle(messages.Settle('w1', 'key', 'a1', 201, [], b'x'), 0.1)
     state = store.claim(make_claim('a2'), 0.2)
     decision = idempotency.decide_claim([state])
-    assert decision.verdict is idempotency.Verdict.JOIN
+    assert decision.verdict is idempotency.ClaimVerdict.JOIN
     assert decision.settled.body == b'x'
     assert store.claim(make_claim('a3', 'f2'), 0.3).state == 'mismatch'
 
@@ -106,7 +106,7 @@
             if rng.random() < 0.8:
                 replies.append(state)
         verdict = idempotency.decide_claim(replies).verdict
-        if verdict is idempotency.Verdict.RUN:
+        if verdict is idempotency.ClaimVerdict.RUN:
             runs += 1
         else:
             withdrawal = messages.Abandon('w1', 'key', claim.attempt)
--- a/jayseam/calls/tests/test_retries.py
+++ b/jayseam/calls/tests/test_retries.py
@@ -17,7 +17,7 @@
 def test_a_fleet_keeps_the_bound_of_a_service(nodes, slack):
     """After a calm phase, most servers of a service shed for ten seconds."""
     generator = random.Random(nodes)
-    size = retries.FleetBound(_SHARE, slack).divide(nodes)
+    size = retries.FleetRetryBound(_SHARE, slack).divide(nodes)
     workspaces = [f'w{number}' for number in range(79)]
     fleet = [
         (retries.RetryBudgets(), retries.RetryBudgets(size))
@@ -40,7 +40,7 @@
 
 def test_a_smaller_part_of_the_slack_takes_effect_at_once():
     """When VMs join, the share of each node becomes smaller."""
-    bound = retries.FleetBound(0.0, 12.0)
+    bound = retries.FleetRetryBound(0.0, 12.0)
     budgets = retries.RetryBudgets(bound.divide(2))
     assert budgets.spend('s', 1.0)
     budgets.resize(bound.divide(6))
--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -148,7 +148,7 @@
                 'ran': error.ran,
                 'reason': error.detail,
                 'retry_after_s': error.retry_after_s,
-                **self._entry.describe_knowledge(clocks.read_now()),
+                **self._entry.describe_versions(clocks.read_now()),
             },
         )
 
@@ -169,16 +169,16 @@
         request = callers.read_request(environ)
         if not request_id:
             raise errors.BadRequestError('the request has no identifier')
-        if self._draining and request.header(keys.TOKEN_HEADER) is None:
+        if self._draining and request.get_header(keys.TOKEN_HEADER) is None:
             raise errors.NotRunError(
                 'this node is shutting down', _STOP_RETRY_AFTER_S
             )
         if len(self._request_ids) > MAX_CALLS_IN_FLIGHT:
             raise errors.NotRunError('this node has too many calls', 1.0)
-        now = self._guard.ensure_fresh(clocks.read_now())
+        now = self._guard.wait_for_refresh(clocks.read_now())
         if request.path.startswith(_OUTCOMES_PREFIX):
             return self._look_up_outcome(request, now)
-        call = self._entry.judge(request, request_id, now)
+        call = self._entry.admit_request(request, request_id, now)
         return self._run_call(environ, call, now)
 
     def _run_call(
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -154,7 +154,7 @@
             self._incarnation,
             lambda: self._distribution.current,
             lambda state: self._membership.set_own(backend=state),
-            self._ensure_fresh,
+            self._wait_for_refresh,
             self._dialect,
         )
         self._ingress = self._backend.ingress
@@ -175,7 +175,7 @@
         )
         if settings.limits.tolerance:
             self._limits.set_tolerance(settings.limits.tolerance)
-        self._store = calls.keepers.KeeperStore(
+        self._store = calls.keepers.ClaimStore(
             clocks.read_wall_ms(), settings.idempotency.window_s
         )
         self._chooser = calls.choosers.Chooser(
@@ -192,7 +192,7 @@
             self._find_holder,
         )
         self._entry = calls.entry.Entry(
-            calls.entry.EntryParts(
+            calls.entry.EntryDependencies(
                 own_vm=settings.vm,
                 token_keys=tuple(
                     calls.tokens.derive_token_key(secret)
@@ -205,15 +205,15 @@
                 forwarder=self._forward,
                 coordinator=coordinator,
                 cancel=self._cancel,
-                keys_usable=self._keys_usable,
-                read_keys_age=self._read_keys_age,
+                are_keys_trusted=self._are_keys_trusted,
+                compute_keys_age=self._compute_keys_age,
                 window_s=settings.idempotency.window_s,
                 dialect=self._dialect,
                 service=settings.service,
-                retry_budget=calls.retries.BudgetSize(
+                retry_budget=calls.retries.RetryBudgetParameters(
                     settings.retries.share, settings.retries.max_saved
                 ),
-                retry_bound=calls.retries.FleetBound(
+                retry_bound=calls.retries.FleetRetryBound(
                     settings.retries.fleet_share, settings.retries.fleet_slack
                 ),
             )
@@ -350,7 +350,10 @@
     def _log_aborted_calls(self) -> None:
         for request_id in self._application.list_in_flight():
             _log.error('node.call_cut', extra={'request_id': request_id})
-        for attempt, request_id in self._ingress.running_attempts().items():
+        for (
+            attempt,
+            request_id,
+        ) in self._ingress.list_attempts_in_flight().items():
             _log.error(
                 'node.attempt_cut',
                 extra={'attempt': attempt, 'request_id': request_id},
@@ -390,7 +393,7 @@
         """Refuses new calls while the platform lists this VM as leaving."""
         entry = vm_list.by_name.get(self._settings.vm)
         withdrawn = entry is not None and entry.state == 'leaving'
-        self._ingress.set_withdrawn(withdrawn)
+        self._ingress.refuse_while_withdrawn(withdrawn)
         if self._lifecycle.state != 'leaving':
             self._membership.set_own(state='leaving' if withdrawn else 'alive')
 
@@ -411,9 +414,9 @@
         finally:
             self._lifecycle.try_advance('refreshed')
 
-    def _ensure_fresh(self, now: float) -> float:
+    def _wait_for_refresh(self, now: float) -> float:
         """Waits for the refresh after a pause; returns the time afterwards."""
-        return self._guard.ensure_fresh(now)
+        return self._guard.wait_for_refresh(now)
 
     def _sync_with_peers(self) -> bool:
         """Asks peers for their versions.
@@ -471,10 +474,12 @@
         record = self._membership.view.holder(upstream)
         return None if record is None else record.vm
 
-    def _keys_usable(self, now: float) -> bool:
-        return self._read_keys_age(now) <= self._settings.keys.max_unconfirmed_s
+    def _are_keys_trusted(self, now: float) -> bool:
+        return (
+            self._compute_keys_age(now) <= self._settings.keys.max_unconfirmed_s
+        )
 
-    def _read_keys_age(self, now: float) -> float:
+    def _compute_keys_age(self, now: float) -> float:
         """Returns the seconds since the source confirmed the keys."""
         age_s = self._distribution.compute_confirmation_age('keys', now)
         return round(now - self._started_at if age_s is None else age_s, 3)
@@ -509,7 +514,7 @@
     def _on_forward(
         self, peer: links.handlers.PeerInfo, forward: messages.Forward
     ) -> messages.Answered | messages.Refused:
-        self._guard.ensure_fresh(clocks.read_now())
+        self._guard.wait_for_refresh(clocks.read_now())
         self._distribution.note_peer_version(
             peer.vm, 'preset', forward.preset_version
         )
@@ -528,7 +533,7 @@
         self, peer: links.handlers.PeerInfo, message: Any
     ) -> messages.ClaimState | None:
         del peer
-        now = self._guard.ensure_fresh(clocks.read_now())
+        now = self._guard.wait_for_refresh(clocks.read_now())
         return calls.claims.apply_message(self._store, message, now)
 
     # Documents for operators.
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -24,7 +24,7 @@
       read_snapshot: Returns the configuration in force.
       publish_state: Publishes a new state of the backend server to the other
         members.
-      ensure_fresh: Waits for the refresh after a pause of the process, if
+      wait_for_refresh: Waits for the refresh after a pause of the process, if
         there was one; takes and returns the time in seconds.
       dialect: Names of the header fields that the backend server uses.
     """
@@ -35,7 +35,7 @@
         incarnation: int,
         read_snapshot: Callable[[], Any],
         publish_state: Callable[[str], None],
-        ensure_fresh: Callable[[float], float],
+        wait_for_refresh: Callable[[float], float],
         dialect: backends.dialects.Dialect = backends.dialects.DEFAULT,
     ):
         self._vm = settings.vm
@@ -68,7 +68,7 @@
             read_snapshot,
             self._gate,
             self._client,
-            ensure_fresh,
+            wait_for_refresh,
             dialect,
         )
 
--- a/jayseam/node/pauses.py
+++ b/jayseam/node/pauses.py
@@ -52,7 +52,7 @@
         if self._greenlet is not None:
             self._greenlet.kill()
 
-    def ensure_fresh(self, now: float) -> float:
+    def wait_for_refresh(self, now: float) -> float:
         """Waits for the refresh after a pause; returns the time afterwards.
 
         Without a pause, returns ``now`` at once. After a pause a call may be
