Name registry, ticker, socket and address functions by what they do

Registry.names and LinkAddress.advertised were methods with names of attributes; refuse_connections and wait_tick did not say what happens to the connections or what is waited for.

Rename them to list_names, get_advertised_address, drop_new_connections and sleep_until_tick.

Only names and the wrapping of lines change.

--- a/jayseam/backends/health.py
+++ b/jayseam/backends/health.py
@@ -156,7 +156,7 @@
             except Exception:  # pylint: disable=broad-exception-caught
                 # One faulty poll must not end the task.
                 _log.exception('backend.poll_failed')
-            tickers.wait_tick(POLL_INTERVAL_S)
+            tickers.sleep_until_tick(POLL_INTERVAL_S)
 
     def _apply(self, state: states.BackendState) -> None:
         before, self._state = self._state, state
--- a/jayseam/bench/holdings.py
+++ b/jayseam/bench/holdings.py
@@ -168,7 +168,7 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Prints the growth of memory for one kind and number of entries."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('kind', choices=FILLERS.names())
+    parser.add_argument('kind', choices=FILLERS.list_names())
     parser.add_argument('count', type=int)
     options = parser.parse_args(arguments)
     print(json.dumps(measure_growth(options.kind, options.count)))
--- a/jayseam/bench/main.py
+++ b/jayseam/bench/main.py
@@ -34,7 +34,7 @@
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Runs the program; returns 1 if an experiment fails or misses a target."""
-    names = experiments.experiments.names()
+    names = experiments.experiments.list_names()
     parser = argparse.ArgumentParser(
         prog='jayseam-bench',
         description='Measures deployments on loopback against their targets.',
--- a/jayseam/bench/tests/test_reports.py
+++ b/jayseam/bench/tests/test_reports.py
@@ -41,7 +41,7 @@
 
 def test_all_results_are_reported_and_written(fake, tmp_path, capsys):
     """A failed experiment must neither stop the others nor pass."""
-    results = reports.run_experiments(fake.names(), 5, tmp_path, plot=True)
+    results = reports.run_experiments(fake.list_names(), 5, tmp_path, plot=True)
     assert {r.name: r.passed for r in results} == {
         'broken': False,
         'missing': False,
--- a/jayseam/core/registries.py
+++ b/jayseam/core/registries.py
@@ -49,12 +49,12 @@
           UnknownVariantError: If no variant has that name.
         """
         if name not in self._variants:
-            known = ', '.join(self.names())
+            known = ', '.join(self.list_names())
             raise errors.UnknownVariantError(
                 f'unknown {self._kind} {name!r}; known: {known}'
             )
         return self._variants[name]
 
-    def names(self) -> Sequence[str]:
+    def list_names(self) -> Sequence[str]:
         """Returns the registered names in alphabetical order."""
         return sorted(self._variants)
--- a/jayseam/core/sockets.py
+++ b/jayseam/core/sockets.py
@@ -19,7 +19,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
-def refuse_connections(listener: socket.socket) -> None:
+def drop_new_connections(listener: socket.socket) -> None:
     """Makes the kernel drop all packets that reach a listening socket.
 
     Connections in the backlog remain, so that a server can accept all of them
--- a/jayseam/core/tickers.py
+++ b/jayseam/core/tickers.py
@@ -29,6 +29,6 @@
     return period_s - now % period_s
 
 
-def wait_tick(period_s: float) -> None:
+def sleep_until_tick(period_s: float) -> None:
     """Sleeps until the next common instant of loops with this period."""
     gevent.sleep(compute_wait(period_s, clocks.read_now() + _OFFSET_S))
--- a/jayseam/distribution/models.py
+++ b/jayseam/distribution/models.py
@@ -338,7 +338,9 @@
     >>> sorted(outcomes)
     ['all-watch', 'gossip', 'hybrid', 'tree']
     """
-    return {name: DESIGNS.get(name)(scenario).run() for name in DESIGNS.names()}
+    return {
+        name: DESIGNS.get(name)(scenario).run() for name in DESIGNS.list_names()
+    }
 
 
 def main() -> None:
--- a/jayseam/limits/models/__main__.py
+++ b/jayseam/limits/models/__main__.py
@@ -40,12 +40,12 @@
         nargs='+',
         metavar='NAME',
         help='default: all',
-        choices=strategies.registry.names(),
+        choices=strategies.registry.list_names(),
     )
     parser.add_argument(
         '--weights',
         default='none',
-        choices=weightings.registry.names(),
+        choices=weightings.registry.list_names(),
         help='zone weights of the preset, derived from the skew of the load',
     )
     options = parser.parse_args(arguments)
--- a/jayseam/limits/models/scenarios.py
+++ b/jayseam/limits/models/scenarios.py
@@ -228,5 +228,5 @@
             seed, name, scenario, nodes, zones, loads, duration_s, weighting
         )
         for scenario in SCENARIOS
-        for name in names or strategies.registry.names()
+        for name in names or strategies.registry.list_names()
     ]
--- a/jayseam/limits/task.py
+++ b/jayseam/limits/task.py
@@ -228,7 +228,7 @@
             except Exception:  # pylint: disable=broad-exception-caught
                 # The loop must continue: the limits of the node depend on it.
                 _log.exception('limits.poll_failed')
-            tickers.wait_tick(POLL_S)
+            tickers.sleep_until_tick(POLL_S)
 
     def _poll(self, now: float) -> None:
         self._latest_now = max(self._latest_now, now)
--- a/jayseam/limits/tests/test_models.py
+++ b/jayseam/limits/tests/test_models.py
@@ -113,7 +113,7 @@
     assert result.overshoot == 0.0
 
 
-@pytest.mark.parametrize('weighting', models.weightings.registry.names())
+@pytest.mark.parametrize('weighting', models.weightings.registry.list_names())
 def test_zone_weights_change_nothing_without_a_cut(weighting):
     """Entries draw from all cells, so wrong weights must refuse nothing."""
     result = models.scenarios.run_scenario(
@@ -193,7 +193,7 @@
 
 def test_unknown_strategy_is_named():
     """The error for an unknown strategy lists exactly these names."""
-    assert strategies.registry.names() == [
+    assert strategies.registry.list_names() == [
         'escrow',
         'owner',
         'replicated',
--- a/jayseam/limits/tests/test_task.py
+++ b/jayseam/limits/tests/test_task.py
@@ -76,7 +76,7 @@
         return self.tasks[vm].admit('w', 1.0, now + timeout_s, now)
 
 
-@pytest.mark.parametrize('strategy', strategies.registry.names())
+@pytest.mark.parametrize('strategy', strategies.registry.list_names())
 def test_call_within_rate_is_admitted(strategy):
     """A call that finds no token must wait for a token, not be refused."""
     with _Fleet(3, strategy) as fleet:
@@ -89,7 +89,7 @@
             assert admission.waited_s < 0.1
 
 
-@pytest.mark.parametrize('strategy', strategies.registry.names())
+@pytest.mark.parametrize('strategy', strategies.registry.list_names())
 def test_a_tolerance_may_be_set_with_every_strategy(strategy):
     """Settings may name a tolerance that the strategy doesn't use."""
     fleet = _Fleet(1, strategy)
--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -426,7 +426,7 @@
     def _run_ticks(self) -> None:
         last_idle = clocks.read_now()
         while True:
-            tickers.wait_tick(connections.TICK_S)
+            tickers.sleep_until_tick(connections.TICK_S)
             now = clocks.read_now()
             late_s = now - self._ticked_at - connections.TICK_S
             if late_s > _LATE_TICK_S:
--- a/jayseam/membership/task.py
+++ b/jayseam/membership/task.py
@@ -345,7 +345,7 @@
 
     def _run_ticks(self) -> None:
         while True:
-            tickers.wait_tick(detection.TICK_S)
+            tickers.sleep_until_tick(detection.TICK_S)
             self._send_unless_stopped(events.Tick())
 
     def _run_heartbeats(self) -> None:
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -164,7 +164,7 @@
         Args:
           timeout_s: Longest wait for callers to disconnect, in seconds.
         """
-        sockets.refuse_connections(self.socket)
+        sockets.drop_new_connections(self.socket)
         while select.select([self.socket.fileno()], [], [], 0)[0]:
             self._do_read()
         self.stop()
@@ -183,7 +183,7 @@
         of the processor time of the call path.
         """
         while self.started or self.open_connections:
-            tickers.wait_tick(_HEADER_SWEEP_INTERVAL_S)
+            tickers.sleep_until_tick(_HEADER_SWEEP_INTERVAL_S)
             oldest_start = clocks.read_now() - _READ_TIMEOUT_S
             for handler, started_at in list(self.header_read_starts.items()):
                 if started_at < oldest_start + _HEADER_SWEEP_INTERVAL_S:
@@ -302,7 +302,7 @@
 
     def _run(self) -> None:
         while True:
-            tickers.wait_tick(_DISCONNECT_POLL_S)
+            tickers.sleep_until_tick(_DISCONNECT_POLL_S)
             if self._greenlets_by_fd:
                 self._interrupt_disconnected()
 
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -102,7 +102,7 @@
             codec=settings.codec,
             listen=settings.link.as_tuple(),
         )
-        host, port = settings.link.advertised()
+        host, port = settings.link.get_advertised_address()
         own_record = membership.records.MemberRecord(
             vm=settings.vm,
             upstream=settings.upstream,
--- a/jayseam/node/pauses.py
+++ b/jayseam/node/pauses.py
@@ -67,7 +67,7 @@
 
     def _run(self) -> None:
         while True:
-            tickers.wait_tick(TICK_INTERVAL_S)
+            tickers.sleep_until_tick(TICK_INTERVAL_S)
             now = clocks.read_now()
             if detect_pause(self._last_tick, now):
                 self._begin_refresh(now)
--- a/jayseam/node/tests/test_callers.py
+++ b/jayseam/node/tests/test_callers.py
@@ -126,6 +126,6 @@
 def test_listener_refuses_connections_while_it_empties_its_backlog():
     """The backlog must not take connections after its last one is accepted."""
     with socket.create_server(('127.0.0.1', 0)) as listener:
-        sockets.refuse_connections(listener)
+        sockets.drop_new_connections(listener)
         with pytest.raises(TimeoutError):
             socket.create_connection(listener.getsockname(), 0.2)
--- a/jayseam/routing/tests/test_selection.py
+++ b/jayseam/routing/tests/test_selection.py
@@ -107,7 +107,7 @@
 
 def test_empty_pool_is_an_error():
     """Without a candidate the call is refused as not run."""
-    for strategy in selection.VARIANTS.names():
+    for strategy in selection.VARIANTS.list_names():
         with pytest.raises(errors.NoCandidateError):
             selection.choose(
                 selection.group_candidates([], {}),
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -25,7 +25,7 @@
     advertise_host: str = ''
     advertise_port: int = 0
 
-    def advertised(self) -> tuple[str, int]:
+    def get_advertised_address(self) -> tuple[str, int]:
         """Returns the address that other nodes dial."""
         return (
             self.advertise_host or self.host,
--- a/jayseam/settings/tests/test_loading.py
+++ b/jayseam/settings/tests/test_loading.py
@@ -27,7 +27,7 @@
     path.write_text(json.dumps(VALID))
     settings = loading.load_node_settings(str(path))
     assert settings.limits.strategy == 'escrow'
-    assert settings.link.advertised() == ('127.0.0.1', 8081)
+    assert settings.link.get_advertised_address() == ('127.0.0.1', 8081)
 
 
 def test_every_problem_is_listed_with_path_and_value():
--- a/jayseam/soak/checks.py
+++ b/jayseam/soak/checks.py
@@ -75,7 +75,7 @@
     """Returns the findings of all checks, at most 10 for each check."""
     return [
         Finding(name, detail)
-        for name in registry.names()
+        for name in registry.list_names()
         for detail in list(registry.get(name)(observations))[
             :_MAX_DETAILS_PER_CHECK
         ]
--- a/jayseam/soak/faults.py
+++ b/jayseam/soak/faults.py
@@ -112,7 +112,7 @@
 
 def list_kinds() -> dict[str, schedules.Kind]:
     """Returns all kinds of faults by name."""
-    return {name: registry.get(name).kind for name in registry.names()}
+    return {name: registry.get(name).kind for name in registry.list_names()}
 
 
 def _register(
--- a/jayseam/soak/tests/test_schedules.py
+++ b/jayseam/soak/tests/test_schedules.py
@@ -42,7 +42,7 @@
 def test_fifty_seeds_draw_every_kind():
     """No kind is left out."""
     drawn = {step.kind for seed in range(50) for step in _draw(seed).steps}
-    assert drawn == set(faults.registry.names())
+    assert drawn == set(faults.registry.list_names())
 
 
 def test_targets_fit_the_scope_of_their_kind():
--- a/jayseam/standins/invariants.py
+++ b/jayseam/standins/invariants.py
@@ -120,7 +120,7 @@
         )
         return [
             Violation(name, detail)
-            for name in rules.names()
+            for name in rules.list_names()
             for detail in list(rules.get(name)(observations))[
                 :_MAX_VIOLATIONS_PER_RULE
             ]
