--- a/jayseam/bench/control.py
+++ b/jayseam/bench/control.py
@@ -157,7 +157,7 @@
     return dict(sorted(sent.items(), key=lambda item: -item[1]))
 
 
-@experiments.experiments.register('control')
+@experiments.registry.register('control')
 def measure_control(context: experiments.Context) -> Iterator[experiments.Row]:
     """Bytes, processor share, memory and platform calls of idle fleets."""
     context.add_conditions(
--- a/jayseam/bench/experiments.py
+++ b/jayseam/bench/experiments.py
@@ -97,7 +97,7 @@
 
 Experiment = Callable[[Context], Iterable[Row]]
 
-experiments: registries.Registry[Experiment] = registries.Registry('experiment')
+registry: registries.Registry[Experiment] = registries.Registry('experiment')
 
 
 def read_load_average() -> float:
--- a/jayseam/bench/fleets.py
+++ b/jayseam/bench/fleets.py
@@ -127,7 +127,7 @@
 def wait_backend_ready(cluster: clusters.Cluster, vm: str) -> None:
     """Waits until a node sees its backend server in state ``ready``."""
     cluster.wait_until(
-        lambda: cluster.status(vm)['backend']['state'] == 'ready',
+        lambda: cluster.read_status(vm)['backend']['state'] == 'ready',
         _READY_TIMEOUT_S,
         f'backend server of {vm} is ready',
     )
--- a/jayseam/bench/holdings.py
+++ b/jayseam/bench/holdings.py
@@ -80,9 +80,9 @@
         for number in range(count)
     ]
     view = membership.views.create_view(records, 0.0)
-    view.usable(1.0)
-    view.at_upstream('upstream-0000')
-    view.of_service('service-0')
+    view.list_eligible(1.0)
+    view.list_upstream_members('upstream-0000')
+    view.list_service_members('service-0')
     return view
 
 
@@ -140,7 +140,7 @@
     return float(growth)
 
 
-@experiments.experiments.register('state')
+@experiments.registry.register('state')
 def measure_state(context: experiments.Context) -> Iterator[experiments.Row]:
     """Memory that each entry of a node's state needs."""
     context.add_conditions(method='growth of Private_Dirty in a fresh process')
--- a/jayseam/bench/latency.py
+++ b/jayseam/bench/latency.py
@@ -28,7 +28,7 @@
 _IDLE_S = 4.0
 
 
-@experiments.experiments.register('added-time')
+@experiments.registry.register('added-time')
 def measure_added_time(
     context: experiments.Context,
 ) -> Iterator[experiments.Row]:
@@ -143,7 +143,7 @@
             )
 
 
-@experiments.experiments.register('throughput')
+@experiments.registry.register('throughput')
 def measure_throughput(
     context: experiments.Context,
 ) -> Iterator[experiments.Row]:
@@ -186,7 +186,7 @@
             )
 
 
-@experiments.experiments.register('memory')
+@experiments.registry.register('memory')
 def measure_memory(context: experiments.Context) -> Iterator[experiments.Row]:
     """Memory and processor share of idle and of loaded nodes."""
     context.add_conditions(
--- a/jayseam/bench/main.py
+++ b/jayseam/bench/main.py
@@ -34,7 +34,7 @@
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Runs the program; returns 1 if an experiment fails or misses a target."""
-    names = experiments.experiments.list_names()
+    names = experiments.registry.list_names()
     parser = argparse.ArgumentParser(
         prog='jayseam-bench',
         description='Measures deployments on loopback against their targets.',
@@ -62,7 +62,7 @@
         return 0
     if options.list:
         for name in names:
-            experiment = experiments.experiments.get(name)
+            experiment = experiments.registry.get(name)
             print(f'{name}: {(experiment.__doc__ or "").splitlines()[0]}')
         return 0
     processes.exit_on_sigterm()
--- a/jayseam/bench/neighbours.py
+++ b/jayseam/bench/neighbours.py
@@ -38,7 +38,7 @@
 }
 
 
-@experiments.experiments.register('worst-workspace')
+@experiments.registry.register('worst-workspace')
 def measure_worst_workspace(
     context: experiments.Context,
 ) -> Iterator[experiments.Row]:
@@ -81,7 +81,7 @@
         when='before',
         ms=_EXTRA_DELAY_MS,
     )
-    targets = cluster.targets()
+    targets = cluster.list_targets()
     workspaces = deployment.preset.workspaces.values()
     return loadruns.run_load(
         {
--- a/jayseam/bench/overloads.py
+++ b/jayseam/bench/overloads.py
@@ -47,7 +47,7 @@
     load_run: loadruns.LoadRun
 
 
-@experiments.experiments.register('overload')
+@experiments.registry.register('overload')
 def measure_overload(
     context: experiments.Context,
 ) -> Iterator[experiments.Row]:
@@ -103,7 +103,7 @@
 ) -> loadruns.LoadRun:
     return loadruns.run_load(
         {
-            'targets': cluster.targets(),
+            'targets': cluster.list_targets(),
             'duration_s': _LOAD_S,
             'seed': seed,
             'workspaces': [
--- a/jayseam/bench/pages.py
+++ b/jayseam/bench/pages.py
@@ -54,7 +54,7 @@
 
 
 def build_page(
-    days: Sequence[journal.PlayedDay], results: Sequence[Mapping[str, Any]]
+    days: Sequence[journal.DayResult], results: Sequence[Mapping[str, Any]]
 ) -> str:
     """Returns the HTML of the page.
 
@@ -86,14 +86,14 @@
 
 
 def select_latest(
-    days: Iterable[journal.PlayedDay],
-) -> list[journal.PlayedDay]:
+    days: Iterable[journal.DayResult],
+) -> list[journal.DayResult]:
     """Returns the last play of each predefined day, ordered by name."""
     latest = {day.name: day for day in days if _is_standard(day)}
     return [latest[name] for name in sorted(latest)]
 
 
-def draw_merit(days: Sequence[journal.PlayedDay]) -> str:
+def draw_merit(days: Sequence[journal.DayResult]) -> str:
     """Returns an SVG of the merit of each day, by start of the play."""
     plot, axes = _create_plot('merit by day and start of the play')
     positions = {start: n for n, start in enumerate(_list_starts(days))}
@@ -122,7 +122,7 @@
     return _render_svg(plot)
 
 
-def draw_deductions(days: Sequence[journal.PlayedDay]) -> str:
+def draw_deductions(days: Sequence[journal.DayResult]) -> str:
     """Returns an SVG of the deductions from each day's merit by cause."""
     plot, axes = _create_plot('deductions from the merit')
     bar_starts = [0.0] * len(days)
@@ -138,7 +138,7 @@
 
 
 def draw_shares(
-    days: Sequence[journal.PlayedDay], field: str, label: str
+    days: Sequence[journal.DayResult], field: str, label: str
 ) -> str:
     """Returns an SVG of the share served on each day.
 
@@ -168,18 +168,18 @@
     return _render_svg(plot)
 
 
-def _format_site(day: journal.PlayedDay) -> str:
+def _format_site(day: journal.DayResult) -> str:
     return f'{day.site}, small twin' if day.is_twin else day.site
 
 
-def _is_standard(day: journal.PlayedDay) -> bool:
+def _is_standard(day: journal.DayResult) -> bool:
     """Returns whether a day is predefined, not hunted or random."""
     return day.command in _STANDARD_COMMANDS and not day.name.startswith(
         'fresh-'
     )
 
 
-def _list_starts(days: Iterable[journal.PlayedDay]) -> list[str]:
+def _list_starts(days: Iterable[journal.DayResult]) -> list[str]:
     return sorted({day.played_at for day in days})
 
 
@@ -200,7 +200,7 @@
 
 
 def _build_day_table(
-    latest: Iterable[journal.PlayedDay], played: Iterable[journal.PlayedDay]
+    latest: Iterable[journal.DayResult], played: Iterable[journal.DayResult]
 ) -> str:
     rows = [('day', 'played', 'merit', 'served', 'broken rules')]
     broken = [day for day in played if day.broken]
--- a/jayseam/bench/publication.py
+++ b/jayseam/bench/publication.py
@@ -52,7 +52,7 @@
 _MESSAGE_CLASSES = ('Announce', 'Pull', 'Parts', 'Lend', 'Borrow')
 
 
-@experiments.experiments.register('convergence')
+@experiments.registry.register('convergence')
 def measure_convergence(
     context: experiments.Context,
 ) -> Iterator[experiments.Row]:
@@ -130,7 +130,7 @@
         readers = [
             name
             for name, vm in cluster.vms.items()
-            if vm.zone == zone and cluster.status(name)['reader']
+            if vm.zone == zone and cluster.read_status(name)['reader']
         ]
         times += _time_change(cluster, f'/kill-probe-{number}', readers)
         for vm in readers:
@@ -219,7 +219,7 @@
         version = publish()
         cluster.wait_until(
             lambda: all(
-                cluster.status(vm)['versions'][channel] == version
+                cluster.read_status(vm)['versions'][channel] == version
                 for vm in cluster.vms
             ),
             _IN_FORCE_TIMEOUT_S,
@@ -246,7 +246,7 @@
         )
 
 
-@experiments.experiments.register('change-bytes')
+@experiments.registry.register('change-bytes')
 def measure_change_bytes(
     context: experiments.Context,
 ) -> Iterator[experiments.Row]:
--- a/jayseam/bench/reports.py
+++ b/jayseam/bench/reports.py
@@ -96,7 +96,7 @@
     Raises:
       UnknownVariantError: If no experiment has that name.
     """
-    experiment = experiments.experiments.get(name)
+    experiment = experiments.registry.get(name)
     context = experiments.Context(seed)
     rows: list[experiments.Row] = []
     before = experiments.read_load_average()
--- a/jayseam/bench/tests/test_reports.py
+++ b/jayseam/bench/tests/test_reports.py
@@ -15,8 +15,8 @@
 @pytest.fixture(name='fake')
 def _fake(monkeypatch):
     """Replaces the registry with one that has three fake experiments."""
-    registry = type(experiments.experiments)('experiment')
-    monkeypatch.setattr(experiments, 'experiments', registry)
+    registry = type(experiments.registry)('experiment')
+    monkeypatch.setattr(experiments, 'registry', registry)
 
     @registry.register('passing')
     def _measure_passing(context):
--- a/jayseam/bench/zonemoves.py
+++ b/jayseam/bench/zonemoves.py
@@ -39,7 +39,7 @@
     run_starts: Sequence[float]
 
 
-@experiments.experiments.register('zone-move')
+@experiments.registry.register('zone-move')
 def measure_zone_move(
     context: experiments.Context,
 ) -> Iterator[experiments.Row]:
@@ -50,7 +50,7 @@
         back_after_s=_RETURN_AFTER_S,
         duration_s=_LOAD_S,
     )
-    for name, build_deployment in deployments.BUILDERS.items():
+    for name, build_deployment in deployments.DEPLOYMENT_BUILDERS.items():
         deployment = build_deployment(
             seed=context.seed, ramp=deployments.SHORT_RAMP
         )
--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -275,5 +275,5 @@
     return [
         record
         for upstream in preset.upstreams_by_service.get(service, ())
-        for record in view.at_upstream(upstream.name)
+        for record in view.list_upstream_members(upstream.name)
     ]
--- a/jayseam/calls/tests/test_choosers.py
+++ b/jayseam/calls/tests/test_choosers.py
@@ -28,7 +28,7 @@
             for vm, zone in _ZONES.items()
         }
 
-    def at_upstream(self, name):
+    def list_upstream_members(self, name):
         """Returns the members at a position."""
         return [self.members[name]]
 
--- a/jayseam/distribution/fetching.py
+++ b/jayseam/distribution/fetching.py
@@ -120,7 +120,7 @@
             counters,
             pull_timeout_s,
         )
-        self._shapes = verification.ShapeCache()
+        self._valid_items = verification.ValidItemCache()
         self._wake = event.Event()
         self._greenlet: gevent.Greenlet | None = None
 
@@ -226,7 +226,9 @@
         try:
             contents = self._collect_parts(manifest, cache, pauser)
             document = documents.join_parts(manifest, contents, pauser)
-            value = _VERIFIERS[self.channel](document, pauser, self._shapes)
+            value = _VERIFIERS[self.channel](
+                document, pauser, self._valid_items
+            )
         except preset_errors.PresetRejectedError as error:
             return InvalidVersion(version, tuple(error.reasons))
         held = distribution_parts.build_held_parts(
@@ -238,7 +240,7 @@
         """Returns the pulled parts and the needed parts of the cache."""
         parsed = self._puller.read_manifest(manifest)
         contents = dict(self._puller.parts)
-        for digest in documents.find_missing(parsed, contents):
+        for digest in documents.find_missing_digests(parsed, contents):
             content = cache.read_part(digest)
             if content is not None:
                 contents[digest] = content
--- a/jayseam/distribution/joining.py
+++ b/jayseam/distribution/joining.py
@@ -50,7 +50,7 @@
         self._count_held = count_held
         self._n_channels = n_channels
         self._changed = changed
-        self._retry = backoff.Retry(uniform, wait_s)
+        self._retry = backoff.RetryTimer(uniform, wait_s)
         # A reader starts to watch the source only after peers have been asked.
         self.may_watch = False
 
--- a/jayseam/distribution/offers.py
+++ b/jayseam/distribution/offers.py
@@ -51,7 +51,7 @@
         """
         self._uniform = uniform
         self._offers: dict[str, Offer] = {}
-        self._retry = backoff.Retry(uniform)
+        self._retry = backoff.RetryTimer(uniform)
 
     def __len__(self) -> int:
         return len(self._offers)
--- a/jayseam/distribution/parts.py
+++ b/jayseam/distribution/parts.py
@@ -74,7 +74,7 @@
     manifest: bytes,
     parts: Mapping[str, bytes],
     cache: PartCache,
-    pause: Callable[[], None] = documents.skip_pause,
+    yield_control: Callable[[], None] = documents.never_yield,
 ) -> HeldParts:
     """Compresses the parts of a verified version.
 
@@ -82,16 +82,16 @@
       manifest: Verified manifest.
       parts: Parts of the version by digest.
       cache: Cache whose compressed parts are reused.
-      pause: Called between parts, to let other greenlets run.
+      yield_control: Called between parts, to let other greenlets run.
     """
-    names = documents.read_manifest(manifest).parts
+    names = documents.parse_manifest(manifest).parts
     order = tuple(dict.fromkeys(names[name] for name in sorted(names)))
     compressed = {}
     for digest in order:
         data = cache.held.compressed.get(digest)
         if data is None:
             data = exchange.compress_part(parts[digest])
-            pause()
+            yield_control()
         compressed[digest] = data
     return HeldParts(
         manifest, digests.compute_digest(manifest), order, compressed
--- a/jayseam/distribution/peers.py
+++ b/jayseam/distribution/peers.py
@@ -22,18 +22,18 @@
       request: ``request(vm, message, timeout_s)`` returns the reply.
       broadcast: ``broadcast(message)`` sends to all open links.
       notify: ``notify(vm, message)`` sends without waiting for a reply.
-      neighbours: Returns the VMs that get heartbeats.
-      live_in_zone: Returns the live VMs of the own zone.
-      seeds: Returns the VMs that a fresh node asks first; the call may open
-        links.
+      list_neighbours: Returns the VMs that get heartbeats.
+      list_live_in_zone: Returns the live VMs of the own zone.
+      list_seeds: Returns the VMs that a fresh node asks first; the call may
+        open links.
     """
 
     request: Callable[[str, Any, float], Any]
     broadcast: Callable[[Any], Any]
     notify: Callable[[str, Any], Any]
-    neighbours: Callable[[], Iterable[str]]
-    live_in_zone: Callable[[], Iterable[str]]
-    seeds: Callable[[], Iterable[str]] = tuple
+    list_neighbours: Callable[[], Iterable[str]]
+    list_live_in_zone: Callable[[], Iterable[str]]
+    list_seeds: Callable[[], Iterable[str]] = tuple
 
     def spawn_broadcast(self, message: Any) -> None:
         """Sends to all open links without blocking."""
@@ -45,7 +45,7 @@
         Neighbours in other zones announce the version in their own zone, so
         that an announcement doesn't cross zones once for each pair of nodes.
         """
-        for vm in {*self.live_in_zone(), *self.neighbours()}:
+        for vm in {*self.list_live_in_zone(), *self.list_neighbours()}:
             self.spawn_notify(vm, message)
 
     def spawn_notify(self, vm: str, message: Any) -> None:
--- a/jayseam/distribution/pulling.py
+++ b/jayseam/distribution/pulling.py
@@ -113,7 +113,7 @@
         Raises:
           PresetRejectedError: With every reason found.
         """
-        parsed = documents.read_manifest(manifest)
+        parsed = documents.parse_manifest(manifest)
         if parsed.kind != self._channel:
             raise preset_errors.PresetRejectedError(
                 [f'manifest.kind: {parsed.kind} in channel {self._channel}']
@@ -150,12 +150,14 @@
             total_bytes += len(self._parts[digest])
             if total_bytes > documents.MAX_BUNDLE_BYTES:
                 self.clear()
-                raise InvalidVersionError(version, [documents.TOO_LARGE])
+                raise InvalidVersionError(
+                    version, [documents.BUNDLE_TOO_LARGE_REASON]
+                )
         return version, manifest
 
     def _count_cached_bytes(self, manifest: bytes) -> int:
         """Returns the bytes of the version's parts that are in the cache."""
-        needed = documents.read_manifest(manifest).parts.values()
+        needed = documents.parse_manifest(manifest).parts.values()
         return sum(
             exchange.read_content_size(data)
             for digest, data in self._get_cache().held.compressed.items()
--- a/jayseam/distribution/reading.py
+++ b/jayseam/distribution/reading.py
@@ -29,7 +29,7 @@
 
     readers_per_zone: int = exchange.DEFAULT_READERS_PER_ZONE
     join_wait_s: float = backoff.DEFAULT_CAP_S
-    grace: watchers.ReturnGrace = watchers.ReturnGrace()
+    grace: watchers.OutageGrace = watchers.OutageGrace()
 
 
 class SourceReader:
--- a/jayseam/distribution/syncing.py
+++ b/jayseam/distribution/syncing.py
@@ -93,10 +93,10 @@
     def _send_sync_to_peer(
         self, vm, sync, timeout_s
     ) -> messages.Heartbeat | None:
-        asked_at = clocks.read_now()
+        requested_at = clocks.read_now()
         reply = self._peers.request_sync(vm, sync, timeout_s)
         if reply is not None:
-            self._on_reply(vm, reply, asked_at)
+            self._on_reply(vm, reply, requested_at)
         return reply
 
     def _wait_for(self, offered: Mapping[str, int], deadline: float) -> None:
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -149,7 +149,7 @@
         self.handle(messages.Rejection, self._record_report)
 
     @property
-    def current(self) -> states.Snapshot:
+    def snapshot(self) -> states.Snapshot:
         """The configuration in force."""
         return self._state.snapshot
 
@@ -197,7 +197,7 @@
             fetcher.stop()
         super().stop(timeout_s)
 
-    def note_peer_version(
+    def record_peer_version(
         self, vm: str, channel: str, version: int, digest: str = ''
     ) -> None:
         """Handles the information that a peer holds a version.
@@ -280,7 +280,7 @@
 
     def handle_announce(self, peer: Any, message: messages.Announce) -> None:
         """Handles the announcement of the peer ``peer.vm``."""
-        self.note_peer_version(
+        self.record_peer_version(
             peer.vm, message.channel, message.version, message.digest
         )
 
@@ -424,7 +424,7 @@
         A node that holds no version of the channel yet does not wait.
         """
         is_near = holder == offers.SOURCE or holder in set(
-            self._peers.live_in_zone()
+            self._peers.list_live_in_zone()
         )
         if is_near or channel not in self._state.store.held:
             return -math.inf
@@ -507,18 +507,20 @@
 
     def _update_role(self) -> None:
         if self._joiner.may_watch:
-            self._reader.update_role(self._peers.live_in_zone())
+            self._reader.update_role(self._peers.list_live_in_zone())
 
     def _send_heartbeats(self) -> None:
         now = clocks.read_now()
         repeated = self._reports.list_to_repeat(now)
-        for vm in self._peers.neighbours():
+        for vm in self._peers.list_neighbours():
             for message in (self.build_heartbeat(now), *repeated):
                 self._peers.spawn_notify(vm, message)
 
     def _has_newer_peer(self) -> bool:
         """Asks seeds and neighbours whether one of them has a newer version."""
-        vms = dict.fromkeys([*self._peers.seeds(), *self._peers.neighbours()])
+        vms = dict.fromkeys(
+            [*self._peers.list_seeds(), *self._peers.list_neighbours()]
+        )
         vms.pop(self._vm, None)
         return self._syncer.has_newer_peer(vms)
 
--- a/jayseam/distribution/tests/fakes.py
+++ b/jayseam/distribution/tests/fakes.py
@@ -46,16 +46,16 @@
         self._changed.set()
         self._changed = event.Event()
 
-    def read_value(self, key, after=None, wait_s=0.0):
+    def read_value(self, key, after_revision=None, wait_s=0.0):
         """Reads a pointer."""
-        return self._read(key.removeprefix('channels/'), after, wait_s)
+        return self._read(key.removeprefix('channels/'), after_revision, wait_s)
 
     def set_reader_rank(self, rank):
         """Ignores the rank."""
 
-    def read_vms(self, after=None, wait_s=0.0):
+    def read_vms(self, after_revision=None, wait_s=0.0):
         """Reads the VM list."""
-        return self._read('vms', after, wait_s)
+        return self._read('vms', after_revision, wait_s)
 
     def read_part(self, digest):
         """Reads a part."""
@@ -64,20 +64,22 @@
             raise errors.ValueMissingError(digest)
         return self.parts[digest]
 
-    def _read(self, channel, after, wait_s):
-        asked_at = clocks.read_now()
+    def _read(self, channel, after_revision, wait_s):
+        requested_at = clocks.read_now()
         self._count_read()
         version, body = self.values.get(channel, (0, b''))
-        if after is not None and version <= after and wait_s:
+        if after_revision is not None and version <= after_revision and wait_s:
             self._changed.wait(wait_s)
             version, body = self.values.get(channel, (0, b''))
         if self.is_down:
             raise errors.SourceUnreachableError('down')
         if not version:
             raise errors.ValueMissingError(channel)
-        is_newer = after is None or version > after
+        is_newer = after_revision is None or version > after_revision
         now = clocks.read_now()
-        return client.Reply(version, body if is_newer else None, asked_at, now)
+        return client.Reply(
+            version, body if is_newer else None, requested_at, now
+        )
 
     def _count_read(self):
         self.reads += 1
@@ -98,7 +100,7 @@
         self.zones = {}
         self.tamper = lambda sender, receiver, message: message
 
-    def add(self, vm, source=None, zone='z', neighbours=None, **options):
+    def add(self, vm, source=None, zone='z', list_neighbours=None, **options):
         """Adds a node; all nodes are neighbours of each other by default."""
 
         def others():
@@ -108,11 +110,11 @@
             request=lambda *args: self.request(vm, *args),
             broadcast=lambda m: [self.notify(vm, n, m) for n in others()],
             notify=lambda n, m: self.notify(vm, n, m),
-            neighbours=neighbours or others,
-            live_in_zone=lambda: [
+            list_neighbours=list_neighbours or others,
+            list_live_in_zone=lambda: [
                 n for n in self.nodes if self.zones.get(n) == zone
             ],
-            seeds=others,
+            list_seeds=others,
         )
         node = task.DistributionTask(
             vm, 1, zone, peers, source, watch_wait_s=0.5, **options
--- a/jayseam/distribution/tests/test_task.py
+++ b/jayseam/distribution/tests/test_task.py
@@ -58,9 +58,9 @@
 
 def _all_hold(nodes, preset_version):
     return all(
-        node.current.preset_version == preset_version
-        and node.current.keys_version
-        and node.current.vms_version
+        node.snapshot.preset_version == preset_version
+        and node.snapshot.keys_version
+        and node.snapshot.vms_version
         for node in nodes
     )
 
@@ -72,7 +72,7 @@
     fakes.wait_until(lambda: sum(n.is_reader for n in nodes) == 2)
     source.publish('preset', 7, _split('peak'))
     fakes.wait_until(lambda: _all_hold(nodes, 7))
-    assert {n.current.preset.name for n in nodes} == {'peak'}
+    assert {n.snapshot.preset.name for n in nodes} == {'peak'}
 
 
 def _start_zones(net, source, readers):
@@ -192,7 +192,7 @@
     fakes.wait_until(lambda: _all_hold(nodes, 9))
     source.publish('preset', 4, _split('stale'))
     for node in nodes:
-        node.note_peer_version('a', 'preset', 4, 'd4')
+        node.record_peer_version('a', 'preset', 4, 'd4')
     gevent.sleep(0.3)
     assert _all_hold(nodes, 9)
     fakes.wait_until(
@@ -205,7 +205,7 @@
     (node,) = _start(net, source, 'a')
     fakes.wait_until(lambda: _all_hold([node], 1))
     held = node.describe(0.0)['channels']['preset']['digest']
-    node.note_peer_version('x', 'preset', 1, 'f' * 64)
+    node.record_peer_version('x', 'preset', 1, 'f' * 64)
     offers = node._counters.offers.labels('preset', 'conflict')
     fakes.wait_until(lambda: offers._value.get() == 1)
     assert node.describe(0.0)['channels']['preset']['digest'] == held
@@ -225,8 +225,8 @@
 
 def test_node_behind_learns_it_from_the_answer_to_its_heartbeat(net, source):
     """A node must announce its version to the sender of an older heartbeat."""
-    ahead = net.add('ahead', source, neighbours=list)
-    behind = net.add('behind', None, neighbours=lambda: ['ahead'])
+    ahead = net.add('ahead', source, list_neighbours=list)
+    behind = net.add('behind', None, list_neighbours=lambda: ['ahead'])
     ahead.start()
     behind.start()
     fakes.wait_until(lambda: _all_hold([ahead, behind], 1))
@@ -307,10 +307,10 @@
         and sender != 'a'
         else message
     )
-    late = net.add('late', None, neighbours=list)
+    late = net.add('late', None, list_neighbours=list)
     late.start()
     assert late.sync(['a'], timeout_s=2.0)
-    assert late.current.preset_version == 1
+    assert late.snapshot.preset_version == 1
     assert not late.sync(['nobody'], timeout_s=0.2)
 
 
@@ -372,7 +372,7 @@
     """Damaged transfers must leave the old version whole in force."""
     (holder,) = _start(net, source, 'a')
     fakes.wait_until(lambda: _all_hold([holder], 1))
-    victim = net.add('victim', None, neighbours=list)
+    victim = net.add('victim', None, list_neighbours=list)
     victim.start()
     fakes.wait_until(lambda: _all_hold([victim], 1))
     net.tamper = _damage(kind)
@@ -382,7 +382,7 @@
     seen = []
     deadline = clocks.read_now() + 1.5
     while clocks.read_now() < deadline:
-        seen.append(victim.current)
+        seen.append(victim.snapshot)
         gevent.sleep(0.01)
     valid = {
         1: _DEPLOYMENT.preset,
@@ -436,7 +436,7 @@
     valid = {1: _DEPLOYMENT.preset, 7: wanted}
 
     def is_done():
-        snapshot = node.current
+        snapshot = node.snapshot
         assert snapshot.preset == valid[snapshot.preset_version]
         return snapshot.preset_version == 7
 
@@ -538,5 +538,5 @@
 def test_offers_of_unknown_channels_are_ignored(net, source):
     """A peer of a later release may name channels unknown to this one."""
     (node,) = _start(net, source, 'a')
-    node.note_peer_version('x', 'weather', 3, 'd')
+    node.record_peer_version('x', 'weather', 3, 'd')
     assert set(node.describe(0.0)['channels']) == set(versions.CHANNELS)
--- a/jayseam/limits/replicas.py
+++ b/jayseam/limits/replicas.py
@@ -43,7 +43,7 @@
 NEAR_LIMIT_PART = 0.5
 # A member of the own zone, or another zone, is silent if nothing was heard from
 # it for this time.
-SILENT_S = 0.9
+SILENCE_TIMEOUT_S = 0.9
 # After the start, members that were never heard from count as silent only after
 # this time.
 FIRST_CONTACT_S = 2.5
@@ -143,11 +143,11 @@
       now: Time in seconds at which the process started.
 
     Attributes:
-      counts_leaving: Whether members that are leaving take part. A node whose
-        backend server is draining still serves its callers.
+      includes_leaving_members: Whether members that are leaving take part. A
+        node whose backend server is draining still serves its callers.
     """
 
-    counts_leaving = True
+    includes_leaving_members = True
     # This strategy has no pools of leased shares.
     pools = ()
 
@@ -293,7 +293,10 @@
         if is_cross_zone:
             self._zone_reported_at[member.zone] = now
             self._update_bridged(member.zone, message, now)
-            if now - self._bridged_at.get(member.zone, -math.inf) <= SILENT_S:
+            if (
+                now - self._bridged_at.get(member.zone, -math.inf)
+                <= SILENCE_TIMEOUT_S
+            ):
                 self._update_totals(sender, 'own', message, now)
                 return
             self._zone_counted_at[member.zone] = now
@@ -315,7 +318,7 @@
         unreachable = [
             heard
             for heard in message.zones
-            if now - self._zone_reported_at.get(heard, now) > SILENT_S
+            if now - self._zone_reported_at.get(heard, now) > SILENCE_TIMEOUT_S
         ]
         if unreachable:
             self._bridged_at[zone] = now
@@ -384,7 +387,7 @@
         spent = len((silent - self._silent) & self._ever_heard) / total
         for replica in self._replicas.values():
             replica.refill(self._active_part, now)
-            replica.charge(replica.rate_per_s * spent * SILENT_S)
+            replica.charge(replica.rate_per_s * spent * SILENCE_TIMEOUT_S)
         self._silent = silent
         self._active_part = max(1.0 / total, 1.0 - len(silent) / total)
 
@@ -393,7 +396,7 @@
         heard = {
             position
             for position, zone in self._zones.items()
-            if self._is_heard(position, zone, now - SILENT_S)
+            if self._is_heard(position, zone, now - SILENCE_TIMEOUT_S)
         }
         self._ever_heard |= heard
         silent = frozenset(self._zones) - heard
@@ -485,7 +488,7 @@
                 sender_state, scope, message.incarnation, now
             )
             self._senders[(vm, scope)] = sender_state
-        was_silent = now - sender_state.heard_at > SILENT_S
+        was_silent = now - sender_state.heard_at > SILENCE_TIMEOUT_S
         sender_state.heard_at = now
         spent = {}
         for name, total in totals.items():
--- a/jayseam/limits/strategies.py
+++ b/jayseam/limits/strategies.py
@@ -167,11 +167,11 @@
       now: Time in seconds at which the process started.
 
     Attributes:
-      counts_leaving: Whether members that are leaving take part. In this
-        strategy they own and lend nothing.
+      includes_leaving_members: Whether members that are leaving take part. In
+        this strategy they own and lend nothing.
     """
 
-    counts_leaving = False
+    includes_leaving_members = False
 
     def __init__(
         self, vm: str, upstream: str, zone: str, incarnation: int, now: float
--- a/jayseam/limits/task.py
+++ b/jayseam/limits/task.py
@@ -69,8 +69,8 @@
       request: Called as ``request(vm, message, timeout_s)``; returns the reply
         or raises.
       notify: Called as ``notify(vm, message)``; sends without a reply.
-      view: Returns the members that are alive or suspect, as objects with
-        ``vm``, ``upstream``, ``incarnation`` and ``zone``.
+      list_members: Returns the members that are alive or suspect, as objects
+        with ``vm``, ``upstream``, ``incarnation`` and ``zone``.
       strategy: Name of the strategy.
       now: Time in seconds at which the process started.
       read_now: Returns the time in seconds; called after a wait and in the poll
@@ -88,7 +88,7 @@
         incarnation: int,
         request: Callable[[str, Any, float], Any],
         notify: Callable[[str, Any], None],
-        view: Callable[[], Iterable[Any]],
+        list_members: Callable[[], Iterable[Any]],
         strategy: str = 'escrow',
         now: float | None = None,
         read_now: Callable[[], float] = clocks.read_now,
@@ -100,7 +100,7 @@
         )
         self._request = request
         self._notify = notify
-        self._view = view
+        self._list_members = list_members
         self._read_now = read_now
         self._call_ids = itertools.count()
         self._events: dict[int, event.Event] = {}
@@ -199,7 +199,7 @@
         )
         return {kind: self._handle_message for kind in kinds}
 
-    def on_pause(self, now: float) -> None:
+    def drop_expired(self, now: float) -> None:
         """Removes tokens and leases that expired while the process paused."""
         self._latest_now = max(self._latest_now, now)
         self._strategy.drop_expired(now)
@@ -244,7 +244,8 @@
 
     def _refresh_members(self) -> None:
         members = tuple(
-            (m.vm, m.upstream, m.incarnation, m.zone) for m in self._view()
+            (m.vm, m.upstream, m.incarnation, m.zone)
+            for m in self._list_members()
         )
         if members != self._members:
             self._members = members
--- a/jayseam/limits/tests/test_task.py
+++ b/jayseam/limits/tests/test_task.py
@@ -40,7 +40,7 @@
                 notify=lambda vm, message, me=member.vm: self._deliver(
                     me, vm, message
                 ),
-                view=lambda: self.members,
+                list_members=lambda: self.members,
                 strategy=strategy,
                 now=start,
             )
@@ -139,7 +139,7 @@
         limiter = fleet.tasks['vm0']
         before = task.clocks.read_now()
         assert fleet.admit('vm0').admitted
-        limiter.on_pause(before + 60.0)
+        limiter.drop_expired(before + 60.0)
         assert not limiter.admit('w', 1.0, before, before).admitted
 
 
--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -136,7 +136,7 @@
         """
         self._subscribers.append(function)
 
-    def connected(self) -> list[str]:
+    def list_connected_vms(self) -> list[str]:
         """Returns the VMs to which a link is open."""
         return list(self._preferred)
 
--- a/jayseam/links/tests/test_links.py
+++ b/jayseam/links/tests/test_links.py
@@ -36,7 +36,7 @@
     assert request_echo(a, 'b', b'\0\xff' * 500_000)
     fleet.addresses.clear()
     assert request_echo(b, 'a')
-    assert a.connected() == ['b'] and b.connected() == ['a']
+    assert a.list_connected_vms() == ['b'] and b.list_connected_vms() == ['a']
 
 
 def test_many_requests_get_their_own_replies(fleet):
@@ -90,7 +90,7 @@
     with pytest.raises(errors.DialError):
         request_echo(intruder, 'b')
     assert nodes.wait_until(lambda: nodes.read_closes('wrong_secret') > before)
-    assert b.connected() == ['a'] and request_echo(a, 'b')
+    assert b.list_connected_vms() == ['a'] and request_echo(a, 'b')
 
 
 def test_secret_rotation(fleet):
@@ -112,7 +112,7 @@
     with pytest.raises(errors.DialError):
         request_echo(a, 'old')
     assert a.dial_address(*b.address) == 'b'
-    assert a.dial_address(*b.address) == 'b' and a.connected() == ['b']
+    assert a.dial_address(*b.address) == 'b' and a.list_connected_vms() == ['b']
     with pytest.raises(errors.DialError):
         a.dial_address(*a.address)
 
@@ -160,11 +160,11 @@
     a, b = fleet.add('a'), fleet.add('b')
     assert request_echo(a, 'b')
     peer = nodes.RawPeer(b.address)
-    assert nodes.wait_until(lambda: set(b.connected()) == {'a', 'raw'})
+    assert nodes.wait_until(lambda: set(b.list_connected_vms()) == {'a', 'raw'})
     before = nodes.read_closes(reason)
     running = gevent.spawn(request_echo, a, 'b', b'y', 0.5)
     act(peer)
-    assert nodes.wait_until(lambda: b.connected() == ['a'])
+    assert nodes.wait_until(lambda: b.list_connected_vms() == ['a'])
     assert nodes.read_closes(reason) == before + 1
     assert running.get() and request_echo(a, 'b')
 
@@ -182,7 +182,7 @@
     assert 1.3 < time.monotonic() - start < 1.6
     assert running.get()
     # An alternative to the silent link has been dialled.
-    assert sorted(a.connected()) == ['b', 'c']
+    assert sorted(a.list_connected_vms()) == ['b', 'c']
     assert request_echo(a, 'b'), 'a new connection must work'
 
 
@@ -319,7 +319,7 @@
     a, b = fleet.add('a'), fleet.add('b')
     assert not a.notify('b', nodes.Divide(1))
     assert a.dial_and_notify('b', nodes.Divide(1))
-    assert b.connected() == ['a']
+    assert b.list_connected_vms() == ['a']
     with pytest.raises(errors.DialError):
         a.dial_and_notify('unknown', nodes.Divide(1))
 
@@ -376,7 +376,7 @@
     assert request_echo(old, 'a') and request_echo(c, 'a')
     new = fleet.add('b', incarnation=2)
     assert request_echo(new, 'a')
-    assert nodes.wait_until(lambda: not old.connected())
+    assert nodes.wait_until(lambda: not old.list_connected_vms())
     assert a._preferred['b'].peer == handlers.PeerInfo('b', 2)
     with pytest.raises(errors.DialError):
         request_echo(old, 'a')
@@ -409,7 +409,7 @@
     gevent.sleep(0.1)
     b.stop(1.0)
     assert running.get() == message
-    assert nodes.wait_until(lambda: not a.connected())
+    assert nodes.wait_until(lambda: not a.list_connected_vms())
 
 
 def test_idle_link_is_pinged(fleet, monkeypatch):
@@ -419,10 +419,10 @@
     forwarder = fleet.forward('b')
     assert request_echo(a, 'b')
     gevent.sleep(2.5)
-    assert a.connected() == ['b'], 'pongs keep an idle link open'
+    assert a.list_connected_vms() == ['b'], 'pongs keep an idle link open'
     forwarder.stall()
-    assert nodes.wait_until(lambda: not a.connected(), 4.0)
-    assert nodes.wait_until(lambda: not b.connected(), 4.0)
+    assert nodes.wait_until(lambda: not a.list_connected_vms(), 4.0)
+    assert nodes.wait_until(lambda: not b.list_connected_vms(), 4.0)
 
 
 def test_paused_process_keeps_its_links(fleet):
@@ -435,7 +435,7 @@
     time.sleep(2.0)  # Blocks the whole process, unlike gevent.sleep.
     assert running.get() == message
     gevent.sleep(0.2)
-    assert a.connected() == ['b'] and b.connected() == ['a']
+    assert a.list_connected_vms() == ['b'] and b.list_connected_vms() == ['a']
 
 
 def test_peer_that_cannot_be_dialled_but_dials(fleet):
--- a/jayseam/membership/exchanges.py
+++ b/jayseam/membership/exchanges.py
@@ -99,9 +99,13 @@
 
         Only members with an open link are asked, if there are any.
         """
-        others = [r.vm for r in self._read_view().live() if r.state == 'alive']
+        others = [
+            r.vm for r in self._read_view().list_live() if r.state == 'alive'
+        ]
         others = [name for name in others if name not in (vm, self._own_vm)]
-        near = [name for name in others if name in self._links.connected()]
+        near = [
+            name for name in others if name in self._links.list_connected_vms()
+        ]
         for prober in rendezvous.rank(vm, near or others)[:PROBER_COUNT]:
             gevent.spawn(self._request_probe, prober, vm)
 
--- a/jayseam/membership/reconciliation.py
+++ b/jayseam/membership/reconciliation.py
@@ -52,7 +52,7 @@
     return {
         record.vm: _shorten(records.hash_record(record))
         for bucket in buckets
-        for record in view.bucket_members(bucket)
+        for record in view.list_bucket_members(bucket)
     }
 
 
@@ -67,7 +67,7 @@
     changed, wanted = [], []
     own_vms = set()
     for bucket in set(pull.buckets):
-        for record in view.bucket_members(bucket):
+        for record in view.list_bucket_members(bucket):
             own_vms.add(record.vm)
             known = pull.known.get(record.vm)
             if known is None and record.state == 'dead':
--- a/jayseam/membership/task.py
+++ b/jayseam/membership/task.py
@@ -110,11 +110,11 @@
         return self._own
 
     @property
-    def has_contact(self) -> bool:
+    def has_live_peer(self) -> bool:
         """Whether the own record of some other live member has arrived."""
         return any(
             record.incarnation and record.vm != self._own.vm
-            for record in self.view.live()
+            for record in self.view.list_live()
         )
 
     def start(self) -> None:
@@ -124,7 +124,7 @@
             self._loops.append(gevent.spawn(loop))
 
     def stop(self, timeout_s: float = 5.0) -> None:
-        """Ends the task without notifying other members; see `set_own`."""
+        """Ends the task without notifying others; see `update_own_record`."""
         gevent.killall(self._loops)
         super().stop(timeout_s)
 
@@ -135,7 +135,7 @@
         """
         self._subscribers.append(callback)
 
-    def set_own(
+    def update_own_record(
         self, state: str | None = None, backend: str | None = None
     ) -> None:
         """Changes this node's record and sends it over all open links.
@@ -153,7 +153,7 @@
             raise ValueError(f'unknown backend state {backend!r}')
         self.send(events.OwnChange(state, backend))
 
-    def merge_vms(self, entries: Iterable[Mapping[str, Any]]) -> None:
+    def apply_vm_list(self, entries: Iterable[Mapping[str, Any]]) -> None:
         """Applies the VM list: adds unknown VMs and marks VMs as leaving.
 
         Entries are those of ``GET /v1/vms``. An invalid entry is logged and
@@ -165,7 +165,7 @@
         """Returns the alive or suspect VMs that get this node's heartbeats."""
         return self._find_neighbourhood().neighbours
 
-    def resolve(self, vm: str) -> manager.Address | None:
+    def find_address(self, vm: str) -> manager.Address | None:
         """Returns the link address of a VM, for `LinkManager`."""
         record = self.view.members.get(vm)
         return None if record is None else (record.host, record.port)
@@ -212,7 +212,7 @@
             self.view, self._own.vm, vm_list.records, self._is_responding
         )
         self._apply(received, None)
-        if not self.has_contact:
+        if not self.has_live_peer:
             # A new node gets the other records from its neighbours at once,
             # because waiting for the next round of heartbeats would delay
             # its callers by a second.
@@ -243,7 +243,7 @@
     def _handle_flush(self, _: events.Flush) -> None:
         changes = self._outbox.flush(clocks.read_now())
         near = self._followers.list_vms().union(self.neighbours())
-        for vm in self._links.connected():
+        for vm in self._links.list_connected_vms():
             chosen = outbox.choose_records(changes, vm, vm in near)
             for batch in outbox.split_batches(chosen):
                 self._links.notify(vm, messages.MemberUpdate(batch))
--- a/jayseam/membership/tests/measure_traffic.py
+++ b/jayseam/membership/tests/measure_traffic.py
@@ -46,7 +46,7 @@
     everyone = list(fleet.members.values())
     before = read_bytes()
     start = time.perf_counter()
-    everyone[0].task.set_own(state='leaving')
+    everyone[0].task.update_own_record(state='leaving')
     assert members.wait_until(
         lambda: all(m.state_of(everyone[0].vm) == 'leaving' for m in everyone)
     )
--- a/jayseam/membership/tests/members.py
+++ b/jayseam/membership/tests/members.py
@@ -60,7 +60,7 @@
         """Returns the address of a VM unless it is blocked."""
         if vm in self.blocked:
             return None
-        return self.redirected.get(vm) or self.task.resolve(vm)
+        return self.redirected.get(vm) or self.task.find_address(vm)
 
     def state_of(self, vm):
         """Returns the state of a VM in this node's view, or None."""
@@ -100,7 +100,7 @@
         views = [member.task.view for member in self.members.values()]
         return (
             len({view.digest for view in views}) == 1
-            and len(views[0].live()) == count
+            and len(views[0].list_live()) == count
         )
 
 
--- a/jayseam/membership/tests/test_rules.py
+++ b/jayseam/membership/tests/test_rules.py
@@ -112,20 +112,22 @@
     def names(found):
         return {record.vm for record in found}
 
-    assert view.holder('u-1').vm == 'new' and view.holder('u-9') is None
-    assert [r.vm for r in view.at_upstream('u-1')] == ['new', 'old']
-    assert names(view.live_in_zone('zone-1')) == {'old', 'new', 'drained'}
-    assert names(view.members_in_zone('zone-1')) == {
+    assert (
+        view.find_holder('u-1').vm == 'new' and view.find_holder('u-9') is None
+    )
+    assert [r.vm for r in view.list_upstream_members('u-1')] == ['new', 'old']
+    assert names(view.list_live_in_zone('zone-1')) == {'old', 'new', 'drained'}
+    assert names(view.list_zone_members('zone-1')) == {
         'old',
         'new',
         'drained',
         'gone',
     }
-    assert names(view.of_service('x')) == {'drained'}
-    assert [r.vm for r in view.usable(11.0)] == ['new', 'far', 'slow']
-    assert [r.vm for r in view.usable(14.0)] == ['new', 'far']
+    assert names(view.list_service_members('x')) == {'drained'}
+    assert [r.vm for r in view.list_eligible(11.0)] == ['new', 'far', 'slow']
+    assert [r.vm for r in view.list_eligible(14.0)] == ['new', 'far']
     after, changes = view.update([dead], 20.0)
-    assert changes == (dead,) and names(after.members_in_zone('zone-2')) == {
+    assert changes == (dead,) and names(after.list_zone_members('zone-2')) == {
         'slow'
     }
     assert (
--- a/jayseam/membership/tests/test_task.py
+++ b/jayseam/membership/tests/test_task.py
@@ -47,14 +47,14 @@
 def test_own_changes_are_pushed_at_once(fleet):
     """A change to draining or leaving is sent before the next heartbeat."""
     everyone = fleet.add_members(9, zones=3)
-    everyone[0].task.set_own(state='leaving', backend='draining')
+    everyone[0].task.update_own_record(state='leaving', backend='draining')
     assert wait_for_state(everyone, 'vm-00', 'leaving', timeout_s=0.5)
     record = everyone[5].task.view.members['vm-00']
     assert record.backend == 'draining' and record.sequence == 1
     with pytest.raises(ValueError):
-        everyone[0].task.set_own(state='dead')
+        everyone[0].task.update_own_record(state='dead')
     with pytest.raises(ValueError):
-        everyone[0].task.set_own(backend='warm')
+        everyone[0].task.update_own_record(backend='warm')
     everyone[0].kill()
     assert wait_for_state(
         everyone[1:], 'vm-00', 'dead'
@@ -208,7 +208,7 @@
     fleet.members['b'] = b
     fleet.callback(b.kill)
     host, port = b.links.address
-    a.task.merge_vms(
+    a.task.apply_vm_list(
         [
             create_vm_entry('b', host=host, port=port),
             create_vm_entry('gone', state='leaving'),
@@ -217,13 +217,15 @@
         ]
     )
     assert members.wait_until(lambda: a.state_of('b') == 'alive')
-    assert not a.task.view.usable(0.0)[1:], 'listed VMs take no calls yet'
+    assert not a.task.view.list_eligible(0.0)[
+        1:
+    ], 'listed VMs take no calls yet'
     assert members.wait_until(lambda: b.state_of('a') == 'alive')
     assert members.wait_until(
         lambda: a.task.view.members['b'] == b.task.own_record
     ), 'the own record of b replaces the listed one'
     assert a.state_of('gone') == 'leaving' and a.state_of('broken') is None
-    a.task.merge_vms(
+    a.task.apply_vm_list(
         [create_vm_entry('b', state='leaving'), create_vm_entry('a')]
     )
     gevent.sleep(0.3)
--- a/jayseam/membership/views.py
+++ b/jayseam/membership/views.py
@@ -44,28 +44,28 @@
         data = b''.join(bucket.to_bytes(8, 'big') for bucket in self.buckets)
         return xxhash.xxh64_digest(data)
 
-    def members_in_zone(self, zone: str) -> Records:
+    def list_zone_members(self, zone: str) -> Records:
         """Returns the members of an availability zone that are not dead."""
         return self._zones.get(zone, ())
 
-    def live_in_zone(self, zone: str) -> Records:
+    def list_live_in_zone(self, zone: str) -> Records:
         """Returns the alive and suspect members of an availability zone."""
-        return tuple(filter(is_live, self.members_in_zone(zone)))
+        return tuple(filter(is_live, self.list_zone_members(zone)))
 
-    def of_service(self, service: str) -> Records:
+    def list_service_members(self, service: str) -> Records:
         """Returns the members of a service that are not dead."""
         return self._services.get(service, ())
 
-    def at_upstream(self, upstream: str) -> Records:
+    def list_upstream_members(self, upstream: str) -> Records:
         """Returns the non-dead members of an upstream, the holder first."""
         return self._upstreams.get(upstream, ())
 
-    def holder(self, upstream: str) -> records.MemberRecord | None:
+    def find_holder(self, upstream: str) -> records.MemberRecord | None:
         """Returns the member of an upstream with the highest incarnation."""
-        members = self.at_upstream(upstream)
+        members = self.list_upstream_members(upstream)
         return members[0] if members else None
 
-    def usable(self, now: float) -> Records:
+    def list_eligible(self, now: float) -> Records:
         """Returns the members that may take new calls, alive ones first.
 
         Suspect members follow until ``MAX_SUSPICION_S`` after their suspicion.
@@ -79,11 +79,11 @@
         ]
         return self._alive + tuple(fresh)
 
-    def live(self) -> Records:
+    def list_live(self) -> Records:
         """Returns the alive and suspect members."""
         return self._live
 
-    def bucket_members(self, bucket: int) -> Records:
+    def list_bucket_members(self, bucket: int) -> Records:
         """Returns the records of a digest bucket, including dead ones."""
         return self._by_bucket.get(bucket, ())
 
@@ -118,21 +118,21 @@
         return tuple(filter(is_live, self.members.values()))
 
     @functools.cached_property
-    def _usable(self) -> Records:
+    def _eligible(self) -> Records:
         return tuple(
             record
             for record in self._live
             if record.backend in ('cold', 'ready')
-            and self.holder(record.upstream) is record
+            and self.find_holder(record.upstream) is record
         )
 
     @functools.cached_property
     def _alive(self) -> Records:
-        return tuple(r for r in self._usable if r.state == 'alive')
+        return tuple(r for r in self._eligible if r.state == 'alive')
 
     @functools.cached_property
     def _suspects(self) -> Records:
-        return tuple(r for r in self._usable if r.state == 'suspect')
+        return tuple(r for r in self._eligible if r.state == 'suspect')
 
     @functools.cached_property
     def _zones(self) -> Mapping[str, Records]:
@@ -168,7 +168,7 @@
 def create_view(received: Iterable[records.MemberRecord], now: float) -> View:
     """Returns a view of the given records.
 
-    >>> create_view([], now=0.0).holder('u-1') is None
+    >>> create_view([], now=0.0).find_holder('u-1') is None
     True
     """
     view, _ = _build({}, {}, [0] * BUCKET_COUNT).update(received, now)
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -49,12 +49,12 @@
 _log = logs.get_logger(__name__)
 
 
-def _build_return_grace(
+def _build_outage_grace(
     settings: node_settings.model.SourceSettings,
-) -> source.watchers.ReturnGrace:
+) -> source.watchers.OutageGrace:
     if settings.lapse_s is None:
-        return source.watchers.ReturnGrace()
-    return source.watchers.ReturnGrace(
+        return source.watchers.OutageGrace()
+    return source.watchers.OutageGrace(
         settings.lapse_s, settings.return_grace_s
     )
 
@@ -127,9 +127,9 @@
             request=self._links.request,
             broadcast=self._links.broadcast,
             notify=self._links.notify,
-            neighbours=self._membership.neighbours,
-            live_in_zone=self._list_live_in_zone,
-            seeds=self._dial_seeds,
+            list_neighbours=self._membership.neighbours,
+            list_live_in_zone=self._list_live_in_zone,
+            list_seeds=self._dial_seeds,
         )
         self._distribution = distribution.task.DistributionTask(
             settings.vm,
@@ -142,7 +142,7 @@
             options=distribution.reading.Options(
                 settings.source.readers_per_zone,
                 settings.source.join_wait_s,
-                _build_return_grace(settings.source),
+                _build_outage_grace(settings.source),
             ),
         )
         self._distribution.register_handlers(self._handlers)
@@ -152,8 +152,8 @@
         self._backend = localbackends.LocalBackend(
             self._settings,
             self._incarnation,
-            lambda: self._distribution.current,
-            lambda state: self._membership.set_own(backend=state),
+            lambda: self._distribution.snapshot,
+            lambda state: self._membership.update_own_record(backend=state),
             self._wait_for_refresh,
             self._dialect,
         )
@@ -198,7 +198,7 @@
                     calls.tokens.derive_token_key(secret)
                     for secret in settings.fleet_secrets
                 ),
-                read_snapshot=lambda: self._distribution.current,
+                read_snapshot=lambda: self._distribution.snapshot,
                 read_view=lambda: self._membership.view,
                 chooser=self._chooser,
                 limiter=self._limits,
@@ -316,7 +316,7 @@
         deadline_s = self._settings.stop.deadline_s
         reserved_s = min(_CLOSE_RESERVE_S, deadline_s / 2)
         deadline = clocks.read_now() + deadline_s - reserved_s
-        self._membership.set_own(state='leaving')
+        self._membership.update_own_record(state='leaving')
         self._ingress.leave()
         self._application.disable_keep_alive()
         gevent.sleep(self._settings.stop.notice_s)
@@ -379,7 +379,7 @@
             self._limits.set_preset(preset, version, now)
             self._backend.apply_preset(preset)
         if channel == 'vms':
-            self._membership.merge_vms(
+            self._membership.apply_vm_list(
                 [attrs.asdict(entry) for entry in snapshot.vms.vms]
             )
             self._apply_listed_state(snapshot.vms)
@@ -395,7 +395,9 @@
         withdrawn = entry is not None and entry.state == 'leaving'
         self._ingress.refuse_while_withdrawn(withdrawn)
         if self._lifecycle.state != 'leaving':
-            self._membership.set_own(state='leaving' if withdrawn else 'alive')
+            self._membership.update_own_record(
+                state='leaving' if withdrawn else 'alive'
+            )
 
     def _refresh_after_pause(self, now: float, paused_s: float) -> None:
         """Tells the tasks of a pause, then asks peers for their versions.
@@ -403,7 +405,7 @@
         Returns once a peer has answered.
         """
         metrics.PAUSES.inc()
-        self._limits.on_pause(now)
+        self._limits.drop_expired(now)
         self._backend.notice_pause(now, paused_s)
         self._lifecycle.try_advance('pause_detected')
         try:
@@ -427,7 +429,7 @@
         peers = list(self._membership.neighbours())
         others = [
             record.vm
-            for record in self._membership.view.live()
+            for record in self._membership.view.list_live()
             if record.vm not in peers and record.vm != self._settings.vm
         ]
         peers += random.sample(others, min(_N_RANDOM_SYNC_PEERS, len(others)))
@@ -438,14 +440,14 @@
     # Callbacks through which the tasks use each other.
 
     def _find_address(self, vm: str) -> tuple[str, int] | None:
-        return self._membership.resolve(vm)
+        return self._membership.find_address(vm)
 
     def _list_live_in_zone(self) -> list[str]:
         """Returns the live VMs of the node's zone with a known incarnation."""
         zone = self._settings.zone
         return [
             record.vm
-            for record in self._membership.view.live_in_zone(zone)
+            for record in self._membership.view.list_live_in_zone(zone)
             if record.incarnation
         ]
 
@@ -455,10 +457,10 @@
         strategy = limits.strategies.registry.get(
             self._settings.limits.strategy
         )
-        if strategy.counts_leaving:
+        if strategy.includes_leaving_members:
             records = [r for r in view.members.values() if r.state != 'dead']
         else:
-            records = list(view.live())
+            records = list(view.list_live())
         return [record for record in records if record.incarnation]
 
     def _dial_seeds(self) -> list[str]:
@@ -471,7 +473,7 @@
         return [vm for vm in vms if vm != self._settings.vm]
 
     def _find_holder(self, upstream: str) -> str | None:
-        record = self._membership.view.holder(upstream)
+        record = self._membership.view.find_holder(upstream)
         return None if record is None else record.vm
 
     def _are_keys_trusted(self, now: float) -> bool:
@@ -485,7 +487,7 @@
         return round(now - self._started_at if age_s is None else age_s, 3)
 
     def _is_zone_in_service(self) -> bool:
-        preset = self._distribution.current.preset
+        preset = self._distribution.snapshot.preset
         zone = preset.zones.get(self._settings.zone) if preset else None
         return zone is None or zone.in_service
 
@@ -496,7 +498,7 @@
         # A node without contact to others can only use its own backend server,
         # so it waits for contact; after the timeout it serves what it can.
         waited_s = clocks.read_now() - self._started_at
-        return self._membership.has_contact or waited_s > _CONTACT_TIMEOUT_S
+        return self._membership.has_live_peer or waited_s > _CONTACT_TIMEOUT_S
 
     def _forward(
         self, vm: str, forward: messages.Forward, timeout_s: float
@@ -515,10 +517,10 @@
         self, peer: links.handlers.PeerInfo, forward: messages.Forward
     ) -> messages.Answered | messages.Refused:
         self._guard.wait_for_refresh(clocks.read_now())
-        self._distribution.note_peer_version(
+        self._distribution.record_peer_version(
             peer.vm, 'preset', forward.preset_version
         )
-        self._distribution.note_peer_version(
+        self._distribution.record_peer_version(
             peer.vm, 'keys', forward.keys_version
         )
         return self._ingress.handle_forward(forward)
@@ -548,7 +550,9 @@
             **status.describe_configuration(self._distribution, now),
             'backend': self._backend.describe(now),
             'peers': status.describe_peers(
-                self._membership.view, settings.vm, set(self._links.connected())
+                self._membership.view,
+                settings.vm,
+                set(self._links.list_connected_vms()),
             ),
             'limits': self._limits.describe(),
             'idempotency_records': len(self._store),
@@ -562,7 +566,7 @@
           CallError: If no route matches, or no preset is in force.
         """
         return status.explain_route(
-            self._distribution.current,
+            self._distribution.snapshot,
             self._membership.view,
             self._chooser,
             query,
--- a/jayseam/node/status.py
+++ b/jayseam/node/status.py
@@ -28,7 +28,7 @@
     task: distribution.task.DistributionTask, now: float
 ) -> dict[str, Any]:
     """Returns the configuration in force, its age, and rejected versions."""
-    snapshot = task.current
+    snapshot = task.snapshot
     report = task.describe(now)
     preset = report['channels']['preset']
     zones = snapshot.preset.zones if snapshot.preset else {}
--- a/jayseam/node/tests/fleets.py
+++ b/jayseam/node/tests/fleets.py
@@ -83,7 +83,8 @@
         can't exclude that the key was claimed before they started.
         """
         youngest_ms = max(
-            self.cluster.status(vm)['incarnation'] for vm in self.cluster.vms
+            self.cluster.read_status(vm)['incarnation']
+            for vm in self.cluster.vms
         )
         until_ms = youngest_ms + idempotency.CLOCK_ALLOWANCE_MS + 100
         gevent.sleep(max(0.0, until_ms - clocks.read_wall_ms()) / 1000)
@@ -117,7 +118,7 @@
             the profile.
         """
         connections = options.pop('connections', 48)
-        settings = {'targets': tuple(self.cluster.targets()), 'seed': SEED}
+        settings = {'targets': tuple(self.cluster.list_targets()), 'seed': SEED}
         profile = profiles.Profile(
             duration_s=duration_s,
             workspaces=tuple(
@@ -153,7 +154,7 @@
         latitude_s: float,
         ignored: Sequence[str] = (),
     ) -> list[invariants.Violation]:
-        """Returns the violations that the referee finds since the last `clear`.
+        """Returns the violations of invariants since the last `clear`.
 
         Args:
           records: Calls of all callers since the last `clear`.
@@ -162,7 +163,9 @@
         """
         self.wait_idle()
         budgets = invariants.read_budgets(self.cluster.preset['workspaces'])
-        violations = invariants.Referee(budgets, latitude_s).judge(
+        violations = invariants.InvariantChecker(
+            budgets, latitude_s
+        ).find_violations(
             self.cluster.collect_runs(), records, self.cluster.collect_peaks()
         )
         return [item for item in violations if item.rule not in ignored]
--- a/jayseam/node/tests/observers.py
+++ b/jayseam/node/tests/observers.py
@@ -72,7 +72,7 @@
 def read_versions(fleet: fleets.Fleet, channel: str) -> dict[str, int]:
     """Returns the version of a channel that is in force, by VM."""
     return {
-        vm: fleet.cluster.status(vm)['versions'][channel]
+        vm: fleet.cluster.read_status(vm)['versions'][channel]
         for vm in fleet.cluster.vms
     }
 
@@ -143,7 +143,7 @@
         while True:
             gevent.sleep(_POLL_S)
             try:
-                versions = self._fleet.cluster.status(vm)['versions']
+                versions = self._fleet.cluster.read_status(vm)['versions']
             except errors.ExchangeError:
                 continue
             self.n_polls += 1
--- a/jayseam/node/tests/test_answers.py
+++ b/jayseam/node/tests/test_answers.py
@@ -37,7 +37,7 @@
     finally:
         fleet.set_fault('credits', '')
     outcomes = report.count_outcomes()
-    print(kind, when, outcomes, report.lag_ms)
+    print(kind, when, outcomes, report.lag_p99_ms)
     # Faults and retries may run a call twice, which counts once for the rate.
     # A late backend server ignores the cancellation of a call, so the call goes
     # on using a slot that the node counts as free.
@@ -74,7 +74,7 @@
 
 def test_retries_stay_within_their_budget_in_a_brown_out(fleet):
     """Without a budget, retries multiply the load when all servers shed."""
-    targets = tuple(fleet.cluster.targets()[:2])
+    targets = tuple(fleet.cluster.list_targets()[:2])
     fleet.set_fault('credits', 'shed')
     try:
         # First spends the retries that the budget saved in quiet times.
--- a/jayseam/node/tests/test_budgets.py
+++ b/jayseam/node/tests/test_budgets.py
@@ -47,7 +47,7 @@
     fleet.cluster.heal()
 
 
-# The limiter counts a call at its admission, the referee at its run. Calls can
+# The limiter counts a call at its admission, the checker at its run. Calls can
 # bunch up by the longest time between the two: 0.1 s without faults, where the
 # wait for tokens comes before admission and runs are short; 1.5 s until a
 # silent link is closed and another attempt is made; 3 s for a paused node.
@@ -74,7 +74,7 @@
     disturb(fleet)
     report = running.get()
     found = fleet.judge(report.records, latitude_s, ignored=['overload'])
-    print(disturb.__name__, report.count_outcomes(), report.lag_ms)
+    print(disturb.__name__, report.count_outcomes(), report.lag_p99_ms)
     assert not found
     greedy = report.count_outcomes(_GREEDY)
     # The limit was reached, and the workspace got over half of its rate.
--- a/jayseam/node/tests/test_calls.py
+++ b/jayseam/node/tests/test_calls.py
@@ -213,7 +213,7 @@
             gevent.sleep(0.5)
         fleet.cluster.wait_until(
             lambda: all(
-                fleet.cluster.status(name)['backend']['in_flight'] == 0
+                fleet.cluster.read_status(name)['backend']['in_flight'] == 0
                 for name in fleet.list_vms_of('credits')
             ),
             2.0,
@@ -243,7 +243,7 @@
     version = fleet.cluster.publish(preset)
     fleet.cluster.wait_until(
         lambda: all(
-            fleet.cluster.status(name)['versions']['preset'] >= version
+            fleet.cluster.read_status(name)['versions']['preset'] >= version
             for name in fleet.cluster.vms
         ),
         _CONVERGENCE_LIMIT_S,
--- a/jayseam/node/tests/test_chaos.py
+++ b/jayseam/node/tests/test_chaos.py
@@ -105,13 +105,15 @@
         zone = self._generator.choice(self._zones)
         for in_service in (False, True):
             self._cluster.publish(
-                edits.set_zone_service(self._cluster.preset, zone, in_service)
+                edits.set_zone_in_service(
+                    self._cluster.preset, zone, in_service
+                )
             )
             gevent.sleep(1.5)
 
     def _silence_links(self):
         vms = self._generator.sample(self._vms, 2)
-        self._cluster.control_faults('half-open', source=vms)
+        self._cluster.control_fault_proxy('half-open', source=vms)
 
     def _restart_backend(self):
         upstream = self._cluster.vms[self._generator.choice(self._vms)].upstream
@@ -121,10 +123,10 @@
 
     def _stop_platform(self):
         rule = {'id': 'platform', 'target': ['platform']}
-        self._cluster.control_faults('rules', refuse=True, **rule)
-        self._cluster.control_faults('cut', target=['platform'])
+        self._cluster.control_fault_proxy('rules', refuse=True, **rule)
+        self._cluster.control_fault_proxy('cut', target=['platform'])
         gevent.sleep(2.0)
-        self._cluster.control_faults('rules', clear=True, **rule)
+        self._cluster.control_fault_proxy('rules', clear=True, **rule)
 
     def _reset_answers(self):
         upstream = self._cluster.vms[self._generator.choice(self._vms)].upstream
@@ -179,7 +181,7 @@
 def _check_invariants(fleet, report, injector, withdrawn_at):
     found = fleet.judge(report.records, _LATITUDE_S)
     outcomes = report.count_outcomes()
-    print(injector.counts, outcomes, report.lag_ms)
+    print(injector.counts, outcomes, report.lag_p99_ms)
     assert len(injector.counts) == 8
     assert not found
     # A withdrawal may take 5 s, and no partition or platform outage lasts
--- a/jayseam/node/tests/test_once.py
+++ b/jayseam/node/tests/test_once.py
@@ -146,8 +146,8 @@
         gevent.sleep(1.3)
         cluster.heal()
         silent = random.sample(list(cluster.vms), 3)
-        cluster.control_faults('half-open', source=silent)
-        cluster.control_faults(
+        cluster.control_fault_proxy('half-open', source=silent)
+        cluster.control_fault_proxy(
             'rules', id='mute', target=silent[:1], silence='backward'
         )
         gevent.sleep(1.0)
@@ -155,7 +155,7 @@
     for kind in ('pickups', 'refunds'):
         fleet.set_fault(kind, '')
     # Links that stay silent would fail calls of later tests.
-    cluster.control_faults('cut')
+    cluster.control_fault_proxy('cut')
 
 
 def test_no_key_runs_twice_under_faults(fleet):
@@ -168,7 +168,7 @@
     # process doesn't count, so the limit of slots is not checked here.
     found = fleet.judge(report.records, _LATITUDE_S, ignored=['overload'])
     outcomes = report.count_outcomes()
-    print(outcomes, report.lag_ms)
+    print(outcomes, report.lag_p99_ms)
     assert not found
     # Faults hit calls, and repeats got answers.
     assert outcomes.get('outcome-unknown', 0) > 0
--- a/jayseam/node/tests/test_partitions.py
+++ b/jayseam/node/tests/test_partitions.py
@@ -29,7 +29,7 @@
         lambda: all(
             peer['state'] == 'alive'
             for vm in vms
-            for peer in fleet.cluster.status(vm)['peers']
+            for peer in fleet.cluster.read_status(vm)['peers']
         ),
         10.0,
         'all members are alive',
@@ -50,7 +50,7 @@
         return all(
             peer['state'] == 'dead'
             for vm in fleet.cluster.vms
-            for peer in fleet.cluster.status(vm)['peers']
+            for peer in fleet.cluster.read_status(vm)['peers']
             if (zones[vm] == ZONE) != (zones[peer['vm']] == ZONE)
         )
 
@@ -123,7 +123,7 @@
     """Late and reordered announcements and parts must not revert versions."""
     zones = [ZONE, *_list_other_zones(fleet)]
     for number, zone in enumerate(zones):
-        fleet.cluster.control_faults(
+        fleet.cluster.control_fault_proxy(
             'rules', id=zone, source=[zone], delay_ms=100 * number
         )
     with observers.VersionLog(fleet) as log:
@@ -131,7 +131,7 @@
             _, path = observers.publish_probe(fleet)
             gevent.sleep(0.1)
             zone = zones[number % len(zones)]
-            fleet.cluster.control_faults(
+            fleet.cluster.control_fault_proxy(
                 'rules', id=zone, source=[zone], delay_ms=50 * number
             )
         observers.check_convergence(fleet, path)
@@ -148,7 +148,7 @@
     ):
         gevent.sleep(0.5)
         silenced_at = clocks.read_now()
-        found = fleet.cluster.control_faults('half-open', target=vms)
+        found = fleet.cluster.control_fault_proxy('half-open', target=vms)
         gevent.sleep(_RECOVERY_LIMIT_S)
         observers.publish_and_check_convergence(fleet)
     assert found['silenced']
@@ -168,7 +168,7 @@
     with observers.Callers(fleet, near, per_vm=2) as callers:
         gevent.sleep(0.5)
         silenced_at = clocks.read_now()
-        fleet.cluster.control_faults(
+        fleet.cluster.control_fault_proxy(
             'rules', id='silent', target=[silent], silence=direction
         )
         gevent.sleep(_RECOVERY_LIMIT_S + 1.0)
@@ -190,10 +190,10 @@
     gevent.sleep(2.0)
     job = gevent.spawn(connection.exchange, 'GET', path, {})
     for number, side in enumerate(('source', 'target')):
-        cluster.control_faults(
+        cluster.control_fault_proxy(
             'rules', id=f'refuse-{number}', refuse=True, **{side: [vm]}
         )
-        cluster.control_faults('cut', reset=True, **{side: [vm]})
+        cluster.control_fault_proxy('cut', reset=True, **{side: [vm]})
     resumed_at = clocks.read_now()
     cluster.resume(vm)
     gevent.sleep(0.4)
--- a/jayseam/node/tests/test_pauses.py
+++ b/jayseam/node/tests/test_pauses.py
@@ -56,7 +56,7 @@
     cluster.pause(paused)
     paused_at = clocks.read_now()
     preset, path = observers.add_probe(cluster.preset)
-    preset = edits.set_zone_service(preset, zone, False)
+    preset = edits.set_zone_in_service(preset, zone, False)
     version = cluster.publish(preset)
     cluster.withdraw_key(key.partition('.')[0])
     gevent.sleep(0.5)
@@ -78,8 +78,8 @@
         for run in cluster.collect_runs()
         if run['backend'] in upstreams and run['started'] > resumed_at
     ]
-    assert cluster.status(paused)['versions']['preset'] >= version
-    assert cluster.status(paused)['pauses'] >= 1
+    assert cluster.read_status(paused)['versions']['preset'] >= version
+    assert cluster.read_status(paused)['pauses'] >= 1
     assert took_s < 2.0
     for connection in connections:
         connection.close()
@@ -111,7 +111,9 @@
             for _ in range(50)
         ]
         cluster.wait_until(
-            lambda: cluster.status(vm)['backend']['queued'] > 0, 1.5, 'queue'
+            lambda: cluster.read_status(vm)['backend']['queued'] > 0,
+            1.5,
+            'queue',
         )
         cluster.pause(vm)
         cluster.take_zone_out(ZONE)
--- a/jayseam/node/tests/test_ramps.py
+++ b/jayseam/node/tests/test_ramps.py
@@ -72,7 +72,9 @@
         if not report.lagged:
             return report
         fleet.wait_idle()
-    raise AssertionError(f'the machine is too busy: {report.lag_ms} ms late')
+    raise AssertionError(
+        f'the machine is too busy: {report.lag_p99_ms} ms late'
+    )
 
 
 def _count_goodput(report):
@@ -98,7 +100,7 @@
     found = fleet.judge(overloaded.records, 1.0)
     peaks = fleet.cluster.collect_peaks()
     goodput = [_count_goodput(run) for run in (at_capacity, overloaded)]
-    print(goodput, overloaded.count_outcomes(), overloaded.lag_ms)
+    print(goodput, overloaded.count_outcomes(), overloaded.lag_p99_ms)
     assert not found
     assert {
         peaks[fleet.cluster.vms[vm].upstream]['in_flight']
@@ -120,7 +122,7 @@
         fleet,
         lambda: fleet.start_load(rates, _ROUTES, 4.5, connections=300),
     )
-    print(report.count_outcomes('mons'), report.lag_ms)
+    print(report.count_outcomes('mons'), report.lag_p99_ms)
     print({n: report.count_outcomes(n) for n in others})
     assert not fleet.judge(report.records, 1.0)
     for name in others:
@@ -144,7 +146,7 @@
     first = fleet.cluster.collect_peaks(reset=True)[upstream]
     report = running.get()
     peaks = fleet.cluster.collect_peaks()[upstream]
-    print(first, peaks, report.count_outcomes(), report.lag_ms)
+    print(first, peaks, report.count_outcomes(), report.lag_p99_ms)
     # Calls sent before the restart is detected may make it fall over once.
     assert first['falls'] <= 1
     assert peaks['falls'] == 0
@@ -172,6 +174,6 @@
     fleet.cluster.resume(vm)
     report = running.get()
     peaks = fleet.cluster.collect_peaks()[upstream]
-    print(peaks, report.count_outcomes(), report.lag_ms)
+    print(peaks, report.count_outcomes(), report.lag_p99_ms)
     assert peaks['falls'] == 0
     assert peaks['overloads'] == 0
--- a/jayseam/node/tests/test_readers.py
+++ b/jayseam/node/tests/test_readers.py
@@ -19,7 +19,7 @@
 
 def find_readers(fleet, vms):
     """Returns the VMs that read the platform."""
-    return [vm for vm in vms if fleet.cluster.status(vm)['reader']]
+    return [vm for vm in vms if fleet.cluster.read_status(vm)['reader']]
 
 
 def wait_readers(fleet):
--- a/jayseam/node/tests/test_stops.py
+++ b/jayseam/node/tests/test_stops.py
@@ -52,7 +52,7 @@
     for service in ('credits', 'refunds'):
         fleet.set_fault(service, '')
     outcomes = report.count_outcomes()
-    print(stops, outcomes, report.lag_ms)
+    print(stops, outcomes, report.lag_p99_ms)
     failures = ('lost', 'timeout', 'outcome-unknown')
     print([record for record in report.records if record.outcome in failures])
     assert not fleet.judge(report.records, 1.0)
@@ -94,9 +94,7 @@
     assert {answer.status for answer in answers} == {200}
     upstream = fleet.cluster.vms[vms[1]].upstream
     assert fleet.count_runs(backend=upstream, path='/refunds/1') > 0
-    documents = [
-        standin_answers.verify_answer(answer.body) for answer in answers
-    ]
+    documents = [standin_answers.verify_body(answer.body) for answer in answers]
     assert {entry['nested'][0]['status'] for entry in documents} == {200}
 
 
--- a/jayseam/node/tests/test_strangers.py
+++ b/jayseam/node/tests/test_strangers.py
@@ -35,13 +35,13 @@
 def _victim(fleet):
     """Yields a VM, and checks that its links and versions are unaffected."""
     vm = fleet.list_vms_in('liege')[1]
-    before = fleet.cluster.status(vm)
+    before = fleet.cluster.read_status(vm)
     members = {peer['vm'] for peer in before['peers']}
     lost = count_unplanned_closes(fleet, vm)
     with observers.Callers(fleet, [vm]) as callers:
         yield vm
         gevent.sleep(0.2)
-    after = fleet.cluster.status(vm)
+    after = fleet.cluster.read_status(vm)
     assert after['versions'] == before['versions']
     assert {peer['vm'] for peer in after['peers']} == members
     assert all(peer['state'] == 'alive' for peer in after['peers'])
--- a/jayseam/node/tests/test_versions.py
+++ b/jayseam/node/tests/test_versions.py
@@ -63,7 +63,7 @@
     found = [
         [
             entry['reasons']
-            for entry in fleet.cluster.status(vm)['rejected']
+            for entry in fleet.cluster.read_status(vm)['rejected']
             if entry['version'] == version
         ]
         for vm in vms
@@ -86,7 +86,7 @@
     bad, path = observers.add_probe(good)
     invalidate(bad)
     vms = list(fleet.cluster.vms)
-    readers = [vm for vm in vms if fleet.cluster.status(vm)['reader']]
+    readers = [vm for vm in vms if fleet.cluster.read_status(vm)['reader']]
     try:
         with observers.Callers(fleet, vms, path) as probes:
             with observers.Callers(fleet, vms) as callers:
@@ -135,7 +135,7 @@
     bundle = publications.split_document('preset', preset)
     damaged = digests.compute_digest(bundle.manifest)
     if part == 'routes':
-        damaged = documents.read_manifest(bundle.manifest).parts['routes']
+        damaged = documents.parse_manifest(bundle.manifest).parts['routes']
     fleet.cluster.control_platform('fault', parts=kind, digests=[damaged])
     vms = list(fleet.cluster.vms)
     with observers.Callers(fleet, vms, path) as probes:
@@ -146,7 +146,7 @@
     assert callers.count_served() and not callers.list_failed()
     assert observers.read_versions(fleet, 'preset') == before
     # Damage is no fault of the version, so the version must not be rejected.
-    assert not any(fleet.cluster.status(vm)['rejected'] for vm in vms)
+    assert not any(fleet.cluster.read_status(vm)['rejected'] for vm in vms)
     observers.check_convergence(
         fleet,
         path,
@@ -291,7 +291,8 @@
     """The status must show that no node can confirm the newest version."""
     restart_all_under_stale_platform(fleet)
     shown = {
-        vm: fleet.cluster.status(vm)['unconfirmed'] for vm in fleet.cluster.vms
+        vm: fleet.cluster.read_status(vm)['unconfirmed']
+        for vm in fleet.cluster.vms
     }
     assert all(shown.values()), shown
 
--- a/jayseam/node/tests/test_zones.py
+++ b/jayseam/node/tests/test_zones.py
@@ -43,7 +43,7 @@
     with observers.Callers(fleet, vms, per_vm=5, pause_s=0.0) as callers:
         gevent.sleep(1.0)
         queued = [
-            fleet.cluster.status(vm)['backend']['queued']
+            fleet.cluster.read_status(vm)['backend']['queued']
             for vm in fleet.list_vms_in(ZONE)
         ]
         out_at = clocks.read_now()
--- a/jayseam/platform/journal.py
+++ b/jayseam/platform/journal.py
@@ -17,7 +17,7 @@
 
 
 @attrs.frozen
-class PlayedDay:
+class DayResult:
     """Result of one day of a play.
 
     Attributes:
@@ -47,7 +47,7 @@
     broken: tuple[str, ...]
 
 
-def read_journal(directory: pathlib.Path) -> list[PlayedDay]:
+def read_journal(directory: pathlib.Path) -> list[DayResult]:
     """Returns the days of all completed plays, in the order of their starts.
 
     Plays that were aborted have no days and are logged.
@@ -69,11 +69,11 @@
     return days
 
 
-def _decode_day(play: Mapping[str, Any], day: Mapping[str, Any]) -> PlayedDay:
+def _decode_day(play: Mapping[str, Any], day: Mapping[str, Any]) -> DayResult:
     broken = list(day['rules'])
     if day['fault']:
         broken.append(f'fault: {day["fault"]}')
-    return PlayedDay(
+    return DayResult(
         site=play['site'],
         name=day['name'].partition(' --seed')[0],
         # Start and, if known, end of the play.
--- a/jayseam/platform/main.py
+++ b/jayseam/platform/main.py
@@ -56,7 +56,7 @@
     return node_main.run_node(
         loaded.node,
         logs.NonBlockingStream(sys.stdout),
-        source.StoreSource(client, loaded.topology),
+        source.StoreSource(client, loaded.deployment_facts),
         dialect.DIALECT,
         lambda: platform_settings.load_settings(options.settings).node,
     )
--- a/jayseam/platform/mirrors.py
+++ b/jayseam/platform/mirrors.py
@@ -21,7 +21,7 @@
 
 
 @attrs.frozen
-class Topology:
+class DeploymentFacts:
     """Facts about the deployment that the store doesn't contain.
 
     Attributes:
@@ -65,7 +65,7 @@
 def build_mirror(listing: store.Listing) -> Mirror:
     """Returns the mirror that contains a listing of all keys."""
     items = {item.key: item for item in listing.items}
-    return Mirror(items, listing.revision, listing.asked_at)
+    return Mirror(items, listing.revision, listing.requested_at)
 
 
 def apply_changes(
@@ -93,9 +93,9 @@
             items[event.key] = event
         else:
             items.pop(event.key, None)
-    confirmed_at = changes.asked_at
+    confirmed_at = changes.requested_at
     if not changes.events:
-        elapsed_s = changes.received_at - changes.asked_at
+        elapsed_s = changes.received_at - changes.requested_at
         confirmed_at += min(wait_s, elapsed_s)
     revision = max(mirror.revision, changes.revision)
     return Mirror(items, revision, max(mirror.confirmed_at, confirmed_at))
@@ -109,11 +109,11 @@
     invalid entry of a backend server is left out of the VM list.
 
     Args:
-      topology: Facts about the deployment that the store doesn't contain.
+      deployment_facts: Facts that the store doesn't contain.
     """
 
-    def __init__(self, topology: Topology):
-        self._topology = topology
+    def __init__(self, deployment_facts: DeploymentFacts):
+        self._deployment_facts = deployment_facts
         self._channels: dict[str, Channel] = {}
         self._last_inputs: dict[str, Any] = {}
         self._logged_values: set[tuple[str, int]] = set()
@@ -144,7 +144,7 @@
         self._last_inputs['preset'] = (item, evacuated)
         try:
             translated = configurations.decode_configuration(
-                item.value, self._topology.regions, evacuated
+                item.value, self._deployment_facts.regions, evacuated
             )
         except errors.ValueFormatError as error:
             self._log_invalid_value(item, error)
@@ -171,7 +171,7 @@
             except errors.ValueFormatError as error:
                 self._log_invalid_value(item, error)
                 continue
-            if entry.zone not in self._topology.regions:
+            if entry.zone not in self._deployment_facts.regions:
                 self._log_invalid_value(item, f'unknown zone {entry.zone}')
                 continue
             other = newest.get(entry.host)
@@ -186,9 +186,9 @@
             'vm': entry.host,
             'upstream': entry.host,
             'zone': entry.zone,
-            'region': self._topology.regions[entry.zone],
+            'region': self._deployment_facts.regions[entry.zone],
             'host': entry.host,
-            'port': self._topology.link_port,
+            'port': self._deployment_facts.link_port,
             'state': entry.state,
             'service': entry.service,
             'slots': entry.slots,
--- a/jayseam/platform/settings.py
+++ b/jayseam/platform/settings.py
@@ -71,12 +71,12 @@
     Attributes:
       node: Settings of the node.
       store_address: ``host:port`` of the store.
-      topology: Facts about the deployment that the store doesn't contain.
+      deployment_facts: Facts that the store doesn't contain.
     """
 
     node: node_settings.model.NodeSettings
     store_address: str
-    topology: mirrors.Topology
+    deployment_facts: mirrors.DeploymentFacts
 
 
 def load_settings(path: str) -> PlatformSettings:
@@ -175,7 +175,7 @@
     if reader.problems:
         raise node_settings.errors.SettingsError(reader.problems)
     return PlatformSettings(
-        node, store_address, mirrors.Topology(regions, link.port)
+        node, store_address, mirrors.DeploymentFacts(regions, link.port)
     )
 
 
--- a/jayseam/platform/source.py
+++ b/jayseam/platform/source.py
@@ -54,19 +54,19 @@
 
     Args:
       client: Client of the store.
-      topology: Facts about the deployment that the store doesn't contain.
+      deployment_facts: Facts that the store doesn't contain.
       uniform: Returns a random number in [0, 1).
     """
 
     def __init__(
         self,
         client: store.StoreClient,
-        topology: mirrors.Topology,
+        deployment_facts: mirrors.DeploymentFacts,
         uniform: Callable[[], float] = random.random,
     ):
         self._client = client
-        self._translator = mirrors.Translator(topology)
-        self._retry = backoff.Retry(uniform, RETRY_CAP_S, RETRY_MAX_CAP_S)
+        self._translator = mirrors.Translator(deployment_facts)
+        self._retry = backoff.RetryTimer(uniform, RETRY_CAP_S, RETRY_MAX_CAP_S)
         self._mirror: mirrors.Mirror | None = None
         self._channels: Mapping[str, mirrors.Channel] = {}
         self._refreshed = event.Event()
@@ -96,7 +96,7 @@
         )
 
     def read_value(
-        self, key: str, after: int | None = None, wait_s: float = 0.0
+        self, key: str, after_revision: int | None = None, wait_s: float = 0.0
     ) -> source_client.Reply:
         """Reads the pointer of a channel, or waits for a newer one.
 
@@ -104,17 +104,19 @@
           SourceError: If there is no reply from the store, or no such value in
             the store, until the timeout.
         """
-        return self._read(key.removeprefix(_CHANNEL_PREFIX), after, wait_s)
+        return self._read(
+            key.removeprefix(_CHANNEL_PREFIX), after_revision, wait_s
+        )
 
     def read_vms(
-        self, after: int | None = None, wait_s: float = 0.0
+        self, after_revision: int | None = None, wait_s: float = 0.0
     ) -> source_client.Reply:
         """Reads the VM list, or waits for a newer one.
 
         Raises:
           SourceError: If there is no reply from the store until the timeout.
         """
-        return self._read('vms', after, wait_s)
+        return self._read('vms', after_revision, wait_s)
 
     def read_part(self, digest: str) -> bytes:
         """Returns a manifest or part of a channel.
@@ -137,13 +139,17 @@
         self._client.close()
 
     def _read(
-        self, channel: str, after: int | None, wait_s: float
+        self, channel: str, after_revision: int | None, wait_s: float
     ) -> source_client.Reply:
-        """Returns a version after ``after``, or a new confirmation of it."""
-        last_confirmed_at = None if after is None else self._get_confirmed_at()
+        """Returns a newer version, or a new confirmation of the one held."""
+        last_confirmed_at = (
+            None if after_revision is None else self._get_confirmed_at()
+        )
         deadline = clocks.read_now() + max(wait_s, READ_TIMEOUT_S)
         while True:
-            reply = self._build_reply(channel, after, last_confirmed_at)
+            reply = self._build_reply(
+                channel, after_revision, last_confirmed_at
+            )
             if reply is not None:
                 return reply
             self._wait_for_refresh(deadline - clocks.read_now())
@@ -152,29 +158,36 @@
         return None if self._mirror is None else self._mirror.confirmed_at
 
     def _build_reply(
-        self, channel: str, after: int | None, last_confirmed_at: float | None
+        self,
+        channel: str,
+        after_revision: int | None,
+        last_confirmed_at: float | None,
     ) -> source_client.Reply | None:
         """Returns the reply to a read, or None if the read has to wait.
 
         Args:
           channel: Channel to read.
-          after: Version that the reader has; None if it has none.
+          after_revision: Version that the reader has; None if it has none.
           last_confirmed_at: Confirmation that the reader may know already.
         """
-        if self._mirror is None or self._mirror.revision < (after or 0):
+        if self._mirror is None or self._mirror.revision < (
+            after_revision or 0
+        ):
             return None
         confirmed_at = self._mirror.confirmed_at
         current = self._channels.get(channel)
-        if current is not None and current.version > (after or 0):
+        if current is not None and current.version > (after_revision or 0):
             body = _encode_body(channel, current.bundle)
             return source_client.Reply(
                 current.version, body, confirmed_at, confirmed_at
             )
         if confirmed_at == last_confirmed_at or (
-            current is None and after is None
+            current is None and after_revision is None
         ):
             return None
-        return source_client.Reply(after, None, confirmed_at, confirmed_at)
+        return source_client.Reply(
+            after_revision, None, confirmed_at, confirmed_at
+        )
 
     def _wait_for_refresh(self, wait_s: float) -> None:
         if self._greenlet is None or self._greenlet.dead:
--- a/jayseam/platform/store.py
+++ b/jayseam/platform/store.py
@@ -57,12 +57,12 @@
     Attributes:
       items: The keys and values.
       revision: Revision of the store that the listing represents.
-      asked_at: Time before the request was sent, in seconds.
+      requested_at: Time before the request was sent, in seconds.
     """
 
     items: tuple[Item, ...]
     revision: int
-    asked_at: float
+    requested_at: float
 
 
 @attrs.frozen
@@ -72,13 +72,13 @@
     Attributes:
       events: Changes in the order in which they were made.
       revision: Revision up to which there are no other changes.
-      asked_at: Time before the request was sent, in seconds.
+      requested_at: Time before the request was sent, in seconds.
       received_at: Time at which the reply was complete, in seconds.
     """
 
     events: tuple[Item | Deletion, ...]
     revision: int
-    asked_at: float
+    requested_at: float
     received_at: float
 
 
@@ -125,16 +125,16 @@
             ]
             items += page
             if not document.get('more_pages') or not page:
-                return Listing(tuple(items), revision, first.asked_at)
+                return Listing(tuple(items), revision, first.requested_at)
             after = page[-1].key
         raise source_errors.SourceReplyError('the listing has too many pages')
 
-    def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+    def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
         """Waits for changes of keys that begin with a prefix.
 
         Args:
           prefix: The prefix.
-          after: Revision up to which changes are known.
+          after_revision: Revision up to which changes are known.
           wait_s: Longest time that the store may wait for a change, in seconds.
 
         Raises:
@@ -143,7 +143,7 @@
         """
         query = {
             'path_prefix': prefix,
-            'after': after,
+            'after': after_revision,
             'wait_ms': int(wait_s * _MS_PER_S),
         }
         reply = self._get('/jayseam/kv-watch', query, REPLY_TIMEOUT_S + wait_s)
@@ -152,7 +152,7 @@
         return Changes(
             tuple(_decode_event(event) for event in events),
             _read_revision(document, 'as_of'),
-            reply.asked_at,
+            reply.requested_at,
             reply.received_at,
         )
 
--- a/jayseam/platform/tests/test_fleet.py
+++ b/jayseam/platform/tests/test_fleet.py
@@ -91,7 +91,7 @@
         self.count += 1
         fields = {
             'Host': samples.HOST,
-            platformbackend.REQUEST_ID: f'{self.count:016x}',
+            platformbackend.REQUEST_ID_HEADER: f'{self.count:016x}',
             'Jayseam-Deadline-Ms': '1000',
             **headers,
         }
@@ -155,7 +155,7 @@
     """A backend server gets tenant, caller and time left, but not the key."""
     status, reply = fleet.call('127.0.1.1', '/view/1')
     assert status == 200
-    assert reply.get(platformbackend.SIGNATURE)
+    assert reply.get(platformbackend.SIGNATURE_HEADER)
     arrival = fleet.arrivals()[-1]
     assert any(
         a.workspace == 'museum' and a.caller_service == 'pickups'
@@ -261,7 +261,7 @@
     waits.wait_until(gets_nothing_new, CONFIG_APPLY_S)
     # The node of the draining server must still serve its callers at the
     # fleet's rates, even after the timeout for silent peers.
-    gevent.sleep(replicas.SILENT_S + 0.5)
+    gevent.sleep(replicas.SILENCE_TIMEOUT_S + 0.5)
     for _ in range(20):
         assert fleet.call('127.0.1.3', '/view/1')[0] == 200
     fleet.register('127.0.1.3', 'a', sequence=3)
--- a/jayseam/platform/tests/test_journal.py
+++ b/jayseam/platform/tests/test_journal.py
@@ -4,7 +4,7 @@
 
 from jayseam.platform import journal
 
-DAY = journal.PlayedDay(
+DAY = journal.DayResult(
     site='s',
     name='scale-1',
     played_at='2026-12-04T10:00:00Z',
--- a/jayseam/platform/tests/test_source.py
+++ b/jayseam/platform/tests/test_source.py
@@ -14,7 +14,7 @@
 from jayseam.standins import kvstore
 from jayseam.standins import waits
 
-TOPOLOGY = mirrors.Topology({'a': 'r', 'b': 'r'}, 8543)
+DEPLOYMENT_FACTS = mirrors.DeploymentFacts({'a': 'r', 'b': 'r'}, 8543)
 # Timeout of a read that waits for the next watch request, in seconds.
 READ_TIMEOUT_S = source.WATCH_WAIT_S + 2.0
 
@@ -37,7 +37,7 @@
     """Yields a running stand-in of the store and a source that reads it."""
     with _run_store(page_items) as (kv_store, client):
         kv_store.put('op/config', samples.build_configuration())
-        store_source = source.StoreSource(client, TOPOLOGY)
+        store_source = source.StoreSource(client, DEPLOYMENT_FACTS)
         try:
             yield kv_store, store_source
         finally:
@@ -116,7 +116,7 @@
     with _run_source() as (_, store_source):
         reply = store_source.read_value('channels/preset')
         digest = documents.decode_json(reply.body)['manifest']
-        manifest = documents.read_manifest(store_source.read_part(digest))
+        manifest = documents.parse_manifest(store_source.read_part(digest))
         assert manifest.name == 'r2'
         assert all(store_source.read_part(d) for d in manifest.parts.values())
         with pytest.raises(source_errors.ValueMissingError):
@@ -132,7 +132,7 @@
                 'channels/keys', first.revision, 1.0
             )
         assert second.body is None
-        assert second.asked_at > first.asked_at
+        assert second.requested_at > first.requested_at
 
 
 def test_a_change_of_keys_arrives():
@@ -156,7 +156,7 @@
         kv_store.put('servers/i-1', samples.build_entry('10.0.0.1:8080'))
         kv_store.delete('servers/i-1')
         kv_store.put('servers/i-2', samples.build_entry('10.0.0.2:8080'))
-        kv_store.forget_history()
+        kv_store.compact_history()
         with gevent.Timeout(READ_TIMEOUT_S):
             after = store_source.read_vms(before.revision, 1.0)
             while after.body is None:
--- a/jayseam/platform/tests/test_translation.py
+++ b/jayseam/platform/tests/test_translation.py
@@ -20,7 +20,7 @@
 from jayseam.presets import verification
 
 REGIONS = {'a': 'r', 'b': 'r'}
-TOPOLOGY = mirrors.Topology(REGIONS, 8543)
+DEPLOYMENT_FACTS = mirrors.DeploymentFacts(REGIONS, 8543)
 
 
 def _encode(document):
@@ -144,7 +144,7 @@
             ),
         }
     )
-    channels = mirrors.Translator(TOPOLOGY).translate(mirror)
+    channels = mirrors.Translator(DEPLOYMENT_FACTS).translate(mirror)
     vms = _read_vms(channels)
     assert [vm['vm'] for vm in vms] == ['10.0.0.1']
     assert vms[0]['instance'] == 'i-1' and vms[0]['port'] == 8543
@@ -164,7 +164,7 @@
             ),
         }
     )
-    vms = _read_vms(mirrors.Translator(TOPOLOGY).translate(mirror))
+    vms = _read_vms(mirrors.Translator(DEPLOYMENT_FACTS).translate(mirror))
     assert [(vm['instance'], vm['state']) for vm in vms] == [('i-1', 'live')]
 
 
@@ -175,7 +175,7 @@
 
 def test_channels_keep_their_version_until_they_change():
     """A heartbeat of a backend server must not create a new preset."""
-    translator = mirrors.Translator(TOPOLOGY)
+    translator = mirrors.Translator(DEPLOYMENT_FACTS)
     value = _encode(samples.build_configuration())
     before = translator.translate(_build_mirror(5, **{'op/config': value}))
     entry = _encode(samples.build_entry('10.0.0.1:8080'))
@@ -189,7 +189,7 @@
 
 def test_invalid_configuration_keeps_the_previous_one():
     """The preset in force must stay in force."""
-    translator = mirrors.Translator(TOPOLOGY)
+    translator = mirrors.Translator(DEPLOYMENT_FACTS)
     value = _encode(samples.build_configuration())
     before = translator.translate(_build_mirror(5, **{'op/config': value}))
     after = translator.translate(_build_mirror(9, **{'op/config': b'{}'}))
@@ -203,7 +203,7 @@
     must not count as confirmed.
     """
     mirror = mirrors.Mirror({}, 5, 10.0)
-    changes = store.Changes((), 5, asked_at=20.0, received_at=90.0)
+    changes = store.Changes((), 5, requested_at=20.0, received_at=90.0)
     assert mirrors.apply_changes(mirror, changes, 1.0).confirmed_at == 21.0
 
 
@@ -224,7 +224,7 @@
 def test_listed_upstreams_join_the_preset():
     """Upstreams of listed services follow the VM list, not the preset."""
     preset, _ = _translate(samples.build_configuration())
-    translator = mirrors.Translator(TOPOLOGY)
+    translator = mirrors.Translator(DEPLOYMENT_FACTS)
     entry = _encode(samples.build_entry('10.0.0.1:8080'))
     channels = translator.translate(_build_mirror(**{'servers/i-1': entry}))
     vms = verification.verify_vms({'vms': _read_vms(channels)})
@@ -246,7 +246,7 @@
     assert 0.0 < loaded.node.admission.cold_excess < 0.5
     assert loaded.node.source.lapse_s == 4.5
     assert loaded.node.ready.port == 8546
-    assert loaded.topology.regions == REGIONS
+    assert loaded.deployment_facts.regions == REGIONS
 
 
 def test_bad_settings_name_every_problem(tmp_path, capsys):
--- a/jayseam/presets/documents.py
+++ b/jayseam/presets/documents.py
@@ -25,7 +25,7 @@
 MAX_VALUE_BYTES = 1_000_000
 MAX_BUNDLE_BYTES = 8_000_000
 MAX_PARTS = 1024
-TOO_LARGE = f'parts: more than {MAX_BUNDLE_BYTES} bytes in all'
+BUNDLE_TOO_LARGE_REASON = f'parts: more than {MAX_BUNDLE_BYTES} bytes in all'
 _PRESET_SECTIONS = ('services', 'routes', 'zones', 'workspaces', 'upstreams')
 # Most items per shard on average; with more, a section gets more shards. A
 # changed item requires the transfer of its shard and of the manifest, and each
@@ -78,8 +78,8 @@
         return digests.compute_digest(self.manifest)
 
 
-def skip_pause() -> None:
-    """Does nothing; the default where a caller passes no ``pause`` function."""
+def never_yield() -> None:
+    """Does nothing; the default where a caller passes no ``yield_control``."""
 
 
 def encode_json(value: Any) -> bytes:
@@ -117,7 +117,7 @@
 
 
 def decode_list(
-    data: bytes, pause: Callable[[], None] = skip_pause
+    data: bytes, yield_control: Callable[[], None] = never_yield
 ) -> list[Any]:
     """Parses a canonical JSON list item by item.
 
@@ -129,7 +129,7 @@
 
     Args:
       data: JSON list without spaces between the items.
-      pause: Called after each item, to let other greenlets run.
+      yield_control: Called after each item, to let other greenlets run.
 
     Raises:
       PresetRejectedError: If the data is not a canonical JSON list.
@@ -148,7 +148,7 @@
                 raise ValueError(f'no comma at character {end}')
             items.append(item)
             position = end
-            pause()
+            yield_control()
         return items
     except (ValueError, RecursionError) as error:
         raise errors.PresetRejectedError([f'not JSON: {error}']) from error
@@ -277,7 +277,7 @@
     return _build_bundle('vms', 'vms', _group_items('vms', items, _get_zone))
 
 
-def read_manifest(data: bytes) -> Manifest:
+def parse_manifest(data: bytes) -> Manifest:
     """Parses and checks a manifest.
 
     Raises:
@@ -311,7 +311,9 @@
     return Manifest(kind, value['name'], parts)
 
 
-def find_missing(manifest: Manifest, present: Iterable[str]) -> set[str]:
+def find_missing_digests(
+    manifest: Manifest, present: Iterable[str]
+) -> set[str]:
     """Returns the digests of the manifest's parts that are not present."""
     return set(manifest.parts.values()).difference(present)
 
@@ -319,14 +321,14 @@
 def join_parts(
     manifest: bytes,
     parts: Mapping[str, bytes],
-    pause: Callable[[], None] = skip_pause,
+    yield_control: Callable[[], None] = never_yield,
 ) -> dict[str, Any]:
     """Joins a document from its manifest and parts.
 
     Args:
       manifest: Manifest in the form in which it is distributed.
       parts: Parts by digest; parts that the manifest doesn't list are ignored.
-      pause: Called between parts, to let other greenlets run.
+      yield_control: Called between parts, to let other greenlets run.
 
     Returns:
       The document; its items and references are not yet verified.
@@ -335,8 +337,8 @@
       PartsIncompleteError: If parts are missing or don't match their digest.
       PresetRejectedError: If the content is invalid.
     """
-    parsed = read_manifest(manifest)
-    _check_parts(parsed, parts, pause)
+    parsed = parse_manifest(manifest)
+    _check_parts(parsed, parts, yield_control)
     sections: dict[str, list] = {}
     if parsed.kind == 'preset':
         sections = {name: [] for name in _PRESET_SECTIONS}
@@ -346,7 +348,9 @@
     for part_name in sorted(parsed.parts):
         section = part_name.partition('/')[0]
         try:
-            items = _read_part(part_name, parts[parsed.parts[part_name]], pause)
+            items = _read_part(
+                part_name, parts[parsed.parts[part_name]], yield_control
+            )
         except errors.PresetRejectedError as error:
             reasons += [f'part {part_name}: {r}' for r in error.reasons]
             continue
@@ -355,14 +359,14 @@
         raise errors.PresetRejectedError(reasons)
     for section, items in sections.items():
         items.sort(key=lambda item, s=section: _build_sort_key(s, item))
-        pause()
+        yield_control()
     if parsed.kind == 'preset':
         return {'name': parsed.name, **sections}
     return sections
 
 
-def _check_parts(manifest, parts, pause) -> None:
-    missing = find_missing(manifest, parts)
+def _check_parts(manifest, parts, yield_control) -> None:
+    missing = find_missing_digests(manifest, parts)
     if missing:
         raise errors.PartsIncompleteError(list(missing), [])
     altered, total = [], 0
@@ -370,19 +374,19 @@
         total += len(parts[digest])
         if digests.compute_digest(parts[digest]) != digest:
             altered.append(digest)
-        pause()
+        yield_control()
     if altered:
         raise errors.PartsIncompleteError([], altered)
     if total > MAX_BUNDLE_BYTES:
-        raise errors.PresetRejectedError([TOO_LARGE])
+        raise errors.PresetRejectedError([BUNDLE_TOO_LARGE_REASON])
 
 
-def _read_part(part_name: str, data: bytes, pause) -> list[Any]:
+def _read_part(part_name: str, data: bytes, yield_control) -> list[Any]:
     if len(data) > MAX_VALUE_BYTES:
         raise errors.PresetRejectedError(
             [f'{len(data)} bytes; at most {MAX_VALUE_BYTES} are allowed']
         )
-    items = decode_list(data, pause)
+    items = decode_list(data, yield_control)
     if not all(map(_build_part_check(part_name), items)):
         raise errors.PresetRejectedError(['holds an item of another part'])
     return items
--- a/jayseam/presets/tests/test_presets.py
+++ b/jayseam/presets/tests/test_presets.py
@@ -351,10 +351,10 @@
         documents.decode_list(data)
 
 
-def _verify(document, shape_cache=None):
+def _verify(document, valid_item_cache=None):
     try:
         return verification.verify_preset(
-            document, documents.skip_pause, shape_cache
+            document, documents.never_yield, valid_item_cache
         )
     except errors.PresetRejectedError as error:
         return error.reasons
@@ -369,15 +369,15 @@
     ),
     strategies.integers(0, 20),
 )
-def test_shape_cache_never_changes_a_result(faults, index):
+def test_valid_item_cache_never_changes_a_result(faults, index):
     """A node that verified earlier versions must agree with a new node."""
-    shape_cache = verification.ShapeCache()
+    valid_item_cache = verification.ValidItemCache()
     document = _dump_agence()
     for step in (None, *faults):
         if step is not None:
             document = copy.deepcopy(document)
             step(document, index)
-        assert _verify(document, shape_cache) == _verify(document)
+        assert _verify(document, valid_item_cache) == _verify(document)
 
 
 def test_altered_and_missing_parts_are_told_apart_from_rejection():
--- a/jayseam/presets/verification.py
+++ b/jayseam/presets/verification.py
@@ -23,13 +23,13 @@
 # grant the claim of a call that may not be repeated.
 _MIN_KEEPER_ZONES = 2
 _RESERVED_PREFIXES = ('/.jayseam', '/.backend')
-# Number of items that are processed between two calls of ``pause``.
+# Number of items that are processed between two calls of ``yield_control``.
 _ITEMS_PER_PAUSE = 8
 _MAX_REASON_CHARS = 200
 _FINGERPRINT_BYTES = 16
 
 
-class ShapeCache:
+class ValidItemCache:
     """Caches which items of the last verified document had the right shape.
 
     Most items of a new version are unchanged. Whether an item has the right
@@ -59,15 +59,15 @@
 
 def verify_preset(
     document: Mapping[str, Any],
-    pause: Callable[[], None] = documents.skip_pause,
-    shape_cache: ShapeCache | None = None,
+    yield_control: Callable[[], None] = documents.never_yield,
+    valid_item_cache: ValidItemCache | None = None,
 ) -> model.Preset:
     """Verifies the document of a preset.
 
     Args:
       document: Joined document.
-      pause: Called after every few items, to let other greenlets run.
-      shape_cache: Cache that speeds up the verification of the next version.
+      yield_control: Called after every few items, to let other greenlets run.
+      valid_item_cache: Cache that speeds up verification of the next version.
 
     Returns:
       The preset.
@@ -85,31 +85,36 @@
     checked = {}
     for section in _PRESET_SECTIONS:
         checked[section] = _check_items(
-            section, document[section], 'name', reasons, pause, shape_cache
+            section,
+            document[section],
+            'name',
+            reasons,
+            yield_control,
+            valid_item_cache,
         )
     names = {
         section: _collect_names(document[section], 'name')
         for section in _PRESET_SECTIONS
     }
     reasons += _check_upstreams(checked['upstreams'], names)
-    pause()
+    yield_control()
     reasons += _check_routes(
         checked['routes'], checked['services'], document['upstreams'], names
     )
-    pause()
+    yield_control()
     upstream_zones = _collect_names(document['upstreams'], 'zone')
     reasons += _check_workspaces(
-        checked['workspaces'], upstream_zones, names, pause
+        checked['workspaces'], upstream_zones, names, yield_control
     )
     if reasons:
         raise errors.PresetRejectedError(reasons)
-    return _build_preset(name, checked, pause)
+    return _build_preset(name, checked, yield_control)
 
 
 def verify_keys(
     document: Mapping[str, Any],
-    pause: Callable[[], None] = documents.skip_pause,
-    shape_cache: ShapeCache | None = None,
+    yield_control: Callable[[], None] = documents.never_yield,
+    valid_item_cache: ValidItemCache | None = None,
 ) -> model.KeySet:
     """Verifies the document of a key set.
 
@@ -123,20 +128,25 @@
     if reasons:
         raise errors.PresetRejectedError(reasons)
     checked = _check_items(
-        'keys', document['keys'], 'key_id', reasons, pause, shape_cache
+        'keys',
+        document['keys'],
+        'key_id',
+        reasons,
+        yield_control,
+        valid_item_cache,
     )
     if reasons:
         raise errors.PresetRejectedError(reasons)
     entries = _build_items(
-        checked, 'key_id', lambda item: model.KeyEntry(**item), pause
+        checked, 'key_id', lambda item: model.KeyEntry(**item), yield_control
     )
     return model.KeySet(tuple(entries))
 
 
 def verify_vms(
     document: Mapping[str, Any],
-    pause: Callable[[], None] = documents.skip_pause,
-    shape_cache: ShapeCache | None = None,
+    yield_control: Callable[[], None] = documents.never_yield,
+    valid_item_cache: ValidItemCache | None = None,
 ) -> model.VmList:
     """Verifies the document of a VM list.
 
@@ -147,7 +157,7 @@
     if reasons:
         raise errors.PresetRejectedError(reasons)
     checked = _check_items(
-        'vms', document['vms'], 'vm', reasons, pause, shape_cache
+        'vms', document['vms'], 'vm', reasons, yield_control, valid_item_cache
     )
     for item in checked:
         if not _is_address(item['host']):
@@ -159,7 +169,7 @@
         checked,
         'vm',
         lambda item: model.VmEntry(**{**item, 'port': int(item['port'])}),
-        pause,
+        yield_control,
     )
     return model.VmList(tuple(entries))
 
@@ -177,19 +187,19 @@
 
 
 def _check_items(
-    section, items, field, reasons, pause, shape_cache
+    section, items, field, reasons, yield_control, valid_item_cache
 ) -> list[dict]:
     """Returns items of the right shape and appends reasons for the others."""
     checked, seen, repeated, valid = [], set(), set(), set()
     for index, item in enumerate(items):
         if index % _ITEMS_PER_PAUSE == 0:
-            pause()
+            yield_control()
         name = item.get(field) if isinstance(item, Mapping) else None
         if isinstance(name, str):
             (repeated if name in seen else seen).add(name)
-        fingerprint = compute_fingerprint(item) if shape_cache else None
+        fingerprint = compute_fingerprint(item) if valid_item_cache else None
         faults: list[str] = []
-        if fingerprint is None or not shape_cache.contains(
+        if fingerprint is None or not valid_item_cache.contains(
             section, fingerprint
         ):
             faults = _find_shape_faults(section, item)
@@ -200,8 +210,8 @@
         checked.append(item)
         if fingerprint is not None:
             valid.add(fingerprint)
-    if shape_cache is not None:
-        shape_cache.replace(section, valid)
+    if valid_item_cache is not None:
+        valid_item_cache.replace(section, valid)
     reasons += [f'{section}[{name[:64]}]: name repeats' for name in repeated]
     return checked
 
@@ -309,11 +319,13 @@
     return reasons
 
 
-def _check_workspaces(workspaces, upstream_zones, names, pause) -> list[str]:
+def _check_workspaces(
+    workspaces, upstream_zones, names, yield_control
+) -> list[str]:
     reasons = []
     for index, item in enumerate(workspaces):
         if index % _ITEMS_PER_PAUSE == 0:
-            pause()
+            yield_control()
         weights = item.get('zone_weights')
         if weights is None:
             continue
@@ -338,7 +350,7 @@
     return True
 
 
-def _build_preset(name, checked, pause) -> model.Preset:
+def _build_preset(name, checked, yield_control) -> model.Preset:
     builders = {
         'services': lambda item: model.Service(**item),
         'upstreams': _build_upstream,
@@ -348,16 +360,16 @@
     }
     sections = {}
     for section, build in builders.items():
-        built = _build_items(checked[section], 'name', build, pause)
+        built = _build_items(checked[section], 'name', build, yield_control)
         sections[section] = {item.name: item for item in built}
     return model.Preset(name=name, **sections)
 
 
-def _build_items(items, field, build, pause) -> list[Any]:
+def _build_items(items, field, build, yield_control) -> list[Any]:
     built = []
     for index, item in enumerate(sorted(items, key=lambda i: i[field])):
         if index % _ITEMS_PER_PAUSE == 0:
-            pause()
+            yield_control()
         built.append(build(item))
     return built
 
--- a/jayseam/soak/checks.py
+++ b/jayseam/soak/checks.py
@@ -1,8 +1,8 @@
-"""Invariants that a soak run checks in addition to the rules of the referee.
+"""Invariants that a soak run checks besides those of `InvariantChecker`.
 
 Each check reads the records of the load generator and the backend servers, and
-the exit statuses of the node processes. The rules of the referee are in
-`jayseam.standins.invariants`.
+the exit statuses of the node processes. The rules of the invariant
+checker are in `jayseam.standins.invariants`.
 """
 
 import collections
@@ -45,25 +45,26 @@
       records: Calls that the load generator made.
       runs: Executions of calls that the backend servers recorded.
       stops: Planned stops of nodes.
-      unplanned: Start and end time of each unplanned fault, in seconds.
+      unplanned_faults: Start and end time of each unplanned fault, in seconds.
       withdrawn: Workspace whose key was withdrawn (revoked).
       withdrawn_at: Time at which the withdrawal was published, in seconds.
-      trust_s: Grace period: longest time after the withdrawal for which calls
-        with the withdrawn key may still run, in seconds.
-      ended: Exit statuses of node processes that ended unexpectedly, by VM.
-      unserved: VMs that served no call again within the recovery timeout
+      key_grace_s: Longest time after the withdrawal for which calls with the
+        withdrawn key may still run, in seconds.
+      exit_statuses: Exit statuses of node processes that ended unexpectedly,
+        by VM.
+      unrecovered_vms: VMs that served no call again within the recovery timeout
         after the last fault.
     """
 
     records: Sequence[records.CallRecord]
     runs: Sequence[Mapping[str, Any]]
     stops: Sequence[faults.Stop]
-    unplanned: Sequence[tuple[float, float]]
+    unplanned_faults: Sequence[tuple[float, float]]
     withdrawn: str
     withdrawn_at: float
-    trust_s: float
-    ended: Mapping[str, int]
-    unserved: Sequence[str]
+    key_grace_s: float
+    exit_statuses: Mapping[str, int]
+    unrecovered_vms: Sequence[str]
 
 
 Check = Callable[[Observations], Iterable[str]]
@@ -85,7 +86,7 @@
 @registry.register('withdrawn-key')
 def _check_withdrawn_key(observations: Observations) -> Iterator[str]:
     """No call runs with a withdrawn key after the grace period."""
-    latest_start = observations.withdrawn_at + observations.trust_s
+    latest_start = observations.withdrawn_at + observations.key_grace_s
     for run in observations.runs:
         if (
             run['workspace'] == observations.withdrawn
@@ -105,7 +106,7 @@
     for stop in observations.stops:
         if stop.was_serving and stop.status != 0:
             yield f'{stop.address} ended with status {stop.status}'
-        if _is_excused(observations.unplanned, stop):
+        if _is_excused(observations.unplanned_faults, stop):
             continue
         for record in by_target[stop.address]:
             if stop.started <= record.ended <= stop.ended:
@@ -115,22 +116,22 @@
 @registry.register('own-end')
 def _check_process_exits(observations: Observations) -> Iterator[str]:
     """No node process ends unexpectedly."""
-    for vm, status in observations.ended.items():
+    for vm, status in observations.exit_statuses.items():
         yield f'{vm} ended with status {status}'
 
 
 @registry.register('recovery')
 def _check_recovery(observations: Observations) -> Iterator[str]:
     """Every node serves calls again after the faults have ended."""
-    for vm in observations.unserved:
+    for vm in observations.unrecovered_vms:
         yield f'{vm} serves no call'
 
 
 def _is_excused(
-    unplanned: Sequence[tuple[float, float]], stop: faults.Stop
+    unplanned_faults: Sequence[tuple[float, float]], stop: faults.Stop
 ) -> bool:
     """Returns whether an unplanned fault excuses calls lost in a stop."""
     return any(
         start <= stop.ended and stop.started <= end + _STABLE_WINDOW_S
-        for start, end in unplanned
+        for start, end in unplanned_faults
     )
--- a/jayseam/soak/faults.py
+++ b/jayseam/soak/faults.py
@@ -53,7 +53,7 @@
     was_serving: bool
 
 
-class FaultInjector:
+class InjectionContext:
     """Injects faults into a cluster and records its planned stops.
 
     Args:
@@ -85,13 +85,13 @@
     def is_serving(self, vm: str) -> bool:
         """Returns whether a node reports the state ``serving``."""
         try:
-            return self.cluster.status(vm).get('state') == 'serving'
+            return self.cluster.read_status(vm).get('state') == 'serving'
         except errors.ExchangeError:
             return False
 
     def run(self, step: schedules.Step) -> None:
         """Carries out a step; returns when its fault has ended."""
-        registry.get(step.kind).strike(self, step)
+        registry.get(step.kind).inject(self, step)
 
 
 @attrs.frozen
@@ -100,11 +100,11 @@
 
     Attributes:
       kind: Parameters for drawing steps of this kind.
-      strike: Injects the fault for one step and ends it after the step.
+      inject: Injects the fault for one step and ends it after the step.
     """
 
     kind: schedules.Kind
-    strike: Callable[[FaultInjector, schedules.Step], None]
+    inject: Callable[[InjectionContext, schedules.Step], None]
 
 
 registry: registries.Registry[Fault] = registries.Registry('fault')
@@ -117,11 +117,11 @@
 
 def _register(
     name: str, kind: schedules.Kind
-) -> Callable[[Callable[[FaultInjector, schedules.Step], None]], Fault]:
+) -> Callable[[Callable[[InjectionContext, schedules.Step], None]], Fault]:
     """Returns a decorator that registers a function as a fault."""
 
     def add_fault(
-        inject: Callable[[FaultInjector, schedules.Step], None],
+        inject: Callable[[InjectionContext, schedules.Step], None],
     ) -> Fault:
         return registry.register(name)(Fault(kind, inject))
 
@@ -131,144 +131,152 @@
 # Process faults.
 
 
-@_register('kill', schedules.Kind('positions', most=2, weight=2.0))
-def _kill(injector: FaultInjector, step: schedules.Step) -> None:
+@_register('kill', schedules.Kind('positions', max_targets=2, weight=2.0))
+def _kill(context: InjectionContext, step: schedules.Step) -> None:
     """Kills the processes of VMs and restarts them."""
-    _kill_and_restart(injector, step)
+    _kill_and_restart(context, step)
 
 
 @_register('kill-many', schedules.Kind('positions', 5, 9, weight=0.3))
-def _kill_many(injector: FaultInjector, step: schedules.Step) -> None:
+def _kill_many(context: InjectionContext, step: schedules.Step) -> None:
     """Kills the processes of many VMs at once and restarts them."""
-    _kill_and_restart(injector, step)
+    _kill_and_restart(context, step)
 
 
-def _kill_and_restart(injector: FaultInjector, step: schedules.Step) -> None:
+def _kill_and_restart(context: InjectionContext, step: schedules.Step) -> None:
     def kill_and_restart(position: str) -> None:
-        with injector.get_lock(position):
-            vm = injector.find_vm(position)
+        with context.get_lock(position):
+            vm = context.find_vm(position)
             # Kills the backend server, too. Otherwise it would still run calls
             # that the next node process can't count.
-            injector.cluster.kill(vm)
-            gevent.sleep(step.for_s)
-            injector.cluster.restart(vm)
+            context.cluster.kill(vm)
+            gevent.sleep(step.duration_s)
+            context.cluster.restart(vm)
 
     _join(gevent.spawn(kill_and_restart, position) for position in step.targets)
 
 
-@_register('pause', schedules.Kind('positions', longest_s=3.0, weight=2.0))
-def _pause(injector: FaultInjector, step: schedules.Step) -> None:
+@_register('pause', schedules.Kind('positions', max_duration_s=3.0, weight=2.0))
+def _pause(context: InjectionContext, step: schedules.Step) -> None:
     """Pauses a node process (SIGSTOP, then SIGCONT)."""
-    with injector.get_lock(step.targets[0]):
-        vm = injector.find_vm(step.targets[0])
-        injector.cluster.pause(vm)
-        gevent.sleep(step.for_s)
-        injector.cluster.resume(vm)
+    with context.get_lock(step.targets[0]):
+        vm = context.find_vm(step.targets[0])
+        context.cluster.pause(vm)
+        gevent.sleep(step.duration_s)
+        context.cluster.resume(vm)
 
 
-@_register('stop', schedules.Kind('positions', most=2, weight=2.0))
-def _stop_as_planned(injector: FaultInjector, step: schedules.Step) -> None:
+@_register('stop', schedules.Kind('positions', max_targets=2, weight=2.0))
+def _stop_as_planned(context: InjectionContext, step: schedules.Step) -> None:
     """Stops and restarts nodes as planned, one after the other."""
     for position in step.targets:
-        with injector.get_lock(position):
-            vm = injector.find_vm(position)
-            address = f'127.0.0.1:{injector.cluster.vms[vm].caller_port}'
-            was_serving = injector.is_serving(vm)
+        with context.get_lock(position):
+            vm = context.find_vm(position)
+            address = f'127.0.0.1:{context.cluster.vms[vm].caller_port}'
+            was_serving = context.is_serving(vm)
             started = clocks.read_now()
-            status = injector.cluster.terminate(vm)
+            status = context.cluster.terminate(vm)
             ended = clocks.read_now()
             stop = Stop(address, started, ended, status, was_serving)
-            injector.stops.append(stop)
-            injector.cluster.restart(vm)
+            context.stops.append(stop)
+            context.cluster.restart(vm)
 
 
 @_register('stop-cut-short', schedules.Kind('positions'))
-def _interrupt_stop(injector: FaultInjector, step: schedules.Step) -> None:
+def _interrupt_stop(context: InjectionContext, step: schedules.Step) -> None:
     """Kills a node during its planned stop, then restarts it."""
-    with injector.get_lock(step.targets[0]):
-        vm = injector.find_vm(step.targets[0])
-        process = injector.cluster.vms[vm].process
+    with context.get_lock(step.targets[0]):
+        vm = context.find_vm(step.targets[0])
+        process = context.cluster.vms[vm].process
         assert process is not None
         process.send_signal(signal.SIGTERM)
         gevent.sleep(_MAX_TERM_TO_KILL_S * step.strength)
-        injector.cluster.kill(vm)
-        gevent.sleep(step.for_s)
-        injector.cluster.restart(vm)
+        context.cluster.kill(vm)
+        gevent.sleep(step.duration_s)
+        context.cluster.restart(vm)
 
 
 @_register('pause-then-kill', schedules.Kind('positions'))
-def _pause_then_kill(injector: FaultInjector, step: schedules.Step) -> None:
+def _pause_then_kill(context: InjectionContext, step: schedules.Step) -> None:
     """Pauses a node, kills it while it is paused, then restarts it."""
-    with injector.get_lock(step.targets[0]):
-        vm = injector.find_vm(step.targets[0])
-        injector.cluster.pause(vm)
-        gevent.sleep(step.for_s * step.strength)
-        injector.cluster.kill(vm)
-        gevent.sleep(step.for_s * (1.0 - step.strength))
-        injector.cluster.restart(vm)
+    with context.get_lock(step.targets[0]):
+        vm = context.find_vm(step.targets[0])
+        context.cluster.pause(vm)
+        gevent.sleep(step.duration_s * step.strength)
+        context.cluster.kill(vm)
+        gevent.sleep(step.duration_s * (1.0 - step.strength))
+        context.cluster.restart(vm)
 
 
 # Network faults.
 
 
 @_register('cut', schedules.Kind('zones', weight=1.5))
-def _partition_zone(injector: FaultInjector, step: schedules.Step) -> None:
+def _partition_zone(context: InjectionContext, step: schedules.Step) -> None:
     """Partitions a zone from the rest; only one partition at a time exists."""
-    other_zones = [z for z in _list_zones(injector) if z not in step.targets]
-    injector.cluster.partition(step.targets, other_zones)
-    gevent.sleep(step.for_s)
-    injector.cluster.heal()
+    other_zones = [z for z in _list_zones(context) if z not in step.targets]
+    context.cluster.partition(step.targets, other_zones)
+    gevent.sleep(step.duration_s)
+    context.cluster.heal()
 
 
-@_register('one-way', schedules.Kind('positions', most=2))
-def _drop_one_way(injector: FaultInjector, step: schedules.Step) -> None:
+@_register('one-way', schedules.Kind('positions', max_targets=2))
+def _drop_one_way(context: InjectionContext, step: schedules.Step) -> None:
     """Drops what nodes send on links they opened, but not what they receive."""
-    vms = injector.find_vms(step.targets)
-    _apply_rule(injector, step, source=vms, silence='forward')
+    vms = context.find_vms(step.targets)
+    _apply_rule(context, step, source=vms, silence='forward')
 
 
-@_register('delay', schedules.Kind('positions', most=3))
-def _delay_links(injector: FaultInjector, step: schedules.Step) -> None:
+@_register('delay', schedules.Kind('positions', max_targets=3))
+def _delay_links(context: InjectionContext, step: schedules.Step) -> None:
     """Delays traffic on links to nodes."""
-    vms = injector.find_vms(step.targets)
+    vms = context.find_vms(step.targets)
     delay_ms = _MAX_DELAY_MS * step.strength
-    _apply_rule(injector, step, target=vms, delay_ms=delay_ms)
+    _apply_rule(context, step, target=vms, delay_ms=delay_ms)
 
 
-@_register('refuse', schedules.Kind('positions', most=2))
-def _refuse_links(injector: FaultInjector, step: schedules.Step) -> None:
+@_register('refuse', schedules.Kind('positions', max_targets=2))
+def _refuse_links(context: InjectionContext, step: schedules.Step) -> None:
     """Resets open links to nodes and refuses new links."""
-    vms = injector.find_vms(step.targets)
-    injector.cluster.control_faults('cut', target=vms, reset=True)
-    _apply_rule(injector, step, target=vms, refuse=True)
+    vms = context.find_vms(step.targets)
+    context.cluster.control_fault_proxy('cut', target=vms, reset=True)
+    _apply_rule(context, step, target=vms, refuse=True)
 
 
-@_register('half-open', schedules.Kind('positions', least=2, most=3, weight=2))
-def _silence_open_links(injector: FaultInjector, step: schedules.Step) -> None:
+@_register(
+    'half-open',
+    schedules.Kind('positions', min_targets=2, max_targets=3, weight=2),
+)
+def _silence_open_links(
+    context: InjectionContext, step: schedules.Step
+) -> None:
     """Silences the open links of nodes for good; new links work."""
-    vms = injector.find_vms(step.targets)
-    injector.cluster.control_faults('half-open', source=vms)
+    vms = context.find_vms(step.targets)
+    context.cluster.control_fault_proxy('half-open', source=vms)
 
 
-@_register('reset', schedules.Kind('positions', least=2, most=6))
-def _reset_links(injector: FaultInjector, step: schedules.Step) -> None:
+@_register('reset', schedules.Kind('positions', min_targets=2, max_targets=6))
+def _reset_links(context: InjectionContext, step: schedules.Step) -> None:
     """Resets the open links of nodes."""
-    vms = injector.find_vms(step.targets)
-    injector.cluster.control_faults('cut', source=vms, reset=True)
+    vms = context.find_vms(step.targets)
+    context.cluster.control_fault_proxy('cut', source=vms, reset=True)
 
 
-@_register('platform-away', schedules.Kind('none', longest_s=4.0))
-def _refuse_platform(injector: FaultInjector, step: schedules.Step) -> None:
+@_register('platform-away', schedules.Kind('none', max_duration_s=4.0))
+def _refuse_platform(context: InjectionContext, step: schedules.Step) -> None:
     """Closes open connections to the platform and refuses new ones."""
-    injector.cluster.control_faults('cut', target=['platform'])
-    _apply_rule(injector, step, target=['platform'], refuse=True)
+    context.cluster.control_fault_proxy('cut', target=['platform'])
+    _apply_rule(context, step, target=['platform'], refuse=True)
 
 
-@_register('platform-silent', schedules.Kind('zones', most=2, longest_s=4.0))
-def _silence_platform(injector: FaultInjector, step: schedules.Step) -> None:
+@_register(
+    'platform-silent',
+    schedules.Kind('zones', max_targets=2, max_duration_s=4.0),
+)
+def _silence_platform(context: InjectionContext, step: schedules.Step) -> None:
     """Silences connections from some zones to the platform."""
     _apply_rule(
-        injector, step, source=step.targets, target=['platform'], silence='both'
+        context, step, source=step.targets, target=['platform'], silence='both'
     )
 
 
@@ -277,54 +285,56 @@
 
 @_register('backend-restart', schedules.Kind('positions', weight=2.0))
 def _restart_backend_cold(
-    injector: FaultInjector, step: schedules.Step
+    context: InjectionContext, step: schedules.Step
 ) -> None:
     """Restarts a backend server cold while its health check reports ready."""
-    injector.cluster.control_backend(
+    context.cluster.control_backend(
         step.targets[0], 'restart', silent=True, disconnect=True
     )
 
 
 @_register('answers-reset', schedules.Kind('positions', weight=2.0))
-def _reset_responses(injector: FaultInjector, step: schedules.Step) -> None:
+def _reset_responses(context: InjectionContext, step: schedules.Step) -> None:
     """Makes a backend server reset a share of its responses."""
     position = step.targets[0]
     share = _MAX_RESET_SHARE * step.strength
-    injector.cluster.control_backend(
+    context.cluster.control_backend(
         position, 'fault', kind='reset', share=share
     )
-    gevent.sleep(step.for_s)
-    injector.cluster.control_backend(position, 'fault', kind='')
+    gevent.sleep(step.duration_s)
+    context.cluster.control_backend(position, 'fault', kind='')
 
 
 # Operator changes.
 
 
-@_register('zone-out', schedules.Kind('zones', longest_s=3.0))
-def _take_zone_out(injector: FaultInjector, step: schedules.Step) -> None:
+@_register('zone-out', schedules.Kind('zones', max_duration_s=3.0))
+def _take_zone_out(context: InjectionContext, step: schedules.Step) -> None:
     """Takes a zone out of service and back in."""
     zone = step.targets[0]
-    injector.cluster.take_zone_out(zone)
-    gevent.sleep(step.for_s)
-    injector.cluster.take_zone_in(zone)
+    context.cluster.take_zone_out(zone)
+    gevent.sleep(step.duration_s)
+    context.cluster.take_zone_in(zone)
 
 
-@_register('storm', schedules.Kind('none', longest_s=1.5))
-def _publish_repeatedly(injector: FaultInjector, step: schedules.Step) -> None:
+@_register('storm', schedules.Kind('none', max_duration_s=1.5))
+def _publish_repeatedly(
+    context: InjectionContext, step: schedules.Step
+) -> None:
     """Publishes presets in quick succession, each with one more route."""
-    for number in range(max(1, int(step.for_s / _PUBLISH_GAP_S))):
+    for number in range(max(1, int(step.duration_s / _PUBLISH_GAP_S))):
         prefix = f'/soak-{step.number}-{number}'
-        preset = edits.add_open_route(injector.cluster.preset, prefix)
-        injector.cluster.publish(preset)
+        preset = edits.add_open_route(context.cluster.preset, prefix)
+        context.cluster.publish(preset)
         gevent.sleep(_PUBLISH_GAP_S)
 
 
-def _list_zones(injector: FaultInjector) -> list[str]:
-    return sorted({vm.zone for vm in injector.cluster.vms.values()})
+def _list_zones(context: InjectionContext) -> list[str]:
+    return sorted({vm.zone for vm in context.cluster.vms.values()})
 
 
 def _apply_rule(
-    injector: FaultInjector,
+    context: InjectionContext,
     step: schedules.Step,
     source: Sequence[str] = (),
     target: Sequence[str] = (),
@@ -333,7 +343,7 @@
     """Applies a rule of the fault proxy for the duration of a step.
 
     Args:
-      injector: Injector whose cluster gets the rule.
+      context: Context whose cluster gets the rule.
       step: The step.
       source: VM names or zones that open the affected connections; all if
         empty.
@@ -342,11 +352,11 @@
       **fault: Effects of the rule, as in `faultrules.Rule`.
     """
     name = f'step-{step.number}'
-    injector.cluster.control_faults(
+    context.cluster.control_fault_proxy(
         'rules', id=name, source=list(source), target=list(target), **fault
     )
-    gevent.sleep(step.for_s)
-    injector.cluster.control_faults('rules', id=name, clear=True)
+    gevent.sleep(step.duration_s)
+    context.cluster.control_fault_proxy('rules', id=name, clear=True)
 
 
 def _join(jobs: Iterable[gevent.Greenlet]) -> None:
--- a/jayseam/soak/main.py
+++ b/jayseam/soak/main.py
@@ -67,7 +67,7 @@
     ]
     if verbose or result.findings:
         lines += [
-            f'  {step.at_s:6.2f} s {step.kind} for {step.for_s:.2f} s'
+            f'  {step.start_s:6.2f} s {step.kind} for {step.duration_s:.2f} s'
             f' {" ".join(step.targets)}'
             for step in result.schedule.steps
         ]
@@ -88,7 +88,9 @@
         help='duration of the load of each run',
     )
     parser.add_argument(
-        '--deployment', choices=sorted(deployments.BUILDERS), default='agence'
+        '--deployment',
+        choices=sorted(deployments.DEPLOYMENT_BUILDERS),
+        default='agence',
     )
     parser.add_argument(
         '--vms',
--- a/jayseam/soak/runs.py
+++ b/jayseam/soak/runs.py
@@ -66,15 +66,15 @@
       deployment: Sample deployment, ``agence`` or ``leeuwenhoek``; unused if
         ``vms`` is set.
       vms: Number of VMs of a generated deployment; 0 uses the sample.
-      kept: Directory to which the logs of a run with findings are copied; None
-        copies none.
+      log_directory: Directory to which the logs of a run with findings are
+        copied; None copies none.
     """
 
     seed: int
     duration_s: float = 30.0
     deployment: str = 'agence'
     vms: int = 0
-    kept: pathlib.Path | None = None
+    log_directory: pathlib.Path | None = None
 
 
 @attrs.frozen
@@ -109,7 +109,7 @@
     try:
         with clusters.Cluster(_plan_cluster(deployment, strategy)) as cluster:
             result = _Run(plan, deployment, cluster, strategy).execute()
-            if result.findings and plan.kept is not None:
+            if result.findings and plan.log_directory is not None:
                 _copy_logs(cluster, plan)
             return result
     except standin_errors.ClusterError as error:
@@ -130,8 +130,8 @@
         self._deployment = deployment
         self._cluster = cluster
         self._strategy = strategy
-        self._injector = faults.FaultInjector(cluster)
-        self._unplanned: list[tuple[float, float]] = []
+        self._context = faults.InjectionContext(cluster)
+        self._unplanned_faults: list[tuple[float, float]] = []
         self._failed_steps: list[str] = []
         # The key of the last workspace by name is withdrawn during the run; the
         # first workspace exceeds its rate limit; the others stay below theirs.
@@ -170,7 +170,7 @@
         started = clocks.read_now()
         jobs = []
         for step in schedule.steps:
-            gevent.sleep(max(0.0, started + step.at_s - clocks.read_now()))
+            gevent.sleep(max(0.0, started + step.start_s - clocks.read_now()))
             jobs.append(gevent.spawn(self._execute_step, step))
         gevent.joinall(jobs)
         self._cluster.heal(rules=True)
@@ -178,14 +178,14 @@
     def _execute_step(self, step: schedules.Step) -> None:
         started = clocks.read_now()
         try:
-            self._injector.run(step)
+            self._context.run(step)
         except (
             standin_errors.ClusterError,
             standin_errors.ExchangeError,
         ) as error:
             self._failed_steps.append(f'{step.number} {step.kind}: {error}')
         if step.kind not in _PLANNED_KINDS:
-            self._unplanned.append((started, clocks.read_now()))
+            self._unplanned_faults.append((started, clocks.read_now()))
 
     def _withdraw_key(self) -> float:
         """Withdraws a key and returns the time of publication in seconds."""
@@ -228,7 +228,7 @@
             self._cluster.control_backend(upstream['name'], 'clear-runs')
         self._cluster.collect_peaks(reset=True)
 
-    def _list_unserved(self) -> list[str]:
+    def _list_unrecovered_vms(self) -> list[str]:
         """Returns the VMs that serve no call within the recovery timeout."""
         pending = list(self._cluster.vms)
 
@@ -249,16 +249,18 @@
     def _check_result(
         self, report: loadreports.LoadReport, withdrawn_at: float
     ) -> list[checks.Finding]:
-        unserved = self._list_unserved()
+        unrecovered_vms = self._list_unrecovered_vms()
         self._cluster.wait_until(
             self._is_idle, _IDLE_TIMEOUT_S, 'idle backend servers'
         )
         runs = self._cluster.collect_runs()
         budgets = self._read_budgets()
-        violations = invariants.Referee(budgets, _LATITUDE_S).judge(
+        violations = invariants.InvariantChecker(
+            budgets, _LATITUDE_S
+        ).find_violations(
             _exclude_probes(runs), report.records, self._cluster.collect_peaks()
         )
-        ended = {
+        exit_statuses = {
             vm.name: vm.process.returncode
             for vm in self._cluster.vms.values()
             if vm.process is not None and vm.process.returncode is not None
@@ -266,13 +268,13 @@
         observations = checks.Observations(
             report.records,
             runs,
-            self._injector.stops,
-            self._unplanned,
+            self._context.stops,
+            self._unplanned_faults,
             self._withdrawn_workspace,
             withdrawn_at,
             _KEY_TRUST_S + _LATITUDE_S,
-            ended,
-            unserved,
+            exit_statuses,
+            unrecovered_vms,
         )
         findings = [checks.Finding(v.rule, v.detail) for v in violations]
         return findings + checks.run_checks(observations)
@@ -332,7 +334,7 @@
             scale = _LARGE_CALLS_PER_S / sum(rates.values()) / _OFFERED_SHARE
             rates = {name: rate * scale for name, rate in rates.items()}
         return profiles.Profile(
-            targets=tuple(self._cluster.targets()),
+            targets=tuple(self._cluster.list_targets()),
             duration_s=self._plan.duration_s,
             workspaces=tuple(
                 profiles.WorkspaceLoad(
@@ -389,6 +391,9 @@
 
 def _copy_logs(cluster: clusters.Cluster, plan: Plan) -> None:
     """Copies the settings and logs of all processes to ``seed-<seed>``."""
-    assert cluster.launcher.directory is not None and plan.kept is not None
-    target = plan.kept / f'seed-{plan.seed}'
+    assert (
+        cluster.launcher.directory is not None
+        and plan.log_directory is not None
+    )
+    target = plan.log_directory / f'seed-{plan.seed}'
     shutil.copytree(cluster.launcher.directory, target, dirs_exist_ok=True)
--- a/jayseam/soak/schedules.py
+++ b/jayseam/soak/schedules.py
@@ -25,18 +25,18 @@
 
     Attributes:
       scope: Type of the targets: ``positions``, ``zones`` or ``none``.
-      least: Minimum number of targets.
-      most: Maximum number of targets.
-      longest_s: Maximum duration of a step in seconds.
+      min_targets: Minimum number of targets.
+      max_targets: Maximum number of targets.
+      max_duration_s: Maximum duration of a step in seconds.
       weight: Relative frequency among all kinds.
     """
 
     scope: str = attrs.field(
         validator=attrs.validators.in_(('positions', 'zones', 'none'))
     )
-    least: int = 1
-    most: int = 1
-    longest_s: float = 2.5
+    min_targets: int = 1
+    max_targets: int = 1
+    max_duration_s: float = 2.5
     weight: float = 1.0
 
 
@@ -47,8 +47,8 @@
     Attributes:
       number: Index in the schedule, from 0.
       kind: Name of the kind.
-      at_s: Start time in seconds after the start of the load.
-      for_s: Duration in seconds.
+      start_s: Start time in seconds after the start of the load.
+      duration_s: Duration in seconds.
       targets: Names of the affected upstream positions or availability zones.
       strength: A number from 0 to 1 whose meaning depends on the kind, for
         example a share of the longest delay.
@@ -56,8 +56,8 @@
 
     number: int
     kind: str
-    at_s: float
-    for_s: float
+    start_s: float
+    duration_s: float
     targets: tuple[str, ...] = ()
     strength: float = 0.5
 
@@ -80,7 +80,7 @@
     @property
     def last_step_end_s(self) -> float:
         """Time at which the last step ends, in seconds since the load began."""
-        return max((s.at_s + s.for_s for s in self.steps), default=0.0)
+        return max((s.start_s + s.duration_s for s in self.steps), default=0.0)
 
 
 def draw_schedule(
@@ -114,18 +114,20 @@
     weights = [kinds[name].weight for name in names]
     choices = {'positions': positions, 'zones': zones, 'none': ()}
     steps: list[Step] = []
-    at_s = generator.uniform(*_STEP_GAP_S)
-    while at_s < duration_s - recovery_s:
+    start_s = generator.uniform(*_STEP_GAP_S)
+    while start_s < duration_s - recovery_s:
         name = generator.choices(names, weights)[0]
         is_series = generator.random() < _SERIES_SHARE
         for _ in range(generator.randint(*_SERIES_LENGTH) if is_series else 1):
             step = _draw_step(generator, len(steps), name, kinds[name], choices)
-            remaining_s = duration_s - recovery_s - at_s
+            remaining_s = duration_s - recovery_s - start_s
             if remaining_s <= 0:
                 break
-            for_s = min(step.for_s, remaining_s)
-            steps.append(attrs.evolve(step, at_s=at_s, for_s=for_s))
-            at_s += generator.uniform(*_STEP_GAP_S)
+            step_duration_s = min(step.duration_s, remaining_s)
+            steps.append(
+                attrs.evolve(step, start_s=start_s, duration_s=step_duration_s)
+            )
+            start_s += generator.uniform(*_STEP_GAP_S)
     return Schedule(seed, duration_s, tuple(steps))
 
 
@@ -138,12 +140,14 @@
 ) -> Step:
     """Draws a step of a kind; the caller sets its start time."""
     names = choices[kind.scope]
-    count = min(len(names), generator.randint(kind.least, kind.most))
+    count = min(
+        len(names), generator.randint(kind.min_targets, kind.max_targets)
+    )
     return Step(
         number,
         name,
         0.0,
-        generator.uniform(0.2, 1.0) * kind.longest_s,
+        generator.uniform(0.2, 1.0) * kind.max_duration_s,
         tuple(generator.sample(list(names), count)),
         generator.random(),
     )
--- a/jayseam/soak/tests/test_checks.py
+++ b/jayseam/soak/tests/test_checks.py
@@ -13,12 +13,12 @@
     records=(),
     runs=(),
     stops=(_STOP,),
-    unplanned=(),
+    unplanned_faults=(),
     withdrawn='mons',
     withdrawn_at=20.0,
-    trust_s=5.0,
-    ended={},
-    unserved=(),
+    key_grace_s=5.0,
+    exit_statuses={},
+    unrecovered_vms=(),
 )
 
 
@@ -53,8 +53,8 @@
 @pytest.mark.parametrize(
     'check, changes',
     [
-        ('own-end', {'ended': {'vm-1': 1}}),
-        ('recovery', {'unserved': ('vm-1',)}),
+        ('own-end', {'exit_statuses': {'vm-1': 1}}),
+        ('recovery', {'unrecovered_vms': ('vm-1',)}),
         ('planned-stop', {'records': (_build_record('lost', 10.5),)}),
         (
             'planned-stop',
@@ -78,10 +78,12 @@
 def test_unplanned_faults_excuse_what_a_stop_cuts():
     """A call lost within the stable window after a fault is excused."""
     lost = (_build_record('lost', 10.5),)
-    assert not _find_violated_checks(records=lost, unplanned=((5.0, 7.5),))
-    assert _find_violated_checks(records=lost, unplanned=((5.0, 6.5),)) == [
-        'planned-stop'
-    ]
+    assert not _find_violated_checks(
+        records=lost, unplanned_faults=((5.0, 7.5),)
+    )
+    assert _find_violated_checks(
+        records=lost, unplanned_faults=((5.0, 6.5),)
+    ) == ['planned-stop']
 
 
 def test_a_process_that_never_served_may_end_by_the_signal():
--- a/jayseam/soak/tests/test_schedules.py
+++ b/jayseam/soak/tests/test_schedules.py
@@ -27,7 +27,7 @@
     schedule = _draw(seed)
     assert schedule.steps
     assert schedule.last_step_end_s <= 25.0
-    times = [step.at_s for step in schedule.steps]
+    times = [step.start_s for step in schedule.steps]
     assert times == sorted(times)
 
 
@@ -35,7 +35,7 @@
     """Faults overlap, and some kinds are repeated in direct succession."""
     steps = _draw(3, 120.0).steps
     pairs = list(zip(steps, steps[1:]))
-    assert any(a.at_s + a.for_s > b.at_s for a, b in pairs)
+    assert any(a.start_s + a.duration_s > b.start_s for a, b in pairs)
     assert any(a.kind == b.kind for a, b in pairs)
 
 
@@ -53,4 +53,4 @@
         kind = kinds[step.kind]
         assert set(step.targets) <= names[kind.scope]
         if kind.scope != 'none':
-            assert kind.least <= len(step.targets) <= kind.most
+            assert kind.min_targets <= len(step.targets) <= kind.max_targets
--- a/jayseam/source/backoff.py
+++ b/jayseam/source/backoff.py
@@ -60,10 +60,10 @@
         return max(0.0, self.not_before - now)
 
 
-class Retry:
+class RetryTimer:
     """Applies `Backoff` with random jitter to one activity.
 
-    >>> retry = Retry(uniform=lambda: 0.5)
+    >>> retry = RetryTimer(uniform=lambda: 0.5)
     >>> retry.fail(now=10.0), retry.compute_wait(now=10.4) > 0.0
     (0.5, True)
     >>> retry.succeed()
--- a/jayseam/source/client.py
+++ b/jayseam/source/client.py
@@ -27,13 +27,13 @@
     Attributes:
       revision: Revision of the value; None if a 304 reply has none.
       body: The value, or None if there is no newer value (304).
-      asked_at: Time at which the request was made, in seconds.
+      requested_at: Time at which the request was made, in seconds.
       received_at: Time at which the whole reply had arrived, in seconds.
     """
 
     revision: int | None
     body: bytes | None
-    asked_at: float
+    requested_at: float
     received_at: float
 
 
@@ -48,12 +48,14 @@
         """Sets this node's rank among the readers of its zone, from zero."""
 
     def read_value(
-        self, key: str, after: int | None = None, wait_s: float = 0.0
+        self, key: str, after_revision: int | None = None, wait_s: float = 0.0
     ) -> Reply:
-        """Reads a value, or waits for a revision newer than ``after``."""
+        """Reads a value, or waits for one newer than ``after_revision``."""
 
-    def read_vms(self, after: int | None = None, wait_s: float = 0.0) -> Reply:
-        """Reads the VM list, or waits for a revision newer than ``after``."""
+    def read_vms(
+        self, after_revision: int | None = None, wait_s: float = 0.0
+    ) -> Reply:
+        """Reads the VM list, or waits for one newer than ``after_revision``."""
 
     def read_part(self, digest: str) -> bytes:
         """Reads a manifest or part."""
@@ -100,14 +102,14 @@
         """Does nothing, because all readers may watch this source alike."""
 
     def read_value(
-        self, key: str, after: int | None = None, wait_s: float = 0.0
+        self, key: str, after_revision: int | None = None, wait_s: float = 0.0
     ) -> Reply:
         """Reads a value, or waits for a newer one.
 
         Args:
           key: Key of the value, such as ``channels/preset``.
-          after: Revision held; the reply has a body only if its revision is
-            newer.
+          after_revision: Revision held; the reply has a body only if its
+            revision is newer.
           wait_s: Time that the source may wait for a newer revision, in
             seconds.
 
@@ -115,15 +117,17 @@
           SourceError: The error of the last URL, if none gave a valid reply.
         """
         path = f'/v1/values/{urllib.parse.quote(key)}'
-        return self._read(path, after, wait_s, MAX_BODY_BYTES)
+        return self._read(path, after_revision, wait_s, MAX_BODY_BYTES)
 
-    def read_vms(self, after: int | None = None, wait_s: float = 0.0) -> Reply:
+    def read_vms(
+        self, after_revision: int | None = None, wait_s: float = 0.0
+    ) -> Reply:
         """Reads the VM list, or waits for a newer one.
 
         Raises:
           SourceError: The error of the last URL, if none gave a valid reply.
         """
-        return self._read('/v1/vms', after, wait_s, MAX_VMS_BODY_BYTES)
+        return self._read('/v1/vms', after_revision, wait_s, MAX_VMS_BODY_BYTES)
 
     def read_part(self, digest: str) -> bytes:
         """Reads a manifest or part and checks its digest.
@@ -139,16 +143,22 @@
         for endpoint in self._endpoints:
             endpoint.close()
 
-    def _read(self, path, after, wait_s, max_bytes, digest=None) -> Reply:
-        if after is not None:
-            path += f'?after={after}&wait_s={wait_s:g}'
+    def _read(
+        self, path, after_revision, wait_s, max_bytes, digest=None
+    ) -> Reply:
+        if after_revision is not None:
+            path += f'?after={after_revision}&wait_s={wait_s:g}'
         failure: errors.SourceError | None = None
         first = self._preferred
         for step in range(len(self._endpoints)):
             index = (first + step) % len(self._endpoints)
             try:
                 reply = self._read_endpoint(
-                    self._endpoints[index], path, after, wait_s, max_bytes
+                    self._endpoints[index],
+                    path,
+                    after_revision,
+                    wait_s,
+                    max_bytes,
                 )
                 _check_digest(reply, digest)
             except errors.SourceBudgetError:
@@ -161,28 +171,34 @@
                 return reply
         raise failure
 
-    def _read_endpoint(self, endpoint, path, after, wait_s, max_bytes) -> Reply:
+    def _read_endpoint(
+        self, endpoint, path, after_revision, wait_s, max_bytes
+    ) -> Reply:
         """Sends one request and parses the reply."""
-        limit_s = self._timeout_s + (wait_s if after is not None else 0.0)
+        limit_s = self._timeout_s + (
+            wait_s if after_revision is not None else 0.0
+        )
         return _parse_reply(
-            endpoint.url, endpoint.fetch(path, limit_s, max_bytes), after
+            endpoint.url,
+            endpoint.fetch(path, limit_s, max_bytes),
+            after_revision,
         )
 
 
-def _parse_reply(url, reply: endpoints.RawReply, after) -> Reply:
+def _parse_reply(url, reply: endpoints.RawReply, after_revision) -> Reply:
     status = reply.status
     if status == 429:
         raise errors.SourceBudgetError(f'{url}: read budget exceeded')
     if status == 404:
         raise errors.ValueMissingError(f'{url}: no such value')
     revision = _parse_revision(url, reply.headers.get('Revision'))
-    if status == 304 and after is not None:
-        return Reply(revision, None, reply.asked_at, reply.received_at)
+    if status == 304 and after_revision is not None:
+        return Reply(revision, None, reply.requested_at, reply.received_at)
     if status != 200:
         raise errors.SourceReplyError(f'{url}: status {status}')
     if revision is None:
         raise errors.SourceReplyError(f'{url}: no Revision header')
-    return Reply(revision, reply.body, reply.asked_at, reply.received_at)
+    return Reply(revision, reply.body, reply.requested_at, reply.received_at)
 
 
 def _parse_revision(url: str, value) -> int | None:
--- a/jayseam/source/endpoints.py
+++ b/jayseam/source/endpoints.py
@@ -24,14 +24,14 @@
       status: HTTP status code.
       headers: Header fields by name.
       body: The whole body.
-      asked_at: Time at which the request was made, in seconds.
+      requested_at: Time at which the request was made, in seconds.
       received_at: Time at which the whole reply had arrived, in seconds.
     """
 
     status: int
     headers: Mapping[str, str]
     body: bytes
-    asked_at: float
+    requested_at: float
     received_at: float
 
 
@@ -77,7 +77,7 @@
           SourceUnreachableError: If the connection failed.
           BodyTooLargeError: If the body is larger.
         """
-        asked_at = clocks.read_now()
+        requested_at = clocks.read_now()
         reply, timeout = None, gevent.Timeout(limit_s)
         try:
             with timeout:
@@ -98,7 +98,7 @@
             if reply is not None:
                 reply.release()
         return RawReply(
-            reply.status_code, reply, body, asked_at, clocks.read_now()
+            reply.status_code, reply, body, requested_at, clocks.read_now()
         )
 
     def close(self) -> None:
--- a/jayseam/source/tests/test_source.py
+++ b/jayseam/source/tests/test_source.py
@@ -95,7 +95,7 @@
     source = client.SourceClient([platform.url])
     reply = source.read_value('channels/preset')
     assert (reply.revision, reply.body) == (5, b'five')
-    reply = source.read_value('channels/preset', after=5, wait_s=0.1)
+    reply = source.read_value('channels/preset', after_revision=5, wait_s=0.1)
     assert (reply.revision, reply.body) == (5, None)
     watch = gevent.spawn(source.read_value, 'channels/preset', 5, 5.0)
     gevent.sleep(0.05)
@@ -178,7 +178,7 @@
     source = client.SourceClient([url], timeout_s=0.2)
     started_at = clocks.read_now()
     with pytest.raises(errors.SourceTimeoutError):
-        source.read_vms(after=1, wait_s=0.2)
+        source.read_vms(after_revision=1, wait_s=0.2)
     assert 0.3 < clocks.read_now() - started_at < 1.0
     server.stop(timeout=0.1)
 
--- a/jayseam/source/tests/test_watchers.py
+++ b/jayseam/source/tests/test_watchers.py
@@ -16,9 +16,9 @@
     def __init__(self, script):
         self._script = list(script)
 
-    def read_vms(self, after=None, wait_s=0.0):
+    def read_vms(self, after_revision=None, wait_s=0.0):
         """Returns the next reply of the script."""
-        del after, wait_s
+        del after_revision, wait_s
         if not self._script:
             gevent.sleep(60.0)
         return self._script.pop(0)
@@ -76,7 +76,7 @@
         _build_reply(2, {'vm-1': 'live'}, now + silent_s),
         _build_reply(3, both, now + silent_s + 0.2),
     ]
-    watcher, updates = _watch(script, watchers.ReturnGrace(4.5, 0.2))
+    watcher, updates = _watch(script, watchers.OutageGrace(4.5, 0.2))
     waits.wait_until(lambda: updates and updates[-1].version == 3, 5.0)
     watcher.stop()
     assert [update.version for update in updates] == versions
@@ -91,6 +91,6 @@
         gone,
         gone,
     ]
-    watcher, updates = _watch(script, watchers.ReturnGrace(4.5, 0.2))
+    watcher, updates = _watch(script, watchers.OutageGrace(4.5, 0.2))
     waits.wait_until(lambda: updates and updates[-1].version == 2, 5.0)
     watcher.stop()
--- a/jayseam/source/watchers.py
+++ b/jayseam/source/watchers.py
@@ -63,7 +63,7 @@
 
 
 @attrs.frozen
-class ReturnGrace:
+class OutageGrace:
     """Grace period for entries that a VM list lost in an outage of the source.
 
     Backend servers that could not renew their entries during the outage are
@@ -96,7 +96,7 @@
 ) -> float:
     """Returns the seconds after which the VM list is read again, or zero.
 
-    >>> grace = ReturnGrace(lapse_s=4.5, grace_s=1.5)
+    >>> grace = OutageGrace(lapse_s=4.5, grace_s=1.5)
     >>> grace_until = grace.compute_end(silent_s=5.0, now=100.0)
     >>> compute_grace(grace_until, {'vm-1', 'vm-2'}, {'vm-1'}, now=101.0)
     0.5
@@ -147,14 +147,16 @@
     if reply.body is None:
         if reply.revision is not None and reply.revision != after:
             return ReadOutcome(is_behind=True)
-        elapsed_s = reply.received_at - reply.asked_at
-        confirmed_at = reply.asked_at + min(wait_s, elapsed_s)
+        elapsed_s = reply.received_at - reply.requested_at
+        confirmed_at = reply.requested_at + min(wait_s, elapsed_s)
         return ReadOutcome(
             confirmation=SourceConfirmation(channel, after, confirmed_at)
         )
     if after is not None and reply.revision < after:
         return ReadOutcome(is_behind=True)
-    confirmation = SourceConfirmation(channel, reply.revision, reply.asked_at)
+    confirmation = SourceConfirmation(
+        channel, reply.revision, reply.requested_at
+    )
     return ReadOutcome(_parse_update(channel, reply), confirmation)
 
 
@@ -196,7 +198,7 @@
         on_failure: Callable[[str, errors.SourceError | None], Any] = (
             lambda channel, error: None
         ),
-        grace: ReturnGrace = ReturnGrace(),
+        grace: OutageGrace = OutageGrace(),
     ):
         """Prepares the watch.
 
@@ -241,7 +243,7 @@
             self._greenlet.kill()
 
     def _run(self) -> None:
-        retry = backoff.Retry(self._uniform)
+        retry = backoff.RetryTimer(self._uniform)
         while not self._stopping.is_set():
             if self._watch_once():
                 retry.succeed()
@@ -255,7 +257,7 @@
         known = [v for v in (self._seen_version, self._held_version()) if v]
         after = max(known, default=None)
         wait_s = 0.0 if self._is_first else self._wait_s
-        asked_at = clocks.read_now()
+        requested_at = clocks.read_now()
         try:
             outcome = read_channel(self._client, self.channel, after, wait_s)
         except errors.SourceError as error:
@@ -277,7 +279,7 @@
         update = outcome.update
         if update is not None and update.version > (after or 0):
             return True
-        elapsed_s = clocks.read_now() - asked_at
+        elapsed_s = clocks.read_now() - requested_at
         return elapsed_s >= min(wait_s, _MIN_WATCH_S)
 
     def _update_grace(self, outcome: ReadOutcome, now: float) -> float:
--- a/jayseam/standins/answers.py
+++ b/jayseam/standins/answers.py
@@ -1,7 +1,7 @@
 """Answers of the backend stand-in that a caller can verify.
 
 A body consists of a checksum line, a line of JSON metadata about the request,
-and filler made from the request id. `verify_answer` rejects a body that is
+and filler made from the request id. `verify_body` rejects a body that is
 truncated, mixed with another body, or not from a backend stand-in.
 """
 
@@ -21,13 +21,13 @@
 _MAX_FILLER_BYTES = 16_000_000
 
 
-def build_answer(metadata: Mapping[str, Any], filler_bytes: int) -> bytes:
+def build_body(metadata: Mapping[str, Any], filler_bytes: int) -> bytes:
     """Returns a body with ``metadata`` and filler of the given size.
 
-    >>> body = build_answer({'request_id': 'r1'}, 8)
-    >>> verify_answer(body)
+    >>> body = build_body({'request_id': 'r1'}, 8)
+    >>> verify_body(body)
     {'request_id': 'r1', 'filler_bytes': 8}
-    >>> verify_answer(body[:-1])
+    >>> verify_body(body[:-1])
     Traceback (most recent call last):
     ...
     jayseam.standins.errors.AnswerError: checksum does not match the body
@@ -40,7 +40,7 @@
     return digests.compute_digest(content).encode() + b'\n' + content
 
 
-def verify_answer(body: bytes) -> dict[str, Any]:
+def verify_body(body: bytes) -> dict[str, Any]:
     """Returns the metadata of a complete body.
 
     Raises:
--- a/jayseam/standins/backend.py
+++ b/jayseam/standins/backend.py
@@ -378,7 +378,7 @@
         }
         if nested is not None:
             metadata['nested'] = nested
-        return answers.build_answer(metadata, size)
+        return answers.build_body(metadata, size)
 
     def _cancel_run(self, request_id: str) -> bool:
         cancelled = self._cancellations.get(request_id)
--- a/jayseam/standins/clusters.py
+++ b/jayseam/standins/clusters.py
@@ -199,11 +199,11 @@
 
     def take_zone_out(self, zone: str) -> int:
         """Publishes the preset with a zone out of service."""
-        return self.publish(edits.set_zone_service(self.preset, zone, False))
+        return self.publish(edits.set_zone_in_service(self.preset, zone, False))
 
     def take_zone_in(self, zone: str) -> int:
         """Publishes the preset with a zone in service."""
-        return self.publish(edits.set_zone_service(self.preset, zone, True))
+        return self.publish(edits.set_zone_in_service(self.preset, zone, True))
 
     def publish_vms(self) -> int:
         """Publishes the VM list and returns its revision."""
@@ -244,7 +244,7 @@
             self._platform_control, f'/control/{action}', fields
         )
 
-    def control_faults(self, action: str, **fields: Any) -> Any:
+    def control_fault_proxy(self, action: str, **fields: Any) -> Any:
         """Calls a control action of the fault proxy.
 
         Raises:
@@ -273,7 +273,7 @@
 
     # Nodes.
 
-    def status(self, vm: str, timeout_s: float = 2.0) -> dict[str, Any]:
+    def read_status(self, vm: str, timeout_s: float = 2.0) -> dict[str, Any]:
         """Returns what a node's admin listener answers to ``GET /status``.
 
         Raises:
@@ -307,7 +307,7 @@
             address, method, path, fields, body, timeout_s
         )
 
-    def targets(self) -> list[str]:
+    def list_targets(self) -> list[str]:
         """Returns the caller addresses of all VMs as ``host:port``."""
         return [f'{_HOST}:{vm.caller_port}' for vm in self.vms.values()]
 
@@ -345,7 +345,7 @@
             raise errors.ClusterError(
                 f'{vm} ended with status {process.returncode}'
             )
-        return self.status(vm).get('state') == 'serving'
+        return self.read_status(vm).get('state') == 'serving'
 
     def _get_process(self, vm: str) -> processes.ManagedProcess:
         process = self.vms[vm].process
--- a/jayseam/standins/demo.py
+++ b/jayseam/standins/demo.py
@@ -61,7 +61,7 @@
       name: ``agence`` or ``leeuwenhoek``.
       seed: Seed of the keys and the load.
     """
-    deployment = deployments.BUILDERS[name](
+    deployment = deployments.DEPLOYMENT_BUILDERS[name](
         seed=seed, ramp=deployments.SHORT_RAMP
     )
     with clusters.Cluster(deployments.build_plan(deployment)) as cluster:
@@ -115,7 +115,7 @@
     """Takes a zone out of service or back in; a new route is the probe."""
     prefix = f'/demo-{direction}'
     preset = edits.add_open_route(cluster.preset, prefix)
-    moved = edits.set_zone_service(preset, zone, direction == 'back')
+    moved = edits.set_zone_in_service(preset, zone, direction == 'back')
     return _check_convergence(
         f'zone {direction} in force everywhere',
         cluster,
@@ -190,14 +190,14 @@
     report: loadreports.LoadReport,
     changes: _AppliedChanges,
 ) -> Iterable[Check]:
-    """Checks the runs by the rules of the referee and of the zone change."""
+    """Checks the runs by the invariants and the rules of the zone change."""
     runs = cluster.collect_runs()
     budgets = invariants.read_budgets(
         documents.dump_preset(deployment.preset)['workspaces']
     )
-    violations = invariants.Referee(budgets, _LATITUDE_S).judge(
-        runs, report.records, cluster.collect_peaks()
-    )
+    violations = invariants.InvariantChecker(
+        budgets, _LATITUDE_S
+    ).find_violations(runs, report.records, cluster.collect_peaks())
     figure = (
         '; '.join(f'{v.rule}: {v.detail}' for v in violations[:3]) or 'none'
     )
@@ -241,7 +241,9 @@
 
 def serve_deployment(name: str) -> None:
     """Starts a deployment, prints its addresses, and waits for Ctrl-C."""
-    deployment = deployments.BUILDERS[name](ramp=deployments.SHORT_RAMP)
+    deployment = deployments.DEPLOYMENT_BUILDERS[name](
+        ramp=deployments.SHORT_RAMP
+    )
     with clusters.Cluster(deployments.build_plan(deployment)) as cluster:
         vm = next(iter(cluster.vms.values()))
         workspace, key = next(iter(deployment.plaintexts.items()))
@@ -264,7 +266,9 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Runs the demo; returns 0 only if every check held."""
     parser = argparse.ArgumentParser(prog='jayseam-demo', description=__doc__)
-    parser.add_argument('--keep', choices=sorted(deployments.BUILDERS))
+    parser.add_argument(
+        '--keep', choices=sorted(deployments.DEPLOYMENT_BUILDERS)
+    )
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args(arguments)
     processes.exit_on_sigterm()
@@ -273,7 +277,7 @@
         return 0
     print(f'seed {options.seed}', flush=True)
     passed = True
-    for name in deployments.BUILDERS:
+    for name in deployments.DEPLOYMENT_BUILDERS:
         checks = run_deployment(name, options.seed)
         print(format_table(name, checks), flush=True)
         passed = passed and all(check.passed for check in checks)
--- a/jayseam/standins/deployments.py
+++ b/jayseam/standins/deployments.py
@@ -9,7 +9,7 @@
 from jayseam.tools import profiles
 
 SHORT_RAMP = model.Ramp(initial_slots=4, duration_s=1.0)
-BUILDERS = {
+DEPLOYMENT_BUILDERS = {
     'agence': samples.build_agence,
     'leeuwenhoek': samples.build_leeuwenhoek,
 }
@@ -60,7 +60,7 @@
         routes.append(entry)
     return profiles.parse_profile(
         {
-            'targets': cluster.targets(),
+            'targets': cluster.list_targets(),
             'duration_s': _LOAD_DURATION_S,
             'seed': seed,
             'workspaces': [
--- a/jayseam/standins/edits.py
+++ b/jayseam/standins/edits.py
@@ -10,13 +10,13 @@
 from jayseam.standins import errors
 
 
-def set_zone_service(
+def set_zone_in_service(
     preset: Mapping[str, Any], zone: str, in_service: bool
 ) -> dict[str, Any]:
     """Returns the preset with one zone in or out of service.
 
     >>> before = {'zones': [{'name': 'a', 'in_service': True}]}
-    >>> set_zone_service(before, 'a', False)
+    >>> set_zone_in_service(before, 'a', False)
     {'zones': [{'name': 'a', 'in_service': False}]}
 
     Raises:
--- a/jayseam/standins/invariants.py
+++ b/jayseam/standins/invariants.py
@@ -61,7 +61,7 @@
 
 
 @attrs.frozen
-class Observations:
+class CheckInput:
     """The runs, calls and limits that the rules check.
 
     Attributes:
@@ -80,17 +80,17 @@
     latitude_s: float = 0.0
 
 
-Rule = Callable[[Observations], Iterable[str]]
+Rule = Callable[[CheckInput], Iterable[str]]
 
 rules: registries.Registry[Rule] = registries.Registry('rule')
 
 
-class Referee:
+class InvariantChecker:
     """Applies all rules to the runs and calls of a test.
 
     Args:
       budgets: Budgets by workspace; see `read_budgets`.
-      latitude_s: See `Observations`.
+      latitude_s: See `CheckInput`.
     """
 
     def __init__(
@@ -101,7 +101,7 @@
         self._budgets = dict(budgets or {})
         self._latitude_s = latitude_s
 
-    def judge(
+    def find_violations(
         self,
         runs: Sequence[Mapping[str, Any]],
         records: Sequence[Any],
@@ -115,13 +115,13 @@
           peaks: From `clusters.Cluster.collect_peaks`; None skips the rule
             ``overload``.
         """
-        observations = Observations(
+        check_input = CheckInput(
             runs, records, peaks or {}, self._budgets, self._latitude_s
         )
         return [
             Violation(name, detail)
             for name in rules.list_names()
-            for detail in list(rules.get(name)(observations))[
+            for detail in list(rules.get(name)(check_input))[
                 :_MAX_VIOLATIONS_PER_RULE
             ]
         ]
@@ -174,10 +174,10 @@
 
 
 @rules.register('at-most-once')
-def _check_idempotency_keys(observations: Observations) -> Iterator[str]:
+def _check_idempotency_keys(check_input: CheckInput) -> Iterator[str]:
     """No idempotency key runs twice for a workspace."""
     runs: dict[tuple[str, str], list[str]] = collections.defaultdict(list)
-    for run in observations.runs:
+    for run in check_input.runs:
         if run['idempotency_key']:
             key = (run['workspace'], run['idempotency_key'])
             runs[key].append(f'{run["request_id"]} at {run.get("backend")}')
@@ -187,14 +187,14 @@
 
 
 @rules.register('not-run')
-def _check_not_run_answers(observations: Observations) -> Iterator[str]:
+def _check_not_run_answers(check_input: CheckInput) -> Iterator[str]:
     """No call whose answer says that it did not run has run."""
-    request_ids = {run['request_id'] for run in observations.runs} - {''}
-    echoes = {run['echo'] for run in observations.runs} - {''}
+    request_ids = {run['request_id'] for run in check_input.runs} - {''}
+    echoes = {run['echo'] for run in check_input.runs} - {''}
     n_attempts = collections.Counter(
-        record.echo for record in observations.records
+        record.echo for record in check_input.records
     )
-    for record in observations.records:
+    for record in check_input.records:
         if record.ran != 'no':
             continue
         # `ran` is a statement about one attempt, so a run with the same echo
@@ -205,22 +205,22 @@
 
 
 @rules.register('workspace')
-def _check_workspaces(observations: Observations) -> Iterator[str]:
+def _check_workspaces(check_input: CheckInput) -> Iterator[str]:
     """Every call runs for its own workspace and has a caller."""
-    callers = {record.echo: record.workspace for record in observations.records}
-    for run in observations.runs:
+    callers = {record.echo: record.workspace for record in check_input.records}
+    for run in check_input.runs:
         workspace = callers.get(run['echo'])
-        if run['echo'] and observations.records and workspace is None:
+        if run['echo'] and check_input.records and workspace is None:
             yield f'{run["request_id"]} ran, but nobody called it'
         elif workspace and run['workspace'] not in ('', workspace):
             yield f'{run["request_id"]} of {workspace}: {run["workspace"]}'
 
 
 @rules.register('answers')
-def _check_answers(observations: Observations) -> Iterator[str]:
+def _check_answers(check_input: CheckInput) -> Iterator[str]:
     """Every answer is complete, belongs to its call and comes from a run."""
-    echoes = {run['echo'] for run in observations.runs}
-    for record in observations.records:
+    echoes = {run['echo'] for run in check_input.runs}
+    for record in check_input.records:
         if record.outcome in ('foreign', 'corrupt'):
             yield f'{record.workspace} {record.outcome}: {record.request_id}'
         elif record.outcome == 'ok' and record.echo not in echoes:
@@ -228,28 +228,28 @@
 
 
 @rules.register('keys')
-def _check_keys_unseen(observations: Observations) -> Iterator[str]:
+def _check_keys_unseen(check_input: CheckInput) -> Iterator[str]:
     """No backend server sees a workspace key."""
-    for run in observations.runs:
+    for run in check_input.runs:
         if run['key_seen']:
             yield f'{run.get("backend")} saw a key: {run["request_id"]}'
 
 
 @rules.register('budget')
-def _check_budgets(observations: Observations) -> Iterator[str]:
+def _check_budgets(check_input: CheckInput) -> Iterator[str]:
     """No workspace exceeds its rate and burst in any window.
 
     Nested calls are not counted, and a retried call is counted once.
     """
     times: dict[str, dict[str, float]] = collections.defaultdict(dict)
-    for number, run in enumerate(observations.runs):
+    for number, run in enumerate(check_input.runs):
         if not run['nested']:
             name = run['request_id'] or str(number)
             starts = times[run['workspace']]
             starts[name] = min(run['started'], starts.get(name, run['started']))
-    for workspace, budget in observations.budgets.items():
+    for workspace, budget in check_input.budgets.items():
         starts = list(times[workspace].values())
-        excess = find_excess(starts, budget, observations.latitude_s)
+        excess = find_excess(starts, budget, check_input.latitude_s)
         if excess is not None:
             length = excess.end - excess.start
             yield (
@@ -259,9 +259,9 @@
 
 
 @rules.register('draining')
-def _check_drains(observations: Observations) -> Iterator[str]:
+def _check_drains(check_input: CheckInput) -> Iterator[str]:
     """A draining backend server gets no new work after 3 s."""
-    for run in observations.runs:
+    for run in check_input.runs:
         if (run['draining_s'] or 0.0) > _DRAIN_LIMIT_S:
             yield (
                 f'{run.get("backend")} got {run["request_id"]}'
@@ -270,9 +270,9 @@
 
 
 @rules.register('overload')
-def _check_overloads(observations: Observations) -> Iterator[str]:
+def _check_overloads(check_input: CheckInput) -> Iterator[str]:
     """No backend server gets more load than its slots and connections."""
-    for name, peaks in observations.peaks.items():
+    for name, peaks in check_input.peaks.items():
         found = {k: peaks[k] for k in _OVERLOAD_COUNTERS if peaks[k]}
         if found:
             yield f'{name}: {found}'
--- a/jayseam/standins/kvstore.py
+++ b/jayseam/standins/kvstore.py
@@ -74,7 +74,7 @@
         )
         return self._revision
 
-    def forget_history(self) -> None:
+    def compact_history(self) -> None:
         """Drops the history, so that watches of older revisions get 410."""
         self._history.clear()
         self._dropped_revision = self._revision
--- a/jayseam/standins/nestedcalls.py
+++ b/jayseam/standins/nestedcalls.py
@@ -61,7 +61,7 @@
     if answer.status != 200:
         return [{**entry, 'code': _read_problem_code(answer)}]
     try:
-        metadata = answers.verify_answer(answer.body)
+        metadata = answers.verify_body(answer.body)
     except errors.AnswerError as error:
         return [{**entry, 'error': str(error)}]
     return [entry, *metadata.get('nested', [])]
--- a/jayseam/standins/platformbackend.py
+++ b/jayseam/standins/platformbackend.py
@@ -10,8 +10,8 @@
 from jayseam.core import clocks
 from jayseam.standins import serving
 
-REQUEST_ID = 'Jayseam-Request-Id'
-SIGNATURE = 'Jayseam-Response-Signature'
+REQUEST_ID_HEADER = 'Jayseam-Request-Id'
+SIGNATURE_HEADER = 'Jayseam-Response-Signature'
 
 
 @attrs.frozen
@@ -74,7 +74,7 @@
                 not (self.full or misdirected),
             )
         )
-        id_header = (REQUEST_ID, request_id)
+        id_header = (REQUEST_ID_HEADER, request_id)
         if misdirected:
             return serving.send_answer(start_response, 421, headers=[id_header])
         if self.full:
@@ -87,8 +87,8 @@
             {'id': request_id, 'path': environ['PATH_INFO']}
         ).encode()
         if self.crossed:
-            id_header = (REQUEST_ID, 'another')
+            id_header = (REQUEST_ID_HEADER, 'another')
         headers = [id_header]
         if not self.unsealed:
-            headers.append((SIGNATURE, f'{self.instance}.{request_id}'))
+            headers.append((SIGNATURE_HEADER, f'{self.instance}.{request_id}'))
         return serving.send_answer(start_response, 200, body, headers)
--- a/jayseam/standins/tests/test_backend.py
+++ b/jayseam/standins/tests/test_backend.py
@@ -67,7 +67,7 @@
 def test_answer_is_whole_and_of_its_request(make_client):
     """Callers verify by this metadata that an answer is complete and theirs."""
     answer = make_client().call(Idempotency_Key='k1')
-    metadata = answers.verify_answer(answer.body)
+    metadata = answers.verify_body(answer.body)
     assert (metadata['request_id'], metadata['workspace']) == ('r1', 'w1')
     assert (metadata['echo'], metadata['idempotency_key']) == ('e1', 'k1')
     assert metadata['filler_bytes'] == 100
@@ -209,6 +209,6 @@
     inner = make_client()
     outer = make_client(node_port=inner.address[1])
     answer = outer.call(X_Nest='2', Jayseam_Call_Token='t1')
-    nested = answers.verify_answer(answer.body)['nested']
+    nested = answers.verify_body(answer.body)['nested']
     assert [entry['status'] for entry in nested] == [200]
     assert inner.runs()[0]['nested']
--- a/jayseam/standins/tests/test_clusters.py
+++ b/jayseam/standins/tests/test_clusters.py
@@ -116,12 +116,12 @@
     plan = _plan(node_module='jayseam.standins.tests.idle_node')
     with clusters.Cluster(plan) as cluster:
         first, second, third, fourth = sorted(cluster.vms)
-        before = cluster.status(first)['incarnation']
+        before = cluster.read_status(first)['incarnation']
         cluster.pause(first)
         with pytest.raises(errors.ExchangeError):
-            cluster.status(first, timeout_s=0.1)
+            cluster.read_status(first, timeout_s=0.1)
         cluster.resume(first)
-        assert cluster.status(first)['incarnation'] == before
+        assert cluster.read_status(first)['incarnation'] == before
         cluster.restart(first)
         assert cluster.terminate(second) == 0
         cluster.kill(third)
@@ -129,13 +129,13 @@
         assert killed == -signal.SIGKILL
         new_vm = cluster.replace(fourth, graceful=False)
         cluster.wait_serving([first, new_vm])
-        assert cluster.status(first)['incarnation'] != before
+        assert cluster.read_status(first)['incarnation'] != before
         assert cluster.vms[new_vm].upstream == 'u3'
         listed = _read(cluster.platform_port, '/v1/vms').decode()['vms']
         states = {entry['vm']: entry['state'] for entry in listed}
         assert states[second] == 'leaving'
         assert fourth not in states and states[new_vm] == 'live'
-        assert len(cluster.targets()) == 4
+        assert len(cluster.list_targets()) == 4
         pids = [vm.process.pid for vm in cluster.vms.values()]
     for pid in pids:
         with pytest.raises(ProcessLookupError):
--- a/jayseam/standins/tests/test_invariants.py
+++ b/jayseam/standins/tests/test_invariants.py
@@ -1,4 +1,4 @@
-"""Tests of the invariant checks of the referee."""
+"""Tests of the invariant checker."""
 
 import random
 
@@ -32,7 +32,9 @@
 
 
 def _judge(runs, records, peaks=None):
-    violations = invariants.Referee(_BUDGETS).judge(runs, records, peaks)
+    violations = invariants.InvariantChecker(_BUDGETS).find_violations(
+        runs, records, peaks
+    )
     return [violation.rule for violation in violations]
 
 
--- a/jayseam/tools/loadreports.py
+++ b/jayseam/tools/loadreports.py
@@ -65,7 +65,7 @@
         return len(self.records) / self.duration_s
 
     @property
-    def lag_ms(self) -> float:
+    def lag_p99_ms(self) -> float:
         """99th percentile of the delay behind the schedule, in milliseconds."""
         return self.lags.get_value_at_percentile(99.0) / 1000.0
 
@@ -77,7 +77,9 @@
         time and only the waits for a connection grow. Therefore the use of the
         core counts as well.
         """
-        return self.lag_ms > LAG_LIMIT_MS or self.cpu_share > CPU_SHARE_LIMIT
+        return (
+            self.lag_p99_ms > LAG_LIMIT_MS or self.cpu_share > CPU_SHARE_LIMIT
+        )
 
     def add(self, record: call_records.CallRecord) -> None:
         """Counts a finished call."""
@@ -159,7 +161,7 @@
         note = 'LAGGED behind the schedule' if self.lagged else 'kept up'
         return (
             f'{len(self.records)} calls, {self.calls_per_s:.1f} a second;'
-            f' {note} (99 in 100 at most {self.lag_ms:.1f} ms late,'
+            f' {note} (99 in 100 at most {self.lag_p99_ms:.1f} ms late,'
             f' {self.cpu_share:.0%} of a core)'
         )
 
--- a/jayseam/tools/outcomes.py
+++ b/jayseam/tools/outcomes.py
@@ -50,7 +50,7 @@
 def _check_body(record: records.CallRecord, body: bytes) -> None:
     """Changes the outcome if a body is corrupt or answers another call."""
     try:
-        facts = answers.verify_answer(body)
+        facts = answers.verify_body(body)
     except (errors.AnswerError, ValueError):
         record.outcome = 'corrupt'
         return
--- a/jayseam/tools/tests/test_generators.py
+++ b/jayseam/tools/tests/test_generators.py
@@ -35,7 +35,7 @@
     job = gevent.spawn(occupy_processor)
     report = generators.run_load(loads.build_profile(host))
     job.kill()
-    assert report.lag_ms > loadreports.LAG_LIMIT_MS and report.lagged
+    assert report.lag_p99_ms > loadreports.LAG_LIMIT_MS and report.lagged
     assert 'LAGGED' in report.format_table()
     report = loadreports.LoadReport(0.0, 1.0, cpu_share=0.95)
     assert report.lagged
@@ -72,7 +72,7 @@
     [('truncate', 'lost'), ('hang', 'timeout'), ('fail', 'status-500')],
 )
 def test_failed_calls_have_distinct_outcomes(host, fault, outcome):
-    """The referee needs to know why a call got no complete response."""
+    """Invariant checks need to know why a call got no complete response."""
     host.backends['b1'].set_fault(requestfaults.Fault(fault))
     report = generators.run_load(
         loads.build_profile(host, duration_s=0.1, timeout_s=0.2)
--- a/jayseam/tools/tests/test_load.py
+++ b/jayseam/tools/tests/test_load.py
@@ -8,7 +8,7 @@
 
 
 def test_program_writes_report_and_records(host, tmp_path, capsys):
-    """The program must write the records that the referee needs."""
+    """The program must write the records that the invariant checker needs."""
     paths = [tmp_path / name for name in ('profile', 'report', 'records')]
     document = {
         'targets': [loads.get_address(host)],
--- a/jayseam/tools/tests/test_outcomes.py
+++ b/jayseam/tools/tests/test_outcomes.py
@@ -58,7 +58,7 @@
         'method': 'GET',
         'idempotency_key': '',
     }
-    body = answers.build_answer({**facts, **change}, 10)
+    body = answers.build_body({**facts, **change}, 10)
     record = loads.build_record()
     response = exchanges.Answer(200, {'Request-Id': 'r1'}, body)
     outcomes.classify_response(record, response, True)
