Name the records of loads and refusals by what they do

Cause: start, forget, mark and leave said little beside their siblings. Change: RefusalTable.add_refusal, LoadTable.record_call_start, record_call_end and remove_vm, Ingress.refuse_new_calls.

--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -171,11 +171,11 @@
 
     def start_attempt(self, vm: str, workspace: str = '') -> None:
         """Counts the start of an attempt at a VM."""
-        self._loads.start(vm, workspace)
+        self._loads.record_call_start(vm, workspace)
 
     def finish_attempt(self, vm: str, workspace: str = '') -> None:
         """Counts the end of an attempt at a VM."""
-        self._loads.record_end(vm, workspace)
+        self._loads.record_call_end(vm, workspace)
 
     def record_load(
         self,
@@ -204,7 +204,7 @@
         now: float,
     ) -> None:
         """Records that a VM had no room in its queue for a call."""
-        self._refusals.mark(vm, needs, wait_s, now)
+        self._refusals.add_refusal(vm, needs, wait_s, now)
 
     def _avoid(self, vm: str, until: float) -> None:
         self._avoided_until[vm] = max(until, self._avoided_until.get(vm, until))
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -79,7 +79,7 @@
         """Returns the request id of each attempt in flight."""
         return dict(self._request_ids)
 
-    def leave(self) -> None:
+    def refuse_new_calls(self) -> None:
         """Refuses forwarded calls from now on; accepted calls still finish."""
         self._leaving = True
 
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -57,7 +57,7 @@
 
     def record_full(self, vm, needs, wait_s, now):
         """Records a VM that had no room."""
-        self._refusals.mark(vm, needs, wait_s, now)
+        self._refusals.add_refusal(vm, needs, wait_s, now)
 
     def start_attempt(self, vm, workspace):
         """Ignores the start of an attempt."""
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -317,7 +317,7 @@
         reserved_s = min(_CLOSE_RESERVE_S, deadline_s / 2)
         deadline = clocks.read_now() + deadline_s - reserved_s
         self._membership.update_own_record(state='leaving')
-        self._ingress.leave()
+        self._ingress.refuse_new_calls()
         self._application.disable_keep_alive()
         gevent.sleep(self._settings.stop.notice_s)
         self._application.stop_accepting_calls()
--- a/jayseam/routing/loads.py
+++ b/jayseam/routing/loads.py
@@ -66,7 +66,7 @@
     """This node's calls in flight and the last load reports, by VM.
 
     >>> table = LoadTable()
-    >>> table.start('vm-1', 'w')
+    >>> table.record_call_start('vm-1', 'w')
     >>> table.estimate('vm-1', slots=10, now=1.0)
     0.1
     >>> table.record_report('vm-1', 'w', ReportedLoad(0.7, 0.2, 0.2), now=1.0)
@@ -79,7 +79,7 @@
     def __init__(self):
         self._members: dict[str, MemberLoad] = {}
 
-    def start(self, vm: str, workspace: str = '') -> None:
+    def record_call_start(self, vm: str, workspace: str = '') -> None:
         """Counts a call sent to a VM."""
         member = self._members.get(vm)
         if member is None:
@@ -90,7 +90,7 @@
             workspace_load = member.workspaces[workspace] = _WorkspaceLoad()
         workspace_load.in_flight += 1
 
-    def record_end(self, vm: str, workspace: str = '') -> None:
+    def record_call_end(self, vm: str, workspace: str = '') -> None:
         """Counts the end of a call."""
         member = self._members.get(vm)
         if member is None or member.in_flight == 0:
@@ -105,7 +105,7 @@
     ) -> None:
         """Stores the load report in a reply to a call of a workspace.
 
-        This must be called before `record_end` for that call, because the
+        This must be called before `record_call_end` for that call, because the
         ingress counted the call in its report.
         """
         member = self._members.setdefault(vm, MemberLoad())
@@ -125,7 +125,7 @@
                 if load.in_flight or now <= load.reported_at + REPORT_FRESH_S
             }
 
-    def forget(self, vm: str) -> None:
+    def remove_vm(self, vm: str) -> None:
         """Removes the load of a VM that has left."""
         self._members.pop(vm, None)
 
--- a/jayseam/routing/refusals.py
+++ b/jayseam/routing/refusals.py
@@ -68,7 +68,7 @@
     """Refusals for want of room, by VM and workspace.
 
     >>> table = RefusalTable()
-    >>> table.mark('vm-1', CallNeeds('w', 1, 0.5), wait_s=0.3, now=1.0)
+    >>> table.add_refusal('vm-1', CallNeeds('w', 1, 0.5), wait_s=0.3, now=1.0)
     >>> table.list_full_vms(CallNeeds('w', 1, 0.4), now=1.05)
     {'vm-1'}
     >>> table.list_full_vms(CallNeeds('w', 1, 0.6), now=1.05)
@@ -87,7 +87,7 @@
     def __len__(self) -> int:
         return sum(map(len, self._refusals.values()))
 
-    def mark(
+    def add_refusal(
         self, vm: str, needs: CallNeeds, wait_s: float, now: float
     ) -> None:
         """Records that a VM had no room for a call.
--- a/jayseam/routing/tests/test_loads.py
+++ b/jayseam/routing/tests/test_loads.py
@@ -67,7 +67,7 @@
     table.record_report('vm-1', 'w', loads.ReportedLoad(1.5, 1.5, 1.5), now=1.0)
     assert _choose_for(table, 'w') == 'vm-0'
     for _ in range(2):
-        table.start('vm-0', 'w')
+        table.record_call_start('vm-0', 'w')
     assert _choose_for(table, 'w') == 'vm-1'
 
 
--- a/jayseam/routing/tests/test_selection.py
+++ b/jayseam/routing/tests/test_selection.py
@@ -214,16 +214,16 @@
     """Double counting would make the own zone look full at half its load."""
     loads = load_tables.LoadTable()
     for _ in range(4):
-        loads.start('vm')
+        loads.record_call_start('vm')
     _report(loads, 'vm', 0.6)
-    loads.record_end('vm')
+    loads.record_call_end('vm')
     assert loads.estimate('vm', 10, 0.5) == pytest.approx(0.5)
-    loads.start('vm')
-    loads.start('vm')
+    loads.record_call_start('vm')
+    loads.record_call_start('vm')
     assert loads.estimate('vm', 10, 0.5) == pytest.approx(0.7)
     assert loads.estimate('vm', 10, 5.0) == pytest.approx(0.6)
-    loads.forget('vm')
-    loads.record_end('vm')
+    loads.remove_vm('vm')
+    loads.record_call_end('vm')
     assert loads.estimate('vm', 10, 5.0) == 0.0
 
 
