--- a/review/stand.py
+++ b/review/stand.py
@@ -425,6 +425,11 @@
             sock.close()
         return ports
 
+    @property
+    def admin_port(self):
+        """Port of the nodes' admin listeners."""
+        return self._ports[4]
+
     def build_ip(self, number):
         """Returns the loopback address of a VM."""
         return f'127.{self._net}.0.{number}'
