--- a/review/2/case.py
+++ b/review/2/case.py
@@ -107,7 +107,9 @@
 def judge(deployment, stopped, results):
     """Checks the rule LOST for each request, with its excuses."""
     served = refused = 0
-    for request_id, sent, answered, reply in sorted(results, key=lambda r: r[1]):
+    for request_id, sent, answered, reply in sorted(
+        results, key=lambda r: r[1]
+    ):
         started, ended = None, None
         for upstream in deployment.upstreams.values():
             for other, at, _ in upstream.runs:
--- a/review/stand.py
+++ b/review/stand.py
@@ -24,6 +24,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HEARTBEAT_S = 1.5
 HISTORY_S = 20.0
+# Time after which a script gives up, in seconds.
+LIMIT_S = 112.0
 KEY = '6wsjnbanfqasnmgkcuyj'
 OTHER_KEY = '8pjbvk9m68k7b2ex5wa5'
 HOST = 'hulo84.example'
@@ -214,8 +216,7 @@
             body = json.dumps(document).encode()
             connection.sendall(
                 f'HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n'
-                f'Content-Length: {len(body)}\r\n\r\n'.encode()
-                + body
+                f'Content-Length: {len(body)}\r\n\r\n'.encode() + body
             )
 
     def _answer(self, path, query):
@@ -364,16 +365,13 @@
         refused = 'Jayseam-Not-Executed: 1\r\n' if status == 421 else ''
         connection.sendall(
             f'HTTP/1.1 {status} X\r\n{echo}{fields}{refused}'
-            f'Content-Length: {len(body)}\r\n\r\n'.encode()
-            + body
+            f'Content-Length: {len(body)}\r\n\r\n'.encode() + body
         )
 
     @staticmethod
     def _is_closed(connection):
         try:
-            data = connection.recv(
-                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
-            )
+            data = connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return False
         except OSError:
@@ -419,7 +417,7 @@
     def _find_ports(count):
         sockets = [socket.socket() for _ in range(count)]
         for sock in sockets:
-            sock.bind(('0.0.0.0', 0))
+            sock.bind(('127.0.0.1', 0))
         ports = [sock.getsockname()[1] for sock in sockets]
         for sock in sockets:
             sock.close()
@@ -570,8 +568,14 @@
         return sock
 
     def send(
-        self, sock, path, method='GET', key=KEY, work_ms=20,
-        deadline_ms=1500, request_id='',
+        self,
+        sock,
+        path,
+        method='GET',
+        key=KEY,
+        work_ms=20,
+        deadline_ms=1500,
+        request_id='',
     ):
         """Sends a request and returns its id."""
         request_id = request_id or self.make_id()
@@ -715,10 +719,13 @@
 def run_with(main, deployment):
     """Runs a case in a deployment; exits with 2 if it can't run."""
     watchdog = threading.Timer(
-        float(os.environ.get("REVIEW_LIMIT_S", "110")), lambda: deployment.finish(2, 'ran for too long')
+        LIMIT_S, lambda: deployment.finish(2, 'ran for too long')
     )
     watchdog.daemon = True
     watchdog.start()
+    signal.signal(
+        signal.SIGTERM, lambda *_: deployment.finish(2, 'was interrupted')
+    )
     try:
         main(deployment)
     except Exception as error:  # pylint: disable=broad-exception-caught
