Log and count greenlets that end with an error, and the steps of a stop

Cause: the traceback of a dead greenlet went to standard error as plain text, named no step, and no metric counted it; the hypotheses of the stop that ends halfway could not be told apart. Change: task.crashed (with task, reason and traceback) and jayseam_task_crashes; node.stop_step at the begin of each step, with calls and attempts in flight. No change of what a stop does.

--- a/jayseam/core/__init__.py
+++ b/jayseam/core/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from jayseam.core import clocks
+from jayseam.core import crashes
 from jayseam.core import digests
 from jayseam.core import errors
 from jayseam.core import identifiers
@@ -18,6 +19,7 @@
 
 __all__ = [
     'clocks',
+    'crashes',
     'digests',
     'errors',
     'identifiers',
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -313,6 +313,7 @@
 
     def _stop(self) -> None:
         """Drains the calls in flight, then stops all servers and tasks."""
+        self._log_stop_step('notice')
         # The HTTP servers have to close within the deadline too.
         deadline_s = self._settings.stop.deadline_s
         reserved_s = min(_CLOSE_RESERVE_S, deadline_s / 2)
@@ -322,15 +323,19 @@
         self._application.disable_keep_alive()
         gevent.sleep(self._settings.stop.notice_s)
         self._application.stop_accepting_calls()
+        self._log_stop_step('drain')
         drained = self._drain(deadline)
         if not drained:
             self._log_aborted_calls()
             self._application.abort_calls()
+        self._log_stop_step('linger')
         self._limits.stop()
         gevent.sleep(_LINGER_S)
         self._lifecycle.try_advance('drained' if drained else 'deadline_passed')
         self._monitor.stop()
+        self._log_stop_step('close_callers')
         self._listeners.caller_server.shut_down(_CLOSE_WAIT_S)
+        self._log_stop_step('close_tasks')
         self._guard.stop()
         self._distribution.stop()
         self._membership.stop()
@@ -340,6 +345,16 @@
         _log.info('node.stopped', extra={'drained': drained})
         self._stopped.set()
 
+    def _log_stop_step(self, step: str) -> None:
+        _log.info(
+            'node.stop_step',
+            extra={
+                'step': step,
+                'calls': self._application.in_flight,
+                'attempts': self._ingress.in_flight,
+            },
+        )
+
     def _drain(self, deadline: float) -> bool:
         """Waits for the calls in flight; returns whether all have finished."""
         while self._application.in_flight or self._ingress.in_flight:
--- a/jayseam/node/main.py
+++ b/jayseam/node/main.py
@@ -11,6 +11,7 @@
 
 from jayseam import settings as node_settings
 from jayseam.backends import dialects
+from jayseam.core import crashes
 from jayseam.core import logs
 from jayseam.node import composition
 from jayseam.settings import errors
@@ -76,6 +77,7 @@
     logs.configure_logs(
         settings.log_level, log_stream, vm=settings.vm, zone=settings.zone
     )
+    crashes.report_crashes()
     # Recording the parent of each greenlet takes time at each spawn, and
     # nothing reads it.
     gevent.config.track_greenlet_tree = False
