--- a/jayseam/soak/fleets.py
+++ b/jayseam/soak/fleets.py
@@ -4,7 +4,6 @@
 import pathlib
 import shutil
 import signal
-import sys
 import tempfile
 from collections.abc import Iterator, Sequence
 
@@ -17,6 +16,7 @@
 from jayseam.standins import kvstore
 from jayseam.standins import platformbackend
 from jayseam.standins import processes
+from jayseam.standins import refusals
 from jayseam.standins import serving
 from jayseam.standins import waits
 
@@ -83,6 +83,8 @@
 
     Args:
       n_vms: Number of VMs, divided among the zones in turn.
+      refused: Names of the calls of the operating system that are refused to
+        the nodes; see `jayseam.standins.refusals`.
 
     Attributes:
       directory: Directory of settings and logs.
@@ -90,7 +92,8 @@
       vms: VMs by address.
     """
 
-    def __init__(self, n_vms: int):
+    def __init__(self, n_vms: int, refused: Sequence[str] = ()):
+        self._refused = refused
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix='jayseam-'))
         self.store = kvstore.KeyValueStore()
         self.vms: dict[str, Vm] = {}
@@ -164,7 +167,9 @@
         path = self.directory / f'{ip}.conf'
         vm.process = processes.ManagedProcess(
             f'node {ip}',
-            [sys.executable, '-m', _NODE_MODULE, '--settings', str(path)],
+            refusals.build_command(
+                self._refused, _NODE_MODULE, ['--settings', str(path)]
+            ),
             self.directory / f'{ip}.log',
         )
         now = clocks.read_now()
--- /dev/null
+++ b/jayseam/standins/refusals.py
@@ -0,0 +1,93 @@
+"""Runs a program on a machine that refuses some calls of the operating system.
+
+    python -m jayseam.standins.refusals attach-filter -- MODULE [ARGUMENT...]
+
+A hook on ``setsockopt``, a locked filter or a system-call policy refuses such
+calls with EPERM. The refusals are installed inside the process, as the program
+would see them.
+"""
+
+import argparse
+import errno
+import os
+import runpy
+import socket
+import sys
+from collections.abc import Callable, Sequence
+
+from gevent import _socket3
+
+from jayseam.core import registries
+
+_SO_ATTACH_FILTER = 26
+
+registry: registries.Registry[Callable[[], None]] = registries.Registry(
+    'refusal'
+)
+
+
+def build_command(
+    names: Sequence[str], module: str, arguments: Sequence[str]
+) -> list[str]:
+    """Returns the command that runs a module with calls refused.
+
+    Args:
+      names: Names of refusals; with none, the module runs as it is.
+      module: Name of the module.
+      arguments: Arguments of its command line.
+    """
+    if not names:
+        return [sys.executable, '-m', module, *arguments]
+    launcher = [sys.executable, '-m', __spec__.name, *names]
+    return [*launcher, '--', module, *arguments]
+
+
+def refuse_option(level: int, option: int) -> None:
+    """Makes ``setsockopt`` fail with EPERM for an option of sockets.
+
+    Args:
+      level: Level of the option, such as ``socket.SOL_SOCKET``.
+      option: Number of the option.
+    """
+    # Listeners of gevent servers are plain sockets below gevent's own class.
+    for owner in (_socket3.socket, _socket3._wrefsocket):
+        owner.setsockopt = _build_refusal(owner.setsockopt, level, option)
+
+
+def _build_refusal(
+    original: Callable[..., None], refused_level: int, refused_option: int
+) -> Callable[..., None]:
+    def setsockopt(sock, level, option, *value):
+        if (level, option) == (refused_level, refused_option):
+            raise PermissionError(errno.EPERM, os.strerror(errno.EPERM))
+        original(sock, level, option, *value)
+
+    return setsockopt
+
+
+@registry.register('attach-filter')
+def _refuse_filters() -> None:
+    """Packet filters on sockets are refused."""
+    refuse_option(socket.SOL_SOCKET, _SO_ATTACH_FILTER)
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Installs the refusals and runs the module as the main program."""
+    parser = argparse.ArgumentParser(
+        prog='refusals', description='Runs a program with calls refused.'
+    )
+    parser.add_argument('names', nargs='+', choices=registry.list_names())
+    given = sys.argv[1:] if arguments is None else list(arguments)
+    split = given.index('--') if '--' in given else len(given)
+    options = parser.parse_args(given[:split])
+    module, *rest = given[split + 1 :] or [None]
+    if module is None:
+        parser.error('no module to run')
+    for name in options.names:
+        registry.get(name)()
+    sys.argv = [module, *rest]
+    runpy.run_module(module, run_name='__main__', alter_sys=True)
+
+
+if __name__ == '__main__':
+    main()
