Stop where the machine refuses packet filters

Callers saw: around a SIGTERM of their node, requests that ended without a whole answer, among them some that may not be repeated. Cause: a stop closes the callers' listener behind a packet filter that drops new connections. The kernel may refuse it (EPERM: a locked filter, a hook on setsockopt, a system-call policy). The error ended the greenlet of the stop, for which nothing waits; the process went on reading and refusing requests until SIGKILL cut them. Change: a refused filter is logged (sockets.filter_refused), and the backlog is reduced to its minimum instead; the loop that empties it is bounded.

--- a/jayseam/core/sockets.py
+++ b/jayseam/core/sockets.py
@@ -1,14 +1,23 @@
-"""Options of TCP sockets."""
+"""Options of TCP sockets.
+
+Some machines refuse options to unprivileged processes, by a hook on
+``setsockopt``, a locked filter or a policy on calls of the system. An option
+that only improves a connection is never a reason to end it.
+"""
 
 import ctypes
 import socket
 import struct
 
+from jayseam.core import logs
+
 # Not in the ``socket`` module; from the Linux header asm-generic/socket.h.
 _SO_ATTACH_FILTER = 26
 # The BPF program "return 0", which drops every packet.
 _DROP_ALL_PROGRAM = struct.pack('HBBI', 0x06, 0, 0, 0)
 
+_log = logs.get_logger(__name__)
+
 
 def set_nodelay(sock: socket.socket) -> None:
     """Disables Nagle's algorithm on a connected TCP socket.
@@ -19,7 +28,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
-def drop_new_connections(listener: socket.socket) -> None:
+def drop_new_connections(listener: socket.socket) -> bool:
     """Makes the kernel drop all packets that reach a listening socket.
 
     Connections in the backlog remain, so that a server can accept all of them
@@ -28,9 +37,24 @@
     was sent. With the filter, the connection is never established: the peer
     sends its SYN again after a second and is then refused.
 
+    Where filters are refused, the backlog is reduced to its minimum, so that at
+    most one connection can arrive in between.
+
+    Returns:
+      Whether the filter is in place.
+
     References:
-      ``socket(7)``, SO_ATTACH_FILTER.
+      ``socket(7)``, SO_ATTACH_FILTER and SO_LOCK_FILTER; ``listen(2)``.
     """
     program = ctypes.create_string_buffer(_DROP_ALL_PROGRAM)
     header = struct.pack('HP', 1, ctypes.addressof(program))
-    listener.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, header)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, header)
+        return True
+    except OSError as error:
+        _log.warning('sockets.filter_refused', extra={'reason': str(error)})
+    try:
+        listener.listen(0)
+    except OSError as error:
+        _log.warning('sockets.backlog_refused', extra={'reason': str(error)})
+    return False
--- a/jayseam/core/tests/test_core.py
+++ b/jayseam/core/tests/test_core.py
@@ -56,3 +56,19 @@
     task.stop()
     with pytest.raises(errors.TaskStoppedError):
         task.send(1)
+
+
+def _lock_filter(listener):
+    """Makes the kernel refuse packet filters on a socket (SO_LOCK_FILTER)."""
+    listener.setsockopt(socket.SOL_SOCKET, 44, 1)
+
+
+def test_refused_packet_filter_leaves_the_listener_usable():
+    """A machine that refuses packet filters must not end a stop halfway."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        _lock_filter(listener)
+        assert not sockets.drop_new_connections(listener)
+        with socket.create_connection(listener.getsockname()):
+            listener.accept()[0].close()
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        assert sockets.drop_new_connections(listener)
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -175,7 +175,10 @@
           timeout_s: Longest wait for callers to disconnect, in seconds.
         """
         sockets.drop_new_connections(self.socket)
-        while select.select([self.socket.fileno()], [], [], 0)[0]:
+        # Without the filter, callers that connect at once after a refusal
+        # could fill the backlog as fast as it is emptied.
+        end = clocks.read_now() + timeout_s
+        while self._has_backlog() and clocks.read_now() < end:
             self._do_read()
         self.stop()
         with gevent.Timeout(timeout_s, False):
@@ -186,6 +189,9 @@
             while self.open_connections:
                 gevent.sleep(_CLOSE_POLL_S)
 
+    def _has_backlog(self) -> bool:
+        return bool(select.select([self.socket.fileno()], [], [], 0)[0])
+
     def _abort_slow_requests(self) -> None:
         """Ends the input of slow requests, which then fail as malformed.
 
--- a/jayseam/node/tests/test_callers.py
+++ b/jayseam/node/tests/test_callers.py
@@ -62,6 +62,19 @@
         assert _read_all(caller).startswith(b'HTTP/1.1 200')
 
 
+def test_locked_filter_does_not_keep_the_server_open(server):
+    """Where packet filters are refused, the stop must still close all."""
+    # SO_LOCK_FILTER makes the kernel refuse filters with EPERM.
+    server.socket.setsockopt(socket.SOL_SOCKET, 44, 1)
+    with _connect(server) as caller:
+        caller.sendall(_REQUEST)
+        job = _shut_down(server)
+        assert _read_all(caller).startswith(b'HTTP/1.1 200')
+        job.get(timeout=_TIMEOUT_S)
+    with pytest.raises(ConnectionRefusedError):
+        _connect(server)
+
+
 def test_connection_in_the_backlog_without_request_is_refused(server):
     """A caller that sends after the stop must learn that nothing has run."""
     with _connect(server) as caller:
