A step of a stop that fails or hangs no longer ends the stop

Cause: a stop was one greenlet, which nothing watched; an error in any of its twelve calls, or one that hung, left the process up until SIGKILL. Change: node.stops runs each step with a share of the time that is left, logs and counts a failed one (node.stop_step_failed, jayseam_stop_steps_failed) and goes on; a timer ends the process at the deadline even if a step ignores its limit (node.stop_overdue). node.stopped tells the failed steps and the time. The times of a stop are planned in one place; their values don't change here.

--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -118,7 +118,7 @@
             # Closing a socket with unread bytes resets the connection, which
             # can discard replies that are still in transit.
             link.shut_down_writing()
-        with gevent.Timeout(_SHUTDOWN_WAIT_S, False):
+        with gevent.Timeout(min(_SHUTDOWN_WAIT_S, timeout_s), False):
             while any(link.is_open for link in links):
                 gevent.sleep(0.01)
         for link in links:
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -28,6 +28,7 @@
 from jayseam.node import metrics
 from jayseam.node import pauses
 from jayseam.node import status
+from jayseam.node import stops
 
 _N_RANDOM_SYNC_PEERS = 1
 _SYNC_RETRY_S = 0.05
@@ -40,11 +41,12 @@
 # Time after the start from which the node reports itself ready even if it has
 # not reached another node.
 _CONTACT_TIMEOUT_S = 4.0
-# Part of the stop's deadline that is kept for closing: the linger time, and up
-# to a second each for callers' connections and the admin server.
-_CLOSE_RESERVE_S = 2.5
 # Longest wait for callers to close connections on which a refusal was sent.
 _CLOSE_WAIT_S = 0.5
+# Longest wait for replies to other nodes that are still to be sent.
+_LINKS_WAIT_S = 1.0
+# Longest wait for a task to end.
+_TASK_WAIT_S = 1.0
 
 _log = logs.get_logger(__name__)
 
@@ -313,47 +315,74 @@
 
     def _stop(self) -> None:
         """Drains the calls in flight, then stops all servers and tasks."""
-        self._log_stop_step('notice')
-        # The HTTP servers have to close within the deadline too.
-        deadline_s = self._settings.stop.deadline_s
-        reserved_s = min(_CLOSE_RESERVE_S, deadline_s / 2)
-        deadline = clocks.read_now() + deadline_s - reserved_s
-        self._membership.update_own_record(state='leaving')
-        self._ingress.refuse_new_calls()
+        began = clocks.read_now()
+        times = stops.plan_times(self._settings.stop, began)
+        # Ends the process even if a step ignores its time limit.
+        watch = gevent.spawn_later(times.end - began, self._end_overdue_stop)
+        steps = stops.StopSteps(times.end, self._describe_work)
+        drained = False
+        try:
+            drained = self._run_stop_steps(times, steps)
+        finally:
+            watch.kill()
+            _log.info(
+                'node.stopped',
+                extra={
+                    'drained': drained,
+                    'failed_steps': steps.failed,
+                    'elapsed_s': round(clocks.read_now() - began, 3),
+                },
+            )
+            self._stopped.set()
+
+    def _run_stop_steps(
+        self, times: stops.StopTimes, steps: stops.StopSteps
+    ) -> bool:
+        """Runs the steps of a stop; returns whether no call was cut."""
+        steps.run('announce', self._announce_stop)
         self._application.disable_keep_alive()
-        gevent.sleep(self._settings.stop.notice_s)
+        steps.run('notice', lambda: _sleep_until(times.notice_end))
         self._application.stop_accepting_calls()
-        self._log_stop_step('drain')
-        drained = self._drain(deadline)
+        drained = bool(steps.run('drain', lambda: self._drain(times.work_end)))
         if not drained:
-            self._log_aborted_calls()
-            self._application.abort_calls()
-        self._log_stop_step('linger')
-        self._limits.stop()
-        gevent.sleep(_LINGER_S)
+            steps.run('abort', self._abort_calls)
+        steps.run('limits', self._limits.stop, _TASK_WAIT_S)
+        linger_s = steps.share_time(_LINGER_S)
+        steps.run('linger', lambda: gevent.sleep(linger_s))
         self._lifecycle.try_advance('drained' if drained else 'deadline_passed')
-        self._monitor.stop()
-        self._log_stop_step('close_callers')
-        self._listeners.caller_server.shut_down(_CLOSE_WAIT_S)
-        self._log_stop_step('close_tasks')
-        self._guard.stop()
-        self._distribution.stop()
-        self._membership.stop()
-        self._links.stop()
-        self._listeners.stop_admin()
-        self._backend.stop()
-        _log.info('node.stopped', extra={'drained': drained})
+        steps.run('monitor', self._monitor.stop, _TASK_WAIT_S)
+        close_s = steps.share_time(_CLOSE_WAIT_S)
+        steps.run(
+            'callers',
+            lambda: self._listeners.caller_server.shut_down(close_s),
+        )
+        steps.run('guard', self._guard.stop, _TASK_WAIT_S)
+        steps.run('distribution', self._distribution.stop, _TASK_WAIT_S)
+        steps.run('membership', self._membership.stop, _TASK_WAIT_S)
+        links_s = steps.share_time(_LINKS_WAIT_S)
+        steps.run('links', lambda: self._links.stop(links_s))
+        steps.run('admin', self._listeners.stop_admin, _TASK_WAIT_S)
+        steps.run('backend', self._backend.stop, _TASK_WAIT_S)
+        return drained
+
+    def _announce_stop(self) -> None:
+        """Refuses forwarded calls and tells the members."""
+        self._ingress.refuse_new_calls()
+        self._membership.update_own_record(state='leaving')
+
+    def _abort_calls(self) -> None:
+        self._log_aborted_calls()
+        self._application.abort_calls()
+
+    def _end_overdue_stop(self) -> None:
+        _log.error('node.stop_overdue', extra=self._describe_work())
         self._stopped.set()
 
-    def _log_stop_step(self, step: str) -> None:
-        _log.info(
-            'node.stop_step',
-            extra={
-                'step': step,
-                'calls': self._application.in_flight,
-                'attempts': self._ingress.in_flight,
-            },
-        )
+    def _describe_work(self) -> dict[str, int]:
+        return {
+            'calls': self._application.in_flight,
+            'attempts': self._ingress.in_flight,
+        }
 
     def _drain(self, deadline: float) -> bool:
         """Waits for the calls in flight; returns whether all have finished."""
@@ -607,3 +636,7 @@
             query,
             clocks.read_now(),
         )
+
+
+def _sleep_until(end: float) -> None:
+    gevent.sleep(max(0.0, end - clocks.read_now()))
--- /dev/null
+++ b/jayseam/node/tests/test_stop_steps.py
@@ -0,0 +1,86 @@
+"""A planned stop ends in time, whatever its steps meet."""
+
+import gevent
+import prometheus_client
+import pytest
+
+from jayseam.core import clocks
+from jayseam.node import composition
+from jayseam.node import stops
+from jayseam.settings import model
+
+_DEADLINE_S = 1.0
+_LOOPBACK = model.Address('127.0.0.1', 0)
+
+
+def _refuse():
+    raise PermissionError(1, 'Operation not permitted')
+
+
+def _hang():
+    gevent.sleep(60.0)
+
+
+def _hang_on():
+    """Waits on, whatever interrupts it."""
+    while True:
+        try:
+            gevent.sleep(60.0)
+        except BaseException:  # pylint: disable=broad-exception-caught
+            pass
+
+
+@pytest.mark.parametrize('step', [_refuse, _hang])
+def test_failed_step_does_not_keep_the_next_from_running(step):
+    """A refused call of the system must not leave connections open."""
+    steps = stops.StopSteps(clocks.read_now() + 0.5)
+    counter = stops.FAILED_STEPS.labels('first')
+    before = counter._value.get()
+    assert steps.run('first', step, 0.05) is None
+    assert steps.run('second', lambda: 'closed') == 'closed'
+    assert steps.failed == ['first']
+    assert counter._value.get() == before + 1
+
+
+def test_steps_after_the_end_still_run():
+    """A late stop must close what it owns all the same."""
+    steps = stops.StopSteps(clocks.read_now() - 1.0)
+    assert steps.run('last', lambda: 'closed', 1.0) == 'closed'
+
+
+@pytest.fixture(name='node')
+def _node(monkeypatch):
+    # Each node registers its metrics.
+    registry = prometheus_client.CollectorRegistry()
+    monkeypatch.setattr(prometheus_client, 'REGISTRY', registry)
+    settings = model.NodeSettings(
+        vm='vm',
+        region='r',
+        zone='a',
+        upstream='u',
+        caller=_LOOPBACK,
+        link=model.LinkAddress('127.0.0.1', 0),
+        admin=_LOOPBACK,
+        backend=model.Address('127.0.0.1', 9),
+        source=model.SourceSettings(('http://127.0.0.1:9',)),
+        fleet_secrets=('secret',),
+        stop=model.StopSettings(_DEADLINE_S, 0.1, 0.5),
+    )
+    node = composition.Node(settings)
+    node.start()
+    yield node
+    node._listeners.caller_server.stop()
+
+
+@pytest.mark.parametrize('step', [_refuse, _hang, _hang_on])
+@pytest.mark.parametrize(
+    'owner', ['_ingress', '_limits', '_monitor', '_distribution', '_links']
+)
+def test_node_ends_in_time_if_a_step_fails(node, owner, step, monkeypatch):
+    """A node that is still up at the end of its grace is killed."""
+    name = 'refuse_new_calls' if owner == '_ingress' else 'stop'
+    monkeypatch.setattr(getattr(node, owner), name, lambda *_: step())
+    began = clocks.read_now()
+    node.request_stop()
+    assert node._stopped.wait(_DEADLINE_S + 1.0)
+    assert clocks.read_now() - began < _DEADLINE_S + 0.2
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -130,10 +130,13 @@
       deadline_s: Longest time that the whole shutdown may take.
       notice_s: How long new calls are still served, until callers have learned
         that the node is no longer ready.
+      closing_s: Part of the deadline, at its end, in which connections are
+        closed and calls are no longer worked on.
     """
 
     deadline_s: float = 30.0
     notice_s: float = 0.0
+    closing_s: float = 2.5
 
 
 @attrs.frozen
--- a/jayseam/settings/schema.py
+++ b/jayseam/settings/schema.py
@@ -113,6 +113,7 @@
             {
                 'deadline_s': _POSITIVE_S,
                 'notice_s': {'type': 'number', 'minimum': 0, 'maximum': 60},
+                'closing_s': {'type': 'number', 'minimum': 0, 'maximum': 60},
             }
         ),
         'backend_health': _build_object({'polls': {'type': 'boolean'}}),
