A stopping node works on its calls until the last sixth of the grace

Callers saw: 504 (outcome unknown) 3.0 s after SIGTERM with a grace of 6 s, for calls at work at a sound upstream; late in the notice also calls that may not be repeated. Cause: 2.5 s of the deadline were kept for closing, while new calls were taken until 2.3 s; a call taken then had 0.7 s. Closing takes 0.5 to 0.9 s. Change: only the last sixth of the grace is for closing and for the exit of the process (stop.closing_s). Calls admitted during a stop end with that time at the latest: the gate refuses what can't finish in it as not run, before it is passed on, and the upstream is told the shorter deadline.

--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -170,10 +170,21 @@
         )
 
     def admit_request(
-        self, request: requests.CallRequest, request_id: str, now: float
+        self,
+        request: requests.CallRequest,
+        request_id: str,
+        now: float,
+        latest_end: float = math.inf,
     ) -> Call:
         """Admits a request; decides its route, caller and deadline.
 
+        Args:
+          request: The request.
+          request_id: Identifier of the request.
+          now: Present time in seconds.
+          latest_end: Latest deadline of the call, in seconds: the end of the
+            time in which a stopping node works on calls.
+
         Raises:
           CallError: If the request is refused.
         """
@@ -192,7 +203,9 @@
             timeout_ms = min(timeout_ms, caller.expires_wall_ms - wall_ms)
         if timeout_ms <= 0:
             raise errors.NotRunError('the deadline has passed')
-        deadline = now + timeout_ms / 1000
+        if latest_end <= now:
+            raise errors.NotRunError('this node is shutting down')
+        deadline = min(now + timeout_ms / 1000, latest_end)
         if caller.workspace and caller.depth == 0:
             self._admit(caller.workspace, deadline, now)
         return Call(
--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -2,6 +2,7 @@
 
 import http
 import json
+import math
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -54,6 +55,7 @@
         self._dialect = dialect
         self._keep_alive_disabled = False
         self._draining = False
+        self._work_end = math.inf
         self._request_ids: dict[gevent.Greenlet, str] = {}
 
     @property
@@ -65,9 +67,15 @@
         """Returns the IDs of the requests in flight."""
         return list(self._request_ids.values())
 
-    def disable_keep_alive(self) -> None:
-        """Sends ``Connection: close`` with each answer from now on."""
+    def begin_stop(self, work_end: float) -> None:
+        """Ends connections with their next answers and bounds new calls.
+
+        Args:
+          work_end: Latest end of the calls that are admitted from now on, in
+            seconds. A call that can't finish by then is refused as not run.
+        """
         self._keep_alive_disabled = True
+        self._work_end = work_end
 
     def stop_accepting_calls(self) -> None:
         """Refuses new calls from now on; calls in flight finish.
@@ -178,7 +186,9 @@
         now = self._guard.wait_for_refresh(clocks.read_now())
         if request.path.startswith(_OUTCOMES_PREFIX):
             return self._look_up_outcome(request, now)
-        call = self._entry.admit_request(request, request_id, now)
+        call = self._entry.admit_request(
+            request, request_id, now, self._work_end
+        )
         return self._run_call(environ, call, now)
 
     def _run_call(
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -340,7 +340,7 @@
     ) -> bool:
         """Runs the steps of a stop; returns whether no call was cut."""
         steps.run('announce', self._announce_stop)
-        self._application.disable_keep_alive()
+        self._application.begin_stop(times.work_end)
         steps.run('notice', lambda: _sleep_until(times.notice_end))
         self._application.stop_accepting_calls()
         drained = bool(steps.run('drain', lambda: self._drain(times.work_end)))
--- a/jayseam/platform/settings.py
+++ b/jayseam/platform/settings.py
@@ -11,9 +11,14 @@
 from jayseam.platform import errors
 from jayseam.platform import mirrors
 
-# Part of the platform's deadline for a stop that is reserved for the exit of
-# the process, in seconds.
-STOP_MARGIN_S = 0.5
+# Part of the platform's deadline for a stop, at its end, in which calls need no
+# longer be worked on. Half of it is for closing and half for the exit of the
+# process.
+CLOSING_SHARE = 1 / 6
+# Time by which calls are worked on past that part's begin, in seconds. The
+# platform counts from the sending of the signal, and a call's own deadline
+# takes effect a little earlier.
+CLOSING_DELAY_S = 0.1
 # Time in which a stopping node still serves new calls, in seconds. The platform
 # checks readiness once a second and removes a node after two failed checks;
 # callers keep sending calls to the node until then.
@@ -159,10 +164,7 @@
         ),
         limits=model.LimitSettings(LIMIT_STRATEGY, overage),
         keys=model.KeySettings(revoke_s * KEY_TRUST_SHARE),
-        stop=model.StopSettings(
-            max(STOP_MARGIN_S, grace_s - STOP_MARGIN_S),
-            min(STOP_NOTICE_S, grace_s / 2),
-        ),
+        stop=build_stop_settings(grace_s),
         backend_health=model.BackendHealthSettings(polls=False),
         retries=model.RetrySettings(
             share=retry_share,
@@ -182,6 +184,23 @@
     )
 
 
+def build_stop_settings(
+    grace_s: float,
+) -> node_settings.model.StopSettings:
+    """Returns the times of a stop that the platform ends after ``grace_s``.
+
+    >>> build_stop_settings(6.0)
+    StopSettings(deadline_s=5.5, notice_s=2.3, closing_s=0.4)
+    """
+    last_s = grace_s * CLOSING_SHARE
+    closing_s = max(0.0, last_s / 2 - CLOSING_DELAY_S)
+    return node_settings.model.StopSettings(
+        grace_s - last_s / 2,
+        min(STOP_NOTICE_S, grace_s / 2),
+        closing_s,
+    )
+
+
 def derive_fleet_secret(fields: Mapping[str, str]) -> str:
     """Returns the secret with which the nodes of a deployment authenticate.
 
--- a/jayseam/platform/tests/test_stops.py
+++ b/jayseam/platform/tests/test_stops.py
@@ -13,8 +13,12 @@
 from jayseam.standins import errors
 from jayseam.standins import exchanges
 from jayseam.standins import platformbackend
+from jayseam.standins import waits
 
 GRACE_S = 6.0
+# Calls at work may be cut in the last sixth of the grace.
+WORK_S = GRACE_S * 5 / 6
+ROUTE_TIMEOUT_S = 20
 N_CALLERS = 6
 
 
@@ -27,7 +31,15 @@
         if refused not in started:
             fleet = started[refused] = fleets.Fleet(4, refused)
             operator = operators.Operator(fleet, random.Random(1))
-            operator.send_configuration()
+            routes = [
+                samples.build_route(
+                    'book', kind='unsafe', timeout=f'{ROUTE_TIMEOUT_S}s'
+                )
+            ]
+            operator.write(
+                operators.CONFIGURATION_KEY,
+                samples.build_configuration('r2', routes, rate_per_s=1000),
+            )
             for ip in fleet.vms:
                 operator.register(ip)
             fleet.start_all()
@@ -59,6 +71,79 @@
             gevent.sleep(0.02)
 
 
+def send_late_call(fleet, ip, at, service_s, deadline_ms):
+    """Sends a call at a time; returns its answer and when it came."""
+    gevent.sleep(max(0.0, at - clocks.read_now()))
+    for vm in fleet.vms.values():
+        vm.backend.service_s = service_s
+    headers = {
+        'Host': samples.HOST,
+        platformbackend.REQUEST_ID_HEADER: f'late-{service_s}-{at}',
+        platformbackend.DEADLINE_HEADER: str(deadline_ms),
+        'Authorization': f'Bearer {samples.KEYS["school"]}',
+    }
+    address = fleet.get_caller_address(ip)
+    answer = exchanges.exchange_once(
+        address, 'POST', '/book/1', headers, b'x', timeout_s=10.0
+    )
+    return answer, clocks.read_now()
+
+
+def stop_beside_calls(fleet, sent_after_s, service_s, deadline_ms):
+    """Stops a node and sends it calls meanwhile.
+
+    Returns:
+      The answers with the seconds from the signal to each, and the seconds
+      that the stop took.
+    """
+    ip = list(fleet.vms)[1]
+    began = clocks.read_now()
+    calls = [
+        gevent.spawn(
+            send_late_call, fleet, ip, began + after_s, service_s, deadline_ms
+        )
+        for after_s in sent_after_s
+    ]
+    try:
+        assert fleet.terminate(ip) == 0
+        took_s = clocks.read_now() - began
+        gevent.joinall(calls, raise_error=True)
+    finally:
+        for vm in fleet.vms.values():
+            vm.backend.service_s = 0.01
+        fleet.start(ip)
+        waits.wait_until(lambda: fleet.is_ready(ip), 10.0)
+    return [(c.value[0], c.value[1] - began) for c in calls], took_s
+
+
+def test_call_at_work_is_not_cut_early(start_fleet):
+    """A call taken in the notice must be answered, late in the grace too."""
+    late, took_s = stop_beside_calls(
+        start_fleet(), (0.2, 0.8, 1.4, 2.0), 2.3, 2500
+    )
+    assert [answer.status for answer, _ in late] == [200] * 4
+    assert took_s < WORK_S
+
+
+def test_call_without_end_is_cut_in_the_last_sixth_of_the_grace(start_fleet):
+    """A call that lasts must get an answer before the process is killed."""
+    fleet = start_fleet()
+    late, took_s = stop_beside_calls(fleet, (0.2, 1.0), 8.0, 12000)
+    for answer, after_s in late:
+        assert answer.status == 504
+        assert after_s >= WORK_S
+    assert took_s < GRACE_S
+    sent = [
+        arrival
+        for vm in fleet.vms.values()
+        for arrival in vm.backend.arrivals
+        if arrival.request_id.startswith('late-8.0')
+    ]
+    # Upstreams may not work on for a node that is gone.
+    assert len(sent) == 2
+    assert all(arrival.deadline_ms < GRACE_S * 1000 for arrival in sent)
+
+
 def read_events(fleet, ip):
     """Returns the events in the log of a node."""
     lines = (fleet.directory / f'{ip}.log').read_text('utf-8').splitlines()
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -136,7 +136,7 @@
 
     deadline_s: float = 30.0
     notice_s: float = 0.0
-    closing_s: float = 2.5
+    closing_s: float = 1.0
 
 
 @attrs.frozen
