A stop waits until answers are written, and serves the calls of running calls

Callers saw (by reading, then by test; not in the record): an answer cut by the end of the process while a slow caller reads it; a call at work that fails because its own calls are refused; 504 to a request that had not been read; stops that last because refused callers ask again at once. Cause: a request counted as in flight until its answer was made, not until it was written, and also if it was refused; on a platform without call tokens nested calls were refused with all others once the notice had ended. Change: the application counts a request until the server closes its body, and no refusals of the stop; a request that was not read as a whole is aborted as not run; requests without credentials are served while calls of other nodes run here. node.answer_cut names answers that the end of the process cuts.

--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -24,11 +24,21 @@
 MAX_CALLS_IN_FLIGHT = 1000
 _OUTCOMES_PREFIX = '/.jayseam/outcomes/'
 _STOP_RETRY_AFTER_S = 1.0
+_STOPPED = 'this node was stopped'
+_TOKEN_KEY = 'HTTP_' + keys.TOKEN_HEADER.upper().replace('-', '_')
 _REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
 _log = logs.get_logger(__name__)
 
 
+class _Body(list):
+    """The body of an answer; the server closes it once it has written all."""
+
+    def __init__(self, body: bytes, on_written: Callable[[], None]):
+        super().__init__([body])
+        self.close = on_written
+
+
 class CallerApplication:
     """Turns WSGI requests into calls and their outcomes into responses.
 
@@ -37,6 +47,8 @@
       guard: Holds calls back after a pause of the process.
       monitor: Interrupts calls whose callers have disconnected.
       is_zone_in_service: Returns whether the zone of this VM is in service.
+      has_attempts: Returns whether calls of other nodes run at the own backend
+        server, which may make nested calls.
       dialect: Names of the header fields that callers use.
     """
 
@@ -46,27 +58,37 @@
         guard: pauses.PauseGuard,
         monitor: callers.DisconnectMonitor,
         is_zone_in_service: Callable[[], bool],
+        has_attempts: Callable[[], bool] = lambda: False,
         dialect: dialects.Dialect = dialects.DEFAULT,
     ):
         self._entry = entry
         self._guard = guard
         self._monitor = monitor
         self._is_zone_in_service = is_zone_in_service
+        self._has_attempts = has_attempts
         self._dialect = dialect
         self._keep_alive_disabled = False
         self._draining = False
         self._work_end = math.inf
+        # Requests whose answers are being made, those of them that are still
+        # being read, and those whose answers are being written.
         self._request_ids: dict[gevent.Greenlet, str] = {}
+        self._reading: set[gevent.Greenlet] = set()
+        self._writing: dict[gevent.Greenlet, str] = {}
 
     @property
     def in_flight(self) -> int:
-        """Number of requests in flight."""
-        return len(self._request_ids)
+        """Number of requests whose answers aren't written yet."""
+        return len(self._request_ids) + len(self._writing)
 
     def list_in_flight(self) -> list[str]:
-        """Returns the IDs of the requests in flight."""
+        """Returns the IDs of the requests whose answers are being made."""
         return list(self._request_ids.values())
 
+    def list_writing(self) -> list[str]:
+        """Returns the IDs of the requests whose answers are being written."""
+        return list(self._writing.values())
+
     def begin_stop(self, work_end: float) -> None:
         """Ends connections with their next answers and bounds new calls.
 
@@ -86,30 +108,53 @@
         self._draining = True
 
     def abort_calls(self) -> None:
-        """Interrupts the requests in flight and answers outcome-unknown."""
+        """Interrupts the requests whose answers are being made.
+
+        A request that has not been read as a whole has not run.
+        """
         for greenlet in list(self._request_ids):
-            greenlet.kill(
-                errors.OutcomeUnknownError('this node was stopped'),
-                block=False,
-            )
+            error: errors.CallError = errors.OutcomeUnknownError(_STOPPED)
+            if greenlet in self._reading:
+                error = errors.NotRunError(_STOPPED, _STOP_RETRY_AFTER_S)
+            greenlet.kill(error, block=False)
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         request_id = self._read_request_id(environ)
         greenlet = gevent.getcurrent()
-        self._request_ids[greenlet] = request_id
+        # Requests that a stop refuses don't hold it up, however many come.
+        is_counted = not self._is_refused_by_stop(environ)
+        if is_counted:
+            self._request_ids[greenlet] = request_id
         try:
             answer = self._answer_request(environ, request_id)
         finally:
-            del self._request_ids[greenlet]
+            self._request_ids.pop(greenlet, None)
         headers = [*answer.headers, (self._dialect.request_id, request_id)]
         if self._keep_alive_disabled or not self._is_zone_in_service():
             # Callers with kept-alive connections move to another node.
             headers.append(('Connection', 'close'))
         reason = _REASON_PHRASES.get(answer.status, 'Unknown')
         start_response(f'{answer.status} {reason}', headers)
-        return [answer.body]
+        if is_counted:
+            self._writing[greenlet] = request_id
+        return _Body(answer.body, lambda: self._finish_writing(greenlet))
+
+    def _finish_writing(self, greenlet: gevent.Greenlet) -> None:
+        self._writing.pop(greenlet, None)
+
+    def _is_refused_by_stop(self, environ: dict[str, Any]) -> bool:
+        """Returns whether a request comes too late for the node's stop.
+
+        A nested call is still served while a call that may have made it runs.
+        """
+        if not self._draining:
+            return False
+        if self._dialect.call_tokens:
+            return _TOKEN_KEY not in environ
+        # Without tokens, backend servers make their calls without credentials.
+        return 'HTTP_AUTHORIZATION' in environ or not self._has_attempts()
 
     def _read_request_id(self, environ: dict[str, Any]) -> str:
         """Returns the caller's ID of the request, or a new ID."""
@@ -174,10 +219,10 @@
     def _process_request(
         self, environ: dict[str, Any], request_id: str
     ) -> requests.CallAnswer:
-        request = callers.read_request(environ)
+        request = self._read_request(environ)
         if not request_id:
             raise errors.BadRequestError('the request has no identifier')
-        if self._draining and request.get_header(keys.TOKEN_HEADER) is None:
+        if self._is_refused_by_stop(environ):
             raise errors.NotRunError(
                 'this node is shutting down', _STOP_RETRY_AFTER_S
             )
@@ -191,6 +236,15 @@
         )
         return self._run_call(environ, call, now)
 
+    def _read_request(self, environ: dict[str, Any]) -> requests.CallRequest:
+        """Reads the whole request; marks its greenlet meanwhile."""
+        greenlet = gevent.getcurrent()
+        self._reading.add(greenlet)
+        try:
+            return callers.read_request(environ)
+        finally:
+            self._reading.discard(greenlet)
+
     def _run_call(
         self, environ: dict[str, Any], call: call_entry.Call, now: float
     ) -> requests.CallAnswer:
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -248,6 +248,7 @@
             self._guard,
             self._monitor,
             self._is_zone_in_service,
+            lambda: bool(self._ingress.in_flight),
             self._dialect,
         )
         self._listeners = listeners.build_listeners(
@@ -356,6 +357,7 @@
             'callers',
             lambda: self._listeners.caller_server.shut_down(close_s),
         )
+        self._log_cut_answers()
         steps.run('guard', self._guard.stop, _TASK_WAIT_S)
         steps.run('distribution', self._distribution.stop, _TASK_WAIT_S)
         steps.run('membership', self._membership.stop, _TASK_WAIT_S)
@@ -374,6 +376,11 @@
         self._log_aborted_calls()
         self._application.abort_calls()
 
+    def _log_cut_answers(self) -> None:
+        """Logs the answers that callers haven't read as a whole."""
+        for request_id in self._application.list_writing():
+            _log.error('node.answer_cut', extra={'request_id': request_id})
+
     def _end_overdue_stop(self) -> None:
         _log.error('node.stop_overdue', extra=self._describe_work())
         self._stopped.set()
