Build hypothesis' tables before the first test that draws

Change: a session fixture draws once before the first test of hypothesis; checks and strategies are as before.

--- a/conftest.py
+++ b/conftest.py
@@ -7,7 +7,9 @@
 import os
 import pathlib
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 _FILE = pathlib.Path(__file__).with_name('KNOWN-RED.txt')
 _RUN_ALL = 'JAYSEAM_KNOWN_RED'
@@ -26,11 +28,30 @@
     return entries
 
 
+@pytest.fixture(name='hypothesis_tables', scope='session')
+def hypothesis_tables_fixture():
+    """Builds the tables of hypothesis.
+
+    In a new clone the first draw of text takes seconds, which the health check
+    of the test that makes it would take for slow generation.
+    """
+    for strategy in (
+        strategies.text(strategies.characters()),
+        strategies.text(),
+        strategies.integers(),
+        strategies.floats(),
+    ):
+        hypothesis.find(strategy, lambda _: True)
+
+
 def pytest_collection_modifyitems(config, items):
     """Deselects exactly the listed tests.
 
     With JAYSEAM_KNOWN_RED=run they run, to see whether they still fail.
     """
+    for item in items:
+        if getattr(item.obj, 'is_hypothesis_test', False):
+            item.fixturenames.insert(0, 'hypothesis_tables')
     entries = _read_entries()
     if os.environ.get(_RUN_ALL) == 'run':
         return
