Show by a test that a request late in the grace is refused, not passed on

Cause: another operator's report: requests late in the grace of a planned stop were taken, passed on, and cut at its end. Change: a test sends requests of 2.3 s of work throughout a stop: what comes after the notice gets 503 at once; what was taken gets its answer.

--- a/jayseam/platform/tests/test_stops.py
+++ b/jayseam/platform/tests/test_stops.py
@@ -125,6 +125,15 @@
     assert took_s < WORK_S
 
 
+def test_call_that_comes_late_in_the_grace_is_refused(start_fleet):
+    """A request must not be passed on by a node that may be gone before."""
+    sent_after_s = (2.0, 2.6, 3.2, 3.8, 4.1)
+    late, _ = stop_beside_calls(start_fleet(), sent_after_s, 2.3, 2500)
+    assert [answer.status for answer, _ in late] == [200, 503, 503, 503, 503]
+    for (_, after_s), at_s in zip(late[1:], sent_after_s[1:]):
+        assert after_s < at_s + 0.5
+
+
 def test_call_without_end_is_cut_in_the_last_sixth_of_the_grace(start_fleet):
     """A call that lasts must get an answer before the process is killed."""
     fleet = start_fleet()
