Closing the callers' listener no longer spins while accepting fails

Callers saw (by test): a node without free descriptors that stops serves nobody for half a second, and writes a line for each of more than a thousand failed accepts. Cause: the loop that empties the backlog ran until a time, without a wait in it. Change: it reads the backlog a bounded number of times.

--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -30,6 +30,8 @@
 _DISCONNECT_POLL_S = 0.1
 _HEADER_SWEEP_INTERVAL_S = 0.5
 _CLOSE_POLL_S = 0.01
+# Each accepts up to 100 connections.
+_MAX_BACKLOG_READS = 20
 _BLOCK_BYTES = 65536
 # Reading one byte by itself takes as long as reading many at once.
 _SINGLE_BYTE_COST = 16
@@ -176,9 +178,11 @@
         """
         sockets.drop_new_connections(self.socket)
         # Without the filter, callers that connect at once after a refusal
-        # could fill the backlog as fast as it is emptied.
-        end = clocks.read_now() + timeout_s
-        while self._has_backlog() and clocks.read_now() < end:
+        # could fill the backlog as fast as it is emptied; and a connection
+        # stays in it while accepting fails.
+        for _ in range(_MAX_BACKLOG_READS):
+            if not self._has_backlog():
+                break
             self._do_read()
         self.stop()
         with gevent.Timeout(timeout_s, False):
--- a/jayseam/node/tests/test_callers.py
+++ b/jayseam/node/tests/test_callers.py
@@ -75,6 +75,19 @@
         _connect(server)
 
 
+def test_failing_accept_does_not_hold_up_the_end(server, monkeypatch):
+    """Without free descriptors the backlog can't be emptied."""
+
+    def refuse():
+        raise OSError(24, 'Too many open files')
+
+    with _connect(server):
+        monkeypatch.setattr(server, 'do_read', refuse)
+        began = time.monotonic()
+        server.shut_down(0.5)
+        assert time.monotonic() - began < 0.3
+
+
 def test_connection_in_the_backlog_without_request_is_refused(server):
     """A caller that sends after the stop must learn that nothing has run."""
     with _connect(server) as caller:
