A stopped node no longer tells the others that it is alive

Callers saw (by test): a call sent to a node that closes its connections, refused there and sent elsewhere. Cause: a VM list that arrives after the drain set the member record from leaving back to alive: only the state leaving kept it, not stopped. Measured: test_listing_does_not_revive_a_stopped_node failed before and passes.

--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -451,7 +451,7 @@
         entry = vm_list.by_name.get(self._settings.vm)
         withdrawn = entry is not None and entry.state == 'leaving'
         self._ingress.refuse_while_withdrawn(withdrawn)
-        if self._lifecycle.state != 'leaving':
+        if self._lifecycle.state not in ('leaving', 'stopped'):
             self._membership.update_own_record(
                 state='leaving' if withdrawn else 'alive'
             )
--- a/jayseam/node/tests/test_stop_steps.py
+++ b/jayseam/node/tests/test_stop_steps.py
@@ -1,5 +1,8 @@
 """A planned stop ends in time, whatever its steps meet."""
 
+import logging
+import types
+
 import gevent
 import prometheus_client
 import pytest
@@ -83,4 +86,33 @@
     began = clocks.read_now()
     node.request_stop()
     assert node._stopped.wait(_DEADLINE_S + 1.0)
+    with socket.create_connection(address) as caller:
+        gevent.sleep(0.05)
+        node.request_stop()
+        assert node._stopped.wait(_DEADLINE_S + 1.0)
+        assert clocks.read_now() - began < _DEADLINE_S + 0.25
+        if step is not _hang_on:
+            # The steps after it have run: an idle caller knows of the stop.
+            caller.settimeout(0.5)
+            assert caller.recv(65536).startswith(b'HTTP/1.1 503')
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection(address)
+
+
+def test_answer_that_is_not_read_by_the_end_is_logged(node, caplog):
+    """On-call must find the request of an answer that the end has cut."""
+    caplog.set_level('ERROR', 'jayseam')
+    logging.getLogger('jayseam').propagate = True
+    node._application._writing[gevent.getcurrent()] = 'r-9'
+    node.request_stop()
+    assert node._stopped.wait(_DEADLINE_S + 1.0)
+    assert ['r-9'] == [
+        record.request_id
+        for record in caplog.records
+        if record.getMessage() == 'node.answer_cut'
+    ]
+
+
+def test_listing_does_not_revive_a_stopped_node(node):
+    """Other nodes must not choose a node that closes its connections."""
     assert clocks.read_now() - began < _DEADLINE_S + 0.2
