A stop takes no call after its notice that it might have to cut

Callers saw (review, on real nodes): while calls of other nodes ran at a stopping node's upstream, calls without credentials on public routes were passed on up to 4.9 s after SIGTERM and cut at 5.1 s with 504. Cause: after the notice such calls count as nested calls of those that run; they got the end of the work as their deadline, as calls in the notice do. Change: after the notice a call is taken only if its own limit ends before the work does; otherwise it is refused as not run.

--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -175,6 +175,7 @@
         request_id: str,
         now: float,
         latest_end: float = math.inf,
+        may_shorten: bool = True,
     ) -> Call:
         """Admits a request; decides its route, caller and deadline.
 
@@ -184,6 +185,8 @@
           now: Present time in seconds.
           latest_end: Latest deadline of the call, in seconds: the end of the
             time in which a stopping node works on calls.
+          may_shorten: Whether a call with a later deadline gets that one; if
+            not, it is refused.
 
         Raises:
           CallError: If the request is refused.
@@ -203,7 +206,8 @@
             timeout_ms = min(timeout_ms, caller.expires_wall_ms - wall_ms)
         if timeout_ms <= 0:
             raise errors.NotRunError('the deadline has passed')
-        if latest_end <= now:
+        deadline = now + timeout_ms / 1000
+        if latest_end <= now or (deadline > latest_end and not may_shorten):
             raise errors.NotRunError('this node is shutting down')
         deadline = min(now + timeout_ms / 1000, latest_end)
         if caller.workspace and caller.depth == 0:
--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -232,7 +232,11 @@
         if request.path.startswith(_OUTCOMES_PREFIX):
             return self._look_up_outcome(request, now)
         call = self._entry.admit_request(
-            request, request_id, now, self._work_end
+            request,
+            request_id,
+            now,
+            self._work_end,
+            may_shorten=not self._draining,
         )
         return self._run_call(environ, call, now)
 
