Use connections without TCP_NODELAY where the machine refuses it

Cause: set_nodelay raised at each accepted and dialled connection. It only saves time. Change: a refusal is counted (jayseam_socket_options_refused), and the first one logged (sockets.option_refused); the connection is used as it is.

--- a/jayseam/core/sockets.py
+++ b/jayseam/core/sockets.py
@@ -9,6 +9,8 @@
 import socket
 import struct
 
+import prometheus_client
+
 from jayseam.core import logs
 
 # Not in the ``socket`` module; from the Linux header asm-generic/socket.h.
@@ -18,14 +20,27 @@
 
 _log = logs.get_logger(__name__)
 
+REFUSED_OPTIONS = prometheus_client.Counter(
+    'jayseam_socket_options_refused',
+    'Options of connections that the machine refused',
+    ('option',),
+)
+
+# Options of which a refusal is in the log.
+_reported: set[str] = set()
+
 
 def set_nodelay(sock: socket.socket) -> None:
     """Disables Nagle's algorithm on a connected TCP socket.
 
     Nagle's algorithm combined with delayed acknowledgements adds about 43 ms
-    to each hop of a call.
+    to each hop of a call. Where the option is refused, the connection is used
+    without it.
     """
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError as error:
+        _report_refusal('no-delay', error)
 
 
 def drop_new_connections(listener: socket.socket) -> bool:
@@ -58,3 +73,14 @@
     except OSError as error:
         _log.warning('sockets.backlog_refused', extra={'reason': str(error)})
     return False
+
+
+def _report_refusal(option: str, error: OSError) -> None:
+    """Counts a refusal, and logs the first one of an option."""
+    REFUSED_OPTIONS.labels(option).inc()
+    if option not in _reported:
+        _reported.add(option)
+        _log.warning(
+            'sockets.option_refused',
+            extra={'option': option, 'reason': str(error)},
+        )
