Write logs without blocking where O_NONBLOCK is refused, and count lost lines

Callers would see: a node that does not start where standard output is closed or may not be made non-blocking. Cause: NonBlockingStream raised in its constructor; an error of a write went through the handler of logging to standard error, which may block, and no metric counted it. Change: without O_NONBLOCK a line is written in parts of PIPE_BUF bytes, each only if poll(2) tells of room. Failed writes drop their line. jayseam_log_lines_dropped counts them by reason.

--- a/jayseam/core/logs.py
+++ b/jayseam/core/logs.py
@@ -1,11 +1,14 @@
 """Structured logs with one JSON object per line."""
 
+import errno
 import logging
 import os
+import select
 import sys
 from collections.abc import Callable
 from typing import Any, TextIO
 
+import prometheus_client
 from pythonjsonlogger import json as json_logger
 
 from jayseam.core import clocks
@@ -15,6 +18,12 @@
 LINES_PER_S = 400.0
 BURST_LINES = 800.0
 
+DROPPED_LINES = prometheus_client.Counter(
+    'jayseam_log_lines_dropped',
+    'Log lines that the output did not take, by reason',
+    ('reason',),
+)
+
 
 def configure_logs(level: str, stream: Any = None, **context: str) -> None:
     """Sends the logs of jayseam to a stream as JSON lines.
@@ -88,25 +97,41 @@
 
 
 class NonBlockingStream:
-    """Writes to a non-blocking file descriptor.
+    """Writes to a file descriptor without ever blocking the process.
 
-    Drops whole lines while the reader is too slow, instead of blocking the
-    process.
+    Drops whole lines while the reader is too slow, and lines whose write fails.
+    Where a descriptor can't be made non-blocking, writes are of a size for
+    which a pipe that is ready has room.
 
     Args:
-      file: An open file; its descriptor becomes non-blocking.
+      file: An open file, whose descriptor becomes non-blocking; None if the
+        process was started without this stream, so that all lines are dropped.
+
+    Attributes:
+      dropped: Number of lines that were dropped.
+      blocking_reason: Why the descriptor can't be made non-blocking; None if it
+        is non-blocking.
+
+    References:
+      ``pipe(7)``, PIPE_BUF.
     """
 
-    def __init__(self, file: TextIO):
-        self._descriptor = file.fileno()
-        os.set_blocking(self._descriptor, False)
+    def __init__(self, file: TextIO | None):
+        self._descriptor = None if file is None else file.fileno()
         self._unwritten = b''
         self.dropped = 0
+        self.blocking_reason: str | None = None
+        if self._descriptor is None:
+            return
+        try:
+            os.set_blocking(self._descriptor, False)
+        except OSError as error:
+            self.blocking_reason = str(error)
 
     def write(self, text: str) -> None:
         """Writes a line, or drops it if there is no room."""
         if self._unwritten and not self._write(b''):
-            self.dropped += 1
+            self._drop('full')
             return
         self._write(text.encode())
 
@@ -116,16 +141,38 @@
     def _write(self, data: bytes) -> bool:
         """Returns whether all was written; buffers the rest of a cut line."""
         data = self._unwritten + data
+        reason = 'full'
+        written = 0
         try:
-            written = os.write(self._descriptor, data)
+            written = self._write_part(data)
         except BlockingIOError:
-            written = 0
+            pass
+        except OSError as error:
+            reason = errno.errorcode.get(error.errno, 'unknown')
         if not written and not self._unwritten:
-            self.dropped += 1
+            self._drop(reason)
             return False
         self._unwritten = data[written:]
         return not self._unwritten
 
+    def _write_part(self, data: bytes) -> int:
+        """Returns the number of bytes that were written without blocking."""
+        if self._descriptor is None:
+            raise OSError(errno.EBADF, os.strerror(errno.EBADF))
+        if self.blocking_reason is None:
+            return os.write(self._descriptor, data)
+        written = 0
+        poller = select.poll()
+        poller.register(self._descriptor, select.POLLOUT)
+        while written < len(data) and poller.poll(0):
+            part = data[written : written + select.PIPE_BUF]
+            written += os.write(self._descriptor, part)
+        return written
+
+    def _drop(self, reason: str) -> None:
+        self.dropped += 1
+        DROPPED_LINES.labels(reason).inc()
+
 
 def get_logger(name: str) -> logging.Logger:
     """Returns the logger of a module of jayseam.
