--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -45,6 +45,8 @@
 _CLOSE_WAIT_S = 0.5
 # Longest wait for replies to other nodes that are still to be sent.
 _LINKS_WAIT_S = 1.0
+# Wait before the start in which signals are handled that came before.
+_SIGNAL_WAIT_S = 0.001
 # Longest wait for a task to end.
 _TASK_WAIT_S = 1.0
 
@@ -275,9 +277,20 @@
         self._monitor.start()
         self._listeners.start()
         _log.info('node.started', extra={'incarnation': self._incarnation})
+        if self._lifecycle.state == 'leaving':
+            gevent.spawn(self._stop)
 
     def run(self) -> None:
-        """Starts the node and returns after its graceful shutdown."""
+        """Starts the node and returns after its graceful shutdown.
+
+        Raises:
+          OSError: If an address can't be bound.
+        """
+        # Signals that came before are handled now.
+        gevent.sleep(_SIGNAL_WAIT_S)
+        if self._lifecycle.state == 'leaving':
+            _log.info('node.stopped', extra={'started': False})
+            return
         self.start()
         self._stopped.wait()
 
@@ -289,7 +302,12 @@
         These are the settings ``keys`` and ``stop``. Changes of other settings
         take effect at the next start; the names of all changed settings are
         logged.
+
+        Raises:
+          SettingsError: If the node is stopping, by the settings it has.
         """
+        if self._lifecycle.state in ('leaving', 'stopped'):
+            raise node_settings.errors.SettingsError(['the node is stopping'])
         changed = [
             field.name
             for field in attrs.fields(type(settings))
@@ -310,8 +328,14 @@
         )
 
     def request_stop(self) -> None:
-        """Begins a graceful shutdown; later requests change nothing."""
-        if self._lifecycle.try_advance('stop_requested'):
+        """Begins a graceful shutdown; later requests change nothing.
+
+        A node that is being started stops once it has started, because a stop
+        ends only what runs.
+        """
+        requested = self._lifecycle.try_advance('stop_requested')
+        # The server for callers starts last.
+        if requested and self._listeners.caller_server.started:
             gevent.spawn(self._stop)
 
     def _stop(self) -> None:
