Show on real nodes that refused calls of the system end nothing

Cause: only the packet filter of a stop had a refusal and a test. Change: refusals no-delay, boot-time, non-blocking-output and output; test_refused_calls starts two nodes with each, sends calls, reloads twice (the second time with a file that is not UTF-8) and stops one within its grace under callers.

--- /dev/null
+++ b/jayseam/platform/tests/test_refused_calls.py
@@ -0,0 +1,133 @@
+"""Real nodes start, serve, reload and stop where the system refuses calls."""
+
+import json
+import random
+import signal
+
+import gevent
+import pytest
+
+from jayseam.core import clocks
+from jayseam.platform.tests import samples
+from jayseam.soak import fleets
+from jayseam.soak import operators
+from jayseam.standins import errors
+from jayseam.standins import exchanges
+from jayseam.standins import platformbackend
+from jayseam.standins import refusals
+from jayseam.standins import waits
+
+GRACE_S = 6.0
+N_CALLERS = 4
+# Event by which a node tells what was refused.
+EVENTS = {
+    'no-delay': 'sockets.option_refused',
+    'boot-time': 'node.boot_time_refused',
+    'non-blocking-output': 'logs.blocking_output',
+}
+# The packet filter of a stop has its own test, in test_stops.
+REFUSED = [name for name in refusals.registry.list_names() if name != 'output']
+REFUSED.remove('attach-filter')
+
+
+def build_fleet(*refused):
+    """Returns a fleet of two VMs with one route, whose nodes don't run yet."""
+    fleet = fleets.Fleet(2, refused)
+    operator = operators.Operator(fleet, random.Random(1))
+    routes = [samples.build_route('book', kind='unsafe', timeout='20s')]
+    operator.write(
+        operators.CONFIGURATION_KEY,
+        samples.build_configuration('r2', routes, rate_per_s=1000),
+    )
+    for ip in fleet.vms:
+        operator.register(ip)
+    return fleet
+
+
+def send_call(fleet, ip, name):
+    """Sends one call and returns its status, or None if it was not sent."""
+    headers = {
+        'Host': samples.HOST,
+        platformbackend.REQUEST_ID_HEADER: name,
+        platformbackend.DEADLINE_HEADER: '1500',
+        'Authorization': f'Bearer {samples.KEYS["school"]}',
+    }
+    address = fleet.get_caller_address(ip)
+    try:
+        answer = exchanges.exchange_once(
+            address, 'POST', '/book/1', headers, b'x' * 9
+        )
+    except errors.ExchangeError as error:
+        return str(error) if error.sent else None
+    return answer.status
+
+
+def send_calls(fleet, ip, until, outcomes, name):
+    """Sends calls one after the other and records how each ends."""
+    number = 0
+    while clocks.read_now() < until:
+        number += 1
+        outcomes.append(send_call(fleet, ip, f'{name}-{number}'))
+        gevent.sleep(0.02)
+
+
+def read_events(fleet, ip):
+    """Returns the events in the log of a node."""
+    lines = (fleet.directory / f'{ip}.log').read_text('utf-8').splitlines()
+    return [json.loads(l)['event'] for l in lines if l.startswith('{')]
+
+
+def run_node_through_its_life(fleet, writes_log=True):
+    """Serves, reloads and stops a node; returns how its calls ended."""
+    ip = next(iter(fleet.vms))
+    fleet.start_all()
+    outcomes = []
+    until = clocks.read_now() + 2.0
+    callers = [
+        gevent.spawn(send_calls, fleet, ip, until, outcomes, f'c{number}')
+        for number in range(N_CALLERS)
+    ]
+    gevent.sleep(0.3)
+    assert set(outcomes) == {200}
+    fleet.vms[ip].process.send_signal(signal.SIGHUP)
+    if writes_log:
+        waits.wait_until(
+            lambda: 'node.reloaded' in read_events(fleet, ip), 2.0, 'reload'
+        )
+    # Wrong settings change nothing; they must not end the node either.
+    (fleet.directory / f'{ip}.conf').write_bytes(b'self.ip=\xff')
+    fleet.vms[ip].process.send_signal(signal.SIGHUP)
+    if writes_log:
+        waits.wait_until(
+            lambda: 'node.reload_failed' in read_events(fleet, ip), 2.0, 'error'
+        )
+    gevent.sleep(0.2)
+    began = clocks.read_now()
+    status = fleet.terminate(ip)
+    assert (status, clocks.read_now() - began < GRACE_S) == (0, True)
+    gevent.joinall(callers, raise_error=True)
+    return outcomes
+
+
+@pytest.mark.parametrize('refused', REFUSED)
+def test_node_serves_and_stops_where_a_call_is_refused(refused):
+    """A refused call that only improves a node must not end what it does."""
+    fleet = build_fleet(refused)
+    try:
+        outcomes = run_node_through_its_life(fleet)
+        events = read_events(fleet, next(iter(fleet.vms)))
+    finally:
+        fleet.close()
+    assert set(outcomes) <= {200, 503, None}
+    assert 'node.stopped' in events and 'task.crashed' not in events
+    assert EVENTS[refused] in events
+
+
+def test_node_serves_and_stops_where_its_output_is_refused():
+    """A log that can't be written must not end a node or its stop."""
+    fleet = build_fleet('output')
+    try:
+        outcomes = run_node_through_its_life(fleet, writes_log=False)
+    finally:
+        fleet.close()
+    assert set(outcomes) <= {200, 503, None}
--- a/jayseam/standins/refusals.py
+++ b/jayseam/standins/refusals.py
@@ -9,17 +9,22 @@
 
 import argparse
 import errno
+import importlib
 import os
 import runpy
 import socket
 import sys
+import time
 from collections.abc import Callable, Sequence
 
 from gevent import _socket3
 
+from jayseam.core import clocks
 from jayseam.core import registries
 
 _SO_ATTACH_FILTER = 26
+# Standard output and standard error.
+_OUTPUTS = (1, 2)
 
 registry: registries.Registry[Callable[[], None]] = registries.Registry(
     'refusal'
@@ -54,12 +59,16 @@
         owner.setsockopt = _build_refusal(owner.setsockopt, level, option)
 
 
+def _refuse() -> None:
+    raise PermissionError(errno.EPERM, os.strerror(errno.EPERM))
+
+
 def _build_refusal(
     original: Callable[..., None], refused_level: int, refused_option: int
 ) -> Callable[..., None]:
     def setsockopt(sock, level, option, *value):
         if (level, option) == (refused_level, refused_option):
-            raise PermissionError(errno.EPERM, os.strerror(errno.EPERM))
+            _refuse()
         original(sock, level, option, *value)
 
     return setsockopt
@@ -71,6 +80,53 @@
     refuse_option(socket.SOL_SOCKET, _SO_ATTACH_FILTER)
 
 
+@registry.register('no-delay')
+def _refuse_no_delay() -> None:
+    """TCP_NODELAY on sockets is refused."""
+    refuse_option(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
+@registry.register('boot-time')
+def _refuse_boot_time() -> None:
+    """Reading CLOCK_BOOTTIME is refused."""
+    original = time.clock_gettime
+
+    def clock_gettime(clock):
+        if clock == time.CLOCK_BOOTTIME:
+            _refuse()
+        return original(clock)
+
+    time.clock_gettime = clock_gettime
+    # The clock is chosen at the first import, which has been.
+    importlib.reload(clocks)
+
+
+@registry.register('non-blocking-output')
+def _refuse_non_blocking_output() -> None:
+    """Switching the standard streams to non-blocking writes is refused."""
+    original = os.set_blocking
+
+    def set_blocking(descriptor, blocking):
+        if descriptor in _OUTPUTS and not blocking:
+            _refuse()
+        original(descriptor, blocking)
+
+    os.set_blocking = set_blocking
+
+
+@registry.register('output')
+def _refuse_output() -> None:
+    """Writing to the standard streams is refused."""
+    original = os.write
+
+    def write(descriptor, data):
+        if descriptor in _OUTPUTS:
+            _refuse()
+        return original(descriptor, data)
+
+    os.write = write
+
+
 def main(arguments: Sequence[str] | None = None) -> None:
     """Installs the refusals and runs the module as the main program."""
     parser = argparse.ArgumentParser(
