Begin the loops of a node again after an error

Callers would see, each from one unexpected error on: calls sent over silent links (loop of links), a node that is not told of failed members or is taken for failed (membership), that never becomes ready (join of the distribution), that takes no new version of a channel (fetches), that does not notice its pauses, that works for callers who have gone, or that keeps connections whose header fields never end. Cause: each loop was a greenlet that ended with its first error; nothing watched it. The mailbox of a task also goes on after a gevent.Timeout.

--- a/jayseam/backends/health.py
+++ b/jayseam/backends/health.py
@@ -17,6 +17,7 @@
 from jayseam.backends import states
 from jayseam.core import clocks
 from jayseam.core import logs
+from jayseam.core import loops
 from jayseam.core import tickers
 
 HEALTH_PATH = '/.backend/health'
@@ -113,7 +114,7 @@
     def start(self, client: backend_client.BackendClient) -> None:
         """Polls through ``client`` until `stop`."""
         self._client = client
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = loops.spawn_loop(self._run)
 
     def stop(self) -> None:
         """Ends polling."""
--- a/jayseam/core/__init__.py
+++ b/jayseam/core/__init__.py
@@ -10,6 +10,7 @@
 from jayseam.core import errors
 from jayseam.core import identifiers
 from jayseam.core import logs
+from jayseam.core import loops
 from jayseam.core import registries
 from jayseam.core import rendezvous
 from jayseam.core import sockets
@@ -24,6 +25,7 @@
     'errors',
     'identifiers',
     'logs',
+    'loops',
     'registries',
     'rendezvous',
     'sockets',
--- a/jayseam/core/tasks.py
+++ b/jayseam/core/tasks.py
@@ -96,7 +96,7 @@
         message = item.message if isinstance(item, _Request) else item
         try:
             result = self._handlers[type(message)](message)
-        except Exception as error:  # pylint: disable=broad-exception-caught
+        except (Exception, gevent.Timeout) as error:  # pylint: disable=W0718
             # The task must go on with later messages if a handler fails.
             if reply is not None:
                 reply.set_exception(error)
--- a/jayseam/distribution/fetching.py
+++ b/jayseam/distribution/fetching.py
@@ -11,6 +11,7 @@
 from jayseam.core import clocks
 from jayseam.core import errors as core_errors
 from jayseam.core import logs
+from jayseam.core import loops
 from jayseam.distribution import counters as distribution_counters
 from jayseam.distribution import offers
 from jayseam.distribution import parts as distribution_parts
@@ -126,7 +127,7 @@
 
     def start(self) -> None:
         """Starts the greenlet that fetches."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = loops.spawn_loop(self._run)
 
     def stop(self) -> None:
         """Ends the greenlet and drops an unfinished fetch."""
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -13,6 +13,7 @@
 
 from jayseam.core import clocks
 from jayseam.core import logs
+from jayseam.core import loops
 from jayseam.core import tasks
 from jayseam.distribution import confirmations
 from jayseam.distribution import conflicts
@@ -195,8 +196,8 @@
         for fetcher in self._fetchers.values():
             fetcher.start()
         self._greenlets = [
-            gevent.spawn(self._run_heartbeats),
-            gevent.spawn(self._joiner.run),
+            loops.spawn_loop(self._run_heartbeats),
+            loops.spawn_loop(self._joiner.run),
         ]
 
     def stop(self, timeout_s: float = 5.0) -> None:
--- a/jayseam/limits/task.py
+++ b/jayseam/limits/task.py
@@ -12,6 +12,7 @@
 from jayseam.core import clocks
 from jayseam.core import errors
 from jayseam.core import logs
+from jayseam.core import loops
 from jayseam.core import tickers
 from jayseam.limits import cells
 from jayseam.limits import messages
@@ -114,7 +115,7 @@
 
     def start(self) -> None:
         """Starts the poll loop."""
-        self._poll_greenlet = gevent.spawn(self._run)
+        self._poll_greenlet = loops.spawn_loop(self._run)
 
     def stop(self) -> None:
         """Returns leases and tokens, and ends the poll loop."""
--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -10,6 +10,7 @@
 
 from jayseam.core import clocks
 from jayseam.core import logs
+from jayseam.core import loops
 from jayseam.core import tickers
 from jayseam.links import codecs
 from jayseam.links import connections
@@ -104,7 +105,7 @@
         self._server = _Listener(self.address, self._accept, backlog=_BACKLOG)
         self._server.start()
         self.address = self._server.address[:2]
-        self._ticker = gevent.spawn(self._run_ticks)
+        self._ticker = loops.spawn_loop(self._run_ticks)
 
     def stop(self, timeout_s: float = 1.0) -> None:
         """Stops listening, sends outstanding replies and closes all links."""
--- a/jayseam/membership/task.py
+++ b/jayseam/membership/task.py
@@ -15,6 +15,7 @@
 from jayseam.core import clocks
 from jayseam.core import errors as core_errors
 from jayseam.core import logs
+from jayseam.core import loops
 from jayseam.core import tasks
 from jayseam.core import tickers
 from jayseam.links import handlers as handlers_module
@@ -121,7 +122,7 @@
         """Starts the task; the links must have started."""
         super().start()
         for loop in (self._run_ticks, self._run_heartbeats, self._run_joins):
-            self._loops.append(gevent.spawn(loop))
+            self._loops.append(loops.spawn_loop(loop))
 
     def stop(self, timeout_s: float = 5.0) -> None:
         """Ends the task without notifying others; see `update_own_record`."""
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -15,6 +15,7 @@
 from jayseam.calls import problems
 from jayseam.calls import requests
 from jayseam.core import clocks
+from jayseam.core import loops
 from jayseam.core import sockets
 from jayseam.core import tickers
 from jayseam.node import fields
@@ -152,7 +153,7 @@
     def start(self) -> None:
         """Listens, and aborts requests whose header fields come too slowly."""
         super().start()
-        gevent.spawn(self._abort_slow_requests)
+        loops.spawn_loop(self._abort_slow_requests)
 
     def handle(self, sock, address) -> None:
         """Serves one accepted connection."""
@@ -352,7 +353,7 @@
 
     def start(self) -> None:
         """Starts the periodic poll."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = loops.spawn_loop(self._run)
 
     def stop(self) -> None:
         """Ends the periodic poll."""
--- a/jayseam/node/pauses.py
+++ b/jayseam/node/pauses.py
@@ -7,6 +7,7 @@
 
 from jayseam.core import clocks
 from jayseam.core import logs
+from jayseam.core import loops
 from jayseam.core import tickers
 
 TICK_INTERVAL_S = 0.1
@@ -45,7 +46,7 @@
     def start(self) -> None:
         """Starts the ticker."""
         self._last_tick = clocks.read_now()
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = loops.spawn_loop(self._run)
 
     def stop(self) -> None:
         """Ends the ticker."""
--- a/jayseam/platform/source.py
+++ b/jayseam/platform/source.py
@@ -9,6 +9,7 @@
 
 from jayseam.core import clocks
 from jayseam.core import logs
+from jayseam.core import loops
 from jayseam.platform import errors
 from jayseam.platform import mirrors
 from jayseam.platform import store
@@ -221,7 +222,7 @@
 
     def _wait_for_refresh(self, wait_s: float) -> None:
         if self._greenlet is None or self._greenlet.dead:
-            self._greenlet = gevent.spawn(self._run)
+            self._greenlet = loops.spawn_loop(self._run)
         self._waiting_reads += 1
         _waiting_reads.inc()
         try:
--- a/jayseam/source/watchers.py
+++ b/jayseam/source/watchers.py
@@ -12,6 +12,7 @@
 from jayseam.core import clocks
 from jayseam.core import digests
 from jayseam.core import logs
+from jayseam.core import loops
 from jayseam.presets import documents
 from jayseam.presets import errors as preset_errors
 from jayseam.presets import schemas
@@ -251,7 +252,7 @@
 
     def start(self) -> None:
         """Starts the watch."""
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = loops.spawn_loop(self._run)
 
     def stop(self) -> None:
         """Ends the watch, also while it is waiting."""
