Close a link whose reader or writer ends by an unexpected error

Callers would see: 504 (outcome unknown) of calls that were sent over a link which its other side no longer reads or writes, until the peer closes it as silent (1.5 s), and of calls that ran but whose reply could not be encoded. Cause: Link._run caught two classes of errors; any other ended one of the two greenlets and left the link open. A reply was encoded, and a handler run, under handlers for some classes only; a failed dial left its socket open. Change: any error closes the link (reason crashed) and is logged (link.crashed); a reply that fails, and a time limit in a handler, are answered as failures; an aborted dial closes its socket.

--- a/jayseam/links/connections.py
+++ b/jayseam/links/connections.py
@@ -431,6 +431,11 @@
                 },
             )
             self.close(error.reason)
+        except Exception:  # pylint: disable=broad-exception-caught
+            # Without its reader or writer, a link would take requests that are
+            # never sent or read.
+            _log.exception('link.crashed', extra={'peer': self.peer.vm})
+            self.close('crashed')
 
     def _encode(self, message: Any, correlation: int) -> bytes:
         return encode_message(self._codec, message, correlation)
@@ -602,8 +607,10 @@
             return
         try:
             body = self._encode(reply, -correlation)
-        except (TypeError, errors.TooLargeError) as error:
-            reply = messages.Failure(type(error).__name__, str(error))
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            # Codecs raise errors of many classes, and the peer waits.
+            text = str(error)[:_MAX_FAILURE_TEXT_CHARS]
+            reply = messages.Failure(type(error).__name__, text)
             body = self._encode(reply, -correlation)
         try:
             self._check_outbox_space(len(body), MAX_REPLY_OUTBOX_BYTES)
@@ -649,7 +656,7 @@
     """
     try:
         reply = function(peer, message)
-    except Exception as error:  # pylint: disable=broad-exception-caught
+    except (Exception, gevent.Timeout) as error:  # pylint: disable=W0718
         # Any exception of a handler is reported to the requester.
         _log.info(
             'link.handler_failed',
--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -297,6 +297,10 @@
             counters.CLOSES.labels(reason).inc()
             name = vm or f'{address[0]}:{address[1]}'
             raise errors.DialError(f'no link to {name}: {error}') from error
+        except BaseException:
+            if transport is not None:
+                transport.abort()
+            raise
         finally:
             timeout.close()
         link = self._open_link(transport, peer, key, dialled=True)
--- a/jayseam/links/transports.py
+++ b/jayseam/links/transports.py
@@ -11,7 +11,6 @@
 import collections
 import contextlib
 
-import gevent
 from gevent import socket
 from websockets import client
 from websockets import exceptions
@@ -268,7 +267,7 @@
     transport = Transport(sock, protocol)
     try:
         transport._upgrade_as_client()
-    except (errors.LinkError, gevent.Timeout):
+    except BaseException:
         transport.abort()
         raise
     return transport
