Answer a claim whose request to a keeper meets an unexpected error

Callers would see: no answer at all to a call with an idempotency key, and a key that is reported as running until its record expires. Cause: the claim waits for one reply of each keeper without a time limit, and the greenlet that had to put it ended; deliveries of outcomes ended with their first unexpected error. Change: such an error counts as no reply (claims.request_crashed), and a delivery is tried again (claims.delivery_crashed). Measured: the two new tests of test_claims failed with the code before and pass.

--- a/jayseam/calls/claims.py
+++ b/jayseam/calls/claims.py
@@ -204,14 +204,28 @@
         replies: queue.Queue = queue.Queue()
         timeout_s = min(_KEEPER_TIMEOUT_S, deadline - clocks.read_now())
         for upstream in chosen_keepers:
-            gevent.spawn(
-                lambda name: replies.put(
-                    self._send_to_keeper(name, message, timeout_s)
-                ),
-                upstream,
-            )
+            gevent.spawn(self._put_reply, replies, upstream, message, timeout_s)
         return replies
 
+    def _put_reply(
+        self,
+        replies: queue.Queue,
+        upstream: str,
+        message: Any,
+        timeout_s: float,
+    ) -> None:
+        """Puts the reply of a keeper into a queue; None after any error.
+
+        The call waits for one reply of each keeper, without a time limit.
+        """
+        reply = None
+        try:
+            reply = self._send_to_keeper(upstream, message, timeout_s)
+        except Exception:  # pylint: disable=broad-exception-caught
+            _log.exception('claims.request_crashed', extra={'keeper': upstream})
+        finally:
+            replies.put(reply)
+
     def _send_to_keeper(
         self, upstream: str, message: Any, timeout_s: float
     ) -> messages.ClaimState | None:
@@ -239,21 +253,34 @@
         """
         for delay_s in _DELIVERY_DELAYS_S:
             gevent.sleep(delay_s)
-            vm = self._find_vm(upstream)
-            if vm == self._own_vm:
-                apply_message(self._store, message, clocks.read_now())
-                return
-            if vm is None:
-                continue
             try:
-                self._request(vm, message, _KEEPER_TIMEOUT_S)
-                return
+                if self._deliver(upstream, message):
+                    return
             except link_errors.LinkError as error:
                 _log.debug(
                     'claims.delivery_failed',
-                    extra={'vm': vm, 'reason': str(error)},
+                    extra={'keeper': upstream, 'reason': str(error)},
+                )
+            except Exception:  # pylint: disable=broad-exception-caught
+                _log.exception(
+                    'claims.delivery_crashed', extra={'keeper': upstream}
                 )
 
+    def _deliver(self, upstream: str, message: Any) -> bool:
+        """Sends a message to a keeper; returns False if it has no VM.
+
+        Raises:
+          LinkError: If the keeper has not acknowledged the message.
+        """
+        vm = self._find_vm(upstream)
+        if vm is None:
+            return False
+        if vm == self._own_vm:
+            apply_message(self._store, message, clocks.read_now())
+        else:
+            self._request(vm, message, _KEEPER_TIMEOUT_S)
+        return True
+
 
 def apply_message(
     store: keepers.ClaimStore, message: Any, now: float
--- a/jayseam/calls/tests/test_claims.py
+++ b/jayseam/calls/tests/test_claims.py
@@ -87,3 +87,35 @@
     with pytest.raises(errors.OutcomeUnknownError):
         fleet.claim(timeout_s=0.5)
     assert clocks.read_now() - started_at < 1.5
+
+
+def _break_keepers(fleet, kind, *vms):
+    """Makes requests of one class to some keepers fail unexpectedly, once."""
+    request, broken = fleet.coordinator._request, set(vms)
+
+    def fail(vm, message, timeout_s):
+        if vm in broken and isinstance(message, kind):
+            broken.discard(vm)
+            raise PermissionError(1, 'Operation not permitted')
+        return request(vm, message, timeout_s)
+
+    fleet.coordinator._request = fail
+
+
+def test_unexpected_error_of_a_keeper_does_not_hold_a_claim():
+    """A claim that waits for the reply of a dead greenlet is never answered."""
+    fleet = Fleet()
+    _break_keepers(fleet, messages.Claim, *ZONES)
+    with gevent.Timeout(1.0):
+        with pytest.raises(errors.NotRunError):
+            fleet.claim()
+
+
+def test_outcome_reaches_keepers_after_an_unexpected_error():
+    """Without another attempt, the key would be reported as running."""
+    fleet = Fleet()
+    claim_result = fleet.claim()
+    _break_keepers(fleet, messages.Settle, *ZONES)
+    fleet.coordinator.settle('w1', claim_result, ANSWER)
+    gevent.sleep(0.4)
+    assert fleet.claim().answer == ANSWER
