Try a failed refresh after a pause again

Callers would see: calls judged by the state from before the pause, although a second was left in which to ask peers. Cause: the first error of a refresh ended its greenlet and released the calls. Change: it is logged (node.refresh_failed) and tried again until its time limit. Measured: test_failed_refresh_after_a_pause_is_tried_again failed with the code before and passes.

--- a/jayseam/node/pauses.py
+++ b/jayseam/node/pauses.py
@@ -13,6 +13,7 @@
 TICK_INTERVAL_S = 0.1
 PAUSE_THRESHOLD_S = 1.0
 REFRESH_TIMEOUT_S = 1.0
+RETRY_S = 0.05
 
 _log = logs.get_logger(__name__)
 
@@ -86,8 +87,20 @@
         """Refreshes the state after the pause with a number."""
         try:
             with gevent.Timeout(REFRESH_TIMEOUT_S, False):
-                self._refresh(now, paused_s)
+                self._refresh_with_retries(now, paused_s)
         finally:
             # What an earlier refresh has brought may be outdated again.
             if number == self.n_pauses:
                 self._refreshed.set()
+
+    def _refresh_with_retries(self, now: float, paused_s: float) -> None:
+        """Refreshes the state, again after an error."""
+        while True:
+            try:
+                self._refresh(now, paused_s)
+                return
+            except Exception:  # pylint: disable=broad-exception-caught
+                # Calls must not run by the state before the pause as long as
+                # there is time for another attempt.
+                _log.exception('node.refresh_failed')
+            gevent.sleep(RETRY_S)
--- a/jayseam/node/tests/test_loops.py
+++ b/jayseam/node/tests/test_loops.py
@@ -5,6 +5,7 @@
 import pytest
 from gevent import event
 
+from jayseam.core import clocks
 from jayseam.node import callers
 from jayseam.node import composition
 from jayseam.node import pauses
@@ -106,3 +107,13 @@
     del server.header_read_starts[slow], node._monitor._greenlets_by_fd[-1]
     monkeypatch.undo()
     assert not ended
+
+
+def test_failed_refresh_after_a_pause_is_tried_again():
+    """Calls must not run by the state before a pause while there is time."""
+    refresh = _FailingOnce(None)
+    guard = pauses.PauseGuard(refresh)
+    now = clocks.read_now()
+    guard._last_tick = now - 5.0
+    guard.wait_for_refresh(now)
+    assert refresh.called_again.is_set()
