Start without asking the name service for the own addresses

Callers would see: connections refused for as long as the name service takes to answer, once for each server, whenever a node starts; a node that never starts where threads are refused. Cause: the WSGI server looks its address up in reverse before it listens, to fill in SERVER_NAME, which nothing reads. Change: the name is given. Measured: test_start_asks_no_name_service failed before (two look-ups) and passes.

--- a/jayseam/node/listeners.py
+++ b/jayseam/node/listeners.py
@@ -58,14 +58,32 @@
     readiness_server = None
     if settings.ready is not None:
         readiness_server = admin.AdminServer(
-            settings.ready.as_tuple(), readiness_application, log=None
+            settings.ready.as_tuple(),
+            readiness_application,
+            log=None,
+            environ=_name_server(settings.ready),
         )
     return Listeners(
         callers.CallerServer(
-            settings.caller.as_tuple(), caller_application, log=None
+            settings.caller.as_tuple(),
+            caller_application,
+            log=None,
+            environ=_name_server(settings.caller),
         ),
         admin.AdminServer(
-            settings.admin.as_tuple(), admin_application, log=None
+            settings.admin.as_tuple(),
+            admin_application,
+            log=None,
+            environ=_name_server(settings.admin),
         ),
         readiness_server,
     )
+
+
+def _name_server(address: Any) -> dict[str, str]:
+    """Returns the WSGI name of a server.
+
+    Without it, the server asks the name service for the name of its address
+    before it listens, which can take longer than the platform waits.
+    """
+    return {'SERVER_NAME': address.host}
--- a/jayseam/node/tests/test_main.py
+++ b/jayseam/node/tests/test_main.py
@@ -7,6 +7,7 @@
 import gevent
 import prometheus_client
 import pytest
+from gevent import socket
 
 from jayseam.core import logs
 from jayseam.node import composition
@@ -141,3 +142,14 @@
     events = read_events(stream)
     assert events.count('node.stopped') == 1
     assert 'node.stop_step_failed' not in events
+
+
+def test_start_asks_no_name_service(node, monkeypatch):
+    """A name service that is away must not hold up the start."""
+    asked = []
+    for name in ('getfqdn', 'gethostbyaddr', 'getaddrinfo'):
+        monkeypatch.setattr(socket, name, lambda *a: asked.append(a) or 'name')
+    node.start()
+    node.request_stop()
+    assert not asked
+    node._stopped.wait(2.0)
