Connect to numeric addresses without a thread

Callers would see: a node that never becomes ready where threads are refused, for example by a limit on processes. Cause: gevent resolves addresses in threads, numeric ones too, for links and for the store. Change: core.sockets resolves numeric addresses itself.

--- a/jayseam/core/sockets.py
+++ b/jayseam/core/sockets.py
@@ -1,4 +1,4 @@
-"""Options of TCP sockets.
+"""Addresses and options of TCP sockets.
 
 Some machines refuse options to unprivileged processes, by a hook on
 ``setsockopt``, a locked filter or a policy on calls of the system. An option
@@ -8,8 +8,10 @@
 import ctypes
 import socket
 import struct
+from typing import Any
 
 import prometheus_client
+from gevent import socket as gevent_socket
 
 from jayseam.core import logs
 
@@ -30,6 +32,46 @@
 _reported: set[str] = set()
 
 
+def resolve(host: str, port: int) -> list[tuple[Any, ...]]:
+    """Returns the addresses of a host, as ``getaddrinfo`` does for TCP.
+
+    gevent resolves names in threads, which a machine may refuse, for example
+    by a limit on processes. Numeric addresses need none.
+
+    >>> resolve('127.0.0.1', 80)[0][-1]
+    ('127.0.0.1', 80)
+
+    Raises:
+      OSError: If the name is unknown.
+    """
+    arguments = host, port, 0, socket.SOCK_STREAM, socket.IPPROTO_TCP
+    try:
+        return socket.getaddrinfo(*arguments, flags=socket.AI_NUMERICHOST)
+    except socket.gaierror:
+        return gevent_socket.getaddrinfo(*arguments)
+
+
+def connect(host: str, port: int) -> gevent_socket.socket:
+    """Returns a socket that is connected to the first address that answers.
+
+    Raises:
+      OSError: If none answers.
+    """
+    last_error = OSError(f'{host} has no address')
+    for family, kind, protocol, _, address in resolve(host, port):
+        sock = gevent_socket.socket(family, kind, protocol)
+        try:
+            sock.connect(address)
+            return sock
+        except OSError as error:
+            sock.close()
+            last_error = error
+        except BaseException:
+            sock.close()
+            raise
+    raise last_error
+
+
 def set_nodelay(sock: socket.socket) -> None:
     """Disables Nagle's algorithm on a connected TCP socket.
 
--- a/jayseam/core/tests/test_sockets.py
+++ b/jayseam/core/tests/test_sockets.py
@@ -4,6 +4,8 @@
 import os
 import socket
 
+from gevent import socket as gevent_socket
+
 from jayseam.core import sockets
 
 
@@ -40,3 +42,14 @@
         sockets.set_nodelay(left)
         left.sendall(b'x')
         assert right.recv(1) == b'x'
+
+
+def test_numeric_addresses_need_no_thread(monkeypatch):
+    """Where threads are refused, a node must still reach other nodes."""
+    monkeypatch.setattr(gevent_socket, 'getaddrinfo', lambda *_: None)
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        host, port = listener.getsockname()
+        with sockets.connect(host, port) as connection:
+            assert connection.getpeername() == (host, port)
+    assert sockets.resolve('::1', 80)[0][-1][:2] == ('::1', 80)
+    assert sockets.resolve('localhost', 80) is None
--- a/jayseam/links/transports.py
+++ b/jayseam/links/transports.py
@@ -256,7 +256,7 @@
       HandshakeError: If the other side refuses the upgrade.
     """
     try:
-        sock = socket.create_connection((host, port))
+        sock = sockets.connect(host, port)
     except OSError as error:
         raise errors.TransportClosedError('unreachable') from error
     authority = f'[{host}]' if ':' in host else host
--- a/jayseam/source/endpoints.py
+++ b/jayseam/source/endpoints.py
@@ -1,5 +1,6 @@
 """HTTP requests to one replica of the source."""
 
+import functools
 import urllib.parse
 import weakref
 from collections.abc import Mapping
@@ -143,6 +144,9 @@
         pool = self.http._connection_pool
         pool.after_connect = sockets.set_nodelay
         pool._create_tcp_socket = self._create_socket
+        pool._resolve = functools.partial(
+            sockets.resolve, parts.hostname, parts.port or 80
+        )
 
     def fetch(
         self,
--- a/jayseam/standins/refusals.py
+++ b/jayseam/standins/refusals.py
@@ -18,6 +18,7 @@
 from collections.abc import Callable, Sequence
 
 from gevent import _socket3
+from gevent import threadpool
 
 from jayseam.core import clocks
 from jayseam.core import registries
@@ -114,6 +115,16 @@
     os.set_blocking = set_blocking
 
 
+@registry.register('threads')
+def _refuse_threads() -> None:
+    """Starting threads is refused, as by a limit on processes."""
+
+    def start_new_thread(*_):
+        raise RuntimeError("can't start new thread")
+
+    threadpool.start_new_thread = start_new_thread
+
+
 @registry.register('output')
 def _refuse_output() -> None:
     """Writing to the standard streams is refused."""
