--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -10,6 +10,7 @@
 
 from jayseam.core import clocks
 from jayseam.core import logs
+from jayseam.core import loops
 from jayseam.core import tickers
 from jayseam.links import codecs
 from jayseam.links import connections
@@ -104,7 +105,7 @@
         self._server = _Listener(self.address, self._accept, backlog=_BACKLOG)
         self._server.start()
         self.address = self._server.address[:2]
-        self._ticker = gevent.spawn(self._run_ticks)
+        self._ticker = loops.spawn_loop(self._run_ticks)
 
     def stop(self, timeout_s: float = 1.0) -> None:
         """Stops listening, sends outstanding replies and closes all links."""
@@ -296,6 +297,10 @@
             counters.CLOSES.labels(reason).inc()
             name = vm or f'{address[0]}:{address[1]}'
             raise errors.DialError(f'no link to {name}: {error}') from error
+        except BaseException:
+            if transport is not None:
+                transport.abort()
+            raise
         finally:
             timeout.close()
         link = self._open_link(transport, peer, key, dialled=True)
