Stand-in: answers without end and answers that are cut

Change: Backend.answer_fault of the platform's backend server writes an answer byte by byte: a stream without end (in a head, interim answers, past a length, chunked, without a length, no HTTP) or a whole answer cut at a byte by a close or a reset. Backend.body_bytes makes answers large.

--- a/jayseam/standins/platformbackend.py
+++ b/jayseam/standins/platformbackend.py
@@ -8,6 +8,7 @@
 import gevent
 
 from jayseam.core import clocks
+from jayseam.standins import answerfaults
 from jayseam.standins import serving
 
 REQUEST_ID_HEADER = 'Jayseam-Request-Id'
@@ -48,6 +49,8 @@
       full: Whether requests are refused and marked as not executed.
       crossed: Whether answers carry the identifier of another request.
       unsealed: Whether answers lack their signature.
+      body_bytes: Size of the filler in each answer.
+      answer_fault: Fault of the bytes of each answer that isn't a refusal.
       arrivals: Requests that have reached the server.
     """
 
@@ -56,6 +59,8 @@
     full: bool = False
     crossed: bool = False
     unsealed: bool = False
+    body_bytes: int = 0
+    answer_fault: answerfaults.AnswerFault | None = None
     arrivals: list[Arrival] = attrs.field(factory=list)
 
     def __call__(
@@ -84,12 +89,18 @@
                 start_response, 503, headers=[id_header, not_executed]
             )
         gevent.sleep(self.service_s)
-        body = json.dumps(
-            {'id': request_id, 'path': environ['PATH_INFO']}
-        ).encode()
+        fields = {'id': request_id, 'path': environ['PATH_INFO']}
+        if self.body_bytes:
+            fields['filler'] = 'x' * self.body_bytes
+        body = json.dumps(fields).encode()
         if self.crossed:
             id_header = (REQUEST_ID_HEADER, 'another')
         headers = [id_header]
         if not self.unsealed:
             headers.append((SIGNATURE_HEADER, f'{self.instance}.{request_id}'))
+        if self.answer_fault is not None:
+            lines = ''.join(f'{name}: {value}\r\n' for name, value in headers)
+            answerfaults.send(
+                self.answer_fault, lines.encode(), environ[serving.SOCKET_KEY]
+            )
         return serving.send_answer(start_response, 200, body, headers)
--- a/jayseam/standins/serving.py
+++ b/jayseam/standins/serving.py
@@ -13,6 +13,8 @@
 from jayseam.core import sockets
 from jayseam.standins import errors
 
+# Key of the connection's socket in the environment of a request.
+SOCKET_KEY = 'standins.socket'
 Action = Callable[[dict[str, Any]], Any]
 StartResponse = Callable[..., Any]
 
@@ -56,6 +58,12 @@
 class _Handler(pywsgi.WSGIHandler):
     """Closes the connection when the application raises `AbortError`."""
 
+    def get_environ(self) -> dict[str, Any]:
+        """Adds the socket of the connection."""
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
     def run_application(self) -> None:
         try:
             super().run_application()
