A budget of bytes for the answers that a process reads

What callers would see: many answers without end at once (18 slots) took a node of 52 MB to 100 MB; a node has 128 MB on some sites, and its end ends all its calls. Cause: answers were bounded one by one, not together. Change: core.memory.ByteBudget decides which answer ends when the answers in progress hold too much: the greatest that is being read, outcome unknown, its connection closed. Answers that arrive in one block aren't counted. backend.answer_faulty and jayseam_backend_faulty_answers name the backend server and the reason. Measured: peak 93 to 100 MB of the node beside a server that sent 60 kB every 50 ms without end on 18 connections, before the change; the new tests bound what is held.

--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -18,12 +18,14 @@
 from gevent import lock
 
 from jayseam.backends import connections
+from jayseam.backends import counters
 from jayseam.backends import dialects
 from jayseam.backends import errors
 from jayseam.backends import messages
 from jayseam.backends import states
 from jayseam.core import clocks
 from jayseam.core import logs
+from jayseam.core import memory
 
 CONNECT_TIMEOUT_S = 0.5
 # An answer, including its head, must fit into one link frame of 2 MB.
@@ -39,6 +41,9 @@
 # The sockets of an ended process are closed one after the other, so survivors
 # are looked for again this long after the first loss.
 SURVIVOR_CHECK_DELAY_S = 0.02
+# Reasons for which an answer is given up that the backend server is at fault
+# for, or that holds too much memory.
+_FAULTY_REASONS = frozenset(('crossed', 'framing', 'memory', 'too-large'))
 
 _log = logs.get_logger(__name__)
 
@@ -58,6 +63,8 @@
       is_control: Whether it is a poll or a cancellation; these are never
         cancelled themselves.
       is_identified: Whether its answer has its id, where answers have ids.
+      out_of_memory: Whether its answer was ended because all answers together
+        held too many bytes.
     """
 
     request: messages.BackendRequest
@@ -69,6 +76,7 @@
     cancelled: bool = False
     is_control: bool = False
     is_identified: bool = True
+    out_of_memory: bool = False
 
 
 def _ignore_evidence(evidence: states.Evidence, now: float) -> None:
@@ -92,6 +100,7 @@
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         dialect: dialects.Dialect = dialects.DEFAULT,
         read_now: Callable[[], float] = clocks.read_now,
+        budget: memory.ByteBudget | None = None,
     ):
         """Creates a client; the first call opens the first connection.
 
@@ -104,6 +113,7 @@
           connect_timeout_s: Time to establish a connection, in seconds.
           dialect: Header fields that the backend server understands.
           read_now: Clock, in seconds.
+          budget: Bytes of all messages in progress; by default one of its own.
         """
         host, port = address
         name = f'[{host}]' if ':' in host else host
@@ -114,6 +124,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._dialect = dialect
         self._read_now = read_now
+        self._budget = memory.ByteBudget() if budget is None else budget
         self._calls: dict[str, _Call] = {}
         self._cancel_slots = lock.Semaphore(MAX_CONCURRENT_CANCELS)
         self._check_is_scheduled = False
@@ -122,8 +133,7 @@
         self._longest_idle_s = 0.0
         self._loss_reported_at = -math.inf
         # End and length of the last pause of this process, in seconds.
-        self._resumed_at = -math.inf
-        self._paused_s = 0.0
+        self._last_pause = (-math.inf, 0.0)
         # Times of last use and of discovery of the idle connection that was
         # lost last, in seconds.
         self._idle_loss = (-math.inf, -math.inf)
@@ -222,8 +232,7 @@
           now: Time at which the pause ended, in seconds.
           paused_s: Length of the pause, in seconds.
         """
-        self._resumed_at = now
-        self._paused_s = paused_s
+        self._last_pause = (now, paused_s)
         # The next poll would come only after calls that are waiting now.
         self._pool.close_lost()
         self._control_pool.close_lost()
@@ -288,6 +297,7 @@
                     fully_sent
                     and reader.is_reusable()
                     and not call.cancelled
+                    and not call.out_of_memory
                     and call.is_identified
                 )
                 return answer
@@ -372,23 +382,45 @@
         Raises:
           OutcomeUnknownError: If there is no complete answer to the request.
         """
-        complete = False
-        while not complete:
-            left_s = call.deadline - self._read_now()
-            if left_s <= 0:
-                raise errors.OutcomeUnknownError('timeout')
-            try:
-                data = connection.receive(left_s)
-            except TimeoutError as error:
-                raise errors.OutcomeUnknownError('timeout') from error
-            except OSError as error:
-                reason = 'cancelled' if call.cancelled else 'connection-lost'
-                raise errors.OutcomeUnknownError(reason, str(error)) from error
-            complete = reader.receive(data)
-        answer = reader.build_answer()
+        holding = None
+        try:
+            while not reader.receive(
+                data := self._receive_block(call, connection)
+            ):
+                # An answer that arrives in one block is never counted.
+                if holding is None:
+                    holding = memory.Holding(
+                        memory.READING,
+                        functools.partial(_end_answer, call, connection),
+                    )
+                if not self._budget.extend(holding, len(data)):
+                    raise errors.OutcomeUnknownError('memory')
+            answer = reader.build_answer()
+        finally:
+            if holding is not None:
+                self._budget.release(holding)
         self._check_answer(call, connection, answer)
         return answer
 
+    def _receive_block(
+        self, call: _Call, connection: connections.Connection
+    ) -> bytes:
+        """Reads some bytes of the answer; none after its end."""
+        left_s = call.deadline - self._read_now()
+        if left_s <= 0:
+            raise errors.OutcomeUnknownError('timeout')
+        try:
+            return connection.receive(left_s)
+        except TimeoutError as error:
+            raise errors.OutcomeUnknownError('timeout') from error
+        except OSError as error:
+            reason = 'connection-lost'
+            if call.cancelled:
+                reason = 'cancelled'
+            elif call.out_of_memory:
+                reason = 'memory'
+            raise errors.OutcomeUnknownError(reason, str(error)) from error
+
     def _check_answer(
         self,
         call: _Call,
@@ -440,6 +472,17 @@
     def _handle_failure(self, call: _Call, error: BaseException) -> None:
         """Handles a call that ended without a complete answer."""
         reason = getattr(error, 'reason', 'cancelled')
+        if reason in _FAULTY_REASONS:
+            counters.FAULTY_ANSWERS.labels(self._host, reason).inc()
+            _log.warning(
+                'backend.answer_faulty',
+                extra={
+                    'backend': self._host,
+                    'reason': reason,
+                    'request': call.request.request_id,
+                    'error': str(error),
+                },
+            )
         if reason == 'connection-lost':
             self._report_loss(self._read_now())
             return
@@ -468,8 +511,9 @@
         shows a fast restart.
         """
         idle_s = found_at - last_used_at
-        if last_used_at < self._resumed_at:
-            idle_s -= self._paused_s
+        resumed_at, paused_s = self._last_pause
+        if last_used_at < resumed_at:
+            idle_s -= paused_s
         max_idle_s = min(RECENT_USE_S, IDLE_TOLERANCE * self._longest_idle_s)
         # One restart closes many connections, which are found one by one; only
         # the first loss counts.
@@ -542,6 +586,11 @@
             del self._cancellations[request_id]
 
 
+def _end_answer(call: _Call, connection: connections.Connection) -> None:
+    call.out_of_memory = True
+    connection.close()
+
+
 def _build_timeout_error(sent: int) -> errors.BackendError:
     if sent:
         return errors.OutcomeUnknownError('timeout')
--- a/jayseam/backends/tests/test_endless.py
+++ b/jayseam/backends/tests/test_endless.py
@@ -8,14 +8,17 @@
 import pytest
 
 from jayseam.backends import client as backend_client
+from jayseam.backends import counters
 from jayseam.backends import dialects
 from jayseam.backends import errors
 from jayseam.backends.tests import test_client
 from jayseam.core import clocks
+from jayseam.core import memory
 from jayseam.standins import waits
 
 DIALECT = dialects.Dialect(unsized_answers=True, cancel_path='')
 BLOCK_BYTES = 65536
+N_CONNECTIONS = 40
 HEAD = b'HTTP/1.1 200 OK\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 # First bytes of an answer, and bytes that follow without end.
@@ -84,11 +87,13 @@
     """Starts a server and a client; stops the server after the test."""
     started = []
 
-    def start(*args, **options):
+    def start(*args, budget=None, **options):
         backend = EndlessServer(*args, **options)
         started.append(backend)
         address = ('127.0.0.1', backend.server.server_port)
-        client = backend_client.BackendClient(address, 10, dialect=DIALECT)
+        client = backend_client.BackendClient(
+            address, N_CONNECTIONS, dialect=DIALECT, budget=budget
+        )
         return backend, client
 
     yield start
@@ -153,6 +158,66 @@
     slow.get()
 
 
+def send_streams(backend, client, count):
+    """Makes calls that all get streams; returns their greenlets."""
+    backend.scripts = [backend._send_without_end] * count
+
+    def fail(number):
+        with pytest.raises(errors.OutcomeUnknownError) as caught:
+            test_client.call(client, f's-{number}', timeout_s=2.0)
+        return caught.value.reason
+
+    return [gevent.spawn(fail, number) for number in range(count)]
+
+
+@pytest.mark.parametrize('pause_s', [0.0, 0.004])
+@pytest.mark.parametrize(
+    'name', ['body without a length', 'small chunks', 'trailers']
+)
+def test_many_streams_stay_within_the_budget(start, name, pause_s):
+    """A bound for each answer lets many answers fill the memory."""
+    budget = memory.ByteBudget(4_000_000)
+    backend, client = start(name, budget=budget)
+    backend.pause_s = pause_s
+    streams = send_streams(backend, client, N_CONNECTIONS - 2)
+    greatest = 0
+    while not all(stream.ready() for stream in streams):
+        greatest = max(greatest, budget.held_bytes)
+        gevent.sleep(0.001)
+    assert greatest <= 4_000_000
+    reasons = {stream.get() for stream in streams}
+    assert reasons <= {'memory', 'too-large', 'timeout'}
+    assert budget.held_bytes == 0 and client._pool.in_use == 0
+
+
+def test_whole_answers_are_not_ended_by_streams(start):
+    """Calls with sound answers must not fail because others are faulty."""
+    backend, client = start(
+        'body without a length', budget=memory.ByteBudget(4_000_000)
+    )
+    backend.pause_s = 0.004
+    streams = send_streams(backend, client, 20)
+    waits.wait_until(lambda: not backend.scripts, 1.0)
+    body = b'y' * 500_000
+    answer = HEAD + b'Content-Length: %d\r\n\r\n' % len(body) + body
+    for number in range(20):
+        backend.scripts = [answer]
+        assert test_client.call(client, f'w-{number}').body == body
+    reasons = [stream.get() for stream in streams]
+    assert 'memory' in reasons
+
+
+def test_faulty_answer_is_logged_and_counted(start, caplog):
+    """On-call must see which backend server sends what."""
+    backend, client = start('no answer')
+    fail_call(backend, client, 1.0)
+    record = next(r for r in caplog.records if r.msg == 'backend.answer_faulty')
+    port = backend.server.server_port
+    assert (record.backend, record.reason) == (f'127.0.0.1:{port}', 'framing')
+    sample = counters.FAULTY_ANSWERS.labels(record.backend, 'framing')
+    assert sample._value.get() == 1
+
+
 @pytest.mark.parametrize('data', [b'\r\n', b'\r\n\r\n', b'\n' * 50, b'HTTP'])
 def test_end_without_an_answer_is_no_answer(start, data):
     """The end of a connection ends a body, but never makes a head."""
