Bodies that come slowly, and answers not read, no longer fill the memory

What callers saw: 100 requests with 1 MiB each that came slowly took a node from 52 to 195 MB, 300 to 427 MB; over the limit of the VM the process is killed, and all calls on it with it. Cause: a body was bounded by itself only, and at most 1,000 calls were counted once their bodies were whole. Answers to callers that don't read were kept for up to 75 s, whatever their number. Change: bodies take from the budget as their bytes come, half of it at most; a request beyond it is refused as not run (503). An answer that is written takes from it too; when it is used up, the caller that has not read its answer for longest is cut off. The ingress counts the bodies of its calls. memory.message_bytes is the size; on the platform it follows from the memory of the process.

--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -15,6 +15,7 @@
 from jayseam.calls import requests
 from jayseam.core import clocks
 from jayseam.core import logs
+from jayseam.core import memory
 
 # The queue admits a call only if the call is expected to finish this much
 # before its deadline, or a tenth of its timeout before if that is less. Under
@@ -48,6 +49,7 @@
         configuration is up to date again. Takes and returns the time in
         seconds.
       dialect: Header fields that the backend server understands.
+      budget: Bytes of all messages in progress; by default one of its own.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         backend: backends.client.BackendClient,
         wait_for_refresh: Callable[[float], float],
         dialect: backends.dialects.Dialect = backends.dialects.DEFAULT,
+        budget: memory.ByteBudget | None = None,
     ):
         self._identity = identity
         self._read_snapshot = read_snapshot
@@ -65,6 +68,7 @@
         self._backend = backend
         self._wait_for_refresh = wait_for_refresh
         self._dialect = dialect
+        self._budget = memory.ByteBudget() if budget is None else budget
         self._running: dict[str, gevent.Greenlet] = {}
         self._request_ids: dict[str, str] = {}
         self._leaving = False
@@ -133,6 +137,9 @@
           CallError: If the call was refused, or its outcome is unknown.
         """
         self._check_forward(forward)
+        size_bytes = len(forward.body)
+        if not self._budget.take_request(size_bytes):
+            raise errors.NotRunError('too many bodies of calls in progress')
         self._running[forward.attempt] = gevent.getcurrent()
         self._request_ids[forward.attempt] = forward.request_id
         try:
@@ -142,6 +149,7 @@
                 'the call was cancelled'
             ) from error
         finally:
+            self._budget.return_request(size_bytes)
             self._running.pop(forward.attempt, None)
             self._request_ids.pop(forward.attempt, None)
 
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers, and the parsing of their requests."""
 
 import contextlib
+import errno
 import logging
 import re
 import select
@@ -15,6 +16,7 @@
 from jayseam.calls import problems
 from jayseam.calls import requests
 from jayseam.core import clocks
+from jayseam.core import memory
 from jayseam.core import sockets
 from jayseam.core import tickers
 from jayseam.node import fields
@@ -33,6 +35,9 @@
 _BLOCK_BYTES = 65536
 # Reading one byte by itself takes as long as reading many at once.
 _SINGLE_BYTE_COST = 16
+# Answers up to this size are written without being counted.
+_UNCOUNTED_BYTES = 16 * 1024
+_BODY_RETRY_AFTER_S = 1.0
 _COST_PER_PAUSE = 256 * 1024
 _PAUSE_S = 0.001
 _FORBIDDEN_CHARACTERS = re.compile('[\0\r\n]')
@@ -49,6 +54,50 @@
     """Parses requests strictly, to prevent request smuggling."""
 
     _refused = False
+    # Bytes of the budget that the body of the current request holds.
+    _body_bytes = 0
+
+    def hold_body(self, n_bytes: int) -> None:
+        """Takes memory for the body of a request, until it is answered.
+
+        Raises:
+          NotRunError: If bodies of other requests take too much.
+        """
+        if not self.server.budget.take_request(n_bytes):
+            raise errors.NotRunError(
+                'too many bodies of requests in progress', _BODY_RETRY_AFTER_S
+            )
+        self._body_bytes += n_bytes
+
+    def return_body(self, n_bytes: int) -> None:
+        """Gives back memory that `hold_body` took."""
+        self.server.budget.return_request(n_bytes)
+        self._body_bytes -= n_bytes
+
+    def run_application(self) -> None:
+        """Answers a request; its body is held until the answer is written."""
+        try:
+            super().run_application()
+        finally:
+            self.return_body(self._body_bytes)
+
+    def _sendall(self, data: bytes) -> None:
+        """Writes data, which a caller that doesn't read it holds in memory."""
+        if len(data) <= _UNCOUNTED_BYTES:
+            super()._sendall(data)
+            return
+        holding = memory.Holding(memory.WRITING, self._end_output)
+        if not self.server.budget.extend(holding, len(data)):
+            raise BrokenPipeError(errno.EPIPE, 'too many answers in progress')
+        try:
+            super()._sendall(data)
+        finally:
+            self.server.budget.release(holding)
+
+    def _end_output(self) -> None:
+        """Ends the connection in the middle of an answer."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
 
     def MessageClass(self, *args):  # pylint: disable=invalid-name
         """Parses the header fields and refuses ambiguous framing."""
@@ -143,8 +192,14 @@
 
     handler_class = CallerHandler
 
-    def __init__(self, *args: Any, **options: Any):
+    def __init__(
+        self,
+        *args: Any,
+        budget: memory.ByteBudget | None = None,
+        **options: Any,
+    ):
         super().__init__(*args, **options)
+        self.budget = memory.ByteBudget() if budget is None else budget
         self.open_connections: set[Any] = set()
         self.idle_handlers: set[CallerHandler] = set()
         self.header_read_starts: dict[CallerHandler, float] = {}
@@ -215,21 +270,34 @@
     Args:
       stream: The input of the connection.
       handler: Handler of the connection, which ends with an unread body.
+
+    Attributes:
+      is_kept: Whether the bytes read are kept, so that the handler has to take
+        memory for them.
     """
 
     def __init__(self, stream: BinaryIO, handler: pywsgi.WSGIHandler):
         self._stream = stream
         self._handler = handler
+        self.is_kept = False
         self._n_bytes = 0
         self._n_framing_bytes = 0
         self._cost = 0
         self._closed = False
 
     def read(self, size: int = -1) -> bytes:
-        """Reads up to ``size`` bytes; empty at the end or beyond a bound."""
+        """Reads up to ``size`` bytes; empty at the end or beyond a bound.
+
+        Raises:
+          NotRunError: If the bytes are kept and there is no memory for them.
+        """
+        if self.is_kept and size > _BLOCK_BYTES:
+            return self._read_blocks(size)
         if self._closed:
             return b''
         data = self._stream.read(size)
+        if self.is_kept:
+            self._handler.hold_body(len(data))
         self._n_bytes += len(data)
         self._cost += len(data)
         if size == 1:
@@ -246,6 +314,16 @@
             gevent.sleep(_PAUSE_S)
         return data
 
+    def _read_blocks(self, size: int) -> bytes:
+        """Reads block by block, so that only bytes that came are held."""
+        data = bytearray()
+        while len(data) < size:
+            block = self.read(min(_BLOCK_BYTES, size - len(data)))
+            if not block:
+                break
+            data += block
+        return bytes(data)
+
     def close(self) -> None:
         """Ends the input, and the connection after the answer."""
         self._closed = True
@@ -301,8 +379,9 @@
     length = int(environ.get('CONTENT_LENGTH') or 0)
     is_chunked = bool(environ.get('HTTP_TRANSFER_ENCODING'))
     stream = environ['wsgi.input']
-    if is_chunked or length > MAX_BODY_BYTES:
-        stream.rfile = BoundedInput(stream.rfile, environ[_HANDLER_KEY])
+    handler = environ[_HANDLER_KEY]
+    if is_chunked or length > _UNCOUNTED_BYTES:
+        stream.rfile = BoundedInput(stream.rfile, handler)
     if length > MAX_BODY_BYTES:
         raise errors.BodyTooLargeError(f'bodies end at {MAX_BODY_BYTES} bytes')
     body = b''
@@ -314,6 +393,8 @@
             stream.rfile.close()
             raise
     elif length:
+        if length <= _UNCOUNTED_BYTES:
+            handler.hold_body(length)
         body = _read_body(stream, length)
     path, _, query = environ[_TARGET_KEY].partition('?')
     return requests.CallRequest(
@@ -327,11 +408,17 @@
 
 def _read_body(stream: Any, length: int) -> bytes:
     timeout_error = errors.BadRequestError('the body arrives too slowly')
+    bounded = stream.rfile if isinstance(stream.rfile, BoundedInput) else None
     with gevent.Timeout(_READ_TIMEOUT_S, timeout_error):
         try:
+            if bounded is not None:
+                bounded.is_kept = True
             body = stream.read(length or MAX_BODY_BYTES + 1)
         except OSError as error:
             raise errors.BadRequestError('the body is malformed') from error
+        finally:
+            if bounded is not None:
+                bounded.is_kept = False
     if len(body) > MAX_BODY_BYTES:
         raise errors.BodyTooLargeError(f'bodies end at {MAX_BODY_BYTES} bytes')
     if length and len(body) != length:
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -256,6 +256,7 @@
             self._application,
             admin.AdminApplication(self.describe, self.explain),
             admin.ReadinessApplication(self._is_ready),
+            self._backend.budget,
         )
 
     # Start, reload and stop.
--- a/jayseam/node/listeners.py
+++ b/jayseam/node/listeners.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from jayseam.core import memory
 from jayseam.node import admin
 from jayseam.node import callers
 
@@ -46,6 +47,7 @@
     caller_application: Any,
     admin_application: admin.AdminApplication,
     readiness_application: admin.ReadinessApplication,
+    budget: memory.ByteBudget | None = None,
 ) -> Listeners:
     """Returns the servers for the addresses in the settings of a node.
 
@@ -54,6 +56,7 @@
       caller_application: Answers callers.
       admin_application: Answers operators.
       readiness_application: Answers the platform.
+      budget: Bytes of all messages in progress; by default one of its own.
     """
     readiness_server = None
     if settings.ready is not None:
@@ -62,7 +65,10 @@
         )
     return Listeners(
         callers.CallerServer(
-            settings.caller.as_tuple(), caller_application, log=None
+            settings.caller.as_tuple(),
+            caller_application,
+            log=None,
+            budget=budget,
         ),
         admin.AdminServer(
             settings.admin.as_tuple(), admin_application, log=None
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -11,6 +11,7 @@
 from jayseam import settings as node_settings
 from jayseam.core import clocks
 from jayseam.core import logs
+from jayseam.core import memory
 
 _log = logs.get_logger(__name__)
 
@@ -27,6 +28,9 @@
       wait_for_refresh: Waits for the refresh after a pause of the process, if
         there was one; takes and returns the time in seconds.
       dialect: Names of the header fields that the backend server uses.
+
+    Attributes:
+      budget: Bytes of all messages in progress at this node.
     """
 
     def __init__(
@@ -38,6 +42,7 @@
         wait_for_refresh: Callable[[float], float],
         dialect: backends.dialects.Dialect = backends.dialects.DEFAULT,
     ):
+        self.budget = memory.ByteBudget(settings.memory.message_bytes)
         self._vm = settings.vm
         self._upstream = settings.upstream
         self._publish_state = publish_state
@@ -60,6 +65,7 @@
             1,
             observe=self._health.observe,
             dialect=dialect,
+            budget=self.budget,
         )
         self.ingress = calls.ingress.Ingress(
             calls.ingress.IngressIdentity(
@@ -70,6 +76,7 @@
             self._client,
             wait_for_refresh,
             dialect,
+            self.budget,
         )
 
     def start(self) -> None:
--- a/jayseam/platform/settings.py
+++ b/jayseam/platform/settings.py
@@ -7,6 +7,7 @@
 import attrs
 
 from jayseam import settings as node_settings
+from jayseam.core import memory
 from jayseam.platform import durations
 from jayseam.platform import errors
 from jayseam.platform import mirrors
@@ -68,6 +69,15 @@
 # within rate and burst.
 LIMIT_STRATEGY = 'replicated'
 
+# Memory of a process that holds a large configuration and no calls, in
+# megabytes.
+BASE_MEMORY_MB = 68.0
+# Growth of the process for each byte that messages in progress hold: they are
+# copied on their way, and freed memory is not reused at once.
+MEMORY_PER_MESSAGE_BYTE = 1.5
+MIN_MESSAGE_BYTES = 8_000_000
+_BYTES_PER_MB = 1_000_000
+
 # Index of the admin port in ``network.internal_ports``.
 _ADMIN_PORT_INDEX = 0
 
@@ -134,6 +144,7 @@
     cold_factor = reader.read_number('terms.bounds.cold_overage')
     retry_share = reader.read_number('terms.bounds.retry_budget_ratio')
     retry_slack = reader.read_number('terms.bounds.budget_slack')
+    memory_mb = reader.read_optional_number('self.limits.memory_mb')
     store_address = reader.read_text('platform.platform.address')
     if reader.problems:
         raise node_settings.errors.SettingsError(reader.problems)
@@ -174,6 +185,7 @@
         ),
         service=fields.get('self.service', ''),
         ready=reader.read_address('network.listen.ready'),
+        memory=model.MemorySettings(compute_message_bytes(memory_mb)),
         # Traffic between zones is priced, so messages are compressed.
         codec='cbor-zstd',
     )
@@ -201,6 +213,21 @@
     )
 
 
+def compute_message_bytes(memory_mb: float | None) -> int:
+    """Returns the bytes that messages in progress may hold together.
+
+    Args:
+      memory_mb: Memory of the process in megabytes; None if it is unknown.
+
+    >>> compute_message_bytes(150.0)
+    54666666
+    """
+    if memory_mb is None:
+        return memory.DEFAULT_BUDGET_BYTES
+    free_mb = (memory_mb - BASE_MEMORY_MB) / MEMORY_PER_MESSAGE_BYTE
+    return max(MIN_MESSAGE_BYTES, int(free_mb * _BYTES_PER_MB))
+
+
 def derive_fleet_secret(fields: Mapping[str, str]) -> str:
     """Returns the secret with which the nodes of a deployment authenticate.
 
@@ -266,6 +293,10 @@
             return 0.0
         return number
 
+    def read_optional_number(self, name: str) -> float | None:
+        """Returns a non-negative number; None if the field is missing."""
+        return self.read_number(name) if self._fields.get(name) else None
+
     def read_address(self, name: str) -> node_settings.model.Address:
         """Returns an address such as ``10.0.0.1:80``."""
         text = self.read_text(name)
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from jayseam.core import memory
+
 
 @attrs.frozen
 class Address:
@@ -176,6 +178,18 @@
     window_s: float = 600.0
 
 
+@attrs.frozen
+class MemorySettings:
+    """Memory of the process.
+
+    Attributes:
+      message_bytes: Bytes that the bodies of requests and answers in progress
+        may hold together.
+    """
+
+    message_bytes: int = memory.DEFAULT_BUDGET_BYTES
+
+
 @attrs.frozen
 class NodeSettings:
     """All settings of one node process.
@@ -208,5 +222,6 @@
     service: str = ''
     ready: Address | None = None
     idempotency: IdempotencySettings = IdempotencySettings()
+    memory: MemorySettings = MemorySettings()
     codec: str = 'cbor'
     log_level: str = 'INFO'
--- a/jayseam/settings/schema.py
+++ b/jayseam/settings/schema.py
@@ -132,6 +132,9 @@
         'service': {'type': 'string', 'maxLength': 64},
         'ready': _build_object(_ADDRESS, ('host', 'port')),
         'idempotency': _build_object({'window_s': _POSITIVE_S}),
+        'memory': _build_object(
+            {'message_bytes': {'type': 'integer', 'minimum': 4_000_000}}
+        ),
         'codec': {'enum': ['cbor', 'cbor-zstd', 'json']},
         'log_level': {'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR']},
     },
