A value of the source that has no length is refused

What operators would see: a source that ends in the middle of a reply without a length has its first part taken for the whole value. Cause: the end of the connection ended such a reply, whoever caused it. Change: SourceClient refuses a value without a length or chunks. The client of the platform's store reads JSON objects, no part of which is one.

--- a/jayseam/source/client.py
+++ b/jayseam/source/client.py
@@ -198,6 +198,8 @@
         raise errors.SourceReplyError(f'{url}: status {status}')
     if revision is None:
         raise errors.SourceReplyError(f'{url}: no Revision header')
+    if reply.ends_with_connection:
+        raise errors.SourceReplyError(f'{url}: a value without a length')
     return Reply(revision, reply.body, reply.requested_at, reply.received_at)
 
 
--- a/jayseam/source/endpoints.py
+++ b/jayseam/source/endpoints.py
@@ -34,6 +34,8 @@
       body: The whole body.
       requested_at: Time at which the request was made, in seconds.
       received_at: Time at which the whole reply had arrived, in seconds.
+      ends_with_connection: Whether only the end of the connection ended the
+        body; the body of a source that ends on the way looks the same.
     """
 
     status: int
@@ -41,6 +43,7 @@
     body: bytes
     requested_at: float
     received_at: float
+    ends_with_connection: bool = False
 
 
 class _BoundedSocket(socket.socket):
@@ -190,7 +193,12 @@
             if body is None:
                 self._close_used_sockets()
         return RawReply(
-            reply.status_code, reply, body, requested_at, clocks.read_now()
+            reply.status_code,
+            reply,
+            body,
+            requested_at,
+            clocks.read_now(),
+            _ends_with_connection(reply),
         )
 
     def close(self) -> None:
@@ -212,6 +220,14 @@
                 sock.close()
 
 
+def _ends_with_connection(reply) -> bool:
+    codings = str(reply.get('transfer-encoding') or '').lower()
+    return (
+        reply.content_length is None
+        and codings.rpartition(',')[2].strip() != 'chunked'
+    )
+
+
 def _read_body(reply, max_bytes: int) -> bytes:
     length = reply.content_length
     if length is not None and length > max_bytes:
