The outboxes of all links together are bounded

What callers would see: a node whose peers read slowly keeps up to 16 MB of replies for each of them, exceeds the memory of its VM with a few, and ends. Cause: the outbox was bounded for each link only. Change: OutboxTotal counts what all links have not written, partly written frames too. A large request that doesn't fit isn't sent (not run); a large reply closes the link that waits with most bytes (outbox_full).

--- a/jayseam/links/connections.py
+++ b/jayseam/links/connections.py
@@ -24,6 +24,7 @@
 from jayseam.links import handlers
 from jayseam.links import handshakes
 from jayseam.links import messages
+from jayseam.links import outboxes
 from jayseam.links import transports
 
 TICK_S = 0.05
@@ -211,6 +212,21 @@
         self.pending = pending
 
 
+@attrs.frozen
+class LinkGroup:
+    """What all links of a node share.
+
+    Attributes:
+      waiting_links: Links that wait for a reply or pong.
+      outbox_total: Bytes that wait in the outboxes of all links.
+    """
+
+    waiting_links: set['Link'] = attrs.field(factory=set)
+    outbox_total: outboxes.OutboxTotal = attrs.field(
+        factory=outboxes.OutboxTotal
+    )
+
+
 class Link:
     """An authenticated connection that both sides use for requests.
 
@@ -222,7 +238,7 @@
       codec: Codec of the messages.
       registry: Handlers of requests and notifications.
       on_closed: Called once with the link and the reason.
-      waiting_links: Set of links that wait for a reply or pong.
+      group: What all links of the node share.
 
     Attributes:
       peer: The authenticated peer.
@@ -240,7 +256,7 @@
         codec: codecs.Codec,
         registry: handlers.HandlerRegistry,
         on_closed: Callable[['Link', str], None],
-        waiting_links: set['Link'],
+        group: LinkGroup,
     ):
         outgoing, incoming = frames.TO_ACCEPTOR, frames.TO_DIALLER
         if not dialled:
@@ -257,7 +273,7 @@
         self._codec = codec
         self._registry = registry
         self._on_closed = on_closed
-        self._waiting_links = waiting_links
+        self._group = group
         self._pending: dict[int, _PendingRequest] = {}
         self._last_correlation = 0
         self._running_handlers = 0
@@ -294,11 +310,13 @@
         self._last_correlation += 1
         correlation = self._last_correlation
         self._check_outbox_space(len(body), MAX_OUTBOX_BYTES)
+        if not self._group.outbox_total.has_space(len(body)):
+            raise errors.NotSentError('the outboxes are full')
         pending = _PendingRequest()
         self._pending[correlation] = pending
         if self._silence.waiting_since is None:
             self._silence.waiting_since = clocks.read_now()
-            self._waiting_links.add(self)
+            self._group.waiting_links.add(self)
         try:
             self._send(body, type(message).__name__, pending)
             self._wait(pending, timeout_s)
@@ -360,7 +378,7 @@
     def check_silence(self, now: float) -> None:
         """Pings the peer if it is silent and closes the link at the limit."""
         if not self.is_open:
-            self._waiting_links.discard(self)
+            self._group.waiting_links.discard(self)
             return
         action = choose_silence_action(self._silence, now)
         if action == 'close':
@@ -368,7 +386,7 @@
         elif action == 'ping':
             self._ping(now)
         elif self._silence.waiting_since is None:
-            self._waiting_links.discard(self)
+            self._group.waiting_links.discard(self)
 
     def discount_pause(self, duration_s: float, now: float) -> None:
         """Excludes a pause of this process from the silence of the peer."""
@@ -397,7 +415,8 @@
         if not self.is_open:
             return
         self._advance('closed' if reason in _PLANNED_REASONS else 'failed')
-        self._waiting_links.discard(self)
+        self._group.waiting_links.discard(self)
+        self._group.outbox_total.remove(self)
         counters.CLOSES.labels(reason).inc()
         if self._partial_frame is None and not self._writing:
             self.transport.close()
@@ -441,6 +460,23 @@
         if self._outbox_bytes + size > limit:
             raise errors.NotSentError(f'outbox to {self.peer.vm} is full')
 
+    def _free_total_space(self, size: int) -> None:
+        """Closes the links with the longest outboxes until a reply fits.
+
+        Raises:
+          NotSentError: If this link has the longest outbox.
+        """
+        while not self._group.outbox_total.has_space(size):
+            longest = self._group.outbox_total.find_longest()
+            if longest is None or longest is self:
+                raise errors.NotSentError('the outboxes are full')
+            longest.close('outbox_full')
+
+    def _count_waiting(self, n_bytes: int) -> None:
+        """Counts bytes that wait to be written, or no longer wait."""
+        if self.is_open:
+            self._group.outbox_total.add(self, n_bytes)
+
     def _send(self, body: bytes, label: str, pending) -> None:
         if self._writing or self._outbox or self._partial_frame is not None:
             entry = _OutboxEntry(body, label, pending)
@@ -448,6 +484,7 @@
                 pending.entry = entry
             self._outbox.append(entry)
             self._outbox_bytes += len(body)
+            self._count_waiting(len(body))
             self._wake.set()
             return
         try:
@@ -472,12 +509,14 @@
             pending.sent = written > 0
         if written < len(data):
             self._partial_frame = memoryview(data)[written:], pending
+            self._count_waiting(len(data) - written)
             self._wake.set()
 
     def _send_control(self, data: bytes) -> None:
         if self._writing or self._outbox or self._partial_frame is not None:
             self._outbox.append(_OutboxEntry(data, None, None))
             self._outbox_bytes += len(data)
+            self._count_waiting(len(data))
             self._wake.set()
         else:
             self._send_directly(self._encode_frame(data, None), None)
@@ -488,6 +527,7 @@
             # The writer assigns the frame counter when it dequeues an entry, so
             # withdrawing an entry leaves no gap in the counters.
             self._outbox_bytes -= len(entry.body)
+            self._count_waiting(-len(entry.body))
             entry.body = None
             return errors.NotSentError(
                 f'request to {self.peer.vm} timed out in the outbox'
@@ -518,11 +558,13 @@
             self._partial_frame = None
         else:
             data = memoryview(self._dequeue_batch(request_offsets))
+            self._count_waiting(len(data))
         sent = 0
         while sent < len(data):
             sent += self.transport.send_partial(data[sent:])
             while request_offsets and request_offsets[0][0] < sent:
                 request_offsets.pop(0)[1].sent = True
+        self._count_waiting(-len(data))
 
     def _dequeue_batch(
         self, request_offsets: list[tuple[int, _PendingRequest]]
@@ -534,6 +576,7 @@
             if entry.body is None:
                 continue
             self._outbox_bytes -= len(entry.body)
+            self._count_waiting(-len(entry.body))
             data = self._encode_frame(entry.body, entry.label)
             entry.body = None
             if entry.pending is not None:
@@ -607,6 +650,7 @@
             body = self._encode(reply, -correlation)
         try:
             self._check_outbox_space(len(body), MAX_REPLY_OUTBOX_BYTES)
+            self._free_total_space(len(body))
             self._send(body, type(reply).__name__, None)
         except errors.NotSentError:
             self.close('outbox_full')
@@ -617,7 +661,7 @@
         self._silence.pinged_at = now
         if self._silence.waiting_since is None:
             self._silence.waiting_since = now
-            self._waiting_links.add(self)
+            self._group.waiting_links.add(self)
         try:
             self._send_control(self.transport.encode_ping())
         except errors.TransportClosedError as error:
--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -88,7 +88,7 @@
         self._dials: dict[str, event.AsyncResult] = {}
         self._dialled_addresses: dict[Address, connections.Link] = {}
         self._unauthenticated: dict[socket.socket, None] = {}
-        self._waiting_links: set[connections.Link] = set()
+        self._group = connections.LinkGroup()
         self._ticked_at = clocks.read_now()
         # Silent links beside which an alternative link has been dialled.
         self._bypassed: set[connections.Link] = set()
@@ -147,7 +147,7 @@
             return set()
         return {
             link.peer.vm
-            for link in self._waiting_links
+            for link in self._group.waiting_links
             if self._preferred.get(link.peer.vm) is link
             and link.is_unresponsive(now)
         }
@@ -365,7 +365,7 @@
             self._codec,
             self._handlers,
             self._remove_link,
-            self._waiting_links,
+            self._group,
         )
         for other in list(self._links.get(peer.vm, ())):
             if other.peer.incarnation < peer.incarnation:
@@ -434,7 +434,7 @@
                 # Lets the readers process the bytes that arrived meanwhile.
                 gevent.sleep(0.001)
             self._ticked_at = now
-            for link in list(self._waiting_links):
+            for link in list(self._group.waiting_links):
                 link.check_silence(now)
             for vm in self.list_unresponsive(now):
                 self._dial_alternative(vm)
