Show that output which nobody reads does not block a node

Change: a test on real nodes whose output is a FIFO that nobody reads, with and without refused non-blocking writes.

--- a/jayseam/platform/tests/test_refused_calls.py
+++ b/jayseam/platform/tests/test_refused_calls.py
@@ -1,11 +1,13 @@
 """Real nodes start, serve, reload and stop where the system refuses calls."""
 
 import json
+import os
 import random
 import signal
 
 import gevent
 import pytest
+from gevent import socket
 
 from jayseam.core import clocks
 from jayseam.platform.tests import samples
@@ -28,6 +30,8 @@
 # The packet filter of a stop has its own test, in test_stops.
 REFUSED = [name for name in refusals.registry.list_names() if name != 'output']
 REFUSED.remove('attach-filter')
+# Enough for twice the room of a pipe in messages of 100 bytes.
+N_MALFORMED = 1300
 
 
 def build_fleet(*refused):
@@ -131,3 +135,36 @@
     finally:
         fleet.close()
     assert set(outcomes) <= {200, 503, None}
+
+
+def send_malformed(address):
+    """Sends a request that a server complains of on standard error."""
+    with socket.create_connection(address) as sock:
+        sock.sendall(b'GET / HTTP/9.9\r\n\r\n')
+        while sock.recv(4096):
+            pass
+
+
+@pytest.mark.parametrize('refused', [(), ('non-blocking-output',)])
+def test_output_that_nobody_reads_does_not_block_a_node(refused):
+    """A node that waits for the reader of its log answers no call."""
+    fleet = build_fleet(*refused)
+    ip = next(iter(fleet.vms))
+    path = fleet.directory / f'{ip}.log'
+    os.mkfifo(path)
+    pipe = os.open(path, os.O_RDWR)
+    try:
+        fleet.start_all()
+        # The server for callers writes nothing about such requests.
+        address = (ip, fleet._ports.ready)
+        with gevent.Timeout(10.0):
+            for _ in range(N_MALFORMED):
+                send_malformed(address)
+        outcomes = [send_call(fleet, ip, f'full-{n}') for n in range(9)]
+        began = clocks.read_now()
+        status = fleet.terminate(ip)
+        assert (status, clocks.read_now() - began < GRACE_S) == (0, True)
+    finally:
+        os.close(pipe)
+        fleet.close()
+    assert outcomes == [200] * 9
