Listen where SO_REUSEADDR is refused

Callers would see: a node that does not start (node.bind_failed, status 3). Cause: the servers of gevent set the option without a way out. Change: core.sockets opens the listeners; a refusal is counted and logged like that of TCP_NODELAY. Without the option, a restart can still fail for a minute while the kernel keeps earlier connections on the address. Measured: test_start_without_reuse_of_addresses failed before and passes.

--- a/jayseam/core/sockets.py
+++ b/jayseam/core/sockets.py
@@ -72,6 +72,31 @@
     raise last_error
 
 
+def open_listener(
+    address: tuple[str, int], backlog: int, family: int = socket.AF_INET
+) -> gevent_socket.socket:
+    """Returns a listening socket, for the servers of gevent.
+
+    Where SO_REUSEADDR is refused, the address can't be bound for a minute after
+    an earlier process closed connections on it.
+
+    Raises:
+      OSError: If the address can't be bound.
+    """
+    sock = gevent_socket.socket(family)
+    try:
+        _set_option(
+            sock, 'reuse-address', socket.SOL_SOCKET, socket.SO_REUSEADDR
+        )
+        sock.bind(address)
+        sock.listen(backlog)
+        sock.setblocking(False)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 def set_nodelay(sock: socket.socket) -> None:
     """Disables Nagle's algorithm on a connected TCP socket.
 
@@ -79,10 +104,7 @@
     to each hop of a call. Where the option is refused, the connection is used
     without it.
     """
-    try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    except OSError as error:
-        _report_refusal('no-delay', error)
+    _set_option(sock, 'no-delay', socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
 
 def drop_new_connections(listener: socket.socket) -> bool:
@@ -117,12 +139,17 @@
     return False
 
 
-def _report_refusal(option: str, error: OSError) -> None:
-    """Counts a refusal, and logs the first one of an option."""
-    REFUSED_OPTIONS.labels(option).inc()
-    if option not in _reported:
-        _reported.add(option)
-        _log.warning(
-            'sockets.option_refused',
-            extra={'option': option, 'reason': str(error)},
-        )
+def _set_option(
+    sock: socket.socket, name: str, level: int, option: int
+) -> None:
+    """Sets an option to 1; counts a refusal, and logs the first one."""
+    try:
+        sock.setsockopt(level, option, 1)
+    except OSError as error:
+        REFUSED_OPTIONS.labels(name).inc()
+        if name not in _reported:
+            _reported.add(name)
+            _log.warning(
+                'sockets.option_refused',
+                extra={'option': name, 'reason': str(error)},
+            )
--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -11,6 +11,7 @@
 from jayseam.core import clocks
 from jayseam.core import logs
 from jayseam.core import loops
+from jayseam.core import sockets
 from jayseam.core import tickers
 from jayseam.links import codecs
 from jayseam.links import connections
@@ -42,6 +43,11 @@
     def do_close(self, *_):
         """Does nothing, because the transport owns the accepted socket."""
 
+    @classmethod
+    def get_listener(cls, address, backlog=None, family=None) -> socket.socket:
+        """Returns the listening socket."""
+        return sockets.open_listener(address, backlog, family)
+
 
 class LinkManager:
     """Opens links on demand and sends messages over them.
--- a/jayseam/node/admin.py
+++ b/jayseam/node/admin.py
@@ -1,6 +1,7 @@
 """The HTTP listener for operators: status, explanations and metrics."""
 
 import json
+import socket
 import urllib.parse
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -34,6 +35,11 @@
 
     handler_class = AdminHandler
 
+    @classmethod
+    def get_listener(cls, address, backlog=None, family=None) -> socket.socket:
+        """Returns the listening socket."""
+        return sockets.open_listener(address, backlog, family)
+
     def handle(self, sock, address) -> None:
         """Serves one accepted connection."""
         sockets.set_nodelay(sock)
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -150,6 +150,11 @@
         self.idle_handlers: set[CallerHandler] = set()
         self.header_read_starts: dict[CallerHandler, float] = {}
 
+    @classmethod
+    def get_listener(cls, address, backlog=None, family=None) -> socket.socket:
+        """Returns the listening socket."""
+        return sockets.open_listener(address, backlog, family)
+
     def start(self) -> None:
         """Listens, and aborts requests whose header fields come too slowly."""
         super().start()
--- a/jayseam/node/tests/test_main.py
+++ b/jayseam/node/tests/test_main.py
@@ -153,3 +153,16 @@
     node.request_stop()
     assert not asked
     node._stopped.wait(2.0)
+
+
+def test_start_without_reuse_of_addresses(node, monkeypatch):
+    """A refused option of listeners must not keep a node from starting."""
+
+    def refuse(*_):
+        raise PermissionError(1, 'Operation not permitted')
+
+    monkeypatch.setattr(socket.socket, 'setsockopt', refuse)
+    node.start()
+    node.request_stop()
+    assert node._listeners.caller_server.started
+    node._stopped.wait(2.0)
