Write text that is no UTF-8 to the log too

Operators would see: an error inside the report of an error, on standard error, which is written through NonBlockingStream since. Cause: the stream encoded strictly; a name of a file can hold bytes that are no text. Change: such characters are escaped. Measured: test_text_that_is_no_utf_8_is_written failed before and passes.

--- a/jayseam/core/logs.py
+++ b/jayseam/core/logs.py
@@ -133,7 +133,7 @@
         if self._unwritten and not self._write(b''):
             self._drop('full')
             return
-        self._write(text.encode())
+        self._write(text.encode('utf-8', 'backslashreplace'))
 
     def flush(self) -> None:
         """Does nothing: only the rest of a partly written line is buffered."""
--- a/jayseam/core/tests/test_logs.py
+++ b/jayseam/core/tests/test_logs.py
@@ -77,3 +77,10 @@
     stream = logs.NonBlockingStream(None)
     stream.write('line\n')
     assert stream.dropped == 1
+
+
+def test_text_that_is_no_utf_8_is_written(pipe):
+    """An error in the report of an error would end what reports it."""
+    reader, file = pipe
+    logs.NonBlockingStream(file).write('path \udcff\n')
+    assert read_all(reader) == b'path \\udcff\n'
