A listing of the store is bounded as a whole

What would be seen: a store that announces page after page grows the memory of each reading node until it ends. Cause: pages were bounded (4 MB) and their number (1,000), not their sum. Change: a listing of more than 12 MB is no valid reply.

--- a/jayseam/platform/store.py
+++ b/jayseam/platform/store.py
@@ -29,6 +29,9 @@
 MAX_CONNECTIONS = 1
 # Most pages of one listing, in case the store always announces another page.
 MAX_PAGES = 1000
+# Bytes of all pages of one listing together. A configuration takes up to 1 MB
+# and the entries of 670 backend servers 0.3 MB.
+MAX_LISTING_BYTES = 12_000_000
 
 _MS_PER_S = 1000
 # Revisions and eras are counters of 64 bits.
@@ -130,11 +133,15 @@
         first: endpoints.RawReply | None = None
         revision, after = 0, ''
         page_ends: set[str] = set()
+        n_bytes = 0
         for _ in range(MAX_PAGES):
             query = {'path_prefix': prefix}
             if after:
                 query['after'] = after
             reply = self._get('/jayseam/kv-range', query)
+            n_bytes += len(reply.body)
+            if n_bytes > MAX_LISTING_BYTES:
+                raise source_errors.SourceReplyError('the listing is too large')
             document = _read_document(reply)
             if first is None:
                 first, revision = reply, _read_revision(document, 'as_of')
