--- a/jayseam/soak/fleets.py
+++ b/jayseam/soak/fleets.py
@@ -14,19 +14,23 @@
 from jayseam.standins import errors
 from jayseam.standins import exchanges
 from jayseam.standins import kvstore
-from jayseam.standins import platformbackend
 from jayseam.standins import processes
 from jayseam.standins import refusals
 from jayseam.standins import serving
 from jayseam.standins import waits
+from jayseam.standins import workingbackends
 
 ZONES = ('a', 'b')
 _STORE_HOST = '127.0.0.1'
 _VM_HOST_PREFIX = '127.0.2.'
 _NODE_MODULE = 'jayseam.platform.main'
+# Time from SIGTERM to SIGKILL: the platform's ``grace``.
+GRACE_S = 6.0
 _START_TIMEOUT_S = 30.0
-_STOP_TIMEOUT_S = 10.0
 _READY_TIMEOUT_S = 1.0
+# Requests that a backend server says it can work on at a time. The callers'
+# requests fit into half of the servers.
+_SLOTS = 8
 
 
 @attrs.define
@@ -57,14 +61,18 @@
       process: The node process that was started last.
       boots: Lifetimes of the node processes.
       disruptions: Periods in which the node was stopped, paused or killed.
+      faults: The disruptions that weren't planned.
+      reloads: Times at which the node was told to read its settings again.
     """
 
     ip: str
     zone: str
-    backend: platformbackend.Backend
+    backend: workingbackends.WorkingBackend
     process: processes.ManagedProcess | None = None
     boots: list[Span] = attrs.field(factory=list)
     disruptions: list[Span] = attrs.field(factory=list)
+    faults: list[Span] = attrs.field(factory=list)
+    reloads: list[float] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -133,6 +141,7 @@
             state=state,
             sequence=sequence,
             born=clocks.read_wall_ms(),
+            slots=_SLOTS,
         )
 
     def get_caller_address(self, ip: str) -> tuple[str, int]:
@@ -164,7 +173,7 @@
     def start(self, ip: str) -> None:
         """Starts the node of a VM."""
         vm = self.vms[ip]
-        path = self.directory / f'{ip}.conf'
+        path = self._get_settings_path(ip)
         vm.process = processes.ManagedProcess(
             f'node {ip}',
             refusals.build_command(
@@ -197,15 +206,43 @@
         self._end_disruption(vm, clocks.read_now())
 
     def terminate(self, ip: str) -> int:
-        """Stops a node as planned and returns its exit status."""
-        vm = self._begin_disruption(ip)
+        """Stops a node as planned: SIGTERM, and SIGKILL after the grace.
+
+        Returns:
+          The exit status; negative if a signal ended the process.
+        """
+        vm = self._begin_disruption(ip, is_planned=True)
         assert vm.process is not None
         vm.process.send_signal(signal.SIGTERM)
         try:
-            return vm.process.wait(_STOP_TIMEOUT_S)
+            return vm.process.wait(GRACE_S)
+        except errors.ClusterError:
+            vm.process.kill()
+            return -signal.SIGKILL
         finally:
             vm.boots[-1].end = clocks.read_now()
 
+    def send_signal(self, ip: str, number: signal.Signals) -> None:
+        """Sends a signal that a node is expected to survive."""
+        vm = self.vms[ip]
+        assert vm.process is not None
+        if number == signal.SIGHUP:
+            vm.reloads.append(clocks.read_now())
+        vm.process.send_signal(number)
+
+    def read_settings(self, ip: str) -> str:
+        """Returns the text of a node's settings file."""
+        return self._get_settings_path(ip).read_text(encoding='utf-8')
+
+    def write_settings(self, ip: str, text: str) -> None:
+        """Replaces a node's settings file."""
+        self._get_settings_path(ip).write_text(text, encoding='utf-8')
+
+    def read_log(self, ip: str) -> str:
+        """Returns what the processes of a node have logged."""
+        path = self.directory / f'{ip}.log'
+        return path.read_text(encoding='utf-8', errors='replace')
+
     def is_ready(self, ip: str) -> bool:
         """Returns whether a node reports that it is ready."""
         address = (ip, self._ports.ready)
@@ -217,11 +254,16 @@
             return False
         return answer.status == 200
 
-    def _begin_disruption(self, ip: str) -> Vm:
+    def _begin_disruption(self, ip: str, is_planned: bool = False) -> Vm:
         vm = self.vms[ip]
         vm.disruptions.append(Span(clocks.read_now()))
+        if not is_planned:
+            vm.faults.append(vm.disruptions[-1])
         return vm
 
+    def _get_settings_path(self, ip: str) -> pathlib.Path:
+        return self.directory / f'{ip}.conf'
+
     def _end_disruption(self, vm: Vm, now: float) -> None:
         if vm.disruptions:
             vm.disruptions[-1].end = min(vm.disruptions[-1].end, now)
@@ -229,7 +271,7 @@
     def _add_vm(self, ip: str, zone: str) -> None:
         """Starts the backend server of a VM and writes the node's settings."""
         ports = self._ports
-        backend = platformbackend.Backend(self.draw_instance())
+        backend = workingbackends.WorkingBackend(self.draw_instance())
         server = serving.Server((ip, ports.app), backend)
         server.start()
         self._servers.append(server)
@@ -246,4 +288,4 @@
                 'network.internal_ports': f'{ports.admin},{ports.admin}',
             },
         )
-        (self.directory / f'{ip}.conf').write_text(text, encoding='utf-8')
+        self.write_settings(ip, text)
--- a/jayseam/soak/main.py
+++ b/jayseam/soak/main.py
@@ -11,6 +11,7 @@
 from jayseam.soak import storeruns as _  # Registers a platform.
 from jayseam.standins import deployments
 from jayseam.standins import processes
+from jayseam.standins import refusals
 
 _MIN_DURATION_S = 10.0
 
@@ -40,6 +41,7 @@
             options.keep,
             _split_names(options.kinds),
             _split_names(options.without),
+            None if options.refused is None else _split_names(options.refused),
         )
         try:
             result = runs.registry.get(options.platform)(plan)
@@ -115,6 +117,13 @@
         metavar='A,B',
         help='kinds of steps to leave out',
     )
+    parser.add_argument(
+        '--refused',
+        metavar='A,B',
+        help='calls of the system that are refused to the nodes of the'
+        " operators' platform, or '' for none, instead of what the seed"
+        f' decides: {", ".join(refusals.registry.list_names())}',
+    )
     parser.add_argument(
         '--deployment',
         choices=sorted(deployments.DEPLOYMENT_BUILDERS),
--- a/jayseam/soak/operators.py
+++ b/jayseam/soak/operators.py
@@ -18,6 +18,10 @@
 from jayseam.standins import kvstore
 
 CONFIGURATION_KEY = 'op/config'
+# Lasting routes for requests that may last up to their timeout.
+LONG_SAFE_ROUTE = 'look'
+LONG_UNSAFE_ROUTE = 'credit'
+LONG_TIMEOUT_S = 5
 # Longest time after a restore until an entry is written again.
 REWRITE_DELAY_S = 2.0
 MAX_COPY_AGE_S = 12.0
@@ -160,6 +164,8 @@
             samples.build_route('view'),
             samples.build_route('book', kind='unsafe'),
             samples.build_route('open', public=True),
+            _build_long_route(LONG_SAFE_ROUTE, 'safe'),
+            _build_long_route(LONG_UNSAFE_ROUTE, 'unsafe'),
         ]
         routes = lasting + [samples.build_route(name) for name in self._routes]
         document = samples.build_configuration(
@@ -168,7 +174,15 @@
         samples.add_keys(document, _TENANT, self._keys)
         version = Version(
             number,
-            frozenset(['view', 'book', *self._routes]),
+            frozenset(
+                [
+                    'view',
+                    'book',
+                    LONG_SAFE_ROUTE,
+                    LONG_UNSAFE_ROUTE,
+                    *self._routes,
+                ]
+            ),
             frozenset(['open']),
             frozenset([*samples.KEYS.values(), *self._keys]),
             clocks.read_now(),
@@ -363,3 +377,12 @@
         lasting = get_names(self.versions[0])
         names = {n: None for v in self.versions for n in get_names(v)}
         return [name for name in names if name not in lasting]
+
+
+def _build_long_route(name: str, kind: str) -> dict[str, Any]:
+    return samples.build_route(
+        name,
+        kind=kind,
+        timeout=f'{LONG_TIMEOUT_S}s',
+        target_latency=f'{LONG_TIMEOUT_S / 2}s',
+    )
--- a/jayseam/soak/runs.py
+++ b/jayseam/soak/runs.py
@@ -71,6 +71,8 @@
         copied; None copies none.
       kinds: Kinds of steps to draw from; empty for all.
       excluded_kinds: Kinds of steps that are not drawn.
+      refused: Calls of the operating system that are refused to the nodes of
+        the operators' platform; None lets the seed decide.
     """
 
     seed: int
@@ -80,6 +82,7 @@
     log_directory: pathlib.Path | None = None
     kinds: Sequence[str] = ()
     excluded_kinds: Sequence[str] = ()
+    refused: Sequence[str] | None = None
 
 
 @attrs.frozen
--- a/jayseam/soak/storefaults.py
+++ b/jayseam/soak/storefaults.py
@@ -241,22 +241,6 @@
             context.fleet.resume(ip)
 
 
-@_register('stop', schedules.Kind('positions', max_duration_s=1.0))
-def _stop_as_planned(context: InjectionContext, step: schedules.Step) -> None:
-    """Stops a node as planned and starts it again."""
-    with context.reserve(*step.targets) as ips:
-        for ip in ips:
-            was_serving = context.fleet.is_ready(ip)
-            started = clocks.read_now()
-            status = context.fleet.terminate(ip)
-            ended = clocks.read_now()
-            context.stops.append(
-                faults.Stop(ip, started, ended, status, was_serving)
-            )
-            gevent.sleep(step.duration_s)
-            context.fleet.start(ip)
-
-
 # Operator changes.
 
 
--- a/jayseam/soak/storeruns.py
+++ b/jayseam/soak/storeruns.py
@@ -18,11 +18,18 @@
 from jayseam.soak import probes
 from jayseam.soak import runs
 from jayseam.soak import schedules
+from jayseam.soak import stopchecks
+from jayseam.soak import stopfaults as _  # Registers faults.
 from jayseam.soak import storechecks
 from jayseam.soak import storefaults
+from jayseam.standins import callers
 from jayseam.standins import errors as standin_errors
 from jayseam.standins import invariants
+from jayseam.standins import platformbackend
+from jayseam.standins import readiness
+from jayseam.standins import refusals
 from jayseam.standins import waits
+from jayseam.tools import records
 
 _DEFAULT_VMS = 10
 _CALM_S = 7.0
@@ -32,11 +39,22 @@
 _SHARE_TIMEOUT_S = 15.0
 # Length of the recovery period at the end of the load.
 _RECOVERY_S = 8.0
+_SERVICE = callers.Service(
+    operators.LONG_SAFE_ROUTE,
+    operators.LONG_UNSAFE_ROUTE,
+    operators.LONG_TIMEOUT_S,
+    probes.LASTING_KEY,
+    probes.LASTING_TENANT,
+)
 # Kinds of steps that excuse what a planned stop loses. Disruptions of the store
 # excuse nothing.
 _UNPLANNED_KINDS = frozenset(
-    ('kill', 'kill-many', 'pause', 'restore-then-kill')
+    ('kill', 'kill-many', 'pause', 'restore-then-kill', 'stop-beside-kill')
 )
+# Share of seeds whose nodes run on machines that refuse no call of the system,
+# and most calls that are refused together.
+_ACCEPTING_SHARE = 0.4
+_MAX_REFUSED = 3
 
 
 @runs.registry.register('store')
@@ -46,9 +64,10 @@
     Raises:
       SoakError: If the fleet doesn't start.
     """
-    fleet = fleets.Fleet(plan.vms or _DEFAULT_VMS)
+    refused = draw_refused(plan)
+    fleet = fleets.Fleet(plan.vms or _DEFAULT_VMS, refused)
     try:
-        result = _Run(plan, fleet).execute()
+        result = _Run(plan, fleet, refused).execute()
         if result.findings and plan.log_directory is not None:
             runs.copy_logs(fleet.directory, plan)
         return result
@@ -58,11 +77,26 @@
         fleet.close()
 
 
+def draw_refused(plan: runs.Plan) -> Sequence[str]:
+    """Returns the calls of the system that are refused in a run."""
+    if plan.refused is not None:
+        return plan.refused
+    generator = random.Random(f'{plan.seed} refused')
+    if generator.random() < _ACCEPTING_SHARE:
+        return ()
+    names = refusals.registry.list_names()
+    count = generator.randint(1, min(_MAX_REFUSED, len(names)))
+    return generator.sample(names, count)
+
+
 class _Run:
     """A soak run on a fleet."""
 
-    def __init__(self, plan: runs.Plan, fleet: fleets.Fleet):
+    def __init__(
+        self, plan: runs.Plan, fleet: fleets.Fleet, refused: Sequence[str]
+    ):
         self._plan = plan
+        self._refused = refused
         self._fleet = fleet
         self._operator = operators.Operator(
             fleet, random.Random(f'{plan.seed} operator')
@@ -70,6 +104,17 @@
         self._prober = probes.Prober(
             fleet, self._operator, random.Random(f'{plan.seed} probes')
         )
+        self._monitor = readiness.Monitor(
+            {zone: fleet.list_ips(zone) for zone in fleets.ZONES},
+            fleet.is_ready,
+        )
+        self._callers = callers.Callers(
+            fleet.get_caller_address,
+            self._monitor.is_out,
+            _SERVICE,
+            random.Random(f'{plan.seed} callers'),
+            max(1.0, len(fleet.vms) / _DEFAULT_VMS),
+        )
         self._context = storefaults.InjectionContext(
             fleet, self._operator, plan.seed
         )
@@ -102,6 +147,7 @@
             gevent.spawn(self._prober.run_probes, ip, self._plan.duration_s)
             for ip in self._fleet.vms
         ]
+        jobs += self._spawn_callers()
         changes_s = self._plan.duration_s - _RECOVERY_S
         jobs += [
             gevent.spawn(self._operator.run_changes, changes_s),
@@ -119,9 +165,30 @@
             self._count_outcomes(),
             findings,
             self._failed_steps,
-            self._context.notes,
+            [
+                f'refused: {" ".join(self._refused) or "nothing"}',
+                *self._context.notes,
+            ],
         )
 
+    def _spawn_callers(self) -> list[gevent.Greenlet]:
+        generator = random.Random(f'{self._plan.seed} readiness')
+        jobs = []
+        for ip in self._fleet.vms:
+            phase_s = generator.random()
+            jobs.append(
+                gevent.spawn(
+                    self._monitor.watch, ip, phase_s, self._plan.duration_s
+                )
+            )
+            jobs += [
+                gevent.spawn(
+                    self._callers.run, ip, habits, self._plan.duration_s
+                )
+                for habits in callers.ALL_HABITS
+            ]
+        return jobs
+
     def _execute_step(self, step: schedules.Step) -> None:
         started = clocks.read_now()
         try:
@@ -191,9 +258,11 @@
 
     def _check(self, unrecovered: Sequence[str]) -> list[checks.Finding]:
         vms = self._fleet.vms.values()
+        sent = [*self._prober.probes, *self._list_caller_probes()]
+        arrivals = {vm.ip: vm.backend.arrivals for vm in vms}
         observations = storechecks.Observations(
-            self._prober.probes,
-            {vm.ip: vm.backend.arrivals for vm in vms},
+            sent,
+            arrivals,
             self._operator.versions,
             self._operator.orders,
             self._operator.states,
@@ -203,10 +272,10 @@
             self._context.unread_returns,
             self._started,
         )
-        calls = [probe.call for probe in self._prober.probes]
-        call_runs = self._list_runs()
+        calls = [probe.call for probe in sent]
+        call_runs = self._list_runs(calls)
         common = checks.Observations(
-            records=calls,
+            records=[probe.call for probe in self._prober.probes],
             runs=call_runs,
             stops=self._context.stops,
             unplanned_faults=self._unplanned_faults,
@@ -223,11 +292,36 @@
             *(checks.Finding(v.rule, v.detail) for v in violations),
             *checks.run_checks(common),
             *storechecks.run_checks(observations),
+            *stopchecks.run_checks(self._observe_stops(arrivals)),
         ]
 
-    def _list_runs(self) -> list[dict[str, Any]]:
+    def _observe_stops(
+        self, arrivals: Mapping[str, Sequence[platformbackend.Arrival]]
+    ) -> stopchecks.Observations:
+        vms = self._fleet.vms.values()
+        return stopchecks.Observations(
+            self._callers.requests,
+            arrivals,
+            self._context.stops,
+            {vm.ip: vm.reloads for vm in vms},
+            {vm.ip: vm.faults for vm in vms},
+            self._monitor.questions,
+            {vm.ip: self._fleet.read_log(vm.ip) for vm in vms},
+            self._refused,
+            self._started,
+        )
+
+    def _list_caller_probes(self) -> list[probes.Probe]:
+        return [
+            probes.Probe(request.route, _SERVICE.key, request.call)
+            for request in self._callers.requests
+        ]
+
+    def _list_runs(
+        self, records_of_calls: Sequence[records.CallRecord]
+    ) -> list[dict[str, Any]]:
         """Returns the runs in the form that the invariants are checked in."""
-        calls = {p.call.echo: p.call for p in self._prober.probes}
+        calls = {call.echo: call for call in records_of_calls}
         return [
             {
                 'request_id': arrival.request_id,
@@ -249,7 +343,7 @@
 
     def _count_outcomes(self) -> Mapping[str, int]:
         counts: dict[str, int] = {}
-        for probe in self._prober.probes:
+        for probe in [*self._prober.probes, *self._list_caller_probes()]:
             outcome = probe.call.outcome
             counts[outcome] = counts.get(outcome, 0) + 1
         return counts
@@ -273,6 +367,16 @@
                 vm.ip: [attrs.asdict(s) for s in vm.disruptions] for vm in vms
             },
             'probes': [attrs.asdict(p) for p in self._prober.probes],
+            'requests': [
+                attrs.asdict(request) for request in self._callers.requests
+            ],
+            'questions': [attrs.asdict(q) for q in self._monitor.questions],
+            'stops': [attrs.asdict(stop) for stop in self._context.stops],
+            'refused': self._refused,
+            'faults': {
+                vm.ip: [attrs.asdict(s) for s in vm.faults] for vm in vms
+            },
+            'reloads': {vm.ip: vm.reloads for vm in vms},
             'arrivals': {
                 vm.ip: [attrs.asdict(a) for a in vm.backend.arrivals]
                 for vm in vms
--- a/jayseam/standins/exchanges.py
+++ b/jayseam/standins/exchanges.py
@@ -98,7 +98,7 @@
             self._socket = None
 
     def _get_socket(self) -> socket.socket:
-        if self._socket is not None and _is_readable(self._socket):
+        if self._socket is not None and is_readable(self._socket):
             # An idle connection is readable only if the server closed it.
             self.close()
         if self._socket is None:
@@ -130,7 +130,7 @@
         return Answer(parser.status_code, parser.info(), body)
 
 
-def _is_readable(sock: socket.socket) -> bool:
+def is_readable(sock: socket.socket) -> bool:
     """Returns whether a read from the socket would not block."""
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLIN)
