Hold signals back while a node is being started

Callers would see: a node that is reloaded (SIGHUP) within its first 0.7 s ends with no line in its log, and what it had taken with it. Cause: the default action of SIGHUP and SIGTERM ends the process; the imports of a node take most of a second before the handlers are there. Change: the deploy file runs jayseam.bootstrap, which blocks both before it imports the node; they stay pending until the node handles them. Measured: test_signal_during_the_imports_is_handled_later fails for both signals with jayseam.platform.main as the program and passes with jayseam.bootstrap.

--- a/jayseam/node/main.py
+++ b/jayseam/node/main.py
@@ -132,6 +132,13 @@
     gevent.signal_handler(signal.SIGHUP, _reload, node, reload_settings)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(signal_number, node.request_stop)
+    # `jayseam.bootstrap` holds them back until they are handled.
+    try:
+        signal.pthread_sigmask(
+            signal.SIG_UNBLOCK, (signal.SIGHUP, signal.SIGTERM)
+        )
+    except OSError as error:
+        _log.warning('node.signal_mask_refused', extra={'reason': str(error)})
 
 
 def _reload(
--- a/jayseam/platform/tests/test_refused_calls.py
+++ b/jayseam/platform/tests/test_refused_calls.py
@@ -1,6 +1,7 @@
 """Real nodes start, serve, reload and stop where the system refuses calls."""
 
 import json
+import pathlib
 import os
 import random
 import signal
@@ -168,3 +169,35 @@
         os.close(pipe)
         fleet.close()
     assert outcomes == [200] * 9
+
+
+def is_blocked(pid, number):
+    """Returns whether a process holds a signal back."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text('utf-8')
+    (mask,) = [
+        line.split()[1]
+        for line in status.splitlines()
+        if line.startswith('SigBlk')
+    ]
+    return bool(int(mask, 16) & 1 << number - 1)
+
+
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+def test_signal_during_the_imports_is_handled_later(number):
+    """A reload must not end a node that is being started."""
+    fleet = build_fleet()
+    ip = next(iter(fleet.vms))
+    try:
+        fleet.start(ip)
+        process = fleet.vms[ip].process
+        # The interpreter starts before it can hold signals back.
+        waits.wait_until(lambda: is_blocked(process.pid, number), 5.0, 'mask')
+        process.send_signal(number)
+        if number == signal.SIGTERM:
+            assert fleet.vms[ip].process.wait(GRACE_S) == 0
+        else:
+            waits.wait_until(lambda: fleet.is_ready(ip), 30.0, 'ready')
+        events = read_events(fleet, ip)
+    finally:
+        fleet.close()
+    assert ('node.reloaded' in events) == (number == signal.SIGHUP)
--- a/jayseam/soak/fleets.py
+++ b/jayseam/soak/fleets.py
@@ -23,7 +23,7 @@
 ZONES = ('a', 'b')
 _STORE_HOST = '127.0.0.1'
 _VM_HOST_PREFIX = '127.0.2.'
-_NODE_MODULE = 'jayseam.platform.main'
+_NODE_MODULE = 'jayseam.bootstrap'
 # Time from SIGTERM to SIGKILL: the platform's ``grace``.
 GRACE_S = 6.0
 _START_TIMEOUT_S = 30.0
