--- a/jayseam/calls/tests/test_ingress.py
+++ b/jayseam/calls/tests/test_ingress.py
@@ -2,12 +2,15 @@
 
 import types
 
+import attrs
 import gevent
 
 from jayseam import admission
 from jayseam import backends
 from jayseam.calls import ingress
 from jayseam.calls import messages
+from jayseam.core import clocks
+from jayseam.core import memory
 from jayseam.presets import model
 
 DIALECT = backends.dialects.Dialect(instance='Expect-Instance')
@@ -42,6 +45,7 @@
         self.snapshot = _snapshot('points', 'i-1')
         self.ran = []
         self.gate = admission.gates.Gate(1, 1)
+        self.budget = memory.ByteBudget(100)
         self.ingress = ingress.Ingress(
             ingress.IngressIdentity('vm-1', 1, 'a', 'u-1'),
             lambda: self.snapshot,
@@ -49,6 +53,7 @@
             self,
             lambda now: now,
             DIALECT,
+            self.budget,
         )
 
     def run(self, request, deadline):
@@ -115,3 +120,26 @@
     reply = harness.ingress.handle_forward(_forward())
     assert reply.ran == 'no' and 'not listed' in reply.detail
     assert not harness.ran
+
+
+def test_waiting_bodies_stay_within_the_budget():
+    """Bodies of calls in the queue must not fill the memory of the process."""
+    harness = _Harness()
+    ticket = admission.gates.Ticket('', 1.0, 1e9, 'r-0', lambda now: True)
+    permit = harness.gate.acquire(ticket, clocks.read_now())
+    forwards = [
+        attrs.evolve(_forward(), attempt=f'a-{n}', body=b'x' * 20)
+        for n in range(4)
+    ]
+    waiting = [
+        gevent.spawn(harness.ingress.handle_forward, forward)
+        for forward in forwards
+    ]
+    gevent.sleep(0)
+    # Half of the budget is for bodies.
+    replies = [call.value for call in waiting if call.ready()]
+    assert [reply.ran for reply in replies] == ['no', 'no']
+    assert harness.budget.held_bytes == 40
+    permit.release(admission.gates.Result.SUCCESS, clocks.read_now())
+    assert [call.get(timeout=2.0).status for call in waiting[:2]] == [200, 200]
+    assert harness.budget.held_bytes == 0
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -379,9 +379,8 @@
     length = int(environ.get('CONTENT_LENGTH') or 0)
     is_chunked = bool(environ.get('HTTP_TRANSFER_ENCODING'))
     stream = environ['wsgi.input']
-    handler = environ[_HANDLER_KEY]
     if is_chunked or length > _UNCOUNTED_BYTES:
-        stream.rfile = BoundedInput(stream.rfile, handler)
+        stream.rfile = BoundedInput(stream.rfile, environ[_HANDLER_KEY])
     if length > MAX_BODY_BYTES:
         raise errors.BodyTooLargeError(f'bodies end at {MAX_BODY_BYTES} bytes')
     body = b''
@@ -394,7 +393,7 @@
             raise
     elif length:
         if length <= _UNCOUNTED_BYTES:
-            handler.hold_body(length)
+            environ[_HANDLER_KEY].hold_body(length)
         body = _read_body(stream, length)
     path, _, query = environ[_TARGET_KEY].partition('?')
     return requests.CallRequest(
--- a/jayseam/node/tests/test_application.py
+++ b/jayseam/node/tests/test_application.py
@@ -83,6 +83,7 @@
             'wsgi.input': stream or io.BytesIO(),
             'jayseam.headers': [],
             'jayseam.target': '/book/1',
+            'jayseam.handler': _Handler(),
         }
         if authorization:
             environ['HTTP_AUTHORIZATION'] = authorization
@@ -95,9 +96,18 @@
         return job
 
 
+class _Handler:
+    """The connection of a request, which has memory for its body."""
+
+    def hold_body(self, n_bytes):
+        """Grants the memory."""
+
+
 class _SlowBody(io.BytesIO):
     """A body whose sender pauses before its end."""
 
+    rfile = None
+
     def read(self, size=-1):
         del size
         gevent.sleep(60.0)
