Soak bounds the load of probes in large fleets

Cause: with 60 nodes the probes alone are over 700 requests a second from one process. Change: from ten nodes on each prober pauses longer, as the callers do.

--- a/jayseam/soak/probes.py
+++ b/jayseam/soak/probes.py
@@ -19,6 +19,8 @@
 LASTING_TENANT = 'school'
 _EXTRA_TENANT = 'museum'
 _PAUSE_S = 0.06
+# Number of VMs from which on each gets fewer requests, which bounds their sum.
+_FULL_LOAD_VMS = 10
 _DEADLINE_MS = 1000
 _TIMEOUT_S = 2.5
 # Number of routes and of keys that were added last and get half of the probes.
@@ -64,13 +66,15 @@
         self._operator = operator
         self._generator = generator
         self._count = 0
+        n_vms = len(fleet.vms)
+        self._pause_s = _PAUSE_S * max(1.0, n_vms / _FULL_LOAD_VMS)
 
     def run_probes(self, ip: str, duration_s: float) -> None:
         """Sends requests through a node one after the other."""
         deadline = clocks.read_now() + duration_s
         while clocks.read_now() < deadline:
             self.send(ip, *self._draw_target())
-            gevent.sleep(_PAUSE_S * self._generator.uniform(0.5, 1.5))
+            gevent.sleep(self._pause_s * self._generator.uniform(0.5, 1.5))
 
     def send(self, ip: str, route: str, key: str) -> Probe:
         """Sends a request through a node and records its outcome."""
