Stand-ins: an answer ends where the next begins

Cause: geventhttpclient's parser goes on with a second answer in the same block. Change: exchanges.AnswerParser stops at the first answer, for probes and callers. Measured: test_an_answer_and_a_refusal_behind_it_are_told_apart fails without the change and passes.

--- a/jayseam/standins/exchanges.py
+++ b/jayseam/standins/exchanges.py
@@ -40,6 +40,31 @@
         return json.loads(self.body)
 
 
+class AnswerParser(responses.HTTPResponse):
+    """Parses one answer; bytes after it belong to no request.
+
+    A node that stops sends a refusal on connections that it takes for idle. The
+    caller may not have read the answer before it, and finds both at once.
+    """
+
+    def feed(self, data: bytes) -> None:
+        """Parses the next bytes.
+
+        Raises:
+          HTTPParseError: If they belong to no answer.
+        """
+        try:
+            super().feed(data)
+        except responses.HTTPParseError:
+            if not self.message_complete:
+                raise
+
+    def _on_message_begin(self) -> None:
+        if self.message_complete:
+            raise responses.HTTPParseError('a second answer')
+        super()._on_message_begin()
+
+
 class Connection:
     """A keep-alive connection to one address, opened when first needed."""
 
@@ -118,7 +143,7 @@
         return '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n' + body
 
     def _receive_answer(self, connection: socket.socket, method: str) -> Answer:
-        parser = responses.HTTPResponse(method=method)
+        parser = AnswerParser(method=method)
         while not parser.message_complete:
             block = connection.recv(_BLOCK_BYTES)
             if not block:
--- a/jayseam/standins/tests/test_callers.py
+++ b/jayseam/standins/tests/test_callers.py
@@ -131,3 +131,16 @@
     for _ in range(2):
         monitor.watch('a', 0.0, 0.1)
     assert [monitor.is_out(ip) for ip in ready] == [False, False, False]
+
+
+def test_an_answer_and_a_refusal_behind_it_are_told_apart():
+    """A slow caller must not take the refusal of a stop for its answer."""
+    answer = (
+        b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab'
+        b'HTTP/1.1 503 Refused\r\nContent-Length: 3\r\n\r\nabc'
+    )
+    wire = wires.Wire((_HOST, _serve_once(answer, True)))
+    request = wires.Piece(b'GET / HTTP/1.1\r\n\r\n')
+    exchange = wire.exchange('GET', [request], 2.0)
+    assert (exchange.status, exchange.body_bytes) == (200, 2)
+    assert exchange.headers['Content-Length'] == '2'
--- a/jayseam/standins/wires.py
+++ b/jayseam/standins/wires.py
@@ -154,7 +154,7 @@
     def _receive(
         self, exchange: Exchange, method: str, sock: socket.socket
     ) -> None:
-        parser = responses.HTTPResponse(method=method)
+        parser = exchanges.AnswerParser(method=method)
         size = _SLOW_BUFFER_BYTES if self._reads_slowly else _BLOCK_BYTES
         while not parser.message_complete:
             block = sock.recv(size)
