--- a/jayseam/platform/tests/test_refused_calls.py
+++ b/jayseam/platform/tests/test_refused_calls.py
@@ -1,8 +1,8 @@
 """Real nodes start, serve, reload and stop where the system refuses calls."""
 
 import json
-import pathlib
 import os
+import pathlib
 import random
 import signal
 
