Serve nested calls with a token while a node stops, whatever their limit

Cause: since calls after the notice are taken only if their own limit ends before the work does, nested calls with a token were refused too.

--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -240,7 +240,8 @@
             request_id,
             now,
             self._work_end,
-            may_shorten=not self._draining,
+            # A call with a token is nested for certain, and its caller waits.
+            may_shorten=not self._draining or self._dialect.call_tokens,
         )
         return self._run_call(environ, call, now)
 
