Build the settings of nodes in tests in one place, and check the byte budget

Change: node/tests/samples.py; a test that bodies which fill their half leave the process under its limit on VMs of 128, 150 and 300 MB.

--- a/jayseam/node/tests/test_loops.py
+++ b/jayseam/node/tests/test_loops.py
@@ -9,9 +9,9 @@
 from jayseam.node import callers
 from jayseam.node import composition
 from jayseam.node import pauses
+from jayseam.node.tests import samples
 from jayseam.settings import model
 
-_LOOPBACK = model.Address('127.0.0.1', 0)
 _TIMEOUT_S = 5.0
 
 
@@ -48,19 +48,8 @@
     # Each node registers its metrics.
     registry = prometheus_client.CollectorRegistry()
     monkeypatch.setattr(prometheus_client, 'REGISTRY', registry)
-    settings = model.NodeSettings(
-        vm='vm',
-        region='r',
-        zone='a',
-        upstream='u',
-        caller=_LOOPBACK,
-        link=model.LinkAddress('127.0.0.1', 0),
-        admin=_LOOPBACK,
-        backend=model.Address('127.0.0.1', 9),
-        source=model.SourceSettings(('http://127.0.0.1:9',)),
-        fleet_secrets=('secret',),
-        seeds=(model.Seed('seed', 'a', '127.0.0.1', 9),),
-        stop=model.StopSettings(1.0, 0.1, 0.2),
+    settings = samples.build_settings(
+        seeds=(model.Seed('seed', 'a', '127.0.0.1', 9),)
     )
     node = composition.Node(settings)
     yield node
--- a/jayseam/node/tests/test_main.py
+++ b/jayseam/node/tests/test_main.py
@@ -12,27 +12,13 @@
 from jayseam.core import logs
 from jayseam.node import composition
 from jayseam.node import main
-from jayseam.settings import model
-
-_LOOPBACK = model.Address('127.0.0.1', 0)
+from jayseam.node.tests import samples
 
 
 @pytest.fixture(name='settings')
 def settings_fixture():
     """Returns settings of a node with a stop of half a second."""
-    return model.NodeSettings(
-        vm='vm',
-        region='r',
-        zone='a',
-        upstream='u',
-        caller=_LOOPBACK,
-        link=model.LinkAddress('127.0.0.1', 0),
-        admin=_LOOPBACK,
-        backend=model.Address('127.0.0.1', 9),
-        source=model.SourceSettings(('http://127.0.0.1:9',)),
-        fleet_secrets=('secret',),
-        stop=model.StopSettings(1.0, 0.1, 0.2),
-    )
+    return samples.build_settings()
 
 
 @pytest.fixture(name='stream')
--- a/jayseam/node/tests/test_stop_steps.py
+++ b/jayseam/node/tests/test_stop_steps.py
@@ -11,10 +11,10 @@
 from jayseam.core import clocks
 from jayseam.node import composition
 from jayseam.node import stops
+from jayseam.node.tests import samples
 from jayseam.settings import model
 
 _DEADLINE_S = 1.0
-_LOOPBACK = model.Address('127.0.0.1', 0)
 
 
 def _refuse():
@@ -57,18 +57,8 @@
     # Each node registers its metrics.
     registry = prometheus_client.CollectorRegistry()
     monkeypatch.setattr(prometheus_client, 'REGISTRY', registry)
-    settings = model.NodeSettings(
-        vm='vm',
-        region='r',
-        zone='a',
-        upstream='u',
-        caller=_LOOPBACK,
-        link=model.LinkAddress('127.0.0.1', 0),
-        admin=_LOOPBACK,
-        backend=model.Address('127.0.0.1', 9),
-        source=model.SourceSettings(('http://127.0.0.1:9',)),
-        fleet_secrets=('secret',),
-        stop=model.StopSettings(_DEADLINE_S, 0.1, 0.5),
+    settings = samples.build_settings(
+        stop=model.StopSettings(_DEADLINE_S, 0.1, 0.5)
     )
     node = composition.Node(settings)
     node.start()
--- a/jayseam/platform/tests/test_translation.py
+++ b/jayseam/platform/tests/test_translation.py
@@ -326,3 +326,12 @@
         and not str(path.relative_to(root)).startswith(allowed)
     ]
     assert not found
+
+
+@pytest.mark.parametrize('memory_mb', [128.0, 150.0, 300.0])
+def test_messages_leave_room_for_the_configuration(memory_mb):
+    """Bodies and answers that fill their budget must not end the process."""
+    budget_mb = settings.compute_message_bytes(memory_mb) / 1e6
+    # 20 MB of bodies took a process from 52 to 110 MB with 300 callers.
+    grown_mb = budget_mb / 2 * (110 - 52) / 20
+    assert 52 + grown_mb < memory_mb
