Give version numbers of channels room for any number and revision

Version numbers are now integers of 256 bits with a field of 128 bits for the number and of 64 each for phase and revision. In messages, versions that fit have the form of earlier releases, so that old and new nodes mean the same version in a rolling stop; others have a long form, which an earlier release refuses, as it could never use such a version. A configuration's number may have 38 digits.

--- a/jayseam/calls/messages.py
+++ b/jayseam/calls/messages.py
@@ -98,8 +98,12 @@
     key_id: str = attrs.field(validator=_check_text)
     timeout_ms: int = attrs.field(validator=_check_count)
     repeatable: bool = attrs.field(validator=_check_flag)
-    preset_version: int = attrs.field(validator=_check_count)
-    keys_version: int = attrs.field(validator=_check_count)
+    preset_version: int = attrs.field(
+        validator=_check_count, metadata=messages.VERSION_METADATA
+    )
+    keys_version: int = attrs.field(
+        validator=_check_count, metadata=messages.VERSION_METADATA
+    )
     method: str = attrs.field(validator=_check_text)
     target: str = attrs.field(validator=_check_text)
     headers: list = attrs.field(validator=check_header_pairs)
--- a/jayseam/distribution/messages.py
+++ b/jayseam/distribution/messages.py
@@ -7,6 +7,7 @@
 import xxhash
 from attrs import validators
 
+from jayseam.core import versionnumbers
 from jayseam.links import messages
 
 _MAX_ORIGIN_CHARS = 16
@@ -34,7 +35,9 @@
     """
 
     channel: str = attrs.field(validator=_STRING)
-    version: int = attrs.field(validator=_COUNT)
+    version: int = attrs.field(
+        validator=messages.is_version, metadata=messages.VERSION_METADATA
+    )
     digest: str = attrs.field(validator=_STRING)
 
 
@@ -53,7 +56,9 @@
     """
 
     channel: str = attrs.field(validator=_STRING)
-    version: int = attrs.field(validator=_COUNT)
+    version: int = attrs.field(
+        validator=messages.is_version, metadata=messages.VERSION_METADATA
+    )
     have_digest: str = attrs.field(validator=_STRING)
     wanted: list = attrs.field(factory=list, validator=_STRINGS)
     of_digest: str = attrs.field(default='', validator=_STRING)
@@ -76,7 +81,9 @@
     """
 
     channel: str = attrs.field(validator=_STRING)
-    version: int = attrs.field(validator=_COUNT)
+    version: int = attrs.field(
+        validator=messages.is_version, metadata=messages.VERSION_METADATA
+    )
     digest: str = attrs.field(validator=_STRING)
     manifest: bytes = attrs.field(validator=_BYTES)
     parts: dict = attrs.field(validator=_PARTS)
@@ -102,9 +109,9 @@
     """
 
     channel: str = attrs.field(validator=_STRING)
-    version: int = attrs.field(validator=_COUNT)
+    version: int = attrs.field(validator=messages.is_version)
     prefix: str = attrs.field(validator=_STRING)
-    confirmed_version: int = attrs.field(validator=_COUNT)
+    confirmed_version: int = attrs.field(validator=messages.is_version)
     origin: str = attrs.field(
         validator=[_STRING, validators.max_len(_MAX_ORIGIN_CHARS)]
     )
@@ -123,7 +130,18 @@
 
 def pack_states(states: Iterable[ChannelState]) -> list[list[Any]]:
     """Returns channel states in the form that messages carry."""
-    return [list(attrs.astuple(state)) for state in states]
+    return [
+        [
+            state.channel,
+            versionnumbers.shorten(state.version),
+            state.prefix,
+            versionnumbers.shorten(state.confirmed_version),
+            state.origin,
+            state.sequence,
+            state.age_ms,
+        ]
+        for state in states
+    ]
 
 
 def unpack_states(rows: list[list[Any]]) -> list[ChannelState]:
@@ -133,7 +151,16 @@
       TypeError: If a row has the wrong number or types of fields.
       ValueError: If a field is out of range.
     """
-    return [ChannelState(*row) for row in rows]
+    return [
+        ChannelState(
+            channel,
+            versionnumbers.expand(version),
+            prefix,
+            versionnumbers.expand(confirmed_version),
+            *others,
+        )
+        for channel, version, prefix, confirmed_version, *others in rows
+    ]
 
 
 def _check_states(_: Any, attribute: attrs.Attribute, value: Any) -> None:
@@ -190,7 +217,9 @@
     """
 
     channel: str = attrs.field(validator=_STRING)
-    version: int = attrs.field(validator=_COUNT)
+    version: int = attrs.field(
+        validator=messages.is_version, metadata=messages.VERSION_METADATA
+    )
     digest: str = attrs.field(validator=_STRING)
     reasons: list = attrs.field(validator=_STRINGS)
     n_reasons: int = attrs.field(validator=_COUNT)
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -15,6 +15,7 @@
 from jayseam.core import logs
 from jayseam.core import loops
 from jayseam.core import tasks
+from jayseam.core import versionnumbers
 from jayseam.distribution import confirmations
 from jayseam.distribution import conflicts
 from jayseam.distribution import counters
@@ -365,7 +366,10 @@
         self._state = state
         version = verified.version
         self._counters.swaps.labels(version.channel).inc()
-        self._counters.version.labels(version.channel).set(version.version)
+        # A float has too few digits for changes of a long version number.
+        self._counters.version.labels(version.channel).set(
+            versionnumbers.shorten(version.version)
+        )
         _log.info('distribution.swapped', extra=attrs.asdict(version))
         self._notify_waiters()
         self._peers.spawn_announce(
--- a/jayseam/links/messages.py
+++ b/jayseam/links/messages.py
@@ -21,6 +21,7 @@
 
 import attrs
 
+from jayseam.core import versionnumbers
 from jayseam.links import errors
 
 T = TypeVar('T')
@@ -31,8 +32,49 @@
 _NESTED_KEY = '$message'
 _SCALARS = frozenset({type(None), bool, int, float, str, bytes})
 
-_classes: dict[int, tuple[type, int]] = {}
-_layouts: dict[type, tuple[int, tuple[str, ...]]] = {}
+# Key of a field's metadata under which its `FieldForm` stands.
+FORM = 'jayseam.links.form'
+
+
+@attrs.frozen
+class FieldForm:
+    """How the value of a field is converted for messages.
+
+    Attributes:
+      encode: Returns the plain value that a message carries.
+      decode: Returns the value of the field for such a plain value. It is
+        called before the field's validator.
+    """
+
+    encode: Callable[[Any], Any]
+    decode: Callable[[Any], Any]
+
+
+# Metadata of fields that hold a version number.
+VERSION_METADATA = {
+    FORM: FieldForm(versionnumbers.shorten, versionnumbers.expand)
+}
+
+
+@attrs.frozen
+class _Layout:
+    """How the messages of a class are encoded.
+
+    Attributes:
+      code: Type code.
+      cls: The class.
+      names: Names of the fields in their order.
+      forms: Forms of the fields that are converted, by index.
+    """
+
+    code: int
+    cls: type
+    names: tuple[str, ...]
+    forms: tuple[tuple[int, FieldForm], ...]
+
+
+_layouts_by_code: dict[int, _Layout] = {}
+_layouts: dict[type, _Layout] = {}
 
 
 def register(code: int) -> Callable[[type[T]], type[T]]:
@@ -48,7 +90,7 @@
     """
 
     def add_class(cls: type[T]) -> type[T]:
-        if code in _classes:
+        if code in _layouts_by_code:
             raise ValueError(f'message code {code} is already registered')
         if not attrs.has(cls) or cls.__setattr__ is object.__setattr__:
             raise TypeError(f'{cls.__name__} is not a frozen attrs class')
@@ -56,8 +98,18 @@
         for field in fields:
             if field.validator is None:
                 raise TypeError(f'{cls.__name__}.{field.name} has no validator')
-        _classes[code] = (cls, len(fields))
-        _layouts[cls] = (code, tuple(field.name for field in fields))
+        layout = _Layout(
+            code,
+            cls,
+            tuple(field.name for field in fields),
+            tuple(
+                (index, field.metadata[FORM])
+                for index, field in enumerate(fields)
+                if FORM in field.metadata
+            ),
+        )
+        _layouts_by_code[code] = layout
+        _layouts[cls] = layout
         return cls
 
     return add_class
@@ -69,6 +121,13 @@
         raise TypeError(f'{attribute.name} must be int, got {value!r}')
 
 
+def is_version(_: Any, attribute: attrs.Attribute, value: Any) -> None:
+    """Validates a version number; a bool is rejected."""
+    is_integer(_, attribute, value)
+    if not 0 <= value < versionnumbers.LIMIT:
+        raise ValueError(f'{attribute.name} is out of range')
+
+
 def is_number(_: Any, attribute: attrs.Attribute, value: Any) -> None:
     """Validates an int or float; a bool is rejected."""
     if type(value) not in (int, float):
@@ -121,11 +180,13 @@
     layout = _layouts.get(type(message))
     if layout is None:
         raise TypeError(f'{type(message).__name__} is no registered message')
-    code, names = layout
-    body = [code, correlation]
-    for name in names:
+    body = [layout.code, correlation]
+    for name in layout.names:
         value = getattr(message, name)
         body.append(value if type(value) in _SCALARS else _to_plain(value))
+    for index, form in layout.forms:
+        # The type code and the correlation ID come before the fields.
+        body[2 + index] = form.encode(body[2 + index])
     return body
 
 
@@ -148,10 +209,10 @@
 def _build_message(code: Any, values: list[Any]) -> Any:
     # Checks the type, because a bool or float equals an int key of the same
     # value.
-    entry = _classes.get(code) if code.__class__ is int else None
-    if entry is None:
+    layout = _layouts_by_code.get(code) if code.__class__ is int else None
+    if layout is None:
         raise errors.UnknownTypeError(f'unknown message type code {code!r}')
-    cls, count = entry
+    cls, count = layout.cls, len(layout.names)
     if len(values) != count:
         raise errors.MessageError(
             f'{cls.__name__} has {count} fields, got {len(values)}'
@@ -161,6 +222,8 @@
         for value in values
     ]
     try:
+        for index, form in layout.forms:
+            fields[index] = form.decode(fields[index])
         return cls(*fields)
     except errors.LinkError:
         raise
--- a/jayseam/platform/configurations.py
+++ b/jayseam/platform/configurations.py
@@ -16,7 +16,9 @@
 _MS_PER_S = 1000
 # Kind of the routes whose calls may run more than once.
 _REPEATABLE_KIND = 'safe'
-_VERSION = re.compile(r'r([0-9]{1,18})')
+# The platform names no greatest number. Version numbers have room for more
+# digits than these.
+_VERSION = re.compile(r'r([0-9]{1,38})')
 # A workspace without a rate is unlimited, but a preset requires a rate.
 _UNLIMITED_RATE_PER_S = presets.schemas.MAX_RATE_PER_S
 _MAX_REASON_CHARS = 200
--- a/jayseam/platform/positions.py
+++ b/jayseam/platform/positions.py
@@ -7,15 +7,9 @@
 
 import attrs
 
+from jayseam.core import versionnumbers
 from jayseam.platform import errors
 
-# Versions travel as numbers below 2 ** 63. Widths of their fields in bits, from
-# the most significant one.
-NUMBER_BITS = 25
-ERA_BITS = 9
-SETTLED_BITS = 1
-REVISION_BITS = 28
-
 
 @attrs.frozen(order=True)
 class Position:
@@ -36,7 +30,7 @@
     revision: int = attrs.field(kw_only=True)
 
     def encode(self) -> int:
-        """Returns a number with the order of positions.
+        """Returns a version with the order of positions.
 
         >>> before = Position(era=1, revision=900)
         >>> unsettled = Position(era=2, revision=9, is_settled=False)
@@ -47,10 +41,7 @@
         Raises:
           ValueFormatError: If the position is out of range.
         """
-        _check_width('era', self.era, ERA_BITS)
-        _check_width('revision', self.revision, REVISION_BITS)
-        phase = (self.era << SETTLED_BITS) - (not self.is_settled)
-        return phase << REVISION_BITS | self.revision
+        return encode_version(0, self)
 
 
 def encode_version(number: int, position: Position) -> int:
@@ -69,11 +60,9 @@
     Raises:
       ValueFormatError: If the number or the position is out of range.
     """
-    _check_width('number', number, NUMBER_BITS)
-    position_bits = ERA_BITS + SETTLED_BITS + REVISION_BITS
-    return number << position_bits | position.encode()
-
-
-def _check_width(name: str, value: int, bits: int) -> None:
-    if not 0 <= value < 1 << bits:
-        raise errors.ValueFormatError(f'{name} {value} exceeds {bits} bits')
+    # Two phases an era: the unsettled one comes first.
+    phase = max(0, 2 * position.era - (not position.is_settled))
+    try:
+        return versionnumbers.combine(number, phase, position.revision)
+    except ValueError as error:
+        raise errors.ValueFormatError(str(error)) from error
--- a/jayseam/platform/tests/test_translation.py
+++ b/jayseam/platform/tests/test_translation.py
@@ -221,6 +221,56 @@
     assert after['preset'] == before['preset']
 
 
+def _build_withdrawal(version, **route):
+    """Returns the value of a configuration without the museum's key."""
+    return _encode(
+        samples.build_configuration(
+            version,
+            [samples.build_route('view', **route)],
+            {'school': samples.KEYS['school']},
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    'older, newer',
+    [
+        ('r2026', 'r2026120501'),
+        ('r33554431', 'r33554432'),
+        ('r33554432', 'r33554433'),
+        ('r' + '9' * 18, 'r1' + '0' * 18),
+        ('r' + '9' * 37, 'r' + '9' * 38),
+    ],
+)
+def test_large_version_numbers_take_effect(older, newer):
+    """The platform names no greatest number of a configuration."""
+    translator = mirrors.Translator(DEPLOYMENT_FACTS)
+    value = _encode(samples.build_configuration(older))
+    before = translator.translate(_build_mirror(5, **{'op/config': value}))
+    mirror = _build_mirror(6, **{'op/config': _build_withdrawal(newer)})
+    after = translator.translate(mirror)
+    for name in ('preset', 'keys'):
+        assert after[name].version > before[name].version
+        assert after[name].confirms(after[name].version)
+
+
+@pytest.mark.parametrize('revision', [2**28 - 1, 2**28, 2**62])
+def test_large_revisions_of_the_store_take_effect(revision):
+    """The store's revision may start at any number."""
+    translator = mirrors.Translator(DEPLOYMENT_FACTS)
+    value = _encode(samples.build_configuration())
+    mirror = _build_mirror(revision, **{'op/config': value})
+    before = translator.translate(mirror)
+    entry = _encode(samples.build_entry('10.0.0.1:8080'))
+    after = translator.translate(
+        _build_mirror(
+            revision + 1, **{'op/config': value, 'servers/i-1': entry}
+        )
+    )
+    assert after['vms'].version > before['vms'].version
+    assert after['preset'].confirms(before['preset'].version)
+
+
 def test_a_pause_confirms_nothing():
     """A reply confirms only the wait of its request.
 
--- a/jayseam/source/client.py
+++ b/jayseam/source/client.py
@@ -8,6 +8,7 @@
 import attrs
 
 from jayseam.core import digests
+from jayseam.core import versionnumbers
 from jayseam.source import endpoints
 from jayseam.source import errors
 
@@ -147,7 +148,8 @@
         self, path, after_revision, wait_s, max_bytes, digest=None
     ) -> Reply:
         if after_revision is not None:
-            path += f'?after={after_revision}&wait_s={wait_s:g}'
+            after = versionnumbers.shorten(after_revision)
+            path += f'?after={after}&wait_s={wait_s:g}'
         failure: errors.SourceError | None = None
         first = self._preferred
         for step in range(len(self._endpoints)):
@@ -208,7 +210,8 @@
         return None
     if not isinstance(value, str) or not _REVISION.fullmatch(value.strip()):
         raise errors.SourceReplyError(f'{url}: invalid Revision header')
-    return int(value)
+    # A revision of this source is the short form of a version number.
+    return versionnumbers.expand(int(value))
 
 
 def _check_digest(reply: Reply, digest: str | None) -> None:
