Put configurations with large figures in force

A route with a timeout of 30 s, more than 16 attempts, a latency objective over 29 s or a rank over 1000 made every node reject the whole preset, while the keys of the same version were put in force: callers were routed by the version before for good. The platform names no such limits.

Timeouts may be up to an hour: a planned stop ends calls by its own deadline. Greater figures are lowered to the maximum of presets when a configuration is translated, where they have the same effect.

The five cases of the new test failed before.

--- a/jayseam/platform/configurations.py
+++ b/jayseam/platform/configurations.py
@@ -1,6 +1,7 @@
 """Translates the operators' configuration into a preset and a key set."""
 
 import hashlib
+import math
 import re
 from collections.abc import Collection, Mapping
 from typing import Any
@@ -134,13 +135,47 @@
     return sections
 
 
+def _limit(value: float, maximum: float) -> float:
+    """Returns a value that a preset accepts and that has the same effect.
+
+    The maximums of presets are beyond what a node can make use of.
+
+    >>> _limit(5, 10), _limit(50, 10)
+    (5, 10)
+
+    Raises:
+      TypeError: If the value is not a number.
+      ValueError: If the value is not finite.
+    """
+    if not math.isfinite(value):
+        raise ValueError(f'not a finite number: {value!r}')
+    return min(value, maximum)
+
+
+def _convert_ms(duration_s: float) -> int:
+    """Returns a duration as whole milliseconds, within a preset's maximum.
+
+    >>> _convert_ms(1.5)
+    1500
+    """
+    duration_ms = duration_s * _MS_PER_S
+    return int(_limit(duration_ms, presets.schemas.MAX_TIMEOUT_MS))
+
+
 def _translate_service(name: str, spec: Mapping[str, Any]) -> dict[str, Any]:
     return {
         'name': name,
         'listed': True,
-        'connections': spec['max_connections'],
-        'cold_s': durations.parse_seconds(spec.get('cold_start', '0ms')),
-        'cold_rate_per_s': spec.get('cold_per_s', 0),
+        'connections': _limit(
+            spec['max_connections'], presets.schemas.MAX_CONNECTIONS
+        ),
+        'cold_s': _limit(
+            durations.parse_seconds(spec.get('cold_start', '0ms')),
+            presets.schemas.MAX_RAMP_S,
+        ),
+        'cold_rate_per_s': _limit(
+            spec.get('cold_per_s', 0), presets.schemas.MAX_RATE_PER_S
+        ),
     }
 
 
@@ -162,10 +197,12 @@
         'targets': targets,
         'open_to_all': spec.get('public', False),
         'repeatable': spec['kind'] == _REPEATABLE_KIND,
-        'timeout_ms': int(timeout_s * _MS_PER_S),
-        'objective_ms': int(objective_s * _MS_PER_S),
-        'max_attempts': spec.get('max_attempts', 1),
-        'rank': spec.get('priority', 0),
+        'timeout_ms': _convert_ms(timeout_s),
+        'objective_ms': _convert_ms(objective_s),
+        'max_attempts': _limit(
+            spec.get('max_attempts', 1), presets.schemas.MAX_ATTEMPTS
+        ),
+        'rank': _limit(spec.get('priority', 0), presets.schemas.MAX_RANK),
         # Callers on this platform send no idempotency keys: each of their
         # retries counts as a call of its own.
         'keyed': False,
@@ -173,11 +210,20 @@
 
 
 def _translate_workspace(name: str, spec: Mapping[str, Any]) -> dict[str, Any]:
+    rank = spec.get('priority')
     return {
         'name': name,
-        'rate_per_s': spec.get('rate_per_s') or _UNLIMITED_RATE_PER_S,
-        'burst': max(1, spec.get('burst') or spec.get('rate_per_s') or 1),
-        'rank': spec.get('priority'),
+        'rate_per_s': _limit(
+            spec.get('rate_per_s') or _UNLIMITED_RATE_PER_S,
+            presets.schemas.MAX_RATE_PER_S,
+        ),
+        'burst': _limit(
+            max(1, spec.get('burst') or spec.get('rate_per_s') or 1),
+            presets.schemas.MAX_BURST,
+        ),
+        'rank': None
+        if rank is None
+        else _limit(rank, presets.schemas.MAX_RANK),
     }
 
 
--- a/jayseam/platform/tests/test_translation.py
+++ b/jayseam/platform/tests/test_translation.py
@@ -271,6 +271,26 @@
     assert after['preset'].confirms(before['preset'].version)
 
 
+@pytest.mark.parametrize(
+    'spec',
+    [
+        {'timeout': '30s'},
+        {'timeout': '7200s'},
+        {'target_latency': '45s'},
+        {'max_attempts': 20},
+        {'priority': 5000},
+    ],
+    ids=lambda spec: next(iter(spec)),
+)
+def test_large_figures_are_no_reason_to_reject(spec):
+    """One route must not keep a configuration from being put in force."""
+    route = samples.build_route('view', **spec)
+    preset, _ = _translate(samples.build_configuration(routes=[route]))
+    assert 'view' in preset.routes
+    if spec == {'timeout': '30s'}:
+        assert preset.routes['view'].timeout_ms == 30_000
+
+
 def test_a_pause_confirms_nothing():
     """A reply confirms only the wait of its request.
 
--- a/jayseam/presets/schemas.py
+++ b/jayseam/presets/schemas.py
@@ -19,8 +19,8 @@
 MAX_WEIGHT = 1_000_000
 MAX_RATE_PER_S = 10_000_000
 MAX_BURST = 10_000_000
-# Every call must end within a planned stop, which takes up to 30 s by default.
-MAX_TIMEOUT_MS = 29_000
+# A planned stop ends calls that last longer than it may take.
+MAX_TIMEOUT_MS = 3_600_000
 MAX_ATTEMPTS = 16
 MAX_RANK = 1000
 METHODS = ('DELETE', 'GET', 'HEAD', 'OPTIONS', 'PATCH', 'POST', 'PUT')
