Confirm no older configuration over one that can't be used

A confirmation has the time at which its own channel was last current, also in the reply to a late reader.

Both documents of a version are verified before either is offered, so that its keys are not put in force without its routes.

--- a/jayseam/platform/mirrors.py
+++ b/jayseam/platform/mirrors.py
@@ -1,7 +1,7 @@
 """A node's mirror of the store, and the channels derived from the mirror."""
 
 import functools
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -20,6 +20,7 @@
 _EVACUATION_PREFIX = 'op/evacuate/'
 _SERVER_PREFIX = 'servers/'
 _LEAVING = 'leaving'
+_MAX_LOGGED_REASONS = 5
 
 _log = logs.get_logger(__name__)
 
@@ -45,12 +46,15 @@
       version: Version of the content; see `positions`.
       bundle: Manifest and parts of the content.
       as_of: Greatest version that the store is known to have no newer content
-        than; zero while the store has older content.
+        than; zero while the store has other content.
+      confirmed_at: Latest time at which the store is known to have had this
+        content, in seconds.
     """
 
     version: int
     bundle: documents.Bundle
     as_of: int = attrs.field(eq=False)
+    confirmed_at: float = attrs.field(eq=False)
 
     def confirms(self, version: int) -> bool:
         """Returns whether the store has nothing newer than a version."""
@@ -191,14 +195,24 @@
     A channel keeps its version until its content changes. An invalid value is
     logged once. An invalid configuration leaves its channels unchanged, and so
     does one with a lower number than the last one, which comes from a copy of
-    the store; an invalid entry of a backend server is left out of the VM list.
+    the store; neither confirms what is in force. An invalid entry of a backend
+    server is left out of the VM list.
 
     Args:
       deployment_facts: Facts that the store doesn't contain.
+      yield_control: Called often while a configuration is verified, to let
+        other greenlets run.
     """
 
-    def __init__(self, deployment_facts: DeploymentFacts):
+    def __init__(
+        self,
+        deployment_facts: DeploymentFacts,
+        yield_control: Callable[[], None] = documents.never_yield,
+    ):
         self._deployment_facts = deployment_facts
+        self._yield_control = yield_control
+        self._valid_preset_items = verification.ValidItemCache()
+        self._valid_key_items = verification.ValidItemCache()
         self._channels: dict[str, Channel] = {}
         self._last_inputs: dict[str, Any] = {}
         self._number = -1
@@ -212,14 +226,13 @@
         Raises:
           ValueFormatError: If the mirror's position is out of range.
         """
-        is_current = self._update_configuration(mirror)
-        as_of = (
-            positions.encode_version(self._number, mirror.position)
-            if is_current
-            else 0
-        )
-        self._confirm_channel('preset', as_of)
-        self._confirm_channel('keys', as_of)
+        if self._update_configuration(mirror):
+            as_of = positions.encode_version(self._number, mirror.position)
+            self._confirm_channel('preset', as_of, mirror.confirmed_at)
+            self._confirm_channel('keys', as_of, mirror.confirmed_at)
+        else:
+            self._withdraw_confirmation('preset')
+            self._withdraw_confirmation('keys')
         servers = tuple(
             item
             for key, item in sorted(mirror.items.items())
@@ -227,22 +240,25 @@
         )
         position = mirror.position.encode()
         if self._last_inputs.get('vms') != (servers, self._services):
-            self._last_inputs['vms'] = (servers, self._services)
             vms = self._list_vms(servers, mirror.era)
             self._update_channel(
-                'vms', position, documents.split_vms({'vms': vms})
+                'vms',
+                position,
+                documents.split_vms({'vms': vms}),
+                mirror.confirmed_at,
             )
-        self._confirm_channel('vms', position)
+            self._last_inputs['vms'] = (servers, self._services)
+        self._confirm_channel('vms', position, mirror.confirmed_at)
         return dict(self._channels)
 
     def withdraw_confirmations(self) -> Mapping[str, Channel]:
         """Returns the channels as a store that lacks their content has them."""
         for name in self._channels:
-            self._confirm_channel(name, 0)
+            self._withdraw_confirmation(name)
         return dict(self._channels)
 
     def _update_configuration(self, mirror: Mirror) -> bool:
-        """Returns whether the store's configuration is not an older one."""
+        """Returns whether the channels have the store's configuration."""
         item = mirror.items.get(CONFIGURATION_KEY)
         evacuated = frozenset(
             key[len(_EVACUATION_PREFIX) :]
@@ -255,17 +271,41 @@
         if self._last_inputs.get('preset') == inputs:
             return self._last_inputs['is_current']
         self._last_inputs['preset'] = inputs
+        # Also stands if an error ends this method.
+        self._last_inputs['is_current'] = False
         try:
             translated = configurations.decode_configuration(
                 item.value, self._deployment_facts.regions, evacuated
             )
+            self._verify(translated)
             is_current = self._apply_configuration(translated, item, mirror)
         except errors.ValueFormatError as error:
             self._log_invalid_value(item, mirror.era, error)
-            is_current = self._number >= 0
+            return False
         self._last_inputs['is_current'] = is_current
         return is_current
 
+    def _verify(self, translated: configurations.Documents) -> None:
+        """Checks that nodes will put both documents in force.
+
+        Otherwise they would use the routes of one version with the keys of
+        another.
+
+        Raises:
+          ValueFormatError: If nodes would reject one of the documents.
+        """
+        try:
+            verification.verify_preset(
+                translated.preset, self._yield_control, self._valid_preset_items
+            )
+            verification.verify_keys(
+                translated.keys, self._yield_control, self._valid_key_items
+            )
+        except preset_errors.PresetRejectedError as error:
+            raise errors.ValueFormatError(
+                '; '.join(error.reasons[:_MAX_LOGGED_REASONS])
+            ) from error
+
     def _apply_configuration(
         self,
         translated: configurations.Documents,
@@ -296,21 +336,44 @@
         self._services = frozenset(
             service['name'] for service in translated.preset['services']
         )
-        self._update_channel('preset', preset_version, translated.preset_bundle)
-        self._update_channel('keys', keys_version, translated.keys_bundle)
+        self._update_channel(
+            'preset',
+            preset_version,
+            translated.preset_bundle,
+            mirror.confirmed_at,
+        )
+        self._update_channel(
+            'keys', keys_version, translated.keys_bundle, mirror.confirmed_at
+        )
         return True
 
     def _update_channel(
-        self, channel: str, version: int, bundle: documents.Bundle
+        self,
+        channel: str,
+        version: int,
+        bundle: documents.Bundle,
+        confirmed_at: float,
     ) -> None:
         current = self._channels.get(channel)
         if current is None or current.bundle.digest != bundle.digest:
-            self._channels[channel] = Channel(version, bundle, version)
+            self._channels[channel] = Channel(
+                version, bundle, version, confirmed_at
+            )
+
+    def _confirm_channel(
+        self, channel: str, as_of: int, confirmed_at: float
+    ) -> None:
+        current = self._channels.get(channel)
+        if current is not None:
+            self._channels[channel] = attrs.evolve(
+                current, as_of=as_of, confirmed_at=confirmed_at
+            )
 
-    def _confirm_channel(self, channel: str, as_of: int) -> None:
+    def _withdraw_confirmation(self, channel: str) -> None:
+        """Keeps a channel from being confirmed until the next translation."""
         current = self._channels.get(channel)
         if current is not None:
-            self._channels[channel] = attrs.evolve(current, as_of=as_of)
+            self._channels[channel] = attrs.evolve(current, as_of=0)
 
     def _list_vms(self, servers: tuple[store.Item, ...], era: int) -> list[Any]:
         """Returns the items of the VM list: one entry of each VM."""
--- a/jayseam/platform/source.py
+++ b/jayseam/platform/source.py
@@ -10,6 +10,7 @@
 from jayseam.core import clocks
 from jayseam.core import logs
 from jayseam.core import loops
+from jayseam.distribution import fetching
 from jayseam.platform import errors
 from jayseam.platform import mirrors
 from jayseam.platform import store
@@ -93,7 +94,9 @@
         uniform: Callable[[], float] = random.random,
     ):
         self._client = client
-        self._translator = mirrors.Translator(deployment_facts)
+        self._translator = mirrors.Translator(
+            deployment_facts, fetching.Pauser()
+        )
         self._retry = backoff.RetryTimer(uniform, RETRY_CAP_S, RETRY_MAX_CAP_S)
         self._mirror: mirrors.Mirror | None = None
         self._channels: Mapping[str, mirrors.Channel] = {}
@@ -176,7 +179,7 @@
     ) -> source_client.Reply:
         """Returns a newer version, or a new confirmation of the one held."""
         last_confirmed_at = (
-            None if after_revision is None else self._get_confirmed_at()
+            None if after_revision is None else self._get_confirmed_at(channel)
         )
         deadline = clocks.read_now() + max(wait_s, READ_TIMEOUT_S)
         while True:
@@ -187,8 +190,9 @@
                 return reply
             self._wait_for_refresh(deadline - clocks.read_now())
 
-    def _get_confirmed_at(self) -> float | None:
-        return None if self._mirror is None else self._mirror.confirmed_at
+    def _get_confirmed_at(self, channel: str) -> float | None:
+        current = self._channels.get(channel)
+        return None if current is None else current.confirmed_at
 
     def _build_reply(
         self,
@@ -206,7 +210,7 @@
         current = self._channels.get(channel)
         if self._mirror is None or current is None:
             return None
-        confirmed_at = self._mirror.confirmed_at
+        confirmed_at = current.confirmed_at
         if current.version > (after_revision or 0):
             body = _encode_body(channel, current.bundle)
             return source_client.Reply(
--- a/jayseam/platform/tests/test_translation.py
+++ b/jayseam/platform/tests/test_translation.py
@@ -4,6 +4,7 @@
 import pathlib
 import re
 
+import attrs
 import pytest
 
 from jayseam.platform import configurations
@@ -232,6 +233,49 @@
     )
 
 
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'{}',
+        b'\xff',
+        _build_withdrawal('r' + '9' * 60),
+        _build_withdrawal('tomorrow'),
+        _build_withdrawal('r7', service='nowhere'),
+        _build_withdrawal('r7', path_prefix='no slash'),
+    ],
+    ids=range(6),
+)
+def test_unusable_configuration_ends_the_confirmation(value):
+    """A key that it withdraws must not go on being confirmed as in force.
+
+    Neither may its keys be put in force without its routes.
+    """
+    translator = mirrors.Translator(DEPLOYMENT_FACTS)
+    sound = _encode(samples.build_configuration())
+    before = translator.translate(_build_mirror(5, **{'op/config': sound}))
+    for revision in (9, 11):
+        mirror = _build_mirror(revision, **{'op/config': value})
+        after = translator.translate(attrs.evolve(mirror, confirmed_at=7.0))
+        for name in ('preset', 'keys'):
+            assert after[name] == before[name]
+            assert not after[name].confirms(before[name].version)
+            assert after[name].confirmed_at == 1.0
+
+
+def test_error_in_a_translation_ends_the_confirmation(monkeypatch):
+    """What was in force before an unexpected error must not be confirmed."""
+    translator = mirrors.Translator(DEPLOYMENT_FACTS)
+    sound = _encode(samples.build_configuration())
+    before = translator.translate(_build_mirror(5, **{'op/config': sound}))
+    mirror = _build_mirror(9, **{'op/config': _build_withdrawal('r7')})
+    with monkeypatch.context() as context:
+        context.setattr(documents, 'split_keys', lambda document: 1 / 0)
+        with pytest.raises(ZeroDivisionError):
+            translator.translate(mirror)
+    after = translator.translate(mirror)
+    assert not after['keys'].confirms(before['keys'].version)
+
+
 @pytest.mark.parametrize(
     'older, newer',
     [
