Watch a channel on without a pause after the source has confirmed it

A read that brought a confirmation sooner than after 1 s counted as a failure, to keep a replica that doesn't wait from being read in a loop. On the platform each refresh of the node's mirror confirms all channels, so that while one channel changed several times a second, the watchers of the others backed off for up to 8 s, although the mirror already had their changes.

A watcher now backs off only after a read that failed. How soon it reads again is up to the source: the mirror makes readers wait for its next refresh, and the client of a configuration service names 1 s, which also bounds the delay of a change there.

--- a/jayseam/distribution/tests/fakes.py
+++ b/jayseam/distribution/tests/fakes.py
@@ -26,6 +26,7 @@
     """A source in memory, with the interface of `client.SourceClient`."""
 
     url = 'http://127.0.0.1:1'
+    min_read_interval_s = 1.0
 
     def __init__(self):
         self.values = {}
--- a/jayseam/platform/source.py
+++ b/jayseam/platform/source.py
@@ -117,6 +117,11 @@
         """Base URL of the store."""
         return self._client.url
 
+    @property
+    def min_read_interval_s(self) -> float:
+        """Zero, as reads wait for the next refresh of the mirror."""
+        return 0.0
+
     def set_reader_rank(self, rank: int) -> None:
         """Sets how often the store is read.
 
--- a/jayseam/source/client.py
+++ b/jayseam/source/client.py
@@ -19,6 +19,9 @@
 # A watch may be answered only at the end of its wait, to which this is added.
 DEFAULT_TIMEOUT_S = 2.0
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
+# A replica that answers watches without a wait would otherwise be read in a
+# tight loop. A change is found later by this much at the most.
+MIN_READ_INTERVAL_S = 1.0
 
 
 @attrs.frozen
@@ -45,6 +48,14 @@
     def url(self) -> str:
         """URL of the source, for the status page."""
 
+    @property
+    def min_read_interval_s(self) -> float:
+        """Least seconds between the starts of two reads of a channel.
+
+        It applies after a read that brought nothing new. Zero if the source
+        itself makes readers wait.
+        """
+
     def set_reader_rank(self, rank: int) -> None:
         """Sets this node's rank among the readers of its zone, from zero."""
 
@@ -99,6 +110,11 @@
         """The URL that is tried first."""
         return self._endpoints[self._preferred].url
 
+    @property
+    def min_read_interval_s(self) -> float:
+        """Least seconds between two reads of a channel that bring no news."""
+        return MIN_READ_INTERVAL_S
+
     def set_reader_rank(self, rank: int) -> None:
         """Does nothing, because all readers may watch this source alike."""
 
--- a/jayseam/source/tests/test_watchers.py
+++ b/jayseam/source/tests/test_watchers.py
@@ -9,10 +9,15 @@
 from jayseam.source import watchers
 from jayseam.standins import waits
 
+# Deadline of the platform for a change of the configuration, in seconds.
+CONFIG_APPLY_S = 2.0
+
 
 class _Source:
     """Answers reads of the VM list from a script, then waits for ever."""
 
+    min_read_interval_s = 1.0
+
     def __init__(self, script):
         self._script = list(script)
 
@@ -165,3 +170,72 @@
     waits.wait_until(lambda: updates and updates[-1].version == 2, 8.0)
     watcher.stop()
     assert [update.version for update in updates] == [1, 2]
+
+
+class _PacedSource:
+    """Confirms the version of a channel at a steady pace, as a mirror does.
+
+    Attributes:
+      version: Version of the content.
+      started_at: Times at which reads began, in seconds.
+    """
+
+    def __init__(self, interval_s, min_read_interval_s):
+        self._interval_s = interval_s
+        self.min_read_interval_s = min_read_interval_s
+        self.version = 1
+        self.started_at = []
+
+    def read_value(self, key, after_revision=None, wait_s=0.0):
+        """Returns the next confirmation, or a newer version."""
+        del key, wait_s
+        self.started_at.append(clocks.read_now())
+        gevent.sleep(self._interval_s)
+        now = clocks.read_now()
+        if self.version == after_revision:
+            return source_client.Reply(self.version, None, now, now)
+        body = documents.encode_json({'manifest': 'ab' * 16})
+        return source_client.Reply(self.version, body, now, now)
+
+
+def _watch_channel(source, channel):
+    updates = []
+    watcher = watchers.SourceWatcher(
+        source,
+        channel,
+        10.0,
+        updates.append,
+        lambda confirmation: None,
+        lambda: None,
+        # The longest waits that a back-off may draw.
+        uniform=lambda: 0.999,
+    )
+    watcher.start()
+    return watcher, updates
+
+
+@pytest.mark.parametrize('channel', ['preset', 'keys'])
+def test_confirmations_in_quick_succession_delay_no_change(channel):
+    """While other channels change, a mirror confirms this one several times.
+
+    A withdrawn key went on working when that made the watcher back off.
+    """
+    source = _PacedSource(0.05, 0.0)
+    watcher, updates = _watch_channel(source, channel)
+    waits.wait_until(lambda: len(source.started_at) > 1, 2.0)
+    # A back-off would have grown to 4 s by then.
+    gevent.sleep(4.0)
+    source.version = 2
+    waits.wait_until(lambda: updates[-1].version == 2, CONFIG_APPLY_S)
+    watcher.stop()
+
+
+def test_source_that_does_not_wait_is_read_at_a_steady_pace():
+    """Such a replica must not be read in a loop, nor its changes be missed."""
+    source = _PacedSource(0.01, 0.3)
+    watcher, updates = _watch_channel(source, 'keys')
+    gevent.sleep(2.0)
+    source.version = 2
+    waits.wait_until(lambda: updates[-1].version == 2, CONFIG_APPLY_S)
+    watcher.stop()
+    assert 5 <= len(source.started_at) <= 10
--- a/jayseam/source/watchers.py
+++ b/jayseam/source/watchers.py
@@ -21,9 +21,6 @@
 from jayseam.source import errors
 
 CHANNELS = ('preset', 'keys', 'vms')
-# If a watch without a newer version ends sooner than this, the watcher backs
-# off. Otherwise it would read a replica that does not wait in a tight loop.
-_MIN_WATCH_S = 1.0
 _log = logs.get_logger(__name__)
 
 
@@ -195,9 +192,10 @@
 class SourceWatcher:
     """Watches one channel in a greenlet of its own.
 
-    After a failed read, the watcher backs off with full jitter. The source
-    answers the first read without a wait, so a held version is confirmed
-    immediately.
+    After a failed read, the watcher backs off with full jitter. After any other
+    read it goes on at the pace that the source allows, because a change may
+    follow at any time. The source answers the first read without a wait, so a
+    held version is confirmed immediately.
     """
 
     def __init__(
@@ -264,20 +262,26 @@
         retry = backoff.RetryTimer(self._uniform)
         while not self._stopping.is_set():
             try:
-                may_go_on = self._watch_once()
+                pause_s = self._watch_once()
             except Exception:  # pylint: disable=broad-exception-caught
                 # Nothing else would read the channel after a bug.
                 _log.exception(
                     'source.watch_crashed', extra={'channel': self.channel}
                 )
-                may_go_on = False
-            if may_go_on:
-                retry.succeed()
+                pause_s = None
+            if pause_s is None:
+                pause_s = retry.fail(clocks.read_now())
             else:
-                self._stopping.wait(retry.fail(clocks.read_now()))
+                retry.succeed()
+            if pause_s:
+                self._stopping.wait(pause_s)
+
+    def _watch_once(self) -> float | None:
+        """Reads once.
 
-    def _watch_once(self) -> bool:
-        """Reads once and returns whether the next read may follow at once."""
+        Returns:
+          Seconds until the next read; None if this one failed.
+        """
         # A version that was seen but rejected or not fetched yet counts too;
         # otherwise the source would send it again without a wait.
         known = [v for v in (self._seen_version, self._held_version()) if v]
@@ -292,21 +296,20 @@
                 extra={'channel': self.channel, 'error': str(error)},
             )
             self._on_failure(self.channel, error)
-            return False
+            return None
         if outcome.is_behind:
             _log.warning('source.behind', extra={'channel': self.channel})
             self._on_failure(self.channel, None)
-            return False
+            return None
         self._is_first = False
         if grace_s := self._update_grace(outcome, clocks.read_now()):
-            self._stopping.wait(grace_s)
-            return True
+            return grace_s
         self._notify(outcome, after)
         update = outcome.update
         if update is not None and update.version > (after or 0):
-            return True
-        elapsed_s = clocks.read_now() - requested_at
-        return elapsed_s >= min(wait_s, _MIN_WATCH_S)
+            return 0.0
+        interval_s = min(wait_s, self._client.min_read_interval_s)
+        return max(0.0, requested_at + interval_s - clocks.read_now())
 
     def _update_grace(self, outcome: ReadOutcome, now: float) -> float:
         """Records a confirmation and checks a VM list for missing entries.
