--- a/jayseam/distribution/offers.py
+++ b/jayseam/distribution/offers.py
@@ -69,6 +69,9 @@
         if is_repeated and previous.ready_at < offer.ready_at:
             # A heartbeat that repeats an offer doesn't postpone it.
             offer = attrs.evolve(offer, ready_at=previous.ready_at)
+        if offer.holder == SOURCE and not is_repeated:
+            # The failed version may have failed because it was replaced.
+            self._retry.succeed()
         self._offers[offer.holder] = offer
         return True
 
@@ -126,8 +129,12 @@
         if offer.holder != SOURCE:
             self._remove(offer)
             return
+        current = self._offers.get(SOURCE)
+        if current is not None and current.version > offer.version:
+            # The source has replaced the version and needs no wait.
+            return
         wait_s = self._retry.fail(now)
-        if offer.bundle is not None and self._offers.get(SOURCE) is offer:
+        if offer.bundle is not None and current is offer:
             # Newer content needs no read, so only this offer has to wait.
             self._offers[SOURCE] = attrs.evolve(offer, ready_at=now + wait_s)
 
--- a/jayseam/distribution/tests/test_offers.py
+++ b/jayseam/distribution/tests/test_offers.py
@@ -45,6 +45,23 @@
     assert book.choose(10.6) is offer
 
 
+@pytest.mark.parametrize('fails_late', [False, True])
+def test_newer_version_of_the_source_needs_no_wait(book, fails_late):
+    """In a storm, the source replaces versions while they are being fetched.
+
+    Waits after such failures would grow while the newest version is there.
+    """
+    for version in range(5, 9):
+        offer = offers.Offer(offers.SOURCE, version, f'd{version}')
+        newer = offers.Offer(offers.SOURCE, version + 1, f'd{version + 1}')
+        book.add(offer)
+        if fails_late:
+            book.add(newer)
+        book.fail(offer, 10.0)
+        book.add(newer)
+        assert book.choose(10.0) is newer
+
+
 def test_content_that_came_with_an_offer_needs_no_wait(book):
     """A VM list that came with its offer must not wait for the source."""
     book.fail(offers.Offer(offers.SOURCE, 4, 'c'), 10.0)
