End a call whose caller has left, not only its attempt

An attempt at the own backend server runs in the greenlet of the call. When the caller left, the error that ends the call was taken there for a cancellation by another node, so that the attempt ended as "outcome unknown" and the entry sent the request to the next VM. The monitor of callers had done its part, so nothing interrupted that attempt.

The two events now are two errors: `CallerGoneError` ends the call wherever it is raised, `AttemptCancelledError` ends an attempt at the ingress. Permits and places in queues are given back as before.

--- a/jayseam/calls/errors.py
+++ b/jayseam/calls/errors.py
@@ -146,4 +146,12 @@
 
 
 class CallerGoneError(errors.JayseamError):
-    """The caller closed its connection before the answer."""
+    """The caller closed its connection before the answer.
+
+    It ends the call with all its attempts, also if it is raised in an attempt
+    at the own backend server, which runs in the greenlet of the call.
+    """
+
+
+class AttemptCancelledError(errors.JayseamError):
+    """The entry has cancelled an attempt, which ends at the ingress."""
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -95,12 +95,17 @@
         """Cancels an attempt, if it is still in flight."""
         greenlet = self._running.get(attempt)
         if greenlet is not None:
-            greenlet.kill(errors.CallerGoneError(attempt), block=False)
+            error = errors.AttemptCancelledError(attempt)
+            greenlet.kill(error, block=False)
 
     def handle_forward(
         self, forward: messages.Forward
     ) -> messages.Answered | messages.Refused:
-        """Runs a forwarded call; every failure becomes a `Refused`."""
+        """Runs a forwarded call; every failure becomes a `Refused`.
+
+        Raises:
+          CallerGoneError: If the caller of a call of this node has left.
+        """
         try:
             answer = self.run(forward, clocks.read_now())
         except errors.CallError as error:
@@ -135,6 +140,7 @@
 
         Raises:
           CallError: If the call was refused, or its outcome is unknown.
+          CallerGoneError: If the caller of a call of this node has left.
         """
         self._check_forward(forward)
         size_bytes = len(forward.body)
@@ -144,7 +150,7 @@
         self._request_ids[forward.attempt] = forward.request_id
         try:
             return self._admit_and_run(forward, now)
-        except errors.CallerGoneError as error:
+        except errors.AttemptCancelledError as error:
             raise errors.OutcomeUnknownError(
                 'the call was cancelled'
             ) from error
