Run no attempt that was cancelled before it began

If its caller left meanwhile, the cancellation was dropped, and the call ran to its end.

The ingress remembers the last 1000 cancellations of attempts that it doesn't know, and refuses such an attempt as not run.

The new test failed before: the attempt ran.

--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -1,5 +1,6 @@
 """The ingress: runs forwarded calls on the backend server of the own VM."""
 
+import collections
 import math
 from collections.abc import Callable
 from typing import Any
@@ -23,6 +24,9 @@
 # last moment would not finish in time.
 _RUN_MARGIN_S = 0.05
 _MS_PER_S = 1000
+# Most cancelled attempts that are remembered because they may still begin. Most
+# of them have ended.
+_MAX_CANCELLED_EARLY = 1000
 
 _log = logs.get_logger(__name__)
 
@@ -71,6 +75,10 @@
         self._budget = memory.ByteBudget() if budget is None else budget
         self._running: dict[str, gevent.Greenlet] = {}
         self._request_ids: dict[str, str] = {}
+        # Attempts that are unknown here, in the order of their cancellations.
+        self._cancelled_early: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self._leaving = False
         self._withdrawn = False
 
@@ -92,11 +100,19 @@
         self._withdrawn = withdrawn
 
     def cancel(self, attempt: str) -> None:
-        """Cancels an attempt, if it is still in flight."""
+        """Cancels an attempt, unless it has ended.
+
+        An attempt may begin after its cancellation has arrived, for example
+        if it has to wait for the refresh after a pause.
+        """
         greenlet = self._running.get(attempt)
         if greenlet is not None:
             error = errors.AttemptCancelledError(attempt)
             greenlet.kill(error, block=False)
+            return
+        while len(self._cancelled_early) >= _MAX_CANCELLED_EARLY:
+            self._cancelled_early.popitem(last=False)
+        self._cancelled_early[attempt] = None
 
     def handle_forward(
         self, forward: messages.Forward
@@ -160,6 +176,8 @@
             self._request_ids.pop(forward.attempt, None)
 
     def _check_forward(self, forward: messages.Forward) -> None:
+        if forward.attempt in self._cancelled_early:
+            raise errors.NotRunError('the call was cancelled')
         if self._leaving:
             raise errors.NotRunError('this node is shutting down')
         if forward.incarnation != self._identity.incarnation:
--- a/jayseam/calls/tests/test_ingress.py
+++ b/jayseam/calls/tests/test_ingress.py
@@ -180,3 +180,15 @@
     gevent.sleep(0)
     harness.ingress.cancel('a-1')
     assert call.get(timeout=2.0).ran == 'unknown'
+
+
+def test_attempt_that_was_cancelled_before_it_began_does_not_run():
+    """A forwarded call may wait for a refresh while its caller leaves."""
+    harness = _Harness()
+    harness.ingress.cancel('a-1')
+    reply = harness.ingress.handle_forward(_forward())
+    assert reply.ran == 'no' and not harness.ran
+    # What is remembered is bounded.
+    for number in range(2000):
+        harness.ingress.cancel(f'b-{number}')
+    assert harness.ingress.handle_forward(_forward()).status == 200
