Translate a configuration again after an unexpected error

The inputs of a translation counted as done before it had ended, so that after an unexpected error the same configuration was neither translated again nor confirmed, and calls that need a key would have been refused until the next version. Now the next read of the store translates it again.

The test of such an error asks for both.

--- a/jayseam/platform/mirrors.py
+++ b/jayseam/platform/mirrors.py
@@ -270,9 +270,6 @@
         inputs = (mirror.era, item, evacuated)
         if self._last_inputs.get('preset') == inputs:
             return self._last_inputs['is_current']
-        self._last_inputs['preset'] = inputs
-        # Also stands if an error ends this method.
-        self._last_inputs['is_current'] = False
         try:
             translated = configurations.decode_configuration(
                 item.value, self._deployment_facts.regions, evacuated
@@ -281,7 +278,9 @@
             is_current = self._apply_configuration(translated, item, mirror)
         except errors.ValueFormatError as error:
             self._log_invalid_value(item, mirror.era, error)
-            return False
+            is_current = False
+        # After any other error, the next read translates the same inputs again.
+        self._last_inputs['preset'] = inputs
         self._last_inputs['is_current'] = is_current
         return is_current
 
--- a/jayseam/platform/tests/test_translation.py
+++ b/jayseam/platform/tests/test_translation.py
@@ -263,7 +263,10 @@
 
 
 def test_error_in_a_translation_ends_the_confirmation(monkeypatch):
-    """What was in force before an unexpected error must not be confirmed."""
+    """What was in force before an unexpected error must not be confirmed.
+
+    The next read must use the configuration if it can.
+    """
     translator = mirrors.Translator(DEPLOYMENT_FACTS)
     sound = _encode(samples.build_configuration())
     before = translator.translate(_build_mirror(5, **{'op/config': sound}))
@@ -274,6 +277,7 @@
             translator.translate(mirror)
     after = translator.translate(mirror)
     assert not after['keys'].confirms(before['keys'].version)
+    assert after['keys'].confirms(after['keys'].version)
 
 
 @pytest.mark.parametrize(
