Go on with the VM list if a configuration can't be translated, and the reverse

An unexpected error in the translation of one value ended the whole translation: since the configuration is tried again at each read, no entry of a server would have been followed until it changed. Before, the second read passed over the failed value and confirmed what it should have replaced.

Each step now fails on its own: its channels keep what is in force, unconfirmed, the other step goes on, and each read tries again. The error is logged once (`platform.translation_crashed`).

Both cases of the test failed before.

--- a/jayseam/platform/mirrors.py
+++ b/jayseam/platform/mirrors.py
@@ -219,38 +219,47 @@
         # Services of the configuration that was translated last.
         self._services: frozenset[str] = frozenset()
         self._logged_revisions: dict[str, tuple[int, int]] = {}
+        # The last unexpected error of each step that failed.
+        self._logged_crashes: dict[str, str] = {}
 
     def translate(self, mirror: Mirror) -> Mapping[str, Channel]:
-        """Returns the channels derived from a mirror, by name.
-
-        Raises:
-          ValueFormatError: If the mirror's position is out of range.
-        """
-        if self._update_configuration(mirror):
+        """Returns the channels derived from a mirror, by name."""
+        if self._run_step(self._update_configuration, mirror):
             as_of = positions.encode_version(self._number, mirror.position)
             self._confirm_channel('preset', as_of, mirror.confirmed_at)
             self._confirm_channel('keys', as_of, mirror.confirmed_at)
         else:
             self._withdraw_confirmation('preset')
             self._withdraw_confirmation('keys')
-        servers = tuple(
-            item
-            for key, item in sorted(mirror.items.items())
-            if key.startswith(_SERVER_PREFIX)
-        )
-        position = mirror.position.encode()
-        if self._last_inputs.get('vms') != (servers, self._services):
-            vms = self._list_vms(servers, mirror.era)
-            self._update_channel(
-                'vms',
-                position,
-                documents.split_vms({'vms': vms}),
-                mirror.confirmed_at,
-            )
-            self._last_inputs['vms'] = (servers, self._services)
-        self._confirm_channel('vms', position, mirror.confirmed_at)
+        if self._run_step(self._update_vms, mirror):
+            position = mirror.position.encode()
+            self._confirm_channel('vms', position, mirror.confirmed_at)
+        else:
+            self._withdraw_confirmation('vms')
         return dict(self._channels)
 
+    def _run_step(
+        self, update: Callable[[Mirror], bool], mirror: Mirror
+    ) -> bool:
+        """Runs one step; returns whether its channels have what the store has.
+
+        An unexpected error must not keep the other step from being done. The
+        next translation tries the step again.
+        """
+        name = update.__name__
+        try:
+            is_current = update(mirror)
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            if self._logged_crashes.get(name) != repr(error):
+                self._logged_crashes[name] = repr(error)
+                _log.exception(
+                    'platform.translation_crashed',
+                    extra={'step': name, 'revision': mirror.revision},
+                )
+            return False
+        self._logged_crashes.pop(name, None)
+        return is_current
+
     def withdraw_confirmations(self) -> Mapping[str, Channel]:
         """Returns the channels as a store that lacks their content has them."""
         for name in self._channels:
@@ -279,11 +288,29 @@
         except errors.ValueFormatError as error:
             self._log_invalid_value(item, mirror.era, error)
             is_current = False
-        # After any other error, the next read translates the same inputs again.
         self._last_inputs['preset'] = inputs
         self._last_inputs['is_current'] = is_current
         return is_current
 
+    def _update_vms(self, mirror: Mirror) -> bool:
+        """Returns whether the channel has the VM list of the store."""
+        servers = tuple(
+            item
+            for key, item in sorted(mirror.items.items())
+            if key.startswith(_SERVER_PREFIX)
+        )
+        inputs = (servers, self._services)
+        if self._last_inputs.get('vms') != inputs:
+            vms = self._list_vms(servers, mirror.era)
+            self._update_channel(
+                'vms',
+                mirror.position.encode(),
+                documents.split_vms({'vms': vms}),
+                mirror.confirmed_at,
+            )
+            self._last_inputs['vms'] = inputs
+        return True
+
     def _verify(self, translated: configurations.Documents) -> None:
         """Checks that nodes will put both documents in force.
 
--- a/jayseam/platform/tests/test_translation.py
+++ b/jayseam/platform/tests/test_translation.py
@@ -262,22 +262,32 @@
             assert after[name].confirmed_at == 1.0
 
 
-def test_error_in_a_translation_ends_the_confirmation(monkeypatch):
+@pytest.mark.parametrize('step', ['split_keys', 'split_vms'])
+def test_error_in_a_translation_ends_the_confirmation(monkeypatch, step):
     """What was in force before an unexpected error must not be confirmed.
 
-    The next read must use the configuration if it can.
+    The other channels follow the store, and the next read tries again.
     """
     translator = mirrors.Translator(DEPLOYMENT_FACTS)
     sound = _encode(samples.build_configuration())
     before = translator.translate(_build_mirror(5, **{'op/config': sound}))
-    mirror = _build_mirror(9, **{'op/config': _build_withdrawal('r7')})
+    entry = _encode(samples.build_entry('10.0.0.1:8080'))
+    mirror = _build_mirror(
+        9, **{'op/config': _build_withdrawal('r7'), 'servers/i-1': entry}
+    )
+    failed = ['keys', 'preset'] if step == 'split_keys' else ['vms']
     with monkeypatch.context() as context:
-        context.setattr(documents, 'split_keys', lambda document: 1 / 0)
-        with pytest.raises(ZeroDivisionError):
-            translator.translate(mirror)
+        context.setattr(documents, step, lambda document: 1 / 0)
+        for _ in range(2):
+            broken = translator.translate(mirror)
+            for name, channel in broken.items():
+                is_failed = name in failed
+                assert (channel == before[name]) == is_failed
+                assert channel.confirms(channel.version) != is_failed
     after = translator.translate(mirror)
-    assert not after['keys'].confirms(before['keys'].version)
-    assert after['keys'].confirms(after['keys'].version)
+    for name, channel in after.items():
+        assert channel.version > before[name].version
+        assert channel.confirms(channel.version)
 
 
 @pytest.mark.parametrize(
