List the store's keys when the changes since a read are too large

The reader asked for the same changes again, and more, until the store had dropped them after 20 s; meanwhile nothing was taken or confirmed.

Like after changes that the store has dropped, the reader now lists all keys, of which a listing has only the newest values, in bounded memory.

--- a/jayseam/platform/source.py
+++ b/jayseam/platform/source.py
@@ -351,6 +351,13 @@
             _log.info(
                 'platform.history_gone', extra={'revision': mirror.revision}
             )
+        except source_errors.BodyTooLargeError as error:
+            # The same changes would come again; a listing has only the newest
+            # value of each key.
+            _log.info(
+                'platform.changes_too_large',
+                extra={'revision': mirror.revision, 'error': str(error)},
+            )
         else:
             if changes.era == mirror.era:
                 return mirrors.apply_changes(mirror, changes, wait_s)
--- a/jayseam/platform/tests/test_source.py
+++ b/jayseam/platform/tests/test_source.py
@@ -6,6 +6,7 @@
 import pytest
 
 from jayseam.core import clocks
+from jayseam.core import versionnumbers
 from jayseam.platform import errors as platform_errors
 from jayseam.platform import mirrors
 from jayseam.platform import settings
@@ -18,6 +19,8 @@
 from jayseam.standins import waits
 
 DEPLOYMENT_FACTS = mirrors.DeploymentFacts({'a': 'r', 'b': 'r'}, 8543)
+# Deadline of the platform for a change of the configuration, in seconds.
+CONFIG_APPLY_S = 2.0
 # Timeout of a read that waits for the next watch request, in seconds.
 READ_TIMEOUT_S = source.WATCH_WAIT_S + 2.0
 # Deadline of the platform for what nodes know after an outage, in seconds.
@@ -105,6 +108,31 @@
         assert reply.revision > version
 
 
+def test_versions_too_large_for_one_reply_take_effect():
+    """In a storm of large versions, the changes since a read exceed a reply.
+
+    Readers asked for the same changes again until the store had dropped them.
+    """
+    routes = [
+        samples.build_route(f'idle{number:05d}') for number in range(3400)
+    ]
+    with _run_source() as (kv_store, store_source):
+        version = store_source.read_value('channels/preset').revision
+        for number in range(3, 9):
+            kv_store.put(
+                'op/config',
+                samples.build_configuration(f'r{number}', routes),
+            )
+        reads = kv_store.reads
+        with gevent.Timeout(CONFIG_APPLY_S):
+            reply = store_source.read_value(
+                'channels/preset', version, READ_TIMEOUT_S
+            )
+        # The operators' number is the most significant part of a version.
+        assert reply.revision >= versionnumbers.combine(8, 0, 0)
+        assert kv_store.reads - reads <= 4
+
+
 @pytest.mark.parametrize(
     'fault, error_class',
     [
