Revert "Tell backend servers the time that is left when a call leaves the queue"

It mended nothing: the client of the backend server replaces the field with what is left when it writes the request (backends.messages.encode_request), as a run with real nodes showed. The test saw the field before that.

--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -257,8 +257,7 @@
         result = admission.gates.Result.FAILED
         try:
             self._recheck_validity(forward, deadline)
-            request = self._build_request(forward, deadline, clocks.read_now())
-            answer = self._backend.run(request, deadline)
+            answer = self._backend.run(self._build_request(forward), deadline)
             result = admission.gates.Result.SUCCESS
             if backends.messages.is_shed(answer, self._dialect):
                 # The answer is passed on unchanged, but it must still lower
@@ -327,20 +326,10 @@
             raise errors.NotRunError(str(error), error.retry_after_s) from error
 
     def _build_request(
-        self, forward: messages.Forward, deadline: float, now: float
+        self, forward: messages.Forward
     ) -> backends.messages.BackendRequest:
-        """Returns the request for the backend server.
-
-        The call may have waited, so the server is told what is left of its
-        time.
-        """
         service = self._read_snapshot().preset.services[forward.service]
-        timeout_field = self._dialect.timeout_ms.lower()
-        left_ms = max(1, int((deadline - now) * _MS_PER_S))
-        headers = [
-            (name, str(left_ms) if name == timeout_field else value)
-            for name, value in forward.headers
-        ]
+        headers = list(forward.headers)
         if self._dialect.instance:
             headers.append((self._dialect.instance, self._find_instance()))
         return backends.messages.BackendRequest(
