--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -21,6 +21,7 @@
 from jayseam.core import clocks
 from jayseam.core import identifiers
 from jayseam.core import logs
+from jayseam.core import versionnumbers
 from jayseam.links import errors as link_errors
 from jayseam.routing import loads
 from jayseam.routing import refusals
@@ -239,9 +240,9 @@
         """Returns the configuration versions in use and the age of the keys."""
         snapshot = self._dependencies.read_snapshot()
         return {
-            'preset_version': snapshot.preset_version,
-            'keys_version': snapshot.keys_version,
-            'vms_version': snapshot.vms_version,
+            'preset_version': versionnumbers.shorten(snapshot.preset_version),
+            'keys_version': versionnumbers.shorten(snapshot.keys_version),
+            'vms_version': versionnumbers.shorten(snapshot.vms_version),
             'keys_age_s': self._dependencies.compute_keys_age(now),
         }
 
@@ -671,8 +672,10 @@
             'service': choice.service,
             'workspace': call.caller.workspace,
             'upstream_vm': choice.vm,
-            'preset_version': call.snapshot.preset_version,
-            'vms_version': call.snapshot.vms_version,
+            'preset_version': versionnumbers.shorten(
+                call.snapshot.preset_version
+            ),
+            'vms_version': versionnumbers.shorten(call.snapshot.vms_version),
             'outcome': outcome,
             'reason': error.detail if error else '',
             'elapsed_ms': round((ended_at - started_at) * 1000),
--- a/jayseam/core/versionnumbers.py
+++ b/jayseam/core/versionnumbers.py
@@ -1,13 +1,14 @@
-"""Version numbers of channels, and their form in messages.
+"""Version numbers of channels, and the form in which they leave a process.
 
 A version number combines three counters, from the most significant one: the
 number that the operators gave to a configuration, the phase of the source, and
 its revision. It is an integer without a fixed width, so version numbers compare
 like the tuples of their counters.
 
-In messages, a version number whose counters are small has a short form of 63
-bits, which earlier releases use for all versions. Any other version number has
-a long form, which earlier releases refuse.
+In messages, logs and metrics and on status pages, a version number whose
+counters are small has a short form of 63 bits, which earlier releases use for
+all versions. Any other version number has a long form, which earlier releases
+refuse.
 """
 
 NUMBER_BITS = 128
@@ -43,7 +44,7 @@
 
 
 def shorten(version: int) -> int:
-    """Returns the form of a version number in messages.
+    """Returns the form in which a version number leaves a process.
 
     >>> shorten(combine(3, 1, 2)) == (3 << 38) + (1 << 28) + 2
     True
@@ -61,7 +62,7 @@
 
 
 def expand(form: int) -> int:
-    """Returns the version number of a form in messages.
+    """Returns the version number that has a form.
 
     >>> expand(shorten(combine(2026120501, 0, 7))) == combine(2026120501, 0, 7)
     True
--- a/jayseam/distribution/fetching.py
+++ b/jayseam/distribution/fetching.py
@@ -12,6 +12,7 @@
 from jayseam.core import errors as core_errors
 from jayseam.core import logs
 from jayseam.core import loops
+from jayseam.core import versionnumbers
 from jayseam.distribution import counters as distribution_counters
 from jayseam.distribution import offers
 from jayseam.distribution import parts as distribution_parts
@@ -183,7 +184,7 @@
             'distribution.pull_failed',
             extra={
                 'channel': self.channel,
-                'version': offer.version,
+                'version': versionnumbers.shorten(offer.version),
                 'holder': offer.holder or 'source',
                 'error': f'{type(error).__name__}: {error}',
             },
--- a/jayseam/distribution/status.py
+++ b/jayseam/distribution/status.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from jayseam.core import versionnumbers
 from jayseam.distribution import messages
 from jayseam.distribution import rejections
 from jayseam.distribution import states
@@ -32,7 +33,7 @@
         confirmed.latest is not None and confirmed.latest.version == version
     )
     return {
-        'version': version,
+        'version': versionnumbers.shorten(version),
         'digest': state.store.digest(channel),
         'unconfirmed': not (is_confirmed and memory.is_trusted(now)),
         'confirmation_age_s': confirmed.compute_age(now),
@@ -62,7 +63,7 @@
 
 def _describe_report(report: messages.Rejection) -> dict[str, Any]:
     return {
-        'version': report.version,
+        'version': versionnumbers.shorten(report.version),
         'digest': report.digest,
         'reasons': list(report.reasons),
         'n_reasons': report.n_reasons,
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-import attrs
 import gevent
 import prometheus_client
 from gevent import event
@@ -370,7 +369,7 @@
         self._counters.version.labels(version.channel).set(
             versionnumbers.shorten(version.version)
         )
-        _log.info('distribution.swapped', extra=attrs.asdict(version))
+        _log.info('distribution.swapped', extra=version.describe())
         self._notify_waiters()
         self._peers.spawn_announce(
             messages.Announce(version.channel, version.version, version.digest)
@@ -407,7 +406,7 @@
         _log.error(
             'distribution.rejected',
             extra={
-                **attrs.asdict(version),
+                **version.describe(),
                 'reasons': list(reasons[: rejections.MAX_REASONS]),
                 'n_reasons': len(reasons),
             },
@@ -475,7 +474,7 @@
         _log.error(
             'distribution.conflict',
             extra={
-                **attrs.asdict(version),
+                **version.describe(),
                 'holder': holder or 'source',
                 'held': self._state.store.digest(version.channel),
             },
--- a/jayseam/distribution/tests/test_messages.py
+++ b/jayseam/distribution/tests/test_messages.py
@@ -5,6 +5,11 @@
 from jayseam.calls import messages as call_messages
 from jayseam.core import versionnumbers
 from jayseam.distribution import messages
+from jayseam.distribution import rejections
+from jayseam.distribution import states
+from jayseam.distribution import status
+from jayseam.distribution import version_memory
+from jayseam.distribution import versions
 from jayseam.links import codecs
 from jayseam.links import errors
 from jayseam.links import messages as link_messages
@@ -30,13 +35,13 @@
 
 def build_messages(version):
     """Returns a message of each kind that carries versions."""
-    states = messages.pack_states([build_state(version)])
+    rows = messages.pack_states([build_state(version)])
     return [
         messages.Announce('keys', version, 'd7'),
         messages.Pull('keys', version, 'd6'),
         messages.Parts('keys', version, 'd7', b'm', {}, True),
-        messages.Heartbeat(states, 5, 6),
-        messages.Sync(states, 6),
+        messages.Heartbeat(rows, 5, 6),
+        messages.Sync(rows, 6),
         messages.Rejection('keys', version, 'd7', ['bad'], 1),
         build_forward(version),
     ]
@@ -52,8 +57,8 @@
         decoded, _ = link_messages.decode_body(coder.decode(data))
         assert decoded == message
         if isinstance(message, (messages.Heartbeat, messages.Sync)):
-            states = messages.unpack_states(decoded.states)
-            assert states == [build_state(version)]
+            unpacked = messages.unpack_states(decoded.states)
+            assert unpacked == [build_state(version)]
 
 
 def test_old_nodes_read_small_versions():
@@ -90,3 +95,19 @@
     for body in ([40, 0, 'keys', form, 'd7'], [44, 0, [row], 5, 6]):
         with pytest.raises(errors.MessageError):
             link_messages.decode_body(body)
+
+
+def test_operators_see_the_same_version_on_old_and_new_nodes():
+    """In a rolling stop, logs and status pages of nodes are compared."""
+    version = versions.Version('keys', SMALL, 'd7')
+    assert version.describe()['version'] == OLD_FORM
+    state = states.State(versions.VersionStore().accept('keys', SMALL, 'd7', 1))
+    described = status.describe_channel(
+        state,
+        'keys',
+        version_memory.Memory(0.0),
+        rejections.RejectionReports(),
+        0,
+        2.0,
+    )
+    assert described['version'] == OLD_FORM
--- a/jayseam/distribution/versions.py
+++ b/jayseam/distribution/versions.py
@@ -2,9 +2,12 @@
 
 import enum
 from collections.abc import Mapping, Sequence
+from typing import Any
 
 import attrs
 
+from jayseam.core import versionnumbers
+
 CHANNELS = ('preset', 'keys', 'vms')
 # Rejections of versions below the one held are dropped, so this bound is
 # reached only if the source publishes that many invalid versions in a row.
@@ -36,6 +39,15 @@
     version: int
     digest: str
 
+    def describe(self) -> dict[str, Any]:
+        """Returns the fields for a log line.
+
+        >>> Version('keys', 7, 'd7').describe()
+        {'channel': 'keys', 'version': 7, 'digest': 'd7'}
+        """
+        shown = versionnumbers.shorten(self.version)
+        return {**attrs.asdict(self), 'version': shown}
+
 
 @attrs.frozen
 class HeldVersion:
--- a/jayseam/node/status.py
+++ b/jayseam/node/status.py
@@ -9,6 +9,7 @@
 from jayseam import distribution
 from jayseam import membership
 from jayseam import settings as node_settings
+from jayseam.core import versionnumbers
 
 
 def describe_identity(
@@ -35,9 +36,9 @@
     return {
         'preset': snapshot.preset.name if snapshot.preset else None,
         'versions': {
-            'preset': snapshot.preset_version,
-            'keys': snapshot.keys_version,
-            'vms': snapshot.vms_version,
+            'preset': versionnumbers.shorten(snapshot.preset_version),
+            'keys': versionnumbers.shorten(snapshot.keys_version),
+            'vms': versionnumbers.shorten(snapshot.vms_version),
         },
         'confirmed_age_s': preset['confirmation_age_s'],
         'unconfirmed': preset['unconfirmed'],
@@ -82,7 +83,7 @@
     route = chooser.match_route(snapshot.preset, query.method, query.path)
     candidates = chooser.explain(snapshot.preset, view, route, now)
     return {
-        'preset_version': snapshot.preset_version,
+        'preset_version': versionnumbers.shorten(snapshot.preset_version),
         'workspace': query.workspace,
         'workspace_known': query.workspace in snapshot.preset.workspaces,
         'route': attrs.asdict(route),
--- a/jayseam/source/watchers.py
+++ b/jayseam/source/watchers.py
@@ -13,6 +13,7 @@
 from jayseam.core import digests
 from jayseam.core import logs
 from jayseam.core import loops
+from jayseam.core import versionnumbers
 from jayseam.presets import documents
 from jayseam.presets import errors as preset_errors
 from jayseam.presets import schemas
@@ -340,7 +341,7 @@
                 'source.returned',
                 extra={
                     'channel': self.channel,
-                    'version': update.version,
+                    'version': versionnumbers.shorten(update.version),
                     'missing': sorted(self._live_vms.difference(listed)),
                     'grace_s': grace_s,
                 },
