Let downloads be repeated as safe requests are

Cause: the platform has a third kind of route, download, whose calls may run more than once. The adapter took every kind but 'safe' for one that may run only once, so a download whose answer was lost, or whose server failed, ended as outcome unknown (502 or 504) though another server could have answered it.

Change: both kinds are repeatable; kinds that aren't known stay not repeatable.

Result: test_kind_decides_whether_calls_may_be_repeated[download-True] failed before.

--- a/jayseam/platform/configurations.py
+++ b/jayseam/platform/configurations.py
@@ -15,8 +15,9 @@
 from jayseam.presets import errors as preset_errors
 
 _MS_PER_S = 1000
-# Kind of the routes whose calls may run more than once.
-_REPEATABLE_KIND = 'safe'
+# Kinds of the routes whose calls may run more than once. The answers of
+# downloads are large.
+_REPEATABLE_KINDS = frozenset(('safe', 'download'))
 # The platform names no greatest number. Version numbers have room for more
 # digits than these.
 _VERSION = re.compile(r'r([0-9]{1,38})')
@@ -196,7 +197,7 @@
         'methods': list(presets.schemas.METHODS),
         'targets': targets,
         'open_to_all': spec.get('public', False),
-        'repeatable': spec['kind'] == _REPEATABLE_KIND,
+        'repeatable': spec['kind'] in _REPEATABLE_KINDS,
         'timeout_ms': _convert_ms(timeout_s),
         'objective_ms': _convert_ms(objective_s),
         'max_attempts': _limit(
--- a/jayseam/platform/tests/test_translation.py
+++ b/jayseam/platform/tests/test_translation.py
@@ -59,6 +59,17 @@
     assert preset.workspaces['museum'].rate_per_s == 100
 
 
+@pytest.mark.parametrize(
+    ('kind', 'repeatable'),
+    [('safe', True), ('download', True), ('unsafe', False), ('other', False)],
+)
+def test_kind_decides_whether_calls_may_be_repeated(kind, repeatable):
+    """Downloads may be repeated; calls of unknown kinds may not."""
+    route = samples.build_route('book', kind=kind)
+    preset, _ = _translate(samples.build_configuration(routes=[route]))
+    assert preset.routes['book'].repeatable == repeatable
+
+
 def test_split_traffic_keeps_its_weights():
     """A route with split traffic becomes targets with weights."""
     split = [
