Run requests that callers pipeline side by side

Cause: the server for callers read a request only when the one before it on its connection had been answered. A caller that sends several requests at once waited for the sum of their times, and the time that a request had waited was not taken off its deadline, so backend servers were handed more time than the caller had left.

A call that isn't repeatable, and all behind it, waits for its turn before it is admitted, and takes neither a token nor a permit meanwhile. An answer that closes the connection is the last one: requests that have been begun are answered first, none is begun after it, and what the caller still sends is read for up to a second, because closing with unread bytes resets the connection and can discard the last answer. Answers that wait for their turn count in the budget of bytes. A caller that leaves ends all its calls.

--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -177,6 +177,7 @@
         now: float,
         latest_end: float = math.inf,
         may_shorten: bool = True,
+        received_at: float | None = None,
     ) -> Call:
         """Admits a request; decides its route, caller and deadline.
 
@@ -188,10 +189,13 @@
             time in which a stopping node works on calls.
           may_shorten: Whether a call with a later deadline gets that one; if
             not, it is refused.
+          received_at: Time from which the caller's timeout counts, in seconds;
+            by default ``now``.
 
         Raises:
           CallError: If the request is refused.
         """
+        began = now if received_at is None else min(received_at, now)
         snapshot = self._require_snapshot()
         try:
             route = self._dependencies.chooser.match_route(
@@ -205,9 +209,9 @@
         timeout_ms = _read_timeout_ms(request, field, route.timeout_ms)
         if caller.expires_wall_ms is not None:
             timeout_ms = min(timeout_ms, caller.expires_wall_ms - wall_ms)
-        if timeout_ms <= 0:
+        deadline = began + timeout_ms / _MS_PER_S
+        if deadline <= now:
             raise errors.NotRunError('the deadline has passed')
-        deadline = now + timeout_ms / 1000
         if latest_end <= now or (deadline > latest_end and not may_shorten):
             raise errors.NotRunError('this node is shutting down')
         deadline = min(deadline, latest_end)
@@ -220,10 +224,11 @@
             route,
             caller,
             deadline,
-            caller.expires_wall_ms or wall_ms + timeout_ms,
+            caller.expires_wall_ms
+            or wall_ms + int((deadline - now) * _MS_PER_S),
             math.inf
             if self._is_nested(snapshot.preset, caller)
-            else _compute_objective(route, timeout_ms, now),
+            else _compute_objective(route, timeout_ms, began),
         )
 
     def run(self, call: Call) -> requests.CallAnswer:
@@ -236,6 +241,19 @@
             return self._run_with_retries(call)
         return self._run_at_most_once(call)
 
+    def is_repeatable(self, request: requests.CallRequest) -> bool:
+        """Returns whether the request's call may run more than once."""
+        preset = self._dependencies.read_snapshot().preset
+        if preset is None:
+            return False
+        try:
+            return self._dependencies.chooser.match_route(
+                preset, request.method, request.path, request.host
+            ).repeatable
+        except errors.CallError:
+            # The call is refused, whenever it runs.
+            return False
+
     def describe_versions(self, now: float) -> dict[str, Any]:
         """Returns the configuration versions in use and the age of the keys."""
         snapshot = self._dependencies.read_snapshot()
--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -20,6 +20,7 @@
 from jayseam.node import callers
 from jayseam.node import metrics
 from jayseam.node import pauses
+from jayseam.node import pipelines
 
 MAX_CALLS_IN_FLIGHT = 1000
 _OUTCOMES_PREFIX = '/.jayseam/outcomes/'
@@ -226,6 +227,8 @@
         request = callers.read_request(environ)
         if not request_id:
             raise errors.BadRequestError('the request has no identifier')
+        received_at = clocks.read_now()
+        self._wait_for_earlier(environ, request)
         if self._is_refused_by_stop(environ):
             raise errors.NotRunError(
                 'this node is shutting down', _STOP_RETRY_AFTER_S
@@ -242,9 +245,33 @@
             self._work_end,
             # A call with a token is nested for certain, and its caller waits.
             may_shorten=not self._draining or self._dialect.call_tokens,
+            received_at=received_at,
         )
+        exchange = environ.get(pipelines.EXCHANGE_KEY)
+        if exchange is not None:
+            exchange.is_repeatable = call.route.repeatable
         return self._run_call(environ, call, now)
 
+    def _wait_for_earlier(
+        self, environ: dict[str, Any], request: requests.CallRequest
+    ) -> None:
+        """Waits for earlier answers of a connection if the call needs it.
+
+        Raises:
+          CallerGoneError: If the caller has left meanwhile.
+        """
+        exchange = environ.get(pipelines.EXCHANGE_KEY)
+        if exchange is None or not exchange.is_follower:
+            return
+        exchange.is_repeatable = self._entry.is_repeatable(request)
+        if not exchange.must_wait():
+            return
+        handle = self._monitor.watch(environ)
+        try:
+            exchange.wait_to_run()
+        finally:
+            self._monitor.unwatch(handle)
+
     def _run_call(
         self, environ: dict[str, Any], call: call_entry.Call, now: float
     ) -> requests.CallAnswer:
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import errno
+import io
+import itertools
 import logging
 import re
 import select
@@ -21,6 +23,7 @@
 from jayseam.core import sockets
 from jayseam.core import tickers
 from jayseam.node import fields
+from jayseam.node import pipelines
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_HEADERS_BYTES = 16 * 1024
@@ -43,6 +46,10 @@
 _BODY_RETRY_AFTER_S = 1.0
 _COST_PER_PAUSE = 256 * 1024
 _PAUSE_S = 0.001
+# Longest wait for callers to close their side after an answer that closes the
+# connection, and most blocks that are read from them meanwhile.
+_LINGER_S = 1.0
+_MAX_LINGER_BLOCKS = 16
 _FORBIDDEN_CHARACTERS = re.compile('[\0\r\n]')
 _SOCKET_KEY = 'jayseam.socket'
 _HANDLER_KEY = 'jayseam.handler'
@@ -54,11 +61,144 @@
 
 
 class CallerHandler(pywsgi.WSGIHandler):
-    """Parses requests strictly, to prevent request smuggling."""
+    """Parses requests strictly, to prevent request smuggling.
+
+    The handler of a connection reads and answers one request after the other.
+    Requests that arrive meanwhile have handlers of their own, see `pipelines`.
+    """
 
     _refused = False
     # Bytes of the budget that the body of the current request holds.
     _body_bytes = 0
+    # Whether the caller has asked to close the connection.
+    _caller_closes = False
+    _exchange: pipelines.Exchange | None = None
+
+    def __init__(self, sock, address, server, pipeline=None, rfile=None):
+        if rfile is None:
+            rfile = io.BufferedReader(pipelines.SocketInput(sock))
+        super().__init__(sock, address, server, rfile)
+        if pipeline is None:
+            pipeline = pipelines.Pipeline(sock, rfile, self._read_next)
+        self._pipeline = pipeline
+
+    def handle(self) -> None:
+        """Serves the connection."""
+        try:
+            super().handle()
+        finally:
+            self._pipeline.close()
+
+    def handle_one_response(self) -> None:
+        """Answers a request, or has it answered beside earlier ones."""
+        if self._exchange is not None and self._exchange.is_follower:
+            self._pipeline.run(self._exchange, self._answer_beside)
+            return
+        self._exchange = self._pipeline.begin()
+        try:
+            self._answer()
+        finally:
+            self._pipeline.end(self._exchange, self.close_connection)
+        if self._pipeline.is_closing:
+            self.close_connection = True
+            if not self._caller_closes:
+                self._linger()
+
+    def _answer(self) -> None:
+        self.environ[pipelines.EXCHANGE_KEY] = self._exchange
+        if not self.content_length and not self._is_chunked():
+            self._exchange.finish_input()
+        super().handle_one_response()
+
+    def _answer_beside(self) -> bool:
+        self._answer()
+        return self.close_connection
+
+    def _is_chunked(self) -> bool:
+        return self.headers.get('Transfer-Encoding') is not None
+
+    def finish_input(self) -> None:
+        """Lets the requests behind this one be read, as its body is read.
+
+        The end of a chunked body is found only when the answer is written.
+        """
+        if not self._is_chunked():
+            self._exchange.finish_input()
+
+    def _read_next(self, exchange: pipelines.Exchange) -> bool:
+        """Reads a request behind unanswered ones and begins it.
+
+        Returns:
+          Whether another request may follow.
+        """
+        handler = type(self)(
+            self.socket,
+            self.client_address,
+            self.server,
+            self._pipeline,
+            self.rfile,
+        )
+        handler._exchange = exchange
+        result = handler.handle_one_request()
+        if isinstance(result, tuple):
+            _, answer = result
+            self._pipeline.run(exchange, lambda: handler.send_refusal(answer))
+            return False
+        return result is True
+
+    def send_refusal(self, answer: bytes) -> bool:
+        """Sends the answer to a malformed request when its turn comes.
+
+        Returns:
+          True, as the connection ends with it.
+        """
+        with contextlib.suppress(OSError):
+            self._exchange.wait_for_turn()
+            self.socket.sendall(answer)
+        return True
+
+    def finalize_headers(self) -> None:
+        """Waits for the answer's turn and decides on its connection."""
+        if self._exchange.is_follower:
+            self._wait_for_turn()
+        is_last = self._exchange.settle_closing(self.close_connection)
+        if is_last or self.close_connection:
+            self.response_headers = [
+                pair
+                for pair in self.response_headers
+                if pair[0].lower() != b'connection'
+            ]
+        if is_last:
+            self.response_headers.append((b'Connection', b'close'))
+        self.close_connection = is_last
+        super().finalize_headers()
+
+    def _wait_for_turn(self) -> None:
+        """Waits until earlier answers are written; holds memory meanwhile."""
+        size = sum(len(block) for block in self.result or ())
+        holding = memory.Holding(memory.READING, self._end_output)
+        if not self.server.budget.extend(holding, size):
+            self._end_output()
+            raise BrokenPipeError(errno.EPIPE, 'too many answers in progress')
+        try:
+            self._exchange.wait_for_turn()
+        finally:
+            self.server.budget.release(holding)
+
+    def _linger(self) -> None:
+        """Reads what a caller still sends after the last answer.
+
+        Closing a socket with unread bytes, or before bytes arrive, resets the
+        connection, and the caller could lose the answer.
+
+        References:
+          RFC 9112, section 9.6.
+        """
+        with contextlib.suppress(OSError), gevent.Timeout(_LINGER_S, False):
+            self.socket.shutdown(socket.SHUT_WR)
+            for _ in range(_MAX_LINGER_BLOCKS):
+                if not self.socket.recv(_BLOCK_BYTES):
+                    break
 
     def hold_body(self, n_bytes: int) -> None:
         """Takes memory for the body of a request, until it is answered.
@@ -110,6 +250,9 @@
 
     def read_requestline(self) -> str:
         """Reads the request line; returns '' at the end of the connection."""
+        if self._exchange is not None and self._exchange.is_follower:
+            # The connection isn't idle.
+            return super().read_requestline()
         self.server.idle_handlers.add(self)
         try:
             line = super().read_requestline()
@@ -151,9 +294,11 @@
         """Reads the header fields within about `_READ_TIMEOUT_S`."""
         self.server.header_read_starts[self] = clocks.read_now()
         try:
-            return super().read_request(raw_requestline)
+            is_valid = super().read_request(raw_requestline)
         finally:
             del self.server.header_read_starts[self]
+        self._caller_closes = self.close_connection
+        return is_valid
 
     def close_input(self) -> None:
         """Ends the input, so that reading the header fields fails."""
@@ -405,6 +550,7 @@
         if length <= _UNCOUNTED_BYTES:
             environ[_HANDLER_KEY].hold_body(length)
         body = _read_body(stream, length)
+        environ[_HANDLER_KEY].finish_input()
     path, _, query = environ[_TARGET_KEY].partition('?')
     return requests.CallRequest(
         environ['REQUEST_METHOD'],
@@ -443,7 +589,10 @@
     """
 
     def __init__(self):
-        self._greenlets_by_fd: dict[int, gevent.Greenlet] = {}
+        # File descriptor and greenlet by handle; a connection may have several
+        # calls.
+        self._watched: dict[int, tuple[int, gevent.Greenlet]] = {}
+        self._handles = itertools.count()
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -461,27 +610,29 @@
         Returns:
           A handle for `unwatch`.
         """
-        handle = environ[_SOCKET_KEY].fileno()
-        self._greenlets_by_fd[handle] = gevent.getcurrent()
+        handle = next(self._handles)
+        descriptor = environ[_SOCKET_KEY].fileno()
+        self._watched[handle] = descriptor, gevent.getcurrent()
         return handle
 
     def unwatch(self, handle: int) -> None:
         """Stops watching a caller's connection."""
-        self._greenlets_by_fd.pop(handle, None)
+        self._watched.pop(handle, None)
 
     def _run(self) -> None:
         while True:
             tickers.sleep_until_tick(_DISCONNECT_POLL_S)
-            if self._greenlets_by_fd:
+            if self._watched:
                 self._interrupt_disconnected()
 
     def _interrupt_disconnected(self) -> None:
         poller = select.poll()
-        for handle in self._greenlets_by_fd:
-            poller.register(handle, _DISCONNECT_EVENTS)
-        for handle, _ in poller.poll(0):
-            greenlet = self._greenlets_by_fd.pop(handle, None)
-            if greenlet is not None:
+        for descriptor, _ in self._watched.values():
+            poller.register(descriptor, _DISCONNECT_EVENTS)
+        ended = {descriptor for descriptor, _ in poller.poll(0)}
+        for handle, (descriptor, greenlet) in list(self._watched.items()):
+            if descriptor in ended:
+                del self._watched[handle]
                 greenlet.kill(
                     errors.CallerGoneError('the caller disconnected'),
                     block=False,
--- a/jayseam/node/tests/test_application.py
+++ b/jayseam/node/tests/test_application.py
@@ -48,8 +48,10 @@
         self.answer = _ANSWER
         self.may_answer = event.Event()
 
-    def admit_request(self, request, request_id, now, latest_end, may_shorten):
-        del request, request_id, now
+    def admit_request(
+        self, request, request_id, now, latest_end, may_shorten, received_at
+    ):
+        del request, request_id, now, received_at
         self.latest_ends.append(latest_end)
         self.may_shorten = may_shorten
         return _Call()
@@ -113,6 +115,9 @@
     def hold_body(self, n_bytes):
         """Grants the memory."""
 
+    def finish_input(self):
+        """Has no requests behind this one."""
+
 
 class _SlowBody(io.BytesIO):
     """A body whose sender pauses before its end."""
