End a fresh node's watch of the store with its first read

Cause: the watch of the store went on for 6.5 s after the last read, also at nodes that read it only once, to find their peers. When a whole fleet starts, entries of servers change all the time, so each of these nodes read the store again up to three times a second and translated what it had read.

Change: a source is told that its node is no reader, and then keeps no watch without a waiting read.

--- a/jayseam/distribution/reading.py
+++ b/jayseam/distribution/reading.py
@@ -98,8 +98,7 @@
         rank = exchange.rank_reader(
             self._vm, self._zone, live_vms, self._options.readers_per_zone
         )
-        if rank is not None:
-            self._client.set_reader_rank(rank)
+        self._client.set_reader_rank(rank)
         if rank is not None and not self._watchers:
             _log.info('distribution.reader_started')
             self._watchers = [self._build_watcher(c) for c in versions.CHANNELS]
--- a/jayseam/platform/source.py
+++ b/jayseam/platform/source.py
@@ -37,7 +37,8 @@
 # after an outage.
 RETRY_CAP_S = 0.2
 RETRY_MAX_CAP_S = 1.0
-# The watch of the store ends when no read has waited for this long, in seconds.
+# The watch of a reader ends when no read has waited for this long, in seconds.
+# Other nodes read the store once, so their watch ends with the read.
 IDLE_TIMEOUT_S = 5.0
 # Timeout of a read that allows a shorter wait, in seconds. It may be this long
 # because the reader's greenlet has nothing else to do during an outage.
@@ -111,6 +112,7 @@
         self._is_unavailable = False
         self._watch_wait_s = WATCH_WAIT_S
         self._read_interval_s = READ_INTERVAL_S
+        self._is_reader = False
 
     @property
     def url(self) -> str:
@@ -122,13 +124,15 @@
         """Zero, as reads wait for the next refresh of the mirror."""
         return 0.0
 
-    def set_reader_rank(self, rank: int) -> None:
+    def set_reader_rank(self, rank: int | None) -> None:
         """Sets how often the store is read.
 
         Args:
-          rank: Rank among the readers of the zone, zero for the first.
+          rank: Rank among the readers of the zone, zero for the first; None for
+            a node that is no reader.
         """
-        is_standby = rank > 0
+        self._is_reader = rank is not None
+        is_standby = bool(rank)
         self._watch_wait_s = (
             STANDBY_WATCH_WAIT_S if is_standby else WATCH_WAIT_S
         )
@@ -262,10 +266,10 @@
 
     def _is_wanted(self, now: float) -> bool:
         """Returns whether a read is waiting or one ended a short time ago."""
+        if self._waiting_reads:
+            return True
         idle_s = now - self._last_read_at
-        return self._waiting_reads > 0 or (
-            idle_s < IDLE_TIMEOUT_S + self._watch_wait_s
-        )
+        return self._is_reader and idle_s < IDLE_TIMEOUT_S + self._watch_wait_s
 
     def _refresh_while_read(self) -> None:
         while self._is_wanted(clocks.read_now()):
--- a/jayseam/platform/tests/test_source.py
+++ b/jayseam/platform/tests/test_source.py
@@ -52,6 +52,7 @@
         store_source = source.StoreSource(
             client, DEPLOYMENT_FACTS, settings.RESTORE_HOLD_S, lease_s
         )
+        store_source.set_reader_rank(0)
         try:
             yield kv_store, store_source
         finally:
@@ -108,6 +109,36 @@
         assert reply.revision > version
 
 
+@pytest.mark.parametrize('channel', ['channels/preset', 'vms'])
+def test_node_that_is_no_reader_reads_the_store_once(channel):
+    """A fresh node reads the store to find its peers, and then follows them.
+
+    When a whole fleet starts, entries change many times a second; nodes that
+    weren't readers went on reading them for seconds.
+    """
+    with _run_source() as (kv_store, store_source):
+        store_source.set_reader_rank(None)
+        for key in ('channels/preset', 'channels/keys'):
+            assert store_source.read_value(key).body is not None
+        assert store_source.read_vms().body is not None
+        for number in range(30):
+            kv_store.put(
+                f'servers/i-{number}', samples.build_entry('10.0.0.1:1')
+            )
+            gevent.sleep(0.05)
+        assert kv_store.reads == 1
+        # Becoming a reader later must find the changes.
+        kv_store.put('op/config', samples.build_configuration('r9'))
+        store_source.set_reader_rank(0)
+        read = (
+            store_source.read_vms
+            if channel == 'vms'
+            else lambda **kwargs: store_source.read_value(channel, **kwargs)
+        )
+        reply = read(after_revision=1, wait_s=READ_TIMEOUT_S)
+        assert reply.body is not None
+
+
 def test_versions_too_large_for_one_reply_take_effect():
     """In a storm of large versions, the changes since a read exceed a reply.
 
--- a/jayseam/source/client.py
+++ b/jayseam/source/client.py
@@ -56,8 +56,11 @@
         itself makes readers wait.
         """
 
-    def set_reader_rank(self, rank: int) -> None:
-        """Sets this node's rank among the readers of its zone, from zero."""
+    def set_reader_rank(self, rank: int | None) -> None:
+        """Sets this node's rank among the readers of its zone, from zero.
+
+        A node that is no reader has the rank None.
+        """
 
     def read_value(
         self, key: str, after_revision: int | None = None, wait_s: float = 0.0
@@ -115,7 +118,7 @@
         """Least seconds between two reads of a channel that bring no news."""
         return MIN_READ_INTERVAL_S
 
-    def set_reader_rank(self, rank: int) -> None:
+    def set_reader_rank(self, rank: int | None) -> None:
         """Does nothing, because all readers may watch this source alike."""
 
     def read_value(
