Announce versions to a whole zone only as its carrier

Cause: each node that put a version in force announced it to each other node of its zone, so announcements grew with the square of a zone's size: 39 times 38 for each channel of each version at 39 VMs a zone.

Change: a node announces to its neighbours. The readers of the store, and nodes that got the version from another zone, also announce it to their whole zone. Heartbeats go on repairing what is lost.

--- a/jayseam/distribution/fetching.py
+++ b/jayseam/distribution/fetching.py
@@ -43,11 +43,13 @@
       version: The version.
       value: The preset, key set or VM list.
       held: Parts of the version, for the part cache.
+      holder: VM from which it was fetched, or `offers.SOURCE`.
     """
 
     version: versions.Version
     value: Any
     held: distribution_parts.HeldParts
+    holder: str = offers.SOURCE
 
 
 @attrs.frozen
@@ -201,15 +203,15 @@
         except pulling.MovedOnError as error:
             self.add(error.offer)
             raise
-        self._verify_and_deliver(version, manifest)
+        self._verify_and_deliver(version, manifest, offer.holder)
 
     def _verify_and_deliver(
-        self, version: versions.Version, manifest: bytes
+        self, version: versions.Version, manifest: bytes, holder: str
     ) -> None:
         """Verifies and delivers a version of which no part is missing."""
         started_at = clocks.read_now()
         try:
-            result = self._verify(version, manifest)
+            result = self._verify(version, manifest, holder)
         except preset_errors.PartsIncompleteError:
             # Pulled parts are checked on arrival, so only a bundle can lack
             # parts or contain wrong ones. Its parts must not be used again.
@@ -221,7 +223,7 @@
         self._deliver(result)
 
     def _verify(
-        self, version: versions.Version, manifest: bytes
+        self, version: versions.Version, manifest: bytes, holder: str
     ) -> VerifiedVersion | InvalidVersion:
         pauser = Pauser()
         cache = self._get_cache()
@@ -236,7 +238,7 @@
         held = distribution_parts.build_held_parts(
             manifest, contents, cache, pauser
         )
-        return VerifiedVersion(version, value, held)
+        return VerifiedVersion(version, value, held, holder)
 
     def _collect_parts(self, manifest, cache, pauser) -> dict[str, bytes]:
         """Returns the pulled parts and the needed parts of the cache."""
--- a/jayseam/distribution/peers.py
+++ b/jayseam/distribution/peers.py
@@ -39,13 +39,17 @@
         """Sends to all open links without blocking."""
         gevent.spawn(_send_best_effort, self.broadcast, message)
 
-    def spawn_announce(self, message: Any) -> None:
-        """Sends to the own zone and the neighbours without blocking.
+    def spawn_announce(self, message: Any, is_carrier: bool) -> None:
+        """Sends to the neighbours, and as a carrier to the own zone.
 
-        Neighbours in other zones announce the version in their own zone, so
-        that an announcement doesn't cross zones once for each pair of nodes.
+        Doesn't block. The carriers of a zone are its readers and the nodes that
+        got the version from another zone. If all others announced to their zone
+        too, announcements would grow with the square of its size.
         """
-        for vm in {*self.list_live_in_zone(), *self.list_neighbours()}:
+        vms = set(self.list_neighbours())
+        if is_carrier:
+            vms.update(self.list_live_in_zone())
+        for vm in vms:
             self.spawn_notify(vm, message)
 
     def spawn_notify(self, vm: str, message: Any) -> None:
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -372,10 +372,23 @@
         _log.info('distribution.swapped', extra=version.describe())
         self._notify_waiters()
         self._peers.spawn_announce(
-            messages.Announce(version.channel, version.version, version.digest)
+            messages.Announce(version.channel, version.version, version.digest),
+            self._is_carrier(verified.holder),
         )
         self._notify_subscribers(version.channel)
 
+    def _is_carrier(self, holder: str) -> bool:
+        """Returns whether this node tells its whole zone of a version.
+
+        Args:
+          holder: VM from which the version was fetched, or `offers.SOURCE`.
+        """
+        if self.is_reader:
+            return True
+        if holder == offers.SOURCE:
+            return False
+        return holder not in set(self._peers.list_live_in_zone())
+
     def _notify_waiters(self) -> None:
         """Wakes the greenlets that wait for a swap or a rejection."""
         self._changed.set()
--- a/jayseam/distribution/tests/test_task.py
+++ b/jayseam/distribution/tests/test_task.py
@@ -119,6 +119,55 @@
     fakes.wait_until(lambda: _all_hold(nodes, 7), 1.5)
 
 
+def _list_ring_neighbours(names, vm):
+    """Returns the two VMs that follow one on a ring."""
+    index = names.index(vm)
+    return [names[(index + step) % len(names)] for step in (1, 2)]
+
+
+@pytest.mark.parametrize('is_cut', [False, True])
+def test_announcements_grow_with_the_size_of_a_zone_only(net, source, is_cut):
+    """Each node announced each version to each other node of its zone.
+
+    Versions must still arrive at once, also in a zone that can't read.
+    """
+    names = [f'a{i:02}' for i in range(24)]
+    nodes = [
+        net.add(
+            vm,
+            None if is_cut else source,
+            zone='a',
+            list_neighbours=functools.partial(
+                _list_ring_neighbours, ['b1', *names], vm
+            ),
+        )
+        for vm in names
+    ]
+    nodes.append(
+        net.add('b1', source, zone='b', list_neighbours=lambda: names[:2])
+    )
+    for node in nodes:
+        node.start()
+    fakes.wait_until(lambda: _all_hold(nodes, 1))
+    fakes.wait_until(lambda: any(n.is_reader for n in nodes))
+    gevent.sleep(1.0)
+    announced = []
+
+    def record_announcement(sender, receiver, message):
+        if isinstance(message, messages.Announce):
+            announced.append((sender, receiver))
+        return message
+
+    net.tamper = record_announcement
+    began = clocks.read_now()
+    source.publish('preset', 7, _split('peak'))
+    fakes.wait_until(lambda: _all_hold(nodes, 7))
+    assert clocks.read_now() - began < 1.0
+    # Each node tells two neighbours, a few carriers tell all; once more for
+    # nodes whose heartbeats show that they are behind.
+    assert len(announced) <= 6 * len(nodes)
+
+
 def test_invalid_version_is_rejected_once_and_nowhere_in_force(net, source):
     """An invalid version must be reported and leave the old one in force."""
     nodes = _start(net, source)
