Sum up the spending of large zones at hubs

Cause: with replicated limits each node reported what it had spent to each member of its zone and to a relay in each other zone, every 0.4 s. In a zone of 39 that is 42 messages, so the fleet's messages grew with the square of a zone's size: over 20,000 a second for 195 nodes.

Change: in zones of more than 8 members, members report to three hubs. Each hub sends each member the sum of what all others have spent, and the hubs of other zones the sum of its own. A receiver counts the first hub that is settled and not silent, and follows the others without counting, so that it goes on with one of them at once. Hubs name the positions that they don't hear. Smaller zones work as before. In messages nothing changes its form: builds without hubs take the marked names among the zones for zones that don't exist, and count a hub's sum as its own spending, which is at worst counted twice while a large fleet is being upgraded.

If all hubs of a zone end at the same moment, its members learn it after 0.9 s.

--- a/jayseam/limits/replicas.py
+++ b/jayseam/limits/replicas.py
@@ -11,8 +11,10 @@
 
 A node sends its reports to the members of its own availability zone and to one
 relay in each other zone. The relay adds up the reports of other zones and
-reports the sums to its own zone. The number of messages grows with the size of
-a zone and the number of zones, not with the size of the fleet.
+reports the sums to its own zone. Members of a large zone report to two hubs
+instead, see `hubs`, which also report the sum of their zone to the other zones.
+So the number of messages of a member is bounded, and that of a hub grows with
+the size of its zone and the number of zones.
 
 Members that a node does not hear from may still spend tokens, so the node
 leaves them the part of rate and burst that belongs to their positions. The
@@ -27,20 +29,21 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-import attrs
-
 from jayseam.core import rendezvous
 from jayseam.limits import cells
 from jayseam.limits import errors
+from jayseam.limits import hubs
 from jayseam.limits import messages
+from jayseam.limits import spending
 from jayseam.limits import strategies
 from jayseam.limits import token_caches
 
 # Periods of the reports on workspaces near their limit, and on all workspaces.
 NEAR_LIMIT_PERIOD_S = 0.15
 FULL_PERIOD_S = 0.4
-# A workspace is near its limit below this fraction of its burst.
-NEAR_LIMIT_PART = 0.5
+# The shorter period in zones with hubs, where what a member spends reaches
+# other zones in three reports instead of two.
+HUB_NEAR_LIMIT_PERIOD_S = 0.1
 # A member of the own zone, or another zone, is silent if nothing was heard from
 # it for this time.
 SILENCE_TIMEOUT_S = 0.9
@@ -55,6 +58,8 @@
 JOINT_START_MS = 500
 # Time after the start in which such processes are recognised.
 JOINT_START_S = 2.0
+# A hub that wasn't polled for this time was paused, and hears nobody at first.
+MAX_POLL_GAP_S = 0.5
 # The retry times of refused calls are spread over this time.
 RETRY_SPREAD_S = 0.4
 MIN_RETRY_S = 0.05
@@ -65,72 +70,6 @@
 _GOLDEN_RATIO = (math.sqrt(5.0) - 1.0) / 2.0
 
 
-@attrs.define(slots=True)
-class _Replica:
-    """This node's replica of one workspace's bucket.
-
-    Attributes:
-      rate_per_s: Tokens that accrue in one second, for the whole fleet.
-      burst: Capacity in tokens, for the whole fleet.
-      level: Tokens that can be spent; negative after an excess.
-      updated: Time to which accrual has been counted, in seconds.
-      spent: Tokens spent at this node since it started.
-      relayed: Tokens spent in other zones that this node relays.
-      reported: The values of `spent` and `relayed` in the last report.
-    """
-
-    rate_per_s: float
-    burst: float
-    level: float
-    updated: float
-    spent: float = 0.0
-    relayed: float = 0.0
-    reported: tuple[float, float] = (0.0, 0.0)
-
-    def refill(self, part: float, now: float) -> None:
-        """Adds the accrual for a fraction of the fleet."""
-        elapsed_s = max(0.0, now - self.updated)
-        self.updated = max(now, self.updated)
-        accrued = self.level + elapsed_s * self.rate_per_s * part
-        self.level = min(self.burst * part, accrued)
-
-    def charge(self, amount: float) -> None:
-        """Deducts tokens spent elsewhere.
-
-        The level falls no lower than minus one burst, or minus one second of
-        accrual if that is more.
-        """
-        floor = -max(self.burst, self.rate_per_s)
-        self.level = max(floor, self.level - amount)
-
-    @property
-    def is_near_limit(self) -> bool:
-        """Whether the workspace is near its limit."""
-        return self.level < NEAR_LIMIT_PART * self.burst
-
-
-@attrs.define(slots=True)
-class _Sender:
-    """The last totals that a member has reported in one scope.
-
-    The scope ``own`` is spending at the member, ``relayed`` is spending in
-    other zones that it relays.
-
-    Attributes:
-      incarnation: Incarnation of the member's process.
-      totals: Tokens spent by workspace since that process started.
-      heard_at: Time of the last report, in seconds.
-      counts_from_zero: Whether the first total reported for a workspace is
-        charged. If not, it counts as spent before this node heard from the
-        member, from the part that was left to it.
-    """
-
-    incarnation: int
-    totals: dict[str, float]
-    heard_at: float
-    counts_from_zero: bool
-
-
 @strategies.registry.register('replicated')
 class ReplicatedStrategy:
     """Replicated token buckets; see the module docstring.
@@ -158,8 +97,8 @@
         self._started_at = now
         self._members: dict[str, cells.Member] = {vm: self.member}
         self._zones: dict[str, str] = {}
-        self._replicas: dict[str, _Replica] = {}
-        self._senders: dict[tuple[str, str], _Sender] = {}
+        self._replicas: dict[str, spending.Replica] = {}
+        self._senders: dict[tuple[str, str], spending.Sender] = {}
         # Times at which a zone's spending was last counted, its last report was
         # received, and a report last named a zone that this node can't reach.
         self._zone_counted_at: dict[str, float] = {}
@@ -167,9 +106,12 @@
         self._bridged_at: dict[str, float] = {}
         self._next_near_limit_at = now
         self._next_full_at = now
+        self._latest_now = now
         self._active_part = 1.0
         self._silent: frozenset[str] = frozenset()
         self._ever_heard: set[str] = set()
+        self._hubs = hubs.ZoneHubs()
+        self._hub_role = hubs.HubRole()
         self._refusals = 0
         self._leaving = False
         self._tolerance = 0.0
@@ -194,7 +136,7 @@
             burst = workspace.burst
             replica = self._replicas.get(name)
             if replica is None:
-                replicas[name] = _Replica(
+                replicas[name] = spending.Replica(
                     rate_per_s, burst, INITIAL_PART * burst, now
                 )
                 continue
@@ -217,6 +159,22 @@
             for key, sender in self._senders.items()
             if key[0] in self._members
         }
+        self._update_hubs()
+
+    def _update_hubs(self) -> None:
+        zones: dict[str, list[str]] = {}
+        for vm, member in self._members.items():
+            zones.setdefault(member.zone, []).append(vm)
+        self._hubs.update(zones)
+        self._hub_role.update(self._is_hub, self._latest_now)
+
+    @property
+    def _own_hubs(self) -> tuple[str, ...]:
+        return self._hubs.list_hubs(self.member.zone)
+
+    @property
+    def _is_hub(self) -> bool:
+        return self.member.vm in self._own_hubs
 
     # Calls.
 
@@ -264,16 +222,22 @@
 
     def poll(self, now: float) -> list[strategies.Outgoing]:
         """Returns the reports to send at ``now``."""
+        if self._is_hub and now - self._latest_now > MAX_POLL_GAP_S:
+            self._hub_role.since = now
+        self._latest_now = now
         self._update_silent(now)
         if self._leaving:
             return []
+        near_limit_period_s = (
+            HUB_NEAR_LIMIT_PERIOD_S if self._own_hubs else NEAR_LIMIT_PERIOD_S
+        )
         if now >= self._next_full_at:
             self._next_full_at = now + FULL_PERIOD_S
-            self._next_near_limit_at = now + NEAR_LIMIT_PERIOD_S
+            self._next_near_limit_at = now + near_limit_period_s
             return self._report(self._replicas, now, is_full=True)
         if now < self._next_near_limit_at:
             return []
-        self._next_near_limit_at = now + NEAR_LIMIT_PERIOD_S
+        self._next_near_limit_at = now + near_limit_period_s
         near_limit = [n for n, r in self._replicas.items() if r.is_near_limit]
         return self._report(near_limit, now, is_full=False)
 
@@ -289,40 +253,100 @@
         member = self._members.get(sender)
         if member is None:
             return
-        is_cross_zone = member.zone != self.member.zone
-        if is_cross_zone:
-            self._zone_reported_at[member.zone] = now
-            self._update_bridged(member.zone, message, now)
-            if (
-                now - self._bridged_at.get(member.zone, -math.inf)
-                <= SILENCE_TIMEOUT_S
-            ):
-                self._update_totals(sender, 'own', message, now)
-                return
-            self._zone_counted_at[member.zone] = now
-        for name, amount in self._update_totals(
-            sender, 'own', message, now
-        ).items():
-            self._charge_spent(name, amount, is_cross_zone, now)
-        if message.zones and not is_cross_zone:
-            self._zone_counted_at.update(dict.fromkeys(message.zones, now))
-            for name, amount in self._update_totals(
-                sender, 'relayed', message, now
-            ).items():
+        hearing = hubs.unpack_hearing(message.zones)
+        if member.zone != self.member.zone:
+            self._handle_cross_zone(member, message, hearing, now)
+        elif self._is_hub or not self._own_hubs:
+            self._handle_in_zone(sender, message, hearing, now)
+        else:
+            self._handle_hub_report(sender, message, hearing, now)
+
+    def _handle_cross_zone(
+        self,
+        member: cells.Member,
+        message: messages.Spent,
+        hearing: hubs.Hearing,
+        now: float,
+    ) -> None:
+        """Applies the report of a member of another zone."""
+        zone = member.zone
+        self._zone_reported_at[zone] = now
+        self._update_bridged(zone, hearing.zones, now)
+        spent = self._update_totals(member.vm, 'own', message, now)
+        bridged_at = self._bridged_at.get(zone, -math.inf)
+        if now - bridged_at <= SILENCE_TIMEOUT_S:
+            return
+        self._zone_counted_at[zone] = now
+        if member.vm in self._hubs.list_hubs(zone):
+            spent = self._hubs.get_reports(zone).receive(
+                member.vm, spent, hearing, now
+            )
+        for name, amount in spent.items():
+            self._charge_spent(name, amount, True, now)
+
+    def _handle_in_zone(
+        self,
+        sender: str,
+        message: messages.Spent,
+        hearing: hubs.Hearing,
+        now: float,
+    ) -> None:
+        """Applies a report to a hub, or in a zone without hubs."""
+        own = self._update_totals(sender, 'own', message, now)
+        for name, amount in own.items():
+            self._charge_spent(name, amount, False, now)
+        if self._is_hub:
+            self._add_zone_spending(sender, own)
+        elif hearing.zones:
+            self._zone_counted_at.update(dict.fromkeys(hearing.zones, now))
+            relayed = self._update_totals(sender, 'relayed', message, now)
+            for name, amount in relayed.items():
                 self._charge_spent(name, amount, False, now)
 
+    def _handle_hub_report(
+        self,
+        sender: str,
+        message: messages.Spent,
+        hearing: hubs.Hearing,
+        now: float,
+    ) -> None:
+        """Applies a report of a member of a zone that has hubs."""
+        spent = dict(self._update_totals(sender, 'own', message, now))
+        if sender not in self._own_hubs:
+            # It takes this node for a hub. The hubs report what it has spent.
+            return
+        relayed = self._update_totals(sender, 'relayed', message, now)
+        for name, amount in relayed.items():
+            spent[name] = spent.get(name, 0.0) + amount
+        self._zone_counted_at.update(dict.fromkeys(hearing.zones, now))
+        reports = self._hubs.get_reports(self.member.zone)
+        counted = reports.receive(sender, spent, hearing, now)
+        for name, amount in counted.items():
+            self._charge_spent(name, amount, False, now)
+
+    def _add_zone_spending(
+        self, sender: str, spent: Mapping[str, float]
+    ) -> None:
+        """Adds what a member has spent to the sums that this hub reports."""
+        for name, amount in spent.items():
+            replica = self._replicas.get(name)
+            if replica is not None and amount > 0:
+                replica.zone_spent += amount
+                self._hub_role.add(sender, name, amount)
+
     def _update_bridged(
-        self, zone: str, message: messages.Spent, now: float
+        self, zone: str, heard_zones: Iterable[str], now: float
     ) -> None:
         """Records whether a zone hears one that this node no longer reaches."""
+        heard_zones = list(heard_zones)
         unreachable = [
             heard
-            for heard in message.zones
+            for heard in heard_zones
             if now - self._zone_reported_at.get(heard, now) > SILENCE_TIMEOUT_S
         ]
         if unreachable:
             self._bridged_at[zone] = now
-        elif message.zones:
+        elif heard_zones:
             self._bridged_at.pop(zone, None)
 
     def handle_reply(self, sent: Any, reply: Any, now: float) -> None:
@@ -410,6 +434,16 @@
             return True
         if zone != self.member.zone:
             return self._zone_counted_at.get(zone, -math.inf) >= oldest
+        if self._hub_role.since > oldest:
+            # Not all members report to a new hub yet.
+            return position in self._list_positions()
+        if self._is_heard_directly(position, oldest):
+            return True
+        reports = self._hubs.get_reports(self.member.zone)
+        return reports.is_heard(position, oldest)
+
+    def _is_heard_directly(self, position: str, oldest: float) -> bool:
+        """Returns whether the member at a position has reported here."""
         return any(
             sender.heard_at >= oldest
             for (vm, _), sender in self._senders.items()
@@ -427,15 +461,17 @@
           is_full: Whether to send a report even if no total has changed, as a
             heartbeat.
         """
-        own, relayed = {}, {}
+        own, relayed, zone_changed = {}, {}, set()
         for name in names:
             replica = self._replicas[name]
-            if replica.spent != replica.reported[0]:
+            own_changed, relayed_changed, sum_changed = replica.take_changes()
+            if own_changed:
                 own[name] = replica.spent
-            if replica.relayed != replica.reported[1]:
+            if relayed_changed:
                 relayed[name] = replica.relayed
-            replica.reported = (replica.spent, replica.relayed)
-        if not (own or relayed or is_full):
+            if sum_changed:
+                zone_changed.add(name)
+        if not (own or relayed or zone_changed or is_full):
             return []
         heard = [
             zone
@@ -443,20 +479,78 @@
             if now - heard_at < FULL_PERIOD_S
             and self._reports_directly(zone, now)
         ]
+        if self._is_hub:
+            return self._report_as_hub(own, relayed, zone_changed, heard, now)
         incarnation = self.member.incarnation
+        if self._own_hubs:
+            if not (own or is_full):
+                return []
+            message = messages.Spent(incarnation, own)
+            return _address(message, self._own_hubs, now)
         in_zone = messages.Spent(incarnation, own, relayed, heard)
         cross_zone = messages.Spent(incarnation, own, {}, heard)
-        out = [
-            strategies.Outgoing(vm, in_zone, now, wants_reply=False)
+        out = _address(in_zone, self._list_zone_members(), now)
+        if own or is_full:
+            out += _address(cross_zone, self._list_relays(), now)
+        return out
+
+    def _report_as_hub(
+        self,
+        own: dict[str, float],
+        relayed: dict[str, float],
+        zone_changed: set[str],
+        heard: list[str],
+        now: float,
+    ) -> list[strategies.Outgoing]:
+        """Returns the reports of a hub to its zone and to other zones."""
+        incarnation = self.member.incarnation
+        hearing = hubs.Hearing(
+            tuple(heard),
+            frozenset(self._find_zone_silent(now)),
+            now - self._hub_role.since >= hubs.SETTLING_S,
+        )
+        names = hearing.pack()
+        sums = {
+            name: self._replicas[name].relayed + self._replicas[name].zone_spent
+            for name in zone_changed.union(relayed)
+        }
+        out = []
+        for vm in self._list_zone_members():
+            spent_by = self._hub_role.spent_by.get(vm, {})
+            others = {
+                name: total - spent_by.get(name, 0.0)
+                for name, total in sums.items()
+            }
+            message = messages.Spent(incarnation, own, others, names)
+            out += _address(message, [vm], now)
+        totals = {
+            name: self._replicas[name].spent + self._replicas[name].zone_spent
+            for name in zone_changed.union(own)
+        }
+        cross_zone = messages.Spent(incarnation, totals, {}, names)
+        return out + _address(cross_zone, self._list_relays(), now)
+
+    def _find_zone_silent(self, now: float) -> set[str]:
+        """Returns the positions of the own zone that this hub doesn't hear."""
+        oldest = now - SILENCE_TIMEOUT_S
+        return {
+            position
+            for position, zone in self._zones.items()
+            if zone == self.member.zone
+            and not self._is_heard(position, zone, oldest)
+        }
+
+    def _list_positions(self) -> set[str]:
+        """Returns the positions of all members."""
+        return {member.upstream for member in self._members.values()}
+
+    def _list_zone_members(self) -> list[str]:
+        """Returns the other members of the own zone."""
+        return [
+            vm
             for vm, member in self._members.items()
             if vm != self.member.vm and member.zone == self.member.zone
         ]
-        if own or is_full:
-            out += [
-                strategies.Outgoing(vm, cross_zone, now, wants_reply=False)
-                for vm in self._list_relays()
-            ]
-        return out
 
     def _reports_directly(self, zone: str, now: float) -> bool:
         """Returns whether a member of the zone reports to this node."""
@@ -467,12 +561,20 @@
         )
 
     def _list_relays(self) -> list[str]:
-        """Returns the member of each other zone that relays reports."""
+        """Returns the members of other zones that relay reports there.
+
+        These are the hubs of a zone; in a zone without hubs, one member.
+        """
         zones: dict[str, list[str]] = {}
         for vm, member in self._members.items():
             if member.zone != self.member.zone:
                 zones.setdefault(member.zone, []).append(vm)
-        return [rendezvous.rank(zone, vms)[0] for zone, vms in zones.items()]
+        relays = []
+        for zone, vms in zones.items():
+            relays += (
+                self._hubs.list_hubs(zone) or rendezvous.rank(zone, vms)[:1]
+            )
+        return relays
 
     def _update_totals(
         self, vm: str, scope: str, message: messages.Spent, now: float
@@ -501,8 +603,12 @@
         return spent
 
     def _create_sender(
-        self, before: _Sender | None, scope: str, incarnation: int, now: float
-    ) -> _Sender:
+        self,
+        before: spending.Sender | None,
+        scope: str,
+        incarnation: int,
+        now: float,
+    ) -> spending.Sender:
         """Returns the state of a process that reports for the first time.
 
         Args:
@@ -517,7 +623,7 @@
         if scope == 'own':
             # Relayed spending may already be known through another relay.
             counts_from_zero |= before is not None
-        return _Sender(incarnation, {}, now, counts_from_zero)
+        return spending.Sender(incarnation, {}, now, counts_from_zero)
 
     def _charge_spent(
         self, workspace: str, amount: float, must_relay: bool, now: float
@@ -529,3 +635,12 @@
         replica.charge(amount)
         if must_relay:
             replica.relayed += amount
+
+
+def _address(
+    message: messages.Spent, vms: Iterable[str], now: float
+) -> list[strategies.Outgoing]:
+    """Returns a report as messages to VMs."""
+    return [
+        strategies.Outgoing(vm, message, now, wants_reply=False) for vm in vms
+    ]
--- /dev/null
+++ b/jayseam/limits/spending.py
@@ -0,0 +1,86 @@
+"""Spent tokens of workspaces, here and as other members report them."""
+
+import attrs
+
+# A workspace is near its limit below this fraction of its burst.
+NEAR_LIMIT_PART = 0.5
+
+
+@attrs.define(slots=True)
+class Replica:
+    """This node's replica of one workspace's bucket.
+
+    Attributes:
+      rate_per_s: Tokens that accrue in one second, for the whole fleet.
+      burst: Capacity in tokens, for the whole fleet.
+      level: Tokens that can be spent; negative after an excess.
+      updated: Time to which accrual has been counted, in seconds.
+      spent: Tokens spent at this node since it started.
+      relayed: Tokens spent in other zones that this node relays.
+      zone_spent: Tokens spent by other members of the zone that this node, as
+        a hub, reports.
+      reported: The values of `spent`, `relayed` and `zone_spent` in the last
+        report.
+    """
+
+    rate_per_s: float
+    burst: float
+    level: float
+    updated: float
+    spent: float = 0.0
+    relayed: float = 0.0
+    zone_spent: float = 0.0
+    reported: tuple[float, float, float] = (0.0, 0.0, 0.0)
+
+    def refill(self, part: float, now: float) -> None:
+        """Adds the accrual for a fraction of the fleet."""
+        elapsed_s = max(0.0, now - self.updated)
+        self.updated = max(now, self.updated)
+        accrued = self.level + elapsed_s * self.rate_per_s * part
+        self.level = min(self.burst * part, accrued)
+
+    def charge(self, amount: float) -> None:
+        """Deducts tokens spent elsewhere.
+
+        The level falls no lower than minus one burst, or minus one second of
+        accrual if that is more.
+        """
+        floor = -max(self.burst, self.rate_per_s)
+        self.level = max(floor, self.level - amount)
+
+    def take_changes(self) -> tuple[bool, bool, bool]:
+        """Returns which of the reported values have changed since the last.
+
+        The values count as reported from now on.
+        """
+        current = (self.spent, self.relayed, self.zone_spent)
+        changes = tuple(a != b for a, b in zip(current, self.reported))
+        self.reported = current
+        return changes
+
+    @property
+    def is_near_limit(self) -> bool:
+        """Whether the workspace is near its limit."""
+        return self.level < NEAR_LIMIT_PART * self.burst
+
+
+@attrs.define(slots=True)
+class Sender:
+    """The last totals that a member has reported in one scope.
+
+    The scope ``own`` is spending at the member, ``relayed`` is spending of
+    others that it relays.
+
+    Attributes:
+      incarnation: Incarnation of the member's process.
+      totals: Tokens spent by workspace since that process started.
+      heard_at: Time of the last report, in seconds.
+      counts_from_zero: Whether the first total reported for a workspace is
+        charged. If not, it counts as spent before this node heard from the
+        member, from the part that was left to it.
+    """
+
+    incarnation: int
+    totals: dict[str, float]
+    heard_at: float
+    counts_from_zero: bool
--- a/jayseam/limits/tests/test_replicas.py
+++ b/jayseam/limits/tests/test_replicas.py
@@ -5,6 +5,7 @@
 import pytest
 
 from jayseam.limits import cells
+from jayseam.limits import hubs
 from jayseam.limits import messages
 from jayseam.limits import models
 from jayseam.limits import replicas
@@ -194,16 +195,113 @@
         assert node.strategy.describe(model._local_time(node))['part'] == 1.0
 
 
+@pytest.mark.parametrize('nodes', [12, 72])
 @pytest.mark.parametrize('seed', [1, 2, 3])
-def test_refuses_nobody_within_the_rate(seed):
+def test_refuses_nobody_within_the_rate(seed, nodes):
     """Workspaces within their rate are admitted from the first call on."""
-    model = models.fleets.Model(seed, 'replicated', 12, 3, LOADS)
+    model = models.fleets.Model(seed, 'replicated', nodes, 3, LOADS)
     model.schedule(1.0, lambda: model.send_load(9.0))
     model.run(10.0)
     assert not model.tallies['large'].refused
     assert not model.tallies['small'].refused
 
 
+def _find_hubs(model):
+    """Returns the hubs of the first zone of a model's fleet."""
+    zone = min(model.zones.values())
+    vms = [vm for vm, n in model.nodes.items() if n.member.zone == zone]
+    return hubs.choose_hubs(zone, vms)
+
+
+def _kill_first(model):
+    model.kill(_find_hubs(model)[0])
+
+
+def _kill_two(model):
+    for vm in _find_hubs(model)[:2]:
+        model.kill(vm)
+
+
+def _replace_first(model):
+    first = _find_hubs(model)[0]
+    position = model.nodes[first].member.upstream
+    model.kill(first)
+    model.schedule(model.now + 0.5, lambda: model.start(first, position))
+
+
+def _pause_first(model):
+    model.pause(_find_hubs(model)[0], 2.5)
+
+
+def _isolate_first(model):
+    model.isolate(_find_hubs(model)[:1])
+    model.schedule(model.now + 4.0, model.heal)
+
+
+def _isolate_half_without_hubs(model):
+    zone = min(model.zones.values())
+    vms = [vm for vm, n in model.nodes.items() if n.member.zone == zone]
+    model.isolate(sorted(set(vms) - set(_find_hubs(model)))[: len(vms) // 2])
+    model.schedule(model.now + 4.0, model.heal)
+
+
+_HUB_FAULTS = [
+    _kill_first,
+    _kill_two,
+    _replace_first,
+    _pause_first,
+    _isolate_first,
+    _isolate_half_without_hubs,
+]
+
+
+def _run_with_fault(seed, fault, nodes=72):
+    model = models.fleets.Model(seed, 'replicated', nodes, 3, LOADS)
+    for node in model.nodes.values():
+        node.strategy.set_tolerance(TOLERANCE)
+        node.strategy.set_preset(model.preset, 1, model._local_time(node))
+    end = models.scenarios.WARM_UP_S + 12.0
+    model.schedule(
+        models.scenarios.WARM_UP_S - 2.0, lambda: model.send_load(end)
+    )
+    model.run(models.scenarios.WARM_UP_S)
+    fault(model)
+    model.run(end + 1.0)
+    return model
+
+
+@pytest.mark.parametrize('fault', _HUB_FAULTS)
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_stays_within_when_hubs_fail(fault, seed):
+    """What a hub doesn't report must not be spent again."""
+    model = _run_with_fault(seed, fault)
+    for name, load in LOADS.items():
+        assert _window_excess(model.tallies[name].admitted, load) <= 0, name
+
+
+@pytest.mark.parametrize('fault', [_kill_first, _kill_two, _replace_first])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_next_hub_goes_on_at_once(fault, seed):
+    """Nobody within the rate may be refused because hubs are lost."""
+    model = _run_with_fault(seed, fault)
+    assert not model.tallies['large'].refused
+    assert not model.tallies['small'].refused
+
+
+def test_messages_of_a_member_do_not_grow_with_its_zone():
+    """In a zone of 39 each member sent 42 reports each 0.4 s."""
+    loads = {'small': models.workspaces.Load(30.0, 30.0, 15.0)}
+    model = models.fleets.Model(1, 'replicated', 195, 5, loads)
+    model.schedule(1.0, lambda: model.send_load(11.0))
+    model.run(11.0)
+    sent = sorted(node.sent / 11.0 for node in model.nodes.values())
+    # One report to each hub each 0.4 s, and as many near a limit.
+    per_period = 2 * hubs.HUBS_PER_ZONE
+    assert sent[len(sent) // 2] <= per_period / replicas.FULL_PERIOD_S
+    # Hubs send one to each member: three times 42 in a zone of 39.
+    assert sum(sent) / len(sent) <= 2 * per_period / replicas.FULL_PERIOD_S
+
+
 def test_a_fleet_that_has_just_started_has_its_tokens():
     """Members that were never heard from have spent nothing yet."""
     strategy = _build(now=100.0)
