Pass membership changes on to other zones through carriers

Cause: each node passed each change of another member on to its neighbours and followers, two of each in other zones. A change thus crossed zones about four times for each node: some 780 times in a fleet of 195, and all of 195 nodes change several times while the fleet starts.

Change: only the first four members of a zone pass on to other zones what they learn from others. A node's own changes still go over all its open links, and what is lost is still found by comparing digests.

Result: test_changes_cross_zones_through_a_few_carriers: at most 120 crossings of a change at 195 nodes; test_changes_reach_everyone_from_everywhere: within 30 hops of 50 ms from each node, also with one VM a zone.

--- a/jayseam/membership/neighbourhoods.py
+++ b/jayseam/membership/neighbourhoods.py
@@ -1,6 +1,6 @@
 """The members that a node sends heartbeats to and monitors, per view."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -17,10 +17,12 @@
       neighbours: Alive or suspect VMs to which the node sends heartbeats.
       monitored: VMs that the failure detector monitors. They include leaving
         members, so that their end is detected.
+      is_carrier: Whether the node passes changes of others on to other zones.
     """
 
     neighbours: tuple[str, ...]
     monitored: tuple[str, ...]
+    is_carrier: bool = False
 
 
 def find_neighbourhood(
@@ -32,9 +34,36 @@
         _find_eligible_neighbours(
             view, own, lambda record: record.state != 'dead'
         ),
+        topology.is_carrier(
+            own.vm,
+            own.zone,
+            (record.vm for record in view.list_live_in_zone(own.zone)),
+        ),
     )
 
 
+def list_forward_receivers(
+    view: views.View,
+    own: records.MemberRecord,
+    near: Iterable[str],
+    is_carrier: bool,
+) -> set[str]:
+    """Returns the VMs to which a node forwards changes of other members.
+
+    Args:
+      view: The view.
+      own: Record of the node.
+      near: Its neighbours and the members that send heartbeats to it.
+      is_carrier: Whether it passes changes of others on to other zones.
+    """
+    return {
+        vm
+        for vm in near
+        if is_carrier
+        or (vm in view.members and view.members[vm].zone == own.zone)
+    }
+
+
 class NeighbourhoodCache:
     """Caches the neighbourhood until the view is replaced.
 
--- a/jayseam/membership/outbox.py
+++ b/jayseam/membership/outbox.py
@@ -64,20 +64,20 @@
 
 
 def choose_records(
-    changes: Iterable[Change], vm: str, is_near: bool
+    changes: Iterable[Change], vm: str, is_forwarded_to: bool
 ) -> list[records.MemberRecord]:
     """Returns the records to send to a member, own changes first.
 
     Changes by this node are sent to all members. Changes received from others
-    are forwarded to neighbours and followers, but not to their sender.
+    are forwarded to some, but not to their sender.
 
     Args:
       changes: Contents of the outbox.
       vm: Name of the receiving VM.
-      is_near: Whether it is a neighbour or follower.
+      is_forwarded_to: Whether it gets changes of others.
     """
     own = [c.record for c in changes if c.source is None]
-    if not is_near:
+    if not is_forwarded_to:
         return own
     return own + [c.record for c in changes if c.source not in (None, vm)]
 
--- a/jayseam/membership/task.py
+++ b/jayseam/membership/task.py
@@ -251,12 +251,23 @@
 
     def _handle_flush(self, _: events.Flush) -> None:
         changes = self._outbox.flush(clocks.read_now())
-        near = self._followers.list_vms().union(self.neighbours())
+        receivers = self._list_forward_receivers()
         for vm in self._links.list_connected_vms():
-            chosen = outbox.choose_records(changes, vm, vm in near)
+            chosen = outbox.choose_records(changes, vm, vm in receivers)
             for batch in outbox.split_batches(chosen):
                 self._links.notify(vm, messages.MemberUpdate(batch))
 
+    def _list_forward_receivers(self) -> set[str]:
+        """Returns the VMs that get what this node learns from others.
+
+        These are neighbours and followers; in other zones only for a carrier.
+        """
+        near = self._followers.list_vms().union(self.neighbours())
+        is_carrier = self._find_neighbourhood().is_carrier
+        return neighbourhoods.list_forward_receivers(
+            self.view, self._own, near, is_carrier
+        )
+
     def _handle_remove_expired(self, _: events.RemoveExpired) -> None:
         expired = lists.find_expired(self.view, self._listed, clocks.read_now())
         if not expired:
--- a/jayseam/membership/tests/test_rules.py
+++ b/jayseam/membership/tests/test_rules.py
@@ -9,6 +9,7 @@
 
 from jayseam.membership import detection
 from jayseam.membership import messages
+from jayseam.membership import neighbourhoods
 from jayseam.membership import outbox
 from jayseam.membership import reconciliation
 from jayseam.membership import records
@@ -282,6 +283,62 @@
     assert outbox.choose_records(changes, 'x', True) == [own]
 
 
+def _list_receivers(n_zones, zone_size):
+    """Returns the VMs to which each node of a fleet forwards, and all zones."""
+    view = views.create_view(
+        [
+            members.create_record(f'z{zone}-{number}', zone=f'z{zone}')
+            for zone in range(n_zones)
+            for number in range(zone_size)
+        ],
+        0.0,
+    )
+    found = {
+        vm: neighbourhoods.find_neighbourhood(view, record)
+        for vm, record in view.members.items()
+    }
+    near = {vm: set(found[vm].neighbours) for vm in found}
+    for vm, neighbourhood in found.items():
+        for neighbour in neighbourhood.neighbours:
+            near[neighbour].add(vm)
+    receivers = {
+        vm: neighbourhoods.list_forward_receivers(
+            view, view.members[vm], near[vm], found[vm].is_carrier
+        )
+        for vm in found
+    }
+    return receivers, {vm: r.zone for vm, r in view.members.items()}
+
+
+def test_changes_cross_zones_through_a_few_carriers():
+    """At 195 nodes a change crossed zones some 780 times."""
+    receivers, zones = _list_receivers(5, 39)
+    crossing = [
+        (sender, vm)
+        for sender, vms in receivers.items()
+        for vm in vms
+        if zones[vm] != zones[sender]
+    ]
+    assert len({sender for sender, _ in crossing}) <= 5 * 4
+    # About two neighbours and two followers each.
+    assert len(crossing) <= 5 * 4 * 6
+    assert {zones[vm] for _, vm in crossing} == set(zones.values())
+
+
+@pytest.mark.parametrize('size', [(5, 39), (3, 4), (2, 1), (1, 9)])
+def test_changes_reach_everyone_from_everywhere(size):
+    """Within 30 hops of 50 ms each, also without any open link."""
+    receivers, _ = _list_receivers(*size)
+    for first in receivers:
+        reached, newest, hops = {first}, {first}, 0
+        while newest:
+            newest = set().union(*map(receivers.get, newest)) - reached
+            reached |= newest
+            hops += bool(newest)
+        assert reached == set(receivers)
+        assert hops * outbox.UPDATE_INTERVAL_S <= 1.5
+
+
 def test_updates_are_cut_into_messages():
     """Updates are split, because an oversize frame would close the link."""
     record = members.create_record('a')
--- a/jayseam/membership/tests/test_task.py
+++ b/jayseam/membership/tests/test_task.py
@@ -61,6 +61,21 @@
     ), 'a leaving member that ended must become dead'
 
 
+def test_changes_reach_a_large_fleet_at_once(fleet):
+    """Only carriers pass changes of others on to other zones."""
+    everyone = fleet.add_members(40, zones=2)
+    for member in everyone:
+        member.task.update_own_record(backend='cold')
+    assert members.wait_until(
+        lambda: all(
+            record.backend == 'cold'
+            for member in everyone
+            for record in member.task.view.members.values()
+        ),
+        1.5,
+    )
+
+
 @pytest.mark.parametrize('state', ['suspect', 'dead'])
 def test_member_refutes_a_wrong_state(fleet, state):
     """A running member refutes a record that says it is suspect or dead."""
--- a/jayseam/membership/topology.py
+++ b/jayseam/membership/topology.py
@@ -13,6 +13,8 @@
 
 RING_SUCCESSORS = 2
 REMOTE_NEIGHBOURS = 2
+# Members of a zone that pass other members' changes on to other zones.
+CARRIERS_PER_ZONE = 4
 
 
 def order_ring(vms: Iterable[str]) -> list[str]:
@@ -62,3 +64,21 @@
     others = {zone: vms for zone, vms in zones.items() if zone != own_zone}
     successors = find_successors(own, zones.get(own_zone, ()))
     return tuple(successors + find_remote_neighbours(own, others))
+
+
+def is_carrier(own: str, own_zone: str, vms: Iterable[str]) -> bool:
+    """Returns whether a node passes changes of others on to other zones.
+
+    If all did, each change would cross zones once for each node of the fleet.
+
+    Args:
+      own: Name of the node's VM.
+      own_zone: Its availability zone.
+      vms: Live VMs of the zone.
+
+    >>> vms = [f'vm-{i}' for i in range(9)]
+    >>> sum(is_carrier(vm, 'a', vms) for vm in vms)
+    4
+    """
+    ranked = rendezvous.rank(own_zone, {own, *vms})
+    return own in ranked[:CARRIERS_PER_ZONE]
