Skip VM lists that are replaced within 0.3 s

Cause: while a fleet starts, its VM list changes many times a second, and each of the readers, 20 in a fleet of five zones, finds another version of it at each read.

Change: a node fetches versions of the VM list at most each 0.3 s, the interval at which the first reader reads. Presets and keys are not paced, so that the two of one version don't come into force further apart.

--- a/jayseam/distribution/fetching.py
+++ b/jayseam/distribution/fetching.py
@@ -1,5 +1,6 @@
 """Fetches and verifies the versions of one channel."""
 
+import math
 import random
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -24,6 +25,10 @@
 from jayseam.source import client as source_client
 
 DEFAULT_PULL_TIMEOUT_S = 1.0
+# Least time between two fetches of a channel, in seconds. While many VMs start,
+# each reader finds another version of the VM list every few moments. Presets
+# and keys are not paced, because a version of one belongs to one of the other.
+FETCH_INTERVALS_S: Mapping[str, float] = {'vms': 0.3}
 # Verification yields to other greenlets after this time. One step of the JSON
 # parser or the compressor may take longer.
 _TIME_SLICE_S = 0.002
@@ -78,6 +83,23 @@
             self._started_at = clocks.read_now()
 
 
+def compute_pause(channel: str, fetched_at: float, now: float) -> float:
+    """Returns the seconds until the next version may be fetched.
+
+    >>> compute_pause('vms', 10.0, now=10.0)
+    0.3
+    >>> compute_pause('vms', 10.0, now=11.0), compute_pause('keys', 10.0, 10.0)
+    (0.0, 0.0)
+
+    Args:
+      channel: Name of the channel.
+      fetched_at: Time of the last successful fetch, in seconds.
+      now: Present time in seconds.
+    """
+    interval_s = FETCH_INTERVALS_S.get(channel, 0.0)
+    return max(0.0, round(fetched_at + interval_s - now, 3))
+
+
 class ChannelFetcher:
     """Fetches and verifies the greatest offered version, one at a time.
 
@@ -126,6 +148,8 @@
         )
         self._valid_items = verification.ValidItemCache()
         self._wake = event.Event()
+        # Time of the last successful fetch, in seconds.
+        self._fetched_at = -math.inf
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -149,8 +173,15 @@
     def _run(self) -> None:
         while True:
             self._offers.keep(self._is_newer)
-            offer = self._offers.choose(clocks.read_now())
+            now = clocks.read_now()
+            offer = self._offers.choose(now)
             if offer is not None:
+                if pause_s := compute_pause(
+                    self.channel, self._fetched_at, now
+                ):
+                    # What is offered meanwhile replaces the offer.
+                    gevent.sleep(pause_s)
+                    continue
                 self._try_offer(offer)
                 continue
             self._wake.wait(self._offers.compute_wait(clocks.read_now()))
@@ -176,6 +207,7 @@
         else:
             self._count_pull(offer, 'done')
             self._offers.succeed(offer)
+            self._fetched_at = clocks.read_now()
 
     def _count_pull(self, offer: offers.Offer, result: str) -> None:
         holder = 'source' if offer.holder == offers.SOURCE else 'peer'
--- a/jayseam/distribution/tests/test_task.py
+++ b/jayseam/distribution/tests/test_task.py
@@ -168,6 +168,33 @@
     assert len(announced) <= 6 * len(nodes)
 
 
+def test_vm_lists_in_quick_succession_are_skipped(net, source):
+    """While a fleet starts, its VM list changes many times a second.
+
+    Each node fetched and applied each version that a reader had found.
+    """
+    nodes = _start(net, source, 'abcdef')
+    fakes.wait_until(lambda: _all_hold(nodes, 1))
+    fakes.wait_until(lambda: any(n.is_reader for n in nodes))
+    swaps = dict.fromkeys(net.nodes, 0)
+
+    def count_swap(vm, _, channel):
+        swaps[vm] += channel == 'vms'
+
+    for vm, node in net.nodes.items():
+        node.subscribe(functools.partial(count_swap, vm))
+    began = clocks.read_now()
+    for version in range(10, 60):
+        source.set_value('vms', version, _VMS)
+        gevent.sleep(0.02)
+    elapsed_s = clocks.read_now() - began
+    fakes.wait_until(
+        lambda: all(n.snapshot.vms_version == 59 for n in nodes), 1.0
+    )
+    for vm, count in swaps.items():
+        assert count <= (elapsed_s + 1.0) / 0.3 + 1, vm
+
+
 def test_invalid_version_is_rejected_once_and_nowhere_in_force(net, source):
     """An invalid version must be reported and leave the old one in force."""
     nodes = _start(net, source)
