Refuse reports of infinite amounts of tokens

Cause: messages about spent tokens could carry an infinite amount. The difference of two such totals is no number, and a hub that adds it would report sums that aren't numbers to its whole zone from then on: one malformed message would have refused a workspace there until the hub ended.

Change: amounts are at most 1e15; a message with another one is refused as malformed, as negative ones are.

Result: test_odd_amounts_are_refused_with_their_message, with infinite amounts and 1e300 red before, in both fields.

--- a/jayseam/limits/messages.py
+++ b/jayseam/limits/messages.py
@@ -10,8 +10,13 @@
 _INT = validators.instance_of(int)
 _STR = validators.instance_of(str)
 _BOOL = validators.instance_of(bool)
+# More tokens than a workspace can spend. Sums of such amounts stay finite; one
+# infinite amount would make all later sums of a hub unusable.
+MAX_AMOUNT = 1e15
 _NUMBER = validators.and_(
-    validators.instance_of((int, float)), validators.ge(0)
+    validators.instance_of((int, float)),
+    validators.ge(0),
+    validators.le(MAX_AMOUNT),
 )
 _AMOUNTS = validators.deep_mapping(
     key_validator=_STR,
--- a/jayseam/limits/tests/test_replicas.py
+++ b/jayseam/limits/tests/test_replicas.py
@@ -1,5 +1,6 @@
 """Tests of the replicated buckets, alone and in the model."""
 
+import math
 import types
 
 import pytest
@@ -288,6 +289,14 @@
     assert not model.tallies['small'].refused
 
 
+@pytest.mark.parametrize('amount', [math.inf, -math.inf, math.nan, -1.0, 1e300])
+@pytest.mark.parametrize('field', ['own', 'relayed'])
+def test_odd_amounts_are_refused_with_their_message(amount, field):
+    """A hub would go on reporting a sum that isn't a number."""
+    with pytest.raises(ValueError):
+        messages.Spent(1, **{'own': {}, field: {'w': amount}})
+
+
 def test_messages_of_a_member_do_not_grow_with_its_zone():
     """In a zone of 39 each member sent 42 reports each 0.4 s."""
     loads = {'small': models.workspaces.Load(30.0, 30.0, 15.0)}
