Split the server for callers by subject

Change: reading of heads and bodies is in node/bodies.py, the watch for callers that leave in node/disconnects.py. Nothing but names changes; a test that reached into the monitor follows its new field.

--- a/jayseam/node/admin.py
+++ b/jayseam/node/admin.py
@@ -11,7 +11,7 @@
 
 from jayseam.calls import errors
 from jayseam.core import sockets
-from jayseam.node import callers
+from jayseam.node import bodies
 from jayseam.node import status as status_documents
 
 _JSON = 'application/json'
@@ -25,7 +25,7 @@
         environ = super().get_environ()
         stream = environ['wsgi.input']
         if stream.chunked_input or stream.content_length:
-            stream.rfile = callers.BoundedInput(stream.rfile, self)
+            stream.rfile = bodies.BoundedInput(stream.rfile, self)
             stream.rfile.close()
         return environ
 
--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -17,7 +17,8 @@
 from jayseam.core import clocks
 from jayseam.core import identifiers
 from jayseam.core import logs
-from jayseam.node import callers
+from jayseam.node import bodies
+from jayseam.node import disconnects
 from jayseam.node import metrics
 from jayseam.node import pauses
 from jayseam.node import pipelines
@@ -57,7 +58,7 @@
         self,
         entry: call_entry.Entry,
         guard: pauses.PauseGuard,
-        monitor: callers.DisconnectMonitor,
+        monitor: disconnects.DisconnectMonitor,
         is_zone_in_service: Callable[[], bool],
         has_attempts: Callable[[], bool] = lambda: False,
         dialect: dialects.Dialect = dialects.DEFAULT,
@@ -224,7 +225,7 @@
     def _process_request(
         self, environ: dict[str, Any], request_id: str
     ) -> requests.CallAnswer:
-        request = callers.read_request(environ)
+        request = bodies.read_request(environ)
         if not request_id:
             raise errors.BadRequestError('the request has no identifier')
         received_at = clocks.read_now()
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -1,61 +1,40 @@
-"""The HTTP server for callers, and the parsing of their requests."""
+"""The HTTP server for callers."""
 
 import contextlib
 import errno
 import io
-import itertools
 import logging
-import re
 import select
 import socket
-from collections.abc import Iterable
-from typing import Any, BinaryIO
+from typing import Any
 
 import gevent
 from gevent import pywsgi
 
 from jayseam.calls import errors
 from jayseam.calls import problems
-from jayseam.calls import requests
 from jayseam.core import clocks
 from jayseam.core import loops
 from jayseam.core import memory
 from jayseam.core import sockets
 from jayseam.core import tickers
+from jayseam.node import bodies
+from jayseam.node import disconnects
 from jayseam.node import fields
 from jayseam.node import pipelines
 
-MAX_BODY_BYTES = 1024 * 1024
-MAX_HEADERS_BYTES = 16 * 1024
-# Bytes of a body that are read to drop them, and bytes of chunk sizes,
-# extensions and trailers.
-MAX_INPUT_BYTES = 8 * MAX_BODY_BYTES
-MAX_FRAMING_BYTES = 1024 * 1024
-_READ_TIMEOUT_S = 10.0
+_READ_TIMEOUT_S = bodies.READ_TIMEOUT_S
 _IDLE_TIMEOUT_S = 75.0
-_DISCONNECT_POLL_S = 0.1
 _HEADER_SWEEP_INTERVAL_S = 0.5
 _CLOSE_POLL_S = 0.01
+_PAUSE_S = 0.001
 # Each accepts up to 100 connections.
 _MAX_BACKLOG_READS = 20
-_BLOCK_BYTES = 65536
-# Reading one byte by itself takes as long as reading many at once.
-_SINGLE_BYTE_COST = 16
-# Answers up to this size are written without being counted.
-_UNCOUNTED_BYTES = 16 * 1024
 _BODY_RETRY_AFTER_S = 1.0
-_COST_PER_PAUSE = 256 * 1024
-_PAUSE_S = 0.001
 # Longest wait for callers to close their side after an answer that closes the
 # connection, and most blocks that are read from them meanwhile.
 _LINGER_S = 1.0
 _MAX_LINGER_BLOCKS = 16
-_FORBIDDEN_CHARACTERS = re.compile('[\0\r\n]')
-_SOCKET_KEY = 'jayseam.socket'
-_HANDLER_KEY = 'jayseam.handler'
-# The request target as it was sent; PATH_INFO of WSGI is decoded.
-_TARGET_KEY = 'jayseam.target'
-_DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLERR | select.POLLHUP
 
 logging.getLogger('gevent.pywsgi').setLevel(logging.CRITICAL)
 
@@ -197,7 +176,7 @@
         with contextlib.suppress(OSError), gevent.Timeout(_LINGER_S, False):
             self.socket.shutdown(socket.SHUT_WR)
             for _ in range(_MAX_LINGER_BLOCKS):
-                if not self.socket.recv(_BLOCK_BYTES):
+                if not self.socket.recv(bodies.BLOCK_BYTES):
                     break
 
     def hold_body(self, n_bytes: int) -> None:
@@ -226,7 +205,7 @@
 
     def _sendall(self, data: bytes) -> None:
         """Writes data, which a caller that doesn't read it holds in memory."""
-        if len(data) <= _UNCOUNTED_BYTES:
+        if len(data) <= bodies.UNCOUNTED_BYTES:
             super()._sendall(data)
             return
         holding = memory.Holding(memory.WRITING, self._end_output)
@@ -245,7 +224,7 @@
     def MessageClass(self, *args):  # pylint: disable=invalid-name
         """Parses the header fields and refuses ambiguous framing."""
         headers = fields.read_fields(args[0])
-        check_framing(headers.items())
+        bodies.check_framing(headers.items())
         return headers
 
     def read_requestline(self) -> str:
@@ -262,7 +241,7 @@
             # Closing a socket with unread bytes resets the connection, and the
             # caller could lose the refusal.
             while line:
-                line = self.rfile.read(_BLOCK_BYTES)
+                line = self.rfile.read(bodies.BLOCK_BYTES)
             return ''
         return line
 
@@ -308,10 +287,10 @@
     def get_environ(self) -> dict[str, Any]:
         """Adds the socket, the header fields and the undecoded target."""
         environ = super().get_environ()
-        environ[_SOCKET_KEY] = self.socket
-        environ[_HANDLER_KEY] = self
-        environ['jayseam.headers'] = self.headers.items()
-        environ[_TARGET_KEY] = self.path
+        environ[disconnects.SOCKET_KEY] = self.socket
+        environ[bodies.HANDLER_KEY] = self
+        environ[bodies.HEADERS_KEY] = self.headers.items()
+        environ[bodies.TARGET_KEY] = self.path
         return environ
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
@@ -414,226 +393,3 @@
             for handler, started_at in list(self.header_read_starts.items()):
                 if started_at < oldest_start + _HEADER_SWEEP_INTERVAL_S:
                     handler.close_input()
-
-
-class BoundedInput:
-    """Reads a body, and bounds what a caller may send with it.
-
-    The server reads chunk sizes, extensions and trailers byte by byte. While
-    there is always more to read, it would let no other greenlet run.
-
-    Args:
-      stream: The input of the connection.
-      handler: Handler of the connection, which ends with an unread body.
-
-    Attributes:
-      is_kept: Whether the bytes read are kept, so that the handler has to take
-        memory for them.
-    """
-
-    def __init__(self, stream: BinaryIO, handler: pywsgi.WSGIHandler):
-        self._stream = stream
-        self._handler = handler
-        self.is_kept = False
-        self._n_bytes = 0
-        self._n_framing_bytes = 0
-        self._cost = 0
-        self._closed = False
-
-    def read(self, size: int = -1) -> bytes:
-        """Reads up to ``size`` bytes; empty at the end or beyond a bound.
-
-        Raises:
-          NotRunError: If the bytes are kept and there is no memory for them.
-        """
-        if self.is_kept and size > _BLOCK_BYTES:
-            return self._read_blocks(size)
-        if self._closed:
-            return b''
-        data = self._stream.read(size)
-        if self.is_kept:
-            self._handler.hold_body(len(data))
-        self._n_bytes += len(data)
-        self._cost += len(data)
-        if size == 1:
-            self._n_framing_bytes += 1
-            self._cost += _SINGLE_BYTE_COST
-        if (
-            self._n_bytes > MAX_INPUT_BYTES
-            or self._n_framing_bytes > MAX_FRAMING_BYTES
-        ):
-            self.close()
-        if self._cost >= _COST_PER_PAUSE:
-            self._cost = 0
-            # Timers don't fire during a sleep of no time.
-            gevent.sleep(_PAUSE_S)
-        return data
-
-    def _read_blocks(self, size: int) -> bytes:
-        """Reads block by block, so that only bytes that came are held."""
-        data = bytearray()
-        while len(data) < size:
-            block = self.read(min(_BLOCK_BYTES, size - len(data)))
-            if not block:
-                break
-            data += block
-        return bytes(data)
-
-    def close(self) -> None:
-        """Ends the input, and the connection after the answer."""
-        self._closed = True
-        self._handler.close_connection = True
-
-
-def check_framing(headers: Iterable[tuple[str, str]]) -> None:
-    """Checks that header fields determine the request's length unambiguously.
-
-    >>> check_framing([('Content-Length', '3')])
-    >>> check_framing([('Content-Length', '3'), ('content-length', '4')])
-    Traceback (most recent call last):
-    ...
-    jayseam.node.fields.FramingError: two lengths
-
-    Raises:
-      FramingError: If the request's length is ambiguous.
-      HeadersTooLargeError: If the total size of the fields is too large.
-
-    References:
-      RFC 9112, section 6.3.
-    """
-    pairs = [(name.lower(), value) for name, value in headers]
-    size = sum(len(name) + len(value) + 4 for name, value in pairs)
-    if size > MAX_HEADERS_BYTES:
-        raise errors.HeadersTooLargeError(
-            f'header fields exceed {MAX_HEADERS_BYTES} bytes'
-        )
-    lengths = [value for name, value in pairs if name == 'content-length']
-    codings = [value for name, value in pairs if name == 'transfer-encoding']
-    if len(lengths) > 1:
-        raise fields.FramingError('two lengths')
-    if lengths and codings:
-        raise fields.FramingError('a length and a transfer coding')
-    if lengths and not (lengths[0].isascii() and lengths[0].isdigit()):
-        raise fields.FramingError('a length that is not a number')
-    if len(codings) > 1 or (codings and codings[0].lower() != 'chunked'):
-        raise fields.FramingError('an unknown transfer coding')
-    if any(_FORBIDDEN_CHARACTERS.search(value) for _, value in pairs):
-        raise fields.FramingError('a folded or malformed value')
-
-
-def read_request(environ: dict[str, Any]) -> requests.CallRequest:
-    """Returns the request in a WSGI environment, with its whole body.
-
-    Raises:
-      CallError: If the body is too large, truncated or too slow.
-    """
-    headers = tuple(
-        (name.lower(), value.strip())
-        for name, value in environ['jayseam.headers']
-    )
-    length = int(environ.get('CONTENT_LENGTH') or 0)
-    is_chunked = bool(environ.get('HTTP_TRANSFER_ENCODING'))
-    stream = environ['wsgi.input']
-    if is_chunked or length > _UNCOUNTED_BYTES:
-        stream.rfile = BoundedInput(stream.rfile, environ[_HANDLER_KEY])
-    if length > MAX_BODY_BYTES:
-        raise errors.BodyTooLargeError(f'bodies end at {MAX_BODY_BYTES} bytes')
-    body = b''
-    if is_chunked:
-        try:
-            body = _read_body(stream, 0)
-        except errors.BadRequestError:
-            # Where the next request begins is unknown.
-            stream.rfile.close()
-            raise
-    elif length:
-        if length <= _UNCOUNTED_BYTES:
-            environ[_HANDLER_KEY].hold_body(length)
-        body = _read_body(stream, length)
-        environ[_HANDLER_KEY].finish_input()
-    path, _, query = environ[_TARGET_KEY].partition('?')
-    return requests.CallRequest(
-        environ['REQUEST_METHOD'],
-        path,
-        query,
-        headers,
-        body,
-    )
-
-
-def _read_body(stream: Any, length: int) -> bytes:
-    timeout_error = errors.BadRequestError('the body arrives too slowly')
-    bounded = stream.rfile if isinstance(stream.rfile, BoundedInput) else None
-    with gevent.Timeout(_READ_TIMEOUT_S, timeout_error):
-        try:
-            if bounded is not None:
-                bounded.is_kept = True
-            body = stream.read(length or MAX_BODY_BYTES + 1)
-        except OSError as error:
-            raise errors.BadRequestError('the body is malformed') from error
-        finally:
-            if bounded is not None:
-                bounded.is_kept = False
-    if len(body) > MAX_BODY_BYTES:
-        raise errors.BodyTooLargeError(f'bodies end at {MAX_BODY_BYTES} bytes')
-    if length and len(body) != length:
-        raise errors.BadRequestError('the body is shorter than its length')
-    return body
-
-
-class DisconnectMonitor:
-    """Interrupts calls whose callers have closed their connections.
-
-    Polling all connections every 100 ms costs less on the call path than a
-    watcher for each call.
-    """
-
-    def __init__(self):
-        # File descriptor and greenlet by handle; a connection may have several
-        # calls.
-        self._watched: dict[int, tuple[int, gevent.Greenlet]] = {}
-        self._handles = itertools.count()
-        self._greenlet: gevent.Greenlet | None = None
-
-    def start(self) -> None:
-        """Starts the periodic poll."""
-        self._greenlet = loops.spawn_loop(self._run)
-
-    def stop(self) -> None:
-        """Ends the periodic poll."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
-
-    def watch(self, environ: dict[str, Any]) -> int:
-        """Watches the connection of the current greenlet's caller.
-
-        Returns:
-          A handle for `unwatch`.
-        """
-        handle = next(self._handles)
-        descriptor = environ[_SOCKET_KEY].fileno()
-        self._watched[handle] = descriptor, gevent.getcurrent()
-        return handle
-
-    def unwatch(self, handle: int) -> None:
-        """Stops watching a caller's connection."""
-        self._watched.pop(handle, None)
-
-    def _run(self) -> None:
-        while True:
-            tickers.sleep_until_tick(_DISCONNECT_POLL_S)
-            if self._watched:
-                self._interrupt_disconnected()
-
-    def _interrupt_disconnected(self) -> None:
-        poller = select.poll()
-        for descriptor, _ in self._watched.values():
-            poller.register(descriptor, _DISCONNECT_EVENTS)
-        ended = {descriptor for descriptor, _ in poller.poll(0)}
-        for handle, (descriptor, greenlet) in list(self._watched.items()):
-            if descriptor in ended:
-                del self._watched[handle]
-                greenlet.kill(
-                    errors.CallerGoneError('the caller disconnected'),
-                    block=False,
-                )
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -21,7 +21,7 @@
 from jayseam.core import logs
 from jayseam.node import admin
 from jayseam.node import application
-from jayseam.node import callers
+from jayseam.node import disconnects
 from jayseam.node import lifecycles
 from jayseam.node import listeners
 from jayseam.node import localbackends
@@ -244,7 +244,7 @@
     def _build_listeners(self) -> None:
         settings = self._settings
         self._guard = pauses.PauseGuard(self._refresh_after_pause)
-        self._monitor = callers.DisconnectMonitor()
+        self._monitor = disconnects.DisconnectMonitor()
         self._application = application.CallerApplication(
             self._entry,
             self._guard,
--- a/jayseam/node/tests/test_application.py
+++ b/jayseam/node/tests/test_application.py
@@ -14,6 +14,7 @@
 from jayseam.core import clocks
 from jayseam.node import application
 from jayseam.node import callers
+from jayseam.node import disconnects
 from jayseam.node import pauses
 from jayseam.platform import dialect
 from jayseam.standins import waits
@@ -79,7 +80,7 @@
         self.application = application.CallerApplication(
             self.entry,
             pauses.PauseGuard(lambda now, paused_s: None),
-            callers.DisconnectMonitor(),
+            disconnects.DisconnectMonitor(),
             lambda: True,
             lambda: self.attempts,
             dialect.DIALECT,
--- a/jayseam/node/tests/test_callers.py
+++ b/jayseam/node/tests/test_callers.py
@@ -12,6 +12,7 @@
 from jayseam.core import clocks
 from jayseam.core import sockets
 from jayseam.node import admin
+from jayseam.node import bodies
 from jayseam.node import callers
 
 _REQUEST = b'GET /credits/1 HTTP/1.1\r\nHost: node\r\n\r\n'
@@ -19,7 +20,7 @@
 
 
 def _serve(environ, start_response):
-    callers.read_request(environ)
+    bodies.read_request(environ)
     headers = [('Content-Length', '2'), ('Connection', 'close')]
     start_response('200 OK', headers)
     return [b'ok']
@@ -198,7 +199,7 @@
 
 
 def _serve_kept(environ, start_response):
-    callers.read_request(environ)
+    bodies.read_request(environ)
     start_response('200 OK', [('Content-Length', '2')])
     return [b'ok']
 
--- a/jayseam/node/tests/test_loops.py
+++ b/jayseam/node/tests/test_loops.py
@@ -89,11 +89,11 @@
     server = node._listeners.caller_server
     slow = _SlowRequest(failing['slow requests'])
     server.header_read_starts[slow] = -callers._READ_TIMEOUT_S
-    node._monitor._greenlets_by_fd[-1] = None
+    node._monitor._watched[-1] = (-1, None)
     node.start()
     gevent.wait([f.called_again for f in failing.values()], _TIMEOUT_S)
     ended = [n for n, f in failing.items() if not f.called_again.is_set()]
-    del server.header_read_starts[slow], node._monitor._greenlets_by_fd[-1]
+    del server.header_read_starts[slow], node._monitor._watched[-1]
     monkeypatch.undo()
     assert not ended
 
--- a/jayseam/node/tests/test_memory.py
+++ b/jayseam/node/tests/test_memory.py
@@ -8,6 +8,7 @@
 
 from jayseam.calls import errors
 from jayseam.core import memory
+from jayseam.node import bodies
 from jayseam.node import callers
 from jayseam.standins import waits
 
@@ -20,7 +21,7 @@
 def _serve(environ, start_response):
     """Answers with many bytes, or with a refusal."""
     try:
-        callers.read_request(environ)
+        bodies.read_request(environ)
     except errors.CallError as error:
         start_response(f'{error.status} Refused', [('Content-Length', '2')])
         return [b'no']
--- a/jayseam/node/tests/test_pipelines.py
+++ b/jayseam/node/tests/test_pipelines.py
@@ -12,7 +12,10 @@
 
 from jayseam.calls import errors
 from jayseam.core import clocks
+from jayseam.core import memory
+from jayseam.node import bodies
 from jayseam.node import callers
+from jayseam.node import disconnects
 from jayseam.node import pipelines
 
 _TIMEOUT_S = 3.0
@@ -35,7 +38,7 @@
     """
 
     def __init__(self):
-        self.monitor = callers.DisconnectMonitor()
+        self.monitor = disconnects.DisconnectMonitor()
         self.monitor.start()
         self.begun = []
         self.gone = []
@@ -48,7 +51,7 @@
             self.ready.setdefault(path, event.Event()).set()
 
     def __call__(self, environ, start_response):
-        request = callers.read_request(environ)
+        request = bodies.read_request(environ)
         path = request.path[1:]
         exchange = environ[pipelines.EXCHANGE_KEY]
         exchange.is_repeatable = not path.startswith('once')
@@ -298,7 +301,7 @@
 
 def test_slow_caller_holds_a_bounded_number_of_bytes(server, caller):
     """Answers that wait for their turn must count as memory in use."""
-    server.budget = callers.memory.ByteBudget(500_000)
+    server.budget = memory.ByteBudget(500_000)
     server.application.release('large1', 'large2', 'large3')
     caller.sendall(
         _encode('a') + _encode('large1') + _encode('large2') + _encode('large3')
