Find silent positions in one pass over the reports

Cause: each poll, 20 times a second, searched all reports for each position of the zone: 39 times 78 comparisons in a zone of 39.

Change: the positions that were heard from are collected once a poll. Hubs and members use the same function.

Result: the tests of the strategy pass unchanged.

--- a/jayseam/limits/hubs.py
+++ b/jayseam/limits/hubs.py
@@ -152,17 +152,17 @@
             other.uncounted = {}
         return counted
 
-    def is_heard(self, position: str, oldest: float) -> bool:
-        """Returns whether the hub in use hears a position of its zone.
+    def find_silent(self, oldest: float) -> frozenset[str] | None:
+        """Returns the positions of the zone that the hub in use doesn't hear.
 
         Args:
-          position: Upstream position.
           oldest: Time of the oldest report that still counts, in seconds.
+
+        Returns:
+          The positions, or None without a hub that reported recently.
         """
         hub = self._find_used(oldest)
-        if hub is None:
-            return False
-        return position not in self._reports[hub].hearing.silent
+        return None if hub is None else self._reports[hub].hearing.silent
 
     def _find_used(self, oldest: float) -> str | None:
         """Returns the first hub that is settled and reported recently.
--- a/jayseam/limits/replicas.py
+++ b/jayseam/limits/replicas.py
@@ -417,10 +417,13 @@
 
     def _find_silent(self, now: float) -> frozenset[str]:
         """Returns the positions from which nothing was heard recently."""
-        heard = {
+        oldest = now - SILENCE_TIMEOUT_S
+        heard = self._list_heard_in_zone(oldest)
+        heard |= {
             position
             for position, zone in self._zones.items()
-            if self._is_heard(position, zone, now - SILENCE_TIMEOUT_S)
+            if zone != self.member.zone
+            and self._zone_counted_at.get(zone, -math.inf) >= oldest
         }
         self._ever_heard |= heard
         silent = frozenset(self._zones) - heard
@@ -429,26 +432,30 @@
             return silent & self._ever_heard
         return silent
 
-    def _is_heard(self, position: str, zone: str, oldest: float) -> bool:
-        if position == self.member.upstream:
-            return True
-        if zone != self.member.zone:
-            return self._zone_counted_at.get(zone, -math.inf) >= oldest
+    def _list_heard_in_zone(self, oldest: float) -> set[str]:
+        """Returns the positions of the own zone that are heard from.
+
+        Args:
+          oldest: Time of the oldest report that still counts, in seconds.
+        """
+        in_zone = {
+            position
+            for position, zone in self._zones.items()
+            if zone == self.member.zone
+        }
         if self._hub_role.since > oldest:
             # Not all members report to a new hub yet.
-            return position in self._list_positions()
-        if self._is_heard_directly(position, oldest):
-            return True
-        reports = self._hubs.get_reports(self.member.zone)
-        return reports.is_heard(position, oldest)
-
-    def _is_heard_directly(self, position: str, oldest: float) -> bool:
-        """Returns whether the member at a position has reported here."""
-        return any(
-            sender.heard_at >= oldest
+            return in_zone & {m.upstream for m in self._members.values()}
+        heard = {self.member.upstream}
+        heard |= {
+            self._members[vm].upstream
             for (vm, _), sender in self._senders.items()
-            if vm in self._members and self._members[vm].upstream == position
-        )
+            if sender.heard_at >= oldest and vm in self._members
+        }
+        silent = self._hubs.get_reports(self.member.zone).find_silent(oldest)
+        if silent is not None:
+            heard |= in_zone - silent
+        return heard & in_zone
 
     def _report(
         self, names: Iterable[str], now: float, is_full: bool
@@ -532,18 +539,13 @@
 
     def _find_zone_silent(self, now: float) -> set[str]:
         """Returns the positions of the own zone that this hub doesn't hear."""
-        oldest = now - SILENCE_TIMEOUT_S
+        heard = self._list_heard_in_zone(now - SILENCE_TIMEOUT_S)
         return {
             position
             for position, zone in self._zones.items()
-            if zone == self.member.zone
-            and not self._is_heard(position, zone, oldest)
+            if zone == self.member.zone and position not in heard
         }
 
-    def _list_positions(self) -> set[str]:
-        """Returns the positions of all members."""
-        return {member.upstream for member in self._members.values()}
-
     def _list_zone_members(self) -> list[str]:
         """Returns the other members of the own zone."""
         return [
