--- a/jayseam/limits/replicas.py
+++ b/jayseam/limits/replicas.py
@@ -392,6 +392,7 @@
         """Returns the state for the status page."""
         return {
             'part': round(self._active_part, 3),
+            'hubs': list(self._own_hubs),
             'levels': {
                 name: round(self.available(name, now), 1)
                 for name in sorted(self._replicas)
