--- a/jayseam/node/pipelines.py
+++ b/jayseam/node/pipelines.py
@@ -27,8 +27,8 @@
 from jayseam.calls import errors
 from jayseam.core import logs
 
-# Most requests of a connection that are begun and not answered. Browsers sent
-# up to six at once; a caller with more waits for its first answers.
+# Most requests of a connection that are begun and not answered. Those behind
+# them stay in the buffers of the connection until answers are written.
 MAX_UNANSWERED = 8
 # Key of a request's exchange in its WSGI environment.
 EXCHANGE_KEY = 'jayseam.exchange'
