Show that a restarting fleet can exceed a rate

Cause: processes that start together know neither what was spent before nor, for half a second, what the others spend. The model had no case in which a whole fleet restarts under overload.

Change: test_stays_within_when_the_fleet_restarts.

Result: not mended: with less to spend at first, calls within the rate would be refused at each start.

--- a/jayseam/limits/tests/test_replicas.py
+++ b/jayseam/limits/tests/test_replicas.py
@@ -1,5 +1,6 @@
 """Tests of the replicated buckets, alone and in the model."""
 
+import functools
 import math
 import types
 
@@ -280,6 +281,26 @@
         assert _window_excess(model.tallies[name].admitted, load) <= 0, name
 
 
+def _restart_all(model):
+    for vm, node in list(model.nodes.items()):
+        position = node.member.upstream
+        model.kill(vm)
+        after_s = 1.0 + model.random.uniform(0.0, 0.4)
+        model.schedule(
+            model.now + after_s,
+            functools.partial(model.start, vm, position),
+        )
+
+
+@pytest.mark.parametrize('nodes', [12, 72])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_stays_within_when_the_fleet_restarts(seed, nodes):
+    """Processes that start together must not spend what others have spent."""
+    model = _run_with_fault(seed, _restart_all, nodes)
+    for name, load in LOADS.items():
+        assert _window_excess(model.tallies[name].admitted, load) <= 0, name
+
+
 @pytest.mark.parametrize('fault', [_kill_first, _kill_two, _replace_first])
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_next_hub_goes_on_at_once(fault, seed):
