Wait for calls that may run only once at a silent peer

Cause: a link whose peer was silent for 1.5 s was closed, and with it went the replies to all calls at work there. A VM that was only paused for two seconds thus had its running work given up: callers of calls that may run only once got 504, although the answer would have come before their deadline and nobody may send them again.

Change: such calls are patient. While one that has been sent waits, a silent link stays open until its deadline; other requests on it fail at the limit as before, what was not sent is taken back, and new requests use the link that is dialled beside it. A link that goes on being silent closes then.

--- a/jayseam/links/connections.py
+++ b/jayseam/links/connections.py
@@ -142,11 +142,13 @@
       received_at: Time of the last byte, in seconds.
       waiting_since: Time since which a reply or pong is outstanding, or None.
       pinged_at: Time of the last ping, in seconds.
+      is_kept: Whether the link was kept past the limit for patient requests.
     """
 
     received_at: float
     waiting_since: float | None
     pinged_at: float
+    is_kept: bool = False
 
 
 def choose_silence_action(silence: SilenceState, now: float) -> str:
@@ -193,12 +195,13 @@
 class _PendingRequest:
     """A request that waits for its reply."""
 
-    __slots__ = ('result', 'sent', 'entry')
+    __slots__ = ('result', 'sent', 'entry', 'is_patient')
 
-    def __init__(self):
+    def __init__(self, is_patient: bool):
         self.result = event.AsyncResult()
         self.sent = False
         self.entry = None
+        self.is_patient = is_patient
 
 
 class _OutboxEntry:
@@ -297,9 +300,17 @@
         gevent.spawn(self._run, self._read)
         gevent.spawn(self._run, self._write)
 
-    def request(self, message: Any, timeout_s: float) -> Any:
+    def request(
+        self, message: Any, timeout_s: float, is_patient: bool = False
+    ) -> Any:
         """Sends a request and returns the reply, or None if it is ``Done``.
 
+        Args:
+          message: An instance of a registered message class.
+          timeout_s: Seconds until the reply.
+          is_patient: Whether to wait for the reply of a silent peer until the
+            timeout, once the request has been sent.
+
         Raises:
           NotSentError: If no byte was or will be written.
           ReplyLostError: If the request may have arrived, also on timeout.
@@ -312,7 +323,7 @@
         self._check_outbox_space(len(body), MAX_OUTBOX_BYTES)
         if not self._group.outbox_total.has_space(len(body)):
             raise errors.NotSentError('the outboxes are full')
-        pending = _PendingRequest()
+        pending = _PendingRequest(is_patient)
         self._pending[correlation] = pending
         if self._silence.waiting_since is None:
             self._silence.waiting_since = clocks.read_now()
@@ -381,13 +392,36 @@
             self._group.waiting_links.discard(self)
             return
         action = choose_silence_action(self._silence, now)
-        if action == 'close':
+        if action == 'close' and self._has_patient_requests():
+            self._fail_impatient_requests()
+        elif action == 'close':
             self.close('silent')
         elif action == 'ping':
             self._ping(now)
         elif self._silence.waiting_since is None:
             self._group.waiting_links.discard(self)
 
+    def _has_patient_requests(self) -> bool:
+        return any(p.is_patient and p.sent for p in self._pending.values())
+
+    def _fail_impatient_requests(self) -> None:
+        """Fails the requests that needn't wait for a silent peer.
+
+        The peer may only be paused and still answer the others, which nobody
+        can send again. New requests use another link meanwhile.
+        """
+        for pending in list(self._pending.values()):
+            if not pending.result.ready() and not (
+                pending.is_patient and pending.sent
+            ):
+                pending.result.set_exception(self._withdraw(pending))
+        if not self._silence.is_kept:
+            self._silence.is_kept = True
+            _log.info(
+                'link.kept_while_silent',
+                extra={'peer': self.peer.vm, 'pending': len(self._pending)},
+            )
+
     def discount_pause(self, duration_s: float, now: float) -> None:
         """Excludes a pause of this process from the silence of the peer."""
         silence = self._silence
@@ -527,6 +561,7 @@
             self._send_directly(self._encode_frame(data, None), None)
 
     def _withdraw(self, pending: _PendingRequest) -> errors.LinkError:
+        """Takes back a request if possible; returns the error for it."""
         entry = pending.entry
         if entry is not None and entry.body is not None and not pending.sent:
             # The writer assigns the frame counter when it dequeues an entry, so
--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -159,7 +159,13 @@
             and link.is_unresponsive(now)
         }
 
-    def request(self, vm: str, message: Any, timeout_s: float) -> Any:
+    def request(
+        self,
+        vm: str,
+        message: Any,
+        timeout_s: float,
+        is_patient: bool = False,
+    ) -> Any:
         """Sends a request to ``vm`` and returns the reply message or None.
 
         Dials if no link is open. A request to this node's VM runs the handler
@@ -169,6 +175,8 @@
           vm: Name of the VM.
           message: An instance of a registered message class.
           timeout_s: Seconds for dialling and the reply together.
+          is_patient: Whether to wait for the reply of a silent peer until the
+            timeout, once the request has been sent.
 
         Raises:
           NotSentError: If no byte was or will be written to a socket.
@@ -178,7 +186,7 @@
         """
         link = self._preferred.get(vm)
         if link is not None:
-            return link.request(message, timeout_s)
+            return link.request(message, timeout_s, is_patient)
         if vm == self.identity.vm:
             return self._request_locally(message, timeout_s)
         start = clocks.read_now()
@@ -188,7 +196,7 @@
             raise errors.NotSentError(
                 f'request to {vm} timed out after dialling'
             )
-        return link.request(message, remaining_s)
+        return link.request(message, remaining_s, is_patient)
 
     def notify(self, vm: str, message: Any) -> bool:
         """Sends a notification over an open link.
--- a/jayseam/links/tests/test_links.py
+++ b/jayseam/links/tests/test_links.py
@@ -202,6 +202,66 @@
         lost.get()
 
 
+def test_work_of_a_silent_peer_is_waited_for(fleet):
+    """A peer that was only paused still answers what can't be sent again.
+
+    The link was closed after 1.5 s, and the reply was lost with it.
+    """
+    a, _ = fleet.add('a'), fleet.add('b')
+    forwarder = fleet.forward('b')
+    assert request_echo(a, 'b')
+    closes = nodes.read_closes('silent')
+    forwarder.gate.clear()
+    patient = gevent.spawn(a.request, 'b', nodes.Echo(b'x'), 5.0, True)
+    impatient = gevent.spawn(a.request, 'b', nodes.Echo(b'y'), 5.0)
+    gevent.sleep(connections.SILENCE_LIMIT_S + 0.5)
+    assert not patient.ready()
+    with pytest.raises(errors.ReplyLostError):
+        impatient.get(block=False)
+    forwarder.gate.set()
+    assert patient.get(timeout=1.0).body == b'x'
+    assert nodes.read_closes('silent') == closes
+    assert request_echo(a, 'b')
+
+
+def test_silent_link_closes_after_its_patient_requests(fleet):
+    """A connection that is silent for good ends with their timeouts."""
+    a, _ = fleet.add('a'), fleet.add('b')
+    forwarder = fleet.forward('b')
+    assert request_echo(a, 'b')
+    closes = nodes.read_closes('silent')
+    forwarder.stall()
+    began = time.monotonic()
+    with pytest.raises(errors.ReplyLostError):
+        a.request('b', nodes.Echo(b'x'), 2.5, True)
+    assert 2.4 < time.monotonic() - began < 3.0
+    assert nodes.wait_until(lambda: nodes.read_closes('silent') > closes)
+    assert request_echo(a, 'b')
+
+
+def test_request_that_was_not_sent_does_not_wait_for_a_silent_peer(fleet):
+    """What certainly hasn't arrived can be sent elsewhere at once."""
+    a, _ = fleet.add('a'), fleet.add('b')
+    forwarder = fleet.forward('b')
+    assert request_echo(a, 'b')
+    forwarder.gate.clear()
+    first = gevent.spawn(a.request, 'b', nodes.Echo(b'x'), 5.0, True)
+    gevent.sleep(0.05)
+    link = a._preferred['b']
+    # Fills the buffers of the connection, so that what follows is queued.
+    filler = [
+        gevent.spawn(link.request, nodes.Echo(bytes(1_500_000)), 5.0)
+        for _ in range(5)
+    ]
+    gevent.sleep(0.05)
+    queued = gevent.spawn(link.request, nodes.Echo(b'z'), 5.0, True)
+    gevent.sleep(connections.SILENCE_LIMIT_S + 0.5)
+    assert not first.ready()
+    with pytest.raises(errors.NotSentError):
+        queued.get(block=False)
+    gevent.killall([first, *filler])
+
+
 def test_slow_peer_is_dialled_once(fleet):
     """The link of a slow peer stays open, and one alternative is dialled."""
     a, _ = fleet.add('a'), fleet.add('b')
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -602,7 +602,11 @@
     ) -> messages.Answered | messages.Refused:
         if vm == self._settings.vm:
             return self._ingress.handle_forward(forward)
-        return self._links.request(vm, forward, timeout_s)
+        # Nobody can repeat a call that may run only once, and a silent VM may
+        # only be paused.
+        return self._links.request(
+            vm, forward, timeout_s, is_patient=not forward.repeatable
+        )
 
     def _cancel(self, vm: str, attempt: str) -> None:
         if vm == self._settings.vm:
