Tell large zones of confirmations and versions through their readers

Cause: each node told four neighbours of its versions and confirmations each second, two of them in other zones, and announced each version to the same four. Keys are refused after 4.5 s.

Change: in zones of more than eight live VMs the readers tell the whole zone each second, and the first two those of the other zones. All other nodes tell neighbours of their own zone, every four seconds, and announce there only, unless they got the version from another zone. Small zones are as before.

--- a/jayseam/distribution/peers.py
+++ b/jayseam/distribution/peers.py
@@ -1,6 +1,6 @@
 """The interface through which the distribution reaches other nodes."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Any
 
 import attrs
@@ -9,6 +9,7 @@
 from jayseam.core import errors as core_errors
 from jayseam.core import logs
 from jayseam.distribution import messages
+from jayseam.distribution import spreading
 
 _SEND_FAILURES = (core_errors.JayseamError, OSError, gevent.Timeout)
 _log = logs.get_logger(__name__)
@@ -24,6 +25,7 @@
       notify: ``notify(vm, message)`` sends without waiting for a reply.
       list_neighbours: Returns the VMs that get heartbeats.
       list_live_in_zone: Returns the live VMs of the own zone.
+      list_live_elsewhere: Returns the live VMs of each other zone.
       list_seeds: Returns the VMs that a fresh node asks first; the call may
         open links.
     """
@@ -34,22 +36,25 @@
     list_neighbours: Callable[[], Iterable[str]]
     list_live_in_zone: Callable[[], Iterable[str]]
     list_seeds: Callable[[], Iterable[str]] = tuple
+    list_live_elsewhere: Callable[[], Mapping[str, Collection[str]]] = dict
+
+    @property
+    def surroundings(self) -> spreading.Surroundings:
+        """The nodes around this one."""
+        return spreading.Surroundings(
+            tuple(self.list_neighbours()),
+            tuple(self.list_live_in_zone()),
+            self.list_live_elsewhere(),
+        )
 
     def spawn_broadcast(self, message: Any) -> None:
         """Sends to all open links without blocking."""
         gevent.spawn(_send_best_effort, self.broadcast, message)
 
     def spawn_announce(self, message: Any, is_carrier: bool) -> None:
-        """Sends to the neighbours, and as a carrier to the own zone.
-
-        Doesn't block. The carriers of a zone are its readers and the nodes that
-        got the version from another zone. If all others announced to their zone
-        too, announcements would grow with the square of its size.
-        """
-        vms = set(self.list_neighbours())
-        if is_carrier:
-            vms.update(self.list_live_in_zone())
-        for vm in vms:
+        """Sends to those who are told at once, without blocking."""
+        around = self.surroundings
+        for vm in spreading.list_announcement_receivers(around, is_carrier):
             self.spawn_notify(vm, message)
 
     def spawn_notify(self, vm: str, message: Any) -> None:
--- a/jayseam/distribution/reading.py
+++ b/jayseam/distribution/reading.py
@@ -76,6 +76,12 @@
         self._uniform = uniform
         self._read_known_vms = read_known_vms
         self._watchers: list[watchers.SourceWatcher] = []
+        self._rank: int | None = None
+
+    @property
+    def rank(self) -> int | None:
+        """Rank among the readers of the zone; None for other nodes."""
+        return self._rank if self._watchers else None
 
     @property
     def is_watching(self) -> bool:
@@ -98,6 +104,7 @@
         rank = exchange.rank_reader(
             self._vm, self._zone, live_vms, self._options.readers_per_zone
         )
+        self._rank = rank
         self._client.set_reader_rank(rank)
         if rank is not None and not self._watchers:
             _log.info('distribution.reader_started')
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -1,6 +1,7 @@
 """The task that keeps a node at the greatest valid version of each channel."""
 
 import functools
+import itertools
 import math
 import random
 from collections.abc import Callable, Iterable
@@ -27,6 +28,7 @@
 from jayseam.distribution import peers as distribution_peers
 from jayseam.distribution import reading
 from jayseam.distribution import rejections
+from jayseam.distribution import spreading
 from jayseam.distribution import states
 from jayseam.distribution import status
 from jayseam.distribution import syncing
@@ -546,10 +548,10 @@
 
     def _run_heartbeats(self) -> None:
         gevent.sleep(self._uniform() * HEARTBEAT_INTERVAL_S)
-        while True:
+        for round_number in itertools.count():
             try:
                 self._update_role()
-                self._send_heartbeats()
+                self._send_heartbeats(round_number)
             except Exception:  # pylint: disable=broad-exception-caught
                 # Heartbeats repair lost announcements, so they must go on.
                 _log.exception('distribution.heartbeat_failed')
@@ -559,10 +561,14 @@
         if self._joiner.may_watch:
             self._reader.update_role(self._peers.list_live_in_zone())
 
-    def _send_heartbeats(self) -> None:
+    def _send_heartbeats(self, round_number: int) -> None:
         now = clocks.read_now()
+        receivers = spreading.list_heartbeat_receivers(
+            self._peers.surroundings, self._reader.rank, round_number
+        )
+        receivers.discard(self._vm)
         repeated = self._reports.list_to_repeat(now)
-        for vm in self._peers.list_neighbours():
+        for vm in receivers:
             for message in (self.build_heartbeat(now), *repeated):
                 self._peers.spawn_notify(vm, message)
 
--- a/jayseam/membership/views.py
+++ b/jayseam/membership/views.py
@@ -48,6 +48,10 @@
         """Returns the members of an availability zone that are not dead."""
         return self._zones.get(zone, ())
 
+    def list_zones(self) -> list[str]:
+        """Returns the availability zones of members that are not dead."""
+        return sorted(self._zones)
+
     def list_live_in_zone(self, zone: str) -> Records:
         """Returns the alive and suspect members of an availability zone."""
         return tuple(filter(is_live, self.list_zone_members(zone)))
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -135,6 +135,7 @@
             list_neighbours=self._membership.list_ring_members,
             list_live_in_zone=self._list_live_in_zone,
             list_seeds=self._dial_seeds,
+            list_live_elsewhere=self._list_live_elsewhere,
         )
         self._distribution = distribution.task.DistributionTask(
             settings.vm,
@@ -529,7 +530,17 @@
 
     def _list_live_in_zone(self) -> list[str]:
         """Returns the live VMs of the node's zone with a known incarnation."""
-        zone = self._settings.zone
+        return self._list_started(self._settings.zone)
+
+    def _list_live_elsewhere(self) -> dict[str, list[str]]:
+        """Returns such VMs of each other zone."""
+        return {
+            zone: self._list_started(zone)
+            for zone in self._membership.view.list_zones()
+            if zone != self._settings.zone
+        }
+
+    def _list_started(self, zone: str) -> list[str]:
         return [
             record.vm
             for record in self._membership.view.list_live_in_zone(zone)
