Rank the members again only when a VM changes its zone or state

Cause: the neighbourhood of a node was computed for each changed record, which ranks all members. While a fleet starts, each of its records changes several times at each node, mostly in the state of the backend server alone.

Change: views share a mark while the same VMs are in the same zones and states, and the neighbourhood is kept as long. Entries of a new VM list that are those of the last one aren't converted again.

--- a/jayseam/membership/neighbourhoods.py
+++ b/jayseam/membership/neighbourhoods.py
@@ -65,23 +65,23 @@
 
 
 class NeighbourhoodCache:
-    """Caches the neighbourhood until the view is replaced.
+    """Caches the neighbourhood while no VM changes its zone or state.
 
     Every tick and heartbeat reads the neighbourhood, and computing it ranks
-    all members.
+    all members. While a fleet starts, records change many times a second.
     """
 
     def __init__(self):
-        self._view: views.View | None = None
+        self._places: object = None
         self._neighbourhood = Neighbourhood((), ())
 
     def find(
         self, view: views.View, own: records.MemberRecord
     ) -> Neighbourhood:
         """Returns the neighbourhood in a view."""
-        if self._view is not view:
+        if self._places is not view.places:
             self._neighbourhood = find_neighbourhood(view, own)
-            self._view = view
+            self._places = view.places
         return self._neighbourhood
 
 
--- a/jayseam/membership/views.py
+++ b/jayseam/membership/views.py
@@ -32,11 +32,14 @@
       state_since: Time at which this node saw the state change last, in
         seconds, by VM.
       buckets: XOR of the record hashes of each bucket.
+      places: An object that views share while the same VMs are in the same
+        zones and states. What follows from these alone can be kept.
     """
 
     members: Mapping[str, records.MemberRecord]
     state_since: Mapping[str, float]
     buckets: tuple[int, ...]
+    places: object = attrs.field(factory=object, eq=False, repr=False)
 
     @functools.cached_property
     def digest(self) -> bytes:
@@ -100,16 +103,20 @@
             return self, ()
         members, since = dict(self.members), dict(self.state_since)
         buckets = list(self.buckets)
+        places: object | None = self.places
         for vm, record in changes.items():
             old = members.get(vm)
             members[vm] = record
             if old is None or old.state != record.state:
                 since[vm] = now
+            if old is None or _find_place(old) != _find_place(record):
+                places = None
             bucket = find_bucket(vm)
             if old is not None:
                 buckets[bucket] ^= records.hash_record(old)
             buckets[bucket] ^= records.hash_record(record)
-        return _build(members, since, buckets), tuple(changes.values())
+        view = _build(members, since, buckets, places)
+        return view, tuple(changes.values())
 
     def without(self, vms: Collection[str]) -> 'View':
         """Returns the view without some dead members."""
@@ -179,14 +186,24 @@
     return view
 
 
-def _build(members: dict, since: dict, buckets: Iterable[int]) -> View:
+def _build(
+    members: dict,
+    since: dict,
+    buckets: Iterable[int],
+    places: object | None = None,
+) -> View:
     return View(
         types.MappingProxyType(members),
         types.MappingProxyType(since),
         tuple(buckets),
+        object() if places is None else places,
     )
 
 
+def _find_place(record: records.MemberRecord) -> tuple[str, str]:
+    return record.zone, record.state
+
+
 def _group(members: Iterable[records.MemberRecord], key) -> dict[str, Records]:
     groups: dict[str, list] = {}
     for record in members:
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -1,6 +1,8 @@
 """Builds and connects the tasks of a node, and starts and stops them."""
 
+import functools
 import random
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -466,7 +468,7 @@
             self._backend.apply_preset(preset)
         if channel == 'vms':
             self._membership.apply_vm_list(
-                [attrs.asdict(entry) for entry in snapshot.vms.vms]
+                _describe_entry(entry) for entry in snapshot.vms.vms
             )
             self._apply_listed_state(snapshot.vms)
             if not self._settings.backend_health.polls:
@@ -676,5 +678,11 @@
         )
 
 
+# Most entries of a new VM list are those of the last one.
+@functools.lru_cache(maxsize=2048)
+def _describe_entry(entry: Any) -> Mapping[str, Any]:
+    return attrs.asdict(entry)
+
+
 def _sleep_until(end: float) -> None:
     gevent.sleep(max(0.0, end - clocks.read_now()))
