Open links for the heartbeats of the readers of large zones

Cause: the readers of a large zone tell nodes to which no link may be open; a message over an open link only is dropped then without a word.

Change: heartbeats of the distribution open a link where none is. Those of a small zone go to neighbours, to which the membership keeps links anyway.

Result: in a zone of 12 nodes without open links, whose neighbours tell them nothing, a version arrives with the heartbeat of a reader. Test: test_readers_tell_their_zone_without_open_links (failed before).

--- a/jayseam/distribution/peers.py
+++ b/jayseam/distribution/peers.py
@@ -22,7 +22,9 @@
     Attributes:
       request: ``request(vm, message, timeout_s)`` returns the reply.
       broadcast: ``broadcast(message)`` sends to all open links.
-      notify: ``notify(vm, message)`` sends without waiting for a reply.
+      notify: ``notify(vm, message)`` sends without waiting for a reply, if a
+        link is open.
+      dial_and_notify: The same, but opens a link if none is.
       list_neighbours: Returns the VMs that get heartbeats.
       list_live_in_zone: Returns the live VMs of the own zone.
       list_live_elsewhere: Returns the live VMs of each other zone.
@@ -33,6 +35,7 @@
     request: Callable[[str, Any, float], Any]
     broadcast: Callable[[Any], Any]
     notify: Callable[[str, Any], Any]
+    dial_and_notify: Callable[[str, Any], Any]
     list_neighbours: Callable[[], Iterable[str]]
     list_live_in_zone: Callable[[], Iterable[str]]
     list_seeds: Callable[[], Iterable[str]] = tuple
@@ -61,6 +64,10 @@
         """Sends to one peer without blocking."""
         gevent.spawn(_send_best_effort, self.notify, vm, message)
 
+    def spawn_dial_and_notify(self, vm: str, message: Any) -> None:
+        """Sends to one peer, to which no link may be open, without blocking."""
+        gevent.spawn(_send_best_effort, self.dial_and_notify, vm, message)
+
     def request_sync(
         self, vm: str, sync: messages.Sync, timeout_s: float
     ) -> messages.Heartbeat | None:
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -570,7 +570,7 @@
         repeated = self._reports.list_to_repeat(now)
         for vm in receivers:
             for message in (self.build_heartbeat(now), *repeated):
-                self._peers.spawn_notify(vm, message)
+                self._peers.spawn_dial_and_notify(vm, message)
 
     def _has_newer_peer(self) -> bool | None:
         """Asks seeds and neighbours whether one of them has a newer version.
--- a/jayseam/distribution/tests/fakes.py
+++ b/jayseam/distribution/tests/fakes.py
@@ -94,12 +94,15 @@
     Attributes:
       tamper: ``tamper(sender, receiver, message)`` returns the message to
         deliver, or None to lose it.
+      are_linked: ``are_linked(sender, receiver)`` returns whether a link is
+        open; messages may open one.
     """
 
     def __init__(self):
         self.nodes = {}
         self.zones = {}
         self.tamper = lambda sender, receiver, message: message
+        self.are_linked = lambda sender, receiver: True
 
     def add(self, vm, source=None, zone='z', list_neighbours=None, **options):
         """Adds a node; all nodes are neighbours of each other by default."""
@@ -111,6 +114,7 @@
             request=lambda *args: self.request(vm, *args),
             broadcast=lambda m: [self.notify(vm, n, m) for n in others()],
             notify=lambda n, m: self.notify(vm, n, m),
+            dial_and_notify=lambda n, m: self._notify(vm, n, m),
             list_neighbours=list_neighbours or others,
             list_live_in_zone=lambda: [
                 n for n in self.nodes if self.zones.get(n) == zone
@@ -134,7 +138,12 @@
             return reply
 
     def notify(self, sender, receiver, message):
-        """Delivers a message without a reply."""
+        """Delivers a message without a reply, over an open link only."""
+        return self.are_linked(sender, receiver) and self._notify(
+            sender, receiver, message
+        )
+
+    def _notify(self, sender, receiver, message):
         try:
             self._deliver(sender, receiver, message)
         except core_errors.JayseamError:
--- a/jayseam/distribution/tests/test_task.py
+++ b/jayseam/distribution/tests/test_task.py
@@ -168,6 +168,21 @@
     assert len(announced) <= 6 * len(nodes)
 
 
+def test_readers_tell_their_zone_without_open_links(net, source):
+    """Links are opened on use, and few nodes of a large zone have one."""
+    names = [f'a{i:02}' for i in range(12)]
+    nodes = [
+        net.add(vm, source, zone='a', list_neighbours=list) for vm in names
+    ]
+    for node in nodes:
+        node.start()
+    fakes.wait_until(lambda: _all_hold(nodes, 1))
+    fakes.wait_until(lambda: all(n.has_joined for n in nodes))
+    net.are_linked = lambda sender, receiver: False
+    source.publish('preset', 7, _split('peak'))
+    fakes.wait_until(lambda: _all_hold(nodes, 7), 3.0)
+
+
 def test_vm_lists_in_quick_succession_are_skipped(net, source):
     """While a fleet starts, its VM list changes many times a second.
 
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -134,6 +134,7 @@
             request=self._links.request,
             broadcast=self._links.broadcast,
             notify=self._links.notify,
+            dial_and_notify=self._links.dial_and_notify,
             list_neighbours=self._membership.list_ring_members,
             list_live_in_zone=self._list_live_in_zone,
             list_seeds=self._dial_seeds,
