Leave late copies of answers out instead of failing the next call

Cause: a backend server that sends an answer again, late, on a connection in use again failed the next call there: its answer was given up as crossed, and a call that may run once ended as outcome unknown, though its own answer was on the way behind the copy. Nobody got the copy.

The connection is not used again. A metric and the event backend.answer_repeated tell of it.

Result: the call that may run once gets its own answer, on its own connection.

--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -21,6 +21,7 @@
 from jayseam.backends import counters
 from jayseam.backends import dialects
 from jayseam.backends import errors
+from jayseam.backends import latecopies
 from jayseam.backends import messages
 from jayseam.backends import states
 from jayseam.core import clocks
@@ -62,7 +63,8 @@
       cancelled: Whether `BackendClient.cancel` was called for it.
       is_control: Whether it is a poll or a cancellation; these are never
         cancelled themselves.
-      is_identified: Whether its answer has its id, where answers have ids.
+      is_identified: Whether its answer has its id, where answers have ids,
+        and no answer to another request came before it.
       out_of_memory: Whether its answer was ended because all answers together
         held too many bytes.
     """
@@ -383,9 +385,13 @@
           OutcomeUnknownError: If there is no complete answer to the request.
         """
         holding = None
+        copies = latecopies.CopyFilter(
+            self._dialect.request_id,
+            connection.answered_id if self._dialect.echoes_ids else None,
+        )
         try:
-            while not reader.receive(
-                data := self._receive_block(call, connection)
+            while not self._receive_part(
+                data := self._receive_block(call, connection), reader, copies
             ):
                 # An answer that arrives in one block is never counted.
                 if holding is None:
@@ -400,8 +406,35 @@
             if holding is not None:
                 self._budget.release(holding)
         self._check_answer(call, connection, answer)
+        has_body = call.request.method != 'HEAD'
+        connection.answered_id = call.request.request_id if has_body else None
+        if copies.n_copies:
+            # The server may send more of them.
+            call.is_identified = False
+            self._count_copies(call, copies.n_copies)
         return answer
 
+    def _receive_part(
+        self,
+        data: bytes,
+        reader: messages.AnswerReader,
+        copies: latecopies.CopyFilter,
+    ) -> bool:
+        """Parses some bytes of the answer; returns whether it is complete."""
+        own = copies.receive(data)
+        return own is not None and reader.receive(own)
+
+    def _count_copies(self, call: _Call, n_copies: int) -> None:
+        counters.FAULTY_ANSWERS.labels(self._host, 'repeated').inc(n_copies)
+        _log.info(
+            'backend.answer_repeated',
+            extra={
+                'backend': self._host,
+                'request': call.request.request_id,
+                'copies': n_copies,
+            },
+        )
+
     def _receive_block(
         self, call: _Call, connection: connections.Connection
     ) -> bytes:
--- a/jayseam/backends/connections.py
+++ b/jayseam/backends/connections.py
@@ -22,6 +22,8 @@
       opened_at: Time at which the connection was opened, in seconds.
       last_used_at: Time of the last complete answer, in seconds; None before
         the first.
+      answered_id: Identifier of the request that was answered last; None if
+        there is none, or its answer had no body by its method.
     """
 
     def __init__(self, address: tuple[str, int], timeout_s: float, now: float):
@@ -33,6 +35,7 @@
         family = socket.AF_INET6 if ':' in address[0] else socket.AF_INET
         self.opened_at = now
         self.last_used_at: float | None = None
+        self.answered_id: str | None = None
         self._socket = socket.socket(family, socket.SOCK_STREAM)
         try:
             self._socket.settimeout(timeout_s)
--- a/jayseam/platform/tests/test_refusals.py
+++ b/jayseam/platform/tests/test_refusals.py
@@ -140,3 +140,27 @@
         backend.scripts.pop(0)
         assert call(client, 'r-2').status == 200
         assert backend.accepted == 2
+
+
+@pytest.mark.parametrize('late_s', [0.0, 0.05])
+def test_call_gets_its_answer_after_a_late_copy(late_s):
+    """A server that sends an answer again failed the next call otherwise.
+
+    That call may run once at most, so nobody could repeat it.
+    """
+    copy = build_success('r-1').replace(b'ok', b'no')
+
+    def answer_after_copy(sock):
+        sock.sendall(copy)
+        gevent.sleep(late_s)
+        sock.sendall(build_success('r-2'))
+
+    scripts = [build_success('r-1'), answer_after_copy, build_success('r-3')]
+    with run_backend(*scripts) as (backend, client):
+        assert call(client, 'r-1').status == 200
+        answer = call(client, 'r-2')
+        assert (answer.status, answer.body) == (200, b'ok')
+        # The server may send more copies on that connection.
+        assert backend.accepted == 1
+        assert call(client, 'r-3').body == b'ok'
+        assert backend.accepted == 2
