Send fewer and shorter reports of spending between zones

Cause: each of the three hubs of a large zone sent the totals of its zone to each hub of each other zone, as floats of nine bytes.

Change: the first hub of a zone tells all hubs of another, the second the first two there, the third the first one. The first hub that is left of either zone still hears the other whichever hubs of one zone fail.

--- a/jayseam/limits/hubs.py
+++ b/jayseam/limits/hubs.py
@@ -2,8 +2,8 @@
 
 In a small zone each member reports to each other. In a large zone that would
 cost messages with the square of its size, so members report to a few hubs only.
-Each hub sends each member the sum of what all others have spent, and the hubs
-of other zones the sum of its zone. A receiver counts what the first hub says
+Each hub sends each member the sum of what all others have spent, and hubs of
+other zones the sum of its zone. A receiver counts what the first hub says
 that is settled and not silent. It follows the other hubs without counting, so
 that it can go on with one of them at once.
 
@@ -12,7 +12,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
@@ -45,6 +45,27 @@
     return tuple(rendezvous.rank(zone, members)[:HUBS_PER_ZONE])
 
 
+def choose_receivers(
+    own: str, own_hubs: Sequence[str], others: Sequence[str]
+) -> list[str]:
+    """Returns the hubs of another zone to which a hub reports.
+
+    The first hub of a zone is heard by all of another, and the first one there
+    hears all. So the first that is left there hears somebody, whichever hubs of
+    one zone fail, and a third of the reports needn't cross zones.
+
+    >>> [choose_receivers(vm, 'xyz', 'uvw') for vm in 'xyz']
+    [['u', 'v', 'w'], ['u', 'v'], ['u']]
+
+    Args:
+      own: VM of the hub.
+      own_hubs: Hubs of its zone, the first one first.
+      others: Hubs of the other zone, the first one first.
+    """
+    rank = own_hubs.index(own)
+    return list(others[: max(1, len(others) - rank)])
+
+
 @attrs.frozen
 class Hearing:
     """Whom the sender of a report hears.
--- a/jayseam/limits/replicas.py
+++ b/jayseam/limits/replicas.py
@@ -470,9 +470,9 @@
             replica = self._replicas[name]
             own_changed, relayed_changed, sum_changed = replica.take_changes()
             if own_changed:
-                own[name] = replica.spent
+                own[name] = spending.shorten(replica.spent)
             if relayed_changed:
-                relayed[name] = replica.relayed
+                relayed[name] = spending.shorten(replica.relayed)
             if sum_changed:
                 zone_changed.add(name)
         if not (own or relayed or zone_changed or is_full):
@@ -522,17 +522,31 @@
         for vm in self._list_zone_members():
             spent_by = self._hub_role.spent_by.get(vm, {})
             others = {
-                name: total - spent_by.get(name, 0.0)
+                name: spending.shorten(total - spent_by.get(name, 0.0))
                 for name, total in sums.items()
             }
             message = messages.Spent(incarnation, own, others, names)
             out += _address(message, [vm], now)
         totals = {
-            name: self._replicas[name].spent + self._replicas[name].zone_spent
+            name: spending.shorten(
+                self._replicas[name].spent + self._replicas[name].zone_spent
+            )
             for name in zone_changed.union(own)
         }
         cross_zone = messages.Spent(incarnation, totals, {}, names)
-        return out + _address(cross_zone, self._list_relays(), now)
+        return out + _address(cross_zone, self._list_hub_receivers(), now)
+
+    def _list_hub_receivers(self) -> list[str]:
+        """Returns the members of other zones to which this hub reports."""
+        receivers = []
+        for zone, vms in self._list_other_zones().items():
+            others = self._hubs.list_hubs(zone)
+            receivers += (
+                hubs.choose_receivers(self.member.vm, self._own_hubs, others)
+                if others
+                else rendezvous.rank(zone, vms)[:1]
+            )
+        return receivers
 
     def _find_zone_silent(self, now: float) -> frozenset[str]:
         """Returns the positions of the own zone that this hub doesn't hear."""
@@ -560,17 +574,21 @@
 
         These are the hubs of a zone; in a zone without hubs, one member.
         """
-        zones: dict[str, list[str]] = {}
-        for vm, member in self._members.items():
-            if member.zone != self.member.zone:
-                zones.setdefault(member.zone, []).append(vm)
         relays = []
-        for zone, vms in zones.items():
+        for zone, vms in self._list_other_zones().items():
             relays += (
                 self._hubs.list_hubs(zone) or rendezvous.rank(zone, vms)[:1]
             )
         return relays
 
+    def _list_other_zones(self) -> dict[str, list[str]]:
+        """Returns the members of each other zone."""
+        zones: dict[str, list[str]] = {}
+        for vm, member in self._members.items():
+            if member.zone != self.member.zone:
+                zones.setdefault(member.zone, []).append(vm)
+        return zones
+
     def _update_totals(
         self, vm: str, scope: str, message: messages.Spent, now: float
     ) -> Mapping[str, float]:
--- a/jayseam/limits/spending.py
+++ b/jayseam/limits/spending.py
@@ -6,6 +6,18 @@
 NEAR_LIMIT_PART = 0.5
 
 
+def shorten(total: float) -> float | int:
+    """Returns a total in the form that takes the fewest bytes in a message.
+
+    Most calls cost one token, and a small integer has a third of the bytes of a
+    float.
+
+    >>> shorten(7.0), shorten(7.5)
+    (7, 7.5)
+    """
+    return int(total) if total == int(total) else total
+
+
 @attrs.define(slots=True)
 class Replica:
     """This node's replica of one workspace's bucket.
