Let a caller use the id of its last request again

Cause: since late copies are left out, the own answer of a request with the id of the request before was taken for a copy, and the call waited for another until its deadline.

Change: no copy is looked for where both requests have the same id.

Test: test_caller_that_uses_an_id_again_gets_its_answer (failed before).

--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -386,8 +386,7 @@
         """
         holding = None
         copies = latecopies.CopyFilter(
-            self._dialect.request_id,
-            connection.answered_id if self._dialect.echoes_ids else None,
+            self._dialect.request_id, self._find_answered_id(call, connection)
         )
         try:
             while not self._receive_part(
@@ -414,6 +413,19 @@
             self._count_copies(call, copies.n_copies)
         return answer
 
+    def _find_answered_id(
+        self, call: _Call, connection: connections.Connection
+    ) -> str | None:
+        """Returns the id of the answer of which a copy may come, if any.
+
+        A caller may use the id of its last request again; then a copy and the
+        answer can't be told apart.
+        """
+        answered_id = connection.answered_id
+        if not self._dialect.echoes_ids:
+            return None
+        return None if answered_id == call.request.request_id else answered_id
+
     def _receive_part(
         self,
         data: bytes,
--- a/jayseam/platform/tests/test_refusals.py
+++ b/jayseam/platform/tests/test_refusals.py
@@ -164,3 +164,12 @@
         assert backend.accepted == 1
         assert call(client, 'r-3').body == b'ok'
         assert backend.accepted == 2
+
+
+def test_caller_that_uses_an_id_again_gets_its_answer():
+    """Its own answer would be taken for a copy of the one before."""
+    scripts = [build_success('r-1'), build_success('r-1')]
+    with run_backend(*scripts) as (backend, client):
+        for _ in scripts:
+            assert call(client, 'r-1').status == 200
+        assert backend.accepted == 1
