Tell leaving nodes of large zones of versions and confirmations

Cause: since the readers tell a large zone, its live VMs are told. A node that is leaving isn't one of them, but serves callers who stay with it, and would have kept withdrawn keys.

Change: readers and neighbours tell all VMs of the zone that run.

Result: a leaving node of a zone of twelve gets a version within 3 s also where announcements are lost; without the change it doesn't. Test: test_leaving_node_of_a_large_zone_is_told_of_versions (failed before with lost announcements).

--- a/jayseam/distribution/peers.py
+++ b/jayseam/distribution/peers.py
@@ -27,6 +27,8 @@
       dial_and_notify: The same, but opens a link if none is.
       list_neighbours: Returns the VMs that get heartbeats.
       list_live_in_zone: Returns the live VMs of the own zone.
+      list_running_in_zone: The same, with those that are leaving: callers may
+        stay with them for long, so they have to be told of versions, too.
       list_live_elsewhere: Returns the live VMs of each other zone.
       list_seeds: Returns the VMs that a fresh node asks first; the call may
         open links.
@@ -38,6 +40,7 @@
     dial_and_notify: Callable[[str, Any], Any]
     list_neighbours: Callable[[], Iterable[str]]
     list_live_in_zone: Callable[[], Iterable[str]]
+    list_running_in_zone: Callable[[], Iterable[str]]
     list_seeds: Callable[[], Iterable[str]] = tuple
     list_live_elsewhere: Callable[[], Mapping[str, Collection[str]]] = dict
 
@@ -46,7 +49,7 @@
         """The nodes around this one."""
         return spreading.Surroundings(
             tuple(self.list_neighbours()),
-            tuple(self.list_live_in_zone()),
+            tuple(self.list_running_in_zone()),
             self.list_live_elsewhere(),
         )
 
--- a/jayseam/distribution/spreading.py
+++ b/jayseam/distribution/spreading.py
@@ -12,7 +12,7 @@
 
 from jayseam.core import rendezvous
 
-# Most live VMs of a zone in which each node tells its neighbours only.
+# Most VMs of a zone in which each node tells its neighbours only.
 MAX_SMALL_ZONE = 8
 # Readers of a zone that tell those of other zones; the others tell their zone.
 FIRST_READERS = 2
@@ -26,7 +26,8 @@
 
     Attributes:
       neighbours: VMs that get heartbeats, in the own zone and in others.
-      zone_vms: Live VMs of the own zone, with or without the own one.
+      zone_vms: VMs of the own zone that run, also those that are leaving, with
+        or without the own one.
       remote_vms: Live VMs of each other zone.
     """
 
--- a/jayseam/distribution/tests/fakes.py
+++ b/jayseam/distribution/tests/fakes.py
@@ -92,6 +92,7 @@
     """Connects tasks in one process; messages can be altered or lost.
 
     Attributes:
+      leaving: Nodes that are leaving, but still run.
       tamper: ``tamper(sender, receiver, message)`` returns the message to
         deliver, or None to lose it.
       are_linked: ``are_linked(sender, receiver)`` returns whether a link is
@@ -101,6 +102,7 @@
     def __init__(self):
         self.nodes = {}
         self.zones = {}
+        self.leaving = set()
         self.tamper = lambda sender, receiver, message: message
         self.are_linked = lambda sender, receiver: True
 
@@ -117,6 +119,11 @@
             dial_and_notify=lambda n, m: self._notify(vm, n, m),
             list_neighbours=list_neighbours or others,
             list_live_in_zone=lambda: [
+                n
+                for n in self.nodes
+                if self.zones.get(n) == zone and n not in self.leaving
+            ],
+            list_running_in_zone=lambda: [
                 n for n in self.nodes if self.zones.get(n) == zone
             ],
             list_seeds=others,
--- a/jayseam/distribution/tests/test_task.py
+++ b/jayseam/distribution/tests/test_task.py
@@ -183,6 +183,32 @@
     fakes.wait_until(lambda: _all_hold(nodes, 7), 3.0)
 
 
+@pytest.mark.parametrize('lost', [messages.Announce, messages.Heartbeat])
+def test_leaving_node_of_a_large_zone_is_told_of_versions(net, source, lost):
+    """Callers stay with a leaving node, which must know withdrawn keys."""
+    names = [f'a{i:02}' for i in range(12)]
+    nodes = [
+        net.add(
+            vm,
+            source,
+            zone='a',
+            list_neighbours=functools.partial(_list_ring_neighbours, names, vm),
+        )
+        for vm in names
+    ]
+    for node in nodes:
+        node.start()
+    fakes.wait_until(lambda: _all_hold(nodes, 1))
+    fakes.wait_until(lambda: all(n.has_joined for n in nodes))
+    leaving = next(n for n in nodes if not n.is_reader)
+    net.leaving = {vm for vm, node in net.nodes.items() if node is leaving}
+    net.tamper = lambda sender, receiver, message: (
+        None if isinstance(message, lost) else message
+    )
+    source.publish('preset', 7, _split('peak'))
+    fakes.wait_until(lambda: _all_hold([leaving], 7), 3.0)
+
+
 def test_vm_lists_in_quick_succession_are_skipped(net, source):
     """While a fleet starts, its VM list changes many times a second.
 
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -137,6 +137,7 @@
             dial_and_notify=self._links.dial_and_notify,
             list_neighbours=self._membership.list_ring_members,
             list_live_in_zone=self._list_live_in_zone,
+            list_running_in_zone=self._list_running_in_zone,
             list_seeds=self._dial_seeds,
             list_live_elsewhere=self._list_live_elsewhere,
         )
@@ -535,6 +536,11 @@
         """Returns the live VMs of the node's zone with a known incarnation."""
         return self._list_started(self._settings.zone)
 
+    def _list_running_in_zone(self) -> list[str]:
+        """Returns the same, with VMs that are leaving."""
+        members = self._membership.view.list_zone_members(self._settings.zone)
+        return [record.vm for record in members if record.incarnation]
+
     def _list_live_elsewhere(self) -> dict[str, list[str]]:
         """Returns such VMs of each other zone."""
         return {
