--- a/jayseam/presets/tests/test_presets.py
+++ b/jayseam/presets/tests/test_presets.py
@@ -361,15 +361,15 @@
         return error.reasons
 
 
-@hypothesis.settings(deadline=None)
-@hypothesis.given(
-    strategies.lists(
-        strategies.sampled_from([f for group in _FAULTS for f in group]),
-        max_size=6,
-        unique=True,
-    ),
-    strategies.integers(0, 20),
+_fault_lists = strategies.lists(
+    strategies.sampled_from([f for group in _FAULTS for f in group]),
+    max_size=6,
+    unique=True,
 )
+
+
+@hypothesis.settings(deadline=None)
+@hypothesis.given(_fault_lists, strategies.integers(0, 20))
 def test_valid_item_cache_never_changes_a_result(faults, index):
     """A node that verified earlier versions must agree with a new node."""
     valid_item_cache = itemcaches.ValidItemCache()
@@ -398,14 +398,7 @@
 
 
 @hypothesis.settings(deadline=None)
-@hypothesis.given(
-    strategies.lists(
-        strategies.sampled_from([f for group in _FAULTS for f in group]),
-        max_size=6,
-        unique=True,
-    ),
-    strategies.integers(0, 20),
-)
+@hypothesis.given(_fault_lists, strategies.integers(0, 20))
 def test_shared_parts_never_change_a_result(faults, index):
     """A node that holds parts of earlier versions must agree with a new one."""
     decoded = itemcaches.DecodedParts()
