Play machines whose system behaves differently

Only refused calls could be played, and only in fleets of the project's own.

Change: standins/machines.py plays signs of closed connections that are missing or refused, events that are late, lost or never told, late timers, coarse and stepping clocks, small buffers, silent connections and sockets that stay open. standins/scriptmachines.py runs a script as it is, with its nodes on such a machine.

--- a/jayseam/soak/fleets.py
+++ b/jayseam/soak/fleets.py
@@ -14,8 +14,8 @@
 from jayseam.standins import errors
 from jayseam.standins import exchanges
 from jayseam.standins import kvstore
+from jayseam.standins import machines
 from jayseam.standins import processes
-from jayseam.standins import refusals
 from jayseam.standins import serving
 from jayseam.standins import waits
 from jayseam.standins import workingbackends
@@ -92,7 +92,7 @@
     Args:
       n_vms: Number of VMs, divided among the zones in turn.
       refused: Names of the calls of the operating system that are refused to
-        the nodes; see `jayseam.standins.refusals`.
+        the nodes, and of other differences; see `jayseam.standins.machines`.
 
     Attributes:
       directory: Directory of settings and logs.
@@ -176,7 +176,7 @@
         path = self._get_settings_path(ip)
         vm.process = processes.ManagedProcess(
             f'node {ip}',
-            refusals.build_command(
+            machines.build_command(
                 self._refused, _NODE_MODULE, ['--settings', str(path)]
             ),
             self.directory / f'{ip}.log',
