Bring a withdrawn key in time where events are late or lost

Cause: each step from the store to the last node waited for one signal with a timeout longer than the 2 s: a watch 3.5 s, a reader of the mirror 60 s, a back-off up to 8 s, a request to a silent peer 1 s each.

Change: an overdue watch is read past by a plain read on a connection of its own; connections to the store, backend servers and peers are tried without events; readers look at the mirror by themselves; the success of one channel ends the back-off of the others; a reader fetches from its own mirror first. The first reader's watch waits 1 s instead of 1.5 s, so that a plain read fits into 2 s. New lines and metrics tell the steps apart.

That the operators' machines lose or delay events is suspected, not shown.

--- a/jayseam/backends/connections.py
+++ b/jayseam/backends/connections.py
@@ -13,6 +13,8 @@
 from jayseam.core import sockets
 
 _BLOCK_BYTES = 65536
+# Time after which a connection is tried without an event, in seconds.
+_RECHECK_S = 0.25
 
 
 class Connection:
@@ -59,8 +61,9 @@
 
     def receive(self, timeout_s: float) -> bytes:
         """Reads at least one byte; empty when the other side has closed."""
-        self._socket.settimeout(timeout_s)
-        return self._socket.recv(_BLOCK_BYTES)
+        return sockets.receive(
+            self._socket, _BLOCK_BYTES, _RECHECK_S, 'backend', timeout_s
+        )
 
     def is_idle(self) -> bool:
         """Returns whether the connection is open and has nothing to read.
--- a/jayseam/core/sockets.py
+++ b/jayseam/core/sockets.py
@@ -6,8 +6,10 @@
 """
 
 import ctypes
+import math
 import socket
 import struct
+from collections.abc import Callable
 from typing import Any
 
 import prometheus_client
@@ -28,8 +30,16 @@
     ('option',),
 )
 
+MISSED_INPUT = prometheus_client.Counter(
+    'jayseam_missed_input',
+    'Input of connections of which the event loop had not told',
+    ('connection',),
+)
+
 # Options of which a refusal is in the log.
 _reported: set[str] = set()
+# Kinds of connections of which missed input is in the log.
+_reported_input: set[str] = set()
 
 
 def resolve(host: str, port: int) -> list[tuple[Any, ...]]:
@@ -107,6 +117,67 @@
     _set_option(sock, 'no-delay', socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
 
+def receive(
+    sock: gevent_socket.socket,
+    size: int,
+    recheck_s: float,
+    kind: str,
+    limit_s: float = math.inf,
+    read: Callable[[int], bytes] | None = None,
+) -> bytes:
+    """Receives bytes, whether or not the event loop tells of them.
+
+    While nothing arrives, the socket itself is tried again and again. The
+    timeout of the socket doesn't apply.
+
+    Args:
+      sock: A connected socket.
+      size: Greatest number of bytes.
+      recheck_s: Time after which the socket is tried again, in seconds.
+      kind: What the connection is for, for the log and the metrics.
+      limit_s: Time after which nothing has been received, in seconds.
+      read: Reads up to so many bytes within the socket's timeout; by default
+        the socket's ``recv``.
+
+    Returns:
+      At least one byte, or none at the end of the connection.
+
+    Raises:
+      TimeoutError: If nothing arrives in time.
+      OSError: If the connection has failed.
+    """
+    read = read or sock.recv
+    timeout_s = sock.gettimeout()
+    try:
+        while True:
+            sock.settimeout(min(recheck_s, limit_s))
+            try:
+                return read(size)
+            except TimeoutError as error:
+                limit_s -= recheck_s
+                # A connection that has timed out has an error number.
+                if error.errno is not None:
+                    raise
+            sock.settimeout(0.0)
+            try:
+                data = read(size)
+            except BlockingIOError as error:
+                if limit_s <= 0:
+                    raise TimeoutError('timed out') from error
+                continue
+            _report_missed_input(kind)
+            return data
+    finally:
+        sock.settimeout(timeout_s)
+
+
+def _report_missed_input(kind: str) -> None:
+    MISSED_INPUT.labels(kind).inc()
+    if kind not in _reported_input:
+        _reported_input.add(kind)
+        _log.warning('sockets.input_missed', extra={'connection': kind})
+
+
 def drop_new_connections(listener: socket.socket) -> bool:
     """Makes the kernel drop all packets that reach a listening socket.
 
--- a/jayseam/core/tests/test_sockets.py
+++ b/jayseam/core/tests/test_sockets.py
@@ -4,6 +4,8 @@
 import os
 import socket
 
+import gevent
+import pytest
 from gevent import socket as gevent_socket
 
 from jayseam.core import sockets
@@ -53,3 +55,49 @@
             assert connection.getpeername() == (host, port)
     assert sockets.resolve('::1', 80)[0][-1][:2] == ('::1', 80)
     assert sockets.resolve('localhost', 80) is None
+
+
+class _DeafSocket(gevent_socket.socket):
+    """A socket whose events the event loop never tells of."""
+
+    def _wait(self, watcher, timeout_exc=None):
+        del watcher, timeout_exc
+        timeout_s = self.gettimeout()
+        gevent.sleep(60.0 if timeout_s is None else timeout_s)
+        raise TimeoutError('timed out')
+
+
+@pytest.fixture(name='deaf_pair')
+def _create_deaf_pair():
+    """Yields a socket, and a deaf one that is connected to it."""
+    left, right = gevent_socket.socketpair()
+    deaf = _DeafSocket(right.family, right.type, right.proto, right.detach())
+    with left, deaf:
+        yield left, deaf
+
+
+@pytest.mark.parametrize('sent', [b'x', b''])
+def test_input_arrives_without_an_event(deaf_pair, sent):
+    """A lost event must not keep the input, or its end, from being found."""
+    left, deaf = deaf_pair
+    before = sockets.MISSED_INPUT.labels('test')._value.get()
+    receiver = gevent.spawn(sockets.receive, deaf, 10, 0.05, 'test')
+    gevent.sleep(0.12)
+    assert not receiver.ready()
+    left.sendall(sent)
+    if not sent:
+        left.close()
+    assert receiver.get(timeout=0.2) == sent
+    assert sockets.MISSED_INPUT.labels('test')._value.get() == before + 1
+    assert deaf.gettimeout() is None
+
+
+@pytest.mark.parametrize('limit_s', [0.02, 0.12])
+def test_receiving_ends_in_time(deaf_pair, limit_s):
+    """The limit must hold whatever the time between two tries."""
+    _, deaf = deaf_pair
+    receiver = gevent.spawn(
+        sockets.receive, deaf, 10, 0.05, 'test', limit_s=limit_s
+    )
+    with pytest.raises(TimeoutError):
+        receiver.get(timeout=limit_s + 0.2)
--- a/jayseam/distribution/fetching.py
+++ b/jayseam/distribution/fetching.py
@@ -50,12 +50,14 @@
       value: The preset, key set or VM list.
       held: Parts of the version, for the part cache.
       holder: VM from which it was fetched, or `offers.SOURCE`.
+      fetch_began_at: Time at which its fetch began, in seconds.
     """
 
     version: versions.Version
     value: Any
     held: distribution_parts.HeldParts
     holder: str = offers.SOURCE
+    fetch_began_at: float = 0.0
 
 
 @attrs.frozen
@@ -137,7 +139,9 @@
         self._get_cache = get_cache
         self._deliver = deliver
         self._counters = counters
-        self._offers = offers.OfferBook(uniform)
+        self._offers = offers.OfferBook(
+            uniform, client is not None and client.is_local
+        )
         self._puller = pulling.Puller(
             channel,
             request,
@@ -227,6 +231,7 @@
         )
 
     def _fetch(self, offer: offers.Offer) -> None:
+        began_at = clocks.read_now()
         try:
             version, manifest = self._puller.pull(offer)
         except pulling.UnwantedError:
@@ -237,10 +242,14 @@
         except pulling.MovedOnError as error:
             self.add(error.offer)
             raise
-        self._verify_and_deliver(version, manifest, offer.holder)
+        self._verify_and_deliver(version, manifest, offer.holder, began_at)
 
     def _verify_and_deliver(
-        self, version: versions.Version, manifest: bytes, holder: str
+        self,
+        version: versions.Version,
+        manifest: bytes,
+        holder: str,
+        began_at: float,
     ) -> None:
         """Verifies and delivers a version of which no part is missing."""
         started_at = clocks.read_now()
@@ -254,6 +263,8 @@
         elapsed_s = clocks.read_now() - started_at
         self._counters.verify_seconds.labels(self.channel).observe(elapsed_s)
         self._puller.clear()
+        if isinstance(result, VerifiedVersion):
+            result = attrs.evolve(result, fetch_began_at=began_at)
         self._deliver(result)
 
     def _verify(
--- a/jayseam/distribution/offers.py
+++ b/jayseam/distribution/offers.py
@@ -14,6 +14,8 @@
 # between zones is scarce and expensive. A reader may pause for 0.3 s between
 # two reads.
 OTHER_ZONE_DELAY_S = 0.4
+# Most time between two attempts to read the own copy of the source, in seconds.
+_LOCAL_RETRY_CAP_S = 0.2
 
 
 @attrs.frozen
@@ -43,15 +45,28 @@
 class OfferBook:
     """The open offers of one channel, at most one for each holder."""
 
-    def __init__(self, uniform: Callable[[], float]):
+    def __init__(
+        self, uniform: Callable[[], float], is_source_local: bool = False
+    ):
         """Starts without offers.
 
         Args:
           uniform: Returns a random number in [0, 1).
+          is_source_local: Whether reads of the source are reads of a copy that
+            this node has.
         """
         self._uniform = uniform
+        self._is_source_local = is_source_local
         self._offers: dict[str, Offer] = {}
-        self._retry = backoff.RetryTimer(uniform)
+        # A copy of the own node needs no protection from its reads.
+        cap_s = _LOCAL_RETRY_CAP_S
+        self._retry = (
+            backoff.RetryTimer(uniform, cap_s, cap_s)
+            if is_source_local
+            else backoff.RetryTimer(uniform)
+        )
+        # Whether a peer has failed since the last successful fetch.
+        self._has_peer_failed = False
 
     def __len__(self) -> int:
         return len(self._offers)
@@ -87,20 +102,31 @@
         """Returns the best offer that may be tried now.
 
         Peers come before the source, whose reads are limited, and peers of the
-        own zone before peers of other zones.
+        own zone before peers of other zones. A source that is a copy of the own
+        node comes before peers. After a peer has failed, it also comes before
+        their greater versions: if links are silent, each peer takes the whole
+        timeout of a request.
         """
         ready = [o for o in self._offers.values() if self._is_ready(o, now)]
         return max(
             ready,
             key=lambda o: (
+                self._is_surest(o),
                 o.version,
-                o.holder != SOURCE,
+                (o.holder == SOURCE) == self._is_source_local,
                 o.is_immediate,
                 self._uniform(),
             ),
             default=None,
         )
 
+    def _is_surest(self, offer: Offer) -> bool:
+        return (
+            self._has_peer_failed
+            and self._is_source_local
+            and offer.holder == SOURCE
+        )
+
     def compute_wait(self, now: float) -> float | None:
         """Returns the seconds until another open offer may be tried.
 
@@ -118,6 +144,8 @@
         """Removes an offer whose version was fetched."""
         if offer.holder == SOURCE:
             self._retry.succeed()
+        else:
+            self._has_peer_failed = False
         self._remove(offer)
 
     def fail(self, offer: Offer, now: float) -> None:
@@ -127,6 +155,7 @@
         heartbeat. The source does not, so its offer is tried again later.
         """
         if offer.holder != SOURCE:
+            self._has_peer_failed = True
             self._remove(offer)
             return
         current = self._offers.get(SOURCE)
--- a/jayseam/distribution/reading.py
+++ b/jayseam/distribution/reading.py
@@ -143,10 +143,19 @@
             channel,
             self._watch_wait_s,
             self._send,
-            self._send,
+            self._handle_confirmation,
             lambda: self._held_version(channel) or None,
             self._uniform,
             self._count_failure,
             self._options.grace,
             self._read_known_vms,
         )
+
+    def _handle_confirmation(
+        self, confirmation: watchers.SourceConfirmation
+    ) -> None:
+        """Lets the other channels be read again, as the source is there."""
+        self._send(confirmation)
+        for watcher in self._watchers:
+            if watcher.channel != confirmation.channel:
+                watcher.wake()
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -361,7 +361,8 @@
 
     def _accept_version(self, verified: fetching.VerifiedVersion) -> None:
         """Puts a verified version in force if it is still newer."""
-        state = self._state.accept(verified, clocks.read_now())
+        now = clocks.read_now()
+        state = self._state.accept(verified, now)
         if state is self._state:
             return
         self._state = state
@@ -371,7 +372,14 @@
         self._counters.version.labels(version.channel).set(
             versionnumbers.shorten(version.version)
         )
-        _log.info('distribution.swapped', extra=version.describe())
+        _log.info(
+            'distribution.swapped',
+            extra={
+                **version.describe(),
+                'holder': verified.holder or 'source',
+                'fetch_s': round(now - verified.fetch_began_at, 3),
+            },
+        )
         self._notify_waiters()
         self._peers.spawn_announce(
             messages.Announce(version.channel, version.version, version.digest),
--- a/jayseam/distribution/tests/fakes.py
+++ b/jayseam/distribution/tests/fakes.py
@@ -27,6 +27,7 @@
 
     url = 'http://127.0.0.1:1'
     min_read_interval_s = 1.0
+    is_local = False
 
     def __init__(self):
         self.values = {}
--- a/jayseam/distribution/tests/test_offers.py
+++ b/jayseam/distribution/tests/test_offers.py
@@ -28,6 +28,39 @@
     assert book.choose(0.0).holder == offers.SOURCE
 
 
+def test_own_copy_of_the_source_comes_before_peers():
+    """A silent peer would take the timeout of a request for what is here."""
+    book = offers.OfferBook(lambda: 0.5, is_source_local=True)
+    book.add(offers.Offer(offers.SOURCE, 5, 'd'))
+    book.add(offers.Offer('a', 5, ''))
+    assert book.choose(0.0).holder == offers.SOURCE
+    book.add(offers.Offer('b', 6, ''))
+    assert book.choose(0.0).holder == 'b'
+
+
+def test_own_copy_comes_before_news_of_peers_after_one_has_failed():
+    """With silent links, greater versions of peers delayed the own copy's."""
+    book = offers.OfferBook(lambda: 0.5, is_source_local=True)
+    book.add(offers.Offer(offers.SOURCE, 5, 'd'))
+    for holder, version in (('a', 6), ('b', 7)):
+        book.add(offers.Offer(holder, version, ''))
+    book.fail(book.choose(0.0), 1.0)
+    chosen = book.choose(1.0)
+    assert chosen.holder == offers.SOURCE
+    book.succeed(chosen)
+    assert book.choose(1.0).holder == 'a'
+
+
+def test_own_copy_of_the_source_is_tried_again_soon():
+    """A version that is replaced while it is read must not cost seconds."""
+    book = offers.OfferBook(lambda: 0.999, is_source_local=True)
+    offer = offers.Offer(offers.SOURCE, 5, 'd')
+    book.add(offer)
+    for _ in range(6):
+        book.fail(offer, 10.0)
+    assert book.compute_wait(10.0) <= 0.2
+
+
 def test_failed_source_is_tried_again_after_a_wait(book):
     """The source does not repeat its offer, and must not be read in a loop."""
     offer = offers.Offer(offers.SOURCE, 5, 'd')
--- a/jayseam/links/transports.py
+++ b/jayseam/links/transports.py
@@ -26,6 +26,9 @@
 READ_BYTES = 65536
 # Bytes that a connection may send before it is authenticated.
 MAX_HANDSHAKE_BYTES = 8192
+# Time after which a link is tried without an event, in seconds. A node of a
+# large fleet has many idle links.
+_RECHECK_S = 1.0
 _PATH = '/link'
 _MASK_BYTES = 4
 _Opcode = websocket_frames.Opcode
@@ -128,13 +131,18 @@
         """Waits until the socket is writable and writes as much as it accepts.
 
         Returns:
-          The number of bytes written.
+          The number of bytes written; zero if it has to be tried again.
 
         Raises:
           TransportClosedError: If the connection has ended.
         """
         try:
             return self.sock.send(data)
+        except TimeoutError as error:
+            if error.errno is None:
+                # The reader's time between two tries holds for writes, too.
+                return 0
+            raise errors.TransportClosedError('reset') from error
         except OSError as error:
             raise errors.TransportClosedError('reset') from error
 
@@ -197,7 +205,7 @@
         if size == 0:
             raise errors.HandshakeError('handshake exceeds the size limit')
         try:
-            data = self.sock.recv(size)
+            data = sockets.receive(self.sock, size, _RECHECK_S, 'link')
         except OSError as error:
             raise errors.TransportClosedError('reset') from error
         if not data:
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -284,7 +284,13 @@
         self._guard.start()
         self._monitor.start()
         self._listeners.start()
-        _log.info('node.started', extra={'incarnation': self._incarnation})
+        _log.info(
+            'node.started',
+            extra={
+                'incarnation': self._incarnation,
+                **status.describe_machine(),
+            },
+        )
         if self._lifecycle.state == 'leaving':
             gevent.spawn(self._stop)
 
--- a/jayseam/node/pauses.py
+++ b/jayseam/node/pauses.py
@@ -1,8 +1,10 @@
 """Detects pauses of the process, so that no call is served by stale state."""
 
+import math
 from collections.abc import Callable
 
 import gevent
+import prometheus_client
 from gevent import event
 
 from jayseam.core import clocks
@@ -14,6 +16,15 @@
 PAUSE_THRESHOLD_S = 1.0
 REFRESH_TIMEOUT_S = 1.0
 RETRY_S = 0.05
+# Lateness of a tick that is logged, at most once in the interval, in seconds.
+_LATE_S = 0.25
+_LATE_INTERVAL_S = 5.0
+
+LATENESS = prometheus_client.Histogram(
+    'jayseam_wakeup_lateness_seconds',
+    'Time by which a periodic timer of the process was late',
+    buckets=(0.003, 0.01, 0.03, 0.1, 0.25, 1.0, 3.0),
+)
 
 _log = logs.get_logger(__name__)
 
@@ -39,6 +50,7 @@
     def __init__(self, refresh: Callable[[float, float], None]):
         self._refresh = refresh
         self._last_tick = clocks.read_now()
+        self._late_logged_at = -math.inf
         self._refreshed = event.Event()
         self._refreshed.set()
         self._greenlet: gevent.Greenlet | None = None
@@ -71,10 +83,19 @@
         while True:
             tickers.sleep_until_tick(TICK_INTERVAL_S)
             now = clocks.read_now()
+            self._observe_lateness(now)
             if detect_pause(self._last_tick, now):
                 self._begin_refresh(now)
             self._last_tick = now
 
+    def _observe_lateness(self, now: float) -> None:
+        """Records how late this tick is, and logs late ones now and then."""
+        late_s = max(0.0, now - self._last_tick - TICK_INTERVAL_S)
+        LATENESS.observe(late_s)
+        if late_s > _LATE_S and now >= self._late_logged_at + _LATE_INTERVAL_S:
+            self._late_logged_at = now
+            _log.warning('node.woken_late', extra={'late_s': round(late_s, 3)})
+
     def _begin_refresh(self, now: float) -> None:
         paused_s = now - self._last_tick
         self._last_tick = now
--- a/jayseam/node/status.py
+++ b/jayseam/node/status.py
@@ -1,17 +1,37 @@
 """Documents that the admin server shows to operators."""
 
+import os
+import sys
 from collections.abc import Collection
 from typing import Any
 
 import attrs
+import gevent
 
 from jayseam import calls
 from jayseam import distribution
 from jayseam import membership
 from jayseam import settings as node_settings
+from jayseam.core import clocks
 from jayseam.core import versionnumbers
 
 
+def describe_machine() -> dict[str, Any]:
+    """Returns what this process relies on in its machine."""
+    try:
+        system = os.uname()
+        kernel = f'{system.sysname} {system.release} {system.machine}'
+    except OSError as error:
+        kernel = str(error)
+    return {
+        'kernel': kernel,
+        'python': sys.version.split()[0],
+        'event_loop': gevent.get_hub().loop.backend,
+        'counts_suspension': clocks.counts_suspension(),
+        'cores': os.cpu_count(),
+    }
+
+
 def describe_identity(
     settings: node_settings.model.NodeSettings, incarnation: int
 ) -> dict[str, Any]:
--- a/jayseam/platform/source.py
+++ b/jayseam/platform/source.py
@@ -12,6 +12,7 @@
 from jayseam.core import loops
 from jayseam.distribution import fetching
 from jayseam.platform import errors
+from jayseam.platform import hedging
 from jayseam.platform import mirrors
 from jayseam.platform import store
 from jayseam.presets import documents
@@ -21,8 +22,12 @@
 from jayseam.source import restores
 
 # Wait of a watch request of the first reader of a zone, in seconds. A longer
-# wait lets the latest confirmation become older by as much.
-WATCH_WAIT_S = 1.5
+# wait lets the latest confirmation become older by as much. With `OVERDUE_S` it
+# leaves time to put a change in force within the platform's two seconds when
+# the watch doesn't tell of it.
+WATCH_WAIT_S = 1.0
+# Time after the end of its wait from which a watch is overdue, in seconds.
+OVERDUE_S = 0.25
 # Minimum time between the starts of two reads of the first reader, in seconds.
 # Reads are priced, and entries change many times a second while VMs start and
 # stop; changes in between are batched in the next read.
@@ -40,6 +45,8 @@
 # The watch of a reader ends when no read has waited for this long, in seconds.
 # Other nodes read the store once, so their watch ends with the read.
 IDLE_TIMEOUT_S = 5.0
+# Time after which a waiting read looks at the mirror by itself, in seconds.
+_RECHECK_S = 1.0
 # Timeout of a read that allows a shorter wait, in seconds. It may be this long
 # because the reader's greenlet has nothing else to do during an outage.
 READ_TIMEOUT_S = 60.0
@@ -67,6 +74,15 @@
 _waiting_reads = prometheus_client.Gauge(
     'jayseam_platform_waiting_reads', 'Reads that wait for the store'
 )
+_missed_refreshes = prometheus_client.Counter(
+    'jayseam_platform_missed_refreshes',
+    'Reads that found a change of the mirror of which they had not been told',
+)
+_read_seconds = prometheus_client.Histogram(
+    'jayseam_platform_read_seconds',
+    'Time from the start of a read of the store until the mirror was current',
+    buckets=(0.01, 0.03, 0.1, 0.3, 1.0, 1.3, 2.0, 4.0),
+)
 
 
 class StoreSource:
@@ -124,6 +140,11 @@
         """Zero, as reads wait for the next refresh of the mirror."""
         return 0.0
 
+    @property
+    def is_local(self) -> bool:
+        """True, as reads are answered from the mirror."""
+        return True
+
     def set_reader_rank(self, rank: int | None) -> None:
         """Sets how often the store is read.
 
@@ -191,13 +212,20 @@
             None if after_revision is None else self._get_confirmed_at(channel)
         )
         deadline = clocks.read_now() + max(wait_s, READ_TIMEOUT_S)
+        was_told = True
         while True:
             reply = self._build_reply(
                 channel, after_revision, last_confirmed_at
             )
             if reply is not None:
+                if not was_told:
+                    self._report_missed_refresh(channel)
                 return reply
-            self._wait_for_refresh(deadline - clocks.read_now())
+            was_told = self._wait_for_refresh(deadline - clocks.read_now())
+
+    def _report_missed_refresh(self, channel: str) -> None:
+        _missed_refreshes.inc()
+        _log.warning('platform.refresh_missed', extra={'channel': channel})
 
     def _get_confirmed_at(self, channel: str) -> float | None:
         current = self._channels.get(channel)
@@ -233,21 +261,32 @@
             after_revision, None, confirmed_at, confirmed_at
         )
 
-    def _wait_for_refresh(self, wait_s: float) -> None:
+    def _wait_for_refresh(self, wait_s: float) -> bool:
+        """Waits for the next refresh, for a limited time.
+
+        Args:
+          wait_s: Seconds until the read times out.
+
+        Returns:
+          Whether this read was told of a refresh.
+
+        Raises:
+          SourceTimeoutError: If the read times out.
+        """
+        if wait_s <= 0:
+            raise source_errors.SourceTimeoutError(
+                f'{self.url}: no reply in time'
+            )
         if self._greenlet is None or self._greenlet.dead:
             self._greenlet = loops.spawn_loop(self._run)
         self._waiting_reads += 1
         _waiting_reads.inc()
         try:
-            is_refreshed = wait_s > 0 and self._refreshed.wait(wait_s)
+            return bool(self._refreshed.wait(min(wait_s, _RECHECK_S)))
         finally:
             self._waiting_reads -= 1
             _waiting_reads.dec()
             self._last_read_at = clocks.read_now()
-        if not is_refreshed:
-            raise source_errors.SourceTimeoutError(
-                f'{self.url}: no reply in time'
-            )
 
     def _run(self) -> None:
         """Keeps the mirror up to date while there are readers."""
@@ -286,6 +325,7 @@
                 gevent.sleep(self._retry.fail(clocks.read_now()))
             else:
                 self._record_success()
+                _read_seconds.observe(clocks.read_now() - started)
                 self._retry.succeed()
                 self._refreshed.set()
                 self._refreshed.clear()
@@ -350,7 +390,17 @@
         wait_s = 0.0 if self._is_unavailable else self._watch_wait_s
         wait_s = min(wait_s, hold_s or wait_s)
         try:
-            changes = self._client.watch(_ALL_KEYS, mirror.revision, wait_s)
+            changes, waited_s = hedging.read_hedged(
+                lambda: (
+                    self._client.watch(_ALL_KEYS, mirror.revision, wait_s),
+                    wait_s,
+                ),
+                lambda: (
+                    self._client.read_changes(_ALL_KEYS, mirror.revision),
+                    0.0,
+                ),
+                wait_s + OVERDUE_S,
+            )
         except errors.HistoryGoneError:
             _log.info(
                 'platform.history_gone', extra={'revision': mirror.revision}
@@ -364,7 +414,7 @@
             )
         else:
             if changes.era == mirror.era:
-                return mirrors.apply_changes(mirror, changes, wait_s)
+                return mirrors.apply_changes(mirror, changes, waited_s)
         return mirrors.build_mirror(self._client.list_items(_ALL_KEYS))
 
     def _record_restore(
--- a/jayseam/platform/store.py
+++ b/jayseam/platform/store.py
@@ -25,7 +25,8 @@
 HEAD_TIMEOUT_S = 2.0
 # Timeout to establish a connection, in seconds.
 CONNECT_TIMEOUT_S = 1.0
-# One greenlet reads the store.
+# One greenlet reads the store; an overdue watch is read past on a connection of
+# its own.
 MAX_CONNECTIONS = 1
 # Most pages of one listing, in case the store always announces another page.
 MAX_PAGES = 1000
@@ -109,9 +110,8 @@
     """
 
     def __init__(self, address: str):
-        self._endpoint = endpoints.Endpoint(
-            f'http://{address}', CONNECT_TIMEOUT_S, MAX_CONNECTIONS
-        )
+        self._endpoint = _build_endpoint(address)
+        self._plain_endpoint = _build_endpoint(address)
 
     @property
     def url(self) -> str:
@@ -138,7 +138,7 @@
             query = {'path_prefix': prefix}
             if after:
                 query['after'] = after
-            reply = self._get('/jayseam/kv-range', query)
+            reply = self._get(self._endpoint, '/jayseam/kv-range', query)
             n_bytes += len(reply.body)
             if n_bytes > MAX_LISTING_BYTES:
                 raise source_errors.SourceReplyError('the listing is too large')
@@ -175,12 +175,38 @@
           HistoryGoneError: If the store no longer has these changes.
           SourceError: If the store sent no valid reply.
         """
+        return self._read_changes(
+            self._endpoint, prefix, after_revision, wait_s
+        )
+
+    def read_changes(self, prefix: str, after_revision: int) -> Changes:
+        """Reads changes without a wait, on a connection that no watch uses.
+
+        Args:
+          prefix: Prefix of the keys.
+          after_revision: Revision up to which changes are known.
+
+        Raises:
+          HistoryGoneError: If the store no longer has these changes.
+          SourceError: If the store sent no valid reply.
+        """
+        return self._read_changes(
+            self._plain_endpoint, prefix, after_revision, 0.0
+        )
+
+    def _read_changes(
+        self,
+        endpoint: endpoints.Endpoint,
+        prefix: str,
+        after_revision: int,
+        wait_s: float,
+    ) -> Changes:
         query = {
             'path_prefix': prefix,
             'after': after_revision,
             'wait_ms': int(wait_s * _MS_PER_S),
         }
-        reply = self._get('/jayseam/kv-watch', query, wait_s)
+        reply = self._get(endpoint, '/jayseam/kv-watch', query, wait_s)
         document = _read_document(reply)
         events = _read_list(document, 'events')
         return Changes(
@@ -194,15 +220,20 @@
     def close(self) -> None:
         """Closes the idle connections."""
         self._endpoint.close()
+        self._plain_endpoint.close()
 
     def _get(
-        self, path: str, query: dict[str, Any], wait_s: float = 0.0
+        self,
+        endpoint: endpoints.Endpoint,
+        path: str,
+        query: dict[str, Any],
+        wait_s: float = 0.0,
     ) -> endpoints.RawReply:
         # Keys with lone surrogates must not fail here; the store judges them.
         encoded = urllib.parse.urlencode(
             query, safe='/', errors='surrogatepass'
         )
-        reply = self._endpoint.fetch(
+        reply = endpoint.fetch(
             f'{path}?{encoded}',
             REPLY_TIMEOUT_S + wait_s,
             MAX_REPLY_BYTES,
@@ -223,6 +254,12 @@
         return reply
 
 
+def _build_endpoint(address: str) -> endpoints.Endpoint:
+    return endpoints.Endpoint(
+        f'http://{address}', CONNECT_TIMEOUT_S, MAX_CONNECTIONS
+    )
+
+
 def _read_document(reply: endpoints.RawReply) -> dict[str, Any]:
     try:
         document = json.loads(reply.body)
--- a/jayseam/platform/tests/test_source.py
+++ b/jayseam/platform/tests/test_source.py
@@ -1,6 +1,7 @@
 """Tests of the store as a source, with a stand-in of the store on loopback."""
 
 import contextlib
+import json
 
 import gevent
 import pytest
@@ -8,6 +9,7 @@
 from jayseam.core import clocks
 from jayseam.core import versionnumbers
 from jayseam.platform import errors as platform_errors
+from jayseam.platform import hedging
 from jayseam.platform import mirrors
 from jayseam.platform import settings
 from jayseam.platform import source
@@ -561,3 +563,74 @@
             'op/b',
         ]
         assert kv_store.era == 2
+
+
+@pytest.mark.parametrize('phase_s', [0.0, 0.4, 0.8])
+def test_change_arrives_though_watches_stay_unanswered(phase_s):
+    """A watch that hangs delayed a withdrawn key by its whole timeout."""
+    with _run_source() as (kv_store, store_source):
+        read = store_source.read_value('channels/keys')
+        kv_store.faults.silent_watches = True
+        gevent.spawn(
+            store_source.read_value, 'channels/keys', read.revision, 60.0
+        )
+        gevent.sleep(phase_s)
+        before = hedging.OVERDUE_WATCHES.labels('plain')._value.get()
+        document = samples.build_configuration('r9')
+        samples.add_keys(document, 'museum', ['00bbbbccccddddeeeeff'])
+        kv_store.put('op/config', document)
+        written_at = clocks.read_now()
+        with gevent.Timeout(CONFIG_APPLY_S):
+            reply = read
+            while reply.revision == read.revision:
+                reply = store_source.read_value(
+                    'channels/keys', read.revision, CONFIG_APPLY_S
+                )
+        assert clocks.read_now() - written_at < CONFIG_APPLY_S
+        assert hedging.OVERDUE_WATCHES.labels('plain')._value.get() > before
+
+
+class _SilentClient:
+    """A store without changes whose watches are never answered."""
+
+    url = 'http://127.0.0.1:1'
+
+    def __init__(self):
+        self.plain_reads = []
+
+    def list_items(self, prefix):
+        """Returns a listing with a configuration."""
+        del prefix
+        value = json.dumps(samples.build_configuration()).encode()
+        items = (store.Item('op/config', value, 3),)
+        return store.Listing(items, 3, clocks.read_now())
+
+    def watch(self, prefix, after_revision, wait_s):
+        """Never returns."""
+        del prefix, after_revision, wait_s
+        gevent.sleep(60.0)
+
+    def read_changes(self, prefix, after_revision):
+        """Returns a slow reply without changes."""
+        del prefix
+        requested_at = clocks.read_now()
+        gevent.sleep(0.3)
+        self.plain_reads.append(requested_at)
+        return store.Changes(
+            (), after_revision, requested_at, clocks.read_now()
+        )
+
+    def close(self):
+        """Does nothing."""
+
+
+def test_plain_read_confirms_the_time_of_its_request():
+    """A reply may be older than its arrival; it must not confirm that time."""
+    client = _SilentClient()
+    store_source = source.StoreSource(client, DEPLOYMENT_FACTS, 3.0, 4.5)
+    store_source.set_reader_rank(0)
+    version = store_source.read_value('channels/keys').revision
+    reply = store_source.read_value('channels/keys', version, 10.0)
+    store_source.close()
+    assert reply.revision == version
+    assert reply.requested_at == client.plain_reads[0]
--- a/jayseam/platform/tests/test_storms.py
+++ b/jayseam/platform/tests/test_storms.py
@@ -28,7 +28,7 @@
         fleet.close()
 
 
-class _Writer:
+class Writer:
     """Writes versions with rising numbers."""
 
     def __init__(self, fleet, number):
@@ -48,9 +48,9 @@
         samples.add_keys(document, 'museum', keys)
         self._fleet.store.put(operators.CONFIGURATION_KEY, document)
 
-    def storm(self, keys, gap_s):
+    def storm(self, keys, gap_s, duration_s=STORM_S):
         """Writes versions that only change the timeout of the idle route."""
-        end = clocks.read_now() + STORM_S
+        end = clocks.read_now() + duration_s
         while clocks.read_now() < end:
             self.write(keys, 1000 + self._number % 500)
             gevent.sleep(gap_s)
@@ -73,7 +73,7 @@
 
 def test_keys_change_in_time_after_a_storm(fleet):
     """A storm of other changes must not delay a key's grant or withdrawal."""
-    writer = _Writer(fleet, 100)
+    writer = Writer(fleet, 100)
     for step in range(N_ROUNDS - 1):
         writer.storm([KEYS[step]], GAPS_S[step % len(GAPS_S)])
         writer.write([KEYS[step + 1]])
--- a/jayseam/source/client.py
+++ b/jayseam/source/client.py
@@ -56,6 +56,10 @@
         itself makes readers wait.
         """
 
+    @property
+    def is_local(self) -> bool:
+        """Whether the node reads a copy of its own, so that reads are free."""
+
     def set_reader_rank(self, rank: int | None) -> None:
         """Sets this node's rank among the readers of its zone, from zero.
 
@@ -118,6 +122,11 @@
         """Least seconds between two reads of a channel that bring no news."""
         return MIN_READ_INTERVAL_S
 
+    @property
+    def is_local(self) -> bool:
+        """False, as each read is a request to the service."""
+        return False
+
     def set_reader_rank(self, rank: int | None) -> None:
         """Does nothing, because all readers may watch this source alike."""
 
--- a/jayseam/source/endpoints.py
+++ b/jayseam/source/endpoints.py
@@ -18,6 +18,9 @@
 
 _CHUNK_BYTES = 65_536
 _MAX_CONNECTIONS = 8
+# Time after which a connection is tried without an event, in seconds; a small
+# part of the platform's deadlines.
+_RECHECK_S = 0.25
 # Timers don't fire during a sleep of no time.
 _PAUSE_S = 0.001
 # Greatest size of a reply with its head and transfer coding, in bytes.
@@ -69,8 +72,12 @@
         Raises:
           BodyTooLargeError: If the reply is too large.
         """
-        data = super().recv(*args)
-        if len(data) == args[0]:
+        size = args[0]
+        # The limits of a reply are those of `Endpoint.fetch`.
+        data = sockets.receive(
+            self, size, _RECHECK_S, 'source', read=super().recv
+        )
+        if len(data) == size:
             # Timeouts can't fire while there is always more to read.
             gevent.sleep(_PAUSE_S)
         self._received_bytes += len(data)
--- a/jayseam/source/tests/test_watchers.py
+++ b/jayseam/source/tests/test_watchers.py
@@ -17,6 +17,7 @@
     """Answers reads of the VM list from a script, then waits for ever."""
 
     min_read_interval_s = 1.0
+    is_local = False
 
     def __init__(self, script):
         self._script = list(script)
--- a/jayseam/source/watchers.py
+++ b/jayseam/source/watchers.py
@@ -196,7 +196,8 @@
     After a failed read, the watcher backs off with full jitter. After any other
     read it goes on at the pace that the source allows, because a change may
     follow at any time. The source answers the first read without a wait, so a
-    held version is confirmed immediately.
+    held version is confirmed immediately. While another channel is read with
+    success, the source is there, so `wake` ends a back-off.
     """
 
     def __init__(
@@ -247,6 +248,8 @@
         self._live_vms: frozenset[str] = frozenset()
         self._is_first = True
         self._stopping = event.Event()
+        # Set while no back-off is to be waited for.
+        self._awake = event.Event()
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -256,9 +259,14 @@
     def stop(self) -> None:
         """Ends the watch, also while it is waiting."""
         self._stopping.set()
+        self._awake.set()
         if self._greenlet is not None:
             self._greenlet.kill()
 
+    def wake(self) -> None:
+        """Ends the wait of a back-off, if there is one."""
+        self._awake.set()
+
     def _run(self) -> None:
         retry = backoff.RetryTimer(self._uniform)
         while not self._stopping.is_set():
@@ -271,12 +279,29 @@
                 )
                 pause_s = None
             if pause_s is None:
-                pause_s = retry.fail(clocks.read_now())
-            else:
-                retry.succeed()
+                self._back_off(retry)
+                continue
+            retry.succeed()
             if pause_s:
                 self._stopping.wait(pause_s)
 
+    def _back_off(self, retry: backoff.RetryTimer) -> None:
+        """Waits after a failed read, at most until another channel is read."""
+        self._awake.clear()
+        wait_s = retry.fail(clocks.read_now())
+        if self._stopping.is_set():
+            return
+        was_woken = self._awake.wait(wait_s)
+        _log.info(
+            'source.backed_off',
+            extra={
+                'channel': self.channel,
+                'failures': retry.failures,
+                'wait_s': round(wait_s, 3),
+                'was_woken': was_woken,
+            },
+        )
+
     def _watch_once(self) -> float | None:
         """Reads once.
 
--- a/jayseam/standins/kvstore.py
+++ b/jayseam/standins/kvstore.py
@@ -22,11 +22,13 @@
       status: Status of every answer, such as 503 or 429; 0 disables this fault.
       reset: Whether connections are reset.
       silent: Whether requests are never answered.
+      silent_watches: Whether requests that wait for changes are never answered.
     """
 
     status: int = 0
     reset: bool = False
     silent: bool = False
+    silent_watches: bool = False
 
 
 @attrs.frozen
@@ -197,6 +199,8 @@
             return 200, self._store.list_page(prefix, query.get('after', ''))
         if environ['PATH_INFO'] == '/jayseam/kv-watch':
             wait_s = int(query.get('wait_ms', '0')) / 1000
+            if wait_s and self._store.faults.silent_watches:
+                event.Event().wait()
             changes = self._store.watch(prefix, int(query['after']), wait_s)
             return (200, changes) if changes else (410, {})
         return 404, {}
