End work for callers who left on machines that show it otherwise

Cause: a closed connection was learned of by one sign, POLLRDHUP in a poll that didn't ask for POLLIN, at one timer; and the backend server learned of it only if closing the node's socket ended the connection.

Change: the poll asks for POLLIN, too; the end of the input (MSG_PEEK) is a second sign, looked for each 0.2 s without any event; the reader of a connection tells the monitor by itself. Connections are shut down before they are closed. A cancellation opens a link if there is none. Idle and used connections to backend servers are judged by the same signs. The log says by which sign a caller was found gone, what the other signs showed, and what was dropped or cancelled for it.

--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -528,6 +528,14 @@
                     'error': str(error),
                 },
             )
+        if reason == 'cancelled' and call.sent and not call.is_control:
+            _log.info(
+                'backend.call_dropped',
+                extra={
+                    'backend': self._host,
+                    'request': call.request.request_id,
+                },
+            )
         if reason == 'connection-lost':
             self._report_loss(self._read_now())
             return
--- a/jayseam/backends/connections.py
+++ b/jayseam/backends/connections.py
@@ -2,7 +2,6 @@
 
 import collections
 import math
-import select
 import socket as std_socket
 from collections.abc import Callable
 
@@ -10,6 +9,7 @@
 from gevent import socket
 
 from jayseam.backends import errors
+from jayseam.core import hangups
 from jayseam.core import sockets
 
 _BLOCK_BYTES = 65536
@@ -43,8 +43,6 @@
             self._socket.settimeout(timeout_s)
             self._socket.connect(address)
             sockets.set_nodelay(self._socket)
-            self._poller = select.poll()
-            self._poller.register(self._socket.fileno(), select.POLLIN)
         except BaseException:
             self._socket.close()
             raise
@@ -71,31 +69,21 @@
         Bytes that arrive without a request would be taken for the answer to
         the next request.
         """
-        return not self._poller.poll(0)
+        return not hangups.has_input(self._socket)
 
     def is_open(self) -> bool:
         """Returns whether the other side has not closed the connection.
 
         The connection may be in use by another greenlet.
         """
-        return self._peek() != b''
-
-    def _peek(self) -> bytes | None:
-        """Returns the next byte, None if there is none, empty after the end."""
-        timeout_s = self._socket.gettimeout()
-        try:
-            self._socket.settimeout(0.0)
-            return self._socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return None
-        except OSError:
-            return b''
-        finally:
-            # Another greenlet may be using the socket with this time-out.
-            self._socket.settimeout(timeout_s)
+        is_ended = hangups.shows_end_of_input(self._socket)
+        if is_ended is None:
+            is_ended = hangups.shows_hang_up(self._socket)
+        return not is_ended
 
     def close(self) -> None:
         """Closes the socket; a greenlet blocked on it gets an OSError."""
+        sockets.shut_down(self._socket)
         self._socket.close()
 
 
--- a/jayseam/calls/errors.py
+++ b/jayseam/calls/errors.py
@@ -4,6 +4,8 @@
 title of the problem.
 """
 
+from collections.abc import Mapping
+
 from jayseam.core import errors
 
 
@@ -150,8 +152,26 @@
 
     It ends the call with all its attempts, also if it is raised in an attempt
     at the own backend server, which runs in the greenlet of the call.
+
+    Attributes:
+      sign: Sign by which the end of the connection was found first.
+      signs: Whether the connection showed each sign then; None if the machine
+        refused to say.
+      watched_s: Time since the connection is watched for this call, in seconds.
     """
 
+    def __init__(
+        self,
+        detail: str,
+        sign: str = '',
+        signs: Mapping[str, bool | None] | None = None,
+        watched_s: float = 0.0,
+    ):
+        super().__init__(detail)
+        self.sign = sign
+        self.signs = signs or {}
+        self.watched_s = watched_s
+
 
 class AttemptCancelledError(errors.JayseamError):
     """The entry has cancelled an attempt, which ends at the ingress."""
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -106,6 +106,14 @@
         if it has to wait for the refresh after a pause.
         """
         greenlet = self._running.get(attempt)
+        _log.info(
+            'call.attempt_cancelled',
+            extra={
+                'attempt': attempt,
+                'request_id': self._request_ids.get(attempt),
+                'running': greenlet is not None,
+            },
+        )
         if greenlet is not None:
             error = errors.AttemptCancelledError(attempt)
             greenlet.kill(error, block=False)
--- a/jayseam/core/sockets.py
+++ b/jayseam/core/sockets.py
@@ -5,6 +5,7 @@
 that only improves a connection is never a reason to end it.
 """
 
+import contextlib
 import ctypes
 import math
 import socket
@@ -178,6 +179,16 @@
         _log.warning('sockets.input_missed', extra={'connection': kind})
 
 
+def shut_down(sock: socket.socket) -> None:
+    """Tells the other side that a connection ends, before it is closed.
+
+    Closing tells it only if nothing else has the descriptor open.
+    """
+    # A connection that has failed already needs no telling.
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+
+
 def drop_new_connections(listener: socket.socket) -> bool:
     """Makes the kernel drop all packets that reach a listening socket.
 
--- a/jayseam/links/transports.py
+++ b/jayseam/links/transports.py
@@ -159,7 +159,7 @@
         with contextlib.suppress(OSError, exceptions.WebSocketException):
             self._protocol.fail(websocket_frames.CloseCode.GOING_AWAY)
             self.sock.send(self.pop_control_frames(), 0, timeout=0.0)
-        self.sock.close()
+        self.abort()
 
     def shut_down_writing(self) -> None:
         """Shuts down writing; the peer closes after reading everything."""
@@ -168,6 +168,7 @@
 
     def abort(self) -> None:
         """Closes the socket without a close frame."""
+        sockets.shut_down(self.sock)
         self.sock.close()
 
     def _flush(self, data: bytes) -> None:
--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -180,8 +180,16 @@
             metrics.REFUSALS.labels(error.code).inc()
             self._log_refusal(error, environ, request_id)
             return self._render_error(error, request_id, idempotency_key)
-        except errors.CallerGoneError:
-            _log.info('call.caller_gone', extra={'request_id': request_id})
+        except errors.CallerGoneError as error:
+            _log.info(
+                'call.caller_gone',
+                extra={
+                    'request_id': request_id,
+                    'sign': error.sign,
+                    'signs': error.signs,
+                    'watched_s': round(error.watched_s, 3),
+                },
+            )
             return requests.CallAnswer(499, (), b'')
         except Exception:  # pylint: disable=broad-exception-caught
             # After an unexpected error it is unknown whether the call has run.
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -14,6 +14,7 @@
 from jayseam.calls import errors
 from jayseam.calls import problems
 from jayseam.core import clocks
+from jayseam.core import hangups
 from jayseam.core import loops
 from jayseam.core import memory
 from jayseam.core import sockets
@@ -247,9 +248,7 @@
 
     def has_input(self) -> bool:
         """Returns whether bytes of a request have arrived."""
-        poller = select.poll()
-        poller.register(self.socket.fileno(), select.POLLIN)
-        return bool(poller.poll(0))
+        return bool(hangups.has_input(self.socket))
 
     def refuse_next_request(self) -> None:
         """Sends a refusal on an idle connection and closes it for sending.
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -625,10 +625,32 @@
         )
 
     def _cancel(self, vm: str, attempt: str) -> None:
+        """Cancels an attempt at a VM; opens a link if there is none."""
         if vm == self._settings.vm:
             self._ingress.cancel(attempt)
-        else:
-            self._links.notify(vm, messages.CancelAttempt(attempt))
+            return
+        message = messages.CancelAttempt(attempt)
+        if not self._links.notify(vm, message):
+            gevent.spawn(self._send_cancellation, vm, message)
+
+    def _send_cancellation(
+        self, vm: str, message: messages.CancelAttempt
+    ) -> None:
+        is_sent, reason = False, 'no open link took it'
+        try:
+            is_sent = self._links.dial_and_notify(vm, message)
+        except links.errors.LinkError as error:
+            reason = str(error)
+        metrics.CANCELLATIONS_RESENT.labels(str(is_sent).lower()).inc()
+        _log.info(
+            'call.cancellation_resent',
+            extra={
+                'upstream_vm': vm,
+                'attempt': message.attempt,
+                'sent': is_sent,
+                'reason': reason,
+            },
+        )
 
     def _on_forward(
         self, peer: links.handlers.PeerInfo, forward: messages.Forward
--- a/jayseam/node/metrics.py
+++ b/jayseam/node/metrics.py
@@ -35,6 +35,11 @@
 PAUSES = prometheus_client.Counter(
     'jayseam_pauses', 'Pauses of the process that were noticed'
 )
+CANCELLATIONS_RESENT = prometheus_client.Counter(
+    'jayseam_cancellations_resent',
+    'Cancellations for which a link had to be opened, by whether one took them',
+    ('sent',),
+)
 
 
 def observe_call(workspace: str, outcome: str, elapsed_s: float) -> None:
--- a/jayseam/node/pipelines.py
+++ b/jayseam/node/pipelines.py
@@ -16,7 +16,6 @@
 import collections
 import errno
 import io
-import select
 from collections.abc import Callable
 from typing import Any
 
@@ -25,6 +24,7 @@
 from gevent import event
 
 from jayseam.calls import errors
+from jayseam.core import hangups
 from jayseam.core import logs
 
 # Most requests of a connection that are begun and not answered. Those behind
@@ -49,12 +49,14 @@
     Attributes:
       is_held: Whether reading returns at once as if nothing had arrived, so
         that the buffer around this input can be inspected.
+      is_ended: Whether the end of the input has been read.
     """
 
     def __init__(self, sock: Any):
         super().__init__()
         self._socket = sock
         self.is_held = False
+        self.is_ended = False
 
     def readable(self) -> bool:
         """Returns True."""
@@ -64,7 +66,9 @@
         """Reads some bytes; returns 0 at the end and None while held."""
         if self.is_held:
             return None
-        return self._socket.recv_into(buffer)
+        n_bytes = self._socket.recv_into(buffer)
+        self.is_ended |= not n_bytes
+        return n_bytes
 
 
 def has_buffered(stream: io.BufferedReader) -> bool:
@@ -118,6 +122,10 @@
         self.is_input_read = True
         self._pipeline.read_ahead()
 
+    def notify_of_end(self, on_end: Callable[[Any], None]) -> None:
+        """Has a function called with the socket when its input has ended."""
+        self._pipeline.notify_of_end(on_end)
+
     def must_wait(self) -> bool:
         """Returns whether the call waits for answers before it."""
         earlier = self._pipeline.list_earlier(self)
@@ -189,6 +197,9 @@
         # Replaced with each answer.
         self._answered = event.Event()
         self._watcher = gevent.get_hub().loop.io(sock.fileno(), _READ)
+        # Whether the event loop has told of input that wasn't read since.
+        self._is_told_of_input = False
+        self._on_end: Callable[[Any], None] | None = None
         self._reader: gevent.Greenlet | None = None
 
     def begin(self) -> Exchange:
@@ -209,12 +220,19 @@
         if self._reader is not None:
             self._reader.join()
             self._reader = None
+        self._is_told_of_input = False
 
     def close(self) -> None:
         """Releases the resources of the event loop."""
         self._watcher.stop()
         self._watcher.close()
 
+    def notify_of_end(self, on_end: Callable[[Any], None]) -> None:
+        """Has a function called with the socket when its input has ended."""
+        self._on_end = on_end
+        if self._stream.raw.is_ended:
+            on_end(self._socket)
+
     def read_ahead(self) -> None:
         """Reads requests behind the last one as soon as bytes arrive."""
         if self._reader is not None:
@@ -222,7 +240,7 @@
         elif has_buffered(self._stream):
             self._start_reader()
         else:
-            self._watcher.start(self._start_reader)
+            self._watcher.start(self._start_reader_with_input)
 
     def run(
         self, exchange: Exchange, answer_request: Callable[[], bool]
@@ -277,6 +295,10 @@
         answered.set()
         self._wake.set()
 
+    def _start_reader_with_input(self) -> None:
+        self._is_told_of_input = True
+        self._start_reader()
+
     def _start_reader(self) -> None:
         self._watcher.stop()
         self._reader = gevent.spawn(self._run_reader)
@@ -289,10 +311,14 @@
                 if self._has_input():
                     self._read_one()
                     continue
-                self._watcher.start(self._wake.set)
+                self._watcher.start(self._handle_input_event)
             self._wake.wait()
             self._watcher.stop()
 
+    def _handle_input_event(self) -> None:
+        self._is_told_of_input = True
+        self._wake.set()
+
     def _may_read(self) -> bool:
         return (
             not self.is_closing
@@ -301,11 +327,13 @@
         )
 
     def _has_input(self) -> bool:
+        if self._is_told_of_input:
+            # A machine may not show by other means what the event loop told.
+            self._is_told_of_input = False
+            return True
         if has_buffered(self._stream):
             return True
-        poller = select.poll()
-        poller.register(self._socket.fileno(), select.POLLIN)
-        return bool(poller.poll(0))
+        return bool(hangups.has_input(self._socket))
 
     def _read_one(self) -> None:
         may_follow = False
@@ -315,3 +343,5 @@
             # The requests that were begun are still answered.
             _log.exception('pipeline.read_failed')
         self.is_closing |= not may_follow
+        if self._stream.raw.is_ended and self._on_end is not None:
+            self._on_end(self._socket)
--- a/jayseam/platform/tests/test_leaving_callers.py
+++ b/jayseam/platform/tests/test_leaving_callers.py
@@ -1,5 +1,6 @@
 """Real nodes whose callers close their connections before the answer."""
 
+import math
 import random
 
 import gevent
@@ -22,10 +23,13 @@
 GONE_S = 0.5
 
 
-@pytest.fixture(name='fleet', scope='module')
-def _fleet():
-    """Yields a ready fleet of two VMs with a route that may be retried."""
-    fleet = fleets.Fleet(2)
+def build_fleet(machines=()):
+    """Returns a fleet of two VMs with a route that may be retried.
+
+    Args:
+      machines: Differences of the nodes' machine; see `standins.machines`.
+    """
+    fleet = fleets.Fleet(2, machines)
     operator = operators.Operator(fleet, random.Random(1))
     route = samples.build_route(
         'open', public=True, timeout='3s', target_latency='3s', max_attempts=3
@@ -35,6 +39,13 @@
     )
     for ip in fleet.vms:
         operator.register(ip)
+    return fleet
+
+
+@pytest.fixture(name='fleet', scope='module')
+def _fleet():
+    """Yields a ready fleet on this machine."""
+    fleet = build_fleet()
     try:
         fleet.start_all()
         yield fleet
@@ -56,19 +67,16 @@
     left_at[name] = clocks.read_now()
 
 
-@pytest.mark.parametrize('n_calls', [4, N_CALLS])
-def test_request_whose_caller_has_left_runs_nowhere_else(fleet, n_calls):
-    """A repeatable request was sent to another upstream, for nobody.
-
-    Calls are at work at the own or another upstream, or wait, when their
-    callers leave. What they held must be free for others afterwards.
-    """
+def check_leaving_callers(fleet, n_calls):
+    """Checks that requests end everywhere, and run once, when callers leave."""
     ip = next(iter(fleet.vms))
     backends = [vm.backend for vm in fleet.vms.values()]
     for round_number in range(3):
         for backend in backends:
             backend.service_s = WORK_S
+            backend.drops = True
             backend.arrivals.clear()
+            backend.dropped_at.clear()
         left_at = {}
         callers = [
             gevent.spawn(
@@ -98,3 +106,23 @@
             for arrival in arrivals
             if arrival.at > left_at[arrival.request_id] + GONE_S
         ]
+        dropped_at = {
+            name: at
+            for backend in backends
+            for name, at in backend.dropped_at.items()
+        }
+        assert not [
+            name
+            for name in names
+            if dropped_at.get(name, math.inf) > left_at[name] + GONE_S
+        ]
+
+
+@pytest.mark.parametrize('n_calls', [4, N_CALLS])
+def test_request_whose_caller_has_left_runs_nowhere_else(fleet, n_calls):
+    """A repeatable request was sent to another upstream, for nobody.
+
+    Calls are at work at the own or another upstream, or wait, when their
+    callers leave. What they held must be free for others afterwards.
+    """
+    check_leaving_callers(fleet, n_calls)
--- a/jayseam/platform/tests/test_machines.py
+++ b/jayseam/platform/tests/test_machines.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from jayseam.platform.tests import test_leaving_callers
 from jayseam.platform.tests import test_refused_calls
 from jayseam.platform.tests import test_storms
 
@@ -28,3 +29,27 @@
         run_storms(fleet)
     finally:
         fleet.close()
+
+
+@pytest.mark.parametrize(
+    'machines',
+    [
+        ['rdhup-with-input'],
+        ['silent-poll'],
+        ['poll-refused'],
+        ['kept-sockets'],
+        ['no-rdhup', 'no-peek'],
+    ],
+)
+def test_no_work_goes_on_for_callers_that_left(machines):
+    """Upstreams worked to the end for callers that had left.
+
+    The machines don't show the end of a connection as the node had expected,
+    or tell the upstream nothing when the node closes its own.
+    """
+    fleet = test_leaving_callers.build_fleet(machines)
+    try:
+        fleet.start_all()
+        test_leaving_callers.check_leaving_callers(fleet, 8)
+    finally:
+        fleet.close()
--- a/jayseam/soak/main.py
+++ b/jayseam/soak/main.py
@@ -10,8 +10,8 @@
 from jayseam.soak import runs
 from jayseam.soak import storeruns as _  # Registers a platform.
 from jayseam.standins import deployments
+from jayseam.standins import machines
 from jayseam.standins import processes
-from jayseam.standins import refusals
 
 _MIN_DURATION_S = 10.0
 
@@ -121,8 +121,9 @@
         '--refused',
         metavar='A,B',
         help='calls of the system that are refused to the nodes of the'
-        " operators' platform, or '' for none, instead of what the seed"
-        f' decides: {", ".join(refusals.registry.list_names())}',
+        " operators' platform and other differences of their machine, or ''"
+        ' for none, instead of what the seed decides:'
+        f' {", ".join(machines.list_names())}',
     )
     parser.add_argument(
         '--deployment',
--- a/jayseam/soak/storeruns.py
+++ b/jayseam/soak/storeruns.py
@@ -25,6 +25,7 @@
 from jayseam.standins import callers
 from jayseam.standins import errors as standin_errors
 from jayseam.standins import invariants
+from jayseam.standins import machines
 from jayseam.standins import platformbackend
 from jayseam.standins import readiness
 from jayseam.standins import refusals
@@ -67,7 +68,7 @@
     """
     refused = draw_refused(plan)
     for name in refused:
-        refusals.registry.get(name)
+        machines.find(name)
     fleet = fleets.Fleet(plan.vms or _DEFAULT_VMS, refused)
     try:
         result = _Run(plan, fleet, refused).execute()
--- a/jayseam/standins/machines.py
+++ b/jayseam/standins/machines.py
@@ -8,6 +8,7 @@
 """
 
 import argparse
+import contextlib
 import errno
 import math
 import os
@@ -18,7 +19,7 @@
 import sys
 import time
 import weakref
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from typing import Any
 
 import gevent
@@ -43,6 +44,24 @@
 _SMALL_BUFFER_BYTES = 4096
 _TCP_INFO = 11
 
+# What the differences of this module change.
+_CHANGED = (
+    (select, 'poll'),
+    (time, 'clock_gettime'),
+    (gevent, 'sleep'),
+    *(
+        (_socket3.socket, name)
+        for name in (
+            '__init__',
+            '_wait',
+            'close',
+            'connect',
+            'getsockopt',
+            'recv',
+        )
+    ),
+)
+
 registry: registries.Registry[Callable[[], None]] = registries.Registry(
     'machine difference'
 )
@@ -53,6 +72,16 @@
     return [*registry.list_names(), *refusals.registry.list_names()]
 
 
+def find(name: str) -> Callable[[], None]:
+    """Returns the function that installs a difference or refusal.
+
+    Raises:
+      UnknownVariantError: If there is none of this name.
+    """
+    known = registry if name in registry.list_names() else refusals.registry
+    return known.get(name)
+
+
 def install(names: Sequence[str]) -> None:
     """Makes this process see a machine with some differences.
 
@@ -60,8 +89,19 @@
       UnknownVariantError: If there is no difference or refusal of a name.
     """
     for name in names:
-        known = registry if name in registry.list_names() else refusals.registry
-        known.get(name)()
+        find(name)()
+
+
+@contextlib.contextmanager
+def play(names: Sequence[str]) -> Iterator[None]:
+    """Makes this process see a machine with some differences for a while."""
+    before = [(owner, name, getattr(owner, name)) for owner, name in _CHANGED]
+    try:
+        install(names)
+        yield
+    finally:
+        for owner, name, value in before:
+            setattr(owner, name, value)
 
 
 def build_command(
--- a/jayseam/standins/platformbackend.py
+++ b/jayseam/standins/platformbackend.py
@@ -8,6 +8,7 @@
 import gevent
 
 from jayseam.core import clocks
+from jayseam.core import hangups
 from jayseam.standins import answerfaults
 from jayseam.standins import serving
 
@@ -15,6 +16,9 @@
 DEADLINE_HEADER = 'Jayseam-Deadline-Ms'
 SIGNATURE_HEADER = 'Jayseam-Response-Signature'
 
+# Time between two looks at the connection of a request, in seconds.
+_DROP_POLL_S = 0.02
+
 
 @attrs.frozen
 class Arrival:
@@ -51,7 +55,9 @@
       unsealed: Whether answers lack their signature.
       body_bytes: Size of the filler in each answer.
       answer_fault: Fault of the bytes of each answer that isn't a refusal.
+      drops: Whether a request ends when its connection is closed.
       arrivals: Requests that have reached the server.
+      dropped_at: Times at which requests were dropped, in seconds, by id.
     """
 
     instance: str
@@ -61,7 +67,9 @@
     unsealed: bool = False
     body_bytes: int = 0
     answer_fault: answerfaults.AnswerFault | None = None
+    drops: bool = False
     arrivals: list[Arrival] = attrs.field(factory=list)
+    dropped_at: dict[str, float] = attrs.field(factory=dict)
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -88,7 +96,7 @@
             return serving.send_answer(
                 start_response, 503, headers=[id_header, not_executed]
             )
-        gevent.sleep(self.service_s)
+        self._work(environ, request_id)
         fields = {'id': request_id, 'path': environ['PATH_INFO']}
         if self.body_bytes:
             fields['filler'] = 'x' * self.body_bytes
@@ -104,3 +112,15 @@
                 self.answer_fault, lines.encode(), environ[serving.SOCKET_KEY]
             )
         return serving.send_answer(start_response, 200, body, headers)
+
+    def _work(self, environ: dict[str, Any], request_id: str) -> None:
+        """Works on a request until its end or that of its connection."""
+        if not self.drops:
+            gevent.sleep(self.service_s)
+            return
+        end = clocks.read_now() + self.service_s
+        while (left_s := end - clocks.read_now()) > 0:
+            gevent.sleep(min(_DROP_POLL_S, left_s))
+            if hangups.find_sign(environ[serving.SOCKET_KEY]) is not None:
+                self.dropped_at[request_id] = clocks.read_now()
+                raise serving.AbortError(reset=False)
