Let the watch of a zone's first reader wait 1.3 s

Change: it waits 1.3 s and is overdue after 0.2 s more, so that a plain read still brings a change 0.5 s before the deadline.

--- a/jayseam/platform/source.py
+++ b/jayseam/platform/source.py
@@ -22,12 +22,12 @@
 from jayseam.source import restores
 
 # Wait of a watch request of the first reader of a zone, in seconds. A longer
-# wait lets the latest confirmation become older by as much. With `OVERDUE_S` it
-# leaves time to put a change in force within the platform's two seconds when
-# the watch doesn't tell of it.
-WATCH_WAIT_S = 1.0
+# wait lets the latest confirmation become older by as much, a shorter one costs
+# more of the priced calls. With `OVERDUE_S` it leaves time to put a change in
+# force within the platform's two seconds when the watch doesn't tell of it.
+WATCH_WAIT_S = 1.3
 # Time after the end of its wait from which a watch is overdue, in seconds.
-OVERDUE_S = 0.25
+OVERDUE_S = 0.2
 # Minimum time between the starts of two reads of the first reader, in seconds.
 # Reads are priced, and entries change many times a second while VMs start and
 # stop; changes in between are batched in the next read.
