Share the launcher of refusals and machines; test given-up watches

Cause: both modules parsed the same command line, and the command of one had no user left.

Change: refusals.launch serves both.

--- a/jayseam/platform/tests/test_source.py
+++ b/jayseam/platform/tests/test_source.py
@@ -590,6 +590,34 @@
         assert hedging.OVERDUE_WATCHES.labels('plain')._value.get() > before
 
 
+def test_watches_that_were_given_up_leave_nothing_behind():
+    """Each one ends with its connection, and a later watch works again."""
+    with _run_source() as (kv_store, store_source):
+        version = store_source.read_value('channels/preset').revision
+        for number in range(9, 13):
+            kv_store.faults.silent_watches = number < 12
+            kv_store.put('op/config', samples.build_configuration(f'r{number}'))
+            reply = None
+            with gevent.Timeout(CONFIG_APPLY_S):
+                while reply is None or reply.revision == version:
+                    reply = store_source.read_value(
+                        'channels/preset', version, CONFIG_APPLY_S
+                    )
+            version = reply.revision
+        n_watches = hedging.OVERDUE_WATCHES.labels('plain')._value.get()
+        gevent.sleep(2.0 * source.WATCH_WAIT_S + 1.0)
+        assert (
+            hedging.OVERDUE_WATCHES.labels('plain')._value.get()
+            <= n_watches + 1
+        )
+        kept = [
+            sock
+            for sock in store_source._client._endpoint._sockets
+            if sock.fileno() >= 0
+        ]
+        assert len(kept) <= 1
+
+
 class _SilentClient:
     """A store without changes whose watches are never answered."""
 
--- a/jayseam/standins/machines.py
+++ b/jayseam/standins/machines.py
@@ -13,7 +13,6 @@
 import math
 import os
 import random
-import runpy
 import select
 import socket
 import sys
@@ -379,15 +378,7 @@
         prog='machines', description='Runs a program on another machine.'
     )
     parser.add_argument('names', nargs='+', choices=list_names())
-    given = sys.argv[1:] if arguments is None else list(arguments)
-    split = given.index('--') if '--' in given else len(given)
-    options = parser.parse_args(given[:split])
-    module, *rest = given[split + 1 :] or [None]
-    if module is None:
-        parser.error('no module to run')
-    install(options.names)
-    sys.argv = [module, *rest]
-    runpy.run_module(module, run_name='__main__', alter_sys=True)
+    refusals.launch(parser, install, arguments)
 
 
 if __name__ == '__main__':
--- a/jayseam/standins/refusals.py
+++ b/jayseam/standins/refusals.py
@@ -32,22 +32,6 @@
 )
 
 
-def build_command(
-    names: Sequence[str], module: str, arguments: Sequence[str]
-) -> list[str]:
-    """Returns the command that runs a module with calls refused.
-
-    Args:
-      names: Names of refusals; with none, the module runs as it is.
-      module: Name of the module.
-      arguments: Arguments of its command line.
-    """
-    if not names:
-        return [sys.executable, '-m', module, *arguments]
-    launcher = [sys.executable, '-m', __spec__.name, *names]
-    return [*launcher, '--', module, *arguments]
-
-
 def refuse_option(level: int, option: int) -> None:
     """Makes ``setsockopt`` fail with EPERM for an option of sockets.
 
@@ -138,23 +122,43 @@
     os.write = write
 
 
-def main(arguments: Sequence[str] | None = None) -> None:
-    """Installs the refusals and runs the module as the main program."""
-    parser = argparse.ArgumentParser(
-        prog='refusals', description='Runs a program with calls refused.'
-    )
-    parser.add_argument('names', nargs='+', choices=registry.list_names())
+def launch(
+    parser: argparse.ArgumentParser,
+    install: Callable[[Sequence[str]], None],
+    arguments: Sequence[str] | None = None,
+) -> None:
+    """Changes what this process sees and runs a module as the main program.
+
+    Args:
+      parser: Parser of the arguments before ``--``, with ``names``.
+      install: Installs the changes of some names.
+      arguments: Command line; by default that of the process.
+    """
     given = sys.argv[1:] if arguments is None else list(arguments)
     split = given.index('--') if '--' in given else len(given)
     options = parser.parse_args(given[:split])
     module, *rest = given[split + 1 :] or [None]
     if module is None:
         parser.error('no module to run')
-    for name in options.names:
-        registry.get(name)()
+    install(options.names)
     sys.argv = [module, *rest]
     runpy.run_module(module, run_name='__main__', alter_sys=True)
 
 
+def install_refusals(names: Sequence[str]) -> None:
+    """Installs the refusals of some names."""
+    for name in names:
+        registry.get(name)()
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Installs the refusals and runs the module as the main program."""
+    parser = argparse.ArgumentParser(
+        prog='refusals', description='Runs a program with calls refused.'
+    )
+    parser.add_argument('names', nargs='+', choices=registry.list_names())
+    launch(parser, install_refusals, arguments)
+
+
 if __name__ == '__main__':
     main()
