Move the hedged read to the subpackage of sources

Cause: jayseam/platform is to translate only, and the read of a source past an overdue watch knows nothing of the platform.

--- a/jayseam/platform/source.py
+++ b/jayseam/platform/source.py
@@ -12,13 +12,13 @@
 from jayseam.core import loops
 from jayseam.distribution import fetching
 from jayseam.platform import errors
-from jayseam.platform import hedging
 from jayseam.platform import mirrors
 from jayseam.platform import store
 from jayseam.presets import documents
 from jayseam.source import backoff
 from jayseam.source import client as source_client
 from jayseam.source import errors as source_errors
+from jayseam.source import hedging
 from jayseam.source import restores
 
 # Wait of a watch request of the first reader of a zone, in seconds. A longer
--- a/jayseam/platform/tests/test_source.py
+++ b/jayseam/platform/tests/test_source.py
@@ -9,7 +9,6 @@
 from jayseam.core import clocks
 from jayseam.core import versionnumbers
 from jayseam.platform import errors as platform_errors
-from jayseam.platform import hedging
 from jayseam.platform import mirrors
 from jayseam.platform import settings
 from jayseam.platform import source
@@ -17,6 +16,7 @@
 from jayseam.platform.tests import samples
 from jayseam.presets import documents
 from jayseam.source import errors as source_errors
+from jayseam.source import hedging
 from jayseam.standins import kvstore
 from jayseam.standins import waits
 
--- a/jayseam/platform/hedging.py
+++ b/jayseam/source/hedging.py
@@ -1,4 +1,4 @@
-"""Reads the store in a second, plain way while a watch is overdue.
+"""Reads a source in a second, plain way while a watch is overdue.
 
 References:
   Dean and Barroso, "The Tail at Scale", Communications of the ACM 56(2), 2013,
@@ -16,8 +16,8 @@
 from jayseam.core import logs
 
 OVERDUE_WATCHES = prometheus_client.Counter(
-    'jayseam_platform_overdue_watches',
-    'Watches of the store that were overdue, by the read that succeeded first',
+    'jayseam_source_overdue_watches',
+    'Watches of the source that were overdue, by the read that succeeded first',
     ('first',),
 )
 
@@ -81,6 +81,6 @@
 def _report_overdue(first: str, started_at: float, now: float) -> None:
     OVERDUE_WATCHES.labels(first).inc()
     _log.warning(
-        'platform.watch_overdue',
+        'source.watch_overdue',
         extra={'first': first, 'elapsed_s': round(now - started_at, 3)},
     )
