Start without bounds of contracts that are not in force

On a deployment without workspaces no node started: the settings reader required the bounds revoke and quota_overage, which the platform leaves out where their contracts are not in force. With these added by hand, each call was answered 401, because its configuration names no workspaces and no route is public.

Each bound now belongs to a contract and is required only with it. Where the contract of workspaces is absent, a configuration without workspaces has public routes only, and credentials mean nothing. With the contract in force, such a configuration still grants nobody access.

--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -314,6 +314,9 @@
         route: Any,
         now: float,
     ) -> keys.Caller:
+        if route.open_to_all and not snapshot.preset.workspaces:
+            # Nobody has a key, so credentials mean nothing to this fleet.
+            return keys.ANONYMOUS
         try:
             caller = self._identify(request, snapshot, now)
         except errors.KeyRefusedError:
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -247,14 +247,23 @@
     assert harness.tried_vms.count('b') == 3
 
 
-def _admit(path, key, trusted, left_s=math.inf, may_shorten=True):
+def _admit(
+    path,
+    key,
+    trusted,
+    left_s=math.inf,
+    may_shorten=True,
+    has_workspaces=True,
+):
     """Admits a request at a node whose configuration may not be current."""
-    route = model.Route('r', '/view', ('GET',), (('s', 1),), False, True, 1200)
+    route = model.Route(
+        'r', '/view', ('GET',), (('s', 1),), not has_workspaces, True, 1200
+    )
     entries = (
         preset_keys.build_entry(_KNOWN_KEY, 'w', '00'),
         preset_keys.build_entry('k2.secret', 'added-later', '00'),
     )
-    workspaces = {'w': model.Workspace('w', 1.0, 1.0)}
+    workspaces = {'w': model.Workspace('w', 1.0, 1.0)} if has_workspaces else {}
     preset = model.Preset('p', {}, {}, {}, {'r': route}, workspaces)
     snapshot = types.SimpleNamespace(
         preset=preset,
@@ -353,3 +362,10 @@
     began = clocks.read_now()
     call = _admit('/view', _KNOWN_KEY, True, left_s, may_shorten)
     assert began <= call.deadline <= clocks.read_now() + min(left_s, 1.2)
+
+
+@pytest.mark.parametrize('key', ['', 'unknown', _KNOWN_KEY])
+def test_without_workspaces_credentials_mean_nothing(key):
+    """Nobody has a key, and an unknown or unconfirmed one must not refuse."""
+    call = _admit('/view', key, trusted=False, has_workspaces=False)
+    assert call.caller == keys.ANONYMOUS
--- a/jayseam/platform/configurations.py
+++ b/jayseam/platform/configurations.py
@@ -47,7 +47,10 @@
 
 
 def decode_configuration(
-    value: bytes, regions: Mapping[str, str], evacuated: Collection[str]
+    value: bytes,
+    regions: Mapping[str, str],
+    evacuated: Collection[str],
+    has_workspaces: bool = True,
 ) -> Documents:
     """Translates a configuration.
 
@@ -55,6 +58,9 @@
       value: Stored bytes.
       regions: Region of each availability zone.
       evacuated: Availability zones that receive no new calls.
+      has_workspaces: Whether callers of the deployment belong to workspaces. If
+        not, a configuration that names none has public routes only. Otherwise
+        such a configuration grants nobody access.
 
     Raises:
       ValueFormatError: If the bytes are not a valid configuration.
@@ -63,6 +69,7 @@
         document = documents.decode_json(value)
         number = _parse_number(document['version'])
         sections = _group_resources(document['resources'])
+        needs_keys = has_workspaces or bool(sections['tenants'])
         preset = {
             'name': document['version'],
             'services': [
@@ -70,7 +77,7 @@
                 for name, spec in sections['services']
             ],
             'routes': [
-                _translate_route(name, spec)
+                _translate_route(name, spec, needs_keys)
                 for name, spec in sections['routes']
             ],
             'zones': [
@@ -180,7 +187,9 @@
     }
 
 
-def _translate_route(name: str, spec: Mapping[str, Any]) -> dict[str, Any]:
+def _translate_route(
+    name: str, spec: Mapping[str, Any], needs_keys: bool
+) -> dict[str, Any]:
     split = spec.get('traffic_split')
     targets = (
         [[spec['service'], 1]]
@@ -196,7 +205,7 @@
         'prefix': spec['path_prefix'],
         'methods': list(presets.schemas.METHODS),
         'targets': targets,
-        'open_to_all': spec.get('public', False),
+        'open_to_all': spec.get('public', False) or not needs_keys,
         'repeatable': spec['kind'] in _REPEATABLE_KINDS,
         'timeout_ms': _convert_ms(timeout_s),
         'objective_ms': _convert_ms(objective_s),
--- a/jayseam/platform/mirrors.py
+++ b/jayseam/platform/mirrors.py
@@ -33,10 +33,13 @@
     Attributes:
       regions: Region of each availability zone.
       link_port: Port of the link listeners, the same on all VMs.
+      has_workspaces: Whether callers belong to workspaces. If not, and if the
+        configuration names none, calls need no key.
     """
 
     regions: Mapping[str, str]
     link_port: int
+    has_workspaces: bool = True
 
 
 @attrs.frozen
@@ -282,7 +285,10 @@
             return self._last_inputs['is_current']
         try:
             translated = configurations.decode_configuration(
-                item.value, self._deployment_facts.regions, evacuated
+                item.value,
+                self._deployment_facts.regions,
+                evacuated,
+                self._deployment_facts.has_workspaces,
             )
             self._verify(translated)
             is_current = self._apply_configuration(translated, item, mirror)
--- a/jayseam/platform/settings.py
+++ b/jayseam/platform/settings.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import pathlib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -78,6 +78,18 @@
 MIN_MESSAGE_BYTES = 8_000_000
 _BYTES_PER_MB = 1_000_000
 
+# Contracts under which the platform states a bound. A deployment without the
+# contract may leave the bound out.
+CONTRACTS_BY_BOUND = {
+    'revoke': 'tenants',
+    'quota_overage': 'quota',
+    'cold_overage': 'places',
+    'retry_budget_ratio': 'retry',
+    'budget_slack': 'retry',
+}
+# The platform calls workspaces tenants.
+_WORKSPACE_CONTRACT = 'tenants'
+
 # Index of the admin port in ``network.internal_ports``.
 _ADMIN_PORT_INDEX = 0
 
@@ -138,12 +150,12 @@
     ]
     grace_s = reader.read_seconds('terms.bounds.grace')
     heartbeat_s = reader.read_seconds('platform.heartbeat')
-    revoke_s = reader.read_seconds('terms.bounds.revoke')
-    overage = reader.read_number('terms.bounds.quota_overage')
+    revoke_s = reader.read_bound('revoke', reader.read_seconds)
+    overage = reader.read_bound('quota_overage', reader.read_number)
     # A factor on the rate of a cold backend server, not the excess over it.
-    cold_factor = reader.read_number('terms.bounds.cold_overage')
-    retry_share = reader.read_number('terms.bounds.retry_budget_ratio')
-    retry_slack = reader.read_number('terms.bounds.budget_slack')
+    cold_factor = reader.read_bound('cold_overage', reader.read_number)
+    retry_share = reader.read_bound('retry_budget_ratio', reader.read_number)
+    retry_slack = reader.read_bound('budget_slack', reader.read_number)
     memory_mb = reader.read_optional_number('self.limits.memory_mb')
     store_address = reader.read_text('platform.platform.address')
     if reader.problems:
@@ -171,18 +183,13 @@
             spill_load=SPILL_LOAD, spill_gain=SPILL_GAIN
         ),
         admission=model.AdmissionSettings(
-            cold_excess=COLD_EXCESS_SHARE * max(0.0, cold_factor - 1.0)
+            cold_excess=COLD_EXCESS_SHARE * max(0.0, (cold_factor or 1.0) - 1.0)
         ),
-        limits=model.LimitSettings(LIMIT_STRATEGY, overage),
-        keys=model.KeySettings(revoke_s * KEY_TRUST_SHARE),
+        limits=model.LimitSettings(LIMIT_STRATEGY, overage or 0.0),
+        keys=build_key_settings(revoke_s),
         stop=build_stop_settings(grace_s),
         backend_health=model.BackendHealthSettings(polls=False),
-        retries=model.RetrySettings(
-            share=retry_share,
-            max_saved=MAX_SAVED_RETRIES,
-            fleet_share=retry_share * FLEET_RETRY_SHARE,
-            fleet_slack=retry_slack * FLEET_RETRY_SHARE,
-        ),
+        retries=build_retry_settings(retry_share, retry_slack),
         service=fields.get('self.service', ''),
         ready=reader.read_address('network.listen.ready'),
         memory=model.MemorySettings(compute_message_bytes(memory_mb)),
@@ -191,8 +198,41 @@
     )
     if reader.problems:
         raise node_settings.errors.SettingsError(reader.problems)
-    return PlatformSettings(
-        node, store_address, mirrors.DeploymentFacts(regions, link.port)
+    deployment_facts = mirrors.DeploymentFacts(
+        regions, link.port, reader.has_contract(_WORKSPACE_CONTRACT)
+    )
+    return PlatformSettings(node, store_address, deployment_facts)
+
+
+def build_key_settings(
+    revoke_s: float | None,
+) -> node_settings.model.KeySettings:
+    """Returns how long keys are trusted; the default without a bound.
+
+    >>> build_key_settings(5.0)
+    KeySettings(max_unconfirmed_s=4.5)
+    """
+    if revoke_s is None:
+        return node_settings.model.KeySettings()
+    return node_settings.model.KeySettings(revoke_s * KEY_TRUST_SHARE)
+
+
+def build_retry_settings(
+    share: float | None, slack: float | None
+) -> node_settings.model.RetrySettings:
+    """Returns the retry budgets; the default without bounds.
+
+    Args:
+      share: Retries that the fleet may make for each call to a service.
+      slack: Retries that it may make to a service in addition.
+    """
+    if share is None or slack is None:
+        return node_settings.model.RetrySettings()
+    return node_settings.model.RetrySettings(
+        share=share,
+        max_saved=MAX_SAVED_RETRIES,
+        fleet_share=share * FLEET_RETRY_SHARE,
+        fleet_slack=slack * FLEET_RETRY_SHARE,
     )
 
 
@@ -293,6 +333,24 @@
             return 0.0
         return number
 
+    def has_contract(self, contract: str) -> bool:
+        """Returns whether a contract is in force.
+
+        Without a list of contracts, all are.
+        """
+        contracts = self._fields.get('terms.contracts', '')
+        return not contracts or contract in contracts.split(',')
+
+    def read_bound(
+        self, name: str, read: Callable[[str], float]
+    ) -> float | None:
+        """Returns a bound; None if it is missing and its contract too."""
+        field = f'terms.bounds.{name}'
+        is_required = self.has_contract(CONTRACTS_BY_BOUND[name])
+        if not is_required and not self._fields.get(field):
+            return None
+        return read(field)
+
     def read_optional_number(self, name: str) -> float | None:
         """Returns a non-negative number; None if the field is missing."""
         return self.read_number(name) if self._fields.get(name) else None
--- a/jayseam/platform/tests/test_translation.py
+++ b/jayseam/platform/tests/test_translation.py
@@ -20,6 +20,7 @@
 from jayseam.presets import keys
 from jayseam.presets import model
 from jayseam.presets import verification
+from jayseam.settings import errors as settings_errors
 
 REGIONS = {'a': 'r', 'b': 'r'}
 DEPLOYMENT_FACTS = mirrors.DeploymentFacts(REGIONS, 8543)
@@ -413,6 +414,66 @@
     assert loaded.deployment_facts.regions == REGIONS
 
 
+_CONTRACTS = 'base,drain,retry,platform'
+
+
+def _read_settings_without(*names, contracts=_CONTRACTS):
+    fields = settings.parse_lines(
+        samples.build_settings('10.0.0.1', 'a', '10.9.0.1:1')
+    )
+    fields['terms.contracts'] = contracts
+    for name in names:
+        del fields[f'terms.bounds.{name}']
+    return settings.read_settings(fields)
+
+
+def test_bounds_of_absent_contracts_may_be_missing():
+    """A deployment without workspaces states no bounds for them."""
+    loaded = _read_settings_without('revoke', 'quota_overage', 'cold_overage')
+    assert not loaded.deployment_facts.has_workspaces
+    assert loaded.node.limits.tolerance == 0.0
+    assert loaded.node.admission.cold_excess == 0.0
+    assert loaded.node.retries.fleet_share > 0
+
+
+@pytest.mark.parametrize(
+    'name, contract',
+    [
+        ('revoke', 'tenants'),
+        ('quota_overage', 'quota'),
+        ('cold_overage', 'places'),
+        ('retry_budget_ratio', 'retry'),
+        ('budget_slack', 'retry'),
+    ],
+)
+def test_bounds_of_contracts_in_force_are_required(name, contract):
+    """A missing bound would otherwise be taken for an unlimited one."""
+    with pytest.raises(settings_errors.SettingsError, match=name):
+        _read_settings_without(name, contracts=f'base,{contract}')
+
+
+@pytest.mark.parametrize(
+    'has_workspaces, workspace_keys, is_open',
+    [(False, {}, True), (False, None, False), (True, {}, False)],
+)
+def test_only_deployments_without_workspaces_need_no_key(
+    has_workspaces, workspace_keys, is_open
+):
+    """Without workspaces nobody has a key, and no call may need one.
+
+    A configuration without workspaces must not open the routes of a deployment
+    that has them, nor a configuration with workspaces those of one that has
+    none.
+    """
+    configuration = samples.build_configuration(keys=workspace_keys)
+    translated = configurations.decode_configuration(
+        _encode(configuration), REGIONS, (), has_workspaces
+    )
+    preset = verification.verify_preset(translated.preset)
+    assert preset.routes['view'].open_to_all == is_open
+    assert preset.routes['open'].open_to_all
+
+
 def test_bad_settings_name_every_problem(tmp_path, capsys):
     """All problems are printed at once, with the exit code of a usage error."""
     text = samples.build_settings(
