Split the gate's tickets, service times and waits into modules

Requests for admission, service times and the bounds of waits are now modules of their own; nothing else changes.

--- a/jayseam/admission/__init__.py
+++ b/jayseam/admission/__init__.py
@@ -10,5 +10,14 @@
 from jayseam.admission import pacing
 from jayseam.admission import queues
 from jayseam.admission import ramps
+from jayseam.admission import tickets
 
-__all__ = ['concurrency', 'errors', 'gates', 'pacing', 'queues', 'ramps']
+__all__ = [
+    'concurrency',
+    'errors',
+    'gates',
+    'pacing',
+    'queues',
+    'ramps',
+    'tickets',
+]
--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -9,8 +9,6 @@
 """
 
 import collections
-import enum
-import math
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -22,151 +20,17 @@
 from jayseam.admission import pacing
 from jayseam.admission import queues
 from jayseam.admission import ramps
+from jayseam.admission import servicetimes
+from jayseam.admission import tickets
+from jayseam.admission import waits
 from jayseam.core import clocks
 
-# Weight of a new sample in the moving averages of service times.
-SERVICE_TIME_WEIGHT = 0.1
-# Weight of a sample that is longer than the usual shortest service time.
-SHORTEST_WEIGHT = 0.02
-# Half-life of the estimate of the shortest service time without new samples.
-# Otherwise, after a slow period every call with a short deadline would be
-# refused, and with no call admitted the estimate would never be corrected.
-SHORTEST_HALF_LIFE_S = 1.0
-MIN_RELATIVE_COST = 0.01
-MAX_RELATIVE_COST = 100.0
-DEFAULT_COST = 1.0
-# Mean service times that must be left until the latency objective when a call
-# leaves the queue. Under lasting overload the queue fills up to the longest
-# wait allowed, so calls whose run takes longer than this miss their objective.
-MIN_SERVICE_TIMES_LEFT = 1.5
-# Calls may wait for this share of a mean service time whatever their objective,
-# so that a slow backend server does not idle between two arrivals.
-MIN_WAIT_SHARE = 0.5
-# Shortest delay after which a refused caller is told to retry.
-MIN_RETRY_AFTER_S = 0.05
-MAX_TRACKED_WORKSPACES = 1024
-
-
-class Result(enum.Enum):
-    """How an admitted call ended."""
-
-    SUCCESS = 'success'
-    SHED = 'shed'
-    FAILED = 'failed'
-
-
-@attrs.frozen
-class Ticket:
-    """A request to admit one call.
-
-    Attributes:
-      workspace: Workspace that the call runs for.
-      cost: Expected share of the backend server's time; see
-        `Gate.estimate_cost`.
-      deadline: Time by which the call must have finished, in seconds.
-      request_id: Id of the call.
-      still_valid: Returns whether the call may still run at a given time.
-      rank: Urgency; 0 is the most urgent.
-      objective: Latency objective: time until which an answer has its full
-        value, in seconds.
-    """
-
-    workspace: str
-    cost: float
-    deadline: float
-    request_id: str
-    still_valid: Callable[[float], bool]
-    rank: int = 0
-    objective: float = math.inf
-
-
-@attrs.frozen
-class GateReport:
-    """The state of a gate at one moment.
-
-    Attributes:
-      in_flight: Calls admitted and not yet released.
-      queued: Calls that wait.
-      limit: Calls allowed in flight now: the lowest of the next three and of
-        the limit of the pacer.
-      capacity: The lower of slots and connections.
-      ramp: Limit of the ramp.
-      adaptive: Adaptive limit.
-      service_s: Mean time that the backend server takes for a call, in
-        seconds; zero if it is not known yet.
-      backlogs: Number of backlogs that the queue serves in turn; see
-        ``count_backlogs`` of the queues.
-    """
-
-    in_flight: int
-    queued: int
-    limit: int
-    capacity: int
-    ramp: int
-    adaptive: int
-    service_s: float = 0.0
-    backlogs: int = 0
-
-    @property
-    def load(self) -> float:
-        """Calls in flight and queued over the limit, as load reports have it.
-
-        >>> GateReport(6, 2, 4, 10, 4, 10).load
-        2.0
-        """
-        return (self.in_flight + self.queued) / max(1, self.limit)
-
-    def estimate_fair_load(self, queued: int) -> float:
-        """Returns the part of the load that delays a workspace's next call.
-
-        The queue takes one call of each backlog per round, so the call waits
-        for as many rounds as its workspace has calls queued, and one more.
-
-        Args:
-          queued: Calls of the workspace that wait.
-
-        >>> GateReport(4, 12, 4, 4, 4, 4, backlogs=2).estimate_fair_load(0)
-        1.5
-        """
-        ahead = self.backlogs * (queued + 1)
-        return min(self.load, (self.in_flight + ahead) / max(1, self.limit))
-
-
-@attrs.frozen
-class _ServiceTime:
-    """Service time of the calls of one workspace.
-
-    Attributes:
-      mean_s: Moving average in seconds.
-      shortest_s: Usual shortest time in seconds: it follows a shorter sample
-        at once and longer samples slowly.
-      measured_at: Time of the last sample, in seconds.
-    """
-
-    mean_s: float
-    shortest_s: float
-    measured_at: float
-
-    def add_sample(self, sample_s: float, now: float) -> '_ServiceTime':
-        """Returns the service time after another sample."""
-        shortest_s = min(
-            sample_s,
-            self.shortest_s + SHORTEST_WEIGHT * (sample_s - self.shortest_s),
-        )
-        mean_s = _average(self.mean_s, sample_s)
-        return _ServiceTime(mean_s, shortest_s, now)
-
-    def estimate_shortest_time(self, now: float) -> float:
-        """Returns the estimated shortest time of a call, in seconds."""
-        age_s = max(0.0, now - self.measured_at)
-        return self.shortest_s * 0.5 ** (age_s / SHORTEST_HALF_LIFE_S)
-
 
 @attrs.define(eq=False)
 class _Waiter:
     """A greenlet blocked in `Gate.acquire` and the decision on its call."""
 
-    ticket: Ticket
+    ticket: tickets.Ticket
     decided: event.Event
     permit: 'Permit | None' = None
     error: errors.AdmissionError | None = None
@@ -175,23 +39,25 @@
 class Permit:
     """Permission for one call to be in flight until `release`."""
 
-    def __init__(self, gate: 'Gate', ticket: Ticket, admitted_at: float):
+    def __init__(
+        self, gate: 'Gate', ticket: tickets.Ticket, admitted_at: float
+    ):
         self.ticket = ticket
         self.admitted_at = admitted_at
         self._gate = gate
         self._released = False
 
-    def release(self, result: Result | str, now: float) -> None:
+    def release(self, result: tickets.Result | str, now: float) -> None:
         """Ends the call; only the first release of a permit counts.
 
         Args:
-          result: How the call ended, as a `Result` or its value.
+          result: How the call ended, as a `tickets.Result` or its value.
           now: Current time in seconds.
 
         Raises:
           ValueError: If the result is unknown.
         """
-        outcome = Result(result)
+        outcome = tickets.Result(result)
         if not self._released:
             self._released = True
             self._gate._release(self, outcome, now)
@@ -203,11 +69,11 @@
     The gate must be used from the greenlets of one thread.
 
     >>> gate = Gate(slots=1, connections=10)
-    >>> ticket = Ticket('w', 1.0, 2.0, 'r-1', lambda now: True)
+    >>> ticket = tickets.Ticket('w', 1.0, 2.0, 'r-1', lambda now: True)
     >>> permit = gate.acquire(ticket, now=1.0)
     >>> gate.describe(now=1.0).in_flight
     1
-    >>> permit.release(Result.SUCCESS, now=1.1)
+    >>> permit.release(tickets.Result.SUCCESS, now=1.1)
     >>> gate.describe(now=1.1).in_flight
     0
     """
@@ -249,14 +115,13 @@
         self._idle = event.Event()
         self._idle.set()
         self._timer: gevent.Greenlet | None = None
-        self._mean_s: float | None = None
-        self._service_times: dict[str, _ServiceTime] = {}
+        self._service_times = servicetimes.ServiceTimes()
         self._capacity = min(slots, connections)
         self._adaptive = concurrency.build_limit(self._capacity)
         self._pacer = pacing.Pacer()
         self._ramp = self._build_ramp(ramp, None)
 
-    def acquire(self, ticket: Ticket, now: float) -> Permit:
+    def acquire(self, ticket: tickets.Ticket, now: float) -> Permit:
         """Waits until the call may run.
 
         Args:
@@ -290,7 +155,7 @@
             entry, now + wait_s, self._estimate_shortest_time(entry, now)
         )
         if reason is not None:
-            raise _build_error(reason, ticket, wait_s)
+            raise waits.build_error(reason, ticket, wait_s)
         self._check_objective(ticket, wait_s, now)
         if not self._paused and len(self._queue) == 0:
             if self._can_admit(now):
@@ -310,11 +175,7 @@
         The cost is the workspace's mean service time over the mean of all
         calls. An average call and a call of an unknown workspace cost 1.
         """
-        service = self._service_times.get(workspace)
-        if service is None or not self._mean_s:
-            return DEFAULT_COST
-        relative = service.mean_s / self._mean_s
-        return min(MAX_RELATIVE_COST, max(MIN_RELATIVE_COST, relative))
+        return self._service_times.estimate_cost(workspace)
 
     def set_capacity(self, slots: int, connections: int, ramp=None) -> None:
         """Applies the capacity of a new preset; calls in flight continue.
@@ -378,16 +239,16 @@
         """
         return self._idle.wait(timeout_s)
 
-    def describe(self, now: float) -> GateReport:
+    def describe(self, now: float) -> tickets.GateReport:
         """Returns the state of the gate, including its load."""
-        return GateReport(
+        return tickets.GateReport(
             self._in_flight,
             len(self._queue),
             self._compute_limit(now),
             self._capacity,
             self._ramp.compute_limit(now),
             self._adaptive.compute_limit(),
-            self._mean_s or 0.0,
+            self._service_times.mean_s,
             self._queue.count_backlogs(),
         )
 
@@ -416,7 +277,7 @@
             self._capacity,
             self._ramp.compute_limit(now),
             self._adaptive.compute_limit(),
-            self._pacer.compute_limit(self._mean_s or 0.0, now),
+            self._pacer.compute_limit(self._service_times.mean_s, now),
         )
 
     def _can_admit(self, now: float) -> bool:
@@ -424,10 +285,9 @@
         return has_slot and self._pacer.allows(now)
 
     def _estimate_shortest_time(self, entry: queues.Entry, now: float) -> float:
-        service = self._service_times.get(entry.workspace)
-        return 0.0 if service is None else service.estimate_shortest_time(now)
+        return self._service_times.estimate_shortest(entry.workspace, now)
 
-    def _estimate_wait(self, ticket: Ticket) -> float:
+    def _estimate_wait(self, ticket: tickets.Ticket) -> float:
         """Returns the time that a new call is expected to wait, in seconds.
 
         The limit is taken as of the deadline, so that no call is refused that
@@ -442,7 +302,7 @@
         # Slots of more urgent calls don't count as free: such calls keep coming
         # and take them again.
         free_slots = max(1, limit - self._count_more_urgent(ticket.rank))
-        mean_s = self._estimate_mean_time(ticket.workspace)
+        mean_s = self._service_times.estimate_mean(ticket.workspace)
         return max(paced_s, ahead * mean_s / free_slots)
 
     def _count_more_urgent(self, rank: int) -> int:
@@ -454,7 +314,7 @@
         )
 
     def _check_objective(
-        self, ticket: Ticket, wait_s: float, now: float
+        self, ticket: tickets.Ticket, wait_s: float, now: float
     ) -> None:
         """Refuses a call that would wait past its latency objective.
 
@@ -464,20 +324,15 @@
         Raises:
           ObjectiveError: If the expected wait exceeds the longest allowed.
         """
-        mean_s = self._estimate_mean_time(ticket.workspace)
-        max_wait_s = compute_max_wait(ticket.objective, mean_s, now)
+        mean_s = self._service_times.estimate_mean(ticket.workspace)
+        max_wait_s = waits.compute_max_wait(ticket.objective, mean_s, now)
         if wait_s > max_wait_s:
             raise errors.ObjectiveError(
                 f'call {ticket.request_id} would wait {wait_s:.2f} s',
-                max(MIN_RETRY_AFTER_S, wait_s - max_wait_s),
+                max(waits.MIN_RETRY_AFTER_S, wait_s - max_wait_s),
             )
 
-    def _estimate_mean_time(self, workspace: str) -> float:
-        """Returns the mean time of a call of a workspace, in seconds."""
-        service = self._service_times.get(workspace)
-        return (self._mean_s or 0.0) if service is None else service.mean_s
-
-    def _admit(self, ticket: Ticket, now: float) -> Permit:
+    def _admit(self, ticket: tickets.Ticket, now: float) -> Permit:
         self._in_flight += 1
         self._in_flight_by_rank[ticket.rank] += 1
         self._pacer = self._pacer.record_start(now)
@@ -504,12 +359,12 @@
     def _cancel_wait(self, entry: queues.Entry, waiter: _Waiter) -> None:
         self._queue.remove(entry)
         if waiter.permit is not None:
-            waiter.permit.release(Result.FAILED, self._read_now())
+            waiter.permit.release(tickets.Result.FAILED, self._read_now())
         self._update_idle()
 
     def _refuse(self, entry: queues.Entry, reason: queues.DropReason) -> None:
         waiter = entry.payload
-        waiter.error = _build_error(reason, waiter.ticket)
+        waiter.error = waits.build_error(reason, waiter.ticket)
         waiter.decided.set()
 
     def _admit_queued(self, now: float) -> None:
@@ -548,63 +403,17 @@
         if self._in_flight == 0 and len(self._queue) == 0:
             self._idle.set()
 
-    def _release(self, permit: Permit, result: Result, now: float) -> None:
+    def _release(
+        self, permit: Permit, result: tickets.Result, now: float
+    ) -> None:
         latency_s = max(0.0, now - permit.admitted_at)
-        if result is Result.SUCCESS:
+        if result is tickets.Result.SUCCESS:
             self._adaptive = self._adaptive.record_success(
                 latency_s, self._in_flight
             )
-            self._record_service_time(permit.ticket.workspace, latency_s, now)
-        elif result is Result.SHED:
+            self._service_times.record(permit.ticket.workspace, latency_s, now)
+        elif result is tickets.Result.SHED:
             self._adaptive = self._adaptive.record_shed(now)
         self._in_flight -= 1
         self._in_flight_by_rank[permit.ticket.rank] -= 1
         self._admit_queued(now)
-
-    def _record_service_time(
-        self, workspace: str, latency_s: float, now: float
-    ) -> None:
-        self._mean_s = _average(self._mean_s, latency_s)
-        service = self._service_times.get(workspace)
-        if service is not None:
-            self._service_times[workspace] = service.add_sample(latency_s, now)
-            return
-        if len(self._service_times) >= MAX_TRACKED_WORKSPACES:
-            self._service_times.clear()
-        self._service_times[workspace] = _ServiceTime(latency_s, latency_s, now)
-
-
-def compute_max_wait(objective: float, mean_s: float, now: float) -> float:
-    """Returns the longest time a call may wait in the queue, in seconds.
-
-    >>> compute_max_wait(objective=10.5, mean_s=0.2, now=10.0)
-    0.2
-    >>> compute_max_wait(objective=10.0, mean_s=0.2, now=10.0)
-    0.1
-
-    Args:
-      objective: Time until which an answer has its full value, in seconds.
-      mean_s: Mean time of a call, in seconds.
-      now: Current time in seconds.
-    """
-    time_left_s = round(objective - now - MIN_SERVICE_TIMES_LEFT * mean_s, 9)
-    return max(time_left_s, MIN_WAIT_SHARE * mean_s)
-
-
-def _average(mean_s: float | None, sample_s: float) -> float:
-    if mean_s is None:
-        return sample_s
-    return mean_s + SERVICE_TIME_WEIGHT * (sample_s - mean_s)
-
-
-def _build_error(
-    reason: queues.DropReason, ticket: Ticket, wait_s: float = 0.0
-) -> errors.AdmissionError:
-    call = f'call {ticket.request_id} of workspace {ticket.workspace}'
-    if reason is queues.DropReason.DEADLINE:
-        return errors.DeadlineError(
-            f'{call} cannot meet its deadline', max(MIN_RETRY_AFTER_S, wait_s)
-        )
-    if reason is queues.DropReason.DISPLACED:
-        return errors.QueueFullError(f'{call} was displaced from the queue')
-    return errors.NoLongerValidError(f'{call} may no longer run')
--- a/jayseam/admission/tests/test_gates.py
+++ b/jayseam/admission/tests/test_gates.py
@@ -12,6 +12,7 @@
 from jayseam.admission import gates
 from jayseam.admission import queues
 from jayseam.admission import ramps
+from jayseam.admission import tickets
 from jayseam.core import clocks
 
 RAMP = types.SimpleNamespace(initial_slots=2, duration_s=10.0)
@@ -19,7 +20,7 @@
 
 def make_ticket(workspace='a', deadline=1e9, valid=lambda now: True):
     """Returns a ticket without a deadline by default."""
-    return gates.Ticket(workspace, 1.0, deadline, 'r-1', valid)
+    return tickets.Ticket(workspace, 1.0, deadline, 'r-1', valid)
 
 
 def run_ready_greenlets():
@@ -277,7 +278,7 @@
     gate = gates.Gate(slots=1, connections=10, read_now=lambda: 0.0)
     for _ in range(20):
         permit = gate.acquire(make_ticket('w', 9.0), now=0.0)
-        permit.release(gates.Result.SUCCESS, now=0.1)
+        permit.release(tickets.Result.SUCCESS, now=0.1)
     permit_in_use = gate.acquire(make_ticket('w', 9.0), now=0.0)
     waiting = [
         gevent.spawn(gate.acquire, make_ticket(name, 1.0), 0.0)
@@ -289,7 +290,7 @@
     small = gevent.spawn(gate.acquire, make_ticket('small', 0.55), 0.0)
     run_ready_greenlets()
     assert gate.count_queued('small') == 1
-    permit_in_use.release(gates.Result.SUCCESS, now=0.1)
+    permit_in_use.release(tickets.Result.SUCCESS, now=0.1)
     gevent.killall([small, *waiting])
 
 
@@ -306,7 +307,7 @@
     def call():
         permit = gate.acquire(make_ticket(), now[0])
         start_times.append(now[0])
-        permit.release(gates.Result.SUCCESS, now[0])
+        permit.release(tickets.Result.SUCCESS, now[0])
 
     callers = [gevent.spawn(call) for _ in range(80)]
     for step in range(400):
@@ -347,7 +348,7 @@
         initial_slots=50, duration_s=3.0, rate_per_s=10.0
     )
     gate.set_capacity(50, 50, ramp)
-    gate.acquire(make_ticket(), now[0]).release(gates.Result.SUCCESS, now[0])
+    gate.acquire(make_ticket(), now[0]).release(tickets.Result.SUCCESS, now[0])
     late = gevent.spawn(gate.acquire, make_ticket(), now[0])
     run_ready_greenlets()
     assert not late.ready()
--- a/jayseam/admission/tests/test_overload.py
+++ b/jayseam/admission/tests/test_overload.py
@@ -15,6 +15,8 @@
 
 from jayseam.admission import errors
 from jayseam.admission import gates
+from jayseam.admission import tickets
+from jayseam.admission import waits
 
 _SLOTS = 12
 _MEAN_MS = 200.0
@@ -68,7 +70,7 @@
     def _acquire(self, caller, now):
         deadline = caller.started_at + _TIMEOUT_MS
         objective = caller.started_at + _OBJECTIVE_MS
-        ticket = gates.Ticket(
+        ticket = tickets.Ticket(
             f'w-{caller.rank}',
             1.0,
             deadline,
@@ -91,7 +93,7 @@
     def _end(self, subject):
         caller, permit = subject
         caller.ended_at = self.now
-        permit.release(gates.Result.SUCCESS, self.now)
+        permit.release(tickets.Result.SUCCESS, self.now)
 
 
 def _draw_callers(factor, seed, start_ms=0.0, end_ms=_DURATION_MS):
@@ -187,7 +189,7 @@
     replay.now = now = 1000.0
     permits = []
     for number in range(_SLOTS * 4):
-        ticket = gates.Ticket(
+        ticket = tickets.Ticket(
             'w', 1.0, now + 9e3, f'r-{number}', lambda _: True, 0, now + 500.0
         )
         gevent.spawn(
@@ -196,10 +198,10 @@
             )
         )
     gevent.sleep(0)
-    refused = gates.Ticket(
+    refused = tickets.Ticket(
         'w', 1.0, now + 9e3, 'r', lambda _: True, 0, now + 500.0
     )
     with gevent.Timeout(5.0), pytest.raises(errors.ObjectiveError) as caught:
         replay.gate.acquire(refused, now)
-    assert caught.value.retry_after_s >= gates.MIN_RETRY_AFTER_S
+    assert caught.value.retry_after_s >= waits.MIN_RETRY_AFTER_S
     replay.gate.close()
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -252,7 +252,7 @@
     ) -> requests.CallAnswer:
         timeout_s = forward.timeout_ms / _MS_PER_S
         deadline = now + timeout_s
-        ticket = admission.gates.Ticket(
+        ticket = admission.tickets.Ticket(
             workspace=forward.workspace,
             cost=self._gate.estimate_cost(forward.workspace),
             deadline=deadline - min(_RUN_MARGIN_S, timeout_s / 10),
@@ -262,17 +262,17 @@
             objective=_compute_objective(forward, now),
         )
         permit = self._acquire(ticket, forward, now)
-        result = admission.gates.Result.FAILED
+        result = admission.tickets.Result.FAILED
         try:
             self._recheck_validity(forward, deadline)
             answer = self._backend.run(self._build_request(forward), deadline)
-            result = admission.gates.Result.SUCCESS
+            result = admission.tickets.Result.SUCCESS
             if backends.messages.is_shed(answer, self._dialect):
                 # The answer is passed on unchanged, but it must still lower
                 # the concurrency limit.
-                result = admission.gates.Result.SHED
+                result = admission.tickets.Result.SHED
         except backends.errors.ShedError as error:
-            result = admission.gates.Result.SHED
+            result = admission.tickets.Result.SHED
             raise errors.ShedError(
                 'the backend server shed the call'
             ) from error
@@ -300,7 +300,7 @@
     def _release(
         self,
         permit: admission.gates.Permit,
-        result: admission.gates.Result,
+        result: admission.tickets.Result,
         request_id: str,
     ) -> None:
         """Releases a permit once the backend server has ended the call.
@@ -319,7 +319,7 @@
 
     def _acquire(
         self,
-        ticket: admission.gates.Ticket,
+        ticket: admission.tickets.Ticket,
         forward: messages.Forward,
         now: float,
     ) -> admission.gates.Permit:
--- a/jayseam/calls/tests/test_ingress.py
+++ b/jayseam/calls/tests/test_ingress.py
@@ -104,12 +104,12 @@
     server, so the server ran a call of the old service.
     """
     harness = _Harness()
-    ticket = admission.gates.Ticket('', 1.0, 1e9, 'r-0', lambda now: True)
+    ticket = admission.tickets.Ticket('', 1.0, 1e9, 'r-0', lambda now: True)
     permit = harness.gate.acquire(ticket, 0.0)
     waiting = gevent.spawn(harness.ingress.handle_forward, _forward())
     gevent.sleep(0)
     harness.snapshot = _snapshot('credits', 'i-2')
-    permit.release(admission.gates.Result.SUCCESS, 0.1)
+    permit.release(admission.tickets.Result.SUCCESS, 0.1)
     reply = waiting.get(timeout=2.0)
     assert isinstance(reply, messages.Refused) and reply.ran == 'no'
     assert not harness.ran
@@ -127,7 +127,7 @@
 def test_waiting_bodies_stay_within_the_budget():
     """Bodies of calls in the queue must not fill the memory of the process."""
     harness = _Harness()
-    ticket = admission.gates.Ticket('', 1.0, 1e9, 'r-0', lambda now: True)
+    ticket = admission.tickets.Ticket('', 1.0, 1e9, 'r-0', lambda now: True)
     permit = harness.gate.acquire(ticket, clocks.read_now())
     forwards = [
         attrs.evolve(_forward(), attempt=f'a-{n}', body=b'x' * 20)
@@ -142,7 +142,7 @@
     replies = [call.value for call in waiting if call.ready()]
     assert [reply.ran for reply in replies] == ['no', 'no']
     assert harness.budget.held_bytes == 40
-    permit.release(admission.gates.Result.SUCCESS, clocks.read_now())
+    permit.release(admission.tickets.Result.SUCCESS, clocks.read_now())
     assert [call.get(timeout=2.0).status for call in waiting[:2]] == [200, 200]
     assert harness.budget.held_bytes == 0
 
@@ -157,7 +157,7 @@
     harness = _Harness()
     harness.run = lambda request, deadline: gevent.sleep(9.0)
     if queued:
-        ticket = admission.gates.Ticket('', 1.0, 1e9, 'r', lambda now: True)
+        ticket = admission.tickets.Ticket('', 1.0, 1e9, 'r', lambda now: True)
         harness.gate.acquire(ticket, clocks.read_now())
     call = gevent.spawn(harness.ingress.handle_forward, _forward())
     gevent.sleep(0)
