Add a queue in order of latency objectives

The variant 'objective' serves calls that can meet their objective by rank and latest start, then those that can meet their deadline, and gives each waiting kind one start in eight. It is not in use yet.

--- a/jayseam/admission/queues.py
+++ b/jayseam/admission/queues.py
@@ -3,7 +3,8 @@
 The queues read no clock and do no I/O. The registry `VARIANTS` holds
 ``ranked`` (the most urgent first, and start-time fair queueing over workspaces
 within a rank), ``fair`` (start-time fair queueing without ranks) and ``fifo``
-(order of arrival). The last two are baselines for measurements.
+(order of arrival). The last two are baselines for measurements. The variant
+``objective`` is in `jayseam.admission.objectives`.
 
 References:
   Goyal, Vin and Cheng, "Start-time fair queuing: a scheduling algorithm for
@@ -13,6 +14,7 @@
 import collections
 import enum
 import heapq
+import math
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -50,6 +52,12 @@
       still_valid: Returns whether the call may still run at a given time.
       payload: Anything the owner of the queue attaches.
       rank: Urgency; 0 is the most urgent.
+      objective: Time until which an answer has its full value, in seconds.
+      service_s: Expected service time in seconds.
+      kind: Kind of the call, the name of its route.
+      is_short: Whether the call may use a reserved start.
+      tier: Why the entry was the next to start, set by the variant
+        ``objective``.
     """
 
     workspace: str
@@ -58,6 +66,11 @@
     still_valid: Callable[[float], bool]
     payload: Any = None
     rank: int = 0
+    objective: float = math.inf
+    service_s: float = 0.0
+    kind: str = ''
+    is_short: bool = False
+    tier: str = ''
 
 
 @attrs.frozen
