--- a/jayseam/admission/objectives.py
+++ b/jayseam/admission/objectives.py
@@ -2,7 +2,8 @@
 
 Calls that can still meet their latency objective come first, by rank and then
 by the latest start that meets it. Calls that can only meet their deadline
-follow. A floor guarantees each waiting kind of call a share of the starts.
+follow. A floor guarantees each waiting kind of call a share of the starts, and
+a less urgent kind isn't served more often than a more urgent one that waits.
 
 See Also:
   ``docs/design/order-of-service.md``.
@@ -12,7 +13,7 @@
 import collections
 import enum
 import math
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 import attrs
 
@@ -24,6 +25,10 @@
 # Mean service times that must be left until the objective at the start. Service
 # times vary: with one, a third of the calls started last would be late.
 OBJECTIVE_MARGIN = 1.5
+# Weight of the latest call in the share of the calls of a kind that start.
+SHARE_WEIGHT = 0.05
+# The share of a kind without calls counts for this number of starts.
+MAX_IDLE_STARTS = 50
 # Kinds without waiting calls are forgotten beyond this number of kinds.
 MAX_KINDS = 64
 
@@ -37,6 +42,19 @@
     RESERVED = 'reserved'
 
 
+@attrs.frozen
+class Ahead:
+    """Entries that start before another one.
+
+    Attributes:
+      entries: Number of entries.
+      work_s: Sum of their expected service times, in seconds.
+    """
+
+    entries: int
+    work_s: float
+
+
 @attrs.define(eq=False)
 class _Kind:
     """The waiting entries of one kind and rank.
@@ -51,6 +69,9 @@
       passed_over: Starts of other kinds since the last start of this one,
         counted while entries wait.
       service_s: Expected service time of the newest entry, in seconds.
+      share: Moving average of the share of calls that start.
+      idle_starts: Starts of all kinds since the last call of this kind started
+        or was refused.
     """
 
     rank: int
@@ -59,6 +80,13 @@
     late: list = attrs.field(factory=list)
     passed_over: int = 0
     service_s: float = 0.0
+    share: float = 1.0
+    idle_starts: int = 0
+
+    def record(self, starts: bool) -> None:
+        """Counts a call that starts, or that is refused or dropped."""
+        self.share += SHARE_WEIGHT * (starts - self.share)
+        self.idle_starts = 0
 
     def __len__(self) -> int:
         return len(self.in_time) + len(self.late)
@@ -83,6 +111,9 @@
     The class has the interface of `queues.FairQueue`, but ignores weights and
     costs; the bound of a workspace applies to each kind.
 
+    Attributes:
+      serves_late: Whether calls wait that will miss their objective.
+
     >>> queue = ObjectiveQueue()
     >>> for kind, rank, objective in (('h', 1, 5.0), ('n', 1, 2.0)):
     ...     entry = queues.Entry('', 1.0, 9.0, lambda now: True, rank=rank)
@@ -92,6 +123,8 @@
     ['n', 'h']
     """
 
+    serves_late = True
+
     def __init__(self, bounds: queues.Bounds = queues.Bounds()):
         self._bounds = bounds
         self._kinds: dict[tuple, _Kind] = {}
@@ -120,19 +153,15 @@
             len(kind) for kind in self._kinds.values() if kind.rank <= rank
         )
 
-    def estimate_work_ahead(self, entry: queues.Entry, now: float) -> float:
-        """Returns the service time of the entries that go before an objective.
+    def measure_ahead(self, entry: queues.Entry, now: float) -> Ahead:
+        """Returns the entries that go before one that meets its objective.
 
         Args:
           entry: An entry that isn't in the queue.
           now: Current time in seconds.
-
-        Returns:
-          The expected service time in seconds of all entries that would start
-          before the entry while it can meet its objective.
         """
         order = (compute_latest_start(entry), self._sequence + 1)
-        work_s = 0.0
+        entries, work_s = 0, 0.0
         for kind in self._kinds.values():
             if kind.rank > entry.rank:
                 continue
@@ -140,38 +169,32 @@
             end = len(kind.in_time)
             if kind.rank == entry.rank:
                 end = bisect.bisect_left(kind.in_time, order)
-            work_s += max(0, end - first) * kind.service_s
-        return work_s
-
-    def estimate_late_work_ahead(self, entry: queues.Entry) -> float:
-        """Returns the service time of the entries that go before a late one.
+            ahead = max(0, end - first)
+            entries += ahead
+            work_s += ahead * kind.service_s
+        return Ahead(entries, work_s)
 
-        Args:
-          entry: An entry that isn't in the queue and will miss its objective.
+    def measure_late_ahead(self, entry: queues.Entry) -> Ahead:
+        """Returns the entries that go before one that misses its objective.
 
-        Returns:
-          The expected service time in seconds of all entries that can meet
-          their objective and of the late ones with a place before the entry.
+        These are all entries that can meet their objective, and the late ones
+        with a place before the entry.
         """
         order = (entry.deadline, self._sequence + 1)
-        work_s = 0.0
+        entries, work_s = 0, 0.0
         for kind in self._kinds.values():
             ahead = len(kind.in_time)
             if kind.rank < entry.rank:
                 ahead += len(kind.late)
             elif kind.rank == entry.rank:
                 ahead += bisect.bisect_left(kind.late, order)
+            entries += ahead
             work_s += ahead * kind.service_s
-        return work_s
+        return Ahead(entries, work_s)
 
-    def count_same_kind(self, entry: queues.Entry) -> int:
-        """Returns the number of waiting entries of the kind of the entry."""
-        kind = self._kinds.get(_get_key(entry))
-        return 0 if kind is None else len(kind)
-
-    def has_short(self) -> bool:
-        """Returns whether an entry waits that may use a reserved start."""
-        return any(kind.is_short and kind for kind in self._kinds.values())
+    def count_short(self) -> int:
+        """Returns the number of entries that may use reserved starts."""
+        return sum(len(kind) for kind in self._kinds.values() if kind.is_short)
 
     def push(self, entry: queues.Entry) -> queues.Entry | None:
         """Adds an entry; if the queue is full, the entry served last leaves.
@@ -203,6 +226,12 @@
         self._length += 1
         return displaced
 
+    def record(self, entry: queues.Entry, starts: bool) -> None:
+        """Counts a call that starts or is refused without waiting."""
+        kind = self._kinds.get(_get_key(entry))
+        if kind is not None:
+            kind.record(starts)
+
     def remove(self, entry: queues.Entry) -> bool:
         """Removes an entry; returns whether it was in the queue."""
         kind = self._kinds.get(_get_key(entry))
@@ -242,9 +271,11 @@
                 dropped.append((entry, queues.DropReason.NO_LONGER_VALID))
                 continue
             for other in self._kinds.values():
+                other.idle_starts += 1
                 if other.in_time or other.late:
                     other.passed_over += 1
             kind.passed_over = 0
+            kind.record(True)
             entry.tier = tier.value
             return entry, dropped
         return None, dropped
@@ -271,9 +302,15 @@
             if short:
                 return min(short, key=_Kind.get_order), Tier.RESERVED
         longest = max(waiting, key=lambda kind: kind.passed_over)
-        if longest.passed_over >= FLOOR_ROUND - 1:
+        is_due = longest.passed_over >= FLOOR_ROUND - 1
+        # A floor start of a long call would take the slot of the next call of a
+        # more urgent kind that is served less often, also if none waits now.
+        if is_due and not _find_behind(self._kinds.values(), longest):
             return longest, Tier.FLOOR
         first = min(waiting, key=_Kind.get_order)
+        behind = _find_behind(waiting, first)
+        if behind:
+            first = min(behind, key=_Kind.get_order)
         return first, Tier.IN_TIME if first.in_time else Tier.LATE
 
     def _drop_late(
@@ -289,6 +326,7 @@
                 if now + estimate_s(entry) <= deadline:
                     break
                 del kind.late[0]
+                kind.record(False)
                 self._uncount(entry)
                 yield entry, queues.DropReason.DEADLINE
 
@@ -324,5 +362,16 @@
     return end - OBJECTIVE_MARGIN * entry.service_s
 
 
+def _find_behind(kinds: Iterable[_Kind], kind: _Kind) -> list[_Kind]:
+    """Returns the more urgent kinds that are served less often than a kind."""
+    return [
+        other
+        for other in kinds
+        if other.rank < kind.rank
+        and other.share < kind.share
+        and other.idle_starts < MAX_IDLE_STARTS
+    ]
+
+
 def _get_key(entry: queues.Entry) -> tuple:
     return (entry.rank, entry.kind, entry.is_short)
--- a/jayseam/admission/tests/test_objectives.py
+++ b/jayseam/admission/tests/test_objectives.py
@@ -65,6 +65,48 @@
     assert not queue.pop(0.5, lambda entry: 0.1)[0]
 
 
+@pytest.mark.parametrize('dropped', [0, 10])
+def test_less_urgent_kind_is_not_served_more_often(dropped):
+    """Calls with long objectives must not be served instead of urgent ones."""
+    queue = objectives.ObjectiveQueue()
+    for _ in range(dropped):
+        queue.push(make_entry('w', 0, 0.1, 0.2))
+    queue.push(make_entry('r', 2, 9.0, 9.0))
+    assert pop_kinds(queue, now=0.3) == ['r']
+    queue.push(make_entry('w', 0, 0.1, 4.0))
+    queue.push(make_entry('r', 2, 9.0, 9.0))
+    first, last = ('w', 'r') if dropped else ('r', 'w')
+    assert pop_kinds(queue, now=0.3) == [first, last]
+
+
+def test_floor_is_not_at_the_cost_of_a_kind_that_fares_worse():
+    """A floor for long calls would take the slots of urgent short ones."""
+    queue = objectives.ObjectiveQueue()
+    for _ in range(30):
+        queue.push(make_entry('w', 0, 2.0))
+    queue.push(make_entry('r', 2, 3.0))
+    assert pop_kinds(queue)[objectives.FLOOR_ROUND - 1] == 'r'
+    for _ in range(10):
+        queue.push(make_entry('w', 0, 0.1, 0.2))
+    for _ in range(30):
+        queue.push(make_entry('w', 0, 2.0))
+    queue.push(make_entry('r', 2, 3.0))
+    assert 'r' not in pop_kinds(queue, now=0.3)[:20]
+
+
+def test_share_of_a_kind_without_calls_is_forgotten():
+    """A kind that fared badly once must not block the floor of others."""
+    queue = objectives.ObjectiveQueue()
+    for _ in range(10):
+        queue.push(make_entry('w', 0, 0.1, 0.2))
+    queue.push(make_entry('r', 2, 9.0, 9.0))
+    assert pop_kinds(queue, now=0.3) == ['r']
+    for _ in range(100):
+        queue.push(make_entry('p', 1, 9.0, 9.0))
+    queue.push(make_entry('r', 2, 9.0, 9.0))
+    assert 'r' in pop_kinds(queue, now=0.3)[:70]
+
+
 def test_call_without_an_objective_is_ordered_by_its_deadline():
     """Otherwise such calls would always or never be served first."""
     queue = objectives.ObjectiveQueue()
@@ -136,8 +178,12 @@
     ):
         queue.push(entry)
     new = make_entry('h', 1, 1.0)
-    assert queue.estimate_work_ahead(new, 0.0) == pytest.approx(0.3)
-    assert queue.estimate_late_work_ahead(new) == pytest.approx(0.7)
+    ahead, late_ahead = (
+        queue.measure_ahead(new, 0.0),
+        queue.measure_late_ahead(new),
+    )
+    assert (ahead.entries, ahead.work_s) == (2, pytest.approx(0.3))
+    assert (late_ahead.entries, late_ahead.work_s) == (5, pytest.approx(0.7))
     assert queue.count_ahead('', 1) == 4
 
 
