Let the gate serve late calls by the order of objectives

The gate refused each call that would miss its objective, and its service times were one mean where no workspaces are configured. With the queue 'objective' it refuses a call at once only if the calls that would really go first make it miss its deadline. Service times are measured for each kind, the name of the route. The setting admission.queue names the variant; by default 'fair' decides as before.

--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -17,6 +17,7 @@
 
 from jayseam.admission import concurrency
 from jayseam.admission import errors
+from jayseam.admission import orders
 from jayseam.admission import pacing
 from jayseam.admission import queues
 from jayseam.admission import ramps
@@ -60,6 +61,7 @@
         outcome = tickets.Result(result)
         if not self._released:
             self._released = True
+            self._gate._record_service(self, outcome, now)
             self._gate._release(self, outcome, now)
 
 
@@ -105,6 +107,9 @@
         """
         self._ramp_class = ramps.VARIANTS.get(ramp_shape)
         self._queue = queues.VARIANTS.get(queue)(bounds)
+        self._order: orders.ObjectiveOrder | None = None
+        if self._queue.serves_late:
+            self._order = orders.ObjectiveOrder(self._queue)
         self._read_now = read_now
         self._in_flight = 0
         self._in_flight_by_rank: collections.Counter[int] = (
@@ -134,7 +139,8 @@
         Raises:
           QueueFullError: If the queue has no room.
           DeadlineError: If the call cannot finish before its deadline.
-          ObjectiveError: If it would wait past its latency objective.
+          ObjectiveError: If it would wait past its latency objective, unless
+            the queue serves late calls.
           NoLongerValidError: If the call may no longer run.
           ClosedError: If the gate is draining or closed.
         """
@@ -147,18 +153,25 @@
             ticket.still_valid,
             rank=ticket.rank,
         )
+        if self._order is not None:
+            self._order.complete_entry(entry, ticket, now)
         # A call that would wait past its deadline is refused at once, while
         # its entry node has time to try another VM. If the call waited, it
         # might also be admitted with too little time left to run.
-        wait_s = self._estimate_wait(ticket)
+        wait_s = self._estimate_wait(entry, now)
         reason = queues.find_drop_reason(
             entry, now + wait_s, self._estimate_shortest_time(entry, now)
         )
         if reason is not None:
+            if self._order is not None:
+                self._order.record_outcome(entry, False)
             raise waits.build_error(reason, ticket, wait_s)
-        self._check_objective(ticket, wait_s, now)
+        if self._order is None:
+            self._check_objective(ticket, wait_s, now)
         if not self._paused and len(self._queue) == 0:
             if self._can_admit(now):
+                if self._order is not None:
+                    self._order.record_outcome(entry, True)
                 return self._admit(ticket, now)
         waiter = _Waiter(ticket, event.Event())
         entry.payload = waiter
@@ -285,24 +298,29 @@
         return has_slot and self._pacer.allows(now)
 
     def _estimate_shortest_time(self, entry: queues.Entry, now: float) -> float:
+        if self._order is not None:
+            return self._order.estimate_shortest(entry, now)
         return self._service_times.estimate_shortest(entry.workspace, now)
 
-    def _estimate_wait(self, ticket: tickets.Ticket) -> float:
+    def _estimate_wait(self, entry: queues.Entry, now: float) -> float:
         """Returns the time that a new call is expected to wait, in seconds.
 
         The limit is taken as of the deadline, so that no call is refused that
         a growing ramp could admit in time.
         """
-        limit = self._compute_limit(ticket.deadline)
+        limit = self._compute_limit(entry.deadline)
         if self._paused or limit <= 0:
             return 0.0
-        ahead = self._queue.count_ahead(ticket.workspace, ticket.rank)
-        now = self._read_now()
-        paced_s = self._pacer.estimate_wait(ahead, now)
         # Slots of more urgent calls don't count as free: such calls keep coming
         # and take them again.
-        free_slots = max(1, limit - self._count_more_urgent(ticket.rank))
-        mean_s = self._service_times.estimate_mean(ticket.workspace)
+        free_slots = max(1, limit - self._count_more_urgent(entry.rank))
+        if self._order is not None:
+            ahead = self._order.measure_ahead(entry, free_slots, now)
+            paced_s = self._pacer.estimate_wait(ahead.entries, now)
+            return max(paced_s, ahead.work_s / free_slots)
+        ahead = self._queue.count_ahead(entry.workspace, entry.rank)
+        paced_s = self._pacer.estimate_wait(ahead, self._read_now())
+        mean_s = self._service_times.estimate_mean(entry.workspace)
         return max(paced_s, ahead * mean_s / free_slots)
 
     def _count_more_urgent(self, rank: int) -> int:
@@ -372,9 +390,7 @@
         while not self._paused and len(self._queue) > 0:
             if not self._can_admit(now):
                 break
-            entry, dropped = self._queue.pop(
-                now, lambda waiting: self._estimate_shortest_time(waiting, now)
-            )
+            entry, dropped = self._pop(now)
             for dropped_entry, reason in dropped:
                 self._refuse(dropped_entry, reason)
             if entry is not None:
@@ -383,6 +399,14 @@
         self._schedule_timer(now)
         self._update_idle()
 
+    def _pop(self, now: float):
+        def estimate_s(waiting: queues.Entry) -> float:
+            return self._estimate_shortest_time(waiting, now)
+
+        if self._order is not None:
+            return self._order.pop(now, self._compute_limit(now), estimate_s)
+        return self._queue.pop(now, estimate_s)
+
     def _schedule_timer(self, now: float) -> None:
         """Sets a timer for the next step of ramp or pacer while calls wait."""
         if self._timer is not None or len(self._queue) == 0:
@@ -403,6 +427,13 @@
         if self._in_flight == 0 and len(self._queue) == 0:
             self._idle.set()
 
+    def _record_service(
+        self, permit: Permit, result: tickets.Result, now: float
+    ) -> None:
+        if self._order is not None and result is tickets.Result.SUCCESS:
+            latency_s = max(0.0, now - permit.admitted_at)
+            self._order.record(permit.ticket, latency_s, now)
+
     def _release(
         self, permit: Permit, result: tickets.Result, now: float
     ) -> None:
--- /dev/null
+++ b/jayseam/admission/orders.py
@@ -0,0 +1,99 @@
+"""Decisions of a gate whose queue serves calls in order of their objectives.
+
+The gate owns the clock and the calls in flight; this module estimates waits and
+picks the next call. It reads no clock and does no I/O.
+
+See Also:
+  ``docs/design/order-of-service.md``.
+"""
+
+from collections.abc import Callable
+
+from jayseam.admission import objectives
+from jayseam.admission import queues
+from jayseam.admission import reserves
+from jayseam.admission import servicetimes
+from jayseam.admission import tickets
+
+
+class ObjectiveOrder:
+    """Order of service by objective, with service times for each kind.
+
+    Args:
+      queue: The queue of the gate.
+    """
+
+    def __init__(self, queue: objectives.ObjectiveQueue):
+        self._queue = queue
+        self._times = servicetimes.ServiceTimes()
+        self._occupancy = reserves.Occupancy()
+        self._reserve = reserves.Reserve()
+
+    def record(
+        self, ticket: tickets.Ticket, latency_s: float, now: float
+    ) -> None:
+        """Adds the service time of a call that succeeded."""
+        self._times.record(ticket.kind, latency_s, now)
+        self._occupancy = self._occupancy.add_sample(latency_s)
+
+    def complete_entry(
+        self, entry: queues.Entry, ticket: tickets.Ticket, now: float
+    ) -> None:
+        """Sets the fields of an entry that only this order uses."""
+        entry.is_short = reserves.is_short(
+            ticket.deadline - now, self._occupancy.mean_s
+        )
+        entry.kind = ticket.kind
+        entry.objective = ticket.objective
+        entry.service_s = self._times.estimate_mean(ticket.kind)
+
+    def estimate_shortest(self, entry: queues.Entry, now: float) -> float:
+        """Returns the usual shortest time of such a call, in seconds."""
+        return self._times.estimate_shortest(entry.kind, now)
+
+    def measure_ahead(
+        self, entry: queues.Entry, slots: int, now: float
+    ) -> objectives.Ahead:
+        """Returns the entries that are expected to start before a new one.
+
+        A call that would start too late for its objective starts after all
+        calls that are in time.
+
+        Args:
+          entry: An entry that isn't in the queue.
+          slots: Slots that the calls ahead share.
+          now: Current time in seconds.
+        """
+        ahead = self._queue.measure_ahead(entry, now)
+        latest_start = objectives.compute_latest_start(entry)
+        if now + ahead.work_s / slots > latest_start:
+            ahead = self._queue.measure_late_ahead(entry)
+        if not entry.is_short:
+            return ahead
+        # Short calls start before the others while their reserve lasts.
+        entries = self._queue.count_short()
+        work_s = entries * self._times.mean_s
+        return min(ahead, objectives.Ahead(entries, work_s), key=_get_work)
+
+    def record_outcome(self, entry: queues.Entry, starts: bool) -> None:
+        """Counts a call that starts or is refused without waiting."""
+        self._queue.record(entry, starts)
+
+    def pop(
+        self,
+        now: float,
+        limit: int,
+        estimate_s: Callable[[queues.Entry], float],
+    ):
+        """Removes and returns the next entry; see `objectives`."""
+        reserved = self._reserve.is_due()
+        entry, dropped = self._queue.pop(now, estimate_s, reserved)
+        if entry is not None:
+            self._reserve = self._reserve.record_start(
+                entry.service_s, entry.is_short, limit, self._occupancy.mean_s
+            )
+        return entry, dropped
+
+
+def _get_work(ahead: objectives.Ahead) -> float:
+    return ahead.work_s
--- a/jayseam/admission/queues.py
+++ b/jayseam/admission/queues.py
@@ -133,6 +133,8 @@
     ['large', 'small', 'large', 'large']
     """
 
+    serves_late = False
+
     def __init__(self, bounds: Bounds = Bounds()):
         self._bounds = bounds
         self._weights: Mapping[str, float] = {}
@@ -323,6 +325,8 @@
     [0, 1, 2]
     """
 
+    serves_late = False
+
     def __init__(self, bounds: Bounds = Bounds()):
         self._bounds = bounds
         self._weights: Mapping[str, float] = {}
@@ -425,6 +429,8 @@
     and bounds only the total length.
     """
 
+    serves_late = False
+
     def __init__(self, bounds: Bounds = Bounds()):
         self._bounds = bounds
         self._entries: collections.OrderedDict = collections.OrderedDict()
--- a/jayseam/admission/tickets.py
+++ b/jayseam/admission/tickets.py
@@ -29,6 +29,7 @@
       rank: Urgency; 0 is the most urgent.
       objective: Latency objective: time until which an answer has its full
         value, in seconds.
+      kind: Kind of the call, the name of its route.
     """
 
     workspace: str
@@ -38,6 +39,7 @@
     still_valid: Callable[[float], bool]
     rank: int = 0
     objective: float = math.inf
+    kind: str = ''
 
 
 @attrs.frozen
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -260,6 +260,7 @@
             still_valid=lambda _: self._find_refusal(forward) is None,
             rank=forward.rank,
             objective=_compute_objective(forward, now),
+            kind=forward.route,
         )
         permit = self._acquire(ticket, forward, now)
         result = admission.tickets.Result.FAILED
--- a/jayseam/calls/tests/test_ingress.py
+++ b/jayseam/calls/tests/test_ingress.py
@@ -115,6 +115,21 @@
     assert not harness.ran
 
 
+def test_ticket_names_the_route(monkeypatch):
+    """Without the route, all kinds of calls would share one service time."""
+    harness = _Harness()
+    kinds = []
+    acquire = harness.gate.acquire
+
+    def record_kind(ticket, now):
+        kinds.append(ticket.kind)
+        return acquire(ticket, now)
+
+    monkeypatch.setattr(harness.gate, 'acquire', record_kind)
+    harness.ingress.handle_forward(_forward())
+    assert kinds == ['view']
+
+
 def test_unlisted_server_runs_nothing():
     """Without an entry in the VM list there is no instance to run a call."""
     harness = _Harness()
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -51,7 +51,7 @@
         self._gate = admission.gates.Gate(
             slots=1,
             connections=1,
-            queue='ranked' if settings.admission.fair else 'fifo',
+            queue=settings.admission.get_queue(),
             ramp_shape='linear' if settings.admission.ramp else 'none',
         )
         self._health = backends.health.HealthMonitor(
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -110,11 +110,22 @@
         server.
       cold_excess: Share by which calls may exceed the rate of a cold backend
         server, where the operators tolerate more than the rate they state.
+      queue: Name of a variant of the queue, as in ``admission.queues``; empty
+        for the variant that ``fair`` implies.
     """
 
     fair: bool = True
     ramp: bool = True
     cold_excess: float = 0.0
+    queue: str = ''
+
+    def get_queue(self) -> str:
+        """Returns the name of the variant of the queue.
+
+        >>> AdmissionSettings().get_queue()
+        'ranked'
+        """
+        return self.queue or ('ranked' if self.fair else 'fifo')
 
 
 @attrs.frozen
--- a/jayseam/settings/tests/test_loading.py
+++ b/jayseam/settings/tests/test_loading.py
@@ -44,6 +44,22 @@
     assert "'extra' was unexpected" in text
 
 
+def test_queue_is_ranked_unless_it_is_named():
+    """Deployments with workspaces must be served as before."""
+    settings = loading.parse_node_settings(VALID)
+    assert settings.admission.get_queue() == 'ranked'
+    for admission, queue in (
+        ({'fair': False}, 'fifo'),
+        ({'queue': 'objective'}, 'objective'),
+    ):
+        settings = loading.parse_node_settings(
+            {**VALID, 'admission': admission}
+        )
+        assert settings.admission.get_queue() == queue
+    with pytest.raises(errors.SettingsError):
+        loading.parse_node_settings({**VALID, 'admission': {'queue': 'lifo'}})
+
+
 def test_secrets_are_not_shown():
     """Settings problems are logged, so they must not contain secrets."""
     wrong = {**VALID, 'fleet_secrets': ['short-secret']}
