Refuse answers with a status outside 100 to 599

The HTTP parser accepts any three digits, so 000, 099, 600 and 999 of a backend server reached the caller as a whole answer on a connection that was used again. geventhttpclient took 000 and 099 of the store for interim replies and read the reply behind them.

Such a status is now OutcomeUnknownError('framing') at the backend client and SourceReplyError at the clients of the source and store; the connection is closed. Replies and stored answers of nodes of an older version with such a status count as an unknown outcome. The stand-ins can answer with any status. test_stream_goes_on lists streams only, so it leaves out the new kind "status", which has a test of its own.

--- a/jayseam/backends/latecopies.py
+++ b/jayseam/backends/latecopies.py
@@ -6,12 +6,16 @@
 would leave a call without one that may have run.
 """
 
+import re
+
 from jayseam.backends import messages
 
 # Most copies that are left out before an answer, and most bytes of each.
 MAX_COPIES = 4
 MAX_COPY_BYTES = 2_000_000
 _HEAD_END = b'\r\n\r\n'
+# Final statuses; an answer with another one was never valid.
+_STATUS = re.compile(b'[2-5][0-9]{2}')
 # Statuses of answers without a body.
 _BODILESS_STATUSES = (b'204', b'304')
 
@@ -92,10 +96,12 @@
         if any(n.lower() == b'transfer-encoding' for n, _ in fields):
             return None
         status = status_line[9:12]
+        if not _STATUS.fullmatch(status):
+            return None
         if status in _BODILESS_STATUSES:
             return 0
         sizes = {v.strip() for n, v in fields if n.lower() == b'content-length'}
         size = next(iter(sizes), b'')
-        if len(sizes) != 1 or not size.isdigit() or status.startswith(b'1'):
+        if len(sizes) != 1 or not size.isdigit():
             return None
         return int(size) if int(size) <= MAX_COPY_BYTES else None
--- a/jayseam/backends/messages.py
+++ b/jayseam/backends/messages.py
@@ -13,6 +13,7 @@
 
 from jayseam.backends import dialects
 from jayseam.backends import errors
+from jayseam.core import statuses
 
 Headers = Sequence[tuple[str, str]]
 
@@ -344,6 +345,11 @@
         self._on_header_value = self._values.append
 
     def _finish_head(self) -> None:
+        # The parser takes any three digits.
+        if not statuses.is_final(self._status):
+            raise errors.OutcomeUnknownError(
+                'framing', f'invalid status {self._status:03}'
+            )
         if self._malformed:
             raise errors.OutcomeUnknownError('framing', 'broken header field')
         sized = self._complete or _has_explicit_end(self._headers)
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -21,6 +21,7 @@
 from jayseam.core import clocks
 from jayseam.core import identifiers
 from jayseam.core import logs
+from jayseam.core import statuses
 from jayseam.core import versionnumbers
 from jayseam.links import errors as link_errors
 from jayseam.routing import loads
@@ -709,6 +710,9 @@
     reply: messages.Answered | messages.Refused,
 ) -> requests.CallAnswer:
     if isinstance(reply, messages.Answered):
+        # Versions before this check pass on any number.
+        if not statuses.is_final(reply.status):
+            raise errors.OutcomeUnknownError(f'invalid status {reply.status}')
         headers = tuple((name, value) for name, value in reply.headers)
         return requests.CallAnswer(reply.status, headers, reply.body)
     if reply.ran == 'unknown':
--- a/jayseam/calls/idempotency.py
+++ b/jayseam/calls/idempotency.py
@@ -18,6 +18,7 @@
 from jayseam.calls import messages
 from jayseam.calls import requests
 from jayseam.core import rendezvous
+from jayseam.core import statuses
 
 KEEPER_COUNT = 3
 MAJORITY = 2
@@ -162,9 +163,10 @@
 def _decide_settled(states: Sequence[messages.ClaimState]) -> Decision:
     """Returns a stored answer if a keeper has one.
 
-    Another keeper may know only that the call may have run.
+    Another keeper may know only that the call may have run, or have stored a
+    status that no caller may get.
     """
     for state in states:
-        if state.status:
+        if statuses.is_final(state.status):
             return Decision(ClaimVerdict.JOIN, state)
     return Decision(ClaimVerdict.UNKNOWN)
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -152,6 +152,18 @@
     assert harness.run(max_attempts=2).status == 200
 
 
+@pytest.mark.parametrize('status', [0, 99, 100, 600, 999])
+def test_reply_with_a_broken_status_is_no_answer(status):
+    """An older node may pass on a status that no caller may get."""
+    broken = messages.Answered(status, [], b'', *_LOADS)
+    harness = _Harness({'a': broken, 'b': _ANSWERED}, saved=5.0)
+    with pytest.raises(errors.OutcomeUnknownError):
+        harness.run(max_attempts=2, repeatable=False)
+    assert harness.tried_vms == ['a']
+    harness = _Harness({'a': broken, 'b': _ANSWERED}, saved=5.0)
+    assert harness.run(max_attempts=2, repeatable=True).status == 200
+
+
 def test_repeat_at_a_server_needs_the_budget():
     """When all servers shed calls, retries must not multiply their load."""
     harness = _Harness({'a': _SHED, 'b': _ANSWERED})
--- a/jayseam/calls/tests/test_idempotency.py
+++ b/jayseam/calls/tests/test_idempotency.py
@@ -84,6 +84,16 @@
     assert store.claim(make_claim('a3', 'f2'), 0.3).state == 'mismatch'
 
 
+@pytest.mark.parametrize('status', [99, 100, 600, 999])
+def test_stored_answer_with_a_broken_status_is_unknown(status):
+    """An older node may have settled a status that no caller may get."""
+    store = make_store()
+    store.claim(make_claim('a1'), 0.0)
+    store.settle(messages.Settle('w1', 'key', 'a1', status, [], b'x'), 0.1)
+    decision = idempotency.decide_claim([store.claim(make_claim('a2'), 0.2)])
+    assert decision.verdict is idempotency.ClaimVerdict.UNKNOWN
+
+
 @hypothesis.given(strategies.integers(0, 2**32), strategies.integers(2, 6))
 @hypothesis.settings(max_examples=200, deadline=None)
 def test_never_two_runs_under_lost_messages_and_restarts(seed, attempts):
--- a/jayseam/node/tests/test_answers.py
+++ b/jayseam/node/tests/test_answers.py
@@ -25,6 +25,7 @@
         ('reset', 'after'),
         ('reset', 'before'),
         ('hang', 'after'),
+        ('status', 'after'),
     ],
 )
 def test_answers_are_whole_and_own(fleet, kind, when):
--- a/jayseam/platform/tests/test_cuts.py
+++ b/jayseam/platform/tests/test_cuts.py
@@ -75,3 +75,20 @@
     assert client.list_items('').items == (store.Item('op/config', b'{}', 7),)
     assert client.watch('', 3, 0.0).revision == 12
     client.close()
+
+
+@pytest.mark.parametrize('interim', [b'', b'HTTP/1.1 103 Hints\r\n\r\n'])
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+@pytest.mark.parametrize('name', REPLIES)
+def test_broken_status_is_no_reply(serve, name, status, interim):
+    """A head with a broken status must not pass as an interim reply."""
+    broken = b'HTTP/1.1 ' + status + b' X\r\n'
+    without_body = interim + broken + b'\r\n' + REPLIES[name]
+    with_body = interim + REPLIES[name].replace(b'200 OK', status + b' X', 1)
+    for data in (without_body, with_body):
+        client = serve(data, False)
+        with pytest.raises(errors.SourceReplyError):
+            client.list_items('')
+        with pytest.raises(errors.SourceReplyError):
+            client.watch('', 3, 0.0)
+        client.close()
--- a/jayseam/platform/tests/test_faulty_answers.py
+++ b/jayseam/platform/tests/test_faulty_answers.py
@@ -159,7 +159,7 @@
         pass
 
 
-# Faults with which no answer is whole.
+# Faults with which no answer is whole and valid.
 CUTS = {
     'nothing': answerfaults.AnswerFault(),
     'status line': answerfaults.AnswerFault(cut_at=11),
@@ -183,6 +183,10 @@
         cut_at=63, after_head=True, reset=True
     ),
     'status line, reset': answerfaults.AnswerFault(cut_at=11, reset=True),
+    **{
+        f'status {status}': answerfaults.AnswerFault('status', status=status)
+        for status in ('000', '099', '600', '999', '1000', '20x')
+    },
 }
 
 
--- a/jayseam/source/endpoints.py
+++ b/jayseam/source/endpoints.py
@@ -15,6 +15,7 @@
 from jayseam.core import clocks
 from jayseam.core import sockets
 from jayseam.source import errors
+from jayseam.source import statuslines
 
 _CHUNK_BYTES = 65_536
 _MAX_CONNECTIONS = 8
@@ -59,11 +60,13 @@
 
     user: gevent.Greenlet | None = None
     _received_bytes = 0
+    _status_lines: statuslines.StatusLineCheck | None = None
 
     def sendall(self, data, flags=0):
         """Sends a request."""
         self.user = gevent.getcurrent()
         self._received_bytes = 0
+        self._status_lines = statuslines.StatusLineCheck()
         return super().sendall(data, flags)
 
     def recv(self, *args):
@@ -71,6 +74,7 @@
 
         Raises:
           BodyTooLargeError: If the reply is too large.
+          SourceReplyError: If its status is outside 100 to 599.
         """
         size = args[0]
         # The limits of a reply are those of `Endpoint.fetch`.
@@ -83,6 +87,8 @@
         self._received_bytes += len(data)
         if self._received_bytes > MAX_REPLY_BYTES:
             raise errors.BodyTooLargeError('the reply is too large')
+        if self._status_lines is not None:
+            self._status_lines.receive(data)
         return data
 
 
@@ -178,6 +184,7 @@
           SourceTimeoutError: If the whole reply did not arrive in time.
           SourceUnreachableError: If the connection failed.
           BodyTooLargeError: If the body is larger.
+          SourceReplyError: If the status is outside 100 to 599.
         """
         requested_at = clocks.read_now()
         reply, body, timeout = None, None, gevent.Timeout(limit_s)
--- a/jayseam/source/tests/test_cuts.py
+++ b/jayseam/source/tests/test_cuts.py
@@ -8,6 +8,7 @@
 from jayseam.source import client as source_client
 from jayseam.source import endpoints
 from jayseam.source import errors
+from jayseam.source import statuslines
 from jayseam.standins import serving
 
 OK = b'HTTP/1.1 200 OK\r\nRevision: 12345\r\n'
@@ -105,3 +106,16 @@
     serve(OK + LENGTH + BODY, False)
     assert endpoint.fetch('/', 2.0, 1000).body == BODY
     endpoint.close()
+
+
+@pytest.mark.parametrize('cut_at', range(0, 60, 7))
+@pytest.mark.parametrize('break_', [b'\r\n', b'\n'], ids=['crlf', 'lf'])
+def test_broken_status_is_found_in_pieces(cut_at, break_):
+    """Where TCP splits a reply must not decide whether its status counts."""
+    data = b'HTTP/1.1 103 H\r\nA: b\r\n\r\nHTTP/1.1 099 X\r\n\r\n'
+    data = data.replace(b'\r\n', break_)
+    check = statuslines.StatusLineCheck()
+    with pytest.raises(errors.SourceReplyError):
+        check.receive(data[:cut_at])
+        for byte in data[cut_at:]:
+            check.receive(bytes([byte]))
--- a/jayseam/source/tests/test_source.py
+++ b/jayseam/source/tests/test_source.py
@@ -161,6 +161,14 @@
             errors.SourceReplyError,
         ),
         (b'SSH-2.0-x\r\n', errors.SourceUnreachableError),
+        *(
+            (
+                b'HTTP/1.1 %s X\r\nRevision: 1\r\nContent-Length: 2\r\n\r\nab'
+                % status,
+                errors.SourceReplyError,
+            )
+            for status in (b'000', b'099', b'600', b'999')
+        ),
     ],
 )
 def test_broken_replies_are_refused(data, error):
@@ -172,6 +180,20 @@
     server.stop(timeout=0.1)
 
 
+@pytest.mark.parametrize('interim', [b'', b'HTTP/1.1 103 Hints\r\n\r\n'])
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+def test_reply_behind_a_broken_status_is_refused(status, interim):
+    """A head with a broken status must not be passed over, or reused."""
+    good = b'HTTP/1.1 200 OK\r\nRevision: 1\r\nContent-Length: 2\r\n\r\nab'
+    broken = b'HTTP/1.1 ' + status + b' X\r\nContent-Length: 0\r\n\r\n'
+    server, url = _serve_raw(interim + broken + good, delay_s=0.5)
+    source = client.SourceClient([url], timeout_s=1.0)
+    for _ in range(2):
+        with pytest.raises(errors.SourceReplyError):
+            source.read_value('channels/preset')
+    server.stop(timeout=0.1)
+
+
 def test_silent_server_times_out():
     """A connection that stops responding must not hang the reader."""
     server, url = _serve_raw(b'HTTP/1.1 200 OK\r\n', delay_s=5.0)
--- a/jayseam/standins/answerfaults.py
+++ b/jayseam/standins/answerfaults.py
@@ -34,6 +34,7 @@
       block_bytes: Size of the blocks of a stream without end.
       pause_s: Seconds between two blocks.
       held_s: Seconds that a stream without end is sent for at most.
+      status: Text in place of the status code, for the kind ``status``.
     """
 
     kind: str = 'cut'
@@ -48,6 +49,7 @@
     block_bytes: int = BLOCK_BYTES
     pause_s: float = 0.0
     held_s: float = 30.0
+    status: str = '999'
 
 
 # Returns the blocks of an answer; takes the fault and the fields of the head.
@@ -91,6 +93,12 @@
     yield answer[: start + fault.cut_at]
 
 
+@registry.register('status')
+def _send_status(fault: AnswerFault, fields: bytes) -> Iterator[bytes]:
+    answer = build_answer(fault.form, fields, fault.size_bytes)
+    yield answer.replace(b'200', fault.status.encode('latin-1'), 1)
+
+
 @registry.register('endless-head')
 def _send_endless_head(fault: AnswerFault, fields: bytes) -> Iterator[bytes]:
     yield _HEAD_START + fields + b'A: '
--- a/jayseam/standins/backend.py
+++ b/jayseam/standins/backend.py
@@ -323,8 +323,11 @@
         run.status = 'done'
         self._faults.interrupt_after_run(admission.fault, cancelled)
         data = self._build_body(admission.request, run, nested)
+        status = 200
+        if admission.has_fault('status'):
+            status = admission.fault.status
         answer = serving.send_answer(
-            start_response, 200, data, self._build_headers(run)
+            start_response, status, data, self._build_headers(run)
         )
         if admission.has_fault('truncate'):
             return _truncate(data)
--- a/jayseam/standins/requestfaults.py
+++ b/jayseam/standins/requestfaults.py
@@ -9,7 +9,7 @@
 
 from jayseam.standins import serving
 
-_KINDS = ('hang', 'reset', 'truncate', 'late', 'shed', 'fail')
+_KINDS = ('hang', 'reset', 'truncate', 'late', 'shed', 'fail', 'status')
 _BEFORE = 'before'
 _AFTER = 'after'
 
@@ -23,11 +23,12 @@
         cancelled, and then resets the connection; ``reset`` resets the
         connection; ``truncate`` closes it after half of the body; ``late``
         waits ``ms`` more milliseconds; ``shed`` sheds the request; ``fail``
-        answers 500.
+        answers 500; ``status`` answers `status` after the run.
       when: Whether ``hang``, ``reset`` and ``late`` apply ``before`` or
         ``after`` the run.
       share: Share of the requests that get the fault, from 0 to 1.
       ms: Delay of ``late`` in milliseconds.
+      status: Status code of ``status``, also one that HTTP doesn't define.
     """
 
     kind: str = attrs.field(validator=attrs.validators.in_(_KINDS))
@@ -36,6 +37,7 @@
     )
     share: float = 1.0
     ms: float = 1000.0
+    status: int = 999
 
 
 class FaultInjector:
--- a/jayseam/standins/serving.py
+++ b/jayseam/standins/serving.py
@@ -126,7 +126,7 @@
     if status != 304:
         fields.append(('Content-Length', str(len(body))))
     reason = _REASONS.get(status, 'Status')
-    start_response(f'{status} {reason}', fields)
+    start_response(f'{status:03} {reason}', fields)
     return [body]
 
 
--- a/jayseam/standins/tests/test_answerfaults.py
+++ b/jayseam/standins/tests/test_answerfaults.py
@@ -32,7 +32,12 @@
 
 
 @pytest.mark.parametrize(
-    'kind', [k for k in answerfaults.registry.list_names() if k != 'cut']
+    'kind',
+    [
+        k
+        for k in answerfaults.registry.list_names()
+        if k not in ('cut', 'status')
+    ],
 )
 def test_stream_goes_on(read, kind):
     """A stream that ends by itself would show no unbounded growth."""
@@ -52,3 +57,13 @@
     fault = answerfaults.AnswerFault(cut_at=17, reset=True)
     with pytest.raises(ConnectionResetError):
         read(fault, 1_000)
+
+
+@pytest.mark.parametrize('form', ['length', 'chunked'])
+def test_broken_status_is_the_only_fault(read, form):
+    """Another fault of the answer would hide that its status was accepted."""
+    fault = answerfaults.AnswerFault('status', form=form, status='099')
+    data = read(fault, 1_000)
+    assert data.startswith(b'HTTP/1.1 099 OK\r\n')
+    head, _, body = data.partition(b'\r\n\r\n')
+    assert b'r-1' in head and b'x' * fault.size_bytes in body
--- a/jayseam/standins/tests/test_backend.py
+++ b/jayseam/standins/tests/test_backend.py
@@ -2,6 +2,7 @@
 
 import gevent
 import pytest
+from gevent import socket
 
 from jayseam.standins import answers
 from jayseam.standins import backend
@@ -195,6 +196,17 @@
     assert [run['status'] for run in client.runs()] == ['done']
 
 
+@pytest.mark.parametrize('status', [0, 99, 600, 999])
+def test_broken_statuses_are_sent_after_the_run(make_client, status):
+    """Tests need servers that answer with statuses that don't exist."""
+    client = make_client()
+    client.control('fault', kind='status', status=status)
+    with socket.create_connection(client.address) as sock:
+        sock.sendall(b'GET /x HTTP/1.1\r\nHost: b\r\nRequest-Id: r\r\n\r\n')
+        assert sock.recv(12) == b'HTTP/1.1 %03d' % status
+    assert [run['status'] for run in client.runs()] == ['done']
+
+
 def test_shed_requests_do_not_run(make_client):
     """A shed answer says that the request did not run, so it must not."""
     client = make_client()
