Split the client of backend servers by subject

The code is moved, and only the calls between the parts are new: the observer of losses gets its two pools after they are built, and the dialect without a cancel path is looked at in Cancellations.schedule. The tests of the backends, of refusals and of cancellations pass unchanged.

--- a/jayseam/backends/client.py
+++ b/jayseam/backends/client.py
@@ -9,20 +9,20 @@
 """
 
 import functools
-import math
 from collections.abc import Callable
-from urllib import parse
 
-import attrs
 import gevent
-from gevent import lock
 
+from jayseam.backends import answerchecks
+from jayseam.backends import cancellations
 from jayseam.backends import connections
 from jayseam.backends import counters
 from jayseam.backends import dialects
 from jayseam.backends import errors
 from jayseam.backends import latecopies
+from jayseam.backends import losses
 from jayseam.backends import messages
+from jayseam.backends import progress
 from jayseam.backends import states
 from jayseam.core import clocks
 from jayseam.core import logs
@@ -31,17 +31,6 @@
 CONNECT_TIMEOUT_S = 0.5
 # An answer, including its head, must fit into one link frame of 2 MB.
 MAX_ANSWER_BYTES = 1_900_000
-CANCEL_TIMEOUT_S = 1.0
-MAX_CONCURRENT_CANCELS = 8
-MAX_PENDING_CANCELS = 128
-# A connection lost within this time after its last use did not reach an idle
-# time-out of the backend server.
-RECENT_USE_S = 1.0
-# Allowance for delays of the node itself between evenly spaced polls.
-IDLE_TOLERANCE = 1.2
-# The sockets of an ended process are closed one after the other, so survivors
-# are looked for again this long after the first loss.
-SURVIVOR_CHECK_DELAY_S = 0.02
 # Reasons for which an answer is given up that the backend server is at fault
 # for, or that holds too much memory.
 _FAULTY_REASONS = frozenset(('crossed', 'framing', 'memory', 'too-large'))
@@ -49,38 +38,6 @@
 _log = logs.get_logger(__name__)
 
 
-@attrs.define(eq=False)
-class _Call:
-    """A call in progress.
-
-    Attributes:
-      request: The call.
-      deadline: Time by which it must finish, in seconds.
-      connection: Connection that carries it, once there is one.
-      sent_at: Time before the first byte was written, in seconds.
-      sent: Whether any byte of the request was written.
-      in_flight: Calls in progress at `sent_at`, including this one.
-      cancelled: Whether `BackendClient.cancel` was called for it.
-      is_control: Whether it is a poll or a cancellation; these are never
-        cancelled themselves.
-      is_identified: Whether its answer has its id, where answers have ids,
-        and no answer to another request came before it.
-      out_of_memory: Whether its answer was ended because all answers together
-        held too many bytes.
-    """
-
-    request: messages.BackendRequest
-    deadline: float
-    connection: connections.Connection | None = None
-    sent_at: float = 0.0
-    sent: bool = False
-    in_flight: int = 0
-    cancelled: bool = False
-    is_control: bool = False
-    is_identified: bool = True
-    out_of_memory: bool = False
-
-
 def _ignore_evidence(evidence: states.Evidence, now: float) -> None:
     del evidence, now
 
@@ -127,26 +84,19 @@
         self._dialect = dialect
         self._read_now = read_now
         self._budget = memory.ByteBudget() if budget is None else budget
-        self._calls: dict[str, _Call] = {}
-        self._cancel_slots = lock.Semaphore(MAX_CONCURRENT_CANCELS)
-        self._check_is_scheduled = False
+        self._calls: dict[str, progress.Call] = {}
         self._closed = False
-        # Longest idle time after which a connection was still open.
-        self._longest_idle_s = 0.0
-        self._loss_reported_at = -math.inf
-        # End and length of the last pause of this process, in seconds.
-        self._last_pause = (-math.inf, 0.0)
-        # Times of last use and of discovery of the idle connection that was
-        # lost last, in seconds.
-        self._idle_loss = (-math.inf, -math.inf)
-        self._pending_cancels = 0
-        self._cancellations: dict[str, gevent.Greenlet] = {}
+        self._losses = losses.LossObserver(observe, read_now)
+        self._cancellations = cancellations.Cancellations(
+            dialect.cancel_path, self._send_cancellation
+        )
         self._pool = connections.ConnectionPool(
-            max(1, max_connections - 1), self._report_idle_loss
+            max(1, max_connections - 1), self._losses.report_idle_loss
         )
         self._control_pool = connections.ConnectionPool(
-            1, self._report_idle_loss
+            1, self._losses.report_idle_loss
         )
+        self._losses.observe_pools((self._pool, self._control_pool))
 
     @property
     def in_flight(self) -> int:
@@ -171,7 +121,7 @@
             `ShedError` if it shed the call.
           OutcomeUnknownError: If the backend server may have run the call.
         """
-        call = _Call(request, deadline)
+        call = progress.Call(request, deadline)
         if self._closed or request.request_id in self._calls:
             raise errors.NotRunError('no-connection', 'closed or id in use')
         self._calls[request.request_id] = call
@@ -205,9 +155,10 @@
         """Returns the greenlet that cancels a call at the backend server.
 
         Until the greenlet has finished, a call that `run` gave up may still
-        occupy a slot. The greenlet finishes within about `CANCEL_TIMEOUT_S`.
+        occupy a slot. The greenlet finishes within about
+        `cancellations.CANCEL_TIMEOUT_S`.
         """
-        return self._cancellations.get(request_id)
+        return self._cancellations.find(request_id)
 
     def poll(self, path: str, timeout_s: float) -> messages.BackendAnswer:
         """Reads a control path over the connection reserved for polls.
@@ -217,7 +168,7 @@
         """
         request = messages.BackendRequest('health', 'GET', path)
         deadline = self._read_now() + timeout_s
-        call = _Call(request, deadline, is_control=True)
+        call = progress.Call(request, deadline, is_control=True)
         return self._exchange(call, self._control_pool)
 
     def set_connections(self, max_connections: int) -> None:
@@ -234,14 +185,7 @@
           now: Time at which the pause ended, in seconds.
           paused_s: Length of the pause, in seconds.
         """
-        self._last_pause = (now, paused_s)
-        # The next poll would come only after calls that are waiting now.
-        self._pool.close_lost()
-        self._control_pool.close_lost()
-        last_used_at, found_at = self._idle_loss
-        if found_at > now - paused_s:
-            # A poll found the loss before the pause was detected.
-            self._report_recent_loss(last_used_at, found_at)
+        self._losses.check_after_pause(now, paused_s)
 
     def close(self) -> None:
         """Refuses new calls and closes idle connections."""
@@ -249,7 +193,7 @@
         self._pool.close_idle()
         self._control_pool.close_idle()
 
-    def _connect(self, call: _Call) -> connections.Connection:
+    def _connect(self, call: progress.Call) -> connections.Connection:
         """Opens a connection for a call.
 
         Raises:
@@ -279,7 +223,7 @@
             raise errors.NotRunError('refused', str(error)) from error
 
     def _exchange(
-        self, call: _Call, pool: connections.ConnectionPool
+        self, call: progress.Call, pool: connections.ConnectionPool
     ) -> messages.BackendAnswer:
         """Writes the request and reads the answer."""
         while True:
@@ -321,7 +265,7 @@
                 )
 
     def _acquire_connection(
-        self, call: _Call, pool: connections.ConnectionPool
+        self, call: progress.Call, pool: connections.ConnectionPool
     ) -> connections.Connection:
         """Takes a connection for the call from the pool."""
         left_s = call.deadline - self._read_now()
@@ -329,13 +273,13 @@
             raise errors.NotRunError('deadline')
         connect = functools.partial(self._connect, call)
         connection = pool.acquire(left_s, connect)
-        if connection.last_used_at is not None:
-            idle_s = self._read_now() - connection.last_used_at
-            self._longest_idle_s = max(self._longest_idle_s, idle_s)
+        self._losses.record_idle_time(connection)
         call.connection = connection
         return connection
 
-    def _write(self, call: _Call, connection: connections.Connection) -> bool:
+    def _write(
+        self, call: progress.Call, connection: connections.Connection
+    ) -> bool:
         """Writes the request.
 
         Returns:
@@ -375,7 +319,7 @@
 
     def _read(
         self,
-        call: _Call,
+        call: progress.Call,
         connection: connections.Connection,
         reader: messages.AnswerReader,
     ) -> messages.BackendAnswer:
@@ -404,7 +348,7 @@
         finally:
             if holding is not None:
                 self._budget.release(holding)
-        self._check_answer(call, connection, answer)
+        answerchecks.check_answer(call, connection, answer, self._dialect)
         has_body = call.request.method != 'HEAD'
         connection.answered_id = call.request.request_id if has_body else None
         if copies.n_copies:
@@ -414,7 +358,7 @@
         return answer
 
     def _find_answered_id(
-        self, call: _Call, connection: connections.Connection
+        self, call: progress.Call, connection: connections.Connection
     ) -> str | None:
         """Returns the id of the answer of which a copy may come, if any.
 
@@ -436,7 +380,7 @@
         own = copies.receive(data)
         return own is not None and reader.receive(own)
 
-    def _count_copies(self, call: _Call, n_copies: int) -> None:
+    def _count_copies(self, call: progress.Call, n_copies: int) -> None:
         counters.FAULTY_ANSWERS.labels(self._host, 'repeated').inc(n_copies)
         _log.info(
             'backend.answer_repeated',
@@ -448,7 +392,7 @@
         )
 
     def _receive_block(
-        self, call: _Call, connection: connections.Connection
+        self, call: progress.Call, connection: connections.Connection
     ) -> bytes:
         """Reads some bytes of the answer; none after its end."""
         left_s = call.deadline - self._read_now()
@@ -466,41 +410,11 @@
                 reason = 'memory'
             raise errors.OutcomeUnknownError(reason, str(error)) from error
 
-    def _check_answer(
-        self,
-        call: _Call,
-        connection: connections.Connection,
-        answer: messages.BackendAnswer,
-    ) -> None:
-        """Checks that an answer belongs to the call.
-
-        Without an id, it belongs to the call only if the connection has carried
-        no other call.
-
-        Raises:
-          OutcomeUnknownError: If the answer may belong to another request, is a
-            success without the required signature field, or has a status that
-            means "not run" without saying so.
-        """
-        dialect = self._dialect
-        echoed = dialect.find(answer.headers, dialect.request_id)
-        if echoed is not None and echoed != call.request.request_id:
-            raise errors.OutcomeUnknownError('crossed', f'answer to {echoed}')
-        call.is_identified = echoed is not None or not dialect.echoes_ids
-        if not call.is_identified and connection.last_used_at is not None:
-            raise errors.OutcomeUnknownError('crossed', 'answer without an id')
-        if not dialect.is_sealed(answer.status, answer.headers):
-            raise errors.OutcomeUnknownError('framing', 'success without seal')
-        if dialect.is_unproven_refusal(answer.status, answer.headers):
-            raise errors.OutcomeUnknownError(
-                'framing', f'status {answer.status} that is no refusal'
-            )
-
     def _is_shed(self, answer: messages.BackendAnswer) -> bool:
         return messages.is_shed(answer, self._dialect)
 
     def _report_answer(
-        self, call: _Call, answer: messages.BackendAnswer
+        self, call: progress.Call, answer: messages.BackendAnswer
     ) -> None:
         now = self._read_now()
         shed = self._is_shed(answer)
@@ -514,7 +428,9 @@
         )
         self._report_evidence(evidence, now)
 
-    def _handle_failure(self, call: _Call, error: BaseException) -> None:
+    def _handle_failure(
+        self, call: progress.Call, error: BaseException
+    ) -> None:
         """Handles a call that ended without a complete answer."""
         reason = getattr(error, 'reason', 'cancelled')
         if reason in _FAULTY_REASONS:
@@ -537,7 +453,7 @@
                 },
             )
         if reason == 'connection-lost':
-            self._report_loss(self._read_now())
+            self._losses.report_loss(self._read_now())
             return
         if reason == 'timeout':
             # Open connections can stop responding while new ones work, so only
@@ -547,99 +463,20 @@
             return
         # Errors raised in the greenlet from outside, such as GreenletExit, also
         # cancel the call.
-        if self._dialect.cancel_path and reason in ('timeout', 'cancelled'):
-            self._schedule_cancel(call.request.request_id)
-
-    def _report_idle_loss(self, connection: connections.Connection) -> None:
-        """Handles the loss of a connection that carried no request."""
-        self._idle_loss = (connection.last_used_at, self._read_now())
-        self._report_recent_loss(*self._idle_loss)
-
-    def _report_recent_loss(self, last_used_at: float, found_at: float) -> None:
-        """Reports the loss of an idle connection that was used recently.
-
-        The loss counts only if other connections have stayed open while idle
-        for as long, because a server may close each connection at once or after
-        a short time-out. Each poll uses the control connection, so its loss
-        shows a fast restart.
-        """
-        idle_s = found_at - last_used_at
-        resumed_at, paused_s = self._last_pause
-        if last_used_at < resumed_at:
-            idle_s -= paused_s
-        max_idle_s = min(RECENT_USE_S, IDLE_TOLERANCE * self._longest_idle_s)
-        # One restart closes many connections, which are found one by one; only
-        # the first loss counts.
-        if idle_s < max_idle_s and last_used_at > self._loss_reported_at:
-            # Only a connection opened before that use can show that the process
-            # of that time still runs.
-            self._report_loss(last_used_at)
-
-    def _report_loss(self, lost_at: float) -> None:
-        """Reports a lost connection and whether other connections survived.
-
-        A loss without survivors is reported at once, because a server that has
-        restarted may already accept calls.
+        if reason in ('timeout', 'cancelled'):
+            self._cancellations.schedule(call.request.request_id)
 
-        Args:
-          lost_at: Earliest time of the loss, in seconds.
-        """
-        if not self._has_survivor(lost_at):
-            self._report_reset(survivors=False)
-        elif not self._check_is_scheduled:
-            self._check_is_scheduled = True
-            gevent.spawn_later(
-                SURVIVOR_CHECK_DELAY_S, self._check_survivors, lost_at
-            )
-
-    def _check_survivors(self, lost_at: float) -> None:
-        self._check_is_scheduled = False
-        self._report_reset(self._has_survivor(lost_at))
-
-    def _report_reset(self, survivors: bool) -> None:
-        now = self._read_now()
-        if not survivors:
-            self._loss_reported_at = now
-        self._report_evidence(states.Reset(survivors), now)
-
-    def _has_survivor(self, lost_at: float) -> bool:
-        return any(
-            pool.has_survivor(lost_at)
-            for pool in (self._pool, self._control_pool)
-        )
-
-    def _schedule_cancel(self, request_id: str) -> None:
-        if self._pending_cancels >= MAX_PENDING_CANCELS:
-            _log.warning(
-                'backend.cancel_dropped', extra={'request': request_id}
-            )
-            return
-        self._pending_cancels += 1
-        self._cancellations[request_id] = gevent.spawn(
-            self._post_cancel, request_id
-        )
-
-    def _post_cancel(self, request_id: str) -> None:
-        """Asks the backend server to stop a call and ignores the answer."""
-        path = self._dialect.cancel_path + parse.quote(request_id, safe='')
-        request = messages.BackendRequest(request_id, 'POST', path)
-        try:
-            with self._cancel_slots:
-                deadline = self._read_now() + CANCEL_TIMEOUT_S
-                self._exchange(
-                    _Call(request, deadline, is_control=True), self._pool
-                )
-        except errors.BackendError as error:
-            _log.info(
-                'backend.cancel_failed',
-                extra={'request': request_id, 'error': str(error)},
-            )
-        finally:
-            self._pending_cancels -= 1
-            del self._cancellations[request_id]
+    def _send_cancellation(
+        self, request: messages.BackendRequest, timeout_s: float
+    ) -> None:
+        deadline = self._read_now() + timeout_s
+        call = progress.Call(request, deadline, is_control=True)
+        self._exchange(call, self._pool)
 
 
-def _end_answer(call: _Call, connection: connections.Connection) -> None:
+def _end_answer(
+    call: progress.Call, connection: connections.Connection
+) -> None:
     call.out_of_memory = True
     connection.close()
 
