Split the entry's attempts, urgency and pending calls into modules

The messages, replies and log lines of attempts are now in calls/forwarding.py, ranks, objectives and timeouts in calls/urgency.py, the admitted call in calls/pending.py; nothing else changes. The tests of calls and of node/application pass as before.

--- a/jayseam/calls/__init__.py
+++ b/jayseam/calls/__init__.py
@@ -9,15 +9,18 @@
 from jayseam.calls import claims
 from jayseam.calls import entry
 from jayseam.calls import errors
+from jayseam.calls import forwarding
 from jayseam.calls import idempotency
 from jayseam.calls import ingress
 from jayseam.calls import keepers
 from jayseam.calls import keys
 from jayseam.calls import messages
+from jayseam.calls import pending
 from jayseam.calls import problems
 from jayseam.calls import requests
 from jayseam.calls import retries
 from jayseam.calls import tokens
+from jayseam.calls import urgency
 
 __all__ = [
     'attempts',
@@ -25,13 +28,16 @@
     'claims',
     'entry',
     'errors',
+    'forwarding',
     'idempotency',
     'ingress',
     'keepers',
     'keys',
     'messages',
+    'pending',
     'problems',
     'requests',
     'retries',
     'tokens',
+    'urgency',
 ]
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import attrs
 
@@ -12,30 +12,16 @@
 from jayseam.calls import choosers
 from jayseam.calls import claims
 from jayseam.calls import errors
+from jayseam.calls import forwarding
 from jayseam.calls import idempotency
 from jayseam.calls import keys
-from jayseam.calls import messages
+from jayseam.calls import pending
 from jayseam.calls import requests
 from jayseam.calls import retries
-from jayseam.calls import tokens
+from jayseam.calls import urgency
 from jayseam.core import clocks
-from jayseam.core import identifiers
-from jayseam.core import logs
 from jayseam.core import versionnumbers
-from jayseam.links import errors as link_errors
-from jayseam.routing import loads
-from jayseam.routing import refusals
-
-_ERRORS_BY_CODE = {
-    'zone': errors.ZoneError,
-    'key': errors.KeyRefusedError,
-    'outcome-unknown': errors.OutcomeUnknownError,
-}
-# The ingress ends a call this much before the call's deadline, or a tenth of
-# the remaining time before if that is less, so that the reply reaches the entry
-# in time. Without this margin, calls that waited in a full queue ended as
-# outcome-unknown, and backend servers worked for callers that had given up.
-_REPLY_MARGIN_MS = 50
+
 # Most VMs to which a call is forwarded. Each costs a message and its reply, and
 # the load of the first few is a good estimate of the load of the others.
 _MAX_TRIED_VMS = 4
@@ -46,12 +32,6 @@
 # returns needs the rest for the call.
 _MAX_RETRY_AFTER_SHARE = 1 / 3
 _SERVICE_UNAVAILABLE = 503
-# Rank of nested calls, which running calls make; other calls rank after them.
-_NESTED_RANK = 0
-# Least share of a latency objective that a returning caller still has. The
-# share that is used up is derived from the timeout that the caller sends, which
-# means little if the operators have raised the route's timeout.
-_MIN_OBJECTIVE_SHARE = 0.5
 # With less time left, a retry would not finish, and its reply could be late.
 _MIN_RETRY_TIME_S = 0.1
 # Time in which a confirmation or a newer version may arrive by another path.
@@ -65,49 +45,6 @@
     errors.MethodError,
 )
 _MS_PER_S = 1000
-# Errors that a node reports without having run the handler of the message.
-_NOT_HANDLED_KINDS = frozenset(('no-handler', 'overloaded'))
-
-_log = logs.get_logger(__name__)
-
-
-class Forwarder(Protocol):
-    """Sends an attempt to the ingress at a VM."""
-
-    def __call__(
-        self, vm: str, forward: messages.Forward, timeout_s: float
-    ) -> messages.Answered | messages.Refused:
-        """Returns the reply of the ingress.
-
-        Raises:
-          LinkError: If no reply came.
-        """
-
-
-@attrs.frozen
-class Call:
-    """An admitted request and what the entry has decided about it.
-
-    Attributes:
-      request: The caller's request, unchanged.
-      request_id: Identifier of the call.
-      snapshot: Configuration by which the call was admitted.
-      route: Route of the call.
-      caller: Identity for which the call runs.
-      deadline: Time by which the call ends, in seconds.
-      expires_wall_ms: Wall clock time at which the outermost call ends.
-      objective: Time of the latency objective, in seconds; infinite without
-        one.
-    """
-
-    request: requests.CallRequest
-    request_id: str
-    snapshot: Any
-    route: Any
-    caller: keys.Caller
-    deadline: float
-    expires_wall_ms: int
-    objective: float = math.inf
 
 
 @attrs.frozen
@@ -144,7 +81,7 @@
     read_view: Callable[[], Any]
     chooser: choosers.Chooser
     limiter: Any
-    forwarder: Forwarder
+    forwarder: forwarding.Forwarder
     coordinator: claims.ClaimCoordinator
     cancel: Callable[[str, str], None]
     are_keys_trusted: Callable[[float], bool]
@@ -178,7 +115,7 @@
         latest_end: float = math.inf,
         may_shorten: bool = True,
         received_at: float | None = None,
-    ) -> Call:
+    ) -> pending.Call:
         """Admits a request; decides its route, caller and deadline.
 
         Args:
@@ -206,7 +143,7 @@
             raise self._reconsider(error, now) from error
         wall_ms = clocks.read_wall_ms()
         field = self._dependencies.dialect.timeout_ms
-        timeout_ms = _read_timeout_ms(request, field, route.timeout_ms)
+        timeout_ms = urgency.read_timeout_ms(request, field, route.timeout_ms)
         if caller.expires_wall_ms is not None:
             timeout_ms = min(timeout_ms, caller.expires_wall_ms - wall_ms)
         deadline = began + timeout_ms / _MS_PER_S
@@ -217,7 +154,7 @@
         deadline = min(deadline, latest_end)
         if caller.workspace and caller.depth == 0:
             self._admit(caller.workspace, deadline, now)
-        return Call(
+        return pending.Call(
             request,
             request_id,
             snapshot,
@@ -227,11 +164,13 @@
             caller.expires_wall_ms
             or wall_ms + int((deadline - now) * _MS_PER_S),
             math.inf
-            if self._is_nested(snapshot.preset, caller)
-            else _compute_objective(route, timeout_ms, began),
+            if urgency.is_nested(
+                snapshot.preset, caller, self._dependencies.dialect
+            )
+            else urgency.compute_objective(route, timeout_ms, began),
         )
 
-    def run(self, call: Call) -> requests.CallAnswer:
+    def run(self, call: pending.Call) -> requests.CallAnswer:
         """Runs an admitted call and returns the whole answer.
 
         Raises:
@@ -360,7 +299,7 @@
                 'the workspace is over its rate', decision.retry_after_s
             )
 
-    def _run_at_most_once(self, call: Call) -> requests.CallAnswer:
+    def _run_at_most_once(self, call: pending.Call) -> requests.CallAnswer:
         """Runs a call at most once, under its idempotency key."""
         coordinator = self._dependencies.coordinator
         key = idempotency.parse_key(
@@ -392,7 +331,7 @@
         coordinator.settle(workspace, claim_result, answer)
         return answer
 
-    def _run_with_retries(self, call: Call) -> requests.CallAnswer:
+    def _run_with_retries(self, call: pending.Call) -> requests.CallAnswer:
         """Tries VMs until one answers, within the deadline and retry budgets.
 
         If a backend server answers a repeatable call with an error, the call is
@@ -422,18 +361,24 @@
         raise self._set_retry_after(progress.error, call, clocks.read_now())
 
     def _try_vm(
-        self, call: Call, choice: Any, number: int, progress: attempts.Progress
+        self,
+        call: pending.Call,
+        choice: Any,
+        number: int,
+        progress: attempts.Progress,
     ) -> requests.CallAnswer | None:
         """Makes one attempt; returns its answer if the call ends with it."""
         now = clocks.read_now()
         progress.tried_vms.add(choice.vm)
         try:
-            answer = self._send_attempt(call, choice, now)
+            answer = forwarding.send_attempt(
+                self._dependencies, call, choice, now
+            )
         except errors.CallError as error:
-            _log_attempt(call, choice, number, now, error.code, error)
+            forwarding.log_attempt(call, choice, number, now, error.code, error)
             progress.record_error(error, call.route.repeatable)
             return None
-        _log_attempt(call, choice, number, now, str(answer.status))
+        forwarding.log_attempt(call, choice, number, now, str(answer.status))
         if not call.route.repeatable or not attempts.is_retryable_answer(
             answer
         ):
@@ -441,7 +386,9 @@
         progress.record_error_answer(answer)
         return None
 
-    def _record_call(self, call: Call, service: str, now: float) -> None:
+    def _record_call(
+        self, call: pending.Call, service: str, now: float
+    ) -> None:
         """Counts a call in the retry budgets."""
         nodes = len(call.snapshot.preset.upstreams)
         self._service_budgets.resize(
@@ -452,7 +399,7 @@
 
     def _may_try_vm(
         self,
-        call: Call,
+        call: pending.Call,
         service: str,
         progress: attempts.Progress,
         now: float,
@@ -478,7 +425,7 @@
         ) and self._service_budgets.spend(service, now)
 
     def _set_retry_after(
-        self, error: errors.CallError, call: Call, now: float
+        self, error: errors.CallError, call: pending.Call, now: float
     ) -> errors.CallError:
         """Sets how long the caller should wait, and returns the error.
 
@@ -495,7 +442,7 @@
         return error
 
     def _choose_vm(
-        self, call: Call, service: str, tried_vms: set[str], now: float
+        self, call: pending.Call, service: str, tried_vms: set[str], now: float
     ) -> Any:
         return self._dependencies.chooser.choose(
             call.snapshot.preset,
@@ -506,239 +453,12 @@
             call.caller.workspace,
             # A first attempt may go to a full VM, so that a slot is taken as
             # soon as another call frees it.
-            self._build_needs(call, now) if tried_vms else None,
+            forwarding.build_needs(call, self._dependencies.dialect, now)
+            if tried_vms
+            else None,
         )
 
-    def _build_needs(self, call: Call, now: float) -> refusals.CallNeeds:
-        remaining_s = min(call.objective, call.deadline) - now
-        return refusals.CallNeeds(
-            call.caller.workspace, self._compute_rank(call), remaining_s
-        )
-
-    def _send_attempt(
-        self, call: Call, choice: Any, now: float
-    ) -> requests.CallAnswer:
-        """Forwards one attempt; returns its answer or raises its error."""
-        forward = self._build_forward(call, choice, now)
-        chooser = self._dependencies.chooser
-        workspace = call.caller.workspace
-        chooser.start_attempt(choice.vm, workspace)
-        try:
-            reply = self._dependencies.forwarder(
-                choice.vm, forward, call.deadline - now
-            )
-            report = loads.ReportedLoad(
-                reply.load, reply.fair_load, reply.idle_load, reply.service_s
-            )
-            chooser.record_load(choice.vm, workspace, report, clocks.read_now())
-        except link_errors.NotSentError as error:
-            chooser.record_failure(choice.vm, clocks.read_now())
-            raise errors.NotRunError('the node cannot be reached') from error
-        except link_errors.RemoteError as error:
-            if error.kind in _NOT_HANDLED_KINDS:
-                raise errors.NotRunError('the node is overloaded') from error
-            raise errors.OutcomeUnknownError('the node failed') from error
-        except link_errors.LinkError as error:
-            # A call that reached its deadline says nothing about the VM.
-            if (failed_at := clocks.read_now()) < call.deadline:
-                chooser.record_failure(choice.vm, failed_at)
-            raise errors.OutcomeUnknownError('the reply was lost') from error
-        except errors.CallAbortedError as error:
-            self._dependencies.cancel(choice.vm, forward.attempt)
-            error.may_have_run = True
-            raise
-        except errors.CallerGoneError:
-            self._dependencies.cancel(choice.vm, forward.attempt)
-            raise
-        finally:
-            chooser.finish_attempt(choice.vm, workspace)
-        try:
-            return _convert_reply(reply)
-        except errors.NotRunError as error:
-            # A queue without room for this call may have room for others, and
-            # the reply reports the VM's load.
-            refused_at = clocks.read_now()
-            if error.admitted or error.retry_after_s is None:
-                chooser.record_refusal(choice.vm, refused_at)
-            else:
-                needs = self._build_needs(call, now)
-                chooser.record_full(
-                    choice.vm, needs, error.retry_after_s, refused_at
-                )
-            raise
-
-    def _compute_rank(self, call: Call) -> int:
-        """Returns the rank of a call; the most urgent calls have rank 0.
-
-        The workspace's rank takes precedence over the route's. Nested calls go
-        first: they are short, and refusing one wastes the work of the running
-        call that needs it.
-        """
-        preset = call.snapshot.preset
-        if self._is_nested(preset, call.caller):
-            return _NESTED_RANK
-        workspace = preset.workspaces.get(call.caller.workspace)
-        if workspace is None or workspace.rank is None:
-            return _NESTED_RANK + 1 + call.route.rank
-        return _NESTED_RANK + 1 + workspace.rank
-
-    def _is_nested(self, preset: Any, caller: keys.Caller) -> bool:
-        """Returns whether a call was made by a running call.
-
-        Where there are no call tokens but callers have workspaces, only nested
-        calls, which backend servers make, come without credentials.
-        """
-        if self._dependencies.dialect.call_tokens:
-            return caller.depth > 0
-        return bool(preset.workspaces) and not caller.workspace
-
-    def _build_forward(
-        self, call: Call, choice: Any, now: float
-    ) -> messages.Forward:
-        caller = call.caller
-        dialect = self._dependencies.dialect
-        headers = requests.filter_request_headers(call.request.headers, dialect)
-        remaining_ms = int((call.deadline - now) * 1000)
-        run_ms = max(
-            1, remaining_ms - min(_REPLY_MARGIN_MS, remaining_ms // 10)
-        )
-        added = [
-            (dialect.request_id.lower(), call.request_id),
-            (dialect.timeout_ms.lower(), str(run_ms)),
-        ]
-        if dialect.caller_service and self._dependencies.service:
-            added.append(
-                (dialect.caller_service.lower(), self._dependencies.service)
-            )
-        if caller.workspace:
-            added.append((dialect.workspace.lower(), caller.workspace))
-        if caller.workspace and dialect.call_tokens:
-            token = tokens.CallToken(
-                caller.workspace,
-                caller.key_id,
-                call.request_id,
-                caller.depth + 1,
-                call.expires_wall_ms,
-            )
-            added.append(
-                (
-                    keys.TOKEN_HEADER,
-                    tokens.mint_token(self._dependencies.token_keys[0], token),
-                )
-            )
-        return messages.Forward(
-            attempt=identifiers.make_id(),
-            request_id=call.request_id,
-            incarnation=choice.incarnation,
-            route=call.route.name,
-            service=choice.service,
-            workspace=caller.workspace,
-            key_id=caller.key_id,
-            timeout_ms=run_ms,
-            repeatable=call.route.repeatable,
-            preset_version=call.snapshot.preset_version,
-            keys_version=call.snapshot.keys_version,
-            method=call.request.method,
-            target=call.request.build_target(),
-            headers=[list(pair) for pair in (*headers, *added)],
-            body=call.request.body,
-            rank=self._compute_rank(call),
-            objective_ms=_compute_objective_ms(call, now),
-        )
-
-
-def _compute_objective(route: Any, timeout_ms: int, now: float) -> float:
-    """Returns the time of the latency objective; infinite without one.
-
-    The objective counts from the caller's first attempt.
-
-    Args:
-      route: Route of the call.
-      timeout_ms: Time that the caller leaves for the call, in milliseconds.
-      now: Present time in seconds.
-    """
-    if not route.objective_ms:
-        return math.inf
-    used_ms = max(0, route.timeout_ms - timeout_ms)
-    remaining_ms = max(
-        route.objective_ms - used_ms,
-        route.objective_ms * _MIN_OBJECTIVE_SHARE,
-    )
-    return now + remaining_ms / _MS_PER_S
-
-
-def _compute_objective_ms(call: Call, now: float) -> int:
-    """Returns the milliseconds until the objective; 0 without one."""
-    if math.isinf(call.objective):
-        return 0
-    return max(1, int((call.objective - now) * _MS_PER_S))
-
-
-def _log_attempt(
-    call: Call,
-    choice: Any,
-    number: int,
-    started_at: float,
-    outcome: str,
-    error: errors.CallError | None = None,
-) -> None:
-    """Logs the VM, the configuration versions and the outcome of an attempt."""
-    ended_at = clocks.read_now()
-    _log.info(
-        'call.attempt',
-        extra={
-            'request_id': call.request_id,
-            'number': number,
-            'route': call.route.name,
-            'service': choice.service,
-            'workspace': call.caller.workspace,
-            'upstream_vm': choice.vm,
-            'preset_version': versionnumbers.shorten(
-                call.snapshot.preset_version
-            ),
-            'vms_version': versionnumbers.shorten(call.snapshot.vms_version),
-            'outcome': outcome,
-            'reason': error.detail if error else '',
-            'elapsed_ms': round((ended_at - started_at) * 1000),
-            'left_ms': round((call.deadline - ended_at) * 1000),
-        },
-    )
-
-
-def _convert_reply(
-    reply: messages.Answered | messages.Refused,
-) -> requests.CallAnswer:
-    if isinstance(reply, messages.Answered):
-        headers = tuple((name, value) for name, value in reply.headers)
-        return requests.CallAnswer(reply.status, headers, reply.body)
-    if reply.ran == 'unknown':
-        raise errors.OutcomeUnknownError(reply.detail)
-    default = errors.ShedError if reply.admitted else errors.NotRunError
-    error_class = _ERRORS_BY_CODE.get(reply.code, default)
-    raise error_class(reply.detail, reply.retry_after_ms / _MS_PER_S or None)
-
 
 def _map_zones(preset: Any) -> dict[str, str]:
     """Returns the zone of each upstream of a preset."""
     return {name: item.zone for name, item in preset.upstreams.items()}
-
-
-def _read_timeout_ms(
-    request: requests.CallRequest, field: str, max_ms: int
-) -> int:
-    """Returns the caller's timeout, at most that of the route.
-
-    Args:
-      request: The caller's request.
-      field: Name of the field with the timeout.
-      max_ms: Timeout of the route in milliseconds.
-
-    Raises:
-      BadRequestError: If the field is not a positive whole number.
-    """
-    text = request.get_header(field.lower())
-    if text is None:
-        return max_ms
-    if not text.isascii() or not text.isdigit() or int(text) == 0:
-        raise errors.BadRequestError(f'{field} is not a number')
-    return min(int(text), max_ms)
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -12,6 +12,7 @@
 from jayseam.calls import errors
 from jayseam.calls import keys
 from jayseam.calls import messages
+from jayseam.calls import pending
 from jayseam.calls import requests
 from jayseam.calls import retries
 from jayseam.core import clocks
@@ -121,7 +122,7 @@
             'r', '/', ('GET',), (('s', 1),), True, False, 1200, keyed=False
         )
         now = clocks.read_now()
-        call = entry.Call(
+        call = pending.Call(
             requests.CallRequest('GET', '/', '', (), b''),
             'r-1',
             snapshot,
--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -12,6 +12,7 @@
 from jayseam.calls import entry as call_entry
 from jayseam.calls import errors
 from jayseam.calls import keys
+from jayseam.calls import pending
 from jayseam.calls import problems
 from jayseam.calls import requests
 from jayseam.core import clocks
@@ -282,7 +283,7 @@
             self._monitor.unwatch(handle)
 
     def _run_call(
-        self, environ: dict[str, Any], call: call_entry.Call, now: float
+        self, environ: dict[str, Any], call: pending.Call, now: float
     ) -> requests.CallAnswer:
         """Runs a call and records its duration by workspace and outcome."""
         handle = None
