--- a/jayseam/admission/servicetimes.py
+++ b/jayseam/admission/servicetimes.py
@@ -80,6 +80,11 @@
         service = self._by_workspace.get(workspace)
         return self.mean_s if service is None else service.mean_s
 
+    def find_mean(self, workspace: str) -> float:
+        """Returns the mean time of such a call in seconds; 0 if unknown."""
+        service = self._by_workspace.get(workspace)
+        return 0.0 if service is None else service.mean_s
+
     def estimate_shortest(self, workspace: str, now: float) -> float:
         """Returns the usual shortest time of such a call, in seconds."""
         service = self._by_workspace.get(workspace)
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -73,6 +73,8 @@
         self._wait_for_refresh = wait_for_refresh
         self._dialect = dialect
         self._budget = memory.ByteBudget() if budget is None else budget
+        # The gate measures by workspace; entries choose VMs by route.
+        self._route_times = admission.servicetimes.ServiceTimes()
         self._running: dict[str, gevent.Greenlet] = {}
         self._request_ids: dict[str, str] = {}
         # Attempts that are unknown here, in the order of their cancellations.
@@ -137,27 +139,29 @@
                 error.code,
                 error.ran,
                 error.detail,
-                *self._list_load_fields(forward.workspace),
                 admitted=error.admitted,
                 retry_after_ms=int((error.retry_after_s or 0.0) * _MS_PER_S),
+                **self._build_load_fields(forward),
             )
         return messages.Answered(
             answer.status,
             [list(pair) for pair in answer.headers],
             answer.body,
-            *self._list_load_fields(forward.workspace),
+            **self._build_load_fields(forward),
         )
 
-    def _list_load_fields(self, workspace: str) -> tuple[float, ...]:
-        """Returns the load fields of a reply to a call of a workspace."""
+    def _build_load_fields(self, forward: messages.Forward) -> dict[str, Any]:
+        """Returns the load fields of the reply to a call."""
         report = self._gate.describe(clocks.read_now())
-        queued = self._gate.count_queued(workspace)
-        return (
-            report.load,
-            report.service_s,
-            report.estimate_fair_load(queued),
-            report.estimate_fair_load(0),
-        )
+        queued = self._gate.count_queued(forward.workspace)
+        return {
+            'load': report.load,
+            'service_s': report.service_s,
+            'fair_load': report.estimate_fair_load(queued),
+            'idle_load': report.estimate_fair_load(0),
+            'kind_service_s': self._route_times.find_mean(forward.route),
+            'limit': max(0, report.limit),
+        }
 
     def run(self, forward: messages.Forward, now: float) -> requests.CallAnswer:
         """Admits a call and runs it on the backend server.
@@ -279,12 +283,26 @@
         except backends.errors.NotRunError as error:
             raise errors.NotRunError('no backend server connection') from error
         except backends.errors.OutcomeUnknownError as error:
+            if (ended_at := clocks.read_now()) >= deadline:
+                # A server that is too slow to answer must not seem average.
+                self._record_route_time(forward, permit, ended_at)
             raise errors.OutcomeUnknownError(str(error)) from error
         finally:
             self._release(permit, result, forward.request_id)
+        if result is admission.tickets.Result.SUCCESS:
+            self._record_route_time(forward, permit, clocks.read_now())
         headers = requests.filter_answer_headers(answer.headers, self._dialect)
         return requests.CallAnswer(answer.status, headers, answer.body)
 
+    def _record_route_time(
+        self,
+        forward: messages.Forward,
+        permit: admission.gates.Permit,
+        now: float,
+    ) -> None:
+        service_s = max(0.0, now - permit.admitted_at)
+        self._route_times.record(forward.route, service_s, now)
+
     def _recheck_validity(
         self, forward: messages.Forward, deadline: float
     ) -> None:
--- a/jayseam/calls/messages.py
+++ b/jayseam/calls/messages.py
@@ -122,6 +122,9 @@
       service_s: Mean time of a call at the backend server, in seconds.
       fair_load: The part of the load that delays the workspace of the call.
       idle_load: The part that delays a workspace without queued calls.
+      kind_service_s: Mean time of a call of the same route there, in seconds;
+        0 if it is unknown.
+      limit: Concurrency limit there; 0 if it is unknown.
     """
 
     status: int = attrs.field(validator=_check_count)
@@ -131,6 +134,8 @@
     service_s: float = attrs.field(validator=_check_number)
     fair_load: float = attrs.field(validator=_check_number)
     idle_load: float = attrs.field(validator=_check_number)
+    kind_service_s: float = attrs.field(default=0.0, validator=_check_number)
+    limit: int = attrs.field(default=0, validator=_check_count)
 
 
 @messages.register(82)
@@ -145,6 +150,9 @@
         may have reached the backend server.
       retry_after_ms: Milliseconds after which there may be room again; 0 if
         that isn't known.
+      kind_service_s: Mean time of a call of the same route there, in seconds;
+        0 if it is unknown.
+      limit: Concurrency limit there; 0 if it is unknown.
     """
 
     code: str = attrs.field(validator=_check_text)
@@ -156,6 +164,8 @@
     idle_load: float = attrs.field(validator=_check_number)
     admitted: bool = attrs.field(default=True, validator=_check_flag)
     retry_after_ms: int = attrs.field(default=0, validator=_check_count)
+    kind_service_s: float = attrs.field(default=0.0, validator=_check_number)
+    limit: int = attrs.field(default=0, validator=_check_count)
 
 
 @messages.register(83)
--- a/jayseam/calls/tests/test_ingress.py
+++ b/jayseam/calls/tests/test_ingress.py
@@ -191,3 +191,44 @@
     for number in range(2000):
         harness.ingress.cancel(f'b-{number}')
     assert harness.ingress.handle_forward(_forward()).status == 200
+
+
+def test_reply_reports_the_service_time_of_its_route():
+    """Entries can't tell a slow server from one that gets long calls."""
+    harness = _Harness()
+    durations = {'view': 0.02, 'report': 0.3}
+    harness.run = lambda request, deadline: (
+        gevent.sleep(durations[request.kind])
+        or backends.messages.BackendAnswer(200)
+    )
+    replies = {
+        route: harness.ingress.handle_forward(
+            attrs.evolve(_forward(), route=route, attempt=route)
+        )
+        for route in durations
+    }
+    for route, duration_s in durations.items():
+        assert replies[route].kind_service_s >= duration_s
+        assert replies[route].limit == 1
+    assert replies['view'].kind_service_s < replies['report'].kind_service_s
+    refused = harness.ingress.handle_forward(
+        attrs.evolve(_forward('credits'), route='report')
+    )
+    assert isinstance(refused, messages.Refused) and refused.limit == 1
+    assert refused.kind_service_s == replies['report'].kind_service_s
+
+
+def test_call_without_an_answer_in_time_counts_as_slow():
+    """A server that answers nothing in time must not seem of average speed."""
+    harness = _Harness()
+
+    def run(request, deadline):
+        del request
+        gevent.sleep(max(0.0, deadline - clocks.read_now()))
+        raise backends.errors.OutcomeUnknownError('no answer in time')
+
+    harness.run = run
+    reply = harness.ingress.handle_forward(
+        attrs.evolve(_forward(), timeout_ms=50)
+    )
+    assert reply.ran == 'unknown' and reply.kind_service_s >= 0.04
--- a/jayseam/routing/__init__.py
+++ b/jayseam/routing/__init__.py
@@ -9,6 +9,15 @@
 from jayseam.routing import matching
 from jayseam.routing import refusals
 from jayseam.routing import selection
+from jayseam.routing import speeds
 from jayseam.routing import zones
 
-__all__ = ['errors', 'loads', 'matching', 'refusals', 'selection', 'zones']
+__all__ = [
+    'errors',
+    'loads',
+    'matching',
+    'refusals',
+    'selection',
+    'speeds',
+    'zones',
+]
