--- a/jayseam/platform/settings.py
+++ b/jayseam/platform/settings.py
@@ -69,6 +69,10 @@
 # within rate and burst.
 LIMIT_STRATEGY = 'replicated'
 
+# Queue of deployments without workspaces. There is nobody to share a backend
+# server fairly with, and kinds of calls compete by their latency objectives.
+QUEUE_WITHOUT_WORKSPACES = 'objective'
+
 # Memory of a process that holds a large configuration and no calls, in
 # megabytes.
 BASE_MEMORY_MB = 68.0
@@ -162,6 +166,7 @@
         raise node_settings.errors.SettingsError(reader.problems)
     model = node_settings.model
     zone = fields.get('self.zone', '')
+    has_workspaces = reader.has_contract(_WORKSPACE_CONTRACT)
     node = model.NodeSettings(
         vm=ip,
         region=fields.get('self.region', ''),
@@ -183,7 +188,9 @@
             spill_load=SPILL_LOAD, spill_gain=SPILL_GAIN
         ),
         admission=model.AdmissionSettings(
-            cold_excess=COLD_EXCESS_SHARE * max(0.0, (cold_factor or 1.0) - 1.0)
+            cold_excess=COLD_EXCESS_SHARE
+            * max(0.0, (cold_factor or 1.0) - 1.0),
+            queue='' if has_workspaces else QUEUE_WITHOUT_WORKSPACES,
         ),
         limits=model.LimitSettings(LIMIT_STRATEGY, overage or 0.0),
         keys=build_key_settings(revoke_s),
@@ -199,7 +206,7 @@
     if reader.problems:
         raise node_settings.errors.SettingsError(reader.problems)
     deployment_facts = mirrors.DeploymentFacts(
-        regions, link.port, reader.has_contract(_WORKSPACE_CONTRACT)
+        regions, link.port, has_workspaces
     )
     return PlatformSettings(node, store_address, deployment_facts)
 
