Book room for refused callers under the order by objective

Callers that are refused together were told the same time and returned together. Each refusal and displacement of the queue 'objective' now books the next start at the service rate, more urgent ranks first, within the third of the time left that callers honour. A refused call waits longer than that by definition, so bookings begin at a quarter of it. Only the last booking of each rank is kept, so those before a pause have no effect. The entry can keep the earliest time of several VMs (Progress.is_earliest); nothing sets this yet.

--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -165,7 +165,9 @@
         if reason is not None:
             if self._order is not None:
                 self._order.record_outcome(entry, False)
-            raise waits.build_error(reason, ticket, wait_s)
+            error = waits.build_error(reason, ticket, wait_s)
+            self._promise_room(error, entry, now)
+            raise error
         if self._order is None:
             self._check_objective(ticket, wait_s, now)
         if not self._paused and len(self._queue) == 0:
@@ -175,9 +177,14 @@
                 return self._admit(ticket, now)
         waiter = _Waiter(ticket, event.Event())
         entry.payload = waiter
-        displaced = self._queue.push(entry)
+        try:
+            displaced = self._queue.push(entry)
+        except errors.QueueFullError as error:
+            self._promise_room(error, entry, now)
+            raise
         if displaced is not None:
             self._refuse(displaced, queues.DropReason.DISPLACED)
+            self._promise_room(displaced.payload.error, displaced, now)
         self._idle.clear()
         self._admit_queued(now)
         return self._wait(entry, waiter, now)
@@ -385,6 +392,14 @@
         waiter.error = waits.build_error(reason, waiter.ticket)
         waiter.decided.set()
 
+    def _promise_room(
+        self, error: errors.AdmissionError, entry: queues.Entry, now: float
+    ) -> None:
+        if self._order is not None:
+            wait_s = self._estimate_wait(entry, now)
+            limit = self._compute_limit(now)
+            self._order.promise_room(error, entry, wait_s, limit, now)
+
     def _admit_queued(self, now: float) -> None:
         """Admits queued calls while the limit allows."""
         while not self._paused and len(self._queue) > 0:
--- a/jayseam/admission/orders.py
+++ b/jayseam/admission/orders.py
@@ -9,7 +9,9 @@
 
 from collections.abc import Callable
 
+from jayseam.admission import errors
 from jayseam.admission import objectives
+from jayseam.admission import promises
 from jayseam.admission import queues
 from jayseam.admission import reserves
 from jayseam.admission import servicetimes
@@ -28,6 +30,7 @@
         self._times = servicetimes.ServiceTimes()
         self._occupancy = reserves.Occupancy()
         self._reserve = reserves.Reserve()
+        self._bookings = promises.Bookings()
 
     def record(
         self, ticket: tickets.Ticket, latency_s: float, now: float
@@ -79,6 +82,32 @@
         """Counts a call that starts or is refused without waiting."""
         self._queue.record(entry, starts)
 
+    def promise_room(
+        self,
+        error: errors.AdmissionError,
+        entry: queues.Entry,
+        wait_s: float,
+        limit: int,
+        now: float,
+    ) -> None:
+        """Sets the time after which the caller of a refused call may return.
+
+        Args:
+          error: The error of the refused call.
+          entry: The refused call.
+          wait_s: Expected wait of the call in seconds.
+          limit: Calls allowed in flight.
+          now: Current time in seconds.
+        """
+        room_at, latest_at = promises.compute_window(
+            entry.deadline, wait_s, now
+        )
+        self._bookings, booked_at = self._bookings.book(
+            room_at, self._times.mean_s / max(1, limit), entry.rank, latest_at
+        )
+        return_at = latest_at if booked_at is None else booked_at
+        error.retry_after_s = return_at - now
+
     def pop(
         self,
         now: float,
--- a/jayseam/admission/tests/test_orders.py
+++ b/jayseam/admission/tests/test_orders.py
@@ -5,6 +5,7 @@
 
 from jayseam.admission import errors
 from jayseam.admission import gates
+from jayseam.admission import queues
 from jayseam.admission import tickets
 
 
@@ -25,10 +26,12 @@
 class Server:
     """A gate with one slot and a clock that only the test moves."""
 
-    def __init__(self, queue='objective', **service_s):
+    def __init__(self, queue='objective', bounds=queues.Bounds(), **service_s):
         self.now = 0.0
         self.started = []
-        self.gate = gates.Gate(1, 10, queue=queue, read_now=lambda: self.now)
+        self.gate = gates.Gate(
+            1, 10, queue=queue, bounds=bounds, read_now=lambda: self.now
+        )
         for kind, seconds in service_s.items():
             for _ in range(30):
                 permit = self.gate.acquire(make_ticket(kind), -seconds)
@@ -37,7 +40,9 @@
     def send(self, ticket):
         """Sends a call that waits or starts; returns its greenlet."""
         greenlet = gevent.spawn(self._run, ticket)
-        gevent.sleep(0)
+        # Another call's greenlet may have to end because of this one.
+        for _ in range(2):
+            gevent.sleep(0)
         return greenlet
 
     def _run(self, ticket):
@@ -126,3 +131,48 @@
     assert server.started == ['w']
     assert isinstance(refused.exception, errors.DeadlineError)
     server.gate.close()
+
+
+def test_refused_callers_return_one_after_another():
+    """Callers that return together would be refused together again."""
+    server = Server(w=0.1)
+    server.send(make_ticket()).get()
+    waiting = [
+        server.send(make_ticket('w', 0, 0.5, 2.1 + number / 100))
+        for number in range(19)
+    ]
+    assert not any(greenlet.dead for greenlet in waiting)
+    delays_s = {}
+    for rank in (2, 1):
+        refused = [
+            server.send(make_ticket('w', rank, 0.5, 1.5)) for _ in range(4)
+        ]
+        delays_s[rank] = [
+            greenlet.exception.retry_after_s for greenlet in refused
+        ]
+        gaps_s = [
+            later - earlier
+            for earlier, later in zip(delays_s[rank], delays_s[rank][1:])
+        ]
+        assert gaps_s == pytest.approx([0.1] * 3)
+        # Callers honour a third of the time that they have left.
+        assert max(delays_s[rank]) <= 1.5 / 3
+    assert delays_s[1] == pytest.approx(delays_s[2])
+    server.gate.close()
+
+
+def test_caller_of_a_displaced_call_learns_when_to_return():
+    """Without a time, it would return at once and be displaced again."""
+    bounds = queues.Bounds(3, 3)
+    server = Server(bounds=bounds, r=0.1)
+    server.send(make_ticket('r')).get()
+    displaced = [
+        server.send(make_ticket('r', 2, 5.0 + number)) for number in range(3)
+    ][-1]
+    server.send(make_ticket('w', 0, 1.0))
+    assert isinstance(displaced.exception, errors.QueueFullError)
+    assert displaced.exception.retry_after_s > 0
+    refused = server.send(make_ticket('r', 2, 9.0)).exception
+    assert isinstance(refused, errors.QueueFullError)
+    assert refused.retry_after_s > displaced.exception.retry_after_s
+    server.gate.close()
--- a/jayseam/calls/attempts.py
+++ b/jayseam/calls/attempts.py
@@ -1,5 +1,7 @@
 """Outcomes of a call's attempts, and the rules for another attempt."""
 
+import math
+
 import attrs
 
 from jayseam.calls import errors
@@ -7,6 +9,8 @@
 
 # Within this time a backend server may recover or a new one be listed.
 UNAVAILABLE_RETRY_AFTER_S = 0.3
+# Shortest delay if the promised time has passed during later attempts.
+MIN_RETRY_AFTER_S = 0.02
 # Status of a backend server's answer when the call's time has run out.
 _GATEWAY_TIMEOUT = 504
 
@@ -22,6 +26,8 @@
       error: Error to report if no backend server answers.
       is_final: Whether there must be no other attempt, because it could run the
         call twice or would fail again.
+      is_earliest: Whether the error has the earliest of the times at which the
+        VMs that refused the call promise room; otherwise that of the last VM.
     """
 
     tried_vms: set[str] = attrs.field(factory=set)
@@ -33,18 +39,41 @@
         )
     )
     is_final: bool = False
+    is_earliest: bool = False
+    _room_at: float = math.inf
 
     def record_error(
-        self, error: errors.CallError, is_repeatable: bool
+        self, error: errors.CallError, is_repeatable: bool, now: float = 0.0
     ) -> None:
-        """Records an attempt that ended without an answer."""
+        """Records an attempt that ended without an answer.
+
+        Args:
+          error: How the attempt ended.
+          is_repeatable: Whether the call may run twice.
+          now: Current time in seconds; only differences matter.
+        """
         self.sent_attempts += error.admitted
+        if self.is_earliest:
+            self._keep_earliest(error, now)
         # If an earlier attempt may have run, a later attempt that surely did
         # not run must not hide its error.
         if self.error.ran == 'no':
             self.error = error
         self.is_final = not may_retry(error, is_repeatable)
 
+    def _keep_earliest(self, error: errors.CallError, now: float) -> None:
+        """Sets the earliest time at which a VM has room for the call.
+
+        A VM that names no time may have room at any; it doesn't move the time
+        that another VM has promised.
+        """
+        if error.ran != 'no':
+            return
+        if error.retry_after_s is not None:
+            self._room_at = min(self._room_at, now + error.retry_after_s)
+        if self._room_at < math.inf:
+            error.retry_after_s = max(MIN_RETRY_AFTER_S, self._room_at - now)
+
     def record_error_answer(self, answer: requests.CallAnswer) -> None:
         """Records an attempt that a backend server answered with an error."""
         self.error_answer = answer
