Add a limit that follows the answers of the server

The ramps grow by time alone: a server that is cold for longer than stated is flooded, and one that is warm sooner is left idle. The ramp variant 'answers' doubles the limit for each round of good answers while the limit is reached, holds it while answers are slower than the baseline of their kind, and halves it when they worsen or on sheds, resets and lasting errors. A cut for slowness that makes answers no faster is taken back. Calls that span a pause are ignored, and an unused limit recovers by time. The gate doesn't feed the variant yet.

--- a/jayseam/admission/__init__.py
+++ b/jayseam/admission/__init__.py
@@ -7,6 +7,7 @@
 from jayseam.admission import concurrency
 from jayseam.admission import errors
 from jayseam.admission import gates
+from jayseam.admission import paces
 from jayseam.admission import pacing
 from jayseam.admission import queues
 from jayseam.admission import ramps
@@ -16,6 +17,7 @@
     'concurrency',
     'errors',
     'gates',
+    'paces',
     'pacing',
     'queues',
     'ramps',
--- a/jayseam/admission/ramps.py
+++ b/jayseam/admission/ramps.py
@@ -11,14 +11,70 @@
 
 import attrs
 
+from jayseam.admission import tickets
 from jayseam.core import registries
 
 VARIANTS: registries.Registry = registries.Registry('ramp')
 
 
+@attrs.frozen
+class Sample:
+    """A call that has ended.
+
+    Attributes:
+      kind: Kind of the call; calls of one kind take a similar time.
+      started_at: Time of its admission in seconds.
+      ended_at: Time of its end in seconds.
+      in_flight: Calls in flight at its end, including itself.
+    """
+
+    kind: str
+    started_at: float
+    ended_at: float
+    in_flight: int
+
+    @property
+    def service_s(self) -> float:
+        """Time that the call took, in seconds."""
+        return max(0.0, self.ended_at - self.started_at)
+
+
+@attrs.frozen
+class Ramp:
+    """Base of the variants; a ramp by time alone ignores calls and pauses.
+
+    Attributes:
+      adapts_to_answers: Whether the ramp lowers its limit when the server
+        sheds calls, in place of `concurrency.AdaptiveLimit`.
+    """
+
+    adapts_to_answers = False
+
+    def resize(
+        self, initial_slots: int, slots: int, duration_s: float
+    ) -> 'Ramp':
+        """Returns the ramp under other slots and another length."""
+        return attrs.evolve(
+            self,
+            initial_slots=initial_slots,
+            slots=slots,
+            duration_s=duration_s,
+        )
+
+    def record(self, result: tickets.Result, sample: Sample) -> 'Ramp':
+        """Returns the ramp after a call has ended."""
+        del result, sample
+        return self
+
+    def record_pause(self, now: float) -> 'Ramp':
+        """Returns the ramp after a pause of this process until ``now``."""
+        del now
+        return self
+
+
 @VARIANTS.register('linear')
 @attrs.frozen
-class LinearRamp:
+class LinearRamp(Ramp):
     """Raises the limit linearly from ``initial_slots`` to ``slots``.
 
     Attributes:
@@ -76,7 +132,7 @@
 
 @VARIANTS.register('none')
 @attrs.frozen
-class FullRamp:
+class FullRamp(Ramp):
     """Allows all slots from the start; the baseline for measurements.
 
     Attributes:
--- a/jayseam/admission/tickets.py
+++ b/jayseam/admission/tickets.py
@@ -8,10 +8,22 @@
 
 
 class Result(enum.Enum):
-    """How an admitted call ended."""
+    """How an admitted call ended.
+
+    Attributes:
+      SUCCESS: With a complete answer.
+      ERROR: With a complete answer that reports a failure of the server.
+      SHED: The server refused the call before it ran.
+      RESET: The server closed the connection without a complete answer.
+      TIMEOUT: Without an answer by the deadline.
+      FAILED: In another way, which says nothing about the server.
+    """
 
     SUCCESS = 'success'
+    ERROR = 'error'
     SHED = 'shed'
+    RESET = 'reset'
+    TIMEOUT = 'timeout'
     FAILED = 'failed'
 
 
