Feed the limit of the gate with the answers of the server

The gate knew only successes and sheds, so that resets, time-outs and answers with status 500 left its limit as it was. The ingress now tells them apart and passes the route as the kind of the call. Under the ramp variant 'answers' the gate feeds the ramp with them and leaves the adaptive limit at the slots, so that one mechanism sets the limit. Other variants behave as before. The setting admission.ramp_variant names the variant; without it admission.ramp chooses 'linear' or 'none' as before. A gauge, a counter by reason and a line at most once a second report the limit.

--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -17,6 +17,7 @@
 
 from jayseam.admission import concurrency
 from jayseam.admission import errors
+from jayseam.admission import pacereports
 from jayseam.admission import pacing
 from jayseam.admission import queues
 from jayseam.admission import ramps
@@ -47,12 +48,15 @@
         self._gate = gate
         self._released = False
 
-    def release(self, result: tickets.Result | str, now: float) -> None:
+    def release(
+        self, result: tickets.Result | str, now: float, kind: str = ''
+    ) -> None:
         """Ends the call; only the first release of a permit counts.
 
         Args:
           result: How the call ended, as a `tickets.Result` or its value.
           now: Current time in seconds.
+          kind: Kind of the call; calls of one kind take a similar time.
 
         Raises:
           ValueError: If the result is unknown.
@@ -60,7 +64,7 @@
         outcome = tickets.Result(result)
         if not self._released:
             self._released = True
-            self._gate._release(self, outcome, now)
+            self._gate._release(self, outcome, now, kind)
 
 
 class Gate:
@@ -103,7 +107,6 @@
         Raises:
           UnknownVariantError: If a variant has another name.
         """
-        self._ramp_class = ramps.VARIANTS.get(ramp_shape)
         self._queue = queues.VARIANTS.get(queue)(bounds)
         self._read_now = read_now
         self._in_flight = 0
@@ -119,6 +122,10 @@
         self._capacity = min(slots, connections)
         self._adaptive = concurrency.build_limit(self._capacity)
         self._pacer = pacing.Pacer()
+        self._reporter = pacereports.PaceReporter()
+        self._ramp = ramps.VARIANTS.get(ramp_shape)(
+            self._capacity, self._capacity, 0.0, None
+        )
         self._ramp = self._build_ramp(ramp, None)
 
     def acquire(self, ticket: tickets.Ticket, now: float) -> Permit:
@@ -196,11 +203,15 @@
 
     def restart_ramp(self, now: float) -> None:
         """Restarts the ramp: the backend server started at ``now``."""
-        self._ramp = self._ramp.restart(now)
+        self._replace_ramp(self._ramp.restart(now), now)
         ends_at = now + self._ramp.duration_s
         self._pacer = attrs.evolve(self._pacer, ends_at=ends_at)
         self._schedule_timer(now)
 
+    def notice_pause(self, now: float) -> None:
+        """Ignores calls that started before a pause of the process ended."""
+        self._replace_ramp(self._ramp.record_pause(now), now)
+
     def pause(self) -> None:
         """Stops admissions until `resume`; new calls are queued."""
         self._paused = True
@@ -259,9 +270,10 @@
     def _build_ramp(self, ramp, started_at: float | None):
         self._pacer = self._build_pacer(ramp, started_at)
         if ramp is None:
-            return self._ramp_class(self._capacity, self._capacity, 0.0, None)
-        return self._ramp_class(
-            ramp.initial_slots, self._capacity, ramp.duration_s, started_at
+            full = self._ramp.resize(self._capacity, self._capacity, 0.0)
+            return attrs.evolve(full, started_at=None)
+        return self._ramp.resize(
+            ramp.initial_slots, self._capacity, ramp.duration_s
         )
 
     def _build_pacer(self, ramp, started_at: float | None) -> pacing.Pacer:
@@ -272,6 +284,10 @@
             ends_at = started_at + ramp.duration_s
         return attrs.evolve(self._pacer, rate_per_s=rate_per_s, ends_at=ends_at)
 
+    def _replace_ramp(self, ramp: ramps.Ramp, now: float) -> None:
+        self._reporter.report(self._ramp, ramp, now)
+        self._ramp = ramp
+
     def _compute_limit(self, now: float) -> int:
         return min(
             self._capacity,
@@ -404,14 +420,25 @@
             self._idle.set()
 
     def _release(
-        self, permit: Permit, result: tickets.Result, now: float
+        self,
+        permit: Permit,
+        result: tickets.Result,
+        now: float,
+        kind: str,
     ) -> None:
         latency_s = max(0.0, now - permit.admitted_at)
-        if result is tickets.Result.SUCCESS:
+        is_complete = result in (tickets.Result.SUCCESS, tickets.Result.ERROR)
+        if is_complete:
+            self._service_times.record(permit.ticket.workspace, latency_s, now)
+        if self._ramp.adapts_to_answers:
+            sample = ramps.Sample(
+                kind, permit.admitted_at, now, self._in_flight
+            )
+            self._replace_ramp(self._ramp.record(result, sample), now)
+        elif is_complete:
             self._adaptive = self._adaptive.record_success(
                 latency_s, self._in_flight
             )
-            self._service_times.record(permit.ticket.workspace, latency_s, now)
         elif result is tickets.Result.SHED:
             self._adaptive = self._adaptive.record_shed(now)
         self._in_flight -= 1
--- a/jayseam/admission/paces.py
+++ b/jayseam/admission/paces.py
@@ -57,6 +57,8 @@
 # Weight of a sample in the service time that bounds the recovery.
 SERVICE_TIME_WEIGHT = 0.3
 
+_START = 'start'
+
 
 class Phase(enum.Enum):
     """What the limit does at present."""
@@ -145,8 +147,7 @@
         >>> AnswerPace(6, 6, 3.0).restart(100.0).compute_limit(100.0)
         2
         """
-        start = math.ceil(START_SHARE * self.slots)
-        value = float(max(1, min(self.slots, self.initial_slots, start)))
+        value = _compute_start(self.initial_slots, self.slots)
         pace = attrs.evolve(
             self,
             started_at=now,
@@ -154,14 +155,19 @@
             tolerated=0.0,
             cut=None,
         )
-        return pace._change(value, now, 'start', Phase.RISING)
+        return pace._change(value, now, _START, Phase.RISING)
 
     def resize(
         self, initial_slots: int, slots: int, duration_s: float
     ) -> 'AnswerPace':
         """Returns the pace under other slots; a lowered limit stays lowered."""
-        follows_slots = self.value >= self.slots
-        value = float(slots) if follows_slots else min(self.value, slots)
+        if self.reason == _START:
+            # The start may be known before the slots are.
+            value = _compute_start(initial_slots, slots)
+        elif self.value >= self.slots:
+            value = float(slots)
+        else:
+            value = min(self.value, float(slots))
         return attrs.evolve(
             self,
             initial_slots=initial_slots,
@@ -427,7 +433,7 @@
         least_s = min(least_s, MAX_RECOVERY_S)
         if self.started_at is None or self.cut is not None:
             return least_s
-        start = max(1.0, math.ceil(START_SHARE * self.slots))
+        start = _compute_start(self.initial_slots, self.slots)
         doublings = math.ceil(math.log2(max(2.0, self.slots / start)))
         return max(least_s, self.duration_s / doublings)
 
@@ -458,6 +464,12 @@
         )
 
 
+def _compute_start(initial_slots: int, slots: int) -> float:
+    """Returns the limit of a server that has just started."""
+    start = math.ceil(START_SHARE * slots)
+    return float(max(1, min(initial_slots, slots, start)))
+
+
 _RECORDERS: dict[
     tickets.Result, Callable[[AnswerPace, ramps.Sample], AnswerPace]
 ] = {
--- a/jayseam/admission/tests/test_gates.py
+++ b/jayseam/admission/tests/test_gates.py
@@ -4,12 +4,14 @@
 
 import gevent
 import hypothesis
+import prometheus_client
 import pytest
 from hypothesis import strategies as st
 
 from jayseam.admission import concurrency
 from jayseam.admission import errors
 from jayseam.admission import gates
+from jayseam.admission import pacereports
 from jayseam.admission import queues
 from jayseam.admission import ramps
 from jayseam.admission import tickets
@@ -353,3 +355,125 @@
     run_ready_greenlets()
     assert not late.ready()
     late.kill()
+
+
+def _run_calls(gate, results, service_s=0.1, kind='w'):
+    """Runs calls one after another; returns the time after them."""
+    now = 1000.0
+    for result in results:
+        permit = gate.acquire(make_ticket(), now)
+        now += service_s
+        permit.release(result, now, kind)
+    return now
+
+
+def test_answers_set_the_limit_of_the_report():
+    """Other nodes learn the limit from the load reports."""
+    gate = gates.Gate(6, 10, RAMP, ramp_shape='answers')
+    now = _run_calls(gate, ['success'] * 10 + ['reset'])
+    report = gate.describe(now)
+    assert report.limit == report.ramp == 3
+    assert report.adaptive == 6
+
+
+def test_one_mechanism_reacts_to_sheds():
+    """Two mechanisms that cut and raise on their own would fight."""
+    gate = gates.Gate(20, 20, RAMP, ramp_shape='answers')
+    now = _run_calls(gate, ['success'] * 10 + ['shed'])
+    report = gate.describe(now)
+    assert (report.limit, report.adaptive) == (10, 20)
+
+
+@pytest.mark.parametrize('shape', ['linear', 'none'])
+def test_other_ramps_ignore_the_new_results(shape):
+    """Answers with status 500 counted as successes, lost ones as nothing."""
+    results = ['shed', 'error', 'reset', 'timeout', 'failed', 'success'] * 4
+    known = {'error': 'success', 'reset': 'failed', 'timeout': 'failed'}
+    reports = []
+    for names in (results, [known.get(name, name) for name in results]):
+        gate = gates.Gate(4, 10, RAMP, ramp_shape=shape)
+        gate.restart_ramp(999.0)
+        now = _run_calls(gate, names)
+        gate.notice_pause(now)
+        reports.append(gate.describe(now))
+    assert reports[0] == reports[1]
+    assert reports[0].adaptive < 4
+
+
+def test_preset_keeps_what_the_answers_have_shown():
+    """A new version of the preset must not lift a lowered limit."""
+    gate = gates.Gate(6, 10, RAMP, ramp_shape='answers')
+    now = _run_calls(gate, ['success'] * 10 + ['reset'])
+    gate.set_capacity(6, 10, RAMP)
+    assert gate.describe(now).limit == 3
+
+
+def test_start_lowers_the_limit_but_admits_calls():
+    """A cold server starts low but not idle."""
+    gate = gates.Gate(6, 10, None, ramp_shape='answers')
+    assert gate.describe(1000.0).limit == 6
+    gate.restart_ramp(1000.0)
+    assert gate.describe(1000.0).limit == 2
+
+
+def test_pause_of_the_process_discards_calls_that_span_it():
+    """Their resets and times come of the pause."""
+    gate = gates.Gate(6, 10, RAMP, ramp_shape='answers')
+    now = _run_calls(gate, ['success'] * 10)
+    permits = [gate.acquire(make_ticket(), now) for _ in range(4)]
+    gate.notice_pause(now + 5.0)
+    for permit in permits:
+        permit.release('reset', now + 5.1, 'w')
+    assert gate.describe(now + 5.1).limit == 6
+
+
+def test_waiter_runs_when_an_unused_limit_recovers():
+    """Nothing else would admit a queued call while no call ends."""
+    gate = gates.Gate(2, 10, ramp_shape='answers')
+    gate.restart_ramp(clocks.read_now())
+    gate.acquire(make_ticket(), clocks.read_now())
+    waiter = gevent.spawn(gate.acquire, make_ticket(), clocks.read_now())
+    waiter.join(0.2)
+    assert not waiter.dead
+    waiter.join(5.0)
+    assert waiter.successful()
+
+
+def _read_metric(name, **labels):
+    """Returns the value of a metric; 0 if it doesn't exist yet."""
+    value = prometheus_client.REGISTRY.get_sample_value(name, labels)
+    return value or 0.0
+
+
+def test_changes_of_the_limit_are_counted_by_reason():
+    """Operators must see why a server gets fewer calls."""
+    before = _read_metric('jayseam_pace_changes_total', reason='reset')
+    gate = gates.Gate(6, 10, RAMP, ramp_shape='answers')
+    _run_calls(gate, ['success'] * 10 + ['reset'])
+    after = _read_metric('jayseam_pace_changes_total', reason='reset')
+    assert after == before + 1
+    assert _read_metric('jayseam_pace_limit') == 3
+
+
+def test_lines_about_the_limit_are_bounded(monkeypatch):
+    """A limit that swings must not flood the log."""
+    lines = []
+    monkeypatch.setattr(
+        pacereports._log, 'info', lambda event, extra: lines.append(extra)
+    )
+    gate = gates.Gate(6, 10, RAMP, ramp_shape='answers')
+    now = _run_calls(gate, (['success'] * 20 + ['reset'] * 2) * 20, 0.01)
+    assert 2 <= len(lines) <= 1 + now - 1000.0
+    assert lines[0]['phase'] == 'reduced' and lines[0]['reason'] == 'reset'
+    # Each line tells of the changes since the one before.
+    assert all(line['changes'] >= 1 for line in lines)
+
+
+def test_start_that_is_known_before_the_slots_lowers_the_limit():
+    """The VM list may say that a server is cold before the preset arrives."""
+    gate = gates.Gate(1, 1, ramp_shape='answers')
+    gate.restart_ramp(1000.0)
+    sizes = types.SimpleNamespace(initial_slots=6, duration_s=3.0)
+    gate.set_capacity(6, 6, sizes)
+    assert gate.describe(1000.1).limit == 2
+    assert gate.describe(1003.1).limit == 6
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -27,6 +27,13 @@
 # Most cancelled attempts that are remembered because they may still begin. Most
 # of them have ended.
 _MAX_CANCELLED_EARLY = 1000
+_FIRST_SERVER_ERROR = 500
+# Other reasons, such as an answer to another request or a cancellation, say
+# nothing about the load of the backend server.
+_RESULTS_OF_UNKNOWN_OUTCOMES = {
+    'connection-lost': admission.tickets.Result.RESET,
+    'timeout': admission.tickets.Result.TIMEOUT,
+}
 
 _log = logs.get_logger(__name__)
 
@@ -267,6 +274,8 @@
             self._recheck_validity(forward, deadline)
             answer = self._backend.run(self._build_request(forward), deadline)
             result = admission.tickets.Result.SUCCESS
+            if answer.status >= _FIRST_SERVER_ERROR:
+                result = admission.tickets.Result.ERROR
             if backends.messages.is_shed(answer, self._dialect):
                 # The answer is passed on unchanged, but it must still lower
                 # the concurrency limit.
@@ -279,9 +288,10 @@
         except backends.errors.NotRunError as error:
             raise errors.NotRunError('no backend server connection') from error
         except backends.errors.OutcomeUnknownError as error:
+            result = _RESULTS_OF_UNKNOWN_OUTCOMES.get(error.reason, result)
             raise errors.OutcomeUnknownError(str(error)) from error
         finally:
-            self._release(permit, result, forward.request_id)
+            self._release(permit, result, forward)
         headers = requests.filter_answer_headers(answer.headers, self._dialect)
         return requests.CallAnswer(answer.status, headers, answer.body)
 
@@ -301,7 +311,7 @@
         self,
         permit: admission.gates.Permit,
         result: admission.tickets.Result,
-        request_id: str,
+        forward: messages.Forward,
     ) -> None:
         """Releases a permit once the backend server has ended the call.
 
@@ -309,12 +319,13 @@
         the backend server has answered the cancellation. Admitting another call
         before that could exceed the number of slots.
         """
-        cancellation = self._backend.find_cancellation(request_id)
+        kind = forward.route
+        cancellation = self._backend.find_cancellation(forward.request_id)
         if cancellation is None:
-            permit.release(result, clocks.read_now())
+            permit.release(result, clocks.read_now(), kind)
         else:
             cancellation.rawlink(
-                lambda _: permit.release(result, clocks.read_now())
+                lambda _: permit.release(result, clocks.read_now(), kind)
             )
 
     def _acquire(
--- a/jayseam/calls/tests/test_ingress.py
+++ b/jayseam/calls/tests/test_ingress.py
@@ -191,3 +191,53 @@
     for number in range(2000):
         harness.ingress.cancel(f'b-{number}')
     assert harness.ingress.handle_forward(_forward()).status == 200
+
+
+def _raise(error):
+    """Returns a run of the backend client that fails."""
+
+    def run(request, deadline):
+        raise error
+
+    return run
+
+
+def _answer(status, headers=()):
+    """Returns a run of the backend client that ends with an answer."""
+    answer = backends.messages.BackendAnswer(status, list(headers))
+    return lambda request, deadline: answer
+
+
+def _raise_unknown(reason):
+    """Returns a run of the backend client without a complete answer."""
+    return _raise(backends.errors.OutcomeUnknownError(reason))
+
+
+@pytest.mark.parametrize(
+    'run,result',
+    [
+        (_answer(200), 'success'),
+        (_answer(404), 'success'),
+        (_answer(500), 'error'),
+        (_answer(503), 'error'),
+        (_answer(503, [('Shed', 'not-run')]), 'shed'),
+        (_raise(backends.errors.ShedError()), 'shed'),
+        (_raise_unknown('connection-lost'), 'reset'),
+        (_raise_unknown('timeout'), 'timeout'),
+        (_raise_unknown('cancelled'), 'failed'),
+        (_raise_unknown('too-large'), 'failed'),
+        (_raise(backends.errors.NotRunError('no-connection')), 'failed'),
+    ],
+)
+def test_gate_learns_how_the_server_ended_a_call(run, result):
+    """A reset lowers the limit; a failure of another cause must not."""
+    harness = _Harness()
+    harness.run = run
+    released = []
+    harness.gate._release = lambda permit, *end: released.append(end)
+    harness.ingress.handle_forward(_forward())
+    assert len(released) == 1
+    outcome, _, kind = released[0]
+    assert outcome.value == result
+    # Calls of one route are compared with each other.
+    assert kind == 'view'
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -52,7 +52,7 @@
             slots=1,
             connections=1,
             queue='ranked' if settings.admission.fair else 'fifo',
-            ramp_shape='linear' if settings.admission.ramp else 'none',
+            ramp_shape=settings.admission.get_ramp_variant(),
         )
         self._health = backends.health.HealthMonitor(
             ramp_s=0.0,
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -108,6 +108,8 @@
       fair: Whether the queue orders calls by rank and fairly over workspaces.
       ramp: Whether the concurrency limit ramps up after a start of the backend
         server.
+      ramp_variant: Name of a variant in `admission.ramps.VARIANTS`; None for
+        ``linear`` or, without ``ramp``, ``none``.
       cold_excess: Share by which calls may exceed the rate of a cold backend
         server, where the operators tolerate more than the rate they state.
     """
@@ -115,6 +117,19 @@
     fair: bool = True
     ramp: bool = True
     cold_excess: float = 0.0
+    ramp_variant: str | None = None
+
+    def get_ramp_variant(self) -> str:
+        """Returns the name of the ramp variant in force.
+
+        >>> AdmissionSettings().get_ramp_variant()
+        'linear'
+        >>> AdmissionSettings(ramp_variant='answers').get_ramp_variant()
+        'answers'
+        """
+        if self.ramp_variant is not None:
+            return self.ramp_variant
+        return 'linear' if self.ramp else 'none'
 
 
 @attrs.frozen
--- a/jayseam/settings/schema.py
+++ b/jayseam/settings/schema.py
@@ -106,6 +106,7 @@
                 'fair': {'type': 'boolean'},
                 'ramp': {'type': 'boolean'},
                 'cold_excess': {'type': 'number', 'minimum': 0, 'maximum': 1},
+                'ramp_variant': {'enum': ['answers', 'linear', 'none', None]},
             }
         ),
         'keys': _build_object({'max_unconfirmed_s': _POSITIVE_S}),
--- a/jayseam/settings/tests/test_loading.py
+++ b/jayseam/settings/tests/test_loading.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from jayseam.admission import ramps
 from jayseam.settings import errors
 from jayseam.settings import loading
 
@@ -52,3 +53,28 @@
     assert 'short-secret' not in str(caught.value)
     valid = loading.parse_node_settings(VALID)
     assert '0123456789abcdef' not in repr(valid)
+
+
+@pytest.mark.parametrize(
+    'admission,variant',
+    [
+        ({}, 'linear'),
+        ({'ramp': False}, 'none'),
+        ({'ramp_variant': 'answers'}, 'answers'),
+        ({'ramp': False, 'ramp_variant': 'linear'}, 'linear'),
+        ({'ramp_variant': None}, 'linear'),
+    ],
+)
+def test_ramp_variant_is_named_or_follows_the_older_setting(admission, variant):
+    """Existing files must keep their ramp."""
+    settings = loading.parse_node_settings({**VALID, 'admission': admission})
+    assert settings.admission.get_ramp_variant() == variant
+    assert variant in ramps.VARIANTS.list_names()
+
+
+def test_unknown_ramp_variant_is_refused():
+    """A misspelt name must not be found out at the first start of a server."""
+    wrong = {**VALID, 'admission': {'ramp_variant': 'answer'}}
+    with pytest.raises(errors.SettingsError) as caught:
+        loading.parse_node_settings(wrong)
+    assert '$.admission.ramp_variant: "answer"' in str(caught.value)
