Ignore calls that span a pause of the process in the limit

After a pause, calls that were in flight end late or with a reset because the backend server has closed their connections. With the ramp variant 'answers' they would lower the limit and raise the baselines. The node now tells the gate of the pause, which ignores calls that started before it.

Measured: without the new line in LocalBackend.notice_pause the new test sees a limit of 2 instead of 4; with it the test passes.

--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -90,6 +90,7 @@
 
     def notice_pause(self, now: float, paused_s: float) -> None:
         """Discards measurements that span a pause of this process."""
+        self._gate.notice_pause(now)
         self._health.ignore_earlier_latencies(now)
         self._client.check_after_pause(now, paused_s)
 
