--- a/jayseam/admission/__init__.py
+++ b/jayseam/admission/__init__.py
@@ -8,6 +8,7 @@
 from jayseam.admission import errors
 from jayseam.admission import gates
 from jayseam.admission import objectives
+from jayseam.admission import paces
 from jayseam.admission import pacing
 from jayseam.admission import queues
 from jayseam.admission import ramps
@@ -18,6 +19,7 @@
     'errors',
     'gates',
     'objectives',
+    'paces',
     'pacing',
     'queues',
     'ramps',
--- a/jayseam/calls/tests/test_ingress.py
+++ b/jayseam/calls/tests/test_ingress.py
@@ -247,3 +247,53 @@
         attrs.evolve(_forward(), timeout_ms=50)
     )
     assert reply.ran == 'unknown' and reply.kind_service_s >= 0.04
+
+
+def _raise(error):
+    """Returns a run of the backend client that fails."""
+
+    def run(request, deadline):
+        raise error
+
+    return run
+
+
+def _answer(status, headers=()):
+    """Returns a run of the backend client that ends with an answer."""
+    answer = backends.messages.BackendAnswer(status, list(headers))
+    return lambda request, deadline: answer
+
+
+def _raise_unknown(reason):
+    """Returns a run of the backend client without a complete answer."""
+    return _raise(backends.errors.OutcomeUnknownError(reason))
+
+
+@pytest.mark.parametrize(
+    'run,result',
+    [
+        (_answer(200), 'success'),
+        (_answer(404), 'success'),
+        (_answer(500), 'error'),
+        (_answer(503), 'error'),
+        (_answer(503, [('Shed', 'not-run')]), 'shed'),
+        (_raise(backends.errors.ShedError()), 'shed'),
+        (_raise_unknown('connection-lost'), 'reset'),
+        (_raise_unknown('timeout'), 'timeout'),
+        (_raise_unknown('cancelled'), 'failed'),
+        (_raise_unknown('too-large'), 'failed'),
+        (_raise(backends.errors.NotRunError('no-connection')), 'failed'),
+    ],
+)
+def test_gate_learns_how_the_server_ended_a_call(run, result):
+    """A reset lowers the limit; a failure of another cause must not."""
+    harness = _Harness()
+    harness.run = run
+    released = []
+    harness.gate._release = lambda permit, *end: released.append(end)
+    harness.ingress.handle_forward(_forward())
+    assert len(released) == 1
+    outcome, _, kind = released[0]
+    assert outcome.value == result
+    # Calls of one route are compared with each other.
+    assert kind == 'view'
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -52,7 +52,7 @@
             slots=1,
             connections=1,
             queue=settings.admission.get_queue(),
-            ramp_shape='linear' if settings.admission.ramp else 'none',
+            ramp_shape=settings.admission.get_ramp_variant(),
         )
         self._health = backends.health.HealthMonitor(
             ramp_s=0.0,
@@ -90,6 +90,7 @@
 
     def notice_pause(self, now: float, paused_s: float) -> None:
         """Discards measurements that span a pause of this process."""
+        self._gate.notice_pause(now)
         self._health.ignore_earlier_latencies(now)
         self._client.check_after_pause(now, paused_s)
 
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -108,6 +108,8 @@
       fair: Whether the queue orders calls by rank and fairly over workspaces.
       ramp: Whether the concurrency limit ramps up after a start of the backend
         server.
+      ramp_variant: Name of a variant in `admission.ramps.VARIANTS`; None for
+        ``linear`` or, without ``ramp``, ``none``.
       cold_excess: Share by which calls may exceed the rate of a cold backend
         server, where the operators tolerate more than the rate they state.
       queue: Name of a variant of the queue, as in ``admission.queues``; empty
@@ -118,6 +120,7 @@
     ramp: bool = True
     cold_excess: float = 0.0
     queue: str = ''
+    ramp_variant: str | None = None
 
     def get_queue(self) -> str:
         """Returns the name of the variant of the queue.
@@ -127,6 +130,18 @@
         """
         return self.queue or ('ranked' if self.fair else 'fifo')
 
+    def get_ramp_variant(self) -> str:
+        """Returns the name of the ramp variant in force.
+
+        >>> AdmissionSettings().get_ramp_variant()
+        'linear'
+        >>> AdmissionSettings(ramp_variant='answers').get_ramp_variant()
+        'answers'
+        """
+        if self.ramp_variant is not None:
+            return self.ramp_variant
+        return 'linear' if self.ramp else 'none'
+
 
 @attrs.frozen
 class KeySettings:
--- a/jayseam/settings/schema.py
+++ b/jayseam/settings/schema.py
@@ -107,6 +107,7 @@
                 'ramp': {'type': 'boolean'},
                 'cold_excess': {'type': 'number', 'minimum': 0, 'maximum': 1},
                 'queue': {'enum': ['', 'fifo', 'fair', 'ranked', 'objective']},
+                'ramp_variant': {'enum': ['answers', 'linear', 'none', None]},
             }
         ),
         'keys': _build_object({'max_unconfirmed_s': _POSITIVE_S}),
