Choose VMs by the expected time to an answer

The strategy expected_time draws three candidates of the own zone by capacity and three of the others, and takes the least expected time; busier zones fall back to capacity, as do nodes without recent reports. A call leaves its zone if the saving over its time left exceeds zone_price, or if it would be late only there. Nothing selects the strategy yet.

--- a/jayseam/routing/__init__.py
+++ b/jayseam/routing/__init__.py
@@ -4,7 +4,9 @@
   ``docs/design.md``, section 5.2.
 """
 
+from jayseam.routing import eligibility
 from jayseam.routing import errors
+from jayseam.routing import expectations
 from jayseam.routing import loads
 from jayseam.routing import matching
 from jayseam.routing import refusals
@@ -13,7 +15,9 @@
 from jayseam.routing import zones
 
 __all__ = [
+    'eligibility',
     'errors',
+    'expectations',
     'loads',
     'matching',
     'refusals',
--- a/jayseam/routing/loads.py
+++ b/jayseam/routing/loads.py
@@ -133,6 +133,10 @@
         """Returns the load of a VM."""
         return self._members.get(vm, MemberLoad())
 
+    def find(self, vm: str) -> MemberLoad | None:
+        """Returns the load of a VM; None if nothing is known of it."""
+        return self._members.get(vm)
+
     def compute_service_ratio(self, first: str, second: str) -> float:
         """Returns the service time at one VM over that at another.
 
--- a/jayseam/routing/selection.py
+++ b/jayseam/routing/selection.py
@@ -20,6 +20,7 @@
 import attrs
 
 from jayseam.core import registries
+from jayseam.routing import eligibility
 from jayseam.routing import errors
 from jayseam.routing import loads as load_tables
 from jayseam.routing import zones
@@ -30,7 +31,6 @@
 # own zone has at least this load. With a higher value fewer bytes are sent
 # between zones and calls wait longer.
 DEFAULT_SPILL_LOAD = 0.8
-COLD_SHARE = 0.3
 # Number of random numbers in [0, 1) for one choice.
 DRAWS_PER_CHOICE = 5
 
@@ -116,21 +116,6 @@
     load: float
 
 
-@attrs.frozen
-class _Eligibility:
-    """Whether one member may run calls.
-
-    Attributes:
-      reason: Explanation for an operator.
-      share: Weight in a random draw; above 0 for a candidate.
-      is_fallback: Whether the member is used only when there is no other.
-    """
-
-    reason: str
-    share: float = 0.0
-    is_fallback: bool = False
-
-
 @attrs.frozen
 class LoadView:
     """The loads of members at one time, as they delay calls of a workspace.
@@ -142,6 +127,8 @@
       spill_load: Load of the own zone from which calls spill over to others.
       spill_gain: Least difference by which the load in another zone must be
         lower for a call to spill over; None for no such condition.
+      outlook: What ``expected_time`` knows of the call; see
+        `jayseam.routing.expectations.Outlook`.
     """
 
     table: load_tables.LoadTable
@@ -149,6 +136,7 @@
     now: float
     spill_load: float = DEFAULT_SPILL_LOAD
     spill_gain: float | None = None
+    outlook: Any = None
 
     def estimate(self, candidate: Candidate) -> float:
         """Returns the load of a candidate."""
@@ -157,11 +145,53 @@
         )
 
 
+@attrs.frozen
+class Decision:
+    """What a strategy decided.
+
+    Attributes:
+      candidate: The chosen candidate.
+      reason: Why it was chosen, for operators; empty if the strategy gives
+        none.
+      expected_s: Expected time to an answer in seconds; 0 if the strategy
+        doesn't estimate it.
+    """
+
+    candidate: Candidate
+    reason: str = ''
+    expected_s: float = 0.0
+
+
 Strategy = Callable[
-    [CandidatePool, LoadView, str, float, Sequence[float], int], Candidate
+    [CandidatePool, LoadView, str, float, Sequence[float], int], Decision
 ]
 
 
+def decide(
+    pool: CandidatePool,
+    view: LoadView,
+    own_zone: str,
+    draws: Sequence[float],
+    turn: int = 0,
+    strategy: str = 'two_choices',
+) -> Decision:
+    """Returns the decision of a strategy.
+
+    Args:
+      pool: Candidates of the service.
+      view: Loads of members at the current time.
+      own_zone: Zone of this node.
+      draws: `DRAWS_PER_CHOICE` random numbers in [0, 1).
+      turn: Number of choices made before, for ``round_robin``.
+      strategy: Name of a variant in `VARIANTS`.
+
+    Raises:
+      NoCandidateError: If the pool is empty.
+      UnknownVariantError: If there is no such strategy.
+    """
+    return VARIANTS.get(strategy)(pool, view, own_zone, view.now, draws, turn)
+
+
 def choose(
     pool: CandidatePool,
     loads: load_tables.LoadTable,
@@ -174,7 +204,7 @@
     spill_load: float = DEFAULT_SPILL_LOAD,
     spill_gain: float | None = None,
 ) -> Candidate:
-    """Returns the candidate that a strategy chooses.
+    """Returns the candidate that `decide` chooses with a new view.
 
     Args:
       pool: Candidates of the service.
@@ -195,7 +225,7 @@
       UnknownVariantError: If there is no such strategy.
     """
     view = LoadView(loads, workspace, now, spill_load, spill_gain)
-    return VARIANTS.get(strategy)(pool, view, own_zone, now, draws, turn)
+    return decide(pool, view, own_zone, draws, turn, strategy).candidate
 
 
 @VARIANTS.register('two_choices')
@@ -206,8 +236,8 @@
     now: float,
     draws: Sequence[float],
     turn: int = 0,
-) -> Candidate:
-    """Returns the less loaded of two random candidates.
+) -> Decision:
+    """Decides for the less loaded of two random candidates.
 
     The two come from the own zone while the load of the better one is under
     the spill load, else from all zones, if the load there is lower by enough.
@@ -234,10 +264,11 @@
         pair = _draw_pair((group,), (1.0,), draws)
         best, load = _pick_less_loaded(pair, loads)
         if load < loads.spill_load:
-            return best
+            return Decision(best)
         other, _ = _pick_less_loaded(_draw_pair(groups, weights, draws), loads)
-        return _pick_if_gain(best, other, loads)
-    return _pick_less_loaded(_draw_pair(groups, weights, draws), loads)[0]
+        return Decision(_pick_if_gain(best, other, loads))
+    pair = _draw_pair(groups, weights, draws)
+    return Decision(_pick_less_loaded(pair, loads)[0])
 
 
 @VARIANTS.register('round_robin')
@@ -248,13 +279,13 @@
     now: float,
     draws: Sequence[float],
     turn: int = 0,
-) -> Candidate:
-    """Returns the candidates in rotation, whatever their load and zone."""
+) -> Decision:
+    """Decides for the candidates in rotation, whatever their load and zone."""
     del loads, own_zone, now, draws
     candidates = pool.candidates
     if not candidates:
         raise errors.NoCandidateError('no usable member')
-    return candidates[turn % len(candidates)]
+    return Decision(candidates[turn % len(candidates)])
 
 
 def build_pool(
@@ -271,17 +302,17 @@
       service: Name of the service.
       return_times: Times at which zones returned, in seconds.
     """
-    evaluated = _evaluate_members(preset, members, service)
+    evaluated = eligibility.evaluate_members(preset, members, service)
     chosen = [
         Candidate(
             member.vm,
             member.upstream,
             member.zone,
             preset.upstreams[member.upstream].slots,
-            eligibility.share,
+            verdict.share,
         )
-        for member, eligibility in evaluated
-        if eligibility.share > 0
+        for member, verdict in evaluated
+        if verdict.share > 0
     ]
     return group_candidates(chosen, return_times)
 
@@ -318,91 +349,29 @@
       now: Current time in seconds.
     """
     explained = []
-    for member, eligibility in _evaluate_members(preset, members, service):
+    for member, verdict in eligibility.evaluate_members(
+        preset, members, service
+    ):
         upstream = preset.upstreams.get(member.upstream)
         zone_share = zones.compute_share(return_times, member.zone, now)
         load = loads.estimate(member.vm, upstream.slots if upstream else 1, now)
-        reason = eligibility.reason
-        if eligibility.share > 0 and zone_share < 1:
+        reason = verdict.reason
+        if verdict.share > 0 and zone_share < 1:
             reason += f'; zone returned, share {zone_share:.2f}'
         explained.append(
             Explanation(
                 member.vm,
                 member.upstream,
                 member.zone,
-                eligibility.share > 0,
+                verdict.share > 0,
                 reason,
-                eligibility.share * zone_share,
+                verdict.share * zone_share,
                 load,
             )
         )
     return explained
 
 
-def _evaluate_members(
-    preset: Any, members: Iterable[Any], service: str
-) -> list[tuple[Any, _Eligibility]]:
-    """Returns the members of the service with their verdicts."""
-    in_service = [m for m in members if _find_service(preset, m) == service]
-    newest: dict[str, Any] = {}
-    for member in in_service:
-        known = newest.get(member.upstream)
-        if known is None or member.incarnation > known.incarnation:
-            newest[member.upstream] = member
-    evaluated = [
-        (m, _evaluate_member(preset, m, newest[m.upstream])) for m in in_service
-    ]
-    if any(e.share > 0 and not e.is_fallback for _, e in evaluated):
-        evaluated = [
-            (m, attrs.evolve(e, share=0.0) if e.is_fallback else e)
-            for m, e in evaluated
-        ]
-    return evaluated
-
-
-def _find_service(preset: Any, member: Any) -> str:
-    """Returns the service of a member, by the preset if it knows it."""
-    upstream = preset.upstreams.get(member.upstream)
-    return member.service if upstream is None else upstream.service
-
-
-def _evaluate_member(preset: Any, member: Any, newest: Any) -> _Eligibility:
-    """Evaluates one member by itself.
-
-    Suspect and replaced members are candidates only when the service has no
-    other.
-    """
-    upstream = preset.upstreams.get(member.upstream)
-    if upstream is None:
-        return _Eligibility('upstream is not in the preset')
-    for name in (member.zone, upstream.zone):
-        zone = preset.zones.get(name)
-        if zone is None or not zone.in_service:
-            return _Eligibility(f'zone {name} is out of service')
-    if member.state not in ('alive', 'suspect'):
-        return _Eligibility(f'member is {member.state}')
-    if member.backend not in ('ready', 'cold'):
-        return _Eligibility(f'backend server is {member.backend}')
-    # If calls to a cold server are paced, its load shows how many it can take.
-    has_reduced_share = (
-        member.backend == 'cold' and not upstream.ramp.rate_per_s
-    )
-    share = COLD_SHARE if has_reduced_share else 1.0
-    if member.state == 'suspect':
-        reason = 'member is suspect; used only without another candidate'
-        return _Eligibility(reason, share, is_fallback=True)
-    if member is not newest and _can_run_calls(newest):
-        reason = f'replaced by {newest.vm}; used only without another'
-        return _Eligibility(reason, share, is_fallback=True)
-    if member.backend == 'cold':
-        return _Eligibility('usable; cold, with less share', share)
-    return _Eligibility('usable', share)
-
-
-def _can_run_calls(member: Any) -> bool:
-    return member.state == 'alive' and member.backend in ('ready', 'cold')
-
-
 def _draw_pair(
     groups: Sequence[ZoneGroup],
     weights: Sequence[float],
