Pass kind, time left and zone price to the choice of a VM

The strategy expected_time could not be selected, and the choice of a VM knew neither the route of a call nor the time left. The chooser now passes both, and records limits, resets and service times of replies. A connection that broke before the call's time was over counts as a reset. The settings gain selection.zone_price (0 to 1, default 0); nothing changes with two_choices. The log line call.attempt gains choice and expected_ms.

--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -15,15 +15,40 @@
 _AVOID_UNREACHABLE_S = 2.0
 # A VM that refused a call has no room for about the duration of one call.
 _AVOID_REFUSING_S = 0.15
+_EXPECTED_TIME = 'expected_time'
 
 
 @attrs.frozen
 class Choice:
-    """The ingress chosen for one attempt."""
+    """The ingress chosen for one attempt.
+
+    Attributes:
+      vm: Name of its VM.
+      incarnation: Incarnation of its process.
+      service: Service of the call.
+      reason: Why it was chosen, if the strategy gives a reason.
+      expected_s: Expected time to an answer in seconds; 0 if the strategy
+        doesn't estimate it.
+    """
 
     vm: str
     incarnation: int
     service: str
+    reason: str = ''
+    expected_s: float = 0.0
+
+
+@attrs.frozen
+class CallProfile:
+    """What the strategy ``expected_time`` has to know of a call.
+
+    Attributes:
+      kind: Kind of the call: the name of its route.
+      needs: Rank and time left of the call.
+    """
+
+    kind: str
+    needs: routing.refusals.CallNeeds
 
 
 @attrs.frozen(eq=False)
@@ -49,6 +74,8 @@
       spill_load: Load of the own zone from which calls go to other zones too.
       spill_gain: Amount by which the load of a backend server in another zone
         must then be below the load in the own zone; None for no minimum.
+      zone_price: Saving of time, over the time left, from which the strategy
+        ``expected_time`` sends calls to another zone.
       list_unresponsive: Returns the VMs that have an unanswered ping at a given
         time in seconds. They are never chosen: a call sent there would probably
         be lost, and its caller couldn't know whether it ran.
@@ -62,7 +89,12 @@
         spill_load: float = routing.selection.DEFAULT_SPILL_LOAD,
         spill_gain: float | None = None,
         list_unresponsive: Callable[[float], set[str]] = lambda now: set(),
+        zone_price: float = 0.0,
     ):
+        self._zone_price = zone_price
+        self._by_expected_time = strategy == _EXPECTED_TIME
+        self._speeds = routing.speeds.SpeedTable()
+        self._capacities = routing.expectations.CapacityCache(self._speeds)
         self._list_unresponsive = list_unresponsive
         self._spill_load = spill_load
         self._spill_gain = spill_gain
@@ -126,6 +158,7 @@
         now: float,
         workspace: str = '',
         needs: routing.refusals.CallNeeds | None = None,
+        profile: CallProfile | None = None,
     ) -> Choice | None:
         """Returns the ingress for the next attempt, or None if there is none.
 
@@ -139,35 +172,49 @@
           needs: What decides whether a queue has room for the call; VMs that
             recently refused such a call are excluded. None for a first attempt,
             which also goes to VMs that are known to be full.
+          profile: What ``expected_time`` has to know of the call. With it, VMs
+            known to be full are tried only if there is no other.
         """
         pool = self._get_pool(preset, view, service)
         excluded = self._list_unresponsive(now).union(tried_vms)
         if needs is not None:
             excluded |= self._refusals.list_full_vms(needs, now)
-        excluded_or_avoided = excluded | self._list_avoided(now)
-        usable = (
-            pool.exclude(excluded_or_avoided) if excluded_or_avoided else pool
-        )
+        avoided = excluded | self._list_avoided(now)
+        full = set()
+        if self._by_expected_time and profile is not None:
+            full = self._refusals.list_full_vms(profile.needs, now)
+        usable = pool.exclude(avoided | full) if avoided | full else pool
+        if not usable.groups and full:
+            usable = pool.exclude(avoided) if avoided else pool
         if not usable.groups:
             # An attempt at an avoided VM is better than refusing the call.
             usable = pool.exclude(excluded) if excluded else pool
         if not usable.groups:
             return None
         self._choice_count += 1
-        candidate = routing.selection.choose(
+        decision = routing.selection.decide(
             usable,
-            self._loads,
+            routing.selection.LoadView(
+                self._loads,
+                workspace,
+                now,
+                self._spill_load,
+                self._spill_gain,
+                self._build_outlook(service, profile),
+            ),
             self._own_zone,
-            now,
             [self._draw() for _ in range(routing.selection.DRAWS_PER_CHOICE)],
             self._choice_count,
             self._strategy,
-            workspace,
-            self._spill_load,
-            self._spill_gain,
         )
-        record = view.members[candidate.vm]
-        return Choice(candidate.vm, record.incarnation, service)
+        vm = decision.candidate.vm
+        return Choice(
+            vm,
+            view.members[vm].incarnation,
+            service,
+            decision.reason,
+            decision.expected_s,
+        )
 
     def start_attempt(self, vm: str, workspace: str = '') -> None:
         """Counts the start of an attempt at a VM."""
@@ -183,10 +230,35 @@
         workspace: str,
         report: routing.loads.ReportedLoad,
         now: float,
+        kind: str = '',
     ) -> None:
-        """Stores the load that came with a reply to a call of a workspace."""
+        """Stores the load that came with a reply to a call.
+
+        Args:
+          vm: VM of the reply.
+          workspace: Workspace of the call.
+          report: Load in the reply.
+          now: Current time in seconds.
+          kind: Kind of the call.
+        """
         self._loads.record_report(vm, workspace, report, now)
         self._avoided_until.pop(vm, None)
+        if self._by_expected_time:
+            self._speeds.record_reply(
+                vm, kind, report.kind_service_s, report.limit, report.load, now
+            )
+
+    def record_reset(self, vm: str, now: float) -> None:
+        """Lowers the limit of a VM that may have reset a call as it was full.
+
+        This must be called after `record_load` for the reply.
+        """
+        member = self._loads.find(vm)
+        if self._by_expected_time and member and member.report:
+            report = member.report
+            # The call that was reset is no longer in the report.
+            calls = report.load * report.limit + 1.0
+            self._speeds.record_reset(vm, calls, now)
 
     def record_failure(self, vm: str, now: float) -> None:
         """Avoids a VM for a while after it failed to answer."""
@@ -253,6 +325,22 @@
             cache.by_service[service] = pool
         return pool
 
+    def _build_outlook(
+        self, service: str, profile: CallProfile | None
+    ) -> routing.expectations.Outlook | None:
+        if not self._by_expected_time:
+            return None
+        outlook = routing.expectations.Outlook(
+            self._capacities, service, zone_price=self._zone_price
+        )
+        if profile is None:
+            return outlook
+        return attrs.evolve(
+            outlook,
+            kind=profile.kind,
+            time_left_s=profile.needs.time_left_s,
+        )
+
     def _list_avoided(self, now: float) -> set[str]:
         if not self._avoided_until:
             return set()
--- a/jayseam/calls/entry.py
+++ b/jayseam/calls/entry.py
@@ -444,6 +444,7 @@
     def _choose_vm(
         self, call: pending.Call, service: str, tried_vms: set[str], now: float
     ) -> Any:
+        needs = forwarding.build_needs(call, self._dependencies.dialect, now)
         return self._dependencies.chooser.choose(
             call.snapshot.preset,
             service,
@@ -453,9 +454,8 @@
             call.caller.workspace,
             # A first attempt may go to a full VM, so that a slot is taken as
             # soon as another call frees it.
-            forwarding.build_needs(call, self._dependencies.dialect, now)
-            if tried_vms
-            else None,
+            needs if tried_vms else None,
+            choosers.CallProfile(call.route.name, needs),
         )
 
 
--- a/jayseam/calls/forwarding.py
+++ b/jayseam/calls/forwarding.py
@@ -81,9 +81,17 @@
     try:
         reply = dependencies.forwarder(choice.vm, forward, call.deadline - now)
         report = loads.ReportedLoad(
-            reply.load, reply.fair_load, reply.idle_load, reply.service_s
+            reply.load,
+            reply.fair_load,
+            reply.idle_load,
+            reply.service_s,
+            reply.kind_service_s,
+            reply.limit,
+        )
+        received_at = clocks.read_now()
+        chooser.record_load(
+            choice.vm, workspace, report, received_at, call.route.name
         )
-        chooser.record_load(choice.vm, workspace, report, clocks.read_now())
     except link_errors.NotSentError as error:
         chooser.record_failure(choice.vm, clocks.read_now())
         raise errors.NotRunError('the node cannot be reached') from error
@@ -107,6 +115,11 @@
         chooser.finish_attempt(choice.vm, workspace)
     try:
         return _convert_reply(reply)
+    except errors.OutcomeUnknownError:
+        # The connection to the backend server broke before its time ran out.
+        if received_at < now + forward.timeout_ms / _MS_PER_S:
+            chooser.record_reset(choice.vm, received_at)
+        raise
     except errors.NotRunError as error:
         # A queue without room for this call may have room for others, and
         # the reply reports the VM's load.
@@ -197,6 +210,8 @@
             'vms_version': versionnumbers.shorten(call.snapshot.vms_version),
             'outcome': outcome,
             'reason': error.detail if error else '',
+            'choice': choice.reason,
+            'expected_ms': round(choice.expected_s * _MS_PER_S),
             'elapsed_ms': round((ended_at - started_at) * 1000),
             'left_ms': round((call.deadline - ended_at) * 1000),
         },
--- a/jayseam/calls/tests/test_choosers.py
+++ b/jayseam/calls/tests/test_choosers.py
@@ -81,3 +81,62 @@
     assert chooser.choose(
         *arguments, 10.0 + routing.refusals.MAX_REFUSAL_S, 'w', needs
     )
+
+
+def _choose_by_time(chooser, now=10.0, time_left_s=0.5, needs=None):
+    """Returns the choice of a chooser for a call of kind w."""
+    profile = choosers.CallProfile(
+        'w', routing.refusals.CallNeeds('', 1, time_left_s)
+    )
+    return chooser.choose(
+        _build_preset(), 's', _View(), set(), now, '', needs, profile
+    )
+
+
+def _report(chooser, vm, service_s, load=0.2):
+    """Stores the report of a reply to a call of kind w."""
+    report = routing.loads.ReportedLoad(
+        load, load, load, service_s, service_s, 4
+    )
+    chooser.record_load(vm, '', report, 10.0, 'w')
+
+
+def test_reported_times_and_price_direct_the_choice():
+    """What replies report must reach the strategy ``expected_time``."""
+    choices = {}
+    for price in (0.0, 1.0):
+        chooser = choosers.Chooser(
+            'a', 'expected_time', lambda: 0.0, zone_price=price
+        )
+        _report(chooser, 'vm-1', 0.2)
+        _report(chooser, 'vm-2', 0.05)
+        choices[price] = _choose_by_time(chooser)
+    assert choices[0.0].vm == 'vm-2' and choices[0.0].reason == 'saving'
+    assert choices[0.0].expected_s == pytest.approx(
+        0.05 + routing.expectations.ZONE_DISTANCE_S
+    )
+    assert choices[1.0].vm == 'vm-1' and choices[1.0].reason == 'own-zone'
+    assert _choose_by_time(chooser, time_left_s=0.1).reason == 'objective'
+
+
+def test_vm_without_room_is_chosen_only_without_another():
+    """Calls to a VM that has just refused one would mostly be refused."""
+    chooser = choosers.Chooser(
+        'a', 'expected_time', lambda: 0.0, zone_price=1.0
+    )
+    needs = routing.refusals.CallNeeds('', 1, 0.5)
+    assert _choose_by_time(chooser).vm == 'vm-1'
+    chooser.record_full('vm-1', needs, 1.0, 10.0)
+    assert _choose_by_time(chooser, 10.05).vm == 'vm-2'
+    chooser.record_full('vm-2', needs, 1.0, 10.0)
+    assert _choose_by_time(chooser, 10.05).vm == 'vm-1'
+    assert not _choose_by_time(chooser, 10.05, needs=needs)
+
+
+def test_resets_lower_the_limit():
+    """A server that resets calls when full must seem full before that."""
+    chooser = choosers.Chooser('a', 'expected_time', lambda: 0.0)
+    _report(chooser, 'vm-1', 0.1, load=0.75)
+    assert chooser._speeds.estimate_limit('vm-1', 4, 10.0) == 4
+    chooser.record_reset('vm-1', 10.0)
+    assert chooser._speeds.estimate_limit('vm-1', 4, 10.0) == 3
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -38,15 +38,21 @@
         self._refusals = refusals.RefusalTable()
         self.refusing_vms = []
         self.services = []
+        self.profiles = []
+        self.kinds = []
+        self.reset_vms = []
 
     def draw_service(self, route):
         """Returns the services of the route in turn."""
         self._draw_count += 1
         return route.targets[self._draw_count % len(route.targets)][0]
 
-    def choose(self, preset, service, view, tried_vms, now, workspace, needs):
+    def choose(
+        self, preset, service, view, tried_vms, now, workspace, needs, profile
+    ):
         """Returns the first VM that was not tried and may have room."""
         del preset, view, workspace
+        self.profiles.append(profile)
         self.services.append(service)
         full = (
             set() if needs is None else self._refusals.list_full_vms(needs, now)
@@ -69,8 +75,15 @@
     def finish_attempt(self, vm, workspace):
         """Ignores the end of an attempt."""
 
-    def record_load(self, vm, workspace, report, now):
-        """Ignores a reported load."""
+    def record_load(self, vm, workspace, report, now, kind):
+        """Records the kind of call for which a load was reported."""
+        del vm, workspace, report, now
+        self.kinds.append(kind)
+
+    def record_reset(self, vm, now):
+        """Records a VM whose backend server broke the connection."""
+        del now
+        self.reset_vms.append(vm)
 
 
 class _Harness:
@@ -197,6 +210,18 @@
     with pytest.raises(errors.OutcomeUnknownError):
         harness.run(max_attempts=2)
     assert harness.tried_vms == ['a']
+    assert harness.chooser.reset_vms == ['a']
+
+
+def test_choice_knows_kind_and_time_left():
+    """A call with little time must not go to a slow server."""
+    harness = _Harness({'a': _SHED, 'b': _ANSWERED}, saved=5.0)
+    harness.run(max_attempts=2)
+    profiles = harness.chooser.profiles
+    assert [profile.kind for profile in profiles] == ['r', 'r']
+    assert harness.chooser.kinds == ['r', 'r']
+    first, second = (profile.needs.time_left_s for profile in profiles)
+    assert 0.4 < second <= first <= 0.5
 
 
 @pytest.mark.parametrize(
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -194,6 +194,7 @@
             settings.selection.strategy,
             spill_load=settings.selection.spill_load,
             spill_gain=settings.selection.spill_gain,
+            zone_price=settings.selection.zone_price,
             list_unresponsive=self._links.list_unresponsive,
         )
         coordinator = calls.claims.ClaimCoordinator(
--- a/jayseam/routing/loads.py
+++ b/jayseam/routing/loads.py
@@ -23,12 +23,17 @@
       fair_load: Part of the load that delays the workspace of the reply.
       idle_load: Part of the load that delays a workspace without queued calls.
       service_s: Mean service time in seconds; zero if unknown.
+      kind_service_s: Mean service time of the kind of the call, in seconds;
+        zero if unknown.
+      limit: Concurrency limit; zero if unknown.
     """
 
     load: float
     fair_load: float
     idle_load: float
     service_s: float = 0.0
+    kind_service_s: float = 0.0
+    limit: int = 0
 
 
 @attrs.define
--- a/jayseam/routing/tests/test_selection.py
+++ b/jayseam/routing/tests/test_selection.py
@@ -84,7 +84,7 @@
         st.floats(0.0, 1.0, exclude_max=True), min_size=5, max_size=5
     ),
     returned=st.dictionaries(st.sampled_from('abcd'), st.floats(0.0, 10.0)),
-    strategy=st.sampled_from(['two_choices', 'round_robin']),
+    strategy=st.sampled_from(selection.VARIANTS.list_names()),
 )
 def test_choice_is_always_a_candidate(names, busy, draws, returned, strategy):
     """No combination of loads, shares and draws may fail or leave the pool."""
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -93,11 +93,15 @@
       spill_load: Load of the own zone from which calls go to other zones too.
       spill_gain: Amount by which the load of a backend server in another zone
         must then be below the load in the own zone; None for no minimum.
+      zone_price: Least saving of time, as a share of the time left until the
+        latency objective, for which the strategy ``expected_time`` sends a
+        call to another zone; 0 where traffic between zones is free.
     """
 
     strategy: str = 'two_choices'
     spill_load: float = 0.8
     spill_gain: float | None = None
+    zone_price: float = 0.0
 
 
 @attrs.frozen
--- a/jayseam/settings/schema.py
+++ b/jayseam/settings/schema.py
@@ -92,7 +92,10 @@
         ),
         'selection': _build_object(
             {
-                'strategy': {'enum': ['two_choices', 'round_robin']},
+                'strategy': {
+                    'enum': ['expected_time', 'two_choices', 'round_robin']
+                },
+                'zone_price': {'type': 'number', 'minimum': 0, 'maximum': 1},
                 'spill_load': {'type': 'number', 'minimum': 0, 'maximum': 10},
                 'spill_gain': {
                     'type': ['number', 'null'],
--- a/jayseam/settings/tests/test_loading.py
+++ b/jayseam/settings/tests/test_loading.py
@@ -52,3 +52,15 @@
     assert 'short-secret' not in str(caught.value)
     valid = loading.parse_node_settings(VALID)
     assert '0123456789abcdef' not in repr(valid)
+
+
+def test_strategy_and_price_of_the_choice_are_read():
+    """A price outside 0 to 1 has no meaning and must not start a node."""
+    selection = {'strategy': 'expected_time', 'zone_price': 0.3}
+    settings = loading.parse_node_settings({**VALID, 'selection': selection})
+    assert settings.selection.strategy == 'expected_time'
+    assert settings.selection.zone_price == 0.3
+    with pytest.raises(errors.SettingsError):
+        loading.parse_node_settings(
+            {**VALID, 'selection': {**selection, 'zone_price': 1.5}}
+        )
