Let appended fields of messages be missing

Nodes count the fields of a message, so a field with a default that is appended to a released class made the message undecodable at nodes of the release before, and theirs here. Fields marked as appended are now left out at the end of a message while they have their defaults, and filled in where they are missing; other counts stay malformed. The tests of links pass; no message has such a field yet.

--- a/jayseam/links/messages.py
+++ b/jayseam/links/messages.py
@@ -16,7 +16,7 @@
 (Example(text='a'), 7)
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, TypeVar
 
 import attrs
@@ -55,6 +55,12 @@
     FORM: FieldForm(versionnumbers.shorten, versionnumbers.expand)
 }
 
+# Metadata of fields that were appended to a released message class. A message
+# may end without such fields; they are left out while they have their defaults,
+# so that older nodes, which count fields, can decode it.
+APPENDED = 'jayseam.links.appended'
+APPENDED_METADATA = {APPENDED: True}
+
 
 @attrs.frozen
 class _Layout:
@@ -65,12 +71,19 @@
       cls: The class.
       names: Names of the fields in their order.
       forms: Forms of the fields that are converted, by index.
+      appended: Defaults of the appended fields at the end, in their order.
     """
 
     code: int
     cls: type
     names: tuple[str, ...]
     forms: tuple[tuple[int, FieldForm], ...]
+    appended: tuple[Any, ...] = ()
+
+    @property
+    def min_count(self) -> int:
+        """Least number of fields in a message."""
+        return len(self.names) - len(self.appended)
 
 
 _layouts_by_code: dict[int, _Layout] = {}
@@ -107,6 +120,7 @@
                 for index, field in enumerate(fields)
                 if FORM in field.metadata
             ),
+            _list_appended(cls, fields),
         )
         _layouts_by_code[code] = layout
         _layouts[cls] = layout
@@ -115,6 +129,27 @@
     return add_class
 
 
+def _list_appended(
+    cls: type, fields: Sequence[attrs.Attribute]
+) -> tuple[Any, ...]:
+    """Returns the defaults of the appended fields.
+
+    Raises:
+      TypeError: If they are not the last ones, or have no plain default.
+    """
+    flags = [APPENDED in field.metadata for field in fields]
+    if flags != sorted(flags):
+        raise TypeError(f'{cls.__name__}: a field follows an appended one')
+    defaults = tuple(
+        field.default for field in fields if APPENDED in field.metadata
+    )
+    if not all(
+        type(default) in _SCALARS or default == () for default in defaults
+    ):
+        raise TypeError(f'{cls.__name__}: an appended field has no default')
+    return defaults
+
+
 def is_integer(_: Any, attribute: attrs.Attribute, value: Any) -> None:
     """Validates an int; unlike ``instance_of(int)`` it rejects a bool."""
     if value.__class__ is not int:
@@ -187,6 +222,12 @@
     for index, form in layout.forms:
         # The type code and the correlation ID come before the fields.
         body[2 + index] = form.encode(body[2 + index])
+    for name, default in zip(
+        reversed(layout.names), reversed(layout.appended), strict=False
+    ):
+        if getattr(message, name) != default:
+            break
+        body.pop()
     return body
 
 
@@ -213,7 +254,7 @@
     if layout is None:
         raise errors.UnknownTypeError(f'unknown message type code {code!r}')
     cls, count = layout.cls, len(layout.names)
-    if len(values) != count:
+    if not layout.min_count <= len(values) <= count:
         raise errors.MessageError(
             f'{cls.__name__} has {count} fields, got {len(values)}'
         )
@@ -223,7 +264,8 @@
     ]
     try:
         for index, form in layout.forms:
-            fields[index] = form.decode(fields[index])
+            if index < len(fields):
+                fields[index] = form.decode(fields[index])
         return cls(*fields)
     except errors.LinkError:
         raise
--- a/jayseam/links/tests/test_formats.py
+++ b/jayseam/links/tests/test_formats.py
@@ -157,3 +157,68 @@
     opener = frames.Opener(b'k' * 32, frames.TO_ACCEPTOR)
     with pytest.raises(errors.FrameError):
         opener.open(tamper(sealer, sealer.seal(b'body')))
+
+
+@messages.register(918)
+@attrs.frozen
+class Grown:
+    """A message class that has gained two fields since its release."""
+
+    first: int = attrs.field(validator=messages.is_integer)
+    second: str = attrs.field(
+        default='',
+        validator=attrs.validators.instance_of(str),
+        metadata=messages.APPENDED_METADATA,
+    )
+    third: int = attrs.field(
+        default=0,
+        validator=messages.is_integer,
+        metadata=messages.APPENDED_METADATA,
+    )
+
+
+@pytest.mark.parametrize(
+    'message, body',
+    [
+        (Grown(1), [918, 0, 1]),
+        (Grown(1, 'x'), [918, 0, 1, 'x']),
+        (Grown(1, '', 3), [918, 0, 1, '', 3]),
+    ],
+)
+def test_appended_fields_may_be_missing(message, body):
+    """Nodes of two releases must decode each other's messages.
+
+    Nodes count fields, so a reply with one more field was lost at nodes of the
+    release before.
+    """
+    assert messages.encode_body(message, 0) == body
+    assert messages.decode_body(body) == (message, 0)
+
+
+@pytest.mark.parametrize('body', [[918, 0], [918, 0, 1, 'x', 3, 4]])
+def test_other_counts_of_fields_are_malformed(body):
+    """Only appended fields may be missing, and none may be unknown."""
+    with pytest.raises(errors.MessageError):
+        messages.decode_body(body)
+
+
+def test_appended_fields_are_last_and_have_plain_defaults():
+    """Otherwise a shorter message would be ambiguous."""
+    appended = attrs.field(
+        default=0,
+        validator=messages.is_integer,
+        metadata=messages.APPENDED_METADATA,
+    )
+    fields = {
+        'first': appended,
+        'second': attrs.field(default=0, validator=messages.is_integer),
+    }
+    with pytest.raises(TypeError, match='follows'):
+        messages.register(919)(attrs.make_class('Mixed', fields, frozen=True))
+    required = attrs.field(
+        validator=messages.is_integer, metadata=messages.APPENDED_METADATA
+    )
+    with pytest.raises(TypeError, match='no default'):
+        messages.register(919)(
+            attrs.make_class('Bare', {'first': required}, frozen=True)
+        )
