Carry recent loads of other VMs in replies within a zone

A node hears from a given VM once in several seconds, so most load reports it holds are stale, while the nodes of a zone together hear from it all the time. With the strategy expected_time a call names its entry's zone; an ingress of that zone adds up to eight loads of its other VMs, at most 1 s old, and the entry keeps those newer than its own. Service time of the route and limit are sent only to such entries too, so that other replies stay decodable by older nodes, and times that span a pause of the process don't count.

--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -53,13 +53,21 @@
 
 @attrs.frozen(eq=False)
 class _PoolCache:
-    """Pools of one pair of preset and view, each built on first use."""
+    """Pools of one pair of preset and view, each built on first use.
+
+    Attributes:
+      preset: The preset.
+      view: The view.
+      by_service: Pools by service.
+      zone_vms: Candidates of these pools in the own zone.
+    """
 
     preset: Any
     view: membership.views.View
     by_service: dict[str, routing.selection.CandidatePool] = attrs.field(
         factory=dict
     )
+    zone_vms: set[str] = attrs.field(factory=set)
 
 
 class Chooser:
@@ -248,6 +256,30 @@
                 vm, kind, report.kind_service_s, report.limit, report.load, now
             )
 
+    @property
+    def report_zone(self) -> str:
+        """Own zone if replies should carry digests; else empty."""
+        return self._own_zone if self._by_expected_time else ''
+
+    def collect_reports(self, now: float) -> list[list[Any]]:
+        """Returns the digest of recent loads for another node of the zone."""
+        if not self._by_expected_time or self._pool_cache is None:
+            return []
+        return routing.digests.collect(
+            self._loads, self._pool_cache.zone_vms, now
+        )
+
+    def merge_reports(self, items: Collection[Any], now: float) -> None:
+        """Takes over newer loads from the digest in a reply."""
+        if self._by_expected_time and items and self._pool_cache is not None:
+            routing.digests.merge(
+                self._loads,
+                self._speeds,
+                items,
+                self._pool_cache.zone_vms,
+                now,
+            )
+
     def record_reset(self, vm: str, now: float) -> None:
         """Lowers the limit of a VM that may have reset a call as it was full.
 
@@ -323,6 +355,12 @@
                 self._zone_return_times,
             )
             cache.by_service[service] = pool
+            cache.zone_vms.update(
+                member.vm
+                for group in pool.groups
+                for member in group.members
+                if group.zone == self._own_zone
+            )
         return pool
 
     def _build_outlook(
--- a/jayseam/calls/forwarding.py
+++ b/jayseam/calls/forwarding.py
@@ -92,6 +92,7 @@
         chooser.record_load(
             choice.vm, workspace, report, received_at, call.route.name
         )
+        chooser.merge_reports(reply.reports, received_at)
     except link_errors.NotSentError as error:
         chooser.record_failure(choice.vm, clocks.read_now())
         raise errors.NotRunError('the node cannot be reached') from error
@@ -182,6 +183,7 @@
         body=call.request.body,
         rank=urgency.compute_rank(call, dialect),
         objective_ms=urgency.compute_objective_ms(call, now),
+        report_zone=dependencies.chooser.report_zone,
     )
 
 
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -75,12 +75,14 @@
         self._budget = memory.ByteBudget() if budget is None else budget
         # The gate measures by workspace; entries choose VMs by route.
         self._route_times = admission.servicetimes.ServiceTimes()
+        self._collect_reports: Callable[[float], list[Any]] = lambda now: []
         self._running: dict[str, gevent.Greenlet] = {}
         self._request_ids: dict[str, str] = {}
         # Attempts that are unknown here, in the order of their cancellations.
         self._cancelled_early: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self._measured_since = -math.inf
         self._leaving = False
         self._withdrawn = False
 
@@ -93,6 +95,19 @@
         """Returns the request id of each attempt in flight."""
         return dict(self._request_ids)
 
+    def set_report_source(self, collect: Callable[[float], list[Any]]) -> None:
+        """Sets where recent loads of other VMs of the zone come from.
+
+        Args:
+          collect: Returns the items of a digest; see `routing.digests`. Takes
+            the current time in seconds.
+        """
+        self._collect_reports = collect
+
+    def ignore_earlier_calls(self, now: float) -> None:
+        """Ignores the times of calls that began before a pause ended."""
+        self._measured_since = now
+
     def refuse_new_calls(self) -> None:
         """Refuses forwarded calls from now on; accepted calls still finish."""
         self._leaving = True
@@ -152,16 +167,23 @@
 
     def _build_load_fields(self, forward: messages.Forward) -> dict[str, Any]:
         """Returns the load fields of the reply to a call."""
-        report = self._gate.describe(clocks.read_now())
+        now = clocks.read_now()
+        report = self._gate.describe(now)
         queued = self._gate.count_queued(forward.workspace)
-        return {
+        fields = {
             'load': report.load,
             'service_s': report.service_s,
             'fair_load': report.estimate_fair_load(queued),
             'idle_load': report.estimate_fair_load(0),
-            'kind_service_s': self._route_times.find_mean(forward.route),
-            'limit': max(0, report.limit),
         }
+        if forward.report_zone:
+            fields['kind_service_s'] = self._route_times.find_mean(
+                forward.route
+            )
+            fields['limit'] = max(0, report.limit)
+        if forward.report_zone == self._identity.zone:
+            fields['reports'] = self._collect_reports(now)
+        return fields
 
     def run(self, forward: messages.Forward, now: float) -> requests.CallAnswer:
         """Admits a call and runs it on the backend server.
@@ -300,6 +322,8 @@
         permit: admission.gates.Permit,
         now: float,
     ) -> None:
+        if permit.admitted_at < self._measured_since:
+            return
         service_s = max(0.0, now - permit.admitted_at)
         self._route_times.record(forward.route, service_s, now)
 
--- a/jayseam/calls/messages.py
+++ b/jayseam/calls/messages.py
@@ -1,6 +1,6 @@
 """Messages between nodes on the call path; they have the codes 80 to 99."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import attrs
@@ -71,6 +71,29 @@
     raise TypeError(f'{attribute.name} must be a list of pairs of strings')
 
 
+def check_reports(_: Any, attribute: attrs.Attribute, value: Any) -> None:
+    """Validates loads of VMs: lists of a string and three counts.
+
+    >>> attribute = attrs.fields(Answered).reports
+    >>> check_reports(None, attribute, [['vm-1', 6, 3, 250]])
+    >>> check_reports(None, attribute, [['vm-1', 6, -3, 250]])
+    Traceback (most recent call last):
+    ...
+    TypeError: reports must be a list of VMs with three counts
+    """
+    if value.__class__ in _SEQUENCES:
+        for item in value:
+            if item.__class__ not in _SEQUENCES or len(item) != 4:
+                break
+            if item[0].__class__ is not str or any(
+                count.__class__ is not int or count < 0 for count in item[1:]
+            ):
+                break
+        else:
+            return
+    raise TypeError(f'{attribute.name} must be a list of VMs with three counts')
+
+
 @messages.register(80)
 @attrs.frozen
 class Forward:
@@ -87,6 +110,8 @@
       rank: Urgency of the call; 0 is the most urgent.
       objective_ms: Time left until the latency objective of the call, in
         milliseconds; 0 if it has none.
+      report_zone: Zone of an entry that takes service times, limits and loads
+        of other VMs with the reply; empty for other entries.
     """
 
     attempt: str = attrs.field(validator=_check_text)
@@ -110,6 +135,9 @@
     body: bytes = attrs.field(validator=_check_bytes)
     rank: int = attrs.field(default=0, validator=_check_count)
     objective_ms: int = attrs.field(default=0, validator=_check_count)
+    report_zone: str = attrs.field(
+        default='', validator=_check_text, metadata=messages.APPENDED_METADATA
+    )
 
 
 @messages.register(81)
@@ -125,6 +153,8 @@
       kind_service_s: Mean time of a call of the same route there, in seconds;
         0 if it is unknown.
       limit: Concurrency limit there; 0 if it is unknown.
+      reports: Recent loads of other VMs of the zone; see
+        `jayseam.routing.digests`.
     """
 
     status: int = attrs.field(validator=_check_count)
@@ -134,8 +164,19 @@
     service_s: float = attrs.field(validator=_check_number)
     fair_load: float = attrs.field(validator=_check_number)
     idle_load: float = attrs.field(validator=_check_number)
-    kind_service_s: float = attrs.field(default=0.0, validator=_check_number)
-    limit: int = attrs.field(default=0, validator=_check_count)
+    kind_service_s: float = attrs.field(
+        default=0.0,
+        validator=_check_number,
+        metadata=messages.APPENDED_METADATA,
+    )
+    limit: int = attrs.field(
+        default=0, validator=_check_count, metadata=messages.APPENDED_METADATA
+    )
+    reports: Sequence = attrs.field(
+        default=(),
+        validator=check_reports,
+        metadata=messages.APPENDED_METADATA,
+    )
 
 
 @messages.register(82)
@@ -153,6 +194,8 @@
       kind_service_s: Mean time of a call of the same route there, in seconds;
         0 if it is unknown.
       limit: Concurrency limit there; 0 if it is unknown.
+      reports: Recent loads of other VMs of the zone; see
+        `jayseam.routing.digests`.
     """
 
     code: str = attrs.field(validator=_check_text)
@@ -164,8 +207,19 @@
     idle_load: float = attrs.field(validator=_check_number)
     admitted: bool = attrs.field(default=True, validator=_check_flag)
     retry_after_ms: int = attrs.field(default=0, validator=_check_count)
-    kind_service_s: float = attrs.field(default=0.0, validator=_check_number)
-    limit: int = attrs.field(default=0, validator=_check_count)
+    kind_service_s: float = attrs.field(
+        default=0.0,
+        validator=_check_number,
+        metadata=messages.APPENDED_METADATA,
+    )
+    limit: int = attrs.field(
+        default=0, validator=_check_count, metadata=messages.APPENDED_METADATA
+    )
+    reports: Sequence = attrs.field(
+        default=(),
+        validator=check_reports,
+        metadata=messages.APPENDED_METADATA,
+    )
 
 
 @messages.register(83)
--- a/jayseam/calls/tests/test_choosers.py
+++ b/jayseam/calls/tests/test_choosers.py
@@ -140,3 +140,28 @@
     assert chooser._speeds.estimate_limit('vm-1', 4, 10.0) == 4
     chooser.record_reset('vm-1', 10.0)
     assert chooser._speeds.estimate_limit('vm-1', 4, 10.0) == 3
+
+
+def test_digest_reaches_the_load_table():
+    """Spare capacity must be known before a call is sent."""
+    first = choosers.Chooser('a', 'expected_time', lambda: 0.0)
+    second = choosers.Chooser('a', 'expected_time', lambda: 0.0)
+    for chooser in (first, second):
+        _choose_by_time(chooser)
+    _report(first, 'vm-1', 0.1, load=2.0)
+    _report(first, 'vm-2', 0.1, load=2.0)
+    items = first.collect_reports(10.5)
+    # VMs of other zones are left out.
+    assert items == [['vm-1', 4, 8, 500]]
+    second.merge_reports(items, 10.5)
+    assert second.loads.estimate('vm-1', 4, 10.5) == 2.0
+
+
+def test_other_strategies_send_no_digests():
+    """Deployments with other strategies must not pay for the bytes."""
+    chooser = choosers.Chooser('a', 'two_choices', lambda: 0.0)
+    _choose_by_time(chooser)
+    _report(chooser, 'vm-1', 0.1)
+    assert not chooser.report_zone and not chooser.collect_reports(10.1)
+    chooser.merge_reports([['vm-1', 4, 8, 0]], 10.1)
+    assert chooser.loads.estimate('vm-1', 4, 10.1) == 0.2
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -32,6 +32,8 @@
 class _Chooser:
     """Offers VMs in a fixed order and records which ones refused a call."""
 
+    report_zone = 'a'
+
     def __init__(self, vms):
         self._vms = vms
         self._draw_count = 0
@@ -80,6 +82,9 @@
         del vm, workspace, report, now
         self.kinds.append(kind)
 
+    def merge_reports(self, items, now):
+        """Ignores loads of other VMs."""
+
     def record_reset(self, vm, now):
         """Records a VM whose backend server broke the connection."""
         del now
--- a/jayseam/calls/tests/test_ingress.py
+++ b/jayseam/calls/tests/test_ingress.py
@@ -203,7 +203,9 @@
     )
     replies = {
         route: harness.ingress.handle_forward(
-            attrs.evolve(_forward(), route=route, attempt=route)
+            attrs.evolve(
+                _forward(), route=route, attempt=route, report_zone='b'
+            )
         )
         for route in durations
     }
@@ -212,7 +214,7 @@
         assert replies[route].limit == 1
     assert replies['view'].kind_service_s < replies['report'].kind_service_s
     refused = harness.ingress.handle_forward(
-        attrs.evolve(_forward('credits'), route='report')
+        attrs.evolve(_forward('credits'), route='report', report_zone='b')
     )
     assert isinstance(refused, messages.Refused) and refused.limit == 1
     assert refused.kind_service_s == replies['report'].kind_service_s
@@ -229,6 +231,27 @@
 
     harness.run = run
     reply = harness.ingress.handle_forward(
-        attrs.evolve(_forward(), timeout_ms=50)
+        attrs.evolve(_forward(), timeout_ms=50, report_zone='a')
     )
     assert reply.ran == 'unknown' and reply.kind_service_s >= 0.04
+
+
+def test_times_that_span_a_pause_are_ignored():
+    """A pause of the process must not make its backend server seem slow."""
+    harness = _Harness()
+    harness.run = lambda request, deadline: (
+        harness.ingress.ignore_earlier_calls(clocks.read_now() + 0.001)
+        or backends.messages.BackendAnswer(200)
+    )
+    forward = attrs.evolve(_forward(), report_zone='b')
+    assert harness.ingress.handle_forward(forward).kind_service_s == 0.0
+
+
+def test_loads_of_other_vms_stay_within_the_zone():
+    """Bytes between zones are expensive, and other zones rarely need them."""
+    harness = _Harness()
+    digest = [['vm-2', 6, 3, 250]]
+    harness.ingress.set_report_source(lambda now: digest)
+    for zone, reports in (('a', digest), ('b', ()), ('', ())):
+        forward = attrs.evolve(_forward(), report_zone=zone)
+        assert harness.ingress.handle_forward(forward).reports == reports
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -197,6 +197,7 @@
             zone_price=settings.selection.zone_price,
             list_unresponsive=self._links.list_unresponsive,
         )
+        self._ingress.set_report_source(self._chooser.collect_reports)
         coordinator = calls.claims.ClaimCoordinator(
             settings.vm,
             self._store,
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -91,6 +91,7 @@
     def notice_pause(self, now: float, paused_s: float) -> None:
         """Discards measurements that span a pause of this process."""
         self._health.ignore_earlier_latencies(now)
+        self.ingress.ignore_earlier_calls(now)
         self._client.check_after_pause(now, paused_s)
 
     def apply_preset(self, preset: Any) -> None:
--- a/jayseam/routing/__init__.py
+++ b/jayseam/routing/__init__.py
@@ -4,6 +4,7 @@
   ``docs/design.md``, section 5.2.
 """
 
+from jayseam.routing import digests
 from jayseam.routing import eligibility
 from jayseam.routing import errors
 from jayseam.routing import expectations
@@ -15,6 +16,7 @@
 from jayseam.routing import zones
 
 __all__ = [
+    'digests',
     'eligibility',
     'errors',
     'expectations',
--- a/jayseam/routing/loads.py
+++ b/jayseam/routing/loads.py
@@ -130,6 +130,34 @@
                 if load.in_flight or now <= load.reported_at + REPORT_FRESH_S
             }
 
+    def merge_report(
+        self, vm: str, load: float, limit: int, reported_at: float
+    ) -> bool:
+        """Stores a load that another node has had from a VM.
+
+        Args:
+          vm: Name of the VM.
+          load: Calls in flight and queued, over the limit.
+          limit: Concurrency limit.
+          reported_at: Time of the load in seconds.
+
+        Returns:
+          Whether the load is newer than the one known.
+        """
+        member = self._members.setdefault(vm, MemberLoad())
+        if reported_at <= member.reported_at:
+            return False
+        known = member.report or ReportedLoad(load, load, load)
+        member.report = attrs.evolve(
+            known, load=load, fair_load=load, idle_load=load, limit=limit
+        )
+        member.reported_at = reported_at
+        # Calls sent since the last reply may not be in the new load.
+        member.in_flight_at_report = min(
+            member.in_flight, member.in_flight_at_report
+        )
+        return True
+
     def remove_vm(self, vm: str) -> None:
         """Removes the load of a VM that has left."""
         self._members.pop(vm, None)
