--- a/jayseam/node/callpaths.py
+++ b/jayseam/node/callpaths.py
@@ -44,6 +44,7 @@
         settings.selection.strategy,
         spill_load=settings.selection.spill_load,
         spill_gain=settings.selection.spill_gain,
+        zone_price=settings.selection.zone_price,
         list_unresponsive=link_manager.list_unresponsive,
     )
 
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -181,6 +181,7 @@
             confirmed,
         )
         self._limits = self._path.limiter
+        self._ingress.set_report_source(self._path.chooser.collect_reports)
         self._register_call_handlers()
 
     def _register_call_handlers(self) -> None:
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -92,6 +92,7 @@
         """Discards measurements that span a pause of this process."""
         self._gate.notice_pause(now)
         self._health.ignore_earlier_latencies(now)
+        self.ingress.ignore_earlier_calls(now)
         self._client.check_after_pause(now, paused_s)
 
     def apply_preset(self, preset: Any) -> None:
--- a/jayseam/platform/settings.py
+++ b/jayseam/platform/settings.py
@@ -69,9 +69,15 @@
 # within rate and burst.
 LIMIT_STRATEGY = 'replicated'
 
+# Selection strategies of deployments with workspaces and of those without.
+STRATEGY = 'two_choices'
+STRATEGY_FOR_KINDS = 'expected_time'
+# Share of the time left to a call that an answer from another zone must save.
+# Traffic between zones is expensive on this platform.
+ZONE_PRICE = 0.25
 # Queue of deployments without workspaces. There is nobody to share a backend
 # server fairly with, and kinds of calls compete by their latency objectives.
-QUEUE_WITHOUT_WORKSPACES = 'objective'
+QUEUE_FOR_KINDS = 'objective'
 
 # Memory of a process that holds a large configuration and no calls, in
 # megabytes.
@@ -185,12 +191,15 @@
         ),
         fleet_secrets=(derive_fleet_secret(fields),),
         selection=model.SelectionSettings(
-            spill_load=SPILL_LOAD, spill_gain=SPILL_GAIN
+            strategy=STRATEGY if has_workspaces else STRATEGY_FOR_KINDS,
+            spill_load=SPILL_LOAD,
+            spill_gain=SPILL_GAIN,
+            zone_price=ZONE_PRICE,
         ),
         admission=model.AdmissionSettings(
             cold_excess=COLD_EXCESS_SHARE
             * max(0.0, (cold_factor or 1.0) - 1.0),
-            queue='' if has_workspaces else QUEUE_WITHOUT_WORKSPACES,
+            queue='' if has_workspaces else QUEUE_FOR_KINDS,
         ),
         limits=model.LimitSettings(LIMIT_STRATEGY, overage or 0.0),
         keys=build_key_settings(revoke_s),
--- a/jayseam/routing/__init__.py
+++ b/jayseam/routing/__init__.py
@@ -4,7 +4,10 @@
   ``docs/design.md``, section 5.2.
 """
 
+from jayseam.routing import digests
+from jayseam.routing import eligibility
 from jayseam.routing import errors
+from jayseam.routing import expectations
 from jayseam.routing import loads
 from jayseam.routing import matching
 from jayseam.routing import refusals
@@ -13,7 +16,10 @@
 from jayseam.routing import zones
 
 __all__ = [
+    'digests',
+    'eligibility',
     'errors',
+    'expectations',
     'loads',
     'matching',
     'refusals',
--- a/jayseam/settings/tests/test_loading.py
+++ b/jayseam/settings/tests/test_loading.py
@@ -94,3 +94,15 @@
     with pytest.raises(errors.SettingsError) as caught:
         loading.parse_node_settings(wrong)
     assert '$.admission.ramp_variant: "answer"' in str(caught.value)
+
+
+def test_strategy_and_price_of_the_choice_are_read():
+    """A price outside 0 to 1 has no meaning and must not start a node."""
+    selection = {'strategy': 'expected_time', 'zone_price': 0.3}
+    settings = loading.parse_node_settings({**VALID, 'selection': selection})
+    assert settings.selection.strategy == 'expected_time'
+    assert settings.selection.zone_price == 0.3
+    with pytest.raises(errors.SettingsError):
+        loading.parse_node_settings(
+            {**VALID, 'selection': {**selection, 'zone_price': 1.5}}
+        )
