Give heads in progress a share of the byte budget

Heads of requests that are still being read counted nowhere, so 60 connections could hold 290 MB of header fields. The budget gets a use for them with a share of an eighth; beyond it the greatest head ends in favour of a smaller one, so a crowd of large heads doesn't have ordinary ones refused. Two new unit tests of the share pass; nothing uses it until the next commits.

--- a/jayseam/core/memory.py
+++ b/jayseam/core/memory.py
@@ -15,10 +15,15 @@
 # Part of the budget that bodies of requests may take, so that callers that
 # send slowly leave room for answers.
 REQUEST_SHARE = 0.5
-# Uses of the budget: answers that are read, and answers that are written.
+# Part of the budget that heads of requests in progress may take, so that
+# callers that don't finish their heads leave room for bodies and answers.
+HEAD_SHARE = 0.125
+# Uses of the budget: answers that are read, answers that are written, bodies
+# of requests, and heads of requests that aren't complete.
 READING = 'reading'
 WRITING = 'writing'
 REQUEST = 'request'
+HEAD = 'head'
 
 ENDED = prometheus_client.Counter(
     'jayseam_messages_ended_for_memory',
@@ -32,11 +37,11 @@
 
 @attrs.define(eq=False)
 class Holding:
-    """Bytes that an answer in progress holds.
+    """Bytes that an answer or head in progress holds.
 
     Attributes:
-      use: ``READING`` or ``WRITING``.
-      end: Ends the answer at once; must not block.
+      use: ``READING``, ``WRITING`` or ``HEAD``.
+      end: Ends the answer or head at once; must not block.
       n_bytes: Bytes held.
     """
 
@@ -49,7 +54,8 @@
     """Grants bytes to messages and ends answers when too many are held.
 
     An answer whose caller doesn't read it is ended first, the oldest before
-    the others; then the greatest answer that is being read.
+    the others; then the greatest answer that is being read. Heads have a share
+    of their own: beyond it the greatest head is ended in favour of a smaller.
 
     >>> budget = ByteBudget(100)
     >>> small, great = Holding(READING, print), Holding(READING, print)
@@ -68,8 +74,10 @@
     def __init__(self, size_bytes: int = DEFAULT_BUDGET_BYTES):
         self._size_bytes = size_bytes
         self._max_request_bytes = int(size_bytes * REQUEST_SHARE)
+        self._max_head_bytes = int(size_bytes * HEAD_SHARE)
         self._request_bytes = 0
         self._answer_bytes = 0
+        self._head_bytes = 0
         # In the order in which they began; a dict keeps it.
         self._holdings: dict[Holding, None] = {}
 
@@ -98,13 +106,16 @@
         self._request_bytes -= n_bytes
 
     def extend(self, holding: Holding, n_bytes: int) -> bool:
-        """Takes more bytes for an answer; may end other answers.
+        """Takes more bytes for an answer or head; may end others.
 
         Returns:
-          Whether they were granted. If not, the answer itself must end. In
-          both cases `release` gives back all bytes of the answer.
+          Whether they were granted. If not, the answer or head itself must end.
+          In both cases `release` gives back all its bytes.
         """
-        while self.held_bytes + n_bytes > self._size_bytes:
+        while (
+            self.held_bytes + n_bytes > self._size_bytes
+            or self._is_beyond_share(holding, n_bytes)
+        ):
             victim = self._choose_victim(holding, n_bytes)
             if victim is None:
                 self._record_end(holding)
@@ -114,21 +125,38 @@
             victim.end()
         holding.n_bytes += n_bytes
         self._answer_bytes += n_bytes
+        if holding.use == HEAD:
+            self._head_bytes += n_bytes
         self._holdings[holding] = None
         return True
 
     def release(self, holding: Holding) -> None:
-        """Gives back all bytes of an answer."""
+        """Gives back all bytes of an answer or head."""
         if holding in self._holdings:
             del self._holdings[holding]
             self._answer_bytes -= holding.n_bytes
+            if holding.use == HEAD:
+                self._head_bytes -= holding.n_bytes
             holding.n_bytes = 0
 
+    def _is_beyond_share(self, holding: Holding, n_bytes: int) -> bool:
+        """Returns whether more bytes of a head exceed the share of heads."""
+        return (
+            holding.use == HEAD
+            and self._head_bytes + n_bytes > self._max_head_bytes
+        )
+
     def _choose_victim(self, holding: Holding, n_bytes: int) -> Holding | None:
-        """Returns the answer to end in favour of another, or None."""
+        """Returns what to end in favour of another answer or head, or None."""
         if holding.n_bytes + n_bytes > self._size_bytes:
             return None
         others = [other for other in self._holdings if other is not holding]
+        if self._is_beyond_share(holding, n_bytes):
+            heads = [other for other in others if other.use == HEAD]
+            head = max(heads, key=lambda other: other.n_bytes, default=None)
+            if head is None or head.n_bytes <= holding.n_bytes + n_bytes:
+                return None
+            return head
         for other in others:
             if other.use == WRITING:
                 return other
@@ -142,6 +170,10 @@
 
     def _record_end(self, holding: Holding) -> None:
         ENDED.labels(holding.use).inc()
+        if holding.use == HEAD:
+            # A crowd of callers must not flood the log; the reader of the head
+            # reports its end.
+            return
         _log.warning(
             'memory.answer_ended',
             extra={
--- a/jayseam/core/tests/test_memory.py
+++ b/jayseam/core/tests/test_memory.py
@@ -104,3 +104,30 @@
             budget.return_request(taken.pop())
         held = sum(holding.n_bytes for holding in holdings) + sum(taken)
         assert budget.held_bytes == held <= SIZE_BYTES
+
+
+def test_greatest_head_ends_for_a_smaller_one():
+    """Callers that never finish a head must not have small ones refused."""
+    budget, ended = memory.ByteBudget(8000), []
+    great = memory.Holding(memory.HEAD, lambda: ended.append('great'))
+    small = memory.Holding(memory.HEAD, lambda: ended.append('small'))
+    assert budget.extend(great, 600)
+    assert budget.extend(small, 300)
+    assert not budget.extend(great, 200)
+    assert not ended
+    assert budget.extend(small, 200)
+    assert ended == ['great'] and budget.held_bytes == 500
+    budget.release(small)
+    budget.release(great)
+    assert budget.held_bytes == 0
+
+
+def test_heads_leave_the_share_of_bodies():
+    """Heads in progress must not have the bodies of requests refused."""
+    budget = memory.ByteBudget(8000)
+    head = memory.Holding(memory.HEAD, lambda: None)
+    assert budget.extend(head, 1000)
+    assert not budget.extend(head, 1)
+    assert budget.take_request(4000)
+    answer = memory.Holding(memory.READING, lambda: None)
+    assert budget.extend(answer, 3000)
