Divide the descriptors of a process among its connections

A crowd of 300 idle connections took all of 256 descriptors of a test node, whichever listener it called, so links, backend server and store had none left. core/descriptors.py derives the limits from RLIMIT_NOFILE: a quarter, at most 1,024, is reserved. Links before their handshake now get a quarter of the reserve, 256 at most as before, so that they also fit a process with few descriptors. The tests of links pass; a limit of 4,096 descriptors or more changes nothing for links.

--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -9,6 +9,7 @@
 from gevent import socket
 
 from jayseam.core import clocks
+from jayseam.core import descriptors
 from jayseam.core import logs
 from jayseam.core import loops
 from jayseam.core import sockets
@@ -95,6 +96,9 @@
         self._dials: dict[str, event.AsyncResult] = {}
         self._dialled_addresses: dict[Address, connections.Link] = {}
         self._unauthenticated: dict[socket.socket, None] = {}
+        self._max_unauthenticated = descriptors.compute_limits(
+            descriptors.read_descriptor_limit()
+        ).unauthenticated
         self._group = connections.LinkGroup()
         self._ticked_at = clocks.read_now()
         # Silent links beside which an alternative link has been dialled.
@@ -322,7 +326,8 @@
         return link
 
     def _accept(self, sock: socket.socket, _: Any) -> None:
-        if len(self._unauthenticated) >= MAX_UNAUTHENTICATED:
+        limit = min(MAX_UNAUTHENTICATED, self._max_unauthenticated)
+        if len(self._unauthenticated) >= limit:
             # Closes the oldest connection: a genuine peer completes the
             # handshake within a few round trips, while an unauthenticated
             # peer that sends nothing stays until the deadline.
