Bound heads of requests and connections of each listener

60 connections with 95 unfinished fields of 60,000 bytes each grew a node by 261 to 290 MB, and by 299 MB at the admin address; 300 idle connections at either took all 256 descriptors of the process.

A head ends at memory.head_bytes (65,536) with 431, and all heads that are being read take memory from the byte budget. A complete head over 4 KiB counts as a part of the request's body until the request is answered. Servers hold a limited number of connections: that for callers refuses its longest-idle ones as not run and otherwise pauses accepting, those for operators end their oldest. jayseam_connections_refused_total counts by listener and reason; the log line comes at most every 10 s for a reason.

Heads of 24 kB, the largest within the limits, are served as before.

--- a/jayseam/node/admin.py
+++ b/jayseam/node/admin.py
@@ -1,5 +1,6 @@
 """The HTTP listener for operators: status, explanations and metrics."""
 
+import contextlib
 import json
 import socket
 import urllib.parse
@@ -10,16 +11,39 @@
 from gevent import pywsgi
 
 from jayseam.calls import errors
+from jayseam.core import clocks
+from jayseam.core import memory
 from jayseam.core import sockets
 from jayseam.node import bodies
+from jayseam.node import connectionlimits
+from jayseam.node import fields
+from jayseam.node import heads
+from jayseam.node import refusals
 from jayseam.node import status as status_documents
 
 _JSON = 'application/json'
+# Time without input or output after which a connection ends, in seconds.
+_IDLE_TIMEOUT_S = 75.0
 
 
 class AdminHandler(pywsgi.WSGIHandler):
     """Reads no body: a connection that sends one ends with the answer."""
 
+    def MessageClass(self, *args):  # pylint: disable=invalid-name
+        """Parses the header fields within the bounds of heads."""
+        with self.server.head_bounds.open(args[0], self._close_input) as head:
+            head.count(len(self.requestline))
+            return fields.read_fields(head)
+
+    def _close_input(self) -> None:
+        """Ends the input, so that reading the head fails."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RD)
+
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        """Returns a problem document for a malformed request."""
+        return heads.render_refusal(ex)
+
     def get_environ(self) -> dict[str, Any]:
         """Ends the input if the request has a body."""
         environ = super().get_environ()
@@ -30,19 +54,42 @@
         return environ
 
 
-class AdminServer(pywsgi.WSGIServer):
-    """Serves the admin application, with TCP_NODELAY on its connections."""
+class AdminServer(connectionlimits.LimitedServer):
+    """Serves operators and the platform, with few connections.
+
+    At the limit the oldest connection is closed. A connection without input or
+    output for `_IDLE_TIMEOUT_S` ends.
+    """
 
     handler_class = AdminHandler
 
-    @classmethod
-    def get_listener(cls, address, backlog=None, family=None) -> socket.socket:
-        """Returns the listening socket."""
-        return sockets.open_listener(address, backlog, family)
+    def __init__(
+        self,
+        *args: Any,
+        budget: memory.ByteBudget | None = None,
+        max_head_bytes: int = heads.DEFAULT_MAX_BYTES,
+        listener_name: str = 'admin',
+        **options: Any,
+    ):
+        super().__init__(*args, listener_name=listener_name, **options)
+        self.head_bounds = heads.HeadBounds(
+            memory.ByteBudget() if budget is None else budget,
+            max_head_bytes,
+            self.refusal_log,
+        )
+
+    def make_room(self) -> None:
+        """Ends the oldest connection: requests of operators take a moment."""
+        oldest = self.get_oldest_connection()
+        if oldest is None:
+            return
+        self.refusal_log.record(refusals.OLDEST_CLOSED, clocks.read_now())
+        sockets.shut_down(oldest)
 
     def handle(self, sock, address) -> None:
         """Serves one accepted connection."""
         sockets.set_nodelay(sock)
+        sock.settimeout(_IDLE_TIMEOUT_S)
         super().handle(sock, address)
 
 
--- a/jayseam/node/bodies.py
+++ b/jayseam/node/bodies.py
@@ -153,6 +153,7 @@
     stream = environ['wsgi.input']
     if is_chunked or length > UNCOUNTED_BYTES:
         stream.rfile = BoundedInput(stream.rfile, environ[HANDLER_KEY])
+    environ[HANDLER_KEY].hold_head()
     if length > MAX_BODY_BYTES:
         raise errors.BodyTooLargeError(f'bodies end at {MAX_BODY_BYTES} bytes')
     body = b''
--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -4,7 +4,6 @@
 import errno
 import io
 import logging
-import select
 import socket
 from typing import Any
 
@@ -12,7 +11,6 @@
 from gevent import pywsgi
 
 from jayseam.calls import errors
-from jayseam.calls import problems
 from jayseam.core import clocks
 from jayseam.core import hangups
 from jayseam.core import loops
@@ -20,9 +18,12 @@
 from jayseam.core import sockets
 from jayseam.core import tickers
 from jayseam.node import bodies
+from jayseam.node import connectionlimits
 from jayseam.node import disconnects
 from jayseam.node import fields
+from jayseam.node import heads
 from jayseam.node import pipelines
+from jayseam.node import refusals
 
 _READ_TIMEOUT_S = bodies.READ_TIMEOUT_S
 _IDLE_TIMEOUT_S = 75.0
@@ -36,6 +37,12 @@
 # connection, and most blocks that are read from them meanwhile.
 _LINGER_S = 1.0
 _MAX_LINGER_BLOCKS = 16
+# Part of the allowed connections that is freed at once when all are in use,
+# and the time in which their callers may close them.
+_FREED_SHARE = 1 / 32
+_CLOSE_GRACE_S = 0.5
+# Status of gevent's answer to a request line that is too long.
+_LINE_TOO_LONG = '414'
 
 logging.getLogger('gevent.pywsgi').setLevel(logging.CRITICAL)
 
@@ -47,9 +54,12 @@
     Requests that arrive meanwhile have handlers of their own, see `pipelines`.
     """
 
-    _refused = False
+    # Whether the connection was refused while it was idle.
+    is_refused = False
     # Bytes of the budget that the body of the current request holds.
     _body_bytes = 0
+    # Size of the head of the current request.
+    _head_bytes = 0
     # Whether the caller has asked to close the connection.
     _caller_closes = False
     _exchange: pipelines.Exchange | None = None
@@ -192,6 +202,15 @@
             )
         self._body_bytes += n_bytes
 
+    def hold_head(self) -> None:
+        """Takes memory for a large head, until its request is answered.
+
+        Raises:
+          NotRunError: If bodies of other requests take too much.
+        """
+        if self._head_bytes > heads.UNCOUNTED_BYTES:
+            self.hold_body(self._head_bytes)
+
     def return_body(self, n_bytes: int) -> None:
         """Gives back memory that `hold_body` took."""
         self.server.budget.return_request(n_bytes)
@@ -224,21 +243,32 @@
 
     def MessageClass(self, *args):  # pylint: disable=invalid-name
         """Parses the header fields and refuses ambiguous framing."""
-        headers = fields.read_fields(args[0])
-        bodies.check_framing(headers.items())
+        with self.server.head_bounds.open(args[0], self.close_input) as head:
+            head.count(len(self.requestline))
+            headers = fields.read_fields(head)
+            self._head_bytes = head.n_bytes
+            bodies.check_framing(headers.items())
         return headers
 
+    def handle_one_request(self) -> Any:
+        """Reads and begins a request; counts one whose line is too long."""
+        result = super().handle_one_request()
+        if isinstance(result, tuple) and result[0] == _LINE_TOO_LONG:
+            now = clocks.read_now()
+            self.server.refusal_log.record(refusals.REQUEST_LINE, now)
+        return result
+
     def read_requestline(self) -> str:
         """Reads the request line; returns '' at the end of the connection."""
         if self._exchange is not None and self._exchange.is_follower:
             # The connection isn't idle.
             return super().read_requestline()
-        self.server.idle_handlers.add(self)
+        self.server.idle_handlers[self] = None
         try:
             line = super().read_requestline()
         finally:
-            self.server.idle_handlers.discard(self)
-        if self._refused:
+            self.server.idle_handlers.pop(self, None)
+        if self.is_refused:
             # Closing a socket with unread bytes resets the connection, and the
             # caller could lose the refusal.
             while line:
@@ -261,12 +291,13 @@
         References:
           RFC 9112, section 9.2, on answers without a request.
         """
-        self._refused = True
-        error = errors.NotRunError('this node is shutting down', 1.0)
+        self.is_refused = True
+        error = errors.NotRunError('the connection is being closed', 1.0)
         _, answer = self._handle_client_error(error)
+        sock = self.socket
         with contextlib.suppress(OSError):
-            self.socket.sendall(answer)
-            self.socket.shutdown(socket.SHUT_WR)
+            sock.sendall(answer)
+            sock.shutdown(socket.SHUT_WR)
 
     def read_request(self, raw_requestline: str) -> bool:
         """Reads the header fields within about `_READ_TIMEOUT_S`."""
@@ -294,26 +325,13 @@
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         """Returns a problem document for a malformed request."""
-        error = errors.BadRequestError('the request is malformed')
-        if isinstance(ex, errors.CallError):
-            error = ex
-        answer = problems.render_problem(error, '')
-        head = ''.join(f'{name}: {value}\r\n' for name, value in answer.headers)
-        reason = f'{answer.status} Refused'
-        return (
-            reason,
-            (
-                f'HTTP/1.1 {reason}\r\n{head}Connection: close\r\n'
-                f'Content-Length: {len(answer.body)}\r\n\r\n'
-            ).encode()
-            + answer.body,
-        )
+        return heads.render_refusal(ex)
 
     def log_request(self) -> None:
         """Writes no access log; the metrics count requests."""
 
 
-class CallerServer(pywsgi.WSGIServer):
+class CallerServer(connectionlimits.LimitedServer):
     """A WSGI server whose connections have TCP_NODELAY and time limits."""
 
     handler_class = CallerHandler
@@ -322,18 +340,42 @@
         self,
         *args: Any,
         budget: memory.ByteBudget | None = None,
+        max_head_bytes: int = heads.DEFAULT_MAX_BYTES,
         **options: Any,
     ):
-        super().__init__(*args, **options)
+        super().__init__(*args, listener_name='callers', **options)
         self.budget = memory.ByteBudget() if budget is None else budget
+        self.head_bounds = heads.HeadBounds(
+            self.budget, max_head_bytes, self.refusal_log
+        )
         self.open_connections: set[Any] = set()
-        self.idle_handlers: set[CallerHandler] = set()
+        # In the order in which they became idle; a dict keeps it.
+        self.idle_handlers: dict[CallerHandler, None] = {}
         self.header_read_starts: dict[CallerHandler, float] = {}
 
-    @classmethod
-    def get_listener(cls, address, backlog=None, family=None) -> socket.socket:
-        """Returns the listening socket."""
-        return sockets.open_listener(address, backlog, family)
+    def make_room(self) -> None:
+        """Closes the connections that have been idle for longest.
+
+        A request that arrives at that moment is refused as not run.
+        """
+        n_freed = max(1, int(self.max_connections * _FREED_SHARE))
+        for handler in list(self.idle_handlers):
+            if n_freed == 0:
+                break
+            if handler.is_refused or handler.has_input():
+                continue
+            n_freed -= 1
+            self.refusal_log.record(refusals.IDLE_CLOSED, clocks.read_now())
+            handler.is_refused = True
+            # The event loop, which accepts connections, must not wait.
+            gevent.spawn(self._close_idle, handler, handler.socket)
+
+    def _close_idle(self, handler: CallerHandler, sock: Any) -> None:
+        """Refuses the next request of an idle connection and ends it."""
+        handler.refuse_next_request()
+        gevent.sleep(_CLOSE_GRACE_S)
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RD)
 
     def start(self) -> None:
         """Listens, and aborts requests whose header fields come too slowly."""
@@ -361,11 +403,12 @@
           timeout_s: Longest wait for callers to disconnect, in seconds.
         """
         sockets.drop_new_connections(self.socket)
+        self.remove_limit()
         # Without the filter, callers that connect at once after a refusal
         # could fill the backlog as fast as it is emptied; and a connection
         # stays in it while accepting fails.
         for _ in range(_MAX_BACKLOG_READS):
-            if not self._has_backlog():
+            if not self.has_backlog():
                 break
             self._do_read()
         self.stop()
@@ -377,9 +420,6 @@
             while self.open_connections:
                 gevent.sleep(_CLOSE_POLL_S)
 
-    def _has_backlog(self) -> bool:
-        return bool(select.select([self.socket.fileno()], [], [], 0)[0])
-
     def _abort_slow_requests(self) -> None:
         """Ends the input of slow requests, which then fail as malformed.
 
@@ -388,6 +428,8 @@
         """
         while self.started or self.open_connections:
             tickers.sleep_until_tick(_HEADER_SWEEP_INTERVAL_S)
+            if self.is_paused:
+                self.make_room()
             oldest_start = clocks.read_now() - _READ_TIMEOUT_S
             for handler, started_at in list(self.header_read_starts.items()):
                 if started_at < oldest_start + _HEADER_SWEEP_INTERVAL_S:
--- a/jayseam/node/listeners.py
+++ b/jayseam/node/listeners.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from jayseam.core import descriptors
 from jayseam.core import memory
 from jayseam.node import admin
 from jayseam.node import callers
@@ -58,6 +59,15 @@
       readiness_application: Answers the platform.
       budget: Bytes of all messages in progress; by default one of its own.
     """
+    limits = descriptors.compute_limits(
+        descriptors.read_descriptor_limit(),
+        settings.connections.max_callers,
+        settings.connections.reserved,
+    )
+    bounds = {
+        'budget': memory.ByteBudget() if budget is None else budget,
+        'max_head_bytes': settings.memory.head_bytes,
+    }
     readiness_server = None
     if settings.ready is not None:
         readiness_server = admin.AdminServer(
@@ -65,6 +75,9 @@
             readiness_application,
             log=None,
             environ=_name_server(settings.ready),
+            listener_name='ready',
+            max_connections=limits.operators,
+            **bounds,
         )
     return Listeners(
         callers.CallerServer(
@@ -72,13 +85,16 @@
             caller_application,
             log=None,
             environ=_name_server(settings.caller),
-            budget=budget,
+            max_connections=limits.callers,
+            **bounds,
         ),
         admin.AdminServer(
             settings.admin.as_tuple(),
             admin_application,
             log=None,
             environ=_name_server(settings.admin),
+            max_connections=limits.operators,
+            **bounds,
         ),
         readiness_server,
     )
--- a/jayseam/node/tests/test_application.py
+++ b/jayseam/node/tests/test_application.py
@@ -111,7 +111,10 @@
 
 
 class _Handler:
-    """The connection of a request, which has memory for its body."""
+    """The connection of a request, which has memory for it."""
+
+    def hold_head(self):
+        """Grants the memory."""
 
     def hold_body(self, n_bytes):
         """Grants the memory."""
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -183,11 +183,29 @@
     """Memory of the process.
 
     Attributes:
-      message_bytes: Bytes that the bodies of requests and answers in progress
-        may hold together.
+      message_bytes: Bytes that the heads and bodies of requests and answers in
+        progress may hold together.
+      head_bytes: Bytes of the head of one request: request line and header
+        fields.
     """
 
     message_bytes: int = memory.DEFAULT_BUDGET_BYTES
+    head_bytes: int = 65536
+
+
+@attrs.frozen
+class ConnectionSettings:
+    """Connections that the process holds open.
+
+    Attributes:
+      max_callers: Most connections of callers; by default all descriptors of
+        the process that aren't reserved.
+      reserved: Descriptors for links, the backend server, the store and
+        operators; by default a quarter of all, and at most 1,024.
+    """
+
+    max_callers: int | None = None
+    reserved: int | None = None
 
 
 @attrs.frozen
@@ -223,5 +241,6 @@
     ready: Address | None = None
     idempotency: IdempotencySettings = IdempotencySettings()
     memory: MemorySettings = MemorySettings()
+    connections: ConnectionSettings = ConnectionSettings()
     codec: str = 'cbor'
     log_level: str = 'INFO'
--- a/jayseam/settings/schema.py
+++ b/jayseam/settings/schema.py
@@ -133,7 +133,21 @@
         'ready': _build_object(_ADDRESS, ('host', 'port')),
         'idempotency': _build_object({'window_s': _POSITIVE_S}),
         'memory': _build_object(
-            {'message_bytes': {'type': 'integer', 'minimum': 4_000_000}}
+            {
+                'message_bytes': {'type': 'integer', 'minimum': 4_000_000},
+                # A head within the limits of callers has up to 24 kB.
+                'head_bytes': {
+                    'type': 'integer',
+                    'minimum': 32_768,
+                    'maximum': 262_144,
+                },
+            }
+        ),
+        'connections': _build_object(
+            {
+                'max_callers': {'type': 'integer', 'minimum': 1},
+                'reserved': {'type': 'integer', 'minimum': 32},
+            }
         ),
         'codec': {'enum': ['cbor', 'cbor-zstd', 'json']},
         'log_level': {'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR']},
