--- a/jayseam/admission/objectives.py
+++ b/jayseam/admission/objectives.py
@@ -20,8 +20,11 @@
 from jayseam.admission import errors
 from jayseam.admission import queues
 
-# A waiting kind gets at least one start in this many.
+# A waiting kind gets at least one start in this many of equal service time.
 FLOOR_ROUND = 8
+_ROUNDING = 1e-6
+# Service time in seconds for the floor until a call has been measured.
+DEFAULT_SERVICE_S = 1.0
 # Mean service times that must be left until the objective at the start. Service
 # times vary: with one, a third of the calls started last would be late.
 OBJECTIVE_MARGIN = 1.5
@@ -66,8 +69,8 @@
         sequence number and entry, in ascending order.
       late: Entries that can only meet their deadline, as tuples of deadline,
         sequence number and entry, in ascending order.
-      passed_over: Starts of other kinds since the last start of this one,
-        counted while entries wait.
+      passed_over_s: Service time in seconds of the calls of other kinds that
+        started since the last start of this one, while entries waited.
       service_s: Expected service time of the newest entry, in seconds.
       share: Moving average of the share of calls that start.
       idle_starts: Starts of all kinds since the last call of this kind started
@@ -78,7 +81,7 @@
     is_short: bool
     in_time: list = attrs.field(factory=list)
     late: list = attrs.field(factory=list)
-    passed_over: int = 0
+    passed_over_s: float = 0.0
     service_s: float = 0.0
     share: float = 1.0
     idle_starts: int = 0
@@ -91,6 +94,14 @@
     def __len__(self) -> int:
         return len(self.in_time) + len(self.late)
 
+    def count_passed_over(self) -> float:
+        """Returns the starts of other kinds in units of an own start.
+
+        Counted in starts, the floor of a kind of long calls would be most of
+        the capacity where most starts are those of short nested calls.
+        """
+        return self.passed_over_s / (self.service_s or DEFAULT_SERVICE_S)
+
     def get_order(self) -> tuple:
         """Returns the position of the first entry among those of all kinds."""
         if self.in_time:
@@ -273,8 +284,8 @@
             for other in self._kinds.values():
                 other.idle_starts += 1
                 if other.in_time or other.late:
-                    other.passed_over += 1
-            kind.passed_over = 0
+                    other.passed_over_s += entry.service_s or DEFAULT_SERVICE_S
+            kind.passed_over_s = 0.0
             kind.record(True)
             entry.tier = tier.value
             return entry, dropped
@@ -301,8 +312,8 @@
             short = [kind for kind in waiting if kind.is_short]
             if short:
                 return min(short, key=_Kind.get_order), Tier.RESERVED
-        longest = max(waiting, key=lambda kind: kind.passed_over)
-        is_due = longest.passed_over >= FLOOR_ROUND - 1
+        longest = max(waiting, key=_Kind.count_passed_over)
+        is_due = longest.count_passed_over() >= FLOOR_ROUND - 1 - _ROUNDING
         # A floor start of a long call would take the slot of the next call of a
         # more urgent kind that is served less often, also if none waits now.
         if is_due and not _find_behind(self._kinds.values(), longest):
--- a/jayseam/admission/promises.py
+++ b/jayseam/admission/promises.py
@@ -17,8 +17,8 @@
 # Shortest delay in seconds after which a refused caller is told to return.
 MIN_DELAY_S = 0.02
 # Bookings begin after this share of the time for which a caller waits. The wait
-# that makes the gate refuse a call is longer than that, so without it each caller
-# would be told the same.
+# of a refused call is longer than that time, so without the share all callers
+# would be told to return at its end.
 EARLIEST_SHARE = 0.25
 # Less urgent ranks share the bookings of this one.
 MAX_RANK = 7
--- a/jayseam/admission/tests/test_objectives.py
+++ b/jayseam/admission/tests/test_objectives.py
@@ -79,6 +79,15 @@
     assert pop_kinds(queue, now=0.3) == [first, last]
 
 
+def test_floor_is_a_share_of_the_time():
+    """Counted in starts, many nested calls would give long ones the server."""
+    queue = objectives.ObjectiveQueue()
+    for _ in range(60):
+        queue.push(make_entry('nested', 0, 2.0, service_s=0.1))
+    queue.push(make_entry('r', 2, 3.0, service_s=0.4))
+    assert pop_kinds(queue).index('r') == 4 * (objectives.FLOOR_ROUND - 1)
+
+
 def test_floor_is_not_at_the_cost_of_a_kind_that_fares_worse():
     """A floor for long calls would take the slots of urgent short ones."""
     queue = objectives.ObjectiveQueue()
