Report starts, drops and bookings of the order by objective

An operator could not tell why a call was late, dropped or told to return at a given time. Counters give starts by tier, drops by reason and whether the call had waited, and bookings; one log line in 5 s has the same counts and the share of calls of each kind that start. Calls that end their wait by themselves now count as lost for the order too.

The tests of admission pass.

--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -163,8 +163,7 @@
             entry, now + wait_s, self._estimate_shortest_time(entry, now)
         )
         if reason is not None:
-            if self._order is not None:
-                self._order.record_outcome(entry, False)
+            self._record_loss(entry, reason.value, False, now)
             error = waits.build_error(reason, ticket, wait_s)
             self._promise_room(error, entry, now)
             raise error
@@ -173,17 +172,19 @@
         if not self._paused and len(self._queue) == 0:
             if self._can_admit(now):
                 if self._order is not None:
-                    self._order.record_outcome(entry, True)
+                    self._order.record_start(entry)
                 return self._admit(ticket, now)
         waiter = _Waiter(ticket, event.Event())
         entry.payload = waiter
         try:
             displaced = self._queue.push(entry)
         except errors.QueueFullError as error:
+            self._record_loss(entry, 'queue_full', False, now)
             self._promise_room(error, entry, now)
             raise
         if displaced is not None:
             self._refuse(displaced, queues.DropReason.DISPLACED)
+            self._record_loss(displaced, 'displaced', True, now)
             self._promise_room(displaced.payload.error, displaced, now)
         self._idle.clear()
         self._admit_queued(now)
@@ -377,6 +378,7 @@
         if waiter.error is not None:
             raise waiter.error
         self._cancel_wait(entry, waiter)
+        self._record_loss(entry, 'deadline', True, ticket.deadline)
         raise errors.DeadlineError(
             f'call {ticket.request_id} waited until its deadline'
         )
@@ -392,6 +394,12 @@
         waiter.error = waits.build_error(reason, waiter.ticket)
         waiter.decided.set()
 
+    def _record_loss(
+        self, entry: queues.Entry, reason: str, waited: bool, now: float
+    ) -> None:
+        if self._order is not None:
+            self._order.record_loss(entry, reason, waited, now)
+
     def _promise_room(
         self, error: errors.AdmissionError, entry: queues.Entry, now: float
     ) -> None:
--- a/jayseam/admission/objectives.py
+++ b/jayseam/admission/objectives.py
@@ -237,6 +237,13 @@
         self._length += 1
         return displaced
 
+    def list_shares(self) -> dict[str, float]:
+        """Returns the recent share of calls that start, by rank and kind."""
+        return {
+            f'{rank} {name}' + ' short' * is_short: round(kind.share, 2)
+            for (rank, name, is_short), kind in self._kinds.items()
+        }
+
     def record(self, entry: queues.Entry, starts: bool) -> None:
         """Counts a call that starts or is refused without waiting."""
         kind = self._kinds.get(_get_key(entry))
--- a/jayseam/admission/orders.py
+++ b/jayseam/admission/orders.py
@@ -1,7 +1,7 @@
 """Decisions of a gate whose queue serves calls in order of their objectives.
 
 The gate owns the clock and the calls in flight; this module estimates waits and
-picks the next call. It reads no clock and does no I/O.
+picks the next call. It reads no clock.
 
 See Also:
   ``docs/design/order-of-service.md``.
@@ -13,6 +13,7 @@
 from jayseam.admission import objectives
 from jayseam.admission import promises
 from jayseam.admission import queues
+from jayseam.admission import reports
 from jayseam.admission import reserves
 from jayseam.admission import servicetimes
 from jayseam.admission import tickets
@@ -31,6 +32,7 @@
         self._occupancy = reserves.Occupancy()
         self._reserve = reserves.Reserve()
         self._bookings = promises.Bookings()
+        self._reporter = reports.Reporter()
 
     def record(
         self, ticket: tickets.Ticket, latency_s: float, now: float
@@ -78,9 +80,21 @@
         work_s = entries * self._times.mean_s
         return min(ahead, objectives.Ahead(entries, work_s), key=_get_work)
 
-    def record_outcome(self, entry: queues.Entry, starts: bool) -> None:
-        """Counts a call that starts or is refused without waiting."""
-        self._queue.record(entry, starts)
+    def record_start(self, entry: queues.Entry) -> None:
+        """Counts a call that starts without waiting."""
+        self._queue.record(entry, True)
+        self._reporter.count_start('at_once')
+
+    def record_loss(
+        self, entry: queues.Entry, reason: str, waited: bool, now: float
+    ) -> None:
+        """Counts a call that is refused, displaced or waited in vain."""
+        self._queue.record(entry, False)
+        self._report_loss(reason, waited, now)
+
+    def _report_loss(self, reason: str, waited: bool, now: float) -> None:
+        self._reporter.count_drop(reason, waited)
+        self._reporter.log_loss(self._queue.list_shares, len(self._queue), now)
 
     def promise_room(
         self,
@@ -105,6 +119,7 @@
         self._bookings, booked_at = self._bookings.book(
             room_at, self._times.mean_s / max(1, limit), entry.rank, latest_at
         )
+        self._reporter.count_booking(booked_at is not None)
         return_at = latest_at if booked_at is None else booked_at
         error.retry_after_s = return_at - now
 
@@ -117,7 +132,10 @@
         """Removes and returns the next entry; see `objectives`."""
         reserved = self._reserve.is_due()
         entry, dropped = self._queue.pop(now, estimate_s, reserved)
+        for _, reason in dropped:
+            self._report_loss(reason.value, True, now)
         if entry is not None:
+            self._reporter.count_start(entry.tier)
             self._reserve = self._reserve.record_start(
                 entry.service_s, entry.is_short, limit, self._occupancy.mean_s
             )
