Expect a late call to wait for what calls in time leave

The expected wait of a call that would be late counted the calls that wait now, not the calls in time that keep coming. Under lasting overload such calls waited until their deadline in vain, and their entries learned of it when there was no time left for another VM. The work ahead of a late call now counts by the share of starts that calls in time have lately left.

The tests of admission pass.

--- a/jayseam/admission/objectives.py
+++ b/jayseam/admission/objectives.py
@@ -34,6 +34,10 @@
 MAX_IDLE_STARTS = 50
 # Kinds without waiting calls are forgotten beyond this number of kinds.
 MAX_KINDS = 64
+# Weight of the latest start in the share of starts left to late calls, and the
+# lowest share assumed, as some starts are left to them by the floor.
+SPARE_WEIGHT = 0.1
+MIN_SPARE = 0.03
 
 
 class Tier(enum.Enum):
@@ -142,6 +146,7 @@
         self._workspaces: collections.Counter[str] = collections.Counter()
         self._sequence = 0
         self._length = 0
+        self._spare = 1.0
 
     def __len__(self) -> int:
         return self._length
@@ -189,19 +194,23 @@
         """Returns the entries that go before one that misses its objective.
 
         These are all entries that can meet their objective, and the late ones
-        with a place before the entry.
+        with a place before the entry. The late ones and the entry itself only
+        get the share of starts that calls in time have lately left, so their
+        work counts as that much more.
         """
         order = (entry.deadline, self._sequence + 1)
-        entries, work_s = 0, 0.0
+        entries, work_s, late_s = 0, 0.0, entry.service_s
         for kind in self._kinds.values():
-            ahead = len(kind.in_time)
+            entries += len(kind.in_time)
+            work_s += len(kind.in_time) * kind.service_s
+            late = 0
             if kind.rank < entry.rank:
-                ahead += len(kind.late)
+                late = len(kind.late)
             elif kind.rank == entry.rank:
-                ahead += bisect.bisect_left(kind.late, order)
-            entries += ahead
-            work_s += ahead * kind.service_s
-        return Ahead(entries, work_s)
+                late = bisect.bisect_left(kind.late, order)
+            entries += late
+            late_s += late * kind.service_s
+        return Ahead(entries, work_s + late_s / max(MIN_SPARE, self._spare))
 
     def count_short(self) -> int:
         """Returns the number of entries that may use reserved starts."""
@@ -295,6 +304,10 @@
             kind.passed_over_s = 0.0
             kind.record(True)
             entry.tier = tier.value
+            is_spare = tier is Tier.LATE or not any(
+                other.in_time for other in self._kinds.values()
+            )
+            self._spare += SPARE_WEIGHT * (is_spare - self._spare)
             return entry, dropped
         return None, dropped
 
