Reserve starts for kinds with short timeouts, not for calls near their end

The timeout that counts is now that of the kind: the longest seen, which follows shorter ones slowly. Replays of two servers of deployment K are tests too.

The tests of admission pass.

--- a/jayseam/admission/orders.py
+++ b/jayseam/admission/orders.py
@@ -31,6 +31,7 @@
         self._times = servicetimes.ServiceTimes()
         self._occupancy = reserves.Occupancy()
         self._reserve = reserves.Reserve()
+        self._timeouts = reserves.Timeouts()
         self._bookings = promises.Bookings()
         self._reporter = reports.Reporter()
 
@@ -45,9 +46,8 @@
         self, entry: queues.Entry, ticket: tickets.Ticket, now: float
     ) -> None:
         """Sets the fields of an entry that only this order uses."""
-        entry.is_short = reserves.is_short(
-            ticket.deadline - now, self._occupancy.mean_s
-        )
+        timeout_s = self._timeouts.record(ticket.kind, ticket.deadline - now)
+        entry.is_short = reserves.is_short(timeout_s, self._occupancy.mean_s)
         entry.kind = ticket.kind
         entry.objective = ticket.objective
         entry.service_s = self._times.estimate_mean(ticket.kind)
--- a/jayseam/admission/reserves.py
+++ b/jayseam/admission/reserves.py
@@ -10,10 +10,13 @@
 
 import attrs
 
-# Calls with a timeout under this number of mean service times are short.
+# Kinds with a timeout under this number of mean service times are short.
 SHORT_SERVICE_TIMES = 2.0
 # Weight of a new sample in the moving averages of service times.
 SAMPLE_WEIGHT = 0.05
+# Weight of a shorter timeout in the timeout of a kind, and most kinds tracked.
+TIMEOUT_WEIGHT = 0.01
+MAX_KINDS = 1024
 # With a limit of one, every start would be reserved.
 MIN_ROUND = 2
 
@@ -95,14 +98,44 @@
         return Reserve(min(credit_s, mean_s))
 
 
+class Timeouts:
+    """Timeouts of the kinds of calls.
+
+    A call of a kind with a long timeout may have little time left, for example
+    when its caller has retried. It isn't a nested call for that.
+
+    >>> timeouts = Timeouts()
+    >>> timeouts.record('h', 2.0)
+    2.0
+    >>> round(timeouts.record('h', 0.1), 2)
+    1.98
+    """
+
+    def __init__(self):
+        self._by_kind: dict[str, float] = {}
+
+    def record(self, kind: str, timeout_s: float) -> float:
+        """Adds a call and returns the timeout of its kind, in seconds.
+
+        It follows a longer timeout at once and shorter ones slowly.
+        """
+        known_s = self._by_kind.get(kind, 0.0)
+        if timeout_s < known_s:
+            timeout_s = known_s + TIMEOUT_WEIGHT * (timeout_s - known_s)
+        elif len(self._by_kind) >= MAX_KINDS:
+            self._by_kind.clear()
+        self._by_kind[kind] = timeout_s
+        return timeout_s
+
+
 def is_short(timeout_s: float, mean_s: float) -> bool:
-    """Returns whether a call may use reserved starts.
+    """Returns whether calls of a kind may use reserved starts.
 
     >>> is_short(0.258, mean_s=0.15), is_short(1.2, mean_s=0.15)
     (True, False)
 
     Args:
-      timeout_s: Time left until the deadline of the call, in seconds.
+      timeout_s: Timeout of the kind in seconds.
       mean_s: Mean service time of the calls in the slots, in seconds.
     """
     return timeout_s < SHORT_SERVICE_TIMES * mean_s
--- a/jayseam/admission/tests/test_replays.py
+++ b/jayseam/admission/tests/test_replays.py
@@ -1,7 +1,7 @@
 """Outcomes of callers under the order by objective and under that by rank.
 
-The kinds of request are those of one server of deployment M; the rates are
-shares of what its six slots can run. Each gain is stated against the order by
+The kinds of request are those of one server of deployment M, or K where stated;
+the rates are shares of what its slots can run. Each gain is stated against the order by
 rank, so that the test fails if the order by objective is switched off.
 """
 
@@ -17,6 +17,10 @@
 H = replays.Kind('h', 1, 0.220, 0.605, 2.0, 4.036)
 R = replays.Kind('r', 2, 0.360, 2.003, 3.0, 6.008)
 NESTED = replays.Kind('nested', 1, 0.022, 0.103, 0.258, 0.258, retries=False)
+K_B = replays.Kind('b', 2, 0.061, 0.418, 1.483, 1.483)
+K_D = replays.Kind('d', 1, 0.079, 0.430, 1.474, 1.474, retries=False)
+K_C = replays.Kind('c', 1, 0.240, 0.837, 3.342, 3.342)
+K_NESTED = replays.Kind('nested', 1, 0.018, 0.168, 0.374, 0.374, retries=False)
 ALL = {W: 0.25, P: 0.25, H: 0.2, R: 0.15, NESTED: 0.1}
 _BURST = (8.0, 20.0)
 
@@ -34,7 +38,9 @@
         return min(outcome.served for outcome in self.kinds.values())
 
 
-def _play(queue, rates, seed, bursts=None, honours=True, pauses=()):
+def _play(
+    queue, rates, seed, bursts=None, honours=True, pauses=(), slots=_SLOTS
+):
     """Replays kinds at rates that are shares of the capacity."""
     requests = []
     for kind, share in rates.items():
@@ -42,12 +48,12 @@
         spans = [(*_BURST, factor)] if factor else []
         requests += replays.draw_requests(
             attrs.evolve(kind, honours=honours),
-            share * _SLOTS / kind.work_s,
+            share * slots / kind.work_s,
             _SECONDS,
             seed,
             spans,
         )
-    replay = replays.Replay(queue, _SLOTS)
+    replay = replays.Replay(queue, slots)
     for start, seconds in pauses:
         replay.schedule(start, replay.pause, seconds)
     replay.run(requests)
@@ -111,6 +117,27 @@
     assert ours.kinds['h'].served > 0.8
 
 
+@pytest.mark.parametrize('seed', [1, 2])
+def test_three_slots_of_long_calls_leave_room_for_nested_ones(seed):
+    """With few slots, one long call more is a long wait for nested calls."""
+    rates = {K_C: 0.7, K_NESTED: 0.12}
+    bursts = {'c': 1.7, 'nested': 1.7}
+    ranked, ours = _compare(rates, seed, bursts, slots=3)
+    assert ours.served > ranked.served + 0.25
+    assert ours.worst > max(0.75, ranked.worst + 0.3)
+    assert ours.kinds['nested'].in_time > 0.85
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_burst_of_the_least_urgent_kind_is_answered_in_time(seed):
+    """Calls in time must not wait behind late ones of their own kind."""
+    rates = {K_B: 0.4, K_D: 0.2, K_NESTED: 0.1}
+    ranked, ours = _compare(rates, seed, {'b': 2.5}, slots=3)
+    assert ours.kinds['b'].in_time > ranked.kinds['b'].in_time + 0.1
+    assert ours.kinds['d'].in_time > 0.98
+    assert ours.worst > ranked.worst - 0.05
+
+
 @pytest.mark.parametrize('seed', [1, 2])
 def test_calls_that_arrive_during_a_pause_are_served_after_it(seed):
     """After a pause of the process, many calls come at the same time."""
--- a/jayseam/admission/tests/test_reserves.py
+++ b/jayseam/admission/tests/test_reserves.py
@@ -44,6 +44,16 @@
     assert reserves.is_short(0.232, occupancy.mean_s)
 
 
+def test_long_call_with_little_time_left_is_not_short():
+    """Retried long calls would take the starts reserved for nested ones."""
+    timeouts = reserves.Timeouts()
+    for _ in range(20):
+        timeouts.record('h', 2.0)
+        for retry_s in (0.9, 0.3):
+            assert not reserves.is_short(timeouts.record('h', retry_s), 0.2)
+        assert reserves.is_short(timeouts.record('nested', 0.25), 0.2)
+
+
 def test_reserved_start_goes_to_a_short_call():
     """Behind more urgent long calls, a nested call would time out."""
     queue = objectives.ObjectiveQueue()
