--- a/jayseam/admission/tests/test_replays.py
+++ b/jayseam/admission/tests/test_replays.py
@@ -1,8 +1,8 @@
 """Outcomes of callers under the order by objective and under that by rank.
 
 The kinds of request are those of one server of deployment M, or K where stated;
-the rates are shares of what its slots can run. Each gain is stated against the order by
-rank, so that the test fails if the order by objective is switched off.
+the rates are shares of what its slots can run. Each gain is stated against the
+order by rank, so that the test fails if the order by objective is switched off.
 """
 
 import attrs
