--- a/jayseam/admission/objectives.py
+++ b/jayseam/admission/objectives.py
@@ -20,8 +20,11 @@
 from jayseam.admission import errors
 from jayseam.admission import queues
 
-# A waiting kind gets at least one start in this many.
+# A waiting kind gets at least one start in this many of equal service time.
 FLOOR_ROUND = 8
+_ROUNDING = 1e-6
+# Service time in seconds for the floor until a call has been measured.
+DEFAULT_SERVICE_S = 1.0
 # Mean service times that must be left until the objective at the start. Service
 # times vary: with one, a third of the calls started last would be late.
 OBJECTIVE_MARGIN = 1.5
@@ -31,6 +34,10 @@
 MAX_IDLE_STARTS = 50
 # Kinds without waiting calls are forgotten beyond this number of kinds.
 MAX_KINDS = 64
+# Weight of the latest start in the share of starts left to late calls, and the
+# lowest share assumed, as some starts are left to them by the floor.
+SPARE_WEIGHT = 0.1
+MIN_SPARE = 0.03
 
 
 class Tier(enum.Enum):
@@ -66,8 +73,8 @@
         sequence number and entry, in ascending order.
       late: Entries that can only meet their deadline, as tuples of deadline,
         sequence number and entry, in ascending order.
-      passed_over: Starts of other kinds since the last start of this one,
-        counted while entries wait.
+      passed_over_s: Service time in seconds of the calls of other kinds that
+        started since the last start of this one, while entries waited.
       service_s: Expected service time of the newest entry, in seconds.
       share: Moving average of the share of calls that start.
       idle_starts: Starts of all kinds since the last call of this kind started
@@ -78,7 +85,7 @@
     is_short: bool
     in_time: list = attrs.field(factory=list)
     late: list = attrs.field(factory=list)
-    passed_over: int = 0
+    passed_over_s: float = 0.0
     service_s: float = 0.0
     share: float = 1.0
     idle_starts: int = 0
@@ -91,6 +98,14 @@
     def __len__(self) -> int:
         return len(self.in_time) + len(self.late)
 
+    def count_passed_over(self) -> float:
+        """Returns the starts of other kinds in units of an own start.
+
+        Counted in starts, the floor of a kind of long calls would be most of
+        the capacity where most starts are those of short nested calls.
+        """
+        return self.passed_over_s / (self.service_s or DEFAULT_SERVICE_S)
+
     def get_order(self) -> tuple:
         """Returns the position of the first entry among those of all kinds."""
         if self.in_time:
@@ -131,6 +146,7 @@
         self._workspaces: collections.Counter[str] = collections.Counter()
         self._sequence = 0
         self._length = 0
+        self._spare = 1.0
 
     def __len__(self) -> int:
         return self._length
@@ -178,19 +194,23 @@
         """Returns the entries that go before one that misses its objective.
 
         These are all entries that can meet their objective, and the late ones
-        with a place before the entry.
+        with a place before the entry. The late ones and the entry itself only
+        get the share of starts that calls in time have lately left, so their
+        work counts as that much more.
         """
         order = (entry.deadline, self._sequence + 1)
-        entries, work_s = 0, 0.0
+        entries, work_s, late_s = 0, 0.0, entry.service_s
         for kind in self._kinds.values():
-            ahead = len(kind.in_time)
+            entries += len(kind.in_time)
+            work_s += len(kind.in_time) * kind.service_s
+            late = 0
             if kind.rank < entry.rank:
-                ahead += len(kind.late)
+                late = len(kind.late)
             elif kind.rank == entry.rank:
-                ahead += bisect.bisect_left(kind.late, order)
-            entries += ahead
-            work_s += ahead * kind.service_s
-        return Ahead(entries, work_s)
+                late = bisect.bisect_left(kind.late, order)
+            entries += late
+            late_s += late * kind.service_s
+        return Ahead(entries, work_s + late_s / max(MIN_SPARE, self._spare))
 
     def count_short(self) -> int:
         """Returns the number of entries that may use reserved starts."""
@@ -226,6 +246,13 @@
         self._length += 1
         return displaced
 
+    def list_shares(self) -> dict[str, float]:
+        """Returns the recent share of calls that start, by rank and kind."""
+        return {
+            f'{rank} {name}' + ' short' * is_short: round(kind.share, 2)
+            for (rank, name, is_short), kind in self._kinds.items()
+        }
+
     def record(self, entry: queues.Entry, starts: bool) -> None:
         """Counts a call that starts or is refused without waiting."""
         kind = self._kinds.get(_get_key(entry))
@@ -273,10 +300,14 @@
             for other in self._kinds.values():
                 other.idle_starts += 1
                 if other.in_time or other.late:
-                    other.passed_over += 1
-            kind.passed_over = 0
+                    other.passed_over_s += entry.service_s or DEFAULT_SERVICE_S
+            kind.passed_over_s = 0.0
             kind.record(True)
             entry.tier = tier.value
+            is_spare = tier is Tier.LATE or not any(
+                other.in_time for other in self._kinds.values()
+            )
+            self._spare += SPARE_WEIGHT * (is_spare - self._spare)
             return entry, dropped
         return None, dropped
 
@@ -301,8 +332,8 @@
             short = [kind for kind in waiting if kind.is_short]
             if short:
                 return min(short, key=_Kind.get_order), Tier.RESERVED
-        longest = max(waiting, key=lambda kind: kind.passed_over)
-        is_due = longest.passed_over >= FLOOR_ROUND - 1
+        longest = max(waiting, key=_Kind.count_passed_over)
+        is_due = longest.count_passed_over() >= FLOOR_ROUND - 1 - _ROUNDING
         # A floor start of a long call would take the slot of the next call of a
         # more urgent kind that is served less often, also if none waits now.
         if is_due and not _find_behind(self._kinds.values(), longest):
--- a/jayseam/admission/tests/test_objectives.py
+++ b/jayseam/admission/tests/test_objectives.py
@@ -79,6 +79,15 @@
     assert pop_kinds(queue, now=0.3) == [first, last]
 
 
+def test_floor_is_a_share_of_the_time():
+    """Counted in starts, many nested calls would give long ones the server."""
+    queue = objectives.ObjectiveQueue()
+    for _ in range(60):
+        queue.push(make_entry('nested', 0, 2.0, service_s=0.1))
+    queue.push(make_entry('r', 2, 3.0, service_s=0.4))
+    assert pop_kinds(queue).index('r') == 4 * (objectives.FLOOR_ROUND - 1)
+
+
 def test_floor_is_not_at_the_cost_of_a_kind_that_fares_worse():
     """A floor for long calls would take the slots of urgent short ones."""
     queue = objectives.ObjectiveQueue()
@@ -183,10 +192,31 @@
         queue.measure_late_ahead(new),
     )
     assert (ahead.entries, ahead.work_s) == (2, pytest.approx(0.3))
-    assert (late_ahead.entries, late_ahead.work_s) == (5, pytest.approx(0.7))
+    # The call's own service time counts: it only starts among the late.
+    assert (late_ahead.entries, late_ahead.work_s) == (5, pytest.approx(0.8))
     assert queue.count_ahead('', 1) == 4
 
 
+def test_late_call_waits_for_what_calls_in_time_leave():
+    """Held behind calls in time that keep coming, it would wait in vain."""
+    queue = objectives.ObjectiveQueue()
+    late = make_entry('w', 0, 0.0, 4.0)
+    idle_s = queue.measure_late_ahead(late).work_s
+    for _ in range(2):
+        queue.push(make_entry('p', 1, 3.0))
+    for _ in range(40):
+        queue.push(make_entry('p', 1, 3.0))
+        queue.pop(0.0, lambda entry: 0.1)
+    busy_s = queue.measure_late_ahead(late).work_s
+    assert busy_s > 2.0 > idle_s
+    # After a burst, late calls wait again rather than being refused.
+    pop_kinds(queue)
+    for _ in range(20):
+        queue.push(make_entry('p', 1, 3.0))
+        queue.pop(0.0, lambda entry: 0.1)
+    assert queue.measure_late_ahead(late).work_s < 2 * idle_s
+
+
 @hypothesis.given(
     st.lists(
         st.tuples(
