Test that calls in flight stay within the limit by answers

The property test of the gate covers the linear ramp only. With the new variant the limit moves with each answer while calls wait, so a queued call could be admitted over it, or wait although it could run. The new test draws acquisitions, ends of all results, starts, waits and kills.

--- a/jayseam/admission/tests/test_gates.py
+++ b/jayseam/admission/tests/test_gates.py
@@ -477,3 +477,46 @@
     gate.set_capacity(6, 6, sizes)
     assert gate.describe(1000.1).limit == 2
     assert gate.describe(1003.1).limit == 6
+
+
+@hypothesis.settings(max_examples=100)
+@hypothesis.given(operations=OPERATIONS, slots=st.integers(1, 6))
+def test_in_flight_never_exceeds_the_limit_by_answers(operations, slots):
+    """Queued calls are admitted when the limit rises, and no more of them."""
+    now = [1000.0]
+    gate = gates.Gate(
+        slots, 100, RAMP, ramp_shape='answers', read_now=lambda: now[0]
+    )
+    permits, waiting = [], []
+
+    def acquire():
+        limit = gate.describe(now[0]).limit
+        permits.append(gate.acquire(make_ticket(), now[0]))
+        assert len(permits) <= max(limit, gate.describe(now[0]).limit)
+
+    for operation, number in operations:
+        if operation == 'acquire':
+            waiting.append(gevent.spawn(acquire))
+        elif operation in ('release', 'shed') and permits:
+            results = list(tickets.Result)
+            result = results[number % len(results)]
+            permits.pop(number % len(permits)).release(result, now[0], 'w')
+        elif operation == 'start':
+            gate.restart_ramp(now[0])
+        elif operation == 'wait':
+            now[0] += number / 10
+            gate.reopen(now[0])
+        elif operation == 'kill' and waiting:
+            waiting.pop(number % len(waiting)).kill()
+        run_ready_greenlets()
+        assert not any(call.exception for call in waiting)
+        waiting = [greenlet for greenlet in waiting if not greenlet.dead]
+        report = gate.describe(now[0])
+        assert report.in_flight == len(permits)
+        assert 1 <= report.limit <= slots
+        # A call that could run must not wait.
+        assert not waiting or report.in_flight >= report.limit
+    while permits:
+        permits.pop().release('success', now[0], 'w')
+        run_ready_greenlets()
+    assert not gate.describe(now[0]).queued
