Count loads of VMs with a learned limit in calls

Loads were multiplied by the limit learned from resets, though they refer to the reported one, so a server that resets calls when full seemed emptier than it was. A learned limit now grows back by a call in 30 s instead of 5. The model of a fleet now replays digests too.

--- a/jayseam/routing/expectations.py
+++ b/jayseam/routing/expectations.py
@@ -62,13 +62,15 @@
 
     Attributes:
       service_s: Expected service time in seconds.
-      limit: Concurrency limit.
-      usual_load: Average load; 0 if unknown.
+      limit: Concurrency limit, with what resets have taught.
+      usual_calls: Average of the calls in flight and queued; 0 if unknown.
+      reported_limit: Limit to which reported loads refer.
     """
 
     service_s: float
     limit: int
-    usual_load: float = 0.0
+    usual_calls: float
+    reported_limit: int
 
     @property
     def rate_per_s(self) -> float:
@@ -192,7 +194,9 @@
             speeds.estimate_limit(candidate.vm, candidate.slots, now),
             _estimate_usual_load(
                 speeds, candidate.vm, zone_loads[candidate.zone], now
-            ),
+            )
+            * speeds.get_reported_limit(candidate.vm, candidate.slots),
+            speeds.get_reported_limit(candidate.vm, candidate.slots),
         )
         for candidate, service_s in zip(candidates, times, strict=True)
     }
@@ -221,16 +225,14 @@
     as it is fresh, and approaches the usual load.
     """
     member = table.find(candidate.vm)
-    calls, limit = 0.0, capacity.limit
-    usual_calls = capacity.usual_load * limit
-    if member is None:
-        calls = usual_calls
-    else:
-        others = usual_calls - member.in_flight_at_report
+    calls, limit = capacity.usual_calls, capacity.limit
+    if member is not None:
+        others = capacity.usual_calls - member.in_flight_at_report
         if member.report is not None:
             age_s = max(0.0, now - member.reported_at)
             weight = 0.5 ** (age_s / REPORT_HALF_LIFE_S)
-            others += weight * (member.report.load * limit - usual_calls)
+            reported_calls = member.report.load * capacity.reported_limit
+            others += weight * (reported_calls - capacity.usual_calls)
         calls = member.in_flight + max(0.0, others)
     waiting = max(0.0, calls + 1.0 - limit)
     expected_s = capacity.service_s * (1.0 + waiting / limit)
@@ -375,9 +377,10 @@
     for member in group.members:
         at = speeds.get_reported_at(member.vm)
         if at is not None:
-            limit = speeds.estimate_limit(member.vm, member.slots, now)
-            calls += (speeds.get_usual_load(member.vm) or 0.0) * limit
-            limits += limit
+            reported_limit = speeds.get_reported_limit(member.vm, member.slots)
+            usual_load = speeds.get_usual_load(member.vm) or 0.0
+            calls += usual_load * reported_limit
+            limits += speeds.estimate_limit(member.vm, member.slots, now)
             reported_at = max(reported_at, at)
     if not limits:
         return _ZoneLoad(0.0, 0.0)
--- a/jayseam/routing/speeds.py
+++ b/jayseam/routing/speeds.py
@@ -20,7 +20,7 @@
 DEFAULT_SERVICE_S = 0.1
 # Time in which a limit that was learned from resets grows by one call, in
 # seconds. Part of the resets come from failures instead of full servers.
-LIMIT_GROWTH_S = 5.0
+LIMIT_GROWTH_S = 30.0
 # Resets of a VM that runs a smaller share of its limit than this are taken for
 # failures.
 MIN_RESET_SHARE = 0.5
@@ -146,6 +146,11 @@
             return slots or 1
         return max(1, int(self._compute_limit(speed, now)))
 
+    def get_reported_limit(self, vm: str, slots: int) -> int:
+        """Returns the limit to which the loads of a VM refer."""
+        speed = self._speeds.get(vm)
+        return (speed.limit if speed is not None else 0) or slots or 1
+
     def get_usual_load(self, vm: str) -> float | None:
         """Returns the moving average of the load of a VM; None if unknown."""
         speed = self._speeds.get(vm)
--- a/jayseam/routing/tests/fleets.py
+++ b/jayseam/routing/tests/fleets.py
@@ -8,12 +8,14 @@
 import collections
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import attrs
 
+from jayseam.routing import digests
 from jayseam.routing import expectations
 from jayseam.routing import loads
 from jayseam.routing import selection
@@ -75,9 +77,19 @@
 
 @attrs.define
 class Entry:
-    """Tables of one entry node."""
+    """Tables of one entry node.
+
+    Attributes:
+      zone: Zone of the node.
+      heard_until: Time from which reports no longer reach its tables, in
+        seconds.
+      table: Loads as it knows them.
+      speeds: Speeds as it knows them.
+      cache: Capacities that follow from the speeds.
+    """
 
     zone: str
+    heard_until: float = math.inf
     table: loads.LoadTable = attrs.field(factory=loads.LoadTable)
     speeds: speed_tables.SpeedTable = attrs.field(
         factory=speed_tables.SpeedTable
@@ -165,6 +177,8 @@
       entries_per_zone: Number of entries in each zone.
       duration_s: Time after the warm-up, in seconds.
       seed: Seed of all random numbers.
+      with_digests: Whether replies within a zone carry loads of other servers.
+      deaf_share: Part of the entries that get no reports after the warm-up.
     """
 
     def __init__(
@@ -176,7 +190,17 @@
         entries_per_zone: int = 21,
         duration_s: float = 10.0,
         seed: int = 1,
+        with_digests: bool = False,
+        deaf_share: float = 0.0,
     ):
+        self._with_digests = with_digests
+        self._deaf_entries = round(deaf_share * entries_per_zone)
+        # One entry stands for the ingress of each server.
+        self._hosts: dict[str, Entry] = {}
+        self._zone_vms = {
+            zone: {server.vm for server in servers if server.zone == zone}
+            for zone in ZONES
+        }
         self._strategy = strategy
         self._servers = {server.vm: server for server in servers}
         self._rates_per_s = rates_per_s
@@ -195,8 +219,12 @@
     def run(self) -> Outcome:
         """Runs all calls and returns what was counted."""
         for zone in self._rates_per_s:
-            for _ in range(self._entries_per_zone):
-                self._schedule(self._rng.random(), self._arrive, Entry(zone))
+            entries = [Entry(zone) for _ in range(self._entries_per_zone)]
+            for number, entry in enumerate(entries):
+                if number < self._deaf_entries:
+                    entry.heard_until = WARM_UP_S
+                self._schedule(self._rng.random(), self._arrive, entry)
+            self._hosts.update(zip(sorted(self._zone_vms[zone]), entries))
         while self._events and self._events[0][0] < self._end + 1.0:
             at, _, action, arguments = heapq.heappop(self._events)
             action(at, *arguments)
@@ -270,16 +298,34 @@
         self, now: float, call: _Call, load: float, was_reset: bool
     ) -> None:
         entry, server = call.entry, call.server
-        report = loads.ReportedLoad(load, load, load, server.mean_s)
+        if now < entry.heard_until:
+            self._record_report(now, call, load, was_reset)
+        entry.table.record_call_end(server.vm)
+        if self._is_counted(call.began) and not was_reset:
+            self._counts['in_time'] += now - call.began <= OBJECTIVE_S
+
+    def _record_report(
+        self, now: float, call: _Call, load: float, was_reset: bool
+    ) -> None:
+        entry, server = call.entry, call.server
+        report = loads.ReportedLoad(
+            load, load, load, server.mean_s, server.mean_s, SLOTS
+        )
         entry.table.record_report(server.vm, '', report, now)
         entry.speeds.record_reply(
             server.vm, 'w', server.mean_s, SLOTS, load, now
         )
         if was_reset:
             entry.speeds.record_reset(server.vm, load * SLOTS + 1, now)
-        entry.table.record_call_end(server.vm)
-        if self._is_counted(call.began) and not was_reset:
-            self._counts['in_time'] += now - call.began <= OBJECTIVE_S
+        host = self._hosts.get(server.vm)
+        if (
+            self._with_digests
+            and host is not None
+            and server.zone == entry.zone
+        ):
+            vms = self._zone_vms[entry.zone]
+            items = digests.collect(host.table, vms, now)
+            digests.merge(entry.table, entry.speeds, items, vms, now)
 
 
 def run(*arguments: Any, **options: Any) -> Outcome:
