Count heads that come too slowly, and test the new settings

A head whose fields take over 10 s was already ended, but without a trace for operators; it is now counted as head_time with the other refusals. Tests show that memory.head_bytes and connections.* are read and reach the three HTTP servers.

--- a/jayseam/node/callers.py
+++ b/jayseam/node/callers.py
@@ -433,4 +433,6 @@
             oldest_start = clocks.read_now() - _READ_TIMEOUT_S
             for handler, started_at in list(self.header_read_starts.items()):
                 if started_at < oldest_start + _HEADER_SWEEP_INTERVAL_S:
+                    now = clocks.read_now()
+                    self.refusal_log.record(refusals.HEAD_TIME, now)
                     handler.close_input()
--- a/jayseam/node/refusals.py
+++ b/jayseam/node/refusals.py
@@ -9,11 +9,12 @@
 from jayseam.core import logs
 
 LOG_INTERVAL_S = 10.0
-# Reasons. The first three end a request: its head is over the bound, there is
-# no memory for it, or its request line is too long. The others end an idle
-# connection in favour of a new one, or pause accepting.
+# Reasons. The first four end a request: its head is over the bound, there is no
+# memory for it, its fields come too slowly, or its request line is too long.
+# The others end a connection in favour of a new one, or pause accepting.
 HEAD_SIZE = 'head_size'
 HEAD_MEMORY = 'head_memory'
+HEAD_TIME = 'head_time'
 REQUEST_LINE = 'request_line'
 IDLE_CLOSED = 'idle_closed'
 OLDEST_CLOSED = 'oldest_closed'
--- a/jayseam/node/tests/test_heads.py
+++ b/jayseam/node/tests/test_heads.py
@@ -6,11 +6,15 @@
 import pytest
 from gevent import socket
 
+from jayseam.core import descriptors
 from jayseam.core import memory
 from jayseam.node import admin
 from jayseam.node import bodies
 from jayseam.node import callers
+from jayseam.node import listeners
 from jayseam.node import refusals
+from jayseam.node.tests import samples
+from jayseam.settings import model
 from jayseam.standins import waits
 
 # The smallest share of heads holds 32 heads of 15 kB.
@@ -180,6 +184,19 @@
     job.get()
 
 
+def test_settings_reach_the_listeners():
+    """A limit that an operator sets must be in force."""
+    settings = samples.build_settings(
+        connections=model.ConnectionSettings(max_callers=7),
+        ready=samples.LOOPBACK,
+    )
+    built = listeners.build_listeners(settings, _serve, None, None)
+    limits = descriptors.compute_limits(descriptors.read_descriptor_limit())
+    assert built.caller_server.max_connections == 7
+    assert built.admin_server.max_connections == limits.operators
+    assert built.readiness_server.max_connections == limits.operators
+
+
 def test_oldest_connection_of_operators_makes_room():
     """A crowd must not keep operators from the admin listener."""
     application = admin.ReadinessApplication(lambda: True)
--- a/jayseam/settings/tests/test_loading.py
+++ b/jayseam/settings/tests/test_loading.py
@@ -52,3 +52,20 @@
     assert 'short-secret' not in str(caught.value)
     valid = loading.parse_node_settings(VALID)
     assert '0123456789abcdef' not in repr(valid)
+
+
+def test_limits_of_callers_can_be_set():
+    """An operator must be able to lower what callers may hold."""
+    document = {
+        **VALID,
+        'memory': {'head_bytes': 32_768},
+        'connections': {'max_callers': 100, 'reserved': 64},
+    }
+    settings = loading.parse_node_settings(document)
+    assert settings.memory.head_bytes == 32_768
+    assert settings.connections.max_callers == 100
+    assert settings.connections.reserved == 64
+    # Heads within the limits of callers take up to 24 kB.
+    document['memory'] = {'head_bytes': 16_384}
+    with pytest.raises(errors.SettingsError):
+        loading.parse_node_settings(document)
