Take memory for heads in steps of 1 KiB

Each line of a head called the budget, also for ordinary heads of a few hundred bytes. Bytes are now taken once 1,024 are uncounted. An ordinary head is no longer refused when heads have used up their share.

--- a/jayseam/node/heads.py
+++ b/jayseam/node/heads.py
@@ -17,6 +17,9 @@
 DEFAULT_MAX_BYTES = 65536
 # Bytes of a line that are read before they are taken from the budget.
 _PART_BYTES = 4096
+# Bytes that are taken from the budget at a time, to keep its cost low for the
+# many short lines of ordinary heads.
+_STEP_BYTES = 1024
 # Size up to which a complete head is held without being counted. Heads of
 # ordinary requests take 0.2 to 2 kB.
 UNCOUNTED_BYTES = 4096
@@ -58,25 +61,25 @@
           HeadersTooLargeError: If the head is larger than the bound.
           NotRunError: If heads in progress take too much memory.
         """
-        parts = []
-        remaining = size
-        while remaining > 0:
-            part = self._read_part(min(remaining, _PART_BYTES))
-            self.count(len(part))
-            parts.append(part)
-            remaining -= len(part)
-            if not part or part.endswith(b'\n'):
+        line = self._read_part(min(size, _PART_BYTES))
+        while line and line[-1:] != b'\n' and len(line) < size:
+            part = self._read_part(min(size - len(line), _PART_BYTES))
+            if not part:
                 break
-        return parts[0] if len(parts) == 1 else b''.join(parts)
+            line += part
+        return line
 
     def _read_part(self, size: int) -> bytes:
-        """Reads a part of a line; empty if the head was ended meanwhile."""
+        """Reads and counts a part of a line."""
         try:
-            return self._stream.readline(size)
+            part = self._stream.readline(size)
         except OSError:
-            if self.is_ended:
-                return b''
-            raise
+            # Waiting for input fails when the head is ended for another.
+            if not self.is_ended:
+                raise
+            part = b''
+        self.count(len(part))
+        return part
 
     def count(self, n_bytes: int) -> None:
         """Takes memory for bytes of the head.
@@ -90,7 +93,11 @@
             raise errors.HeadersTooLargeError(
                 f'heads end at {self._max_bytes} bytes'
             )
-        if self.is_ended or not self._budget.extend(self._holding, n_bytes):
+        n_uncounted = self.n_bytes - self._holding.n_bytes
+        if self.is_ended or (
+            n_uncounted >= _STEP_BYTES
+            and not self._budget.extend(self._holding, n_uncounted)
+        ):
             raise errors.NotRunError(
                 'too many heads of requests in progress', _RETRY_AFTER_S
             )
