--- a/jayseam/links/manager.py
+++ b/jayseam/links/manager.py
@@ -41,6 +41,10 @@
 class _Listener(server.StreamServer):
     """Accepts connections and leaves their sockets open."""
 
+    # With the default of 100, a burst of unauthenticated peers took 160 of 256
+    # descriptors before the first of them was counted and closed.
+    max_accept = 32
+
     def do_close(self, *_):
         """Does nothing, because the transport owns the accepted socket."""
 
