--- a/jayseam/settings/tests/test_loading.py
+++ b/jayseam/settings/tests/test_loading.py
@@ -106,3 +106,20 @@
         loading.parse_node_settings(
             {**VALID, 'selection': {**selection, 'zone_price': 1.5}}
         )
+
+
+def test_limits_of_callers_can_be_set():
+    """An operator must be able to lower what callers may hold."""
+    document = {
+        **VALID,
+        'memory': {'head_bytes': 32_768},
+        'connections': {'max_callers': 100, 'reserved': 64},
+    }
+    settings = loading.parse_node_settings(document)
+    assert settings.memory.head_bytes == 32_768
+    assert settings.connections.max_callers == 100
+    assert settings.connections.reserved == 64
+    # Heads within the limits of callers take up to 24 kB.
+    document['memory'] = {'head_bytes': 16_384}
+    with pytest.raises(errors.SettingsError):
+        loading.parse_node_settings(document)
