Bound callers' connections by the platform's limit of descriptors

The limit of the process may be far above the number of descriptors that the platform grants, 200 of which it keeps for files. The default of the product reads only the former, so the adapter now derives the bound from the settings; 4,100 descriptors leave 2,925 connections for callers.

--- a/jayseam/platform/settings.py
+++ b/jayseam/platform/settings.py
@@ -7,6 +7,7 @@
 import attrs
 
 from jayseam import settings as node_settings
+from jayseam.core import descriptors
 from jayseam.core import memory
 from jayseam.platform import durations
 from jayseam.platform import errors
@@ -100,6 +101,9 @@
 # The platform calls workspaces tenants.
 _WORKSPACE_CONTRACT = 'tenants'
 
+# Descriptors that the platform keeps for files; sockets share the others.
+FILE_DESCRIPTORS = 200
+
 # Index of the admin port in ``network.internal_ports``.
 _ADMIN_PORT_INDEX = 0
 
@@ -209,6 +213,11 @@
         service=fields.get('self.service', ''),
         ready=reader.read_address('network.listen.ready'),
         memory=model.MemorySettings(compute_message_bytes(memory_mb)),
+        connections=model.ConnectionSettings(
+            count_caller_connections(
+                reader.read_optional_number('self.limits.max_fds')
+            )
+        ),
         # Traffic between zones is priced, so messages are compressed.
         codec='cbor-zstd',
     )
@@ -284,6 +293,20 @@
     return max(MIN_MESSAGE_BYTES, int(free_mb * _BYTES_PER_MB))
 
 
+def count_caller_connections(n_descriptors: float | None) -> int | None:
+    """Returns the most connections of callers; None for the default.
+
+    The platform's limit may be lower than that of the process.
+
+    >>> count_caller_connections(4100)
+    2925
+    """
+    if n_descriptors is None:
+        return None
+    n_sockets = max(1, int(n_descriptors) - FILE_DESCRIPTORS)
+    return descriptors.compute_limits(n_sockets).callers
+
+
 def derive_fleet_secret(fields: Mapping[str, str]) -> str:
     """Returns the secret with which the nodes of a deployment authenticate.
 
