--- a/jayseam/routing/expectations.py
+++ b/jayseam/routing/expectations.py
@@ -38,6 +38,10 @@
 # half in the same time again. That of a single VM, of which a node hears more
 # rarely, falls to a half in this time and gives way to that of the zone.
 USUAL_LOAD_LIFE_S = 3.0
+# Calls below its limit from which a VM that resets others costs time, and cost
+# of a call beyond that, as waiting calls.
+RESET_MARGIN = 2.0
+RESET_COST = 4.0
 # Load of a VM that got `SAMPLES` times its share of the calls, from which fewer
 # calls prefer fast VMs. VMs get less than that, so it may be above 1: with 0.9
 # a service at half load answers fewer calls in time, with 2.5 its fastest VM
@@ -65,12 +69,14 @@
       limit: Concurrency limit, with what resets have taught.
       usual_calls: Average of the calls in flight and queued; 0 if unknown.
       reported_limit: Limit to which reported loads refer.
+      resets: Whether the VM resets calls beyond its limit.
     """
 
     service_s: float
     limit: int
     usual_calls: float
     reported_limit: int
+    resets: bool = False
 
     @property
     def rate_per_s(self) -> float:
@@ -197,6 +203,7 @@
             )
             * speeds.get_reported_limit(candidate.vm, candidate.slots),
             speeds.get_reported_limit(candidate.vm, candidate.slots),
+            speeds.has_reset_limit(candidate.vm, now),
         )
         for candidate, service_s in zip(candidates, times, strict=True)
     }
@@ -235,6 +242,8 @@
             others += weight * (reported_calls - capacity.usual_calls)
         calls = member.in_flight + max(0.0, others)
     waiting = max(0.0, calls + 1.0 - limit)
+    if capacity.resets:
+        waiting = max(0.0, calls + 1.0 + RESET_MARGIN - limit) * RESET_COST
     expected_s = capacity.service_s * (1.0 + waiting / limit)
     if candidate.zone != own_zone:
         expected_s += ZONE_DISTANCE_S
--- a/jayseam/routing/speeds.py
+++ b/jayseam/routing/speeds.py
@@ -151,6 +151,13 @@
         speed = self._speeds.get(vm)
         return (speed.limit if speed is not None else 0) or slots or 1
 
+    def has_reset_limit(self, vm: str, now: float) -> bool:
+        """Returns whether resets lower the limit of a VM."""
+        speed = self._speeds.get(vm)
+        return speed is not None and self._compute_limit(speed, now) < (
+            speed.limit
+        )
+
     def get_usual_load(self, vm: str) -> float | None:
         """Returns the moving average of the load of a VM; None if unknown."""
         speed = self._speeds.get(vm)
--- a/jayseam/routing/tests/test_expectations.py
+++ b/jayseam/routing/tests/test_expectations.py
@@ -202,6 +202,38 @@
     assert min(run.repeat(20, 50)) / 50 < 100e-6
 
 
+def _run_fleets(strategy, load, demands=(1, 1, 1), room=None, **options):
+    """Returns the outcomes of runs with three seeds.
+
+    Args:
+      strategy: Selection strategy.
+      load: Calls over the capacity of all servers.
+      demands: Demand of each zone in proportion to the others.
+      room: Calls that every other server runs before it resets others.
+      **options: Further arguments of the fleet.
+    """
+    outcomes = []
+    for seed in (1, 2, 3):
+        servers = fleets.build_servers()
+        if room is not None:
+            for server in servers[::2]:
+                server.room = room
+        total_per_s = fleets.compute_capacity(servers) * load
+        rates_per_s = {
+            zone: total_per_s * demand / sum(demands)
+            for zone, demand in zip(fleets.ZONES, demands, strict=True)
+        }
+        outcomes.append(
+            fleets.run(strategy, servers, rates_per_s, seed=seed, **options)
+        )
+    return outcomes
+
+
+def _average(values):
+    values = list(values)
+    return sum(values) / len(values)
+
+
 @pytest.mark.parametrize('zone_price', [0.0, 0.3])
 @pytest.mark.parametrize('load, max_utilization', [(0.25, 0.75), (0.85, 1.0)])
 def test_more_calls_are_in_time_than_by_two_choices(
@@ -212,19 +244,77 @@
     On a calm day 23% of the calls missed their objective, and the busiest
     server had up to 1.8 times the mean load.
     """
-    shares = {}
+    in_time = {}
     for strategy in ('two_choices', 'expected_time'):
-        outcomes = []
-        for seed in (1, 2, 3):
-            servers = fleets.build_servers()
-            rate_per_s = fleets.compute_capacity(servers) * load / 3
-            rates = dict.fromkeys(fleets.ZONES, rate_per_s)
-            outcomes.append(
-                fleets.run(strategy, servers, rates, zone_price, seed=seed)
+        outcomes = _run_fleets(strategy, load, zone_price=zone_price)
+        in_time[strategy] = _average(outcome.in_time for outcome in outcomes)
+    assert in_time['expected_time'] > in_time['two_choices'] + 0.01
+    assert all(
+        max(outcome.list_utilizations()) <= max_utilization
+        for outcome in outcomes
+    )
+
+
+@pytest.mark.parametrize('with_digests', [False, True])
+@pytest.mark.parametrize('load', [0.25, 0.5, 0.85])
+def test_busy_zone_gets_help(load, with_digests):
+    """A zone with twice the load must not stay alone with it."""
+    in_time = {
+        strategy: _average(
+            outcome.in_time
+            for outcome in _run_fleets(
+                strategy, load, (2, 1, 1), with_digests=with_digests
             )
-        shares[strategy] = sum(o.in_time for o in outcomes) / len(outcomes)
-    assert shares['expected_time'] > shares['two_choices'] + 0.01
+        )
+        for strategy in ('two_choices', 'expected_time')
+    }
+    assert in_time['expected_time'] > in_time['two_choices'] + 0.01
+
+
+def test_price_holds_back_traffic_between_zones():
+    """Where crossing zones is expensive, only calls that need it may do so."""
+    crossings = {}
+    for price in (0.0, 0.3):
+        outcomes = _run_fleets(
+            'expected_time', 0.5, (2, 1, 1), zone_price=price
+        )
+        crossings[price] = _average(o.crossings for o in outcomes)
+    by_load = _average(
+        o.crossings for o in _run_fleets('two_choices', 0.5, (2, 1, 1))
+    )
+    assert crossings[0.3] < 0.3 * crossings[0.0]
+    assert crossings[0.3] < 0.3 * by_load
+
+
+@pytest.mark.parametrize('load, max_utilization', [(0.25, 0.75), (0.85, 1.0)])
+def test_entries_without_news_do_not_herd(load, max_utilization):
+    """Nodes that are cut off from reports must not all choose one server."""
+    outcomes = _run_fleets('expected_time', load, deaf_share=0.3)
+    by_load = _run_fleets('two_choices', load, deaf_share=0.3)
     assert all(
         max(outcome.list_utilizations()) <= max_utilization
         for outcome in outcomes
     )
+    assert _average(o.in_time for o in outcomes) > _average(
+        o.in_time for o in by_load
+    )
+
+
+@pytest.mark.parametrize('load', [0.25, 0.5])
+def test_fewer_calls_are_reset_by_full_servers(load):
+    """A call that may run only once can't be retried after a reset.
+
+    Loads were once multiplied by the limit learned from resets instead of the
+    reported one, so that a full server seemed to have room.
+    """
+    shares, in_time = {}, {}
+    for strategy in ('two_choices', 'expected_time'):
+        outcomes = _run_fleets(strategy, load, room=4, with_digests=True)
+        shares[strategy] = _average(
+            sum(server.resets for server in outcome.servers)
+            / sum(server.calls for server in outcome.servers)
+            for outcome in outcomes
+        )
+        in_time[strategy] = _average(outcome.in_time for outcome in outcomes)
+    assert shares['expected_time'] < 0.8 * shares['two_choices']
+    assert in_time['expected_time'] > in_time['two_choices']
