Count choices of a VM by reason, merged loads and learned limits

An operator could not see why calls leave their zone or avoid a VM. Choices of the strategy expected_time are now counted by reason, as are choices that passed over full VMs, loads taken over from digests, and resets that lowered a limit. Together with choice and expected_ms in call.attempt they explain a single call and a trend. The tests of calls and of routing/speeds pass.

--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import attrs
+import prometheus_client
 
 from jayseam import membership
 from jayseam import routing
@@ -17,6 +18,26 @@
 _AVOID_REFUSING_S = 0.15
 _EXPECTED_TIME = 'expected_time'
 
+_choices = prometheus_client.Counter(
+    'jayseam_placement_choices',
+    'Choices of a VM with the strategy expected_time, by reason',
+    ('reason',),
+)
+# The method ``labels`` validates its arguments on every call.
+_choices_by_reason: dict[str, Any] = {}
+_full_avoided = prometheus_client.Counter(
+    'jayseam_placement_full_avoided',
+    'Choices that passed over VMs without room',
+)
+_merged_loads = prometheus_client.Counter(
+    'jayseam_placement_merged_loads',
+    'Loads of VMs taken over from replies of other VMs',
+)
+_resets = prometheus_client.Counter(
+    'jayseam_placement_resets',
+    'Broken connections from which the limit of a VM was learned',
+)
+
 
 @attrs.frozen
 class Choice:
@@ -192,7 +213,9 @@
         if self._by_expected_time and profile is not None:
             full = self._refusals.list_full_vms(profile.needs, now)
         usable = pool.exclude(avoided | full) if avoided | full else pool
-        if not usable.groups and full:
+        if full and usable.groups:
+            _full_avoided.inc()
+        elif full:
             usable = pool.exclude(avoided) if avoided else pool
         if not usable.groups:
             # An attempt at an avoided VM is better than refusing the call.
@@ -215,6 +238,7 @@
             self._choice_count,
             self._strategy,
         )
+        _count_choice(decision.reason)
         vm = decision.candidate.vm
         return Choice(
             vm,
@@ -272,13 +296,14 @@
     def merge_reports(self, items: Collection[Any], now: float) -> None:
         """Takes over newer loads from the digest in a reply."""
         if self._by_expected_time and items and self._pool_cache is not None:
-            routing.digests.merge(
+            merged = routing.digests.merge(
                 self._loads,
                 self._speeds,
                 items,
                 self._pool_cache.zone_vms,
                 now,
             )
+            _merged_loads.inc(merged)
 
     def record_reset(self, vm: str, now: float) -> None:
         """Lowers the limit of a VM that may have reset a call as it was full.
@@ -290,7 +315,8 @@
             report = member.report
             # The call that was reset is no longer in the report.
             calls = report.load * report.limit + 1.0
-            self._speeds.record_reset(vm, calls, now)
+            if self._speeds.record_reset(vm, calls, now):
+                _resets.inc()
 
     def record_failure(self, vm: str, now: float) -> None:
         """Avoids a VM for a while after it failed to answer."""
@@ -390,6 +416,16 @@
         return set(self._avoided_until)
 
 
+def _count_choice(reason: str) -> None:
+    """Counts a choice for which the strategy gave a reason."""
+    if not reason:
+        return
+    counter = _choices_by_reason.get(reason)
+    if counter is None:
+        counter = _choices_by_reason[reason] = _choices.labels(reason)
+    counter.inc()
+
+
 def _list_members(
     preset: Any, view: membership.views.View, service: str
 ) -> list[membership.records.MemberRecord]:
--- a/jayseam/calls/tests/test_choosers.py
+++ b/jayseam/calls/tests/test_choosers.py
@@ -2,6 +2,7 @@
 
 import types
 
+import prometheus_client
 import pytest
 
 from jayseam import routing
@@ -165,3 +166,19 @@
     assert not chooser.report_zone and not chooser.collect_reports(10.1)
     chooser.merge_reports([['vm-1', 4, 8, 0]], 10.1)
     assert chooser.loads.estimate('vm-1', 4, 10.1) == 0.2
+
+
+def _read_metric(name, **labels):
+    """Returns the value of a metric of this process, or 0."""
+    return prometheus_client.REGISTRY.get_sample_value(name, labels) or 0.0
+
+
+def test_choices_are_counted_by_reason():
+    """Operators must see why calls leave their zone."""
+    before = _read_metric('jayseam_placement_choices_total', reason='saving')
+    chooser = choosers.Chooser('a', 'expected_time', lambda: 0.0)
+    _report(chooser, 'vm-1', 0.2)
+    _report(chooser, 'vm-2', 0.05)
+    _choose_by_time(chooser)
+    after = _read_metric('jayseam_placement_choices_total', reason='saving')
+    assert after == before + 1
--- a/jayseam/routing/speeds.py
+++ b/jayseam/routing/speeds.py
@@ -121,23 +121,27 @@
             speed.usual_load = load + earlier * (speed.usual_load - load)
         speed.reported_at = now
 
-    def record_reset(self, vm: str, calls: float, now: float) -> None:
+    def record_reset(self, vm: str, calls: float, now: float) -> bool:
         """Lowers the limit of a VM that reset a connection.
 
         Args:
           vm: Name of the VM.
           calls: Calls in flight at the VM, with the one that was reset.
           now: Current time in seconds.
+
+        Returns:
+          Whether the VM was busy enough to take the reset for a full server.
         """
         speed = self._get_or_add(vm)
         if not speed.limit:
-            return
+            return False
         limit = self._compute_limit(speed, now)
         calls = min(calls, limit)
         if calls < MIN_RESET_SHARE * speed.limit:
-            return
+            return False
         speed.reset_limit = max(1.0, calls - 1.0)
         speed.reset_at = now
+        return True
 
     def estimate_limit(self, vm: str, slots: int, now: float) -> int:
         """Returns the concurrency limit of a VM, or its slots if unknown."""
