--- a/jayseam/routing/speeds.py
+++ b/jayseam/routing/speeds.py
@@ -121,23 +121,27 @@
             speed.usual_load = load + earlier * (speed.usual_load - load)
         speed.reported_at = now
 
-    def record_reset(self, vm: str, calls: float, now: float) -> None:
+    def record_reset(self, vm: str, calls: float, now: float) -> bool:
         """Lowers the limit of a VM that reset a connection.
 
         Args:
           vm: Name of the VM.
           calls: Calls in flight at the VM, with the one that was reset.
           now: Current time in seconds.
+
+        Returns:
+          Whether the VM was busy enough to take the reset for a full server.
         """
         speed = self._get_or_add(vm)
         if not speed.limit:
-            return
+            return False
         limit = self._compute_limit(speed, now)
         calls = min(calls, limit)
         if calls < MIN_RESET_SHARE * speed.limit:
-            return
+            return False
         speed.reset_limit = max(1.0, calls - 1.0)
         speed.reset_at = now
+        return True
 
     def estimate_limit(self, vm: str, slots: int, now: float) -> int:
         """Returns the concurrency limit of a VM, or its slots if unknown."""
@@ -151,6 +155,13 @@
         speed = self._speeds.get(vm)
         return (speed.limit if speed is not None else 0) or slots or 1
 
+    def has_reset_limit(self, vm: str, now: float) -> bool:
+        """Returns whether resets lower the limit of a VM."""
+        speed = self._speeds.get(vm)
+        return speed is not None and self._compute_limit(speed, now) < (
+            speed.limit
+        )
+
     def get_usual_load(self, vm: str) -> float | None:
         """Returns the moving average of the load of a VM; None if unknown."""
         speed = self._speeds.get(vm)
