Drop the interruption of a call that has already ended

The monitor of callers' connections schedules an interruption in the event loop. The interruption is now dropped once the call no longer watches its caller. The new test failed before; the tests of disconnects and pipelines pass.

--- a/jayseam/node/disconnects.py
+++ b/jayseam/node/disconnects.py
@@ -66,6 +66,8 @@
     def __init__(self):
         # By handle; a connection may have several calls.
         self._watched: dict[int, _Watch] = {}
+        # Handles of calls that the event loop is about to interrupt.
+        self._interrupted: set[int] = set()
         self._handles = itertools.count()
         self._greenlet: gevent.Greenlet | None = None
         # Signs other than that of the poll that are in the log.
@@ -98,6 +100,7 @@
     def unwatch(self, handle: int) -> None:
         """Stops watching a caller's connection."""
         self._watched.pop(handle, None)
+        self._interrupted.discard(handle)
 
     def report_end(self, connection: socket.socket) -> None:
         """Interrupts the calls of a connection whose input has ended."""
@@ -143,7 +146,21 @@
                 signs=signs,
                 watched_s=now - watch.began_at,
             )
-            watch.greenlet.kill(error, block=False)
+            self._interrupted.add(handle)
+            gevent.get_hub().loop.run_callback(
+                self._throw, handle, watch.greenlet, error
+            )
+
+    def _throw(
+        self,
+        handle: int,
+        greenlet: gevent.Greenlet,
+        error: errors.CallerGoneError,
+    ) -> None:
+        """Ends a call from the event loop, unless it has ended meanwhile."""
+        if handle in self._interrupted:
+            self._interrupted.discard(handle)
+            greenlet.throw(error)
 
     def _report_other_sign(
         self, sign: str, signs: dict[str, bool | None]
--- a/jayseam/node/tests/test_disconnects.py
+++ b/jayseam/node/tests/test_disconnects.py
@@ -181,3 +181,28 @@
         gevent.sleep(GONE_S)
         check_gone(application, left_at)
     assert len(looks) < 10
+
+
+def test_call_that_ends_before_its_interruption_is_left_alone():
+    """The error would end the caller's connection as a crash of its task."""
+    monitor = disconnects.DisconnectMonitor()
+    near, far = socket.socketpair()
+    outcomes = []
+
+    def handle():
+        watched = monitor.watch({disconnects.SOCKET_KEY: near})
+        # The event loop runs the call before the interruption that is due.
+        gevent.sleep(0)
+        monitor.unwatch(watched)
+        try:
+            gevent.sleep(0.05)
+            outcomes.append('whole')
+        except errors.CallerGoneError:
+            outcomes.append('interrupted')
+
+    with near, far:
+        task = gevent.spawn(handle)
+        gevent.sleep(0)
+        monitor.report_end(near)
+        task.join(timeout=5)
+    assert outcomes == ['whole']
