Let the chooser of VMs decide without recording anything

An operator who asks why a VM gets no calls saw only whether it is a candidate: unanswered pings, VMs avoided after failures and refusals, and the strategy's choice were missing from the explanation.

Chooser.choose is divided into the exclusions and the selection, and Chooser.rehearse uses both for given random numbers. rehearsals.py makes 400 such choices and reports for each member its load, expected time, share of the choices and reason; estimate_expected_s is the one function for the expected time.

For each registered strategy and 200 random states the dry run gives the choices of a real call, and 20 later choices of an asked chooser are those of one that was not asked.

--- a/jayseam/calls/__init__.py
+++ b/jayseam/calls/__init__.py
@@ -15,6 +15,7 @@
 from jayseam.calls import keys
 from jayseam.calls import messages
 from jayseam.calls import problems
+from jayseam.calls import rehearsals
 from jayseam.calls import requests
 from jayseam.calls import retries
 from jayseam.calls import tokens
@@ -31,6 +32,7 @@
     'keys',
     'messages',
     'problems',
+    'rehearsals',
     'requests',
     'retries',
     'tokens',
--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -1,7 +1,8 @@
 """Chooses routes and VMs for calls from the configuration in force."""
 
 import random
-from collections.abc import Callable, Collection
+import sys
+from collections.abc import Callable, Collection, Sequence
 from typing import Any
 
 import attrs
@@ -26,6 +27,20 @@
     service: str
 
 
+@attrs.frozen
+class Exclusion:
+    """Why a VM is passed over for a while.
+
+    Attributes:
+      kind: ``unresponsive``, ``avoided`` (used only if there is no other) or
+        ``full`` (first attempts still go there).
+      reason: Explanation for an operator.
+    """
+
+    kind: str
+    reason: str
+
+
 @attrs.frozen(eq=False)
 class _PoolCache:
     """Pools of one pair of preset and view, each built on first use."""
@@ -78,6 +93,16 @@
         self._choice_count = 0
         self._route_table: tuple[Any, routing.matching.RouteTable] | None = None
 
+    @property
+    def own_zone(self) -> str:
+        """Zone of this node."""
+        return self._own_zone
+
+    @property
+    def strategy(self) -> str:
+        """Name of the selection strategy."""
+        return self._strategy
+
     @property
     def loads(self) -> routing.loads.LoadTable:
         """Loads of the VMs to which this node sends calls."""
@@ -140,6 +165,97 @@
             recently refused such a call are excluded. None for a first attempt,
             which also goes to VMs that are known to be full.
         """
+        usable = self._list_usable(preset, service, view, tried_vms, now, needs)
+        if not usable.groups:
+            return None
+        self._choice_count += 1
+        candidate = self._select(
+            usable,
+            self._own_zone,
+            now,
+            [self._draw() for _ in range(routing.selection.DRAWS_PER_CHOICE)],
+            self._choice_count,
+            workspace,
+        )
+        record = view.members[candidate.vm]
+        return Choice(candidate.vm, record.incarnation, service)
+
+    def rehearse(
+        self,
+        preset: Any,
+        service: str,
+        view: membership.views.View,
+        now: float,
+        draws: Sequence[Sequence[float]],
+        own_zone: str = '',
+        workspace: str = '',
+    ) -> list[str]:
+        """Returns the VMs that `choose` would return for a first attempt.
+
+        The decision is the same as that of `choose`; nothing is recorded.
+
+        Args:
+          preset: Preset in force.
+          service: Service of the call.
+          view: Members known.
+          now: Present time in seconds.
+          draws: For each choice the random numbers that it uses.
+          own_zone: Zone at which the call enters; by default this node's.
+          workspace: Workspace of the call.
+
+        Returns:
+          The VM of each choice; an empty list if no VM can be chosen.
+        """
+        usable = self._list_usable(preset, service, view, (), now, None)
+        if not usable.groups:
+            return []
+        zone = own_zone or self._own_zone
+        return [
+            self._select(
+                usable,
+                zone,
+                now,
+                numbers,
+                self._choice_count + 1 + position,
+                workspace,
+            ).vm
+            for position, numbers in enumerate(draws)
+        ]
+
+    def list_exclusions(
+        self, now: float, workspace: str = ''
+    ) -> dict[str, Exclusion]:
+        """Returns the VMs that `choose` passes over for a while, and why."""
+        # Covers each refusal that is remembered for the workspace.
+        needs = routing.refusals.CallNeeds(workspace, sys.maxsize, 0.0)
+        exclusions = {
+            vm: Exclusion(
+                'full', 'refused a call for want of room; not retried'
+            )
+            for vm in self._refusals.list_full_vms(needs, now)
+        }
+        for vm in self._list_avoided(now):
+            left_s = self._avoided_until[vm] - now
+            exclusions[vm] = Exclusion(
+                'avoided',
+                f'failed or refused a call; avoided for {left_s:.2f} s',
+            )
+        for vm in self._list_unresponsive(now):
+            exclusions[vm] = Exclusion(
+                'unresponsive', 'has an unanswered ping; never chosen'
+            )
+        return exclusions
+
+    def _list_usable(
+        self,
+        preset: Any,
+        service: str,
+        view: membership.views.View,
+        tried_vms: Collection[str],
+        now: float,
+        needs: routing.refusals.CallNeeds | None,
+    ) -> routing.selection.CandidatePool:
+        """Returns the candidates without those that are excluded now."""
         pool = self._get_pool(preset, view, service)
         excluded = self._list_unresponsive(now).union(tried_vms)
         if needs is not None:
@@ -148,26 +264,33 @@
         usable = (
             pool.exclude(excluded_or_avoided) if excluded_or_avoided else pool
         )
-        if not usable.groups:
-            # An attempt at an avoided VM is better than refusing the call.
-            usable = pool.exclude(excluded) if excluded else pool
-        if not usable.groups:
-            return None
-        self._choice_count += 1
-        candidate = routing.selection.choose(
+        if usable.groups:
+            return usable
+        # An attempt at an avoided VM is better than refusing the call.
+        return pool.exclude(excluded) if excluded else pool
+
+    def _select(
+        self,
+        usable: routing.selection.CandidatePool,
+        own_zone: str,
+        now: float,
+        draws: Sequence[float],
+        turn: int,
+        workspace: str,
+    ) -> routing.selection.Candidate:
+        """Returns the candidate that the strategy of this node selects."""
+        return routing.selection.choose(
             usable,
             self._loads,
-            self._own_zone,
+            own_zone,
             now,
-            [self._draw() for _ in range(routing.selection.DRAWS_PER_CHOICE)],
-            self._choice_count,
+            draws,
+            turn,
             self._strategy,
             workspace,
             self._spill_load,
             self._spill_gain,
         )
-        record = view.members[candidate.vm]
-        return Choice(candidate.vm, record.incarnation, service)
 
     def start_attempt(self, vm: str, workspace: str = '') -> None:
         """Counts the start of an attempt at a VM."""
