Add jayseam-ctl route, which explains where a call would go

On-call could not ask a node where a call of a given host, path and method would go now: "explain" needs a workspace, knows no hosts and lists only whether a VM is a candidate.

It prints the route, the decision with its probability and first draws, and for each VM the load, expected time, state, share of choices and reason. No matching route, an unknown zone and no candidate exit with 1 and a message, a node that is away or too old with 3. The requests to nodes and the tables of ctl.py move to tools/nodes.py and tools/tables.py, so that the new verb has a module of its own; Node.explain moves to RouteExplainer.

--- a/jayseam/node/admin.py
+++ b/jayseam/node/admin.py
@@ -12,6 +12,7 @@
 from jayseam.calls import errors
 from jayseam.core import sockets
 from jayseam.node import bodies
+from jayseam.node import routes
 from jayseam.node import status as status_documents
 
 _JSON = 'application/json'
@@ -47,20 +48,26 @@
 
 
 class AdminApplication:
-    """Serves ``/status``, ``/explain``, ``/healthz`` and ``/metrics``.
+    """Serves the resources for operators.
+
+    These are ``/status``, ``/explain``, ``/route``, ``/healthz`` and
+    ``/metrics``.
 
     Args:
       describe: Returns the state of the node.
       explain: Returns the route of a call and why each VM is or isn't chosen.
+      decide: Returns how a call would be routed, without sending it.
     """
 
     def __init__(
         self,
         describe: Callable[[], dict[str, Any]],
         explain: Callable[[status_documents.RouteQuery], dict[str, Any]],
+        decide: Callable[[routes.CallQuery], dict[str, Any]],
     ):
         self._describe = describe
         self._explain = explain
+        self._decide = decide
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -81,29 +88,47 @@
             status = 200 if state == 'serving' else 503
             return _respond(start_response, status, {'state': state})
         if path == '/explain':
-            return self._answer_explain(environ, start_response)
+            return self._answer_query(
+                environ, start_response, _parse_route_query, self._explain
+            )
+        if path == '/route':
+            return self._answer_query(
+                environ, start_response, _parse_call_query, self._decide
+            )
         return _respond(start_response, 404, {'error': 'unknown path'})
 
-    def _answer_explain(
-        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    def _answer_query(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+        parse: Callable[[dict[str, str]], Any],
+        answer: Callable[[Any], dict[str, Any]],
     ) -> Iterable[bytes]:
         parameters = urllib.parse.parse_qs(environ.get('QUERY_STRING', ''))
         values = {name: items[0] for name, items in parameters.items()}
         if 'path' not in values:
             return _respond(start_response, 400, {'error': 'path is missing'})
         try:
-            query = status_documents.RouteQuery(
-                values.get('workspace', ''),
-                values['path'],
-                values.get('method', 'GET'),
-            )
-            document = self._explain(query)
+            document = answer(parse(values))
         except errors.CallError as error:
             document = {'error': error.detail, 'code': error.code}
             return _respond(start_response, 404, document)
         return _respond(start_response, 200, document)
 
 
+def _parse_route_query(values: dict[str, str]) -> status_documents.RouteQuery:
+    return status_documents.RouteQuery(
+        values.get('workspace', ''),
+        values['path'],
+        values.get('method', 'GET'),
+    )
+
+
+def _parse_call_query(values: dict[str, str]) -> routes.CallQuery:
+    names = ('path', 'method', 'host', 'zone', 'workspace')
+    return routes.CallQuery(**{n: values[n] for n in names if n in values})
+
+
 class ReadinessApplication:
     """Answers any request with 200 while the node is ready, else with 503.
 
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -32,6 +32,7 @@
 from jayseam.node import memberlists
 from jayseam.node import metrics
 from jayseam.node import pauses
+from jayseam.node import routes
 from jayseam.node import shutdowns
 from jayseam.node import status
 
@@ -211,10 +212,17 @@
             lambda: bool(self._ingress.in_flight),
             self._dialect,
         )
+        explainer = routes.RouteExplainer(
+            lambda: self._distribution.snapshot,
+            lambda: self._membership.view,
+            self._path.chooser,
+        )
         self._listeners = listeners.build_listeners(
             settings,
             self._application,
-            admin.AdminApplication(self.describe, self.explain),
+            admin.AdminApplication(
+                self.describe, explainer.explain, explainer.decide
+            ),
             admin.ReadinessApplication(self._is_ready),
             self._backend.budget,
         )
@@ -476,20 +484,6 @@
             'pauses': self._guard.n_pauses,
         }
 
-    def explain(self, query: status.RouteQuery) -> dict[str, Any]:
-        """Returns the route of a call and why each VM is or isn't chosen.
-
-        Raises:
-          CallError: If no route matches, or no preset is in force.
-        """
-        return status.explain_route(
-            self._distribution.snapshot,
-            self._membership.view,
-            self._path.chooser,
-            query,
-            clocks.read_now(),
-        )
-
 
 # Most entries of a new VM list are those of the last one.
 @functools.lru_cache(maxsize=2048)
--- a/jayseam/soak/fleets.py
+++ b/jayseam/soak/fleets.py
@@ -148,6 +148,10 @@
         """Returns the address to which callers on a VM send calls."""
         return ip, self._ports.outbound
 
+    def get_admin_address(self, ip: str) -> tuple[str, int]:
+        """Returns the address at which a node answers operators."""
+        return ip, self._ports.admin
+
     def list_exit_statuses(self) -> Iterator[tuple[str, int]]:
         """Yields the nodes whose process has ended, with its exit status."""
         for vm in self.vms.values():
--- a/jayseam/tools/ctl.py
+++ b/jayseam/tools/ctl.py
@@ -3,14 +3,16 @@
 Commands:
   status ADDR...: State of nodes, by their admin addresses.
   explain ADDR --workspace W --path P [--method M]: How a node routes a call.
+  route ADDR --path P [--host H] [--method M] [--zone Z]: The route of a call,
+    its candidates and the decision, without sending it.
   check FILE: Whether a preset document would be accepted.
   diff A B: Differences between two preset documents.
   follow REQUEST_ID LOG...: Log lines of several nodes about one request.
 
 Exit codes:
   0: Success; for ``diff``, no differences.
-  1: A preset was rejected, ``diff`` found differences, ``explain`` found no
-    usable candidate, or ``follow`` found no line.
+  1: A preset was rejected, ``diff`` found differences, ``explain`` or ``route``
+    found no usable candidate, no route matched, or ``follow`` found no line.
   2: Wrong usage, or a file that cannot be read or is not JSON.
   3: A node could not be reached or gave an unexpected response.
 """
@@ -18,30 +20,23 @@
 import argparse
 import json
 import pathlib
-import socket
 import sys
 import urllib.parse
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import attrs
-import geventhttpclient
-from geventhttpclient import response
 
-from jayseam.core import errors
 from jayseam.presets import differences
 from jayseam.presets import documents
 from jayseam.presets import errors as preset_errors
 from jayseam.presets import model
 from jayseam.presets import verification
+from jayseam.tools import nodes
+from jayseam.tools import routes
+from jayseam.tools import tables
 from jayseam.tools import traces
 
-EXIT_OK = 0
-EXIT_NEGATIVE = 1
-EXIT_USAGE = 2
-EXIT_UNREACHABLE = 3
-_TIMEOUT_S = 3.0
-
 _STATUS_COLUMNS = (
     'addr',
     'vm',
@@ -61,101 +56,16 @@
 _CANDIDATE_COLUMNS = ('vm', 'upstream', 'zone', 'usable', 'load', 'reason')
 
 
-class ToolError(errors.JayseamError):
-    """A command cannot be carried out.
-
-    Attributes:
-      code: Exit code of the program.
-    """
-
-    def __init__(self, code: int, message: str):
-        super().__init__(message)
-        self.code = code
-
-
-def parse_address(text: str) -> tuple[str, int]:
-    """Returns the host and port of an admin address.
-
-    >>> parse_address('127.0.0.1:9000')
-    ('127.0.0.1', 9000)
-    >>> parse_address('[::1]:9000')
-    ('::1', 9000)
-
-    Raises:
-      ToolError: If the address is malformed.
-    """
-    host, _, port = text.rpartition(':')
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ToolError(EXIT_USAGE, f'{text}: expected host:port')
-    return host.strip('[]'), int(port)
-
-
-def fetch_json(address: str, path: str) -> Any:
-    """Returns the JSON body of an admin resource.
-
-    Raises:
-      ToolError: If the node cannot be reached or its response is not JSON.
-    """
-    host, port = parse_address(address)
-    client = geventhttpclient.HTTPClient(
-        host, port, connection_timeout=_TIMEOUT_S, network_timeout=_TIMEOUT_S
-    )
-    try:
-        answer = client.get(path)
-        body = answer.read()
-        if answer.status_code != 200:
-            raise ToolError(
-                EXIT_UNREACHABLE, f'{address}: status {answer.status_code}'
-            )
-        return json.loads(body)
-    except (OSError, socket.timeout, response.HTTPParseError) as error:
-        raise ToolError(EXIT_UNREACHABLE, f'{address}: {error}') from error
-    except ValueError as error:
-        raise ToolError(
-            EXIT_UNREACHABLE, f'{address}: no JSON answer'
-        ) from error
-    finally:
-        client.close()
-
-
 def read_document(path: str) -> Any:
     """Returns the JSON document in a file.
 
     Raises:
-      ToolError: If the file cannot be read or is not JSON.
+      nodes.ToolError: If the file cannot be read or is not JSON.
     """
     try:
         return documents.decode_json(pathlib.Path(path).read_bytes())
     except (OSError, preset_errors.PresetRejectedError) as error:
-        raise ToolError(EXIT_USAGE, f'{path}: {error}') from error
-
-
-def format_table(
-    rows: Iterable[Mapping[str, Any]], columns: Sequence[str]
-) -> str:
-    """Returns a text table with aligned columns.
-
-    >>> print(format_table([{'a': 1, 'b': 'x'}], ['a', 'b']))
-    a  b
-    1  x
-    """
-    lines = [list(columns)]
-    lines += [[_format_cell(row.get(c)) for c in columns] for row in rows]
-    widths = [max(len(line[i]) for line in lines) for i in range(len(columns))]
-    return '\n'.join(
-        '  '.join(cell.ljust(w) for cell, w in zip(line, widths)).rstrip()
-        for line in lines
-    )
-
-
-def _format_cell(value: Any) -> str:
-    if value is None:
-        return '-'
-    if isinstance(value, bool):
-        return 'yes' if value else 'no'
-    if isinstance(value, float):
-        return f'{value:.2f}'
-    return str(value)
+        raise nodes.ToolError(nodes.EXIT_USAGE, f'{path}: {error}') from error
 
 
 def summarize_status(address: str, status: Mapping[str, Any]) -> dict[str, Any]:
@@ -190,18 +100,18 @@
 def run_status(options: argparse.Namespace) -> int:
     """Prints the state of each node that can be reached."""
     statuses: dict[str, Any] = {}
-    code = EXIT_OK
+    code = nodes.EXIT_OK
     for address in options.addresses:
         try:
-            statuses[address] = fetch_json(address, '/status')
-        except ToolError as error:
+            statuses[address] = nodes.fetch_json(address, '/status')
+        except nodes.ToolError as error:
             print(f'jayseam-ctl: {error}', file=sys.stderr)
             code = error.code
     if options.json:
         print(json.dumps(statuses, indent=2, sort_keys=True))
     elif statuses:
         rows = [summarize_status(a, status) for a, status in statuses.items()]
-        print(format_table(rows, _STATUS_COLUMNS))
+        print(tables.format_table(rows, _STATUS_COLUMNS))
     return code
 
 
@@ -214,7 +124,7 @@
             'method': options.method,
         }
     )
-    answer = fetch_json(options.address, f'/explain?{query}')
+    answer = nodes.fetch_json(options.address, f'/explain?{query}')
     candidates = answer.get('candidates', [])
     if options.json:
         print(json.dumps(answer, indent=2, sort_keys=True))
@@ -224,9 +134,11 @@
             if not isinstance(value, str):
                 value = json.dumps(value, sort_keys=True)
             print(f'{name}: {value}')
-        print(format_table(candidates, _CANDIDATE_COLUMNS))
+        print(tables.format_table(candidates, _CANDIDATE_COLUMNS))
     return (
-        EXIT_OK if any(c.get('usable') for c in candidates) else EXIT_NEGATIVE
+        nodes.EXIT_OK
+        if any(c.get('usable') for c in candidates)
+        else nodes.EXIT_NEGATIVE
     )
 
 
@@ -248,7 +160,9 @@
         return _verify(path)
     except preset_errors.PresetRejectedError as error:
         reasons = '\n'.join(f'{path}: {reason}' for reason in error.reasons)
-        raise ToolError(EXIT_NEGATIVE, f'rejected\n{reasons}') from error
+        raise nodes.ToolError(
+            nodes.EXIT_NEGATIVE, f'rejected\n{reasons}'
+        ) from error
 
 
 def run_check(options: argparse.Namespace) -> int:
@@ -262,7 +176,7 @@
         print(json.dumps({'accepted': not reasons, 'reasons': reasons}))
     else:
         print('\n'.join(reasons) or 'accepted')
-    return EXIT_NEGATIVE if reasons else EXIT_OK
+    return nodes.EXIT_NEGATIVE if reasons else nodes.EXIT_OK
 
 
 def run_diff(options: argparse.Namespace) -> int:
@@ -275,7 +189,7 @@
     else:
         for difference in changes:
             print(difference.format())
-    return EXIT_NEGATIVE if changes else EXIT_OK
+    return nodes.EXIT_NEGATIVE if changes else nodes.EXIT_OK
 
 
 def run_follow(options: argparse.Namespace) -> int:
@@ -285,12 +199,14 @@
         try:
             text = pathlib.Path(name).read_text('utf-8', errors='replace')
         except OSError as error:
-            raise ToolError(EXIT_USAGE, f'{name}: {error}') from error
+            raise nodes.ToolError(
+                nodes.EXIT_USAGE, f'{name}: {error}'
+            ) from error
         lines += text.splitlines()
     selected = traces.select_request(lines, options.request_id)
     for line in selected:
         print(json.dumps(line) if options.json else traces.format_line(line))
-    return EXIT_OK if selected else EXIT_NEGATIVE
+    return nodes.EXIT_OK if selected else nodes.EXIT_NEGATIVE
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -311,6 +227,7 @@
     command.add_argument('--path', required=True)
     command.add_argument('--method', default='GET')
     command.set_defaults(run=run_explain)
+    routes.add_command(commands)
     command = commands.add_parser('check', help='validity of a preset')
     command.add_argument('file', metavar='FILE')
     command.set_defaults(run=run_check)
@@ -334,7 +251,7 @@
     options = build_parser().parse_args(arguments)
     try:
         return options.run(options)
-    except ToolError as error:
+    except nodes.ToolError as error:
         print(f'jayseam-ctl: {error}', file=sys.stderr)
         return error.code
 
--- a/jayseam/tools/tests/test_ctl.py
+++ b/jayseam/tools/tests/test_ctl.py
@@ -8,6 +8,7 @@
 from jayseam.presets import documents
 from jayseam.presets import samples
 from jayseam.tools import ctl
+from jayseam.tools import nodes
 
 STATUS = {
     'vm': 'vm-1',
@@ -68,7 +69,7 @@
     """An unreachable node must not hide the state of the other nodes."""
     code = ctl.main(['status', admin.address, '127.0.0.1:1'])
     out, err = capsys.readouterr()
-    assert code == ctl.EXIT_UNREACHABLE
+    assert code == nodes.EXIT_UNREACHABLE
     assert 'vm-1' in out and 'serving (unconfirmed)' in out
     assert '2/10' in out and '1/2' in out
     assert '127.0.0.1:1' in err
@@ -76,38 +77,38 @@
 
 def test_status_as_json_is_whole(admin, capsys):
     """Scripts must get the complete status document of the node."""
-    assert ctl.main(['status', '--json', admin.address]) == ctl.EXIT_OK
+    assert ctl.main(['status', '--json', admin.address]) == nodes.EXIT_OK
     assert json.loads(capsys.readouterr().out) == {admin.address: STATUS}
 
 
 def test_explain_reports_that_no_candidate_is_usable(admin, capsys):
     """A call that cannot be routed must be visible in the exit code."""
     arguments = ['explain', admin.address, '--workspace', 'w&x', '--path', '/p']
-    assert ctl.main(arguments) == ctl.EXIT_OK
+    assert ctl.main(arguments) == nodes.EXIT_OK
     assert admin.queries[-1] == 'workspace=w%26x&path=%2Fp&method=GET'
     admin.usable = False
-    assert ctl.main(arguments) == ctl.EXIT_NEGATIVE
+    assert ctl.main(arguments) == nodes.EXIT_NEGATIVE
     assert 'route: r' in capsys.readouterr().out
 
 
 def test_answer_that_is_no_json_is_an_error(admin, capsys):
     """A wrong port must give an error message instead of a traceback."""
     admin.body = b'<html>'
-    assert ctl.main(['status', admin.address]) == ctl.EXIT_UNREACHABLE
+    assert ctl.main(['status', admin.address]) == nodes.EXIT_UNREACHABLE
     assert 'no JSON answer' in capsys.readouterr().err
 
 
 @pytest.mark.parametrize('address', ['host', 'host:0', ':80', 'host:x'])
 def test_malformed_address_is_wrong_usage(address):
     """A malformed address must not be taken for an unreachable node."""
-    assert ctl.main(['status', address]) == ctl.EXIT_USAGE
+    assert ctl.main(['status', address]) == nodes.EXIT_USAGE
 
 
 def test_unreadable_file_is_wrong_usage(tmp_path, capsys):
     """A missing or malformed file must differ from a rejected preset."""
-    assert ctl.main(['check', str(tmp_path / 'absent')]) == ctl.EXIT_USAGE
+    assert ctl.main(['check', str(tmp_path / 'absent')]) == nodes.EXIT_USAGE
     (tmp_path / 'bad').write_text('{')
-    assert ctl.main(['check', str(tmp_path / 'bad')]) == ctl.EXIT_USAGE
+    assert ctl.main(['check', str(tmp_path / 'bad')]) == nodes.EXIT_USAGE
     assert 'bad' in capsys.readouterr().err
 
 
@@ -124,12 +125,14 @@
 
 def test_check_lists_every_reason(tmp_path, preset, capsys):
     """The tool must reject a preset for the same reasons as a node would."""
-    assert ctl.main(['check', _write(tmp_path, 'good', preset)]) == ctl.EXIT_OK
+    assert (
+        ctl.main(['check', _write(tmp_path, 'good', preset)]) == nodes.EXIT_OK
+    )
     preset['routes'][0]['targets'] = [['nowhere', 1]]
     preset['upstreams'][0]['zone'] = 'nozone'
     assert (
         ctl.main(['check', _write(tmp_path, 'bad', preset)])
-        == ctl.EXIT_NEGATIVE
+        == nodes.EXIT_NEGATIVE
     )
     out = capsys.readouterr().out
     assert 'nowhere' in out and 'nozone' in out
@@ -138,14 +141,14 @@
 def test_diff_shows_what_changes(tmp_path, preset, capsys):
     """Operators must see what a preset changes before it is in force."""
     before = _write(tmp_path, 'before', preset)
-    assert ctl.main(['diff', before, before]) == ctl.EXIT_OK
+    assert ctl.main(['diff', before, before]) == nodes.EXIT_OK
     preset['zones'][0]['in_service'] = False
     after = _write(tmp_path, 'after', preset)
-    assert ctl.main(['diff', before, after]) == ctl.EXIT_NEGATIVE
+    assert ctl.main(['diff', before, after]) == nodes.EXIT_NEGATIVE
     assert 'in_service: True -> False' in capsys.readouterr().out
     preset['zones'] = []
     wrong = _write(tmp_path, 'wrong', preset)
-    assert ctl.main(['diff', before, wrong]) == ctl.EXIT_NEGATIVE
+    assert ctl.main(['diff', before, wrong]) == nodes.EXIT_NEGATIVE
 
 
 def test_follow_orders_the_lines_of_several_nodes(tmp_path, capsys):
