--- a/jayseam/admission/__init__.py
+++ b/jayseam/admission/__init__.py
@@ -7,6 +7,8 @@
 from jayseam.admission import concurrency
 from jayseam.admission import errors
 from jayseam.admission import gates
+from jayseam.admission import objectives
+from jayseam.admission import paces
 from jayseam.admission import pacing
 from jayseam.admission import queues
 from jayseam.admission import ramps
@@ -16,6 +18,8 @@
     'concurrency',
     'errors',
     'gates',
+    'objectives',
+    'paces',
     'pacing',
     'queues',
     'ramps',
--- a/jayseam/admission/gates.py
+++ b/jayseam/admission/gates.py
@@ -17,6 +17,8 @@
 
 from jayseam.admission import concurrency
 from jayseam.admission import errors
+from jayseam.admission import orders
+from jayseam.admission import pacereports
 from jayseam.admission import pacing
 from jayseam.admission import queues
 from jayseam.admission import ramps
@@ -47,12 +49,15 @@
         self._gate = gate
         self._released = False
 
-    def release(self, result: tickets.Result | str, now: float) -> None:
+    def release(
+        self, result: tickets.Result | str, now: float, kind: str = ''
+    ) -> None:
         """Ends the call; only the first release of a permit counts.
 
         Args:
           result: How the call ended, as a `tickets.Result` or its value.
           now: Current time in seconds.
+          kind: Kind of the call; calls of one kind take a similar time.
 
         Raises:
           ValueError: If the result is unknown.
@@ -60,7 +65,7 @@
         outcome = tickets.Result(result)
         if not self._released:
             self._released = True
-            self._gate._release(self, outcome, now)
+            self._gate._release(self, outcome, now, kind)
 
 
 class Gate:
@@ -103,8 +108,10 @@
         Raises:
           UnknownVariantError: If a variant has another name.
         """
-        self._ramp_class = ramps.VARIANTS.get(ramp_shape)
         self._queue = queues.VARIANTS.get(queue)(bounds)
+        self._order: orders.ObjectiveOrder | None = None
+        if self._queue.serves_late:
+            self._order = orders.ObjectiveOrder(self._queue)
         self._read_now = read_now
         self._in_flight = 0
         self._in_flight_by_rank: collections.Counter[int] = (
@@ -119,6 +126,10 @@
         self._capacity = min(slots, connections)
         self._adaptive = concurrency.build_limit(self._capacity)
         self._pacer = pacing.Pacer()
+        self._reporter = pacereports.PaceReporter()
+        self._ramp = ramps.VARIANTS.get(ramp_shape)(
+            self._capacity, self._capacity, 0.0, None
+        )
         self._ramp = self._build_ramp(ramp, None)
 
     def acquire(self, ticket: tickets.Ticket, now: float) -> Permit:
@@ -134,7 +145,8 @@
         Raises:
           QueueFullError: If the queue has no room.
           DeadlineError: If the call cannot finish before its deadline.
-          ObjectiveError: If it would wait past its latency objective.
+          ObjectiveError: If it would wait past its latency objective, unless
+            the queue serves late calls.
           NoLongerValidError: If the call may no longer run.
           ClosedError: If the gate is draining or closed.
         """
@@ -147,24 +159,39 @@
             ticket.still_valid,
             rank=ticket.rank,
         )
+        if self._order is not None:
+            self._order.complete_entry(entry, ticket, now)
         # A call that would wait past its deadline is refused at once, while
         # its entry node has time to try another VM. If the call waited, it
         # might also be admitted with too little time left to run.
-        wait_s = self._estimate_wait(ticket)
+        wait_s = self._estimate_wait(entry, now)
         reason = queues.find_drop_reason(
             entry, now + wait_s, self._estimate_shortest_time(entry, now)
         )
         if reason is not None:
-            raise waits.build_error(reason, ticket, wait_s)
-        self._check_objective(ticket, wait_s, now)
+            self._record_loss(entry, reason.value, False, now)
+            error = waits.build_error(reason, ticket, wait_s)
+            self._promise_room(error, entry, now)
+            raise error
+        if self._order is None:
+            self._check_objective(ticket, wait_s, now)
         if not self._paused and len(self._queue) == 0:
             if self._can_admit(now):
+                if self._order is not None:
+                    self._order.record_start(entry)
                 return self._admit(ticket, now)
         waiter = _Waiter(ticket, event.Event())
         entry.payload = waiter
-        displaced = self._queue.push(entry)
+        try:
+            displaced = self._queue.push(entry)
+        except errors.QueueFullError as error:
+            self._record_loss(entry, 'queue_full', False, now)
+            self._promise_room(error, entry, now)
+            raise
         if displaced is not None:
             self._refuse(displaced, queues.DropReason.DISPLACED)
+            self._record_loss(displaced, 'displaced', True, now)
+            self._promise_room(displaced.payload.error, displaced, now)
         self._idle.clear()
         self._admit_queued(now)
         return self._wait(entry, waiter, now)
@@ -196,11 +223,15 @@
 
     def restart_ramp(self, now: float) -> None:
         """Restarts the ramp: the backend server started at ``now``."""
-        self._ramp = self._ramp.restart(now)
+        self._replace_ramp(self._ramp.restart(now), now)
         ends_at = now + self._ramp.duration_s
         self._pacer = attrs.evolve(self._pacer, ends_at=ends_at)
         self._schedule_timer(now)
 
+    def notice_pause(self, now: float) -> None:
+        """Ignores calls that started before a pause of the process ended."""
+        self._replace_ramp(self._ramp.record_pause(now), now)
+
     def pause(self) -> None:
         """Stops admissions until `resume`; new calls are queued."""
         self._paused = True
@@ -259,9 +290,10 @@
     def _build_ramp(self, ramp, started_at: float | None):
         self._pacer = self._build_pacer(ramp, started_at)
         if ramp is None:
-            return self._ramp_class(self._capacity, self._capacity, 0.0, None)
-        return self._ramp_class(
-            ramp.initial_slots, self._capacity, ramp.duration_s, started_at
+            full = self._ramp.resize(self._capacity, self._capacity, 0.0)
+            return attrs.evolve(full, started_at=None)
+        return self._ramp.resize(
+            ramp.initial_slots, self._capacity, ramp.duration_s
         )
 
     def _build_pacer(self, ramp, started_at: float | None) -> pacing.Pacer:
@@ -272,6 +304,10 @@
             ends_at = started_at + ramp.duration_s
         return attrs.evolve(self._pacer, rate_per_s=rate_per_s, ends_at=ends_at)
 
+    def _replace_ramp(self, ramp: ramps.Ramp, now: float) -> None:
+        self._reporter.report(self._ramp, ramp, now)
+        self._ramp = ramp
+
     def _compute_limit(self, now: float) -> int:
         return min(
             self._capacity,
@@ -285,24 +321,29 @@
         return has_slot and self._pacer.allows(now)
 
     def _estimate_shortest_time(self, entry: queues.Entry, now: float) -> float:
+        if self._order is not None:
+            return self._order.estimate_shortest(entry, now)
         return self._service_times.estimate_shortest(entry.workspace, now)
 
-    def _estimate_wait(self, ticket: tickets.Ticket) -> float:
+    def _estimate_wait(self, entry: queues.Entry, now: float) -> float:
         """Returns the time that a new call is expected to wait, in seconds.
 
         The limit is taken as of the deadline, so that no call is refused that
         a growing ramp could admit in time.
         """
-        limit = self._compute_limit(ticket.deadline)
+        limit = self._compute_limit(entry.deadline)
         if self._paused or limit <= 0:
             return 0.0
-        ahead = self._queue.count_ahead(ticket.workspace, ticket.rank)
-        now = self._read_now()
-        paced_s = self._pacer.estimate_wait(ahead, now)
         # Slots of more urgent calls don't count as free: such calls keep coming
         # and take them again.
-        free_slots = max(1, limit - self._count_more_urgent(ticket.rank))
-        mean_s = self._service_times.estimate_mean(ticket.workspace)
+        free_slots = max(1, limit - self._count_more_urgent(entry.rank))
+        if self._order is not None:
+            ahead = self._order.measure_ahead(entry, free_slots, now)
+            paced_s = self._pacer.estimate_wait(ahead.entries, now)
+            return max(paced_s, ahead.work_s / free_slots)
+        ahead = self._queue.count_ahead(entry.workspace, entry.rank)
+        paced_s = self._pacer.estimate_wait(ahead, self._read_now())
+        mean_s = self._service_times.estimate_mean(entry.workspace)
         return max(paced_s, ahead * mean_s / free_slots)
 
     def _count_more_urgent(self, rank: int) -> int:
@@ -352,6 +393,7 @@
         if waiter.error is not None:
             raise waiter.error
         self._cancel_wait(entry, waiter)
+        self._record_loss(entry, 'deadline', True, ticket.deadline)
         raise errors.DeadlineError(
             f'call {ticket.request_id} waited until its deadline'
         )
@@ -367,14 +409,26 @@
         waiter.error = waits.build_error(reason, waiter.ticket)
         waiter.decided.set()
 
+    def _record_loss(
+        self, entry: queues.Entry, reason: str, waited: bool, now: float
+    ) -> None:
+        if self._order is not None:
+            self._order.record_loss(entry, reason, waited, now)
+
+    def _promise_room(
+        self, error: errors.AdmissionError, entry: queues.Entry, now: float
+    ) -> None:
+        if self._order is not None:
+            wait_s = self._estimate_wait(entry, now)
+            limit = self._compute_limit(now)
+            self._order.promise_room(error, entry, wait_s, limit, now)
+
     def _admit_queued(self, now: float) -> None:
         """Admits queued calls while the limit allows."""
         while not self._paused and len(self._queue) > 0:
             if not self._can_admit(now):
                 break
-            entry, dropped = self._queue.pop(
-                now, lambda waiting: self._estimate_shortest_time(waiting, now)
-            )
+            entry, dropped = self._pop(now)
             for dropped_entry, reason in dropped:
                 self._refuse(dropped_entry, reason)
             if entry is not None:
@@ -383,6 +437,14 @@
         self._schedule_timer(now)
         self._update_idle()
 
+    def _pop(self, now: float):
+        def estimate_s(waiting: queues.Entry) -> float:
+            return self._estimate_shortest_time(waiting, now)
+
+        if self._order is not None:
+            return self._order.pop(now, self._compute_limit(now), estimate_s)
+        return self._queue.pop(now, estimate_s)
+
     def _schedule_timer(self, now: float) -> None:
         """Sets a timer for the next step of ramp or pacer while calls wait."""
         if self._timer is not None or len(self._queue) == 0:
@@ -404,14 +466,27 @@
             self._idle.set()
 
     def _release(
-        self, permit: Permit, result: tickets.Result, now: float
+        self,
+        permit: Permit,
+        result: tickets.Result,
+        now: float,
+        kind: str,
     ) -> None:
         latency_s = max(0.0, now - permit.admitted_at)
-        if result is tickets.Result.SUCCESS:
+        is_complete = result in (tickets.Result.SUCCESS, tickets.Result.ERROR)
+        if is_complete:
+            self._service_times.record(permit.ticket.workspace, latency_s, now)
+            if self._order is not None:
+                self._order.record(permit.ticket, latency_s, now)
+        if self._ramp.adapts_to_answers:
+            sample = ramps.Sample(
+                kind, permit.admitted_at, now, self._in_flight
+            )
+            self._replace_ramp(self._ramp.record(result, sample), now)
+        elif is_complete:
             self._adaptive = self._adaptive.record_success(
                 latency_s, self._in_flight
             )
-            self._service_times.record(permit.ticket.workspace, latency_s, now)
         elif result is tickets.Result.SHED:
             self._adaptive = self._adaptive.record_shed(now)
         self._in_flight -= 1
--- a/jayseam/admission/tickets.py
+++ b/jayseam/admission/tickets.py
@@ -8,10 +8,22 @@
 
 
 class Result(enum.Enum):
-    """How an admitted call ended."""
+    """How an admitted call ended.
+
+    Attributes:
+      SUCCESS: With a complete answer.
+      ERROR: With a complete answer that reports a failure of the server.
+      SHED: The server refused the call before it ran.
+      RESET: The server closed the connection without a complete answer.
+      TIMEOUT: Without an answer by the deadline.
+      FAILED: In another way, which says nothing about the server.
+    """
 
     SUCCESS = 'success'
+    ERROR = 'error'
     SHED = 'shed'
+    RESET = 'reset'
+    TIMEOUT = 'timeout'
     FAILED = 'failed'
 
 
@@ -29,6 +41,7 @@
       rank: Urgency; 0 is the most urgent.
       objective: Latency objective: time until which an answer has its full
         value, in seconds.
+      kind: Kind of the call, the name of its route.
     """
 
     workspace: str
@@ -38,6 +51,7 @@
     still_valid: Callable[[float], bool]
     rank: int = 0
     objective: float = math.inf
+    kind: str = ''
 
 
 @attrs.frozen
--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -9,22 +9,44 @@
 
 from jayseam import membership
 from jayseam import routing
+from jayseam.calls import avoidances
 from jayseam.calls import errors
+from jayseam.calls import pools
 
-# A VM that failed to answer is avoided for this long, so that the call's retry
-# and later calls don't wait for the same unresponsive VM.
-_AVOID_UNREACHABLE_S = 2.0
-# A VM that refused a call has no room for about the duration of one call.
-_AVOID_REFUSING_S = 0.15
+_EXPECTED_TIME = 'expected_time'
 
 
 @attrs.frozen
 class Choice:
-    """The ingress chosen for one attempt."""
+    """The ingress chosen for one attempt.
+
+    Attributes:
+      vm: Name of its VM.
+      incarnation: Incarnation of its process.
+      service: Service of the call.
+      reason: Why it was chosen, if the strategy gives a reason.
+      expected_s: Expected time to an answer in seconds; 0 if the strategy
+        doesn't estimate it.
+    """
 
     vm: str
     incarnation: int
     service: str
+    reason: str = ''
+    expected_s: float = 0.0
+
+
+@attrs.frozen
+class CallProfile:
+    """What the strategy ``expected_time`` has to know of a call.
+
+    Attributes:
+      kind: Kind of the call: the name of its route.
+      needs: Rank and time left of the call.
+    """
+
+    kind: str
+    needs: routing.refusals.CallNeeds
 
 
 @attrs.frozen
@@ -32,8 +54,8 @@
     """Why a VM is passed over for a while.
 
     Attributes:
-      kind: ``unresponsive``, ``avoided`` (used only if there is no other) or
-        ``full`` (first attempts still go there).
+      kind: ``unresponsive``, ``avoided`` or ``no-room`` (both used only if
+        there is no other), or ``full`` (first attempts still go there).
       reason: Explanation for an operator.
     """
 
@@ -41,17 +63,6 @@
     reason: str
 
 
-@attrs.frozen(eq=False)
-class _PoolCache:
-    """Pools of one pair of preset and view, each built on first use."""
-
-    preset: Any
-    view: membership.views.View
-    by_service: dict[str, routing.selection.CandidatePool] = attrs.field(
-        factory=dict
-    )
-
-
 class Chooser:
     """Chooses routes and VMs.
 
@@ -64,6 +75,8 @@
       spill_load: Load of the own zone from which calls go to other zones too.
       spill_gain: Amount by which the load of a backend server in another zone
         must then be below the load in the own zone; None for no minimum.
+      zone_price: Saving of time, over the time left, from which the strategy
+        ``expected_time`` sends calls to another zone.
       list_unresponsive: Returns the VMs that have an unanswered ping at a given
         time in seconds. They are never chosen: a call sent there would probably
         be lost, and its caller couldn't know whether it ran.
@@ -77,7 +90,12 @@
         spill_load: float = routing.selection.DEFAULT_SPILL_LOAD,
         spill_gain: float | None = None,
         list_unresponsive: Callable[[float], set[str]] = lambda now: set(),
+        zone_price: float = 0.0,
     ):
+        self._zone_price = zone_price
+        self._by_expected_time = strategy == _EXPECTED_TIME
+        self._speeds = routing.speeds.SpeedTable()
+        self._capacities = routing.expectations.CapacityCache(self._speeds)
         self._list_unresponsive = list_unresponsive
         self._spill_load = spill_load
         self._spill_gain = spill_gain
@@ -88,8 +106,8 @@
         self._refusals = routing.refusals.RefusalTable()
         self._zone_return_times: routing.zones.ReturnTimes = {}
         self._in_service: frozenset[str] | None = None
-        self._pool_cache: _PoolCache | None = None
-        self._avoided_until: dict[str, float] = {}
+        self._pools = pools.PoolCache(own_zone)
+        self._avoidances = avoidances.AvoidanceTable()
         self._choice_count = 0
         self._route_table: tuple[Any, routing.matching.RouteTable] | None = None
 
@@ -103,6 +121,11 @@
         """Name of the selection strategy."""
         return self._strategy
 
+    @property
+    def estimates_time(self) -> bool:
+        """Whether the strategy decides by expected times."""
+        return self._by_expected_time
+
     @property
     def loads(self) -> routing.loads.LoadTable:
         """Loads of the VMs to which this node sends calls."""
@@ -115,7 +138,7 @@
             self._zone_return_times, self._in_service, in_service, now
         )
         self._in_service = in_service
-        self._pool_cache = None
+        self._pools.clear()
 
     def match_route(
         self, preset: Any, method: str, path: str, host: str = ''
@@ -151,6 +174,7 @@
         now: float,
         workspace: str = '',
         needs: routing.refusals.CallNeeds | None = None,
+        profile: CallProfile | None = None,
     ) -> Choice | None:
         """Returns the ingress for the next attempt, or None if there is none.
 
@@ -164,21 +188,28 @@
           needs: What decides whether a queue has room for the call; VMs that
             recently refused such a call are excluded. None for a first attempt,
             which also goes to VMs that are known to be full.
+          profile: What ``expected_time`` has to know of the call. With it, VMs
+            known to be full are tried only if there is no other.
         """
-        usable = self._list_usable(preset, service, view, tried_vms, now, needs)
+        pool = self._pools.get(preset, view, service, self._zone_return_times)
+        usable = self._list_usable(pool, tried_vms, now, needs, profile)
         if not usable.groups:
             return None
         self._choice_count += 1
-        candidate = self._select(
+        decision = self._select(
             usable,
             self._own_zone,
             now,
             [self._draw() for _ in range(routing.selection.DRAWS_PER_CHOICE)],
             self._choice_count,
             workspace,
+            self._build_outlook(self._capacities, service, profile),
+        )
+        vm = decision.candidate.vm
+        incarnation = view.members[vm].incarnation
+        return Choice(
+            vm, incarnation, service, decision.reason, decision.expected_s
         )
-        record = view.members[candidate.vm]
-        return Choice(candidate.vm, record.incarnation, service)
 
     def rehearse(
         self,
@@ -189,10 +220,11 @@
         draws: Sequence[Sequence[float]],
         own_zone: str = '',
         workspace: str = '',
-    ) -> list[str]:
-        """Returns the VMs that `choose` would return for a first attempt.
+        profile: CallProfile | None = None,
+    ) -> list[routing.selection.Decision]:
+        """Returns what `choose` would decide for a first attempt.
 
-        The decision is the same as that of `choose`; nothing is recorded.
+        Nothing is recorded.
 
         Args:
           preset: Preset in force.
@@ -202,28 +234,62 @@
           draws: For each choice the random numbers that it uses.
           own_zone: Zone at which the call enters; by default this node's.
           workspace: Workspace of the call.
+          profile: What ``expected_time`` has to know of the call.
 
         Returns:
-          The VM of each choice; an empty list if no VM can be chosen.
+          The decision of each choice; an empty list if no VM can be chosen.
         """
-        usable = self._list_usable(preset, service, view, (), now, None)
+        pool = self._build_pool(preset, view, service)
+        usable = self._list_usable(pool, (), now, None, profile)
         if not usable.groups:
             return []
-        zone = own_zone or self._own_zone
+        outlook = self._build_outlook(self._capacities.copy(), service, profile)
         return [
             self._select(
                 usable,
-                zone,
+                own_zone or self._own_zone,
                 now,
                 numbers,
                 self._choice_count + 1 + position,
                 workspace,
-            ).vm
+                outlook,
+            )
             for position, numbers in enumerate(draws)
         ]
 
+    def estimate_times(
+        self,
+        preset: Any,
+        service: str,
+        view: membership.views.View,
+        now: float,
+        own_zone: str = '',
+        profile: CallProfile | None = None,
+    ) -> dict[str, float]:
+        """Returns the expected times of a dry run by VM, in seconds.
+
+        They include VMs that are passed over for a while; there are none if
+        the strategy doesn't estimate times. The arguments are those of
+        `rehearse`.
+        """
+        pool = self._build_pool(preset, view, service)
+        outlook = self._build_outlook(self._capacities.copy(), service, profile)
+        if outlook is None:
+            return {}
+        return routing.expectations.estimate_times(
+            pool,
+            self._list_usable(pool, (), now, None, profile),
+            outlook,
+            self._loads,
+            own_zone or self._own_zone,
+            now,
+        )
+
     def list_exclusions(
-        self, now: float, workspace: str = ''
+        self,
+        now: float,
+        workspace: str = '',
+        profile: CallProfile | None = None,
     ) -> dict[str, Exclusion]:
         """Returns the VMs that `choose` passes over for a while, and why."""
         # Covers each refusal that is remembered for the workspace.
@@ -234,11 +300,14 @@
             )
             for vm in self._refusals.list_full_vms(needs, now)
         }
-        for vm in self._list_avoided(now):
-            left_s = self._avoided_until[vm] - now
+        for vm in self._list_full(profile, now):
+            exclusions[vm] = Exclusion(
+                'no-room', 'refused such a call for want of room'
+            )
+        for vm, until in self._avoidances.list_times(now).items():
             exclusions[vm] = Exclusion(
                 'avoided',
-                f'failed or refused a call; avoided for {left_s:.2f} s',
+                f'failed or refused a call; avoided for {until - now:.2f} s',
             )
         for vm in self._list_unresponsive(now):
             exclusions[vm] = Exclusion(
@@ -248,26 +317,31 @@
 
     def _list_usable(
         self,
-        preset: Any,
-        service: str,
-        view: membership.views.View,
+        pool: routing.selection.CandidatePool,
         tried_vms: Collection[str],
         now: float,
         needs: routing.refusals.CallNeeds | None,
+        profile: CallProfile | None,
     ) -> routing.selection.CandidatePool:
         """Returns the candidates without those that are excluded now."""
-        pool = self._get_pool(preset, view, service)
         excluded = self._list_unresponsive(now).union(tried_vms)
         if needs is not None:
             excluded |= self._refusals.list_full_vms(needs, now)
-        excluded_or_avoided = excluded | self._list_avoided(now)
-        usable = (
-            pool.exclude(excluded_or_avoided) if excluded_or_avoided else pool
-        )
-        if usable.groups:
-            return usable
-        # An attempt at an avoided VM is better than refusing the call.
-        return pool.exclude(excluded) if excluded else pool
+        avoided = excluded.union(self._avoidances.list_times(now))
+        full = self._list_full(profile, now)
+        usable = pool.exclude(avoided | full) if avoided | full else pool
+        if not usable.groups and full:
+            usable = pool.exclude(avoided) if avoided else pool
+        if not usable.groups:
+            # An attempt at an avoided VM is better than refusing the call.
+            usable = pool.exclude(excluded) if excluded else pool
+        return usable
+
+    def _list_full(self, profile: CallProfile | None, now: float) -> set[str]:
+        """Returns the VMs that ``expected_time`` passes over as full."""
+        if not self._by_expected_time or profile is None:
+            return set()
+        return self._refusals.list_full_vms(profile.needs, now)
 
     def _select(
         self,
@@ -277,19 +351,19 @@
         draws: Sequence[float],
         turn: int,
         workspace: str,
-    ) -> routing.selection.Candidate:
-        """Returns the candidate that the strategy of this node selects."""
-        return routing.selection.choose(
-            usable,
+        outlook: routing.expectations.Outlook | None,
+    ) -> routing.selection.Decision:
+        """Returns the decision of the strategy of this node."""
+        view = routing.selection.LoadView(
             self._loads,
-            own_zone,
-            now,
-            draws,
-            turn,
-            self._strategy,
             workspace,
+            now,
             self._spill_load,
             self._spill_gain,
+            outlook,
+        )
+        return routing.selection.decide(
+            usable, view, own_zone, draws, turn, self._strategy
         )
 
     def start_attempt(self, vm: str, workspace: str = '') -> None:
@@ -306,18 +380,61 @@
         workspace: str,
         report: routing.loads.ReportedLoad,
         now: float,
+        kind: str = '',
     ) -> None:
-        """Stores the load that came with a reply to a call of a workspace."""
+        """Stores the load that came with a reply to a call.
+
+        Args:
+          vm: VM of the reply.
+          workspace: Workspace of the call.
+          report: Load in the reply.
+          now: Current time in seconds.
+          kind: Kind of the call.
+        """
         self._loads.record_report(vm, workspace, report, now)
-        self._avoided_until.pop(vm, None)
+        self._avoidances.remove(vm)
+        if self._by_expected_time:
+            self._speeds.record_reply(
+                vm, kind, report.kind_service_s, report.limit, report.load, now
+            )
+
+    @property
+    def report_zone(self) -> str:
+        """Own zone if replies should carry digests; else empty."""
+        return self._own_zone if self._by_expected_time else ''
+
+    def collect_reports(self, now: float) -> list[list[Any]]:
+        """Returns the digest of recent loads for another node of the zone."""
+        if not self._by_expected_time:
+            return []
+        return routing.digests.collect(self._loads, self._pools.zone_vms, now)
+
+    def merge_reports(self, items: Collection[Any], now: float) -> None:
+        """Takes over newer loads from the digest in a reply."""
+        if self._by_expected_time and items:
+            routing.digests.merge(
+                self._loads, self._speeds, items, self._pools.zone_vms, now
+            )
+
+    def record_reset(self, vm: str, now: float) -> None:
+        """Lowers the limit of a VM that may have reset a call as it was full.
+
+        This must be called after `record_load` for the reply.
+        """
+        member = self._loads.find(vm)
+        if self._by_expected_time and member and member.report:
+            report = member.report
+            # The call that was reset is no longer in the report.
+            calls = report.load * report.limit + 1.0
+            self._speeds.record_reset(vm, calls, now)
 
     def record_failure(self, vm: str, now: float) -> None:
         """Avoids a VM for a while after it failed to answer."""
-        self._avoid(vm, now + _AVOID_UNREACHABLE_S)
+        self._avoidances.add(vm, now + avoidances.AVOID_UNREACHABLE_S)
 
     def record_refusal(self, vm: str, now: float) -> None:
         """Avoids a VM briefly after it refused a call."""
-        self._avoid(vm, now + _AVOID_REFUSING_S)
+        self._avoidances.add(vm, now + avoidances.AVOID_REFUSING_S)
 
     def record_full(
         self,
@@ -329,9 +446,6 @@
         """Records that a VM had no room in its queue for a call."""
         self._refusals.add_refusal(vm, needs, wait_s, now)
 
-    def _avoid(self, vm: str, until: float) -> None:
-        self._avoided_until[vm] = max(until, self._avoided_until.get(vm, until))
-
     def explain(
         self, preset: Any, view: membership.views.View, route: Any, now: float
     ) -> list[routing.selection.Explanation]:
@@ -341,7 +455,7 @@
             for service, _ in route.targets
             for explanation in routing.selection.explain(
                 preset,
-                _list_members(preset, view, service),
+                pools.list_members(preset, view, service),
                 service,
                 self._zone_return_times,
                 self._loads,
@@ -355,48 +469,29 @@
             self._route_table = (preset, table)
         return self._route_table[1]
 
-    def _get_pool(
+    def _build_pool(
         self, preset: Any, view: membership.views.View, service: str
     ) -> routing.selection.CandidatePool:
-        cache = self._pool_cache
-        if (
-            cache is None
-            or cache.preset is not preset
-            or cache.view is not view
-        ):
-            cache = self._pool_cache = _PoolCache(preset, view)
-        pool = cache.by_service.get(service)
-        if pool is None:
-            pool = routing.selection.build_pool(
-                preset,
-                _list_members(preset, view, service),
-                service,
-                self._zone_return_times,
-            )
-            cache.by_service[service] = pool
-        return pool
+        """Builds a pool for a dry run.
 
-    def _list_avoided(self, now: float) -> set[str]:
-        if not self._avoided_until:
-            return set()
-        self._avoided_until = {
-            vm: until
-            for vm, until in self._avoided_until.items()
-            if until > now
-        }
-        return set(self._avoided_until)
-
-
-def _list_members(
-    preset: Any, view: membership.views.View, service: str
-) -> list[membership.records.MemberRecord]:
-    """Returns the members at the positions of a service.
+        The digest of loads covers cached pools, so that a dry run must not add
+        the pool of a service that this node doesn't call.
+        """
+        return pools.build_pool(preset, view, service, self._zone_return_times)
 
-    The preset decides which service a position belongs to; the service in
-    membership records may be outdated.
-    """
-    return [
-        record
-        for upstream in preset.upstreams_by_service.get(service, ())
-        for record in view.list_upstream_members(upstream.name)
-    ]
+    def _build_outlook(
+        self,
+        capacities: routing.expectations.CapacityCache,
+        service: str,
+        profile: CallProfile | None,
+    ) -> routing.expectations.Outlook | None:
+        if not self._by_expected_time:
+            return None
+        outlook = routing.expectations.Outlook(
+            capacities, service, zone_price=self._zone_price
+        )
+        if profile is None:
+            return outlook
+        return attrs.evolve(
+            outlook, kind=profile.kind, time_left_s=profile.needs.time_left_s
+        )
--- a/jayseam/calls/ingress.py
+++ b/jayseam/calls/ingress.py
@@ -27,6 +27,13 @@
 # Most cancelled attempts that are remembered because they may still begin. Most
 # of them have ended.
 _MAX_CANCELLED_EARLY = 1000
+_FIRST_SERVER_ERROR = 500
+# Other reasons, such as an answer to another request or a cancellation, say
+# nothing about the load of the backend server.
+_RESULTS_OF_UNKNOWN_OUTCOMES = {
+    'connection-lost': admission.tickets.Result.RESET,
+    'timeout': admission.tickets.Result.TIMEOUT,
+}
 
 _log = logs.get_logger(__name__)
 
@@ -73,12 +80,16 @@
         self._wait_for_refresh = wait_for_refresh
         self._dialect = dialect
         self._budget = memory.ByteBudget() if budget is None else budget
+        # The gate measures by workspace; entries choose VMs by route.
+        self._route_times = admission.servicetimes.ServiceTimes()
+        self._collect_reports: Callable[[float], list[Any]] = lambda now: []
         self._running: dict[str, gevent.Greenlet] = {}
         self._request_ids: dict[str, str] = {}
         # Attempts that are unknown here, in the order of their cancellations.
         self._cancelled_early: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self._measured_since = -math.inf
         self._leaving = False
         self._withdrawn = False
 
@@ -91,6 +102,19 @@
         """Returns the request id of each attempt in flight."""
         return dict(self._request_ids)
 
+    def set_report_source(self, collect: Callable[[float], list[Any]]) -> None:
+        """Sets where recent loads of other VMs of the zone come from.
+
+        Args:
+          collect: Returns the items of a digest; see `routing.digests`. Takes
+            the current time in seconds.
+        """
+        self._collect_reports = collect
+
+    def ignore_earlier_calls(self, now: float) -> None:
+        """Ignores the times of calls that began before a pause ended."""
+        self._measured_since = now
+
     def refuse_new_calls(self) -> None:
         """Refuses forwarded calls from now on; accepted calls still finish."""
         self._leaving = True
@@ -137,27 +161,36 @@
                 error.code,
                 error.ran,
                 error.detail,
-                *self._list_load_fields(forward.workspace),
                 admitted=error.admitted,
                 retry_after_ms=int((error.retry_after_s or 0.0) * _MS_PER_S),
+                **self._build_load_fields(forward),
             )
         return messages.Answered(
             answer.status,
             [list(pair) for pair in answer.headers],
             answer.body,
-            *self._list_load_fields(forward.workspace),
+            **self._build_load_fields(forward),
         )
 
-    def _list_load_fields(self, workspace: str) -> tuple[float, ...]:
-        """Returns the load fields of a reply to a call of a workspace."""
-        report = self._gate.describe(clocks.read_now())
-        queued = self._gate.count_queued(workspace)
-        return (
-            report.load,
-            report.service_s,
-            report.estimate_fair_load(queued),
-            report.estimate_fair_load(0),
-        )
+    def _build_load_fields(self, forward: messages.Forward) -> dict[str, Any]:
+        """Returns the load fields of the reply to a call."""
+        now = clocks.read_now()
+        report = self._gate.describe(now)
+        queued = self._gate.count_queued(forward.workspace)
+        fields = {
+            'load': report.load,
+            'service_s': report.service_s,
+            'fair_load': report.estimate_fair_load(queued),
+            'idle_load': report.estimate_fair_load(0),
+        }
+        if forward.report_zone:
+            fields['kind_service_s'] = self._route_times.find_mean(
+                forward.route
+            )
+            fields['limit'] = max(0, report.limit)
+        if forward.report_zone == self._identity.zone:
+            fields['reports'] = self._collect_reports(now)
+        return fields
 
     def run(self, forward: messages.Forward, now: float) -> requests.CallAnswer:
         """Admits a call and runs it on the backend server.
@@ -260,6 +293,7 @@
             still_valid=lambda _: self._find_refusal(forward) is None,
             rank=forward.rank,
             objective=_compute_objective(forward, now),
+            kind=forward.route,
         )
         permit = self._acquire(ticket, forward, now)
         result = admission.tickets.Result.FAILED
@@ -267,6 +301,8 @@
             self._recheck_validity(forward, deadline)
             answer = self._backend.run(self._build_request(forward), deadline)
             result = admission.tickets.Result.SUCCESS
+            if answer.status >= _FIRST_SERVER_ERROR:
+                result = admission.tickets.Result.ERROR
             if backends.messages.is_shed(answer, self._dialect):
                 # The answer is passed on unchanged, but it must still lower
                 # the concurrency limit.
@@ -279,12 +315,29 @@
         except backends.errors.NotRunError as error:
             raise errors.NotRunError('no backend server connection') from error
         except backends.errors.OutcomeUnknownError as error:
+            result = _RESULTS_OF_UNKNOWN_OUTCOMES.get(error.reason, result)
+            if (ended_at := clocks.read_now()) >= deadline:
+                # A server that is too slow to answer must not seem average.
+                self._record_route_time(forward, permit, ended_at)
             raise errors.OutcomeUnknownError(str(error)) from error
         finally:
-            self._release(permit, result, forward.request_id)
+            self._release(permit, result, forward)
+        if result is admission.tickets.Result.SUCCESS:
+            self._record_route_time(forward, permit, clocks.read_now())
         headers = requests.filter_answer_headers(answer.headers, self._dialect)
         return requests.CallAnswer(answer.status, headers, answer.body)
 
+    def _record_route_time(
+        self,
+        forward: messages.Forward,
+        permit: admission.gates.Permit,
+        now: float,
+    ) -> None:
+        if permit.admitted_at < self._measured_since:
+            return
+        service_s = max(0.0, now - permit.admitted_at)
+        self._route_times.record(forward.route, service_s, now)
+
     def _recheck_validity(
         self, forward: messages.Forward, deadline: float
     ) -> None:
@@ -301,7 +354,7 @@
         self,
         permit: admission.gates.Permit,
         result: admission.tickets.Result,
-        request_id: str,
+        forward: messages.Forward,
     ) -> None:
         """Releases a permit once the backend server has ended the call.
 
@@ -309,12 +362,13 @@
         the backend server has answered the cancellation. Admitting another call
         before that could exceed the number of slots.
         """
-        cancellation = self._backend.find_cancellation(request_id)
+        kind = forward.route
+        cancellation = self._backend.find_cancellation(forward.request_id)
         if cancellation is None:
-            permit.release(result, clocks.read_now())
+            permit.release(result, clocks.read_now(), kind)
         else:
             cancellation.rawlink(
-                lambda _: permit.release(result, clocks.read_now())
+                lambda _: permit.release(result, clocks.read_now(), kind)
             )
 
     def _acquire(
--- a/jayseam/calls/rehearsals.py
+++ b/jayseam/calls/rehearsals.py
@@ -4,15 +4,20 @@
 """
 
 import collections
+import math
 import random
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
 
 from jayseam import membership
 from jayseam import routing
+from jayseam.backends import dialects
 from jayseam.calls import choosers
 from jayseam.calls import errors
+from jayseam.calls import keys
+from jayseam.calls import urgency
 
 # Choices that a dry run makes; a share is exact to about 0.05.
 N_CHOICES = 400
@@ -20,6 +25,7 @@
 N_LISTED_CHOICES = 5
 # The same loads and members give the same document each time.
 _SEED = 1
+_MS_PER_S = 1000
 
 
 @attrs.frozen
@@ -88,8 +94,9 @@
 ) -> float | None:
     """Returns the expected time to an answer of a VM, in seconds.
 
-    It is the mean service time that the VM reported, times one more than the
-    calls that wait over the limit.
+    This is for strategies that don't estimate it themselves: the mean service
+    time that the VM reported, times one more than the calls that wait over the
+    limit.
 
     Args:
       loads: Loads of members.
@@ -105,6 +112,35 @@
     return report.service_s * (1.0 + max(0.0, load - 1.0))
 
 
+def build_profile(
+    preset: Any,
+    route: Any,
+    now: float,
+    workspace: str = '',
+    dialect: dialects.Dialect = dialects.DEFAULT,
+) -> choosers.CallProfile:
+    """Returns the profile of a call that comes now with the route's timeout.
+
+    Args:
+      preset: Preset in force.
+      route: Route of the call.
+      now: Present time in seconds.
+      workspace: Workspace of the call; empty if there is none.
+      dialect: Header fields of callers, which tell how nested calls look.
+    """
+    caller = keys.Caller(workspace, '')
+    objective = math.inf
+    if not urgency.is_nested(preset, caller, dialect):
+        objective = urgency.compute_objective(route, route.timeout_ms, now)
+    deadline = now + route.timeout_ms / _MS_PER_S
+    needs = routing.refusals.CallNeeds(
+        workspace,
+        urgency.rank_caller(preset, route, caller, dialect),
+        min(objective, deadline) - now,
+    )
+    return choosers.CallProfile(route.name, needs)
+
+
 def rehearse(
     chooser: choosers.Chooser,
     preset: Any,
@@ -113,6 +149,7 @@
     now: float,
     zone: str = '',
     workspace: str = '',
+    dialect: dialects.Dialect = dialects.DEFAULT,
 ) -> Rehearsal:
     """Returns how the first attempt of a call would choose its VM.
 
@@ -124,16 +161,23 @@
       now: Present time in seconds.
       zone: Zone at which the call enters; by default that of the node.
       workspace: Workspace of the call; empty if there is none.
+      dialect: Header fields of callers, which tell how nested calls look.
 
     Raises:
       BadRequestError: If the preset has no such zone.
     """
     if zone and zone not in preset.zones:
         raise errors.BadRequestError(f'no zone {zone} in the preset')
-    chosen = _choose(chooser, preset, view, route, now, zone, workspace)
+    profile = build_profile(preset, route, now, workspace, dialect)
+    chosen = _choose(
+        chooser, preset, view, route, now, zone, workspace, profile
+    )
     counts = collections.Counter(chosen)
-    exclusions = chooser.list_exclusions(now, workspace)
+    exclusions = chooser.list_exclusions(now, workspace, profile)
     explained = chooser.explain(preset, view, route, now)
+    times = _estimate_times(
+        chooser, preset, view, route, now, zone, profile, explained
+    )
     reports = tuple(
         _report_candidate(
             explanation,
@@ -141,7 +185,7 @@
             counts[explanation.vm] / N_CHOICES,
             view,
             preset,
-            chooser.loads,
+            times.get(explanation.vm),
         )
         for explanation in explained
     )
@@ -166,6 +210,7 @@
     now: float,
     zone: str,
     workspace: str,
+    profile: choosers.CallProfile,
 ) -> list[str]:
     """Returns the VMs of all choices, in their order."""
     generator = random.Random(_SEED)
@@ -182,21 +227,46 @@
             ]
             for _ in range(count)
         ]
-        by_service[service] = iter(
-            chooser.rehearse(preset, service, view, now, draws, zone, workspace)
+        decisions = chooser.rehearse(
+            preset, service, view, now, draws, zone, workspace, profile
         )
+        by_service[service] = iter([d.candidate.vm for d in decisions])
     chosen = [next(by_service[service], None) for service in services]
     # A service without a usable member has no choice.
     return [vm for vm in chosen if vm is not None]
 
 
+def _estimate_times(
+    chooser: choosers.Chooser,
+    preset: Any,
+    view: membership.views.View,
+    route: Any,
+    now: float,
+    zone: str,
+    profile: choosers.CallProfile,
+    explained: list[routing.selection.Explanation],
+) -> Mapping[str, float | None]:
+    """Returns expected times by VM: those that decide, if there are such."""
+    if not chooser.estimates_time:
+        return {
+            e.vm: estimate_expected_s(chooser.loads, e.vm, e.load)
+            for e in explained
+        }
+    times = {}
+    for service, _ in route.targets:
+        times |= chooser.estimate_times(
+            preset, service, view, now, zone, profile
+        )
+    return times
+
+
 def _report_candidate(
     explanation: routing.selection.Explanation,
     exclusion: choosers.Exclusion | None,
     probability: float,
     view: membership.views.View,
     preset: Any,
-    loads: routing.loads.LoadTable,
+    expected_s: float | None,
 ) -> CandidateReport:
     member = view.members[explanation.vm]
     upstream = preset.upstreams.get(explanation.upstream)
@@ -209,7 +279,7 @@
         usable=probability > 0
         or (explanation.usable and not _is_passed_over(exclusion)),
         load=explanation.load,
-        expected_s=estimate_expected_s(loads, explanation.vm, explanation.load),
+        expected_s=expected_s,
         probability=probability,
         reason=_explain(explanation, exclusion, probability),
     )
--- a/jayseam/calls/tests/test_ingress.py
+++ b/jayseam/calls/tests/test_ingress.py
@@ -115,6 +115,21 @@
     assert not harness.ran
 
 
+def test_ticket_names_the_route(monkeypatch):
+    """Without the route, all kinds of calls would share one service time."""
+    harness = _Harness()
+    kinds = []
+    acquire = harness.gate.acquire
+
+    def record_kind(ticket, now):
+        kinds.append(ticket.kind)
+        return acquire(ticket, now)
+
+    monkeypatch.setattr(harness.gate, 'acquire', record_kind)
+    harness.ingress.handle_forward(_forward())
+    assert kinds == ['view']
+
+
 def test_unlisted_server_runs_nothing():
     """Without an entry in the VM list there is no instance to run a call."""
     harness = _Harness()
@@ -191,3 +206,117 @@
     for number in range(2000):
         harness.ingress.cancel(f'b-{number}')
     assert harness.ingress.handle_forward(_forward()).status == 200
+
+
+def test_reply_reports_the_service_time_of_its_route():
+    """Entries can't tell a slow server from one that gets long calls."""
+    harness = _Harness()
+    durations = {'view': 0.02, 'report': 0.3}
+    harness.run = lambda request, deadline: (
+        gevent.sleep(durations[request.kind])
+        or backends.messages.BackendAnswer(200)
+    )
+    replies = {
+        route: harness.ingress.handle_forward(
+            attrs.evolve(
+                _forward(), route=route, attempt=route, report_zone='b'
+            )
+        )
+        for route in durations
+    }
+    for route, duration_s in durations.items():
+        assert replies[route].kind_service_s >= duration_s
+        assert replies[route].limit == 1
+    assert replies['view'].kind_service_s < replies['report'].kind_service_s
+    refused = harness.ingress.handle_forward(
+        attrs.evolve(_forward('credits'), route='report', report_zone='b')
+    )
+    assert isinstance(refused, messages.Refused) and refused.limit == 1
+    assert refused.kind_service_s == replies['report'].kind_service_s
+
+
+def test_call_without_an_answer_in_time_counts_as_slow():
+    """A server that answers nothing in time must not seem of average speed."""
+    harness = _Harness()
+
+    def run(request, deadline):
+        del request
+        gevent.sleep(max(0.0, deadline - clocks.read_now()))
+        raise backends.errors.OutcomeUnknownError('no answer in time')
+
+    harness.run = run
+    reply = harness.ingress.handle_forward(
+        attrs.evolve(_forward(), timeout_ms=50, report_zone='a')
+    )
+    assert reply.ran == 'unknown' and reply.kind_service_s >= 0.04
+
+
+def _raise(error):
+    """Returns a run of the backend client that fails."""
+
+    def run(request, deadline):
+        raise error
+
+    return run
+
+
+def _answer(status, headers=()):
+    """Returns a run of the backend client that ends with an answer."""
+    answer = backends.messages.BackendAnswer(status, list(headers))
+    return lambda request, deadline: answer
+
+
+def _raise_unknown(reason):
+    """Returns a run of the backend client without a complete answer."""
+    return _raise(backends.errors.OutcomeUnknownError(reason))
+
+
+@pytest.mark.parametrize(
+    'run,result',
+    [
+        (_answer(200), 'success'),
+        (_answer(404), 'success'),
+        (_answer(500), 'error'),
+        (_answer(503), 'error'),
+        (_answer(503, [('Shed', 'not-run')]), 'shed'),
+        (_raise(backends.errors.ShedError()), 'shed'),
+        (_raise_unknown('connection-lost'), 'reset'),
+        (_raise_unknown('timeout'), 'timeout'),
+        (_raise_unknown('cancelled'), 'failed'),
+        (_raise_unknown('too-large'), 'failed'),
+        (_raise(backends.errors.NotRunError('no-connection')), 'failed'),
+    ],
+)
+def test_gate_learns_how_the_server_ended_a_call(run, result):
+    """A reset lowers the limit; a failure of another cause must not."""
+    harness = _Harness()
+    harness.run = run
+    released = []
+    harness.gate._release = lambda permit, *end: released.append(end)
+    harness.ingress.handle_forward(_forward())
+    assert len(released) == 1
+    outcome, _, kind = released[0]
+    assert outcome.value == result
+    # Calls of one route are compared with each other.
+    assert kind == 'view'
+
+
+def test_times_that_span_a_pause_are_ignored():
+    """A pause of the process must not make its backend server seem slow."""
+    harness = _Harness()
+    harness.run = lambda request, deadline: (
+        harness.ingress.ignore_earlier_calls(clocks.read_now() + 0.001)
+        or backends.messages.BackendAnswer(200)
+    )
+    forward = attrs.evolve(_forward(), report_zone='b')
+    assert harness.ingress.handle_forward(forward).kind_service_s == 0.0
+
+
+def test_loads_of_other_vms_stay_within_the_zone():
+    """Bytes between zones are expensive, and other zones rarely need them."""
+    harness = _Harness()
+    digest = [['vm-2', 6, 3, 250]]
+    harness.ingress.set_report_source(lambda now: digest)
+    for zone, reports in (('a', digest), ('b', ()), ('', ())):
+        forward = attrs.evolve(_forward(), report_zone=zone)
+        assert harness.ingress.handle_forward(forward).reports == reports
--- a/jayseam/calls/tests/test_rehearsals.py
+++ b/jayseam/calls/tests/test_rehearsals.py
@@ -1,14 +1,21 @@
 """Tests that a dry run decides as a real call does, and records nothing."""
 
+import math
 import random
 import types
 
+import attrs
 import pytest
 
 from jayseam import routing
+from jayseam.backends import dialects
 from jayseam.calls import choosers
 from jayseam.calls import errors
+from jayseam.calls import forwarding
+from jayseam.calls import keys
+from jayseam.calls import pending
 from jayseam.calls import rehearsals
+from jayseam.calls import urgency
 from jayseam.presets import model
 
 _NOW = 10.0
@@ -60,8 +67,12 @@
 _ROUTE = model.Route('r', '/', ('GET',), (('s', 1),), True, True, 1000)
 
 
+_PROFILE = rehearsals.build_profile(_PRESET, _ROUTE, _NOW)
+_STRATEGIES = routing.selection.VARIANTS.list_names()
+
+
 def _report(load, service_s=0.1):
-    return routing.loads.ReportedLoad(load, load, load, service_s)
+    return routing.loads.ReportedLoad(load, load, load, service_s, service_s, 4)
 
 
 def _build_chooser(seed, strategy='two_choices', **options):
@@ -72,17 +83,28 @@
     for vm in _MEMBERS:
         if generator.random() < 0.7:
             report = _report(2 * generator.random(), generator.random())
-            chooser.record_load(vm, '', report, _NOW - generator.random())
+            at = _NOW - generator.random()
+            kind = generator.choice(['r', 'other'])
+            chooser.record_load(vm, '', report, at, kind)
+            if generator.random() < 0.3:
+                chooser.record_reset(vm, at)
         if generator.random() < 0.2:
             chooser.record_failure(vm, _NOW - 0.5)
+        if generator.random() < 0.2:
+            needs = attrs.evolve(
+                _PROFILE.needs, rank=generator.randrange(3), time_left_s=1.0
+            )
+            chooser.record_full(vm, needs, 1.0, _NOW - 0.05)
         for _ in range(generator.randrange(4)):
             chooser.start_attempt(vm)
     for _ in range(generator.randrange(5)):
-        chooser.choose(_PRESET, 's', _VIEW, (), _NOW)
+        # Capacities of earlier calls are reused, those of old ones aren't.
+        at = _NOW - generator.random()
+        chooser.choose(_PRESET, 's', _VIEW, (), at, profile=_PROFILE)
     return chooser
 
 
-@pytest.mark.parametrize('strategy', routing.selection.VARIANTS.list_names())
+@pytest.mark.parametrize('strategy', _STRATEGIES)
 def test_dry_run_chooses_what_a_call_would(strategy):
     """An explanation by other rules than the call's would mislead on-call."""
     for seed in range(200):
@@ -95,24 +117,92 @@
             for _ in range(3)
         ]
         dry = _build_chooser(seed, strategy)
-        chosen = dry.rehearse(_PRESET, 's', _VIEW, _NOW, draws)
+        decisions = dry.rehearse(
+            _PRESET, 's', _VIEW, _NOW, draws, profile=_PROFILE
+        )
+        times = dry.estimate_times(_PRESET, 's', _VIEW, _NOW, profile=_PROFILE)
         real = _build_chooser(seed, strategy)
         numbers = iter([number for draw in draws for number in draw])
         real._draw = lambda numbers=numbers: next(numbers)
-        choices = [real.choose(_PRESET, 's', _VIEW, (), _NOW) for _ in draws]
-        assert chosen == [choice.vm for choice in choices]
+        choices = [
+            real.choose(_PRESET, 's', _VIEW, (), _NOW, profile=_PROFILE)
+            for _ in draws
+        ]
+        assert [
+            (d.candidate.vm, d.reason, d.expected_s) for d in decisions
+        ] == [(c.vm, c.reason, c.expected_s) for c in choices]
+        if strategy == 'expected_time':
+            # The time that operators see is the one that decides.
+            assert [times[c.vm] for c in choices] == [
+                c.expected_s for c in choices
+            ]
 
 
-def test_dry_run_records_nothing():
+def test_expected_time_is_rehearsed_with_each_of_its_rules():
+    """A comparison without full VMs or other zones would prove too little."""
+    reasons, n_without_room = set(), 0
+    for seed in range(200):
+        chooser = _build_chooser(seed, 'expected_time')
+        generator = random.Random(seed)
+        draws = [[generator.random() for _ in range(5)] for _ in range(3)]
+        arguments = (_PRESET, 's', _VIEW, _NOW, draws)
+        found = chooser.rehearse(*arguments, profile=_PROFILE)
+        reasons.update(decision.reason for decision in found)
+        n_without_room += found != chooser.rehearse(*arguments)
+    assert reasons >= {'own-zone', 'no-own-zone', 'objective', 'saving'}
+    assert n_without_room > 10
+
+
+@pytest.mark.parametrize('call_tokens', [True, False])
+@pytest.mark.parametrize('objective_ms', [0, 300, 2000])
+@pytest.mark.parametrize('workspace', ['', 'w', 'ranked'])
+def test_profile_is_that_of_a_call(call_tokens, objective_ms, workspace):
+    """With other needs the dry run would pass over other VMs than a call."""
+    preset = attrs.evolve(
+        _PRESET,
+        workspaces={
+            'w': model.Workspace('w', 1, 1),
+            'ranked': model.Workspace('ranked', 1, 1, rank=5),
+        },
+    )
+    route = attrs.evolve(_ROUTE, rank=3, objective_ms=objective_ms)
+    dialect = dialects.Dialect(call_tokens=call_tokens)
+    caller = keys.Caller(workspace, '')
+    objective = math.inf
+    if not urgency.is_nested(preset, caller, dialect):
+        objective = urgency.compute_objective(route, 1000, _NOW)
+    call = pending.Call(
+        None,
+        'id',
+        types.SimpleNamespace(preset=preset),
+        route,
+        caller,
+        _NOW + 1.0,
+        0,
+        objective,
+    )
+    profile = rehearsals.build_profile(preset, route, _NOW, workspace, dialect)
+    assert profile == choosers.CallProfile(
+        'r', forwarding.build_needs(call, dialect, _NOW)
+    )
+
+
+@pytest.mark.parametrize('later_s', [0.0, 0.4])
+@pytest.mark.parametrize('strategy', _STRATEGIES)
+def test_dry_run_records_nothing(strategy, later_s):
     """A question of an operator must not change where calls go."""
     for seed in range(20):
-        asked, other = _build_chooser(seed), _build_chooser(seed)
+        asked = _build_chooser(seed, strategy)
+        other = _build_chooser(seed, strategy)
         for zone in ('', 'b'):
             rehearsals.rehearse(asked, _PRESET, _VIEW, _ROUTE, _NOW, zone)
         assert asked.loads._members == other.loads._members
+        assert asked.collect_reports(_NOW) == other.collect_reports(_NOW)
         later = [
             [
-                chooser.choose(_PRESET, 's', _VIEW, (), _NOW).vm
+                chooser.choose(
+                    _PRESET, 's', _VIEW, (), _NOW + later_s, profile=_PROFILE
+                )
                 for _ in range(20)
             ]
             for chooser in (asked, other)
@@ -209,3 +299,35 @@
     assert reports['vm-1'].expected_s == pytest.approx(0.2)
     assert reports['vm-2'].expected_s == pytest.approx(0.1)
     assert reports['vm-3'].expected_s is None
+
+
+def test_times_of_the_strategy_are_reported():
+    """Another estimate than the deciding one would contradict the choice."""
+    chooser = choosers.Chooser('a', 'expected_time', zone_price=0.0)
+    chooser.record_load('vm-1', '', _report(0.5, 0.2), _NOW, 'r')
+    chooser.record_load('vm-3', '', _report(0.5, 0.05), _NOW, 'r')
+    chooser.record_failure('vm-2', _NOW)
+    _, reports = _rehearse(chooser)
+    assert reports['vm-1'].expected_s == pytest.approx(0.2)
+    assert reports['vm-3'].expected_s == pytest.approx(
+        0.05 + routing.expectations.ZONE_DISTANCE_S
+    )
+    # A VM that is passed over has a time too; one that is down has none.
+    assert reports['vm-2'].expected_s == pytest.approx(0.125)
+    assert reports['vm-5'].expected_s is None
+    _, reports = _rehearse(chooser, zone='b')
+    assert reports['vm-3'].expected_s == pytest.approx(0.05)
+
+
+def test_vm_without_room_is_reported_as_passed_over():
+    """The strategy ``expected_time`` passes over full VMs at once."""
+    chooser = choosers.Chooser('a', 'expected_time')
+    chooser.record_full('vm-1', _PROFILE.needs, 1.0, _NOW)
+    _, reports = _rehearse(chooser)
+    assert not reports['vm-1'].usable and not reports['vm-1'].probability
+    assert 'refused such a call' in reports['vm-1'].reason
+    for vm in _MEMBERS:
+        chooser.record_full(vm, _PROFILE.needs, 1.0, _NOW)
+    _, reports = _rehearse(chooser)
+    assert reports['vm-1'].usable
+    assert 'no other' in reports['vm-1'].reason
--- a/jayseam/node/composition.py
+++ b/jayseam/node/composition.py
@@ -182,6 +182,7 @@
             confirmed,
         )
         self._limits = self._path.limiter
+        self._ingress.set_report_source(self._path.chooser.collect_reports)
         self._register_call_handlers()
 
     def _register_call_handlers(self) -> None:
@@ -216,6 +217,7 @@
             lambda: self._distribution.snapshot,
             lambda: self._membership.view,
             self._path.chooser,
+            self._dialect,
         )
         self._listeners = listeners.build_listeners(
             settings,
--- a/jayseam/node/localbackends.py
+++ b/jayseam/node/localbackends.py
@@ -51,8 +51,8 @@
         self._gate = admission.gates.Gate(
             slots=1,
             connections=1,
-            queue='ranked' if settings.admission.fair else 'fifo',
-            ramp_shape='linear' if settings.admission.ramp else 'none',
+            queue=settings.admission.get_queue(),
+            ramp_shape=settings.admission.get_ramp_variant(),
         )
         self._health = backends.health.HealthMonitor(
             ramp_s=0.0,
@@ -90,7 +90,9 @@
 
     def notice_pause(self, now: float, paused_s: float) -> None:
         """Discards measurements that span a pause of this process."""
+        self._gate.notice_pause(now)
         self._health.ignore_earlier_latencies(now)
+        self.ingress.ignore_earlier_calls(now)
         self._client.check_after_pause(now, paused_s)
 
     def apply_preset(self, preset: Any) -> None:
--- a/jayseam/node/routes.py
+++ b/jayseam/node/routes.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from jayseam import backends
 from jayseam import calls
 from jayseam import distribution
 from jayseam import membership
@@ -39,6 +40,7 @@
       read_snapshot: Returns the configuration in force.
       read_view: Returns the current view of the members.
       chooser: Chooser of the node.
+      dialect: Header fields of callers.
     """
 
     def __init__(
@@ -46,10 +48,12 @@
         read_snapshot: Callable[[], distribution.states.Snapshot],
         read_view: Callable[[], membership.views.View],
         chooser: calls.choosers.Chooser,
+        dialect: backends.dialects.Dialect = backends.dialects.DEFAULT,
     ):
         self._read_snapshot = read_snapshot
         self._read_view = read_view
         self._chooser = chooser
+        self._dialect = dialect
 
     def explain(self, query: status.RouteQuery) -> dict[str, Any]:
         """Returns the route of a call and why each VM is or isn't chosen.
@@ -91,6 +95,7 @@
             clocks.read_now(),
             query.zone,
             query.workspace,
+            self._dialect,
         )
         return {
             'preset_version': versionnumbers.shorten(snapshot.preset_version),
--- a/jayseam/platform/settings.py
+++ b/jayseam/platform/settings.py
@@ -7,6 +7,7 @@
 import attrs
 
 from jayseam import settings as node_settings
+from jayseam.core import descriptors
 from jayseam.core import memory
 from jayseam.platform import durations
 from jayseam.platform import errors
@@ -69,6 +70,16 @@
 # within rate and burst.
 LIMIT_STRATEGY = 'replicated'
 
+# Selection strategies of deployments with workspaces and of those without.
+STRATEGY = 'two_choices'
+STRATEGY_FOR_KINDS = 'expected_time'
+# Share of the time left to a call that an answer from another zone must save.
+# Traffic between zones is expensive on this platform.
+ZONE_PRICE = 0.25
+# Queue of deployments without workspaces. There is nobody to share a backend
+# server fairly with, and kinds of calls compete by their latency objectives.
+QUEUE_FOR_KINDS = 'objective'
+
 # Memory of a process that holds a large configuration and no calls, in
 # megabytes.
 BASE_MEMORY_MB = 68.0
@@ -90,6 +101,9 @@
 # The platform calls workspaces tenants.
 _WORKSPACE_CONTRACT = 'tenants'
 
+# Descriptors that the platform keeps for files; sockets share the others.
+FILE_DESCRIPTORS = 200
+
 # Index of the admin port in ``network.internal_ports``.
 _ADMIN_PORT_INDEX = 0
 
@@ -162,6 +176,7 @@
         raise node_settings.errors.SettingsError(reader.problems)
     model = node_settings.model
     zone = fields.get('self.zone', '')
+    has_workspaces = reader.has_contract(_WORKSPACE_CONTRACT)
     node = model.NodeSettings(
         vm=ip,
         region=fields.get('self.region', ''),
@@ -180,10 +195,15 @@
         ),
         fleet_secrets=(derive_fleet_secret(fields),),
         selection=model.SelectionSettings(
-            spill_load=SPILL_LOAD, spill_gain=SPILL_GAIN
+            strategy=STRATEGY if has_workspaces else STRATEGY_FOR_KINDS,
+            spill_load=SPILL_LOAD,
+            spill_gain=SPILL_GAIN,
+            zone_price=ZONE_PRICE,
         ),
         admission=model.AdmissionSettings(
-            cold_excess=COLD_EXCESS_SHARE * max(0.0, (cold_factor or 1.0) - 1.0)
+            cold_excess=COLD_EXCESS_SHARE
+            * max(0.0, (cold_factor or 1.0) - 1.0),
+            queue='' if has_workspaces else QUEUE_FOR_KINDS,
         ),
         limits=model.LimitSettings(LIMIT_STRATEGY, overage or 0.0),
         keys=build_key_settings(revoke_s),
@@ -193,13 +213,18 @@
         service=fields.get('self.service', ''),
         ready=reader.read_address('network.listen.ready'),
         memory=model.MemorySettings(compute_message_bytes(memory_mb)),
+        connections=model.ConnectionSettings(
+            count_caller_connections(
+                reader.read_optional_number('self.limits.max_fds')
+            )
+        ),
         # Traffic between zones is priced, so messages are compressed.
         codec='cbor-zstd',
     )
     if reader.problems:
         raise node_settings.errors.SettingsError(reader.problems)
     deployment_facts = mirrors.DeploymentFacts(
-        regions, link.port, reader.has_contract(_WORKSPACE_CONTRACT)
+        regions, link.port, has_workspaces
     )
     return PlatformSettings(node, store_address, deployment_facts)
 
@@ -268,6 +293,20 @@
     return max(MIN_MESSAGE_BYTES, int(free_mb * _BYTES_PER_MB))
 
 
+def count_caller_connections(n_descriptors: float | None) -> int | None:
+    """Returns the most connections of callers; None for the default.
+
+    The platform's limit may be lower than that of the process.
+
+    >>> count_caller_connections(4100)
+    2925
+    """
+    if n_descriptors is None:
+        return None
+    n_sockets = max(1, int(n_descriptors) - FILE_DESCRIPTORS)
+    return descriptors.compute_limits(n_sockets).callers
+
+
 def derive_fleet_secret(fields: Mapping[str, str]) -> str:
     """Returns the secret with which the nodes of a deployment authenticate.
 
--- a/jayseam/routing/loads.py
+++ b/jayseam/routing/loads.py
@@ -23,12 +23,17 @@
       fair_load: Part of the load that delays the workspace of the reply.
       idle_load: Part of the load that delays a workspace without queued calls.
       service_s: Mean service time in seconds; zero if unknown.
+      kind_service_s: Mean service time of the kind of the call, in seconds;
+        zero if unknown.
+      limit: Concurrency limit; zero if unknown.
     """
 
     load: float
     fair_load: float
     idle_load: float
     service_s: float = 0.0
+    kind_service_s: float = 0.0
+    limit: int = 0
 
 
 @attrs.define
@@ -125,6 +130,34 @@
                 if load.in_flight or now <= load.reported_at + REPORT_FRESH_S
             }
 
+    def merge_report(
+        self, vm: str, load: float, limit: int, reported_at: float
+    ) -> bool:
+        """Stores a load that another node has had from a VM.
+
+        Args:
+          vm: Name of the VM.
+          load: Calls in flight and queued, over the limit.
+          limit: Concurrency limit.
+          reported_at: Time of the load in seconds.
+
+        Returns:
+          Whether the load is newer than the one known.
+        """
+        member = self._members.setdefault(vm, MemberLoad())
+        if reported_at <= member.reported_at:
+            return False
+        known = member.report or ReportedLoad(load, load, load)
+        member.report = attrs.evolve(
+            known, load=load, fair_load=load, idle_load=load, limit=limit
+        )
+        member.reported_at = reported_at
+        # Calls sent since the last reply may not be in the new load.
+        member.in_flight_at_report = min(
+            member.in_flight, member.in_flight_at_report
+        )
+        return True
+
     def remove_vm(self, vm: str) -> None:
         """Removes the load of a VM that has left."""
         self._members.pop(vm, None)
@@ -133,6 +166,10 @@
         """Returns the load of a VM."""
         return self._members.get(vm, MemberLoad())
 
+    def find(self, vm: str) -> MemberLoad | None:
+        """Returns the load of a VM; None if nothing is known of it."""
+        return self._members.get(vm)
+
     def compute_service_ratio(self, first: str, second: str) -> float:
         """Returns the service time at one VM over that at another.
 
--- a/jayseam/settings/model.py
+++ b/jayseam/settings/model.py
@@ -93,11 +93,15 @@
       spill_load: Load of the own zone from which calls go to other zones too.
       spill_gain: Amount by which the load of a backend server in another zone
         must then be below the load in the own zone; None for no minimum.
+      zone_price: Least saving of time, as a share of the time left until the
+        latency objective, for which the strategy ``expected_time`` sends a
+        call to another zone; 0 where traffic between zones is free.
     """
 
     strategy: str = 'two_choices'
     spill_load: float = 0.8
     spill_gain: float | None = None
+    zone_price: float = 0.0
 
 
 @attrs.frozen
@@ -108,13 +112,39 @@
       fair: Whether the queue orders calls by rank and fairly over workspaces.
       ramp: Whether the concurrency limit ramps up after a start of the backend
         server.
+      ramp_variant: Name of a variant in `admission.ramps.VARIANTS`; None for
+        ``linear`` or, without ``ramp``, ``none``.
       cold_excess: Share by which calls may exceed the rate of a cold backend
         server, where the operators tolerate more than the rate they state.
+      queue: Name of a variant of the queue, as in ``admission.queues``; empty
+        for the variant that ``fair`` implies.
     """
 
     fair: bool = True
     ramp: bool = True
     cold_excess: float = 0.0
+    queue: str = ''
+    ramp_variant: str | None = None
+
+    def get_queue(self) -> str:
+        """Returns the name of the variant of the queue.
+
+        >>> AdmissionSettings().get_queue()
+        'ranked'
+        """
+        return self.queue or ('ranked' if self.fair else 'fifo')
+
+    def get_ramp_variant(self) -> str:
+        """Returns the name of the ramp variant in force.
+
+        >>> AdmissionSettings().get_ramp_variant()
+        'linear'
+        >>> AdmissionSettings(ramp_variant='answers').get_ramp_variant()
+        'answers'
+        """
+        if self.ramp_variant is not None:
+            return self.ramp_variant
+        return 'linear' if self.ramp else 'none'
 
 
 @attrs.frozen
@@ -183,11 +213,29 @@
     """Memory of the process.
 
     Attributes:
-      message_bytes: Bytes that the bodies of requests and answers in progress
-        may hold together.
+      message_bytes: Bytes that the heads and bodies of requests and answers in
+        progress may hold together.
+      head_bytes: Bytes of the head of one request: request line and header
+        fields.
     """
 
     message_bytes: int = memory.DEFAULT_BUDGET_BYTES
+    head_bytes: int = 65536
+
+
+@attrs.frozen
+class ConnectionSettings:
+    """Connections that the process holds open.
+
+    Attributes:
+      max_callers: Most connections of callers; by default all descriptors of
+        the process that aren't reserved.
+      reserved: Descriptors for links, the backend server, the store and
+        operators; by default a quarter of all, and at most 1,024.
+    """
+
+    max_callers: int | None = None
+    reserved: int | None = None
 
 
 @attrs.frozen
@@ -223,5 +271,6 @@
     ready: Address | None = None
     idempotency: IdempotencySettings = IdempotencySettings()
     memory: MemorySettings = MemorySettings()
+    connections: ConnectionSettings = ConnectionSettings()
     codec: str = 'cbor'
     log_level: str = 'INFO'
--- a/jayseam/settings/schema.py
+++ b/jayseam/settings/schema.py
@@ -92,7 +92,10 @@
         ),
         'selection': _build_object(
             {
-                'strategy': {'enum': ['two_choices', 'round_robin']},
+                'strategy': {
+                    'enum': ['expected_time', 'two_choices', 'round_robin']
+                },
+                'zone_price': {'type': 'number', 'minimum': 0, 'maximum': 1},
                 'spill_load': {'type': 'number', 'minimum': 0, 'maximum': 10},
                 'spill_gain': {
                     'type': ['number', 'null'],
@@ -106,6 +109,8 @@
                 'fair': {'type': 'boolean'},
                 'ramp': {'type': 'boolean'},
                 'cold_excess': {'type': 'number', 'minimum': 0, 'maximum': 1},
+                'queue': {'enum': ['', 'fifo', 'fair', 'ranked', 'objective']},
+                'ramp_variant': {'enum': ['answers', 'linear', 'none', None]},
             }
         ),
         'keys': _build_object({'max_unconfirmed_s': _POSITIVE_S}),
@@ -133,7 +138,21 @@
         'ready': _build_object(_ADDRESS, ('host', 'port')),
         'idempotency': _build_object({'window_s': _POSITIVE_S}),
         'memory': _build_object(
-            {'message_bytes': {'type': 'integer', 'minimum': 4_000_000}}
+            {
+                'message_bytes': {'type': 'integer', 'minimum': 4_000_000},
+                # A head within the limits of callers has up to 24 kB.
+                'head_bytes': {
+                    'type': 'integer',
+                    'minimum': 32_768,
+                    'maximum': 262_144,
+                },
+            }
+        ),
+        'connections': _build_object(
+            {
+                'max_callers': {'type': 'integer', 'minimum': 1},
+                'reserved': {'type': 'integer', 'minimum': 32},
+            }
         ),
         'codec': {'enum': ['cbor', 'cbor-zstd', 'json']},
         'log_level': {'enum': ['DEBUG', 'INFO', 'WARNING', 'ERROR']},
