--- a/jayseam/calls/__init__.py
+++ b/jayseam/calls/__init__.py
@@ -6,6 +6,7 @@
 
 from jayseam.calls import attempts
 from jayseam.calls import avoidances
+from jayseam.calls import choicemetrics
 from jayseam.calls import choosers
 from jayseam.calls import claims
 from jayseam.calls import entry
@@ -28,6 +29,7 @@
 __all__ = [
     'attempts',
     'avoidances',
+    'choicemetrics',
     'choosers',
     'claims',
     'entry',
--- a/jayseam/calls/avoidances.py
+++ b/jayseam/calls/avoidances.py
@@ -1,5 +1,7 @@
 """VMs that calls avoid for a while, because they failed or refused a call."""
 
+import attrs
+
 # A VM that failed to answer is avoided for this long, so that the call's retry
 # and later calls don't wait for the same unresponsive VM.
 AVOID_UNREACHABLE_S = 2.0
@@ -7,6 +9,20 @@
 AVOID_REFUSING_S = 0.15
 
 
+@attrs.frozen
+class Exclusion:
+    """Why a VM is passed over for a while.
+
+    Attributes:
+      kind: ``unresponsive``, ``avoided`` or ``no-room`` (both used only if
+        there is no other), or ``full`` (first attempts still go there).
+      reason: Explanation for an operator.
+    """
+
+    kind: str
+    reason: str
+
+
 class AvoidanceTable:
     """Times until which VMs are avoided.
 
--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -10,6 +10,7 @@
 from jayseam import membership
 from jayseam import routing
 from jayseam.calls import avoidances
+from jayseam.calls import choicemetrics
 from jayseam.calls import errors
 from jayseam.calls import pools
 
@@ -49,20 +50,6 @@
     needs: routing.refusals.CallNeeds
 
 
-@attrs.frozen
-class Exclusion:
-    """Why a VM is passed over for a while.
-
-    Attributes:
-      kind: ``unresponsive``, ``avoided`` or ``no-room`` (both used only if
-        there is no other), or ``full`` (first attempts still go there).
-      reason: Explanation for an operator.
-    """
-
-    kind: str
-    reason: str
-
-
 class Chooser:
     """Chooses routes and VMs.
 
@@ -192,7 +179,9 @@
             known to be full are tried only if there is no other.
         """
         pool = self._pools.get(preset, view, service, self._zone_return_times)
-        usable = self._list_usable(pool, tried_vms, now, needs, profile)
+        usable, full_avoided = self._list_usable(
+            pool, tried_vms, now, needs, profile
+        )
         if not usable.groups:
             return None
         self._choice_count += 1
@@ -205,6 +194,7 @@
             workspace,
             self._build_outlook(self._capacities, service, profile),
         )
+        choicemetrics.count_choice(decision.reason, full_avoided)
         vm = decision.candidate.vm
         incarnation = view.members[vm].incarnation
         return Choice(
@@ -240,7 +230,7 @@
           The decision of each choice; an empty list if no VM can be chosen.
         """
         pool = self._build_pool(preset, view, service)
-        usable = self._list_usable(pool, (), now, None, profile)
+        usable, _ = self._list_usable(pool, (), now, None, profile)
         if not usable.groups:
             return []
         outlook = self._build_outlook(self._capacities.copy(), service, profile)
@@ -278,7 +268,7 @@
             return {}
         return routing.expectations.estimate_times(
             pool,
-            self._list_usable(pool, (), now, None, profile),
+            self._list_usable(pool, (), now, None, profile)[0],
             outlook,
             self._loads,
             own_zone or self._own_zone,
@@ -290,27 +280,27 @@
         now: float,
         workspace: str = '',
         profile: CallProfile | None = None,
-    ) -> dict[str, Exclusion]:
+    ) -> dict[str, avoidances.Exclusion]:
         """Returns the VMs that `choose` passes over for a while, and why."""
         # Covers each refusal that is remembered for the workspace.
         needs = routing.refusals.CallNeeds(workspace, sys.maxsize, 0.0)
         exclusions = {
-            vm: Exclusion(
+            vm: avoidances.Exclusion(
                 'full', 'refused a call for want of room; not retried'
             )
             for vm in self._refusals.list_full_vms(needs, now)
         }
         for vm in self._list_full(profile, now):
-            exclusions[vm] = Exclusion(
+            exclusions[vm] = avoidances.Exclusion(
                 'no-room', 'refused such a call for want of room'
             )
         for vm, until in self._avoidances.list_times(now).items():
-            exclusions[vm] = Exclusion(
+            exclusions[vm] = avoidances.Exclusion(
                 'avoided',
                 f'failed or refused a call; avoided for {until - now:.2f} s',
             )
         for vm in self._list_unresponsive(now):
-            exclusions[vm] = Exclusion(
+            exclusions[vm] = avoidances.Exclusion(
                 'unresponsive', 'has an unanswered ping; never chosen'
             )
         return exclusions
@@ -322,20 +312,24 @@
         now: float,
         needs: routing.refusals.CallNeeds | None,
         profile: CallProfile | None,
-    ) -> routing.selection.CandidatePool:
-        """Returns the candidates without those that are excluded now."""
+    ) -> tuple[routing.selection.CandidatePool, bool]:
+        """Returns the candidates without those that are excluded now.
+
+        Also returns whether VMs without room are among the excluded.
+        """
         excluded = self._list_unresponsive(now).union(tried_vms)
         if needs is not None:
             excluded |= self._refusals.list_full_vms(needs, now)
         avoided = excluded.union(self._avoidances.list_times(now))
         full = self._list_full(profile, now)
         usable = pool.exclude(avoided | full) if avoided | full else pool
-        if not usable.groups and full:
+        full_avoided = bool(full and usable.groups)
+        if full and not full_avoided:
             usable = pool.exclude(avoided) if avoided else pool
         if not usable.groups:
             # An attempt at an avoided VM is better than refusing the call.
             usable = pool.exclude(excluded) if excluded else pool
-        return usable
+        return usable, full_avoided
 
     def _list_full(self, profile: CallProfile | None, now: float) -> set[str]:
         """Returns the VMs that ``expected_time`` passes over as full."""
@@ -412,9 +406,10 @@
     def merge_reports(self, items: Collection[Any], now: float) -> None:
         """Takes over newer loads from the digest in a reply."""
         if self._by_expected_time and items:
-            routing.digests.merge(
+            merged = routing.digests.merge(
                 self._loads, self._speeds, items, self._pools.zone_vms, now
             )
+            choicemetrics.count_merged_loads(merged)
 
     def record_reset(self, vm: str, now: float) -> None:
         """Lowers the limit of a VM that may have reset a call as it was full.
@@ -426,7 +421,8 @@
             report = member.report
             # The call that was reset is no longer in the report.
             calls = report.load * report.limit + 1.0
-            self._speeds.record_reset(vm, calls, now)
+            if self._speeds.record_reset(vm, calls, now):
+                choicemetrics.count_reset()
 
     def record_failure(self, vm: str, now: float) -> None:
         """Avoids a VM for a while after it failed to answer."""
--- a/jayseam/calls/rehearsals.py
+++ b/jayseam/calls/rehearsals.py
@@ -14,6 +14,7 @@
 from jayseam import membership
 from jayseam import routing
 from jayseam.backends import dialects
+from jayseam.calls import avoidances
 from jayseam.calls import choosers
 from jayseam.calls import errors
 from jayseam.calls import keys
@@ -262,7 +263,7 @@
 
 def _report_candidate(
     explanation: routing.selection.Explanation,
-    exclusion: choosers.Exclusion | None,
+    exclusion: avoidances.Exclusion | None,
     probability: float,
     view: membership.views.View,
     preset: Any,
@@ -285,13 +286,13 @@
     )
 
 
-def _is_passed_over(exclusion: choosers.Exclusion | None) -> bool:
+def _is_passed_over(exclusion: avoidances.Exclusion | None) -> bool:
     return exclusion is not None and exclusion.kind != 'full'
 
 
 def _explain(
     explanation: routing.selection.Explanation,
-    exclusion: choosers.Exclusion | None,
+    exclusion: avoidances.Exclusion | None,
     probability: float,
 ) -> str:
     """Returns why a member is or isn't selected."""
--- a/jayseam/calls/tests/test_rehearsals.py
+++ b/jayseam/calls/tests/test_rehearsals.py
@@ -5,6 +5,7 @@
 import types
 
 import attrs
+import prometheus_client
 import pytest
 
 from jayseam import routing
@@ -187,6 +188,16 @@
     )
 
 
+def _read_placement_metrics():
+    """Returns the values of the metrics of choices in this process."""
+    return {
+        (sample.name, *sample.labels.items()): sample.value
+        for metric in prometheus_client.REGISTRY.collect()
+        if metric.name.startswith('jayseam_placement')
+        for sample in metric.samples
+    }
+
+
 @pytest.mark.parametrize('later_s', [0.0, 0.4])
 @pytest.mark.parametrize('strategy', _STRATEGIES)
 def test_dry_run_records_nothing(strategy, later_s):
@@ -194,8 +205,10 @@
     for seed in range(20):
         asked = _build_chooser(seed, strategy)
         other = _build_chooser(seed, strategy)
+        before = _read_placement_metrics()
         for zone in ('', 'b'):
             rehearsals.rehearse(asked, _PRESET, _VIEW, _ROUTE, _NOW, zone)
+        assert _read_placement_metrics() == before
         assert asked.loads._members == other.loads._members
         assert asked.collect_reports(_NOW) == other.collect_reports(_NOW)
         later = [
