--- a/jayseam/calls/__init__.py
+++ b/jayseam/calls/__init__.py
@@ -5,6 +5,8 @@
 """
 
 from jayseam.calls import attempts
+from jayseam.calls import avoidances
+from jayseam.calls import choicemetrics
 from jayseam.calls import choosers
 from jayseam.calls import claims
 from jayseam.calls import entry
@@ -16,7 +18,9 @@
 from jayseam.calls import keys
 from jayseam.calls import messages
 from jayseam.calls import pending
+from jayseam.calls import pools
 from jayseam.calls import problems
+from jayseam.calls import rehearsals
 from jayseam.calls import requests
 from jayseam.calls import retries
 from jayseam.calls import tokens
@@ -24,6 +28,8 @@
 
 __all__ = [
     'attempts',
+    'avoidances',
+    'choicemetrics',
     'choosers',
     'claims',
     'entry',
@@ -35,7 +41,9 @@
     'keys',
     'messages',
     'pending',
+    'pools',
     'problems',
+    'rehearsals',
     'requests',
     'retries',
     'tokens',
--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -1,43 +1,21 @@
 """Chooses routes and VMs for calls from the configuration in force."""
 
 import random
-from collections.abc import Callable, Collection
+import sys
+from collections.abc import Callable, Collection, Sequence
 from typing import Any
 
 import attrs
-import prometheus_client
 
 from jayseam import membership
 from jayseam import routing
+from jayseam.calls import avoidances
+from jayseam.calls import choicemetrics
 from jayseam.calls import errors
+from jayseam.calls import pools
 
-# A VM that failed to answer is avoided for this long, so that the call's retry
-# and later calls don't wait for the same unresponsive VM.
-_AVOID_UNREACHABLE_S = 2.0
-# A VM that refused a call has no room for about the duration of one call.
-_AVOID_REFUSING_S = 0.15
 _EXPECTED_TIME = 'expected_time'
 
-_choices = prometheus_client.Counter(
-    'jayseam_placement_choices',
-    'Choices of a VM with the strategy expected_time, by reason',
-    ('reason',),
-)
-# The method ``labels`` validates its arguments on every call.
-_choices_by_reason: dict[str, Any] = {}
-_full_avoided = prometheus_client.Counter(
-    'jayseam_placement_full_avoided',
-    'Choices that passed over VMs without room',
-)
-_merged_loads = prometheus_client.Counter(
-    'jayseam_placement_merged_loads',
-    'Loads of VMs taken over from replies of other VMs',
-)
-_resets = prometheus_client.Counter(
-    'jayseam_placement_resets',
-    'Broken connections from which the limit of a VM was learned',
-)
-
 
 @attrs.frozen
 class Choice:
@@ -72,25 +50,6 @@
     needs: routing.refusals.CallNeeds
 
 
-@attrs.frozen(eq=False)
-class _PoolCache:
-    """Pools of one pair of preset and view, each built on first use.
-
-    Attributes:
-      preset: The preset.
-      view: The view.
-      by_service: Pools by service.
-      zone_vms: Candidates of these pools in the own zone.
-    """
-
-    preset: Any
-    view: membership.views.View
-    by_service: dict[str, routing.selection.CandidatePool] = attrs.field(
-        factory=dict
-    )
-    zone_vms: set[str] = attrs.field(factory=set)
-
-
 class Chooser:
     """Chooses routes and VMs.
 
@@ -134,11 +93,26 @@
         self._refusals = routing.refusals.RefusalTable()
         self._zone_return_times: routing.zones.ReturnTimes = {}
         self._in_service: frozenset[str] | None = None
-        self._pool_cache: _PoolCache | None = None
-        self._avoided_until: dict[str, float] = {}
+        self._pools = pools.PoolCache(own_zone)
+        self._avoidances = avoidances.AvoidanceTable()
         self._choice_count = 0
         self._route_table: tuple[Any, routing.matching.RouteTable] | None = None
 
+    @property
+    def own_zone(self) -> str:
+        """Zone of this node."""
+        return self._own_zone
+
+    @property
+    def strategy(self) -> str:
+        """Name of the selection strategy."""
+        return self._strategy
+
+    @property
+    def estimates_time(self) -> bool:
+        """Whether the strategy decides by expected times."""
+        return self._by_expected_time
+
     @property
     def loads(self) -> routing.loads.LoadTable:
         """Loads of the VMs to which this node sends calls."""
@@ -151,7 +125,7 @@
             self._zone_return_times, self._in_service, in_service, now
         )
         self._in_service = in_service
-        self._pool_cache = None
+        self._pools.clear()
 
     def match_route(
         self, preset: Any, method: str, path: str, host: str = ''
@@ -204,48 +178,186 @@
           profile: What ``expected_time`` has to know of the call. With it, VMs
             known to be full are tried only if there is no other.
         """
-        pool = self._get_pool(preset, view, service)
-        excluded = self._list_unresponsive(now).union(tried_vms)
-        if needs is not None:
-            excluded |= self._refusals.list_full_vms(needs, now)
-        avoided = excluded | self._list_avoided(now)
-        full = set()
-        if self._by_expected_time and profile is not None:
-            full = self._refusals.list_full_vms(profile.needs, now)
-        usable = pool.exclude(avoided | full) if avoided | full else pool
-        if full and usable.groups:
-            _full_avoided.inc()
-        elif full:
-            usable = pool.exclude(avoided) if avoided else pool
-        if not usable.groups:
-            # An attempt at an avoided VM is better than refusing the call.
-            usable = pool.exclude(excluded) if excluded else pool
+        pool = self._pools.get(preset, view, service, self._zone_return_times)
+        usable, full_avoided = self._list_usable(
+            pool, tried_vms, now, needs, profile
+        )
         if not usable.groups:
             return None
         self._choice_count += 1
-        decision = routing.selection.decide(
+        decision = self._select(
             usable,
-            routing.selection.LoadView(
-                self._loads,
-                workspace,
-                now,
-                self._spill_load,
-                self._spill_gain,
-                self._build_outlook(service, profile),
-            ),
             self._own_zone,
+            now,
             [self._draw() for _ in range(routing.selection.DRAWS_PER_CHOICE)],
             self._choice_count,
-            self._strategy,
+            workspace,
+            self._build_outlook(self._capacities, service, profile),
         )
-        _count_choice(decision.reason)
+        choicemetrics.count_choice(decision.reason, full_avoided)
         vm = decision.candidate.vm
+        incarnation = view.members[vm].incarnation
         return Choice(
-            vm,
-            view.members[vm].incarnation,
-            service,
-            decision.reason,
-            decision.expected_s,
+            vm, incarnation, service, decision.reason, decision.expected_s
+        )
+
+    def rehearse(
+        self,
+        preset: Any,
+        service: str,
+        view: membership.views.View,
+        now: float,
+        draws: Sequence[Sequence[float]],
+        own_zone: str = '',
+        workspace: str = '',
+        profile: CallProfile | None = None,
+    ) -> list[routing.selection.Decision]:
+        """Returns what `choose` would decide for a first attempt.
+
+        Nothing is recorded.
+
+        Args:
+          preset: Preset in force.
+          service: Service of the call.
+          view: Members known.
+          now: Present time in seconds.
+          draws: For each choice the random numbers that it uses.
+          own_zone: Zone at which the call enters; by default this node's.
+          workspace: Workspace of the call.
+          profile: What ``expected_time`` has to know of the call.
+
+        Returns:
+          The decision of each choice; an empty list if no VM can be chosen.
+        """
+        pool = self._build_pool(preset, view, service)
+        usable, _ = self._list_usable(pool, (), now, None, profile)
+        if not usable.groups:
+            return []
+        outlook = self._build_outlook(self._capacities.copy(), service, profile)
+        return [
+            self._select(
+                usable,
+                own_zone or self._own_zone,
+                now,
+                numbers,
+                self._choice_count + 1 + position,
+                workspace,
+                outlook,
+            )
+            for position, numbers in enumerate(draws)
+        ]
+
+    def estimate_times(
+        self,
+        preset: Any,
+        service: str,
+        view: membership.views.View,
+        now: float,
+        own_zone: str = '',
+        profile: CallProfile | None = None,
+    ) -> dict[str, float]:
+        """Returns the expected times of a dry run by VM, in seconds.
+
+        They include VMs that are passed over for a while; there are none if
+        the strategy doesn't estimate times. The arguments are those of
+        `rehearse`.
+        """
+        pool = self._build_pool(preset, view, service)
+        outlook = self._build_outlook(self._capacities.copy(), service, profile)
+        if outlook is None:
+            return {}
+        return routing.expectations.estimate_times(
+            pool,
+            self._list_usable(pool, (), now, None, profile)[0],
+            outlook,
+            self._loads,
+            own_zone or self._own_zone,
+            now,
+        )
+
+    def list_exclusions(
+        self,
+        now: float,
+        workspace: str = '',
+        profile: CallProfile | None = None,
+    ) -> dict[str, avoidances.Exclusion]:
+        """Returns the VMs that `choose` passes over for a while, and why."""
+        # Covers each refusal that is remembered for the workspace.
+        needs = routing.refusals.CallNeeds(workspace, sys.maxsize, 0.0)
+        exclusions = {
+            vm: avoidances.Exclusion(
+                'full', 'refused a call for want of room; not retried'
+            )
+            for vm in self._refusals.list_full_vms(needs, now)
+        }
+        for vm in self._list_full(profile, now):
+            exclusions[vm] = avoidances.Exclusion(
+                'no-room', 'refused such a call for want of room'
+            )
+        for vm, until in self._avoidances.list_times(now).items():
+            exclusions[vm] = avoidances.Exclusion(
+                'avoided',
+                f'failed or refused a call; avoided for {until - now:.2f} s',
+            )
+        for vm in self._list_unresponsive(now):
+            exclusions[vm] = avoidances.Exclusion(
+                'unresponsive', 'has an unanswered ping; never chosen'
+            )
+        return exclusions
+
+    def _list_usable(
+        self,
+        pool: routing.selection.CandidatePool,
+        tried_vms: Collection[str],
+        now: float,
+        needs: routing.refusals.CallNeeds | None,
+        profile: CallProfile | None,
+    ) -> tuple[routing.selection.CandidatePool, bool]:
+        """Returns the candidates without those that are excluded now.
+
+        Also returns whether VMs without room are among the excluded.
+        """
+        excluded = self._list_unresponsive(now).union(tried_vms)
+        if needs is not None:
+            excluded |= self._refusals.list_full_vms(needs, now)
+        avoided = excluded.union(self._avoidances.list_times(now))
+        full = self._list_full(profile, now)
+        usable = pool.exclude(avoided | full) if avoided | full else pool
+        full_avoided = bool(full and usable.groups)
+        if full and not full_avoided:
+            usable = pool.exclude(avoided) if avoided else pool
+        if not usable.groups:
+            # An attempt at an avoided VM is better than refusing the call.
+            usable = pool.exclude(excluded) if excluded else pool
+        return usable, full_avoided
+
+    def _list_full(self, profile: CallProfile | None, now: float) -> set[str]:
+        """Returns the VMs that ``expected_time`` passes over as full."""
+        if not self._by_expected_time or profile is None:
+            return set()
+        return self._refusals.list_full_vms(profile.needs, now)
+
+    def _select(
+        self,
+        usable: routing.selection.CandidatePool,
+        own_zone: str,
+        now: float,
+        draws: Sequence[float],
+        turn: int,
+        workspace: str,
+        outlook: routing.expectations.Outlook | None,
+    ) -> routing.selection.Decision:
+        """Returns the decision of the strategy of this node."""
+        view = routing.selection.LoadView(
+            self._loads,
+            workspace,
+            now,
+            self._spill_load,
+            self._spill_gain,
+            outlook,
+        )
+        return routing.selection.decide(
+            usable, view, own_zone, draws, turn, self._strategy
         )
 
     def start_attempt(self, vm: str, workspace: str = '') -> None:
@@ -274,7 +386,7 @@
           kind: Kind of the call.
         """
         self._loads.record_report(vm, workspace, report, now)
-        self._avoided_until.pop(vm, None)
+        self._avoidances.remove(vm)
         if self._by_expected_time:
             self._speeds.record_reply(
                 vm, kind, report.kind_service_s, report.limit, report.load, now
@@ -287,23 +399,17 @@
 
     def collect_reports(self, now: float) -> list[list[Any]]:
         """Returns the digest of recent loads for another node of the zone."""
-        if not self._by_expected_time or self._pool_cache is None:
+        if not self._by_expected_time:
             return []
-        return routing.digests.collect(
-            self._loads, self._pool_cache.zone_vms, now
-        )
+        return routing.digests.collect(self._loads, self._pools.zone_vms, now)
 
     def merge_reports(self, items: Collection[Any], now: float) -> None:
         """Takes over newer loads from the digest in a reply."""
-        if self._by_expected_time and items and self._pool_cache is not None:
+        if self._by_expected_time and items:
             merged = routing.digests.merge(
-                self._loads,
-                self._speeds,
-                items,
-                self._pool_cache.zone_vms,
-                now,
+                self._loads, self._speeds, items, self._pools.zone_vms, now
             )
-            _merged_loads.inc(merged)
+            choicemetrics.count_merged_loads(merged)
 
     def record_reset(self, vm: str, now: float) -> None:
         """Lowers the limit of a VM that may have reset a call as it was full.
@@ -316,15 +422,15 @@
             # The call that was reset is no longer in the report.
             calls = report.load * report.limit + 1.0
             if self._speeds.record_reset(vm, calls, now):
-                _resets.inc()
+                choicemetrics.count_reset()
 
     def record_failure(self, vm: str, now: float) -> None:
         """Avoids a VM for a while after it failed to answer."""
-        self._avoid(vm, now + _AVOID_UNREACHABLE_S)
+        self._avoidances.add(vm, now + avoidances.AVOID_UNREACHABLE_S)
 
     def record_refusal(self, vm: str, now: float) -> None:
         """Avoids a VM briefly after it refused a call."""
-        self._avoid(vm, now + _AVOID_REFUSING_S)
+        self._avoidances.add(vm, now + avoidances.AVOID_REFUSING_S)
 
     def record_full(
         self,
@@ -336,9 +442,6 @@
         """Records that a VM had no room in its queue for a call."""
         self._refusals.add_refusal(vm, needs, wait_s, now)
 
-    def _avoid(self, vm: str, until: float) -> None:
-        self._avoided_until[vm] = max(until, self._avoided_until.get(vm, until))
-
     def explain(
         self, preset: Any, view: membership.views.View, route: Any, now: float
     ) -> list[routing.selection.Explanation]:
@@ -348,7 +451,7 @@
             for service, _ in route.targets
             for explanation in routing.selection.explain(
                 preset,
-                _list_members(preset, view, service),
+                pools.list_members(preset, view, service),
                 service,
                 self._zone_return_times,
                 self._loads,
@@ -362,80 +465,29 @@
             self._route_table = (preset, table)
         return self._route_table[1]
 
-    def _get_pool(
+    def _build_pool(
         self, preset: Any, view: membership.views.View, service: str
     ) -> routing.selection.CandidatePool:
-        cache = self._pool_cache
-        if (
-            cache is None
-            or cache.preset is not preset
-            or cache.view is not view
-        ):
-            cache = self._pool_cache = _PoolCache(preset, view)
-        pool = cache.by_service.get(service)
-        if pool is None:
-            pool = routing.selection.build_pool(
-                preset,
-                _list_members(preset, view, service),
-                service,
-                self._zone_return_times,
-            )
-            cache.by_service[service] = pool
-            cache.zone_vms.update(
-                member.vm
-                for group in pool.groups
-                for member in group.members
-                if group.zone == self._own_zone
-            )
-        return pool
+        """Builds a pool for a dry run.
+
+        The digest of loads covers cached pools, so that a dry run must not add
+        the pool of a service that this node doesn't call.
+        """
+        return pools.build_pool(preset, view, service, self._zone_return_times)
 
     def _build_outlook(
-        self, service: str, profile: CallProfile | None
+        self,
+        capacities: routing.expectations.CapacityCache,
+        service: str,
+        profile: CallProfile | None,
     ) -> routing.expectations.Outlook | None:
         if not self._by_expected_time:
             return None
         outlook = routing.expectations.Outlook(
-            self._capacities, service, zone_price=self._zone_price
+            capacities, service, zone_price=self._zone_price
         )
         if profile is None:
             return outlook
         return attrs.evolve(
-            outlook,
-            kind=profile.kind,
-            time_left_s=profile.needs.time_left_s,
+            outlook, kind=profile.kind, time_left_s=profile.needs.time_left_s
         )
-
-    def _list_avoided(self, now: float) -> set[str]:
-        if not self._avoided_until:
-            return set()
-        self._avoided_until = {
-            vm: until
-            for vm, until in self._avoided_until.items()
-            if until > now
-        }
-        return set(self._avoided_until)
-
-
-def _count_choice(reason: str) -> None:
-    """Counts a choice for which the strategy gave a reason."""
-    if not reason:
-        return
-    counter = _choices_by_reason.get(reason)
-    if counter is None:
-        counter = _choices_by_reason[reason] = _choices.labels(reason)
-    counter.inc()
-
-
-def _list_members(
-    preset: Any, view: membership.views.View, service: str
-) -> list[membership.records.MemberRecord]:
-    """Returns the members at the positions of a service.
-
-    The preset decides which service a position belongs to; the service in
-    membership records may be outdated.
-    """
-    return [
-        record
-        for upstream in preset.upstreams_by_service.get(service, ())
-        for record in view.list_upstream_members(upstream.name)
-    ]
--- a/jayseam/calls/urgency.py
+++ b/jayseam/calls/urgency.py
@@ -19,18 +19,24 @@
 
 
 def compute_rank(call: pending.Call, dialect: dialects.Dialect) -> int:
-    """Returns the rank of a call; the most urgent calls have rank 0.
+    """Returns the rank of a call; the most urgent calls have rank 0."""
+    return rank_caller(call.snapshot.preset, call.route, call.caller, dialect)
+
+
+def rank_caller(
+    preset: Any, route: Any, caller: keys.Caller, dialect: dialects.Dialect
+) -> int:
+    """Returns the rank of a caller's calls of a route.
 
     The workspace's rank takes precedence over the route's. Nested calls go
     first: they are short, and refusing one wastes the work of the running
     call that needs it.
     """
-    preset = call.snapshot.preset
-    if is_nested(preset, call.caller, dialect):
+    if is_nested(preset, caller, dialect):
         return _NESTED_RANK
-    workspace = preset.workspaces.get(call.caller.workspace)
+    workspace = preset.workspaces.get(caller.workspace)
     if workspace is None or workspace.rank is None:
-        return _NESTED_RANK + 1 + call.route.rank
+        return _NESTED_RANK + 1 + route.rank
     return _NESTED_RANK + 1 + workspace.rank
 
 
--- a/jayseam/routing/expectations.py
+++ b/jayseam/routing/expectations.py
@@ -126,6 +126,15 @@
         self._speeds = speeds
         self._by_kind: dict[tuple[str, str], _Capacities] = {}
 
+    def copy(self) -> 'CapacityCache':
+        """Returns a cache with the same content, for a dry run.
+
+        A dry run that refreshed this cache would change what later calls see.
+        """
+        copied = CapacityCache(self._speeds)
+        copied._by_kind.update(self._by_kind)
+        return copied
+
     def get(
         self,
         pool: selection.CandidatePool,
@@ -147,10 +156,16 @@
             return cached
         if len(self._by_kind) >= speed_tables.MAX_KINDS:
             self._by_kind.clear()
-        computed = compute_capacities(self._speeds, pool, kind, now)
+        computed = self.compute(pool, kind, now)
         self._by_kind[service, kind] = computed
         return computed
 
+    def compute(
+        self, pool: selection.CandidatePool, kind: str, now: float
+    ) -> _Capacities:
+        """Computes the capacities of all candidates of a pool."""
+        return compute_capacities(self._speeds, pool, kind, now)
+
 
 @attrs.frozen
 class Outlook:
@@ -250,6 +265,41 @@
     return expected_s, calls / limit
 
 
+def estimate_times(
+    pool: selection.CandidatePool,
+    usable: selection.CandidatePool,
+    outlook: Outlook,
+    table: load_tables.LoadTable,
+    own_zone: str,
+    now: float,
+) -> dict[str, float]:
+    """Returns the expected times by which calls are decided, by VM.
+
+    Args:
+      pool: All candidates of the service.
+      usable: Those that are not passed over; their capacities are those of a
+        decision, and the others are computed with all candidates.
+      outlook: What the strategy knows of the call. Its cache is refreshed.
+      table: Loads of members.
+      own_zone: Zone at which the call enters.
+      now: Current time in seconds.
+
+    Returns:
+      Times in seconds.
+    """
+    cache, kind = outlook.cache, outlook.kind
+    capacities = {
+        **cache.compute(pool, kind, now).by_vm,
+        **cache.get(usable, outlook.service, kind, now).by_vm,
+    }
+    return {
+        candidate.vm: estimate_time(
+            candidate, capacities[candidate.vm], table, own_zone, now
+        )[0]
+        for candidate in pool.candidates
+    }
+
+
 @selection.VARIANTS.register('expected_time')
 def choose_expected_time(
     pool: selection.CandidatePool,
