Name the dry run of a choice a preview

'Rehearsal' is no term of the field. Modules, classes and functions of the command that explains where a call would go are renamed; nothing else changes. The tests of calls, tools and the command pass.

--- a/jayseam/calls/__init__.py
+++ b/jayseam/calls/__init__.py
@@ -19,8 +19,8 @@
 from jayseam.calls import messages
 from jayseam.calls import pending
 from jayseam.calls import pools
+from jayseam.calls import previews
 from jayseam.calls import problems
-from jayseam.calls import rehearsals
 from jayseam.calls import requests
 from jayseam.calls import retries
 from jayseam.calls import tokens
@@ -42,8 +42,8 @@
     'messages',
     'pending',
     'pools',
+    'previews',
     'problems',
-    'rehearsals',
     'requests',
     'retries',
     'tokens',
--- a/jayseam/calls/choosers.py
+++ b/jayseam/calls/choosers.py
@@ -201,7 +201,7 @@
             vm, incarnation, service, decision.reason, decision.expected_s
         )
 
-    def rehearse(
+    def preview(
         self,
         preset: Any,
         service: str,
@@ -260,7 +260,7 @@
 
         They include VMs that are passed over for a while; there are none if
         the strategy doesn't estimate times. The arguments are those of
-        `rehearse`.
+        `preview`.
         """
         pool = self._build_pool(preset, view, service)
         outlook = self._build_outlook(self._capacities.copy(), service, profile)
--- a/jayseam/calls/rehearsals.py
+++ b/jayseam/calls/previews.py
@@ -83,7 +83,7 @@
 
 
 @attrs.frozen
-class Rehearsal:
+class Preview:
     """A decision, and all members among which it was made."""
 
     decision: Decision
@@ -142,7 +142,7 @@
     return choosers.CallProfile(route.name, needs)
 
 
-def rehearse(
+def preview(
     chooser: choosers.Chooser,
     preset: Any,
     view: membership.views.View,
@@ -151,7 +151,7 @@
     zone: str = '',
     workspace: str = '',
     dialect: dialects.Dialect = dialects.DEFAULT,
-) -> Rehearsal:
+) -> Preview:
     """Returns how the first attempt of a call would choose its VM.
 
     Args:
@@ -200,7 +200,7 @@
         chooser.strategy,
         zone or chooser.own_zone,
     )
-    return Rehearsal(decision, reports)
+    return Preview(decision, reports)
 
 
 def _choose(
@@ -228,7 +228,7 @@
             ]
             for _ in range(count)
         ]
-        decisions = chooser.rehearse(
+        decisions = chooser.preview(
             preset, service, view, now, draws, zone, workspace, profile
         )
         by_service[service] = iter([d.candidate.vm for d in decisions])
--- a/jayseam/calls/tests/test_rehearsals.py
+++ b/jayseam/calls/tests/test_previews.py
@@ -15,7 +15,7 @@
 from jayseam.calls import forwarding
 from jayseam.calls import keys
 from jayseam.calls import pending
-from jayseam.calls import rehearsals
+from jayseam.calls import previews
 from jayseam.calls import urgency
 from jayseam.presets import model
 
@@ -68,7 +68,7 @@
 _ROUTE = model.Route('r', '/', ('GET',), (('s', 1),), True, True, 1000)
 
 
-_PROFILE = rehearsals.build_profile(_PRESET, _ROUTE, _NOW)
+_PROFILE = previews.build_profile(_PRESET, _ROUTE, _NOW)
 _STRATEGIES = routing.selection.VARIANTS.list_names()
 
 
@@ -118,7 +118,7 @@
             for _ in range(3)
         ]
         dry = _build_chooser(seed, strategy)
-        decisions = dry.rehearse(
+        decisions = dry.preview(
             _PRESET, 's', _VIEW, _NOW, draws, profile=_PROFILE
         )
         times = dry.estimate_times(_PRESET, 's', _VIEW, _NOW, profile=_PROFILE)
@@ -139,7 +139,7 @@
             ]
 
 
-def test_expected_time_is_rehearsed_with_each_of_its_rules():
+def test_expected_time_is_previewed_with_each_of_its_rules():
     """A comparison without full VMs or other zones would prove too little."""
     reasons, n_without_room = set(), 0
     for seed in range(200):
@@ -147,9 +147,9 @@
         generator = random.Random(seed)
         draws = [[generator.random() for _ in range(5)] for _ in range(3)]
         arguments = (_PRESET, 's', _VIEW, _NOW, draws)
-        found = chooser.rehearse(*arguments, profile=_PROFILE)
+        found = chooser.preview(*arguments, profile=_PROFILE)
         reasons.update(decision.reason for decision in found)
-        n_without_room += found != chooser.rehearse(*arguments)
+        n_without_room += found != chooser.preview(*arguments)
     assert reasons >= {'own-zone', 'no-own-zone', 'objective', 'saving'}
     assert n_without_room > 10
 
@@ -182,7 +182,7 @@
         0,
         objective,
     )
-    profile = rehearsals.build_profile(preset, route, _NOW, workspace, dialect)
+    profile = previews.build_profile(preset, route, _NOW, workspace, dialect)
     assert profile == choosers.CallProfile(
         'r', forwarding.build_needs(call, dialect, _NOW)
     )
@@ -207,7 +207,7 @@
         other = _build_chooser(seed, strategy)
         before = _read_placement_metrics()
         for zone in ('', 'b'):
-            rehearsals.rehearse(asked, _PRESET, _VIEW, _ROUTE, _NOW, zone)
+            previews.preview(asked, _PRESET, _VIEW, _ROUTE, _NOW, zone)
         assert _read_placement_metrics() == before
         assert asked.loads._members == other.loads._members
         assert asked.collect_reports(_NOW) == other.collect_reports(_NOW)
@@ -223,11 +223,9 @@
         assert later[0] == later[1]
 
 
-def _rehearse(chooser, **options):
+def _preview(chooser, **options):
     """Returns the decision and the candidates by VM."""
-    found = rehearsals.rehearse(
-        chooser, _PRESET, _VIEW, _ROUTE, _NOW, **options
-    )
+    found = previews.preview(chooser, _PRESET, _VIEW, _ROUTE, _NOW, **options)
     return found.decision, {c.vm: c for c in found.candidates}
 
 
@@ -239,7 +237,7 @@
     chooser.record_failure('vm-1', _NOW)
     needs = routing.refusals.CallNeeds('', 1, 0.5)
     chooser.record_full('vm-2', needs, 1.0, _NOW)
-    decision, reports = _rehearse(chooser)
+    decision, reports = _preview(chooser)
     assert (decision.vm, decision.is_random) == ('vm-2', False)
     assert decision.first_choices == ('vm-2',) * 5
     reasons = {vm: report.reason for vm, report in reports.items()}
@@ -265,7 +263,7 @@
     )
     for vm in _MEMBERS:
         chooser.record_failure(vm, _NOW)
-    decision, reports = _rehearse(chooser)
+    decision, reports = _preview(chooser)
     assert decision.is_random and reports['vm-1'].usable
     assert 'no other' in reports['vm-1'].reason
     assert not reports['vm-3'].usable
@@ -273,7 +271,7 @@
 
 def test_random_choice_is_shown_with_its_probabilities():
     """One draw of a random choice would look like a rule."""
-    decision, reports = _rehearse(choosers.Chooser('a', 'two_choices'))
+    decision, reports = _preview(choosers.Chooser('a', 'two_choices'))
     assert decision.is_random
     assert {vm for vm, r in reports.items() if r.probability} == {
         'vm-1',
@@ -286,11 +284,11 @@
 def test_zone_of_the_entry_decides():
     """On-call asks one node about calls that enter in another zone."""
     chooser = choosers.Chooser('a', 'two_choices')
-    decision, reports = _rehearse(chooser, zone='b')
+    decision, reports = _preview(chooser, zone='b')
     assert decision.own_zone == 'b'
     assert reports['vm-3'].probability > 0.4
     with pytest.raises(errors.BadRequestError, match='no zone z'):
-        _rehearse(chooser, zone='z')
+        _preview(chooser, zone='z')
 
 
 def test_no_usable_candidate_is_no_decision():
@@ -298,7 +296,7 @@
     chooser = choosers.Chooser(
         'a', 'two_choices', list_unresponsive=lambda now: set(_MEMBERS)
     )
-    decision, reports = _rehearse(chooser)
+    decision, reports = _preview(chooser)
     assert (decision.vm, decision.probability) == (None, 0.0)
     assert not any(report.usable for report in reports.values())
 
@@ -308,7 +306,7 @@
     chooser = choosers.Chooser('a', 'two_choices')
     chooser.record_load('vm-1', '', _report(2.0, 0.1), _NOW)
     chooser.record_load('vm-2', '', _report(0.5, 0.1), _NOW)
-    _, reports = _rehearse(chooser)
+    _, reports = _preview(chooser)
     assert reports['vm-1'].expected_s == pytest.approx(0.2)
     assert reports['vm-2'].expected_s == pytest.approx(0.1)
     assert reports['vm-3'].expected_s is None
@@ -320,7 +318,7 @@
     chooser.record_load('vm-1', '', _report(0.5, 0.2), _NOW, 'r')
     chooser.record_load('vm-3', '', _report(0.5, 0.05), _NOW, 'r')
     chooser.record_failure('vm-2', _NOW)
-    _, reports = _rehearse(chooser)
+    _, reports = _preview(chooser)
     assert reports['vm-1'].expected_s == pytest.approx(0.2)
     assert reports['vm-3'].expected_s == pytest.approx(
         0.05 + routing.expectations.ZONE_DISTANCE_S
@@ -328,7 +326,7 @@
     # A VM that is passed over has a time too; one that is down has none.
     assert reports['vm-2'].expected_s == pytest.approx(0.125)
     assert reports['vm-5'].expected_s is None
-    _, reports = _rehearse(chooser, zone='b')
+    _, reports = _preview(chooser, zone='b')
     assert reports['vm-3'].expected_s == pytest.approx(0.05)
 
 
@@ -336,11 +334,11 @@
     """The strategy ``expected_time`` passes over full VMs at once."""
     chooser = choosers.Chooser('a', 'expected_time')
     chooser.record_full('vm-1', _PROFILE.needs, 1.0, _NOW)
-    _, reports = _rehearse(chooser)
+    _, reports = _preview(chooser)
     assert not reports['vm-1'].usable and not reports['vm-1'].probability
     assert 'refused such a call' in reports['vm-1'].reason
     for vm in _MEMBERS:
         chooser.record_full(vm, _PROFILE.needs, 1.0, _NOW)
-    _, reports = _rehearse(chooser)
+    _, reports = _preview(chooser)
     assert reports['vm-1'].usable
     assert 'no other' in reports['vm-1'].reason
--- a/jayseam/node/routes.py
+++ b/jayseam/node/routes.py
@@ -87,7 +87,7 @@
         route = self._chooser.match_route(
             snapshot.preset, request.method, request.path, request.host
         )
-        rehearsal = calls.rehearsals.rehearse(
+        preview = calls.previews.preview(
             self._chooser,
             snapshot.preset,
             self._read_view(),
@@ -101,5 +101,5 @@
             'preset_version': versionnumbers.shorten(snapshot.preset_version),
             'vms_version': versionnumbers.shorten(snapshot.vms_version),
             'route': attrs.asdict(route),
-            **attrs.asdict(rehearsal),
+            **attrs.asdict(preview),
         }
