review: two keys with the same first part keep a version out (CONFIG)

Cause: the part of a key before its first dot is taken for its id, so two keys get one id and the whole version is rejected. Change: review/10 with a script.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exit: 1 the rule was broken, 0 it held, 2 the case couldn't run.
+cd "$(dirname "$0")" && exec python3 case.py
