--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,6 +20,8 @@
 PAUSE_S = 0.6
 CLIENTS = 10
 ROUNDS = 60
+# No round begins later than this.
+LAST_ROUND_S = 95
 # The largest dose of `reset_conns`: 0.55 of the connections of 0.35 of the
 # machines, here of one of three.
 SHARE = 0.55
@@ -71,6 +73,8 @@
     counts = {}
     wrong = 0
     for number in range(ROUNDS):
+        if stand2.now() > LAST_ROUND_S:
+            break
         answers = [None] * CLIENTS
 
         def call(index):
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,5 +1,6 @@
 """A key is given and withdrawn in a storm of changes, and a machine is lost."""
 
+import os
 import pathlib
 import sys
 import threading
@@ -10,8 +11,14 @@
 
 import stand2  # pylint: disable=wrong-import-position
 
-HOSTS = ('127.71.0.1', '127.71.0.2', '127.71.0.3', '127.71.0.4')
-ZONE = 'z-a'
+# With ZONES=3, three zones of four machines each; the first reader of each zone
+# is lost.
+ZONES = ('z-a', 'z-b', 'z-c')[: int(os.environ.get('ZONES', '1'))]
+MACHINES = {
+    f'127.71.{number}.{index}': zone
+    for number, zone in enumerate(ZONES)
+    for index in range(1, 5)
+}
 SERVICE = 'points'
 KEY = '6wsjnbanfqasnmgkcuyj'
 # The key that is given and withdrawn.
@@ -71,19 +78,19 @@
 
 def run(record):
     """Runs the case; returns its result."""
-    fleet = stand2.Fleet(record, (ZONE,))
-    fleet.set_hosts(HOSTS)
+    fleet = stand2.Fleet(record, ZONES)
+    fleet.set_hosts(list(MACHINES))
     upstreams = Upstreams(record)
     try:
         servers = {}
-        for number, host in enumerate(HOSTS):
+        for number, (host, zone) in enumerate(MACHINES.items()):
             instance = f'i-{number}'
             server = stand2.Upstream(instance, host, upstreams.serve)
             servers[host] = server
             address = f'{host}:{server.address[1]}'
-            fleet.add_node(host, ZONE, SERVICE, address)
+            fleet.add_node(host, zone, SERVICE, address)
             fleet.store.put(
-                f'servers/{instance}', stand2.build_entry(SERVICE, address, ZONE)
+                f'servers/{instance}', stand2.build_entry(SERVICE, address, zone)
             )
         fleet.store.put('op/config', build(1, []))
         fleet.start()
@@ -93,14 +100,17 @@
         fleet.end()
 
 
-def find_first_reader(fleet):
-    """Returns the node that asks the store most often."""
+def find_first_readers(fleet):
+    """Returns the node of each zone that asks the store most often."""
     name = 'jayseam_platform_requests_total'
     before = {n.host: n.read_metric(name) for n in fleet.nodes}
     time.sleep(6)
     reads = {n: n.read_metric(name) - before[n.host] for n in fleet.nodes}
     fleet.record.write(f'reads in 6 s: { {n.host: r for n, r in reads.items()} }')
-    return max(reads, key=reads.get)
+    return [
+        max((n for n in fleet.nodes if n.zone == zone), key=reads.get)
+        for zone in ZONES
+    ]
 
 
 def play(record, fleet, upstreams, servers):
@@ -114,7 +124,7 @@
         record.write(f'r{number} is confirmed: {what}')
         return at
 
-    lost = find_first_reader(fleet)
+    lost = find_first_readers(fleet)
     change([], 'a route')
     time.sleep(CALM_S)
     for _ in range(CHANGES_BEFORE):
@@ -122,20 +132,20 @@
         time.sleep(GAP_S)
     change([OTHER_KEY], f'a route, and the key {OTHER_KEY} is given to t-two')
     time.sleep(LOSS_AFTER_S)
-    lost_index = fleet.nodes.index(lost)
     if stand2.TROUBLE:
-        lost.end()
-        servers[lost.host].close()
-        record.say(f'machine {lost.host} is lost for good')
-        threading.Timer(
-            EXPIRY_S, fleet.store.delete, (f'servers/i-{lost_index}',)
-        ).start()
+        for node in lost:
+            node.process.kill()
+        for node in lost:
+            servers[node.host].close()
+            record.say(f'machine {node.host} is lost for good')
+            key = f'servers/i-{fleet.nodes.index(node)}'
+            threading.Timer(EXPIRY_S, fleet.store.delete, (key,)).start()
     time.sleep(GAP_S - LOSS_AFTER_S)
     withdrawn_at = change([], f'a route, and the key {OTHER_KEY} is withdrawn')
     for _ in range(5):
         time.sleep(GAP_S)
         change([], 'a route')
-    others = [node for node in fleet.nodes if node is not lost]
+    others = [node for node in fleet.nodes if node not in lost]
     time.sleep(max(0.0, withdrawn_at + REVOKE_S + 0.2 - stand2.now()))
     served, ran_late, sent = 0, 0, 0
     for turn in range(12):
