Keep the failure of a connection that a peek or a write has found

The kernel reports a failure once; the next read gets an orderly end. When a call loses its connection, LossObserver peeks at all others for survivors and so took the error of a second reset connection, whose owner then read the end that completes an answer without a length. A write that fails does the same. The parser is not at fault: every answer cut at every byte by a single reset was and is refused.

A connection now keeps the error and raises it where the input ends. Time-outs of a connection, which a peek took for a refusal, count as failures.

--- a/jayseam/backends/connections.py
+++ b/jayseam/backends/connections.py
@@ -38,6 +38,8 @@
         self.opened_at = now
         self.last_used_at: float | None = None
         self.answered_id: str | None = None
+        # Error of a failure, which the kernel reports only once.
+        self._failure: OSError | None = None
         self._socket = socket.socket(family, socket.SOCK_STREAM)
         try:
             self._socket.settimeout(timeout_s)
@@ -55,13 +57,26 @@
     def send(self, data: bytes | memoryview, timeout_s: float) -> int:
         """Writes at least one byte; returns the number written."""
         self._socket.settimeout(timeout_s)
-        return self._socket.send(data)
+        try:
+            return self._socket.send(data)
+        except ConnectionResetError as error:
+            self._record_failure(error)
+            raise
 
     def receive(self, timeout_s: float) -> bytes:
-        """Reads at least one byte; empty when the other side has closed."""
-        return sockets.receive(
+        """Reads at least one byte; empty when the other side has closed.
+
+        Raises:
+          TimeoutError: If nothing arrives in time.
+          OSError: If the connection has failed, also if the failure was found
+            before.
+        """
+        data = sockets.receive(
             self._socket, _BLOCK_BYTES, _RECHECK_S, 'backend', timeout_s
         )
+        if not data and self._failure is not None:
+            raise self._failure
+        return data
 
     def is_idle(self) -> bool:
         """Returns whether the connection is open and has nothing to read.
@@ -76,7 +91,9 @@
 
         The connection may be in use by another greenlet.
         """
-        is_ended = hangups.shows_end_of_input(self._socket)
+        is_ended = hangups.shows_end_of_input(
+            self._socket, self._record_failure
+        )
         if is_ended is None:
             is_ended = hangups.shows_hang_up(self._socket)
         return not is_ended
@@ -86,6 +103,9 @@
         sockets.shut_down(self._socket)
         self._socket.close()
 
+    def _record_failure(self, error: OSError) -> None:
+        self._failure = error
+
 
 class ConnectionPool:
     """Opens at most ``size`` connections and keeps idle ones for reuse.
--- a/jayseam/backends/tests/test_cuts.py
+++ b/jayseam/backends/tests/test_cuts.py
@@ -1,5 +1,8 @@
 """Answers that a backend server cuts at any byte, by a close or a reset."""
 
+import socket as std_socket
+
+import gevent
 import pytest
 
 from jayseam.backends import client as backend_client
@@ -7,6 +10,7 @@
 from jayseam.backends import errors
 from jayseam.backends import messages
 from jayseam.backends.tests import test_client
+from jayseam.core import clocks
 
 DIALECT = dialects.Dialect(
     unsized_answers=True,
@@ -135,3 +139,91 @@
             assert not reader.receive(data[start : min(cut_at, start + size)])
         with pytest.raises(errors.OutcomeUnknownError):
             reader.receive(b'')
+
+
+def find_outcomes(client, requests, deadline):
+    """Runs calls at once; returns the answer or the error of each."""
+
+    def find_outcome(request):
+        try:
+            return client.run(request, deadline)
+        except errors.BackendError as error:
+            return error
+
+    greenlets = [gevent.spawn(find_outcome, request) for request in requests]
+    gevent.joinall(greenlets, timeout=5.0, raise_error=True)
+    return [greenlet.value for greenlet in greenlets]
+
+
+def test_resets_of_several_connections_end_no_answer():
+    """A half answer looked whole after another call's failure was handled.
+
+    The check for connections that survived the failure reads the error of a
+    reset connection, which the kernel reports once.
+    """
+    n_calls = 6
+    sockets = []
+
+    def answer_half(sock):
+        sock.sendall(OK + b'\r\n' + BODY[:9])
+        sockets.append(sock)
+        if len(sockets) == n_calls:
+            # The client has read each half before the first reset.
+            gevent.sleep(0.1)
+            for started in sockets:
+                test_client.reset(started)
+        gevent.sleep(1.0)
+
+    backend = test_client.Backend(*[answer_half] * n_calls)
+    address = ('127.0.0.1', backend.server.server_port)
+    client = backend_client.BackendClient(address, 10, dialect=DIALECT)
+    requests = [
+        messages.BackendRequest(f'r-{n}', 'GET', '/') for n in range(n_calls)
+    ]
+    outcomes = find_outcomes(client, requests, clocks.read_now() + 2.0)
+    backend.server.stop(timeout=0.1)
+    assert {getattr(o, 'reason', 'whole') for o in outcomes} == {
+        'connection-lost'
+    }
+
+
+def run_large_request(handle):
+    """Returns the outcome of a request that the server doesn't read."""
+    backend = test_client.Backend()
+    backend.server.set_handle(lambda sock, _: handle(sock))
+    address = ('127.0.0.1', backend.server.server_port)
+    client = backend_client.BackendClient(address, 4, dialect=DIALECT)
+    request = messages.BackendRequest(
+        'r-1', 'POST', '/', body=bytes(30_000_000)
+    )
+    outcomes = find_outcomes(client, [request], clocks.read_now() + 2.0)
+    backend.server.stop(timeout=0.1)
+    return outcomes[0]
+
+
+def test_reset_during_a_write_ends_no_answer():
+    """A half answer looked whole if the reset was found by a write.
+
+    A server may answer and close before it has read a large request, so the
+    answer is read after the failed write.
+    """
+
+    def answer_half(sock):
+        sock.sendall(OK + b'\r\n' + BODY[:9])
+        gevent.sleep(0.2)
+        test_client.reset(sock)
+
+    outcome = run_large_request(answer_half)
+    assert getattr(outcome, 'reason', 'whole') == 'connection-lost'
+
+
+def test_reset_after_the_end_leaves_the_answer_whole():
+    """A server that ends its answer may reset what it doesn't read."""
+
+    def answer(sock):
+        sock.sendall(OK + b'\r\n' + BODY)
+        sock.shutdown(std_socket.SHUT_WR)
+        gevent.sleep(0.2)
+        test_client.reset(sock)
+
+    assert run_large_request(answer).body == BODY
--- a/jayseam/core/hangups.py
+++ b/jayseam/core/hangups.py
@@ -24,6 +24,19 @@
 # States of a connection whose other side has sent its last byte, or that has
 # ended; from the Linux header net/tcp_states.h.
 _ENDED_STATES = frozenset((6, 7, 8, 9, 11))
+# Errors of a connection that has failed. The kernel reports such an error to one
+# read or write, and from then on the end of the input.
+_FAILURES = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.ECONNREFUSED,
+        errno.ECONNRESET,
+        errno.EHOSTUNREACH,
+        errno.ENETUNREACH,
+        errno.EPIPE,
+        errno.ETIMEDOUT,
+    )
+)
 # POLLRDHUP may be reported only where POLLIN is asked for.
 _EVENTS = select.POLLIN | select.POLLRDHUP
 _ENDED_EVENTS = (
@@ -81,17 +94,41 @@
     return None if found is None else found.get(sock, False)
 
 
+def is_failure(error: OSError) -> bool:
+    """Returns whether a connection has failed, as opposed to a refused call.
+
+    >>> is_failure(ConnectionResetError(errno.ECONNRESET, 'reset'))
+    True
+    >>> is_failure(PermissionError(errno.EPERM, 'refused'))
+    False
+    """
+    return error.errno in _FAILURES
+
+
+def _ignore_failure(error: OSError) -> None:
+    del error
+
+
 @registry.register(END_OF_INPUT)
-def shows_end_of_input(sock: socket.socket) -> bool | None:
+def shows_end_of_input(
+    sock: socket.socket,
+    report_failure: Callable[[OSError], None] = _ignore_failure,
+) -> bool | None:
     """Returns whether there is nothing to read before the end of the input.
 
     Bytes that were sent before the end hide it.
+
+    Args:
+      sock: A connected socket, which may be in use by another greenlet.
+      report_failure: Receives the error of a failed connection. That other
+        greenlet doesn't get the error any more, but an orderly end.
     """
     try:
         return peek(sock) == b''
-    except ConnectionError:
-        return True
     except OSError as error:
+        if is_failure(error):
+            report_failure(error)
+            return True
         _report_refusal(END_OF_INPUT, error)
         return None
 
@@ -110,7 +147,8 @@
 def peek(sock: socket.socket) -> bytes | None:
     """Returns the next byte, None if there is none, empty at the end.
 
-    The socket may be in use by another greenlet.
+    The socket may be in use by another greenlet, which then doesn't get the
+    error of a connection that has failed.
 
     Raises:
       OSError: If the connection has failed, or the machine refuses MSG_PEEK.
@@ -135,9 +173,9 @@
     try:
         if peek(sock) is not None:
             return True
-    except ConnectionError:
-        return True
     except OSError as error:
+        if is_failure(error):
+            return True
         _report_refusal(END_OF_INPUT, error)
         can_peek = False
     readable = list_readable([sock])
