Publish content again that changed back between two reads of the store

A channel keeps its version while a reader finds the same content, and confirmed every version up to the latest state of the store. So the readers that had found the same keys before and after confirmed the key set in between, which they had got from the lost reader under a greater version. Late reads are ruled out: the survivors logged the withdrawing version within a second.

A read now carries the digest of what the node holds. If a greater version has other content, the reader publishes its own again under the version of the latest state that has it. The rule is one for key sets, presets and VM lists. A VM list that other readers may derive differently (while a restored store is settling, or the configuration can't be used) is confirmed as before.

--- a/jayseam/distribution/reading.py
+++ b/jayseam/distribution/reading.py
@@ -42,7 +42,7 @@
         client: source_client.SourceClient | None,
         watch_wait_s: float,
         send: Callable[[Any], Any],
-        held_version: Callable[[str], int],
+        read_held: Callable[[str], watchers.KnownVersion],
         count_failure: Callable[[str, Any], None],
         uniform: Callable[[], float],
         options: Options = Options(),
@@ -57,8 +57,8 @@
           watch_wait_s: Time that one watch request may wait at the source, in
             seconds.
           send: Called with each `SourceUpdate` and `SourceConfirmation`.
-          held_version: Returns the version that the node holds of a channel, or
-            zero.
+          read_held: Returns the version that the node holds of a channel, or
+            `watchers.NO_VERSION`.
           count_failure: Called with the channel and the error of a failed read,
             or None if the replica was behind.
           uniform: Returns a random number in [0, 1).
@@ -71,7 +71,7 @@
         self._client = client
         self._watch_wait_s = watch_wait_s
         self._send = send
-        self._held_version = held_version
+        self._read_held = read_held
         self._count_failure = count_failure
         self._uniform = uniform
         self._read_known_vms = read_known_vms
@@ -131,7 +131,7 @@
             except source_errors.SourceError as error:
                 self._count_failure(channel, error)
                 continue
-            if self._held_version(channel):
+            if self._read_held(channel).version:
                 # The watch compares what it reads with the version held.
                 continue
             self._send(outcome.update)
@@ -144,7 +144,7 @@
             self._watch_wait_s,
             self._send,
             self._handle_confirmation,
-            lambda: self._held_version(channel) or None,
+            lambda: self._read_held(channel),
             self._uniform,
             self._count_failure,
             self._options.grace,
--- a/jayseam/distribution/task.py
+++ b/jayseam/distribution/task.py
@@ -98,7 +98,7 @@
             client,
             watch_wait_s,
             self.send,
-            self._get_held_version,
+            self._read_held,
             self._count_source_failure,
             uniform,
             options,
@@ -293,8 +293,11 @@
         now = clocks.read_now()
         return self._state.store.classify(channel, version, digest, now)
 
-    def _get_held_version(self, channel: str) -> int:
-        return self._state.store.version(channel)
+    def _read_held(self, channel: str) -> watchers.KnownVersion:
+        store = self._state.store
+        return watchers.KnownVersion(
+            store.version(channel), store.digest(channel)
+        )
 
     def _read_known_vms(self) -> watchers.KnownVms:
         latest = self._state.get_confirmations('vms').latest
--- a/jayseam/distribution/tests/fakes.py
+++ b/jayseam/distribution/tests/fakes.py
@@ -48,15 +48,17 @@
         self._changed.set()
         self._changed = event.Event()
 
-    def read_value(self, key, after_revision=None, wait_s=0.0):
+    def read_value(self, key, after_revision=None, wait_s=0.0, after_digest=''):
         """Reads a pointer."""
+        del after_digest
         return self._read(key.removeprefix('channels/'), after_revision, wait_s)
 
     def set_reader_rank(self, rank):
         """Ignores the rank."""
 
-    def read_vms(self, after_revision=None, wait_s=0.0):
+    def read_vms(self, after_revision=None, wait_s=0.0, after_digest=''):
         """Reads the VM list."""
+        del after_digest
         return self._read('vms', after_revision, wait_s)
 
     def read_part(self, digest):
--- a/jayseam/distribution/tests/test_reading.py
+++ b/jayseam/distribution/tests/test_reading.py
@@ -21,11 +21,11 @@
         super().__init__()
         self.fails_until = clocks.read_now() + FAILING_S
 
-    def read_value(self, key, after_revision=None, wait_s=0.0):
+    def read_value(self, key, after_revision=None, wait_s=0.0, after_digest=''):
         """Reads a pointer."""
         if key.endswith('keys') and clocks.read_now() < self.fails_until:
             raise errors.SourceUnreachableError('odd')
-        return super().read_value(key, after_revision, wait_s)
+        return super().read_value(key, after_revision, wait_s, after_digest)
 
 
 def test_back_off_ends_when_another_channel_is_read():
@@ -41,7 +41,7 @@
         source,
         0.5,
         sent.append,
-        lambda channel: 0,
+        lambda channel: watchers.NO_VERSION,
         lambda channel, error: None,
         # The longest waits that a back-off may draw.
         lambda: 0.999,
--- a/jayseam/distribution/tests/test_task.py
+++ b/jayseam/distribution/tests/test_task.py
@@ -20,6 +20,7 @@
 from jayseam.presets import samples
 from jayseam.source import client as source_client
 from jayseam.source import errors
+from jayseam.source import watchers
 
 _DEPLOYMENT = samples.build_agence()
 _KEYS = documents.split_keys(documents.dump_keys(_DEPLOYMENT.key_set))
@@ -714,7 +715,7 @@
         client,
         1.0,
         sent.append,
-        lambda channel: held.get(channel, 0),
+        lambda channel: watchers.KnownVersion(held.get(channel, 0)),
         lambda channel, error: None,
         lambda: 0.5,
     )
--- a/jayseam/platform/mirrors.py
+++ b/jayseam/platform/mirrors.py
@@ -49,21 +49,44 @@
     Attributes:
       version: Version of the content; see `positions`.
       bundle: Manifest and parts of the content.
-      as_of: Greatest version that the store is known to have no newer content
-        than; zero while the store has other content.
+      as_of: Version of the latest state of the store that is known to have this
+        content; zero while the store has other content.
       confirmed_at: Latest time at which the store is known to have had this
         content, in seconds.
+      is_exact: Whether all nodes derive this content from that state. If not,
+        some of it comes from what this node knew before.
     """
 
     version: int
     bundle: documents.Bundle
     as_of: int = attrs.field(eq=False)
     confirmed_at: float = attrs.field(eq=False)
+    is_exact: bool = attrs.field(default=True, eq=False)
 
     def confirms(self, version: int) -> bool:
-        """Returns whether the store has nothing newer than a version."""
+        """Returns whether the store has nothing newer than a version.
+
+        A version above the own one has the same content, unless it is outdated;
+        see `outdates`.
+        """
         return self.version <= version <= self.as_of
 
+    def outdates(self, version: int, digest: str) -> bool:
+        """Returns whether a greater version has content that has changed back.
+
+        Another node has read the store while it had other content, between two
+        reads of this node.
+
+        Args:
+          version: Version that another node may have published.
+          digest: Digest of its content; empty if it isn't known.
+        """
+        return (
+            self.is_exact
+            and self.version < version < self.as_of
+            and digest not in ('', self.bundle.digest)
+        )
+
 
 @attrs.frozen
 class Mirror:
@@ -228,7 +251,8 @@
 
     def translate(self, mirror: Mirror) -> Mapping[str, Channel]:
         """Returns the channels derived from a mirror, by name."""
-        if self._run_step(self._update_configuration, mirror):
+        is_configured = self._run_step(self._update_configuration, mirror)
+        if is_configured:
             as_of = positions.encode_version(self._number, mirror.position)
             self._confirm_channel('preset', as_of, mirror.confirmed_at)
             self._confirm_channel('keys', as_of, mirror.confirmed_at)
@@ -237,7 +261,11 @@
             self._withdraw_confirmation('keys')
         if self._run_step(self._update_vms, mirror):
             position = mirror.position.encode()
-            self._confirm_channel('vms', position, mirror.confirmed_at)
+            # The list depends on the services of the configuration in force.
+            is_exact = mirror.is_settled and is_configured
+            self._confirm_channel(
+                'vms', position, mirror.confirmed_at, is_exact
+            )
         else:
             self._withdraw_confirmation('vms')
         return dict(self._channels)
@@ -264,6 +292,19 @@
         self._logged_crashes.pop(name, None)
         return is_current
 
+    def renew_version(self, name: str) -> Mapping[str, Channel]:
+        """Returns the channels after one was published again.
+
+        Its version becomes that of the latest state of the store that is known
+        to have its content, and thereby greater than all outdated ones.
+
+        Args:
+          name: Name of the channel.
+        """
+        current = self._channels[name]
+        self._channels[name] = attrs.evolve(current, version=current.as_of)
+        return dict(self._channels)
+
     def withdraw_confirmations(self) -> Mapping[str, Channel]:
         """Returns the channels as a store that lacks their content has them."""
         for name in self._channels:
@@ -394,12 +435,19 @@
             )
 
     def _confirm_channel(
-        self, channel: str, as_of: int, confirmed_at: float
+        self,
+        channel: str,
+        as_of: int,
+        confirmed_at: float,
+        is_exact: bool = True,
     ) -> None:
         current = self._channels.get(channel)
         if current is not None:
             self._channels[channel] = attrs.evolve(
-                current, as_of=as_of, confirmed_at=confirmed_at
+                current,
+                as_of=as_of,
+                confirmed_at=confirmed_at,
+                is_exact=is_exact,
             )
 
     def _withdraw_confirmation(self, channel: str) -> None:
--- a/jayseam/platform/source.py
+++ b/jayseam/platform/source.py
@@ -10,6 +10,7 @@
 from jayseam.core import clocks
 from jayseam.core import logs
 from jayseam.core import loops
+from jayseam.core import versionnumbers
 from jayseam.distribution import fetching
 from jayseam.platform import errors
 from jayseam.platform import mirrors
@@ -78,6 +79,11 @@
     'jayseam_platform_missed_refreshes',
     'Reads that found a change of the mirror of which they had not been told',
 )
+_renewed_versions = prometheus_client.Counter(
+    'jayseam_platform_renewed_versions',
+    'Channels published again because nodes had content that changed back',
+    ('channel',),
+)
 _read_seconds = prometheus_client.Histogram(
     'jayseam_platform_read_seconds',
     'Time from the start of a read of the store until the mirror was current',
@@ -162,7 +168,11 @@
         )
 
     def read_value(
-        self, key: str, after_revision: int | None = None, wait_s: float = 0.0
+        self,
+        key: str,
+        after_revision: int | None = None,
+        wait_s: float = 0.0,
+        after_digest: str = '',
     ) -> source_client.Reply:
         """Reads the pointer of a channel, or waits for a newer one.
 
@@ -171,18 +181,24 @@
             the store, until the timeout.
         """
         return self._read(
-            key.removeprefix(_CHANNEL_PREFIX), after_revision, wait_s
+            key.removeprefix(_CHANNEL_PREFIX),
+            after_revision,
+            wait_s,
+            after_digest,
         )
 
     def read_vms(
-        self, after_revision: int | None = None, wait_s: float = 0.0
+        self,
+        after_revision: int | None = None,
+        wait_s: float = 0.0,
+        after_digest: str = '',
     ) -> source_client.Reply:
         """Reads the VM list, or waits for a newer one.
 
         Raises:
           SourceError: If there is no reply from the store until the timeout.
         """
-        return self._read('vms', after_revision, wait_s)
+        return self._read('vms', after_revision, wait_s, after_digest)
 
     def read_part(self, digest: str) -> bytes:
         """Returns a manifest or part of a channel.
@@ -205,7 +221,11 @@
         self._client.close()
 
     def _read(
-        self, channel: str, after_revision: int | None, wait_s: float
+        self,
+        channel: str,
+        after_revision: int | None,
+        wait_s: float,
+        after_digest: str,
     ) -> source_client.Reply:
         """Returns a newer version, or a new confirmation of the one held."""
         last_confirmed_at = (
@@ -214,6 +234,7 @@
         deadline = clocks.read_now() + max(wait_s, READ_TIMEOUT_S)
         was_told = True
         while True:
+            self._renew_outdated(channel, after_revision or 0, after_digest)
             reply = self._build_reply(
                 channel, after_revision, last_confirmed_at
             )
@@ -223,6 +244,32 @@
                 return reply
             was_told = self._wait_for_refresh(deadline - clocks.read_now())
 
+    def _renew_outdated(
+        self, channel: str, after_revision: int, after_digest: str
+    ) -> None:
+        """Publishes a channel again if the reader has outdated content.
+
+        Versions are ordered, so without a greater version nodes would keep what
+        the store had only for a moment.
+        """
+        current = self._channels.get(channel)
+        if current is None or not current.outdates(
+            after_revision, after_digest
+        ):
+            return
+        self._channels = self._translator.renew_version(channel)
+        _renewed_versions.labels(channel).inc()
+        _log.info(
+            'platform.version_renewed',
+            extra={
+                'channel': channel,
+                'version': versionnumbers.shorten(current.as_of),
+                'digest': current.bundle.digest,
+                'outdated_version': versionnumbers.shorten(after_revision),
+                'outdated_digest': after_digest,
+            },
+        )
+
     def _report_missed_refresh(self, channel: str) -> None:
         _missed_refreshes.inc()
         _log.warning('platform.refresh_missed', extra={'channel': channel})
--- a/jayseam/source/client.py
+++ b/jayseam/source/client.py
@@ -67,12 +67,28 @@
         """
 
     def read_value(
-        self, key: str, after_revision: int | None = None, wait_s: float = 0.0
+        self,
+        key: str,
+        after_revision: int | None = None,
+        wait_s: float = 0.0,
+        after_digest: str = '',
     ) -> Reply:
-        """Reads a value, or waits for one newer than ``after_revision``."""
+        """Reads a value, or waits for one newer than ``after_revision``.
+
+        Args:
+          key: Key of the value.
+          after_revision: Revision that the reader knows; None if there is none.
+          wait_s: Time that the source may wait for a newer one, in seconds.
+          after_digest: Digest of the content of that revision; empty if it
+            isn't known. A source that assigns revisions itself may need it to
+            find that the reader's content is outdated.
+        """
 
     def read_vms(
-        self, after_revision: int | None = None, wait_s: float = 0.0
+        self,
+        after_revision: int | None = None,
+        wait_s: float = 0.0,
+        after_digest: str = '',
     ) -> Reply:
         """Reads the VM list, or waits for one newer than ``after_revision``."""
 
@@ -131,7 +147,11 @@
         """Does nothing, because all readers may watch this source alike."""
 
     def read_value(
-        self, key: str, after_revision: int | None = None, wait_s: float = 0.0
+        self,
+        key: str,
+        after_revision: int | None = None,
+        wait_s: float = 0.0,
+        after_digest: str = '',
     ) -> Reply:
         """Reads a value, or waits for a newer one.
 
@@ -141,21 +161,27 @@
             revision is newer.
           wait_s: Time that the source may wait for a newer revision, in
             seconds.
+          after_digest: Not used, as the service numbers its revisions.
 
         Raises:
           SourceError: The error of the last URL, if none gave a valid reply.
         """
+        del after_digest
         path = f'/v1/values/{urllib.parse.quote(key)}'
         return self._read(path, after_revision, wait_s, MAX_BODY_BYTES)
 
     def read_vms(
-        self, after_revision: int | None = None, wait_s: float = 0.0
+        self,
+        after_revision: int | None = None,
+        wait_s: float = 0.0,
+        after_digest: str = '',
     ) -> Reply:
         """Reads the VM list, or waits for a newer one.
 
         Raises:
           SourceError: The error of the last URL, if none gave a valid reply.
         """
+        del after_digest
         return self._read('/v1/vms', after_revision, wait_s, MAX_VMS_BODY_BYTES)
 
     def read_part(self, digest: str) -> bytes:
--- a/jayseam/source/tests/test_source.py
+++ b/jayseam/source/tests/test_source.py
@@ -214,7 +214,12 @@
     assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) != 0
 
 
-def _watch(platform, channel, held_version=lambda: None, uniform=lambda: 0.1):
+def _watch(
+    platform,
+    channel,
+    read_held=lambda: watchers.NO_VERSION,
+    uniform=lambda: 0.1,
+):
     updates, confirmed, failures = [], [], []
     watcher = watchers.SourceWatcher(
         client.SourceClient([platform.url]),
@@ -222,7 +227,7 @@
         0.3,
         updates.append,
         confirmed.append,
-        held_version,
+        read_held,
         uniform,
         lambda *failure: failures.append(failure),
     )
@@ -249,7 +254,9 @@
 def test_watcher_does_not_take_a_stale_replica_for_confirmation(platform):
     """A replica behind the held version must confirm nothing."""
     platform.values['/v1/values/channels/keys'] = (5, b'{}')
-    watcher, updates, confirmed, failures = _watch(platform, 'keys', lambda: 9)
+    watcher, updates, confirmed, failures = _watch(
+        platform, 'keys', lambda: watchers.KnownVersion(9)
+    )
     gevent.sleep(0.3)
     watcher.stop()
     assert not updates and not confirmed
--- a/jayseam/source/tests/test_watchers.py
+++ b/jayseam/source/tests/test_watchers.py
@@ -22,9 +22,9 @@
     def __init__(self, script):
         self._script = list(script)
 
-    def read_vms(self, after_revision=None, wait_s=0.0):
+    def read_vms(self, after_revision=None, wait_s=0.0, after_digest=''):
         """Returns the next reply of the script."""
-        del after_revision, wait_s
+        del after_revision, wait_s, after_digest
         if not self._script:
             gevent.sleep(60.0)
         return self._script.pop(0)
@@ -55,7 +55,7 @@
         0.1,
         updates.append,
         lambda confirmation: None,
-        lambda: None,
+        lambda: watchers.NO_VERSION,
         grace=grace,
         read_known_vms=lambda: known,
     )
@@ -143,15 +143,20 @@
     source = _Source([_build_reply(2, {'vm-1': 'live'}, clocks.read_now())])
     read, failures = source.read_vms, [OverflowError('odd'), KeyError('odd')]
 
-    def fail_at_first(after_revision=None, wait_s=0.0):
+    def fail_at_first(after_revision=None, wait_s=0.0, after_digest=''):
         if failures:
             raise failures.pop()
-        return read(after_revision, wait_s)
+        return read(after_revision, wait_s, after_digest)
 
     source.read_vms = fail_at_first
     updates = []
     watcher = watchers.SourceWatcher(
-        source, 'vms', 0.1, updates.append, lambda _: None, lambda: None
+        source,
+        'vms',
+        0.1,
+        updates.append,
+        lambda _: None,
+        lambda: watchers.NO_VERSION,
     )
     watcher.start()
     waits.wait_until(lambda: updates and updates[-1].version == 2, 8.0)
@@ -187,9 +192,9 @@
         self.version = 1
         self.started_at = []
 
-    def read_value(self, key, after_revision=None, wait_s=0.0):
+    def read_value(self, key, after_revision=None, wait_s=0.0, after_digest=''):
         """Returns the next confirmation, or a newer version."""
-        del key, wait_s
+        del key, wait_s, after_digest
         self.started_at.append(clocks.read_now())
         gevent.sleep(self._interval_s)
         now = clocks.read_now()
@@ -207,7 +212,7 @@
         10.0,
         updates.append,
         lambda confirmation: None,
-        lambda: None,
+        lambda: watchers.NO_VERSION,
         # The longest waits that a back-off may draw.
         uniform=lambda: 0.999,
     )
--- a/jayseam/source/watchers.py
+++ b/jayseam/source/watchers.py
@@ -74,6 +74,22 @@
     live_vms: frozenset[str] = frozenset()
 
 
+@attrs.frozen
+class KnownVersion:
+    """The greatest version of a channel that a reader knows.
+
+    Attributes:
+      version: Version; zero if there is none.
+      digest: Digest of its content; empty if it isn't known.
+    """
+
+    version: int
+    digest: str = ''
+
+
+NO_VERSION = KnownVersion(0)
+
+
 @attrs.frozen
 class OutageGrace:
     """Grace period for entries that a VM list lost in an outage of the source.
@@ -177,6 +193,7 @@
     channel: str,
     after: int | None = None,
     wait_s: float = 0.0,
+    after_digest: str = '',
 ) -> ReadOutcome:
     """Reads a channel once, or waits for a version newer than ``after``.
 
@@ -184,9 +201,10 @@
       SourceError: If the source gave no valid reply.
     """
     if channel == 'vms':
-        reply = client.read_vms(after, wait_s)
+        reply = client.read_vms(after, wait_s, after_digest)
     else:
-        reply = client.read_value(f'channels/{channel}', after, wait_s)
+        key = f'channels/{channel}'
+        reply = client.read_value(key, after, wait_s, after_digest)
     return interpret_reply(channel, after, wait_s, reply)
 
 
@@ -207,7 +225,7 @@
         wait_s: float,
         on_update: Callable[[SourceUpdate], Any],
         on_confirmation: Callable[[SourceConfirmation], Any],
-        held_version: Callable[[], int | None],
+        read_held: Callable[[], KnownVersion],
         uniform: Callable[[], float] = random.random,
         on_failure: Callable[[str, errors.SourceError | None], Any] = (
             lambda channel, error: None
@@ -224,7 +242,7 @@
             seconds.
           on_update: Called with each newer version.
           on_confirmation: Called when the source confirms a version.
-          held_version: Returns the version held, or None.
+          read_held: Returns the version held, or `NO_VERSION`.
           uniform: Returns a random number in [0, 1).
           on_failure: Called with the channel and the error of a failed read,
             or None if the replica was behind.
@@ -237,12 +255,12 @@
         self._wait_s = wait_s
         self._on_update = on_update
         self._on_confirmation = on_confirmation
-        self._held_version = held_version
+        self._read_held = read_held
         self._uniform = uniform
         self._on_failure = on_failure
         self._grace = grace
         self._read_known_vms = read_known_vms
-        self._seen_version: int | None = None
+        self._seen = NO_VERSION
         self._confirmed_at: float | None = None
         self._grace_until = -math.inf
         self._live_vms: frozenset[str] = frozenset()
@@ -310,12 +328,14 @@
         """
         # A version that was seen but rejected or not fetched yet counts too;
         # otherwise the source would send it again without a wait.
-        known = [v for v in (self._seen_version, self._held_version()) if v]
-        after = max(known, default=None)
+        known = max(self._read_held(), self._seen, key=lambda k: k.version)
+        after = known.version or None
         wait_s = 0.0 if self._is_first else self._wait_s
         requested_at = clocks.read_now()
         try:
-            outcome = read_channel(self._client, self.channel, after, wait_s)
+            outcome = read_channel(
+                self._client, self.channel, after, wait_s, known.digest
+            )
         except errors.SourceError as error:
             _log.warning(
                 'source.read_failed',
@@ -330,7 +350,7 @@
         self._is_first = False
         if grace_s := self._update_grace(outcome, clocks.read_now()):
             return grace_s
-        self._notify(outcome, after)
+        self._notify(outcome, known)
         update = outcome.update
         if update is not None and update.version > (after or 0):
             return 0.0
@@ -377,10 +397,12 @@
             )
         return grace_s
 
-    def _notify(self, outcome: ReadOutcome, after: int | None) -> None:
-        if outcome.update is not None:
-            self._seen_version = max(after or 0, outcome.update.version)
-            self._on_update(outcome.update)
+    def _notify(self, outcome: ReadOutcome, known: KnownVersion) -> None:
+        update = outcome.update
+        if update is not None:
+            seen = KnownVersion(update.version, update.digest)
+            self._seen = max(known, seen, key=lambda k: k.version)
+            self._on_update(update)
         if outcome.confirmation is not None:
             self._on_confirmation(outcome.confirmation)
 
