Take keys of the platform as opaque

Keys of the platform were taken apart like generated ones, whose identifier stands before the first dot. Two keys with one first part got one identifier, so the key set was invalid and the whole version stayed out. The same version without the second key takes effect, so the route is not at fault.

The identifier is now a digest of the whole key, and a presented key is looked up by both identifiers. A key that is no text, or that several tenants have, is left out alone and logged. Related: a request was refused when the part of its key behind a dot occurred in its path; keys beyond ASCII were compared as Latin-1.

--- a/jayseam/calls/keys.py
+++ b/jayseam/calls/keys.py
@@ -53,19 +53,31 @@
         return None
     if len(values) > 1 or not values[0].lower().startswith(_SCHEME):
         raise errors.BadRequestError('expected one Bearer authorization')
-    key = values[0][len(_SCHEME) :].strip()
+    key = _decode_field(values[0][len(_SCHEME) :]).strip()
     _reject_repeated_secret(request, key)
     return key
 
 
+def _decode_field(value: str) -> str:
+    """Returns the text of a field value, which was decoded as Latin-1."""
+    try:
+        return value.encode('latin-1').decode()
+    except UnicodeError:
+        return value
+
+
 def _has_key_parameter(query: str) -> bool:
     pairs = urllib.parse.parse_qsl(query, keep_blank_values=True)
     return any(name.lower() in _KEY_PARAMETERS for name, _ in pairs)
 
 
 def _reject_repeated_secret(request: requests.CallRequest, key: str) -> None:
-    """Refuses a request with its key in a part that would be forwarded."""
-    secret = key.partition('.')[2]
+    """Refuses a request with its key in a part that would be forwarded.
+
+    Only generated keys are looked for, since a short opaque one may occur in
+    any request.
+    """
+    secret = preset_keys.extract_secret(key)
     if not secret:
         return
     target = urllib.parse.unquote(request.build_target())
--- a/jayseam/platform/configurations.py
+++ b/jayseam/platform/configurations.py
@@ -37,6 +37,7 @@
       keys: Document of the key set.
       preset_bundle: The preset, split for distribution.
       keys_bundle: The key set, split for distribution.
+      omissions: What was left out, and why; without any key.
     """
 
     number: int
@@ -44,6 +45,7 @@
     keys: Mapping[str, Any]
     preset_bundle: documents.Bundle
     keys_bundle: documents.Bundle
+    omissions: tuple[str, ...] = ()
 
 
 def decode_configuration(
@@ -94,19 +96,14 @@
             ],
             'upstreams': [],
         }
-        keys = {
-            'keys': [
-                _translate_key(name, key)
-                for name, spec in sections['tenants']
-                for key in spec['api_keys']
-            ]
-        }
+        keys, omissions = _translate_keys(sections['tenants'])
         return Documents(
             number,
             preset,
             keys,
             documents.split_preset(preset),
             documents.split_keys(keys),
+            omissions,
         )
     except (
         KeyError,
@@ -237,11 +234,39 @@
     }
 
 
+def _translate_keys(
+    tenants: list[tuple[str, Mapping[str, Any]]],
+) -> tuple[dict[str, Any], tuple[str, ...]]:
+    """Returns the key set, and which keys are not in it.
+
+    One key that can't be used must not keep a version out of force. A key of
+    several tenants identifies none of them.
+    """
+    owners: dict[str, set[str]] = {}
+    omissions = []
+    for name, spec in tenants:
+        for index, key in enumerate(spec['api_keys']):
+            if not isinstance(key, str) or not key.strip():
+                omissions.append(f'{name}: key {index} is no text')
+                continue
+            owners.setdefault(key, set()).add(name)
+    entries = []
+    for key, names in owners.items():
+        if len(names) == 1:
+            entries.append(_translate_key(min(names), key))
+        else:
+            omissions.append(f'one key of several: {", ".join(sorted(names))}')
+    return {'keys': entries}, tuple(omissions)
+
+
 def _translate_key(workspace: str, key: str) -> dict[str, Any]:
     """Returns the entry of a key, which doesn't contain the key itself.
 
     The salt is derived from the key, so that all nodes build the same document
     from the same configuration.
     """
-    salt_hex = hashlib.sha256(b'salt' + key.encode()).hexdigest()[:32]
-    return attrs.asdict(presets.keys.build_entry(key, workspace, salt_hex))
+    data = key.encode('utf-8', 'surrogatepass')
+    salt_hex = hashlib.sha256(b'salt' + data).hexdigest()[:32]
+    return attrs.asdict(
+        presets.keys.build_opaque_entry(key, workspace, salt_hex)
+    )
--- a/jayseam/platform/mirrors.py
+++ b/jayseam/platform/mirrors.py
@@ -398,6 +398,7 @@
                 'known_number': self._number,
                 'era': mirror.era,
                 'revision': item.revision,
+                'left_out': list(translated.omissions[:_MAX_LOGGED_REASONS]),
             },
         )
         if not is_current:
--- a/jayseam/presets/keys.py
+++ b/jayseam/presets/keys.py
@@ -3,6 +3,7 @@
 import base64
 import hashlib
 import hmac
+import re
 import secrets
 from collections.abc import Callable
 
@@ -11,6 +12,8 @@
 from jayseam.presets import model
 
 _SECRET_BYTES = 32
+# Characters of a generated secret: base64 without padding.
+_SECRET = re.compile(r'[A-Za-z0-9_-]{43}')
 _SALT_BYTES = 16
 # 64 bits make an accidental collision of two keys negligible, and the rest of
 # the digest is not disclosed.
@@ -79,6 +82,25 @@
     )
 
 
+def build_opaque_entry(
+    plaintext: str, workspace: str, salt_hex: str
+) -> model.KeyEntry:
+    """Returns the entry of a key that was not created by `generate_key`.
+
+    Its characters have no meaning, so its identifier is a digest also if it has
+    a dot.
+
+    Args:
+      plaintext: The key.
+      workspace: Workspace that the key belongs to.
+      salt_hex: Salt in hex.
+    """
+    hash_hex = _hash_key(salt_hex, plaintext)
+    return model.KeyEntry(
+        _compute_digest_id(plaintext), workspace, salt_hex, hash_hex
+    )
+
+
 def extract_key_id(plaintext: str) -> str:
     """Returns the identifier of a key.
 
@@ -91,10 +113,22 @@
     16
     """
     key_id, dot, _ = plaintext.partition('.')
-    if dot:
-        return key_id
-    data = plaintext.encode('utf-8', 'surrogatepass')
-    return hashlib.sha256(data).hexdigest()[:_DIGEST_ID_CHARS]
+    return key_id if dot else _compute_digest_id(plaintext)
+
+
+def extract_secret(plaintext: str) -> str:
+    """Returns the secret part of a key that `generate_key` has created.
+
+    >>> extract_secret('k1.' + 43 * 'x') == 43 * 'x'
+    True
+    >>> extract_secret('k1.2')
+    ''
+
+    Returns:
+      The part after the first dot; empty if the key has another form.
+    """
+    secret = plaintext.partition('.')[2]
+    return secret if _SECRET.fullmatch(secret) else ''
 
 
 def verify_key(key_set: model.KeySet, plaintext: str) -> KeyMatch | None:
@@ -103,15 +137,22 @@
     The comparison of hashes takes constant time. A match is valid only while
     the workspace exists in the preset in force; the caller checks that.
     """
-    key_id = extract_key_id(plaintext)
-    entry = key_set.by_id.get(key_id, _DUMMY_ENTRY)
-    hash_hex = _hash_key(entry.salt_hex, plaintext)
-    if (
-        not hmac.compare_digest(hash_hex, entry.hash_hex)
-        or entry is _DUMMY_ENTRY
-    ):
-        return None
-    return KeyMatch(entry.key_id, entry.workspace)
+    match = None
+    # A key with a dot may be an opaque one.
+    for key_id in (extract_key_id(plaintext), _compute_digest_id(plaintext)):
+        entry = key_set.by_id.get(key_id, _DUMMY_ENTRY)
+        hash_hex = _hash_key(entry.salt_hex, plaintext)
+        if (
+            hmac.compare_digest(hash_hex, entry.hash_hex)
+            and entry is not _DUMMY_ENTRY
+        ):
+            match = KeyMatch(entry.key_id, entry.workspace)
+    return match
+
+
+def _compute_digest_id(plaintext: str) -> str:
+    data = plaintext.encode('utf-8', 'surrogatepass')
+    return hashlib.sha256(data).hexdigest()[:_DIGEST_ID_CHARS]
 
 
 def _hash_key(salt_hex: str, plaintext: str) -> str:
