Give a zone that was never heard from the usual time to report

A zone's spending is ignored if that zone hears one which this node doesn't reach. Whether it is reached was told by the age of its last report, and a zone that had never reported since the start had none and counted as reached; so it did at a node that became the relay of its zone during a cut.

A zone now gets the usual time to report from when it is first named, and its members then count as silent, also soon after the start. The grace for members that were never heard from ends once another zone was heard from for as long. replicas.py is split: zonecontacts, senders, receivers.

--- a/jayseam/limits/replicas.py
+++ b/jayseam/limits/replicas.py
@@ -29,15 +29,17 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from jayseam.core import rendezvous
 from jayseam.limits import cells
 from jayseam.limits import errors
 from jayseam.limits import hubs
 from jayseam.limits import messages
 from jayseam.limits import positions
+from jayseam.limits import receivers
+from jayseam.limits import senders
 from jayseam.limits import spending
 from jayseam.limits import strategies
 from jayseam.limits import token_caches
+from jayseam.limits import zonecontacts
 
 # Periods of the reports on workspaces near their limit, and on all workspaces.
 NEAR_LIMIT_PERIOD_S = 0.15
@@ -54,11 +56,6 @@
 # Initial level as a fraction of the burst, as a process that starts does not
 # know what was spent before.
 INITIAL_PART = 0.5
-# Processes whose incarnations (start times in milliseconds) differ by at most
-# this start together, so all their spending is more recent than the own start.
-JOINT_START_MS = 500
-# Time after the start in which such processes are recognised.
-JOINT_START_S = 2.0
 # A hub that wasn't polled for this time was paused, and hears nobody at first.
 MAX_POLL_GAP_S = 0.5
 # The retry times of refused calls are spread over this time.
@@ -99,12 +96,8 @@
         self._members: dict[str, cells.Member] = {vm: self.member}
         self._positions = positions.Positions()
         self._replicas: dict[str, spending.Replica] = {}
-        self._senders: dict[tuple[str, str], spending.Sender] = {}
-        # Times at which a zone's spending was last counted, its last report was
-        # received, and a report last named a zone that this node can't reach.
-        self._zone_counted_at: dict[str, float] = {}
-        self._zone_reported_at: dict[str, float] = {}
-        self._bridged_at: dict[str, float] = {}
+        self._senders = senders.Senders(incarnation, now, SILENCE_TIMEOUT_S)
+        self._contacts = zonecontacts.ZoneContacts(zone, SILENCE_TIMEOUT_S)
         self._next_near_limit_at = now
         self._next_full_at = now
         self._latest_now = now
@@ -152,11 +145,7 @@
         """Sets the live members (alive or suspect), including the own one."""
         found = {m.vm: m for m in members}
         self._members = {**found, self.member.vm: self.member}
-        self._senders = {
-            key: sender
-            for key, sender in self._senders.items()
-            if key[0] in self._members
-        }
+        self._senders.retain(self._members)
         self._update_hubs()
 
     def _update_hubs(self) -> None:
@@ -268,13 +257,13 @@
     ) -> None:
         """Applies the report of a member of another zone."""
         zone = member.zone
-        self._zone_reported_at[zone] = now
-        self._update_bridged(zone, hearing.zones, now)
-        spent = self._update_totals(member.vm, 'own', message, now)
-        bridged_at = self._bridged_at.get(zone, -math.inf)
-        if now - bridged_at <= SILENCE_TIMEOUT_S:
+        for heard in self._contacts.record_report(zone, hearing.zones, now):
+            # Its members are known to spend tokens, also soon after the start.
+            self._ever_heard.add(heard, self._positions.list_in(heard))
+        spent = self._senders.update_totals(member.vm, 'own', message, now)
+        if self._contacts.is_on_bridge(zone, now):
             return
-        self._zone_counted_at[zone] = now
+        self._contacts.record_counted([zone], now)
         if member.vm in self._hubs.list_hubs(zone):
             spent = self._hubs.get_reports(zone).receive(
                 member.vm, spent, hearing, now
@@ -290,14 +279,16 @@
         now: float,
     ) -> None:
         """Applies a report to a hub, or in a zone without hubs."""
-        own = self._update_totals(sender, 'own', message, now)
+        own = self._senders.update_totals(sender, 'own', message, now)
         for name, amount in own.items():
             self._charge_spent(name, amount, False, now)
         if self._is_hub:
             self._add_zone_spending(sender, own)
         elif hearing.zones:
-            self._zone_counted_at.update(dict.fromkeys(hearing.zones, now))
-            relayed = self._update_totals(sender, 'relayed', message, now)
+            self._contacts.record_counted(hearing.zones, now)
+            relayed = self._senders.update_totals(
+                sender, 'relayed', message, now
+            )
             for name, amount in relayed.items():
                 self._charge_spent(name, amount, False, now)
 
@@ -309,14 +300,14 @@
         now: float,
     ) -> None:
         """Applies a report of a member of a zone that has hubs."""
-        spent = dict(self._update_totals(sender, 'own', message, now))
+        spent = dict(self._senders.update_totals(sender, 'own', message, now))
         if sender not in self._own_hubs:
             # It takes this node for a hub. The hubs report what it has spent.
             return
-        relayed = self._update_totals(sender, 'relayed', message, now)
+        relayed = self._senders.update_totals(sender, 'relayed', message, now)
         for name, amount in relayed.items():
             spent[name] = spent.get(name, 0.0) + amount
-        self._zone_counted_at.update(dict.fromkeys(hearing.zones, now))
+        self._contacts.record_counted(hearing.zones, now)
         reports = self._hubs.get_reports(self.member.zone)
         counted = reports.receive(sender, spent, hearing, now)
         for name, amount in counted.items():
@@ -332,21 +323,6 @@
                 replica.zone_spent += amount
                 self._hub_role.add(sender, name, amount)
 
-    def _update_bridged(
-        self, zone: str, heard_zones: Iterable[str], now: float
-    ) -> None:
-        """Records whether a zone hears one that this node no longer reaches."""
-        heard_zones = list(heard_zones)
-        unreachable = [
-            heard
-            for heard in heard_zones
-            if now - self._zone_reported_at.get(heard, now) > SILENCE_TIMEOUT_S
-        ]
-        if unreachable:
-            self._bridged_at[zone] = now
-        elif heard_zones:
-            self._bridged_at.pop(zone, None)
-
     def handle_reply(self, sent: Any, reply: Any, now: float) -> None:
         """Does nothing, as reports have no replies."""
 
@@ -424,14 +400,19 @@
                 heard = self._list_heard_in_zone(oldest)
                 self._ever_heard.add(zone, heard)
                 silent |= members - heard
-            elif self._zone_counted_at.get(zone, -math.inf) >= oldest:
+            elif self._contacts.is_counted_since(zone, oldest):
                 self._ever_heard.add(zone, members)
             else:
                 silent |= members
-        if now - self._started_at < FIRST_CONTACT_S:
-            # Links to other nodes take some time to open after the start.
-            return self._ever_heard.select(silent)
-        return silent
+        # Links to other nodes take some time to open after the start. Once one
+        # zone is heard from, the others have the usual time to report.
+        contact_until = min(
+            self._started_at + FIRST_CONTACT_S,
+            self._contacts.first_counted_at + SILENCE_TIMEOUT_S,
+        )
+        return (
+            self._ever_heard.select(silent) if now < contact_until else silent
+        )
 
     def _list_heard_in_zone(self, oldest: float) -> frozenset[str]:
         """Returns the positions of the own zone that are heard from.
@@ -446,8 +427,7 @@
         heard = {self.member.upstream}
         heard |= {
             self._members[vm].upstream
-            for (vm, _), sender in self._senders.items()
-            if sender.heard_at >= oldest and vm in self._members
+            for vm in self._senders.list_heard_since(oldest)
         }
         silent = self._hubs.get_reports(self.member.zone).find_silent(oldest)
         if silent is not None:
@@ -477,12 +457,7 @@
                 zone_changed.add(name)
         if not (own or relayed or zone_changed or is_full):
             return []
-        heard = [
-            zone
-            for zone, heard_at in self._zone_counted_at.items()
-            if now - heard_at < FULL_PERIOD_S
-            and self._reports_directly(zone, now)
-        ]
+        heard = self._list_heard_zones(now)
         if self._is_hub:
             return self._report_as_hub(own, relayed, zone_changed, heard, now)
         incarnation = self.member.incarnation
@@ -493,9 +468,17 @@
             return _address(message, self._own_hubs, now)
         in_zone = messages.Spent(incarnation, own, relayed, heard)
         cross_zone = messages.Spent(incarnation, own, {}, heard)
-        out = _address(in_zone, self._list_zone_members(), now)
+        out = _address(
+            in_zone,
+            receivers.list_zone_members(self.member, self._members),
+            now,
+        )
         if own or is_full:
-            out += _address(cross_zone, self._list_relays(), now)
+            out += _address(
+                cross_zone,
+                receivers.list_relays(self.member, self._members, self._hubs),
+                now,
+            )
         return out
 
     def _report_as_hub(
@@ -519,7 +502,7 @@
             for name in zone_changed.union(relayed)
         }
         out = []
-        for vm in self._list_zone_members():
+        for vm in receivers.list_zone_members(self.member, self._members):
             spent_by = self._hub_role.spent_by.get(vm, {})
             others = {
                 name: spending.shorten(total - spent_by.get(name, 0.0))
@@ -534,109 +517,22 @@
             for name in zone_changed.union(own)
         }
         cross_zone = messages.Spent(incarnation, totals, {}, names)
-        return out + _address(cross_zone, self._list_hub_receivers(), now)
-
-    def _list_hub_receivers(self) -> list[str]:
-        """Returns the members of other zones to which this hub reports."""
-        receivers = []
-        for zone, vms in self._list_other_zones().items():
-            others = self._hubs.list_hubs(zone)
-            receivers += (
-                hubs.choose_receivers(self.member.vm, self._own_hubs, others)
-                if others
-                else rendezvous.rank(zone, vms)[:1]
-            )
-        return receivers
+        others = receivers.list_hub_receivers(
+            self.member, self._members, self._hubs
+        )
+        return out + _address(cross_zone, others, now)
 
     def _find_zone_silent(self, now: float) -> frozenset[str]:
         """Returns the positions of the own zone that this hub doesn't hear."""
         heard = self._list_heard_in_zone(now - SILENCE_TIMEOUT_S)
         return self._positions.list_in(self.member.zone) - heard
 
-    def _list_zone_members(self) -> list[str]:
-        """Returns the other members of the own zone."""
-        return [
-            vm
-            for vm, member in self._members.items()
-            if vm != self.member.vm and member.zone == self.member.zone
-        ]
-
-    def _reports_directly(self, zone: str, now: float) -> bool:
-        """Returns whether a member of the zone reports to this node."""
-        return any(
-            now - sender.heard_at < FULL_PERIOD_S * 2
-            for (vm, _), sender in self._senders.items()
-            if self._members[vm].zone == zone
-        )
-
-    def _list_relays(self) -> list[str]:
-        """Returns the members of other zones that relay reports there.
-
-        These are the hubs of a zone; in a zone without hubs, one member.
-        """
-        relays = []
-        for zone, vms in self._list_other_zones().items():
-            relays += (
-                self._hubs.list_hubs(zone) or rendezvous.rank(zone, vms)[:1]
-            )
-        return relays
-
-    def _list_other_zones(self) -> dict[str, list[str]]:
-        """Returns the members of each other zone."""
-        zones: dict[str, list[str]] = {}
-        for vm, member in self._members.items():
-            if member.zone != self.member.zone:
-                zones.setdefault(member.zone, []).append(vm)
-        return zones
-
-    def _update_totals(
-        self, vm: str, scope: str, message: messages.Spent, now: float
-    ) -> Mapping[str, float]:
-        """Stores a member's totals; returns the tokens spent since the last."""
-        totals = message.own if scope == 'own' else message.relayed
-        sender_state = self._senders.get((vm, scope))
-        if (
-            sender_state is None
-            or sender_state.incarnation != message.incarnation
-        ):
-            sender_state = self._create_sender(
-                sender_state, scope, message.incarnation, now
-            )
-            self._senders[(vm, scope)] = sender_state
-        was_silent = now - sender_state.heard_at > SILENCE_TIMEOUT_S
-        sender_state.heard_at = now
-        spent = {}
-        for name, total in totals.items():
-            # Spending of a silent member is covered by the part left to it.
-            if name in sender_state.totals and not was_silent:
-                spent[name] = total - sender_state.totals[name]
-            elif sender_state.counts_from_zero and not was_silent:
-                spent[name] = total
-            sender_state.totals[name] = total
-        return spent
-
-    def _create_sender(
-        self,
-        before: spending.Sender | None,
-        scope: str,
-        incarnation: int,
-        now: float,
-    ) -> spending.Sender:
-        """Returns the state of a process that reports for the first time.
-
-        Args:
-          before: State of the previous process on its VM, if any.
-          scope: ``own`` or ``relayed``.
-          incarnation: Incarnation of the process.
-          now: Time in seconds.
-        """
-        is_start = now - self._started_at < JOINT_START_S
-        difference_ms = abs(incarnation - self.member.incarnation)
-        counts_from_zero = is_start and difference_ms <= JOINT_START_MS
-        if scope == 'own':
-            # Relayed spending may already be known through another relay.
-            counts_from_zero |= before is not None
-        return spending.Sender(incarnation, {}, now, counts_from_zero)
+    def _list_heard_zones(self, now: float) -> list[str]:
+        """Returns the zones of which a member reports to this node."""
+        vms = self._senders.list_heard_since(now - 2 * FULL_PERIOD_S)
+        reporting = {self._members[vm].zone for vm in vms}
+        counted = self._contacts.list_counted_since(now - FULL_PERIOD_S)
+        return [zone for zone in counted if zone in reporting]
 
     def _charge_spent(
         self, workspace: str, amount: float, must_relay: bool, now: float
--- a/jayseam/limits/spending.py
+++ b/jayseam/limits/spending.py
@@ -74,25 +74,3 @@
     def is_near_limit(self) -> bool:
         """Whether the workspace is near its limit."""
         return self.level < NEAR_LIMIT_PART * self.burst
-
-
-@attrs.define(slots=True)
-class Sender:
-    """The last totals that a member has reported in one scope.
-
-    The scope ``own`` is spending at the member, ``relayed`` is spending of
-    others that it relays.
-
-    Attributes:
-      incarnation: Incarnation of the member's process.
-      totals: Tokens spent by workspace since that process started.
-      heard_at: Time of the last report, in seconds.
-      counts_from_zero: Whether the first total reported for a workspace is
-        charged. If not, it counts as spent before this node heard from the
-        member, from the part that was left to it.
-    """
-
-    incarnation: int
-    totals: dict[str, float]
-    heard_at: float
-    counts_from_zero: bool
--- a/jayseam/limits/tests/test_replicas.py
+++ b/jayseam/limits/tests/test_replicas.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from jayseam.core import rendezvous
 from jayseam.limits import cells
 from jayseam.limits import hubs
 from jayseam.limits import messages
@@ -257,8 +258,8 @@
 ]
 
 
-def _run_with_fault(seed, fault, nodes=72):
-    model = models.fleets.Model(seed, 'replicated', nodes, 3, LOADS)
+def _run_with_fault(seed, fault, nodes=72, n_zones=3):
+    model = models.fleets.Model(seed, 'replicated', nodes, n_zones, LOADS)
     for node in model.nodes.values():
         node.strategy.set_tolerance(TOLERANCE)
         node.strategy.set_preset(model.preset, 1, model._local_time(node))
@@ -301,6 +302,39 @@
         assert _window_excess(model.tallies[name].admitted, load) <= 0, name
 
 
+def _restart_in_a_bridge_cut(model):
+    """Restarts all processes; two zones lose each other before they start."""
+    _restart_all(model)
+    model.schedule(model.now + 0.9, lambda: models.faults.cut_bridge(model))
+    model.schedule(model.now + 7.0, model.heal)
+
+
+def _kill_relays(model):
+    """Kills the members to which the zones that are cut report."""
+    for zone in sorted(set(model.zones.values()))[:2]:
+        vms = [v for v, n in model.nodes.items() if n.member.zone == zone]
+        model.kill(rendezvous.rank(zone, vms)[0])
+
+
+def _kill_relays_in_a_bridge_cut(model):
+    """Cuts two zones off from each other and then kills their relays."""
+    models.faults.cut_bridge(model)
+    model.schedule(model.now + 2.5, lambda: _kill_relays(model))
+    model.schedule(model.now + 9.0, model.heal)
+
+
+@pytest.mark.parametrize('n_zones', [3, 4])
+@pytest.mark.parametrize(
+    'fault', [_restart_in_a_bridge_cut, _kill_relays_in_a_bridge_cut]
+)
+@pytest.mark.parametrize('seed', range(1, 13))
+def test_zone_that_was_never_heard_from_keeps_its_part(seed, fault, n_zones):
+    """Both sides of a cut spent the parts of the zones that reach both."""
+    model = _run_with_fault(seed, fault, 4 * n_zones, n_zones)
+    for name, load in LOADS.items():
+        assert _window_excess(model.tallies[name].admitted, load) <= 0, name
+
+
 @pytest.mark.parametrize('fault', [_kill_first, _kill_two, _replace_first])
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_next_hub_goes_on_at_once(fault, seed):
