Log what moved the state of a backend server, and join cancelled attempts

A cancelled attempt could not be joined with the request it belonged to, because the VM that had ended it no longer knew the request.

backend.state_changed names its evidence; call.attempt_given_up has request, attempt and VM where the call entered.

--- a/jayseam/backends/health.py
+++ b/jayseam/backends/health.py
@@ -9,7 +9,9 @@
 
 import json
 from collections.abc import Callable
+from typing import Any
 
+import attrs
 import gevent
 
 from jayseam.backends import client as backend_client
@@ -51,6 +53,30 @@
     return reported_state, load
 
 
+def describe_evidence(
+    state: states.BackendState, evidence: states.Evidence | None
+) -> dict[str, Any]:
+    """Returns log fields on what moved a state.
+
+    >>> describe_evidence(states.BackendState(), states.Reset(False))
+    {'evidence': 'Reset', 'survivors': False, 'failures': 0, 'ratios': []}
+    >>> describe_evidence(states.BackendState(), None)['evidence']
+    'time'
+
+    Args:
+      state: The state before.
+      evidence: The evidence; None if only time has passed.
+    """
+    fields = {} if evidence is None else attrs.asdict(evidence)
+    fields.pop('sent_at', None)
+    return {
+        'evidence': 'time' if evidence is None else type(evidence).__name__,
+        **fields,
+        'failures': sum(state.failures),
+        'ratios': [round(ratio, 1) for ratio in state.ratios],
+    }
+
+
 class HealthMonitor:
     """Owns the state of the backend server.
 
@@ -97,7 +123,7 @@
 
     def observe(self, evidence: states.Evidence, now: float) -> None:
         """Applies evidence; pass this method to `BackendClient`."""
-        self._apply(states.observe(self._state, evidence, now))
+        self._apply(states.observe(self._state, evidence, now), evidence)
 
     def tick(self, now: float) -> None:
         """Applies the current time, which may end the ramp."""
@@ -159,13 +185,22 @@
                 _log.exception('backend.poll_failed')
             tickers.sleep_until_tick(POLL_INTERVAL_S)
 
-    def _apply(self, state: states.BackendState) -> None:
+    def _apply(
+        self,
+        state: states.BackendState,
+        evidence: states.Evidence | None = None,
+    ) -> None:
         before, self._state = self._state, state
         if state.starts != before.starts:
             self._on_start(state.started_at)
         if state.name != before.name:
             _log.info(
                 'backend.state_changed',
-                extra={'before': before.name, 'after': state.name},
+                extra={
+                    'before': before.name,
+                    'after': state.name,
+                    'starts': state.starts,
+                    **describe_evidence(before, evidence),
+                },
             )
             self._on_state(state.name)
--- a/jayseam/calls/forwarding.py
+++ b/jayseam/calls/forwarding.py
@@ -107,11 +107,11 @@
             chooser.record_failure(choice.vm, failed_at)
         raise errors.OutcomeUnknownError('the reply was lost') from error
     except errors.CallAbortedError as error:
-        dependencies.cancel(choice.vm, forward.attempt)
+        _cancel_attempt(dependencies, choice.vm, forward, 'aborted')
         error.may_have_run = True
         raise
     except errors.CallerGoneError:
-        dependencies.cancel(choice.vm, forward.attempt)
+        _cancel_attempt(dependencies, choice.vm, forward, 'caller-gone')
         raise
     finally:
         chooser.finish_attempt(choice.vm, workspace)
@@ -136,6 +136,22 @@
         raise
 
 
+def _cancel_attempt(
+    dependencies: Any, vm: str, forward: messages.Forward, reason: str
+) -> None:
+    """Cancels an attempt; the log line joins its identifier to the request."""
+    _log.info(
+        'call.attempt_given_up',
+        extra={
+            'request_id': forward.request_id,
+            'attempt': forward.attempt,
+            'upstream_vm': vm,
+            'reason': reason,
+        },
+    )
+    dependencies.cancel(vm, forward.attempt)
+
+
 def _build_forward(
     dependencies: Any, call: pending.Call, choice: Any, now: float
 ) -> messages.Forward:
