Take only fast failures of a backend server for a start

At scale too little was served under heavy load: a service answered half as many calls after six seconds of the same load.

More than four failed answers of eight counted as a start, because a server that falls over in a cold start answers 500 at once. A server whose nested calls are refused answers 500 as well, after having worked. Its ramp held back a full server, so more nested calls were refused. 40 servers went from ready to cold in 7 s, all by failed answers that took 92 to 1,374 ms; processor time is ruled out, as none was charged.

A failed answer now counts only within a quarter of the usual latency of its kind of calls, and failed answers don't change that latency.

test_failures_of_an_overload_are_no_start failed before.

--- a/jayseam/backends/states.py
+++ b/jayseam/backends/states.py
@@ -12,6 +12,7 @@
 """
 
 import functools
+import math
 from collections.abc import Mapping
 
 import attrs
@@ -29,6 +30,8 @@
 LATENCY_WINDOW = 8
 # A start is detected when more than half of this many calls fail.
 FAILURE_WINDOW = 8
+# A call that fails within this part of the usual latency was not worked on.
+FAST_FAILURE_PART = 0.25
 BASELINE_SAMPLES = 20
 BASELINE_WEIGHT = 0.05
 MAX_KINDS = 64
@@ -153,7 +156,8 @@
       baselines: Latency baseline by kind of call.
       ratios: Latencies of the last calls over their baselines.
       measured_from: Latencies of requests sent before this are ignored.
-      failures: Whether each of the last calls failed; empty if none did.
+      failures: Whether each of the last calls failed fast; empty if none did.
+        Calls that failed after a usual time are left out.
       listed_cold: Whether the platform's list last showed the backend server as
         cold.
       lost: Whether a loss of the backend server was observed.
@@ -288,7 +292,10 @@
     contacted = _record_contact(state, evidence.sent_at, now)
     if evidence.failed or contacted.failures:
         contacted = _observe_failures(contacted, evidence, now)
-    if contacted.name != 'ready' or not evidence.success:
+    # A call that failed early or late says nothing about the usual latency.
+    if evidence.failed or not evidence.success:
+        return contacted
+    if contacted.name != 'ready':
         return contacted
     if evidence.sent_at < contacted.measured_from:
         return contacted
@@ -370,13 +377,17 @@
 def _observe_failures(
     state: BackendState, evidence: AnswerReceived, now: float
 ) -> BackendState:
-    """Restarts the ramp when most calls fail.
+    """Restarts the ramp when most calls fail fast.
 
     A server that fell over in cold start fails fast on open connections, so
-    neither a reset nor the latency shows its state. The ramp is kept at its
+    neither a reset nor the latency shows its state. A call that fails after the
+    usual time was worked on, for example until a nested call was refused in an
+    overload; a ramp would then hold back a warm server. The ramp is kept at its
     start for at most the length of one ramp, so that a faulty route doesn't
     keep its server there for ever.
     """
+    if evidence.failed and not _is_fast(state, evidence):
+        return state
     failures = (state.failures + (evidence.failed,))[-FAILURE_WINDOW:]
     if not any(failures):
         return attrs.evolve(state, failures=(), failing_since=None)
@@ -389,6 +400,23 @@
     return _record_start(failing, now)
 
 
+def _is_fast(state: BackendState, evidence: AnswerReceived) -> bool:
+    """Returns whether an answer came too soon for the work of its call.
+
+    An answer whose usual latency isn't known counts as fast.
+    """
+    baseline = state.baselines.get(evidence.kind)
+    if baseline is None:
+        # No call of this kind has succeeded here; another kind tells the scale.
+        latencies = [b.latency_s for b in state.baselines.values()]
+        usual_s = min(latencies, default=math.inf)
+    else:
+        usual_s = baseline.latency_s
+    # A scheduling delay of the node itself may exceed a very short latency.
+    usual_s = max(usual_s, MIN_BASELINE_S / FAST_FAILURE_PART)
+    return evidence.latency_s <= FAST_FAILURE_PART * usual_s
+
+
 def _observe_latency(
     state: BackendState, evidence: AnswerReceived, now: float
 ) -> BackendState:
--- a/jayseam/backends/tests/test_states.py
+++ b/jayseam/backends/tests/test_states.py
@@ -29,12 +29,12 @@
     return states.observe(state, evidence, now)
 
 
-def make_ready(in_flight=1, kinds=('k',)):
-    """Returns a ready state with a baseline of 10 ms, at time 100."""
+def make_ready(in_flight=1, kinds=('k',), latency_s=0.01):
+    """Returns a ready state with a baseline, by default 10 ms, at time 100."""
     state = report_health(states.BackendState(ramp_s=RAMP_S), 'ready', 0.0)
     for step in range(40):
         for kind in kinds:
-            state = answer(state, 60.0 + step, 0.01, in_flight, kind)
+            state = answer(state, 60.0 + step, latency_s, in_flight, kind)
     assert state.name == 'ready'
     return state
 
@@ -162,6 +162,36 @@
     assert state.name == 'ready'
 
 
+def fail(state, now, latency_s, kind='k'):
+    """Returns the state after a call that was answered with an error."""
+    evidence = states.AnswerReceived(
+        kind, now - latency_s, latency_s, 3, failed=True
+    )
+    return states.observe(state, evidence, now)
+
+
+@pytest.mark.parametrize('kind', ['k', 'other'])
+def test_failures_of_an_overload_are_no_start(kind):
+    """Servers whose nested calls were refused got a ramp in the overload.
+
+    They answer 500 after having worked for a while. The ramp held back warm
+    servers, so more calls were refused, and more nested ones among them.
+    """
+    state = make_ready(latency_s=0.2)
+    for step in range(200):
+        state = fail(state, 200.0 + step * 0.02, 0.06 + step % 7 * 0.2, kind)
+    assert (state.name, state.starts) == ('ready', 1)
+
+
+def test_server_that_falls_over_in_an_overload_gets_its_ramp():
+    """Calls that fail after working must not hide those that fail at once."""
+    state = make_ready(latency_s=0.2)
+    for step in range(8):
+        state = fail(state, 200.0 + step * 0.02, 0.3)
+        state = fail(state, 200.01 + step * 0.02, 0.004)
+    assert state.name == 'cold'
+
+
 def test_draining_is_trusted_at_once_and_left_on_repeated_ready():
     """A draining server gets no new calls, even after one late ``ready``."""
     state = report_health(make_ready(), 'draining', 100.0)
