Look whether a caller has left before its call begins

A node that is behind reads requests that were sent long ago, and sent those of callers that had left to a backend server until its next look at all connections, 0.1 s or more later.

The connection is now looked at before the call begins.

test_request_that_is_read_after_its_caller_left_does_not_run failed before (the call ran).

--- a/jayseam/node/application.py
+++ b/jayseam/node/application.py
@@ -290,6 +290,7 @@
         if call.route.repeatable or not call.route.keyed:
             # A call with an idempotency key runs on after its caller has
             # disconnected: the caller may ask for the outcome later.
+            self._monitor.check(environ)
             handle = self._monitor.watch(environ)
         outcome = 'failed'
         try:
--- a/jayseam/node/disconnects.py
+++ b/jayseam/node/disconnects.py
@@ -97,6 +97,25 @@
             exchange.notify_of_end(self.report_end)
         return handle
 
+    def check(self, environ: dict[str, Any]) -> None:
+        """Checks the connection of a caller whose call has not begun.
+
+        A node that is behind reads requests that were sent long ago.
+
+        Raises:
+          CallerGoneError: If the caller has closed its connection.
+        """
+        connection = environ[SOCKET_KEY]
+        sign = hangups.find_sign(connection)
+        if sign is None:
+            return
+        signs = hangups.examine(connection)
+        self._report_other_sign(sign, signs)
+        CALLERS_GONE.labels(sign).inc()
+        raise errors.CallerGoneError(
+            'the caller disconnected', sign=sign, signs=signs, watched_s=0.0
+        )
+
     def unwatch(self, handle: int) -> None:
         """Stops watching a caller's connection."""
         self._watched.pop(handle, None)
--- a/jayseam/node/tests/test_application.py
+++ b/jayseam/node/tests/test_application.py
@@ -35,7 +35,7 @@
 
 @attrs.define
 class _Call:
-    route: _Route = _Route()
+    route: _Route = attrs.field(factory=_Route)
     caller: _Caller = _Caller()
 
 
@@ -77,6 +77,7 @@
     def __init__(self):
         self.entry = _Entry()
         self.attempts = False
+        self.connection = None
         self.application = application.CallerApplication(
             self.entry,
             pauses.PauseGuard(lambda now, paused_s: None),
@@ -98,6 +99,7 @@
             'jayseam.headers': [],
             'jayseam.target': '/book/1',
             'jayseam.handler': _Handler(),
+            disconnects.SOCKET_KEY: self.connection,
         }
         if authorization:
             environ['HTTP_AUTHORIZATION'] = authorization
@@ -235,3 +237,23 @@
     assert node.statuses == [status]
     # A call that may be cut before its own limit is not taken any more.
     assert status == 503 or not node.entry.may_shorten
+
+
+@pytest.mark.parametrize('is_gone', [True, False])
+def test_request_that_is_read_after_its_caller_left_does_not_run(node, is_gone):
+    """A node that was behind sent on requests of callers that had left."""
+    began = []
+    node.entry.admit_request = lambda *_, **__: _Call(_Route(keyed=False))
+    node.entry.run = lambda call: began.append(call) or _ANSWER
+    with socket.socket() as listener:
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(1)
+        caller = socket.create_connection(listener.getsockname())
+        node.connection, _ = listener.accept()
+    with caller, node.connection:
+        if is_gone:
+            caller.close()
+            gevent.sleep(0.01)
+        node.send().join(1.0)
+    assert len(began) == (not is_gone)
+    assert node.statuses == [499 if is_gone else 200]
