Cancel an attempt whose reply was lost when its call is tried again

When a link closed or stayed silent, a call that may be repeated was tried elsewhere while its first attempt worked on; when the caller left, only the last attempt was cancelled.

The first attempt is now cancelled with the loss. A call that may run only once is left alone, as its work may still succeed.

test_attempt_whose_reply_is_lost_does_not_run_beside_the_next failed before (no cancellation).

--- a/jayseam/calls/forwarding.py
+++ b/jayseam/calls/forwarding.py
@@ -105,6 +105,10 @@
         # A call that reached its deadline says nothing about the VM.
         if (failed_at := clocks.read_now()) < call.deadline:
             chooser.record_failure(choice.vm, failed_at)
+            if call.route.repeatable:
+                # The call is tried again elsewhere. When its caller leaves,
+                # only the last attempt is cancelled.
+                _cancel_attempt(dependencies, choice.vm, forward, 'lost')
         raise errors.OutcomeUnknownError('the reply was lost') from error
     except errors.CallAbortedError as error:
         _cancel_attempt(dependencies, choice.vm, forward, 'aborted')
--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -16,6 +16,7 @@
 from jayseam.calls import requests
 from jayseam.calls import retries
 from jayseam.core import clocks
+from jayseam.links import errors as link_errors
 from jayseam.presets import keys as preset_keys
 from jayseam.presets import model
 from jayseam.routing import refusals
@@ -85,6 +86,9 @@
     def merge_reports(self, items, now):
         """Ignores loads of other VMs."""
 
+    def record_failure(self, vm, now):
+        """Ignores a VM that did not reply."""
+
     def record_reset(self, vm, now):
         """Records a VM whose backend server broke the connection."""
         del now
@@ -388,6 +392,38 @@
     assert harness.tried_vms == ['a'] and cancelled == ['a']
 
 
+@pytest.mark.parametrize('repeatable', [True, False])
+def test_attempt_whose_reply_is_lost_does_not_run_beside_the_next(repeatable):
+    """Work went on at the first server for a caller that left the second.
+
+    A call that may run only once is not sent elsewhere, and may finish.
+    """
+    cancelled = []
+    harness = _Harness(
+        {'a': _ANSWERED, 'b': _ANSWERED},
+        saved=1.0,
+        cancel=lambda vm, attempt: cancelled.append((vm, attempt)),
+    )
+    forward = harness._forward
+
+    def lose_first(vm, message, timeout_s):
+        reply = forward(vm, message, timeout_s)
+        if vm == 'a':
+            raise link_errors.ReplyLostError('silent')
+        return reply
+
+    harness.entry._dependencies = attrs.evolve(
+        harness.entry._dependencies, forwarder=lose_first
+    )
+    if repeatable:
+        assert harness.run(repeatable=True, max_attempts=2).status == 200
+        assert cancelled == [('a', harness.forwards[0].attempt)]
+    else:
+        with pytest.raises(errors.OutcomeUnknownError):
+            harness.run(max_attempts=2)
+        assert not cancelled
+
+
 @pytest.mark.parametrize(
     ('left_s', 'may_shorten'), [(0.0, True), (-1.0, True), (0.5, False)]
 )
