--- a/jayseam/backends/tests/test_states.py
+++ b/jayseam/backends/tests/test_states.py
@@ -246,3 +246,17 @@
     monitor.poll_once()
     assert names == ['cold', 'ready', 'draining', 'down']
     assert before < len(starts) and starts[-1] <= clocks.read_now()
+
+
+def test_log_tells_what_moved_the_state(caplog):
+    """A ramp in an overload could not be traced to failed answers."""
+    caplog.set_level('INFO')
+    monitor = health.HealthMonitor(RAMP_S, lambda now: None, lambda name: None)
+    monitor.observe(states.Listed(True, False), 1.0)
+    monitor.observe(states.Reset(False), 2.0)
+    lines = [r for r in caplog.records if r.message == 'backend.state_changed']
+    assert [(r.after, r.evidence) for r in lines] == [
+        ('ready', 'Listed'),
+        ('cold', 'Reset'),
+    ]
+    assert lines[1].survivors is False
--- a/jayseam/platform/configurations.py
+++ b/jayseam/platform/configurations.py
@@ -268,5 +268,5 @@
     data = key.encode('utf-8', 'surrogatepass')
     salt_hex = hashlib.sha256(b'salt' + data).hexdigest()[:32]
     return attrs.asdict(
-        presets.keys.build_opaque_entry(key, workspace, salt_hex)
+        presets.keys.build_entry(key, workspace, salt_hex, is_opaque=True)
     )
--- a/jayseam/presets/keys.py
+++ b/jayseam/presets/keys.py
@@ -67,7 +67,7 @@
 
 
 def build_entry(
-    plaintext: str, workspace: str, salt_hex: str
+    plaintext: str, workspace: str, salt_hex: str, is_opaque: bool = False
 ) -> model.KeyEntry:
     """Returns the entry of a key.
 
@@ -75,30 +75,12 @@
       plaintext: The key.
       workspace: Workspace that the key belongs to.
       salt_hex: Salt in hex.
+      is_opaque: Whether the key was not created by `generate_key`. A dot then
+        has no meaning, and the identifier is a digest of the whole key.
     """
     hash_hex = _hash_key(salt_hex, plaintext)
-    return model.KeyEntry(
-        extract_key_id(plaintext), workspace, salt_hex, hash_hex
-    )
-
-
-def build_opaque_entry(
-    plaintext: str, workspace: str, salt_hex: str
-) -> model.KeyEntry:
-    """Returns the entry of a key that was not created by `generate_key`.
-
-    Its characters have no meaning, so its identifier is a digest also if it has
-    a dot.
-
-    Args:
-      plaintext: The key.
-      workspace: Workspace that the key belongs to.
-      salt_hex: Salt in hex.
-    """
-    hash_hex = _hash_key(salt_hex, plaintext)
-    return model.KeyEntry(
-        _compute_digest_id(plaintext), workspace, salt_hex, hash_hex
-    )
+    extract = _compute_digest_id if is_opaque else extract_key_id
+    return model.KeyEntry(extract(plaintext), workspace, salt_hex, hash_hex)
 
 
 def extract_key_id(plaintext: str) -> str:
