Let large replies of a node leave in turn

At scale too little was served under heavy load: up to a third of the calls of services that had room ended as 500, because their nested calls came too late.

All links of a VM share its connection to the network. A service whose answers take more than the connections of its VMs carry filled the queues on the way, and each small message of these VMs waited behind: the nested calls of their own servers and the replies to those of others. Nested calls took 204 and 200 ms (half of them) from and to such VMs and 50 ms elsewhere, for 15 ms of work. Processor time is ruled out, as none was charged, and so is the server's queue: its other calls took no longer than their work.

Large replies now leave in turn, within a window that grows while they don't queue; one whose call has run out of time is not sent.

test_bulk.py: 40 replies over a network that carries half of them delay a small message by 0.10 s; written at once, 1.06 s.

--- a/jayseam/links/connections.py
+++ b/jayseam/links/connections.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import math
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -17,6 +18,7 @@
 from jayseam.core import clocks
 from jayseam.core import logs
 from jayseam.core import statecharts
+from jayseam.links import bulk
 from jayseam.links import codecs
 from jayseam.links import counters
 from jayseam.links import errors
@@ -48,6 +50,7 @@
 _MAX_BATCH_BYTES = 256 * 1024
 _MAX_FAILURE_TEXT_CHARS = 500
 _READS_PER_SWITCH = 16
+_MS_PER_S = 1000
 _PLANNED_REASONS = frozenset({'stopped', 'peer_closed', 'replaced'})
 
 _log = logs.get_logger(__name__)
@@ -215,6 +218,19 @@
         self.pending = pending
 
 
+@attrs.define
+class _Writer:
+    """State of the writer greenlet.
+
+    Attributes:
+      is_busy: Whether it is writing batches.
+      left_bytes: Bytes of the present batch that are not written yet.
+    """
+
+    is_busy: bool = False
+    left_bytes: int = 0
+
+
 @attrs.frozen
 class LinkGroup:
     """What all links of a node share.
@@ -222,12 +238,14 @@
     Attributes:
       waiting_links: Links that wait for a reply or pong.
       outbox_total: Bytes that wait in the outboxes of all links.
+      bulk_sender: Sends large replies in turn.
     """
 
     waiting_links: set['Link'] = attrs.field(factory=set)
     outbox_total: outboxes.OutboxTotal = attrs.field(
         factory=outboxes.OutboxTotal
     )
+    bulk_sender: bulk.BulkSender = attrs.field(factory=bulk.BulkSender)
 
 
 class Link:
@@ -286,7 +304,7 @@
         self._partial_frame: (
             tuple[memoryview, _PendingRequest | None] | None
         ) = None
-        self._writing = False
+        self._writer = _Writer()
         self._wake = event.Event()
         self._silence = SilenceState(self.opened_at, None, 0.0)
 
@@ -452,7 +470,7 @@
         self._group.waiting_links.discard(self)
         self._group.outbox_total.remove(self)
         counters.CLOSES.labels(reason).inc()
-        if self._partial_frame is None and not self._writing:
+        if self._partial_frame is None and not self._writer.is_busy:
             self.transport.close()
         else:
             self.transport.abort()
@@ -517,7 +535,11 @@
             self._group.outbox_total.add(self, n_bytes)
 
     def _send(self, body: bytes, label: str, pending) -> None:
-        if self._writing or self._outbox or self._partial_frame is not None:
+        if (
+            self._writer.is_busy
+            or self._outbox
+            or self._partial_frame is not None
+        ):
             entry = _OutboxEntry(body, label, pending)
             if pending is not None:
                 pending.entry = entry
@@ -552,7 +574,11 @@
             self._wake.set()
 
     def _send_control(self, data: bytes) -> None:
-        if self._writing or self._outbox or self._partial_frame is not None:
+        if (
+            self._writer.is_busy
+            or self._outbox
+            or self._partial_frame is not None
+        ):
             self._outbox.append(_OutboxEntry(data, None, None))
             self._outbox_bytes += len(data)
             self._count_waiting(len(data))
@@ -580,14 +606,14 @@
         while self.is_open:
             self._wake.wait()
             self._wake.clear()
-            self._writing = True
+            self._writer.is_busy = True
             try:
                 while self.is_open and (
                     self._partial_frame is not None or self._outbox
                 ):
                     self._write_batch()
             finally:
-                self._writing = False
+                self._writer.is_busy = False
 
     def _write_batch(self) -> None:
         request_offsets: list[tuple[int, _PendingRequest]] = []
@@ -601,9 +627,11 @@
             self._count_waiting(len(data))
         sent = 0
         while sent < len(data):
+            self._writer.left_bytes = len(data) - sent
             sent += self.transport.send_partial(data[sent:])
             while request_offsets and request_offsets[0][0] < sent:
                 request_offsets.pop(0)[1].sent = True
+        self._writer.left_bytes = 0
         self._count_waiting(-len(data))
 
     def _dequeue_batch(
@@ -674,12 +702,59 @@
     def _handle(
         self, function: handlers.Handler, message: Any, correlation: int
     ) -> None:
+        received_at = clocks.read_now()
         try:
             reply = run_handler(function, self.peer, message)
+            body = getattr(reply, 'body', b'')
+            if len(body) >= bulk.LARGE_BYTES and correlation:
+                timeout_ms = getattr(message, 'timeout_ms', math.inf)
+                expires_at = received_at + timeout_ms / _MS_PER_S
+                self._reply_in_turn(correlation, reply, len(body), expires_at)
+                return
         finally:
             self._running_handlers -= 1
         self._reply(correlation, reply)
 
+    def _reply_in_turn(
+        self, correlation: int, reply: Any, n_bytes: int, expires_at: float
+    ) -> None:
+        """Sends a large reply, and waits until it has left.
+
+        Args:
+          correlation: Number of the request.
+          reply: The reply.
+          n_bytes: Size of its body, in bytes.
+          expires_at: Time from which the peer doesn't wait for it, in seconds.
+        """
+        try:
+            self._free_total_space(n_bytes)
+        except errors.NotSentError:
+            self.close('outbox_full')
+            return
+        self._count_waiting(n_bytes)
+        with self._group.bulk_sender.reserve(n_bytes, expires_at) as may_send:
+            self._count_waiting(-n_bytes)
+            if not may_send:
+                _log.info(
+                    'link.reply_expired',
+                    extra={'peer': self.peer.vm, 'bytes': n_bytes},
+                )
+                return
+            self._reply(correlation, reply)
+            bulk.wait_until_left(self._count_unsent_bytes)
+
+    def _count_unsent_bytes(self) -> int:
+        """Returns the bytes of this link that have not left the machine."""
+        if not self.is_open:
+            return 0
+        partial = self._partial_frame
+        return (
+            self._outbox_bytes
+            + self._writer.left_bytes
+            + (len(partial[0]) if partial is not None else 0)
+            + bulk.count_unsent_bytes(self.transport.sock)
+        )
+
     def _reply(self, correlation: int, reply: Any) -> None:
         if correlation == 0 or not self.is_open:
             return
