--- a/jayseam/core/hangups.py
+++ b/jayseam/core/hangups.py
@@ -24,8 +24,8 @@
 # States of a connection whose other side has sent its last byte, or that has
 # ended; from the Linux header net/tcp_states.h.
 _ENDED_STATES = frozenset((6, 7, 8, 9, 11))
-# Errors of a connection that has failed. The kernel reports such an error to one
-# read or write, and from then on the end of the input.
+# Errors of a connection that has failed. The kernel reports such an error to
+# one read or write, and from then on the end of the input.
 _FAILURES = frozenset(
     (
         errno.ECONNABORTED,
--- a/jayseam/links/bulk.py
+++ b/jayseam/links/bulk.py
@@ -41,6 +41,8 @@
 _LOOK_S = 0.005
 # A peer that takes nothing for this time doesn't hold up the others.
 _STALL_S = 0.2
+# Nor does one that takes it slowly for longer than this.
+_MAX_TURN_S = 0.5
 # Weight of a longer time in the shortest one, so that it follows a new route.
 _AGING_WEIGHT = 0.01
 _SHRINK_FACTOR = 0.5
@@ -179,17 +181,23 @@
 
 
 def wait_until_left(count_unsent: Callable[[], int]) -> None:
-    """Waits until what was written has left, or doesn't leave any more.
+    """Waits until what was written has left, or a peer takes too long for it.
 
     Args:
       count_unsent: Returns the bytes that have not left yet.
     """
     unsent = count_unsent()
-    stalled_s = 0.0
-    while unsent > _LEFT_BYTES and stalled_s < _STALL_S:
+    began_at = progress_at = now = clocks.read_now()
+    while (
+        unsent > _LEFT_BYTES
+        and now < progress_at + _STALL_S
+        and now < began_at + _MAX_TURN_S
+    ):
         gevent.sleep(_LOOK_S)
+        now = clocks.read_now()
         before, unsent = unsent, count_unsent()
-        stalled_s = 0.0 if unsent < before else stalled_s + _LOOK_S
+        if unsent < before:
+            progress_at = now
 
 
 def count_unsent_bytes(sock: socket.socket) -> int:
--- a/jayseam/links/tests/test_bulk.py
+++ b/jayseam/links/tests/test_bulk.py
@@ -90,20 +90,24 @@
     assert _send_replies(bulk.BulkSender(), network, 20, 0.0, 0.2) <= 6
 
 
-def test_peer_that_takes_nothing_holds_up_no_other():
+@pytest.mark.parametrize(('bytes_per_s', 'limit_s'), [(0, 0.4), (50_000, 0.8)])
+def test_slow_peer_holds_up_no_other(bytes_per_s, limit_s):
     """A link that has gone silent keeps its bytes for seconds."""
     sender = bulk.BulkSender()
     began = clocks.read_now()
 
-    def send_to_silent():
+    def count_unsent():
+        return REPLY_BYTES - int((clocks.read_now() - began) * bytes_per_s)
+
+    def send_to_slow():
         with sender.reserve(REPLY_BYTES, math.inf):
-            bulk.wait_until_left(lambda: REPLY_BYTES)
+            bulk.wait_until_left(count_unsent)
 
-    gevent.spawn(send_to_silent)
+    gevent.spawn(send_to_slow)
     gevent.sleep(0.01)
     with sender.reserve(REPLY_BYTES, math.inf) as may_send:
         assert may_send
-    assert clocks.read_now() - began < 0.5
+    assert clocks.read_now() - began < limit_s
 
 
 def test_waiting_reply_that_is_killed_leaves_its_place():
