Test that the log joins a cancelled attempt with its request

call.attempt_given_up came without a test. The new one reads request, attempt and VM from the line when a caller leaves; it passes, and no product code changes.

--- a/jayseam/calls/tests/test_entry.py
+++ b/jayseam/calls/tests/test_entry.py
@@ -392,6 +392,28 @@
     assert harness.tried_vms == ['a'] and cancelled == ['a']
 
 
+def test_log_joins_a_cancelled_attempt_with_its_request(caplog):
+    """The VM that ends the attempt may no longer know the request."""
+    caplog.set_level('INFO')
+    harness = _Harness({'a': _ANSWERED}, cancel=lambda vm, attempt: None)
+
+    def leave(vm, forward, timeout_s):
+        del vm, timeout_s
+        harness.forwards.append(forward)
+        raise errors.CallerGoneError('the caller disconnected')
+
+    harness.entry._dependencies = attrs.evolve(
+        harness.entry._dependencies, forwarder=leave
+    )
+    with pytest.raises(errors.CallerGoneError):
+        harness.run()
+    (line,) = [
+        r for r in caplog.records if r.message == 'call.attempt_given_up'
+    ]
+    assert (line.request_id, line.upstream_vm) == ('r-1', 'a')
+    assert line.attempt == harness.forwards[0].attempt
+
+
 @pytest.mark.parametrize('repeatable', [True, False])
 def test_attempt_whose_reply_is_lost_does_not_run_beside_the_next(repeatable):
     """Work went on at the first server for a caller that left the second.
